--- /dev/null
+++ b/request/refusal.go
@@ -0,0 +1,145 @@
+package request
+
+import (
+	"fmt"
+	"net/http"
+	"time"
+)
+
+// NotRun says what is known of whether a refused request ran. A refusal never
+// claims more than is known.
+type NotRun uint8
+
+// The values of NotRun.
+const (
+	// RanUnknown: bytes may have left and no proof exists either way.
+	RanUnknown NotRun = iota
+	// NotRunTrue: the request did not run anywhere.
+	NotRunTrue
+	// NotRunFalse: the request ran, at least in part.
+	NotRunFalse
+)
+
+// JSON returns the value of the refusal's not_run member: true, false or
+// "unknown".
+func (n NotRun) JSON() any {
+	switch n {
+	case NotRunTrue:
+		return true
+	case NotRunFalse:
+		return false
+	default:
+		return "unknown"
+	}
+}
+
+// Reason is the typed code of a refusal; it is also its counter's name.
+type Reason string
+
+// The refusal reasons.
+const (
+	ReasonBadRequest        Reason = "bad_request"
+	ReasonBodyTooLarge      Reason = "body_too_large"
+	ReasonUnauthorized      Reason = "unauthorized"
+	ReasonUnknownModel      Reason = "unknown_model"
+	ReasonUnknownService    Reason = "unknown_service"
+	ReasonTierNotAllowed    Reason = "tier_not_allowed"
+	ReasonDeadlineInvalid   Reason = "deadline_invalid"
+	ReasonNoConfiguration   Reason = "no_configuration"
+	ReasonShed              Reason = "shed"
+	ReasonWorkspaceLimit    Reason = "workspace_limit"
+	ReasonEntryMemory       Reason = "entry_memory"
+	ReasonExpired           Reason = "expired"
+	ReasonNoServer          Reason = "no_server"
+	ReasonNoOwner           Reason = "no_owner"
+	ReasonSuspectBusy       Reason = "suspect_busy"
+	ReasonConvicted         Reason = "convicted"
+	ReasonClaimConflict     Reason = "claim_conflict"
+	ReasonClaimInProgress   Reason = "claim_in_progress"
+	ReasonClaimRan          Reason = "claim_ran"
+	ReasonClaimUnknown      Reason = "claim_unknown"
+	ReasonClaimKeyMissing   Reason = "claim_key_missing"
+	ReasonStoreUnavailable  Reason = "store_unavailable"
+	ReasonEngineRefused     Reason = "engine_refused"
+	ReasonEngineUnreachable Reason = "engine_unreachable"
+	ReasonEngineLost        Reason = "engine_lost"
+	ReasonAnswerIncomplete  Reason = "answer_incomplete"
+	ReasonCallerGone        Reason = "caller_gone"
+	ReasonShuttingDown      Reason = "shutting_down"
+	ReasonInternal          Reason = "internal"
+)
+
+// reasonStatus maps each reason to its HTTP status.
+var reasonStatus = map[Reason]int{
+	ReasonBadRequest:        http.StatusBadRequest,
+	ReasonBodyTooLarge:      http.StatusRequestEntityTooLarge,
+	ReasonUnauthorized:      http.StatusUnauthorized,
+	ReasonUnknownModel:      http.StatusNotFound,
+	ReasonUnknownService:    http.StatusNotFound,
+	ReasonTierNotAllowed:    http.StatusForbidden,
+	ReasonDeadlineInvalid:   http.StatusBadRequest,
+	ReasonNoConfiguration:   http.StatusServiceUnavailable,
+	ReasonShed:              http.StatusTooManyRequests,
+	ReasonWorkspaceLimit:    http.StatusTooManyRequests,
+	ReasonEntryMemory:       http.StatusServiceUnavailable,
+	ReasonExpired:           http.StatusGatewayTimeout,
+	ReasonNoServer:          http.StatusServiceUnavailable,
+	ReasonNoOwner:           http.StatusServiceUnavailable,
+	ReasonSuspectBusy:       http.StatusTooManyRequests,
+	ReasonConvicted:         http.StatusUnprocessableEntity,
+	ReasonClaimConflict:     http.StatusConflict,
+	ReasonClaimInProgress:   http.StatusConflict,
+	ReasonClaimRan:          http.StatusConflict,
+	ReasonClaimUnknown:      http.StatusConflict,
+	ReasonClaimKeyMissing:   http.StatusBadRequest,
+	ReasonStoreUnavailable:  http.StatusServiceUnavailable,
+	ReasonEngineRefused:     http.StatusBadGateway,
+	ReasonEngineUnreachable: http.StatusBadGateway,
+	ReasonEngineLost:        http.StatusBadGateway,
+	ReasonAnswerIncomplete:  http.StatusBadGateway,
+	ReasonCallerGone:        499,
+	ReasonShuttingDown:      http.StatusServiceUnavailable,
+	ReasonInternal:          http.StatusInternalServerError,
+}
+
+// Reasons returns every refusal reason, for counters and their tests.
+func Reasons() []Reason {
+	out := make([]Reason, 0, len(reasonStatus))
+	for r := range reasonStatus {
+		out = append(out, r)
+	}
+	return out
+}
+
+// Status returns the reason's HTTP status.
+func (r Reason) Status() int {
+	if s, ok := reasonStatus[r]; ok {
+		return s
+	}
+	return http.StatusInternalServerError
+}
+
+// Refusal ends a request without a whole answer. It is an error.
+type Refusal struct {
+	Reason  Reason
+	NotRun  NotRun
+	Message string
+	// RetryAfter is when to come back; zero where to retry does not help.
+	RetryAfter time.Duration
+}
+
+// Error implements error.
+func (r *Refusal) Error() string {
+	return fmt.Sprintf("%s: %s", r.Reason, r.Message)
+}
+
+// Refuse returns a refusal of a request that certainly did not run.
+func Refuse(reason Reason, format string, args ...any) *Refusal {
+	return &Refusal{Reason: reason, NotRun: NotRunTrue, Message: fmt.Sprintf(format, args...)}
+}
+
+// WithRetryAfter sets when to come back and returns r.
+func (r *Refusal) WithRetryAfter(d time.Duration) *Refusal {
+	r.RetryAfter = d
+	return r
+}
