--- /dev/null
+++ b/workspace/finding.go
@@ -0,0 +1,46 @@
+package workspace
+
+import (
+	"fmt"
+	"strings"
+)
+
+// Finding is one thing wrong with a configuration, with its place.
+type Finding struct {
+	// File is the file or, for a stored object, "Kind/name".
+	File string `json:"file"`
+	// Path is the JSON path in it, e.g. "tiers[1].first_token_ms".
+	Path   string `json:"path"`
+	Reason string `json:"reason"`
+}
+
+// String returns "file: path: reason".
+func (f Finding) String() string {
+	return fmt.Sprintf("%s: %s: %s", f.File, f.Path, f.Reason)
+}
+
+// Findings are all findings of one check, reported together. A non-empty
+// Findings is an error.
+type Findings []Finding
+
+// Error implements error.
+func (f Findings) Error() string {
+	lines := make([]string, len(f))
+	for i, x := range f {
+		lines[i] = x.String()
+	}
+	return strings.Join(lines, "\n")
+}
+
+// Add appends a finding.
+func (f *Findings) Add(file, path, format string, args ...any) {
+	*f = append(*f, Finding{File: file, Path: path, Reason: fmt.Sprintf(format, args...)})
+}
+
+// Err returns f as an error, or nil where there are none.
+func (f Findings) Err() error {
+	if len(f) == 0 {
+		return nil
+	}
+	return f
+}
