Fix the interfaces of peers and membership

Cause: pool sessions, gossip and configuration spread share one transport and one view. Change: typed message numbers, transport contract, member view with rendezvous ownership.

--- /dev/null
+++ b/internal/peer/peer.go
@@ -0,0 +1,75 @@
+// Package peer carries messages between daemons: yamux streams over TCP,
+// protobuf payloads in versioned envelopes, each connection authenticated by a
+// cluster key. It knows nothing of what the messages mean.
+package peer
+
+import (
+	"context"
+
+	"github.com/pkg/errors"
+)
+
+// Type names what an envelope carries. Numbers are never reused; a daemon
+// answers an unknown type of a Call with ErrUnknownType and drops an unknown
+// one-way message with a counter, so that old and new daemons work together.
+type Type uint32
+
+// The message types, grouped by the part that owns them.
+const (
+	TypePing Type = 1 // app-level heartbeat
+
+	TypeMemberGossip Type = 10
+	TypeMemberProbe  Type = 11 // direct probe
+	TypeMemberAsk    Type = 12 // indirect probe
+
+	TypePoolEvents   Type = 20 // entry to owner: batch of pool events
+	TypePoolCommands Type = 21 // owner to entry: batch of pool commands
+	TypePoolHello    Type = 22 // entry to owner: opens or renews a session
+	TypePoolSummary  Type = 23
+	TypeSuspect      Type = 24
+
+	TypeConfigDigest Type = 30
+	TypeConfigPull   Type = 31
+	TypeStatus       Type = 32 // for `lycheekeel status`
+)
+
+// Errors of a Transport; callers test with errors.Is.
+var (
+	// ErrNotConnected: the peer can't be reached now; nothing was sent.
+	ErrNotConnected = errors.New("peer not connected")
+	// ErrOverloaded: the peer's send queue is full; nothing was sent.
+	ErrOverloaded = errors.New("peer send queue full")
+	// ErrUnknownOutcome: a call's answer did not come.
+	ErrUnknownOutcome = errors.New("no answer from peer")
+	// ErrUnknownType: the peer does not know the message type.
+	ErrUnknownType = errors.New("peer does not know the message type")
+)
+
+// Name is a daemon's name as in its settings, unique in the cluster.
+type Name string
+
+// Handler handles one message; payload may be kept. For a Call its result is
+// the answer. It runs on its own goroutine for calls, and in order per peer
+// for one-way messages, which it must not block.
+type Handler func(ctx context.Context, from Name, payload []byte) ([]byte, error)
+
+// Transport sends messages to peers by name. It dials when needed, keeps one
+// live connection per peer, and redials on a new connection when an old one
+// goes silent. Safe for concurrent use.
+type Transport interface {
+	// Self is this daemon's name.
+	Self() Name
+	// Handle registers the handler of a type, before the transport starts.
+	Handle(t Type, h Handler)
+	// Send queues a one-way message. Messages to one peer arrive in order
+	// while the connection lives; those in flight when it breaks are lost.
+	// onLost in OnDown tells of such a break.
+	Send(to Name, t Type, payload []byte) error
+	// Call sends a message and waits for its answer until ctx ends.
+	Call(ctx context.Context, to Name, t Type, payload []byte) ([]byte, error)
+	// SetAddress tells where a peer listens (IP:port); learnt from membership.
+	SetAddress(of Name, address string)
+	// OnDown registers a function called when the connection to a peer broke
+	// or went silent, so that sessions on it are opened again.
+	OnDown(f func(of Name))
+}
--- /dev/null
+++ b/member/view.go
@@ -0,0 +1,99 @@
+// Package member is soft membership: which daemons live, found from seeds, the
+// platform's VM list and gossip, checked by random and indirect probes with
+// suspicion and incarnations. Nothing's correctness rests on it: a wrong view
+// costs a little over-granting or a detour, never a doubled request.
+package member
+
+import (
+	"sort"
+	"sync/atomic"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// State is what is believed of a member.
+type State uint8
+
+// The states, in order of precedence at equal incarnation.
+const (
+	Alive State = iota
+	Suspect
+	Leaving // alive, takes no pools, finishes its work
+	Dead
+)
+
+// Member is one daemon's record.
+type Member struct {
+	Name             string
+	Incarnation      uint64 // a restarted or refuting member has a larger one
+	Address          string // IP:port of its peer listener
+	Region           string
+	AvailabilityZone string
+	State            State
+	// ProtocolVersion is the newest peer protocol that it speaks.
+	ProtocolVersion uint32
+}
+
+// View is an immutable picture of the members, sorted by name.
+type View struct {
+	Self    string
+	Members []Member
+}
+
+// Live holds the view in force. Load is one atomic read.
+type Live struct{ p atomic.Pointer[View] }
+
+// Load returns the view in force; never nil.
+func (l *Live) Load() *View {
+	if v := l.p.Load(); v != nil {
+		return v
+	}
+	return &View{}
+}
+
+// Store puts a view in force.
+func (l *Live) Store(v *View) { l.p.Store(v) }
+
+// NewView returns a view of the members, which it sorts.
+func NewView(self string, members []Member) *View {
+	sort.Slice(members, func(i, j int) bool { return members[i].Name < members[j].Name })
+	return &View{Self: self, Members: members}
+}
+
+// Get returns a member by name.
+func (v *View) Get(name string) (Member, bool) {
+	i := sort.Search(len(v.Members), func(i int) bool { return v.Members[i].Name >= name })
+	if i < len(v.Members) && v.Members[i].Name == name {
+		return v.Members[i], true
+	}
+	return Member{}, false
+}
+
+// Owner returns the member that owns the pool: rendezvous hashing over the
+// region's members that are alive or only suspected, so that a change of one
+// member moves only that member's pools. False where the region has none.
+func (v *View) Owner(pool, region string) (Member, bool) {
+	var best Member
+	var bestScore uint64
+	found := false
+	for _, m := range v.Members {
+		if m.Region != region || (m.State != Alive && m.State != Suspect) {
+			continue
+		}
+		score := ownerScore(pool, m.Name)
+		if !found || score > bestScore || (score == bestScore && m.Name < best.Name) {
+			best, bestScore, found = m, score, true
+		}
+	}
+	return best, found
+}
+
+// ownerScore is the rendezvous weight of a pool on a member.
+func ownerScore(pool, name string) uint64 {
+	var d xxhash.Digest
+	d.Reset()
+	_, _ = d.WriteString(pool)
+	_, _ = d.WriteString("\x00")
+	_, _ = d.WriteString(name)
+	return d.Sum64()
+}
