--- /dev/null
+++ b/cmd/lycheekeel/main.go
@@ -0,0 +1,13 @@
+// Command lycheekeel is the operators' tool: it applies configuration, shows
+// the state of a cluster, drains daemons, and runs demonstrations and loads.
+package main
+
+import (
+	"os"
+
+	"github.com/lycheekeel/lycheekeel/internal/cli"
+)
+
+func main() {
+	os.Exit(cli.Main(os.Args[1:], os.Stdout, os.Stderr))
+}
--- /dev/null
+++ b/internal/cli/exit.go
@@ -0,0 +1,69 @@
+package cli
+
+import (
+	"github.com/alecthomas/kingpin/v2"
+	"github.com/pkg/errors"
+)
+
+// ExitCode is the tool's exit status.
+type ExitCode int
+
+// The exit codes.
+const (
+	ExitOK ExitCode = 0
+	// ExitFailure: the command ran and failed.
+	ExitFailure ExitCode = 1
+	// ExitUsage: flags or arguments are wrong; nothing was done.
+	ExitUsage ExitCode = 2
+	// ExitFindings: the input was checked and has findings; nothing was done.
+	ExitFindings ExitCode = 3
+	// ExitConflict: somebody else's change came first; nothing was
+	// overwritten.
+	ExitConflict ExitCode = 4
+	// ExitUnreachable: the platform or the daemon did not take the call.
+	ExitUnreachable ExitCode = 5
+	// ExitUnknown: the call may or may not have had effect.
+	ExitUnknown ExitCode = 6
+)
+
+// exitError is an error with its exit code.
+type exitError struct {
+	code ExitCode
+	err  error
+}
+
+func (e *exitError) Error() string { return e.err.Error() }
+func (e *exitError) Unwrap() error { return e.err }
+
+// withExit gives an error its exit code; nil stays nil.
+func withExit(code ExitCode, err error) error {
+	if err == nil {
+		return nil
+	}
+	return &exitError{code: code, err: err}
+}
+
+// failed gives an error of a command's own run the code ExitFailure, unless
+// it has a code already.
+func failed(err error) error {
+	var e *exitError
+	if err == nil || errors.As(err, &e) {
+		return err
+	}
+	return withExit(ExitFailure, err)
+}
+
+// run wraps a command's work for kingpin. It gives the work's errors an exit
+// code, so that only errors of the command line itself have none.
+func run(f func() error) kingpin.Action {
+	return func(*kingpin.ParseContext) error { return failed(f()) }
+}
+
+// codeOf returns an error's exit code.
+func codeOf(err error) ExitCode {
+	var e *exitError
+	if errors.As(err, &e) {
+		return e.code
+	}
+	return ExitUsage
+}
