peertest: add an in-memory network of transports

Tests of the parts above the peer transport need links that can be cut, delayed or lose messages one way, with real payload bytes and counters per node. Network gives each node a peer.Transport: one-way messages in order per link, calls with answers, OnDown on a break.

--- /dev/null
+++ b/internal/peer/peertest/node.go
@@ -0,0 +1,152 @@
+package peertest
+
+import (
+	"bytes"
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/lycheekeel/lycheekeel/internal/peer"
+)
+
+// Node is one daemon's end of a Network. It implements peer.Transport and may
+// be used at once; SetAddress has no effect, since names are enough here.
+type Node struct {
+	net  *Network
+	name peer.Name
+
+	mu       sync.Mutex
+	handlers map[peer.Type]peer.Handler
+	onDown   []func(peer.Name)
+
+	messagesOut, messagesIn atomic.Uint64
+	bytesOut, bytesIn       atomic.Uint64
+}
+
+var _ peer.Transport = (*Node)(nil)
+
+// Self implements peer.Transport.
+func (d *Node) Self() peer.Name { return d.name }
+
+// SetAddress implements peer.Transport.
+func (d *Node) SetAddress(peer.Name, string) {}
+
+// Handle implements peer.Transport.
+func (d *Node) Handle(t peer.Type, h peer.Handler) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.handlers[t] = h
+}
+
+// OnDown implements peer.Transport.
+func (d *Node) OnDown(f func(of peer.Name)) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.onDown = append(d.onDown, f)
+}
+
+// Counters returns what the node has sent and received so far.
+func (d *Node) Counters() Counters {
+	return Counters{
+		MessagesOut: d.messagesOut.Load(), MessagesIn: d.messagesIn.Load(),
+		BytesOut: d.bytesOut.Load(), BytesIn: d.bytesIn.Load(),
+	}
+}
+
+// Send implements peer.Transport.
+func (d *Node) Send(to peer.Name, t peer.Type, payload []byte) error {
+	r, dst := d.net.rule(d.name, to)
+	if r.cut || dst == nil {
+		return peer.ErrNotConnected
+	}
+	l := d.net.link(d.name, to)
+	sent := bytes.Clone(payload)
+	due := time.Now().Add(r.delay)
+	deliver := func() {
+		if !r.lose && l.wait(due) {
+			dst.receive(context.Background(), d.name, t, sent)
+		}
+	}
+	select {
+	case l.queue <- deliver:
+		d.countOut(sent)
+		return nil
+	default:
+		return peer.ErrOverloaded
+	}
+}
+
+// answer is what a handler returned.
+type answer struct {
+	payload []byte
+	err     error
+}
+
+// Call implements peer.Transport.
+func (d *Node) Call(ctx context.Context, to peer.Name, t peer.Type, payload []byte) ([]byte, error) {
+	r, dst := d.net.rule(d.name, to)
+	if r.cut || dst == nil {
+		return nil, peer.ErrNotConnected
+	}
+	l := d.net.link(d.name, to)
+	d.countOut(payload)
+	answers := make(chan answer, 1)
+	if !r.lose {
+		go d.carryCall(ctx, l, dst, t, bytes.Clone(payload), answers)
+	}
+	select {
+	case a := <-answers:
+		return a.payload, a.err
+	case <-l.done:
+	case <-ctx.Done():
+	}
+	return nil, peer.ErrUnknownOutcome
+}
+
+// carryCall takes a call to its handler and the answer back, under the rules
+// that are in force at each moment.
+func (d *Node) carryCall(ctx context.Context, l *link, dst *Node, t peer.Type, payload []byte, answers chan<- answer) {
+	r, _ := d.net.rule(d.name, dst.name)
+	if !l.wait(time.Now().Add(r.delay)) {
+		return
+	}
+	out, err := dst.receive(ctx, d.name, t, payload)
+	dst.countOut(out)
+	back, _ := d.net.rule(dst.name, d.name)
+	if back.cut || back.lose || !l.wait(time.Now().Add(back.delay)) {
+		return
+	}
+	d.countIn(out)
+	answers <- answer{payload: bytes.Clone(out), err: err}
+}
+
+func (d *Node) receive(ctx context.Context, from peer.Name, t peer.Type, payload []byte) ([]byte, error) {
+	d.countIn(payload)
+	d.mu.Lock()
+	h := d.handlers[t]
+	d.mu.Unlock()
+	if h == nil {
+		return nil, peer.ErrUnknownType
+	}
+	return h(ctx, from, payload)
+}
+
+func (d *Node) tellDown(of peer.Name) {
+	d.mu.Lock()
+	fs := append([]func(peer.Name){}, d.onDown...)
+	d.mu.Unlock()
+	for _, f := range fs {
+		f(of)
+	}
+}
+
+func (d *Node) countOut(payload []byte) {
+	d.messagesOut.Add(1)
+	d.bytesOut.Add(uint64(len(payload)))
+}
+
+func (d *Node) countIn(payload []byte) {
+	d.messagesIn.Add(1)
+	d.bytesIn.Add(uint64(len(payload)))
+}
