--- /dev/null
+++ b/internal/standin/platform/http.go
@@ -0,0 +1,179 @@
+package platform
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"net"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/valyala/fasthttp"
+
+	port "github.com/lycheekeel/lycheekeel/platform"
+	"github.com/lycheekeel/lycheekeel/platform/httpplatform/wire"
+)
+
+// The control paths of the stand-in itself; they obey no fault.
+const (
+	PathFaults = "/standin/faults"
+	PathVMs    = "/standin/vms"
+	PathCalls  = "/standin/calls"
+)
+
+// idleTimeout closes a connection without requests; clients must keep theirs
+// for less.
+const idleTimeout = time.Minute
+
+// bodyMargin lets a value just over the limit reach the check that refuses it.
+const bodyMargin = 1 << 20
+
+// Serve answers HTTP on the listener until the context ends.
+func (s *Standin) Serve(ctx context.Context, ln net.Listener) error {
+	srv := &fasthttp.Server{
+		Handler:            s.handle,
+		IdleTimeout:        idleTimeout,
+		MaxRequestBodySize: port.MaxValueBytes + bodyMargin,
+		CloseOnShutdown:    true,
+		Logger:             silent{},
+	}
+	done := make(chan error, 1)
+	go func() { done <- srv.Serve(ln) }()
+	select {
+	case err := <-done:
+		return errors.Wrap(err, "platform stand-in")
+	case <-ctx.Done():
+		stopping, cancel := context.WithTimeout(context.Background(), time.Second)
+		defer cancel()
+		_ = srv.ShutdownWithContext(stopping) // open watches may outlast it
+		return ln.Close()
+	}
+}
+
+// silent drops fasthttp's lines about connections that clients cut.
+type silent struct{}
+
+// Printf implements fasthttp.Logger.
+func (silent) Printf(string, ...any) {}
+
+func (s *Standin) handle(c *fasthttp.RequestCtx) {
+	answer, err := s.route(c)
+	if errors.Is(err, port.ErrUnknownOutcome) {
+		// The answer is lost: the connection closes without one.
+		c.HijackSetNoResponse(true)
+		c.Hijack(func(net.Conn) {})
+		return
+	}
+	if err != nil {
+		c.Error(err.Error(), status(err))
+		return
+	}
+	b, err := json.Marshal(answer)
+	if err != nil {
+		c.Error(err.Error(), fasthttp.StatusInternalServerError)
+		return
+	}
+	c.SetContentType("application/json")
+	c.SetBody(b)
+}
+
+var errBadRequest = errors.New("bad request")
+
+func status(err error) int {
+	for _, m := range []struct {
+		err    error
+		status int
+	}{
+		{port.ErrNotFound, fasthttp.StatusNotFound},
+		{port.ErrConflict, fasthttp.StatusConflict},
+		{port.ErrCompacted, fasthttp.StatusGone},
+		{port.ErrTooLarge, fasthttp.StatusRequestEntityTooLarge},
+		{port.ErrUnavailable, fasthttp.StatusServiceUnavailable},
+		{errBadRequest, fasthttp.StatusBadRequest},
+	} {
+		if errors.Is(err, m.err) {
+			return m.status
+		}
+	}
+	return fasthttp.StatusInternalServerError
+}
+
+// route answers one request. Its context is the server's: fasthttp does not
+// tell when a client has gone, and a write goes on without it anyway.
+func (s *Standin) route(c *fasthttp.RequestCtx) (any, error) {
+	args := c.QueryArgs()
+	kind, name := port.Kind(args.Peek(wire.ArgKind)), string(args.Peek(wire.ArgName))
+	switch method := string(c.Method()); method + " " + string(c.Path()) {
+	case "GET " + wire.PathObject:
+		return s.Get(c, kind, name)
+	case "PUT " + wire.PathObject:
+		body := bytes.Clone(c.PostBody()) // a slow write outlives the handler
+		if args.Has(wire.ArgCreate) {
+			v, err := s.Create(c, kind, name, body)
+			return wire.Written{Version: v}, err
+		}
+		v, err := s.Update(c, kind, name, body, version(args, wire.ArgExpected))
+		return wire.Written{Version: v}, err
+	case "DELETE " + wire.PathObject:
+		v, err := s.Delete(c, kind, name, version(args, wire.ArgExpected))
+		return wire.Written{Version: v}, err
+	case "GET " + wire.PathObjects:
+		return s.List(c, kind, string(args.Peek(wire.ArgPrefix)))
+	case "GET " + wire.PathWatch:
+		return s.watch(c, string(kind), args)
+	case "GET " + wire.PathVMs:
+		return s.VMs(c)
+	case "POST " + wire.PathReserve:
+		wait, err := s.Reserve(c, string(args.Peek(wire.ArgModel)), string(args.Peek(wire.ArgVersion)))
+		return wire.Reserved{WaitMs: wait.Milliseconds() + boolToInt(wait > 0)}, err
+	default:
+		return s.control(c, method+" "+string(c.Path()))
+	}
+}
+
+func (s *Standin) watch(c *fasthttp.RequestCtx, kinds string, args *fasthttp.Args) (any, error) {
+	var list []port.Kind
+	for _, k := range strings.Split(kinds, ",") {
+		list = append(list, port.Kind(k))
+	}
+	wait := time.Duration(args.GetUintOrZero(wire.ArgWaitMs)) * time.Millisecond
+	events, next, err := s.Watch(c, list, version(args, wire.ArgAfter), wait)
+	return wire.Watched{Events: events, Version: next}, err
+}
+
+// control answers the stand-in's own paths.
+func (s *Standin) control(c *fasthttp.RequestCtx, route string) (any, error) {
+	switch route {
+	case "POST " + PathFaults:
+		var f Faults
+		if err := json.Unmarshal(c.PostBody(), &f); err != nil {
+			return nil, errors.Wrap(errBadRequest, err.Error())
+		}
+		s.SetFaults(f)
+		return f, nil
+	case "GET " + PathFaults:
+		return s.Faults(), nil
+	case "POST " + PathVMs:
+		var vms []port.VM
+		if err := json.Unmarshal(c.PostBody(), &vms); err != nil {
+			return nil, errors.Wrap(errBadRequest, err.Error())
+		}
+		s.SetVMs(vms)
+		return vms, nil
+	case "GET " + PathCalls:
+		return s.Calls(), nil
+	}
+	return nil, errors.Wrap(port.ErrNotFound, route)
+}
+
+func version(args *fasthttp.Args, name string) port.Version {
+	return port.Version(args.GetUintOrZero(name))
+}
+
+func boolToInt(b bool) int64 {
+	if b {
+		return 1
+	}
+	return 0
+}
--- /dev/null
+++ b/internal/standin/platform/standin.go
@@ -0,0 +1,272 @@
+// Package platform is a small stand-in for the platform in tests: an object
+// API with versions, conditional updates and watches, a VM list that lags and
+// a rate-limited weight store, with switchable faults. It serves in-process
+// as a platform.Platform, and over HTTP. It keeps everything in memory.
+package platform
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+	"golang.org/x/time/rate"
+
+	port "github.com/lycheekeel/lycheekeel/platform"
+)
+
+// Defaults of Options.
+const (
+	defaultHistory     = 20000
+	defaultLoadsPerSec = 10
+	defaultLoadBurst   = 4
+)
+
+// Options set up a stand-in; the zero value works.
+type Options struct {
+	// History is how many changes a watch can look back; older ones are
+	// compacted.
+	History int
+	// LoadsPerSecond and LoadBurst ration the weight store.
+	LoadsPerSecond float64
+	LoadBurst      int
+	// Seed fixes which answers LoseFraction loses.
+	Seed uint64
+	// VMs is the first VM list.
+	VMs []port.VM
+}
+
+// Standin is the stand-in's core. It is safe for concurrent use.
+type Standin struct {
+	store  *store
+	faults atomic.Pointer[faultState]
+	loads  *rate.Limiter
+	calls  sync.Map // method -> *atomic.Int64
+
+	mu  sync.Mutex
+	rnd *rand.Rand
+	vms []vmState
+}
+
+// vmState is a VM list and when it became true.
+type vmState struct {
+	at  time.Time
+	vms []port.VM
+}
+
+var _ port.Platform = (*Standin)(nil)
+
+// New returns a healthy stand-in.
+func New(o Options) *Standin {
+	if o.History == 0 {
+		o.History = defaultHistory
+	}
+	if o.LoadsPerSecond == 0 {
+		o.LoadsPerSecond, o.LoadBurst = defaultLoadsPerSec, defaultLoadBurst
+	}
+	s := &Standin{
+		store: newStore(o.History),
+		loads: rate.NewLimiter(rate.Limit(o.LoadsPerSecond), max(1, o.LoadBurst)),
+		rnd:   rand.New(rand.NewPCG(o.Seed, 1)),
+		vms:   []vmState{{vms: o.VMs}},
+	}
+	s.SetFaults(Faults{})
+	return s
+}
+
+// SetFaults replaces the faults in force.
+func (s *Standin) SetFaults(f Faults) { s.faults.Store(newFaultState(f)) }
+
+// Faults returns the faults as they were set.
+func (s *Standin) Faults() Faults { return s.faults.Load().Faults }
+
+// SetVMs replaces the VM list; VMs shows it after the lag.
+func (s *Standin) SetVMs(vms []port.VM) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.vms = append(s.vms, vmState{at: time.Now(), vms: vms})
+}
+
+// Calls returns how often each method was called, refused calls included.
+func (s *Standin) Calls() map[string]int64 {
+	out := map[string]int64{}
+	s.calls.Range(func(k, v any) bool {
+		out[k.(string)] = v.(*atomic.Int64).Load()
+		return true
+	})
+	return out
+}
+
+func (s *Standin) count(method string) {
+	c, ok := s.calls.Load(method)
+	if !ok {
+		c, _ = s.calls.LoadOrStore(method, new(atomic.Int64))
+	}
+	c.(*atomic.Int64).Add(1)
+}
+
+// Get implements platform.ObjectAPI.
+func (s *Standin) Get(ctx context.Context, kind port.Kind, name string) (port.Object, error) {
+	f, err := s.read(ctx, "get")
+	if err != nil {
+		return port.Object{}, err
+	}
+	return s.store.get(kind, name, f.StaleWrites)
+}
+
+// List implements platform.ObjectAPI.
+func (s *Standin) List(ctx context.Context, kind port.Kind, prefix string) (port.List, error) {
+	f, err := s.read(ctx, "list")
+	if err != nil {
+		return port.List{}, err
+	}
+	return s.store.list(kind, prefix, f.StaleWrites), nil
+}
+
+// Create implements platform.ObjectAPI.
+func (s *Standin) Create(ctx context.Context, kind port.Kind, name string, value []byte) (port.Version, error) {
+	return s.write(ctx, "create", func() (port.Version, error) { return s.store.create(kind, name, value) })
+}
+
+// Update implements platform.ObjectAPI; ErrNotFound where it is absent.
+func (s *Standin) Update(ctx context.Context, kind port.Kind, name string, value []byte, expected port.Version) (port.Version, error) {
+	return s.write(ctx, "update", func() (port.Version, error) {
+		return s.store.update(kind, name, value, expected, false)
+	})
+}
+
+// Delete implements platform.ObjectAPI; ErrNotFound where it is absent.
+func (s *Standin) Delete(ctx context.Context, kind port.Kind, name string, expected port.Version) (port.Version, error) {
+	return s.write(ctx, "delete", func() (port.Version, error) {
+		return s.store.update(kind, name, nil, expected, true)
+	})
+}
+
+// Watch implements platform.ObjectAPI.
+func (s *Standin) Watch(ctx context.Context, kinds []port.Kind, after port.Version, wait time.Duration) ([]port.Event, port.Version, error) {
+	if _, err := s.read(ctx, "watch"); err != nil {
+		return nil, 0, err
+	}
+	end := time.NewTimer(wait)
+	defer end.Stop()
+	for {
+		events, next, changed, err := s.store.since(kinds, after)
+		if err != nil || len(events) > 0 {
+			return events, next, err
+		}
+		select {
+		case <-changed:
+			if s.faults.Load().Down {
+				return nil, 0, errors.Wrap(port.ErrUnavailable, "watch")
+			}
+		case <-end.C:
+			return nil, next, nil
+		case <-ctx.Done():
+			return nil, 0, errors.Wrap(port.ErrUnknownOutcome, ctx.Err().Error())
+		}
+	}
+}
+
+// VMs implements platform.VMList: the list as it was VMLagMs ago.
+func (s *Standin) VMs(ctx context.Context) ([]port.VM, error) {
+	f, err := s.read(ctx, "vms")
+	if err != nil {
+		return nil, err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	seen := time.Now().Add(-time.Duration(f.VMLagMs) * time.Millisecond)
+	shown := s.vms[0].vms
+	for _, st := range s.vms {
+		if !st.at.After(seen) {
+			shown = st.vms
+		}
+	}
+	return shown, nil
+}
+
+// Reserve implements platform.WeightStore.
+func (s *Standin) Reserve(ctx context.Context, _, _ string) (time.Duration, error) {
+	if _, err := s.read(ctx, "reserve"); err != nil {
+		return 0, err
+	}
+	r := s.loads.Reserve()
+	wait := r.Delay()
+	if wait > 0 {
+		r.Cancel()
+	}
+	return wait, nil
+}
+
+// read counts a call without effect and applies the faults.
+func (s *Standin) read(ctx context.Context, method string) (*faultState, error) {
+	s.count(method)
+	f := s.faults.Load()
+	if f.Down {
+		return nil, errors.Wrap(port.ErrUnavailable, method)
+	}
+	if err := sleep(ctx, f.delay()); err != nil {
+		return nil, errors.Wrap(port.ErrUnknownOutcome, err.Error())
+	}
+	return f, nil
+}
+
+type writeResult struct {
+	version port.Version
+	err     error
+}
+
+// write counts a write, applies the faults and then the write. Once taken,
+// the write takes effect even when its caller no longer waits.
+func (s *Standin) write(ctx context.Context, method string, apply func() (port.Version, error)) (port.Version, error) {
+	s.count(method)
+	f := s.faults.Load()
+	if f.Down {
+		return 0, errors.Wrap(port.ErrUnavailable, method)
+	}
+	done := make(chan writeResult, 1)
+	run := func() {
+		if f.writes != nil {
+			_ = f.writes.Wait(context.Background()) // no deadline: it can't fail
+		}
+		_ = sleep(context.Background(), f.delay())
+		v, err := apply()
+		done <- writeResult{v, err}
+	}
+	if f.writes == nil && f.SlowMs == 0 {
+		run()
+	} else {
+		go run()
+	}
+	select {
+	case r := <-done:
+		if f.loses(r.err == nil, s.chance()) {
+			return 0, errors.Wrap(port.ErrUnknownOutcome, "answer lost")
+		}
+		return r.version, r.err
+	case <-ctx.Done():
+		return 0, errors.Wrap(port.ErrUnknownOutcome, ctx.Err().Error())
+	}
+}
+
+func (s *Standin) chance() float64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.rnd.Float64()
+}
+
+func sleep(ctx context.Context, d time.Duration) error {
+	if d <= 0 {
+		return nil
+	}
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
