pool: a thin scheduler with strict tiers and the baselines

The broker, the daemon and the experiment need a pool that grants. This one queues by tier, workspace and due time, with a fixed limit per server, eviction of the lowest tier, and round-robin, least-outstanding and fifo as baselines.

--- /dev/null
+++ b/pool/config.go
@@ -0,0 +1,63 @@
+package pool
+
+import (
+	"math/rand/v2"
+
+	"github.com/pkg/errors"
+)
+
+// Defaults of Config.
+const (
+	defaultMaxWaiting = 10000
+	defaultSlots      = 16
+)
+
+// Config is what a pool needs to know at its start. It doesn't change.
+type Config struct {
+	// Name is the pool's name, Policy how it schedules; empty means
+	// PolicyLycheekeel.
+	Name   string
+	Policy Policy
+	// Epoch goes into every GrantID: random per owner start, never reused.
+	Epoch uint64
+	// MaxWaiting bounds the queue; 0 means a default.
+	MaxWaiting int
+	// DefaultSlots is the number of slots of a server that names none; 0
+	// means a default.
+	DefaultSlots int
+	// Seed seeds the jitter of RetryAfter; equal seeds and events give equal
+	// commands.
+	Seed uint64
+}
+
+// Validate reports what is wrong with the configuration.
+func (c Config) Validate() error {
+	switch c.Policy {
+	case "", PolicyLycheekeel, PolicyRoundRobin, PolicyLeastOutstanding, PolicyFIFO:
+	default:
+		return errors.Errorf("pool %q: unknown policy %q", c.Name, c.Policy)
+	}
+	if c.Name == "" {
+		return errors.New("pool without a name")
+	}
+	if c.MaxWaiting < 0 || c.DefaultSlots < 0 {
+		return errors.Errorf("pool %q: max_waiting and default slots may not be negative", c.Name)
+	}
+	return nil
+}
+
+// withDefaults fills the fields that were left zero.
+func (c Config) withDefaults() Config {
+	if c.Policy == "" {
+		c.Policy = PolicyLycheekeel
+	}
+	if c.MaxWaiting == 0 {
+		c.MaxWaiting = defaultMaxWaiting
+	}
+	if c.DefaultSlots == 0 {
+		c.DefaultSlots = defaultSlots
+	}
+	return c
+}
+
+func (c Config) random() *rand.Rand { return rand.New(rand.NewPCG(c.Seed, c.Epoch)) }
--- /dev/null
+++ b/pool/pool_test.go
@@ -0,0 +1,66 @@
+package pool
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/lycheekeel/lycheekeel/request"
+)
+
+var start = time.Unix(1_000_000, 0)
+
+func ask(id string, tier request.Tier) Enqueue {
+	return Enqueue{
+		Request: request.ID(id), Entry: "e1", Workspace: "w", Template: "t", Model: "m", Tier: tier,
+		FirstTokenIn: time.Second, DeadlineIn: time.Minute, PromptTokens: 100, MaxTokens: 100,
+	}
+}
+
+func grants(out []Command) []Grant {
+	var gs []Grant
+	for _, c := range out {
+		if g, ok := c.(Grant); ok {
+			gs = append(gs, g)
+		}
+	}
+	return gs
+}
+
+func sheds(out []Command) []Shed {
+	var ss []Shed
+	for _, c := range out {
+		if s, ok := c.(Shed); ok {
+			ss = append(ss, s)
+		}
+	}
+	return ss
+}
+
+func oneServer(p *Pool, slots int) {
+	p.Handle(start, ServerSet{Servers: []ServerInfo{{Name: "s1", Slots: slots}}}, nil)
+}
+
+func TestGrantsFollowTiers(t *testing.T) {
+	Convey("A freed slot goes to the most urgent tier that waits", t, func() {
+		p := New(Config{Name: "p", Epoch: 1})
+		oneServer(p, 1)
+		first := grants(p.Handle(start, ask("a", 2), nil))
+		So(first, ShouldHaveLength, 1)
+		p.Handle(start, ask("b", 1), nil)
+		p.Handle(start, ask("c", 0), nil)
+		next := grants(p.Handle(start, Release{Request: "a", Entry: "e1", Grant: first[0].Grant, Server: "s1"}, nil))
+		So(next, ShouldHaveLength, 1)
+		So(next[0].Request, ShouldEqual, request.ID("c"))
+	})
+}
+
+func TestOverflowEvictsTheLowestTier(t *testing.T) {
+	Convey("A full queue sheds its lowest tier for a higher one, and nothing else", t, func() {
+		p := New(Config{Name: "p", Epoch: 1, MaxWaiting: 1})
+		So(sheds(p.Handle(start, ask("low", 1), nil)), ShouldBeEmpty)
+		So(sheds(p.Handle(start, ask("high", 0), nil))[0].Request, ShouldEqual, request.ID("low"))
+		So(sheds(p.Handle(start, ask("late", 1), nil))[0].Request, ShouldEqual, request.ID("late"))
+	})
+}
--- /dev/null
+++ b/pool/tier/heap.go
@@ -0,0 +1,81 @@
+package tier
+
+// heap is a binary heap whose elements know their own index, so that any of
+// them can be moved or removed in O(log n).
+type heap[E any] struct {
+	elements []E
+	less     func(a, b E) bool
+	setIndex func(e E, index int)
+}
+
+// none is the index of an element that is in no heap.
+const none = -1
+
+func (h *heap[E]) len() int { return len(h.elements) }
+
+func (h *heap[E]) push(e E) {
+	h.elements = append(h.elements, e)
+	h.setIndex(e, len(h.elements)-1)
+	h.up(len(h.elements) - 1)
+}
+
+// remove takes the element at index i out.
+func (h *heap[E]) remove(i int) {
+	last := len(h.elements) - 1
+	removed := h.elements[i]
+	h.swap(i, last)
+	var zero E
+	h.elements[last] = zero
+	h.elements = h.elements[:last]
+	h.setIndex(removed, none)
+	if i < last {
+		h.fix(i)
+	}
+}
+
+// fix restores the order after the element at index i changed its key.
+func (h *heap[E]) fix(i int) {
+	if !h.down(i) {
+		h.up(i)
+	}
+}
+
+func (h *heap[E]) swap(i, j int) {
+	if i == j {
+		return
+	}
+	h.elements[i], h.elements[j] = h.elements[j], h.elements[i]
+	h.setIndex(h.elements[i], i)
+	h.setIndex(h.elements[j], j)
+}
+
+func (h *heap[E]) up(i int) {
+	for i > 0 {
+		parent := (i - 1) / 2
+		if !h.less(h.elements[i], h.elements[parent]) {
+			return
+		}
+		h.swap(i, parent)
+		i = parent
+	}
+}
+
+// down reports whether the element moved.
+func (h *heap[E]) down(i int) bool {
+	start := i
+	for {
+		child := 2*i + 1
+		if child >= len(h.elements) {
+			break
+		}
+		if right := child + 1; right < len(h.elements) && h.less(h.elements[right], h.elements[child]) {
+			child = right
+		}
+		if !h.less(h.elements[child], h.elements[i]) {
+			break
+		}
+		h.swap(i, child)
+		i = child
+	}
+	return i > start
+}
--- /dev/null
+++ b/pool/tier/queue.go
@@ -0,0 +1,194 @@
+// Package tier is the order in which requests wait: strict priority among
+// tiers, in a tier fairness by cost among workspaces, in a workspace earliest
+// due first. Requests that can no longer meet their target wait at the end of
+// their own tier. Every operation is O(log n) in the waiting requests; the
+// number of tiers is a constant.
+//
+// A Queue is used by one goroutine at a time.
+package tier
+
+import (
+	"time"
+
+	"github.com/lycheekeel/lycheekeel/request"
+)
+
+// Class parts the requests of one tier: all live ones go before all late ones.
+type Class uint8
+
+// The classes of a tier.
+const (
+	// Live requests can still meet their target.
+	Live Class = iota
+	// Late requests cannot, or exceed their workspace's bound; they wait at
+	// the end of their tier.
+	Late
+
+	classes = 2
+)
+
+// Item is one waiting request's place. Set the exported fields before Push
+// and leave them alone until Remove.
+type Item[T any] struct {
+	Tier      request.Tier
+	Class     Class
+	Workspace string
+	// Due orders the items of a workspace: earliest first.
+	Due time.Time
+	// Expires is when Expired returns the item.
+	Expires time.Time
+	// Cost is the estimated work, in tokens.
+	Cost  float64
+	Value T
+
+	seq         uint64
+	flow        *flow[T]
+	early, late int // indexes in the lane's heaps
+	expiry      int // index in the expiry heap
+}
+
+// Queue holds the waiting items of one pool.
+type Queue[T any] struct {
+	levels [request.MaxTiers]level[T]
+	expiry heap[*Item[T]]
+	seq    uint64
+	count  int
+}
+
+// NewQueue returns an empty queue.
+func NewQueue[T any]() *Queue[T] {
+	q := &Queue[T]{expiry: heap[*Item[T]]{
+		less:     func(a, b *Item[T]) bool { return before(a.Expires, b.Expires, a.seq, b.seq) },
+		setIndex: func(it *Item[T], i int) { it.expiry = i },
+	}}
+	for t := range q.levels {
+		q.levels[t].init()
+	}
+	return q
+}
+
+// Len returns how many items wait.
+func (q *Queue[T]) Len() int { return q.count }
+
+// Waiting returns how many items of a tier wait.
+func (q *Queue[T]) Waiting(t request.Tier) int { return q.levels[t].count }
+
+// WaitingCost returns the summed cost of a tier's waiting items.
+func (q *Queue[T]) WaitingCost(t request.Tier) float64 {
+	return q.levels[t].classes[Live].cost + q.levels[t].classes[Late].cost
+}
+
+// WaitingOf returns how many items of a workspace wait in a tier.
+func (q *Queue[T]) WaitingOf(t request.Tier, workspace string) int {
+	if f := q.levels[t].flows[workspace]; f != nil {
+		return f.lanes[Live].early.len() + f.lanes[Late].early.len()
+	}
+	return 0
+}
+
+// Push adds an item.
+func (q *Queue[T]) Push(it *Item[T]) {
+	q.seq++
+	it.seq = q.seq
+	q.count++
+	q.levels[it.Tier].push(it)
+	q.expiry.push(it)
+}
+
+// Remove takes a waiting item out.
+func (q *Queue[T]) Remove(it *Item[T]) {
+	q.count--
+	q.levels[it.Tier].remove(it)
+	q.expiry.remove(it.expiry)
+}
+
+// Reclass moves a waiting item to another class of its tier.
+func (q *Queue[T]) Reclass(it *Item[T], c Class) {
+	l := &q.levels[it.Tier]
+	l.remove(it)
+	it.Class = c
+	l.push(it)
+}
+
+// Charge tells that an item's workspace got its cost worth of service: it
+// moves back in the order among the workspaces of its tier.
+func (q *Queue[T]) Charge(it *Item[T]) { q.levels[it.Tier].charge(it.Workspace, it.Cost) }
+
+// Correct adds to what a workspace was charged, once the true cost is known;
+// delta may be negative.
+func (q *Queue[T]) Correct(t request.Tier, workspace string, delta float64) {
+	q.levels[t].correct(workspace, delta)
+}
+
+// Expired returns a waiting item whose Expires has come, or nil.
+func (q *Queue[T]) Expired(now time.Time) *Item[T] {
+	if q.expiry.len() == 0 || q.expiry.elements[0].Expires.After(now) {
+		return nil
+	}
+	return q.expiry.elements[0]
+}
+
+// Head returns the first item of a class of a tier, or nil.
+func (q *Queue[T]) Head(t request.Tier, c Class) *Item[T] { return q.levels[t].classes[c].head() }
+
+// Last returns the item of the lowest waiting tier that is to be evicted
+// first, or nil: late ones first, of the workspace that has most cost waiting
+// the one that is due last.
+func (q *Queue[T]) Last() *Item[T] {
+	for t := len(q.levels) - 1; t >= 0; t-- {
+		if it := q.LastOf(request.Tier(t)); it != nil {
+			return it
+		}
+	}
+	return nil
+}
+
+// LastOf is Last for one tier.
+func (q *Queue[T]) LastOf(t request.Tier) *Item[T] {
+	for c := classes - 1; c >= 0; c-- {
+		if it := q.levels[t].classes[c].last(); it != nil {
+			return it
+		}
+	}
+	return nil
+}
+
+// LastBelow returns the item of a workspace to evict first among the tiers
+// lower than t, or nil.
+func (q *Queue[T]) LastBelow(t request.Tier, workspace string) *Item[T] {
+	for lower := len(q.levels) - 1; lower > int(t); lower-- {
+		f := q.levels[lower].flows[workspace]
+		if f == nil {
+			continue
+		}
+		for c := classes - 1; c >= 0; c-- {
+			if l := &f.lanes[c]; l.late.len() > 0 {
+				return l.late.elements[0]
+			}
+		}
+	}
+	return nil
+}
+
+// Candidates appends to buf up to n items that are near the head of a class:
+// its head first, then others of the head's workspace and the heads of the
+// next workspaces. The choice is a function of the queue's history alone.
+func (q *Queue[T]) Candidates(t request.Tier, c Class, n int, buf []*Item[T]) []*Item[T] {
+	lanes := q.levels[t].classes[c].byTime.elements
+	for i := 0; i < len(lanes) && n > 0; i++ {
+		take := min(len(lanes[i].early.elements), (n+1)/2)
+		if i+1 == len(lanes) {
+			take = min(len(lanes[i].early.elements), n)
+		}
+		buf = append(buf, lanes[i].early.elements[:take]...)
+		n -= take
+	}
+	return buf
+}
+
+func before(a, b time.Time, aSeq, bSeq uint64) bool {
+	if a.Equal(b) {
+		return aSeq < bSeq
+	}
+	return a.Before(b)
+}
