--- a/engine/engine.go
+++ b/engine/engine.go
@@ -46,6 +46,14 @@
 	MaxTokens    int
 	// Blocks are chained hashes of the prompt's blocks, for prefix reuse.
 	Blocks []uint64
+	// Sending, where set, is called at most once, when the connection is up
+	// and directly before the first byte is written. If it returns an error,
+	// nothing is written and Run returns an error that wraps ErrNotSent.
+	//
+	// What goes wrong without it: a dispatch right taken before the connect
+	// would have to be given back when the connect fails, and then no single
+	// place proves that a request left only once.
+	Sending func() error
 }
 
 // Chunk is one piece of an answer's text.
--- a/request/refusal.go
+++ b/request/refusal.go
@@ -40,6 +40,8 @@
 const (
 	ReasonBadRequest        Reason = "bad_request"
 	ReasonBodyTooLarge      Reason = "body_too_large"
+	ReasonReadTimeout       Reason = "read_timeout"
+	ReasonUnknownPath       Reason = "unknown_path"
 	ReasonUnauthorized      Reason = "unauthorized"
 	ReasonUnknownModel      Reason = "unknown_model"
 	ReasonUnknownService    Reason = "unknown_service"
@@ -63,6 +65,7 @@
 	ReasonEngineRefused     Reason = "engine_refused"
 	ReasonEngineUnreachable Reason = "engine_unreachable"
 	ReasonEngineLost        Reason = "engine_lost"
+	ReasonEngineFailed      Reason = "engine_failed"
 	ReasonAnswerIncomplete  Reason = "answer_incomplete"
 	ReasonCallerGone        Reason = "caller_gone"
 	ReasonShuttingDown      Reason = "shutting_down"
@@ -73,6 +76,8 @@
 var reasonStatus = map[Reason]int{
 	ReasonBadRequest:        http.StatusBadRequest,
 	ReasonBodyTooLarge:      http.StatusRequestEntityTooLarge,
+	ReasonReadTimeout:       http.StatusRequestTimeout,
+	ReasonUnknownPath:       http.StatusNotFound,
 	ReasonUnauthorized:      http.StatusUnauthorized,
 	ReasonUnknownModel:      http.StatusNotFound,
 	ReasonUnknownService:    http.StatusNotFound,
@@ -96,6 +101,7 @@
 	ReasonEngineRefused:     http.StatusBadGateway,
 	ReasonEngineUnreachable: http.StatusBadGateway,
 	ReasonEngineLost:        http.StatusBadGateway,
+	ReasonEngineFailed:      http.StatusBadGateway,
 	ReasonAnswerIncomplete:  http.StatusBadGateway,
 	ReasonCallerGone:        499,
 	ReasonShuttingDown:      http.StatusServiceUnavailable,
