engine: HTTP adapter and a stand-in engine behind it

The engine port had no implementation. Adds the adapter httpengine over its own dispatch connection (internal/httpconn), which writes a request at most once and knows whether a byte can have left; the wire messages; and the stand-in engine with continuous batching, prefix cache and faults, in process and over HTTP. First tests: 64 callers with distinct echo texts get their own whole answers; orders, cache events and KV blocks cross the wire.

--- /dev/null
+++ b/engine/httpengine/engine.go
@@ -0,0 +1,237 @@
+// Package httpengine is the adapter of the engine port to engines that speak
+// HTTP/1.1 with newline-delimited JSON answers (package wire).
+//
+// It never sends a request twice: every method is one exchange on one
+// connection, and its error says whether a byte can have left.
+package httpengine
+
+import (
+	"context"
+	"encoding/json"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/valyala/fasthttp"
+
+	"github.com/lycheekeel/lycheekeel/engine"
+	"github.com/lycheekeel/lycheekeel/engine/httpengine/wire"
+	"github.com/lycheekeel/lycheekeel/internal/httpconn"
+)
+
+// maxAnswerBytes bounds an answer that is read as a whole (not a stream).
+const maxAnswerBytes = 64 << 20
+
+// Dialer keeps one Engine per address. It is safe for concurrent use.
+type Dialer struct {
+	settings httpconn.Settings
+	engines  sync.Map // address to *Engine
+}
+
+// NewDialer returns a dialer whose engines use the settings.
+func NewDialer(s httpconn.Settings) *Dialer { return &Dialer{settings: s} }
+
+// Engine returns the engine at the address (host:port). It does not connect.
+func (d *Dialer) Engine(address string) engine.Engine {
+	if e, ok := d.engines.Load(address); ok {
+		return e.(*Engine)
+	}
+	e, _ := d.engines.LoadOrStore(address, New(address, d.settings))
+	return e.(*Engine)
+}
+
+// Forget closes and drops the engine of an address that has left.
+func (d *Dialer) Forget(address string) {
+	if e, ok := d.engines.LoadAndDelete(address); ok {
+		e.(*Engine).pool.Flush()
+	}
+}
+
+// Engine is one model engine reached over HTTP. It is safe for concurrent use.
+type Engine struct {
+	pool *httpconn.Pool
+}
+
+var _ engine.Engine = (*Engine)(nil)
+
+// New returns the engine at the address (host:port). It does not connect.
+func New(address string, s httpconn.Settings) *Engine {
+	return &Engine{pool: httpconn.NewPool(address, s)}
+}
+
+// Counts returns how the engine's connections were used.
+func (e *Engine) Counts() httpconn.Counts { return e.pool.Counts() }
+
+// Run implements engine.Engine.
+func (e *Engine) Run(ctx context.Context, r engine.Run) (engine.Stream, error) {
+	return e.stream(ctx, httpconn.MayReuse, r.RequestID, 0, wire.PathRun, wire.Run{
+		RequestID: r.RequestID, Model: r.Model, Version: r.Version, Prompt: r.Prompt, Last: r.Last,
+		PromptTokens: r.PromptTokens, MaxTokens: r.MaxTokens, Blocks: r.Blocks,
+	})
+}
+
+// Resume implements engine.Engine. It always uses a new connection.
+func (e *Engine) Resume(ctx context.Context, requestID string, offset int) (engine.Stream, error) {
+	return e.stream(ctx, httpconn.MustDial, requestID, offset, wire.PathResume,
+		wire.Resume{RequestID: requestID, Offset: offset})
+}
+
+// Cancel implements engine.Engine.
+func (e *Engine) Cancel(ctx context.Context, requestID string) error {
+	_, err := e.call(ctx, wire.PathCancel, wire.Resume{RequestID: requestID})
+	return err
+}
+
+// Load implements engine.Engine.
+func (e *Engine) Load(ctx context.Context) (engine.LoadReport, error) {
+	var l wire.Load
+	if err := e.get(ctx, wire.PathLoad, &l); err != nil {
+		return engine.LoadReport{}, err
+	}
+	report := engine.LoadReport{
+		Running: l.Running, Waiting: l.Waiting, KVUsed: l.KVUsed, Slots: l.Slots, Leaving: l.Leaving,
+		Warming: l.Warming, Incarnation: l.Incarnation,
+		Age: max(0, time.Duration(l.AgeMs*float64(time.Millisecond))),
+	}
+	for _, m := range l.Models {
+		report.Models = append(report.Models, engine.LoadedModel(m))
+	}
+	return report, nil
+}
+
+// CacheEvents implements engine.Engine.
+func (e *Engine) CacheEvents(ctx context.Context, after uint64) ([]engine.CacheEvent, error) {
+	var got wire.CacheEvents
+	if err := e.get(ctx, wire.PathCacheEvents+"?after="+strconv.FormatUint(after, 10), &got); err != nil {
+		return nil, err
+	}
+	events := make([]engine.CacheEvent, len(got.Events))
+	for i, ev := range got.Events {
+		events[i] = engine.CacheEvent(ev)
+	}
+	return events, nil
+}
+
+// ExportKV implements engine.Engine.
+func (e *Engine) ExportKV(ctx context.Context, blocks []uint64) ([]byte, error) {
+	return e.call(ctx, wire.PathExportKV, wire.Blocks{Blocks: blocks})
+}
+
+// ImportKV implements engine.Engine.
+func (e *Engine) ImportKV(ctx context.Context, data []byte) error {
+	_, err := e.exchange(ctx, fasthttp.MethodPost, wire.PathImportKV, data)
+	return err
+}
+
+// Order implements engine.Engine.
+func (e *Engine) Order(ctx context.Context, o engine.Order) error {
+	_, err := e.call(ctx, wire.PathOrder, wire.Order(o))
+	return err
+}
+
+func (e *Engine) get(ctx context.Context, path string, into any) error {
+	body, err := e.exchange(ctx, fasthttp.MethodGet, path, nil)
+	if err != nil {
+		return err
+	}
+	if err := json.Unmarshal(body, into); err != nil {
+		return errors.Wrapf(engine.ErrBroken, "%s: answer of %s: %v", e.pool.Address(), path, err)
+	}
+	return nil
+}
+
+func (e *Engine) call(ctx context.Context, path string, message any) ([]byte, error) {
+	body, err := json.Marshal(message)
+	if err != nil {
+		return nil, errors.Wrapf(engine.ErrNotSent, "marshal: %v", err)
+	}
+	return e.exchange(ctx, fasthttp.MethodPost, path, body)
+}
+
+// exchange sends one request and reads its whole answer.
+func (e *Engine) exchange(ctx context.Context, method, path string, body []byte) ([]byte, error) {
+	conn, err := e.send(ctx, httpconn.MayReuse, method, path, body)
+	if err != nil {
+		return nil, err
+	}
+	if err := conn.Enter(ctx); err != nil {
+		conn.Drop()
+		return nil, errors.Wrapf(engine.ErrBroken, "%s: %v", e.pool.Address(), err)
+	}
+	resp := fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseResponse(resp)
+	if err := resp.ReadLimitBody(conn.Reader, maxAnswerBytes); err != nil {
+		err = conn.Broken(err)
+		conn.Drop()
+		return nil, err
+	}
+	finish(conn, resp)
+	if err := statusError(e.pool.Address(), resp.StatusCode(), resp.Body()); err != nil {
+		return nil, err
+	}
+	return append([]byte(nil), resp.Body()...), nil
+}
+
+// stream sends one request and returns its answer's stream.
+func (e *Engine) stream(ctx context.Context, fresh httpconn.Fresh, id string, offset int, path string, message any) (engine.Stream, error) {
+	body, err := json.Marshal(message)
+	if err != nil {
+		return nil, errors.Wrapf(engine.ErrNotSent, "marshal: %v", err)
+	}
+	conn, err := e.send(ctx, fresh, fasthttp.MethodPost, path, body)
+	if err != nil {
+		return nil, err
+	}
+	return openStream(ctx, conn, e.pool.Address(), id, offset)
+}
+
+func (e *Engine) send(ctx context.Context, fresh httpconn.Fresh, method, path string, body []byte) (*httpconn.Conn, error) {
+	req := fasthttp.AcquireRequest()
+	defer fasthttp.ReleaseRequest(req)
+	req.Header.SetMethod(method)
+	req.SetRequestURI(path)
+	req.Header.SetHost(e.pool.Address())
+	if body != nil {
+		req.Header.SetContentType("application/json")
+		req.SetBodyRaw(body)
+	}
+	return e.pool.Send(ctx, req, fresh)
+}
+
+// finish keeps or closes the connection of an answer that was read wholly.
+func finish(conn *httpconn.Conn, resp *fasthttp.Response) {
+	if resp.ConnectionClose() {
+		conn.Drop()
+		return
+	}
+	conn.Keep()
+}
+
+// statusError turns an answer's status into the port's errors.
+func statusError(address string, status int, body []byte) error {
+	if status == fasthttp.StatusOK {
+		return nil
+	}
+	var e wire.Error
+	if json.Unmarshal(body, &e) != nil {
+		e = wire.Error{}
+	}
+	return errors.Wrapf(kindOf(status, e.NotRun), "%s: status %d: %s", address, status, e.Message)
+}
+
+// kindOf maps a status to an error. Only the engine's own word (not_run)
+// proves that a request did not run; a bare 503 may come from something
+// between us and an engine that is running it.
+func kindOf(status int, notRun bool) error {
+	switch {
+	case status == fasthttp.StatusNotFound && !notRun:
+		return engine.ErrUnknownRun
+	case status == fasthttp.StatusConflict:
+		return engine.ErrStaleToken
+	case notRun:
+		return engine.ErrRefusedNotRun
+	default:
+		return engine.ErrFailed
+	}
+}
--- /dev/null
+++ b/engine/httpengine/engine_test.go
@@ -0,0 +1,155 @@
+package httpengine_test
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/pkg/errors"
+	. "github.com/smartystreets/goconvey/convey"
+	"github.com/sourcegraph/conc"
+
+	"github.com/lycheekeel/lycheekeel/engine"
+	"github.com/lycheekeel/lycheekeel/engine/httpengine"
+	"github.com/lycheekeel/lycheekeel/internal/httpconn"
+	standin "github.com/lycheekeel/lycheekeel/internal/standin/engine"
+)
+
+// generous bounds waits that end far earlier unless something is broken.
+const generous = 20 * time.Second
+
+// fast is a stand-in whose steps take next to no time.
+var fast = standin.Options{StepMs: 0.2, SequenceMs: 0.001, PrefillPerSecond: 1e7, Slots: 64}
+
+func listen(t testing.TB) net.Listener {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	return ln
+}
+
+// serve starts a stand-in behind HTTP and returns it with an adapter for it.
+func serve(t testing.TB, o standin.Options, s httpconn.Settings) (*standin.Engine, *httpengine.Engine) {
+	core, err := standin.New(o)
+	if err != nil {
+		t.Fatal(err)
+	}
+	ln := listen(t)
+	ctx, cancel := context.WithCancel(context.Background())
+	var wg conc.WaitGroup
+	wg.Go(func() { _ = standin.ServeEngine(ctx, ln, core) })
+	t.Cleanup(func() {
+		core.Close()
+		cancel()
+		wg.Wait()
+	})
+	return core, httpengine.New(ln.Addr().String(), s)
+}
+
+func deadline(t testing.TB) context.Context {
+	ctx, cancel := context.WithTimeout(context.Background(), generous)
+	t.Cleanup(cancel)
+	return ctx
+}
+
+// drain reads a stream to its end and returns its text and last chunk.
+func drain(ctx context.Context, s engine.Stream) (string, engine.Chunk, error) {
+	var text strings.Builder
+	for {
+		c, err := s.Next(ctx)
+		if err != nil {
+			return text.String(), c, err
+		}
+		text.WriteString(c.Text)
+		if c.End {
+			return text.String(), c, s.Close()
+		}
+	}
+}
+
+func echo(id, text string) engine.Run {
+	last := "echo:" + text
+	return engine.Run{RequestID: id, Model: "m", Prompt: last, Last: last, MaxTokens: 4}
+}
+
+func TestManyCallersEachGetTheirOwnAnswer(t *testing.T) {
+	Convey("many concurrent runs through one adapter", t, func() {
+		core, e := serve(t, fast, httpconn.Settings{})
+		ctx := deadline(t)
+		const callers, each = 64, 10
+		var wrong atomic.Int64
+		var wg conc.WaitGroup
+		for i := range callers {
+			wg.Go(func() {
+				for j := range each {
+					id := fmt.Sprintf("r-%d-%d", i, j)
+					want := id + " Bảng Xanh \"quoted\"\n" + strings.Repeat(id, i)
+					s, err := e.Run(ctx, echo(id, want))
+					if err != nil {
+						wrong.Add(1)
+						return
+					}
+					if got, _, err := drain(ctx, s); err != nil || got != want {
+						wrong.Add(1)
+					}
+				}
+			})
+		}
+		wg.Wait()
+		So(wrong.Load(), ShouldEqual, 0)
+		So(core.Runs(), ShouldHaveLength, callers*each)
+		So(e.Counts().Dialed, ShouldBeLessThanOrEqualTo, callers*each/2) // connections were reused
+	})
+}
+
+func TestUnaryCalls(t *testing.T) {
+	Convey("load, orders, cache events and KV blocks cross the wire", t, func() {
+		o := fast
+		o.LoadMs = 0.001
+		_, e := serve(t, o, httpconn.Settings{})
+		ctx := deadline(t)
+		So(e.Order(ctx, engine.Order{Kind: engine.OrderLoadModel, Model: "m", Version: "2", Token: 7}), ShouldBeNil)
+		So(errors.Is(e.Order(ctx, engine.Order{Kind: engine.OrderDrain, Token: 6}), engine.ErrStaleToken), ShouldBeTrue)
+
+		var blocks []uint64
+		for i := range 3 {
+			blocks = append(blocks, 1<<63+uint64(i))
+		}
+		r := engine.Run{RequestID: "r", Model: "m", Prompt: "p", Last: "gen:2", PromptTokens: 200, MaxTokens: 9, Blocks: blocks}
+		s, err := e.Run(ctx, r)
+		So(err, ShouldBeNil)
+		_, last, err := drain(ctx, s)
+		So(err, ShouldBeNil)
+		So(last.PrefillComputed, ShouldEqual, 200)
+		r.RequestID = "again"
+		s, err = e.Run(ctx, r)
+		So(err, ShouldBeNil)
+		_, last, err = drain(ctx, s)
+		So(err, ShouldBeNil)
+		So(last.PrefillComputed, ShouldEqual, 200-3*engine.BlockTokens)
+
+		load, err := e.Load(ctx)
+		So(err, ShouldBeNil)
+		So(load.Models, ShouldResemble, []engine.LoadedModel{{Model: "m", Version: "2"}})
+		So(load.Slots, ShouldEqual, 64)
+		So(load.Incarnation, ShouldNotEqual, 0)
+		events, err := e.CacheEvents(ctx, 1)
+		So(err, ShouldBeNil)
+		So(events, ShouldResemble, []engine.CacheEvent{{Seq: 2, Block: blocks[1], Stored: true}, {Seq: 3, Block: blocks[0], Stored: true}})
+
+		_, other := serve(t, fast, httpconn.Settings{})
+		data, err := e.ExportKV(ctx, blocks[:2])
+		So(err, ShouldBeNil)
+		So(other.ImportKV(ctx, data), ShouldBeNil)
+		s, err = other.Run(ctx, r)
+		So(err, ShouldBeNil)
+		_, last, err = drain(ctx, s)
+		So(err, ShouldBeNil)
+		So(last.PrefillComputed, ShouldEqual, 200-2*engine.BlockTokens)
+	})
+}
--- /dev/null
+++ b/engine/httpengine/stream.go
@@ -0,0 +1,209 @@
+package httpengine
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/valyala/fasthttp"
+
+	"github.com/lycheekeel/lycheekeel/engine"
+	"github.com/lycheekeel/lycheekeel/engine/httpengine/wire"
+	"github.com/lycheekeel/lycheekeel/internal/httpconn"
+)
+
+const (
+	// lineBufferBytes is the usual size of a stream's line buffer.
+	lineBufferBytes = 2 << 10
+	// maxLineBytes bounds one line of an answer.
+	maxLineBytes = 1 << 20
+	// tailWait is how long Close waits for the end of a whole answer's HTTP body
+	// before it closes the connection instead of keeping it.
+	tailWait = 20 * time.Millisecond
+)
+
+var lineReaders = sync.Pool{New: func() any { return bufio.NewReaderSize(nil, lineBufferBytes) }}
+
+// stream is one answer on one connection. No goroutine belongs to it.
+type stream struct {
+	address string
+	id      string
+	conn    *httpconn.Conn
+	resp    *fasthttp.Response
+	lines   *bufio.Reader
+	long    []byte // a line longer than the buffer
+	line    wire.Line
+	offset  int // of the next chunk
+	err     error
+}
+
+// openStream reads the answer's header.
+func openStream(ctx context.Context, conn *httpconn.Conn, address, id string, offset int) (engine.Stream, error) {
+	if err := conn.Enter(ctx); err != nil {
+		conn.Drop()
+		return nil, errors.Wrapf(engine.ErrBroken, "%s: %v", address, err)
+	}
+	defer conn.Leave()
+	resp := fasthttp.AcquireResponse()
+	resp.StreamBody = true
+	err := resp.ReadLimitBody(conn.Reader, maxAnswerBytes)
+	if err == nil && resp.StatusCode() == fasthttp.StatusOK {
+		lines := lineReaders.Get().(*bufio.Reader)
+		lines.Reset(resp.BodyStream())
+		return &stream{address: address, id: id, conn: conn, resp: resp, lines: lines, offset: offset}, nil
+	}
+	defer fasthttp.ReleaseResponse(resp)
+	if err != nil {
+		err = conn.Broken(err)
+		conn.Drop()
+		return nil, err
+	}
+	return nil, refused(conn, resp, address)
+}
+
+// refused reads the answer of a request that got no stream.
+func refused(conn *httpconn.Conn, resp *fasthttp.Response, address string) error {
+	body, err := io.ReadAll(io.LimitReader(resp.BodyStream(), maxLineBytes))
+	status := resp.StatusCode()
+	switch {
+	case err != nil:
+		err = conn.Broken(err)
+		conn.Drop()
+		return err
+	case len(body) == maxLineBytes: // there may be more to come
+		conn.Drop()
+	default:
+		finish(conn, resp)
+	}
+	return statusError(address, status, body)
+}
+
+// Next implements engine.Stream.
+func (s *stream) Next(ctx context.Context) (engine.Chunk, error) {
+	if s.err != nil {
+		return engine.Chunk{}, s.err
+	}
+	if err := s.conn.Enter(ctx); err != nil {
+		return engine.Chunk{}, s.fail(errors.Wrapf(engine.ErrBroken, "%s: %v", s.address, err))
+	}
+	defer s.conn.Leave()
+	for {
+		data, err := s.readLine()
+		if err != nil {
+			return engine.Chunk{}, s.fail(s.conn.Broken(err))
+		}
+		if err := wire.ParseLine(data, &s.line); err != nil {
+			return engine.Chunk{}, s.fail(s.conn.Broken(err))
+		}
+		if err := s.check(); err != nil {
+			return engine.Chunk{}, s.fail(err)
+		}
+		if !s.line.Keepalive {
+			return s.chunk(), nil
+		}
+	}
+}
+
+// check refuses a line that is not the next one of this run's answer.
+//
+// What goes wrong without it: an engine that mixes up two answers, or repeats
+// or loses a piece after a resume, gives a caller another's or a torn text.
+func (s *stream) check() error {
+	l := &s.line
+	switch {
+	case string(l.RequestID) != s.id:
+		return errors.Wrapf(engine.ErrCrossed, "%s: answer of %q for %q", s.address, l.RequestID, s.id)
+	case l.Keepalive:
+		return nil
+	case l.Error != "":
+		return errors.Wrapf(engine.ErrFailed, "%s: %s", s.address, l.Error)
+	case l.Offset != s.offset:
+		return errors.Wrapf(engine.ErrBroken, "%s: chunk at %d, expected %d", s.address, l.Offset, s.offset)
+	}
+	return nil
+}
+
+func (s *stream) chunk() engine.Chunk {
+	l := &s.line
+	s.offset += l.Tokens
+	if l.End {
+		s.err = io.EOF
+	}
+	return engine.Chunk{
+		Offset: l.Offset, Tokens: l.Tokens, Text: l.Text, End: l.End, FinishReason: l.FinishReason,
+		PromptTokens: l.PromptTokens, PrefillComputed: l.PrefillComputed,
+	}
+}
+
+func (s *stream) fail(err error) error {
+	s.err = err
+	return err
+}
+
+// readLine returns the next line without its newline, valid until the next
+// read.
+func (s *stream) readLine() ([]byte, error) {
+	data, err := s.lines.ReadSlice('\n')
+	if err == bufio.ErrBufferFull {
+		return s.readLong(data)
+	}
+	if err != nil {
+		return nil, truncated(err)
+	}
+	return data[:len(data)-1], nil
+}
+
+func (s *stream) readLong(first []byte) ([]byte, error) {
+	s.long = append(s.long[:0], first...)
+	for {
+		data, err := s.lines.ReadSlice('\n')
+		s.long = append(s.long, data...)
+		switch {
+		case err == nil:
+			return s.long[:len(s.long)-1], nil
+		case err != bufio.ErrBufferFull:
+			return nil, truncated(err)
+		case len(s.long) > maxLineBytes:
+			return nil, errors.Errorf("line over %d bytes", maxLineBytes)
+		}
+	}
+}
+
+// truncated names the end of a body that came before the End chunk.
+func truncated(err error) error {
+	if err == io.EOF {
+		return errors.New("answer ended without its end mark")
+	}
+	return err
+}
+
+// Close implements engine.Stream. After a whole answer the connection is kept
+// for reuse.
+func (s *stream) Close() error {
+	if s.conn == nil {
+		return nil
+	}
+	if s.err == io.EOF && s.atEnd() {
+		finish(s.conn, s.resp)
+	} else {
+		s.conn.Drop()
+	}
+	s.lines.Reset(nil)
+	lineReaders.Put(s.lines)
+	fasthttp.ReleaseResponse(s.resp)
+	s.conn, s.lines, s.resp = nil, nil, nil
+	if s.err == nil {
+		s.err = errors.Wrap(engine.ErrBroken, "stream closed")
+	}
+	return nil
+}
+
+// atEnd reads the end of the HTTP body, which follows the End chunk at once.
+func (s *stream) atEnd() bool {
+	s.conn.SetSilence(tailWait)
+	_, err := s.lines.ReadByte()
+	return err == io.EOF
+}
--- /dev/null
+++ b/engine/httpengine/wire/line.go
@@ -0,0 +1,225 @@
+package wire
+
+import (
+	"encoding/json"
+	"strconv"
+	"unicode/utf8"
+
+	"github.com/pkg/errors"
+)
+
+// Line is one line of an answer stream.
+type Line struct {
+	// RequestID aliases the parsed buffer: it is valid until the next read.
+	RequestID       []byte
+	Keepalive       bool
+	Offset          int
+	Tokens          int
+	Text            string
+	End             bool
+	FinishReason    string
+	PromptTokens    int
+	PrefillComputed int
+	// Error is set where the engine reports that it failed the run.
+	Error string
+}
+
+// errSyntax sends a line that the short parser does not know to encoding/json.
+var errSyntax = errors.New("line not understood")
+
+// lineJSON is Line as encoding/json sees it.
+type lineJSON struct {
+	RequestID       string `json:"request_id"`
+	Keepalive       bool   `json:"keepalive"`
+	Offset          int    `json:"offset"`
+	Tokens          int    `json:"tokens"`
+	Text            string `json:"text"`
+	End             bool   `json:"end"`
+	FinishReason    string `json:"finish_reason"`
+	PromptTokens    int    `json:"prompt_tokens"`
+	PrefillComputed int    `json:"prefill_computed"`
+	Error           string `json:"error"`
+}
+
+// AppendLine appends the line and its newline to b.
+func AppendLine(b []byte, l *Line) []byte {
+	b = append(b, `{"request_id":`...)
+	b = appendString(b, string(l.RequestID))
+	if l.Keepalive {
+		return append(b, ",\"keepalive\":true}\n"...)
+	}
+	if l.Error != "" {
+		b = append(b, `,"error":`...)
+		b = appendString(b, l.Error)
+		return append(b, "}\n"...)
+	}
+	b = append(b, `,"offset":`...)
+	b = strconv.AppendInt(b, int64(l.Offset), 10)
+	b = append(b, `,"tokens":`...)
+	b = strconv.AppendInt(b, int64(l.Tokens), 10)
+	b = append(b, `,"text":`...)
+	b = appendString(b, l.Text)
+	if l.End {
+		b = append(b, `,"end":true,"finish_reason":`...)
+		b = appendString(b, l.FinishReason)
+		b = append(b, `,"prompt_tokens":`...)
+		b = strconv.AppendInt(b, int64(l.PromptTokens), 10)
+		b = append(b, `,"prefill_computed":`...)
+		b = strconv.AppendInt(b, int64(l.PrefillComputed), 10)
+	}
+	return append(b, "}\n"...)
+}
+
+// appendString appends s as a JSON string; a plain one without encoding/json.
+func appendString(b []byte, s string) []byte {
+	for i := 0; i < len(s); i++ {
+		if c := s[i]; c < ' ' || c == '"' || c == '\\' || c >= utf8.RuneSelf {
+			q, _ := json.Marshal(s) // a string always marshals
+			return append(b, q...)
+		}
+	}
+	b = append(b, '"')
+	b = append(b, s...)
+	return append(b, '"')
+}
+
+// ParseLine reads one line into l, replacing all of it. One allocation a line
+// (its text) in the usual case; anything unusual goes through encoding/json.
+func ParseLine(data []byte, l *Line) error {
+	*l = Line{}
+	p := lineParser{data: data}
+	if p.line(l) == nil {
+		return nil
+	}
+	var j lineJSON
+	if err := json.Unmarshal(data, &j); err != nil {
+		return errors.Wrap(err, "answer line")
+	}
+	*l = Line{
+		RequestID: []byte(j.RequestID), Keepalive: j.Keepalive, Offset: j.Offset, Tokens: j.Tokens,
+		Text: j.Text, End: j.End, FinishReason: j.FinishReason, PromptTokens: j.PromptTokens,
+		PrefillComputed: j.PrefillComputed, Error: j.Error,
+	}
+	return nil
+}
+
+// lineParser reads a flat JSON object without white space, the form that
+// AppendLine writes. It gives up (errSyntax) on anything else.
+type lineParser struct {
+	data []byte
+	pos  int
+}
+
+func (p *lineParser) line(l *Line) error {
+	if !p.take('{') {
+		return errSyntax
+	}
+	for {
+		key, err := p.str()
+		if err != nil {
+			return err
+		}
+		if !p.take(':') {
+			return errSyntax
+		}
+		if err := p.member(string(key), l); err != nil {
+			return err
+		}
+		if p.take(',') {
+			continue
+		}
+		if p.take('}') && p.atEnd() {
+			return nil
+		}
+		return errSyntax
+	}
+}
+
+func (p *lineParser) member(key string, l *Line) (err error) {
+	switch key {
+	case "request_id":
+		l.RequestID, err = p.str()
+	case "text":
+		l.Text, err = p.text()
+	case "finish_reason":
+		l.FinishReason, err = p.text()
+	case "error":
+		l.Error, err = p.text()
+	case "offset":
+		l.Offset, err = p.number()
+	case "tokens":
+		l.Tokens, err = p.number()
+	case "prompt_tokens":
+		l.PromptTokens, err = p.number()
+	case "prefill_computed":
+		l.PrefillComputed, err = p.number()
+	case "end":
+		l.End, err = p.boolean()
+	case "keepalive":
+		l.Keepalive, err = p.boolean()
+	default:
+		err = errSyntax
+	}
+	return err
+}
+
+func (p *lineParser) take(c byte) bool {
+	if p.pos < len(p.data) && p.data[p.pos] == c {
+		p.pos++
+		return true
+	}
+	return false
+}
+
+func (p *lineParser) atEnd() bool { return p.pos == len(p.data) }
+
+// str returns a string without escapes, aliasing the data.
+func (p *lineParser) str() ([]byte, error) {
+	if !p.take('"') {
+		return nil, errSyntax
+	}
+	start := p.pos
+	for ; p.pos < len(p.data); p.pos++ {
+		switch c := p.data[p.pos]; {
+		case c == '"':
+			s := p.data[start:p.pos]
+			p.pos++
+			return s, nil
+		case c == '\\' || c < ' ':
+			return nil, errSyntax
+		}
+	}
+	return nil, errSyntax
+}
+
+func (p *lineParser) text() (string, error) {
+	s, err := p.str()
+	if err != nil || !utf8.Valid(s) {
+		return "", errSyntax
+	}
+	return string(s), nil
+}
+
+// maxDigits keeps a number within an int.
+const maxDigits = 18
+
+func (p *lineParser) number() (int, error) {
+	start, n := p.pos, 0
+	for p.pos < len(p.data) && p.data[p.pos] >= '0' && p.data[p.pos] <= '9' {
+		n = n*10 + int(p.data[p.pos]-'0')
+		p.pos++
+	}
+	if p.pos == start || p.pos-start > maxDigits {
+		return 0, errSyntax
+	}
+	return n, nil
+}
+
+func (p *lineParser) boolean() (bool, error) {
+	rest := p.data[p.pos:]
+	if len(rest) >= 4 && string(rest[:4]) == "true" {
+		p.pos += 4
+		return true, nil
+	}
+	return false, errSyntax
+}
--- /dev/null
+++ b/internal/standin/engine/direct.go
@@ -0,0 +1,194 @@
+package engine
+
+import (
+	"context"
+	"encoding/binary"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	port "github.com/lycheekeel/lycheekeel/engine"
+)
+
+// Engine implements the port in the same process. A crashed engine cannot be
+// reached (ErrNotSent); a silent one answers nothing until the silence limit.
+var _ port.Engine = (*Engine)(nil)
+
+// Run implements port.Engine.
+func (e *Engine) Run(ctx context.Context, r port.Run) (port.Stream, error) {
+	if err := e.reach(ctx); err != nil {
+		return nil, err
+	}
+	return e.stream(e.start(r))
+}
+
+// Resume implements port.Engine.
+func (e *Engine) Resume(ctx context.Context, requestID string, offset int) (port.Stream, error) {
+	if err := e.reach(ctx); err != nil {
+		return nil, err
+	}
+	return e.stream(e.resume(requestID, offset))
+}
+
+// Cancel implements port.Engine.
+func (e *Engine) Cancel(ctx context.Context, requestID string) error {
+	if err := e.reach(ctx); err != nil {
+		return err
+	}
+	e.cancel(requestID)
+	return nil
+}
+
+// Load implements port.Engine.
+func (e *Engine) Load(ctx context.Context) (port.LoadReport, error) {
+	if err := e.reach(ctx); err != nil {
+		return port.LoadReport{}, err
+	}
+	return e.report(), nil
+}
+
+// CacheEvents implements port.Engine.
+func (e *Engine) CacheEvents(ctx context.Context, after uint64) ([]port.CacheEvent, error) {
+	if err := e.reach(ctx); err != nil {
+		return nil, err
+	}
+	return e.cacheEvents(after), nil
+}
+
+// ExportKV implements port.Engine: of the leading blocks that it holds.
+func (e *Engine) ExportKV(ctx context.Context, blocks []uint64) ([]byte, error) {
+	if err := e.reach(ctx); err != nil {
+		return nil, err
+	}
+	return encodeBlocks(e.exportBlocks(blocks)), nil
+}
+
+// ImportKV implements port.Engine.
+func (e *Engine) ImportKV(ctx context.Context, data []byte) error {
+	if err := e.reach(ctx); err != nil {
+		return err
+	}
+	return e.importKV(data)
+}
+
+// Order implements port.Engine.
+func (e *Engine) Order(ctx context.Context, o port.Order) error {
+	if err := e.reach(ctx); err != nil {
+		return err
+	}
+	return e.order(o)
+}
+
+// reach returns an error where the engine is down or silent.
+func (e *Engine) reach(ctx context.Context) error {
+	e.mu.Lock()
+	down, silent := time.Now().Before(e.downUntil), e.faults.Silent == SilenceAll
+	e.mu.Unlock()
+	switch {
+	case down:
+		return errors.Wrap(port.ErrNotSent, "engine is restarting")
+	case silent:
+		return e.keepSilent(ctx)
+	default:
+		return nil
+	}
+}
+
+func (e *Engine) keepSilent(ctx context.Context) error {
+	timer := time.NewTimer(ms(e.opts.SilenceMs))
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+	return errors.Wrap(port.ErrBroken, "silent")
+}
+
+func (e *Engine) silent(c *cursor) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.faults.Silent == SilenceAll || c.serial <= e.silenced
+}
+
+func (e *Engine) stream(c *cursor, err error) (port.Stream, error) {
+	if err != nil {
+		return nil, err
+	}
+	return &stream{cursor: c}, nil
+}
+
+// stream is a cursor as the port sees it.
+type stream struct{ cursor *cursor }
+
+// Next implements port.Stream.
+func (s *stream) Next(ctx context.Context) (port.Chunk, error) {
+	c := s.cursor
+	for {
+		chunk, id, ok, err := c.next(ctx, ms(c.e.opts.KeepaliveMs))
+		switch {
+		case err != nil:
+			return port.Chunk{}, err
+		case ctx.Err() != nil:
+			return port.Chunk{}, errors.Wrap(port.ErrBroken, ctx.Err().Error())
+		case c.e.silent(c):
+			return port.Chunk{}, c.e.keepSilent(ctx)
+		case !ok:
+			continue
+		case id != c.id:
+			return port.Chunk{}, errors.Wrapf(port.ErrCrossed, "answer of %q for %q", id, c.id)
+		}
+		return chunk, nil
+	}
+}
+
+// Close implements port.Stream.
+func (s *stream) Close() error {
+	s.cursor.close()
+	return nil
+}
+
+const blockBytes = 8
+
+// encodeBlocks is the form of exported KV: the blocks' hashes, big endian.
+func encodeBlocks(blocks []uint64) []byte {
+	out := make([]byte, 0, len(blocks)*blockBytes)
+	for _, b := range blocks {
+		out = binary.BigEndian.AppendUint64(out, b)
+	}
+	return out
+}
+
+func (e *Engine) importKV(data []byte) error {
+	if len(data)%blockBytes != 0 {
+		return errors.Wrap(port.ErrFailed, "KV data is torn")
+	}
+	var blocks []uint64
+	for ; len(data) > 0; data = data[blockBytes:] {
+		blocks = append(blocks, binary.BigEndian.Uint64(data))
+	}
+	e.importBlocks(blocks)
+	return nil
+}
+
+// Fleet is a port.Dialer over engines in the same process. It is safe for
+// concurrent use.
+type Fleet struct{ engines sync.Map }
+
+// Add makes an engine reachable at an address.
+func (f *Fleet) Add(address string, e port.Engine) { f.engines.Store(address, e) }
+
+// Remove makes the address unreachable.
+func (f *Fleet) Remove(address string) { f.engines.Delete(address) }
+
+// unreachable is always down.
+var unreachable = &Engine{downUntil: time.Unix(1<<40, 0)}
+
+// Engine implements port.Dialer. At an address without an engine it returns
+// one that nothing can be sent to.
+func (f *Fleet) Engine(address string) port.Engine {
+	if e, ok := f.engines.Load(address); ok {
+		return e.(port.Engine)
+	}
+	return unreachable
+}
