workspace: strict decoding, checks, resolution and Compile; two examples

A mistyped member or a duplicate was silently accepted and one bad object could have taken all out of force.

--- /dev/null
+++ b/examples/examples.go
@@ -0,0 +1,93 @@
+// Package examples embeds the shipped configurations: punchline, a snagging
+// app's report writing in Colombo, and bang-xanh, a cover desk for schools in
+// Ho Chi Minh City. They are what `lycheekeel apply -f examples/punchline`
+// reads and what the demo starts from.
+package examples
+
+import (
+	"embed"
+	"path"
+
+	"github.com/pkg/errors"
+
+	"github.com/lycheekeel/lycheekeel/platform"
+	"github.com/lycheekeel/lycheekeel/workspace"
+)
+
+//go:embed punchline/*.json bang-xanh/*.json
+var files embed.FS
+
+// The examples' names.
+const (
+	Punchline = "punchline"
+	BangXanh  = "bang-xanh"
+)
+
+// Names returns the names of all examples.
+func Names() []string { return []string{Punchline, BangXanh} }
+
+// Documents returns every object of an example. An unknown name or a file
+// with findings is an error.
+func Documents(name string) ([]workspace.Document, error) {
+	entries, err := files.ReadDir(name)
+	if err != nil {
+		return nil, errors.Wrapf(err, "example %q", name)
+	}
+	var docs []workspace.Document
+	var findings workspace.Findings
+	for _, e := range entries {
+		file := path.Join(name, e.Name())
+		data, err := files.ReadFile(file)
+		if err != nil {
+			return nil, errors.Wrapf(err, "example file %q", file)
+		}
+		d, f := workspace.ParseFile(file, data)
+		docs, findings = append(docs, d...), append(findings, f...)
+	}
+	return docs, findings.Err()
+}
+
+// Templates returns an example's templates.
+func Templates(name string) ([]workspace.Template, error) {
+	return ofType[workspace.Template](name)
+}
+
+// Workspaces returns an example's workspaces; the bearer key of each is
+// "change-me-" and its name.
+func Workspaces(name string) ([]workspace.Workspace, error) {
+	return ofType[workspace.Workspace](name)
+}
+
+// Objects returns an example's objects as they would be stored, with
+// versions in the order of its files.
+func Objects(name string) ([]platform.Object, error) {
+	docs, err := Documents(name)
+	if err != nil {
+		return nil, err
+	}
+	out := make([]platform.Object, 0, len(docs))
+	for i, d := range docs {
+		value, err := d.Value()
+		if err != nil {
+			return nil, errors.Wrapf(err, "%s %q", d.Kind, d.Name)
+		}
+		version := platform.Version(i + 1)
+		out = append(out, platform.Object{Kind: d.Kind, Name: d.Name, Version: version, Created: version, Value: value})
+	}
+	return out, nil
+}
+
+// ofType returns an example's objects of one type.
+func ofType[T any](name string) ([]T, error) {
+	docs, err := Documents(name)
+	if err != nil {
+		return nil, err
+	}
+	var out []T
+	for _, d := range docs {
+		if object, ok := d.Object.(*T); ok {
+			out = append(out, *object)
+		}
+	}
+	return out, nil
+}
--- /dev/null
+++ b/workspace/compile_workspace.go
@@ -0,0 +1,116 @@
+package workspace
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+	"strconv"
+)
+
+// quote quotes a name in a finding.
+func quote(s string) string { return strconv.Quote(s) }
+
+// indexed returns the JSON path list[i].member.
+func indexed(list string, i int, member string) string {
+	return fmt.Sprintf("%s[%d].%s", list, i, member)
+}
+
+// workspaces resolves every workspace and hands out the keys.
+func (run *compilation) workspaces() {
+	previous, owners := run.resolved, run.keyOwner
+	run.resolved = make(map[string]*resolution, len(previous))
+	run.keyOwner = make(map[KeyHash]string, len(owners))
+	list := slices.Clone(run.byKind[KindWorkspace])
+	slices.SortFunc(list, func(a, b *decoded) int { return cmp.Compare(a.version, b.version) })
+	wanted := wantedKeys(list)
+	for _, d := range list {
+		file := objectFile(d.id.kind, d.id.name)
+		if r := run.resolve(file, d, previous[d.id.name]); r != nil && run.takeKeys(file, r, owners, wanted) {
+			continue
+		}
+		run.fallBack(previous[d.id.name], owners, wanted)
+	}
+}
+
+// resolve returns the workspace's resolution, the one in force where neither
+// it nor its template changed; nil where it is bad.
+func (run *compilation) resolve(file string, d *decoded, previous *resolution) *resolution {
+	w := d.value.(*Workspace)
+	t := run.inForce[objectID{KindTemplate, w.Template}]
+	if t == nil {
+		run.findings.Add(file, "template", "no template %q", w.Template)
+		return nil
+	}
+	if previous != nil && previous.workspace == d && previous.template == t {
+		return previous
+	}
+	out, findings := resolve(file, t.value.(*Template), w)
+	run.findings = append(run.findings, findings...)
+	if out == nil {
+		return nil
+	}
+	return &resolution{workspace: d, template: t, out: out}
+}
+
+// fallBack keeps a workspace whose newest version is bad at the resolution
+// that was in force.
+func (run *compilation) fallBack(previous *resolution, owners map[KeyHash]string, wanted map[KeyHash]map[string]bool) {
+	if previous == nil {
+		return
+	}
+	name := previous.workspace.id.name
+	for _, k := range previous.workspace.value.(*Workspace).Keys {
+		h, _ := parseKeyHash(k.SHA256)
+		if wanted[h] == nil {
+			wanted[h] = map[string]bool{}
+		}
+		wanted[h][name] = true
+	}
+	run.takeKeys(objectFile(KindWorkspace, name), previous, owners, wanted)
+}
+
+// wantedKeys returns which workspaces list each key.
+func wantedKeys(list []*decoded) map[KeyHash]map[string]bool {
+	out := make(map[KeyHash]map[string]bool, len(list))
+	for _, d := range list {
+		for _, k := range d.value.(*Workspace).Keys {
+			h, _ := parseKeyHash(k.SHA256)
+			if out[h] == nil {
+				out[h] = make(map[string]bool, 1)
+			}
+			out[h][d.id.name] = true
+		}
+	}
+	return out
+}
+
+// takeKeys puts a resolution in force under its keys, or reports those that
+// another workspace holds. A key stays with the workspace that had it; else
+// it goes to the older version. What goes wrong otherwise: by listing
+// another's key, a workspace would get that customer's requests.
+func (run *compilation) takeKeys(file string, r *resolution, owners map[KeyHash]string, wanted map[KeyHash]map[string]bool) bool {
+	name := r.workspace.id.name
+	keys := r.workspace.value.(*Workspace).Keys
+	free := true
+	for i, k := range keys {
+		h, _ := parseKeyHash(k.SHA256)
+		holder, taken := run.keyOwner[h]
+		if owner, ok := owners[h]; !taken && ok && owner != name && wanted[h][owner] {
+			holder, taken = owner, true
+		}
+		if taken {
+			run.findings.Add(file, indexed("keys", i, "sha256"), "is a key of workspace %q", holder)
+			free = false
+		}
+	}
+	if !free {
+		return false
+	}
+	for _, k := range keys {
+		h, _ := parseKeyHash(k.SHA256)
+		run.keyOwner[h] = name
+		run.out.Workspaces[h] = r.out
+	}
+	run.resolved[name] = r
+	return true
+}
--- /dev/null
+++ b/workspace/decode.go
@@ -0,0 +1,284 @@
+package workspace
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"reflect"
+	"strconv"
+	"strings"
+	"unicode/utf8"
+)
+
+// Decode reads one object strictly. What goes wrong with a lax decoder: a
+// mistyped member is silently ignored and the operator's limit is not in
+// force; of two members of one name the last one wins. Every such member is a
+// finding with its JSON path, and all findings come back together. An unknown
+// member alone is only a Warning, because a newer release may have written it.
+func Decode[T any](file string, value []byte) (T, Findings) {
+	var out T
+	root, findings := parse(file, value)
+	if findings != nil {
+		return out, findings
+	}
+	return out, decodeNode(file, "", root, &out)
+}
+
+// decodeNode verifies a parsed value against the type of out and fills out.
+func decodeNode(file, path string, n *node, out any) Findings {
+	v := verifier{file: file}
+	v.verify(path, n, reflect.TypeOf(out).Elem())
+	if v.findings.Fatal() != nil {
+		return v.findings
+	}
+	if err := json.Unmarshal(n.raw, out); err != nil {
+		v.findings.Add(file, path, "%v", err)
+	}
+	return v.findings
+}
+
+// nodeKind is the kind of a JSON value.
+type nodeKind string
+
+// The kinds of JSON values, as shown in findings.
+const (
+	kindObject nodeKind = "an object"
+	kindArray  nodeKind = "a list"
+	kindString nodeKind = "a string"
+	kindNumber nodeKind = "a number"
+	kindBool   nodeKind = "true or false"
+	kindNull   nodeKind = "null"
+)
+
+// node is a parsed JSON value. Unlike a map it keeps duplicate members.
+type node struct {
+	kind    nodeKind
+	raw     json.RawMessage
+	members []member // of an object
+	items   []*node  // of a list
+}
+
+// member is one member of an object.
+type member struct {
+	name  string
+	value *node
+}
+
+// get returns an object's first member of the name.
+func (n *node) get(name string) (*node, bool) {
+	for _, m := range n.members {
+		if m.name == name {
+			return m.value, true
+		}
+	}
+	return nil, false
+}
+
+// maxDepth bounds how deeply values may nest.
+const maxDepth = 32
+
+// parse reads one JSON value and nothing after it.
+func parse(file string, data []byte) (*node, Findings) {
+	var f Findings
+	if !utf8.Valid(data) {
+		f.Add(file, "", "not valid UTF-8")
+		return nil, f
+	}
+	p := parser{data: data, dec: json.NewDecoder(bytes.NewReader(data))}
+	p.dec.UseNumber()
+	n, err := p.value(0)
+	if err == nil && p.dec.More() {
+		err = fmt.Errorf("more than one JSON value")
+	}
+	if err != nil {
+		line := 1 + bytes.Count(data[:p.dec.InputOffset()], []byte("\n"))
+		f.Add(file, "", "line %d: not valid JSON: %v", line, err)
+		return nil, f
+	}
+	return n, nil
+}
+
+// parser builds nodes from a token stream.
+type parser struct {
+	data []byte
+	dec  *json.Decoder
+}
+
+// value parses the next value.
+func (p *parser) value(depth int) (*node, error) {
+	if depth > maxDepth {
+		return nil, fmt.Errorf("nested more than %d deep", maxDepth)
+	}
+	token, err := p.dec.Token()
+	if err != nil {
+		return nil, err
+	}
+	end := p.dec.InputOffset()
+	switch t := token.(type) {
+	case json.Delim:
+		return p.composite(t, int(end)-1, depth)
+	case string:
+		raw, _ := json.Marshal(t)
+		return &node{kind: kindString, raw: raw}, nil
+	case json.Number:
+		return &node{kind: kindNumber, raw: json.RawMessage(t)}, nil
+	case bool:
+		return &node{kind: kindBool, raw: strconv.AppendBool(nil, t)}, nil
+	default:
+		return &node{kind: kindNull, raw: json.RawMessage("null")}, nil
+	}
+}
+
+// composite parses the rest of an object or a list that starts at start.
+func (p *parser) composite(open json.Delim, start, depth int) (*node, error) {
+	n := &node{kind: kindArray}
+	if open == '{' {
+		n.kind = kindObject
+	}
+	for p.dec.More() {
+		name := ""
+		if n.kind == kindObject {
+			token, err := p.dec.Token()
+			if err != nil {
+				return nil, err
+			}
+			name, _ = token.(string)
+		}
+		v, err := p.value(depth + 1)
+		if err != nil {
+			return nil, err
+		}
+		if n.kind == kindObject {
+			n.members = append(n.members, member{name, v})
+		} else {
+			n.items = append(n.items, v)
+		}
+	}
+	if _, err := p.dec.Token(); err != nil {
+		return nil, err
+	}
+	n.raw = p.data[start:p.dec.InputOffset()]
+	return n, nil
+}
+
+// verifier checks a node against a Go type.
+type verifier struct {
+	file     string
+	findings Findings
+}
+
+var unmarshalerType = reflect.TypeFor[json.Unmarshaler]()
+
+// verify adds a finding for each thing in n that t does not hold.
+func (v *verifier) verify(path string, n *node, t reflect.Type) {
+	if reflect.PointerTo(t).Implements(unmarshalerType) {
+		target := reflect.New(t).Interface().(json.Unmarshaler)
+		if err := target.UnmarshalJSON(n.raw); err != nil {
+			v.findings.Add(v.file, path, "%v", err)
+		}
+		return
+	}
+	switch t.Kind() {
+	case reflect.Pointer:
+		v.verify(path, n, t.Elem())
+	case reflect.Struct:
+		v.object(path, n, t)
+	case reflect.Map:
+		v.mapping(path, n, t)
+	case reflect.Slice:
+		if v.want(path, n, kindArray) {
+			for i, item := range n.items {
+				v.verify(fmt.Sprintf("%s[%d]", path, i), item, t.Elem())
+			}
+		}
+	case reflect.String:
+		v.want(path, n, kindString)
+	case reflect.Bool:
+		v.want(path, n, kindBool)
+	default:
+		v.number(path, n, t)
+	}
+}
+
+// want reports whether the node is of the kind.
+func (v *verifier) want(path string, n *node, k nodeKind) bool {
+	if n.kind != k {
+		v.findings.Add(v.file, path, "want %s, not %s", k, n.kind)
+	}
+	return n.kind == k
+}
+
+// number checks an integer and its size.
+func (v *verifier) number(path string, n *node, t reflect.Type) {
+	if !v.want(path, n, kindNumber) {
+		return
+	}
+	if err := json.Unmarshal(n.raw, reflect.New(t).Interface()); err != nil {
+		v.findings.Add(v.file, path, "want an integer of type %s, not %s", t.Kind(), n.raw)
+	}
+}
+
+// mapping checks a map with string keys.
+func (v *verifier) mapping(path string, n *node, t reflect.Type) {
+	if !v.want(path, n, kindObject) {
+		return
+	}
+	v.duplicates(path, n)
+	for _, m := range n.members {
+		v.verify(join(path, m.name), m.value, t.Elem())
+	}
+}
+
+// object checks a struct's members by their exact JSON names.
+func (v *verifier) object(path string, n *node, t reflect.Type) {
+	if !v.want(path, n, kindObject) {
+		return
+	}
+	v.duplicates(path, n)
+	for _, m := range n.members {
+		at := join(path, m.name)
+		field, exact, ok := fieldByName(t, m.name)
+		switch {
+		case exact:
+			v.verify(at, m.value, field)
+		case ok:
+			v.findings.Add(v.file, at, "unknown field; names are in lower case")
+		default:
+			v.findings.Warn(v.file, at, "unknown field")
+		}
+	}
+}
+
+// duplicates reports members that stand twice.
+func (v *verifier) duplicates(path string, n *node) {
+	seen := make(map[string]bool, len(n.members))
+	for _, m := range n.members {
+		if seen[m.name] {
+			v.findings.Add(v.file, join(path, m.name), "stands twice")
+		}
+		seen[m.name] = true
+	}
+}
+
+// fieldByName finds a struct's field by its JSON name; exact is false where
+// only the case differs, which encoding/json would take.
+func fieldByName(t reflect.Type, name string) (field reflect.Type, exact, ok bool) {
+	for i := range t.NumField() {
+		tag, _, _ := strings.Cut(t.Field(i).Tag.Get("json"), ",")
+		if tag == name {
+			return t.Field(i).Type, true, true
+		}
+		if strings.EqualFold(tag, name) {
+			field, ok = t.Field(i).Type, true
+		}
+	}
+	return field, false, ok
+}
+
+// join returns the JSON path of a member.
+func join(path, name string) string {
+	if path == "" {
+		return name
+	}
+	return path + "." + name
+}
--- /dev/null
+++ b/workspace/document.go
@@ -0,0 +1,192 @@
+package workspace
+
+import (
+	"encoding/json"
+	"fmt"
+	"strconv"
+
+	"github.com/lycheekeel/lycheekeel/platform"
+)
+
+// Document is one object in a configuration file.
+type Document struct {
+	File string
+	// Path is the object's JSON path in the file; empty where it is the file.
+	Path string
+	Kind platform.Kind
+	Name string
+	// Expect is the stored version that the file's author saw; zero where
+	// the file does not say.
+	Expect platform.Version
+	// Object is a *Template, *Workspace, *Pool or *BackendServer.
+	Object any
+}
+
+// The members of a file's object that are not the stored object's own.
+const (
+	memberKind   = "kind"
+	memberExpect = "expect_version"
+)
+
+// operatorKinds are the kinds that operators write.
+var operatorKinds = map[platform.Kind]bool{
+	KindTemplate: true, KindWorkspace: true, KindPool: true, KindBackendServer: true,
+}
+
+// Value returns the object as it is stored: JSON with fixed member order.
+func (d Document) Value() ([]byte, error) { return json.Marshal(d.Object) }
+
+// ParseFile reads a configuration file: one object or a list of objects,
+// {"kind": "Template", ...}. It returns the good documents and every finding;
+// unlike in a stored object, an unknown member is fatal here.
+func ParseFile(file string, data []byte) ([]Document, Findings) {
+	root, findings := parse(file, data)
+	if findings != nil {
+		return nil, findings
+	}
+	if root.kind != kindArray {
+		d, f := parseDocument(file, "", root)
+		return keep(nil, d, f), f
+	}
+	var out []Document
+	for i, n := range root.items {
+		d, f := parseDocument(file, fmt.Sprintf("[%d]", i), n)
+		out = keep(out, d, f)
+		findings = append(findings, f...)
+	}
+	return out, findings
+}
+
+// keep appends a document that has no findings.
+func keep(list []Document, d Document, f Findings) []Document {
+	if f != nil {
+		return list
+	}
+	return append(list, d)
+}
+
+// parseDocument reads one object of a file.
+func parseDocument(file, path string, n *node) (Document, Findings) {
+	d := Document{File: file, Path: path}
+	var findings Findings
+	if n.kind != kindObject {
+		findings.Add(file, path, "want an object, not %s", n.kind)
+		return d, findings
+	}
+	kind, ok := n.get(memberKind)
+	if !ok || kind.kind != kindString {
+		findings.Add(file, join(path, memberKind), "missing: want one of Template, Workspace, Pool, BackendServer")
+		return d, findings
+	}
+	_ = json.Unmarshal(kind.raw, &d.Kind)
+	if !operatorKinds[d.Kind] {
+		findings.Add(file, join(path, memberKind), "%q is not one of Template, Workspace, Pool, BackendServer", d.Kind)
+		return d, findings
+	}
+	if expect, ok := n.get(memberExpect); ok {
+		v, err := strconv.ParseUint(string(expect.raw), 10, 64)
+		if err != nil {
+			findings.Add(file, join(path, memberExpect), "want a version, as shown by \"lycheekeel get\"")
+		}
+		d.Expect = platform.Version(v)
+	}
+	object, f := decodeRoot(file, d.Kind, "", withoutHeader(n))
+	for _, x := range f {
+		x.Path, x.Warning = nested(path, x.Path), false
+		findings = append(findings, x)
+	}
+	if findings != nil {
+		return d, findings
+	}
+	d.Object, d.Name = object, nameOf(object)
+	return d, nil
+}
+
+// nested returns a finding's path inside a document's path.
+func nested(path, inner string) string {
+	if inner == "" {
+		return path
+	}
+	return join(path, inner)
+}
+
+// withoutHeader returns the object without the members that are the file's.
+func withoutHeader(n *node) *node {
+	out := *n
+	out.members = nil
+	for _, m := range n.members {
+		if m.name != memberKind && m.name != memberExpect {
+			out.members = append(out.members, m)
+		}
+	}
+	return &out
+}
+
+// nameOf returns an object's name.
+func nameOf(object any) string {
+	switch o := object.(type) {
+	case *Template:
+		return o.Name
+	case *Workspace:
+		return o.Name
+	case *Pool:
+		return o.Name
+	case *BackendServer:
+		return o.Name
+	default:
+		return ""
+	}
+}
+
+// CheckDocuments checks documents together with what is stored already, as
+// Compile would after they were all written. Findings of documents name their
+// file and path. Findings about stored objects that no document touches are
+// returned too, because the documents may be what breaks them.
+func CheckDocuments(docs []Document, stored []platform.Object) Findings {
+	merged, places, findings := merge(docs, stored)
+	_, compiled := Compile(merged)
+	for _, f := range compiled {
+		if d, ok := places[f.File]; ok {
+			f.File, f.Path = d.File, nested(d.Path, f.Path)
+		}
+		findings = append(findings, f)
+	}
+	return findings
+}
+
+// merge lays documents over the stored objects. places maps a stored object's
+// name in findings to its document.
+func merge(docs []Document, stored []platform.Object) ([]platform.Object, map[string]Document, Findings) {
+	var findings Findings
+	var newest platform.Version
+	at := make(map[objectID]int, len(stored)+len(docs))
+	merged := make([]platform.Object, 0, len(stored)+len(docs))
+	for _, o := range stored {
+		at[objectID{o.Kind, o.Name}] = len(merged)
+		merged = append(merged, o)
+		newest = max(newest, o.Version)
+	}
+	places := make(map[string]Document, len(docs))
+	for _, d := range docs {
+		file := objectFile(d.Kind, d.Name)
+		if other, twice := places[file]; twice {
+			findings.Add(d.File, nested(d.Path, "name"), "%s %q stands in %s too", d.Kind, d.Name, other.File)
+			continue
+		}
+		places[file] = d
+		value, err := d.Value()
+		if err != nil || len(value) > platform.MaxValueBytes {
+			findings.Add(d.File, d.Path, "longer than the object API's %d bytes", platform.MaxValueBytes)
+			continue
+		}
+		newest++
+		o := platform.Object{Kind: d.Kind, Name: d.Name, Version: newest, Created: newest, Value: value}
+		if i, exists := at[objectID{d.Kind, d.Name}]; exists {
+			o.Created = merged[i].Created
+			merged[i] = o
+			continue
+		}
+		merged = append(merged, o)
+	}
+	return merged, places, findings
+}
--- a/workspace/finding.go
+++ b/workspace/finding.go
@@ -12,11 +12,20 @@
 	// Path is the JSON path in it, e.g. "tiers[1].first_token_ms".
 	Path   string `json:"path"`
 	Reason string `json:"reason"`
+	// Warning marks a finding that does not keep the object out of force.
+	Warning bool `json:"warning,omitempty"`
 }
 
 // String returns "file: path: reason".
 func (f Finding) String() string {
-	return fmt.Sprintf("%s: %s: %s", f.File, f.Path, f.Reason)
+	s := f.File + ": "
+	if f.Path != "" {
+		s += f.Path + ": "
+	}
+	if f.Warning {
+		s += "warning: "
+	}
+	return s + f.Reason
 }
 
 // Findings are all findings of one check, reported together. A non-empty
@@ -37,6 +46,11 @@
 	*f = append(*f, Finding{File: file, Path: path, Reason: fmt.Sprintf(format, args...)})
 }
 
+// Warn appends a finding that does not keep the object out of force.
+func (f *Findings) Warn(file, path, format string, args ...any) {
+	*f = append(*f, Finding{File: file, Path: path, Reason: fmt.Sprintf(format, args...), Warning: true})
+}
+
 // Err returns f as an error, or nil where there are none.
 func (f Findings) Err() error {
 	if len(f) == 0 {
@@ -44,3 +58,15 @@
 	}
 	return f
 }
+
+// Fatal returns the findings that keep an object out of force; nil where
+// there are only warnings.
+func (f Findings) Fatal() Findings {
+	var out Findings
+	for _, x := range f {
+		if !x.Warning {
+			out = append(out, x)
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/workspace/resolve.go
@@ -0,0 +1,151 @@
+package workspace
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+
+	"github.com/lycheekeel/lycheekeel/request"
+)
+
+// resolver puts a workspace's parameters into its template.
+type resolver struct {
+	checker
+	template *Template
+	values   map[string]value
+}
+
+// resolve returns template × parameters. Findings name the workspace's
+// parameters; the returned value is shared by no other workspace only in its
+// Workspace member.
+func resolve(file string, t *Template, w *Workspace) (*Resolved, Findings) {
+	r := &resolver{checker: checker{file: file}, template: t, values: make(map[string]value)}
+	r.bind(w)
+	if r.findings != nil {
+		return nil, r.findings
+	}
+	out := r.build(w.Name)
+	if r.findings != nil {
+		return nil, r.findings
+	}
+	return out, nil
+}
+
+// bind sets each parameter from the workspace or its default.
+func (r *resolver) bind(w *Workspace) {
+	for name := range w.Parameters {
+		if _, ok := r.template.Parameters[name]; !ok {
+			r.add(join("parameters", name), "template %q has no such parameter", r.template.Name)
+		}
+	}
+	for name, p := range r.template.Parameters {
+		raw, ok := w.Parameters[name]
+		if !ok {
+			raw = p.Default
+		}
+		if raw == nil {
+			r.add(join("parameters", name), "missing: template %q has no default for it", r.template.Name)
+			continue
+		}
+		v, err := parameterValue(&p, raw)
+		if err != nil {
+			r.add(join("parameters", name), "%v", err)
+		}
+		r.values[name] = v
+	}
+}
+
+// number returns a template's number and checks its bounds again, because a
+// parameter's own bounds may be wider.
+func (r *resolver) number(path string, n Number, low, high int64) int64 {
+	if n.Parameter == "" {
+		return n.Value
+	}
+	v := r.values[n.Parameter].number
+	if v < low || v > high {
+		r.add(join("parameters", n.Parameter), "%d as %s of template %q is not between %d and %d",
+			v, path, r.template.Name, low, high)
+	}
+	return v
+}
+
+// build resolves everything; findings are added to r.
+func (r *resolver) build(name string) *Resolved {
+	t := r.template
+	out := &Resolved{
+		Workspace: name, Template: t.Name,
+		AllowTierHeader: t.AllowTierHeader, AllowDeadlineHeader: t.AllowDeadlineHeader,
+		MaxTokens:    int(r.number("max_tokens", t.MaxTokens, 1, MaxTokens)),
+		MaxBodyBytes: int(r.number("max_body_bytes", t.MaxBodyBytes, 1, MaxBodyBytes)),
+		TierByName:   make(map[string]*ResolvedTier, len(t.Tiers)),
+		Models:       make(map[string]*ResolvedModel, len(t.Models)),
+		Services:     make(map[string]*ResolvedService, len(t.Services)),
+	}
+	for i := range t.Tiers {
+		out.Tiers = append(out.Tiers, r.tier(i))
+	}
+	slices.SortFunc(out.Tiers, func(a, b ResolvedTier) int { return cmp.Compare(a.Tier, b.Tier) })
+	for i := range out.Tiers {
+		out.TierByName[out.Tiers[i].Name] = &out.Tiers[i]
+	}
+	out.DefaultTier = out.TierByName[t.DefaultTier]
+	for _, m := range t.Models {
+		out.Models[m.Name] = r.model(out, m)
+	}
+	for _, s := range t.Services {
+		out.Services[s.Name] = resolveService(out, s)
+	}
+	return out
+}
+
+// tier resolves one tier.
+func (r *resolver) tier(i int) ResolvedTier {
+	s := &r.template.Tiers[i]
+	at := fmt.Sprintf("tiers[%d].", i)
+	first := r.number(at+"first_token_ms", s.FirstTokenMs, 1, MaxTargetMs)
+	perToken := r.number(at+"per_token_ms", s.PerTokenMs, 1, MaxTargetMs)
+	deadline := r.number(at+"deadline_ms", s.DeadlineMs, 1, MaxTargetMs)
+	if first > deadline {
+		r.add("parameters", "make first_token_ms %d of tier %q longer than its deadline_ms %d", first, s.Name, deadline)
+	}
+	return ResolvedTier{
+		Name: s.Name, Tier: request.Tier(s.Priority),
+		Targets: request.Targets{
+			FirstToken: Milliseconds(first), PerToken: Milliseconds(perToken), Deadline: Milliseconds(deadline),
+		},
+		MaxWaiting: int(r.number(at+"max_waiting", s.MaxWaiting, 0, MaxPoolWaiting)),
+	}
+}
+
+// tierOr returns a named tier, or the default one.
+func (r *Resolved) tierOr(name string) *ResolvedTier {
+	if t, ok := r.TierByName[name]; ok {
+		return t
+	}
+	return r.DefaultTier
+}
+
+// model resolves one model.
+func (r *resolver) model(out *Resolved, m ModelSpec) *ResolvedModel {
+	version := m.Version
+	if parameter, ok := parameterName(version); ok {
+		version = r.values[parameter].text
+		if !namePattern.MatchString(version) {
+			r.add(join("parameters", parameter), "%q is not a version's name", version)
+		}
+	}
+	return &ResolvedModel{
+		Name: m.Name, Version: version, Tier: out.tierOr(m.Tier), NonIdempotent: m.NonIdempotent,
+	}
+}
+
+// resolveService resolves one plain service.
+func resolveService(out *Resolved, s ServiceSpec) *ResolvedService {
+	service := &ResolvedService{Name: s.Name, Pool: s.Pool, Tier: out.tierOr(s.Tier)}
+	for _, rule := range s.Rules {
+		service.Rules = append(service.Rules, ResolvedRule{
+			Method: rule.Method, Path: rule.Path, Idempotent: rule.Idempotent, Tier: out.TierByName[rule.Tier],
+		})
+	}
+	return service
+}
