--- a/workspace/compile.go
+++ b/workspace/compile.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"maps"
 	"slices"
 
 	"github.com/lycheekeel/lycheekeel/platform"
@@ -46,13 +45,21 @@
 	created  platform.Version
 	value    any // *Template and so on; nil where the version is bad
 	findings Findings
+	older    *decoded // the next older listed version of the same object
 }
 
 // resolution is a workspace resolved from one version of it and its template.
 type resolution struct {
 	workspace, template *decoded
+	share               shareKey
 	out                 *Resolved
-	findings            Findings
+}
+
+// shareKey names what a resolution is made of, but for the workspace's name:
+// workspaces of equal keys share their tiers, models and services in memory.
+type shareKey struct {
+	template   *decoded
+	parameters string
 }
 
 // NewCompiler returns a Compiler with nothing in force.
@@ -71,6 +78,7 @@
 	findings Findings
 	// byKind holds the versions to put in force, sorted by name.
 	byKind map[platform.Kind][]*decoded
+	shared map[shareKey]*Resolved
 	out    *Snapshot
 }
 
@@ -85,6 +93,7 @@
 	run := &compilation{
 		Compiler: c,
 		byKind:   map[platform.Kind][]*decoded{},
+		shared:   map[shareKey]*Resolved{},
 		out: &Snapshot{
 			Workspaces: map[KeyHash]*Resolved{},
 			Pools:      map[string]*ResolvedPool{},
@@ -104,7 +113,7 @@
 
 // decode decodes what is new and picks each object's version in force.
 func (run *compilation) decode(objects []platform.Object) {
-	versions := make(map[objectID][]*decoded, len(objects))
+	versions := make(map[objectID]*decoded, len(objects))
 	kept := make(map[objectVersion]*decoded, len(objects))
 	for _, o := range objects {
 		key := objectVersion{objectID{o.Kind, o.Name}, o.Version}
@@ -114,13 +123,13 @@
 			d.value, d.findings = decodeObject(objectFile(o.Kind, o.Name), o.Kind, o.Name, o.Value)
 		}
 		kept[key] = d
-		versions[key.objectID] = append(versions[key.objectID], d)
+		versions[key.objectID] = d.before(versions[key.objectID])
 		run.out.Version = max(run.out.Version, o.Version)
 	}
 	run.decoded = kept
 	inForce := make(map[objectID]*decoded, len(versions))
-	for id, all := range versions {
-		if d := run.pick(id, all); d != nil {
+	for id, newest := range versions {
+		if d := run.pick(id, newest); d != nil {
 			inForce[id] = d
 			run.byKind[id.kind] = append(run.byKind[id.kind], d)
 		}
@@ -131,12 +140,24 @@
 	}
 }
 
+// file is the File of the object's findings.
+func (d *decoded) file() string { return objectFile(d.id.kind, d.id.name) }
+
+// before puts d into a list of one object's versions, newest first.
+func (d *decoded) before(list *decoded) *decoded {
+	if list != nil && list.version > d.version {
+		list.older = d.before(list.older)
+		return list
+	}
+	d.older = list
+	return d
+}
+
 // pick reports the newest version's findings and returns the newest good
 // version, or nil.
-func (run *compilation) pick(id objectID, all []*decoded) *decoded {
-	slices.SortFunc(all, func(a, b *decoded) int { return cmp.Compare(b.version, a.version) })
-	run.findings = append(run.findings, all[0].findings...)
-	for _, d := range all {
+func (run *compilation) pick(id objectID, newest *decoded) *decoded {
+	run.findings = append(run.findings, newest.findings...)
+	for d := newest; d != nil; d = d.older {
 		if d.value != nil {
 			return d
 		}
@@ -168,13 +189,12 @@
 	addresses := make(map[string]string, len(servers))
 	for _, d := range servers {
 		s := *d.value.(*BackendServer)
-		file := objectFile(d.id.kind, d.id.name)
 		if other, taken := addresses[s.Address]; taken {
-			run.findings.Add(file, "address", "%s is the address of server %q", s.Address, other)
+			run.findings.Add(d.file(), "address", "%s is the address of server %q", s.Address, other)
 			continue
 		}
 		addresses[s.Address] = s.Name
-		run.place(file, s, assigned[s.Name])
+		run.place(d, s, assigned[s.Name])
 	}
 	for _, p := range run.out.Pools {
 		slices.SortFunc(p.Servers, func(a, b BackendServer) int { return cmp.Compare(a.Name, b.Name) })
@@ -187,7 +207,7 @@
 	for _, d := range run.byKind[KindAssignment] {
 		a := d.value.(*Assignment)
 		if run.inForce[objectID{KindBackendServer, a.Server}] == nil {
-			run.findings.Warn(objectFile(d.id.kind, d.id.name), "server", "no backend server %q", a.Server)
+			run.findings.Warn(d.file(), "server", "no backend server %q", a.Server)
 		}
 		if a.Warm {
 			out[a.Server] = a.Pool
@@ -197,7 +217,7 @@
 }
 
 // place adds a server to its pool: the one assigned, else its own.
-func (run *compilation) place(file string, s BackendServer, assigned string) {
+func (run *compilation) place(d *decoded, s BackendServer, assigned string) {
 	if assigned != "" {
 		if problem := run.unfit(s, assigned); problem == "" {
 			s.Pool = assigned
@@ -206,7 +226,7 @@
 		}
 	}
 	if problem := run.unfit(s, s.Pool); problem != "" {
-		run.findings.Add(file, "pool", "%s", problem)
+		run.findings.Add(d.file(), "pool", "%s", problem)
 		return
 	}
 	p := run.out.Pools[s.Pool]
@@ -227,42 +247,3 @@
 		return ""
 	}
 }
-
-// references warns of names that nothing carries yet. They do not keep an
-// object out of force, because its counterpart may come a moment later.
-func (run *compilation) references() {
-	models := make(map[string]bool, len(run.out.ModelPools))
-	for key := range run.out.ModelPools {
-		models[key.Model+"\x00"+key.Version] = true
-	}
-	for _, d := range run.byKind[KindTemplate] {
-		t := d.value.(*Template)
-		file := objectFile(d.id.kind, d.id.name)
-		for i, m := range t.Models {
-			if _, isParameter := parameterName(m.Version); !isParameter && !models[m.Name+"\x00"+m.Version] {
-				run.findings.Warn(file, indexed("models", i, "version"), "no pool serves model %q version %q", m.Name, m.Version)
-			}
-		}
-		for i, s := range t.Services {
-			if p, ok := run.out.Pools[s.Pool]; !ok || p.Service != s.Name {
-				run.findings.Warn(file, indexed("services", i, "pool"), "no pool %q of service %q", s.Pool, s.Name)
-			}
-		}
-	}
-	run.modelParameters(models)
-}
-
-// modelParameters warns of workspaces whose version no pool serves.
-func (run *compilation) modelParameters(models map[string]bool) {
-	for _, name := range slices.Sorted(maps.Keys(run.resolved)) {
-		r := run.resolved[name]
-		for i, m := range r.template.value.(*Template).Models {
-			parameter, ok := parameterName(m.Version)
-			version := r.out.Models[m.Name].Version
-			if ok && !models[m.Name+"\x00"+version] {
-				run.findings.Warn(objectFile(KindWorkspace, name), join("parameters", parameter),
-					"no pool serves model %q version %q, named by models[%d] of template %q", m.Name, version, i, r.out.Template)
-			}
-		}
-	}
-}
--- a/workspace/compile_workspace.go
+++ b/workspace/compile_workspace.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"encoding/json"
 	"fmt"
 	"slices"
 	"strconv"
@@ -24,8 +25,7 @@
 	slices.SortFunc(list, func(a, b *decoded) int { return cmp.Compare(a.version, b.version) })
 	wanted := wantedKeys(list)
 	for _, d := range list {
-		file := objectFile(d.id.kind, d.id.name)
-		if r := run.resolve(file, d, previous[d.id.name]); r != nil && run.takeKeys(file, r, owners, wanted) {
+		if r := run.resolve(d, previous[d.id.name]); r != nil && run.takeKeys(r, owners, wanted) {
 			continue
 		}
 		run.fallBack(previous[d.id.name], owners, wanted)
@@ -34,22 +34,39 @@
 
 // resolve returns the workspace's resolution, the one in force where neither
 // it nor its template changed; nil where it is bad.
-func (run *compilation) resolve(file string, d *decoded, previous *resolution) *resolution {
+func (run *compilation) resolve(d *decoded, previous *resolution) *resolution {
 	w := d.value.(*Workspace)
 	t := run.inForce[objectID{KindTemplate, w.Template}]
 	if t == nil {
-		run.findings.Add(file, "template", "no template %q", w.Template)
+		run.findings.Add(d.file(), "template", "no template %q", w.Template)
 		return nil
 	}
 	if previous != nil && previous.workspace == d && previous.template == t {
+		run.shared[previous.share] = previous.out
 		return previous
 	}
-	out, findings := resolve(file, t.value.(*Template), w)
+	share := shareKey{t, parametersKey(w)}
+	if like, ok := run.shared[share]; ok {
+		out := *like
+		out.Workspace = w.Name
+		return &resolution{workspace: d, template: t, share: share, out: &out}
+	}
+	out, findings := resolve(d.file(), t.value.(*Template), w)
 	run.findings = append(run.findings, findings...)
 	if out == nil {
 		return nil
 	}
-	return &resolution{workspace: d, template: t, out: out}
+	run.shared[share] = out
+	return &resolution{workspace: d, template: t, share: share, out: out}
+}
+
+// parametersKey returns a workspace's parameters as one text.
+func parametersKey(w *Workspace) string {
+	if len(w.Parameters) == 0 {
+		return ""
+	}
+	b, _ := json.Marshal(w.Parameters) // sorted; valid JSON by its decoding
+	return string(b)
 }
 
 // fallBack keeps a workspace whose newest version is bad at the resolution
@@ -66,7 +83,7 @@
 		}
 		wanted[h][name] = true
 	}
-	run.takeKeys(objectFile(KindWorkspace, name), previous, owners, wanted)
+	run.takeKeys(previous, owners, wanted)
 }
 
 // wantedKeys returns which workspaces list each key.
@@ -88,7 +105,7 @@
 // another workspace holds. A key stays with the workspace that had it; else
 // it goes to the older version. What goes wrong otherwise: by listing
 // another's key, a workspace would get that customer's requests.
-func (run *compilation) takeKeys(file string, r *resolution, owners map[KeyHash]string, wanted map[KeyHash]map[string]bool) bool {
+func (run *compilation) takeKeys(r *resolution, owners map[KeyHash]string, wanted map[KeyHash]map[string]bool) bool {
 	name := r.workspace.id.name
 	keys := r.workspace.value.(*Workspace).Keys
 	free := true
@@ -99,7 +116,7 @@
 			holder, taken = owner, true
 		}
 		if taken {
-			run.findings.Add(file, indexed("keys", i, "sha256"), "is a key of workspace %q", holder)
+			run.findings.Add(r.workspace.file(), indexed("keys", i, "sha256"), "is a key of workspace %q", holder)
 			free = false
 		}
 	}
--- a/workspace/resolve.go
+++ b/workspace/resolve.go
@@ -16,8 +16,7 @@
 }
 
 // resolve returns template × parameters. Findings name the workspace's
-// parameters; the returned value is shared by no other workspace only in its
-// Workspace member.
+// parameters.
 func resolve(file string, t *Template, w *Workspace) (*Resolved, Findings) {
 	r := &resolver{checker: checker{file: file}, template: t, values: make(map[string]value)}
 	r.bind(w)
--- /dev/null
+++ b/workspace/workspacetest/fleet.go
@@ -0,0 +1,117 @@
+// Package workspacetest makes configurations of any size, for tests,
+// benchmarks and the measuring of capacity.
+package workspacetest
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"fmt"
+
+	"github.com/lycheekeel/lycheekeel/platform"
+	"github.com/lycheekeel/lycheekeel/workspace"
+)
+
+// Fleet says how large a configuration is.
+type Fleet struct {
+	Workspaces, Servers, Models, Regions, Templates int
+}
+
+// Target is the size that the system is designed for.
+var Target = Fleet{Workspaces: 2400, Servers: 1300, Models: 22, Regions: 6, Templates: 40}
+
+// serversPerPool leaves room under workspace.MaxPoolServers.
+const serversPerPool = 16
+
+// Key returns the bearer key of a workspace.
+func Key(name string) string { return "key-of-" + name }
+
+// Hash returns a key's SHA-256 in hex, as configuration holds it.
+func Hash(key string) string {
+	h := sha256.Sum256([]byte(key))
+	return hex.EncodeToString(h[:])
+}
+
+// Objects returns the fleet's objects with versions from 1 on.
+func (f Fleet) Objects() []platform.Object {
+	var out []platform.Object
+	add := func(kind platform.Kind, name string, v any) {
+		out = append(out, Stored(kind, name, platform.Version(len(out)+1), v))
+	}
+	for i := range f.Templates {
+		t := Template(fmt.Sprintf("template-%d", i), f.Models)
+		add(workspace.KindTemplate, t.Name, t)
+	}
+	f.pools(add)
+	for i := range f.Workspaces {
+		w := Workspace(fmt.Sprintf("workspace-%d", i), fmt.Sprintf("template-%d", i%f.Templates))
+		add(workspace.KindWorkspace, w.Name, w)
+	}
+	return out
+}
+
+// pools adds the pools, one or more a model and region, and their servers.
+func (f Fleet) pools(add func(platform.Kind, string, any)) {
+	for first := 0; first < f.Servers; first += serversPerPool {
+		i := first / serversPerPool
+		p := workspace.Pool{
+			Name: fmt.Sprintf("pool-%d", i), Region: fmt.Sprintf("region-%d", i/f.Models%f.Regions),
+			Model: fmt.Sprintf("model-%d", i%f.Models), Version: "v1",
+		}
+		add(workspace.KindPool, p.Name, p)
+		for j := first; j < min(first+serversPerPool, f.Servers); j++ {
+			s := Server(j, p)
+			add(workspace.KindBackendServer, s.Name, s)
+		}
+	}
+}
+
+// Server returns a backend server of a pool; number makes its address.
+func Server(number int, p workspace.Pool) workspace.BackendServer {
+	return workspace.BackendServer{
+		Name: fmt.Sprintf("server-%d", number), Address: fmt.Sprintf("10.1.%d.%d:8000", number/250, number%250+1),
+		Region: p.Region, AvailabilityZone: p.Region + "-a", Pool: p.Name, Slots: 32,
+	}
+}
+
+// Template returns a template of four tiers and the models, with parameters.
+func Template(name string, models int) workspace.Template {
+	low, high := int64(1), int64(100000)
+	t := workspace.Template{
+		Name: name, DefaultTier: "tier-1", AllowTierHeader: true,
+		Parameters: map[string]workspace.Parameter{
+			"deadline": {Type: "int", Default: json.RawMessage("60000"), Min: &low, Max: &high},
+			"version":  {Type: "string", Default: json.RawMessage(`"v1"`)},
+		},
+		MaxTokens: workspace.Number{Value: 2048}, MaxBodyBytes: workspace.Number{Value: 1 << 20},
+	}
+	for i := range 4 {
+		t.Tiers = append(t.Tiers, workspace.TierSpec{
+			Name: fmt.Sprintf("tier-%d", i), Priority: i, FirstTokenMs: workspace.Number{Value: 1000},
+			PerTokenMs: workspace.Number{Value: 62}, DeadlineMs: workspace.Number{Parameter: "deadline"},
+			MaxWaiting: workspace.Number{Value: 100},
+		})
+	}
+	for i := range models {
+		t.Models = append(t.Models, workspace.ModelSpec{Name: fmt.Sprintf("model-%d", i), Version: "${version}"})
+	}
+	return t
+}
+
+// Workspace returns a workspace of a template with one key.
+func Workspace(name, template string) workspace.Workspace {
+	return workspace.Workspace{
+		Name: name, Template: template,
+		Keys: []workspace.Key{{ID: "main", SHA256: Hash(Key(name))}},
+	}
+}
+
+// Stored returns a value as a stored object. It panics where the value has no
+// JSON, which the configuration's types always have.
+func Stored(kind platform.Kind, name string, version platform.Version, v any) platform.Object {
+	value, err := json.Marshal(v)
+	if err != nil {
+		panic(err)
+	}
+	return platform.Object{Kind: kind, Name: name, Version: version, Created: version, Value: value}
+}
