load: open-loop load tool with checked answers

Callers' latency cannot be judged by a closed loop, which sends less while the system is slow. The load command draws arrivals from a mix file and a seed (Poisson with bursts, lognormal lengths, shared prefixes, callers that leave), sends each at its time, counts from the intended moment, and compares echoed answers word for word, so that lost, cut, doubled and crossed answers show. It reports goodput by tier as a table, JSON and a plot.

--- /dev/null
+++ b/internal/load/arrivals.go
@@ -0,0 +1,108 @@
+package load
+
+import (
+	"math"
+	"math/rand/v2"
+	"sort"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Arrival is one request to be offered. Its texts follow from its fields, so
+// that a long run does not hold them in memory.
+type Arrival struct {
+	// Seq numbers the arrivals of a run by time, from 0.
+	Seq   int
+	Class *Class
+	// At is when it is to be sent, from the run's start.
+	At           time.Duration
+	PromptTokens int
+	OutputTokens int
+	// Prefix is the number of its shared prefix, or -1.
+	Prefix int
+	Stream bool
+	Echo   bool
+	// LeaveAfter is when the caller leaves, from At; 0: it stays.
+	LeaveAfter time.Duration
+	// Key is its Idempotency-Key, or empty.
+	Key string
+	// seed makes its texts, runSeed the shared ones.
+	seed, runSeed uint64
+}
+
+// Arrivals returns the arrivals of a run in time order. The same mix, seed
+// and duration give the same arrivals; each class draws from its own source,
+// so that a change of one class leaves the others' arrivals as they were.
+func Arrivals(m *Mix, seed uint64, duration time.Duration) []Arrival {
+	var out []Arrival
+	for i := range m.Classes {
+		c := &m.Classes[i]
+		rng := rand.New(rand.NewPCG(seed, xxhash.Sum64String(c.Name)))
+		out = append(out, classArrivals(c, rng, duration)...)
+	}
+	sort.SliceStable(out, func(i, j int) bool { return out[i].At < out[j].At })
+	for i := range out {
+		out[i].Seq = i
+		out[i].runSeed = seed
+	}
+	return out
+}
+
+// classArrivals draws a Poisson process of changing rate by thinning: it
+// draws at the peak rate and keeps each arrival with the share that the rate
+// has of the peak at that moment.
+func classArrivals(c *Class, rng *rand.Rand, duration time.Duration) []Arrival {
+	var out []Arrival
+	peak := c.peakRate()
+	for at := 0.0; ; {
+		at += rng.ExpFloat64() / peak
+		when := time.Duration(at * float64(time.Second))
+		if when >= duration {
+			return out
+		}
+		a := draw(c, rng, when)
+		if rng.Float64()*peak < c.rateAt(when) {
+			out = append(out, a)
+		}
+	}
+}
+
+func draw(c *Class, rng *rand.Rand, at time.Duration) Arrival {
+	a := Arrival{Class: c, At: at, Prefix: -1, seed: rng.Uint64()}
+	a.OutputTokens = c.OutputTokens.draw(rng)
+	a.PromptTokens = c.PromptTokens.draw(rng)
+	a.Stream = rng.Float64() < c.StreamShare
+	a.Echo = rng.Float64() >= c.PlainShare
+	if p := c.Prefix; p != nil {
+		a.Prefix = p.draw(rng, at)
+	}
+	if rng.Float64() < c.LeaveShare {
+		a.LeaveAfter = milliseconds(c.LeaveAfterMs.draw(rng))
+	}
+	if rng.Float64() < c.KeyShare {
+		a.Key = "key-" + hex(rng.Uint64())
+	}
+	return a
+}
+
+func (l Length) draw(rng *rand.Rand) int {
+	v := l.Median * math.Exp(rng.NormFloat64()*l.Sigma)
+	return int(min(max(math.Round(v), float64(l.Min)), float64(l.Max)))
+}
+
+// favouredShare is how many of a class's prefixed requests take the prefix
+// whose turn it is.
+const favouredShare = 0.8
+
+func (p *Prefix) draw(rng *rand.Rand, at time.Duration) int {
+	other, has, favoured := rng.IntN(p.Count), rng.Float64() < p.Share, rng.Float64() < favouredShare
+	switch {
+	case !has:
+		return -1
+	case p.TurnMs > 0 && favoured:
+		return int(at/milliseconds(p.TurnMs)) % p.Count
+	default:
+		return other
+	}
+}
--- /dev/null
+++ b/internal/load/check.go
@@ -0,0 +1,170 @@
+package load
+
+import (
+	"fmt"
+
+	"github.com/lycheekeel/lycheekeel/workspace"
+)
+
+// Bounds of a mix, against typing errors rather than against use.
+const (
+	maxRate   = 100_000
+	maxTokens = 1 << 20
+	maxFactor = 1000
+)
+
+// ParseMix decodes and checks a mix file. The error is workspace.Findings
+// with every finding of the file.
+func ParseMix(file string, data []byte) (*Mix, error) {
+	m, f := workspace.Decode[Mix](file, data)
+	if len(f.Fatal()) == 0 {
+		f = append(f, m.Check(file, "")...)
+	}
+	// An unknown field is only a warning in a stored object, which a newer
+	// release may have written; in a file that somebody typed it is a mistake.
+	if err := f.Err(); err != nil {
+		return nil, err
+	}
+	return &m, nil
+}
+
+// Check returns every finding of the mix; prefix is its JSON path in the file.
+func (m *Mix) Check(file, prefix string) workspace.Findings {
+	var f workspace.Findings
+	c := checker{file: file, findings: &f}
+	if len(m.Tiers) == 0 {
+		c.add(join(prefix, "tiers"), "at least one tier is needed")
+	}
+	for name, t := range m.Tiers {
+		c.targets(join(prefix, "tiers."+name), t)
+	}
+	if len(m.Classes) == 0 {
+		c.add(join(prefix, "classes"), "at least one class is needed")
+	}
+	names := map[string]bool{}
+	for i := range m.Classes {
+		path := join(prefix, fmt.Sprintf("classes[%d]", i))
+		cl := &m.Classes[i]
+		c.class(path, cl, m.Tiers)
+		if names[cl.Name] {
+			c.add(path+".name", "%q is used twice", cl.Name)
+		}
+		names[cl.Name] = true
+	}
+	return f
+}
+
+// join appends a member's name to a JSON path.
+func join(path, name string) string {
+	if path == "" {
+		return name
+	}
+	return path + "." + name
+}
+
+// checker collects findings about one file.
+type checker struct {
+	file     string
+	findings *workspace.Findings
+}
+
+func (c checker) add(path, format string, args ...any) {
+	c.findings.Add(c.file, path, format, args...)
+}
+
+// within adds a finding where v is not in [lo, hi].
+func (c checker) within(path string, v, lo, hi float64) {
+	if !(v >= lo && v <= hi) {
+		c.add(path, "%g is not between %g and %g", v, lo, hi)
+	}
+}
+
+func (c checker) needed(path, v string) {
+	if v == "" {
+		c.add(path, "is needed")
+	}
+}
+
+func (c checker) targets(path string, t Targets) {
+	c.within(path+".priority", float64(t.Priority), 0, 7)
+	for field, v := range map[string]int{"first_token_ms": t.FirstTokenMs, "per_token_ms": t.PerTokenMs, "deadline_ms": t.DeadlineMs} {
+		if v < 0 {
+			c.add(path+"."+field, "%d is negative", v)
+		}
+	}
+	if t.DeadlineMs == 0 {
+		c.add(path+".deadline_ms", "is needed: answers are not waited for without end")
+	}
+}
+
+func (c checker) class(path string, cl *Class, tiers map[string]Targets) {
+	c.needed(path+".name", cl.Name)
+	c.needed(path+".workspace", cl.Workspace)
+	c.needed(path+".model", cl.Model)
+	if _, ok := tiers[cl.Tier]; !ok {
+		c.add(path+".tier", "%q is not among the tiers", cl.Tier)
+	}
+	if cl.Rate <= 0 || cl.Rate > maxRate {
+		c.add(path+".rate", "%g is not above 0 and at most %d", cl.Rate, maxRate)
+	}
+	c.length(path+".prompt_tokens", cl.PromptTokens)
+	c.length(path+".output_tokens", cl.OutputTokens)
+	c.within(path+".max_tokens", float64(cl.MaxTokens), 0, maxTokens)
+	if cl.MaxTokens > 0 && cl.OutputTokens.Max > cl.MaxTokens {
+		c.add(path+".output_tokens.max", "%d is over max_tokens %d: answers would be cut", cl.OutputTokens.Max, cl.MaxTokens)
+	}
+	c.shares(path, cl)
+	c.times(path, cl)
+	c.prefix(path+".prefix", cl.Prefix)
+}
+
+func (c checker) shares(path string, cl *Class) {
+	c.within(path+".stream_share", cl.StreamShare, 0, 1)
+	c.within(path+".leave_share", cl.LeaveShare, 0, 1)
+	c.within(path+".key_share", cl.KeyShare, 0, 1)
+	c.within(path+".plain_share", cl.PlainShare, 0, 1)
+	switch {
+	case cl.LeaveAfterMs != nil:
+		c.length(path+".leave_after_ms", *cl.LeaveAfterMs)
+	case cl.LeaveShare > 0:
+		c.add(path+".leave_after_ms", "is needed with leave_share")
+	}
+}
+
+func (c checker) times(path string, cl *Class) {
+	for i, b := range cl.Bursts {
+		p := fmt.Sprintf("%s.bursts[%d]", path, i)
+		c.within(p+".factor", b.Factor, 0, maxFactor)
+		if b.AtMs < 0 || b.ForMs <= 0 {
+			c.add(p, "at_ms %d must not be negative and for_ms %d must be above 0", b.AtMs, b.ForMs)
+		}
+	}
+	if cl.FromMs < 0 || (cl.ToMs != 0 && cl.ToMs <= cl.FromMs) {
+		c.add(path+".to_ms", "from_ms %d to to_ms %d is no span of time", cl.FromMs, cl.ToMs)
+	}
+	if r := cl.Resend; r != nil && (r.Times < 1 || r.Times > 100 || r.AfterMs < 0) {
+		c.add(path+".resend", "want 1 to 100 times and no negative after_ms")
+	}
+}
+
+func (c checker) prefix(path string, p *Prefix) {
+	if p == nil {
+		return
+	}
+	c.within(path+".count", float64(p.Count), 1, maxTokens)
+	c.within(path+".tokens", float64(p.Tokens), 1, maxTokens)
+	c.within(path+".share", p.Share, 0, 1)
+	if p.TurnMs < 0 {
+		c.add(path+".turn_ms", "%d is negative", p.TurnMs)
+	}
+}
+
+func (c checker) length(path string, l Length) {
+	if l.Min < 1 || l.Max < l.Min || l.Max > maxTokens {
+		c.add(path, "want 1 <= min <= max <= %d, not min %d, max %d", maxTokens, l.Min, l.Max)
+	}
+	if l.Median < float64(l.Min) || l.Median > float64(l.Max) {
+		c.add(path+".median", "%g is not between min %d and max %d", l.Median, l.Min, l.Max)
+	}
+	c.within(path+".sigma", l.Sigma, 0, 5)
+}
--- /dev/null
+++ b/internal/load/load_test.go
@@ -0,0 +1,173 @@
+package load
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/pkg/errors"
+	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/lycheekeel/lycheekeel/engine"
+	"github.com/lycheekeel/lycheekeel/workspace"
+)
+
+func testMix() *Mix {
+	return &Mix{
+		Name:  "test",
+		Tiers: map[string]Targets{"urgent": {FirstTokenMs: 100, PerTokenMs: 10, DeadlineMs: 1000}},
+		Classes: []Class{{
+			Name: "tag", Workspace: "w", Model: "m", Tier: "urgent", Rate: 50,
+			PromptTokens: Length{Median: 100, Sigma: 1.5, Min: 4, Max: 4000},
+			OutputTokens: Length{Median: 20, Sigma: 0.5, Min: 8, Max: 100},
+			Prefix:       &Prefix{Count: 3, Tokens: 128, Share: 0.5},
+			Bursts:       []Burst{{AtMs: 4000, ForMs: 2000, Factor: 5}},
+			StreamShare:  0.5,
+		}},
+	}
+}
+
+func TestArrivals(t *testing.T) {
+	Convey("The same seed gives the same arrivals and texts, another gives others", t, func() {
+		m := testMix()
+		a, b, c := Arrivals(m, 7, 10*time.Second), Arrivals(m, 7, 10*time.Second), Arrivals(m, 8, 10*time.Second)
+		So(a, ShouldResemble, b)
+		So(a, ShouldNotResemble, c)
+		s1, u1, w1 := a[3].Texts()
+		s2, u2, w2 := b[3].Texts()
+		So([]string{s1, u1, w1}, ShouldResemble, []string{s2, u2, w2})
+	})
+	Convey("A class's arrivals do not depend on the other classes", t, func() {
+		m := testMix()
+		alone := Arrivals(m, 7, time.Second)
+		other := m.Classes[0]
+		other.Name = "other"
+		m.Classes = append(m.Classes, other)
+		var same []time.Duration
+		for _, a := range Arrivals(m, 7, time.Second) {
+			if a.Class.Name == "tag" {
+				same = append(same, a.At)
+			}
+		}
+		So(len(same), ShouldEqual, len(alone))
+		for i := range same {
+			So(same[i], ShouldEqual, alone[i].At)
+		}
+	})
+	Convey("A burst multiplies the rate, and lengths spread over two orders of magnitude", t, func() {
+		var inBurst, before, shortest, longest int
+		shortest = 1 << 30
+		for _, a := range Arrivals(testMix(), 1, 10*time.Second) {
+			switch {
+			case a.At < 2*time.Second:
+				before++
+			case a.At >= 4*time.Second && a.At < 6*time.Second:
+				inBurst++
+			}
+			shortest, longest = min(shortest, a.PromptTokens), max(longest, a.PromptTokens)
+		}
+		So(inBurst, ShouldBeBetween, 4*before, 6*before)
+		So(longest, ShouldBeGreaterThan, 100*shortest)
+	})
+	Convey("Prompts have the drawn length, and shared prefixes share their text", t, func() {
+		byPrefix := map[int]string{}
+		for _, a := range Arrivals(testMix(), 1, 2*time.Second) {
+			system, user, answer := a.Texts()
+			So(user, ShouldEqual, echoMark+answer)
+			want := max(a.PromptTokens, engine.EstimateTokens(user))
+			So(engine.EstimateTokens(system+user), ShouldBeBetween, want-2, want+2+128)
+			if a.Prefix >= 0 {
+				head := system[:128*engine.BytesPerToken]
+				if known, ok := byPrefix[a.Prefix]; ok {
+					So(head == known, ShouldBeTrue)
+				}
+				byPrefix[a.Prefix] = head
+			}
+		}
+		So(len(byPrefix), ShouldEqual, 3)
+	})
+}
+
+func TestParseMixFindings(t *testing.T) {
+	Convey("Every mistake of a mix is a finding with its place, all in one go", t, func() {
+		_, err := ParseMix("mix.json", []byte(`{
+			"name": "x", "colour": 1,
+			"tiers": {"urgent": {"priority": 0, "first_token_ms": -5, "deadline_ms": 1000}},
+			"classes": [{"name": "a", "workspace": "w", "model": "", "tier": "none", "rate": 0, "stream_share": 2,
+				"prompt_tokens": {"median": 5, "sigma": 1, "min": 10, "max": 20},
+				"output_tokens": {"median": 5, "sigma": 1, "min": 1, "max": 20}, "max_tokens": 10,
+				"leave_share": 0.1, "bursts": [{"at_ms": -1, "for_ms": 0, "factor": 2}]}]}`))
+		var f workspace.Findings
+		So(errors.As(err, &f), ShouldBeTrue)
+		paths := map[string]bool{}
+		for _, x := range f {
+			paths[x.Path] = true
+		}
+		for _, want := range []string{
+			"colour", "tiers.urgent.first_token_ms", "classes[0].model", "classes[0].tier", "classes[0].rate",
+			"classes[0].stream_share", "classes[0].prompt_tokens.median", "classes[0].output_tokens.max",
+			"classes[0].leave_after_ms", "classes[0].bursts[0]",
+		} {
+			So(paths, ShouldContainKey, want)
+		}
+		So(len(f), ShouldEqual, 10)
+	})
+}
+
+// Symptom: a caller gets the answer of another request, a torn one or one
+// twice, and nobody notices.
+// Sequence: the answer ends without an error, with a text that is not its own.
+// Cause: a buffer that is used again, two streams swapped, a resume repeated.
+func TestVerdict(t *testing.T) {
+	event := func(text string) string { return `data: {"choices":[{"delta":{"content":"` + text + `"}}]}` + "\n\n" }
+	const end = `data: {"choices":[{"delta":{},"finish_reason":"stop"}]}` + "\n\ndata: [DONE]\n\n"
+	Convey("Each way in which an answer can be wrong is told apart", t, func() {
+		for _, x := range []struct {
+			stream string
+			want   Ending
+		}{
+			{event("<a-1> one ") + event("two") + end, Whole},
+			{": keepalive\n\n" + event("<a-1> one two") + end, Whole},
+			{event("<a-1> one two"), Cut},
+			{event("<a-1> one two") + `data: {"choices":[{"delta":{},"finish_reason":"stop"}]}` + "\n\n", Cut},
+			{event("<b-2> one two") + end, Crossed},
+			{event("<a-1> one") + end, Wrong},
+			{event("<a-1> one two") + end + event("<a-1> one two") + end, Doubled},
+			{event("<a-1> one ") + `data: {"error":{"code":"engine_lost","not_run":false}}` + "\n\n" + end, Cut},
+		} {
+			k := call{answer: "<a-1> one two", arrival: &Arrival{Stream: true}, began: time.Now()}
+			k.try.Status = 200
+			err := k.events(strings.NewReader(x.stream))
+			So(k.verdict(err), ShouldEqual, x.want)
+		}
+	})
+	Convey("A failure without a typed reason is no refusal", t, func() {
+		k := call{arrival: &Arrival{}, try: Try{Status: 500}}
+		So(k.verdict(nil), ShouldEqual, Lost)
+		k.try.Reason = "shed"
+		So(k.verdict(nil), ShouldEqual, Refused)
+		So(k.verdict(errors.New("broken")), ShouldEqual, Cut)
+	})
+}
+
+func TestGoodput(t *testing.T) {
+	Convey("Goodput counts whole answers within every target, and no caller that left", t, func() {
+		m := testMix()
+		a := &Arrival{Class: &m.Classes[0], Stream: true}
+		ms := time.Millisecond
+		of := func(e Ending, first, total time.Duration) Result {
+			return Result{Arrival: a, Tries: []Try{{Ending: e, FirstToken: first, Total: total, Tokens: 11, Reason: map[Ending]string{Refused: "shed"}[e]}}}
+		}
+		rep := Summarize(m, 1, time.Second, []Result{
+			of(Whole, 50*ms, 140*ms), of(Whole, 101*ms, 140*ms), of(Whole, 50*ms, 160*ms),
+			of(Refused, 0, ms), of(Left, 0, ms), of(Cut, 10*ms, 20*ms),
+		})
+		So(rep.Tiers[0].Offered, ShouldEqual, 5)
+		So(rep.Tiers[0].Left, ShouldEqual, 1)
+		So(rep.Tiers[0].Good, ShouldEqual, 1)
+		So(rep.Tiers[0].Goodput, ShouldEqual, 0.2)
+		So(rep.Refusals["shed"], ShouldEqual, 1)
+		So(rep.NoRetryAfter, ShouldEqual, 1)
+		So(rep.Faults(), ShouldEqual, 1)
+	})
+}
--- /dev/null
+++ b/internal/load/plot.go
@@ -0,0 +1,189 @@
+package load
+
+import (
+	"image/color"
+	"math"
+	"os"
+	"sort"
+	"strconv"
+	"time"
+
+	"github.com/pkg/errors"
+	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/vg"
+	vgdraw "gonum.org/v1/plot/vg/draw"
+	"gonum.org/v1/plot/vg/vgimg"
+)
+
+// Sizes of a plot, and how it is drawn.
+const (
+	plotWidth  = 9 * vg.Inch
+	plotHeight = 7 * vg.Inch
+	plotDPI    = 110
+	lineWidth  = 1.6
+	// plotBuckets is the number of points in time of a plot, at most.
+	plotBuckets = 40
+	// lowestShare is the share of callers at which the latency plot ends.
+	lowestShare = 0.001
+)
+
+// Colors are told apart by people who see colors differently (Okabe and Ito).
+var Colors = []color.Color{
+	color.RGBA{0, 114, 178, 255}, color.RGBA{213, 94, 0, 255}, color.RGBA{0, 158, 115, 255},
+	color.RGBA{204, 121, 167, 255}, color.RGBA{230, 159, 0, 255}, color.RGBA{86, 180, 233, 255},
+}
+
+// WritePlot writes a PNG: above, what was offered and what was good over time
+// by tier; below, the share of callers that waited longer for the first byte
+// of use to them (first token, or the whole answer where it is not streamed).
+func WritePlot(path string, m *Mix, duration time.Duration, results []Result) error {
+	above, below := plot.New(), plot.New()
+	above.Title.Text = m.Name + ": offered (dashed) and good (solid) requests by tier"
+	above.X.Label.Text, above.Y.Label.Text = "seconds from the start", "requests/s"
+	below.Title.Text = "share of callers that waited longer"
+	below.X.Label.Text, below.Y.Label.Text = "milliseconds to the first token (plain: to the whole answer)", "share"
+	below.X.Scale, below.Y.Scale = plot.LogScale{}, plot.LogScale{}
+	below.X.Tick.Marker, below.Y.Tick.Marker = logTicks{}, logTicks{}
+	for i, tier := range TiersByPriority(m) {
+		if err := addTier(above, below, m, tier, Colors[i%len(Colors)], duration, results); err != nil {
+			return err
+		}
+	}
+	for _, p := range []*plot.Plot{above, below} {
+		p.Legend.Top = true
+		p.Add(plotter.NewGrid())
+	}
+	below.Y.Min, below.Y.Max = lowestShare, 1
+	return SavePlots(path, plotWidth, plotHeight, []*plot.Plot{above}, []*plot.Plot{below})
+}
+
+// SavePlots writes rows of plots into one PNG, their axes aligned.
+func SavePlots(path string, width, height vg.Length, rows ...[]*plot.Plot) error {
+	img := vgimg.NewWith(vgimg.UseWH(width, height), vgimg.UseDPI(plotDPI))
+	dc := vgdraw.New(img)
+	tiles := vgdraw.Tiles{
+		Rows: len(rows), Cols: len(rows[0]), PadX: 6 * vg.Millimeter, PadY: 6 * vg.Millimeter,
+		PadTop: 3 * vg.Millimeter, PadBottom: 3 * vg.Millimeter, PadLeft: 3 * vg.Millimeter, PadRight: 6 * vg.Millimeter,
+	}
+	for r, row := range plot.Align(rows, tiles, dc) {
+		for c, canvas := range row {
+			rows[r][c].Draw(canvas)
+		}
+	}
+	f, err := os.Create(path)
+	if err != nil {
+		return errors.Wrap(err, "plot")
+	}
+	if _, err := (vgimg.PngCanvas{Canvas: img}).WriteTo(f); err != nil {
+		_ = f.Close()
+		return errors.Wrap(err, "plot")
+	}
+	return errors.Wrap(f.Close(), "plot")
+}
+
+// TiersByPriority returns the names of the tiers, the most urgent first.
+func TiersByPriority(m *Mix) []string {
+	out := make([]string, 0, len(m.Tiers))
+	for t := range m.Tiers {
+		out = append(out, t)
+	}
+	sort.Slice(out, func(i, j int) bool {
+		a, b := m.Tiers[out[i]].Priority, m.Tiers[out[j]].Priority
+		return a < b || (a == b && out[i] < out[j])
+	})
+	return out
+}
+
+func addTier(above, below *plot.Plot, m *Mix, tier string, c color.Color, duration time.Duration, results []Result) error {
+	offered, good := rates(m, tier, duration, results)
+	dashed, err := plotter.NewLine(offered)
+	if err != nil {
+		return errors.Wrap(err, "plot")
+	}
+	dashed.Color, dashed.Width, dashed.Dashes = c, vg.Points(lineWidth), []vg.Length{vg.Points(4), vg.Points(3)}
+	solid, err := plotter.NewLine(good)
+	if err != nil {
+		return errors.Wrap(err, "plot")
+	}
+	solid.Color, solid.Width = c, vg.Points(lineWidth)
+	above.Add(dashed, solid)
+	above.Legend.Add(tier, solid)
+	if waits := tailOf(tier, results); len(waits) > 1 {
+		tail, err := plotter.NewLine(waits)
+		if err != nil {
+			return errors.Wrap(err, "plot")
+		}
+		tail.Color, tail.Width = c, vg.Points(lineWidth)
+		below.Add(tail)
+		below.Legend.Add(tier, tail)
+	}
+	return nil
+}
+
+// rates returns a tier's offered and good requests a second over time, each
+// counted at the time of its arrival.
+func rates(m *Mix, tier string, duration time.Duration, results []Result) (offered, good plotter.XYs) {
+	step := max(duration/plotBuckets, 500*time.Millisecond)
+	n := max(1, int(duration/step))
+	offered, good = make(plotter.XYs, n), make(plotter.XYs, n)
+	for i := range n {
+		offered[i].X = (float64(i) + 0.5) * step.Seconds()
+		good[i].X = offered[i].X
+	}
+	for i := range results {
+		r := &results[i]
+		if r.Arrival.Class.Tier != tier || !r.Offered() {
+			continue
+		}
+		b := min(n-1, int(r.Arrival.At/step))
+		offered[b].Y += 1 / step.Seconds()
+		if r.Good(m.Tiers[tier]) {
+			good[b].Y += 1 / step.Seconds()
+		}
+	}
+	return offered, good
+}
+
+// tailOf returns the share of a tier's callers that waited longer than x.
+func tailOf(tier string, results []Result) plotter.XYs {
+	var waits []float64
+	for i := range results {
+		r := &results[i]
+		y := r.Last()
+		if r.Arrival.Class.Tier != tier || y.Ending != Whole {
+			continue
+		}
+		d := y.FirstToken
+		if d == 0 {
+			d = y.Total
+		}
+		waits = append(waits, max(0.01, float64(d.Microseconds())/1000))
+	}
+	sort.Float64s(waits)
+	var out plotter.XYs
+	for i, w := range waits {
+		if share := 1 - float64(i)/float64(len(waits)); share >= lowestShare {
+			out = append(out, plotter.XY{X: w, Y: share})
+		}
+	}
+	return out
+}
+
+// logTicks marks 1, 2 and 5 of each decade, with plain numbers.
+type logTicks struct{}
+
+// Ticks implements plot.Ticker.
+func (logTicks) Ticks(lo, hi float64) []plot.Tick {
+	var out []plot.Tick
+	for e := math.Floor(math.Log10(lo)); e <= math.Ceil(math.Log10(hi)); e++ {
+		for _, f := range []float64{1, 2, 5} {
+			if v := f * math.Pow(10, e); v >= lo && v <= hi {
+				out = append(out, plot.Tick{Value: v, Label: formatTick(v)})
+			}
+		}
+	}
+	return out
+}
+
+func formatTick(v float64) string { return strconv.FormatFloat(v, 'g', 4, 64) }
--- /dev/null
+++ b/internal/load/print.go
@@ -0,0 +1,47 @@
+package load
+
+import (
+	"fmt"
+	"io"
+	"sort"
+	"text/tabwriter"
+	"time"
+)
+
+// Print writes the report for a person.
+func (rep *Report) Print(out io.Writer) error {
+	w := tabwriter.NewWriter(out, 0, 8, 2, ' ', 0)
+	fmt.Fprintf(w, "mix %s, seed %d: %d sent in %s (%.1f/s), tool late by p99 %.1f ms\n\n",
+		rep.Mix, rep.Seed, rep.Sent, time.Duration(rep.DurationMs)*time.Millisecond, rep.PerSecond, rep.Lag.P99)
+	fmt.Fprintln(w, "TIER\tOFFERED\tWHOLE\tGOOD\tGOODPUT\tLEFT\tFIRST TOKEN P50/P95/P99 MS\tPER TOKEN P95 MS\tTOTAL P50/P99 MS")
+	for _, t := range rep.Tiers {
+		fmt.Fprintf(w, "%s\t%d\t%d\t%d\t%.4f\t%d\t%.1f / %.1f / %.1f\t%.2f\t%.1f / %.1f\n",
+			t.Tier, t.Offered, t.Whole, t.Good, t.Goodput, t.Left, t.FirstToken.P50, t.FirstToken.P95,
+			t.FirstToken.P99, t.PerToken.P95, t.Total.P50, t.Total.P99)
+	}
+	fmt.Fprintln(w, "\nENDING\tCALLERS")
+	for _, e := range Endings() {
+		fmt.Fprintf(w, "%s\t%d\n", e, rep.Endings[e])
+	}
+	if len(rep.Refusals) > 0 {
+		fmt.Fprintln(w, "\nREFUSAL REASON\tTIMES")
+		for _, reason := range sortedReasons(rep.Refusals) {
+			fmt.Fprintf(w, "%s\t%d\n", reason, rep.Refusals[reason])
+		}
+	}
+	return w.Flush()
+}
+
+func sortedReasons(m map[string]int) []string {
+	out := make([]string, 0, len(m))
+	for r := range m {
+		out = append(out, r)
+	}
+	sort.Strings(out)
+	return out
+}
+
+// Line returns the progress as one line for a terminal.
+func (p Progress) Line() string {
+	return fmt.Sprintf("%6.1fs  sent %d of %d  waiting %d  good %d", p.Elapsed.Seconds(), p.Sent, p.Planned, p.Sent-p.Ended, p.Good)
+}
