faultproxy: add a TCP proxy that injects faults into a link

Tests with real processes need links that are reset, delayed, refused, or that go silent for good in one or both directions while new connections work. Proxy holds these rules per link and changes them while it runs; a silent connection also hides the other side's close.

--- /dev/null
+++ b/internal/faultproxy/conn.go
@@ -0,0 +1,109 @@
+package faultproxy
+
+import (
+	"bytes"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/sourcegraph/conc"
+)
+
+const (
+	// bufferBytes is how much is read at once.
+	bufferBytes = 32 << 10
+	// heldChunks bounds what is held back by a delay.
+	heldChunks = 256
+)
+
+// conn is one forwarded connection.
+type conn struct {
+	proxy          *Proxy
+	client, server *net.TCPConn
+
+	mu     sync.Mutex
+	silent Direction
+}
+
+// chunk is bytes that are due at a time; nil bytes end the direction.
+type chunk struct {
+	bytes []byte
+	due   time.Time
+}
+
+func (c *conn) silence(d Direction) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.silent |= d
+}
+
+func (c *conn) isSilent(d Direction) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.silent&d != 0
+}
+
+func (c *conn) reset() {
+	resetConn(c.client)
+	resetConn(c.server)
+}
+
+// run forwards both ways until both have ended.
+func (c *conn) run() {
+	var g conc.WaitGroup
+	g.Go(func() { c.copy(c.client, c.server, ToTarget) })
+	g.Go(func() { c.copy(c.server, c.client, ToClient) })
+	g.Wait()
+	c.client.Close()
+	c.server.Close()
+}
+
+// copy forwards one direction through a queue, so that a delay holds bytes
+// back without slowing them down.
+func (c *conn) copy(from, to *net.TCPConn, d Direction) {
+	queue := make(chan chunk, heldChunks)
+	var g conc.WaitGroup
+	g.Go(func() { c.deliver(queue, to, d) })
+	buf := make([]byte, bufferBytes)
+	for {
+		n, err := from.Read(buf)
+		due := time.Now().Add(c.proxy.currentDelay())
+		if n > 0 {
+			queue <- chunk{bytes: bytes.Clone(buf[:n]), due: due}
+		}
+		if err != nil {
+			queue <- chunk{due: due}
+			break
+		}
+	}
+	close(queue)
+	g.Wait()
+}
+
+// deliver writes what is due, drops it where the direction is silent, and
+// hides the end of a silent connection until the proxy closes.
+func (c *conn) deliver(queue <-chan chunk, to *net.TCPConn, d Direction) {
+	for k := range queue {
+		c.hold(k.due)
+		switch {
+		case c.isSilent(d):
+			if k.bytes == nil {
+				<-c.proxy.done
+			}
+		case k.bytes == nil:
+			_ = to.CloseWrite()
+		default:
+			_, _ = to.Write(k.bytes)
+		}
+	}
+}
+
+// hold waits until the time or until the proxy closes.
+func (c *conn) hold(until time.Time) {
+	t := time.NewTimer(time.Until(until))
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-c.proxy.done:
+	}
+}
