revision: a set of records that never goes back

A stale listing, a replayed watch or a peer's older copy could revert a change or bring back a deleted object. The set keeps the newest version per object and, per kind, a floor up to which every change is known; listings of the store and of peers go through one rule, and a tombstone is dropped once the floor has passed it.

--- /dev/null
+++ b/revision/exchange.go
@@ -0,0 +1,172 @@
+package revision
+
+import (
+	"cmp"
+
+	"github.com/lycheekeel/lycheekeel/platform"
+)
+
+// compareObjects orders objects of one kind by name and version.
+func compareObjects(a, b platform.Object) int {
+	return cmp.Or(cmp.Compare(a.Name, b.Name), cmp.Compare(a.Version, b.Version))
+}
+
+// KindDigest sums up what a member knows of one kind.
+type KindDigest struct {
+	Kind  platform.Kind
+	Floor platform.Version
+	Hash  uint64
+}
+
+// Digest returns the digest of each kind.
+func (s *Set) Digest() []KindDigest {
+	out := make([]KindDigest, 0, len(s.order))
+	for _, kind := range s.order {
+		k := s.kinds[kind]
+		out = append(out, KindDigest{Kind: kind, Floor: k.floor, Hash: k.hash})
+	}
+	return out
+}
+
+// Compare returns the kinds in which a peer's digest differs. Where a kind is
+// equal, what the peer knows to be complete is complete here too, so its
+// floor is taken over. Kinds that this member does not know are passed over.
+func (s *Set) Compare(digest []KindDigest) (differ []platform.Kind) {
+	for _, d := range digest {
+		k, ok := s.kinds[d.Kind]
+		if !ok {
+			continue
+		}
+		if k.hash == d.Hash {
+			k.raise(d.Floor)
+			continue
+		}
+		differ = append(differ, d.Kind)
+	}
+	return differ
+}
+
+// Buckets returns the bucket hashes of a kind.
+func (s *Set) Buckets(kind platform.Kind) []uint64 {
+	k, ok := s.kinds[kind]
+	if !ok {
+		return nil
+	}
+	out := k.buckets
+	return out[:]
+}
+
+// BucketList lists the live objects of some buckets of a kind, as of a floor.
+type BucketList struct {
+	Kind    platform.Kind
+	Floor   platform.Version
+	Buckets []uint32
+	Headers []Header
+}
+
+// ListDiffering lists the buckets whose hash differs from a peer's.
+func (s *Set) ListDiffering(kind platform.Kind, hashes []uint64) BucketList {
+	k, ok := s.kinds[kind]
+	if !ok || len(hashes) != bucketCount {
+		return BucketList{Kind: kind}
+	}
+	list := BucketList{Kind: kind, Floor: k.floor}
+	differ := make(map[int]bool)
+	for i, h := range hashes {
+		if k.buckets[i] != h {
+			differ[i] = true
+			list.Buckets = append(list.Buckets, uint32(i))
+		}
+	}
+	for name, r := range k.records {
+		if differ[bucketOf(name)] {
+			list.Headers = append(list.Headers, r.header())
+		}
+	}
+	return list
+}
+
+// ApplyBuckets compares a peer's bucket list with the set, by the same rule as
+// ApplyList: what the peer lacks and must know is deleted here. It returns the
+// deletions, the headers to fetch from the peer, and the headers that this
+// member knows newer, for the peer.
+func (s *Set) ApplyBuckets(list BucketList) (deleted, wanted, newer []Header) {
+	k, ok := s.kinds[list.Kind]
+	if !ok {
+		return nil, nil, nil
+	}
+	listed := make(map[string]struct{}, len(list.Headers))
+	for _, h := range list.Headers {
+		listed[h.Name] = struct{}{}
+		h.Kind = list.Kind
+		switch known := k.records[h.Name]; {
+		case known != nil && known.Version > h.Version:
+			newer = append(newer, known.header())
+		case known == nil && h.Version <= k.floor:
+			// Deleted since; the tombstone is gone, the floor still tells.
+			newer = append(newer, Header{Kind: list.Kind, Name: h.Name, Version: k.floor, Deleted: true})
+		case s.Wants(h) && h.Deleted:
+			s.Apply(deletion(h))
+			deleted = append(deleted, h)
+		case s.Wants(h):
+			wanted = append(wanted, h)
+		}
+	}
+	buckets := make(map[uint32]bool, len(list.Buckets))
+	for _, b := range list.Buckets {
+		buckets[b] = true
+	}
+	for _, name := range k.unlisted(listed, buckets) {
+		known := k.records[name]
+		if h, ok := s.absent(list.Kind, name, list.Floor); ok {
+			deleted = append(deleted, h)
+		} else if known.Version > list.Floor {
+			newer = append(newer, known.header())
+		}
+	}
+	return deleted, wanted, newer
+}
+
+// deletion returns the record of a deletion's header.
+func deletion(h Header) Record {
+	return Record{Object: platform.Object{Kind: h.Kind, Name: h.Name, Version: h.Version}, Deleted: true}
+}
+
+// Wants tells whether a header names something newer than is known.
+func (s *Set) Wants(h Header) bool {
+	k, ok := s.kinds[h.Kind]
+	if !ok {
+		return false
+	}
+	known := k.records[h.Name]
+	if known == nil {
+		return h.Version > k.floor
+	}
+	return h.Version > known.Version
+}
+
+// maxAnswerBytes bounds the values in one answer; one record always fits.
+const maxAnswerBytes = 512 << 10
+
+// Records returns the records of the headers that the set holds, as many as
+// fit one answer.
+func (s *Set) Records(headers []Header) []*Record {
+	var out []*Record
+	size := 0
+	for _, h := range headers {
+		k, ok := s.kinds[h.Kind]
+		if !ok || k.records[h.Name] == nil {
+			continue
+		}
+		r := k.records[h.Name]
+		size += len(r.Value)
+		if r.Good != nil {
+			size += len(r.Good.Value)
+		}
+		if len(out) > 0 && size > maxAnswerBytes {
+			break
+		}
+		out = append(out, r)
+	}
+	return out
+}
--- /dev/null
+++ b/revision/set.go
@@ -0,0 +1,258 @@
+package revision
+
+import (
+	"slices"
+
+	"github.com/lycheekeel/lycheekeel/platform"
+)
+
+// Set holds the newest known record of each object. It is a pure aggregate:
+// no clock, no goroutines, used by one goroutine at a time.
+//
+// Each kind has a floor: every change up to that version is known. A record
+// at or under the floor of an object that the set does not hold can therefore
+// only be an old copy of something deleted since, and is refused. That is
+// also the rule for tombstones: one is kept until the floor has passed it,
+// however long that takes, and is not needed after.
+type Set struct {
+	kinds map[platform.Kind]*kindSet
+	order []platform.Kind
+	check func(platform.Object) bool
+	// newest is the largest version applied.
+	newest platform.Version
+}
+
+// kindSet is the part of a Set for one kind.
+type kindSet struct {
+	floor      platform.Version
+	records    map[string]*Record
+	tombstones map[string]struct{}
+	buckets    [bucketCount]uint64
+	hash       uint64 // of all buckets
+}
+
+// NewSet returns an empty set of the kinds. check tells whether an object by
+// itself may go in force; nil takes all.
+func NewSet(kinds []platform.Kind, check func(platform.Object) bool) *Set {
+	if check == nil {
+		check = func(platform.Object) bool { return true }
+	}
+	s := &Set{kinds: make(map[platform.Kind]*kindSet, len(kinds)), order: kinds, check: check}
+	for _, k := range kinds {
+		s.kinds[k] = &kindSet{records: map[string]*Record{}, tombstones: map[string]struct{}{}}
+	}
+	return s
+}
+
+// Apply takes in a record if it is newer than what is known of its object.
+// It reports whether the set changed.
+func (s *Set) Apply(r Record) bool {
+	k, ok := s.kinds[r.Kind]
+	if !ok {
+		return false
+	}
+	known := k.records[r.Name]
+	if known == nil && r.Version <= k.floor {
+		return false // deleted since: see Set
+	}
+	if known != nil && r.Version <= known.Version {
+		return known.Version == r.Version && k.adoptGood(known, r.Good)
+	}
+	s.judge(&r, known)
+	k.put(&r)
+	s.newest = max(s.newest, r.Version)
+	return true
+}
+
+// judge checks a new record and, where it is bad, finds the version that
+// stays in force. A version from before a deletion never does.
+func (s *Set) judge(r, known *Record) {
+	if r.Deleted {
+		r.Object.Value, r.Good = nil, nil
+		return
+	}
+	r.bad = !s.check(r.Object)
+	if !r.bad {
+		r.Good = nil
+		return
+	}
+	if known == nil || known.Deleted || known.Created != r.Created {
+		return
+	}
+	good := known.Good
+	if !known.bad {
+		good = &known.Object
+	}
+	if good != nil && (r.Good == nil || good.Version > r.Good.Version) {
+		r.Good = good
+	}
+}
+
+// adoptGood takes over a good version that a peer knows of a bad one.
+func (k *kindSet) adoptGood(known *Record, good *platform.Object) bool {
+	if !known.bad || good == nil || (known.Good != nil && known.Good.Version >= good.Version) {
+		return false
+	}
+	next := *known
+	next.Good = good
+	k.put(&next)
+	return true
+}
+
+// put stores a record and updates the hashes.
+func (k *kindSet) put(r *Record) {
+	k.rehash(k.records[r.Name], r)
+	delete(k.tombstones, r.Name)
+	if r.Deleted {
+		if r.Version <= k.floor {
+			delete(k.records, r.Name)
+			return
+		}
+		k.tombstones[r.Name] = struct{}{}
+	}
+	k.records[r.Name] = r
+}
+
+// rehash replaces an old record's share of the hashes by a new one's.
+func (k *kindSet) rehash(old, next *Record) {
+	delta := old.hash() ^ next.hash()
+	k.buckets[bucketOf(next.Name)] ^= delta
+	k.hash ^= delta
+}
+
+// raise moves the floor up and drops the tombstones that it passed.
+func (k *kindSet) raise(floor platform.Version) {
+	if floor <= k.floor {
+		return
+	}
+	k.floor = floor
+	for name := range k.tombstones {
+		if k.records[name].Version <= floor {
+			delete(k.records, name)
+			delete(k.tombstones, name)
+		}
+	}
+}
+
+// absent applies that an object did not exist as of a version: it deletes
+// what the set knows of it, unless that is newer. It reports the deletion.
+func (s *Set) absent(kind platform.Kind, name string, as platform.Version) (Header, bool) {
+	known := s.kinds[kind].records[name]
+	if known == nil || known.Deleted || known.Version > as {
+		return Header{}, false
+	}
+	r := Record{Object: platform.Object{Kind: kind, Name: name, Version: as}, Deleted: true}
+	return r.header(), s.Apply(r)
+}
+
+// ApplyList takes in a listing of one kind and returns what changed.
+//
+// What goes wrong: a stale listing lacks an object that was created since, or
+// holds one that was deleted since; taken at its word, it would revert both.
+// A listing speaks only for changes up to its version, so an object that it
+// lacks is deleted only if the known version is not newer than the listing,
+// and one that it holds is refused if the floor says that it is gone.
+func (s *Set) ApplyList(kind platform.Kind, list platform.List) []Header {
+	k, ok := s.kinds[kind]
+	if !ok {
+		return nil
+	}
+	listed := make(map[string]struct{}, len(list.Objects))
+	var changed []Header
+	for _, o := range list.Objects {
+		listed[o.Name] = struct{}{}
+		if r := (Record{Object: o}); s.Apply(r) {
+			changed = append(changed, r.header())
+		}
+	}
+	for _, name := range k.unlisted(listed, nil) {
+		if h, ok := s.absent(kind, name, list.Version); ok {
+			changed = append(changed, h)
+		}
+	}
+	k.raise(list.Version)
+	return changed
+}
+
+// unlisted returns the names that are not in listed, of some buckets or all.
+func (k *kindSet) unlisted(listed map[string]struct{}, buckets map[uint32]bool) []string {
+	var out []string
+	for name := range k.records {
+		_, ok := listed[name]
+		if !ok && (buckets == nil || buckets[uint32(bucketOf(name))]) {
+			out = append(out, name)
+		}
+	}
+	return out
+}
+
+// ApplyEvents takes in what a watch of all kinds after a version returned,
+// with the version to continue from, and returns what changed. Replayed and
+// older events have no effect. The floors rise only where nothing between
+// them and the watch's start can have been missed.
+func (s *Set) ApplyEvents(events []platform.Event, after, next platform.Version) []Header {
+	var changed []Header
+	for _, e := range events {
+		if r := (Record{Object: e.Object, Deleted: e.Deleted}); s.Apply(r) {
+			changed = append(changed, r.header())
+		}
+	}
+	for _, k := range s.kinds {
+		if k.floor >= after {
+			k.raise(next)
+		}
+	}
+	return changed
+}
+
+// Floor is the version up to which every change of every kind is known: where
+// a watch continues. Zero where a kind has not been listed yet.
+func (s *Set) Floor() platform.Version {
+	floor := s.kinds[s.order[0]].floor
+	for _, k := range s.kinds {
+		floor = min(floor, k.floor)
+	}
+	return floor
+}
+
+// Newest is the largest version that was applied.
+func (s *Set) Newest() platform.Version { return s.newest }
+
+// Hash sums up all live objects: equal on members that hold the same.
+func (s *Set) Hash() uint64 {
+	var h uint64
+	for i, kind := range s.order {
+		h ^= s.kinds[kind].hash * uint64(2*i+1)
+	}
+	return h
+}
+
+// Get returns the live record of an object.
+func (s *Set) Get(kind platform.Kind, name string) (*Record, bool) {
+	k, ok := s.kinds[kind]
+	if !ok {
+		return nil, false
+	}
+	r := k.records[name]
+	return r, r != nil && !r.Deleted
+}
+
+// Objects returns every live object, and besides a bad one its last good
+// version, in the order of the kinds and by name.
+func (s *Set) Objects() []platform.Object {
+	var out []platform.Object
+	for _, kind := range s.order {
+		first := len(out)
+		for _, r := range s.kinds[kind].records {
+			if r.Deleted {
+				continue
+			}
+			out = append(out, r.Object)
+			if r.Good != nil {
+				out = append(out, *r.Good)
+			}
+		}
+		slices.SortFunc(out[first:], compareObjects)
+	}
+	return out
+}
--- /dev/null
+++ b/revision/set_test.go
@@ -0,0 +1,256 @@
+package revision
+
+import (
+	"fmt"
+	"testing"
+
+	. "github.com/smartystreets/goconvey/convey"
+	"pgregory.net/rapid"
+
+	"github.com/lycheekeel/lycheekeel/platform"
+)
+
+var testKinds = []platform.Kind{"A", "B"}
+
+// truth is the object API's whole history.
+type truth struct{ log []platform.Event }
+
+func (t *truth) version() platform.Version { return platform.Version(len(t.log)) }
+
+// at returns a kind's live objects as of a version.
+func (t *truth) at(kind platform.Kind, v platform.Version) platform.List {
+	live := map[string]platform.Object{}
+	for _, e := range t.log[:v] {
+		if e.Object.Kind != kind {
+			continue
+		}
+		if e.Deleted {
+			delete(live, e.Object.Name)
+		} else {
+			live[e.Object.Name] = e.Object
+		}
+	}
+	list := platform.List{Version: v}
+	for _, o := range live {
+		list.Objects = append(list.Objects, o)
+	}
+	return list
+}
+
+// write creates, changes or deletes an object, as an operator would.
+func (t *truth) write(kind platform.Kind, name string, remove bool) {
+	o := platform.Object{Kind: kind, Name: name, Version: t.version() + 1, Created: t.version() + 1}
+	exists := false
+	for _, old := range t.at(kind, t.version()).Objects {
+		if old.Name == name {
+			o.Created, exists = old.Created, true
+		}
+	}
+	if remove && !exists {
+		return
+	}
+	o.Value = []byte(fmt.Sprint(o.Version))
+	t.log = append(t.log, platform.Event{Object: o, Deleted: remove})
+}
+
+// deletedAfter returns the first deletion of an object after a version.
+func (t *truth) deletedAfter(kind platform.Kind, name string, v platform.Version) (platform.Version, bool) {
+	for _, e := range t.log[v:] {
+		if e.Deleted && e.Object.Kind == kind && e.Object.Name == name {
+			return e.Object.Version, true
+		}
+	}
+	return 0, false
+}
+
+// observed is a member with what it has shown of each object so far.
+type observed struct {
+	*Set
+	atLeast map[Header]platform.Version
+	live    map[Header]bool
+}
+
+func newObserved() *observed {
+	return &observed{NewSet(testKinds, nil), map[Header]platform.Version{}, map[Header]bool{}}
+}
+
+// check fails where an object went back: to an older version, to one from
+// before a deletion that the member has shown, or away without a deletion.
+func (o *observed) check(t *rapid.T, world *truth, names []string) {
+	for _, kind := range testKinds {
+		for _, name := range names {
+			id := Header{Kind: kind, Name: name}
+			r, ok := o.Get(kind, name)
+			if ok {
+				if r.Version < o.atLeast[id] {
+					t.Fatalf("%s/%s went back to %d, at least %d was known", kind, name, r.Version, o.atLeast[id])
+				}
+				o.atLeast[id] = r.Version
+			} else if o.live[id] {
+				gone, deleted := world.deletedAfter(kind, name, o.atLeast[id])
+				if !deleted {
+					t.Fatalf("%s/%s of version %d vanished, but was not deleted", kind, name, o.atLeast[id])
+				}
+				o.atLeast[id] = gone + 1
+			}
+			o.live[id] = ok
+		}
+	}
+}
+
+// exchange is what one member learnt from another; it may be delivered late,
+// twice, or never.
+type exchange struct {
+	digest  []KindDigest
+	lists   []BucketList
+	records []*Record
+}
+
+// ask makes the answers that peer gives to member now.
+func ask(member, peer *observed) exchange {
+	x := exchange{digest: peer.Digest()}
+	for _, kind := range testKinds {
+		list := peer.ListDiffering(kind, member.Buckets(kind))
+		x.lists = append(x.lists, list)
+		for i := range list.Headers {
+			list.Headers[i].Kind = kind
+		}
+		x.records = append(x.records, peer.Records(list.Headers)...)
+	}
+	return x
+}
+
+// deliver hands answers to a member, which tells the peer what is newer.
+func deliver(member, peer *observed, x exchange) {
+	for _, list := range x.lists {
+		_, _, newer := member.ApplyBuckets(list)
+		for _, h := range newer {
+			if h.Deleted && peer.Wants(h) {
+				peer.Apply(deletion(h))
+			}
+		}
+	}
+	for _, r := range x.records {
+		member.Apply(*r)
+	}
+	member.Compare(x.digest)
+}
+
+func TestNeverGoesBack(t *testing.T) {
+	// Symptom: a change that an operator saw in force is gone again, or a
+	// deleted object is back, on some member.
+	// Sequence: any interleaving of stale listings, replayed watches, answers
+	// of peers with older copies delivered late or twice, restarts, deletion
+	// and re-creation, while operators write.
+	// Cause: an older copy was taken for news.
+	rapid.Check(t, func(t *rapid.T) {
+		world := &truth{}
+		names := []string{"x", "y", "z"}
+		members := []*observed{newObserved(), newObserved(), newObserved()}
+		type late struct {
+			to, from int
+			exchange
+		}
+		var inFlight []late
+		name := rapid.SampledFrom(names)
+		kind := rapid.SampledFrom(testKinds)
+		member := rapid.IntRange(0, len(members)-1)
+		version := func() platform.Version {
+			return platform.Version(rapid.IntRange(0, len(world.log)).Draw(t, "version"))
+		}
+		t.Repeat(map[string]func(*rapid.T){
+			"write":  func(t *rapid.T) { world.write(kind.Draw(t, "kind"), name.Draw(t, "name"), false) },
+			"delete": func(t *rapid.T) { world.write(kind.Draw(t, "kind"), name.Draw(t, "name"), true) },
+			"list": func(t *rapid.T) {
+				k := kind.Draw(t, "kind")
+				members[member.Draw(t, "member")].ApplyList(k, world.at(k, version()))
+			},
+			"watch": func(t *rapid.T) {
+				m := members[member.Draw(t, "member")]
+				after, next := m.Floor(), version()
+				if next > after {
+					m.ApplyEvents(world.log[after:next], after, next)
+				}
+			},
+			"replay": func(t *rapid.T) {
+				after, next := version(), version()
+				if next > after {
+					members[member.Draw(t, "member")].ApplyEvents(world.log[after:next], after, next)
+				}
+			},
+			"ask": func(t *rapid.T) {
+				to, from := member.Draw(t, "to"), member.Draw(t, "from")
+				inFlight = append(inFlight, late{to, from, ask(members[to], members[from])})
+			},
+			"deliver": func(t *rapid.T) {
+				if len(inFlight) == 0 {
+					t.Skip("nothing under way")
+				}
+				x := rapid.SampledFrom(inFlight).Draw(t, "exchange")
+				deliver(members[x.to], members[x.from], x.exchange)
+			},
+			"restart": func(t *rapid.T) { members[member.Draw(t, "member")] = newObserved() },
+			"": func(t *rapid.T) {
+				for _, m := range members {
+					m.check(t, world, names)
+				}
+			},
+		})
+		for _, k := range testKinds {
+			members[0].ApplyList(k, world.at(k, world.version()))
+		}
+		for to := range members[1:] {
+			deliver(members[to+1], members[0], ask(members[to+1], members[0]))
+		}
+		for i, m := range members {
+			m.check(t, world, names)
+			for _, k := range testKinds {
+				list := world.at(k, world.version())
+				for _, o := range list.Objects {
+					if r, ok := m.Get(k, o.Name); !ok || r.Version != o.Version || string(r.Value) != string(o.Value) {
+						t.Fatalf("member %d lacks %s/%s of version %d", i, k, o.Name, o.Version)
+					}
+				}
+			}
+			if m.Hash() != members[0].Hash() || m.Floor() != world.version() {
+				t.Fatalf("member %d did not converge: floor %d of %d", i, m.Floor(), world.version())
+			}
+			for _, k := range m.kinds {
+				if len(k.tombstones) != 0 {
+					t.Fatalf("member %d keeps tombstones that its floor has passed", i)
+				}
+			}
+		}
+	})
+}
+
+func TestLastGood(t *testing.T) {
+	object := func(created, version platform.Version, value string) Record {
+		return Record{Object: platform.Object{Kind: "A", Name: "x", Version: version, Created: created, Value: []byte(value)}}
+	}
+	check := func(o platform.Object) bool { return string(o.Value) != "bad" }
+	Convey("The last good version is kept beside a bad one and goes to peers", t, func() {
+		s := NewSet(testKinds, check)
+		s.Apply(object(1, 1, "good"))
+		s.Apply(object(1, 2, "bad"))
+		s.Apply(object(1, 3, "bad"))
+		So(s.Objects(), ShouldHaveLength, 2)
+		So(string(s.Objects()[0].Value), ShouldEqual, "good")
+
+		late := NewSet(testKinds, check)
+		late.Apply(object(1, 3, "bad"))
+		So(late.Objects(), ShouldHaveLength, 1)
+		r, _ := s.Get("A", "x")
+		So(late.Apply(*r), ShouldBeTrue)
+		So(late.Objects(), ShouldHaveLength, 2)
+
+		Convey("until a good one comes", func() {
+			late.Apply(object(1, 4, "good"))
+			So(late.Objects(), ShouldHaveLength, 1)
+		})
+		Convey("but not past a deletion, even one that went unseen", func() {
+			late.Apply(object(5, 5, "bad"))
+			So(late.Objects(), ShouldHaveLength, 1)
+		})
+	})
+}
