--- /dev/null
+++ b/broker/broker_test.go
@@ -0,0 +1,71 @@
+package broker
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/lycheekeel/lycheekeel/pool"
+	"github.com/lycheekeel/lycheekeel/request"
+	"github.com/pkg/errors"
+	. "github.com/smartystreets/goconvey/convey"
+)
+
+func TestAcquire(t *testing.T) {
+	Convey("Given two daemons and a pool of two servers with one slot each", t, func() {
+		w := newWorld(1, "a", "b")
+		w.advance(time.Second)
+		owner, other := w.owner(), w.other()
+
+		Convey("both get slots, and the third waits until one is free", func() {
+			r1, ok1 := ended(owner.begin(1, time.Minute))
+			r2, ok2 := ended(other.begin(1, time.Minute))
+			third := other.begin(1, time.Minute)
+			So(ok1 && ok2, ShouldBeTrue)
+			So(r1.grant.Server().Name, ShouldNotEqual, r2.grant.Server().Name)
+			_, ok3 := ended(third)
+			So(ok3, ShouldBeFalse)
+			r1.grant.Release(End{Outcome: pool.OutcomeDone})
+			w.pump()
+			r3, ok3 := ended(third)
+			So(ok3, ShouldBeTrue)
+			So(r3.grant.Server().Name, ShouldEqual, r1.grant.Server().Name)
+		})
+		Convey("a caller that leaves frees its place, also when its grant is under way", func() {
+			waiting := other.begin(1, time.Minute)
+			waiting.withdraw()
+			w.pump()
+			So(w.free(), ShouldEqual, 2)
+		})
+		Convey("a deadline that passes is refused as not run", func() {
+			ended(owner.begin(1, time.Minute))
+			ended(owner.begin(1, time.Minute))
+			waiting := other.begin(1, 100*time.Millisecond)
+			w.advance(200 * time.Millisecond)
+			r, ok := ended(waiting)
+			So(ok, ShouldBeTrue)
+			var refusal *request.Refusal
+			So(errors.As(r.err, &refusal), ShouldBeTrue)
+			So(refusal.Reason, ShouldEqual, request.ReasonExpired)
+			So(refusal.NotRun, ShouldEqual, request.NotRunTrue)
+			So(refusal.RetryAfter, ShouldBeGreaterThan, 0)
+		})
+		Convey("Acquire ends with its context's error", func() {
+			ctx, cancel := context.WithCancel(context.Background())
+			cancel()
+			ended(owner.begin(1, time.Minute))
+			ended(owner.begin(1, time.Minute))
+			_, err := owner.entry.Acquire(ctx, Demand{
+				Spec:       &request.Spec{ID: "gone", Received: w.now},
+				Candidates: owner.begin(1, time.Minute).demand.Candidates,
+			})
+			So(err, ShouldEqual, context.Canceled)
+		})
+	})
+}
+
+// free returns the owner's free slots, after time for a new summary.
+func (w *world) free() int {
+	w.advance(time.Second)
+	return w.owner().host.Summaries()[0].Free
+}
--- /dev/null
+++ b/broker/choose.go
@@ -0,0 +1,66 @@
+package broker
+
+import (
+	"encoding/binary"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/lycheekeel/lycheekeel/internal/poolwire"
+	"github.com/lycheekeel/lycheekeel/request"
+)
+
+// waitStep is the difference of expected waits that outweighs a prefix that
+// the other pool may have cached.
+const waitStep = 200 * time.Millisecond
+
+// briefAt is a pool's brief and when it came.
+type briefAt struct {
+	poolwire.Brief
+	at time.Time
+}
+
+// choose returns the link to the candidate with the shortest expected wait;
+// among equals, the one that the prompt's first block is hashed to, so that
+// requests with the same prefix meet in one pool's caches.
+func (e *Entry) choose(d Demand) *link {
+	if len(d.Candidates) == 1 {
+		return e.link(d.Candidates[0].Name)
+	}
+	now := e.cfg.Now()
+	var best *link
+	var bestWait int64
+	var bestWeight uint64
+	for _, p := range d.Candidates {
+		l := e.link(p.Name)
+		wait, weight := l.expectedWait(now, d.Spec.Tier), affinity(p.Name, d.Spec)
+		if best == nil || wait < bestWait || (wait == bestWait && weight > bestWeight) {
+			best, bestWait, bestWeight = l, wait, weight
+		}
+	}
+	return best
+}
+
+// expectedWait returns the pool's expected wait in steps; zero where nothing
+// fresh is known.
+func (l *link) expectedWait(now time.Time, t request.Tier) int64 {
+	b := l.brief.Load()
+	if b == nil || now.Sub(b.at) > briefFresh || t >= request.MaxTiers {
+		return 0
+	}
+	return int64(b.ExpectedWait[t] / waitStep)
+}
+
+// affinity is the rendezvous weight of a request on a pool.
+func affinity(pool string, s *request.Spec) uint64 {
+	var d xxhash.Digest
+	d.Reset()
+	_, _ = d.WriteString(pool)
+	if len(s.Blocks) > 0 {
+		var b [8]byte
+		binary.LittleEndian.PutUint64(b[:], s.Blocks[0])
+		_, _ = d.Write(b[:])
+	} else {
+		_, _ = d.WriteString(string(s.ID))
+	}
+	return d.Sum64()
+}
--- /dev/null
+++ b/broker/commands.go
@@ -0,0 +1,184 @@
+package broker
+
+import (
+	"github.com/lycheekeel/lycheekeel/internal/poolwire"
+	"github.com/lycheekeel/lycheekeel/pool"
+	"github.com/lycheekeel/lycheekeel/request"
+	"github.com/lycheekeel/lycheekeel/workspace"
+)
+
+// commandsMessage is an owner's batch.
+type commandsMessage struct {
+	batch poolwire.Commands
+	from  owner
+}
+
+func (m commandsMessage) apply(l *link) {
+	b := m.batch
+	switch {
+	case l.session.state != sessionClosed && b.Session == l.session.id:
+		l.takeBatch(b)
+	case l.probe.state != sessionClosed && b.Session == l.probe.id:
+		l.takeProbeAnswer(b)
+	default:
+		l.answerLate(m)
+	}
+}
+
+// takeBatch takes a batch of the session in force.
+func (l *link) takeBatch(b poolwire.Commands) {
+	s := &l.session
+	switch b.Verdict {
+	case poolwire.VerdictNotOwner:
+		l.entry.count.notOwner.Add(1)
+		l.lose(retryEvery)
+		return
+	case poolwire.VerdictReset:
+		l.entry.count.resets.Add(1)
+		l.lose(0)
+		return
+	case poolwire.VerdictAccepted:
+		l.accepted(b)
+	}
+	if !s.take(b) {
+		l.entry.count.gaps.Add(1)
+		l.lose(0)
+		return
+	}
+	s.heard = l.now
+	l.acked(b.Ack)
+	if b.Brief != nil {
+		l.brief.Store(&briefAt{*b.Brief, l.now})
+	}
+	for _, c := range b.Commands {
+		l.takeCommand(c)
+	}
+}
+
+func (l *link) takeCommand(c pool.Command) {
+	switch c := c.(type) {
+	case pool.Grant:
+		l.takeGrant(c)
+	case pool.Shed:
+		if w := l.waiting[c.Request]; w != nil {
+			delete(l.waiting, c.Request)
+			l.entry.count.refusal(c.Reason).Add(1)
+			w.done <- result{err: request.Refuse(c.Reason, "%s", shedMessage(c.Reason)).WithRetryAfter(c.RetryAfter)}
+		}
+	case pool.Redirect:
+		l.takeRedirect(c)
+	}
+}
+
+func shedMessage(r request.Reason) string {
+	switch r {
+	case request.ReasonExpired:
+		return "deadline passed while waiting for a slot"
+	case request.ReasonConvicted:
+		return "the request crashed the servers that ran it"
+	default:
+		return "the pool took no more requests of this tier"
+	}
+}
+
+// takeGrant hands a grant to its waiter. A grant that nobody waits for any
+// more crossed a withdrawal; it is given back unused.
+//
+// A scheduler that is asked again for a request that it has granted repeats
+// the grant. Were the repeated one taken too, it could outlive the release of
+// the first, and two requests would run in one slot; grant numbers only grow,
+// so a repeated one is known by its number.
+func (l *link) takeGrant(c pool.Grant) {
+	s := &l.session
+	if c.Grant.Epoch == s.epoch {
+		if c.Grant.Seq <= s.lastGrant {
+			l.entry.count.doubledGrants.Add(1)
+			return
+		}
+		s.lastGrant = c.Grant.Seq
+	}
+	w := l.waiting[c.Request]
+	if w == nil || c.Grant.Epoch != s.epoch {
+		l.entry.count.lateGrants.Add(1)
+		l.giveBack(c)
+		return
+	}
+	server, ok := l.findServer(w, c.Server)
+	if !ok {
+		l.entry.count.unknownServer.Add(1)
+		l.giveBack(c)
+		w.requeue = true // until this daemon has the newer configuration, too
+		return
+	}
+	delete(l.waiting, c.Request)
+	g := &grant{link: l, spec: w.demand.Spec, id: c.Grant, server: server}
+	l.running[c.Grant] = g
+	w.granted = g
+	l.entry.count.grants.Add(1)
+	w.done <- result{grant: g}
+}
+
+func (l *link) giveBack(c pool.Grant) { l.out = append(l.out, notDispatched(c)) }
+
+func notDispatched(c pool.Grant) pool.Release {
+	return pool.Release{Request: c.Request, Grant: c.Grant, Server: c.Server, Outcome: pool.OutcomeNotDispatched}
+}
+
+// findServer looks a server up in the request's own snapshot, else in the one
+// in force: the owner may be ahead of the request.
+func (l *link) findServer(w *waiter, name string) (workspace.BackendServer, bool) {
+	if p := w.candidate(l.pool); p != nil {
+		for _, s := range p.Servers {
+			if s.Name == name {
+				return s, true
+			}
+		}
+	}
+	if snapshot := l.entry.cfg.Snapshots.Load(); snapshot != nil && snapshot.Pools[l.pool] != nil {
+		for _, s := range snapshot.Pools[l.pool].Servers {
+			if s.Name == name {
+				return s, true
+			}
+		}
+	}
+	return workspace.BackendServer{}, false
+}
+
+// takeRedirect moves a waiter to a sibling pool, once.
+func (l *link) takeRedirect(c pool.Redirect) {
+	w := l.waiting[c.Request]
+	if w == nil {
+		return
+	}
+	w.redirected = true
+	if w.candidate(c.Pool) == nil || c.Pool == l.pool {
+		w.requeue = true
+		return
+	}
+	l.entry.count.redirected.Add(1)
+	delete(l.waiting, c.Request)
+	other := l.entry.link(c.Pool)
+	w.link.Store(other)
+	other.box.Post(acquireMessage{w})
+}
+
+// answerLate answers a batch of a session that this entry has given up, as
+// after a pause of the owner: its grants are never used.
+func (l *link) answerLate(m commandsMessage) {
+	var events []pool.Event
+	for _, c := range m.batch.Commands {
+		if g, ok := c.(pool.Grant); ok {
+			l.entry.count.lateGrants.Add(1)
+			events = append(events, notDispatched(g))
+		}
+	}
+	if m.batch.Verdict == poolwire.VerdictReset || m.batch.Verdict == poolwire.VerdictNotOwner {
+		return
+	}
+	if len(events) > 0 {
+		_ = m.from.events(poolwire.Events{
+			Pool: l.pool, Entry: l.entry.id, Session: m.batch.Session, Events: events,
+		})
+	}
+	_ = m.from.hello(poolwire.Hello{Pool: l.pool, Entry: l.entry.id, Session: m.batch.Session, Close: true})
+}
--- /dev/null
+++ b/broker/counters.go
@@ -0,0 +1,37 @@
+package broker
+
+import (
+	"expvar"
+
+	"github.com/lycheekeel/lycheekeel/internal/metrics"
+	"github.com/lycheekeel/lycheekeel/request"
+)
+
+// counters are the entry's; refusals are in the metrics group
+// "broker_refusals" by reason, the others in "broker".
+type counters struct {
+	registry *metrics.Registry
+
+	grants, returned, withdrawn, redirected, requeued         *expvar.Int
+	opened, lost, silent, resets, notOwner, ownerChanged      *expvar.Int
+	sendFailed, gaps, lateGrants, doubledGrants               *expvar.Int
+	unknownServer, degradedEntered, degradedLeft, badMessages *expvar.Int
+}
+
+func newCounters(m *metrics.Registry) counters {
+	c := func(name string) *expvar.Int { return m.Counter("broker", name) }
+	return counters{
+		registry: m,
+		grants:   c("grants"), returned: c("grants_returned"), withdrawn: c("withdrawn"),
+		redirected: c("redirected"), requeued: c("enqueued_again"),
+		opened: c("sessions_opened"), lost: c("sessions_lost"), silent: c("sessions_silent"),
+		resets: c("sessions_reset"), notOwner: c("not_owner"), ownerChanged: c("owner_changed"),
+		sendFailed: c("send_failed"), gaps: c("batch_gaps"), lateGrants: c("late_grants"),
+		doubledGrants: c("doubled_grants"), unknownServer: c("unknown_server"),
+		degradedEntered: c("degraded_entered"), degradedLeft: c("degraded_left"), badMessages: c("bad_messages"),
+	}
+}
+
+func (c counters) refusal(r request.Reason) *expvar.Int {
+	return c.registry.Counter("broker_refusals", string(r))
+}
--- /dev/null
+++ b/broker/entry.go
@@ -0,0 +1,195 @@
+package broker
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/lycheekeel/lycheekeel/internal/peer"
+	"github.com/lycheekeel/lycheekeel/internal/poolhost"
+	"github.com/lycheekeel/lycheekeel/internal/poolwire"
+	"github.com/lycheekeel/lycheekeel/member"
+	"github.com/lycheekeel/lycheekeel/pool"
+	"github.com/lycheekeel/lycheekeel/request"
+	"github.com/lycheekeel/lycheekeel/workspace"
+)
+
+// The entry's times.
+const (
+	// degradedAfter is how long a pool's owner may be out of reach before the
+	// entry serves waiting requests on its own share of the slots.
+	degradedAfter = 1500 * time.Millisecond
+	// openTimeout is how long an answer to a hello is waited for.
+	openTimeout = 400 * time.Millisecond
+	// retryEvery is how soon a failed hello is tried again.
+	retryEvery = 100 * time.Millisecond
+	// probeEvery is how often the owner is looked for in degraded mode.
+	probeEvery = 250 * time.Millisecond
+	// idleAfter is how long a session without requests stays open.
+	idleAfter = 10 * time.Second
+	// briefFresh is how old a pool's brief may be to choose by it.
+	briefFresh = 2 * time.Second
+	// noDeadline stands in for the deadline of a tier that has none.
+	noDeadline = 10 * time.Minute
+	// retryAfter is told to refused callers, give or take a half.
+	retryAfter = time.Second
+)
+
+// Entry implements Broker for one daemon. A pool that this daemon owns is
+// reached without encoding anything.
+type Entry struct {
+	cfg   poolhost.Config
+	host  *poolhost.Host
+	id    pool.EntryID
+	count counters
+
+	mu    sync.Mutex // for the making of links
+	links atomic.Pointer[map[string]*link]
+	view  *member.View // of the last Tick, which is not called concurrently
+}
+
+var _ Broker = (*Entry)(nil)
+
+// New returns the broker of the host's daemon. Where the host has a transport,
+// New must be called before the transport starts.
+func New(host *poolhost.Host) *Entry {
+	cfg := host.Config()
+	e := &Entry{
+		cfg: cfg, host: host,
+		id:    poolwire.NewEntryID(cfg.Self, rand.Uint64()),
+		count: newCounters(cfg.Metrics),
+	}
+	e.links.Store(&map[string]*link{})
+	if cfg.Transport != nil {
+		cfg.Transport.Handle(peer.TypePoolCommands, e.onCommands)
+		cfg.Transport.OnDown(e.onDown)
+	}
+	return e
+}
+
+// Run lets time pass until ctx ends.
+func (e *Entry) Run(ctx context.Context) {
+	t := time.NewTicker(poolhost.TickEvery)
+	defer t.Stop()
+	for {
+		e.Tick()
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+		}
+	}
+}
+
+// Tick lets time pass once: requests expire, sessions are kept alive, opened
+// again or moved to a new owner. It is not called concurrently.
+func (e *Entry) Tick() {
+	e.announce()
+	for _, l := range *e.links.Load() {
+		l.box.Post(tickMessage{})
+	}
+}
+
+// Acquire implements Broker.
+func (e *Entry) Acquire(ctx context.Context, d Demand) (Grant, error) {
+	w := e.begin(d)
+	select {
+	case r := <-w.done:
+		if r.err != nil {
+			return nil, r.err
+		}
+		return r.grant, nil
+	case <-ctx.Done():
+		w.withdraw()
+		return nil, ctx.Err()
+	}
+}
+
+// begin puts a request into the link to its pool; the waiter tells how it ends.
+func (e *Entry) begin(d Demand) *waiter {
+	w := newWaiter(d)
+	l := e.choose(d)
+	if l == nil {
+		w.done <- result{err: e.refuse(request.ReasonNoServer, "no pool serves the request in this region")}
+		return w
+	}
+	w.link.Store(l)
+	l.box.Post(acquireMessage{w})
+	return w
+}
+
+// refuse counts and returns a refusal of a request that no engine has seen.
+func (e *Entry) refuse(reason request.Reason, format string, args ...any) *request.Refusal {
+	e.count.refusal(reason).Add(1)
+	jittered := retryAfter/2 + rand.N(retryAfter)
+	return request.Refuse(reason, format, args...).WithRetryAfter(jittered)
+}
+
+// link returns the link to a pool, which it makes at the first call.
+func (e *Entry) link(p string) *link {
+	if l := (*e.links.Load())[p]; l != nil {
+		return l
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	old := *e.links.Load()
+	if l := old[p]; l != nil {
+		return l
+	}
+	next := make(map[string]*link, len(old)+1)
+	for name, l := range old {
+		next[name] = l
+	}
+	l := newLink(e, p)
+	next[p] = l
+	e.links.Store(&next)
+	return l
+}
+
+// announce opens a session with each new owner of a pool in this region, also
+// where this entry has nothing there: the new owner grants as soon as all
+// live entries have told what they run.
+func (e *Entry) announce() {
+	snapshot := e.cfg.Snapshots.Load()
+	if e.cfg.Views == nil || snapshot == nil {
+		return
+	}
+	view, before := e.cfg.Views.Load(), e.view
+	if view == before {
+		return
+	}
+	e.view = view
+	for name, p := range snapshot.Pools {
+		if p.Region == e.cfg.Region && ownerName(before, p) != ownerName(view, p) {
+			e.link(name).box.Post(announceMessage{})
+		}
+	}
+}
+
+func ownerName(v *member.View, p *workspace.ResolvedPool) string {
+	if v == nil {
+		return ""
+	}
+	m, _ := v.Owner(p.Name, p.Region)
+	return m.Name
+}
+
+// onCommands takes an owner's batch from the transport.
+func (e *Entry) onCommands(_ context.Context, from peer.Name, payload []byte) ([]byte, error) {
+	b, err := poolwire.DecodeCommands(payload, e.id)
+	if err != nil {
+		e.count.badMessages.Add(1)
+		return nil, err
+	}
+	l := e.link(b.Pool)
+	l.box.Post(commandsMessage{b, remoteOwner{e.cfg.Transport, from}})
+	return nil, nil
+}
+
+func (e *Entry) onDown(of peer.Name) {
+	for _, l := range *e.links.Load() {
+		l.box.Post(downMessage{string(of)})
+	}
+}
--- /dev/null
+++ b/broker/owner.go
@@ -0,0 +1,67 @@
+package broker
+
+import (
+	"github.com/lycheekeel/lycheekeel/internal/peer"
+	"github.com/lycheekeel/lycheekeel/internal/poolhost"
+	"github.com/lycheekeel/lycheekeel/internal/poolwire"
+)
+
+// owner is the way to whoever schedules a pool for this entry now.
+type owner interface {
+	hello(h poolwire.Hello) error
+	events(b poolwire.Events) error
+	// name is the owner's member name; a degraded share has none.
+	name() string
+}
+
+// remoteOwner is another daemon.
+type remoteOwner struct {
+	transport peer.Transport
+	peer      peer.Name
+}
+
+func (o remoteOwner) hello(h poolwire.Hello) error {
+	return o.transport.Send(o.peer, peer.TypePoolHello, poolwire.EncodeHello(h))
+}
+
+func (o remoteOwner) events(b poolwire.Events) error {
+	return o.transport.Send(o.peer, peer.TypePoolEvents, poolwire.EncodeEvents(b))
+}
+
+func (o remoteOwner) name() string { return string(o.peer) }
+
+// localOwner is this daemon.
+type localOwner struct {
+	host  *poolhost.Host
+	reply poolhost.Reply
+}
+
+func (o localOwner) hello(h poolwire.Hello) error {
+	o.host.Hello(h, o.reply)
+	return nil
+}
+
+func (o localOwner) events(b poolwire.Events) error {
+	o.host.Events(b, o.reply)
+	return nil
+}
+
+func (o localOwner) name() string { return o.host.Config().Self }
+
+// shareOwner is this daemon's share of the pool in degraded mode.
+type shareOwner struct {
+	share *poolhost.Share
+	reply poolhost.Reply
+}
+
+func (o shareOwner) hello(h poolwire.Hello) error {
+	o.share.Hello(h, o.reply)
+	return nil
+}
+
+func (o shareOwner) events(b poolwire.Events) error {
+	o.share.Events(b, o.reply)
+	return nil
+}
+
+func (o shareOwner) name() string { return "" }
--- /dev/null
+++ b/broker/session.go
@@ -0,0 +1,227 @@
+package broker
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/lycheekeel/lycheekeel/internal/peer"
+	"github.com/lycheekeel/lycheekeel/internal/poolhost"
+	"github.com/lycheekeel/lycheekeel/internal/poolwire"
+	"github.com/lycheekeel/lycheekeel/pool"
+)
+
+// maxBatch is how many events go into one message.
+const maxBatch = 128
+
+type sessionState uint8
+
+const (
+	sessionClosed sessionState = iota
+	sessionOpening
+	sessionOpen
+)
+
+// session is the entry's side of one session with an owner.
+type session struct {
+	state     sessionState
+	id        poolwire.SessionID
+	owner     owner
+	epoch     uint64
+	seqIn     uint64
+	seqOut    uint64
+	lastGrant uint64
+	started   time.Time
+	heard     time.Time
+	sent      time.Time
+}
+
+func (s *session) open() bool { return s.state == sessionOpen }
+
+// take checks a batch's number; a batch without commands repeats the last.
+func (s *session) take(b poolwire.Commands) bool {
+	if len(b.Commands) > 0 {
+		s.seqIn++
+	}
+	return b.Seq == s.seqIn
+}
+
+// sentRelease is a release that the owner has not acknowledged. Seq is zero
+// while it has not been sent in the present session.
+type sentRelease struct {
+	seq uint64
+	ev  pool.Release
+}
+
+// connect sends a hello to the pool's owner unless a session is under way.
+func (l *link) connect() {
+	if l.without.IsZero() {
+		l.without = l.now
+	}
+	if l.session.state != sessionClosed || l.now.Before(l.retryAt) {
+		return
+	}
+	o := l.findOwner()
+	if l.share != nil {
+		o = l.shareOwner()
+	}
+	if o == nil {
+		l.retryAt = l.now.Add(retryEvery)
+		return
+	}
+	l.start(&l.session, o)
+}
+
+// start begins a session; on a send error it stays closed.
+func (l *link) start(s *session, o owner) {
+	*s = session{
+		state: sessionOpening, id: poolwire.SessionID(rand.Uint64()), owner: o, started: l.now, heard: l.now, sent: l.now,
+	}
+	if err := o.hello(poolwire.Hello{Pool: l.pool, Entry: l.entry.id, Session: s.id}); err != nil {
+		l.entry.count.sendFailed.Add(1)
+		s.state = sessionClosed
+		l.retryAt = l.now.Add(retryEvery)
+	}
+}
+
+// findOwner returns the way to the pool's owner as membership has it, or nil.
+func (l *link) findOwner() owner {
+	name, ok := l.entry.host.Owner(l.pool, l.entry.cfg.Region)
+	switch {
+	case !ok:
+		return nil
+	case name == l.entry.cfg.Self:
+		o := localOwner{host: l.entry.host}
+		o.reply = l.receiver(func() owner { return o })
+		return o
+	case l.entry.cfg.Transport == nil:
+		return nil
+	default:
+		return remoteOwner{l.entry.cfg.Transport, peer.Name(name)}
+	}
+}
+
+// shareOwner returns the way to this entry's share in degraded mode.
+func (l *link) shareOwner() owner {
+	o := shareOwner{share: l.share}
+	o.reply = l.receiver(func() owner { return o })
+	return o
+}
+
+// receiver returns the way back from an owner in this process.
+func (l *link) receiver(from func() owner) poolhost.Reply {
+	return func(b poolwire.Commands) error {
+		l.box.Post(commandsMessage{b, from()})
+		return nil
+	}
+}
+
+// accepted opens the session and tells the owner everything this entry has in
+// the pool: releases it may not have got, what runs, what waits.
+func (l *link) accepted(b poolwire.Commands) {
+	s := &l.session
+	if s.state != sessionOpening {
+		return
+	}
+	s.state, s.epoch, s.heard = sessionOpen, b.Epoch, l.now
+	l.without = time.Time{}
+	l.announced = false
+	l.busyAt = l.now
+	l.entry.count.opened.Add(1)
+	l.out = nil
+	for _, r := range l.unacked {
+		l.out = append(l.out, r.ev)
+	}
+	l.unacked = nil
+	for _, g := range l.running {
+		l.out = append(l.out, g.running())
+	}
+	l.out = append(l.out, pool.EntryReported{})
+	for _, w := range l.waiting {
+		w.requeue = false
+		l.entry.count.requeued.Add(1)
+		l.out = append(l.out, w.enqueue(l.now))
+	}
+}
+
+// lose ends the session and tries to open the next one after wait.
+func (l *link) lose(wait time.Duration) {
+	l.end()
+	l.retryAt = l.now.Add(wait)
+	if l.needed() {
+		l.connect()
+	}
+}
+
+// end ends the session without telling its owner. Requests stay here and go
+// to the next session, as do releases that the owner may not have got.
+func (l *link) end() {
+	if l.session.open() {
+		l.entry.count.lost.Add(1)
+	}
+	for _, ev := range l.out {
+		if r, ok := ev.(pool.Release); ok {
+			l.unacked = append(l.unacked, sentRelease{ev: r})
+		}
+	}
+	l.out = nil
+	l.session.state = sessionClosed
+	if l.without.IsZero() {
+		l.without = l.now
+	}
+}
+
+// needed tells whether the link has a use for a session.
+func (l *link) needed() bool {
+	return len(l.waiting) > 0 || len(l.running) > 0 || l.announced || len(l.unacked) > 0
+}
+
+// flush sends what has come together, in batches.
+func (l *link) flush() {
+	if !l.session.open() || len(l.out) == 0 {
+		return
+	}
+	for _, p := range l.progress {
+		l.out = append(l.out, p)
+	}
+	clear(l.progress)
+	for len(l.out) > 0 {
+		n := min(maxBatch, len(l.out))
+		if !l.send(l.out[:n:n]) {
+			return
+		}
+		l.out = l.out[n:]
+	}
+	l.out = nil
+}
+
+// send sends one batch, or a heartbeat where events is empty.
+func (l *link) send(events []pool.Event) bool {
+	s := &l.session
+	if len(events) > 0 {
+		s.seqOut++
+	}
+	err := s.owner.events(poolwire.Events{
+		Pool: l.pool, Entry: l.entry.id, Session: s.id, Seq: s.seqOut, Ack: s.seqIn, Events: events,
+	})
+	if err != nil {
+		l.entry.count.sendFailed.Add(1)
+		l.lose(retryEvery)
+		return false
+	}
+	s.sent = l.now
+	for _, ev := range events {
+		if r, ok := ev.(pool.Release); ok {
+			l.unacked = append(l.unacked, sentRelease{s.seqOut, r})
+		}
+	}
+	return true
+}
+
+// acked forgets releases that the owner has.
+func (l *link) acked(seq uint64) {
+	n := 0
+	for n < len(l.unacked) && l.unacked[n].seq <= seq && l.unacked[n].seq != 0 {
+		n++
+	}
+	l.unacked = l.unacked[n:]
+}
--- /dev/null
+++ b/broker/tick.go
@@ -0,0 +1,157 @@
+package broker
+
+import (
+	"github.com/lycheekeel/lycheekeel/internal/poolhost"
+	"github.com/lycheekeel/lycheekeel/internal/poolwire"
+)
+
+// tickMessage lets time pass.
+type tickMessage struct{}
+
+func (tickMessage) apply(l *link) {
+	l.expire()
+	l.requeue()
+	l.checkSession()
+	if l.share != nil {
+		l.lookForOwner()
+	}
+	if !l.session.open() && l.needed() {
+		l.connect()
+		l.degrade()
+	}
+}
+
+// requeue enqueues waiters again whose grant or redirect could not be used.
+func (l *link) requeue() {
+	if !l.session.open() {
+		return
+	}
+	for _, w := range l.waiting {
+		if w.requeue {
+			w.requeue = false
+			l.entry.count.requeued.Add(1)
+			l.out = append(l.out, w.enqueue(l.now))
+		}
+	}
+}
+
+// checkSession ends a session whose owner went silent or is the owner no
+// more, closes an idle one, and keeps the others alive.
+func (l *link) checkSession() {
+	s := &l.session
+	switch {
+	case s.state == sessionOpening && l.now.Sub(s.started) >= openTimeout:
+		l.lose(0)
+	case s.state == sessionClosed || s.state == sessionOpening:
+	case l.now.Sub(s.heard) > poolhost.SilentAfter:
+		l.entry.count.silent.Add(1)
+		l.without = s.heard
+		l.lose(0)
+	case l.share == nil && l.ownerMoved():
+		l.entry.count.ownerChanged.Add(1)
+		l.closeSession()
+		l.lose(0)
+	case !l.needed() && l.now.Sub(l.busyAt) > idleAfter:
+		l.closeSession()
+		l.session.state = sessionClosed
+		l.closeShare()
+	case l.now.Sub(s.sent) >= poolhost.HeartbeatEvery:
+		l.heartbeat()
+	}
+}
+
+// heartbeat sends a batch without events, or the progress that has come.
+func (l *link) heartbeat() {
+	if len(l.out) > 0 {
+		return // flush sends it in a moment
+	}
+	for id, p := range l.progress {
+		l.out = append(l.out, p)
+		delete(l.progress, id)
+	}
+	if len(l.out) == 0 {
+		l.send(nil)
+	}
+}
+
+// ownerMoved tells whether membership names another owner than the session's.
+// Where it names none, the session is kept while it lives.
+func (l *link) ownerMoved() bool {
+	name, ok := l.entry.host.Owner(l.pool, l.entry.cfg.Region)
+	return ok && name != l.session.owner.name()
+}
+
+// closeSession tells the owner that this entry has left.
+func (l *link) closeSession() {
+	s := &l.session
+	_ = s.owner.hello(poolwire.Hello{Pool: l.pool, Entry: l.entry.id, Session: s.id, Close: true})
+}
+
+// degrade begins degraded mode: without it, requests that wait would expire
+// beside free servers while the owner can't be reached.
+func (l *link) degrade() {
+	if l.share != nil || len(l.waiting) == 0 || l.now.Sub(l.without) < degradedAfter {
+		return
+	}
+	snapshot := l.entry.cfg.Snapshots.Load()
+	if snapshot == nil || snapshot.Pools[l.pool] == nil {
+		return
+	}
+	l.entry.count.degradedEntered.Add(1)
+	l.share = l.entry.host.OpenShare(snapshot.Pools[l.pool])
+	l.start(&l.session, l.shareOwner())
+}
+
+// lookForOwner sends hellos to the pool's owner in degraded mode.
+func (l *link) lookForOwner() {
+	if l.probe.state != sessionClosed && l.now.Sub(l.probe.started) < probeEvery {
+		return
+	}
+	if o := l.findOwner(); o != nil {
+		l.start(&l.probe, o)
+	}
+}
+
+// takeProbeAnswer ends degraded mode when the owner accepts: the session moves
+// over, and what was granted from the share is reported as running.
+func (l *link) takeProbeAnswer(b poolwire.Commands) {
+	if b.Verdict != poolwire.VerdictAccepted {
+		l.probe.state = sessionClosed
+		return
+	}
+	l.entry.count.degradedLeft.Add(1)
+	l.end()
+	l.session = l.probe
+	l.closeShare()
+	l.takeBatch(b)
+}
+
+func (l *link) closeShare() {
+	if l.share != nil {
+		l.share.Close()
+		l.share, l.probe = nil, session{}
+	}
+}
+
+// announceMessage asks for a session although nothing waits or runs.
+type announceMessage struct{}
+
+func (announceMessage) apply(l *link) {
+	l.announced = true
+	if l.session.state == sessionClosed {
+		l.connect()
+	}
+}
+
+// downMessage tells that the connection to a peer broke: what was under way
+// is lost, so the session on it is opened again.
+type downMessage struct{ peer string }
+
+func (m downMessage) apply(l *link) {
+	if l.session.state != sessionClosed && l.session.owner.name() == m.peer {
+		l.lose(0)
+	}
+	if l.probe.state != sessionClosed && l.probe.owner.name() == m.peer {
+		l.probe.state = sessionClosed
+	}
+}
--- /dev/null
+++ b/internal/poolhost/config.go
@@ -0,0 +1,123 @@
+// Package poolhost runs the pools that this daemon owns now: it feeds each
+// pool's scheduler from the entries' sessions and from its own monitor of the
+// pool's backend servers, and takes the scheduler's commands to the entries.
+package poolhost
+
+import (
+	"context"
+	"net"
+	"time"
+
+	"github.com/lycheekeel/lycheekeel/engine"
+	"github.com/lycheekeel/lycheekeel/internal/metrics"
+	"github.com/lycheekeel/lycheekeel/internal/peer"
+	"github.com/lycheekeel/lycheekeel/member"
+	"github.com/lycheekeel/lycheekeel/pool"
+	"github.com/lycheekeel/lycheekeel/workspace"
+)
+
+// The host's times. Entries and owners of mixed versions must agree on none
+// of them exactly; each only needs HeartbeatEvery well below SilentAfter.
+const (
+	// TickEvery is how often Run lets time pass in the pools.
+	TickEvery = 25 * time.Millisecond
+	// HeartbeatEvery is how often either side of a session says that it lives.
+	HeartbeatEvery = 500 * time.Millisecond
+	// SilentAfter is how long a session's other side may say nothing.
+	SilentAfter = 1600 * time.Millisecond
+	// ProbeEvery is how often a backend server's load report is asked for.
+	ProbeEvery = 500 * time.Millisecond
+	// probeTimeout bounds one probe.
+	probeTimeout = 450 * time.Millisecond
+	// probeMisses is how many probes in a row without an answer make a
+	// server silent.
+	probeMisses = 3
+	// unconfirmedHold is how long a grant is counted whose entry's session
+	// ended before the entry told that it runs it.
+	unconfirmedHold = 30 * time.Second
+	// absentHold is how long an entry without a live member or session is
+	// still counted among the entries.
+	absentHold = 2 * time.Second
+	// defaultSlots is the number of slots of a server that names none.
+	defaultSlots = 16
+	// spreadEvery is how often sibling pools' owners are told how a pool stands.
+	spreadEvery = 500 * time.Millisecond
+)
+
+// Scheduler is what a host needs of a pool.Pool.
+type Scheduler interface {
+	Handle(now time.Time, ev pool.Event, out []pool.Command) []pool.Command
+	Summary(now time.Time) pool.Summary
+}
+
+// Config is what a host needs. Zero fields have the defaults named below.
+type Config struct {
+	// Self is this daemon's member name, Region its region.
+	Self   string
+	Region string
+	// Snapshots is the configuration in force.
+	Snapshots *workspace.Live
+	// Views is the membership in force; nil where this daemon is alone and
+	// owns every pool.
+	Views *member.Live
+	// Transport reaches the other daemons; nil where this daemon is alone.
+	Transport peer.Transport
+	// Engines dials model engines for load reports and cache events; nil:
+	// servers are not monitored and count as up.
+	Engines engine.Dialer
+	// Connect probes a plain service's server; the default connects by TCP.
+	Connect func(ctx context.Context, address string) error
+	// Leaving tells from elsewhere, e.g. the VM list, that a server leaves.
+	Leaving func(s workspace.BackendServer) bool
+	// Now is the clock; the default is time.Now.
+	Now func() time.Time
+	// Spawn starts a goroutine, which is the default; a test may run inline.
+	// A panic in a scheduler ends the process: its counts can't be trusted,
+	// and the entries go on at another owner.
+	Spawn func(func())
+	// NewScheduler makes a pool's scheduler; the default is pool.New.
+	NewScheduler func(p *workspace.ResolvedPool, epoch uint64) Scheduler
+	// Trace sees every event that a pool handles, and the commands that
+	// follow, in their order. It must not keep the commands' slice.
+	Trace func(pool string, now time.Time, ev pool.Event, cmds []pool.Command)
+	// Metrics gets the counters; the default is a registry of its own.
+	Metrics *metrics.Registry
+}
+
+func (c Config) withDefaults() Config {
+	if c.Now == nil {
+		c.Now = time.Now
+	}
+	if c.Spawn == nil {
+		c.Spawn = func(f func()) { go f() }
+	}
+	if c.Connect == nil {
+		c.Connect = connectTCP
+	}
+	if c.NewScheduler == nil {
+		c.NewScheduler = newPool
+	}
+	if c.Metrics == nil {
+		c.Metrics = metrics.New()
+	}
+	if c.Leaving == nil {
+		c.Leaving = func(workspace.BackendServer) bool { return false }
+	}
+	return c
+}
+
+func newPool(p *workspace.ResolvedPool, epoch uint64) Scheduler {
+	return pool.New(pool.Config{
+		Name: p.Name, Policy: pool.Policy(p.Policy), Epoch: epoch, MaxWaiting: p.MaxWaiting,
+		DefaultSlots: defaultSlots, Seed: epoch,
+	})
+}
+
+func connectTCP(ctx context.Context, address string) error {
+	var d net.Dialer
+	c, err := d.DialContext(ctx, "tcp", address)
+	if err != nil {
+		return err
+	}
+	return c.Close()
+}
--- /dev/null
+++ b/internal/poolhost/entries.go
@@ -0,0 +1,62 @@
+package poolhost
+
+import (
+	"slices"
+
+	"github.com/lycheekeel/lycheekeel/internal/poolwire"
+	"github.com/lycheekeel/lycheekeel/pool"
+)
+
+// tellEntries tells the scheduler which entries there are: the region's live
+// members, and every entry whose session is open or was until a moment ago.
+// A live member that has not said hello counts by its bare name, so that a
+// new owner knows whose reports are still to come.
+func (r *Runtime) tellEntries() {
+	set := make([]pool.EntryID, 0, len(r.entries)+len(r.members))
+	for id, e := range r.entries {
+		if r.present(e) {
+			set = append(set, id)
+			continue
+		}
+		// The scheduler takes back what the entry had, by EntrySet.
+		delete(r.entries, id)
+	}
+	for _, m := range r.members {
+		if !r.hasEntryOf(m) {
+			set = append(set, pool.EntryID(m))
+		}
+	}
+	slices.Sort(set)
+	if !slices.Equal(set, r.told) {
+		r.told = set
+		r.feed(pool.EntrySet{Entries: set})
+	}
+}
+
+// present tells whether an entry may still run what it was granted: its
+// session is open, or ended a moment ago, or its member lives and has not
+// come back as another entry.
+func (r *Runtime) present(e *entry) bool {
+	if e.open || r.now.Sub(e.heard) < absentHold {
+		return true
+	}
+	member := poolwire.MemberOf(e.id)
+	if !slices.Contains(r.members, member) {
+		return false
+	}
+	for _, other := range r.entries {
+		if other != e && other.open && poolwire.MemberOf(other.id) == member {
+			return false
+		}
+	}
+	return true
+}
+
+func (r *Runtime) hasEntryOf(member string) bool {
+	for id := range r.entries {
+		if poolwire.MemberOf(id) == member {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/poolhost/host.go
@@ -0,0 +1,188 @@
+package poolhost
+
+import (
+	"context"
+	"slices"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/lycheekeel/lycheekeel/internal/logs"
+	"github.com/lycheekeel/lycheekeel/member"
+	"github.com/lycheekeel/lycheekeel/pool"
+	"github.com/lycheekeel/lycheekeel/workspace"
+)
+
+// Host runs the pools that this daemon owns. It is safe for concurrent use.
+type Host struct {
+	cfg   Config
+	count counters
+
+	// owned is replaced as a whole: readers on a request's path only load it.
+	owned  atomic.Pointer[map[string]*Runtime]
+	mu     sync.Mutex // one reconciliation at a time
+	shares map[*Share]struct{}
+	state  reconciled
+
+	suspects *suspects
+}
+
+// reconciled is what the owned pools were last made from.
+type reconciled struct {
+	snapshot *workspace.Snapshot
+	view     *member.View
+}
+
+// New returns a host that owns nothing until Tick or Run.
+func New(cfg Config) *Host {
+	cfg = cfg.withDefaults()
+	h := &Host{cfg: cfg, shares: map[*Share]struct{}{}, suspects: newSuspects()}
+	h.count = newCounters(cfg.Metrics)
+	h.owned.Store(&map[string]*Runtime{})
+	h.register()
+	return h
+}
+
+// Config returns the host's configuration with its defaults filled in.
+func (h *Host) Config() Config { return h.cfg }
+
+// Run lets time pass until ctx ends; then the pools' entries are told to ask
+// for the new owner.
+func (h *Host) Run(ctx context.Context) {
+	t := time.NewTicker(TickEvery)
+	defer t.Stop()
+	for {
+		h.Tick()
+		select {
+		case <-ctx.Done():
+			h.closeAll()
+			return
+		case <-t.C:
+		}
+	}
+}
+
+// Tick lets time pass once: pools are taken and given up as membership and
+// configuration say, servers are probed, sessions checked.
+func (h *Host) Tick() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.reconcile()
+	members := h.aliveMembers()
+	for _, r := range *h.owned.Load() {
+		r.box.Post(tickMessage{members})
+		r.monitor.tick()
+	}
+	for s := range h.shares {
+		s.tick(members)
+	}
+}
+
+// Owned returns the runtime of a pool that this daemon owns now, or nil.
+func (h *Host) Owned(pool string) *Runtime { return (*h.owned.Load())[pool] }
+
+// Summaries returns the newest summary of each pool that this daemon owns,
+// sorted by name. A summary is at most half a second old.
+func (h *Host) Summaries() []pool.Summary {
+	var out []pool.Summary
+	for _, r := range *h.owned.Load() {
+		if s := r.summary.Load(); s != nil {
+			out = append(out, *s)
+		}
+	}
+	slices.SortFunc(out, func(a, b pool.Summary) int { return strings.Compare(a.Pool, b.Pool) })
+	return out
+}
+
+// Owner returns the name of the member that owns a pool, as membership has
+// it; false where the region has no live member.
+func (h *Host) Owner(pool, region string) (string, bool) {
+	if h.cfg.Views == nil {
+		return h.cfg.Self, true
+	}
+	m, ok := h.cfg.Views.Load().Owner(pool, region)
+	return m.Name, ok
+}
+
+// reconcile takes the pools that this daemon owns now and gives up the rest.
+func (h *Host) reconcile() {
+	now := reconciled{snapshot: h.cfg.Snapshots.Load()}
+	if h.cfg.Views != nil {
+		now.view = h.cfg.Views.Load()
+	}
+	if now == h.state || now.snapshot == nil {
+		return
+	}
+	h.state = now
+	old := *h.owned.Load()
+	next := map[string]*Runtime{}
+	for name, p := range now.snapshot.Pools {
+		if !h.owns(p) {
+			continue
+		}
+		r := old[name]
+		if r == nil {
+			logs.For("poolhost").WithField("pool", name).Info("Owns the pool now.")
+			r = newRuntime(h, p)
+			h.suspects.feed(r, h.cfg.Now())
+		}
+		r.configure(p)
+		next[name] = r
+	}
+	h.owned.Store(&next)
+	for name, r := range old {
+		if next[name] == nil {
+			logs.For("poolhost").WithField("pool", name).Info("Gave the pool up.")
+			r.box.Post(closeMessage{})
+		}
+	}
+}
+
+func (h *Host) owns(p *workspace.ResolvedPool) bool {
+	if p.Region != h.cfg.Region {
+		return false
+	}
+	owner, ok := h.Owner(p.Name, p.Region)
+	return ok && owner == h.cfg.Self
+}
+
+// aliveMembers returns the names of the region's members that may hold
+// requests, sorted.
+func (h *Host) aliveMembers() []string {
+	if h.cfg.Views == nil {
+		return []string{h.cfg.Self}
+	}
+	var names []string
+	for _, m := range h.cfg.Views.Load().Members {
+		if m.Region == h.cfg.Region && m.State != member.Dead {
+			names = append(names, m.Name)
+		}
+	}
+	return names
+}
+
+func (h *Host) closeAll() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for _, r := range *h.owned.Load() {
+		r.box.Post(closeMessage{})
+	}
+	h.owned.Store(&map[string]*Runtime{})
+	h.state = reconciled{}
+}
+
+// configure gives the runtime the pool's servers.
+func (r *Runtime) configure(p *workspace.ResolvedPool) {
+	set := pool.ServerSet{Servers: make([]pool.ServerInfo, 0, len(p.Servers))}
+	for _, s := range p.Servers {
+		set.Servers = append(set.Servers, pool.ServerInfo{
+			Name: s.Name, AvailabilityZone: s.AvailabilityZone, Generation: s.Generation, Slots: s.Slots,
+		})
+	}
+	if snapshot := r.host.cfg.Snapshots.Load(); snapshot != nil {
+		r.siblings.Store(len(siblings(snapshot, p.Name)) > 0)
+	}
+	r.post(set)
+	r.monitor.configure(p)
+}
--- /dev/null
+++ b/internal/poolwire/check.go
@@ -0,0 +1,193 @@
+package poolwire
+
+import (
+	"time"
+
+	"github.com/lycheekeel/lycheekeel/internal/poolwire/wirepb"
+	"github.com/lycheekeel/lycheekeel/pool"
+	"github.com/lycheekeel/lycheekeel/request"
+	"github.com/pkg/errors"
+)
+
+// ErrInvalid reports a payload that can't be decoded or holds a value out of
+// its bounds. The whole batch is refused; the sequence numbers then show a
+// gap, and the session is opened again.
+var ErrInvalid = errors.New("invalid pool message")
+
+// The bounds of what a peer may send.
+const (
+	maxNameBytes = 256
+	// MaxBatch is the largest number of events or commands in one batch.
+	MaxBatch   = 4096
+	maxBlocks  = 1 << 16
+	maxNumber  = 1 << 40
+	maxSpan    = 30 * 24 * time.Hour
+	maxTierRaw = uint32(request.MaxTiers)
+)
+
+// checker collects the first thing wrong with a message.
+type checker struct{ err error }
+
+func (c *checker) fail(format string, args ...any) {
+	if c.err == nil {
+		c.err = errors.Wrapf(ErrInvalid, format, args...)
+	}
+}
+
+// name checks a name that must be there.
+func (c *checker) name(field, s string) string {
+	if s == "" {
+		c.fail("%s is empty", field)
+	}
+	return c.text(field, s)
+}
+
+// text checks a name that may be empty.
+func (c *checker) text(field, s string) string {
+	if len(s) > maxNameBytes {
+		c.fail("%s of %d bytes", field, len(s))
+	}
+	return s
+}
+
+func (c *checker) number(field string, v uint64) int {
+	if v > maxNumber {
+		c.fail("%s is %d", field, v)
+		return 0
+	}
+	return int(v)
+}
+
+func (c *checker) below(field string, v, limit uint32) uint8 {
+	if v >= limit {
+		c.fail("%s is %d", field, v)
+		return 0
+	}
+	return uint8(v)
+}
+
+func (c *checker) count(field string, n int) {
+	if n > MaxBatch {
+		c.fail("%d %s in one batch", n, field)
+	}
+}
+
+// span checks a duration that may be negative: what is left of a target.
+func (c *checker) span(field string, v int64) time.Duration {
+	d := time.Duration(v)
+	if d > maxSpan || d < -maxSpan {
+		c.fail("%s is %s", field, d)
+		return 0
+	}
+	return d
+}
+
+// elapsed checks a duration that may not be negative.
+func (c *checker) elapsed(field string, v int64) time.Duration {
+	if v < 0 {
+		c.fail("%s is %d ns", field, v)
+		return 0
+	}
+	return c.span(field, v)
+}
+
+func (c *checker) blocks(b []uint64) []uint64 {
+	if len(b) > maxBlocks {
+		c.fail("%d blocks", len(b))
+		return nil
+	}
+	return b
+}
+
+func (c *checker) tier(v uint32) request.Tier { return request.Tier(c.below("tier", v, maxTierRaw)) }
+
+func (c *checker) request(s string) request.ID { return request.ID(c.name("request", s)) }
+
+func (c *checker) grant(g *wirepb.GrantID) pool.GrantID {
+	if g == nil {
+		c.fail("grant is missing")
+	}
+	return pool.GrantID{Epoch: g.GetEpoch(), Seq: g.GetSeq()}
+}
+
+func (c *checker) event(m *wirepb.Event, entry pool.EntryID) pool.Event {
+	switch k := m.GetKind().(type) {
+	case *wirepb.Event_Enqueue:
+		return c.enqueue(k.Enqueue, entry)
+	case *wirepb.Event_Withdraw:
+		return pool.Withdraw{Request: c.request(k.Withdraw.GetRequest()), Entry: entry}
+	case *wirepb.Event_Progress:
+		return c.progress(k.Progress)
+	case *wirepb.Event_Release:
+		return c.release(k.Release, entry)
+	case *wirepb.Event_Running:
+		return c.running(k.Running, entry)
+	case *wirepb.Event_EntryReported:
+		return pool.EntryReported{Entry: entry}
+	default:
+		return pool.Tick{} // of a newer peer; a session ignores it
+	}
+}
+
+func (c *checker) enqueue(m *wirepb.Enqueue, entry pool.EntryID) pool.Event {
+	return pool.Enqueue{
+		Request: c.request(m.GetRequest()), Entry: entry,
+		Workspace: c.text("workspace", m.GetWorkspace()), Template: c.text("template", m.GetTemplate()),
+		Model: c.text("model", m.GetModel()), Tier: c.tier(m.GetTier()),
+		Waited: c.elapsed("waited", m.GetWaited()), FirstTokenIn: c.span("first_token_in", m.GetFirstTokenIn()),
+		DeadlineIn: c.span("deadline_in", m.GetDeadlineIn()), PerToken: c.elapsed("per_token", m.GetPerToken()),
+		PromptTokens: c.number("prompt_tokens", m.GetPromptTokens()), MaxTokens: c.number("max_tokens", m.GetMaxTokens()),
+		Blocks: c.blocks(m.GetBlocks()), Fingerprint: m.GetFingerprint(),
+		MaxWaiting: c.number("max_waiting", m.GetMaxWaiting()), NoRedirect: m.GetNoRedirect(),
+	}
+}
+
+func (c *checker) progress(m *wirepb.Progress) pool.Event {
+	return pool.Progress{
+		Request: c.request(m.GetRequest()), Grant: c.grant(m.GetGrant()), Server: c.name("server", m.GetServer()),
+		FirstToken: c.elapsed("first_token", m.GetFirstToken()), Tokens: c.number("tokens", m.GetTokens()),
+		PerToken: c.elapsed("per_token", m.GetPerToken()),
+	}
+}
+
+func (c *checker) release(m *wirepb.Release, entry pool.EntryID) pool.Event {
+	return pool.Release{
+		Request: c.request(m.GetRequest()), Entry: entry, Grant: c.grant(m.GetGrant()), Server: c.name("server", m.GetServer()),
+		Outcome:    pool.Outcome(c.below("outcome", m.GetOutcome(), uint32(pool.OutcomeFailed)+1)),
+		FirstToken: c.elapsed("first_token", m.GetFirstToken()), Total: c.elapsed("total", m.GetTotal()),
+		OutputTokens: c.number("output_tokens", m.GetOutputTokens()), PromptTokens: c.number("prompt_tokens", m.GetPromptTokens()),
+		PrefillComputed: c.number("prefill_computed", m.GetPrefillComputed()), RefusedLeaving: m.GetRefusedLeaving(),
+	}
+}
+
+func (c *checker) running(m *wirepb.Running, entry pool.EntryID) pool.Event {
+	return pool.Running{
+		Entry: entry, Request: c.request(m.GetRequest()), Grant: c.grant(m.GetGrant()), Server: c.name("server", m.GetServer()),
+		Workspace: c.text("workspace", m.GetWorkspace()), Template: c.text("template", m.GetTemplate()),
+		Model: c.text("model", m.GetModel()), Tier: c.tier(m.GetTier()), Fingerprint: m.GetFingerprint(),
+		PromptTokens: c.number("prompt_tokens", m.GetPromptTokens()), MaxTokens: c.number("max_tokens", m.GetMaxTokens()),
+		Tokens: c.number("tokens", m.GetTokens()), Blocks: c.blocks(m.GetBlocks()),
+	}
+}
+
+func (c *checker) command(m *wirepb.Command, entry pool.EntryID) pool.Command {
+	switch k := m.GetKind().(type) {
+	case *wirepb.Command_Grant:
+		return pool.Grant{
+			Request: c.request(k.Grant.GetRequest()), Entry: entry,
+			Grant: c.grant(k.Grant.GetGrant()), Server: c.name("server", k.Grant.GetServer()),
+		}
+	case *wirepb.Command_Shed:
+		return pool.Shed{
+			Request: c.request(k.Shed.GetRequest()), Entry: entry,
+			Reason:     request.Reason(c.name("reason", k.Shed.GetReason())),
+			RetryAfter: c.elapsed("retry_after", k.Shed.GetRetryAfter()),
+		}
+	case *wirepb.Command_Redirect:
+		return pool.Redirect{
+			Request: c.request(k.Redirect.GetRequest()), Entry: entry, Pool: c.name("pool", k.Redirect.GetPool()),
+		}
+	default:
+		return pool.ShareSuspect{} // of a newer peer; an entry ignores it
+	}
+}
--- /dev/null
+++ b/internal/poolwire/decode.go
@@ -0,0 +1,142 @@
+package poolwire
+
+import (
+	"github.com/lycheekeel/lycheekeel/internal/poolwire/wirepb"
+	"github.com/lycheekeel/lycheekeel/pool"
+	"github.com/lycheekeel/lycheekeel/request"
+	"github.com/pkg/errors"
+	"google.golang.org/protobuf/proto"
+)
+
+// unmarshal decodes a payload, which must not be empty.
+func unmarshal(payload []byte, m proto.Message) error {
+	if len(payload) == 0 {
+		return errors.Wrap(ErrInvalid, "empty payload")
+	}
+	if err := proto.Unmarshal(payload, m); err != nil {
+		return errors.Wrapf(ErrInvalid, "%v", err)
+	}
+	return nil
+}
+
+// DecodeHello reads a Hello's payload.
+func DecodeHello(payload []byte) (Hello, error) {
+	var m wirepb.Hello
+	if err := unmarshal(payload, &m); err != nil {
+		return Hello{}, err
+	}
+	var c checker
+	h := Hello{
+		Pool: c.name("pool", m.Pool), Entry: pool.EntryID(c.name("entry", m.Entry)),
+		Session: SessionID(m.Session), Close: m.Close,
+	}
+	return h, c.err
+}
+
+// DecodeEvents reads a batch of events; each gets the batch's entry.
+func DecodeEvents(payload []byte) (Events, error) {
+	var m wirepb.Events
+	if err := unmarshal(payload, &m); err != nil {
+		return Events{}, err
+	}
+	var c checker
+	c.count("events", len(m.Events))
+	b := Events{
+		Pool: c.name("pool", m.Pool), Entry: pool.EntryID(c.name("entry", m.Entry)),
+		Session: SessionID(m.Session), Seq: m.Seq, Ack: m.Ack,
+	}
+	for _, e := range m.Events {
+		b.Events = append(b.Events, c.event(e, b.Entry))
+	}
+	return b, c.err
+}
+
+// DecodeCommands reads a batch of commands; each gets the entry that reads it.
+func DecodeCommands(payload []byte, entry pool.EntryID) (Commands, error) {
+	var m wirepb.Commands
+	if err := unmarshal(payload, &m); err != nil {
+		return Commands{}, err
+	}
+	var c checker
+	c.count("commands", len(m.Commands))
+	b := Commands{
+		Pool: c.name("pool", m.Pool), Session: SessionID(m.Session), Seq: m.Seq, Ack: m.Ack, Epoch: m.Epoch,
+		Verdict: Verdict(c.below("verdict", m.Verdict, uint32(VerdictReset)+1)),
+	}
+	if m.Brief != nil {
+		brief := c.brief(m.Brief)
+		b.Brief = &brief
+	}
+	for _, w := range m.Commands {
+		b.Commands = append(b.Commands, c.command(w, entry))
+	}
+	return b, c.err
+}
+
+// DecodeBrief reads a pool's brief.
+func DecodeBrief(payload []byte) (Brief, error) {
+	var m wirepb.Brief
+	if err := unmarshal(payload, &m); err != nil {
+		return Brief{}, err
+	}
+	var c checker
+	b := c.brief(&m)
+	return b, c.err
+}
+
+// DecodeSuspect reads what is known of a fingerprint.
+func DecodeSuspect(payload []byte) (pool.SuspectShared, error) {
+	var m wirepb.Suspect
+	if err := unmarshal(payload, &m); err != nil {
+		return pool.SuspectShared{}, err
+	}
+	var c checker
+	s := pool.SuspectShared{
+		Fingerprint: m.Fingerprint,
+		State:       pool.SuspectState(c.below("state", m.State, uint32(pool.Convicted)+1)),
+		ExpiresIn:   c.span("expires_in", m.ExpiresIn),
+	}
+	return s, c.err
+}
+
+// DecodeSummaries reads full summaries; an empty payload holds none.
+func DecodeSummaries(payload []byte) ([]pool.Summary, error) {
+	var m wirepb.Summaries
+	if err := proto.Unmarshal(payload, &m); err != nil {
+		return nil, errors.Wrapf(ErrInvalid, "%v", err)
+	}
+	var c checker
+	var out []pool.Summary
+	for _, w := range m.Summaries {
+		b := c.brief(w.GetBrief())
+		s := pool.Summary{
+			Pool: b.Pool, Waiting: b.Waiting, Free: b.Free, ExpectedWait: b.ExpectedWait,
+			Running: c.number("running", w.Running),
+		}
+		for _, v := range w.Servers {
+			s.Servers = append(s.Servers, pool.ServerSummary{
+				Name:    c.name("server", v.GetName()),
+				Health:  pool.Health(c.below("health", v.GetHealth(), uint32(pool.HealthGone)+1)),
+				Running: c.number("running", v.GetRunning()), Limit: c.number("limit", v.GetLimit()),
+				Straggler: v.GetStraggler(),
+			})
+		}
+		out = append(out, s)
+	}
+	return out, c.err
+}
+
+func (c *checker) brief(m *wirepb.Brief) Brief {
+	b := Brief{Pool: c.name("pool", m.GetPool()), Free: c.number("free", m.GetFree())}
+	if len(m.GetWaiting()) > request.MaxTiers || len(m.GetExpectedWait()) > request.MaxTiers {
+		c.fail("brief of more than %d tiers", request.MaxTiers)
+		return b
+	}
+	for t, v := range m.GetWaiting() {
+		b.Waiting[t] = c.number("waiting", v)
+	}
+	for t, v := range m.GetExpectedWait() {
+		b.ExpectedWait[t] = c.span("expected_wait", v)
+	}
+	return b
+}
