--- /dev/null
+++ b/pool/admission.go
@@ -0,0 +1,182 @@
+package pool
+
+import (
+	"slices"
+	"time"
+
+	"github.com/lycheekeel/lycheekeel/pool/suspect"
+	"github.com/lycheekeel/lycheekeel/pool/tier"
+	"github.com/lycheekeel/lycheekeel/request"
+)
+
+const (
+	retryMin    = 500 * time.Millisecond
+	retryMax    = 30 * time.Second
+	retryJitter = 0.25 // each way
+	// freshSibling is the age beyond which a sibling's report says nothing.
+	freshSibling = 2 * time.Second
+)
+
+// sibling is another pool of the same model as it last reported.
+type sibling struct {
+	Sibling
+	at time.Time
+}
+
+func (p *Pool) learnSibling(e Sibling) {
+	if e.Gone {
+		delete(p.siblings, e.Pool)
+		return
+	}
+	p.siblings[e.Pool] = &sibling{Sibling: e, at: p.now.Add(-e.Age)}
+}
+
+// admit lets a request wait, or gives it or another one up.
+//
+// The rule, for each bound: nobody is given up while anything of a lower tier
+// waits here, nor, as far as fresh reports tell, in a sibling pool.
+func (p *Pool) admit(w *waiter) {
+	switch p.verdict(w) {
+	case suspect.Convicted:
+		p.shedConvict(w)
+		return
+	case suspect.Suspected:
+		p.admitSuspect(w)
+		return
+	}
+	if w.MaxWaiting > 0 && p.queue.WaitingOf(w.Item.Tier, w.Item.Workspace) >= w.MaxWaiting && !p.overBound(w) {
+		return
+	}
+	if !p.makeRoom(w) {
+		return
+	}
+	p.push(w)
+}
+
+func (p *Pool) push(w *waiter) {
+	p.waiting[w.Request] = w
+	p.queue.Push(&w.Item)
+}
+
+// overBound decides on a request above its workspace's bound and reports
+// whether it may wait. While anything of a lower tier waits, it does, at the
+// end of its tier, and a request of a lower tier of its own workspace goes in
+// its place where there is one; so the bound never turns the tiers' order
+// around.
+func (p *Pool) overBound(w *waiter) bool {
+	if !p.lowerWaits(w.Item.Tier) {
+		p.giveUp(w, request.ReasonWorkspaceLimit)
+		return false
+	}
+	w.Class = tier.Late
+	if own := p.queue.LastBelow(w.Item.Tier, w.Item.Workspace); own != nil {
+		victim := own.Value
+		p.drop(victim)
+		p.giveUp(victim, request.ReasonWorkspaceLimit)
+	}
+	return true
+}
+
+func (p *Pool) lowerWaits(t request.Tier) bool {
+	for lower := t + 1; lower < request.MaxTiers; lower++ {
+		if p.queue.Waiting(lower)+p.isolated.Waiting(lower) > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// makeRoom evicts for w where the queue is full, and reports whether w may
+// wait. The lowest tier goes first. In the newcomer's own tier it evicts only
+// for fairness: a late request, or one of the workspace that has most waiting.
+func (p *Pool) makeRoom(w *waiter) bool {
+	if len(p.waiting) < p.cfg.MaxWaiting {
+		return true
+	}
+	last := p.lastWaiting()
+	if last == nil || last.Tier < w.Item.Tier || last.Tier == w.Item.Tier && !p.yields(last, w) {
+		p.giveUp(w, request.ReasonShed)
+		return false
+	}
+	victim := last.Value
+	p.drop(victim)
+	p.giveUp(victim, request.ReasonShed)
+	return true
+}
+
+// lastWaiting is the item to evict first. Suspects count by their tier as
+// everyone else.
+func (p *Pool) lastWaiting() *tier.Item[*waiter] {
+	last, alone := p.queue.Last(), p.isolated.Last()
+	if last == nil || alone != nil && alone.Tier > last.Tier {
+		return alone
+	}
+	return last
+}
+
+// yields tells whether a waiting item goes before a newcomer of its own tier.
+func (p *Pool) yields(last *tier.Item[*waiter], w *waiter) bool {
+	if last.Class != w.Class {
+		return last.Class > w.Class
+	}
+	if last.Workspace == w.Item.Workspace {
+		return w.Due.Before(last.Due)
+	}
+	q := p.queueOf(last.Value)
+	return q.WaitingOf(last.Tier, last.Workspace) > q.WaitingOf(last.Tier, w.Item.Workspace)+1
+}
+
+// giveUp ends a request that doesn't wait (any more): it goes to a sibling
+// pool where a slot is free or a lower tier waits, else it is shed.
+func (p *Pool) giveUp(w *waiter, reason request.Reason) {
+	if !w.NoRedirect {
+		if name, ok := p.siblingFor(w.Item.Tier); ok {
+			p.emit(Redirect{Request: w.Request, Entry: w.Entry, Pool: name})
+			return
+		}
+	}
+	p.shed(&w.Enqueue, reason, p.expectedWait(w.Item.Tier))
+}
+
+// siblingFor picks a sibling for a request of a tier, and counts the request
+// against the sibling's report, so that one report doesn't draw a crowd.
+func (p *Pool) siblingFor(t request.Tier) (string, bool) {
+	names := make([]string, 0, len(p.siblings))
+	for name, s := range p.siblings {
+		if p.now.Sub(s.at) <= freshSibling {
+			names = append(names, name)
+		}
+	}
+	slices.Sort(names)
+	for _, name := range names {
+		if p.siblings[name].takes(t) {
+			return name, true
+		}
+	}
+	return "", false
+}
+
+func (s *sibling) takes(t request.Tier) bool {
+	if s.Free > 0 {
+		s.Free--
+		return true
+	}
+	for lower := len(s.Waiting) - 1; lower > int(t); lower-- {
+		if s.Waiting[lower] > 0 {
+			s.Waiting[lower]--
+			return true
+		}
+	}
+	return false
+}
+
+func (p *Pool) shed(e *Enqueue, reason request.Reason, retry time.Duration) {
+	p.emit(Shed{Request: e.Request, Entry: e.Entry, Reason: reason, RetryAfter: p.retryAfter(retry)})
+}
+
+// retryAfter bounds and jitters a wait, so that callers refused together
+// don't come back together.
+func (p *Pool) retryAfter(d time.Duration) time.Duration {
+	d = min(max(d, retryMin), retryMax)
+	return time.Duration(float64(d) * (1 - retryJitter + 2*retryJitter*p.random.Float64()))
+}
--- a/pool/baseline.go
+++ b/pool/baseline.go
@@ -2,6 +2,10 @@
 
 import "github.com/lycheekeel/lycheekeel/request"
 
+// The baselines go through the same events and commands as the real policy,
+// with the same servers and bounds, and do what plain routers do. They know
+// neither tiers nor prefixes, and their limit is each server's slots.
+
 // dispatchesAtOnce reports whether the policy has no queue of its own: such
 // routers send each request on as it comes and leave the waiting to the
 // engines.
@@ -19,11 +23,11 @@
 	s := p.pickAtOnce()
 	switch {
 	case s == nil:
-		p.shed(w.Enqueue, request.ReasonNoServer)
+		p.shed(&w.Enqueue, request.ReasonNoServer, retryMin)
 	case len(p.runs) >= slots+p.cfg.MaxWaiting:
-		p.shed(w.Enqueue, request.ReasonShed)
+		p.shed(&w.Enqueue, request.ReasonShed, retryMin)
 	default:
-		p.grant(w, s)
+		p.grant(w, option{server: s})
 	}
 }
 
@@ -31,22 +35,47 @@
 	if p.cfg.Policy == PolicyRoundRobin {
 		return p.nextInTurn()
 	}
-	var best *server
-	for _, s := range p.order {
-		if s.up() && (best == nil || len(s.running) < len(best.running)) {
-			best = s
-		}
-	}
-	return best
+	return p.leastRunning(func(s *server) bool { return p.up(s) })
 }
 
 func (p *Pool) nextInTurn() *server {
 	for range p.order {
 		s := p.order[p.next%len(p.order)]
 		p.next++
-		if s.up() {
+		if p.up(s) {
 			return s
 		}
 	}
 	return nil
 }
+
+func (p *Pool) leastRunning(which func(*server) bool) *server {
+	var best *server
+	for _, s := range p.order {
+		if which(s) && (best == nil || len(s.running) < len(best.running)) {
+			best = s
+		}
+	}
+	return best
+}
+
+// admitPlain queues a request in order of age, with no tier, or sheds it.
+func (p *Pool) admitPlain(w *waiter) {
+	if p.queue.Len() >= p.cfg.MaxWaiting {
+		p.shed(&w.Enqueue, request.ReasonShed, retryMin)
+		return
+	}
+	w.Item.Tier, w.Item.Workspace = 0, ""
+	w.Due = p.now.Add(-w.Waited)
+	p.push(w)
+}
+
+func (p *Pool) schedulePlain() {
+	for it := p.queue.Head(0, 0); it != nil; it = p.queue.Head(0, 0) {
+		s := p.leastRunning(func(s *server) bool { return p.up(s) && len(s.running) < s.info.Slots })
+		if s == nil {
+			return
+		}
+		p.grant(it.Value, option{server: s})
+	}
+}
--- /dev/null
+++ b/pool/capacity.go
@@ -0,0 +1,138 @@
+package pool
+
+import (
+	"time"
+
+	"github.com/lycheekeel/lycheekeel/pool/headroom"
+	"github.com/lycheekeel/lycheekeel/request"
+)
+
+const (
+	// limitRounding makes up for laws that near their bound without end.
+	limitRounding = 0.05
+	// kvFull is the part of a measured KV capacity that is used.
+	kvFull = 0.95
+	// headroomSlack is the part of a first-token target in which a request of
+	// a burst should find a slot.
+	headroomSlack = 0.4
+	// headroomMost is the largest part of all slots kept free.
+	headroomMost = 0.2
+)
+
+// limit returns how many requests may run on a server now.
+func (p *Pool) limit(s *server) int {
+	n := int(min(s.requests.Limit(), s.slotted.Limit()) + limitRounding)
+	if s.slots > 0 {
+		n = min(n, s.slots)
+	}
+	if s.straggler && p.sound {
+		n = 1 // the probe
+	}
+	return max(1, p.entries.share(p.now, n))
+}
+
+// usable returns the servers with a slot free, and how many slots are free on
+// all of them. Stragglers and servers with an overdue first token only serve
+// where no server is sound; a straggler gets its probes by scheduleProbes.
+func (p *Pool) usable() ([]*server, int) {
+	p.free = p.free[:0]
+	slots := 0
+	for _, s := range p.order {
+		if !p.up(s) || s == p.alone || p.sound && (s.straggler || s.overdue) {
+			continue
+		}
+		if left := p.limit(s) - len(s.running); left > 0 {
+			slots += left
+			p.free = append(p.free, s)
+		}
+	}
+	return p.free, slots
+}
+
+func (p *Pool) anySound() bool {
+	for _, s := range p.order {
+		if p.up(s) && !s.straggler && !s.overdue {
+			return true
+		}
+	}
+	return false
+}
+
+// fits tells whether a server's KV memory has room for so many more tokens.
+// An idle server always has: what is too large for it runs alone.
+func (s *server) fits(tokens int) bool {
+	if len(s.running) == 0 {
+		return true
+	}
+	if s.kv > 0 && float64(s.tokens+tokens) > kvFull*s.kv {
+		return false
+	}
+	return float64(s.tokens+tokens) <= kiloToken*s.kilo.Limit()
+}
+
+// reserve returns how many slots a tier leaves free for those above it.
+func (p *Pool) reserve(t request.Tier) int {
+	if t == 0 {
+		return 0
+	}
+	freed, all := p.freedPerSecond()
+	need := 0
+	for higher := request.Tier(0); higher < t; higher++ {
+		slack := time.Duration(headroomSlack * float64(p.targets[higher]))
+		need += headroom.Reserve(p.arrivals[higher].Peak(p.now), freed, slack)
+	}
+	return min(need, int(headroomMost*float64(all)))
+}
+
+// freedPerSecond returns how many slots come free a second when all are in
+// use, and how many there are.
+func (p *Pool) freedPerSecond() (float64, int) {
+	freed, all := 0.0, 0
+	for _, s := range p.order {
+		if !p.up(s) || s.straggler {
+			continue
+		}
+		n := p.limit(s)
+		all += n
+		if s.service > 0 {
+			freed += float64(n) / s.service
+		}
+	}
+	return freed, all
+}
+
+// expectedWait estimates how long a new request of a tier would wait: what
+// waits at its tier or above, at the pace of the work done of late.
+func (p *Pool) expectedWait(t request.Tier) time.Duration {
+	backlog := 0.0
+	for higher := request.Tier(0); higher <= t; higher++ {
+		backlog += p.queue.WaitingCost(higher)
+	}
+	if backlog == 0 {
+		return 0
+	}
+	pace := p.served.perSecond(p.now)
+	if pace <= 0 {
+		return retryMax
+	}
+	return min(time.Duration(backlog/pace*float64(time.Second)), retryMax)
+}
+
+// bestTimes returns the least time to a first token, and to a whole answer,
+// of any server that is up, with nothing else to compute and nothing cached.
+func (p *Pool) bestTimes(prompt, output int) (first, whole time.Duration) {
+	for _, s := range p.order {
+		if s.speed == nil || !p.up(s) {
+			continue
+		}
+		f := s.speed.FirstToken(prompt)
+		w := f + time.Duration(output)*s.speed.PerToken(1)
+		if first == 0 || f < first {
+			first = f
+		}
+		if whole == 0 || w < whole {
+			whole = w
+		}
+	}
+	return first, whole
+}
--- /dev/null
+++ b/pool/choose.go
@@ -0,0 +1,130 @@
+package pool
+
+import (
+	"time"
+
+	"github.com/lycheekeel/lycheekeel/engine"
+)
+
+const (
+	// prefillWeight is how much the time that a prompt takes to compute
+	// counts in a choice, beside the wait that it means for the request: every
+	// other request of the server waits for it too, and it is work that a
+	// server with the prefix would not have.
+	prefillWeight = 1.0
+	// Predictions are stretched by this much where a target is at stake.
+	safeFactor = 1.1
+	safeSlack  = 10 * time.Millisecond
+	// prefillShare is the part of the tightest first-token target for which a
+	// server may have prefill to do, when more is sent to it.
+	prefillShare = 0.5
+	// prefillFree is the prefill that is let through in any case.
+	prefillFree = 512
+)
+
+// option is one server for one request.
+type option struct {
+	server   *server
+	cached   int // leading blocks
+	uncached int // tokens to compute
+	first    time.Duration
+	cost     time.Duration // expected finish, prefill weighed
+}
+
+// option predicts how a request would do on a server if it began now.
+func (p *Pool) option(w *waiter, s *server) option {
+	cached := 0
+	if s.index >= 0 {
+		cached = p.prefixes.Cached(s.index, w.Blocks)
+	}
+	return p.optionWith(w, s, cached, s.prefill)
+}
+
+func (p *Pool) optionWith(w *waiter, s *server, cached, ahead int) option {
+	o := option{server: s, cached: cached, uncached: uncachedTokens(w.PromptTokens, cached)}
+	o.first = s.speed.FirstToken(ahead + o.uncached)
+	o.cost = o.first +
+		time.Duration(prefillWeight*float64(s.speed.PrefillTime(o.uncached))) +
+		time.Duration(w.length.Mean)*s.speed.PerToken(len(s.running)+1)
+	return o
+}
+
+// uncachedTokens is what is left to compute; the last token always is.
+func uncachedTokens(prompt, cachedBlocks int) int {
+	return max(min(prompt, 1), prompt-cachedBlocks*engine.BlockTokens)
+}
+
+// inTime tells whether a request would meet its targets with an option after
+// a wait.
+func (p *Pool) inTime(w *waiter, o option, wait time.Duration) bool {
+	first := time.Duration(safeFactor*float64(o.first)) + safeSlack
+	if !w.firstToken.IsZero() && p.now.Add(wait+first).After(w.firstToken) {
+		return false
+	}
+	whole := o.first + time.Duration(w.length.Mean)*o.server.speed.PerToken(len(o.server.running)+1)
+	return !p.now.Add(wait + whole).After(w.deadline)
+}
+
+// fastEnough tells whether the server would meet the time between tokens.
+func (p *Pool) fastEnough(w *waiter, s *server) bool {
+	return w.PerToken <= 0 || s.speed.PerToken(len(s.running)+1) <= w.PerToken
+}
+
+// roomy tells whether a server has memory for a request, and not so much
+// prefill to do that this and later requests would wait for it.
+func (p *Pool) roomy(w *waiter, o option) bool {
+	s := o.server
+	if !s.fits(w.PromptTokens + w.length.High) {
+		return false
+	}
+	if s.prefill == 0 || o.uncached <= prefillFree && s.prefill <= prefillFree {
+		return true
+	}
+	bound := p.tightest()
+	return bound == 0 || s.speed.PrefillTime(s.prefill+o.uncached) <= time.Duration(prefillShare*float64(bound))
+}
+
+// tightest is the shortest first-token target seen.
+func (p *Pool) tightest() time.Duration {
+	var least time.Duration
+	for _, d := range p.targets {
+		if d > 0 && (least == 0 || d < least) {
+			least = d
+		}
+	}
+	return least
+}
+
+// best returns the cheapest option among servers: of those that meet the
+// targets if any does. It reports false where none has room.
+func (p *Pool) best(w *waiter, servers []*server) (o option, inTime, ok bool) {
+	for _, s := range servers {
+		x := p.option(w, s)
+		if !p.roomy(w, x) {
+			continue
+		}
+		good := p.fastEnough(w, s) && p.inTime(w, x, 0)
+		if !ok || good && !inTime || good == inTime && x.cost < o.cost {
+			o, inTime, ok = x, good, true
+		}
+	}
+	return o, inTime, ok
+}
+
+// hopeless tells whether no server at all could meet the request's targets,
+// were it to begin there at once.
+func (p *Pool) hopeless(w *waiter) bool {
+	for _, s := range p.order {
+		if !p.up(s) || s.overdue || s.straggler && p.anySound() {
+			continue
+		}
+		cached := 0
+		if s.index >= 0 {
+			cached = p.prefixes.Cached(s.index, w.Blocks)
+		}
+		if p.inTime(w, p.optionWith(w, s, cached, 0), 0) {
+			return false
+		}
+	}
+	return true
+}
--- a/pool/config.go
+++ b/pool/config.go
@@ -2,14 +2,18 @@
 
 import (
 	"math/rand/v2"
+	"time"
 
 	"github.com/pkg/errors"
+
+	"github.com/lycheekeel/lycheekeel/pool/limit"
 )
 
 // Defaults of Config.
 const (
 	defaultMaxWaiting = 10000
 	defaultSlots      = 16
+	defaultVerdict    = 10 * time.Minute
 )
 
 // Config is what a pool needs to know at its start. It doesn't change.
@@ -25,6 +29,11 @@
 	// DefaultSlots is the number of slots of a server that names none; 0
 	// means a default.
 	DefaultSlots int
+	// Law is the control law of the servers' limits; empty means the default.
+	Law limit.Name
+	// Verdict is how long a request stays suspected or convicted of crashing
+	// servers; 0 means a default.
+	Verdict time.Duration
 	// Seed seeds the jitter of RetryAfter; equal seeds and events give equal
 	// commands.
 	Seed uint64
@@ -37,11 +46,13 @@
 	default:
 		return errors.Errorf("pool %q: unknown policy %q", c.Name, c.Policy)
 	}
-	if c.Name == "" {
+	switch {
+	case c.Name == "":
 		return errors.New("pool without a name")
-	}
-	if c.MaxWaiting < 0 || c.DefaultSlots < 0 {
-		return errors.Errorf("pool %q: max_waiting and default slots may not be negative", c.Name)
+	case c.MaxWaiting < 0 || c.DefaultSlots < 0 || c.Verdict < 0:
+		return errors.Errorf("pool %q: a bound is negative", c.Name)
+	case !c.Law.Valid():
+		return errors.Errorf("pool %q: unknown control law %q", c.Name, c.Law)
 	}
 	return nil
 }
@@ -57,6 +68,9 @@
 	if c.DefaultSlots == 0 {
 		c.DefaultSlots = defaultSlots
 	}
+	if c.Verdict == 0 {
+		c.Verdict = defaultVerdict
+	}
 	return c
 }
 
--- /dev/null
+++ b/pool/limit/limit.go
@@ -0,0 +1,55 @@
+// Package limit holds the control laws that set how much may run on a server
+// at once. A law sees only samples of our own running requests: how long
+// something took, as a fraction of what it may take.
+//
+// A law is used by one goroutine at a time.
+package limit
+
+// Sample is one measurement on a server.
+type Sample struct {
+	// Ratio is the measured time over the target: above 1 the target is
+	// missed.
+	Ratio float64
+	// Used is how much of the limit was in use.
+	Used float64
+}
+
+// Law is a control law for one limit.
+type Law interface {
+	// Limit returns the present limit.
+	Limit() float64
+	// Observe takes a sample in.
+	Observe(s Sample)
+}
+
+// Bounds are the least and the largest limit; a law starts at Start.
+type Bounds struct{ Min, Max, Start float64 }
+
+func (b Bounds) clamp(v float64) float64 { return max(b.Min, min(b.Max, v)) }
+
+// Name names a control law.
+type Name string
+
+// The laws.
+const (
+	AIMD     Name = "aimd"
+	Gradient Name = "gradient"
+)
+
+// Valid tells whether a law of this name exists; empty means the default.
+func (n Name) Valid() bool { return n == "" || n == AIMD || n == Gradient }
+
+// New returns a law of the name; an empty name means the default.
+func New(n Name, b Bounds) Law {
+	if n == AIMD {
+		return newAIMD(b)
+	}
+	return newGradient(b)
+}
+
+// headroom is the ratio that laws steer for: a little under the target.
+const headroom = 0.85
+
+// busy is the fraction of a limit that must be in use before a good sample
+// says anything about a higher one.
+const busy = 0.75
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -4,10 +4,19 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/lycheekeel/lycheekeel/pool/estimate"
+	"github.com/lycheekeel/lycheekeel/pool/headroom"
+	"github.com/lycheekeel/lycheekeel/pool/prefix"
+	"github.com/lycheekeel/lycheekeel/pool/score"
+	"github.com/lycheekeel/lycheekeel/pool/suspect"
 	"github.com/lycheekeel/lycheekeel/pool/tier"
 	"github.com/lycheekeel/lycheekeel/request"
 )
 
+// TickInterval is how often a pool should be sent a Tick at the least. Held
+// requests, probes and expiry are as exact as the ticks.
+const TickInterval = 20 * time.Millisecond
+
 // Pool is one pool's scheduler. It is not safe for concurrent use. Equal
 // configurations and equal events give equal commands.
 type Pool struct {
@@ -17,13 +26,34 @@
 	out    []Command
 	seq    uint64 // of grants
 
-	queue   *tier.Queue[*waiter]
-	waiting map[request.ID]*waiter
+	queue    *tier.Queue[*waiter]
+	isolated *tier.Queue[*waiter] // suspects, which run alone
+	waiting  map[request.ID]*waiter
+	held     []*waiter // of all servers, in the order in which they were held
+
 	servers map[string]*server
 	order   []*server // the present servers, by name
+	byIndex [prefix.MaxServers]*server
 	runs    map[GrantID]*run
 	granted map[request.ID]*run
 	next    int // round robin's next server
+
+	prefixes *prefix.Index
+	pending  map[uint64]*run // the run that is computing a block now
+	lengths  *estimate.Estimator
+	suspects *suspect.Register
+	peers    map[string]score.Prior // measured speed by generation
+	arrivals [request.MaxTiers]headroom.Arrivals
+	targets  [request.MaxTiers]time.Duration // first token, by tier
+	served   flowRate
+	siblings map[string]*sibling
+	entries  entries
+
+	alone    *server // drains for, or runs, a suspect
+	sound    bool    // a server is up that is no straggler; by schedule
+	measured time.Time
+	free     []*server // scratch
+	near     []*tier.Item[*waiter]
 }
 
 // New returns a pool. An unknown policy schedules as PolicyLycheekeel; check
@@ -31,13 +61,20 @@
 func New(cfg Config) *Pool {
 	cfg = cfg.withDefaults()
 	return &Pool{
-		cfg:     cfg,
-		random:  cfg.random(),
-		queue:   tier.NewQueue[*waiter](),
-		waiting: make(map[request.ID]*waiter),
-		servers: make(map[string]*server),
-		runs:    make(map[GrantID]*run),
-		granted: make(map[request.ID]*run),
+		cfg:      cfg,
+		random:   cfg.random(),
+		queue:    tier.NewQueue[*waiter](),
+		isolated: tier.NewQueue[*waiter](),
+		waiting:  make(map[request.ID]*waiter),
+		servers:  make(map[string]*server),
+		runs:     make(map[GrantID]*run),
+		granted:  make(map[request.ID]*run),
+		prefixes: prefix.NewIndex(),
+		pending:  make(map[uint64]*run),
+		lengths:  estimate.New(),
+		suspects: suspect.NewRegister(cfg.Verdict),
+		peers:    make(map[string]score.Prior),
+		siblings: make(map[string]*sibling),
 	}
 }
 
@@ -45,26 +82,53 @@
 // follow from it to out. now never goes back.
 func (p *Pool) Handle(now time.Time, ev Event, out []Command) []Command {
 	p.now, p.out = now, out
+	p.take(ev)
+	p.expire()
+	p.schedule()
+	out, p.out = p.out, nil
+	return out
+}
+
+func (p *Pool) take(ev Event) {
 	switch e := ev.(type) {
 	case Enqueue:
 		p.enqueue(e)
 	case Withdraw:
 		p.withdraw(e)
+	case Progress:
+		p.progress(e)
 	case Release:
 		p.release(e)
 	case Running:
 		p.adopt(e)
+	case EntryReported:
+		p.entryReported(e)
 	case EntrySet:
 		p.setEntries(e)
 	case ServerSet:
 		p.setServers(e)
 	case ServerHealth:
 		p.setHealth(e)
+	case ServerLoad:
+		p.learnLoad(e)
+	case ServerCache:
+		p.learnCache(e)
+	case Sibling:
+		p.learnSibling(e)
+	case SuspectShared:
+		p.learnSuspect(e)
+	case Tick:
+		p.tick()
 	}
-	p.expire()
-	p.schedule()
-	out, p.out = p.out, nil
-	return out
+}
+
+func (p *Pool) tick() {
+	p.measure()
+	p.watchOverdue()
+	p.freeLost()
 }
 
 func (p *Pool) emit(c Command) { p.out = append(p.out, c) }
+
+// plain tells whether the pool schedules as a baseline does.
+func (p *Pool) plain() bool { return p.cfg.Policy != PolicyLycheekeel }
--- /dev/null
+++ b/pool/prefix/index.go
@@ -0,0 +1,182 @@
+// Package prefix is what a pool believes to be cached where: which server
+// holds which blocks of prompts. It is fed by the pool's own dispatches and
+// corrected by what engines report, late and with gaps.
+//
+// It mirrors each server's cache as an LRU of bounded size. Because block
+// hashes are chained and an engine keeps a prefix longer than its extensions,
+// a prompt's cached blocks are its first ones, so a binary search finds them.
+//
+// An Index is used by one goroutine at a time.
+package prefix
+
+import (
+	"math/bits"
+
+	"github.com/hashicorp/golang-lru/v2/simplelru"
+)
+
+const (
+	// MaxServers is how many servers an Index can tell apart.
+	MaxServers = 64
+	// maxBlocks bounds what is remembered of one server. At 32 servers this
+	// is 128 Ki entries at the most.
+	maxBlocks = 4096
+	// minBlocks is the smallest cache believed in.
+	minBlocks = 64
+	// growth is how fast the believed size recovers, as a divisor: a
+	// confirmed prefix adds 1/growth of the size.
+	growth = 32
+)
+
+// Index knows the blocks of up to MaxServers servers, named by number.
+type Index struct {
+	holders map[uint64]uint64 // block to the set of servers
+	caches  [MaxServers]*cache
+}
+
+type cache struct {
+	blocks *simplelru.LRU[uint64, struct{}]
+	size   int // believed size of the engine's cache
+}
+
+// NewIndex returns an empty index.
+func NewIndex() *Index { return &Index{holders: make(map[uint64]uint64)} }
+
+// Cached returns how many leading blocks a server is believed to hold.
+func (x *Index) Cached(server int, blocks []uint64) int {
+	bit := uint64(1) << server
+	low, high := 0, len(blocks)
+	for low < high {
+		middle := (low + high + 1) / 2
+		if x.holders[blocks[middle-1]]&bit != 0 {
+			low = middle
+		} else {
+			high = middle - 1
+		}
+	}
+	return low
+}
+
+// Holders returns the set of servers that hold the first n blocks.
+func (x *Index) Holders(blocks []uint64, n int) uint64 {
+	if n < 1 || n > len(blocks) {
+		return 0
+	}
+	return x.holders[blocks[n-1]]
+}
+
+// Longest returns how many leading blocks any server of the set holds, and
+// which servers do.
+func (x *Index) Longest(set uint64, blocks []uint64) (int, uint64) {
+	low, high := 0, len(blocks)
+	for low < high {
+		middle := (low + high + 1) / 2
+		if x.holders[blocks[middle-1]]&set != 0 {
+			low = middle
+		} else {
+			high = middle - 1
+		}
+	}
+	if low == 0 {
+		return 0, 0
+	}
+	return low, x.holders[blocks[low-1]] & set
+}
+
+// Store tells that a server has computed or used the blocks of a prompt. They
+// become its most recent ones, the first block last.
+func (x *Index) Store(server int, blocks []uint64) {
+	c := x.cache(server)
+	blocks = blocks[:min(len(blocks), c.size)]
+	for i := len(blocks) - 1; i >= 0; i-- {
+		x.add(server, c, blocks[i])
+	}
+}
+
+// StoreBlock tells that a server announced one block as stored.
+func (x *Index) StoreBlock(server int, block uint64) { x.add(server, x.cache(server), block) }
+
+// Evict tells that a server announced one block as evicted.
+func (x *Index) Evict(server int, block uint64) {
+	if c := x.caches[server]; c != nil {
+		c.blocks.Remove(block)
+	}
+}
+
+// Confirm tells what an engine really found of a prompt that was believed to
+// have been cached to some length. A shortfall means that the missing block
+// was evicted, and in an LRU so was all that is older: the believed size
+// shrinks to what is newer. Without it, every later choice would count on
+// prefixes that are gone; one would see prefill computed that should not be.
+func (x *Index) Confirm(server int, blocks []uint64, believed, found int) {
+	c := x.cache(server)
+	if found >= believed || found >= len(blocks) {
+		if believed > 0 && c.size < maxBlocks {
+			c.size = min(maxBlocks, c.size+1+c.size/growth)
+			c.blocks.Resize(c.size)
+		}
+		return
+	}
+	c.size = max(minBlocks, c.blocks.Len()-c.blocks.Len()/growth-1)
+	c.blocks.Resize(c.size)
+}
+
+// Gap tells that events of a server were missed: any of its blocks may be
+// gone, the least recent most likely. The older half is forgotten.
+func (x *Index) Gap(server int) {
+	c := x.caches[server]
+	if c == nil {
+		return
+	}
+	for range c.blocks.Len() / 2 {
+		c.blocks.RemoveOldest()
+	}
+}
+
+// Forget drops all that is known of a server: its engine restarted or left.
+func (x *Index) Forget(server int) {
+	c := x.caches[server]
+	if c == nil {
+		return
+	}
+	for c.blocks.Len() > 0 {
+		c.blocks.RemoveOldest()
+	}
+	x.caches[server] = nil
+}
+
+// Len returns how many blocks are known, counted once each.
+func (x *Index) Len() int { return len(x.holders) }
+
+func (x *Index) cache(server int) *cache {
+	if c := x.caches[server]; c != nil {
+		return c
+	}
+	bit := uint64(1) << server
+	drop := func(block uint64, _ struct{}) {
+		if left := x.holders[block] &^ bit; left == 0 {
+			delete(x.holders, block)
+		} else {
+			x.holders[block] = left
+		}
+	}
+	blocks, err := simplelru.NewLRU[uint64, struct{}](maxBlocks, drop)
+	if err != nil {
+		panic(err) // only a size below one is an error
+	}
+	c := &cache{blocks: blocks, size: maxBlocks}
+	x.caches[server] = c
+	return c
+}
+
+func (x *Index) add(server int, c *cache, block uint64) {
+	c.blocks.Add(block, struct{}{})
+	x.holders[block] |= uint64(1) << server
+}
+
+// Servers calls f with each server of a set, in order.
+func Servers(set uint64, f func(server int)) {
+	for ; set != 0; set &= set - 1 {
+		f(bits.TrailingZeros64(set))
+	}
+}
--- a/pool/run.go
+++ b/pool/run.go
@@ -4,38 +4,119 @@
 	"slices"
 	"time"
 
+	"github.com/lycheekeel/lycheekeel/engine"
+	"github.com/lycheekeel/lycheekeel/pool/estimate"
 	"github.com/lycheekeel/lycheekeel/request"
 )
 
 // run is a grant that has not been released.
 type run struct {
-	id      GrantID
-	request request.ID
-	entry   EntryID
-	server  *server
-	waiter  *waiter
-	since   time.Time
-	index   int // in server.running
+	id          GrantID
+	request     request.ID
+	entry       EntryID
+	server      *server
+	index       int // in server.running
+	since       time.Time
+	tier        request.Tier
+	workspace   string
+	mix         estimate.Mix
+	fingerprint uint64
+	alone       bool // granted as a suspect
+
+	prompt, maxTokens int
+	blocks            []uint64
+	perToken          time.Duration // target
+	cost              float64       // as charged
+	deadline          time.Time
+
+	cached   int // leading blocks believed to be cached
+	uncached int // prompt tokens to compute
+	ahead    int // prefill tokens on the server before it
+	tokens   int // KV memory that it will need
+	at       int // running requests when it began
+
+	first         bool // its first token has come, or it was released
+	had           int  // tokens so far
+	prefilledThen int  // server.prefilled at its last report
+	heard         time.Time
+	withdrawn     time.Time
+	crashed       bool // its server crashed under it
 }
 
 func (p *Pool) addRun(r *run) {
-	r.index = len(r.server.running)
-	r.server.running = append(r.server.running, r)
+	s := r.server
+	r.index = len(s.running)
+	s.running = append(s.running, r)
+	s.tokens += r.tokens
 	p.runs[r.id] = r
 	p.granted[r.request] = r
+	if r.first {
+		return
+	}
+	s.prefill += r.uncached
+	for _, b := range r.blocks {
+		p.pending[b] = r
+	}
 }
 
 func (p *Pool) removeRun(r *run) {
+	p.prefillDone(r)
 	s := r.server
-	last := s.running[len(s.running)-1]
-	s.running[r.index], last.index = last, r.index
-	s.running = slices.Delete(s.running, len(s.running)-1, len(s.running))
+	last := len(s.running) - 1
+	s.running[r.index] = s.running[last]
+	s.running[r.index].index = r.index
+	s.running = slices.Delete(s.running, last, last+1)
+	s.tokens -= r.tokens
 	delete(p.runs, r.id)
 	if p.granted[r.request] == r {
 		delete(p.granted, r.request)
 	}
 	if !s.present && len(s.running) == 0 {
-		delete(p.servers, s.info.Name)
+		p.forgetServers()
+	}
+}
+
+// prefillDone takes a run's prompt off what its server still has to compute.
+func (p *Pool) prefillDone(r *run) {
+	if r.first {
+		return
+	}
+	r.first = true
+	r.server.prefill -= r.uncached
+	r.server.prefilled += r.uncached
+	for _, b := range r.blocks {
+		if p.pending[b] == r {
+			delete(p.pending, b)
+		}
+	}
+}
+
+func (p *Pool) progress(e Progress) {
+	r := p.runs[e.Grant]
+	if r == nil {
+		return
+	}
+	r.heard = p.now
+	if p.plain() {
+		return
+	}
+	if e.FirstToken > 0 && !r.first {
+		p.firstToken(r, e.FirstToken)
+	}
+	if e.PerToken > 0 && e.Tokens > r.had {
+		p.observeToken(r, e.PerToken, e.Tokens-r.had)
+	}
+	r.had = max(r.had, e.Tokens)
+	r.prefilledThen = r.server.prefilled
+}
+
+// firstToken learns from a first token: the prompt is computed and cached.
+func (p *Pool) firstToken(r *run, took time.Duration) {
+	p.prefillDone(r)
+	r.prefilledThen = r.server.prefilled
+	p.observeFirst(r, took)
+	if r.server.index >= 0 && len(r.blocks) > 0 {
+		p.prefixes.Store(r.server.index, r.blocks)
 	}
 }
 
@@ -46,48 +127,111 @@
 	if r == nil || r.entry != e.Entry {
 		return
 	}
+	switch e.Outcome {
+	case OutcomeDone:
+		p.learnDone(r, e)
+	case OutcomeNotDispatched:
+		p.refund(r, r.cost)
+	case OutcomeNotSent, OutcomeRefused:
+		p.refund(r, r.cost)
+		p.learnRefusal(r.server, e)
+	case OutcomeCrashed:
+		p.lose(r)
+		p.serverCrashed(r.server, r)
+	case OutcomeBroken:
+		p.lose(r)
+	}
 	p.removeRun(r)
+	if r.alone {
+		p.aloneEnded(r, e.Outcome)
+	}
+}
+
+func (p *Pool) learnRefusal(s *server, e Release) {
 	if e.RefusedLeaving {
-		r.server.health = HealthLeaving
+		s.leavingTill = p.now.Add(leavingFor)
+		return
 	}
+	p.leaveAlone(s)
 }
 
-// adopt counts a run that an earlier owner granted.
-func (p *Pool) adopt(e Running) {
-	if p.runs[e.Grant] != nil {
+// learnDone learns from a whole answer.
+func (p *Pool) learnDone(r *run, e Release) {
+	s := r.server
+	s.pause = 0
+	p.served.add(p.now, r.cost)
+	if p.plain() {
 		return
 	}
-	if w := p.waiting[e.Request]; w != nil {
-		p.drop(w)
+	if e.FirstToken > 0 && !r.first {
+		p.firstToken(r, e.FirstToken)
+	}
+	if e.OutputTokens > r.had+1 && r.had == 0 && e.Total > e.FirstToken {
+		n := e.OutputTokens - 1
+		p.observeToken(r, (e.Total-e.FirstToken)/time.Duration(n), n)
+	}
+	if e.Total > 0 {
+		s.service += serviceStep * (e.Total.Seconds() - s.service)
+	}
+	p.learnPrefix(r, e)
+	p.learnLength(r, e)
+	if p.suspects.Release(p.now, r.fingerprint) {
+		p.emit(ShareSuspect{Fingerprint: r.fingerprint, State: SuspectCleared})
 	}
-	p.addRun(&run{id: e.Grant, request: e.Request, entry: e.Entry, server: p.server(e.Server), since: p.now})
 }
 
-func (p *Pool) setEntries(e EntrySet) {
-	gone := func(id EntryID) bool { return !slices.Contains(e.Entries, id) }
-	for _, w := range p.sortedWaiting() {
-		if gone(w.Entry) {
-			p.drop(w)
-		}
+const serviceStep = 0.1 // weight of a new service time in the mean
+
+// learnPrefix compares what was believed to be cached with what was.
+func (p *Pool) learnPrefix(r *run, e Release) {
+	if r.server.index < 0 || len(r.blocks) == 0 || e.PromptTokens == 0 || e.PrefillComputed == 0 {
+		return
+	}
+	found := (e.PromptTokens - e.PrefillComputed + 1) / engine.BlockTokens
+	p.prefixes.Confirm(r.server.index, r.blocks, r.cached, found)
+}
+
+// learnLength corrects the workspace's charge to the true cost, and the
+// estimate of its answers' length.
+func (p *Pool) learnLength(r *run, e Release) {
+	if r.maxTokens == 0 {
+		return
+	}
+	p.lengths.Observe(r.mix, e.OutputTokens)
+	computed := r.uncached
+	if e.PrefillComputed > 0 {
+		computed = e.PrefillComputed
 	}
+	p.refund(r, r.cost-cost(computed, e.OutputTokens))
 }
 
-func (p *Pool) sortedWaiting() []*waiter {
-	all := make([]*waiter, 0, len(p.waiting))
-	for _, w := range p.waiting {
-		all = append(all, w)
+// refund gives a workspace back what it was charged too much; it may be
+// negative.
+func (p *Pool) refund(r *run, amount float64) {
+	if !p.plain() {
+		p.queue.Correct(r.tier, r.workspace, -amount)
 	}
-	slices.SortFunc(all, func(a, b *waiter) int { return compareID(a.Request, b.Request) })
-	return all
 }
 
-func compareID(a, b request.ID) int {
-	switch {
-	case a < b:
-		return -1
-	case a > b:
-		return 1
-	default:
-		return 0
+// adopt counts a run that an earlier owner granted, or that an entry began by
+// itself.
+func (p *Pool) adopt(e Running) {
+	p.entryHeard(e.Entry)
+	if r := p.runs[e.Grant]; r != nil {
+		r.heard = p.now
+		return
+	}
+	if w := p.waiting[e.Request]; w != nil {
+		p.drop(w)
+	}
+	mix := estimate.Mix{Workspace: e.Workspace, Template: e.Template, Model: e.Model}
+	r := &run{
+		id: e.Grant, request: e.Request, entry: e.Entry, server: p.server(e.Server), since: p.now, heard: p.now,
+		tier: min(e.Tier, request.MaxTiers-1), workspace: e.Workspace, mix: mix, fingerprint: e.Fingerprint,
+		prompt: e.PromptTokens, maxTokens: e.MaxTokens, blocks: e.Blocks, had: e.Tokens,
+		first: e.Tokens > 0, uncached: e.PromptTokens,
+		tokens: e.PromptTokens + p.lengths.Expect(mix, e.MaxTokens).High,
 	}
+	r.cost = cost(e.PromptTokens, e.MaxTokens)
+	p.addRun(r)
 }
--- a/pool/schedule.go
+++ b/pool/schedule.go
@@ -1,47 +1,189 @@
 package pool
 
-import "github.com/lycheekeel/lycheekeel/request"
+import (
+	"time"
 
-// schedule grants while a request waits and a slot is free.
+	"github.com/lycheekeel/lycheekeel/pool/suspect"
+	"github.com/lycheekeel/lycheekeel/pool/tier"
+	"github.com/lycheekeel/lycheekeel/request"
+)
+
+const (
+	// nearHead is how many requests near the head of a tier are looked at.
+	nearHead = 24
+	// maxOptions bounds the options looked at in one choice.
+	maxOptions = 128
+	// maxPassed is how often the head of a tier may be passed by requests
+	// whose prefix is warm.
+	maxPassed = 8
+	// passShare is the part of a prompt that must be cached for it to pass.
+	passShare = 0.5
+	// passSlack is what the head must have left, beyond its own first token,
+	// to be passed.
+	passSlack = 200 * time.Millisecond
+)
+
+// schedule grants while a request waits and a slot is free: the most urgent
+// tier first, in a tier the live requests before the late ones.
 func (p *Pool) schedule() {
-	for p.queue.Len() > 0 {
-		s := p.leastRunning()
-		w := p.first()
-		if s == nil || w == nil {
+	if p.plain() {
+		p.schedulePlain()
+		return
+	}
+	p.sound = p.anySound()
+	p.endHolds()
+	p.scheduleAlone()
+	p.scheduleProbes()
+	for t := request.Tier(0); t < request.MaxTiers; t++ {
+		if p.queue.Waiting(t) > 0 && !p.scheduleTier(t) {
 			return
 		}
-		p.drop(w)
-		p.queue.Charge(&w.Item)
-		p.grant(w, s)
 	}
 }
 
-func (p *Pool) first() *waiter {
-	for t := request.Tier(0); t < request.MaxTiers; t++ {
-		if p.queue.Waiting(t) > 0 {
-			it := p.queue.Head(t, 0)
-			if it == nil {
-				it = p.queue.Head(t, 1)
+// scheduleTier grants to one tier. It reports whether slots may be left for
+// lower tiers.
+func (p *Pool) scheduleTier(t request.Tier) bool {
+	for {
+		servers, slots := p.usable()
+		if slots <= p.reserve(t) {
+			return false
+		}
+		w, o := p.pickLive(t, servers)
+		if w == nil {
+			w, o = p.pickLate(t, servers)
+		}
+		if w == nil {
+			return true
+		}
+		p.grant(w, o)
+	}
+}
+
+// pickLive returns the next live request to be granted, with its option. On
+// its way it moves hopeless requests to the end of the tier, suspects to
+// their own queue, and holds those that should wait for a prefix.
+func (p *Pool) pickLive(t request.Tier, servers []*server) (*waiter, option) {
+	budget := maxOptions
+	for {
+		p.near = p.queue.Candidates(t, tier.Live, nearHead, p.near[:0])
+		moved := false
+		for i, it := range p.near {
+			w := it.Value
+			if p.moveAway(w) {
+				moved = true
+				continue
+			}
+			if budget <= 0 {
+				return nil, option{}
+			}
+			budget -= len(servers)
+			o, inTime, ok := p.best(w, servers)
+			switch {
+			case !ok:
+				continue // no server has room for it now
+			case !inTime && p.hopeless(w):
+				p.queue.Reclass(it, tier.Late)
+				moved = true
+				continue
+			case !inTime:
+				continue // a server that can is busy
+			case p.holdFor(w, o):
+				moved = true
+				continue
+			}
+			return p.warmer(w, o, p.near[i+1:])
+		}
+		if !moved {
+			return nil, option{}
+		}
+	}
+}
+
+// pickLate returns the first late request for which a server has room.
+func (p *Pool) pickLate(t request.Tier, servers []*server) (*waiter, option) {
+	for {
+		moved := false
+		p.near = p.queue.Candidates(t, tier.Late, nearHead, p.near[:0])
+		for _, it := range p.near {
+			if p.moveAway(it.Value) {
+				moved = true
+				continue
+			}
+			if o, _, ok := p.best(it.Value, servers); ok {
+				return it.Value, o
 			}
-			return it.Value
+		}
+		if !moved {
+			return nil, option{}
 		}
 	}
-	return nil
 }
 
-func (p *Pool) leastRunning() *server {
-	var best *server
-	for _, s := range p.order {
-		if s.free() && (best == nil || len(s.running) < len(best.running)) {
-			best = s
+// warmer lets a request near the head pass it on the chosen server, where the
+// server holds its prefix and not the head's, and the head can wait: the head
+// may find its own prefix at the next slot. How often a head is passed is
+// bounded, and whoever passes is charged.
+func (p *Pool) warmer(head *waiter, o option, others []*tier.Item[*waiter]) (*waiter, option) {
+	s := o.server
+	if s.index < 0 || head.passed >= maxPassed || p.warm(head, o.cached) ||
+		p.slack(head, o) < passSlack {
+		return head, o
+	}
+	for _, it := range others {
+		w := it.Value
+		if len(w.Blocks) < holdBlocks || !p.warm(w, p.prefixes.Cached(s.index, w.Blocks)) {
+			continue
+		}
+		x := p.option(w, s)
+		if p.verdict(w) == suspect.Clear && p.roomy(w, x) && p.fastEnough(w, s) && p.inTime(w, x, 0) {
+			head.passed++
+			return w, x
 		}
 	}
-	return best
+	return head, o
+}
+
+func (p *Pool) warm(w *waiter, cachedBlocks int) bool {
+	return cachedBlocks > 0 && uncachedTokens(w.PromptTokens, cachedBlocks) <= int((1-passShare)*float64(w.PromptTokens))
 }
 
-func (p *Pool) grant(w *waiter, s *server) {
+// moveAway takes a convict or a suspect out of the queue and reports whether
+// it did.
+func (p *Pool) moveAway(w *waiter) bool {
+	switch p.verdict(w) {
+	case suspect.Convicted:
+		p.drop(w)
+		p.shedConvict(w)
+	case suspect.Suspected:
+		p.drop(w)
+		p.admitSuspect(w)
+	default:
+		return false
+	}
+	return true
+}
+
+// grant gives a waiting request a slot.
+func (p *Pool) grant(w *waiter, o option) {
+	if p.waiting[w.Request] == w {
+		p.drop(w)
+	}
+	if !p.plain() {
+		p.queue.Charge(&w.Item)
+	}
+	if o.server.straggler {
+		p.probed(o.server)
+	}
 	p.seq++
-	r := &run{id: GrantID{Epoch: p.cfg.Epoch, Seq: p.seq}, request: w.Request, entry: w.Entry, server: s, waiter: w, since: p.now}
+	r := &run{
+		id: GrantID{Epoch: p.cfg.Epoch, Seq: p.seq}, request: w.Request, entry: w.Entry, server: o.server,
+		since: p.now, heard: p.now, deadline: w.deadline,
+		tier: w.Item.Tier, workspace: w.Item.Workspace, mix: w.mix, fingerprint: w.Fingerprint, alone: w.isolated(),
+		prompt: w.PromptTokens, maxTokens: w.MaxTokens, blocks: w.Blocks, perToken: w.PerToken, cost: w.Cost,
+		cached: o.cached, uncached: o.uncached, ahead: o.server.prefill,
+		tokens: w.PromptTokens + w.length.High, at: len(o.server.running) + 1,
+	}
 	p.addRun(r)
-	p.emit(Grant{Request: w.Request, Entry: w.Entry, Grant: r.id, Server: s.info.Name})
+	p.emit(Grant{Request: w.Request, Entry: w.Entry, Grant: r.id, Server: o.server.info.Name})
 }
--- a/pool/server.go
+++ b/pool/server.go
@@ -3,20 +3,54 @@
 import (
 	"cmp"
 	"slices"
+	"time"
+
+	"github.com/lycheekeel/lycheekeel/pool/limit"
+	"github.com/lycheekeel/lycheekeel/pool/score"
+)
+
+const (
+	// leavingFor is how long a server's own word that it leaves outweighs a
+	// monitor that hasn't noticed.
+	leavingFor = 10 * time.Second
+	// pauseMin and pauseMax bound how long a server that couldn't be reached
+	// is left alone; the time doubles at each failure in a row.
+	pauseMin, pauseMax = 250 * time.Millisecond, 5 * time.Second
+	// Bounds of the limit on tokens, in thousands.
+	kiloTokensMin, kiloTokensMax = 4, 4096
 )
 
 // server is one backend server and what the pool knows to run there.
 type server struct {
 	info        ServerInfo
+	index       int  // in the prefix index; -1: none
 	present     bool // in the newest ServerSet
 	health      Health
 	incarnation uint64
 	running     []*run
-}
+	prefill     int // tokens of granted prompts whose first token hasn't come
+	tokens      int // KV memory that the running requests will need, in tokens
+	prefilled   int // prefill tokens computed, ever
 
-func (s *server) up() bool { return s.present && s.health == HealthUp }
+	speed    *score.Speed
+	requests limit.Law // running requests, by time between tokens
+	slotted  limit.Law // running requests, by waiting inside the engine
+	kilo     limit.Law // thousands of tokens in KV memory
+	kv       float64   // measured KV capacity in tokens; zero: unknown
+	slots    int       // as the engine itself says; zero: unknown
+	service  float64   // mean seconds from grant to release
+	held     int
 
-func (s *server) free() bool { return s.up() && len(s.running) < s.info.Slots }
+	straggler   bool
+	overdue     bool
+	probeAt     time.Time
+	probeWait   time.Duration
+	leavingTill time.Time
+	pausedTill  time.Time
+	pause       time.Duration
+	crashed     time.Time // the last crash
+	lost        []*run    // released as broken of late
+}
 
 func (p *Pool) setServers(e ServerSet) {
 	for _, s := range p.order {
@@ -28,38 +62,138 @@
 			info.Slots = p.cfg.DefaultSlots
 		}
 		s := p.server(info.Name)
-		s.info, s.present = info, true
-		if !slices.Contains(p.order, s) {
-			p.order = append(p.order, s)
+		if s.present {
+			continue // named twice
 		}
+		s.present = true
+		p.configure(s, info)
+		p.order = append(p.order, s)
 	}
 	slices.SortFunc(p.order, func(a, b *server) int { return cmp.Compare(a.info.Name, b.info.Name) })
 	p.forgetServers()
 }
 
+// configure sets what the configuration says. A changed number of slots or
+// generation starts the limits or the speed afresh.
+func (p *Pool) configure(s *server, info ServerInfo) {
+	if s.requests == nil || s.info.Slots != info.Slots {
+		bounds := limit.Bounds{Min: 1, Max: float64(info.Slots), Start: float64(info.Slots)}
+		s.requests = limit.New(p.cfg.Law, bounds)
+		s.slotted = limit.New(limit.AIMD, bounds)
+		s.kilo = limit.New(limit.AIMD, limit.Bounds{Min: kiloTokensMin, Max: kiloTokensMax, Start: kiloTokensMax})
+	}
+	if s.speed == nil || s.info.Generation != info.Generation {
+		s.speed = score.NewSpeed(p.prior(info.Generation))
+	}
+	s.info = info
+	if s.index < 0 {
+		s.index = p.freeIndex()
+		if s.index >= 0 {
+			p.byIndex[s.index] = s
+		}
+	}
+}
+
+func (p *Pool) freeIndex() int {
+	for i := range p.byIndex {
+		if p.byIndex[i] == nil {
+			return i
+		}
+	}
+	return -1
+}
+
 // server returns the named server; one that is not in the newest ServerSet
 // gets no grant, but what runs there is counted.
 func (p *Pool) server(name string) *server {
 	s := p.servers[name]
 	if s == nil {
-		s = &server{info: ServerInfo{Name: name}}
+		s = &server{info: ServerInfo{Name: name}, index: -1}
 		p.servers[name] = s
 	}
 	return s
 }
 
+// forgetServers drops servers that are gone and on which nothing runs.
 func (p *Pool) forgetServers() {
 	for name, s := range p.servers {
-		if !s.present && len(s.running) == 0 {
-			delete(p.servers, name)
+		if s.present || len(s.running) > 0 {
+			continue
 		}
+		if s.index >= 0 {
+			p.prefixes.Forget(s.index)
+			p.byIndex[s.index] = nil
+		}
+		delete(p.servers, name)
 	}
 }
 
+// setHealth takes the monitor's word. A new incarnation means that the engine
+// restarted: it lost what it ran and cached.
 func (p *Pool) setHealth(e ServerHealth) {
 	s := p.servers[e.Server]
 	if s == nil {
 		return
 	}
-	s.health, s.incarnation = e.Health, e.Incarnation
+	was := s.health
+	s.health = e.Health
+	restarted := e.Incarnation != 0 && s.incarnation != 0 && e.Incarnation != s.incarnation
+	if e.Incarnation != 0 {
+		s.incarnation = e.Incarnation
+	}
+	if restarted || e.Health == HealthGone && was != HealthGone {
+		p.serverCrashed(s, nil)
+	}
+	if restarted {
+		p.forgetCache(s)
+	}
+	if e.Health == HealthUp && was == HealthGone {
+		s.pausedTill, s.pause = time.Time{}, 0
+	}
+}
+
+func (p *Pool) forgetCache(s *server) {
+	if s.index >= 0 {
+		p.prefixes.Forget(s.index)
+	}
+}
+
+// up tells whether a server may get a grant at all.
+func (p *Pool) up(s *server) bool {
+	return s.present && s.health == HealthUp && !p.now.Before(s.leavingTill) && !p.now.Before(s.pausedTill)
+}
+
+// leaveAlone stops grants to a server that could not be reached, for longer
+// at each failure in a row.
+func (p *Pool) leaveAlone(s *server) {
+	s.pause = min(max(2*s.pause, pauseMin), pauseMax)
+	s.pausedTill = p.now.Add(s.pause)
+}
+
+func (p *Pool) learnCache(e ServerCache) {
+	s := p.servers[e.Server]
+	if s == nil || s.index < 0 || p.plain() {
+		return
+	}
+	if e.Gap {
+		p.prefixes.Gap(s.index)
+	}
+	for _, ev := range e.Events {
+		if ev.Stored {
+			p.prefixes.StoreBlock(s.index, ev.Block)
+		} else {
+			p.prefixes.Evict(s.index, ev.Block)
+		}
+	}
+}
+
+// indexSet is the servers of a list as a set of the prefix index.
+func indexSet(servers []*server) uint64 {
+	var set uint64
+	for _, s := range servers {
+		if s.index >= 0 {
+			set |= 1 << s.index
+		}
+	}
+	return set
 }
--- a/pool/summary.go
+++ b/pool/summary.go
@@ -8,16 +8,24 @@
 
 // Summary tells how the pool stands.
 func (p *Pool) Summary(now time.Time) Summary {
+	p.now = now
 	sum := Summary{Pool: p.cfg.Name, Running: len(p.runs)}
+	for _, w := range p.waiting {
+		sum.Waiting[w.Enqueue.Tier]++
+	}
 	for t := request.Tier(0); t < request.MaxTiers; t++ {
-		sum.Waiting[t] = p.queue.Waiting(t)
+		sum.ExpectedWait[t] = p.expectedWait(t)
 	}
 	for _, s := range p.order {
-		if s.up() {
-			sum.Free += max(0, s.info.Slots-len(s.running))
+		n := s.info.Slots
+		if !p.plain() {
+			n = p.limit(s)
+		}
+		if p.up(s) && s != p.alone {
+			sum.Free += max(0, n-len(s.running))
 		}
 		sum.Servers = append(sum.Servers, ServerSummary{
-			Name: s.info.Name, Health: s.health, Running: len(s.running), Limit: s.info.Slots,
+			Name: s.info.Name, Health: s.health, Running: len(s.running), Limit: n, Straggler: s.straggler,
 		})
 	}
 	return sum
--- a/pool/tier/level.go
+++ b/pool/tier/level.go
@@ -88,7 +88,15 @@
 	}
 }
 
-func (f *flow[T]) idle() bool { return f.lanes[Live].early.len()+f.lanes[Late].early.len() == 0 }
+func (f *flow[T]) idle() bool { return f.len() == 0 }
+
+func (f *flow[T]) len() int {
+	n := 0
+	for c := range f.lanes {
+		n += f.lanes[c].early.len()
+	}
+	return n
+}
 
 func (n *lane[T]) init(f *flow[T]) {
 	n.flow = f
--- a/pool/tier/queue.go
+++ b/pool/tier/queue.go
@@ -20,11 +20,13 @@
 const (
 	// Live requests can still meet their target.
 	Live Class = iota
-	// Late requests cannot, or exceed their workspace's bound; they wait at
+	// Held requests can too, but wait for a certain server for a moment.
+	Held
+	// Late requests can't, or exceed their workspace's bound; they wait at
 	// the end of their tier.
 	Late
 
-	classes = 2
+	classes = 3
 )
 
 // Item is one waiting request's place. Set the exported fields before Push
@@ -75,13 +77,17 @@
 
 // WaitingCost returns the summed cost of a tier's waiting items.
 func (q *Queue[T]) WaitingCost(t request.Tier) float64 {
-	return q.levels[t].classes[Live].cost + q.levels[t].classes[Late].cost
+	sum := 0.0
+	for c := range q.levels[t].classes {
+		sum += q.levels[t].classes[c].cost
+	}
+	return sum
 }
 
 // WaitingOf returns how many items of a workspace wait in a tier.
 func (q *Queue[T]) WaitingOf(t request.Tier, workspace string) int {
 	if f := q.levels[t].flows[workspace]; f != nil {
-		return f.lanes[Live].early.len() + f.lanes[Late].early.len()
+		return f.len()
 	}
 	return 0
 }
--- a/pool/waiter.go
+++ b/pool/waiter.go
@@ -3,24 +3,35 @@
 import (
 	"time"
 
+	"github.com/lycheekeel/lycheekeel/pool/estimate"
+	"github.com/lycheekeel/lycheekeel/pool/suspect"
 	"github.com/lycheekeel/lycheekeel/pool/tier"
 	"github.com/lycheekeel/lycheekeel/request"
 )
 
+// outputWeight is how many prompt tokens cost as much as one generated token:
+// a prompt is computed many tokens a step, an answer one token a step.
+const outputWeight = 8
+
 // waiter is a request that waits for a slot.
 type waiter struct {
 	tier.Item[*waiter]
 	Enqueue
-	deadline time.Time
-}
+	mix        estimate.Mix
+	length     estimate.Length
+	firstToken time.Time // when its first token is due; zero: no target
+	deadline   time.Time
+	passed     int  // times that another went first for its prefix
+	alone      bool // a suspect: it waits in Pool.isolated
 
-const (
-	retryMin    = 500 * time.Millisecond
-	retryMax    = 30 * time.Second
-	retryJitter = 0.25 // each way
-)
+	heldFor   *server
+	heldUntil time.Time
+	heldRun   *run // computes the prefix that it waits for
+	noHold    bool
+}
 
 func (p *Pool) enqueue(e Enqueue) {
+	e.Tier = min(e.Tier, request.MaxTiers-1)
 	if r := p.granted[e.Request]; r != nil && r.entry == e.Entry {
 		// The grant was lost on the way: a connection broke. Giving the same
 		// grant again is idempotent; a second one would count one request
@@ -28,85 +39,106 @@
 		p.emit(Grant{Request: r.request, Entry: r.entry, Grant: r.id, Server: r.server.info.Name})
 		return
 	}
-	if e.DeadlineIn <= 0 {
-		p.shed(e, request.ReasonExpired)
-		return
-	}
-	if e.Tier >= request.MaxTiers {
-		e.Tier = request.MaxTiers - 1
-	}
 	if old := p.waiting[e.Request]; old != nil {
 		p.drop(old)
 	}
+	if e.DeadlineIn <= 0 {
+		p.shed(&e, request.ReasonExpired, p.expectedWait(e.Tier))
+		return
+	}
 	w := p.newWaiter(e)
 	if p.dispatchesAtOnce() {
 		p.dispatchAtOnce(w)
 		return
 	}
-	if !p.makeRoom(w) {
-		p.shed(e, request.ReasonShed)
+	if p.plain() {
+		p.admitPlain(w)
 		return
 	}
-	p.waiting[e.Request] = w
-	p.queue.Push(&w.Item)
+	p.arrivals[e.Tier].Add(p.now)
+	if e.FirstTokenIn != 0 {
+		p.targets[e.Tier] = e.FirstTokenIn + e.Waited
+	}
+	p.admit(w)
 }
 
 func (p *Pool) newWaiter(e Enqueue) *waiter {
-	w := &waiter{Enqueue: e, deadline: p.now.Add(e.DeadlineIn)}
-	w.Item.Tier, w.Item.Workspace, w.Item.Value = e.Tier, e.Workspace, w
-	w.Due = p.now.Add(e.DeadlineIn)
+	w := &waiter{
+		Enqueue:  e,
+		mix:      estimate.Mix{Workspace: e.Workspace, Template: e.Template, Model: e.Model},
+		deadline: p.now.Add(e.DeadlineIn),
+	}
 	if e.FirstTokenIn != 0 {
-		w.Due = p.now.Add(e.FirstTokenIn)
+		w.firstToken = p.now.Add(e.FirstTokenIn)
 	}
-	w.Expires = w.deadline
-	w.Cost = float64(1 + e.PromptTokens + e.MaxTokens)
-	if p.cfg.Policy == PolicyFIFO {
-		w.Item.Tier, w.Item.Workspace = 0, ""
-		w.Due = p.now.Add(-e.Waited)
+	if !p.plain() && e.MaxTokens > 0 {
+		w.length = p.lengths.Expect(w.mix, e.MaxTokens)
 	}
+	w.Item.Tier, w.Item.Workspace, w.Item.Value = e.Tier, e.Workspace, w
+	w.Expires = w.deadline
+	w.Due = p.latestStart(w)
+	w.Cost = cost(e.PromptTokens, w.length.Mean)
 	return w
 }
 
-// makeRoom evicts for w and reports whether w may wait.
-func (p *Pool) makeRoom(w *waiter) bool {
-	if p.queue.Len() < p.cfg.MaxWaiting {
-		return true
-	}
-	last := p.queue.Last()
-	if last == nil || last.Tier <= w.Item.Tier {
-		return false
-	}
-	victim := last.Value
-	p.drop(victim)
-	p.shed(victim.Enqueue, request.ReasonShed)
-	return true
+// cost is the work of a request, in prompt tokens. A call to a plain service
+// has no tokens: each counts as one.
+func cost(prompt, output int) float64 { return float64(1 + prompt + outputWeight*output) }
+
+// latestStart is when a request must have a server at the latest, on the best
+// server there is, without any cached prefix.
+func (p *Pool) latestStart(w *waiter) time.Time {
+	first, whole := p.bestTimes(w.PromptTokens, w.length.Mean)
+	due := w.deadline.Add(-whole)
+	if !w.firstToken.IsZero() {
+		if d := w.firstToken.Add(-first); d.Before(due) {
+			return d
+		}
+	}
+	return due
 }
 
+// drop takes a waiting request out.
 func (p *Pool) drop(w *waiter) {
-	p.queue.Remove(&w.Item)
+	if w.heldFor != nil {
+		p.forgetHeld(w)
+	}
+	p.queueOf(w).Remove(&w.Item)
 	delete(p.waiting, w.Request)
 }
 
+func (p *Pool) queueOf(w *waiter) *tier.Queue[*waiter] {
+	if w.isolated() {
+		return p.isolated
+	}
+	return p.queue
+}
+
 func (p *Pool) withdraw(e Withdraw) {
 	if w := p.waiting[e.Request]; w != nil && w.Entry == e.Entry {
 		p.drop(w)
+		return
+	}
+	if r := p.granted[e.Request]; r != nil && r.entry == e.Entry && r.withdrawn.IsZero() {
+		r.withdrawn = p.now
 	}
 }
 
 func (p *Pool) expire() {
 	for it := p.queue.Expired(p.now); it != nil; it = p.queue.Expired(p.now) {
 		p.drop(it.Value)
-		p.shed(it.Value.Enqueue, request.ReasonExpired)
+		p.shed(&it.Value.Enqueue, request.ReasonExpired, p.expectedWait(it.Value.Item.Tier))
+	}
+	for it := p.isolated.Expired(p.now); it != nil; it = p.isolated.Expired(p.now) {
+		p.drop(it.Value)
+		p.shed(&it.Value.Enqueue, request.ReasonSuspectBusy, suspectRetry)
 	}
 }
 
-func (p *Pool) shed(e Enqueue, reason request.Reason) {
-	p.emit(Shed{Request: e.Request, Entry: e.Entry, Reason: reason, RetryAfter: p.retryAfter(retryMin)})
-}
-
-// retryAfter bounds and jitters a wait, so that callers refused together
-// don't come back together.
-func (p *Pool) retryAfter(d time.Duration) time.Duration {
-	d = min(max(d, retryMin), retryMax)
-	return time.Duration(float64(d) * (1 - retryJitter + 2*retryJitter*p.random.Float64()))
+// verdict returns what is known of a waiting request's fingerprint.
+func (p *Pool) verdict(w *waiter) suspect.State {
+	if p.plain() {
+		return suspect.Clear
+	}
+	return p.suspects.State(p.now, w.Fingerprint)
 }
