revision: watch, gossip and pulls keep members at the newest configuration

Members took nothing from each other, so that each would have needed its own watch and a start during an outage knew nothing. Tests over the in-memory network bring about an outage at start, stale reads after it, and appointed watchers cut off.

--- /dev/null
+++ b/revision/cluster_test.go
@@ -0,0 +1,170 @@
+package revision_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	standin "github.com/lycheekeel/lycheekeel/internal/standin/platform"
+	"github.com/lycheekeel/lycheekeel/platform"
+	"github.com/lycheekeel/lycheekeel/revision"
+	"github.com/lycheekeel/lycheekeel/revision/revisiontest"
+	"github.com/lycheekeel/lycheekeel/workspace"
+	"github.com/lycheekeel/lycheekeel/workspace/workspacetest"
+)
+
+// limit ends a test that does not get there; no test is decided by it.
+const limit = 60 * time.Second
+
+// quick makes what takes seconds take milliseconds.
+var quick = revision.Timing{
+	Gossip: 50 * time.Millisecond, WatchWait: 200 * time.Millisecond, Stale: 400 * time.Millisecond,
+	Tick: 50 * time.Millisecond, Retry: 20 * time.Millisecond, MaxRetry: 100 * time.Millisecond,
+}
+
+// cluster starts members on a small configuration.
+func cluster(t *testing.T, members int) (context.Context, *revisiontest.Cluster, platform.Version) {
+	ctx, cancel := context.WithTimeout(context.Background(), limit)
+	c := revisiontest.New(revisiontest.Options{Members: members, Regions: 1, Timing: quick})
+	var newest platform.Version
+	for _, o := range (workspacetest.Fleet{Workspaces: 3, Servers: 2, Models: 1, Regions: 1, Templates: 1}).Objects() {
+		newest = create(ctx, c, o)
+	}
+	c.Start()
+	t.Cleanup(func() {
+		c.Stop()
+		cancel()
+	})
+	_, err := revisiontest.Await(ctx, newest, c.Members...)
+	So(err, ShouldBeNil)
+	return ctx, c, newest
+}
+
+func create(ctx context.Context, c *revisiontest.Cluster, o platform.Object) platform.Version {
+	v, err := c.Store.Create(ctx, o.Kind, o.Name, o.Value)
+	So(err, ShouldBeNil)
+	return v
+}
+
+// addWorkspace writes one more workspace.
+func addWorkspace(ctx context.Context, c *revisiontest.Cluster, name string) platform.Version {
+	value, _ := json.Marshal(workspacetest.Workspace(name, "template-0"))
+	return create(ctx, c, platform.Object{Kind: workspace.KindWorkspace, Name: name, Value: value})
+}
+
+func TestSpread(t *testing.T) {
+	Convey("A change is in force on all members, most of which have no watch", t, func() {
+		ctx, c, _ := cluster(t, 9)
+		for i := range 5 {
+			_, err := revisiontest.Await(ctx, addWorkspace(ctx, c, fmt.Sprintf("w-%d", i)), c.Members...)
+			So(err, ShouldBeNil)
+		}
+		for _, m := range c.Members {
+			_, ok := m.Live.Load().ByKey(workspacetest.Key("w-4"))
+			So(ok, ShouldBeTrue)
+			So(m.Syncer.Report().Hash, ShouldEqual, c.Members[0].Syncer.Report().Hash)
+			So(m.Syncer.Report().ConfirmedMs, ShouldBeGreaterThanOrEqualTo, 0)
+		}
+		So(c.Store.Calls()["list"], ShouldBeLessThanOrEqualTo, revision.WatchersPerRegion*int64(len(workspace.Kinds())))
+
+		Convey("also a deletion, and the creation after it", func() {
+			o, err := c.Store.Get(ctx, workspace.KindWorkspace, "w-0")
+			So(err, ShouldBeNil)
+			v, err := c.Store.Delete(ctx, workspace.KindWorkspace, "w-0", o.Version)
+			So(err, ShouldBeNil)
+			_, err = revisiontest.Await(ctx, v, c.Members...)
+			So(err, ShouldBeNil)
+			for _, m := range c.Members {
+				_, ok := m.Live.Load().ByKey(workspacetest.Key("w-0"))
+				So(ok, ShouldBeFalse)
+			}
+			_, err = revisiontest.Await(ctx, addWorkspace(ctx, c, "w-0"), c.Members...)
+			So(err, ShouldBeNil)
+			for _, m := range c.Members {
+				_, ok := m.Live.Load().ByKey(workspacetest.Key("w-0"))
+				So(ok, ShouldBeTrue)
+				So(m.Reverts(), ShouldEqual, 0)
+			}
+		})
+	})
+}
+
+func TestStartDuringOutage(t *testing.T) {
+	// Symptom: a daemon that was replaced while the platform's store is down
+	// refuses every caller, or serves an old configuration.
+	// Sequence: the store goes down; a member restarts and so knows nothing;
+	// the store comes back, and answers reads from before the last change.
+	// Cause: a member took its configuration from the store alone.
+	Convey("A member that starts during an outage serves its peers' newest", t, func() {
+		ctx, c, _ := cluster(t, 3)
+		v := addWorkspace(ctx, c, "late")
+		_, err := revisiontest.Await(ctx, v, c.Members...)
+		So(err, ShouldBeNil)
+		c.Store.SetFaults(standin.Faults{Down: true})
+		restarted := c.Members[0]
+		restarted.Stop()
+		restarted.Start()
+		_, err = revisiontest.Await(ctx, v, restarted)
+		So(err, ShouldBeNil)
+		_, ok := restarted.Live.Load().ByKey(workspacetest.Key("late"))
+		So(ok, ShouldBeTrue)
+
+		Convey("and stale reads after it take nothing back", func() {
+			c.Store.SetFaults(standin.Faults{StaleWrites: 1})
+			calls := c.Store.Calls()["list"]
+			restarted.Stop()
+			restarted.Start()
+			_, err := revisiontest.Await(ctx, v, restarted)
+			So(err, ShouldBeNil)
+			_, err = revisiontest.Await(ctx, addWorkspace(ctx, c, "after"), c.Members...)
+			So(err, ShouldBeNil)
+			for _, m := range c.Members {
+				So(m.Reverts(), ShouldEqual, 0)
+			}
+			So(c.Store.Calls()["list"], ShouldBeGreaterThanOrEqualTo, calls)
+		})
+	})
+}
+
+func TestWatchersCutOff(t *testing.T) {
+	// Symptom: changes are no longer in force anywhere in a region, though the
+	// platform's store works for most of its members.
+	// Sequence: both members that watch lose their way to the store.
+	// Cause: nobody else takes a watch.
+	Convey("Others take the watch when the appointed members are cut off", t, func() {
+		ctx, c, _ := cluster(t, 6)
+		watchers := revision.Watchers(c.View(), "region-0")
+		So(watchers, ShouldHaveLength, revision.WatchersPerRegion)
+		for _, m := range c.Members {
+			m.Cut.Store(slices.Contains(watchers, m.Name))
+		}
+		_, err := revisiontest.Await(ctx, addWorkspace(ctx, c, "new"), c.Members...)
+		So(err, ShouldBeNil)
+	})
+}
+
+// BenchmarkSpread measures one change at several sizes with the default
+// timing: the time until it is in force on the last member, and the bytes and
+// messages that it costs each member.
+func BenchmarkSpread(b *testing.B) {
+	for _, n := range []int{9, 50, 130, 390} {
+		b.Run(fmt.Sprintf("members=%d", n), func(b *testing.B) {
+			r, err := revisiontest.MeasureSpread(context.Background(), n, max(1, n/65), 5)
+			if err != nil {
+				b.Fatal(err)
+			}
+			b.ReportMetric(0, "ns/op")
+			b.ReportMetric(r.Slowest.Seconds(), "s-slowest")
+			b.ReportMetric(r.Mean.Seconds(), "s-mean")
+			b.ReportMetric(r.BytesPerChange, "B/change/member")
+			b.ReportMetric(r.MessagesPerChange, "msgs/change/member")
+			b.ReportMetric(r.IdleBytesPerSecond, "B/s/member-idle")
+			b.ReportMetric(r.StoreCallsPerSecond, "store-calls/s")
+		})
+	}
+}
--- a/revision/exchange.go
+++ b/revision/exchange.go
@@ -16,18 +16,24 @@
 	Kind  platform.Kind
 	Floor platform.Version
 	Hash  uint64
+	// Complete tells whether the kind was ever known whole.
+	Complete bool
 }
 
 // Digest returns the digest of each kind.
 func (s *Set) Digest() []KindDigest {
 	out := make([]KindDigest, 0, len(s.order))
 	for _, kind := range s.order {
-		k := s.kinds[kind]
-		out = append(out, KindDigest{Kind: kind, Floor: k.floor, Hash: k.hash})
+		out = append(out, s.kinds[kind].digest(kind))
 	}
 	return out
 }
 
+// digest sums up one kind.
+func (k *kindSet) digest(kind platform.Kind) KindDigest {
+	return KindDigest{Kind: kind, Floor: k.floor, Hash: k.hash, Complete: k.complete}
+}
+
 // Compare returns the kinds in which a peer's digest differs. Where a kind is
 // equal, what the peer knows to be complete is complete here too, so its
 // floor is taken over. Kinds that this member does not know are passed over.
@@ -39,6 +45,7 @@
 		}
 		if k.hash == d.Hash {
 			k.raise(d.Floor)
+			k.complete = k.complete || d.Complete
 			continue
 		}
 		differ = append(differ, d.Kind)
@@ -56,10 +63,10 @@
 	return out[:]
 }
 
-// BucketList lists the live objects of some buckets of a kind, as of a floor.
+// BucketList lists the live objects of some buckets of a kind, as of the
+// floor in the kind's digest.
 type BucketList struct {
-	Kind    platform.Kind
-	Floor   platform.Version
+	KindDigest
 	Buckets []uint32
 	Headers []Header
 }
@@ -68,9 +75,9 @@
 func (s *Set) ListDiffering(kind platform.Kind, hashes []uint64) BucketList {
 	k, ok := s.kinds[kind]
 	if !ok || len(hashes) != bucketCount {
-		return BucketList{Kind: kind}
+		return BucketList{KindDigest: KindDigest{Kind: kind}}
 	}
-	list := BucketList{Kind: kind, Floor: k.floor}
+	list := BucketList{KindDigest: k.digest(kind)}
 	differ := make(map[int]bool)
 	for i, h := range hashes {
 		if k.buckets[i] != h {
--- /dev/null
+++ b/revision/pull.go
@@ -0,0 +1,161 @@
+package revision
+
+import (
+	"context"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/lycheekeel/lycheekeel/internal/configwire"
+	"github.com/lycheekeel/lycheekeel/internal/peer"
+	"github.com/lycheekeel/lycheekeel/platform"
+)
+
+// answerPull is the handler of pulls.
+func (s *Syncer) answerPull(_ context.Context, _ peer.Name, payload []byte) ([]byte, error) {
+	m := &configwire.Pull{}
+	if err := proto.Unmarshal(payload, m); err != nil {
+		s.counters.malformed.Add(1)
+		return nil, err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if len(m.GetWanted()) == 0 {
+		return marshal(wireAnswer(s.set.ListDiffering(platform.Kind(m.GetKind()), m.GetBuckets()))), nil
+	}
+	answer := &configwire.PullAnswer{}
+	for _, r := range s.set.Records(fromWireHeaders(m.GetWanted())) {
+		answer.Records = append(answer.Records, toWireRecord(r))
+	}
+	return marshal(answer), nil
+}
+
+// call sends a pull and returns its answer.
+func (s *Syncer) call(ctx context.Context, to peer.Name, m *configwire.Pull) (*configwire.PullAnswer, bool) {
+	ctx, cancel := context.WithTimeout(ctx, s.o.Timing.Call)
+	defer cancel()
+	s.counters.pulls.Add(1)
+	payload, err := s.o.Transport.Call(ctx, to, peer.TypeConfigPull, marshal(m))
+	if err != nil {
+		s.counters.retry(err)
+		return nil, false
+	}
+	answer := &configwire.PullAnswer{}
+	if err := proto.Unmarshal(payload, answer); err != nil {
+		s.counters.malformed.Add(1)
+		return nil, false
+	}
+	return answer, true
+}
+
+// pullKind brings one kind up to a peer's knowledge, and tells the peer what
+// is known newer here. False where the peer did not answer.
+func (s *Syncer) pullKind(ctx context.Context, from peer.Name, kind platform.Kind) bool {
+	buckets, free := s.startPull(kind)
+	if !free {
+		return true
+	}
+	defer s.endPull(kind)
+	answer, ok := s.call(ctx, from, &configwire.Pull{Kind: string(kind), Buckets: buckets})
+	if !ok {
+		return false
+	}
+	list := bucketList(answer)
+	s.mu.Lock()
+	deleted, wanted, newer := s.set.ApplyBuckets(list)
+	s.learned(deleted)
+	s.mu.Unlock()
+	s.counters.fromPeers.Add(int64(len(deleted)))
+	if len(newer) > 0 {
+		s.send(from, &configwire.Digest{Changes: toWireHeaders(newer[:min(len(newer), maxWanted)])})
+	}
+	s.fetch(ctx, from, wanted)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.set.Compare([]KindDigest{list.KindDigest})
+	s.learned(nil)
+	return true
+}
+
+// startPull returns the kind's bucket hashes, unless it is being pulled.
+func (s *Syncer) startPull(kind platform.Kind) ([]uint64, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.pulling[kind] {
+		return nil, false
+	}
+	s.pulling[kind] = true
+	return s.set.Buckets(kind), true
+}
+
+func (s *Syncer) endPull(kind platform.Kind) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.pulling, kind)
+}
+
+// fetch gets records from a peer until it has no more of them.
+func (s *Syncer) fetch(ctx context.Context, from peer.Name, wanted []Header) {
+	wanted = s.startFetch(wanted)
+	defer s.endFetch(wanted)
+	for left := wanted; len(left) > 0; {
+		batch := left[:min(len(left), maxWanted)]
+		answer, ok := s.call(ctx, from, &configwire.Pull{Wanted: toWireHeaders(batch)})
+		if !ok || len(answer.GetRecords()) == 0 {
+			return
+		}
+		s.applyRecords(answer.GetRecords())
+		// The peer answers in order and passes over what it holds no more.
+		last := answer.GetRecords()[len(answer.GetRecords())-1]
+		left = left[after(batch, last):]
+	}
+}
+
+// after returns the index behind the header that a record answers; the whole
+// batch where it answers none, so that a fetch always ends.
+func after(batch []Header, r *configwire.Record) int {
+	for i, h := range batch {
+		if string(h.Kind) == r.GetKind() && h.Name == r.GetName() {
+			return i + 1
+		}
+	}
+	return len(batch)
+}
+
+// applyRecords takes in records of a peer.
+func (s *Syncer) applyRecords(records []*configwire.Record) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var changed []Header
+	for _, w := range records {
+		if r := fromWireRecord(w); s.set.Apply(r) {
+			changed = append(changed, r.header())
+		}
+	}
+	s.counters.fromPeers.Add(int64(len(changed)))
+	s.learned(changed)
+}
+
+// startFetch returns the headers that not enough peers are being asked for. A
+// second peer is asked at once, because the first may be silent.
+func (s *Syncer) startFetch(wanted []Header) []Header {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var out []Header
+	for _, h := range wanted {
+		if s.fetching[h] < maxFetches && s.set.Wants(h) {
+			s.fetching[h]++
+			out = append(out, h)
+		}
+	}
+	return out
+}
+
+func (s *Syncer) endFetch(fetched []Header) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, h := range fetched {
+		if s.fetching[h]--; s.fetching[h] <= 0 {
+			delete(s.fetching, h)
+		}
+	}
+}
--- /dev/null
+++ b/revision/report.go
@@ -0,0 +1,87 @@
+package revision
+
+import (
+	"expvar"
+	"fmt"
+	"time"
+
+	"github.com/lycheekeel/lycheekeel/internal/metrics"
+	"github.com/lycheekeel/lycheekeel/platform"
+)
+
+// InForce names the configuration that a member has in force. Members with
+// equal hashes have the same.
+type InForce struct {
+	Version platform.Version
+	Hash    uint64
+
+	changes uint64
+}
+
+// Report is what a member tells of its configuration.
+type Report struct {
+	Member  string           `json:"member"`
+	Version platform.Version `json:"version"`
+	// Hash is equal on members that have the same configuration in force;
+	// empty before there is one.
+	Hash string `json:"hash"`
+	// ConfirmedMs is how long ago the object API last confirmed it, in
+	// milliseconds; -1 for never.
+	ConfirmedMs int64 `json:"confirmed_ms"`
+	// Watching tells whether this member watches the object API itself.
+	Watching bool `json:"watching"`
+}
+
+// Report returns what this member has in force.
+func (s *Syncer) Report() Report {
+	r := Report{Member: string(s.o.Transport.Self()), ConfirmedMs: -1, Watching: s.watching.Load()}
+	if f := s.inForce.Load(); f != nil {
+		r.Version, r.Hash = f.Version, fmt.Sprintf("%016x", f.Hash)
+	}
+	if c := s.confirmedAt(); !c.IsZero() {
+		r.ConfirmedMs = s.o.Now().Sub(c).Milliseconds()
+	}
+	return r
+}
+
+// confirmedAt is when the object API last confirmed what is held.
+func (s *Syncer) confirmedAt() time.Time {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.confirmed
+}
+
+// The metric groups.
+const (
+	groupConfig  = "config"
+	groupRetries = "config_retries"
+)
+
+// counters are a Syncer's metrics.
+type counters struct {
+	registry                                              *metrics.Registry
+	published, fromStore, fromPeers, pulls, pushes        *expvar.Int
+	digestsSent, digestsDropped, malformed, watchReturned *expvar.Int
+}
+
+// newCounters makes the counters; a nil registry gets one of its own.
+func newCounters(r *metrics.Registry) counters {
+	if r == nil {
+		r = metrics.New()
+	}
+	return counters{
+		registry:       r,
+		published:      r.Counter(groupConfig, "published"),
+		fromStore:      r.Counter(groupConfig, "learned_from_store"),
+		fromPeers:      r.Counter(groupConfig, "learned_from_peers"),
+		pulls:          r.Counter(groupConfig, "pulls"),
+		pushes:         r.Counter(groupConfig, "pushes"),
+		digestsSent:    r.Counter(groupConfig, "digests_sent"),
+		digestsDropped: r.Counter(groupConfig, "digests_dropped"),
+		malformed:      r.Counter(groupConfig, "malformed"),
+		watchReturned:  r.Counter(groupConfig, "watches_returned"),
+	}
+}
+
+// retry counts an attempt that will be made again, by its reason.
+func (c counters) retry(err error) { c.registry.Counter(groupRetries, errorReason(err)).Add(1) }
--- /dev/null
+++ b/revision/revisiontest/cluster.go
@@ -0,0 +1,190 @@
+// Package revisiontest runs many configuration syncers in one process, over
+// an in-memory network with real encoding and the platform stand-in, for tests
+// and for the measuring of capacity.
+package revisiontest
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/lycheekeel/lycheekeel/internal/peer"
+	"github.com/lycheekeel/lycheekeel/internal/peer/peertest"
+	standin "github.com/lycheekeel/lycheekeel/internal/standin/platform"
+	"github.com/lycheekeel/lycheekeel/member"
+	"github.com/lycheekeel/lycheekeel/platform"
+	"github.com/lycheekeel/lycheekeel/revision"
+	"github.com/lycheekeel/lycheekeel/workspace"
+)
+
+// Options set up a Cluster.
+type Options struct {
+	Members, Regions int
+	Timing           revision.Timing
+}
+
+// Cluster is a set of members, all of which know each other.
+type Cluster struct {
+	Store   *standin.Standin
+	Network *peertest.Network
+	Members []*Member
+
+	view   member.Live
+	timing revision.Timing
+}
+
+// Member is one member of a Cluster.
+type Member struct {
+	Name string
+	// Live is the workspace snapshot in force at the member.
+	Live   *workspace.Live
+	Syncer *revision.Syncer
+	// Cut refuses the member's calls of the object API.
+	Cut atomic.Bool
+
+	cluster *Cluster
+	newest  atomic.Uint64
+	reverts atomic.Int64
+	stop    context.CancelFunc
+	done    sync.WaitGroup
+}
+
+// New returns a cluster none of whose members runs yet.
+func New(o Options) *Cluster {
+	c := &Cluster{Store: standin.New(standin.Options{}), Network: peertest.NewNetwork(), timing: o.Timing}
+	var records []member.Member
+	for i := range o.Members {
+		name := fmt.Sprintf("member-%03d", i)
+		c.Members = append(c.Members, &Member{Name: name, cluster: c})
+		records = append(records, member.Member{Name: name, Region: fmt.Sprintf("region-%d", i%max(1, o.Regions))})
+	}
+	c.view.Store(member.NewView("", records))
+	return c
+}
+
+// View returns the members' view.
+func (c *Cluster) View() *member.View { return c.view.Load() }
+
+// Start starts a member with nothing known.
+func (m *Member) Start() {
+	ctx, cancel := context.WithCancel(context.Background())
+	m.stop = cancel
+	m.Live = &workspace.Live{}
+	m.newest.Store(0)
+	configuration := revision.NewConfiguration(m.Live, nil)
+	options := configuration.Attach(revision.Options{
+		API:       &cutAPI{ObjectAPI: m.cluster.Store, cut: &m.Cut},
+		Transport: m.cluster.Network.Node(peer.Name(m.Name)),
+		View:      m.cluster.view.Load,
+		Timing:    m.cluster.timing,
+	})
+	options.Publish = func(objects []platform.Object, newest platform.Version) {
+		configuration.Publish(objects, newest)
+		if m.newest.Swap(uint64(newest)) > uint64(newest) {
+			m.reverts.Add(1)
+		}
+	}
+	m.Syncer = revision.New(options)
+	m.done.Go(func() { m.Syncer.Run(ctx) })
+}
+
+// Stop stops a member; what it knew is lost.
+func (m *Member) Stop() {
+	m.stop()
+	m.done.Wait()
+	m.cluster.Network.Crash(peer.Name(m.Name))
+}
+
+// InForce is the version in force at the member, 0 for none.
+func (m *Member) InForce() platform.Version { return platform.Version(m.newest.Load()) }
+
+// Reverts counts how often the version in force went down.
+func (m *Member) Reverts() int64 { return m.reverts.Load() }
+
+// Start starts every member.
+func (c *Cluster) Start() {
+	for _, m := range c.Members {
+		m.Start()
+	}
+}
+
+// Stop stops every member.
+func (c *Cluster) Stop() {
+	for _, m := range c.Members {
+		m.stop()
+	}
+	for _, m := range c.Members {
+		m.done.Wait()
+	}
+	c.Network.Close()
+}
+
+// pollInterval is between two looks at the members.
+const pollInterval = 2 * time.Millisecond
+
+// Await waits until a version is in force at the members and returns how long
+// that took.
+func Await(ctx context.Context, version platform.Version, members ...*Member) (time.Duration, error) {
+	start := time.Now()
+	ticker := time.NewTicker(pollInterval)
+	defer ticker.Stop()
+	for {
+		behind := 0
+		for _, m := range members {
+			if m.InForce() < version {
+				behind++
+			}
+		}
+		if behind == 0 {
+			return time.Since(start), nil
+		}
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return time.Since(start), errors.Errorf("%d of %d members are behind version %d", behind, len(members), version)
+		}
+	}
+}
+
+// Traffic sums up what the members sent since they started.
+func (c *Cluster) Traffic() peertest.Counters {
+	var sum peertest.Counters
+	for _, m := range c.Members {
+		n := c.Network.Node(peer.Name(m.Name)).Counters()
+		sum.MessagesOut += n.MessagesOut
+		sum.MessagesIn += n.MessagesIn
+		sum.BytesOut += n.BytesOut
+		sum.BytesIn += n.BytesIn
+	}
+	return sum
+}
+
+// cutAPI is an object API that can be cut off.
+type cutAPI struct {
+	platform.ObjectAPI
+	cut *atomic.Bool
+}
+
+// List implements platform.ObjectAPI.
+func (a *cutAPI) List(ctx context.Context, kind platform.Kind, prefix string) (platform.List, error) {
+	if a.cut.Load() {
+		return platform.List{}, errors.Wrap(platform.ErrUnavailable, "cut off")
+	}
+	return a.ObjectAPI.List(ctx, kind, prefix)
+}
+
+// Watch implements platform.ObjectAPI.
+func (a *cutAPI) Watch(ctx context.Context, kinds []platform.Kind, after platform.Version, wait time.Duration) ([]platform.Event, platform.Version, error) {
+	if a.cut.Load() {
+		return nil, 0, errors.Wrap(platform.ErrUnavailable, "cut off")
+	}
+	events, next, err := a.ObjectAPI.Watch(ctx, kinds, after, wait)
+	if a.cut.Load() {
+		return nil, 0, errors.Wrap(platform.ErrUnknownOutcome, "cut off")
+	}
+	return events, next, err
+}
--- /dev/null
+++ b/revision/revisiontest/measure.go
@@ -0,0 +1,128 @@
+package revisiontest
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/lycheekeel/lycheekeel/platform"
+	"github.com/lycheekeel/lycheekeel/workspace"
+	"github.com/lycheekeel/lycheekeel/workspace/workspacetest"
+)
+
+// Spread is what the spread of changes costs, by the default timing.
+type Spread struct {
+	Members, Regions, Changes int
+	// Slowest and Mean are of the times from a write's answer until the
+	// change is in force on the last member.
+	Slowest, Mean time.Duration
+	// BytesPerChange and MessagesPerChange are sent by each member for one
+	// change, idle traffic taken off.
+	BytesPerChange, MessagesPerChange float64
+	// IdleBytesPerSecond and IdleMessagesPerSecond are sent by each member
+	// while nothing changes.
+	IdleBytesPerSecond, IdleMessagesPerSecond float64
+	// StoreCallsPerSecond are all members' calls of the object API while
+	// nothing changes.
+	StoreCallsPerSecond float64
+}
+
+// idleTime is how long a cluster is watched while nothing changes.
+const idleTime = 11 * time.Second
+
+// MeasureSpread starts members in one process and measures some changes.
+func MeasureSpread(ctx context.Context, members, regions, changes int) (Spread, error) {
+	r := Spread{Members: members, Regions: regions, Changes: changes}
+	c := New(Options{Members: members, Regions: regions})
+	c.Start()
+	defer c.Stop()
+	template := workspacetest.Template("template-0", 1)
+	v, err := c.write(ctx, workspace.KindTemplate, template.Name, template)
+	if err != nil {
+		return r, err
+	}
+	if _, err := Await(ctx, v, c.Members...); err != nil {
+		return r, err
+	}
+	if err := r.idle(ctx, c); err != nil {
+		return r, err
+	}
+	return r, r.change(ctx, c)
+}
+
+// idle measures the traffic while nothing changes.
+func (r *Spread) idle(ctx context.Context, c *Cluster) error {
+	if err := pause(ctx, idleTime/5); err != nil { // until the last digests agree
+		return err
+	}
+	traffic, calls := c.Traffic(), c.storeCalls()
+	if err := pause(ctx, idleTime); err != nil {
+		return err
+	}
+	after := c.Traffic()
+	perMember := float64(r.Members) * idleTime.Seconds()
+	r.IdleBytesPerSecond = float64(after.BytesOut-traffic.BytesOut) / perMember
+	r.IdleMessagesPerSecond = float64(after.MessagesOut-traffic.MessagesOut) / perMember
+	r.StoreCallsPerSecond = float64(c.storeCalls()-calls) / idleTime.Seconds()
+	return nil
+}
+
+// change measures changes, one after the other.
+func (r *Spread) change(ctx context.Context, c *Cluster) error {
+	start, traffic := time.Now(), c.Traffic()
+	for i := range r.Changes {
+		w := workspacetest.Workspace(fmt.Sprintf("workspace-%d", i), "template-0")
+		v, err := c.write(ctx, workspace.KindWorkspace, w.Name, w)
+		if err != nil {
+			return err
+		}
+		took, err := Await(ctx, v, c.Members...)
+		if err != nil {
+			return err
+		}
+		r.Slowest = max(r.Slowest, took)
+		r.Mean += took / time.Duration(r.Changes)
+	}
+	if err := pause(ctx, time.Second); err != nil { // the last pushes
+		return err
+	}
+	after, seconds := c.Traffic(), time.Since(start).Seconds()
+	each := float64(r.Members * r.Changes)
+	idle := float64(r.Members) * seconds
+	r.BytesPerChange = (float64(after.BytesOut-traffic.BytesOut) - idle*r.IdleBytesPerSecond) / each
+	r.MessagesPerChange = (float64(after.MessagesOut-traffic.MessagesOut) - idle*r.IdleMessagesPerSecond) / each
+	return nil
+}
+
+// write creates an object.
+func (c *Cluster) write(ctx context.Context, kind platform.Kind, name string, v any) (platform.Version, error) {
+	value, err := json.Marshal(v)
+	if err != nil {
+		return 0, errors.Wrap(err, name)
+	}
+	return c.Store.Create(ctx, kind, name, value)
+}
+
+// storeCalls sums up the calls of the object API.
+func (c *Cluster) storeCalls() int64 {
+	var sum int64
+	for _, n := range c.Store.Calls() {
+		sum += n
+	}
+	return sum
+}
+
+// pause waits, or returns ctx's error.
+func pause(ctx context.Context, d time.Duration) error {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
--- a/revision/set.go
+++ b/revision/set.go
@@ -20,11 +20,15 @@
 	check func(platform.Object) bool
 	// newest is the largest version applied.
 	newest platform.Version
+	// changes counts the records put, so that a reader sees any change.
+	changes uint64
 }
 
 // kindSet is the part of a Set for one kind.
 type kindSet struct {
-	floor      platform.Version
+	floor platform.Version
+	// complete tells that the kind was known whole once, as of the floor.
+	complete   bool
 	records    map[string]*Record
 	tombstones map[string]struct{}
 	buckets    [bucketCount]uint64
@@ -56,10 +60,11 @@
 		return false // deleted since: see Set
 	}
 	if known != nil && r.Version <= known.Version {
-		return known.Version == r.Version && k.adoptGood(known, r.Good)
+		return known.Version == r.Version && s.adoptGood(k, known, r.Good)
 	}
 	s.judge(&r, known)
 	k.put(&r)
+	s.changes++
 	s.newest = max(s.newest, r.Version)
 	return true
 }
@@ -89,13 +94,14 @@
 }
 
 // adoptGood takes over a good version that a peer knows of a bad one.
-func (k *kindSet) adoptGood(known *Record, good *platform.Object) bool {
+func (s *Set) adoptGood(k *kindSet, known *Record, good *platform.Object) bool {
 	if !known.bad || good == nil || (known.Good != nil && known.Good.Version >= good.Version) {
 		return false
 	}
 	next := *known
 	next.Good = good
 	k.put(&next)
+	s.changes++
 	return true
 }
 
@@ -171,6 +177,7 @@
 		}
 	}
 	k.raise(list.Version)
+	k.complete = true
 	return changed
 }
 
@@ -206,7 +213,7 @@
 }
 
 // Floor is the version up to which every change of every kind is known: where
-// a watch continues. Zero where a kind has not been listed yet.
+// a watch continues, once Complete.
 func (s *Set) Floor() platform.Version {
 	floor := s.kinds[s.order[0]].floor
 	for _, k := range s.kinds {
@@ -215,6 +222,20 @@
 	return floor
 }
 
+// Complete tells whether every kind was known whole once. Before, an object
+// that is not held may only not have been heard of yet.
+func (s *Set) Complete() bool {
+	for _, k := range s.kinds {
+		if !k.complete {
+			return false
+		}
+	}
+	return true
+}
+
+// Changes counts what was applied so far: it grows with every change.
+func (s *Set) Changes() uint64 { return s.changes }
+
 // Newest is the largest version that was applied.
 func (s *Set) Newest() platform.Version { return s.newest }
 
--- /dev/null
+++ b/revision/watch.go
@@ -0,0 +1,192 @@
+package revision
+
+import (
+	"context"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/cenkalti/backoff/v5"
+	"github.com/cespare/xxhash/v2"
+	"github.com/pkg/errors"
+
+	"github.com/lycheekeel/lycheekeel/member"
+	"github.com/lycheekeel/lycheekeel/platform"
+)
+
+// WatchersPerRegion is how many members of a region watch the object API. Two,
+// so that one that dies or is cut off from it costs no time.
+const WatchersPerRegion = 2
+
+// watcherKey is what members are ranked by for the watches.
+const watcherKey = "config-watch\x00"
+
+// Watchers returns the members that are to watch in a region: those of the
+// highest rendezvous rank among its live members, so that a change of one
+// member moves at most its own watch.
+func Watchers(view *member.View, region string) []string {
+	var names []string
+	for _, m := range view.Members {
+		if m.Region == region && (m.State == member.Alive || m.State == member.Suspect) {
+			names = append(names, m.Name)
+		}
+	}
+	rank := func(name string) uint64 { return xxhash.Sum64String(watcherKey + name) }
+	slices.SortFunc(names, func(a, b string) int {
+		if ra, rb := rank(a), rank(b); ra != rb {
+			if ra > rb {
+				return -1
+			}
+			return 1
+		}
+		return 0
+	})
+	return names[:min(len(names), WatchersPerRegion)]
+}
+
+// watch keeps a watch while it is this member's turn.
+func (s *Syncer) watch(ctx context.Context) {
+	delays := backoff.NewExponentialBackOff()
+	delays.InitialInterval, delays.MaxInterval = s.o.Timing.Retry, s.o.Timing.MaxRetry
+	for ctx.Err() == nil {
+		appointed := s.appointed()
+		if !appointed && !s.volunteers() {
+			s.watching.Store(false)
+			sleep(ctx, jitter(s.o.Timing.Tick))
+			continue
+		}
+		err := s.watchOnce(ctx)
+		s.watching.Store(err == nil)
+		s.volunteered(!appointed && err == nil)
+		switch {
+		case err == nil:
+			delays.Reset()
+		case ctx.Err() != nil:
+			return
+		case appointed:
+			s.failed(err)
+			sleep(ctx, delays.NextBackOff())
+		default:
+			s.failed(err)
+			sleep(ctx, jitter(s.o.Timing.Tick))
+		}
+	}
+}
+
+// failed counts a failed attempt at the object API.
+func (s *Syncer) failed(err error) {
+	s.counters.retry(err)
+	s.log.Debugf("object API: %v", err)
+}
+
+// appointed tells whether this member is one of its region's watchers. One
+// that is not in its own view knows nobody yet and watches.
+func (s *Syncer) appointed() bool {
+	view := s.o.View()
+	self := string(s.o.Transport.Self())
+	me, ok := view.Get(self)
+	return !ok || slices.Contains(Watchers(view, me.Region), self)
+}
+
+// volunteers tells whether this member watches although it is not appointed.
+//
+// What goes wrong: the appointed watchers of a region may be cut off from the
+// object API while others are not. One sees the age of the configuration grow
+// on every member. Past Timing.Stale each member tries with a chance that
+// makes two attempts a tick and region, so that in an outage of the object API
+// the attempts do not grow with the fleet; one that succeeds goes on a while.
+func (s *Syncer) volunteers() bool {
+	s.mu.Lock()
+	seen, until := s.watchSeen, s.volunteerUntil
+	s.mu.Unlock()
+	now := s.o.Now()
+	if now.Before(until) {
+		return true
+	}
+	if now.Sub(seen) < s.o.Timing.Stale {
+		return false
+	}
+	view := s.o.View()
+	me, _ := view.Get(string(s.o.Transport.Self()))
+	region := 0
+	for _, m := range view.Members {
+		if m.Region == me.Region && m.State != member.Dead {
+			region++
+		}
+	}
+	return rand.IntN(max(1, region)) < WatchersPerRegion
+}
+
+// volunteered starts or ends this member's time as a volunteer.
+func (s *Syncer) volunteered(works bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.o.Now()
+	switch {
+	case !works:
+		s.volunteerUntil = time.Time{}
+	case now.After(s.volunteerUntil):
+		s.volunteerUntil = now.Add(s.o.Timing.Volunteer)
+	}
+}
+
+// watchOnce makes one watch call, or lists where the watch can't continue.
+func (s *Syncer) watchOnce(ctx context.Context) error {
+	s.mu.Lock()
+	complete, after := s.set.Complete(), s.set.Floor()
+	s.mu.Unlock()
+	if !complete {
+		return s.list(ctx)
+	}
+	ctx, cancel := context.WithTimeout(ctx, s.o.Timing.WatchWait+s.o.Timing.Call)
+	defer cancel()
+	events, next, err := s.o.API.Watch(ctx, s.o.Kinds, after, s.o.Timing.WatchWait)
+	if errors.Is(err, platform.ErrCompacted) {
+		s.counters.retry(err)
+		return s.list(ctx)
+	}
+	if err != nil {
+		return errors.Wrap(err, "watch")
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	changed := s.set.ApplyEvents(events, after, next)
+	s.counters.watchReturned.Add(1)
+	s.fromStore(changed)
+	return nil
+}
+
+// list reads every kind anew.
+func (s *Syncer) list(ctx context.Context) error {
+	for _, kind := range s.o.Kinds {
+		if err := s.listKind(ctx, kind); err != nil {
+			return errors.Wrapf(err, "list %s", kind)
+		}
+	}
+	return nil
+}
+
+// listKind reads one kind anew.
+func (s *Syncer) listKind(ctx context.Context, kind platform.Kind) error {
+	ctx, cancel := context.WithTimeout(ctx, s.o.Timing.WatchWait)
+	defer cancel()
+	list, err := s.o.API.List(ctx, kind, "")
+	if err != nil {
+		return err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.fromStore(s.set.ApplyList(kind, list))
+	return nil
+}
+
+// fromStore notes that the object API answered. Call it with mu held.
+func (s *Syncer) fromStore(changed []Header) {
+	now := s.o.Now()
+	s.watchSeen = now
+	if s.set.Complete() {
+		s.confirmed = now
+	}
+	s.counters.fromStore.Add(int64(len(changed)))
+	s.learned(changed)
+}
--- /dev/null
+++ b/revision/wire.go
@@ -0,0 +1,121 @@
+package revision
+
+import (
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/lycheekeel/lycheekeel/internal/configwire"
+	"github.com/lycheekeel/lycheekeel/platform"
+)
+
+// marshal encodes a message; the messages here always can be.
+func marshal(m proto.Message) []byte {
+	b, err := proto.Marshal(m)
+	if err != nil {
+		panic(err) // only a required field that is missing or invalid UTF-8
+	}
+	return b
+}
+
+func toWireHeader(h Header) *configwire.Header {
+	return &configwire.Header{Kind: string(h.Kind), Name: h.Name, Version: uint64(h.Version), Deleted: h.Deleted}
+}
+
+func toWireHeaders(headers []Header) []*configwire.Header {
+	out := make([]*configwire.Header, len(headers))
+	for i, h := range headers {
+		out[i] = toWireHeader(h)
+	}
+	return out
+}
+
+func fromWireHeaders(headers []*configwire.Header) []Header {
+	out := make([]Header, len(headers))
+	for i, h := range headers {
+		out[i] = Header{
+			Kind: platform.Kind(h.GetKind()), Name: h.GetName(),
+			Version: platform.Version(h.GetVersion()), Deleted: h.GetDeleted(),
+		}
+	}
+	return out
+}
+
+func toWireDigest(d KindDigest) *configwire.KindDigest {
+	return &configwire.KindDigest{Kind: string(d.Kind), Floor: uint64(d.Floor), Hash: d.Hash, Complete: d.Complete}
+}
+
+func fromWireDigest(d *configwire.KindDigest) KindDigest {
+	return KindDigest{
+		Kind: platform.Kind(d.GetKind()), Floor: platform.Version(d.GetFloor()),
+		Hash: d.GetHash(), Complete: d.GetComplete(),
+	}
+}
+
+func toWireRecord(r *Record) *configwire.Record {
+	w := &configwire.Record{
+		Kind: string(r.Kind), Name: r.Name, Version: uint64(r.Version), Created: uint64(r.Created),
+		Deleted: r.Deleted, Value: r.Value,
+	}
+	if r.Good != nil {
+		w.Good = &configwire.Good{
+			Version: uint64(r.Good.Version), Created: uint64(r.Good.Created), Value: r.Good.Value,
+		}
+	}
+	return w
+}
+
+func fromWireRecord(w *configwire.Record) Record {
+	r := Record{
+		Object: platform.Object{
+			Kind: platform.Kind(w.GetKind()), Name: w.GetName(),
+			Version: platform.Version(w.GetVersion()), Created: platform.Version(w.GetCreated()), Value: w.GetValue(),
+		},
+		Deleted: w.GetDeleted(),
+	}
+	if g := w.GetGood(); g != nil {
+		r.Good = &platform.Object{
+			Kind: r.Kind, Name: r.Name, Value: g.GetValue(),
+			Version: platform.Version(g.GetVersion()), Created: platform.Version(g.GetCreated()),
+		}
+	}
+	return r
+}
+
+// wireAnswer encodes a bucket list.
+func wireAnswer(list BucketList) *configwire.PullAnswer {
+	answer := &configwire.PullAnswer{Digest: toWireDigest(list.KindDigest), Buckets: list.Buckets}
+	for _, h := range list.Headers {
+		h.Kind = "" // the digest names it once for all
+		answer.Headers = append(answer.Headers, toWireHeader(h))
+	}
+	return answer
+}
+
+// bucketList decodes a bucket list.
+func bucketList(answer *configwire.PullAnswer) BucketList {
+	return BucketList{
+		KindDigest: fromWireDigest(answer.GetDigest()),
+		Buckets:    answer.GetBuckets(),
+		Headers:    fromWireHeaders(answer.GetHeaders()),
+	}
+}
+
+// age encodes how long ago a time was; nil for never.
+func age(now, t time.Time) *uint64 {
+	if t.IsZero() {
+		return nil
+	}
+	return proto.Uint64(uint64(max(0, now.Sub(t).Milliseconds())))
+}
+
+// maxAge bounds an age that a peer tells.
+const maxAge = 1000 * time.Hour
+
+// fromAge decodes an age into a time; zero for never.
+func fromAge(now time.Time, ms *uint64) time.Time {
+	if ms == nil || *ms > uint64(maxAge.Milliseconds()) {
+		return time.Time{}
+	}
+	return now.Add(-time.Duration(*ms) * time.Millisecond)
+}
