entry: callers' HTTP front, dispatch, streams with resume

First whole path from a caller to an engine: OpenAI calls plain and streamed, plain services, typed refusals with their counters, body memory by tier, claims before non-idempotent dispatches, resume of broken streams, and a watch that notices a caller's leaving. The dispatch right is taken when the connection is up, directly before the first byte.

--- /dev/null
+++ b/internal/entry/answer.go
@@ -0,0 +1,207 @@
+package entry
+
+import (
+	"context"
+	"io"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/lycheekeel/lycheekeel/broker"
+	"github.com/lycheekeel/lycheekeel/engine"
+	"github.com/lycheekeel/lycheekeel/pool"
+	"github.com/lycheekeel/lycheekeel/request"
+	"github.com/lycheekeel/lycheekeel/workspace"
+)
+
+// answer reads one run's chunks, resumes its stream where it breaks, and
+// checks that the answer is whole: offsets contiguous, end seen. One goroutine
+// uses it.
+type answer struct {
+	x      *exchange
+	grant  broker.Grant
+	engine engine.Engine
+	stream engine.Stream // nil: to be resumed
+	figures
+
+	next       int  // offset of the next chunk
+	ended      bool // the End chunk was seen
+	opened     bool // the engine is known to have had the run
+	lastChunk  time.Time
+	reported   time.Time
+	reportedAt int // tokens at the last report
+}
+
+// errNotWhole: the stream is not what the run's next chunk must be.
+var errNotWhole = errors.New("chunk out of order")
+
+// errNothingLeft: the dispatch right was taken, but no byte was written.
+var errNothingLeft = errors.New("connection lost before the first byte")
+
+// run dispatches a model request and returns its answer, whose close must be
+// called.
+func (x *exchange) run(ctx context.Context, r engine.Run) (*answer, error) {
+	a := &answer{x: x}
+	grant, err := x.dispatch(a.send(ctx, r))
+	if grant == nil {
+		x.settleClaim(request.NotRunTrue, nil)
+		return nil, err
+	}
+	a.grant = grant
+	a.promptTokens = r.PromptTokens
+	a.lastChunk = time.Now()
+	switch {
+	case err == nil:
+		a.opened = true
+		return a, nil
+	case errors.Is(err, engine.ErrBroken), errors.Is(err, engine.ErrCrossed):
+		x.entry.counters.resumes[causeOf(err)].Add(1)
+		return a, nil // resumed by the first Next
+	case errors.Is(err, engine.ErrNotSent):
+		return nil, a.fail(errNothingLeft)
+	default:
+		return nil, a.fail(err)
+	}
+}
+
+// send returns the sender of a run.
+func (a *answer) send(ctx context.Context, r engine.Run) sender {
+	return func(s workspace.BackendServer, sending func() error) error {
+		a.engine = a.x.entry.deps.Engines.Engine(s.Address)
+		r.Sending = func() error {
+			a.sent = time.Now()
+			return sending()
+		}
+		var err error
+		a.stream, err = a.engine.Run(ctx, r)
+		return err
+	}
+}
+
+// Next returns the next chunk, and io.EOF after the last. Any other error is
+// a refusal; the answer is closed then.
+func (a *answer) Next(ctx context.Context) (engine.Chunk, error) {
+	if a.ended {
+		return engine.Chunk{}, io.EOF
+	}
+	for {
+		if err := a.ensureStream(ctx); err != nil {
+			return engine.Chunk{}, a.fail(err)
+		}
+		c, err := a.stream.Next(ctx)
+		if err == nil {
+			err = a.take(c)
+		}
+		if err == nil {
+			return c, nil
+		}
+		if !a.resumable(ctx, err) {
+			return engine.Chunk{}, a.fail(err)
+		}
+		a.dropStream()
+		a.x.entry.counters.resumes[causeOf(err)].Add(1)
+		a.x.log.WithError(err).WithField("offset", a.next).Info("stream broke, resuming")
+	}
+}
+
+// take checks that a chunk is the next one and counts it.
+func (a *answer) take(c engine.Chunk) error {
+	if c.Offset != a.next {
+		return errors.Wrapf(errNotWhole, "offset %d, want %d", c.Offset, a.next)
+	}
+	now := time.Now()
+	a.opened = true
+	a.lastChunk = now
+	a.next += c.Tokens
+	a.tokens = a.next
+	if a.first.IsZero() && (c.Tokens > 0 || c.End) {
+		a.first = now
+	}
+	if c.End {
+		a.ended = true
+		a.promptTokens = c.PromptTokens
+		a.prefillComputed = c.PrefillComputed
+		return nil
+	}
+	a.progress(now)
+	return nil
+}
+
+// progress reports at the first token and then at intervals.
+func (a *answer) progress(now time.Time) {
+	if a.first.IsZero() || now.Sub(a.reported) < a.x.entry.limits.ProgressEvery {
+		return
+	}
+	var perToken time.Duration
+	if n := a.tokens - a.reportedAt; !a.reported.IsZero() && n > 0 {
+		perToken = now.Sub(a.reported) / time.Duration(n)
+	}
+	a.grant.Progress(a.firstToken(), a.tokens, perToken)
+	a.reported, a.reportedAt = now, a.tokens
+}
+
+// resumable tells whether the rest of the answer may still come.
+func (a *answer) resumable(ctx context.Context, err error) bool {
+	if ctx.Err() != nil || a.givenUp() {
+		return false
+	}
+	return errors.Is(err, engine.ErrBroken) || errors.Is(err, engine.ErrCrossed) ||
+		errors.Is(err, errNotWhole) || errors.Is(err, io.EOF)
+}
+
+// givenUp tells whether the stream stayed without a new chunk for too long.
+func (a *answer) givenUp() bool {
+	return time.Since(a.lastChunk) > a.x.entry.limits.ResumeWindow
+}
+
+func causeOf(err error) resumeCause {
+	switch {
+	case errors.Is(err, engine.ErrCrossed):
+		return resumeCrossed
+	case errors.Is(err, errNotWhole):
+		return resumeGap
+	default:
+		return resumeBroken
+	}
+}
+
+func (a *answer) dropStream() {
+	if a.stream != nil {
+		_ = a.stream.Close()
+		a.stream = nil
+	}
+}
+
+// finish ends a whole answer that was handed to the caller.
+func (a *answer) finish() {
+	now := time.Now()
+	a.dropStream()
+	a.x.entry.counters.prefill.Add(int64(a.prefillComputed))
+	a.x.entry.counters.ended(a.x.spec, a.figures, now)
+	a.grant.Release(a.end(pool.OutcomeDone, now))
+}
+
+// fail ends the run without a whole answer and returns the refusal.
+func (a *answer) fail(err error) error {
+	a.dropStream()
+	r, outcome := a.refusal(err)
+	end := a.end(outcome, time.Now())
+	if outcome == pool.OutcomeCanceled || outcome == pool.OutcomeBroken {
+		a.cancelRun()
+	}
+	if r.NotRun != request.NotRunTrue {
+		a.x.entry.counters.prefillWaste.Add(int64(a.wastedPrefill()))
+	}
+	a.grant.Release(end)
+	a.x.settleClaim(r.NotRun, nil)
+	return r
+}
+
+// wastedPrefill estimates the prompt tokens that were computed for nothing:
+// what the engine reported, else the whole prompt.
+func (a *answer) wastedPrefill() int {
+	if a.prefillComputed > 0 {
+		return a.prefillComputed
+	}
+	return a.promptTokens
+}
--- /dev/null
+++ b/internal/entry/body.go
@@ -0,0 +1,105 @@
+package entry
+
+import (
+	"io"
+	"os"
+
+	"github.com/pkg/errors"
+	"github.com/valyala/fasthttp"
+
+	"github.com/lycheekeel/lycheekeel/request"
+)
+
+// firstBodyBytes is the first size of a body's buffer. It grows as bytes
+// arrive, so that a caller that announces a long body and sends nothing holds
+// little memory.
+const firstBodyBytes = 4 << 10
+
+// readBody reads the request's body into a buffer of its own, within limit
+// and the budget. The HTTP server reuses its buffers, so none of them is kept.
+func readBody(ctx *fasthttp.RequestCtx, limit int, res *reservation) ([]byte, error) {
+	announced := ctx.Request.Header.ContentLength()
+	if announced > limit {
+		return nil, tooLarge(limit)
+	}
+	stream := ctx.RequestBodyStream()
+	if stream == nil || announced == 0 {
+		return nil, nil
+	}
+	body, err := readAll(stream, announced, limit, res)
+	if err != nil {
+		return nil, err
+	}
+	if announced >= 0 && len(body) != announced {
+		return nil, request.Refuse(request.ReasonBadRequest, "the body ended after %d of %d bytes", len(body), announced)
+	}
+	return body, nil
+}
+
+func readAll(stream io.Reader, announced, limit int, res *reservation) ([]byte, error) {
+	size := firstBodyBytes
+	if announced > 0 {
+		size = min(size, announced)
+	}
+	if !res.resize(int64(size)) {
+		return nil, noMemory()
+	}
+	body := make([]byte, 0, size)
+	for {
+		n, err := stream.Read(body[len(body):cap(body)])
+		body = body[:len(body)+n]
+		if errors.Is(err, io.EOF) {
+			return body, nil
+		}
+		if err != nil {
+			return nil, readRefusal(err, res)
+		}
+		if len(body) > limit {
+			return nil, tooLarge(limit)
+		}
+		if len(body) == cap(body) {
+			if body, err = grow(body, announced, limit, res); err != nil {
+				return nil, err
+			}
+		}
+	}
+}
+
+// grow doubles the buffer, up to what was announced or one byte over limit.
+func grow(body []byte, announced, limit int, res *reservation) ([]byte, error) {
+	most := limit + 1
+	if announced > 0 {
+		most = announced + 1 // room for the read that finds the end
+	}
+	size := min(2*cap(body), most)
+	if size <= cap(body) {
+		size = cap(body) + 1
+	}
+	if !res.resize(int64(size)) {
+		return nil, noMemory()
+	}
+	bigger := make([]byte, len(body), size)
+	copy(bigger, body)
+	return bigger, nil
+}
+
+func readRefusal(err error, res *reservation) error {
+	switch {
+	case res.wasEvicted():
+		return noMemory()
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return request.Refuse(request.ReasonReadTimeout, "the body was not read in time; send it faster")
+	case errors.Is(err, io.ErrUnexpectedEOF):
+		return request.Refuse(request.ReasonCallerGone, "the connection ended within the body")
+	default:
+		return request.Refuse(request.ReasonBadRequest, "malformed body: %v", err)
+	}
+}
+
+func tooLarge(limit int) error {
+	return request.Refuse(request.ReasonBodyTooLarge, "the body is over %d bytes", limit)
+}
+
+func noMemory() *request.Refusal {
+	return request.Refuse(request.ReasonEntryMemory, "no memory for more waiting requests of this tier")
+}
--- /dev/null
+++ b/internal/entry/claims.go
@@ -0,0 +1,125 @@
+package entry
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/binary"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/lycheekeel/lycheekeel/broker"
+	"github.com/lycheekeel/lycheekeel/claim"
+	"github.com/lycheekeel/lycheekeel/request"
+)
+
+// replay ends a request with the stored answer of its first run. It is an
+// error so that it takes the way of everything that ends a request early.
+type replay struct{ outcome claim.Outcome }
+
+// Error implements error.
+func (r *replay) Error() string { return "answered by the stored answer of the first run" }
+
+// claimHash identifies a call's content: its parts with their lengths, so
+// that no two different calls have one hash.
+func claimHash(parts ...[]byte) claim.Hash {
+	h := sha256.New()
+	var length [8]byte
+	for _, p := range parts {
+		binary.LittleEndian.PutUint64(length[:], uint64(len(p)))
+		_, _ = h.Write(length[:])
+		_, _ = h.Write(p)
+	}
+	return claim.Hash(h.Sum(nil))
+}
+
+type claimResult struct {
+	claim claim.Claim
+	err   error
+}
+
+// claim makes the request's claim while it has a slot. kept is false where
+// the store took too long and the slot was returned: the claim is held then,
+// and the request must get another slot.
+//
+// What goes wrong without the return: while the store is slow, every slot of
+// every server is held by requests that wait for claims, and nothing else
+// runs. One would notice idle engines with full queues.
+func (x *exchange) claim(ctx context.Context, grant broker.Grant) (kept bool, err error) {
+	if x.held != nil {
+		return true, nil
+	}
+	results := make(chan claimResult, 1)
+	go func() {
+		key := claim.Key{Workspace: x.spec.Workspace, IdempotencyKey: x.spec.IdempotencyKey}
+		c, err := x.entry.deps.Ledger.Claim(ctx, key, x.claimSum, x.id)
+		results <- claimResult{c, err}
+	}()
+	patience := time.NewTimer(x.entry.limits.ClaimPatience)
+	defer patience.Stop()
+	select {
+	case r := <-results:
+		return true, x.claimed(ctx, r)
+	case <-patience.C:
+	}
+	if err := x.life.Advance(request.Granted, request.Queued); err != nil {
+		return false, err
+	}
+	grant.Return()
+	return false, x.claimed(ctx, <-results)
+}
+
+// claimed takes over a claim, or returns why there is none.
+func (x *exchange) claimed(ctx context.Context, r claimResult) error {
+	var existing *claim.ExistingError
+	switch {
+	case r.err == nil:
+		x.held = r.claim
+		return nil
+	case errors.As(r.err, &existing):
+		return existingRefusal(existing.Outcome)
+	case errors.Is(r.err, claim.ErrConflict):
+		return request.Refuse(request.ReasonClaimConflict, "this %s was used with other content", headerIdempotencyKey)
+	case errors.Is(context.Cause(ctx), errCallerGone):
+		return cause(ctx)
+	case errors.Is(r.err, claim.ErrStoreUnavailable), ctx.Err() != nil:
+		return request.Refuse(request.ReasonStoreUnavailable, "the claim could not be recorded in time")
+	default:
+		return errors.Wrap(r.err, "claim")
+	}
+}
+
+// existingRefusal ends a resend by what is known of the first run.
+func existingRefusal(o claim.Outcome) error {
+	switch {
+	case o.State == claim.Ran && o.Answer != nil:
+		return &replay{o}
+	case o.State == claim.Ran:
+		return &request.Refusal{Reason: request.ReasonClaimRan, NotRun: request.NotRunFalse,
+			Message: "this request ran before; its answer is not kept"}
+	case o.State == claim.Claimed:
+		return &request.Refusal{Reason: request.ReasonClaimInProgress, NotRun: request.RanUnknown,
+			Message: "this request was claimed before and is not known to have ended"}
+	default:
+		return &request.Refusal{Reason: request.ReasonClaimUnknown, NotRun: request.RanUnknown,
+			Message: "this request was claimed before; whether it ran is unknown, so it is not run again"}
+	}
+}
+
+// settleClaim records how a claimed request ended. notRun must be NotRunTrue
+// only where that is certain.
+func (x *exchange) settleClaim(notRun request.NotRun, answer *claim.Outcome) {
+	if x.held == nil {
+		return
+	}
+	held := x.held
+	x.held = nil
+	switch {
+	case answer != nil:
+		held.Finish(*answer)
+	case notRun == request.NotRunTrue:
+		held.GiveBack()
+	default:
+		held.Finish(claim.Outcome{State: claim.Unknown})
+	}
+}
--- /dev/null
+++ b/internal/entry/dispatch.go
@@ -0,0 +1,150 @@
+package entry
+
+import (
+	"context"
+	"time"
+
+	"github.com/cenkalti/backoff/v5"
+	"github.com/pkg/errors"
+
+	"github.com/lycheekeel/lycheekeel/broker"
+	"github.com/lycheekeel/lycheekeel/engine"
+	"github.com/lycheekeel/lycheekeel/pool"
+	"github.com/lycheekeel/lycheekeel/request"
+	"github.com/lycheekeel/lycheekeel/workspace"
+)
+
+// maxConnects bounds how many servers a request tries to connect to. More
+// failures than that are no single server's fault.
+const maxConnects = 8
+
+// Pauses between two connects of one request.
+const (
+	firstConnectPause = 10 * time.Millisecond
+	maxConnectPause   = 500 * time.Millisecond
+)
+
+// sender sends the request to a backend server. It calls sending when the
+// connection is up, directly before the first byte.
+type sender func(s workspace.BackendServer, sending func() error) error
+
+// errNoLongerWanted: the request expired or was evicted before its first byte
+// was to leave.
+var errNoLongerWanted = errors.New("request no longer wanted")
+
+// dispatch brings the request to a backend server: it waits for a slot, makes
+// the claim where one is needed, and sends. It returns the grant wherever
+// bytes may have left, with the sender's error. Without a grant, the error is
+// a refusal of a request that did not run.
+//
+// The dispatch right is taken by the sending callback, when the connection is
+// up. So a failed connect leaves the right untaken, and the request goes back
+// to the queue, to another server.
+func (x *exchange) dispatch(send sender) (broker.Grant, error) {
+	ctx, stop := x.waitContext()
+	defer stop()
+	if err := x.life.Advance(request.Received, request.Queued); err != nil {
+		return nil, err
+	}
+	x.entry.counters.waiting.Add(1)
+	defer x.entry.counters.waiting.Add(-1)
+	pause := newBackOff(firstConnectPause, maxConnectPause)
+	for range maxConnects {
+		grant, err := x.acquire(ctx)
+		if err != nil {
+			return nil, err
+		}
+		err = send(grant.Server(), func() error { return x.takeDispatchRight(ctx) })
+		if x.life.State() == request.Dispatched {
+			x.body.release()
+			return grant, err
+		}
+		if err := x.requeue(ctx, grant, err); err != nil {
+			return nil, err
+		}
+		sleep(ctx, pause.NextBackOff())
+	}
+	return nil, request.Refuse(request.ReasonEngineUnreachable, "no server could be connected to")
+}
+
+// takeDispatchRight takes the one dispatch right, unless the request expired,
+// its caller left, or it was evicted meanwhile.
+func (x *exchange) takeDispatchRight(ctx context.Context) error {
+	if ctx.Err() != nil || !x.body.pin() {
+		return errNoLongerWanted
+	}
+	return x.life.TakeDispatchRight()
+}
+
+// requeue gives back the slot of a request that was not sent.
+func (x *exchange) requeue(ctx context.Context, grant broker.Grant, err error) error {
+	if ctx.Err() != nil || errors.Is(err, errNoLongerWanted) {
+		grant.Return()
+		return cause(ctx)
+	}
+	x.entry.counters.connectFailed.Add(1)
+	x.log.WithError(err).WithField("server", grant.Server().Name).Info("connect failed, waiting for another server")
+	grant.Release(broker.End{Outcome: pool.OutcomeNotSent})
+	x.body.unpin()
+	state := x.life.State()
+	if !errors.Is(err, engine.ErrNotSent) {
+		return errors.Wrapf(err, "send in state %s", state)
+	}
+	return x.life.Advance(state, request.Queued)
+}
+
+// acquire waits for a slot and, where the request needs one, for its claim.
+func (x *exchange) acquire(ctx context.Context) (broker.Grant, error) {
+	for {
+		grant, err := x.entry.deps.Broker.Acquire(ctx, x.demand)
+		if err != nil {
+			return nil, x.waitError(ctx, err)
+		}
+		if err := x.life.Advance(request.Queued, request.Granted); err != nil {
+			grant.Return()
+			return nil, err
+		}
+		if x.spec.Idempotent {
+			return grant, nil
+		}
+		kept, err := x.claim(ctx, grant)
+		if err != nil {
+			grant.Return()
+			return nil, err
+		}
+		if kept {
+			return grant, x.life.Advance(request.Granted, request.Claimed)
+		}
+	}
+}
+
+// waitError returns why waiting ended.
+func (x *exchange) waitError(ctx context.Context, err error) error {
+	var r *request.Refusal
+	if errors.As(err, &r) {
+		return r
+	}
+	if ctx.Err() != nil {
+		return cause(ctx)
+	}
+	return errors.Wrap(err, "acquire a slot")
+}
+
+// newBackOff returns exponential pauses with jitter.
+func newBackOff(first, longest time.Duration) *backoff.ExponentialBackOff {
+	b := backoff.NewExponentialBackOff()
+	b.InitialInterval = first
+	b.MaxInterval = longest
+	b.Reset()
+	return b
+}
+
+// sleep waits for d or until ctx ends.
+func sleep(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-ctx.Done():
+	}
+}
--- /dev/null
+++ b/internal/entry/exchange.go
@@ -0,0 +1,140 @@
+package entry
+
+import (
+	"context"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"github.com/valyala/fasthttp"
+
+	"github.com/lycheekeel/lycheekeel/broker"
+	"github.com/lycheekeel/lycheekeel/claim"
+	"github.com/lycheekeel/lycheekeel/internal/logs"
+	"github.com/lycheekeel/lycheekeel/request"
+	"github.com/lycheekeel/lycheekeel/workspace"
+)
+
+// exchange is one caller's request from its first byte to the last of its
+// answer. One goroutine at a time works on it.
+type exchange struct {
+	entry    *Entry
+	id       request.ID
+	received time.Time
+	header   callerHeader
+	snapshot *workspace.Snapshot
+	space    *workspace.Resolved
+	spec     *request.Spec
+	life     request.Life
+	body     *reservation
+	held     claim.Claim // nil: none
+	claimSum claim.Hash
+	demand   broker.Demand
+	log      *logrus.Entry
+
+	// ctx ends when the caller leaves, or the request is evicted.
+	ctx    context.Context
+	cancel context.CancelCauseFunc
+	watch  *callerWatch
+}
+
+// begin makes the exchange of a request whose header was read: it takes the
+// snapshot and finds the workspace.
+func (e *Entry) begin(ctx *fasthttp.RequestCtx) (*exchange, error) {
+	e.counters.received.Add(1)
+	x := &exchange{entry: e, id: request.NewID(), received: time.Now(), header: readHeader(ctx)}
+	x.log = logs.WithRequest(e.log, string(x.id))
+	x.snapshot = e.deps.Config.Load()
+	if x.snapshot == nil {
+		return x, request.Refuse(request.ReasonNoConfiguration, "no configuration is in force yet")
+	}
+	space, ok := x.snapshot.ByKey(x.header.bearer)
+	if !ok {
+		return x, request.Refuse(request.ReasonUnauthorized, "unknown key; send Authorization: Bearer KEY")
+	}
+	x.space = space
+	x.ctx, x.cancel = context.WithCancelCause(context.Background())
+	return x, nil
+}
+
+// readBody reads the body within the memory budget. The tier is that of the
+// header, else the template's default: the body itself may name another.
+func (x *exchange) readBody(ctx *fasthttp.RequestCtx) ([]byte, error) {
+	tier, err := x.header.pickTier(x.space, x.space.DefaultTier)
+	if err != nil {
+		return nil, err
+	}
+	conn := ctx.Conn()
+	x.body = x.entry.bodies.join(tier.Tier, func() {
+		x.cancel(noMemory())
+		_ = conn.SetReadDeadline(time.Unix(1, 0)) // ends a read under way
+	})
+	limit := min(x.space.MaxBodyBytes, x.entry.limits.MaxRequestBytes)
+	if x.space.MaxBodyBytes <= 0 {
+		limit = x.entry.limits.MaxRequestBytes
+	}
+	return readBody(ctx, limit, x.body)
+}
+
+// classify fills the parts of the spec that do not depend on the kind of call.
+func (x *exchange) classify(tier *workspace.ResolvedTier, idempotent bool) error {
+	t, err := x.header.pickTier(x.space, tier)
+	if err != nil {
+		return err
+	}
+	targets, err := x.header.targets(x.space, t)
+	if err != nil {
+		return err
+	}
+	if err := x.header.checkKey(idempotent); err != nil {
+		return err
+	}
+	x.spec = &request.Spec{
+		ID:             x.id,
+		Workspace:      x.space.Workspace,
+		Template:       x.space.Template,
+		Tier:           t.Tier,
+		Targets:        targets,
+		Idempotent:     idempotent,
+		IdempotencyKey: x.header.idempotencyKey,
+		Received:       x.received,
+	}
+	x.body.setTier(t.Tier)
+	x.demand = broker.Demand{Spec: x.spec, MaxWaiting: t.MaxWaiting}
+	return nil
+}
+
+// watchCaller begins to watch for the caller's leaving.
+func (x *exchange) watchCaller(ctx *fasthttp.RequestCtx) {
+	x.watch = watchCaller(ctx.Conn(), x.cancel)
+}
+
+// end frees what the exchange holds; the answer has been written or given up.
+func (x *exchange) end() {
+	x.life.End()
+	if x.watch != nil {
+		x.watch.stop()
+		x.watch = nil
+	}
+	if x.body != nil {
+		x.body.release()
+	}
+	if x.cancel != nil {
+		x.cancel(nil)
+	}
+}
+
+// deadline returns when the request expires, and false where it never does.
+func (x *exchange) deadline() (time.Time, bool) {
+	if x.spec.Targets.Deadline <= 0 {
+		return time.Time{}, false
+	}
+	return x.received.Add(x.spec.Targets.Deadline), true
+}
+
+// waitContext ends at the request's deadline as well as with x.ctx.
+func (x *exchange) waitContext() (context.Context, context.CancelFunc) {
+	if at, ok := x.deadline(); ok {
+		return context.WithDeadline(x.ctx, at)
+	}
+	return context.WithCancel(x.ctx)
+}
--- /dev/null
+++ b/internal/entry/format.go
@@ -0,0 +1,157 @@
+package entry
+
+import (
+	"encoding/json"
+	"time"
+
+	"github.com/lycheekeel/lycheekeel/request"
+)
+
+// usage counts tokens, as OpenAI's clients expect.
+type usage struct {
+	PromptTokens     int `json:"prompt_tokens"`
+	CompletionTokens int `json:"completion_tokens"`
+	TotalTokens      int `json:"total_tokens"`
+}
+
+// generated is an answer or a chunk of one, of either call.
+type generated struct {
+	ID      string   `json:"id"`
+	Object  string   `json:"object"`
+	Created int64    `json:"created"`
+	Model   string   `json:"model"`
+	Choices []choice `json:"choices"`
+	Usage   *usage   `json:"usage,omitempty"`
+}
+
+// choice is the one choice of an answer. Message and Delta are of a chat,
+// Text is of a completion.
+type choice struct {
+	Index        int          `json:"index"`
+	Message      *chatMessage `json:"message,omitempty"`
+	Delta        *chatDelta   `json:"delta,omitempty"`
+	Text         *string      `json:"text,omitempty"`
+	Logprobs     *struct{}    `json:"logprobs"`
+	FinishReason *string      `json:"finish_reason"`
+}
+
+type chatMessage struct {
+	Role    string  `json:"role"`
+	Content string  `json:"content"`
+	Refusal *string `json:"refusal"`
+}
+
+type chatDelta struct {
+	Role    string  `json:"role,omitempty"`
+	Content *string `json:"content,omitempty"`
+}
+
+// Objects and roles of the OpenAI API.
+const (
+	objectChat      = "chat.completion"
+	objectChatChunk = "chat.completion.chunk"
+	objectText      = "text_completion"
+	roleAssistant   = "assistant"
+	idPrefixChat    = "chatcmpl-"
+	idPrefixText    = "cmpl-"
+)
+
+// Fixed lines of an event stream.
+const (
+	sseData      = "data: "
+	sseEnd       = "\n\n"
+	sseDone      = "data: [DONE]\n\n"
+	sseKeepalive = ": keepalive\n\n"
+)
+
+// format writes one answer in the shape of its call.
+type format struct {
+	call    *generation
+	id      string
+	created int64
+}
+
+func newFormat(g *generation, id request.ID, received time.Time) *format {
+	prefix := idPrefixChat
+	if g.api == apiCompletions {
+		prefix = idPrefixText
+	}
+	return &format{call: g, id: prefix + string(id), created: received.Unix()}
+}
+
+// whole returns a whole answer.
+func (f *format) whole(text, finish string, u usage) *generated {
+	c := choice{FinishReason: &finish}
+	object := objectText
+	if f.call.api == apiChat {
+		object = objectChat
+		c.Message = &chatMessage{Role: roleAssistant, Content: text}
+	} else {
+		c.Text = &text
+	}
+	return &generated{ID: f.id, Object: object, Created: f.created, Model: f.call.model, Choices: []choice{c}, Usage: &u}
+}
+
+// appendStart appends the first event of a stream.
+func (f *format) appendStart(b []byte) []byte {
+	if f.call.api != apiChat {
+		return b
+	}
+	empty := ""
+	return f.appendChoice(b, choice{Delta: &chatDelta{Role: roleAssistant, Content: &empty}})
+}
+
+// appendText appends an event with a piece of the answer.
+func (f *format) appendText(b []byte, text string) []byte {
+	if text == "" {
+		return b
+	}
+	if f.call.api == apiChat {
+		return f.appendChoice(b, choice{Delta: &chatDelta{Content: &text}})
+	}
+	return f.appendChoice(b, choice{Text: &text})
+}
+
+// appendEnd appends what ends a whole stream: the finish reason, the usage
+// where it was asked for, and the end marker.
+func (f *format) appendEnd(b []byte, finish string, u usage) []byte {
+	c := choice{FinishReason: &finish}
+	if f.call.api == apiChat {
+		c.Delta = &chatDelta{}
+	} else {
+		empty := ""
+		c.Text = &empty
+	}
+	b = f.appendChoice(b, c)
+	if f.call.includeUsage {
+		b = f.appendEvent(b, []choice{}, &u)
+	}
+	return append(b, sseDone...)
+}
+
+// appendError appends a refusal of a stream that had begun.
+func appendError(b []byte, r *request.Refusal) []byte {
+	b = append(b, sseData...)
+	b = append(b, refusalJSON(r)...)
+	return append(b, sseEnd...)
+}
+
+func (f *format) appendChoice(b []byte, c choice) []byte {
+	return f.appendEvent(b, []choice{c}, nil)
+}
+
+func (f *format) appendEvent(b []byte, choices []choice, u *usage) []byte {
+	object := objectText
+	if f.call.api == apiChat {
+		object = objectChatChunk
+	}
+	event, err := json.Marshal(generated{
+		ID: f.id, Object: object, Created: f.created, Model: f.call.model, Choices: choices, Usage: u,
+	})
+	if err != nil {
+		panic(err) // strings and numbers always encode
+	}
+	b = append(b, sseData...)
+	b = append(b, event...)
+	return append(b, sseEnd...)
+}
--- /dev/null
+++ b/internal/entry/generate.go
@@ -0,0 +1,156 @@
+package entry
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"strings"
+
+	"github.com/pkg/errors"
+	"github.com/valyala/fasthttp"
+
+	"github.com/lycheekeel/lycheekeel/claim"
+	"github.com/lycheekeel/lycheekeel/engine"
+	"github.com/lycheekeel/lycheekeel/request"
+	"github.com/lycheekeel/lycheekeel/workspace"
+)
+
+// generate serves a chat or a completion.
+func (x *exchange) generate(ctx *fasthttp.RequestCtx, kind api) error {
+	g, err := x.readGeneration(ctx, kind)
+	if err != nil {
+		return err
+	}
+	x.watchCaller(ctx)
+	runCtx, stop := context.WithTimeout(x.ctx, x.entry.limits.MaxRun)
+	a, err := x.run(runCtx, x.engineRun(g))
+	if err != nil {
+		stop()
+		return err
+	}
+	format := newFormat(g, x.id, x.received)
+	if g.stream {
+		return x.stream(ctx, runCtx, stop, a, format)
+	}
+	defer stop()
+	return x.whole(ctx, runCtx, a, format)
+}
+
+// readGeneration reads, checks and classifies the call. The body itself is
+// not kept: only the prompt that was made of it.
+func (x *exchange) readGeneration(ctx *fasthttp.RequestCtx, kind api) (*generation, error) {
+	body, err := x.readBody(ctx)
+	if err != nil {
+		return nil, err
+	}
+	g, err := parseGeneration(kind, body)
+	if err != nil {
+		return nil, err
+	}
+	m, ok := x.space.Models[g.model]
+	if !ok {
+		return nil, request.Refuse(request.ReasonUnknownModel, "no model %q in this workspace; see GET %s", g.model, pathModels)
+	}
+	if err := x.classifyModel(g, m); err != nil {
+		return nil, err
+	}
+	if !x.spec.Idempotent {
+		x.claimSum = claimHash([]byte(m.Version), body)
+	}
+	if !x.body.resize(int64(len(g.prompt) + len(g.last))) {
+		return nil, noMemory()
+	}
+	return g, nil
+}
+
+// classifyModel completes the spec of a model request.
+func (x *exchange) classifyModel(g *generation, m *workspace.ResolvedModel) error {
+	tier := m.Tier
+	if tier == nil {
+		tier = x.space.DefaultTier
+	}
+	if err := x.classify(tier, !m.NonIdempotent); err != nil {
+		return err
+	}
+	s := x.spec
+	s.Model = m.Name
+	s.Version = m.Version
+	s.PromptTokens = engine.EstimateTokens(g.prompt)
+	s.MaxTokens = capTokens(g.maxTokens, x.space.MaxTokens)
+	s.Blocks = blockHashes(m.Version, g.prompt)
+	s.Fingerprint = fingerprint(s.Workspace, m.Version, g.prompt)
+	key := workspace.ModelRegion{Model: m.Name, Version: m.Version, Region: x.entry.deps.Region}
+	x.demand.Candidates = x.snapshot.ModelPools[key]
+	if len(x.demand.Candidates) == 0 {
+		return request.Refuse(request.ReasonNoServer, "no pool serves model %q version %q here", m.Name, m.Version)
+	}
+	return nil
+}
+
+// capTokens returns the tokens that may be generated: the caller's wish within
+// what the template allows.
+func capTokens(asked, allowed int) int {
+	if asked > 0 && (allowed <= 0 || asked < allowed) {
+		return asked
+	}
+	return allowed
+}
+
+func (x *exchange) engineRun(g *generation) engine.Run {
+	return engine.Run{
+		RequestID:    string(x.id),
+		Model:        x.spec.Model,
+		Version:      x.spec.Version,
+		Prompt:       g.prompt,
+		Last:         g.last,
+		PromptTokens: x.spec.PromptTokens,
+		MaxTokens:    x.spec.MaxTokens,
+		Blocks:       x.spec.Blocks,
+	}
+}
+
+// whole collects the answer and writes it in one piece. Only an answer whose
+// end was seen is written.
+func (x *exchange) whole(ctx *fasthttp.RequestCtx, runCtx context.Context, a *answer, f *format) error {
+	var text strings.Builder
+	finish := ""
+	for {
+		c, err := a.Next(runCtx)
+		if errors.Is(err, io.EOF) {
+			break
+		}
+		if err != nil {
+			return err
+		}
+		text.WriteString(c.Text)
+		finish = c.FinishReason
+	}
+	a.finish()
+	body, err := json.Marshal(f.whole(text.String(), finish, a.usage()))
+	if err != nil {
+		return errors.Wrap(err, "encode answer")
+	}
+	x.settleClaim(request.NotRunFalse, storedAnswer(body, contentJSON, fasthttp.StatusOK))
+	ctx.Response.Header.SetContentType(contentJSON)
+	x.entry.finishHeader(ctx, x.id)
+	ctx.Response.SetBodyRaw(body)
+	return nil
+}
+
+func (a *answer) usage() usage {
+	return usage{
+		PromptTokens:     a.promptTokens,
+		CompletionTokens: a.tokens,
+		TotalTokens:      a.promptTokens + a.tokens,
+	}
+}
+
+// storedAnswer returns the outcome of a run with a whole answer, with the
+// answer itself where it is short enough to be kept.
+func storedAnswer(body []byte, contentType string, status int) *claim.Outcome {
+	o := &claim.Outcome{State: claim.Ran, ContentType: contentType, Status: status}
+	if len(body) <= claim.MaxAnswerBytes {
+		o.Answer = body
+	}
+	return o
+}
--- /dev/null
+++ b/internal/entry/prompt.go
@@ -0,0 +1,57 @@
+package entry
+
+import (
+	"encoding/binary"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/lycheekeel/lycheekeel/engine"
+)
+
+// blockBytes is the text of one prefix block.
+const blockBytes = engine.BlockTokens * engine.BytesPerToken
+
+// maxBlocks bounds the prefix blocks that are sent with a request. Where two
+// prompts share more than that, they share more than enough to choose a
+// server by.
+const maxBlocks = 1024
+
+// blockHashes returns the chained hashes of the prompt's whole blocks. Each
+// hash covers the version and everything before it, so that an equal hash
+// means an equal prefix for the same model version.
+func blockHashes(version, prompt string) []uint64 {
+	n := min(len(prompt)/blockBytes, maxBlocks)
+	if n == 0 {
+		return nil
+	}
+	out := make([]uint64, n)
+	prev := xxhash.Sum64String(version)
+	var d xxhash.Digest
+	for i := range out {
+		d.Reset()
+		writeUint64(&d, prev)
+		_, _ = d.WriteString(prompt[i*blockBytes : (i+1)*blockBytes])
+		prev = d.Sum64()
+		out[i] = prev
+	}
+	return out
+}
+
+// fingerprint identifies a request's content apart from its headers. It has
+// the workspace in it, so that no workspace can get another's requests
+// suspected.
+func fingerprint(workspace, target, content string) uint64 {
+	var d xxhash.Digest
+	d.Reset()
+	for _, s := range []string{workspace, target, content} {
+		writeUint64(&d, uint64(len(s)))
+		_, _ = d.WriteString(s)
+	}
+	return d.Sum64()
+}
+
+func writeUint64(d *xxhash.Digest, v uint64) {
+	var b [8]byte
+	binary.LittleEndian.PutUint64(b[:], v)
+	_, _ = d.Write(b[:])
+}
--- /dev/null
+++ b/internal/entry/resume.go
@@ -0,0 +1,95 @@
+package entry
+
+import (
+	"context"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/lycheekeel/lycheekeel/engine"
+	"github.com/lycheekeel/lycheekeel/pool"
+	"github.com/lycheekeel/lycheekeel/request"
+)
+
+// Pauses between two tries to resume.
+const (
+	firstResumePause = 20 * time.Millisecond
+	maxResumePause   = time.Second
+)
+
+// unopenedTries is how often an engine may answer that it does not know a run
+// of which nothing was heard yet: the request's bytes may still be on their
+// way to it.
+const unopenedTries = 3
+
+// cancelLimit bounds telling an engine to cancel a run.
+const cancelLimit = 2 * time.Second
+
+// ensureStream resumes the stream where there is none. It never starts a run.
+func (a *answer) ensureStream(ctx context.Context) error {
+	if a.stream != nil {
+		return nil
+	}
+	pause := newBackOff(firstResumePause, maxResumePause)
+	unknown := 0
+	for {
+		stream, err := a.engine.Resume(ctx, string(a.x.id), a.next)
+		if err == nil {
+			a.stream = stream
+			return nil
+		}
+		if errors.Is(err, engine.ErrUnknownRun) {
+			unknown++
+			if a.opened || unknown >= unopenedTries {
+				return err
+			}
+		}
+		if ctx.Err() != nil || a.givenUp() {
+			return err
+		}
+		a.x.entry.counters.resumes[resumeRetry].Add(1)
+		sleep(ctx, pause.NextBackOff())
+	}
+}
+
+// refusal says how a run that was dispatched ended without a whole answer.
+func (a *answer) refusal(err error) (*request.Refusal, pool.Outcome) {
+	ran := request.RanUnknown
+	if a.opened {
+		ran = request.NotRunFalse
+	}
+	refuse := func(reason request.Reason, notRun request.NotRun, message string) *request.Refusal {
+		return &request.Refusal{Reason: reason, NotRun: notRun, Message: message}
+	}
+	switch {
+	case a.x.ctx.Err() != nil:
+		return refuse(request.ReasonCallerGone, ran, "the caller left"), pool.OutcomeCanceled
+	case errors.Is(err, engine.ErrRefusedNotRun):
+		return refuse(request.ReasonEngineRefused, request.NotRunTrue, "the engine refused the request and did not run it"),
+			pool.OutcomeRefused
+	case errors.Is(err, errNothingLeft):
+		return refuse(request.ReasonEngineUnreachable, request.NotRunTrue, "the connection to the engine was lost before anything was sent"),
+			pool.OutcomeNotSent
+	case errors.Is(err, engine.ErrUnknownRun):
+		return refuse(request.ReasonEngineLost, ran, "the engine lost the request"), pool.OutcomeCrashed
+	case errors.Is(err, engine.ErrFailed):
+		return refuse(request.ReasonEngineFailed, ran, "the engine reports that it failed"), pool.OutcomeFailed
+	case errors.Is(err, engine.ErrNotSent):
+		return refuse(request.ReasonEngineLost, ran, "the engine can't be reached any more"), pool.OutcomeBroken
+	default:
+		return refuse(request.ReasonAnswerIncomplete, ran, "the answer could not be completed"), pool.OutcomeBroken
+	}
+}
+
+// cancelRun tells the engine that nobody reads the run any more. It does not
+// hold up the caller's goroutine.
+func (a *answer) cancelRun() {
+	eng, id, log := a.engine, string(a.x.id), a.x.log
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), cancelLimit)
+		defer cancel()
+		if err := eng.Cancel(ctx, id); err != nil {
+			log.WithError(err).Debug("cancel failed")
+		}
+	}()
+}
--- /dev/null
+++ b/internal/entry/rules.go
@@ -0,0 +1,43 @@
+package entry
+
+import (
+	"strings"
+
+	"github.com/lycheekeel/lycheekeel/workspace"
+)
+
+// Wildcards of a service rule.
+const (
+	anyMethod  = "*"
+	anySegment = "*"
+	anyRest    = "**"
+)
+
+// ruleMatches tells whether a template's rule is about a call. A trailing
+// slash makes no difference: it must not make a call repeatable.
+func ruleMatches(r *workspace.ResolvedRule, method, path string) bool {
+	if r.Method != anyMethod && !strings.EqualFold(r.Method, method) {
+		return false
+	}
+	return pathMatches(segments(r.Path), segments(path))
+}
+
+func segments(path string) []string {
+	path = strings.Trim(path, "/")
+	if path == "" {
+		return nil
+	}
+	return strings.Split(path, "/")
+}
+
+func pathMatches(pattern, path []string) bool {
+	for i, p := range pattern {
+		if p == anyRest && i == len(pattern)-1 {
+			return true
+		}
+		if i >= len(path) || (p != anySegment && p != path[i]) {
+			return false
+		}
+	}
+	return len(path) == len(pattern)
+}
--- /dev/null
+++ b/internal/entry/service.go
@@ -0,0 +1,226 @@
+package entry
+
+import (
+	"context"
+	"net/url"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/valyala/fasthttp"
+
+	"github.com/lycheekeel/lycheekeel/engine"
+	"github.com/lycheekeel/lycheekeel/pool"
+	"github.com/lycheekeel/lycheekeel/request"
+	"github.com/lycheekeel/lycheekeel/service"
+	"github.com/lycheekeel/lycheekeel/workspace"
+)
+
+// hopHeaders are about one connection and are not passed on, nor is the
+// caller's key, which is this system's own.
+var hopHeaders = map[string]bool{
+	fasthttp.HeaderConnection:         true,
+	fasthttp.HeaderKeepAlive:          true,
+	fasthttp.HeaderProxyAuthenticate:  true,
+	fasthttp.HeaderProxyAuthorization: true,
+	fasthttp.HeaderProxyConnection:    true,
+	fasthttp.HeaderTE:                 true,
+	fasthttp.HeaderTrailer:            true,
+	fasthttp.HeaderTransferEncoding:   true,
+	fasthttp.HeaderUpgrade:            true,
+	fasthttp.HeaderContentLength:      true,
+	fasthttp.HeaderExpect:             true,
+	fasthttp.HeaderHost:               true,
+	fasthttp.HeaderAuthorization:      true,
+	fasthttp.HeaderDate:               true,
+	headerRequestID:                   true,
+}
+
+// servicePath is the part of a call's target after /services/.
+type servicePath struct {
+	service string
+	path    string // decoded, for the template's rules
+	target  string // as it is sent: path and query
+}
+
+// parseServicePath splits and checks the target. A path that two readers may
+// understand differently is refused: a rule that says which calls may not be
+// repeated must see the same path as the service.
+func parseServicePath(target string) (servicePath, error) {
+	u, err := url.ParseRequestURI(target)
+	if err != nil {
+		return servicePath{}, badRequest("malformed path")
+	}
+	escaped := u.EscapedPath()
+	lower := strings.ToLower(escaped)
+	ambiguous := strings.Contains(lower, "%2f") || strings.Contains(lower, "%5c") || strings.Contains(lower, "%00") ||
+		strings.Contains(u.Path, `\`) || strings.Contains(u.Path, "//")
+	for _, segment := range strings.Split(u.Path, "/") {
+		ambiguous = ambiguous || segment == "." || segment == ".."
+	}
+	if ambiguous {
+		return servicePath{}, badRequest("the path has an empty, relative or encoded segment")
+	}
+	name, path, _ := strings.Cut(strings.TrimPrefix(u.Path, pathServices), "/")
+	_, rest, _ := strings.Cut(strings.TrimPrefix(escaped, pathServices), "/")
+	out := servicePath{service: name, path: "/" + path, target: "/" + rest}
+	if u.RawQuery != "" {
+		out.target += "?" + u.RawQuery
+	}
+	return out, nil
+}
+
+// callService serves a call of a plain service.
+func (x *exchange) callService(ctx *fasthttp.RequestCtx) error {
+	path, err := parseServicePath(string(ctx.Request.Header.RequestURI()))
+	if err != nil {
+		return err
+	}
+	s, ok := x.space.Services[path.service]
+	if !ok {
+		return request.Refuse(request.ReasonUnknownService, "no service %q in this workspace", path.service)
+	}
+	method := string(ctx.Method())
+	body, err := x.readBody(ctx)
+	if err != nil {
+		return err
+	}
+	if err := x.classifyService(s, method, path, body); err != nil {
+		return err
+	}
+	x.watchCaller(ctx)
+	call := service.Call{
+		RequestID: string(x.id),
+		Method:    method,
+		Path:      path.target,
+		Header:    x.forwardedHeader(ctx),
+		Body:      body,
+	}
+	reply, err := x.call(call)
+	if err != nil {
+		return err
+	}
+	x.writeReply(ctx, reply)
+	return nil
+}
+
+// classifyService makes the spec of a call by the template's rules: the first
+// that matches decides, else only GET and HEAD are idempotent.
+func (x *exchange) classifyService(s *workspace.ResolvedService, method string, path servicePath, body []byte) error {
+	idempotent := method == fasthttp.MethodGet || method == fasthttp.MethodHead
+	tier := s.Tier
+	for i := range s.Rules {
+		r := &s.Rules[i]
+		if !ruleMatches(r, method, path.path) {
+			continue
+		}
+		idempotent = r.Idempotent
+		if r.Tier != nil {
+			tier = r.Tier
+		}
+		break
+	}
+	if tier == nil {
+		tier = x.space.DefaultTier
+	}
+	if err := x.classify(tier, idempotent); err != nil {
+		return err
+	}
+	x.spec.Service = s.Name
+	x.spec.Fingerprint = fingerprint(x.spec.Workspace, s.Name, method+" "+path.target+"\n"+string(body))
+	if !idempotent {
+		x.claimSum = claimHash([]byte(s.Name), []byte(method), []byte(path.target), body)
+	}
+	p, ok := x.snapshot.Pools[s.Pool]
+	if !ok || p.Region != x.entry.deps.Region {
+		return request.Refuse(request.ReasonNoServer, "no pool serves service %q here", s.Name)
+	}
+	x.demand.Candidates = []*workspace.ResolvedPool{p}
+	return nil
+}
+
+// call dispatches the call. A reply that breaks off is never asked for again:
+// services can't resume.
+func (x *exchange) call(c service.Call) (service.Reply, error) {
+	runCtx, stop := context.WithTimeout(x.ctx, x.entry.limits.MaxRun)
+	defer stop()
+	var reply service.Reply
+	var f figures
+	grant, err := x.dispatch(func(s workspace.BackendServer, sending func() error) error {
+		c.Sending = func() error {
+			f.sent = time.Now()
+			return sending()
+		}
+		var err error
+		reply, err = x.entry.deps.Services.Service(s.Address).Do(runCtx, c)
+		return err
+	})
+	if grant == nil {
+		x.settleClaim(request.NotRunTrue, nil)
+		return reply, err
+	}
+	now := time.Now()
+	if err != nil {
+		r, outcome := x.callRefusal(err)
+		grant.Release(f.end(outcome, now))
+		x.settleClaim(r.NotRun, nil)
+		return reply, r
+	}
+	f.first = now
+	x.entry.counters.ended(x.spec, f, now)
+	grant.Release(f.end(pool.OutcomeDone, now))
+	x.settleClaim(request.NotRunFalse, storedAnswer(reply.Body, replyType(reply), reply.Status))
+	return reply, nil
+}
+
+// callRefusal says how a call that was dispatched ended without a reply.
+func (x *exchange) callRefusal(err error) (*request.Refusal, pool.Outcome) {
+	switch {
+	case errors.Is(err, engine.ErrRefusedNotRun):
+		return request.Refuse(request.ReasonEngineRefused, "the service refused the call and did not run it"), pool.OutcomeRefused
+	case errors.Is(err, engine.ErrNotSent):
+		return request.Refuse(request.ReasonEngineUnreachable, "the connection to the service was lost before anything was sent"),
+			pool.OutcomeNotSent
+	case x.ctx.Err() != nil:
+		return &request.Refusal{Reason: request.ReasonCallerGone, NotRun: request.RanUnknown, Message: "the caller left"},
+			pool.OutcomeCanceled
+	default:
+		return &request.Refusal{Reason: request.ReasonAnswerIncomplete, NotRun: request.RanUnknown,
+			Message: "the service's reply did not come whole; the call may have run"}, pool.OutcomeBroken
+	}
+}
+
+// forwardedHeader copies the headers that go on to the service.
+func (x *exchange) forwardedHeader(ctx *fasthttp.RequestCtx) [][2]string {
+	var out [][2]string
+	for k, v := range ctx.Request.Header.All() {
+		name := string(k)
+		if hopHeaders[name] || strings.HasPrefix(name, headerPrefix) {
+			continue
+		}
+		out = append(out, [2]string{name, string(v)})
+	}
+	return append(out, [2]string{headerWorkspace, x.spec.Workspace})
+}
+
+// writeReply passes a service's reply on.
+func (x *exchange) writeReply(ctx *fasthttp.RequestCtx, r service.Reply) {
+	for _, h := range r.Header {
+		if !hopHeaders[h[0]] {
+			ctx.Response.Header.Add(h[0], h[1])
+		}
+	}
+	ctx.Response.SetStatusCode(r.Status)
+	x.entry.finishHeader(ctx, x.id)
+	ctx.Response.SetBodyRaw(r.Body)
+}
+
+func replyType(r service.Reply) string {
+	for _, h := range r.Header {
+		if h[0] == fasthttp.HeaderContentType {
+			return h[1]
+		}
+	}
+	return ""
+}
+
