broker: doubled grants, absent entries, tests of failures

The owner now keeps what an absent entry holds, and an entry knows repeated grants by their numbers.

--- a/broker/commands.go
+++ b/broker/commands.go
@@ -89,25 +89,25 @@
 // the first, and two requests would run in one slot; grant numbers only grow,
 // so a repeated one is known by its number.
 func (l *link) takeGrant(c pool.Grant) {
+	w := l.waiting[c.Request]
 	s := &l.session
-	if c.Grant.Epoch == s.epoch {
-		if c.Grant.Seq <= s.lastGrant {
-			l.entry.count.doubledGrants.Add(1)
-			return
+	if c.Grant.Epoch != s.epoch || c.Grant.Seq <= s.lastGrant {
+		l.entry.count.doubledGrants.Add(1)
+		if l.running[c.Grant] == nil {
+			l.giveBack(c, w)
 		}
-		s.lastGrant = c.Grant.Seq
+		return
 	}
-	w := l.waiting[c.Request]
-	if w == nil || c.Grant.Epoch != s.epoch {
+	s.lastGrant = c.Grant.Seq
+	if w == nil {
 		l.entry.count.lateGrants.Add(1)
-		l.giveBack(c)
+		l.giveBack(c, nil)
 		return
 	}
 	server, ok := l.findServer(w, c.Server)
 	if !ok {
 		l.entry.count.unknownServer.Add(1)
-		l.giveBack(c)
-		w.requeue = true // until this daemon has the newer configuration, too
+		l.giveBack(c, w) // until this daemon has the newer configuration, too
 		return
 	}
 	delete(l.waiting, c.Request)
@@ -118,7 +118,14 @@
 	w.done <- result{grant: g}
 }
 
-func (l *link) giveBack(c pool.Grant) { l.out = append(l.out, notDispatched(c)) }
+// giveBack answers a grant unused; its waiter, if any, asks again at the next
+// tick.
+func (l *link) giveBack(c pool.Grant, w *waiter) {
+	l.out = append(l.out, notDispatched(c))
+	if w != nil {
+		w.requeue = true
+	}
+}
 
 func notDispatched(c pool.Grant) pool.Release {
 	return pool.Release{Request: c.Request, Grant: c.Grant, Server: c.Server, Outcome: pool.OutcomeNotDispatched}
--- /dev/null
+++ b/broker/failure_test.go
@@ -0,0 +1,269 @@
+package broker
+
+import (
+	"testing"
+	"time"
+
+	"github.com/lycheekeel/lycheekeel/pool"
+	. "github.com/smartystreets/goconvey/convey"
+)
+
+// load is a set of Acquires under watch: what each got, and what runs where.
+type load struct {
+	w       *world
+	waiting []*waiter
+	running []*grant
+	ended   map[*waiter]int
+	most    map[string]int // the most grants held at once, by server
+}
+
+func newLoad(w *world) *load {
+	return &load{w: w, ended: map[*waiter]int{}, most: map[string]int{}}
+}
+
+// begin starts n Acquires on a node.
+func (l *load) begin(n *node, count int) {
+	for range count {
+		l.waiting = append(l.waiting, n.begin(1, time.Hour))
+	}
+	l.collect()
+}
+
+// collect takes what has ended.
+func (l *load) collect() {
+	var still []*waiter
+	for _, x := range l.waiting {
+		r, ok := ended(x)
+		if !ok {
+			still = append(still, x)
+			continue
+		}
+		l.ended[x]++
+		if r.grant != nil {
+			l.running = append(l.running, r.grant)
+		}
+	}
+	l.waiting = still
+	count := map[string]int{}
+	for _, g := range l.running {
+		count[g.server.Name]++
+		l.most[g.server.Name] = max(l.most[g.server.Name], count[g.server.Name])
+	}
+}
+
+// release ends the oldest running request.
+func (l *load) release() {
+	l.running[0].Release(End{Outcome: pool.OutcomeDone})
+	l.running = l.running[1:]
+	l.w.pump()
+	l.collect()
+}
+
+// advanceUntil lets time pass until done, and returns how long that took; it
+// gives up after the limit.
+func (l *load) advanceUntil(limit time.Duration, done func() bool) time.Duration {
+	from := l.w.now
+	for !done() && l.w.now.Sub(from) < limit {
+		l.w.advance(25 * time.Millisecond)
+		l.collect()
+	}
+	return l.w.now.Sub(from)
+}
+
+// drain releases everything until nothing waits or runs.
+func (l *load) drain() {
+	for range 1000 {
+		for len(l.running) > 0 {
+			l.release()
+		}
+		if len(l.waiting) == 0 {
+			return
+		}
+		l.w.advance(50 * time.Millisecond)
+		l.collect()
+	}
+}
+
+func (l *load) mostOnOne() int {
+	most := 0
+	for _, n := range l.most {
+		most = max(most, n)
+	}
+	return most
+}
+
+// Symptom: callers wait for good, or run twice, after the VM of the pool's
+// owner died.
+// Sequence: requests run and wait at two entries; the owner is killed; a slot
+// comes free; membership names another owner a second later.
+// Cause: the queue and the counts die with the owner. The entries enqueue
+// again and report what runs, so the new owner grants exactly what is free.
+func TestOwnerDies(t *testing.T) {
+	Convey("Given three daemons, a full pool and waiting requests", t, func() {
+		w := newWorld(2, "a", "b", "c")
+		w.advance(time.Second)
+		dying := w.owner()
+		l := newLoad(w)
+		for _, name := range w.without(dying) {
+			l.begin(w.nodes[name], 5)
+		}
+		So(len(l.running), ShouldEqual, 4)
+		So(len(l.waiting), ShouldEqual, 6)
+
+		w.kill(dying)
+		l.release()
+		So(len(l.running), ShouldEqual, 3)
+		left := w.without(dying)
+		took := l.advanceUntil(10*time.Second, func() bool {
+			if len(w.nodes[left[0]].views.Load().Members) == 3 && w.now.Sub(dying.died) >= time.Second {
+				w.setMembers(left...)
+			}
+			return len(l.running) == 4
+		})
+		So(took, ShouldBeLessThanOrEqualTo, 3*time.Second)
+
+		w.advance(2 * time.Second)
+		l.collect()
+		So(w.owner(), ShouldNotEqual, dying)
+		So(w.owner().host.Summaries()[0].Running, ShouldEqual, len(l.running))
+		l.drain()
+		So(len(l.ended), ShouldEqual, 10)
+		So(l.mostOnOne(), ShouldBeLessThanOrEqualTo, 2)
+		So(w.free(), ShouldEqual, 4)
+	})
+}
+
+// Symptom: for a while each server gets twice its load.
+// Sequence: the owner's VM is paused; another owner takes over; the old one
+// goes on with its old queue and what its connections had buffered.
+// Cause: two daemons each take themselves for the owner. Entries hold one
+// session a pool; what the old owner grants is answered as not dispatched.
+func TestOwnerPausedAndBack(t *testing.T) {
+	Convey("Given a full pool whose owner is paused and replaced", t, func() {
+		w := newWorld(2, "a", "b", "c")
+		w.advance(time.Second)
+		old := w.owner()
+		l := newLoad(w)
+		for _, name := range w.without(old) {
+			l.begin(w.nodes[name], 5)
+		}
+		old.frozen = true
+		l.release() // the old owner has this release in its buffers
+		l.advanceUntil(time.Second, func() bool { return false })
+		for _, name := range w.without(old) {
+			w.nodes[name].setMembers(w.without(old)...)
+		}
+		l.advanceUntil(3*time.Second, func() bool { return len(l.running) == 4 })
+		So(len(l.running), ShouldEqual, 4)
+
+		old.thaw()
+		l.advanceUntil(time.Second, func() bool { return false })
+		So(len(l.running), ShouldEqual, 4) // its late grant was not used
+		w.setMembers(w.names...)
+		l.advanceUntil(2*time.Second, func() bool { return false })
+		So(w.owner(), ShouldEqual, old)
+		So(old.host.Summaries()[0].Running, ShouldEqual, 4)
+		l.drain()
+		So(len(l.ended), ShouldEqual, 10)
+		So(l.mostOnOne(), ShouldBeLessThanOrEqualTo, 2)
+		So(w.free(), ShouldEqual, 4)
+	})
+}
+
+// Symptom: requests at one entry expire beside free servers.
+// Sequence: the link between that entry and the owner is cut for 20 s, and
+// both live on; then it heals.
+// Cause: membership rightly names the same owner all the time. The entry
+// serves on its share of the slots and reports that when it is back.
+func TestCutLinkToOwner(t *testing.T) {
+	Convey("Given an entry that is cut off from the owner", t, func() {
+		w := newWorld(4, "a", "b")
+		w.advance(time.Second)
+		owner, cut := w.owner(), w.other()
+		w.setCut(owner.name, cut.name, true)
+		l := newLoad(w)
+		l.begin(cut, 8)
+		So(len(l.running), ShouldEqual, 0)
+		took := l.advanceUntil(10*time.Second, func() bool { return len(l.running) > 0 })
+		So(took, ShouldBeLessThanOrEqualTo, 1600*time.Millisecond)
+		l.advanceUntil(20*time.Second, func() bool { return false })
+		So(len(l.running), ShouldEqual, 4) // half of two servers' four slots each
+		So(w.entryCount(cut, "degraded_entered"), ShouldEqual, "1")
+		l.begin(owner, 8)
+		So(len(l.running), ShouldEqual, 12)
+		So(l.mostOnOne(), ShouldBeLessThanOrEqualTo, 4+2) // the share is the overshoot
+
+		w.setCut(owner.name, cut.name, false)
+		l.advanceUntil(time.Second, func() bool { return false })
+		So(w.entryCount(cut, "degraded_left"), ShouldEqual, "1")
+		So(owner.host.Summaries()[0].Running, ShouldEqual, 12)
+		l.drain()
+		So(len(l.ended), ShouldEqual, 16)
+		So(w.free(), ShouldEqual, 8)
+	})
+}
+
+// Symptom: a request waits for good, or a slot stays taken for good.
+// Sequence: one batch is lost in one direction, and nothing follows it.
+// Cause: a connection broke with the batch in flight and nobody was told. The
+// heartbeats' sequence numbers show the loss; the next session mends it.
+func TestLostBatch(t *testing.T) {
+	Convey("Given an open session", t, func() {
+		w := newWorld(1, "a", "b")
+		w.advance(time.Second)
+		owner, other := w.owner(), w.other()
+		l := newLoad(w)
+		l.begin(other, 1)
+		So(len(l.running), ShouldEqual, 1)
+
+		Convey("a lost enqueue is made again", func() {
+			w.lose[[2]string{other.name, owner.name}] = true
+			l.begin(other, 1)
+			w.lose = map[[2]string]bool{}
+			took := l.advanceUntil(5*time.Second, func() bool { return len(l.running) == 2 })
+			So(took, ShouldBeLessThanOrEqualTo, time.Second)
+			So(w.entryCount(other, "sessions_reset"), ShouldEqual, "1")
+		})
+		Convey("a lost grant is taken back and given again", func() {
+			w.lose[[2]string{owner.name, other.name}] = true
+			l.begin(other, 1)
+			w.lose = map[[2]string]bool{}
+			l.advanceUntil(5*time.Second, func() bool { return len(l.running) == 2 })
+			So(len(l.running), ShouldEqual, 2)
+			So(w.entryCount(other, "batch_gaps"), ShouldEqual, "1")
+		})
+		Convey("a lost release is made again", func() {
+			w.lose[[2]string{other.name, owner.name}] = true
+			l.release()
+			w.lose = map[[2]string]bool{}
+			w.advance(time.Second)
+		})
+		l.drain()
+		So(w.free(), ShouldEqual, 2)
+	})
+}
+
+// Symptom: a slot stays taken by a caller that has left.
+// Sequence: the caller leaves while the grant is on its way.
+// Cause: withdrawal and grant cross. The entry answers the grant unused.
+func TestWithdrawCrossesGrant(t *testing.T) {
+	Convey("Given a grant under way to a caller that leaves", t, func() {
+		w := newWorld(1, "a", "b")
+		w.advance(time.Second)
+		other := w.other()
+		x := other.entry.begin(Demand{
+			Spec: testSpec("crossing", w.now), Candidates: candidates(w),
+		})
+		w.deliver() // the enqueue; the grant is under way now
+		x.withdraw()
+		w.pump()
+		_, ok := ended(x)
+		So(ok, ShouldBeFalse)
+		So(w.entryCount(other, "late_grants"), ShouldEqual, "1")
+		So(w.free(), ShouldEqual, 2)
+	})
+}
+
+func (w *world) entryCount(n *node, name string) string {
+	return n.host.Config().Metrics.Counter("broker", name).String()
+}
--- a/broker/link.go
+++ b/broker/link.go
@@ -25,6 +25,8 @@
 	nextExpiry time.Time // no waiter expires before it
 
 	session session
+	// lastEpoch and lastGrant are those of the session before.
+	lastEpoch, lastGrant uint64
 	// out is what the open session has yet to send; progress is kept apart
 	// and goes along, the newest report of each grant.
 	out      []pool.Event
--- a/broker/session.go
+++ b/broker/session.go
@@ -1,7 +1,9 @@
 package broker
 
 import (
+	"cmp"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/lycheekeel/lycheekeel/internal/peer"
@@ -123,6 +125,9 @@
 		return
 	}
 	s.state, s.epoch, s.heard = sessionOpen, b.Epoch, l.now
+	if l.lastEpoch == b.Epoch {
+		s.lastGrant = l.lastGrant
+	}
 	l.without = time.Time{}
 	l.announced = false
 	l.busyAt = l.now
@@ -136,13 +141,27 @@
 		l.out = append(l.out, g.running())
 	}
 	l.out = append(l.out, pool.EntryReported{})
-	for _, w := range l.waiting {
+	for _, w := range l.oldestFirst() {
 		w.requeue = false
 		l.entry.count.requeued.Add(1)
 		l.out = append(l.out, w.enqueue(l.now))
 	}
 }
 
+// oldestFirst returns the waiters by age, so that equals keep their order at a
+// new owner.
+func (l *link) oldestFirst() []*waiter {
+	all := make([]*waiter, 0, len(l.waiting))
+	for _, w := range l.waiting {
+		all = append(all, w)
+	}
+	slices.SortFunc(all, func(a, b *waiter) int {
+		x, y := a.demand.Spec, b.demand.Spec
+		return cmp.Or(x.Received.Compare(y.Received), cmp.Compare(x.ID, y.ID))
+	})
+	return all
+}
+
 // lose ends the session and tries to open the next one after wait.
 func (l *link) lose(wait time.Duration) {
 	l.end()
@@ -165,6 +184,7 @@
 	}
 	l.out = nil
 	l.session.state = sessionClosed
+	l.lastEpoch, l.lastGrant = l.session.epoch, l.session.lastGrant
 	if l.without.IsZero() {
 		l.without = l.now
 	}
--- a/broker/world_test.go
+++ b/broker/world_test.go
@@ -8,6 +8,7 @@
 	"github.com/lycheekeel/lycheekeel/internal/peer"
 	"github.com/lycheekeel/lycheekeel/internal/poolhost"
 	"github.com/lycheekeel/lycheekeel/member"
+	"github.com/lycheekeel/lycheekeel/pool"
 	"github.com/lycheekeel/lycheekeel/request"
 	"github.com/lycheekeel/lycheekeel/workspace"
 )
@@ -25,6 +26,9 @@
 	messages int
 	bytes    int
 	sequence int
+	// policy is FIFO unless a test sets it: its limits are the slots, so that
+	// free ones can be counted.
+	policy pool.Policy
 }
 
 type node struct {
@@ -35,6 +39,7 @@
 	entry  *Entry
 	frozen bool // a paused process: it neither ticks nor takes messages
 	dead   bool
+	died   time.Time
 	types  map[peer.Type]peer.Handler
 	down   []func(peer.Name)
 	kept   []envelope // what came while frozen
@@ -54,7 +59,7 @@
 func newWorld(slots int, names ...string) *world {
 	w := &world{
 		now: time.Unix(1_800_000_000, 0), nodes: map[string]*node{}, names: names,
-		cut: map[[2]string]bool{}, lose: map[[2]string]bool{},
+		cut: map[[2]string]bool{}, lose: map[[2]string]bool{}, policy: pool.PolicyFIFO,
 	}
 	w.snapshot.Store(testSnapshot(slots, 2))
 	for _, name := range names {
@@ -85,6 +90,9 @@
 	n.host = poolhost.New(poolhost.Config{
 		Self: name, Region: testRegion, Snapshots: &w.snapshot, Views: &n.views, Transport: n,
 		Now: func() time.Time { return w.now }, Spawn: func(f func()) { f() },
+		NewScheduler: func(p *workspace.ResolvedPool, epoch uint64) poolhost.Scheduler {
+			return pool.New(pool.Config{Name: p.Name, Policy: w.policy, Epoch: epoch})
+		},
 	})
 	n.entry = New(n.host)
 	w.nodes[name] = n
@@ -139,7 +147,7 @@
 
 // kill ends a node; its peers notice that their connections broke.
 func (w *world) kill(n *node) {
-	n.dead = true
+	n.dead, n.died = true, w.now
 	for _, name := range w.names {
 		if other := w.nodes[name]; other != n && !other.dead {
 			w.breakLink(n.name, name)
@@ -230,16 +238,22 @@
 // begin starts an Acquire on a node.
 func (n *node) begin(t request.Tier, deadline time.Duration) *waiter {
 	n.w.sequence++
-	w := n.entry.begin(Demand{
-		Spec: &request.Spec{
-			ID: request.ID(fmt.Sprintf("r%05d", n.w.sequence)), Workspace: "ws", Template: "t", Tier: t,
-			Model: "m", Version: "1", MaxTokens: 10, PromptTokens: 10, Received: n.w.now,
-			Targets: request.Targets{FirstToken: deadline, Deadline: deadline},
-		},
-		Candidates: []*workspace.ResolvedPool{n.w.snapshot.Load().Pools[testPool]},
-	})
+	s := testSpec(fmt.Sprintf("r%05d", n.w.sequence), n.w.now)
+	s.Tier, s.Targets = t, request.Targets{FirstToken: deadline, Deadline: deadline}
+	x := n.entry.begin(Demand{Spec: s, Candidates: candidates(n.w)})
 	n.w.pump()
-	return w
+	return x
+}
+
+func testSpec(id string, received time.Time) *request.Spec {
+	return &request.Spec{
+		ID: request.ID(id), Workspace: "ws", Template: "t", Model: "m", Version: "1",
+		MaxTokens: 10, PromptTokens: 10, Received: received,
+	}
+}
+
+func candidates(w *world) []*workspace.ResolvedPool {
+	return []*workspace.ResolvedPool{w.snapshot.Load().Pools[testPool]}
 }
 
 // ended returns how an Acquire ended, if it has.
--- a/internal/poolhost/entries.go
+++ b/internal/poolhost/entries.go
@@ -10,16 +10,17 @@
 // tellEntries tells the scheduler which entries there are: the region's live
 // members, and every entry whose session is open or was until a moment ago.
 // A live member that has not said hello counts by its bare name, so that a
-// new owner knows whose reports are still to come.
+// new owner knows whose reports are still to come. What an absent entry was
+// granted is remembered for a while: it may have been wrongly taken for dead.
 func (r *Runtime) tellEntries() {
 	set := make([]pool.EntryID, 0, len(r.entries)+len(r.members))
 	for id, e := range r.entries {
-		if r.present(e) {
+		e.absent = !r.present(e)
+		if !e.absent {
 			set = append(set, id)
-			continue
+		} else if len(e.granted) == 0 {
+			delete(r.entries, id)
 		}
-		// The scheduler takes back what the entry had, by EntrySet.
-		delete(r.entries, id)
 	}
 	for _, m := range r.members {
 		if !r.hasEntryOf(m) {
@@ -53,8 +54,8 @@
 }
 
 func (r *Runtime) hasEntryOf(member string) bool {
-	for id := range r.entries {
-		if poolwire.MemberOf(id) == member {
+	for id, e := range r.entries {
+		if !e.absent && poolwire.MemberOf(id) == member {
 			return true
 		}
 	}
--- a/internal/poolhost/session.go
+++ b/internal/poolhost/session.go
@@ -28,6 +28,7 @@
 type entry struct {
 	id      pool.EntryID
 	open    bool
+	absent  bool // the scheduler was told that it is gone
 	session poolwire.SessionID
 	reply   Reply
 	seqIn   uint64
@@ -179,11 +180,10 @@
 	}
 }
 
-// release frees a slot once: a doubled release of a grant is dropped here.
+// release frees a slot; the scheduler drops a doubled release.
 func (e *entry) release(r *Runtime, ev pool.Release) {
 	if _, ok := e.granted[ev.Grant]; !ok {
 		r.host.count.unknownReleases.Add(1)
-		return
 	}
 	delete(e.granted, ev.Grant)
 	ev.Entry = e.id
@@ -194,11 +194,8 @@
 // granted itself and counts already.
 func (e *entry) confirm(r *Runtime, ev pool.Running) {
 	ev.Entry = e.id
-	_, known := e.granted[ev.Grant]
 	e.granted[ev.Grant] = granted{request: ev.Request, server: ev.Server, confirmed: true}
-	if !known {
-		r.feed(ev)
-	}
+	r.feed(ev)
 }
 
 // takeBackUnconfirmed frees the slots of grants that the entry does not know
