capacity: measure the slopes of scheduler, messages and configuration

Cause: the capacity page has to stand on figures that anyone can measure again. Change: series with fitted lines, rigs over the product's own code, the command capacity measure.

--- /dev/null
+++ b/internal/capacity/measure_pool.go
@@ -0,0 +1,141 @@
+package capacity
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/lycheekeel/lycheekeel/pool"
+	"github.com/lycheekeel/lycheekeel/request"
+)
+
+// Names of the pool's series.
+const (
+	seriesDecisionServers = "decision_seconds_by_servers"
+	seriesDecisionWaiting = "decision_seconds_by_waiting"
+	seriesWaitingHeap     = "pool_heap_by_waiting"
+	seriesServerHeap      = "pool_heap_by_servers"
+)
+
+// The pool rig's sizes.
+const (
+	rigSlots        = 16
+	rigWorkspaces   = 50
+	rigTiers        = 4
+	rigPromptTokens = 1500
+	rigBlocks       = 24 // the prompt's tokens in blocks of 64
+	rigCycles       = 4000
+	rigEntry        = pool.EntryID("capacity#1")
+	manyServers     = 32
+	manyWaiting     = 10000
+	rigDeadline     = time.Hour // nothing expires while it is measured
+)
+
+// poolRig drives one pool whose servers are full, so that every grant comes
+// from a release.
+type poolRig struct {
+	pool     *pool.Pool
+	now      time.Time
+	enqueued int
+	granted  int
+	running  []pool.Grant
+	out      []pool.Command
+}
+
+// newPoolRig returns a pool with full servers and the number waiting.
+func newPoolRig(servers, waiting int) *poolRig {
+	r := &poolRig{
+		pool: pool.New(pool.Config{Name: "capacity", Epoch: 1, MaxWaiting: 2 * manyWaiting}),
+		now:  time.Unix(0, 0),
+	}
+	r.handle(pool.EntrySet{Entries: []pool.EntryID{rigEntry}})
+	r.handle(pool.EntryReported{Entry: rigEntry})
+	set := pool.ServerSet{}
+	for i := range servers {
+		set.Servers = append(set.Servers, pool.ServerInfo{Name: fmt.Sprintf("server-%02d", i), Generation: "g1", Slots: rigSlots})
+	}
+	r.handle(set)
+	for _, s := range set.Servers {
+		r.handle(pool.ServerHealth{Server: s.Name, Health: pool.HealthUp, Incarnation: 1})
+	}
+	for r.enqueued-r.granted < waiting {
+		r.enqueue()
+	}
+	return r
+}
+
+// handle passes one event and keeps the grants that follow.
+func (r *poolRig) handle(ev pool.Event) {
+	r.now = r.now.Add(time.Microsecond)
+	r.out = r.pool.Handle(r.now, ev, r.out[:0])
+	for _, c := range r.out {
+		if g, ok := c.(pool.Grant); ok {
+			r.granted++
+			r.running = append(r.running, g)
+		}
+	}
+}
+
+func (r *poolRig) enqueue() {
+	r.handle(rigRequest(r.enqueued))
+	r.enqueued++
+}
+
+// cycle ends the oldest run, which grants a waiting request, and enqueues one.
+func (r *poolRig) cycle() {
+	g := r.running[0]
+	r.running = r.running[1:]
+	r.handle(pool.Release{
+		Request: g.Request, Entry: rigEntry, Grant: g.Grant, Server: g.Server, Outcome: pool.OutcomeDone,
+		FirstToken: 300 * time.Millisecond, Total: 9 * time.Second,
+		OutputTokens: 273, PromptTokens: rigPromptTokens, PrefillComputed: rigPromptTokens / 2,
+	})
+	r.enqueue()
+}
+
+// rigRequest returns the n-th request. Half of its blocks are its
+// workspace's shared prefix.
+func rigRequest(n int) pool.Enqueue {
+	blocks := make([]uint64, rigBlocks)
+	for i := range blocks {
+		owner := uint64(n)
+		if i < rigBlocks/2 {
+			owner = uint64(n % rigWorkspaces)
+		}
+		blocks[i] = owner<<16 | uint64(i)
+	}
+	return pool.Enqueue{
+		Request: request.ID(fmt.Sprintf("%024d", n)), Entry: rigEntry,
+		Workspace: fmt.Sprintf("workspace-%d", n%rigWorkspaces), Template: "t", Model: "m",
+		Tier: request.Tier(n % rigTiers), FirstTokenIn: rigDeadline, DeadlineIn: rigDeadline,
+		PerToken: 62 * time.Millisecond, PromptTokens: rigPromptTokens, MaxTokens: 1024,
+		Blocks: blocks, Fingerprint: uint64(n),
+	}
+}
+
+// decisionCost is the processor time of one enqueue-grant-release cycle.
+func decisionCost(servers, waiting int) float64 {
+	r := newPoolRig(servers, waiting)
+	return cpuPer(rigCycles, func() {
+		for range rigCycles {
+			r.cycle()
+		}
+	})
+}
+
+// measurePool measures the scheduler: time against servers and waiting, heap
+// against both.
+func measurePool(m *Measured) {
+	var byServers, byWaiting, heapServers, heapWaiting []Point
+	for _, n := range []int{4, 8, 16, manyServers} {
+		byServers = append(byServers, Point{float64(n), decisionCost(n, 1000)})
+		heapServers = append(heapServers, Point{float64(n), heapOf(func() any { return newPoolRig(n, 1) })})
+	}
+	for _, n := range []int{100, 1000, 3000, manyWaiting} {
+		byWaiting = append(byWaiting, Point{float64(n), decisionCost(manyServers, n)})
+		heapWaiting = append(heapWaiting, Point{float64(n), heapOf(func() any { return newPoolRig(manyServers, n) })})
+	}
+	m.Add(NewSeries(seriesDecisionServers, "one enqueue-grant-release cycle with 1,000 waiting", "servers", "s", byServers))
+	m.Add(NewSeries(seriesDecisionWaiting, "one enqueue-grant-release cycle with 32 servers", "waiting", "s", byWaiting))
+	m.Add(NewSeries(seriesServerHeap, "live heap of a pool whose servers are full", "servers", "B", heapServers))
+	m.Add(NewSeries(seriesWaitingHeap, "live heap of a pool of 32 servers", "waiting", "B", heapWaiting))
+}
--- /dev/null
+++ b/internal/capacity/size.go
@@ -0,0 +1,122 @@
+package capacity
+
+import "math"
+
+// Size is a deployment that the page works out.
+type Size struct {
+	Name           string
+	Nodes          float64
+	Regions        float64
+	Zones          float64
+	Servers        float64
+	Workspaces     float64
+	Models         float64
+	RequestsPerSec float64 // at the peak, whole system
+	TokensPerSec   float64
+	ChangesPerDay  float64
+	// HotModelShare is the share of requests for the busiest model; the worst
+	// pool owner holds that model's pool.
+	HotModelShare float64
+	// NonIdempotentShare is the share of requests that need a claim.
+	NonIdempotentShare float64
+	// PromptTokens is the mean prompt.
+	PromptTokens float64
+	// ConfigBytes is the mean size of one changed object.
+	ConfigBytes float64
+	// WaitingAtPeak is how many requests wait in the worst pool in a burst.
+	WaitingAtPeak float64
+}
+
+// maxPoolServers is the most servers that a pool has.
+const maxPoolServers = 32
+
+// Assumptions that the users did not give; the page states them.
+const (
+	assumedHotModelShare      = 0.25
+	assumedNonIdempotentShare = 0.05
+	assumedPromptTokens       = 1500
+	assumedConfigBytes        = 1500
+	assumedWaiting            = 2000
+)
+
+// Sizes returns today's two deployments and the target.
+func Sizes() []Size {
+	return []Size{
+		withAssumptions(Size{Name: "Punchline today", Nodes: 9, Regions: 1, Zones: 3, Servers: 23, Workspaces: 5,
+			Models: 2, RequestsPerSec: 30, TokensPerSec: 6000, ChangesPerDay: 100}),
+		withAssumptions(Size{Name: "Bảng Xanh today", Nodes: 9, Regions: 1, Zones: 4, Servers: 14, Workspaces: 5,
+			Models: 2, RequestsPerSec: 30, TokensPerSec: 4000, ChangesPerDay: 100}),
+		withAssumptions(Size{Name: "Target", Nodes: 390, Regions: 6, Zones: 15, Servers: 1300, Workspaces: 2400,
+			Models: 22, RequestsPerSec: 770, TokensPerSec: 210000, ChangesPerDay: 6800}),
+	}
+}
+
+func withAssumptions(s Size) Size {
+	s.HotModelShare = math.Max(assumedHotModelShare, 1/s.Models)
+	s.NonIdempotentShare = assumedNonIdempotentShare
+	s.PromptTokens = assumedPromptTokens
+	s.ConfigBytes = assumedConfigBytes
+	s.WaitingAtPeak = assumedWaiting
+	return s
+}
+
+// NodesPerRegion is the mean number of daemons in a region.
+func (s Size) NodesPerRegion() float64 { return s.Nodes / s.Regions }
+
+// ServersPerRegion is the mean number of backend servers in a region.
+func (s Size) ServersPerRegion() float64 { return s.Servers / s.Regions }
+
+// TokensPerRequest is the mean answer.
+func (s Size) TokensPerRequest() float64 { return s.TokensPerSec / s.RequestsPerSec }
+
+// RegionRequests is a region's requests per second at the peak.
+func (s Size) RegionRequests() float64 { return s.RequestsPerSec / s.Regions }
+
+// NodeRequests is one entry's requests per second at the peak.
+func (s Size) NodeRequests() float64 { return s.RequestsPerSec / s.Nodes }
+
+// PoolsPerRegion counts a region's pools: every model's servers, split so that
+// no pool is over the limit. The busiest model has its share of the servers.
+func (s Size) PoolsPerRegion() float64 {
+	hot := math.Ceil(s.ServersPerRegion() * s.HotModelShare / maxPoolServers)
+	others := s.Models - 1
+	if others <= 0 {
+		return hot
+	}
+	each := s.ServersPerRegion() * (1 - s.HotModelShare) / others
+	return hot + others*math.Ceil(each/maxPoolServers)
+}
+
+// HotPoolServers and HotPoolRequests describe the busiest pool of a region.
+func (s Size) HotPoolServers() float64 {
+	hot := s.ServersPerRegion() * s.HotModelShare
+	return math.Ceil(hot / math.Ceil(hot/maxPoolServers))
+}
+
+// HotPoolRequests is the busiest pool's requests per second at the peak.
+func (s Size) HotPoolRequests() float64 {
+	hot := s.ServersPerRegion() * s.HotModelShare
+	return s.RegionRequests() * s.HotModelShare / math.Ceil(hot/maxPoolServers)
+}
+
+// WorstPoolsOnNode is how many pools the unluckiest node owns. Rendezvous
+// hashing places pools like balls in bins at random; with M pools on N nodes
+// the fullest bin holds about the k at which N·P(Poisson(M/N) ≥ k) falls to
+// one in a hundred.
+func (s Size) WorstPoolsOnNode() float64 {
+	const rare = 0.01
+	lambda := s.PoolsPerRegion() / s.NodesPerRegion()
+	tail, term := 1.0, math.Exp(-lambda)
+	for k := 0.0; ; k++ {
+		if s.Nodes*tail <= rare {
+			return math.Min(k-1, s.PoolsPerRegion())
+		}
+		tail -= term
+		term *= lambda / (k + 1)
+	}
+}
+
+// ChangesPerSec is the mean rate of configuration changes.
+func (s Size) ChangesPerSec() float64 { return s.ChangesPerDay / secondsPerDay }
+
+const secondsPerDay = 24 * 60 * 60
