--- a/revision/cluster_test.go
+++ b/revision/cluster_test.go
@@ -118,6 +118,7 @@
 
 		Convey("and stale reads after it take nothing back", func() {
 			c.Store.SetFaults(standin.Faults{StaleWrites: 1})
+			restarted.Mute.Store(true)
 			restarted.Stop()
 			restarted.Start()
 			_, err := revisiontest.Await(ctx, v, restarted)
--- a/revision/revisiontest/cluster.go
+++ b/revision/revisiontest/cluster.go
@@ -46,6 +46,8 @@
 	Syncer *revision.Syncer
 	// Cut refuses the member's calls of the object API.
 	Cut atomic.Bool
+	// Mute lets the member's watches see no change.
+	Mute atomic.Bool
 
 	cluster *Cluster
 	newest  atomic.Uint64
@@ -80,7 +82,7 @@
 	m.first.Store(0)
 	configuration := revision.NewConfiguration(m.Live, nil)
 	options := configuration.Attach(revision.Options{
-		API:       &cutAPI{ObjectAPI: m.cluster.Store, cut: &m.Cut},
+		API:       &cutAPI{ObjectAPI: m.cluster.Store, cut: &m.Cut, mute: &m.Mute},
 		Transport: m.cluster.Network.Node(peer.Name(m.Name)),
 		View:      m.cluster.view.Load,
 		Timing:    m.cluster.timing,
@@ -173,7 +175,7 @@
 // cutAPI is an object API that can be cut off.
 type cutAPI struct {
 	platform.ObjectAPI
-	cut *atomic.Bool
+	cut, mute *atomic.Bool
 }
 
 // List implements platform.ObjectAPI.
@@ -189,6 +191,10 @@
 	if a.cut.Load() {
 		return nil, 0, errors.Wrap(platform.ErrUnavailable, "cut off")
 	}
+	if a.mute.Load() {
+		<-ctx.Done()
+		return nil, 0, errors.Wrap(platform.ErrUnknownOutcome, "mute")
+	}
 	events, next, err := a.ObjectAPI.Watch(ctx, kinds, after, wait)
 	if a.cut.Load() {
 		return nil, 0, errors.Wrap(platform.ErrUnknownOutcome, "cut off")
