--- a/internal/cli/load.go
+++ b/internal/cli/load.go
@@ -16,7 +16,6 @@
 
 	"github.com/lycheekeel/lycheekeel/internal/load"
 	"github.com/lycheekeel/lycheekeel/scenarios"
-	"github.com/lycheekeel/lycheekeel/workspace"
 )
 
 // Names of the files that load writes.
@@ -198,12 +197,3 @@
 }
 
 func isTerminal(f *os.File) bool { return isatty.IsTerminal(f.Fd()) }
-
-// findingsExit gives findings their exit code.
-func findingsExit(err error) error {
-	var f workspace.Findings
-	if errors.As(err, &f) {
-		return withExit(ExitFindings, err)
-	}
-	return err
-}
--- /dev/null
+++ b/internal/experiment/capacity.go
@@ -0,0 +1,95 @@
+package experiment
+
+import (
+	"time"
+
+	"github.com/lycheekeel/lycheekeel/internal/load"
+	standin "github.com/lycheekeel/lycheekeel/internal/standin/engine"
+)
+
+// Offered is what is offered against what the fleet can do: 1 is capacity.
+// It is worked out from the engines' options, for full batches:
+// a request takes an engine computed/prefill rate, plus for each token of its
+// answer the step's time divided by the batch. Mean is over the whole run,
+// Peak over the busiest second.
+type Offered struct {
+	Mean float64 `json:"mean"`
+	Peak float64 `json:"peak"`
+}
+
+// Capacity holds the offered load of all requests and of each tier alone,
+// where no prefix is reused, and of all requests where all shared ones are.
+type Capacity struct {
+	All         Offered            `json:"all"`
+	PrefixFree  Offered            `json:"all_prefixes_cached"`
+	ByTier      map[string]Offered `json:"by_tier"`
+	TopTierPeak float64            `json:"top_tier_peak"`
+}
+
+// peakWindow is the time over which a peak is taken.
+const peakWindow = time.Second
+
+// offeredLoad works out a scenario's capacity figures for arrivals.
+func (s *Scenario) offeredLoad(arrivals []load.Arrival, duration time.Duration) Capacity {
+	all := newMeter(s, duration)
+	free := newMeter(s, duration)
+	tiers := map[string]*meter{}
+	for name := range s.Mix.Tiers {
+		tiers[name] = newMeter(s, duration)
+	}
+	for i := range arrivals {
+		a := &arrivals[i]
+		prefix := 0
+		if a.Prefix >= 0 {
+			prefix = a.Class.Prefix.Tokens
+		}
+		all.add(a, a.Prompt())
+		free.add(a, a.Prompt()-prefix)
+		tiers[a.Class.Tier].add(a, a.Prompt())
+	}
+	c := Capacity{All: all.offered(), PrefixFree: free.offered(), ByTier: map[string]Offered{}}
+	for name, m := range tiers {
+		c.ByTier[name] = m.offered()
+	}
+	if names := load.TiersByPriority(&s.Mix); len(names) > 0 {
+		c.TopTierPeak = c.ByTier[names[0]].Peak
+	}
+	return c
+}
+
+// meter sums work by second, as shares of the fleet's capacity.
+type meter struct {
+	scenario *Scenario
+	duration time.Duration
+	windows  []float64 // seconds of the whole fleet
+}
+
+func newMeter(s *Scenario, duration time.Duration) *meter {
+	return &meter{scenario: s, duration: duration, windows: make([]float64, int(duration/peakWindow)+1)}
+}
+
+// add adds a request: the time that the whole fleet takes for it is one over
+// the sum of the rates at which its engines could do such requests.
+func (m *meter) add(a *load.Arrival, prefill int) {
+	rate := 0.0
+	for _, g := range m.scenario.Engines {
+		rate += float64(g.Count) / engineSeconds(g.Engine, prefill, a.OutputTokens)
+	}
+	m.windows[int(a.At/peakWindow)] += 1 / rate
+}
+
+func (m *meter) offered() Offered {
+	var o Offered
+	for _, w := range m.windows {
+		o.Mean += w
+		o.Peak = max(o.Peak, w/peakWindow.Seconds())
+	}
+	o.Mean /= m.duration.Seconds()
+	return o
+}
+
+// engineSeconds is how much of an engine's time a request takes at full batch.
+func engineSeconds(o standin.Options, prefill, output int) float64 {
+	step := (o.StepMs + o.SequenceMs*float64(o.Slots)) / 1000
+	return float64(prefill)/o.PrefillPerSecond + float64(output)*step/float64(o.Slots)
+}
--- /dev/null
+++ b/internal/experiment/experiment.go
@@ -0,0 +1,169 @@
+package experiment
+
+import (
+	"context"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/sourcegraph/conc"
+
+	"github.com/lycheekeel/lycheekeel/internal/load"
+	"github.com/lycheekeel/lycheekeel/pool"
+	"github.com/lycheekeel/lycheekeel/request"
+)
+
+// Options say how to run an experiment.
+type Options struct {
+	Scenario *Scenario
+	Policies []pool.Policy
+	Seed     uint64
+	// Long takes the scenario's long duration.
+	Long bool
+	// Progress, where not nil, is called now and then while a policy runs.
+	Progress func(policy pool.Policy, p load.Progress)
+}
+
+// Outcome is what an experiment showed.
+type Outcome struct {
+	Scenario   string `json:"scenario"`
+	Seed       uint64 `json:"seed"`
+	DurationMs int64  `json:"duration_ms"`
+	Arrivals   int    `json:"arrivals"`
+	// Offered is the offered load against the fleet's capacity.
+	Offered  Capacity                       `json:"offered_load"`
+	Policies map[pool.Policy]*PolicyOutcome `json:"policies"`
+	// Order is the order in which the policies ran, one after the other.
+	Order []pool.Policy `json:"order"`
+
+	mix *load.Mix
+}
+
+// PolicyOutcome is one policy's part of an outcome.
+type PolicyOutcome struct {
+	// Goodput by tier: whole answers within all targets of the tier, over the
+	// requests offered in it, without those whose callers left on purpose.
+	Goodput      map[string]float64 `json:"goodput"`
+	TotalGoodput float64            `json:"total_goodput"`
+	// WastedPrefillFraction is Prefill.WastedFraction.
+	WastedPrefillFraction float64 `json:"wasted_prefill_fraction"`
+	// FirstTokenP95Ms and TpotP95Ms are of streamed whole answers, all tiers.
+	FirstTokenP95Ms float64        `json:"first_token_p95_ms"`
+	TpotP95Ms       float64        `json:"tpot_p95_ms"`
+	Refusals        map[string]int `json:"refusals"`
+	Prefill         Prefill        `json:"prefill"`
+	// Violations counts breaches by rule; Examples holds the first of them.
+	// Baselines break RuleTierOrder by design.
+	Violations map[Rule]int `json:"violations"`
+	Examples   []Violation  `json:"violation_examples,omitempty"`
+	Report     *load.Report `json:"report"`
+
+	results []load.Result
+}
+
+// maxExamples bounds the violations that are written out.
+const maxExamples = 20
+
+// Run runs the scenario once for each policy, one after the other, with the
+// same arrivals.
+func Run(ctx context.Context, o Options) (*Outcome, error) {
+	s, duration := o.Scenario, o.Scenario.Duration(o.Long)
+	arrivals := load.Arrivals(&s.Mix, o.Seed, duration)
+	out := &Outcome{
+		Scenario: s.Name, Seed: o.Seed, DurationMs: duration.Milliseconds(), Arrivals: len(arrivals),
+		Offered: s.offeredLoad(arrivals, duration), Policies: map[pool.Policy]*PolicyOutcome{}, mix: &s.Mix,
+	}
+	for _, p := range o.Policies {
+		res, err := runPolicy(ctx, o, p, arrivals, duration)
+		if err != nil {
+			return nil, errors.Wrapf(err, "policy %s", p)
+		}
+		if err := ctx.Err(); err != nil {
+			return nil, errors.Wrap(err, "experiment")
+		}
+		out.Policies[p] = res
+		out.Order = append(out.Order, p)
+	}
+	return out, nil
+}
+
+func runPolicy(ctx context.Context, o Options, p pool.Policy, arrivals []load.Arrival, duration time.Duration) (*PolicyOutcome, error) {
+	y, err := startSystem(ctx, o.Scenario, p)
+	if err != nil {
+		return nil, err
+	}
+	defer y.stop()
+	run := &load.Run{Mix: &o.Scenario.Mix, Arrivals: arrivals, Targets: []string{y.address}, Keys: o.Scenario.keys()}
+	if err := run.Check(); err != nil {
+		return nil, err
+	}
+	results, err := offer(ctx, o, p, y, run)
+	if err != nil {
+		return nil, err
+	}
+	y.settle()
+	return judge(o, y, duration, results), nil
+}
+
+// offer sends the arrivals while the scenario's faults come about.
+func offer(ctx context.Context, o Options, p pool.Policy, y *system, run *load.Run) ([]load.Result, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	var wg conc.WaitGroup
+	var faultErr error
+	begin := time.Now()
+	wg.Go(func() { faultErr = y.inject(ctx, begin) })
+	if o.Progress != nil {
+		wg.Go(func() { report(ctx, o, p, run) })
+	}
+	results := run.Do(ctx)
+	cancel()
+	wg.Wait()
+	return results, faultErr
+}
+
+const progressEvery = 250 * time.Millisecond
+
+func report(ctx context.Context, o Options, p pool.Policy, run *load.Run) {
+	t := time.NewTicker(progressEvery)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case now := <-t.C:
+			o.Progress(p, run.Progress(now))
+		}
+	}
+}
+
+// judge makes a policy's outcome from what callers got, the trace and the
+// run logs.
+func judge(o Options, y *system, duration time.Duration, results []load.Result) *PolicyOutcome {
+	rep := load.Summarize(&o.Scenario.Mix, o.Seed, duration, results)
+	runs := y.runs()
+	whole, left := verdicts(results)
+	cacheBlocks := 0
+	for _, g := range o.Scenario.Engines {
+		cacheBlocks += g.Count * g.Engine.CacheBlocks
+	}
+	out := &PolicyOutcome{
+		Goodput: map[string]float64{}, TotalGoodput: rep.All.Goodput,
+		FirstTokenP95Ms: rep.All.FirstToken.P95, TpotP95Ms: rep.All.PerToken.P95, Refusals: rep.Refusals,
+		Prefill: countPrefill(runs, whole, left, cacheBlocks), Violations: map[Rule]int{}, Report: rep, results: results,
+	}
+	out.WastedPrefillFraction = out.Prefill.WastedFraction
+	for _, t := range rep.Tiers {
+		out.Goodput[t.Tier] = t.Goodput
+	}
+	counts := map[request.ID]int{}
+	for _, x := range runs {
+		counts[request.ID(x.RequestID)]++
+	}
+	for _, v := range append(CheckTrace(y.trace.Records(), true), CheckCallers(results, counts)...) {
+		out.Violations[v.Rule]++
+		if len(out.Examples) < maxExamples {
+			out.Examples = append(out.Examples, v)
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/internal/experiment/experiment_test.go
@@ -0,0 +1,222 @@
+package experiment
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/pkg/errors"
+	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/lycheekeel/lycheekeel/internal/load"
+	standin "github.com/lycheekeel/lycheekeel/internal/standin/engine"
+	"github.com/lycheekeel/lycheekeel/pool"
+	"github.com/lycheekeel/lycheekeel/request"
+	"github.com/lycheekeel/lycheekeel/scenarios"
+	"github.com/lycheekeel/lycheekeel/workspace"
+)
+
+func TestShippedScenarios(t *testing.T) {
+	Convey("Every shipped scenario and mix has no findings", t, func() {
+		for _, name := range scenarios.Names() {
+			data, _ := scenarios.Scenario(name)
+			s, err := Parse(name, data)
+			So(err, ShouldBeNil)
+			So(s.Name, ShouldEqual, name)
+			_, err = s.snapshot(pool.PolicyLycheekeel)
+			So(err, ShouldBeNil)
+		}
+		for _, name := range scenarios.Mixes() {
+			data, _ := scenarios.Mix(name)
+			_, err := load.ParseMix(name, data)
+			So(err, ShouldBeNil)
+		}
+		So(len(scenarios.Names()), ShouldEqual, 7)
+	})
+	Convey("The top tier alone stays below capacity in the dawn burst, and overload is about twice capacity", t, func() {
+		So(offeredOf("dawn-burst").TopTierPeak, ShouldBeLessThan, 1)
+		So(offeredOf("overload").All.Mean, ShouldBeBetween, 1.8, 2.4)
+	})
+}
+
+func offeredOf(name string) Capacity {
+	data, _ := scenarios.Scenario(name)
+	s, err := Parse(name, data)
+	So(err, ShouldBeNil)
+	return s.offeredLoad(load.Arrivals(&s.Mix, 1, s.Duration(false)), s.Duration(false))
+}
+
+func TestScenarioFindings(t *testing.T) {
+	Convey("Every mistake of a scenario is a finding with its place, all in one go", t, func() {
+		data := []byte(`{"name": "", "duration_ms": 0, "engines": [{"count": 40, "generation": "g", "slots": 0, "engine": {"slots": 1}}],
+			"mix": {"tiers": {"a": {"deadline_ms": 10}}, "classes": []},
+			"faults": [{"at_ms": -1, "engine": 99}]}`)
+		_, err := Parse("s.json", data)
+		var f workspace.Findings
+		So(errors.As(err, &f), ShouldBeTrue)
+		paths := map[string]bool{}
+		for _, x := range f {
+			paths[x.Path] = true
+		}
+		for _, want := range []string{"name", "duration_ms", "engines", "engines[0]", "engines[0].engine", "mix.classes", "faults[0].engine", "faults[0]"} {
+			So(paths, ShouldContainKey, want)
+		}
+	})
+}
+
+// trace makes records a millisecond apart.
+func trace(records ...Record) []Record {
+	for i := range records {
+		records[i].At = time.Unix(1000, 0).Add(time.Duration(i) * time.Millisecond)
+	}
+	return records
+}
+
+func rec(ev pool.Event, cmds ...pool.Command) Record { return Record{Event: ev, Commands: cmds} }
+
+func enqueue(id request.ID, tier request.Tier) pool.Enqueue {
+	return pool.Enqueue{Request: id, Entry: "e", Workspace: "w", Tier: tier, DeadlineIn: 5 * time.Millisecond}
+}
+
+func grant(id request.ID, seq uint64) pool.Grant {
+	return pool.Grant{Request: id, Entry: "e", Grant: pool.GrantID{Epoch: 1, Seq: seq}, Server: "s"}
+}
+
+func shed(id request.ID, why request.Reason) pool.Shed {
+	return pool.Shed{Request: id, Entry: "e", Reason: why}
+}
+
+func rulesOf(vs []Violation) map[Rule]int {
+	out := map[Rule]int{}
+	for _, v := range vs {
+		out[v.Rule]++
+	}
+	return out
+}
+
+func TestCheckTrace(t *testing.T) {
+	servers := rec(pool.ServerSet{Servers: []pool.ServerInfo{{Name: "s"}}})
+	release := rec(pool.Release{Request: "a", Entry: "e", Grant: pool.GrantID{Epoch: 1, Seq: 1}})
+	limited := enqueue("a", 1)
+	limited.MaxWaiting = 2
+	Convey("A trace that keeps the rules has no violation", t, func() {
+		So(CheckTrace(trace(servers,
+			rec(enqueue("a", 0), grant("a", 1)), rec(enqueue("b", 1)), rec(enqueue("c", 0), shed("b", request.ReasonShed)),
+			release, rec(enqueue("a", 1)), rec(pool.Withdraw{Request: "a"}), rec(enqueue("d", 2), shed("d", request.ReasonShed)),
+			rec(pool.Tick{}), rec(pool.Tick{}), rec(pool.Tick{}), rec(pool.Tick{}), rec(pool.Tick{}), rec(pool.Tick{}),
+			rec(pool.Tick{}, shed("c", request.ReasonExpired))), true), ShouldBeEmpty)
+	})
+	Convey("Each breach is found, and nothing else", t, func() {
+		for _, x := range []struct {
+			rule    Rule
+			records []Record
+		}{
+			{RuleTierOrder, trace(rec(enqueue("a", 0)), rec(enqueue("b", 1), shed("a", request.ReasonShed)), rec(pool.Withdraw{Request: "b"}))},
+			{RuleTierOrder, trace(rec(enqueue("b", 3)), rec(enqueue("a", 2), shed("a", request.ReasonShed)), rec(pool.Withdraw{Request: "b"}))},
+			{RuleExpiry, trace(rec(enqueue("a", 0)), rec(pool.Tick{}, shed("a", request.ReasonExpired)))},
+			{RuleWorkspaceLimit, trace(rec(limited, shed("a", request.ReasonWorkspaceLimit)))},
+			{RuleKnownRequest, trace(servers, rec(pool.Tick{}, grant("a", 1)))},
+			{RuleKnownRequest, trace(rec(enqueue("a", 0)), rec(pool.Withdraw{Request: "a"}, shed("a", request.ReasonShed)))},
+			{RuleGrantOnce, trace(servers, rec(enqueue("a", 0), grant("a", 1)), rec(enqueue("a", 0), grant("a", 2)))},
+			{RuleGrantOnce, trace(servers, rec(enqueue("a", 0), grant("a", 1)), rec(enqueue("b", 0), grant("b", 1)))},
+			{RuleRelease, trace(release)},
+			{RuleRelease, trace(servers, rec(enqueue("a", 0), grant("a", 1)), release, release)},
+			{RuleServerUp, trace(rec(enqueue("a", 0), grant("a", 1)))},
+			{RuleServerUp, trace(servers, rec(pool.ServerHealth{Server: "s", Health: pool.HealthLeaving}), rec(enqueue("a", 0), grant("a", 1)))},
+			{RuleForgotten, trace(rec(enqueue("a", 0)))},
+		} {
+			So(rulesOf(CheckTrace(x.records, true)), ShouldResemble, map[Rule]int{x.rule: 1})
+		}
+	})
+	Convey("Requests of an entry that died are not forgotten ones", t, func() {
+		So(CheckTrace(trace(rec(enqueue("a", 0)), rec(pool.EntrySet{})), true), ShouldBeEmpty)
+	})
+}
+
+func TestCheckCallers(t *testing.T) {
+	result := func(tries ...load.Try) load.Result { return load.Result{Arrival: &load.Arrival{}, Tries: tries} }
+	Convey("Callers and run logs that agree have no violation", t, func() {
+		So(CheckCallers([]load.Result{
+			result(load.Try{Ending: load.Whole, RequestID: "a"}), result(load.Try{Ending: load.Refused, RequestID: "b", NotRun: "true"}),
+			result(load.Try{Ending: load.Refused, RequestID: "c", NotRun: "false"}, load.Try{Ending: load.Cut, RequestID: "d", Reason: "engine_lost"}),
+			result(load.Try{Ending: load.Left}), result(load.Try{Ending: load.Left}),
+		}, map[request.ID]int{"a": 1, "c": 1, "d": 1}), ShouldBeEmpty)
+	})
+	Convey("Each breach is found, and nothing else", t, func() {
+		whole := load.Try{Ending: load.Whole, RequestID: "a"}
+		for _, x := range []struct {
+			rule    Rule
+			results []load.Result
+			runs    map[request.ID]int
+		}{
+			{RuleRunOnce, []load.Result{result(whole)}, map[request.ID]int{"a": 2}},
+			{RuleNotRun, []load.Result{result(load.Try{Ending: load.Refused, RequestID: "a", NotRun: "true"})}, map[request.ID]int{"a": 1}},
+			{RuleOneAnswer, []load.Result{result(load.Try{Ending: load.Lost})}, nil},
+			{RuleOneAnswer, []load.Result{result(load.Try{Ending: load.Cut})}, nil},
+			{RuleOneAnswer, []load.Result{result(load.Try{Ending: load.Crossed, RequestID: "a"})}, nil},
+			{RuleOneAnswer, []load.Result{result(whole), result(whole)}, nil},
+		} {
+			So(rulesOf(CheckCallers(x.results, x.runs)), ShouldResemble, map[Rule]int{x.rule: 1})
+		}
+	})
+}
+
+func TestCountPrefill(t *testing.T) {
+	run := func(id string, at, prompt, computed int, blocks ...uint64) runOf {
+		return runOf{blocks: blocks, RunRecord: standin.RunRecord{
+			RequestID: id, StartedAt: time.Unix(int64(at), 0), PromptTokens: prompt, PrefillComputed: computed,
+		}}
+	}
+	Convey("What was thrown away and what was computed again are counted", t, func() {
+		runs := []runOf{
+			run("a", 1, 128, 128, 1, 2),
+			run("b", 2, 192, 192, 1, 2, 3), // another engine: two blocks again
+			run("c", 3, 128, 64, 1, 4),     // one block cached
+			run("d", 4, 64, 64, 9),         // its caller left
+			run("e", 5, 100, 0, 1),         // never got a slot
+		}
+		p := countPrefill(runs, map[request.ID]bool{"a": true, "b": true, "c": true}, map[request.ID]bool{"d": true}, 10)
+		So(p.Computed, ShouldEqual, 448)
+		So(p.Unfinished, ShouldEqual, 64)
+		So(p.Left, ShouldEqual, 64)
+		So(p.Recomputed, ShouldEqual, 128)
+		So(p.WastedFraction, ShouldAlmostEqual, 192.0/448)
+		So(p.Reuse, ShouldAlmostEqual, 64.0/512)
+		So(p.ReuseBound, ShouldAlmostEqual, 3*64.0/512)
+	})
+	Convey("The all-knowing cache keeps what is used soonest", t, func() {
+		var runs []runOf
+		for i, b := range []uint64{1, 2, 3, 1, 2, 3} {
+			runs = append(runs, run("x", i, 64, 64, b))
+		}
+		So(allKnowingHits(runs, 3), ShouldEqual, 3)
+		So(allKnowingHits(runs, 2), ShouldEqual, 2) // least recently used would have none
+		So(allKnowingHits(runs, 0), ShouldEqual, 0)
+	})
+}
+
+// TestSmoke runs the whole path shortly for two policies; no timing decides.
+func TestSmoke(t *testing.T) {
+	Convey("An experiment runs, keeps the rules and writes its plot", t, func() {
+		data, _ := scenarios.Scenario("server-crash")
+		s, err := Parse("server-crash", data)
+		So(err, ShouldBeNil)
+		s.DurationMs = 1500
+		for i := range s.Mix.Classes { // short answers
+			s.Mix.Classes[i].OutputTokens = load.Length{Median: 16, Min: 16, Max: 16}
+		}
+		s.Faults = []Fault{{AtMs: 700, Engine: 0, Crash: true}}
+		out, err := Run(context.Background(), Options{
+			Scenario: s, Seed: 1, Policies: []pool.Policy{pool.PolicyLycheekeel, pool.PolicyRoundRobin},
+		})
+		So(err, ShouldBeNil)
+		for _, p := range out.Order {
+			res := out.Policies[p]
+			So(res.Examples, ShouldBeEmpty)
+			So(res.Report.Sent, ShouldEqual, out.Arrivals)
+			So(res.Report.All.Whole, ShouldBeGreaterThan, 0)
+			So(res.Prefill.Computed, ShouldBeGreaterThan, 0)
+		}
+		So(out.WritePlot(t.TempDir()+"/plot.png"), ShouldBeNil)
+	})
+}
--- /dev/null
+++ b/internal/experiment/plot.go
@@ -0,0 +1,97 @@
+package experiment
+
+import (
+	"image/color"
+	"time"
+
+	"github.com/pkg/errors"
+	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/vg"
+
+	"github.com/lycheekeel/lycheekeel/internal/load"
+)
+
+const (
+	plotWidth  = 13 * vg.Inch
+	plotHeight = 8.5 * vg.Inch
+	barWidth   = 14
+)
+
+// WritePlot writes a PNG that compares the policies: goodput by tier, prompt
+// work, and for the top tier its good requests over time and its waits.
+func (o *Outcome) WritePlot(path string) error {
+	tiers := load.TiersByPriority(o.mix)
+	goodput, err := o.bars(o.Scenario+": goodput by tier", append(tiers, "all"), func(p *PolicyOutcome, label string) float64 {
+		if label == "all" {
+			return p.TotalGoodput
+		}
+		return p.Goodput[label]
+	})
+	if err != nil {
+		return err
+	}
+	prefill, err := o.bars("prefill: fractions of what was computed, of all prompts reused", []string{"unfinished", "recomputed", "reused"}, prefillShare)
+	if err != nil {
+		return err
+	}
+	duration := time.Duration(o.DurationMs) * time.Millisecond
+	over, tail := plot.New(), plot.New()
+	over.Title.Text = tiers[0] + ": good requests over time (dashed: offered)"
+	over.X.Label.Text, over.Y.Label.Text = "seconds from the start", "requests/s"
+	load.LatencyAxes(tail, tiers[0]+": share of callers that waited longer")
+	for i, p := range o.Order {
+		c := load.Colors[i%len(load.Colors)]
+		results := o.Policies[p].results
+		if err := load.AddRates(over, o.mix, tiers[0], string(p), c, i == 0, duration, results); err != nil {
+			return err
+		}
+		if err := load.AddTail(tail, tiers[0], string(p), c, results); err != nil {
+			return err
+		}
+	}
+	over.Legend.Top = true
+	over.Add(plotter.NewGrid())
+	return load.SavePlots(path, plotWidth, plotHeight, []*plot.Plot{goodput, prefill}, []*plot.Plot{over, tail})
+}
+
+func prefillShare(p *PolicyOutcome, label string) float64 {
+	computed := float64(max(1, p.Prefill.Computed))
+	switch label {
+	case "unfinished":
+		return float64(p.Prefill.Unfinished) / computed
+	case "recomputed":
+		return float64(p.Prefill.Recomputed) / computed
+	default:
+		return p.Prefill.Reuse
+	}
+}
+
+// bars draws one group of bars a label, one bar a policy.
+func (o *Outcome) bars(title string, labels []string, value func(*PolicyOutcome, string) float64) (*plot.Plot, error) {
+	p := plot.New()
+	p.Title.Text = title
+	p.Y.Min, p.Y.Max = 0, 1
+	p.Legend.Top = true
+	p.Legend.YOffs = vg.Points(26)
+	grid := plotter.NewGrid()
+	grid.Vertical.Color = color.Transparent
+	p.Add(grid)
+	for i, policy := range o.Order {
+		values := make(plotter.Values, len(labels))
+		for j, label := range labels {
+			values[j] = value(o.Policies[policy], label)
+		}
+		b, err := plotter.NewBarChart(values, vg.Points(barWidth))
+		if err != nil {
+			return nil, errors.Wrap(err, "plot")
+		}
+		b.LineStyle.Width = 0
+		b.Color = load.Colors[i%len(load.Colors)]
+		b.Offset = vg.Points(barWidth * (float64(i) - float64(len(o.Order)-1)/2))
+		p.Add(b)
+		p.Legend.Add(string(policy), b)
+	}
+	p.NominalX(labels...)
+	return p, nil
+}
--- /dev/null
+++ b/internal/experiment/trace.go
@@ -0,0 +1,52 @@
+package experiment
+
+import (
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/lycheekeel/lycheekeel/pool"
+	"github.com/lycheekeel/lycheekeel/request"
+)
+
+// Record is one event that a pool handled, and the commands that followed.
+type Record struct {
+	At       time.Time
+	Event    pool.Event
+	Commands []pool.Command
+}
+
+// Trace collects the records of one pool in their order. It is safe for
+// concurrent use.
+type Trace struct {
+	mu      sync.Mutex
+	records []Record
+}
+
+// Add takes one record; it copies the commands.
+func (t *Trace) Add(_ string, now time.Time, ev pool.Event, cmds []pool.Command) {
+	if _, tick := ev.(pool.Tick); tick && len(cmds) == 0 {
+		return
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.records = append(t.records, Record{At: now, Event: ev, Commands: slices.Clone(cmds)})
+}
+
+// Records returns what was collected so far.
+func (t *Trace) Records() []Record {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return slices.Clone(t.records)
+}
+
+// blocksOf returns the prompts' block hashes by request.
+func blocksOf(records []Record) map[request.ID][]uint64 {
+	out := map[request.ID][]uint64{}
+	for _, r := range records {
+		if e, ok := r.Event.(pool.Enqueue); ok {
+			out[e.Request] = e.Blocks
+		}
+	}
+	return out
+}
--- a/internal/load/load_test.go
+++ b/internal/load/load_test.go
@@ -148,6 +148,13 @@
 		So(k.verdict(nil), ShouldEqual, Refused)
 		So(k.verdict(errors.New("broken")), ShouldEqual, Cut)
 	})
+	Convey("Only a caller that cut its answer short itself is not counted as lost or cut", t, func() {
+		So(endedEarly(Cut, false, true), ShouldEqual, Cut)
+		So(endedEarly(Cut, true, false), ShouldEqual, TooLate)
+		So(endedEarly(Lost, true, false), ShouldEqual, Lost)
+		So(endedEarly(Lost, true, true), ShouldEqual, Left)
+		So(endedEarly(Whole, true, true), ShouldEqual, Whole)
+	})
 }
 
 func TestGoodput(t *testing.T) {
--- a/internal/load/plot.go
+++ b/internal/load/plot.go
@@ -41,20 +41,14 @@
 	above, below := plot.New(), plot.New()
 	above.Title.Text = m.Name + ": offered (dashed) and good (solid) requests by tier"
 	above.X.Label.Text, above.Y.Label.Text = "seconds from the start", "requests/s"
-	below.Title.Text = "share of callers that waited longer"
-	below.X.Label.Text, below.Y.Label.Text = "milliseconds to the first token (plain: to the whole answer)", "share"
-	below.X.Scale, below.Y.Scale = plot.LogScale{}, plot.LogScale{}
-	below.X.Tick.Marker, below.Y.Tick.Marker = logTicks{}, logTicks{}
+	LatencyAxes(below, "share of callers that waited longer")
 	for i, tier := range TiersByPriority(m) {
 		if err := addTier(above, below, m, tier, Colors[i%len(Colors)], duration, results); err != nil {
 			return err
 		}
 	}
-	for _, p := range []*plot.Plot{above, below} {
-		p.Legend.Top = true
-		p.Add(plotter.NewGrid())
-	}
-	below.Y.Min, below.Y.Max = lowestShare, 1
+	above.Legend.Top = true
+	above.Add(plotter.NewGrid())
 	return SavePlots(path, plotWidth, plotHeight, []*plot.Plot{above}, []*plot.Plot{below})
 }
 
@@ -96,28 +90,59 @@
 }
 
 func addTier(above, below *plot.Plot, m *Mix, tier string, c color.Color, duration time.Duration, results []Result) error {
+	if err := AddRates(above, m, tier, tier, c, true, duration, results); err != nil {
+		return err
+	}
+	return AddTail(below, tier, tier, c, results)
+}
+
+// AddRates draws a tier's good requests over time under the label and, dashed,
+// the offered ones where these are wanted.
+func AddRates(p *plot.Plot, m *Mix, tier, label string, c color.Color, withOffered bool, duration time.Duration, results []Result) error {
 	offered, good := rates(m, tier, duration, results)
-	dashed, err := plotter.NewLine(offered)
-	if err != nil {
-		return errors.Wrap(err, "plot")
+	if withOffered {
+		dashed, err := plotter.NewLine(offered)
+		if err != nil {
+			return errors.Wrap(err, "plot")
+		}
+		dashed.Color, dashed.Width, dashed.Dashes = c, vg.Points(lineWidth), []vg.Length{vg.Points(4), vg.Points(3)}
+		p.Add(dashed)
 	}
-	dashed.Color, dashed.Width, dashed.Dashes = c, vg.Points(lineWidth), []vg.Length{vg.Points(4), vg.Points(3)}
 	solid, err := plotter.NewLine(good)
 	if err != nil {
 		return errors.Wrap(err, "plot")
 	}
 	solid.Color, solid.Width = c, vg.Points(lineWidth)
-	above.Add(dashed, solid)
-	above.Legend.Add(tier, solid)
-	if waits := tailOf(tier, results); len(waits) > 1 {
-		tail, err := plotter.NewLine(waits)
-		if err != nil {
-			return errors.Wrap(err, "plot")
-		}
-		tail.Color, tail.Width = c, vg.Points(lineWidth)
-		below.Add(tail)
-		below.Legend.Add(tier, tail)
+	p.Add(solid)
+	p.Legend.Add(label, solid)
+	return nil
+}
+
+// LatencyAxes prepares a plot for AddTail.
+func LatencyAxes(p *plot.Plot, title string) {
+	p.Title.Text = title
+	p.X.Label.Text, p.Y.Label.Text = "milliseconds to the first token (plain: to the whole answer)", "share"
+	p.X.Scale, p.Y.Scale = plot.LogScale{}, plot.LogScale{}
+	p.X.Tick.Marker, p.Y.Tick.Marker = logTicks{}, logTicks{}
+	p.X.Min, p.X.Max = 1, 2
+	p.Y.Min, p.Y.Max = lowestShare, 1
+	p.Legend.Top = true
+	p.Add(plotter.NewGrid())
+}
+
+// AddTail draws the share of a tier's callers that waited longer than x.
+func AddTail(p *plot.Plot, tier, label string, c color.Color, results []Result) error {
+	waits := tailOf(tier, results)
+	if len(waits) < 2 {
+		return nil
+	}
+	tail, err := plotter.NewLine(waits)
+	if err != nil {
+		return errors.Wrap(err, "plot")
 	}
+	tail.Color, tail.Width = c, vg.Points(lineWidth)
+	p.Add(tail)
+	p.Legend.Add(label, tail)
 	return nil
 }
 
--- a/internal/load/report.go
+++ b/internal/load/report.go
@@ -21,8 +21,9 @@
 	DurationMs int64   `json:"duration_ms"`
 	Sent       int     `json:"sent"`
 	PerSecond  float64 `json:"sent_per_second"`
-	// Tiers by priority.
+	// Tiers by priority; All is all of them together.
 	Tiers []TierReport `json:"tiers"`
+	All   TierReport   `json:"all"`
 	// Endings counts what callers were left with; Refusals counts every
 	// typed refusal, those before a resend included.
 	Endings  map[Ending]int `json:"endings"`
@@ -92,14 +93,16 @@
 		rep.Endings[e] = 0
 	}
 	lag := newHistogram()
-	tallies := newTallies(m)
+	tallies, all := newTallies(m), newTally("all", 0)
 	for i := range results {
 		r := &results[i]
 		record(lag, r.Lag)
 		rep.count(r)
-		tallies[r.Arrival.Class.Tier].add(r, m.Tiers[r.Arrival.Class.Tier])
+		targets := m.Tiers[r.Arrival.Class.Tier]
+		tallies[r.Arrival.Class.Tier].add(r, targets)
+		all.add(r, targets)
 	}
-	rep.Lag = percentiles(lag)
+	rep.Lag, rep.All = percentiles(lag), all.done()
 	for _, t := range tallies {
 		rep.Tiers = append(rep.Tiers, t.done())
 	}
@@ -113,14 +116,18 @@
 func newTallies(m *Mix) map[string]*tierTally {
 	out := map[string]*tierTally{}
 	for name, t := range m.Tiers {
-		out[name] = &tierTally{
-			report:     TierReport{Tier: name, Priority: t.Priority},
-			firstToken: newHistogram(), perToken: newHistogram(), all: newHistogram(),
-		}
+		out[name] = newTally(name, t.Priority)
 	}
 	return out
 }
 
+func newTally(tier string, priority int) *tierTally {
+	return &tierTally{
+		report:     TierReport{Tier: tier, Priority: priority},
+		firstToken: newHistogram(), perToken: newHistogram(), all: newHistogram(),
+	}
+}
+
 // retryReasons are refusals after which coming back later helps, so that the
 // caller must be told when.
 var retryReasons = map[string]bool{
--- a/internal/load/result.go
+++ b/internal/load/result.go
@@ -19,6 +19,9 @@
 	Left Ending = "left"
 	// Cut: an answer began and did not end, or ended with an error.
 	Cut Ending = "cut"
+	// TooLate: the answer was still on its way so long after its deadline
+	// that the caller gave up.
+	TooLate Ending = "too_late"
 	// Crossed: the answer of another request.
 	Crossed Ending = "crossed"
 	// Doubled: more text came after the answer's end.
@@ -34,7 +37,7 @@
 
 // Endings returns all endings, for reports that show zeros.
 func Endings() []Ending {
-	return []Ending{Whole, Refused, Left, Cut, Crossed, Doubled, Wrong, Lost, NotSent}
+	return []Ending{Whole, Refused, Left, Cut, TooLate, Crossed, Doubled, Wrong, Lost, NotSent}
 }
 
 // Try is one sending of a request. Its times count from the moment when the
--- a/internal/load/run.go
+++ b/internal/load/run.go
@@ -101,13 +101,26 @@
 	tryCtx, cancel := context.WithDeadline(ctx, time.Now().Add(limit))
 	defer cancel()
 	y := c.send(tryCtx, a, r.Keys[a.Class.Workspace], began)
-	cutShort := y.Ending == Lost || y.Ending == Cut || y.Ending == NotSent
-	if cutShort && tryCtx.Err() != nil && (a.LeaveAfter > 0 || ctx.Err() != nil) {
-		y.Ending = Left
-	}
+	y.Ending = endedEarly(y.Ending, tryCtx.Err() != nil, a.LeaveAfter > 0 || ctx.Err() != nil)
 	return y
 }
 
+// endedEarly tells an answer that the caller itself cut short from one that
+// the system did: the caller left on purpose, or gave up long after the
+// deadline. One that had nothing by then stays lost.
+func endedEarly(e Ending, byCaller, onPurpose bool) Ending {
+	switch {
+	case !byCaller || (e != Lost && e != Cut && e != NotSent):
+		return e
+	case onPurpose:
+		return Left
+	case e == Cut:
+		return TooLate
+	default:
+		return e
+	}
+}
+
 // again tells whether the caller sends its request again, and waits before it.
 func (r *Run) again(ctx context.Context, a *Arrival, res *Result) bool {
 	resend := a.Class.Resend
