demo: the whole path in one process

lycheekeel demo runs the platform, three engines of two generations and a plain service as stand-ins over loopback HTTP, with one daemon's real code on the shipped examples. lycheekeeld reads checked settings, starts its parts, and stops without cutting requests off. A model whose pools have no server is refused at once instead of at its deadline.

--- /dev/null
+++ b/internal/daemon/check.go
@@ -0,0 +1,91 @@
+package daemon
+
+import (
+	"net/netip"
+	"reflect"
+	"regexp"
+	"strings"
+
+	"github.com/go-playground/validator/v10"
+
+	"github.com/lycheekeel/lycheekeel/workspace"
+)
+
+// namePattern is what a daemon's name may look like.
+var namePattern = regexp.MustCompile(`^[a-z0-9]([a-z0-9-]*[a-z0-9])?$`)
+
+// settingsValidator checks values by the tags of Settings.
+var settingsValidator = newValidator()
+
+func newValidator() *validator.Validate {
+	v := validator.New(validator.WithRequiredStructEnabled())
+	v.RegisterTagNameFunc(func(f reflect.StructField) string {
+		name, _, _ := strings.Cut(f.Tag.Get("json"), ",")
+		return name
+	})
+	mustRegister(v, "ipport", func(f validator.FieldLevel) bool {
+		_, err := netip.ParseAddrPort(f.Field().String())
+		return err == nil
+	})
+	mustRegister(v, "dnsname", func(f validator.FieldLevel) bool {
+		return namePattern.MatchString(f.Field().String())
+	})
+	return v
+}
+
+func mustRegister(v *validator.Validate, tag string, f validator.Func) {
+	if err := v.RegisterValidation(tag, f); err != nil {
+		panic(err) // the tags are constants
+	}
+}
+
+// checkSettings returns what is wrong with the values, but for the places
+// that have a finding already: those values were not read.
+func checkSettings(file string, s *Settings, known workspace.Findings) workspace.Findings {
+	seen := map[string]bool{}
+	for _, f := range known {
+		if f.Path == "" {
+			return nil // not JSON: nothing was read
+		}
+		seen[f.Path] = true
+	}
+	var out workspace.Findings
+	errs, ok := settingsValidator.Struct(s).(validator.ValidationErrors)
+	if !ok {
+		return nil
+	}
+	for _, e := range errs {
+		_, path, _ := strings.Cut(e.Namespace(), ".")
+		if !seen[path] {
+			out.Add(file, path, "%s", reason(e))
+		}
+	}
+	return out
+}
+
+// reason says what a value must be.
+func reason(e validator.FieldError) string {
+	switch e.Tag() {
+	case "required":
+		return "must be set"
+	case "ipport":
+		return "must be an IP number with a port, such as 10.0.0.1:8080"
+	case "dnsname":
+		return "must be lower-case letters, digits and inner hyphens"
+	case "oneof":
+		return "must be one of: " + e.Param()
+	case "min":
+		return "must be at least " + e.Param() + unit(e)
+	case "max":
+		return "must be at most " + e.Param() + unit(e)
+	default:
+		return "is not valid (" + e.Tag() + ")"
+	}
+}
+
+func unit(e validator.FieldError) string {
+	if e.Kind() == reflect.String {
+		return " characters long"
+	}
+	return ""
+}
--- /dev/null
+++ b/internal/daemon/daemon.go
@@ -0,0 +1,201 @@
+// Package daemon puts the parts of lycheekeeld together: it reads the
+// settings, wires the parts, starts them in order, and stops them so that no
+// request is cut off.
+package daemon
+
+import (
+	"context"
+	"net"
+	"sync"
+	"sync/atomic"
+
+	"github.com/pkg/errors"
+	"github.com/sirupsen/logrus"
+	"github.com/sourcegraph/conc"
+
+	"github.com/lycheekeel/lycheekeel/broker"
+	"github.com/lycheekeel/lycheekeel/engine/httpengine"
+	"github.com/lycheekeel/lycheekeel/internal/admin"
+	"github.com/lycheekeel/lycheekeel/internal/entry"
+	"github.com/lycheekeel/lycheekeel/internal/logs"
+	"github.com/lycheekeel/lycheekeel/internal/metrics"
+	"github.com/lycheekeel/lycheekeel/internal/peer"
+	"github.com/lycheekeel/lycheekeel/internal/poolhost"
+	"github.com/lycheekeel/lycheekeel/member"
+	"github.com/lycheekeel/lycheekeel/platform"
+	"github.com/lycheekeel/lycheekeel/platform/httpplatform"
+	"github.com/lycheekeel/lycheekeel/revision"
+	"github.com/lycheekeel/lycheekeel/service/httpservice"
+	"github.com/lycheekeel/lycheekeel/workspace"
+)
+
+// Daemon is one lycheekeeld. Run it once.
+type Daemon struct {
+	settings Settings
+	log      *logrus.Entry
+	metrics  *metrics.Registry
+
+	listener, adminListener net.Listener
+
+	config    *workspace.Live
+	views     *member.Live
+	platform  platform.Platform
+	transport *peer.TCP
+	syncer    *revision.Syncer
+	findings  func() workspace.Findings
+	host      *poolhost.Host
+	broker    *broker.Entry
+	entry     *entry.Entry
+	admin     *admin.Server
+
+	state     atomic.Uint32 // of type state
+	drain     chan struct{} // closed by Drain
+	drainOnce sync.Once
+}
+
+// state is a daemon's place in its life.
+type state uint32
+
+// The states.
+const (
+	stateStarting state = iota
+	stateServing
+	stateDraining
+	stateStopped
+)
+
+func (s state) String() string {
+	return [...]string{"starting", "serving", "draining", "stopped"}[s]
+}
+
+// New wires a daemon and opens its listeners, so that an address in use is
+// told before anything runs.
+func New(s Settings) (*Daemon, error) {
+	d := &Daemon{
+		settings: s,
+		log:      logs.For("daemon"),
+		metrics:  metrics.New(),
+		config:   &workspace.Live{},
+		views:    &member.Live{},
+		drain:    make(chan struct{}),
+	}
+	if err := d.listen(); err != nil {
+		d.closeListeners()
+		return nil, err
+	}
+	d.wire()
+	return d, nil
+}
+
+func (d *Daemon) listen() error {
+	var err error
+	if d.listener, err = net.Listen("tcp", d.settings.Listen); err != nil {
+		return errors.Wrap(err, "listen")
+	}
+	if d.adminListener, err = net.Listen("tcp", d.settings.Admin); err != nil {
+		return errors.Wrap(err, "listen for admin")
+	}
+	keys := make([][]byte, len(d.settings.Peer.ClusterKeys))
+	for i, k := range d.settings.Peer.ClusterKeys {
+		keys[i] = []byte(k)
+	}
+	d.transport, err = peer.NewTCP(peer.Options{
+		Name: peer.Name(d.settings.Name), Listen: d.settings.Peer.Listen, Keys: keys, Registry: d.metrics,
+	})
+	return errors.Wrap(err, "listen for peers")
+}
+
+func (d *Daemon) closeListeners() {
+	for _, ln := range []net.Listener{d.listener, d.adminListener} {
+		if ln != nil {
+			_ = ln.Close()
+		}
+	}
+}
+
+// wire makes the parts. Those that register handlers at the transport must be
+// made before it starts.
+func (d *Daemon) wire() {
+	s := &d.settings
+	d.platform = httpplatform.New(httpplatform.Options{
+		Addr: s.Platform.Address, CallTimeout: milliseconds(s.Platform.TimeoutMs), Metrics: d.metrics,
+	})
+	d.wireMembers()
+	configuration := revision.NewConfiguration(d.config, d.metrics)
+	d.findings = configuration.Findings
+	d.syncer = revision.New(configuration.Attach(revision.Options{
+		API: d.platform, Transport: d.transport, View: d.views.Load, Metrics: d.metrics,
+	}))
+	engines := httpengine.NewDialer(s.engineSettings())
+	d.host = poolhost.New(poolhost.Config{
+		Self: s.Name, Region: s.Region, Snapshots: d.config, Views: d.views, Transport: d.transport,
+		Engines: engines, Metrics: d.metrics,
+	})
+	d.broker = broker.New(d.host)
+	d.entry = entry.New(entry.Deps{
+		Config: d.config, Broker: d.broker, Ledger: d.ledger(), Engines: engines,
+		Services: httpservice.NewDialer(s.serviceSettings()), Metrics: d.metrics, Region: s.Region,
+	}, s.entryLimits())
+	d.transport.Handle(peer.TypeStatus, d.answerStatus)
+	d.admin = admin.New(d, d.metrics)
+}
+
+// Address and AdminAddress are where the daemon listens.
+func (d *Daemon) Address() net.Addr { return d.listener.Addr() }
+
+// AdminAddress is where the admin port listens.
+func (d *Daemon) AdminAddress() net.Addr { return d.adminListener.Addr() }
+
+// Configured is closed once a configuration is in force.
+func (d *Daemon) Configured() <-chan struct{} { return d.syncer.Ready() }
+
+// Drain begins to stop, as the end of Run's context does. It returns at once.
+func (d *Daemon) Drain() { d.drainOnce.Do(func() { close(d.drain) }) }
+
+// Run serves until ctx ends or Drain is called, and then until no request is
+// left. It returns an error where a part failed, or where requests were cut
+// off because they took longer than the settings allow.
+func (d *Daemon) Run(ctx context.Context) error {
+	work, stopWork := context.WithCancel(context.Background())
+	defer stopWork()
+	failed := make(chan error, 2) // one from each server
+	var parts conc.WaitGroup
+	d.transport.Start()
+	for _, run := range d.parts() {
+		parts.Go(func() { run(work) })
+	}
+	parts.Go(func() { failed <- d.admin.Serve(d.adminListener) })
+	parts.Go(func() { failed <- d.entry.Serve(d.listener) })
+	d.log.WithField("listen", d.Address()).WithField("admin", d.AdminAddress()).Info("started")
+	err := d.serve(ctx, failed)
+	if err == nil {
+		err = d.stop()
+	}
+	stopWork()
+	d.closeAdmin()
+	parts.Wait()
+	d.transport.Close()
+	d.state.Store(uint32(stateStopped))
+	d.log.Info("stopped")
+	return err
+}
+
+// serve waits until the daemon is to stop.
+func (d *Daemon) serve(ctx context.Context, failed <-chan error) error {
+	configured := d.Configured()
+	for {
+		select {
+		case <-configured:
+			d.state.CompareAndSwap(uint32(stateStarting), uint32(stateServing))
+			d.log.Info("configuration in force, ready")
+			configured = nil
+		case err := <-failed:
+			d.closeListeners()
+			return errors.WithMessage(err, "server ended")
+		case <-ctx.Done():
+			return nil
+		case <-d.drain:
+			return nil
+		}
+	}
+}
--- /dev/null
+++ b/internal/demo/demo.go
@@ -0,0 +1,184 @@
+// Package demo runs a whole small system in one process: a platform, three
+// model engines of two generations and a plain service as stand-ins behind
+// loopback HTTP, and one daemon with its real code, configured by the shipped
+// examples.
+package demo
+
+import (
+	"context"
+	"crypto/rand"
+	"net"
+
+	"github.com/pkg/errors"
+	"github.com/sourcegraph/conc"
+
+	"github.com/lycheekeel/lycheekeel/internal/daemon"
+	engine "github.com/lycheekeel/lycheekeel/internal/standin/engine"
+	platformstandin "github.com/lycheekeel/lycheekeel/internal/standin/platform"
+	service "github.com/lycheekeel/lycheekeel/internal/standin/service"
+	"github.com/lycheekeel/lycheekeel/platform/httpplatform"
+)
+
+// region and zone are where everything in the demonstration stands.
+const (
+	region = "demo"
+	zone   = "demo-hall"
+)
+
+// anyPort lets the system pick a port on the loopback interface.
+const anyPort = "127.0.0.1:0"
+
+// drainMs is the demonstration's drain time: there is no balancer to wait for.
+const drainMs = 1
+
+// Options say where the daemon listens, as IP:port.
+type Options struct {
+	Listen string
+	Admin  string
+}
+
+// Info tells how to use a demonstration that is ready.
+type Info struct {
+	Listen string `json:"listen"`
+	Admin  string `json:"admin"`
+	// Keys are the bearer keys by workspace.
+	Keys   map[string]string `json:"keys"`
+	Models []string          `json:"models"`
+	// Services are the plain services that can be called.
+	Services []string `json:"services"`
+	// Engines has one address of each engine stand-in, whose run log is at
+	// /standin/runs.
+	Engines []string `json:"engines"`
+}
+
+// machine is a kind of hardware.
+type machine struct {
+	name       string
+	generation string
+	options    engine.Options
+}
+
+// machines are the demonstration's engines: two generations, three speeds.
+func machines() []machine {
+	return []machine{
+		{"engine-1", "gen2", engine.Options{Slots: 48, StepMs: 4, PrefillPerSecond: 30_000}},
+		{"engine-2", "gen2", engine.Options{Slots: 48, StepMs: 6, PrefillPerSecond: 24_000}},
+		{"engine-3", "gen1", engine.Options{Slots: 24, StepMs: 12, PrefillPerSecond: 8_000}},
+	}
+}
+
+// Run runs a demonstration until ctx ends. It calls ready once, when requests
+// can be sent.
+func Run(ctx context.Context, o Options, ready func(Info)) error {
+	standins, stop := context.WithCancel(context.Background())
+	var running conc.WaitGroup
+	s := &system{ctx: standins, running: &running}
+	defer s.stop()
+	defer running.Wait()
+	defer stop()
+	if err := s.start(); err != nil {
+		return err
+	}
+	info, err := s.configure(ctx)
+	if err != nil {
+		return err
+	}
+	d, err := daemon.New(s.settings(o))
+	if err != nil {
+		return err
+	}
+	info.Listen, info.Admin = d.Address().String(), d.AdminAddress().String()
+	go func() {
+		select {
+		case <-d.Configured():
+			ready(info)
+		case <-standins.Done():
+		}
+	}()
+	return d.Run(ctx)
+}
+
+// system is the stand-ins with their addresses.
+type system struct {
+	ctx      context.Context
+	running  *conc.WaitGroup
+	platform string
+	engines  []*engine.Engine
+	service  *service.Service
+}
+
+func (s *system) start() error {
+	ln, err := net.Listen("tcp", anyPort)
+	if err != nil {
+		return errors.Wrap(err, "listen for the platform")
+	}
+	s.platform = ln.Addr().String()
+	p := platformstandin.New(platformstandin.Options{})
+	s.serve(func() error { return p.Serve(s.ctx, ln) })
+	for _, m := range machines() {
+		e, err := engine.New(m.options)
+		if err != nil {
+			return err
+		}
+		s.engines = append(s.engines, e)
+	}
+	s.service = service.New(service.Options{})
+	return nil
+}
+
+// engineAddress opens one more address of an engine. Each pool knows the
+// engine by an address of its own, as if it were several servers.
+func (s *system) engineAddress(i int) (string, error) {
+	ln, err := net.Listen("tcp", anyPort)
+	if err != nil {
+		return "", errors.Wrap(err, "listen for an engine")
+	}
+	s.serve(func() error { return engine.ServeEngine(s.ctx, ln, s.engines[i]) })
+	return ln.Addr().String(), nil
+}
+
+// serviceAddress opens one more address of the plain service.
+func (s *system) serviceAddress() (string, error) {
+	ln, err := net.Listen("tcp", anyPort)
+	if err != nil {
+		return "", errors.Wrap(err, "listen for the service")
+	}
+	s.serve(func() error { return s.service.Serve(s.ctx, ln) })
+	return ln.Addr().String(), nil
+}
+
+// serve runs a stand-in until the demonstration ends. One that fails shows in
+// the daemon's log as a server that is gone.
+func (s *system) serve(run func() error) {
+	s.running.Go(func() { _ = run() })
+}
+
+// stop ends the engines; their listeners have ended with the context.
+func (s *system) stop() {
+	for _, e := range s.engines {
+		e.Close()
+	}
+}
+
+func (s *system) configure(ctx context.Context) (Info, error) {
+	client := httpplatform.New(httpplatform.Options{Addr: s.platform})
+	c, err := newConfiguration(s)
+	if err != nil {
+		return Info{}, err
+	}
+	for _, o := range c.objects {
+		if _, err := client.Create(ctx, o.Kind, o.Name, o.Value); err != nil {
+			return Info{}, errors.Wrapf(err, "create %s %q", o.Kind, o.Name)
+		}
+	}
+	return Info{Keys: c.keys, Models: c.modelNames(), Services: c.services, Engines: c.engines}, nil
+}
+
+func (s *system) settings(o Options) daemon.Settings {
+	return daemon.Settings{
+		Name: "demo", Region: region, AvailabilityZone: zone, Listen: o.Listen, Admin: o.Admin,
+		Peer:     daemon.PeerSettings{Listen: anyPort, Address: anyPort, ClusterKeys: []string{rand.Text()}},
+		Platform: daemon.PlatformSettings{Address: s.platform},
+		Timeouts: daemon.TimeoutSettings{DrainMs: drainMs},
+	}
+}
--- a/internal/entry/generate.go
+++ b/internal/entry/generate.go
@@ -81,12 +81,23 @@
 	s.Fingerprint = fingerprint(s.Workspace, m.Version, g.prompt)
 	key := workspace.ModelRegion{Model: m.Name, Version: m.Version, Region: x.entry.deps.Region}
 	x.demand.Candidates = x.snapshot.ModelPools[key]
-	if len(x.demand.Candidates) == 0 {
+	if !anyServer(x.demand.Candidates) {
 		return request.Refuse(request.ReasonNoServer, "no pool serves model %q version %q here", m.Name, m.Version)
 	}
 	return nil
 }
 
+// anyServer tells whether a pool has a server. Where none has, a request would
+// only wait for its deadline: its caller is better told at once.
+func anyServer(pools []*workspace.ResolvedPool) bool {
+	for _, p := range pools {
+		if len(p.Servers) > 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // capTokens returns the tokens that may be generated: the caller's wish within
 // what the template allows.
 func capTokens(asked, allowed int) int {
--- a/internal/entry/service.go
+++ b/internal/entry/service.go
@@ -132,7 +132,7 @@
 		x.claimSum = claimHash([]byte(s.Name), []byte(method), []byte(path.target), body)
 	}
 	p, ok := x.snapshot.Pools[s.Pool]
-	if !ok || p.Region != x.entry.deps.Region {
+	if !ok || p.Region != x.entry.deps.Region || len(p.Servers) == 0 {
 		return request.Refuse(request.ReasonNoServer, "no pool serves service %q here", s.Name)
 	}
 	x.demand.Candidates = []*workspace.ResolvedPool{p}
@@ -223,4 +223,3 @@
 	}
 	return ""
 }
-
