--- a/broker/failure_test.go
+++ b/broker/failure_test.go
@@ -234,9 +234,18 @@
 		})
 		Convey("a lost release is made again", func() {
 			w.lose[[2]string{other.name, owner.name}] = true
-			l.release()
+			l.running[0].Release(End{Outcome: pool.OutcomeCrashed})
+			l.running = nil
+			w.pump()
 			w.lose = map[[2]string]bool{}
 			w.advance(time.Second)
+			var outcomes []pool.Outcome
+			for _, ev := range w.events {
+				if r, ok := ev.(pool.Release); ok {
+					outcomes = append(outcomes, r.Outcome)
+				}
+			}
+			So(outcomes, ShouldResemble, []pool.Outcome{pool.OutcomeCrashed})
 		})
 		l.drain()
 		So(w.free(), ShouldEqual, 2)
@@ -264,6 +273,37 @@
 	})
 }
 
+// Symptom: two requests run in one slot.
+// Sequence: a request is withdrawn and made again while its grant is under
+// way; it gets that grant, returns it and is made once more; now the owner's
+// answer to the second enqueue arrives, which repeats the grant.
+// Cause: the grant was released by then. Its number tells that it is old.
+func TestRepeatedGrant(t *testing.T) {
+	Convey("Given a grant that the owner will repeat", t, func() {
+		w := newWorld(1, "a", "b")
+		w.advance(time.Second)
+		n := w.other()
+		d := Demand{Spec: testSpec("again", w.now), Candidates: candidates(w)}
+		first := n.entry.begin(d)
+		w.deliver() // the enqueue; the grant is under way now
+		first.withdraw()
+		second := n.entry.begin(d)
+		w.deliver() // the grant; withdrawal and second enqueue are under way
+		r, ok := ended(second)
+		So(ok, ShouldBeTrue)
+		r.grant.Return()
+		third := n.entry.begin(d)
+		w.pump()
+		again, ok := ended(third)
+		So(ok, ShouldBeTrue)
+		So(again.grant.id, ShouldNotEqual, r.grant.id)
+		So(w.entryCount(n, "doubled_grants"), ShouldEqual, "1")
+		again.grant.Release(End{Outcome: pool.OutcomeDone})
+		w.pump()
+		So(w.free(), ShouldEqual, 2)
+	})
+}
+
 func (w *world) entryCount(n *node, name string) string {
 	return n.host.Config().Metrics.Counter("broker", name).String()
 }
--- a/broker/world_test.go
+++ b/broker/world_test.go
@@ -29,6 +29,7 @@
 	// policy is FIFO unless a test sets it: its limits are the slots, so that
 	// free ones can be counted.
 	policy pool.Policy
+	events []pool.Event // all that the pools handled but ticks
 }
 
 type node struct {
@@ -90,6 +91,11 @@
 	n.host = poolhost.New(poolhost.Config{
 		Self: name, Region: testRegion, Snapshots: &w.snapshot, Views: &n.views, Transport: n,
 		Now: func() time.Time { return w.now }, Spawn: func(f func()) { f() },
+		Trace: func(_ string, _ time.Time, ev pool.Event, _ []pool.Command) {
+			if _, tick := ev.(pool.Tick); !tick {
+				w.events = append(w.events, ev)
+			}
+		},
 		NewScheduler: func(p *workspace.ResolvedPool, epoch uint64) poolhost.Scheduler {
 			return pool.New(pool.Config{Name: p.Name, Policy: w.policy, Epoch: epoch})
 		},
--- /dev/null
+++ b/internal/poolhost/host_test.go
@@ -0,0 +1,238 @@
+package poolhost
+
+import (
+	"context"
+	"fmt"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/lycheekeel/lycheekeel/engine"
+	"github.com/lycheekeel/lycheekeel/internal/poolwire"
+	"github.com/lycheekeel/lycheekeel/pool"
+	"github.com/lycheekeel/lycheekeel/workspace"
+	. "github.com/smartystreets/goconvey/convey"
+	"pgregory.net/rapid"
+)
+
+// fakeEngine answers load reports and cache events as a test sets them.
+type fakeEngine struct {
+	engine.Engine
+	report engine.LoadReport
+	err    error
+	events []engine.CacheEvent
+}
+
+func (f *fakeEngine) Load(context.Context) (engine.LoadReport, error) { return f.report, f.err }
+
+func (f *fakeEngine) CacheEvents(_ context.Context, after uint64) ([]engine.CacheEvent, error) {
+	var out []engine.CacheEvent
+	for _, e := range f.events {
+		if e.Seq > after {
+			out = append(out, e)
+		}
+	}
+	return out, nil
+}
+
+type fakeDialer struct{ engine *fakeEngine }
+
+func (d fakeDialer) Engine(string) engine.Engine { return d.engine }
+
+// bench is one host on one thread with an injected clock, and a record of all
+// that its pools handled.
+type bench struct {
+	host     *Host
+	now      time.Time
+	snapshot workspace.Live
+	leaving  bool
+	events   map[string][]pool.Event
+	engine   *fakeEngine
+}
+
+func newBench(pools ...string) *bench {
+	b := &bench{now: time.Unix(1_800_000_000, 0), events: map[string][]pool.Event{}, engine: &fakeEngine{}}
+	b.engine.report.Incarnation = 1
+	b.configure(false, pools...)
+	b.host = New(Config{
+		Self: "a", Region: "r", Snapshots: &b.snapshot, Engines: fakeDialer{b.engine},
+		Now: func() time.Time { return b.now }, Spawn: func(f func()) { f() },
+		Leaving: func(workspace.BackendServer) bool { return b.leaving },
+		Trace: func(p string, _ time.Time, ev pool.Event, _ []pool.Command) {
+			b.events[p] = append(b.events[p], ev)
+		},
+	})
+	return b
+}
+
+func (b *bench) configure(leaving bool, pools ...string) {
+	s := &workspace.Snapshot{Pools: map[string]*workspace.ResolvedPool{}, ModelPools: map[workspace.ModelRegion][]*workspace.ResolvedPool{}}
+	for _, name := range pools {
+		p := &workspace.ResolvedPool{Pool: workspace.Pool{Name: name, Region: "r", Model: "m", Version: "1", Policy: "fifo"}}
+		p.Servers = []workspace.BackendServer{{Name: name + "-server", Address: "127.0.0.1:1", Slots: 2, Leaving: leaving}}
+		s.Pools[name] = p
+		key := workspace.ModelRegion{Model: "m", Version: "1", Region: "r"}
+		s.ModelPools[key] = append(s.ModelPools[key], p)
+	}
+	b.snapshot.Store(s)
+}
+
+func (b *bench) advance(d time.Duration) {
+	for end := b.now.Add(d); b.now.Before(end); {
+		b.now = b.now.Add(TickEvery)
+		b.host.Tick()
+	}
+}
+
+// health returns the last health that a pool was told.
+func (b *bench) health(p string) (last pool.ServerHealth) {
+	for _, ev := range b.events[p] {
+		if h, ok := ev.(pool.ServerHealth); ok {
+			last = h
+		}
+	}
+	return last
+}
+
+// eventsOf returns the events of one type that a pool handled.
+func eventsOf[T pool.Event](b *bench, p string) (out []T) {
+	for _, ev := range b.events[p] {
+		if e, ok := ev.(T); ok {
+			out = append(out, e)
+		}
+	}
+	return out
+}
+
+func TestMonitor(t *testing.T) {
+	Convey("Given a monitored server", t, func() {
+		b := newBench("p")
+		b.advance(time.Second)
+		So(b.health("p"), ShouldResemble, pool.ServerHealth{Server: "p-server", Health: pool.HealthUp, Incarnation: 1})
+		So(len(eventsOf[pool.ServerLoad](b, "p")), ShouldEqual, 2)
+
+		Convey("one lost probe is no silence, three are, and an answer ends it", func() {
+			b.engine.err = engine.ErrBroken
+			b.advance(ProbeEvery)
+			So(b.health("p").Health, ShouldEqual, pool.HealthUp)
+			b.advance(2 * ProbeEvery)
+			So(b.health("p").Health, ShouldEqual, pool.HealthSilent)
+			b.engine.err = nil
+			b.advance(ProbeEvery)
+			So(b.health("p").Health, ShouldEqual, pool.HealthUp)
+		})
+		Convey("a refused connect is gone at once", func() {
+			b.engine.err = fmt.Errorf("probe: %w", syscall.ECONNREFUSED)
+			b.advance(ProbeEvery)
+			So(b.health("p").Health, ShouldEqual, pool.HealthGone)
+		})
+		Convey("a restart is a new incarnation, and its cache events start anew", func() {
+			b.engine.events = []engine.CacheEvent{{Seq: 1, Block: 5, Stored: true}, {Seq: 2, Block: 6, Stored: true}}
+			b.advance(ProbeEvery)
+			b.engine.events = append(b.engine.events, engine.CacheEvent{Seq: 4, Block: 7, Stored: true})
+			b.advance(ProbeEvery)
+			b.engine.report.Incarnation, b.engine.events = 2, []engine.CacheEvent{{Seq: 1, Block: 8, Stored: true}}
+			b.advance(ProbeEvery)
+			So(b.health("p").Incarnation, ShouldEqual, 2)
+			caches := eventsOf[pool.ServerCache](b, "p")
+			So(len(caches), ShouldEqual, 3)
+			So([]bool{caches[0].Gap, caches[1].Gap, caches[2].Gap}, ShouldResemble, []bool{false, true, false})
+			So(caches[2].Events[0].Block, ShouldEqual, 8)
+		})
+	})
+}
+
+// Symptom: a backend server that is being replaced still gets requests, and
+// its last ones are cut.
+// Sequence: the operator, the VM list or the engine says that it leaves.
+// Cause: the three signs come at different times; the first one must count.
+func TestLeavingWithinThreeSeconds(t *testing.T) {
+	for name, leave := range map[string]func(b *bench){
+		"operator": func(b *bench) { b.configure(true, "p") },
+		"VM list":  func(b *bench) { b.leaving = true },
+		"engine":   func(b *bench) { b.engine.report.Leaving = true },
+	} {
+		Convey("Given a sign from the "+name, t, func() {
+			b := newBench("p")
+			b.advance(time.Second)
+			leave(b)
+			from := b.now
+			for b.health("p").Health != pool.HealthLeaving && b.now.Sub(from) < 10*time.Second {
+				b.advance(TickEvery)
+			}
+			So(b.now.Sub(from), ShouldBeLessThanOrEqualTo, 3*time.Second)
+		})
+	}
+}
+
+func TestSpread(t *testing.T) {
+	Convey("Given two pools of one model", t, func() {
+		b := newBench("p", "q")
+		b.advance(time.Second)
+
+		Convey("each learns how the other stands", func() {
+			s := eventsOf[pool.Sibling](b, "p")
+			So(s, ShouldNotBeEmpty)
+			So(s[0], ShouldResemble, pool.Sibling{Pool: "q", Free: 2})
+		})
+		Convey("a suspect of one is told to the other, and to a pool taken later", func() {
+			b.host.shareSuspect(b.host.Owned("p"), pool.ShareSuspect{Fingerprint: 7, State: pool.Convicted, ExpiresIn: time.Minute})
+			b.configure(false, "p", "q", "later")
+			b.advance(time.Second)
+			So(eventsOf[pool.SuspectShared](b, "p"), ShouldBeEmpty)
+			So(len(eventsOf[pool.SuspectShared](b, "q")), ShouldEqual, 1)
+			later := eventsOf[pool.SuspectShared](b, "later")
+			So(len(later), ShouldEqual, 1)
+			So(later[0].ExpiresIn, ShouldBeBetween, 59*time.Second, time.Minute)
+		})
+		Convey("a session of a pool that is not owned here is refused", func() {
+			var got []poolwire.Commands
+			b.host.Hello(poolwire.Hello{Pool: "x", Entry: "e/1", Session: 9}, func(c poolwire.Commands) error {
+				got = append(got, c)
+				return nil
+			})
+			So(len(got), ShouldEqual, 1)
+			So(got[0].Verdict, ShouldEqual, poolwire.VerdictNotOwner)
+		})
+	})
+}
+
+// TestSharesProperty checks that what all members take of a server in degraded
+// mode is its slots: nobody grants what another one grants, too. A pool with
+// fewer slots than members is over-granted by one slot a member at most.
+func TestSharesProperty(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		p := &workspace.ResolvedPool{}
+		slots := 0
+		for i := range rapid.IntRange(1, 5).Draw(t, "servers") {
+			n := rapid.IntRange(1, 40).Draw(t, "slots")
+			slots += n
+			p.Servers = append(p.Servers, workspace.BackendServer{Name: fmt.Sprintf("s%d", i), Slots: n})
+		}
+		var members []string
+		for i := range rapid.IntRange(1, 12).Draw(t, "members") {
+			members = append(members, fmt.Sprintf("m%d", i))
+		}
+		sum, extra := 0, 0
+		for _, m := range members {
+			own := 0
+			for _, s := range p.Servers {
+				own += shareOf(s, m, members)
+			}
+			got := 0
+			for _, s := range sharedPool(p, m, members).Servers {
+				got += s.Slots
+			}
+			if got != max(1, own) {
+				t.Fatalf("%s has %d slots, not %d", m, got, own)
+			}
+			sum += own
+			if own == 0 {
+				extra++
+			}
+		}
+		if sum != slots || extra >= len(members) {
+			t.Fatalf("shares sum to %d of %d slots, %d members without any", sum, slots, extra)
+		}
+	})
+}
