cli: apply, diff and get, conditional on the version seen

Operators had no way to change configuration. apply reads all files, reports every finding in one go, shows the difference field by field and writes each object conditionally on the version shown or named by expect_version; a lost race shows the other's change and overwrites nothing, a lost answer is settled by reading back, also where reads are stale. get -o json prints what apply reads. Tests run the tool against a served stand-in.

--- /dev/null
+++ b/internal/apply/apply.go
@@ -0,0 +1,183 @@
+// Package apply brings configuration files into the object API: it reads and
+// checks them all, works out the difference to what is stored, and writes each
+// object conditionally on the version that the operator was shown.
+package apply
+
+import (
+	"cmp"
+	"context"
+	"io/fs"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+
+	"github.com/pkg/errors"
+
+	"github.com/lycheekeel/lycheekeel/platform"
+	"github.com/lycheekeel/lycheekeel/workspace"
+)
+
+// fileSuffix is of the files that are read from a directory.
+const fileSuffix = ".json"
+
+// Load reads configuration files, and all JSON files under directories. It
+// returns every good document and every finding; the error is of a path that
+// can't be read.
+func Load(paths []string) ([]workspace.Document, workspace.Findings, error) {
+	var docs []workspace.Document
+	var findings workspace.Findings
+	files, err := expand(paths)
+	if err != nil {
+		return nil, nil, err
+	}
+	for _, file := range files {
+		data, err := os.ReadFile(file)
+		if err != nil {
+			return nil, nil, errors.Wrap(err, "read configuration")
+		}
+		d, f := workspace.ParseFile(file, data)
+		docs, findings = append(docs, d...), append(findings, f...)
+	}
+	return docs, findings, nil
+}
+
+// expand replaces directories by the JSON files under them, sorted.
+func expand(paths []string) ([]string, error) {
+	var out []string
+	for _, path := range paths {
+		before := len(out)
+		err := filepath.WalkDir(path, func(p string, d fs.DirEntry, err error) error {
+			if err == nil && !d.IsDir() && (p == path || strings.HasSuffix(p, fileSuffix)) {
+				out = append(out, p)
+			}
+			return err
+		})
+		if err != nil {
+			return nil, errors.Wrap(err, "read configuration")
+		}
+		if len(out) == before {
+			return nil, errors.Errorf("%s holds no %s file", path, fileSuffix)
+		}
+	}
+	return out, nil
+}
+
+// Read returns all stored configuration, assignments included.
+func Read(ctx context.Context, api platform.ObjectAPI) ([]platform.Object, error) {
+	var out []platform.Object
+	for _, kind := range workspace.Kinds() {
+		list, err := api.List(ctx, kind, "")
+		if err != nil {
+			return nil, errors.Wrapf(err, "list %s", kind)
+		}
+		out = append(out, list.Objects...)
+	}
+	return out, nil
+}
+
+// Action is what a Change does.
+type Action string
+
+// The actions.
+const (
+	Create    Action = "create"
+	Update    Action = "update"
+	Delete    Action = "delete"
+	Unchanged Action = "unchanged"
+)
+
+// Change is the difference of one object to what is stored.
+type Change struct {
+	Kind   platform.Kind `json:"kind"`
+	Name   string        `json:"name"`
+	Action Action        `json:"action"`
+	// Version is the stored version that the difference is to; 0 for none.
+	Version platform.Version `json:"version"`
+	Fields  []FieldChange    `json:"fields,omitempty"`
+
+	old, value []byte
+}
+
+// Ref names an object.
+type Ref struct {
+	Kind platform.Kind
+	Name string
+}
+
+// writeOrder puts what others name before those that name it.
+var writeOrder = map[platform.Kind]int{
+	workspace.KindPool: 0, workspace.KindBackendServer: 1, workspace.KindTemplate: 2, workspace.KindWorkspace: 3,
+}
+
+// Plan works out the changes that documents and deletions make, in the order
+// in which to write them. A document whose expected version is not the stored
+// one gives a *ConflictError.
+func Plan(docs []workspace.Document, deletions []Ref, stored []platform.Object) ([]Change, error) {
+	at := make(map[Ref]platform.Object, len(stored))
+	for _, o := range stored {
+		at[Ref{o.Kind, o.Name}] = o
+	}
+	changes := make([]Change, 0, len(docs)+len(deletions))
+	for _, d := range docs {
+		c, err := planDocument(d, at[Ref{d.Kind, d.Name}])
+		if err != nil {
+			return nil, err
+		}
+		changes = append(changes, c)
+	}
+	slices.SortStableFunc(changes, func(a, b Change) int {
+		return cmp.Compare(writeOrder[a.Kind], writeOrder[b.Kind])
+	})
+	for _, ref := range deletions {
+		o, ok := at[ref]
+		if !ok {
+			return nil, errors.Wrapf(platform.ErrNotFound, "delete %s/%s", ref.Kind, ref.Name)
+		}
+		changes = append(changes, Change{
+			Kind: ref.Kind, Name: ref.Name, Action: Delete, Version: o.Version,
+			Fields: Diff(o.Value, nil), old: o.Value,
+		})
+	}
+	return changes, nil
+}
+
+// planDocument compares a document with the stored object, whose version is 0
+// where there is none.
+func planDocument(d workspace.Document, stored platform.Object) (Change, error) {
+	value, err := d.Value()
+	if err != nil {
+		return Change{}, errors.Wrapf(err, "%s/%s", d.Kind, d.Name)
+	}
+	c := Change{
+		Kind: d.Kind, Name: d.Name, Action: Update, Version: stored.Version,
+		Fields: Diff(stored.Value, value), old: stored.Value, value: value,
+	}
+	switch {
+	case d.Expect != 0 && d.Expect != stored.Version:
+		return c, &ConflictError{
+			Ref: Ref{d.Kind, d.Name}, Expected: d.Expect, Found: stored.Version, Theirs: Diff(value, stored.Value),
+		}
+	case stored.Version == 0:
+		c.Action = Create
+	case len(c.Fields) == 0:
+		c.Action = Unchanged
+	}
+	return c, nil
+}
+
+// Check checks documents and deletions against what is stored.
+func Check(docs []workspace.Document, deletions []Ref, stored []platform.Object) workspace.Findings {
+	left := slices.DeleteFunc(slices.Clone(stored), func(o platform.Object) bool {
+		return slices.Contains(deletions, Ref{o.Kind, o.Name})
+	})
+	findings := workspace.CheckDocuments(docs, left)
+	_, before := workspace.Compile(stored)
+	for i, f := range findings {
+		// What is wrong already does not stop a change of something else.
+		if slices.Contains(before, f) {
+			findings[i].Warning = true
+		}
+	}
+	return findings
+}
--- /dev/null
+++ b/internal/apply/apply_test.go
@@ -0,0 +1,177 @@
+package apply
+
+import (
+	"context"
+	"os"
+	"path/filepath"
+	"testing"
+
+	"github.com/pkg/errors"
+	. "github.com/smartystreets/goconvey/convey"
+
+	standin "github.com/lycheekeel/lycheekeel/internal/standin/platform"
+	"github.com/lycheekeel/lycheekeel/platform"
+	"github.com/lycheekeel/lycheekeel/workspace"
+)
+
+// pool returns a document of a pool with a bound on its queue.
+func pool(name, waiting string) workspace.Document {
+	docs, findings := workspace.ParseFile(name+".json",
+		[]byte(`{"kind":"Pool","name":"`+name+`","region":"r","service":"s","max_waiting":`+waiting+`}`))
+	So(findings, ShouldBeEmpty)
+	return docs[0]
+}
+
+// plan plans a document against what the store holds now.
+func plan(ctx context.Context, store *standin.Standin, docs ...workspace.Document) []Change {
+	stored, err := Read(ctx, store)
+	So(err, ShouldBeNil)
+	So(Check(docs, nil, stored), ShouldBeEmpty)
+	changes, err := Plan(docs, nil, stored)
+	So(err, ShouldBeNil)
+	return changes
+}
+
+func TestOperatorsRacing(t *testing.T) {
+	// Symptom: an operator's accepted change is gone, and nobody was told.
+	// Sequence: two operators see the same version; both write.
+	// Cause: the second write replaced the first.
+	Convey("The second of two operators gets the first one's change shown", t, func() {
+		ctx := context.Background()
+		store := standin.New(standin.Options{})
+		_, err := Write(ctx, store, plan(ctx, store, pool("p", "1"))[0])
+		So(err, ShouldBeNil)
+		mine, theirs := plan(ctx, store, pool("p", "2"))[0], plan(ctx, store, pool("p", "3"))[0]
+		So(mine.Fields, ShouldHaveLength, 1)
+		So(mine.Fields[0].String(), ShouldEqual, "~ max_waiting: 1 -> 2")
+		v, err := Write(ctx, store, theirs)
+		So(err, ShouldBeNil)
+
+		_, err = Write(ctx, store, mine)
+		var conflict *ConflictError
+		So(errors.As(err, &conflict), ShouldBeTrue)
+		So(conflict.Found, ShouldEqual, v)
+		So(conflict.Theirs[0].String(), ShouldEqual, "~ max_waiting: 1 -> 3")
+		o, _ := store.Get(ctx, workspace.KindPool, "p")
+		So(o.Version, ShouldEqual, v)
+
+		Convey("also where the file names the version that it was made from", func() {
+			d := pool("p", "4")
+			d.Expect = mine.Version
+			stored, _ := Read(ctx, store)
+			_, err := Plan([]workspace.Document{d}, nil, stored)
+			So(errors.As(err, &conflict), ShouldBeTrue)
+		})
+		Convey("and where the first one deleted it", func() {
+			_, err := Write(ctx, store, Change{Kind: workspace.KindPool, Name: "p", Action: Delete, Version: v})
+			So(err, ShouldBeNil)
+			_, err = Write(ctx, store, mine)
+			So(errors.As(err, &conflict), ShouldBeTrue)
+			So(conflict.Error(), ShouldContainSubstring, "was deleted by somebody else")
+		})
+	})
+}
+
+func TestLostAnswers(t *testing.T) {
+	// Symptom: apply reports a failure or a conflict, but the change is in
+	// force; or a repeated write goes over somebody else's change.
+	// Sequence: the answers to a create, an update and a deletion are lost
+	// after the writes took effect.
+	// Cause: a lost answer was taken for a failure.
+	Convey("A lost answer is settled by reading back", t, func() {
+		ctx := context.Background()
+		store := standin.New(standin.Options{})
+		lose := func() { store.SetFaults(standin.Faults{LoseNext: 1}) }
+		lose()
+		v, err := Write(ctx, store, plan(ctx, store, pool("p", "1"))[0])
+		So(err, ShouldBeNil)
+		So(v, ShouldEqual, 1)
+		lose()
+		v, err = Write(ctx, store, plan(ctx, store, pool("p", "2"))[0])
+		So(err, ShouldBeNil)
+		So(v, ShouldEqual, 2)
+		Convey("also when the reads are stale and the write is tried again", func() {
+			change := plan(ctx, store, pool("p", "3"))[0]
+			store.SetFaults(standin.Faults{LoseNext: 1, StaleWrites: 1})
+			reads := &staleOnce{Standin: store}
+			v, err := Write(ctx, reads, change)
+			So(err, ShouldBeNil)
+			So(v, ShouldEqual, 3)
+			So(reads.gets, ShouldBeGreaterThan, 1)
+		})
+		Convey("also a deletion's", func() {
+			lose()
+			_, err = Write(ctx, store, Change{Kind: workspace.KindPool, Name: "p", Action: Delete, Version: v})
+			So(err, ShouldBeNil)
+			_, err = store.Get(ctx, workspace.KindPool, "p")
+			So(errors.Is(err, platform.ErrNotFound), ShouldBeTrue)
+		})
+	})
+	Convey("A write that the store refused is told as not written", t, func() {
+		ctx := context.Background()
+		store := standin.New(standin.Options{})
+		change := plan(ctx, store, pool("p", "1"))[0]
+		store.SetFaults(standin.Faults{Down: true})
+		_, err := Write(ctx, store, change)
+		So(errors.Is(err, platform.ErrUnavailable), ShouldBeTrue)
+	})
+}
+
+// staleOnce makes the first read stale and heals the store after it.
+type staleOnce struct {
+	*standin.Standin
+	gets int
+}
+
+func (s *staleOnce) Get(ctx context.Context, kind platform.Kind, name string) (platform.Object, error) {
+	o, err := s.Standin.Get(ctx, kind, name)
+	if s.gets++; s.gets == 1 {
+		s.SetFaults(standin.Faults{})
+	}
+	return o, err
+}
+
+func TestCheckAll(t *testing.T) {
+	Convey("The findings of all files come together, each with its place", t, func() {
+		dir := t.TempDir()
+		for name, text := range map[string]string{
+			"a.json": `{"kind":"Pool","name":"p","region":"r"}`,
+			"b.json": `[{"kind":"Workspace","name":"w","template":"none","keys":[]}]`,
+			"c.json": `{"kind":`,
+		} {
+			So(os.WriteFile(filepath.Join(dir, name), []byte(text), 0o600), ShouldBeNil)
+		}
+		_, findings, err := Load([]string{dir})
+		So(err, ShouldBeNil)
+		So(findings, ShouldHaveLength, 3)
+		_, _, err = Load([]string{filepath.Join(dir, "none.json")})
+		So(err, ShouldNotBeNil)
+	})
+	Convey("A deletion that leaves a server without its pool is a finding; what was wrong before is a warning", t, func() {
+		stored := []platform.Object{
+			{Kind: workspace.KindPool, Name: "p", Version: 1, Value: []byte(`{"name":"p","region":"r","service":"s"}`)},
+			{Kind: workspace.KindBackendServer, Name: "s", Version: 2, Value: []byte(`{"name":"s","address":"10.0.0.1:1","region":"r","availability_zone":"z","pool":"p"}`)},
+			{Kind: workspace.KindBackendServer, Name: "t", Version: 3, Value: []byte(`{"name":"t","address":"10.0.0.2:1","region":"r","availability_zone":"z","pool":"q"}`)},
+		}
+		So(Check([]workspace.Document{pool("p", "1")}, nil, stored).Fatal(), ShouldBeEmpty)
+		findings := Check(nil, []Ref{{workspace.KindPool, "p"}}, stored)
+		So(findings, ShouldHaveLength, 2)
+		So(findings.Fatal(), ShouldHaveLength, 1)
+		So(findings.Fatal()[0].File, ShouldEqual, "BackendServer/s")
+	})
+}
+
+func TestDiff(t *testing.T) {
+	Convey("List members are matched by name, others by their whole value", t, func() {
+		old := `{"tiers":[{"name":"a","x":1},{"name":"b","x":2}],"n":[1,2],"gone":true}`
+		next := `{"tiers":[{"name":"c","x":0},{"name":"b","x":3},{"name":"a","x":1}],"n":[1],"id":9007199254740993}`
+		var lines []string
+		for _, f := range Diff([]byte(old), []byte(next)) {
+			lines = append(lines, f.String())
+		}
+		So(lines, ShouldResemble, []string{
+			"- gone: true", "+ id: 9007199254740993", "~ n: [1,2] -> [1]",
+			`~ tiers[b].x: 2 -> 3`, `+ tiers[c]: {"name":"c","x":0}`,
+		})
+	})
+}
--- /dev/null
+++ b/internal/cli/apply.go
@@ -0,0 +1,221 @@
+package cli
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"time"
+
+	"github.com/alecthomas/kingpin/v2"
+	"github.com/pkg/errors"
+
+	"github.com/lycheekeel/lycheekeel/internal/apply"
+	"github.com/lycheekeel/lycheekeel/platform"
+	"github.com/lycheekeel/lycheekeel/workspace"
+)
+
+func init() {
+	register(addApply)
+	register(addDiff)
+}
+
+// configTimeout bounds a command that reads or writes configuration.
+const configTimeout = 2 * time.Minute
+
+// applyFlags are the flags of apply and diff.
+type applyFlags struct {
+	platform *string
+	paths    []string
+	deletes  []string
+	expect   uint64
+	dryRun   bool
+}
+
+// addApply adds the command apply.
+func addApply(app *kingpin.Application, g *globals) {
+	f := &applyFlags{}
+	cmd := app.Command("apply", "Check configuration files, show the difference and write it.")
+	f.register(cmd)
+	cmd.Flag("dry-run", "Only check and show the difference.").BoolVar(&f.dryRun)
+	cmd.Action(run(func() error { return g.apply(f) }))
+}
+
+// addDiff adds the command diff.
+func addDiff(app *kingpin.Application, g *globals) {
+	f := &applyFlags{dryRun: true}
+	cmd := app.Command("diff", "Check configuration files and show the difference to what is stored.")
+	f.register(cmd)
+	cmd.Action(run(func() error { return g.apply(f) }))
+}
+
+// register adds the flags to a command.
+func (f *applyFlags) register(cmd *kingpin.CmdClause) {
+	f.platform = platformFlag(cmd)
+	cmd.Flag("file", "A configuration file or a directory of them; may be repeated.").Short('f').StringsVar(&f.paths)
+	cmd.Flag("delete", "Delete KIND/NAME; may be repeated.").PlaceHolder("KIND/NAME").StringsVar(&f.deletes)
+	cmd.Flag("expect-version", "The stored version that you saw, for a single object.").Uint64Var(&f.expect)
+}
+
+// applied is what apply prints as JSON.
+type applied struct {
+	Findings workspace.Findings `json:"findings,omitempty"`
+	Changes  []apply.Change     `json:"changes,omitempty"`
+	Written  []written          `json:"written,omitempty"`
+}
+
+// written is one object that was written.
+type written struct {
+	Kind    platform.Kind    `json:"kind"`
+	Name    string           `json:"name"`
+	Version platform.Version `json:"version,omitempty"` // none for a deletion
+}
+
+// apply runs apply and diff.
+func (g *globals) apply(f *applyFlags) error {
+	ctx, cancel := context.WithTimeout(g.ctx, configTimeout)
+	defer cancel()
+	deletions, err := f.refs()
+	if err != nil {
+		return err
+	}
+	docs, findings, err := apply.Load(f.paths)
+	if err != nil {
+		return withExit(ExitUsage, err)
+	}
+	if f.expect != 0 && len(docs) != 1 {
+		return withExit(ExitUsage, errors.Errorf("--expect-version is for a single object, the files hold %d", len(docs)))
+	}
+	for i := range docs {
+		docs[i].Expect = max(docs[i].Expect, platform.Version(f.expect))
+	}
+	api, err := openPlatform(*f.platform)
+	if err != nil {
+		return g.unchecked(findings, err)
+	}
+	stored, err := apply.Read(ctx, api)
+	if err != nil {
+		return g.unchecked(findings, platformExit(err))
+	}
+	out := applied{Findings: append(findings, apply.Check(docs, deletions, stored)...)}
+	if out.Findings.Fatal() == nil {
+		out.Changes, err = apply.Plan(docs, deletions, stored)
+	}
+	return g.finish(ctx, api, f, out, err)
+}
+
+// unchecked shows the findings of the files where the rest can't be checked.
+func (g *globals) unchecked(findings workspace.Findings, err error) error {
+	g.printFindings(findings)
+	return err
+}
+
+// finish shows what was found and writes the changes.
+func (g *globals) finish(ctx context.Context, api platform.ObjectAPI, f *applyFlags, out applied, err error) error {
+	g.printFindings(out.Findings)
+	if n := len(out.Findings.Fatal()); n > 0 {
+		err = withExit(ExitFindings, errors.Errorf("%d findings, nothing was written", n))
+	}
+	g.printChanges(out.Changes)
+	if err == nil && !f.dryRun {
+		out.Written, err = g.write(ctx, api, out.Changes)
+	}
+	if g.output == outputJSON {
+		if e := g.printJSON(out); e != nil {
+			return e
+		}
+	}
+	return g.explain(err)
+}
+
+// write writes the changes in their order and stops at the first that fails.
+func (g *globals) write(ctx context.Context, api platform.ObjectAPI, changes []apply.Change) ([]written, error) {
+	var done []written
+	for i, c := range changes {
+		if c.Action == apply.Unchanged {
+			continue
+		}
+		v, err := apply.Write(ctx, api, c)
+		if err != nil {
+			if left := len(changes) - i - 1; left > 0 {
+				fmt.Fprintf(g.stderr, "lycheekeel: stopped at %s/%s, %d objects after it were not written\n", c.Kind, c.Name, left)
+			}
+			return done, err
+		}
+		done = append(done, written{c.Kind, c.Name, v})
+		g.say("%s %s/%s: done, version %d", c.Action, c.Kind, c.Name, v)
+	}
+	return done, nil
+}
+
+// explain shows a conflict and gives an error its exit code.
+func (g *globals) explain(err error) error {
+	var conflict *apply.ConflictError
+	if errors.As(err, &conflict) {
+		fmt.Fprintln(g.stderr, "lycheekeel: the other's change:")
+		for _, c := range conflict.Theirs {
+			fmt.Fprintf(g.stderr, "  %s\n", c)
+		}
+		return withExit(ExitConflict, errors.WithMessage(err, "not overwritten; take over the change and apply again"))
+	}
+	if errors.Is(err, platform.ErrConflict) {
+		return withExit(ExitConflict, err)
+	}
+	return platformExit(err)
+}
+
+// refs reads the flags --delete.
+func (f *applyFlags) refs() ([]apply.Ref, error) {
+	if len(f.paths) == 0 && len(f.deletes) == 0 {
+		return nil, withExit(ExitUsage, errors.New("say what to apply, by -f FILE or --delete KIND/NAME"))
+	}
+	var out []apply.Ref
+	for _, s := range f.deletes {
+		kind, name, ok := strings.Cut(s, "/")
+		if !ok {
+			return nil, withExit(ExitUsage, errors.Errorf("--delete: want KIND/NAME, not %q", s))
+		}
+		k, err := parseKind(kind)
+		if err != nil {
+			return nil, err
+		}
+		out = append(out, apply.Ref{Kind: k, Name: name})
+	}
+	return out, nil
+}
+
+// printFindings prints every finding on stderr.
+func (g *globals) printFindings(findings workspace.Findings) {
+	if g.output == outputJSON {
+		return
+	}
+	for _, f := range findings {
+		fmt.Fprintln(g.stderr, f)
+	}
+}
+
+// printChanges prints the difference of each object.
+func (g *globals) printChanges(changes []apply.Change) {
+	same := 0
+	for _, c := range changes {
+		if c.Action == apply.Unchanged {
+			same++
+			continue
+		}
+		g.say("%s %s/%s (version %d)", c.Action, c.Kind, c.Name, c.Version)
+		if c.Action == apply.Update {
+			for _, f := range c.Fields {
+				g.say("  %s", f)
+			}
+		}
+	}
+	if same > 0 {
+		g.say("%d objects unchanged", same)
+	}
+}
+
+// say prints a line, unless the output is JSON.
+func (g *globals) say(format string, args ...any) {
+	if g.output != outputJSON {
+		fmt.Fprintf(g.stdout, format+"\n", args...)
+	}
+}
--- /dev/null
+++ b/internal/cli/get.go
@@ -0,0 +1,104 @@
+package cli
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"strconv"
+
+	"github.com/alecthomas/kingpin/v2"
+	"github.com/pkg/errors"
+
+	"github.com/lycheekeel/lycheekeel/platform"
+)
+
+func init() { register(addGet) }
+
+// addGet adds the command get.
+func addGet(app *kingpin.Application, g *globals) {
+	cmd := app.Command("get", "Show stored configuration; -o json prints what apply reads.")
+	address := platformFlag(cmd)
+	kind := cmd.Arg("kind", "Template, Workspace, Pool, BackendServer or Assignment.").Required().String()
+	name := cmd.Arg("name", "One object's name; all of the kind without.").String()
+	cmd.Action(run(func() error {
+		k, err := parseKind(*kind)
+		if err != nil {
+			return err
+		}
+		api, err := openPlatform(*address)
+		if err != nil {
+			return err
+		}
+		ctx, cancel := context.WithTimeout(g.ctx, configTimeout)
+		defer cancel()
+		objects, err := stored(ctx, api, k, *name)
+		if err != nil {
+			return platformExit(err)
+		}
+		if g.output == outputJSON {
+			return g.printObjects(objects, *name != "")
+		}
+		return g.printObjectTable(objects)
+	}))
+}
+
+// stored reads one object, or all of a kind.
+func stored(ctx context.Context, api platform.ObjectAPI, kind platform.Kind, name string) ([]platform.Object, error) {
+	if name == "" {
+		list, err := api.List(ctx, kind, "")
+		return list.Objects, err
+	}
+	o, err := api.Get(ctx, kind, name)
+	if errors.Is(err, platform.ErrNotFound) {
+		return nil, errors.Wrapf(err, "there is no %s %q; \"lycheekeel get %s\" lists all", kind, name, kind)
+	}
+	return []platform.Object{o}, err
+}
+
+// printObjects prints objects as files that apply reads. Their expect_version
+// makes an apply of the edited file a conflict where somebody changed the
+// object meanwhile.
+func (g *globals) printObjects(objects []platform.Object, single bool) error {
+	documents := make([]json.RawMessage, 0, len(objects))
+	for _, o := range objects {
+		d, err := document(o)
+		if err != nil {
+			return err
+		}
+		documents = append(documents, d)
+	}
+	if single {
+		return g.printJSON(documents[0])
+	}
+	return g.printJSON(documents)
+}
+
+// document returns a stored object as a file's object.
+func document(o platform.Object) (json.RawMessage, error) {
+	header, err := json.Marshal(struct {
+		Kind   platform.Kind    `json:"kind"`
+		Expect platform.Version `json:"expect_version"`
+	}{o.Kind, o.Version})
+	if err != nil {
+		return nil, err
+	}
+	if len(o.Value) < 2 || o.Value[0] != '{' || !json.Valid(o.Value) {
+		return nil, errors.Errorf("%s/%s does not hold a JSON object", o.Kind, o.Name)
+	}
+	if string(o.Value) == "{}" {
+		return header, nil
+	}
+	return fmt.Appendf(nil, "%s,%s", header[:len(header)-1], o.Value[1:]), nil
+}
+
+// printObjectTable prints objects by name, version and size.
+func (g *globals) printObjectTable(objects []platform.Object) error {
+	rows := make([][]string, 0, len(objects))
+	for _, o := range objects {
+		rows = append(rows, []string{
+			string(o.Kind), o.Name, strconv.FormatUint(uint64(o.Version), 10),
+			strconv.FormatUint(uint64(o.Created), 10), strconv.Itoa(len(o.Value)),
+		})
+	}
+	return g.printTable([]string{"kind", "name", "version", "created", "bytes"}, rows)
+}
