pool: shed no tier before a lower one after an owner change

A property test over any order of events found two faults: a new owner refused a request for its workspace's bound while requests of lower tiers had not been named again, and the bound evicted a workspace's own request while another's of a lower tier waited.

--- a/pool/admission.go
+++ b/pool/admission.go
@@ -44,7 +44,7 @@
 		p.admitSuspect(w)
 		return
 	}
-	if w.MaxWaiting > 0 && p.queue.WaitingOf(w.Item.Tier, w.Item.Workspace) >= w.MaxWaiting && !p.overBound(w) {
+	if p.exceedsBound(w) && !p.overBound(w) {
 		return
 	}
 	if !p.makeRoom(w) {
@@ -58,18 +58,23 @@
 	p.queue.Push(&w.Item)
 }
 
+func (p *Pool) exceedsBound(w *waiter) bool {
+	return w.MaxWaiting > 0 && !p.entries.rebuilding(p.now) &&
+		p.queue.WaitingOf(w.Item.Tier, w.Item.Workspace) >= w.MaxWaiting
+}
+
 // overBound decides on a request above its workspace's bound and reports
 // whether it may wait. While anything of a lower tier waits, it does, at the
-// end of its tier, and a request of a lower tier of its own workspace goes in
-// its place where there is one; so the bound never turns the tiers' order
-// around.
+// end of its tier, and a request of its own workspace goes in its place where
+// that one is of the lowest tier that waits; so the bound never turns the
+// tiers' order around.
 func (p *Pool) overBound(w *waiter) bool {
 	if !p.lowerWaits(w.Item.Tier) {
 		p.giveUp(w, request.ReasonWorkspaceLimit)
 		return false
 	}
 	w.Class = tier.Late
-	if own := p.queue.LastBelow(w.Item.Tier, w.Item.Workspace); own != nil {
+	if own := p.queue.LastBelow(w.Item.Tier, w.Item.Workspace); own != nil && !p.lowerWaits(own.Tier) {
 		victim := own.Value
 		p.drop(victim)
 		p.giveUp(victim, request.ReasonWorkspaceLimit)
@@ -90,7 +95,7 @@
 // wait. The lowest tier goes first. In the newcomer's own tier it evicts only
 // for fairness: a late request, or one of the workspace that has most waiting.
 func (p *Pool) makeRoom(w *waiter) bool {
-	if len(p.waiting) < p.cfg.MaxWaiting {
+	if len(p.waiting) < p.maxWaiting() {
 		return true
 	}
 	last := p.lastWaiting()
@@ -104,6 +109,24 @@
 	return true
 }
 
+// maxWaiting is the queue's bound: twice the configured one while the queue
+// is being rebuilt.
+func (p *Pool) maxWaiting() int {
+	if p.entries.rebuilding(p.now) {
+		return 2 * p.cfg.MaxWaiting
+	}
+	return p.cfg.MaxWaiting
+}
+
+// trim evicts what a rebuilt queue holds above its bound.
+func (p *Pool) trim() {
+	for len(p.waiting) > p.maxWaiting() {
+		victim := p.lastWaiting().Value
+		p.drop(victim)
+		p.giveUp(victim, request.ReasonShed)
+	}
+}
+
 // lastWaiting is the item to evict first. Suspects count by their tier as
 // everyone else.
 func (p *Pool) lastWaiting() *tier.Item[*waiter] {
--- a/pool/capacity.go
+++ b/pool/capacity.go
@@ -15,6 +15,10 @@
 	// headroomSlack is the part of a first-token target in which a request of
 	// a burst should find a slot.
 	headroomSlack = 0.4
+	// unknownService is assumed, in seconds, where nothing has ended yet.
+	unknownService = 1.0
+	// unknown marks a rate that has to be worked out.
+	unknown = -1
 	// headroomMost is the largest part of all slots kept free.
 	headroomMost = 0.2
 )
@@ -31,6 +35,21 @@
 	return max(1, p.entries.share(p.now, n))
 }
 
+// refresh works out, once for an event, which servers may get grants and how
+// many requests each may run.
+func (p *Pool) refresh() {
+	p.sound, p.freed = false, unknown
+	for _, s := range p.order {
+		s.ready = p.up(s)
+		if s.ready && !s.straggler && !s.overdue {
+			p.sound = true
+		}
+	}
+	for _, s := range p.order {
+		s.most = p.limit(s)
+	}
+}
+
 // usable returns the servers with a slot free, and how many slots are free on
 // all of them. Stragglers and servers with an overdue first token only serve
 // where no server is sound; a straggler gets its probes by scheduleProbes.
@@ -38,26 +57,16 @@
 	p.free = p.free[:0]
 	slots := 0
 	for _, s := range p.order {
-		if !p.up(s) || s == p.alone || p.sound && (s.straggler || s.overdue) {
+		left := s.most - len(s.running)
+		if left <= 0 || !s.ready || s == p.alone || p.sound && (s.straggler || s.overdue) {
 			continue
 		}
-		if left := p.limit(s) - len(s.running); left > 0 {
-			slots += left
-			p.free = append(p.free, s)
-		}
+		slots += left
+		p.free = append(p.free, s)
 	}
 	return p.free, slots
 }
 
-func (p *Pool) anySound() bool {
-	for _, s := range p.order {
-		if p.up(s) && !s.straggler && !s.overdue {
-			return true
-		}
-	}
-	return false
-}
-
 // fits tells whether a server's KV memory has room for so many more tokens.
 // An idle server always has: what is too large for it runs alone.
 func (s *server) fits(tokens int) bool {
@@ -87,18 +96,22 @@
 // freedPerSecond returns how many slots come free a second when all are in
 // use, and how many there are.
 func (p *Pool) freedPerSecond() (float64, int) {
-	freed, all := 0.0, 0
+	if p.freed != unknown {
+		return p.freed, p.slots
+	}
+	p.freed, p.slots = 0, 0
 	for _, s := range p.order {
-		if !p.up(s) || s.straggler {
+		if !s.ready || s.straggler {
 			continue
 		}
-		n := p.limit(s)
-		all += n
-		if s.service > 0 {
-			freed += float64(n) / s.service
+		p.slots += s.most
+		service := s.service
+		if service <= 0 {
+			service = unknownService
 		}
+		p.freed += float64(s.most) / service
 	}
-	return freed, all
+	return p.freed, p.slots
 }
 
 // expectedWait estimates how long a new request of a tier would wait: what
--- a/pool/choose.go
+++ b/pool/choose.go
@@ -7,11 +7,11 @@
 )
 
 const (
-	// prefillWeight is how much the time that a prompt takes to compute
-	// counts in a choice, beside the wait that it means for the request: every
-	// other request of the server waits for it too, and it is work that a
-	// server with the prefix would not have.
-	prefillWeight = 1.0
+	// savedWeight is how much the prefill time that a cached prefix saves
+	// counts in a choice, beside the wait that it saves the request itself:
+	// every other request of the server would wait for it too, and it is work
+	// thrown away once.
+	savedWeight = 10.0
 	// Predictions are stretched by this much where a target is at stake.
 	safeFactor = 1.1
 	safeSlack  = 10 * time.Millisecond
@@ -28,7 +28,7 @@
 	cached   int // leading blocks
 	uncached int // tokens to compute
 	first    time.Duration
-	cost     time.Duration // expected finish, prefill weighed
+	cost     time.Duration // expected finish, less what the prefix is worth
 }
 
 // option predicts how a request would do on a server if it began now.
@@ -44,8 +44,8 @@
 	o := option{server: s, cached: cached, uncached: uncachedTokens(w.PromptTokens, cached)}
 	o.first = s.speed.FirstToken(ahead + o.uncached)
 	o.cost = o.first +
-		time.Duration(prefillWeight*float64(s.speed.PrefillTime(o.uncached))) +
-		time.Duration(w.length.Mean)*s.speed.PerToken(len(s.running)+1)
+		time.Duration(w.length.Mean)*s.speed.PerToken(len(s.running)+1) -
+		time.Duration(savedWeight*float64(s.speed.PrefillTime(w.PromptTokens-o.uncached)))
 	return o
 }
 
@@ -111,11 +111,21 @@
 	return o, inTime, ok
 }
 
+// doomedLength is the part of an answer's expected length that a request must
+// still have time for, for it not to be doomed: the estimate may be too long.
+const doomedLength = 0.5
+
+// doomed tells whether a request can't end before its deadline any more.
+func (p *Pool) doomed(w *waiter) bool {
+	_, whole := p.bestTimes(1, int(doomedLength*float64(w.length.Mean)))
+	return p.now.Add(whole).After(w.deadline)
+}
+
 // hopeless tells whether no server at all could meet the request's targets,
 // were it to begin there at once.
 func (p *Pool) hopeless(w *waiter) bool {
 	for _, s := range p.order {
-		if !p.up(s) || s.overdue || s.straggler && p.anySound() {
+		if !s.ready || s.overdue || s.straggler && p.sound {
 			continue
 		}
 		cached := 0
--- a/pool/entries.go
+++ b/pool/entries.go
@@ -58,6 +58,13 @@
 	return int(math.Ceil(float64(limit) * float64(reported) / float64(e.alive)))
 }
 
+// rebuilding tells whether a new owner may not yet know all that waits. Until
+// then it sheds nobody for a bound: it would shed a request of a high tier
+// because one of a lower tier that waits as well hasn't been named yet.
+func (e *entries) rebuilding(now time.Time) bool {
+	return !e.first.IsZero() && now.Sub(e.first) < settleTime
+}
+
 func (p *Pool) entry(id EntryID) *entry {
 	if p.entries.known == nil {
 		p.entries.known = make(map[EntryID]*entry)
--- a/pool/hold.go
+++ b/pool/hold.go
@@ -58,7 +58,7 @@
 func (p *Pool) betterLater(w *waiter, now option) (better option, wait time.Duration, computing *run) {
 	least := now.cost - holdLeast
 	try := func(s *server, blocks int, after time.Duration, by *run) {
-		if !p.up(s) || s.straggler || s.overdue || s == p.alone || s.held >= heldPerSlot*s.info.Slots {
+		if s.straggler || s.overdue || s == p.alone || s.held >= heldPerSlot*s.info.Slots {
 			return
 		}
 		o := p.optionWith(w, s, blocks, 0)
@@ -79,7 +79,7 @@
 	}
 	prefix.Servers(holders, func(i int) {
 		s := p.byIndex[i]
-		if s != nil && len(s.running) >= p.limit(s) {
+		if s != nil && s.ready && len(s.running) >= s.most {
 			try(s, longest, p.slotWait(s), nil)
 		}
 	})
@@ -87,22 +87,26 @@
 
 // tryComputing finds a run that computes the prefix now.
 func (p *Pool) tryComputing(w *waiter, now option, try func(*server, int, time.Duration, *run)) {
-	low, high := 0, len(w.Blocks)
+	low, high := 0, len(w.Blocks)/pendingStride
 	for low < high {
 		middle := (low + high + 1) / 2
-		if p.pending[w.Blocks[middle-1]] != nil {
+		if p.pending[w.Blocks[middle*pendingStride-1]] != nil {
 			low = middle
 		} else {
 			high = middle - 1
 		}
 	}
+	low *= pendingStride
 	if low < now.cached+holdBlocks {
 		return
 	}
 	r := p.pending[w.Blocks[low-1]]
+	if !r.server.ready {
+		return
+	}
 	ready := r.server.speed.FirstToken(r.ahead+r.uncached) - p.now.Sub(r.since)
 	after := max(ready, holdLeast)
-	if len(r.server.running) >= p.limit(r.server) {
+	if len(r.server.running) >= r.server.most {
 		after = max(after, p.slotWait(r.server))
 	}
 	try(r.server, low, after, r)
@@ -137,8 +141,8 @@
 	for i := 0; i < len(p.held); {
 		w := p.held[i]
 		s := w.heldFor
-		late := !p.now.Before(w.heldUntil) || !p.up(s) || s.straggler || s.overdue || s == p.alone
-		ready := (w.heldRun == nil || w.heldRun.first) && len(s.running) < p.limit(s)
+		late := !p.now.Before(w.heldUntil) || !s.ready || s.straggler || s.overdue || s == p.alone
+		ready := (w.heldRun == nil || w.heldRun.first) && len(s.running) < s.most
 		if !late && !ready {
 			i++
 			continue
--- a/pool/limit/aimd.go
+++ b/pool/limit/aimd.go
@@ -1,15 +1,22 @@
 package limit
 
 // aimd adds one to the limit for each limit's worth of good samples, and
-// multiplies it down on a bad one, at most once for the samples of one limit:
-// requests that ran at the old limit say nothing about the new one.
+// multiplies it down while the smoothed ratio is bad, at most once for the
+// samples of one limit: requests that ran at the old limit say nothing about
+// the new one. Without smoothing, one burst of prefill on a server, which
+// slows every token for a moment, would cost it a fifth of its limit.
 type aimd struct {
 	bounds Bounds
 	limit  float64
+	ratio  float64
+	seen   bool
 	rest   float64 // samples to ignore after a decrease
 }
 
-const aimdDecrease = 0.8
+const (
+	aimdDecrease = 0.8
+	aimdSmooth   = 0.1 // weight of a new sample in the mean
+)
 
 func newAIMD(b Bounds) *aimd { return &aimd{bounds: b, limit: b.clamp(b.Start)} }
 
@@ -18,15 +25,19 @@
 
 // Observe implements Law.
 func (a *aimd) Observe(s Sample) {
+	if !a.seen {
+		a.ratio, a.seen = s.Ratio, true
+	}
+	a.ratio += aimdSmooth * (s.Ratio - a.ratio)
 	if a.rest > 0 {
 		a.rest--
 		return
 	}
 	switch {
-	case s.Ratio > 1:
+	case a.ratio > 1:
 		a.limit = a.bounds.clamp(min(a.limit, s.Used+1) * aimdDecrease)
 		a.rest = a.limit
-	case s.Ratio < headroom && s.Used >= busy*a.limit:
+	case a.ratio < headroom && s.Used >= busy*a.limit:
 		a.limit = a.bounds.clamp(a.limit + 1/a.limit)
 	}
 }
--- a/pool/limit/limit.go
+++ b/pool/limit/limit.go
@@ -39,12 +39,19 @@
 // Valid tells whether a law of this name exists; empty means the default.
 func (n Name) Valid() bool { return n == "" || n == AIMD || n == Gradient }
 
-// New returns a law of the name; an empty name means the default.
+// Default is the law in use where none is named; docs/design/limits.md has
+// the measurement that chose it.
+const Default = AIMD
+
+// New returns a law of the name; an empty name means Default.
 func New(n Name, b Bounds) Law {
-	if n == AIMD {
-		return newAIMD(b)
+	if n == "" {
+		n = Default
+	}
+	if n == Gradient {
+		return newGradient(b)
 	}
-	return newGradient(b)
+	return newAIMD(b)
 }
 
 // headroom is the ratio that laws steer for: a little under the target.
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -50,7 +50,9 @@
 	entries  entries
 
 	alone    *server // drains for, or runs, a suspect
-	sound    bool    // a server is up that is no straggler; by schedule
+	sound    bool    // a server is up that is no straggler; by refresh
+	freed    float64 // slots that come free a second, of so many; by refresh
+	slots    int
 	measured time.Time
 	free     []*server // scratch
 	near     []*tier.Item[*waiter]
@@ -84,6 +86,7 @@
 	p.now, p.out = now, out
 	p.take(ev)
 	p.expire()
+	p.trim()
 	p.schedule()
 	out, p.out = p.out, nil
 	return out
--- a/pool/prefix/index.go
+++ b/pool/prefix/index.go
@@ -11,6 +11,7 @@
 
 import (
 	"math/bits"
+	"time"
 
 	"github.com/hashicorp/golang-lru/v2/simplelru"
 )
@@ -26,6 +27,11 @@
 	// growth is how fast the believed size recovers, as a divisor: a
 	// confirmed prefix adds 1/growth of the size.
 	growth = 32
+	// eventLag is how late an announcement may be.
+	eventLag = 3 * time.Second
+	// gapLoss is the part of the blocks, as a divisor, that a gap may have
+	// evicted unseen.
+	gapLoss = 4
 )
 
 // Index knows the blocks of up to MaxServers servers, named by number.
@@ -35,8 +41,8 @@
 }
 
 type cache struct {
-	blocks *simplelru.LRU[uint64, struct{}]
-	size   int // believed size of the engine's cache
+	blocks *simplelru.LRU[uint64, time.Time] // by when it was last used
+	size   int                               // believed size of the engine's cache
 }
 
 // NewIndex returns an empty index.
@@ -85,20 +91,28 @@
 
 // Store tells that a server has computed or used the blocks of a prompt. They
 // become its most recent ones, the first block last.
-func (x *Index) Store(server int, blocks []uint64) {
+func (x *Index) Store(now time.Time, server int, blocks []uint64) {
 	c := x.cache(server)
 	blocks = blocks[:min(len(blocks), c.size)]
 	for i := len(blocks) - 1; i >= 0; i-- {
-		x.add(server, c, blocks[i])
+		x.add(now, server, c, blocks[i])
 	}
 }
 
 // StoreBlock tells that a server announced one block as stored.
-func (x *Index) StoreBlock(server int, block uint64) { x.add(server, x.cache(server), block) }
+func (x *Index) StoreBlock(now time.Time, server int, block uint64) {
+	x.add(now, server, x.cache(server), block)
+}
 
-// Evict tells that a server announced one block as evicted.
-func (x *Index) Evict(server int, block uint64) {
-	if c := x.caches[server]; c != nil {
+// Evict tells that a server announced one block as evicted. Announcements are
+// late: one about a block that was used a moment ago is about the time before
+// that use, and is ignored.
+func (x *Index) Evict(now time.Time, server int, block uint64) {
+	c := x.caches[server]
+	if c == nil {
+		return
+	}
+	if used, ok := c.blocks.Peek(block); ok && now.Sub(used) > eventLag {
 		c.blocks.Remove(block)
 	}
 }
@@ -122,13 +136,13 @@
 }
 
 // Gap tells that events of a server were missed: any of its blocks may be
-// gone, the least recent most likely. The older half is forgotten.
+// gone, the least recent most likely. The oldest quarter is forgotten.
 func (x *Index) Gap(server int) {
 	c := x.caches[server]
 	if c == nil {
 		return
 	}
-	for range c.blocks.Len() / 2 {
+	for range c.blocks.Len() / gapLoss {
 		c.blocks.RemoveOldest()
 	}
 }
@@ -153,14 +167,14 @@
 		return c
 	}
 	bit := uint64(1) << server
-	drop := func(block uint64, _ struct{}) {
+	drop := func(block uint64, _ time.Time) {
 		if left := x.holders[block] &^ bit; left == 0 {
 			delete(x.holders, block)
 		} else {
 			x.holders[block] = left
 		}
 	}
-	blocks, err := simplelru.NewLRU[uint64, struct{}](maxBlocks, drop)
+	blocks, err := simplelru.NewLRU[uint64, time.Time](maxBlocks, drop)
 	if err != nil {
 		panic(err) // only a size below one is an error
 	}
@@ -169,8 +183,8 @@
 	return c
 }
 
-func (x *Index) add(server int, c *cache, block uint64) {
-	c.blocks.Add(block, struct{}{})
+func (x *Index) add(now time.Time, server int, c *cache, block uint64) {
+	c.blocks.Add(block, now)
 	x.holders[block] |= uint64(1) << server
 }
 
--- a/pool/run.go
+++ b/pool/run.go
@@ -9,6 +9,10 @@
 	"github.com/lycheekeel/lycheekeel/request"
 )
 
+// pendingStride is how many blocks apart the prefixes that are being computed
+// are remembered: finer would cost a map access a block for little.
+const pendingStride = 4
+
 // run is a grant that has not been released.
 type run struct {
 	id          GrantID
@@ -54,8 +58,8 @@
 		return
 	}
 	s.prefill += r.uncached
-	for _, b := range r.blocks {
-		p.pending[b] = r
+	for i := pendingStride - 1; i < len(r.blocks); i += pendingStride {
+		p.pending[r.blocks[i]] = r
 	}
 }
 
@@ -84,9 +88,9 @@
 	r.first = true
 	r.server.prefill -= r.uncached
 	r.server.prefilled += r.uncached
-	for _, b := range r.blocks {
-		if p.pending[b] == r {
-			delete(p.pending, b)
+	for i := pendingStride - 1; i < len(r.blocks); i += pendingStride {
+		if p.pending[r.blocks[i]] == r {
+			delete(p.pending, r.blocks[i])
 		}
 	}
 }
@@ -116,7 +120,7 @@
 	r.prefilledThen = r.server.prefilled
 	p.observeFirst(r, took)
 	if r.server.index >= 0 && len(r.blocks) > 0 {
-		p.prefixes.Store(r.server.index, r.blocks)
+		p.prefixes.Store(p.now, r.server.index, r.blocks)
 	}
 }
 
--- a/pool/schedule.go
+++ b/pool/schedule.go
@@ -13,6 +13,9 @@
 	nearHead = 24
 	// maxOptions bounds the options looked at in one choice.
 	maxOptions = 128
+	// passLate is how many late requests near the head are looked at for one
+	// whose prefix is warm.
+	passLate = 64
 	// maxPassed is how often the head of a tier may be passed by requests
 	// whose prefix is warm.
 	maxPassed = 8
@@ -30,7 +33,7 @@
 		p.schedulePlain()
 		return
 	}
-	p.sound = p.anySound()
+	p.refresh()
 	p.endHolds()
 	p.scheduleAlone()
 	p.scheduleProbes()
@@ -39,6 +42,7 @@
 			return
 		}
 	}
+	p.scheduleDoomed()
 }
 
 // scheduleTier grants to one tier. It reports whether slots may be left for
@@ -46,7 +50,7 @@
 func (p *Pool) scheduleTier(t request.Tier) bool {
 	for {
 		servers, slots := p.usable()
-		if slots <= p.reserve(t) {
+		if slots == 0 || slots <= p.reserve(t) {
 			return false
 		}
 		w, o := p.pickLive(t, servers)
@@ -100,18 +104,20 @@
 	}
 }
 
-// pickLate returns the first late request for which a server has room.
+// pickLate returns the late request to be granted, with its option: the first
+// for which a server has room or, since none of them can meet its target any
+// more, one near it whose prefix is warm there.
 func (p *Pool) pickLate(t request.Tier, servers []*server) (*waiter, option) {
 	for {
 		moved := false
-		p.near = p.queue.Candidates(t, tier.Late, nearHead, p.near[:0])
-		for _, it := range p.near {
-			if p.moveAway(it.Value) {
-				moved = true
-				continue
+		p.near = p.queue.Candidates(t, tier.Late, passLate, p.near[:0])
+		for i, it := range p.near {
+			w := it.Value
+			if moved = p.moveAway(w) || p.moveDoomed(w); moved {
+				break
 			}
-			if o, _, ok := p.best(it.Value, servers); ok {
-				return it.Value, o
+			if o, _, ok := p.best(w, servers); ok {
+				return p.warmerLate(w, o, p.near[i+1:])
 			}
 		}
 		if !moved {
@@ -120,6 +126,57 @@
 	}
 }
 
+func (p *Pool) moveDoomed(w *waiter) bool {
+	if !p.doomed(w) {
+		return false
+	}
+	p.queue.Reclass(&w.Item, tier.Doomed)
+	return true
+}
+
+// scheduleDoomed grants what is left to requests that can't end in time: they
+// may only have what nobody else wants. Their answer is not withheld, since
+// the estimate may be wrong; but a slot that another could use is not spent.
+func (p *Pool) scheduleDoomed() {
+	servers, slots := p.usable()
+	for t := request.Tier(0); t < request.MaxTiers; t++ {
+		for slots > 0 && slots > p.reserve(request.MaxTiers-1) {
+			it := p.queue.Head(t, tier.Doomed)
+			if it == nil {
+				break
+			}
+			if p.moveAway(it.Value) {
+				continue
+			}
+			o, _, ok := p.best(it.Value, servers)
+			if !ok {
+				return
+			}
+			p.grant(it.Value, o)
+			servers, slots = p.usable()
+		}
+	}
+}
+
+// warmerLate is warmer among late requests.
+func (p *Pool) warmerLate(head *waiter, o option, others []*tier.Item[*waiter]) (*waiter, option) {
+	s := o.server
+	if s.index < 0 || head.passed >= maxPassed || p.warm(head, o.cached) {
+		return head, o
+	}
+	for _, it := range others {
+		w := it.Value
+		if len(w.Blocks) < holdBlocks || !p.warm(w, p.prefixes.Cached(s.index, w.Blocks)) {
+			continue
+		}
+		if x := p.option(w, s); p.verdict(w) == suspect.Clear && p.roomy(w, x) {
+			head.passed++
+			return w, x
+		}
+	}
+	return head, o
+}
+
 // warmer lets a request near the head pass it on the chosen server, where the
 // server holds its prefix and not the head's, and the head can wait: the head
 // may find its own prefix at the next slot. How often a head is passed is
--- a/pool/server.go
+++ b/pool/server.go
@@ -41,6 +41,8 @@
 	service  float64   // mean seconds from grant to release
 	held     int
 
+	ready       bool // may get grants; by refresh
+	most        int  // running requests allowed; by refresh
 	straggler   bool
 	overdue     bool
 	probeAt     time.Time
@@ -180,9 +182,9 @@
 	}
 	for _, ev := range e.Events {
 		if ev.Stored {
-			p.prefixes.StoreBlock(s.index, ev.Block)
+			p.prefixes.StoreBlock(p.now, s.index, ev.Block)
 		} else {
-			p.prefixes.Evict(s.index, ev.Block)
+			p.prefixes.Evict(p.now, s.index, ev.Block)
 		}
 	}
 }
--- a/pool/tier/queue.go
+++ b/pool/tier/queue.go
@@ -25,8 +25,10 @@
 	// Late requests can't, or exceed their workspace's bound; they wait at
 	// the end of their tier.
 	Late
+	// Doomed requests can't even end before their deadline.
+	Doomed
 
-	classes = 3
+	classes = 4
 )
 
 // Item is one waiting request's place. Set the exported fields before Push
--- /dev/null
+++ b/pool/tier/queue_test.go
@@ -0,0 +1,139 @@
+package tier
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/lycheekeel/lycheekeel/request"
+)
+
+var start = time.Unix(1_000_000, 0)
+
+func draw(t *rapid.T, n int) *Item[int] {
+	return &Item[int]{
+		Tier:      request.Tier(rapid.IntRange(0, 3).Draw(t, "tier")),
+		Class:     Class(rapid.SampledFrom([]Class{Live, Late}).Draw(t, "class")),
+		Workspace: rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "workspace"),
+		Due:       start.Add(time.Duration(rapid.IntRange(0, 50).Draw(t, "due")) * time.Second),
+		Expires:   start.Add(time.Duration(rapid.IntRange(1, 99).Draw(t, "expires")) * time.Second),
+		Cost:      float64(rapid.IntRange(1, 500).Draw(t, "cost")),
+		Value:     n,
+	}
+}
+
+// Against a plain list: counts, heads, the item to evict and expiry agree
+// under any order of pushes, removals, reclassings and charges.
+func TestQueueAgainstList(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		q, list := NewQueue[int](), []*Item[int]{}
+		n := 0
+		t.Repeat(map[string]func(*rapid.T){
+			"push": func(t *rapid.T) {
+				n++
+				it := draw(t, n)
+				q.Push(it)
+				list = append(list, it)
+			},
+			"remove": func(t *rapid.T) {
+				if len(list) == 0 {
+					t.Skip()
+				}
+				i := rapid.IntRange(0, len(list)-1).Draw(t, "i")
+				q.Remove(list[i])
+				list = slices.Delete(list, i, i+1)
+			},
+			"reclass": func(t *rapid.T) {
+				if len(list) == 0 {
+					t.Skip()
+				}
+				q.Reclass(rapid.SampledFrom(list).Draw(t, "item"), rapid.SampledFrom([]Class{Live, Held, Late}).Draw(t, "to"))
+			},
+			"charge": func(t *rapid.T) {
+				if len(list) > 0 {
+					q.Charge(rapid.SampledFrom(list).Draw(t, "item"))
+				}
+			},
+			"": func(t *rapid.T) { compare(t, q, list) },
+		})
+	})
+}
+
+func compare(t *rapid.T, q *Queue[int], list []*Item[int]) {
+	if q.Len() != len(list) {
+		t.Fatalf("holds %d, not %d", q.Len(), len(list))
+	}
+	for tr := range request.Tier(4) {
+		for c := range Class(classes) {
+			compareClass(t, q, tr, c, slices.DeleteFunc(slices.Clone(list), func(it *Item[int]) bool { return it.Tier != tr || it.Class != c }))
+		}
+	}
+	if last := q.Last(); last != nil {
+		for _, it := range list {
+			if it.Tier > last.Tier || it.Tier == last.Tier && it.Class > last.Class {
+				t.Fatalf("evicts tier %d class %d before tier %d class %d", last.Tier, last.Class, it.Tier, it.Class)
+			}
+			if it.Workspace == last.Workspace && it.Tier == last.Tier && it.Class == last.Class && it.Due.After(last.Due) {
+				t.Fatalf("evicts one due %v before one due %v", last.Due, it.Due)
+			}
+		}
+	}
+	for _, it := range list {
+		if first := q.Expired(start.Add(time.Hour)); first.Expires.After(it.Expires) {
+			t.Fatalf("expires %v before %v", first.Expires, it.Expires)
+		}
+	}
+}
+
+func compareClass(t *rapid.T, q *Queue[int], tr request.Tier, c Class, want []*Item[int]) {
+	head := q.Head(tr, c)
+	if (head == nil) != (len(want) == 0) {
+		t.Fatalf("tier %d class %d: head %v of %d", tr, c, head, len(want))
+	}
+	for _, it := range want {
+		if it.flow.virtual < head.flow.virtual {
+			t.Fatalf("workspace %s goes before %s, which was served less", head.Workspace, it.Workspace)
+		}
+		if it.Workspace == head.Workspace && it.Due.Before(head.Due) {
+			t.Fatalf("one due %v goes before one due %v", head.Due, it.Due)
+		}
+	}
+	near := q.Candidates(tr, c, 5, nil)
+	if len(want) > 0 && (near[0] != head || len(near) < min(3, len(want))) {
+		t.Fatalf("candidates %v of %d", near, len(want))
+	}
+}
+
+// Workspaces that always have requests waiting are served alike by cost,
+// within two of the largest requests, whatever the sizes.
+func TestFairnessBound(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		q := NewQueue[int]()
+		served := map[string]float64{}
+		sizes := rapid.SliceOfN(rapid.IntRange(1, 1000), 3, 3).Draw(t, "sizes")
+		names := []string{"a", "b", "c"}
+		add := func(i int) {
+			cost := rapid.IntRange(1, sizes[i]).Draw(t, "cost")
+			q.Push(&Item[int]{Workspace: names[i], Due: start, Cost: float64(cost), Value: i})
+		}
+		for i := range names {
+			add(i)
+		}
+		for range rapid.IntRange(10, 200).Draw(t, "rounds") {
+			it := q.Head(0, Live)
+			add(it.Value)
+			q.Remove(it)
+			q.Charge(it)
+			served[it.Workspace] += it.Cost
+			for _, a := range names {
+				for _, b := range names {
+					if d := served[a] - served[b]; d > 2*float64(slices.Max(sizes)) {
+						t.Fatalf("%s is %v ahead of %s", a, d, b)
+					}
+				}
+			}
+		}
+	})
+}
