service: HTTP adapter and a stand-in; engine: failure tests

Plain services had no adapter. Adds httpservice over the same dispatch connection (well-formedness of method, path and headers is checked, hop-by-hop headers are not passed on) and its stand-in, which counts calls. Engine: Sending is called on a checked connection directly before the first byte; idle connections are closed after their time also without traffic. Failure tests with peers that read and close, close idle connections, mix up or cut answers, go silent, crash, never read: one request each, with the right error.

--- a/engine/httpengine/engine.go
+++ b/engine/httpengine/engine.go
@@ -60,12 +60,15 @@
 	return &Engine{pool: httpconn.NewPool(address, s)}
 }
 
+// Address returns the engine's address.
+func (e *Engine) Address() string { return e.pool.Address() }
+
 // Counts returns how the engine's connections were used.
 func (e *Engine) Counts() httpconn.Counts { return e.pool.Counts() }
 
 // Run implements engine.Engine.
 func (e *Engine) Run(ctx context.Context, r engine.Run) (engine.Stream, error) {
-	return e.stream(ctx, httpconn.MayReuse, r.RequestID, 0, wire.PathRun, wire.Run{
+	return e.stream(ctx, r.Sending, httpconn.MayReuse, r.RequestID, 0, wire.PathRun, wire.Run{
 		RequestID: r.RequestID, Model: r.Model, Version: r.Version, Prompt: r.Prompt, Last: r.Last,
 		PromptTokens: r.PromptTokens, MaxTokens: r.MaxTokens, Blocks: r.Blocks,
 	})
@@ -73,7 +76,7 @@
 
 // Resume implements engine.Engine. It always uses a new connection.
 func (e *Engine) Resume(ctx context.Context, requestID string, offset int) (engine.Stream, error) {
-	return e.stream(ctx, httpconn.MustDial, requestID, offset, wire.PathResume,
+	return e.stream(ctx, nil, httpconn.MustDial, requestID, offset, wire.PathResume,
 		wire.Resume{RequestID: requestID, Offset: offset})
 }
 
@@ -151,7 +154,7 @@
 
 // exchange sends one request and reads its whole answer.
 func (e *Engine) exchange(ctx context.Context, method, path string, body []byte) ([]byte, error) {
-	conn, err := e.send(ctx, httpconn.MayReuse, method, path, body)
+	conn, err := e.send(ctx, nil, httpconn.MayReuse, method, path, body)
 	if err != nil {
 		return nil, err
 	}
@@ -174,19 +177,23 @@
 }
 
 // stream sends one request and returns its answer's stream.
-func (e *Engine) stream(ctx context.Context, fresh httpconn.Fresh, id string, offset int, path string, message any) (engine.Stream, error) {
+func (e *Engine) stream(
+	ctx context.Context, sending func() error, fresh httpconn.Fresh, id string, offset int, path string, message any,
+) (engine.Stream, error) {
 	body, err := json.Marshal(message)
 	if err != nil {
 		return nil, errors.Wrapf(engine.ErrNotSent, "marshal: %v", err)
 	}
-	conn, err := e.send(ctx, fresh, fasthttp.MethodPost, path, body)
+	conn, err := e.send(ctx, sending, fresh, fasthttp.MethodPost, path, body)
 	if err != nil {
 		return nil, err
 	}
 	return openStream(ctx, conn, e.pool.Address(), id, offset)
 }
 
-func (e *Engine) send(ctx context.Context, fresh httpconn.Fresh, method, path string, body []byte) (*httpconn.Conn, error) {
+func (e *Engine) send(
+	ctx context.Context, sending func() error, fresh httpconn.Fresh, method, path string, body []byte,
+) (*httpconn.Conn, error) {
 	req := fasthttp.AcquireRequest()
 	defer fasthttp.ReleaseRequest(req)
 	req.Header.SetMethod(method)
@@ -196,7 +203,7 @@
 		req.Header.SetContentType("application/json")
 		req.SetBodyRaw(body)
 	}
-	return e.pool.Send(ctx, req, fresh)
+	return e.pool.Send(ctx, req, fresh, sending)
 }
 
 // finish keeps or closes the connection of an answer that was read wholly.
--- a/engine/httpengine/engine_test.go
+++ b/engine/httpengine/engine_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net"
+	"net/http"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -153,3 +154,16 @@
 		So(last.PrefillComputed, ShouldEqual, 200-2*engine.BlockTokens)
 	})
 }
+
+// postFaults switches faults over HTTP, as a person would.
+func postFaults(e *httpengine.Engine, body string) error {
+	resp, err := http.Post("http://"+e.Address()+standin.PathFaults, "application/json", strings.NewReader(body))
+	if err != nil {
+		return err
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return errors.Errorf("status %d", resp.StatusCode)
+	}
+	return nil
+}
--- /dev/null
+++ b/engine/httpengine/fault_test.go
@@ -0,0 +1,319 @@
+package httpengine_test
+
+import (
+	"bufio"
+	"context"
+	"net"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/pkg/errors"
+	. "github.com/smartystreets/goconvey/convey"
+	"github.com/sourcegraph/conc"
+	"github.com/valyala/fasthttp"
+
+	"github.com/lycheekeel/lycheekeel/engine"
+	"github.com/lycheekeel/lycheekeel/engine/httpengine"
+	"github.com/lycheekeel/lycheekeel/internal/httpconn"
+	standin "github.com/lycheekeel/lycheekeel/internal/standin/engine"
+)
+
+// peer is a server that hands each request it has read to answer, which
+// returns false to close the connection.
+type peer struct {
+	address  string
+	requests atomic.Int64
+	conns    atomic.Int64
+	closed   chan struct{} // one for each connection that it closed
+}
+
+func newPeer(t testing.TB, answer func(c net.Conn, request int64) bool) *peer {
+	ln := listen(t)
+	p := &peer{address: ln.Addr().String(), closed: make(chan struct{}, 100)}
+	ctx, cancel := context.WithCancel(context.Background())
+	var wg conc.WaitGroup
+	wg.Go(func() {
+		for {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			p.conns.Add(1)
+			context.AfterFunc(ctx, func() { _ = c.Close() })
+			wg.Go(func() { p.serve(c, answer) })
+		}
+	})
+	t.Cleanup(func() {
+		_ = ln.Close()
+		cancel()
+		wg.Wait()
+	})
+	return p
+}
+
+func (p *peer) serve(c net.Conn, answer func(net.Conn, int64) bool) {
+	r := bufio.NewReader(c)
+	var req fasthttp.Request
+	for req.Read(r) == nil && answer(c, p.requests.Add(1)) {
+	}
+	_ = c.Close()
+	p.closed <- struct{}{}
+}
+
+// answerWith sends lines as a whole streamed answer.
+func answerWith(c net.Conn, lines ...string) bool {
+	var resp fasthttp.Response
+	resp.SetBodyStream(strings.NewReader(strings.Join(lines, "\n")+"\n"), -1)
+	w := bufio.NewWriter(c)
+	return resp.Write(w) == nil && w.Flush() == nil
+}
+
+const endLine = `{"request_id":"r","offset":0,"tokens":1,"text":"word","end":true,"finish_reason":"stop"}`
+
+func runAndDrain(ctx context.Context, e engine.Engine) (string, error) {
+	s, err := e.Run(ctx, echo("r", "x"))
+	if err != nil {
+		return "", err
+	}
+	text, _, err := drain(ctx, s)
+	_ = s.Close()
+	return text, err
+}
+
+// Symptom: one request runs on an engine twice.
+// Sequence: the engine reads the request and closes the connection unanswered.
+// Cause: the client takes a closed connection for an unsent request and sends it again.
+func TestReadAndClosedIsSentOnce(t *testing.T) {
+	Convey("on a new connection and on a reused one", t, func() {
+		p := newPeer(t, func(c net.Conn, n int64) bool { return n == 1 && answerWith(c, endLine) })
+		e := httpengine.New(p.address, httpconn.Settings{})
+		_, err := runAndDrain(deadline(t), e)
+		So(err, ShouldBeNil)
+		for sent := int64(2); sent <= 4; sent++ { // the second reuses the first's connection
+			_, err := runAndDrain(deadline(t), e)
+			So(errors.Is(err, engine.ErrBroken), ShouldBeTrue)
+			So(p.requests.Load(), ShouldEqual, sent)
+		}
+		So(p.conns.Load(), ShouldEqual, 3)
+	})
+}
+
+// Symptom: the outcome of requests is unknown although all engines are well.
+// Sequence: an engine closes an idle connection; the next request goes out on it.
+// Cause: the client writes to a connection that it could have known to be closed.
+func TestIdleConnectionThatWasClosedIsNotUsed(t *testing.T) {
+	Convey("the next request gets a new connection and is sent once", t, func() {
+		p := newPeer(t, func(c net.Conn, n int64) bool { return answerWith(c, endLine) && n > 1 })
+		e := httpengine.New(p.address, httpconn.Settings{IdleMax: time.Hour})
+		_, err := runAndDrain(deadline(t), e)
+		So(err, ShouldBeNil)
+		<-p.closed
+		text, err := runAndDrain(deadline(t), e)
+		So(err, ShouldBeNil)
+		So(text, ShouldEqual, "word")
+		So(p.requests.Load(), ShouldEqual, 2)
+		So(e.Counts(), ShouldResemble, httpconn.Counts{Dialed: 2, Dead: 1})
+	})
+}
+
+// Symptom: a dispatch right is lost, or given back for a request that may run.
+// Sequence: the connect fails; or the caller of Run withdraws before the first byte.
+// Cause: the client does not tell what was sent before an error.
+func TestNotSent(t *testing.T) {
+	Convey("nobody listens", t, func() {
+		ln := listen(t)
+		_ = ln.Close()
+		sending := 0
+		r := echo("r", "x")
+		r.Sending = func() error { sending++; return nil }
+		_, err := httpengine.New(ln.Addr().String(), httpconn.Settings{}).Run(deadline(t), r)
+		So(errors.Is(err, engine.ErrNotSent), ShouldBeTrue)
+		So(sending, ShouldEqual, 0)
+	})
+	Convey("Sending says no", t, func() {
+		p := newPeer(t, func(c net.Conn, _ int64) bool { return answerWith(c, endLine) })
+		e := httpengine.New(p.address, httpconn.Settings{})
+		r := echo("r", "x")
+		r.Sending = func() error { return errors.New("no") }
+		_, err := e.Run(deadline(t), r)
+		So(errors.Is(err, engine.ErrNotSent), ShouldBeTrue)
+		_, err = runAndDrain(deadline(t), e) // on the same connection, which is unharmed
+		So(err, ShouldBeNil)
+		So(p.requests.Load(), ShouldEqual, 1)
+		So(p.conns.Load(), ShouldEqual, 1)
+	})
+}
+
+// Symptom: a caller gets another's text, a torn text, or a cut one as whole.
+// Sequence: the engine mixes up, repeats or loses lines, or ends early.
+// Cause: the client passes lines on without checking id, offset and end mark.
+func TestWrongAnswersAreNoticed(t *testing.T) {
+	first := `{"request_id":"r","offset":0,"tokens":2,"text":"wordword"}`
+	cases := []struct {
+		name  string
+		lines []string
+		want  error
+	}{
+		{"another id", []string{`{"request_id":"other","offset":0,"tokens":1,"text":"word","end":true}`}, engine.ErrCrossed},
+		{"another id's keepalive", []string{`{"request_id":"other","keepalive":true}`}, engine.ErrCrossed},
+		{"a gap", []string{first, `{"request_id":"r","offset":3,"tokens":1,"text":"word","end":true}`}, engine.ErrBroken},
+		{"a repeat", []string{first, first}, engine.ErrBroken},
+		{"no end", []string{first}, engine.ErrBroken},
+		{"no JSON", []string{first, `{"request_id":"r",`}, engine.ErrBroken},
+		{"a failure", []string{first, `{"request_id":"r","error":"out of memory"}`}, engine.ErrFailed},
+	}
+	for _, c := range cases {
+		Convey(c.name, t, func() {
+			p := newPeer(t, func(conn net.Conn, _ int64) bool { return answerWith(conn, c.lines...) })
+			_, err := runAndDrain(deadline(t), httpengine.New(p.address, httpconn.Settings{}))
+			So(errors.Is(err, c.want), ShouldBeTrue)
+			So(p.requests.Load(), ShouldEqual, 1)
+		})
+	}
+}
+
+// Symptom: a request is reported as not run and runs all the same.
+// Sequence: something between us and the engine answers 503 while it runs.
+// Cause: the client takes a status for the engine's word.
+func TestOnlyTheEnginesWordIsNotRun(t *testing.T) {
+	answer := func(body string) func(net.Conn, int64) bool {
+		return func(c net.Conn, _ int64) bool {
+			var resp fasthttp.Response
+			resp.SetStatusCode(fasthttp.StatusServiceUnavailable)
+			resp.SetBodyString(body)
+			w := bufio.NewWriter(c)
+			return resp.Write(w) == nil && w.Flush() == nil
+		}
+	}
+	Convey("a bare 503 proves nothing, not_run does", t, func() {
+		_, err := runAndDrain(deadline(t), httpengine.New(newPeer(t, answer("busy")).address, httpconn.Settings{}))
+		So(errors.Is(err, engine.ErrFailed), ShouldBeTrue)
+		_, err = runAndDrain(deadline(t), httpengine.New(newPeer(t, answer(`{"not_run":true}`)).address, httpconn.Settings{}))
+		So(errors.Is(err, engine.ErrRefusedNotRun), ShouldBeTrue)
+	})
+}
+
+// Symptom: callers who left hold connections and slots.
+// Sequence: the context ends while the engine is silent.
+// Cause: a read waits for its deadline, which knows nothing of the context.
+func TestContextEndsTheWait(t *testing.T) {
+	Convey("in Run and in Next, and only the context of the waiting call counts", t, func() {
+		quiet := httpconn.Settings{Silence: time.Hour}
+		got := make(chan struct{}, 1)
+		p := newPeer(t, func(net.Conn, int64) bool { got <- struct{}{}; return true })
+		ctx, cancel := context.WithCancel(deadline(t))
+		go func() { <-got; cancel() }()
+		_, err := runAndDrain(ctx, httpengine.New(p.address, quiet))
+		So(errors.Is(err, engine.ErrBroken), ShouldBeTrue)
+
+		_, e := serve(t, fast, quiet)
+		ctx, cancel = context.WithCancel(deadline(t))
+		s, err := e.Run(ctx, echo("r", "x"))
+		So(err, ShouldBeNil)
+		cancel()
+		text, _, err := drain(deadline(t), s)
+		So(err, ShouldBeNil)
+		So(text, ShouldEqual, "x")
+
+		So(postFaults(e, `{"answer_delay_ms":3600000}`), ShouldBeNil)
+		s, err = e.Run(deadline(t), echo("r2", "x"))
+		So(err, ShouldBeNil)
+		ctx, cancel = context.WithCancel(deadline(t))
+		defer cancel()
+		go cancel()
+		_, err = s.Next(ctx)
+		So(errors.Is(err, engine.ErrBroken), ShouldBeTrue)
+	})
+}
+
+// Symptom: streams hang for good, or their prefill is thrown away.
+// Sequence: open connections go silent; new ones work.
+// Cause: without a byte for long nobody can tell a slow engine from a lost connection.
+func TestSilentConnectionIsNoticedAndResumed(t *testing.T) {
+	Convey("the stream breaks, goes on over a new connection, and ran once", t, func() {
+		o := fast
+		o.Faults.Speed = 0.02
+		core, e := serve(t, o, httpconn.Settings{})
+		ctx := deadline(t)
+		want := strings.Repeat("0123456789", 40)
+		s, err := e.Run(ctx, echo("r", want))
+		So(err, ShouldBeNil)
+		c, err := s.Next(ctx)
+		So(err, ShouldBeNil)
+		text := c.Text
+		So(postFaults(e, `{"silent":"existing","speed":1}`), ShouldBeNil)
+		for err == nil && !c.End {
+			if c, err = s.Next(ctx); err == nil {
+				text += c.Text
+			}
+		}
+		So(errors.Is(err, engine.ErrBroken), ShouldBeTrue)
+		_ = s.Close()
+		s, err = e.Resume(ctx, "r", (len(text)+3)/4)
+		So(err, ShouldBeNil)
+		rest, _, err := drain(ctx, s)
+		So(err, ShouldBeNil)
+		So(text+rest, ShouldEqual, want)
+		So(core.Runs(), ShouldHaveLength, 1)
+	})
+}
+
+// Symptom: requests that wait inside a busy engine are taken for lost.
+// Sequence: no token comes for longer than the silence limit.
+// Cause: the limit must count keepalive lines, too.
+func TestKeepaliveHoldsAStreamThatWaits(t *testing.T) {
+	Convey("an answer later than the silence limit arrives", t, func() {
+		o := fast
+		o.KeepaliveMs, o.Faults.AnswerDelayMs = 20, 2_500
+		_, e := serve(t, o, httpconn.Settings{Silence: 2 * time.Second})
+		text, err := runAndDrain(deadline(t), e)
+		So(err, ShouldBeNil)
+		So(text, ShouldEqual, "x")
+	})
+}
+
+// Symptom: after an engine's crash its requests hang, or run again by themselves.
+// Sequence: a request crashes the engine; its connections break; it restarts.
+// Cause: the client must tell a broken run, a refused connect and an unknown run apart.
+func TestCrash(t *testing.T) {
+	Convey("broken, then not sent while it is away, then unknown to the new incarnation", t, func() {
+		o := fast
+		o.RestartMs, o.Faults.CrashText = 300, "poison"
+		core, e := serve(t, o, httpconn.Settings{})
+		ctx := deadline(t)
+		before, err := e.Load(ctx)
+		So(err, ShouldBeNil)
+		s, err := e.Run(ctx, echo("r", "some poison"))
+		if err == nil {
+			_, _, err = drain(ctx, s)
+		}
+		So(errors.Is(err, engine.ErrBroken), ShouldBeTrue)
+		So(core.Runs()[0].Outcome, ShouldEqual, standin.OutcomeCrashed)
+		_, err = e.Run(ctx, echo("r2", "x"))
+		So(errors.Is(err, engine.ErrNotSent), ShouldBeTrue)
+		after, err := e.Load(ctx)
+		for errors.Is(err, engine.ErrNotSent) && ctx.Err() == nil {
+			after, err = e.Load(ctx)
+		}
+		So(err, ShouldBeNil)
+		So(after.Incarnation, ShouldNotEqual, before.Incarnation)
+		_, err = e.Resume(ctx, "r", 0)
+		So(errors.Is(err, engine.ErrUnknownRun), ShouldBeTrue)
+		So(core.Runs(), ShouldHaveLength, 1)
+	})
+}
+
+// Symptom: a request too large for the peer's buffers is reported as not sent.
+// Sequence: the peer accepts the connection and never reads.
+// Cause: some bytes have left before the write times out.
+func TestHalfWrittenIsBroken(t *testing.T) {
+	Convey("the outcome is unknown", t, func() {
+		ln := listen(t)
+		defer ln.Close()
+		e := httpengine.New(ln.Addr().String(), httpconn.Settings{Silence: 100 * time.Millisecond})
+		_, err := e.Run(deadline(t), echo("r", strings.Repeat("x", 8<<20)))
+		So(errors.Is(err, engine.ErrBroken), ShouldBeTrue)
+	})
+}
--- a/internal/httpconn/pool.go
+++ b/internal/httpconn/pool.go
@@ -75,8 +75,9 @@
 	settings Settings
 	dialer   net.Dialer
 
-	mu   sync.Mutex
-	idle []*Conn // oldest first
+	mu      sync.Mutex
+	idle    []*Conn // oldest first
+	reaping bool    // reap will be called
 
 	dialed, reused, aged, dead atomic.Uint64
 }
@@ -110,7 +111,10 @@
 // Send writes the request once and returns the connection, from which the
 // answer is to be read; the caller must end it with Keep or Drop. The error
 // wraps engine.ErrNotSent where no byte can have left, else engine.ErrBroken.
-func (p *Pool) Send(ctx context.Context, req *fasthttp.Request, fresh Fresh) (*Conn, error) {
+//
+// sending, where not nil, is called once the connection is up and checked,
+// directly before the first byte; its error stops the request.
+func (p *Pool) Send(ctx context.Context, req *fasthttp.Request, fresh Fresh, sending func() error) (*Conn, error) {
 	c, err := p.get(ctx, fresh)
 	if err != nil {
 		return nil, err
@@ -119,6 +123,12 @@
 		c.Drop()
 		return nil, errors.Wrapf(engine.ErrNotSent, "%s: %v", p.address, err)
 	}
+	if sending != nil {
+		if err := sending(); err != nil {
+			c.Keep() // nothing was written
+			return nil, errors.Wrapf(engine.ErrNotSent, "%s: %v", p.address, err)
+		}
+	}
 	err = c.send(req)
 	c.Leave()
 	if err != nil {
@@ -210,4 +220,22 @@
 		return
 	}
 	p.idle = append(p.idle, c)
+	p.reapLater()
+}
+
+// reapLater closes idle connections also where no other use comes by.
+func (p *Pool) reapLater() {
+	if p.reaping || len(p.idle) == 0 {
+		return
+	}
+	p.reaping = true
+	time.AfterFunc(p.settings.IdleMax, p.reap)
+}
+
+func (p *Pool) reap() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.reaping = false
+	p.dropAged(time.Now())
+	p.reapLater()
 }
--- a/internal/standin/engine/direct.go
+++ b/internal/standin/engine/direct.go
@@ -17,7 +17,7 @@
 
 // Run implements port.Engine.
 func (e *Engine) Run(ctx context.Context, r port.Run) (port.Stream, error) {
-	if err := e.reach(ctx); err != nil {
+	if err := e.reach(ctx, r.Sending); err != nil {
 		return nil, err
 	}
 	return e.stream(e.start(r))
@@ -25,7 +25,7 @@
 
 // Resume implements port.Engine.
 func (e *Engine) Resume(ctx context.Context, requestID string, offset int) (port.Stream, error) {
-	if err := e.reach(ctx); err != nil {
+	if err := e.reach(ctx, nil); err != nil {
 		return nil, err
 	}
 	return e.stream(e.resume(requestID, offset))
@@ -33,7 +33,7 @@
 
 // Cancel implements port.Engine.
 func (e *Engine) Cancel(ctx context.Context, requestID string) error {
-	if err := e.reach(ctx); err != nil {
+	if err := e.reach(ctx, nil); err != nil {
 		return err
 	}
 	e.cancel(requestID)
@@ -42,7 +42,7 @@
 
 // Load implements port.Engine.
 func (e *Engine) Load(ctx context.Context) (port.LoadReport, error) {
-	if err := e.reach(ctx); err != nil {
+	if err := e.reach(ctx, nil); err != nil {
 		return port.LoadReport{}, err
 	}
 	return e.report(), nil
@@ -50,7 +50,7 @@
 
 // CacheEvents implements port.Engine.
 func (e *Engine) CacheEvents(ctx context.Context, after uint64) ([]port.CacheEvent, error) {
-	if err := e.reach(ctx); err != nil {
+	if err := e.reach(ctx, nil); err != nil {
 		return nil, err
 	}
 	return e.cacheEvents(after), nil
@@ -58,7 +58,7 @@
 
 // ExportKV implements port.Engine: of the leading blocks that it holds.
 func (e *Engine) ExportKV(ctx context.Context, blocks []uint64) ([]byte, error) {
-	if err := e.reach(ctx); err != nil {
+	if err := e.reach(ctx, nil); err != nil {
 		return nil, err
 	}
 	return encodeBlocks(e.exportBlocks(blocks)), nil
@@ -66,7 +66,7 @@
 
 // ImportKV implements port.Engine.
 func (e *Engine) ImportKV(ctx context.Context, data []byte) error {
-	if err := e.reach(ctx); err != nil {
+	if err := e.reach(ctx, nil); err != nil {
 		return err
 	}
 	return e.importKV(data)
@@ -74,25 +74,30 @@
 
 // Order implements port.Engine.
 func (e *Engine) Order(ctx context.Context, o port.Order) error {
-	if err := e.reach(ctx); err != nil {
+	if err := e.reach(ctx, nil); err != nil {
 		return err
 	}
 	return e.order(o)
 }
 
-// reach returns an error where the engine is down or silent.
-func (e *Engine) reach(ctx context.Context) error {
+// reach connects, calls sending and returns an error where the engine is down
+// or silent.
+func (e *Engine) reach(ctx context.Context, sending func() error) error {
 	e.mu.Lock()
 	down, silent := time.Now().Before(e.downUntil), e.faults.Silent == SilenceAll
 	e.mu.Unlock()
-	switch {
-	case down:
+	if down {
 		return errors.Wrap(port.ErrNotSent, "engine is restarting")
-	case silent:
+	}
+	if sending != nil {
+		if err := sending(); err != nil {
+			return errors.Wrap(port.ErrNotSent, err.Error())
+		}
+	}
+	if silent {
 		return e.keepSilent(ctx)
-	default:
-		return nil
 	}
+	return nil
 }
 
 func (e *Engine) keepSilent(ctx context.Context) error {
--- /dev/null
+++ b/internal/standin/engine/engine_test.go
@@ -0,0 +1,268 @@
+package engine
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+	"unicode/utf8"
+
+	"github.com/pkg/errors"
+	. "github.com/smartystreets/goconvey/convey"
+	"github.com/sourcegraph/conc"
+	"pgregory.net/rapid"
+
+	port "github.com/lycheekeel/lycheekeel/engine"
+	"github.com/lycheekeel/lycheekeel/engine/httpengine/wire"
+)
+
+var background = context.Background()
+
+// plain has round numbers: a step takes 10 ms and 1 ms for each sequence.
+var plain = Options{
+	Slots: 2, StepMs: 10, SequenceMs: 1, PrefillPerSecond: 10_000, PrefillChunk: 100, KVTokens: 10_000, CacheBlocks: 4,
+	LoadMs: 100, RestartMs: 1_000, LingerMs: 5_000, KeepaliveMs: 200, SilenceMs: 1_000,
+}
+
+// inBubble runs f on a fake clock with an engine of its own.
+func inBubble(t *testing.T, o Options, f func(e *Engine)) {
+	synctest.Test(t, func(t *testing.T) {
+		Convey(t.Name(), t, func() {
+			e, err := New(o)
+			So(err, ShouldBeNil)
+			defer e.Close()
+			f(e)
+		})
+	})
+}
+
+func gen(id string, prompt, tokens int, blocks ...uint64) port.Run {
+	return port.Run{RequestID: id, Model: "m", Prompt: "p", Last: fmt.Sprintf("gen:%d", tokens), PromptTokens: prompt, Blocks: blocks}
+}
+
+func open(e *Engine, r port.Run) port.Stream {
+	s, err := e.Run(background, r)
+	So(err, ShouldBeNil)
+	return s
+}
+
+// finish reads to the end and returns the last chunk and the time taken.
+func finish(s port.Stream) (port.Chunk, time.Duration, error) {
+	begin := time.Now()
+	for {
+		c, err := s.Next(background)
+		if err != nil || c.End {
+			_ = s.Close()
+			return c, time.Since(begin), err
+		}
+	}
+}
+
+func outcomes(e *Engine) (out []string) {
+	for _, r := range e.Runs() {
+		out = append(out, r.RequestID+" "+string(r.Outcome))
+	}
+	return out
+}
+
+func TestStepTimes(t *testing.T) {
+	inBubble(t, plain, func(e *Engine) {
+		// Three steps of prefill (100, 100, 50 tokens), then 4 of decode.
+		_, d, err := finish(open(e, gen("a", 250, 5)))
+		So(err, ShouldBeNil)
+		So(d, ShouldEqual, 3*11*time.Millisecond+25*time.Millisecond+4*11*time.Millisecond)
+		// Two sequences make each step 1 ms longer; the third waits for a slot.
+		s := []port.Stream{open(e, gen("b", 1, 10)), open(e, gen("c", 1, 10)), open(e, gen("d", 1, 10))}
+		_, d, _ = finish(s[1])
+		So(d, ShouldBeBetweenOrEqual, 10*12*time.Millisecond, 11*12*time.Millisecond) // it may have missed a step
+		load, _ := e.Load(background)
+		So(load.Running+load.Waiting, ShouldBeBetweenOrEqual, 1, 2)
+		_, d, _ = finish(s[2])
+		So(d, ShouldBeBetweenOrEqual, 9*11*time.Millisecond, 10*12*time.Millisecond)
+		// A straggler at a tenth.
+		So(e.SetFaults(Faults{Speed: 0.1}), ShouldBeNil)
+		_, d, _ = finish(open(e, gen("f", 1, 10)))
+		So(d.Round(10*time.Millisecond), ShouldEqual, 10*110*time.Millisecond)
+	})
+}
+
+func TestPrefixCacheAndItsEvents(t *testing.T) {
+	inBubble(t, plain, func(e *Engine) {
+		_, _, err := finish(open(e, gen("a", 300, 1, 1, 2, 3)))
+		So(err, ShouldBeNil)
+		c, _, _ := finish(open(e, gen("b", 300, 1, 1, 2, 9)))
+		So(c.PrefillComputed, ShouldEqual, 300-2*port.BlockTokens)
+		c, _, _ = finish(open(e, gen("c", 2*port.BlockTokens, 1, 1, 2)))
+		So(c.PrefillComputed, ShouldEqual, 1) // the last token is always computed
+		_, _, err = finish(open(e, gen("d", 300, 1, 5)))
+		So(err, ShouldBeNil)
+		events, _ := e.CacheEvents(background, 4)
+		So(events, ShouldResemble, []port.CacheEvent{{Seq: 5, Block: 3}, {Seq: 6, Block: 5, Stored: true}})
+		So(e.SetFaults(Faults{DropEvents: 2, ReportLagMs: 500}), ShouldBeNil)
+		_, _, err = finish(open(e, gen("e", 300, 1, 21, 22, 23)))
+		So(err, ShouldBeNil)
+		events, _ = e.CacheEvents(background, 6)
+		So(events, ShouldBeEmpty) // late
+		<-time.After(time.Second)
+		events, _ = e.CacheEvents(background, 6)
+		So(events, ShouldHaveLength, 3) // of six, with gaps
+		So(events[0].Seq, ShouldEqual, 7)
+		So(events[1].Seq, ShouldEqual, 9)
+	})
+}
+
+func TestCancelAndAbandonFreeTheSlot(t *testing.T) {
+	o := plain
+	o.Slots = 1
+	inBubble(t, o, func(e *Engine) {
+		s := open(e, gen("long", 1, 60_000))
+		_, err := s.Next(background)
+		So(err, ShouldBeNil)
+		So(e.Cancel(background, "long"), ShouldBeNil)
+		_, _, err = finish(s)
+		So(errors.Is(err, port.ErrFailed), ShouldBeTrue)
+		_, d, err := finish(open(e, gen("short", 1, 1)))
+		So(err, ShouldBeNil)
+		So(d, ShouldBeLessThan, 30*time.Millisecond)
+
+		s = open(e, gen("left", 1, 60_000))
+		_ = s.Close()
+		<-time.After(4 * time.Second)
+		s, err = e.Resume(background, "left", 10) // still there
+		So(err, ShouldBeNil)
+		c, err := s.Next(background)
+		So(err, ShouldBeNil)
+		So(c.Offset, ShouldEqual, 10)
+		_ = s.Close()
+		<-time.After(6 * time.Second)
+		So(outcomes(e), ShouldResemble, []string{"long cancelled", "short stop", "left abandoned"})
+		<-time.After(10 * time.Second)
+		_, err = e.Resume(background, "left", 0)
+		So(errors.Is(err, port.ErrUnknownRun), ShouldBeTrue)
+	})
+}
+
+// Symptom: a doubled dispatch goes unseen in a test.
+// Sequence: the same request comes in twice.
+// Cause: a run log that has one entry per request id.
+func TestRunLogShowsADoubledDispatch(t *testing.T) {
+	inBubble(t, plain, func(e *Engine) {
+		a, b := open(e, gen("same", 1, 2)), open(e, gen("same", 1, 3))
+		_, _, err := finish(a)
+		So(err, ShouldBeNil)
+		_, _, err = finish(b)
+		So(err, ShouldBeNil)
+		So(outcomes(e), ShouldResemble, []string{"same stop", "same stop"})
+	})
+}
+
+func TestLaggingReportsAndOrders(t *testing.T) {
+	o := plain
+	o.Models = []wire.Model{{Model: "m", Version: "1"}}
+	inBubble(t, o, func(e *Engine) {
+		So(e.SetFaults(Faults{ReportLagMs: 1_000}), ShouldBeNil)
+		s := open(e, gen("a", 1, 20)) // ends after 220 ms
+		_, _, err := finish(s)
+		So(err, ShouldBeNil)
+		<-time.After(900 * time.Millisecond)
+		load, _ := e.Load(background)
+		So(load.Running, ShouldEqual, 1) // it still shows the run that has ended
+		So(load.Age, ShouldEqual, time.Second)
+		So(e.SetFaults(Faults{}), ShouldBeNil)
+
+		v2 := gen("b", 1, 1)
+		v2.Version = "2"
+		order := port.Order{Kind: port.OrderLoadModel, Model: "m", Version: "2", Token: 5}
+		So(e.Order(background, order), ShouldBeNil)
+		load, _ = e.Load(background)
+		So(load.Warming, ShouldBeTrue)
+		_, err = e.Run(background, v2)
+		So(errors.Is(err, port.ErrRefusedNotRun), ShouldBeTrue)
+		<-time.After(150 * time.Millisecond)
+		load, _ = e.Load(background)
+		So(load.Models, ShouldHaveLength, 2)
+		_, _, err = finish(open(e, v2))
+		So(err, ShouldBeNil)
+
+		drain := port.Order{Kind: port.OrderDrain, Token: 4}
+		So(errors.Is(e.Order(background, drain), port.ErrStaleToken), ShouldBeTrue)
+		So(e.SetFaults(Faults{IgnoreFencing: true}), ShouldBeNil)
+		So(e.Order(background, drain), ShouldBeNil)
+		_, err = e.Run(background, v2)
+		So(errors.Is(err, port.ErrRefusedNotRun), ShouldBeTrue)
+		So(e.Orders(), ShouldHaveLength, 3)
+	})
+}
+
+// Symptom: a test of silence, crossing or crashing proves nothing.
+// Sequence: the fault is switched on and the engine behaves well.
+// Cause: the stand-in's in-process front does not show the fault.
+func TestFaultsInProcess(t *testing.T) {
+	inBubble(t, plain, func(e *Engine) {
+		old := open(e, gen("old", 1, 500))
+		So(e.SetFaults(Faults{Silent: SilenceExisting}), ShouldBeNil)
+		_, d, err := finish(old)
+		So(errors.Is(err, port.ErrBroken), ShouldBeTrue)
+		So(d, ShouldBeGreaterThanOrEqualTo, time.Second)
+		_, _, err = finish(open(e, gen("new", 1, 2)))
+		So(err, ShouldBeNil)
+		So(e.SetFaults(Faults{Silent: SilenceAll}), ShouldBeNil)
+		_, err = e.Run(background, gen("lost", 1, 2))
+		So(errors.Is(err, port.ErrBroken), ShouldBeTrue)
+
+		So(e.SetFaults(Faults{CrossAnswers: 1}), ShouldBeNil)
+		a, b := open(e, gen("a", 1, 2)), open(e, gen("b", 1, 2))
+		var wg conc.WaitGroup
+		var errs [2]error
+		wg.Go(func() { _, _, errs[0] = finish(a) })
+		wg.Go(func() { _, _, errs[1] = finish(b) })
+		wg.Wait()
+		So(errors.Is(errs[0], port.ErrCrossed) && errors.Is(errs[1], port.ErrCrossed), ShouldBeTrue)
+		_, _, err = finish(open(e, gen("c", 1, 2)))
+		So(err, ShouldBeNil)
+
+		So(e.SetFaults(Faults{CrashText: "poison"}), ShouldBeNil)
+		bystander := open(e, gen("bystander", 1, 500))
+		r := gen("poison", 1, 1)
+		r.Prompt = "a poison b"
+		_, _, err = finish(open(e, r))
+		So(errors.Is(err, port.ErrBroken), ShouldBeTrue)
+		_, _, err = finish(bystander)
+		So(errors.Is(err, port.ErrBroken), ShouldBeTrue)
+		_, err = e.Run(background, gen("d", 1, 1))
+		So(errors.Is(err, port.ErrNotSent), ShouldBeTrue)
+		<-time.After(1_100 * time.Millisecond)
+		_, _, err = finish(open(e, gen("d", 1, 1)))
+		So(err, ShouldBeNil)
+	})
+}
+
+// Any echo text comes back whole, in contiguous chunks of whole characters,
+// from whatever offset it is resumed.
+func TestEchoIsWholeFromAnyOffset(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		text := rapid.String().Draw(t, "text")
+		x := newRun(port.Run{Last: PrefixEcho + text, MaxTokens: 1}, time.Now())
+		e := &Engine{}
+		from := rapid.IntRange(0, x.total).Draw(t, "from")
+		var got strings.Builder
+		take := func(c *cursor, until int) {
+			for c.offset < until {
+				chunk := c.take()
+				if !utf8.ValidString(chunk.Text) {
+					t.Fatalf("chunk %q cuts a character", chunk.Text)
+				}
+				got.WriteString(chunk.Text)
+			}
+		}
+		x.generated = from
+		take(e.newCursor(x, 0), from)
+		x.generated = x.total
+		take(e.newCursor(x, from), x.total)
+		if got.String() != text {
+			t.Fatalf("got %q, want %q", got.String(), text)
+		}
+	})
+}
--- a/internal/standin/engine/options.go
+++ b/internal/standin/engine/options.go
@@ -5,7 +5,7 @@
 // prefix cache. Faults can be switched on while it runs.
 //
 // One core (Engine) has two fronts: it implements the engine port in the same
-// process, and Server serves it over HTTP for the adapter httpengine.
+// process, and Serve serves it over HTTP for the adapter httpengine.
 package engine
 
 import (
--- a/internal/standin/engine/server.go
+++ b/internal/standin/engine/server.go
@@ -1,7 +1,6 @@
 package engine
 
 import (
-	"bytes"
 	"context"
 	"encoding/json"
 	"net"
@@ -10,7 +9,6 @@
 	"time"
 
 	"github.com/pkg/errors"
-	"github.com/sourcegraph/conc"
 	"github.com/valyala/fasthttp"
 
 	port "github.com/lycheekeel/lycheekeel/engine"
@@ -28,15 +26,8 @@
 	PathHealth = "/healthz"        // GET
 )
 
-const (
-	maxBodyBytes = 64 << 20
-	// idleTimeout is how long the server keeps an idle connection: far above
-	// what the adapter reuses.
-	idleTimeout = 60 * time.Second
-)
-
-// Server serves an Engine over HTTP.
-type Server struct {
+// server serves an Engine over HTTP.
+type server struct {
 	engine *Engine
 	gate   *gate.Gate
 	mute   atomic.Bool // SilenceAll
@@ -56,35 +47,16 @@
 // ServeEngine serves an engine on the listener, which it owns, until ctx ends.
 // The engine stays open.
 func ServeEngine(ctx context.Context, ln net.Listener, e *Engine) error {
-	s := &Server{engine: e, gate: gate.New(ln)}
+	s := &server{engine: e, gate: gate.New(ln)}
 	s.mute.Store(e.Faults().Silent == SilenceAll)
 	e.mu.Lock()
 	e.onCrash = s.gate.Shut
 	e.mu.Unlock()
-	stop := context.AfterFunc(ctx, func() { _ = s.gate.Close() })
-	defer stop()
 	logs.For("standin-engine").WithField("listen", ln.Addr().String()).Info("serving")
-	h := &fasthttp.Server{
-		Handler: s.handle, MaxRequestBodySize: maxBodyBytes, IdleTimeout: idleTimeout,
-		NoDefaultServerHeader: true, NoDefaultDate: true, Logger: quiet{},
-	}
-	var wg conc.WaitGroup
-	var err error
-	wg.Go(func() { err = h.Serve(s.gate) })
-	wg.Wait()
-	if ctx.Err() != nil {
-		return nil
-	}
-	return errors.Wrap(err, "serve engine")
+	return s.gate.Serve(ctx, s.handle)
 }
 
-// quiet drops fasthttp's own log: broken connections are this server's trade.
-type quiet struct{}
-
-// Printf implements fasthttp.Logger.
-func (quiet) Printf(string, ...any) {}
-
-func (s *Server) handle(ctx *fasthttp.RequestCtx) {
+func (s *server) handle(ctx *fasthttp.RequestCtx) {
 	path := string(ctx.Path())
 	if s.control(ctx, path) {
 		return
@@ -101,12 +73,12 @@
 }
 
 // control serves the stand-in's own interface, which no fault touches.
-func (s *Server) control(ctx *fasthttp.RequestCtx, path string) bool {
+func (s *server) control(ctx *fasthttp.RequestCtx, path string) bool {
 	switch path {
 	case PathRuns:
-		reply(ctx, s.engine.Runs())
+		gate.Reply(ctx, s.engine.Runs())
 	case PathOrders:
-		reply(ctx, s.engine.Orders())
+		gate.Reply(ctx, s.engine.Orders())
 	case PathFaults:
 		s.faults(ctx)
 	case PathCrash:
@@ -120,18 +92,16 @@
 	return true
 }
 
-func (s *Server) faults(ctx *fasthttp.RequestCtx) {
+func (s *server) faults(ctx *fasthttp.RequestCtx) {
 	f := s.engine.Faults()
 	if ctx.IsPost() {
-		d := json.NewDecoder(bytes.NewReader(ctx.PostBody()))
-		d.DisallowUnknownFields()
-		err := d.Decode(&f)
+		err := gate.Patch(ctx, &f)
 		if err == nil {
 			err = s.engine.SetFaults(f)
 		}
 		if err != nil {
 			ctx.SetStatusCode(fasthttp.StatusBadRequest)
-			reply(ctx, wire.Error{Message: err.Error()})
+			gate.Reply(ctx, wire.Error{Message: err.Error()})
 			return
 		}
 		if f.Silent != SilenceOff {
@@ -140,10 +110,10 @@
 		s.mute.Store(f.Silent == SilenceAll)
 		ctx.SetConnectionClose() // so that this one is not left unsilenced
 	}
-	reply(ctx, f)
+	gate.Reply(ctx, f)
 }
 
-func (s *Server) serve(ctx *fasthttp.RequestCtx, path string) error {
+func (s *server) serve(ctx *fasthttp.RequestCtx, path string) error {
 	switch path {
 	case wire.PathRun:
 		return s.run(ctx)
@@ -156,7 +126,7 @@
 		}
 		s.engine.cancel(m.RequestID)
 	case wire.PathLoad:
-		reply(ctx, wireLoad(s.engine.report()))
+		gate.Reply(ctx, wireLoad(s.engine.report()))
 	case wire.PathCacheEvents:
 		return s.cacheEvents(ctx)
 	case wire.PathExportKV:
@@ -179,7 +149,7 @@
 	return nil
 }
 
-func (s *Server) run(ctx *fasthttp.RequestCtx) error {
+func (s *server) run(ctx *fasthttp.RequestCtx) error {
 	var m wire.Run
 	if err := decode(ctx, &m); err != nil {
 		return err
@@ -194,7 +164,7 @@
 	return err
 }
 
-func (s *Server) resume(ctx *fasthttp.RequestCtx) error {
+func (s *server) resume(ctx *fasthttp.RequestCtx) error {
 	var m wire.Resume
 	if err := decode(ctx, &m); err != nil {
 		return err
@@ -206,7 +176,7 @@
 	return err
 }
 
-func (s *Server) cacheEvents(ctx *fasthttp.RequestCtx) error {
+func (s *server) cacheEvents(ctx *fasthttp.RequestCtx) error {
 	after, err := strconv.ParseUint(string(ctx.QueryArgs().Peek("after")), 10, 64)
 	if err != nil {
 		return errors.Wrap(port.ErrFailed, "after is no number")
@@ -215,7 +185,7 @@
 	for _, ev := range s.engine.cacheEvents(after) {
 		m.Events = append(m.Events, wire.CacheEvent(ev))
 	}
-	reply(ctx, m)
+	gate.Reply(ctx, m)
 	return nil
 }
 
@@ -237,16 +207,6 @@
 	return nil
 }
 
-func reply(ctx *fasthttp.RequestCtx, message any) {
-	b, err := json.Marshal(message)
-	if err != nil {
-		ctx.SetStatusCode(fasthttp.StatusInternalServerError)
-		return
-	}
-	ctx.SetContentType("application/json")
-	ctx.SetBody(b)
-}
-
 // fail answers with an error of the port.
 func fail(ctx *fasthttp.RequestCtx, err error) {
 	m := wire.Error{Message: err.Error(), NotRun: errors.Is(err, port.ErrRefusedNotRun)}
@@ -260,5 +220,5 @@
 	default:
 		ctx.SetStatusCode(fasthttp.StatusInternalServerError)
 	}
-	reply(ctx, m)
+	gate.Reply(ctx, m)
 }
--- a/internal/standin/gate/gate.go
+++ b/internal/standin/gate/gate.go
@@ -144,6 +144,7 @@
 	net.Conn
 	gate   *Gate
 	silent atomic.Bool
+	ended  atomic.Bool // the peer closed it
 }
 
 // Silence makes the connection silent for good.
@@ -153,9 +154,13 @@
 func (c *Conn) Read(b []byte) (int, error) {
 	for {
 		n, err := c.Conn.Read(b)
-		if err != nil || !c.silent.Load() {
+		if err != nil {
+			c.ended.Store(true)
 			return n, err
 		}
+		if !c.silent.Load() {
+			return n, nil
+		}
 	}
 }
 
@@ -170,7 +175,7 @@
 // Close implements net.Conn. A silent connection's end is lost as well: it
 // stays open to the peer until the peer or the gate closes it.
 func (c *Conn) Close() error {
-	if c.silent.Load() {
+	if c.silent.Load() && !c.ended.Load() {
 		return nil
 	}
 	c.gate.mu.Lock()
--- /dev/null
+++ b/service/httpservice/service.go
@@ -0,0 +1,152 @@
+// Package httpservice is the adapter of the service port to plain services
+// that speak HTTP/1.1. A call is passed through as it is, and sent at most
+// once; an error says whether a byte of it can have left.
+package httpservice
+
+import (
+	"context"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/valyala/fasthttp"
+
+	"github.com/lycheekeel/lycheekeel/engine"
+	"github.com/lycheekeel/lycheekeel/internal/httpconn"
+	"github.com/lycheekeel/lycheekeel/service"
+)
+
+const (
+	// HeaderNotRun set to "true" on an answer is the service's word that it
+	// did not and will not run the call.
+	HeaderNotRun = "X-Lycheekeel-Not-Run"
+	// HeaderRequestID carries Call.RequestID.
+	HeaderRequestID = "X-Request-Id"
+
+	// maxReplyBytes bounds an answer, which is held in memory.
+	maxReplyBytes = 64 << 20
+	// DefaultAnswer is the default of Settings.Answer.
+	DefaultAnswer = 30 * time.Second
+)
+
+// Settings of a Dialer. A zero field takes its default.
+type Settings struct {
+	httpconn.Settings
+	// Answer is the longest wait for the next byte of an answer. A plain
+	// service sends no keepalive while it works, so this also bounds the
+	// work. Default 30 s.
+	Answer time.Duration
+}
+
+// Dialer keeps one Service per address. It is safe for concurrent use.
+type Dialer struct {
+	settings Settings
+	services sync.Map // address to *Service
+}
+
+// NewDialer returns a dialer whose services use the settings.
+func NewDialer(s Settings) *Dialer { return &Dialer{settings: s} }
+
+// Service returns the service at the address (host:port). It does not connect.
+func (d *Dialer) Service(address string) service.Service {
+	if s, ok := d.services.Load(address); ok {
+		return s.(*Service)
+	}
+	s, _ := d.services.LoadOrStore(address, New(address, d.settings))
+	return s.(*Service)
+}
+
+// Service is one plain service's server. It is safe for concurrent use.
+type Service struct {
+	pool   *httpconn.Pool
+	answer time.Duration
+}
+
+// New returns the service at the address (host:port). It does not connect.
+func New(address string, s Settings) *Service {
+	if s.Answer <= 0 {
+		s.Answer = DefaultAnswer
+	}
+	return &Service{pool: httpconn.NewPool(address, s.Settings), answer: s.Answer}
+}
+
+// Do implements service.Service. A call that is no well-formed HTTP fails
+// with ErrNotSent.
+func (s *Service) Do(ctx context.Context, c service.Call) (service.Reply, error) {
+	req := fasthttp.AcquireRequest()
+	defer fasthttp.ReleaseRequest(req)
+	if err := fillRequest(req, s.pool.Address(), c); err != nil {
+		return service.Reply{}, errors.Wrap(engine.ErrNotSent, err.Error())
+	}
+	conn, err := s.pool.Send(ctx, req, httpconn.MayReuse, c.Sending)
+	if err != nil {
+		return service.Reply{}, err
+	}
+	conn.SetSilence(s.answer)
+	return s.read(ctx, conn, c.Method)
+}
+
+func (s *Service) read(ctx context.Context, conn *httpconn.Conn, method string) (service.Reply, error) {
+	if err := conn.Enter(ctx); err != nil {
+		conn.Drop()
+		return service.Reply{}, errors.Wrapf(engine.ErrBroken, "%s: %v", s.pool.Address(), err)
+	}
+	resp := fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseResponse(resp)
+	resp.SkipBody = method == fasthttp.MethodHead
+	if err := resp.ReadLimitBody(conn.Reader, maxReplyBytes); err != nil {
+		err = conn.Broken(err)
+		conn.Drop()
+		return service.Reply{}, err
+	}
+	if resp.ConnectionClose() {
+		conn.Drop()
+	} else {
+		conn.Keep()
+	}
+	if string(resp.Header.Peek(HeaderNotRun)) == "true" {
+		return service.Reply{}, errors.Wrapf(engine.ErrRefusedNotRun, "%s: status %d", s.pool.Address(), resp.StatusCode())
+	}
+	return replyOf(resp), nil
+}
+
+func fillRequest(req *fasthttp.Request, address string, c service.Call) error {
+	if !validToken(c.Method) || !validPath(c.Path) {
+		return errors.Errorf("method %q or path %q is not well-formed", c.Method, c.Path)
+	}
+	req.Header.SetMethod(c.Method)
+	req.SetRequestURI(c.Path)
+	req.Header.SetHost(address)
+	req.Header.SetNoDefaultContentType(true)
+	skip := hopByHop(c.Header)
+	for _, h := range c.Header {
+		if !validToken(h[0]) || !validValue(h[1]) {
+			return errors.Errorf("header %q is not well-formed", h[0])
+		}
+		if !skip[strings.ToLower(h[0])] {
+			req.Header.Add(h[0], h[1])
+		}
+	}
+	if !validValue(c.RequestID) {
+		return errors.New("request id is not well-formed")
+	}
+	req.Header.Set(HeaderRequestID, c.RequestID)
+	req.SetBodyRaw(c.Body)
+	return nil
+}
+
+func replyOf(resp *fasthttp.Response) service.Reply {
+	reply := service.Reply{Status: resp.StatusCode(), Body: append([]byte(nil), resp.Body()...)}
+	var all [][2]string
+	for k, v := range resp.Header.All() {
+		all = append(all, [2]string{string(k), string(v)})
+	}
+	skip := hopByHop(all)
+	for _, h := range all {
+		if !skip[strings.ToLower(h[0])] {
+			reply.Header = append(reply.Header, h)
+		}
+	}
+	return reply
+}
--- /dev/null
+++ b/service/httpservice/service_test.go
@@ -0,0 +1,129 @@
+package httpservice_test
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/pkg/errors"
+	. "github.com/smartystreets/goconvey/convey"
+	"github.com/sourcegraph/conc"
+
+	"github.com/lycheekeel/lycheekeel/engine"
+	"github.com/lycheekeel/lycheekeel/internal/httpconn"
+	standin "github.com/lycheekeel/lycheekeel/internal/standin/service"
+	"github.com/lycheekeel/lycheekeel/service"
+	"github.com/lycheekeel/lycheekeel/service/httpservice"
+)
+
+func serve(t *testing.T, s httpservice.Settings) (*standin.Service, *httpservice.Service) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	core := standin.New(standin.Options{})
+	ctx, cancel := context.WithCancel(context.Background())
+	var wg conc.WaitGroup
+	wg.Go(func() { _ = core.Serve(ctx, ln) })
+	t.Cleanup(func() {
+		cancel()
+		wg.Wait()
+	})
+	return core, httpservice.New(ln.Addr().String(), s)
+}
+
+func call(id string) service.Call {
+	return service.Call{
+		RequestID: id, Method: "POST", Path: "/book?teacher=7&at=a%2Fb", Body: []byte("Bảng Xanh"),
+		Header: [][2]string{{"X-Request-Id", "forged"}, {"Connection", "X-Hop"}, {"X-Hop", "1"}, {"Transfer-Encoding", "chunked"}},
+	}
+}
+
+func deadline(t *testing.T) context.Context {
+	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
+	t.Cleanup(cancel)
+	return ctx
+}
+
+func TestCallIsPassedThrough(t *testing.T) {
+	Convey("method, path, query and body arrive as they are, with our request id", t, func() {
+		core, s := serve(t, httpservice.Settings{})
+		for range 2 {
+			reply, err := s.Do(deadline(t), call("r"))
+			So(err, ShouldBeNil)
+			So(reply.Status, ShouldEqual, 200)
+			var echo standin.Echo
+			So(json.Unmarshal(reply.Body, &echo), ShouldBeNil)
+			So(echo, ShouldResemble, standin.Echo{Method: "POST", Path: "/book?teacher=7&at=a%2Fb", Body: "Bảng Xanh"})
+			So(reply.Header, ShouldContain, [2]string{"Content-Type", "application/json"})
+		}
+		So(core.Calls(), ShouldResemble, []standin.CallCount{
+			{Call: standin.Call{Method: "POST", Path: "/book?teacher=7&at=a%2Fb", RequestID: "r"}, Count: 2},
+		})
+	})
+}
+
+// Symptom: a site crew is sent twice.
+// Sequence: the service reads the call, does it and closes, falls silent, or refuses.
+// Cause: the client sends again, or reports an unknown outcome as not sent.
+func TestNoCallIsSentTwice(t *testing.T) {
+	cases := []struct {
+		name   string
+		faults standin.Faults
+		want   error
+		count  int
+	}{
+		{"read and closed", standin.Faults{CloseAfterRead: true}, engine.ErrBroken, 1},
+		{"read and silent", standin.Faults{Silent: true}, engine.ErrBroken, 1},
+		{"refused", standin.Faults{Refuse: true}, engine.ErrRefusedNotRun, 0},
+	}
+	for _, c := range cases {
+		Convey(c.name+", on a reused connection and on a new one", t, func() {
+			core, s := serve(t, httpservice.Settings{Answer: 200 * time.Millisecond})
+			core.SetFaults(standin.Faults{})
+			_, err := s.Do(deadline(t), call("first"))
+			So(err, ShouldBeNil)
+			core.SetFaults(c.faults)
+			for _, id := range []string{"a", "b"} {
+				_, err = s.Do(deadline(t), call(id))
+				So(errors.Is(err, c.want), ShouldBeTrue)
+			}
+			counts := map[string]int{}
+			for _, n := range core.Calls() {
+				counts[n.RequestID] = n.Count
+			}
+			So(counts["a"], ShouldEqual, c.count)
+			So(counts["b"], ShouldEqual, c.count)
+		})
+	}
+}
+
+// Symptom: one caller's call carries a second, hidden one; or a right is lost.
+// Sequence: a path, method or header holds a line break; or nobody listens.
+// Cause: parts of a call are written into the request unchecked.
+func TestNotSent(t *testing.T) {
+	Convey("nothing is sent, and Sending is not called", t, func() {
+		core, s := serve(t, httpservice.Settings{})
+		bad := []service.Call{
+			{Method: "GET", Path: "/a HTTP/1.1\r\nHost: x\r\n\r\nGET /b"},
+			{Method: "GET", Path: "no-slash"},
+			{Method: "GET /x", Path: "/"},
+			{Method: "GET", Path: "/", Header: [][2]string{{"A: b\r\nC", "d"}}},
+			{Method: "GET", Path: "/", Header: [][2]string{{"A", "b\r\nC: d"}}},
+			{Method: "GET", Path: "/", RequestID: "r\nC: d"},
+		}
+		sending := 0
+		for _, c := range bad {
+			c.Sending = func() error { sending++; return nil }
+			_, err := s.Do(deadline(t), c)
+			So(errors.Is(err, engine.ErrNotSent), ShouldBeTrue)
+		}
+		nobody := httpservice.NewDialer(httpservice.Settings{Settings: httpconn.Settings{Dial: time.Second}}).Service("127.0.0.1:1")
+		_, err := nobody.Do(deadline(t), service.Call{Method: "GET", Path: "/", Sending: func() error { sending++; return nil }})
+		So(errors.Is(err, engine.ErrNotSent), ShouldBeTrue)
+		So(sending, ShouldEqual, 0)
+		So(core.Calls(), ShouldBeEmpty)
+	})
+}
