revision: volunteers wait for what gossip needs to tell that a watch works

With a fixed 8 s, members at 390 took a working watch for a stale one, because its news needs about 1.7 log2(n) digest rounds: 8.1 store calls/s instead of 6.

--- a/revision/syncer.go
+++ b/revision/syncer.go
@@ -50,7 +50,7 @@
 	// WatchWait is how long one watch call waits for a change.
 	WatchWait time.Duration
 	// Stale is after how long without any member's watch working a member
-	// tries one itself.
+	// tries one itself, besides the time that gossip needs to tell of it.
 	Stale time.Duration
 	// Volunteer is how long such a member goes on.
 	Volunteer time.Duration
@@ -71,7 +71,7 @@
 // one call for each watcher in WatchWait.
 var DefaultTiming = Timing{
 	Gossip: time.Second, Settle: 10 * time.Millisecond,
-	WatchWait: 2 * time.Second, Stale: 8 * time.Second, Volunteer: 2 * time.Minute,
+	WatchWait: 2 * time.Second, Stale: 4 * time.Second, Volunteer: 2 * time.Minute,
 	PeerWait: time.Second, Call: 1500 * time.Millisecond,
 	Retry: 200 * time.Millisecond, MaxRetry: 5 * time.Second, Tick: time.Second,
 }
--- a/revision/watch.go
+++ b/revision/watch.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/bits"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -103,10 +104,10 @@
 	if now.Before(until) {
 		return true
 	}
-	if now.Sub(seen) < s.o.Timing.Stale {
+	view := s.o.View()
+	if now.Sub(seen) < s.o.Timing.Stale+gossipTime(s.o.Timing.Gossip, len(view.Members)) {
 		return false
 	}
-	view := s.o.View()
 	me, _ := view.Get(string(s.o.Transport.Self()))
 	region := 0
 	for _, m := range view.Members {
@@ -117,6 +118,13 @@
 	return rand.IntN(max(1, region)) < WatchersPerRegion
 }
 
+// gossipTime is how long digests at an interval need to tell nearly every one
+// of n members: about 1.7 log2(n) rounds when each tells one other (Pittel's
+// bound log2(n)+ln(n)), and some more for jitter.
+func gossipTime(interval time.Duration, n int) time.Duration {
+	return 2 * interval * time.Duration(bits.Len(uint(n)))
+}
+
 // volunteered starts or ends this member's time as a volunteer.
 func (s *Syncer) volunteered(works bool) {
 	s.mu.Lock()
