--- /dev/null
+++ b/internal/cli/configstatus.go
@@ -0,0 +1,78 @@
+package cli
+
+import (
+	"fmt"
+	"strconv"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/lycheekeel/lycheekeel/internal/daemon"
+	"github.com/lycheekeel/lycheekeel/revision"
+)
+
+// printConfigStatus shows which configuration every member has in force. It
+// fails where two members differ or one did not answer, so that a script can
+// wait until an accepted change is in force everywhere.
+func (g *globals) printConfigStatus(s daemon.Status) error {
+	if g.output == outputJSON {
+		if err := g.printJSON(s.Members); err != nil {
+			return err
+		}
+		return configAgreement(s.Members)
+	}
+	rows := make([][]string, 0, len(s.Members))
+	for _, m := range s.Members {
+		rows = append(rows, configRow(m))
+	}
+	if err := g.printTable([]string{"member", "region", "version", "hash", "confirmed", "watching"}, rows); err != nil {
+		return err
+	}
+	for _, f := range s.Findings {
+		fmt.Fprintf(g.stderr, "lycheekeel: not in force as written: %s\n", f)
+	}
+	return configAgreement(s.Members)
+}
+
+// configRow is one member's line.
+func configRow(m daemon.MemberStatus) []string {
+	r := m.Configuration
+	switch {
+	case r == nil:
+		return []string{m.Name, m.Region, "-", m.Error, "-", "-"}
+	case r.Hash == "":
+		return []string{m.Name, m.Region, "none", "-", confirmed(r), strconv.FormatBool(r.Watching)}
+	default:
+		version := strconv.FormatUint(uint64(r.Version), 10)
+		return []string{m.Name, m.Region, version, r.Hash, confirmed(r), strconv.FormatBool(r.Watching)}
+	}
+}
+
+// confirmed tells how long ago the object API confirmed the configuration.
+func confirmed(r *revision.Report) string {
+	if r.ConfirmedMs < 0 {
+		return "never"
+	}
+	return (time.Duration(r.ConfirmedMs) * time.Millisecond).Round(100*time.Millisecond).String() + " ago"
+}
+
+// configAgreement returns an error where the members' configurations differ.
+func configAgreement(members []daemon.MemberStatus) error {
+	hashes := make(map[string]int)
+	silent := 0
+	for _, m := range members {
+		if m.Configuration == nil {
+			silent++
+			continue
+		}
+		hashes[m.Configuration.Hash]++
+	}
+	switch {
+	case silent > 0:
+		return errors.Errorf("%d of %d members did not answer", silent, len(members))
+	case len(hashes) > 1:
+		return errors.Errorf("the %d members have %d configurations in force; ask again in some seconds", len(members), len(hashes))
+	default:
+		return nil
+	}
+}
