--- /dev/null
+++ b/revision/target_test.go
@@ -0,0 +1,63 @@
+package revision_test
+
+import (
+	"runtime"
+	"testing"
+
+	"github.com/lycheekeel/lycheekeel/platform"
+	"github.com/lycheekeel/lycheekeel/revision"
+	"github.com/lycheekeel/lycheekeel/workspace"
+	"github.com/lycheekeel/lycheekeel/workspace/workspacetest"
+)
+
+// heapMB returns the live heap in MB.
+func heapMB() float64 {
+	var m runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&m)
+	return float64(m.HeapAlloc) / (1 << 20)
+}
+
+// byKind returns a fresh copy of the target's objects by kind, as read from
+// the object API.
+func byKind() map[platform.Kind]platform.List {
+	lists := map[platform.Kind]platform.List{}
+	for _, o := range workspacetest.Target.Objects() {
+		l := lists[o.Kind]
+		l.Objects, l.Version = append(l.Objects, o), max(l.Version, o.Version)
+		lists[o.Kind] = l
+	}
+	return lists
+}
+
+// BenchmarkTarget measures one member at the target size: a start from
+// nothing, then one changed workspace with its compilation, and the memory
+// that values, records, compiler and snapshot take together.
+func BenchmarkTarget(b *testing.B) {
+	before := heapMB()
+	lists := byKind()
+	set := revision.NewSet(workspace.Kinds(), revision.Check)
+	live := &workspace.Live{}
+	configuration := revision.NewConfiguration(live, nil)
+	b.Run("start", func(b *testing.B) {
+		for b.Loop() {
+			set = revision.NewSet(workspace.Kinds(), revision.Check)
+			configuration = revision.NewConfiguration(live, nil)
+			for kind, l := range lists {
+				set.ApplyList(kind, l)
+			}
+			configuration.Publish(set.Objects(), set.Newest())
+		}
+	})
+	changed := lists[workspace.KindWorkspace].Objects[0]
+	lists = nil
+	b.Run("change", func(b *testing.B) {
+		for b.Loop() {
+			changed.Version = set.Newest() + 1
+			set.ApplyEvents([]platform.Event{{Object: changed}}, set.Floor(), changed.Version)
+			configuration.Publish(set.Objects(), set.Newest())
+		}
+		b.ReportMetric(heapMB()-before, "MB-held")
+	})
+	runtime.KeepAlive(configuration)
+}
