Configuration: what two operators wrote at once, and other releases

Two operators who changed a template and one of its workspaces at once were both told that all is well, and a member that started later refused the workspace's callers. apply checks once more after writing, and such a member serves with the parameters that fit. Members with another number of hash buckets now exchange whole lists instead of nothing.

--- a/internal/apply/apply.go
+++ b/internal/apply/apply.go
@@ -181,3 +181,21 @@
 	}
 	return findings
 }
+
+// Recheck reads what is stored after an apply and returns the fatal findings
+// that were not there before it.
+//
+// What goes wrong: each write is conditional on its own object alone, so two
+// operators who change a template and one of its workspaces at once both
+// succeed, and the two may not fit together. Neither would be told.
+func Recheck(ctx context.Context, api platform.ObjectAPI, before []platform.Object) (workspace.Findings, error) {
+	now, err := Read(ctx, api)
+	if err != nil {
+		return nil, err
+	}
+	_, known := workspace.Compile(before)
+	_, findings := workspace.Compile(now)
+	return slices.DeleteFunc(findings.Fatal(), func(f workspace.Finding) bool {
+		return slices.Contains(known, f)
+	}), nil
+}
--- a/internal/apply/apply_test.go
+++ b/internal/apply/apply_test.go
@@ -2,12 +2,17 @@
 
 import (
 	"context"
+	"encoding/json"
+	"fmt"
+	"maps"
 	"os"
 	"path/filepath"
+	"sync"
 	"testing"
 
 	"github.com/pkg/errors"
 	. "github.com/smartystreets/goconvey/convey"
+	"github.com/sourcegraph/conc"
 
 	standin "github.com/lycheekeel/lycheekeel/internal/standin/platform"
 	"github.com/lycheekeel/lycheekeel/platform"
@@ -117,6 +122,91 @@
 	})
 }
 
+func TestNoLostUpdate(t *testing.T) {
+	// Symptom: one of several operators' changes of one template is missing.
+	// Sequence: all read, change and write at once, again after a conflict;
+	// one answer in three is lost, whether the write took effect or not.
+	// Cause: a lost answer or a repeated write went over another's change.
+	Convey("Every accepted change of one template is in the last version", t, func() {
+		ctx := context.Background()
+		store := standin.New(standin.Options{Seed: 7})
+		_, err := store.Create(ctx, workspace.KindTemplate, "t", []byte(`{"name":"t"}`))
+		So(err, ShouldBeNil)
+		store.SetFaults(standin.Faults{LoseFraction: 0.33})
+		const operators, edits = 4, 5
+		var wg conc.WaitGroup
+		var accepted sync.Map
+		for i := range operators {
+			wg.Go(func() {
+				for n := range edits {
+					name := fmt.Sprintf("p%d-%d", i, n)
+					for edit(ctx, store, name) != nil {
+						continue
+					}
+					accepted.Store(name, true)
+				}
+			})
+		}
+		wg.Wait()
+		o, err := store.Get(ctx, workspace.KindTemplate, "t")
+		So(err, ShouldBeNil)
+		var last workspace.Template
+		So(json.Unmarshal(o.Value, &last), ShouldBeNil)
+		So(last.Parameters, ShouldHaveLength, operators*edits)
+		accepted.Range(func(name, _ any) bool {
+			So(last.Parameters, ShouldContainKey, name)
+			return true
+		})
+	})
+}
+
+// edit adds a parameter to the template.
+func edit(ctx context.Context, store *standin.Standin, name string) error {
+	o, err := store.Get(ctx, workspace.KindTemplate, "t")
+	if err != nil {
+		return err
+	}
+	var t workspace.Template
+	if err := json.Unmarshal(o.Value, &t); err != nil {
+		return err
+	}
+	parameters := map[string]workspace.Parameter{name: {Type: "string"}}
+	maps.Copy(parameters, t.Parameters)
+	t.Parameters = parameters
+	changes, err := Plan([]workspace.Document{{Kind: workspace.KindTemplate, Name: "t", Object: &t}}, nil, []platform.Object{o})
+	if err != nil {
+		return err
+	}
+	_, err = Write(ctx, store, changes[0])
+	return err
+}
+
+func TestRecheck(t *testing.T) {
+	// Symptom: a workspace is served as it was, or by some entries only,
+	// though both operators were told that their changes were written.
+	// Sequence: one removes a pool, another adds a server to it at once.
+	// Cause: each write is conditional on its own object alone.
+	Convey("What came in between and does not fit is found after the write", t, func() {
+		ctx := context.Background()
+		store := standin.New(standin.Options{})
+		v, err := Write(ctx, store, plan(ctx, store, pool("p", "1"))[0])
+		So(err, ShouldBeNil)
+		before, err := Read(ctx, store)
+		So(err, ShouldBeNil)
+		_, err = store.Create(ctx, workspace.KindBackendServer, "s", []byte(`{"name":"s","address":"10.0.0.1:1","region":"r","availability_zone":"z","pool":"p"}`))
+		So(err, ShouldBeNil)
+		findings, err := Recheck(ctx, store, before)
+		So(err, ShouldBeNil)
+		So(findings, ShouldBeEmpty)
+		_, err = Write(ctx, store, Change{Kind: workspace.KindPool, Name: "p", Action: Delete, Version: v})
+		So(err, ShouldBeNil)
+		findings, err = Recheck(ctx, store, before)
+		So(err, ShouldBeNil)
+		So(findings, ShouldHaveLength, 1)
+		So(findings[0].File, ShouldEqual, "BackendServer/s")
+	})
+}
+
 // staleOnce makes the first read stale and heals the store after it.
 type staleOnce struct {
 	*standin.Standin
--- a/internal/cli/apply.go
+++ b/internal/cli/apply.go
@@ -100,7 +100,7 @@
 	if out.Findings.Fatal() == nil {
 		out.Changes, err = apply.Plan(docs, deletions, stored)
 	}
-	return g.finish(ctx, api, f, out, err)
+	return g.finish(ctx, api, f, stored, out, err)
 }
 
 // unchecked shows the findings of the files where the rest can't be checked.
@@ -110,7 +110,7 @@
 }
 
 // finish shows what was found and writes the changes.
-func (g *globals) finish(ctx context.Context, api platform.ObjectAPI, f *applyFlags, out applied, err error) error {
+func (g *globals) finish(ctx context.Context, api platform.ObjectAPI, f *applyFlags, stored []platform.Object, out applied, err error) error {
 	g.printFindings(out.Findings)
 	if n := len(out.Findings.Fatal()); n > 0 {
 		err = withExit(ExitFindings, errors.Errorf("%d findings, nothing was written", n))
@@ -119,6 +119,9 @@
 	if err == nil && !f.dryRun {
 		out.Written, err = g.write(ctx, api, out.Changes)
 	}
+	if err == nil && len(out.Written) > 0 {
+		err = g.recheck(ctx, api, stored, &out)
+	}
 	if g.output == outputJSON {
 		if e := g.printJSON(out); e != nil {
 			return e
@@ -147,6 +150,22 @@
 	return done, nil
 }
 
+// recheck tells of another operator's change that came in between and does not
+// fit with what was written.
+func (g *globals) recheck(ctx context.Context, api platform.ObjectAPI, stored []platform.Object, out *applied) error {
+	findings, err := apply.Recheck(ctx, api, stored)
+	if err != nil {
+		g.say("written, but not checked again: %v", err)
+		return nil
+	}
+	if len(findings) == 0 {
+		return nil
+	}
+	g.printFindings(findings)
+	out.Findings = append(out.Findings, findings...)
+	return withExit(ExitConflict, errors.New("written, but it does not fit with a change that somebody else made at the same time; see the findings"))
+}
+
 // explain shows a conflict and gives an error its exit code.
 func (g *globals) explain(err error) error {
 	var conflict *apply.ConflictError
--- a/revision/exchange.go
+++ b/revision/exchange.go
@@ -69,24 +69,27 @@
 	KindDigest
 	Buckets []uint32
 	Headers []Header
+	// Whole tells that Headers lists the whole kind instead.
+	Whole bool
 }
 
-// ListDiffering lists the buckets whose hash differs from a peer's.
+// ListDiffering lists the buckets whose hash differs from a peer's, or the
+// whole kind where the peer is of a release with another number of buckets.
 func (s *Set) ListDiffering(kind platform.Kind, hashes []uint64) BucketList {
 	k, ok := s.kinds[kind]
-	if !ok || len(hashes) != bucketCount {
+	if !ok {
 		return BucketList{KindDigest: KindDigest{Kind: kind}}
 	}
-	list := BucketList{KindDigest: k.digest(kind)}
+	list := BucketList{KindDigest: k.digest(kind), Whole: len(hashes) != bucketCount}
 	differ := make(map[int]bool)
-	for i, h := range hashes {
-		if k.buckets[i] != h {
+	for i := 0; i < len(hashes) && !list.Whole; i++ {
+		if k.buckets[i] != hashes[i] {
 			differ[i] = true
 			list.Buckets = append(list.Buckets, uint32(i))
 		}
 	}
 	for name, r := range k.records {
-		if differ[bucketOf(name)] {
+		if list.Whole || differ[bucketOf(name)] {
 			list.Headers = append(list.Headers, r.header())
 		}
 	}
@@ -119,11 +122,7 @@
 			wanted = append(wanted, h)
 		}
 	}
-	buckets := make(map[uint32]bool, len(list.Buckets))
-	for _, b := range list.Buckets {
-		buckets[b] = true
-	}
-	for _, name := range k.unlisted(listed, buckets) {
+	for _, name := range k.unlisted(listed, list.buckets()) {
 		known := k.records[name]
 		if h, ok := s.absent(list.Kind, name, list.Floor); ok {
 			deleted = append(deleted, h)
@@ -134,6 +133,18 @@
 	return deleted, wanted, newer
 }
 
+// buckets returns the buckets that were listed; nil for all.
+func (l BucketList) buckets() map[uint32]bool {
+	if l.Whole {
+		return nil
+	}
+	out := make(map[uint32]bool, len(l.Buckets))
+	for _, b := range l.Buckets {
+		out[b] = true
+	}
+	return out
+}
+
 // deletion returns the record of a deletion's header.
 func deletion(h Header) Record {
 	return Record{Object: platform.Object{Kind: h.Kind, Name: h.Name, Version: h.Version}, Deleted: true}
--- a/revision/set_test.go
+++ b/revision/set_test.go
@@ -106,11 +106,16 @@
 	records []*Record
 }
 
-// ask makes the answers that peer gives to member now.
-func ask(member, peer *observed) exchange {
+// ask makes the answers that peer gives to member now; another release may
+// have another number of buckets.
+func ask(member, peer *observed, otherRelease bool) exchange {
 	x := exchange{digest: peer.Digest()}
 	for _, kind := range testKinds {
-		list := peer.ListDiffering(kind, member.Buckets(kind))
+		hashes := member.Buckets(kind)
+		if otherRelease {
+			hashes = hashes[:bucketCount/2]
+		}
+		list := peer.ListDiffering(kind, hashes)
 		x.lists = append(x.lists, list)
 		for i := range list.Headers {
 			list.Headers[i].Kind = kind
@@ -180,7 +185,7 @@
 			},
 			"ask": func(t *rapid.T) {
 				to, from := member.Draw(t, "to"), member.Draw(t, "from")
-				inFlight = append(inFlight, late{to, from, ask(members[to], members[from])})
+				inFlight = append(inFlight, late{to, from, ask(members[to], members[from], rapid.Bool().Draw(t, "otherRelease"))})
 			},
 			"deliver": func(t *rapid.T) {
 				if len(inFlight) == 0 {
@@ -200,7 +205,7 @@
 			members[0].ApplyList(k, world.at(k, world.version()))
 		}
 		for to := range members[1:] {
-			deliver(members[to+1], members[0], ask(members[to+1], members[0]))
+			deliver(members[to+1], members[0], ask(members[to+1], members[0], false))
 		}
 		for i, m := range members {
 			m.check(t, world, names)
--- a/revision/wire.go
+++ b/revision/wire.go
@@ -84,7 +84,7 @@
 
 // wireAnswer encodes a bucket list.
 func wireAnswer(list BucketList) *configwire.PullAnswer {
-	answer := &configwire.PullAnswer{Digest: toWireDigest(list.KindDigest), Buckets: list.Buckets}
+	answer := &configwire.PullAnswer{Digest: toWireDigest(list.KindDigest), Buckets: list.Buckets, Whole: list.Whole}
 	for _, h := range list.Headers {
 		h.Kind = "" // the digest names it once for all
 		answer.Headers = append(answer.Headers, toWireHeader(h))
@@ -97,6 +97,7 @@
 	return BucketList{
 		KindDigest: fromWireDigest(answer.GetDigest()),
 		Buckets:    answer.GetBuckets(),
+		Whole:      answer.GetWhole(),
 		Headers:    fromWireHeaders(answer.GetHeaders()),
 	}
 }
--- a/workspace/check_test.go
+++ b/workspace/check_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"fmt"
+	"slices"
 	"strings"
 	"testing"
 
 	. "github.com/smartystreets/goconvey/convey"
+	"pgregory.net/rapid"
 
 	"github.com/lycheekeel/lycheekeel/platform"
 	"github.com/lycheekeel/lycheekeel/workspace"
@@ -101,3 +103,32 @@
 		So(workspace.CheckObject(o).Fatal(), ShouldHaveLength, 1)
 	})
 }
+
+func TestAnyText(t *testing.T) {
+	// Symptom: the tool or every daemon crashes on one stored object.
+	// Sequence: an object of any content is written past the checks.
+	// Cause: a check or the resolution trusts what it has not checked.
+	rapid.Check(t, func(t *rapid.T) {
+		text := []byte(goodTemplate)
+		for range rapid.IntRange(1, 4).Draw(t, "edits") {
+			from := rapid.IntRange(0, len(text)-1).Draw(t, "from")
+			to := min(len(text), from+rapid.IntRange(0, 12).Draw(t, "length"))
+			piece := rapid.SampledFrom([]string{"", "0", "-1", "null", "{}", "[]", `""`, `"${d}"`, `"${v}"`, "\xff", "\"", ","}).Draw(t, "piece")
+			text = slices.Concat(text[:from], []byte(piece), text[to:])
+		}
+		docs, findings := workspace.ParseFile("f", text)
+		if (len(docs) == 0) != (len(findings) > 0) {
+			t.Fatalf("%d documents, findings %v", len(docs), findings)
+		}
+		for _, d := range docs {
+			value, err := d.Value()
+			o := platform.Object{Kind: d.Kind, Name: d.Name, Version: 1, Value: value}
+			if err != nil || workspace.CheckObject(o) != nil {
+				t.Fatalf("accepted, but its stored form has findings: %v %v", err, workspace.CheckObject(o))
+			}
+			user := platform.Object{Kind: workspace.KindWorkspace, Name: "w", Version: 2, Value: []byte(
+				`{"name":"w","template":"` + d.Name + `","keys":[{"id":"k","sha256":"` + strings.Repeat("0", 64) + `"}]}`)}
+			workspace.Compile([]platform.Object{o, user})
+		}
+	})
+}
--- a/workspace/compile.go
+++ b/workspace/compile.go
@@ -53,6 +53,7 @@
 	workspace, template *decoded
 	share               shareKey
 	out                 *Resolved
+	findings            Findings // what did not fit, where out is without it
 }
 
 // shareKey names what a resolution is made of, but for the workspace's name:
--- a/workspace/compile_test.go
+++ b/workspace/compile_test.go
@@ -77,6 +77,17 @@
 		So(findings[1].Path, ShouldEqual, "parameters.gone")
 		_, ok := snapshot.ByKey(workspacetest.Key("workspace-1"))
 		So(ok, ShouldBeTrue)
+
+		Convey("and is served with what fits by a daemon that starts later, which reports it each time", func() {
+			late := workspace.NewCompiler()
+			for range 2 {
+				snapshot, findings := late.Compile(changed)
+				So(findings, ShouldHaveLength, 2)
+				w, ok := snapshot.ByKey(workspacetest.Key("workspace-1"))
+				So(ok, ShouldBeTrue)
+				So(w.Tiers[0].Targets.Deadline, ShouldEqual, workspace.Milliseconds(60000))
+			}
+		})
 	})
 }
 
--- a/workspace/compile_workspace.go
+++ b/workspace/compile_workspace.go
@@ -42,22 +42,33 @@
 		return nil
 	}
 	if previous != nil && previous.workspace == d && previous.template == t {
-		run.shared[previous.share] = previous.out
+		run.adopt(previous)
 		return previous
 	}
-	share := shareKey{t, parametersKey(w)}
-	if like, ok := run.shared[share]; ok {
+	next := &resolution{workspace: d, template: t, share: shareKey{t, parametersKey(w)}}
+	if like, ok := run.shared[next.share]; ok {
 		out := *like
 		out.Workspace = w.Name
-		return &resolution{workspace: d, template: t, share: share, out: &out}
+		next.out = &out
+		return next
 	}
-	out, findings := resolve(d.file(), t.value.(*Template), w)
-	run.findings = append(run.findings, findings...)
-	if out == nil {
+	next.out, next.findings = resolve(d.file(), t.value.(*Template), w)
+	if next.out == nil && previous == nil {
+		next.out = resolveFitting(t.value.(*Template), w)
+	}
+	run.adopt(next)
+	if next.out == nil {
 		return nil
 	}
-	run.shared[share] = out
-	return &resolution{workspace: d, template: t, share: share, out: out}
+	return next
+}
+
+// adopt reports a resolution's findings, or shares it where it has none.
+func (run *compilation) adopt(r *resolution) {
+	run.findings = append(run.findings, r.findings...)
+	if len(r.findings) == 0 {
+		run.shared[r.share] = r.out
+	}
 }
 
 // parametersKey returns a workspace's parameters as one text.
--- a/workspace/resolve.go
+++ b/workspace/resolve.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"encoding/json"
 	"fmt"
 	"slices"
 
@@ -19,7 +20,34 @@
 // parameters.
 func resolve(file string, t *Template, w *Workspace) (*Resolved, Findings) {
 	r := &resolver{checker: checker{file: file}, template: t, values: make(map[string]value)}
-	r.bind(w)
+	r.bind(w.Parameters)
+	return r.result(w)
+}
+
+// resolveFitting resolves a workspace without those of its parameters that do
+// not fit the template; nil where that does not help either.
+//
+// What goes wrong: two operators change a template and one of its workspaces
+// at once, and the two no longer fit. Members that had an earlier resolution
+// keep it, but one that starts later has none: callers would be told by some
+// entries that their key is wrong. With the defaults they are served.
+func resolveFitting(t *Template, w *Workspace) *Resolved {
+	fitting := make(map[string]json.RawMessage, len(w.Parameters))
+	for name, raw := range w.Parameters {
+		if p, ok := t.Parameters[name]; ok {
+			if _, err := parameterValue(&p, raw); err == nil {
+				fitting[name] = raw
+			}
+		}
+	}
+	r := &resolver{template: t, values: make(map[string]value)}
+	r.bind(fitting)
+	out, _ := r.result(w)
+	return out
+}
+
+// result returns the resolution, or the findings.
+func (r *resolver) result(w *Workspace) (*Resolved, Findings) {
 	if r.findings != nil {
 		return nil, r.findings
 	}
@@ -30,15 +58,15 @@
 	return out, nil
 }
 
-// bind sets each parameter from the workspace or its default.
-func (r *resolver) bind(w *Workspace) {
-	for name := range w.Parameters {
+// bind sets each parameter from the workspace's or its default.
+func (r *resolver) bind(parameters map[string]json.RawMessage) {
+	for name := range parameters {
 		if _, ok := r.template.Parameters[name]; !ok {
 			r.add(join("parameters", name), "template %q has no such parameter", r.template.Name)
 		}
 	}
 	for name, p := range r.template.Parameters {
-		raw, ok := w.Parameters[name]
+		raw, ok := parameters[name]
 		if !ok {
 			raw = p.Default
 		}
