pool: predict tokens with the prefill in between, look further for warm prefixes

Requests of the top tier missed their time between tokens and their deadline on fast servers that were nearly full while slow ones idled: the predicted time between tokens left out the prefill that a server does for others. It is now part of the prediction (and still taken off before a server is judged a straggler), and a limit follows the tightest target of what runs on the server.

--- a/pool/choose.go
+++ b/pool/choose.go
@@ -15,6 +15,9 @@
 	// Predictions are stretched by this much where a target is at stake.
 	safeFactor = 1.1
 	safeSlack  = 10 * time.Millisecond
+	// tokenShare is the part of a target between tokens up to which a server
+	// counts as fast enough.
+	tokenShare = 0.9
 	// prefillShare is the part of the tightest first-token target for which a
 	// server may have prefill to do, when more is sent to it.
 	prefillShare = 0.5
@@ -67,7 +70,7 @@
 
 // fastEnough tells whether the server would meet the time between tokens.
 func (p *Pool) fastEnough(w *waiter, s *server) bool {
-	return w.PerToken <= 0 || s.speed.PerToken(len(s.running)+1) <= w.PerToken
+	return w.PerToken <= 0 || float64(s.speed.PerToken(len(s.running)+1)) <= tokenShare*float64(w.PerToken)
 }
 
 // roomy tells whether a server has memory for a request, and not so much
--- a/pool/observe.go
+++ b/pool/observe.go
@@ -80,16 +80,28 @@
 	if s.speed == nil {
 		return
 	}
-	if r.perToken > 0 {
-		ratio := float64(took) / float64(r.perToken)
+	if target := s.tightestToken(); target > 0 {
+		ratio := float64(took) / float64(target)
 		s.requests.Observe(limit.Sample{Ratio: ratio, Used: float64(len(s.running))})
 	}
 	others := s.speed.PrefillTime(s.prefilled-r.prefilledThen) / time.Duration(tokens)
 	step := max(took-others, time.Duration(leastStep*float64(took)))
-	s.speed.ObserveToken(len(s.running), step, p.peers[s.info.Generation])
+	s.speed.ObserveToken(len(s.running), took, step, p.peers[s.info.Generation])
 	p.judge(s)
 }
 
+// tightestToken is the shortest target between tokens of what runs on the
+// server: its limit must keep that one, whichever request is measured.
+func (s *server) tightestToken() time.Duration {
+	var least time.Duration
+	for _, r := range s.running {
+		if r.perToken > 0 && (least == 0 || r.perToken < least) {
+			least = r.perToken
+		}
+	}
+	return least
+}
+
 // judge ejects a straggler softly, or takes it back.
 func (p *Pool) judge(s *server) {
 	was := s.straggler
--- a/pool/schedule.go
+++ b/pool/schedule.go
@@ -10,7 +10,7 @@
 
 const (
 	// nearHead is how many requests near the head of a tier are looked at.
-	nearHead = 24
+	nearHead = 64
 	// maxOptions bounds the options looked at in one choice.
 	maxOptions = 128
 	// passLate is how many late requests near the head are looked at for one
@@ -18,7 +18,7 @@
 	passLate = 64
 	// maxPassed is how often the head of a tier may be passed by requests
 	// whose prefix is warm.
-	maxPassed = 8
+	maxPassed = 32
 	// passShare is the part of a prompt that must be cached for it to pass.
 	passShare = 0.5
 	// passSlack is what the head must have left, beyond its own first token,
--- a/pool/score/speed.go
+++ b/pool/score/speed.go
@@ -9,7 +9,8 @@
 // Speed is what is measured of one server. Times are in seconds.
 type Speed struct {
 	first Line  // time to first token by prefill tokens ahead and own
-	token Line  // time between tokens by running requests
+	step  Line  // time between tokens by running requests, without prefill
+	token Line  // the same with the prefill of others in between
 	usual Prior // the speed of old, which stands in for absent peers
 	slow  float64
 	was   bool // the last verdict
@@ -58,19 +59,21 @@
 
 // NewSpeed returns a speed that starts from a prior.
 func NewSpeed(p Prior) *Speed {
-	s := &Speed{first: Line{Keep: 1}, token: Line{Keep: 1}, slow: 1, usual: p}
+	s := &Speed{first: Line{Keep: 1}, step: Line{Keep: 1}, slow: 1, usual: p}
 	s.first.Add(fewPrefill, p.FirstFew, priorWeight)
 	s.first.Add(manyPrefill, p.FirstMany, priorWeight)
-	s.token.Add(fewRunning, p.TokenFew, priorWeight)
-	s.token.Add(manyRunning, p.TokenMany, priorWeight)
-	s.first.Keep, s.token.Keep = keepFirst, keepToken
+	s.step.Add(fewRunning, p.TokenFew, priorWeight)
+	s.step.Add(manyRunning, p.TokenMany, priorWeight)
+	s.token = s.step
+	s.first.Keep, s.step.Keep, s.token.Keep = keepFirst, keepToken, keepToken
 	return s
 }
 
 // FirstToken predicts the time to first token after so much prefill.
 func (s *Speed) FirstToken(prefill int) time.Duration { return seconds(s.first.At(float64(prefill))) }
 
-// PerToken predicts the time between tokens among so many running requests.
+// PerToken predicts the time between tokens among so many running requests,
+// the prefill that the server does in between included.
 func (s *Speed) PerToken(running int) time.Duration { return seconds(s.token.At(float64(running))) }
 
 // PrefillTime predicts the time that prefill tokens alone take.
@@ -90,10 +93,12 @@
 	s.first.Add(float64(prefill), took.Seconds(), weight)
 }
 
-// ObserveToken records a mean time between tokens.
-func (s *Speed) ObserveToken(running int, took time.Duration, peers Prior) {
-	s.judge(took.Seconds(), s.expected(peers).token(float64(running)))
+// ObserveToken records a mean time between tokens, and what is left of it
+// without the prefill of others, by which the server is judged.
+func (s *Speed) ObserveToken(running int, took, step time.Duration, peers Prior) {
+	s.judge(step.Seconds(), s.expected(peers).token(float64(running)))
 	s.token.Add(float64(running), took.Seconds(), 1)
+	s.step.Add(float64(running), step.Seconds(), 1)
 }
 
 // Overdue records that a first token takes far longer than predicted, before
@@ -150,7 +155,7 @@
 func (s *Speed) own() Prior {
 	return Prior{
 		FirstFew: s.first.At(fewPrefill), FirstMany: s.first.At(manyPrefill),
-		TokenFew: s.token.At(fewRunning), TokenMany: s.token.At(manyRunning),
+		TokenFew: s.step.At(fewRunning), TokenMany: s.step.At(manyRunning),
 	}
 }
 
