--- /dev/null
+++ b/internal/peer/auth.go
@@ -0,0 +1,269 @@
+package peer
+
+import (
+	"crypto/ed25519"
+	"crypto/hmac"
+	"crypto/rand"
+	"crypto/sha256"
+	"crypto/tls"
+	"crypto/x509"
+	"crypto/x509/pkix"
+	"encoding/binary"
+	"io"
+	"math/big"
+	"time"
+
+	"github.com/lycheekeel/lycheekeel/internal/peer/wire"
+	"github.com/pkg/errors"
+	"google.golang.org/protobuf/encoding/protodelim"
+	"google.golang.org/protobuf/proto"
+)
+
+// Authentication: TLS 1.3 with a certificate made at each start gives an
+// encrypted channel with nobody in particular. Inside it both sides prove that
+// they hold a cluster key by an HMAC over the channel's exported keying
+// material, their role and both hellos. The keying material is unique to one
+// TLS session and the same at both of its ends, so a recorded hello, one
+// passed on by somebody in the middle, or one's own hello sent back proves
+// nothing, and every later byte is protected by TLS.
+
+const (
+	// exporterLabel and exporterBytes define the channel binding.
+	exporterLabel = "EXPORTER-lycheekeel-peer"
+	exporterBytes = 32
+	// maxHelloBytes bounds what is read from a peer before it is trusted.
+	maxHelloBytes = 1024
+	// certificateLife is longer than any daemon runs; nobody checks it.
+	certificateLife = 100 * 365 * 24 * time.Hour
+)
+
+// role is part of each proof, so that a proof can't be reflected.
+type role string
+
+const (
+	roleDialer   role = "dialer"
+	roleAcceptor role = "acceptor"
+)
+
+// authError is a failed handshake with its reason.
+type authError struct {
+	why reason
+	err error
+}
+
+func (e *authError) Error() string { return string(e.why) + ": " + e.err.Error() }
+
+func authFailed(why reason, format string, args ...any) error {
+	return &authError{why: why, err: errors.Errorf(format, args...)}
+}
+
+// newTLSConfig returns the configuration for both roles. Sessions are never
+// resumed: each connection makes its own keying material.
+func newTLSConfig() (*tls.Config, error) {
+	public, private, err := ed25519.GenerateKey(rand.Reader)
+	if err != nil {
+		return nil, errors.Wrap(err, "peer: generate key")
+	}
+	template := &x509.Certificate{
+		SerialNumber: big.NewInt(1),
+		Subject:      pkix.Name{CommonName: "peer"},
+		NotBefore:    time.Unix(0, 0),
+		NotAfter:     time.Unix(0, 0).Add(certificateLife),
+	}
+	der, err := x509.CreateCertificate(rand.Reader, template, template, public, private)
+	if err != nil {
+		return nil, errors.Wrap(err, "peer: create certificate")
+	}
+	return &tls.Config{
+		Certificates: []tls.Certificate{{Certificate: [][]byte{der}, PrivateKey: private}},
+		MinVersion:   tls.VersionTLS13,
+		// The certificate proves nothing; the HMAC inside the channel does.
+		InsecureSkipVerify:     true,
+		SessionTicketsDisabled: true,
+		// One small key share: the default's post-quantum one doubles the
+		// bytes of a dial, and membership dials for as long as it runs.
+		CurvePreferences: []tls.CurveID{tls.X25519},
+	}, nil
+}
+
+// handshakeResult is what both sides agreed on.
+type handshakeResult struct {
+	peer     Name
+	instance uint64
+	version  uint32
+	replaces bool
+}
+
+// authenticator does both sides of the handshake inside a TLS connection.
+type authenticator struct {
+	name           Name
+	keys           [][]byte
+	instance       uint64
+	oldest, newest uint32
+}
+
+// dial proves this daemon first and then checks the acceptor.
+func (a *authenticator) dial(conn *tls.Conn, to Name, replaces bool) (handshakeResult, error) {
+	binding, err := channelBinding(conn)
+	if err != nil {
+		return handshakeResult{}, err
+	}
+	mine, err := a.hello(to, replaces)
+	if err != nil {
+		return handshakeResult{}, err
+	}
+	proof := prove(a.keys[0], roleDialer, binding, mine)
+	if err := writeHello(conn, &wire.SignedHello{Hello: mine, Proof: proof}); err != nil {
+		return handshakeResult{}, err
+	}
+	answer, err := readHello(conn)
+	if err != nil {
+		return handshakeResult{}, err
+	}
+	if answer.Refusal != "" {
+		return handshakeResult{}, authFailed(authRefused, "peer refused: %.64q", answer.Refusal)
+	}
+	if !a.proven(answer.Proof, roleAcceptor, binding, mine, answer.Hello) {
+		return handshakeResult{}, authFailed(authWrongKey, "acceptor holds no known cluster key")
+	}
+	return a.check(answer.Hello, to)
+}
+
+// accept checks the dialer first and then proves this daemon. A refusal is
+// told to the dialer in one word, since its log is where an operator looks.
+func (a *authenticator) accept(conn *tls.Conn) (handshakeResult, error) {
+	binding, err := channelBinding(conn)
+	if err != nil {
+		return handshakeResult{}, err
+	}
+	theirs, err := readHello(conn)
+	if err != nil {
+		return handshakeResult{}, err
+	}
+	if !a.proven(theirs.Proof, roleDialer, binding, theirs.Hello) {
+		return handshakeResult{}, refuse(conn, authFailed(authWrongKey, "dialer holds no known cluster key"))
+	}
+	res, err := a.check(theirs.Hello, "")
+	if err != nil {
+		return res, refuse(conn, err)
+	}
+	mine, err := a.hello(res.peer, false)
+	if err != nil {
+		return res, err
+	}
+	proof := prove(a.keys[0], roleAcceptor, binding, theirs.Hello, mine)
+	return res, writeHello(conn, &wire.SignedHello{Hello: mine, Proof: proof})
+}
+
+// refuse tells the dialer the reason as far as it can, and returns err.
+func refuse(conn *tls.Conn, err error) error {
+	var ae *authError
+	if errors.As(err, &ae) {
+		_ = writeHello(conn, &wire.SignedHello{Refusal: string(ae.why)})
+	}
+	return err
+}
+
+func (a *authenticator) hello(to Name, replaces bool) ([]byte, error) {
+	h := &wire.Hello{
+		Name: string(a.name), Instance: a.instance, Replaces: replaces,
+		OldestVersion: a.oldest, NewestVersion: a.newest,
+	}
+	if _, byAddress := to.Address(); !byAddress {
+		h.To = string(to)
+	}
+	b, err := proto.Marshal(h)
+	return b, errors.Wrap(err, "peer: encode hello")
+}
+
+// check validates a proven hello; expected is the name that was dialed.
+func (a *authenticator) check(hello []byte, expected Name) (handshakeResult, error) {
+	var h wire.Hello
+	if err := proto.Unmarshal(hello, &h); err != nil {
+		return handshakeResult{}, authFailed(authBadHello, "hello: %v", err)
+	}
+	name := Name(h.Name)
+	_, nameIsAddress := name.Address()
+	_, byAddress := expected.Address()
+	version := min(a.newest, h.NewestVersion)
+	switch {
+	case name == "" || len(name) > maxNameBytes || nameIsAddress:
+		return handshakeResult{}, authFailed(authBadHello, "bad name")
+	case name == a.name:
+		return handshakeResult{}, authFailed(authSelf, "connected to a daemon with my own name")
+	case h.To != "" && Name(h.To) != a.name:
+		return handshakeResult{}, authFailed(authWrongPeer, "peer wanted %q", h.To)
+	case expected != "" && !byAddress && name != expected:
+		return handshakeResult{}, authFailed(authWrongPeer, "wanted %q, found %q", expected, name)
+	case version < a.oldest || version < h.OldestVersion:
+		return handshakeResult{}, authFailed(authProtocol, "no common version with %q: %d to %d", name, h.OldestVersion, h.NewestVersion)
+	}
+	return handshakeResult{peer: name, instance: h.Instance, version: version, replaces: h.Replaces}, nil
+}
+
+// proven tells whether any known key made the proof.
+func (a *authenticator) proven(proof []byte, r role, binding []byte, parts ...[]byte) bool {
+	ok := false
+	for _, k := range a.keys {
+		if hmac.Equal(proof, prove(k, r, binding, parts...)) {
+			ok = true
+		}
+	}
+	return ok
+}
+
+// prove is an HMAC-SHA256 over length-prefixed parts, so that no two lists of
+// parts give the same input.
+func prove(key []byte, r role, binding []byte, parts ...[]byte) []byte {
+	m := hmac.New(sha256.New, key)
+	for _, p := range append([][]byte{[]byte(r), binding}, parts...) {
+		var size [8]byte
+		binary.BigEndian.PutUint64(size[:], uint64(len(p)))
+		m.Write(size[:])
+		m.Write(p)
+	}
+	return m.Sum(nil)
+}
+
+func channelBinding(conn *tls.Conn) ([]byte, error) {
+	if err := conn.Handshake(); err != nil {
+		return nil, authFailed(authTLS, "tls: %v", err)
+	}
+	state := conn.ConnectionState()
+	b, err := state.ExportKeyingMaterial(exporterLabel, nil, exporterBytes)
+	if err != nil {
+		return nil, authFailed(authTLS, "export keying material: %v", err)
+	}
+	return b, nil
+}
+
+func writeHello(w io.Writer, h *wire.SignedHello) error {
+	b, err := appendDelimited(nil, h)
+	if err != nil {
+		return err
+	}
+	if _, err := w.Write(b); err != nil {
+		return authFailed(authTLS, "write hello: %v", err)
+	}
+	return nil
+}
+
+// readHello reads byte by byte, so that nothing of what follows is consumed.
+func readHello(r io.Reader) (*wire.SignedHello, error) {
+	var h wire.SignedHello
+	opts := protodelim.UnmarshalOptions{MaxSize: maxHelloBytes}
+	if err := opts.UnmarshalFrom(byteReader{r}, &h); err != nil {
+		return nil, authFailed(authBadHello, "read hello: %v", err)
+	}
+	return &h, nil
+}
+
+// byteReader adds ReadByte to an unbuffered reader.
+type byteReader struct{ io.Reader }
+
+// ReadByte implements io.ByteReader.
+func (r byteReader) ReadByte() (byte, error) {
+	var b [1]byte
+	_, err := io.ReadFull(r.Reader, b[:])
+	return b[0], err
+}
--- /dev/null
+++ b/internal/peer/auth_test.go
@@ -0,0 +1,233 @@
+package peer
+
+import (
+	"crypto/tls"
+	"io"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/lycheekeel/lycheekeel/internal/peer/wire"
+	. "github.com/smartystreets/goconvey/convey"
+	"google.golang.org/protobuf/proto"
+)
+
+func withKeys(keys ...string) func(*Options) {
+	return func(o *Options) {
+		o.Keys = nil
+		for _, k := range keys {
+			o.Keys = append(o.Keys, []byte(k))
+		}
+	}
+}
+
+const (
+	oldKey = "the old cluster key"
+	newKey = "the new cluster key"
+)
+
+func TestKeys(t *testing.T) {
+	Convey("Daemons connect if and only if each accepts the other's first key", t, func() {
+		for _, c := range []struct {
+			a, b []string
+			ok   bool
+		}{
+			{a: []string{oldKey}, b: []string{oldKey}, ok: true},
+			{a: []string{oldKey}, b: []string{newKey}},
+			{a: []string{newKey}, b: []string{oldKey}},
+			{a: []string{oldKey, newKey}, b: []string{oldKey}, ok: true}, // rotation's first step
+			{a: []string{oldKey, newKey}, b: []string{newKey, oldKey}, ok: true},
+			{a: []string{newKey}, b: []string{newKey, oldKey}, ok: true}, // its last step
+			{a: []string{newKey, oldKey}, b: []string{oldKey}},
+		} {
+			a, b := startNode("a", withKeys(c.a...)), startNode("b", withKeys(c.b...))
+			a.knows(b)
+			_, err := a.call("b", "x")
+			So(err == nil, ShouldEqual, c.ok)
+			if !c.ok {
+				So(b.count(groupAuth, authWrongKey)+a.count(groupAuth, authWrongKey), ShouldBeGreaterThan, 0)
+			}
+		}
+	})
+	Convey("A short key is refused at the start", t, func() {
+		_, err := NewTCP(Options{Name: "a", Listen: "127.0.0.1:0", Keys: [][]byte{[]byte("short")}})
+		So(err, ShouldNotBeNil)
+	})
+}
+
+func TestVersionsSideBySide(t *testing.T) {
+	// Symptom: during an upgrade the old and the new daemons form two clusters,
+	// or a daemon closes connections on a message type that it does not know.
+	// Sequence: daemons are replaced one by one by a newer build.
+	// Cause: no version was negotiated, or unknown types were errors.
+	Convey("Given an old daemon and a new one with more message types", t, func() {
+		old := startNode("old", nil)
+		young := startNode("young", func(o *Options) { o.newest = NewestVersion + 1 })
+		young.knows(old)
+
+		Convey("they agree on the old version and ignore what they don't know", func() {
+			const typeOfTheFuture Type = 9000
+			So(young.Send("old", typeOfTheFuture, []byte("?")), ShouldBeNil)
+			So(young.Send("old", TypePoolEvents, []byte("1")), ShouldBeNil)
+			So(await(old.got), ShouldEqual, "young:1")
+			So(old.count(groupDrops, dropUnknownType), ShouldEqual, 1)
+			_, err := young.Call(t.Context(), "old", typeOfTheFuture, nil)
+			So(err, ShouldEqual, ErrUnknownType)
+			v, ok := young.Version("old")
+			So(ok, ShouldBeTrue)
+			So(v, ShouldEqual, NewestVersion)
+		})
+		Convey("a daemon that has dropped the old version is refused and counted", func() {
+			strict := startNode("strict", func(o *Options) {
+				o.oldest, o.newest = NewestVersion+1, NewestVersion+1
+			})
+			strict.knows(old)
+			_, err := strict.call("old", "x")
+			So(err, ShouldNotBeNil)
+			So(old.count(groupAuth, authProtocol), ShouldBeGreaterThan, 0)
+			So(strict.count(groupAuth, authRefused), ShouldBeGreaterThan, 0)
+		})
+	})
+}
+
+func TestNames(t *testing.T) {
+	// Symptom: messages meant for one daemon are handled by another.
+	// Sequence: a VM is replaced, its address goes to a new daemon.
+	// Cause: the dialer did not check who answered.
+	Convey("A daemon that finds another name at an address refuses it", t, func() {
+		a, b := startNode("a", nil), startNode("b", nil)
+		a.SetAddress("c", b.Addr().String())
+		_, err := a.call("c", "x")
+		So(err, ShouldNotBeNil)
+		So(b.count(groupAuth, authWrongPeer), ShouldBeGreaterThan, 0)
+	})
+	Convey("A daemon does not connect to itself through its seed list", t, func() {
+		a := startNode("a", nil)
+		So(a.Send(ByAddress(a.Addr().String()), TypePoolEvents, nil), ShouldBeNil)
+		eventually(func() bool { return a.count(groupAuth, authSelf) > 0 })
+		So(len(a.got), ShouldEqual, 0)
+	})
+}
+
+// strangerDial opens a TLS connection to a daemon as anybody may.
+func strangerDial(n *node) *tls.Conn {
+	c, err := tls.Dial("tcp", n.Addr().String(), &tls.Config{InsecureSkipVerify: true, MinVersion: tls.VersionTLS13})
+	So(err, ShouldBeNil)
+	So(c.SetDeadline(time.Now().Add(patience)), ShouldBeNil)
+	return c
+}
+
+// refused tells that the daemon closed the connection without a proof.
+func refused(c *tls.Conn) bool {
+	h, err := readHello(c)
+	return err != nil || (h.Refusal != "" && len(h.Proof) == 0)
+}
+
+func TestStrangers(t *testing.T) {
+	// Symptom: grants from nobody's daemon, or a daemon busy with strangers.
+	// Sequence: somebody without the key reaches the peer port and replays,
+	// reflects or passes on what daemons said, or says nothing at all.
+	// Cause: a proof that is not bound to one connection, role and moment.
+	Convey("Given a daemon", t, func() {
+		a := startNode("a", func(o *Options) { o.HandshakeTimeout = 300 * time.Millisecond })
+
+		Convey("a hello recorded on another connection proves nothing", func() {
+			recorded := recordHello(a)
+			c := strangerDial(a)
+			So(writeHello(c, recorded), ShouldBeNil)
+			So(refused(c), ShouldBeTrue)
+			So(a.count(groupAuth, authWrongKey), ShouldEqual, 1)
+		})
+		Convey("somebody in the middle who passes the hellos on is refused", func() {
+			victim := startNode("victim", nil)
+			middle, err := net.Listen("tcp", "127.0.0.1:0")
+			So(err, ShouldBeNil)
+			Reset(func() { middle.Close() })
+			go passHellosOn(middle, a.Addr().String())
+			victim.SetAddress("a", middle.Addr().String())
+			_, err = victim.call("a", "x")
+			So(err, ShouldNotBeNil)
+			So(a.count(groupAuth, authWrongKey), ShouldEqual, 1)
+		})
+		Convey("a daemon's own proof sent back to it proves nothing", func() {
+			ln, err := net.Listen("tcp", "127.0.0.1:0")
+			So(err, ShouldBeNil)
+			Reset(func() { ln.Close() })
+			go reflect(ln)
+			a.SetAddress("b", ln.Addr().String())
+			_, err = a.call("b", "x")
+			So(err, ShouldNotBeNil)
+			So(a.count(groupAuth, authWrongKey), ShouldEqual, 1)
+		})
+		Convey("garbage and large hellos are refused, silence is cut off", func() {
+			c := strangerDial(a)
+			So(writeHello(c, &wire.SignedHello{Hello: make([]byte, 2*maxHelloBytes)}), ShouldBeNil)
+			So(refused(c), ShouldBeTrue)
+			So(a.count(groupAuth, authBadHello), ShouldEqual, 1)
+			silent, err := net.Dial("tcp", a.Addr().String())
+			So(err, ShouldBeNil)
+			_ = silent.SetDeadline(time.Now().Add(patience))
+			_, err = io.ReadAll(silent)
+			So(err, ShouldBeNil)
+			So(a.count(groupAuth, authTLS), ShouldEqual, 1)
+		})
+		Convey("only so many strangers are listened to at once", func() {
+			for range maxHandshakes + 1 {
+				c, err := net.Dial("tcp", a.Addr().String())
+				So(err, ShouldBeNil)
+				Reset(func() { c.Close() })
+			}
+			eventually(func() bool { return a.count(groupAuth, authBusy) > 0 })
+		})
+	})
+}
+
+// recordHello returns what a holder of the key proved on its own connection.
+func recordHello(a *node) *wire.SignedHello {
+	c := strangerDial(a)
+	defer c.Close()
+	binding, err := channelBinding(c)
+	So(err, ShouldBeNil)
+	hello, err := proto.Marshal(&wire.Hello{Name: "b", OldestVersion: OldestVersion, NewestVersion: NewestVersion})
+	So(err, ShouldBeNil)
+	signed := &wire.SignedHello{Hello: hello, Proof: prove(testKey, roleDialer, binding, hello)}
+	So(writeHello(c, signed), ShouldBeNil)
+	So(refused(c), ShouldBeFalse)
+	return signed
+}
+
+// passHellosOn is a TLS server towards the dialer and a client of the target.
+func passHellosOn(ln net.Listener, target string) {
+	conf, err := newTLSConfig()
+	if err != nil {
+		return
+	}
+	raw, err := ln.Accept()
+	if err != nil {
+		return
+	}
+	client := tls.Server(raw, conf)
+	defer client.Close()
+	server, err := tls.Dial("tcp", target, conf)
+	if err != nil {
+		return
+	}
+	defer server.Close()
+	go func() { _, _ = io.Copy(server, client) }()
+	_, _ = io.Copy(client, server)
+}
+
+// reflect is a TLS server that sends back whatever it is sent.
+func reflect(ln net.Listener) {
+	conf, err := newTLSConfig()
+	if err != nil {
+		return
+	}
+	raw, err := ln.Accept()
+	if err != nil {
+		return
+	}
+	c := tls.Server(raw, conf)
+	defer c.Close()
+	_, _ = io.Copy(c, c)
+}
--- /dev/null
+++ b/internal/peer/call.go
@@ -0,0 +1,121 @@
+package peer
+
+import (
+	"bufio"
+	"context"
+
+	"github.com/hashicorp/yamux"
+	"github.com/lycheekeel/lycheekeel/internal/peer/wire"
+	"github.com/pkg/errors"
+)
+
+// call does one call on its own stream. Errors before the first byte left are
+// ErrNotConnected, later ones ErrUnknownOutcome.
+func (l *link) call(ctx context.Context, t Type, payload []byte) ([]byte, error) {
+	if !l.startCall() {
+		return nil, errLinkClosing
+	}
+	defer l.calls.Add(-1)
+	if err := l.awaitUp(ctx); err != nil {
+		return nil, err
+	}
+	stream, err := l.session.OpenStream()
+	if err != nil {
+		return nil, errors.WithMessage(ErrNotConnected, err.Error())
+	}
+	defer stream.Close()
+	stop := context.AfterFunc(ctx, func() { _ = stream.SetDeadline(l.t.now()) })
+	defer stop()
+	l.noteSent(t)
+	e, err := l.exchange(stream, t, payload)
+	if err != nil {
+		return nil, errors.WithMessage(ErrUnknownOutcome, err.Error())
+	}
+	return answerOf(e)
+}
+
+// startCall counts a call, so that the link is not closed as idle under it.
+func (l *link) startCall() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.closed || l.closing {
+		return false
+	}
+	l.calls.Add(1)
+	return true
+}
+
+// exchange writes the request and reads the answer.
+func (l *link) exchange(stream *yamux.Stream, t Type, payload []byte) (*wire.Envelope, error) {
+	b, err := appendDelimited([]byte{streamCall}, &wire.Envelope{Version: l.version, Type: uint32(t), Payload: payload})
+	if err != nil {
+		return nil, err
+	}
+	if _, err := stream.Write(b); err != nil {
+		return nil, err
+	}
+	l.t.count.countSent(t, len(b))
+	e, size, err := readEnvelope(bufio.NewReaderSize(stream, readBufferBytes))
+	if err != nil {
+		return nil, err
+	}
+	l.t.count.countReceived(t, size)
+	return e, nil
+}
+
+// answerOf turns an answer into Call's result.
+func answerOf(e *wire.Envelope) ([]byte, error) {
+	switch e.Status {
+	case wire.Status_STATUS_OK:
+		return e.Payload, nil
+	case wire.Status_STATUS_UNKNOWN_TYPE:
+		return nil, ErrUnknownType
+	case wire.Status_STATUS_OVERLOADED:
+		return nil, ErrOverloaded
+	default:
+		return nil, &RemoteError{Message: e.Error}
+	}
+}
+
+// serveCall runs the handler of a peer's call and writes its answer.
+func (l *link) serveCall(s *yamux.Stream, r *bufio.Reader) {
+	e, size, err := readEnvelope(r)
+	if err != nil {
+		return
+	}
+	t := Type(e.Type)
+	l.t.count.countReceived(t, size)
+	l.noteUse(t)
+	answer := l.handleCall(t, e.Payload)
+	answer.Version = l.version
+	answer.Type = e.Type
+	b, err := appendDelimited(nil, answer)
+	if err != nil {
+		return
+	}
+	_ = s.SetWriteDeadline(l.t.now().Add(streamTimeout))
+	if _, err := s.Write(b); err == nil {
+		l.t.count.countSent(t, len(b))
+	}
+}
+
+// handleCall bounds how many calls of one connection run at once.
+func (l *link) handleCall(t Type, payload []byte) *wire.Envelope {
+	h, ok := l.t.handlers[t]
+	if !ok {
+		l.t.drop(dropUnknownType)
+		return &wire.Envelope{Status: wire.Status_STATUS_UNKNOWN_TYPE}
+	}
+	select {
+	case l.served <- struct{}{}:
+		defer func() { <-l.served }()
+	default:
+		l.t.drop(dropCallsFull)
+		return &wire.Envelope{Status: wire.Status_STATUS_OVERLOADED}
+	}
+	out, err := l.handle(h, t, payload)
+	if err != nil {
+		return &wire.Envelope{Status: wire.Status_STATUS_HANDLER_ERROR, Error: err.Error()}
+	}
+	return &wire.Envelope{Payload: out}
+}
--- /dev/null
+++ b/internal/peer/connect.go
@@ -0,0 +1,258 @@
+package peer
+
+import (
+	"crypto/tls"
+	"net"
+	"slices"
+
+	"github.com/hashicorp/yamux"
+	"github.com/pkg/errors"
+)
+
+// dial connects a link, authenticates it and runs it until it ends.
+func (t *TCP) dial(l *link, address string, replaces bool) {
+	res, conn, err := t.dialAndProve(l, address, replaces)
+	if err != nil {
+		t.noteAuthError(err, address)
+		t.down(l, closedDialFailed)
+		return
+	}
+	session, err := yamux.Client(&joiner{Conn: conn}, yamuxConfig())
+	if err != nil {
+		t.down(l, closedDialFailed)
+		return
+	}
+	t.serve(l, res, session)
+}
+
+func (t *TCP) dialAndProve(l *link, address string, replaces bool) (handshakeResult, *tls.Conn, error) {
+	d := net.Dialer{Timeout: t.opts.HandshakeTimeout, KeepAlive: -1}
+	raw, err := d.DialContext(t.ctx, "tcp", address)
+	if err != nil {
+		return handshakeResult{}, nil, err
+	}
+	conn := t.secure(l, raw, tls.Client)
+	res, err := t.auth.dial(conn, l.key, replaces)
+	if err != nil {
+		raw.Close()
+		return res, nil, err
+	}
+	return res, conn, raw.SetReadDeadline(noDeadline)
+}
+
+// secure wraps a raw connection for the handshake, under its deadline.
+func (t *TCP) secure(l *link, raw net.Conn, side func(net.Conn, *tls.Config) *tls.Conn) *tls.Conn {
+	l.mu.Lock()
+	l.raw = raw
+	if l.closed {
+		raw.Close()
+	}
+	l.mu.Unlock()
+	_ = raw.SetReadDeadline(t.now().Add(t.opts.HandshakeTimeout))
+	return side(&countedConn{Conn: raw, link: l}, t.tls)
+}
+
+func (t *TCP) acceptLoop() {
+	for {
+		raw, err := t.listener.Accept()
+		if err != nil {
+			if t.ctx.Err() != nil {
+				return
+			}
+			t.log.WithError(err).Warn("accept failed")
+			continue
+		}
+		select {
+		case t.shaking <- struct{}{}:
+			t.group.Go(func() { t.accept(raw) })
+		default:
+			t.count.auth[authBusy].Add(1)
+			raw.Close()
+		}
+	}
+}
+
+// accept authenticates an accepted connection and runs it until it ends.
+func (t *TCP) accept(raw net.Conn) {
+	l := newLink(t, "", false)
+	t.mu.Lock()
+	closed := t.closed
+	t.links[l] = struct{}{}
+	t.mu.Unlock()
+	conn := t.secure(l, raw, tls.Server)
+	if closed {
+		raw.Close()
+	}
+	res, err := t.auth.accept(conn)
+	<-t.shaking
+	if err == nil {
+		err = raw.SetReadDeadline(noDeadline)
+	}
+	if err != nil {
+		t.noteAuthError(err, raw.RemoteAddr().String())
+		t.down(l, closedDialFailed)
+		return
+	}
+	t.count.accepts.Add(1)
+	session, err := yamux.Server(&joiner{Conn: conn}, yamuxConfig())
+	if err != nil {
+		t.down(l, closedDialFailed)
+		return
+	}
+	t.serve(l, res, session)
+}
+
+// serve registers an authenticated link and runs it until it ends.
+func (t *TCP) serve(l *link, res handshakeResult, session *yamux.Session) {
+	stale, ok := t.attach(l, res, session)
+	for s, why := range stale {
+		t.down(s, why)
+	}
+	if !ok {
+		session.Close()
+		return
+	}
+	l.noteReceived()
+	close(l.up)
+	t.down(l, l.run())
+}
+
+// attach makes an authenticated link known under its peer's name and returns
+// the links that it makes stale: those of an earlier instance of the peer, and
+// those that the peer has given up as silent. False if the link was closed.
+func (t *TCP) attach(l *link, res handshakeResult, session *yamux.Session) (map[*link]reason, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	l.peer, l.instance, l.version, l.session = res.peer, res.instance, res.version, session
+	if _, ok := t.links[l]; !ok {
+		return nil, false
+	}
+	p := t.peer(l.peer)
+	stale := map[*link]reason{}
+	for other := range t.links {
+		if other == l || other.session == nil || other.peer != l.peer {
+			continue
+		}
+		if other.instance != l.instance {
+			stale[other] = closedRestarted
+		} else if res.replaces {
+			stale[other] = closedReplaced
+		}
+	}
+	p.replace = false
+	switch {
+	case p.current == nil:
+		p.current = l
+	case p.current != l:
+		p.others = append(p.others, l)
+	}
+	return stale, true
+}
+
+// detach takes a link out of use for sending; it stays open for reading.
+func (t *TCP) detach(l *link) {
+	l.mu.Lock()
+	l.closing = true
+	l.closingAt.CompareAndSwap(0, max(1, l.nanos()))
+	l.mu.Unlock()
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.unlist(l)
+}
+
+// unlist needs t.mu. Another open connection to the peer takes l's place.
+func (t *TCP) unlist(l *link) {
+	for _, key := range []Name{l.key, l.peer} {
+		p, ok := t.peers[key]
+		if !ok {
+			continue
+		}
+		p.others = slices.DeleteFunc(p.others, func(o *link) bool { return o == l })
+		if p.current != l {
+			continue
+		}
+		p.current = nil
+		if len(p.others) > 0 {
+			p.current, p.others = p.others[0], p.others[1:]
+		}
+	}
+}
+
+// down closes a link, loses its queue and tells OnDown, unless the close was
+// agreed on. Only the first call has an effect.
+func (t *TCP) down(l *link, why reason) {
+	first, lost := l.close()
+	if !first {
+		return
+	}
+	agreed := why == closedIdle || (why == closedBroken && l.byeReceived.Load())
+	if agreed {
+		why = closedIdle
+	}
+	t.mu.Lock()
+	delete(t.links, l)
+	t.unlist(l)
+	known := l.peer
+	if known == "" {
+		known = l.key
+	}
+	if known != "" && !agreed {
+		t.noteBreak(l, known, why)
+	}
+	fs := slices.Clone(t.onDown)
+	closed := t.closed
+	t.mu.Unlock()
+
+	t.count.closed[why].Add(1)
+	t.count.drops[dropLinkDown].Add(int64(lost))
+	if known == "" || agreed || closed {
+		return
+	}
+	t.log.WithField("of", known).WithField("reason", why).WithField("lost", lost).Info("connection down")
+	for _, f := range fs {
+		f(known)
+	}
+	t.redial(l, known, why)
+}
+
+// noteBreak remembers that the next dial replaces a connection, and puts the
+// dial off when this one never came up or broke soon after. A silent one took
+// its time already. It needs t.mu.
+func (t *TCP) noteBreak(l *link, known Name, why reason) {
+	p := t.peer(known)
+	p.replace = p.replace || l.session != nil
+	if why == closedSilent || (l.session != nil && t.now().Sub(l.created) > backoffLast) {
+		p.backoff.Reset()
+		return
+	}
+	p.notYet = t.now().Add(p.backoff.NextBackOff())
+}
+
+// redial opens a new connection at once in place of one that was in use, so
+// that the peer's next message doesn't wait for the dial.
+func (t *TCP) redial(l *link, to Name, why reason) {
+	c, counted := t.count.redo[why]
+	if !counted || !l.watched() {
+		return
+	}
+	c.Add(1)
+	_, _ = t.linkTo(to)
+}
+
+// noteAuthError counts a failed handshake by its reason; a failed connect is
+// counted by its caller.
+func (t *TCP) noteAuthError(err error, address string) {
+	var ae *authError
+	if !errors.As(err, &ae) {
+		return
+	}
+	if c, ok := t.count.auth[ae.why]; ok {
+		c.Add(1)
+	}
+	if t.ctx.Err() != nil {
+		return
+	}
+	t.authLog.Do(func() {
+		t.log.WithField("address", address).WithField("reason", ae.why).Warn(ae.err.Error())
+	})
+}
--- /dev/null
+++ b/internal/peer/counters.go
@@ -0,0 +1,179 @@
+package peer
+
+import (
+	"expvar"
+	"net"
+	"strconv"
+
+	"github.com/lycheekeel/lycheekeel/internal/metrics"
+)
+
+// reason is why a connection was refused, given up, or a message dropped. It
+// is also the counter's name.
+type reason string
+
+// Reasons of a failed or refused handshake (group peer_auth_failures).
+const (
+	authWrongKey  reason = "wrong_key"
+	authWrongPeer reason = "wrong_peer" // another daemon listens at the address
+	authBadHello  reason = "bad_hello"
+	authProtocol  reason = "protocol" // no common version
+	authTLS       reason = "tls"
+	authBusy      reason = "busy" // too many handshakes at once
+	authSelf      reason = "self"
+	authRefused   reason = "refused_by_peer"
+)
+
+// Reasons of a closed connection (group peer_closed).
+const (
+	closedDialFailed reason = "dial_failed"
+	closedBroken     reason = "broken"
+	closedSilent     reason = "silent"
+	closedWrite      reason = "write_timeout"
+	closedReplaced   reason = "replaced"  // the peer dialed anew after a silence
+	closedRestarted  reason = "restarted" // the peer is another instance now
+	closedIdle       reason = "idle"
+	closedShutdown   reason = "shutdown"
+)
+
+// Reasons of a dropped message (group peer_drops).
+const (
+	dropQueueFull    reason = "queue_full"
+	dropNotConnected reason = "not_connected"
+	dropLinkDown     reason = "link_down"
+	dropUnknownType  reason = "unknown_type"
+	dropCallsFull    reason = "calls_full"
+)
+
+// The groups in the metrics registry.
+const (
+	groupPeer    = "peer"
+	groupAuth    = "peer_auth_failures"
+	groupClosed  = "peer_closed"
+	groupDrops   = "peer_drops"
+	groupRedials = "peer_redials"
+	groupSent    = "peer_sent"
+	groupRecv    = "peer_received"
+)
+
+// typeNames names the known message types in counters.
+var typeNames = map[Type]string{
+	TypePing: "ping", TypeMemberGossip: "member_gossip", TypeMemberProbe: "member_probe",
+	TypeMemberAsk: "member_ask", TypeMemberAck: "member_ack", TypePoolEvents: "pool_events",
+	TypePoolCommands: "pool_commands", TypePoolHello: "pool_hello", TypePoolSummary: "pool_summary",
+	TypeSuspect: "suspect", TypeConfigDigest: "config_digest", TypeConfigPull: "config_pull",
+	TypeStatus: "status",
+}
+
+// String returns the type's name in counters.
+func (t Type) String() string {
+	if s, ok := typeNames[t]; ok {
+		return s
+	}
+	return "type_" + strconv.FormatUint(uint64(t), 10)
+}
+
+// traffic counts messages and envelope bytes of one type and direction.
+type traffic struct{ messages, bytes *expvar.Int }
+
+func (c traffic) add(size int) {
+	c.messages.Add(1)
+	c.bytes.Add(int64(size))
+}
+
+// counters holds every counter of a transport, made at its start so that a
+// reason that never happened shows as zero.
+type counters struct {
+	reg                       *metrics.Registry
+	dials, accepts            *expvar.Int
+	wireIn, wireOut           *expvar.Int
+	pings, pauses, panics     *expvar.Int
+	auth, closed, drops, redo map[reason]*expvar.Int
+	sent, received            map[Type]traffic
+	sentOther, receivedOther  traffic
+}
+
+func newCounters(reg *metrics.Registry) *counters {
+	c := &counters{
+		reg:     reg,
+		dials:   reg.Counter(groupPeer, "dials"),
+		accepts: reg.Counter(groupPeer, "accepts"),
+		wireIn:  reg.Counter(groupPeer, "wire_bytes_in"),
+		wireOut: reg.Counter(groupPeer, "wire_bytes_out"),
+		pings:   reg.Counter(groupPeer, "pings"),
+		panics:  reg.Counter(groupPeer, "handler_panics"),
+		pauses:  reg.Counter(groupPeer, "own_pauses"),
+		auth: reasons(reg, groupAuth, authWrongKey, authWrongPeer, authBadHello, authProtocol,
+			authTLS, authBusy, authSelf, authRefused),
+		closed: reasons(reg, groupClosed, closedDialFailed, closedBroken, closedSilent, closedWrite,
+			closedReplaced, closedRestarted, closedIdle, closedShutdown),
+		drops: reasons(reg, groupDrops, dropQueueFull, dropNotConnected, dropLinkDown,
+			dropUnknownType, dropCallsFull),
+		redo:          reasons(reg, groupRedials, closedSilent, closedBroken, closedWrite),
+		sent:          map[Type]traffic{},
+		received:      map[Type]traffic{},
+		sentOther:     newTraffic(reg, groupSent, "other"),
+		receivedOther: newTraffic(reg, groupRecv, "other"),
+	}
+	for t, name := range typeNames {
+		c.sent[t] = newTraffic(reg, groupSent, name)
+		c.received[t] = newTraffic(reg, groupRecv, name)
+	}
+	return c
+}
+
+func reasons(reg *metrics.Registry, group string, rs ...reason) map[reason]*expvar.Int {
+	m := make(map[reason]*expvar.Int, len(rs))
+	for _, r := range rs {
+		m[r] = reg.Counter(group, string(r))
+	}
+	return m
+}
+
+func newTraffic(reg *metrics.Registry, group, name string) traffic {
+	return traffic{messages: reg.Counter(group, name+"_messages"), bytes: reg.Counter(group, name+"_bytes")}
+}
+
+func (c *counters) countSent(t Type, size int) {
+	if k, ok := c.sent[t]; ok {
+		k.add(size)
+		return
+	}
+	c.sentOther.add(size)
+}
+
+func (c *counters) countReceived(t Type, size int) {
+	if k, ok := c.received[t]; ok {
+		k.add(size)
+		return
+	}
+	c.receivedOther.add(size)
+}
+
+// countedConn counts the bytes on the wire, encryption included, tells when
+// something arrived, and bounds each write: a peer whose receive window is
+// closed for good would otherwise block the writer for ever.
+type countedConn struct {
+	net.Conn
+	link *link
+}
+
+// Read implements net.Conn.
+func (c *countedConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if n > 0 {
+		c.link.noteReceived()
+		c.link.t.count.wireIn.Add(int64(n))
+	}
+	return n, err
+}
+
+// Write implements net.Conn.
+func (c *countedConn) Write(p []byte) (int, error) {
+	if err := c.SetWriteDeadline(c.link.t.now().Add(writeTimeout)); err != nil {
+		return 0, err
+	}
+	n, err := c.Conn.Write(p)
+	c.link.t.count.wireOut.Add(int64(n))
+	return n, err
+}
--- /dev/null
+++ b/internal/peer/frame.go
@@ -0,0 +1,95 @@
+package peer
+
+import (
+	"bufio"
+	"encoding/binary"
+	"io"
+	"net"
+
+	"github.com/hashicorp/yamux"
+	"github.com/lycheekeel/lycheekeel/internal/peer/wire"
+	"github.com/pkg/errors"
+	"google.golang.org/protobuf/encoding/protodelim"
+	"google.golang.org/protobuf/encoding/protowire"
+	"google.golang.org/protobuf/proto"
+)
+
+// MaxPayloadBytes bounds one message's payload.
+const MaxPayloadBytes = 4 << 20
+
+// maxEnvelopeBytes leaves room for the envelope's other fields.
+const maxEnvelopeBytes = MaxPayloadBytes + 4096
+
+// The first byte of a yamux stream tells what it carries.
+const (
+	streamMessages byte = 1 // one-way messages in order, as long as the connection lives
+	streamCall     byte = 2 // one call and its answer
+)
+
+// appendDelimited appends a message with its size before it, in one buffer so
+// that it leaves in one write.
+func appendDelimited(b []byte, m proto.Message) ([]byte, error) {
+	opts := proto.MarshalOptions{}
+	b = protowire.AppendVarint(b, uint64(opts.Size(m)))
+	b, err := opts.MarshalAppend(b, m)
+	return b, errors.Wrap(err, "peer: encode")
+}
+
+// readEnvelope reads one envelope and returns it with its size in bytes.
+func readEnvelope(r *bufio.Reader) (*wire.Envelope, int, error) {
+	var e wire.Envelope
+	opts := protodelim.UnmarshalOptions{MaxSize: maxEnvelopeBytes}
+	if err := opts.UnmarshalFrom(r, &e); err != nil {
+		return nil, 0, err
+	}
+	return &e, proto.Size(&e), nil
+}
+
+// yamux's frame header, as far as joiner needs it.
+const (
+	yamuxHeaderBytes  = 12
+	yamuxTypeOffset   = 1
+	yamuxLengthOffset = 8
+	yamuxTypeData     = 0
+)
+
+// joiner joins a yamux data frame's header with its body, which yamux writes
+// one after the other: apart they would cost two TLS records, two system
+// calls and two packets for each small message.
+type joiner struct {
+	net.Conn
+	header []byte
+}
+
+// Write implements net.Conn. yamux writes from one goroutine.
+func (j *joiner) Write(p []byte) (int, error) {
+	if len(j.header) == 0 && isDataHeader(p) {
+		j.header = append(j.header, p...)
+		return len(p), nil
+	}
+	if len(j.header) == 0 {
+		return j.Conn.Write(p)
+	}
+	joined := append(j.header, p...)
+	j.header = joined[:0]
+	n, err := j.Conn.Write(joined)
+	return max(0, n-yamuxHeaderBytes), err
+}
+
+// isDataHeader tells whether p is the header of a frame with a body.
+func isDataHeader(p []byte) bool {
+	return len(p) == yamuxHeaderBytes && p[yamuxTypeOffset] == yamuxTypeData &&
+		binary.BigEndian.Uint32(p[yamuxLengthOffset:]) > 0
+}
+
+// yamuxConfig turns yamux's own keepalive off: the heartbeats of watch.go find
+// silence sooner and cost nothing on connections that are not in use.
+func yamuxConfig() *yamux.Config {
+	c := yamux.DefaultConfig()
+	c.EnableKeepAlive = false
+	c.ConnectionWriteTimeout = writeTimeout
+	c.StreamOpenTimeout = streamTimeout
+	c.StreamCloseTimeout = streamTimeout
+	c.LogOutput = io.Discard
+	return c
+}
--- /dev/null
+++ b/internal/peer/link.go
@@ -0,0 +1,369 @@
+package peer
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/hashicorp/yamux"
+	"github.com/lycheekeel/lycheekeel/internal/peer/wire"
+	"github.com/pkg/errors"
+	"github.com/sourcegraph/conc/panics"
+)
+
+const (
+	// writeTimeout bounds each write to the network.
+	writeTimeout = 2 * time.Second
+	// streamTimeout bounds a yamux stream's opening and closing.
+	streamTimeout = 5 * time.Second
+	// queueMessages and queueBytes bound what waits for one peer.
+	queueMessages = 2048
+	queueBytes    = 8 << 20
+	// batchBytes is how much of the queue leaves in one write.
+	batchBytes = 64 << 10
+	// maxServedCalls bounds the calls of one connection that run at once.
+	maxServedCalls = 128
+)
+
+// The payloads of TypePing.
+const (
+	pingAsk  byte = 1 // answer with pingEcho
+	pingEcho byte = 2
+	pingBye  byte = 3 // no further message will be sent on this connection
+)
+
+// outMessage waits in a link's queue.
+type outMessage struct {
+	t       Type
+	payload []byte
+}
+
+// link is one connection to a peer, from before it is dialed until it is
+// closed. A link is never revived: what was in its queue when it broke is lost
+// and told through OnDown.
+type link struct {
+	t       *TCP
+	key     Name // what was dialed: a name or ByAddress; empty when accepted
+	dialed  bool
+	created time.Time
+
+	// Set once, before up is closed.
+	peer     Name
+	instance uint64
+	version  uint32
+	raw      net.Conn
+	session  *yamux.Session
+
+	up   chan struct{} // closed when messages can flow
+	done chan struct{} // closed when the link is closed
+
+	mu          sync.Mutex
+	closing     bool // no further Send; a bye ends the queue
+	closed      bool
+	queue       chan outMessage
+	queuedBytes atomic.Int64
+
+	byeReceived atomic.Bool
+	byeSent     atomic.Bool
+	calls       atomic.Int64 // own calls under way
+	served      chan struct{}
+
+	// Times in nanoseconds of the transport's clock; zero: none.
+	expectSince atomic.Int64 // first message since anything was received
+	pingedAt    atomic.Int64 // ping since anything was received
+	receivedAt  atomic.Int64
+	usedAt      atomic.Int64 // last message other than heartbeats
+	watchedAt   atomic.Int64 // last message that keeps the heartbeats going
+	closingAt   atomic.Int64
+}
+
+func newLink(t *TCP, key Name, dialed bool) *link {
+	l := &link{
+		t: t, key: key, dialed: dialed, created: t.now(),
+		up: make(chan struct{}), done: make(chan struct{}),
+		queue:  make(chan outMessage, queueMessages),
+		served: make(chan struct{}, maxServedCalls),
+	}
+	l.usedAt.Store(l.nanos())
+	return l
+}
+
+func (l *link) nanos() int64 { return l.t.now().Sub(l.t.start).Nanoseconds() }
+
+// noteReceived is called for every arrival, of whatever kind.
+func (l *link) noteReceived() {
+	l.receivedAt.Store(l.nanos())
+	l.expectSince.Store(0)
+	l.pingedAt.Store(0)
+}
+
+// noteUse is called for every message sent or received but heartbeats.
+func (l *link) noteUse(t Type) {
+	now := l.nanos()
+	l.usedAt.Store(now)
+	if t < TypeMemberGossip || t > TypeMemberAck {
+		l.watchedAt.Store(now)
+	}
+}
+
+// noteSent starts the wait for a sign of life, unless one is awaited already.
+// An ack asks for none, or the two ends would ping each other for ever.
+func (l *link) noteSent(t Type) {
+	l.noteUse(t)
+	if t != TypeMemberAck {
+		l.expectSince.CompareAndSwap(0, max(1, l.nanos()))
+	}
+}
+
+// send queues a message. errLinkClosing: take another link.
+func (l *link) send(m outMessage) error {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.closed || l.closing {
+		return errLinkClosing
+	}
+	if err := l.enqueue(m); err != nil {
+		return err
+	}
+	l.noteSent(m.t)
+	return nil
+}
+
+// enqueue needs l.mu.
+func (l *link) enqueue(m outMessage) error {
+	size := int64(len(m.payload))
+	if l.queuedBytes.Load()+size > queueBytes {
+		return ErrOverloaded
+	}
+	select {
+	case l.queue <- m:
+		l.queuedBytes.Add(size)
+		return nil
+	default:
+		return ErrOverloaded
+	}
+}
+
+// sendPing queues a heartbeat, which counts neither as use nor as a message
+// that awaits a sign of life.
+func (l *link) sendPing(kind byte) error {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.closed {
+		return errLinkClosing
+	}
+	return l.enqueue(outMessage{t: TypePing, payload: []byte{kind}})
+}
+
+// startClosing lets nothing more into the queue but a bye. False if messages
+// or calls are under way or it is closing already.
+func (l *link) startClosing() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.closing || l.closed || len(l.queue) > 0 || l.calls.Load() > 0 {
+		return false
+	}
+	l.closing = true
+	l.closingAt.Store(l.nanos())
+	return true
+}
+
+// run serves the link until it is closed; the reason is why.
+func (l *link) run() reason {
+	defer l.session.Close()
+	writeErr := make(chan struct{})
+	l.t.group.Go(func() {
+		if l.write() != nil {
+			close(writeErr)
+		}
+		l.session.Close()
+	})
+	for {
+		s, err := l.session.AcceptStream()
+		if err != nil {
+			break
+		}
+		l.t.group.Go(func() { l.serveStream(s) })
+	}
+	select {
+	case <-writeErr:
+		return closedWrite
+	default:
+		return closedBroken
+	}
+}
+
+// write sends the queue, several messages in one write where they are there.
+// It returns an error when the peer took too long to take them.
+func (l *link) write() error {
+	stream, err := l.session.OpenStream()
+	if err != nil {
+		return nil
+	}
+	defer stream.Close()
+	buf := []byte{streamMessages}
+	for {
+		select {
+		case <-l.done:
+			return nil
+		case <-l.session.CloseChan():
+			return nil
+		case m := <-l.queue:
+			buf = l.encode(buf, m)
+		}
+		buf = l.encodeWaiting(buf)
+		_ = stream.SetWriteDeadline(l.t.now().Add(writeTimeout))
+		if _, err := stream.Write(buf); err != nil {
+			if errors.Is(err, yamux.ErrTimeout) || errors.Is(err, yamux.ErrConnectionWriteTimeout) {
+				return err
+			}
+			return nil
+		}
+		buf = buf[:0]
+		if cap(buf) > 2*batchBytes {
+			buf = nil
+		}
+	}
+}
+
+// encodeWaiting appends what waits in the queue, up to batchBytes.
+func (l *link) encodeWaiting(buf []byte) []byte {
+	for len(buf) < batchBytes {
+		select {
+		case m := <-l.queue:
+			buf = l.encode(buf, m)
+		default:
+			return buf
+		}
+	}
+	return buf
+}
+
+func (l *link) encode(buf []byte, m outMessage) []byte {
+	l.queuedBytes.Add(-int64(len(m.payload)))
+	before := len(buf)
+	buf, err := appendDelimited(buf, &wire.Envelope{Version: l.version, Type: uint32(m.t), Payload: m.payload})
+	if err != nil {
+		l.t.log.WithError(err).Error("message not encoded")
+		return buf[:before]
+	}
+	l.t.count.countSent(m.t, len(buf)-before)
+	return buf
+}
+
+// serveStream reads what the peer opened a stream for.
+func (l *link) serveStream(s *yamux.Stream) {
+	defer s.Close()
+	r := bufio.NewReaderSize(s, readBufferBytes)
+	kind, err := r.ReadByte()
+	if err != nil {
+		return
+	}
+	switch kind {
+	case streamMessages:
+		l.readMessages(r)
+	case streamCall:
+		l.serveCall(s, r)
+	}
+}
+
+// readBufferBytes is small because every connection has such a buffer.
+const readBufferBytes = 1024
+
+// readMessages hands the peer's one-way messages to their handlers in order.
+func (l *link) readMessages(r *bufio.Reader) {
+	for {
+		e, size, err := readEnvelope(r)
+		if err != nil {
+			if err != io.EOF {
+				l.session.Close()
+			}
+			return
+		}
+		t := Type(e.Type)
+		l.t.count.countReceived(t, size)
+		if t == TypePing {
+			l.receivePing(e.Payload)
+			continue
+		}
+		l.noteUse(t)
+		h, ok := l.t.handlers[t]
+		if !ok {
+			l.t.drop(dropUnknownType)
+			continue
+		}
+		if _, err := l.handle(h, t, e.Payload); err != nil {
+			l.t.log.WithError(err).WithField("from", l.peer).WithField("type", t).Warn("message not handled")
+		}
+	}
+}
+
+// handle runs a handler. Its panic is logged and counted and ends the message
+// alone: the goroutine group would keep it silent until the transport closes.
+func (l *link) handle(h Handler, t Type, payload []byte) (out []byte, err error) {
+	recovered := panics.Try(func() { out, err = h(l.t.ctx, l.peer, payload) })
+	if recovered != nil {
+		l.t.count.panics.Add(1)
+		l.t.log.WithField("type", t).Error(recovered.String())
+		return nil, errors.New("handler panicked")
+	}
+	return out, err
+}
+
+func (l *link) receivePing(payload []byte) {
+	if len(payload) != 1 {
+		return
+	}
+	switch payload[0] {
+	case pingAsk:
+		_ = l.sendPing(pingEcho)
+	case pingBye:
+		l.byeReceived.Store(true)
+		l.t.detach(l)
+	}
+}
+
+// close ends the link; only the first call has an effect. Calls under way end
+// with ErrUnknownOutcome. It returns how many queued messages were lost.
+func (l *link) close() (first bool, lost int) {
+	l.mu.Lock()
+	if l.closed {
+		l.mu.Unlock()
+		return false, 0
+	}
+	l.closed = true
+	lost = len(l.queue)
+	l.mu.Unlock()
+	close(l.done)
+	if l.raw != nil {
+		// The raw connection goes first: closing the session or TLS above it
+		// would write, and wait for, a connection that may be silent.
+		l.raw.Close()
+	}
+	return true, lost
+}
+
+// isUp tells whether messages can flow.
+func (l *link) isUp() bool {
+	select {
+	case <-l.up:
+		return true
+	default:
+		return false
+	}
+}
+
+// awaitUp waits until messages can flow.
+func (l *link) awaitUp(ctx context.Context) error {
+	select {
+	case <-l.up:
+		return nil
+	case <-l.done:
+	case <-ctx.Done():
+	}
+	return ErrNotConnected
+}
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"strings"
 
 	"github.com/pkg/errors"
 )
@@ -21,6 +22,7 @@
 	TypeMemberGossip Type = 10
 	TypeMemberProbe  Type = 11 // direct probe
 	TypeMemberAsk    Type = 12 // indirect probe
+	TypeMemberAck    Type = 13 // answer to either probe
 
 	TypePoolEvents   Type = 20 // entry to owner: batch of pool events
 	TypePoolCommands Type = 21 // owner to entry: batch of pool commands
@@ -48,6 +50,24 @@
 // Name is a daemon's name as in its settings, unique in the cluster.
 type Name string
 
+// ByAddress names whichever daemon listens at the address (IP:port), for seeds
+// whose names are not known yet. Its messages arrive under its real name.
+func ByAddress(address string) Name { return Name(addressPrefix + address) }
+
+// Address returns the address of a name made by ByAddress.
+func (n Name) Address() (string, bool) {
+	return strings.CutPrefix(string(n), addressPrefix)
+}
+
+// addressPrefix can't begin a daemon's own name.
+const addressPrefix = "@"
+
+// RemoteError is what a peer's handler returned for a Call.
+type RemoteError struct{ Message string }
+
+// Error implements error.
+func (e *RemoteError) Error() string { return "peer: " + e.Message }
+
 // Handler handles one message; payload may be kept. For a Call its result is
 // the answer. It runs on its own goroutine for calls, and in order per peer
 // for one-way messages, which it must not block.
--- /dev/null
+++ b/internal/peer/tcp_test.go
@@ -0,0 +1,235 @@
+package peer
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/lycheekeel/lycheekeel/internal/faultproxy"
+	"github.com/lycheekeel/lycheekeel/internal/metrics"
+	"github.com/pkg/errors"
+	. "github.com/smartystreets/goconvey/convey"
+)
+
+// patience bounds every wait for something that must happen.
+const patience = 20 * time.Second
+
+var testKey = []byte("0123456789abcdef")
+
+// node is a started transport with what its handlers saw.
+type node struct {
+	*TCP
+	reg  *metrics.Registry
+	got  chan string
+	down chan Name
+}
+
+// startNode starts a daemon's transport; change may alter its options.
+func startNode(name Name, change func(*Options)) *node {
+	n := &node{reg: metrics.New(), got: make(chan string, 1<<14), down: make(chan Name, 64)}
+	o := Options{Name: name, Listen: "127.0.0.1:0", Keys: [][]byte{testKey}, Registry: n.reg}
+	if change != nil {
+		change(&o)
+	}
+	t, err := NewTCP(o)
+	So(err, ShouldBeNil)
+	n.TCP = t
+	t.Handle(TypePoolEvents, func(_ context.Context, from Name, p []byte) ([]byte, error) {
+		n.got <- fmt.Sprintf("%s:%s", from, p)
+		return nil, nil
+	})
+	t.Handle(TypeConfigPull, func(_ context.Context, _ Name, p []byte) ([]byte, error) {
+		if string(p) == "fail" {
+			return nil, errors.New("no such object")
+		}
+		return append([]byte("re:"), p...), nil
+	})
+	t.OnDown(func(of Name) { n.down <- of })
+	t.Start()
+	Reset(t.Close)
+	return n
+}
+
+func (n *node) knows(others ...*node) {
+	for _, o := range others {
+		n.SetAddress(o.Self(), o.Addr().String())
+	}
+}
+
+func (n *node) count(group string, r reason) int64 {
+	return n.reg.Counter(group, string(r)).Value()
+}
+
+func (n *node) call(to Name, payload string) (string, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	out, err := n.Call(ctx, to, TypeConfigPull, []byte(payload))
+	return string(out), err
+}
+
+// await returns the next value, or fails the test after a long while.
+func await[T any](c <-chan T) T {
+	select {
+	case v := <-c:
+		return v
+	case <-time.After(patience):
+		panic("nothing arrived")
+	}
+}
+
+// eventually polls a condition.
+func eventually(cond func() bool) {
+	tick := time.NewTicker(5 * time.Millisecond)
+	defer tick.Stop()
+	end := time.After(patience)
+	for !cond() {
+		select {
+		case <-tick.C:
+		case <-end:
+			panic("condition never held")
+		}
+	}
+}
+
+func TestMessages(t *testing.T) {
+	Convey("Given two daemons", t, func() {
+		a, b := startNode("a", nil), startNode("b", nil)
+		a.knows(b)
+
+		Convey("one-way messages arrive in order, also back on the same connection", func() {
+			for i := range 1000 {
+				So(a.Send("b", TypePoolEvents, fmt.Append(nil, i)), ShouldBeNil)
+			}
+			for i := range 1000 {
+				So(await(b.got), ShouldEqual, fmt.Sprintf("a:%d", i))
+			}
+			So(b.Send("a", TypePoolEvents, []byte("back")), ShouldBeNil)
+			So(await(a.got), ShouldEqual, "b:back")
+			So(a.connections()+b.connections(), ShouldEqual, 2)
+		})
+		Convey("calls are answered, large and failing ones too", func() {
+			big := string(bytes.Repeat([]byte("x"), 1<<20))
+			out, err := a.call("b", big)
+			So(err, ShouldBeNil)
+			So(out == "re:"+big, ShouldBeTrue)
+			_, err = a.call("b", "fail")
+			var remote *RemoteError
+			So(errors.As(err, &remote), ShouldBeTrue)
+			So(remote.Message, ShouldEqual, "no such object")
+		})
+		Convey("a seed is reached by its address alone, and answers under names", func() {
+			So(a.Send(ByAddress(b.Addr().String()), TypePoolEvents, []byte("hi")), ShouldBeNil)
+			So(await(b.got), ShouldEqual, "a:hi")
+			So(b.Send("a", TypePoolEvents, []byte("welcome")), ShouldBeNil)
+			So(await(a.got), ShouldEqual, "b:welcome")
+		})
+		Convey("a peer without an address, and a large payload, are refused", func() {
+			So(a.Send("nobody", TypePoolEvents, nil), ShouldEqual, ErrNotConnected)
+			So(a.Send("b", TypePoolEvents, make([]byte, MaxPayloadBytes+1)), ShouldNotBeNil)
+		})
+		Convey("a peer that takes nothing leads to ErrOverloaded, not to more memory", func() {
+			release := make(chan struct{})
+			slow := startNode("slow", nil)
+			slow.handlers[TypeSuspect] = func(context.Context, Name, []byte) ([]byte, error) {
+				<-release
+				return nil, nil
+			}
+			a.knows(slow)
+			var err error
+			for range queueBytes / (64 << 10) * 2 {
+				if err = a.Send("slow", TypeSuspect, make([]byte, 64<<10)); err != nil {
+					break
+				}
+			}
+			close(release)
+			So(err, ShouldEqual, ErrOverloaded)
+			So(a.count(groupDrops, dropQueueFull), ShouldEqual, 1)
+		})
+	})
+}
+
+func TestIdleConnectionIsClosedWithoutLoss(t *testing.T) {
+	// Symptom: a queue was rebuilt although nothing had failed.
+	// Sequence: a connection was idle, one side closed it, the other side took
+	// the close for the peer's death.
+	// Cause: closing did not say whether messages could be lost.
+	Convey("An idle connection is closed by agreement and OnDown is not called", t, func() {
+		short := func(o *Options) { o.IdleTimeout = 50 * time.Millisecond }
+		a, b := startNode("a", short), startNode("b", short)
+		a.knows(b)
+		So(a.Send("b", TypePoolEvents, []byte("1")), ShouldBeNil)
+		So(await(b.got), ShouldEqual, "a:1")
+		eventually(func() bool { return a.connections() == 0 && b.connections() == 0 })
+		So(a.count(groupClosed, closedIdle), ShouldEqual, 1)
+		So(b.count(groupClosed, closedIdle), ShouldEqual, 1)
+		So(len(a.down)+len(b.down), ShouldEqual, 0)
+		So(a.Send("b", TypePoolEvents, []byte("2")), ShouldBeNil)
+		So(await(b.got), ShouldEqual, "a:2")
+	})
+}
+
+func TestSilentConnection(t *testing.T) {
+	// Symptom: requests to one owner hang until their deadlines, although the
+	// owner is idle and other daemons reach it.
+	// Sequence: a connection is open and in use; something between the two
+	// ends loses track of it; TCP keeps accepting writes.
+	// Cause: nobody asked the peer for a sign of life on that connection.
+	for name, direction := range map[string]faultproxy.Direction{
+		"both ways": faultproxy.Both, "to the peer": faultproxy.ToTarget, "from the peer": faultproxy.ToClient,
+	} {
+		Convey("A connection that goes silent "+name+" is replaced by a new one", t, func() {
+			a, b := startNode("a", nil), startNode("b", nil)
+			p, err := faultproxy.New("127.0.0.1:0", b.Addr().String())
+			So(err, ShouldBeNil)
+			Reset(p.Close)
+			a.SetAddress("b", p.Addr())
+			So(a.Send("b", TypePoolEvents, []byte("0")), ShouldBeNil)
+			So(await(b.got), ShouldEqual, "a:0")
+
+			p.Silence(direction)
+			pending := make(chan error, 1)
+			go func() {
+				_, err := a.call("b", "lost")
+				pending <- err
+			}()
+			So(errors.Is(await(pending), ErrUnknownOutcome), ShouldBeTrue)
+			So(await(a.down), ShouldEqual, Name("b"))
+			So(a.count(groupClosed, closedSilent), ShouldEqual, 1)
+			So(a.count(groupRedials, closedSilent), ShouldEqual, 1)
+			out, err := a.call("b", "new")
+			So(err, ShouldBeNil)
+			So(out, ShouldEqual, "re:new")
+			// The other end is told by the new connection, not by the old one.
+			So(await(b.down), ShouldEqual, Name("a"))
+			So(b.Send("a", TypePoolEvents, []byte("back")), ShouldBeNil)
+			So(await(a.got), ShouldEqual, "b:back")
+		})
+	}
+}
+
+func TestRestartedPeer(t *testing.T) {
+	// Symptom: an owner keeps slots for requests of an entry that restarted.
+	// Sequence: a daemon is replaced under the same name and its old
+	// connection's end never arrives.
+	// Cause: the new connection was taken for one more of the same process.
+	Convey("A new instance under the same name ends the old connections", t, func() {
+		b := startNode("b", nil)
+		p, err := faultproxy.New("127.0.0.1:0", b.Addr().String())
+		So(err, ShouldBeNil)
+		Reset(p.Close)
+		a := startNode("a", nil)
+		a.SetAddress("b", p.Addr())
+		So(a.Send("b", TypePoolEvents, []byte("1")), ShouldBeNil)
+		So(await(b.got), ShouldEqual, "a:1")
+		p.Silence(faultproxy.Both)
+		a.Close()
+		again := startNode("a", nil)
+		again.knows(b)
+		So(again.Send("b", TypePoolEvents, []byte("2")), ShouldBeNil)
+		So(await(b.got), ShouldEqual, "a:2")
+		So(await(b.down), ShouldEqual, Name("a"))
+		So(b.count(groupClosed, closedRestarted)+b.count(groupClosed, closedSilent), ShouldEqual, 1)
+	})
+}
--- /dev/null
+++ b/internal/peer/watch.go
@@ -0,0 +1,120 @@
+package peer
+
+import "time"
+
+const (
+	// watchTick is how often connections are looked at.
+	watchTick = 100 * time.Millisecond
+	// pauseGap between two looks means that this process did not run.
+	pauseGap = 500 * time.Millisecond
+	// pingBurst is how many heartbeats may leave at once.
+	pingBurst = 20
+	// byeTimeout ends an idle connection whose peer doesn't answer the bye.
+	byeTimeout = 30 * time.Second
+)
+
+// noDeadline clears a deadline.
+var noDeadline time.Time
+
+// watchLoop sends heartbeats and gives silent connections up.
+//
+// What goes wrong: something between two daemons forgets an open connection,
+// and TCP keeps what is written for many minutes before it gives up, while a
+// new connection would work. It is noticed by no byte arriving after a
+// heartbeat was sent. The connection is then closed here, its users are told,
+// and the next message dials.
+func (t *TCP) watchLoop() {
+	tick := time.NewTicker(watchTick)
+	defer tick.Stop()
+	last := t.now()
+	for {
+		select {
+		case <-t.ctx.Done():
+			return
+		case <-tick.C:
+		}
+		now := t.now()
+		paused := now.Sub(last) > pauseGap
+		last = now
+		if paused {
+			t.count.pauses.Add(1)
+		}
+		t.mu.Lock()
+		links := t.allLinks()
+		t.mu.Unlock()
+		for _, l := range links {
+			if l.isUp() {
+				t.watch(l, paused)
+			}
+		}
+	}
+}
+
+// watch looks at one connection. After an own pause nothing is held against
+// the peer: what it sent meanwhile may be waiting in the kernel.
+func (t *TCP) watch(l *link, paused bool) {
+	if paused {
+		l.expectSince.Store(0)
+		l.pingedAt.Store(0)
+		return
+	}
+	now := l.nanos()
+	switch pinged := l.pingedAt.Load(); {
+	case pinged != 0 && now-pinged > int64(t.opts.Silence):
+		t.down(l, closedSilent)
+	case pinged == 0 && l.needsPing(now):
+		t.ping(l, now)
+	}
+	t.watchIdle(l, now)
+}
+
+// needsPing tells whether a sign of life is due: a message went unanswered, or
+// a connection that is in use has been quiet.
+func (l *link) needsPing(now int64) bool {
+	if since := l.expectSince.Load(); since != 0 && now-since > int64(l.t.opts.PingAfter) {
+		return true
+	}
+	return l.watched() && now-l.receivedAt.Load() > int64(l.t.opts.WatchInterval)
+}
+
+// watched tells whether messages other than membership's, which has its own
+// timeouts, used the link within IdleTimeout.
+func (l *link) watched() bool {
+	at := l.watchedAt.Load()
+	return at != 0 && l.nanos()-at < int64(l.t.opts.IdleTimeout)
+}
+
+// ping asks for a sign of life. A full queue counts as asked: the peer then
+// takes nothing, which is the silence that is looked for.
+func (t *TCP) ping(l *link, now int64) {
+	if !t.pingRate.Allow() {
+		return
+	}
+	t.count.pings.Add(1)
+	l.pingedAt.CompareAndSwap(0, max(1, now))
+	_ = l.sendPing(pingAsk)
+}
+
+// watchIdle closes a connection that nobody uses. The dialer says bye, the
+// peer sends what it still has and says bye too; neither side is told of a
+// break, because no message is lost.
+func (t *TCP) watchIdle(l *link, now int64) {
+	idle := now-l.usedAt.Load() > int64(t.opts.IdleTimeout)
+	if l.dialed && idle && !l.byeReceived.Load() && l.startClosing() {
+		t.detach(l)
+		l.byeSent.Store(true)
+		_ = l.sendPing(pingBye)
+	}
+	if !l.byeReceived.Load() {
+		if l.byeSent.Load() && now-l.closingAt.Load() > int64(byeTimeout) {
+			t.down(l, closedIdle)
+		}
+		return
+	}
+	switch {
+	case l.dialed:
+		t.down(l, closedIdle)
+	case l.calls.Load() == 0 && l.byeSent.CompareAndSwap(false, true):
+		_ = l.sendPing(pingBye)
+	}
+}
