--- a/internal/experiment/experiment.go
+++ b/internal/experiment/experiment.go
@@ -19,6 +19,8 @@
 	Seed     uint64
 	// Long takes the scenario's long duration.
 	Long bool
+	// Sound leaves the scenario's faults out, for a run to compare with.
+	Sound bool
 	// Progress, where not nil, is called now and then while a policy runs.
 	Progress func(policy pool.Policy, p load.Progress)
 }
@@ -28,7 +30,9 @@
 	Scenario   string `json:"scenario"`
 	Seed       uint64 `json:"seed"`
 	DurationMs int64  `json:"duration_ms"`
-	Arrivals   int    `json:"arrivals"`
+	// Sound tells that the scenario's faults were left out.
+	Sound    bool `json:"without_faults"`
+	Arrivals int  `json:"arrivals"`
 	// Offered is the offered load against the fleet's capacity.
 	Offered  Capacity                       `json:"offered_load"`
 	Policies map[pool.Policy]*PolicyOutcome `json:"policies"`
@@ -60,6 +64,10 @@
 	results []load.Result
 }
 
+// patience is how long callers wait after their deadline: long enough that an
+// answer which is only slow is not taken for a lost one.
+const patience = 20 * time.Second
+
 // maxExamples bounds the violations that are written out.
 const maxExamples = 20
 
@@ -69,7 +77,7 @@
 	s, duration := o.Scenario, o.Scenario.Duration(o.Long)
 	arrivals := load.Arrivals(&s.Mix, o.Seed, duration)
 	out := &Outcome{
-		Scenario: s.Name, Seed: o.Seed, DurationMs: duration.Milliseconds(), Arrivals: len(arrivals),
+		Scenario: s.Name, Seed: o.Seed, DurationMs: duration.Milliseconds(), Arrivals: len(arrivals), Sound: o.Sound,
 		Offered: s.offeredLoad(arrivals, duration), Policies: map[pool.Policy]*PolicyOutcome{}, mix: &s.Mix,
 	}
 	for _, p := range o.Policies {
@@ -92,7 +100,7 @@
 		return nil, err
 	}
 	defer y.stop()
-	run := &load.Run{Mix: &o.Scenario.Mix, Arrivals: arrivals, Targets: []string{y.address}, Keys: o.Scenario.keys()}
+	run := &load.Run{Mix: &o.Scenario.Mix, Arrivals: arrivals, Targets: []string{y.address}, Keys: o.Scenario.keys(), Patience: patience}
 	if err := run.Check(); err != nil {
 		return nil, err
 	}
@@ -111,7 +119,9 @@
 	var wg conc.WaitGroup
 	var faultErr error
 	begin := time.Now()
-	wg.Go(func() { faultErr = y.inject(ctx, begin) })
+	if !o.Sound {
+		wg.Go(func() { faultErr = y.inject(ctx, begin) })
+	}
 	if o.Progress != nil {
 		wg.Go(func() { report(ctx, o, p, run) })
 	}
--- a/internal/load/plot.go
+++ b/internal/load/plot.go
@@ -26,6 +26,11 @@
 	plotBuckets = 40
 	// lowestShare is the share of callers at which the latency plot ends.
 	lowestShare = 0.001
+	// shortestWait is where the latency plot begins, in milliseconds.
+	shortestWait = 10.0
+	legendSpace  = 2 * vg.Millimeter
+	// legendRoom is how much higher a plot is than its highest line.
+	legendRoom = 1.35
 )
 
 // Colors are told apart by people who see colors differently (Okabe and Ito).
@@ -35,20 +40,18 @@
 }
 
 // WritePlot writes a PNG: above, what was offered and what was good over time
-// by tier; below, the share of callers that waited longer for the first byte
-// of use to them (first token, or the whole answer where it is not streamed).
+// by tier; below, the share of callers that waited longer for the first token
+// (of a streamed answer) or the whole answer (of a plain one).
 func WritePlot(path string, m *Mix, duration time.Duration, results []Result) error {
 	above, below := plot.New(), plot.New()
 	above.Title.Text = m.Name + ": offered (dashed) and good (solid) requests by tier"
-	above.X.Label.Text, above.Y.Label.Text = "seconds from the start", "requests/s"
 	LatencyAxes(below, "share of callers that waited longer")
 	for i, tier := range TiersByPriority(m) {
 		if err := addTier(above, below, m, tier, Colors[i%len(Colors)], duration, results); err != nil {
 			return err
 		}
 	}
-	above.Legend.Top = true
-	above.Add(plotter.NewGrid())
+	RateAxes(above)
 	return SavePlots(path, plotWidth, plotHeight, []*plot.Plot{above}, []*plot.Plot{below})
 }
 
@@ -118,15 +121,27 @@
 	return nil
 }
 
+// RateAxes finishes a plot after the last AddRates: room for the legend above
+// the lines.
+func RateAxes(p *plot.Plot) {
+	p.X.Label.Text, p.Y.Label.Text = "seconds from the start", "requests/s"
+	p.Y.Min = 0
+	p.Y.Max *= legendRoom
+	p.Legend.Top, p.Legend.Left = true, true
+	p.Legend.XOffs = legendSpace
+	p.Add(plotter.NewGrid())
+}
+
 // LatencyAxes prepares a plot for AddTail.
 func LatencyAxes(p *plot.Plot, title string) {
 	p.Title.Text = title
-	p.X.Label.Text, p.Y.Label.Text = "milliseconds to the first token (plain: to the whole answer)", "share"
+	p.X.Label.Text, p.Y.Label.Text = "milliseconds to the first token (plain answers: to their end)", "share"
 	p.X.Scale, p.Y.Scale = plot.LogScale{}, plot.LogScale{}
 	p.X.Tick.Marker, p.Y.Tick.Marker = logTicks{}, logTicks{}
-	p.X.Min, p.X.Max = 1, 2
+	p.X.Min, p.X.Max = shortestWait, 2*shortestWait
 	p.Y.Min, p.Y.Max = lowestShare, 1
-	p.Legend.Top = true
+	p.Legend.Left = true
+	p.Legend.XOffs, p.Legend.YOffs = legendSpace, legendSpace
 	p.Add(plotter.NewGrid())
 }
 
@@ -183,7 +198,7 @@
 		if d == 0 {
 			d = y.Total
 		}
-		waits = append(waits, max(0.01, float64(d.Microseconds())/1000))
+		waits = append(waits, max(shortestWait, float64(d.Microseconds())/1000))
 	}
 	sort.Float64s(waits)
 	var out plotter.XYs
@@ -211,4 +226,4 @@
 	return out
 }
 
-func formatTick(v float64) string { return strconv.FormatFloat(v, 'g', 4, 64) }
+func formatTick(v float64) string { return strconv.FormatFloat(v, 'f', -1, 64) }
--- a/internal/load/run.go
+++ b/internal/load/run.go
@@ -9,9 +9,8 @@
 	"github.com/sourcegraph/conc"
 )
 
-// grace is how long after its deadline a caller waits for an answer before it
-// counts as lost.
-const grace = 10 * time.Second
+// DefaultPatience is how long after its deadline a caller waits for its answer.
+const DefaultPatience = 10 * time.Second
 
 // Run offers arrivals to targets.
 type Run struct {
@@ -21,6 +20,9 @@
 	Targets []string
 	// Keys are the bearer keys by workspace.
 	Keys map[string]string
+	// Patience is how long after its deadline a caller waits before its
+	// answer counts as lost; zero means DefaultPatience.
+	Patience time.Duration
 
 	sent, ended, good atomic.Int64
 	start             time.Time
@@ -94,7 +96,11 @@
 }
 
 func (r *Run) try(ctx context.Context, c *client, a *Arrival, began time.Time, t Targets) Try {
-	limit := milliseconds(t.DeadlineMs) + grace
+	patience := r.Patience
+	if patience <= 0 {
+		patience = DefaultPatience
+	}
+	limit := milliseconds(t.DeadlineMs) + patience
 	if a.LeaveAfter > 0 && a.LeaveAfter < limit {
 		limit = a.LeaveAfter
 	}
