test: real processes behind the fault proxy

Cause: failures have to be shown on the programs as they ship. Change: a harness that builds both programs, starts platform, engines and daemons with each link behind the fault proxy, sends checked echo traffic, and judges by run logs and received answers.

--- /dev/null
+++ b/test/caller_test.go
@@ -0,0 +1,197 @@
+package test
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	engine "github.com/lycheekeel/lycheekeel/internal/standin/engine"
+)
+
+// answer is what one caller received.
+type answer struct {
+	status    int
+	requestID string
+	text      string
+	whole     bool // the end of a whole answer was seen
+	code      string
+	notRun    any // true, false or "unknown", of a refusal
+	err       error
+	firstAt   time.Time // of the first text
+	endAt     time.Time
+}
+
+// call is one request of a caller.
+type call struct {
+	text   string // the prompt
+	tier   string
+	stream bool
+	max    int
+	header map[string]string
+}
+
+// client opens a connection for every request, as callers behind a balancer
+// do, and never repeats one by itself.
+func client() *http.Client {
+	return &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+}
+
+// chat sends one request to an address and reads its whole answer.
+func chat(ctx context.Context, address string, c call) answer {
+	body, _ := json.Marshal(map[string]any{
+		"model": testModel, "stream": c.stream, "max_tokens": max(c.max, 16),
+		"messages": []map[string]string{{"role": "user", "content": c.text}},
+	})
+	return send(ctx, address, "/v1/chat/completions", body, c)
+}
+
+// send posts a body and reads the answer, plain or streamed.
+func send(ctx context.Context, address, path string, body []byte, c call) answer {
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+path, bytes.NewReader(body))
+	if err != nil {
+		return answer{err: err}
+	}
+	req.GetBody = nil // the transport may not send it again
+	req.Header.Set("Content-Type", "application/json")
+	req.Header.Set("Authorization", "Bearer "+testKey)
+	if c.tier != "" {
+		req.Header.Set("X-Lycheekeel-Tier", c.tier)
+	}
+	for k, v := range c.header {
+		req.Header.Set(k, v)
+	}
+	resp, err := client().Do(req)
+	if err != nil {
+		return answer{err: err, endAt: time.Now()}
+	}
+	defer resp.Body.Close()
+	a := answer{status: resp.StatusCode, requestID: resp.Header.Get("X-Request-Id")}
+	if strings.HasPrefix(resp.Header.Get("Content-Type"), "text/event-stream") {
+		a.readEvents(resp.Body)
+	} else {
+		a.readPlain(resp.Body)
+	}
+	a.endAt = time.Now()
+	return a
+}
+
+// wire is the part of OpenAI's answers, chunks and errors that tests read.
+type wire struct {
+	Choices []struct {
+		Message      struct{ Content string }
+		Delta        struct{ Content string }
+		FinishReason string `json:"finish_reason"`
+	}
+	Error *struct {
+		Code   string
+		NotRun any `json:"not_run"`
+	}
+}
+
+func (a *answer) readPlain(r io.Reader) {
+	data, err := io.ReadAll(r)
+	a.err = err
+	var w wire
+	if err == nil && json.Unmarshal(data, &w) == nil {
+		a.take(w)
+		a.whole = a.status == http.StatusOK && a.code == ""
+	}
+	if a.text == "" && a.code == "" {
+		a.text = string(data)
+	}
+}
+
+func (a *answer) readEvents(r io.Reader) {
+	lines := bufio.NewScanner(r)
+	lines.Buffer(nil, 1<<20)
+	for lines.Scan() {
+		data, ok := strings.CutPrefix(lines.Text(), "data: ")
+		if !ok {
+			continue
+		}
+		if data == "[DONE]" {
+			a.whole = a.code == ""
+			continue
+		}
+		var w wire
+		if err := json.Unmarshal([]byte(data), &w); err != nil {
+			a.err = err
+			return
+		}
+		a.take(w)
+	}
+	if a.err == nil {
+		a.err = lines.Err()
+	}
+}
+
+func (a *answer) take(w wire) {
+	if w.Error != nil {
+		a.code, a.notRun = w.Error.Code, w.Error.NotRun
+	}
+	for _, c := range w.Choices {
+		text := c.Message.Content + c.Delta.Content
+		if text != "" && a.firstAt.IsZero() {
+			a.firstAt = time.Now()
+		}
+		a.text += text
+	}
+}
+
+// result is a call with its answer.
+type result struct {
+	call   call
+	answer answer
+}
+
+// echoCall returns a call whose answer is known: a text that no other call
+// of the test has, streamed every second time.
+func echoCall(lane, n, words int) (call, string) {
+	text := fmt.Sprintf("lane %d call %d%s.", lane, n, strings.Repeat(" snag list", words))
+	tiers := []string{"handover", "report", "summary", "tag"}
+	return call{text: "echo:" + text, stream: n%2 == 0, tier: tiers[n%len(tiers)], max: 4096}, text
+}
+
+// checkAnswers fails the test where a caller got another's answer or a part
+// of its own, where a refusal "not run" is false, or where a request stands in
+// the engines' run logs twice. It returns the counts of whole answers, of
+// refusals by code, and of answers that broke off.
+func checkAnswers(t testing.TB, c *cluster, results []result) (whole int, refused map[string]int, broken int) {
+	t.Helper()
+	runs := map[string]int{}
+	for _, r := range c.runs() {
+		runs[r.RequestID]++
+		if runs[r.RequestID] == 2 {
+			t.Errorf("request %s was dispatched twice", r.RequestID)
+		}
+	}
+	refused = map[string]int{}
+	for _, r := range results {
+		a := r.answer
+		want := strings.TrimPrefix(r.call.text, engine.PrefixEcho)
+		switch {
+		case a.whole && a.text != want:
+			t.Errorf("a caller got a wrong answer as whole: want %q, got %q", want, a.text)
+		case a.whole:
+			whole++
+		case a.code != "":
+			refused[a.code]++
+			if a.notRun == true && runs[a.requestID] != 0 {
+				t.Errorf("request %s was refused as not run (%s), but ran", a.requestID, a.code)
+			}
+		default:
+			broken++
+			if !strings.HasPrefix(want, a.text) {
+				t.Errorf("a caller got another's text: want a part of %q, got %q", want, a.text)
+			}
+		}
+	}
+	return whole, refused, broken
+}
--- /dev/null
+++ b/test/cluster_test.go
@@ -0,0 +1,337 @@
+package test
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"path/filepath"
+	"testing"
+
+	"github.com/lycheekeel/lycheekeel/internal/daemon"
+	"github.com/lycheekeel/lycheekeel/internal/faultproxy"
+	engine "github.com/lycheekeel/lycheekeel/internal/standin/engine"
+	standin "github.com/lycheekeel/lycheekeel/internal/standin/platform"
+	"github.com/lycheekeel/lycheekeel/platform"
+	"github.com/lycheekeel/lycheekeel/platform/httpplatform"
+	"github.com/lycheekeel/lycheekeel/workspace"
+)
+
+// The names in the test configuration.
+const (
+	testRegion  = "colombo"
+	testModel   = "report-writer"
+	testPool    = "reports"
+	testService = "crew"
+	testKey     = "test-key"
+	clusterKey  = "a-cluster-key-for-tests-only"
+)
+
+// link is one address behind a fault proxy.
+type link struct {
+	proxy  *faultproxy.Proxy
+	target string // where the process itself listens
+}
+
+func newLink(t testing.TB, target string) *link {
+	t.Helper()
+	p, err := faultproxy.New("127.0.0.1:0", target)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(p.Close)
+	return &link{proxy: p, target: target}
+}
+
+// node is one lycheekeeld with the links that lead to it.
+type node struct {
+	*process
+	settings daemon.Settings
+	file     string
+	callers  *link // callers to the daemon
+	peers    *link // the other daemons to this one
+	store    *link // the daemon to the platform
+}
+
+// engineNode is one engine stand-in behind its link.
+type engineNode struct {
+	*process
+	name string
+	link *link
+}
+
+// cluster is everything that a test runs.
+type cluster struct {
+	t        testing.TB
+	platform *process
+	store    string // the platform's own address, without a proxy
+	api      platform.Platform
+	engines  []*engineNode
+	service  *engineNode // the plain service
+	nodes    []*node
+}
+
+// plan says what a cluster consists of. Zero fields take small defaults.
+type plan struct {
+	nodes, engines int
+	options        engine.Options // of every engine
+	slots          int            // a server's bound in the configuration
+	checksTokens   bool
+}
+
+// newCluster starts a cluster and waits until every daemon is ready.
+func newCluster(t testing.TB, p plan) *cluster {
+	t.Helper()
+	c := &cluster{t: t, store: freeAddress(t)}
+	c.platform = start(t, "platform", "lycheekeel", "standin", "platform", "--listen", c.store)
+	c.api = httpplatform.New(httpplatform.Options{Addr: c.store})
+	c.awaitHTTP(c.store, "/standin/calls")
+	for i := range p.engines {
+		c.addEngine(fmt.Sprintf("engine-%d", i), p.options)
+	}
+	c.addService()
+	c.configure(p)
+	for i := range p.nodes {
+		c.addNode(fmt.Sprintf("entry-%d", i))
+	}
+	for _, n := range c.nodes {
+		c.awaitReady(n)
+	}
+	c.awaitMembers()
+	return c
+}
+
+func (c *cluster) addEngine(name string, o engine.Options) *engineNode {
+	c.t.Helper()
+	options, err := json.Marshal(o)
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	address := freeAddress(c.t)
+	e := &engineNode{name: name, link: newLink(c.t, address)}
+	e.process = start(c.t, name, "lycheekeel", "standin", "engine", "--listen", address, "--options", string(options))
+	c.engines = append(c.engines, e)
+	c.awaitHTTP(address, engine.PathHealth)
+	return e
+}
+
+func (c *cluster) addService() {
+	c.t.Helper()
+	address := freeAddress(c.t)
+	c.service = &engineNode{name: "crew-0", link: newLink(c.t, address)}
+	c.service.process = start(c.t, "service", "lycheekeel", "standin", "service", "--listen", address)
+	c.awaitHTTP(address, "/standin/calls")
+}
+
+// addNode starts one more daemon; every other daemon is its seed.
+func (c *cluster) addNode(name string) *node {
+	c.t.Helper()
+	n := &node{
+		callers: newLink(c.t, freeAddress(c.t)),
+		peers:   newLink(c.t, freeAddress(c.t)),
+		store:   newLink(c.t, c.store),
+		file:    filepath.Join(c.t.TempDir(), name+".json"),
+	}
+	n.settings = daemon.Settings{
+		Name: name, Region: testRegion, AvailabilityZone: fmt.Sprintf("hall-%d", len(c.nodes)%3),
+		Listen: n.callers.target, Admin: freeAddress(c.t),
+		Peer: daemon.PeerSettings{
+			Listen: n.peers.target, Address: n.peers.proxy.Addr(), Seeds: []string{}, ClusterKeys: []string{clusterKey},
+		},
+		Platform: daemon.PlatformSettings{Address: n.store.proxy.Addr()},
+		Log:      daemon.LogSettings{Level: "info"},
+		Timeouts: daemon.TimeoutSettings{DrainMs: 1500},
+	}
+	for _, other := range c.nodes {
+		n.settings.Peer.Seeds = append(n.settings.Peer.Seeds, other.peers.proxy.Addr())
+	}
+	c.nodes = append(c.nodes, n)
+	c.startNode(n)
+	return n
+}
+
+// startNode starts a node's daemon, or starts it again with nothing kept.
+func (c *cluster) startNode(n *node) {
+	c.t.Helper()
+	data, err := json.Marshal(n.settings)
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	if err := os.WriteFile(n.file, data, 0o600); err != nil {
+		c.t.Fatal(err)
+	}
+	n.process = start(c.t, n.settings.Name, "lycheekeeld", "--settings", n.file)
+}
+
+func (c *cluster) awaitReady(n *node) {
+	c.t.Helper()
+	c.awaitHTTP(n.settings.Admin, "/readyz")
+}
+
+// awaitMembers waits until every running daemon sees all of them alive.
+func (c *cluster) awaitMembers() {
+	c.t.Helper()
+	eventually(c.t, "every daemon sees all others alive", func() bool {
+		for _, n := range c.nodes {
+			if c.aliveAt(n) != len(c.nodes) {
+				return false
+			}
+		}
+		return true
+	})
+}
+
+// aliveAt counts the members that a daemon sees alive.
+func (c *cluster) aliveAt(n *node) int {
+	alive := 0
+	for _, m := range c.status(n).Members {
+		if m.State == "alive" {
+			alive++
+		}
+	}
+	return alive
+}
+
+// status returns a daemon's own status, empty where it does not answer.
+func (c *cluster) status(n *node) daemon.Status {
+	var s daemon.Status
+	c.getJSON(n.settings.Admin, "/status", &s)
+	return s
+}
+
+// owner returns the node that a pool's owner runs on, as the others see it.
+func (c *cluster) owner(pool string) *node {
+	c.t.Helper()
+	var found *node
+	eventually(c.t, "the daemons agree on the owner of "+pool, func() bool {
+		names := map[string]bool{}
+		for _, n := range c.nodes {
+			for _, p := range c.status(n).Pools {
+				if p.Pool == pool {
+					names[p.Owner] = true
+				}
+			}
+		}
+		for _, n := range c.nodes {
+			if len(names) == 1 && names[n.settings.Name] {
+				found = n
+			}
+		}
+		return found != nil
+	})
+	return found
+}
+
+// runs returns the run logs of all engines together.
+func (c *cluster) runs() []engine.RunRecord {
+	var all []engine.RunRecord
+	for _, e := range c.engines {
+		all = append(all, c.runsOf(e)...)
+	}
+	return all
+}
+
+func (c *cluster) runsOf(e *engineNode) []engine.RunRecord {
+	var runs []engine.RunRecord
+	c.getJSON(e.link.target, engine.PathRuns, &runs)
+	return runs
+}
+
+// engineFaults changes an engine's faults; only the named fields change.
+func (c *cluster) engineFaults(e *engineNode, faults string) {
+	c.t.Helper()
+	c.post(e.link.target, engine.PathFaults, faults)
+}
+
+// storeFaults replaces the platform's faults.
+func (c *cluster) storeFaults(f standin.Faults) {
+	c.t.Helper()
+	data, err := json.Marshal(f)
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	c.post(c.store, standin.PathFaults, string(data))
+}
+
+// put writes a configuration object, whatever its version is.
+func (c *cluster) put(kind platform.Kind, name string, v any) platform.Version {
+	c.t.Helper()
+	value, err := json.Marshal(v)
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	ctx := c.t.Context()
+	old, err := c.api.Get(ctx, kind, name)
+	var version platform.Version
+	if err != nil {
+		version, err = c.api.Create(ctx, kind, name, value)
+	} else {
+		version, err = c.api.Update(ctx, kind, name, value, old.Version)
+	}
+	if err != nil {
+		c.t.Fatalf("put %s/%s: %v", kind, name, err)
+	}
+	return version
+}
+
+func (c *cluster) awaitHTTP(address, path string) {
+	c.t.Helper()
+	eventually(c.t, "http://"+address+path+" answers 200", func() bool {
+		resp, err := http.Get("http://" + address + path)
+		if err != nil {
+			return false
+		}
+		resp.Body.Close()
+		return resp.StatusCode == http.StatusOK
+	})
+}
+
+// getJSON reads a JSON answer; v stays as it is where none comes.
+func (c *cluster) getJSON(address, path string, v any) {
+	resp, err := http.Get("http://" + address + path)
+	if err != nil {
+		return
+	}
+	defer resp.Body.Close()
+	_ = json.NewDecoder(resp.Body).Decode(v)
+}
+
+func (c *cluster) post(address, path, body string) {
+	c.t.Helper()
+	resp, err := http.Post("http://"+address+path, "application/json", bytes.NewReader([]byte(body)))
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode/100 != 2 {
+		answer, _ := io.ReadAll(resp.Body)
+		c.t.Fatalf("POST %s: %d %s", path, resp.StatusCode, answer)
+	}
+}
+
+// configure writes the test's configuration.
+func (c *cluster) configure(p plan) {
+	c.t.Helper()
+	c.put(workspace.KindTemplate, "snagging", testTemplate())
+	c.put(workspace.KindPool, testPool, workspace.Pool{Name: testPool, Region: testRegion, Model: testModel, Version: "v1"})
+	c.put(workspace.KindPool, testService, workspace.Pool{Name: testService, Region: testRegion, Service: testService})
+	c.put(workspace.KindWorkspace, "kotte", testWorkspace())
+	for i, e := range c.engines {
+		c.put(workspace.KindBackendServer, e.name, c.backendServer(e, i, p))
+	}
+	c.put(workspace.KindBackendServer, c.service.name, workspace.BackendServer{
+		Name: c.service.name, Address: c.service.link.proxy.Addr(), Region: testRegion,
+		AvailabilityZone: "hall-0", Pool: testService, Slots: 16,
+	})
+}
+
+// backendServer returns the configuration of an engine.
+func (c *cluster) backendServer(e *engineNode, number int, p plan) workspace.BackendServer {
+	return workspace.BackendServer{
+		Name: e.name, Address: e.link.proxy.Addr(), Region: testRegion, Generation: "g1",
+		AvailabilityZone: fmt.Sprintf("hall-%d", number%3), Pool: testPool, Slots: p.slots,
+		ChecksTokens: p.checksTokens,
+	}
+}
--- /dev/null
+++ b/test/process_test.go
@@ -0,0 +1,183 @@
+package test
+
+import (
+	"bytes"
+	"fmt"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+)
+
+// limit is how long a test waits for something that must come; only a fault
+// of the product, or a machine that stands still, makes a test wait so long.
+const limit = 60 * time.Second
+
+// poll is how often a test looks whether it has come.
+const poll = 10 * time.Millisecond
+
+// binaries is the directory of the programs under test.
+var binaries string
+
+func TestMain(m *testing.M) {
+	code := 1
+	defer func() { os.Exit(code) }()
+	dir, err := os.MkdirTemp("", "lycheekeel-test")
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return
+	}
+	defer os.RemoveAll(dir)
+	args := append([]string{"build"}, raceFlags...)
+	args = append(args, "-o", dir+string(filepath.Separator), "../cmd/lycheekeeld", "../cmd/lycheekeel")
+	if out, err := exec.Command("go", args...).CombinedOutput(); err != nil {
+		fmt.Fprintf(os.Stderr, "build: %v\n%s", err, out)
+		return
+	}
+	binaries = dir
+	code = m.Run()
+}
+
+// process is one started program. Its output is kept and shown when its test
+// fails.
+type process struct {
+	t      testing.TB
+	name   string
+	cmd    *exec.Cmd
+	output lockedBuffer
+	done   chan struct{}
+	err    error // of Wait, valid once done is closed
+}
+
+// start runs a program until the test's end.
+func start(t testing.TB, name, program string, args ...string) *process {
+	t.Helper()
+	p := &process{t: t, name: name, done: make(chan struct{})}
+	p.cmd = exec.Command(filepath.Join(binaries, program), args...)
+	p.cmd.Stdout, p.cmd.Stderr = &p.output, &p.output
+	p.cmd.Env = append(os.Environ(), "GORACE=halt_on_error=1", "GOMAXPROCS=2")
+	if err := p.cmd.Start(); err != nil {
+		t.Fatalf("start %s: %v", name, err)
+	}
+	go func() {
+		p.err = p.cmd.Wait()
+		close(p.done)
+	}()
+	t.Cleanup(p.cleanUp)
+	return p
+}
+
+func (p *process) cleanUp() {
+	p.signal(syscall.SIGCONT)
+	p.kill()
+	if p.t.Failed() {
+		p.t.Logf("output of %s:\n%s", p.name, p.output.tail())
+	}
+	if bytes.Contains(p.output.bytes(), []byte("DATA RACE")) {
+		p.t.Errorf("%s: data race", p.name)
+	}
+}
+
+// signal sends a signal to this process, if it still runs.
+func (p *process) signal(s syscall.Signal) {
+	select {
+	case <-p.done:
+	default:
+		_ = p.cmd.Process.Signal(s)
+	}
+}
+
+// kill ends the process as a VM's death does, and waits until it is gone.
+func (p *process) kill() {
+	p.signal(syscall.SIGKILL)
+	<-p.done
+}
+
+// stop asks the process to end and waits until it has.
+func (p *process) stop() error {
+	p.signal(syscall.SIGTERM)
+	select {
+	case <-p.done:
+		return p.err
+	case <-time.After(limit):
+		return fmt.Errorf("%s did not stop within %v", p.name, limit)
+	}
+}
+
+// lockedBuffer keeps what a process writes.
+type lockedBuffer struct {
+	mu sync.Mutex
+	b  bytes.Buffer
+}
+
+func (l *lockedBuffer) Write(p []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.b.Write(p)
+}
+
+func (l *lockedBuffer) bytes() []byte {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return bytes.Clone(l.b.Bytes())
+}
+
+// tailBytes is how much of a process's output a failed test shows.
+const tailBytes = 6000
+
+func (l *lockedBuffer) tail() []byte {
+	b := l.bytes()
+	return b[max(0, len(b)-tailBytes):]
+}
+
+// nextPort hands out ports below the range from which the system takes the
+// local ports of outgoing connections.
+var nextPort atomic.Int32
+
+const (
+	firstPort = 15000
+	lastPort  = 32000
+)
+
+// freeAddress returns a loopback address that nobody listens at.
+func freeAddress(t testing.TB) string {
+	t.Helper()
+	nextPort.CompareAndSwap(0, firstPort+int32(os.Getpid()%1000)*16)
+	for range lastPort - firstPort {
+		port := nextPort.Add(1)
+		if port >= lastPort {
+			nextPort.Store(firstPort)
+			continue
+		}
+		address := fmt.Sprintf("127.0.0.1:%d", port)
+		ln, err := net.Listen("tcp", address)
+		if err != nil {
+			continue
+		}
+		ln.Close()
+		return address
+	}
+	t.Fatal("no free port")
+	return ""
+}
+
+// eventually waits until the condition holds, and fails the test where it
+// does not within the limit.
+func eventually(t testing.TB, what string, holds func() bool) {
+	t.Helper()
+	tick := time.NewTicker(poll)
+	defer tick.Stop()
+	deadline := time.After(limit)
+	for !holds() {
+		select {
+		case <-tick.C:
+		case <-deadline:
+			t.Fatalf("not within %v: %s", limit, what)
+		}
+	}
+}
--- /dev/null
+++ b/test/traffic_test.go
@@ -0,0 +1,64 @@
+package test
+
+import (
+	"context"
+	"sync"
+
+	"github.com/sourcegraph/conc"
+)
+
+// recorder collects results from many callers.
+type recorder struct {
+	mu      sync.Mutex
+	results []result
+}
+
+func (r *recorder) add(c call, a answer) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.results = append(r.results, result{call: c, answer: a})
+}
+
+func (r *recorder) all() []result {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return append([]result(nil), r.results...)
+}
+
+// count returns how many answers came so far.
+func (r *recorder) count() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return len(r.results)
+}
+
+// load is steady traffic: lanes that each send one request after the other.
+type load struct {
+	recorder
+	cancel context.CancelFunc
+	lanes  conc.WaitGroup
+}
+
+// startLoad sends echo texts of the given length from a number of lanes, each
+// to the address that pick returns for it. Every request is let finish.
+func startLoad(ctx context.Context, lanes, words int, pick func(lane, n int) string) *load {
+	l := &load{}
+	going, cancel := context.WithCancel(ctx)
+	l.cancel = cancel
+	for lane := range lanes {
+		l.lanes.Go(func() {
+			for n := 0; going.Err() == nil; n++ {
+				c, _ := echoCall(lane, n, words)
+				l.add(c, chat(ctx, pick(lane, n), c))
+			}
+		})
+	}
+	return l
+}
+
+// stop sends nothing new, waits for every answer, and returns them all.
+func (l *load) stop() []result {
+	l.cancel()
+	l.lanes.Wait()
+	return l.all()
+}
