--- a/test/cluster_test.go
+++ b/test/cluster_test.go
@@ -127,6 +127,14 @@
 
 // addNode starts one more daemon; every other daemon is its seed.
 func (c *cluster) addNode(name string) *node {
+	c.t.Helper()
+	n := c.prepareNode(name)
+	c.startNode(n)
+	return n
+}
+
+// prepareNode adds a daemon that does not run yet.
+func (c *cluster) prepareNode(name string) *node {
 	c.t.Helper()
 	n := &node{
 		callers: newLink(c.t, freeAddress(c.t)),
@@ -148,7 +156,6 @@
 		n.settings.Peer.Seeds = append(n.settings.Peer.Seeds, other.peers.proxy.Addr())
 	}
 	c.nodes = append(c.nodes, n)
-	c.startNode(n)
 	return n
 }
 
--- /dev/null
+++ b/test/crash_test.go
@@ -0,0 +1,62 @@
+package test
+
+import (
+	"net/http"
+	"testing"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	engine "github.com/lycheekeel/lycheekeel/internal/standin/engine"
+)
+
+// crashes counts the runs of all engines that a crash ended and that carry
+// one of the request ids.
+func (c *cluster) runsNamed(ids map[string]bool) int {
+	n := 0
+	for _, r := range c.runs() {
+		if ids[r.RequestID] {
+			n++
+		}
+	}
+	return n
+}
+
+// Symptom: one engine after the other crashes, and everybody's answers on them
+// are lost.
+// Sequence: a request crashes the engine that runs it; its caller sends it
+// again, each time to another entry, while others' requests run.
+// Cause: each entry and owner sees a new request and a healthy engine.
+func TestARequestThatCrashesEnginesIsConvicted(t *testing.T) {
+	c := newCluster(t, plan{nodes: 3, engines: 4, options: engine.Options{StepMs: 10, RestartMs: 400}})
+	Convey("it is refused as convicted after few crashes, and innocents are served", t, func() {
+		for _, e := range c.engines {
+			c.engineFaults(e, `{"crash_text": "deadly snag"}`)
+		}
+		l := startLoad(t.Context(), 6, 10, through(c.nodes))
+		eventually(t, "traffic flows", func() bool { return l.count() >= 30 })
+		ids := map[string]bool{}
+		sent := 0
+		eventually(t, "the request is convicted", func() bool {
+			a := chat(t.Context(), c.nodes[sent%3].callers.proxy.Addr(), call{text: "a deadly snag list", tier: "handover"})
+			sent++
+			ids[a.requestID] = true
+			return a.code == "convicted"
+		})
+		crashes := c.runsNamed(ids)
+		for _, n := range c.nodes {
+			eventually(t, "every entry refuses it", func() bool {
+				a := chat(t.Context(), n.callers.proxy.Addr(), call{text: "a deadly snag list", tier: "handover"})
+				return a.code == "convicted" && a.notRun == true && a.status == http.StatusUnprocessableEntity
+			})
+		}
+		at := l.count()
+		eventually(t, "innocents are served", func() bool { return l.count() >= at+60 })
+		results := l.stop()
+		whole, refused, broken := checkAnswers(t, c, results)
+		t.Logf("crashes before the conviction: %d, sent %d times; others: %d whole, %v refused, %d broken",
+			crashes, sent, whole, refused, broken)
+		So(crashes, ShouldBeBetweenOrEqual, 2, 3)
+		So(refused["convicted"], ShouldEqual, 0)
+		So(whole, ShouldBeGreaterThan, len(results)-20)
+	})
+}
--- /dev/null
+++ b/test/owner_test.go
@@ -0,0 +1,135 @@
+package test
+
+import (
+	"syscall"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	engine "github.com/lycheekeel/lycheekeel/internal/standin/engine"
+)
+
+// slowEngine makes answers take a second or two, so that failures meet
+// requests that run and requests that wait.
+var slowEngine = engine.Options{StepMs: 20, Slots: 8}
+
+// others returns every node but one.
+func (c *cluster) others(not *node) []*node {
+	var out []*node
+	for _, n := range c.nodes {
+		if n != not {
+			out = append(out, n)
+		}
+	}
+	return out
+}
+
+// through picks the caller address of nodes in turn.
+func through(nodes []*node) func(lane, n int) string {
+	return func(lane, n int) string { return nodes[(lane+n)%len(nodes)].callers.proxy.Addr() }
+}
+
+// firstRunAfter returns how long after a moment the first run started that
+// the engines took on later than it.
+func (c *cluster) firstRunAfter(at time.Time) (time.Duration, bool) {
+	var first time.Time
+	for _, r := range c.runs() {
+		if r.StartedAt.After(at) && (first.IsZero() || r.StartedAt.Before(first)) {
+			first = r.StartedAt
+		}
+	}
+	return first.Sub(at), !first.IsZero()
+}
+
+// Symptom: after a VM's death, callers of the other entries get errors or wait
+// for ever.
+// Sequence: the owner of the pool dies while requests of other entries wait in
+// its queue and run under its grants.
+// Cause: the queue and the count of what runs died with the owner.
+func TestTheOwnerDies(t *testing.T) {
+	c := newCluster(t, plan{nodes: 4, engines: 2, options: slowEngine, slots: 4})
+	Convey("the requests of the other entries are all answered whole, once", t, func() {
+		owner := c.owner(testPool)
+		l := startLoad(t.Context(), 30, 10, through(c.others(owner)))
+		eventually(t, "traffic flows", func() bool { return l.count() >= 60 })
+		owner.kill()
+		at, killed := l.count(), time.Now()
+		eventually(t, "traffic flows again", func() bool { return l.count() >= at+120 })
+		results := l.stop()
+		whole, refused, broken := checkAnswers(t, c, results)
+		So(refused, ShouldBeEmpty)
+		So(broken, ShouldEqual, 0)
+		So(whole, ShouldEqual, len(results))
+		after, ok := c.firstRunAfter(killed)
+		So(ok, ShouldBeTrue)
+		t.Logf("first run after the owner's death: %v", after)
+	})
+}
+
+// Symptom: servers are overrun, or requests run twice, after a daemon comes
+// back from a pause.
+// Sequence: the owner's process is stopped for some seconds, another daemon
+// takes its pools over, and the first one goes on with what it knew.
+// Cause: two owners grant the same slots, and old grants reach the entries.
+func TestTheOwnerIsPausedAndComesBack(t *testing.T) {
+	c := newCluster(t, plan{nodes: 4, engines: 2, options: slowEngine, slots: 4})
+	Convey("no request is lost or doubled while there are two owners", t, func() {
+		owner := c.owner(testPool)
+		l := startLoad(t.Context(), 30, 10, through(c.others(owner)))
+		eventually(t, "traffic flows", func() bool { return l.count() >= 60 })
+		owner.signal(syscall.SIGSTOP)
+		eventually(t, "another owner", func() bool {
+			for _, n := range c.others(owner) {
+				for _, p := range c.status(n).Pools {
+					if p.Pool == testPool && p.Owner == owner.settings.Name {
+						return false
+					}
+				}
+			}
+			return true
+		})
+		at := l.count()
+		eventually(t, "traffic flows again", func() bool { return l.count() >= at+90 })
+		owner.signal(syscall.SIGCONT)
+		c.awaitMembers()
+		at = l.count()
+		eventually(t, "traffic goes on", func() bool { return l.count() >= at+90 })
+		results := l.stop()
+		whole, refused, broken := checkAnswers(t, c, results)
+		So(refused, ShouldBeEmpty)
+		So(broken, ShouldEqual, 0)
+		So(whole, ShouldEqual, len(results))
+	})
+}
+
+// Symptom: a caller's request is run by nobody or by two after its entry died.
+// Sequence: an entry dies while requests wait in it and run under its grants.
+// Cause: the slots that it held are never freed, or its requests are handed on.
+func TestAnEntryDiesWithWaitingRequests(t *testing.T) {
+	c := newCluster(t, plan{nodes: 4, engines: 2, options: slowEngine, slots: 3})
+	Convey("only its own callers notice, and its slots are free again", t, func() {
+		victim := c.others(c.owner(testPool))[0]
+		lost := startLoad(t.Context(), 20, 10, through([]*node{victim}))
+		l := startLoad(t.Context(), 20, 10, through(c.others(victim)))
+		eventually(t, "traffic flows", func() bool { return l.count() >= 40 && lost.count() >= 20 })
+		victim.kill()
+		at := l.count()
+		eventually(t, "traffic goes on at the others", func() bool { return l.count() >= at+120 })
+		results := l.stop()
+		lost.cancel()
+		whole, refused, broken := checkAnswers(t, c, results)
+		So(refused, ShouldBeEmpty)
+		So(broken, ShouldEqual, 0)
+		So(whole, ShouldEqual, len(results))
+		checkAnswers(t, c, lost.stop())
+		eventually(t, "nothing runs at the owner any more", func() bool {
+			for _, s := range c.status(c.owner(testPool)).Owned {
+				if s.Pool == testPool {
+					return s.Running == 0
+				}
+			}
+			return false
+		})
+	})
+}
--- /dev/null
+++ b/test/silence_test.go
@@ -0,0 +1,98 @@
+package test
+
+import (
+	"testing"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/lycheekeel/lycheekeel/internal/faultproxy"
+	engine "github.com/lycheekeel/lycheekeel/internal/standin/engine"
+	"github.com/lycheekeel/lycheekeel/workspace"
+)
+
+// Symptom: streams stop in the middle and their callers wait until they give
+// up; prompts are computed twice.
+// Sequence: something between entries and engines loses track of the open
+// connections; bytes vanish both ways, new connections work.
+// Cause: nothing arrives, so a reader without a silence limit waits for ever.
+func TestEngineConnectionsGoSilent(t *testing.T) {
+	c := newCluster(t, plan{nodes: 2, engines: 2, options: slowEngine})
+	Convey("every stream is resumed on a new connection and none is run again", t, func() {
+		l := startLoad(t.Context(), 12, 30, through(c.nodes))
+		for round := range 3 {
+			at := l.count()
+			eventually(t, "traffic flows", func() bool { return l.count() >= at+24 })
+			c.engines[round%2].link.proxy.Silence(faultproxy.Both)
+		}
+		at := l.count()
+		eventually(t, "traffic goes on", func() bool { return l.count() >= at+24 })
+		results := l.stop()
+		whole, refused, broken := checkAnswers(t, c, results)
+		So(refused, ShouldBeEmpty)
+		So(broken, ShouldEqual, 0)
+		So(whole, ShouldEqual, len(results))
+		So(len(c.runs()), ShouldEqual, len(results))
+	})
+}
+
+// Symptom: requests hang at entries whose owner seems alive.
+// Sequence: the connections between daemons go silent one way, then both ways;
+// new ones work.
+// Cause: TCP alone reports nothing for minutes.
+func TestPeerConnectionsGoSilent(t *testing.T) {
+	c := newCluster(t, plan{nodes: 3, engines: 2, options: slowEngine, slots: 6})
+	Convey("sessions are opened again on new connections; nothing is lost or doubled", t, func() {
+		l := startLoad(t.Context(), 20, 5, through(c.nodes))
+		for _, d := range []faultproxy.Direction{faultproxy.ToTarget, faultproxy.ToClient, faultproxy.Both} {
+			at := l.count()
+			eventually(t, "traffic flows", func() bool { return l.count() >= at+60 })
+			for _, n := range c.nodes {
+				n.peers.proxy.Silence(d)
+			}
+		}
+		at := l.count()
+		eventually(t, "traffic goes on", func() bool { return l.count() >= at+120 })
+		results := l.stop()
+		whole, refused, broken := checkAnswers(t, c, results)
+		So(refused, ShouldBeEmpty)
+		So(broken, ShouldEqual, 0)
+		So(whole, ShouldEqual, len(results))
+	})
+}
+
+// Symptom: a change of configuration reaches some daemons only, without error.
+// Sequence: the daemons' connections to the platform go silent while their
+// watches wait on them; new ones work.
+// Cause: a long poll that waits on a dead connection looks like no change.
+func TestPlatformConnectionsGoSilent(t *testing.T) {
+	c := newCluster(t, plan{nodes: 3, engines: 1})
+	Convey("the next change is in force everywhere all the same", t, func() {
+		for _, n := range c.nodes {
+			n.store.proxy.Silence(faultproxy.Both)
+		}
+		version := c.put(workspace.KindPool, testPool, workspace.Pool{
+			Name: testPool, Region: testRegion, Model: testModel, Version: "v1", MaxWaiting: 777,
+		})
+		c.awaitVersion(uint64(version))
+	})
+}
+
+// Symptom: callers receive another caller's text, or a late answer as theirs.
+// Sequence: an engine delays answers, then swaps the answers of pairs of
+// connections.
+// Cause: an answer is believed because of the connection that it came on.
+func TestAnswersComeLateAndCrossed(t *testing.T) {
+	c := newCluster(t, plan{nodes: 2, engines: 2, options: engine.Options{StepMs: 10}})
+	Convey("crossed answers are discarded and every caller gets its own", t, func() {
+		l := startLoad(t.Context(), 12, 10, through(c.nodes))
+		eventually(t, "traffic flows", func() bool { return l.count() >= 30 })
+		c.engineFaults(c.engines[0], `{"answer_delay_ms": 300}`)
+		c.engineFaults(c.engines[1], `{"cross_answers": 10}`)
+		at := l.count()
+		eventually(t, "traffic goes on", func() bool { return l.count() >= at+200 })
+		results := l.stop()
+		whole, _, broken := checkAnswers(t, c, results)
+		So(broken, ShouldEqual, 0)
+		So(whole, ShouldBeGreaterThanOrEqualTo, len(results)-20)
+	})
+}
--- /dev/null
+++ b/test/store_test.go
@@ -0,0 +1,154 @@
+package test
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"sync/atomic"
+	"testing"
+
+	. "github.com/smartystreets/goconvey/convey"
+	"github.com/sourcegraph/conc"
+
+	standin "github.com/lycheekeel/lycheekeel/internal/standin/platform"
+	service "github.com/lycheekeel/lycheekeel/internal/standin/service"
+)
+
+// dispatchPath is a path of the plain service whose POSTs may not be repeated.
+const dispatchPath = "/services/" + testService + "/dispatch/site-7"
+
+// dispatch sends a call that may not be repeated.
+func dispatch(ctx context.Context, address, key, body string) answer {
+	return send(ctx, address, dispatchPath, []byte(body), call{header: map[string]string{
+		"Idempotency-Key": key, "X-Lycheekeel-Deadline-Ms": "8000",
+	}})
+}
+
+// serviceRuns counts the calls that reached the plain service on a path.
+func (c *cluster) serviceRuns() int {
+	var calls []service.CallCount
+	c.getJSON(c.service.link.target, service.PathCalls, &calls)
+	sum := 0
+	for _, k := range calls {
+		if k.Method == http.MethodPost {
+			sum += k.Count
+		}
+	}
+	return sum
+}
+
+// Symptom: two crews are sent to one site.
+// Sequence: a caller sends one confirmation to every entry at the same time,
+// again and again, as apps with impatient users do.
+// Cause: each entry by itself sees a request that it never had.
+func TestAConfirmationSentToEveryEntryRunsOnce(t *testing.T) {
+	c := newCluster(t, plan{nodes: 3, engines: 1})
+	Convey("it runs once; resends get the same answer or the truth", t, func() {
+		for n := range 5 {
+			before := c.serviceRuns()
+			key, body := fmt.Sprintf("confirm-%d", n), fmt.Sprintf("send crew %d", n)
+			var wg conc.WaitGroup
+			answers := make([]answer, 9)
+			for i := range answers {
+				wg.Go(func() {
+					answers[i] = dispatch(t.Context(), c.nodes[i%3].callers.proxy.Addr(), key, body)
+				})
+			}
+			wg.Wait()
+			So(c.serviceRuns()-before, ShouldEqual, 1)
+			for _, a := range answers {
+				So(a.err, ShouldBeNil)
+				So(a.notRun, ShouldNotEqual, true)
+			}
+			again := dispatch(t.Context(), c.nodes[n%3].callers.proxy.Addr(), key, body)
+			So(again.status, ShouldEqual, http.StatusOK)
+			So(again.text, ShouldContainSubstring, body)
+			other := dispatch(t.Context(), c.nodes[n%3].callers.proxy.Addr(), key, body+", another one")
+			So(other.code, ShouldEqual, "claim_conflict")
+			So(c.serviceRuns()-before, ShouldEqual, 1)
+		}
+	})
+}
+
+// Symptom: confirmations run twice, or are refused although they ran, on days
+// when the store loses answers.
+// Sequence: the platform takes a claim's write and its answer is lost.
+// Cause: an entry that takes the silence for a failure writes again or gives up.
+func TestTheStoreLosesAnswersAfterTheWrite(t *testing.T) {
+	c := newCluster(t, plan{nodes: 3, engines: 1})
+	Convey("each confirmation runs at most once, and what is said of it is true", t, func() {
+		c.storeFaults(standin.Faults{LoseFraction: 0.3})
+		var ran, refusedNotRun atomic.Int32
+		var wg conc.WaitGroup
+		for lane := range 6 {
+			wg.Go(func() {
+				for n := range 8 {
+					key := fmt.Sprintf("lost-%d-%d", lane, n)
+					a := dispatch(t.Context(), c.nodes[lane%3].callers.proxy.Addr(), key, "send crew "+key)
+					switch {
+					case a.status == http.StatusOK:
+						ran.Add(1)
+					case a.notRun == true:
+						refusedNotRun.Add(1)
+					}
+				}
+			})
+		}
+		wg.Wait()
+		So(ran.Load()+refusedNotRun.Load(), ShouldEqual, 48)
+		So(c.serviceRuns(), ShouldEqual, ran.Load())
+		So(ran.Load(), ShouldBeGreaterThan, 40)
+	})
+}
+
+// Symptom: everything stands still while the platform's store is down.
+// Sequence: the store refuses every call for a while under load; callers send
+// ordinary requests and confirmations.
+// Cause: the path of a request waits for the store although it needs it only
+// for claims.
+func TestTheStoreIsDown(t *testing.T) {
+	c := newCluster(t, plan{nodes: 3, engines: 2})
+	Convey("ordinary requests go on; a confirmation is refused, truly not run", t, func() {
+		l := startLoad(t.Context(), 9, 5, through(c.nodes))
+		eventually(t, "traffic flows", func() bool { return l.count() >= 50 })
+		c.storeFaults(standin.Faults{Down: true})
+		at := l.count()
+		a := dispatch(t.Context(), c.nodes[0].callers.proxy.Addr(), "down-1", "send crew")
+		So(a.code, ShouldEqual, "store_unavailable")
+		So(a.notRun, ShouldEqual, true)
+		So(c.serviceRuns(), ShouldEqual, 0)
+		eventually(t, "traffic goes on without the store", func() bool { return l.count() >= at+300 })
+		c.storeFaults(standin.Faults{})
+		eventually(t, "the same confirmation runs once the store is back", func() bool {
+			return dispatch(t.Context(), c.nodes[1].callers.proxy.Addr(), "down-1", "send crew").status == http.StatusOK
+		})
+		So(c.serviceRuns(), ShouldEqual, 1)
+		results := l.stop()
+		whole, refused, broken := checkAnswers(t, c, results)
+		So(refused, ShouldBeEmpty)
+		So(broken, ShouldEqual, 0)
+		So(whole, ShouldEqual, len(results))
+	})
+}
+
+// Symptom: a confirmation that a dead entry had sent runs a second time.
+// Sequence: an entry dies after it sent a confirmation and before its answer;
+// the caller sends it to another entry.
+// Cause: what the first entry knew died with it.
+func TestAnEntryDiesWhileAConfirmationRuns(t *testing.T) {
+	c := newCluster(t, plan{nodes: 3, engines: 1})
+	Convey("the resend is refused as unknown and nothing runs again", t, func() {
+		c.post(c.service.link.target, service.PathFaults, `{"delay_ms": 60000}`)
+		victim := c.nodes[0]
+		go dispatch(t.Context(), victim.callers.proxy.Addr(), "dies-1", "send crew")
+		eventually(t, "the confirmation reaches the service", func() bool { return c.serviceRuns() == 1 })
+		victim.kill()
+		c.post(c.service.link.target, service.PathFaults, `{"delay_ms": 0}`)
+		for _, n := range c.nodes[1:] {
+			a := dispatch(t.Context(), n.callers.proxy.Addr(), "dies-1", "send crew")
+			So(a.status, ShouldEqual, http.StatusConflict)
+			So(a.notRun, ShouldEqual, "unknown")
+		}
+		So(c.serviceRuns(), ShouldEqual, 1)
+	})
+}
