claim: claims in the object API, object per claim and grouped

Non-idempotent requests need one claim before dispatch that survives lost answers, outages and dead claimants. Lost answers are settled by reading the claimant's token back; a claim that comes into force after its caller was refused is given back by a bounded background job; outcomes are recorded only over the claimant's own claim. A rapid model over a store that loses answers, is slow, stale or down checks at most one dispatch a key, honest outcomes, and that what never ran can be claimed again, for both ledgers.

--- /dev/null
+++ b/claim/background.go
@@ -0,0 +1,96 @@
+package claim
+
+import (
+	"context"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/sirupsen/logrus"
+	"github.com/sourcegraph/conc"
+	"golang.org/x/time/rate"
+
+	"github.com/lycheekeel/lycheekeel/internal/logs"
+)
+
+// background finishes what a store outage interrupted, within bounds.
+//
+// What goes wrong without bounds: in an outage every entry piles up outcomes
+// and hammers the store when it comes back. One would see memory grow and the
+// store fall over again. So jobs, their time and their calls are bounded.
+type background struct {
+	o     Options
+	log   *logrus.Entry
+	slots chan struct{}
+	calls *rate.Limiter
+	ctx   context.Context
+	stop  context.CancelFunc
+	wg    conc.WaitGroup
+}
+
+func newBackground(o Options) *background {
+	ctx, stop := context.WithCancel(context.Background())
+	return &background{
+		o: o, log: logs.For("claim"), slots: make(chan struct{}, o.BackgroundJobs),
+		calls: rate.NewLimiter(rate.Limit(o.BackgroundRate), int(o.BackgroundRate)+1), ctx: ctx, stop: stop,
+	}
+}
+
+// run repeats try until it returns true or the bounds are reached.
+func (b *background) run(name string, try func(context.Context) bool) {
+	select {
+	case b.slots <- struct{}{}:
+	default:
+		b.o.count(countBackgroundMax)
+		b.log.WithField("claim", name).Warn("Outcome not recorded: too many wait.")
+		return
+	}
+	b.wg.Go(func() {
+		defer func() { <-b.slots }()
+		ctx, cancel := context.WithTimeout(b.ctx, b.o.BackgroundFor)
+		defer cancel()
+		retry := newBackOff()
+		for !b.once(ctx, try) {
+			if !pause(ctx, retry.NextBackOff()) || b.calls.Wait(ctx) != nil {
+				b.o.count(countBackgroundOut)
+				b.log.WithField("claim", name).Warn("Outcome not recorded: the store took too long.")
+				return
+			}
+		}
+	})
+}
+
+func (b *background) once(ctx context.Context, try func(context.Context) bool) bool {
+	ctx, cancel := context.WithTimeout(ctx, b.o.CallTimeout)
+	defer cancel()
+	return try(ctx)
+}
+
+// close waits for the jobs until the context ends, then gives them up.
+func (b *background) close(ctx context.Context) error {
+	done := make(chan struct{})
+	go func() {
+		b.wg.Wait()
+		close(done)
+	}()
+	defer b.stop()
+	select {
+	case <-done:
+		return nil
+	case <-ctx.Done():
+		b.stop()
+		<-done
+		return errors.Wrap(ctx.Err(), "claims not all recorded")
+	}
+}
+
+// pause waits; false where the context ended first.
+func pause(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
--- /dev/null
+++ b/claim/collector.go
@@ -0,0 +1,116 @@
+package claim
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/pkg/errors"
+	"golang.org/x/time/rate"
+
+	"github.com/lycheekeel/lycheekeel/platform"
+)
+
+// Defaults of CollectorOptions.
+const (
+	DefaultRetention = 24 * time.Hour
+	DefaultMargin    = 10 * time.Minute
+	DefaultDeletes   = 50
+	// readsPerDelete paces the listings beside the deletes.
+	readsPerDelete = 10
+)
+
+// CollectorOptions set up a Collector; the zero value works.
+type CollectorOptions struct {
+	// Retention is how long a claim answers resends after its last change.
+	Retention time.Duration
+	// Margin is how far the claimants' and this machine's CLOCK_REALTIME may
+	// differ; a claim is collected only when older than both together.
+	Margin time.Duration
+	// DeletesPerSecond bounds the share of the store's writes.
+	DeletesPerSecond float64
+	Options
+}
+
+// Collector deletes claims that nobody will send again. Run it where a lease
+// is held, so that one process does it; two at once do no harm but to the
+// store's budget, since each delete is conditional.
+type Collector struct {
+	api   platform.ObjectAPI
+	o     CollectorOptions
+	pace  *rate.Limiter
+	reads *rate.Limiter
+}
+
+// NewCollector returns a collector; it makes no call.
+func NewCollector(api platform.ObjectAPI, o CollectorOptions) *Collector {
+	if o.Retention == 0 {
+		o.Retention = DefaultRetention
+	}
+	if o.Margin == 0 {
+		o.Margin = DefaultMargin
+	}
+	if o.DeletesPerSecond == 0 {
+		o.DeletesPerSecond = DefaultDeletes
+	}
+	o.Options = o.withDefaults()
+	return &Collector{
+		api: api, o: o,
+		pace:  rate.NewLimiter(rate.Limit(o.DeletesPerSecond), 1),
+		reads: rate.NewLimiter(rate.Limit(o.DeletesPerSecond/readsPerDelete), 1),
+	}
+}
+
+// Pass looks at every claim once, a name prefix at a time. check is asked
+// before each delete (a lease's Check); its error ends the pass. Pass returns
+// how many claims it deleted.
+func (c *Collector) Pass(ctx context.Context, check func() error) (int, error) {
+	removed := 0
+	for i := range 1 << (4 * shardChars) {
+		if err := c.reads.Wait(ctx); err != nil {
+			return removed, errors.Wrap(err, "collect claims")
+		}
+		n, err := c.shard(ctx, fmt.Sprintf("%0*x/", shardChars, i), check)
+		removed += n
+		if err != nil {
+			return removed, errors.Wrap(err, "collect claims")
+		}
+	}
+	return removed, nil
+}
+
+func (c *Collector) shard(ctx context.Context, prefix string, check func() error) (int, error) {
+	list, err := c.api.List(ctx, Kind, prefix)
+	if err != nil {
+		return 0, err
+	}
+	removed := 0
+	for _, o := range list.Objects {
+		if !c.old(decode(o.Value)) {
+			continue
+		}
+		if err := c.pace.Wait(ctx); err != nil {
+			return removed, err
+		}
+		if err := check(); err != nil {
+			return removed, err
+		}
+		// A conflict means that it changed and is young again; a lost answer
+		// is settled by the next pass.
+		_, err := c.api.Delete(ctx, Kind, o.Name, o.Version)
+		switch {
+		case err == nil:
+			c.o.count(countCollected)
+			removed++
+		case errors.Is(err, platform.ErrUnavailable):
+			return removed, err
+		}
+	}
+	return removed, nil
+}
+
+// old compares wall clocks: nothing else lasts a day and crosses machines. A
+// time in the future, or none, is never old.
+func (c *Collector) old(r record) bool {
+	return r.At != 0 && c.o.Now().Sub(time.UnixMilli(r.At)) > c.o.Retention+c.o.Margin
+}
--- /dev/null
+++ b/claim/group.go
@@ -0,0 +1,197 @@
+package claim
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/pkg/errors"
+	"github.com/sourcegraph/conc"
+
+	"github.com/lycheekeel/lycheekeel/platform"
+	"github.com/lycheekeel/lycheekeel/request"
+)
+
+// GroupKind is the kind of the objects that hold many claims each.
+const GroupKind = platform.Kind("ClaimGroup")
+
+// Defaults of GroupOptions, and bounds of a batch.
+const (
+	DefaultShards = 16
+	DefaultWindow = 5 * time.Millisecond
+	maxBatch      = 512
+	// maxGroupBytes leaves room below platform.MaxValueBytes.
+	maxGroupBytes = platform.MaxValueBytes - 64<<10
+	queueLength   = 4096
+)
+
+// GroupOptions set up a GroupLedger; the zero value works. All processes must
+// use the same Shards, and change them only while no claim is young.
+type GroupOptions struct {
+	Shards int
+	// Window is how long a shard gathers claims before it writes.
+	Window time.Duration
+	// Retention is how long a claim answers resends. Older ones are dropped
+	// when their group is written. A full group refuses new claims.
+	Retention time.Duration
+	Options
+}
+
+// GroupLedger writes many claims with one conditional update of a shard's
+// object. It pays only where one process gets many claims of one shard within
+// a write's time; docs/design/claims.md has the measured cross-over.
+type GroupLedger struct {
+	api    platform.ObjectAPI
+	o      GroupOptions
+	shards []*shard
+	stop   context.CancelFunc
+	wg     conc.WaitGroup
+	open   sync.WaitGroup // operations not decided yet
+}
+
+var _ Ledger = (*GroupLedger)(nil)
+
+// NewGroupLedger starts a ledger; Close ends it.
+func NewGroupLedger(api platform.ObjectAPI, o GroupOptions) *GroupLedger {
+	if o.Shards == 0 {
+		o.Shards = DefaultShards
+	}
+	if o.Window == 0 {
+		o.Window = DefaultWindow
+	}
+	if o.Retention == 0 {
+		o.Retention = DefaultRetention
+	}
+	o.Options = o.withDefaults()
+	ctx, stop := context.WithCancel(context.Background())
+	l := &GroupLedger{api: api, o: o, stop: stop}
+	for i := range o.Shards {
+		s := &shard{l: l, name: fmt.Sprintf("%04d", i), queue: make(chan *operation, queueLength)}
+		l.shards = append(l.shards, s)
+		l.wg.Go(func() { s.run(ctx) })
+	}
+	return l
+}
+
+// Close waits until every outcome is recorded or the context ends.
+func (l *GroupLedger) Close(ctx context.Context) error {
+	done := make(chan struct{})
+	go func() {
+		l.open.Wait()
+		close(done)
+	}()
+	var err error
+	select {
+	case <-done:
+	case <-ctx.Done():
+		err = errors.Wrap(ctx.Err(), "claims not all recorded")
+	}
+	l.stop()
+	l.wg.Wait()
+	return err
+}
+
+// Claim implements Ledger.
+func (l *GroupLedger) Claim(ctx context.Context, k Key, h Hash, id request.ID) (Claim, error) {
+	op := &operation{ctx: ctx, name: objectName(k), rec: newRecord(h, id, l.o.Now()), done: make(chan error, 1)}
+	s := l.shards[xxhash.Sum64String(op.name)%uint64(len(l.shards))]
+	if !s.enqueue(op) {
+		l.o.count(countUnavailable)
+		return nil, errors.Wrap(ErrStoreUnavailable, "too many claims wait")
+	}
+	var err error
+	select {
+	case err = <-op.done:
+	case <-ctx.Done():
+		if op.settled.CompareAndSwap(false, true) {
+			err = errors.Wrapf(ErrStoreUnavailable, "claim %s", op.name)
+		} else {
+			err = <-op.done // it was decided at the same moment
+		}
+	}
+	if err != nil {
+		if errors.Is(err, ErrStoreUnavailable) {
+			l.o.count(countUnavailable)
+		}
+		return nil, err
+	}
+	return &groupHeld{shard: s, op: op}, nil
+}
+
+// groupHeld is a Claim of this process.
+type groupHeld struct {
+	shard *shard
+	op    *operation
+	once  sync.Once
+}
+
+// Finish implements Claim.
+func (c *groupHeld) Finish(o Outcome) {
+	c.once.Do(func() { c.shard.finish(c.op, o, false) })
+}
+
+// GiveBack implements Claim.
+func (c *groupHeld) GiveBack() { c.Finish(Outcome{State: NotRun}) }
+
+// operation is one change of one claim.
+type operation struct {
+	ctx  context.Context
+	name string
+	rec  record
+	// final: rec replaces the claimed record of the same token.
+	final bool
+	// force: a write is needed even if nothing changes, so that an earlier
+	// one whose answer was lost can't take effect any more.
+	force bool
+	// attempted: a write with it may have taken effect.
+	attempted bool
+	// settled is set by who decides: the shard, or the caller that gave up.
+	settled atomic.Bool
+	done    chan error
+	cancel  context.CancelFunc
+}
+
+// apply does the operation on the claims; it returns the operation's result
+// and whether the group must be written.
+func (op *operation) apply(o Options, claims map[string]record) (error, bool) {
+	cur, exists := claims[op.name]
+	ours := exists && cur.Token == op.rec.Token
+	switch {
+	case op.final && ours && cur.State == Claimed:
+		claims[op.name] = op.rec
+		return nil, true
+	case op.final:
+		return nil, op.force
+	case ours:
+		return nil, false
+	case !exists, cur.State == NotRun && string(cur.Hash) == string(op.rec.Hash):
+		claims[op.name] = op.rec
+		return nil, true
+	}
+	return o.refusal(op.name, op.rec, cur), false
+}
+
+// groupValue is the stored form of a group.
+type groupValue struct {
+	Claims map[string]record `json:"claims"`
+}
+
+func decodeGroup(b []byte) (map[string]record, error) {
+	g := groupValue{Claims: map[string]record{}}
+	if err := json.Unmarshal(b, &g); err != nil {
+		return nil, errors.Wrap(err, "claim group")
+	}
+	return g.Claims, nil
+}
+
+func encodeGroup(claims map[string]record) []byte {
+	b, err := json.Marshal(groupValue{claims})
+	if err != nil {
+		panic(err) // strings, numbers and bytes always marshal
+	}
+	return b
+}
--- /dev/null
+++ b/claim/options.go
@@ -0,0 +1,88 @@
+package claim
+
+import (
+	"time"
+
+	"github.com/cenkalti/backoff/v5"
+
+	"github.com/lycheekeel/lycheekeel/internal/metrics"
+)
+
+// Defaults of Options.
+const (
+	DefaultCallTimeout    = time.Second
+	DefaultBackgroundJobs = 1024
+	DefaultBackgroundFor  = 10 * time.Minute
+	DefaultBackgroundRate = 50
+)
+
+// Between two tries of one claim.
+const (
+	firstRetry   = 10 * time.Millisecond
+	longestRetry = 2 * time.Second
+)
+
+// The counters of metric group "claims".
+const (
+	metricGroup        = "claims"
+	countClaimed       = "claimed"
+	countReclaimed     = "reclaimed_not_run"
+	countExisting      = "existing"
+	countConflict      = "conflict"
+	countUnavailable   = "store_unavailable"
+	countRetryDown     = "retry_store_unavailable"
+	countRetryUnknown  = "retry_unknown_outcome"
+	countSettledOurs   = "settled_by_token"
+	countBackgroundOut = "background_gave_up"
+	countBackgroundMax = "background_full"
+	countCollected     = "collected"
+	countGroupWrites   = "group_writes"
+	countGroupClaims   = "group_claims"
+	countGroupFull     = "group_full"
+)
+
+// Options set up a Ledger; the zero value works.
+type Options struct {
+	// CallTimeout bounds one call to the store, so that a silent connection
+	// does not eat the whole target.
+	CallTimeout time.Duration
+	// BackgroundJobs bounds the outcomes that wait for the store, and
+	// BackgroundFor how long one waits; a claim beyond them stays claimed,
+	// which reads as unknown. BackgroundRate bounds their calls a second.
+	BackgroundJobs int
+	BackgroundFor  time.Duration
+	BackgroundRate float64
+	// Now is the wall clock (CLOCK_REALTIME) that claims are stamped with.
+	Now     func() time.Time
+	Metrics *metrics.Registry
+}
+
+func (o Options) withDefaults() Options {
+	if o.CallTimeout == 0 {
+		o.CallTimeout = DefaultCallTimeout
+	}
+	if o.BackgroundJobs == 0 {
+		o.BackgroundJobs = DefaultBackgroundJobs
+	}
+	if o.BackgroundFor == 0 {
+		o.BackgroundFor = DefaultBackgroundFor
+	}
+	if o.BackgroundRate == 0 {
+		o.BackgroundRate = DefaultBackgroundRate
+	}
+	if o.Now == nil {
+		o.Now = time.Now
+	}
+	if o.Metrics == nil {
+		o.Metrics = metrics.New()
+	}
+	return o
+}
+
+func (o Options) count(name string) { o.Metrics.Counter(metricGroup, name).Add(1) }
+
+func newBackOff() *backoff.ExponentialBackOff {
+	b := backoff.NewExponentialBackOff()
+	b.InitialInterval, b.MaxInterval = firstRetry, longestRetry
+	return b
+}
