member: find members, probe them and tell who lives

Daemons must learn within seconds who died, without blaming the living: a cut link, a paused process, an isolated member or regions that lose each other must not move pools. Runner connects it to a peer transport, membertest runs hundreds of machines in virtual time.

--- /dev/null
+++ b/member/join.go
@@ -0,0 +1,67 @@
+package member
+
+import (
+	"github.com/lycheekeel/lycheekeel/internal/peer"
+	"github.com/lycheekeel/lycheekeel/member/wire"
+)
+
+// hintsPerTick bounds the addresses of the VM list that are tried at once.
+const hintsPerTick = 2
+
+// Hints takes the addresses (IP:port) of the platform's VM list. The list
+// lags: an address in it may have joined, gone or not started yet, so it only
+// says where to ask, and its absence proves nothing.
+func (m *Machine) Hints(addresses []string) {
+	m.hinted = make(map[string]struct{}, len(addresses))
+	m.hints = m.hints[:0]
+	for _, a := range addresses {
+		m.hinted[host(a)] = struct{}{}
+		if !m.knowsAddress(a) {
+			m.hints = append(m.hints, a)
+		}
+	}
+	m.rand.Shuffle(len(m.hints), func(i, j int) { m.hints[i], m.hints[j] = m.hints[j], m.hints[i] })
+}
+
+// tryHints asks a few of the hinted addresses that are still unknown.
+func (m *Machine) tryHints() {
+	for n := 0; n < hintsPerTick && len(m.hints) > 0; {
+		a := m.hints[0]
+		m.hints = m.hints[1:]
+		if !m.knowsAddress(a) {
+			m.join(peer.ByAddress(a))
+			n++
+		}
+	}
+}
+
+// joinIfAlone asks a random seed, hinted address or lost member for members,
+// until this member knows a live one.
+func (m *Machine) joinIfAlone() {
+	if m.now.Before(m.nextAlone) || m.count(m.live) > 0 {
+		return
+	}
+	m.nextAlone = m.now.Add(aloneInterval)
+	if to, ok := m.lostPartner(); ok {
+		m.join(to)
+	}
+}
+
+func (m *Machine) join(to peer.Name) {
+	m.send(to, peer.TypeMemberGossip, &wire.Message{
+		Updates: []*wire.Record{m.selfRecord()}, Sync: &wire.Sync{Join: true},
+	})
+}
+
+// knowsAddress tells whether a live member, or this one, listens there.
+func (m *Machine) knowsAddress(address string) bool {
+	if address == m.self.Address {
+		return true
+	}
+	for _, e := range m.table {
+		if e.Address == address && e.State != Dead {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/member/machine_test.go
@@ -0,0 +1,248 @@
+package member_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/lycheekeel/lycheekeel/member"
+	"github.com/lycheekeel/lycheekeel/member/membertest"
+	. "github.com/smartystreets/goconvey/convey"
+	"pgregory.net/rapid"
+)
+
+// healLimit is within what virtual time a cluster without faults must agree.
+const healLimit = 2 * time.Minute
+
+// started returns a cluster whose members all know each other.
+func started(n, regions int) *membertest.Cluster {
+	c := membertest.New(n, regions, 1)
+	c.StartAll()
+	c.Run(time.Second)
+	_, ok := c.RunUntil(healLimit, c.Converged)
+	So(ok, ShouldBeTrue)
+	c.Run(30 * time.Second)
+	return c
+}
+
+// state is what one member believes of another.
+func state(c *membertest.Cluster, at, of int) member.State {
+	m, _ := c.Nodes[at].View.Get(c.Nodes[of].Name)
+	return m.State
+}
+
+// everBelieved runs the cluster and counts, over all pairs of running
+// members and all ticks, how often one believed the other in the state.
+func everBelieved(c *membertest.Cluster, d time.Duration, s member.State) int {
+	n := 0
+	for end := c.Now().Add(d); c.Now().Before(end); {
+		c.Run(member.TickInterval)
+		for i, a := range c.Nodes {
+			for j, b := range c.Nodes {
+				if i != j && a.Running() && b.Running() && state(c, i, j) == s {
+					n++
+				}
+			}
+		}
+	}
+	return n
+}
+
+func TestDeathIsNoticed(t *testing.T) {
+	// Symptom: pools without an owner; entries wait for grants.
+	// Sequence: a daemon is killed, or its VM vanishes without a trace.
+	// Cause: nobody tells the others.
+	for name, end := range map[string]func(*membertest.Node){"killed": (*membertest.Node).Kill, "vanished": (*membertest.Node).Freeze} {
+		for _, n := range []int{2, 3, 9, 40} {
+			Convey("A "+name+" member is believed dead by everybody soon", t, func() {
+				c := started(n, 1)
+				end(c.Nodes[n-1])
+				took, ok := c.RunUntil(healLimit, c.Converged)
+				So(ok, ShouldBeTrue)
+				limit := 8 * time.Second
+				if name == "killed" {
+					limit = 2500 * time.Millisecond // leaves the new owner its share of 3 s
+				}
+				So(took, ShouldBeLessThan, limit)
+			})
+		}
+	}
+	Convey("Two of three that die at once are noticed by the third", t, func() {
+		c := started(3, 1)
+		c.Nodes[0].Kill()
+		c.Nodes[1].Kill()
+		_, ok := c.RunUntil(healLimit, c.Converged)
+		So(ok, ShouldBeTrue)
+	})
+}
+
+func TestCutLinkIsNoDeath(t *testing.T) {
+	// Symptom: pools move although every daemon is alive.
+	// Sequence: messages between two members vanish, in one direction or both.
+	// Cause: a missing answer was taken for a death.
+	Convey("Members behind a cut link stay alive for everybody", t, func() {
+		for _, both := range []bool{false, true} {
+			c := started(7, 1) // few enough that all probe each other
+			c.Cut(1, 2)
+			if both {
+				c.Cut(2, 1)
+			}
+			So(everBelieved(c, time.Minute, member.Dead), ShouldEqual, 0)
+			So(c.Nodes[1].Machine.Stats().IndirectSaved+c.Nodes[2].Machine.Stats().IndirectSaved, ShouldBeGreaterThan, 0)
+		}
+	})
+}
+
+func TestPausedMemberBlamesNobody(t *testing.T) {
+	// Symptom: after one VM's pause the whole cluster is believed dead.
+	// Sequence: a daemon is paused for seconds, wakes, finds all its probes
+	// unanswered, and tells everybody.
+	// Cause: it took its own silence for the others'.
+	Convey("A member that wakes from a pause convicts nobody and is taken back", t, func() {
+		for _, pause := range []time.Duration{2 * time.Second, 30 * time.Second} {
+			c := started(9, 1)
+			c.Nodes[4].Freeze()
+			c.Run(pause)
+			c.Nodes[4].Thaw()
+			deaths := c.Nodes[4].Machine.Stats().Deaths
+			_, ok := c.RunUntil(healLimit, c.Converged)
+			So(ok, ShouldBeTrue)
+			So(everBelieved(c, 30*time.Second, member.Dead), ShouldEqual, 0)
+			So(c.Nodes[4].Machine.Stats().Deaths, ShouldEqual, deaths)
+			So(c.Nodes[4].Machine.Stats().OwnPauses, ShouldEqual, 1)
+		}
+	})
+}
+
+func TestIsolatedMemberConvincesNobody(t *testing.T) {
+	// Symptom: one daemon's return makes all pools move, twice.
+	// Sequence: a member is cut off from all others for a minute, believes
+	// them dead, is connected again and spreads that.
+	// Cause: deaths were believed on hearsay.
+	Convey("What an isolated member believes is not believed by the others", t, func() {
+		c := started(9, 1)
+		c.Isolate(func(d *membertest.Node) bool { return d == c.Nodes[3] })
+		c.Run(time.Minute)
+		So(state(c, 3, 4), ShouldEqual, member.Dead)
+		So(state(c, 4, 3), ShouldEqual, member.Dead)
+		c.Heal()
+		wrong := 0
+		for range 300 {
+			c.Run(member.TickInterval)
+			for i := range 9 {
+				for j := range 9 {
+					if i != 3 && j != 3 && i != j && state(c, i, j) == member.Dead {
+						wrong++
+					}
+				}
+			}
+		}
+		So(wrong, ShouldEqual, 0)
+		_, ok := c.RunUntil(healLimit, c.Converged)
+		So(ok, ShouldBeTrue)
+	})
+}
+
+func TestRegionsLoseEachOther(t *testing.T) {
+	// Symptom: every pool of a region changes owner when a cable is cut.
+	// Sequence: regions lose each other for minutes and meet again.
+	// Cause: each region buried the other, and revived it member by member.
+	Convey("Members of a region that is cut off are kept as they were", t, func() {
+		c := started(24, 3)
+		c.Isolate(func(d *membertest.Node) bool { return d.Region == "region-1" })
+		So(everBelieved(c, 5*time.Minute, member.Dead), ShouldEqual, 0)
+		c.Nodes[0].Kill() // region-0 learns, region-1 can't yet
+		c.Run(time.Minute)
+		So(state(c, 3, 0), ShouldEqual, member.Dead)
+		So(state(c, 1, 0), ShouldEqual, member.Alive)
+		c.Heal()
+		_, ok := c.RunUntil(healLimit, c.Converged)
+		So(ok, ShouldBeTrue)
+	})
+}
+
+func TestRestartAndLeave(t *testing.T) {
+	// Symptom: a restarted daemon gets no pools, or a leaving one gets some.
+	// Sequence: a daemon is killed and started again, with a clock that went
+	// back; another one announces that it leaves and stops.
+	// Cause: stale gossip about an earlier life, or none about the leaving.
+	Convey("A restarted member is believed alive again in its new life", t, func() {
+		c := started(9, 1)
+		c.Nodes[2].Kill()
+		c.Run(10 * time.Second)
+		c.Nodes[2].Start()
+		took, ok := c.RunUntil(healLimit, c.Converged)
+		So(ok, ShouldBeTrue)
+		So(took, ShouldBeLessThan, 10*time.Second)
+		c.Nodes[2].Kill()
+		c.Nodes[2].StartWithIncarnation(1)
+		c.Run(5 * time.Second)
+		So(c.Converged(), ShouldBeTrue)
+		So(everBelieved(c, 30*time.Second, member.Dead), ShouldEqual, 0)
+	})
+	Convey("A leaving member is known as such within two seconds and owns nothing", t, func() {
+		c := started(9, 1)
+		owner, _ := c.Nodes[0].View.Owner("pool", "region-0")
+		leaving := 0
+		for i, d := range c.Nodes {
+			if d.Name == owner.Name {
+				leaving = i
+			}
+		}
+		c.Nodes[leaving].Leave()
+		_, ok := c.RunUntil(2*time.Second, func() bool {
+			for i, d := range c.Nodes {
+				next, _ := d.View.Owner("pool", "region-0")
+				if next.Name == owner.Name || (i != leaving && state(c, i, leaving) != member.Leaving) {
+					return false
+				}
+			}
+			return true
+		})
+		So(ok, ShouldBeTrue)
+		c.Nodes[leaving].Kill()
+		_, ok = c.RunUntil(5*time.Second, c.Converged)
+		So(ok, ShouldBeTrue)
+	})
+}
+
+// TestConvergence checks the model of membership: whatever has failed, once
+// faults stop every running member believes exactly the running ones live.
+func TestConvergence(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		n := rapid.IntRange(2, 12).Draw(t, "members")
+		regions := rapid.IntRange(1, 2).Draw(t, "regions")
+		c := membertest.New(n, regions, rapid.Uint64().Draw(t, "seed"))
+		c.StartAll()
+		c.Run(2 * time.Second)
+		pick := func(what string) int { return rapid.IntRange(0, n-1).Draw(t, what) }
+		for range rapid.IntRange(1, 8).Draw(t, "faults") {
+			switch d := c.Nodes[pick("of")]; rapid.IntRange(0, 6).Draw(t, "fault") {
+			case 0:
+				d.Kill()
+			case 1:
+				d.Kill()
+				d.Start()
+			case 2:
+				d.Freeze()
+			case 3:
+				d.Thaw()
+			case 4:
+				c.Cut(pick("from"), pick("to"))
+			case 5:
+				one := c.Nodes[pick("isolated")]
+				c.Isolate(func(x *membertest.Node) bool { return x == one })
+			case 6:
+				c.Heal()
+			}
+			c.Run(time.Duration(rapid.IntRange(0, 20_000).Draw(t, "ms")) * time.Millisecond)
+		}
+		c.Heal()
+		for _, d := range c.Nodes {
+			d.Thaw()
+			d.Start()
+		}
+		if _, ok := c.RunUntil(healLimit, c.Converged); !ok {
+			t.Fatal("views differ from the running members")
+		}
+	})
+}
--- /dev/null
+++ b/member/membertest/measure.go
@@ -0,0 +1,108 @@
+package membertest
+
+import (
+	"runtime"
+	"syscall"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// Cost is what membership costs one member, as a mean and on the member that
+// pays most. Bytes are encoded messages, both ways, without the transport's
+// framing, encryption and dials; CPU is the machine and its encoding alone.
+type Cost struct {
+	Members             int           `json:"members"`
+	Regions             int           `json:"regions"`
+	Simulated           time.Duration `json:"simulated_ns"`
+	MessagesPerSecond   float64       `json:"messages_per_second"`
+	BytesPerSecond      float64       `json:"bytes_per_second"`
+	WorstMessagesSecond float64       `json:"worst_messages_per_second"`
+	WorstBytesPerSecond float64       `json:"worst_bytes_per_second"`
+	// CPU is seconds of one core per second of a member's life.
+	CPU float64 `json:"cpu"`
+	// HeapBytes is the heap per member.
+	HeapBytes float64 `json:"heap_bytes"`
+	// KillToDead is how long after a kill its whole region believed the member
+	// dead, KillToAll everybody; Join is from a restart until everybody knew.
+	KillToDead time.Duration `json:"kill_to_dead_ns"`
+	KillToAll  time.Duration `json:"kill_to_all_ns"`
+	Join       time.Duration `json:"join_ns"`
+}
+
+// Limits of a measurement's phases, in virtual time.
+const (
+	convergeLimit = 2 * time.Minute
+	settleTime    = 4 * time.Minute // until the news of the joins has died out
+)
+
+// Measure starts n members in as many regions, lets them settle, measures the
+// cost of a quiet time, and then of one kill and one restart.
+func Measure(n, regions int, simulated time.Duration, seed uint64) (Cost, error) {
+	before := heapBytes()
+	c := New(n, regions, seed)
+	c.StartAll()
+	c.Run(time.Second)
+	if _, ok := c.RunUntil(convergeLimit, c.Converged); !ok {
+		return Cost{}, errors.Errorf("%d members did not find each other", n)
+	}
+	c.Run(settleTime)
+	cost := Cost{Members: n, Regions: regions, Simulated: simulated}
+	cost.HeapBytes = (heapBytes() - before) / float64(n)
+	c.resetCounters()
+	cpu := cpuTime()
+	c.Run(simulated)
+	cost.CPU = (cpuTime() - cpu).Seconds() / simulated.Seconds() / float64(n)
+	c.addTraffic(&cost)
+
+	victim := c.Nodes[n-1]
+	victim.Kill()
+	region, ok := c.RunUntil(convergeLimit, func() bool { return c.RegionConverged(victim.Region) })
+	if !ok {
+		return cost, errors.New("a killed member was not noticed in its region")
+	}
+	rest, ok := c.RunUntil(convergeLimit, c.Converged)
+	if !ok {
+		return cost, errors.New("a killed member was not noticed by all")
+	}
+	cost.KillToDead, cost.KillToAll = region, region+rest
+	victim.Start()
+	if cost.Join, ok = c.RunUntil(convergeLimit, c.Converged); !ok {
+		return cost, errors.New("a restarted member was not noticed by all")
+	}
+	return cost, nil
+}
+
+func (c *Cluster) resetCounters() {
+	for _, d := range c.Nodes {
+		d.MessagesIn, d.MessagesOut, d.BytesIn, d.BytesOut = 0, 0, 0, 0
+	}
+}
+
+func (c *Cluster) addTraffic(cost *Cost) {
+	seconds, n := cost.Simulated.Seconds(), float64(len(c.Nodes))
+	for _, d := range c.Nodes {
+		messages := float64(d.MessagesIn+d.MessagesOut) / seconds
+		bytes := float64(d.BytesIn+d.BytesOut) / seconds
+		cost.MessagesPerSecond += messages / n
+		cost.BytesPerSecond += bytes / n
+		cost.WorstMessagesSecond = max(cost.WorstMessagesSecond, messages)
+		cost.WorstBytesPerSecond = max(cost.WorstBytesPerSecond, bytes)
+	}
+}
+
+func heapBytes() float64 {
+	runtime.GC()
+	var s runtime.MemStats
+	runtime.ReadMemStats(&s)
+	return float64(s.HeapAlloc)
+}
+
+// cpuTime is the process's user and system time.
+func cpuTime() time.Duration {
+	var u syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &u); err != nil {
+		return 0
+	}
+	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
+}
--- /dev/null
+++ b/member/membertest/measure_test.go
@@ -0,0 +1,30 @@
+package membertest
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+)
+
+// bytesBound is membership's share of a node's 4 KB/s for control, before
+// the transport adds its own.
+const bytesBound = 1000
+
+func TestMeasure(t *testing.T) {
+	Convey("The traffic of a quiet cluster doesn't grow with its size", t, func() {
+		small, err := Measure(10, 1, 30*time.Second, 1)
+		So(err, ShouldBeNil)
+		large, err := Measure(50, 2, 30*time.Second, 1)
+		So(err, ShouldBeNil)
+		So(small.MessagesPerSecond, ShouldBeGreaterThan, 1)
+		So(large.BytesPerSecond, ShouldBeLessThan, 2*small.BytesPerSecond)
+		So(large.WorstBytesPerSecond, ShouldBeLessThan, bytesBound)
+		Convey("and the same seed gives the same run", func() {
+			again, err := Measure(10, 1, 30*time.Second, 1)
+			So(err, ShouldBeNil)
+			So(again.BytesPerSecond, ShouldEqual, small.BytesPerSecond)
+			So(again.KillToDead, ShouldEqual, small.KillToDead)
+		})
+	})
+}
--- a/member/view.go
+++ b/member/view.go
@@ -22,6 +22,20 @@
 	Dead
 )
 
+// String returns the state's name in logs and counters.
+func (s State) String() string {
+	switch s {
+	case Alive:
+		return "alive"
+	case Suspect:
+		return "suspect"
+	case Leaving:
+		return "leaving"
+	default:
+		return "dead"
+	}
+}
+
 // Member is one daemon's record.
 type Member struct {
 	Name             string
@@ -69,6 +83,17 @@
 	return Member{}, false
 }
 
+// count returns how many members are in a state.
+func (v *View) count(s State) int {
+	n := 0
+	for _, m := range v.Members {
+		if m.State == s {
+			n++
+		}
+	}
+	return n
+}
+
 // Owner returns the member that owns the pool: rendezvous hashing over the
 // region's members that are alive or only suspected, so that a change of one
 // member moves only that member's pools. False where the region has none.
