claim: bound store work in overload, tests of outcomes and collector

With claims arriving faster than the store writes, object claims collapsed: at 400/s against 300 writes/s 25% were held at 14.9 writes a claim, since those that had waited longest were sent last and each late one cost more calls to give back.

--- a/claim/background.go
+++ b/claim/background.go
@@ -21,7 +21,8 @@
 	o     Options
 	log   *logrus.Entry
 	slots chan struct{}
-	calls *rate.Limiter
+	calls chan struct{} // held during a call
+	retry *rate.Limiter
 	ctx   context.Context
 	stop  context.CancelFunc
 	wg    conc.WaitGroup
@@ -31,7 +32,8 @@
 	ctx, stop := context.WithCancel(context.Background())
 	return &background{
 		o: o, log: logs.For("claim"), slots: make(chan struct{}, o.BackgroundJobs),
-		calls: rate.NewLimiter(rate.Limit(o.BackgroundRate), int(o.BackgroundRate)+1), ctx: ctx, stop: stop,
+		calls: make(chan struct{}, o.MaxInFlight),
+		retry: rate.NewLimiter(rate.Limit(o.BackgroundRate), int(o.BackgroundRate)+1), ctx: ctx, stop: stop,
 	}
 }
 
@@ -50,7 +52,7 @@
 		defer cancel()
 		retry := newBackOff()
 		for !b.once(ctx, try) {
-			if !pause(ctx, retry.NextBackOff()) || b.calls.Wait(ctx) != nil {
+			if !pause(ctx, retry.NextBackOff()) || b.retry.Wait(ctx) != nil {
 				b.o.count(countBackgroundOut)
 				b.log.WithField("claim", name).Warn("Outcome not recorded: the store took too long.")
 				return
@@ -60,6 +62,10 @@
 }
 
 func (b *background) once(ctx context.Context, try func(context.Context) bool) bool {
+	if !take(ctx, b.calls) {
+		return false
+	}
+	defer func() { <-b.calls }()
 	ctx, cancel := context.WithTimeout(ctx, b.o.CallTimeout)
 	defer cancel()
 	return try(ctx)
@@ -83,6 +89,16 @@
 	}
 }
 
+// take takes a place; false where the context ended first.
+func take(ctx context.Context, places chan struct{}) bool {
+	select {
+	case places <- struct{}{}:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
 // pause waits; false where the context ended first.
 func pause(ctx context.Context, d time.Duration) bool {
 	t := time.NewTimer(d)
--- a/claim/ledger.go
+++ b/claim/ledger.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"time"
 
 	"github.com/pkg/errors"
 
@@ -13,9 +14,11 @@
 // ObjectLedger keeps each claim in an object of its own: two writes a claim.
 // It is the default; docs/design/claims.md says when GroupLedger pays.
 type ObjectLedger struct {
-	api  platform.ObjectAPI
-	o    Options
-	back *background
+	api   platform.ObjectAPI
+	o     Options
+	calls chan struct{} // held during a claim's call
+	hurry hurry
+	back  *background
 }
 
 var _ Ledger = (*ObjectLedger)(nil)
@@ -23,7 +26,7 @@
 // NewLedger returns a ledger on the object API.
 func NewLedger(api platform.ObjectAPI, o Options) *ObjectLedger {
 	o = o.withDefaults()
-	return &ObjectLedger{api: api, o: o, back: newBackground(o)}
+	return &ObjectLedger{api: api, o: o, calls: make(chan struct{}, o.MaxInFlight), back: newBackground(o)}
 }
 
 // Close waits until every outcome is recorded or the context ends.
@@ -64,9 +67,19 @@
 
 // attempt creates the claim once, or finds out who has it.
 func (l *ObjectLedger) attempt(ctx context.Context, w *write) (Claim, error) {
+	if !take(ctx, l.calls) {
+		return nil, errAgain
+	}
+	defer func() { <-l.calls }()
+	if l.hurry.tooLate(ctx) {
+		l.o.count(countTooLate)
+		return nil, errAgain
+	}
 	ctx, cancel := context.WithTimeout(ctx, l.o.CallTimeout)
 	defer cancel()
+	sent := time.Now()
 	v, err := l.api.Create(ctx, Kind, w.name, w.rec.encode())
+	l.hurry.observe(time.Since(sent))
 	switch {
 	case err == nil:
 		return l.held(w, v, countClaimed), nil
--- /dev/null
+++ b/claim/ledger_test.go
@@ -0,0 +1,122 @@
+package claim_test
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/pkg/errors"
+	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/lycheekeel/lycheekeel/claim"
+	standin "github.com/lycheekeel/lycheekeel/internal/standin/platform"
+	"github.com/lycheekeel/lycheekeel/request"
+)
+
+func TestOutcomes(t *testing.T) {
+	for name, open := range ledgers {
+		Convey("Given a claim in a ledger: "+name, t, func() {
+			ctx := context.Background()
+			store := standin.New(standin.Options{})
+			l := open(store)
+			c, err := l.Claim(ctx, key(0), claim.Hash{1}, request.NewID())
+			So(err, ShouldBeNil)
+			resend := func(h byte) (claim.Outcome, error) {
+				other := open(store)
+				Reset(func() { _ = other.Close(ctx) })
+				_, err := other.Claim(ctx, key(0), claim.Hash{h}, request.NewID())
+				var existing *claim.ExistingError
+				if errors.As(err, &existing) {
+					return existing.Outcome, nil
+				}
+				return claim.Outcome{}, err
+			}
+
+			Convey("while its claimant says nothing a resend reads claimed", func() {
+				o, err := resend(1)
+				So(err, ShouldBeNil)
+				So(o.State, ShouldEqual, claim.Claimed)
+			})
+			Convey("other content under the key is a conflict", func() {
+				_, err := resend(2)
+				So(errors.Is(err, claim.ErrConflict), ShouldBeTrue)
+			})
+			Convey("a resend gets the whole short answer, in its own type", func() {
+				want := claim.Outcome{State: claim.Ran, Answer: []byte(`{"ok":1}`), ContentType: "application/json", Status: 201}
+				c.Finish(want)
+				c.GiveBack() // only the first outcome counts
+				So(l.Close(ctx), ShouldBeNil)
+				o, err := resend(1)
+				So(err, ShouldBeNil)
+				So(o, ShouldResemble, want)
+			})
+			Convey("a long answer is not kept, and never in part", func() {
+				c.Finish(claim.Outcome{State: claim.Ran, Answer: make([]byte, claim.MaxAnswerBytes+1)})
+				So(l.Close(ctx), ShouldBeNil)
+				o, err := resend(1)
+				So(err, ShouldBeNil)
+				So(o.State, ShouldEqual, claim.Ran)
+				So(o.Answer, ShouldBeNil)
+			})
+			Convey("an outcome waits for the store to come back", func() {
+				store.SetFaults(standin.Faults{Down: true})
+				c.GiveBack()
+				closed := make(chan error, 1)
+				go func() { closed <- l.Close(ctx) }()
+				store.SetFaults(standin.Faults{})
+				So(<-closed, ShouldBeNil)
+				_, err := resend(1)
+				So(err, ShouldBeNil) // held: it may run now
+			})
+		})
+	}
+}
+
+// Symptom: a young claim is gone and its request runs again.
+// Sequence: the collector reads a claim, which is given back and claimed anew
+// before the delete; or its claimant's clock is ahead; or the lease is lost.
+// Cause: a collector that deletes without condition, margin or check.
+func TestCollector(t *testing.T) {
+	Convey("Given an old claim, a young one and one from the future", t, func() {
+		ctx := context.Background()
+		store := standin.New(standin.Options{})
+		now := time.Now()
+		for i, age := range []time.Duration{25 * time.Hour, 23*time.Hour + 59*time.Minute, -time.Hour} {
+			l := claim.NewLedger(store, claim.Options{Now: func() time.Time { return now.Add(-age) }})
+			_, err := l.Claim(ctx, key(i), claim.Hash{}, request.NewID())
+			So(err, ShouldBeNil)
+		}
+		left := func() int {
+			l, err := store.List(ctx, claim.Kind, "")
+			So(err, ShouldBeNil)
+			return len(l.Objects)
+		}
+		c := claim.NewCollector(store, claim.CollectorOptions{DeletesPerSecond: 1e6, Options: claim.Options{Now: func() time.Time { return now }}})
+
+		Convey("only the old one is collected", func() {
+			n, err := c.Pass(ctx, func() error { return nil })
+			So(err, ShouldBeNil)
+			So(n, ShouldEqual, 1)
+			So(left(), ShouldEqual, 2)
+		})
+		Convey("nothing is collected once the lease is lost", func() {
+			lost := errors.New("lost")
+			_, err := c.Pass(ctx, func() error { return lost })
+			So(errors.Is(err, lost), ShouldBeTrue)
+			So(left(), ShouldEqual, 3)
+		})
+		Convey("a claim that changed meanwhile stays", func() {
+			touch := func() error {
+				l, _ := store.List(ctx, claim.Kind, "")
+				for _, o := range l.Objects {
+					_, _ = store.Update(ctx, claim.Kind, o.Name, o.Value, o.Version)
+				}
+				return nil
+			}
+			n, err := c.Pass(ctx, touch)
+			So(err, ShouldBeNil)
+			So(n, ShouldEqual, 0)
+			So(left(), ShouldEqual, 3)
+		})
+	})
+}
--- a/claim/options.go
+++ b/claim/options.go
@@ -13,13 +13,14 @@
 	DefaultCallTimeout    = time.Second
 	DefaultBackgroundJobs = 1024
 	DefaultBackgroundFor  = 10 * time.Minute
-	DefaultBackgroundRate = 50
+	DefaultBackgroundRate = 5
+	DefaultMaxInFlight    = 8
 )
 
 // Between two tries of one claim.
 const (
 	firstRetry   = 10 * time.Millisecond
-	longestRetry = 2 * time.Second
+	longestRetry = 10 * time.Second
 )
 
 // The counters of metric group "claims".
@@ -32,6 +33,7 @@
 	countUnavailable   = "store_unavailable"
 	countRetryDown     = "retry_store_unavailable"
 	countRetryUnknown  = "retry_unknown_outcome"
+	countTooLate       = "not_sent_too_late"
 	countSettledOurs   = "settled_by_token"
 	countBackgroundOut = "background_gave_up"
 	countBackgroundMax = "background_full"
@@ -52,6 +54,11 @@
 	BackgroundJobs int
 	BackgroundFor  time.Duration
 	BackgroundRate float64
+	// MaxInFlight bounds this process's calls that claim, and those that
+	// record outcomes. Claims beyond it wait here, where giving up leaves
+	// nothing to undo: a store that is too slow gets no more work from
+	// callers that have already left.
+	MaxInFlight int
 	// Now is the wall clock (CLOCK_REALTIME) that claims are stamped with.
 	Now     func() time.Time
 	Metrics *metrics.Registry
@@ -70,6 +77,9 @@
 	if o.BackgroundRate == 0 {
 		o.BackgroundRate = DefaultBackgroundRate
 	}
+	if o.MaxInFlight == 0 {
+		o.MaxInFlight = DefaultMaxInFlight
+	}
 	if o.Now == nil {
 		o.Now = time.Now
 	}
