experiment: say which target was missed; scenarios whose targets can be met

Deadlines now leave room for the longest answer at the tier's own pace, which a test of the shipped scenarios checks, and reports count misses by the first target missed.

--- a/internal/experiment/experiment_test.go
+++ b/internal/experiment/experiment_test.go
@@ -33,6 +33,17 @@
 		}
 		So(len(scenarios.Names()), ShouldEqual, 7)
 	})
+	Convey("Each class's longest answer can meet all targets of its tier", t, func() {
+		for _, name := range scenarios.Names() {
+			data, _ := scenarios.Scenario(name)
+			s, err := Parse(name, data)
+			So(err, ShouldBeNil)
+			for _, c := range s.Mix.Classes {
+				x := s.Mix.Tiers[c.Tier]
+				So(x.FirstTokenMs+x.PerTokenMs*(c.OutputTokens.Max-1), ShouldBeLessThanOrEqualTo, x.DeadlineMs)
+			}
+		}
+	})
 	Convey("The top tier alone stays below capacity in the dawn burst, and overload is about twice capacity", t, func() {
 		So(offeredOf("dawn-burst").TopTierPeak, ShouldBeLessThan, 1)
 		So(offeredOf("overload").All.Mean, ShouldBeBetween, 1.8, 2.4)
--- a/internal/load/load_test.go
+++ b/internal/load/load_test.go
@@ -173,6 +173,7 @@
 		So(rep.Tiers[0].Left, ShouldEqual, 1)
 		So(rep.Tiers[0].Good, ShouldEqual, 1)
 		So(rep.Tiers[0].Goodput, ShouldEqual, 0.2)
+		So(rep.Tiers[0].Missed, ShouldResemble, map[Miss]int{MissNotWhole: 2, MissFirstToken: 1, MissPerToken: 1})
 		So(rep.Refusals["shed"], ShouldEqual, 1)
 		So(rep.NoRetryAfter, ShouldEqual, 1)
 		So(rep.Faults(), ShouldEqual, 1)
--- a/internal/load/print.go
+++ b/internal/load/print.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"io"
 	"sort"
+	"strings"
 	"text/tabwriter"
 	"time"
 )
@@ -13,32 +14,31 @@
 	w := tabwriter.NewWriter(out, 0, 8, 2, ' ', 0)
 	fmt.Fprintf(w, "mix %s, seed %d: %d sent in %s (%.1f/s), tool late by p99 %.1f ms\n\n",
 		rep.Mix, rep.Seed, rep.Sent, time.Duration(rep.DurationMs)*time.Millisecond, rep.PerSecond, rep.Lag.P99)
-	fmt.Fprintln(w, "TIER\tOFFERED\tWHOLE\tGOOD\tGOODPUT\tLEFT\tFIRST TOKEN P50/P95/P99 MS\tPER TOKEN P95 MS\tTOTAL P50/P99 MS")
+	fmt.Fprintln(w, "TIER\tOFFERED\tWHOLE\tGOOD\tGOODPUT\tLEFT\tFIRST TOKEN P50/P95/P99 MS\tPER TOKEN P95 MS\tTOTAL P50/P99 MS\tMISSED")
 	for _, t := range rep.Tiers {
-		fmt.Fprintf(w, "%s\t%d\t%d\t%d\t%.4f\t%d\t%.1f / %.1f / %.1f\t%.2f\t%.1f / %.1f\n",
+		fmt.Fprintf(w, "%s\t%d\t%d\t%d\t%.4f\t%d\t%.1f / %.1f / %.1f\t%.2f\t%.1f / %.1f\t%s\n",
 			t.Tier, t.Offered, t.Whole, t.Good, t.Goodput, t.Left, t.FirstToken.P50, t.FirstToken.P95,
-			t.FirstToken.P99, t.PerToken.P95, t.Total.P50, t.Total.P99)
+			t.FirstToken.P99, t.PerToken.P95, t.Total.P50, t.Total.P99, CountsOf(t.Missed))
 	}
 	fmt.Fprintln(w, "\nENDING\tCALLERS")
 	for _, e := range Endings() {
 		fmt.Fprintf(w, "%s\t%d\n", e, rep.Endings[e])
 	}
-	if len(rep.Refusals) > 0 {
-		fmt.Fprintln(w, "\nREFUSAL REASON\tTIMES")
-		for _, reason := range sortedReasons(rep.Refusals) {
-			fmt.Fprintf(w, "%s\t%d\n", reason, rep.Refusals[reason])
-		}
-	}
+	fmt.Fprintf(w, "\nrefusals by reason: %s\n", CountsOf(rep.Refusals))
 	return w.Flush()
 }
 
-func sortedReasons(m map[string]int) []string {
-	out := make([]string, 0, len(m))
-	for r := range m {
-		out = append(out, r)
+// CountsOf writes counts in the order of their names.
+func CountsOf[K ~string](m map[K]int) string {
+	if len(m) == 0 {
+		return "none"
+	}
+	parts := make([]string, 0, len(m))
+	for k, n := range m {
+		parts = append(parts, fmt.Sprintf("%s %d", k, n))
 	}
-	sort.Strings(out)
-	return out
+	sort.Strings(parts)
+	return strings.Join(parts, ", ")
 }
 
 // Line returns the progress as one line for a terminal.
--- a/internal/load/report.go
+++ b/internal/load/report.go
@@ -46,6 +46,9 @@
 	Whole   int     `json:"whole"`
 	Good    int     `json:"good"`
 	Goodput float64 `json:"goodput"`
+	// Missed counts the offered requests that are not good by the first
+	// target that they missed.
+	Missed map[Miss]int `json:"missed"`
 	// FirstToken and PerToken are of streamed whole answers, Total of all
 	// whole ones.
 	FirstToken Percentiles `json:"first_token_ms"`
@@ -123,7 +126,7 @@
 
 func newTally(tier string, priority int) *tierTally {
 	return &tierTally{
-		report:     TierReport{Tier: tier, Priority: priority},
+		report:     TierReport{Tier: tier, Priority: priority, Missed: map[Miss]int{}},
 		firstToken: newHistogram(), perToken: newHistogram(), all: newHistogram(),
 	}
 }
@@ -155,6 +158,11 @@
 		return
 	}
 	t.report.Offered++
+	if miss := r.Miss(targets); miss == NoMiss {
+		t.report.Good++
+	} else {
+		t.report.Missed[miss]++
+	}
 	y := r.Last()
 	if y.Ending != Whole {
 		return
@@ -165,9 +173,6 @@
 		record(t.firstToken, y.FirstToken)
 		record(t.perToken, y.PerToken())
 	}
-	if r.Good(targets) {
-		t.report.Good++
-	}
 }
 
 func (t *tierTally) done() TierReport {
--- a/internal/load/result.go
+++ b/internal/load/result.go
@@ -75,22 +75,44 @@
 // to leave does not, unless its answer was there before.
 func (r *Result) Offered() bool { return r.Last().Ending != Left }
 
+// Miss is why a request does not count as good.
+type Miss string
+
+// The misses, in the order in which they are looked for.
+const (
+	NoMiss         Miss = ""
+	MissNotWhole   Miss = "not_whole"
+	MissFirstToken Miss = "first_token"
+	MissPerToken   Miss = "per_token"
+	MissDeadline   Miss = "deadline"
+)
+
 // Good tells whether the caller got its whole answer within the tier's
-// targets. The first token of an answer that is not streamed can't be seen:
-// it must be whole by the time at which a streamed one would have to be.
-func (r *Result) Good(t Targets) bool {
+// targets.
+func (r *Result) Good(t Targets) bool { return r.Miss(t) == NoMiss }
+
+// Miss returns the first target that was missed. The first token of an answer
+// that is not streamed can't be seen: it must be whole by the time at which a
+// streamed one would have to be.
+func (r *Result) Miss(t Targets) Miss {
 	y := r.Last()
-	if y.Ending != Whole {
-		return false
+	switch {
+	case y.Ending != Whole:
+		return MissNotWhole
+	case r.Arrival.Stream && !within(y.FirstToken, t.FirstTokenMs):
+		return MissFirstToken
+	case r.Arrival.Stream && !within(y.PerToken(), t.PerTokenMs):
+		return MissPerToken
+	case !r.Arrival.Stream && !plainInTime(y, t):
+		return MissFirstToken
+	case !within(y.Total, t.DeadlineMs):
+		return MissDeadline
+	default:
+		return NoMiss
 	}
-	return within(y.Total, t.DeadlineMs) && r.tokensInTime(t)
 }
 
-func (r *Result) tokensInTime(t Targets) bool {
-	y := r.Last()
-	if r.Arrival.Stream {
-		return within(y.FirstToken, t.FirstTokenMs) && within(y.PerToken(), t.PerTokenMs)
-	}
+func plainInTime(y *Try, t Targets) bool {
 	if t.FirstTokenMs == 0 || t.PerTokenMs == 0 {
 		return true
 	}
