pool: touch the prefix index less

A stored block wrote the map of holders even where nothing changed, and kept a time value three words wide. It now reads first and keeps nanoseconds. BenchmarkDecision at 32 servers and 10,000 waiting, on a busy machine (load 11): 31 to about 26 microseconds a cycle, 3.8 to 3.4 KB.

--- a/pool/prefix/index.go
+++ b/pool/prefix/index.go
@@ -41,7 +41,7 @@
 }
 
 type cache struct {
-	blocks *simplelru.LRU[uint64, time.Time] // by when it was last used
+	blocks *simplelru.LRU[uint64, int64] // by when it was last used
 	size   int                               // believed size of the engine's cache
 }
 
@@ -112,7 +112,7 @@
 	if c == nil {
 		return
 	}
-	if used, ok := c.blocks.Peek(block); ok && now.Sub(used) > eventLag {
+	if used, ok := c.blocks.Peek(block); ok && now.UnixNano()-used > int64(eventLag) {
 		c.blocks.Remove(block)
 	}
 }
@@ -167,14 +167,14 @@
 		return c
 	}
 	bit := uint64(1) << server
-	drop := func(block uint64, _ time.Time) {
+	drop := func(block uint64, _ int64) {
 		if left := x.holders[block] &^ bit; left == 0 {
 			delete(x.holders, block)
 		} else {
 			x.holders[block] = left
 		}
 	}
-	blocks, err := simplelru.NewLRU[uint64, time.Time](maxBlocks, drop)
+	blocks, err := simplelru.NewLRU[uint64, int64](maxBlocks, drop)
 	if err != nil {
 		panic(err) // only a size below one is an error
 	}
@@ -184,8 +184,11 @@
 }
 
 func (x *Index) add(now time.Time, server int, c *cache, block uint64) {
-	c.blocks.Add(block, now)
-	x.holders[block] |= uint64(1) << server
+	c.blocks.Add(block, now.UnixNano())
+	bit := uint64(1) << server
+	if set := x.holders[block]; set&bit == 0 {
+		x.holders[block] = set | bit
+	}
 }
 
 // Servers calls f with each server of a set, in order.
