placement: a pure planner of servers to pools

No pool loses its last warm server, one warm server of a model moves at a time, candidates that hold the model or spread the pool over AvailabilityZones and generations go first. A rapid property carries plans out round by round and checks both rules and that they end.

--- /dev/null
+++ b/placement/plan.go
@@ -0,0 +1,268 @@
+// Package placement decides which backend server holds which model version:
+// a pure planner, and a controller that carries its plan out under a lease.
+package placement
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/lycheekeel/lycheekeel/engine"
+	"github.com/lycheekeel/lycheekeel/request"
+)
+
+// Pool is a pool of one model version in one region, with its demand.
+type Pool struct {
+	Name    string
+	Region  string
+	Model   string
+	Version string
+	// Min and Max bound its servers; zero means 1 and no bound.
+	Min, Max int
+	// Demand is how many requests run or wait at once, by tier.
+	Demand [request.MaxTiers]float64
+	// Wanted is false where no template asks for the version any more. Such a
+	// pool's demand is planned at the wanted versions of its model.
+	Wanted bool
+}
+
+// Server is a model engine as it was last seen.
+type Server struct {
+	Name             string
+	Region           string
+	AvailabilityZone string
+	Generation       string
+	// Pool is where it serves by the configuration in force.
+	Pool      string
+	Slots     int
+	Reachable bool
+	Leaving   bool
+	// Warming: it is loading something and serves nothing meanwhile.
+	Warming bool
+	Models  []engine.LoadedModel
+	// Settled: it has served its pool for so long that nothing of an earlier
+	// pool's can still be on its way to it.
+	Settled bool
+}
+
+// holds tells whether the server could serve the pool right now.
+func (s *Server) holds(p *Pool) bool {
+	return slices.ContainsFunc(s.Models, func(m engine.LoadedModel) bool {
+		return m.Model == p.Model && m.Version == p.Version
+	})
+}
+
+func (s *Server) usable() bool { return s.Reachable && !s.Leaving }
+
+func (s *Server) warm(p *Pool) bool {
+	return s.Pool == p.Name && s.usable() && !s.Warming && s.holds(p)
+}
+
+// Move takes a server from one pool to another. It lasts until the server
+// serves the new pool by the configuration in force.
+type Move struct {
+	Server string `json:"server"`
+	From   string `json:"from"`
+	To     string `json:"to"`
+}
+
+// Input is what a plan is made of.
+type Input struct {
+	Pools   []Pool
+	Servers []Server
+	// Moves are those of the last plan.
+	Moves []Move
+	// MaxMoves bounds the moves under way, zero: no bound. It keeps loads
+	// within what the weight store grants.
+	MaxMoves int
+}
+
+// Plan is what should be.
+type Plan struct {
+	// Targets is how many servers each pool should have at least.
+	Targets map[string]int
+	// Moves under way, kept ones first.
+	Moves []Move
+}
+
+// planner is one run of Make.
+type planner struct {
+	in      Input
+	pools   map[string]*Pool
+	servers map[string]*Server
+	moving  map[string]Move // by server
+	count   map[string]int  // servers of a pool, counted where they move to
+	plan    Plan
+}
+
+// Make makes the next plan. It is pure; the same input gives the same plan.
+// It keeps moves that still make sense, never takes a pool's last warm server,
+// and lets one warm server of a model be on its way at a time, so that a
+// rollout over N servers keeps N-1 warm.
+func Make(in Input) Plan {
+	p := &planner{
+		in: in, pools: map[string]*Pool{}, servers: map[string]*Server{},
+		moving: map[string]Move{}, count: map[string]int{},
+	}
+	for i := range in.Pools {
+		p.pools[in.Pools[i].Name] = &in.Pools[i]
+	}
+	for i := range in.Servers {
+		p.servers[in.Servers[i].Name] = &in.Servers[i]
+	}
+	p.plan.Targets = targets(in.Pools, in.Servers)
+	p.keep()
+	p.countServers()
+	for _, to := range p.short() {
+		for p.count[to.Name] < p.plan.Targets[to.Name] && p.add(to) {
+		}
+	}
+	return p.plan
+}
+
+// keep takes over the moves that are not done and can still be done. A move
+// is dropped when its server has become its old pool's last warm one.
+func (p *planner) keep() {
+	for _, m := range p.in.Moves {
+		s, to := p.servers[m.Server], p.pools[m.To]
+		switch {
+		case s == nil || to == nil || !s.usable() || s.Region != to.Region:
+		case s.Pool == m.To && s.holds(to):
+		case p.lastWarm(s):
+		default:
+			p.moving[m.Server] = m
+			p.plan.Moves = append(p.plan.Moves, m)
+		}
+	}
+}
+
+func (p *planner) countServers() {
+	for _, s := range p.in.Servers {
+		if !s.usable() {
+			continue
+		}
+		if m, ok := p.moving[s.Name]; ok {
+			p.count[m.To]++
+		} else {
+			p.count[s.Pool]++
+		}
+	}
+}
+
+// short returns the pools below their target, most urgent demand first.
+func (p *planner) short() []*Pool {
+	var out []*Pool
+	for _, pool := range byUrgency(p.in.Pools) {
+		if p.count[pool.Name] < p.plan.Targets[pool.Name] {
+			out = append(out, p.pools[pool.Name])
+		}
+	}
+	return out
+}
+
+// add starts the best move to the pool; false where there is none.
+func (p *planner) add(to *Pool) bool {
+	if p.in.MaxMoves > 0 && len(p.plan.Moves) >= p.in.MaxMoves {
+		return false
+	}
+	var best *Server
+	for i := range p.in.Servers {
+		s := &p.in.Servers[i]
+		if p.movable(s, to) && (best == nil || p.better(s, best, to)) {
+			best = s
+		}
+	}
+	if best == nil {
+		return false
+	}
+	m := Move{Server: best.Name, From: best.Pool, To: to.Name}
+	p.moving[best.Name] = m
+	p.plan.Moves = append(p.plan.Moves, m)
+	p.count[m.From]--
+	p.count[m.To]++
+	return true
+}
+
+// movable tells whether taking the server does no harm: its pool has more
+// than its target, and stays warm.
+func (p *planner) movable(s *Server, to *Pool) bool {
+	if _, moves := p.moving[s.Name]; moves || !s.usable() || s.Warming || s.Region != to.Region || s.Pool == to.Name {
+		return false
+	}
+	from := p.pools[s.Pool]
+	if from == nil {
+		return true
+	}
+	if p.count[from.Name] <= p.plan.Targets[from.Name] {
+		return false
+	}
+	return !s.warm(from) || !p.lastWarm(s) && !p.modelOnItsWay(from)
+}
+
+// lastWarm tells whether the server is the last warm one of its pool.
+func (p *planner) lastWarm(s *Server) bool {
+	pool := p.pools[s.Pool]
+	return pool != nil && s.warm(pool) && p.warmLeft(pool) <= 1
+}
+
+// warmLeft counts the pool's warm servers that are not being taken away.
+func (p *planner) warmLeft(pool *Pool) int {
+	n := 0
+	for i := range p.in.Servers {
+		s := &p.in.Servers[i]
+		if _, moves := p.moving[s.Name]; !moves && s.warm(pool) {
+			n++
+		}
+	}
+	return n
+}
+
+// modelOnItsWay tells whether a server that served any version of the pool's
+// model in its region is being moved.
+func (p *planner) modelOnItsWay(pool *Pool) bool {
+	for _, m := range p.moving {
+		from := p.pools[m.From]
+		if from != nil && from.Model == pool.Model && from.Region == pool.Region {
+			return true
+		}
+	}
+	return false
+}
+
+// better orders candidates for a pool: one that holds the model already needs
+// no load; then one that spreads the pool over AvailabilityZones, then over
+// generations; then one of the donor with most to spare; then by name.
+func (p *planner) better(a, b *Server, to *Pool) bool {
+	holds := func(s *Server) int {
+		if s.holds(to) {
+			return 0
+		}
+		return 1
+	}
+	zone := func(s *Server) int {
+		return p.alike(to, func(o *Server) bool { return o.AvailabilityZone == s.AvailabilityZone })
+	}
+	generation := func(s *Server) int {
+		return p.alike(to, func(o *Server) bool { return o.Generation == s.Generation })
+	}
+	spare := func(s *Server) int { return p.plan.Targets[s.Pool] - p.count[s.Pool] }
+	return cmp.Or(
+		cmp.Compare(holds(a), holds(b)), cmp.Compare(zone(a), zone(b)),
+		cmp.Compare(generation(a), generation(b)), cmp.Compare(spare(a), spare(b)), cmp.Compare(a.Name, b.Name),
+	) < 0
+}
+
+// alike counts the pool's servers, those on their way included, that match.
+func (p *planner) alike(pool *Pool, match func(*Server) bool) int {
+	n := 0
+	for i := range p.in.Servers {
+		s := &p.in.Servers[i]
+		in := s.Pool
+		if m, ok := p.moving[s.Name]; ok {
+			in = m.To
+		}
+		if in == pool.Name && s.usable() && match(s) {
+			n++
+		}
+	}
+	return n
+}
--- /dev/null
+++ b/placement/plan_test.go
@@ -0,0 +1,204 @@
+package placement_test
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"github.com/lycheekeel/lycheekeel/engine"
+	"github.com/lycheekeel/lycheekeel/placement"
+)
+
+func inputGen() *rapid.Generator[placement.Input] {
+	return rapid.Custom(func(t *rapid.T) placement.Input {
+		in := placement.Input{MaxMoves: rapid.IntRange(0, 3).Draw(t, "max_moves")}
+		for i := range rapid.IntRange(1, 5).Draw(t, "pools") {
+			p := placement.Pool{
+				Name: fmt.Sprintf("p%d", i), Region: "r", Model: rapid.SampledFrom([]string{"a", "b"}).Draw(t, "model"),
+				Version: fmt.Sprint(i), Min: rapid.IntRange(0, 3).Draw(t, "min"), Wanted: rapid.Bool().Draw(t, "wanted"),
+			}
+			for tier := range 3 {
+				p.Demand[tier] = float64(rapid.IntRange(0, 60).Draw(t, "demand"))
+			}
+			in.Pools = append(in.Pools, p)
+		}
+		for i := range rapid.IntRange(1, 12).Draw(t, "servers") {
+			p := rapid.SampledFrom(in.Pools).Draw(t, "pool")
+			s := placement.Server{
+				Name: fmt.Sprintf("s%02d", i), Region: "r", Pool: p.Name, Slots: 8, Settled: true,
+				AvailabilityZone: rapid.SampledFrom([]string{"x", "y", "z"}).Draw(t, "zone"),
+				Generation:       rapid.SampledFrom([]string{"g1", "g2"}).Draw(t, "generation"),
+				Reachable:        rapid.IntRange(0, 9).Draw(t, "reachable") > 0,
+				Leaving:          rapid.IntRange(0, 9).Draw(t, "leaving") == 0,
+			}
+			if rapid.IntRange(0, 4).Draw(t, "warm") > 0 {
+				s.Models = []engine.LoadedModel{{Model: p.Model, Version: p.Version}}
+			}
+			in.Servers = append(in.Servers, s)
+		}
+		return in
+	})
+}
+
+func usable(s placement.Server) bool { return s.Reachable && !s.Leaving }
+
+func holds(s placement.Server, p placement.Pool) bool {
+	return slices.Contains(s.Models, engine.LoadedModel{Model: p.Model, Version: p.Version})
+}
+
+// warm counts warm servers by pool, and by model over all its versions.
+func warm(in placement.Input) (byPool, byModel map[string]int) {
+	byPool, byModel = map[string]int{}, map[string]int{}
+	for _, s := range in.Servers {
+		for _, p := range in.Pools {
+			if s.Pool == p.Name && usable(s) && !s.Warming && holds(s, p) {
+				byPool[p.Name]++
+				byModel[p.Model]++
+			}
+		}
+	}
+	return byPool, byModel
+}
+
+// obey does the steps as engines and the store would: a load makes a server
+// warm up for a round.
+func obey(in *placement.Input, steps []placement.Step) {
+	for i := range in.Servers {
+		in.Servers[i].Warming = false
+	}
+	for _, st := range steps {
+		i := slices.IndexFunc(in.Servers, func(s placement.Server) bool { return s.Name == st.Server })
+		s, m := &in.Servers[i], engine.LoadedModel{Model: st.Model, Version: st.Version}
+		switch st.Kind {
+		case placement.StepLoad:
+			s.Models, s.Warming = append(slices.Clone(s.Models), m), true
+		case placement.StepAssign:
+			s.Pool = st.Pool
+		case placement.StepUnload:
+			s.Models = slices.DeleteFunc(slices.Clone(s.Models), func(x engine.LoadedModel) bool { return x == m })
+		}
+	}
+}
+
+// Symptom: a pool has no server although it had one, or servers go back and
+// forth for ever.
+// Sequence: demand, versions and servers of any kind; the plan is carried out
+// round by round.
+// Cause: a planner that counts a server twice, or forgets one on its way.
+func TestPlanKeepsPoolsWarmAndConverges(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		in := inputGen().Draw(rt, "input")
+		poolWarm, _ := warm(in)
+		var plan placement.Plan
+		for range 8*len(in.Servers) + 8 {
+			plan = placement.Make(in)
+			if in.MaxMoves > 0 && len(plan.Moves) > in.MaxMoves {
+				rt.Fatalf("%d moves at once", len(plan.Moves))
+			}
+			steps := placement.Steps(in, plan.Moves)
+			in.Moves = plan.Moves
+			obey(&in, steps)
+			byPool, _ := warm(in)
+			for p := range poolWarm {
+				if byPool[p] == 0 {
+					rt.Fatalf("pool %s lost its last warm server: %+v", p, steps)
+				}
+			}
+			if len(steps) == 0 && len(plan.Moves) == 0 {
+				break
+			}
+		}
+		if n := len(placement.Steps(in, plan.Moves)); n > 0 || len(plan.Moves) > 0 {
+			rt.Fatalf("no end: %d steps, moves %+v", n, plan.Moves)
+		}
+		checkEnd(rt, in, plan)
+	})
+}
+
+// checkEnd: a pool below its target means that nobody can spare a server.
+func checkEnd(rt *rapid.T, in placement.Input, plan placement.Plan) {
+	count := map[string]int{}
+	for _, s := range in.Servers {
+		if usable(s) {
+			count[s.Pool]++
+		}
+	}
+	byPool, _ := warm(in)
+	for _, p := range in.Pools {
+		if count[p.Name] >= plan.Targets[p.Name] {
+			continue
+		}
+		for _, from := range in.Pools {
+			if count[from.Name] > plan.Targets[from.Name] && byPool[from.Name] > 1 {
+				rt.Fatalf("%s has %d of %d, %s has %d of %d", p.Name, count[p.Name], plan.Targets[p.Name],
+					from.Name, count[from.Name], plan.Targets[from.Name])
+			}
+		}
+	}
+}
+
+func fleet(n int, pool, model, version string) []placement.Server {
+	var out []placement.Server
+	for i := range n {
+		out = append(out, placement.Server{
+			Name: fmt.Sprintf("s%d", i), Region: "r", Pool: pool, Slots: 8, Reachable: true, Settled: true,
+			AvailabilityZone: fmt.Sprint("z", i/2), Models: []engine.LoadedModel{{Model: model, Version: version}},
+		})
+	}
+	return out
+}
+
+// Symptom: goodput falls during the rollout of a new version.
+// Sequence: the template asks for version 2; six servers hold version 1.
+// Cause: more than one server reloads at a time.
+func TestRolloutKeepsAllButOneWarm(t *testing.T) {
+	in := placement.Input{Servers: fleet(6, "old", "m", "1"), Pools: []placement.Pool{
+		{Name: "old", Region: "r", Model: "m", Version: "1", Demand: [8]float64{40}},
+		{Name: "new", Region: "r", Model: "m", Version: "2", Wanted: true},
+	}}
+	for round := 0; ; round++ {
+		plan := placement.Make(in)
+		steps := placement.Steps(in, plan.Moves)
+		in.Moves = plan.Moves
+		obey(&in, steps)
+		byPool, byModel := warm(in)
+		if byModel["m"] < 5 || byPool["old"] < 1 {
+			t.Fatalf("round %d: %d of 6 warm", round, byModel["m"])
+		}
+		if len(steps) == 0 && len(plan.Moves) == 0 {
+			if byPool["new"] != 5 || byPool["old"] != 1 {
+				t.Fatalf("ended with %v", byPool)
+			}
+			return
+		}
+		if round > 60 {
+			t.Fatal("no end")
+		}
+	}
+}
+
+// The urgent pool's shortage goes first, and its new servers are spread over
+// AvailabilityZones.
+func TestUrgentDemandGetsServersSpread(t *testing.T) {
+	in := placement.Input{Servers: fleet(6, "tags", "t", "1"), Pools: []placement.Pool{
+		{Name: "tags", Region: "r", Model: "t", Version: "1", Wanted: true, Demand: [8]float64{0, 0, 100}},
+		{Name: "offers", Region: "r", Model: "o", Version: "1", Wanted: true, Demand: [8]float64{20}},
+	}}
+	for range 40 {
+		plan := placement.Make(in)
+		steps := placement.Steps(in, plan.Moves)
+		in.Moves = plan.Moves
+		obey(&in, steps)
+	}
+	zones := map[string]bool{}
+	for _, s := range in.Servers {
+		if s.Pool == "offers" {
+			zones[s.AvailabilityZone] = true
+		}
+	}
+	if byPool, _ := warm(in); byPool["offers"] != 3 || byPool["tags"] != 3 || len(zones) != 3 {
+		t.Fatalf("%v in zones %v", byPool, zones)
+	}
+}
