revision: tell through which version changes are in force; a churn test

A member that started after a deletion reported a smaller version than the others with the same configuration, so that nobody could wait for a version. Reports now give the floor too. Watchers list anew every 10 minutes, for a change that a watch left out.

--- a/internal/cli/configstatus.go
+++ b/internal/cli/configstatus.go
@@ -25,7 +25,7 @@
 	for _, m := range s.Members {
 		rows = append(rows, configRow(m))
 	}
-	if err := g.printTable([]string{"member", "region", "version", "hash", "confirmed", "watching"}, rows); err != nil {
+	if err := g.printTable([]string{"member", "region", "version", "through", "hash", "confirmed", "watching"}, rows); err != nil {
 		return err
 	}
 	for _, f := range s.Findings {
@@ -39,12 +39,13 @@
 	r := m.Configuration
 	switch {
 	case r == nil:
-		return []string{m.Name, m.Region, "-", m.Error, "-", "-"}
+		return []string{m.Name, m.Region, "-", "-", m.Error, "-", "-"}
 	case r.Hash == "":
-		return []string{m.Name, m.Region, "none", "-", confirmed(r), strconv.FormatBool(r.Watching)}
+		return []string{m.Name, m.Region, "none", "-", "-", confirmed(r), strconv.FormatBool(r.Watching)}
 	default:
 		version := strconv.FormatUint(uint64(r.Version), 10)
-		return []string{m.Name, m.Region, version, r.Hash, confirmed(r), strconv.FormatBool(r.Watching)}
+		through := strconv.FormatUint(uint64(r.Through), 10)
+		return []string{m.Name, m.Region, version, through, r.Hash, confirmed(r), strconv.FormatBool(r.Watching)}
 	}
 }
 
--- a/revision/cluster_test.go
+++ b/revision/cluster_test.go
@@ -4,12 +4,14 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"math/rand/v2"
 	"slices"
 	"testing"
 	"time"
 
 	. "github.com/smartystreets/goconvey/convey"
 
+	"github.com/lycheekeel/lycheekeel/internal/peer"
 	standin "github.com/lycheekeel/lycheekeel/internal/standin/platform"
 	"github.com/lycheekeel/lycheekeel/platform"
 	"github.com/lycheekeel/lycheekeel/revision"
@@ -150,6 +152,76 @@
 	})
 }
 
+// churn does one random thing to a cluster; writes return their version.
+func churn(ctx context.Context, r *rand.Rand, c *revisiontest.Cluster) platform.Version {
+	m := c.Members[r.IntN(len(c.Members))]
+	other := c.Members[r.IntN(len(c.Members))]
+	switch r.IntN(7) {
+	case 0:
+		m.Stop()
+		m.Start()
+	case 1:
+		c.Store.SetFaults(standin.Faults{Down: true})
+	case 2:
+		c.Store.SetFaults(standin.Faults{StaleWrites: uint64(r.IntN(2))})
+	case 3:
+		m.Cut.Store(r.IntN(2) == 0)
+	case 4:
+		c.Network.Lose(peer.Name(m.Name), peer.Name(other.Name))
+	case 5:
+		c.Network.Heal(peer.Name(m.Name), peer.Name(other.Name))
+	default:
+		name := fmt.Sprintf("w-%d", r.IntN(3))
+		if o, err := c.Store.Get(ctx, workspace.KindWorkspace, name); err == nil && r.IntN(2) == 0 {
+			v, _ := c.Store.Delete(ctx, o.Kind, name, o.Version)
+			return v
+		}
+		value, _ := json.Marshal(workspacetest.Workspace(name, "template-0"))
+		v, _ := c.Store.Create(ctx, workspace.KindWorkspace, name, value)
+		return v
+	}
+	return 0
+}
+
+func TestChurn(t *testing.T) {
+	// Symptom: a member goes back to an older configuration, or stays behind
+	// for good, after a time of several failures at once.
+	// Sequence: restarts, an object API that is down, stale or cut off from
+	// some, links that lose everything one way, and operators who write.
+	// Cause: one of these failures is only survived alone.
+	for seed := range uint64(3) {
+		Convey(fmt.Sprintf("Members neither go back nor stay behind, seed %d", seed), t, func() {
+			ctx, c, newest := cluster(t, 5)
+			r := rand.New(rand.NewPCG(seed, 0))
+			for range 60 {
+				if v := churn(ctx, r, c); v > 0 {
+					newest = v
+					some := func(m *revisiontest.Member) bool { return m.InForce() >= v || m.Cut.Load() }
+					So(revisiontest.Until(ctx, func() bool { return slices.ContainsFunc(c.Members, some) }), ShouldBeNil)
+				}
+			}
+			c.Store.SetFaults(standin.Faults{})
+			for _, m := range c.Members {
+				m.Cut.Store(false)
+				for _, other := range c.Members {
+					c.Network.Heal(peer.Name(m.Name), peer.Name(other.Name))
+				}
+			}
+			_, err := revisiontest.Await(ctx, newest, c.Members...)
+			So(err, ShouldBeNil)
+			agree := func(m *revisiontest.Member) bool {
+				return m.Syncer.Report().Hash == c.Members[0].Syncer.Report().Hash
+			}
+			So(revisiontest.Until(ctx, func() bool {
+				return !slices.ContainsFunc(c.Members, func(m *revisiontest.Member) bool { return !agree(m) })
+			}), ShouldBeNil)
+			for _, m := range c.Members {
+				So(m.Reverts(), ShouldEqual, 0)
+			}
+		})
+	}
+}
+
 // BenchmarkSpread measures one change at several sizes with the default
 // timing: the time until it is in force on the last member, and the bytes and
 // messages that it costs each member.
--- a/revision/report.go
+++ b/revision/report.go
@@ -12,8 +12,11 @@
 // InForce names the configuration that a member has in force. Members with
 // equal hashes have the same.
 type InForce struct {
+	// Version is the newest version applied.
 	Version platform.Version
 	Hash    uint64
+	// Through is the floor: every change up to it is in force.
+	Through platform.Version
 
 	changes uint64
 }
@@ -22,6 +25,10 @@
 type Report struct {
 	Member  string           `json:"member"`
 	Version platform.Version `json:"version"`
+	// Through is the version up to which every change is in force. It may be
+	// larger than Version, since the object API counts all its writes, and
+	// follows a moment after a change on members that do not watch.
+	Through platform.Version `json:"through"`
 	// Hash is equal on members that have the same configuration in force;
 	// empty before there is one.
 	Hash string `json:"hash"`
@@ -36,7 +43,7 @@
 func (s *Syncer) Report() Report {
 	r := Report{Member: string(s.o.Transport.Self()), ConfirmedMs: -1, Watching: s.watching.Load()}
 	if f := s.inForce.Load(); f != nil {
-		r.Version, r.Hash = f.Version, fmt.Sprintf("%016x", f.Hash)
+		r.Version, r.Through, r.Hash = f.Version, f.Through, fmt.Sprintf("%016x", f.Hash)
 	}
 	if c := s.confirmedAt(); !c.IsZero() {
 		r.ConfirmedMs = s.o.Now().Sub(c).Milliseconds()
--- a/revision/revisiontest/cluster.go
+++ b/revision/revisiontest/cluster.go
@@ -105,8 +105,12 @@
 	m.cluster.Network.Crash(peer.Name(m.Name))
 }
 
-// InForce is the version in force at the member, 0 for none.
-func (m *Member) InForce() platform.Version { return platform.Version(m.newest.Load()) }
+// InForce is the version up to which changes are in force at the member, 0
+// for none: the newest published, or that which the member is known to be
+// complete through (a deletion from before its start is in no object).
+func (m *Member) InForce() platform.Version {
+	return max(platform.Version(m.newest.Load()), m.Syncer.Report().Through)
+}
 
 // First is the first version that was in force since the member's start.
 func (m *Member) First() platform.Version { return platform.Version(m.first.Load()) }
--- a/revision/syncer.go
+++ b/revision/syncer.go
@@ -54,6 +54,9 @@
 	Stale time.Duration
 	// Volunteer is how long such a member goes on.
 	Volunteer time.Duration
+	// Relist is how often a watcher lists anew, although its watch works: a
+	// change that a watch left out would else never be seen.
+	Relist time.Duration
 	// PeerWait is how long a starting member looks for peers before it
 	// publishes what the object API alone told it.
 	PeerWait time.Duration
@@ -72,6 +75,7 @@
 var DefaultTiming = Timing{
 	Gossip: time.Second, Settle: 10 * time.Millisecond,
 	WatchWait: 2 * time.Second, Stale: 4 * time.Second, Volunteer: 2 * time.Minute,
+	Relist:   10 * time.Minute,
 	PeerWait: time.Second, Call: 1500 * time.Millisecond,
 	Retry: 200 * time.Millisecond, MaxRetry: 5 * time.Second, Tick: time.Second,
 }
@@ -92,6 +96,7 @@
 	// watchSeen is when any member's watch last worked, as far as is known.
 	confirmed, watchSeen time.Time
 	volunteerUntil       time.Time
+	relistAt             time.Time // zero before the first listing
 
 	inbox     chan inbound
 	toPush    chan struct{}
@@ -130,7 +135,7 @@
 	d := DefaultTiming
 	for _, f := range []struct{ v, def *time.Duration }{
 		{&t.Gossip, &d.Gossip}, {&t.Settle, &d.Settle}, {&t.WatchWait, &d.WatchWait}, {&t.Stale, &d.Stale},
-		{&t.Volunteer, &d.Volunteer}, {&t.PeerWait, &d.PeerWait}, {&t.Call, &d.Call},
+		{&t.Volunteer, &d.Volunteer}, {&t.Relist, &d.Relist}, {&t.PeerWait, &d.PeerWait}, {&t.Call, &d.Call},
 		{&t.Retry, &d.Retry}, {&t.MaxRetry, &d.MaxRetry}, {&t.Tick, &d.Tick},
 	} {
 		if *f.v == 0 {
@@ -227,10 +232,17 @@
 // publishOnce publishes, unless nothing changed or the set is not whole yet.
 func (s *Syncer) publishOnce() {
 	s.mu.Lock()
-	next := &InForce{Version: s.set.Newest(), Hash: s.set.Hash(), changes: s.set.Changes()}
+	next := &InForce{
+		Version: s.set.Newest(), Hash: s.set.Hash(), Through: s.set.Floor(), changes: s.set.Changes(),
+	}
 	before := s.inForce.Load()
-	if !s.set.Complete() || (before != nil && before.changes == next.changes) {
+	if !s.set.Complete() {
+		s.mu.Unlock()
+		return
+	}
+	if before != nil && before.changes == next.changes {
 		s.mu.Unlock()
+		s.inForce.Store(next) // only Through may have risen
 		return
 	}
 	objects := s.set.Objects()
