pool: a deadline asks for a time between tokens too

The top tier's long answers missed their deadline under load: at 62 ms between tokens an answer of 400 tokens takes 25 s of the 12 s it has. A request's time between tokens, for the choice of server and for the limit, is now at most what lets a long answer (nine in ten) of its known mix end in time, and no less than half its target.

--- a/pool/choose.go
+++ b/pool/choose.go
@@ -18,6 +18,9 @@
 	// tokenShare is the part of a target between tokens up to which a server
 	// counts as fast enough.
 	tokenShare = 0.9
+	// leastToken is the least part of a target between tokens that a deadline
+	// may ask for.
+	leastToken = 0.5
 	// prefillShare is the part of the tightest first-token target for which a
 	// server may have prefill to do, when more is sent to it.
 	prefillShare = 0.5
@@ -70,7 +73,23 @@
 
 // fastEnough tells whether the server would meet the time between tokens.
 func (p *Pool) fastEnough(w *waiter, s *server) bool {
-	return w.PerToken <= 0 || float64(s.speed.PerToken(len(s.running)+1)) <= tokenShare*float64(w.PerToken)
+	target := w.tokenTarget()
+	return target <= 0 || float64(s.speed.PerToken(len(s.running)+1)) <= tokenShare*float64(target)
+}
+
+// tokenTarget is the time between tokens that a request needs: its target or,
+// where that is less, what lets a long answer of its mix end in time. A tier
+// with a target of 62 ms and a deadline of 12 s needs 30 ms for an answer of
+// 400 tokens. While the mix is unknown, the target alone counts.
+func (w *waiter) tokenTarget() time.Duration {
+	if !w.length.Known {
+		return w.PerToken
+	}
+	whole := (w.DeadlineIn - max(0, w.FirstTokenIn)) / time.Duration(w.length.High)
+	if w.PerToken <= 0 || whole < w.PerToken {
+		return max(whole, time.Duration(leastToken*float64(w.PerToken)))
+	}
+	return w.PerToken
 }
 
 // roomy tells whether a server has memory for a request, and not so much
--- a/pool/estimate/estimate.go
+++ b/pool/estimate/estimate.go
@@ -33,6 +33,8 @@
 type Length struct {
 	// Mean is for costs, High is exceeded by one in ten.
 	Mean, High int
+	// Known is false where they are safe assumptions rather than measured.
+	Known bool
 }
 
 // Estimator keeps the recent lengths of each mix.
@@ -143,5 +145,5 @@
 	if missing == 0 {
 		high = h.sorted[int(highQuantile*float64(n-1))]
 	}
-	return Length{Mean: max(1, mean), High: max(1, high)}
+	return Length{Mean: max(1, mean), High: max(1, high), Known: missing == 0}
 }
--- a/pool/prefix/index.go
+++ b/pool/prefix/index.go
@@ -42,7 +42,7 @@
 
 type cache struct {
 	blocks *simplelru.LRU[uint64, int64] // by when it was last used
-	size   int                               // believed size of the engine's cache
+	size   int                           // believed size of the engine's cache
 }
 
 // NewIndex returns an empty index.
