daemon: several daemons with membership, claims and the VM list

A daemon joins the others by seeds, VM list and gossip, owns its share of the pools, keeps claims in the object API, collects old ones under a lease, and treats backend servers on leaving VMs as leaving.

--- a/internal/cli/root.go
+++ b/internal/cli/root.go
@@ -76,6 +76,9 @@
 	app.Flag("log-level", "Level of the log on stderr: debug, info, warning or error.").
 		Default("warning").EnumVar(&g.logLevel, "debug", "info", "warning", "error")
 	app.PreAction(func(*kingpin.ParseContext) error {
+		if g.logLevel == "" {
+			return nil // --help: no value was set
+		}
 		return logs.Configure(g.stderr, g.logLevel, false)
 	})
 	for _, r := range registrations {
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -14,6 +14,7 @@
 	"github.com/sourcegraph/conc"
 
 	"github.com/lycheekeel/lycheekeel/broker"
+	"github.com/lycheekeel/lycheekeel/claim"
 	"github.com/lycheekeel/lycheekeel/engine/httpengine"
 	"github.com/lycheekeel/lycheekeel/internal/admin"
 	"github.com/lycheekeel/lycheekeel/internal/entry"
@@ -41,6 +42,9 @@
 	views     *member.Live
 	platform  platform.Platform
 	transport *peer.TCP
+	members   *member.Runner
+	vms       *leavingVMs
+	ledger    *claim.ObjectLedger
 	syncer    *revision.Syncer
 	findings  func() workspace.Findings
 	host      *poolhost.Host
@@ -83,7 +87,10 @@
 		d.closeListeners()
 		return nil, err
 	}
-	d.wire()
+	if err := d.wire(); err != nil {
+		d.closeListeners()
+		return nil, err
+	}
 	return d, nil
 }
 
@@ -115,29 +122,39 @@
 
 // wire makes the parts. Those that register handlers at the transport must be
 // made before it starts.
-func (d *Daemon) wire() {
+func (d *Daemon) wire() error {
 	s := &d.settings
 	d.platform = httpplatform.New(httpplatform.Options{
 		Addr: s.Platform.Address, CallTimeout: milliseconds(s.Platform.TimeoutMs), Metrics: d.metrics,
 	})
-	d.wireMembers()
+	if err := d.wireMembers(); err != nil {
+		return err
+	}
 	configuration := revision.NewConfiguration(d.config, d.metrics)
 	d.findings = configuration.Findings
 	d.syncer = revision.New(configuration.Attach(revision.Options{
 		API: d.platform, Transport: d.transport, View: d.views.Load, Metrics: d.metrics,
 	}))
 	engines := httpengine.NewDialer(s.engineSettings())
+	d.vms = newLeavingVMs(d.platform, func() bool { return len(d.host.Summaries()) > 0 })
 	d.host = poolhost.New(poolhost.Config{
 		Self: s.Name, Region: s.Region, Snapshots: d.config, Views: d.views, Transport: d.transport,
-		Engines: engines, Metrics: d.metrics,
+		Engines: engines, Leaving: d.vms.leaving, Metrics: d.metrics,
 	})
 	d.broker = broker.New(d.host)
+	d.ledger = claim.NewLedger(d.platform, claim.Options{Metrics: d.metrics})
 	d.entry = entry.New(entry.Deps{
-		Config: d.config, Broker: d.broker, Ledger: d.ledger(), Engines: engines,
+		Config: d.config, Broker: d.broker, Ledger: d.ledger, Engines: engines,
 		Services: httpservice.NewDialer(s.serviceSettings()), Metrics: d.metrics, Region: s.Region,
 	}, s.entryLimits())
 	d.transport.Handle(peer.TypeStatus, d.answerStatus)
 	d.admin = admin.New(d, d.metrics)
+	return nil
+}
+
+// parts returns what runs beside the servers, until its context ends.
+func (d *Daemon) parts() []func(context.Context) {
+	return []func(context.Context){d.syncer.Run, d.host.Run, d.broker.Run, d.vms.Run, d.collectClaims}
 }
 
 // Address and AdminAddress are where the daemon listens.
@@ -161,6 +178,7 @@
 	failed := make(chan error, 2) // one from each server
 	var parts conc.WaitGroup
 	d.transport.Start()
+	d.members.Start()
 	for _, run := range d.parts() {
 		parts.Go(func() { run(work) })
 	}
@@ -171,9 +189,11 @@
 	if err == nil {
 		err = d.stop()
 	}
+	d.closeLedger()
 	stopWork()
 	d.closeAdmin()
 	parts.Wait()
+	d.members.Close()
 	d.transport.Close()
 	d.state.Store(uint32(stateStopped))
 	d.log.Info("stopped")
--- a/internal/daemon/ledger.go
+++ b/internal/daemon/ledger.go
@@ -2,17 +2,79 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/lycheekeel/lycheekeel/claim"
-	"github.com/lycheekeel/lycheekeel/request"
+	"github.com/lycheekeel/lycheekeel/lease"
 )
 
-// ledger returns the claims' ledger.
-func (d *Daemon) ledger() claim.Ledger { return noLedger{} }
+// Times of collecting old claims.
+const (
+	collectLease = 15 * time.Second // length of the collector's lease
+	collectEvery = 10 * time.Minute
+	leaseDrift   = 0.01
+	leaseMargin  = 2 * time.Second
+)
+
+// collectorLease is the lease whose holder collects old claims.
+const collectorLease = "claim-collector"
+
+// ledgerStop bounds how long a stopping daemon records claims' outcomes.
+const ledgerStop = 10 * time.Second
 
-// noLedger refuses every claim.
-type noLedger struct{}
+// collectClaims deletes old claims while this daemon holds the lease for it.
+func (d *Daemon) collectClaims(ctx context.Context) {
+	elector, err := lease.NewElector(d.platform, lease.Options{
+		Name: collectorLease, Holder: d.settings.Name, Duration: collectLease,
+		MaxDrift: leaseDrift, Margin: leaseMargin, Metrics: d.metrics,
+	})
+	if err != nil {
+		d.log.WithError(err).Error("old claims are not collected")
+		return
+	}
+	collector := claim.NewCollector(d.platform, claim.CollectorOptions{Options: claim.Options{Metrics: d.metrics}})
+	for {
+		held, err := elector.Acquire(ctx)
+		if err != nil {
+			return // ctx ended
+		}
+		d.collectWhile(ctx, held, collector)
+	}
+}
+
+// collectWhile collects until the lease is lost or ctx ends.
+func (d *Daemon) collectWhile(ctx context.Context, held *lease.Lease, c *claim.Collector) {
+	defer func() {
+		release, cancel := context.WithTimeout(context.Background(), time.Second)
+		defer cancel()
+		_ = held.Release(release)
+	}()
+	tick := time.NewTicker(collectEvery)
+	defer tick.Stop()
+	check := func() error {
+		_, err := held.Check()
+		return err
+	}
+	for {
+		n, err := c.Pass(ctx, check)
+		if n > 0 || err != nil {
+			d.log.WithError(err).WithField("deleted", n).Info("collected old claims")
+		}
+		select {
+		case <-tick.C:
+		case <-held.Lost():
+			return
+		case <-ctx.Done():
+			return
+		}
+	}
+}
 
-func (noLedger) Claim(context.Context, claim.Key, claim.Hash, request.ID) (claim.Claim, error) {
-	return nil, claim.ErrStoreUnavailable
+// closeLedger records the outcomes that still wait for the store.
+func (d *Daemon) closeLedger() {
+	ctx, cancel := context.WithTimeout(context.Background(), ledgerStop)
+	defer cancel()
+	if err := d.ledger.Close(ctx); err != nil {
+		d.log.WithError(err).Warn("some claims' outcomes were not recorded and read unknown")
+	}
 }
--- a/internal/daemon/members.go
+++ b/internal/daemon/members.go
@@ -1,30 +1,62 @@
 package daemon
 
 import (
-	"cmp"
 	"context"
-	"slices"
+	"net/netip"
+	"time"
 
+	"github.com/pkg/errors"
+
+	"github.com/lycheekeel/lycheekeel/internal/peer"
 	"github.com/lycheekeel/lycheekeel/member"
+	"github.com/lycheekeel/lycheekeel/platform"
 )
 
-// wireMembers makes the membership.
-func (d *Daemon) wireMembers() {
-	s := &d.settings
-	d.views.Store(member.NewView(s.Name, []member.Member{{
-		Name: s.Name, Address: s.Peer.Address, Region: s.Region, AvailabilityZone: s.AvailabilityZone,
-	}}))
-}
+// roleEntry is the role in the platform's VM list of VMs that run this daemon.
+const roleEntry = "entry"
 
-// leave tells the other members that this one takes no pools any more.
-func (d *Daemon) leave() {}
+// wireMembers makes the membership; it registers handlers at the transport.
+func (d *Daemon) wireMembers() error {
+	var err error
+	d.members, err = member.NewRunner(member.Config{
+		Self: member.Member{
+			Name: d.settings.Name, Address: d.peerAddress(), Region: d.settings.Region,
+			AvailabilityZone: d.settings.AvailabilityZone, ProtocolVersion: peer.NewestVersion,
+			Incarnation: uint64(time.Now().UnixMilli()),
+		},
+		Seeds: d.settings.Peer.Seeds,
+	}, member.RunnerOptions{
+		Transport: d.transport, Live: d.views, Registry: d.metrics, Hints: d.peerHints,
+	})
+	return errors.Wrap(err, "membership")
+}
 
-// parts returns what runs beside the servers.
-func (d *Daemon) parts() []func(context.Context) {
-	return []func(context.Context){d.syncer.Run, d.host.Run, d.broker.Run}
+// peerAddress is where other daemons reach this one.
+func (d *Daemon) peerAddress() string {
+	a := d.settings.Peer.Address
+	if p, err := netip.ParseAddrPort(a); err == nil && p.Port() == 0 {
+		return d.transport.Addr().String()
+	}
+	return a
 }
 
-// sortBy sorts by a key.
-func sortBy[T any, K cmp.Ordered](s []T, key func(T) K) {
-	slices.SortFunc(s, func(a, b T) int { return cmp.Compare(key(a), key(b)) })
+// peerHints returns where daemons may listen by the platform's VM list: on
+// the VMs of their role, at the port that this daemon uses.
+func (d *Daemon) peerHints(ctx context.Context) ([]string, error) {
+	self, err := netip.ParseAddrPort(d.peerAddress())
+	if err != nil {
+		return nil, errors.Wrap(err, "own peer address")
+	}
+	vms, err := d.platform.VMs(ctx)
+	if err != nil {
+		return nil, err
+	}
+	var out []string
+	for _, vm := range vms {
+		ip, err := netip.ParseAddr(vm.IP)
+		if vm.Role == roleEntry && vm.State == platform.VMLive && err == nil {
+			out = append(out, netip.AddrPortFrom(ip, self.Port()).String())
+		}
+	}
+	return out, nil
 }
--- a/internal/daemon/status.go
+++ b/internal/daemon/status.go
@@ -1,8 +1,10 @@
 package daemon
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
+	"slices"
 	"time"
 
 	"github.com/pkg/errors"
@@ -10,7 +12,6 @@
 
 	"github.com/lycheekeel/lycheekeel/internal/peer"
 	"github.com/lycheekeel/lycheekeel/internal/version"
-	"github.com/lycheekeel/lycheekeel/member"
 	"github.com/lycheekeel/lycheekeel/pool"
 	"github.com/lycheekeel/lycheekeel/revision"
 	"github.com/lycheekeel/lycheekeel/workspace"
@@ -74,7 +75,7 @@
 	for _, m := range d.views.Load().Members {
 		s.Members = append(s.Members, MemberStatus{
 			Name: m.Name, Address: m.Address, Region: m.Region, AvailabilityZone: m.AvailabilityZone,
-			State: memberState(m.State), Incarnation: m.Incarnation,
+			State: m.State.String(), Incarnation: m.Incarnation,
 		})
 	}
 	if cluster {
@@ -93,7 +94,7 @@
 		owner, _ := d.host.Owner(name, p.Region)
 		out = append(out, PoolStatus{Pool: name, Region: p.Region, Owner: owner, Servers: len(p.Servers)})
 	}
-	sortBy(out, func(p PoolStatus) string { return p.Pool })
+	slices.SortFunc(out, func(a, b PoolStatus) int { return cmp.Compare(a.Pool, b.Pool) })
 	return out
 }
 
@@ -132,11 +133,3 @@
 func (d *Daemon) answerStatus(context.Context, peer.Name, []byte) ([]byte, error) {
 	return json.Marshal(d.syncer.Report())
 }
-
-func memberState(s member.State) string {
-	names := [...]string{"alive", "suspect", "leaving", "dead"}
-	if int(s) < len(names) {
-		return names[s]
-	}
-	return "unknown"
-}
--- a/internal/daemon/stop.go
+++ b/internal/daemon/stop.go
@@ -19,7 +19,7 @@
 // gets its whole answer.
 func (d *Daemon) stop() error {
 	d.state.Store(uint32(stateDraining))
-	d.leave()
+	d.members.Leave()
 	d.entry.Drain()
 	delay := orDefault(d.settings.Timeouts.DrainMs, DefaultDrain)
 	limit := orDefault(d.settings.Timeouts.StopMs, DefaultStop)
--- /dev/null
+++ b/internal/daemon/vms.go
@@ -0,0 +1,76 @@
+package daemon
+
+import (
+	"context"
+	"net"
+	"sync/atomic"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/lycheekeel/lycheekeel/internal/logs"
+	"github.com/lycheekeel/lycheekeel/platform"
+	"github.com/lycheekeel/lycheekeel/workspace"
+)
+
+// vmEvery is how often a daemon that owns pools asks for the VM list. A
+// leaving backend server must get no new work within seconds.
+const vmEvery = 1500 * time.Millisecond
+
+// leavingVMs knows which VMs the platform's list shows as leaving. Daemons
+// that own no pool don't ask: each call counts against the platform's rates.
+type leavingVMs struct {
+	list platform.VMList
+	owns func() bool
+	ips  atomic.Pointer[map[string]bool]
+	log  *logrus.Entry
+}
+
+func newLeavingVMs(list platform.VMList, owns func() bool) *leavingVMs {
+	return &leavingVMs{list: list, owns: owns, log: logs.For("vms")}
+}
+
+// Run asks until ctx ends.
+func (l *leavingVMs) Run(ctx context.Context) {
+	tick := time.NewTicker(vmEvery)
+	defer tick.Stop()
+	for {
+		if l.owns() {
+			l.ask(ctx)
+		}
+		select {
+		case <-tick.C:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// ask keeps the last list where the platform does not answer: a VM that was
+// leaving does not come back.
+func (l *leavingVMs) ask(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, vmEvery)
+	defer cancel()
+	vms, err := l.list.VMs(ctx)
+	if err != nil {
+		l.log.WithError(err).Debug("no VM list")
+		return
+	}
+	ips := map[string]bool{}
+	for _, vm := range vms {
+		if vm.State == platform.VMLeaving {
+			ips[vm.IP] = true
+		}
+	}
+	l.ips.Store(&ips)
+}
+
+// leaving tells whether a backend server's VM is leaving.
+func (l *leavingVMs) leaving(s workspace.BackendServer) bool {
+	ips := l.ips.Load()
+	if ips == nil || len(*ips) == 0 {
+		return false
+	}
+	ip, _, err := net.SplitHostPort(s.Address)
+	return err == nil && (*ips)[ip]
+}
