placement: a controller that carries plans out under a lease

The planner needs a holder that pauses and store outages cannot turn into two. Each act is preceded by the lease's check and carries its token; the plan is written conditionally before it is acted on; engines that check tokens are told the new one at each takeover and restart, others are put right by level-triggered orders.

--- /dev/null
+++ b/placement/controller.go
@@ -0,0 +1,195 @@
+package placement
+
+import (
+	"context"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/sirupsen/logrus"
+
+	"github.com/lycheekeel/lycheekeel/engine"
+	"github.com/lycheekeel/lycheekeel/internal/logs"
+	"github.com/lycheekeel/lycheekeel/internal/metrics"
+	"github.com/lycheekeel/lycheekeel/lease"
+	"github.com/lycheekeel/lycheekeel/platform"
+	"github.com/lycheekeel/lycheekeel/request"
+	"github.com/lycheekeel/lycheekeel/workspace"
+)
+
+// Defaults of Options.
+const (
+	DefaultEvery       = 2 * time.Second
+	DefaultSettle      = 30 * time.Second
+	DefaultRepeat      = 5 * time.Second
+	DefaultCallTimeout = 2 * time.Second
+	DefaultMaxMoves    = 4
+)
+
+// The counters of metric group "placement".
+const (
+	metricGroup     = "placement"
+	countRounds     = "rounds"
+	countSkipped    = "rounds_skipped"
+	countLoads      = "orders_load"
+	countUnloads    = "orders_unload"
+	countAsserts    = "orders_assert"
+	countAssigned   = "assignments"
+	countStale      = "orders_refused_stale"
+	countOrderError = "orders_failed"
+	countStoreError = "store_errors"
+	countWeights    = "loads_put_off"
+	countLeaseLost  = "lease_lost"
+)
+
+// Demand is how many requests of each tier run or wait at a pool.
+type Demand = [request.MaxTiers]float64
+
+// Options set up a Controller. Elector, Region, API, Weights, Engines and
+// Config are needed.
+type Options struct {
+	Region  string
+	Elector *lease.Elector
+	API     platform.ObjectAPI
+	Weights platform.WeightStore
+	Engines engine.Dialer
+	// Config returns the configuration in force, nil before there is one.
+	Config func() *workspace.Snapshot
+	// Demand returns the demand by pool. Pools that it does not name keep the
+	// demand last seen.
+	Demand func(context.Context) map[string]Demand
+	// Every is how often it looks; Settle is how long a server must have
+	// served its pool before other models are unloaded; Repeat is how long an
+	// order may take to show before it is given again.
+	Every, Settle, Repeat time.Duration
+	// CallTimeout bounds each call to an engine or the store.
+	CallTimeout time.Duration
+	MaxMoves    int
+	Metrics     *metrics.Registry
+}
+
+func (o Options) withDefaults() Options {
+	setDefault(&o.Every, DefaultEvery)
+	setDefault(&o.Settle, DefaultSettle)
+	setDefault(&o.Repeat, DefaultRepeat)
+	setDefault(&o.CallTimeout, DefaultCallTimeout)
+	if o.MaxMoves == 0 {
+		o.MaxMoves = DefaultMaxMoves
+	}
+	if o.Demand == nil {
+		o.Demand = func(context.Context) map[string]Demand { return nil }
+	}
+	if o.Metrics == nil {
+		o.Metrics = metrics.New()
+	}
+	return o
+}
+
+func setDefault(d *time.Duration, v time.Duration) {
+	if *d == 0 {
+		*d = v
+	}
+}
+
+// Controller carries plans out while it holds the region's lease.
+//
+// What goes wrong without care: a controller that was paused goes on with an
+// old plan beside its successor's; one would see servers load and unload in
+// turns. It asks the lease right before each act and sends the token along,
+// so that engines refuse it; its writes are conditional, and carry the token;
+// and for engines that ignore tokens the successor has waited out the lease
+// plus a margin, and gives its orders again whenever a server differs.
+type Controller struct {
+	o   Options
+	log *logrus.Entry
+
+	// Of the present lease, used by one goroutine.
+	lease   Lease
+	ordered map[Step]time.Time
+	serves  map[string]service
+	demand  map[string]Demand
+	seen    map[string]uint64 // server -> its engine's incarnation
+	fenced  map[string]uint64 // server -> incarnation that got the token
+	started bool              // the plan was written under this lease
+}
+
+// Lease is what a controller needs of its lease.
+type Lease interface {
+	Check() (lease.Token, error)
+	Lost() <-chan struct{}
+}
+
+// service is the pool that a server serves, and since when as far as known.
+type service struct {
+	pool  string
+	since time.Time
+}
+
+// NewController returns a controller; Run starts it.
+func NewController(o Options) *Controller {
+	o = o.withDefaults()
+	return &Controller{o: o, log: logs.For("placement").WithField("region", o.Region)}
+}
+
+// Run waits for the lease, controls while it is held, and again, until the
+// context ends. It then releases the lease.
+func (c *Controller) Run(ctx context.Context) error {
+	for {
+		l, err := c.o.Elector.Acquire(ctx)
+		if err != nil {
+			return err
+		}
+		c.lead(ctx, l)
+		if ctx.Err() == nil {
+			c.count(countLeaseLost)
+			continue
+		}
+		releasing, cancel := context.WithTimeout(context.WithoutCancel(ctx), c.o.CallTimeout)
+		defer cancel()
+		return l.Release(releasing)
+	}
+}
+
+// lead does round after round until the lease is lost or the context ends.
+func (c *Controller) lead(ctx context.Context, l Lease) {
+	c.lease, c.started = l, false
+	c.ordered, c.serves = map[Step]time.Time{}, map[string]service{}
+	c.demand = map[string]Demand{}
+	c.seen, c.fenced = map[string]uint64{}, map[string]uint64{}
+	every := time.NewTicker(c.o.Every)
+	defer every.Stop()
+	for {
+		if err := c.round(ctx); err != nil {
+			c.count(countSkipped)
+			c.log.WithError(err).Warn("Round not finished.")
+		}
+		select {
+		case <-every.C:
+		case <-l.Lost():
+			return
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// round observes, plans, records the plan and acts.
+func (c *Controller) round(ctx context.Context) error {
+	c.count(countRounds)
+	snapshot := c.o.Config()
+	if snapshot == nil {
+		return errors.New("no configuration yet")
+	}
+	stored, err := c.readPlan(ctx)
+	if err != nil {
+		return err
+	}
+	in, addresses := c.observe(ctx, snapshot)
+	in.Moves = stored.Moves
+	plan := Make(in)
+	if err := c.writePlan(ctx, stored, plan.Moves); err != nil {
+		return err
+	}
+	return c.act(ctx, Steps(in, plan.Moves), addresses)
+}
+
+func (c *Controller) count(name string) { c.o.Metrics.Counter(metricGroup, name).Add(1) }
--- /dev/null
+++ b/placement/observe.go
@@ -0,0 +1,135 @@
+package placement
+
+import (
+	"cmp"
+	"context"
+	"slices"
+	"time"
+
+	"github.com/sourcegraph/conc/pool"
+
+	"github.com/lycheekeel/lycheekeel/engine"
+	"github.com/lycheekeel/lycheekeel/request"
+	"github.com/lycheekeel/lycheekeel/workspace"
+)
+
+const (
+	// maxProbes bounds the engines asked at once.
+	maxProbes = 32
+	// demandWeight is the newest demand's share in the smoothed one; demand
+	// over some rounds decides, not one burst.
+	demandWeight = 0.2
+)
+
+// observe returns the region as it is now, and the servers' addresses.
+func (c *Controller) observe(ctx context.Context, snapshot *workspace.Snapshot) (Input, map[string]string) {
+	in := Input{MaxMoves: c.o.MaxMoves}
+	addresses := map[string]string{}
+	c.smooth(c.o.Demand(ctx))
+	wanted := wantedVersions(snapshot)
+	var specs []workspace.BackendServer
+	for _, name := range sortedPools(snapshot) {
+		p := snapshot.Pools[name]
+		if p.Region != c.o.Region || p.Service != "" {
+			continue
+		}
+		in.Pools = append(in.Pools, Pool{
+			Name: p.Name, Region: p.Region, Model: p.Model, Version: p.Version, Min: p.MinServers,
+			Max:    cmp.Or(p.MaxServers, workspace.MaxPoolServers),
+			Demand: c.demand[p.Name], Wanted: wanted[[2]string{p.Model, p.Version}],
+		})
+		for _, s := range p.Servers {
+			s.Pool = p.Name
+			specs = append(specs, s)
+			addresses[s.Name] = s.Address
+		}
+	}
+	in.Servers = c.probe(ctx, specs)
+	return in, addresses
+}
+
+// wantedVersions are the model versions that some workspace resolves to.
+func wantedVersions(s *workspace.Snapshot) map[[2]string]bool {
+	out := map[[2]string]bool{}
+	for _, w := range s.Workspaces {
+		for _, m := range w.Models {
+			out[[2]string{m.Name, m.Version}] = true
+		}
+	}
+	return out
+}
+
+func sortedPools(s *workspace.Snapshot) []string {
+	var names []string
+	for name := range s.Pools {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	return names
+}
+
+// smooth takes the newest demand into the smoothed one.
+func (c *Controller) smooth(newest map[string]Demand) {
+	for name, d := range newest {
+		was, known := c.demand[name]
+		for t := range d {
+			if known {
+				d[t] = was[t] + demandWeight*(d[t]-was[t])
+			}
+		}
+		c.demand[name] = d
+	}
+}
+
+// probe asks every engine for its load report.
+func (c *Controller) probe(ctx context.Context, specs []workspace.BackendServer) []Server {
+	reports := make([]engine.LoadReport, len(specs))
+	reached := make([]bool, len(specs))
+	group := pool.New().WithMaxGoroutines(maxProbes)
+	for i, s := range specs {
+		group.Go(func() {
+			ctx, cancel := context.WithTimeout(ctx, c.o.CallTimeout)
+			defer cancel()
+			r, err := c.o.Engines.Engine(s.Address).Load(ctx)
+			reports[i], reached[i] = r, err == nil
+		})
+	}
+	group.Wait()
+	var out []Server
+	for i, s := range specs {
+		r := reports[i]
+		if reached[i] {
+			c.seen[s.Name] = r.Incarnation
+		}
+		fenced, known := c.fenced[s.Name]
+		out = append(out, Server{
+			Name: s.Name, Region: s.Region, AvailabilityZone: s.AvailabilityZone, Generation: s.Generation,
+			Pool: s.Pool, Slots: cmp.Or(s.Slots, r.Slots), Reachable: reached[i], Leaving: s.Leaving || r.Leaving,
+			Warming: r.Warming, Models: r.Models, Settled: c.settled(s.Name, s.Pool),
+			ChecksTokens: s.ChecksTokens, Fenced: known && fenced == r.Incarnation,
+		})
+	}
+	return out
+}
+
+// settled tells whether the server has served the pool for the settle time,
+// as far as this controller has seen, by CLOCK_MONOTONIC.
+func (c *Controller) settled(server, pool string) bool {
+	was, known := c.serves[server]
+	if !known || was.pool != pool {
+		c.serves[server] = service{pool: pool, since: time.Now()}
+		return false
+	}
+	return time.Since(was.since) >= c.o.Settle
+}
+
+// DemandOf turns a pool's waiting requests by tier and its running ones into
+// demand. Which tiers run is not known: they count for the least urgent one.
+func DemandOf(waiting [request.MaxTiers]int, running int) Demand {
+	var d Demand
+	for t, n := range waiting {
+		d[t] = float64(n)
+	}
+	d[request.MaxTiers-1] += float64(running)
+	return d
+}
--- a/placement/plan.go
+++ b/placement/plan.go
@@ -42,6 +42,10 @@
 	// Settled: it has served its pool for so long that nothing of an earlier
 	// pool's can still be on its way to it.
 	Settled bool
+	// ChecksTokens: it refuses orders with older fencing tokens than it has
+	// seen. Fenced: it has seen the present one since it started.
+	ChecksTokens bool
+	Fenced       bool
 }
 
 // holds tells whether the server could serve the pool right now.
--- a/placement/step.go
+++ b/placement/step.go
@@ -11,6 +11,10 @@
 	StepLoad StepKind = "load"
 	// StepAssign writes that the server serves the pool: it is warm.
 	StepAssign StepKind = "assign"
+	// StepAssert orders a server that checks tokens to hold what it holds, so
+	// that it learns the present token and refuses an earlier controller's
+	// order that is still on its way.
+	StepAssert StepKind = "assert"
 	// StepUnload orders the server to unload the model version.
 	StepUnload StepKind = "unload"
 )
@@ -61,6 +65,8 @@
 	switch {
 	case !s.holds(p):
 		return []Step{{Kind: StepLoad, Server: s.Name, Model: p.Model, Version: p.Version}}
+	case s.ChecksTokens && !s.Fenced:
+		return []Step{{Kind: StepAssert, Server: s.Name, Model: p.Model, Version: p.Version}}
 	case s.Pool != p.Name:
 		return []Step{{Kind: StepAssign, Server: s.Name, Pool: p.Name}}
 	case !s.Settled:
