--- a/internal/peer/connect.go
+++ b/internal/peer/connect.go
@@ -7,6 +7,7 @@
 
 	"github.com/hashicorp/yamux"
 	"github.com/pkg/errors"
+	"github.com/sirupsen/logrus"
 )
 
 // dial connects a link, authenticates it and runs it until it ends.
@@ -208,7 +209,11 @@
 	if known == "" || agreed || closed {
 		return
 	}
-	t.log.WithField("of", known).WithField("reason", why).WithField("lost", lost).Info("connection down")
+	level := logrus.InfoLevel
+	if why == closedDialFailed {
+		level = logrus.DebugLevel // repeated for as long as a peer is away
+	}
+	t.log.WithField("of", known).WithField("reason", why).WithField("lost", lost).Log(level, "connection down")
 	for _, f := range fs {
 		f(known)
 	}
--- a/internal/peer/options.go
+++ b/internal/peer/options.go
@@ -32,6 +32,9 @@
 	// docs/operators/membership.md.
 	Keys     [][]byte
 	Registry *metrics.Registry
+	// Overrides are addresses to dial in place of those that membership tells,
+	// for links that pass an address translation or a proxy.
+	Overrides map[Name]string
 
 	// HandshakeTimeout bounds dialing and authentication, each. Default 2 s.
 	HandshakeTimeout time.Duration
--- a/internal/peer/tcp.go
+++ b/internal/peer/tcp.go
@@ -114,7 +114,7 @@
 		links:    map[*link]struct{}{},
 	}
 	t.ctx, t.cancel = context.WithCancel(context.Background())
-	opts.Registry.Gauge(groupPeer, "connections", func() any { return t.connections() })
+	opts.Registry.Gauge(groupPeer, "connections", func() any { return t.Connections() })
 	return t, nil
 }
 
@@ -238,6 +238,9 @@
 	address, byAddress := to.Address()
 	if !byAddress {
 		address = p.address
+		if o, ok := t.opts.Overrides[to]; ok {
+			address = o
+		}
 	}
 	if address == "" || t.now().Before(p.notYet) {
 		return nil, ErrNotConnected
@@ -272,7 +275,8 @@
 	return ls
 }
 
-func (t *TCP) connections() int {
+// Connections counts the open connections, those being dialed included.
+func (t *TCP) Connections() int {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	return len(t.links)
--- a/internal/peer/tcp_test.go
+++ b/internal/peer/tcp_test.go
@@ -107,7 +107,7 @@
 			}
 			So(b.Send("a", TypePoolEvents, []byte("back")), ShouldBeNil)
 			So(await(a.got), ShouldEqual, "b:back")
-			So(a.connections()+b.connections(), ShouldEqual, 2)
+			So(a.Connections()+b.Connections(), ShouldEqual, 2)
 		})
 		Convey("calls are answered, large and failing ones too", func() {
 			big := string(bytes.Repeat([]byte("x"), 1<<20))
@@ -161,7 +161,7 @@
 		a.knows(b)
 		So(a.Send("b", TypePoolEvents, []byte("1")), ShouldBeNil)
 		So(await(b.got), ShouldEqual, "a:1")
-		eventually(func() bool { return a.connections() == 0 && b.connections() == 0 })
+		eventually(func() bool { return a.Connections() == 0 && b.Connections() == 0 })
 		So(a.count(groupClosed, closedIdle), ShouldEqual, 1)
 		So(b.count(groupClosed, closedIdle), ShouldEqual, 1)
 		So(len(a.down)+len(b.down), ShouldEqual, 0)
--- a/member/config.go
+++ b/member/config.go
@@ -69,6 +69,9 @@
 // aloneInterval is how often a member that knows nobody asks a seed.
 const aloneInterval = 500 * time.Millisecond
 
+// seedInterval is how often a seed that is not among the members is asked.
+const seedInterval = 3 * time.Second
+
 // reprobeInterval is how often a suspected member is probed again, so that it
 // learns of the suspicion.
 const reprobeInterval = 400 * time.Millisecond
--- a/member/join.go
+++ b/member/join.go
@@ -35,15 +35,24 @@
 	}
 }
 
-// joinIfAlone asks a random seed, hinted address or lost member for members,
-// until this member knows a live one.
-func (m *Machine) joinIfAlone() {
-	if m.now.Before(m.nextAlone) || m.count(m.live) > 0 {
+// seek asks a random seed or lost member for members: often while this member
+// knows nobody, and now and then while a seed is missing among those it knows,
+// since members that started together may have formed two clusters.
+func (m *Machine) seek() {
+	if m.now.Before(m.nextSeek) {
 		return
 	}
-	m.nextAlone = m.now.Add(aloneInterval)
-	if to, ok := m.lostPartner(); ok {
+	alone := m.count(m.live) == 0
+	m.nextSeek = m.now.Add(seedInterval)
+	if alone {
+		m.nextSeek = m.now.Add(aloneInterval)
+	}
+	to, ok := m.lostPartner()
+	switch _, seed := to.Address(); {
+	case ok && alone:
 		m.join(to)
+	case ok && seed:
+		m.startSync(to)
 	}
 }
 
--- a/member/machine.go
+++ b/member/machine.go
@@ -50,7 +50,7 @@
 	nextProbe time.Time
 	untilSync int
 	syncTurn  int
-	nextAlone time.Time
+	nextSeek  time.Time
 
 	news   []*update
 	fresh  bool // news came in since the last push
@@ -76,10 +76,11 @@
 		cfg: cfg, rand: r, self: cfg.Self, now: now, lastTick: now, changed: true,
 		table: map[string]*entry{}, probes: map[uint64]*probe{}, byTarget: map[string]*probe{},
 		relays: map[uint64]relay{}, hinted: map[string]struct{}{},
-		nextProbe: now, nextAlone: now, untilSync: r.IntN(syncEvery), ringStale: true,
+		nextProbe: now, nextSeek: now, untilSync: r.IntN(syncEvery), ringStale: true,
 	}
 	m.self.State = Alive
 	m.announceSelf()
+	m.hints = append(m.hints, cfg.Seeds...)
 	return m, nil
 }
 
@@ -94,7 +95,7 @@
 	m.judgeSuspects()
 	m.expireTombstones()
 	m.startProbes()
-	m.joinIfAlone()
+	m.seek()
 	m.tryHints()
 	m.push()
 	return m.take()
--- a/member/probe.go
+++ b/member/probe.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/binary"
+	"maps"
 	"slices"
 	"sort"
 	"time"
@@ -233,8 +234,8 @@
 			m.askOthers(p)
 		}
 	}
-	for seq, r := range m.relays {
-		if m.now.Sub(r.started) >= m.cfg.DirectTimeout {
+	for _, seq := range slices.Sorted(maps.Keys(m.relays)) {
+		if r := m.relays[seq]; m.now.Sub(r.started) >= m.cfg.DirectTimeout {
 			m.relayFailed(seq, r)
 		}
 	}
@@ -279,8 +280,8 @@
 
 // relaysDown ends the relays to a member whose connection broke.
 func (m *Machine) relaysDown(target string) {
-	for seq, r := range m.relays {
-		if r.target == target {
+	for _, seq := range slices.Sorted(maps.Keys(m.relays)) {
+		if r := m.relays[seq]; r.target == target {
 			m.relayFailed(seq, r)
 		}
 	}
