revision: no listing at intervals

A test that brings this about showed that it does not mend a left-out creation: the floor has passed it, so the listed object is refused as an old copy.

--- a/revision/syncer.go
+++ b/revision/syncer.go
@@ -54,9 +54,6 @@
 	Stale time.Duration
 	// Volunteer is how long such a member goes on.
 	Volunteer time.Duration
-	// Relist is how often a watcher lists anew, although its watch works: a
-	// change that a watch left out would else never be seen.
-	Relist time.Duration
 	// PeerWait is how long a starting member looks for peers before it
 	// publishes what the object API alone told it.
 	PeerWait time.Duration
@@ -75,7 +72,6 @@
 var DefaultTiming = Timing{
 	Gossip: time.Second, Settle: 10 * time.Millisecond,
 	WatchWait: 2 * time.Second, Stale: 4 * time.Second, Volunteer: 2 * time.Minute,
-	Relist:   10 * time.Minute,
 	PeerWait: time.Second, Call: 1500 * time.Millisecond,
 	Retry: 200 * time.Millisecond, MaxRetry: 5 * time.Second, Tick: time.Second,
 }
@@ -96,7 +92,6 @@
 	// watchSeen is when any member's watch last worked, as far as is known.
 	confirmed, watchSeen time.Time
 	volunteerUntil       time.Time
-	relistAt             time.Time // zero before the first listing
 
 	inbox     chan inbound
 	toPush    chan struct{}
@@ -135,7 +130,7 @@
 	d := DefaultTiming
 	for _, f := range []struct{ v, def *time.Duration }{
 		{&t.Gossip, &d.Gossip}, {&t.Settle, &d.Settle}, {&t.WatchWait, &d.WatchWait}, {&t.Stale, &d.Stale},
-		{&t.Volunteer, &d.Volunteer}, {&t.Relist, &d.Relist}, {&t.PeerWait, &d.PeerWait}, {&t.Call, &d.Call},
+		{&t.Volunteer, &d.Volunteer}, {&t.PeerWait, &d.PeerWait}, {&t.Call, &d.Call},
 		{&t.Retry, &d.Retry}, {&t.MaxRetry, &d.MaxRetry}, {&t.Tick, &d.Tick},
 	} {
 		if *f.v == 0 {
--- a/revision/watch.go
+++ b/revision/watch.go
@@ -141,9 +141,9 @@
 // watchOnce makes one watch call, or lists where the watch can't continue.
 func (s *Syncer) watchOnce(ctx context.Context) error {
 	s.mu.Lock()
-	complete, after, relistAt := s.set.Complete(), s.set.Floor(), s.relistAt
+	complete, after := s.set.Complete(), s.set.Floor()
 	s.mu.Unlock()
-	if !complete || (!relistAt.IsZero() && s.o.Now().After(relistAt)) {
+	if !complete {
 		return s.list(ctx)
 	}
 	ctx, cancel := context.WithTimeout(ctx, s.o.Timing.WatchWait+s.o.Timing.Call)
@@ -160,9 +160,6 @@
 	defer s.mu.Unlock()
 	changed := s.set.ApplyEvents(events, after, next)
 	s.counters.watchReturned.Add(1)
-	if s.relistAt.IsZero() { // what it holds came from peers
-		s.relistAt = s.o.Now().Add(jitter(s.o.Timing.Relist))
-	}
 	s.fromStore(changed)
 	return nil
 }
@@ -174,17 +171,9 @@
 			return errors.Wrapf(err, "list %s", kind)
 		}
 	}
-	s.scheduleRelist()
 	return nil
 }
 
-// scheduleRelist sets when to list anew.
-func (s *Syncer) scheduleRelist() {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.relistAt = s.o.Now().Add(jitter(s.o.Timing.Relist))
-}
-
 // listTimeout bounds one listing.
 const listTimeout = 10 * time.Second
 
