entry: tests of failures and bad input

Found and mended on the way: a refusal of a long body was overtaken by a reset of the connection, since the body was left unread; it is read and dropped now, within bounds.

--- a/internal/entry/body.go
+++ b/internal/entry/body.go
@@ -15,6 +15,19 @@
 // little memory.
 const firstBodyBytes = 4 << 10
 
+// maxDiscard bounds what is read of a refused request's body.
+const maxDiscard = 16 << 20
+
+// discardBody reads what a refused request still sends, within the read
+// timeout. What goes wrong without it: a connection that is closed while
+// bytes come in is reset, and the reset overtakes the refusal; the caller sees
+// a broken connection instead of the reason.
+func discardBody(ctx *fasthttp.RequestCtx) {
+	if stream := ctx.RequestBodyStream(); stream != nil {
+		_, _ = io.CopyN(io.Discard, stream, maxDiscard)
+	}
+}
+
 // readBody reads the request's body into a buffer of its own, within limit
 // and the budget. The HTTP server reuses its buffers, so none of them is kept.
 func readBody(ctx *fasthttp.RequestCtx, limit int, res *reservation) ([]byte, error) {
--- /dev/null
+++ b/internal/entry/claim_test.go
@@ -0,0 +1,103 @@
+package entry
+
+import (
+	"net/http"
+	"testing"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	standin "github.com/lycheekeel/lycheekeel/internal/standin/engine"
+	"github.com/lycheekeel/lycheekeel/request"
+)
+
+// Symptom: two teachers are booked for one lesson.
+// Sequence: a caller's answer is lost and it sends its call again.
+// Cause: a call that may not be repeated is run without a claim.
+func TestCallThatMayNotBeRepeatedRunsOnce(t *testing.T) {
+	Convey("A call that may not be repeated", t, func() {
+		r := newRig(t, standin.Options{}, Limits{})
+		const path = "/services/booking/confirm"
+		Convey("runs once, and a resend gets the first answer", func() {
+			first, body := r.post(path, []byte("lesson 7"), headerIdempotencyKey, "k1")
+			So(first.StatusCode, ShouldEqual, http.StatusOK)
+			again, same := r.post(path, []byte("lesson 7"), headerIdempotencyKey, "k1")
+			So(again.StatusCode, ShouldEqual, http.StatusOK)
+			So(string(same), ShouldEqual, string(body))
+			So(again.Header.Get(headerReplayed), ShouldEqual, "true")
+			So(r.calls(), ShouldEqual, 1)
+			Convey("with other content it is a conflict", func() {
+				_, answer := r.post(path, []byte("lesson 8"), headerIdempotencyKey, "k1")
+				code, notRun := refusalOf(answer)
+				So(code, ShouldEqual, string(request.ReasonClaimConflict))
+				So(notRun, ShouldEqual, true)
+				So(r.calls(), ShouldEqual, 1)
+			})
+		})
+		Convey("of a model keeps its stream for the resend", func() {
+			_, body := r.post(pathChat, chatBody("once", "echo:x", true), headerIdempotencyKey, "k2")
+			_, same := r.post(pathChat, chatBody("once", "echo:x", true), headerIdempotencyKey, "k2")
+			So(string(same), ShouldEqual, string(body))
+			So(len(r.engine.Runs()), ShouldEqual, 1)
+		})
+		Convey("gives its claim back where the engine did not run it", func() {
+			r.faults(`{"refuse":true}`)
+			_, body := r.post(pathChat, chatBody("once", "echo:x", false), headerIdempotencyKey, "k3")
+			code, notRun := refusalOf(body)
+			So(code, ShouldEqual, string(request.ReasonEngineRefused))
+			So(notRun, ShouldEqual, true)
+			r.faults(`{"refuse":false}`)
+			again, _ := r.post(pathChat, chatBody("once", "echo:x", false), headerIdempotencyKey, "k3")
+			So(again.StatusCode, ShouldEqual, http.StatusOK)
+			So(len(r.engine.Runs()), ShouldEqual, 1)
+		})
+		Convey("whose reply broke off is never run again", func() {
+			f := standinServiceFaults{CloseAfterRead: true}
+			r.service.SetFaults(f)
+			_, body := r.post(path, []byte("lesson 9"), headerIdempotencyKey, "k4")
+			code, notRun := refusalOf(body)
+			So(code, ShouldEqual, string(request.ReasonAnswerIncomplete))
+			So(notRun, ShouldEqual, "unknown")
+			r.service.SetFaults(standinServiceFaults{})
+			_, body = r.post(path, []byte("lesson 9"), headerIdempotencyKey, "k4")
+			code, notRun = refusalOf(body)
+			So(code, ShouldEqual, string(request.ReasonClaimUnknown))
+			So(notRun, ShouldEqual, "unknown")
+			So(r.calls(), ShouldEqual, 1)
+		})
+		Convey("that its template calls repeatable needs no key", func() {
+			resp, _ := r.post("/services/booking/search/lessons", nil)
+			So(resp.StatusCode, ShouldEqual, http.StatusOK)
+		})
+	})
+}
+
+// Symptom: while the store is slow, nothing runs although engines are idle.
+// Sequence: calls that need a claim are granted slots and wait for the store.
+// Cause: a slot that is kept while its request can't use it.
+func TestSlotIsReturnedWhileTheStoreIsDown(t *testing.T) {
+	Convey("While the store does not answer", t, func() {
+		r := newRig(t, standin.Options{}, Limits{})
+		down := make(chan struct{})
+		r.ledger.down.Store(&down)
+		body := chatBody("once", "echo:x", false)
+		Convey("the slot is returned, and the call runs once the store is back", func() {
+			answered := make(chan int, 1)
+			go func() {
+				resp, _ := r.post(pathChat, body, headerIdempotencyKey, "k")
+				answered <- resp.StatusCode
+			}()
+			r.eventually("slot is returned", func() bool { return r.broker.returned.Load() == 1 })
+			So(r.engine.Runs(), ShouldBeEmpty)
+			close(down)
+			So(<-answered, ShouldEqual, http.StatusOK)
+			So(len(r.engine.Runs()), ShouldEqual, 1)
+		})
+		Convey("the call is refused at its deadline, and did not run", func() {
+			_, answer := r.post(pathChat, body, headerIdempotencyKey, "k", headerDeadline, "400")
+			code, notRun := refusalOf(answer)
+			So(code, ShouldEqual, string(request.ReasonStoreUnavailable))
+			So(notRun, ShouldEqual, true)
+			So(r.engine.Runs(), ShouldBeEmpty)
+		})
+	})
+}
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -84,7 +84,7 @@
 			}
 			So(s.Err(), ShouldBeNil)
 			So(acc.Choices[0].Message.Content, ShouldEqual, "two tiles are cracked in the hall")
-			So(acc.Choices[0].Message.Role, ShouldEqual, "assistant")
+			So(string(acc.Choices[0].Message.Role), ShouldEqual, "assistant")
 			So(acc.Choices[0].FinishReason, ShouldEqual, "stop")
 			So(acc.Usage.CompletionTokens, ShouldBeGreaterThan, 0)
 		})
--- /dev/null
+++ b/internal/entry/input_test.go
@@ -0,0 +1,182 @@
+package entry
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	standin "github.com/lycheekeel/lycheekeel/internal/standin/engine"
+	"github.com/lycheekeel/lycheekeel/request"
+)
+
+// raw sends bytes as they are and returns the first response with its body.
+func (r *rig) raw(text string) (*http.Response, []byte) {
+	conn := r.dial()
+	defer conn.Close()
+	if _, err := io.WriteString(conn, text); err != nil {
+		r.tb.Fatal(err)
+	}
+	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	if err != nil {
+		r.tb.Fatalf("%q: %v", text, err)
+	}
+	defer resp.Body.Close()
+	body, _ := io.ReadAll(resp.Body)
+	return resp, body
+}
+
+// head is the start of a raw chat request.
+const head = "POST /v1/chat/completions HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer " + testKey + "\r\n"
+
+func TestBadInputGetsATypedRefusal(t *testing.T) {
+	const chat = pathChat
+	good := string(chatBody(testModel, "echo:x", false))
+	type call struct {
+		name, path, body string
+		header           []string
+		want             request.Reason
+	}
+	calls := []call{
+		{"empty body", chat, "", nil, request.ReasonBadRequest},
+		{"not JSON", chat, "{", nil, request.ReasonBadRequest},
+		{"trailing JSON", chat, good + "{}", nil, request.ReasonBadRequest},
+		{"invalid UTF-8", chat, strings.Replace(good, "echo:x", "echo:\xff", 1), nil, request.ReasonBadRequest},
+		{"no model", chat, `{"messages":[{"role":"user","content":"x"}]}`, nil, request.ReasonBadRequest},
+		{"no messages", chat, `{"model":"writer"}`, nil, request.ReasonBadRequest},
+		{"content of images", chat, `{"model":"writer","messages":[{"role":"user","content":[{"type":"image_url"}]}]}`, nil, request.ReasonBadRequest},
+		{"negative max_tokens", chat, strings.Replace(good, "{", `{"max_tokens":-1,`, 1), nil, request.ReasonBadRequest},
+		{"absurd max_tokens", chat, strings.Replace(good, "{", `{"max_tokens":999999999999,`, 1), nil, request.ReasonBadRequest},
+		{"max_tokens of a fraction", chat, strings.Replace(good, "{", `{"max_tokens":1.5,`, 1), nil, request.ReasonBadRequest},
+		{"two answers", chat, strings.Replace(good, "{", `{"n":2,`, 1), nil, request.ReasonBadRequest},
+		{"over 1 MiB", chat, `{"model":"` + strings.Repeat("x", 1<<20) + `"}`, nil, request.ReasonBodyTooLarge},
+		{"unknown model", chat, string(chatBody("nobody", "x", false)), nil, request.ReasonUnknownModel},
+		{"model without servers", chat, string(chatBody("nowhere", "x", false)), nil, request.ReasonNoServer},
+		{"unknown key", chat, good, []string{"Authorization", "Bearer nobody"}, request.ReasonUnauthorized},
+		{"no key", chat, good, []string{"Authorization", ""}, request.ReasonUnauthorized},
+		{"unknown tier", chat, good, []string{headerTier, "golden"}, request.ReasonTierNotAllowed},
+		{"negative deadline", chat, good, []string{headerDeadline, "-5"}, request.ReasonDeadlineInvalid},
+		{"deadline in words", chat, good, []string{headerDeadline, "soon"}, request.ReasonDeadlineInvalid},
+		{"absurd deadline", chat, good, []string{headerDeadline, "99999999999999999999"}, request.ReasonDeadlineInvalid},
+		{"no idempotency key", chat, string(chatBody("once", "x", false)), nil, request.ReasonClaimKeyMissing},
+		{"absurd idempotency key", chat, good, []string{headerIdempotencyKey, strings.Repeat("k", 300)}, request.ReasonBadRequest},
+		{"unknown path", "/v2/chat", good, nil, request.ReasonUnknownPath},
+		{"unknown service", "/services/nobody/x", "", nil, request.ReasonUnknownService},
+		{"relative path", "/services/booking/a/%2e%2e/confirm", "", nil, request.ReasonBadRequest},
+		{"encoded slash", "/services/booking/a%2Fb", "", nil, request.ReasonBadRequest},
+		{"not repeatable without key", "/services/booking/confirm", "", nil, request.ReasonClaimKeyMissing},
+	}
+	Convey("Each bad call gets its own refusal, which is counted, and nothing runs", t, func() {
+		r := newRig(t, standin.Options{}, Limits{})
+		for _, c := range calls {
+			Convey(c.name, func() {
+				resp, body := r.post(c.path, []byte(c.body), c.header...)
+				code, notRun := refusalOf(body)
+				So(code, ShouldEqual, string(c.want))
+				So(notRun, ShouldEqual, true)
+				So(resp.StatusCode, ShouldEqual, c.want.Status())
+				So(r.counter(groupRefusals, string(c.want)), ShouldEqual, 1)
+				So(r.engine.Runs(), ShouldBeEmpty)
+			})
+		}
+	})
+}
+
+// Symptom: a caller gets an answer to a request that somebody else sent.
+// Sequence: a request has two lengths; a proxy before the entry believes one
+// and the entry the other, so the rest of the body is read as a new request.
+// Cause: a server that picks one of two contradicting framings.
+func TestAmbiguousFramingIsRefused(t *testing.T) {
+	body := string(chatBody(testModel, "echo:x", false))
+	length := strconv.Itoa(len(body))
+	Convey("A request with an ambiguous length is refused and its connection closed", t, func() {
+		r := newRig(t, standin.Options{}, Limits{})
+		for name, text := range map[string]string{
+			"both lengths":       head + "Content-Length: " + length + "\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n" + body,
+			"two lengths":        head + "Content-Length: " + length + "\r\nContent-Length: 3\r\n\r\n" + body,
+			"a list of lengths":  head + "Content-Length: " + length + ", 3\r\n\r\n" + body,
+			"a signed length":    head + "Content-Length: +" + length + "\r\n\r\n" + body,
+			"a negative length":  head + "Content-Length: -1\r\n\r\n" + body,
+			"an unknown coding":  head + "Transfer-Encoding: xchunked\r\n\r\n" + body,
+			"two codings":        head + "Transfer-Encoding: chunked\r\nTransfer-Encoding: identity\r\n\r\n0\r\n\r\n",
+			"space before colon": head + "Content-Length : " + length + "\r\n\r\n" + body,
+			"a broken chunk":     head + "Transfer-Encoding: chunked\r\n\r\nzz\r\n" + body,
+		} {
+			Convey(name, func() {
+				resp, answer := r.raw(text)
+				code, notRun := refusalOf(answer)
+				So(code, ShouldEqual, string(request.ReasonBadRequest))
+				So(notRun, ShouldEqual, true)
+				So(resp.Close, ShouldBeTrue)
+				So(r.engine.Runs(), ShouldBeEmpty)
+			})
+		}
+		Convey("a folded line is a header's value, never a header (RFC 9112, 5.2)", func() {
+			resp, answer := r.raw(head + "X-A: b\r\n Content-Length: 3\r\nContent-Length: " + length + "\r\n\r\n" + body)
+			So(resp.StatusCode, ShouldEqual, http.StatusOK)
+			So(string(answer), ShouldContainSubstring, `"content":"x"`)
+		})
+	})
+}
+
+// Symptom: an entry that answers nobody while its processor idles.
+// Sequence: callers open requests and send a byte now and then, or nothing.
+// Cause: reading without a limit in time; each such caller holds memory.
+func TestSlowCallersAreLetGo(t *testing.T) {
+	Convey("A caller that does not send its request in time is refused", t, func() {
+		r := newRig(t, standin.Options{}, Limits{ReadTimeout: 50 * time.Millisecond})
+		for name, text := range map[string]string{
+			"within the header": head + "X-A: ",
+			"within the body":   head + "Content-Length: 100000\r\n\r\n{",
+			"within a chunk":    head + "Transfer-Encoding: chunked\r\n\r\n10\r\n{",
+		} {
+			Convey(name, func() {
+				_, answer := r.raw(text)
+				code, notRun := refusalOf(answer)
+				So(code, ShouldEqual, string(request.ReasonReadTimeout))
+				So(notRun, ShouldEqual, true)
+				So(r.entry.bodies.Used(), ShouldEqual, 0)
+			})
+		}
+		Convey("an announced body holds only what has arrived", func() {
+			r := newRig(t, standin.Options{}, Limits{ReadTimeout: waitLimit})
+			conn := r.dial()
+			const sent = 20_000
+			fmt.Fprintf(conn, "%sContent-Length: 1000000\r\n\r\n%s", head, strings.Repeat(" ", sent))
+			r.eventually("body is read", func() bool { return r.entry.bodies.Used() >= sent })
+			So(r.entry.bodies.Used(), ShouldBeLessThan, 2*sent)
+			So(conn.Close(), ShouldBeNil)
+			r.eventually("memory is given back", func() bool { return r.entry.bodies.Used() == 0 })
+		})
+	})
+}
+
+func TestEveryReasonHasItsCounterAndStatus(t *testing.T) {
+	Convey("Each refusal reason has a counter from the start, a type and a status", t, func() {
+		r := newRig(t, standin.Options{}, Limits{})
+		seen := r.metrics.JSON()
+		So(len(request.Reasons()), ShouldBeGreaterThan, 25)
+		for _, reason := range request.Reasons() {
+			So(seen, ShouldContainSubstring, `"`+string(reason)+`": 0`)
+			So(errorType(reason), ShouldNotBeEmpty)
+			So(reason.Status(), ShouldBeBetween, 399, 600)
+		}
+		Convey("and Retry-After is whole seconds, spread, where to come back helps", func() {
+			seen := map[int]bool{}
+			for range 200 {
+				s := retrySeconds(request.Refuse(request.ReasonShed, "x").WithRetryAfter(10 * time.Second))
+				So(s, ShouldBeBetweenOrEqual, 10, 15)
+				seen[s] = true
+			}
+			So(len(seen), ShouldBeGreaterThan, 3)
+			So(retrySeconds(request.Refuse(request.ReasonShed, "x").WithRetryAfter(time.Millisecond)), ShouldBeGreaterThanOrEqualTo, 1)
+			So(retrySeconds(request.Refuse(request.ReasonBadRequest, "x")), ShouldEqual, 0)
+		})
+	})
+}
--- a/internal/entry/rig_test.go
+++ b/internal/entry/rig_test.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"fmt"
 	"net"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -42,8 +43,12 @@
 	ledger  *testLedger
 	engine  *standin.Engine
 	service *standinservice.Service
+
+	engineAddr string
 }
 
+type standinServiceFaults = standinservice.Faults
+
 // newRig starts everything; the test's end stops it.
 func newRig(tb testing.TB, o standin.Options, l Limits) *rig {
 	r := &rig{tb: tb, metrics: metrics.New(), ledger: newTestLedger()}
@@ -55,6 +60,7 @@
 	}
 	r.engine, r.service = e, standinservice.New(standinservice.Options{})
 	engineLn, serviceLn, entryLn := listen(tb), listen(tb), listen(tb)
+	r.engineAddr = engineLn.Addr().String()
 	running.Go(func() { _ = standin.ServeEngine(ctx, engineLn, e) })
 	running.Go(func() { _ = r.service.Serve(ctx, serviceLn) })
 
@@ -129,9 +135,11 @@
 	refuse   atomic.Pointer[request.Refusal]
 	waiting  atomic.Int64
 	returned atomic.Int64
-	mu       sync.Mutex
-	ends     []broker.End
-	address  atomic.Pointer[string] // replaces the server's address
+	// progressed counts the grants' progress reports.
+	progressed atomic.Int64
+	mu         sync.Mutex
+	ends       []broker.End
+	address    atomic.Pointer[string] // replaces the server's address
 }
 
 func (b *testBroker) Acquire(ctx context.Context, d broker.Demand) (broker.Grant, error) {
@@ -171,7 +179,7 @@
 }
 
 func (g *testGrant) Server() workspace.BackendServer            { return g.server }
-func (g *testGrant) Progress(time.Duration, int, time.Duration) {}
+func (g *testGrant) Progress(time.Duration, int, time.Duration) { g.broker.progressed.Add(1) }
 func (g *testGrant) Return()                                    { g.broker.returned.Add(1) }
 func (g *testGrant) Release(end broker.End) {
 	g.broker.mu.Lock()
@@ -226,14 +234,23 @@
 
 func (c *testClaim) GiveBack() { c.Finish(claim.Outcome{State: claim.NotRun}) }
 
-// state returns the state of the only claim.
-func (l *testLedger) state() claim.State {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	for _, c := range l.claims {
-		return c.outcome.State
+// calls returns how many calls the service got.
+func (r *rig) calls() int {
+	n := 0
+	for _, c := range r.service.Calls() {
+		n += c.Count
+	}
+	return n
+}
+
+// dial opens a connection to the entry.
+func (r *rig) dial() net.Conn {
+	conn, err := net.Dial("tcp", strings.TrimPrefix(r.url, "http://"))
+	if err != nil {
+		r.tb.Fatal(err)
 	}
-	return ""
+	_ = conn.SetDeadline(time.Now().Add(waitLimit))
+	return conn
 }
 
 // counter returns a counter's value.
--- a/internal/entry/routes.go
+++ b/internal/entry/routes.go
@@ -56,6 +56,7 @@
 			return nil
 		}
 		if err != nil {
+			discardBody(ctx)
 			x.endWith(ctx, err)
 		}
 		x.end()
