load, experiment: plots with whole seconds and fifths

The time axis was marked at 2.5, 12.5 and 22.5 seconds and the goodput axis went beyond 1, which read badly; the axes now begin at 0 and goodput is marked in fifths.

--- a/internal/experiment/plot.go
+++ b/internal/experiment/plot.go
@@ -2,6 +2,7 @@
 
 import (
 	"image/color"
+	"strconv"
 	"time"
 
 	"github.com/pkg/errors"
@@ -33,6 +34,7 @@
 	if err != nil {
 		return err
 	}
+	goodput.Y.Tick.Marker = shareTicks()
 	prefill, err := o.bars("prefill: fractions of what was computed, of all prompts reused", []string{"unfinished", "recomputed", "reused"}, prefillShare)
 	if err != nil {
 		return err
@@ -51,7 +53,7 @@
 			return err
 		}
 	}
-	load.RateAxes(over)
+	load.RateAxes(over, duration)
 	return load.SavePlots(path, plotWidth, plotHeight, []*plot.Plot{goodput, prefill}, []*plot.Plot{over, tail})
 }
 
@@ -99,3 +101,13 @@
 	p.X.Min, p.X.Max = -0.5, float64(len(labels))-0.5
 	return p, nil
 }
+
+// shareTicks marks the fifths from 0 to 1.
+func shareTicks() plot.ConstantTicks {
+	var out plot.ConstantTicks
+	for i := range 6 {
+		v := float64(i) / 5
+		out = append(out, plot.Tick{Value: v, Label: strconv.FormatFloat(v, 'f', 1, 64)})
+	}
+	return out
+}
--- a/internal/load/plot.go
+++ b/internal/load/plot.go
@@ -51,7 +51,7 @@
 			return err
 		}
 	}
-	RateAxes(above)
+	RateAxes(above, duration)
 	return SavePlots(path, plotWidth, plotHeight, []*plot.Plot{above}, []*plot.Plot{below})
 }
 
@@ -123,10 +123,10 @@
 
 // RateAxes finishes a plot after the last AddRates: room for the legend above
 // the lines.
-func RateAxes(p *plot.Plot) {
+func RateAxes(p *plot.Plot, duration time.Duration) {
 	p.X.Label.Text, p.Y.Label.Text = "seconds from the start", "requests/s"
-	p.Y.Min = 0
-	p.Y.Max *= legendRoom
+	p.X.Min, p.X.Max = 0, duration.Seconds()
+	p.Y.Min, p.Y.Max = 0, max(1, p.Y.Max)*legendRoom
 	p.Legend.Top, p.Legend.Left = true, true
 	p.Legend.XOffs = legendSpace
 	p.Add(plotter.NewGrid())
