--- a/pool/crash.go
+++ b/pool/crash.go
@@ -15,6 +15,8 @@
 	suspectRetry = 5 * time.Second
 	// maxIsolated bounds the suspects that wait.
 	maxIsolated = 64
+	// maxLost bounds the lost runs remembered of a server.
+	maxLost = 256
 )
 
 // isolated tells whether the request waits among the suspects.
@@ -117,7 +119,9 @@
 	s := r.server
 	s.lost = slices.DeleteFunc(s.lost, func(x *run) bool { return p.now.Sub(x.heard) > oneCrash })
 	r.heard = p.now
-	s.lost = append(s.lost, r)
+	if len(s.lost) < maxLost {
+		s.lost = append(s.lost, r)
+	}
 }
 
 // serverCrashed makes a suspect of every request that ran on a server when it
--- a/pool/observe.go
+++ b/pool/observe.go
@@ -90,6 +90,21 @@
 	p.judge(s)
 }
 
+// observeCall learns from a call to a plain service, which has no tokens: the
+// limit keeps the whole call within its target.
+func (p *Pool) observeCall(r *run, took time.Duration) {
+	s := r.server
+	if s.speed == nil || took <= 0 {
+		return
+	}
+	p.prefillDone(r)
+	if target := p.targets[r.tier]; target > 0 {
+		s.requests.Observe(limit.Sample{Ratio: float64(took) / float64(target), Used: float64(r.at)})
+	}
+	s.speed.ObserveFirst(0, took, p.peers[s.info.Generation], false)
+	p.judge(s)
+}
+
 // tightestToken is the shortest target between tokens of what runs on the
 // server: its limit must keep that one, whichever request is measured.
 func (s *server) tightestToken() time.Duration {
@@ -175,7 +190,7 @@
 	if e.Report.Leaving {
 		s.leavingTill = p.now.Add(leavingFor)
 	}
-	if e.Report.KVUsed < kvLeast || s.tokens == 0 {
+	if !(e.Report.KVUsed >= kvLeast) || s.tokens == 0 { // not a number included
 		return
 	}
 	capacity := float64(s.tokens) / e.Report.KVUsed
--- a/pool/prefix/index.go
+++ b/pool/prefix/index.go
@@ -63,14 +63,6 @@
 	return low
 }
 
-// Holders returns the set of servers that hold the first n blocks.
-func (x *Index) Holders(blocks []uint64, n int) uint64 {
-	if n < 1 || n > len(blocks) {
-		return 0
-	}
-	return x.holders[blocks[n-1]]
-}
-
 // Longest returns how many leading blocks any server of the set holds, and
 // which servers do.
 func (x *Index) Longest(set uint64, blocks []uint64) (int, uint64) {
--- a/pool/run.go
+++ b/pool/run.go
@@ -47,6 +47,9 @@
 	crashed       bool // its server crashed under it
 }
 
+// call tells whether the run is a call to a plain service: it has no tokens.
+func (r *run) call() bool { return r.prompt == 0 && r.maxTokens == 0 }
+
 func (p *Pool) addRun(r *run) {
 	s := r.server
 	r.index = len(s.running)
@@ -104,7 +107,7 @@
 	if p.plain() {
 		return
 	}
-	if e.FirstToken > 0 && !r.first {
+	if e.FirstToken > 0 && !r.first && !r.call() {
 		p.firstToken(r, e.FirstToken)
 	}
 	if e.PerToken > 0 && e.Tokens > r.had {
@@ -112,6 +115,21 @@
 	}
 	r.had = max(r.had, e.Tokens)
 	r.prefilledThen = r.server.prefilled
+	p.correctLength(r)
+}
+
+// correctLength corrects the estimate of an answer that grows beyond it: the
+// memory it will need, and what its workspace is charged for.
+func (p *Pool) correctLength(r *run) {
+	rest := p.lengths.Remaining(r.mix, r.maxTokens, r.had)
+	if tokens := r.prompt + r.had + rest; tokens > r.tokens {
+		r.server.tokens += tokens - r.tokens
+		r.tokens = tokens
+	}
+	if grown := cost(r.uncached, r.had+rest); grown > r.cost {
+		p.refund(r, r.cost-grown)
+		r.cost = grown
+	}
 }
 
 // firstToken learns from a first token: the prompt is computed and cached.
@@ -167,7 +185,9 @@
 	if p.plain() {
 		return
 	}
-	if e.FirstToken > 0 && !r.first {
+	if r.call() {
+		p.observeCall(r, e.Total)
+	} else if e.FirstToken > 0 && !r.first {
 		p.firstToken(r, e.FirstToken)
 	}
 	if e.OutputTokens > r.had+1 && r.had == 0 && e.Total > e.FirstToken {
@@ -220,6 +240,7 @@
 // adopt counts a run that an earlier owner granted, or that an entry began by
 // itself.
 func (p *Pool) adopt(e Running) {
+	e.PromptTokens, e.MaxTokens = max(0, e.PromptTokens), max(0, e.MaxTokens)
 	p.entryHeard(e.Entry)
 	if r := p.runs[e.Grant]; r != nil {
 		r.heard = p.now
--- a/pool/waiter.go
+++ b/pool/waiter.go
@@ -32,6 +32,7 @@
 
 func (p *Pool) enqueue(e Enqueue) {
 	e.Tier = min(e.Tier, request.MaxTiers-1)
+	e.PromptTokens, e.MaxTokens = max(0, e.PromptTokens), max(0, e.MaxTokens)
 	if r := p.granted[e.Request]; r != nil && r.entry == e.Entry {
 		// The grant was lost on the way: a connection broke. Giving the same
 		// grant again is idempotent; a second one would count one request
