placement: the late-order test arrives before any newer order

The test let the successor unload on the same server first, which raised its fence, so it also passed without asserting the new token at takeover (a trial with the assertion removed survived). It now delivers the late order as soon as the server serves its old pool again; the same trial then fails with the served model gone.

--- a/placement/controller_test.go
+++ b/placement/controller_test.go
@@ -164,6 +164,16 @@
 	})
 }
 
+// poolOf returns the pool that the server at the address serves.
+func (w *world) poolOf(address string) string {
+	for name, p := range w.config().Pools {
+		if slices.ContainsFunc(p.Servers, func(s workspace.BackendServer) bool { return s.Address == address }) {
+			return name
+		}
+	}
+	return ""
+}
+
 // serving counts servers by pool that hold exactly their pool's model.
 func (w *world) serving() map[string]int {
 	out := map[string]int{}
@@ -211,7 +221,7 @@
 				// its release of the lease, or its death, lets another in.
 				w.takeLease(t)
 				all.Go(func() { _ = w.controller("second", &dialer{w: w}).Run(ctx) })
-				for range 60 {
+				for w.poolOf(address) != "a" {
 					<-time.After(time.Second)
 				}
 				late := w.engines[address]
