poolhost: planned owner changes without a gap or over-granting

A planned change of owner stopped a pool until the last daemon had heard of it, and the new owner granted slots that entries not heard of yet were using: a test with views that change 200 ms after one another saw 3 runs on a server of 2 slots. Now the old owner serves on for at most 2 s those that have not moved, entries move when the new one accepts, and the new one holds requests until all live entries have reported, at most 250 ms: 2 runs of 2 slots. Taking either out makes the test fail.

--- a/broker/entry.go
+++ b/broker/entry.go
@@ -25,8 +25,6 @@
 	openTimeout = 400 * time.Millisecond
 	// retryEvery is how soon a failed hello is tried again.
 	retryEvery = 100 * time.Millisecond
-	// probeEvery is how often the owner is looked for in degraded mode.
-	probeEvery = 250 * time.Millisecond
 	// idleAfter is how long a session without requests stays open.
 	idleAfter = 10 * time.Second
 	// briefFresh is how old a pool's brief may be to choose by it.
--- a/broker/failure_test.go
+++ b/broker/failure_test.go
@@ -170,6 +170,44 @@
 	})
 }
 
+// Symptom: for half a second nobody gets a slot, at each planned restart.
+// Sequence: the owner leaves; it hears of that first, then one entry, then the
+// new owner, then the last entry; a slot comes free after each step.
+// Cause: daemons hear of a change of members one after the other. The old
+// owner serves those on that have not moved; the new one holds requests for a
+// moment, until the others have reported what they run.
+func TestOwnerLeavesStepByStep(t *testing.T) {
+	Convey("Given a full pool and views that change one by one", t, func() {
+		w := newWorld(2, "a", "b", "c")
+		w.policy = pool.PolicyLycheekeel
+		w.advance(time.Second)
+		leaving := w.owner()
+		left := w.without(leaving)
+		l := newLoad(w)
+		for _, name := range w.names {
+			l.begin(w.nodes[name], 6)
+		}
+		full := len(l.running)
+		So(full, ShouldBeGreaterThan, 1)
+		for _, n := range []*node{leaving, w.nodes[left[0]], w.nodes[left[1]]} {
+			n.setMembers(left...)
+			w.advance(200 * time.Millisecond)
+			l.collect()
+			for range 2 {
+				l.release()
+				took := l.advanceUntil(time.Second, func() bool { return len(l.running) >= full })
+				So(took, ShouldBeLessThanOrEqualTo, 250*time.Millisecond)
+			}
+		}
+		w.advance(3 * time.Second)
+		l.collect()
+		So(w.owner().host.Summaries()[0].Running, ShouldEqual, len(l.running))
+		l.drain()
+		So(len(l.ended), ShouldEqual, 18)
+		So(l.mostOnOne(), ShouldBeLessThanOrEqualTo, 2)
+	})
+}
+
 // Symptom: requests at one entry expire beside free servers.
 // Sequence: the link between that entry and the owner is cut for 20 s, and
 // both live on; then it heals.
--- a/broker/session.go
+++ b/broker/session.go
@@ -65,6 +65,8 @@
 	o := l.findOwner()
 	if l.share != nil {
 		o = l.shareOwner()
+	} else {
+		l.probe = session{} // two hellos to one owner would reset each other
 	}
 	if o == nil {
 		l.retryAt = l.now.Add(retryEvery)
--- a/broker/tick.go
+++ b/broker/tick.go
@@ -12,7 +12,7 @@
 	l.expire()
 	l.requeue()
 	l.checkSession()
-	if l.share != nil {
+	if l.share != nil || l.session.open() && l.ownerMoved() {
 		l.lookForOwner()
 	}
 	if !l.session.open() && l.needed() {
@@ -35,8 +35,8 @@
 	}
 }
 
-// checkSession ends a session whose owner went silent or is the owner no
-// more, closes an idle one, and keeps the others alive.
+// checkSession ends a session whose owner went silent, closes an idle one, and
+// keeps the others alive.
 func (l *link) checkSession() {
 	s := &l.session
 	switch {
@@ -47,13 +47,10 @@
 		l.entry.count.silent.Add(1)
 		l.without = s.heard
 		l.lose(0)
-	case l.share == nil && l.ownerMoved():
-		l.entry.count.ownerChanged.Add(1)
-		l.closeSession()
-		l.lose(0)
 	case !l.needed() && l.now.Sub(l.busyAt) > idleAfter:
 		l.closeSession()
 		l.session.state = sessionClosed
+		l.probe = session{}
 		l.closeShare()
 	case l.now.Sub(s.sent) >= poolhost.HeartbeatEvery:
 		l.heartbeat()
@@ -102,9 +99,15 @@
 	l.start(&l.session, l.shareOwner())
 }
 
-// lookForOwner sends hellos to the pool's owner in degraded mode.
+// lookForOwner sends hellos to the pool's owner while another one, or a share
+// in degraded mode, schedules this entry's requests. A new owner may not know
+// yet that it is one; until it accepts, the old one serves on.
 func (l *link) lookForOwner() {
-	if l.probe.state != sessionClosed && l.now.Sub(l.probe.started) < probeEvery {
+	wait := retryEvery
+	if l.probe.state != sessionClosed {
+		wait = openTimeout
+	}
+	if l.now.Sub(l.probe.started) < wait {
 		return
 	}
 	if o := l.findOwner(); o != nil {
@@ -112,16 +115,21 @@
 	}
 }
 
-// takeProbeAnswer ends degraded mode when the owner accepts: the session moves
-// over, and what was granted from the share is reported as running.
+// takeProbeAnswer moves the session over when the owner accepts: what was
+// granted by the old one, or from the share, is reported as running.
 func (l *link) takeProbeAnswer(b poolwire.Commands) {
 	if b.Verdict != poolwire.VerdictAccepted {
 		l.probe.state = sessionClosed
 		return
 	}
-	l.entry.count.degradedLeft.Add(1)
+	if l.share != nil {
+		l.entry.count.degradedLeft.Add(1)
+	} else if l.session.state != sessionClosed {
+		l.entry.count.ownerChanged.Add(1)
+		l.closeSession()
+	}
 	l.end()
-	l.session = l.probe
+	l.session, l.probe = l.probe, session{}
 	l.closeShare()
 	l.takeBatch(b)
 }
@@ -129,7 +137,7 @@
 func (l *link) closeShare() {
 	if l.share != nil {
 		l.share.Close()
-		l.share, l.probe = nil, session{}
+		l.share = nil
 	}
 }
 
--- a/internal/poolhost/config.go
+++ b/internal/poolhost/config.go
@@ -35,6 +35,9 @@
 	// unconfirmedHold is how long a grant is counted whose entry's session
 	// ended before the entry told that it runs it.
 	unconfirmedHold = 30 * time.Second
+	// lingerFor is how long a pool that was given up is served on for the
+	// entries that have not moved to its new owner.
+	lingerFor = 2 * time.Second
 	// absentHold is how long an entry without a live member or session is
 	// still counted among the entries.
 	absentHold = 2 * time.Second
--- a/internal/poolhost/host.go
+++ b/internal/poolhost/host.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"strings"
 	"sync"
@@ -20,10 +21,14 @@
 	count counters
 
 	// owned is replaced as a whole: readers on a request's path only load it.
-	owned  atomic.Pointer[map[string]*Runtime]
-	mu     sync.Mutex // one reconciliation at a time
-	shares map[*Share]struct{}
-	state  reconciled
+	owned atomic.Pointer[map[string]*Runtime]
+	// lingering are pools that were given up a moment ago. Membership changes
+	// reach the daemons one after the other; without this, a planned change
+	// of owner would stop a pool until the last of them has heard of it.
+	lingering atomic.Pointer[map[string]*Runtime]
+	mu        sync.Mutex // one reconciliation at a time
+	shares    map[*Share]struct{}
+	state     reconciled
 
 	suspects *suspects
 }
@@ -40,6 +45,7 @@
 	h := &Host{cfg: cfg, shares: map[*Share]struct{}{}, suspects: newSuspects()}
 	h.count = newCounters(cfg.Metrics)
 	h.owned.Store(&map[string]*Runtime{})
+	h.lingering.Store(&map[string]*Runtime{})
 	h.register()
 	return h
 }
@@ -74,11 +80,30 @@
 		r.box.Post(tickMessage{members})
 		r.monitor.tick()
 	}
+	h.tickLingering(members)
 	for s := range h.shares {
 		s.tick(members)
 	}
 }
 
+// tickLingering serves given-up pools on, and ends those that no entry uses
+// any more or whose time is up.
+func (h *Host) tickLingering(members []string) {
+	left := map[string]*Runtime{}
+	for name, r := range *h.lingering.Load() {
+		if h.cfg.Now().After(r.lingerUntil) || r.sessions.Load() == 0 {
+			r.box.Post(closeMessage{})
+			continue
+		}
+		left[name] = r
+		r.box.Post(tickMessage{members})
+		r.monitor.tick()
+	}
+	if len(left) != len(*h.lingering.Load()) {
+		h.lingering.Store(&left)
+	}
+}
+
 // Owned returns the runtime of a pool that this daemon owns now, or nil.
 func (h *Host) Owned(pool string) *Runtime { return (*h.owned.Load())[pool] }
 
@@ -115,16 +140,20 @@
 		return
 	}
 	h.state = now
-	old := *h.owned.Load()
+	old, lingering := *h.owned.Load(), maps.Clone(*h.lingering.Load())
 	next := map[string]*Runtime{}
 	for name, p := range now.snapshot.Pools {
 		if !h.owns(p) {
 			continue
 		}
 		r := old[name]
+		if r == nil {
+			r = lingering[name]
+			delete(lingering, name)
+		}
 		if r == nil {
 			logs.For("poolhost").WithField("pool", name).Info("Owns the pool now.")
-			r = newRuntime(h, p)
+			r = newRuntime(h, p, h.aliveMembers())
 			h.suspects.feed(r, h.cfg.Now())
 		}
 		r.configure(p)
@@ -134,9 +163,11 @@
 	for name, r := range old {
 		if next[name] == nil {
 			logs.For("poolhost").WithField("pool", name).Info("Gave the pool up.")
-			r.box.Post(closeMessage{})
+			r.lingerUntil = h.cfg.Now().Add(lingerFor)
+			lingering[name] = r
 		}
 	}
+	h.lingering.Store(&lingering)
 }
 
 func (h *Host) owns(p *workspace.ResolvedPool) bool {
@@ -165,10 +196,13 @@
 func (h *Host) closeAll() {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	for _, r := range *h.owned.Load() {
-		r.box.Post(closeMessage{})
+	for _, all := range []map[string]*Runtime{*h.owned.Load(), *h.lingering.Load()} {
+		for _, r := range all {
+			r.box.Post(closeMessage{})
+		}
 	}
 	h.owned.Store(&map[string]*Runtime{})
+	h.lingering.Store(&map[string]*Runtime{})
 	h.state = reconciled{}
 }
 
--- a/internal/poolhost/host_test.go
+++ b/internal/poolhost/host_test.go
@@ -46,6 +46,7 @@
 	now      time.Time
 	snapshot workspace.Live
 	leaving  bool
+	connect  error // what a plain connect ends with
 	events   map[string][]pool.Event
 	engine   *fakeEngine
 }
@@ -57,6 +58,7 @@
 	b.host = New(Config{
 		Self: "a", Region: "r", Snapshots: &b.snapshot, Engines: fakeDialer{b.engine},
 		Now: func() time.Time { return b.now }, Spawn: func(f func()) { f() },
+		Connect: func(context.Context, string) error { return b.connect },
 		Leaving: func(workspace.BackendServer) bool { return b.leaving },
 		Trace: func(p string, _ time.Time, ev pool.Event, _ []pool.Command) {
 			b.events[p] = append(b.events[p], ev)
@@ -122,7 +124,8 @@
 			So(b.health("p").Health, ShouldEqual, pool.HealthUp)
 		})
 		Convey("a refused connect is gone at once", func() {
-			b.engine.err = fmt.Errorf("probe: %w", syscall.ECONNREFUSED)
+			b.engine.err = engine.ErrNotSent
+			b.connect = fmt.Errorf("probe: %w", syscall.ECONNREFUSED)
 			b.advance(ProbeEvery)
 			So(b.health("p").Health, ShouldEqual, pool.HealthGone)
 		})
--- a/internal/poolhost/monitor.go
+++ b/internal/poolhost/monitor.go
@@ -119,6 +119,13 @@
 	}
 	e := m.r.host.cfg.Engines.Engine(w.spec.Address)
 	report, err := e.Load(ctx)
+	if errors.Is(err, engine.ErrNotSent) {
+		// Adapters don't tell a refused connect, where nobody listens any
+		// more, from one that got no answer.
+		if c := m.r.host.cfg.Connect(ctx, w.spec.Address); errors.Is(c, syscall.ECONNREFUSED) {
+			err = c
+		}
+	}
 	if m.note(w, report, err) && err == nil {
 		m.r.post(pool.ServerLoad{Server: w.spec.Name, Report: report})
 		m.pollCache(ctx, w, e)
--- a/internal/poolhost/runtime.go
+++ b/internal/poolhost/runtime.go
@@ -25,13 +25,16 @@
 	commands  []pool.Command
 	entries   map[pool.EntryID]*entry
 	members   []string // alive in the region, as of the last view
+	settling  settling
 	told      []pool.EntryID
 	spread    time.Time
 	closed    bool
 	share     bool // a degraded share, not an owner
 
-	monitor *monitor
-	summary atomic.Pointer[pool.Summary] // refreshed every spreadEvery
+	monitor     *monitor
+	lingerUntil time.Time                    // guarded by the host's mutex
+	sessions    atomic.Int64                 // open ones, as of the last tick
+	summary     atomic.Pointer[pool.Summary] // refreshed every spreadEvery
 	// siblings tells whether other pools serve the same model version.
 	siblings atomic.Bool
 }
@@ -39,8 +42,11 @@
 // message is one thing for a runtime to do.
 type message interface{ apply(r *Runtime) }
 
-func newRuntime(h *Host, p *workspace.ResolvedPool) *Runtime {
-	r := &Runtime{host: h, name: p.Name, epoch: rand.Uint64(), entries: map[pool.EntryID]*entry{}}
+func newRuntime(h *Host, p *workspace.ResolvedPool, members []string) *Runtime {
+	r := &Runtime{
+		host: h, name: p.Name, epoch: rand.Uint64(), entries: map[pool.EntryID]*entry{}, members: members,
+		settling: settling{started: h.cfg.Now()},
+	}
 	r.scheduler = h.cfg.NewScheduler(p, r.epoch)
 	r.box = mailbox.New(h.cfg.Spawn, r.handle)
 	r.monitor = newMonitor(r)
@@ -84,7 +90,7 @@
 	case pool.Grant:
 		if e := r.entries[c.Entry]; e != nil {
 			delete(e.waiting, c.Request)
-			e.granted[c.Grant] = granted{request: c.Request, server: c.Server, confirmed: true}
+			e.granted[c.Grant] = granted{request: c.Request, server: c.Server, confirmed: e.open, since: r.now}
 			e.queue(c)
 		}
 	case pool.Shed:
@@ -128,6 +134,7 @@
 func (m tickMessage) apply(r *Runtime) {
 	r.members = m.members
 	r.checkSessions()
+	r.settle()
 	r.tellEntries()
 	r.feed(pool.Tick{})
 	r.refreshSummary()
--- a/internal/poolhost/session.go
+++ b/internal/poolhost/session.go
@@ -26,18 +26,20 @@
 // then opens a new session and tells its own, and what the entry does not
 // tell is taken back.
 type entry struct {
-	id      pool.EntryID
-	open    bool
-	absent  bool // the scheduler was told that it is gone
-	session poolwire.SessionID
-	reply   Reply
-	seqIn   uint64
-	seqOut  uint64
-	heard   time.Time
-	sent    time.Time
-	out     []pool.Command
-	waiting map[request.ID]struct{}
-	granted map[pool.GrantID]granted
+	id     pool.EntryID
+	open   bool
+	absent bool // the scheduler was told that it is gone
+	// reported is set once the entry has told what it runs.
+	reported bool
+	session  poolwire.SessionID
+	reply    Reply
+	seqIn    uint64
+	seqOut   uint64
+	heard    time.Time
+	sent     time.Time
+	out      []pool.Command
+	waiting  map[request.ID]struct{}
+	granted  map[pool.GrantID]granted
 }
 
 func (e *entry) queue(c pool.Command) {
@@ -139,6 +141,7 @@
 	for _, ev := range m.batch.Events {
 		e.take(r, ev)
 	}
+	r.settle()
 }
 
 // reset tells an entry that its session is not, or no longer, open.
@@ -153,7 +156,7 @@
 	case pool.Enqueue:
 		ev.Entry = e.id
 		e.waiting[ev.Request] = struct{}{}
-		r.feed(ev)
+		r.enqueue(ev)
 	case pool.Withdraw:
 		ev.Entry = e.id
 		delete(e.waiting, ev.Request)
@@ -164,6 +167,7 @@
 		e.confirm(r, ev)
 	case pool.EntryReported:
 		e.takeBackUnconfirmed(r, 0)
+		e.reported = true
 		r.feed(pool.EntryReported{Entry: e.id})
 	case pool.Progress:
 		r.feed(ev)
@@ -229,7 +233,11 @@
 // checkSessions ends sessions that went silent, keeps the others alive, and
 // gives up grants that nobody confirmed.
 func (r *Runtime) checkSessions() {
+	open := int64(0)
 	for _, e := range r.entries {
+		if e.open {
+			open++
+		}
 		switch {
 		case !e.open:
 			e.takeBackUnconfirmed(r, unconfirmedHold)
@@ -240,4 +248,5 @@
 			e.send(r, poolwire.VerdictNone)
 		}
 	}
+	r.sessions.Store(open)
 }
--- a/internal/poolhost/share.go
+++ b/internal/poolhost/share.go
@@ -22,7 +22,7 @@
 func (h *Host) OpenShare(p *workspace.ResolvedPool) *Share {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	s := &Share{Runtime: newRuntime(h, p), host: h}
+	s := &Share{Runtime: newRuntime(h, p, []string{h.cfg.Self}), host: h}
 	s.Runtime.share = true
 	h.suspects.feed(s.Runtime, h.cfg.Now())
 	s.refresh(p, h.aliveMembers())
--- a/internal/poolhost/spread.go
+++ b/internal/poolhost/spread.go
@@ -56,7 +56,7 @@
 	h.count.suspectsShared.Add(1)
 	ev := pool.SuspectShared(c)
 	h.takeSuspect(from, ev)
-	if h.cfg.Transport == nil {
+	if h.cfg.Transport == nil || h.cfg.Views == nil {
 		return
 	}
 	payload := poolwire.EncodeSuspect(ev)
--- a/internal/poolhost/wire.go
+++ b/internal/poolhost/wire.go
@@ -18,8 +18,10 @@
 	h.cfg.Transport.Handle(peer.TypePoolSummary, h.onSummary)
 	h.cfg.Transport.Handle(peer.TypeSuspect, h.onSuspect)
 	h.cfg.Transport.OnDown(func(of peer.Name) {
-		for _, r := range *h.owned.Load() {
-			r.box.Post(downMessage{string(of)})
+		for _, all := range []map[string]*Runtime{*h.owned.Load(), *h.lingering.Load()} {
+			for _, r := range all {
+				r.box.Post(downMessage{string(of)})
+			}
 		}
 	})
 }
@@ -88,16 +90,25 @@
 
 // Hello opens or closes a session with a pool's owner on this daemon.
 func (h *Host) Hello(hello poolwire.Hello, reply Reply) {
-	if r := h.Owned(hello.Pool); r != nil {
+	r := h.Owned(hello.Pool)
+	if r == nil && hello.Close {
+		r = (*h.lingering.Load())[hello.Pool]
+	}
+	switch {
+	case r != nil:
 		r.Hello(hello, reply)
-	} else if !hello.Close {
+	case !hello.Close:
 		h.notOwner(hello.Pool, hello.Session, reply)
 	}
 }
 
 // Events takes an entry's batch for a pool owned by this daemon.
 func (h *Host) Events(b poolwire.Events, reply Reply) {
-	if r := h.Owned(b.Pool); r != nil {
+	r := h.Owned(b.Pool)
+	if r == nil {
+		r = (*h.lingering.Load())[b.Pool]
+	}
+	if r != nil {
 		r.Events(b, reply)
 	} else if b.Seq != 0 {
 		h.notOwner(b.Pool, b.Session, reply)
