--- /dev/null
+++ b/internal/cli/drain.go
@@ -0,0 +1,51 @@
+package cli
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/alecthomas/kingpin/v2"
+	"github.com/pkg/errors"
+	"github.com/valyala/fasthttp"
+
+	"github.com/lycheekeel/lycheekeel/internal/admin"
+)
+
+func init() { register(addDrain) }
+
+// drainPoll is how often the draining daemon is looked at.
+const drainPoll = 250 * time.Millisecond
+
+// addDrain adds the command drain.
+func addDrain(app *kingpin.Application, g *globals) {
+	cmd := app.Command("drain", "Stop a daemon without cutting off a request, as SIGTERM does.")
+	address := adminFlag(cmd)
+	wait := cmd.Flag("wait", "Wait until it has stopped, for so long.").Default("0s").Duration()
+	cmd.Action(run(func() error {
+		if _, err := adminCall(g.ctx, fasthttp.MethodPost, *address, admin.PathDrain); err != nil {
+			return err
+		}
+		fmt.Fprintf(g.stdout, "%s is draining\n", *address)
+		if *wait <= 0 {
+			return nil
+		}
+		return g.awaitStopped(*address, *wait)
+	}))
+}
+
+// awaitStopped waits until a draining daemon's admin port is gone.
+func (g *globals) awaitStopped(address string, limit time.Duration) error {
+	end := time.Now().Add(limit)
+	for time.Now().Before(end) {
+		if _, err := fetchStatus(g.ctx, address, false); codeOf(err) == ExitUnreachable {
+			fmt.Fprintf(g.stdout, "%s has stopped\n", address)
+			return nil
+		}
+		select {
+		case <-time.After(drainPoll):
+		case <-g.ctx.Done():
+			return g.ctx.Err()
+		}
+	}
+	return errors.Errorf("%s still had requests after %v; it goes on draining", address, limit)
+}
--- /dev/null
+++ b/internal/daemon/settings_test.go
@@ -0,0 +1,57 @@
+package daemon
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/lycheekeel/lycheekeel/workspace"
+)
+
+const goodSettings = `{
+  "name": "entry-1", "region": "colombo", "availability_zone": "kotte-hall",
+  "listen": "127.0.0.1:8080", "admin": "127.0.0.1:8081",
+  "peer": {"listen": "127.0.0.1:7946", "seeds": ["127.0.0.2:7946"], "cluster_keys": ["0123456789abcdef"]},
+  "platform": {"address": "127.0.0.1:9000"},
+  "timeouts": {"drain_ms": 1500}
+}`
+
+func TestSettings(t *testing.T) {
+	Convey("Good settings are read, with defaults for what is left out", t, func() {
+		s, err := ParseSettings("entry-1.json", []byte(goodSettings))
+		So(err, ShouldBeNil)
+		So(s.Peer.Address, ShouldEqual, "127.0.0.1:7946")
+		So(s.Log.Level, ShouldEqual, DefaultLogLevel)
+		So(orDefault(s.Timeouts.DrainMs, DefaultDrain), ShouldEqual, 1500*time.Millisecond)
+		So(orDefault(s.Timeouts.StopMs, DefaultStop), ShouldEqual, DefaultStop)
+	})
+	Convey("Every finding comes back at once, with its place", t, func() {
+		_, err := ParseSettings("bad.json", []byte(`{
+		  "name": "Entry 1", "region": 5, "listen": "localhost:8080", "admin": "127.0.0.1:8081", "colour": "red",
+		  "peer": {"listen": "127.0.0.1:7946", "seeds": ["127.0.0.2:7946", "nowhere"], "cluster_keys": ["short"]},
+		  "platform": {"timeout_ms": -1}, "log": {"level": "loud", "JSON": true}, "limits": {"body_bytes": 1.5}
+		}`))
+		findings, ok := err.(workspace.Findings)
+		So(ok, ShouldBeTrue)
+		places := map[string]bool{}
+		for _, f := range findings {
+			So(f.File, ShouldEqual, "bad.json")
+			So(f.Reason, ShouldNotBeEmpty)
+			places[f.Path] = true
+		}
+		for _, path := range []string{
+			"name", "region", "availability_zone", "listen", "colour", "peer.seeds[1]", "peer.cluster_keys[0]", "log.JSON",
+			"platform.address", "platform.timeout_ms", "log.level", "limits.body_bytes",
+		} {
+			So(places, ShouldContainKey, path)
+		}
+		So(len(places), ShouldEqual, 12)
+	})
+	Convey("What is not JSON is one finding", t, func() {
+		_, err := ParseSettings("bad.json", []byte(`{"name": `))
+		findings, ok := err.(workspace.Findings)
+		So(ok, ShouldBeTrue)
+		So(len(findings), ShouldEqual, 1)
+	})
+}
