--- a/engine/httpengine/bench_test.go
+++ b/engine/httpengine/bench_test.go
@@ -1,12 +1,20 @@
 package httpengine_test
 
 import (
+	"bytes"
 	"context"
+	"encoding/json"
 	"fmt"
+	"net"
+	"runtime"
 	"sync/atomic"
 	"testing"
 
+	"github.com/valyala/fasthttp"
+
 	"github.com/lycheekeel/lycheekeel/engine"
+	"github.com/lycheekeel/lycheekeel/engine/httpengine"
+	"github.com/lycheekeel/lycheekeel/engine/httpengine/wire"
 	"github.com/lycheekeel/lycheekeel/internal/httpconn"
 	standin "github.com/lycheekeel/lycheekeel/internal/standin/engine"
 )
@@ -68,3 +76,113 @@
 		}
 	}
 }
+
+// rendered is a whole answer, one HTTP chunk for each token.
+func rendered(tokens int) []byte {
+	var answer bytes.Buffer
+	answer.WriteString("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+	for i := range tokens {
+		line := wire.AppendLine(nil, &wire.Line{RequestID: []byte("r"), Offset: i, Tokens: 1, Text: "word", End: i == tokens-1})
+		fmt.Fprintf(&answer, "%x\r\n%s\r\n", len(line), line)
+	}
+	answer.WriteString("0\r\n\r\n")
+	return answer.Bytes()
+}
+
+func sends(answer []byte) func(net.Conn, int64) bool {
+	return func(c net.Conn, _ int64) bool {
+		_, err := c.Write(answer)
+		return err == nil
+	}
+}
+
+// BenchmarkAdapterToken is what one token costs the adapter alone: the peer
+// sends an answer that was rendered before.
+func BenchmarkAdapterToken(b *testing.B) {
+	const tokens = 1000
+	e := httpengine.New(newPeer(b, sends(rendered(tokens))).address, httpconn.Settings{})
+	b.ReportAllocs()
+	b.ResetTimer()
+	for i := 0; i < b.N; i += tokens {
+		if n := benchRun(b, e, "r", tokens); n != tokens {
+			b.Fatalf("%d chunks", n)
+		}
+	}
+}
+
+// BenchmarkOneCaller is the time of a request of one token, one at a time,
+// through the adapter and through fasthttp's client.
+func BenchmarkOneCaller(b *testing.B) {
+	p := newPeer(b, sends(rendered(1)))
+	b.Run("adapter", func(b *testing.B) {
+		e := httpengine.New(p.address, httpconn.Settings{})
+		b.ReportAllocs()
+		for b.Loop() {
+			benchRun(b, e, "r", 1)
+		}
+	})
+	b.Run("adapter-new-connection", func(b *testing.B) {
+		e := httpengine.New(p.address, httpconn.Settings{IdleMax: 1})
+		b.ReportAllocs()
+		for b.Loop() {
+			benchRun(b, e, "r", 1)
+		}
+	})
+	b.Run("fasthttp", func(b *testing.B) {
+		c := &fasthttp.HostClient{Addr: p.address, MaxIdemponentCallAttempts: 1}
+		body, _ := json.Marshal(wire.Run{RequestID: "r", Model: "m", Prompt: "p", Last: "gen:1", MaxTokens: 1})
+		b.ReportAllocs()
+		for b.Loop() {
+			req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+			req.Header.SetMethod("POST")
+			req.SetRequestURI("http://" + p.address + wire.PathRun)
+			req.SetBodyRaw(body)
+			if err := c.Do(req, resp); err != nil {
+				b.Fatal(err)
+			}
+			var l wire.Line
+			if err := wire.ParseLine(bytes.TrimSpace(resp.Body()), &l); err != nil || !l.End {
+				b.Fatal(err)
+			}
+			fasthttp.ReleaseRequest(req)
+			fasthttp.ReleaseResponse(resp)
+		}
+	})
+}
+
+// BenchmarkOpenStream is the memory of a stream that waits, its peer's end
+// (one goroutine and a connection) included.
+func BenchmarkOpenStream(b *testing.B) {
+	const streams = 1000
+	whole := rendered(2)
+	p := newPeer(b, func(c net.Conn, _ int64) bool {
+		_, err := c.Write(whole[:bytes.Index(whole, []byte("}"))+4])
+		return err == nil
+	})
+	e := httpengine.New(p.address, httpconn.Settings{})
+	var open [streams]engine.Stream
+	memory := func() uint64 {
+		runtime.GC()
+		runtime.GC()
+		var m runtime.MemStats
+		runtime.ReadMemStats(&m)
+		return m.HeapInuse + m.StackInuse
+	}
+	for b.Loop() {
+		before := memory()
+		for i := range open {
+			s, err := e.Run(context.Background(), engine.Run{RequestID: "r", Prompt: "p"})
+			if err == nil {
+				_, err = s.Next(context.Background())
+			}
+			if err != nil {
+				b.Fatal(err)
+			}
+			open[i] = s
+		}
+		b.ReportMetric(float64(memory()-before)/streams, "B/stream")
+		for _, s := range open {
+			_ = s.Close()
+		}
+	}
+}
--- a/engine/httpengine/fault_test.go
+++ b/engine/httpengine/fault_test.go
@@ -59,7 +59,10 @@
 	for req.Read(r) == nil && answer(c, p.requests.Add(1)) {
 	}
 	_ = c.Close()
-	p.closed <- struct{}{}
+	select {
+	case p.closed <- struct{}{}:
+	default: // more than any test waits for
+	}
 }
 
 // answerWith sends lines as a whole streamed answer.
--- a/engine/httpengine/wire/line.go
+++ b/engine/httpengine/wire/line.go
@@ -209,7 +209,8 @@
 		n = n*10 + int(p.data[p.pos]-'0')
 		p.pos++
 	}
-	if p.pos == start || p.pos-start > maxDigits {
+	leadingZero := p.pos-start > 1 && p.data[start] == '0'
+	if p.pos == start || p.pos-start > maxDigits || leadingZero {
 		return 0, errSyntax
 	}
 	return n, nil
--- a/internal/standin/engine/body.go
+++ b/internal/standin/engine/body.go
@@ -20,9 +20,15 @@
 	over   bool
 }
 
-func streamTo(ctx *fasthttp.RequestCtx, c *cursor) {
-	ctx.SetContentType("application/x-ndjson")
-	ctx.Response.SetBodyStream(&body{cursor: c}, -1)
+// streamTo answers with the stream that start or resume returned.
+func streamTo(ctx *fasthttp.RequestCtx) func(*cursor, error) error {
+	return func(c *cursor, err error) error {
+		if err == nil {
+			ctx.SetContentType("application/x-ndjson")
+			ctx.Response.SetBodyStream(&body{cursor: c}, -1)
+		}
+		return err
+	}
 }
 
 // Read implements io.Reader.
@@ -65,7 +71,4 @@
 }
 
 // Close implements io.Closer: the connection is done or gone.
-func (b *body) Close() error {
-	b.cursor.close()
-	return nil
-}
+func (b *body) Close() error { return b.cursor.Close() }
--- a/internal/standin/engine/cursor.go
+++ b/internal/standin/engine/cursor.go
@@ -100,12 +100,13 @@
 	}
 }
 
-// close detaches the stream; the run goes on.
-func (c *cursor) close() {
+// Close implements port.Stream: the run goes on.
+func (c *cursor) Close() error {
 	c.e.mu.Lock()
 	defer c.e.mu.Unlock()
 	c.run.detach(c, time.Now())
 	if c.e.crossing == c {
 		c.e.crossing = nil
 	}
+	return nil
 }
--- a/internal/standin/engine/direct.go
+++ b/internal/standin/engine/direct.go
@@ -20,7 +20,7 @@
 	if err := e.reach(ctx, r.Sending); err != nil {
 		return nil, err
 	}
-	return e.stream(e.start(r))
+	return stream(e.start(r))
 }
 
 // Resume implements port.Engine.
@@ -28,7 +28,7 @@
 	if err := e.reach(ctx, nil); err != nil {
 		return nil, err
 	}
-	return e.stream(e.resume(requestID, offset))
+	return stream(e.resume(requestID, offset))
 }
 
 // Cancel implements port.Engine.
@@ -116,19 +116,16 @@
 	return e.faults.Silent == SilenceAll || c.serial <= e.silenced
 }
 
-func (e *Engine) stream(c *cursor, err error) (port.Stream, error) {
+// stream turns a cursor and its error into the port's.
+func stream(c *cursor, err error) (port.Stream, error) {
 	if err != nil {
 		return nil, err
 	}
-	return &stream{cursor: c}, nil
+	return c, nil
 }
 
-// stream is a cursor as the port sees it.
-type stream struct{ cursor *cursor }
-
 // Next implements port.Stream.
-func (s *stream) Next(ctx context.Context) (port.Chunk, error) {
-	c := s.cursor
+func (c *cursor) Next(ctx context.Context) (port.Chunk, error) {
 	for {
 		chunk, id, ok, err := c.next(ctx, ms(c.e.opts.KeepaliveMs))
 		switch {
@@ -147,12 +144,6 @@
 	}
 }
 
-// Close implements port.Stream.
-func (s *stream) Close() error {
-	s.cursor.close()
-	return nil
-}
-
 const blockBytes = 8
 
 // encodeBlocks is the form of exported KV: the blocks' hashes, big endian.
--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -24,8 +24,8 @@
 	faults      Faults
 	incarnation uint64
 	downUntil   time.Time
-	onCrash     func(restart time.Duration) // called with mu held
-	runs        map[string]*run             // the newest of each request id
+	fronts      []front         // called with mu held
+	runs        map[string]*run // the newest of each request id
 	waiting     []*run
 	batch       []*run
 	kvHeld      int
@@ -42,6 +42,14 @@
 	crossing    *cursor // waits for another answer to be swapped with
 }
 
+// front is a way in to an engine from outside its process.
+type front interface {
+	// Shut breaks all connections and refuses new ones for a time.
+	Shut(d time.Duration)
+	// Silence makes all open connections silent for good.
+	Silence()
+}
+
 // New starts an engine. Close stops it.
 func New(o Options) (*Engine, error) {
 	if err := o.Faults.check(); err != nil {
@@ -109,6 +117,9 @@
 func (e *Engine) setFaults(f Faults) {
 	if f.Silent != SilenceOff && f.Silent != e.faults.Silent {
 		e.silenced = e.cursors
+		for _, f := range e.fronts {
+			f.Silence()
+		}
 	}
 	e.faults = f
 	e.cache.drop = f.DropEvents
@@ -127,8 +138,8 @@
 	e.boot()
 	e.incarnation++
 	e.downUntil = now.Add(ms(e.opts.RestartMs))
-	if e.onCrash != nil {
-		e.onCrash(ms(e.opts.RestartMs))
+	for _, f := range e.fronts {
+		f.Shut(ms(e.opts.RestartMs))
 	}
 }
 
@@ -140,6 +151,12 @@
 	}
 }
 
+func (e *Engine) addFront(f front) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.fronts = append(e.fronts, f)
+}
+
 // start takes a request on.
 func (e *Engine) start(r port.Run) (*cursor, error) {
 	e.mu.Lock()
@@ -235,7 +252,6 @@
 	}
 }
 
-// importBlocks and exportBlocks move prefix blocks; see kv.go for their form.
 func (e *Engine) importBlocks(blocks []uint64) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
--- a/internal/standin/engine/server.go
+++ b/internal/standin/engine/server.go
@@ -5,7 +5,6 @@
 	"encoding/json"
 	"net"
 	"strconv"
-	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -29,8 +28,6 @@
 // server serves an Engine over HTTP.
 type server struct {
 	engine *Engine
-	gate   *gate.Gate
-	mute   atomic.Bool // SilenceAll
 }
 
 // Serve runs an engine with the options on the listener, which it owns, until
@@ -45,15 +42,12 @@
 }
 
 // ServeEngine serves an engine on the listener, which it owns, until ctx ends.
-// The engine stays open.
+// The engine stays open, and can be served on several listeners.
 func ServeEngine(ctx context.Context, ln net.Listener, e *Engine) error {
-	s := &server{engine: e, gate: gate.New(ln)}
-	s.mute.Store(e.Faults().Silent == SilenceAll)
-	e.mu.Lock()
-	e.onCrash = s.gate.Shut
-	e.mu.Unlock()
+	g := gate.New(ln)
+	e.addFront(g)
 	logs.For("standin-engine").WithField("listen", ln.Addr().String()).Info("serving")
-	return s.gate.Serve(ctx, s.handle)
+	return g.Serve(ctx, (&server{engine: e}).handle)
 }
 
 func (s *server) handle(ctx *fasthttp.RequestCtx) {
@@ -61,13 +55,16 @@
 	if s.control(ctx, path) {
 		return
 	}
-	if s.mute.Load() {
-		if c, ok := ctx.Conn().(*gate.Conn); ok {
-			c.Silence()
-		}
+	if s.engine.Faults().Silent == SilenceAll {
+		ctx.Conn().(*gate.Conn).Silence()
+		return
+	}
+	serve, ok := routes[path]
+	if !ok {
+		fail(ctx, errors.Wrapf(port.ErrRefusedNotRun, "no path %s", path))
 		return
 	}
-	if err := s.serve(ctx, path); err != nil {
+	if err := serve(s.engine, ctx); err != nil {
 		fail(ctx, err)
 	}
 }
@@ -82,7 +79,7 @@
 	case PathFaults:
 		s.faults(ctx)
 	case PathCrash:
-		ctx.SetConnectionClose()
+		spare(ctx)
 		s.engine.Crash()
 	case PathHealth:
 		ctx.SetBodyString("ok\n")
@@ -95,6 +92,7 @@
 func (s *server) faults(ctx *fasthttp.RequestCtx) {
 	f := s.engine.Faults()
 	if ctx.IsPost() {
+		spare(ctx)
 		err := gate.Patch(ctx, &f)
 		if err == nil {
 			err = s.engine.SetFaults(f)
@@ -104,85 +102,66 @@
 			gate.Reply(ctx, wire.Error{Message: err.Error()})
 			return
 		}
-		if f.Silent != SilenceOff {
-			s.gate.Silence(ctx.Conn())
-		}
-		s.mute.Store(f.Silent == SilenceAll)
-		ctx.SetConnectionClose() // so that this one is not left unsilenced
 	}
 	gate.Reply(ctx, f)
 }
 
-func (s *server) serve(ctx *fasthttp.RequestCtx, path string) error {
-	switch path {
-	case wire.PathRun:
-		return s.run(ctx)
-	case wire.PathResume:
-		return s.resume(ctx)
-	case wire.PathCancel:
-		var m wire.Resume
-		if err := decode(ctx, &m); err != nil {
-			return err
-		}
-		s.engine.cancel(m.RequestID)
-	case wire.PathLoad:
-		gate.Reply(ctx, wireLoad(s.engine.report()))
-	case wire.PathCacheEvents:
-		return s.cacheEvents(ctx)
-	case wire.PathExportKV:
-		var m wire.Blocks
-		if err := decode(ctx, &m); err != nil {
-			return err
-		}
-		ctx.SetBody(encodeBlocks(s.engine.exportBlocks(m.Blocks)))
-	case wire.PathImportKV:
-		return s.engine.importKV(ctx.PostBody())
-	case wire.PathOrder:
-		var m wire.Order
-		if err := decode(ctx, &m); err != nil {
-			return err
-		}
-		return s.engine.order(port.Order(m))
-	default:
-		return errors.Wrapf(port.ErrRefusedNotRun, "no path %s", path)
-	}
-	return nil
+// spare lets the connection that gives an order see its answer, and no more.
+func spare(ctx *fasthttp.RequestCtx) {
+	ctx.Conn().(*gate.Conn).Spare()
+	ctx.SetConnectionClose()
 }
 
-func (s *server) run(ctx *fasthttp.RequestCtx) error {
-	var m wire.Run
-	if err := decode(ctx, &m); err != nil {
-		return err
-	}
-	c, err := s.engine.start(port.Run{
-		RequestID: m.RequestID, Model: m.Model, Version: m.Version, Prompt: m.Prompt, Last: m.Last,
-		PromptTokens: m.PromptTokens, MaxTokens: m.MaxTokens, Blocks: m.Blocks,
-	})
-	if err == nil {
-		streamTo(ctx, c)
-	}
-	return err
+// route serves one path of the protocol.
+type route func(e *Engine, ctx *fasthttp.RequestCtx) error
+
+var routes = map[string]route{
+	wire.PathRun: taking(func(e *Engine, ctx *fasthttp.RequestCtx, m wire.Run) error {
+		return streamTo(ctx)(e.start(port.Run{
+			RequestID: m.RequestID, Model: m.Model, Version: m.Version, Prompt: m.Prompt, Last: m.Last,
+			PromptTokens: m.PromptTokens, MaxTokens: m.MaxTokens, Blocks: m.Blocks,
+		}))
+	}),
+	wire.PathResume: taking(func(e *Engine, ctx *fasthttp.RequestCtx, m wire.Resume) error {
+		return streamTo(ctx)(e.resume(m.RequestID, m.Offset))
+	}),
+	wire.PathCancel: taking(func(e *Engine, _ *fasthttp.RequestCtx, m wire.Resume) error {
+		e.cancel(m.RequestID)
+		return nil
+	}),
+	wire.PathOrder: taking(func(e *Engine, _ *fasthttp.RequestCtx, m wire.Order) error {
+		return e.order(port.Order(m))
+	}),
+	wire.PathExportKV: taking(func(e *Engine, ctx *fasthttp.RequestCtx, m wire.Blocks) error {
+		ctx.SetBody(encodeBlocks(e.exportBlocks(m.Blocks)))
+		return nil
+	}),
+	wire.PathImportKV: func(e *Engine, ctx *fasthttp.RequestCtx) error { return e.importKV(ctx.PostBody()) },
+	wire.PathLoad: func(e *Engine, ctx *fasthttp.RequestCtx) error {
+		gate.Reply(ctx, wireLoad(e.report()))
+		return nil
+	},
+	wire.PathCacheEvents: cacheEvents,
 }
 
-func (s *server) resume(ctx *fasthttp.RequestCtx) error {
-	var m wire.Resume
-	if err := decode(ctx, &m); err != nil {
-		return err
-	}
-	c, err := s.engine.resume(m.RequestID, m.Offset)
-	if err == nil {
-		streamTo(ctx, c)
+// taking decodes a route's message.
+func taking[M any](f func(*Engine, *fasthttp.RequestCtx, M) error) route {
+	return func(e *Engine, ctx *fasthttp.RequestCtx) error {
+		var m M
+		if err := json.Unmarshal(ctx.PostBody(), &m); err != nil {
+			return errors.Wrapf(port.ErrRefusedNotRun, "body: %v", err)
+		}
+		return f(e, ctx, m)
 	}
-	return err
 }
 
-func (s *server) cacheEvents(ctx *fasthttp.RequestCtx) error {
+func cacheEvents(e *Engine, ctx *fasthttp.RequestCtx) error {
 	after, err := strconv.ParseUint(string(ctx.QueryArgs().Peek("after")), 10, 64)
 	if err != nil {
 		return errors.Wrap(port.ErrFailed, "after is no number")
 	}
 	var m wire.CacheEvents
-	for _, ev := range s.engine.cacheEvents(after) {
+	for _, ev := range e.cacheEvents(after) {
 		m.Events = append(m.Events, wire.CacheEvent(ev))
 	}
 	gate.Reply(ctx, m)
@@ -200,13 +179,6 @@
 	return out
 }
 
-func decode(ctx *fasthttp.RequestCtx, into any) error {
-	if err := json.Unmarshal(ctx.PostBody(), into); err != nil {
-		return errors.Wrapf(port.ErrRefusedNotRun, "body: %v", err)
-	}
-	return nil
-}
-
 // fail answers with an error of the port.
 func fail(ctx *fasthttp.RequestCtx, err error) {
 	m := wire.Error{Message: err.Error(), NotRun: errors.Is(err, port.ErrRefusedNotRun)}
--- a/internal/standin/gate/gate.go
+++ b/internal/standin/gate/gate.go
@@ -73,14 +73,12 @@
 	return c
 }
 
-// Silence makes every open connection silent for good, but for one.
-func (g *Gate) Silence(except net.Conn) {
+// Silence makes every open connection silent for good.
+func (g *Gate) Silence() {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	for c := range g.conns {
-		if c != except {
-			c.Silence()
-		}
+		c.Silence()
 	}
 }
 
@@ -101,7 +99,9 @@
 		g.ln = nil
 	}
 	for c := range g.conns {
-		_ = c.Conn.Close()
+		if !c.spared.Load() || g.closed {
+			_ = c.Conn.Close()
+		}
 	}
 }
 
@@ -144,11 +144,16 @@
 	net.Conn
 	gate   *Gate
 	silent atomic.Bool
+	spared atomic.Bool
 	ended  atomic.Bool // the peer closed it
 }
 
 // Silence makes the connection silent for good.
-func (c *Conn) Silence() { c.silent.Store(true) }
+func (c *Conn) Silence() { c.silent.Store(!c.spared.Load()) }
+
+// Spare excepts the connection from Silence and Shut, so that the order for
+// them can be answered on it.
+func (c *Conn) Spare() { c.spared.Store(true) }
 
 // Read implements net.Conn.
 func (c *Conn) Read(b []byte) (int, error) {
--- a/internal/standin/service/service.go
+++ b/internal/standin/service/service.go
@@ -48,9 +48,10 @@
 
 // Echo is the answer to a call.
 type Echo struct {
-	Method string `json:"method"`
-	Path   string `json:"path"` // with its query
-	Body   string `json:"body"`
+	Method string      `json:"method"`
+	Path   string      `json:"path"` // with its query
+	Header [][2]string `json:"header"`
+	Body   string      `json:"body"`
 }
 
 // Call identifies a call; one that was sent twice has the same Call.
@@ -154,10 +155,18 @@
 		r.Response.Header.Set(headerNotRun, "true")
 		r.SetStatusCode(fasthttp.StatusServiceUnavailable)
 	default:
-		gate.Reply(r, Echo{string(r.Method()), string(r.RequestURI()), string(r.PostBody())})
+		gate.Reply(r, echoOf(r))
 	}
 }
 
+func echoOf(r *fasthttp.RequestCtx) Echo {
+	e := Echo{Method: string(r.Method()), Path: string(r.RequestURI()), Body: string(r.PostBody())}
+	for k, v := range r.Request.Header.All() {
+		e.Header = append(e.Header, [2]string{string(k), string(v)})
+	}
+	return e
+}
+
 func (s *Service) count(r *fasthttp.RequestCtx) Faults {
 	call := Call{string(r.Method()), string(r.RequestURI()), string(r.Request.Header.Peek(headerRequestID))}
 	s.mu.Lock()
--- a/service/httpservice/service_test.go
+++ b/service/httpservice/service_test.go
@@ -37,7 +37,7 @@
 func call(id string) service.Call {
 	return service.Call{
 		RequestID: id, Method: "POST", Path: "/book?teacher=7&at=a%2Fb", Body: []byte("Bảng Xanh"),
-		Header: [][2]string{{"X-Request-Id", "forged"}, {"Connection", "X-Hop"}, {"X-Hop", "1"}, {"Transfer-Encoding", "chunked"}},
+		Header: [][2]string{{"X-Request-Id", "forged"}, {"Connection", "X-Hop"}, {"X-Hop", "1"}, {"Transfer-Encoding", "chunked"}, {"Accept-Language", "vi"}},
 	}
 }
 
@@ -56,7 +56,14 @@
 			So(reply.Status, ShouldEqual, 200)
 			var echo standin.Echo
 			So(json.Unmarshal(reply.Body, &echo), ShouldBeNil)
-			So(echo, ShouldResemble, standin.Echo{Method: "POST", Path: "/book?teacher=7&at=a%2Fb", Body: "Bảng Xanh"})
+			So(echo.Method+" "+echo.Path, ShouldEqual, "POST /book?teacher=7&at=a%2Fb")
+			So(echo.Body, ShouldEqual, "Bảng Xanh")
+			So(echo.Header, ShouldContain, [2]string{"X-Request-Id", "r"})
+			So(echo.Header, ShouldContain, [2]string{"Accept-Language", "vi"})
+			for _, h := range echo.Header {
+				So(h[0], ShouldNotBeIn, "X-Hop", "Transfer-Encoding", "Connection")
+				So(h[1], ShouldNotEqual, "forged")
+			}
 			So(reply.Header, ShouldContain, [2]string{"Content-Type", "application/json"})
 		}
 		So(core.Calls(), ShouldResemble, []standin.CallCount{
