daemon: placement controller by setting; entry: wait longer for a late engine

With the setting placement, daemons run for their region's placement lease and plan by the demand that the members report. On a starved machine one of 2,000 requests under the race detector ended as engine_lost: the engine read it after three quick resumes had said that the run was unknown. While nothing was heard of a run, the answer unknown is now taken as final only after a second.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -23,6 +23,7 @@
 	"github.com/lycheekeel/lycheekeel/internal/peer"
 	"github.com/lycheekeel/lycheekeel/internal/poolhost"
 	"github.com/lycheekeel/lycheekeel/member"
+	"github.com/lycheekeel/lycheekeel/placement"
 	"github.com/lycheekeel/lycheekeel/platform"
 	"github.com/lycheekeel/lycheekeel/platform/httpplatform"
 	"github.com/lycheekeel/lycheekeel/revision"
@@ -49,6 +50,7 @@
 	findings  func() workspace.Findings
 	host      *poolhost.Host
 	broker    *broker.Entry
+	placement *placement.Controller // nil: not wanted
 	entry     *entry.Entry
 	admin     *admin.Server
 
@@ -147,6 +149,12 @@
 		Config: d.config, Broker: d.broker, Ledger: d.ledger, Engines: engines,
 		Services: httpservice.NewDialer(s.serviceSettings()), Metrics: d.metrics, Region: s.Region,
 	}, s.entryLimits())
+	if s.Placement {
+		var err error
+		if d.placement, err = d.newPlacement(engines); err != nil {
+			return err
+		}
+	}
 	d.transport.Handle(peer.TypeStatus, d.answerStatus)
 	d.admin = admin.New(d, d.metrics)
 	return nil
@@ -154,7 +162,11 @@
 
 // parts returns what runs beside the servers, until its context ends.
 func (d *Daemon) parts() []func(context.Context) {
-	return []func(context.Context){d.syncer.Run, d.host.Run, d.broker.Run, d.vms.Run, d.collectClaims}
+	parts := []func(context.Context){d.syncer.Run, d.host.Run, d.broker.Run, d.vms.Run, d.collectClaims}
+	if d.placement != nil {
+		parts = append(parts, d.runPlacement)
+	}
+	return parts
 }
 
 // Address and AdminAddress are where the daemon listens.
--- a/internal/daemon/ledger.go
+++ b/internal/daemon/ledger.go
@@ -8,14 +8,17 @@
 	"github.com/lycheekeel/lycheekeel/lease"
 )
 
-// Times of collecting old claims.
+// The leases' times: how long one lasts without renewal, how far a clock's
+// rate may be off, and how much longer a new holder waits.
 const (
-	collectLease = 15 * time.Second // length of the collector's lease
-	collectEvery = 10 * time.Minute
-	leaseDrift   = 0.01
-	leaseMargin  = 2 * time.Second
+	leaseDuration = 15 * time.Second
+	leaseDrift    = 0.01
+	leaseMargin   = 2 * time.Second
 )
 
+// collectEvery is the time between two passes over the old claims.
+const collectEvery = 10 * time.Minute
+
 // collectorLease is the lease whose holder collects old claims.
 const collectorLease = "claim-collector"
 
@@ -24,10 +27,7 @@
 
 // collectClaims deletes old claims while this daemon holds the lease for it.
 func (d *Daemon) collectClaims(ctx context.Context) {
-	elector, err := lease.NewElector(d.platform, lease.Options{
-		Name: collectorLease, Holder: d.settings.Name, Duration: collectLease,
-		MaxDrift: leaseDrift, Margin: leaseMargin, Metrics: d.metrics,
-	})
+	elector, err := d.newElector(collectorLease)
 	if err != nil {
 		d.log.WithError(err).Error("old claims are not collected")
 		return
--- /dev/null
+++ b/internal/daemon/placement.go
@@ -0,0 +1,62 @@
+package daemon
+
+import (
+	"context"
+
+	"github.com/pkg/errors"
+
+	"github.com/lycheekeel/lycheekeel/engine"
+	"github.com/lycheekeel/lycheekeel/lease"
+	"github.com/lycheekeel/lycheekeel/member"
+	"github.com/lycheekeel/lycheekeel/placement"
+)
+
+// placementLease with a region's name is the lease of its placement
+// controller.
+const placementLease = "placement-"
+
+// newPlacement returns the controller that places models in this daemon's
+// region while it holds the region's lease.
+func (d *Daemon) newPlacement(engines engine.Dialer) (*placement.Controller, error) {
+	elector, err := d.newElector(placementLease + d.settings.Region)
+	if err != nil {
+		return nil, errors.Wrap(err, "placement")
+	}
+	return placement.NewController(placement.Options{
+		Region: d.settings.Region, Elector: elector, API: d.platform, Weights: d.platform, Engines: engines,
+		Config: d.config.Load, Demand: d.demand, Metrics: d.metrics,
+	}), nil
+}
+
+// newElector returns this daemon's candidacy for a lease.
+func (d *Daemon) newElector(name string) (*lease.Elector, error) {
+	return lease.NewElector(d.platform, lease.Options{
+		Name: name, Holder: d.settings.Name, Duration: leaseDuration,
+		MaxDrift: leaseDrift, Margin: leaseMargin, Metrics: d.metrics,
+	})
+}
+
+// demand asks the region's members what waits and runs at the pools that
+// they own.
+func (d *Daemon) demand(ctx context.Context) map[string]placement.Demand {
+	var names []string
+	for _, m := range d.views.Load().Members {
+		if m.Region == d.settings.Region && m.State != member.Dead {
+			names = append(names, m.Name)
+		}
+	}
+	out := map[string]placement.Demand{}
+	for _, r := range d.askMembers(ctx, names) {
+		for _, s := range r.report.Owned {
+			out[s.Pool] = placement.DemandOf(s.Waiting, s.Running)
+		}
+	}
+	return out
+}
+
+// runPlacement runs the controller until ctx ends.
+func (d *Daemon) runPlacement(ctx context.Context) {
+	if err := d.placement.Run(ctx); err != nil && ctx.Err() == nil {
+		d.log.WithError(err).Error("placement ended")
+	}
+}
--- /dev/null
+++ b/internal/daemon/report.go
@@ -0,0 +1,66 @@
+package daemon
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/sourcegraph/conc"
+
+	"github.com/lycheekeel/lycheekeel/internal/peer"
+	"github.com/lycheekeel/lycheekeel/pool"
+	"github.com/lycheekeel/lycheekeel/revision"
+)
+
+// askLimit bounds asking the members for their reports.
+const askLimit = time.Second
+
+// memberReport is what a daemon tells another one of itself, for operators
+// and for the placement controller. It travels as JSON: it is asked for
+// rarely, and its fields are for people's eyes.
+type memberReport struct {
+	Configuration revision.Report `json:"configuration"`
+	Owned         []pool.Summary  `json:"owned"`
+}
+
+// reported is a member's report, or why there is none.
+type reported struct {
+	report memberReport
+	err    error
+}
+
+func (d *Daemon) ownReport() memberReport {
+	return memberReport{Configuration: d.syncer.Report(), Owned: d.host.Summaries()}
+}
+
+// answerStatus answers a peer with this daemon's report.
+func (d *Daemon) answerStatus(context.Context, peer.Name, []byte) ([]byte, error) {
+	return json.Marshal(d.ownReport())
+}
+
+// askMembers asks members for their reports, all at once; the answers are in
+// the order of the names.
+func (d *Daemon) askMembers(ctx context.Context, names []string) []reported {
+	ctx, cancel := context.WithTimeout(ctx, askLimit)
+	defer cancel()
+	out := make([]reported, len(names))
+	var asked conc.WaitGroup
+	for i, name := range names {
+		asked.Go(func() { out[i].report, out[i].err = d.askMember(ctx, name) })
+	}
+	asked.Wait()
+	return out
+}
+
+func (d *Daemon) askMember(ctx context.Context, name string) (memberReport, error) {
+	if name == d.settings.Name {
+		return d.ownReport(), nil
+	}
+	var r memberReport
+	answer, err := d.transport.Call(ctx, peer.Name(name), peer.TypeStatus, nil)
+	if err != nil {
+		return r, err
+	}
+	return r, errors.Wrapf(json.Unmarshal(answer, &r), "report of %s", name)
+}
--- a/internal/daemon/settings.go
+++ b/internal/daemon/settings.go
@@ -25,9 +25,13 @@
 	Admin            string           `json:"admin" validate:"required,ipport"`
 	Peer             PeerSettings     `json:"peer"`
 	Platform         PlatformSettings `json:"platform"`
-	Log              LogSettings      `json:"log"`
-	Limits           LimitSettings    `json:"limits"`
-	Timeouts         TimeoutSettings  `json:"timeouts"`
+	// Placement lets this daemon become its region's placement controller,
+	// which orders the engines to load and unload models. Without it, models
+	// stay where the operators put them.
+	Placement bool            `json:"placement"`
+	Log       LogSettings     `json:"log"`
+	Limits    LimitSettings   `json:"limits"`
+	Timeouts  TimeoutSettings `json:"timeouts"`
 }
 
 // PeerSettings say how daemons find and trust each other.
--- a/internal/daemon/status.go
+++ b/internal/daemon/status.go
@@ -3,23 +3,16 @@
 import (
 	"cmp"
 	"context"
-	"encoding/json"
 	"slices"
-	"time"
 
 	"github.com/pkg/errors"
-	"github.com/sourcegraph/conc"
 
-	"github.com/lycheekeel/lycheekeel/internal/peer"
 	"github.com/lycheekeel/lycheekeel/internal/version"
 	"github.com/lycheekeel/lycheekeel/pool"
 	"github.com/lycheekeel/lycheekeel/revision"
 	"github.com/lycheekeel/lycheekeel/workspace"
 )
 
-// askLimit bounds asking one member for its status.
-const askLimit = time.Second
-
 // Status is what a daemon tells of itself and of what it knows.
 type Status struct {
 	Name             string             `json:"name"`
@@ -79,7 +72,7 @@
 		})
 	}
 	if cluster {
-		d.askMembers(ctx, s.Members)
+		d.fillIn(ctx, s.Members)
 	}
 	return s
 }
@@ -98,38 +91,17 @@
 	return out
 }
 
-// askMembers fills in which configuration each member has in force.
-func (d *Daemon) askMembers(ctx context.Context, members []MemberStatus) {
-	ctx, cancel := context.WithTimeout(ctx, askLimit)
-	defer cancel()
-	var asked conc.WaitGroup
-	defer asked.Wait()
-	for i := range members {
-		asked.Go(func() {
-			r, err := d.askMember(ctx, members[i].Name)
-			if err != nil {
-				members[i].Error = err.Error()
-				return
-			}
-			members[i].Configuration = &r
-		})
+// fillIn asks the members which configuration they have in force.
+func (d *Daemon) fillIn(ctx context.Context, members []MemberStatus) {
+	names := make([]string, len(members))
+	for i, m := range members {
+		names[i] = m.Name
 	}
-}
-
-func (d *Daemon) askMember(ctx context.Context, name string) (revision.Report, error) {
-	if name == d.settings.Name {
-		return d.syncer.Report(), nil
+	for i, r := range d.askMembers(ctx, names) {
+		if r.err != nil {
+			members[i].Error = r.err.Error()
+			continue
+		}
+		members[i].Configuration = &r.report.Configuration
 	}
-	answer, err := d.transport.Call(ctx, peer.Name(name), peer.TypeStatus, nil)
-	if err != nil {
-		return revision.Report{}, err
-	}
-	var r revision.Report
-	return r, errors.Wrap(json.Unmarshal(answer, &r), "status")
-}
-
-// answerStatus tells a peer which configuration is in force here. The payload
-// is JSON, since it is only ever shown to operators.
-func (d *Daemon) answerStatus(context.Context, peer.Name, []byte) ([]byte, error) {
-	return json.Marshal(d.syncer.Report())
 }
--- a/internal/entry/resume.go
+++ b/internal/entry/resume.go
@@ -17,10 +17,10 @@
 	maxResumePause   = time.Second
 )
 
-// unopenedTries is how often an engine may answer that it does not know a run
-// of which nothing was heard yet: the request's bytes may still be on their
-// way to it.
-const unopenedTries = 3
+// unopenedPatience is how long an engine may answer that it does not know a
+// run of which nothing was heard yet: an engine that is short of processor
+// time may read the request late, after the first resume.
+const unopenedPatience = time.Second
 
 // cancelLimit bounds telling an engine to cancel a run.
 const cancelLimit = 2 * time.Second
@@ -31,7 +31,7 @@
 		return nil
 	}
 	pause := newBackOff(firstResumePause, maxResumePause)
-	unknown := 0
+	var unknown time.Time // the first answer that the run is not known
 	for {
 		stream, err := a.engine.Resume(ctx, string(a.x.id), a.next)
 		if err == nil {
@@ -39,8 +39,10 @@
 			return nil
 		}
 		if errors.Is(err, engine.ErrUnknownRun) {
-			unknown++
-			if a.opened || unknown >= unopenedTries {
+			if unknown.IsZero() {
+				unknown = time.Now()
+			}
+			if a.opened || time.Since(unknown) > unopenedPatience {
 				return err
 			}
 		}
