engine, service: tests that no slow machine decides

Some failure tests leant on a restart or an idle connection outlasting the test's own steps. They now use long limits, and end waits by events: a silent service's caller gives up once the call was counted. Adds a test of the stand-in's own interface: an engine on two listeners crashes on both, and its run log shows a request that came in twice.

--- a/engine/httpengine/engine_test.go
+++ b/engine/httpengine/engine_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"net"
 	"net/http"
@@ -80,7 +81,7 @@
 
 func TestManyCallersEachGetTheirOwnAnswer(t *testing.T) {
 	Convey("many concurrent runs through one adapter", t, func() {
-		core, e := serve(t, fast, httpconn.Settings{})
+		core, e := serve(t, fast, longIdle)
 		ctx := deadline(t)
 		const callers, each = 64, 10
 		var wrong atomic.Int64
@@ -155,9 +156,64 @@
 	})
 }
 
+func TestStandinsOwnInterface(t *testing.T) {
+	Convey("an engine on two listeners crashes on both and keeps its run log", t, func() {
+		o := fast
+		o.RestartMs = 500
+		core, e := serve(t, o, httpconn.Settings{})
+		ln := listen(t)
+		ctx, cancel := context.WithCancel(deadline(t))
+		var wg conc.WaitGroup
+		wg.Go(func() { _ = standin.ServeEngine(ctx, ln, core) })
+		defer wg.Wait()
+		defer cancel()
+		second := httpengine.New(ln.Addr().String(), httpconn.Settings{})
+		for _, e := range []*httpengine.Engine{e, second} {
+			s, err := e.Run(ctx, echo("same", "x"))
+			So(err, ShouldBeNil)
+			_, _, err = drain(ctx, s)
+			So(err, ShouldBeNil)
+		}
+		before, err := second.Load(ctx)
+		So(err, ShouldBeNil)
+		So(post(e, standin.PathCrash, ""), ShouldBeNil)
+		for _, e := range []*httpengine.Engine{e, second} {
+			load := before
+			for load.Incarnation == before.Incarnation && ctx.Err() == nil {
+				if load, err = e.Load(ctx); err != nil {
+					load = before
+				}
+			}
+			So(load.Incarnation, ShouldNotEqual, before.Incarnation)
+		}
+		resp, err := http.Get("http://" + e.Address() + standin.PathRuns)
+		So(err, ShouldBeNil)
+		defer resp.Body.Close()
+		var runs []struct {
+			RequestID       string     `json:"request_id"`
+			Model           string     `json:"model"`
+			StartedAt       time.Time  `json:"started_at"`
+			PromptTokens    int        `json:"prompt_tokens"`
+			PrefillComputed int        `json:"prefill_computed"`
+			Ended           *time.Time `json:"ended"`
+			Outcome         string     `json:"outcome"`
+		}
+		So(json.NewDecoder(resp.Body).Decode(&runs), ShouldBeNil)
+		So(runs, ShouldHaveLength, 2) // the same id twice: nothing is hidden
+		for _, r := range runs {
+			So(r.RequestID+" "+r.Model+" "+r.Outcome, ShouldEqual, "same m stop")
+			So(r.PromptTokens, ShouldEqual, r.PrefillComputed)
+			So(r.Ended.Before(r.StartedAt), ShouldBeFalse)
+		}
+		So(post(e, standin.PathFaults, `{"no_such_fault":1}`), ShouldNotBeNil)
+	})
+}
+
 // postFaults switches faults over HTTP, as a person would.
-func postFaults(e *httpengine.Engine, body string) error {
-	resp, err := http.Post("http://"+e.Address()+standin.PathFaults, "application/json", strings.NewReader(body))
+func postFaults(e *httpengine.Engine, body string) error { return post(e, standin.PathFaults, body) }
+
+func post(e *httpengine.Engine, path, body string) error {
+	resp, err := http.Post("http://"+e.Address()+path, "application/json", strings.NewReader(body))
 	if err != nil {
 		return err
 	}
--- a/engine/httpengine/fault_test.go
+++ b/engine/httpengine/fault_test.go
@@ -73,6 +73,9 @@
 	return resp.Write(w) == nil && w.Flush() == nil
 }
 
+// longIdle keeps a test's connections however slow the machine is.
+var longIdle = httpconn.Settings{IdleMax: time.Hour}
+
 const endLine = `{"request_id":"r","offset":0,"tokens":1,"text":"word","end":true,"finish_reason":"stop"}`
 
 func runAndDrain(ctx context.Context, e engine.Engine) (string, error) {
@@ -91,7 +94,7 @@
 func TestReadAndClosedIsSentOnce(t *testing.T) {
 	Convey("on a new connection and on a reused one", t, func() {
 		p := newPeer(t, func(c net.Conn, n int64) bool { return n == 1 && answerWith(c, endLine) })
-		e := httpengine.New(p.address, httpconn.Settings{})
+		e := httpengine.New(p.address, longIdle)
 		_, err := runAndDrain(deadline(t), e)
 		So(err, ShouldBeNil)
 		for sent := int64(2); sent <= 4; sent++ { // the second reuses the first's connection
@@ -109,7 +112,7 @@
 func TestIdleConnectionThatWasClosedIsNotUsed(t *testing.T) {
 	Convey("the next request gets a new connection and is sent once", t, func() {
 		p := newPeer(t, func(c net.Conn, n int64) bool { return answerWith(c, endLine) && n > 1 })
-		e := httpengine.New(p.address, httpconn.Settings{IdleMax: time.Hour})
+		e := httpengine.New(p.address, longIdle)
 		_, err := runAndDrain(deadline(t), e)
 		So(err, ShouldBeNil)
 		<-p.closed
@@ -137,7 +140,7 @@
 	})
 	Convey("Sending says no", t, func() {
 		p := newPeer(t, func(c net.Conn, _ int64) bool { return answerWith(c, endLine) })
-		e := httpengine.New(p.address, httpconn.Settings{})
+		e := httpengine.New(p.address, longIdle)
 		r := echo("r", "x")
 		r.Sending = func() error { return errors.New("no") }
 		_, err := e.Run(deadline(t), r)
@@ -237,7 +240,7 @@
 func TestSilentConnectionIsNoticedAndResumed(t *testing.T) {
 	Convey("the stream breaks, goes on over a new connection, and ran once", t, func() {
 		o := fast
-		o.Faults.Speed = 0.02
+		o.Faults.Speed = 0.002
 		core, e := serve(t, o, httpconn.Settings{})
 		ctx := deadline(t)
 		want := strings.Repeat("0123456789", 40)
@@ -283,7 +286,7 @@
 func TestCrash(t *testing.T) {
 	Convey("broken, then not sent while it is away, then unknown to the new incarnation", t, func() {
 		o := fast
-		o.RestartMs, o.Faults.CrashText = 300, "poison"
+		o.RestartMs, o.Faults.CrashText = 2_000, "poison"
 		core, e := serve(t, o, httpconn.Settings{})
 		ctx := deadline(t)
 		before, err := e.Load(ctx)
--- a/internal/standin/service/service.go
+++ b/internal/standin/service/service.go
@@ -103,6 +103,17 @@
 	return out
 }
 
+// Count returns how often calls with the request id came in.
+func (s *Service) Count(requestID string) int {
+	n := 0
+	for _, c := range s.Calls() {
+		if c.RequestID == requestID {
+			n += c.Count
+		}
+	}
+	return n
+}
+
 // SetFaults replaces the faults.
 func (s *Service) SetFaults(f Faults) {
 	s.mu.Lock()
--- a/service/httpservice/service_test.go
+++ b/service/httpservice/service_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"net"
+	"runtime"
 	"testing"
 	"time"
 
@@ -88,21 +89,28 @@
 	}
 	for _, c := range cases {
 		Convey(c.name+", on a reused connection and on a new one", t, func() {
-			core, s := serve(t, httpservice.Settings{Answer: 200 * time.Millisecond})
-			core.SetFaults(standin.Faults{})
+			core, s := serve(t, httpservice.Settings{})
 			_, err := s.Do(deadline(t), call("first"))
 			So(err, ShouldBeNil)
 			core.SetFaults(c.faults)
 			for _, id := range []string{"a", "b"} {
-				_, err = s.Do(deadline(t), call(id))
+				ctx, cancel := context.WithCancel(deadline(t))
+				var wg conc.WaitGroup
+				wg.Go(func() { // a caller of a silent service gives up some time after the call came in
+					for c.faults.Silent && core.Count(id) == 0 && ctx.Err() == nil {
+						runtime.Gosched()
+					}
+					if c.faults.Silent {
+						cancel()
+					}
+				})
+				_, err = s.Do(ctx, call(id))
+				wg.Wait()
+				cancel()
 				So(errors.Is(err, c.want), ShouldBeTrue)
 			}
-			counts := map[string]int{}
-			for _, n := range core.Calls() {
-				counts[n.RequestID] = n.Count
-			}
-			So(counts["a"], ShouldEqual, c.count)
-			So(counts["b"], ShouldEqual, c.count)
+			So(core.Count("a"), ShouldEqual, c.count)
+			So(core.Count("b"), ShouldEqual, c.count)
 		})
 	}
 }
