broker: the last daemon of a region keeps its pools while it leaves

A leaving member owns nothing, so a daemon alone in its region stopped scheduling for 1.5 s and then ran its own pools degraded. It now keeps them where nobody else can take them. Refusal counters of the broker all show from the start. Tests: a daemon alone that leaves; a request keeps its place by age at a new owner.

--- a/broker/counters.go
+++ b/broker/counters.go
@@ -10,7 +10,7 @@
 // counters are the entry's; refusals are in the metrics group
 // "broker_refusals" by reason, the others in "broker".
 type counters struct {
-	registry *metrics.Registry
+	refusals map[request.Reason]*expvar.Int // not changed after the start
 
 	grants, returned, withdrawn, redirected, requeued         *expvar.Int
 	opened, lost, silent, resets, notOwner, ownerChanged      *expvar.Int
@@ -21,7 +21,7 @@
 func newCounters(m *metrics.Registry) counters {
 	c := func(name string) *expvar.Int { return m.Counter("broker", name) }
 	return counters{
-		registry: m,
+		refusals: refusalCounters(m),
 		grants:   c("grants"), returned: c("grants_returned"), withdrawn: c("withdrawn"),
 		redirected: c("redirected"), requeued: c("enqueued_again"),
 		opened: c("sessions_opened"), lost: c("sessions_lost"), silent: c("sessions_silent"),
@@ -32,6 +32,19 @@
 	}
 }
 
+func refusalCounters(m *metrics.Registry) map[request.Reason]*expvar.Int {
+	all := map[request.Reason]*expvar.Int{}
+	for _, r := range request.Reasons() {
+		all[r] = m.Counter("broker_refusals", string(r))
+	}
+	return all
+}
+
+// refusal returns a reason's counter; one that only a newer owner knows is
+// counted as internal.
 func (c counters) refusal(r request.Reason) *expvar.Int {
-	return c.registry.Counter("broker_refusals", string(r))
+	if v := c.refusals[r]; v != nil {
+		return v
+	}
+	return c.refusals[request.ReasonInternal]
 }
--- a/broker/failure_test.go
+++ b/broker/failure_test.go
@@ -25,6 +25,7 @@
 func (l *load) begin(n *node, count int) {
 	for range count {
 		l.waiting = append(l.waiting, n.begin(1, time.Hour))
+		l.w.advance(25 * time.Millisecond) // no two are of one age
 	}
 	l.collect()
 }
@@ -111,6 +112,7 @@
 		So(len(l.waiting), ShouldEqual, 6)
 
 		w.kill(dying)
+		oldest := l.waiting[0].id()
 		l.release()
 		So(len(l.running), ShouldEqual, 3)
 		left := w.without(dying)
@@ -121,6 +123,7 @@
 			return len(l.running) == 4
 		})
 		So(took, ShouldBeLessThanOrEqualTo, 3*time.Second)
+		So(l.running[3].spec.ID, ShouldEqual, oldest) // it kept its place
 
 		w.advance(2 * time.Second)
 		l.collect()
@@ -241,6 +244,25 @@
 	})
 }
 
+// Symptom: the last daemon of a region refuses what it could still serve.
+// Sequence: it is told to leave, and there is no other.
+// Cause: a leaving member owns no pool. Where there is nobody else, it keeps
+// those it has.
+func TestLastOneLeaves(t *testing.T) {
+	Convey("Given a daemon alone that leaves", t, func() {
+		w := newWorld(1, "a")
+		w.advance(time.Second)
+		n := w.nodes["a"]
+		l := newLoad(w)
+		l.begin(n, 3)
+		n.setMembers()
+		l.advanceUntil(5*time.Second, func() bool { return false })
+		l.release()
+		So(len(l.running), ShouldEqual, 2)
+		So(w.entryCount(n, "degraded_entered"), ShouldEqual, "0")
+	})
+}
+
 // Symptom: a request waits for good, or a slot stays taken for good.
 // Sequence: one batch is lost in one direction, and nothing follows it.
 // Cause: a connection broke with the batch in flight and nobody was told. The
--- a/internal/poolhost/host.go
+++ b/internal/poolhost/host.go
@@ -121,12 +121,16 @@
 }
 
 // Owner returns the name of the member that owns a pool, as membership has
-// it; false where the region has no live member.
+// it; false where the region has no live member. A daemon that leaves keeps
+// the pools for which there is nobody else.
 func (h *Host) Owner(pool, region string) (string, bool) {
 	if h.cfg.Views == nil {
 		return h.cfg.Self, true
 	}
 	m, ok := h.cfg.Views.Load().Owner(pool, region)
+	if !ok && h.Owned(pool) != nil {
+		return h.cfg.Self, true
+	}
 	return m.Name, ok
 }
 
