--- a/lease/elector.go
+++ b/lease/elector.go
@@ -58,6 +58,11 @@
 	// Margin is how much longer a new holder waits, for acts of the old one
 	// that are still under way.
 	Margin time.Duration
+	// PollEvery is how often a candidate reads a lease that another holds;
+	// zero is a quarter of Duration. Each read counts against the store's
+	// rates: many candidates should read once a Duration, which delays a
+	// takeover by up to as much.
+	PollEvery time.Duration
 	// CallTimeout bounds one call to the store; zero is a third of Duration.
 	CallTimeout time.Duration
 	// Clock and Jitter (uniform in [0,1)) are injected by tests; both must be
@@ -91,6 +96,9 @@
 	if o.Margin == 0 {
 		o.Margin = DefaultMargin
 	}
+	if o.PollEvery == 0 {
+		o.PollEvery = o.Duration / pollsPerDuration
+	}
 	if o.CallTimeout == 0 {
 		o.CallTimeout = o.Duration / renewalsPerDuration
 	}
@@ -143,7 +151,7 @@
 				seen = sighting{o.Version, now}
 			}
 			if !r.Released {
-				wait = min(e.waiterTime(r)-(now-seen.at), e.o.Duration/pollsPerDuration)
+				wait = min(e.waiterTime(r)-(now-seen.at), e.o.PollEvery)
 			}
 		}
 		if wait <= 0 {
