--- a/placement/plan_test.go
+++ b/placement/plan_test.go
@@ -202,3 +202,20 @@
 		t.Fatalf("%v in zones %v", byPool, zones)
 	}
 }
+
+// BenchmarkMake plans a region of the target size: 220 servers, 22 models,
+// after the demand has turned round.
+func BenchmarkMake(b *testing.B) {
+	var in placement.Input
+	for i := range 22 {
+		m := fmt.Sprint("m", i)
+		in.Pools = append(in.Pools, placement.Pool{Name: m, Region: "r", Model: m, Version: "1", Wanted: true, Demand: [8]float64{float64(8 * i)}})
+		for j, s := range fleet(10, m, m, "1") {
+			s.Name = fmt.Sprintf("%s-%d", m, j)
+			in.Servers = append(in.Servers, s)
+		}
+	}
+	for b.Loop() {
+		placement.Steps(in, placement.Make(in).Moves)
+	}
+}
