placement: the property checks what donors keep

A trial that no longer counted a moving server out of its old pool passed the property. It now checks that no new move leaves the pool it takes from below its target, and finds that fault.

--- a/placement/plan_test.go
+++ b/placement/plan_test.go
@@ -97,6 +97,7 @@
 			if in.MaxMoves > 0 && len(plan.Moves) > in.MaxMoves {
 				rt.Fatalf("%d moves at once", len(plan.Moves))
 			}
+			checkDonors(rt, in, plan)
 			steps := placement.Steps(in, plan.Moves)
 			in.Moves = plan.Moves
 			obey(&in, steps)
@@ -117,6 +118,25 @@
 	})
 }
 
+// checkDonors: a new move leaves the pool that it takes from at its target.
+func checkDonors(rt *rapid.T, in placement.Input, plan placement.Plan) {
+	left := map[string]int{}
+	for _, s := range in.Servers {
+		moves := slices.ContainsFunc(plan.Moves, func(m placement.Move) bool { return m.Server == s.Name })
+		if usable(s) && !moves {
+			left[s.Pool]++
+		}
+	}
+	for _, m := range plan.Moves {
+		left[m.To]++
+	}
+	for _, m := range plan.Moves {
+		if !slices.Contains(in.Moves, m) && left[m.From] < plan.Targets[m.From] {
+			rt.Fatalf("%s left with %d of %d", m.From, left[m.From], plan.Targets[m.From])
+		}
+	}
+}
+
 // checkEnd: a pool below its target means that nobody can spare a server.
 func checkEnd(rt *rapid.T, in placement.Input, plan placement.Plan) {
 	count := map[string]int{}
