broker, poolhost: cheaper ticks for large regions

Each tick hashed every member per session and sorted all entries per pool; links to pools that an entry does not use ticked, too. Owners are now found once per view, entries checked every 250 ms or on a change, quiet links left alone.

--- a/broker/entry.go
+++ b/broker/entry.go
@@ -86,7 +86,9 @@
 func (e *Entry) Tick() {
 	e.announce()
 	for _, l := range *e.links.Load() {
-		l.box.Post(tickMessage{})
+		if !l.quiet.Load() {
+			l.box.Post(tickMessage{})
+		}
 	}
 }
 
--- a/broker/link.go
+++ b/broker/link.go
@@ -6,18 +6,22 @@
 
 	"github.com/lycheekeel/lycheekeel/internal/mailbox"
 	"github.com/lycheekeel/lycheekeel/internal/poolhost"
+	"github.com/lycheekeel/lycheekeel/member"
 	"github.com/lycheekeel/lycheekeel/pool"
 	"github.com/lycheekeel/lycheekeel/request"
 )
 
 // link is the entry's side of one pool: the requests that wait for it and run
-// in it, and the session with whoever schedules it. All of it but box and
-// brief is touched only by the mailbox's handler.
+// in it, and the session with whoever schedules it. All of it but box, brief
+// and quiet is touched only by the mailbox's handler.
 type link struct {
 	entry *Entry
 	pool  string
 	box   *mailbox.Mailbox[message]
 	brief atomic.Pointer[briefAt]
+	// quiet is set while time brings the link nothing to do, so that the many
+	// pools that an entry does not use cost no ticks.
+	quiet atomic.Bool
 
 	now        time.Time
 	waiting    map[request.ID]*waiter
@@ -40,6 +44,9 @@
 	retryAt   time.Time
 	busyAt    time.Time
 	announced bool
+	// ownerView is the view by which ownerName was found.
+	ownerView *member.View
+	ownerName string
 	// share is open in degraded mode, and probe then looks for the owner.
 	share *poolhost.Share
 	probe session
@@ -67,6 +74,7 @@
 		m.apply(l)
 	}
 	l.flush()
+	l.quiet.Store(l.session.state == sessionClosed && l.share == nil && !l.needed())
 }
 
 // acquireMessage gives the link a waiter, new or redirected.
--- a/broker/tick.go
+++ b/broker/tick.go
@@ -74,8 +74,14 @@
 // ownerMoved tells whether membership names another owner than the session's.
 // Where it names none, the session is kept while it lives.
 func (l *link) ownerMoved() bool {
-	name, ok := l.entry.host.Owner(l.pool, l.entry.cfg.Region)
-	return ok && name != l.session.owner.name()
+	if l.entry.cfg.Views == nil {
+		return false
+	}
+	if view := l.entry.cfg.Views.Load(); view != l.ownerView {
+		l.ownerView = view
+		l.ownerName, _ = l.entry.host.Owner(l.pool, l.entry.cfg.Region)
+	}
+	return l.ownerName != "" && l.ownerName != l.session.owner.name()
 }
 
 // closeSession tells the owner that this entry has left.
--- a/internal/poolhost/config.go
+++ b/internal/poolhost/config.go
@@ -43,6 +43,8 @@
 	absentHold = 2 * time.Second
 	// defaultSlots is the number of slots of a server that names none.
 	defaultSlots = 16
+	// entriesEvery is how often it is checked which entries are still there.
+	entriesEvery = 250 * time.Millisecond
 	// spreadEvery is how often sibling pools' owners are told how a pool stands.
 	spreadEvery = 500 * time.Millisecond
 )
--- a/internal/poolhost/entries.go
+++ b/internal/poolhost/entries.go
@@ -13,17 +13,20 @@
 // new owner knows whose reports are still to come. What an absent entry was
 // granted is remembered for a while: it may have been wrongly taken for dead.
 func (r *Runtime) tellEntries() {
+	r.entriesAt = r.now
 	set := make([]pool.EntryID, 0, len(r.entries)+len(r.members))
+	known := make(map[string]bool, len(r.entries))
 	for id, e := range r.entries {
 		e.absent = !r.present(e)
 		if !e.absent {
 			set = append(set, id)
+			known[poolwire.MemberOf(id)] = true
 		} else if len(e.granted) == 0 {
 			delete(r.entries, id)
 		}
 	}
 	for _, m := range r.members {
-		if !r.hasEntryOf(m) {
+		if !known[m] {
 			set = append(set, pool.EntryID(m))
 		}
 	}
@@ -52,12 +55,3 @@
 	}
 	return true
 }
-
-func (r *Runtime) hasEntryOf(member string) bool {
-	for id, e := range r.entries {
-		if !e.absent && poolwire.MemberOf(id) == member {
-			return true
-		}
-	}
-	return false
-}
--- a/internal/poolhost/host.go
+++ b/internal/poolhost/host.go
@@ -29,6 +29,9 @@
 	mu        sync.Mutex // one reconciliation at a time
 	shares    map[*Share]struct{}
 	state     reconciled
+	// alive are the names of aliveMembers, made from the view aliveOf.
+	aliveOf *member.View
+	alive   []string
 
 	suspects *suspects
 }
@@ -183,17 +186,22 @@
 }
 
 // aliveMembers returns the names of the region's members that may hold
-// requests, sorted.
+// requests, sorted. It is called with the mutex held; the result is not changed.
 func (h *Host) aliveMembers() []string {
 	if h.cfg.Views == nil {
 		return []string{h.cfg.Self}
 	}
+	view := h.cfg.Views.Load()
+	if view == h.aliveOf {
+		return h.alive
+	}
 	var names []string
-	for _, m := range h.cfg.Views.Load().Members {
+	for _, m := range view.Members {
 		if m.Region == h.cfg.Region && m.State != member.Dead {
 			names = append(names, m.Name)
 		}
 	}
+	h.aliveOf, h.alive = view, names
 	return names
 }
 
--- a/internal/poolhost/runtime.go
+++ b/internal/poolhost/runtime.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -26,6 +27,7 @@
 	entries   map[pool.EntryID]*entry
 	members   []string // alive in the region, as of the last view
 	settling  settling
+	entriesAt time.Time // of the last tellEntries
 	told      []pool.EntryID
 	spread    time.Time
 	closed    bool
@@ -132,10 +134,13 @@
 type tickMessage struct{ members []string }
 
 func (m tickMessage) apply(r *Runtime) {
+	changed := !slices.Equal(r.members, m.members)
 	r.members = m.members
 	r.checkSessions()
 	r.settle()
-	r.tellEntries()
+	if changed || r.now.Sub(r.entriesAt) >= entriesEvery {
+		r.tellEntries()
+	}
 	r.feed(pool.Tick{})
 	r.refreshSummary()
 }
