--- a/placement/plan_test.go
+++ b/placement/plan_test.go
@@ -20,11 +20,11 @@
 				Version: fmt.Sprint(i), Min: rapid.IntRange(0, 3).Draw(t, "min"), Wanted: rapid.Bool().Draw(t, "wanted"),
 			}
 			for tier := range 3 {
-				p.Demand[tier] = float64(rapid.IntRange(0, 60).Draw(t, "demand"))
+				p.Demand[tier] = float64(rapid.SampledFrom([]int{0, 0, 8, 60}).Draw(t, "demand"))
 			}
 			in.Pools = append(in.Pools, p)
 		}
-		for i := range rapid.IntRange(1, 12).Draw(t, "servers") {
+		for i := range rapid.IntRange(1, 16).Draw(t, "servers") {
 			p := rapid.SampledFrom(in.Pools).Draw(t, "pool")
 			s := placement.Server{
 				Name: fmt.Sprintf("s%02d", i), Region: "r", Pool: p.Name, Slots: 8, Settled: true,
@@ -33,7 +33,7 @@
 				Reachable:        rapid.IntRange(0, 9).Draw(t, "reachable") > 0,
 				Leaving:          rapid.IntRange(0, 9).Draw(t, "leaving") == 0,
 			}
-			if rapid.IntRange(0, 4).Draw(t, "warm") > 0 {
+			if rapid.Bool().Draw(t, "warm") {
 				s.Models = []engine.LoadedModel{{Model: p.Model, Version: p.Version}}
 			}
 			in.Servers = append(in.Servers, s)
