pool: warm prefixes pass in a crowded tier, cheaper lookups

A larger block handover had two steady states: once its backlog came near the targets, the request due next was always served cold, which kept the backlog there. In a tier with 16 or more waiting a warm request may now pass one that is due; some of them are late anyway.

--- a/pool/capacity.go
+++ b/pool/capacity.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/lycheekeel/lycheekeel/pool/headroom"
+	"github.com/lycheekeel/lycheekeel/pool/score"
 	"github.com/lycheekeel/lycheekeel/request"
 )
 
@@ -134,18 +135,20 @@
 // bestTimes returns the least time to a first token, and to a whole answer,
 // of any server that is up, with nothing else to compute and nothing cached.
 func (p *Pool) bestTimes(prompt, output int) (first, whole time.Duration) {
+	if p.fastest == (score.Prior{}) {
+		p.findFastest()
+	}
+	first = p.fastest.FirstToken(prompt)
+	return first, first + time.Duration(output)*p.fastest.PerToken(1)
+}
+
+// findFastest takes the best of what the servers that are up have shown. It is
+// renewed with every comparison of peers.
+func (p *Pool) findFastest() {
+	p.fastest = score.Prior{}
 	for _, s := range p.order {
-		if s.speed == nil || !p.up(s) {
-			continue
-		}
-		f := s.speed.FirstToken(prompt)
-		w := f + time.Duration(output)*s.speed.PerToken(1)
-		if first == 0 || f < first {
-			first = f
-		}
-		if whole == 0 || w < whole {
-			whole = w
+		if p.up(s) {
+			p.fastest = s.speed.Faster(p.fastest)
 		}
 	}
-	return first, whole
 }
--- a/pool/observe.go
+++ b/pool/observe.go
@@ -136,6 +136,7 @@
 		return
 	}
 	p.measured = p.now
+	p.findFastest()
 	speeds := make(map[string][]*score.Speed)
 	for _, s := range p.order {
 		if s.speed.Measured() {
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -43,6 +43,7 @@
 	lengths  *estimate.Estimator
 	suspects *suspect.Register
 	peers    map[string]score.Prior // measured speed by generation
+	fastest  score.Prior            // the best of all servers; zero: unknown
 	arrivals [request.MaxTiers]headroom.Arrivals
 	targets  [request.MaxTiers]time.Duration // first token, by tier
 	served   flowRate
--- a/pool/prefix/index.go
+++ b/pool/prefix/index.go
@@ -63,6 +63,11 @@
 	return low
 }
 
+// Holds tells whether a server is believed to hold the first n blocks.
+func (x *Index) Holds(server int, blocks []uint64, n int) bool {
+	return n >= 1 && n <= len(blocks) && x.holders[blocks[n-1]]&(1<<server) != 0
+}
+
 // Longest returns how many leading blocks any server of the set holds, and
 // which servers do.
 func (x *Index) Longest(set uint64, blocks []uint64) (int, uint64) {
--- a/pool/schedule.go
+++ b/pool/schedule.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/lycheekeel/lycheekeel/engine"
 	"github.com/lycheekeel/lycheekeel/pool/suspect"
 	"github.com/lycheekeel/lycheekeel/pool/tier"
 	"github.com/lycheekeel/lycheekeel/request"
@@ -24,6 +25,10 @@
 	// passSlack is what the head must have left, beyond its own first token,
 	// to be passed.
 	passSlack = 200 * time.Millisecond
+	// passCrowd is how many waiting requests of a tier lift that condition:
+	// some of them will be late anyway, and computing cold prompts for those
+	// that are due next makes more of them late.
+	passCrowd = 16
 )
 
 // schedule grants while a request waits and a slot is free: the most urgent
@@ -33,6 +38,9 @@
 		p.schedulePlain()
 		return
 	}
+	if p.queue.Len() == 0 && p.isolated.Len() == 0 && p.alone == nil {
+		return
+	}
 	p.refresh()
 	p.endHolds()
 	p.scheduleAlone()
@@ -161,12 +169,12 @@
 // warmerLate is warmer among late requests.
 func (p *Pool) warmerLate(head *waiter, o option, others []*tier.Item[*waiter]) (*waiter, option) {
 	s := o.server
-	if s.index < 0 || head.passed >= maxPassed || p.warm(head, o.cached) {
+	if s.index < 0 || head.passed >= maxPassed || p.warm(head, s) {
 		return head, o
 	}
 	for _, it := range others {
 		w := it.Value
-		if len(w.Blocks) < holdBlocks || !p.warm(w, p.prefixes.Cached(s.index, w.Blocks)) {
+		if !p.warm(w, s) {
 			continue
 		}
 		if x := p.option(w, s); p.verdict(w) == suspect.Clear && p.roomy(w, x) {
@@ -178,18 +186,18 @@
 }
 
 // warmer lets a request near the head pass it on the chosen server, where the
-// server holds its prefix and not the head's, and the head can wait: the head
-// may find its own prefix at the next slot. How often a head is passed is
-// bounded, and whoever passes is charged.
+// server holds its prefix and not the head's, and the head can wait or the
+// tier is crowded: the head may find its own prefix at the next slot. How
+// often a head is passed is bounded, and whoever passes is charged.
 func (p *Pool) warmer(head *waiter, o option, others []*tier.Item[*waiter]) (*waiter, option) {
 	s := o.server
-	if s.index < 0 || head.passed >= maxPassed || p.warm(head, o.cached) ||
-		p.slack(head, o) < passSlack {
+	short := p.slack(head, o) < passSlack && p.queue.Waiting(head.Item.Tier) < passCrowd
+	if s.index < 0 || head.passed >= maxPassed || p.warm(head, s) || short {
 		return head, o
 	}
 	for _, it := range others {
 		w := it.Value
-		if len(w.Blocks) < holdBlocks || !p.warm(w, p.prefixes.Cached(s.index, w.Blocks)) {
+		if !p.warm(w, s) {
 			continue
 		}
 		x := p.option(w, s)
@@ -201,8 +209,10 @@
 	return head, o
 }
 
-func (p *Pool) warm(w *waiter, cachedBlocks int) bool {
-	return cachedBlocks > 0 && uncachedTokens(w.PromptTokens, cachedBlocks) <= int((1-passShare)*float64(w.PromptTokens))
+// warm tells whether a server holds a good part of a request's prompt.
+func (p *Pool) warm(w *waiter, s *server) bool {
+	blocks := int(passShare*float64(w.PromptTokens)) / engine.BlockTokens
+	return p.prefixes.Holds(s.index, w.Blocks, max(blocks, holdBlocks))
 }
 
 // moveAway takes a convict or a suspect out of the queue and reports whether
--- a/pool/score/speed.go
+++ b/pool/score/speed.go
@@ -159,6 +159,25 @@
 	}
 }
 
+// Faster returns, point by point, the better of the server and a Prior. The
+// zero Prior is no speed at all.
+func (s *Speed) Faster(than Prior) Prior {
+	own := s.own()
+	if than == (Prior{}) {
+		return own
+	}
+	return Prior{
+		FirstFew: math.Min(own.FirstFew, than.FirstFew), FirstMany: math.Min(own.FirstMany, than.FirstMany),
+		TokenFew: math.Min(own.TokenFew, than.TokenFew), TokenMany: math.Min(own.TokenMany, than.TokenMany),
+	}
+}
+
+// FirstToken is Speed.FirstToken for a Prior.
+func (p Prior) FirstToken(prefill int) time.Duration { return seconds(p.first(float64(prefill))) }
+
+// PerToken is Speed.PerToken for a Prior.
+func (p Prior) PerToken(running int) time.Duration { return seconds(p.token(float64(running))) }
+
 // Median returns the median speed of peers, and false where there are none.
 func Median(peers []*Speed) (Prior, bool) {
 	if len(peers) == 0 {
--- a/pool/server.go
+++ b/pool/server.go
@@ -73,6 +73,7 @@
 	}
 	slices.SortFunc(p.order, func(a, b *server) int { return cmp.Compare(a.info.Name, b.info.Name) })
 	p.forgetServers()
+	p.fastest = score.Prior{}
 }
 
 // configure sets what the configuration says. A changed number of slots or
