placement: missed probes are no ground for moves

A server now counts with its last report until three probes in a row were missed, and nothing moves while more than half of the region is out of reach.

--- a/placement/act.go
+++ b/placement/act.go
@@ -73,7 +73,7 @@
 	err = e.Order(ctx, o)
 	switch {
 	case err == nil:
-		c.fenced[s.Server] = c.seen[s.Server]
+		c.fenced[s.Server] = c.seen[s.Server].report.Incarnation
 		c.count(why)
 	case errors.Is(err, engine.ErrStaleToken):
 		c.count(countStale)
--- a/placement/controller.go
+++ b/placement/controller.go
@@ -107,7 +107,7 @@
 	ordered map[Step]time.Time
 	serves  map[string]service
 	demand  map[string]Demand
-	seen    map[string]uint64 // server -> its engine's incarnation
+	seen    map[string]*sight // by server
 	fenced  map[string]uint64 // server -> incarnation that got the token
 	started bool              // the plan was written under this lease
 }
@@ -154,7 +154,7 @@
 	c.lease, c.started = l, false
 	c.ordered, c.serves = map[Step]time.Time{}, map[string]service{}
 	c.demand = map[string]Demand{}
-	c.seen, c.fenced = map[string]uint64{}, map[string]uint64{}
+	c.seen, c.fenced = map[string]*sight{}, map[string]uint64{}
 	every := time.NewTicker(c.o.Every)
 	defer every.Stop()
 	for {
@@ -184,6 +184,9 @@
 		return err
 	}
 	in, addresses := c.observe(ctx, snapshot)
+	if cutOff(in.Servers) {
+		return errors.New("most servers are out of reach, moving none")
+	}
 	in.Moves = stored.Moves
 	plan := Make(in)
 	if err := c.writePlan(ctx, stored, plan.Moves); err != nil {
--- a/placement/controller_test.go
+++ b/placement/controller_test.go
@@ -40,12 +40,17 @@
 	ready   time.Time
 	fence   uint64
 	refused int
+	deaf    int      // probes still to be missed
 	tokens  []uint64 // of obeyed orders
 }
 
 func (m *model) Load(context.Context) (engine.LoadReport, error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	if m.deaf > 0 {
+		m.deaf--
+		return engine.LoadReport{}, engine.ErrBroken
+	}
 	return engine.LoadReport{Slots: 8, Models: slices.Clone(m.models), Warming: time.Now().Before(m.ready)}, nil
 }
 
@@ -108,7 +113,7 @@
 	demand  map[string]placement.Demand
 }
 
-func newWorld(checks bool) *world {
+func newWorld(servers int, checks bool) *world {
 	w := &world{store: standin.New(standin.Options{LoadsPerSecond: 0.5, LoadBurst: 1}), engines: map[string]*model{}}
 	put := func(k platform.Kind, name string, v any) {
 		_, _ = w.store.Create(context.Background(), k, name, workspacetest.Stored(k, name, 1, v).Value)
@@ -118,7 +123,7 @@
 	for i, name := range []string{"a", "b"} {
 		put(workspace.KindPool, name, workspace.Pool{Name: name, Region: "r", Model: fmt.Sprintf("model-%d", i), Version: "v1"})
 	}
-	for i := range 4 {
+	for i := range servers {
 		address := fmt.Sprintf("127.0.0.1:%d", 9000+i)
 		put(workspace.KindBackendServer, fmt.Sprint("s", i), workspace.BackendServer{
 			Name: fmt.Sprint("s", i), Address: address, Region: "r", AvailabilityZone: "z", Pool: "a", ChecksTokens: checks, Slots: 8,
@@ -210,7 +215,7 @@
 	for _, checks := range []bool{true, false} {
 		t.Run(fmt.Sprintf("checks=%t", checks), func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				w := newWorld(checks)
+				w := newWorld(4, checks)
 				first := &dialer{w: w, hold: engine.OrderUnloadModel, paused: make(chan struct{}), late: make(chan string, 1)}
 				ctx, cancel := context.WithCancel(context.Background())
 				var all sync.WaitGroup
@@ -256,7 +261,7 @@
 // Cause: a holder that goes on without its lease.
 func TestOneControllerAtATime(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		w := newWorld(false)
+		w := newWorld(4, false)
 		ctx, cancel := context.WithCancel(context.Background())
 		var all sync.WaitGroup
 		for i := range 3 {
@@ -281,3 +286,48 @@
 		<-time.After(time.Minute)
 	})
 }
+
+// Symptom: a slow answer, or a cut between the controller and an
+// AvailabilityZone, sets servers moving between pools.
+// Sequence: a pool's only server misses two probes; or, with four of the
+// other pool's seven, many.
+// Cause: what one prober can't reach taken for what is gone.
+func TestMissedProbesMoveNothing(t *testing.T) {
+	for _, c := range []struct{ servers, misses int }{{1, 2}, {5, 100}} {
+		synctest.Test(t, func(t *testing.T) {
+			w := newWorld(8, false)
+			w.want(1, 90)
+			ctx, cancel := context.WithCancel(context.Background())
+			var all sync.WaitGroup
+			all.Go(func() { _ = w.controller("only", &dialer{w: w}).Run(ctx) })
+			w.until(t, 1, 7)
+			<-time.After(time.Minute)
+			given := w.orders()
+			pools := w.config().Pools
+			for _, s := range append(pools["a"].Servers, pools["b"].Servers...)[:c.servers] {
+				e := w.engines[s.Address]
+				e.mu.Lock()
+				e.deaf = c.misses
+				e.mu.Unlock()
+			}
+			<-time.After(time.Minute)
+			if n := w.orders() - given; n != 0 {
+				t.Errorf("%d servers missed %d probes: %d orders", c.servers, c.misses, n)
+			}
+			cancel()
+			all.Wait()
+			<-time.After(time.Minute)
+		})
+	}
+}
+
+// orders counts the orders that the engines obeyed.
+func (w *world) orders() int {
+	n := 0
+	for _, e := range w.engines {
+		e.mu.Lock()
+		n += len(e.tokens)
+		e.mu.Unlock()
+	}
+	return n
+}
--- a/placement/observe.go
+++ b/placement/observe.go
@@ -16,6 +16,8 @@
 const (
 	// maxProbes bounds the engines asked at once.
 	maxProbes = 32
+	// missesUnreachable is how many probes in a row a server must miss.
+	missesUnreachable = 3
 	// demandWeight is the newest demand's share in the smoothed one; demand
 	// over some rounds decides, not one burst.
 	demandWeight = 0.2
@@ -81,30 +83,51 @@
 	}
 }
 
+// sight is what the controller last heard of a server.
+type sight struct {
+	report engine.LoadReport
+	misses int // probes without an answer since
+	heard  bool
+}
+
+// take takes in a probe's result and tells whether the server counts as
+// reachable. Until several probes in a row were missed, what it last said
+// holds: otherwise one slow answer would move servers between pools.
+func (s *sight) take(r engine.LoadReport, err error) bool {
+	if err == nil {
+		*s = sight{report: r, heard: true}
+		return true
+	}
+	s.misses++
+	return s.heard && s.misses < missesUnreachable
+}
+
 // probe asks every engine for its load report.
 func (c *Controller) probe(ctx context.Context, specs []workspace.BackendServer) []Server {
 	reports := make([]engine.LoadReport, len(specs))
-	reached := make([]bool, len(specs))
+	errs := make([]error, len(specs))
 	group := pool.New().WithMaxGoroutines(maxProbes)
 	for i, s := range specs {
 		group.Go(func() {
 			ctx, cancel := context.WithTimeout(ctx, c.o.CallTimeout)
 			defer cancel()
-			r, err := c.o.Engines.Engine(s.Address).Load(ctx)
-			reports[i], reached[i] = r, err == nil
+			reports[i], errs[i] = c.o.Engines.Engine(s.Address).Load(ctx)
 		})
 	}
 	group.Wait()
 	var out []Server
 	for i, s := range specs {
-		r := reports[i]
-		if reached[i] {
-			c.seen[s.Name] = r.Incarnation
+		seen := c.seen[s.Name]
+		if seen == nil {
+			seen = &sight{}
+			c.seen[s.Name] = seen
 		}
+		reachable := seen.take(reports[i], errs[i])
+		r := seen.report
 		fenced, known := c.fenced[s.Name]
 		out = append(out, Server{
 			Name: s.Name, Region: s.Region, AvailabilityZone: s.AvailabilityZone, Generation: s.Generation,
-			Pool: s.Pool, Slots: cmp.Or(s.Slots, r.Slots), Reachable: reached[i], Leaving: s.Leaving || r.Leaving,
+			Pool: s.Pool, Slots: cmp.Or(s.Slots, r.Slots), Reachable: reachable, Leaving: s.Leaving || r.Leaving,
 			Warming: r.Warming, Models: r.Models, Settled: c.settled(s.Name, s.Pool),
 			ChecksTokens: s.ChecksTokens, Fenced: known && fenced == r.Incarnation,
 		})
@@ -112,6 +135,18 @@
 	return out
 }
 
+// cutOff tells whether most servers are out of reach: rather the controller
+// itself is, and what it sees is no ground for moves.
+func cutOff(servers []Server) bool {
+	lost := 0
+	for _, s := range servers {
+		if !s.Reachable {
+			lost++
+		}
+	}
+	return 2*lost > len(servers)
+}
+
 // settled tells whether the server has served the pool for the settle time,
 // as far as this controller has seen, by CLOCK_MONOTONIC.
 func (c *Controller) settled(server, pool string) bool {
