claim: pin what a stale read may not decide

Dropping the guard against a read older than one before it had passed the drawn plans, since the stand-in goes one state back only. A fixed sequence (given back, claimed anew with the answer lost, then a read of the first claim) now finds it.

--- a/claim/ledger_test.go
+++ b/claim/ledger_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/lycheekeel/lycheekeel/claim"
 	standin "github.com/lycheekeel/lycheekeel/internal/standin/platform"
+	"github.com/lycheekeel/lycheekeel/platform"
 	"github.com/lycheekeel/lycheekeel/request"
 )
 
@@ -120,3 +121,41 @@
 		})
 	})
 }
+
+// staleOnce answers one read with an old state of the object.
+type staleOnce struct {
+	platform.ObjectAPI
+	old   platform.Object
+	after int // reads before it
+}
+
+func (s *staleOnce) Get(ctx context.Context, k platform.Kind, n string) (platform.Object, error) {
+	if s.after--; s.after == -1 {
+		return s.old, nil
+	}
+	return s.ObjectAPI.Get(ctx, k, n)
+}
+
+// Symptom: a key that never ran reads "claimed" for a day.
+// Sequence: a claim is made, given back and claimed anew, with the answer
+// lost; the read that should settle it shows the first claim.
+// Cause: a read older than one before it taken for the newest state.
+func TestStaleReadDecidesNothing(t *testing.T) {
+	Convey("Given a claim that was given back", t, func() {
+		ctx := context.Background()
+		store := standin.New(standin.Options{})
+		first := claim.NewLedger(store, claim.Options{})
+		c, err := first.Claim(ctx, key(0), claim.Hash{1}, request.NewID())
+		So(err, ShouldBeNil)
+		list, err := store.List(ctx, claim.Kind, "")
+		So(err, ShouldBeNil)
+		c.GiveBack()
+		So(first.Close(ctx), ShouldBeNil)
+
+		store.SetFaults(standin.Faults{LoseNext: 1})
+		second := claim.NewLedger(&staleOnce{store, list.Objects[0], 1}, claim.Options{})
+		_, err = second.Claim(ctx, key(0), claim.Hash{1}, request.NewID())
+		So(err, ShouldBeNil)
+		So(second.Close(ctx), ShouldBeNil)
+	})
+}
