poolhost: ask servers every second, apart from one another

At the size aimed for (1,300 servers, 390 daemons) two calls to each server every 500 ms cost more than a daemon's control budget. A load report is now asked for every second with jitter, again after 250 ms where one is missed, cache events with every second report; a silent server is still found by three misses. The monitor no longer reads a server's configuration while it may change, and pools are not configured again by a mere change of members.

--- a/internal/poolhost/config.go
+++ b/internal/poolhost/config.go
@@ -25,8 +25,14 @@
 	HeartbeatEvery = 500 * time.Millisecond
 	// SilentAfter is how long a session's other side may say nothing.
 	SilentAfter = 1600 * time.Millisecond
-	// ProbeEvery is how often a backend server's load report is asked for.
-	ProbeEvery = 500 * time.Millisecond
+	// ProbeEvery is how often, on average, a backend server's load report is
+	// asked for; after a miss it is asked again after probeAgain.
+	ProbeEvery = time.Second
+	probeAgain = 250 * time.Millisecond
+	// probeJitter keeps the probes of a pool's servers apart.
+	probeJitter = ProbeEvery / 5
+	// cacheEvery is after how many probes cache events are asked for.
+	cacheEvery = 2
 	// probeTimeout bounds one probe.
 	probeTimeout = 450 * time.Millisecond
 	// probeMisses is how many probes in a row without an answer make a
--- a/internal/poolhost/host.go
+++ b/internal/poolhost/host.go
@@ -146,6 +146,7 @@
 	if now == h.state || now.snapshot == nil {
 		return
 	}
+	reconfigured := now.snapshot != h.state.snapshot
 	h.state = now
 	old, lingering := *h.owned.Load(), maps.Clone(*h.lingering.Load())
 	next := map[string]*Runtime{}
@@ -162,8 +163,10 @@
 			logs.For("poolhost").WithField("pool", name).Info("Owns the pool now.")
 			r = newRuntime(h, p, h.aliveMembers())
 			h.suspects.feed(r, h.cfg.Now())
+			r.configure(p)
+		} else if reconfigured {
+			r.configure(p)
 		}
-		r.configure(p)
 		next[name] = r
 	}
 	h.owned.Store(&next)
--- a/internal/poolhost/monitor.go
+++ b/internal/poolhost/monitor.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"sync"
 	"syscall"
 	"time"
@@ -18,7 +19,6 @@
 	r      *Runtime
 	mu     sync.Mutex
 	engine bool // model engines, not plain services
-	probed time.Time
 	// servers is in the order of the configuration.
 	servers []*watched
 }
@@ -28,6 +28,8 @@
 type watched struct {
 	spec        workspace.BackendServer
 	probing     bool
+	next        time.Time // of the next probe
+	probes      int       // that were answered
 	removed     bool
 	misses      int
 	reach       pool.Health // Up, Silent or Gone
@@ -71,22 +73,18 @@
 func (m *monitor) tick() {
 	now := m.r.host.cfg.Now()
 	m.mu.Lock()
-	due := now.Sub(m.probed) >= ProbeEvery
-	if due {
-		m.probed = now
-	}
-	var start []*watched
+	var start []target
 	for _, w := range m.servers {
 		m.tell(w)
-		if due && !w.probing && (!m.engine || m.r.host.cfg.Engines != nil) {
+		if !w.probing && !now.Before(w.next) && (!m.engine || m.r.host.cfg.Engines != nil) {
 			w.probing = true
-			start = append(start, w)
+			start = append(start, target{w, w.spec})
 		}
 	}
 	engines := m.engine
 	m.mu.Unlock()
-	for _, w := range start {
-		m.r.host.cfg.Spawn(func() { m.probe(w, engines) })
+	for _, t := range start {
+		m.r.host.cfg.Spawn(func() { m.probe(t, engines) })
 	}
 }
 
@@ -108,27 +106,37 @@
 	m.r.post(h)
 }
 
+// target is a server to probe, with its configuration as of then.
+type target struct {
+	w    *watched
+	spec workspace.BackendServer
+}
+
 // probe asks a server once how it is.
-func (m *monitor) probe(w *watched, isEngine bool) {
+func (m *monitor) probe(t target, isEngine bool) {
+	w := t.w
 	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
 	defer cancel()
 	if !isEngine {
-		err := m.r.host.cfg.Connect(ctx, w.spec.Address)
+		err := m.r.host.cfg.Connect(ctx, t.spec.Address)
 		m.note(w, engine.LoadReport{}, err)
 		return
 	}
-	e := m.r.host.cfg.Engines.Engine(w.spec.Address)
+	e := m.r.host.cfg.Engines.Engine(t.spec.Address)
 	report, err := e.Load(ctx)
 	if errors.Is(err, engine.ErrNotSent) {
 		// Adapters don't tell a refused connect, where nobody listens any
 		// more, from one that got no answer.
-		if c := m.r.host.cfg.Connect(ctx, w.spec.Address); errors.Is(c, syscall.ECONNREFUSED) {
+		if c := m.r.host.cfg.Connect(ctx, t.spec.Address); errors.Is(c, syscall.ECONNREFUSED) {
 			err = c
 		}
 	}
-	if m.note(w, report, err) && err == nil {
-		m.r.post(pool.ServerLoad{Server: w.spec.Name, Report: report})
-		m.pollCache(ctx, w, e)
+	if !m.note(w, report, err) || err != nil {
+		return
+	}
+	m.r.post(pool.ServerLoad{Server: t.spec.Name, Report: report})
+	if w.probes%cacheEvery == 0 {
+		m.pollCache(ctx, t, e)
 	}
 }
 
@@ -141,21 +149,26 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	w.probing = false
+	w.next = m.r.host.cfg.Now().Add(ProbeEvery - probeJitter/2 + rand.N(probeJitter))
 	if w.removed {
 		return false
 	}
 	switch {
 	case err == nil:
+		w.probes++
 		w.misses, w.reach = 0, pool.HealthUp
 		w.leaving, w.warming = report.Leaving, report.Warming
 		if w.incarnation != report.Incarnation {
-			w.incarnation, w.cacheSeq = report.Incarnation, 0
+			w.incarnation, w.cacheSeq, w.probes = report.Incarnation, 0, 0
 		}
 	case errors.Is(err, syscall.ECONNREFUSED):
 		w.misses, w.reach = probeMisses, pool.HealthGone
 	default:
 		m.r.host.count.probeMisses.Add(1)
 		w.misses++
+		if w.misses < probeMisses {
+			w.next = m.r.host.cfg.Now().Add(probeAgain)
+		}
 		if w.misses >= probeMisses && w.reach != pool.HealthGone {
 			w.reach = pool.HealthSilent
 		}
@@ -166,9 +179,9 @@
 
 // pollCache takes the cache events since the last poll to the scheduler. A
 // jump in their numbers is a gap.
-func (m *monitor) pollCache(ctx context.Context, w *watched, e engine.Engine) {
+func (m *monitor) pollCache(ctx context.Context, t target, e engine.Engine) {
 	m.mu.Lock()
-	after := w.cacheSeq
+	after := t.w.cacheSeq
 	m.mu.Unlock()
 	events, err := e.CacheEvents(ctx, after)
 	if err != nil || len(events) == 0 {
@@ -182,7 +195,7 @@
 		m.r.host.count.cacheGaps.Add(1)
 	}
 	m.mu.Lock()
-	w.cacheSeq = events[len(events)-1].Seq
+	t.w.cacheSeq = events[len(events)-1].Seq
 	m.mu.Unlock()
-	m.r.post(pool.ServerCache{Server: w.spec.Name, Events: events, Gap: gap})
+	m.r.post(pool.ServerCache{Server: t.spec.Name, Events: events, Gap: gap})
 }
