lease: a stopped process finds out before it acts

The model pauses goroutines; nothing showed a whole process paused. The test binary now runs as a holder over HTTP, is stopped by SIGSTOP, another takes over, and after SIGCONT no act of the first carries a time after the takeover, by CLOCK_MONOTONIC, which the two processes share.

--- a/lease/model_test.go
+++ b/lease/model_test.go
@@ -34,6 +34,10 @@
 
 func TestMain(m *testing.M) {
 	_ = logs.Configure(io.Discard, "error", false)
+	if addr := os.Getenv(envHolder); addr != "" {
+		hold(addr) // this process was started by TestStoppedProcess
+		return
+	}
 	os.Exit(m.Run())
 }
 
--- /dev/null
+++ b/lease/process_test.go
@@ -0,0 +1,124 @@
+package lease_test
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"net"
+	"os"
+	"os/exec"
+	"syscall"
+	"testing"
+	"time"
+
+	"golang.org/x/sys/unix"
+
+	standin "github.com/lycheekeel/lycheekeel/internal/standin/platform"
+	"github.com/lycheekeel/lycheekeel/lease"
+	"github.com/lycheekeel/lycheekeel/platform"
+	"github.com/lycheekeel/lycheekeel/platform/httpplatform"
+)
+
+// envHolder makes the test binary a holder; its value is the store's address.
+const envHolder = "LYCHEEKEEL_TEST_HOLDER"
+
+// patience is a generous limit for what takes about a second.
+const patience = 30 * time.Second
+
+func shortElector(api platform.ObjectAPI, holder string) *lease.Elector {
+	e, err := lease.NewElector(api, lease.Options{
+		Name: name, Holder: holder, Duration: 500 * time.Millisecond, Margin: 100 * time.Millisecond,
+	})
+	if err != nil {
+		panic(err)
+	}
+	return e
+}
+
+// monotonic is CLOCK_MONOTONIC, one clock for all processes of a machine.
+func monotonic() int64 {
+	var ts unix.Timespec
+	_ = unix.ClockGettime(unix.CLOCK_MONOTONIC, &ts)
+	return ts.Nano()
+}
+
+// hold is the holder's process: it prints each act that Check allowed, and
+// when it began to ask.
+func hold(addr string) {
+	l, err := shortElector(httpplatform.New(httpplatform.Options{Addr: addr}), "child").Acquire(context.Background())
+	if err != nil {
+		return
+	}
+	for {
+		at := monotonic()
+		token, err := l.Check()
+		if err != nil {
+			fmt.Println("lost 0 0")
+			return
+		}
+		fmt.Println("act", token, at)
+		<-time.After(time.Millisecond)
+	}
+}
+
+// Symptom: two processes act under one lease.
+// Sequence: the holder's process is stopped by a signal, another takes the
+// lease over, the first one goes on.
+// Cause: a holder that trusts what it checked before the pause.
+func TestStoppedProcess(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	go func() { _ = standin.New(standin.Options{}).Serve(ctx, ln) }()
+	child := exec.CommandContext(ctx, os.Args[0])
+	child.Env = append(os.Environ(), envHolder+"="+ln.Addr().String())
+	out, err := child.StdoutPipe()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := child.Start(); err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = child.Wait() }()
+	defer cancel()
+
+	lines := bufio.NewScanner(out)
+	next := func() (what string, token lease.Token, at int64) {
+		for lines.Scan() {
+			if n, _ := fmt.Sscan(lines.Text(), &what, &token, &at); n == 3 && (what == "act" || what == "lost") {
+				return what, token, at
+			}
+		}
+		return "ended", 0, 0
+	}
+	what, old, _ := next()
+	if what != "act" {
+		t.Fatalf("holder: %s", what)
+	}
+	if err := child.Process.Signal(syscall.SIGSTOP); err != nil {
+		t.Fatal(err)
+	}
+	l, err := shortElector(httpplatform.New(httpplatform.Options{Addr: ln.Addr().String()}), "parent").Acquire(ctx)
+	if err != nil {
+		t.Fatal(err)
+	}
+	taken := monotonic()
+	if l.Token() <= old {
+		t.Errorf("token %d after %d", l.Token(), old)
+	}
+	if err := child.Process.Signal(syscall.SIGCONT); err != nil {
+		t.Fatal(err)
+	}
+	for {
+		what, _, at := next()
+		if what == "lost" {
+			return
+		}
+		if what == "ended" || at > taken {
+			t.Fatalf("%s %s after another took the lease", what, time.Duration(at-taken))
+		}
+	}
+}
