pool: a new owner settles by events, not by being looked at

Whether all entries had reported was worked out when a limit was asked for, so a Summary between two events changed what a later event did: with an entry that came just after, the pool granted its full limits too early. The property test, now with entries that leave and return, found it as commands that differed on replay.

--- a/pool/capacity.go
+++ b/pool/capacity.go
@@ -33,7 +33,7 @@
 	if s.straggler && p.sound {
 		n = 1 // the probe
 	}
-	return p.entries.share(p.now, max(1, n))
+	return p.entries.share(max(1, n))
 }
 
 // refresh works out, once for an event, which servers may get grants and how
--- a/pool/entries.go
+++ b/pool/entries.go
@@ -37,25 +37,28 @@
 // share. What goes wrong without it: the new owner grants full limits beside
 // all that the old one granted, and each engine gets twice its load; one
 // would see first tokens late just after an owner change.
-func (e *entries) share(now time.Time, limit int) int {
+func (e *entries) share(limit int) int {
 	if e.settled || e.alive == 0 {
 		return limit
 	}
-	if now.Sub(e.first) >= settleTime {
-		e.settled = true
-		return limit
+	return int(math.Ceil(float64(limit) * float64(e.reported()) / float64(e.alive)))
+}
+
+// settle notes, once for good, that all have reported or had time to.
+func (e *entries) settle(now time.Time) {
+	if !e.settled && e.alive > 0 {
+		e.settled = now.Sub(e.first) >= settleTime || e.reported() >= e.alive
 	}
-	reported := 0
+}
+
+func (e *entries) reported() int {
+	n := 0
 	for _, x := range e.known {
 		if x.reported && x.gone.IsZero() {
-			reported++
+			n++
 		}
 	}
-	if reported >= e.alive {
-		e.settled = true
-		return limit
-	}
-	return int(math.Ceil(float64(limit) * float64(reported) / float64(e.alive)))
+	return n
 }
 
 // rebuilding tells whether a new owner may not yet know all that waits. Until
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -86,6 +86,7 @@
 func (p *Pool) Handle(now time.Time, ev Event, out []Command) []Command {
 	p.now, p.out = now, out
 	p.take(ev)
+	p.entries.settle(now)
 	p.expire()
 	p.trim()
 	p.schedule()
--- a/pool/property_test.go
+++ b/pool/property_test.go
@@ -27,7 +27,7 @@
 	ended   []Release // to be sent again, late
 	health  map[string]Health
 	slots   map[string]int
-	leaves  map[EntryID]bool
+	leaves  map[EntryID]time.Time // when an entry left
 }
 
 const propertyServers = 3
@@ -35,7 +35,7 @@
 func newBooks(t *rapid.T) *books {
 	b := &books{
 		t: t, now: start, epoch: 1, waiting: map[request.ID]Enqueue{}, running: map[GrantID]Running{},
-		health: map[string]Health{}, slots: map[string]int{}, leaves: map[EntryID]bool{},
+		health: map[string]Health{}, slots: map[string]int{}, leaves: map[EntryID]time.Time{},
 	}
 	b.owner()
 	return b
@@ -63,7 +63,7 @@
 func (b *books) entries() []EntryID {
 	var alive []EntryID
 	for _, e := range []EntryID{"e0", "e1"} {
-		if !b.leaves[e] {
+		if b.leaves[e].IsZero() {
 			alive = append(alive, e)
 		}
 	}
@@ -268,8 +268,14 @@
 			},
 			"time": func(t *rapid.T) {
 				b.now = b.now.Add(time.Duration(rapid.IntRange(1, 1500).Draw(t, "ms")) * time.Millisecond)
+				for id, r := range b.running {
+					if left := b.leaves[r.Entry]; !left.IsZero() && b.now.Sub(left) >= lostGrace {
+						delete(b.running, id)
+					}
+				}
 				b.send(Tick{})
 			},
+			"entry": func(*rapid.T) { b.leaveOrReturn("e1") },
 			"owner": func(t *rapid.T) { b.changeOwner() },
 			"":      func(t *rapid.T) { b.countsAgree(t) },
 		})
@@ -277,12 +283,34 @@
 	})
 }
 
+// leaveOrReturn lets an entry leave: what waits for it is gone at once, what it
+// runs after the grace time, unless it returns.
+func (b *books) leaveOrReturn(id EntryID) {
+	if !b.leaves[id].IsZero() {
+		delete(b.leaves, id)
+		b.send(EntrySet{Entries: b.entries()})
+		return
+	}
+	b.leaves[id] = b.now
+	for r, e := range b.waiting {
+		if e.Entry == id {
+			delete(b.waiting, r)
+		}
+	}
+	b.send(EntrySet{Entries: b.entries()})
+}
+
 // changeOwner starts a new owner; the entries report and ask again.
 func (b *books) changeOwner() {
 	b.epoch++
 	waiting := b.p.waitingInOrder()
 	health := b.health
 	b.health = map[string]Health{}
+	for id, r := range b.running {
+		if !b.leaves[r.Entry].IsZero() {
+			delete(b.running, id) // nobody will report it
+		}
+	}
 	b.owner()
 	for _, r := range b.runsInOrder() {
 		b.send(r)
