--- a/internal/peer/connect.go
+++ b/internal/peer/connect.go
@@ -226,7 +226,7 @@
 func (t *TCP) noteBreak(l *link, known Name, why reason) {
 	p := t.peer(known)
 	p.replace = p.replace || l.session != nil
-	if why == closedSilent || (l.session != nil && t.now().Sub(l.created) > backoffLast) {
+	if why == closedSilent || (l.session != nil && t.now().Sub(l.created) > shortLife) {
 		p.backoff.Reset()
 		return
 	}
--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -25,6 +25,8 @@
 	queueBytes    = 8 << 20
 	// batchBytes is how much of the queue leaves in one write.
 	batchBytes = 64 << 10
+	// keepBufferBytes is the largest write buffer that a connection keeps.
+	keepBufferBytes = 16 << 10
 	// maxServedCalls bounds the calls of one connection that run at once.
 	maxServedCalls = 128
 )
@@ -64,8 +66,9 @@
 	mu          sync.Mutex
 	closing     bool // no further Send; a bye ends the queue
 	closed      bool
-	queue       chan outMessage
-	queuedBytes atomic.Int64
+	queue       []outMessage
+	queuedBytes int
+	wake        chan struct{} // the queue may have grown
 
 	byeReceived atomic.Bool
 	byeSent     atomic.Bool
@@ -85,7 +88,7 @@
 	l := &link{
 		t: t, key: key, dialed: dialed, created: t.now(),
 		up: make(chan struct{}), done: make(chan struct{}),
-		queue:  make(chan outMessage, queueMessages),
+		wake:   make(chan struct{}, 1),
 		served: make(chan struct{}, maxServedCalls),
 	}
 	l.usedAt.Store(l.nanos())
@@ -135,17 +138,34 @@
 
 // enqueue needs l.mu.
 func (l *link) enqueue(m outMessage) error {
-	size := int64(len(m.payload))
-	if l.queuedBytes.Load()+size > queueBytes {
+	if len(l.queue) >= queueMessages || l.queuedBytes+len(m.payload) > queueBytes {
 		return ErrOverloaded
 	}
+	l.queue = append(l.queue, m)
+	l.queuedBytes += len(m.payload)
 	select {
-	case l.queue <- m:
-		l.queuedBytes.Add(size)
-		return nil
+	case l.wake <- struct{}{}:
 	default:
-		return ErrOverloaded
 	}
+	return nil
+}
+
+// dequeue takes messages of about batchBytes from the queue's front.
+func (l *link) dequeue() []outMessage {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	n, size := 0, 0
+	for n < len(l.queue) && size < batchBytes {
+		size += len(l.queue[n].payload)
+		n++
+	}
+	l.queuedBytes -= size
+	batch := l.queue[:n:n]
+	l.queue = l.queue[n:]
+	if len(l.queue) == 0 {
+		l.queue = nil
+	}
+	return batch
 }
 
 // sendPing queues a heartbeat, which counts neither as use nor as a message
@@ -207,15 +227,19 @@
 	defer stream.Close()
 	buf := []byte{streamMessages}
 	for {
-		select {
-		case <-l.done:
-			return nil
-		case <-l.session.CloseChan():
+		batch := l.dequeue()
+		if len(batch) == 0 {
+			select {
+			case <-l.wake:
+				continue
+			case <-l.done:
+			case <-l.session.CloseChan():
+			}
 			return nil
-		case m := <-l.queue:
+		}
+		for _, m := range batch {
 			buf = l.encode(buf, m)
 		}
-		buf = l.encodeWaiting(buf)
 		_ = stream.SetWriteDeadline(l.t.now().Add(writeTimeout))
 		if _, err := stream.Write(buf); err != nil {
 			if errors.Is(err, yamux.ErrTimeout) || errors.Is(err, yamux.ErrConnectionWriteTimeout) {
@@ -224,27 +248,13 @@
 			return nil
 		}
 		buf = buf[:0]
-		if cap(buf) > 2*batchBytes {
+		if cap(buf) > keepBufferBytes {
 			buf = nil
 		}
 	}
 }
 
-// encodeWaiting appends what waits in the queue, up to batchBytes.
-func (l *link) encodeWaiting(buf []byte) []byte {
-	for len(buf) < batchBytes {
-		select {
-		case m := <-l.queue:
-			buf = l.encode(buf, m)
-		default:
-			return buf
-		}
-	}
-	return buf
-}
-
 func (l *link) encode(buf []byte, m outMessage) []byte {
-	l.queuedBytes.Add(-int64(len(m.payload)))
 	before := len(buf)
 	buf, err := appendDelimited(buf, &wire.Envelope{Version: l.version, Type: uint32(m.t), Payload: m.payload})
 	if err != nil {
--- a/internal/peer/tcp.go
+++ b/internal/peer/tcp.go
@@ -25,6 +25,9 @@
 const (
 	backoffFirst = 100 * time.Millisecond
 	backoffLast  = 2 * time.Second
+	// shortLife is how long a connection must last for its end not to count as
+	// a failed dial.
+	shortLife = 500 * time.Millisecond
 )
 
 // Failed handshakes are all counted, but logged only so often.
