load: a typed failure within a stream is not a cut answer

An answer that ended with a typed error (its engine was lost) and one that just stopped were both counted as cut, so the exit code blamed the system for a crashed engine. They are told apart now; only the second is a fault. A file's unknown field is a finding like any other, and a load of which nothing could be sent exits with 5.

--- a/internal/cli/load.go
+++ b/internal/cli/load.go
@@ -66,6 +66,9 @@
 	if err := f.write(g, r.Mix, rep, results); err != nil {
 		return err
 	}
+	if n := rep.Endings[load.NotSent]; n > 0 && n == rep.Sent {
+		return withExit(ExitUnreachable, errors.Errorf("no connection to %s", f.targets))
+	}
 	if n := rep.Faults(); n > 0 {
 		return errors.Errorf("%d callers got a lost, cut, doubled, crossed or wrong answer", n)
 	}
--- a/internal/load/check.go
+++ b/internal/load/check.go
@@ -16,16 +16,25 @@
 // ParseMix decodes and checks a mix file. The error is workspace.Findings
 // with every finding of the file.
 func ParseMix(file string, data []byte) (*Mix, error) {
-	m, f := workspace.Decode[Mix](file, data)
+	return ParseFile(file, data, func(m *Mix) workspace.Findings { return m.Check(file, "") })
+}
+
+// ParseFile decodes a file strictly and checks it. The error is
+// workspace.Findings with every finding. An unknown field, which is only a
+// warning in a stored object that a newer release may have written, is a
+// mistake in a file that somebody typed.
+func ParseFile[T any](file string, data []byte, check func(*T) workspace.Findings) (*T, error) {
+	v, f := workspace.Decode[T](file, data)
 	if len(f.Fatal()) == 0 {
-		f = append(f, m.Check(file, "")...)
+		f = append(f, check(&v)...)
+	}
+	for i := range f {
+		f[i].Warning = false
 	}
-	// An unknown field is only a warning in a stored object, which a newer
-	// release may have written; in a file that somebody typed it is a mistake.
 	if err := f.Err(); err != nil {
 		return nil, err
 	}
-	return &m, nil
+	return &v, nil
 }
 
 // Check returns every finding of the mix; prefix is its JSON path in the file.
--- a/internal/load/client.go
+++ b/internal/load/client.go
@@ -236,6 +236,8 @@
 		return NotSent
 	case err != nil && k.try.Status == 0:
 		return Lost
+	case k.errs && k.try.Reason != "":
+		return Failed
 	case err != nil || k.errs:
 		return Cut
 	case k.try.Status != fasthttp.StatusOK:
--- a/internal/load/result.go
+++ b/internal/load/result.go
@@ -17,7 +17,9 @@
 	Refused Ending = "refused"
 	// Left: the caller left before the end, as the mix wanted.
 	Left Ending = "left"
-	// Cut: an answer began and did not end, or ended with an error.
+	// Failed: an answer began and ended with a typed error.
+	Failed Ending = "failed"
+	// Cut: an answer began and just stopped.
 	Cut Ending = "cut"
 	// TooLate: the answer was still on its way so long after its deadline
 	// that the caller gave up.
@@ -37,7 +39,7 @@
 
 // Endings returns all endings, for reports that show zeros.
 func Endings() []Ending {
-	return []Ending{Whole, Refused, Left, Cut, TooLate, Crossed, Doubled, Wrong, Lost, NotSent}
+	return []Ending{Whole, Refused, Left, Failed, Cut, TooLate, Crossed, Doubled, Wrong, Lost, NotSent}
 }
 
 // Try is one sending of a request. Its times count from the moment when the
