entry: less memory a stream, memory bound counts the whole request; measurements

A heap profile of 2,000 open streams showed the parsed prompt held as long as its answer streamed, because the answer's format kept the whole call; it keeps what it needs now, and a request's header buffer is 4 KiB instead of 8. The bound on waiting bodies now counts 32 KiB a request beside its body, as measured, so that many small requests are bounded too.

--- /dev/null
+++ b/internal/daemon/measure_test.go
@@ -0,0 +1,415 @@
+package daemon_test
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/lycheekeel/lycheekeel/internal/daemon"
+	"github.com/lycheekeel/lycheekeel/platform"
+	"github.com/lycheekeel/lycheekeel/platform/httpplatform"
+	"github.com/lycheekeel/lycheekeel/pool"
+	"github.com/lycheekeel/lycheekeel/workspace"
+)
+
+// The measurements of one entry: real processes, the daemon on four
+// processors, engines whose own time is small. Run them with
+//
+//	go test -run '^$' -bench Entry -benchtime 3000x ./internal/daemon
+const (
+	daemonProcs   = "4"
+	measureKey    = "measure-key"
+	measureWait   = 30 * time.Second
+	engineCount   = 4
+	engineSlots   = 400
+	fastEngine    = `{"slots":400,"step_ms":0.05,"sequence_ms":0.0001,"prefill_per_second":1e8,"prefill_chunk":100000}`
+	slowEngine    = `{"slots":4000,"kv_tokens":100000000,"step_ms":400,"sequence_ms":0.0001,"prefill_per_second":1e8,"prefill_chunk":100000}`
+	measuredModel = "writer"
+)
+
+// bench is a running system.
+type bench struct {
+	b       *testing.B
+	dir     string
+	engines []string
+	entry   string
+	admin   string
+	pid     int
+}
+
+// newBench builds the programs, and starts a platform, engines and a daemon.
+func newBench(b *testing.B, engineOptions string, slots int, policy pool.Policy) *bench {
+	x := &bench{b: b, dir: b.TempDir()}
+	build := exec.Command("go", "build", "-o", x.dir+string(filepath.Separator), "../../cmd/lycheekeeld", "../../cmd/lycheekeel")
+	if out, err := build.CombinedOutput(); err != nil {
+		b.Fatalf("build: %v\n%s", err, out)
+	}
+	store := address(b)
+	x.start("", "lycheekeel", "standin", "platform", "--listen", store)
+	x.await("http://" + store + "/standin/calls")
+	for range engineCount {
+		a := address(b)
+		x.engines = append(x.engines, a)
+		x.start("", "lycheekeel", "--log-level", "error", "standin", "engine", "--listen", a, "--options", engineOptions)
+		x.await("http://" + a + "/healthz")
+	}
+	x.configure(store, slots, policy)
+	x.entry, x.admin = address(b), address(b)
+	s := daemon.Settings{
+		Name: "entry-1", Region: "here", AvailabilityZone: "hall", Listen: x.entry, Admin: x.admin,
+		Peer:     daemon.PeerSettings{Listen: address(b), Seeds: []string{}, ClusterKeys: []string{"0123456789abcdef"}},
+		Platform: daemon.PlatformSettings{Address: store}, Log: daemon.LogSettings{Level: "warning"},
+	}
+	file := filepath.Join(x.dir, "settings.json")
+	if err := os.WriteFile(file, marshal(b, s), 0o600); err != nil {
+		b.Fatal(err)
+	}
+	x.pid = x.start("GOMAXPROCS="+daemonProcs, "lycheekeeld", "--settings", file)
+	x.await("http://" + x.admin + "/readyz")
+	x.warm()
+	return x
+}
+
+// start runs a program until the benchmark's end.
+func (x *bench) start(env, program string, args ...string) int {
+	cmd := exec.Command(filepath.Join(x.dir, program), args...)
+	cmd.Env = append(os.Environ(), env)
+	cmd.Stderr = os.Stderr
+	if err := cmd.Start(); err != nil {
+		x.b.Fatal(err)
+	}
+	x.b.Cleanup(func() {
+		_ = cmd.Process.Kill()
+		_ = cmd.Wait()
+	})
+	return cmd.Process.Pid
+}
+
+func (x *bench) configure(store string, slots int, policy pool.Policy) {
+	number := func(v int64) workspace.Number { return workspace.Number{Value: v} }
+	sum := sha256.Sum256([]byte(measureKey))
+	api := httpplatform.New(httpplatform.Options{Addr: store})
+	put := func(kind platform.Kind, name string, v any) {
+		if _, err := api.Create(context.Background(), kind, name, marshal(x.b, v)); err != nil {
+			x.b.Fatal(err)
+		}
+	}
+	put(workspace.KindTemplate, "desk", workspace.Template{
+		Name: "desk", DefaultTier: "all", MaxTokens: number(4096), MaxBodyBytes: number(1 << 20),
+		Tiers: []workspace.TierSpec{{
+			Name: "all", FirstTokenMs: number(60_000), PerTokenMs: number(10_000), DeadlineMs: number(600_000), MaxWaiting: number(20_000),
+		}},
+		Models: []workspace.ModelSpec{{Name: measuredModel, Version: "v1"}},
+	})
+	put(workspace.KindWorkspace, "acme", workspace.Workspace{
+		Name: "acme", Template: "desk", Keys: []workspace.Key{{ID: "main", SHA256: hex.EncodeToString(sum[:])}},
+	})
+	put(workspace.KindPool, "writers", workspace.Pool{
+		Name: "writers", Region: "here", Model: measuredModel, Version: "v1", MaxWaiting: 20_000, Policy: string(policy),
+	})
+	for i, e := range x.engines {
+		put(workspace.KindBackendServer, fmt.Sprintf("engine-%d", i), workspace.BackendServer{
+			Name: fmt.Sprintf("engine-%d", i), Address: e, Region: "here", AvailabilityZone: "hall", Pool: "writers", Slots: slots,
+		})
+	}
+}
+
+func address(b *testing.B) string {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		b.Fatal(err)
+	}
+	defer ln.Close()
+	return ln.Addr().String()
+}
+
+func marshal(b *testing.B, v any) []byte {
+	data, err := json.Marshal(v)
+	if err != nil {
+		b.Fatal(err)
+	}
+	return data
+}
+
+func (x *bench) await(url string) {
+	x.until(url, func() bool {
+		resp, err := http.Get(url)
+		if err != nil {
+			return false
+		}
+		_ = resp.Body.Close()
+		return resp.StatusCode == http.StatusOK
+	})
+}
+
+func (x *bench) until(what string, holds func() bool) {
+	tick := time.NewTicker(5 * time.Millisecond)
+	defer tick.Stop()
+	end := time.After(measureWait)
+	for !holds() {
+		select {
+		case <-tick.C:
+		case <-end:
+			x.b.Fatalf("not within %v: %s", measureWait, what)
+		}
+	}
+}
+
+// warm sends requests until one is answered.
+func (x *bench) warm() {
+	x.until("the first answer", func() bool {
+		c := x.dial(x.entry)
+		defer c.close()
+		return strings.Contains(c.exchange(x.chat("echo:warm", false)), `"content":"warm"`)
+	})
+}
+
+// wire is one kept-alive connection.
+type wire struct {
+	b    *testing.B
+	conn net.Conn
+	r    *bufio.Reader
+}
+
+func (x *bench) dial(addr string) *wire {
+	conn, err := net.Dial("tcp", addr)
+	if err != nil {
+		x.b.Fatal(err)
+	}
+	return &wire{b: x.b, conn: conn, r: bufio.NewReader(conn)}
+}
+
+func (w *wire) close() { _ = w.conn.Close() }
+
+func (w *wire) send(request []byte) {
+	if _, err := w.conn.Write(request); err != nil {
+		w.b.Fatal(err)
+	}
+}
+
+// exchange sends a request and returns the answer's body.
+func (w *wire) exchange(request []byte) string {
+	w.send(request)
+	resp, err := http.ReadResponse(w.r, nil)
+	if err != nil {
+		w.b.Fatal(err)
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(resp.Body)
+	if err != nil {
+		w.b.Fatal(err)
+	}
+	return string(body)
+}
+
+// firstByte sends a request for a stream and returns the time to the first
+// line with the mark; it reads the stream to its end.
+func (w *wire) firstByte(request []byte, mark string) time.Duration {
+	sent := time.Now()
+	w.send(request)
+	resp, err := http.ReadResponse(w.r, nil)
+	if err != nil {
+		w.b.Fatal(err)
+	}
+	defer resp.Body.Close()
+	lines := bufio.NewReader(resp.Body)
+	var first time.Duration
+	for {
+		line, err := lines.ReadString('\n')
+		if first == 0 && strings.Contains(line, mark) {
+			first = time.Since(sent)
+		}
+		if err == io.EOF && first > 0 {
+			return first
+		}
+		if err != nil {
+			w.b.Fatalf("stream: %v", err)
+		}
+	}
+}
+
+func post(path, body string, header ...string) []byte {
+	var b bytes.Buffer
+	fmt.Fprintf(&b, "POST %s HTTP/1.1\r\nHost: x\r\nContent-Length: %d\r\n", path, len(body))
+	for _, h := range header {
+		b.WriteString(h + "\r\n")
+	}
+	b.WriteString("\r\n" + body)
+	return b.Bytes()
+}
+
+func (x *bench) chat(text string, stream bool) []byte {
+	return post("/v1/chat/completions", fmt.Sprintf(`{"model":%q,"stream":%v,"messages":[{"role":"user","content":%q}]}`,
+		measuredModel, stream, text), "Authorization: Bearer "+measureKey)
+}
+
+// direct is the same request as an engine takes it.
+func (x *bench) direct(id int, text string) []byte {
+	return post("/engine/run", fmt.Sprintf(`{"request_id":"direct-%d","model":%q,"version":"v1","prompt":%q,"last":%q,"prompt_tokens":8,"max_tokens":64}`,
+		id, measuredModel, text, text))
+}
+
+func median(d []time.Duration) float64 {
+	slices.Sort(d)
+	return float64(d[len(d)/2].Microseconds()) / 1000
+}
+
+// BenchmarkEntryFirstByte alternates between the entry and a direct call.
+func BenchmarkEntryFirstByte(b *testing.B) {
+	x := newBench(b, fastEngine, engineSlots, pool.PolicyLycheekeel)
+	through, straight := x.dial(x.entry), x.dial(x.engines[0])
+	defer through.close()
+	defer straight.close()
+	const text = "echo:tile"
+	var entry, direct []time.Duration
+	request := x.chat(text, true)
+	b.ResetTimer()
+	for i := range b.N {
+		entry = append(entry, through.firstByte(request, `"content":"tile"`))
+		direct = append(direct, straight.firstByte(x.direct(i, text), `"text":"tile"`))
+	}
+	b.ReportMetric(median(entry), "entry_p50_ms")
+	b.ReportMetric(median(direct), "direct_p50_ms")
+	b.ReportMetric(median(entry)-median(direct), "added_p50_ms")
+}
+
+// BenchmarkEntryRequests sends small plain requests over kept-alive
+// connections, each as soon as the last was answered.
+func BenchmarkEntryRequests(b *testing.B) {
+	const lanes = 128
+	x := newBench(b, fastEngine, engineSlots, pool.PolicyLycheekeel)
+	request := x.chat("echo:tile", false)
+	var left atomic.Int64
+	left.Store(int64(b.N))
+	var all sync.WaitGroup
+	before := cpuSeconds(b, x.pid)
+	b.ResetTimer()
+	for range lanes {
+		all.Go(func() {
+			c := x.dial(x.entry)
+			defer c.close()
+			for left.Add(-1) >= 0 {
+				if got := c.exchange(request); !strings.Contains(got, `"content":"tile"`) {
+					b.Errorf("wrong answer: %s", got)
+				}
+			}
+		})
+	}
+	all.Wait()
+	b.StopTimer()
+	b.ReportMetric(float64(b.N)/b.Elapsed().Seconds(), "requests/s")
+	b.ReportMetric((cpuSeconds(b, x.pid)-before)/b.Elapsed().Seconds(), "daemon_cores")
+}
+
+// BenchmarkEntryMemory measures what an idle connection, an open stream and a
+// waiting request cost the daemon in resident memory.
+func BenchmarkEntryMemory(b *testing.B) {
+	const idle, streams, waiting = 10_000, 2_000, 4_000
+	long := "echo:" + strings.Repeat("cracked tile; ", 400)
+	for _, c := range []struct {
+		gauge  string
+		n      int
+		slots  int  // of each engine
+		full   bool // the slots are filled before the n that are measured
+		stream bool
+		policy pool.Policy
+	}{
+		{"connections", idle, 1, false, false, pool.PolicyLycheekeel},
+		// A baseline policy fills the slots at once, without finding the
+		// engines' limits first.
+		{"open_streams", streams, streams / engineCount, false, true, pool.PolicyLeastOutstanding},
+		{"waiting", waiting, 1, true, false, pool.PolicyLycheekeel},
+	} {
+		b.Run(c.gauge, func(b *testing.B) {
+			x := newBench(b, slowEngine, c.slots, c.policy)
+			request := x.chat(long, c.stream)
+			if c.full {
+				for range engineCount {
+					x.hold(request)
+				}
+			}
+			before := residentKB(b, x.pid)
+			for range c.n {
+				if c.gauge == "connections" {
+					request = nil
+				}
+				x.hold(request)
+			}
+			x.until(fmt.Sprintf("%d %s", c.n, c.gauge), func() bool { return x.gauge(c.gauge) >= c.n })
+			b.ReportMetric((residentKB(b, x.pid)-before)/float64(c.n), "KB/each")
+			b.ReportMetric(float64(len(request))/1024, "KB/request")
+		})
+	}
+}
+
+// hold opens a connection until the benchmark's end and sends a request on it.
+func (x *bench) hold(request []byte) {
+	c := x.dial(x.entry)
+	x.b.Cleanup(c.close)
+	if request != nil {
+		c.send(request)
+	}
+}
+
+// gauge reads one of the entry's gauges.
+func (x *bench) gauge(name string) int {
+	resp, err := http.Get("http://" + x.admin + "/debug/vars")
+	if err != nil {
+		x.b.Fatal(err)
+	}
+	defer resp.Body.Close()
+	var vars struct {
+		Lycheekeel struct {
+			Entry map[string]int `json:"entry"`
+		} `json:"lycheekeel"`
+	}
+	if err := json.NewDecoder(resp.Body).Decode(&vars); err != nil {
+		x.b.Fatal(err)
+	}
+	return vars.Lycheekeel.Entry[name]
+}
+
+// residentKB returns a process's resident memory in kB.
+func residentKB(b *testing.B, pid int) float64 {
+	data, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
+	if err != nil {
+		b.Skipf("no /proc: %v", err)
+	}
+	_, rest, _ := strings.Cut(string(data), "VmRSS:")
+	kb, err := strconv.ParseFloat(strings.Fields(rest)[0], 64)
+	if err != nil {
+		b.Fatal(err)
+	}
+	return kb
+}
+
+// cpuSeconds returns the processor time that a process has used.
+func cpuSeconds(b *testing.B, pid int) float64 {
+	data, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", pid))
+	if err != nil {
+		b.Skipf("no /proc: %v", err)
+	}
+	const user, system, ticks = 11, 12, 100 // after the name; USER_HZ
+	_, rest, _ := strings.Cut(string(data), ") ")
+	f := strings.Fields(rest)
+	u, _ := strconv.ParseFloat(f[user], 64)
+	s, _ := strconv.ParseFloat(f[system], 64)
+	return (u + s) / ticks
+}
--- a/internal/entry/budget.go
+++ b/internal/entry/budget.go
@@ -15,6 +15,8 @@
 // memory, the process is killed, and every request in it is lost, whatever
 // its tier. One would notice an entry that restarts in every burst.
 type bodyBudget struct {
+	overhead int64 // counted for each request beside its body
+
 	mu    sync.Mutex
 	limit int64
 	used  int64
@@ -34,7 +36,13 @@
 	evicted func()
 }
 
-func newBodyBudget(limit int64) *bodyBudget { return &bodyBudget{limit: limit} }
+// requestOverhead is what a waiting request holds beside its body: stacks,
+// buffers, and the collector's slack, as BenchmarkEntryMemory measured it.
+const requestOverhead = 32 << 10
+
+func newBodyBudget(limit, overhead int64) *bodyBudget {
+	return &bodyBudget{limit: limit, overhead: overhead}
+}
 
 // Used returns the bytes that are reserved now.
 func (b *bodyBudget) Used() int64 {
@@ -66,7 +74,7 @@
 	r.place = b.tiers[tier].PushBack(r)
 }
 
-// resize sets the reservation to a number of bytes, evicting lower tiers
+// resize sets the reservation to a body of so many bytes, evicting lower tiers
 // where there is no room. It returns false, leaving the size, where there is
 // no room left, or where the reservation was evicted itself.
 func (r *reservation) resize(bytes int64) bool {
@@ -76,6 +84,7 @@
 	if r.gone {
 		return false
 	}
+	bytes += b.overhead
 	more := bytes - r.bytes
 	if more > 0 && b.used+more > b.limit && !b.makeRoom(more, r.tier) {
 		return false
--- a/internal/entry/budget_test.go
+++ b/internal/entry/budget_test.go
@@ -3,8 +3,10 @@
 import (
 	"testing"
 
+	. "github.com/smartystreets/goconvey/convey"
 	"pgregory.net/rapid"
 
+	standin "github.com/lycheekeel/lycheekeel/internal/standin/engine"
 	"github.com/lycheekeel/lycheekeel/request"
 )
 
@@ -14,78 +16,115 @@
 // Cause: memory is given first come, first served.
 func TestBodyBudgetEvictsTheLowestTierFirst(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		const limit = 100
-		b := newBodyBudget(limit)
-		type held struct {
-			res     *reservation
-			evicted bool
-			pinned  bool
+		m := &budgetModel{budget: newBodyBudget(100, 0)}
+		t.Repeat(map[string]func(*rapid.T){"pin": m.pin, "release": m.release, "arrive": m.arrive, "": m.check})
+	})
+}
+
+// budgetModel drives a bodyBudget with requests of four tiers.
+type budgetModel struct {
+	budget *bodyBudget
+	all    []*bodyHolder
+}
+
+type bodyHolder struct {
+	res          *reservation
+	gone, pinned bool
+}
+
+func (m *budgetModel) any(t *rapid.T) *bodyHolder {
+	if len(m.all) == 0 {
+		t.Skip("nobody")
+	}
+	return rapid.SampledFrom(m.all).Draw(t, "holder")
+}
+
+func (m *budgetModel) pin(t *rapid.T) {
+	h := m.any(t)
+	if h.res.pin() == h.gone {
+		t.Fatalf("pin of a request that is gone (%v)", h.gone)
+	}
+	h.pinned = true
+}
+
+func (m *budgetModel) release(t *rapid.T) {
+	h := m.any(t)
+	h.res.release()
+	h.gone = true
+}
+
+// evictable returns how many requests, and bytes, of each tier may be evicted.
+func (m *budgetModel) evictable() (count [4]int, bytes [4]int64) {
+	for _, h := range m.all {
+		if !h.gone && !h.pinned {
+			count[h.res.tier]++
+			bytes[h.res.tier] += h.res.bytes
 		}
-		var all []*held
-		waiting := func(below request.Tier) (bytes int64) {
-			for _, h := range all {
-				if !h.evicted && !h.pinned && h.res.tier > below {
-					bytes += h.res.bytes
-				}
-			}
-			return bytes
+	}
+	return count, bytes
+}
+
+func (m *budgetModel) arrive(t *rapid.T) {
+	tier := rapid.IntRange(0, 3).Draw(t, "tier")
+	bytes := rapid.Int64Range(1, 60).Draw(t, "bytes")
+	before, held := m.evictable()
+	room := m.budget.limit - m.budget.Used()
+	for lower := tier + 1; lower < len(held); lower++ {
+		room += held[lower]
+	}
+	h := &bodyHolder{}
+	h.res = m.budget.join(request.Tier(tier), func() { h.gone = true })
+	if granted := h.res.resize(bytes); granted != (bytes <= room) {
+		t.Fatalf("tier %d, %d bytes: granted %v with room for %d", tier, bytes, granted, room)
+	} else if !granted {
+		h.res.release()
+		h.gone = true
+	}
+	after, _ := m.evictable()
+	for up := range before {
+		if before[up] == after[up] {
+			continue
 		}
-		for range rapid.IntRange(1, 60).Draw(t, "steps") {
-			switch rapid.IntRange(0, 3).Draw(t, "what") {
-			case 0:
-				if len(all) > 0 {
-					h := all[rapid.IntRange(0, len(all)-1).Draw(t, "which")]
-					if !h.evicted {
-						h.pinned = h.res.pin() || h.pinned
-					}
-				}
-			case 1:
-				if len(all) > 0 {
-					h := all[rapid.IntRange(0, len(all)-1).Draw(t, "released")]
-					h.res.release()
-					h.evicted = true
-				}
-			default:
-				h := &held{}
-				tier := request.Tier(rapid.IntRange(0, 3).Draw(t, "tier"))
-				h.res = b.join(tier, func() { h.evicted = true })
-				bytes := int64(rapid.IntRange(1, 60).Draw(t, "bytes"))
-				lower, free := waiting(tier), limit-b.Used()
-				counts := [4]int{}
-				for _, o := range all {
-					if !o.evicted && !o.pinned {
-						counts[o.res.tier]++
-					}
-				}
-				ok := h.res.resize(bytes)
-				if ok != (bytes <= free+lower) {
-					t.Fatalf("tier %d, %d bytes: granted %v with %d free and %d in lower tiers", tier, bytes, ok, free, lower)
-				}
-				if !ok {
-					h.res.release()
-					h.evicted = true
-				}
-				all = append(all, h)
-				for _, o := range all { // whoever still waits is not under anyone evicted now
-					if !o.evicted && !o.pinned {
-						counts[o.res.tier]--
-					}
-				}
-				for up := range counts {
-					for low := up + 1; low < len(counts); low++ {
-						stays := false
-						for _, o := range all {
-							stays = stays || (!o.evicted && !o.pinned && int(o.res.tier) == low)
-						}
-						if up != int(tier) && counts[up] > 0 && stays {
-							t.Fatalf("tier %d was evicted while tier %d still waits", up, low)
-						}
-					}
-				}
-			}
-			if used := b.Used(); used > limit || used < 0 {
-				t.Fatalf("%d bytes used of %d", used, limit)
+		if up <= tier {
+			t.Fatalf("tier %d evicted tier %d", tier, up)
+		}
+		for lower := up + 1; lower < len(after); lower++ {
+			if after[lower] > 0 {
+				t.Fatalf("tier %d was evicted while tier %d still waits", up, lower)
 			}
 		}
+	}
+	m.all = append(m.all, h)
+}
+
+func (m *budgetModel) check(t *rapid.T) {
+	if used := m.budget.Used(); used > m.budget.limit || used < 0 {
+		t.Fatalf("%d bytes used of %d", used, m.budget.limit)
+	}
+}
+
+func TestUrgentRequestTakesTheMemoryOfALateOne(t *testing.T) {
+	Convey("When memory is full, the lowest tier that waits is refused", t, func() {
+		r := newRig(t, standin.Options{}, Limits{BodyBytes: 2*requestOverhead + requestOverhead/2}, patient)
+		r.broker.hold.Store(true)
+		refused := make(chan [2]any, 4)
+		send := func(tier string) {
+			_, body := r.post(pathChat, chatBody(testModel, "echo:x", false), headerTier, tier)
+			code, notRun := refusalOf(body)
+			refused <- [2]any{code, notRun}
+		}
+		go send("late")
+		go send("urgent")
+		r.eventually("both wait", func() bool { return r.broker.waiting.Load() == 2 })
+		memory := [2]any{string(request.ReasonEntryMemory), true}
+		go send("late")
+		So(<-refused, ShouldResemble, memory) // the newcomer: nothing lower waits
+		So(r.broker.waiting.Load(), ShouldEqual, 2)
+		go send("urgent")
+		So(<-refused, ShouldResemble, memory) // the late one makes room
+		r.eventually("the urgent ones wait", func() bool { return r.broker.waiting.Load() == 2 })
+		So(r.counter(groupRefusals, string(request.ReasonEntryMemory)), ShouldEqual, 2)
+		close(r.broker.freed)
+		So([][2]any{<-refused, <-refused}, ShouldResemble, [][2]any{{"", nil}, {"", nil}}) // both are answered
 	})
 }
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -36,7 +36,8 @@
 	WriteTimeout time.Duration
 	// MaxConnections bounds the open connections.
 	MaxConnections int
-	// BodyBytes bounds the bodies of all waiting requests together.
+	// BodyBytes bounds what all waiting requests hold together: their bodies,
+	// and what each holds beside its body.
 	BodyBytes int64
 	// MaxRequestBytes bounds one body, whatever a template says.
 	MaxRequestBytes int
@@ -122,13 +123,13 @@
 
 // headerBytes bounds a request's header; it is also the size of the read
 // buffer that each active connection has.
-const headerBytes = 8 << 10
+const headerBytes = 4 << 10
 
 // New returns an entry that does not listen yet.
 func New(d Deps, l Limits) *Entry {
 	e := &Entry{deps: d, limits: l.withDefaults(), log: logs.For("entry")}
 	e.counters = newCounters(d.Metrics)
-	e.bodies = newBodyBudget(e.limits.BodyBytes)
+	e.bodies = newBodyBudget(e.limits.BodyBytes, requestOverhead)
 	e.counters.gauges(d.Metrics, e)
 	e.app = fiber.New(fiber.Config{
 		AppName: "lycheekeel",
--- a/internal/entry/format.go
+++ b/internal/entry/format.go
@@ -64,11 +64,14 @@
 	sseKeepalive = ": keepalive\n\n"
 )
 
-// format writes one answer in the shape of its call.
+// format writes one answer in the shape of its call. It keeps nothing of the
+// prompt, which would otherwise stay in memory as long as its answer streams.
 type format struct {
-	call    *generation
-	id      string
-	created int64
+	api          api
+	model        string
+	includeUsage bool
+	id           string
+	created      int64
 }
 
 func newFormat(g *generation, id request.ID, received time.Time) *format {
@@ -76,25 +79,27 @@
 	if g.api == apiCompletions {
 		prefix = idPrefixText
 	}
-	return &format{call: g, id: prefix + string(id), created: received.Unix()}
+	return &format{
+		api: g.api, model: g.model, includeUsage: g.includeUsage, id: prefix + string(id), created: received.Unix(),
+	}
 }
 
 // whole returns a whole answer.
 func (f *format) whole(text, finish string, u usage) *generated {
 	c := choice{FinishReason: &finish}
 	object := objectText
-	if f.call.api == apiChat {
+	if f.api == apiChat {
 		object = objectChat
 		c.Message = &chatMessage{Role: roleAssistant, Content: text}
 	} else {
 		c.Text = &text
 	}
-	return &generated{ID: f.id, Object: object, Created: f.created, Model: f.call.model, Choices: []choice{c}, Usage: &u}
+	return &generated{ID: f.id, Object: object, Created: f.created, Model: f.model, Choices: []choice{c}, Usage: &u}
 }
 
 // appendStart appends the first event of a stream.
 func (f *format) appendStart(b []byte) []byte {
-	if f.call.api != apiChat {
+	if f.api != apiChat {
 		return b
 	}
 	empty := ""
@@ -106,7 +111,7 @@
 	if text == "" {
 		return b
 	}
-	if f.call.api == apiChat {
+	if f.api == apiChat {
 		return f.appendChoice(b, choice{Delta: &chatDelta{Content: &text}})
 	}
 	return f.appendChoice(b, choice{Text: &text})
@@ -116,14 +121,14 @@
 // where it was asked for, and the end marker.
 func (f *format) appendEnd(b []byte, finish string, u usage) []byte {
 	c := choice{FinishReason: &finish}
-	if f.call.api == apiChat {
+	if f.api == apiChat {
 		c.Delta = &chatDelta{}
 	} else {
 		empty := ""
 		c.Text = &empty
 	}
 	b = f.appendChoice(b, c)
-	if f.call.includeUsage {
+	if f.includeUsage {
 		b = f.appendEvent(b, []choice{}, &u)
 	}
 	return append(b, sseDone...)
@@ -142,11 +147,11 @@
 
 func (f *format) appendEvent(b []byte, choices []choice, u *usage) []byte {
 	object := objectText
-	if f.call.api == apiChat {
+	if f.api == apiChat {
 		object = objectChatChunk
 	}
 	event, err := json.Marshal(generated{
-		ID: f.id, Object: object, Created: f.created, Model: f.call.model, Choices: choices, Usage: u,
+		ID: f.id, Object: object, Created: f.created, Model: f.model, Choices: choices, Usage: u,
 	})
 	if err != nil {
 		panic(err) // strings and numbers always encode
--- a/internal/entry/input_test.go
+++ b/internal/entry/input_test.go
@@ -149,8 +149,8 @@
 			conn := r.dial()
 			const sent = 20_000
 			fmt.Fprintf(conn, "%sContent-Length: 1000000\r\n\r\n%s", head, strings.Repeat(" ", sent))
-			r.eventually("body is read", func() bool { return r.entry.bodies.Used() >= sent })
-			So(r.entry.bodies.Used(), ShouldBeLessThan, 2*sent)
+			r.eventually("body is read", func() bool { return r.entry.bodies.Used() >= sent+requestOverhead })
+			So(r.entry.bodies.Used(), ShouldBeLessThan, 2*sent+requestOverhead)
 			So(conn.Close(), ShouldBeNil)
 			r.eventually("memory is given back", func() bool { return r.entry.bodies.Used() == 0 })
 		})
--- a/internal/entry/rig_test.go
+++ b/internal/entry/rig_test.go
@@ -71,7 +71,7 @@
 
 	live := &workspace.Live{}
 	live.Store(testSnapshot(engineLn.Addr().String(), serviceLn.Addr().String()))
-	r.broker = &testBroker{}
+	r.broker = &testBroker{freed: make(chan struct{})}
 	settings := httpconn.Settings{Silence: silence}
 	r.entry = New(Deps{
 		Config: live, Broker: r.broker, Ledger: r.ledger, Metrics: r.metrics, Region: testRegion,
@@ -134,9 +134,10 @@
 }
 
 // testBroker grants the first candidate's first server at once, unless hold is
-// set: then it waits for ctx. refuse, where set, ends every Acquire.
+// set: then it waits for ctx or freed. refuse, where set, ends every Acquire.
 type testBroker struct {
 	hold     atomic.Bool
+	freed    chan struct{}
 	refuse   atomic.Pointer[request.Refusal]
 	waiting  atomic.Int64
 	returned atomic.Int64
@@ -154,8 +155,10 @@
 	if b.hold.Load() {
 		b.waiting.Add(1)
 		defer b.waiting.Add(-1)
-		<-ctx.Done()
-		return nil, ctx.Err()
+		select {
+		case <-ctx.Done():
+		case <-b.freed:
+		}
 	}
 	if err := ctx.Err(); err != nil {
 		return nil, err
