--- a/internal/peer/peertest/network.go
+++ b/internal/peer/peertest/network.go
@@ -148,6 +148,14 @@
 	}
 }
 
+// realName resolves peer.ByAddress: a node's address is its name here.
+func realName(n peer.Name) peer.Name {
+	if a, ok := n.Address(); ok {
+		return peer.Name(a)
+	}
+	return n
+}
+
 // rule returns the rule in force and the receiving node, nil if it is gone.
 func (n *Network) rule(from, to peer.Name) (rule, *Node) {
 	n.mu.Lock()
--- a/internal/peer/peertest/network_test.go
+++ b/internal/peer/peertest/network_test.go
@@ -31,8 +31,13 @@
 			So(err, ShouldBeNil)
 			So(string(out), ShouldEqual, "re:3")
 			So(a.Counters(), ShouldResemble, Counters{MessagesOut: 3, MessagesIn: 1, BytesOut: 3, BytesIn: 4})
-			_, err = a.Call(context.Background(), "b", peer.TypeStatus, nil)
+			_, err = a.Call(context.Background(), peer.ByAddress("b"), peer.TypeStatus, nil)
 			So(errors.Is(err, peer.ErrUnknownType), ShouldBeTrue)
+			b.Handle(peer.TypeStatus, func(context.Context, peer.Name, []byte) ([]byte, error) {
+				return nil, context.Canceled
+			})
+			_, err = a.Call(context.Background(), "b", peer.TypeStatus, nil)
+			So(err, ShouldResemble, &peer.RemoteError{Message: "context canceled"})
 		})
 		Convey("a cut is told and refuses; one-way loss leaves the outcome unknown", func() {
 			So(a.Send("b", peer.TypePing, []byte("1")), ShouldBeNil)
--- a/internal/peer/peertest/node.go
+++ b/internal/peer/peertest/node.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/lycheekeel/lycheekeel/internal/peer"
+	"github.com/pkg/errors"
 )
 
 // Node is one daemon's end of a Network. It implements peer.Transport and may
@@ -56,6 +57,7 @@
 
 // Send implements peer.Transport.
 func (d *Node) Send(to peer.Name, t peer.Type, payload []byte) error {
+	to = realName(to)
 	r, dst := d.net.rule(d.name, to)
 	if r.cut || dst == nil {
 		return peer.ErrNotConnected
@@ -85,6 +87,7 @@
 
 // Call implements peer.Transport.
 func (d *Node) Call(ctx context.Context, to peer.Name, t peer.Type, payload []byte) ([]byte, error) {
+	to = realName(to)
 	r, dst := d.net.rule(d.name, to)
 	if r.cut || dst == nil {
 		return nil, peer.ErrNotConnected
@@ -118,6 +121,9 @@
 		return
 	}
 	d.countIn(out)
+	if err != nil && !errors.Is(err, peer.ErrUnknownType) {
+		err = &peer.RemoteError{Message: err.Error()} // an error's type doesn't travel
+	}
 	answers <- answer{payload: bytes.Clone(out), err: err}
 }
 
