entry: the limit on a run starts with its dispatch

It starts when the dispatch right is taken now, and a run over it ends as answer_incomplete with a cancel. The hash of a claim covers the caller's path and body only: with the model's version in it, a resend after a rollout was a conflict. Every response has an X-Request-Id.

--- a/internal/entry/answer.go
+++ b/internal/entry/answer.go
@@ -40,9 +40,9 @@
 
 // run dispatches a model request and returns its answer, whose close must be
 // called.
-func (x *exchange) run(ctx context.Context, r engine.Run) (*answer, error) {
+func (x *exchange) run(r engine.Run) (*answer, error) {
 	a := &answer{x: x}
-	grant, err := x.dispatch(a.send(ctx, r))
+	grant, err := x.dispatch(a.send(r))
 	if grant == nil {
 		x.settleClaim(request.NotRunTrue, nil)
 		return nil, err
@@ -65,7 +65,7 @@
 }
 
 // send returns the sender of a run.
-func (a *answer) send(ctx context.Context, r engine.Run) sender {
+func (a *answer) send(r engine.Run) sender {
 	return func(s workspace.BackendServer, sending func() error) error {
 		a.engine = a.x.entry.deps.Engines.Engine(s.Address)
 		r.Sending = func() error {
@@ -73,7 +73,7 @@
 			return sending()
 		}
 		var err error
-		a.stream, err = a.engine.Run(ctx, r)
+		a.stream, err = a.engine.Run(a.x.ctx, r)
 		return err
 	}
 }
--- a/internal/entry/dispatch.go
+++ b/internal/entry/dispatch.go
@@ -73,7 +73,11 @@
 	if ctx.Err() != nil || !x.body.pin() {
 		return errNoLongerWanted
 	}
-	return x.life.TakeDispatchRight()
+	if err := x.life.TakeDispatchRight(); err != nil {
+		return err
+	}
+	x.limit = time.AfterFunc(x.entry.limits.MaxRun, func() { x.cancel(errRunTooLong) })
+	return nil
 }
 
 // requeue gives back the slot of a request that was not sent.
--- a/internal/entry/exchange.go
+++ b/internal/entry/exchange.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/pkg/errors"
 	"github.com/sirupsen/logrus"
 	"github.com/valyala/fasthttp"
 
@@ -35,8 +36,14 @@
 	ctx    context.Context
 	cancel context.CancelCauseFunc
 	watch  *callerWatch
+	// limit ends the run; it starts with the dispatch.
+	limit *time.Timer
 }
 
+// errRunTooLong is the cause of a context that ended because a dispatched
+// request took longer than any may.
+var errRunTooLong = errors.New("run too long")
+
 // begin makes the exchange of a request whose header was read: it takes the
 // snapshot and finds the workspace.
 func (e *Entry) begin(ctx *fasthttp.RequestCtx) (*exchange, error) {
@@ -111,6 +118,9 @@
 // end frees what the exchange holds; the answer has been written or given up.
 func (x *exchange) end() {
 	x.life.End()
+	if x.limit != nil {
+		x.limit.Stop()
+	}
 	if x.watch != nil {
 		x.watch.stop()
 		x.watch = nil
--- a/internal/entry/failure_test.go
+++ b/internal/entry/failure_test.go
@@ -8,6 +8,8 @@
 	"fmt"
 	"io"
 	"net/http"
+	"runtime"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -267,3 +269,61 @@
 		So(<-stopped, ShouldBeNil)
 	})
 }
+
+// Symptom: background requests are refused although engines are free again.
+// Sequence: a request waits longer than a run may take, then gets its slot.
+// Cause: the limit on a run counts the time that its request waited.
+func TestLimitOfARunStartsWithItsDispatch(t *testing.T) {
+	Convey("The limit on a run", t, func() {
+		const longest = 300 * time.Millisecond
+		Convey("does not count the wait", func() {
+			r := newRig(t, standin.Options{}, Limits{MaxRun: longest}, patient)
+			r.broker.hold.Store(true)
+			sent, got := time.Now(), make(chan string, 1)
+			go func() {
+				answer, _ := r.echo("late", false)
+				got <- answer
+			}()
+			r.eventually("longer than a run may take", func() bool { return time.Since(sent) > 2*longest })
+			close(r.broker.freed)
+			So(<-got, ShouldEqual, "late")
+		})
+		Convey("ends a run that takes too long, with a cancel", func() {
+			r := newRig(t, slow, Limits{MaxRun: longest}, patient)
+			_, body := r.post(pathChat, chatBody(testModel, "echo:"+long, false))
+			code, notRun := refusalOf(body)
+			So(code, ShouldEqual, string(request.ReasonAnswerIncomplete))
+			So(notRun, ShouldEqual, false)
+			So(r.broker.outcomes(), ShouldResemble, []pool.Outcome{pool.OutcomeCanceled})
+			r.eventually("run is cancelled", func() bool { return r.engine.Runs()[0].Outcome == standin.OutcomeCancelled })
+		})
+	})
+}
+
+// BenchmarkCallerLeaves measures how soon a caller's leaving is noticed.
+func BenchmarkCallerLeaves(b *testing.B) {
+	r := newRig(b, standin.Options{}, Limits{}, patient)
+	r.broker.hold.Store(true)
+	body := chatBody(testModel, "echo:x", false)
+	request := fmt.Sprintf("%sContent-Length: %d\r\n\r\n%s", head, len(body), body)
+	b.ResetTimer()
+	var noticed []time.Duration
+	for range b.N {
+		conn := r.dial()
+		if _, err := io.WriteString(conn, request); err != nil {
+			b.Fatal(err)
+		}
+		for r.broker.waiting.Load() != 1 {
+			runtime.Gosched()
+		}
+		left := time.Now()
+		_ = conn.Close()
+		for r.broker.waiting.Load() != 0 {
+			runtime.Gosched()
+		}
+		noticed = append(noticed, time.Since(left))
+	}
+	slices.Sort(noticed)
+	b.ReportMetric(float64(noticed[len(noticed)/2].Microseconds()), "p50_us")
+	b.ReportMetric(float64(noticed[len(noticed)*99/100].Microseconds()), "p99_us")
+}
--- a/internal/entry/generate.go
+++ b/internal/entry/generate.go
@@ -1,7 +1,6 @@
 package entry
 
 import (
-	"context"
 	"encoding/json"
 	"io"
 	"strings"
@@ -22,18 +21,15 @@
 		return err
 	}
 	x.watchCaller(ctx)
-	runCtx, stop := context.WithTimeout(x.ctx, x.entry.limits.MaxRun)
-	a, err := x.run(runCtx, x.engineRun(g))
+	a, err := x.run(x.engineRun(g))
 	if err != nil {
-		stop()
 		return err
 	}
 	format := newFormat(g, x.id, x.received)
 	if g.stream {
-		return x.stream(ctx, runCtx, stop, a, format)
+		return x.stream(ctx, a, format)
 	}
-	defer stop()
-	return x.whole(ctx, runCtx, a, format)
+	return x.whole(ctx, a, format)
 }
 
 // readGeneration reads, checks and classifies the call. The body itself is
@@ -55,7 +51,7 @@
 		return nil, err
 	}
 	if !x.spec.Idempotent {
-		x.claimSum = claimHash([]byte(m.Version), body)
+		x.claimSum = claimHash(ctx.Path(), body)
 	}
 	if !x.body.resize(int64(len(g.prompt) + len(g.last))) {
 		return nil, noMemory()
@@ -122,11 +118,11 @@
 
 // whole collects the answer and writes it in one piece. Only an answer whose
 // end was seen is written.
-func (x *exchange) whole(ctx *fasthttp.RequestCtx, runCtx context.Context, a *answer, f *format) error {
+func (x *exchange) whole(ctx *fasthttp.RequestCtx, a *answer, f *format) error {
 	var text strings.Builder
 	finish := ""
 	for {
-		c, err := a.Next(runCtx)
+		c, err := a.Next(x.ctx)
 		if errors.Is(err, io.EOF) {
 			break
 		}
--- a/internal/entry/refuse.go
+++ b/internal/entry/refuse.go
@@ -128,9 +128,7 @@
 
 // finishHeader sets what every response carries, and bounds its writing.
 func (e *Entry) finishHeader(ctx *fasthttp.RequestCtx, id request.ID) {
-	if id != "" {
-		ctx.Response.Header.Set(headerRequestID, string(id))
-	}
+	ctx.Response.Header.Set(headerRequestID, string(id))
 	if e.draining.isSet() {
 		ctx.Response.SetConnectionClose()
 	}
@@ -139,7 +137,7 @@
 
 // httpError answers what never became a request: bad HTTP, wrong paths.
 func (e *Entry) httpError(c fiber.Ctx, err error) error {
-	e.writeRefusal(c.RequestCtx(), "", httpRefusal(err))
+	e.writeRefusal(c.RequestCtx(), request.NewID(), httpRefusal(err))
 	return nil
 }
 
--- a/internal/entry/resume.go
+++ b/internal/entry/resume.go
@@ -64,6 +64,8 @@
 		return &request.Refusal{Reason: reason, NotRun: notRun, Message: message}
 	}
 	switch {
+	case errors.Is(context.Cause(a.x.ctx), errRunTooLong):
+		return refuse(request.ReasonAnswerIncomplete, ran, "the answer took longer than any may"), pool.OutcomeCanceled
 	case a.x.ctx.Err() != nil:
 		return refuse(request.ReasonCallerGone, ran, "the caller left"), pool.OutcomeCanceled
 	case errors.Is(err, engine.ErrRefusedNotRun):
--- a/internal/entry/service.go
+++ b/internal/entry/service.go
@@ -142,8 +142,6 @@
 // call dispatches the call. A reply that breaks off is never asked for again:
 // services can't resume.
 func (x *exchange) call(c service.Call) (service.Reply, error) {
-	runCtx, stop := context.WithTimeout(x.ctx, x.entry.limits.MaxRun)
-	defer stop()
 	var reply service.Reply
 	var f figures
 	grant, err := x.dispatch(func(s workspace.BackendServer, sending func() error) error {
@@ -152,7 +150,7 @@
 			return sending()
 		}
 		var err error
-		reply, err = x.entry.deps.Services.Service(s.Address).Do(runCtx, c)
+		reply, err = x.entry.deps.Services.Service(s.Address).Do(x.ctx, c)
 		return err
 	})
 	if grant == nil {
@@ -181,7 +179,7 @@
 	case errors.Is(err, engine.ErrNotSent):
 		return request.Refuse(request.ReasonEngineUnreachable, "the connection to the service was lost before anything was sent"),
 			pool.OutcomeNotSent
-	case x.ctx.Err() != nil:
+	case errors.Is(context.Cause(x.ctx), errCallerGone):
 		return &request.Refusal{Reason: request.ReasonCallerGone, NotRun: request.RanUnknown, Message: "the caller left"},
 			pool.OutcomeCanceled
 	default:
--- a/internal/entry/stream.go
+++ b/internal/entry/stream.go
@@ -1,7 +1,6 @@
 package entry
 
 import (
-	"context"
 	"io"
 	"sync"
 	"time"
@@ -28,7 +27,6 @@
 	answer *answer
 	format *format
 	conn   interface{ SetWriteDeadline(time.Time) error }
-	stop   context.CancelFunc
 	pumped chan struct{} // closed when the pump has ended
 	ready  chan struct{} // holds a token when pending or err changed
 
@@ -44,14 +42,13 @@
 
 // stream waits for the first chunk, so that everything that ends a request
 // before it is still a refusal with its own status, and then streams.
-func (x *exchange) stream(ctx *fasthttp.RequestCtx, runCtx context.Context, stop context.CancelFunc, a *answer, f *format) error {
-	first, err := a.Next(runCtx)
+func (x *exchange) stream(ctx *fasthttp.RequestCtx, a *answer, f *format) error {
+	first, err := a.Next(x.ctx)
 	if err != nil {
-		stop()
 		return err
 	}
 	s := &eventStream{
-		x: x, answer: a, format: f, conn: ctx.Conn(), stop: stop,
+		x: x, answer: a, format: f, conn: ctx.Conn(),
 		pumped: make(chan struct{}),
 		ready:  make(chan struct{}, 1),
 		timer:  time.NewTimer(x.entry.limits.Keepalive),
@@ -61,13 +58,13 @@
 	ctx.Response.Header.Set(fasthttp.HeaderCacheControl, "no-cache")
 	x.entry.finishHeader(ctx, x.id)
 	s.push(f.appendStart(nil), nil)
-	go s.pump(runCtx, first)
+	go s.pump(first)
 	ctx.Response.SetBodyStream(s, -1)
 	return errStreaming
 }
 
 // pump moves the answer's chunks into the stream until it ends.
-func (s *eventStream) pump(ctx context.Context, c engine.Chunk) {
+func (s *eventStream) pump(c engine.Chunk) {
 	defer close(s.pumped)
 	var err error
 	for {
@@ -78,7 +75,7 @@
 		}
 		s.push(event, nil)
 		s.scratch = event
-		if c, err = s.answer.Next(ctx); err != nil {
+		if c, err = s.answer.Next(s.x.ctx); err != nil {
 			r := asRefusal(err)
 			s.x.entry.counters.refusal(r.Reason)
 			s.push(appendError(nil, r), errCutShort)
@@ -158,7 +155,6 @@
 		s.x.cancel(errCallerGone)
 	}
 	<-s.pumped
-	s.stop()
 	s.timer.Stop()
 	s.x.entry.counters.streams.Add(-1)
 	s.x.end()
