broker: a full send queue delays a resynchronization, not restarts it

10,000 waiting requests with long prompts are more than the transport's 8 MB queue; a refused send ended the session, and the next one sent everything from the start again. Batches are now bounded by bytes, wait a tick where the queue is full, and tell at most 2,048 prefix blocks a request. A test with a queue of 3 messages fails without it.

--- a/broker/failure_test.go
+++ b/broker/failure_test.go
@@ -263,6 +263,27 @@
 	})
 }
 
+// Symptom: after an owner change one entry's requests never move.
+// Sequence: it has more waiting than the send queue to the new owner holds.
+// Cause: a full queue ended the session, and the next one began anew. The rest
+// waits now until there is room.
+func TestFullSendQueue(t *testing.T) {
+	Convey("Given more waiting requests than fit a send queue", t, func() {
+		w := newWorld(1, "a", "b")
+		w.advance(time.Second)
+		owner, n := w.owner(), w.other()
+		l := newLoad(w)
+		for range 1000 {
+			l.waiting = append(l.waiting, n.begin(1, time.Hour))
+		}
+		w.limit = 3
+		w.breakLink(owner.name, n.name)
+		w.advance(2 * time.Second)
+		So(owner.host.Summaries()[0].Waiting[1], ShouldEqual, 998)
+		So(w.entryCount(n, "sessions_lost"), ShouldEqual, "1")
+	})
+}
+
 // Symptom: a request waits for good, or a slot stays taken for good.
 // Sequence: one batch is lost in one direction, and nothing follows it.
 // Cause: a connection broke with the batch in flight and nobody was told. The
--- a/broker/link.go
+++ b/broker/link.go
@@ -36,6 +36,7 @@
 	out      []pool.Event
 	progress map[pool.GrantID]pool.Progress
 	unacked  []sentRelease
+	sendAt   time.Time // nothing is sent before it: the send queue was full
 
 	// without is since when requests have had no open session; retryAt is
 	// when a hello may be sent again; announced asks for a session although
--- a/broker/session.go
+++ b/broker/session.go
@@ -10,10 +10,16 @@
 	"github.com/lycheekeel/lycheekeel/internal/poolhost"
 	"github.com/lycheekeel/lycheekeel/internal/poolwire"
 	"github.com/lycheekeel/lycheekeel/pool"
+	"github.com/pkg/errors"
 )
 
-// maxBatch is how many events go into one message.
-const maxBatch = 128
+// The bounds of one message; the transport's own is 4 MB.
+const (
+	maxBatch      = 128
+	maxBatchBytes = 256 << 10
+	// eventBytes is about what an event takes without its blocks.
+	eventBytes = 200
+)
 
 type sessionState uint8
 
@@ -197,9 +203,11 @@
 	return len(l.waiting) > 0 || len(l.running) > 0 || l.announced || len(l.unacked) > 0
 }
 
-// flush sends what has come together, in batches.
+// flush sends what has come together, in batches. Where the send queue is full,
+// the rest waits for the next tick: 10,000 long prompts that move to a new
+// owner are more than the queue holds, and to begin anew would fill it again.
 func (l *link) flush() {
-	if !l.session.open() || len(l.out) == 0 {
+	if !l.session.open() || len(l.out) == 0 || l.now.Before(l.sendAt) {
 		return
 	}
 	for _, p := range l.progress {
@@ -207,8 +215,13 @@
 	}
 	clear(l.progress)
 	for len(l.out) > 0 {
-		n := min(maxBatch, len(l.out))
-		if !l.send(l.out[:n:n]) {
+		n := batchLen(l.out)
+		switch err := l.send(l.out[:n:n]); {
+		case errors.Is(err, peer.ErrOverloaded):
+			l.sendAt = l.now.Add(poolhost.TickEvery)
+			return
+		case err != nil:
+			l.lose(retryEvery)
 			return
 		}
 		l.out = l.out[n:]
@@ -216,27 +229,45 @@
 	l.out = nil
 }
 
+// batchLen returns how many of the events, at least one, go into one message.
+func batchLen(events []pool.Event) int {
+	bytes := 0
+	for i, ev := range events {
+		bytes += eventBytes
+		switch ev := ev.(type) {
+		case pool.Enqueue:
+			bytes += 8 * len(ev.Blocks)
+		case pool.Running:
+			bytes += 8 * len(ev.Blocks)
+		}
+		if i > 0 && (i == maxBatch || bytes > maxBatchBytes) {
+			return i
+		}
+	}
+	return len(events)
+}
+
 // send sends one batch, or a heartbeat where events is empty.
-func (l *link) send(events []pool.Event) bool {
+func (l *link) send(events []pool.Event) error {
 	s := &l.session
+	seq := s.seqOut
 	if len(events) > 0 {
-		s.seqOut++
+		seq++
 	}
 	err := s.owner.events(poolwire.Events{
-		Pool: l.pool, Entry: l.entry.id, Session: s.id, Seq: s.seqOut, Ack: s.seqIn, Events: events,
+		Pool: l.pool, Entry: l.entry.id, Session: s.id, Seq: seq, Ack: s.seqIn, Events: events,
 	})
 	if err != nil {
 		l.entry.count.sendFailed.Add(1)
-		l.lose(retryEvery)
-		return false
+		return err
 	}
-	s.sent = l.now
+	s.seqOut, s.sent = seq, l.now
 	for _, ev := range events {
 		if r, ok := ev.(pool.Release); ok {
 			l.unacked = append(l.unacked, sentRelease{s.seqOut, r})
 		}
 	}
-	return true
+	return nil
 }
 
 // acked forgets releases that the owner has.
--- a/broker/tick.go
+++ b/broker/tick.go
@@ -1,8 +1,10 @@
 package broker
 
 import (
+	"github.com/lycheekeel/lycheekeel/internal/peer"
 	"github.com/lycheekeel/lycheekeel/internal/poolhost"
 	"github.com/lycheekeel/lycheekeel/internal/poolwire"
+	"github.com/pkg/errors"
 )
 
 // tickMessage lets time pass.
@@ -66,8 +68,11 @@
 		l.out = append(l.out, p)
 		delete(l.progress, id)
 	}
-	if len(l.out) == 0 {
-		l.send(nil)
+	if len(l.out) > 0 {
+		return
+	}
+	if err := l.send(nil); err != nil && !errors.Is(err, peer.ErrOverloaded) {
+		l.lose(retryEvery)
 	}
 }
 
--- a/broker/waiter.go
+++ b/broker/waiter.go
@@ -53,7 +53,7 @@
 	ev := pool.Enqueue{
 		Request: s.ID, Workspace: s.Workspace, Template: s.Template, Model: s.Model, Tier: s.Tier,
 		Waited: waited, DeadlineIn: noDeadline, PerToken: s.Targets.PerToken,
-		PromptTokens: s.PromptTokens, MaxTokens: s.MaxTokens, Blocks: s.Blocks, Fingerprint: s.Fingerprint,
+		PromptTokens: s.PromptTokens, MaxTokens: s.MaxTokens, Blocks: sentBlocks(s), Fingerprint: s.Fingerprint,
 		MaxWaiting: w.demand.MaxWaiting, NoRedirect: w.redirected || len(w.demand.Candidates) < 2,
 	}
 	if s.Targets.FirstToken > 0 {
@@ -68,6 +68,12 @@
 	return ev
 }
 
+// maxBlocks bounds the prefix blocks that an owner is told of; a prompt's
+// first 128k tokens decide where its prefix may be cached.
+const maxBlocks = 2048
+
+func sentBlocks(s *request.Spec) []uint64 { return s.Blocks[:min(maxBlocks, len(s.Blocks))] }
+
 // candidate returns the candidate pool of that name, or nil.
 func (w *waiter) candidate(name string) *workspace.ResolvedPool {
 	for _, p := range w.demand.Candidates {
--- a/broker/world_test.go
+++ b/broker/world_test.go
@@ -23,6 +23,7 @@
 	queue    []envelope
 	cut      map[[2]string]bool // both ways; sends fail
 	lose     map[[2]string]bool // one way; sends vanish
+	limit    int                // of messages under way; zero: none
 	messages int
 	bytes    int
 	sequence int
@@ -296,6 +297,9 @@
 	if n.w.cut[link] || other == nil || other.dead {
 		return peer.ErrNotConnected
 	}
+	if n.w.limit > 0 && len(n.w.queue) >= n.w.limit {
+		return peer.ErrOverloaded
+	}
 	n.w.messages++
 	n.w.bytes += len(payload)
 	if !n.w.lose[link] {
