peer: count refused connections apart from failed dials

A stranger's connection was counted in peer_closed as dial_failed, which an operator reads as this daemon failing to reach a peer. Accepted connections that do not authenticate now have the reason refused.

--- a/internal/peer/connect.go
+++ b/internal/peer/connect.go
@@ -91,13 +91,13 @@
 	}
 	if err != nil {
 		t.noteAuthError(err, raw.RemoteAddr().String())
-		t.down(l, closedDialFailed)
+		t.down(l, closedRefused)
 		return
 	}
 	t.count.accepts.Add(1)
 	session, err := yamux.Server(&joiner{Conn: conn}, yamuxConfig())
 	if err != nil {
-		t.down(l, closedDialFailed)
+		t.down(l, closedRefused)
 		return
 	}
 	t.serve(l, res, session)
--- a/internal/peer/counters.go
+++ b/internal/peer/counters.go
@@ -27,6 +27,7 @@
 // Reasons of a closed connection (group peer_closed).
 const (
 	closedDialFailed reason = "dial_failed"
+	closedRefused    reason = "refused" // accepted, but not authenticated
 	closedBroken     reason = "broken"
 	closedSilent     reason = "silent"
 	closedWrite      reason = "write_timeout"
@@ -105,7 +106,7 @@
 		pauses:  reg.Counter(groupPeer, "own_pauses"),
 		auth: reasons(reg, groupAuth, authWrongKey, authWrongPeer, authBadHello, authProtocol,
 			authTLS, authBusy, authSelf, authRefused),
-		closed: reasons(reg, groupClosed, closedDialFailed, closedBroken, closedSilent, closedWrite,
+		closed: reasons(reg, groupClosed, closedDialFailed, closedRefused, closedBroken, closedSilent, closedWrite,
 			closedReplaced, closedRestarted, closedIdle, closedShutdown),
 		drops: reasons(reg, groupDrops, dropQueueFull, dropNotConnected, dropLinkDown,
 			dropUnknownType, dropCallsFull),
