mailbox: test of order; broker: no links for unknown pools

A batch of commands for a pool without a session made a link for it, so a faulty peer could fill the memory with names; it is now counted and dropped. The mailbox has a test of its own: eight posters and the handler itself, 16,000 messages, one batch at a time, in order.

--- a/broker/entry.go
+++ b/broker/entry.go
@@ -183,7 +183,13 @@
 		e.count.badMessages.Add(1)
 		return nil, err
 	}
-	l := e.link(b.Pool)
+	l := (*e.links.Load())[b.Pool]
+	if l == nil {
+		// Not of a session of this entry; a link for it would let a faulty
+		// peer fill the memory with names.
+		e.count.badMessages.Add(1)
+		return nil, nil
+	}
 	l.box.Post(commandsMessage{b, remoteOwner{e.cfg.Transport, from}})
 	return nil, nil
 }
--- /dev/null
+++ b/internal/mailbox/mailbox_test.go
@@ -0,0 +1,48 @@
+package mailbox
+
+import (
+	"sync/atomic"
+	"testing"
+
+	"github.com/sourcegraph/conc"
+)
+
+// TestOneAtATime checks that messages of many posters, and those that the
+// handler posts itself, are handled one batch at a time, all of them, and in
+// order of each poster.
+func TestOneAtATime(t *testing.T) {
+	const posters, each = 8, 2000
+	type message struct{ poster, n int }
+	var handling atomic.Int32
+	var last [posters]int
+	var box *Mailbox[message]
+	handled, all := 0, make(chan struct{})
+	box = New(func(f func()) { go f() }, func(batch []message) {
+		if handling.Add(1) != 1 {
+			t.Error("two handlers at once")
+		}
+		for _, m := range batch {
+			if m.n != last[m.poster]+1 {
+				t.Errorf("poster %d: %d after %d", m.poster, m.n, last[m.poster])
+			}
+			last[m.poster] = m.n
+			if m.poster == 0 && m.n < each {
+				box.Post(message{0, m.n + 1}) // by the handler itself
+			}
+			if handled++; handled == posters*each {
+				close(all)
+			}
+		}
+		handling.Add(-1)
+	})
+	var group conc.WaitGroup
+	for p := range posters {
+		group.Go(func() {
+			for n := 1; n <= each && (p > 0 || n == 1); n++ {
+				box.Post(message{p, n})
+			}
+		})
+	}
+	group.Wait()
+	<-all
+}
