broker: tell the first token at once, weigh means of merged reports rightly

A scheduler holds requests for a prefix until its first token is reported, and adapts limits to first-token times; the report waited up to 500 ms for other events. Later reports are still merged; their mean time between tokens is now weighed by the tokens since the last report that was sent.

--- a/broker/broker_test.go
+++ b/broker/broker_test.go
@@ -37,6 +37,20 @@
 			w.pump()
 			So(w.free(), ShouldEqual, 2)
 		})
+		Convey("the first token is told at once, what follows goes along", func() {
+			r, _ := ended(other.begin(1, time.Minute))
+			r.grant.Progress(time.Second, 1, 0)
+			r.grant.Progress(time.Second, 11, 20*time.Millisecond)
+			r.grant.Progress(time.Second, 21, 40*time.Millisecond)
+			w.pump()
+			So(w.progress(), ShouldResemble, []pool.Progress{
+				{Request: r.grant.spec.ID, Grant: r.grant.id, Server: r.grant.server.Name, FirstToken: time.Second, Tokens: 1},
+			})
+			w.advance(time.Second)
+			So(len(w.progress()), ShouldEqual, 2)
+			So(w.progress()[1].Tokens, ShouldEqual, 21)
+			So(w.progress()[1].PerToken, ShouldEqual, 30*time.Millisecond) // the mean of both
+		})
 		Convey("a deadline that passes is refused as not run", func() {
 			ended(owner.begin(1, time.Minute))
 			ended(owner.begin(1, time.Minute))
@@ -69,3 +83,13 @@
 	w.advance(time.Second)
 	return w.owner().host.Summaries()[0].Free
 }
+
+// progress returns the reports of progress that the owner got.
+func (w *world) progress() (out []pool.Progress) {
+	for _, ev := range w.events {
+		if p, ok := ev.(pool.Progress); ok {
+			out = append(out, p)
+		}
+	}
+	return out
+}
--- a/broker/grant.go
+++ b/broker/grant.go
@@ -17,6 +17,11 @@
 	server workspace.BackendServer
 	ended  atomic.Bool
 	tokens atomic.Int64
+	// firstTold is set once the owner was told of the first token; this and
+	// toldTokens are touched by the link only.
+	firstTold bool
+	// toldTokens is how many tokens the owner was told of last.
+	toldTokens int
 }
 
 // Server implements Grant.
--- a/broker/link.go
+++ b/broker/link.go
@@ -145,16 +145,34 @@
 type progressMessage struct{ ev pool.Progress }
 
 func (m progressMessage) apply(l *link) {
-	if _, ok := l.running[m.ev.Grant]; !ok {
+	g := l.running[m.ev.Grant]
+	if g == nil {
 		return
 	}
-	l.progress[m.ev.Grant] = mergeProgress(l.progress[m.ev.Grant], m.ev)
+	if m.ev.FirstToken > 0 && !g.firstTold && l.session.open() {
+		// The scheduler's limits and its holds for prefixes go by it.
+		g.firstTold, g.toldTokens = true, m.ev.Tokens
+		l.out = append(l.out, m.ev)
+		return
+	}
+	l.progress[m.ev.Grant] = mergeProgress(l.progress[m.ev.Grant], m.ev, g.toldTokens)
+}
+
+// takeProgress moves the reports that have come to the events to be sent.
+func (l *link) takeProgress() {
+	for id, p := range l.progress {
+		if g := l.running[id]; g != nil {
+			g.toldTokens = p.Tokens
+		}
+		l.out = append(l.out, p)
+	}
+	clear(l.progress)
 }
 
 // mergeProgress makes one report of two that were not sent yet: PerToken is a
-// mean since the last report sent, so the newer mean alone would lose the
-// older one's slow tokens.
-func mergeProgress(old, newer pool.Progress) pool.Progress {
+// mean since the last report sent, at told tokens, so the newer mean alone
+// would lose the older one's slow tokens.
+func mergeProgress(old, newer pool.Progress, told int) pool.Progress {
 	if old.PerToken == 0 || newer.Tokens <= old.Tokens {
 		return newer
 	}
@@ -162,7 +180,7 @@
 		newer.PerToken = old.PerToken
 		return newer
 	}
-	was, more := time.Duration(max(1, old.Tokens)), time.Duration(newer.Tokens-old.Tokens)
+	was, more := time.Duration(max(1, old.Tokens-told)), time.Duration(newer.Tokens-old.Tokens)
 	newer.PerToken = (old.PerToken*was + newer.PerToken*more) / (was + more)
 	return newer
 }
--- a/broker/session.go
+++ b/broker/session.go
@@ -210,10 +210,7 @@
 	if !l.session.open() || len(l.out) == 0 || l.now.Before(l.sendAt) {
 		return
 	}
-	for _, p := range l.progress {
-		l.out = append(l.out, p)
-	}
-	clear(l.progress)
+	l.takeProgress()
 	for len(l.out) > 0 {
 		n := batchLen(l.out)
 		switch err := l.send(l.out[:n:n]); {
--- a/broker/tick.go
+++ b/broker/tick.go
@@ -64,10 +64,7 @@
 	if len(l.out) > 0 {
 		return // flush sends it in a moment
 	}
-	for id, p := range l.progress {
-		l.out = append(l.out, p)
-		delete(l.progress, id)
-	}
+	l.takeProgress()
 	if len(l.out) > 0 {
 		return
 	}
