engine: every run on a new connection

Cause: after connections went silent under load, six requests ended as engine_lost: they had been sent on idle connections that the network had lost, which no look at one end shows. Ruled out: resume itself, streams in progress were all resumed. Change: runs and calls of plain services always dial; reports, cancels and orders reuse.

--- a/engine/httpengine/engine.go
+++ b/engine/httpengine/engine.go
@@ -66,9 +66,14 @@
 // Counts returns how the engine's connections were used.
 func (e *Engine) Counts() httpconn.Counts { return e.pool.Counts() }
 
-// Run implements engine.Engine.
+// Run implements engine.Engine. It always uses a new connection.
+//
+// What goes wrong with an idle one: the network may have lost track of it, and
+// no look at this end can tell. The request then vanishes and its outcome is
+// unknown; one would see engine_lost refusals after every silence. A connect
+// that has just succeeded proves the path, for one round trip more.
 func (e *Engine) Run(ctx context.Context, r engine.Run) (engine.Stream, error) {
-	return e.stream(ctx, r.Sending, httpconn.MayReuse, r.RequestID, 0, wire.PathRun, wire.Run{
+	return e.stream(ctx, r.Sending, httpconn.MustDial, r.RequestID, 0, wire.PathRun, wire.Run{
 		RequestID: r.RequestID, Model: r.Model, Version: r.Version, Prompt: r.Prompt, Last: r.Last,
 		PromptTokens: r.PromptTokens, MaxTokens: r.MaxTokens, Blocks: r.Blocks,
 	})
--- a/service/httpservice/service.go
+++ b/service/httpservice/service.go
@@ -72,14 +72,15 @@
 }
 
 // Do implements service.Service. A call that is no well-formed HTTP fails
-// with ErrNotSent.
+// with ErrNotSent. It always uses a new connection: an idle one may be lost
+// without a sign, and the outcome of a call on it would be unknown.
 func (s *Service) Do(ctx context.Context, c service.Call) (service.Reply, error) {
 	req := fasthttp.AcquireRequest()
 	defer fasthttp.ReleaseRequest(req)
 	if err := fillRequest(req, s.pool.Address(), c); err != nil {
 		return service.Reply{}, errors.Wrap(engine.ErrNotSent, err.Error())
 	}
-	conn, err := s.pool.Send(ctx, req, httpconn.MayReuse, c.Sending)
+	conn, err := s.pool.Send(ctx, req, httpconn.MustDial, c.Sending)
 	if err != nil {
 		return service.Reply{}, err
 	}
--- a/test/traffic_test.go
+++ b/test/traffic_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 
 	"github.com/sourcegraph/conc"
 )
@@ -62,3 +63,26 @@
 	l.lanes.Wait()
 	return l.all()
 }
+
+// streams are long answers, one on each lane, that stream at the same time.
+type streams struct {
+	recorder
+	lanes conc.WaitGroup
+	begun atomic.Int32 // how many have received text
+}
+
+// streamWords makes an answer that streams for more than a second.
+const streamWords = 60
+
+// startStreams sends one long streamed echo from each lane.
+func startStreams(ctx context.Context, lanes, round int, pick func(lane, n int) string) *streams {
+	s := &streams{}
+	for lane := range lanes {
+		s.lanes.Go(func() {
+			c, _ := echoCall(lane, 2*round, streamWords) // even: streamed
+			c.onFirst = func() { s.begun.Add(1) }
+			s.add(c, chat(ctx, pick(lane, 0), c))
+		})
+	}
+	return s
+}
