poolhost: count probes under the monitor's lock

Cause: a daemon built with the race detector ended in a process test: a probe read the count of probes after it had given the lock up, while the next probe wrote it. Change: note returns whether cache events are due, decided under the lock.

--- a/internal/poolhost/monitor.go
+++ b/internal/poolhost/monitor.go
@@ -131,27 +131,29 @@
 			err = c
 		}
 	}
-	if !m.note(w, report, err) || err != nil {
+	watched, cacheDue := m.note(w, report, err)
+	if !watched || err != nil {
 		return
 	}
 	m.r.post(pool.ServerLoad{Server: t.spec.Name, Report: report})
-	if w.probes%cacheEvery == 0 {
+	if cacheDue {
 		m.pollCache(ctx, t, e)
 	}
 }
 
-// note takes a probe's result and reports whether the server is still watched.
+// note takes a probe's result. It reports whether the server is still watched,
+// and whether its cache events are due; the next probe may start at once.
 //
 // A probe that fails because its connection went silent says nothing of the
 // server: new connections may work. So only several misses in a row, each on a
 // connection of its own after the adapter dropped the last, make it silent.
-func (m *monitor) note(w *watched, report engine.LoadReport, err error) bool {
+func (m *monitor) note(w *watched, report engine.LoadReport, err error) (watched, cacheDue bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	w.probing = false
 	w.next = m.r.host.cfg.Now().Add(ProbeEvery - probeJitter/2 + rand.N(probeJitter))
 	if w.removed {
-		return false
+		return false, false
 	}
 	switch {
 	case err == nil:
@@ -174,7 +176,7 @@
 		}
 	}
 	m.tell(w)
-	return true
+	return true, err == nil && w.probes%cacheEvery == 0
 }
 
 // pollCache takes the cache events since the last poll to the scheduler. A
