experiment: the time that runs may outlast their callers stands with the others

The constant stood at the end of the file about prefill although only the system's stop uses it; a reader would look for it beside the other times of starting and stopping.

--- a/internal/experiment/prefill.go
+++ b/internal/experiment/prefill.go
@@ -3,7 +3,6 @@
 import (
 	"container/heap"
 	"sort"
-	"time"
 
 	"github.com/lycheekeel/lycheekeel/engine"
 	"github.com/lycheekeel/lycheekeel/internal/load"
@@ -190,7 +189,3 @@
 	}
 	return whole, left
 }
-
-// outlasting is how long after the callers' last answer the engines' runs may
-// go on before their logs are read.
-const outlasting = 2 * time.Second
--- a/internal/experiment/system.go
+++ b/internal/experiment/system.go
@@ -23,6 +23,9 @@
 	readyWithin = 10 * time.Second
 	stopWithin  = 30 * time.Second
 	pollEvery   = 20 * time.Millisecond
+	// outlasting is how long after the callers' last answer the engines' runs
+	// may go on before their logs are read.
+	outlasting = 2 * time.Second
 )
 
 // system is one daemon's path from callers to engines, for one policy: an
