pool: judge no server before it is known, wait for a faster one only if it surely is

Two faults of a fleet slower than the prior: every server seemed a straggler from its first request, and requests waited beside free slots for a server that was faster by chance. A server is judged after eight measurements, and waiting for a faster one needs a sure difference.

--- a/pool/choose.go
+++ b/pool/choose.go
@@ -18,6 +18,10 @@
 	// tokenShare is the part of a target between tokens up to which a server
 	// counts as fast enough.
 	tokenShare = 0.9
+	// surelySlow and surelyFast are the parts of that target from which on it
+	// pays to wait for a server below the one rather than take one above the
+	// other. Nearer ones differ by chance.
+	surelySlow, surelyFast = 1.05, 0.85
 	// leastToken is the least part of a target between tokens that a deadline
 	// may ask for.
 	leastToken = 0.5
@@ -71,10 +75,11 @@
 	return !p.now.Add(wait + whole).After(w.deadline)
 }
 
-// fastEnough tells whether the server would meet the time between tokens.
-func (p *Pool) fastEnough(w *waiter, s *server) bool {
+// fastEnough tells whether the server would need no more than a share of the
+// target between tokens, with so many more running requests.
+func (p *Pool) fastEnough(w *waiter, s *server, more int, share float64) bool {
 	target := w.tokenTarget()
-	return target <= 0 || float64(s.speed.PerToken(len(s.running)+1)) <= tokenShare*float64(target)
+	return target <= 0 || float64(s.speed.PerToken(len(s.running)+more)) <= share*float64(target)
 }
 
 // tokenTarget is the time between tokens that a request needs: its target or,
@@ -117,20 +122,56 @@
 	return least
 }
 
-// best returns the cheapest option among servers: of those that meet the
-// targets if any does. It reports false where none has room.
-func (p *Pool) best(w *waiter, servers []*server) (o option, inTime, ok bool) {
+// grade tells how well an option serves a request.
+type grade int
+
+// The grades, from worst to best.
+const (
+	tooLate grade = iota // its first token or its end is late
+	tooSlow              // only its time between tokens is
+	inTarget
+)
+
+func (p *Pool) grade(w *waiter, o option) grade {
+	switch {
+	case !p.inTime(w, o, 0):
+		return tooLate
+	case !p.fastEnough(w, o.server, 1, tokenShare):
+		return tooSlow
+	default:
+		return inTarget
+	}
+}
+
+// best returns the cheapest option among servers of those with the best
+// grade. It reports false where none has room.
+func (p *Pool) best(w *waiter, servers []*server) (o option, g grade, ok bool) {
 	for _, s := range servers {
 		x := p.option(w, s)
 		if !p.roomy(w, x) {
 			continue
 		}
-		good := p.fastEnough(w, s) && p.inTime(w, x, 0)
-		if !ok || good && !inTime || good == inTime && x.cost < o.cost {
-			o, inTime, ok = x, good, true
+		xg := p.grade(w, x)
+		if !ok || xg > g || xg == g && x.cost < o.cost {
+			o, g, ok = x, xg, true
+		}
+	}
+	return o, g, ok
+}
+
+// fasterElsewhere tells whether an option is surely too slow and a server
+// without a free slot would surely be fast enough, once it has one. Without any, waiting would only add a late first
+// token to the late ones after it.
+func (p *Pool) fasterElsewhere(w *waiter, o option) bool {
+	if p.fastEnough(w, o.server, 1, surelySlow) {
+		return false
+	}
+	for _, s := range p.order {
+		if s.ready && !s.overdue && !(s.straggler && p.sound) && len(s.running) >= s.most && p.fastEnough(w, s, 0, surelyFast) {
+			return true
 		}
 	}
-	return o, inTime, ok
+	return false
 }
 
 // doomedLength is the part of an answer's expected length that a request must
--- a/pool/hold.go
+++ b/pool/hold.go
@@ -62,7 +62,7 @@
 			return
 		}
 		o := p.optionWith(w, s, blocks, 0)
-		if !p.fastEnough(w, s) || o.cost+after >= least {
+		if !p.fastEnough(w, s, 1, tokenShare) || o.cost+after >= least {
 			return
 		}
 		least, better, wait, computing = o.cost+after, o, after, by
--- a/pool/observe.go
+++ b/pool/observe.go
@@ -49,7 +49,7 @@
 	}
 	prefill := r.ahead + r.uncached
 	predicted := s.speed.FirstToken(prefill)
-	late := took > lateFactor*predicted+lateSlack
+	late := s.speed.Known() && took > lateFactor*predicted+lateSlack
 	s.speed.ObserveFirst(prefill, took, p.peers[s.info.Generation], late)
 	p.observeQueueing(r, late)
 	p.judge(s)
@@ -139,7 +139,7 @@
 	p.findFastest()
 	speeds := make(map[string][]*score.Speed)
 	for _, s := range p.order {
-		if s.speed.Measured() {
+		if s.speed.Known() {
 			speeds[s.info.Generation] = append(speeds[s.info.Generation], s.speed)
 		}
 	}
@@ -164,6 +164,9 @@
 	for _, s := range p.order {
 		was := s.overdue
 		s.overdue = false
+		if !s.speed.Known() {
+			continue
+		}
 		for _, r := range s.running {
 			waited := p.now.Sub(r.since)
 			if r.first || waited <= lateFactor*s.speed.FirstToken(r.ahead+r.uncached)+lateSlack {
--- a/pool/schedule.go
+++ b/pool/schedule.go
@@ -90,15 +90,15 @@
 				return nil, option{}
 			}
 			budget -= len(servers)
-			o, inTime, ok := p.best(w, servers)
+			o, g, ok := p.best(w, servers)
 			switch {
 			case !ok:
 				continue // no server has room for it now
-			case !inTime && p.hopeless(w):
+			case g == tooLate && p.hopeless(w):
 				p.queue.Reclass(it, tier.Late)
 				moved = true
 				continue
-			case !inTime:
+			case g == tooLate || g == tooSlow && p.fasterElsewhere(w, o):
 				continue // a server that can is busy
 			case p.holdFor(w, o):
 				moved = true
@@ -201,7 +201,7 @@
 			continue
 		}
 		x := p.option(w, s)
-		if p.verdict(w) == suspect.Clear && p.roomy(w, x) && p.fastEnough(w, s) && p.inTime(w, x, 0) {
+		if p.verdict(w) == suspect.Clear && p.roomy(w, x) && p.grade(w, x) == inTarget {
 			head.passed++
 			return w, x
 		}
--- a/pool/score/speed.go
+++ b/pool/score/speed.go
@@ -15,6 +15,8 @@
 	slow  float64
 	was   bool // the last verdict
 	seen  int  // samples judged
+	// Measurements so far: of first tokens, and of times between tokens.
+	firsts, tokens int
 }
 
 const (
@@ -30,6 +32,9 @@
 	// slowStep is the weight of a new sample in the slowdown, fineStep that
 	// of a straggler's probe, so that one or two bring it back.
 	slowStep, fineStep = 0.3, 0.6
+	// leastSamples is how many measurements make a speed known. Before, it is
+	// mostly the prior: a fleet of slow engines would all seem stragglers.
+	leastSamples = 8
 	// slowSamples is how many samples a verdict needs.
 	slowSamples = 3
 	// slowBound and fineBound are the slowdowns, beside peers, from which a
@@ -59,7 +64,7 @@
 
 // NewSpeed returns a speed that starts from a prior.
 func NewSpeed(p Prior) *Speed {
-	s := &Speed{first: Line{Keep: 1}, step: Line{Keep: 1}, slow: 1, usual: p}
+	s := &Speed{first: Line{Keep: 1}, step: Line{Keep: 1}, slow: 1}
 	s.first.Add(fewPrefill, p.FirstFew, priorWeight)
 	s.first.Add(manyPrefill, p.FirstMany, priorWeight)
 	s.step.Add(fewRunning, p.TokenFew, priorWeight)
@@ -86,6 +91,7 @@
 // inside the engine.
 func (s *Speed) ObserveFirst(prefill int, took time.Duration, peers Prior, late bool) {
 	s.judge(took.Seconds(), s.expected(peers).first(float64(prefill)))
+	s.firsts++
 	weight := 1.0
 	if late {
 		weight = lateWeight
@@ -97,6 +103,7 @@
 // without the prefill of others, by which the server is judged.
 func (s *Speed) ObserveToken(running int, took, step time.Duration, peers Prior) {
 	s.judge(step.Seconds(), s.expected(peers).token(float64(running)))
+	s.tokens++
 	s.token.Add(float64(running), took.Seconds(), 1)
 	s.step.Add(float64(running), step.Seconds(), 1)
 }
@@ -110,7 +117,13 @@
 // Settle lets the usual speed follow the present one, slowly. Call it at
 // intervals while the server is no straggler.
 func (s *Speed) Settle() {
+	if !s.Known() {
+		return
+	}
 	own := s.own()
+	if s.usual == (Prior{}) {
+		s.usual = own
+	}
 	s.usual.FirstFew += usualStep * (own.FirstFew - s.usual.FirstFew)
 	s.usual.FirstMany += usualStep * (own.FirstMany - s.usual.FirstMany)
 	s.usual.TokenFew += usualStep * (own.TokenFew - s.usual.TokenFew)
@@ -148,8 +161,11 @@
 	return s.was
 }
 
-// Measured tells whether anything was measured.
-func (s *Speed) Measured() bool { return s.seen > 0 || s.first.Weight() > 2*priorWeight }
+// Known tells whether enough was measured for the speed to be the server's own
+// rather than the prior. A plain service has no times between tokens.
+func (s *Speed) Known() bool {
+	return s.firsts >= leastSamples && (s.tokens >= leastSamples || s.tokens == 0)
+}
 
 // own is the server's speed in a Prior's terms.
 func (s *Speed) own() Prior {
