--- a/broker/property_test.go
+++ b/broker/property_test.go
@@ -1,13 +1,14 @@
 package broker
 
 import (
+	"io"
+	"maps"
 	"testing"
 	"time"
 
 	"github.com/lycheekeel/lycheekeel/internal/logs"
 	"github.com/lycheekeel/lycheekeel/pool"
 	"github.com/lycheekeel/lycheekeel/request"
-	"io"
 	"pgregory.net/rapid"
 )
 
@@ -162,6 +163,13 @@
 			}
 			m.alive(t).frozen = true
 		},
+		"crash and start again": func(t *rapid.T) {
+			n := m.alive(t)
+			m.w.kill(n)
+			maps.DeleteFunc(m.waiting, func(_ *waiter, of *node) bool { return of == n })
+			maps.DeleteFunc(m.running, func(_ *grant, of *node) bool { return of == n })
+			m.w.add(n.name).setMembers(m.w.names...)
+		},
 		"time": func(t *rapid.T) {
 			m.w.advance(time.Duration(rapid.IntRange(1, 80).Draw(t, "ticks")) * 25 * time.Millisecond)
 		},
