pool: send requests to sibling pools while no server is up

Requests in a pool whose servers are all away waited for their deadline while a sibling pool of the model had free slots; a sibling was asked only before a shed. Each tick now sends them there, as many as the sibling has free slots. A request that asks again after its withdrawn grant keeps the grant. Tested with the refund of an unused grant, which no test had noticed before.

--- a/pool/admission.go
+++ b/pool/admission.go
@@ -153,7 +153,7 @@
 // pool where a slot is free or a lower tier waits, else it is shed.
 func (p *Pool) giveUp(w *waiter, reason request.Reason) {
 	if !w.NoRedirect {
-		if name, ok := p.siblingFor(w.Item.Tier); ok {
+		if name, ok := p.siblingFor(w.Item.Tier, false); ok {
 			p.emit(Redirect{Request: w.Request, Entry: w.Entry, Pool: name})
 			return
 		}
@@ -163,7 +163,8 @@
 
 // siblingFor picks a sibling for a request of a tier, and counts the request
 // against the sibling's report, so that one report doesn't draw a crowd.
-func (p *Pool) siblingFor(t request.Tier) (string, bool) {
+// freeOnly asks for a free slot.
+func (p *Pool) siblingFor(t request.Tier, freeOnly bool) (string, bool) {
 	names := make([]string, 0, len(p.siblings))
 	for name, s := range p.siblings {
 		if p.now.Sub(s.at) <= freshSibling {
@@ -172,18 +173,21 @@
 	}
 	slices.Sort(names)
 	for _, name := range names {
-		if p.siblings[name].takes(t) {
+		if p.siblings[name].takes(t, freeOnly) {
 			return name, true
 		}
 	}
 	return "", false
 }
 
-func (s *sibling) takes(t request.Tier) bool {
+func (s *sibling) takes(t request.Tier, freeOnly bool) bool {
 	if s.Free > 0 {
 		s.Free--
 		return true
 	}
+	if freeOnly {
+		return false
+	}
 	for lower := len(s.Waiting) - 1; lower > int(t); lower-- {
 		if s.Waiting[lower] > 0 {
 			s.Waiting[lower]--
@@ -193,6 +197,24 @@
 	return false
 }
 
+// relieve sends requests to siblings with free slots while no server of this
+// pool is up: they would wait here for nothing.
+func (p *Pool) relieve() {
+	if p.plain() || len(p.siblings) == 0 || slices.ContainsFunc(p.order, p.up) {
+		return
+	}
+	for t := request.Tier(0); t < request.MaxTiers; t++ {
+		for it := p.queue.Head(t, tier.Live); it != nil && !it.Value.NoRedirect; it = p.queue.Head(t, tier.Live) {
+			name, ok := p.siblingFor(t, true)
+			if !ok {
+				return
+			}
+			p.drop(it.Value)
+			p.emit(Redirect{Request: it.Value.Request, Entry: it.Value.Entry, Pool: name})
+		}
+	}
+}
+
 func (p *Pool) shed(e *Enqueue, reason request.Reason, retry time.Duration) {
 	p.emit(Shed{Request: e.Request, Entry: e.Entry, Reason: reason, RetryAfter: p.retryAfter(retry)})
 }
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -131,6 +131,7 @@
 	p.measure()
 	p.watchOverdue()
 	p.freeLost()
+	p.relieve()
 }
 
 func (p *Pool) emit(c Command) { p.out = append(p.out, c) }
--- a/pool/scenario_test.go
+++ b/pool/scenario_test.go
@@ -274,6 +274,28 @@
 		r.now = r.now.Add(freshSibling)
 		So(shedReason(r.send(ask("d", 1))), ShouldEqual, request.ReasonShed)
 	})
+	Convey("While no server is up, requests go where slots are free", t, func() {
+		r := newRig(Config{}, servers(1, 1)...)
+		r.send(ServerHealth{Server: "s0", Health: HealthGone, Incarnation: 1})
+		r.send(ask("a", 0))
+		r.send(ask("b", 1))
+		r.send(Sibling{Pool: "q", Free: 1})
+		So(r.pass(time.Millisecond), ShouldResemble, []Command{Redirect{Request: "a", Entry: "e1", Pool: "q"}})
+		So(r.Summary(r.now).Waiting[1], ShouldEqual, 1)
+	})
+	Convey("A grant that was not used costs its workspace nothing", t, func() {
+		r := newRig(Config{}, servers(1, 1)...)
+		of := func(id, workspace string) Enqueue {
+			e := ask(id, 0)
+			e.Workspace = workspace
+			return e
+		}
+		g := r.grant(of("a1", "a"))
+		r.send(of("b1", "b"))
+		r.send(of("a2", "a"))
+		out := grants(r.end(g, OutcomeNotDispatched))
+		So(out[0].Request, ShouldEqual, request.ID("a2"))
+	})
 	Convey("A hopeless request goes to the end of its tier and expires at its deadline only", t, func() {
 		r := full(Config{})
 		r.send(ask("old", 0))
--- a/pool/waiter.go
+++ b/pool/waiter.go
@@ -37,6 +37,7 @@
 		// The grant was lost on the way: a connection broke. Giving the same
 		// grant again is idempotent; a second one would count one request
 		// twice.
+		r.withdrawn = time.Time{}
 		p.emit(Grant{Request: r.request, Entry: r.entry, Grant: r.id, Server: r.server.info.Name})
 		return
 	}
