--- a/broker/failure_test.go
+++ b/broker/failure_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/lycheekeel/lycheekeel/pool"
+	"github.com/lycheekeel/lycheekeel/request"
 	. "github.com/smartystreets/goconvey/convey"
 )
 
@@ -136,6 +137,36 @@
 	})
 }
 
+// Symptom: slots stay taken by requests of a daemon that is gone.
+// Sequence: an entry dies with running and waiting requests; it stays away, or
+// is back under its name before anybody took it for dead.
+// Cause: nobody releases its grants. The owner frees them once the member is
+// gone, or is there as another entry.
+func TestEntryDies(t *testing.T) {
+	for name, after := range map[string]func(w *world, dead *node){
+		"stays away": func(w *world, dead *node) { w.setMembers(w.without(dead)...) },
+		"is back":    func(w *world, dead *node) { w.add(dead.name).setMembers(w.names...) },
+	} {
+		Convey("Given an entry that dies and "+name, t, func() {
+			w := newWorld(2, "a", "b", "c")
+			w.advance(time.Second)
+			dead := w.other()
+			l := newLoad(w)
+			l.begin(dead, 6)
+			So(len(l.running), ShouldEqual, 4)
+			w.kill(dead)
+			w.advance(500 * time.Millisecond)
+			after(w, dead)
+			from := w.now
+			for w.owner().host.Summaries()[0].Free < 4 && w.now.Sub(from) < time.Minute {
+				w.advance(100 * time.Millisecond)
+			}
+			So(w.now.Sub(from), ShouldBeLessThanOrEqualTo, 6*time.Second)
+			So(w.owner().host.Summaries()[0].Waiting, ShouldResemble, [request.MaxTiers]int{})
+		})
+	}
+}
+
 // Symptom: for a while each server gets twice its load.
 // Sequence: the owner's VM is paused; another owner takes over; the old one
 // goes on with its old queue and what its connections had buffered.
