docs: install, settings, commands, refusals, and the entry's design

Pages for operators on installing, on each setting, on the commands demo, status, drain and standin, and on each refusal reason with what it says of whether the request ran; tests check that no reason and no setting lacks its line.

--- a/internal/daemon/settings_test.go
+++ b/internal/daemon/settings_test.go
@@ -1,6 +1,8 @@
 package daemon
 
 import (
+	"os"
+	"reflect"
 	"testing"
 	"time"
 
@@ -55,3 +57,28 @@
 		So(len(findings), ShouldEqual, 1)
 	})
 }
+
+func TestEachSettingHasItsLineForOperators(t *testing.T) {
+	Convey("The page names each setting", t, func() {
+		page, err := os.ReadFile("../../docs/operators/settings.md")
+		So(err, ShouldBeNil)
+		var paths func(prefix string, t reflect.Type) []string
+		paths = func(prefix string, t reflect.Type) (out []string) {
+			for i := range t.NumField() {
+				f := t.Field(i)
+				name := prefix + f.Tag.Get("json")
+				if f.Type.Kind() == reflect.Struct {
+					out = append(out, paths(name+".", f.Type)...)
+				} else {
+					out = append(out, name)
+				}
+			}
+			return out
+		}
+		all := paths("", reflect.TypeFor[Settings]())
+		So(len(all), ShouldBeGreaterThan, 25)
+		for _, path := range all {
+			So(string(page), ShouldContainSubstring, "`"+path+"`")
+		}
+	})
+}
--- a/internal/entry/input_test.go
+++ b/internal/entry/input_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"os"
 	"strconv"
 	"strings"
 	"testing"
@@ -158,13 +159,16 @@
 }
 
 func TestEveryReasonHasItsCounterAndStatus(t *testing.T) {
-	Convey("Each refusal reason has a counter from the start, a type and a status", t, func() {
+	Convey("Each refusal reason has a counter from the start, a type, a status and its line for operators", t, func() {
 		r := newRig(t, standin.Options{}, Limits{}, patient)
 		seen := r.metrics.JSON()
+		page, err := os.ReadFile("../../docs/operators/refusals.md")
+		So(err, ShouldBeNil)
 		So(len(request.Reasons()), ShouldBeGreaterThan, 25)
 		for _, reason := range request.Reasons() {
 			So(seen, ShouldContainSubstring, `"`+string(reason)+`": 0`)
 			So(errorType(reason), ShouldNotBeEmpty)
+			So(string(page), ShouldContainSubstring, fmt.Sprintf("\n| `%s` | %d |", reason, reason.Status()))
 			So(reason.Status(), ShouldBeBetween, 399, 600)
 		}
 		Convey("and Retry-After is whole seconds, spread, where to come back helps", func() {
