member: answer a join with the region's records only

When a zone's 22 members started together in a simulated cluster of 390, a seed sent 592 KB in the worst second: each of them asked all seeds at once and each seed answered with all records. A new member now asks one address per tick, and is told of its own region and two members of each other one; it gets the rest by comparing views with members at random. Tests pass under -race, the convergence property with 1000 cases.

--- a/member/join.go
+++ b/member/join.go
@@ -5,8 +5,15 @@
 	"github.com/lycheekeel/lycheekeel/member/wire"
 )
 
-// hintsPerTick bounds the addresses of the VM list that are tried at once.
-const hintsPerTick = 2
+const (
+	// hintsPerTick bounds the addresses that are tried at once: after the first
+	// answer the others are mostly known.
+	hintsPerTick = 1
+	// joinPerRegion is how many members of each other region a joining member
+	// is told of. The rest it gets by comparing views, from members at random,
+	// so that a seed need not send everything to everyone that joins.
+	joinPerRegion = 2
+)
 
 // Hints takes the addresses (IP:port) of the platform's VM list. The list
 // lags: an address in it may have joined, gone or not started yet, so it only
@@ -62,6 +69,26 @@
 	})
 }
 
+// answerJoin tells a joining member of its own region and of a few members of
+// each other one.
+func (m *Machine) answerJoin(from peer.Name) {
+	joiner, known := m.table[string(from)]
+	if !known {
+		return
+	}
+	told := map[string]int{}
+	records := []*wire.Record{m.selfRecord()}
+	for _, name := range m.pick(len(m.table), m.live) {
+		e := m.table[name]
+		if e.Region != joiner.Region && told[e.Region] >= joinPerRegion {
+			continue
+		}
+		told[e.Region]++
+		records = append(records, e.record(m.suspector(e)))
+	}
+	m.sendInChunks(from, records)
+}
+
 // knowsAddress tells whether a live member, or this one, listens there.
 func (m *Machine) knowsAddress(address string) bool {
 	if address == m.self.Address {
--- a/member/sync.go
+++ b/member/sync.go
@@ -82,7 +82,7 @@
 	digest, buckets := m.digests()
 	switch {
 	case s.Join:
-		m.sendRecords(from, allBuckets(), nil, false)
+		m.answerJoin(from)
 	case len(s.Differing) > 0 || len(s.Records) > 0:
 		for _, r := range s.Records {
 			m.apply(r, from)
@@ -111,14 +111,19 @@
 			records = append(records, e.record(m.suspector(e)))
 		}
 	}
-	for chunk := range slices.Chunk(records, recordsPerMessage) {
-		m.sendSync(to, &wire.Sync{Records: chunk})
-	}
+	m.sendInChunks(to, records)
 	if want && len(buckets) > 0 {
 		m.sendSync(to, &wire.Sync{Differing: buckets, WantRecords: true})
 	}
 }
 
+// sendInChunks sends records in bounded messages.
+func (m *Machine) sendInChunks(to peer.Name, records []*wire.Record) {
+	for chunk := range slices.Chunk(records, recordsPerMessage) {
+		m.sendSync(to, &wire.Sync{Records: chunk})
+	}
+}
+
 // suspector is in whose name a suspicion is passed on.
 func (m *Machine) suspector(e *entry) string {
 	if e.suspicion == nil {
@@ -176,11 +181,3 @@
 	}
 	return d
 }
-
-func allBuckets() []uint32 {
-	all := make([]uint32, syncBuckets)
-	for i := range all {
-		all[i] = uint32(i)
-	}
-	return all
-}
