--- /dev/null
+++ b/test/burst_test.go
@@ -0,0 +1,130 @@
+package test
+
+import (
+	"context"
+	"fmt"
+	"testing"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	engine "github.com/lycheekeel/lycheekeel/internal/standin/engine"
+	"github.com/lycheekeel/lycheekeel/workspace"
+)
+
+// holderTokens makes an answer that outlasts every test: its caller leaves.
+const holderTokens = 4000
+
+// startHolders takes slots with answers that stream until their callers
+// leave, which cancel does.
+func (c *cluster) startHolders(n int) (s *streams, cancel context.CancelFunc) {
+	c.t.Helper()
+	s = &streams{}
+	ctx, cancel := context.WithCancel(c.t.Context())
+	for i := range n {
+		s.lanes.Go(func() {
+			hold := call{text: fmt.Sprintf("%s%d holder %d", engine.PrefixGenerate, holderTokens, i), stream: true, max: holderTokens, tier: "handover"}
+			hold.onFirst = func() { s.begun.Add(1) }
+			s.add(hold, chat(ctx, c.nodes[i%len(c.nodes)].callers.proxy.Addr(), hold))
+		})
+	}
+	c.t.Cleanup(func() { cancel(); s.lanes.Wait() })
+	eventually(c.t, "every slot is taken", func() bool { return int(s.begun.Load()) == n })
+	return s, cancel
+}
+
+// waiting returns how many requests wait at the pool's owner; tests use it to
+// order their steps, never for a verdict.
+func (c *cluster) waiting(pool string) int {
+	sum := 0
+	for _, n := range c.nodes {
+		for _, s := range c.status(n).Owned {
+			if s.Pool == pool {
+				for _, w := range s.Waiting {
+					sum += w
+				}
+			}
+		}
+	}
+	return sum
+}
+
+// sendAll sends a number of requests of one tier at the same time, one from
+// each of as many callers.
+func (c *cluster) sendAll(ctx context.Context, tier string, lane, n int) *streams {
+	s := &streams{}
+	for i := range n {
+		s.lanes.Go(func() {
+			r, _ := echoCall(lane, i, 3)
+			r.tier = tier
+			s.add(r, chat(ctx, c.nodes[i%len(c.nodes)].callers.proxy.Addr(), r))
+		})
+	}
+	return s
+}
+
+// Symptom: at dawn urgent requests are refused while tags are computed.
+// Sequence: the queue is full of low-tier requests and every slot is taken; a
+// burst of the highest tier comes in at all entries, larger than the queue.
+// Cause: who came first holds its place, or each entry sheds by what it sees.
+//
+// The check is sound from outside: slots are held until every refusal has
+// come, and all low-tier requests waited before the burst began. So one that
+// runs after all was waiting while a higher one was refused.
+func TestABurstAtDawn(t *testing.T) {
+	const slots, queue, burst = 4, 12, 40
+	c := newCluster(t, plan{nodes: 3, engines: 1, options: slowEngine, slots: slots})
+	Convey("no higher tier is shed while a lower one waits", t, func() {
+		c.awaitVersion(uint64(c.put(workspace.KindPool, testPool, workspace.Pool{
+			Name: testPool, Region: testRegion, Model: testModel, Version: "v1", MaxWaiting: queue,
+		})))
+		_, leave := c.startHolders(slots)
+		before := len(c.runs())
+		tags := c.sendAll(t.Context(), "tag", 1, queue)
+		eventually(t, "the queue is full of tags", func() bool { return c.waiting(testPool) == queue })
+		urgent := c.sendAll(t.Context(), "handover", 2, burst)
+		eventually(t, "what finds no place is refused", func() bool { return tags.count()+urgent.count() >= burst })
+		So(len(c.runs()), ShouldEqual, before) // every slot was held all the time
+		leave()
+		tags.lanes.Wait()
+		urgent.lanes.Wait()
+
+		whole, refused, broken := checkAnswers(t, c, urgent.all())
+		lowWhole, lowRefused, lowBroken := checkAnswers(t, c, tags.all())
+		t.Logf("urgent: %d whole, %v refused; tags: %d whole, %v refused", whole, refused, lowWhole, lowRefused)
+		So(broken+lowBroken, ShouldEqual, 0)
+		So(whole, ShouldEqual, queue)
+		So(refused, ShouldResemble, map[string]int{"shed": burst - queue})
+		So(lowWhole, ShouldEqual, 0)
+		So(lowRefused, ShouldResemble, map[string]int{"shed": queue})
+		for _, r := range append(urgent.all(), tags.all()...) {
+			So(r.answer.whole || r.answer.notRun == true, ShouldBeTrue)
+		}
+	})
+}
+
+// Symptom: some answers take ten times as long as the others.
+// Sequence: one of three engines falls to a tenth of its speed under load,
+// while its load reports lag and its cache events come late and with gaps.
+// Cause: requests are spread by count or by what a stale report says.
+func TestAStragglerWithLateAndMissingReports(t *testing.T) {
+	c := newCluster(t, plan{nodes: 3, engines: 3, options: slowEngine, slots: 6})
+	Convey("its share falls, and every caller gets its own whole answer", t, func() {
+		for i, e := range c.engines {
+			c.engineFaults(e, fmt.Sprintf(`{"report_lag_ms": 1500, "drop_events": %d}`, i+1))
+		}
+		l := startLoad(t.Context(), 16, 10, through(c.nodes))
+		eventually(t, "traffic flows", func() bool { return l.count() >= 100 })
+		slow := c.engines[0]
+		c.engineFaults(slow, `{"speed": 0.1}`)
+		at, ran, all := l.count(), len(c.runsOf(slow)), len(c.runs())
+		eventually(t, "traffic goes on", func() bool { return l.count() >= at+300 })
+		share := float64(len(c.runsOf(slow))-ran) / float64(len(c.runs())-all)
+		results := l.stop()
+		whole, refused, broken := checkAnswers(t, c, results)
+		t.Logf("the straggler's share of the runs: %.3f", share)
+		So(refused, ShouldBeEmpty)
+		So(broken, ShouldEqual, 0)
+		So(whole, ShouldEqual, len(results))
+		So(share, ShouldBeLessThan, 0.2) // a third before; by speed it would be 0.05
+	})
+}
