poolhost: a changed max_waiting or policy of a pool takes effect

Cause: a pool's scheduler took both from its first configuration and nobody told it of changes, so an accepted change was in force only after an owner change. Ruled out: the spread (the version was in force at all three daemons) and the bound itself (kept in the scheduler's own tests). Change: the bound is an event of its own; a changed policy makes a new scheduler, which takes over as a new owner does.

--- a/internal/poolhost/host.go
+++ b/internal/poolhost/host.go
@@ -159,6 +159,12 @@
 			r = lingering[name]
 			delete(lingering, name)
 		}
+		if r != nil && r.policy != p.Policy {
+			// A scheduler keeps its policy for life. A new one takes over as
+			// a new owner does: the entries enqueue again and report.
+			r.box.Post(closeMessage{})
+			r = nil
+		}
 		if r == nil {
 			logs.For("poolhost").WithField("pool", name).Info("Owns the pool now.")
 			r = newRuntime(h, p, h.aliveMembers())
@@ -221,7 +227,7 @@
 	h.state = reconciled{}
 }
 
-// configure gives the runtime the pool's servers.
+// configure gives the runtime the pool's servers and the bound of its queue.
 func (r *Runtime) configure(p *workspace.ResolvedPool) {
 	set := pool.ServerSet{Servers: make([]pool.ServerInfo, 0, len(p.Servers))}
 	for _, s := range p.Servers {
@@ -232,6 +238,7 @@
 	if snapshot := r.host.cfg.Snapshots.Load(); snapshot != nil {
 		r.siblings.Store(len(siblings(snapshot, p.Name)) > 0)
 	}
+	r.post(pool.QueueBound{MaxWaiting: p.MaxWaiting})
 	r.post(set)
 	r.monitor.configure(p)
 }
--- a/internal/poolhost/runtime.go
+++ b/internal/poolhost/runtime.go
@@ -15,10 +15,11 @@
 // Runtime runs one pool: one mailbox feeds its scheduler, so the scheduler is
 // used by one goroutine at a time. Its methods are safe for concurrent use.
 type Runtime struct {
-	host  *Host
-	name  string
-	epoch uint64
-	box   *mailbox.Mailbox[message]
+	host   *Host
+	name   string
+	policy string // of the scheduler
+	epoch  uint64
+	box    *mailbox.Mailbox[message]
 
 	// What follows is touched only by the mailbox's handler.
 	scheduler Scheduler
@@ -46,7 +47,7 @@
 
 func newRuntime(h *Host, p *workspace.ResolvedPool, members []string) *Runtime {
 	r := &Runtime{
-		host: h, name: p.Name, epoch: rand.Uint64(), entries: map[pool.EntryID]*entry{}, members: members,
+		host: h, name: p.Name, policy: p.Policy, epoch: rand.Uint64(), entries: map[pool.EntryID]*entry{}, members: members,
 		settling: settling{started: h.cfg.Now()},
 	}
 	r.scheduler = h.cfg.NewScheduler(p, r.epoch)
--- a/pool/config.go
+++ b/pool/config.go
@@ -16,7 +16,8 @@
 	defaultVerdict    = 10 * time.Minute
 )
 
-// Config is what a pool needs to know at its start. It doesn't change.
+// Config is what a pool needs to know at its start. Only MaxWaiting changes
+// later, by QueueBound.
 type Config struct {
 	// Name is the pool's name, Policy how it schedules; empty means
 	// PolicyLycheekeel.
--- a/pool/messages.go
+++ b/pool/messages.go
@@ -150,6 +150,10 @@
 // its running requests are counted until released.
 type ServerSet struct{ Servers []ServerInfo }
 
+// QueueBound changes how many requests may wait; 0 means the default. A lower
+// bound evicts what waits above it, lowest tier first.
+type QueueBound struct{ MaxWaiting int }
+
 // Health is a server's state as its owner's monitor sees it.
 type Health uint8
 
@@ -221,6 +225,7 @@
 func (EntryReported) event() {}
 func (EntrySet) event()      {}
 func (ServerSet) event()     {}
+func (QueueBound) event()    {}
 func (ServerHealth) event()  {}
 func (ServerLoad) event()    {}
 func (ServerCache) event()   {}
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -1,6 +1,7 @@
 package pool
 
 import (
+	"cmp"
 	"math/rand/v2"
 	"time"
 
@@ -112,6 +113,8 @@
 		p.setEntries(e)
 	case ServerSet:
 		p.setServers(e)
+	case QueueBound:
+		p.cfg.MaxWaiting = cmp.Or(e.MaxWaiting, defaultMaxWaiting)
 	case ServerHealth:
 		p.setHealth(e)
 	case ServerLoad:
--- a/test/burst_test.go
+++ b/test/burst_test.go
@@ -71,37 +71,64 @@
 // come, and all low-tier requests waited before the burst began. So one that
 // runs after all was waiting while a higher one was refused.
 func TestABurstAtDawn(t *testing.T) {
-	const slots, queue, burst = 4, 12, 40
-	c := newCluster(t, plan{nodes: 3, engines: 1, options: slowEngine, slots: slots})
+	c := newCluster(t, plan{nodes: 3, engines: 1, options: slowEngine, slots: burstSlots})
 	Convey("no higher tier is shed while a lower one waits", t, func() {
-		c.awaitVersion(uint64(c.put(workspace.KindPool, testPool, workspace.Pool{
-			Name: testPool, Region: testRegion, Model: testModel, Version: "v1", MaxWaiting: queue,
-		})))
-		_, leave := c.startHolders(slots)
-		before := len(c.runs())
-		tags := c.sendAll(t.Context(), "tag", 1, queue)
-		eventually(t, "the queue is full of tags", func() bool { return c.waiting(testPool) == queue })
-		urgent := c.sendAll(t.Context(), "handover", 2, burst)
-		eventually(t, "what finds no place is refused", func() bool { return tags.count()+urgent.count() >= burst })
-		So(len(c.runs()), ShouldEqual, before) // every slot was held all the time
-		leave()
-		tags.lanes.Wait()
-		urgent.lanes.Wait()
-
-		whole, refused, broken := checkAnswers(t, c, urgent.all())
-		lowWhole, lowRefused, lowBroken := checkAnswers(t, c, tags.all())
-		t.Logf("urgent: %d whole, %v refused; tags: %d whole, %v refused", whole, refused, lowWhole, lowRefused)
-		So(broken+lowBroken, ShouldEqual, 0)
-		So(whole, ShouldEqual, queue)
-		So(refused, ShouldResemble, map[string]int{"shed": burst - queue})
-		So(lowWhole, ShouldEqual, 0)
-		So(lowRefused, ShouldResemble, map[string]int{"shed": queue})
-		for _, r := range append(urgent.all(), tags.all()...) {
-			So(r.answer.whole || r.answer.notRun == true, ShouldBeTrue)
-		}
+		urgent, tags := c.burst("")
+		So(urgent.whole, ShouldEqual, burstQueue)
+		So(urgent.refused, ShouldResemble, map[string]int{"shed": burstSize - burstQueue})
+		So(tags.whole, ShouldEqual, 0)
+		So(tags.refused, ShouldResemble, map[string]int{"shed": burstQueue})
+	})
+	// Symptom: an accepted change of a pool's policy changes nothing.
+	// Sequence: the policy of a pool in use is changed to first come, first
+	// served; then the same burst comes.
+	// Cause: a scheduler keeps the policy that it was made with.
+	Convey("a changed policy is in force: who came first keeps its place", t, func() {
+		urgent, tags := c.burst("fifo")
+		So(tags.whole, ShouldEqual, burstQueue)
+		So(tags.refused, ShouldBeEmpty)
+		So(urgent.whole, ShouldEqual, 0)
+		So(urgent.refused, ShouldResemble, map[string]int{"shed": burstSize})
 	})
 }
 
+const burstSlots, burstQueue, burstSize = 4, 12, 40
+
+// outcome is what callers got.
+type outcome struct {
+	whole   int
+	refused map[string]int
+}
+
+// burst fills the queue with tags while every slot is held, sends a burst of
+// the highest tier, and frees the slots once all that found no place were
+// refused.
+func (c *cluster) burst(policy string) (urgent, tags outcome) {
+	c.awaitVersion(uint64(c.put(workspace.KindPool, testPool, workspace.Pool{
+		Name: testPool, Region: testRegion, Model: testModel, Version: "v1", MaxWaiting: burstQueue, Policy: policy,
+	})))
+	_, leave := c.startHolders(burstSlots)
+	before := len(c.runs())
+	low := c.sendAll(c.t.Context(), "tag", 1, burstQueue)
+	eventually(c.t, "the queue is full of tags", func() bool { return c.waiting(testPool) == burstQueue })
+	high := c.sendAll(c.t.Context(), "handover", 2, burstSize)
+	eventually(c.t, "what finds no place is refused", func() bool { return low.count()+high.count() >= burstSize })
+	So(len(c.runs()), ShouldEqual, before) // every slot was held all the time
+	leave()
+	low.lanes.Wait()
+	high.lanes.Wait()
+	for _, r := range append(high.all(), low.all()...) {
+		So(r.answer.whole || r.answer.notRun == true, ShouldBeTrue)
+	}
+	return c.outcomeOf(high), c.outcomeOf(low)
+}
+
+func (c *cluster) outcomeOf(s *streams) outcome {
+	whole, refused, broken := checkAnswers(c.t, c, s.all())
+	So(broken, ShouldEqual, 0)
+	return outcome{whole, refused}
+}
+
 // Symptom: some answers take ten times as long as the others.
 // Sequence: one of three engines falls to a tenth of its speed under load,
 // while its load reports lag and its cache events come late and with gaps.
