broker: move at once from an owner that never answered

Hellos to an owner that is too busy to answer within 400 ms displaced one another; the wait now doubles up to 3.2 s. So that this never delays a new owner, an entry that waits for an answer moves as soon as membership names another one; a test has an owner vanish for 1 s and for 3.2 s and wants everything at the new one within a second. Grant numbers are remembered over sessions that never opened. Moves that were planned no longer count as lost sessions.

--- a/broker/entry.go
+++ b/broker/entry.go
@@ -21,8 +21,10 @@
 	// degradedAfter is how long a pool's owner may be out of reach before the
 	// entry serves waiting requests on its own share of the slots.
 	degradedAfter = 1500 * time.Millisecond
-	// openTimeout is how long an answer to a hello is waited for.
-	openTimeout = 400 * time.Millisecond
+	// openTimeout is how long an answer to a hello is waited for at first; it
+	// doubles up to maxDoublings times.
+	openTimeout  = 400 * time.Millisecond
+	maxDoublings = 3
 	// retryEvery is how soon a failed hello is tried again.
 	retryEvery = 100 * time.Millisecond
 	// idleAfter is how long a session without requests stays open.
--- a/broker/failure_test.go
+++ b/broker/failure_test.go
@@ -167,6 +167,32 @@
 	}
 }
 
+// Symptom: waiting requests stand still though a new owner is there.
+// Sequence: the owner's VM vanishes without a word, so that hellos to it get
+// no answer and the pauses between them grow; then membership names another.
+// Cause: an entry that waits for the old one's answer must not wait it out.
+func TestOwnerVanishes(t *testing.T) {
+	for name, silent := range map[string]time.Duration{"1 s": time.Second, "3.2 s": 3200 * time.Millisecond} {
+		Convey("Given an owner that has not answered for "+name, t, func() {
+			w := newWorld(1, "a", "b", "c")
+			w.advance(time.Second)
+			gone := w.owner()
+			gone.frozen = true
+			n := w.other()
+			for range 3 {
+				n.begin(1, time.Hour)
+			}
+			w.advance(silent)
+			for _, name := range w.without(gone) {
+				w.nodes[name].setMembers(w.without(gone)...)
+			}
+			w.advance(time.Second)
+			So(w.owner().host.Summaries()[0].Running, ShouldEqual, 2)
+			So(w.owner().host.Summaries()[0].Waiting[1], ShouldEqual, 1)
+		})
+	}
+}
+
 // Symptom: for a while each server gets twice its load.
 // Sequence: the owner's VM is paused; another owner takes over; the old one
 // goes on with its old queue and what its connections had buffered.
--- a/broker/link.go
+++ b/broker/link.go
@@ -41,10 +41,12 @@
 	// without is since when requests have had no open session; retryAt is
 	// when a hello may be sent again; announced asks for a session although
 	// nothing waits or runs.
-	without   time.Time
-	retryAt   time.Time
-	busyAt    time.Time
-	announced bool
+	without time.Time
+	retryAt time.Time
+	busyAt  time.Time
+	// unanswered counts the hellos in a row that got no answer in time.
+	unanswered int
+	announced  bool
 	// ownerView is the view by which ownerName was found.
 	ownerView *member.View
 	ownerName string
--- a/broker/owner.go
+++ b/broker/owner.go
@@ -32,8 +32,8 @@
 
 // localOwner is this daemon.
 type localOwner struct {
-	host  *poolhost.Host
-	reply poolhost.Reply
+	host *poolhost.Host
+	link *link
 }
 
 func (o localOwner) hello(h poolwire.Hello) error {
@@ -48,10 +48,15 @@
 
 func (o localOwner) name() string { return o.host.Config().Self }
 
+func (o localOwner) reply(b poolwire.Commands) error {
+	o.link.box.Post(commandsMessage{b, o})
+	return nil
+}
+
 // shareOwner is this daemon's share of the pool in degraded mode.
 type shareOwner struct {
 	share *poolhost.Share
-	reply poolhost.Reply
+	link  *link
 }
 
 func (o shareOwner) hello(h poolwire.Hello) error {
@@ -65,3 +70,8 @@
 }
 
 func (o shareOwner) name() string { return "" }
+
+func (o shareOwner) reply(b poolwire.Commands) error {
+	o.link.box.Post(commandsMessage{b, o})
+	return nil
+}
--- a/broker/session.go
+++ b/broker/session.go
@@ -70,7 +70,7 @@
 	}
 	o := l.findOwner()
 	if l.share != nil {
-		o = l.shareOwner()
+		o = shareOwner{l.share, l}
 	} else {
 		l.probe = session{} // two hellos to one owner would reset each other
 	}
@@ -93,6 +93,13 @@
 	}
 }
 
+// patience returns how long an answer to the last hello is waited for. It
+// doubles with each hello without an answer: an owner so busy that it takes
+// longer would otherwise get a new hello each time before it accepts the last.
+func (l *link) patience() time.Duration {
+	return openTimeout << min(l.unanswered, maxDoublings)
+}
+
 // findOwner returns the way to the pool's owner as membership has it, or nil.
 func (l *link) findOwner() owner {
 	name, ok := l.entry.host.Owner(l.pool, l.entry.cfg.Region)
@@ -100,9 +107,7 @@
 	case !ok:
 		return nil
 	case name == l.entry.cfg.Self:
-		o := localOwner{host: l.entry.host}
-		o.reply = l.receiver(func() owner { return o })
-		return o
+		return localOwner{l.entry.host, l}
 	case l.entry.cfg.Transport == nil:
 		return nil
 	default:
@@ -110,21 +115,6 @@
 	}
 }
 
-// shareOwner returns the way to this entry's share in degraded mode.
-func (l *link) shareOwner() owner {
-	o := shareOwner{share: l.share}
-	o.reply = l.receiver(func() owner { return o })
-	return o
-}
-
-// receiver returns the way back from an owner in this process.
-func (l *link) receiver(from func() owner) poolhost.Reply {
-	return func(b poolwire.Commands) error {
-		l.box.Post(commandsMessage{b, from()})
-		return nil
-	}
-}
-
 // accepted opens the session and tells the owner everything this entry has in
 // the pool: releases it may not have got, what runs, what waits.
 func (l *link) accepted(b poolwire.Commands) {
@@ -137,6 +127,7 @@
 		s.lastGrant = l.lastGrant
 	}
 	l.without = time.Time{}
+	l.unanswered = 0
 	l.announced = false
 	l.busyAt = l.now
 	l.entry.count.opened.Add(1)
@@ -172,6 +163,9 @@
 
 // lose ends the session and tries to open the next one after wait.
 func (l *link) lose(wait time.Duration) {
+	if l.session.open() {
+		l.entry.count.lost.Add(1)
+	}
 	l.end()
 	l.retryAt = l.now.Add(wait)
 	if l.needed() {
@@ -183,7 +177,7 @@
 // to the next session, as do releases that the owner may not have got.
 func (l *link) end() {
 	if l.session.open() {
-		l.entry.count.lost.Add(1)
+		l.lastEpoch, l.lastGrant = l.session.epoch, l.session.lastGrant
 	}
 	for _, ev := range l.out {
 		if r, ok := ev.(pool.Release); ok {
@@ -192,7 +186,6 @@
 	}
 	l.out = nil
 	l.session.state = sessionClosed
-	l.lastEpoch, l.lastGrant = l.session.epoch, l.session.lastGrant
 	if l.without.IsZero() {
 		l.without = l.now
 	}
--- a/broker/tick.go
+++ b/broker/tick.go
@@ -14,7 +14,7 @@
 	l.expire()
 	l.requeue()
 	l.checkSession()
-	if l.share != nil || l.session.open() && l.ownerMoved() {
+	if l.share != nil || l.session.open() && l.movedFrom(l.session.owner) {
 		l.lookForOwner()
 	}
 	if !l.session.open() && l.needed() {
@@ -42,7 +42,10 @@
 func (l *link) checkSession() {
 	s := &l.session
 	switch {
-	case s.state == sessionOpening && l.now.Sub(s.started) >= openTimeout:
+	case s.state == sessionOpening && l.now.Sub(s.started) >= l.patience():
+		l.unanswered++
+		l.lose(0)
+	case s.state == sessionOpening && l.share == nil && l.movedFrom(s.owner):
 		l.lose(0)
 	case s.state == sessionClosed || s.state == sessionOpening:
 	case l.now.Sub(s.heard) > poolhost.SilentAfter:
@@ -73,9 +76,9 @@
 	}
 }
 
-// ownerMoved tells whether membership names another owner than the session's.
-// Where it names none, the session is kept while it lives.
-func (l *link) ownerMoved() bool {
+// movedFrom tells whether membership names another owner than o. Where it
+// names none, a session is kept while it lives.
+func (l *link) movedFrom(o owner) bool {
 	if l.entry.cfg.Views == nil {
 		return false
 	}
@@ -83,7 +86,7 @@
 		l.ownerView = view
 		l.ownerName, _ = l.entry.host.Owner(l.pool, l.entry.cfg.Region)
 	}
-	return l.ownerName != "" && l.ownerName != l.session.owner.name()
+	return l.ownerName != "" && l.ownerName != o.name()
 }
 
 // closeSession tells the owner that this entry has left.
@@ -104,7 +107,7 @@
 	}
 	l.entry.count.degradedEntered.Add(1)
 	l.share = l.entry.host.OpenShare(snapshot.Pools[l.pool])
-	l.start(&l.session, l.shareOwner())
+	l.start(&l.session, shareOwner{l.share, l})
 }
 
 // lookForOwner sends hellos to the pool's owner while another one, or a share
@@ -112,12 +115,15 @@
 // yet that it is one; until it accepts, the old one serves on.
 func (l *link) lookForOwner() {
 	wait := retryEvery
-	if l.probe.state != sessionClosed {
-		wait = openTimeout
+	if l.probe.state != sessionClosed && !l.movedFrom(l.probe.owner) {
+		wait = l.patience()
 	}
 	if l.now.Sub(l.probe.started) < wait {
 		return
 	}
+	if l.probe.state != sessionClosed {
+		l.unanswered++
+	}
 	if o := l.findOwner(); o != nil {
 		l.start(&l.probe, o)
 	}
