pool: long prompts don't starve for memory

Where memory binds, what came free went to smaller requests each time, and a long prompt of the top tier could expire while tags of a lower one were served. After half a second at the head of its tier without any server having memory for it, nothing else is granted until one has. The test fails without that.

--- a/pool/pool.go
+++ b/pool/pool.go
@@ -16,7 +16,7 @@
 
 // TickInterval is how often a pool should be sent a Tick at the least. Held
 // requests, probes and expiry are as exact as the ticks.
-const TickInterval = 20 * time.Millisecond
+const TickInterval = 25 * time.Millisecond
 
 // Pool is one pool's scheduler. It is not safe for concurrent use. Equal
 // configurations and equal events give equal commands.
--- a/pool/scenario_test.go
+++ b/pool/scenario_test.go
@@ -336,6 +336,45 @@
 	})
 }
 
+// Symptom: long prompts expire while tags are served.
+// Sequence: memory comes free in small pieces, each taken at once by a tag.
+// Cause: only small requests ever fit.
+func TestLongPromptsDoNotStarve(t *testing.T) {
+	Convey("A request that fits nowhere lets smaller ones go first for a moment only", t, func() {
+		r := newRig(Config{}, servers(1, 50)...)
+		r.servers["s0"].kv = 10_000
+		var running []Grant
+		small := func(i int) []Command {
+			e := ask(fmt.Sprint("small", i), 1)
+			e.PromptTokens = 900
+			return r.send(e)
+		}
+		begin := func(out []Command) {
+			for _, g := range grants(out) {
+				running = append(running, g)
+				r.send(Progress{Request: g.Request, Grant: g.Grant, FirstToken: 50 * time.Millisecond, Tokens: 1})
+			}
+		}
+		for i := range 9 {
+			begin(small(i))
+		}
+		So(len(running), ShouldEqual, 9)
+		big := ask("big", 0)
+		big.PromptTokens, big.FirstTokenIn = 8000, 30*time.Second
+		So(grants(r.send(big)), ShouldBeEmpty)
+		done := false
+		for i := 9; i < 60 && !done; i++ {
+			r.pass(100 * time.Millisecond)
+			out := r.end(running[0], OutcomeCanceled)
+			running = running[1:]
+			begin(append(out, small(i)...))
+			done = len(running) > 0 && running[len(running)-1].Request == "big"
+			So(len(running), ShouldBeGreaterThan, 0)
+		}
+		So(done, ShouldBeTrue)
+	})
+}
+
 func TestHeadroom(t *testing.T) {
 	Convey("After a burst of a higher tier lower ones leave slots free for the next", t, func() {
 		r := newRig(Config{}, servers(1, 20)...)
--- a/pool/schedule.go
+++ b/pool/schedule.go
@@ -25,6 +25,9 @@
 	// passSlack is what the head must have left, beyond its own first token,
 	// to be passed.
 	passSlack = 200 * time.Millisecond
+	// starveAfter is how long smaller requests may go before one for which no
+	// server has memory.
+	starveAfter = 500 * time.Millisecond
 	// passCrowd is how many waiting requests of a tier lift that condition:
 	// some of them will be late anyway, and computing cold prompts for those
 	// that are due next makes more of them late.
@@ -62,11 +65,11 @@
 			return false
 		}
 		w, o := p.pickLive(t, servers)
-		if w == nil {
+		if w == nil && !p.starves(t) {
 			w, o = p.pickLate(t, servers)
 		}
 		if w == nil {
-			return true
+			return !p.starves(t)
 		}
 		p.grant(w, o)
 	}
@@ -92,6 +95,8 @@
 			budget -= len(servers)
 			o, g, ok := p.best(w, servers)
 			switch {
+			case !ok && i == 0 && p.starves(t):
+				return nil, option{}
 			case !ok:
 				continue // no server has room for it now
 			case g == tooLate && p.hopeless(w):
@@ -112,6 +117,24 @@
 	}
 }
 
+// starves tells whether a tier's head has waited too long while no server has
+// memory for it. Then nothing else is granted, until one has: smaller requests
+// would take what comes free each time, and one would see long prompts expire
+// while tags are served.
+func (p *Pool) starves(t request.Tier) bool {
+	head := p.queue.Head(t, tier.Live)
+	if head == nil || p.now.Sub(head.Value.since) < starveAfter {
+		return false
+	}
+	w := head.Value
+	for _, s := range p.order {
+		if s.ready && s.fits(w.PromptTokens+w.length.High) {
+			return false
+		}
+	}
+	return true
+}
+
 // pickLate returns the late request to be granted, with its option: the first
 // for which a server has room or, since none of them can meet its target any
 // more, one near it whose prefix is warm there.
--- a/pool/score/speed.go
+++ b/pool/score/speed.go
@@ -151,10 +151,6 @@
 	s.seen++
 }
 
-// Slowdown is how many times slower than its peers the server has been of
-// late; 1 is alike.
-func (s *Speed) Slowdown() float64 { return s.slow }
-
 // Straggler tells whether the server is a straggler now, given whether it was.
 func (s *Speed) Straggler(was bool) bool {
 	s.was = s.seen >= slowSamples && s.slow > slowBound || was && s.slow > fineBound
--- a/pool/suspect/suspect.go
+++ b/pool/suspect/suspect.go
@@ -116,6 +116,3 @@
 	}
 	r.known.Add(fingerprint, record{s, expires})
 }
-
-// Len returns how many fingerprints are remembered.
-func (r *Register) Len() int { return r.known.Len() }
--- a/pool/waiter.go
+++ b/pool/waiter.go
@@ -21,8 +21,9 @@
 	length     estimate.Length
 	firstToken time.Time // when its first token is due; zero: no target
 	deadline   time.Time
-	passed     int  // times that another went first for its prefix
-	alone      bool // a suspect: it waits in Pool.isolated
+	since      time.Time // in this pool
+	passed     int       // times that another went first for its prefix
+	alone      bool      // a suspect: it waits in Pool.isolated
 
 	heldFor   *server
 	heldUntil time.Time
@@ -69,6 +70,7 @@
 		Enqueue:  e,
 		mix:      estimate.Mix{Workspace: e.Workspace, Template: e.Template, Model: e.Model},
 		deadline: p.now.Add(e.DeadlineIn),
+		since:    p.now,
 	}
 	if e.FirstTokenIn != 0 {
 		w.firstToken = p.now.Add(e.FirstTokenIn)
