pool: a second crash of a server within seconds is one of its own

Cause: signs of a crash within 5 s count as one, so a suspect that ran alone on the server that it had just crashed, and crashed it again 1.5 s later, was not convicted; the emptiest server is mostly that one. Ruled out: missed reports (each run was reported as crashed) and clearance. Change: once the server was seen to run again, the loss of a run granted since then, or another incarnation, is a new crash; a suspect is not sent to a server whose restart was not seen yet.

--- a/pool/crash.go
+++ b/pool/crash.go
@@ -94,11 +94,14 @@
 	p.admit(w)
 }
 
-// emptiest returns the server with the least running, for a suspect.
+// emptiest returns the server with the least running, for a suspect. Where a
+// server has just crashed and was not seen to run since, another crash could
+// not be told from the last one, and would convict nobody.
 func (p *Pool) emptiest() *server {
 	var best *server
 	for _, s := range p.order {
-		if p.up(s) && (best == nil || len(s.running) < len(best.running)) {
+		unclear := !s.crashed.IsZero() && s.back.IsZero() && p.now.Sub(s.crashed) <= oneCrash
+		if p.up(s) && !unclear && (best == nil || len(s.running) < len(best.running)) {
 			best = s
 		}
 	}
@@ -127,13 +130,15 @@
 // serverCrashed makes a suspect of every request that ran on a server when it
 // crashed; one that ran alone as a suspect is convicted. A crash shows several
 // times: at each of its runs' entries and at the monitor. Signs within a short
-// time are one crash; a run that began after the first sign had no part in it.
+// time are one crash; a run that began after the first sign had no part in it,
+// unless the server was seen to run again before: then it crashed again.
 func (p *Pool) serverCrashed(s *server, first *run) {
 	if p.plain() {
 		return
 	}
-	if s.crashed.IsZero() || p.now.Sub(s.crashed) > oneCrash {
-		s.crashed = p.now
+	again := first != nil && !s.back.IsZero() && !first.since.Before(s.back)
+	if s.crashed.IsZero() || p.now.Sub(s.crashed) > oneCrash || again {
+		s.crashed, s.back = p.now, time.Time{}
 		p.leaveAlone(s)
 		p.forgetCache(s)
 	}
--- a/pool/server.go
+++ b/pool/server.go
@@ -51,6 +51,7 @@
 	pausedTill  time.Time
 	pause       time.Duration
 	crashed     time.Time // the last crash
+	back        time.Time // when it was first seen to run after that; zero: not yet
 	lost        []*run    // released as broken of late
 }
 
@@ -145,11 +146,17 @@
 		s.incarnation = e.Incarnation
 	}
 	if restarted || e.Health == HealthGone && was != HealthGone {
+		if restarted && !s.back.IsZero() {
+			s.crashed = time.Time{} // it was seen to run since that crash
+		}
 		p.serverCrashed(s, nil)
 	}
 	if restarted {
 		p.forgetCache(s)
 	}
+	if restarted || e.Health == HealthUp && was == HealthGone {
+		s.back = p.now
+	}
 	if e.Health == HealthUp && was == HealthGone {
 		s.pausedTill, s.pause = time.Time{}, 0
 	}
--- a/test/crash_test.go
+++ b/test/crash_test.go
@@ -3,6 +3,7 @@
 import (
 	"net/http"
 	"testing"
+	"time"
 
 	. "github.com/smartystreets/goconvey/convey"
 
@@ -35,10 +36,11 @@
 		l := startLoad(t.Context(), 6, 10, through(c.nodes))
 		eventually(t, "traffic flows", func() bool { return l.count() >= 30 })
 		ids := map[string]bool{}
-		sent := 0
+		sent, started := 0, time.Now()
 		eventually(t, "the request is convicted", func() bool {
 			a := chat(t.Context(), c.nodes[sent%3].callers.proxy.Addr(), call{text: "a deadly snag list", tier: "handover"})
 			sent++
+			t.Logf("sending %d: %d %s after %v, not_run %v, %v", sent, a.status, a.code, time.Since(started), a.notRun, a.err)
 			ids[a.requestID] = true
 			return a.code == "convicted"
 		})
