entry: sharpen two tests that mutations survived

Of 13 mutations of the entry, two survived: a refusal that leaves the body unread, since a body just over the limit fits the sockets' buffers, and a watch that consumes what it peeks at, since both pipelined requests arrived in one read.

--- a/internal/entry/input_test.go
+++ b/internal/entry/input_test.go
@@ -57,6 +57,8 @@
 		{"max_tokens of a fraction", chat, strings.Replace(good, "{", `{"max_tokens":1.5,`, 1), nil, request.ReasonBadRequest},
 		{"two answers", chat, strings.Replace(good, "{", `{"n":2,`, 1), nil, request.ReasonBadRequest},
 		{"over 1 MiB", chat, `{"model":"` + strings.Repeat("x", 1<<20) + `"}`, nil, request.ReasonBodyTooLarge},
+		{"far over the limit", chat, strings.Repeat("x", 12<<20), nil, request.ReasonBodyTooLarge},
+		{"long and unknown key", chat, strings.Repeat("x", 12<<20), []string{"Authorization", ""}, request.ReasonUnauthorized},
 		{"unknown model", chat, string(chatBody("nobody", "x", false)), nil, request.ReasonUnknownModel},
 		{"model without servers", chat, string(chatBody("nowhere", "x", false)), nil, request.ReasonNoServer},
 		{"unknown key", chat, good, []string{"Authorization", "Bearer nobody"}, request.ReasonUnauthorized},
