entry: a typed refusal for connections over the bound

The HTTP server answered connections over its bound with a plain text and no counter. The listener bounds them now, tells the caller too_many_connections with Retry-After, counts it, and reads what the caller sends meanwhile, so that a reset does not overtake the answer.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -125,6 +125,9 @@
 // buffer that each active connection has.
 const headerBytes = 4 << 10
 
+// spareConnections keeps the HTTP server's own bound out of reach.
+const spareConnections = 1024
+
 // New returns an entry that does not listen yet.
 func New(d Deps, l Limits) *Entry {
 	e := &Entry{deps: d, limits: l.withDefaults(), log: logs.For("entry")}
@@ -140,7 +143,7 @@
 		ReadBufferSize:    headerBytes,
 		ReadTimeout:       e.limits.ReadTimeout,
 		IdleTimeout:       e.limits.IdleTimeout,
-		Concurrency:       e.limits.MaxConnections,
+		Concurrency:       e.limits.MaxConnections + spareConnections,
 		ReduceMemoryUsage: true,
 		ErrorHandler:      e.httpError,
 	})
@@ -152,7 +155,7 @@
 
 // Serve serves callers on ln until Shutdown. It returns nil after one.
 func (e *Entry) Serve(ln net.Listener) error {
-	err := e.app.Listener(ln, fiber.ListenConfig{DisableStartupMessage: true})
+	err := e.app.Listener(&boundedListener{Listener: ln, entry: e}, fiber.ListenConfig{DisableStartupMessage: true})
 	return errors.Wrap(err, "serve callers")
 }
 
--- a/internal/entry/input_test.go
+++ b/internal/entry/input_test.go
@@ -160,6 +160,31 @@
 	})
 }
 
+// Symptom: an entry runs out of file descriptors and accepts nobody.
+// Sequence: callers open connections and keep them.
+// Cause: connections without a bound.
+func TestConnectionsAreBounded(t *testing.T) {
+	Convey("A connection over the bound gets a typed refusal, and a freed place is used again", t, func() {
+		r := newRig(t, standin.Options{}, Limits{MaxConnections: 2}, patient)
+		first, second := r.dial(), r.dial()
+		defer second.Close()
+		r.eventually("both are open", func() bool { return r.entry.app.Server().GetOpenConnectionsCount() == 2 })
+		body := string(chatBody(testModel, "echo:x", false))
+		text := fmt.Sprintf("%sConnection: close\r\nContent-Length: %d\r\n\r\n%s", head, len(body), body)
+		resp, answer := r.raw(text)
+		code, notRun := refusalOf(answer)
+		So(code, ShouldEqual, string(request.ReasonTooManyConnections))
+		So(notRun, ShouldEqual, true)
+		So(resp.Header.Get("Retry-After"), ShouldNotBeEmpty)
+		So(r.counter(groupRefusals, code), ShouldEqual, 1)
+		So(first.Close(), ShouldBeNil)
+		r.eventually("a place is free", func() bool {
+			resp, _ := r.raw(text)
+			return resp.StatusCode == http.StatusOK
+		})
+	})
+}
+
 func TestEveryReasonHasItsCounterAndStatus(t *testing.T) {
 	Convey("Each refusal reason has a counter from the start, a type, a status and its line for operators", t, func() {
 		r := newRig(t, standin.Options{}, Limits{}, patient)
--- /dev/null
+++ b/internal/entry/listener.go
@@ -0,0 +1,82 @@
+package entry
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/lycheekeel/lycheekeel/request"
+)
+
+// Bounds of telling a caller that there are too many connections.
+const (
+	lingerTime  = time.Second
+	lingerBytes = 64 << 10
+	lingerMax   = 256 // at once; further ones are closed without a word
+)
+
+// boundedListener bounds the open connections. The HTTP server's own bound
+// answers with a plain text that no counter shows.
+type boundedListener struct {
+	net.Listener
+	entry     *Entry
+	open      atomic.Int64
+	lingering atomic.Int64
+}
+
+// Accept implements net.Listener.
+func (l *boundedListener) Accept() (net.Conn, error) {
+	for {
+		conn, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		tcp, ok := conn.(*net.TCPConn)
+		if !ok {
+			return conn, nil
+		}
+		if l.open.Add(1) <= int64(l.entry.limits.MaxConnections) {
+			return &boundedConn{TCPConn: tcp, open: &l.open}, nil
+		}
+		l.open.Add(-1)
+		l.refuse(tcp)
+	}
+}
+
+// refuse tells a caller that there are too many connections. It reads what the
+// caller sends meanwhile: otherwise a reset overtakes the answer.
+func (l *boundedListener) refuse(conn *net.TCPConn) {
+	l.entry.counters.refusal(request.ReasonTooManyConnections)
+	if l.lingering.Add(1) > lingerMax {
+		l.lingering.Add(-1)
+		_ = conn.Close()
+		return
+	}
+	go func() {
+		defer l.lingering.Add(-1)
+		defer conn.Close()
+		_ = conn.SetDeadline(time.Now().Add(lingerTime))
+		r := request.Refuse(request.ReasonTooManyConnections, "too many open connections here")
+		body := refusalJSON(r)
+		_, _ = fmt.Fprintf(conn, "HTTP/1.1 %d Service Unavailable\r\nContent-Type: %s\r\nContent-Length: %d\r\n"+
+			"Retry-After: %d\r\nConnection: close\r\n\r\n%s", r.Reason.Status(), contentJSON, len(body), retrySeconds(r), body)
+		_ = conn.CloseWrite()
+		_, _ = io.CopyN(io.Discard, conn, lingerBytes)
+	}()
+}
+
+// boundedConn counts itself out when it is closed.
+type boundedConn struct {
+	*net.TCPConn
+	open   *atomic.Int64
+	closed sync.Once
+}
+
+// Close implements net.Conn.
+func (c *boundedConn) Close() error {
+	c.closed.Do(func() { c.open.Add(-1) })
+	return c.TCPConn.Close()
+}
--- a/internal/entry/refuse.go
+++ b/internal/entry/refuse.go
@@ -40,19 +40,20 @@
 // retryAfter holds, for reasons where to come back helps, when to do so if
 // nothing better is known.
 var retryAfter = map[request.Reason]time.Duration{
-	request.ReasonShed:              2 * time.Second,
-	request.ReasonWorkspaceLimit:    2 * time.Second,
-	request.ReasonEntryMemory:       2 * time.Second,
-	request.ReasonExpired:           2 * time.Second,
-	request.ReasonNoServer:          3 * time.Second,
-	request.ReasonNoOwner:           3 * time.Second,
-	request.ReasonNoConfiguration:   3 * time.Second,
-	request.ReasonSuspectBusy:       3 * time.Second,
-	request.ReasonClaimInProgress:   3 * time.Second,
-	request.ReasonStoreUnavailable:  5 * time.Second,
-	request.ReasonEngineRefused:     time.Second,
-	request.ReasonEngineUnreachable: 2 * time.Second,
-	request.ReasonShuttingDown:      time.Second,
+	request.ReasonShed:               2 * time.Second,
+	request.ReasonWorkspaceLimit:     2 * time.Second,
+	request.ReasonEntryMemory:        2 * time.Second,
+	request.ReasonTooManyConnections: 2 * time.Second,
+	request.ReasonExpired:            2 * time.Second,
+	request.ReasonNoServer:           3 * time.Second,
+	request.ReasonNoOwner:            3 * time.Second,
+	request.ReasonNoConfiguration:    3 * time.Second,
+	request.ReasonSuspectBusy:        3 * time.Second,
+	request.ReasonClaimInProgress:    3 * time.Second,
+	request.ReasonStoreUnavailable:   5 * time.Second,
+	request.ReasonEngineRefused:      time.Second,
+	request.ReasonEngineUnreachable:  2 * time.Second,
+	request.ReasonShuttingDown:       time.Second,
 }
 
 // errorType returns the type that goes with a reason's status.
--- a/request/refusal.go
+++ b/request/refusal.go
@@ -38,74 +38,77 @@
 
 // The refusal reasons.
 const (
-	ReasonBadRequest        Reason = "bad_request"
-	ReasonBodyTooLarge      Reason = "body_too_large"
-	ReasonReadTimeout       Reason = "read_timeout"
-	ReasonUnknownPath       Reason = "unknown_path"
-	ReasonUnauthorized      Reason = "unauthorized"
-	ReasonUnknownModel      Reason = "unknown_model"
-	ReasonUnknownService    Reason = "unknown_service"
-	ReasonTierNotAllowed    Reason = "tier_not_allowed"
-	ReasonDeadlineInvalid   Reason = "deadline_invalid"
-	ReasonNoConfiguration   Reason = "no_configuration"
-	ReasonShed              Reason = "shed"
-	ReasonWorkspaceLimit    Reason = "workspace_limit"
-	ReasonEntryMemory       Reason = "entry_memory"
-	ReasonExpired           Reason = "expired"
-	ReasonNoServer          Reason = "no_server"
-	ReasonNoOwner           Reason = "no_owner"
-	ReasonSuspectBusy       Reason = "suspect_busy"
-	ReasonConvicted         Reason = "convicted"
-	ReasonClaimConflict     Reason = "claim_conflict"
-	ReasonClaimInProgress   Reason = "claim_in_progress"
-	ReasonClaimRan          Reason = "claim_ran"
-	ReasonClaimUnknown      Reason = "claim_unknown"
-	ReasonClaimKeyMissing   Reason = "claim_key_missing"
-	ReasonStoreUnavailable  Reason = "store_unavailable"
-	ReasonEngineRefused     Reason = "engine_refused"
-	ReasonEngineUnreachable Reason = "engine_unreachable"
-	ReasonEngineLost        Reason = "engine_lost"
-	ReasonEngineFailed      Reason = "engine_failed"
-	ReasonAnswerIncomplete  Reason = "answer_incomplete"
-	ReasonCallerGone        Reason = "caller_gone"
-	ReasonShuttingDown      Reason = "shutting_down"
-	ReasonInternal          Reason = "internal"
+	ReasonBadRequest   Reason = "bad_request"
+	ReasonBodyTooLarge Reason = "body_too_large"
+	ReasonReadTimeout  Reason = "read_timeout"
+	// ReasonTooManyConnections refuses a connection before it is read.
+	ReasonTooManyConnections Reason = "too_many_connections"
+	ReasonUnknownPath        Reason = "unknown_path"
+	ReasonUnauthorized       Reason = "unauthorized"
+	ReasonUnknownModel       Reason = "unknown_model"
+	ReasonUnknownService     Reason = "unknown_service"
+	ReasonTierNotAllowed     Reason = "tier_not_allowed"
+	ReasonDeadlineInvalid    Reason = "deadline_invalid"
+	ReasonNoConfiguration    Reason = "no_configuration"
+	ReasonShed               Reason = "shed"
+	ReasonWorkspaceLimit     Reason = "workspace_limit"
+	ReasonEntryMemory        Reason = "entry_memory"
+	ReasonExpired            Reason = "expired"
+	ReasonNoServer           Reason = "no_server"
+	ReasonNoOwner            Reason = "no_owner"
+	ReasonSuspectBusy        Reason = "suspect_busy"
+	ReasonConvicted          Reason = "convicted"
+	ReasonClaimConflict      Reason = "claim_conflict"
+	ReasonClaimInProgress    Reason = "claim_in_progress"
+	ReasonClaimRan           Reason = "claim_ran"
+	ReasonClaimUnknown       Reason = "claim_unknown"
+	ReasonClaimKeyMissing    Reason = "claim_key_missing"
+	ReasonStoreUnavailable   Reason = "store_unavailable"
+	ReasonEngineRefused      Reason = "engine_refused"
+	ReasonEngineUnreachable  Reason = "engine_unreachable"
+	ReasonEngineLost         Reason = "engine_lost"
+	ReasonEngineFailed       Reason = "engine_failed"
+	ReasonAnswerIncomplete   Reason = "answer_incomplete"
+	ReasonCallerGone         Reason = "caller_gone"
+	ReasonShuttingDown       Reason = "shutting_down"
+	ReasonInternal           Reason = "internal"
 )
 
 // reasonStatus maps each reason to its HTTP status.
 var reasonStatus = map[Reason]int{
-	ReasonBadRequest:        http.StatusBadRequest,
-	ReasonBodyTooLarge:      http.StatusRequestEntityTooLarge,
-	ReasonReadTimeout:       http.StatusRequestTimeout,
-	ReasonUnknownPath:       http.StatusNotFound,
-	ReasonUnauthorized:      http.StatusUnauthorized,
-	ReasonUnknownModel:      http.StatusNotFound,
-	ReasonUnknownService:    http.StatusNotFound,
-	ReasonTierNotAllowed:    http.StatusForbidden,
-	ReasonDeadlineInvalid:   http.StatusBadRequest,
-	ReasonNoConfiguration:   http.StatusServiceUnavailable,
-	ReasonShed:              http.StatusTooManyRequests,
-	ReasonWorkspaceLimit:    http.StatusTooManyRequests,
-	ReasonEntryMemory:       http.StatusServiceUnavailable,
-	ReasonExpired:           http.StatusGatewayTimeout,
-	ReasonNoServer:          http.StatusServiceUnavailable,
-	ReasonNoOwner:           http.StatusServiceUnavailable,
-	ReasonSuspectBusy:       http.StatusTooManyRequests,
-	ReasonConvicted:         http.StatusUnprocessableEntity,
-	ReasonClaimConflict:     http.StatusConflict,
-	ReasonClaimInProgress:   http.StatusConflict,
-	ReasonClaimRan:          http.StatusConflict,
-	ReasonClaimUnknown:      http.StatusConflict,
-	ReasonClaimKeyMissing:   http.StatusBadRequest,
-	ReasonStoreUnavailable:  http.StatusServiceUnavailable,
-	ReasonEngineRefused:     http.StatusBadGateway,
-	ReasonEngineUnreachable: http.StatusBadGateway,
-	ReasonEngineLost:        http.StatusBadGateway,
-	ReasonEngineFailed:      http.StatusBadGateway,
-	ReasonAnswerIncomplete:  http.StatusBadGateway,
-	ReasonCallerGone:        499,
-	ReasonShuttingDown:      http.StatusServiceUnavailable,
-	ReasonInternal:          http.StatusInternalServerError,
+	ReasonBadRequest:         http.StatusBadRequest,
+	ReasonBodyTooLarge:       http.StatusRequestEntityTooLarge,
+	ReasonReadTimeout:        http.StatusRequestTimeout,
+	ReasonTooManyConnections: http.StatusServiceUnavailable,
+	ReasonUnknownPath:        http.StatusNotFound,
+	ReasonUnauthorized:       http.StatusUnauthorized,
+	ReasonUnknownModel:       http.StatusNotFound,
+	ReasonUnknownService:     http.StatusNotFound,
+	ReasonTierNotAllowed:     http.StatusForbidden,
+	ReasonDeadlineInvalid:    http.StatusBadRequest,
+	ReasonNoConfiguration:    http.StatusServiceUnavailable,
+	ReasonShed:               http.StatusTooManyRequests,
+	ReasonWorkspaceLimit:     http.StatusTooManyRequests,
+	ReasonEntryMemory:        http.StatusServiceUnavailable,
+	ReasonExpired:            http.StatusGatewayTimeout,
+	ReasonNoServer:           http.StatusServiceUnavailable,
+	ReasonNoOwner:            http.StatusServiceUnavailable,
+	ReasonSuspectBusy:        http.StatusTooManyRequests,
+	ReasonConvicted:          http.StatusUnprocessableEntity,
+	ReasonClaimConflict:      http.StatusConflict,
+	ReasonClaimInProgress:    http.StatusConflict,
+	ReasonClaimRan:           http.StatusConflict,
+	ReasonClaimUnknown:       http.StatusConflict,
+	ReasonClaimKeyMissing:    http.StatusBadRequest,
+	ReasonStoreUnavailable:   http.StatusServiceUnavailable,
+	ReasonEngineRefused:      http.StatusBadGateway,
+	ReasonEngineUnreachable:  http.StatusBadGateway,
+	ReasonEngineLost:         http.StatusBadGateway,
+	ReasonEngineFailed:       http.StatusBadGateway,
+	ReasonAnswerIncomplete:   http.StatusBadGateway,
+	ReasonCallerGone:         499,
+	ReasonShuttingDown:       http.StatusServiceUnavailable,
+	ReasonInternal:           http.StatusInternalServerError,
 }
 
 // Reasons returns every refusal reason, for counters and their tests.
