--- a/internal/daemon/ledger.go
+++ b/internal/daemon/ledger.go
@@ -11,7 +11,7 @@
 // The leases' times: how long one lasts without renewal, how far a clock's
 // rate may be off, and how much longer a new holder waits.
 const (
-	leaseDuration = 15 * time.Second
+	LeaseDuration = 15 * time.Second
 	leaseDrift    = 0.01
 	leaseMargin   = 2 * time.Second
 )
--- a/internal/daemon/placement.go
+++ b/internal/daemon/placement.go
@@ -31,7 +31,7 @@
 // newElector returns this daemon's candidacy for a lease.
 func (d *Daemon) newElector(name string) (*lease.Elector, error) {
 	return lease.NewElector(d.platform, lease.Options{
-		Name: name, Holder: d.settings.Name, Duration: leaseDuration,
+		Name: name, Holder: d.settings.Name, Duration: LeaseDuration, PollEvery: LeaseDuration,
 		MaxDrift: leaseDrift, Margin: leaseMargin, Metrics: d.metrics,
 	})
 }
--- a/internal/daemon/status.go
+++ b/internal/daemon/status.go
@@ -25,7 +25,27 @@
 	Members          []MemberStatus     `json:"members"`
 	Pools            []PoolStatus       `json:"pools"`
 	// Owned are the summaries of the pools that this daemon schedules.
-	Owned []pool.Summary `json:"owned"`
+	Owned []OwnedPool `json:"owned"`
+}
+
+// OwnedPool is a pool's standing, as its owner counts it.
+type OwnedPool struct {
+	Pool string `json:"pool"`
+	// Waiting and ExpectedWaitMs are by tier, the most urgent first.
+	Waiting        []int         `json:"waiting"`
+	ExpectedWaitMs []int64       `json:"expected_wait_ms"`
+	Running        int           `json:"running"`
+	Free           int           `json:"free"`
+	Servers        []OwnedServer `json:"servers"`
+}
+
+// OwnedServer is a backend server's standing in an OwnedPool.
+type OwnedServer struct {
+	Name      string `json:"name"`
+	Health    string `json:"health"`
+	Running   int    `json:"running"`
+	Limit     int    `json:"limit"`
+	Straggler bool   `json:"straggler"`
 }
 
 // MemberStatus is what is known of a member. Configuration is set where the
@@ -63,7 +83,7 @@
 		Name: d.settings.Name, Region: d.settings.Region, AvailabilityZone: d.settings.AvailabilityZone,
 		State: state(d.state.Load()).String(), Version: version.Get(),
 		Configuration: d.syncer.Report(), Findings: d.findings(),
-		Pools: d.poolStatus(), Owned: d.host.Summaries(),
+		Pools: d.poolStatus(), Owned: ownedPools(d.host.Summaries()),
 	}
 	for _, m := range d.views.Load().Members {
 		s.Members = append(s.Members, MemberStatus{
@@ -105,3 +125,28 @@
 		members[i].Configuration = &r.report.Configuration
 	}
 }
+
+func ownedPools(summaries []pool.Summary) []OwnedPool {
+	out := make([]OwnedPool, 0, len(summaries))
+	for _, s := range summaries {
+		p := OwnedPool{Pool: s.Pool, Waiting: s.Waiting[:], Running: s.Running, Free: s.Free}
+		for _, d := range s.ExpectedWait {
+			p.ExpectedWaitMs = append(p.ExpectedWaitMs, d.Milliseconds())
+		}
+		for _, v := range s.Servers {
+			p.Servers = append(p.Servers, OwnedServer{
+				Name: v.Name, Health: healthName(v.Health), Running: v.Running, Limit: v.Limit, Straggler: v.Straggler,
+			})
+		}
+		out = append(out, p)
+	}
+	return out
+}
+
+func healthName(h pool.Health) string {
+	names := [...]string{"up", "warming", "leaving", "silent", "gone"}
+	if int(h) < len(names) {
+		return names[h]
+	}
+	return "unknown"
+}
