test: failures two at a time from fixed seeds

Seven pairs (owner death, pause, restart and cut links; store down, slow, stale and losing answers; silent engines and peers; a straggler; a crashing request), each with ordinary requests and confirmations that are sent twice. What callers were told is compared with the engines' run logs and the service's calls.

--- /dev/null
+++ b/test/pairs_test.go
@@ -0,0 +1,207 @@
+package test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"syscall"
+	"testing"
+
+	. "github.com/smartystreets/goconvey/convey"
+	"github.com/sourcegraph/conc"
+
+	"github.com/lycheekeel/lycheekeel/internal/faultproxy"
+	standin "github.com/lycheekeel/lycheekeel/internal/standin/platform"
+	service "github.com/lycheekeel/lycheekeel/internal/standin/service"
+)
+
+// fault is one failure that can be brought about together with another. The
+// victim is the daemon that owned the pool at first; no caller is sent to it.
+type fault struct {
+	begin, end func(c *cluster, victim *node)
+}
+
+func nothing(*cluster, *node) {}
+
+func silence(links func(c *cluster) []*link) func(*cluster, *node) {
+	return func(c *cluster, _ *node) {
+		for _, l := range links(c) {
+			l.proxy.Silence(faultproxy.Both)
+		}
+	}
+}
+
+func engineLinks(c *cluster) (links []*link) {
+	for _, e := range c.engines {
+		links = append(links, e.link)
+	}
+	return links
+}
+
+func peerLinks(c *cluster) (links []*link) {
+	for _, n := range c.nodes {
+		links = append(links, n.peers)
+	}
+	return links
+}
+
+func store(f standin.Faults) fault {
+	return fault{
+		begin: func(c *cluster, _ *node) { c.storeFaults(f) },
+		end:   func(c *cluster, _ *node) { c.storeFaults(standin.Faults{}) },
+	}
+}
+
+func startAgain(c *cluster, victim *node) {
+	c.startNode(victim)
+	c.awaitReady(victim)
+}
+
+// faults are the failures by name.
+var faults = map[string]fault{
+	"owner dies": {func(_ *cluster, v *node) { v.kill() }, startAgain},
+	"owner paused": {
+		func(_ *cluster, v *node) { v.signal(syscall.SIGSTOP) },
+		func(_ *cluster, v *node) { v.signal(syscall.SIGCONT) },
+	},
+	"owner restarted": {func(c *cluster, v *node) { So(v.stop(), ShouldBeNil) }, startAgain},
+	"owner unreachable": {
+		func(_ *cluster, v *node) { v.peers.proxy.Cut() },
+		func(_ *cluster, v *node) { v.peers.proxy.Pass() },
+	},
+	"store loses answers":  store(standin.Faults{LoseFraction: 0.3}),
+	"store down":           store(standin.Faults{Down: true}),
+	"store slow and stale": store(standin.Faults{SlowMs: 300, StaleWrites: 3}),
+	"engines silent":       {silence(engineLinks), nothing},
+	"peers silent":         {silence(peerLinks), nothing},
+	"straggler": {
+		func(c *cluster, _ *node) { c.engineFaults(c.engines[0], `{"speed": 0.2}`) },
+		func(c *cluster, _ *node) { c.engineFaults(c.engines[0], `{"speed": 1}`) },
+	},
+	"crashing request": {
+		func(c *cluster, v *node) {
+			for _, e := range c.engines {
+				c.engineFaults(e, `{"crash_text": "deadly snag"}`)
+			}
+			for i, n := range c.others(v)[:2] {
+				chat(c.t.Context(), n.callers.proxy.Addr(), call{text: fmt.Sprintf("a deadly snag %d", i), tier: "handover"})
+			}
+		},
+		nothing,
+	},
+}
+
+// pairs are the combinations. The seed decides how far the first has come when
+// the second one begins.
+var pairs = []struct {
+	seed          uint64
+	first, second string
+}{
+	{1, "owner dies", "store loses answers"},
+	{2, "engines silent", "owner restarted"},
+	{3, "crashing request", "owner paused"},
+	{4, "store down", "owner dies"},
+	{5, "peers silent", "engines silent"},
+	{6, "owner unreachable", "straggler"},
+	{7, "owner paused", "store slow and stale"},
+}
+
+// Symptom: the system stands one failure, but not two at once.
+// Sequence: two failures, the second while the first is being overcome.
+// Cause: what one part does to recover rests on a part that fails, too.
+func TestTwoFailuresAtOnce(t *testing.T) {
+	for _, p := range pairs {
+		t.Run(fmt.Sprintf("%d: %s, %s", p.seed, p.first, p.second), func(t *testing.T) {
+			t.Parallel()
+			c := newCluster(t, plan{nodes: 4, engines: 3, options: slowEngine, slots: 6})
+			Convey("no request is lost, doubled or misreported", t, func() {
+				random := rand.New(rand.NewPCG(p.seed, 0))
+				victim := c.owner(testPool)
+				l := startLoad(t.Context(), 20, 8, through(c.others(victim)))
+				confirmations := c.startConfirmations(c.others(victim))
+				eventually(t, "traffic flows", func() bool { return l.count() >= 60 })
+				first, second := faults[p.first], faults[p.second]
+				first.begin(c, victim)
+				at := l.count() + random.IntN(30)
+				eventually(t, "traffic goes on under the first", func() bool { return l.count() >= at })
+				second.begin(c, victim)
+				at = l.count()
+				eventually(t, "traffic goes on under both", func() bool { return l.count() >= at+100 })
+				first.end(c, victim)
+				second.end(c, victim)
+				at = l.count()
+				eventually(t, "traffic goes on after both", func() bool { return l.count() >= at+100 })
+				results := l.stop()
+				confirmations.check()
+				whole, refused, broken := checkAnswers(t, c, results)
+				t.Logf("%d whole, %v refused, %d broken", whole, refused, broken)
+				if p.first == "crashing request" {
+					So(whole, ShouldBeGreaterThan, len(results)*3/4) // innocents run beside it
+					return
+				}
+				So(refused, ShouldBeEmpty)
+				So(broken, ShouldEqual, 0)
+				So(whole, ShouldEqual, len(results))
+			})
+		})
+	}
+}
+
+// confirmations are calls that may not be repeated, each sent to one entry
+// and then again to another.
+type confirmations struct {
+	c     *cluster
+	stop  chan struct{}
+	lane  conc.WaitGroup
+	mu    sync.Mutex
+	byKey map[string][]answer
+}
+
+func (c *cluster) startConfirmations(nodes []*node) *confirmations {
+	s := &confirmations{c: c, stop: make(chan struct{}), byKey: map[string][]answer{}}
+	s.lane.Go(func() {
+		for n := 0; ; n++ {
+			select {
+			case <-s.stop:
+				return
+			default:
+			}
+			key := fmt.Sprintf("pair-%d", n)
+			for i := range 2 {
+				a := send(c.t.Context(), nodes[(n+i)%len(nodes)].callers.proxy.Addr(), "/services/"+testService+"/dispatch/"+key,
+					[]byte(key), call{header: map[string]string{"Idempotency-Key": key, "X-Lycheekeel-Deadline-Ms": "8000"}})
+				s.mu.Lock()
+				s.byKey[key] = append(s.byKey[key], a)
+				s.mu.Unlock()
+			}
+		}
+	})
+	return s
+}
+
+// check compares what callers were told with the calls that the service got.
+func (s *confirmations) check() {
+	close(s.stop)
+	s.lane.Wait()
+	var calls []service.CallCount
+	s.c.getJSON(s.c.service.link.target, service.PathCalls, &calls)
+	ran := map[string]int{}
+	for _, k := range calls {
+		ran[k.Path] += k.Count
+	}
+	done := 0
+	for key, answers := range s.byKey {
+		n := ran["/dispatch/"+key]
+		said, notRun := false, true
+		for _, a := range answers {
+			said = said || a.status == 200
+			notRun = notRun && a.notRun == true
+		}
+		if n > 1 || said && n == 0 || notRun && n > 0 {
+			s.c.t.Errorf("confirmation %s ran %d times; its callers were told %+v", key, n, answers)
+		}
+		done += n
+	}
+	s.c.t.Logf("%d confirmations, %d ran", len(s.byKey), done)
+	So(done, ShouldBeGreaterThan, 0)
+}
