broker, poolhost: idle sessions' heartbeats cost the same at any size

Heartbeats went out every 500 ms in each session on both sides. A side now announces when it speaks next (next_ms), and the silence limit follows; the time grows with the square of the side's sessions beyond nine, up to 20 s. A session in which a request waits, or in which anything but progress is unacknowledged, keeps 500 ms and the limit of 1.6 s at any size, so neither a lost batch nor a silent owner is noticed later by a waiting request. Daemons that do not announce get, and are expected to send, a word each 500 ms. A pool's brief counts until its owner's announced next word, and goes along with commands, too. The property test of sessions runs at both intervals.

--- a/broker/choose.go
+++ b/broker/choose.go
@@ -13,10 +13,10 @@
 // the other pool may have cached.
 const waitStep = 200 * time.Millisecond
 
-// briefAt is a pool's brief and when it came.
+// briefAt is a pool's brief and until when it counts.
 type briefAt struct {
 	poolwire.Brief
-	at time.Time
+	until time.Time
 }
 
 // choose returns the link to the candidate with the shortest expected wait;
@@ -44,7 +44,7 @@
 // fresh is known.
 func (l *link) expectedWait(now time.Time, t request.Tier) int64 {
 	b := l.brief.Load()
-	if b == nil || now.Sub(b.at) > briefFresh || t >= request.MaxTiers {
+	if b == nil || now.After(b.until) || t >= request.MaxTiers {
 		return 0
 	}
 	return int64(b.ExpectedWait[t] / waitStep)
--- a/broker/commands.go
+++ b/broker/commands.go
@@ -1,6 +1,7 @@
 package broker
 
 import (
+	"github.com/lycheekeel/lycheekeel/internal/poolhost"
 	"github.com/lycheekeel/lycheekeel/internal/poolwire"
 	"github.com/lycheekeel/lycheekeel/pool"
 	"github.com/lycheekeel/lycheekeel/request"
@@ -45,10 +46,11 @@
 		l.lose(0)
 		return
 	}
-	s.heard = l.now
+	s.heard, s.next = l.now, b.Next
+	s.owed = s.owed || len(b.Commands) > 0
 	l.acked(b.Ack)
 	if b.Brief != nil {
-		l.brief.Store(&briefAt{*b.Brief, l.now})
+		l.brief.Store(&briefAt{*b.Brief, l.now.Add(max(briefFresh, poolhost.SilenceLimit(b.Next)))})
 	}
 	for _, c := range b.Commands {
 		l.takeCommand(c)
--- a/broker/entry.go
+++ b/broker/entry.go
@@ -29,7 +29,8 @@
 	retryEvery = 100 * time.Millisecond
 	// idleAfter is how long a session without requests stays open.
 	idleAfter = 10 * time.Second
-	// briefFresh is how old a pool's brief may be to choose by it.
+	// briefFresh is how old a pool's brief may be to choose by it, unless its
+	// owner has told to speak again later.
 	briefFresh = 2 * time.Second
 	// noDeadline stands in for the deadline of a tier that has none.
 	noDeadline = 10 * time.Minute
@@ -47,7 +48,9 @@
 
 	mu    sync.Mutex // for the making of links
 	links atomic.Pointer[map[string]*link]
-	view  *member.View // of the last Tick, which is not called concurrently
+	// sessions is the number of open ones.
+	sessions atomic.Int64
+	view     *member.View // of the last Tick, which is not called concurrently
 }
 
 var _ Broker = (*Entry)(nil)
--- a/broker/link.go
+++ b/broker/link.go
@@ -29,6 +29,7 @@
 	nextExpiry time.Time // no waiter expires before it
 
 	session session
+	counted bool // among the entry's open sessions
 	// lastEpoch and lastGrant are those of the session before.
 	lastEpoch, lastGrant uint64
 	// out is what the open session has yet to send; progress is kept apart
@@ -77,6 +78,7 @@
 		m.apply(l)
 	}
 	l.flush()
+	l.noteState()
 	l.quiet.Store(l.session.state == sessionClosed && l.share == nil && !l.needed())
 }
 
--- a/broker/property_test.go
+++ b/broker/property_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/lycheekeel/lycheekeel/internal/logs"
+	"github.com/lycheekeel/lycheekeel/internal/poolhost"
 	"github.com/lycheekeel/lycheekeel/pool"
 	"github.com/lycheekeel/lycheekeel/request"
 	"pgregory.net/rapid"
@@ -23,9 +24,10 @@
 	cut     [2]string
 }
 
-func newMachine(p pool.Policy) *machine {
+func newMachine(p pool.Policy, idle time.Duration) *machine {
+	heartbeat := func(int) time.Duration { return idle }
 	m := &machine{
-		w: newWorld(2, "a", "b", "c"), waiting: map[*waiter]*node{}, running: map[*grant]*node{},
+		w: newWorldOf(2, heartbeat, "a", "b", "c"), waiting: map[*waiter]*node{}, running: map[*grant]*node{},
 		results: map[*waiter]int{}, used: map[pool.GrantID]request.ID{},
 	}
 	m.w.policy = p
@@ -219,7 +221,10 @@
 		t.Fatal(err)
 	}
 	rapid.Check(t, func(t *rapid.T) {
-		m := newMachine(rapid.SampledFrom([]pool.Policy{pool.PolicyFIFO, pool.PolicyLycheekeel}).Draw(t, "policy"))
+		m := newMachine(
+			rapid.SampledFrom([]pool.Policy{pool.PolicyFIFO, pool.PolicyLycheekeel}).Draw(t, "policy"),
+			rapid.SampledFrom([]time.Duration{poolhost.HeartbeatEvery, poolhost.MaxHeartbeat}).Draw(t, "idle heartbeat"),
+		)
 		t.Repeat(m.actions())
 		m.settle(t)
 	})
--- a/broker/session.go
+++ b/broker/session.go
@@ -41,6 +41,17 @@
 	started   time.Time
 	heard     time.Time
 	sent      time.Time
+	// next is within how long the owner speaks again, as it told; zero from
+	// an owner that does not tell, which expects a word each 500 ms itself.
+	next time.Duration
+	// promised is within how long after sent the entry speaks again.
+	promised time.Duration
+	// owed is set while the owner waits for an acknowledgment; busySince is
+	// since when the session is busy, awaitsSince since when a word of the
+	// owner is awaited; zero: not.
+	owed        bool
+	busySince   time.Time
+	awaitsSince time.Time
 }
 
 func (s *session) open() bool { return s.state == sessionOpen }
@@ -240,18 +251,20 @@
 // send sends one batch, or a heartbeat where events is empty.
 func (l *link) send(events []pool.Event) error {
 	s := &l.session
+	promised := l.interval(events)
 	seq := s.seqOut
 	if len(events) > 0 {
 		seq++
 	}
 	err := s.owner.events(poolwire.Events{
 		Pool: l.pool, Entry: l.entry.id, Session: s.id, Seq: seq, Ack: s.seqIn, Events: events,
+		Next: promised,
 	})
 	if err != nil {
 		l.entry.count.sendFailed.Add(1)
 		return err
 	}
-	s.seqOut, s.sent = seq, l.now
+	s.seqOut, s.sent, s.promised, s.owed = seq, l.now, promised, false
 	for _, ev := range events {
 		if r, ok := ev.(pool.Release); ok {
 			l.unacked = append(l.unacked, sentRelease{s.seqOut, r})
--- a/broker/tick.go
+++ b/broker/tick.go
@@ -1,10 +1,7 @@
 package broker
 
 import (
-	"github.com/lycheekeel/lycheekeel/internal/peer"
-	"github.com/lycheekeel/lycheekeel/internal/poolhost"
 	"github.com/lycheekeel/lycheekeel/internal/poolwire"
-	"github.com/pkg/errors"
 )
 
 // tickMessage lets time pass.
@@ -48,7 +45,7 @@
 	case s.state == sessionOpening && l.share == nil && l.movedFrom(s.owner):
 		l.lose(0)
 	case s.state == sessionClosed || s.state == sessionOpening:
-	case l.now.Sub(s.heard) > poolhost.SilentAfter:
+	case l.silent():
 		l.entry.count.silent.Add(1)
 		l.without = s.heard
 		l.lose(0)
@@ -57,25 +54,11 @@
 		l.session.state = sessionClosed
 		l.probe = session{}
 		l.closeShare()
-	case l.now.Sub(s.sent) >= poolhost.HeartbeatEvery:
+	case l.heartbeatDue():
 		l.heartbeat()
 	}
 }
 
-// heartbeat sends a batch without events, or the progress that has come.
-func (l *link) heartbeat() {
-	if len(l.out) > 0 {
-		return // flush sends it in a moment
-	}
-	l.takeProgress()
-	if len(l.out) > 0 {
-		return
-	}
-	if err := l.send(nil); err != nil && !errors.Is(err, peer.ErrOverloaded) {
-		l.lose(retryEvery)
-	}
-}
-
 // movedFrom tells whether membership names another owner than o. Where it
 // names none, a session is kept while it lives.
 func (l *link) movedFrom(o owner) bool {
--- a/broker/world_test.go
+++ b/broker/world_test.go
@@ -30,7 +30,12 @@
 	// policy is FIFO unless a test sets it: its limits are the slots, so that
 	// free ones can be counted.
 	policy pool.Policy
-	events []pool.Event // all that the pools handled but ticks
+	// old are nodes of a version that does not tell when it speaks again, and
+	// does not read it. One then speaks, and expects a word, at a fixed time.
+	old map[string]bool
+	// heartbeat is that of poolhost.Config.
+	heartbeat func(sessions int) time.Duration
+	events    []pool.Event // all that the pools handled but ticks
 }
 
 type node struct {
@@ -58,9 +63,12 @@
 	testRegion = "colombo"
 )
 
-func newWorld(slots int, names ...string) *world {
+func newWorld(slots int, names ...string) *world { return newWorldOf(slots, nil, names...) }
+
+func newWorldOf(slots int, heartbeat func(int) time.Duration, names ...string) *world {
 	w := &world{
-		now: time.Unix(1_800_000_000, 0), nodes: map[string]*node{}, names: names,
+		heartbeat: heartbeat,
+		now:       time.Unix(1_800_000_000, 0), nodes: map[string]*node{}, names: names,
 		cut: map[[2]string]bool{}, lose: map[[2]string]bool{}, policy: pool.PolicyFIFO,
 	}
 	w.snapshot.Store(testSnapshot(slots, 2))
@@ -91,7 +99,7 @@
 	n := &node{w: w, name: name, types: map[peer.Type]peer.Handler{}}
 	n.host = poolhost.New(poolhost.Config{
 		Self: name, Region: testRegion, Snapshots: &w.snapshot, Views: &n.views, Transport: n,
-		Now: func() time.Time { return w.now }, Spawn: func(f func()) { f() },
+		Now: func() time.Time { return w.now }, Spawn: func(f func()) { f() }, Heartbeat: w.heartbeat,
 		Trace: func(_ string, _ time.Time, ev pool.Event, _ []pool.Command) {
 			if _, tick := ev.(pool.Tick); !tick {
 				w.events = append(w.events, ev)
@@ -300,6 +308,9 @@
 	if n.w.limit > 0 && len(n.w.queue) >= n.w.limit {
 		return peer.ErrOverloaded
 	}
+	if n.w.old[n.name] || n.w.old[string(to)] {
+		payload = withoutNext(t, payload)
+	}
 	n.w.messages++
 	n.w.bytes += len(payload)
 	if !n.w.lose[link] {
--- a/internal/poolhost/config.go
+++ b/internal/poolhost/config.go
@@ -86,6 +86,9 @@
 	// A panic in a scheduler ends the process: its counts can't be trusted,
 	// and the entries go on at another owner.
 	Spawn func(func())
+	// Heartbeat tells the interval of idle sessions' heartbeats; the default
+	// is HeartbeatInterval.
+	Heartbeat func(sessions int) time.Duration
 	// NewScheduler makes a pool's scheduler; the default is pool.New.
 	NewScheduler func(p *workspace.ResolvedPool, epoch uint64) Scheduler
 	// Trace sees every event that a pool handles, and the commands that
@@ -108,6 +111,9 @@
 	if c.NewScheduler == nil {
 		c.NewScheduler = newPool
 	}
+	if c.Heartbeat == nil {
+		c.Heartbeat = HeartbeatInterval
+	}
 	if c.Metrics == nil {
 		c.Metrics = metrics.New()
 	}
--- a/internal/poolhost/heartbeat.go
+++ b/internal/poolhost/heartbeat.go
@@ -36,3 +36,39 @@
 func SilenceLimit(next time.Duration) time.Duration {
 	return max(next, HeartbeatEvery) + SilentAfter - HeartbeatEvery
 }
+
+// busy tells whether the entry waits for a word of the owner, or owes it one.
+// Whatever is lost then must be noticed soon, however many sessions there are.
+func (e *entry) busy() bool {
+	return len(e.waiting) > 0 || e.owed || e.acked < e.seqOut
+}
+
+// noteBusy remembers since when the session is busy; it is called each tick.
+func (e *entry) noteBusy(now time.Time) {
+	switch {
+	case !e.busy():
+		e.busySince = time.Time{}
+	case e.busySince.IsZero():
+		e.busySince = now
+	}
+}
+
+// interval returns the time between two words of the owner as of now. An entry
+// that does not tell when it speaks again is of a version that expects one
+// every HeartbeatEvery.
+func (e *entry) interval(r *Runtime) time.Duration {
+	if e.busy() || e.next == 0 {
+		return HeartbeatEvery
+	}
+	return r.host.cfg.Heartbeat(int(r.sessions.Load()))
+}
+
+// heartbeatDue tells whether a word is due. The first one in a session that
+// has just become busy waits a moment for commands to go along with.
+func (e *entry) heartbeatDue(r *Runtime) bool {
+	quiet := r.now.Sub(e.sent)
+	if quiet >= e.promised {
+		return true
+	}
+	return quiet >= e.interval(r) && r.now.Sub(e.busySince) >= HeartbeatEvery
+}
--- a/internal/poolhost/session.go
+++ b/internal/poolhost/session.go
@@ -37,9 +37,21 @@
 	seqOut   uint64
 	heard    time.Time
 	sent     time.Time
-	out      []pool.Command
-	waiting  map[request.ID]struct{}
-	granted  map[pool.GrantID]granted
+	// next is within how long the entry speaks again, as it told; zero from
+	// an entry that does not tell, which expects a word each 500 ms itself.
+	next time.Duration
+	// promised is within how long after sent the owner speaks again.
+	promised time.Duration
+	// owed is set while the entry waits for an acknowledgment, and acked is
+	// the last batch that it acknowledged itself.
+	owed  bool
+	acked uint64
+	// busySince is since when the session is busy; zero: it is not.
+	busySince time.Time
+	briefed   time.Time // when the entry was last sent a brief
+	out       []pool.Command
+	waiting   map[request.ID]struct{}
+	granted   map[pool.GrantID]granted
 }
 
 func (e *entry) queue(c pool.Command) {
@@ -56,11 +68,14 @@
 	}
 	if len(e.out) > 0 {
 		e.seqOut++
-	} else {
-		b.Brief = r.brief()
+	}
+	if len(e.out) == 0 || r.now.Sub(e.briefed) >= HeartbeatEvery {
+		b.Brief, e.briefed = r.brief(), r.now
 	}
 	b.Seq = e.seqOut
-	e.out, e.sent = nil, r.now
+	e.out, e.sent, e.owed = nil, r.now, false
+	e.promised = e.interval(r)
+	b.Next = e.promised
 	if err := e.reply(b); err != nil {
 		r.host.count.sendFailed.Add(1)
 		r.endSession(e)
@@ -92,6 +107,7 @@
 	r.endSession(e)
 	e.open, e.session, e.reply = true, m.hello.Session, m.reply
 	e.seqIn, e.seqOut, e.heard, e.out = 0, 0, r.now, nil
+	e.next, e.promised, e.owed, e.acked = 0, 0, false, 0
 	r.host.count.sessions.Add(1)
 	r.tellEntries()
 	e.send(r, poolwire.VerdictAccepted)
@@ -138,6 +154,7 @@
 		return
 	}
 	e.seqIn, e.heard = expected, r.now
+	e.next, e.acked = m.batch.Next, m.batch.Ack
 	for _, ev := range m.batch.Events {
 		e.take(r, ev)
 	}
@@ -152,6 +169,9 @@
 
 // take feeds one event of the entry, and notes what it changes.
 func (e *entry) take(r *Runtime, ev pool.Event) {
+	if _, progress := ev.(pool.Progress); !progress {
+		e.owed = true // nobody waits to hear that a Progress has come
+	}
 	switch ev := ev.(type) {
 	case pool.Enqueue:
 		ev.Entry = e.id
@@ -238,13 +258,14 @@
 		if e.open {
 			open++
 		}
+		e.noteBusy(r.now)
 		switch {
 		case !e.open:
 			e.takeBackUnconfirmed(r, unconfirmedHold)
-		case r.now.Sub(e.heard) > SilentAfter:
+		case r.now.Sub(e.heard) > SilenceLimit(e.next):
 			r.host.count.silentSessions.Add(1)
 			r.endSession(e)
-		case r.now.Sub(e.sent) >= HeartbeatEvery:
+		case e.heartbeatDue(r):
 			e.send(r, poolwire.VerdictNone)
 		}
 	}
--- a/internal/poolwire/check.go
+++ b/internal/poolwire/check.go
@@ -18,10 +18,13 @@
 const (
 	maxNameBytes = 256
 	// MaxBatch is the largest number of events or commands in one batch.
-	MaxBatch   = 4096
-	maxBlocks  = 1 << 16
-	maxNumber  = 1 << 40
-	maxSpan    = 30 * 24 * time.Hour
+	MaxBatch  = 4096
+	maxBlocks = 1 << 16
+	maxNumber = 1 << 40
+	maxSpan   = 30 * 24 * time.Hour
+	// maxNext bounds how long a peer may announce to be silent: a faulty one
+	// could otherwise keep a dead session open for days.
+	maxNext    = time.Minute
 	maxTierRaw = uint32(request.MaxTiers)
 )
 
@@ -91,6 +94,16 @@
 	return c.span(field, v)
 }
 
+// next checks when a peer speaks again.
+func (c *checker) next(ms uint32) time.Duration {
+	d := time.Duration(ms) * time.Millisecond
+	if d > maxNext {
+		c.fail("next_ms is %s", d)
+		return 0
+	}
+	return d
+}
+
 func (c *checker) blocks(b []uint64) []uint64 {
 	if len(b) > maxBlocks {
 		c.fail("%d blocks", len(b))
--- a/internal/poolwire/decode.go
+++ b/internal/poolwire/decode.go
@@ -43,7 +43,7 @@
 	c.count("events", len(m.Events))
 	b := Events{
 		Pool: c.name("pool", m.Pool), Entry: pool.EntryID(c.name("entry", m.Entry)),
-		Session: SessionID(m.Session), Seq: m.Seq, Ack: m.Ack,
+		Session: SessionID(m.Session), Seq: m.Seq, Ack: m.Ack, Next: c.next(m.NextMs),
 	}
 	for _, e := range m.Events {
 		b.Events = append(b.Events, c.event(e, b.Entry))
@@ -61,7 +61,7 @@
 	c.count("commands", len(m.Commands))
 	b := Commands{
 		Pool: c.name("pool", m.Pool), Session: SessionID(m.Session), Seq: m.Seq, Ack: m.Ack, Epoch: m.Epoch,
-		Verdict: Verdict(c.below("verdict", m.Verdict, uint32(VerdictReset)+1)),
+		Verdict: Verdict(c.below("verdict", m.Verdict, uint32(VerdictReset)+1)), Next: c.next(m.NextMs),
 	}
 	if m.Brief != nil {
 		brief := c.brief(m.Brief)
--- a/internal/poolwire/encode.go
+++ b/internal/poolwire/encode.go
@@ -26,6 +26,7 @@
 func EncodeEvents(b Events) []byte {
 	m := &wirepb.Events{
 		Pool: b.Pool, Entry: string(b.Entry), Session: uint64(b.Session), Seq: b.Seq, Ack: b.Ack,
+		NextMs: uint32(b.Next.Milliseconds()),
 		Events: make([]*wirepb.Event, 0, len(b.Events)),
 	}
 	for _, ev := range b.Events {
@@ -41,6 +42,7 @@
 func EncodeCommands(b Commands) []byte {
 	m := &wirepb.Commands{
 		Pool: b.Pool, Session: uint64(b.Session), Seq: b.Seq, Ack: b.Ack, Epoch: b.Epoch, Verdict: uint32(b.Verdict),
+		NextMs:   uint32(b.Next.Milliseconds()),
 		Commands: make([]*wirepb.Command, 0, len(b.Commands)),
 	}
 	if b.Brief != nil {
--- a/internal/poolwire/messages.go
+++ b/internal/poolwire/messages.go
@@ -35,6 +35,9 @@
 	// Ack is the last Seq received from the owner in this session.
 	Ack    uint64
 	Events []pool.Event
+	// Next is within how long the entry speaks again, in milliseconds on the
+	// wire; zero from an entry that does not tell.
+	Next time.Duration
 }
 
 // Verdict is what an owner says of a session.
@@ -60,6 +63,8 @@
 	// Brief tells how the pool stands; nil where nothing new is to tell.
 	Brief    *Brief
 	Commands []pool.Command
+	// Next is within how long the owner speaks again, as in Events.
+	Next time.Duration
 }
 
 // Brief is a pool's standing as sibling pools and entries need it.
--- a/internal/poolwire/poolwire_test.go
+++ b/internal/poolwire/poolwire_test.go
@@ -58,13 +58,14 @@
 	gotHello, err := DecodeHello(EncodeHello(hello))
 	same(t, gotHello, hello, err)
 
-	events := Events{Pool: "p", Entry: entry, Session: 5, Seq: 6, Ack: 7, Events: allEvents(entry)}
+	events := Events{Pool: "p", Entry: entry, Session: 5, Seq: 6, Ack: 7, Events: allEvents(entry), Next: 7 * time.Second}
 	gotEvents, err := DecodeEvents(EncodeEvents(events))
 	same(t, gotEvents, events, err)
 
 	brief := Brief{Pool: "p", Waiting: [request.MaxTiers]int{0, 3}, Free: 4, ExpectedWait: [request.MaxTiers]time.Duration{0, time.Second}}
 	commands := Commands{
 		Pool: "p", Session: 5, Seq: 6, Ack: 7, Epoch: 8, Verdict: VerdictReset, Brief: &brief, Commands: allCommands(entry),
+		Next: 500 * time.Millisecond,
 	}
 	gotCommands, err := DecodeCommands(EncodeCommands(commands), entry)
 	same(t, gotCommands, commands, err)
@@ -89,18 +90,19 @@
 		return marshal(&wirepb.Events{Pool: "p", Entry: "e", Events: []*wirepb.Event{{Kind: &wirepb.Event_Release{Release: m}}}})
 	}
 	for name, payload := range map[string][]byte{
-		"empty":          {},
-		"no pool":        marshal(&wirepb.Events{Entry: "e"}),
-		"long name":      marshal(&wirepb.Events{Pool: string(make([]byte, 257)), Entry: "e"}),
-		"no request":     event(&wirepb.Enqueue{}),
-		"tier":           event(&wirepb.Enqueue{Request: "r", Tier: request.MaxTiers}),
-		"negative wait":  event(&wirepb.Enqueue{Request: "r", Waited: -1}),
-		"huge deadline":  event(&wirepb.Enqueue{Request: "r", DeadlineIn: 1 << 62}),
-		"huge number":    event(&wirepb.Enqueue{Request: "r", MaxTokens: 1 << 63}),
-		"no grant":       release(&wirepb.Release{Request: "r", Server: "s"}),
-		"wrong outcome":  release(&wirepb.Release{Request: "r", Server: "s", Grant: &wirepb.GrantID{}, Outcome: 99}),
-		"too many":       marshal(&wirepb.Events{Pool: "p", Entry: "e", Events: make([]*wirepb.Event, MaxBatch+1)}),
-		"not a protobuf": []byte("{}"),
+		"empty":            {},
+		"no pool":          marshal(&wirepb.Events{Entry: "e"}),
+		"long name":        marshal(&wirepb.Events{Pool: string(make([]byte, 257)), Entry: "e"}),
+		"no request":       event(&wirepb.Enqueue{}),
+		"tier":             event(&wirepb.Enqueue{Request: "r", Tier: request.MaxTiers}),
+		"negative wait":    event(&wirepb.Enqueue{Request: "r", Waited: -1}),
+		"huge deadline":    event(&wirepb.Enqueue{Request: "r", DeadlineIn: 1 << 62}),
+		"huge number":      event(&wirepb.Enqueue{Request: "r", MaxTokens: 1 << 63}),
+		"no grant":         release(&wirepb.Release{Request: "r", Server: "s"}),
+		"wrong outcome":    release(&wirepb.Release{Request: "r", Server: "s", Grant: &wirepb.GrantID{}, Outcome: 99}),
+		"too many":         marshal(&wirepb.Events{Pool: "p", Entry: "e", Events: make([]*wirepb.Event, MaxBatch+1)}),
+		"silent for hours": marshal(&wirepb.Events{Pool: "p", Entry: "e", NextMs: 3_600_000}),
+		"not a protobuf":   []byte("{}"),
 	} {
 		if _, err := DecodeEvents(payload); !errors.Is(err, ErrInvalid) {
 			t.Errorf("%s: got %v", name, err)
