entry: the window for resuming starts with the break

The window was counted from the last chunk, so a stream that broke in a prefill longer than the window was given up without one try, although the engine went on. It starts with the break now; the new test has an engine that is silent about tokens for 2.5 s, a window of 1 s, and a connection that goes silent meanwhile: the whole answer comes from one run. And a refusal said not_run false where the engine had only taken the request in: it says so only after a first chunk.

--- a/internal/entry/answer.go
+++ b/internal/entry/answer.go
@@ -24,10 +24,13 @@
 	stream engine.Stream // nil: to be resumed
 	figures
 
-	next       int  // offset of the next chunk
-	ended      bool // the End chunk was seen
-	opened     bool // the engine is known to have had the run
-	lastChunk  time.Time
+	next   int  // offset of the next chunk
+	ended  bool // the End chunk was seen
+	opened bool // the engine is known to have got the run
+	// broken is when the stream broke without a chunk since; resumed is when
+	// it was last continued.
+	broken, resumed time.Time
+
 	reported   time.Time
 	reportedAt int // tokens at the last report
 }
@@ -38,8 +41,8 @@
 // errNothingLeft: the dispatch right was taken, but no byte was written.
 var errNothingLeft = errors.New("connection lost before the first byte")
 
-// run dispatches a model request and returns its answer, whose close must be
-// called.
+// run dispatches a model request and returns its answer, to be read with Next
+// until its end or an error, and then ended with finish where it is whole.
 func (x *exchange) run(r engine.Run) (*answer, error) {
 	a := &answer{x: x}
 	grant, err := x.dispatch(a.send(r))
@@ -49,13 +52,13 @@
 	}
 	a.grant = grant
 	a.promptTokens = r.PromptTokens
-	a.lastChunk = time.Now()
 	switch {
 	case err == nil:
 		a.opened = true
 		return a, nil
 	case errors.Is(err, engine.ErrBroken), errors.Is(err, engine.ErrCrossed):
-		x.entry.counters.resumes[causeOf(err)].Add(1)
+		a.noteBreak()
+		a.breakOff(err)
 		return a, nil // resumed by the first Next
 	case errors.Is(err, engine.ErrNotSent):
 		return nil, a.fail(errNothingLeft)
@@ -95,12 +98,11 @@
 		if err == nil {
 			return c, nil
 		}
+		a.noteBreak()
 		if !a.resumable(ctx, err) {
 			return engine.Chunk{}, a.fail(err)
 		}
-		a.dropStream()
-		a.x.entry.counters.resumes[causeOf(err)].Add(1)
-		a.x.log.WithError(err).WithField("offset", a.next).Info("stream broke, resuming")
+		a.breakOff(err)
 	}
 }
 
@@ -111,7 +113,7 @@
 	}
 	now := time.Now()
 	a.opened = true
-	a.lastChunk = now
+	a.broken = time.Time{}
 	a.next += c.Tokens
 	a.tokens = a.next
 	if a.first.IsZero() && (c.Tokens > 0 || c.End) {
@@ -140,6 +142,22 @@
 	a.reported, a.reportedAt = now, a.tokens
 }
 
+// noteBreak begins the window for resuming, unless it runs already. A stream
+// that had gone on for a while since its last break begins a new one.
+func (a *answer) noteBreak() {
+	now := time.Now()
+	if a.broken.IsZero() || now.Sub(a.resumed) > a.x.entry.limits.ResumeWindow {
+		a.broken = now
+	}
+}
+
+// breakOff gives up a broken stream, which ensureStream then resumes.
+func (a *answer) breakOff(err error) {
+	a.dropStream()
+	a.x.entry.counters.resumes[causeOf(err)].Add(1)
+	a.x.log.WithError(err).WithField("offset", a.next).Info("stream broke, resuming")
+}
+
 // resumable tells whether the rest of the answer may still come.
 func (a *answer) resumable(ctx context.Context, err error) bool {
 	if ctx.Err() != nil || a.givenUp() {
@@ -149,9 +167,10 @@
 		errors.Is(err, errNotWhole) || errors.Is(err, io.EOF)
 }
 
-// givenUp tells whether the stream stayed without a new chunk for too long.
+// givenUp tells whether the stream has been broken for too long. The time
+// before the break does not count: a long prefill brings no chunk either.
 func (a *answer) givenUp() bool {
-	return time.Since(a.lastChunk) > a.x.entry.limits.ResumeWindow
+	return !a.broken.IsZero() && time.Since(a.broken) > a.x.entry.limits.ResumeWindow
 }
 
 func causeOf(err error) resumeCause {
--- a/internal/entry/failure_test.go
+++ b/internal/entry/failure_test.go
@@ -173,6 +173,19 @@
 			So(r.counter(groupResumes, string(resumeBroken)), ShouldBeGreaterThan, 0)
 			So(len(r.engine.Runs()), ShouldEqual, 1)
 		})
+		Convey("when it goes silent after a long time without a token", func() {
+			r := newRig(t, slow, Limits{ResumeWindow: time.Second}, quick)
+			r.faults(`{"answer_delay_ms":2500}`)
+			sent, got := time.Now(), make(chan string, 1)
+			go func() {
+				answer, _ := r.echo("late but whole", false)
+				got <- answer
+			}()
+			r.eventually("longer than the window", func() bool { return time.Since(sent) > 1500*time.Millisecond })
+			r.faults(`{"silent":"existing"}`)
+			So(<-got, ShouldEqual, "late but whole")
+			So(len(r.engine.Runs()), ShouldEqual, 1)
+		})
 		Convey("when two answers come crossed", func() {
 			r.faults(`{"cross_answers":1,"answer_delay_ms":100}`)
 			got := make(chan string, 2)
--- a/internal/entry/resume.go
+++ b/internal/entry/resume.go
@@ -35,7 +35,7 @@
 	for {
 		stream, err := a.engine.Resume(ctx, string(a.x.id), a.next)
 		if err == nil {
-			a.stream = stream
+			a.stream, a.opened, a.resumed = stream, true, time.Now()
 			return nil
 		}
 		if errors.Is(err, engine.ErrUnknownRun) {
@@ -57,7 +57,7 @@
 // refusal says how a run that was dispatched ended without a whole answer.
 func (a *answer) refusal(err error) (*request.Refusal, pool.Outcome) {
 	ran := request.RanUnknown
-	if a.opened {
+	if !a.first.IsZero() { // an engine that took the run may not have begun it
 		ran = request.NotRunFalse
 	}
 	refuse := func(reason request.Reason, notRun request.NotRun, message string) *request.Refusal {
