entry: a run that an engine never knew is no proof of a crash

An engine that answered that it does not know a run was reported as crashed even where nothing had shown that it got the request, and everything that ran there became suspect. It counts as crashed only where it had the run; else the stream counts as broken.

--- a/internal/entry/resume.go
+++ b/internal/entry/resume.go
@@ -74,8 +74,11 @@
 	case errors.Is(err, errNothingLeft):
 		return refuse(request.ReasonEngineUnreachable, request.NotRunTrue, "the connection to the engine was lost before anything was sent"),
 			pool.OutcomeNotSent
-	case errors.Is(err, engine.ErrUnknownRun):
+	case errors.Is(err, engine.ErrUnknownRun) && a.opened:
 		return refuse(request.ReasonEngineLost, ran, "the engine lost the request"), pool.OutcomeCrashed
+	case errors.Is(err, engine.ErrUnknownRun):
+		// No proof of a crash, which would make suspects of all that ran there.
+		return refuse(request.ReasonEngineLost, ran, "the engine does not know the request"), pool.OutcomeBroken
 	case errors.Is(err, engine.ErrFailed):
 		return refuse(request.ReasonEngineFailed, ran, "the engine reports that it failed"), pool.OutcomeFailed
 	case errors.Is(err, engine.ErrNotSent):
