--- a/test/burst_test.go
+++ b/test/burst_test.go
@@ -71,6 +71,7 @@
 // come, and all low-tier requests waited before the burst began. So one that
 // runs after all was waiting while a higher one was refused.
 func TestABurstAtDawn(t *testing.T) {
+	t.Parallel()
 	c := newCluster(t, plan{nodes: 3, engines: 1, options: slowEngine, slots: burstSlots})
 	Convey("no higher tier is shed while a lower one waits", t, func() {
 		urgent, tags := c.burst("")
@@ -134,6 +135,7 @@
 // while its load reports lag and its cache events come late and with gaps.
 // Cause: requests are spread by count or by what a stale report says.
 func TestAStragglerWithLateAndMissingReports(t *testing.T) {
+	t.Parallel()
 	c := newCluster(t, plan{nodes: 3, engines: 3, options: slowEngine, slots: 6})
 	Convey("its share falls, and every caller gets its own whole answer", t, func() {
 		for i, e := range c.engines {
--- a/test/caller_gone_test.go
+++ b/test/caller_gone_test.go
@@ -26,6 +26,7 @@
 // requests wait for a slot.
 // Cause: an entry notices a caller that left only when it writes to it.
 func TestCallersLeave(t *testing.T) {
+	t.Parallel()
 	const slots, left, stay = 3, 9, 6
 	c := newCluster(t, plan{nodes: 3, engines: 1, options: slowEngine, slots: slots})
 	Convey("their runs are cancelled, and what waited never runs", t, func() {
@@ -65,6 +66,7 @@
 // gets SIGTERM.
 // Cause: nobody tells the entry that the caller's end is unreachable.
 func TestCallerConnectionsGoSilentInMidStream(t *testing.T) {
+	t.Parallel()
 	c := newCluster(t, plan{nodes: 2, engines: 1, options: slowEngine, slots: 6})
 	Convey("others are served on new connections, every slot comes free, the daemon ends", t, func() {
 		ctx, leave := context.WithCancel(t.Context())
@@ -90,20 +92,25 @@
 // in it; once it is the last of its region, once there are others.
 // Cause: it exits with its listener, or its queue goes to nobody.
 func TestADaemonStopsWithWaitingAndStreamingRequests(t *testing.T) {
-	for _, nodes := range []int{1, 3} {
-		c := newCluster(t, plan{nodes: nodes, engines: 1, options: slowEngine, slots: 4})
-		Convey("every request gets its whole answer and the exit code is 0", t, func() {
-			victim := c.owner(testPool)
-			s := startStreams(t.Context(), 16, 0, through([]*node{victim}))
-			eventually(t, "some stream and others wait", func() bool {
-				return s.begun.Load() >= 1 && c.waiting(testPool) >= 4
-			})
-			So(victim.stop(), ShouldBeNil)
-			s.lanes.Wait()
-			whole, refused, broken := checkAnswers(t, c, s.all())
-			So(refused, ShouldBeEmpty)
-			So(broken, ShouldEqual, 0)
-			So(whole, ShouldEqual, 16)
-		})
+	for name, nodes := range map[string]int{"the last one": 1, "one of three": 3} {
+		t.Run(name, func(t *testing.T) { testStop(t, nodes) })
 	}
 }
+
+func testStop(t *testing.T, nodes int) {
+	t.Parallel()
+	c := newCluster(t, plan{nodes: nodes, engines: 1, options: slowEngine, slots: 4})
+	Convey("every request gets its whole answer and the exit code is 0", t, func() {
+		victim := c.owner(testPool)
+		s := startStreams(t.Context(), 16, 0, through([]*node{victim}))
+		eventually(t, "some stream and others wait", func() bool {
+			return s.begun.Load() >= 1 && c.waiting(testPool) >= 4
+		})
+		So(victim.stop(), ShouldBeNil)
+		s.lanes.Wait()
+		whole, refused, broken := checkAnswers(t, c, s.all())
+		So(refused, ShouldBeEmpty)
+		So(broken, ShouldEqual, 0)
+		So(whole, ShouldEqual, 16)
+	})
+}
--- a/test/cluster_test.go
+++ b/test/cluster_test.go
@@ -96,9 +96,15 @@
 	return fmt.Sprintf("127.0.1.%d", number+1)
 }
 
-// newCluster starts a cluster and waits until every daemon is ready.
+// places bounds the clusters that run at the same time.
+var places = make(chan struct{}, 3)
+
+// newCluster starts a cluster and waits until every daemon is ready. It waits
+// for a place first: a test uses one cluster only.
 func newCluster(t testing.TB, p plan) *cluster {
 	t.Helper()
+	places <- struct{}{}
+	t.Cleanup(func() { <-places })
 	c := &cluster{t: t, plan: p, store: freeAddress(t)}
 	c.platform = start(t, "platform", "lycheekeel", "standin", "platform", "--listen", c.store)
 	c.api = httpplatform.New(httpplatform.Options{Addr: c.store})
--- a/test/config_change_test.go
+++ b/test/config_change_test.go
@@ -45,6 +45,7 @@
 // changes at the same time.
 // Cause: the later write replaces the earlier one unseen.
 func TestOperatorsRaceOnOneTemplate(t *testing.T) {
+	t.Parallel()
 	c := newCluster(t, plan{nodes: 3, engines: 1})
 	Convey("one wins, the others are told of a conflict, and the winner's is in force", t, func() {
 		stored, err := c.api.Get(t.Context(), workspace.KindTemplate, "snagging")
@@ -86,6 +87,7 @@
 // the store comes back and answers reads as of some writes ago.
 // Cause: it can ask nobody but the store, and believes what that says.
 func TestADaemonStartsWhileTheStoreIsDownOrStale(t *testing.T) {
+	t.Parallel()
 	c := newCluster(t, plan{nodes: 3, engines: 1})
 	Convey("it gets the newest configuration from its peers and never goes back", t, func() {
 		var version uint64
@@ -121,6 +123,7 @@
 // Sequence: a daemon with another cluster key starts with the right seeds.
 // Cause: a peer is believed because it connects.
 func TestADaemonWithAnotherClusterKeyStaysOutside(t *testing.T) {
+	t.Parallel()
 	c := newCluster(t, plan{nodes: 2, engines: 1})
 	Convey("the members never see it, and it can't see them", t, func() {
 		inside := append([]*node(nil), c.nodes...)
--- a/test/crash_test.go
+++ b/test/crash_test.go
@@ -28,6 +28,7 @@
 // again, each time to another entry, while others' requests run.
 // Cause: each entry and owner sees a new request and a healthy engine.
 func TestARequestThatCrashesEnginesIsConvicted(t *testing.T) {
+	t.Parallel()
 	c := newCluster(t, plan{nodes: 3, engines: 4, options: engine.Options{StepMs: 10, RestartMs: 400}})
 	Convey("it is refused as convicted after few crashes, and innocents are served", t, func() {
 		for _, e := range c.engines {
--- a/test/drain_test.go
+++ b/test/drain_test.go
@@ -59,6 +59,7 @@
 // Cause: a listener that closes before the balancer has noticed, an answer cut
 // off at exit, or a queue lost with its owner.
 func TestARollingRestartUnderLoad(t *testing.T) {
+	t.Parallel()
 	c := newCluster(t, plan{nodes: 3, engines: 2, options: slowEngine, slots: 6})
 	Convey("no caller notices", t, func() {
 		b := &balancer{}
@@ -97,6 +98,7 @@
 // Sequence: an operator marks a server as leaving while it streams answers.
 // Cause: owners and entries go on by an old configuration, or cut its streams.
 func TestABackendServerLeavesInMidStream(t *testing.T) {
+	t.Parallel()
 	c := newCluster(t, plan{nodes: 3, engines: 3, options: slowEngine, slots: 6})
 	Convey("its streams end whole and it gets nothing new after the change is in force", t, func() {
 		l := startLoad(t.Context(), 16, 20, through(c.nodes))
--- a/test/owner_test.go
+++ b/test/owner_test.go
@@ -48,6 +48,7 @@
 // its queue and run under its grants.
 // Cause: the queue and the count of what runs died with the owner.
 func TestTheOwnerDies(t *testing.T) {
+	t.Parallel()
 	c := newCluster(t, plan{nodes: 4, engines: 2, options: slowEngine, slots: 4})
 	Convey("the requests of the other entries are all answered whole, once", t, func() {
 		owner := c.owner(testPool)
@@ -73,6 +74,7 @@
 // takes its pools over, and the first one goes on with what it knew.
 // Cause: two owners grant the same slots, and old grants reach the entries.
 func TestTheOwnerIsPausedAndComesBack(t *testing.T) {
+	t.Parallel()
 	c := newCluster(t, plan{nodes: 4, engines: 2, options: slowEngine, slots: 4})
 	Convey("no request is lost or doubled while there are two owners", t, func() {
 		owner := c.owner(testPool)
@@ -107,17 +109,18 @@
 // Sequence: an entry dies while requests wait in it and run under its grants.
 // Cause: the slots that it held are never freed, or its requests are handed on.
 func TestAnEntryDiesWithWaitingRequests(t *testing.T) {
+	t.Parallel()
 	c := newCluster(t, plan{nodes: 4, engines: 2, options: slowEngine, slots: 3})
 	Convey("only its own callers notice, and its slots are free again", t, func() {
 		victim := c.others(c.owner(testPool))[0]
 		lost := startLoad(t.Context(), 9, 10, through([]*node{victim}))
 		l := startLoad(t.Context(), 9, 10, through(c.others(victim)))
 		eventually(t, "traffic flows", func() bool { return l.count() >= 30 && lost.count() >= 10 })
+		lost.cancel() // what was sent stays; nobody calls a dead entry again and again
 		victim.kill()
 		at := l.count()
 		eventually(t, "traffic goes on at the others", func() bool { return l.count() >= at+120 })
 		results := l.stop()
-		lost.cancel()
 		whole, refused, broken := checkAnswers(t, c, results)
 		So(refused, ShouldBeEmpty)
 		So(broken, ShouldEqual, 0)
--- a/test/path_test.go
+++ b/test/path_test.go
@@ -10,6 +10,7 @@
 )
 
 func TestAWholeClusterServesItsCallers(t *testing.T) {
+	t.Parallel()
 	c := newCluster(t, plan{nodes: 3, engines: 3})
 	Convey("every caller at every entry gets its own whole answer", t, func() {
 		l := startLoad(t.Context(), 12, 5, func(lane, n int) string {
@@ -36,6 +37,7 @@
 // Sequence: an engine process dies while it runs requests; others live.
 // Cause: requests were bound to the dead engine, or were sent a second time.
 func TestAnEngineDiesUnderLoad(t *testing.T) {
+	t.Parallel()
 	c := newCluster(t, plan{nodes: 3, engines: 3, options: engine.Options{StepMs: 8}})
 	Convey("only what ran there is lost, and is said to be; nothing runs twice", t, func() {
 		l := startLoad(t.Context(), 12, 20, func(lane, n int) string {
--- a/test/placement_test.go
+++ b/test/placement_test.go
@@ -64,6 +64,7 @@
 // order that it sent long ago arrives late.
 // Cause: the lapsed holder acts as if it still held the lease.
 func TestThePlacementLeaseLapsesWhileItsHolderIsPaused(t *testing.T) {
+	t.Parallel()
 	options := slowEngine
 	options.Models = []enginewire.Model{{Model: testModel, Version: "v1"}}
 	c := newCluster(t, plan{nodes: 3, engines: 3, options: options, placement: true, checksTokens: true})
--- a/test/silence_test.go
+++ b/test/silence_test.go
@@ -16,6 +16,7 @@
 // connections while answers stream; bytes vanish, new connections work.
 // Cause: nothing arrives, so a reader without a silence limit waits for ever.
 func TestEngineConnectionsGoSilentInMidStream(t *testing.T) {
+	t.Parallel()
 	c := newCluster(t, plan{nodes: 2, engines: 2, options: slowEngine})
 	Convey("every stream is resumed on a new connection and none is run again", t, func() {
 		for round, d := range []faultproxy.Direction{faultproxy.Both, faultproxy.ToClient} {
@@ -39,6 +40,7 @@
 // Sequence: connections that nobody uses just then go silent; then callers come.
 // Cause: a request is sent on an idle connection that looks well at this end.
 func TestIdleEngineConnectionsGoSilent(t *testing.T) {
+	t.Parallel()
 	c := newCluster(t, plan{nodes: 2, engines: 2})
 	Convey("no request is sent into them", t, func() {
 		l := &recorder{}
@@ -61,6 +63,7 @@
 // new ones work.
 // Cause: TCP alone reports nothing for minutes.
 func TestPeerConnectionsGoSilent(t *testing.T) {
+	t.Parallel()
 	c := newCluster(t, plan{nodes: 3, engines: 2, options: slowEngine, slots: 6})
 	Convey("sessions are opened again on new connections; nothing is lost or doubled", t, func() {
 		l := startLoad(t.Context(), 20, 5, through(c.nodes))
@@ -86,6 +89,7 @@
 // watches wait on them; new ones work.
 // Cause: a long poll that waits on a dead connection looks like no change.
 func TestPlatformConnectionsGoSilent(t *testing.T) {
+	t.Parallel()
 	c := newCluster(t, plan{nodes: 3, engines: 1})
 	Convey("the next change is in force everywhere all the same", t, func() {
 		for _, n := range c.nodes {
@@ -103,6 +107,7 @@
 // connections.
 // Cause: an answer is believed because of the connection that it came on.
 func TestAnswersComeLateAndCrossed(t *testing.T) {
+	t.Parallel()
 	c := newCluster(t, plan{nodes: 2, engines: 2, options: engine.Options{StepMs: 10}})
 	Convey("crossed answers are discarded and every caller gets its own", t, func() {
 		l := startLoad(t.Context(), 12, 10, through(c.nodes))
--- a/test/store_test.go
+++ b/test/store_test.go
@@ -42,6 +42,7 @@
 // again and again, as apps with impatient users do.
 // Cause: each entry by itself sees a request that it never had.
 func TestAConfirmationSentToEveryEntryRunsOnce(t *testing.T) {
+	t.Parallel()
 	c := newCluster(t, plan{nodes: 3, engines: 1})
 	Convey("it runs once; resends get the same answer or the truth", t, func() {
 		for n := range 5 {
@@ -75,6 +76,7 @@
 // Sequence: the platform takes a claim's write and its answer is lost.
 // Cause: an entry that takes the silence for a failure writes again or gives up.
 func TestTheStoreLosesAnswersAfterTheWrite(t *testing.T) {
+	t.Parallel()
 	c := newCluster(t, plan{nodes: 3, engines: 1})
 	Convey("each confirmation runs at most once, and what is said of it is true", t, func() {
 		c.storeFaults(standin.Faults{LoseFraction: 0.3})
@@ -107,6 +109,7 @@
 // Cause: the path of a request waits for the store although it needs it only
 // for claims.
 func TestTheStoreIsDown(t *testing.T) {
+	t.Parallel()
 	c := newCluster(t, plan{nodes: 3, engines: 2})
 	Convey("ordinary requests go on; a confirmation is refused, truly not run", t, func() {
 		l := startLoad(t.Context(), 9, 5, through(c.nodes))
@@ -136,6 +139,7 @@
 // the caller sends it to another entry.
 // Cause: what the first entry knew died with it.
 func TestAnEntryDiesWhileAConfirmationRuns(t *testing.T) {
+	t.Parallel()
 	c := newCluster(t, plan{nodes: 3, engines: 1})
 	Convey("the resend is refused as unknown and nothing runs again", t, func() {
 		c.post(c.service.link.target, service.PathFaults, `{"delay_ms": 60000}`)
--- a/test/vm_test.go
+++ b/test/vm_test.go
@@ -37,10 +37,12 @@
 // owner changes meanwhile.
 // Cause: the list is not read, believed too much, or forgotten by a new owner.
 func TestTheVMListShowsLeavingVMsAndLags(t *testing.T) {
+	t.Parallel()
 	c := newCluster(t, plan{nodes: 3, engines: 4, options: slowEngine, slots: 6, ownIPs: true})
 	Convey("a leaving VM gets nothing new, a dead one neither, and streams end whole", t, func() {
 		c.listVMs(nil)
-		l := startLoad(t.Context(), 16, 20, through(c.nodes))
+		owner := c.owner(testPool)
+		l := startLoad(t.Context(), 16, 20, through(c.others(owner)))
 		eventually(t, "traffic flows to all", func() bool {
 			for _, e := range c.engines {
 				if len(c.runsOf(e)) < 5 {
@@ -67,11 +69,11 @@
 		}
 		t.Logf("last run on the leaving VM: %v after the list showed it", last.Sub(sign))
 
-		lostThere := c.running()
+		dead.link.proxy.Close() // nobody listens at a dead VM's address
 		dead.kill()
 		at = l.count()
 		eventually(t, "answers come from the others", func() bool { return l.count() >= at+100 })
-		c.owner(testPool).kill()
+		owner.kill()
 		at = l.count()
 		before := len(c.runsOf(leaving))
 		eventually(t, "answers come under a new owner", func() bool { return l.count() >= at+150 })
@@ -80,7 +82,7 @@
 		whole, refused, broken := checkAnswers(t, c, results)
 		t.Logf("%d whole, %v refused, %d broken; runs on the leaving VM after the owner change: %d", whole, refused, broken, after)
 		So(after, ShouldBeLessThanOrEqualTo, 6) // until the new owner has the list
-		So(whole, ShouldBeGreaterThan, len(results)/2)
-		So(refused["engine_lost"], ShouldBeLessThanOrEqualTo, lostThere)
+		So(broken, ShouldEqual, 0)
+		So(len(results)-whole, ShouldBeLessThanOrEqualTo, 6) // what ran on the dead VM
 	})
 }
