peer: ping unanswered connections first; broker: progress within half a second

Heartbeats of all connections share a rate of 10 a second, and were sent in any order: with 60 quiet connections in use, one with an unanswered message waited its turn among them, several seconds on average. Reports of progress went along with a session's heartbeats, which have become rare where sessions are many; they go within half a second again.

--- a/broker/heartbeat.go
+++ b/broker/heartbeat.go
@@ -69,7 +69,8 @@
 	return l.entry.cfg.Heartbeat(int(l.entry.sessions.Load()))
 }
 
-// heartbeatDue tells whether a word is due. The first one in a session that
+// heartbeatDue tells whether a word is due; reports of progress go each half
+// second at the latest, whatever the session's interval. The first one in a session that
 // has just become busy waits a moment for events to go along with.
 func (l *link) heartbeatDue() bool {
 	s := &l.session
@@ -78,7 +79,7 @@
 	if s.owed {
 		interval = poolhost.HeartbeatEvery
 	}
-	if quiet >= s.promised {
+	if quiet >= s.promised || len(l.progress) > 0 && quiet >= poolhost.HeartbeatEvery {
 		return true
 	}
 	return quiet >= interval && l.now.Sub(s.busySince) >= poolhost.HeartbeatEvery
--- a/broker/heartbeat_test.go
+++ b/broker/heartbeat_test.go
@@ -137,6 +137,21 @@
 	})
 }
 
+// Symptom: in a large region, a straggler is found out many seconds late.
+// Sequence: a request runs in an idle session and reports its progress.
+// Cause: reports go along with heartbeats, and those have become rare.
+func TestProgressOnIdleSession(t *testing.T) {
+	Convey("Given a session that is idle for long", t, func() {
+		w, grants := usedBy(2, 29, nil)
+		So(grants[0].link.session.promised, ShouldBeGreaterThan, 5*time.Second)
+		for i := range 4 {
+			grants[0].Progress(time.Second, i+1, time.Millisecond)
+			w.advance(poolhost.HeartbeatEvery + poolhost.TickEvery)
+			So(len(w.progress()), ShouldEqual, i+1)
+		}
+	})
+}
+
 // Symptom: while daemons are replaced by a new version, sessions break every
 // few seconds.
 // Sequence: half the daemons of a large region neither tell nor read when the
--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -95,7 +95,9 @@
 	return l
 }
 
-func (l *link) nanos() int64 { return l.t.now().Sub(l.t.start).Nanoseconds() }
+func (l *link) nanos() int64 { return l.t.nanos() }
+
+func (t *TCP) nanos() int64 { return t.now().Sub(t.start).Nanoseconds() }
 
 // noteReceived is called for every arrival, of whatever kind.
 func (l *link) noteReceived() {
--- a/internal/peer/watch.go
+++ b/internal/peer/watch.go
@@ -1,6 +1,10 @@
 package peer
 
-import "time"
+import (
+	"cmp"
+	"slices"
+	"time"
+)
 
 const (
 	// watchTick is how often connections are looked at.
@@ -42,30 +46,65 @@
 		t.mu.Lock()
 		links := t.allLinks()
 		t.mu.Unlock()
-		for _, l := range links {
-			if l.isUp() {
-				t.watch(l, paused)
-			}
+		t.pingDue(t.watchAll(links, paused))
+	}
+}
+
+// watchAll looks at all connections and returns those to be pinged.
+func (t *TCP) watchAll(links []*link, paused bool) []*link {
+	var due []*link
+	for _, l := range links {
+		if l.isUp() && t.watch(l, paused) {
+			due = append(due, l)
+		}
+	}
+	return due
+}
+
+// pingDue pings connections as far as the rate allows: first those on which a
+// message is unanswered, the oldest first, then those that were quiet longest.
+//
+// What goes wrong without the order: with 60 connections the rate is less than
+// the quiet ones ask for, and one with a request on it would wait its turn
+// among them for many seconds before its silence is looked into.
+func (t *TCP) pingDue(due []*link) {
+	now := t.nanos()
+	slices.SortFunc(due, func(a, b *link) int { return cmp.Compare(b.urgency(now), a.urgency(now)) })
+	for _, l := range due {
+		if !t.pingRate.Allow() {
+			return
 		}
+		t.ping(l, l.nanos())
 	}
 }
 
-// watch looks at one connection. After an own pause nothing is held against
-// the peer: what it sent meanwhile may be waiting in the kernel.
-func (t *TCP) watch(l *link, paused bool) {
+// unansweredFirst puts an unanswered message before any quiet time.
+const unansweredFirst = time.Hour
+
+// urgency orders connections to be pinged.
+func (l *link) urgency(now int64) int64 {
+	if since := l.expectSince.Load(); since != 0 && now-since > int64(l.t.opts.PingAfter) {
+		return int64(unansweredFirst) + now - since
+	}
+	return now - l.receivedAt.Load()
+}
+
+// watch looks at one connection and tells whether it is to be pinged. After an
+// own pause nothing is held against the peer: what it sent meanwhile may be
+// waiting in the kernel.
+func (t *TCP) watch(l *link, paused bool) (ping bool) {
 	if paused {
 		l.expectSince.Store(0)
 		l.pingedAt.Store(0)
-		return
+		return false
 	}
 	now := l.nanos()
-	switch pinged := l.pingedAt.Load(); {
-	case pinged != 0 && now-pinged > int64(t.opts.Silence):
+	pinged := l.pingedAt.Load()
+	if pinged != 0 && now-pinged > int64(t.opts.Silence) {
 		t.down(l, closedSilent)
-	case pinged == 0 && l.needsPing(now):
-		t.ping(l, now)
 	}
 	t.watchIdle(l, now)
+	return pinged == 0 && l.needsPing(now)
 }
 
 // needsPing tells whether a sign of life is due: a message went unanswered, or
@@ -87,9 +126,6 @@
 // ping asks for a sign of life. A full queue counts as asked: the peer then
 // takes nothing, which is the silence that is looked for.
 func (t *TCP) ping(l *link, now int64) {
-	if !t.pingRate.Allow() {
-		return
-	}
 	t.count.pings.Add(1)
 	l.pingedAt.CompareAndSwap(0, max(1, now))
 	_ = l.sendPing(pingAsk)
--- /dev/null
+++ b/internal/peer/watch_test.go
@@ -0,0 +1,56 @@
+package peer
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+	"golang.org/x/time/rate"
+)
+
+func TestPingOrder(t *testing.T) {
+	// Symptom: a request waits for many seconds on a connection that is silent,
+	// though others are noticed within one.
+	// Sequence: a daemon has more quiet connections than it may ping a second,
+	// and a message on one more of them stays unanswered.
+	// Cause: connections are pinged in any order, and that one's turn is late.
+	Convey("Where the rate allows a few pings only", t, func() {
+		transport, err := NewTCP(Options{Name: "a", Listen: "127.0.0.1:0", Keys: [][]byte{testKey}})
+		So(err, ShouldBeNil)
+		Reset(transport.Close)
+		transport.pingRate = rate.NewLimiter(0, 3)
+		transport.start = time.Now().Add(-time.Hour)
+		quietFor := func(quiet, unanswered time.Duration) *link {
+			l := newLink(transport, "b", true)
+			now := l.nanos()
+			l.receivedAt.Store(now - int64(quiet))
+			l.watchedAt.Store(now)
+			if unanswered > 0 {
+				l.expectSince.Store(now - int64(unanswered))
+			}
+			close(l.up)
+			return l
+		}
+		var links []*link
+		for i := range 60 {
+			links = append(links, quietFor(time.Duration(2000+i)*time.Millisecond, 0))
+		}
+		asked := quietFor(time.Second/2, time.Second/2)
+		older := quietFor(time.Second, time.Second)
+		fresh := quietFor(time.Millisecond, time.Millisecond)
+		due := transport.watchAll(append(links, asked, older, fresh), false)
+		So(len(due), ShouldEqual, 62)
+		transport.pingDue(due)
+
+		So(asked.pingedAt.Load() != 0, ShouldBeTrue)
+		So(older.pingedAt.Load() != 0, ShouldBeTrue)
+		So(links[59].pingedAt.Load() != 0, ShouldBeTrue)
+		pinged := 0
+		for _, l := range append(links, asked, older, fresh) {
+			if l.pingedAt.Load() != 0 {
+				pinged++
+			}
+		}
+		So(pinged, ShouldEqual, 3)
+	})
+}
