--- a/test/owner_test.go
+++ b/test/owner_test.go
@@ -65,6 +65,11 @@
 		after, ok := c.firstRunAfter(killed)
 		So(ok, ShouldBeTrue)
 		t.Logf("first run after the owner's death: %v", after)
+		for _, e := range c.engines {
+			most := mostAtOnce(c.runsOf(e))
+			t.Logf("%s: at most %d runs at once, 4 slots", e.name, most)
+			So(most, ShouldBeLessThanOrEqualTo, 2*4) // the old owner's and the new one's
+		}
 	})
 }
 
