daemon: ready only when the others are known

A daemon that had just started counted as ready once it had a configuration, while its view held itself alone: it owned every pool for its own callers, beside the pools' owners. /readyz now waits until a member has told of the region's members or agrees with the view, until it is clear that there is nobody to ask (no seed and no VM of the platform's list but itself), or for 3 s in which nobody answered.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -214,13 +214,18 @@
 
 // serve waits until the daemon is to stop.
 func (d *Daemon) serve(ctx context.Context, failed <-chan error) error {
-	configured := d.Configured()
+	configured, joined := d.Configured(), d.members.Joined()
 	for {
+		if configured == nil && joined == nil && d.state.CompareAndSwap(uint32(stateStarting), uint32(stateServing)) {
+			d.log.Info("ready")
+		}
 		select {
 		case <-configured:
-			d.state.CompareAndSwap(uint32(stateStarting), uint32(stateServing))
-			d.log.Info("configuration in force, ready")
 			configured = nil
+			d.log.Info("configuration in force")
+		case <-joined:
+			joined = nil
+			d.log.WithField("members", len(d.views.Load().Members)).Info("members met")
 		case err := <-failed:
 			d.closeListeners()
 			return errors.WithMessage(err, "server ended")
--- a/member/join.go
+++ b/member/join.go
@@ -19,6 +19,7 @@
 // lags: an address in it may have joined, gone or not started yet, so it only
 // says where to ask, and its absence proves nothing.
 func (m *Machine) Hints(addresses []string) {
+	m.joining.listed = true
 	m.hinted = make(map[string]struct{}, len(addresses))
 	m.hints = m.hints[:0]
 	for _, a := range addresses {
--- a/member/machine.go
+++ b/member/machine.go
@@ -54,10 +54,11 @@
 	nextCompare time.Time
 	nextSeek    time.Time
 
-	news   []*update
-	fresh  bool // news came in since the last push
-	hinted map[string]struct{}
-	hints  []string // addresses not tried yet
+	news    []*update
+	fresh   bool // news came in since the last push
+	joining joining
+	hinted  map[string]struct{}
+	hints   []string // addresses not tried yet
 }
 
 // entry is what is known of another member.
@@ -78,6 +79,7 @@
 		cfg: cfg, rand: r, self: cfg.Self, started: now, now: now, lastTick: now, changed: true,
 		table: map[string]*entry{}, probes: map[uint64]*probe{}, byTarget: map[string]*probe{},
 		relays: map[uint64]relay{}, hinted: map[string]struct{}{},
+		joining:   joining{started: now},
 		nextProbe: now, nextSeek: now, untilSync: r.IntN(syncEveryYoung), ringStale: true,
 	}
 	m.self.State = Alive
--- a/member/runner.go
+++ b/member/runner.go
@@ -44,6 +44,8 @@
 	mu      sync.Mutex
 	machine *Machine
 	stopped bool
+	met     bool // joined is closed
+	joined  chan struct{}
 }
 
 // NewRunner registers membership's handlers; call it before the transport
@@ -56,7 +58,7 @@
 	if opts.HintInterval == 0 {
 		opts.HintInterval = DefaultHintInterval
 	}
-	r := &Runner{opts: opts, log: logs.For("member"), machine: m}
+	r := &Runner{opts: opts, log: logs.For("member"), machine: m, joined: make(chan struct{})}
 	r.ctx, r.cancel = context.WithCancel(context.Background())
 	r.opts.Live.Store(m.View())
 	for _, t := range []peer.Type{peer.TypeMemberProbe, peer.TypeMemberAsk, peer.TypeMemberAck, peer.TypeMemberGossip} {
@@ -79,9 +81,15 @@
 	r.group.Go(r.tickLoop)
 	if r.opts.Hints != nil {
 		r.group.Go(r.hintLoop)
+	} else {
+		r.do(func(time.Time) []Out { r.machine.Hints(nil); return nil })
 	}
 }
 
+// Joined is closed when the view can be gone by: this daemon has met others,
+// or has found after JoinPatience at the latest that nobody answers.
+func (r *Runner) Joined() <-chan struct{} { return r.joined }
+
 // Leave announces that this daemon takes no more pools; it goes on taking
 // part. Call it at the first sign of leaving, e.g. SIGTERM.
 func (r *Runner) Leave() { r.do(r.machine.Leave) }
@@ -108,6 +116,10 @@
 	if v := r.machine.View(); v != nil {
 		r.show(v)
 	}
+	if !r.met && r.machine.Joined() {
+		r.met = true
+		close(r.joined)
+	}
 	r.mu.Unlock()
 	for _, o := range outs {
 		if err := r.opts.Transport.Send(o.To, o.Type, o.Payload); err != nil {
--- a/member/sync.go
+++ b/member/sync.go
@@ -95,6 +95,7 @@
 // sync does the step that the peer's one asks for.
 func (m *Machine) sync(from peer.Name, s *wire.Sync) {
 	digest, buckets := m.digests()
+	m.noteSync(s, digest)
 	switch {
 	case s.Join:
 		m.answerJoin(from)
