test: a store slower than callers wait

Writes of claims take effect after their callers were refused as not run; then callers come back to other entries.

--- a/test/store_test.go
+++ b/test/store_test.go
@@ -10,6 +10,7 @@
 	. "github.com/smartystreets/goconvey/convey"
 	"github.com/sourcegraph/conc"
 
+	"github.com/lycheekeel/lycheekeel/claim"
 	standin "github.com/lycheekeel/lycheekeel/internal/standin/platform"
 	service "github.com/lycheekeel/lycheekeel/internal/standin/service"
 )
@@ -156,3 +157,48 @@
 		So(c.serviceRuns(), ShouldEqual, 1)
 	})
 }
+
+// Symptom: a confirmation that was refused as not run stays blocked, or runs
+// although it was refused.
+// Sequence: the store takes longer than the callers wait; its writes take
+// effect after their callers gave up; then it is fast again and callers come
+// back, to other entries.
+// Cause: a claim written late looks like one whose claimant runs it.
+func TestTheStoreIsSlowerThanCallersWait(t *testing.T) {
+	t.Parallel()
+	c := newCluster(t, plan{nodes: 3, engines: 1})
+	Convey("refusals are true, and each confirmation runs once after all", t, func() {
+		c.storeFaults(standin.Faults{SlowMs: 4000})
+		const calls = 9
+		var wg conc.WaitGroup
+		answers := make([]answer, calls)
+		for i := range answers {
+			wg.Go(func() {
+				answers[i] = send(t.Context(), c.nodes[i%3].callers.proxy.Addr(), dispatchPath, []byte("send crew"), call{header: map[string]string{
+					"Idempotency-Key": fmt.Sprint("slow-", i), "X-Lycheekeel-Deadline-Ms": "1500",
+				}})
+			})
+		}
+		wg.Wait()
+		for _, a := range answers {
+			So(a.notRun, ShouldEqual, true)
+			t.Logf("refused: %s", a.code)
+		}
+		So(c.serviceRuns(), ShouldEqual, 0)
+		c.storeFaults(standin.Faults{})
+		eventually(t, "the late writes take effect", func() bool {
+			claims, err := c.api.List(t.Context(), claim.Kind, "")
+			return err == nil && len(claims.Objects) >= calls
+		})
+		for i := range answers {
+			eventually(t, "the confirmation runs once the store is fast", func() bool {
+				a := dispatch(t.Context(), c.nodes[(i+1)%3].callers.proxy.Addr(), fmt.Sprint("slow-", i), "send crew")
+				if a.status != http.StatusOK {
+					t.Logf("again: %s, not_run %v", a.code, a.notRun)
+				}
+				return a.status == http.StatusOK
+			})
+		}
+		So(c.serviceRuns(), ShouldEqual, calls)
+	})
+}
