test: a daemon that is ready too early fails the test

The test now also starts the daemon where nobody answers and the configuration comes from the store; with readiness made to depend on the configuration alone it fails at that check, and with the wait it passes, also under the race detector.

--- a/test/ready_test.go
+++ b/test/ready_test.go
@@ -1,6 +1,7 @@
 package test
 
 import (
+	"bytes"
 	"testing"
 
 	. "github.com/smartystreets/goconvey/convey"
@@ -8,30 +9,36 @@
 
 // Symptom: in the first moments after a daemon's start its callers' requests
 // run beside those that the pools' owners know of.
-// Sequence: a daemon starts beside others and gets callers as soon as it is
-// ready.
+// Sequence: a daemon starts and gets callers as soon as it is ready. The
+// others answer late, or not at all.
 // Cause: until it has met the others, its view holds itself alone, and it
-// takes every pool for its own.
-func TestADaemonIsReadyWhenItKnowsTheOthers(t *testing.T) {
+// takes every pool for its own. The store may have given it a configuration by
+// then.
+func TestADaemonIsReadyWhenItHasLookedForTheOthers(t *testing.T) {
 	t.Parallel()
 	c := newCluster(t, plan{nodes: 3, engines: 1})
-	Convey("a daemon that is started again names the others as soon as it serves", t, func() {
+	n := c.nodes[2]
+	restart := func() (status int, met bool) {
+		n.kill()
+		c.startNode(n)
+		eventually(t, "the daemon serves", func() bool {
+			s := c.status(n)
+			status = len(s.Members)
+			return s.State == "serving"
+		})
+		return status, bytes.Contains(n.process.output.bytes(), []byte("members met"))
+	}
+	Convey("a daemon that is started again knows the others when it serves", t, func() {
 		c.awaitMembers()
-		for range 3 {
-			n := c.nodes[2]
-			owner := c.owner(testPool)
-			n.kill()
-			c.startNode(n)
-			var s = c.status(n)
-			eventually(t, "the daemon serves", func() bool {
-				s = c.status(n)
-				return s.State == "serving"
-			})
-			So(len(s.Members), ShouldEqual, 3)
-			if owner != n {
-				So(s.Pools[0].Owner, ShouldNotEqual, n.settings.Name)
-			}
-			c.awaitMembers()
-		}
+		members, met := restart()
+		So(members, ShouldEqual, 3)
+		So(met, ShouldBeTrue)
+
+		Convey("and, where nobody answers, has tried", func() {
+			c.nodes[0].kill()
+			c.nodes[1].kill()
+			_, met := restart()
+			So(met, ShouldBeTrue)
+		})
 	})
 }
