poolhost: fewer probes, brought forward by bad outcomes; engines without the model warm

Change: a server that is up is asked every 2.5 s, one that is not up every 500 ms, and a request that ends unsent, refused, broken or by a crash brings the next probe forward, so that crashes are noticed sooner than before. An engine that reports models without the pool's counts as warming.

--- a/internal/poolhost/config.go
+++ b/internal/poolhost/config.go
@@ -26,8 +26,13 @@
 	// SilentAfter is how long a session's other side may say nothing.
 	SilentAfter = 1600 * time.Millisecond
 	// ProbeEvery is how often, on average, a backend server's load report is
-	// asked for; after a miss it is asked again after probeAgain.
-	ProbeEvery = time.Second
+	// asked for while it is up. What fails at a server is noticed sooner by our
+	// own requests, whose bad outcomes bring the next probe forward; the bound
+	// is that a leaving engine gets no new work after three seconds.
+	ProbeEvery = 2500 * time.Millisecond
+	// probeDown is how often a server is asked that is not up, and probeAgain
+	// how soon after a first miss.
+	probeDown  = 500 * time.Millisecond
 	probeAgain = 250 * time.Millisecond
 	// probeJitter keeps the probes of a pool's servers apart.
 	probeJitter = ProbeEvery / 5
@@ -53,6 +58,9 @@
 	entriesEvery = 250 * time.Millisecond
 	// spreadEvery is how often sibling pools' owners are told how a pool stands.
 	spreadEvery = 500 * time.Millisecond
+	// spreadUnchanged is how often they are told the same again. A scheduler
+	// goes by no report older than 2 s.
+	spreadUnchanged = 1500 * time.Millisecond
 )
 
 // Scheduler is what a host needs of a pool.Pool.
--- a/internal/poolhost/host_test.go
+++ b/internal/poolhost/host_test.go
@@ -141,6 +141,21 @@
 			b.advance(ProbeEvery + probeJitter)
 			So(b.health("p").Health, ShouldEqual, pool.HealthGone)
 		})
+		Convey("an engine that holds other models only is warming until it has the pool's", func() {
+			b.engine.report.Models = []engine.LoadedModel{{Model: "m", Version: "0"}}
+			b.advance(ProbeEvery + probeJitter)
+			So(b.health("p").Health, ShouldEqual, pool.HealthWarming)
+			b.engine.report.Models = append(b.engine.report.Models, engine.LoadedModel{Model: "m", Version: "1"})
+			b.advance(probeDown + TickEvery)
+			So(b.health("p").Health, ShouldEqual, pool.HealthUp)
+		})
+		Convey("a request that ended badly there brings the next probe forward", func() {
+			b.advance(ProbeEvery + probeJitter)
+			b.engine.report.Leaving = true
+			b.host.Owned("p").monitor.doubt("p-server")
+			b.advance(2 * TickEvery)
+			So(b.health("p").Health, ShouldEqual, pool.HealthLeaving)
+		})
 		Convey("a restart is a new incarnation, and its cache events start anew", func() {
 			b.engine.events = []engine.CacheEvent{{Seq: 1, Block: 5, Stored: true}, {Seq: 2, Block: 6, Stored: true}}
 			b.advanceUntil(func() bool { return len(eventsOf[pool.ServerCache](b, "p")) == 1 })
--- a/internal/poolhost/monitor.go
+++ b/internal/poolhost/monitor.go
@@ -19,6 +19,7 @@
 	r      *Runtime
 	mu     sync.Mutex
 	engine bool // model engines, not plain services
+	model  engine.LoadedModel
 	// servers is in the order of the configuration.
 	servers []*watched
 }
@@ -49,6 +50,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.engine = p.Service == ""
+	m.model = engine.LoadedModel{Model: p.Model, Version: p.Version}
 	old := map[string]*watched{}
 	for _, w := range m.servers {
 		old[w.spec.Name] = w
@@ -159,7 +161,7 @@
 	case err == nil:
 		w.probes++
 		w.misses, w.reach = 0, pool.HealthUp
-		w.leaving, w.warming = report.Leaving, report.Warming
+		w.leaving, w.warming = report.Leaving, report.Warming || m.lacks(report)
 		if w.incarnation != report.Incarnation {
 			w.incarnation, w.cacheSeq, w.probes = report.Incarnation, 0, 0
 		}
@@ -175,10 +177,39 @@
 			w.reach = pool.HealthSilent
 		}
 	}
+	if w.warming || w.reach != pool.HealthUp {
+		w.next = m.r.host.cfg.Now().Add(probeDown)
+	}
 	m.tell(w)
 	return true, err == nil && w.probes%cacheEvery == 0
 }
 
+// lacks tells whether an engine reports its models and the pool's is not
+// among them: it would refuse every request until an order has loaded it.
+func (m *monitor) lacks(report engine.LoadReport) bool {
+	if !m.engine || len(report.Models) == 0 {
+		return false
+	}
+	for _, l := range report.Models {
+		if l.Model == m.model.Model && l.Version == m.model.Version {
+			return false
+		}
+	}
+	return true
+}
+
+// doubt brings a server's next probe forward: a request ended there as it
+// does where the server has crashed, leaves or can't be reached.
+func (m *monitor) doubt(server string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, w := range m.servers {
+		if w.spec.Name == server {
+			w.next = m.r.host.cfg.Now()
+		}
+	}
+}
+
 // pollCache takes the cache events since the last poll to the scheduler. A
 // jump in their numbers is a gap.
 func (m *monitor) pollCache(ctx context.Context, t target, e engine.Engine) {
--- a/internal/poolhost/session.go
+++ b/internal/poolhost/session.go
@@ -212,6 +212,10 @@
 	delete(e.granted, ev.Grant)
 	ev.Entry = e.id
 	r.feed(ev)
+	switch ev.Outcome {
+	case pool.OutcomeNotSent, pool.OutcomeRefused, pool.OutcomeBroken, pool.OutcomeCrashed:
+		r.monitor.doubt(ev.Server)
+	}
 }
 
 // confirm takes a report of a running request, also of one that this owner
