--- a/internal/capacity/page.go
+++ b/internal/capacity/page.go
@@ -20,6 +20,7 @@
 			blocks["store"] = c.storeBlock()
 			blocks["failures"] = c.failuresBlock()
 			blocks["growth"] = c.growthBlock()
+			blocks["mends"] = c.mendsBlock()
 		}
 		if c.err != nil {
 			return nil, c.err
@@ -204,6 +205,25 @@
 	return table([]string{"Nodes", "Servers", "Workspaces", "Sent/s, mean", "Sent/s, worst", "Core, worst", "Memory, worst"}, rows)
 }
 
+// mendsBlock shows what the worst node would cost if its parts were kept
+// apart: ownership with a bound a node, and a controller that is told by the
+// owners what it asks the servers now.
+func (c *model) mendsBlock() string {
+	worst := c.worstNode()
+	one := worst
+	one.pools, one.servers, one.poolRequests = 1, c.size.HotPoolServers(), c.size.HotPoolRequests()
+	apart := one
+	apart.controls, apart.watches = false, false
+	row := func(name string, l Load) []string {
+		sum := c.control(l)
+		return []string{name, verdict(sum.CPU, ControlBound.CPU, percent), verdict(sum.Bytes, ControlBound.Bytes, bytesOf)}
+	}
+	return table([]string{"Worst node", "Core", "Sent/s"}, [][]string{
+		row("as it is", worst), row("owns the busiest pool only", one),
+		row("and neither watches nor controls", apart), row("mean node", c.meanNode()),
+	})
+}
+
 func firstError(a, b error) error {
 	if a != nil {
 		return a
