faultproxy: a reset ends connections whose target is still dialed

Cause: a connection that was accepted, but whose target was not reached yet, was in no list; a reset or cut at that moment missed it and it worked on. Ruled out: membership (it rightly saw the member alive). The test of the placement lease now waits until the lapsed holder has noticed or does two more rounds, then judges the order logs.

--- a/internal/faultproxy/proxy.go
+++ b/internal/faultproxy/proxy.go
@@ -36,6 +36,7 @@
 	closed bool
 	conns  map[*conn]struct{}
 	total  int
+	resets int // how often existing connections were reset
 }
 
 // New listens at an address (port 0 picks one) and forwards to the target.
@@ -65,8 +66,10 @@
 // Refuse resets new connections as soon as they are accepted.
 func (p *Proxy) Refuse() { p.set(func() { p.refuse = true }) }
 
-// Reset resets the existing connections on both sides.
+// Reset resets the existing connections on both sides. One that was accepted,
+// but whose target is not reached yet, is an existing one.
 func (p *Proxy) Reset() {
+	p.set(func() { p.resets++ })
 	for _, c := range p.existing() {
 		c.reset()
 	}
@@ -151,7 +154,7 @@
 // forward connects one accepted connection with the target.
 func (p *Proxy) forward(client *net.TCPConn) {
 	p.mu.Lock()
-	target, refuse, silent := p.target, p.refuse, p.silent
+	target, refuse, silent, resets := p.target, p.refuse, p.silent, p.resets
 	p.total++
 	p.mu.Unlock()
 	if refuse {
@@ -166,9 +169,9 @@
 	c := &conn{proxy: p, client: client, server: server.(*net.TCPConn), silent: silent}
 	p.mu.Lock()
 	p.conns[c] = struct{}{}
-	closed := p.closed
+	ended := p.closed || p.resets != resets
 	p.mu.Unlock()
-	if closed {
+	if ended {
 		c.reset()
 	}
 	c.run()
--- a/test/placement_test.go
+++ b/test/placement_test.go
@@ -58,6 +58,21 @@
 	return 0
 }
 
+// controlled is what a daemon's placement controller did; the test waits by
+// it and judges by the engines' order logs.
+type controlled struct {
+	Rounds int
+	Lost   int `json:"lease_lost"`
+}
+
+func (c *cluster) placementOf(n *node) controlled {
+	var vars struct {
+		Lycheekeel struct{ Placement controlled }
+	}
+	c.getJSON(n.settings.Admin, "/debug/vars", &vars)
+	return vars.Lycheekeel.Placement
+}
+
 // Symptom: engines load and unload models in turns, or lose their model.
 // Sequence: the daemon that holds the placement lease is stopped beyond it;
 // another takes over and rolls a version out; the first one goes on, and an
@@ -81,6 +96,7 @@
 		})
 		paused := c.controller()
 		So(paused, ShouldNotBeNil)
+		was := c.placementOf(paused)
 		paused.signal(syscall.SIGSTOP)
 		c.put(workspace.KindPool, "reports-v2", workspace.Pool{
 			Name: "reports-v2", Region: testRegion, Model: testModel, Version: "v2", MinServers: 1,
@@ -99,6 +115,10 @@
 		})
 		paused.signal(syscall.SIGCONT)
 		c.awaitMembers()
+		eventually(t, "the lapsed holder has noticed, or goes on regardless", func() bool {
+			now := c.placementOf(paused)
+			return now.Lost > was.Lost || now.Rounds >= was.Rounds+2
+		})
 		entry := c.others(paused)[0]
 		eventually(t, "the new version serves callers", func() bool {
 			return chat(t.Context(), entry.callers.proxy.Addr(), call{text: "echo:v2"}).text == "v2"
