--- a/claim/background.go
+++ b/claim/background.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"time"
 
 	"github.com/pkg/errors"
 	"github.com/sirupsen/logrus"
@@ -10,6 +9,7 @@
 	"golang.org/x/time/rate"
 
 	"github.com/lycheekeel/lycheekeel/internal/logs"
+	"github.com/lycheekeel/lycheekeel/internal/wait"
 )
 
 // background finishes what a store outage interrupted, within bounds.
@@ -52,7 +52,7 @@
 		defer cancel()
 		retry := newBackOff(longestBackground)
 		for !b.once(ctx, try) {
-			if !pause(ctx, retry.NextBackOff()) || b.retry.Wait(ctx) != nil {
+			if !wait.For(ctx, retry.NextBackOff()) || b.retry.Wait(ctx) != nil {
 				b.o.count(countBackgroundOut)
 				b.log.WithField("claim", name).Warn("Outcome not recorded: the store took too long.")
 				return
@@ -98,15 +98,3 @@
 		return false
 	}
 }
-
-// pause waits; false where the context ended first.
-func pause(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/claim/ledger.go
+++ b/claim/ledger.go
@@ -7,6 +7,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/lycheekeel/lycheekeel/internal/wait"
 	"github.com/lycheekeel/lycheekeel/platform"
 	"github.com/lycheekeel/lycheekeel/request"
 )
@@ -57,7 +58,7 @@
 		if !errors.Is(err, errAgain) {
 			return c, err
 		}
-		pause(ctx, retry.NextBackOff())
+		wait.For(ctx, retry.NextBackOff())
 	}
 	l.o.count(countUnavailable)
 	if w.pending {
--- a/claim/shard.go
+++ b/claim/shard.go
@@ -6,6 +6,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/lycheekeel/lycheekeel/internal/wait"
 	"github.com/lycheekeel/lycheekeel/platform"
 )
 
@@ -95,7 +96,7 @@
 		if len(batch) == 0 || s.attempt(ctx, batch) {
 			return
 		}
-		pause(ctx, retry.NextBackOff())
+		wait.For(ctx, retry.NextBackOff())
 	}
 	for _, op := range batch {
 		s.deliver(op, errors.Wrap(ErrStoreUnavailable, "ledger closed"))
--- a/internal/apply/write.go
+++ b/internal/apply/write.go
@@ -9,6 +9,7 @@
 	"github.com/cenkalti/backoff/v5"
 	"github.com/pkg/errors"
 
+	"github.com/lycheekeel/lycheekeel/internal/wait"
 	"github.com/lycheekeel/lycheekeel/platform"
 )
 
@@ -66,7 +67,7 @@
 		if v, settled := readBack(ctx, api, c); settled {
 			return v, nil
 		}
-		if !sleep(ctx, delays.NextBackOff()) {
+		if !wait.For(ctx, delays.NextBackOff()) {
 			break
 		}
 	}
@@ -112,21 +113,9 @@
 				Ref: Ref{c.Kind, c.Name}, Expected: c.Version, Found: o.Version, Theirs: Diff(c.old, o.Value),
 			}
 		}
-		if !sleep(ctx, delays.NextBackOff()) {
+		if !wait.For(ctx, delays.NextBackOff()) {
 			break
 		}
 	}
 	return 0, errors.Wrapf(platform.ErrConflict, "%s/%s: its newest version can't be read: %v", c.Kind, c.Name, err)
 }
-
-// sleep waits; false where ctx ended first.
-func sleep(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/internal/entry/dispatch.go
+++ b/internal/entry/dispatch.go
@@ -9,6 +9,7 @@
 
 	"github.com/lycheekeel/lycheekeel/broker"
 	"github.com/lycheekeel/lycheekeel/engine"
+	"github.com/lycheekeel/lycheekeel/internal/wait"
 	"github.com/lycheekeel/lycheekeel/pool"
 	"github.com/lycheekeel/lycheekeel/request"
 	"github.com/lycheekeel/lycheekeel/workspace"
@@ -62,7 +63,7 @@
 		if err := x.requeue(ctx, grant, err); err != nil {
 			return nil, err
 		}
-		sleep(ctx, pause.NextBackOff())
+		wait.For(ctx, pause.NextBackOff())
 	}
 	return nil, request.Refuse(request.ReasonEngineUnreachable, "no server could be connected to")
 }
@@ -142,13 +143,3 @@
 	b.Reset()
 	return b
 }
-
-// sleep waits for d or until ctx ends.
-func sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
--- a/internal/entry/resume.go
+++ b/internal/entry/resume.go
@@ -7,6 +7,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/lycheekeel/lycheekeel/engine"
+	"github.com/lycheekeel/lycheekeel/internal/wait"
 	"github.com/lycheekeel/lycheekeel/pool"
 	"github.com/lycheekeel/lycheekeel/request"
 )
@@ -50,7 +51,7 @@
 			return err
 		}
 		a.x.entry.counters.resumes[resumeRetry].Add(1)
-		sleep(ctx, pause.NextBackOff())
+		wait.For(ctx, pause.NextBackOff())
 	}
 }
 
--- a/revision/gossip.go
+++ b/revision/gossip.go
@@ -9,6 +9,7 @@
 
 	"github.com/lycheekeel/lycheekeel/internal/configwire"
 	"github.com/lycheekeel/lycheekeel/internal/peer"
+	"github.com/lycheekeel/lycheekeel/internal/wait"
 	"github.com/lycheekeel/lycheekeel/member"
 	"github.com/lycheekeel/lycheekeel/platform"
 )
@@ -74,7 +75,7 @@
 		if answered(asked) >= joinPeers || (len(peers) > 0 && answered(asked) == len(peers)) {
 			return
 		}
-		if !sleep(ctx, joinPoll) {
+		if !wait.For(ctx, joinPoll) {
 			return
 		}
 	}
@@ -103,7 +104,7 @@
 
 // gossip sends a digest to one random member at each interval.
 func (s *Syncer) gossip(ctx context.Context) {
-	for sleep(ctx, jitter(s.o.Timing.Gossip)) {
+	for wait.For(ctx, jitter(s.o.Timing.Gossip)) {
 		for _, to := range s.peers(1) {
 			s.send(to, s.digest())
 			s.counters.digestsSent.Add(1)
@@ -137,7 +138,7 @@
 		case <-ctx.Done():
 			return
 		}
-		if !sleep(ctx, s.o.Timing.Settle) {
+		if !wait.For(ctx, s.o.Timing.Settle) {
 			return
 		}
 		s.mu.Lock()
--- a/revision/revisiontest/measure.go
+++ b/revision/revisiontest/measure.go
@@ -8,6 +8,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/lycheekeel/lycheekeel/internal/wait"
 	"github.com/lycheekeel/lycheekeel/platform"
 	"github.com/lycheekeel/lycheekeel/workspace"
 	"github.com/lycheekeel/lycheekeel/workspace/workspacetest"
@@ -65,12 +66,12 @@
 
 // idle measures the traffic while nothing changes.
 func (r *Spread) idle(ctx context.Context, c *Cluster) error {
-	if err := pause(ctx, idleTime/5); err != nil { // until the last digests agree
-		return err
+	if !wait.For(ctx, idleTime/5) { // until the last digests agree
+		return ctx.Err()
 	}
 	traffic, calls := c.Traffic(), c.storeCalls()
-	if err := pause(ctx, idleTime); err != nil {
-		return err
+	if !wait.For(ctx, idleTime) {
+		return ctx.Err()
 	}
 	after := c.Traffic()
 	perMember := float64(r.Members) * idleTime.Seconds()
@@ -96,8 +97,8 @@
 		r.Slowest = max(r.Slowest, took)
 		r.Mean += took / time.Duration(r.Changes)
 	}
-	if err := pause(ctx, time.Second); err != nil { // the last pushes
-		return err
+	if !wait.For(ctx, time.Second) { // the last pushes
+		return ctx.Err()
 	}
 	after, seconds := c.Traffic(), time.Since(start).Seconds()
 	each := float64(r.Members * r.Changes)
@@ -124,15 +125,3 @@
 	}
 	return sum
 }
-
-// pause waits, or returns ctx's error.
-func pause(ctx context.Context, d time.Duration) error {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-}
--- a/revision/syncer.go
+++ b/revision/syncer.go
@@ -13,6 +13,7 @@
 	"github.com/lycheekeel/lycheekeel/internal/logs"
 	"github.com/lycheekeel/lycheekeel/internal/metrics"
 	"github.com/lycheekeel/lycheekeel/internal/peer"
+	"github.com/lycheekeel/lycheekeel/internal/wait"
 	"github.com/lycheekeel/lycheekeel/member"
 	"github.com/lycheekeel/lycheekeel/platform"
 )
@@ -179,18 +180,6 @@
 	}
 }
 
-// sleep waits; false where ctx ended first.
-func sleep(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 // publish puts in force what is held, once it is whole. What goes wrong with
 // a part of it: callers whose workspace is not known yet would be told that
 // their key is wrong.
@@ -206,12 +195,12 @@
 		case <-ctx.Done():
 			return
 		}
-		if !sleep(ctx, s.o.Timing.Settle) {
+		if !wait.For(ctx, s.o.Timing.Settle) {
 			return
 		}
 		start := time.Now()
 		s.publishOnce()
-		if !sleep(ctx, min(publishRest*time.Since(start), maxPublishRest)) {
+		if !wait.For(ctx, min(publishRest*time.Since(start), maxPublishRest)) {
 			return
 		}
 	}
--- a/revision/watch.go
+++ b/revision/watch.go
@@ -11,6 +11,7 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/pkg/errors"
 
+	"github.com/lycheekeel/lycheekeel/internal/wait"
 	"github.com/lycheekeel/lycheekeel/member"
 	"github.com/lycheekeel/lycheekeel/platform"
 )
@@ -53,7 +54,7 @@
 		appointed := s.appointed()
 		if !appointed && !s.volunteers() {
 			s.watching.Store(false)
-			sleep(ctx, jitter(s.o.Timing.Tick))
+			wait.For(ctx, jitter(s.o.Timing.Tick))
 			continue
 		}
 		err := s.watchOnce(ctx)
@@ -66,10 +67,10 @@
 			return
 		case appointed:
 			s.failed(err)
-			sleep(ctx, delays.NextBackOff())
+			wait.For(ctx, delays.NextBackOff())
 		default:
 			s.failed(err)
-			sleep(ctx, jitter(s.o.Timing.Tick))
+			wait.For(ctx, jitter(s.o.Timing.Tick))
 		}
 	}
 }
