entry: report progress at times that double

An answer of 273 tokens at 62 ms had 34 reports of progress at 200 bytes on the wire each, 6.8 KB against 0.9 KB for its other messages. Reports now go at the first token and after 0.5, 1, 2 and then every 4 s: 7 reports, 1.4 KB. Each tells the mean time between all tokens since the last. The time to find a straggler was not measured by itself.

--- a/internal/entry/answer.go
+++ b/internal/entry/answer.go
@@ -33,6 +33,7 @@
 
 	reported   time.Time
 	reportedAt int // tokens at the last report
+	reports    int
 }
 
 // errNotWhole: the stream is not what the run's next chunk must be.
@@ -129,9 +130,15 @@
 	return nil
 }
 
-// progress reports at the first token and then at intervals.
+// maxProgressDoublings bounds how far the time between reports grows.
+const maxProgressDoublings = 3
+
+// progress reports at the first token and then at intervals that double: what
+// the first seconds tell decides whether a server is a straggler, and a long
+// answer's many reports would be most of the messages between daemons.
 func (a *answer) progress(now time.Time) {
-	if a.first.IsZero() || now.Sub(a.reported) < a.x.entry.limits.ProgressEvery {
+	wait := a.x.entry.limits.ProgressEvery << min(max(a.reports-1, 0), maxProgressDoublings)
+	if a.first.IsZero() || now.Sub(a.reported) < wait {
 		return
 	}
 	var perToken time.Duration
@@ -140,6 +147,7 @@
 	}
 	a.grant.Progress(a.firstToken(), a.tokens, perToken)
 	a.reported, a.reportedAt = now, a.tokens
+	a.reports++
 }
 
 // noteBreak begins the window for resuming, unless it runs already. A stream
--- /dev/null
+++ b/internal/entry/progress_test.go
@@ -0,0 +1,48 @@
+package entry
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/lycheekeel/lycheekeel/broker"
+)
+
+// reports notes when progress was reported.
+type reports struct {
+	broker.Grant
+	now time.Time
+	at  []time.Duration
+	per []time.Duration
+}
+
+func (r *reports) Progress(_ time.Duration, _ int, perToken time.Duration) {
+	r.at = append(r.at, r.now.Sub(time.Unix(1000, 0)))
+	r.per = append(r.per, perToken)
+}
+
+// Symptom: most of what daemons send each other is reports of long answers.
+// Sequence: an answer of 273 tokens streams for 17 s.
+// Cause: a report each half second. They go at times that double, up to 4 s;
+// each tells the mean time between all tokens since the last.
+func TestProgressIsReportedAtGrowingTimes(t *testing.T) {
+	Convey("Given an answer of 273 tokens at 62 ms", t, func() {
+		start := time.Unix(1000, 0)
+		r := &reports{}
+		a := &answer{x: &exchange{entry: &Entry{limits: Limits{ProgressEvery: DefaultProgressEvery}}}, grant: r}
+		a.sent, a.first = start, start
+		for i := range 273 {
+			r.now = start.Add(time.Duration(i) * 62 * time.Millisecond)
+			a.tokens = i + 1
+			a.progress(r.now)
+		}
+		So(len(r.at), ShouldEqual, 7)
+		for i, due := range []float64{0, 0.5, 1.5, 3.5, 7.5, 11.5, 15.5} {
+			So(r.at[i].Seconds(), ShouldAlmostEqual, due, 0.4)
+		}
+		for _, per := range r.per[1:] {
+			So(per, ShouldEqual, 62*time.Millisecond)
+		}
+	})
+}
