--- a/internal/poolhost/host_test.go
+++ b/internal/poolhost/host_test.go
@@ -202,6 +202,22 @@
 			So(s, ShouldNotBeEmpty)
 			So(s[0], ShouldResemble, pool.Sibling{Pool: "q", Free: 2})
 		})
+		Convey("what has not changed is told again often enough to count, and not more", func() {
+			before := len(eventsOf[pool.Sibling](b, "p"))
+			b.advance(4 * spreadUnchanged)
+			So(len(eventsOf[pool.Sibling](b, "p"))-before, ShouldBeBetweenOrEqual, 3, 5)
+		})
+		Convey("a change is told within half a second", func() {
+			count := func() int { return len(eventsOf[pool.Sibling](b, "q")) }
+			first := count()
+			b.advanceUntil(func() bool { return count() > first }) // just told
+			before := count()
+			b.host.Owned("p").post(pool.Running{Entry: "a/1", Request: "r", Grant: pool.GrantID{Epoch: 1, Seq: 1}, Server: "p-server"})
+			took := b.advanceUntil(func() bool { return count() > before })
+			So(took, ShouldBeLessThanOrEqualTo, spreadEvery+TickEvery)
+			told := eventsOf[pool.Sibling](b, "q")
+			So(told[len(told)-1].Free, ShouldEqual, 1)
+		})
 		Convey("a suspect of one is told to the other, and to a pool taken later", func() {
 			b.host.shareSuspect(b.host.Owned("p"), pool.ShareSuspect{Fingerprint: 7, State: pool.Convicted, ExpiresIn: time.Minute})
 			b.configure(false, "p", "q", "later")
--- a/internal/poolhost/runtime.go
+++ b/internal/poolhost/runtime.go
@@ -31,6 +31,11 @@
 	entriesAt time.Time // of the last tellEntries
 	told      []pool.EntryID
 	spread    time.Time
+	// lastBrief is what siblings were told at briefAt, briefTo by what
+	// configuration and membership.
+	lastBrief poolwire.Brief
+	briefTo   reconciled
+	briefAt   time.Time
 	closed    bool
 	share     bool // a degraded share, not an owner
 
--- a/internal/poolhost/spread.go
+++ b/internal/poolhost/spread.go
@@ -84,6 +84,14 @@
 		return
 	}
 	brief := poolwire.BriefOf(s)
+	to := reconciled{snapshot: snapshot}
+	if h.cfg.Views != nil {
+		to.view = h.cfg.Views.Load()
+	}
+	if brief == r.lastBrief && to == r.briefTo && r.now.Sub(r.briefAt) < spreadUnchanged {
+		return
+	}
+	r.lastBrief, r.briefTo, r.briefAt = brief, to, r.now
 	told := map[string]bool{}
 	for _, sibling := range siblings(snapshot, r.name) {
 		owner, ok := h.Owner(sibling, h.cfg.Region)
