entry: ProgressReports, for the capacity page

The capacity page worked out reports of progress as one each half second, which no longer holds. ProgressReports returns how many an answer of a length has, by the rule that the entry itself goes by; a test compares both.

--- a/internal/entry/answer.go
+++ b/internal/entry/answer.go
@@ -133,12 +133,26 @@
 // maxProgressDoublings bounds how far the time between reports grows.
 const maxProgressDoublings = 3
 
+// progressWait returns how long after so many reports the next one is due.
+func progressWait(every time.Duration, reports int) time.Duration {
+	return every << min(max(reports-1, 0), maxProgressDoublings)
+}
+
+// ProgressReports returns how many reports an answer has that streams for so
+// long, at the default interval. The capacity page goes by it.
+func ProgressReports(streams time.Duration) int {
+	n := 1
+	for at := progressWait(DefaultProgressEvery, n); at <= streams; at += progressWait(DefaultProgressEvery, n) {
+		n++
+	}
+	return n
+}
+
 // progress reports at the first token and then at intervals that double: what
 // the first seconds tell decides whether a server is a straggler, and a long
 // answer's many reports would be most of the messages between daemons.
 func (a *answer) progress(now time.Time) {
-	wait := a.x.entry.limits.ProgressEvery << min(max(a.reports-1, 0), maxProgressDoublings)
-	if a.first.IsZero() || now.Sub(a.reported) < wait {
+	if a.first.IsZero() || now.Sub(a.reported) < progressWait(a.x.entry.limits.ProgressEvery, a.reports) {
 		return
 	}
 	var perToken time.Duration
--- a/internal/entry/progress_test.go
+++ b/internal/entry/progress_test.go
@@ -38,6 +38,7 @@
 			a.progress(r.now)
 		}
 		So(len(r.at), ShouldEqual, 7)
+		So(ProgressReports(272*62*time.Millisecond), ShouldEqual, 7)
 		for i, due := range []float64{0, 0.5, 1.5, 3.5, 7.5, 11.5, 15.5} {
 			So(r.at[i].Seconds(), ShouldAlmostEqual, due, 0.4)
 		}
