poolhost: a vanished entry's slots are freed as soon as before

Since idle sessions may be silent for up to 20 s, the slots of an entry that vanished without a word stayed taken for 51 s instead of 32: the hold of 30 s for unconfirmed grants began when the silence was noticed. The property test of sessions found it at 2,000 checks (an entry that dies while the owner is paused), where the default number had passed. The hold now begins 1.6 s after the last word. A deterministic test fails without this; the property test passed 2,000 and then 5,000 checks.

--- a/broker/heartbeat_test.go
+++ b/broker/heartbeat_test.go
@@ -137,6 +137,27 @@
 	})
 }
 
+// Symptom: a vanished entry's slots stay taken for longer the larger a region.
+// Sequence: an entry with a run in an idle session vanishes, and neither a
+// connection nor membership tells.
+// Cause: its session may be silent for long, and only from its end on the run
+// is held as one that nobody confirms.
+func TestVanishedEntryOnIdleSession(t *testing.T) {
+	Convey("Given an entry that vanishes while its session is idle for long", t, func() {
+		w := newWorldOf(1, func(int) time.Duration { return poolhost.MaxHeartbeat }, "a", "b")
+		w.advance(time.Second)
+		n := w.other()
+		n.begin(1, time.Hour)
+		w.advance(5 * time.Second)
+		So(w.owner().host.Summaries()[0].Running, ShouldEqual, 1)
+		So(n.entry.link(testPool).session.promised, ShouldEqual, poolhost.MaxHeartbeat)
+		owner := w.owner()
+		n.frozen = true
+		w.advance(40 * time.Second)
+		So(owner.host.Summaries()[0].Running, ShouldEqual, 0)
+	})
+}
+
 // Symptom: in a large region, a straggler is found out many seconds late.
 // Sequence: a request runs in an idle session and reports its progress.
 // Cause: reports go along with heartbeats, and those have become rare.
--- a/internal/poolhost/session.go
+++ b/internal/poolhost/session.go
@@ -114,7 +114,11 @@
 }
 
 // endSession takes back what waits and marks what was granted as unconfirmed.
-func (r *Runtime) endSession(e *entry) {
+func (r *Runtime) endSession(e *entry) { r.endSessionSince(e, r.now) }
+
+// endSessionSince ends a session that is known to be over since an earlier
+// time: what it was granted is held no longer for having been idle.
+func (r *Runtime) endSessionSince(e *entry, since time.Time) {
 	e.open, e.out = false, nil
 	for id := range e.waiting {
 		delete(e.waiting, id)
@@ -122,7 +126,7 @@
 	}
 	for id, g := range e.granted {
 		if g.confirmed {
-			g.confirmed, g.since = false, r.now
+			g.confirmed, g.since = false, since
 			e.granted[id] = g
 		}
 	}
@@ -268,7 +272,7 @@
 			e.takeBackUnconfirmed(r, unconfirmedHold)
 		case r.now.Sub(e.heard) > SilenceLimit(e.next):
 			r.host.count.silentSessions.Add(1)
-			r.endSession(e)
+			r.endSessionSince(e, e.heard.Add(SilentAfter))
 		case e.heartbeatDue(r):
 			e.send(r, poolwire.VerdictNone)
 		}
