capacity: Progress as it is sent now, briefs between sibling pools

Cause: the model still counted a Progress every 500 ms, and left out what owners of one model's pools tell each other. Change: entry.ProgressReports and poolhost.SpreadEvery in the model.

--- a/internal/capacity/model.go
+++ b/internal/capacity/model.go
@@ -115,7 +115,7 @@
 func (c *model) items(l Load) []Item {
 	items := []Item{c.membership(), c.heartbeats(l), c.configuration(), c.snapshot()}
 	items = append(items, c.entrySessions(), c.entryRequests(), c.streams())
-	items = append(items, c.ownerSessions(l), c.probes(l), c.ticks(l), c.ownerRequests(l))
+	items = append(items, c.ownerSessions(l), c.briefs(l), c.probes(l), c.ticks(l), c.ownerRequests(l))
 	if l.watches {
 		items = append(items, c.watch())
 	}
@@ -214,7 +214,7 @@
 
 // progressMessages is how many Progress events a request sends.
 func (c *model) progressMessages() float64 {
-	return c.runSeconds() / entry.DefaultProgressEvery.Seconds()
+	return float64(entry.ProgressReports(time.Duration(c.runSeconds() * float64(time.Second))))
 }
 
 // runSeconds is how long a request streams at the target pace.
@@ -232,7 +232,7 @@
 	messages := 2 + c.progressMessages()
 	bytes := c.wire(enqueue) + c.wire(release) + c.progressMessages()*c.wire(progress)
 	return Item{
-		Role: RoleEntry, Name: "requests' messages to owners", Mechanism: "batches; Progress at intervals, not per token",
+		Role: RoleEntry, Name: "requests' messages to owners", Mechanism: "batches; Progress at times that double, not per token",
 		Messages: rate * messages, Bytes: rate * bytes, CPU: rate * ((messages+1)*c.messageCPU(progress) + c.at(seriesCodecSeconds, 1)),
 	}
 }
@@ -271,6 +271,22 @@
 	}
 }
 
+// briefs are what owners tell each other of pools of the same model. Only the
+// busiest model has more than one pool in a region.
+func (c *model) briefs(l Load) Item {
+	siblings := c.size.HotPools() - 1
+	owned := c.size.HotPools() / c.size.NodesPerRegion()
+	if l.poolWaiting > 0 {
+		owned = 1
+	}
+	rate := owned * siblings / poolhost.SpreadEvery.Seconds()
+	payload := c.at(seriesAnswerBytes, 1)
+	return Item{
+		Role: RoleOwner, Name: "briefs to pools of the same model", Control: true, Mechanism: "twice a second where something changed",
+		Messages: rate, Bytes: rate * c.wire(payload), CPU: 2 * rate * c.messageCPU(payload),
+	}
+}
+
 func (c *model) ticks(l Load) Item {
 	rate := l.pools / poolhost.TickEvery.Seconds()
 	return Item{
--- a/internal/capacity/size.go
+++ b/internal/capacity/size.go
@@ -87,6 +87,11 @@
 	return hot + others*math.Ceil(each/maxPoolServers)
 }
 
+// HotPools is how many pools the busiest model has in a region.
+func (s Size) HotPools() float64 {
+	return math.Ceil(s.ServersPerRegion() * s.HotModelShare / maxPoolServers)
+}
+
 // HotPoolServers and HotPoolRequests describe the busiest pool of a region.
 func (s Size) HotPoolServers() float64 {
 	hot := s.ServersPerRegion() * s.HotModelShare
--- a/internal/poolhost/config.go
+++ b/internal/poolhost/config.go
@@ -56,8 +56,8 @@
 	defaultSlots = 16
 	// entriesEvery is how often it is checked which entries are still there.
 	entriesEvery = 250 * time.Millisecond
-	// spreadEvery is how often sibling pools' owners are told how a pool stands.
-	spreadEvery = 500 * time.Millisecond
+	// SpreadEvery is how often sibling pools' owners are told how a pool stands.
+	SpreadEvery = 500 * time.Millisecond
 	// spreadUnchanged is how often they are told the same again. A scheduler
 	// goes by no report older than 2 s.
 	spreadUnchanged = 1500 * time.Millisecond
--- a/internal/poolhost/host_test.go
+++ b/internal/poolhost/host_test.go
@@ -214,7 +214,7 @@
 			before := count()
 			b.host.Owned("p").post(pool.Running{Entry: "a/1", Request: "r", Grant: pool.GrantID{Epoch: 1, Seq: 1}, Server: "p-server"})
 			took := b.advanceUntil(func() bool { return count() > before })
-			So(took, ShouldBeLessThanOrEqualTo, spreadEvery+TickEvery)
+			So(took, ShouldBeLessThanOrEqualTo, SpreadEvery+TickEvery)
 			told := eventsOf[pool.Sibling](b, "q")
 			So(told[len(told)-1].Free, ShouldEqual, 1)
 		})
--- a/internal/poolhost/runtime.go
+++ b/internal/poolhost/runtime.go
@@ -42,7 +42,7 @@
 	monitor     *monitor
 	lingerUntil time.Time                    // guarded by the host's mutex
 	sessions    atomic.Int64                 // open ones, as of the last tick
-	summary     atomic.Pointer[pool.Summary] // refreshed every spreadEvery
+	summary     atomic.Pointer[pool.Summary] // refreshed every SpreadEvery
 	// siblings tells whether other pools serve the same model version.
 	siblings atomic.Bool
 }
@@ -153,7 +153,7 @@
 
 // refreshSummary renews the summary that others read, and spreads it.
 func (r *Runtime) refreshSummary() {
-	if r.now.Sub(r.spread) < spreadEvery {
+	if r.now.Sub(r.spread) < SpreadEvery {
 		return
 	}
 	r.spread = r.now
