--- a/internal/capacity/measure_store.go
+++ b/internal/capacity/measure_store.go
@@ -8,15 +8,18 @@
 	"github.com/pkg/errors"
 
 	"github.com/lycheekeel/lycheekeel/claim"
+	"github.com/lycheekeel/lycheekeel/internal/apply"
 	standin "github.com/lycheekeel/lycheekeel/internal/standin/platform"
 	"github.com/lycheekeel/lycheekeel/lease"
 	"github.com/lycheekeel/lycheekeel/request"
+	"github.com/lycheekeel/lycheekeel/workspace"
 )
 
 // Names of the store's series.
 const (
-	seriesClaimCalls = "store_calls_by_claims"
-	seriesLeaseCalls = "store_calls_by_lease_seconds"
+	seriesClaimCalls  = "store_calls_by_claims"
+	seriesLeaseCalls  = "store_calls_by_lease_seconds"
+	seriesChangeCalls = "store_calls_by_applied_changes"
 )
 
 // callsOf returns the calls that a stand-in has answered.
@@ -39,6 +42,11 @@
 		claims = append(claims, Point{float64(n), calls})
 	}
 	m.Add(NewSeries(seriesClaimCalls, "calls of the object API for claims with their outcomes, object per claim", "claims", "calls", claims))
+	changes, err := changeCalls(ctx)
+	if err != nil {
+		return errors.Wrap(err, "changes")
+	}
+	m.Add(NewSeries(seriesChangeCalls, "calls of the object API for one applied change: what is stored is read, checked against, written and read again", "changes in one apply", "calls", changes))
 	leases, err := leaseCalls(ctx)
 	if err != nil {
 		return errors.Wrap(err, "lease")
@@ -65,6 +73,44 @@
 	return callsOf(store), nil
 }
 
+// changeCalls applies some changed pools at once, as the tool does.
+func changeCalls(ctx context.Context) ([]Point, error) {
+	var points []Point
+	for _, n := range []int{1, 5, 20} {
+		store := standin.New(standin.Options{})
+		before := callsOf(store)
+		stored, err := apply.Read(ctx, store)
+		if err != nil {
+			return nil, err
+		}
+		changes, err := apply.Plan(poolDocuments(n), nil, stored)
+		if err != nil {
+			return nil, err
+		}
+		for _, c := range changes {
+			if _, err := apply.Write(ctx, store, c); err != nil {
+				return nil, err
+			}
+		}
+		if _, err := apply.Recheck(ctx, store, stored); err != nil {
+			return nil, err
+		}
+		points = append(points, Point{float64(n), callsOf(store) - before})
+	}
+	return points, nil
+}
+
+// poolDocuments returns new pools as files hold them.
+func poolDocuments(n int) []workspace.Document {
+	var docs []workspace.Document
+	for i := range n {
+		text := fmt.Sprintf(`{"kind":"Pool","name":"pool-%d","region":"r","model":"m","version":"v1"}`, i)
+		parsed, _ := workspace.ParseFile("pools.json", []byte(text))
+		docs = append(docs, parsed...)
+	}
+	return docs
+}
+
 // leaseTime is how long a lease is held in real time.
 const leaseTime = 12 * time.Second
 
--- a/internal/capacity/model.go
+++ b/internal/capacity/model.go
@@ -259,10 +259,14 @@
 		Messages: l.poolRequests, Bytes: l.poolRequests * c.wire(grant),
 		CPU: l.poolRequests * (c.at(seriesDecisionServers, l.servers/l.pools) + (in+1)*c.messageCPU(progress) + c.at(seriesCodecSeconds, 1)),
 		Memory: l.pools*c.at(seriesServerHeap, l.servers/l.pools) +
-			l.poolWaiting*c.slope(seriesWaitingHeap),
+			l.poolWaiting*c.slope(seriesWaitingHeap) + l.servers*blocksOfAServer*c.slope(seriesPrefixHeap),
 	}
 }
 
+// blocksOfAServer is how many cached blocks a pool's owner knows of a server:
+// the engine stand-in's cache, 1,024 blocks of 64 tokens.
+const blocksOfAServer = 1024
+
 func (c *model) probes(l Load) Item {
 	rate := l.servers / poolhost.ProbeEvery.Seconds()
 	return Item{
@@ -343,6 +347,6 @@
 			Reads: s.Nodes * leases / s.Regions / daemon.LeaseDuration.Seconds()},
 		{Name: "VM lists", Mechanism: "members that own pools look every 1.5 s", Reads: s.Nodes * c.owning() / daemon.VMEvery.Seconds()},
 		{Name: "watches", Mechanism: "two watchers a region", Reads: c.at(seriesConfigStoreCalls, s.Nodes)},
-		{Name: "configuration changes", Mechanism: "conditional writes by operators", Writes: s.ChangesPerSec(), Reads: s.ChangesPerSec()},
+		{Name: "configuration changes", Mechanism: "conditional writes by operators", Writes: s.ChangesPerSec(), Reads: s.ChangesPerSec() * c.at(seriesChangeCalls, 1)},
 	}
 }
--- a/internal/capacity/run.go
+++ b/internal/capacity/run.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"runtime"
+	"slices"
 	"time"
 
 	"github.com/pkg/errors"
@@ -19,30 +20,44 @@
 func steps() []step {
 	return []step{
 		{"scheduler", func(_ context.Context, m *Measured) error { measurePool(m); return nil }},
+		{"prefixes", func(_ context.Context, m *Measured) error { measurePrefixes(m); return nil }},
 		{"owner", measureOwner},
-		{"pool messages", func(_ context.Context, m *Measured) error { measureWire(m); return nil }},
+		{"messages", func(_ context.Context, m *Measured) error { measureWire(m); return nil }},
 		{"snapshots", func(_ context.Context, m *Measured) error { return measureSnapshots(m) }},
-		{"configuration spread", measureSpread},
+		{"spread", measureSpread},
 		{"membership", measureMembers},
 		{"peers", measurePeers},
-		{"store calls", measureStore},
+		{"store", measureStore},
 		{"streams", measureStreams},
 	}
 }
 
-// Run measures everything and reports each step's name and time to progress.
-// It takes a few minutes and is best run on a quiet machine: processor times
-// leave out other processes, but not the caches that they displace.
-func Run(ctx context.Context, progress io.Writer) (*Measured, error) {
-	m := &Measured{Machine: Machine{
+// Groups names what Run can measure by itself.
+func Groups() []string {
+	var names []string
+	for _, s := range steps() {
+		names = append(names, s.name)
+	}
+	return names
+}
+
+// Run measures the named groups, or all where none is named, into m, and
+// reports each group's time to progress. All of them take a few minutes and
+// are best run on a quiet machine: processor times leave out other processes,
+// but not the caches that they displace.
+func Run(ctx context.Context, progress io.Writer, m *Measured, only []string) error {
+	m.Machine = Machine{
 		Cores: runtime.NumCPU(), Go: runtime.Version(), Date: time.Now().UTC().Format(time.DateOnly),
-	}}
+	}
 	for _, s := range steps() {
+		if len(only) > 0 && !slices.Contains(only, s.name) {
+			continue
+		}
 		start := time.Now()
 		if err := s.run(ctx, m); err != nil {
-			return nil, errors.Wrap(err, s.name)
+			return errors.Wrap(err, s.name)
 		}
 		writeProgress(progress, s.name, time.Since(start))
 	}
-	return m, nil
+	return nil
 }
--- a/internal/cli/capacity.go
+++ b/internal/cli/capacity.go
@@ -16,11 +16,20 @@
 	cmd := app.Command("capacity", "Measure what the parts cost, and work out a deployment from it.")
 	addCapacityPage(cmd)
 	var out string
+	var only []string
 	measure := cmd.Command("measure", "Measure the slopes on this machine; takes a few minutes.")
 	measure.Flag("out", "File to write, in JSON.").Required().StringVar(&out)
+	measure.Flag("only", "Measure this group again and keep the rest of the file; may be repeated.").
+		EnumsVar(&only, capacity.Groups()...)
 	measure.Action(run(func() error {
-		m, err := capacity.Run(g.ctx, g.stderr)
-		if err != nil {
+		m := &capacity.Measured{}
+		if len(only) > 0 {
+			var err error
+			if m, err = capacity.ReadFile(out); err != nil {
+				return err
+			}
+		}
+		if err := capacity.Run(g.ctx, g.stderr, m, only); err != nil {
 			return err
 		}
 		return m.WriteFile(out)
