--- a/internal/capacity/page.go
+++ b/internal/capacity/page.go
@@ -183,10 +183,11 @@
 func (c *model) failuresBlock() string {
 	var rows [][]string
 	for _, f := range c.failures() {
-		rows = append(rows, []string{f.Name, f.Often, number(f.Nodes), number(f.LostStreams), number(f.Moved),
+		lost := f.LostStreams / (c.size.RequestsPerSec * c.runSeconds())
+		rows = append(rows, []string{f.Name, f.Often, number(f.Nodes), number(f.LostStreams), percent(lost), number(f.Moved),
 			number(f.Again), bytesOf(f.Bytes), seconds(f.Noticed), seconds(f.Rebuilt)})
 	}
-	return table([]string{"Failure", "How often", "Daemons gone", "Streams that end with them", "Pools that move",
+	return table([]string{"Failure", "How often", "Daemons gone", "Streams that end with them", "Goodput lost, of all answers under way", "Pools that move",
 		"Requests enqueued or reported again", "Sent for it", "Known to the region after", "Work of a new owner for it"}, rows)
 }
 
