--- a/internal/capacity/model.go
+++ b/internal/capacity/model.go
@@ -6,6 +6,7 @@
 
 	"github.com/lycheekeel/lycheekeel/internal/daemon"
 	"github.com/lycheekeel/lycheekeel/internal/entry"
+	"github.com/lycheekeel/lycheekeel/internal/peer"
 	"github.com/lycheekeel/lycheekeel/internal/poolhost"
 	"github.com/lycheekeel/lycheekeel/placement"
 )
@@ -136,11 +137,15 @@
 	}
 }
 
+// assumedRing is how many connections membership keeps beside those of
+// requests: as many as a member had in docs/design/membership.md's run of 60
+// members over TCP, rounded up. This package does not measure it.
+const assumedRing = 21.0
+
 // connections is how many daemons a node has a connection with: the owners
 // that its entry uses, the entries that use its pools, and its probe ring.
 func (c *model) connections(l Load) float64 {
 	peers := c.size.NodesPerRegion() - 1
-	ring := 12.0
 	owners := min(c.size.PoolsPerRegion(), peers)
 	served := 0.0
 	if l.pools >= 1 {
@@ -148,11 +153,11 @@
 	} else {
 		served = peers * l.pools
 	}
-	return min(owners+served+ring, peers+ring)
+	return min(owners+served+assumedRing, peers+assumedRing)
 }
 
 func (c *model) heartbeats(l Load) Item {
-	const pings = 10 // a second at the most, by the transport's limit
+	const pings = peer.DefaultPingsPerSecond // and as many answers
 	return Item{
 		Role: RoleMember, Name: "connections and their heartbeats", Control: true, Mechanism: "one rate limit over all connections",
 		Messages: 2 * pings, Bytes: 2 * pings * c.wire(0), CPU: 4 * pings * c.messageCPU(0),
@@ -305,13 +310,14 @@
 	watchers := 2 * s.Regions
 	return Item{
 		Role: RoleWatcher, Name: "watch of the object API", Control: true, Mechanism: "two watchers a region, long polls",
-		Messages: calls/watchers + s.ChangesPerSec(), Bytes: (calls/watchers + s.ChangesPerSec()) * watchRequestBytes,
+		Messages: calls/watchers + s.ChangesPerSec(), Bytes: (calls/watchers + s.ChangesPerSec()) * assumedWatchBytes,
 		CPU: (calls/watchers + s.ChangesPerSec()) * 2 * c.messageCPU(s.ConfigBytes),
 	}
 }
 
-// watchRequestBytes is about what one HTTP request of a watch is long.
-const watchRequestBytes = 250
+// assumedWatchBytes is about what one HTTP request of a watch is long; it was
+// not measured.
+const assumedWatchBytes = 250
 
 func (c *model) placement() Item {
 	s := c.size
--- a/internal/peer/options.go
+++ b/internal/peer/options.go
@@ -57,14 +57,16 @@
 	oldest, newest uint32
 }
 
-// The defaults of Options.
+// DefaultPingsPerSecond is the default of Options.PingsPerSecond.
+const DefaultPingsPerSecond = 10
+
+// The other defaults of Options.
 const (
 	defaultHandshakeTimeout = 2 * time.Second
 	defaultPingAfter        = 300 * time.Millisecond
 	defaultSilence          = 700 * time.Millisecond
 	defaultWatchInterval    = time.Second
 	defaultIdleTimeout      = 30 * time.Second
-	defaultPingsPerSecond   = 10
 )
 
 // withDefaults checks the options and fills in the defaults.
@@ -91,7 +93,7 @@
 	setDefault(&o.Silence, defaultSilence)
 	setDefault(&o.WatchInterval, defaultWatchInterval)
 	setDefault(&o.IdleTimeout, defaultIdleTimeout)
-	setDefault(&o.PingsPerSecond, defaultPingsPerSecond)
+	setDefault(&o.PingsPerSecond, DefaultPingsPerSecond)
 	setDefault(&o.oldest, OldestVersion)
 	setDefault(&o.newest, NewestVersion)
 	return o, nil
