capacity: say how the connections were rounded

Cause: a comment said that 21.2 connections were rounded up to 21. Change: the comment gives the figure and says rounded. No figure changes; vet is clean.

--- a/internal/capacity/model.go
+++ b/internal/capacity/model.go
@@ -139,7 +139,7 @@
 
 // assumedRing is how many connections membership keeps beside those of
 // requests: as many as a member had in docs/design/membership.md's run of 60
-// members over TCP, rounded up. This package does not measure it.
+// members over TCP (21.2), rounded. This package does not measure it.
 const assumedRing = 21.0
 
 // connections is how many daemons a node has a connection with: the owners
