--- a/claim/bench_test.go
+++ b/claim/bench_test.go
@@ -11,8 +11,8 @@
 	"github.com/HdrHistogram/hdrhistogram-go"
 
 	"github.com/lycheekeel/lycheekeel/claim"
-	standin "github.com/lycheekeel/lycheekeel/internal/standin/platform"
-	"github.com/lycheekeel/lycheekeel/platform"
+	standin "github.com/lycheekeel/lycheekeel/internal/standin/objectstore"
+	"github.com/lycheekeel/lycheekeel/objectstore"
 	"github.com/lycheekeel/lycheekeel/request"
 )
 
@@ -24,8 +24,8 @@
 // benchStore answers in 3 ms and takes 300 writes a second.
 var benchStore = standin.Faults{SlowMs: 3, WritesPerSecond: 300}
 
-func grouped(shards int) func(platform.ObjectAPI) closable {
-	return func(api platform.ObjectAPI) closable {
+func grouped(shards int) func(objectstore.ObjectAPI) closable {
+	return func(api objectstore.ObjectAPI) closable {
 		return claim.NewGroupLedger(api, claim.GroupOptions{Shards: shards})
 	}
 }
@@ -37,7 +37,7 @@
 	for _, c := range []struct {
 		name    string
 		entries int
-		open    func(platform.ObjectAPI) closable
+		open    func(objectstore.ObjectAPI) closable
 	}{
 		{"object/entries=9", 9, ledgers["object"]},
 		{"group=1/entries=9", 9, grouped(1)},
@@ -52,7 +52,7 @@
 	}
 }
 
-func measure(b *testing.B, entries, rate int, open func(platform.ObjectAPI) closable) {
+func measure(b *testing.B, entries, rate int, open func(objectstore.ObjectAPI) closable) {
 	store := standin.New(standin.Options{})
 	store.SetFaults(benchStore)
 	var at []closable
--- a/claim/collector.go
+++ b/claim/collector.go
@@ -8,7 +8,7 @@
 	"github.com/pkg/errors"
 	"golang.org/x/time/rate"
 
-	"github.com/lycheekeel/lycheekeel/platform"
+	"github.com/lycheekeel/lycheekeel/objectstore"
 )
 
 // Defaults of CollectorOptions.
@@ -36,14 +36,14 @@
 // is held, so that one process does it; two at once do no harm but to the
 // store's budget, since each delete is conditional.
 type Collector struct {
-	api   platform.ObjectAPI
+	api   objectstore.ObjectAPI
 	o     CollectorOptions
 	pace  *rate.Limiter
 	reads *rate.Limiter
 }
 
 // NewCollector returns a collector; it makes no call.
-func NewCollector(api platform.ObjectAPI, o CollectorOptions) *Collector {
+func NewCollector(api objectstore.ObjectAPI, o CollectorOptions) *Collector {
 	if o.Retention == 0 {
 		o.Retention = DefaultRetention
 	}
@@ -102,7 +102,7 @@
 		case err == nil:
 			c.o.count(countCollected)
 			removed++
-		case errors.Is(err, platform.ErrUnavailable):
+		case errors.Is(err, objectstore.ErrUnavailable):
 			return removed, err
 		}
 	}
--- a/claim/group.go
+++ b/claim/group.go
@@ -12,20 +12,20 @@
 	"github.com/pkg/errors"
 	"github.com/sourcegraph/conc"
 
-	"github.com/lycheekeel/lycheekeel/platform"
+	"github.com/lycheekeel/lycheekeel/objectstore"
 	"github.com/lycheekeel/lycheekeel/request"
 )
 
 // GroupKind is the kind of the objects that hold many claims each.
-const GroupKind = platform.Kind("ClaimGroup")
+const GroupKind = objectstore.Kind("ClaimGroup")
 
 // Defaults of GroupOptions, and bounds of a batch.
 const (
 	DefaultShards = 16
 	DefaultWindow = 5 * time.Millisecond
 	maxBatch      = 512
-	// maxGroupBytes leaves room below platform.MaxValueBytes.
-	maxGroupBytes = platform.MaxValueBytes - 64<<10
+	// maxGroupBytes leaves room below objectstore.MaxValueBytes.
+	maxGroupBytes = objectstore.MaxValueBytes - 64<<10
 	queueLength   = 4096
 )
 
@@ -45,7 +45,7 @@
 // object. It pays only where one process gets many claims of one shard within
 // a write's time; docs/design/claims.md has the measured cross-over.
 type GroupLedger struct {
-	api    platform.ObjectAPI
+	api    objectstore.ObjectAPI
 	o      GroupOptions
 	shards []*shard
 	stop   context.CancelFunc
@@ -56,7 +56,7 @@
 var _ Ledger = (*GroupLedger)(nil)
 
 // NewGroupLedger starts a ledger; Close ends it.
-func NewGroupLedger(api platform.ObjectAPI, o GroupOptions) *GroupLedger {
+func NewGroupLedger(api objectstore.ObjectAPI, o GroupOptions) *GroupLedger {
 	if o.Shards == 0 {
 		o.Shards = DefaultShards
 	}
--- a/claim/ledger.go
+++ b/claim/ledger.go
@@ -8,14 +8,14 @@
 	"github.com/pkg/errors"
 
 	"github.com/lycheekeel/lycheekeel/internal/wait"
-	"github.com/lycheekeel/lycheekeel/platform"
+	"github.com/lycheekeel/lycheekeel/objectstore"
 	"github.com/lycheekeel/lycheekeel/request"
 )
 
 // ObjectLedger keeps each claim in an object of its own: two writes a claim.
 // It is the default; docs/design/claims.md says when GroupLedger pays.
 type ObjectLedger struct {
-	api    platform.ObjectAPI
+	api    objectstore.ObjectAPI
 	o      Options
 	calls  chan struct{} // held during a claim's call
 	hurry  hurry
@@ -26,7 +26,7 @@
 var _ Ledger = (*ObjectLedger)(nil)
 
 // NewLedger returns a ledger on the object API.
-func NewLedger(api platform.ObjectAPI, o Options) *ObjectLedger {
+func NewLedger(api objectstore.ObjectAPI, o Options) *ObjectLedger {
 	o = o.withDefaults()
 	return &ObjectLedger{api: api, o: o, calls: make(chan struct{}, o.MaxInFlight), back: newBackground(o)}
 }
@@ -41,9 +41,9 @@
 	// pending: some write of ours had an unknown outcome and may take effect
 	// later; expected is the version that it would replace, zero for none.
 	pending  bool
-	expected platform.Version
+	expected objectstore.Version
 	// seen is the newest version read: a read of an older one is stale.
-	seen platform.Version
+	seen objectstore.Version
 }
 
 // errAgain means that nothing is decided yet.
@@ -86,14 +86,14 @@
 	sent := time.Now()
 	v, err := l.api.Create(ctx, Kind, w.name, w.rec.encode())
 	l.hurry.observe(time.Since(sent))
-	l.outage.observe(errors.Is(err, platform.ErrUnavailable))
+	l.outage.observe(errors.Is(err, objectstore.ErrUnavailable))
 	switch {
 	case err == nil:
 		return l.held(w, v, countClaimed), nil
-	case errors.Is(err, platform.ErrUnavailable):
+	case errors.Is(err, objectstore.ErrUnavailable):
 		l.o.count(countRetryDown)
 		return nil, errAgain
-	case !errors.Is(err, platform.ErrConflict):
+	case !errors.Is(err, objectstore.ErrConflict):
 		l.o.count(countRetryUnknown)
 		w.pending = true
 	}
@@ -120,7 +120,7 @@
 	switch {
 	case err == nil:
 		return l.held(w, v, countReclaimed), nil
-	case !errors.Is(err, platform.ErrConflict) && !errors.Is(err, platform.ErrUnavailable):
+	case !errors.Is(err, objectstore.ErrConflict) && !errors.Is(err, objectstore.ErrUnavailable):
 		l.o.count(countRetryUnknown)
 		w.pending = true
 	}
@@ -136,7 +136,7 @@
 func (l *ObjectLedger) abandon(ctx context.Context, w *write) bool {
 	rec := w.rec.with(Outcome{State: NotRun}, l.o.Now())
 	o, err := l.api.Get(ctx, Kind, w.name)
-	if errors.Is(err, platform.ErrNotFound) {
+	if errors.Is(err, objectstore.ErrNotFound) {
 		_, err = l.api.Create(ctx, Kind, w.name, rec.encode())
 		return err == nil
 	}
@@ -153,7 +153,7 @@
 	return err == nil
 }
 
-func (l *ObjectLedger) held(w *write, v platform.Version, why string) Claim {
+func (l *ObjectLedger) held(w *write, v objectstore.Version, why string) Claim {
 	l.o.count(why)
 	return &held{l: l, name: w.name, rec: w.rec, version: v}
 }
@@ -163,7 +163,7 @@
 	l       *ObjectLedger
 	name    string
 	rec     record
-	version platform.Version
+	version objectstore.Version
 	once    sync.Once
 }
 
@@ -185,11 +185,11 @@
 	if err == nil {
 		return true
 	}
-	if errors.Is(err, platform.ErrUnavailable) {
+	if errors.Is(err, objectstore.ErrUnavailable) {
 		return false
 	}
 	o, err := c.l.api.Get(ctx, Kind, c.name)
-	if errors.Is(err, platform.ErrNotFound) {
+	if errors.Is(err, objectstore.ErrNotFound) {
 		return true
 	}
 	if err != nil || o.Version < c.version {
--- a/claim/ledger_test.go
+++ b/claim/ledger_test.go
@@ -9,8 +9,8 @@
 	. "github.com/smartystreets/goconvey/convey"
 
 	"github.com/lycheekeel/lycheekeel/claim"
-	standin "github.com/lycheekeel/lycheekeel/internal/standin/platform"
-	"github.com/lycheekeel/lycheekeel/platform"
+	standin "github.com/lycheekeel/lycheekeel/internal/standin/objectstore"
+	"github.com/lycheekeel/lycheekeel/objectstore"
 	"github.com/lycheekeel/lycheekeel/request"
 )
 
@@ -124,12 +124,12 @@
 
 // staleOnce answers one read with an old state of the object.
 type staleOnce struct {
-	platform.ObjectAPI
-	old   platform.Object
+	objectstore.ObjectAPI
+	old   objectstore.Object
 	after int // reads before it
 }
 
-func (s *staleOnce) Get(ctx context.Context, k platform.Kind, n string) (platform.Object, error) {
+func (s *staleOnce) Get(ctx context.Context, k objectstore.Kind, n string) (objectstore.Object, error) {
 	if s.after--; s.after == -1 {
 		return s.old, nil
 	}
--- a/claim/model_test.go
+++ b/claim/model_test.go
@@ -15,8 +15,8 @@
 
 	"github.com/lycheekeel/lycheekeel/claim"
 	"github.com/lycheekeel/lycheekeel/internal/logs"
-	standin "github.com/lycheekeel/lycheekeel/internal/standin/platform"
-	"github.com/lycheekeel/lycheekeel/platform"
+	standin "github.com/lycheekeel/lycheekeel/internal/standin/objectstore"
+	"github.com/lycheekeel/lycheekeel/objectstore"
 	"github.com/lycheekeel/lycheekeel/request"
 )
 
@@ -31,9 +31,9 @@
 	Close(ctx context.Context) error
 }
 
-var ledgers = map[string]func(platform.ObjectAPI) closable{
-	"object": func(api platform.ObjectAPI) closable { return claim.NewLedger(api, claim.Options{}) },
-	"group": func(api platform.ObjectAPI) closable {
+var ledgers = map[string]func(objectstore.ObjectAPI) closable{
+	"object": func(api objectstore.ObjectAPI) closable { return claim.NewLedger(api, claim.Options{}) },
+	"group": func(api objectstore.ObjectAPI) closable {
 		return claim.NewGroupLedger(api, claim.GroupOptions{Shards: 2})
 	},
 }
@@ -178,7 +178,7 @@
 	}
 }
 
-func play(t *testing.T, open func(platform.ObjectAPI) closable, plan []step, seed uint64) error {
+func play(t *testing.T, open func(objectstore.ObjectAPI) closable, plan []step, seed uint64) error {
 	var w *world
 	synctest.Test(t, func(*testing.T) {
 		w = &world{store: standin.New(standin.Options{Seed: seed})}
--- a/claim/record.go
+++ b/claim/record.go
@@ -10,12 +10,12 @@
 
 	"github.com/pkg/errors"
 
-	"github.com/lycheekeel/lycheekeel/platform"
+	"github.com/lycheekeel/lycheekeel/objectstore"
 	"github.com/lycheekeel/lycheekeel/request"
 )
 
 // Kind is the kind of the objects that hold one claim each.
-const Kind = platform.Kind("Claim")
+const Kind = objectstore.Kind("Claim")
 
 // shardChars is the length of a claim name's prefix, by which the collector
 // lists a 4096th of all claims at a time.
--- a/claim/shard.go
+++ b/claim/shard.go
@@ -7,7 +7,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/lycheekeel/lycheekeel/internal/wait"
-	"github.com/lycheekeel/lycheekeel/platform"
+	"github.com/lycheekeel/lycheekeel/objectstore"
 )
 
 // shard is the one writer, in this process, of one group of claims.
@@ -18,7 +18,7 @@
 
 	// claims is what the group held at version, nil where that is not known.
 	claims  map[string]record
-	version platform.Version
+	version objectstore.Version
 	outage  outage
 }
 
@@ -171,8 +171,8 @@
 
 func (s *shard) load(ctx context.Context) bool {
 	o, err := s.l.api.Get(ctx, GroupKind, s.name)
-	s.outage.observe(errors.Is(err, platform.ErrUnavailable))
-	if errors.Is(err, platform.ErrNotFound) {
+	s.outage.observe(errors.Is(err, objectstore.ErrUnavailable))
+	if errors.Is(err, objectstore.ErrNotFound) {
 		s.claims, s.version = map[string]record{}, 0
 		return true
 	}
@@ -196,7 +196,7 @@
 		s.refuseFull(batch)
 		return false
 	}
-	var v platform.Version
+	var v objectstore.Version
 	var err error
 	if s.version == 0 {
 		v, err = s.l.api.Create(ctx, GroupKind, s.name, value)
@@ -210,7 +210,7 @@
 		return true
 	}
 	s.claims = nil
-	if !errors.Is(err, platform.ErrUnavailable) && !errors.Is(err, platform.ErrConflict) {
+	if !errors.Is(err, objectstore.ErrUnavailable) && !errors.Is(err, objectstore.ErrConflict) {
 		s.l.o.count(countRetryUnknown)
 		for _, op := range batch {
 			op.attempted = true
--- a/cmd/lycheekeeld/main.go
+++ b/cmd/lycheekeeld/main.go
@@ -11,6 +11,7 @@
 	"github.com/alecthomas/kingpin/v2"
 
 	"github.com/lycheekeel/lycheekeel/internal/daemon"
+	"github.com/lycheekeel/lycheekeel/internal/gateway"
 	"github.com/lycheekeel/lycheekeel/internal/logs"
 	"github.com/lycheekeel/lycheekeel/internal/version"
 )
@@ -27,9 +28,14 @@
 	app.Version(version.Get().Version)
 	file := app.Flag("settings", "Settings file (JSON).").Required().PlaceHolder("FILE").ExistingFile()
 	checkOnly := app.Flag("check-settings", "Only check the settings file.").Bool()
-	kingpin.MustParse(app.Parse(os.Args[1:]))
+	app.Command("serve", "Serve model engines by the system's own interface.").Default()
+	forward := app.Command("gateway", "Forward requests to the backend servers of the platform's store.")
 
-	s, err := daemon.LoadSettings(*file)
+	run := prepareServe
+	if kingpin.MustParse(app.Parse(os.Args[1:])) == forward.FullCommand() {
+		run = prepareGateway
+	}
+	start, err := run(*file)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(exitSettings)
@@ -38,18 +44,31 @@
 		fmt.Println("settings are good")
 		return
 	}
-	if err := run(s); err != nil {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	defer stop()
+	if err := start(ctx); err != nil {
 		fmt.Fprintln(os.Stderr, "lycheekeeld:", err)
 		os.Exit(exitFailure)
 	}
 }
 
-func run(s daemon.Settings) error {
+// starter runs a daemon whose settings are good.
+type starter func(ctx context.Context) error
+
+func prepareServe(file string) (starter, error) {
+	s, err := daemon.LoadSettings(file)
+	return func(ctx context.Context) error { return runServe(ctx, s) }, err
+}
+
+func prepareGateway(file string) (starter, error) {
+	s, err := gateway.LoadSettings(file)
+	return func(ctx context.Context) error { return runGateway(ctx, s) }, err
+}
+
+func runServe(ctx context.Context, s daemon.Settings) error {
 	if err := logs.Configure(os.Stderr, s.Log.Level, s.Log.JSON); err != nil {
 		return err
 	}
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
-	defer stop()
 	d, err := daemon.New(s)
 	if err != nil {
 		return err
--- /dev/null
+++ b/discovery/directory.go
@@ -0,0 +1,141 @@
+// Package discovery is the aggregate of the backend servers that the platform
+// lists: which exist, where, and which of them are leaving. It has no clock
+// and calls nobody.
+package discovery
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// Server is one life of a backend server, as it registered itself.
+type Server struct {
+	// ID names this life: a server that starts again has another one, and a
+	// server of another service may get its address.
+	ID               string
+	Service          string
+	Address          string // IP:port
+	AvailabilityZone string
+	Slots            int
+	// Leaving is set once the server has announced that it stops.
+	Leaving bool
+	// Warm is how much longer after its start the server stays slow.
+	Warm time.Duration
+}
+
+// ReturnGrace is how long after the store's return an entry may still be
+// missing whose server lives: the servers write again within about 2 s; the
+// rest covers the time between two of our reads.
+const ReturnGrace = 2300 * time.Millisecond
+
+// Directory holds the servers. It is not safe for concurrent use.
+//
+// What goes wrong with the plain list: entries lapse while the store is down,
+// and the first list after its return lacks servers that are well. One would
+// notice requests refused for want of servers just after an outage. So what
+// is missing then is kept for ReturnGrace.
+type Directory struct {
+	servers map[string]Server
+	// missing are kept servers that the newest list lacks.
+	missing  map[string]bool
+	away     bool
+	returned time.Time
+}
+
+// NewDirectory returns an empty directory.
+func NewDirectory() *Directory {
+	return &Directory{servers: map[string]Server{}, missing: map[string]bool{}}
+}
+
+// StoreAway tells that the store did not answer.
+func (d *Directory) StoreAway() { d.away = true }
+
+// Replace takes a whole list, and reports whether anything changed.
+func (d *Directory) Replace(now time.Time, listed []Server) bool {
+	d.storeAnswered(now)
+	changed := false
+	seen := make(map[string]bool, len(listed))
+	for _, s := range listed {
+		seen[s.ID] = true
+		changed = d.put(s) || changed
+	}
+	for id := range d.servers {
+		if seen[id] {
+			continue
+		}
+		if d.graceful(now) {
+			d.missing[id] = true
+			continue
+		}
+		d.remove(id)
+		changed = true
+	}
+	return changed
+}
+
+// Put takes one changed entry, and reports whether it says anything new.
+func (d *Directory) Put(now time.Time, s Server) bool {
+	d.storeAnswered(now)
+	return d.put(s)
+}
+
+// Removed takes the removal of one entry.
+func (d *Directory) Removed(now time.Time, id string) bool {
+	d.storeAnswered(now)
+	if _, ok := d.servers[id]; !ok {
+		return false
+	}
+	if d.graceful(now) {
+		d.missing[id] = true
+		return false
+	}
+	d.remove(id)
+	return true
+}
+
+// Expire removes what is still missing when the grace has passed.
+func (d *Directory) Expire(now time.Time) bool {
+	if d.away || d.graceful(now) || len(d.missing) == 0 {
+		return false
+	}
+	for id := range d.missing {
+		d.remove(id)
+	}
+	return true
+}
+
+// Servers returns all servers, sorted by ID.
+func (d *Directory) Servers() []Server {
+	out := make([]Server, 0, len(d.servers))
+	for _, s := range d.servers {
+		out = append(out, s)
+	}
+	slices.SortFunc(out, func(a, b Server) int { return cmp.Compare(a.ID, b.ID) })
+	return out
+}
+
+func (d *Directory) put(s Server) bool {
+	delete(d.missing, s.ID)
+	old, known := d.servers[s.ID]
+	// A server does not come back from leaving; an older copy may say so.
+	s.Leaving = s.Leaving || old.Leaving
+	d.servers[s.ID] = s
+	s.Warm, old.Warm = 0, 0 // counts down by itself
+	return !known || s != old
+}
+
+func (d *Directory) remove(id string) {
+	delete(d.servers, id)
+	delete(d.missing, id)
+}
+
+func (d *Directory) storeAnswered(now time.Time) {
+	if d.away {
+		d.away, d.returned = false, now
+	}
+}
+
+func (d *Directory) graceful(now time.Time) bool {
+	return !d.returned.IsZero() && now.Sub(d.returned) < ReturnGrace
+}
--- a/examples/examples.go
+++ b/examples/examples.go
@@ -10,7 +10,7 @@
 
 	"github.com/pkg/errors"
 
-	"github.com/lycheekeel/lycheekeel/platform"
+	"github.com/lycheekeel/lycheekeel/objectstore"
 	"github.com/lycheekeel/lycheekeel/workspace"
 )
 
@@ -60,19 +60,19 @@
 
 // Objects returns an example's objects as they would be stored, with
 // versions in the order of its files.
-func Objects(name string) ([]platform.Object, error) {
+func Objects(name string) ([]objectstore.Object, error) {
 	docs, err := Documents(name)
 	if err != nil {
 		return nil, err
 	}
-	out := make([]platform.Object, 0, len(docs))
+	out := make([]objectstore.Object, 0, len(docs))
 	for i, d := range docs {
 		value, err := d.Value()
 		if err != nil {
 			return nil, errors.Wrapf(err, "%s %q", d.Kind, d.Name)
 		}
-		version := platform.Version(i + 1)
-		out = append(out, platform.Object{Kind: d.Kind, Name: d.Name, Version: version, Created: version, Value: value})
+		version := objectstore.Version(i + 1)
+		out = append(out, objectstore.Object{Kind: d.Kind, Name: d.Name, Version: version, Created: version, Value: value})
 	}
 	return out, nil
 }
--- a/internal/apply/apply.go
+++ b/internal/apply/apply.go
@@ -14,7 +14,7 @@
 
 	"github.com/pkg/errors"
 
-	"github.com/lycheekeel/lycheekeel/platform"
+	"github.com/lycheekeel/lycheekeel/objectstore"
 	"github.com/lycheekeel/lycheekeel/workspace"
 )
 
@@ -64,8 +64,8 @@
 }
 
 // Read returns all stored configuration, assignments included.
-func Read(ctx context.Context, api platform.ObjectAPI) ([]platform.Object, error) {
-	var out []platform.Object
+func Read(ctx context.Context, api objectstore.ObjectAPI) ([]objectstore.Object, error) {
+	var out []objectstore.Object
 	for _, kind := range workspace.Kinds() {
 		list, err := api.List(ctx, kind, "")
 		if err != nil {
@@ -89,32 +89,32 @@
 
 // Change is the difference of one object to what is stored.
 type Change struct {
-	Kind   platform.Kind `json:"kind"`
-	Name   string        `json:"name"`
-	Action Action        `json:"action"`
+	Kind   objectstore.Kind `json:"kind"`
+	Name   string           `json:"name"`
+	Action Action           `json:"action"`
 	// Version is the stored version that the difference is to; 0 for none.
-	Version platform.Version `json:"version"`
-	Fields  []FieldChange    `json:"fields,omitempty"`
+	Version objectstore.Version `json:"version"`
+	Fields  []FieldChange       `json:"fields,omitempty"`
 
 	old, value []byte
 }
 
 // Ref names an object.
 type Ref struct {
-	Kind platform.Kind
+	Kind objectstore.Kind
 	Name string
 }
 
 // writeOrder puts what others name before those that name it.
-var writeOrder = map[platform.Kind]int{
+var writeOrder = map[objectstore.Kind]int{
 	workspace.KindPool: 0, workspace.KindBackendServer: 1, workspace.KindTemplate: 2, workspace.KindWorkspace: 3,
 }
 
 // Plan works out the changes that documents and deletions make, in the order
 // in which to write them. A document whose expected version is not the stored
 // one gives a *ConflictError.
-func Plan(docs []workspace.Document, deletions []Ref, stored []platform.Object) ([]Change, error) {
-	at := make(map[Ref]platform.Object, len(stored))
+func Plan(docs []workspace.Document, deletions []Ref, stored []objectstore.Object) ([]Change, error) {
+	at := make(map[Ref]objectstore.Object, len(stored))
 	for _, o := range stored {
 		at[Ref{o.Kind, o.Name}] = o
 	}
@@ -132,7 +132,7 @@
 	for _, ref := range deletions {
 		o, ok := at[ref]
 		if !ok {
-			return nil, errors.Wrapf(platform.ErrNotFound, "delete %s/%s", ref.Kind, ref.Name)
+			return nil, errors.Wrapf(objectstore.ErrNotFound, "delete %s/%s", ref.Kind, ref.Name)
 		}
 		changes = append(changes, Change{
 			Kind: ref.Kind, Name: ref.Name, Action: Delete, Version: o.Version,
@@ -144,7 +144,7 @@
 
 // planDocument compares a document with the stored object, whose version is 0
 // where there is none.
-func planDocument(d workspace.Document, stored platform.Object) (Change, error) {
+func planDocument(d workspace.Document, stored objectstore.Object) (Change, error) {
 	value, err := d.Value()
 	if err != nil {
 		return Change{}, errors.Wrapf(err, "%s/%s", d.Kind, d.Name)
@@ -167,8 +167,8 @@
 }
 
 // Check checks documents and deletions against what is stored.
-func Check(docs []workspace.Document, deletions []Ref, stored []platform.Object) workspace.Findings {
-	left := slices.DeleteFunc(slices.Clone(stored), func(o platform.Object) bool {
+func Check(docs []workspace.Document, deletions []Ref, stored []objectstore.Object) workspace.Findings {
+	left := slices.DeleteFunc(slices.Clone(stored), func(o objectstore.Object) bool {
 		return slices.Contains(deletions, Ref{o.Kind, o.Name})
 	})
 	findings := workspace.CheckDocuments(docs, left)
@@ -188,7 +188,7 @@
 // What goes wrong: each write is conditional on its own object alone, so two
 // operators who change a template and one of its workspaces at once both
 // succeed, and the two may not fit together. Neither would be told.
-func Recheck(ctx context.Context, api platform.ObjectAPI, before []platform.Object) (workspace.Findings, error) {
+func Recheck(ctx context.Context, api objectstore.ObjectAPI, before []objectstore.Object) (workspace.Findings, error) {
 	now, err := Read(ctx, api)
 	if err != nil {
 		return nil, err
--- a/internal/apply/apply_test.go
+++ b/internal/apply/apply_test.go
@@ -14,8 +14,8 @@
 	. "github.com/smartystreets/goconvey/convey"
 	"github.com/sourcegraph/conc"
 
-	standin "github.com/lycheekeel/lycheekeel/internal/standin/platform"
-	"github.com/lycheekeel/lycheekeel/platform"
+	standin "github.com/lycheekeel/lycheekeel/internal/standin/objectstore"
+	"github.com/lycheekeel/lycheekeel/objectstore"
 	"github.com/lycheekeel/lycheekeel/workspace"
 )
 
@@ -109,7 +109,7 @@
 			_, err = Write(ctx, store, Change{Kind: workspace.KindPool, Name: "p", Action: Delete, Version: v})
 			So(err, ShouldBeNil)
 			_, err = store.Get(ctx, workspace.KindPool, "p")
-			So(errors.Is(err, platform.ErrNotFound), ShouldBeTrue)
+			So(errors.Is(err, objectstore.ErrNotFound), ShouldBeTrue)
 		})
 	})
 	Convey("A write that the store refused is told as not written", t, func() {
@@ -118,7 +118,7 @@
 		change := plan(ctx, store, pool("p", "1"))[0]
 		store.SetFaults(standin.Faults{Down: true})
 		_, err := Write(ctx, store, change)
-		So(errors.Is(err, platform.ErrUnavailable), ShouldBeTrue)
+		So(errors.Is(err, objectstore.ErrUnavailable), ShouldBeTrue)
 	})
 }
 
@@ -173,7 +173,7 @@
 	parameters := map[string]workspace.Parameter{name: {Type: "string"}}
 	maps.Copy(parameters, t.Parameters)
 	t.Parameters = parameters
-	changes, err := Plan([]workspace.Document{{Kind: workspace.KindTemplate, Name: "t", Object: &t}}, nil, []platform.Object{o})
+	changes, err := Plan([]workspace.Document{{Kind: workspace.KindTemplate, Name: "t", Object: &t}}, nil, []objectstore.Object{o})
 	if err != nil {
 		return err
 	}
@@ -213,7 +213,7 @@
 	gets int
 }
 
-func (s *staleOnce) Get(ctx context.Context, kind platform.Kind, name string) (platform.Object, error) {
+func (s *staleOnce) Get(ctx context.Context, kind objectstore.Kind, name string) (objectstore.Object, error) {
 	o, err := s.Standin.Get(ctx, kind, name)
 	if s.gets++; s.gets == 1 {
 		s.SetFaults(standin.Faults{})
@@ -238,7 +238,7 @@
 		So(err, ShouldNotBeNil)
 	})
 	Convey("A deletion that leaves a server without its pool is a finding; what was wrong before is a warning", t, func() {
-		stored := []platform.Object{
+		stored := []objectstore.Object{
 			{Kind: workspace.KindPool, Name: "p", Version: 1, Value: []byte(`{"name":"p","region":"r","service":"s"}`)},
 			{Kind: workspace.KindBackendServer, Name: "s", Version: 2, Value: []byte(`{"name":"s","address":"10.0.0.1:1","region":"r","availability_zone":"z","pool":"p"}`)},
 			{Kind: workspace.KindBackendServer, Name: "t", Version: 3, Value: []byte(`{"name":"t","address":"10.0.0.2:1","region":"r","availability_zone":"z","pool":"q"}`)},
--- a/internal/apply/write.go
+++ b/internal/apply/write.go
@@ -10,14 +10,14 @@
 	"github.com/pkg/errors"
 
 	"github.com/lycheekeel/lycheekeel/internal/wait"
-	"github.com/lycheekeel/lycheekeel/platform"
+	"github.com/lycheekeel/lycheekeel/objectstore"
 )
 
 // ConflictError tells that an object is not at the version that the operator
 // saw: somebody else changed it. Nothing of theirs was overwritten.
 type ConflictError struct {
 	Ref             Ref
-	Expected, Found platform.Version
+	Expected, Found objectstore.Version
 	// Theirs is the other's change; for a version named in a file, the
 	// difference from the file to what is stored.
 	Theirs []FieldChange
@@ -38,28 +38,28 @@
 )
 
 // Write writes one change, conditionally on its version, and returns the
-// object's new version. Errors: *ConflictError, platform.ErrUnavailable (not
-// written), platform.ErrUnknownOutcome (could not be settled).
+// object's new version. Errors: *ConflictError, objectstore.ErrUnavailable (not
+// written), objectstore.ErrUnknownOutcome (could not be settled).
 //
 // What goes wrong: the answer to a write is lost after it took effect; told
 // as a failure, the operator would write again over a change made since. So
 // an unknown outcome is settled by reading back; where the old version still
 // stands, the write may yet arrive, so it is tried again on the same version,
 // which the object API lets through only once.
-func Write(ctx context.Context, api platform.ObjectAPI, c Change) (platform.Version, error) {
+func Write(ctx context.Context, api objectstore.ObjectAPI, c Change) (objectstore.Version, error) {
 	delays := backoff.NewExponentialBackOff()
 	delays.InitialInterval = firstDelay
 	var err error
 	unknown := false
 	for range maxAttempts {
-		var v platform.Version
+		var v objectstore.Version
 		v, err = write(ctx, api, c)
 		switch {
 		case err == nil:
 			return v, nil
-		case errors.Is(err, platform.ErrUnknownOutcome):
+		case errors.Is(err, objectstore.ErrUnknownOutcome):
 			unknown = true
-		case errors.Is(err, platform.ErrConflict), errors.Is(err, platform.ErrNotFound):
+		case errors.Is(err, objectstore.ErrConflict), errors.Is(err, objectstore.ErrNotFound):
 			return settle(ctx, api, c, unknown)
 		case !unknown:
 			return 0, errors.Wrapf(err, "%s/%s", c.Kind, c.Name)
@@ -71,11 +71,11 @@
 			break
 		}
 	}
-	return 0, errors.Wrapf(platform.ErrUnknownOutcome, "%s/%s: last error: %v", c.Kind, c.Name, err)
+	return 0, errors.Wrapf(objectstore.ErrUnknownOutcome, "%s/%s: last error: %v", c.Kind, c.Name, err)
 }
 
 // write makes one attempt.
-func write(ctx context.Context, api platform.ObjectAPI, c Change) (platform.Version, error) {
+func write(ctx context.Context, api objectstore.ObjectAPI, c Change) (objectstore.Version, error) {
 	switch c.Action {
 	case Create:
 		return api.Create(ctx, c.Kind, c.Name, c.value)
@@ -87,10 +87,10 @@
 }
 
 // readBack tells whether a write whose answer was lost took effect.
-func readBack(ctx context.Context, api platform.ObjectAPI, c Change) (platform.Version, bool) {
+func readBack(ctx context.Context, api objectstore.ObjectAPI, c Change) (objectstore.Version, bool) {
 	o, err := api.Get(ctx, c.Kind, c.Name)
 	if c.Action == Delete {
-		return 0, errors.Is(err, platform.ErrNotFound)
+		return 0, errors.Is(err, objectstore.ErrNotFound)
 	}
 	return o.Version, err == nil && o.Version > c.Version && bytes.Equal(o.Value, c.value)
 }
@@ -98,17 +98,17 @@
 // settle tells a conflict with somebody else from one with this write's own
 // earlier attempt. A read that still shows the version written on is stale and
 // is made again.
-func settle(ctx context.Context, api platform.ObjectAPI, c Change, unknown bool) (platform.Version, error) {
+func settle(ctx context.Context, api objectstore.ObjectAPI, c Change, unknown bool) (objectstore.Version, error) {
 	delays := backoff.NewExponentialBackOff()
 	delays.InitialInterval = firstDelay
-	var o platform.Object
+	var o objectstore.Object
 	var err error
 	for range maxAttempts {
 		if v, ours := readBack(ctx, api, c); unknown && ours {
 			return v, nil
 		}
 		o, err = api.Get(ctx, c.Kind, c.Name)
-		if errors.Is(err, platform.ErrNotFound) || (err == nil && o.Version > c.Version) {
+		if errors.Is(err, objectstore.ErrNotFound) || (err == nil && o.Version > c.Version) {
 			return 0, &ConflictError{
 				Ref: Ref{c.Kind, c.Name}, Expected: c.Version, Found: o.Version, Theirs: Diff(c.old, o.Value),
 			}
@@ -117,5 +117,5 @@
 			break
 		}
 	}
-	return 0, errors.Wrapf(platform.ErrConflict, "%s/%s: its newest version can't be read: %v", c.Kind, c.Name, err)
+	return 0, errors.Wrapf(objectstore.ErrConflict, "%s/%s: its newest version can't be read: %v", c.Kind, c.Name, err)
 }
--- a/internal/entry/caller.go
+++ b/internal/callerwatch/callerwatch.go
@@ -1,4 +1,6 @@
-package entry
+// Package callerwatch notices a caller that closes its connection while its
+// request waits or its answer is streamed.
+package callerwatch
 
 import (
 	"context"
@@ -9,11 +11,10 @@
 	"github.com/pkg/errors"
 )
 
-// errCallerGone is the cause of a context that ended because the caller left.
-var errCallerGone = errors.New("caller gone")
+// ErrGone is the cause of a context that ended because the caller left.
+var ErrGone = errors.New("caller gone")
 
-// callerWatch notices a caller that closes its connection while its request
-// waits or its answer is streamed.
+// Watch watches one connection.
 //
 // What goes wrong without it: the HTTP server reads a connection only between
 // two requests, so a caller that left keeps its place in the queue, takes a
@@ -22,15 +23,15 @@
 //
 // The watch waits for readability in the runtime's poller and then peeks: it
 // consumes no byte, so that a pipelined request is not lost.
-type callerWatch struct {
+type Watch struct {
 	conn net.Conn
 	done chan struct{} // closed when the watching goroutine has ended
 }
 
-// watchCaller calls gone when the caller has left. stop must be called before
+// Start calls gone with ErrGone when the caller has left. Stop must be called before
 // the connection is read again.
-func watchCaller(conn net.Conn, gone context.CancelCauseFunc) *callerWatch {
-	w := &callerWatch{conn: conn, done: make(chan struct{})}
+func Start(conn net.Conn, gone context.CancelCauseFunc) *Watch {
+	w := &Watch{conn: conn, done: make(chan struct{})}
 	sc, ok := conn.(syscall.Conn)
 	if !ok {
 		close(w.done)
@@ -46,9 +47,9 @@
 	return w
 }
 
-// run waits until the connection is closed by the caller, has bytes, or stop
+// run waits until the connection is closed by the caller, has bytes, or Stop
 // is called.
-func (w *callerWatch) run(raw syscall.RawConn, gone context.CancelCauseFunc) {
+func (w *Watch) run(raw syscall.RawConn, gone context.CancelCauseFunc) {
 	defer close(w.done)
 	state := callerThere
 	err := raw.Read(func(fd uintptr) bool {
@@ -56,12 +57,12 @@
 		return state != callerThere
 	})
 	if err == nil && state == callerLeft {
-		gone(errCallerGone)
+		gone(ErrGone)
 	}
 }
 
-// stop ends the watch and leaves the connection as the HTTP server expects it.
-func (w *callerWatch) stop() {
+// Stop ends the watch and leaves the connection as the HTTP server expects it.
+func (w *Watch) Stop() {
 	select {
 	case <-w.done:
 	default:
--- a/internal/capacity/measure_config.go
+++ b/internal/capacity/measure_config.go
@@ -5,7 +5,7 @@
 
 	"github.com/pkg/errors"
 
-	"github.com/lycheekeel/lycheekeel/platform"
+	"github.com/lycheekeel/lycheekeel/objectstore"
 	"github.com/lycheekeel/lycheekeel/revision"
 	"github.com/lycheekeel/lycheekeel/revision/revisiontest"
 	"github.com/lycheekeel/lycheekeel/workspace"
@@ -61,7 +61,7 @@
 }
 
 // setOf returns a record set that holds copies of the objects.
-func setOf(objects []platform.Object) *revision.Set {
+func setOf(objects []objectstore.Object) *revision.Set {
 	set := revision.NewSet(workspace.Kinds(), revision.Check)
 	for _, o := range objects {
 		o.Value = append([]byte(nil), o.Value...)
@@ -71,12 +71,12 @@
 }
 
 // applyCost changes one workspace at a time and compiles.
-func applyCost(c *workspace.Compiler, objects []platform.Object) float64 {
+func applyCost(c *workspace.Compiler, objects []objectstore.Object) float64 {
 	at := 0
 	for objects[at].Kind != workspace.KindWorkspace {
 		at++
 	}
-	version := platform.Version(len(objects))
+	version := objectstore.Version(len(objects))
 	return cpuPer(applyRounds, func() {
 		for range applyRounds {
 			version++
--- a/internal/capacity/measure_store.go
+++ b/internal/capacity/measure_store.go
@@ -9,7 +9,7 @@
 
 	"github.com/lycheekeel/lycheekeel/claim"
 	"github.com/lycheekeel/lycheekeel/internal/apply"
-	standin "github.com/lycheekeel/lycheekeel/internal/standin/platform"
+	standin "github.com/lycheekeel/lycheekeel/internal/standin/objectstore"
 	"github.com/lycheekeel/lycheekeel/lease"
 	"github.com/lycheekeel/lycheekeel/request"
 	"github.com/lycheekeel/lycheekeel/workspace"
--- a/internal/cli/apply.go
+++ b/internal/cli/apply.go
@@ -10,7 +10,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/lycheekeel/lycheekeel/internal/apply"
-	"github.com/lycheekeel/lycheekeel/platform"
+	"github.com/lycheekeel/lycheekeel/objectstore"
 	"github.com/lycheekeel/lycheekeel/workspace"
 )
 
@@ -65,9 +65,9 @@
 
 // written is one object that was written.
 type written struct {
-	Kind    platform.Kind    `json:"kind"`
-	Name    string           `json:"name"`
-	Version platform.Version `json:"version,omitempty"` // none for a deletion
+	Kind    objectstore.Kind    `json:"kind"`
+	Name    string              `json:"name"`
+	Version objectstore.Version `json:"version,omitempty"` // none for a deletion
 }
 
 // apply runs apply and diff.
@@ -86,7 +86,7 @@
 		return withExit(ExitUsage, errors.Errorf("--expect-version is for a single object, the files hold %d", len(docs)))
 	}
 	for i := range docs {
-		docs[i].Expect = max(docs[i].Expect, platform.Version(f.expect))
+		docs[i].Expect = max(docs[i].Expect, objectstore.Version(f.expect))
 	}
 	api, err := openPlatform(*f.platform)
 	if err != nil {
@@ -110,7 +110,7 @@
 }
 
 // finish shows what was found and writes the changes.
-func (g *globals) finish(ctx context.Context, api platform.ObjectAPI, f *applyFlags, stored []platform.Object, out applied, err error) error {
+func (g *globals) finish(ctx context.Context, api objectstore.ObjectAPI, f *applyFlags, stored []objectstore.Object, out applied, err error) error {
 	g.printFindings(out.Findings)
 	if n := len(out.Findings.Fatal()); n > 0 {
 		err = withExit(ExitFindings, errors.Errorf("%d findings, nothing was written", n))
@@ -131,7 +131,7 @@
 }
 
 // write writes the changes in their order and stops at the first that fails.
-func (g *globals) write(ctx context.Context, api platform.ObjectAPI, changes []apply.Change) ([]written, error) {
+func (g *globals) write(ctx context.Context, api objectstore.ObjectAPI, changes []apply.Change) ([]written, error) {
 	var done []written
 	for i, c := range changes {
 		if c.Action == apply.Unchanged {
@@ -152,7 +152,7 @@
 
 // recheck tells of another operator's change that came in between and does not
 // fit with what was written.
-func (g *globals) recheck(ctx context.Context, api platform.ObjectAPI, stored []platform.Object, out *applied) error {
+func (g *globals) recheck(ctx context.Context, api objectstore.ObjectAPI, stored []objectstore.Object, out *applied) error {
 	findings, err := apply.Recheck(ctx, api, stored)
 	if err != nil {
 		g.say("written, but not checked again: %v", err)
@@ -176,7 +176,7 @@
 		}
 		return withExit(ExitConflict, errors.WithMessage(err, "not overwritten; take over the change and apply again"))
 	}
-	if errors.Is(err, platform.ErrConflict) {
+	if errors.Is(err, objectstore.ErrConflict) {
 		return withExit(ExitConflict, err)
 	}
 	return platformExit(err)
--- a/internal/cli/apply_test.go
+++ b/internal/cli/apply_test.go
@@ -12,7 +12,7 @@
 	. "github.com/smartystreets/goconvey/convey"
 	"github.com/sourcegraph/conc"
 
-	standin "github.com/lycheekeel/lycheekeel/internal/standin/platform"
+	standin "github.com/lycheekeel/lycheekeel/internal/standin/objectstore"
 	"github.com/lycheekeel/lycheekeel/workspace"
 )
 
--- a/internal/cli/get.go
+++ b/internal/cli/get.go
@@ -9,7 +9,7 @@
 	"github.com/alecthomas/kingpin/v2"
 	"github.com/pkg/errors"
 
-	"github.com/lycheekeel/lycheekeel/platform"
+	"github.com/lycheekeel/lycheekeel/objectstore"
 )
 
 func init() { register(addGet) }
@@ -43,22 +43,22 @@
 }
 
 // stored reads one object, or all of a kind.
-func stored(ctx context.Context, api platform.ObjectAPI, kind platform.Kind, name string) ([]platform.Object, error) {
+func stored(ctx context.Context, api objectstore.ObjectAPI, kind objectstore.Kind, name string) ([]objectstore.Object, error) {
 	if name == "" {
 		list, err := api.List(ctx, kind, "")
 		return list.Objects, err
 	}
 	o, err := api.Get(ctx, kind, name)
-	if errors.Is(err, platform.ErrNotFound) {
+	if errors.Is(err, objectstore.ErrNotFound) {
 		return nil, errors.Wrapf(err, "there is no %s %q; \"lycheekeel get %s\" lists all", kind, name, kind)
 	}
-	return []platform.Object{o}, err
+	return []objectstore.Object{o}, err
 }
 
 // printObjects prints objects as files that apply reads. Their expect_version
 // makes an apply of the edited file a conflict where somebody changed the
 // object meanwhile.
-func (g *globals) printObjects(objects []platform.Object, single bool) error {
+func (g *globals) printObjects(objects []objectstore.Object, single bool) error {
 	documents := make([]json.RawMessage, 0, len(objects))
 	for _, o := range objects {
 		d, err := document(o)
@@ -74,10 +74,10 @@
 }
 
 // document returns a stored object as a file's object.
-func document(o platform.Object) (json.RawMessage, error) {
+func document(o objectstore.Object) (json.RawMessage, error) {
 	header, err := json.Marshal(struct {
-		Kind   platform.Kind    `json:"kind"`
-		Expect platform.Version `json:"expect_version"`
+		Kind   objectstore.Kind    `json:"kind"`
+		Expect objectstore.Version `json:"expect_version"`
 	}{o.Kind, o.Version})
 	if err != nil {
 		return nil, err
@@ -92,7 +92,7 @@
 }
 
 // printObjectTable prints objects by name, version and size.
-func (g *globals) printObjectTable(objects []platform.Object) error {
+func (g *globals) printObjectTable(objects []objectstore.Object) error {
 	rows := make([][]string, 0, len(objects))
 	for _, o := range objects {
 		rows = append(rows, []string{
--- a/internal/cli/platform.go
+++ b/internal/cli/platform.go
@@ -7,8 +7,8 @@
 	"github.com/alecthomas/kingpin/v2"
 	"github.com/pkg/errors"
 
-	"github.com/lycheekeel/lycheekeel/platform"
-	"github.com/lycheekeel/lycheekeel/platform/httpplatform"
+	"github.com/lycheekeel/lycheekeel/objectstore"
+	"github.com/lycheekeel/lycheekeel/objectstore/httpobjectstore"
 	"github.com/lycheekeel/lycheekeel/workspace"
 )
 
@@ -21,7 +21,7 @@
 }
 
 // openPlatform returns the object API at an address.
-func openPlatform(address string) (platform.ObjectAPI, error) {
+func openPlatform(address string) (objectstore.ObjectAPI, error) {
 	if address == "" {
 		return nil, withExit(ExitUsage, errors.Errorf("say where the object API is, by --platform or %s", envPlatform))
 	}
@@ -29,16 +29,16 @@
 	if _, err := netip.ParseAddrPort(address); err != nil {
 		return nil, withExit(ExitUsage, errors.Errorf("--platform: %q is not IP:port", address))
 	}
-	return httpplatform.New(httpplatform.Options{Addr: address}), nil
+	return httpobjectstore.New(httpobjectstore.Options{Addr: address}), nil
 }
 
 // platformExit gives an error of the object API its exit code and says what
 // to do about it.
 func platformExit(err error) error {
 	switch {
-	case errors.Is(err, platform.ErrUnknownOutcome):
+	case errors.Is(err, objectstore.ErrUnknownOutcome):
 		return withExit(ExitUnknown, errors.WithMessage(err, "the object API did not answer; look with \"lycheekeel get\" before you try again"))
-	case errors.Is(err, platform.ErrUnavailable):
+	case errors.Is(err, objectstore.ErrUnavailable):
 		return withExit(ExitUnreachable, errors.WithMessage(err, "the object API can't be reached, nothing was written by this call; check --platform and try again"))
 	default:
 		return failed(err)
@@ -46,10 +46,10 @@
 }
 
 // operatorKinds are the kinds that operators read, in the order of listings.
-func operatorKinds() []platform.Kind { return workspace.Kinds() }
+func operatorKinds() []objectstore.Kind { return workspace.Kinds() }
 
 // parseKind reads a kind as operators write it: any case, singular or plural.
-func parseKind(s string) (platform.Kind, error) {
+func parseKind(s string) (objectstore.Kind, error) {
 	var known []string
 	for _, k := range operatorKinds() {
 		if strings.EqualFold(s, string(k)) || strings.EqualFold(s, string(k)+"s") {
--- a/internal/cli/standin.go
+++ b/internal/cli/standin.go
@@ -8,7 +8,7 @@
 	"github.com/pkg/errors"
 
 	engine "github.com/lycheekeel/lycheekeel/internal/standin/engine"
-	platform "github.com/lycheekeel/lycheekeel/internal/standin/platform"
+	platform "github.com/lycheekeel/lycheekeel/internal/standin/objectstore"
 	service "github.com/lycheekeel/lycheekeel/internal/standin/service"
 )
 
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -23,9 +23,9 @@
 	"github.com/lycheekeel/lycheekeel/internal/peer"
 	"github.com/lycheekeel/lycheekeel/internal/poolhost"
 	"github.com/lycheekeel/lycheekeel/member"
+	"github.com/lycheekeel/lycheekeel/objectstore"
+	"github.com/lycheekeel/lycheekeel/objectstore/httpobjectstore"
 	"github.com/lycheekeel/lycheekeel/placement"
-	"github.com/lycheekeel/lycheekeel/platform"
-	"github.com/lycheekeel/lycheekeel/platform/httpplatform"
 	"github.com/lycheekeel/lycheekeel/revision"
 	"github.com/lycheekeel/lycheekeel/service/httpservice"
 	"github.com/lycheekeel/lycheekeel/workspace"
@@ -41,7 +41,7 @@
 
 	config    *workspace.Live
 	views     *member.Live
-	platform  platform.Platform
+	platform  objectstore.Platform
 	transport *peer.TCP
 	members   *member.Runner
 	vms       *leavingVMs
@@ -126,7 +126,7 @@
 // made before it starts.
 func (d *Daemon) wire() error {
 	s := &d.settings
-	d.platform = httpplatform.New(httpplatform.Options{
+	d.platform = httpobjectstore.New(httpobjectstore.Options{
 		Addr: s.Platform.Address, CallTimeout: milliseconds(s.Platform.TimeoutMs), Metrics: d.metrics,
 	})
 	if err := d.wireMembers(); err != nil {
--- a/internal/daemon/measure_test.go
+++ b/internal/daemon/measure_test.go
@@ -23,8 +23,8 @@
 	"time"
 
 	"github.com/lycheekeel/lycheekeel/internal/daemon"
-	"github.com/lycheekeel/lycheekeel/platform"
-	"github.com/lycheekeel/lycheekeel/platform/httpplatform"
+	"github.com/lycheekeel/lycheekeel/objectstore"
+	"github.com/lycheekeel/lycheekeel/objectstore/httpobjectstore"
 	"github.com/lycheekeel/lycheekeel/pool"
 	"github.com/lycheekeel/lycheekeel/workspace"
 )
@@ -105,8 +105,8 @@
 func (x *bench) configure(store string, slots int, policy pool.Policy) {
 	number := func(v int64) workspace.Number { return workspace.Number{Value: v} }
 	sum := sha256.Sum256([]byte(measureKey))
-	api := httpplatform.New(httpplatform.Options{Addr: store})
-	put := func(kind platform.Kind, name string, v any) {
+	api := httpobjectstore.New(httpobjectstore.Options{Addr: store})
+	put := func(kind objectstore.Kind, name string, v any) {
 		if _, err := api.Create(context.Background(), kind, name, marshal(x.b, v)); err != nil {
 			x.b.Fatal(err)
 		}
--- a/internal/daemon/members.go
+++ b/internal/daemon/members.go
@@ -9,7 +9,7 @@
 
 	"github.com/lycheekeel/lycheekeel/internal/peer"
 	"github.com/lycheekeel/lycheekeel/member"
-	"github.com/lycheekeel/lycheekeel/platform"
+	"github.com/lycheekeel/lycheekeel/objectstore"
 )
 
 // roleEntry is the role in the platform's VM list of VMs that run this daemon.
@@ -54,7 +54,7 @@
 	var out []string
 	for _, vm := range vms {
 		ip, err := netip.ParseAddr(vm.IP)
-		if vm.Role == roleEntry && vm.State == platform.VMLive && err == nil {
+		if vm.Role == roleEntry && vm.State == objectstore.VMLive && err == nil {
 			out = append(out, netip.AddrPortFrom(ip, self.Port()).String())
 		}
 	}
--- a/internal/daemon/vms.go
+++ b/internal/daemon/vms.go
@@ -9,7 +9,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/lycheekeel/lycheekeel/internal/logs"
-	"github.com/lycheekeel/lycheekeel/platform"
+	"github.com/lycheekeel/lycheekeel/objectstore"
 	"github.com/lycheekeel/lycheekeel/workspace"
 )
 
@@ -20,13 +20,13 @@
 // leavingVMs knows which VMs the platform's list shows as leaving. Daemons
 // that own no pool don't ask: each call counts against the platform's rates.
 type leavingVMs struct {
-	list platform.VMList
+	list objectstore.VMList
 	owns func() bool
 	ips  atomic.Pointer[map[string]bool]
 	log  *logrus.Entry
 }
 
-func newLeavingVMs(list platform.VMList, owns func() bool) *leavingVMs {
+func newLeavingVMs(list objectstore.VMList, owns func() bool) *leavingVMs {
 	return &leavingVMs{list: list, owns: owns, log: logs.For("vms")}
 }
 
@@ -58,7 +58,7 @@
 	}
 	ips := map[string]bool{}
 	for _, vm := range vms {
-		if vm.State == platform.VMLeaving {
+		if vm.State == objectstore.VMLeaving {
 			ips[vm.IP] = true
 		}
 	}
--- a/internal/daemon/vms_test.go
+++ b/internal/daemon/vms_test.go
@@ -6,8 +6,8 @@
 
 	. "github.com/smartystreets/goconvey/convey"
 
-	standin "github.com/lycheekeel/lycheekeel/internal/standin/platform"
-	"github.com/lycheekeel/lycheekeel/platform"
+	standin "github.com/lycheekeel/lycheekeel/internal/standin/objectstore"
+	"github.com/lycheekeel/lycheekeel/objectstore"
 	"github.com/lycheekeel/lycheekeel/workspace"
 )
 
@@ -20,17 +20,17 @@
 		vms := newLeavingVMs(p, func() bool { return true })
 		leaving := workspace.BackendServer{Address: "10.0.0.1:8000"}
 		staying := workspace.BackendServer{Address: "10.0.0.11:8000"}
-		show := func(state platform.VMState) {
-			p.SetVMs([]platform.VM{
+		show := func(state objectstore.VMState) {
+			p.SetVMs([]objectstore.VM{
 				{Name: "a", IP: "10.0.0.1", Role: "backend", State: state},
-				{Name: "b", IP: "10.0.0.11", Role: "backend", State: platform.VMLive},
+				{Name: "b", IP: "10.0.0.11", Role: "backend", State: objectstore.VMLive},
 			})
 			vms.ask(context.Background())
 		}
 		So(vms.leaving(leaving), ShouldBeFalse)
-		show(platform.VMLive)
+		show(objectstore.VMLive)
 		So(vms.leaving(leaving), ShouldBeFalse)
-		show(platform.VMLeaving)
+		show(objectstore.VMLeaving)
 		So(vms.leaving(leaving), ShouldBeTrue)
 		So(vms.leaving(staying), ShouldBeFalse)
 		p.SetFaults(standin.Faults{Down: true})
--- a/internal/demo/configuration.go
+++ b/internal/demo/configuration.go
@@ -7,7 +7,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/lycheekeel/lycheekeel/examples"
-	"github.com/lycheekeel/lycheekeel/platform"
+	"github.com/lycheekeel/lycheekeel/objectstore"
 	"github.com/lycheekeel/lycheekeel/workspace"
 )
 
@@ -21,7 +21,7 @@
 // place of the examples' own.
 type configuration struct {
 	system   *system
-	objects  []platform.Object
+	objects  []objectstore.Object
 	keys     map[string]string
 	models   []string // of every pool
 	services []string
@@ -111,11 +111,11 @@
 	return c.add(workspace.KindBackendServer, s.Name, s)
 }
 
-func (c *configuration) add(kind platform.Kind, name string, v any) error {
+func (c *configuration) add(kind objectstore.Kind, name string, v any) error {
 	value, err := json.Marshal(v)
 	if err != nil {
 		return errors.Wrapf(err, "encode %s %q", kind, name)
 	}
-	c.objects = append(c.objects, platform.Object{Kind: kind, Name: name, Value: value})
+	c.objects = append(c.objects, objectstore.Object{Kind: kind, Name: name, Value: value})
 	return nil
 }
--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -14,9 +14,9 @@
 
 	"github.com/lycheekeel/lycheekeel/internal/daemon"
 	engine "github.com/lycheekeel/lycheekeel/internal/standin/engine"
-	platformstandin "github.com/lycheekeel/lycheekeel/internal/standin/platform"
+	platformstandin "github.com/lycheekeel/lycheekeel/internal/standin/objectstore"
 	service "github.com/lycheekeel/lycheekeel/internal/standin/service"
-	"github.com/lycheekeel/lycheekeel/platform/httpplatform"
+	"github.com/lycheekeel/lycheekeel/objectstore/httpobjectstore"
 )
 
 // region and zone are where everything in the demonstration stands.
@@ -161,7 +161,7 @@
 }
 
 func (s *system) configure(ctx context.Context) (Info, error) {
-	client := httpplatform.New(httpplatform.Options{Addr: s.platform})
+	client := httpobjectstore.New(httpobjectstore.Options{Addr: s.platform})
 	c, err := newConfiguration(s)
 	if err != nil {
 		return Info{}, err
--- a/internal/entry/claims.go
+++ b/internal/entry/claims.go
@@ -10,6 +10,7 @@
 
 	"github.com/lycheekeel/lycheekeel/broker"
 	"github.com/lycheekeel/lycheekeel/claim"
+	"github.com/lycheekeel/lycheekeel/internal/callerwatch"
 	"github.com/lycheekeel/lycheekeel/request"
 )
 
@@ -80,7 +81,7 @@
 		return existingRefusal(existing.Outcome)
 	case errors.Is(r.err, claim.ErrConflict):
 		return request.Refuse(request.ReasonClaimConflict, "this %s was used with other content", headerIdempotencyKey)
-	case errors.Is(context.Cause(ctx), errCallerGone):
+	case errors.Is(context.Cause(ctx), callerwatch.ErrGone):
 		return cause(ctx)
 	case errors.Is(r.err, claim.ErrStoreUnavailable), ctx.Err() != nil:
 		return request.Refuse(request.ReasonStoreUnavailable, "the claim could not be recorded in time")
--- a/internal/entry/exchange.go
+++ b/internal/entry/exchange.go
@@ -10,6 +10,7 @@
 
 	"github.com/lycheekeel/lycheekeel/broker"
 	"github.com/lycheekeel/lycheekeel/claim"
+	"github.com/lycheekeel/lycheekeel/internal/callerwatch"
 	"github.com/lycheekeel/lycheekeel/internal/logs"
 	"github.com/lycheekeel/lycheekeel/request"
 	"github.com/lycheekeel/lycheekeel/workspace"
@@ -35,7 +36,7 @@
 	// ctx ends when the caller leaves, or the request is evicted.
 	ctx    context.Context
 	cancel context.CancelCauseFunc
-	watch  *callerWatch
+	watch  *callerwatch.Watch
 	// limit ends the run; it starts with the dispatch.
 	limit *time.Timer
 }
@@ -112,7 +113,7 @@
 
 // watchCaller begins to watch for the caller's leaving.
 func (x *exchange) watchCaller(ctx *fasthttp.RequestCtx) {
-	x.watch = watchCaller(ctx.Conn(), x.cancel)
+	x.watch = callerwatch.Start(ctx.Conn(), x.cancel)
 }
 
 // end frees what the exchange holds; the answer has been written or given up.
@@ -122,7 +123,7 @@
 		x.limit.Stop()
 	}
 	if x.watch != nil {
-		x.watch.stop()
+		x.watch.Stop()
 		x.watch = nil
 	}
 	if x.body != nil {
--- a/internal/entry/refuse.go
+++ b/internal/entry/refuse.go
@@ -11,6 +11,7 @@
 	"github.com/pkg/errors"
 	"github.com/valyala/fasthttp"
 
+	"github.com/lycheekeel/lycheekeel/internal/callerwatch"
 	"github.com/lycheekeel/lycheekeel/request"
 )
 
@@ -168,7 +169,7 @@
 	switch {
 	case errors.As(err, &r):
 		return r
-	case errors.Is(err, errCallerGone):
+	case errors.Is(err, callerwatch.ErrGone):
 		return request.Refuse(request.ReasonCallerGone, "the caller left")
 	case errors.Is(err, context.DeadlineExceeded):
 		return request.Refuse(request.ReasonExpired, "the deadline passed before the request was dispatched")
--- a/internal/entry/service.go
+++ b/internal/entry/service.go
@@ -10,6 +10,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/lycheekeel/lycheekeel/engine"
+	"github.com/lycheekeel/lycheekeel/internal/callerwatch"
 	"github.com/lycheekeel/lycheekeel/pool"
 	"github.com/lycheekeel/lycheekeel/request"
 	"github.com/lycheekeel/lycheekeel/service"
@@ -179,7 +180,7 @@
 	case errors.Is(err, engine.ErrNotSent):
 		return request.Refuse(request.ReasonEngineUnreachable, "the connection to the service was lost before anything was sent"),
 			pool.OutcomeNotSent
-	case errors.Is(context.Cause(x.ctx), errCallerGone):
+	case errors.Is(context.Cause(x.ctx), callerwatch.ErrGone):
 		return &request.Refusal{Reason: request.ReasonCallerGone, NotRun: request.RanUnknown, Message: "the caller left"},
 			pool.OutcomeCanceled
 	default:
--- a/internal/entry/stream.go
+++ b/internal/entry/stream.go
@@ -10,6 +10,7 @@
 
 	"github.com/lycheekeel/lycheekeel/claim"
 	"github.com/lycheekeel/lycheekeel/engine"
+	"github.com/lycheekeel/lycheekeel/internal/callerwatch"
 	"github.com/lycheekeel/lycheekeel/request"
 )
 
@@ -152,7 +153,7 @@
 	select {
 	case <-s.pumped:
 	default:
-		s.x.cancel(errCallerGone)
+		s.x.cancel(callerwatch.ErrGone)
 	}
 	<-s.pumped
 	s.timer.Stop()
--- a/internal/experiment/objects.go
+++ b/internal/experiment/objects.go
@@ -9,7 +9,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/lycheekeel/lycheekeel/internal/load"
-	"github.com/lycheekeel/lycheekeel/platform"
+	"github.com/lycheekeel/lycheekeel/objectstore"
 	"github.com/lycheekeel/lycheekeel/pool"
 	"github.com/lycheekeel/lycheekeel/workspace"
 )
@@ -103,15 +103,15 @@
 
 // objectList collects objects as the object API would hold them.
 type objectList struct {
-	objects []platform.Object
+	objects []objectstore.Object
 	err     error
 }
 
-func (b *objectList) add(kind platform.Kind, name string, v any) {
+func (b *objectList) add(kind objectstore.Kind, name string, v any) {
 	value, err := json.Marshal(v)
 	if err != nil && b.err == nil {
 		b.err = errors.Wrapf(err, "%s %s", kind, name)
 	}
-	version := platform.Version(len(b.objects) + 1)
-	b.objects = append(b.objects, platform.Object{Kind: kind, Name: name, Version: version, Created: version, Value: value})
+	version := objectstore.Version(len(b.objects) + 1)
+	b.objects = append(b.objects, objectstore.Object{Kind: kind, Name: name, Version: version, Created: version, Value: value})
 }
--- /dev/null
+++ b/internal/forward/answer.go
@@ -0,0 +1,89 @@
+package forward
+
+import (
+	"io"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/valyala/fasthttp"
+
+	"github.com/lycheekeel/lycheekeel/pool"
+	"github.com/lycheekeel/lycheekeel/route"
+)
+
+// answer passes a server's answer on. It returns false without an error where
+// the request is to be sent again.
+func (x *exchange) answer(r *reply, g *run) (bool, error) {
+	status := r.header.StatusCode()
+	if status/100 == 2 && len(r.header.Peek(x.server.wire.Signature)) == 0 {
+		r.ended = false
+		r.finish()
+		return false, x.failed(x.lostRun(g, errors.Wrap(errSpoiled, "no signature")))
+	}
+	if x.route.Kind == route.Stream && status == fasthttp.StatusOK {
+		return x.startStream(r, g)
+	}
+	body, err := r.all()
+	r.finish()
+	if err != nil {
+		return false, x.failed(x.lostRun(g, err))
+	}
+	if status >= fasthttp.StatusInternalServerError {
+		g.release(pool.OutcomeFailed)
+		if x.worthAnother(status) {
+			x.server.count.retryFailed.Add(1)
+			return false, nil
+		}
+	} else {
+		g.release(pool.OutcomeDone)
+	}
+	x.copyHead(r)
+	x.http.Response.SetBodyRaw(body)
+	return true, nil
+}
+
+// worthAnother decides whether a failed run is repeated at another server.
+func (x *exchange) worthAnother(status int) bool {
+	return status != fasthttp.StatusGatewayTimeout && x.attempts.Left() && x.ctx.Err() == nil &&
+		x.server.deps.Budget(x.service).Take()
+}
+
+// copyHead passes the answer's status and headers on.
+func (x *exchange) copyHead(r *reply) {
+	x.status = r.header.StatusCode()
+	x.http.Response.Header.SetStatusCode(x.status)
+	for k, v := range r.header.All() {
+		name := string(k)
+		if !hopHeaders[name] {
+			x.http.Response.Header.AddBytesKV(k, v)
+		}
+	}
+}
+
+// startStream waits for the first event, while the request may still be sent
+// elsewhere, and then hands the stream to the HTTP server.
+func (x *exchange) startStream(r *reply, g *run) (bool, error) {
+	s := &stream{x: x, run: g, events: events{from: r}}
+	if last, ok := parseID(x.out.lastEvent); ok {
+		s.events.last, s.events.known = last, true
+	}
+	whole, n, err := s.events.next()
+	switch {
+	case err == io.EOF:
+		// A stream without events is a whole answer.
+	case err != nil:
+		s.drop()
+		return false, x.failed(x.lostRun(g, err))
+	}
+	s.pending = whole
+	s.took(n)
+	s.eof = err == io.EOF
+	x.stream = s
+	x.copyHead(r)
+	x.http.Response.SetBodyStream(s, -1)
+	return true, nil
+}
+
+// progressEvery is the least time between two reports of a stream's progress;
+// it doubles with each report.
+const progressEvery = 500 * time.Millisecond
--- /dev/null
+++ b/internal/forward/headers.go
@@ -0,0 +1,46 @@
+package forward
+
+import (
+	"bytes"
+	"net/textproto"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/valyala/fasthttp"
+)
+
+// connectionNames returns the headers that a Connection header names.
+func connectionNames(h *fasthttp.RequestHeader) map[string]bool {
+	value := h.Peek(fasthttp.HeaderConnection)
+	if len(value) == 0 || bytes.EqualFold(value, []byte("keep-alive")) || bytes.EqualFold(value, []byte("close")) {
+		return nil
+	}
+	named := map[string]bool{}
+	for _, name := range strings.Split(string(value), ",") {
+		named[textproto.CanonicalMIMEHeaderKey(strings.TrimSpace(name))] = true
+	}
+	return named
+}
+
+// bearer returns the key of an Authorization header; false where there is none.
+func bearer(h *fasthttp.RequestHeader) (string, bool) {
+	scheme, key, ok := strings.Cut(string(h.Peek(fasthttp.HeaderAuthorization)), " ")
+	if !ok || !strings.EqualFold(scheme, "Bearer") {
+		return "", false
+	}
+	return strings.TrimSpace(key), true
+}
+
+// milliseconds reads a header's whole number of milliseconds; false where it
+// has none that is positive.
+func milliseconds(value []byte) (time.Duration, bool) {
+	n, err := strconv.ParseInt(string(value), 10, 64)
+	if err != nil || n <= 0 || n > int64(24*time.Hour/time.Millisecond) {
+		return 0, false
+	}
+	return time.Duration(n) * time.Millisecond, true
+}
+
+// retryAfter spells a Retry-After in seconds with a fraction.
+func retryAfter(d time.Duration) string { return strconv.FormatFloat(d.Seconds(), 'f', 3, 64) }
--- /dev/null
+++ b/internal/forward/outbound.go
@@ -0,0 +1,88 @@
+package forward
+
+import (
+	"bufio"
+	"strconv"
+	"time"
+
+	"github.com/valyala/fasthttp"
+)
+
+// hopHeaders concern one connection only. To pass them on lets the two sides
+// disagree on where a message ends (request smuggling).
+var hopHeaders = map[string]bool{
+	"Connection": true, "Content-Length": true, "Expect": true, "Keep-Alive": true, "Proxy-Authenticate": true,
+	"Proxy-Authorization": true, "Proxy-Connection": true, "Te": true, "Trailer": true, "Transfer-Encoding": true,
+	"Upgrade": true, "Accept-Encoding": true,
+}
+
+// header is one header line.
+type header struct{ name, value string }
+
+// outbound is a caller's request as it goes to servers. Method, target and
+// body are the caller's bytes.
+type outbound struct {
+	method  string
+	target  string
+	headers []header // without those that are set anew for each send
+	body    []byte
+
+	wire     *Wire
+	deadline time.Time
+	// serverID and lastEvent are set for each send; lastEvent is empty where
+	// a stream begins at its start.
+	serverID  string
+	lastEvent string
+}
+
+// newOutbound copies the request, since its buffers are the HTTP server's.
+func (s *Server) newOutbound(ctx *fasthttp.RequestCtx, workspaceName string) *outbound {
+	o := &outbound{
+		method: string(ctx.Method()), target: string(ctx.Request.Header.RequestURI()),
+		wire: &s.wire, headers: make([]header, 0, 12),
+	}
+	named := connectionNames(&ctx.Request.Header)
+	for k, v := range ctx.Request.Header.All() {
+		name := string(k)
+		if hopHeaders[name] || s.reserved[name] || named[name] {
+			continue
+		}
+		if name == fasthttp.HeaderAuthorization && workspaceName != "" {
+			continue // the key is the entry's business
+		}
+		o.headers = append(o.headers, header{name, string(v)})
+	}
+	if workspaceName != "" {
+		o.headers = append(o.headers, header{s.wire.Workspace, workspaceName})
+	}
+	o.lastEvent = string(ctx.Request.Header.Peek(s.wire.LastEvent))
+	o.body = append([]byte(nil), ctx.Request.Body()...)
+	return o
+}
+
+// Write implements httpconn.Request. The time left is told as of now.
+func (o *outbound) Write(w *bufio.Writer) error {
+	writeAll(w, o.method, " ", o.target, " HTTP/1.1\r\n")
+	for _, h := range o.headers {
+		writeAll(w, h.name, ": ", h.value, "\r\n")
+	}
+	left := max(1, time.Until(o.deadline).Milliseconds())
+	writeAll(w, o.wire.Deadline, ": ", strconv.FormatInt(left, 10), "\r\n")
+	writeAll(w, o.wire.ExpectServer, ": ", o.serverID, "\r\n")
+	if o.lastEvent != "" {
+		writeAll(w, o.wire.LastEvent, ": ", o.lastEvent, "\r\n")
+	}
+	if len(o.body) > 0 || o.method != fasthttp.MethodGet && o.method != fasthttp.MethodHead {
+		writeAll(w, "Content-Length: ", strconv.Itoa(len(o.body)), "\r\n")
+	}
+	writeAll(w, "\r\n")
+	_, err := w.Write(o.body)
+	return err
+}
+
+// writeAll leaves errors to the writer, which keeps its first one.
+func writeAll(w *bufio.Writer, parts ...string) {
+	for _, p := range parts {
+		_, _ = w.WriteString(p)
+	}
+}
--- /dev/null
+++ b/internal/forward/server.go
@@ -0,0 +1,156 @@
+// Package forward is the HTTP front that passes callers' requests on
+// unchanged: it finds the route, waits for a slot, sends the request to the
+// backend server of the grant, and passes the answer back as it comes.
+//
+// It holds each request from its first byte to its last. A request is sent
+// once, unless a server said that it did not run it, or its route allows a
+// second run. A refusal that says "not run" is sent only where that is known.
+package forward
+
+import (
+	"context"
+	"net"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/sirupsen/logrus"
+	"github.com/valyala/fasthttp"
+
+	"github.com/lycheekeel/lycheekeel/broker"
+	"github.com/lycheekeel/lycheekeel/internal/logs"
+	"github.com/lycheekeel/lycheekeel/internal/metrics"
+	"github.com/lycheekeel/lycheekeel/retry"
+	"github.com/lycheekeel/lycheekeel/route"
+	"github.com/lycheekeel/lycheekeel/workspace"
+)
+
+// The entry's bounds.
+const (
+	// maxHeaderBytes bounds a caller's header; it is the size of the read
+	// buffer of each active connection.
+	maxHeaderBytes = 16 << 10
+	// maxBodyBytes bounds a caller's body, whatever the configuration says.
+	maxBodyBytes = 8 << 20
+	// maxHeldAnswer bounds an answer that is held until it is whole.
+	maxHeldAnswer = 16 << 20
+	// readTimeout bounds reading one request.
+	readTimeout = 15 * time.Second
+	// idleTimeout is longer than any caller keeps a connection idle: a caller
+	// that uses one while it is being closed loses its request.
+	idleTimeout = 75 * time.Second
+	// maxConnections bounds the callers' connections.
+	maxConnections = 3000
+	// streamSilence is how long a stream that may be resumed elsewhere may
+	// bring no event after its first. Callers give up after 2 s or more, and
+	// a server that works brings several events a second.
+	streamSilence = 1500 * time.Millisecond
+)
+
+// Deps are the parts that a Server works with.
+type Deps struct {
+	Routes     *route.Live
+	Pools      *workspace.Live
+	Broker     broker.Broker
+	Admission  Admission
+	Allowances Allowances
+	// Budget returns the retry budget of a service.
+	Budget  func(service string) *retry.Budget
+	Servers *Servers
+	Metrics *metrics.Registry
+	// Self makes request ids unique among the daemons and their restarts.
+	Self string
+	Wire Wire
+}
+
+// Server serves callers. It is safe for concurrent use.
+type Server struct {
+	deps     Deps
+	wire     Wire
+	reserved map[string]bool
+	http     *fasthttp.Server
+	count    *counters
+	log      *logrus.Entry
+	sequence atomic.Uint64
+	draining atomic.Bool
+	running  atomic.Int64
+}
+
+// New returns a server that does not listen yet.
+func New(d Deps) *Server {
+	s := &Server{deps: d, wire: d.Wire, log: logs.For("forward"), reserved: map[string]bool{}}
+	for _, name := range append([]string{d.Wire.Deadline, d.Wire.Workspace, d.Wire.ExpectServer, d.Wire.LastEvent}, d.Wire.Reserved...) {
+		s.reserved[name] = true
+	}
+	s.count = newCounters(d.Metrics)
+	s.http = &fasthttp.Server{
+		Handler:                      s.handle,
+		ErrorHandler:                 s.malformed,
+		ReadBufferSize:               maxHeaderBytes,
+		MaxRequestBodySize:           maxBodyBytes,
+		ReadTimeout:                  readTimeout,
+		IdleTimeout:                  idleTimeout,
+		Concurrency:                  maxConnections,
+		ReduceMemoryUsage:            true,
+		NoDefaultServerHeader:        true,
+		NoDefaultContentType:         true,
+		NoDefaultDate:                true,
+		DisablePreParseMultipartForm: true,
+		CloseOnShutdown:              true,
+		Logger:                       quietLogger{},
+	}
+	return s
+}
+
+// quietLogger drops what the HTTP library says of single connections.
+type quietLogger struct{}
+
+// Printf implements fasthttp.Logger.
+func (quietLogger) Printf(string, ...any) {}
+
+// Serve serves callers on ln until Shutdown.
+func (s *Server) Serve(ln net.Listener) error {
+	return errors.Wrap(s.http.Serve(ln), "serve callers")
+}
+
+// Drain makes every further answer ask its caller to connect anew.
+func (s *Server) Drain() { s.draining.Store(true) }
+
+// Shutdown closes the listener and waits until every request has its answer.
+func (s *Server) Shutdown(ctx context.Context) error {
+	s.Drain()
+	return errors.Wrap(s.http.ShutdownWithContext(ctx), "shut down")
+}
+
+// malformed answers what is no HTTP request.
+func (s *Server) malformed(ctx *fasthttp.RequestCtx, err error) {
+	s.count.malformed.Add(1)
+	status := fasthttp.StatusBadRequest
+	var small *fasthttp.ErrSmallBuffer
+	switch {
+	case errors.As(err, &small):
+		status = fasthttp.StatusRequestHeaderFieldsTooLarge
+	case errors.Is(err, fasthttp.ErrBodyTooLarge):
+		status = fasthttp.StatusRequestEntityTooLarge
+	}
+	ctx.Response.Reset()
+	ctx.SetStatusCode(status)
+	ctx.SetConnectionClose()
+}
+
+// handle serves one request.
+func (s *Server) handle(ctx *fasthttp.RequestCtx) {
+	s.running.Add(1)
+	if s.draining.Load() {
+		ctx.SetConnectionClose()
+	}
+	x := s.newExchange(ctx)
+	if err := x.serve(); err != nil {
+		x.refuse(err)
+		x.end()
+		return
+	}
+	if x.stream == nil {
+		x.end()
+	}
+}
--- /dev/null
+++ b/internal/forward/stream.go
@@ -0,0 +1,166 @@
+package forward
+
+import (
+	"io"
+	"strconv"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/valyala/fasthttp"
+
+	"github.com/lycheekeel/lycheekeel/pool"
+)
+
+// stream is an answer of events on its way to the caller. The HTTP server
+// reads it and closes it. A stream that breaks is resumed at another server
+// where its route allows that; otherwise Read fails, and the HTTP server
+// closes the connection without the end mark, so that the answer does not
+// look complete.
+type stream struct {
+	x       *exchange
+	run     *run
+	events  events
+	pending []byte // whole events not handed on yet
+	eof     bool
+	failed  error
+	over    bool // the run was released
+}
+
+// errCut: the stream could not be finished.
+var errCut = errors.New("stream cut off")
+
+// Read implements io.Reader.
+func (s *stream) Read(p []byte) (int, error) {
+	for len(s.pending) == 0 {
+		if s.eof {
+			s.finish(pool.OutcomeDone)
+			return 0, io.EOF
+		}
+		if s.failed != nil {
+			return 0, s.failed
+		}
+		s.advance()
+	}
+	n := copy(p, s.pending)
+	s.pending = s.pending[n:]
+	return n, nil
+}
+
+// advance gets the next events, at another server if need be.
+func (s *stream) advance() {
+	whole, n, err := s.events.next()
+	switch {
+	case err == nil:
+		s.pending = whole
+		s.took(n)
+	case err == io.EOF:
+		s.eof = true
+	default:
+		s.broken(err)
+	}
+}
+
+// took counts events and tells the owner of the progress.
+func (s *stream) took(n int) {
+	g, now := s.run, time.Now()
+	g.tokens += n * s.x.eventTokens()
+	if g.first.IsZero() && n > 0 {
+		g.first = now
+		if s.x.attempts.Left() {
+			s.events.from.conn.SetSilence(streamSilence)
+		}
+	}
+	if n == 0 || now.Sub(g.toldAt) < progressEvery<<min(g.reports, 4) && g.reports > 0 {
+		return
+	}
+	var perToken time.Duration
+	if d := g.tokens - g.told; d > 0 && g.reports > 0 {
+		perToken = now.Sub(g.toldAt) / time.Duration(d)
+	}
+	g.grant.Progress(g.first.Sub(g.sent), g.tokens, perToken)
+	g.told, g.toldAt = g.tokens, now
+	g.reports++
+}
+
+// broken resumes the stream elsewhere, or gives it up.
+func (s *stream) broken(err error) {
+	s.drop()
+	err = s.x.lostRun(s.run, err)
+	s.over = true
+	for err != nil {
+		refusal := s.x.failed(err)
+		if refusal == nil {
+			err, refusal = s.resume()
+		}
+		if refusal != nil {
+			s.failed = errors.Wrap(errCut, refusal.Error())
+			s.x.server.count.cut.Add(1)
+			return
+		}
+	}
+}
+
+// resume asks another server for the rest. It returns why that send failed,
+// or the refusal where there is none to ask.
+func (s *stream) resume() (failed, refusal error) {
+	x := s.x
+	if s.events.known {
+		x.out.lastEvent = strconv.FormatInt(s.events.last, 10)
+	}
+	r, g, err := x.send()
+	if err != nil {
+		return nil, err
+	}
+	if status := r.header.StatusCode(); status != fasthttp.StatusOK {
+		r.ended = false
+		r.finish()
+		return x.lostRun(g, errors.Errorf("status %d", status)), nil
+	}
+	x.server.count.resumed.Add(1)
+	s.run, s.over = g, false
+	s.events = events{from: r, last: s.events.last, known: s.events.known}
+	return nil, nil
+}
+
+func (s *stream) drop() {
+	s.events.from.ended = false
+	s.events.from.finish()
+}
+
+// finish frees the slot once.
+func (s *stream) finish(outcome pool.Outcome) {
+	if s.over {
+		return
+	}
+	s.over = true
+	if outcome == pool.OutcomeDone {
+		s.events.from.finish()
+	} else {
+		s.drop()
+	}
+	s.run.release(outcome)
+}
+
+// Close implements io.Closer. The HTTP server calls it when the answer was
+// written or the caller could not be written to.
+func (s *stream) Close() error {
+	if !s.over {
+		s.finish(pool.OutcomeCanceled)
+	}
+	s.x.logAnswer(s.failed)
+	s.x.end()
+	return nil
+}
+
+// eventTokens returns how many tokens one event holds.
+func (x *exchange) eventTokens() int {
+	if s := x.table.Services[x.service]; s != nil && s.EventTokens > 0 {
+		return s.EventTokens
+	}
+	return 1
+}
+
+func parseID(s string) (int64, bool) {
+	id, err := strconv.ParseInt(s, 10, 64)
+	return id, err == nil
+}
--- /dev/null
+++ b/internal/gateway/gateway.go
@@ -0,0 +1,165 @@
+package gateway
+
+import (
+	"context"
+	"net"
+	"runtime/debug"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/sirupsen/logrus"
+	"github.com/sourcegraph/conc"
+	"github.com/valyala/fasthttp"
+
+	"github.com/lycheekeel/lycheekeel/allowance"
+	"github.com/lycheekeel/lycheekeel/broker"
+	"github.com/lycheekeel/lycheekeel/internal/forward"
+	"github.com/lycheekeel/lycheekeel/internal/httpconn"
+	"github.com/lycheekeel/lycheekeel/internal/logs"
+	"github.com/lycheekeel/lycheekeel/internal/metrics"
+	"github.com/lycheekeel/lycheekeel/internal/poolhost"
+	"github.com/lycheekeel/lycheekeel/retry"
+	"github.com/lycheekeel/lycheekeel/route"
+	"github.com/lycheekeel/lycheekeel/workspace"
+)
+
+const (
+	// proofShare is the part of the time for withdrawing a key at which a
+	// proof of the configuration is too old to trust a key.
+	proofShare = 0.95
+	// readyShare is the part of it at which the balancer is told to send
+	// callers elsewhere, before requests have to be refused here.
+	readyShare = 0.7
+	// listenerStays is how long the listener stays open after SIGTERM: the
+	// balancer asks each second and gives up after two misses.
+	listenerStays = 2500 * time.Millisecond
+	// stopMargin of the grace is left for the process to end by itself.
+	stopMargin = 400 * time.Millisecond
+	// memoryShare of the VM's memory is the garbage collector's soft limit.
+	memoryShare = 0.5
+	// daemonsAssumed share a retry budget's slack while the number of daemons
+	// is not known.
+	daemonsAssumed = 16
+	// retryRatioShare of the ratio is used, for requests and retries of one
+	// window are not counted at the same moments everywhere.
+	retryRatioShare = 0.75
+)
+
+// Gateway is one daemon. Run it once.
+type Gateway struct {
+	settings Settings
+	platform Platform
+	log      *logrus.Entry
+	metrics  *metrics.Registry
+	listener net.Listener
+	ready    net.Listener
+
+	routes  *route.Live
+	pools   *workspace.Live
+	sync    *syncer
+	host    *poolhost.Host
+	broker  *broker.Entry
+	forward *forward.Server
+
+	budgets  sync.Map // service to *retry.Budget
+	draining atomic.Bool
+}
+
+// New wires a gateway and opens its listeners.
+func New(s Settings, p Platform, m *metrics.Registry) (*Gateway, error) {
+	g := &Gateway{
+		settings: s, platform: p, log: logs.For("gateway"), metrics: m,
+		routes: &route.Live{}, pools: &workspace.Live{},
+	}
+	debug.SetMemoryLimit(int64(s.Limits.MemoryMB * 1e6 * memoryShare))
+	servers := forward.NewServers(httpconn.Settings{})
+	g.sync = newSyncer(p, s.Region, g.routes, g.pools, servers.Keep)
+	g.host = poolhost.New(poolhost.Config{
+		Self: s.Name, Region: s.Region, Snapshots: g.pools, Unmonitored: true, Metrics: m,
+	})
+	g.broker = broker.New(g.host)
+	g.forward = forward.New(forward.Deps{
+		Routes: g.routes, Pools: g.pools, Broker: g.broker, Admission: g,
+		Allowances: allowance.NewLedger(time.Now), Budget: g.budget, Servers: servers, Metrics: m,
+		Self: s.Name + "." + strconv.FormatInt(time.Now().UnixNano(), 36), Wire: p.Wire,
+	})
+	return g, g.listen()
+}
+
+func (g *Gateway) listen() error {
+	var err error
+	if g.ready, err = net.Listen("tcp", g.settings.Readiness); err != nil {
+		return errors.Wrap(err, "listen for the balancer")
+	}
+	g.listener, err = net.Listen("tcp", g.settings.Listen)
+	return errors.Wrap(err, "listen for callers")
+}
+
+// Fresh implements forward.Admission.
+func (g *Gateway) Fresh() bool { return g.provedWithin(proofShare) }
+
+func (g *Gateway) provedWithin(share float64) bool {
+	return g.sync.fresh.Within(milliseconds(g.settings.Bounds.RevokeMs * share))
+}
+
+// budget returns a service's retry budget.
+func (g *Gateway) budget(service string) *retry.Budget {
+	if b, ok := g.budgets.Load(service); ok {
+		return b.(*retry.Budget)
+	}
+	bounds := g.settings.Bounds
+	fresh := retry.NewBudget(bounds.RetryRatio*retryRatioShare, max(1, bounds.RetrySlack/daemonsAssumed))
+	b, _ := g.budgets.LoadOrStore(service, fresh)
+	return b.(*retry.Budget)
+}
+
+// answerReadiness tells the balancer whether to send callers here.
+func (g *Gateway) answerReadiness(ctx *fasthttp.RequestCtx) {
+	ready := string(ctx.Path()) == g.platform.ReadinessPath && !g.draining.Load() &&
+		g.routes.Load() != nil && g.provedWithin(readyShare)
+	if !ready {
+		ctx.SetStatusCode(fasthttp.StatusServiceUnavailable)
+	}
+}
+
+// Run serves until ctx ends, and then until no request is left.
+func (g *Gateway) Run(ctx context.Context) error {
+	work, stop := context.WithCancel(context.Background())
+	defer stop()
+	failed := make(chan error, 2)
+	readiness := &fasthttp.Server{Handler: g.answerReadiness, ReduceMemoryUsage: true}
+	var parts conc.WaitGroup
+	parts.Go(func() { failed <- errors.Wrap(readiness.Serve(g.ready), "readiness") })
+	parts.Go(func() { failed <- g.forward.Serve(g.listener) })
+	parts.Go(func() { g.host.Run(work) })
+	parts.Go(func() { g.broker.Run(work) })
+	for _, k := range g.sync.loops() {
+		parts.Go(func() { g.sync.list(work, k) })
+	}
+	g.log.WithField("listen", g.settings.Listen).WithField("name", g.settings.Name).Info("Started.")
+	var err error
+	select {
+	case err = <-failed:
+	case <-ctx.Done():
+		err = g.stop()
+	}
+	g.log.WithError(err).Info("Stopped.")
+	return err
+}
+
+// stop ends without cutting a request off: not ready at once, the listener
+// stays until the balancer has noticed, and running requests end.
+func (g *Gateway) stop() error {
+	began := time.Now()
+	g.draining.Store(true)
+	g.forward.Drain()
+	g.log.Info("Draining.")
+	time.Sleep(listenerStays)
+	limit := seconds(g.settings.Bounds.GraceS) - stopMargin
+	ctx, cancel := context.WithDeadline(context.Background(), began.Add(limit))
+	defer cancel()
+	return g.forward.Shutdown(ctx)
+}
--- /dev/null
+++ b/internal/gateway/settings.go
@@ -0,0 +1,88 @@
+package gateway
+
+import (
+	"encoding/json"
+	"os"
+	"time"
+
+	"github.com/go-playground/validator/v10"
+	"github.com/pkg/errors"
+
+	"github.com/lycheekeel/lycheekeel/workspace"
+)
+
+// Settings are what a gateway is told when it starts. Addresses are IP:port.
+type Settings struct {
+	// Name is unique in the cluster.
+	Name             string `json:"name" validate:"required,max=63"`
+	Region           string `json:"region" validate:"required,max=63"`
+	AvailabilityZone string `json:"availability_zone" validate:"required,max=63"`
+	// Listen is for callers, Readiness for the balancer, Peer for the other
+	// daemons, Metrics for whoever reads the counters; no Metrics: not served.
+	Listen    string `json:"listen" validate:"required,hostname_port"`
+	Readiness string `json:"readiness" validate:"required,hostname_port"`
+	Peer      string `json:"peer" validate:"required,hostname_port"`
+	Metrics   string `json:"metrics" validate:"omitempty,hostname_port"`
+	// Seeds are the Peer addresses of a few daemons.
+	Seeds []string `json:"seeds" validate:"dive,hostname_port"`
+	// Store is the address of the platform's store.
+	Store string `json:"store" validate:"required,hostname_port"`
+	// LogLevel is debug, info, warning or error; the default is info.
+	LogLevel string         `json:"log_level" validate:"omitempty,oneof=debug info warning error"`
+	Limits   LimitSettings  `json:"limits"`
+	Bounds   BoundsSettings `json:"bounds"`
+}
+
+// LimitSettings are what the VM gives.
+type LimitSettings struct {
+	// MemoryMB bounds the process, in 1,000,000 bytes.
+	MemoryMB float64 `json:"memory_mb" validate:"min=16"`
+}
+
+// BoundsSettings are the promises that the operators have made for the whole
+// system; those of time are in milliseconds or, where named so, seconds.
+type BoundsSettings struct {
+	// GraceS is how long a process may go on after SIGTERM.
+	GraceS float64 `json:"grace_s" validate:"gt=0"`
+	// RevokeMs is how long a withdrawn key may still be accepted.
+	RevokeMs float64 `json:"revoke_ms" validate:"gt=0"`
+	// RetryRatio and RetrySlack bound, in any window of RetryWindowS, a
+	// service's repeated arrivals: ratio x requests + slack, over all daemons.
+	RetryRatio   float64 `json:"retry_ratio" validate:"gte=0,lte=1"`
+	RetryWindowS float64 `json:"retry_window_s" validate:"gt=0"`
+	RetrySlack   float64 `json:"retry_slack" validate:"gte=0"`
+}
+
+// LoadSettings reads and checks a settings file. Findings come back together.
+func LoadSettings(file string) (Settings, error) {
+	data, err := os.ReadFile(file)
+	if err != nil {
+		return Settings{}, errors.Wrap(err, "read settings")
+	}
+	return ParseSettings(file, data)
+}
+
+// ParseSettings reads and checks settings; file only names them in findings.
+func ParseSettings(file string, data []byte) (Settings, error) {
+	var s Settings
+	if err := json.Unmarshal(data, &s); err != nil {
+		return s, workspace.Findings{{File: file, Reason: err.Error()}}
+	}
+	var findings workspace.Findings
+	var invalid validator.ValidationErrors
+	err := validator.New(validator.WithRequiredStructEnabled()).Struct(&s)
+	if errors.As(err, &invalid) {
+		for _, f := range invalid {
+			findings.Add(file, f.Namespace(), "%v does not satisfy %s %s", f.Value(), f.Tag(), f.Param())
+		}
+	} else if err != nil {
+		return s, errors.Wrap(err, "check settings")
+	}
+	if s.LogLevel == "" {
+		s.LogLevel = "info"
+	}
+	return s, findings.Err()
+}
+
+func seconds(s float64) time.Duration       { return time.Duration(s * float64(time.Second)) }
+func milliseconds(ms float64) time.Duration { return time.Duration(ms * float64(time.Millisecond)) }
--- a/internal/httpconn/conn.go
+++ b/internal/httpconn/conn.go
@@ -10,7 +10,6 @@
 	"time"
 
 	"github.com/pkg/errors"
-	"github.com/valyala/fasthttp"
 
 	"github.com/lycheekeel/lycheekeel/engine"
 )
@@ -93,7 +92,7 @@
 // send writes the request. What goes wrong: after a failed write nobody knows
 // whether the peer got the request. Counting the bytes that the operating
 // system took tells the one case where it certainly did not: none were taken.
-func (c *Conn) send(req *fasthttp.Request) error {
+func (c *Conn) send(req Request) error {
 	c.written = 0
 	w := writers.Get().(*bufio.Writer)
 	w.Reset(writeSide{c})
--- a/internal/httpconn/pool.go
+++ b/internal/httpconn/pool.go
@@ -9,6 +9,7 @@
 package httpconn
 
 import (
+	"bufio"
 	"context"
 	"net"
 	"sync"
@@ -16,7 +17,6 @@
 	"time"
 
 	"github.com/pkg/errors"
-	"github.com/valyala/fasthttp"
 
 	"github.com/lycheekeel/lycheekeel/engine"
 )
@@ -108,13 +108,18 @@
 	MustDial Fresh = true
 )
 
+// Request is what Send writes; a *fasthttp.Request is one.
+type Request interface {
+	Write(w *bufio.Writer) error
+}
+
 // Send writes the request once and returns the connection, from which the
 // answer is to be read; the caller must end it with Keep or Drop. The error
 // wraps engine.ErrNotSent where no byte can have left, else engine.ErrBroken.
 //
 // sending, where not nil, is called once the connection is up and checked,
 // directly before the first byte; its error stops the request.
-func (p *Pool) Send(ctx context.Context, req *fasthttp.Request, fresh Fresh, sending func() error) (*Conn, error) {
+func (p *Pool) Send(ctx context.Context, req Request, fresh Fresh, sending func() error) (*Conn, error) {
 	c, err := p.get(ctx, fresh)
 	if err != nil {
 		return nil, err
--- a/internal/poolhost/config.go
+++ b/internal/poolhost/config.go
@@ -84,6 +84,9 @@
 	// Engines dials model engines for load reports and cache events; nil:
 	// servers are not monitored and count as up.
 	Engines engine.Dialer
+	// Unmonitored servers are not probed: what the configuration and the
+	// requests show of them is all that is known.
+	Unmonitored bool
 	// Connect probes a plain service's server; the default connects by TCP.
 	Connect func(ctx context.Context, address string) error
 	// Leaving tells from elsewhere, e.g. the VM list, that a server leaves.
--- a/internal/poolhost/monitor.go
+++ b/internal/poolhost/monitor.go
@@ -78,7 +78,7 @@
 	var start []target
 	for _, w := range m.servers {
 		m.tell(w)
-		if !w.probing && !now.Before(w.next) && (!m.engine || m.r.host.cfg.Engines != nil) {
+		if !m.r.host.cfg.Unmonitored && !w.probing && !now.Before(w.next) && (!m.engine || m.r.host.cfg.Engines != nil) {
 			w.probing = true
 			start = append(start, target{w, w.spec})
 		}
--- a/internal/standin/platform/faults.go
+++ b/internal/standin/objectstore/faults.go
@@ -1,4 +1,4 @@
-package platform
+package objectstore
 
 import (
 	"sync/atomic"
--- a/internal/standin/platform/http.go
+++ b/internal/standin/objectstore/http.go
@@ -1,4 +1,4 @@
-package platform
+package objectstore
 
 import (
 	"bytes"
@@ -11,8 +11,8 @@
 	"github.com/pkg/errors"
 	"github.com/valyala/fasthttp"
 
-	port "github.com/lycheekeel/lycheekeel/platform"
-	"github.com/lycheekeel/lycheekeel/platform/httpplatform/wire"
+	port "github.com/lycheekeel/lycheekeel/objectstore"
+	"github.com/lycheekeel/lycheekeel/objectstore/httpobjectstore/wire"
 )
 
 // The control paths of the stand-in itself; they obey no fault.
--- a/internal/standin/platform/standin.go
+++ b/internal/standin/objectstore/standin.go
@@ -1,8 +1,8 @@
-// Package platform is a small stand-in for the platform in tests: an object
+// Package objectstore is a small stand-in for the platform in tests: an object
 // API with versions, conditional updates and watches, a VM list that lags and
 // a rate-limited weight store, with switchable faults. It serves in-process
-// as a platform.Platform, and over HTTP. It keeps everything in memory.
-package platform
+// as a objectstore.Platform, and over HTTP. It keeps everything in memory.
+package objectstore
 
 import (
 	"context"
@@ -14,7 +14,7 @@
 	"github.com/pkg/errors"
 	"golang.org/x/time/rate"
 
-	port "github.com/lycheekeel/lycheekeel/platform"
+	port "github.com/lycheekeel/lycheekeel/objectstore"
 )
 
 // Defaults of Options.
@@ -107,7 +107,7 @@
 	c.(*atomic.Int64).Add(1)
 }
 
-// Get implements platform.ObjectAPI.
+// Get implements objectstore.ObjectAPI.
 func (s *Standin) Get(ctx context.Context, kind port.Kind, name string) (port.Object, error) {
 	f, err := s.read(ctx, "get")
 	if err != nil {
@@ -116,7 +116,7 @@
 	return s.store.get(kind, name, f.StaleWrites)
 }
 
-// List implements platform.ObjectAPI.
+// List implements objectstore.ObjectAPI.
 func (s *Standin) List(ctx context.Context, kind port.Kind, prefix string) (port.List, error) {
 	f, err := s.read(ctx, "list")
 	if err != nil {
@@ -125,26 +125,26 @@
 	return s.store.list(kind, prefix, f.StaleWrites), nil
 }
 
-// Create implements platform.ObjectAPI.
+// Create implements objectstore.ObjectAPI.
 func (s *Standin) Create(ctx context.Context, kind port.Kind, name string, value []byte) (port.Version, error) {
 	return s.write(ctx, "create", func() (port.Version, error) { return s.store.create(kind, name, value) })
 }
 
-// Update implements platform.ObjectAPI; ErrNotFound where it is absent.
+// Update implements objectstore.ObjectAPI; ErrNotFound where it is absent.
 func (s *Standin) Update(ctx context.Context, kind port.Kind, name string, value []byte, expected port.Version) (port.Version, error) {
 	return s.write(ctx, "update", func() (port.Version, error) {
 		return s.store.update(kind, name, value, expected, false)
 	})
 }
 
-// Delete implements platform.ObjectAPI; ErrNotFound where it is absent.
+// Delete implements objectstore.ObjectAPI; ErrNotFound where it is absent.
 func (s *Standin) Delete(ctx context.Context, kind port.Kind, name string, expected port.Version) (port.Version, error) {
 	return s.write(ctx, "delete", func() (port.Version, error) {
 		return s.store.update(kind, name, nil, expected, true)
 	})
 }
 
-// Watch implements platform.ObjectAPI.
+// Watch implements objectstore.ObjectAPI.
 func (s *Standin) Watch(ctx context.Context, kinds []port.Kind, after port.Version, wait time.Duration) ([]port.Event, port.Version, error) {
 	if _, err := s.read(ctx, "watch"); err != nil {
 		return nil, 0, err
@@ -169,7 +169,7 @@
 	}
 }
 
-// VMs implements platform.VMList: the list as it was VMLagMs ago.
+// VMs implements objectstore.VMList: the list as it was VMLagMs ago.
 func (s *Standin) VMs(ctx context.Context) ([]port.VM, error) {
 	f, err := s.read(ctx, "vms")
 	if err != nil {
@@ -187,7 +187,7 @@
 	return shown, nil
 }
 
-// Reserve implements platform.WeightStore.
+// Reserve implements objectstore.WeightStore.
 func (s *Standin) Reserve(ctx context.Context, _, _ string) (time.Duration, error) {
 	if _, err := s.read(ctx, "reserve"); err != nil {
 		return 0, err
--- a/internal/standin/platform/store.go
+++ b/internal/standin/objectstore/store.go
@@ -1,4 +1,4 @@
-package platform
+package objectstore
 
 import (
 	"cmp"
@@ -8,7 +8,7 @@
 
 	"github.com/pkg/errors"
 
-	port "github.com/lycheekeel/lycheekeel/platform"
+	port "github.com/lycheekeel/lycheekeel/objectstore"
 )
 
 type key struct {
--- a/lease/elector.go
+++ b/lease/elector.go
@@ -13,11 +13,11 @@
 
 	"github.com/lycheekeel/lycheekeel/internal/logs"
 	"github.com/lycheekeel/lycheekeel/internal/metrics"
-	"github.com/lycheekeel/lycheekeel/platform"
+	"github.com/lycheekeel/lycheekeel/objectstore"
 )
 
 // Kind is the kind of the objects that hold leases.
-const Kind = platform.Kind("Lease")
+const Kind = objectstore.Kind("Lease")
 
 // Defaults of Options, and fixed proportions of the duration.
 const (
@@ -74,13 +74,13 @@
 
 // Elector is one candidate for a lease. It is safe for concurrent use.
 type Elector struct {
-	api platform.ObjectAPI
+	api objectstore.ObjectAPI
 	o   Options
 	log *logrus.Entry
 }
 
 // NewElector returns a candidate. It makes no call.
-func NewElector(api platform.ObjectAPI, o Options) (*Elector, error) {
+func NewElector(api objectstore.ObjectAPI, o Options) (*Elector, error) {
 	if o.Name == "" || o.Holder == "" {
 		return nil, errors.New("lease: name and holder are needed")
 	}
@@ -116,7 +116,7 @@
 
 // sighting is a foreign version and when this candidate first saw it.
 type sighting struct {
-	version platform.Version
+	version objectstore.Version
 	at      time.Duration // reading of Clock.Waited
 }
 
@@ -136,8 +136,8 @@
 		now := e.o.Clock.Waited()
 		var wait time.Duration
 		switch {
-		case errors.Is(err, platform.ErrNotFound):
-			o = platform.Object{}
+		case errors.Is(err, objectstore.ErrNotFound):
+			o = objectstore.Object{}
 		case err != nil:
 			wait = e.o.Duration / retriesPerDuration
 		default:
@@ -168,7 +168,7 @@
 	return nil, errors.Wrapf(ctx.Err(), "acquire lease %s", e.o.Name)
 }
 
-func (e *Elector) get(ctx context.Context) (platform.Object, error) {
+func (e *Elector) get(ctx context.Context) (objectstore.Object, error) {
 	ctx, cancel := context.WithTimeout(ctx, e.o.CallTimeout)
 	defer cancel()
 	return e.api.Get(ctx, Kind, e.o.Name)
@@ -176,7 +176,7 @@
 
 // try writes this candidate into the lease that was read; a zero version is
 // an absent one. A lost answer is settled by the next read.
-func (e *Elector) try(ctx context.Context, o platform.Object) (platform.Object, attempt, bool) {
+func (e *Elector) try(ctx context.Context, o objectstore.Object) (objectstore.Object, attempt, bool) {
 	ctx, cancel := context.WithTimeout(ctx, e.o.CallTimeout)
 	defer cancel()
 	a := attempt{nonce: newNonce(), sent: e.o.Clock.Held()}
@@ -193,7 +193,7 @@
 // won starts the renewals; nil if the lease was lost meanwhile. A lease whose object it created is not used before
 // a whole duration has passed: the object may have been deleted a moment ago
 // while its holder still trusts its own deadline.
-func (e *Elector) won(ctx context.Context, o platform.Object, a attempt) *Lease {
+func (e *Elector) won(ctx context.Context, o objectstore.Object, a attempt) *Lease {
 	keeping, cancel := context.WithCancel(context.Background())
 	l := &Lease{
 		e: e, token: o.Version, version: o.Version,
--- a/lease/lease.go
+++ b/lease/lease.go
@@ -1,5 +1,5 @@
 // Package lease gives one holder at a time an exclusive right, on conditional
-// updates of one object of a platform.ObjectAPI. It needs no clocks that
+// updates of one object of a objectstore.ObjectAPI. It needs no clocks that
 // agree, only clocks whose rates differ by less than a bound.
 //
 // A holder asks Check right before each act and sends the Token along, so
@@ -16,7 +16,7 @@
 
 	"github.com/pkg/errors"
 
-	"github.com/lycheekeel/lycheekeel/platform"
+	"github.com/lycheekeel/lycheekeel/objectstore"
 )
 
 // ErrLost reports that the lease is not held, or no longer.
@@ -25,7 +25,7 @@
 // Token is the fencing token: the version of the write that acquired the
 // lease. Versions order all writes of the object API, so tokens grow from
 // holder to holder, also when the object was deleted in between.
-type Token = platform.Version
+type Token = objectstore.Version
 
 // Lease is a lease that was acquired. It renews itself until it is lost or
 // released; once lost it stays lost. It is safe for concurrent use.
@@ -41,7 +41,7 @@
 	// writing is a lock of capacity one, held over each write and its
 	// settling; unlike a mutex it can be waited for under a context.
 	writing  chan struct{}
-	version  platform.Version
+	version  objectstore.Version
 	attempts map[string]time.Duration // nonce of an unsettled write -> Held before it was sent
 }
 
@@ -127,7 +127,7 @@
 	case err == nil:
 		l.confirm(v, sent)
 		return l.e.jittered(l.e.o.Duration / renewalsPerDuration)
-	case errors.Is(err, platform.ErrUnavailable):
+	case errors.Is(err, objectstore.ErrUnavailable):
 		l.e.count(countUnavailable)
 	default:
 		l.attempts[nonce] = sent
@@ -145,7 +145,7 @@
 func (l *Lease) settle(ctx context.Context) bool {
 	l.e.count(countSettled)
 	o, err := l.e.api.Get(ctx, Kind, l.e.o.Name)
-	if errors.Is(err, platform.ErrNotFound) {
+	if errors.Is(err, objectstore.ErrNotFound) {
 		l.lose(countDeleted)
 		return false
 	}
@@ -163,7 +163,7 @@
 
 // confirm counts the new deadline from before the request was sent: the
 // waiters' clocks can't have started earlier.
-func (l *Lease) confirm(v platform.Version, sent time.Duration) {
+func (l *Lease) confirm(v objectstore.Version, sent time.Duration) {
 	l.version = v
 	maps.DeleteFunc(l.attempts, func(string, time.Duration) bool { return true })
 	l.deadline.Store(int64(sent + l.e.holderTime()))
--- a/lease/model_test.go
+++ b/lease/model_test.go
@@ -17,9 +17,9 @@
 	"pgregory.net/rapid"
 
 	"github.com/lycheekeel/lycheekeel/internal/logs"
-	standin "github.com/lycheekeel/lycheekeel/internal/standin/platform"
+	standin "github.com/lycheekeel/lycheekeel/internal/standin/objectstore"
 	"github.com/lycheekeel/lycheekeel/lease"
-	"github.com/lycheekeel/lycheekeel/platform"
+	"github.com/lycheekeel/lycheekeel/objectstore"
 )
 
 const (
@@ -45,7 +45,7 @@
 // it, no timer of its wakes it, and its Waited clock stands still. Its clocks
 // run at their own rate.
 type process struct {
-	platform.ObjectAPI
+	objectstore.ObjectAPI
 	start time.Time
 	rate  float64
 	lease atomic.Pointer[lease.Lease]
@@ -78,7 +78,7 @@
 	}
 	<-ctx.Done()
 	p.waitResumed()
-	return platform.ErrUnknownOutcome
+	return objectstore.ErrUnknownOutcome
 }
 
 func (p *process) left() time.Duration {
@@ -113,15 +113,15 @@
 
 func (p *process) answerLate(ctx context.Context) { p.Sleep(ctx, time.Duration(p.late.Load())) }
 
-func (p *process) Get(ctx context.Context, k platform.Kind, n string) (platform.Object, error) {
+func (p *process) Get(ctx context.Context, k objectstore.Kind, n string) (objectstore.Object, error) {
 	if err := p.reach(ctx); err != nil {
-		return platform.Object{}, err
+		return objectstore.Object{}, err
 	}
 	defer p.waitResumed()
 	return p.ObjectAPI.Get(ctx, k, n)
 }
 
-func (p *process) Create(ctx context.Context, k platform.Kind, n string, v []byte) (platform.Version, error) {
+func (p *process) Create(ctx context.Context, k objectstore.Kind, n string, v []byte) (objectstore.Version, error) {
 	if err := p.reach(ctx); err != nil {
 		return 0, err
 	}
@@ -129,7 +129,7 @@
 	return p.ObjectAPI.Create(ctx, k, n, v)
 }
 
-func (p *process) Update(ctx context.Context, k platform.Kind, n string, v []byte, e platform.Version) (platform.Version, error) {
+func (p *process) Update(ctx context.Context, k objectstore.Kind, n string, v []byte, e objectstore.Version) (objectstore.Version, error) {
 	if err := p.reach(ctx); err != nil {
 		return 0, err
 	}
--- a/lease/process_test.go
+++ b/lease/process_test.go
@@ -13,10 +13,10 @@
 
 	"golang.org/x/sys/unix"
 
-	standin "github.com/lycheekeel/lycheekeel/internal/standin/platform"
+	standin "github.com/lycheekeel/lycheekeel/internal/standin/objectstore"
 	"github.com/lycheekeel/lycheekeel/lease"
-	"github.com/lycheekeel/lycheekeel/platform"
-	"github.com/lycheekeel/lycheekeel/platform/httpplatform"
+	"github.com/lycheekeel/lycheekeel/objectstore"
+	"github.com/lycheekeel/lycheekeel/objectstore/httpobjectstore"
 )
 
 // envHolder makes the test binary a holder; its value is the store's address.
@@ -25,7 +25,7 @@
 // patience is a generous limit for what takes about a second.
 const patience = 30 * time.Second
 
-func shortElector(api platform.ObjectAPI, holder string) *lease.Elector {
+func shortElector(api objectstore.ObjectAPI, holder string) *lease.Elector {
 	e, err := lease.NewElector(api, lease.Options{
 		Name: name, Holder: holder, Duration: 500 * time.Millisecond, Margin: 100 * time.Millisecond,
 	})
@@ -45,7 +45,7 @@
 // hold is the holder's process: it prints each act that Check allowed, and
 // when it began to ask.
 func hold(addr string) {
-	l, err := shortElector(httpplatform.New(httpplatform.Options{Addr: addr}), "child").Acquire(context.Background())
+	l, err := shortElector(httpobjectstore.New(httpobjectstore.Options{Addr: addr}), "child").Acquire(context.Background())
 	if err != nil {
 		return
 	}
@@ -101,7 +101,7 @@
 	if err := child.Process.Signal(syscall.SIGSTOP); err != nil {
 		t.Fatal(err)
 	}
-	l, err := shortElector(httpplatform.New(httpplatform.Options{Addr: ln.Addr().String()}), "parent").Acquire(ctx)
+	l, err := shortElector(httpobjectstore.New(httpobjectstore.Options{Addr: ln.Addr().String()}), "parent").Acquire(ctx)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/platform/httpplatform/calls.go
+++ b/objectstore/httpobjectstore/calls.go
@@ -1,4 +1,4 @@
-package httpplatform
+package httpobjectstore
 
 import (
 	"context"
@@ -9,20 +9,20 @@
 	"github.com/pkg/errors"
 	"github.com/valyala/fasthttp"
 
-	"github.com/lycheekeel/lycheekeel/platform"
-	"github.com/lycheekeel/lycheekeel/platform/httpplatform/wire"
+	"github.com/lycheekeel/lycheekeel/objectstore"
+	"github.com/lycheekeel/lycheekeel/objectstore/httpobjectstore/wire"
 )
 
-// Get implements platform.ObjectAPI.
-func (c *Client) Get(ctx context.Context, kind platform.Kind, name string) (platform.Object, error) {
-	var o platform.Object
+// Get implements objectstore.ObjectAPI.
+func (c *Client) Get(ctx context.Context, kind objectstore.Kind, name string) (objectstore.Object, error) {
+	var o objectstore.Object
 	err := c.read(ctx, call{name: "get", method: fasthttp.MethodGet, path: wire.PathObject, args: object(kind, name)}, &o)
 	return o, err
 }
 
-// List implements platform.ObjectAPI.
-func (c *Client) List(ctx context.Context, kind platform.Kind, prefix string) (platform.List, error) {
-	var l platform.List
+// List implements objectstore.ObjectAPI.
+func (c *Client) List(ctx context.Context, kind objectstore.Kind, prefix string) (objectstore.List, error) {
+	var l objectstore.List
 	err := c.read(ctx, call{name: "list", method: fasthttp.MethodGet, path: wire.PathObjects, args: func(a *fasthttp.Args) {
 		a.Set(wire.ArgKind, string(kind))
 		a.Set(wire.ArgPrefix, prefix)
@@ -30,26 +30,26 @@
 	return l, err
 }
 
-// Create implements platform.ObjectAPI.
-func (c *Client) Create(ctx context.Context, kind platform.Kind, name string, value []byte) (platform.Version, error) {
+// Create implements objectstore.ObjectAPI.
+func (c *Client) Create(ctx context.Context, kind objectstore.Kind, name string, value []byte) (objectstore.Version, error) {
 	return c.change(ctx, call{name: "create", method: fasthttp.MethodPut, body: value, args: func(a *fasthttp.Args) {
 		object(kind, name)(a)
 		a.Set(wire.ArgCreate, "true")
 	}})
 }
 
-// Update implements platform.ObjectAPI.
-func (c *Client) Update(ctx context.Context, kind platform.Kind, name string, value []byte, expected platform.Version) (platform.Version, error) {
+// Update implements objectstore.ObjectAPI.
+func (c *Client) Update(ctx context.Context, kind objectstore.Kind, name string, value []byte, expected objectstore.Version) (objectstore.Version, error) {
 	return c.change(ctx, call{name: "update", method: fasthttp.MethodPut, body: value, args: conditional(kind, name, expected)})
 }
 
-// Delete implements platform.ObjectAPI.
-func (c *Client) Delete(ctx context.Context, kind platform.Kind, name string, expected platform.Version) (platform.Version, error) {
+// Delete implements objectstore.ObjectAPI.
+func (c *Client) Delete(ctx context.Context, kind objectstore.Kind, name string, expected objectstore.Version) (objectstore.Version, error) {
 	return c.change(ctx, call{name: "delete", method: fasthttp.MethodDelete, args: conditional(kind, name, expected)})
 }
 
-// Watch implements platform.ObjectAPI by a long poll.
-func (c *Client) Watch(ctx context.Context, kinds []platform.Kind, after platform.Version, wait time.Duration) ([]platform.Event, platform.Version, error) {
+// Watch implements objectstore.ObjectAPI by a long poll.
+func (c *Client) Watch(ctx context.Context, kinds []objectstore.Kind, after objectstore.Version, wait time.Duration) ([]objectstore.Event, objectstore.Version, error) {
 	names := make([]string, len(kinds))
 	for i, k := range kinds {
 		names[i] = string(k)
@@ -63,14 +63,14 @@
 	return w.Events, w.Version, err
 }
 
-// VMs implements platform.VMList.
-func (c *Client) VMs(ctx context.Context) ([]platform.VM, error) {
-	var vms []platform.VM
+// VMs implements objectstore.VMList.
+func (c *Client) VMs(ctx context.Context) ([]objectstore.VM, error) {
+	var vms []objectstore.VM
 	err := c.read(ctx, call{name: "vms", method: fasthttp.MethodGet, path: wire.PathVMs}, &vms)
 	return vms, err
 }
 
-// Reserve implements platform.WeightStore. A lost answer may have used up a
+// Reserve implements objectstore.WeightStore. A lost answer may have used up a
 // grant: it reads as an error and the caller asks again.
 func (c *Client) Reserve(ctx context.Context, model, version string) (time.Duration, error) {
 	var r wire.Reserved
@@ -82,30 +82,30 @@
 }
 
 // change does a conditional write, once. An answer without a version is none.
-func (c *Client) change(ctx context.Context, k call) (platform.Version, error) {
+func (c *Client) change(ctx context.Context, k call) (objectstore.Version, error) {
 	k.path = wire.PathObject
 	var w wire.Written
 	if err := c.write(ctx, k, &w); err != nil {
 		return 0, err
 	}
 	if w.Version == 0 {
-		return 0, errors.Wrap(platform.ErrUnknownOutcome, "answer without a version")
+		return 0, errors.Wrap(objectstore.ErrUnknownOutcome, "answer without a version")
 	}
 	return w.Version, nil
 }
 
-func object(kind platform.Kind, name string) func(*fasthttp.Args) {
+func object(kind objectstore.Kind, name string) func(*fasthttp.Args) {
 	return func(a *fasthttp.Args) {
 		a.Set(wire.ArgKind, string(kind))
 		a.Set(wire.ArgName, name)
 	}
 }
 
-func conditional(kind platform.Kind, name string, expected platform.Version) func(*fasthttp.Args) {
+func conditional(kind objectstore.Kind, name string, expected objectstore.Version) func(*fasthttp.Args) {
 	return func(a *fasthttp.Args) {
 		object(kind, name)(a)
 		a.Set(wire.ArgExpected, decimal(expected))
 	}
 }
 
-func decimal(v platform.Version) string { return strconv.FormatUint(uint64(v), 10) }
+func decimal(v objectstore.Version) string { return strconv.FormatUint(uint64(v), 10) }
--- a/platform/httpplatform/errors.go
+++ b/objectstore/httpobjectstore/errors.go
@@ -1,10 +1,10 @@
-package httpplatform
+package httpobjectstore
 
 import (
 	"github.com/pkg/errors"
 	"github.com/valyala/fasthttp"
 
-	"github.com/lycheekeel/lycheekeel/platform"
+	"github.com/lycheekeel/lycheekeel/objectstore"
 )
 
 // outcomeError joins a port's error, which says what is known of the
@@ -25,12 +25,12 @@
 func (c *Client) transportError(err error) error {
 	var refused *connectError
 	if errors.As(err, &refused) || errors.Is(err, fasthttp.ErrNoFreeConns) {
-		return &outcomeError{platform.ErrUnavailable, err}
+		return &outcomeError{objectstore.ErrUnavailable, err}
 	}
 	if errors.Is(err, fasthttp.ErrTimeout) {
 		c.http.CloseIdleConnections()
 	}
-	return &outcomeError{platform.ErrUnknownOutcome, err}
+	return &outcomeError{objectstore.ErrUnknownOutcome, err}
 }
 
 // statusError maps the platform's own answers. A status that the format does
@@ -38,17 +38,17 @@
 func statusError(status int) error {
 	switch status {
 	case fasthttp.StatusNotFound:
-		return platform.ErrNotFound
+		return objectstore.ErrNotFound
 	case fasthttp.StatusConflict:
-		return platform.ErrConflict
+		return objectstore.ErrConflict
 	case fasthttp.StatusGone:
-		return platform.ErrCompacted
+		return objectstore.ErrCompacted
 	case fasthttp.StatusRequestEntityTooLarge:
-		return platform.ErrTooLarge
+		return objectstore.ErrTooLarge
 	case fasthttp.StatusServiceUnavailable, fasthttp.StatusTooManyRequests:
-		return platform.ErrUnavailable
+		return objectstore.ErrUnavailable
 	default:
-		return platform.ErrUnknownOutcome
+		return objectstore.ErrUnknownOutcome
 	}
 }
 
@@ -58,11 +58,11 @@
 		err  error
 		name string
 	}{
-		{platform.ErrNotFound, "not_found"},
-		{platform.ErrConflict, "conflict"},
-		{platform.ErrCompacted, "compacted"},
-		{platform.ErrTooLarge, "too_large"},
-		{platform.ErrUnavailable, "unavailable"},
+		{objectstore.ErrNotFound, "not_found"},
+		{objectstore.ErrConflict, "conflict"},
+		{objectstore.ErrCompacted, "compacted"},
+		{objectstore.ErrTooLarge, "too_large"},
+		{objectstore.ErrUnavailable, "unavailable"},
 	} {
 		if errors.Is(err, r.err) {
 			return r.name
--- a/platform/httpplatform/httpplatform.go
+++ b/objectstore/httpobjectstore/httpobjectstore.go
@@ -1,7 +1,7 @@
-// Package httpplatform is the adapter of platform.Platform over HTTP+JSON. It
+// Package httpobjectstore is the adapter of objectstore.Platform over HTTP+JSON. It
 // never repeats a write; it tells apart a write that certainly had no effect
-// (platform.ErrUnavailable) from one whose outcome is unknown.
-package httpplatform
+// (objectstore.ErrUnavailable) from one whose outcome is unknown.
+package httpobjectstore
 
 import (
 	"bytes"
@@ -14,7 +14,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/lycheekeel/lycheekeel/internal/metrics"
-	"github.com/lycheekeel/lycheekeel/platform"
+	"github.com/lycheekeel/lycheekeel/objectstore"
 )
 
 // Defaults of Options.
@@ -52,13 +52,13 @@
 	ConnectTimeout time.Duration
 	CallTimeout    time.Duration
 	// MaxConns bounds the connections; a call beyond them is refused with
-	// platform.ErrUnavailable. Zero takes the default of 64.
+	// objectstore.ErrUnavailable. Zero takes the default of 64.
 	MaxConns int
 	// Metrics gets the counters of calls, errors and retries.
 	Metrics *metrics.Registry
 }
 
-// Client implements platform.Platform. It is safe for concurrent use.
+// Client implements objectstore.Platform. It is safe for concurrent use.
 //
 // What goes wrong: a connection can go silent for good while new ones work.
 // One would see calls time out for minutes, until TCP gives up. So each call
@@ -70,7 +70,7 @@
 	metrics *metrics.Registry
 }
 
-var _ platform.Platform = (*Client)(nil)
+var _ objectstore.Platform = (*Client)(nil)
 
 // New returns an adapter; it connects at the first call.
 func New(o Options) *Client {
@@ -127,7 +127,7 @@
 // when the first one broke or went silent.
 func (c *Client) read(ctx context.Context, k call, answer any) error {
 	err := c.write(ctx, k, answer)
-	if !errors.Is(err, platform.ErrUnknownOutcome) || ctx.Err() != nil {
+	if !errors.Is(err, objectstore.ErrUnknownOutcome) || ctx.Err() != nil {
 		return err
 	}
 	reason := retryBroken
@@ -152,7 +152,7 @@
 // contexts: a caller that gives up learns at once that the outcome is unknown.
 func (c *Client) once(ctx context.Context, k call, answer any) error {
 	if ctx.Err() != nil {
-		return &outcomeError{platform.ErrUnavailable, ctx.Err()}
+		return &outcomeError{objectstore.ErrUnavailable, ctx.Err()}
 	}
 	deadline := time.Now().Add(c.timeout + k.wait)
 	if d, ok := ctx.Deadline(); ok && d.Before(deadline) {
@@ -175,11 +175,11 @@
 			return r.err
 		}
 		if err := json.Unmarshal(r.body, answer); err != nil {
-			return &outcomeError{platform.ErrUnknownOutcome, err}
+			return &outcomeError{objectstore.ErrUnknownOutcome, err}
 		}
 		return nil
 	case <-ctx.Done():
-		return &outcomeError{platform.ErrUnknownOutcome, ctx.Err()}
+		return &outcomeError{objectstore.ErrUnknownOutcome, ctx.Err()}
 	}
 }
 
--- a/platform/httpplatform/httpplatform_test.go
+++ b/objectstore/httpobjectstore/httpobjectstore_test.go
@@ -1,4 +1,4 @@
-package httpplatform_test
+package httpobjectstore_test
 
 import (
 	"bufio"
@@ -14,12 +14,12 @@
 	. "github.com/smartystreets/goconvey/convey"
 
 	"github.com/lycheekeel/lycheekeel/internal/metrics"
-	standin "github.com/lycheekeel/lycheekeel/internal/standin/platform"
-	"github.com/lycheekeel/lycheekeel/platform"
-	"github.com/lycheekeel/lycheekeel/platform/httpplatform"
+	standin "github.com/lycheekeel/lycheekeel/internal/standin/objectstore"
+	"github.com/lycheekeel/lycheekeel/objectstore"
+	"github.com/lycheekeel/lycheekeel/objectstore/httpobjectstore"
 )
 
-const kind = platform.Kind("Template")
+const kind = objectstore.Kind("Template")
 
 func listen(t *testing.T) net.Listener {
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
@@ -42,47 +42,47 @@
 func TestCalls(t *testing.T) {
 	Convey("Given a stand-in behind HTTP", t, func() {
 		ctx := context.Background()
-		s := standin.New(standin.Options{History: 20, LoadBurst: 1, LoadsPerSecond: 0.01, VMs: []platform.VM{{Name: "a", State: platform.VMLive}}})
-		c := httpplatform.New(httpplatform.Options{Addr: serve(t, s)})
+		s := standin.New(standin.Options{History: 20, LoadBurst: 1, LoadsPerSecond: 0.01, VMs: []objectstore.VM{{Name: "a", State: objectstore.VMLive}}})
+		c := httpobjectstore.New(httpobjectstore.Options{Addr: serve(t, s)})
 		v1, err := c.Create(ctx, kind, "a/b ü&", []byte("one"))
 		So(err, ShouldBeNil)
 
 		Convey("writes are conditional and reads return them", func() {
 			_, err = c.Create(ctx, kind, "a/b ü&", nil)
-			So(errors.Is(err, platform.ErrConflict), ShouldBeTrue)
+			So(errors.Is(err, objectstore.ErrConflict), ShouldBeTrue)
 			v2, err := c.Update(ctx, kind, "a/b ü&", []byte("two"), v1)
 			So(err, ShouldBeNil)
 			_, err = c.Delete(ctx, kind, "a/b ü&", v1)
-			So(errors.Is(err, platform.ErrConflict), ShouldBeTrue)
+			So(errors.Is(err, objectstore.ErrConflict), ShouldBeTrue)
 			o, err := c.Get(ctx, kind, "a/b ü&")
 			So(err, ShouldBeNil)
-			So(o, ShouldResemble, platform.Object{Kind: kind, Name: "a/b ü&", Version: v2, Created: v1, Value: []byte("two")})
+			So(o, ShouldResemble, objectstore.Object{Kind: kind, Name: "a/b ü&", Version: v2, Created: v1, Value: []byte("two")})
 			l, err := c.List(ctx, kind, "a/")
 			So(err, ShouldBeNil)
-			So(l, ShouldResemble, platform.List{Objects: []platform.Object{o}, Version: v2})
+			So(l, ShouldResemble, objectstore.List{Objects: []objectstore.Object{o}, Version: v2})
 			_, err = c.Get(ctx, kind, "none")
-			So(errors.Is(err, platform.ErrNotFound), ShouldBeTrue)
-			_, err = c.Create(ctx, kind, "large", make([]byte, platform.MaxValueBytes+1))
-			So(errors.Is(err, platform.ErrTooLarge), ShouldBeTrue)
+			So(errors.Is(err, objectstore.ErrNotFound), ShouldBeTrue)
+			_, err = c.Create(ctx, kind, "large", make([]byte, objectstore.MaxValueBytes+1))
+			So(errors.Is(err, objectstore.ErrTooLarge), ShouldBeTrue)
 		})
 		Convey("a watch sees changes of its kinds, deletions too, and compaction", func() {
 			go func() {
 				_, _ = c.Create(ctx, "Other", "x", nil)
 				_, _ = c.Delete(ctx, kind, "a/b ü&", v1)
 			}()
-			events, next, err := c.Watch(ctx, []platform.Kind{kind}, v1, time.Minute)
+			events, next, err := c.Watch(ctx, []objectstore.Kind{kind}, v1, time.Minute)
 			So(err, ShouldBeNil)
 			So(events, ShouldHaveLength, 1)
 			So(events[0].Deleted, ShouldBeTrue)
-			events, _, err = c.Watch(ctx, []platform.Kind{kind}, next, 0)
+			events, _, err = c.Watch(ctx, []objectstore.Kind{kind}, next, 0)
 			So(err, ShouldBeNil)
 			So(events, ShouldBeEmpty)
 			for i := range 30 {
 				_, err = c.Create(ctx, kind, string(rune('A'+i)), nil)
 				So(err, ShouldBeNil)
 			}
-			_, _, err = c.Watch(ctx, []platform.Kind{kind}, v1, time.Minute)
-			So(errors.Is(err, platform.ErrCompacted), ShouldBeTrue)
+			_, _, err = c.Watch(ctx, []objectstore.Kind{kind}, v1, time.Minute)
+			So(errors.Is(err, objectstore.ErrCompacted), ShouldBeTrue)
 		})
 		Convey("VMs and the weight store answer", func() {
 			vms, err := c.VMs(ctx)
@@ -98,16 +98,16 @@
 		Convey("faults show as the port's errors", func() {
 			s.SetFaults(standin.Faults{LoseNext: 1})
 			_, err := c.Create(ctx, kind, "lost", []byte("x"))
-			So(errors.Is(err, platform.ErrUnknownOutcome), ShouldBeTrue)
+			So(errors.Is(err, objectstore.ErrUnknownOutcome), ShouldBeTrue)
 			o, err := c.Get(ctx, kind, "lost")
 			So(err, ShouldBeNil)
 			So(string(o.Value), ShouldEqual, "x")
 			s.SetFaults(standin.Faults{StaleWrites: 1})
 			_, err = c.Get(ctx, kind, "lost")
-			So(errors.Is(err, platform.ErrNotFound), ShouldBeTrue)
+			So(errors.Is(err, objectstore.ErrNotFound), ShouldBeTrue)
 			s.SetFaults(standin.Faults{Down: true})
 			_, err = c.Create(ctx, kind, "down", nil)
-			So(errors.Is(err, platform.ErrUnavailable), ShouldBeTrue)
+			So(errors.Is(err, objectstore.ErrUnavailable), ShouldBeTrue)
 		})
 	})
 }
@@ -133,7 +133,7 @@
 	Convey("Given a server that closes after reading", t, func() {
 		seen.Store(0)
 		reg := metrics.New()
-		c := httpplatform.New(httpplatform.Options{Addr: ln.Addr().String(), Metrics: reg})
+		c := httpobjectstore.New(httpobjectstore.Options{Addr: ln.Addr().String(), Metrics: reg})
 		ctx := context.Background()
 		Convey("a write is sent once and its outcome is unknown", func() {
 			for _, write := range []func() error{
@@ -142,13 +142,13 @@
 				func() error { _, err := c.Delete(ctx, kind, "a", 1); return err },
 			} {
 				before := seen.Load()
-				So(errors.Is(write(), platform.ErrUnknownOutcome), ShouldBeTrue)
+				So(errors.Is(write(), objectstore.ErrUnknownOutcome), ShouldBeTrue)
 				So(seen.Load()-before, ShouldEqual, 1)
 			}
 		})
 		Convey("a read is sent twice, and counted", func() {
 			_, err := c.Get(ctx, kind, "a")
-			So(errors.Is(err, platform.ErrUnknownOutcome), ShouldBeTrue)
+			So(errors.Is(err, objectstore.ErrUnknownOutcome), ShouldBeTrue)
 			So(seen.Load(), ShouldEqual, 2)
 			So(reg.Counter("platform_retries", "broken").Value(), ShouldEqual, 1)
 		})
@@ -156,8 +156,8 @@
 	Convey("A refused connect certainly had no effect", t, func() {
 		gone := listen(t)
 		_ = gone.Close()
-		_, err := httpplatform.New(httpplatform.Options{Addr: gone.Addr().String()}).Create(context.Background(), kind, "a", nil)
-		So(errors.Is(err, platform.ErrUnavailable), ShouldBeTrue)
+		_, err := httpobjectstore.New(httpobjectstore.Options{Addr: gone.Addr().String()}).Create(context.Background(), kind, "a", nil)
+		So(errors.Is(err, objectstore.ErrUnavailable), ShouldBeTrue)
 	})
 }
 
@@ -217,17 +217,17 @@
 	Convey("Given open connections that go silent for good", t, func() {
 		ln, r := listen(t), &relay{}
 		go r.serve(ln, serve(t, standin.New(standin.Options{})))
-		c := httpplatform.New(httpplatform.Options{Addr: ln.Addr().String(), CallTimeout: 300 * time.Millisecond})
+		c := httpobjectstore.New(httpobjectstore.Options{Addr: ln.Addr().String(), CallTimeout: 300 * time.Millisecond})
 		ctx := context.Background()
 		var all sync.WaitGroup
 		for range 4 {
-			all.Go(func() { _, _, _ = c.Watch(ctx, []platform.Kind{kind}, 0, 50*time.Millisecond) })
+			all.Go(func() { _, _, _ = c.Watch(ctx, []objectstore.Kind{kind}, 0, 50*time.Millisecond) })
 		}
 		all.Wait()
 		before := r.opened.Load()
 		r.silence()
 		_, err := c.Create(ctx, kind, "first", nil)
-		So(errors.Is(err, platform.ErrUnknownOutcome), ShouldBeTrue)
+		So(errors.Is(err, objectstore.ErrUnknownOutcome), ShouldBeTrue)
 		Convey("the next call uses a new connection and succeeds", func() {
 			_, err := c.Create(ctx, kind, "second", nil)
 			So(err, ShouldBeNil)
--- a/platform/httpplatform/wire/wire.go
+++ b/objectstore/httpobjectstore/wire/wire.go
@@ -4,7 +4,7 @@
 // change with it.
 package wire
 
-import "github.com/lycheekeel/lycheekeel/platform"
+import "github.com/lycheekeel/lycheekeel/objectstore"
 
 // The paths of the ports.
 const (
@@ -31,13 +31,13 @@
 
 // Written answers a write.
 type Written struct {
-	Version platform.Version `json:"version"`
+	Version objectstore.Version `json:"version"`
 }
 
 // Watched answers a watch.
 type Watched struct {
-	Events  []platform.Event `json:"events"`
-	Version platform.Version `json:"version"`
+	Events  []objectstore.Event `json:"events"`
+	Version objectstore.Version `json:"version"`
 }
 
 // Reserved answers a weight store's reservation; zero is a grant.
--- a/placement/controller.go
+++ b/placement/controller.go
@@ -11,7 +11,7 @@
 	"github.com/lycheekeel/lycheekeel/internal/logs"
 	"github.com/lycheekeel/lycheekeel/internal/metrics"
 	"github.com/lycheekeel/lycheekeel/lease"
-	"github.com/lycheekeel/lycheekeel/platform"
+	"github.com/lycheekeel/lycheekeel/objectstore"
 	"github.com/lycheekeel/lycheekeel/request"
 	"github.com/lycheekeel/lycheekeel/workspace"
 )
@@ -49,8 +49,8 @@
 type Options struct {
 	Region  string
 	Elector *lease.Elector
-	API     platform.ObjectAPI
-	Weights platform.WeightStore
+	API     objectstore.ObjectAPI
+	Weights objectstore.WeightStore
 	Engines engine.Dialer
 	// Config returns the configuration in force, nil before there is one.
 	Config func() *workspace.Snapshot
--- a/placement/controller_test.go
+++ b/placement/controller_test.go
@@ -15,10 +15,10 @@
 
 	"github.com/lycheekeel/lycheekeel/engine"
 	"github.com/lycheekeel/lycheekeel/internal/logs"
-	standin "github.com/lycheekeel/lycheekeel/internal/standin/platform"
+	standin "github.com/lycheekeel/lycheekeel/internal/standin/objectstore"
 	"github.com/lycheekeel/lycheekeel/lease"
+	"github.com/lycheekeel/lycheekeel/objectstore"
 	"github.com/lycheekeel/lycheekeel/placement"
-	"github.com/lycheekeel/lycheekeel/platform"
 	"github.com/lycheekeel/lycheekeel/workspace"
 	"github.com/lycheekeel/lycheekeel/workspace/workspacetest"
 )
@@ -115,7 +115,7 @@
 
 func newWorld(servers int, checks bool) *world {
 	w := &world{store: standin.New(standin.Options{LoadsPerSecond: 0.5, LoadBurst: 1}), engines: map[string]*model{}}
-	put := func(k platform.Kind, name string, v any) {
+	put := func(k objectstore.Kind, name string, v any) {
 		_, _ = w.store.Create(context.Background(), k, name, workspacetest.Stored(k, name, 1, v).Value)
 	}
 	put(workspace.KindTemplate, "template", workspacetest.Template("template", 2))
@@ -141,7 +141,7 @@
 }
 
 func (w *world) config() *workspace.Snapshot {
-	var all []platform.Object
+	var all []objectstore.Object
 	for _, k := range workspace.Kinds() {
 		l, err := w.store.List(context.Background(), k, "")
 		if err != nil {
--- a/placement/record.go
+++ b/placement/record.go
@@ -8,29 +8,29 @@
 	"github.com/pkg/errors"
 
 	"github.com/lycheekeel/lycheekeel/lease"
-	"github.com/lycheekeel/lycheekeel/platform"
+	"github.com/lycheekeel/lycheekeel/objectstore"
 	"github.com/lycheekeel/lycheekeel/workspace"
 )
 
 // Kind is the kind of the objects that hold a region's moves under way, by
 // the region's name.
-const Kind = platform.Kind("Placement")
+const Kind = objectstore.Kind("Placement")
 
 // errSuperseded reports that a newer lease's holder has acted.
 var errSuperseded = errors.New("a newer controller is at work")
 
 // stored is the stored form of a plan, with the version it was read at.
 type stored struct {
-	Token   lease.Token      `json:"token"`
-	Moves   []Move           `json:"moves"`
-	version platform.Version // zero: absent
+	Token   lease.Token         `json:"token"`
+	Moves   []Move              `json:"moves"`
+	version objectstore.Version // zero: absent
 }
 
 func (c *Controller) readPlan(ctx context.Context) (stored, error) {
 	ctx, cancel := context.WithTimeout(ctx, c.o.CallTimeout)
 	defer cancel()
 	o, err := c.o.API.Get(ctx, Kind, c.o.Region)
-	if errors.Is(err, platform.ErrNotFound) {
+	if errors.Is(err, objectstore.ErrNotFound) {
 		return stored{}, nil
 	}
 	if err != nil {
@@ -77,7 +77,7 @@
 	read, cancel := context.WithTimeout(ctx, c.o.CallTimeout)
 	defer cancel()
 	o, err := c.o.API.Get(read, workspace.KindAssignment, s.Server)
-	if err != nil && !errors.Is(err, platform.ErrNotFound) {
+	if err != nil && !errors.Is(err, objectstore.ErrNotFound) {
 		c.count(countStoreError)
 		return errors.Wrap(err, "read assignment")
 	}
@@ -110,7 +110,7 @@
 
 // write is conditional on the version that was read. A lost answer needs no
 // settling: the next round reads what is in force.
-func (c *Controller) write(ctx context.Context, kind platform.Kind, name string, value []byte, was platform.Version) error {
+func (c *Controller) write(ctx context.Context, kind objectstore.Kind, name string, value []byte, was objectstore.Version) error {
 	ctx, cancel := context.WithTimeout(ctx, c.o.CallTimeout)
 	defer cancel()
 	var err error
--- a/revision/cluster_test.go
+++ b/revision/cluster_test.go
@@ -12,8 +12,8 @@
 	. "github.com/smartystreets/goconvey/convey"
 
 	"github.com/lycheekeel/lycheekeel/internal/peer"
-	standin "github.com/lycheekeel/lycheekeel/internal/standin/platform"
-	"github.com/lycheekeel/lycheekeel/platform"
+	standin "github.com/lycheekeel/lycheekeel/internal/standin/objectstore"
+	"github.com/lycheekeel/lycheekeel/objectstore"
 	"github.com/lycheekeel/lycheekeel/revision"
 	"github.com/lycheekeel/lycheekeel/revision/revisiontest"
 	"github.com/lycheekeel/lycheekeel/workspace"
@@ -30,10 +30,10 @@
 }
 
 // cluster starts members on a small configuration.
-func cluster(t *testing.T, members int) (context.Context, *revisiontest.Cluster, platform.Version) {
+func cluster(t *testing.T, members int) (context.Context, *revisiontest.Cluster, objectstore.Version) {
 	ctx, cancel := context.WithTimeout(context.Background(), limit)
 	c := revisiontest.New(revisiontest.Options{Members: members, Regions: 1, Timing: quick})
-	var newest platform.Version
+	var newest objectstore.Version
 	for _, o := range (workspacetest.Fleet{Workspaces: 3, Servers: 2, Models: 1, Regions: 1, Templates: 1}).Objects() {
 		newest = create(ctx, c, o)
 	}
@@ -47,16 +47,16 @@
 	return ctx, c, newest
 }
 
-func create(ctx context.Context, c *revisiontest.Cluster, o platform.Object) platform.Version {
+func create(ctx context.Context, c *revisiontest.Cluster, o objectstore.Object) objectstore.Version {
 	v, err := c.Store.Create(ctx, o.Kind, o.Name, o.Value)
 	So(err, ShouldBeNil)
 	return v
 }
 
 // addWorkspace writes one more workspace.
-func addWorkspace(ctx context.Context, c *revisiontest.Cluster, name string) platform.Version {
+func addWorkspace(ctx context.Context, c *revisiontest.Cluster, name string) objectstore.Version {
 	value, _ := json.Marshal(workspacetest.Workspace(name, "template-0"))
-	return create(ctx, c, platform.Object{Kind: workspace.KindWorkspace, Name: name, Value: value})
+	return create(ctx, c, objectstore.Object{Kind: workspace.KindWorkspace, Name: name, Value: value})
 }
 
 func TestSpread(t *testing.T) {
@@ -153,7 +153,7 @@
 }
 
 // churn does one random thing to a cluster; writes return their version.
-func churn(ctx context.Context, r *rand.Rand, c *revisiontest.Cluster) platform.Version {
+func churn(ctx context.Context, r *rand.Rand, c *revisiontest.Cluster) objectstore.Version {
 	m := c.Members[r.IntN(len(c.Members))]
 	other := c.Members[r.IntN(len(c.Members))]
 	switch r.IntN(7) {
--- a/revision/configuration.go
+++ b/revision/configuration.go
@@ -7,7 +7,7 @@
 
 	"github.com/lycheekeel/lycheekeel/internal/logs"
 	"github.com/lycheekeel/lycheekeel/internal/metrics"
-	"github.com/lycheekeel/lycheekeel/platform"
+	"github.com/lycheekeel/lycheekeel/objectstore"
 	"github.com/lycheekeel/lycheekeel/workspace"
 )
 
@@ -40,11 +40,11 @@
 }
 
 // Check tells whether an object by itself may go in force.
-func Check(o platform.Object) bool { return workspace.CheckObject(o).Fatal() == nil }
+func Check(o objectstore.Object) bool { return workspace.CheckObject(o).Fatal() == nil }
 
 // Publish compiles the objects and puts the snapshot in force. Call it from
 // one goroutine at a time.
-func (c *Configuration) Publish(objects []platform.Object, newest platform.Version) {
+func (c *Configuration) Publish(objects []objectstore.Object, newest objectstore.Version) {
 	snapshot, findings := c.compiler.Compile(objects)
 	snapshot.Version = newest // a deletion's version is in no object
 	c.live.Store(snapshot)
@@ -73,7 +73,7 @@
 }
 
 // version is the version in force, 0 before there is one.
-func (c *Configuration) version() platform.Version {
+func (c *Configuration) version() objectstore.Version {
 	if s := c.live.Load(); s != nil {
 		return s.Version
 	}
--- a/revision/exchange.go
+++ b/revision/exchange.go
@@ -3,18 +3,18 @@
 import (
 	"cmp"
 
-	"github.com/lycheekeel/lycheekeel/platform"
+	"github.com/lycheekeel/lycheekeel/objectstore"
 )
 
 // compareObjects orders objects of one kind by name and version.
-func compareObjects(a, b platform.Object) int {
+func compareObjects(a, b objectstore.Object) int {
 	return cmp.Or(cmp.Compare(a.Name, b.Name), cmp.Compare(a.Version, b.Version))
 }
 
 // KindDigest sums up what a member knows of one kind.
 type KindDigest struct {
-	Kind  platform.Kind
-	Floor platform.Version
+	Kind  objectstore.Kind
+	Floor objectstore.Version
 	Hash  uint64
 	// Complete tells whether the kind was ever known whole.
 	Complete bool
@@ -30,14 +30,14 @@
 }
 
 // digest sums up one kind.
-func (k *kindSet) digest(kind platform.Kind) KindDigest {
+func (k *kindSet) digest(kind objectstore.Kind) KindDigest {
 	return KindDigest{Kind: kind, Floor: k.floor, Hash: k.hash, Complete: k.complete}
 }
 
 // Compare returns the kinds in which a peer's digest differs. Where a kind is
 // equal, what the peer knows to be complete is complete here too, so its
 // floor is taken over. Kinds that this member does not know are passed over.
-func (s *Set) Compare(digest []KindDigest) (differ []platform.Kind) {
+func (s *Set) Compare(digest []KindDigest) (differ []objectstore.Kind) {
 	for _, d := range digest {
 		k, ok := s.kinds[d.Kind]
 		if !ok {
@@ -54,7 +54,7 @@
 }
 
 // Buckets returns the bucket hashes of a kind.
-func (s *Set) Buckets(kind platform.Kind) []uint64 {
+func (s *Set) Buckets(kind objectstore.Kind) []uint64 {
 	k, ok := s.kinds[kind]
 	if !ok {
 		return nil
@@ -75,7 +75,7 @@
 
 // ListDiffering lists the buckets whose hash differs from a peer's, or the
 // whole kind where the peer is of a release with another number of buckets.
-func (s *Set) ListDiffering(kind platform.Kind, hashes []uint64) BucketList {
+func (s *Set) ListDiffering(kind objectstore.Kind, hashes []uint64) BucketList {
 	k, ok := s.kinds[kind]
 	if !ok {
 		return BucketList{KindDigest: KindDigest{Kind: kind}}
@@ -147,7 +147,7 @@
 
 // deletion returns the record of a deletion's header.
 func deletion(h Header) Record {
-	return Record{Object: platform.Object{Kind: h.Kind, Name: h.Name, Version: h.Version}, Deleted: true}
+	return Record{Object: objectstore.Object{Kind: h.Kind, Name: h.Name, Version: h.Version}, Deleted: true}
 }
 
 // Wants tells whether a header names something newer than is known.
--- a/revision/gossip.go
+++ b/revision/gossip.go
@@ -11,7 +11,7 @@
 	"github.com/lycheekeel/lycheekeel/internal/peer"
 	"github.com/lycheekeel/lycheekeel/internal/wait"
 	"github.com/lycheekeel/lycheekeel/member"
-	"github.com/lycheekeel/lycheekeel/platform"
+	"github.com/lycheekeel/lycheekeel/objectstore"
 )
 
 const (
@@ -218,7 +218,7 @@
 
 // compare returns the kinds in which a digest differs, and takes over how
 // fresh the peer's knowledge is where it does not.
-func (s *Syncer) compare(m *configwire.Digest) []platform.Kind {
+func (s *Syncer) compare(m *configwire.Digest) []objectstore.Kind {
 	if len(m.GetKinds()) == 0 {
 		return nil
 	}
--- a/revision/pull.go
+++ b/revision/pull.go
@@ -7,7 +7,7 @@
 
 	"github.com/lycheekeel/lycheekeel/internal/configwire"
 	"github.com/lycheekeel/lycheekeel/internal/peer"
-	"github.com/lycheekeel/lycheekeel/platform"
+	"github.com/lycheekeel/lycheekeel/objectstore"
 )
 
 // answerPull is the handler of pulls.
@@ -20,7 +20,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if len(m.GetWanted()) == 0 {
-		return marshal(wireAnswer(s.set.ListDiffering(platform.Kind(m.GetKind()), m.GetBuckets()))), nil
+		return marshal(wireAnswer(s.set.ListDiffering(objectstore.Kind(m.GetKind()), m.GetBuckets()))), nil
 	}
 	answer := &configwire.PullAnswer{}
 	for _, r := range s.set.Records(fromWireHeaders(m.GetWanted())) {
@@ -49,7 +49,7 @@
 
 // pullKind brings one kind up to a peer's knowledge, and tells the peer what
 // is known newer here. False where the peer did not answer.
-func (s *Syncer) pullKind(ctx context.Context, from peer.Name, kind platform.Kind) bool {
+func (s *Syncer) pullKind(ctx context.Context, from peer.Name, kind objectstore.Kind) bool {
 	buckets, free := s.startPull(kind)
 	if !free {
 		return true
@@ -77,7 +77,7 @@
 }
 
 // startPull returns the kind's bucket hashes, unless it is being pulled.
-func (s *Syncer) startPull(kind platform.Kind) ([]uint64, bool) {
+func (s *Syncer) startPull(kind objectstore.Kind) ([]uint64, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.pulling[kind] {
@@ -87,7 +87,7 @@
 	return s.set.Buckets(kind), true
 }
 
-func (s *Syncer) endPull(kind platform.Kind) {
+func (s *Syncer) endPull(kind objectstore.Kind) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	delete(s.pulling, kind)
--- a/revision/record.go
+++ b/revision/record.go
@@ -9,26 +9,26 @@
 import (
 	"github.com/cespare/xxhash/v2"
 
-	"github.com/lycheekeel/lycheekeel/platform"
+	"github.com/lycheekeel/lycheekeel/objectstore"
 )
 
 // Record is the newest known state of one object. It is immutable.
 type Record struct {
-	platform.Object
+	objectstore.Object
 	// Deleted marks a deletion as of Version.
 	Deleted bool
 	// Good is the object's last version that passed the check, where this
 	// one does not; nil otherwise, or where none is known.
-	Good *platform.Object
+	Good *objectstore.Object
 
 	bad bool // Object did not pass the check
 }
 
 // Header names one version of an object, or its deletion.
 type Header struct {
-	Kind    platform.Kind
+	Kind    objectstore.Kind
 	Name    string
-	Version platform.Version
+	Version objectstore.Version
 	Deleted bool
 }
 
--- a/revision/report.go
+++ b/revision/report.go
@@ -6,29 +6,29 @@
 	"time"
 
 	"github.com/lycheekeel/lycheekeel/internal/metrics"
-	"github.com/lycheekeel/lycheekeel/platform"
+	"github.com/lycheekeel/lycheekeel/objectstore"
 )
 
 // InForce names the configuration that a member has in force. Members with
 // equal hashes have the same.
 type InForce struct {
 	// Version is the newest version applied.
-	Version platform.Version
+	Version objectstore.Version
 	Hash    uint64
 	// Through is the floor: every change up to it is in force.
-	Through platform.Version
+	Through objectstore.Version
 
 	changes uint64
 }
 
 // Report is what a member tells of its configuration.
 type Report struct {
-	Member  string           `json:"member"`
-	Version platform.Version `json:"version"`
+	Member  string              `json:"member"`
+	Version objectstore.Version `json:"version"`
 	// Through is the version up to which every change is in force. It may be
 	// larger than Version, since the object API counts all its writes, and
 	// follows a moment after a change on members that do not watch.
-	Through platform.Version `json:"through"`
+	Through objectstore.Version `json:"through"`
 	// Hash is equal on members that have the same configuration in force;
 	// empty before there is one.
 	Hash string `json:"hash"`
--- a/revision/revisiontest/cluster.go
+++ b/revision/revisiontest/cluster.go
@@ -15,9 +15,9 @@
 
 	"github.com/lycheekeel/lycheekeel/internal/peer"
 	"github.com/lycheekeel/lycheekeel/internal/peer/peertest"
-	standin "github.com/lycheekeel/lycheekeel/internal/standin/platform"
+	standin "github.com/lycheekeel/lycheekeel/internal/standin/objectstore"
 	"github.com/lycheekeel/lycheekeel/member"
-	"github.com/lycheekeel/lycheekeel/platform"
+	"github.com/lycheekeel/lycheekeel/objectstore"
 	"github.com/lycheekeel/lycheekeel/revision"
 	"github.com/lycheekeel/lycheekeel/workspace"
 )
@@ -87,7 +87,7 @@
 		View:      m.cluster.view.Load,
 		Timing:    m.cluster.timing,
 	})
-	options.Publish = func(objects []platform.Object, newest platform.Version) {
+	options.Publish = func(objects []objectstore.Object, newest objectstore.Version) {
 		configuration.Publish(objects, newest)
 		m.first.CompareAndSwap(0, uint64(newest))
 		if m.newest.Swap(uint64(newest)) > uint64(newest) {
@@ -108,12 +108,12 @@
 // InForce is the version up to which changes are in force at the member, 0
 // for none: the newest published, or that which the member is known to be
 // complete through (a deletion from before its start is in no object).
-func (m *Member) InForce() platform.Version {
-	return max(platform.Version(m.newest.Load()), m.Syncer.Report().Through)
+func (m *Member) InForce() objectstore.Version {
+	return max(objectstore.Version(m.newest.Load()), m.Syncer.Report().Through)
 }
 
 // First is the first version that was in force since the member's start.
-func (m *Member) First() platform.Version { return platform.Version(m.first.Load()) }
+func (m *Member) First() objectstore.Version { return objectstore.Version(m.first.Load()) }
 
 // Reverts counts how often the version in force went down.
 func (m *Member) Reverts() int64 { return m.reverts.Load() }
@@ -141,7 +141,7 @@
 
 // Await waits until a version is in force at the members and returns how long
 // that took.
-func Await(ctx context.Context, version platform.Version, members ...*Member) (time.Duration, error) {
+func Await(ctx context.Context, version objectstore.Version, members ...*Member) (time.Duration, error) {
 	start := time.Now()
 	err := Until(ctx, func() bool {
 		return !slices.ContainsFunc(members, func(m *Member) bool { return m.InForce() < version })
@@ -178,30 +178,30 @@
 
 // cutAPI is an object API that can be cut off.
 type cutAPI struct {
-	platform.ObjectAPI
+	objectstore.ObjectAPI
 	cut, mute *atomic.Bool
 }
 
-// List implements platform.ObjectAPI.
-func (a *cutAPI) List(ctx context.Context, kind platform.Kind, prefix string) (platform.List, error) {
+// List implements objectstore.ObjectAPI.
+func (a *cutAPI) List(ctx context.Context, kind objectstore.Kind, prefix string) (objectstore.List, error) {
 	if a.cut.Load() {
-		return platform.List{}, errors.Wrap(platform.ErrUnavailable, "cut off")
+		return objectstore.List{}, errors.Wrap(objectstore.ErrUnavailable, "cut off")
 	}
 	return a.ObjectAPI.List(ctx, kind, prefix)
 }
 
-// Watch implements platform.ObjectAPI.
-func (a *cutAPI) Watch(ctx context.Context, kinds []platform.Kind, after platform.Version, wait time.Duration) ([]platform.Event, platform.Version, error) {
+// Watch implements objectstore.ObjectAPI.
+func (a *cutAPI) Watch(ctx context.Context, kinds []objectstore.Kind, after objectstore.Version, wait time.Duration) ([]objectstore.Event, objectstore.Version, error) {
 	if a.cut.Load() {
-		return nil, 0, errors.Wrap(platform.ErrUnavailable, "cut off")
+		return nil, 0, errors.Wrap(objectstore.ErrUnavailable, "cut off")
 	}
 	if a.mute.Load() {
 		<-ctx.Done()
-		return nil, 0, errors.Wrap(platform.ErrUnknownOutcome, "mute")
+		return nil, 0, errors.Wrap(objectstore.ErrUnknownOutcome, "mute")
 	}
 	events, next, err := a.ObjectAPI.Watch(ctx, kinds, after, wait)
 	if a.cut.Load() {
-		return nil, 0, errors.Wrap(platform.ErrUnknownOutcome, "cut off")
+		return nil, 0, errors.Wrap(objectstore.ErrUnknownOutcome, "cut off")
 	}
 	return events, next, err
 }
--- a/revision/revisiontest/measure.go
+++ b/revision/revisiontest/measure.go
@@ -9,7 +9,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/lycheekeel/lycheekeel/internal/wait"
-	"github.com/lycheekeel/lycheekeel/platform"
+	"github.com/lycheekeel/lycheekeel/objectstore"
 	"github.com/lycheekeel/lycheekeel/workspace"
 	"github.com/lycheekeel/lycheekeel/workspace/workspacetest"
 )
@@ -51,7 +51,7 @@
 
 // fill writes a small configuration and waits until it is in force.
 func (c *Cluster) fill(ctx context.Context) error {
-	var newest platform.Version
+	var newest objectstore.Version
 	fleet := workspacetest.Fleet{Workspaces: 1, Servers: 1, Models: 1, Regions: 1, Templates: 1}
 	for _, o := range fleet.Objects() {
 		v, err := c.Store.Create(ctx, o.Kind, o.Name, o.Value)
@@ -109,7 +109,7 @@
 }
 
 // write creates an object.
-func (c *Cluster) write(ctx context.Context, kind platform.Kind, name string, v any) (platform.Version, error) {
+func (c *Cluster) write(ctx context.Context, kind objectstore.Kind, name string, v any) (objectstore.Version, error) {
 	value, err := json.Marshal(v)
 	if err != nil {
 		return 0, errors.Wrap(err, name)
--- a/revision/set.go
+++ b/revision/set.go
@@ -3,7 +3,7 @@
 import (
 	"slices"
 
-	"github.com/lycheekeel/lycheekeel/platform"
+	"github.com/lycheekeel/lycheekeel/objectstore"
 )
 
 // Set holds the newest known record of each object. It is a pure aggregate:
@@ -15,18 +15,18 @@
 // also the rule for tombstones: one is kept until the floor has passed it,
 // however long that takes, and is not needed after.
 type Set struct {
-	kinds map[platform.Kind]*kindSet
-	order []platform.Kind
-	check func(platform.Object) bool
+	kinds map[objectstore.Kind]*kindSet
+	order []objectstore.Kind
+	check func(objectstore.Object) bool
 	// newest is the largest version applied.
-	newest platform.Version
+	newest objectstore.Version
 	// changes counts the records put, so that a reader sees any change.
 	changes uint64
 }
 
 // kindSet is the part of a Set for one kind.
 type kindSet struct {
-	floor platform.Version
+	floor objectstore.Version
 	// complete tells that the kind was known whole once, as of the floor.
 	complete   bool
 	records    map[string]*Record
@@ -37,11 +37,11 @@
 
 // NewSet returns an empty set of the kinds. check tells whether an object by
 // itself may go in force; nil takes all.
-func NewSet(kinds []platform.Kind, check func(platform.Object) bool) *Set {
+func NewSet(kinds []objectstore.Kind, check func(objectstore.Object) bool) *Set {
 	if check == nil {
-		check = func(platform.Object) bool { return true }
+		check = func(objectstore.Object) bool { return true }
 	}
-	s := &Set{kinds: make(map[platform.Kind]*kindSet, len(kinds)), order: kinds, check: check}
+	s := &Set{kinds: make(map[objectstore.Kind]*kindSet, len(kinds)), order: kinds, check: check}
 	for _, k := range kinds {
 		s.kinds[k] = &kindSet{records: map[string]*Record{}, tombstones: map[string]struct{}{}}
 	}
@@ -94,7 +94,7 @@
 }
 
 // adoptGood takes over a good version that a peer knows of a bad one.
-func (s *Set) adoptGood(k *kindSet, known *Record, good *platform.Object) bool {
+func (s *Set) adoptGood(k *kindSet, known *Record, good *objectstore.Object) bool {
 	if !known.bad || good == nil || (known.Good != nil && known.Good.Version >= good.Version) {
 		return false
 	}
@@ -127,7 +127,7 @@
 }
 
 // raise moves the floor up and drops the tombstones that it passed.
-func (k *kindSet) raise(floor platform.Version) {
+func (k *kindSet) raise(floor objectstore.Version) {
 	if floor <= k.floor {
 		return
 	}
@@ -142,12 +142,12 @@
 
 // absent applies that an object did not exist as of a version: it deletes
 // what the set knows of it, unless that is newer. It reports the deletion.
-func (s *Set) absent(kind platform.Kind, name string, as platform.Version) (Header, bool) {
+func (s *Set) absent(kind objectstore.Kind, name string, as objectstore.Version) (Header, bool) {
 	known := s.kinds[kind].records[name]
 	if known == nil || known.Deleted || known.Version > as {
 		return Header{}, false
 	}
-	r := Record{Object: platform.Object{Kind: kind, Name: name, Version: as}, Deleted: true}
+	r := Record{Object: objectstore.Object{Kind: kind, Name: name, Version: as}, Deleted: true}
 	return r.header(), s.Apply(r)
 }
 
@@ -158,7 +158,7 @@
 // A listing speaks only for changes up to its version, so an object that it
 // lacks is deleted only if the known version is not newer than the listing,
 // and one that it holds is refused if the floor says that it is gone.
-func (s *Set) ApplyList(kind platform.Kind, list platform.List) []Header {
+func (s *Set) ApplyList(kind objectstore.Kind, list objectstore.List) []Header {
 	k, ok := s.kinds[kind]
 	if !ok {
 		return nil
@@ -197,7 +197,7 @@
 // with the version to continue from, and returns what changed. Replayed and
 // older events have no effect. The floors rise only where nothing between
 // them and the watch's start can have been missed.
-func (s *Set) ApplyEvents(events []platform.Event, after, next platform.Version) []Header {
+func (s *Set) ApplyEvents(events []objectstore.Event, after, next objectstore.Version) []Header {
 	var changed []Header
 	for _, e := range events {
 		if r := (Record{Object: e.Object, Deleted: e.Deleted}); s.Apply(r) {
@@ -214,7 +214,7 @@
 
 // Floor is the version up to which every change of every kind is known: where
 // a watch continues, once Complete.
-func (s *Set) Floor() platform.Version {
+func (s *Set) Floor() objectstore.Version {
 	floor := s.kinds[s.order[0]].floor
 	for _, k := range s.kinds {
 		floor = min(floor, k.floor)
@@ -237,7 +237,7 @@
 func (s *Set) Changes() uint64 { return s.changes }
 
 // Newest is the largest version that was applied.
-func (s *Set) Newest() platform.Version { return s.newest }
+func (s *Set) Newest() objectstore.Version { return s.newest }
 
 // Hash sums up all live objects: equal on members that hold the same.
 func (s *Set) Hash() uint64 {
@@ -249,7 +249,7 @@
 }
 
 // Get returns the live record of an object.
-func (s *Set) Get(kind platform.Kind, name string) (*Record, bool) {
+func (s *Set) Get(kind objectstore.Kind, name string) (*Record, bool) {
 	k, ok := s.kinds[kind]
 	if !ok {
 		return nil, false
@@ -260,8 +260,8 @@
 
 // Objects returns every live object, and besides a bad one its last good
 // version, in the order of the kinds and by name.
-func (s *Set) Objects() []platform.Object {
-	var out []platform.Object
+func (s *Set) Objects() []objectstore.Object {
+	var out []objectstore.Object
 	for _, kind := range s.order {
 		first := len(out)
 		for _, r := range s.kinds[kind].records {
--- a/revision/set_test.go
+++ b/revision/set_test.go
@@ -7,19 +7,19 @@
 	. "github.com/smartystreets/goconvey/convey"
 	"pgregory.net/rapid"
 
-	"github.com/lycheekeel/lycheekeel/platform"
+	"github.com/lycheekeel/lycheekeel/objectstore"
 )
 
-var testKinds = []platform.Kind{"A", "B"}
+var testKinds = []objectstore.Kind{"A", "B"}
 
 // truth is the object API's whole history.
-type truth struct{ log []platform.Event }
+type truth struct{ log []objectstore.Event }
 
-func (t *truth) version() platform.Version { return platform.Version(len(t.log)) }
+func (t *truth) version() objectstore.Version { return objectstore.Version(len(t.log)) }
 
 // at returns a kind's live objects as of a version.
-func (t *truth) at(kind platform.Kind, v platform.Version) platform.List {
-	live := map[string]platform.Object{}
+func (t *truth) at(kind objectstore.Kind, v objectstore.Version) objectstore.List {
+	live := map[string]objectstore.Object{}
 	for _, e := range t.log[:v] {
 		if e.Object.Kind != kind {
 			continue
@@ -30,7 +30,7 @@
 			live[e.Object.Name] = e.Object
 		}
 	}
-	list := platform.List{Version: v}
+	list := objectstore.List{Version: v}
 	for _, o := range live {
 		list.Objects = append(list.Objects, o)
 	}
@@ -38,8 +38,8 @@
 }
 
 // write creates, changes or deletes an object, as an operator would.
-func (t *truth) write(kind platform.Kind, name string, remove bool) {
-	o := platform.Object{Kind: kind, Name: name, Version: t.version() + 1, Created: t.version() + 1}
+func (t *truth) write(kind objectstore.Kind, name string, remove bool) {
+	o := objectstore.Object{Kind: kind, Name: name, Version: t.version() + 1, Created: t.version() + 1}
 	exists := false
 	for _, old := range t.at(kind, t.version()).Objects {
 		if old.Name == name {
@@ -50,11 +50,11 @@
 		return
 	}
 	o.Value = []byte(fmt.Sprint(o.Version))
-	t.log = append(t.log, platform.Event{Object: o, Deleted: remove})
+	t.log = append(t.log, objectstore.Event{Object: o, Deleted: remove})
 }
 
 // deletedAfter returns the first deletion of an object after a version.
-func (t *truth) deletedAfter(kind platform.Kind, name string, v platform.Version) (platform.Version, bool) {
+func (t *truth) deletedAfter(kind objectstore.Kind, name string, v objectstore.Version) (objectstore.Version, bool) {
 	for _, e := range t.log[v:] {
 		if e.Deleted && e.Object.Kind == kind && e.Object.Name == name {
 			return e.Object.Version, true
@@ -66,12 +66,12 @@
 // observed is a member with what it has shown of each object so far.
 type observed struct {
 	*Set
-	atLeast map[Header]platform.Version
+	atLeast map[Header]objectstore.Version
 	live    map[Header]bool
 }
 
 func newObserved() *observed {
-	return &observed{NewSet(testKinds, nil), map[Header]platform.Version{}, map[Header]bool{}}
+	return &observed{NewSet(testKinds, nil), map[Header]objectstore.Version{}, map[Header]bool{}}
 }
 
 // check fails where an object went back: to an older version, to one from
@@ -160,8 +160,8 @@
 		name := rapid.SampledFrom(names)
 		kind := rapid.SampledFrom(testKinds)
 		member := rapid.IntRange(0, len(members)-1)
-		version := func() platform.Version {
-			return platform.Version(rapid.IntRange(0, len(world.log)).Draw(t, "version"))
+		version := func() objectstore.Version {
+			return objectstore.Version(rapid.IntRange(0, len(world.log)).Draw(t, "version"))
 		}
 		t.Repeat(map[string]func(*rapid.T){
 			"write":  func(t *rapid.T) { world.write(kind.Draw(t, "kind"), name.Draw(t, "name"), false) },
@@ -230,10 +230,10 @@
 }
 
 func TestLastGood(t *testing.T) {
-	object := func(created, version platform.Version, value string) Record {
-		return Record{Object: platform.Object{Kind: "A", Name: "x", Version: version, Created: created, Value: []byte(value)}}
+	object := func(created, version objectstore.Version, value string) Record {
+		return Record{Object: objectstore.Object{Kind: "A", Name: "x", Version: version, Created: created, Value: []byte(value)}}
 	}
-	check := func(o platform.Object) bool { return string(o.Value) != "bad" }
+	check := func(o objectstore.Object) bool { return string(o.Value) != "bad" }
 	Convey("The last good version is kept beside a bad one and goes to peers", t, func() {
 		s := NewSet(testKinds, check)
 		s.Apply(object(1, 1, "good"))
--- a/revision/syncer.go
+++ b/revision/syncer.go
@@ -15,24 +15,24 @@
 	"github.com/lycheekeel/lycheekeel/internal/peer"
 	"github.com/lycheekeel/lycheekeel/internal/wait"
 	"github.com/lycheekeel/lycheekeel/member"
-	"github.com/lycheekeel/lycheekeel/platform"
+	"github.com/lycheekeel/lycheekeel/objectstore"
 )
 
 // Options set up a Syncer.
 type Options struct {
 	// Kinds are what is kept and spread.
-	Kinds []platform.Kind
-	API   platform.ObjectAPI
+	Kinds []objectstore.Kind
+	API   objectstore.ObjectAPI
 	// Transport carries gossip and pulls. The Syncer registers its handlers,
 	// so make it before the transport starts.
 	Transport peer.Transport
 	// View returns the members in force.
 	View func() *member.View
 	// Check tells whether an object by itself may go in force; nil takes all.
-	Check func(platform.Object) bool
+	Check func(objectstore.Object) bool
 	// Publish puts a configuration in force; it is called from one goroutine,
 	// with every live object and the newest version applied.
-	Publish func(objects []platform.Object, newest platform.Version)
+	Publish func(objects []objectstore.Object, newest objectstore.Version)
 	Metrics *metrics.Registry
 	// Timing's zero fields take DefaultTiming's.
 	Timing Timing
@@ -88,7 +88,7 @@
 	set      *Set
 	rumors   []Header
 	fetching map[Header]int
-	pulling  map[platform.Kind]bool
+	pulling  map[objectstore.Kind]bool
 	// confirmed is when the object API last confirmed all that is held here;
 	// watchSeen is when any member's watch last worked, as far as is known.
 	confirmed, watchSeen time.Time
@@ -115,7 +115,7 @@
 	o.Timing = o.Timing.withDefaults()
 	s := &Syncer{
 		o: o, log: logs.For("config"), counters: newCounters(o.Metrics),
-		set: NewSet(o.Kinds, o.Check), fetching: map[Header]int{}, pulling: map[platform.Kind]bool{},
+		set: NewSet(o.Kinds, o.Check), fetching: map[Header]int{}, pulling: map[objectstore.Kind]bool{},
 		watchSeen: o.Now(),
 		inbox:     make(chan inbound, inboxLength),
 		toPush:    make(chan struct{}, 1), toPublish: make(chan struct{}, 1),
@@ -246,8 +246,8 @@
 		err  error
 		name string
 	}{
-		{platform.ErrCompacted, "compacted"}, {platform.ErrUnavailable, "store_unavailable"},
-		{platform.ErrUnknownOutcome, "store_silent"}, {context.DeadlineExceeded, "store_silent"},
+		{objectstore.ErrCompacted, "compacted"}, {objectstore.ErrUnavailable, "store_unavailable"},
+		{objectstore.ErrUnknownOutcome, "store_silent"}, {context.DeadlineExceeded, "store_silent"},
 		{peer.ErrNotConnected, "peer_not_connected"}, {peer.ErrOverloaded, "peer_overloaded"},
 		{peer.ErrUnknownOutcome, "peer_silent"}, {peer.ErrUnknownType, "peer_unknown_type"},
 	} {
--- a/revision/target_test.go
+++ b/revision/target_test.go
@@ -4,7 +4,7 @@
 	"runtime"
 	"testing"
 
-	"github.com/lycheekeel/lycheekeel/platform"
+	"github.com/lycheekeel/lycheekeel/objectstore"
 	"github.com/lycheekeel/lycheekeel/revision"
 	"github.com/lycheekeel/lycheekeel/workspace"
 	"github.com/lycheekeel/lycheekeel/workspace/workspacetest"
@@ -20,8 +20,8 @@
 
 // byKind returns a fresh copy of the target's objects by kind, as read from
 // the object API.
-func byKind() map[platform.Kind]platform.List {
-	lists := map[platform.Kind]platform.List{}
+func byKind() map[objectstore.Kind]objectstore.List {
+	lists := map[objectstore.Kind]objectstore.List{}
 	for _, o := range workspacetest.Target.Objects() {
 		l := lists[o.Kind]
 		l.Objects, l.Version = append(l.Objects, o), max(l.Version, o.Version)
@@ -54,7 +54,7 @@
 	b.Run("change", func(b *testing.B) {
 		for b.Loop() {
 			changed.Version = set.Newest() + 1
-			set.ApplyEvents([]platform.Event{{Object: changed}}, set.Floor(), changed.Version)
+			set.ApplyEvents([]objectstore.Event{{Object: changed}}, set.Floor(), changed.Version)
 			configuration.Publish(set.Objects(), set.Newest())
 		}
 		b.ReportMetric(heapMB()-before, "MB-held")
--- a/revision/watch.go
+++ b/revision/watch.go
@@ -13,7 +13,7 @@
 
 	"github.com/lycheekeel/lycheekeel/internal/wait"
 	"github.com/lycheekeel/lycheekeel/member"
-	"github.com/lycheekeel/lycheekeel/platform"
+	"github.com/lycheekeel/lycheekeel/objectstore"
 )
 
 // WatchersPerRegion is how many members of a region watch the object API. Two,
@@ -150,7 +150,7 @@
 	ctx, cancel := context.WithTimeout(ctx, s.o.Timing.WatchWait+s.o.Timing.Call)
 	defer cancel()
 	events, next, err := s.o.API.Watch(ctx, s.o.Kinds, after, s.o.Timing.WatchWait)
-	if errors.Is(err, platform.ErrCompacted) {
+	if errors.Is(err, objectstore.ErrCompacted) {
 		s.counters.retry(err)
 		return s.list(ctx)
 	}
@@ -179,7 +179,7 @@
 const listTimeout = 10 * time.Second
 
 // listKind reads one kind anew.
-func (s *Syncer) listKind(ctx context.Context, kind platform.Kind) error {
+func (s *Syncer) listKind(ctx context.Context, kind objectstore.Kind) error {
 	ctx, cancel := context.WithTimeout(ctx, listTimeout)
 	defer cancel()
 	list, err := s.o.API.List(ctx, kind, "")
--- a/revision/wire.go
+++ b/revision/wire.go
@@ -6,7 +6,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/lycheekeel/lycheekeel/internal/configwire"
-	"github.com/lycheekeel/lycheekeel/platform"
+	"github.com/lycheekeel/lycheekeel/objectstore"
 )
 
 // marshal encodes a message; the messages here always can be.
@@ -34,8 +34,8 @@
 	out := make([]Header, len(headers))
 	for i, h := range headers {
 		out[i] = Header{
-			Kind: platform.Kind(h.GetKind()), Name: h.GetName(),
-			Version: platform.Version(h.GetVersion()), Deleted: h.GetDeleted(),
+			Kind: objectstore.Kind(h.GetKind()), Name: h.GetName(),
+			Version: objectstore.Version(h.GetVersion()), Deleted: h.GetDeleted(),
 		}
 	}
 	return out
@@ -47,7 +47,7 @@
 
 func fromWireDigest(d *configwire.KindDigest) KindDigest {
 	return KindDigest{
-		Kind: platform.Kind(d.GetKind()), Floor: platform.Version(d.GetFloor()),
+		Kind: objectstore.Kind(d.GetKind()), Floor: objectstore.Version(d.GetFloor()),
 		Hash: d.GetHash(), Complete: d.GetComplete(),
 	}
 }
@@ -67,16 +67,16 @@
 
 func fromWireRecord(w *configwire.Record) Record {
 	r := Record{
-		Object: platform.Object{
-			Kind: platform.Kind(w.GetKind()), Name: w.GetName(),
-			Version: platform.Version(w.GetVersion()), Created: platform.Version(w.GetCreated()), Value: w.GetValue(),
+		Object: objectstore.Object{
+			Kind: objectstore.Kind(w.GetKind()), Name: w.GetName(),
+			Version: objectstore.Version(w.GetVersion()), Created: objectstore.Version(w.GetCreated()), Value: w.GetValue(),
 		},
 		Deleted: w.GetDeleted(),
 	}
 	if g := w.GetGood(); g != nil {
-		r.Good = &platform.Object{
+		r.Good = &objectstore.Object{
 			Kind: r.Kind, Name: r.Name, Value: g.GetValue(),
-			Version: platform.Version(g.GetVersion()), Created: platform.Version(g.GetCreated()),
+			Version: objectstore.Version(g.GetVersion()), Created: objectstore.Version(g.GetCreated()),
 		}
 	}
 	return r
--- a/test/cluster_test.go
+++ b/test/cluster_test.go
@@ -11,9 +11,9 @@
 	"github.com/lycheekeel/lycheekeel/internal/daemon"
 	"github.com/lycheekeel/lycheekeel/internal/faultproxy"
 	engine "github.com/lycheekeel/lycheekeel/internal/standin/engine"
-	standin "github.com/lycheekeel/lycheekeel/internal/standin/platform"
-	"github.com/lycheekeel/lycheekeel/platform"
-	"github.com/lycheekeel/lycheekeel/platform/httpplatform"
+	standin "github.com/lycheekeel/lycheekeel/internal/standin/objectstore"
+	"github.com/lycheekeel/lycheekeel/objectstore"
+	"github.com/lycheekeel/lycheekeel/objectstore/httpobjectstore"
 )
 
 // The names in the test configuration.
@@ -68,7 +68,7 @@
 	plan     plan
 	platform *process
 	store    string // the platform's own address, without a proxy
-	api      platform.Platform
+	api      objectstore.Platform
 	engines  []*engineNode
 	service  *engineNode // the plain service
 	nodes    []*node
@@ -103,7 +103,7 @@
 	t.Cleanup(func() { <-places })
 	c := &cluster{t: t, plan: p, store: freeAddress(t)}
 	c.platform = start(t, "platform", "lycheekeel", "standin", "platform", "--listen", c.store)
-	c.api = httpplatform.New(httpplatform.Options{Addr: c.store})
+	c.api = httpobjectstore.New(httpobjectstore.Options{Addr: c.store})
 	c.awaitHTTP(c.store, "/standin/calls")
 	for i := range p.engines {
 		c.addEngine(fmt.Sprintf("engine-%d", i), p.engineIP(i), p.options)
--- a/test/measure_test.go
+++ b/test/measure_test.go
@@ -13,7 +13,7 @@
 	"golang.org/x/time/rate"
 
 	engine "github.com/lycheekeel/lycheekeel/internal/standin/engine"
-	standin "github.com/lycheekeel/lycheekeel/internal/standin/platform"
+	standin "github.com/lycheekeel/lycheekeel/internal/standin/objectstore"
 	"github.com/lycheekeel/lycheekeel/workspace"
 )
 
--- a/test/objects_test.go
+++ b/test/objects_test.go
@@ -7,12 +7,12 @@
 	"io"
 	"net/http"
 
-	"github.com/lycheekeel/lycheekeel/platform"
+	"github.com/lycheekeel/lycheekeel/objectstore"
 	"github.com/lycheekeel/lycheekeel/workspace"
 )
 
 // put writes a configuration object, whatever its version is.
-func (c *cluster) put(kind platform.Kind, name string, v any) platform.Version {
+func (c *cluster) put(kind objectstore.Kind, name string, v any) objectstore.Version {
 	c.t.Helper()
 	value, err := json.Marshal(v)
 	if err != nil {
@@ -20,7 +20,7 @@
 	}
 	ctx := c.t.Context()
 	old, err := c.api.Get(ctx, kind, name)
-	var version platform.Version
+	var version objectstore.Version
 	if err != nil {
 		version, err = c.api.Create(ctx, kind, name, value)
 	} else {
--- a/test/pairs_test.go
+++ b/test/pairs_test.go
@@ -11,7 +11,7 @@
 	"github.com/sourcegraph/conc"
 
 	"github.com/lycheekeel/lycheekeel/internal/faultproxy"
-	standin "github.com/lycheekeel/lycheekeel/internal/standin/platform"
+	standin "github.com/lycheekeel/lycheekeel/internal/standin/objectstore"
 	service "github.com/lycheekeel/lycheekeel/internal/standin/service"
 )
 
--- a/test/vm_test.go
+++ b/test/vm_test.go
@@ -7,17 +7,17 @@
 
 	. "github.com/smartystreets/goconvey/convey"
 
-	standin "github.com/lycheekeel/lycheekeel/internal/standin/platform"
-	"github.com/lycheekeel/lycheekeel/platform"
+	standin "github.com/lycheekeel/lycheekeel/internal/standin/objectstore"
+	"github.com/lycheekeel/lycheekeel/objectstore"
 )
 
 // listVMs makes the platform's list show every engine's VM, in the state that
 // it has by number, else live.
-func (c *cluster) listVMs(states map[int]platform.VMState) {
+func (c *cluster) listVMs(states map[int]objectstore.VMState) {
 	c.t.Helper()
-	var vms []platform.VM
+	var vms []objectstore.VM
 	for i, e := range c.engines {
-		vm := platform.VM{Name: e.name, IP: c.plan.engineIP(i), Role: "backend", Region: testRegion, State: platform.VMLive}
+		vm := objectstore.VM{Name: e.name, IP: c.plan.engineIP(i), Role: "backend", Region: testRegion, State: objectstore.VMLive}
 		if s, ok := states[i]; ok {
 			vm.State = s
 		}
@@ -52,7 +52,7 @@
 			return true
 		})
 		leaving, dead := c.engines[0], c.engines[1]
-		c.listVMs(map[int]platform.VMState{0: platform.VMLeaving})
+		c.listVMs(map[int]objectstore.VMState{0: objectstore.VMLeaving})
 		sign, ran, at := time.Now(), -1, 0
 		eventually(t, "100 answers come and none of them from the leaving VM", func() bool {
 			if n := len(c.runsOf(leaving)); n != ran {
--- a/workspace/check.go
+++ b/workspace/check.go
@@ -8,7 +8,7 @@
 	"slices"
 	"strings"
 
-	"github.com/lycheekeel/lycheekeel/platform"
+	"github.com/lycheekeel/lycheekeel/objectstore"
 )
 
 // Bounds of configuration values.
@@ -68,20 +68,20 @@
 }
 
 // objectFile is the File of a stored object's findings.
-func objectFile(kind platform.Kind, name string) string {
+func objectFile(kind objectstore.Kind, name string) string {
 	return fmt.Sprintf("%s/%s", kind, name)
 }
 
 // CheckObject checks one stored object by itself, without the objects that it
 // names. A nil result means that it may go in force.
-func CheckObject(o platform.Object) Findings {
+func CheckObject(o objectstore.Object) Findings {
 	_, findings := decodeObject(objectFile(o.Kind, o.Name), o.Kind, o.Name, o.Value)
 	return findings
 }
 
 // decodeObject decodes and checks one object's value; the result is a pointer
 // to the kind's type. name is the object's own name; empty takes the value's.
-func decodeObject(file string, kind platform.Kind, name string, value []byte) (any, Findings) {
+func decodeObject(file string, kind objectstore.Kind, name string, value []byte) (any, Findings) {
 	root, findings := parse(file, value)
 	if findings != nil {
 		return nil, findings
@@ -90,7 +90,7 @@
 }
 
 // decodeRoot is decodeObject for a parsed value.
-func decodeRoot(file string, kind platform.Kind, name string, root *node) (any, Findings) {
+func decodeRoot(file string, kind objectstore.Kind, name string, root *node) (any, Findings) {
 	switch kind {
 	case KindTemplate:
 		return decodeAs(file, name, root, func(t *Template) string { return t.Name }, checkTemplate)
--- a/workspace/check_test.go
+++ b/workspace/check_test.go
@@ -9,7 +9,7 @@
 	. "github.com/smartystreets/goconvey/convey"
 	"pgregory.net/rapid"
 
-	"github.com/lycheekeel/lycheekeel/platform"
+	"github.com/lycheekeel/lycheekeel/objectstore"
 	"github.com/lycheekeel/lycheekeel/workspace"
 )
 
@@ -93,13 +93,13 @@
 	})
 	Convey("An unknown member of a stored object is only a warning", t, func() {
 		// An older daemon must serve what a newer release wrote.
-		o := platform.Object{Kind: workspace.KindPool, Name: "p", Value: []byte(`{"name":"p","region":"r","service":"s","since_next":1}`)}
+		o := objectstore.Object{Kind: workspace.KindPool, Name: "p", Value: []byte(`{"name":"p","region":"r","service":"s","since_next":1}`)}
 		findings := workspace.CheckObject(o)
 		So(findings, ShouldHaveLength, 1)
 		So(findings.Fatal(), ShouldBeEmpty)
 	})
 	Convey("A stored object must have its own name", t, func() {
-		o := platform.Object{Kind: workspace.KindPool, Name: "q", Value: []byte(`{"name":"p","region":"r","service":"s"}`)}
+		o := objectstore.Object{Kind: workspace.KindPool, Name: "q", Value: []byte(`{"name":"p","region":"r","service":"s"}`)}
 		So(workspace.CheckObject(o).Fatal(), ShouldHaveLength, 1)
 	})
 }
@@ -122,13 +122,13 @@
 		}
 		for _, d := range docs {
 			value, err := d.Value()
-			o := platform.Object{Kind: d.Kind, Name: d.Name, Version: 1, Value: value}
+			o := objectstore.Object{Kind: d.Kind, Name: d.Name, Version: 1, Value: value}
 			if err != nil || workspace.CheckObject(o) != nil {
 				t.Fatalf("accepted, but its stored form has findings: %v %v", err, workspace.CheckObject(o))
 			}
-			user := platform.Object{Kind: workspace.KindWorkspace, Name: "w", Version: 2, Value: []byte(
+			user := objectstore.Object{Kind: workspace.KindWorkspace, Name: "w", Version: 2, Value: []byte(
 				`{"name":"w","template":"` + d.Name + `","keys":[{"id":"k","sha256":"` + strings.Repeat("0", 64) + `"}]}`)}
-			workspace.Compile([]platform.Object{o, user})
+			workspace.Compile([]objectstore.Object{o, user})
 		}
 	})
 }
--- a/workspace/compile.go
+++ b/workspace/compile.go
@@ -4,11 +4,11 @@
 	"cmp"
 	"slices"
 
-	"github.com/lycheekeel/lycheekeel/platform"
+	"github.com/lycheekeel/lycheekeel/objectstore"
 )
 
 // Compile checks and resolves a whole configuration at once. See Compiler.
-func Compile(objects []platform.Object) (*Snapshot, Findings) {
+func Compile(objects []objectstore.Object) (*Snapshot, Findings) {
 	return NewCompiler().Compile(objects)
 }
 
@@ -28,21 +28,21 @@
 
 // objectID names an object.
 type objectID struct {
-	kind platform.Kind
+	kind objectstore.Kind
 	name string
 }
 
 // objectVersion names one version of an object.
 type objectVersion struct {
 	objectID
-	version platform.Version
+	version objectstore.Version
 }
 
 // decoded is one checked version of an object.
 type decoded struct {
 	id       objectID
-	version  platform.Version
-	created  platform.Version
+	version  objectstore.Version
+	created  objectstore.Version
 	value    any // *Template and so on; nil where the version is bad
 	findings Findings
 	older    *decoded // the next older listed version of the same object
@@ -78,7 +78,7 @@
 	*Compiler
 	findings Findings
 	// byKind holds the versions to put in force, sorted by name.
-	byKind map[platform.Kind][]*decoded
+	byKind map[objectstore.Kind][]*decoded
 	shared map[shareKey]*Resolved
 	out    *Snapshot
 }
@@ -90,10 +90,10 @@
 //
 // What goes wrong otherwise: one operator's mistake would take every
 // workspace out of force, or take out its own until somebody notices.
-func (c *Compiler) Compile(objects []platform.Object) (*Snapshot, Findings) {
+func (c *Compiler) Compile(objects []objectstore.Object) (*Snapshot, Findings) {
 	run := &compilation{
 		Compiler: c,
-		byKind:   map[platform.Kind][]*decoded{},
+		byKind:   map[objectstore.Kind][]*decoded{},
 		shared:   map[shareKey]*Resolved{},
 		out: &Snapshot{
 			Workspaces: map[KeyHash]*Resolved{},
@@ -113,7 +113,7 @@
 }
 
 // decode decodes what is new and picks each object's version in force.
-func (run *compilation) decode(objects []platform.Object) {
+func (run *compilation) decode(objects []objectstore.Object) {
 	versions := make(map[objectID]*decoded, len(objects))
 	kept := make(map[objectVersion]*decoded, len(objects))
 	for _, o := range objects {
--- a/workspace/compile_test.go
+++ b/workspace/compile_test.go
@@ -6,7 +6,7 @@
 
 	. "github.com/smartystreets/goconvey/convey"
 
-	"github.com/lycheekeel/lycheekeel/platform"
+	"github.com/lycheekeel/lycheekeel/objectstore"
 	"github.com/lycheekeel/lycheekeel/pool"
 	"github.com/lycheekeel/lycheekeel/workspace"
 	"github.com/lycheekeel/lycheekeel/workspace/workspacetest"
@@ -15,9 +15,9 @@
 var small = workspacetest.Fleet{Workspaces: 3, Servers: 4, Models: 1, Regions: 1, Templates: 1}
 
 // change returns the objects with one replaced or added as their newest.
-func change(objects []platform.Object, kind platform.Kind, name, value string) []platform.Object {
-	next := platform.Object{Kind: kind, Name: name, Version: 1, Created: 1, Value: []byte(value)}
-	out := []platform.Object{}
+func change(objects []objectstore.Object, kind objectstore.Kind, name, value string) []objectstore.Object {
+	next := objectstore.Object{Kind: kind, Name: name, Version: 1, Created: 1, Value: []byte(value)}
+	out := []objectstore.Object{}
 	for _, o := range objects {
 		next.Version = max(next.Version, o.Version+1)
 		if o.Kind == kind && o.Name == name {
@@ -105,7 +105,7 @@
 			`{"name":"workspace-2","template":"template-0","keys":[{"id":"main","sha256":"`+key+`"}]}`)
 		again := change(stolen, workspace.KindWorkspace, "workspace-0",
 			`{"name":"workspace-0","template":"template-0","keys":[{"id":"main","sha256":"`+key+`"}]}`)
-		for _, step := range [][]platform.Object{stolen, again} {
+		for _, step := range [][]objectstore.Object{stolen, again} {
 			snapshot, findings := c.Compile(step)
 			So(findings, ShouldHaveLength, 1)
 			So(findings[0].String(), ShouldEqual, `Workspace/workspace-2: keys[0].sha256: is a key of workspace "workspace-0"`)
@@ -157,7 +157,7 @@
 		full := objects
 		for i := range workspace.MaxPoolServers {
 			s := workspacetest.Server(100+i, workspace.Pool{Name: "pool-1", Region: "region-0"})
-			full = append(full, workspacetest.Stored(workspace.KindBackendServer, s.Name, platform.Version(200+i), s))
+			full = append(full, workspacetest.Stored(workspace.KindBackendServer, s.Name, objectstore.Version(200+i), s))
 		}
 		s, findings := workspace.Compile(full)
 		So(findings, ShouldHaveLength, 1)
--- a/workspace/document.go
+++ b/workspace/document.go
@@ -5,7 +5,7 @@
 	"fmt"
 	"strconv"
 
-	"github.com/lycheekeel/lycheekeel/platform"
+	"github.com/lycheekeel/lycheekeel/objectstore"
 )
 
 // Document is one object in a configuration file.
@@ -13,11 +13,11 @@
 	File string
 	// Path is the object's JSON path in the file; empty where it is the file.
 	Path string
-	Kind platform.Kind
+	Kind objectstore.Kind
 	Name string
 	// Expect is the stored version that the file's author saw; zero where
 	// the file does not say.
-	Expect platform.Version
+	Expect objectstore.Version
 	// Object is a *Template, *Workspace, *Pool or *BackendServer.
 	Object any
 }
@@ -29,7 +29,7 @@
 )
 
 // operatorKinds are the kinds that operators write.
-var operatorKinds = map[platform.Kind]bool{
+var operatorKinds = map[objectstore.Kind]bool{
 	KindTemplate: true, KindWorkspace: true, KindPool: true, KindBackendServer: true,
 }
 
@@ -88,7 +88,7 @@
 		if err != nil {
 			findings.Add(file, join(path, memberExpect), "want a version, as shown by \"lycheekeel get\"")
 		}
-		d.Expect = platform.Version(v)
+		d.Expect = objectstore.Version(v)
 	}
 	object, f := decodeRoot(file, d.Kind, "", withoutHeader(n))
 	for _, x := range f {
@@ -142,7 +142,7 @@
 // Compile would after they were all written. Findings of documents name their
 // file and path. Findings about stored objects that no document touches are
 // returned too, because the documents may be what breaks them.
-func CheckDocuments(docs []Document, stored []platform.Object) Findings {
+func CheckDocuments(docs []Document, stored []objectstore.Object) Findings {
 	merged, places, findings := merge(docs, stored)
 	_, compiled := Compile(merged)
 	for _, f := range compiled {
@@ -156,11 +156,11 @@
 
 // merge lays documents over the stored objects. places maps a stored object's
 // name in findings to its document.
-func merge(docs []Document, stored []platform.Object) ([]platform.Object, map[string]Document, Findings) {
+func merge(docs []Document, stored []objectstore.Object) ([]objectstore.Object, map[string]Document, Findings) {
 	var findings Findings
-	var newest platform.Version
+	var newest objectstore.Version
 	at := make(map[objectID]int, len(stored)+len(docs))
-	merged := make([]platform.Object, 0, len(stored)+len(docs))
+	merged := make([]objectstore.Object, 0, len(stored)+len(docs))
 	for _, o := range stored {
 		at[objectID{o.Kind, o.Name}] = len(merged)
 		merged = append(merged, o)
@@ -175,12 +175,12 @@
 		}
 		places[file] = d
 		value, err := d.Value()
-		if err != nil || len(value) > platform.MaxValueBytes {
-			findings.Add(d.File, d.Path, "longer than the object API's %d bytes", platform.MaxValueBytes)
+		if err != nil || len(value) > objectstore.MaxValueBytes {
+			findings.Add(d.File, d.Path, "longer than the object API's %d bytes", objectstore.MaxValueBytes)
 			continue
 		}
 		newest++
-		o := platform.Object{Kind: d.Kind, Name: d.Name, Version: newest, Created: newest, Value: value}
+		o := objectstore.Object{Kind: d.Kind, Name: d.Name, Version: newest, Created: newest, Value: value}
 		if i, exists := at[objectID{d.Kind, d.Name}]; exists {
 			o.Created = merged[i].Created
 			merged[i] = o
--- a/workspace/objects.go
+++ b/workspace/objects.go
@@ -7,23 +7,23 @@
 import (
 	"encoding/json"
 
-	"github.com/lycheekeel/lycheekeel/platform"
+	"github.com/lycheekeel/lycheekeel/objectstore"
 )
 
 // The kinds of configuration objects in the object API.
 const (
-	KindTemplate      platform.Kind = "Template"
-	KindWorkspace     platform.Kind = "Workspace"
-	KindPool          platform.Kind = "Pool"
-	KindBackendServer platform.Kind = "BackendServer"
+	KindTemplate      objectstore.Kind = "Template"
+	KindWorkspace     objectstore.Kind = "Workspace"
+	KindPool          objectstore.Kind = "Pool"
+	KindBackendServer objectstore.Kind = "BackendServer"
 	// KindAssignment is written by the placement controller, not by
 	// operators: which pool a backend server serves now.
-	KindAssignment platform.Kind = "Assignment"
+	KindAssignment objectstore.Kind = "Assignment"
 )
 
 // Kinds returns every kind that a daemon must know to serve.
-func Kinds() []platform.Kind {
-	return []platform.Kind{KindTemplate, KindWorkspace, KindPool, KindBackendServer, KindAssignment}
+func Kinds() []objectstore.Kind {
+	return []objectstore.Kind{KindTemplate, KindWorkspace, KindPool, KindBackendServer, KindAssignment}
 }
 
 // Number is an integer in a template: a literal, or "${parameter}".
--- a/workspace/snapshot.go
+++ b/workspace/snapshot.go
@@ -5,7 +5,7 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/lycheekeel/lycheekeel/platform"
+	"github.com/lycheekeel/lycheekeel/objectstore"
 	"github.com/lycheekeel/lycheekeel/request"
 )
 
@@ -16,7 +16,7 @@
 // request takes one snapshot for its whole life.
 type Snapshot struct {
 	// Version is the largest object version in the snapshot.
-	Version platform.Version
+	Version objectstore.Version
 	// Workspaces by the hash of each of their keys.
 	Workspaces map[KeyHash]*Resolved
 	// Pools by name; ModelPools by model, version and region; ServicePools
--- a/workspace/workspacetest/fleet.go
+++ b/workspace/workspacetest/fleet.go
@@ -8,7 +8,7 @@
 	"encoding/json"
 	"fmt"
 
-	"github.com/lycheekeel/lycheekeel/platform"
+	"github.com/lycheekeel/lycheekeel/objectstore"
 	"github.com/lycheekeel/lycheekeel/workspace"
 )
 
@@ -33,10 +33,10 @@
 }
 
 // Objects returns the fleet's objects with versions from 1 on.
-func (f Fleet) Objects() []platform.Object {
-	var out []platform.Object
-	add := func(kind platform.Kind, name string, v any) {
-		out = append(out, Stored(kind, name, platform.Version(len(out)+1), v))
+func (f Fleet) Objects() []objectstore.Object {
+	var out []objectstore.Object
+	add := func(kind objectstore.Kind, name string, v any) {
+		out = append(out, Stored(kind, name, objectstore.Version(len(out)+1), v))
 	}
 	for i := range f.Templates {
 		t := Template(fmt.Sprintf("template-%d", i), f.Models)
@@ -51,7 +51,7 @@
 }
 
 // pools adds the pools, one or more a model and region, and their servers.
-func (f Fleet) pools(add func(platform.Kind, string, any)) {
+func (f Fleet) pools(add func(objectstore.Kind, string, any)) {
 	for first := 0; first < f.Servers; first += serversPerPool {
 		i := first / serversPerPool
 		p := workspace.Pool{
@@ -108,10 +108,10 @@
 
 // Stored returns a value as a stored object. It panics where the value has no
 // JSON, which the configuration's types always have.
-func Stored(kind platform.Kind, name string, version platform.Version, v any) platform.Object {
+func Stored(kind objectstore.Kind, name string, version objectstore.Version, v any) objectstore.Object {
 	value, err := json.Marshal(v)
 	if err != nil {
 		panic(err)
 	}
-	return platform.Object{Kind: kind, Name: name, Version: version, Created: version, Value: value}
+	return objectstore.Object{Kind: kind, Name: name, Version: version, Created: version, Value: value}
 }
