Daemons act together: one owner a pool, allowances shared by telling each other what was let through

Change: membership by the seeds of the settings, the cluster key as an object of our own in the store, pool owners as in the product, and an allowance ledger whose sum stays lawful when daemons are cut off.

--- a/allowance/ledger.go
+++ b/allowance/ledger.go
@@ -1,5 +1,6 @@
 // Package allowance is the aggregate that bounds what each workspace uses,
-// over all daemons together. It has no clock and calls nobody.
+// over all daemons together. Each daemon tells the others what it has let
+// through; it has no connections of its own, and its clock is injected.
 package allowance
 
 import (
@@ -10,24 +11,84 @@
 	"github.com/lycheekeel/lycheekeel/route"
 )
 
-// Ledger holds a token bucket for each workspace. It is safe for concurrent
-// use.
+// SilentAfter is how long another daemon may say nothing before its share is
+// left to it.
+const SilentAfter = 1500 * time.Millisecond
+
+// Tolerance is what the operators' bound lets through beyond an allowance: in
+// any Window at most (rate x Window + burst) x (1 + Over) + Slack.
+type Tolerance struct {
+	Window time.Duration
+	Over   float64
+	Slack  float64
+}
+
+// The parts of the tolerance that a bucket uses. What remains covers what the
+// daemons let through before they hear of each other.
+const (
+	overShare       = 0.7
+	slackRateShare  = 0.45
+	slackBurstShare = 0.25
+)
+
+// rate and capacity return a bucket's figures for an allowance.
+func (t Tolerance) rate(a route.Allowance) float64 {
+	r := a.PerSecond * (1 + overShare*t.Over)
+	if t.Window > 0 {
+		r += slackRateShare * t.Slack / t.Window.Seconds()
+	}
+	return r
+}
+
+func (t Tolerance) capacity(a route.Allowance) float64 { return a.Burst + slackBurstShare*t.Slack }
+
+// Ledger holds a token bucket for each workspace that all daemons empty
+// together. It is safe for concurrent use.
+//
+// What goes wrong with a bucket in each daemon: every one lets the whole
+// allowance through, or, with a fixed share each, refuses while the others'
+// shares lie idle. One would notice a workspace over its limit, or refused
+// below it. Here each counts what the others tell. Of one that says nothing it
+// assumes that it lets its fixed share through, as that one does when it hears
+// nobody; so the sum stays lawful however the daemons are cut off.
 type Ledger struct {
 	mu      sync.Mutex
 	now     func() time.Time
 	buckets map[string]*bucket
+	// peers are the other daemons that may let requests through.
+	peers map[string]*peerUse
+	// assumed is how many daemons there may be while none has been met.
+	assumed   int
+	tolerance Tolerance
 }
 
+// bucket is a workspace's, as far as this daemon knows.
 type bucket struct {
 	level    float64
 	filled   time.Time
 	rate     float64
 	capacity float64
+	used     float64 // by this daemon since its start
+	told     float64 // of that, told to the others
+}
+
+// peerUse is what another daemon has told.
+type peerUse struct {
+	incarnation uint64
+	heard       time.Time
+	used        map[string]float64
+}
+
+// Use is what one daemon has let through of a workspace's allowance.
+type Use struct {
+	Workspace string
+	Used      float64
 }
 
-// NewLedger returns an empty ledger.
-func NewLedger(now func() time.Time) *Ledger {
-	return &Ledger{now: now, buckets: map[string]*bucket{}}
+// NewLedger returns an empty ledger. assumed is the number of daemons to
+// reckon with while no other has been met.
+func NewLedger(now func() time.Time, assumed int, t Tolerance) *Ledger {
+	return &Ledger{now: now, tolerance: t, buckets: map[string]*bucket{}, peers: map[string]*peerUse{}, assumed: max(1, assumed)}
 }
 
 // Take uses cost of a workspace's allowance, or tells when there will be
@@ -39,10 +100,23 @@
 	if b.level >= cost || b.level >= b.capacity {
 		// One that asks for more than the bucket holds may have it once full.
 		b.level -= cost
+		b.used += cost
 		return true, 0
 	}
 	need := min(cost, b.capacity) - b.level
-	return false, time.Duration(math.Ceil(need / b.rate * float64(time.Second)))
+	return false, time.Duration(math.Ceil(need / max(1, b.rate) * float64(time.Second)))
+}
+
+// Prepare begins to fill the buckets of workspaces that are new, before their
+// first request.
+func (l *Ledger) Prepare(all []*route.Workspace) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, w := range all {
+		if w.Allowance.PerSecond > 0 {
+			l.bucket(w)
+		}
+	}
 }
 
 // Return gives back what a request took that was not run.
@@ -51,18 +125,105 @@
 	defer l.mu.Unlock()
 	b := l.bucket(w)
 	b.level = min(b.capacity, b.level+cost)
+	b.used -= cost
+}
+
+// Members tells which other daemons there are. One that is gone for good
+// lets nothing through any more.
+func (l *Ledger) Members(names []string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	known := make(map[string]bool, len(names))
+	for _, n := range names {
+		known[n] = true
+		if l.peers[n] == nil {
+			l.peers[n] = &peerUse{used: map[string]float64{}}
+		}
+	}
+	for n := range l.peers {
+		if !known[n] {
+			delete(l.peers, n)
+		}
+	}
 }
 
-// bucket returns the workspace's bucket, filled up to now.
+// Heard takes what another daemon has let through since its start.
+func (l *Ledger) Heard(name string, incarnation uint64, uses []Use) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	p := l.peers[name]
+	if p == nil {
+		p = &peerUse{used: map[string]float64{}}
+		l.peers[name] = p
+	}
+	if p.incarnation != incarnation {
+		p.incarnation, p.used = incarnation, map[string]float64{}
+	}
+	l.fillAll() // at the rate that its silence allowed until now
+	p.heard = l.now()
+	for _, u := range uses {
+		delta := u.Used - p.used[u.Workspace]
+		p.used[u.Workspace] = u.Used
+		if b := l.buckets[u.Workspace]; b != nil {
+			b.level = min(b.capacity, b.level-delta)
+		}
+	}
+}
+
+// Tell returns what this daemon has let through where that has changed since
+// the last call, or of all workspaces.
+func (l *Ledger) Tell(all bool) []Use {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var out []Use
+	for name, b := range l.buckets {
+		if all && b.used != 0 || b.used != b.told {
+			out = append(out, Use{name, b.used})
+			b.told = b.used
+		}
+	}
+	return out
+}
+
+// bucket returns the workspace's bucket, filled up to now. A new one starts
+// empty: a daemon that has just started does not know what the others, or its
+// own former life, have let through.
 func (l *Ledger) bucket(w *route.Workspace) *bucket {
-	now := l.now()
 	b := l.buckets[w.Name]
 	if b == nil {
-		b = &bucket{level: w.Allowance.Burst, filled: now}
+		b = &bucket{filled: l.now()}
 		l.buckets[w.Name] = b
 	}
-	b.rate, b.capacity = w.Allowance.PerSecond, w.Allowance.Burst
-	b.level = min(b.capacity, b.level+b.rate*max(0, now.Sub(b.filled).Seconds()))
-	b.filled = now
+	b.rate, b.capacity = l.tolerance.rate(w.Allowance), l.tolerance.capacity(w.Allowance)
+	l.fill(b)
 	return b
 }
+
+func (l *Ledger) fillAll() {
+	for _, b := range l.buckets {
+		l.fill(b)
+	}
+}
+
+// fill adds what has accrued, less the shares of the daemons that are silent.
+func (l *Ledger) fill(b *bucket) {
+	now := l.now()
+	accrued := b.rate * max(0, now.Sub(b.filled).Seconds()) * l.share(now)
+	b.level = min(b.capacity, b.level+accrued)
+	b.filled = now
+}
+
+// share is the part of the rate that accrues here: all of it while every other
+// daemon is heard.
+func (l *Ledger) share(now time.Time) float64 {
+	if len(l.peers) == 0 {
+		return 1 / float64(l.assumed)
+	}
+	silent := 0
+	for _, p := range l.peers {
+		if p.heard.IsZero() || now.Sub(p.heard) > SilentAfter {
+			silent++
+		}
+	}
+	return 1 - float64(silent)/float64(len(l.peers)+1)
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -20,7 +20,9 @@
 	"github.com/lycheekeel/lycheekeel/internal/httpconn"
 	"github.com/lycheekeel/lycheekeel/internal/logs"
 	"github.com/lycheekeel/lycheekeel/internal/metrics"
+	"github.com/lycheekeel/lycheekeel/internal/peer"
 	"github.com/lycheekeel/lycheekeel/internal/poolhost"
+	"github.com/lycheekeel/lycheekeel/member"
 	"github.com/lycheekeel/lycheekeel/retry"
 	"github.com/lycheekeel/lycheekeel/route"
 	"github.com/lycheekeel/lycheekeel/workspace"
@@ -59,11 +61,18 @@
 
 	routes  *route.Live
 	pools   *workspace.Live
+	views   *member.Live
 	sync    *syncer
-	host    *poolhost.Host
-	broker  *broker.Entry
+	ledger  *allowance.Ledger
 	forward *forward.Server
 
+	// The parts below exist once the cluster key is known.
+	transport *peer.TCP
+	members   *member.Runner
+	host      *poolhost.Host
+	broker    *broker.Entry
+	usages    *usages
+
 	budgets  sync.Map // service to *retry.Budget
 	draining atomic.Bool
 }
@@ -72,18 +81,17 @@
 func New(s Settings, p Platform, m *metrics.Registry) (*Gateway, error) {
 	g := &Gateway{
 		settings: s, platform: p, log: logs.For("gateway"), metrics: m,
-		routes: &route.Live{}, pools: &workspace.Live{},
+		routes: &route.Live{}, pools: &workspace.Live{}, views: &member.Live{},
 	}
 	debug.SetMemoryLimit(int64(s.Limits.MemoryMB * 1e6 * memoryShare))
-	servers := forward.NewServers(httpconn.Settings{})
-	g.sync = newSyncer(p, s.Region, g.routes, g.pools, servers.Keep)
-	g.host = poolhost.New(poolhost.Config{
-		Self: s.Name, Region: s.Region, Snapshots: g.pools, Unmonitored: true, Metrics: m,
+	g.ledger = allowance.NewLedger(time.Now, g.daemonsAtFirst(), allowance.Tolerance{
+		Window: seconds(s.Bounds.QuotaWindowS), Over: s.Bounds.QuotaOver, Slack: s.Bounds.QuotaSlack,
 	})
-	g.broker = broker.New(g.host)
+	servers := forward.NewServers(httpconn.Settings{})
+	g.sync = newSyncer(p, s.Region, g.routes, g.pools, g.ledger, servers.Keep)
 	g.forward = forward.New(forward.Deps{
-		Routes: g.routes, Pools: g.pools, Broker: g.broker, Admission: g,
-		Allowances: allowance.NewLedger(time.Now), Budget: g.budget, Servers: servers, Metrics: m,
+		Routes: g.routes, Pools: g.pools, Broker: g, Admission: g,
+		Allowances: g.ledger, Budget: g.budget, Servers: servers, Metrics: m,
 		Self: s.Name + "." + strconv.FormatInt(time.Now().UnixNano(), 36), Wire: p.Wire,
 	})
 	return g, g.listen()
@@ -98,6 +106,16 @@
 	return errors.Wrap(err, "listen for callers")
 }
 
+// daemonsAtFirst is how many daemons to reckon with before any was met.
+func (g *Gateway) daemonsAtFirst() int {
+	for _, seed := range g.settings.Seeds {
+		if seed != g.settings.Peer {
+			return daemonsAssumed
+		}
+	}
+	return 1
+}
+
 // Fresh implements forward.Admission.
 func (g *Gateway) Fresh() bool { return g.provedWithin(proofShare) }
 
@@ -129,16 +147,16 @@
 func (g *Gateway) Run(ctx context.Context) error {
 	work, stop := context.WithCancel(context.Background())
 	defer stop()
-	failed := make(chan error, 2)
+	failed := make(chan error, 3)
 	readiness := &fasthttp.Server{Handler: g.answerReadiness, ReduceMemoryUsage: true}
 	var parts conc.WaitGroup
 	parts.Go(func() { failed <- errors.Wrap(readiness.Serve(g.ready), "readiness") })
 	parts.Go(func() { failed <- g.forward.Serve(g.listener) })
-	parts.Go(func() { g.host.Run(work) })
-	parts.Go(func() { g.broker.Run(work) })
-	for _, k := range g.sync.loops() {
-		parts.Go(func() { g.sync.list(work, k) })
-	}
+	parts.Go(func() {
+		if err := g.work(work); err != nil {
+			failed <- err
+		}
+	})
 	g.log.WithField("listen", g.settings.Listen).WithField("name", g.settings.Name).Info("Started.")
 	var err error
 	select {
@@ -150,6 +168,33 @@
 	return err
 }
 
+// work joins the other daemons and keeps in step with the store. Until there
+// is a configuration, callers are told to come back.
+func (g *Gateway) work(ctx context.Context) error {
+	key, err := clusterKey(ctx, g.platform.Store, g.log)
+	if err != nil {
+		return nil // ctx ended
+	}
+	if err := g.joinPeers(key); err != nil {
+		return err
+	}
+	var parts conc.WaitGroup
+	parts.Go(func() { g.host.Run(ctx) })
+	parts.Go(func() { g.broker.Run(ctx) })
+	parts.Go(func() { g.usages.Run(ctx) })
+	for _, k := range g.sync.loops() {
+		parts.Go(func() { g.sync.list(ctx, k) })
+	}
+	parts.Wait()
+	return nil
+}
+
+// Acquire implements broker.Broker. No request asks before a configuration is
+// in force, which is after the parts were made.
+func (g *Gateway) Acquire(ctx context.Context, d broker.Demand) (broker.Grant, error) {
+	return g.broker.Acquire(ctx, d)
+}
+
 // stop ends without cutting a request off: not ready at once, the listener
 // stays until the balancer has noticed, and running requests end.
 func (g *Gateway) stop() error {
@@ -157,6 +202,9 @@
 	g.draining.Store(true)
 	g.forward.Drain()
 	g.log.Info("Draining.")
+	if g.routes.Load() != nil {
+		g.members.Leave() // the pools move first
+	}
 	time.Sleep(listenerStays)
 	limit := seconds(g.settings.Bounds.GraceS) - stopMargin
 	ctx, cancel := context.WithDeadline(context.Background(), began.Add(limit))
--- /dev/null
+++ b/internal/gateway/peers.go
@@ -0,0 +1,44 @@
+package gateway
+
+import (
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/lycheekeel/lycheekeel/broker"
+	"github.com/lycheekeel/lycheekeel/internal/peer"
+	"github.com/lycheekeel/lycheekeel/internal/poolhost"
+	"github.com/lycheekeel/lycheekeel/member"
+)
+
+// joinPeers makes the parts that act together with the other daemons. Those
+// that register handlers at the transport are made before it starts.
+func (g *Gateway) joinPeers(key []byte) error {
+	s := g.settings
+	var err error
+	g.transport, err = peer.NewTCP(peer.Options{
+		Name: peer.Name(s.Name), Listen: s.Peer, Keys: [][]byte{key}, Registry: g.metrics,
+	})
+	if err != nil {
+		return errors.Wrap(err, "listen for peers")
+	}
+	g.members, err = member.NewRunner(member.Config{
+		Self: member.Member{
+			Name: s.Name, Address: s.Peer, Region: s.Region, AvailabilityZone: s.AvailabilityZone,
+			ProtocolVersion: peer.NewestVersion, Incarnation: uint64(time.Now().UnixMilli()),
+		},
+		Seeds: s.Seeds,
+	}, member.RunnerOptions{Transport: g.transport, Live: g.views, Registry: g.metrics})
+	if err != nil {
+		return errors.Wrap(err, "membership")
+	}
+	g.host = poolhost.New(poolhost.Config{
+		Self: s.Name, Region: s.Region, Snapshots: g.pools, Views: g.views, Transport: g.transport,
+		Unmonitored: true, Metrics: g.metrics,
+	})
+	g.broker = broker.New(g.host)
+	g.usages = newUsages(g.ledger, g.transport, g.views)
+	g.transport.Start()
+	g.members.Start()
+	return nil
+}
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -51,6 +51,11 @@
 	RetryRatio   float64 `json:"retry_ratio" validate:"gte=0,lte=1"`
 	RetryWindowS float64 `json:"retry_window_s" validate:"gt=0"`
 	RetrySlack   float64 `json:"retry_slack" validate:"gte=0"`
+	// QuotaOver and QuotaSlack are what may go beyond an allowance in any
+	// window of QuotaWindowS: (rate x window + burst) x (1 + over) + slack.
+	QuotaWindowS float64 `json:"quota_window_s" validate:"gte=0"`
+	QuotaOver    float64 `json:"quota_over" validate:"gte=0"`
+	QuotaSlack   float64 `json:"quota_slack" validate:"gte=0"`
 }
 
 // LoadSettings reads and checks a settings file. Findings come back together.
--- a/internal/gateway/sync.go
+++ b/internal/gateway/sync.go
@@ -8,6 +8,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"github.com/lycheekeel/lycheekeel/allowance"
 	"github.com/lycheekeel/lycheekeel/discovery"
 	"github.com/lycheekeel/lycheekeel/internal/logs"
 	"github.com/lycheekeel/lycheekeel/objectstore"
@@ -38,6 +39,7 @@
 	routes   *route.Live
 	pools    *workspace.Live
 	fresh    *revision.Freshness
+	ledger   *allowance.Ledger
 	servers  func(map[string]bool) // told the addresses that are in use
 	log      *logrus.Entry
 
@@ -48,9 +50,9 @@
 	ready      chan struct{} // closed once a configuration is in force
 }
 
-func newSyncer(p Platform, region string, routes *route.Live, pools *workspace.Live, servers func(map[string]bool)) *syncer {
+func newSyncer(p Platform, region string, routes *route.Live, pools *workspace.Live, ledger *allowance.Ledger, servers func(map[string]bool)) *syncer {
 	return &syncer{
-		platform: p, region: region, routes: routes, pools: pools, servers: servers,
+		platform: p, region: region, routes: routes, pools: pools, ledger: ledger, servers: servers,
 		fresh: revision.NewFreshness(), log: logs.For("sync"),
 		directory: discovery.NewDirectory(), ready: make(chan struct{}),
 	}
@@ -160,6 +162,7 @@
 	}
 	if s.routes.Offer(table) {
 		s.log.WithField("version", table.Version).WithField("revision", o.Version).Info("Configuration in force.")
+		s.ledger.Prepare(table.Workspaces)
 		s.rebuild()
 		s.configRead.Do(func() { close(s.ready) })
 	}
--- /dev/null
+++ b/internal/gateway/wire/doc.go
@@ -0,0 +1,2 @@
+// Package wire holds the protobuf messages between gateways.
+package wire
--- a/internal/peer/counters.go
+++ b/internal/peer/counters.go
@@ -63,7 +63,8 @@
 	TypeMemberAsk: "member_ask", TypeMemberAck: "member_ack", TypePoolEvents: "pool_events",
 	TypePoolCommands: "pool_commands", TypePoolHello: "pool_hello", TypePoolSummary: "pool_summary",
 	TypeSuspect: "suspect", TypeConfigDigest: "config_digest", TypeConfigPull: "config_pull",
-	TypeStatus: "status",
+	TypeStatus:    "status",
+	TypeAllowance: "allowance",
 }
 
 // String returns the type's name in counters.
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -33,6 +33,8 @@
 	TypeConfigDigest Type = 30
 	TypeConfigPull   Type = 31
 	TypeStatus       Type = 32 // for `lycheekeel status`
+
+	TypeAllowance Type = 40 // what a daemon let through of the allowances
 )
 
 // Errors of a Transport; callers test with errors.Is.
