Requests wait for a bounded part of their deadline; the entry checks that a server is not leaving; SIGHUP ends nothing

Change: pool.Config.Patience, 0.15 of the deadline here; forward.Admission.MayUse before each send; SIGHUP is ignored.

--- a/cmd/lycheekeeld/gateway.go
+++ b/cmd/lycheekeeld/gateway.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"os"
+	"os/signal"
+	"syscall"
 
 	"github.com/lycheekeel/lycheekeel/internal/gateway"
 	"github.com/lycheekeel/lycheekeel/internal/logs"
@@ -15,6 +17,10 @@
 	if err := logs.Configure(os.Stdout, s.LogLevel, true); err != nil {
 		return err
 	}
+	// Settings are read at the start alone, and the defaults of what changes
+	// in them (the seeds) are only needed then; without this, SIGHUP would end
+	// the process.
+	signal.Ignore(syscall.SIGHUP)
 	m := metrics.New()
 	g, err := gateway.New(s, platform.New(s.Store, m), m)
 	if err != nil {
--- a/internal/forward/send.go
+++ b/internal/forward/send.go
@@ -124,6 +124,10 @@
 func (x *exchange) try(grant broker.Grant) (*reply, *run, error) {
 	s := grant.Server()
 	g := &run{grant: grant}
+	if !x.server.deps.Admission.MayUse(s.Name) {
+		grant.Release(broker.End{Outcome: pool.OutcomeRefused, RefusedLeaving: true})
+		return nil, nil, errors.Wrapf(engine.ErrNotSent, "server %s is leaving", s.Name)
+	}
 	x.out.serverID = s.Name
 	fresh := httpconn.MustDial
 	if x.route.Repeatable() {
--- a/internal/forward/wire.go
+++ b/internal/forward/wire.go
@@ -41,6 +41,9 @@
 	// Fresh tells whether the configuration was proved in force recently
 	// enough to trust a key.
 	Fresh() bool
+	// MayUse tells whether, as far as this daemon knows, a server is there and
+	// not leaving. The owner of its pool may not have heard yet.
+	MayUse(serverID string) bool
 }
 
 // Allowances hold what workspaces may still use.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -119,6 +119,12 @@
 // Fresh implements forward.Admission.
 func (g *Gateway) Fresh() bool { return g.provedWithin(proofShare) }
 
+// MayUse implements forward.Admission.
+func (g *Gateway) MayUse(serverID string) bool {
+	usable := g.sync.usable.Load()
+	return usable != nil && (*usable)[serverID]
+}
+
 func (g *Gateway) provedWithin(share float64) bool {
 	return g.sync.fresh.Within(milliseconds(g.settings.Bounds.RevokeMs * share))
 }
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -9,6 +9,8 @@
 	"github.com/lycheekeel/lycheekeel/internal/peer"
 	"github.com/lycheekeel/lycheekeel/internal/poolhost"
 	"github.com/lycheekeel/lycheekeel/member"
+	"github.com/lycheekeel/lycheekeel/pool"
+	"github.com/lycheekeel/lycheekeel/workspace"
 )
 
 // joinPeers makes the parts that act together with the other daemons. Those
@@ -34,7 +36,7 @@
 	}
 	g.host = poolhost.New(poolhost.Config{
 		Self: s.Name, Region: s.Region, Snapshots: g.pools, Views: g.views, Transport: g.transport,
-		Unmonitored: true, Metrics: g.metrics,
+		Unmonitored: true, Metrics: g.metrics, NewScheduler: newScheduler,
 	})
 	g.broker = broker.New(g.host)
 	g.usages = newUsages(g.ledger, g.transport, g.views)
@@ -42,3 +44,12 @@
 	g.members.Start()
 	return nil
 }
+
+// patience is the part of its deadline for which a request waits for a slot.
+// Longer, and callers learn too late that they must look elsewhere; shorter,
+// and bursts that would have been served are refused.
+const patience = 0.15
+
+func newScheduler(p *workspace.ResolvedPool, epoch uint64) poolhost.Scheduler {
+	return pool.New(pool.Config{Name: p.Name, Epoch: epoch, Seed: epoch, Patience: patience})
+}
--- a/internal/gateway/sync.go
+++ b/internal/gateway/sync.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -43,6 +44,8 @@
 	servers  func(map[string]bool) // told the addresses that are in use
 	log      *logrus.Entry
 
+	usable atomic.Pointer[map[string]bool] // by server ID
+
 	mu        sync.Mutex
 	directory *discovery.Directory
 
@@ -236,8 +239,11 @@
 	servers := s.directory.Servers()
 	s.pools.Store(buildPools(table, servers, s.region))
 	inUse := make(map[string]bool, len(servers))
+	usable := make(map[string]bool, len(servers))
 	for _, server := range servers {
 		inUse[server.Address] = true
+		usable[server.ID] = !server.Leaving
 	}
 	s.servers(inUse)
+	s.usable.Store(&usable)
 }
--- a/pool/config.go
+++ b/pool/config.go
@@ -35,6 +35,10 @@
 	// Verdict is how long a request stays suspected or convicted of crashing
 	// servers; 0 means a default.
 	Verdict time.Duration
+	// Patience is the part of its deadline for which a request may wait before
+	// it is shed; 0 means the whole. A caller that learns early that there is
+	// no room may find some elsewhere or later.
+	Patience float64
 	// Seed seeds the jitter of RetryAfter; equal seeds and events give equal
 	// commands.
 	Seed uint64
@@ -52,6 +56,8 @@
 		return errors.New("pool without a name")
 	case c.MaxWaiting < 0 || c.DefaultSlots < 0 || c.Verdict < 0:
 		return errors.Errorf("pool %q: a bound is negative", c.Name)
+	case c.Patience < 0 || c.Patience > 1:
+		return errors.Errorf("pool %q: patience %v is no share", c.Name, c.Patience)
 	case !c.Law.Valid():
 		return errors.Errorf("pool %q: unknown control law %q", c.Name, c.Law)
 	}
--- a/pool/waiter.go
+++ b/pool/waiter.go
@@ -79,12 +79,21 @@
 		w.length = p.lengths.Expect(w.mix, e.MaxTokens)
 	}
 	w.Item.Tier, w.Item.Workspace, w.Item.Value = e.Tier, e.Workspace, w
-	w.Expires = w.deadline
+	w.Expires = p.lastMoment(w)
 	w.Due = p.latestStart(w)
 	w.Cost = cost(e.PromptTokens, w.length.Mean)
 	return w
 }
 
+// lastMoment is until when a request may wait.
+func (p *Pool) lastMoment(w *waiter) time.Time {
+	if p.cfg.Patience == 0 {
+		return w.deadline
+	}
+	whole := w.DeadlineIn + w.Waited
+	return p.now.Add(time.Duration(p.cfg.Patience*float64(whole)) - w.Waited)
+}
+
 // cost is the work of a request, in prompt tokens. A call to a plain service
 // has no tokens: each counts as one.
 func cost(prompt, output int) float64 { return float64(1 + prompt + outputWeight*output) }
@@ -131,7 +140,11 @@
 func (p *Pool) expire() {
 	for it := p.queue.Expired(p.now); it != nil; it = p.queue.Expired(p.now) {
 		p.drop(it.Value)
-		p.shed(&it.Value.Enqueue, request.ReasonExpired, p.expectedWait(it.Value.Item.Tier))
+		reason := request.ReasonExpired
+		if p.now.Before(it.Value.deadline) {
+			reason = request.ReasonShed
+		}
+		p.shed(&it.Value.Enqueue, reason, p.expectedWait(it.Value.Item.Tier))
 	}
 	for it := p.isolated.Expired(p.now); it != nil; it = p.isolated.Expired(p.now) {
 		p.drop(it.Value)
