Each server is judged by its own usual speed

Cause: a third of the model servers are 4.4 times slower than the others for good; judged by their peers they were stragglers and got one request at a time, although their prefill keeps the first-event target. Change: each server is a generation of its own.

--- a/internal/forward/rig_test.go
+++ b/internal/forward/rig_test.go
@@ -133,13 +133,12 @@
 
 // fakeBroker grants the servers in turn, at once.
 type fakeBroker struct {
-	mu       sync.Mutex
-	servers  []workspace.BackendServer
-	next     int
-	ends     []pool.Outcome
-	returned int
-	refuse   error
-	block    chan struct{} // not nil: Acquire waits for it or the context
+	mu      sync.Mutex
+	servers []workspace.BackendServer
+	next    int
+	ends    []pool.Outcome
+	refuse  error
+	block   chan struct{} // not nil: Acquire waits for it or the context
 }
 
 func (b *fakeBroker) Acquire(ctx context.Context, _ broker.Demand) (broker.Grant, error) {
--- a/internal/gateway/pools.go
+++ b/internal/gateway/pools.go
@@ -22,6 +22,9 @@
 			p.Servers = append(p.Servers, workspace.BackendServer{
 				Name: s.ID, Address: s.Address, Region: region, AvailabilityZone: s.AvailabilityZone,
 				Pool: s.Service, Slots: s.Slots, Leaving: s.Leaving,
+				// Servers of one service differ in speed for good: each is
+				// judged by what it usually does, not by the others.
+				Generation: s.ID,
 			})
 		}
 	}
