Requests are ranked by their workspace first and by their route among equals

Cause: nearly all workspaces have one rank, which replaced the routes'; reports, summaries and tags waited in one tier. Change: route.Table.Tier orders both.

--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -139,13 +139,9 @@
 	if d, ok := milliseconds(h.Peek(s.wire.Deadline)); ok {
 		deadline = min(deadline, d)
 	}
-	tier := x.route.Tier
-	if x.workspace != nil && x.workspace.Tier != nil {
-		tier = *x.workspace.Tier
-	}
 	x.spec = &request.Spec{
 		ID:        request.ID(s.deps.Self + "-" + strconv.FormatUint(s.sequence.Add(1), 36)),
-		Workspace: x.workspaceName(), Template: x.route.Name, Tier: min(tier, request.MaxTiers-1),
+		Workspace: x.workspaceName(), Template: x.route.Name, Tier: x.table.Tier(x.workspace, x.route),
 		Targets:    request.Targets{FirstToken: x.route.LatencyTarget, Deadline: deadline},
 		Idempotent: x.route.Repeatable(), Received: x.received,
 		Fingerprint: x.fingerprint(),
--- a/route/compile.go
+++ b/route/compile.go
@@ -1,9 +1,13 @@
 package route
 
 import (
+	"cmp"
 	"fmt"
+	"maps"
+	"slices"
 	"strings"
 
+	"github.com/lycheekeel/lycheekeel/request"
 	"github.com/lycheekeel/lycheekeel/workspace"
 )
 
@@ -71,3 +75,25 @@
 	}
 	c.table.Workspaces = append(c.table.Workspaces, w)
 }
+
+// rank gives the ranks that occur their tiers, most urgent first. Where more
+// occur than there are tiers, the least urgent ones share the last.
+func (c *compiler) rank() {
+	t := c.table
+	t.ranks = map[rank]request.Tier{}
+	for _, routes := range t.byHost {
+		for _, r := range routes {
+			t.ranks[rankOf(nil, r)] = 0
+			for _, w := range t.Workspaces {
+				t.ranks[rankOf(w, r)] = 0
+			}
+		}
+	}
+	all := slices.Collect(maps.Keys(t.ranks))
+	slices.SortFunc(all, func(a, b rank) int {
+		return cmp.Or(cmp.Compare(a.workspace, b.workspace), cmp.Compare(a.route, b.route))
+	})
+	for i, k := range all {
+		t.ranks[k] = request.Tier(min(i, int(request.MaxTiers)-1))
+	}
+}
--- a/route/route_test.go
+++ b/route/route_test.go
@@ -5,6 +5,8 @@
 	"time"
 
 	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/lycheekeel/lycheekeel/request"
 )
 
 func document(version uint64) Document {
@@ -82,3 +84,20 @@
 		So(Allowance{Tokens: true, PlainTokens: 200}.Cost(500), ShouldEqual, 500)
 	})
 }
+
+func TestTiers(t *testing.T) {
+	Convey("A workspace's rank goes before the route's, which decides among equals", t, func() {
+		first, second := request.Tier(0), request.Tier(1)
+		d := document(1)
+		d.Routes[0].Tier, d.Routes[1].Tier = 0, 2
+		d.Workspaces = []Workspace{{Name: "first", Tier: &first}, {Name: "second", Tier: &second}, {Name: "none"}}
+		table, _ := Compile("config/main", d)
+		wide, narrow := table.Lookup("a.example", "/x/"), table.Lookup("a.example", "/x/y/")
+		order := []request.Tier{
+			table.Tier(table.Workspaces[0], wide), table.Tier(table.Workspaces[0], narrow),
+			table.Tier(table.Workspaces[1], wide), table.Tier(table.Workspaces[1], narrow), table.Tier(nil, narrow),
+		}
+		So(order, ShouldResemble, []request.Tier{0, 1, 2, 3, 4})
+		So(table.Tier(table.Workspaces[2], wide), ShouldEqual, request.Tier(0))
+	})
+}
--- a/route/table.go
+++ b/route/table.go
@@ -6,6 +6,7 @@
 	"strings"
 	"sync/atomic"
 
+	"github.com/lycheekeel/lycheekeel/request"
 	"github.com/lycheekeel/lycheekeel/workspace"
 )
 
@@ -19,8 +20,12 @@
 
 	byHost map[string][]*Route // longest prefix first
 	byKey  map[string]*Workspace
+	ranks  map[rank]request.Tier
 }
 
+// rank orders requests: first by their workspace, then by their route.
+type rank struct{ workspace, route request.Tier }
+
 // Compile checks a document and returns its table. Findings without a table
 // mean that the document can't be put in force at all; file names the
 // document in them.
@@ -42,6 +47,7 @@
 	if c.findings != nil {
 		return nil, c.findings
 	}
+	c.rank()
 	for _, routes := range c.table.byHost {
 		slices.SortStableFunc(routes, func(a, b *Route) int { return cmp.Compare(len(b.Prefix), len(a.Prefix)) })
 	}
@@ -62,6 +68,18 @@
 // ByKey returns the workspace that holds a key, or nil.
 func (t *Table) ByKey(key string) *Workspace { return t.byKey[key] }
 
+// Tier returns the tier of a workspace's requests on a route; w is nil where
+// the route needs no key. The workspace's rank goes first, the route's decides
+// among equals.
+func (t *Table) Tier(w *Workspace, r *Route) request.Tier { return t.ranks[rankOf(w, r)] }
+
+func rankOf(w *Workspace, r *Route) rank {
+	if w == nil || w.Tier == nil {
+		return rank{r.Tier, r.Tier}
+	}
+	return rank{*w.Tier, r.Tier}
+}
+
 // NeedsKeys tells whether requests on routes that are not public need a key.
 func (t *Table) NeedsKeys() bool { return len(t.Workspaces) > 0 }
 
