--- a/allowance/ledger.go
+++ b/allowance/ledger.go
@@ -27,8 +27,16 @@
 // daemons let through before they hear of each other.
 const (
 	overShare       = 0.7
-	slackRateShare  = 0.45
-	slackBurstShare = 0.25
+	slackRateShare  = 0.35
+	slackBurstShare = 0.2
+	// entryShare of the slack is what all daemons together may need to have
+	// left for one more request each, however large. A large request would
+	// otherwise wait for a full bucket while small ones empty it.
+	entryShare = 0.125
+	// overdraftShare of the slack is how far requests that are no larger than
+	// that may overdraw a bucket. Without it a small call is refused because
+	// a large prompt has just overdrawn it.
+	overdraftShare = 0.3
 )
 
 // rate and capacity return a bucket's figures for an allowance.
@@ -92,21 +100,33 @@
 }
 
 // Take uses cost of a workspace's allowance, or tells when there will be
-// enough.
+// enough. The bucket may be overdrawn by one request.
 func (l *Ledger) Take(w *route.Workspace, cost float64) (ok bool, wait time.Duration) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	b := l.bucket(w)
-	if b.level >= cost || b.level >= b.capacity {
-		// One that asks for more than the bucket holds may have it once full.
+	need := l.need(b, cost)
+	if b.level >= need {
 		b.level -= cost
 		b.used += cost
 		return true, 0
 	}
-	need := min(cost, b.capacity) - b.level
+	need -= b.level
 	return false, time.Duration(math.Ceil(need / max(1, b.rate) * float64(time.Second)))
 }
 
+// need is what a bucket must hold for a request.
+func (l *Ledger) need(b *bucket, cost float64) float64 {
+	if l.tolerance.Slack == 0 {
+		return min(cost, b.capacity)
+	}
+	entry := entryShare * l.tolerance.Slack / float64(max(l.assumed, len(l.peers)+1))
+	if cost <= entry {
+		return cost - overdraftShare*l.tolerance.Slack
+	}
+	return min(entry, b.capacity)
+}
+
 // Prepare begins to fill the buckets of workspaces that are new, before their
 // first request.
 func (l *Ledger) Prepare(all []*route.Workspace) {
--- a/allowance/ledger_test.go
+++ b/allowance/ledger_test.go
@@ -163,3 +163,29 @@
 		So(ok, ShouldBeTrue)
 	})
 }
+
+// Symptom: small calls are refused while their workspace is within its limit.
+// Sequence: a large prompt overdraws the bucket; a call of a few tokens comes.
+// Cause: both needed the same level.
+func TestLargeAndSmallRequestsShareABucket(t *testing.T) {
+	tolerance := Tolerance{Window: 8 * time.Second, Over: 0.1, Slack: 80}
+	Convey("A large request may overdraw the bucket once, a small one goes on", t, func() {
+		c := &clock{now: time.Unix(1000, 0)}
+		l, w := NewLedger(c.read, 1, tolerance), space()
+		l.Prepare([]*route.Workspace{w})
+		c.pass(time.Second)
+		ok, _ := l.Take(w, 60) // leaves 6
+		So(ok, ShouldBeTrue)
+		ok, _ = l.Take(w, 30) // needs 10
+		So(ok, ShouldBeFalse)
+		ok, _ = l.Take(w, 9)
+		So(ok, ShouldBeTrue)
+		for range 30 {
+			ok, _ = l.Take(w, 1)
+		}
+		So(ok, ShouldBeFalse) // not without end
+		c.pass(500 * time.Millisecond)
+		ok, _ = l.Take(w, 500)
+		So(ok, ShouldBeTrue)
+	})
+}
