--- a/pool/capacity.go
+++ b/pool/capacity.go
@@ -20,8 +20,6 @@
 	unknownService = 1.0
 	// unknown marks a rate that has to be worked out.
 	unknown = -1
-	// headroomMost is the largest part of all slots kept free.
-	headroomMost = 0.2
 )
 
 // limit returns how many requests may run on a server now.
@@ -91,7 +89,7 @@
 		slack := time.Duration(headroomSlack * float64(p.targets[higher]))
 		need += headroom.Reserve(p.arrivals[higher].Peak(p.now), freed, slack)
 	}
-	return min(need, int(headroomMost*float64(all)))
+	return min(need, int(p.cfg.Headroom*float64(all)))
 }
 
 // freedPerSecond returns how many slots come free a second when all are in
--- a/pool/config.go
+++ b/pool/config.go
@@ -14,6 +14,7 @@
 	defaultMaxWaiting = 10000
 	defaultSlots      = 16
 	defaultVerdict    = 10 * time.Minute
+	defaultHeadroom   = 0.2
 )
 
 // Config is what a pool needs to know at its start. Only MaxWaiting changes
@@ -39,6 +40,9 @@
 	// it is shed; 0 means the whole. A caller that learns early that there is
 	// no room may find some elsewhere or later.
 	Patience float64
+	// Headroom is the largest part of all slots kept free of lower tiers for
+	// higher ones; 0 means a default.
+	Headroom float64
 	// Seed seeds the jitter of RetryAfter; equal seeds and events give equal
 	// commands.
 	Seed uint64
@@ -56,6 +60,8 @@
 		return errors.New("pool without a name")
 	case c.MaxWaiting < 0 || c.DefaultSlots < 0 || c.Verdict < 0:
 		return errors.Errorf("pool %q: a bound is negative", c.Name)
+	case c.Headroom < 0 || c.Headroom > 1:
+		return errors.Errorf("pool %q: headroom %v is no share", c.Name, c.Headroom)
 	case c.Patience < 0 || c.Patience > 1:
 		return errors.Errorf("pool %q: patience %v is no share", c.Name, c.Patience)
 	case !c.Law.Valid():
@@ -75,6 +81,9 @@
 	if c.DefaultSlots == 0 {
 		c.DefaultSlots = defaultSlots
 	}
+	if c.Headroom == 0 {
+		c.Headroom = defaultHeadroom
+	}
 	if c.Verdict == 0 {
 		c.Verdict = defaultVerdict
 	}
