--- a/allowance/ledger.go
+++ b/allowance/ledger.go
@@ -233,6 +233,14 @@
 	b.filled = now
 }
 
+// Share is the part of the allowances that accrues here; 1: all daemons are
+// heard.
+func (l *Ledger) Share() float64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.share(l.now())
+}
+
 // share is the part of the rate that accrues here: all of it while every other
 // daemon is heard.
 func (l *Ledger) share(now time.Time) float64 {
--- a/cmd/lycheekeeld/gateway.go
+++ b/cmd/lycheekeeld/gateway.go
@@ -5,6 +5,7 @@
 	"os"
 	"os/signal"
 	"syscall"
+	"time"
 
 	"github.com/lycheekeel/lycheekeel/internal/gateway"
 	"github.com/lycheekeel/lycheekeel/internal/logs"
@@ -12,9 +13,14 @@
 	"github.com/lycheekeel/lycheekeel/platform"
 )
 
+// logPatience is how long the end of the process waits for the log's reader.
+const logPatience = 200 * time.Millisecond
+
 // runGateway runs the daemon in front of the platform's backend servers.
 func runGateway(ctx context.Context, s gateway.Settings) error {
-	if err := logs.Configure(os.Stdout, s.LogLevel, true); err != nil {
+	out := logs.NewAsync(os.Stdout)
+	defer out.Close(logPatience)
+	if err := logs.Configure(out, s.LogLevel, true); err != nil {
 		return err
 	}
 	// Settings are read at the start alone, and the defaults of what changes
--- a/internal/forward/answer.go
+++ b/internal/forward/answer.go
@@ -39,6 +39,8 @@
 	}
 	x.copyHead(r)
 	x.http.Response.SetBodyRaw(body)
+	x.trail.first = time.Since(x.received)
+	x.logAnswer(nil)
 	return true, nil
 }
 
--- a/internal/forward/counters.go
+++ b/internal/forward/counters.go
@@ -4,7 +4,6 @@
 	"expvar"
 
 	"github.com/pkg/errors"
-	"github.com/sirupsen/logrus"
 
 	"github.com/lycheekeel/lycheekeel/engine"
 	"github.com/lycheekeel/lycheekeel/internal/metrics"
@@ -20,6 +19,9 @@
 	budgetDenied *expvar.Int
 	resumed      *expvar.Int
 	cut          *expvar.Int
+	answered     *expvar.Int
+
+	waited, connected, first, gap, total *metrics.Histogram
 }
 
 // The causes of a failed send.
@@ -42,6 +44,12 @@
 	c.budgetDenied = m.Counter("retries", "denied_by_budget")
 	c.resumed = m.Counter("streams", "resumed")
 	c.cut = m.Counter("streams", "cut")
+	c.answered = m.Counter("forward", "answered")
+	c.waited = m.Histogram("latency", "wait_for_slot")
+	c.connected = m.Histogram("latency", "connect")
+	c.first = m.Histogram("latency", "first_event")
+	c.gap = m.Histogram("latency", "gap_between_events")
+	c.total = m.Histogram("latency", "whole_answer")
 	return c
 }
 
@@ -63,31 +71,3 @@
 }
 
 func (c *counters) sendFailed(err error) { c.sends[causeOf(err)].Add(1) }
-
-func (x *exchange) fields() logrus.Fields {
-	f := logrus.Fields{"request": x.callerID, "age_ms": x.age()}
-	if x.route != nil {
-		f["route"] = x.route.Name
-	}
-	if x.workspace != nil {
-		f["workspace"] = x.workspace.Name
-	}
-	if x.out != nil {
-		f["server"] = x.out.serverID
-	}
-	return f
-}
-
-func (x *exchange) logSend(err error) {
-	x.server.log.WithFields(x.fields()).WithField("cause", causeOf(err)).WithError(err).Info("Send failed.")
-}
-
-func (x *exchange) logRefusal(r *request.Refusal) {
-	x.server.log.WithFields(x.fields()).WithField("reason", r.Reason).WithField("not_run", r.NotRun.JSON()).WithError(r).Info("Refused.")
-}
-
-func (x *exchange) logAnswer(err error) {
-	if err != nil {
-		x.server.log.WithFields(x.fields()).WithError(err).Info("Stream cut.")
-	}
-}
--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -47,6 +47,7 @@
 	watch  *callerwatch.Watch
 	stream *stream // nil: no stream is being passed on
 	status int
+	trail  trail
 	done   bool
 }
 
@@ -225,6 +226,3 @@
 
 // gone tells whether the caller has left.
 func (x *exchange) gone() bool { return errors.Is(context.Cause(x.ctx), callerwatch.ErrGone) }
-
-// age returns how long ago the request came, in milliseconds.
-func (x *exchange) age() int64 { return time.Since(x.received).Milliseconds() }
--- a/internal/forward/refuse.go
+++ b/internal/forward/refuse.go
@@ -25,11 +25,11 @@
 		r = x.outcome(request.ReasonInternal, "%v", err)
 	}
 	x.server.count.refused(r.Reason)
+	x.status = statusOf(r)
 	x.logRefusal(r)
 	if r.Reason == request.ReasonCallerGone {
 		x.http.SetConnectionClose()
 	}
-	x.status = statusOf(r)
 	x.http.Response.Reset()
 	x.http.Response.SetStatusCode(x.status)
 	if x.callerID != "" {
--- a/internal/forward/rig_test.go
+++ b/internal/forward/rig_test.go
@@ -181,7 +181,9 @@
 	leaving sync.Map
 }
 
-func (a *fakeAdmission) Fresh() bool { return !a.stale.Load() }
+func (a *fakeAdmission) Fresh() bool             { return !a.stale.Load() }
+func (a *fakeAdmission) ProofAge() time.Duration { return time.Second }
+func (a *fakeAdmission) Owner(string) string     { return "owner" }
 func (a *fakeAdmission) MayUse(id string) bool {
 	_, leaving := a.leaving.Load(id)
 	return !leaving
--- a/internal/forward/send.go
+++ b/internal/forward/send.go
@@ -37,7 +37,7 @@
 func (x *exchange) send() (*reply, *run, error) {
 	for {
 		x.demand.Candidates = x.pools()
-		grant, err := x.server.deps.Broker.Acquire(x.ctx, x.demand)
+		grant, err := x.acquire()
 		if err != nil {
 			return nil, nil, x.waitEnded(err)
 		}
@@ -51,9 +51,20 @@
 	}
 }
 
+// acquire waits for a slot.
+func (x *exchange) acquire() (broker.Grant, error) {
+	began := time.Now()
+	grant, err := x.server.deps.Broker.Acquire(x.ctx, x.demand)
+	took := time.Since(began)
+	x.trail.waited += took
+	x.server.count.waited.Observe(took)
+	return grant, err
+}
+
 // failed decides after a failed send: nil means to go on elsewhere.
 func (x *exchange) failed(err error) error {
 	x.server.count.sendFailed(err)
+	x.trail.note(x.out.serverID, causeOf(err), time.Since(x.received))
 	x.logSend(err)
 	switch {
 	case x.denied != nil:
@@ -123,11 +134,13 @@
 	if x.route.Repeatable() {
 		fresh = httpconn.MayReuse
 	}
+	began := time.Now()
 	sending := func() error {
 		if x.denied = x.stillAuthorized(); x.denied != nil {
 			return x.denied
 		}
 		g.sent = time.Now()
+		x.server.count.connected.Observe(g.sent.Sub(began))
 		return x.attempts.Take()
 	}
 	conn, err := x.server.deps.Servers.pool(s.Address).Send(x.ctx, x.out, fresh, sending)
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -23,7 +23,8 @@
 	pending []byte // whole events not handed on yet
 	eof     bool
 	failed  error
-	over    bool // the run was released
+	over    bool      // the run was released
+	latest  time.Time // of the last event
 }
 
 // errCut: the stream could not be finished.
@@ -63,6 +64,7 @@
 // took counts events and tells the owner of the progress.
 func (s *stream) took(n int) {
 	g, now := s.run, time.Now()
+	s.observe(n, now)
 	g.tokens += n * s.x.eventTokens()
 	if g.first.IsZero() && n > 0 {
 		g.first = now
@@ -82,6 +84,22 @@
 	g.reports++
 }
 
+// observe measures the first event and the gaps.
+func (s *stream) observe(n int, now time.Time) {
+	x := s.x
+	switch {
+	case n == 0:
+		return
+	case x.trail.events == 0:
+		x.trail.first = now.Sub(x.received)
+		x.server.count.first.Observe(x.trail.first)
+	default:
+		x.server.count.gap.Observe(now.Sub(s.latest))
+	}
+	x.trail.events += n
+	s.latest = now
+}
+
 // broken resumes the stream elsewhere, or gives it up.
 func (s *stream) broken(err error) {
 	s.drop()
--- a/internal/forward/wire.go
+++ b/internal/forward/wire.go
@@ -44,6 +44,10 @@
 	// MayUse tells whether, as far as this daemon knows, a server is there and
 	// not leaving. The owner of its pool may not have heard yet.
 	MayUse(serverID string) bool
+	// ProofAge is how old that proof is, Owner who schedules a service's
+	// requests; both are for the log alone.
+	ProofAge() time.Duration
+	Owner(service string) string
 }
 
 // Allowances hold what workspaces may still use.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -76,13 +76,14 @@
 
 	budgets  sync.Map // service to *retry.Budget
 	draining atomic.Bool
+	started  time.Time
 }
 
 // New wires a gateway and opens its listeners.
 func New(s Settings, p Platform, m *metrics.Registry) (*Gateway, error) {
 	g := &Gateway{
 		settings: s, platform: p, log: logs.For("gateway"), metrics: m,
-		routes: &route.Live{}, pools: &workspace.Live{}, views: &member.Live{},
+		started: time.Now(), routes: &route.Live{}, pools: &workspace.Live{}, views: &member.Live{},
 	}
 	debug.SetMemoryLimit(int64(s.Limits.MemoryMB * 1e6 * memoryShare))
 	g.ledger = allowance.NewLedger(time.Now, g.daemonsAtFirst(), allowance.Tolerance{
@@ -126,6 +127,21 @@
 	return usable != nil && (*usable)[serverID]
 }
 
+// ProofAge implements forward.Admission; below zero: there was no proof.
+func (g *Gateway) ProofAge() time.Duration {
+	age, ok := g.state.configFresh.Age()
+	if !ok {
+		return -1
+	}
+	return age
+}
+
+// Owner implements forward.Admission.
+func (g *Gateway) Owner(service string) string {
+	name, _ := g.host.Owner(service, g.settings.Region)
+	return name
+}
+
 func (g *Gateway) provedWithin(share float64) bool {
 	return g.state.configFresh.Within(milliseconds(g.settings.Bounds.RevokeMs * share))
 }
@@ -157,6 +173,7 @@
 	failed := make(chan error, 3)
 	readiness := &fasthttp.Server{Handler: g.answerReadiness, ReduceMemoryUsage: true}
 	var parts conc.WaitGroup
+	g.serveMetrics()
 	parts.Go(func() { failed <- errors.Wrap(readiness.Serve(g.ready), "readiness") })
 	parts.Go(func() { failed <- g.forward.Serve(g.listener) })
 	parts.Go(func() {
@@ -171,7 +188,7 @@
 	case <-ctx.Done():
 		err = g.stop()
 	}
-	g.log.WithError(err).Info("Stopped.")
+	g.log.WithField("ran_s", int(time.Since(g.started).Seconds())).WithField("reason", err).Info("Stopped.")
 	return err
 }
 
@@ -192,6 +209,7 @@
 	parts.Go(func() { g.asker.Run(ctx) })
 	r := &reader{state: g.state, store: g.platform.Store, reading: g.asker.reading}
 	parts.Go(func() { r.runExpiry(ctx) })
+	parts.Go(func() { g.watchTrust(ctx) })
 	for _, k := range r.loops() {
 		parts.Go(func() { r.run(ctx, k) })
 	}
--- /dev/null
+++ b/internal/gateway/observe.go
@@ -0,0 +1,57 @@
+package gateway
+
+import (
+	"context"
+	"net"
+	"time"
+
+	"github.com/valyala/fasthttp"
+)
+
+// trustEvery is how often it is checked whether the configuration and the
+// other daemons can be relied on; it only feeds the log.
+const trustEvery = 500 * time.Millisecond
+
+// watchTrust tells each loss and return of what the daemon relies on.
+func (g *Gateway) watchTrust(ctx context.Context) {
+	fresh, share := true, -1.0
+	lost := time.Time{}
+	for ctx.Err() == nil {
+		if now := g.Fresh(); now != fresh && g.routes.Load() != nil {
+			fresh = now
+			if !now {
+				lost = time.Now()
+				g.log.WithField("proof_ms", g.ProofAge().Milliseconds()).Warn("Configuration is not proved any more: keys are refused.")
+			} else {
+				g.log.WithField("away_ms", time.Since(lost).Milliseconds()).Info("Configuration is proved again.")
+			}
+		}
+		if now := g.ledger.Share(); now != share {
+			g.log.WithField("share", now).WithField("before", share).Info("Share of the allowances changed.")
+			share = now
+		}
+		sleep(ctx, trustEvery)
+	}
+}
+
+// serveMetrics serves the counters and histograms as text, where the settings
+// name an address. Without them callers are served all the same.
+func (g *Gateway) serveMetrics() {
+	if g.settings.Metrics == "" {
+		return
+	}
+	ln, err := net.Listen("tcp", g.settings.Metrics)
+	if err != nil {
+		g.log.WithError(err).Warn("Metrics are not served.")
+		return
+	}
+	server := &fasthttp.Server{ReduceMemoryUsage: true, Handler: func(ctx *fasthttp.RequestCtx) {
+		ctx.SetContentType("text/plain; charset=utf-8")
+		g.metrics.WriteText(ctx)
+	}}
+	go func() {
+		if err := server.Serve(ln); err != nil {
+			g.log.WithError(err).Warn("Metrics are not served any more.")
+		}
+	}()
+}
--- a/internal/gateway/sync.go
+++ b/internal/gateway/sync.go
@@ -137,6 +137,7 @@
 		return
 	}
 	servers := s.directory.Servers()
+	s.logServers(servers)
 	s.pools.Store(buildPools(table, servers, s.region))
 	inUse := make(map[string]bool, len(servers))
 	usable := make(map[string]bool, len(servers))
@@ -148,6 +149,34 @@
 	s.usable.Store(&usable)
 }
 
+// logServers tells which servers came, began to leave, or went.
+func (s *state) logServers(servers []discovery.Server) {
+	known := make(map[string]bool, len(servers))
+	before := s.usable.Load()
+	for _, x := range servers {
+		known[x.ID] = true
+		was, ok := false, false
+		if before != nil {
+			was, ok = (*before)[x.ID]
+		}
+		l := s.log.WithFields(logrus.Fields{"server": x.ID, "service": x.Service, "address": x.Address, "revision": s.serversRevision})
+		switch {
+		case !ok && !x.Leaving:
+			l.Info("Server is there.")
+		case was && x.Leaving, !ok && x.Leaving:
+			l.Info("Server is leaving.")
+		}
+	}
+	if before == nil {
+		return
+	}
+	for id := range *before {
+		if !known[id] {
+			s.log.WithFields(logrus.Fields{"server": id, "revision": s.serversRevision}).Info("Server is gone.")
+		}
+	}
+}
+
 // proved tells those that wait that a read has proved what is in force.
 func (s *state) proved() {
 	s.mu.Lock()
--- /dev/null
+++ b/internal/logs/async_test.go
@@ -0,0 +1,64 @@
+package logs
+
+import (
+	"bytes"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+)
+
+// stuck is a reader that takes nothing until it is let go.
+type stuck struct {
+	let chan struct{}
+	mu  sync.Mutex
+	buf bytes.Buffer
+}
+
+func (s *stuck) Write(p []byte) (int, error) {
+	<-s.let
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.buf.Write(p)
+}
+
+func (s *stuck) String() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.buf.String()
+}
+
+// Symptom: requests stand still. Sequence: whoever reads the log stops, and
+// the pipe fills. Cause: writing a line waited for the reader.
+func TestAsyncNeverBlocks(t *testing.T) {
+	Convey("Lines beyond the bound are dropped, and told when the reader goes on", t, func() {
+		out := &stuck{let: make(chan struct{})}
+		a := NewAsync(out)
+		line := []byte(strings.Repeat("x", 1023) + "\n")
+		for range 1000 {
+			n, err := a.Write(line) // the test hangs here where it blocks
+			So(err, ShouldBeNil)
+			So(n, ShouldEqual, len(line))
+		}
+		So(a.Dropped(), ShouldBeGreaterThan, 500)
+		close(out.let)
+		a.Close(time.Minute)
+		So(out.String(), ShouldContainSubstring, `"msg":"Log lines dropped."`)
+		So(out.String(), ShouldContainSubstring, string(line))
+	})
+	Convey("The bytes of a second are bounded, and the next second has its own", t, func() {
+		var out bytes.Buffer
+		now := time.Unix(1000, 0)
+		a := &Async{out: &out, now: func() time.Time { return now }, wake: make(chan struct{}, 1), done: make(chan struct{})}
+		line := []byte(strings.Repeat("y", asyncPerSecond/4))
+		for range 6 {
+			_, _ = a.Write(line)
+		}
+		So(a.Dropped(), ShouldEqual, 2)
+		now = now.Add(time.Second)
+		_, _ = a.Write(line)
+		So(a.Dropped(), ShouldEqual, 2)
+	})
+}
