--- /dev/null
+++ b/internal/explain/explain.go
@@ -0,0 +1,182 @@
+// Package explain tells one request's story from the logs of many VMs: its
+// own lines in order, and what the VMs that took part learned around that
+// time.
+package explain
+
+import (
+	"bufio"
+	"encoding/json"
+	"io"
+	"path/filepath"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// The window around a request in which other lines are told.
+const (
+	before = 5 * time.Second
+	after  = time.Second
+)
+
+// maxLine bounds a line of a log, in bytes.
+const maxLine = 1 << 20
+
+// Line is one line of a daemon's log.
+type Line struct {
+	VM      string
+	Time    time.Time
+	Part    string
+	Message string
+	// Fields are the others, as the log has them.
+	Fields map[string]any
+}
+
+// Story is what the logs say of a request.
+type Story struct {
+	ID string
+	// Lines are the request's own, in order; around are lines of the VMs that
+	// took part which say what they learned, in order.
+	Lines  []Line
+	Around []Line
+	// Read is how many lines were read, Skipped how many were no log lines.
+	Read, Skipped int
+}
+
+// Collector reads logs. It is not safe for concurrent use.
+type Collector struct {
+	story    Story
+	learned  []Line
+	Progress func(lines int) // called now and then; may be nil
+}
+
+// progressEvery is how many lines lie between two calls of Progress.
+const progressEvery = 1_000_000
+
+// NewCollector returns a collector for the request with the id.
+func NewCollector(id string) *Collector { return &Collector{story: Story{ID: id}} }
+
+// Read reads one log. Lines may have a prefix that ends with the VM's name;
+// otherwise the file's name stands for it.
+func (c *Collector) Read(file string, r io.Reader) error {
+	scanner := bufio.NewScanner(r)
+	scanner.Buffer(make([]byte, 64<<10), maxLine)
+	vm := strings.TrimSuffix(filepath.Base(file), filepath.Ext(file))
+	for scanner.Scan() {
+		c.story.Read++
+		if c.Progress != nil && c.story.Read%progressEvery == 0 {
+			c.Progress(c.story.Read)
+		}
+		c.take(vm, scanner.Text())
+	}
+	return errors.Wrapf(scanner.Err(), "read %s", file)
+}
+
+func (c *Collector) take(vm, text string) {
+	l, ok := parse(vm, text)
+	switch {
+	case !ok:
+		c.story.Skipped++
+	case l.Fields["request"] == c.story.ID:
+		c.story.Lines = append(c.story.Lines, l)
+	case l.Fields["request"] == nil:
+		c.learned = append(c.learned, l)
+	}
+}
+
+// parse reads a line; false where it is none of a log.
+func parse(vm, text string) (Line, bool) {
+	start := strings.IndexByte(text, '{')
+	if start < 0 {
+		return Line{}, false
+	}
+	if prefix := strings.Fields(text[:start]); len(prefix) > 0 {
+		vm = prefix[len(prefix)-1]
+	}
+	var fields map[string]any
+	if err := json.Unmarshal([]byte(text[start:]), &fields); err != nil {
+		return Line{}, false
+	}
+	l := Line{VM: vm, Part: text1(fields, "part"), Message: text1(fields, "msg")}
+	at, err := time.Parse(time.RFC3339Nano, text1(fields, "time"))
+	if err != nil || l.Part == "" {
+		return Line{}, false
+	}
+	l.Time = at
+	delete(fields, "time")
+	delete(fields, "level")
+	l.Fields = fields
+	return l, true
+}
+
+// text1 takes a text out of the fields; empty where there is none.
+func text1(fields map[string]any, name string) string {
+	s, _ := fields[name].(string)
+	if name == "part" || name == "msg" {
+		delete(fields, name)
+	}
+	return s
+}
+
+// Story returns the request's story; its Lines are empty where no log has it.
+func (c *Collector) Story() Story {
+	s := c.story
+	byTime := func(a, b Line) int { return a.Time.Compare(b.Time) }
+	slices.SortStableFunc(s.Lines, byTime)
+	if len(s.Lines) == 0 {
+		return s
+	}
+	from, to := began(s.Lines[0]).Add(-before), s.Lines[len(s.Lines)-1].Time.Add(after)
+	parts := participants(s.Lines)
+	for _, l := range c.learned {
+		if l.Time.After(from) && l.Time.Before(to) && parts.concern(l) {
+			s.Around = append(s.Around, l)
+		}
+	}
+	slices.SortStableFunc(s.Around, byTime)
+	return s
+}
+
+// began is when the request came, by its line.
+func began(l Line) time.Time {
+	ms, _ := l.Fields["total_ms"].(float64)
+	return l.Time.Add(-time.Duration(ms) * time.Millisecond)
+}
+
+// cast is who took part in a request.
+type cast struct{ vms, owners, servers map[string]bool }
+
+func participants(lines []Line) cast {
+	c := cast{map[string]bool{}, map[string]bool{}, map[string]bool{}}
+	for _, l := range lines {
+		c.vms[l.VM] = true
+		if owner, ok := l.Fields["owner"].(string); ok {
+			c.owners[owner] = true
+		}
+		if server, ok := l.Fields["server"].(string); ok {
+			c.servers[server] = true
+		}
+		tries, _ := l.Fields["tries"].([]any)
+		for _, t := range tries {
+			if s, ok := t.(string); ok {
+				server, _, _ := strings.Cut(s, " ")
+				c.servers[server] = true
+			}
+		}
+	}
+	return c
+}
+
+// concern tells whether a line may matter: what the request's own VM learned,
+// but for other servers, and what its owner learned of its pools and peers.
+func (c cast) concern(l Line) bool {
+	if server, ok := l.Fields["server"].(string); ok {
+		return c.servers[server] && (c.vms[l.VM] || c.owners[l.VM])
+	}
+	if of, ok := l.Fields["of"].(string); ok {
+		return c.vms[l.VM] && c.owners[of] || c.owners[l.VM] && c.vms[of]
+	}
+	return c.vms[l.VM] || c.owners[l.VM] && l.Part != "sync"
+}
