--- a/internal/poolhost/runtime.go
+++ b/internal/poolhost/runtime.go
@@ -6,6 +6,9 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
+	"github.com/lycheekeel/lycheekeel/internal/logs"
 	"github.com/lycheekeel/lycheekeel/internal/mailbox"
 	"github.com/lycheekeel/lycheekeel/internal/poolwire"
 	"github.com/lycheekeel/lycheekeel/pool"
@@ -37,6 +40,7 @@
 	briefTo   reconciled
 	briefAt   time.Time
 	closed    bool
+	shed      int  // since the last summary
 	share     bool // a degraded share, not an owner
 
 	monitor     *monitor
@@ -102,6 +106,7 @@
 			e.queue(c)
 		}
 	case pool.Shed:
+		r.shed++
 		if e := r.entries[c.Entry]; e != nil {
 			delete(e.waiting, c.Request)
 			e.queue(c)
@@ -159,9 +164,29 @@
 	r.spread = r.now
 	s := r.scheduler.Summary(r.now)
 	r.summary.Store(&s)
+	r.logCrowd(s)
 	r.host.spreadSummary(r, s)
 }
 
+// logCrowd tells how the pool stood when it shed requests, so that a refused
+// caller's log line leads to its cause.
+func (r *Runtime) logCrowd(s pool.Summary) {
+	if r.shed == 0 {
+		return
+	}
+	up := 0
+	for _, x := range s.Servers {
+		if x.Health == pool.HealthUp {
+			up++
+		}
+	}
+	logs.For("poolhost").WithFields(logrus.Fields{
+		"pool": r.name, "shed": r.shed, "waiting": s.Waiting, "running": s.Running, "free": s.Free,
+		"servers_up": up, "servers": len(s.Servers), "share": r.share,
+	}).Info("Pool is crowded.")
+	r.shed = 0
+}
+
 // brief returns the pool's standing for a session's batch; entries need it
 // only to choose among siblings.
 func (r *Runtime) brief() *poolwire.Brief {
