--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -197,7 +197,7 @@
 	if snapshot == nil {
 		return nil
 	}
-	return snapshot.ModelPools[workspace.ModelRegion{Model: x.service}]
+	return snapshot.ModelPools[workspace.ModelRegion{Model: x.service, Region: x.server.deps.Region}]
 }
 
 func (x *exchange) workspaceName() string {
--- a/internal/forward/server.go
+++ b/internal/forward/server.go
@@ -59,6 +59,8 @@
 	Budget  func(service string) *retry.Budget
 	Servers *Servers
 	Metrics *metrics.Registry
+	// Region is the region whose pools are used.
+	Region string
 	// Self makes request ids unique among the daemons and their restarts.
 	Self string
 	Wire Wire
--- a/internal/gateway/asker.go
+++ b/internal/gateway/asker.go
@@ -49,20 +49,23 @@
 	return a
 }
 
+// readerKey is the key for which the daemons that read the store are chosen.
+const readerKey = "reads the store"
+
 // readers returns the daemons that read the store, by rendezvous hashing over
 // the live members.
 func readers(v *member.View) []string {
 	type candidate struct {
-		name   string
-		weight uint64
+		name  string
+		score float64
 	}
 	var all []candidate
 	for _, m := range v.Members {
 		if m.State == member.Alive {
-			all = append(all, candidate{m.Name, xxhash.Sum64String("reader\x00" + m.Name)})
+			all = append(all, candidate{m.Name, m.Score(readerKey)})
 		}
 	}
-	slices.SortFunc(all, func(a, b candidate) int { return cmp.Compare(b.weight, a.weight) })
+	slices.SortFunc(all, func(a, b candidate) int { return cmp.Compare(b.score, a.score) })
 	n := (len(all) + daemonsPerReader - 1) / daemonsPerReader
 	out := make([]string, 0, n)
 	for _, c := range all[:n] {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -94,7 +94,7 @@
 	g.forward = forward.New(forward.Deps{
 		Routes: g.routes, Pools: g.pools, Broker: g, Admission: g,
 		Allowances: g.ledger, Budget: g.budget, Servers: servers, Metrics: m,
-		Self: s.Name + "." + strconv.FormatInt(time.Now().UnixNano(), 36), Wire: p.Wire,
+		Region: s.Region, Self: s.Name + "." + strconv.FormatInt(time.Now().UnixNano(), 36), Wire: p.Wire,
 	})
 	return g, g.listen()
 }
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -28,6 +28,7 @@
 		Self: member.Member{
 			Name: s.Name, Address: s.Peer, Region: s.Region, AvailabilityZone: s.AvailabilityZone,
 			ProtocolVersion: peer.NewestVersion, Incarnation: uint64(time.Now().UnixMilli()),
+			Weight: s.Limits.weight(),
 		},
 		Seeds: s.Seeds,
 	}, member.RunnerOptions{Transport: g.transport, Live: g.views, Registry: g.metrics})
--- a/internal/gateway/pools.go
+++ b/internal/gateway/pools.go
@@ -1,32 +1,75 @@
 package gateway
 
 import (
+	"strconv"
+
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/lycheekeel/lycheekeel/discovery"
 	"github.com/lycheekeel/lycheekeel/route"
 	"github.com/lycheekeel/lycheekeel/workspace"
 )
 
-// buildPools makes one pool for each service.
+// buildPools makes the pools of each service: one, or as many as it takes that
+// none has many more than workspace.MaxPoolServers servers, so that no owner
+// schedules more than it can.
 func buildPools(t *route.Table, servers []discovery.Server, region string) *workspace.Snapshot {
 	out := &workspace.Snapshot{
 		Pools:      make(map[string]*workspace.ResolvedPool, len(t.Services)),
 		ModelPools: make(map[workspace.ModelRegion][]*workspace.ResolvedPool, len(t.Services)),
 	}
+	count := map[string]int{}
+	for _, s := range servers {
+		count[s.Service]++
+	}
+	shards := make(map[string][]*workspace.ResolvedPool, len(t.Services))
 	for name := range t.Services {
-		p := &workspace.ResolvedPool{Pool: workspace.Pool{Name: name, Region: region, Model: name}}
-		out.Pools[name] = p
-		out.ModelPools[workspace.ModelRegion{Model: name}] = []*workspace.ResolvedPool{p}
+		shards[name] = makeShards(name, region, count[name])
+		out.ModelPools[workspace.ModelRegion{Model: name, Region: region}] = shards[name]
+		for _, p := range shards[name] {
+			out.Pools[p.Name] = p
+		}
 	}
 	for _, s := range servers { // sorted by ID, as pools have them
-		if p := out.Pools[s.Service]; p != nil {
-			p.Servers = append(p.Servers, workspace.BackendServer{
-				Name: s.ID, Address: s.Address, Region: region, AvailabilityZone: s.AvailabilityZone,
-				Pool: s.Service, Slots: s.Slots, Leaving: s.Leaving,
-				// Servers of one service differ in speed for good: each is
-				// judged by what it usually does, not by the others.
-				Generation: s.ID,
-			})
+		if all := shards[s.Service]; len(all) > 0 {
+			p := all[shardOf(s.ID, len(all))]
+			p.Servers = append(p.Servers, backendServer(s, p.Name, region))
 		}
 	}
 	return out
 }
+
+func makeShards(service, region string, servers int) []*workspace.ResolvedPool {
+	n := max(1, (servers+workspace.MaxPoolServers-1)/workspace.MaxPoolServers)
+	all := make([]*workspace.ResolvedPool, n)
+	for i := range all {
+		name := service
+		if i > 0 {
+			name += "#" + strconv.Itoa(i)
+		}
+		all[i] = &workspace.ResolvedPool{Pool: workspace.Pool{Name: name, Region: region, Model: service}}
+	}
+	return all
+}
+
+// shardOf puts a server into one of n pools by rendezvous hashing: one pool
+// more, or fewer, moves only the servers of one.
+func shardOf(id string, n int) int {
+	best, at := uint64(0), 0
+	for i := range n {
+		if w := xxhash.Sum64String(id + "#" + strconv.Itoa(i)); w > best {
+			best, at = w, i
+		}
+	}
+	return at
+}
+
+func backendServer(s discovery.Server, pool, region string) workspace.BackendServer {
+	return workspace.BackendServer{
+		Name: s.ID, Address: s.Address, Region: region, AvailabilityZone: s.AvailabilityZone,
+		Pool: pool, Slots: s.Slots, Leaving: s.Leaving,
+		// Servers of one service differ in speed for good: each is judged by
+		// what it usually does, not by the others.
+		Generation: s.ID,
+	}
+}
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -37,6 +37,27 @@
 type LimitSettings struct {
 	// MemoryMB bounds the process, in 1,000,000 bytes.
 	MemoryMB float64 `json:"memory_mb" validate:"min=16"`
+	// CPUCores is the part of a core that the VM has, or how many; LinkMbps
+	// what its link carries. Zero: not known.
+	CPUCores float64 `json:"cpu_cores" validate:"gte=0"`
+	LinkMbps float64 `json:"link_mbps" validate:"gte=0"`
+}
+
+// wideLink is the bandwidth, in Mbit/s, from which on a link does not bound
+// what a VM can take on: an owner of 30 servers sends less than 2 Mbit/s.
+const wideLink = 100
+
+// weight is how much the VM can take on beside its callers, as member.Member
+// has it; 0 where that is not known.
+func (l LimitSettings) weight() uint32 {
+	if l.CPUCores == 0 {
+		return 0
+	}
+	w := l.CPUCores
+	if l.LinkMbps > 0 && l.LinkMbps < wideLink {
+		w *= l.LinkMbps / wideLink
+	}
+	return uint32(max(1, w*1000))
 }
 
 // BoundsSettings are the promises that the operators have made for the whole
--- a/member/table.go
+++ b/member/table.go
@@ -199,7 +199,7 @@
 func memberOf(r *wire.Record) Member {
 	return Member{
 		Name: r.Name, Incarnation: r.Incarnation, Address: r.Address, Region: r.Region,
-		AvailabilityZone: r.AvailabilityZone, State: State(r.State), ProtocolVersion: r.ProtocolVersion,
+		AvailabilityZone: r.AvailabilityZone, State: State(r.State), ProtocolVersion: r.ProtocolVersion, Weight: r.Weight,
 	}
 }
 
@@ -208,7 +208,7 @@
 func (e *entry) record(suspector string) *wire.Record {
 	return &wire.Record{
 		Name: e.Name, Incarnation: e.Incarnation, State: wire.State(e.State), Address: e.Address,
-		Region: e.Region, AvailabilityZone: e.AvailabilityZone, ProtocolVersion: e.ProtocolVersion,
+		Region: e.Region, AvailabilityZone: e.AvailabilityZone, ProtocolVersion: e.ProtocolVersion, Weight: e.Weight,
 		Suspector: suspector,
 	}
 }
--- a/member/view.go
+++ b/member/view.go
@@ -5,6 +5,7 @@
 package member
 
 import (
+	"math"
 	"sort"
 	"sync/atomic"
 
@@ -46,6 +47,33 @@
 	State            State
 	// ProtocolVersion is the newest peer protocol that it speaks.
 	ProtocolVersion uint32
+	// Weight is how much the VM can take on beside its callers, in
+	// thousandths; 0 means 1000.
+	Weight uint32
+}
+
+// weightUnit is the Weight of an ordinary VM.
+const weightUnit = 1000
+
+// ownerBias is the power of the weight by which pools go to strong VMs. With
+// 66 VMs of weight 19 beside 6 of 800, a plain share would leave a pool on a
+// weak one in 1 of 5 cases; squared it is 1 of 150.
+const ownerBias = 2
+
+// share is a member's share in what members divide among themselves.
+func (m Member) share() float64 {
+	w := m.Weight
+	if w == 0 {
+		w = weightUnit
+	}
+	return math.Pow(float64(w)/weightUnit, ownerBias)
+}
+
+// Score is the member's rendezvous weight for a key: the highest one takes it,
+// so a change of one member moves only what it had or gets.
+func (m Member) Score(key string) float64 {
+	u := (float64(hash(key, m.Name)) + 0.5) / (1 << 64)
+	return -m.share() / math.Log(u)
 }
 
 // View is an immutable picture of the members, sorted by name.
@@ -99,13 +127,13 @@
 // member moves only that member's pools. False where the region has none.
 func (v *View) Owner(pool, region string) (Member, bool) {
 	var best Member
-	var bestScore uint64
+	var bestScore float64
 	found := false
 	for _, m := range v.Members {
 		if m.Region != region || (m.State != Alive && m.State != Suspect) {
 			continue
 		}
-		score := ownerScore(pool, m.Name)
+		score := m.Score(pool)
 		if !found || score > bestScore || (score == bestScore && m.Name < best.Name) {
 			best, bestScore, found = m, score, true
 		}
@@ -113,8 +141,7 @@
 	return best, found
 }
 
-// ownerScore is the rendezvous weight of a pool on a member.
-func ownerScore(pool, name string) uint64 {
+func hash(pool, name string) uint64 {
 	var d xxhash.Digest
 	d.Reset()
 	_, _ = d.WriteString(pool)
