A slow entry or a lost release stops no server; slow servers stay in use

A run that is late to show its first answer marked its server as stuck, although the server answered others: the grant was with a slow entry VM, or its release was lost. Then the servers, slower under load than they used to be, were ejected as stragglers and got probes alone. Change: a server that makes progress is not stuck; runs past their deadline are freed after a second (pool.Config.RunGrace) and count as no sign; KeepStragglers leaves slow servers in use, where they are chosen last.

--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -52,9 +52,16 @@
 // and bursts that would have been served are refused.
 const patience = 0.15
 
+// runGrace is how long past its deadline a run stays counted: the time for its
+// release to arrive.
+const runGrace = time.Second
+
 // headroom is the part of all slots kept free of lower tiers.
 const headroom = 0.05
 
 func newScheduler(p *workspace.ResolvedPool, epoch uint64) poolhost.Scheduler {
-	return pool.New(pool.Config{Name: p.Name, Epoch: epoch, Seed: epoch, Patience: patience, Headroom: headroom})
+	return pool.New(pool.Config{
+		Name: p.Name, Epoch: epoch, Seed: epoch, Patience: patience, Headroom: headroom,
+		RunGrace: runGrace, KeepStragglers: true,
+	})
 }
--- a/internal/poolhost/runtime.go
+++ b/internal/poolhost/runtime.go
@@ -183,6 +183,7 @@
 	logs.For("poolhost").WithFields(logrus.Fields{
 		"pool": r.name, "shed": r.shed, "waiting": s.Waiting, "running": s.Running, "free": s.Free,
 		"servers_up": up, "servers": len(s.Servers), "share": r.share,
+		"lost_runs": s.LostRuns,
 	}).Info("Pool is crowded.")
 	r.shed = 0
 }
--- a/pool/config.go
+++ b/pool/config.go
@@ -40,6 +40,14 @@
 	// it is shed; 0 means the whole. A caller that learns early that there is
 	// no room may find some elsewhere or later.
 	Patience float64
+	// KeepStragglers leaves a server in use that has become slow: it is chosen
+	// after the others, for what it still serves in time. Without it, such a
+	// server gets probes alone.
+	KeepStragglers bool
+	// RunGrace, where entries end every run at its deadline, is how long after
+	// that its release may take; its slot is freed then. 0: runs may go on
+	// past their deadlines.
+	RunGrace time.Duration
 	// Headroom is the largest part of all slots kept free of lower tiers for
 	// higher ones; 0 means a default.
 	Headroom float64
@@ -58,7 +66,7 @@
 	switch {
 	case c.Name == "":
 		return errors.New("pool without a name")
-	case c.MaxWaiting < 0 || c.DefaultSlots < 0 || c.Verdict < 0:
+	case c.MaxWaiting < 0 || c.DefaultSlots < 0 || c.Verdict < 0 || c.RunGrace < 0:
 		return errors.Errorf("pool %q: a bound is negative", c.Name)
 	case c.Headroom < 0 || c.Headroom > 1:
 		return errors.Errorf("pool %q: headroom %v is no share", c.Name, c.Headroom)
--- a/pool/crash_test.go
+++ b/pool/crash_test.go
@@ -45,3 +45,41 @@
 		})
 	})
 }
+
+// Symptom: a server of four gets nothing for seconds while requests wait.
+// Sequence: a run's release is lost; its deadline passes; the run seems to wait
+// for its first token for ever. Cause: such a run counted as a sign that the
+// server is stuck, and was counted on it for a minute.
+func TestLostReleaseDoesNotStopAServer(t *testing.T) {
+	now := time.Unix(1000, 0)
+	newPool := func() *Pool {
+		p := New(Config{Name: "p", Epoch: 1, RunGrace: time.Second})
+		p.Handle(now, EntrySet{Entries: []EntryID{"e"}}, nil)
+		p.Handle(now, EntryReported{Entry: "e"}, nil)
+		p.Handle(now, ServerSet{Servers: []ServerInfo{{Name: "a", Slots: 1, Generation: "a"}, {Name: "b", Slots: 6, Generation: "b"}}}, nil)
+		return p
+	}
+	call := func(id string, deadline time.Duration) Enqueue {
+		return Enqueue{Request: request.ID(id), Entry: "e", Workspace: "w", DeadlineIn: deadline, FirstTokenIn: 300 * time.Millisecond}
+	}
+	Convey("A run whose time is up is freed after the grace, and its server is no stuck one", t, func() {
+		p := newPool()
+		cmds := p.Handle(now, call("lost", 2*time.Second), nil)
+		So(len(cmds), ShouldEqual, 1)
+		at := now.Add(2*time.Second + 1)
+		p.Handle(at, Tick{}, nil)
+		So(p.servers[cmds[0].(Grant).Server].overdue, ShouldBeFalse)
+		So(p.Summary(at).Running, ShouldEqual, 1)
+		at = now.Add(3 * time.Second)
+		p.Handle(at, Tick{}, nil)
+		So(p.Summary(at).Running, ShouldEqual, 0)
+		So(p.Summary(at).LostRuns, ShouldEqual, 1)
+	})
+	Convey("A run that an earlier owner granted stays counted: its deadline is not known", t, func() {
+		p := newPool()
+		p.Handle(now, Running{Entry: "e", Request: "r", Grant: GrantID{9, 9}, Server: "a"}, nil)
+		at := now.Add(10 * time.Second)
+		p.Handle(at, Tick{}, nil)
+		So(p.Summary(at).Running, ShouldEqual, 1)
+	})
+}
--- a/pool/entries.go
+++ b/pool/entries.go
@@ -124,6 +124,7 @@
 func (p *Pool) freeLost() {
 	for _, r := range p.runsInOrder(p.lost) {
 		p.removeRun(r)
+		p.lostRuns++
 		if r.alone {
 			p.aloneEnded(r, OutcomeBroken)
 		}
@@ -142,6 +143,9 @@
 	if !r.withdrawn.IsZero() && p.now.Sub(r.withdrawn) >= withdrawnGrace {
 		return true
 	}
+	if p.cfg.RunGrace > 0 && !r.deadline.IsZero() {
+		return p.now.Sub(r.deadline) >= p.cfg.RunGrace
+	}
 	last := r.heard
 	if r.deadline.After(last) {
 		last = r.deadline
--- a/pool/messages.go
+++ b/pool/messages.go
@@ -279,6 +279,8 @@
 	Waiting [request.MaxTiers]int
 	Running int
 	Free    int
+	// LostRuns is how many runs were freed, ever, that nobody released.
+	LostRuns int
 	// ExpectedWait is the estimated wait of a new request of each tier.
 	ExpectedWait [request.MaxTiers]time.Duration
 	Servers      []ServerSummary
--- a/pool/observe.go
+++ b/pool/observe.go
@@ -119,6 +119,9 @@
 
 // judge ejects a straggler softly, or takes it back.
 func (p *Pool) judge(s *server) {
+	if p.cfg.KeepStragglers {
+		return
+	}
 	was := s.straggler
 	s.straggler = s.speed.Straggler(was)
 	switch {
@@ -169,7 +172,19 @@
 		}
 		for _, r := range s.running {
 			waited := p.now.Sub(r.since)
-			if r.first || waited <= lateFactor*s.speed.FirstToken(r.ahead+r.uncached)+lateSlack {
+			// A run that was withdrawn, or whose time is up, has ended at its
+			// entry; that its release is late says nothing of the server.
+			// Without this, one lost release kept a server without work for
+			// seconds, a quarter of a pool of four.
+			if !r.withdrawn.IsZero() || p.now.After(r.deadline) && !r.deadline.IsZero() {
+				continue
+			}
+			patience := lateFactor*s.speed.FirstToken(r.ahead+r.uncached) + lateSlack
+			// A server that answers others meanwhile is not stuck: the grant
+			// may be with a slow entry, or one answer may be lost. Without
+			// this, a slow entry VM stopped each server that it had a grant
+			// of: 10 of 18 slots stood free while 130 requests waited.
+			if r.first || waited <= patience || p.now.Sub(s.progressed) <= patience {
 				continue
 			}
 			s.overdue = true
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -56,6 +56,7 @@
 	freed    float64 // slots that come free a second, of so many; by refresh
 	slots    int
 	measured time.Time
+	lostRuns int       // freed that nobody released
 	free     []*server // scratch
 	near     []*tier.Item[*waiter]
 }
--- a/pool/run.go
+++ b/pool/run.go
@@ -104,6 +104,9 @@
 		return
 	}
 	r.heard = p.now
+	if e.Tokens > 0 {
+		r.server.progressed = p.now
+	}
 	if p.plain() {
 		return
 	}
@@ -180,7 +183,7 @@
 // learnDone learns from a whole answer.
 func (p *Pool) learnDone(r *run, e Release) {
 	s := r.server
-	s.pause = 0
+	s.pause, s.progressed = 0, p.now
 	p.served.add(p.now, r.cost)
 	if p.plain() {
 		return
--- a/pool/server.go
+++ b/pool/server.go
@@ -38,8 +38,10 @@
 	kilo     limit.Law // thousands of tokens in KV memory
 	kv       float64   // measured KV capacity in tokens; zero: unknown
 	slots    int       // as the engine itself says; zero: unknown
-	service  float64   // mean seconds from grant to release
-	held     int
+	// progressed is when a run here last showed that the server works.
+	progressed time.Time
+	service    float64 // mean seconds from grant to release
+	held       int
 
 	ready       bool // may get grants; by refresh
 	most        int  // running requests allowed; by refresh
