A soak of real gateways under faults from outside

Change: test/soak runs gateways as processes behind fault proxies and stand-ins, harms them at random by a seed, and checks what callers and servers saw: at most once, true refusals, whole answers of one's own, keys never passed on, withdrawn keys refused, every node serving again; a rolling restart cuts nothing.

--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -26,7 +26,7 @@
 	}
 	g.members, err = member.NewRunner(member.Config{
 		Self: member.Member{
-			Name: s.Name, Address: s.Peer, Region: s.Region, AvailabilityZone: s.AvailabilityZone,
+			Name: s.Name, Address: s.PeerAddress, Region: s.Region, AvailabilityZone: s.AvailabilityZone,
 			ProtocolVersion: peer.NewestVersion, Incarnation: uint64(time.Now().UnixMilli()),
 			Weight: s.Limits.weight(),
 		},
--- a/internal/gateway/rig_test.go
+++ b/internal/gateway/rig_test.go
@@ -110,6 +110,7 @@
 		Store: s.address, Limits: gateway.LimitSettings{MemoryMB: 512},
 		Bounds: gateway.BoundsSettings{GraceS: 8, RevokeMs: 5000, RetryRatio: 0.2, RetryWindowS: 10, RetrySlack: 100},
 	}}
+	n.settings.PeerAddress = n.settings.Peer
 	s.seeds = append(s.seeds, n.settings.Peer)
 	n.settings.Seeds = s.seeds
 	m := metrics.New()
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -23,6 +23,8 @@
 	Readiness string `json:"readiness" validate:"required,hostname_port"`
 	Peer      string `json:"peer" validate:"required,hostname_port"`
 	Metrics   string `json:"metrics" validate:"omitempty,hostname_port"`
+	// PeerAddress is what the other daemons connect to; empty means Peer.
+	PeerAddress string `json:"peer_address" validate:"omitempty,hostname_port"`
 	// Seeds are the Peer addresses of a few daemons.
 	Seeds []string `json:"seeds" validate:"dive,hostname_port"`
 	// Store is the address of the platform's store.
@@ -107,6 +109,9 @@
 	if s.LogLevel == "" {
 		s.LogLevel = "info"
 	}
+	if s.PeerAddress == "" {
+		s.PeerAddress = s.Peer
+	}
 	return s, findings.Err()
 }
 
--- /dev/null
+++ b/test/soak/fleet_test.go
@@ -0,0 +1,281 @@
+package soak
+
+import (
+	"context"
+	"encoding/json"
+	"flag"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/sourcegraph/conc"
+
+	"github.com/lycheekeel/lycheekeel/internal/faultproxy"
+	"github.com/lycheekeel/lycheekeel/internal/gateway"
+	"github.com/lycheekeel/lycheekeel/platform/standin"
+)
+
+var (
+	seeds = flag.Int("soak.seeds", 2, "how many seeds to run")
+	from  = flag.Int64("soak.from", 1, "the first seed")
+	nodes = flag.Int("soak.nodes", 4, "how many gateways run")
+	span  = flag.Duration("soak.span", 6*time.Second, "how long faults are injected")
+)
+
+// The promises' bounds that the processes are given.
+const (
+	revokeAfter = 3 * time.Second
+	grace       = 8 * time.Second
+	// waitLimit is how long recovery may take on a machine that is busy.
+	waitLimit = 60 * time.Second
+)
+
+var program string
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	dir, err := os.MkdirTemp("", "lycheekeel-soak")
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+	program = filepath.Join(dir, "lycheekeeld")
+	code := 1
+	if out, err := exec.Command("go", "build", "-o", program, "../../cmd/lycheekeeld").CombinedOutput(); err != nil {
+		fmt.Fprintf(os.Stderr, "build: %v\n%s", err, out)
+	} else {
+		code = m.Run()
+	}
+	_ = os.RemoveAll(dir)
+	os.Exit(code)
+}
+
+// fleet is everything of one run.
+type fleet struct {
+	t       *testing.T
+	dir     string
+	store   *standin.Store
+	storeAt string
+	config  map[string]any
+	nodes   []*node
+	servers []*server
+	made    int // servers, ever
+	revoked map[string]time.Time
+	// restarts are under way: a node starts again when its process has ended.
+	restarts conc.WaitGroup
+}
+
+// node is one gateway process with the proxies before and behind it.
+type node struct {
+	fleet                 *fleet
+	name                  string
+	front, peer, store    *faultproxy.Proxy
+	settings              gateway.Settings
+	mu                    sync.Mutex
+	cmd                   *exec.Cmd
+	ended                 chan struct{} // closed when cmd has ended
+	terminated, unplanned time.Time     // the last of each
+}
+
+// server is one life of a backend server behind its proxy.
+type server struct {
+	*standin.Server
+	service string
+	proxy   *faultproxy.Proxy
+	stop    context.CancelFunc
+	left    time.Time // zero: it serves
+}
+
+func newFleet(t *testing.T) *fleet {
+	f := &fleet{t: t, dir: t.TempDir(), store: standin.NewStore(50), revoked: map[string]time.Time{}}
+	f.storeAt, _ = f.serve(f.store.Serve)
+	route := func(prefix, kind, service string, attempts int, resume bool) map[string]any {
+		return map[string]any{
+			"name": prefix, "host": "h.example", "path_prefix": prefix, "route_type": kind, "timeout_ms": 8000,
+			"target_latency_ms": 2000, "service": service, "max_attempts": attempts, "stream_resume": resume,
+		}
+	}
+	f.config = map[string]any{
+		"version": 1,
+		"routes": []any{
+			route("/s/once/", "stream", "llm", 1, false), route("/s/resume/", "stream", "llm", 2, true),
+			route("/once/", "non_idempotent", "app", 1, false), route("/again/", "idempotent", "app", 2, false),
+		},
+		"services": []any{map[string]any{"name": "llm", "engine": map[string]any{"slots": 8, "stride": 5}}, map[string]any{"name": "app"}},
+		"limits":   map[string]any{"max_body_bytes": 1 << 20},
+	}
+	for i := range 3 {
+		f.addServer([]string{"llm", "app"}[i%2])
+		f.addServer([]string{"llm", "app"}[i%2])
+	}
+	f.putKeys("k1", "k2", "k3")
+	for i := range *nodes {
+		f.addNode(fmt.Sprintf("n%d", i))
+	}
+	return f
+}
+
+// putKeys writes the next version of the configuration with these keys.
+func (f *fleet) putKeys(keys ...string) {
+	f.config["version"] = f.config["version"].(int) + 1
+	f.config["tenants"] = []any{map[string]any{"name": "space", "api_keys": keys}}
+	f.store.Put("config", "main", f.config)
+}
+
+// serve runs a server on a port of its own.
+func (f *fleet) serve(run func(context.Context, net.Listener) error) (string, context.CancelFunc) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	go func() { _ = run(ctx, ln) }()
+	f.t.Cleanup(cancel)
+	return ln.Addr().String(), cancel
+}
+
+func (f *fleet) proxy(target string) *faultproxy.Proxy {
+	p, err := faultproxy.New("127.0.0.1:0", target)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	f.t.Cleanup(p.Close)
+	return p
+}
+
+func (f *fleet) addServer(service string) *server {
+	f.made++
+	s := &server{service: service, Server: &standin.Server{ID: fmt.Sprintf("i-%d", f.made), Events: 30, EventEvery: 5 * time.Millisecond}}
+	address, stop := f.serve(s.Serve)
+	s.stop, s.proxy = stop, f.proxy(address)
+	f.servers = append(f.servers, s)
+	f.enter(s, "ready")
+	return s
+}
+
+func (f *fleet) enter(s *server, state string) {
+	f.store.Put("servers", s.ID, map[string]any{
+		"service": s.service, "address": s.proxy.Addr(), "zone": "z", "slots": 8, "state": state,
+	})
+}
+
+func freePort(t *testing.T) string {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	return ln.Addr().String()
+}
+
+func (f *fleet) addNode(name string) {
+	n := &node{fleet: f, name: name, store: f.proxy(f.storeAt)}
+	n.settings = gateway.Settings{
+		Name: name, Region: "r", AvailabilityZone: "z", Listen: freePort(f.t), Readiness: freePort(f.t), Peer: freePort(f.t),
+		Store: n.store.Addr(), Limits: gateway.LimitSettings{MemoryMB: 256},
+		Bounds: gateway.BoundsSettings{
+			GraceS: grace.Seconds(), RevokeMs: float64(revokeAfter.Milliseconds()), RetryRatio: 0.2, RetryWindowS: 10, RetrySlack: 200,
+		},
+	}
+	n.front, n.peer = f.proxy(n.settings.Listen), f.proxy(n.settings.Peer)
+	n.settings.PeerAddress = n.peer.Addr()
+	for _, other := range f.nodes {
+		n.settings.Seeds = append(n.settings.Seeds, other.settings.PeerAddress)
+	}
+	n.settings.Seeds = append(n.settings.Seeds, n.settings.PeerAddress)
+	f.nodes = append(f.nodes, n)
+	n.start()
+	f.t.Cleanup(n.kill)
+}
+
+// start starts the process; the mutex is held, or nobody else knows the node.
+func (n *node) start() {
+	file := filepath.Join(n.fleet.dir, n.name+".json")
+	b, err := json.Marshal(n.settings)
+	if err == nil {
+		err = os.WriteFile(file, b, 0o600)
+	}
+	if err != nil {
+		n.fleet.t.Fatal(err)
+	}
+	out, err := os.OpenFile(filepath.Join(n.fleet.dir, n.name+".log"), os.O_APPEND|os.O_CREATE|os.O_WRONLY, 0o600)
+	if err != nil {
+		n.fleet.t.Fatal(err)
+	}
+	defer out.Close()
+	n.cmd = exec.Command(program, "gateway", "--settings="+file)
+	n.cmd.Stdout, n.cmd.Stderr = out, out
+	n.cmd.Env = append(os.Environ(), "GOMAXPROCS=2")
+	if err := n.cmd.Start(); err != nil {
+		n.fleet.t.Fatal(err)
+	}
+	cmd, ended := n.cmd, make(chan struct{})
+	n.ended = ended
+	go func() {
+		_ = cmd.Wait()
+		close(ended)
+	}()
+}
+
+// restarter returns what starts the node again once the process that it has
+// now has ended; another restart may be first.
+func (n *node) restarter() func() {
+	n.mu.Lock()
+	ended := n.ended
+	n.mu.Unlock()
+	return func() {
+		n.fleet.restarts.Go(func() {
+			<-ended
+			n.mu.Lock()
+			defer n.mu.Unlock()
+			if n.ended == ended {
+				n.start()
+			}
+		})
+	}
+}
+
+func (n *node) signal(s os.Signal) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	_ = n.cmd.Process.Signal(s) // an ended process needs none
+}
+
+// kill ends the process that this run started.
+func (n *node) kill() {
+	n.signal(syscall.SIGKILL)
+	n.mu.Lock()
+	ended := n.ended
+	n.mu.Unlock()
+	<-ended
+}
+
+func (n *node) ready() bool {
+	client := http.Client{Timeout: time.Second}
+	resp, err := client.Get("http://" + n.settings.Readiness + "/v1/readiness")
+	if err != nil {
+		return false
+	}
+	defer resp.Body.Close()
+	return resp.StatusCode == http.StatusOK
+}
+
+// eventually polls until the condition holds.
+func (f *fleet) eventually(what string, holds func() bool) {
+	tick := time.NewTicker(20 * time.Millisecond)
+	defer tick.Stop()
+	for limit := time.After(waitLimit); !holds(); {
+		select {
+		case <-tick.C:
+		case <-limit:
+			f.t.Fatalf("not within %v: %s", waitLimit, what)
+		}
+	}
+}
--- /dev/null
+++ b/test/soak/soak_test.go
@@ -0,0 +1,160 @@
+package soak
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"github.com/sourcegraph/conc"
+
+	"github.com/lycheekeel/lycheekeel/platform/standin"
+)
+
+// regressions are the seeds that ever failed, each with its cause. They run
+// beside the seeds that are asked for.
+var regressions = []int64{}
+
+// callersPerNode send requests at each node.
+const callersPerNode = 4
+
+func TestSoak(t *testing.T) {
+	all := append([]int64(nil), regressions...)
+	for i := range *seeds {
+		all = append(all, *from+int64(i))
+	}
+	for _, seed := range all {
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+			run(t, seed, func(string) bool { return true })
+		})
+	}
+}
+
+// TestRollingRestart is the same with nothing but planned work, during which
+// no request at all may be cut off.
+func TestRollingRestart(t *testing.T) {
+	planned := map[string]bool{"terminate and restart": true, "hang up": true}
+	f, c := run(t, *from, func(name string) bool { return planned[name] })
+	for _, x := range c.all {
+		if x.status == 0 && len(f.runs()[x.id]) > 0 || x.status != 0 && !x.whole {
+			t.Errorf("%s on %s was cut off %v after it was sent, status %d", x.id, x.node.name, x.ended.Sub(x.sent), x.status)
+		}
+	}
+}
+
+// run torments a fleet under load, lets it recover, and checks the promises.
+func run(t *testing.T, seed int64, only func(string) bool) (*fleet, *callers) {
+	r := rand.New(rand.NewPCG(uint64(seed), 1))
+	f := newFleet(t)
+	for _, n := range f.nodes {
+		f.eventually(n.name+" is ready", n.ready)
+	}
+	c := &callers{}
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	var load conc.WaitGroup
+	for _, n := range f.nodes {
+		for i := range callersPerNode {
+			load.Go(func() { c.run(ctx, n, fmt.Sprintf("%s.%d", n.name, i)) })
+		}
+	}
+	f.torment(r, only)
+	f.recover(c)
+	cancel()
+	load.Wait()
+	f.check(c)
+	if t.Failed() {
+		f.keepLogs(seed)
+	}
+	return f, c
+}
+
+// recover waits until every node is ready and serves again.
+func (f *fleet) recover(c *callers) {
+	for _, n := range f.nodes {
+		f.eventually(n.name+" is ready again", n.ready)
+		since := time.Now()
+		f.eventually(n.name+" serves again", func() bool { return c.servedSince(n, since) })
+	}
+}
+
+func (c *callers) servedSince(n *node, since time.Time) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for i := len(c.all) - 1; i >= 0 && c.all[i].ended.After(since); i-- {
+		if x := c.all[i]; x.node == n && x.status == http.StatusOK && x.whole && x.sent.After(since) {
+			return true
+		}
+	}
+	return false
+}
+
+// runs returns the arrivals of each request at the servers, all lives of them.
+func (f *fleet) runs() map[string][]standin.Arrival {
+	out := map[string][]standin.Arrival{}
+	for _, s := range f.servers {
+		for _, a := range s.Arrivals() {
+			out[a.ID] = append(out[a.ID], a)
+		}
+	}
+	return out
+}
+
+// check holds what callers and servers saw against the promises.
+func (f *fleet) check(c *callers) {
+	runs := f.runs()
+	byID := make(map[string]*call, len(c.all))
+	served := 0
+	for _, x := range c.all {
+		byID[x.id] = x
+		f.checkCall(x, runs[x.id])
+		if x.status == http.StatusOK && x.whole {
+			served++
+		}
+	}
+	for id, all := range runs {
+		for _, a := range all {
+			if a.Key || a.Tenant != "space" {
+				f.t.Errorf("%s: the key was passed on (%v), or its workspace is %q", id, a.Key, a.Tenant)
+			}
+		}
+	}
+	f.t.Logf("%d requests, %d served whole, %d ran", len(c.all), served, len(runs))
+	if served == 0 {
+		f.t.Error("nothing was served")
+	}
+}
+
+func (f *fleet) checkCall(x *call, ran []standin.Arrival) {
+	if wrong := x.wrong(); wrong != "" {
+		f.t.Errorf("%s %s on %s: %s", x.id, x.path, x.node.name, wrong)
+	}
+	most := 1
+	if x.mayRepeat() {
+		most = 2
+	}
+	if len(ran) > most {
+		f.t.Errorf("%s %s ran %d times", x.id, x.path, len(ran))
+	}
+	promised := x.status == http.StatusServiceUnavailable || x.status == http.StatusTooManyRequests
+	if promised && !x.mayRepeat() && len(ran) > 0 {
+		f.t.Errorf("%s %s was answered %d and ran", x.id, x.path, x.status)
+	}
+	if gone, ok := f.revoked[x.key]; ok && x.sent.After(gone.Add(revokeAfter)) && len(ran) > 0 {
+		f.t.Errorf("%s ran although its key was withdrawn %v before", x.id, x.sent.Sub(gone))
+	}
+}
+
+// keepLogs leaves the processes' logs where the seed can be traced.
+func (f *fleet) keepLogs(seed int64) {
+	dir := filepath.Join(os.TempDir(), fmt.Sprint("lycheekeel-soak-", seed))
+	if err := os.CopyFS(dir, os.DirFS(f.dir)); err != nil {
+		f.t.Logf("logs could not be kept: %v", err)
+		return
+	}
+	f.t.Logf("logs of the processes: %s", dir)
+}
