--- /dev/null
+++ b/internal/gateway/budgets.go
@@ -0,0 +1,66 @@
+package gateway
+
+import (
+	"sync"
+	"sync/atomic"
+
+	"github.com/lycheekeel/lycheekeel/retry"
+)
+
+// The parts of the bound on retries that the daemons use. Requests and retries
+// of one window are not counted at the same moments everywhere, and daemons may
+// join that are not known here yet.
+const (
+	retryRatioShare = 0.75
+	retrySlackShare = 0.8
+)
+
+// budgets holds the retry budget of each service. The slack of the bound is
+// shared by the daemons: each may save up its part alone.
+//
+// What goes wrong with a part that does not follow their number: 88 daemons,
+// each with a sixteenth of the slack, may add five times what was promised.
+// The number only grows: daemons that are out of sight still have their parts.
+// It is safe for concurrent use.
+type budgets struct {
+	bounds  BoundsSettings
+	most    atomic.Int64 // daemons seen at once; 0: none was met yet
+	service sync.Map     // name to *retry.Budget
+}
+
+func newBudgets(b BoundsSettings) *budgets {
+	return &budgets{bounds: b}
+}
+
+// of returns a service's budget.
+func (b *budgets) of(service string) *retry.Budget {
+	if x, ok := b.service.Load(service); ok {
+		return x.(*retry.Budget)
+	}
+	// A process that has just started does not know how many share the slack.
+	fresh := retry.NewBudget(b.bounds.RetryRatio*retryRatioShare, 1)
+	fresh.Bound(b.burst())
+	x, _ := b.service.LoadOrStore(service, fresh)
+	return x.(*retry.Budget)
+}
+
+// burst is how many retries this daemon may save up.
+func (b *budgets) burst() float64 {
+	daemons := b.most.Load()
+	if daemons == 0 {
+		return 1
+	}
+	return max(1, b.bounds.RetrySlack*retrySlackShare/float64(max(daemons, daemonsAssumed)))
+}
+
+// share divides the slack by the number of daemons that are there.
+func (b *budgets) share(daemons int) {
+	if int64(daemons) > b.most.Load() {
+		b.most.Store(int64(daemons))
+	}
+	burst := b.burst()
+	b.service.Range(func(_, x any) bool {
+		x.(*retry.Budget).Bound(burst)
+		return true
+	})
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -5,7 +5,6 @@
 	"net"
 	"runtime/debug"
 	"strconv"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -23,7 +22,6 @@
 	"github.com/lycheekeel/lycheekeel/internal/peer"
 	"github.com/lycheekeel/lycheekeel/internal/poolhost"
 	"github.com/lycheekeel/lycheekeel/member"
-	"github.com/lycheekeel/lycheekeel/retry"
 	"github.com/lycheekeel/lycheekeel/route"
 	"github.com/lycheekeel/lycheekeel/workspace"
 )
@@ -42,12 +40,8 @@
 	stopMargin = 400 * time.Millisecond
 	// memoryShare of the VM's memory is the garbage collector's soft limit.
 	memoryShare = 0.5
-	// daemonsAssumed share a retry budget's slack while the number of daemons
-	// is not known.
+	// daemonsAssumed is how many daemons are reckoned with at the least.
 	daemonsAssumed = 16
-	// retryRatioShare of the ratio is used, for requests and retries of one
-	// window are not counted at the same moments everywhere.
-	retryRatioShare = 0.75
 )
 
 // Gateway is one daemon. Run it once.
@@ -74,7 +68,7 @@
 	usages    *usages
 	asker     *asker
 
-	budgets  sync.Map // service to *retry.Budget
+	budgets  *budgets
 	draining atomic.Bool
 	started  time.Time
 }
@@ -86,6 +80,7 @@
 		started: time.Now(), routes: &route.Live{}, pools: &workspace.Live{}, views: &member.Live{},
 	}
 	debug.SetMemoryLimit(int64(s.Limits.MemoryMB * 1e6 * memoryShare))
+	g.budgets = newBudgets(s.Bounds)
 	g.ledger = allowance.NewLedger(time.Now, g.daemonsAtFirst(), allowance.Tolerance{
 		Window: seconds(s.Bounds.QuotaWindowS), Over: s.Bounds.QuotaOver, Slack: s.Bounds.QuotaSlack,
 	})
@@ -93,7 +88,7 @@
 	g.state = newState(p, s.Region, g.routes, g.pools, g.ledger, servers.Keep)
 	g.forward = forward.New(forward.Deps{
 		Routes: g.routes, Pools: g.pools, Broker: g, Admission: g,
-		Allowances: g.ledger, Budget: g.budget, Servers: servers, Metrics: m,
+		Allowances: g.ledger, Budget: g.budgets.of, Servers: servers, Metrics: m,
 		Region: s.Region, Self: s.Name + "." + strconv.FormatInt(time.Now().UnixNano(), 36), Wire: p.Wire,
 	})
 	return g, g.listen()
@@ -146,17 +141,6 @@
 	return g.state.configFresh.Within(milliseconds(g.settings.Bounds.RevokeMs * share))
 }
 
-// budget returns a service's retry budget.
-func (g *Gateway) budget(service string) *retry.Budget {
-	if b, ok := g.budgets.Load(service); ok {
-		return b.(*retry.Budget)
-	}
-	bounds := g.settings.Bounds
-	fresh := retry.NewBudget(bounds.RetryRatio*retryRatioShare, max(1, bounds.RetrySlack/daemonsAssumed))
-	b, _ := g.budgets.LoadOrStore(service, fresh)
-	return b.(*retry.Budget)
-}
-
 // answerReadiness tells the balancer whether to send callers here.
 func (g *Gateway) answerReadiness(ctx *fasthttp.RequestCtx) {
 	ready := string(ctx.Path()) == g.platform.ReadinessPath && !g.draining.Load() &&
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -59,7 +59,7 @@
 		eventually(t, "the route works", func() bool { return n.status("/once/", "i", "key-1") == 200 })
 		So(n.status("/once/", "i", "nobody's"), ShouldEqual, 401)
 		So(n.status("/other/", "i", "key-1"), ShouldEqual, 404)
-		s.config["tenants"] = []any{map[string]any{"name": "space", "api_keys": []string{"key-2"}}}
+		s.config.Keys = []string{"key-2"}
 		s.put()
 		eventually(t, "the key is gone", func() bool { return n.status("/once/", "i", "key-1") == 401 })
 		So(n.status("/once/", "i", "key-2"), ShouldEqual, 200)
@@ -74,12 +74,12 @@
 		n := s.start("a")
 		eventually(t, "the route works", func() bool { return n.status("/once/", "i", "key-1") == 200 })
 		s.store.Fail(standin.Faults{MuteWatches: true})
-		s.config["tenants"] = []any{map[string]any{"name": "space", "api_keys": []string{"key-2"}}}
+		s.config.Keys = []string{"key-2"}
 		s.put()
 		eventually(t, "the key is gone", func() bool { return n.status("/once/", "i", "key-1") == 401 })
 		s.store.Forget()
 		s.store.Fail(standin.Faults{})
-		s.config["tenants"] = []any{map[string]any{"name": "space", "api_keys": []string{"key-1"}}}
+		s.config.Keys = []string{"key-1"}
 		s.put()
 		eventually(t, "the key is back", func() bool { return n.status("/once/", "i", "key-1") == 200 })
 	})
@@ -112,7 +112,7 @@
 		n := s.start("a")
 		eventually(t, "the route works", func() bool { return n.status("/once/", "i", "key-1") == 200 })
 		second := s.addServer("app-1", "app")
-		s.store.Put("servers", "app-0", s.entry("app", "127.0.0.1:1", "draining"))
+		s.store.PutServer("app-0", "app", "127.0.0.1:1", "draining", 4)
 		eventually(t, "the second serves", func() bool {
 			n.status("/once/", "later", "key-1")
 			return second.Runs("later") > 0
--- a/internal/gateway/rig_test.go
+++ b/internal/gateway/rig_test.go
@@ -26,25 +26,21 @@
 	store   *standin.Store
 	address string // of the store
 	servers map[string]*standin.Server
-	config  map[string]any
+	config  *standin.Configuration
 	seeds   []string
 }
 
 func newSite(t *testing.T) *site {
 	s := &site{t: t, store: standin.NewStore(50), servers: map[string]*standin.Server{}}
 	s.address = s.serve(s.store.Serve)
-	route := func(prefix, kind, service string, attempts int, resume bool) map[string]any {
-		return map[string]any{
-			"name": prefix, "host": "h.example", "path_prefix": prefix, "route_type": kind, "timeout_ms": 20000,
-			"target_latency_ms": 10000, "priority": 0, "service": service, "max_attempts": attempts, "stream_resume": resume,
-		}
-	}
-	s.config = map[string]any{
-		"version":  1,
-		"routes":   []any{route("/s/", "stream", "llm", 2, true), route("/once/", "non_idempotent", "app", 1, false), route("/again/", "idempotent", "app", 2, false)},
-		"services": []any{map[string]any{"name": "llm", "engine": map[string]any{"slots": 4, "stride": 5}}, map[string]any{"name": "app"}},
-		"limits":   map[string]any{"max_body_bytes": 1 << 20},
-		"tenants":  []any{map[string]any{"name": "space", "api_keys": []string{"key-1", "key-2"}}},
+	s.config = &standin.Configuration{
+		Tenant: "space", Keys: []string{"key-1", "key-2"},
+		Routes: []standin.Route{
+			{Prefix: "/s/", Type: "stream", Service: "llm", Attempts: 2, Resume: true, TimeoutMs: 20000},
+			{Prefix: "/once/", Type: "non_idempotent", Service: "app", Attempts: 1, TimeoutMs: 20000},
+			{Prefix: "/again/", Type: "idempotent", Service: "app", Attempts: 2, TimeoutMs: 20000},
+		},
+		Engines: map[string]int{"llm": 4}, Plain: []string{"app"},
 	}
 	return s
 }
@@ -72,19 +68,12 @@
 	b := &standin.Server{ID: id, Events: 40, EventEvery: time.Millisecond}
 	s.servers[id] = b
 	address := s.serve(b.Serve)
-	s.store.Put("servers", id, s.entry(service, address, "ready"))
+	s.store.PutServer(id, service, address, "ready", 4)
 	return b
 }
 
-func (s *site) entry(service, address, state string) map[string]any {
-	return map[string]any{"service": service, "address": address, "zone": "z", "slots": 4, "state": state}
-}
-
 // put writes the configuration with the next version.
-func (s *site) put() {
-	s.config["version"] = s.config["version"].(int) + 1
-	s.store.Put("config", "main", s.config)
-}
+func (s *site) put() { s.store.PutConfiguration(s.config) }
 
 // node is one gateway.
 type node struct {
--- a/internal/gateway/usages.go
+++ b/internal/gateway/usages.go
@@ -25,6 +25,7 @@
 // hears them.
 type usages struct {
 	ledger      *allowance.Ledger
+	budgets     *budgets
 	transport   peer.Transport
 	views       *member.Live
 	incarnation uint64
@@ -33,8 +34,8 @@
 	toldAll     time.Time
 }
 
-func newUsages(l *allowance.Ledger, t peer.Transport, views *member.Live) *usages {
-	u := &usages{ledger: l, transport: t, views: views, incarnation: uint64(time.Now().UnixNano())}
+func newUsages(l *allowance.Ledger, b *budgets, t peer.Transport, views *member.Live) *usages {
+	u := &usages{ledger: l, budgets: b, transport: t, views: views, incarnation: uint64(time.Now().UnixNano())}
 	t.Handle(peer.TypeAllowance, u.heard)
 	return u
 }
@@ -92,6 +93,7 @@
 		}
 	}
 	u.ledger.Members(names)
+	u.budgets.share(len(names) + 1)
 }
 
 func (u *usages) heard(_ context.Context, from peer.Name, payload []byte) ([]byte, error) {
--- a/objectstore/httpobjectstore/httpobjectstore.go
+++ b/objectstore/httpobjectstore/httpobjectstore.go
@@ -143,7 +143,7 @@
 	c.metrics.Counter(groupCalls, k.name).Add(1)
 	err := c.once(ctx, k, answer)
 	if err != nil {
-		c.metrics.Counter(groupErrors, reason(err)).Add(1)
+		c.metrics.Counter(groupErrors, objectstore.ErrorName(err)).Add(1)
 	}
 	return errors.Wrap(err, k.name)
 }
@@ -202,8 +202,8 @@
 	if err := c.http.DoDeadline(req, resp, deadline); err != nil {
 		return nil, c.transportError(err)
 	}
-	if s := resp.StatusCode(); s != fasthttp.StatusOK {
-		return nil, &outcomeError{statusError(s), errors.Errorf("status %d: %.200s", s, resp.Body())}
+	if s := resp.StatusCode(); objectstore.StatusError(s) != nil {
+		return nil, &outcomeError{objectstore.StatusError(s), errors.Errorf("status %d: %.200s", s, resp.Body())}
 	}
 	return bytes.Clone(resp.Body()), nil
 }
--- a/objectstore/httpobjectstore/wire/wire.go
+++ b/objectstore/httpobjectstore/wire/wire.go
@@ -8,11 +8,11 @@
 
 // The paths of the ports.
 const (
-	PathObject  = "/v1/object"
-	PathObjects = "/v1/objects"
-	PathWatch   = "/v1/watch"
-	PathVMs     = "/v1/vms"
-	PathReserve = "/v1/weights/reserve"
+	PathObject  = "/api/object"
+	PathObjects = "/api/objects"
+	PathWatch   = "/api/watch"
+	PathVMs     = "/api/vms"
+	PathReserve = "/api/weights/reserve"
 )
 
 // The query arguments. A write carries either ArgCreate or ArgExpected; its
--- a/test/soak/faults_test.go
+++ b/test/soak/faults_test.go
@@ -60,7 +60,7 @@
 		s := pick(r, f.servers)
 		s.stop()
 		s.proxy.Cut()
-		f.store.Remove("servers", s.ID)
+		f.store.Remove(standin.KindServers, s.ID)
 		return func() { f.addServer(s.service) }
 	}},
 	{"server leaves, another comes", func(f *fleet, r *rand.Rand) func() {
--- a/test/soak/fleet_test.go
+++ b/test/soak/fleet_test.go
@@ -63,7 +63,7 @@
 	dir     string
 	store   *standin.Store
 	storeAt string
-	config  map[string]any
+	config  *standin.Configuration
 	nodes   []*node
 	servers []*server
 	made    int // servers, ever
@@ -96,20 +96,15 @@
 func newFleet(t *testing.T) *fleet {
 	f := &fleet{t: t, dir: t.TempDir(), store: standin.NewStore(50), revoked: map[string]time.Time{}}
 	f.storeAt, _ = f.serve(f.store.Serve)
-	route := func(prefix, kind, service string, attempts int, resume bool) map[string]any {
-		return map[string]any{
-			"name": prefix, "host": "h.example", "path_prefix": prefix, "route_type": kind, "timeout_ms": 8000,
-			"target_latency_ms": 2000, "service": service, "max_attempts": attempts, "stream_resume": resume,
-		}
-	}
-	f.config = map[string]any{
-		"version": 1,
-		"routes": []any{
-			route("/s/once/", "stream", "llm", 1, false), route("/s/resume/", "stream", "llm", 2, true),
-			route("/once/", "non_idempotent", "app", 1, false), route("/again/", "idempotent", "app", 2, false),
+	f.config = &standin.Configuration{
+		Tenant: "space",
+		Routes: []standin.Route{
+			{Prefix: "/s/once/", Type: "stream", Service: "llm", Attempts: 1, TimeoutMs: 8000},
+			{Prefix: "/s/resume/", Type: "stream", Service: "llm", Attempts: 2, Resume: true, TimeoutMs: 8000},
+			{Prefix: "/once/", Type: "non_idempotent", Service: "app", Attempts: 1, TimeoutMs: 8000},
+			{Prefix: "/again/", Type: "idempotent", Service: "app", Attempts: 2, TimeoutMs: 8000},
 		},
-		"services": []any{map[string]any{"name": "llm", "engine": map[string]any{"slots": 8, "stride": 5}}, map[string]any{"name": "app"}},
-		"limits":   map[string]any{"max_body_bytes": 1 << 20},
+		Engines: map[string]int{"llm": 8}, Plain: []string{"app"},
 	}
 	for i := range 3 {
 		f.addServer([]string{"llm", "app"}[i%2])
@@ -124,9 +119,8 @@
 
 // putKeys writes the next version of the configuration with these keys.
 func (f *fleet) putKeys(keys ...string) {
-	f.config["version"] = f.config["version"].(int) + 1
-	f.config["tenants"] = []any{map[string]any{"name": "space", "api_keys": keys}}
-	f.store.Put("config", "main", f.config)
+	f.config.Keys = keys
+	f.store.PutConfiguration(f.config)
 }
 
 // serve runs a server on a port of its own.
@@ -161,9 +155,7 @@
 }
 
 func (f *fleet) enter(s *server, state string) {
-	f.store.Put("servers", s.ID, map[string]any{
-		"service": s.service, "address": s.proxy.Addr(), "zone": "z", "slots": 8, "state": state,
-	})
+	f.store.PutServer(s.ID, s.service, s.proxy.Addr(), state, 8)
 }
 
 func freePort(t *testing.T) string {
