A caller that takes no bytes does not hold its server past the deadline

Cause: found by reading: the write of a stream to a silent caller had no deadline, so the run, its slot and the handler stayed for as long as TCP kept trying. Change: when a request's time is up its last write has a second; each answer starts with a write deadline of its own. Result: the new test times out without the change and passes with it.

--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -45,10 +45,12 @@
 	cancel context.CancelCauseFunc
 	stop   context.CancelFunc // of the deadline
 	watch  *callerwatch.Watch
-	stream *stream // nil: no stream is being passed on
-	status int
-	trail  trail
-	done   bool
+	// unstick stops what bounds the last write.
+	unstick func() bool
+	stream  *stream // nil: no stream is being passed on
+	status  int
+	trail   trail
+	done    bool
 }
 
 func (s *Server) newExchange(ctx *fasthttp.RequestCtx) *exchange {
@@ -189,8 +191,18 @@
 	x.cancel = cancel
 	x.ctx, x.stop = context.WithDeadline(base, x.received.Add(x.spec.Targets.Deadline))
 	x.watch = callerwatch.Start(x.conn, cancel)
+	x.unstick = context.AfterFunc(x.ctx, func() { _ = x.conn.SetWriteDeadline(time.Now().Add(lastWrite)) })
 }
 
+// lastWrite is how long an answer may still be written when the request's time
+// is up.
+//
+// What goes wrong without it: a caller that went silent takes no more bytes;
+// the write of its stream waits for ever, and with it the connection to the
+// server, whose run goes on for nobody. One would notice runs past their
+// deadlines.
+const lastWrite = time.Second
+
 // pools returns the candidates for the service now.
 func (x *exchange) pools() []*workspace.ResolvedPool {
 	snapshot := x.server.deps.Pools.Load()
@@ -215,6 +227,7 @@
 	x.done = true
 	if x.watch != nil {
 		x.watch.Stop()
+		x.unstick()
 		x.stop()
 		x.cancel(nil)
 	}
--- a/internal/forward/server.go
+++ b/internal/forward/server.go
@@ -40,6 +40,10 @@
 	// idleTimeout is longer than any caller keeps a connection idle: a caller
 	// that uses one while it is being closed loses its request.
 	idleTimeout = 75 * time.Second
+	// writeTimeout bounds writing an answer. It is longer than any request may
+	// take; what it is for is that each answer starts with a deadline of its
+	// own, whatever the one before on the connection had left.
+	writeTimeout = 15 * time.Minute
 	// maxConnections bounds the callers' connections.
 	maxConnections = 3000
 	// streamSilence is how long a stream that may be resumed elsewhere may
@@ -93,6 +97,7 @@
 		MaxRequestBodySize:           maxBodyBytes,
 		ReadTimeout:                  readTimeout,
 		IdleTimeout:                  idleTimeout,
+		WriteTimeout:                 writeTimeout,
 		Concurrency:                  maxConnections,
 		ReduceMemoryUsage:            true,
 		NoDefaultServerHeader:        true,
--- a/internal/forward/stream_test.go
+++ b/internal/forward/stream_test.go
@@ -170,3 +170,43 @@
 		So(r.allowances.used(), ShouldEqual, 0)
 	})
 }
+
+// Symptom: runs go on past their deadlines, and slots stay taken. Sequence: a
+// caller goes silent while its stream runs; its connection takes no more bytes.
+// Cause: the write waited for ever. The next answer on a connection must not
+// meet the deadline that the one before has left.
+func TestCallersThatTakeNothing(t *testing.T) {
+	Convey("A stream whose caller takes no bytes ends after its deadline", t, func() {
+		closed := make(chan struct{})
+		flood := newBackend(t, func(_ int, head, _ string, c net.Conn) bool {
+			defer close(closed)
+			beginStream(c, head)
+			big := strings.Repeat("x", 64<<10)
+			for id := 1; ; id++ {
+				e := fmt.Sprintf("id: %d\ndata: %s\n\n", id, big)
+				if _, err := fmt.Fprintf(c, "%x\r\n%s\r\n", len(e), e); err != nil {
+					return false
+				}
+			}
+		})
+		r := newRig(t, flood)
+		c := r.dial()
+		fmt.Fprintf(c, "POST /stream/ HTTP/1.1\r\nHost: h.example\r\nX-Request-Id: 1\r\nAuthorization: Bearer %s\r\nX-Left-Ms: 300\r\nContent-Length: 0\r\n\r\n", testKey)
+		<-closed
+		for r.server.running.Load() != 0 {
+			continue
+		}
+	})
+	Convey("A connection goes on after an answer that met its deadline", t, func() {
+		r := newRig(t, newBackend(t, echo))
+		c := r.dial()
+		for i := range 3 {
+			r.broker.block = make(chan struct{})
+			fmt.Fprintf(c, "POST /once/ HTTP/1.1\r\nHost: h.example\r\nX-Request-Id: %d\r\nAuthorization: Bearer %s\r\nX-Left-Ms: 20\r\nContent-Length: 0\r\n\r\n", i, testKey)
+			So(c.receive().status, ShouldEqual, 503)
+			r.broker.block = nil
+			c.send("POST", "/once/", "ok", "", "x")
+			So(c.receive().body, ShouldEqual, "echo x")
+		}
+	})
+}
