soak: ports below the range of outgoing connections, logs kept of seeds that fail at the start

Cause: in 46 seeds one gateway of seed 18 was not ready within 60 s of its first start, before any fault; the test ended before it kept the logs. Suspected, not shown: its port was taken by an outgoing connection between choice and start.

--- a/test/soak/fleet_test.go
+++ b/test/soak/fleet_test.go
@@ -158,13 +158,29 @@
 	f.store.PutServer(s.ID, s.service, s.proxy.Addr(), state, 8)
 }
 
+// The ports that processes listen at lie below those that the system gives to
+// outgoing connections (32768 and up): one of these would take a port between
+// its choice and the process's start, and the process would end.
+const (
+	firstPort = 21000
+	lastPort  = 31000
+)
+
+var nextPort = firstPort + os.Getpid()%(lastPort-firstPort)
+
 func freePort(t *testing.T) string {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
+	for range lastPort - firstPort {
+		if nextPort++; nextPort >= lastPort {
+			nextPort = firstPort
+		}
+		ln, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", nextPort))
+		if err == nil {
+			defer ln.Close()
+			return ln.Addr().String()
+		}
 	}
-	defer ln.Close()
-	return ln.Addr().String()
+	t.Fatal("no port is free")
+	return ""
 }
 
 func (f *fleet) addNode(name string) {
@@ -187,6 +203,19 @@
 	f.t.Cleanup(n.kill)
 }
 
+// hasEnded tells whether the node's process has ended.
+func (n *node) hasEnded() bool {
+	n.mu.Lock()
+	ended := n.ended
+	n.mu.Unlock()
+	select {
+	case <-ended:
+		return true
+	default:
+		return false
+	}
+}
+
 // start starts the process; the mutex is held, or nobody else knows the node.
 func (n *node) start() {
 	file := filepath.Join(n.fleet.dir, n.name+".json")
@@ -267,6 +296,9 @@
 		select {
 		case <-tick.C:
 		case <-limit:
+			for _, n := range f.nodes {
+				f.t.Logf("%s: ended %v", n.name, n.hasEnded())
+			}
 			f.t.Fatalf("not within %v: %s", waitLimit, what)
 		}
 	}
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -17,7 +17,12 @@
 
 // regressions are the seeds that ever failed, each with its cause. They run
 // beside the seeds that are asked for.
-var regressions = []int64{}
+var regressions = []int64{
+	// A gateway was not ready within a minute, before any fault, beside other
+	// runs of the machine. Not traced: the logs were not kept then. A port that
+	// an outgoing connection had taken is suspected.
+	18,
+}
 
 // callersPerNode send requests at each node.
 const callersPerNode = 4
@@ -50,6 +55,11 @@
 func run(t *testing.T, seed int64, only func(string) bool) (*fleet, *callers) {
 	r := rand.New(rand.NewPCG(uint64(seed), 1))
 	f := newFleet(t)
+	t.Cleanup(func() {
+		if t.Failed() {
+			f.keepLogs(seed)
+		}
+	})
 	for _, n := range f.nodes {
 		f.eventually(n.name+" is ready", n.ready)
 	}
@@ -67,9 +77,6 @@
 	cancel()
 	load.Wait()
 	f.check(c)
-	if t.Failed() {
-		f.keepLogs(seed)
-	}
 	return f, c
 }
 
