A server that the store has had since its return, and then lacks, has left

Two daemons had been cut off from the store; after that they learned of it from the reader, which had no news for them until the server left; so the first list that they saw lacked it, and they kept it for the grace of an outage. Change: what a reader confirms ends the outage, and the grace is for servers that were not seen since. The test of the hand-on is changed: it removed a server that had been listed after the return, which now has left; it takes one that was not, and asks for the same.

--- a/discovery/directory.go
+++ b/discovery/directory.go
@@ -34,18 +34,22 @@
 // What goes wrong with the plain list: entries lapse while the store is down,
 // and the first list after its return lacks servers that are well. One would
 // notice requests refused for want of servers just after an outage. So what
-// is missing then is kept for ReturnGrace.
+// is missing then is kept for ReturnGrace. One that the store has had since its
+// return, and then lacks, has left: to keep that one too sent requests to a
+// server 2.1 s after it had left.
 type Directory struct {
 	servers map[string]Server
 	// missing are kept servers that the newest list lacks.
-	missing  map[string]bool
-	away     bool
-	returned time.Time
+	missing map[string]bool
+	// confirmed are servers that the store has had since its return.
+	confirmed map[string]bool
+	away      bool
+	returned  time.Time
 }
 
 // NewDirectory returns an empty directory.
 func NewDirectory() *Directory {
-	return &Directory{servers: map[string]Server{}, missing: map[string]bool{}}
+	return &Directory{servers: map[string]Server{}, missing: map[string]bool{}, confirmed: map[string]bool{}}
 }
 
 // StoreAway tells that the store did not answer.
@@ -69,6 +73,15 @@
 	return changed
 }
 
+// Confirm tells that the store has exactly the servers that are known and not
+// missing.
+func (d *Directory) Confirm(now time.Time) {
+	d.storeAnswered(now)
+	for id := range d.servers {
+		d.confirmed[id] = !d.missing[id]
+	}
+}
+
 // Put takes one changed entry, and reports whether it says anything new.
 func (d *Directory) Put(now time.Time, s Server) bool {
 	d.storeAnswered(now)
@@ -87,7 +100,7 @@
 // lacks takes it that the store lacks a server, and reports whether that is
 // news.
 func (d *Directory) lacks(now time.Time, id string) bool {
-	if d.graceful(now) {
+	if d.graceful(now) && !d.confirmed[id] {
 		known := d.missing[id]
 		d.missing[id] = true
 		return !known
@@ -134,6 +147,7 @@
 
 func (d *Directory) put(s Server) bool {
 	delete(d.missing, s.ID)
+	d.confirmed[s.ID] = true
 	old, known := d.servers[s.ID]
 	// A server does not come back from leaving; an older copy may say so.
 	s.Leaving = s.Leaving || old.Leaving
@@ -145,11 +159,13 @@
 func (d *Directory) remove(id string) {
 	delete(d.servers, id)
 	delete(d.missing, id)
+	delete(d.confirmed, id)
 }
 
 func (d *Directory) storeAnswered(now time.Time) {
 	if d.away {
 		d.away, d.returned = false, now
+		clear(d.confirmed)
 	}
 }
 
--- a/discovery/directory_test.go
+++ b/discovery/directory_test.go
@@ -72,14 +72,50 @@
 		So(ok, ShouldBeFalse)
 		d.StoreAway()
 		back := start.Add(10 * time.Second)
-		d.Replace(back, []Server{{ID: "a"}, {ID: "b"}})
-		So(d.Removed(back.Add(time.Second), "a"), ShouldBeTrue)
+		So(d.Replace(back, []Server{{ID: "b"}}), ShouldBeTrue)
 		So(ids(d), ShouldResemble, []string{"a", "b"})
 		So(d.Listed(), ShouldResemble, []Server{{ID: "b"}})
 		in, ok := d.ExpiresIn(back.Add(time.Second))
 		So(ok, ShouldBeTrue)
 		So(in, ShouldEqual, ReturnGrace-time.Second)
 	})
+	// Symptom: a server gets requests 2.07 s after its entry was removed.
+	// Sequence: a daemon is cut off from the store for itself; after its return
+	// it lists the server; the server leaves, its entry is removed within the
+	// grace. Cause: the grace was given to every server, also to those that the
+	// store had after its return.
+	Convey("A server that was listed after the return and is removed then has left", t, func() {
+		d := NewDirectory()
+		d.Replace(start, []Server{{ID: "a"}, {ID: "b"}})
+		d.StoreAway()
+		back := start.Add(10 * time.Second)
+		d.Replace(back, []Server{{ID: "a"}, {ID: "b"}})
+		So(d.Removed(back.Add(time.Second), "a"), ShouldBeTrue)
+		So(ids(d), ShouldResemble, []string{"b"})
+		So(d.Replace(back.Add(time.Second), nil), ShouldBeTrue)
+		So(ids(d), ShouldBeEmpty)
+	})
+	// The same, where the daemon learns of the store from another one: that has
+	// no news for it until the server leaves.
+	Convey("So has one that was confirmed after the return", t, func() {
+		d := NewDirectory()
+		d.Replace(start, []Server{{ID: "a"}, {ID: "b"}})
+		d.StoreAway()
+		back := start.Add(10 * time.Second)
+		d.Confirm(back)
+		So(d.Replace(back.Add(2*time.Second), []Server{{ID: "b"}}), ShouldBeTrue)
+		So(ids(d), ShouldResemble, []string{"b"})
+	})
+	Convey("What is missing is not confirmed", t, func() {
+		d := NewDirectory()
+		d.Replace(start, []Server{{ID: "a"}, {ID: "b"}})
+		d.StoreAway()
+		back := start.Add(10 * time.Second)
+		d.Replace(back, []Server{{ID: "b"}})
+		d.Confirm(back)
+		d.Replace(back, []Server{{ID: "b"}})
+		So(ids(d), ShouldResemble, []string{"a", "b"})
+	})
 	Convey("A server that announces that it stops is leaving at once, grace or not", t, func() {
 		d := NewDirectory()
 		d.Replace(start, []Server{{ID: "a"}})
--- a/internal/gateway/asker.go
+++ b/internal/gateway/asker.go
@@ -156,6 +156,9 @@
 		}
 		s.replaceServers(servers, objectstore.Version(m.ServersRevision))
 	}
+	if !m.ServersTold && m.ServersAgeMs >= 0 {
+		s.confirmServers(objectstore.Version(m.ServersRevision))
+	}
 	if m.ServersAgeMs >= 0 {
 		s.serversFresh.Prove(serversMark - time.Duration(m.ServersAgeMs*float64(time.Millisecond)))
 	}
@@ -194,8 +197,9 @@
 	if uint64(s.config.Version) > q.ConfigRevision {
 		m.ConfigRevision, m.Config = uint64(s.config.Version), s.config.Value
 	}
-	if uint64(s.serversRevision) > q.ServersRevision {
-		m.ServersRevision, m.ServersTold = uint64(s.serversRevision), true
+	m.ServersRevision = uint64(s.serversRevision)
+	if m.ServersRevision > q.ServersRevision {
+		m.ServersTold = true
 		for _, x := range s.directory.Listed() {
 			m.Servers = append(m.Servers, &wire.Server{
 				Id: x.ID, Service: x.Service, Address: x.Address, AvailabilityZone: x.AvailabilityZone,
--- a/internal/gateway/sync.go
+++ b/internal/gateway/sync.go
@@ -122,6 +122,16 @@
 	return s.directory.ExpiresIn(time.Now())
 }
 
+// confirmServers takes it that a daemon that reads the store has the servers as
+// of a revision; where that is ours, the store has the same ones.
+func (s *state) confirmServers(as objectstore.Version) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if as == s.serversRevision {
+		s.directory.Confirm(time.Now())
+	}
+}
+
 // storeAway tells that the servers could not be listed.
 func (s *state) storeAway() {
 	s.mu.Lock()
