A silent stream is not given up for nothing

Change: slot and retry are had first; without them the rest is waited for, also in the middle of a chunk's head.

--- a/internal/forward/reply.go
+++ b/internal/forward/reply.go
@@ -36,6 +36,7 @@
 	closes  bool // the server closes the connection after the answer
 	// begunChunks is set once a chunk was read, whose end then is due.
 	begunChunks bool
+	partial     []byte // of a line
 }
 
 // readReply reads the head of the answer to the request with the id. An
@@ -130,14 +131,18 @@
 func (r *reply) nextChunk() error {
 	if r.begunChunks {
 		if line, err := r.line(); err != nil || line != "" {
+			if err != nil {
+				return err
+			}
 			return errors.Wrap(errSpoiled, "chunk without its end")
 		}
+		r.begunChunks = false
 	}
-	r.begunChunks = true
 	line, err := r.line()
 	if err != nil {
 		return err
 	}
+	r.begunChunks = true
 	size, _, _ := strings.Cut(line, ";")
 	n, err := strconv.ParseUint(strings.TrimSpace(size), 16, 31)
 	if err != nil {
@@ -159,9 +164,10 @@
 	}
 }
 
+// line reads a line. What has come of it is kept where the server falls silent
+// within it, so that it can be read on.
 func (r *reply) line() (string, error) {
-	var b []byte
-	for len(b) < maxLine {
+	for len(r.partial) < maxLine {
 		c, err := r.conn.Reader.ReadByte()
 		if err == io.EOF {
 			err = io.ErrUnexpectedEOF
@@ -170,9 +176,11 @@
 			return "", err
 		}
 		if c == '\n' {
-			return strings.TrimSuffix(string(b), "\r"), nil
+			line := strings.TrimSuffix(string(r.partial), "\r")
+			r.partial = r.partial[:0]
+			return line, nil
 		}
-		b = append(b, c)
+		r.partial = append(r.partial, c)
 	}
 	return "", errors.Wrap(errSpoiled, "line too long")
 }
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -8,6 +8,7 @@
 	"github.com/pkg/errors"
 	"github.com/valyala/fasthttp"
 
+	"github.com/lycheekeel/lycheekeel/broker"
 	"github.com/lycheekeel/lycheekeel/pool"
 )
 
@@ -100,11 +101,25 @@
 	s.latest = now
 }
 
-// broken resumes the stream elsewhere, or gives it up.
+// broken resumes the stream elsewhere, or gives it up. One that is only silent
+// is given up for nothing less than a slot elsewhere and a retry: its server may
+// be slow, and an answer that still comes is worth more than one that was cut.
 func (s *stream) broken(err error) {
+	var reserved broker.Grant
+	if s.events.from.conn.Silent() && s.x.ctx.Err() == nil {
+		s.x.goOnAfter(&s.events)
+		if reserved = s.x.reserve(); reserved == nil {
+			s.events.from.conn.SetSilence(time.Until(s.x.out.deadline) + time.Second)
+			return
+		}
+	}
 	s.drop()
 	err = s.x.lostRun(s.run, err)
 	s.over = true
+	if reserved != nil {
+		s.x.logSend(err)
+		err = s.takeOver(s.x.try(reserved))
+	}
 	for err != nil {
 		refusal := s.x.failed(err)
 		if refusal == nil {
@@ -121,23 +136,35 @@
 // resume asks another server for the rest. It returns why that send failed,
 // or the refusal where there is none to ask.
 func (s *stream) resume() (failed, refusal error) {
-	x := s.x
-	if s.events.known {
-		x.out.lastEvent = strconv.FormatInt(s.events.last, 10)
-	}
-	r, g, err := x.send()
+	s.x.goOnAfter(&s.events)
+	r, g, err := s.x.send()
 	if err != nil {
 		return nil, err
 	}
+	return s.takeOver(r, g, nil), nil
+}
+
+// takeOver goes on with another server's answer.
+func (s *stream) takeOver(r *reply, g *run, err error) error {
+	if err != nil {
+		return err
+	}
 	if status := r.header.StatusCode(); status != fasthttp.StatusOK {
 		r.ended = false
 		r.finish()
-		return x.lostRun(g, errors.Errorf("status %d", status)), nil
+		return s.x.lostRun(g, errors.Errorf("status %d", status))
 	}
-	x.server.count.resumed.Add(1)
+	s.x.server.count.resumed.Add(1)
 	s.run, s.over = g, false
 	s.events = events{from: r, last: s.events.last, known: s.events.known}
-	return nil, nil
+	return nil
+}
+
+// goOnAfter makes the next send ask for what follows the last event.
+func (x *exchange) goOnAfter(e *events) {
+	if e.known {
+		x.out.lastEvent = strconv.FormatInt(e.last, 10)
+	}
 }
 
 func (s *stream) drop() {
--- a/internal/forward/stream_test.go
+++ b/internal/forward/stream_test.go
@@ -5,6 +5,7 @@
 	"net"
 	"strings"
 	"testing"
+	"time"
 
 	. "github.com/smartystreets/goconvey/convey"
 
@@ -210,3 +211,34 @@
 		}
 	})
 }
+
+// Symptom: streams are cut while their servers work on. Sequence: a server is
+// silent for longer than usual; the connection is dropped to go on elsewhere,
+// and there is no slot, or no retry, elsewhere. Cause: the stream was given up
+// before it was known that another server would take it.
+func TestSilentStreamIsNotGivenUpForNothing(t *testing.T) {
+	pausing := func(_ int, head, _ string, c net.Conn) bool {
+		beginStream(c, head)
+		chunk(c, eventsOf(1, 3))
+		<-time.After(streamSilence + 500*time.Millisecond)
+		chunk(c, eventsOf(4, 6))
+		endStream(c)
+		return true
+	}
+	Convey("Without a retry the rest is waited for", t, func() {
+		r := newRig(t, newBackend(t, pausing))
+		r.budget.Bound(0)
+		got := r.call("POST", "/resume/", "1", "", "x")
+		So(got.body, ShouldEqual, eventsOf(1, 6))
+		So(got.whole, ShouldBeTrue)
+	})
+	Convey("With a slot and a retry another server goes on", t, func() {
+		second := newBackend(t, streamer(6, 0, ""))
+		r := newRig(t, newBackend(t, pausing), second)
+		got := r.call("POST", "/resume/", "1", "", "x")
+		So(got.body, ShouldEqual, eventsOf(1, 6))
+		So(got.whole, ShouldBeTrue)
+		So(len(second.requests()), ShouldEqual, 1)
+		So(headerOf(second.requests()[0], "Last-Event-Id"), ShouldEqual, "3")
+	})
+}
--- a/internal/httpconn/conn.go
+++ b/internal/httpconn/conn.go
@@ -73,6 +73,10 @@
 	c.close()
 }
 
+// Silent tells whether the last read or write ended because the peer was silent
+// for the limit. The connection may be read on.
+func (c *Conn) Silent() bool { return c.timedOut && !c.guard.wasAborted() }
+
 // Broken wraps an error met while the answer was read as engine.ErrBroken.
 // After a silence it closes the pool's idle connections.
 func (c *Conn) Broken(err error) error {
