testport: test programs that run at once never choose the same port

Change: one allocator for all; a test program holds a block by listening at its first port as long as it lives.

--- a/internal/daemon/measure_test.go
+++ b/internal/daemon/measure_test.go
@@ -23,6 +23,7 @@
 	"time"
 
 	"github.com/lycheekeel/lycheekeel/internal/daemon"
+	"github.com/lycheekeel/lycheekeel/internal/testport"
 	"github.com/lycheekeel/lycheekeel/objectstore"
 	"github.com/lycheekeel/lycheekeel/objectstore/httpobjectstore"
 	"github.com/lycheekeel/lycheekeel/pool"
@@ -132,12 +133,11 @@
 }
 
 func address(b *testing.B) string {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	free, err := testport.Process.Address()
 	if err != nil {
 		b.Fatal(err)
 	}
-	defer ln.Close()
-	return ln.Addr().String()
+	return free
 }
 
 func marshal(b *testing.B, v any) []byte {
--- a/internal/gateway/rig_test.go
+++ b/internal/gateway/rig_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/lycheekeel/lycheekeel/internal/gateway"
 	"github.com/lycheekeel/lycheekeel/internal/metrics"
+	"github.com/lycheekeel/lycheekeel/internal/testport"
 	"github.com/lycheekeel/lycheekeel/platform"
 	"github.com/lycheekeel/lycheekeel/platform/standin"
 )
@@ -83,14 +84,13 @@
 	done     chan error
 }
 
-// freePort returns a port that was free a moment ago.
+// freePort returns a loopback address that nobody else listens at.
 func freePort(t *testing.T) string {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	address, err := testport.Process.Address()
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer ln.Close()
-	return ln.Addr().String()
+	return address
 }
 
 func (s *site) start(name string) *node {
--- /dev/null
+++ b/internal/testport/testport_test.go
@@ -0,0 +1,46 @@
+package testport
+
+import (
+	"net"
+	"testing"
+
+	. "github.com/smartystreets/goconvey/convey"
+)
+
+// Symptom: a daemon that a test kills and starts again does not listen:
+// "address already in use".
+// Sequence: two test programs run at once; one chooses a port, its daemon is
+// killed; the other finds the port free and its daemon takes it; the first
+// daemon starts again.
+// Cause: that a port is free now says nothing of who else has chosen it.
+func TestAllocatorsDoNotShare(t *testing.T) {
+	Convey("Given two allocators, as of two test programs", t, func() {
+		var one, two Allocator
+		defer one.Close()
+		defer two.Close()
+
+		Convey("no address of one is handed out by the other, nor twice, over more than a block each", func() {
+			seen := map[string]bool{}
+			for range blockSize + 10 {
+				for _, a := range []*Allocator{&one, &two} {
+					address, err := a.Address()
+					So(err, ShouldBeNil)
+					So(seen[address], ShouldBeFalse)
+					seen[address] = true
+				}
+			}
+		})
+		Convey("an address that somebody else listens at is passed over", func() {
+			before, err := one.Address()
+			So(err, ShouldBeNil)
+			taken := loopback(one.next)
+			ln, err := net.Listen("tcp", taken)
+			So(err, ShouldBeNil)
+			defer ln.Close()
+			after, err := one.Address()
+			So(err, ShouldBeNil)
+			So(after, ShouldNotEqual, taken)
+			So(after, ShouldNotEqual, before)
+		})
+	})
+}
--- a/test/process_test.go
+++ b/test/process_test.go
@@ -3,15 +3,15 @@
 import (
 	"bytes"
 	"fmt"
-	"net"
 	"os"
 	"os/exec"
 	"path/filepath"
 	"sync"
-	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
+
+	"github.com/lycheekeel/lycheekeel/internal/testport"
 )
 
 // limit is how long a test waits for something that must come; only a fault
@@ -135,35 +135,14 @@
 	return b[max(0, len(b)-tailBytes):]
 }
 
-// nextPort hands out ports below the range from which the system takes the
-// local ports of outgoing connections.
-var nextPort atomic.Int32
-
-const (
-	firstPort = 15000
-	lastPort  = 32000
-)
-
-// freeAddress returns a loopback address that nobody listens at.
+// freeAddress returns a loopback address that nobody else listens at.
 func freeAddress(t testing.TB) string {
 	t.Helper()
-	nextPort.CompareAndSwap(0, firstPort+int32(os.Getpid()%1000)*16)
-	for range lastPort - firstPort {
-		port := nextPort.Add(1)
-		if port >= lastPort {
-			nextPort.Store(firstPort)
-			continue
-		}
-		address := fmt.Sprintf("127.0.0.1:%d", port)
-		ln, err := net.Listen("tcp", address)
-		if err != nil {
-			continue
-		}
-		ln.Close()
-		return address
+	address, err := testport.Process.Address()
+	if err != nil {
+		t.Fatal(err)
 	}
-	t.Fatal("no free port")
-	return ""
+	return address
 }
 
 // eventually waits until the condition holds, and fails the test where it
--- a/test/soak/fleet_test.go
+++ b/test/soak/fleet_test.go
@@ -19,6 +19,7 @@
 
 	"github.com/lycheekeel/lycheekeel/internal/faultproxy"
 	"github.com/lycheekeel/lycheekeel/internal/gateway"
+	"github.com/lycheekeel/lycheekeel/internal/testport"
 	"github.com/lycheekeel/lycheekeel/platform/standin"
 )
 
@@ -158,31 +159,13 @@
 	f.store.PutServer(s.ID, s.service, s.proxy.Addr(), state, 8)
 }
 
-// The ports that processes listen at lie below those that the system gives to
-// outgoing connections (32768 and up): one of these would take a port between
-// its choice and the process's start, and the process would end.
-const (
-	firstPort = 21000
-	lastPort  = 31000
-	// portsApart keeps two runs that started together from the same ports.
-	portsApart = 997
-)
-
-var nextPort = firstPort + os.Getpid()*portsApart%(lastPort-firstPort)
-
+// freePort returns a loopback address that nobody else listens at.
 func freePort(t *testing.T) string {
-	for range lastPort - firstPort {
-		if nextPort++; nextPort >= lastPort {
-			nextPort = firstPort
-		}
-		ln, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", nextPort))
-		if err == nil {
-			defer ln.Close()
-			return ln.Addr().String()
-		}
+	address, err := testport.Process.Address()
+	if err != nil {
+		t.Fatal(err)
 	}
-	t.Fatal("no port is free")
-	return ""
+	return address
 }
 
 func (f *fleet) addNode(name string) {
