pool: answers are sized by their callers' hints

Cause: lengths within one route differ a hundredfold; all were taken to be of the mean. Long streams went to slow servers and were cut at their deadline. Change: a hint, corrected by how those of the same mix turned out, replaces the mean wherever one answer's length decides.

--- a/broker/grant.go
+++ b/broker/grant.go
@@ -70,6 +70,7 @@
 	return pool.Running{
 		Request: s.ID, Grant: g.id, Server: g.server.Name, Workspace: s.Workspace, Template: s.Template,
 		Model: s.Model, Tier: s.Tier, Fingerprint: s.Fingerprint,
-		PromptTokens: s.PromptTokens, MaxTokens: s.MaxTokens, Tokens: int(g.tokens.Load()), Blocks: sentBlocks(s),
+		PromptTokens: s.PromptTokens, MaxTokens: s.MaxTokens, ExpectedTokens: s.ExpectedTokens,
+		Tokens: int(g.tokens.Load()), Blocks: sentBlocks(s),
 	}
 }
--- a/broker/waiter.go
+++ b/broker/waiter.go
@@ -53,7 +53,8 @@
 	ev := pool.Enqueue{
 		Request: s.ID, Workspace: s.Workspace, Template: s.Template, Model: s.Model, Tier: s.Tier,
 		Waited: waited, DeadlineIn: noDeadline, PerToken: s.Targets.PerToken,
-		PromptTokens: s.PromptTokens, MaxTokens: s.MaxTokens, Blocks: sentBlocks(s), Fingerprint: s.Fingerprint,
+		PromptTokens: s.PromptTokens, MaxTokens: s.MaxTokens, ExpectedTokens: s.ExpectedTokens,
+		Blocks: sentBlocks(s), Fingerprint: s.Fingerprint,
 		MaxWaiting: w.demand.MaxWaiting, NoRedirect: w.redirected || len(w.demand.Candidates) < 2,
 	}
 	if s.Targets.FirstToken > 0 {
--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -152,6 +152,7 @@
 	if prompt, most, ok := s.wire.ParseTokens(h.Peek(s.wire.Tokens)); ok {
 		x.spec.Model = x.service
 		x.spec.PromptTokens, x.spec.MaxTokens = prompt, most
+		x.spec.ExpectedTokens = lengthHint(h.Peek(s.wire.LengthHint))
 		x.cost = float64(prompt + most)
 	} else {
 		x.spec.Service = x.service
--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -221,6 +221,17 @@
 	})
 }
 
+func TestCallersEstimate(t *testing.T) {
+	Convey("A caller's estimate of its answer is told to the scheduler, unless it makes no sense", t, func() {
+		for hint, want := range map[string]int{"150": 150, "": 0, "-3": 0, "many": 0, "99999999999999999999": 0, "2000000": 0} {
+			r := newRig(t, newBackend(t, echo))
+			So(r.call("POST", "/once/", "1", "X-Tokens: 100,400\r\nX-Hint: "+hint+"\r\n", "x").status, ShouldEqual, 200)
+			So(r.broker.demands[0].Spec.ExpectedTokens, ShouldEqual, want)
+			So(r.broker.demands[0].Spec.MaxTokens, ShouldEqual, 400)
+		}
+	})
+}
+
 // Symptom: a caller gets bytes that are no answer to its request. Sequence: a
 // server cuts its answer off, spoils it, adds another, or answers late to an
 // earlier request on a kept connection. Cause: what came next was taken for
--- a/internal/forward/headers.go
+++ b/internal/forward/headers.go
@@ -42,5 +42,18 @@
 	return time.Duration(n) * time.Millisecond, true
 }
 
+// maxHint bounds a caller's estimate of its answer's tokens: what is larger is
+// an error of the caller's.
+const maxHint = 1 << 20
+
+// lengthHint reads a number of tokens; zero where the caller gave none.
+func lengthHint(value []byte) int {
+	n, err := strconv.Atoi(string(value))
+	if err != nil || n < 0 || n > maxHint {
+		return 0
+	}
+	return n
+}
+
 // retryAfter spells a Retry-After in seconds with a fraction.
 func retryAfter(d time.Duration) string { return strconv.FormatFloat(d.Seconds(), 'f', 3, 64) }
--- a/internal/forward/rig_test.go
+++ b/internal/forward/rig_test.go
@@ -31,7 +31,7 @@
 func testWire() Wire {
 	return Wire{
 		RequestID: "X-Request-Id", Deadline: "X-Left-Ms", Workspace: "X-Space", ExpectServer: "X-Server",
-		NotExecuted: "X-Refused", Signature: "X-Signed", LastEvent: "Last-Event-Id", Tokens: "X-Tokens",
+		NotExecuted: "X-Refused", Signature: "X-Signed", LastEvent: "Last-Event-Id", Tokens: "X-Tokens", LengthHint: "X-Hint",
 		Reserved: []string{"X-Reserved"},
 		ParseTokens: func(v []byte) (int, int, bool) {
 			var prompt, most int
@@ -138,10 +138,11 @@
 	next    int
 	ends    []pool.Outcome
 	refuse  error
-	block   chan struct{} // not nil: Acquire waits for it or the context
+	demands []broker.Demand // as asked for
+	block   chan struct{}   // not nil: Acquire waits for it or the context
 }
 
-func (b *fakeBroker) Acquire(ctx context.Context, _ broker.Demand) (broker.Grant, error) {
+func (b *fakeBroker) Acquire(ctx context.Context, d broker.Demand) (broker.Grant, error) {
 	if b.block != nil {
 		select {
 		case <-b.block:
@@ -151,6 +152,7 @@
 	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	b.demands = append(b.demands, d)
 	if b.refuse != nil {
 		return nil, b.refuse
 	}
--- a/internal/poolwire/check.go
+++ b/internal/poolwire/check.go
@@ -150,7 +150,8 @@
 		Waited: c.elapsed("waited", m.GetWaited()), FirstTokenIn: c.span("first_token_in", m.GetFirstTokenIn()),
 		DeadlineIn: c.span("deadline_in", m.GetDeadlineIn()), PerToken: c.elapsed("per_token", m.GetPerToken()),
 		PromptTokens: c.number("prompt_tokens", m.GetPromptTokens()), MaxTokens: c.number("max_tokens", m.GetMaxTokens()),
-		Blocks: c.blocks(m.GetBlocks()), Fingerprint: m.GetFingerprint(),
+		ExpectedTokens: c.number("expected_tokens", m.GetExpectedTokens()),
+		Blocks:         c.blocks(m.GetBlocks()), Fingerprint: m.GetFingerprint(),
 		MaxWaiting: c.number("max_waiting", m.GetMaxWaiting()), NoRedirect: m.GetNoRedirect(),
 	}
 }
@@ -179,7 +180,8 @@
 		Workspace: c.text("workspace", m.GetWorkspace()), Template: c.text("template", m.GetTemplate()),
 		Model: c.text("model", m.GetModel()), Tier: c.tier(m.GetTier()), Fingerprint: m.GetFingerprint(),
 		PromptTokens: c.number("prompt_tokens", m.GetPromptTokens()), MaxTokens: c.number("max_tokens", m.GetMaxTokens()),
-		Tokens: c.number("tokens", m.GetTokens()), Blocks: c.blocks(m.GetBlocks()),
+		ExpectedTokens: c.number("expected_tokens", m.GetExpectedTokens()),
+		Tokens:         c.number("tokens", m.GetTokens()), Blocks: c.blocks(m.GetBlocks()),
 	}
 }
 
--- a/internal/poolwire/encode.go
+++ b/internal/poolwire/encode.go
@@ -106,7 +106,7 @@
 		Request: string(e.Request), Workspace: e.Workspace, Template: e.Template, Model: e.Model,
 		Tier: uint32(e.Tier), Waited: int64(e.Waited), FirstTokenIn: int64(e.FirstTokenIn),
 		DeadlineIn: int64(e.DeadlineIn), PerToken: int64(e.PerToken),
-		PromptTokens: uint64(e.PromptTokens), MaxTokens: uint64(e.MaxTokens),
+		PromptTokens: uint64(e.PromptTokens), MaxTokens: uint64(e.MaxTokens), ExpectedTokens: uint64(e.ExpectedTokens),
 		Blocks: e.Blocks, Fingerprint: e.Fingerprint, MaxWaiting: uint64(e.MaxWaiting), NoRedirect: e.NoRedirect,
 	}
 }
@@ -124,7 +124,8 @@
 	return &wirepb.Running{
 		Request: string(e.Request), Grant: grantIDToWire(e.Grant), Server: e.Server, Workspace: e.Workspace,
 		Template: e.Template, Model: e.Model, Tier: uint32(e.Tier), Fingerprint: e.Fingerprint,
-		PromptTokens: uint64(e.PromptTokens), MaxTokens: uint64(e.MaxTokens), Tokens: uint64(e.Tokens), Blocks: e.Blocks,
+		PromptTokens: uint64(e.PromptTokens), MaxTokens: uint64(e.MaxTokens), ExpectedTokens: uint64(e.ExpectedTokens),
+		Tokens: uint64(e.Tokens), Blocks: e.Blocks,
 	}
 }
 
--- /dev/null
+++ b/pool/hint_test.go
@@ -0,0 +1,44 @@
+package pool
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/lycheekeel/lycheekeel/pool/estimate"
+	"github.com/lycheekeel/lycheekeel/pool/score"
+)
+
+// Symptom: long streams are cut at their deadline, after ten seconds at a slow
+// server, while short ones run at fast servers.
+// Sequence: the fast server's slots are taken; a long request comes.
+// Cause: every answer of a mix was taken to be of its mean length.
+func TestHintedLengths(t *testing.T) {
+	given := func() *rig {
+		r := newRig(Config{}, ServerInfo{Name: "fast", Generation: "fast", Slots: 1}, ServerInfo{Name: "slow", Generation: "slow", Slots: 4})
+		for range 20 {
+			r.servers["fast"].speed.ObserveToken(1, 4*time.Millisecond, 4*time.Millisecond, score.Prior{})
+			r.servers["slow"].speed.ObserveToken(1, 40*time.Millisecond, 40*time.Millisecond, score.Prior{})
+			r.lengths.Observe(estimate.Mix{Workspace: "w", Template: "t", Model: "m"}, 100)
+		}
+		return r
+	}
+	hinted := func(id string, tokens int) Enqueue {
+		e := ask(id, 0)
+		e.DeadlineIn, e.MaxTokens, e.ExpectedTokens = 12*time.Second, 4000, tokens
+		return e
+	}
+	Convey("Given a fast server that is full and a slow one", t, func() {
+		r := given()
+		first := r.grant(hinted("first", 1000))
+		So(first.Server, ShouldEqual, "fast")
+		Convey("a long request waits for the fast one", func() {
+			So(grants(r.send(hinted("long", 1000))), ShouldBeEmpty)
+			Convey("a short one takes the slow one at once", func() {
+				So(r.grant(hinted("short", 50)).Server, ShouldEqual, "slow")
+			})
+			So(grants(r.end(first, OutcomeDone))[0].Server, ShouldEqual, "fast")
+		})
+	})
+}
--- /dev/null
+++ b/pool/length.go
@@ -0,0 +1,52 @@
+package pool
+
+import "github.com/lycheekeel/lycheekeel/pool/estimate"
+
+// expectLength estimates an answer's length before it begins: by the caller's
+// hint where there is one, else by the recent answers of its mix.
+func (p *Pool) expectLength(m estimate.Mix, hint, maxTokens int) estimate.Length {
+	if hint > 0 {
+		return p.hints.Expect(m, hint, maxTokens)
+	}
+	return p.lengths.Expect(m, maxTokens)
+}
+
+// remaining estimates what is still to come of a run's answer.
+func (p *Pool) remaining(r *run) int {
+	if r.hint > 0 {
+		return p.hints.Remaining(r.mix, r.hint, r.maxTokens, r.had)
+	}
+	return p.lengths.Remaining(r.mix, r.maxTokens, r.had)
+}
+
+// correctLength corrects the estimate of an answer that grows beyond it: the
+// memory it will need, and what its workspace is charged for.
+func (p *Pool) correctLength(r *run) {
+	rest := p.remaining(r)
+	if tokens := r.prompt + r.had + rest; tokens > r.tokens {
+		r.server.tokens += tokens - r.tokens
+		r.tokens = tokens
+	}
+	if grown := cost(r.uncached, r.had+rest); grown > r.cost {
+		p.refund(r, r.cost-grown)
+		r.cost = grown
+	}
+}
+
+// learnLength corrects the workspace's charge to the true cost, and the
+// estimate of its answers' length.
+func (p *Pool) learnLength(r *run, e Release) {
+	if r.maxTokens == 0 {
+		return
+	}
+	if r.hint > 0 {
+		p.hints.Observe(r.mix, r.hint, e.OutputTokens)
+	} else {
+		p.lengths.Observe(r.mix, e.OutputTokens)
+	}
+	computed := r.uncached
+	if e.PrefillComputed > 0 {
+		computed = e.PrefillComputed
+	}
+	p.refund(r, r.cost-cost(computed, e.OutputTokens))
+}
--- a/pool/messages.go
+++ b/pool/messages.go
@@ -53,8 +53,10 @@
 	PerToken     time.Duration
 	PromptTokens int
 	MaxTokens    int
-	Blocks       []uint64
-	Fingerprint  uint64
+	// ExpectedTokens is the caller's own estimate of its answer; 0: none.
+	ExpectedTokens int
+	Blocks         []uint64
+	Fingerprint    uint64
 	// MaxWaiting bounds the workspace's waiting requests in the tier; 0: none.
 	MaxWaiting int
 	// NoRedirect is set on a request that was redirected once already.
@@ -124,11 +126,13 @@
 	Model       string
 	Tier        request.Tier
 	Fingerprint uint64
-	// PromptTokens, MaxTokens and Tokens (so far) size what it still needs.
-	PromptTokens int
-	MaxTokens    int
-	Tokens       int
-	Blocks       []uint64
+	// PromptTokens, MaxTokens, ExpectedTokens and Tokens (so far) size what it
+	// still needs.
+	PromptTokens   int
+	MaxTokens      int
+	ExpectedTokens int
+	Tokens         int
+	Blocks         []uint64
 }
 
 // EntryReported ends an entry's Running reports after an owner change.
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -42,6 +42,7 @@
 	prefixes *prefix.Index
 	pending  map[uint64]*run // the run that is computing a block now
 	lengths  *estimate.Estimator
+	hints    *estimate.Hints
 	suspects *suspect.Register
 	peers    map[string]score.Prior // measured speed by generation
 	fastest  score.Prior            // the best of all servers; zero: unknown
@@ -77,6 +78,7 @@
 		prefixes: prefix.NewIndex(),
 		pending:  make(map[uint64]*run),
 		lengths:  estimate.New(),
+		hints:    estimate.NewHints(),
 		suspects: suspect.NewRegister(cfg.Verdict),
 		peers:    make(map[string]score.Prior),
 		siblings: make(map[string]*sibling),
--- a/pool/property_test.go
+++ b/pool/property_test.go
@@ -93,7 +93,7 @@
 		}
 		delete(b.waiting, c.Request)
 		b.running[c.Grant] = Running{Entry: c.Entry, Request: c.Request, Grant: c.Grant, Server: c.Server, Workspace: e.Workspace,
-			Tier: e.Tier, Fingerprint: e.Fingerprint, PromptTokens: e.PromptTokens, MaxTokens: e.MaxTokens}
+			Tier: e.Tier, Fingerprint: e.Fingerprint, PromptTokens: e.PromptTokens, MaxTokens: e.MaxTokens, ExpectedTokens: e.ExpectedTokens}
 		if n := b.on(c.Server); n > b.slots[c.Server] {
 			b.t.Fatalf("%d run on %s, which has %d slots", n, c.Server, b.slots[c.Server])
 		}
@@ -139,7 +139,7 @@
 		Tier:         request.Tier(rapid.IntRange(0, 2).Draw(t, "tier")),
 		FirstTokenIn: time.Second, DeadlineIn: time.Duration(rapid.IntRange(1, 20).Draw(t, "deadline")) * time.Second,
 		PerToken: 62 * time.Millisecond, PromptTokens: rapid.IntRange(1, 4000).Draw(t, "prompt"),
-		MaxTokens: rapid.IntRange(1, 300).Draw(t, "max"), MaxWaiting: rapid.IntRange(0, 4).Draw(t, "bound"),
+		MaxTokens: rapid.IntRange(1, 300).Draw(t, "max"), ExpectedTokens: rapid.IntRange(0, 400).Draw(t, "hint"), MaxWaiting: rapid.IntRange(0, 4).Draw(t, "bound"),
 		Fingerprint: uint64(rapid.IntRange(0, 12).Draw(t, "fingerprint")),
 	}
 	for i := range e.PromptTokens / 64 {
--- a/pool/run.go
+++ b/pool/run.go
@@ -28,6 +28,7 @@
 	alone       bool // granted as a suspect
 
 	prompt, maxTokens int
+	hint              int // the caller's estimate of the answer; 0: none
 	blocks            []uint64
 	perToken          time.Duration // target
 	cost              float64       // as charged
@@ -121,20 +122,6 @@
 	p.correctLength(r)
 }
 
-// correctLength corrects the estimate of an answer that grows beyond it: the
-// memory it will need, and what its workspace is charged for.
-func (p *Pool) correctLength(r *run) {
-	rest := p.lengths.Remaining(r.mix, r.maxTokens, r.had)
-	if tokens := r.prompt + r.had + rest; tokens > r.tokens {
-		r.server.tokens += tokens - r.tokens
-		r.tokens = tokens
-	}
-	if grown := cost(r.uncached, r.had+rest); grown > r.cost {
-		p.refund(r, r.cost-grown)
-		r.cost = grown
-	}
-}
-
 // firstToken learns from a first token: the prompt is computed and cached.
 func (p *Pool) firstToken(r *run, took time.Duration) {
 	p.prefillDone(r)
@@ -218,20 +205,6 @@
 	p.prefixes.Confirm(r.server.index, r.blocks, r.cached, found)
 }
 
-// learnLength corrects the workspace's charge to the true cost, and the
-// estimate of its answers' length.
-func (p *Pool) learnLength(r *run, e Release) {
-	if r.maxTokens == 0 {
-		return
-	}
-	p.lengths.Observe(r.mix, e.OutputTokens)
-	computed := r.uncached
-	if e.PrefillComputed > 0 {
-		computed = e.PrefillComputed
-	}
-	p.refund(r, r.cost-cost(computed, e.OutputTokens))
-}
-
 // refund gives a workspace back what it was charged too much; it may be
 // negative.
 func (p *Pool) refund(r *run, amount float64) {
@@ -243,7 +216,7 @@
 // adopt counts a run that an earlier owner granted, or that an entry began by
 // itself.
 func (p *Pool) adopt(e Running) {
-	e.PromptTokens, e.MaxTokens = max(0, e.PromptTokens), max(0, e.MaxTokens)
+	e.PromptTokens, e.MaxTokens, e.ExpectedTokens = max(0, e.PromptTokens), max(0, e.MaxTokens), max(0, e.ExpectedTokens)
 	p.entryHeard(e.Entry)
 	if r := p.runs[e.Grant]; r != nil {
 		r.heard = p.now
@@ -256,9 +229,9 @@
 	r := &run{
 		id: e.Grant, request: e.Request, entry: e.Entry, server: p.server(e.Server), since: p.now, heard: p.now,
 		tier: min(e.Tier, request.MaxTiers-1), workspace: e.Workspace, mix: mix, fingerprint: e.Fingerprint,
-		prompt: e.PromptTokens, maxTokens: e.MaxTokens, blocks: e.Blocks, had: e.Tokens,
+		prompt: e.PromptTokens, maxTokens: e.MaxTokens, hint: e.ExpectedTokens, blocks: e.Blocks, had: e.Tokens,
 		first: e.Tokens > 0, uncached: e.PromptTokens,
-		tokens: e.PromptTokens + p.lengths.Expect(mix, e.MaxTokens).High,
+		tokens: e.PromptTokens + p.expectLength(mix, e.ExpectedTokens, e.MaxTokens).High,
 	}
 	r.cost = cost(e.PromptTokens, e.MaxTokens)
 	p.addRun(r)
--- a/pool/schedule.go
+++ b/pool/schedule.go
@@ -270,7 +270,7 @@
 		id: GrantID{Epoch: p.cfg.Epoch, Seq: p.seq}, request: w.Request, entry: w.Entry, server: o.server,
 		since: p.now, heard: p.now, deadline: w.deadline,
 		tier: w.Item.Tier, workspace: w.Item.Workspace, mix: w.mix, fingerprint: w.Fingerprint, alone: w.isolated(),
-		prompt: w.PromptTokens, maxTokens: w.MaxTokens, blocks: w.Blocks, perToken: w.tokenTarget(), cost: w.Cost,
+		prompt: w.PromptTokens, maxTokens: w.MaxTokens, hint: w.ExpectedTokens, blocks: w.Blocks, perToken: w.tokenTarget(), cost: w.Cost,
 		cached: o.cached, uncached: o.uncached, ahead: o.server.prefill,
 		tokens: w.PromptTokens + w.length.High, at: len(o.server.running) + 1,
 	}
--- a/pool/waiter.go
+++ b/pool/waiter.go
@@ -33,7 +33,7 @@
 
 func (p *Pool) enqueue(e Enqueue) {
 	e.Tier = min(e.Tier, request.MaxTiers-1)
-	e.PromptTokens, e.MaxTokens = max(0, e.PromptTokens), max(0, e.MaxTokens)
+	e.PromptTokens, e.MaxTokens, e.ExpectedTokens = max(0, e.PromptTokens), max(0, e.MaxTokens), max(0, e.ExpectedTokens)
 	if r := p.granted[e.Request]; r != nil && r.entry == e.Entry {
 		// The grant was lost on the way: a connection broke. Giving the same
 		// grant again is idempotent; a second one would count one request
@@ -76,7 +76,7 @@
 		w.firstToken = p.now.Add(e.FirstTokenIn)
 	}
 	if !p.plain() && e.MaxTokens > 0 {
-		w.length = p.lengths.Expect(w.mix, e.MaxTokens)
+		w.length = p.expectLength(w.mix, e.ExpectedTokens, e.MaxTokens)
 	}
 	w.Item.Tier, w.Item.Workspace, w.Item.Value = e.Tier, e.Workspace, w
 	w.Expires = p.lastMoment(w)
--- a/request/request.go
+++ b/request/request.go
@@ -67,6 +67,9 @@
 	// template's cap on generated tokens.
 	PromptTokens int
 	MaxTokens    int
+	// ExpectedTokens is the caller's own estimate of the generated tokens; 0:
+	// none.
+	ExpectedTokens int
 	// Blocks are chained hashes of the prompt's blocks, first block first.
 	Blocks []uint64
 	// Fingerprint identifies the request's content, so that a request that
