forward: a request that was sent before waits to its deadline, and a server's failure is kept until there is a better answer

Change: the scheduler is told which requests were sent before; the server's whole failure is passed on where no other answer comes.

--- a/internal/forward/answer.go
+++ b/internal/forward/answer.go
@@ -32,16 +32,39 @@
 		g.release(pool.OutcomeFailed)
 		if x.worthAnother(status) {
 			x.server.count.retryFailed.Add(1)
+			x.failure = &failure{body: body}
+			r.header.CopyTo(&x.failure.header)
 			return false, nil
 		}
 	} else {
 		g.release(pool.OutcomeDone)
 	}
-	x.copyHead(r)
+	x.pass(&r.header, body)
+	return true, nil
+}
+
+// pass answers with a server's whole answer.
+func (x *exchange) pass(head *fasthttp.ResponseHeader, body []byte) {
+	x.copyHead(head)
 	x.http.Response.SetBodyRaw(body)
 	x.trail.first = time.Since(x.received)
 	x.logAnswer(nil)
-	return true, nil
+}
+
+// failure is a server's whole answer that tells a failure. It is the caller's
+// answer where no other server gives a better one.
+type failure struct {
+	header fasthttp.ResponseHeader
+	body   []byte
+}
+
+// passFailure answers with the failure of an earlier server, if there was one.
+func (x *exchange) passFailure() bool {
+	if x.failure == nil || x.gone() {
+		return false
+	}
+	x.pass(&x.failure.header, x.failure.body)
+	return true
 }
 
 // worthAnother decides whether a failed run is repeated at another server.
@@ -51,10 +74,10 @@
 }
 
 // copyHead passes the answer's status and headers on.
-func (x *exchange) copyHead(r *reply) {
-	x.status = r.header.StatusCode()
+func (x *exchange) copyHead(head *fasthttp.ResponseHeader) {
+	x.status = head.StatusCode()
 	x.http.Response.Header.SetStatusCode(x.status)
-	for k, v := range r.header.All() {
+	for k, v := range head.All() {
 		if !hopHeaders[string(k)] {
 			x.http.Response.Header.AddBytesKV(k, v)
 		}
@@ -80,7 +103,7 @@
 	s.took(n)
 	s.eof = err == io.EOF
 	x.stream = s
-	x.copyHead(r)
+	x.copyHead(&r.header)
 	x.http.Response.SetBodyStream(s, -1)
 	return true, nil
 }
--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -40,6 +40,7 @@
 	attempts request.Attempts
 	denied   error // the refusal met just before a send; nil: none
 	out      *outbound
+	failure  *failure // of an earlier server
 
 	ctx    context.Context
 	cancel context.CancelCauseFunc
@@ -73,6 +74,15 @@
 	x.out.deadline = x.received.Add(x.spec.Targets.Deadline)
 	x.server.deps.Budget(x.service).Request()
 	x.open()
+	err := x.forward()
+	if err != nil && x.passFailure() {
+		return nil
+	}
+	return err
+}
+
+// forward sends the request until a server's answer is passed on.
+func (x *exchange) forward() error {
 	for {
 		r, g, err := x.send()
 		if err != nil {
--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -221,6 +221,39 @@
 	})
 }
 
+// Symptom: a caller whose request failed at one server gets a 502, although
+// that server had answered, and other servers come free a moment later.
+// Sequence: the server's failure comes when all others are taken; the second
+// slot is refused, for the request has waited longer than newcomers may.
+// Cause: the wait at its second time was bounded like that of a new request,
+// and the answer was dropped before there was a better one.
+func TestAFailureIsKeptUntilThereIsABetterAnswer(t *testing.T) {
+	fails := newBackend(t, func(_ int, head, _ string, c net.Conn) bool {
+		answerWith(c, head, "500 Failed", "no")
+		return true
+	})
+	Convey("The first server's failure is the answer where there is no second slot", t, func() {
+		r := newRig(t, fails)
+		r.broker.refuseAfter = 1
+		r.broker.refuse = request.Refuse(request.ReasonShed, "no slot")
+		got := r.call("GET", "/again/", "1", "", "")
+		So(got.status, ShouldEqual, 500)
+		So(got.body, ShouldEqual, "no")
+		So(string(got.header.Peek("X-Signed")), ShouldEqual, "s")
+	})
+	Convey("and where the second one's answer is lost", t, func() {
+		cut := newBackend(t, func(_ int, _, _ string, _ net.Conn) bool { return false })
+		r := newRig(t, fails, cut)
+		So(r.call("GET", "/again/", "2", "", "").status, ShouldEqual, 500)
+	})
+	Convey("The scheduler is told which requests were sent before", t, func() {
+		r := newRig(t, fails, newBackend(t, echo))
+		So(r.call("GET", "/again/", "3", "", "").status, ShouldEqual, 200)
+		So(r.broker.demands[0].Sent, ShouldBeFalse)
+		So(r.broker.demands[1].Sent, ShouldBeTrue)
+	})
+}
+
 func TestCallersEstimate(t *testing.T) {
 	Convey("A caller's estimate of its answer is told to the scheduler, unless it makes no sense", t, func() {
 		for hint, want := range map[string]int{"150": 150, "": 0, "-3": 0, "many": 0, "99999999999999999999": 0, "2000000": 0} {
--- a/internal/forward/rig_test.go
+++ b/internal/forward/rig_test.go
@@ -138,8 +138,10 @@
 	next    int
 	ends    []pool.Outcome
 	refuse  error
-	demands []broker.Demand // as asked for
-	block   chan struct{}   // not nil: Acquire waits for it or the context
+	// refuseAfter is how many are granted before refuse is.
+	refuseAfter int
+	demands     []broker.Demand // as asked for
+	block       chan struct{}   // not nil: Acquire waits for it or the context
 }
 
 func (b *fakeBroker) Acquire(ctx context.Context, d broker.Demand) (broker.Grant, error) {
@@ -153,7 +155,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.demands = append(b.demands, d)
-	if b.refuse != nil {
+	if b.refuse != nil && len(b.demands) > b.refuseAfter {
 		return nil, b.refuse
 	}
 	s := b.servers[b.next%len(b.servers)]
--- a/internal/forward/send.go
+++ b/internal/forward/send.go
@@ -37,7 +37,7 @@
 // error is a refusal.
 func (x *exchange) send() (*reply, *run, error) {
 	for {
-		x.demand.Candidates = x.pools()
+		x.demand.Candidates, x.demand.Sent = x.pools(), x.attempts.Sends() > 0
 		grant, err := x.acquire()
 		if err != nil {
 			return nil, nil, x.waitEnded(err)
--- a/internal/poolwire/check.go
+++ b/internal/poolwire/check.go
@@ -152,7 +152,7 @@
 		PromptTokens: c.number("prompt_tokens", m.GetPromptTokens()), MaxTokens: c.number("max_tokens", m.GetMaxTokens()),
 		ExpectedTokens: c.number("expected_tokens", m.GetExpectedTokens()),
 		Blocks:         c.blocks(m.GetBlocks()), Fingerprint: m.GetFingerprint(),
-		MaxWaiting: c.number("max_waiting", m.GetMaxWaiting()), NoRedirect: m.GetNoRedirect(),
+		MaxWaiting: c.number("max_waiting", m.GetMaxWaiting()), NoRedirect: m.GetNoRedirect(), Sent: m.GetSent(),
 	}
 }
 
--- a/pool/patience_test.go
+++ b/pool/patience_test.go
@@ -40,6 +40,14 @@
 		So(sheds(r.pass(999*time.Millisecond)), ShouldBeEmpty)
 		So(shedReason(r.pass(time.Millisecond)), ShouldEqual, request.ReasonShed)
 	})
+	Convey("One that was sent before waits up to its deadline", t, func() {
+		r := full()
+		e := ask("sent", 0)
+		e.DeadlineIn, e.Sent = 10*time.Second, true
+		r.send(e)
+		So(sheds(r.pass(9999*time.Millisecond)), ShouldBeEmpty)
+		So(shedReason(r.pass(time.Millisecond)), ShouldEqual, request.ReasonExpired)
+	})
 	Convey("Nobody is shed while a lower tier, whose patience is longer, goes on waiting", t, func() {
 		r := full()
 		low := ask("low", 2)
--- a/pool/waiter.go
+++ b/pool/waiter.go
@@ -87,7 +87,7 @@
 
 // lastMoment is until when a request may wait.
 func (p *Pool) lastMoment(w *waiter) time.Time {
-	if p.cfg.Patience == 0 {
+	if p.cfg.Patience == 0 || w.Sent {
 		return w.deadline
 	}
 	whole := w.DeadlineIn
