--- a/internal/gateway/asker.go
+++ b/internal/gateway/asker.go
@@ -132,6 +132,7 @@
 	if err := proto.Unmarshal(reply, &m); err != nil {
 		return err
 	}
+	s.latency.ask.Observe(s.serversFresh.Mark() - serversMark - milliseconds(m.HeldMs))
 	a.take(&m, configMark, serversMark)
 	return nil
 }
--- a/internal/gateway/asker_test.go
+++ b/internal/gateway/asker_test.go
@@ -8,13 +8,14 @@
 
 	"github.com/lycheekeel/lycheekeel/allowance"
 	"github.com/lycheekeel/lycheekeel/internal/gateway/wire"
+	"github.com/lycheekeel/lycheekeel/internal/metrics"
 	"github.com/lycheekeel/lycheekeel/route"
 	"github.com/lycheekeel/lycheekeel/workspace"
 )
 
 func emptyState() *state {
 	ledger := allowance.NewLedger(time.Now, 1, allowance.Tolerance{})
-	return newState(Platform{}, "r", &route.Live{}, &workspace.Live{}, ledger, func(map[string]bool) {})
+	return newState(Platform{}, "r", &route.Live{}, &workspace.Live{}, ledger, func(map[string]bool) {}, metrics.New())
 }
 
 // Symptom: daemons that get what they know from a reader list the servers
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -85,7 +85,7 @@
 		Window: seconds(s.Bounds.QuotaWindowS), Over: s.Bounds.QuotaOver, Slack: s.Bounds.QuotaSlack,
 	})
 	servers := forward.NewServers(httpconn.Settings{})
-	g.state = newState(p, s.Region, g.routes, g.pools, g.ledger, servers.Keep)
+	g.state = newState(p, s.Region, g.routes, g.pools, g.ledger, servers.Keep, m)
 	g.forward = forward.New(forward.Deps{
 		Routes: g.routes, Pools: g.pools, Broker: g, Admission: g,
 		Allowances: g.ledger, Budget: g.budgets.of, Servers: servers, Metrics: m,
@@ -114,7 +114,12 @@
 }
 
 // Fresh implements forward.Admission.
-func (g *Gateway) Fresh() bool { return g.provedWithin(proofShare) }
+func (g *Gateway) Fresh() bool {
+	if age, ok := g.state.configFresh.Age(); ok {
+		g.state.latency.proof.Observe(age)
+	}
+	return g.provedWithin(proofShare)
+}
 
 // MayUse implements forward.Admission.
 func (g *Gateway) MayUse(serverID string) bool {
--- a/internal/gateway/observe.go
+++ b/internal/gateway/observe.go
@@ -6,18 +6,36 @@
 	"time"
 
 	"github.com/valyala/fasthttp"
+
+	"github.com/lycheekeel/lycheekeel/internal/metrics"
 )
 
 // trustEvery is how often it is checked whether the configuration and the
 // other daemons can be relied on; it only feeds the log.
 const trustEvery = 500 * time.Millisecond
 
+// latencies are of what a daemon learns its state by.
+type latencies struct {
+	// list is of calls that list a kind in the store; ask is the way to a
+	// reader and back, without what it held the ask for.
+	list, ask *metrics.Histogram
+	// proof is the age of the configuration's proof when a key was checked.
+	proof *metrics.Histogram
+}
+
+func newLatencies(m *metrics.Registry) latencies {
+	return latencies{
+		list: m.Histogram("latency", "store_list"), ask: m.Histogram("latency", "peer_ask"),
+		proof: m.Histogram("latency", "proof_age"),
+	}
+}
+
 // watchTrust tells each loss and return of what the daemon relies on.
 func (g *Gateway) watchTrust(ctx context.Context) {
 	fresh, share := true, -1.0
 	lost := time.Time{}
 	for ctx.Err() == nil {
-		if now := g.Fresh(); now != fresh && g.routes.Load() != nil {
+		if now := g.provedWithin(proofShare); now != fresh && g.routes.Load() != nil {
 			fresh = now
 			if !now {
 				lost = time.Now()
--- /dev/null
+++ b/internal/gateway/observe_test.go
@@ -0,0 +1,26 @@
+package gateway
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/lycheekeel/lycheekeel/internal/metrics"
+)
+
+func TestLatenciesAreServed(t *testing.T) {
+	Convey("The metrics tell how long lists, asks and proofs took", t, func() {
+		m := metrics.New()
+		l := newLatencies(m)
+		l.list.Observe(4 * time.Millisecond)
+		l.ask.Observe(2 * time.Millisecond)
+		l.proof.Observe(900 * time.Millisecond)
+		var text strings.Builder
+		m.WriteText(&text)
+		for _, name := range []string{"store_list", "peer_ask", "proof_age"} {
+			So(text.String(), ShouldContainSubstring, name)
+		}
+	})
+}
--- a/internal/gateway/reader.go
+++ b/internal/gateway/reader.go
@@ -92,6 +92,7 @@
 func (r *reader) read(ctx context.Context, k *kindLoop) time.Duration {
 	mark := k.fresh.Mark()
 	l, err := r.store.List(ctx, k.kind, "")
+	r.state.latency.list.Observe(k.fresh.Mark() - mark)
 	if err != nil {
 		k.failed()
 		r.lost(k, err)
--- a/internal/gateway/sync.go
+++ b/internal/gateway/sync.go
@@ -10,6 +10,7 @@
 	"github.com/lycheekeel/lycheekeel/allowance"
 	"github.com/lycheekeel/lycheekeel/discovery"
 	"github.com/lycheekeel/lycheekeel/internal/logs"
+	"github.com/lycheekeel/lycheekeel/internal/metrics"
 	"github.com/lycheekeel/lycheekeel/objectstore"
 	"github.com/lycheekeel/lycheekeel/revision"
 	"github.com/lycheekeel/lycheekeel/route"
@@ -26,6 +27,7 @@
 	ledger   *allowance.Ledger
 	servers  func(map[string]bool) // told the addresses that are in use
 	log      *logrus.Entry
+	latency  latencies
 
 	// configFresh and serversFresh know how old the newest linearizable reads
 	// are.
@@ -41,11 +43,11 @@
 	changed         chan struct{} // closed at each change
 }
 
-func newState(p Platform, region string, routes *route.Live, pools *workspace.Live, ledger *allowance.Ledger, servers func(map[string]bool)) *state {
+func newState(p Platform, region string, routes *route.Live, pools *workspace.Live, ledger *allowance.Ledger, servers func(map[string]bool), m *metrics.Registry) *state {
 	return &state{
 		platform: p, region: region, routes: routes, pools: pools, ledger: ledger, servers: servers,
 		configFresh: revision.NewFreshness(), serversFresh: revision.NewFreshness(), log: logs.For("sync"),
-		directory: discovery.NewDirectory(), changed: make(chan struct{}),
+		directory: discovery.NewDirectory(), changed: make(chan struct{}), latency: newLatencies(m),
 	}
 }
 
