--- a/pool/patience_test.go
+++ b/pool/patience_test.go
@@ -68,8 +68,8 @@
 	})
 }
 
-// Symptom: calls with a target of 300 ms are shed on a calm day, a tenth of
-// them, although slots come free every few milliseconds.
+// Symptom: calls with a target of 300 ms are shed on a calm day although slots
+// come free every few milliseconds.
 // Sequence: some requests more than there are slots come at once; the first
 // patience of the last ones ends just before their turn.
 // Cause: patience took no account of how fast slots come free.
--- a/pool/waiter.go
+++ b/pool/waiter.go
@@ -86,55 +86,6 @@
 	return w
 }
 
-// lastMoment is until when a request may wait with so much patience.
-func (p *Pool) lastMoment(w *waiter, patience float64) time.Time {
-	if patience == 0 || w.Sent {
-		return w.deadline
-	}
-	whole := w.DeadlineIn
-	if w.FirstTokenIn != 0 {
-		whole = w.FirstTokenIn
-	}
-	whole += w.Waited
-	return w.since.Add(time.Duration(patience*float64(whole)) - w.Waited)
-}
-
-// mayWaitOn lets a request whose patience is over wait on where the grants of
-// its tier and of those above come fast enough.
-//
-// What goes wrong without it: the calls of a plain service with a target of
-// 300 ms are shed after 36 ms at each little queue, a tenth of them on a calm
-// day, although each would have had a slot some milliseconds later.
-func (p *Pool) mayWaitOn(w *waiter) bool {
-	if w.waitsOn || p.cfg.LongPatience <= p.cfg.Patience {
-		return false
-	}
-	until := p.lastMoment(w, p.cfg.LongPatience)
-	if until.After(w.deadline) || p.now.Add(p.waitOf(w.Item.Tier)).After(until) {
-		return false
-	}
-	w.waitsOn = true
-	p.waitOn[w.Item.Tier]++
-	p.queue.Postpone(&w.Item, until)
-	return true
-}
-
-// waitOf is how long a request of a tier whose patience is just over will wait
-// for its slot at the pace of the last grants: until all above its tier, and
-// all of its tier that came before it, have theirs. Of these only the ones
-// that wait on are still there.
-func (p *Pool) waitOf(t request.Tier) time.Duration {
-	waiting, pace := 1+p.waitOn[t], p.grants[t].perSecond(p.now)
-	for higher := request.Tier(0); higher < t; higher++ {
-		waiting += p.queue.Waiting(higher)
-		pace += p.grants[higher].perSecond(p.now)
-	}
-	if pace <= float64(waiting)/retryMax.Seconds() {
-		return retryMax
-	}
-	return time.Duration(float64(waiting) / pace * float64(time.Second))
-}
-
 // cost is the work of a request, in prompt tokens. A call to a plain service
 // has no tokens: each counts as one.
 func cost(prompt, output int) float64 { return float64(1 + prompt + outputWeight*output) }
@@ -182,36 +133,6 @@
 	}
 }
 
-// expire ends what has waited too long.
-func (p *Pool) expire() {
-	for it := p.queue.Expired(p.now); it != nil; it = p.queue.Expired(p.now) {
-		if p.mayWaitOn(it.Value) {
-			continue
-		}
-		p.drop(it.Value)
-		if p.now.Before(it.Value.deadline) {
-			p.shedBelow(it.Tier)
-			p.giveUp(it.Value, request.ReasonShed)
-			continue
-		}
-		p.shed(&it.Value.Enqueue, request.ReasonExpired, p.expectedWait(it.Tier))
-	}
-	for it := p.isolated.Expired(p.now); it != nil; it = p.isolated.Expired(p.now) {
-		p.drop(it.Value)
-		p.shed(&it.Value.Enqueue, request.ReasonSuspectBusy, suspectRetry)
-	}
-}
-
-// shedBelow gives up what waits at the tiers below t, before a request of t is
-// shed while it still has time. Nothing is granted to them before those of t,
-// and their patience may be the longer one.
-func (p *Pool) shedBelow(t request.Tier) {
-	for last := p.lastWaiting(); last != nil && last.Tier > t; last = p.lastWaiting() {
-		p.drop(last.Value)
-		p.giveUp(last.Value, request.ReasonShed)
-	}
-}
-
 // verdict returns what is known of a waiting request's fingerprint.
 func (p *Pool) verdict(w *waiter) suspect.State {
 	if p.plain() {
--- a/test/soak/faults_test.go
+++ b/test/soak/faults_test.go
@@ -21,28 +21,24 @@
 var faults = []fault{
 	{"terminate and restart", func(f *fleet, r *rand.Rand) func() {
 		n := pick(r, f.nodes)
-		n.terminated = time.Now()
 		again := n.restarter()
 		n.signal(syscall.SIGTERM)
 		return again
 	}},
 	{"kill and restart", func(f *fleet, r *rand.Rand) func() {
 		n := pick(r, f.nodes)
-		n.unplanned = time.Now()
 		again := n.restarter()
 		n.kill()
 		return again
 	}},
 	{"pause", func(f *fleet, r *rand.Rand) func() {
 		n := pick(r, f.nodes)
-		n.unplanned = time.Now()
 		n.signal(syscall.SIGSTOP)
 		return func() { n.signal(syscall.SIGCONT) }
 	}},
 	{"hang up", func(f *fleet, r *rand.Rand) func() { pick(r, f.nodes).signal(syscall.SIGHUP); return nil }},
 	{"harm a link", func(f *fleet, r *rand.Rand) func() {
 		n := pick(r, f.nodes)
-		n.unplanned = time.Now()
 		return harm(pick(r, []*faultproxy.Proxy{n.front, n.peer, n.store}), r)
 	}},
 	{"harm a server's link", func(f *fleet, r *rand.Rand) func() { return harm(pick(r, f.servers).proxy, r) }},
--- a/test/soak/fleet_test.go
+++ b/test/soak/fleet_test.go
@@ -75,14 +75,13 @@
 
 // node is one gateway process with the proxies before and behind it.
 type node struct {
-	fleet                 *fleet
-	name                  string
-	front, peer, store    *faultproxy.Proxy
-	settings              gateway.Settings
-	mu                    sync.Mutex
-	cmd                   *exec.Cmd
-	ended                 chan struct{} // closed when cmd has ended
-	terminated, unplanned time.Time     // the last of each
+	fleet              *fleet
+	name               string
+	front, peer, store *faultproxy.Proxy
+	settings           gateway.Settings
+	mu                 sync.Mutex
+	cmd                *exec.Cmd
+	ended              chan struct{} // closed when cmd has ended
 }
 
 // server is one life of a backend server behind its proxy.
