pool: servers that fail their runs come last; a second send goes to another server

Change: the share of a server's last runs that failed or were lost counts in a choice; the scheduler is told to which servers a request was sent before, and grants another one where there is one.

--- a/broker/broker.go
+++ b/broker/broker.go
@@ -18,8 +18,8 @@
 	// Candidates are the pools that can serve it, in the entry's region.
 	Candidates []*workspace.ResolvedPool
 	MaxWaiting int
-	// Sent is set where the request has been sent to a server before.
-	Sent bool
+	// SentTo are the servers that the request was sent to before.
+	SentTo []string
 }
 
 // Broker gets slots for requests. Implementations are safe for concurrent use.
--- a/broker/waiter.go
+++ b/broker/waiter.go
@@ -55,7 +55,7 @@
 		Waited: waited, DeadlineIn: noDeadline, PerToken: s.Targets.PerToken,
 		PromptTokens: s.PromptTokens, MaxTokens: s.MaxTokens, ExpectedTokens: s.ExpectedTokens,
 		Blocks: sentBlocks(s), Fingerprint: s.Fingerprint,
-		MaxWaiting: w.demand.MaxWaiting, Sent: w.demand.Sent, NoRedirect: w.redirected || len(w.demand.Candidates) < 2,
+		MaxWaiting: w.demand.MaxWaiting, SentTo: w.demand.SentTo, NoRedirect: w.redirected || len(w.demand.Candidates) < 2,
 	}
 	if s.Targets.FirstToken > 0 {
 		ev.FirstTokenIn = s.Targets.FirstToken - waited
--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -249,8 +249,8 @@
 	Convey("The scheduler is told which requests were sent before", t, func() {
 		r := newRig(t, fails, newBackend(t, echo))
 		So(r.call("GET", "/again/", "3", "", "").status, ShouldEqual, 200)
-		So(r.broker.demands[0].Sent, ShouldBeFalse)
-		So(r.broker.demands[1].Sent, ShouldBeTrue)
+		So(r.broker.demands[0].SentTo, ShouldBeEmpty)
+		So(r.broker.demands[1].SentTo, ShouldResemble, []string{"i-1"})
 	})
 }
 
--- a/internal/forward/send.go
+++ b/internal/forward/send.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/pkg/errors"
@@ -37,7 +38,7 @@
 // error is a refusal.
 func (x *exchange) send() (*reply, *run, error) {
 	for {
-		x.demand.Candidates, x.demand.Sent = x.pools(), x.attempts.Sends() > 0
+		x.demand.Candidates = x.pools()
 		grant, err := x.acquire()
 		if err != nil {
 			return nil, nil, x.waitEnded(err)
@@ -77,6 +78,7 @@
 	spec := *x.spec // another request to the owner: the first one still runs
 	spec.ID += "-again"
 	d.Spec, d.Candidates = &spec, x.pools()
+	d.SentTo = append(slices.Clone(d.SentTo), x.out.serverID)
 	grant, err := x.server.deps.Broker.Acquire(ctx, d)
 	if err != nil {
 		return nil
@@ -210,9 +212,16 @@
 		outcome = pool.OutcomeCanceled
 	}
 	g.release(outcome)
+	x.sentTo(g)
 	return lost{err}
 }
 
+// sentTo notes a server that may have run the request, so that another one is
+// asked next.
+func (x *exchange) sentTo(g *run) {
+	x.demand.SentTo = append(x.demand.SentTo, g.grant.Server().Name)
+}
+
 // notExecuted ends a send that the server did not run.
 func (x *exchange) notExecuted(g *run, r *reply) error {
 	x.attempts.GiveBack()
--- a/internal/poolwire/check.go
+++ b/internal/poolwire/check.go
@@ -20,8 +20,10 @@
 	// MaxBatch is the largest number of events or commands in one batch.
 	MaxBatch  = 4096
 	maxBlocks = 1 << 16
-	maxNumber = 1 << 40
-	maxSpan   = 30 * 24 * time.Hour
+	// maxServers bounds the servers that one request was sent to before.
+	maxServers = 64
+	maxNumber  = 1 << 40
+	maxSpan    = 30 * 24 * time.Hour
 	// maxNext bounds how long a peer may announce to be silent: a faulty one
 	// could otherwise keep a dead session open for days.
 	maxNext    = time.Minute
@@ -112,6 +114,18 @@
 	return b
 }
 
+// servers checks the names of a few servers; none is nil.
+func (c *checker) servers(field string, names []string) []string {
+	if len(names) > maxServers {
+		c.fail("%d servers in %s", len(names), field)
+		return nil
+	}
+	for _, s := range names {
+		c.name(field, s)
+	}
+	return names
+}
+
 func (c *checker) tier(v uint32) request.Tier { return request.Tier(c.below("tier", v, maxTierRaw)) }
 
 func (c *checker) request(s string) request.ID { return request.ID(c.name("request", s)) }
@@ -152,7 +166,7 @@
 		PromptTokens: c.number("prompt_tokens", m.GetPromptTokens()), MaxTokens: c.number("max_tokens", m.GetMaxTokens()),
 		ExpectedTokens: c.number("expected_tokens", m.GetExpectedTokens()),
 		Blocks:         c.blocks(m.GetBlocks()), Fingerprint: m.GetFingerprint(),
-		MaxWaiting: c.number("max_waiting", m.GetMaxWaiting()), NoRedirect: m.GetNoRedirect(), Sent: m.GetSent(),
+		MaxWaiting: c.number("max_waiting", m.GetMaxWaiting()), NoRedirect: m.GetNoRedirect(), SentTo: c.servers("sent_to", m.GetSentTo()),
 	}
 }
 
--- a/internal/poolwire/encode.go
+++ b/internal/poolwire/encode.go
@@ -107,7 +107,7 @@
 		Tier: uint32(e.Tier), Waited: int64(e.Waited), FirstTokenIn: int64(e.FirstTokenIn),
 		DeadlineIn: int64(e.DeadlineIn), PerToken: int64(e.PerToken),
 		PromptTokens: uint64(e.PromptTokens), MaxTokens: uint64(e.MaxTokens), ExpectedTokens: uint64(e.ExpectedTokens),
-		Blocks: e.Blocks, Fingerprint: e.Fingerprint, MaxWaiting: uint64(e.MaxWaiting), NoRedirect: e.NoRedirect, Sent: e.Sent,
+		Blocks: e.Blocks, Fingerprint: e.Fingerprint, MaxWaiting: uint64(e.MaxWaiting), NoRedirect: e.NoRedirect, SentTo: e.SentTo,
 	}
 }
 
--- a/pool/choose.go
+++ b/pool/choose.go
@@ -1,6 +1,7 @@
 package pool
 
 import (
+	"slices"
 	"time"
 
 	"github.com/lycheekeel/lycheekeel/engine"
@@ -12,6 +13,11 @@
 	// every other request of the server would wait for it too, and it is work
 	// thrown away once.
 	savedWeight = 10.0
+	// failureCost is what a run that fails costs in a choice, as a time: most of
+	// it is a try and a slot for nothing, and some requests have but one try.
+	// With 5 s a server that fails a fifth of its runs serves after those that
+	// are a second slower.
+	failureCost = 5 * time.Second
 	// Predictions are stretched by this much where a target is at stake.
 	safeFactor = 1.1
 	safeSlack  = 10 * time.Millisecond
@@ -55,7 +61,8 @@
 	o.first = s.speed.FirstToken(ahead + o.uncached)
 	o.cost = o.first +
 		time.Duration(w.length.Mean)*s.speed.PerToken(len(s.running)+1) -
-		time.Duration(savedWeight*float64(s.speed.PrefillTime(w.PromptTokens-o.uncached)))
+		time.Duration(savedWeight*float64(s.speed.PrefillTime(w.PromptTokens-o.uncached))) +
+		time.Duration(s.failures.share(p.now)*float64(failureCost))
 	return o
 }
 
@@ -147,6 +154,9 @@
 // grade. It reports false where none has room.
 func (p *Pool) best(w *waiter, servers []*server) (o option, g grade, ok bool) {
 	for _, s := range servers {
+		if p.avoids(w, s) {
+			continue
+		}
 		x := p.option(w, s)
 		if !p.roomy(w, x) {
 			continue
@@ -159,6 +169,18 @@
 	return o, g, ok
 }
 
+// avoids tells whether a request must not go to a server: it was sent there
+// before and failed, and there is another one, if not with a slot free now.
+// A server that fails many of its requests is the first to be free again.
+func (p *Pool) avoids(w *waiter, s *server) bool {
+	if !slices.Contains(w.SentTo, s.info.Name) {
+		return false
+	}
+	return slices.ContainsFunc(p.order, func(other *server) bool {
+		return other.ready && !slices.Contains(w.SentTo, other.info.Name)
+	})
+}
+
 // fasterElsewhere tells whether an option is surely too slow and a server
 // without a free slot would surely be fast enough, once it has one. Without any, waiting would only add a late first
 // token to the late ones after it.
@@ -167,7 +189,7 @@
 		return false
 	}
 	for _, s := range p.order {
-		if s.ready && !s.overdue && !(s.straggler && p.sound) && len(s.running) >= s.most && p.fastEnough(w, s, 0, surelyFast) {
+		if s.ready && !s.overdue && !(s.straggler && p.sound) && !p.avoids(w, s) && len(s.running) >= s.most && p.fastEnough(w, s, 0, surelyFast) {
 			return true
 		}
 	}
@@ -188,7 +210,7 @@
 // were it to begin there at once.
 func (p *Pool) hopeless(w *waiter) bool {
 	for _, s := range p.order {
-		if !s.ready || s.overdue || s.straggler && p.sound {
+		if !s.ready || s.overdue || s.straggler && p.sound || p.avoids(w, s) {
 			continue
 		}
 		cached := 0
--- /dev/null
+++ b/pool/failures_test.go
@@ -0,0 +1,66 @@
+package pool
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/lycheekeel/lycheekeel/request"
+)
+
+// Symptom: half of a service's requests fail, although two of its three
+// servers are well, and a request that is sent again fails again.
+// Sequence: a server answers each request at once with a failure; its health
+// check passes.
+// Cause: it is free again first and was chosen first; and nothing said that
+// the second send of a request should go elsewhere.
+func TestServerThatFailsItsRuns(t *testing.T) {
+	call := func(id string, sentTo ...string) Enqueue {
+		return Enqueue{
+			Request: request.ID(id), Entry: "e1", Workspace: "w", Template: "t",
+			FirstTokenIn: 300 * time.Millisecond, DeadlineIn: 4 * time.Second, SentTo: sentTo,
+		}
+	}
+	Convey("Given a server that fails at once and two that take their time", t, func() {
+		r := newRig(Config{}, servers(3, 4)...)
+		failed := 0
+		for i := range 120 {
+			g := r.grant(call(fmt.Sprint(i)))
+			end := Release{Request: g.Request, Entry: g.Entry, Grant: g.Grant, Server: g.Server, Total: 60 * time.Millisecond}
+			r.now = r.now.Add(10 * time.Millisecond)
+			if g.Server == "s0" {
+				failed++
+				end.Outcome, end.Total = OutcomeFailed, time.Millisecond
+			}
+			r.send(end)
+		}
+		Convey("it soon gets little while the others have free slots", func() {
+			So(failed, ShouldBeLessThan, 20)
+		})
+		Convey("it is tried again after a while", func() {
+			r.now = r.now.Add(2 * time.Minute)
+			So(r.servers["s0"].failures.share(r.now), ShouldBeLessThan, 0.001)
+		})
+		Convey("it serves where the others are full", func() {
+			for i := range 8 {
+				r.grant(call(fmt.Sprint("full", i)))
+			}
+			So(r.grant(call("more")).Server, ShouldEqual, "s0")
+		})
+	})
+	Convey("A request that was sent to a server before waits for another one", t, func() {
+		r := newRig(Config{}, servers(2, 1)...)
+		first := r.grant(call("first"))
+		other := "s0"
+		if first.Server == "s0" {
+			other = "s1"
+		}
+		So(grants(r.send(call("again", other))), ShouldBeEmpty)
+		So(grants(r.end(first, OutcomeDone))[0].Server, ShouldEqual, first.Server)
+		Convey("unless there is none", func() {
+			So(r.grant(call("nowhere", "s0", "s1")).Server, ShouldEqual, other)
+		})
+	})
+}
--- a/pool/messages.go
+++ b/pool/messages.go
@@ -59,9 +59,10 @@
 	Fingerprint    uint64
 	// MaxWaiting bounds the workspace's waiting requests in the tier; 0: none.
 	MaxWaiting int
-	// Sent is set on a request that was sent to a server before. It waits up
-	// to its deadline: no refusal could tell any more that it was not run.
-	Sent bool
+	// SentTo are the servers that the request was sent to before. It goes to
+	// another one, and waits up to its deadline where there are some: no
+	// refusal could tell any more that it was not run.
+	SentTo []string
 	// NoRedirect is set on a request that was redirected once already.
 	NoRedirect bool
 }
--- a/pool/patience.go
+++ b/pool/patience.go
@@ -8,7 +8,7 @@
 
 // lastMoment is until when a request may wait with so much patience.
 func (p *Pool) lastMoment(w *waiter, patience float64) time.Time {
-	if patience == 0 || w.Sent {
+	if patience == 0 || len(w.SentTo) > 0 {
 		return w.deadline
 	}
 	whole := w.DeadlineIn
--- a/pool/patience_test.go
+++ b/pool/patience_test.go
@@ -44,7 +44,7 @@
 	Convey("One that was sent before waits up to its deadline", t, func() {
 		r := full()
 		e := ask("sent", 0)
-		e.DeadlineIn, e.Sent = 10*time.Second, true
+		e.DeadlineIn, e.SentTo = 10*time.Second, []string{"gone"}
 		r.send(e)
 		So(sheds(r.pass(9999*time.Millisecond)), ShouldBeEmpty)
 		So(shedReason(r.pass(time.Millisecond)), ShouldEqual, request.ReasonExpired)
--- a/pool/run.go
+++ b/pool/run.go
@@ -141,6 +141,7 @@
 	}
 	switch e.Outcome {
 	case OutcomeDone:
+		r.server.failures.add(p.now, false)
 		p.learnDone(r, e)
 	case OutcomeNotDispatched:
 		p.refund(r, r.cost)
@@ -151,7 +152,10 @@
 		p.lose(r)
 		p.serverCrashed(r.server, r)
 	case OutcomeBroken:
+		r.server.failures.add(p.now, true)
 		p.lose(r)
+	case OutcomeFailed:
+		r.server.failures.add(p.now, true)
 	}
 	p.removeRun(r)
 	if r.alone {
--- a/pool/server.go
+++ b/pool/server.go
@@ -41,6 +41,7 @@
 	// progressed is when a run here last showed that the server works.
 	progressed time.Time
 	service    float64 // mean seconds from grant to release
+	failures   failures
 	held       int
 
 	ready       bool // may get grants; by refresh
