--- a/internal/forward/answer.go
+++ b/internal/forward/answer.go
@@ -32,7 +32,7 @@
 		g.release(pool.OutcomeFailed)
 		if x.worthAnother(status) {
 			x.server.count.retryFailed.Add(1)
-			x.sentTo(g)
+			x.noteSent(g)
 			x.failure = &failure{body: body}
 			r.header.CopyTo(&x.failure.header)
 			return false, nil
--- a/internal/forward/send.go
+++ b/internal/forward/send.go
@@ -212,13 +212,13 @@
 		outcome = pool.OutcomeCanceled
 	}
 	g.release(outcome)
-	x.sentTo(g)
+	x.noteSent(g)
 	return lost{err}
 }
 
-// sentTo notes a server that may have run the request, so that another one is
+// noteSent notes a server that may have run the request, so that another one is
 // asked next.
-func (x *exchange) sentTo(g *run) {
+func (x *exchange) noteSent(g *run) {
 	x.demand.SentTo = append(x.demand.SentTo, g.grant.Server().Name)
 }
 
