gateway: daemons that are no readers retry the store ever later

Change: a daemon that is no reader doubles its wait at each failure, up to 2 s; readers go on as before and tell the others at once.

--- a/internal/gateway/reader.go
+++ b/internal/gateway/reader.go
@@ -19,8 +19,12 @@
 	// watch may keep silent over a server that leaves, and a leaving server
 	// may get no new request after 2 s.
 	listEvery = 1100 * time.Millisecond
-	// retryEvery is how soon a failed call is tried again; each is priced.
+	// retryEvery is how soon a failed call is tried again; each is priced. A
+	// daemon that is not one of the readers doubles it at each failure, up to
+	// retryMost: while the store is away it has nothing to find out that the
+	// readers won't tell it at once.
 	retryEvery = 250 * time.Millisecond
+	retryMost  = 2 * time.Second
 	// watchPause is how long changes gather before they are asked for again.
 	// While a hundred servers register or are replaced, a watch returns for
 	// each of them; 72 daemons made 540 of their 2,350 calls in a quiet day so.
@@ -52,6 +56,7 @@
 
 	watching atomic.Bool
 	away     time.Time // since when the store does not answer; zero: it does
+	failures int       // calls in a row without an answer
 }
 
 func (r *reader) loops() []*kindLoop {
@@ -96,7 +101,8 @@
 	if err != nil {
 		k.failed()
 		r.lost(k, err)
-		return retryEvery/2 + rand.N(retryEvery)
+		k.failures++
+		return retryIn(k.failures, r.reading())
 	}
 	r.regained(k)
 	if k.replace(l) {
@@ -109,6 +115,16 @@
 	return k.every - k.every/10 + rand.N(k.every/5)
 }
 
+// retryIn returns how soon to call again after so many failures in a row, give
+// or take a half, so that the daemons don't call together.
+func retryIn(failures int, reading bool) time.Duration {
+	wait := retryEvery
+	for i := 1; i < failures && !reading && wait < retryMost; i++ {
+		wait *= 2
+	}
+	return wait/2 + rand.N(wait)
+}
+
 func (r *reader) lost(k *kindLoop, err error) {
 	if k.away.IsZero() {
 		k.away = time.Now()
@@ -117,6 +133,7 @@
 }
 
 func (r *reader) regained(k *kindLoop) {
+	k.failures = 0
 	if !k.away.IsZero() {
 		r.state.log.WithField("kind", k.kind).WithField("away_ms", time.Since(k.away).Milliseconds()).Info("Store regained.")
 		k.away = time.Time{}
--- /dev/null
+++ b/internal/gateway/reader_test.go
@@ -0,0 +1,32 @@
+package gateway
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+)
+
+// Symptom: while the store is away for some seconds, 88 daemons call it
+// thousands of times; each call is priced, also a refused one.
+// Sequence: the readers' proofs grow old, so every other daemon asks the store
+// itself, and again four times a second for each kind.
+// Cause: daemons that are not readers retried as often as these.
+func TestRetriesOfTheStore(t *testing.T) {
+	within := func(failures int, reading bool, middle time.Duration) {
+		for range 100 {
+			So(retryIn(failures, reading), ShouldBeBetweenOrEqual, middle/2, middle*3/2)
+		}
+	}
+	Convey("A reader calls again soon, however often it fails", t, func() {
+		within(1, true, retryEvery)
+		within(50, true, retryEvery)
+	})
+	Convey("Another daemon calls ever later, up to a bound", t, func() {
+		within(1, false, retryEvery)
+		within(2, false, 2*retryEvery)
+		within(3, false, 4*retryEvery)
+		within(4, false, retryMost)
+		within(50, false, retryMost)
+	})
+}
