--- /dev/null
+++ b/internal/gateway/sync_test.go
@@ -0,0 +1,169 @@
+package gateway
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/pkg/errors"
+	. "github.com/smartystreets/goconvey/convey"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/lycheekeel/lycheekeel/discovery"
+	"github.com/lycheekeel/lycheekeel/internal/gateway/wire"
+	"github.com/lycheekeel/lycheekeel/internal/logs"
+	"github.com/lycheekeel/lycheekeel/member"
+	"github.com/lycheekeel/lycheekeel/objectstore"
+	"github.com/lycheekeel/lycheekeel/quota"
+	"github.com/lycheekeel/lycheekeel/route"
+)
+
+// configured returns a state with a configuration of one service in force, whose
+// objects' values are versions.
+func configured() *state {
+	s := emptyState()
+	s.platform.DecodeConfiguration = func(value []byte) (route.Document, error) {
+		return route.Document{Version: uint64(value[0]), Services: []route.Service{{Name: "app"}}}, nil
+	}
+	s.offerConfig(objectstore.Object{Version: 70, Value: []byte{7}})
+	return s
+}
+
+// Symptom: a server that has left comes back for a moment, or a route that was
+// withdrawn.
+// Sequence: two daemons tell what they have; the older answer arrives last.
+// Cause: the answer that came last counted, not the newer one.
+func TestStateNeverGoesBack(t *testing.T) {
+	Convey("An older list of servers changes nothing", t, func() {
+		s := configured()
+		s.replaceServers([]discovery.Server{{ID: "a", Service: "app"}}, 50)
+		s.replaceServers([]discovery.Server{{ID: "a", Service: "app"}, {ID: "b", Service: "app"}}, 49)
+		s.putServer(discovery.Server{ID: "c", Service: "app"}, 48)
+		So(*s.usable.Load(), ShouldResemble, map[string]bool{"a": true})
+	})
+	Convey("An older configuration is neither in force nor told to others", t, func() {
+		s := configured()
+		So(s.offerConfig(objectstore.Object{Version: 60, Value: []byte{6}}), ShouldBeTrue)
+		So(s.config.Version, ShouldEqual, 70)
+		So(s.routes.Load().Version, ShouldEqual, 7)
+	})
+	Convey("A leaving server may not be used, whoever grants it", t, func() {
+		s := configured()
+		s.replaceServers([]discovery.Server{{ID: "a", Service: "app", Leaving: true}, {ID: "b", Service: "app"}}, 50)
+		So(*s.usable.Load(), ShouldResemble, map[string]bool{"a": false, "b": true})
+	})
+}
+
+// Symptom: after an outage of the store a server that has left is used for
+// seconds.
+// Sequence: the store is back; a reader tells that its list is the one that is
+// known here; then the server leaves.
+// Cause: the grace for servers that have not written again since the return
+// was given to one that had.
+func TestAReadersWordConfirmsTheServers(t *testing.T) {
+	Convey("What a reader has confirmed since the outage goes at once", t, func() {
+		for _, confirmed := range []bool{true, false} {
+			s := configured()
+			s.replaceServers([]discovery.Server{{ID: "a", Service: "app"}, {ID: "b", Service: "app"}}, 50)
+			s.storeAway()
+			s.replaceServers([]discovery.Server{{ID: "b", Service: "app"}}, 51) // the store is back
+			if confirmed {
+				s.replaceServers([]discovery.Server{{ID: "a", Service: "app"}, {ID: "b", Service: "app"}}, 52)
+				s.confirmServers(52)
+			}
+			s.removeServer("a", 53)
+			_, known := (*s.usable.Load())["a"]
+			So(known, ShouldEqual, !confirmed)
+		}
+	})
+	Convey("A reader that has another list confirms nothing", t, func() {
+		s := configured()
+		s.replaceServers([]discovery.Server{{ID: "a", Service: "app"}}, 50)
+		s.storeAway()
+		s.confirmServers(49)
+		s.removeServer("a", 51)
+		_, known := (*s.usable.Load())["a"]
+		So(known, ShouldBeTrue)
+	})
+}
+
+func TestQuotasFollowTheOtherDaemons(t *testing.T) {
+	space := &route.Workspace{Name: "w", Quota: route.Quota{PerSecond: 100, Burst: 1000}}
+	Convey("Given a daemon that sees another", t, func() {
+		now := time.Unix(1000, 0)
+		ledger := quota.NewLedger(func() time.Time { return now }, daemonsAssumed, quota.Tolerance{})
+		views := &member.Live{}
+		views.Store(member.NewView("a", []member.Member{{Name: "a", State: member.Alive}, {Name: "b", State: member.Alive}, {Name: "c", State: member.Dead}}))
+		u := &usages{ledger: ledger, budgets: newBudgets(BoundsSettings{}), views: views}
+		u.look()
+		Convey("one that says nothing keeps its share, one that is dead has none", func() {
+			So(ledger.Share(), ShouldEqual, 0.5)
+		})
+		Convey("what it tells is taken from the quota", func() {
+			ledger.Prepare([]*route.Workspace{space})
+			hear := func(used float64) {
+				payload, err := proto.Marshal(&wire.Usages{Incarnation: 1, Usages: []*wire.Usage{{Workspace: "w", Used: used}}})
+				So(err, ShouldBeNil)
+				_, err = u.heard(context.Background(), "b", payload)
+				So(err, ShouldBeNil)
+			}
+			hear(0)
+			So(ledger.Share(), ShouldEqual, 1)
+			now = now.Add(time.Second)
+			hear(70)
+			ok, _ := ledger.Take(space, 31)
+			So(ok, ShouldBeFalse)
+			ok, _ = ledger.Take(space, 30)
+			So(ok, ShouldBeTrue)
+		})
+	})
+}
+
+// keyStore holds the cluster key; get and create tell what their calls end with.
+type keyStore struct {
+	objectstore.ObjectAPI
+	value   []byte
+	get     error
+	create  error
+	creates int
+}
+
+func (s *keyStore) Get(context.Context, objectstore.Kind, string) (objectstore.Object, error) {
+	if s.get != nil {
+		return objectstore.Object{}, s.get
+	}
+	if s.value == nil {
+		return objectstore.Object{}, objectstore.ErrNotFound
+	}
+	return objectstore.Object{Value: s.value}, nil
+}
+
+func (s *keyStore) Create(_ context.Context, _ objectstore.Kind, _ string, value []byte) (objectstore.Version, error) {
+	s.creates++
+	s.value = value
+	return 1, s.create
+}
+
+// Symptom: daemons do not know each other after a start.
+// Sequence: the first daemon's create is done and its answer lost; or the store
+// can't be read when a daemon starts.
+// Cause: a daemon took a key of its own making for the cluster's.
+func TestClusterKey(t *testing.T) {
+	ctx := context.Background()
+	Convey("A key is made only where the store says that there is none", t, func() {
+		s := &keyStore{get: objectstore.ErrUnavailable}
+		_, err := readOrMakeKey(ctx, s)
+		So(errors.Is(err, objectstore.ErrUnavailable), ShouldBeTrue)
+		So(s.creates, ShouldEqual, 0)
+	})
+	Convey("A create whose answer was lost is settled by reading", t, func() {
+		s := &keyStore{create: objectstore.ErrUnknownOutcome}
+		key, err := clusterKey(ctx, s, logs.For("test"))
+		So(err, ShouldBeNil)
+		So(len(key), ShouldEqual, clusterKeyBytes)
+		So(s.creates, ShouldEqual, 1)
+		again, err := clusterKey(ctx, s, logs.For("test"))
+		So(err, ShouldBeNil)
+		So(again, ShouldResemble, key)
+	})
+}
--- a/internal/logs/async_test.go
+++ b/internal/logs/async_test.go
@@ -48,6 +48,17 @@
 		So(out.String(), ShouldContainSubstring, `"msg":"Log lines dropped."`)
 		So(out.String(), ShouldContainSubstring, string(line))
 	})
+	Convey("What waits for a reader that stopped is bounded, however long it has stopped", t, func() {
+		now := time.Unix(1000, 0)
+		a := &Async{out: &bytes.Buffer{}, now: func() time.Time { return now }, wake: make(chan struct{}, 1), done: make(chan struct{})}
+		line := []byte(strings.Repeat("z", asyncPerSecond))
+		for range 10 {
+			_, _ = a.Write(line)
+			now = now.Add(time.Second)
+		}
+		So(len(a.pending), ShouldBeLessThanOrEqualTo, asyncBuffer)
+		So(a.Dropped(), ShouldEqual, 10-asyncBuffer/asyncPerSecond)
+	})
 	Convey("The bytes of a second are bounded, and the next second has its own", t, func() {
 		var out bytes.Buffer
 		now := time.Unix(1000, 0)
--- a/objectstore/httpobjectstore/httpobjectstore.go
+++ b/objectstore/httpobjectstore/httpobjectstore.go
@@ -7,7 +7,6 @@
 	"bytes"
 	"context"
 	"encoding/json"
-	"net"
 	"time"
 
 	"github.com/pkg/errors"
@@ -15,6 +14,7 @@
 
 	"github.com/lycheekeel/lycheekeel/internal/metrics"
 	"github.com/lycheekeel/lycheekeel/objectstore"
+	"github.com/lycheekeel/lycheekeel/objectstore/callonce"
 )
 
 // Defaults of Options.
@@ -59,13 +59,8 @@
 }
 
 // Client implements objectstore.Platform. It is safe for concurrent use.
-//
-// What goes wrong: a connection can go silent for good while new ones work.
-// One would see calls time out for minutes, until TCP gives up. So each call
-// has a timeout, its connection is closed with it, and the idle connections
-// that were opened through the same path are closed too.
 type Client struct {
-	http    *fasthttp.HostClient
+	store   *callonce.Client
 	timeout time.Duration
 	metrics *metrics.Registry
 }
@@ -86,33 +81,15 @@
 	if o.Metrics == nil {
 		o.Metrics = metrics.New()
 	}
-	dialer := net.Dialer{Timeout: o.ConnectTimeout}
 	return &Client{
 		timeout: o.CallTimeout,
 		metrics: o.Metrics,
-		http: &fasthttp.HostClient{
-			Addr:                      o.Addr,
-			MaxConns:                  o.MaxConns,
-			MaxIdleConnDuration:       idleConnAge,
-			MaxResponseBodySize:       maxAnswerBytes,
-			MaxIdemponentCallAttempts: 1,
-			RetryIfErr:                neverRetry,
-			Dial: func(addr string) (net.Conn, error) {
-				c, err := dialer.Dial("tcp", addr)
-				if err != nil {
-					return nil, &connectError{err}
-				}
-				return c, nil
-			},
-		},
+		store: callonce.New(callonce.Options{
+			Addr: o.Addr, ConnectTimeout: o.ConnectTimeout, MaxConns: o.MaxConns, IdleAge: idleConnAge, MaxAnswerBytes: maxAnswerBytes,
+		}),
 	}
 }
 
-func neverRetry(*fasthttp.Request, int, error) (resetTimeout, retry bool) { return false, false }
-
-// connectError marks an error before any byte left.
-type connectError struct{ error }
-
 // call is one HTTP call.
 type call struct {
 	name   string // of its counter
@@ -152,7 +129,7 @@
 // contexts: a caller that gives up learns at once that the outcome is unknown.
 func (c *Client) once(ctx context.Context, k call, answer any) error {
 	if ctx.Err() != nil {
-		return &outcomeError{objectstore.ErrUnavailable, ctx.Err()}
+		return &callonce.OutcomeError{Outcome: objectstore.ErrUnavailable, Cause: ctx.Err()}
 	}
 	deadline := time.Now().Add(c.timeout + k.wait)
 	if d, ok := ctx.Deadline(); ok && d.Before(deadline) {
@@ -163,10 +140,9 @@
 		err  error
 	}
 	done := make(chan result, 1)
-	req := c.request(k) // copies the value before the caller can reuse it
+	sent := callonce.Call{Method: k.method, Path: k.path, Query: k.args, Body: bytes.Clone(k.body)} // the caller may reuse its own
 	go func() {
-		defer fasthttp.ReleaseRequest(req)
-		body, err := c.send(req, deadline)
+		body, err := c.store.Do(sent, deadline)
 		done <- result{body, err}
 	}()
 	select {
@@ -175,35 +151,10 @@
 			return r.err
 		}
 		if err := json.Unmarshal(r.body, answer); err != nil {
-			return &outcomeError{objectstore.ErrUnknownOutcome, err}
+			return &callonce.OutcomeError{Outcome: objectstore.ErrUnknownOutcome, Cause: err}
 		}
 		return nil
 	case <-ctx.Done():
-		return &outcomeError{objectstore.ErrUnknownOutcome, ctx.Err()}
-	}
-}
-
-func (c *Client) request(k call) *fasthttp.Request {
-	req := fasthttp.AcquireRequest()
-	req.Header.SetMethod(k.method)
-	req.URI().SetScheme("http")
-	req.URI().SetHost(c.http.Addr)
-	req.URI().SetPath(k.path)
-	if k.args != nil {
-		k.args(req.URI().QueryArgs())
-	}
-	req.SetBody(k.body)
-	return req
-}
-
-func (c *Client) send(req *fasthttp.Request, deadline time.Time) ([]byte, error) {
-	resp := fasthttp.AcquireResponse()
-	defer fasthttp.ReleaseResponse(resp)
-	if err := c.http.DoDeadline(req, resp, deadline); err != nil {
-		return nil, c.transportError(err)
-	}
-	if s := resp.StatusCode(); objectstore.StatusError(s) != nil {
-		return nil, &outcomeError{objectstore.StatusError(s), errors.Errorf("status %d: %.200s", s, resp.Body())}
+		return &callonce.OutcomeError{Outcome: objectstore.ErrUnknownOutcome, Cause: ctx.Err()}
 	}
-	return bytes.Clone(resp.Body()), nil
 }
