discovery: daemons are told what changed among the servers, not the whole list

Cause: a reader told each change as the whole list of servers, and told the same list again at each ask where the daemon had noticed the change by its own read: its revision stayed behind the reader's. Change: discovery.Changes remembers since which revision each server is as it is; an ask that says so gets what changed since its revision. Who takes an answer is at its revision, though it brought nothing new. Result: tests fail first (without the second part the same is told for ever); property of any old list brought up to date.

--- /dev/null
+++ b/discovery/changes_test.go
@@ -0,0 +1,78 @@
+package discovery
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+	"pgregory.net/rapid"
+)
+
+func listOf(m map[string]Server) []Server {
+	var out []Server
+	for _, s := range m {
+		out = append(out, s)
+	}
+	return out
+}
+
+// The property: whoever has the list of an earlier revision, and takes what is
+// told to have changed since, has the newest list; and what is not known any more
+// is not told as if it were.
+func TestChangesBringAnyOldListUpToDate(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var c Changes
+		now := map[string]Server{}
+		history := map[Revision][]Server{}
+		for at := Revision(1); at <= 30; at++ {
+			for range rapid.IntRange(0, 3).Draw(t, "edits") {
+				id := fmt.Sprint(rapid.IntRange(0, 6).Draw(t, "id"))
+				if rapid.Bool().Draw(t, "remove") {
+					delete(now, id)
+				} else {
+					now[id] = Server{ID: id, Slots: rapid.IntRange(1, 3).Draw(t, "slots")}
+				}
+			}
+			history[at] = listOf(now)
+			if at >= 3 {
+				c.Note(listOf(now), at)
+			}
+		}
+		for at, old := range history {
+			d, ok := c.After(at)
+			if ok != (at >= 3) {
+				t.Fatalf("after %d: %v", at, ok)
+			}
+			if !ok {
+				continue
+			}
+			dir, want := NewDirectory(), NewDirectory()
+			dir.Replace(time.Time{}, d.Apply(old))
+			want.Replace(time.Time{}, listOf(now))
+			if fmt.Sprint(dir.Listed()) != fmt.Sprint(want.Listed()) {
+				t.Fatalf("after %d: %v, want %v", at, dir.Listed(), want.Listed())
+			}
+		}
+	})
+}
+
+func TestChangesForgetTheOldestRemovals(t *testing.T) {
+	Convey("Who is further behind gets the whole list", t, func() {
+		var c Changes
+		c.Note(nil, 1)
+		for i := range maxRemoved + 10 {
+			c.Note([]Server{{ID: fmt.Sprint(i)}}, Revision(2+i))
+		}
+		_, ok := c.After(5)
+		So(ok, ShouldBeFalse)
+		d, ok := c.After(maxRemoved)
+		So(ok, ShouldBeTrue)
+		So(d.Changed, ShouldHaveLength, 1)
+	})
+	Convey("Before anything was noted, nothing is told", t, func() {
+		var c Changes
+		_, ok := c.After(0)
+		So(ok, ShouldBeFalse)
+	})
+}
--- a/internal/gateway/asker.go
+++ b/internal/gateway/asker.go
@@ -117,6 +117,7 @@
 	s.mu.Lock()
 	q := &wire.SyncAsk{
 		ConfigRevision: uint64(s.config.Version), ServersRevision: uint64(s.serversRevision), HoldMs: uint32(askHold.Milliseconds()),
+		Changes: true,
 	}
 	s.mu.Unlock()
 	payload, err := proto.Marshal(q)
@@ -153,18 +154,12 @@
 	if known && m.ConfigAgeMs >= 0 {
 		s.configFresh.Prove(madeBy(s.configFresh, configMark, m) - milliseconds(m.ConfigAgeMs))
 	}
+	as := objectstore.Version(m.ServersRevision)
 	if m.ServersTold {
-		servers := make([]discovery.Server, 0, len(m.Servers))
-		for _, x := range m.Servers {
-			servers = append(servers, discovery.Server{
-				ID: x.Id, Service: x.Service, Address: x.Address, AvailabilityZone: x.AvailabilityZone,
-				Slots: int(x.Slots), Leaving: x.Leaving,
-			})
-		}
-		s.replaceServers(servers, objectstore.Version(m.ServersRevision))
+		s.hearServers(objectstore.Version(m.ServersBase), discovery.Delta{Changed: serversOf(m.Servers), Removed: m.Removed}, as)
 	}
 	if !m.ServersTold && m.ServersAgeMs >= 0 {
-		s.confirmServers(objectstore.Version(m.ServersRevision))
+		s.confirmServers(as)
 	}
 	if m.ServersAgeMs >= 0 {
 		s.serversFresh.Prove(madeBy(s.serversFresh, serversMark, m) - milliseconds(m.ServersAgeMs))
@@ -216,16 +211,37 @@
 	m.ServersRevision = uint64(s.serversRevision)
 	if m.ServersRevision > q.ServersRevision {
 		m.ServersTold = true
-		for _, x := range s.directory.Listed() {
-			m.Servers = append(m.Servers, &wire.Server{
-				Id: x.ID, Service: x.Service, Address: x.Address, AvailabilityZone: x.AvailabilityZone,
-				Slots: uint32(x.Slots), Leaving: x.Leaving,
-			})
+		if d, ok := s.changes.After(discovery.Revision(q.ServersRevision)); ok && q.ServersRevision > 0 && q.Changes {
+			m.ServersBase, m.Servers, m.Removed = q.ServersRevision, serversToWire(d.Changed), d.Removed
+		} else {
+			m.Servers = serversToWire(s.directory.Listed())
 		}
 	}
 	return m, s.changed
 }
 
+func serversToWire(servers []discovery.Server) []*wire.Server {
+	out := make([]*wire.Server, 0, len(servers))
+	for _, x := range servers {
+		out = append(out, &wire.Server{
+			Id: x.ID, Service: x.Service, Address: x.Address, AvailabilityZone: x.AvailabilityZone,
+			Slots: uint32(x.Slots), Leaving: x.Leaving,
+		})
+	}
+	return out
+}
+
+func serversOf(servers []*wire.Server) []discovery.Server {
+	out := make([]discovery.Server, 0, len(servers))
+	for _, x := range servers {
+		out = append(out, discovery.Server{
+			ID: x.Id, Service: x.Service, Address: x.Address, AvailabilityZone: x.AvailabilityZone,
+			Slots: int(x.Slots), Leaving: x.Leaving,
+		})
+	}
+	return out
+}
+
 func ageMs(age time.Duration, ok bool) float64 {
 	if !ok {
 		return -1
--- a/internal/gateway/asker_test.go
+++ b/internal/gateway/asker_test.go
@@ -8,6 +8,7 @@
 	. "github.com/smartystreets/goconvey/convey"
 	"google.golang.org/protobuf/proto"
 
+	"github.com/lycheekeel/lycheekeel/discovery"
 	"github.com/lycheekeel/lycheekeel/internal/gateway/wire"
 	"github.com/lycheekeel/lycheekeel/internal/metrics"
 	"github.com/lycheekeel/lycheekeel/quota"
@@ -16,6 +17,68 @@
 	"github.com/lycheekeel/lycheekeel/workspace"
 )
 
+// askOnce lets one daemon ask another, and returns what it was told.
+func askOnce(from, of *asker) *wire.SyncAnswer {
+	q := &wire.SyncAsk{ServersRevision: uint64(from.state.serversRevision), Changes: true}
+	m, _ := of.newer(q, of.state.serversFresh.Mark())
+	mark := from.state.serversFresh.Mark()
+	from.take(m, mark, mark)
+	return m
+}
+
+// Symptom: readers send megabytes a second to daemons in other zones.
+// Sequence: there are a thousand servers; one of them changes.
+// Cause: the whole list was told for each change, and told again to a daemon
+// that had noticed the change by its own read.
+func TestOnlyWhatChangedIsTold(t *testing.T) {
+	server := func(id string, slots int) discovery.Server {
+		return discovery.Server{ID: id, Service: "app", Slots: slots}
+	}
+	Convey("Given a reader, and a daemon that has its list", t, func() {
+		reader, other := &asker{state: configuredState()}, &asker{state: configuredState()}
+		reader.state.replaceServers([]discovery.Server{server("a", 1), server("b", 1), server("c", 1)}, 50)
+		So(askOnce(other, reader).Servers, ShouldHaveLength, 3)
+		Convey("a change is told alone, and what has gone", func() {
+			reader.state.putServer(server("a", 2), 51)
+			reader.state.removeServer("b", 52)
+			m := askOnce(other, reader)
+			So(m.Servers, ShouldHaveLength, 1)
+			So(m.Removed, ShouldResemble, []string{"b"})
+			So(other.state.directory.Listed(), ShouldResemble, reader.state.directory.Listed())
+			So(askOnce(other, reader).ServersTold, ShouldBeFalse)
+		})
+		Convey("what the daemon has read by itself is told once more, and not for ever", func() {
+			other.state.putServer(server("a", 2), 51)
+			reader.state.putServer(server("a", 2), 60)
+			So(askOnce(other, reader).ServersTold, ShouldBeTrue)
+			So(askOnce(other, reader).ServersTold, ShouldBeFalse)
+		})
+		Convey("changes since another revision than the daemon's are left alone", func() {
+			q := &wire.SyncAsk{ServersRevision: 50, Changes: true}
+			reader.state.removeServer("b", 52)
+			m, _ := reader.newer(q, 0)
+			other.state.putServer(server("d", 1), 51)
+			other.take(m, 0, 0)
+			So(other.state.serversRevision, ShouldEqual, 51)
+			So(askOnce(other, reader).ServersTold, ShouldBeTrue)
+		})
+		Convey("who can't take changes, or has none of it, is told all", func() {
+			reader.state.removeServer("b", 52)
+			m, _ := reader.newer(&wire.SyncAsk{ServersRevision: 50}, 0)
+			So(m.ServersBase, ShouldEqual, 0)
+			So(m.Servers, ShouldHaveLength, 2)
+			m, _ = reader.newer(&wire.SyncAsk{Changes: true}, 0)
+			So(m.ServersBase, ShouldEqual, 0)
+		})
+	})
+}
+
+func configuredState() *state {
+	s := emptyState()
+	s.routes.Offer(&route.Table{Version: 1, Services: map[string]*route.Service{"app": {}}})
+	return s
+}
+
 func emptyState() *state {
 	ledger := quota.NewLedger(time.Now, 1, quota.Tolerance{})
 	return newState(Platform{}, "r", &route.Live{}, &workspace.Live{}, ledger, func(map[string]bool) {}, metrics.New())
--- a/internal/gateway/sync.go
+++ b/internal/gateway/sync.go
@@ -40,6 +40,7 @@
 	// when the directory is.
 	config          objectstore.Object
 	serversRevision objectstore.Version
+	changes         discovery.Changes
 	changed         chan struct{} // closed at each change
 }
 
@@ -87,6 +88,30 @@
 	})
 }
 
+// hearServers takes what a reader tells: the whole list, or what has changed
+// since a revision, if that is still the one that is known here. Then what is
+// known is as of the reader's revision, though it may have brought nothing new.
+//
+// What goes wrong where the revision stays behind then: a reader notices a
+// change later than this daemon did, by its own read, so the reader's revision
+// is the newer one, and it tells the same at each ask, without end.
+func (s *state) hearServers(base objectstore.Version, d discovery.Delta, as objectstore.Version) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	listed := d.Changed
+	if base > 0 {
+		if s.serversRevision != base {
+			return // read from the store meanwhile; the next answer fits
+		}
+		listed = d.Apply(s.directory.Listed())
+	}
+	s.applyServers(as, func(now time.Time) bool {
+		changed := s.directory.Replace(now, listed)
+		return s.directory.Expire(now) || changed
+	})
+	s.serversRevision = max(s.serversRevision, as)
+}
+
 // putServer takes one changed entry, removeServer the removal of one.
 func (s *state) putServer(server discovery.Server, as objectstore.Version) {
 	s.updateServers(as, func(now time.Time) bool { return s.directory.Put(now, server) })
@@ -101,6 +126,11 @@
 func (s *state) updateServers(as objectstore.Version, change func(now time.Time) bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.applyServers(as, change)
+}
+
+// applyServers is updateServers with the mutex held.
+func (s *state) applyServers(as objectstore.Version, change func(now time.Time) bool) {
 	if as < s.serversRevision {
 		return
 	}
@@ -108,6 +138,7 @@
 		return
 	}
 	s.serversRevision = as
+	s.changes.Note(s.directory.Listed(), discovery.Revision(as))
 	s.rebuild()
 	s.signal()
 }
