gateway: readers that can't read are passed over

Change: an answer of stale age, or none, sends the asker to the next reader, then to substitutes; a reader tells at once what is much newer than the asker's, and asks another one while it can't read itself; daemons that are told, and are no substitutes, wait longer before they call the store, and call it rarely.

--- a/internal/gateway/asker.go
+++ b/internal/gateway/asker.go
@@ -4,9 +4,9 @@
 	"cmp"
 	"context"
 	"slices"
+	"sync/atomic"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"google.golang.org/protobuf/proto"
 
 	"github.com/lycheekeel/lycheekeel/discovery"
@@ -30,8 +30,19 @@
 	askHold = 1500 * time.Millisecond
 	// askTimeout is for the way there and back.
 	askTimeout = 400 * time.Millisecond
+	// askIdle is how often a reader looks whether it can't read any more.
+	askIdle = 500 * time.Millisecond
 	// askAgain is how soon after a failure another reader is asked.
 	askAgain = 200 * time.Millisecond
+	// substitutesLeast is how many daemons beside the readers are asked when
+	// those can't read, at the least. The store may turn a third of the VMs away.
+	substitutesLeast = 2
+	// staleAfter is the age of a reader's own reads from which it is not waited
+	// for: reads come each 1.1 and 1.3 s, give or take a tenth.
+	staleAfter = 1600 * time.Millisecond
+	// newsAfter is by how much a reader's proof must be newer than the asker's
+	// to be told at once.
+	newsAfter = 500 * time.Millisecond
 )
 
 // asker gets from a daemon that reads the store what this one does not read
@@ -46,6 +57,11 @@
 	state     *state
 	transport peer.Transport
 	views     *member.Live
+	// next is how many readers have been passed over because they could not
+	// read, or did not answer.
+	next atomic.Uint64
+	// heard is the mark of the last answer, on the clock of proofs.
+	heard atomic.Int64
 }
 
 func newAsker(s *state, t peer.Transport, views *member.Live) *asker {
@@ -58,8 +74,8 @@
 const readerKey = "reads the store"
 
 // readers returns the daemons that read the store, by rendezvous hashing over
-// the live members.
-func readers(v *member.View) []string {
+// the live members, and those that are asked when these can't.
+func readers(v *member.View) (reading, substitutes []string) {
 	type candidate struct {
 		name  string
 		score float64
@@ -72,29 +88,53 @@
 	}
 	slices.SortFunc(all, func(a, b candidate) int { return cmp.Compare(b.score, a.score) })
 	n := (len(all) + daemonsPerReader - 1) / daemonsPerReader
-	out := make([]string, 0, n)
-	for _, c := range all[:n] {
-		out = append(out, c.name)
+	ranked := make([]string, 0, 2*n+substitutesLeast)
+	for _, c := range all[:min(len(all), n+max(n, substitutesLeast))] {
+		ranked = append(ranked, c.name)
 	}
-	return out
+	return ranked[:n], ranked[n:]
 }
 
 // reading tells whether this daemon reads the store: also while it knows of
 // no other that does.
 func (a *asker) reading() bool {
 	v := a.views.Load()
-	all := readers(v)
+	all, _ := readers(v)
 	return len(all) == 0 || slices.Contains(all, v.Self)
 }
 
-// pick returns the reader to ask; askers spread over the readers.
+// told tells whether a reader has answered lately, and this daemon is not one
+// of those that are asked in a reader's place. Then, while the store is away, the
+// readers tell as soon as it is back.
+func (a *asker) told() bool {
+	v := a.views.Load()
+	if _, substitutes := readers(v); slices.Contains(substitutes, v.Self) {
+		return false
+	}
+	heard := a.heard.Load()
+	return heard != 0 && a.state.configFresh.Mark()-time.Duration(heard) <= askHold+askTimeout
+}
+
+// pick returns the reader to ask; askers spread over the readers, and go to the
+// substitutes when all of these were passed over. A reader asks another one only
+// while it can't read itself.
 func (a *asker) pick() (string, bool) {
 	v := a.views.Load()
-	all := readers(v)
-	if len(all) == 0 || slices.Contains(all, v.Self) {
+	all, substitutes := readers(v)
+	if slices.Contains(all, v.Self) && a.readsWell() {
 		return "", false
 	}
-	return all[xxhash.Sum64String(v.Self)%uint64(len(all))], true
+	all = append(spread(all, v.Self), spread(substitutes, v.Self)...)
+	all = slices.DeleteFunc(all, func(name string) bool { return name == v.Self })
+	if len(all) == 0 {
+		return "", false
+	}
+	return all[a.next.Load()%uint64(len(all))], true
+}
+
+// readsWell tells whether what this daemon knows is as new as a reader has it.
+func (a *asker) readsWell() bool {
+	return a.state.configFresh.Within(staleAfter) && a.state.serversFresh.Within(staleAfter)
 }
 
 // Run asks until ctx ends.
@@ -102,11 +142,12 @@
 	for ctx.Err() == nil {
 		name, ok := a.pick()
 		if !ok {
-			wait.For(ctx, askHold)
+			wait.For(ctx, askIdle)
 			continue
 		}
 		if err := a.ask(ctx, name); err != nil {
 			a.state.log.WithField("of", name).WithError(err).Debug("Reader did not answer.")
+			a.next.Add(1)
 			wait.For(ctx, askAgain)
 		}
 	}
@@ -117,7 +158,7 @@
 	s.mu.Lock()
 	q := &wire.SyncAsk{
 		ConfigRevision: uint64(s.config.Version), ServersRevision: uint64(s.serversRevision), HoldMs: uint32(askHold.Milliseconds()),
-		Changes: true,
+		Changes: true, ConfigAgeMs: ageMs(s.configFresh.Age()), ServersAgeMs: ageMs(s.serversFresh.Age()),
 	}
 	s.mu.Unlock()
 	payload, err := proto.Marshal(q)
@@ -137,9 +178,29 @@
 	}
 	s.latency.ask.Observe(s.serversFresh.Mark() - serversMark - milliseconds(m.HeldMs))
 	a.take(&m, configMark, serversMark)
+	a.heard.Store(int64(s.configFresh.Mark()))
+	if isStale(&m) {
+		a.next.Add(1)
+		if m.HeldMs < float64(askAgain.Milliseconds()) {
+			wait.For(ctx, askAgain) // all may be like that
+		}
+	}
 	return nil
 }
 
+// isStale tells whether a reader could not read lately.
+func isStale(m *wire.SyncAnswer) bool {
+	limit := float64(staleAfter.Milliseconds())
+	return m.ConfigAgeMs < 0 || m.ServersAgeMs < 0 || m.ConfigAgeMs > limit || m.ServersAgeMs > limit
+}
+
+// isNews tells whether an answer proves much more than the asker knew.
+func isNews(m *wire.SyncAnswer, q *wire.SyncAsk) bool {
+	margin := float64(newsAfter.Milliseconds())
+	newer := func(told, known float64) bool { return told >= 0 && (known < 0 || told+margin < known) }
+	return newer(m.ConfigAgeMs, q.ConfigAgeMs) || newer(m.ServersAgeMs, q.ServersAgeMs)
+}
+
 // take puts in force what is newer, and takes the proofs. The marks are of the
 // asking.
 func (a *asker) take(m *wire.SyncAnswer, configMark, serversMark time.Duration) {
@@ -164,6 +225,7 @@
 	if m.ServersAgeMs >= 0 {
 		s.serversFresh.Prove(madeBy(s.serversFresh, serversMark, m) - milliseconds(m.ServersAgeMs))
 	}
+	s.proved() // for those that ask this daemon
 }
 
 // madeBy is the latest moment by which the answer to an ask of mark is known to
@@ -181,12 +243,12 @@
 		return nil, err
 	}
 	came := a.state.serversFresh.Mark()
-	limit := time.NewTimer(min(time.Duration(q.HoldMs)*time.Millisecond, askHold))
-	defer limit.Stop()
 	m, changed := a.newer(&q, came)
-	if len(m.Config) > 0 || m.ServersTold {
+	if len(m.Config) > 0 || m.ServersTold || q.Changes && (isStale(m) || isNews(m, &q)) {
 		return proto.Marshal(m)
 	}
+	limit := time.NewTimer(a.holdFor(&q, m))
+	defer limit.Stop()
 	select {
 	case <-changed:
 	case <-limit.C:
@@ -197,6 +259,16 @@
 	return proto.Marshal(m)
 }
 
+// holdFor is how long an ask may wait for something newer: until the reads here
+// are stale, so that the asker goes to another reader then.
+func (a *asker) holdFor(q *wire.SyncAsk, m *wire.SyncAnswer) time.Duration {
+	hold := min(time.Duration(q.HoldMs)*time.Millisecond, askHold)
+	if !q.Changes {
+		return hold
+	}
+	return min(hold, staleAfter+time.Millisecond-milliseconds(max(m.ConfigAgeMs, m.ServersAgeMs)))
+}
+
 // newer makes the answer as of now, with the channel that is closed at the
 // next change. The ask came at a mark of the clock of proofs.
 func (a *asker) newer(q *wire.SyncAsk, came time.Duration) (*wire.SyncAnswer, <-chan struct{}) {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -196,7 +196,7 @@
 	parts.Go(func() { g.broker.Run(ctx) })
 	parts.Go(func() { g.quotas.Run(ctx) })
 	parts.Go(func() { g.asker.Run(ctx) })
-	r := &reader{state: g.state, store: g.platform.Store, reading: g.asker.reading}
+	r := &reader{state: g.state, store: g.platform.Store, reading: g.asker.reading, told: g.asker.told}
 	parts.Go(func() { r.runExpiry(ctx) })
 	parts.Go(func() { g.watchTrust(ctx) })
 	for _, k := range r.loops() {
--- /dev/null
+++ b/internal/gateway/outage_test.go
@@ -0,0 +1,165 @@
+package gateway
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/lycheekeel/lycheekeel/internal/peer"
+	"github.com/lycheekeel/lycheekeel/member"
+	"github.com/lycheekeel/lycheekeel/revision"
+)
+
+// askNet lets askers call each other; it notes who was asked.
+type askNet struct {
+	*postbox
+	self  string
+	known map[string]*asker
+	asked []string
+}
+
+func (n *askNet) Call(ctx context.Context, to peer.Name, _ peer.Type, payload []byte) ([]byte, error) {
+	n.asked = append(n.asked, string(to))
+	other := n.known[string(to)]
+	if other == nil {
+		return nil, peer.ErrNotConnected
+	}
+	return other.answer(ctx, peer.Name(n.self), payload)
+}
+
+// askers are daemons of one zone that see each other.
+func askers(n int) (all map[string]*asker, nets map[string]*askNet, reading, substitutes []string) {
+	members := zoned(map[string]int{"a": n})
+	all, nets = map[string]*asker{}, map[string]*askNet{}
+	for _, m := range members {
+		views := &member.Live{}
+		views.Store(member.NewView(m.Name, members))
+		net := &askNet{postbox: newPostbox(), self: m.Name, known: all}
+		s := configuredState()
+		s.configFresh, s.serversFresh = revision.NewFreshnessOn(stopped), revision.NewFreshnessOn(stopped)
+		all[m.Name], nets[m.Name] = newAsker(s, net, views), net
+	}
+	reading, substitutes = readers(member.NewView("a1", members))
+	return all, nets, reading, substitutes
+}
+
+// knows sets how old a daemon's proofs are.
+func (a *asker) knows(age time.Duration) {
+	a.state.configFresh, a.state.serversFresh = fresh(age), fresh(age)
+}
+
+// stopped is a clock that stands still.
+func stopped() time.Duration { return time.Hour }
+
+// fresh is of a proof that is so old.
+func fresh(age time.Duration) *revision.Freshness {
+	f := revision.NewFreshnessOn(stopped)
+	f.Prove(f.Mark() - age)
+	return f
+}
+
+func (a *asker) askNext() error {
+	name, ok := a.pick()
+	So(ok, ShouldBeTrue)
+	err := a.ask(context.Background(), name)
+	if err != nil {
+		a.next.Add(1)
+	}
+	return err
+}
+
+// Symptom: 3,900 calls of the store on a day on which it turns a third of the
+// VMs away for nine seconds, and is down for six.
+// Sequence: a reader is turned away; the daemons that ask it get nothing new.
+// Cause: each read the store itself, though another reader had what it needed;
+// and while no reader could read, 88 daemons asked the store beside them.
+func TestReadersThatCannotReadArePassedOver(t *testing.T) {
+	Convey("Given 30 daemons, two of which read the store", t, func() {
+		all, nets, reading, substitutes := askers(30)
+		So(reading, ShouldHaveLength, 2)
+		So(substitutes, ShouldHaveLength, 2)
+		var other string
+		for name := range all {
+			if !slices.Contains(reading, name) && !slices.Contains(substitutes, name) {
+				other = name
+			}
+		}
+		a := all[other]
+		first, _ := a.pick()
+		second := reading[0]
+		if first == second {
+			second = reading[1]
+		}
+		a.knows(1700 * time.Millisecond)
+
+		Convey("an asker goes from a reader that was turned away to the other one, which tells at once", func() {
+			all[first].knows(1650 * time.Millisecond)
+			all[second].knows(100 * time.Millisecond)
+			So(a.askNext(), ShouldBeNil)
+			So(a.askNext(), ShouldBeNil)
+			So(nets[other].asked, ShouldResemble, []string{first, second})
+			So(a.readsWell(), ShouldBeTrue)
+			name, _ := a.pick()
+			So(name, ShouldEqual, second)
+		})
+		Convey("it goes on to the substitutes, and begins anew", func() {
+			for _, name := range append(slices.Clone(reading), substitutes...) {
+				delete(all, name)
+			}
+			for range 5 {
+				So(a.askNext(), ShouldNotBeNil)
+			}
+			So(nets[other].asked[:2], ShouldResemble, []string{first, second})
+			So(substitutes, ShouldContain, nets[other].asked[2])
+			So(substitutes, ShouldContain, nets[other].asked[3])
+			So(nets[other].asked[4], ShouldEqual, first)
+		})
+		Convey("a reader that was turned away asks the other one", func() {
+			all[first].knows(3 * time.Second)
+			all[second].knows(100 * time.Millisecond)
+			name, ok := all[first].pick()
+			So(ok, ShouldBeTrue)
+			So(name, ShouldEqual, second)
+			So(all[first].askNext(), ShouldBeNil)
+			So(all[first].readsWell(), ShouldBeTrue)
+			_, ok = all[first].pick()
+			So(ok, ShouldBeFalse)
+		})
+		Convey("while readers answer and none can read, only they and the substitutes call the store", func() {
+			all[first].knows(1650 * time.Millisecond)
+			So(a.askNext(), ShouldBeNil)
+			rests := func(a *asker) bool {
+				r := &reader{state: a.state, reading: a.reading, told: a.told}
+				_, rest := r.mayRest(r.loops()[0])
+				return rest
+			}
+			b := all[substitutes[0]]
+			for _, x := range []*asker{a, b} {
+				x.state.configFresh = fresh(2500 * time.Millisecond)
+				x.heard.Store(int64(x.state.configFresh.Mark()))
+			}
+			So(rests(a), ShouldBeTrue)
+			So(rests(b), ShouldBeFalse)
+			a.state.configFresh = fresh(3100 * time.Millisecond)
+			So(rests(a), ShouldBeFalse) // some readers may be turned away alone
+			a.state.configFresh = fresh(2500 * time.Millisecond)
+			a.heard.Store(int64(a.state.configFresh.Mark() - 3*time.Second))
+			So(rests(a), ShouldBeFalse) // it may be cut off from the readers
+		})
+	})
+	Convey("Of nine daemons, two stand in for the one reader", t, func() {
+		_, _, reading, substitutes := askers(9)
+		So(reading, ShouldHaveLength, 1)
+		So(substitutes, ShouldHaveLength, 2)
+	})
+	Convey("A daemon alone asks nobody", t, func() {
+		all, _, reading, substitutes := askers(1)
+		So(fmt.Sprint(reading, substitutes), ShouldEqual, "[a1] []")
+		_, ok := all["a1"].pick()
+		So(ok, ShouldBeFalse)
+	})
+}
--- a/internal/gateway/reader.go
+++ b/internal/gateway/reader.go
@@ -26,6 +26,11 @@
 	// readers won't tell it at once.
 	retryEvery = 250 * time.Millisecond
 	retryMost  = 2 * time.Second
+	// retryFar is a number of failures after which the delay is retryMost.
+	retryFar = 8
+	// patientFor is how old what is known may get while the readers answer and
+	// can't read: callers are turned away from 3.5 s on.
+	patientFor = 3 * time.Second
 	// watchPause is how long changes gather before they are asked for again.
 	// While a hundred servers register or are replaced, a watch returns for
 	// each of them; 72 daemons made 540 of their 2,350 calls in a quiet day so.
@@ -41,6 +46,7 @@
 	state   *state
 	store   objectstore.ObjectAPI
 	reading func() bool // whether this daemon is one of the few
+	told    func() bool // whether one of these answers this daemon
 }
 
 // kindLoop is how one kind of objects is kept in step.
@@ -50,6 +56,9 @@
 	fresh *revision.Freshness
 	// enough is the age up to which what a reader told will do.
 	enough time.Duration
+	// patient is the same while the readers answer, though they can't read
+	// either.
+	patient time.Duration
 	// replace takes a list, change one event with the revision after it.
 	replace func(l objectstore.List) bool
 	change  func(e objectstore.Event, as objectstore.Version)
@@ -64,11 +73,11 @@
 	s := r.state
 	return []*kindLoop{
 		{
-			kind: s.platform.ConfigurationKind, every: proofEvery, fresh: s.configFresh, enough: 2 * time.Second,
+			kind: s.platform.ConfigurationKind, every: proofEvery, fresh: s.configFresh, enough: 2 * time.Second, patient: patientFor,
 			replace: r.replaceConfiguration, change: r.changeConfiguration, failed: func() {},
 		},
 		{
-			kind: s.platform.ServersKind, every: listEvery, fresh: s.serversFresh, enough: 1500 * time.Millisecond,
+			kind: s.platform.ServersKind, every: listEvery, fresh: s.serversFresh, enough: 1500 * time.Millisecond, patient: patientFor,
 			replace: r.replaceServers, change: r.changeServer, failed: s.storeAway,
 		},
 	}
@@ -88,10 +97,16 @@
 // mayRest tells for how long what a reader has told will do.
 func (r *reader) mayRest(k *kindLoop) (time.Duration, bool) {
 	age, ok := k.fresh.Age()
-	if r.reading() || !ok || age >= k.enough {
+	if r.reading() || !ok {
 		return 0, false
 	}
-	return k.enough - age, true
+	if age < k.enough {
+		return k.enough - age, true
+	}
+	if age < k.patient && r.told() {
+		return min(k.patient-age, askAgain), true
+	}
+	return 0, false
 }
 
 // read lists the kind, sees to its watch, and returns when to read again.
@@ -103,6 +118,9 @@
 		k.failed()
 		r.lost(k, err)
 		k.failures++
+		if r.told() {
+			return retryIn(retryFar, r.reading())
+		}
 		return retryIn(k.failures, r.reading())
 	}
 	r.regained(k)
--- a/internal/gateway/reader_test.go
+++ b/internal/gateway/reader_test.go
@@ -34,7 +34,7 @@
 	})
 	Convey("The wait grows with the failures in a row, and begins anew after an answer", t, func() {
 		store := &listStore{err: objectstore.ErrUnavailable}
-		r := &reader{state: emptyState(), store: store, reading: func() bool { return false }}
+		r := &reader{state: emptyState(), store: store, reading: func() bool { return false }, told: func() bool { return false }}
 		servers := r.loops()[1]
 		last := time.Duration(0)
 		for range 4 {
--- a/revision/freshness.go
+++ b/revision/freshness.go
@@ -24,7 +24,11 @@
 }
 
 // NewFreshness returns a freshness without a proof.
-func NewFreshness() *Freshness { return &Freshness{now: BootTime} }
+func NewFreshness() *Freshness { return NewFreshnessOn(BootTime) }
+
+// NewFreshnessOn returns a Freshness that reads another clock, one that stands
+// still in tests.
+func NewFreshnessOn(clock func() time.Duration) *Freshness { return &Freshness{now: clock} }
 
 // Mark returns the moment to pass to Prove; take it before the read is sent.
 func (f *Freshness) Mark() time.Duration { return f.now() }
