gateway: a daemon that the store does not answer refuses keys, whoever proves them

Cause: since readers that can't read are passed over, a VM that is cut off from the store alone is told by others and serves on.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -142,8 +142,14 @@
 	return name
 }
 
+// provedWithin tells whether there is a proof younger than a share of the time
+// for withdrawing a key, and this daemon reads the store by itself or has not
+// tried. One that can't for so long depends on the others' reads alone; the
+// callers that it refuses are served by those, while what it would serve counts
+// for nothing by the users' contract.
 func (g *Gateway) provedWithin(share float64) bool {
-	return g.state.configFresh.Within(milliseconds(g.settings.Bounds.RevokeMs * share))
+	most := milliseconds(g.settings.Bounds.RevokeMs * share)
+	return g.state.configFresh.Within(most) && !g.state.cutOff(most)
 }
 
 // answerReadiness tells the balancer whether to send callers here.
@@ -196,8 +202,9 @@
 	parts.Go(func() { g.broker.Run(ctx) })
 	parts.Go(func() { g.quotas.Run(ctx) })
 	parts.Go(func() { g.asker.Run(ctx) })
-	r := &reader{state: g.state, store: g.platform.Store, reading: g.asker.reading, told: g.asker.told}
+	r := &reader{state: g.state, store: g.platform.Store, stale: g.platform.Stale, reading: g.asker.reading, told: g.asker.told}
 	parts.Go(func() { r.runExpiry(ctx) })
+	parts.Go(func() { r.runReach(ctx) })
 	parts.Go(func() { g.watchTrust(ctx) })
 	for _, k := range r.loops() {
 		parts.Go(func() { r.run(ctx, k) })
--- a/internal/gateway/outage_test.go
+++ b/internal/gateway/outage_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/lycheekeel/lycheekeel/internal/peer"
 	"github.com/lycheekeel/lycheekeel/member"
+	"github.com/lycheekeel/lycheekeel/objectstore"
 	"github.com/lycheekeel/lycheekeel/revision"
 )
 
@@ -47,6 +48,13 @@
 	return all, nets, reading, substitutes
 }
 
+// staleStore answers stale reads alone.
+type staleStore struct{ err error }
+
+func (s *staleStore) GetStale(context.Context, objectstore.Kind, string) (objectstore.Object, error) {
+	return objectstore.Object{}, s.err
+}
+
 // knows sets how old a daemon's proofs are.
 func (a *asker) knows(age time.Duration) {
 	a.state.configFresh, a.state.serversFresh = fresh(age), fresh(age)
@@ -151,6 +159,41 @@
 			So(rests(a), ShouldBeFalse) // it may be cut off from the readers
 		})
 	})
+	Convey("A daemon whose own reads fail for long is cut off, until one is answered", t, func() {
+		s := emptyState()
+		s.configFresh = revision.NewFreshnessOn(stopped)
+		store := &listStore{err: objectstore.ErrUnavailable}
+		r := &reader{state: s, store: store, reading: func() bool { return false }, told: func() bool { return true }}
+		config := r.loops()[0]
+		s.configFresh.Prove(s.configFresh.Mark())
+		_, rest := r.mayRest(config)
+		So(rest, ShouldBeTrue)
+		r.read(context.Background(), config)
+		So(s.cutOff(3*time.Second), ShouldBeFalse)
+		s.storeLost.Store(int64(stopped() - 4*time.Second))
+		So(s.cutOff(3*time.Second), ShouldBeTrue)
+		_, rest = r.mayRest(config) // it goes on trying, though others tell it
+		So(rest, ShouldBeFalse)
+		store.err = nil
+		r.read(context.Background(), config)
+		So(s.cutOff(3*time.Second), ShouldBeFalse)
+		_, rest = r.mayRest(config)
+		So(rest, ShouldBeTrue)
+	})
+	Convey("A daemon that does not read the store notices that it is cut off, and that it is back", t, func() {
+		s := emptyState()
+		s.configFresh = revision.NewFreshnessOn(stopped)
+		store := &staleStore{err: objectstore.ErrUnknownOutcome}
+		r := &reader{state: s, stale: store}
+		r.checkReach(context.Background())
+		So(s.storeLost.Load(), ShouldEqual, int64(stopped()))
+		s.storeLost.Store(int64(stopped() - 4*time.Second))
+		r.checkReach(context.Background()) // it counts from the first
+		So(s.cutOff(3*time.Second), ShouldBeTrue)
+		store.err = objectstore.ErrNotFound // an answer all the same
+		r.checkReach(context.Background())
+		So(s.cutOff(3*time.Second), ShouldBeFalse)
+	})
 	Convey("Of nine daemons, two stand in for the one reader", t, func() {
 		_, _, reading, substitutes := askers(9)
 		So(reading, ShouldHaveLength, 1)
--- a/internal/gateway/platform.go
+++ b/internal/gateway/platform.go
@@ -15,6 +15,9 @@
 // there. An adapter fills it.
 type Platform struct {
 	Store objectstore.ObjectAPI
+	// Stale is the same store, for reads that prove no more than that it
+	// answers.
+	Stale objectstore.StaleReader
 	Wire  forward.Wire
 	// ReadinessPath is where the balancer asks whether to send callers here.
 	ReadinessPath string
--- a/internal/gateway/reader.go
+++ b/internal/gateway/reader.go
@@ -45,6 +45,7 @@
 type reader struct {
 	state   *state
 	store   objectstore.ObjectAPI
+	stale   objectstore.StaleReader
 	reading func() bool // whether this daemon is one of the few
 	told    func() bool // whether one of these answers this daemon
 }
@@ -97,8 +98,8 @@
 // mayRest tells for how long what a reader has told will do.
 func (r *reader) mayRest(k *kindLoop) (time.Duration, bool) {
 	age, ok := k.fresh.Age()
-	if r.reading() || !ok {
-		return 0, false
+	if r.reading() || !ok || !k.away.IsZero() {
+		return 0, false // it is also to be known when the store is back here
 	}
 	if age < k.enough {
 		return k.enough - age, true
@@ -147,6 +148,9 @@
 func (r *reader) lost(k *kindLoop, err error) {
 	if k.away.IsZero() {
 		k.away = time.Now()
+		if k.kind == r.state.platform.ConfigurationKind {
+			r.state.storeLost.Store(int64(k.fresh.Mark()))
+		}
 		r.state.log.WithField("kind", k.kind).WithError(err).Warn("Store lost.")
 	}
 }
@@ -156,6 +160,9 @@
 	if !k.away.IsZero() {
 		r.state.log.WithField("kind", k.kind).WithField("away_ms", time.Since(k.away).Milliseconds()).Info("Store regained.")
 		k.away = time.Time{}
+		if k.kind == r.state.platform.ConfigurationKind {
+			r.state.storeLost.Store(0)
+		}
 	}
 }
 
--- a/internal/gateway/sync.go
+++ b/internal/gateway/sync.go
@@ -33,6 +33,9 @@
 	// are.
 	configFresh, serversFresh *revision.Freshness
 	usable                    atomic.Pointer[map[string]bool] // by server ID
+	// storeLost is the mark since which this daemon's own reads of the
+	// configuration fail; 0: the last one was answered.
+	storeLost atomic.Int64
 
 	mu        sync.Mutex
 	directory *discovery.Directory
@@ -220,6 +223,13 @@
 	}
 }
 
+// cutOff tells whether this daemon's own reads of the store have failed for so
+// long, though it may be told by others what is in force.
+func (s *state) cutOff(most time.Duration) bool {
+	lost := s.storeLost.Load()
+	return lost != 0 && s.configFresh.Mark()-time.Duration(lost) > most
+}
+
 // proved tells those that wait that a read has proved what is in force.
 func (s *state) proved() {
 	s.mu.Lock()
--- a/objectstore/objectstore.go
+++ b/objectstore/objectstore.go
@@ -82,6 +82,12 @@
 	Watch(ctx context.Context, kinds []Kind, after Version, wait time.Duration) ([]Event, Version, error)
 }
 
+// StaleReader reads what may be seconds old, at less cost than ObjectAPI. It
+// proves that the platform answers, and nothing about what is in force.
+type StaleReader interface {
+	GetStale(ctx context.Context, kind Kind, name string) (Object, error)
+}
+
 // VMState is a VM's state in the platform's list.
 type VMState string
 
