gateway: servers go to pools by jump hashing; the first list is one log line

Change: jump consistent hashing; fields only for lines that are written; the servers that are known first are one line with their number. Result: BenchmarkBuildPools 19.9 ms before, 4.5 ms after, on a busy machine.

--- a/internal/gateway/pools.go
+++ b/internal/gateway/pools.go
@@ -52,16 +52,19 @@
 	return all
 }
 
-// shardOf puts a server into one of n pools by rendezvous hashing: one pool
-// more, or fewer, moves only the servers of one.
+// shardOf puts a server into one of n pools by jump consistent hashing (Lamping
+// and Veach, 2014): one pool more, or fewer, moves only the servers of one. It
+// takes about ln n steps. Rendezvous hashing takes n: with 3,000 servers in 94
+// pools a snapshot, made at each change of a server, takes 20 ms with that and
+// 4.5 ms with this (BenchmarkBuildPools).
 func shardOf(id string, n int) int {
-	best, at := uint64(0), 0
-	for i := range n {
-		if w := xxhash.Sum64String(id + "#" + strconv.Itoa(i)); w > best {
-			best, at = w, i
-		}
+	key, at, next := xxhash.Sum64String(id), int64(0), int64(0)
+	for next < int64(n) {
+		at = next
+		key = key*2862933555777941757 + 1
+		next = int64(float64(at+1) * (float64(1<<31) / float64(key>>33+1)))
 	}
-	return at
+	return int(at)
 }
 
 func backendServer(s discovery.Server, pool, region string) workspace.BackendServer {
--- a/internal/gateway/pools_test.go
+++ b/internal/gateway/pools_test.go
@@ -52,3 +52,16 @@
 		So(LimitSettings{CPUCores: 0.001, LinkMbps: 1}.weight(), ShouldEqual, uint32(1))
 	})
 }
+
+// BenchmarkBuildPools is of the snapshot that each change of a server makes anew.
+func BenchmarkBuildPools(b *testing.B) {
+	table := &route.Table{Services: map[string]*route.Service{"llm": {}}}
+	servers := make([]discovery.Server, 3000)
+	for i := range servers {
+		servers[i] = discovery.Server{ID: fmt.Sprint("i-", i), Service: "llm", Slots: 6}
+	}
+	b.ReportAllocs()
+	for b.Loop() {
+		buildPools(table, servers, "r")
+	}
+}
--- a/internal/gateway/sync.go
+++ b/internal/gateway/sync.go
@@ -195,27 +195,25 @@
 	s.usable.Store(&usable)
 }
 
-// logServers tells which servers came, began to leave, or went.
+// logServers tells which servers came, began to leave, or went; at first only
+// how many there are, or thousands of lines would tell what the store lists.
 func (s *state) logServers(servers []discovery.Server) {
-	known := make(map[string]bool, len(servers))
 	before := s.usable.Load()
+	if before == nil {
+		s.log.WithFields(logrus.Fields{"servers": len(servers), "revision": s.serversRevision}).Info("Servers are there.")
+		return
+	}
+	known := make(map[string]bool, len(servers))
 	for _, x := range servers {
 		known[x.ID] = true
-		was, ok := false, false
-		if before != nil {
-			was, ok = (*before)[x.ID]
-		}
-		l := s.log.WithFields(logrus.Fields{"server": x.ID, "service": x.Service, "address": x.Address, "revision": s.serversRevision})
+		was, ok := (*before)[x.ID]
 		switch {
 		case !ok && !x.Leaving:
-			l.Info("Server is there.")
+			s.logServer(x).Info("Server is there.")
 		case was && x.Leaving, !ok && x.Leaving:
-			l.Info("Server is leaving.")
+			s.logServer(x).Info("Server is leaving.")
 		}
 	}
-	if before == nil {
-		return
-	}
 	for id := range *before {
 		if !known[id] {
 			s.log.WithFields(logrus.Fields{"server": id, "revision": s.serversRevision}).Info("Server is gone.")
@@ -223,6 +221,10 @@
 	}
 }
 
+func (s *state) logServer(x discovery.Server) *logrus.Entry {
+	return s.log.WithFields(logrus.Fields{"server": x.ID, "service": x.Service, "address": x.Address, "revision": s.serversRevision})
+}
+
 // cutOff tells whether this daemon's own reads of the store have failed for so
 // long, though it may be told by others what is in force.
 func (s *state) cutOff(most time.Duration) bool {
