quota: an answer that took long counts all the same

Cause: found by reading: an answer that was taken more than SilentAfter after the one before was taken for a first one; it held no levels, so what others had let through was neither adopted nor spent. Change: whoever gets levels adopts them, and whoever gets none counts on.

--- a/quota/exchange.go
+++ b/quota/exchange.go
@@ -147,7 +147,9 @@
 		return false // of an earlier batch, or of one that was sent twice
 	}
 	e.unacknowledged = nil
-	follows := a.Hub == e.hub && e.now().Sub(e.answered) <= SilentAfter
+	// A hub tells its levels to whoever said that it has no answer of it. By
+	// the time, an answer that took long would be neither adopted nor counted.
+	follows := a.Hub == e.hub && len(a.Levels) == 0
 	if !follows {
 		e.others = map[string]float64{}
 		e.ledger.Adopt(a.Levels)
--- a/quota/exchange_test.go
+++ b/quota/exchange_test.go
@@ -257,6 +257,20 @@
 		e.Learn(f.exchanges[0].Report("1", b))
 		So(level(f, 1), ShouldAlmostEqual, level(f, 0)-40, 1e-6)
 	})
+	// Symptom: a daemon lets too much through after a pause of its process.
+	// Sequence: its hub answers; it is paused before it takes the answer.
+	// Cause: the answer came late, so it was taken for a first one, though it
+	// held no levels.
+	Convey("An answer that took long counts all the same", t, func() {
+		f := settled(3)
+		before := level(f, 2)
+		f.ledgers[0].Take(wide, 300)
+		f.exchanges[0].Lead()
+		a := f.exchanges[0].Report("2", f.exchanges[2].Batch())
+		f.clock.pass(SilentAfter + time.Millisecond)
+		f.exchanges[2].Learn(a)
+		So(level(f, 2), ShouldBeLessThan, before+150-299)
+	})
 	Convey("A hub that starts anew is not taken to have counted all its time at once", t, func() {
 		f := settled(4)
 		f.ledgers[3].Take(wide, 100)
