logs: for how long the store has not answered this VM's own reads

Cause: a request that is refused because its VM is cut off from the store showed a young proof_ms and no reason for the refusal.

--- a/internal/explain/cause.go
+++ b/internal/explain/cause.go
@@ -8,7 +8,7 @@
 	"workspace_limit":    "the workspace's quota was used up; look at share: below 1 other daemons were silent and kept theirs",
 	"expired":            "its time was up; waited_ms tells how much of it was spent waiting for a slot",
 	"no_configuration":   "the daemon had no configuration yet, just after its start",
-	"store_unavailable":  "the daemon could not prove that its configuration is in force (proof_ms); look for \"Store lost.\"",
+	"store_unavailable":  "the daemon could not prove that its configuration is in force (proof_ms); or the store has not answered this VM itself for as long (store_lost_ms); look for \"Store lost.\" and \"Store does not answer this VM.\"",
 	"unauthorized":       "the configuration of that version does not hold the key",
 	"unknown_path":       "the configuration of that version has no route for host and path",
 	"engine_lost":        "a server got the request and its answer was lost; tries tells each send",
--- a/internal/forward/decisions.go
+++ b/internal/forward/decisions.go
@@ -34,6 +34,9 @@
 	if x.table != nil {
 		f["version"] = x.table.Version
 		f["proof_ms"] = x.server.deps.Admission.ProofAge().Milliseconds()
+		if lost := x.server.deps.Admission.StoreLost(); lost > 0 {
+			f["store_lost_ms"] = lost.Milliseconds()
+		}
 	}
 	if x.route != nil {
 		f["route"] = x.route.Name
--- a/internal/forward/rig_test.go
+++ b/internal/forward/rig_test.go
@@ -198,9 +198,10 @@
 	leaving sync.Map
 }
 
-func (a *fakeAdmission) Fresh() bool             { return !a.stale.Load() }
-func (a *fakeAdmission) ProofAge() time.Duration { return time.Second }
-func (a *fakeAdmission) Owner(string) string     { return "owner" }
+func (a *fakeAdmission) Fresh() bool              { return !a.stale.Load() }
+func (a *fakeAdmission) ProofAge() time.Duration  { return time.Second }
+func (a *fakeAdmission) StoreLost() time.Duration { return 0 }
+func (a *fakeAdmission) Owner(string) string      { return "owner" }
 func (a *fakeAdmission) MayUse(id string) bool {
 	_, leaving := a.leaving.Load(id)
 	return !leaving
--- a/internal/forward/wire.go
+++ b/internal/forward/wire.go
@@ -44,9 +44,12 @@
 	// MayUse tells whether, as far as this daemon knows, a server is there and
 	// not leaving. The owner of its pool may not have heard yet.
 	MayUse(serverID string) bool
-	// ProofAge is how old that proof is, Owner who schedules a service's
-	// requests; both are for the log alone.
+	// What follows is for the log alone. ProofAge is how old the proof is, and
+	// StoreLost for how long the store has not answered this daemon's own
+	// reads, 0 where it does: Fresh is false when either is too long. Owner
+	// is who schedules a service's requests.
 	ProofAge() time.Duration
+	StoreLost() time.Duration
 	Owner(service string) string
 }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -136,6 +136,9 @@
 	return age
 }
 
+// StoreLost implements forward.Admission.
+func (g *Gateway) StoreLost() time.Duration { return g.state.lostFor() }
+
 // Owner implements forward.Admission.
 func (g *Gateway) Owner(service string) string {
 	name, _ := g.host.Owner(service, g.settings.Region)
--- a/internal/gateway/observe.go
+++ b/internal/gateway/observe.go
@@ -40,7 +40,8 @@
 			fresh = now
 			if !now {
 				lost = time.Now()
-				g.log.WithField("proof_ms", g.ProofAge().Milliseconds()).Warn("Configuration is not proved any more: keys are refused.")
+				g.log.WithField("proof_ms", g.ProofAge().Milliseconds()).WithField("store_lost_ms", g.StoreLost().Milliseconds()).
+					Warn("Configuration is not proved any more: keys are refused.")
 			} else {
 				g.log.WithField("away_ms", time.Since(lost).Milliseconds()).Info("Configuration is proved again.")
 			}
--- a/internal/gateway/outage_test.go
+++ b/internal/gateway/outage_test.go
@@ -180,6 +180,18 @@
 		_, rest = r.mayRest(config)
 		So(rest, ShouldBeTrue)
 	})
+	Convey("A daemon that the store does not answer refuses keys, though others prove them", t, func() {
+		g := &Gateway{settings: Settings{Bounds: BoundsSettings{RevokeMs: 5000}}, state: emptyState()}
+		g.state.configFresh = fresh(100 * time.Millisecond)
+		g.state.storeLost.Store(int64(stopped() - 4*time.Second))
+		So(g.Fresh(), ShouldBeTrue)
+		So(g.provedWithin(readyShare), ShouldBeFalse)
+		g.state.storeLost.Store(int64(stopped() - 4800*time.Millisecond))
+		So(g.Fresh(), ShouldBeFalse)
+		So(g.StoreLost(), ShouldEqual, 4800*time.Millisecond)
+		g.state.storeLost.Store(0)
+		So(g.Fresh(), ShouldBeTrue)
+	})
 	Convey("A daemon that does not read the store notices that it is cut off, and that it is back", t, func() {
 		s := emptyState()
 		s.configFresh = revision.NewFreshnessOn(stopped)
--- a/internal/gateway/sync.go
+++ b/internal/gateway/sync.go
@@ -227,9 +227,16 @@
 
 // cutOff tells whether this daemon's own reads of the store have failed for so
 // long, though it may be told by others what is in force.
-func (s *state) cutOff(most time.Duration) bool {
+func (s *state) cutOff(most time.Duration) bool { return s.lostFor() > most }
+
+// lostFor is for how long the store has not answered this daemon's own reads; 0:
+// it does.
+func (s *state) lostFor() time.Duration {
 	lost := s.storeLost.Load()
-	return lost != 0 && s.configFresh.Mark()-time.Duration(lost) > most
+	if lost == 0 {
+		return 0
+	}
+	return s.configFresh.Mark() - time.Duration(lost)
 }
 
 // proved tells those that wait that a read has proved what is in force.
