gateway: a daemon that knows nothing yet tries the store again soon

Cause: at a start all daemons read at once; where the first read failed and a reader that knew nothing either had answered, the next came after 1 to 3 s. Change: the long wait is for those that have a proof. Result: the test fails first (2.1 s), and passes.

--- a/internal/gateway/outage_test.go
+++ b/internal/gateway/outage_test.go
@@ -206,6 +206,19 @@
 		r.checkReach(context.Background())
 		So(s.cutOff(3*time.Second), ShouldBeFalse)
 	})
+	// Symptom: after all daemons were killed, some serve nobody for seconds.
+	// Sequence: a daemon's first read fails, since all read at once; a reader that
+	// knows nothing yet answers its ask.
+	// Cause: it took the answer for a reason to wait.
+	Convey("A daemon that knows nothing yet tries again soon, though a reader answers", t, func() {
+		s := emptyState()
+		s.configFresh = revision.NewFreshnessOn(stopped)
+		store := &listStore{err: objectstore.ErrUnavailable}
+		r := &reader{state: s, store: store, reading: func() bool { return false }, told: func() bool { return true }}
+		So(r.read(context.Background(), r.loops()[0]), ShouldBeLessThan, 2*retryEvery)
+		s.configFresh.Prove(s.configFresh.Mark())
+		So(r.read(context.Background(), r.loops()[0]), ShouldBeGreaterThanOrEqualTo, retryMost/2)
+	})
 	Convey("Of nine daemons, two stand in for the one reader", t, func() {
 		_, _, reading, substitutes := askers(9)
 		So(reading, ShouldHaveLength, 1)
--- a/internal/gateway/reader.go
+++ b/internal/gateway/reader.go
@@ -119,7 +119,7 @@
 		k.failed()
 		r.lost(k, err)
 		k.failures++
-		if r.told() {
+		if _, known := k.fresh.Age(); known && r.told() {
 			return retryIn(retryFar, r.reading())
 		}
 		return retryIn(k.failures, r.reading())
