gateway: daemons read by themselves in time, whatever the readers answer

The store had turned the readers and their substitutes away; the others, which it would have answered, waited for 3 s since a reader answered them. Change: no longer wait than without readers, and 1.7 s in place of 2 s for the configuration; only after a failed read of its own does a daemon that is told try again seldom.

--- a/internal/gateway/outage_test.go
+++ b/internal/gateway/outage_test.go
@@ -137,7 +137,12 @@
 			_, ok = all[first].pick()
 			So(ok, ShouldBeFalse)
 		})
-		Convey("while readers answer and none can read, only they and the substitutes call the store", func() {
+		// Symptom: a withdrawn key is served by a daemon that the store would
+		// have answered, 2.05 s after the change.
+		// Sequence: the store turns the readers away, and not this daemon; they
+		// answer its asks, with nothing new.
+		// Cause: it took their answers for a reason to wait.
+		Convey("while readers answer and none can read, a daemon tries by itself in time, and seldom again if that fails", func() {
 			all[first].knows(1650 * time.Millisecond)
 			So(a.askNext(), ShouldBeNil)
 			rests := func(a *asker) bool {
@@ -147,16 +152,20 @@
 			}
 			b := all[substitutes[0]]
 			for _, x := range []*asker{a, b} {
-				x.state.configFresh = fresh(2500 * time.Millisecond)
+				x.state.configFresh = fresh(1650 * time.Millisecond)
 				x.heard.Store(int64(x.state.configFresh.Mark()))
+				So(rests(x), ShouldBeTrue)
+				x.state.configFresh = fresh(1750 * time.Millisecond)
+				So(rests(x), ShouldBeFalse)
 			}
-			So(rests(a), ShouldBeTrue)
-			So(rests(b), ShouldBeFalse)
-			a.state.configFresh = fresh(3100 * time.Millisecond)
-			So(rests(a), ShouldBeFalse) // some readers may be turned away alone
-			a.state.configFresh = fresh(2500 * time.Millisecond)
+			again := func(a *asker) time.Duration {
+				r := &reader{state: a.state, store: &listStore{err: objectstore.ErrUnavailable}, reading: a.reading, told: a.told}
+				return r.read(context.Background(), r.loops()[0])
+			}
+			So(again(a), ShouldBeGreaterThanOrEqualTo, retryMost/2)
+			So(again(b), ShouldBeLessThan, 2*retryEvery) // a substitute
 			a.heard.Store(int64(a.state.configFresh.Mark() - 3*time.Second))
-			So(rests(a), ShouldBeFalse) // it may be cut off from the readers
+			So(again(a), ShouldBeLessThan, 2*retryEvery) // it may be cut off from the readers
 		})
 	})
 	Convey("A daemon whose own reads fail for long is cut off, until one is answered", t, func() {
--- a/internal/gateway/reader.go
+++ b/internal/gateway/reader.go
@@ -28,9 +28,6 @@
 	retryMost  = 2 * time.Second
 	// retryFar is a number of failures after which the delay is retryMost.
 	retryFar = 8
-	// patientFor is how old what is known may get while the readers answer and
-	// can't read: callers are turned away from 3.5 s on.
-	patientFor = 3 * time.Second
 	// watchPause is how long changes gather before they are asked for again.
 	// While a hundred servers register or are replaced, a watch returns for
 	// each of them; 72 daemons made 540 of their 2,350 calls in a quiet day so.
@@ -55,11 +52,14 @@
 	kind  objectstore.Kind
 	every time.Duration
 	fresh *revision.Freshness
-	// enough is the age up to which what a reader told will do.
+	// enough is the age up to which what a reader told will do. Beyond it the
+	// daemon reads by itself, whatever the readers answer.
+	//
+	// What goes wrong where it waits on while they answer: the store turns the
+	// readers and their substitutes away, a change is made, and the daemons
+	// that the store would have told act by the older configuration for longer
+	// than the 2 s that they may.
 	enough time.Duration
-	// patient is the same while the readers answer, though they can't read
-	// either.
-	patient time.Duration
 	// replace takes a list, change one event with the revision after it.
 	replace func(l objectstore.List) bool
 	change  func(e objectstore.Event, as objectstore.Version)
@@ -74,11 +74,11 @@
 	s := r.state
 	return []*kindLoop{
 		{
-			kind: s.platform.ConfigurationKind, every: proofEvery, fresh: s.configFresh, enough: 2 * time.Second, patient: patientFor,
+			kind: s.platform.ConfigurationKind, every: proofEvery, fresh: s.configFresh, enough: 1700 * time.Millisecond,
 			replace: r.replaceConfiguration, change: r.changeConfiguration, failed: func() {},
 		},
 		{
-			kind: s.platform.ServersKind, every: listEvery, fresh: s.serversFresh, enough: 1500 * time.Millisecond, patient: patientFor,
+			kind: s.platform.ServersKind, every: listEvery, fresh: s.serversFresh, enough: 1500 * time.Millisecond,
 			replace: r.replaceServers, change: r.changeServer, failed: s.storeAway,
 		},
 	}
@@ -101,13 +101,7 @@
 	if r.reading() || !ok || !k.away.IsZero() {
 		return 0, false // it is also to be known when the store is back here
 	}
-	if age < k.enough {
-		return k.enough - age, true
-	}
-	if age < k.patient && r.told() {
-		return min(k.patient-age, askAgain), true
-	}
-	return 0, false
+	return k.enough - age, age < k.enough
 }
 
 // read lists the kind, sees to its watch, and returns when to read again.
