--- a/internal/gateway/hubs.go
+++ b/internal/gateway/hubs.go
@@ -11,7 +11,7 @@
 
 // daemonsPerHub is how many daemons of an availability zone share a hub of the
 // quotas. A hub gets 12 batches a second of each, at most, and answers them:
-// 600 messages a second, which at 28 µs are 1.7% of a core.
+// 600 messages a second both ways, which at 28 µs are 1.7% of a core.
 const daemonsPerHub = 24
 
 // hubKey is the key for which the hubs of the quotas are chosen.
--- a/quota/exchange.go
+++ b/quota/exchange.go
@@ -58,9 +58,10 @@
 // concurrent use.
 //
 // What goes wrong where each daemon tells every other one: the messages of a
-// daemon grow with the number of daemons, 435 a second at 88, more processor
-// time than all the requests take on a small VM. With hubs a daemon exchanges
-// one message each way at each interval.
+// daemon grow with the number of daemons, 435 a second at 88. On a simulated quiet
+// day with 72 daemons that took almost half of the processor time, 0.0290 of a
+// core a VM in place of 0.0153. With hubs a daemon exchanges one message each way
+// at each interval.
 //
 // A batch counts once at a hub, however often it is sent. One that a hub has
 // taken, and whose acknowledgement is lost, may count again at another hub: too
@@ -154,15 +155,10 @@
 		e.others = map[string]float64{}
 		e.ledger.Adopt(a.Levels)
 	}
-	var news []Use
-	for _, u := range a.Others {
-		if follows {
-			news = append(news, Use{u.Workspace, u.Amount - e.others[u.Workspace]})
-		}
-		e.others[u.Workspace] = u.Amount
+	if news := grown(e.others, a.Others); follows {
+		e.ledger.Spend(news)
+		e.addTotals(news)
 	}
-	e.ledger.Spend(news)
-	e.addTotals(news)
 	e.hub, e.version, e.answered = a.Hub, a.Version, e.now()
 	return true
 }
@@ -290,15 +286,10 @@
 		e.groups[from] = s
 	}
 	s.sequence, s.heard = g.Sequence, e.now()
-	var news []Use
-	for _, u := range g.Uses {
-		if follows {
-			news = append(news, Use{u.Workspace, u.Amount - s.used[u.Workspace]})
-		}
-		s.used[u.Workspace] = u.Amount
+	if news := grown(s.used, g.Uses); follows {
+		e.ledger.Spend(news)
+		e.addTotals(news)
 	}
-	e.ledger.Spend(news)
-	e.addTotals(news)
 	e.ledger.Alive(from, 0)
 	for _, sign := range g.Signs {
 		e.ledger.Alive(sign.Daemon, sign.Age)
@@ -318,6 +309,17 @@
 	return out
 }
 
+// grown takes counts that were told, and returns by how much they exceed those
+// known before.
+func grown(known map[string]float64, told []Use) []Use {
+	out := make([]Use, 0, len(told))
+	for _, u := range told {
+		out = append(out, Use{u.Workspace, u.Amount - known[u.Workspace]})
+		known[u.Workspace] = u.Amount
+	}
+	return out
+}
+
 // addGroup counts what daemons of this hub let through.
 func (e *Exchange) addGroup(uses []Use) {
 	for _, u := range uses {
