servers that start again under their ID; entries of other writers

Cause: that a server leaves was kept for its ID for ever, so one that announced that it leaves and started again was never used again; what ran on its former life kept its slots, its kept connections were reset. An entry without address, slots, state, or null, was a server in use; one that could not be read in a watch left the former one in use; a server listed again with the same entry was not told to the daemons that ask. Change: the entry's start (born) and ID name an incarnation, in the directory, between daemons, in pools and for kept connections; without it a sequence that falls back by more than late writes explain. Copies are ordered by revision and by start. A return is a change.

--- a/discovery/changes.go
+++ b/discovery/changes.go
@@ -45,7 +45,7 @@
 	c.listed = make(map[string]Server, len(listed))
 	for _, s := range listed {
 		c.listed[s.ID] = s
-		if old, known := before[s.ID]; !known || old != s {
+		if old, known := before[s.ID]; !known || !s.Equal(old) {
 			c.changed[s.ID] = as
 		}
 	}
--- a/discovery/directory.go
+++ b/discovery/directory.go
@@ -6,20 +6,46 @@
 import (
 	"cmp"
 	"slices"
+	"strconv"
 	"time"
 )
 
-// Server is one incarnation of a backend server, as it registered itself.
+// Server is a backend server as it registered itself.
 type Server struct {
-	// ID names this incarnation: a server that starts again has another one, and a
-	// server of another service may get its address.
+	// ID names the server. It may start again under it; a server of another
+	// service may get its address.
 	ID               string
 	Service          string
 	Address          string // IP:port
 	AvailabilityZone string
 	Slots            int
-	// Leaving is set once the server has announced that it stops.
+	// Leaving is set once this incarnation has announced that it stops.
 	Leaving bool
+	// StartedAt is when this incarnation started, in Unix milliseconds by its own
+	// clock; 0: it does not say. It is compared with the same server's alone.
+	StartedAt int64
+	// Restarts is how often the sequence fell back under one StartedAt, as far as
+	// this directory has seen. It is not told to others.
+	Restarts int
+	// Unusable says why the entry names no server that could be used, such as one
+	// that another writer made; empty: it names one.
+	Unusable string
+	// Sequence counts what the incarnation has written, 0: unknown; Revision is of
+	// the entry's last write, 0: unknown. They grow while nothing else changes.
+	Sequence uint64
+	Revision Revision
+}
+
+// Incarnation names one life of the server, from its start to its end, among all
+// that had its ID.
+func (s Server) Incarnation() string {
+	return strconv.FormatInt(s.StartedAt, 36) + "." + strconv.Itoa(s.Restarts)
+}
+
+// Equal tells whether two entries say the same, whenever they were written.
+func (s Server) Equal(o Server) bool {
+	s.Sequence, s.Revision = o.Sequence, o.Revision
+	return s == o
 }
 
 // ReturnGrace is how long after the store's return an entry may still be
@@ -60,7 +86,8 @@
 	seen := make(map[string]bool, len(listed))
 	for _, s := range listed {
 		seen[s.ID] = true
-		changed = d.put(s) || changed
+		again := d.missing[s.ID]
+		changed = d.put(s) || again || changed
 	}
 	for id := range d.servers {
 		if seen[id] {
@@ -80,16 +107,20 @@
 	}
 }
 
-// Put takes one changed entry, and reports whether it says anything new.
+// Put takes one changed entry, and reports whether it says anything new. That a
+// missing server is listed again is news to those who were told that it is not.
 func (d *Directory) Put(now time.Time, s Server) bool {
 	d.storeAnswered(now)
-	return d.put(s)
+	again := d.missing[s.ID]
+	return d.put(s) || again
 }
 
-// Removed takes the removal of one entry.
-func (d *Directory) Removed(now time.Time, id string) bool {
+// Removed takes the removal of one entry at a revision; 0: unknown. A removal that
+// is older than the entry was of an earlier one under that ID.
+func (d *Directory) Removed(now time.Time, id string, at Revision) bool {
 	d.storeAnswered(now)
-	if _, ok := d.servers[id]; !ok {
+	known, ok := d.servers[id]
+	if !ok || at > 0 && at < known.Revision {
 		return false
 	}
 	return d.lacks(now, id)
@@ -123,19 +154,27 @@
 	return d.returned.Add(ReturnGrace).Sub(now), len(d.missing) > 0 && !d.away
 }
 
-// Servers returns all servers, sorted by ID, those that are missing included.
-func (d *Directory) Servers() []Server { return d.sorted(func(string) bool { return true }) }
+// Servers returns all servers that may be used, sorted by ID, those that are
+// missing included.
+func (d *Directory) Servers() []Server {
+	return d.sorted(func(s Server) bool { return s.Unusable == "" })
+}
+
+// Unusable returns the entries that name no server to use, sorted by ID.
+func (d *Directory) Unusable() []Server {
+	return d.sorted(func(s Server) bool { return s.Unusable != "" })
+}
 
-// Listed returns the servers that the store has, sorted by ID. A daemon that
+// Listed returns the entries that the store has, sorted by ID. A daemon that
 // has seen no outage needs no grace: what is missing has left.
 func (d *Directory) Listed() []Server {
-	return d.sorted(func(id string) bool { return !d.missing[id] })
+	return d.sorted(func(s Server) bool { return !d.missing[s.ID] })
 }
 
-func (d *Directory) sorted(keep func(id string) bool) []Server {
+func (d *Directory) sorted(keep func(Server) bool) []Server {
 	out := make([]Server, 0, len(d.servers))
-	for id, s := range d.servers {
-		if keep(id) {
+	for _, s := range d.servers {
+		if keep(s) {
 			out = append(out, s)
 		}
 	}
@@ -147,12 +186,63 @@
 	delete(d.missing, s.ID)
 	d.confirmed[s.ID] = true
 	old, known := d.servers[s.ID]
-	// A server does not come back from leaving; an older copy may say so.
-	s.Leaving = s.Leaving || old.Leaving
+	if known {
+		s = old.followedBy(s)
+	}
 	d.servers[s.ID] = s
-	return !known || s != old
+	return !known || !s.Equal(old)
+}
+
+// followedBy returns what is known of a server when an entry comes after s. Copies
+// come late and out of order: a watch tells of writes that a list has told of.
+func (s Server) followedBy(next Server) Server {
+	older := next.Revision > 0 && next.Revision < s.Revision ||
+		next.Unusable == "" && next.StartedAt > 0 && next.StartedAt < s.StartedAt
+	if older {
+		s.Leaving = s.Leaving || next.Leaving && next.StartedAt == s.StartedAt
+		return s
+	}
+	if next.Unusable != "" { // whose writer may mend it: what was known of the server holds then
+		s.Unusable, s.Revision = next.Unusable, next.Revision
+		return s
+	}
+	next.Restarts = s.Restarts
+	if next.StartedAt == 0 {
+		next.StartedAt = s.StartedAt
+	}
+	if next.startedAgain(s) {
+		return next
+	}
+	// An incarnation does not come back from leaving; an older copy may say so.
+	next.Leaving = next.Leaving || s.Leaving
+	next.Sequence = max(next.Sequence, s.Sequence)
+	return next
+}
+
+// startedAgain tells whether an entry is of another incarnation than the one
+// before, and counts those that do not say when they started.
+//
+// What goes wrong without it: a server that announced that it leaves and starts
+// again under its ID is never used again.
+func (s *Server) startedAgain(before Server) bool {
+	if s.StartedAt != before.StartedAt {
+		s.Restarts = 0
+		return true
+	}
+	again := s.Sequence > 0 && s.Sequence+lateWrites < before.Sequence && s.Revision > before.Revision
+	if again {
+		s.Restarts++
+	}
+	return again
 }
 
+// lateWrites is by how much a sequence falls back without a restart: the store may
+// do a write seconds after the server's next ones, and a server writes about once a
+// second. If each fall were a restart, a write from before a server announced that
+// it leaves would bring it back into use. A server that starts again within its
+// first writes is not told apart so.
+const lateWrites = 8
+
 func (d *Directory) remove(id string) {
 	delete(d.servers, id)
 	delete(d.missing, id)
--- a/discovery/directory_test.go
+++ b/discovery/directory_test.go
@@ -1,10 +1,12 @@
 package discovery
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
 	. "github.com/smartystreets/goconvey/convey"
+	"pgregory.net/rapid"
 )
 
 var start = time.Unix(1_000_000, 0)
@@ -25,8 +27,8 @@
 		So(d.Put(start, Server{ID: "b", Leaving: true}), ShouldBeTrue)
 		So(d.Put(start, Server{ID: "b"}), ShouldBeFalse) // an older copy
 		So(d.Servers()[1].Leaving, ShouldBeTrue)
-		So(d.Removed(start, "b"), ShouldBeTrue)
-		So(d.Removed(start, "b"), ShouldBeFalse)
+		So(d.Removed(start, "b", 0), ShouldBeTrue)
+		So(d.Removed(start, "b", 0), ShouldBeFalse)
 		So(ids(d), ShouldResemble, []string{"a"})
 	})
 }
@@ -91,7 +93,7 @@
 		d.StoreAway()
 		back := start.Add(10 * time.Second)
 		d.Replace(back, []Server{{ID: "a"}, {ID: "b"}})
-		So(d.Removed(back.Add(time.Second), "a"), ShouldBeTrue)
+		So(d.Removed(back.Add(time.Second), "a", 0), ShouldBeTrue)
 		So(ids(d), ShouldResemble, []string{"b"})
 		So(d.Replace(back.Add(time.Second), nil), ShouldBeTrue)
 		So(ids(d), ShouldBeEmpty)
@@ -125,3 +127,151 @@
 		So(d.Servers()[0].Leaving, ShouldBeTrue)
 	})
 }
+
+// Symptom: a server that is well gets no request until its entry is removed, seconds
+// or minutes later.
+// Sequence: it announces that it leaves, crashes or ends, and starts again under its
+// ID before its entry has lapsed.
+// Cause: that it was leaving was kept for the ID, not for the incarnation.
+func TestDirectoryUsesAServerThatStartsAgain(t *testing.T) {
+	leaving := func(d *Directory) bool { return d.Servers()[0].Leaving }
+	Convey("Another start is another incarnation, whatever the one before announced", t, func() {
+		d := NewDirectory()
+		d.Put(start, Server{ID: "a", StartedAt: 1000, Sequence: 40, Revision: 10, Leaving: true})
+		before := d.Servers()[0].Incarnation()
+		So(d.Put(start, Server{ID: "a", StartedAt: 2000, Sequence: 1, Revision: 11}), ShouldBeTrue)
+		So(leaving(d), ShouldBeFalse)
+		So(d.Servers()[0].Incarnation(), ShouldNotEqual, before)
+
+		Convey("and it may leave in its turn, once and for all", func() {
+			d.Put(start, Server{ID: "a", StartedAt: 2000, Sequence: 2, Revision: 12, Leaving: true})
+			So(d.Put(start, Server{ID: "a", StartedAt: 2000, Sequence: 3, Revision: 13}), ShouldBeFalse)
+			So(leaving(d), ShouldBeTrue)
+		})
+		Convey("and an older copy of its former life changes nothing, in whatever order it comes", func() {
+			So(d.Put(start, Server{ID: "a", StartedAt: 1000, Sequence: 41, Revision: 10, Leaving: true}), ShouldBeFalse)
+			So(d.Put(start, Server{ID: "a", StartedAt: 1000, Sequence: 41, Revision: 14, Leaving: true}), ShouldBeFalse)
+			So(d.Removed(start, "a", 10), ShouldBeFalse)
+			So(leaving(d), ShouldBeFalse)
+		})
+		Convey("and an entry without a start is of the life that is known", func() {
+			So(d.Put(start, Server{ID: "a", Sequence: 2, Revision: 12}), ShouldBeFalse)
+			So(d.Servers()[0].StartedAt, ShouldEqual, 2000)
+		})
+	})
+	Convey("Without a start, a sequence that falls back tells of another life", t, func() {
+		d := NewDirectory()
+		d.Put(start, Server{ID: "a", Sequence: 40, Revision: 10, Leaving: true})
+		So(d.Put(start, Server{ID: "a", Sequence: 1, Revision: 9}), ShouldBeFalse) // an older copy
+		So(leaving(d), ShouldBeTrue)
+		So(d.Put(start, Server{ID: "a", Sequence: 1, Revision: 11}), ShouldBeTrue)
+		So(leaving(d), ShouldBeFalse)
+		So(d.Put(start, Server{ID: "a", Sequence: 2, Revision: 12}), ShouldBeFalse)
+		So(d.Servers()[0].Restarts, ShouldEqual, 1)
+	})
+	Convey("A write that the store did late does not bring a leaving server back", t, func() {
+		d := NewDirectory()
+		d.Put(start, Server{ID: "a", Sequence: 40, Revision: 10, Leaving: true})
+		So(d.Put(start, Server{ID: "a", Sequence: 36, Revision: 11}), ShouldBeFalse)
+		So(d.Put(start, Server{ID: "a", Sequence: 32, Revision: 12}), ShouldBeFalse)
+		So(leaving(d), ShouldBeTrue)
+	})
+	Convey("A server that begins to tell its start has started again", t, func() {
+		d := NewDirectory()
+		d.Put(start, Server{ID: "a", Sequence: 4, Revision: 10, Leaving: true})
+		So(d.Put(start, Server{ID: "a", StartedAt: 5, Sequence: 5, Revision: 11}), ShouldBeTrue)
+		So(leaving(d), ShouldBeFalse)
+	})
+}
+
+// Symptom: daemons that do not read the store leave a server unused that is well.
+// Sequence: after an outage a reader's list lacks a server, and tells the others; the
+// server is listed again with the same entry, and then nothing changes for long.
+// Cause: its return was no change to the reader, so it was not told.
+func TestDirectoryTellsThatAServerIsListedAgain(t *testing.T) {
+	for name, back := range map[string]func(*Directory, time.Time) bool{
+		"in a list":  func(d *Directory, now time.Time) bool { return d.Replace(now, []Server{{ID: "a"}}) },
+		"in a watch": func(d *Directory, now time.Time) bool { return d.Put(now, Server{ID: "a"}) },
+	} {
+		Convey("A return is a change "+name, t, func() {
+			d := NewDirectory()
+			d.Replace(start, []Server{{ID: "a"}})
+			d.StoreAway()
+			So(d.Replace(start, nil), ShouldBeTrue)
+			So(d.Listed(), ShouldBeEmpty)
+			So(back(d, start), ShouldBeTrue)
+			So(d.Listed(), ShouldHaveLength, 1)
+			So(back(d, start), ShouldBeFalse)
+		})
+	}
+}
+
+// Symptom: a server is used whose entry another writer has overwritten, or all
+// servers are given up because of one entry.
+// Sequence: bytes that name no server take the place of a sound entry, which its
+// server writes again later.
+// Cause: what could not be read was passed over, as if nothing had been written.
+func TestDirectoryDoesNotUseAnEntryOfAnotherWriter(t *testing.T) {
+	Convey("It is not used while it names no server, and is again when it does", t, func() {
+		d := NewDirectory()
+		sound := Server{ID: "a", StartedAt: 7, Sequence: 9, Revision: 10}
+		d.Replace(start, []Server{sound, {ID: "b"}})
+		So(d.Put(start, Server{ID: "a", Unusable: "no object", Revision: 11}), ShouldBeTrue)
+		So(d.Put(start, Server{ID: "a", Unusable: "no object", Revision: 12}), ShouldBeFalse)
+		So(ids(d), ShouldResemble, []string{"b"})
+		So(d.Unusable(), ShouldHaveLength, 1)
+		So(d.Put(start, sound), ShouldBeFalse) // an older copy
+		So(ids(d), ShouldResemble, []string{"b"})
+		sound.Revision = 13
+		So(d.Put(start, sound), ShouldBeTrue)
+		So(ids(d), ShouldResemble, []string{"a", "b"})
+	})
+	Convey("It is not used in the grace after an outage either", t, func() {
+		d := NewDirectory()
+		d.Replace(start, []Server{{ID: "a", Revision: 1}})
+		d.StoreAway()
+		d.Replace(start, []Server{{ID: "a", Unusable: "no object", Revision: 2}})
+		So(ids(d), ShouldBeEmpty)
+	})
+	Convey("That it was leaving is not forgotten meanwhile", t, func() {
+		d := NewDirectory()
+		d.Put(start, Server{ID: "a", Leaving: true, Revision: 1})
+		d.Put(start, Server{ID: "a", Unusable: "no object", Revision: 2})
+		d.Put(start, Server{ID: "a", Revision: 3})
+		So(d.Servers()[0].Leaving, ShouldBeTrue)
+	})
+}
+
+// The property: whatever entries of another writer lie among sound ones, and in
+// whatever order changes, lists and copies that are late come, the sound servers are
+// as if there were none.
+func TestForeignEntriesChangeNothingForSoundOnes(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		with, without := NewDirectory(), NewDirectory()
+		for at := Revision(1); at <= 40; at++ {
+			id := rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "id")
+			s := Server{
+				ID: id, Revision: at - Revision(rapid.IntRange(0, 3).Draw(t, "late")),
+				StartedAt: int64(rapid.IntRange(0, 3).Draw(t, "started")), Leaving: rapid.Bool().Draw(t, "leaving"),
+			}
+			foreign := Server{ID: "x" + id, Unusable: "no object", Revision: at}
+			switch rapid.IntRange(0, 3).Draw(t, "event") {
+			case 0:
+				with.Put(start, s)
+				without.Put(start, s)
+			case 1:
+				with.Put(start, foreign)
+			case 2:
+				with.Removed(start, id, s.Revision)
+				without.Removed(start, id, s.Revision)
+			case 3:
+				listed := without.Listed()
+				without.Replace(start, listed)
+				with.Replace(start, append([]Server{foreign}, listed...))
+			}
+		}
+		if fmt.Sprint(with.Servers()) != fmt.Sprint(without.Servers()) {
+			t.Fatalf("%v, want %v", with.Servers(), without.Servers())
+		}
+	})
+}
--- a/internal/forward/servers.go
+++ b/internal/forward/servers.go
@@ -11,6 +11,9 @@
 type Servers struct {
 	settings httpconn.Settings
 	pools    sync.Map // address to *httpconn.Pool
+
+	mu   sync.Mutex
+	kept map[string]string // as Keep was told last
 }
 
 // NewServers returns an empty set.
@@ -24,13 +27,26 @@
 	return p.(*httpconn.Pool)
 }
 
-// Keep closes and forgets the connections to all other addresses.
-func (s *Servers) Keep(addresses map[string]bool) {
-	s.pools.Range(func(address, p any) bool {
-		if !addresses[address.(string)] {
+// Keep is told who is at which address: a name of the server's incarnation. The
+// connections to all other addresses are closed and forgotten, and the idle ones to
+// an address where somebody else is now.
+//
+// What goes wrong without the latter: a server crashes and starts again at its
+// address; what is sent next on each connection to its former life is reset, and
+// a try is spent.
+func (s *Servers) Keep(incarnations map[string]string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.pools.Range(func(key, p any) bool {
+		address := key.(string)
+		now, used := incarnations[address]
+		if !used || now != s.kept[address] {
 			p.(*httpconn.Pool).Flush()
+		}
+		if !used {
 			s.pools.Delete(address)
 		}
 		return true
 	})
+	s.kept = incarnations
 }
--- /dev/null
+++ b/internal/forward/servers_test.go
@@ -0,0 +1,48 @@
+package forward
+
+import (
+	"bufio"
+	"context"
+	"net"
+	"testing"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/lycheekeel/lycheekeel/internal/httpconn"
+)
+
+// line is a request of one line.
+type line string
+
+// Write implements httpconn.Request.
+func (l line) Write(w *bufio.Writer) error {
+	_, err := w.WriteString(string(l))
+	return err
+}
+
+// Symptom: the first request to a server that has started again is reset.
+// Sequence: a server crashes and starts again at its address; a connection to its
+// former life is idle.
+// Cause: connections were kept by address.
+func TestKeptConnectionsEndWithTheirIncarnation(t *testing.T) {
+	Convey("An idle connection is used again by the same incarnation alone", t, func() {
+		ln, err := net.Listen("tcp", "127.0.0.1:0")
+		So(err, ShouldBeNil)
+		defer ln.Close()
+		address := ln.Addr().String()
+		s := NewServers(httpconn.Settings{})
+		send := func() {
+			c, err := s.pool(address).Send(context.Background(), line("x"), httpconn.MayReuse, nil)
+			So(err, ShouldBeNil)
+			c.Keep()
+		}
+		s.Keep(map[string]string{address: "a/1"})
+		send()
+		s.Keep(map[string]string{address: "a/1"})
+		send()
+		So(s.pool(address).Counts().Dialed, ShouldEqual, 1)
+		s.Keep(map[string]string{address: "a/2"})
+		send()
+		So(s.pool(address).Counts().Dialed, ShouldEqual, 2)
+	})
+}
--- a/internal/gateway/asker_test.go
+++ b/internal/gateway/asker_test.go
@@ -40,7 +40,7 @@
 		So(askOnce(other, reader).Servers, ShouldHaveLength, 3)
 		Convey("a change is told alone, and what has gone", func() {
 			reader.state.putServer(server("a", 2), 51)
-			reader.state.removeServer("b", 52)
+			reader.state.removeServer("b", 0, 52)
 			m := askOnce(other, reader)
 			So(m.Servers, ShouldHaveLength, 1)
 			So(m.Removed, ShouldResemble, []string{"b"})
@@ -55,7 +55,7 @@
 		})
 		Convey("changes since another revision than the daemon's are left alone", func() {
 			q := &wire.SyncAsk{ServersRevision: 50, Changes: true}
-			reader.state.removeServer("b", 52)
+			reader.state.removeServer("b", 0, 52)
 			m, _ := reader.newer(q, 0)
 			other.state.putServer(server("d", 1), 51)
 			other.take(m, 0, 0)
@@ -63,7 +63,7 @@
 			So(askOnce(other, reader).ServersTold, ShouldBeTrue)
 		})
 		Convey("who can't take changes, or has none of it, is told all", func() {
-			reader.state.removeServer("b", 52)
+			reader.state.removeServer("b", 0, 52)
 			m, _ := reader.newer(&wire.SyncAsk{ServersRevision: 50}, 0)
 			So(m.ServersBase, ShouldEqual, 0)
 			So(m.Servers, ShouldHaveLength, 2)
@@ -81,7 +81,7 @@
 
 func emptyState() *state {
 	ledger := quota.NewLedger(time.Now, 1, quota.Tolerance{})
-	return newState(Platform{}, "r", &route.Live{}, &workspace.Live{}, ledger, func(map[string]bool) {}, metrics.New())
+	return newState(Platform{}, "r", &route.Live{}, &workspace.Live{}, ledger, func(map[string]string) {}, metrics.New())
 }
 
 // Symptom: daemons that get what they know from a reader list the servers
--- a/internal/gateway/pools.go
+++ b/internal/gateway/pools.go
@@ -73,6 +73,6 @@
 		Pool: pool, Slots: s.Slots, Leaving: s.Leaving,
 		// Servers of one service differ in speed for good: each is judged by
 		// what it usually does, not by the others.
-		Generation: s.ID,
+		Generation: s.ID, Incarnation: s.Incarnation(),
 	}
 }
--- a/internal/gateway/reader.go
+++ b/internal/gateway/reader.go
@@ -198,9 +198,7 @@
 func (r *reader) replaceServers(l objectstore.List) bool {
 	listed := make([]discovery.Server, 0, len(l.Objects))
 	for _, o := range l.Objects {
-		if server, ok := r.decode(o); ok {
-			listed = append(listed, server)
-		}
+		listed = append(listed, r.decode(o))
 	}
 	r.state.replaceServers(listed, l.Version)
 	return true
@@ -208,12 +206,10 @@
 
 func (r *reader) changeServer(e objectstore.Event, as objectstore.Version) {
 	if e.Deleted {
-		r.state.removeServer(e.Object.Name, as)
+		r.state.removeServer(e.Object.Name, e.Object.Version, as)
 		return
 	}
-	if server, ok := r.decode(e.Object); ok {
-		r.state.putServer(server, as)
-	}
+	r.state.putServer(r.decode(e.Object), as)
 }
 
 // runExpiry ends the grace of missing servers in time until ctx ends.
@@ -227,10 +223,13 @@
 	}
 }
 
-func (r *reader) decode(o objectstore.Object) (discovery.Server, bool) {
+// decode returns what an entry says. One that can't be decoded takes the place of
+// what its name stood for; the state logs it when that changes, not at each read.
+func (r *reader) decode(o objectstore.Object) discovery.Server {
 	server, err := r.state.platform.DecodeServer(o.Name, o.Value)
 	if err != nil {
-		r.state.log.WithError(err).Warn("Server's entry can't be used.")
+		server = discovery.Server{ID: o.Name, Unusable: err.Error()}
 	}
-	return server, err == nil
+	server.Revision = discovery.Revision(o.Version)
+	return server
 }
--- a/internal/gateway/sync.go
+++ b/internal/gateway/sync.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"expvar"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -25,7 +26,7 @@
 	routes   *route.Live
 	pools    *workspace.Live
 	ledger   *quota.Ledger
-	servers  func(map[string]bool) // told the addresses that are in use
+	servers  func(map[string]string) // told which incarnation is at each address
 	log      *logrus.Entry
 	latency  latencies
 
@@ -33,6 +34,7 @@
 	// are.
 	configFresh, serversFresh *revision.Freshness
 	usable                    atomic.Pointer[map[string]bool] // by server ID
+	unusableEntries           *expvar.Int
 	// storeLost is the mark since which this daemon's own reads of the
 	// configuration fail; 0: the last one was answered.
 	storeLost atomic.Int64
@@ -44,14 +46,16 @@
 	config          objectstore.Object
 	serversRevision objectstore.Version
 	changes         discovery.Changes
-	changed         chan struct{} // closed at each change
+	unusable        map[string]string // why, by the entry's name, as last logged
+	changed         chan struct{}     // closed at each change
 }
 
-func newState(p Platform, region string, routes *route.Live, pools *workspace.Live, ledger *quota.Ledger, servers func(map[string]bool), m *metrics.Registry) *state {
+func newState(p Platform, region string, routes *route.Live, pools *workspace.Live, ledger *quota.Ledger, servers func(map[string]string), m *metrics.Registry) *state {
 	return &state{
 		platform: p, region: region, routes: routes, pools: pools, ledger: ledger, servers: servers,
 		configFresh: revision.NewFreshness(), serversFresh: revision.NewFreshness(), log: logs.For("sync"),
 		directory: discovery.NewDirectory(), changed: make(chan struct{}), latency: newLatencies(m),
+		unusableEntries: m.Counter("servers", "unusable_entries"), unusable: map[string]string{},
 	}
 }
 
@@ -120,8 +124,9 @@
 	s.updateServers(as, func(now time.Time) bool { return s.directory.Put(now, server) })
 }
 
-func (s *state) removeServer(id string, as objectstore.Version) {
-	s.updateServers(as, func(now time.Time) bool { return s.directory.Removed(now, id) })
+// removeServer takes the removal of an entry at a revision.
+func (s *state) removeServer(id string, at, as objectstore.Version) {
+	s.updateServers(as, func(now time.Time) bool { return s.directory.Removed(now, id, discovery.Revision(at)) })
 }
 
 // updateServers changes the directory unless what it has is newer, and the
@@ -184,11 +189,12 @@
 	}
 	servers := s.directory.Servers()
 	s.logServers(servers)
+	s.logUnusable(s.directory.Unusable())
 	s.pools.Store(buildPools(table, servers, s.region))
-	inUse := make(map[string]bool, len(servers))
+	inUse := make(map[string]string, len(servers))
 	usable := make(map[string]bool, len(servers))
 	for _, server := range servers {
-		inUse[server.Address] = true
+		inUse[server.Address] += server.ID + "/" + server.Incarnation() + " "
 		usable[server.ID] = !server.Leaving
 	}
 	s.servers(inUse)
@@ -221,8 +227,23 @@
 	}
 }
 
+// logUnusable tells and counts the entries that have come to name no server to
+// use, or do so for another reason.
+func (s *state) logUnusable(entries []discovery.Server) {
+	now := make(map[string]string, len(entries))
+	for _, x := range entries {
+		now[x.ID] = x.Unusable
+		if s.unusable[x.ID] == x.Unusable {
+			continue
+		}
+		s.unusableEntries.Add(1)
+		s.log.WithFields(logrus.Fields{"server": x.ID, "reason": x.Unusable, "revision": x.Revision}).Warn("Server's entry can't be used.")
+	}
+	s.unusable = now
+}
+
 func (s *state) logServer(x discovery.Server) *logrus.Entry {
-	return s.log.WithFields(logrus.Fields{"server": x.ID, "service": x.Service, "address": x.Address, "revision": s.serversRevision})
+	return s.log.WithFields(logrus.Fields{"server": x.ID, "service": x.Service, "address": x.Address, "incarnation": x.Incarnation(), "revision": s.serversRevision})
 }
 
 // cutOff tells whether this daemon's own reads of the store have failed for so
--- a/internal/gateway/sync_test.go
+++ b/internal/gateway/sync_test.go
@@ -66,7 +66,7 @@
 				s.replaceServers([]discovery.Server{{ID: "a", Service: "app"}, {ID: "b", Service: "app"}}, 52)
 				s.confirmServers(52)
 			}
-			s.removeServer("a", 53)
+			s.removeServer("a", 0, 53)
 			_, known := (*s.usable.Load())["a"]
 			So(known, ShouldEqual, !confirmed)
 		}
@@ -76,7 +76,7 @@
 		s.replaceServers([]discovery.Server{{ID: "a", Service: "app"}}, 50)
 		s.storeAway()
 		s.confirmServers(49)
-		s.removeServer("a", 51)
+		s.removeServer("a", 0, 51)
 		_, known := (*s.usable.Load())["a"]
 		So(known, ShouldBeTrue)
 	})
--- a/internal/gateway/teller.go
+++ b/internal/gateway/teller.go
@@ -77,7 +77,8 @@
 	for _, x := range servers {
 		out = append(out, &wire.Server{
 			Id: x.ID, Service: x.Service, Address: x.Address, AvailabilityZone: x.AvailabilityZone,
-			Slots: uint32(x.Slots), Leaving: x.Leaving,
+			Slots: uint32(x.Slots), Leaving: x.Leaving, StartedAtMs: x.StartedAt,
+			Sequence: x.Sequence, Revision: uint64(x.Revision), Unusable: x.Unusable,
 		})
 	}
 	return out
@@ -88,7 +89,8 @@
 	for _, x := range servers {
 		out = append(out, discovery.Server{
 			ID: x.Id, Service: x.Service, Address: x.Address, AvailabilityZone: x.AvailabilityZone,
-			Slots: int(x.Slots), Leaving: x.Leaving,
+			Slots: int(x.Slots), Leaving: x.Leaving, StartedAt: x.StartedAtMs,
+			Sequence: x.Sequence, Revision: discovery.Revision(x.Revision), Unusable: x.Unusable,
 		})
 	}
 	return out
--- a/pool/messages.go
+++ b/pool/messages.go
@@ -156,6 +156,8 @@
 	AvailabilityZone string
 	Generation       string
 	Slots            int
+	// Incarnation changes when the server starts again; empty: unknown.
+	Incarnation string
 }
 
 // ServerSet replaces the pool's servers. One that is gone gets no new grant;
--- a/pool/server.go
+++ b/pool/server.go
@@ -92,6 +92,9 @@
 	if s.speed == nil || s.info.Generation != info.Generation {
 		s.speed = score.NewSpeed(p.prior(info.Generation))
 	}
+	if s.info.Incarnation != "" && s.info.Incarnation != info.Incarnation {
+		p.startedAgain(s)
+	}
 	s.info = info
 	if s.index < 0 {
 		s.index = p.freeIndex()
@@ -101,6 +104,27 @@
 	}
 }
 
+// startedAgain forgets what was true of a server's former incarnation: what ran
+// there has ended, what it cached is lost, and why it was left alone is over. Its
+// speed is the machine's and stays.
+//
+// What goes wrong without it: a server that crashed and is back stands idle while
+// the runs of its former life count, for as long as their entries wait for
+// answers, and while it is left alone for failures that it has behind it.
+func (p *Pool) startedAgain(s *server) {
+	for len(s.running) > 0 {
+		r := s.running[len(s.running)-1]
+		p.removeRun(r)
+		if r.alone {
+			p.aloneEnded(r, OutcomeBroken)
+		}
+	}
+	p.forgetCache(s)
+	s.failures, s.lost = failures{}, nil
+	s.leavingTill, s.pausedTill, s.pause = time.Time{}, time.Time{}, 0
+	s.progressed = p.now
+}
+
 func (p *Pool) freeIndex() int {
 	for i := range p.byIndex {
 		if p.byIndex[i] == nil {
--- a/workspace/objects.go
+++ b/workspace/objects.go
@@ -146,6 +146,9 @@
 	ChecksTokens bool `json:"checks_tokens,omitempty"`
 	// Leaving is the operator's order to give it no new work.
 	Leaving bool `json:"leaving,omitempty"`
+	// Incarnation changes when the server starts again, where its registration
+	// tells; no operator sets it.
+	Incarnation string `json:"-"`
 }
 
 // Assignment is the placement controller's decision for one backend server.
