--- a/broker/entry.go
+++ b/broker/entry.go
@@ -18,9 +18,6 @@
 
 // The entry's times.
 const (
-	// degradedAfter is how long a pool's owner may be out of reach before the
-	// entry serves waiting requests on its own share of the slots.
-	degradedAfter = 1500 * time.Millisecond
 	// openTimeout is how long an answer to a hello is waited for at first; it
 	// doubles up to maxDoublings times.
 	openTimeout  = 400 * time.Millisecond
--- a/broker/tick.go
+++ b/broker/tick.go
@@ -81,7 +81,7 @@
 // degrade begins degraded mode: without it, requests that wait would expire
 // beside free servers while the owner can't be reached.
 func (l *link) degrade() {
-	if l.share != nil || len(l.waiting) == 0 || l.now.Sub(l.without) < degradedAfter {
+	if l.share != nil || len(l.waiting) == 0 || l.now.Sub(l.without) < l.entry.cfg.DegradedAfter {
 		return
 	}
 	snapshot := l.entry.cfg.Snapshots.Load()
--- a/broker/world_test.go
+++ b/broker/world_test.go
@@ -35,7 +35,9 @@
 	old map[string]bool
 	// heartbeat is that of poolhost.Config.
 	heartbeat func(sessions int) time.Duration
-	events    []pool.Event // all that the pools handled but ticks
+	// degradedAfter is that of poolhost.Config.
+	degradedAfter time.Duration
+	events        []pool.Event // all that the pools handled but ticks
 }
 
 type node struct {
@@ -99,7 +101,7 @@
 	n := &node{w: w, name: name, types: map[peer.Type]peer.Handler{}}
 	n.host = poolhost.New(poolhost.Config{
 		Self: name, Region: testRegion, Snapshots: &w.snapshot, Views: &n.views, Transport: n,
-		Now: func() time.Time { return w.now }, Spawn: func(f func()) { f() }, Heartbeat: w.heartbeat,
+		Now: func() time.Time { return w.now }, Spawn: func(f func()) { f() }, Heartbeat: w.heartbeat, DegradedAfter: w.degradedAfter,
 		Trace: func(_ string, _ time.Time, ev pool.Event, _ []pool.Command) {
 			if _, tick := ev.(pool.Tick); !tick {
 				w.events = append(w.events, ev)
--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -176,7 +176,7 @@
 		return nil
 	}
 	x.cost = x.workspace.Quota.Cost(int(x.cost))
-	ok, wait := x.server.deps.Quotas.Take(x.workspace, x.cost)
+	ok, wait := x.server.deps.Quotas.Take(x.workspace, x.spec.Tier, x.cost)
 	if ok {
 		return nil
 	}
--- a/internal/forward/rig_test.go
+++ b/internal/forward/rig_test.go
@@ -19,6 +19,7 @@
 	"github.com/lycheekeel/lycheekeel/internal/metrics"
 	"github.com/lycheekeel/lycheekeel/internal/testwait"
 	"github.com/lycheekeel/lycheekeel/pool"
+	"github.com/lycheekeel/lycheekeel/request"
 	"github.com/lycheekeel/lycheekeel/retry"
 	"github.com/lycheekeel/lycheekeel/route"
 	"github.com/lycheekeel/lycheekeel/workspace"
@@ -214,7 +215,7 @@
 	deny  bool
 }
 
-func (a *fakeQuotas) Take(_ *route.Workspace, cost float64) (bool, time.Duration) {
+func (a *fakeQuotas) Take(_ *route.Workspace, _ request.Tier, cost float64) (bool, time.Duration) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if a.deny {
--- a/internal/forward/wire.go
+++ b/internal/forward/wire.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/lycheekeel/lycheekeel/request"
 	"github.com/lycheekeel/lycheekeel/route"
 )
 
@@ -57,7 +58,7 @@
 type Quotas interface {
 	// Take uses cost of a workspace's quota, or tells when there will be
 	// enough.
-	Take(w *route.Workspace, cost float64) (ok bool, wait time.Duration)
+	Take(w *route.Workspace, tier request.Tier, cost float64) (ok bool, wait time.Duration)
 	// Return gives back what a request took that was not run.
 	Return(w *route.Workspace, cost float64)
 }
--- a/internal/poolhost/config.go
+++ b/internal/poolhost/config.go
@@ -63,6 +63,10 @@
 	spreadUnchanged = 1500 * time.Millisecond
 )
 
+// DegradedAfter is the default of Config.DegradedAfter: another owner is usually
+// found by then.
+const DegradedAfter = 1500 * time.Millisecond
+
 // Scheduler is what a host needs of a pool.Pool.
 type Scheduler interface {
 	Handle(now time.Time, ev pool.Event, out []pool.Command) []pool.Command
@@ -84,6 +88,10 @@
 	// Engines dials model engines for load reports and cache events; nil:
 	// servers are not monitored and count as up.
 	Engines engine.Dialer
+	// DegradedAfter is how long a pool's owner may be out of reach before an entry
+	// serves waiting requests on its own share of the slots; the default is
+	// DegradedAfter.
+	DegradedAfter time.Duration
 	// Unmonitored servers are not probed: what the configuration and the
 	// requests show of them is all that is known.
 	Unmonitored bool
@@ -116,6 +124,9 @@
 	if c.Spawn == nil {
 		c.Spawn = func(f func()) { go f() }
 	}
+	if c.DegradedAfter == 0 {
+		c.DegradedAfter = DegradedAfter
+	}
 	if c.Connect == nil {
 		c.Connect = connectTCP
 	}
--- a/quota/exchange_test.go
+++ b/quota/exchange_test.go
@@ -130,7 +130,7 @@
 			}
 			for i, l := range f.ledgers {
 				for hungry[i] {
-					if ok, _ := l.Take(f.space, 1); !ok {
+					if ok, _ := l.Take(f.space, 0, 1); !ok {
 						break
 					}
 					used[s]++
@@ -187,10 +187,10 @@
 		for i := range f.ledgers {
 			before = append(before, level(f, i))
 		}
-		f.ledgers[2].Take(wide, 100)
-		f.ledgers[1].Take(wide, 30)
-		f.ledgers[0].Take(wide, 7)
-		f.ledgers[4].Take(wide, 3)
+		f.ledgers[2].Take(wide, 0, 100)
+		f.ledgers[1].Take(wide, 0, 30)
+		f.ledgers[0].Take(wide, 0, 7)
+		f.ledgers[4].Take(wide, 0, 3)
 		f.ledgers[4].Return(wide, 1)
 		for range 9 {
 			f.tell(hub)
@@ -203,7 +203,7 @@
 	Convey("A batch whose acknowledgement was lost counts once at its hub", t, func() {
 		f := settled(3)
 		before := level(f, 0)
-		f.ledgers[2].Take(wide, 100)
+		f.ledgers[2].Take(wide, 0, 100)
 		f.reach = func(from, to int) bool { return from != 0 || to != 2 }
 		for range 3 {
 			f.tell(hub)
@@ -219,7 +219,7 @@
 	Convey("Who changes hubs takes over what it missed", t, func() {
 		f := settled(4)
 		f.reach = func(from, to int) bool { return from != 2 && to != 2 }
-		f.ledgers[1].Take(wide, 500)
+		f.ledgers[1].Take(wide, 0, 500)
 		for range 5 {
 			f.clock.pass(100 * time.Millisecond)
 			f.tell(hub)
@@ -237,7 +237,7 @@
 		f.reach = func(from, to int) bool { return from != 2 && to != 2 }
 		for range 50 {
 			f.clock.pass(100 * time.Millisecond)
-			f.ledgers[1].Take(wide, 10)
+			f.ledgers[1].Take(wide, 0, 10)
 			f.tell(hub)
 		}
 		f.reach = func(int, int) bool { return true }
@@ -252,11 +252,11 @@
 	Convey("Who starts takes over its hub's levels", t, func() {
 		f := settled(4)
 		f.start(2, 4)
-		ok, _ := f.ledgers[2].Take(wide, 100)
+		ok, _ := f.ledgers[2].Take(wide, 0, 100)
 		So(ok, ShouldBeFalse)
 		f.tell(hub)
 		So(level(f, 2), ShouldAlmostEqual, level(f, 0), 1e-6)
-		ok, _ = f.ledgers[2].Take(wide, 100)
+		ok, _ = f.ledgers[2].Take(wide, 0, 100)
 		So(ok, ShouldBeTrue)
 	})
 	Convey("What was let through since the batch is taken from the levels that are adopted", t, func() {
@@ -265,7 +265,7 @@
 		e := f.exchanges[1]
 		b := e.Batch()
 		f.ledgers[1].Adopt([]Use{{"w", 500}})
-		f.ledgers[1].Take(wide, 40)
+		f.ledgers[1].Take(wide, 0, 40)
 		e.Learn(f.exchanges[0].Report("1", b))
 		So(level(f, 1), ShouldAlmostEqual, level(f, 0)-40, 1e-6)
 	})
@@ -276,7 +276,7 @@
 	Convey("An answer that took long counts all the same", t, func() {
 		f := settled(3)
 		before := level(f, 2)
-		f.ledgers[0].Take(wide, 300)
+		f.ledgers[0].Take(wide, 0, 300)
 		f.exchanges[0].Lead()
 		a := f.exchanges[0].Report("2", f.exchanges[2].Batch())
 		f.clock.pass(SilentAfter + time.Millisecond)
@@ -285,7 +285,7 @@
 	})
 	Convey("A hub that starts anew is not taken to have counted all its time at once", t, func() {
 		f := settled(4)
-		f.ledgers[3].Take(wide, 100)
+		f.ledgers[3].Take(wide, 0, 100)
 		f.tell(hub)
 		f.tell(hub)
 		before := level(f, 0)
--- a/quota/ledger_test.go
+++ b/quota/ledger_test.go
@@ -24,16 +24,16 @@
 		c := &clock{now: time.Unix(1000, 0)}
 		l, w := NewLedger(c.read, 1, Tolerance{}), space()
 		l.Prepare([]*route.Workspace{w})
-		ok, wait := l.Take(w, 10)
+		ok, wait := l.Take(w, 0, 10)
 		So(ok, ShouldBeFalse)
 		So(wait, ShouldEqual, 100*time.Millisecond)
 		c.pass(wait)
-		ok, _ = l.Take(w, 10)
+		ok, _ = l.Take(w, 0, 10)
 		So(ok, ShouldBeTrue)
 		c.pass(time.Hour)
-		ok, _ = l.Take(w, 500) // more than the bucket holds: once it is full
+		ok, _ = l.Take(w, 0, 500) // more than the bucket holds: once it is full
 		So(ok, ShouldBeTrue)
-		ok, _ = l.Take(w, 1)
+		ok, _ = l.Take(w, 0, 1)
 		So(ok, ShouldBeFalse)
 	})
 	Convey("What was not run is given back", t, func() {
@@ -41,9 +41,9 @@
 		l, w := NewLedger(c.read, 1, Tolerance{}), space()
 		l.Prepare([]*route.Workspace{w})
 		c.pass(time.Second)
-		l.Take(w, 50)
+		l.Take(w, 0, 50)
 		l.Return(w, 50)
-		ok, _ := l.Take(w, 50)
+		ok, _ := l.Take(w, 0, 50)
 		So(ok, ShouldBeTrue)
 	})
 	Convey("Only what has changed is told", t, func() {
@@ -51,7 +51,7 @@
 		l, w := NewLedger(c.read, 1, Tolerance{}), space()
 		l.Prepare([]*route.Workspace{w})
 		c.pass(time.Second)
-		l.Take(w, 20)
+		l.Take(w, 0, 20)
 		So(l.Untold(), ShouldBeTrue)
 		So(l.Pending(), ShouldResemble, []Use{{"w", 20}})
 		So(l.Untold(), ShouldBeFalse)
@@ -80,9 +80,9 @@
 		return c, l
 	}
 	has := func(l *Ledger, amount float64) {
-		ok, _ := l.Take(wide, amount+1)
+		ok, _ := l.Take(wide, 0, amount+1)
 		So(ok, ShouldBeFalse)
-		ok, _ = l.Take(wide, amount)
+		ok, _ = l.Take(wide, 0, amount)
 		So(ok, ShouldBeTrue)
 	}
 	Convey("Before another was met, only a share accrues", t, func() {
@@ -111,7 +111,7 @@
 	})
 	Convey("What is given back is told", t, func() {
 		_, l := given("a")
-		l.Take(wide, 20)
+		l.Take(wide, 0, 20)
 		So(l.Pending(), ShouldResemble, []Use{{"w", 20}})
 		l.Return(wide, 20)
 		So(l.Pending(), ShouldResemble, []Use{{"w", -20}})
@@ -138,12 +138,12 @@
 		l.Members([]string{"a", "b", "c"})
 		l.Prepare([]*route.Workspace{w})
 		c.pass(10 * time.Second)
-		l.Take(w, 50) // the burst
+		l.Take(w, 0, 50) // the burst
 		used := 0
 		for range 40 {
 			c.pass(100 * time.Millisecond)
 			for {
-				if ok, _ := l.Take(w, 1); !ok {
+				if ok, _ := l.Take(w, 0, 1); !ok {
 					break
 				}
 				used++
@@ -159,15 +159,15 @@
 		e := NewExchange(l, c.read, 7)
 		e.Report("a", Batch{Incarnation: 1, Number: 1, Uses: []Use{{"w", 10}}})
 		c.pass(time.Second)
-		ok, _ := l.Take(w, 50)
+		ok, _ := l.Take(w, 0, 50)
 		So(ok, ShouldBeTrue)
 		c.pass(300 * time.Millisecond)
 		e.Report("a", Batch{Incarnation: 1, Number: 2, Uses: []Use{{"w", 30}}})
-		ok, _ = l.Take(w, 1)
+		ok, _ = l.Take(w, 0, 1)
 		So(ok, ShouldBeFalse)
 		e.Report("a", Batch{Incarnation: 2, Number: 1}) // restarted: counts anew
 		c.pass(20 * time.Millisecond)
-		ok, _ = l.Take(w, 1)
+		ok, _ = l.Take(w, 0, 1)
 		So(ok, ShouldBeTrue)
 	})
 }
@@ -182,18 +182,18 @@
 		l, w := NewLedger(c.read, 1, tolerance), space()
 		l.Prepare([]*route.Workspace{w})
 		c.pass(time.Second)
-		ok, _ := l.Take(w, 60) // leaves 6
+		ok, _ := l.Take(w, 0, 60) // leaves 6
 		So(ok, ShouldBeTrue)
-		ok, _ = l.Take(w, 30) // needs 10
+		ok, _ = l.Take(w, 0, 30) // needs 10
 		So(ok, ShouldBeFalse)
-		ok, _ = l.Take(w, 9)
+		ok, _ = l.Take(w, 0, 9)
 		So(ok, ShouldBeTrue)
 		for range 30 {
-			ok, _ = l.Take(w, 1)
+			ok, _ = l.Take(w, 0, 1)
 		}
 		So(ok, ShouldBeFalse) // not without end
 		c.pass(500 * time.Millisecond)
-		ok, _ = l.Take(w, 500)
+		ok, _ = l.Take(w, 0, 500)
 		So(ok, ShouldBeTrue)
 	})
 }
