pool: requests wait while they may be in time, and refused ones come back apart

Cause: on bursts all slots run (free 0 to 8 of 72), and requests with 6 to 15 s were refused after 0.12 to 0.25 of their target, came back 400 to 600 ms later in the same burst and were refused again. Change: who will have a slot in time at the pace of the grants waits on, up to the target and a quarter of the deadline; a refused caller is told when there will be room after those who were told before, at half the pace of the grants.

--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -75,10 +75,13 @@
 // 0.65 with 9 daemons and 0.42 with 72; this serves 0.71 and 0.57.
 const patience = 0.12
 
-// longPatience is the same where the pace of grants lets a request have its
-// slot by then. With 0.4 and 0.5 those that wait longer are late more often: of
-// the value of a day of bursts 0.68 was served, against 0.71 with this.
-const longPatience = 0.25
+// longPatience is the same where the pace of grants lets a request have its slot by
+// then: it waits as long as it may be in time. With 0.25 those that would have been
+// served a moment later were refused, came back in the burst and were refused again.
+// On nine simulated days of bursts a mean of 0.7748 was earned in place of 0.7624
+// (without processor time); on two deployments where late answers are worth less, and
+// tags with a tight deadline wait behind long prompts, 0.009 and 0.015 less.
+const longPatience = 1.0
 
 // runGrace is how long past its deadline a run stays counted: the time for its
 // release to arrive.
--- a/pool/admission.go
+++ b/pool/admission.go
@@ -13,6 +13,12 @@
 	retryMin    = 500 * time.Millisecond
 	retryMax    = 30 * time.Second
 	retryJitter = 0.25 // each way
+	// returnShare of the grants is reckoned to be left for callers that come back:
+	// those that come for the first time go on coming.
+	returnShare = 0.5
+	// promiseMost bounds when callers are told to come back by it: a burst of that
+	// length is an overload, of which nobody can say when it ends.
+	promiseMost = 10 * time.Second
 	// freshSibling is the age beyond which a sibling's report says nothing.
 	freshSibling = 2 * time.Second
 )
@@ -158,7 +164,34 @@
 			return
 		}
 	}
-	p.shed(&w.Enqueue, reason, p.expectedWait(w.Item.Tier))
+	p.shed(&w.Enqueue, reason, p.promise(w.Item.Tier))
+}
+
+// promise returns when a refused request is to come back: after what waits now, and
+// after all others that were told to come back, at the pace of the last grants.
+//
+// What goes wrong without it: in a burst of seconds all refused callers are told to
+// come back in half a second, when the burst still lasts, and the one retry that each
+// has is refused too. On simulated days of bursts the price of second refusals fell
+// from 0.0099 to 0.0091 of the value asked for, and from 0.0192 to 0.0174 on those of
+// another deployment (means of six days each without processor time).
+func (p *Pool) promise(t request.Tier) time.Duration {
+	room := p.now.Add(max(p.expectedWait(t), retryMin))
+	if p.promised.Before(room) {
+		p.promised = room
+	}
+	wait := min(p.promised.Sub(p.now), promiseMost)
+	p.promised = p.now.Add(wait + time.Duration(float64(time.Second)/max(1, returnShare*p.grantPace())))
+	return wait
+}
+
+// grantPace is how many grants a second the pool gives at present.
+func (p *Pool) grantPace() float64 {
+	pace := 0.0
+	for t := range p.grants {
+		pace += p.grants[t].perSecond(p.now)
+	}
+	return pace
 }
 
 // siblingFor picks a sibling for a request of a tier, and counts the request
--- a/pool/patience.go
+++ b/pool/patience.go
@@ -19,6 +19,11 @@
 	return w.since.Add(time.Duration(patience*float64(whole)) - w.Waited)
 }
 
+// waitOnShare is the part of its deadline up to which a request may wait on. A caller
+// that is refused after all needs the rest to come back, and one whose target is near
+// its deadline would be granted a slot that it has no time left to use.
+const waitOnShare = 0.25
+
 // mayWaitOn lets a request whose patience is over wait on where the grants of
 // its tier and of those above come fast enough.
 //
@@ -31,6 +36,9 @@
 		return false
 	}
 	until := p.lastMoment(w, p.cfg.LongPatience)
+	if most := w.since.Add(time.Duration(waitOnShare*float64(w.DeadlineIn+w.Waited)) - w.Waited); most.Before(until) {
+		until = most
+	}
 	if until.After(w.deadline) || p.now.Add(p.waitOf(w.Item.Tier)).After(until) {
 		return false
 	}
--- a/pool/patience_test.go
+++ b/pool/patience_test.go
@@ -137,3 +137,70 @@
 		So(sheds(r.pass(100*time.Millisecond)), ShouldHaveLength, 1)
 	})
 }
+
+// Symptom: callers are refused in a burst, come back half a second later, are refused
+// again, and have no try left, though the burst is over a moment after.
+// Sequence: more come than there are slots; each is told the same short time.
+// Cause: what was told took no account of those who were told before.
+func TestRefusedCallersComeBackOneAfterTheOther(t *testing.T) {
+	// refuse returns what n callers are told that are refused at one moment by a pool
+	// that grants a request each 100 ms.
+	refuse := func(n int) (told []time.Duration, r *rig) {
+		r = newRig(Config{Patience: 0.1}, servers(1, 1)...)
+		g := r.grant(ask("first", 0))
+		for i := range 100 {
+			r.now = r.now.Add(100 * time.Millisecond)
+			r.end(g, OutcomeDone)
+			g = r.grant(ask(fmt.Sprint("paced", i), 0))
+		}
+		for i := range n {
+			r.send(ask(fmt.Sprint("crowd", i), 0))
+		}
+		for _, s := range sheds(r.pass(100 * time.Millisecond)) {
+			told = append(told, s.RetryAfter)
+		}
+		return told, r
+	}
+	Convey("They are told times apart, as there will be room for them", t, func() {
+		told, _ := refuse(20)
+		So(told, ShouldHaveLength, 20)
+		for i := 10; i < len(told); i++ {
+			So(told[i]-told[i-10], ShouldBeGreaterThan, 0) // two seconds, but for the jitter
+		}
+		So(told[19]-told[0], ShouldBeGreaterThan, 1500*time.Millisecond)
+	})
+	Convey("Nobody is told more than the bound, give or take its jitter", t, func() {
+		told, _ := refuse(400)
+		for _, d := range told {
+			So(d, ShouldBeLessThanOrEqualTo, promiseMost*5/4)
+		}
+	})
+	Convey("A crowd is forgotten once its time is over", t, func() {
+		_, r := refuse(20)
+		r.now = r.now.Add(time.Minute)
+		r.send(ask("later", 0))
+		So(sheds(r.pass(100 * time.Millisecond))[0].RetryAfter, ShouldBeLessThanOrEqualTo, 2*time.Second)
+	})
+}
+
+// Symptom: tags with a deadline of three seconds get a slot when they have no time
+// left to use it, or are refused when they have none to come back.
+// Sequence: their target is two thirds of the deadline; they wait behind long prompts.
+// Cause: how long they might wait on followed from the target alone.
+func TestWaitingOnLeavesTimeToComeBack(t *testing.T) {
+	Convey("Nobody waits on beyond a quarter of the deadline", t, func() {
+		r := newRig(Config{Patience: 0.1, LongPatience: 1}, servers(1, 1)...)
+		g := r.grant(ask("first", 0))
+		for i := range 100 {
+			r.now = r.now.Add(10 * time.Millisecond)
+			r.end(g, OutcomeDone)
+			g = r.grant(ask(fmt.Sprint("paced", i), 0))
+		}
+		e := ask("tag", 0)
+		e.FirstTokenIn, e.DeadlineIn = 2*time.Second, 3*time.Second
+		r.send(e)
+		So(sheds(r.pass(200*time.Millisecond)), ShouldBeEmpty)
+		So(sheds(r.pass(549*time.Millisecond)), ShouldBeEmpty)
+		So(sheds(r.pass(time.Millisecond)), ShouldHaveLength, 1)
+	})
+}
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -50,7 +50,9 @@
 	targets  [request.MaxTiers]time.Duration // first token, by tier
 	served   flowRate
 	grants   [request.MaxTiers]flowRate // granted requests by tier
-	waitOn   [request.MaxTiers]int      // waiters beyond their shorter patience
+	// promised is when all callers that were told to come back will have had room.
+	promised time.Time
+	waitOn   [request.MaxTiers]int // waiters beyond their shorter patience
 	siblings map[string]*sibling
 	entries  entries
 
