--- a/quota/ledger.go
+++ b/quota/ledger.go
@@ -5,7 +5,6 @@
 package quota
 
 import (
-	"math"
 	"sync"
 	"time"
 
@@ -21,59 +20,6 @@
 // nobody uses would get the share of a silence for the time before it too.
 const fillAllEvery = SilentAfter / 4
 
-// Tolerance is what the operators' bound lets through beyond a quota: in
-// any Window at most (rate x Window + burst) x (1 + Over) + Slack.
-type Tolerance struct {
-	Window time.Duration
-	Over   float64
-	Slack  float64
-}
-
-// The parts of the tolerance that a bucket uses. What remains covers what the
-// daemons let through before they hear of each other.
-const (
-	overShare       = 0.7
-	slackRateShare  = 0.35
-	slackBurstShare = 0.2
-	// entryShare of the slack is what all daemons together may need to have
-	// left for one more request each, however large. A large request would
-	// otherwise wait for a full bucket while small ones empty it.
-	entryShare = 0.125
-	// overdraftShare of the slack is how far requests that are no larger than
-	// that may overdraw a bucket. Without it a small call is refused because
-	// a large prompt has just overdrawn it.
-	overdraftShare = 0.3
-	// smallShare of a bucket is what a request may need without leaving a reserve
-	// to more urgent tiers: a hundred plain calls are not worth one refusal among
-	// them. Larger ones that leave a reserve may not overdraw the bucket either.
-	smallShare = 0.01
-)
-
-const (
-	// reserveShare of a bucket is left, for each more urgent tier that asks of it,
-	// to the requests of those tiers. It covers their chance bunches: with 0.3 no
-	// more of the value of a simulated day was served than with 0.15.
-	reserveShare = 0.15
-	// reserveMost of a bucket is left to more urgent tiers in all.
-	reserveMost = 0.6
-	// reserveMemory is how long a tier counts as asking after its last request.
-	reserveMemory = 5 * time.Second
-	// promiseMost bounds when a caller is told to come back: an overload that
-	// lasts for longer is no matter of when.
-	promiseMost = 10 * time.Second
-)
-
-// rate and capacity return a bucket's figures for a quota.
-func (t Tolerance) rate(q route.Quota) float64 {
-	r := q.PerSecond * (1 + overShare*t.Over)
-	if t.Window > 0 {
-		r += slackRateShare * t.Slack / t.Window.Seconds()
-	}
-	return r
-}
-
-func (t Tolerance) capacity(q route.Quota) float64 { return q.Burst + slackBurstShare*t.Slack }
-
 // Ledger holds a token bucket for each workspace that all daemons empty
 // together. It is safe for concurrent use.
 //
@@ -123,83 +69,6 @@
 	return &Ledger{now: now, tolerance: t, buckets: map[string]*bucket{}, heard: map[string]time.Time{}, assumed: max(1, assumed)}
 }
 
-// Take uses cost of a workspace's quota for a request of a tier, or tells when
-// there will be enough. The bucket may be overdrawn by one request.
-func (l *Ledger) Take(w *route.Workspace, tier request.Tier, cost float64) (ok bool, wait time.Duration) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	b := l.bucket(w)
-	b.asked[tier] = l.now()
-	need := l.need(b, tier, cost)
-	if b.level >= need {
-		b.level -= cost
-		b.pending += cost
-		return true, 0
-	}
-	return false, l.promise(b, need-b.level, cost)
-}
-
-// need is what a bucket must hold for a request.
-func (l *Ledger) need(b *bucket, tier request.Tier, cost float64) float64 {
-	entry := entryShare * l.tolerance.Slack / float64(max(l.assumed, len(l.heard)+1))
-	if l.tolerance.Slack == 0 {
-		entry = b.capacity
-	}
-	reserve := l.reserve(b, tier)
-	if cost <= smallShare*b.capacity {
-		reserve = 0
-	}
-	if cost <= entry && reserve == 0 {
-		return cost - overdraftShare*l.tolerance.Slack
-	}
-	return min(min(cost, entry)+reserve, b.capacity)
-}
-
-// reserve is the part of a bucket that is left to the more urgent tiers of the
-// workspace, as far as these have asked lately.
-//
-// What goes wrong without it: a workspace asks several times its quota, the bucket
-// is spent in the order of arrival, and an urgent request is refused because a part
-// of the quota has just gone to one that can wait. One notices refusals of the most
-// urgent tier while lower tiers are served. On simulated days on which one workspace
-// asks eight times its usual, 0.895 of the value asked for was served in place of
-// 0.885 (mean of nine days without processor time); with a full bucket nothing changes.
-func (l *Ledger) reserve(b *bucket, tier request.Tier) float64 {
-	above := 0
-	for _, at := range b.asked[:tier] {
-		if !at.IsZero() && l.now().Sub(at) <= reserveMemory {
-			above++
-		}
-	}
-	return min(reserveShare*float64(above), reserveMost) * b.capacity
-}
-
-// promise returns when a refused request is to come back: once the bucket will
-// hold what lacks, and after all others that this daemon has told to come back. The
-// other daemons promise as well, so one of n promises an n-th of the rate.
-//
-// What goes wrong without it: all callers of a workspace that is over its quota are
-// told to come back when there will be room for one, in 8 to 150 ms, and the one
-// retry that each has is refused too. So are those that come while the daemons
-// start again with empty buckets. On simulated days with such overloads the price of
-// second refusals fell by a sixth, from 0.0162 to 0.0135 of the value asked for
-// (mean of nine days without processor time).
-func (l *Ledger) promise(b *bucket, lacks, cost float64) time.Duration {
-	now := l.now()
-	room := now.Add(forAmount(lacks, b.rate*l.share(now)))
-	if b.promised.Before(room) {
-		b.promised = room
-	}
-	wait := min(b.promised.Sub(now), promiseMost)
-	b.promised = now.Add(wait + forAmount(cost, b.rate/float64(len(l.heard)+1)))
-	return wait
-}
-
-// forAmount is how long an amount takes to accrue at a rate per second.
-func forAmount(amount, rate float64) time.Duration {
-	return time.Duration(math.Ceil(min(amount/max(1, rate), promiseMost.Seconds()) * float64(time.Second)))
-}
-
 // Prepare begins to fill the buckets of workspaces that are new, before their
 // first request.
 func (l *Ledger) Prepare(all []*route.Workspace) {
