pool: a server whose connections break is left alone until a probe gets through

Cause: a server that crashed, or goes down and up, may go on accepting connections that break at once. Change: a circuit breaker. Failures that a server tells do not count.

--- /dev/null
+++ b/pool/breaker_test.go
@@ -0,0 +1,187 @@
+package pool
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/lycheekeel/lycheekeel/request"
+)
+
+// crowd is a pool of two servers, four slots each, whose slots all run and for which
+// more wait; s0 goes down. Every entry has some of the requests.
+type crowd struct {
+	*rig
+	n       int
+	running map[GrantID]Grant
+	lost    int // that broke on s0 after it went down
+}
+
+func newCrowd() *crowd {
+	c := &crowd{rig: newRig(Config{Headroom: 0.01}, servers(2, 4)...), running: map[GrantID]Grant{}}
+	c.send(EntrySet{Entries: []EntryID{"e0", "e1", "e2"}})
+	for i := range 3 {
+		c.send(EntryReported{Entry: EntryID(fmt.Sprint("e", i))})
+	}
+	c.arrive(8)
+	return c
+}
+
+// arrive lets n requests come, of all tiers in turn.
+func (c *crowd) arrive(n int) {
+	for range n {
+		e := ask(fmt.Sprint("r", c.n), request.Tier(c.n%3))
+		e.Entry = EntryID(fmt.Sprint("e", c.n%3))
+		c.n++
+		c.note(c.send(e))
+	}
+}
+
+func (c *crowd) note(out []Command) {
+	for _, g := range grants(out) {
+		c.running[g.Grant] = g
+	}
+}
+
+func (c *crowd) finish(g Grant, o Outcome) {
+	delete(c.running, g.Grant)
+	c.note(c.send(Release{Request: g.Request, Entry: g.Entry, Grant: g.Grant, Server: g.Server, Outcome: o,
+		FirstToken: 30 * time.Millisecond, Total: 100 * time.Millisecond, OutputTokens: 10, PromptTokens: 100}))
+}
+
+func (c *crowd) on(server string) []Grant {
+	var all []Grant
+	for _, g := range c.running {
+		if g.Server == server {
+			all = append(all, g)
+		}
+	}
+	return all
+}
+
+// step lets 10 ms pass in which requests come, and what runs on s0 breaks where it
+// is down; else it ends.
+func (c *crowd) step(down bool) {
+	c.now = c.now.Add(10 * time.Millisecond)
+	c.arrive(2)
+	for _, g := range c.on("s0") {
+		if down {
+			c.lost++
+			c.finish(g, OutcomeBroken)
+		} else {
+			c.finish(g, OutcomeDone)
+		}
+	}
+	c.note(c.send(Tick{}))
+}
+
+// Symptom: in the seconds in which a few servers are down, hundreds of requests are
+// lost at each of them, while all other servers are full.
+// Sequence: a server crashes under full load; connections to its address are accepted
+// and break at once; each break frees a slot, the only free one there is.
+// Cause: a run that broke only made its server the last choice, and a last choice is
+// taken when there is no other.
+func TestAServerThatIsDownDrawsNoCrowd(t *testing.T) {
+	Convey("Given a pool that is full, and a server that goes down", t, func() {
+		c := newCrowd()
+		for range 100 {
+			c.step(true)
+		}
+		Convey("it takes what ran there, and a probe now and then", func() {
+			So(c.lost, ShouldBeLessThanOrEqualTo, 4+breakerRuns+4)
+		})
+		Convey("the probes are of the lowest tier that waits", func() {
+			c.arrive(30)
+			before := len(c.running)
+			c.note(c.pass(breakerPauseMax))
+			So(len(c.running), ShouldEqual, before+1)
+			for _, g := range c.on("s0") {
+				var n int
+				_, err := fmt.Sscanf(string(g.Request), "r%d", &n)
+				So(err, ShouldBeNil)
+				So(n%3, ShouldEqual, 2)
+			}
+		})
+		Convey("it is used whole as soon as a probe gets through", func() {
+			for range 110 {
+				c.step(false)
+			}
+			So(c.on("s0"), ShouldHaveLength, 4)
+		})
+		Convey("it counts as full to the sibling pools meanwhile", func() {
+			So(c.Summary(c.now).Free, ShouldEqual, 0)
+		})
+		Convey("and it is new when it starts again", func() {
+			all := servers(2, 4)
+			for i := range all {
+				all[i].Incarnation = "1"
+			}
+			c.note(c.send(ServerSet{Servers: all}))
+			all[0].Incarnation = "2"
+			c.note(c.send(ServerSet{Servers: all}))
+			So(c.on("s0"), ShouldHaveLength, 4)
+		})
+	})
+	Convey("A server that answers in between is not down, though a part of its answers is lost", t, func() {
+		c := newCrowd()
+		for range 200 {
+			c.now = c.now.Add(10 * time.Millisecond)
+			c.arrive(8)
+			for i, g := range c.on("s0") {
+				if i < 3 {
+					c.finish(g, OutcomeBroken)
+				} else {
+					c.finish(g, OutcomeDone)
+				}
+			}
+			So(c.servers["s0"].breaker.open, ShouldBeFalse)
+		}
+	})
+	Convey("Its own refusals and failures are answers", t, func() {
+		for _, o := range []Outcome{OutcomeFailed, OutcomeRefused} {
+			c := newCrowd()
+			for range 3 {
+				for _, g := range c.on("s0") {
+					c.finish(g, o)
+				}
+				c.now = c.now.Add(pauseMax)
+				c.arrive(8)
+			}
+			So(c.servers["s0"].breaker.open, ShouldBeFalse)
+		}
+	})
+	Convey("A single entry whose runs break may be what is cut off", t, func() {
+		c := newCrowd()
+		for range 3 {
+			for _, g := range c.on("s0") {
+				if g.Entry == "e0" {
+					c.finish(g, OutcomeBroken)
+				}
+			}
+			c.arrive(8)
+		}
+		So(c.servers["s0"].breaker.open, ShouldBeFalse)
+	})
+	Convey("Where there is no other entry its word is enough", t, func() {
+		r := newRig(Config{}, servers(2, 1)...)
+		for i := range breakerRuns {
+			g := r.grant(ask(fmt.Sprint("r", i), 0))
+			So(g.Server, ShouldEqual, "s0")
+			r.end(g, OutcomeBroken)
+			if i == 0 {
+				r.grant(ask("other", 0))
+			}
+		}
+		So(r.servers["s0"].breaker.open, ShouldBeTrue)
+	})
+	Convey("Where every server is down each is probed all the same", t, func() {
+		r := newRig(Config{}, servers(1, 1)...)
+		for i := range breakerRuns {
+			r.end(r.grant(ask(fmt.Sprint("r", i), 0)), OutcomeBroken)
+		}
+		So(grants(r.send(ask("waits", 0))), ShouldBeEmpty)
+		So(grants(r.pass(breakerPauseMin)), ShouldHaveLength, 1)
+	})
+}
--- a/pool/capacity.go
+++ b/pool/capacity.go
@@ -28,7 +28,7 @@
 	if s.slots > 0 {
 		n = min(n, s.slots)
 	}
-	if s.straggler && p.sound {
+	if s.straggler && p.sound || s.breaker.open {
 		n = 1 // the probe
 	}
 	return p.entries.share(max(1, n))
@@ -39,7 +39,7 @@
 func (p *Pool) refresh() {
 	p.sound, p.freed = false, unknown
 	for _, s := range p.order {
-		s.ready = p.up(s)
+		s.ready = p.up(s) && !s.breaker.open
 		if s.ready && !s.straggler && !s.overdue {
 			p.sound = true
 		}
--- a/pool/probe.go
+++ b/pool/probe.go
@@ -1,6 +1,7 @@
 package pool
 
 import (
+	"slices"
 	"time"
 
 	"github.com/lycheekeel/lycheekeel/request"
@@ -15,17 +16,28 @@
 	probeArrivals = 0.05
 )
 
-// scheduleProbes sends a straggler, now and then, one request of the lowest
-// tier, to see whether it has recovered.
+// scheduleProbes sends a straggler, and a server that counts as down, now and then
+// one request of the lowest tier, to see whether it has recovered.
 func (p *Pool) scheduleProbes() {
-	if !p.sound {
-		return
-	}
 	for _, s := range p.order {
-		if !s.straggler || s.overdue || !p.up(s) || s == p.alone || len(s.running) > 0 || p.now.Before(s.probeAt) {
+		if !p.up(s) || s == p.alone {
+			continue
+		}
+		var w *waiter
+		switch {
+		case s.breaker.open:
+			if p.now.Before(s.breaker.probeAt()) || s.probing() {
+				continue
+			}
+			w = p.probe(s.breaker.probeAt(), breakerPatience)
+		case p.sound && s.straggler && !s.overdue:
+			if p.now.Before(s.probeAt) || len(s.running) > 0 {
+				continue
+			}
+			w = p.probe(s.probeAt, probePatience)
+		default:
 			continue
 		}
-		w := p.probe(s)
 		if w == nil {
 			return
 		}
@@ -33,8 +45,15 @@
 	}
 }
 
-// probe picks the request to probe with, or nil.
-func (p *Pool) probe(s *server) *waiter {
+// probing tells whether a probe runs on a server that counts as down. What began
+// there before may stay counted for long.
+func (s *server) probing() bool {
+	return slices.ContainsFunc(s.running, func(r *run) bool { return !r.since.Before(s.breaker.since) })
+}
+
+// probe picks the request to probe with, or nil; the probe was due at a time and
+// waits for a request of the lowest tier for so long.
+func (p *Pool) probe(due time.Time, patience time.Duration) *waiter {
 	for t := request.MaxTiers - 1; t >= 0; t-- {
 		lowest := request.Tier(t)
 		if it := p.queue.Head(lowest, 0); it != nil {
@@ -44,7 +63,7 @@
 			}
 			return w
 		}
-		if p.arrivals[lowest].Peak(p.now) >= probeArrivals && p.now.Before(s.probeAt.Add(probePatience)) {
+		if p.arrivals[lowest].Peak(p.now) >= probeArrivals && p.now.Before(due.Add(patience)) {
 			return nil
 		}
 	}
--- a/pool/run.go
+++ b/pool/run.go
@@ -107,6 +107,7 @@
 	r.heard = p.now
 	if e.Tokens > 0 {
 		r.server.progressed = p.now
+		r.server.breaker.heard()
 	}
 	if p.plain() {
 		return
@@ -141,20 +142,23 @@
 	}
 	switch e.Outcome {
 	case OutcomeDone:
+		r.server.breaker.heard()
 		r.server.failures.add(p.now, false)
 		p.learnDone(r, e)
 	case OutcomeNotDispatched:
 		p.refund(r, r.cost)
 	case OutcomeNotSent, OutcomeRefused:
 		p.refund(r, r.cost)
-		p.learnRefusal(r.server, e)
+		p.learnRefusal(r, e)
 	case OutcomeCrashed:
 		p.lose(r)
 		p.serverCrashed(r.server, r)
 	case OutcomeBroken:
+		r.server.breaker.runBroke(p.now, r, p.entries.alive)
 		r.server.failures.add(p.now, true)
 		p.lose(r)
 	case OutcomeFailed:
+		r.server.breaker.heard()
 		r.server.failures.add(p.now, true)
 	}
 	p.removeRun(r)
@@ -163,7 +167,11 @@
 	}
 }
 
-func (p *Pool) learnRefusal(s *server, e Release) {
+func (p *Pool) learnRefusal(r *run, e Release) {
+	s := r.server
+	if e.Outcome == OutcomeRefused {
+		s.breaker.heard()
+	}
 	if e.RefusedLeaving {
 		s.leavingTill = p.now.Add(leavingFor)
 		return
--- a/pool/server.go
+++ b/pool/server.go
@@ -42,6 +42,7 @@
 	progressed time.Time
 	service    float64 // mean seconds from grant to release
 	failures   failures
+	breaker    breaker
 	held       int
 
 	ready       bool // may get grants; by refresh
@@ -120,7 +121,7 @@
 		}
 	}
 	p.forgetCache(s)
-	s.failures, s.lost = failures{}, nil
+	s.failures, s.breaker, s.lost = failures{}, breaker{}, nil
 	s.leavingTill, s.pausedTill, s.pause = time.Time{}, time.Time{}, 0
 	s.progressed = p.now
 }
--- a/pool/summary.go
+++ b/pool/summary.go
@@ -21,7 +21,7 @@
 		if !p.plain() {
 			n = p.limit(s)
 		}
-		if p.up(s) && s != p.alone {
+		if p.up(s) && s != p.alone && !s.breaker.open {
 			sum.Free += max(0, n-len(s.running))
 		}
 		sum.Servers = append(sum.Servers, ServerSummary{
