gateway: while the store is away, daemons ask by stale reads whether it is back

Cause: what the readers tell grows old while the store is away; each of the other daemons then listed both kinds, again and again, all refused and priced. Change: a daemon that is not a reader and has known a kind before asks by a stale read first, a tenth of a call, and lists only if that is answered.

--- a/internal/gateway/outage_test.go
+++ b/internal/gateway/outage_test.go
@@ -166,7 +166,7 @@
 				So(rests(x), ShouldBeFalse)
 			}
 			again := func(a *asker) time.Duration {
-				r := &reader{state: a.state, store: &listStore{err: objectstore.ErrUnavailable}, reading: a.reading, told: a.told}
+				r := &reader{state: a.state, store: &listStore{err: objectstore.ErrUnavailable}, stale: &staleStore{}, reading: a.reading, told: a.told}
 				return r.read(context.Background(), r.loops()[0])
 			}
 			So(again(a), ShouldBeGreaterThanOrEqualTo, retryMost/2)
@@ -179,7 +179,7 @@
 		s := emptyState()
 		s.configFresh = revision.NewFreshnessOn(stopped)
 		store := &listStore{err: objectstore.ErrUnavailable}
-		r := &reader{state: s, store: store, reading: func() bool { return false }, told: func() bool { return true }}
+		r := &reader{state: s, store: store, stale: &staleStore{}, reading: func() bool { return false }, told: func() bool { return true }}
 		config := r.loops()[0]
 		s.configFresh.Prove(s.configFresh.Mark())
 		_, rest := r.mayRest(config)
@@ -230,7 +230,7 @@
 		s := emptyState()
 		s.configFresh = revision.NewFreshnessOn(stopped)
 		store := &listStore{err: objectstore.ErrUnavailable}
-		r := &reader{state: s, store: store, reading: func() bool { return false }, told: func() bool { return true }}
+		r := &reader{state: s, store: store, stale: &staleStore{}, reading: func() bool { return false }, told: func() bool { return true }}
 		So(r.read(context.Background(), r.loops()[0]), ShouldBeLessThan, 2*retryEvery)
 		s.configFresh.Prove(s.configFresh.Mark())
 		So(r.read(context.Background(), r.loops()[0]), ShouldBeGreaterThanOrEqualTo, retryMost/2)
--- a/internal/gateway/reach.go
+++ b/internal/gateway/reach.go
@@ -30,11 +30,19 @@
 	}
 }
 
+// reach asks the store for what may be old, and returns why it does not answer.
+func (r *reader) reach(ctx context.Context) error {
+	_, err := r.stale.GetStale(ctx, kindCluster, clusterKeyName)
+	if errors.Is(err, objectstore.ErrNotFound) {
+		return nil
+	}
+	return err
+}
+
 // checkReach makes one check.
 func (r *reader) checkReach(ctx context.Context) {
 	mark := r.state.configFresh.Mark()
-	_, err := r.stale.GetStale(ctx, kindCluster, clusterKeyName)
-	if err != nil && !errors.Is(err, objectstore.ErrNotFound) {
+	if err := r.reach(ctx); err != nil {
 		if r.state.storeLost.CompareAndSwap(0, int64(mark)) {
 			r.state.log.WithError(err).Warn("Store does not answer this VM.")
 		}
--- a/internal/gateway/reader.go
+++ b/internal/gateway/reader.go
@@ -107,8 +107,7 @@
 // read lists the kind, sees to its watch, and returns when to read again.
 func (r *reader) read(ctx context.Context, k *kindLoop) time.Duration {
 	mark := k.fresh.Mark()
-	l, err := r.store.List(ctx, k.kind, "")
-	r.state.latency.list.Observe(k.fresh.Mark() - mark)
+	l, err := r.list(ctx, k)
 	if err != nil {
 		k.failed()
 		r.lost(k, err)
@@ -129,6 +128,24 @@
 	return k.every - k.every/10 + rand.N(k.every/5)
 }
 
+// list lists the kind. A daemon that is not one of the readers, and has known the
+// kind before, asks by a stale read first whether the store answers it at all.
+//
+// What goes wrong without that: while the store is away what the readers tell grows
+// old, and each of 195 daemons lists both kinds again and again, all in vain; each
+// call is priced, a stale read a tenth of the others.
+func (r *reader) list(ctx context.Context, k *kindLoop) (objectstore.List, error) {
+	if _, known := k.fresh.Age(); known && !r.reading() {
+		if err := r.reach(ctx); err != nil {
+			return objectstore.List{}, err
+		}
+	}
+	mark := k.fresh.Mark()
+	l, err := r.store.List(ctx, k.kind, "")
+	r.state.latency.list.Observe(k.fresh.Mark() - mark)
+	return l, err
+}
+
 // retryIn returns how soon to call again after so many failures in a row, give
 // or take a half, so that the daemons don't call together.
 func retryIn(failures int, reading bool) time.Duration {
--- a/internal/gateway/reader_test.go
+++ b/internal/gateway/reader_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/lycheekeel/lycheekeel/member"
 	"github.com/lycheekeel/lycheekeel/objectstore"
+	"github.com/lycheekeel/lycheekeel/revision"
 )
 
 // Symptom: while the store is away for some seconds, 88 daemons call it
@@ -35,7 +36,7 @@
 	})
 	Convey("The wait grows with the failures in a row, and begins anew after an answer", t, func() {
 		store := &listStore{err: objectstore.ErrUnavailable}
-		r := &reader{state: emptyState(), store: store, reading: func() bool { return false }, told: func() bool { return false }}
+		r := &reader{state: emptyState(), store: store, stale: &staleStore{}, reading: func() bool { return false }, told: func() bool { return false }}
 		servers := r.loops()[1]
 		last := time.Duration(0)
 		for range 4 {
@@ -49,6 +50,44 @@
 	})
 }
 
+// Symptom: 5,500 calls of the store on a day on which it is away for some seconds.
+// Sequence: the readers can't read; what they tell grows old at 186 other daemons,
+// each of which lists both kinds, and again, though the store answers nobody.
+// Cause: whether the store answers was found out by the dearest of calls.
+func TestAStoreThatIsAwayIsNotListedByAll(t *testing.T) {
+	Convey("Given a daemon that is no reader and whose knowledge has grown old", t, func() {
+		s := configuredState()
+		s.serversFresh = fresh(2 * time.Second)
+		store, stale := &listStore{err: objectstore.ErrUnavailable}, &staleStore{err: objectstore.ErrUnavailable}
+		r := &reader{state: s, store: store, stale: stale, reading: func() bool { return false }, told: func() bool { return false }}
+		servers := r.loops()[1]
+		Convey("it does not list while the store does not answer it", func() {
+			for range 4 {
+				r.read(context.Background(), servers)
+			}
+			So(store.lists, ShouldEqual, 0)
+			So(servers.away.IsZero(), ShouldBeFalse)
+			Convey("and does as soon as it answers", func() {
+				stale.err, store.err = objectstore.ErrNotFound, nil
+				r.read(context.Background(), servers)
+				So(store.lists, ShouldEqual, 1)
+				So(servers.away.IsZero(), ShouldBeTrue)
+			})
+		})
+		Convey("a reader lists all the same", func() {
+			r.reading = func() bool { return true }
+			r.read(context.Background(), servers)
+			So(store.lists, ShouldEqual, 1)
+		})
+		Convey("so does a daemon that knows nothing yet", func() {
+			s.serversFresh = revision.NewFreshnessOn(stopped)
+			servers = r.loops()[1]
+			r.read(context.Background(), servers)
+			So(store.lists, ShouldEqual, 1)
+		})
+	})
+}
+
 // Symptom: 195 daemons that start together make 1,500 calls of the store before
 // they serve anybody.
 // Sequence: each is alone at first, takes itself for the one that reads the store,
@@ -89,10 +128,12 @@
 type listStore struct {
 	objectstore.ObjectAPI
 	err     error
+	lists   int
 	watched chan objectstore.Kind
 }
 
 func (s *listStore) List(context.Context, objectstore.Kind, string) (objectstore.List, error) {
+	s.lists++
 	return objectstore.List{}, s.err
 }
 
