pool: who returns late waits behind those in time; waiting on counts who comes above

Cause: in an overload a request that was refused comes back with two thirds of its time and looks like a new one, though its target has passed for its caller; it takes the slot of one that would be in time. And a request of a lower tier waited on by the pace of its own tier and those above, whose slots go to those that keep coming above: it was refused in the end, later than it could be known. Change: the pool learns the deadline that each mix of callers usually gives; who has less than three quarters of it, and whose target is over by that, waits in the late class of its tier. The wait for a slot is reckoned by the slots a second less the arrivals above.

--- a/pool/admission.go
+++ b/pool/admission.go
@@ -181,19 +181,10 @@
 		p.returnsUntil = room
 	}
 	wait := min(p.returnsUntil.Sub(p.now), returnMost)
-	p.returnsUntil = p.now.Add(wait + time.Duration(float64(time.Second)/max(1, returnShare*p.grantPace())))
+	p.returnsUntil = p.now.Add(wait + time.Duration(float64(time.Second)/max(1, returnShare*p.pace.grants(p.now))))
 	return wait
 }
 
-// grantPace is how many grants a second the pool gives at present.
-func (p *Pool) grantPace() float64 {
-	pace := 0.0
-	for t := range p.grants {
-		pace += p.grants[t].perSecond(p.now)
-	}
-	return pace
-}
-
 // siblingFor picks a sibling for a request of a tier, and counts the request
 // against the sibling's report, so that one report doesn't draw a crowd.
 // freeOnly asks for a free slot.
--- a/pool/observe.go
+++ b/pool/observe.go
@@ -226,13 +226,9 @@
 	at     time.Time
 }
 
-const (
-	// flowTime steadies the pace of the work done, by which callers are told
-	// when to come back.
-	flowTime = 5 * time.Second
-	// grantTime is for the pace of grants, which a burst changes at once.
-	grantTime = 500 * time.Millisecond
-)
+// flowTime steadies the pace of the work done, by which callers are told when to
+// come back.
+const flowTime = 5 * time.Second
 
 func (f *flowRate) add(now time.Time, amount float64) {
 	f.fade(now)
--- a/pool/patience.go
+++ b/pool/patience.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/lycheekeel/lycheekeel/pool/tier"
 	"github.com/lycheekeel/lycheekeel/request"
 )
 
@@ -35,11 +36,11 @@
 	if w.waitsOn || p.cfg.LongPatience <= p.cfg.Patience {
 		return false
 	}
-	until := p.lastMoment(w, p.cfg.LongPatience)
-	if most := w.since.Add(time.Duration(waitOnShare*float64(w.DeadlineIn+w.Waited)) - w.Waited); most.Before(until) {
-		until = most
+	until, most := p.lastMoment(w, p.cfg.LongPatience), w.since.Add(time.Duration(waitOnShare*float64(w.DeadlineIn+w.Waited))-w.Waited)
+	if late := w.Class == tier.Late; late || most.Before(until) {
+		until = most // a late one has no target to be missed
 	}
-	if until.After(w.deadline) || p.now.Add(p.waitOf(w.Item.Tier)).After(until) {
+	if until.After(w.deadline) || p.now.Add(p.waitOf(w)).After(until) {
 		return false
 	}
 	w.waitsOn = true
@@ -48,20 +49,23 @@
 	return true
 }
 
-// waitOf is how long a request of a tier whose patience is just over will wait
-// for its slot at the pace of the last grants: until all above its tier, and
-// all of its tier that came before it, have theirs. Of these only the ones
-// that wait on are still there.
-func (p *Pool) waitOf(t request.Tier) time.Duration {
-	waiting, pace := 1+p.waitOn[t], p.grants[t].perSecond(p.now)
+// waitOf is how long a request whose patience is just over will wait for its slot:
+// until all above its tier, and all of its tier that came before it, have theirs. Of
+// these only the ones that wait on are still there. Before a late one go all of its
+// tier.
+func (p *Pool) waitOf(w *waiter) time.Duration {
+	t, waiting := w.Item.Tier, 1+p.waitOn[w.Item.Tier]
+	if w.Class == tier.Late {
+		t, waiting = t+1, 1
+	}
 	for higher := request.Tier(0); higher < t; higher++ {
 		waiting += p.queue.Waiting(higher)
-		pace += p.grants[higher].perSecond(p.now)
 	}
-	if pace <= float64(waiting)/retryMax.Seconds() {
+	slots := p.slotsFor(t)
+	if slots <= float64(waiting)/retryMax.Seconds() {
 		return retryMax
 	}
-	return time.Duration(float64(waiting) / pace * float64(time.Second))
+	return time.Duration(float64(waiting) / slots * float64(time.Second))
 }
 
 // expire ends what has waited too long.
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -49,10 +49,11 @@
 	arrivals [request.MaxTiers]headroom.Arrivals
 	targets  [request.MaxTiers]time.Duration // first token, by tier
 	served   flowRate
-	grants   [request.MaxTiers]flowRate // granted requests by tier
+	pace     pace
 	// returnsUntil is when all callers that were refused will have had room.
 	returnsUntil time.Time
 	waitOn       [request.MaxTiers]int // waiters beyond their shorter patience
+	deadlines    deadlines
 	siblings     map[string]*sibling
 	entries      entries
 
@@ -71,25 +72,24 @@
 func New(cfg Config) *Pool {
 	cfg = cfg.withDefaults()
 	p := &Pool{
-		cfg:      cfg,
-		random:   cfg.random(),
-		queue:    tier.NewQueue[*waiter](),
-		isolated: tier.NewQueue[*waiter](),
-		waiting:  make(map[request.ID]*waiter),
-		servers:  make(map[string]*server),
-		runs:     make(map[GrantID]*run),
-		granted:  make(map[request.ID]*run),
-		prefixes: prefix.NewIndex(),
-		pending:  make(map[uint64]*run),
-		lengths:  estimate.New(),
-		hints:    estimate.NewHints(),
-		suspects: suspect.NewRegister(cfg.Verdict),
-		peers:    make(map[string]score.Prior),
-		siblings: make(map[string]*sibling),
-		served:   flowRate{over: flowTime},
-	}
-	for t := range p.grants {
-		p.grants[t].over = grantTime
+		cfg:       cfg,
+		random:    cfg.random(),
+		queue:     tier.NewQueue[*waiter](),
+		isolated:  tier.NewQueue[*waiter](),
+		waiting:   make(map[request.ID]*waiter),
+		servers:   make(map[string]*server),
+		runs:      make(map[GrantID]*run),
+		granted:   make(map[request.ID]*run),
+		prefixes:  prefix.NewIndex(),
+		pending:   make(map[uint64]*run),
+		lengths:   estimate.New(),
+		hints:     estimate.NewHints(),
+		suspects:  suspect.NewRegister(cfg.Verdict),
+		peers:     make(map[string]score.Prior),
+		siblings:  make(map[string]*sibling),
+		deadlines: make(deadlines),
+		served:    flowRate{over: flowTime},
+		pace:      newPace(),
 	}
 	return p
 }
--- a/pool/schedule.go
+++ b/pool/schedule.go
@@ -265,7 +265,7 @@
 	if o.server.straggler {
 		p.probed(o.server)
 	}
-	p.grants[w.Item.Tier].add(p.now, 1)
+	p.pace.granted[w.Item.Tier].add(p.now, 1)
 	p.seq++
 	r := &run{
 		id: GrantID{Epoch: p.cfg.Epoch, Seq: p.seq}, request: w.Request, entry: w.Entry, server: o.server,
--- a/pool/waiter.go
+++ b/pool/waiter.go
@@ -60,6 +60,7 @@
 		return
 	}
 	p.arrivals[e.Tier].Add(p.now)
+	p.pace.came[e.Tier].add(p.now, 1)
 	if e.FirstTokenIn != 0 {
 		p.targets[e.Tier] = e.FirstTokenIn + e.Waited
 	}
@@ -80,12 +81,25 @@
 		w.length = p.expectLength(w.mix, e.ExpectedTokens, e.MaxTokens)
 	}
 	w.Item.Tier, w.Item.Workspace, w.Item.Value = e.Tier, e.Workspace, w
+	if p.returnsLate(w) {
+		w.Class = tier.Late
+	}
 	w.Expires = p.lastMoment(w, p.cfg.Patience)
 	w.Due = p.latestStart(w)
 	w.Cost = cost(e.PromptTokens, w.length.Mean)
 	return w
 }
 
+// returnsLate tells whether a request comes back when its target has passed for its
+// caller. It waits behind those of its tier that can be in time.
+func (p *Pool) returnsLate(w *waiter) bool {
+	if p.plain() || w.FirstTokenIn == 0 {
+		return false
+	}
+	elapsed := p.deadlines.elapsed(p.now, w.mix, w.DeadlineIn+w.Waited)
+	return elapsed > w.FirstTokenIn+w.Waited
+}
+
 // cost is the work of a request, in prompt tokens. A call to a plain service
 // has no tokens: each counts as one.
 func cost(prompt, output int) float64 { return float64(1 + prompt + outputWeight*output) }
