pool: the log tells when a server counts as down and when it answers again

Cause: the circuit breaker changed what an owner believes of a server without a line of it, and without a counter. Change: the pool emits ServerDown; its host logs it and counts the openings. Decisions are the same.

--- a/internal/poolhost/counters.go
+++ b/internal/poolhost/counters.go
@@ -10,7 +10,7 @@
 type counters struct {
 	sessions, resets, gaps, silentSessions, sendFailed    *expvar.Int
 	takenBack, entriesEnded, unknownReleases, badMessages *expvar.Int
-	probeMisses, cacheGaps, suspectsShared                *expvar.Int
+	probeMisses, cacheGaps, suspectsShared, serversDown   *expvar.Int
 }
 
 func newCounters(m *metrics.Registry) counters {
@@ -21,5 +21,6 @@
 		takenBack: c("grants_taken_back"), entriesEnded: c("entries_ended"), unknownReleases: c("unknown_releases"),
 		badMessages: c("bad_messages"), probeMisses: c("probe_misses"),
 		cacheGaps: c("cache_event_gaps"), suspectsShared: c("suspects_shared"),
+		serversDown: c("servers_down"),
 	}
 }
--- a/internal/poolhost/runtime.go
+++ b/internal/poolhost/runtime.go
@@ -118,6 +118,8 @@
 		}
 	case pool.ShareSuspect:
 		r.host.shareSuspect(r, c)
+	case pool.ServerDown:
+		r.logDown(c)
 	}
 }
 
@@ -168,6 +170,17 @@
 	r.host.spreadSummary(r, s)
 }
 
+// logDown tells when a server counts as down and when it answers again.
+func (r *Runtime) logDown(c pool.ServerDown) {
+	l := logs.For("poolhost").WithFields(logrus.Fields{"pool": r.name, "server": c.Server, "share": r.share})
+	if c.Down {
+		r.host.count.serversDown.Add(1)
+		l.Warn("Server counts as down.")
+		return
+	}
+	l.Info("Server answers again.")
+}
+
 // logCrowd tells how the pool stood when it shed requests, so that a refused
 // caller's log line leads to its cause.
 func (r *Runtime) logCrowd(s pool.Summary) {
--- a/pool/breaker.go
+++ b/pool/breaker.go
@@ -40,10 +40,22 @@
 // probeAt is when an open breaker lets a probe through.
 func (b *breaker) probeAt() time.Time { return b.since.Add(b.pause) }
 
-// heard takes it that the server has answered something.
-func (b *breaker) heard() {
-	if b.open || b.broken > 0 {
-		*b = breaker{}
+// heard takes it that a server has answered something.
+func (p *Pool) heard(s *server) {
+	wasOpen := s.breaker.open
+	s.breaker = breaker{}
+	if wasOpen {
+		p.emit(ServerDown{Server: s.info.Name, Down: false})
+	}
+}
+
+// runBroke counts a run that broke on its server.
+func (p *Pool) runBroke(r *run) {
+	b := &r.server.breaker
+	wasOpen := b.open
+	b.runBroke(p.now, r, p.entries.alive)
+	if b.open && !wasOpen {
+		p.emit(ServerDown{Server: r.server.info.Name, Down: true})
 	}
 }
 
--- a/pool/breaker_test.go
+++ b/pool/breaker_test.go
@@ -17,6 +17,7 @@
 	n       int
 	running map[GrantID]Grant
 	lost    int // that broke on s0 after it went down
+	told    []ServerDown
 }
 
 func newCrowd() *crowd {
@@ -43,6 +44,11 @@
 	for _, g := range grants(out) {
 		c.running[g.Grant] = g
 	}
+	for _, cmd := range out {
+		if d, ok := cmd.(ServerDown); ok {
+			c.told = append(c.told, d)
+		}
+	}
 }
 
 func (c *crowd) finish(g Grant, o Outcome) {
@@ -109,6 +115,7 @@
 				c.step(false)
 			}
 			So(c.on("s0"), ShouldHaveLength, 4)
+			So(c.told, ShouldResemble, []ServerDown{{Server: "s0", Down: true}, {Server: "s0", Down: false}})
 		})
 		Convey("it counts as full to the sibling pools meanwhile", func() {
 			So(c.Summary(c.now).Free, ShouldEqual, 0)
--- a/pool/messages.go
+++ b/pool/messages.go
@@ -283,10 +283,18 @@
 	ExpiresIn   time.Duration
 }
 
+// ServerDown tells that a server counts as down, since its connections break, or
+// that it answers again. It is for the log.
+type ServerDown struct {
+	Server string
+	Down   bool
+}
+
 func (Grant) command()        {}
 func (Shed) command()         {}
 func (Redirect) command()     {}
 func (ShareSuspect) command() {}
+func (ServerDown) command()   {}
 
 // Summary is a pool's standing, for siblings, entries and placement.
 type Summary struct {
--- a/pool/run.go
+++ b/pool/run.go
@@ -107,7 +107,7 @@
 	r.heard = p.now
 	if e.Tokens > 0 {
 		r.server.progressed = p.now
-		r.server.breaker.heard()
+		p.heard(r.server)
 	}
 	if p.plain() {
 		return
@@ -142,7 +142,7 @@
 	}
 	switch e.Outcome {
 	case OutcomeDone:
-		r.server.breaker.heard()
+		p.heard(r.server)
 		r.server.failures.add(p.now, false)
 		p.learnDone(r, e)
 	case OutcomeNotDispatched:
@@ -154,11 +154,11 @@
 		p.lose(r)
 		p.serverCrashed(r.server, r)
 	case OutcomeBroken:
-		r.server.breaker.runBroke(p.now, r, p.entries.alive)
+		p.runBroke(r)
 		r.server.failures.add(p.now, true)
 		p.lose(r)
 	case OutcomeFailed:
-		r.server.breaker.heard()
+		p.heard(r.server)
 		r.server.failures.add(p.now, true)
 	}
 	p.removeRun(r)
@@ -170,7 +170,7 @@
 func (p *Pool) learnRefusal(r *run, e Release) {
 	s := r.server
 	if e.Outcome == OutcomeRefused {
-		s.breaker.heard()
+		p.heard(s)
 	}
 	if e.RefusedLeaving {
 		s.leavingTill = p.now.Add(leavingFor)
