--- a/internal/gateway/readers.go
+++ b/internal/gateway/readers.go
@@ -11,8 +11,9 @@
 const (
 	// daemonsPerReader is how many daemons share one that reads the store, whose
 	// rates the whole fleet shares: with one reader for nine daemons in place of
-	// nine there were 6 calls a second in place of 22. With more of them a reader on a small VM would be busy telling them of each
-	// server that changes: the list of 112 is 6.6 KB.
+	// nine there were 6 calls a second in place of 22. With more of them a reader on
+	// a small VM would be busy telling them of each server that changes: the list
+	// of 112 is 6.6 KB.
 	daemonsPerReader = 24
 	// substitutesLeast is how many daemons beside the readers are asked when
 	// those can't read, at the least. The store may turn a third of the VMs away.
--- a/pool/patience.go
+++ b/pool/patience.go
@@ -36,8 +36,9 @@
 	if w.waitsOn || p.cfg.LongPatience <= p.cfg.Patience {
 		return false
 	}
-	until, most := p.lastMoment(w, p.cfg.LongPatience), w.since.Add(time.Duration(waitOnShare*float64(w.DeadlineIn+w.Waited))-w.Waited)
-	if late := w.Class == tier.Late; late || most.Before(until) {
+	until := p.lastMoment(w, p.cfg.LongPatience)
+	most := w.since.Add(time.Duration(waitOnShare*float64(w.DeadlineIn+w.Waited)) - w.Waited)
+	if w.Class == tier.Late || most.Before(until) {
 		until = most // a late one has no target to be missed
 	}
 	if until.After(w.deadline) || p.now.Add(p.waitOf(w)).After(until) {
