forward: a silent stream whose key was withdrawn is not given up

A silent stream is given up once there is a slot and a retry elsewhere; that its key may not be sent any more was found out after it had been dropped. Change: the key is checked before the stream is given up, and once more when the slot is there.

--- a/internal/forward/send.go
+++ b/internal/forward/send.go
@@ -67,9 +67,11 @@
 const reserveWait = 300 * time.Millisecond
 
 // reserve gets a slot for a second send and takes its retry, before the first
-// one is given up; nil where either is not to be had.
+// one is given up; nil where either is not to be had, or where the key was
+// withdrawn meanwhile: it could not be sent again, and what its server still
+// answers is the caller's.
 func (x *exchange) reserve() broker.Grant {
-	if !x.attempts.Left() {
+	if !x.attempts.Left() || x.stillAuthorized() != nil {
 		return nil
 	}
 	ctx, cancel := context.WithTimeout(x.ctx, reserveWait)
@@ -83,6 +85,10 @@
 	if err != nil {
 		return nil
 	}
+	if x.stillAuthorized() != nil {
+		grant.Return()
+		return nil
+	}
 	if !x.server.deps.Budget(x.service).Take() {
 		x.server.count.budgetDenied.Add(1)
 		grant.Return()
--- a/internal/forward/stream_test.go
+++ b/internal/forward/stream_test.go
@@ -232,6 +232,23 @@
 		So(got.body, ShouldEqual, eventsOf(1, 6))
 		So(got.whole, ShouldBeTrue)
 	})
+	// Symptom: a stream is cut beside a change of the configuration. Sequence: its key
+	// is withdrawn while it runs; its server is silent for a moment; it is dropped to go
+	// on elsewhere. Cause: that the key may not be sent any more was found out then.
+	Convey("With a key that was withdrawn meanwhile the rest is waited for", t, func() {
+		var r *rig
+		second := newBackend(t, streamer(6, 0, ""))
+		r = newRig(t, newBackend(t, func(n int, head, body string, c net.Conn) bool {
+			d := testDocument(2)
+			d.Workspaces[0].Keys = []string{"another"}
+			r.putInForce(d)
+			return pausing(n, head, body, c)
+		}), second)
+		got := r.call("POST", "/resume/", "1", "", "x")
+		So(got.body, ShouldEqual, eventsOf(1, 6))
+		So(got.whole, ShouldBeTrue)
+		So(second.requests(), ShouldBeEmpty)
+	})
 	Convey("With a slot and a retry another server goes on", t, func() {
 		second := newBackend(t, streamer(6, 0, ""))
 		r := newRig(t, newBackend(t, pausing), second)
