soak: the test of a killed request sends again until one runs, and its stream lasts

Change: it sends until one is being answered; that stream lasts for minutes, so that no time decides. What it demands is the same: the line, and the request among those without an end.

--- a/test/soak/fleet_test.go
+++ b/test/soak/fleet_test.go
@@ -96,16 +96,17 @@
 	left    time.Time // zero: it serves
 }
 
-func newFleet(t *testing.T) *fleet { return newFleetOf(t, 5*time.Millisecond) }
+func newFleet(t *testing.T) *fleet { return newFleetOf(t, 5*time.Millisecond, 8*time.Second) }
 
-// newFleetOf returns a fleet whose streams have an event at each such interval.
-func newFleetOf(t *testing.T, eventEvery time.Duration) *fleet {
+// newFleetOf returns a fleet whose streams have an event at each such interval, and
+// that long to end.
+func newFleetOf(t *testing.T, eventEvery, onceTimeout time.Duration) *fleet {
 	f := &fleet{t: t, eventEvery: eventEvery, dir: t.TempDir(), store: standin.NewStore(50), revoked: map[string]time.Time{}}
 	f.storeAt, _ = f.serve(f.store.Serve)
 	f.config = &standin.Configuration{
 		Tenant: "space",
 		Routes: []standin.Route{
-			{Prefix: "/s/once/", Type: "stream", Service: "llm", Attempts: 1, TimeoutMs: 8000},
+			{Prefix: "/s/once/", Type: "stream", Service: "llm", Attempts: 1, TimeoutMs: int(onceTimeout.Milliseconds())},
 			{Prefix: "/s/resume/", Type: "stream", Service: "llm", Attempts: 2, Resume: true, TimeoutMs: 8000},
 			{Prefix: "/once/", Type: "non_idempotent", Service: "app", Attempts: 1, TimeoutMs: 8000},
 			{Prefix: "/again/", Type: "idempotent", Service: "app", Attempts: 2, TimeoutMs: 8000},
--- a/test/soak/killed_test.go
+++ b/test/soak/killed_test.go
@@ -1,13 +1,14 @@
 package soak
 
 import (
+	"bufio"
 	"bytes"
 	"fmt"
 	"net"
+	"net/http"
 	"os"
 	"path/filepath"
 	"testing"
-	"time"
 
 	"github.com/lycheekeel/lycheekeel/internal/explain"
 )
@@ -17,25 +18,30 @@
 // stream has ended, the VM is killed.
 // Cause: a request had no line before that of its end.
 func TestARequestThatDiesWithItsProcessLeavesATrace(t *testing.T) {
-	f := newFleetOf(t, time.Second)
+	// The stream outlasts whatever the test waits for.
+	f := newFleetOf(t, waitLimit/5, 10*waitLimit)
 	n := f.nodes[0]
 	f.eventually("the node is ready", n.ready)
-	conn, err := net.Dial("tcp", n.settings.Listen)
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer conn.Close()
-	const id = "dies-with-its-process"
-	fmt.Fprintf(conn, "POST /s/once/ HTTP/1.1\r\nHost: h.example\r\nX-Request-Id: %s\r\nAuthorization: Bearer k1\r\nX-Deadline-Ms: 8000\r\nContent-Length: 1\r\n\r\nx", id)
-	ranAt := ""
-	f.eventually("a server runs the request", func() bool {
-		for _, s := range f.servers {
-			if s.Runs(id) > 0 {
-				ranAt = s.ID
-			}
+	id, ranAt, sent := "", "", 0
+	// A node that has just started may refuse the first requests.
+	f.eventually("a server runs a request", func() bool {
+		conn, err := net.Dial("tcp", n.settings.Listen)
+		if err != nil {
+			return false
 		}
-		return ranAt != ""
+		t.Cleanup(func() { _ = conn.Close() })
+		sent++
+		id = fmt.Sprint("dies-with-its-process-", sent)
+		fmt.Fprintf(conn, "POST /s/once/ HTTP/1.1\r\nHost: h.example\r\nX-Request-Id: %s\r\nAuthorization: Bearer k1\r\nX-Deadline-Ms: %d\r\nContent-Length: 1\r\n\r\nx",
+			id, (10 * waitLimit).Milliseconds())
+		resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+		return err == nil && resp.StatusCode == http.StatusOK
 	})
+	for _, s := range f.servers {
+		if s.Runs(id) > 0 {
+			ranAt = s.ID
+		}
+	}
 	log := filepath.Join(f.dir, n.name+".log")
 	f.eventually("the log tells that it still runs", func() bool {
 		written, err := os.ReadFile(log)
