limit: use is judged by the whole slots that a limit lets run

Cause: a pool grants whole slots, and a law raised its limit only when three quarters of the limit itself were in use. Limits in (1.33, 1.95) and (2.67, 2.95) let too little run to be judged by, and stayed for as long as the daemon lived: after one bad second a server of six slots ran two calls. Change: use is compared with the whole slots that the limit lets run, in both laws; the rounding to slots lives beside them. Tests: a limit rises to its maximum from anywhere within bounded samples; full use of what a limit lets run is always enough to judge it. Both fail before.

--- a/pool/capacity.go
+++ b/pool/capacity.go
@@ -4,13 +4,12 @@
 	"time"
 
 	"github.com/lycheekeel/lycheekeel/pool/headroom"
+	"github.com/lycheekeel/lycheekeel/pool/limit"
 	"github.com/lycheekeel/lycheekeel/pool/score"
 	"github.com/lycheekeel/lycheekeel/request"
 )
 
 const (
-	// limitRounding makes up for laws that near their bound without end.
-	limitRounding = 0.05
 	// kvFull is the part of a measured KV capacity that is used.
 	kvFull = 0.95
 	// headroomSlack is the part of a first-token target in which a request of
@@ -24,7 +23,7 @@
 
 // limit returns how many requests may run on a server now.
 func (p *Pool) limit(s *server) int {
-	n := int(min(s.requests.Limit(), s.slotted.Limit()) + limitRounding)
+	n := min(limit.Slots(s.requests), limit.Slots(s.slotted))
 	if s.slots > 0 {
 		n = min(n, s.slots)
 	}
--- a/pool/limit/aimd.go
+++ b/pool/limit/aimd.go
@@ -37,7 +37,7 @@
 	case a.ratio > 1:
 		a.limit = a.bounds.clamp(min(a.limit, s.Used+1) * aimdDecrease)
 		a.rest = a.limit
-	case a.ratio < headroom && s.Used >= busy*a.limit:
+	case a.ratio < headroom && inUse(s.Used, a.limit):
 		a.limit = a.bounds.clamp(a.limit + 1/a.limit)
 	}
 }
--- a/pool/limit/gradient.go
+++ b/pool/limit/gradient.go
@@ -33,7 +33,7 @@
 	g.ratio += gradientSmooth * (s.Ratio - g.ratio)
 	g.used += gradientSmooth * (s.Used - g.used)
 	good := g.ratio < headroom
-	if good && g.used < busy*g.limit {
+	if good && !inUse(g.used, g.limit) {
 		return // the limit was not what kept it good
 	}
 	slope := math.Max(gradientLow, math.Min(gradientHigh, headroom/math.Max(g.ratio, 1e-6)))
--- a/pool/limit/limit.go
+++ b/pool/limit/limit.go
@@ -54,9 +54,27 @@
 	return newAIMD(b)
 }
 
+// rounding makes up for laws that near their bound without end.
+const rounding = 0.05
+
+// Slots returns how many requests a law lets run at once: whole ones, and one at
+// the least.
+func Slots(l Law) int { return slots(l.Limit()) }
+
+func slots(limit float64) int { return max(1, int(limit+rounding)) }
+
 // headroom is the ratio that laws steer for: a little under the target.
 const headroom = 0.85
 
-// busy is the fraction of a limit that must be in use before a good sample
-// says anything about a higher one.
+// busy is the fraction of the whole slots of a limit that must be in use before a
+// good sample says anything about a higher limit.
 const busy = 0.75
+
+// inUse tells whether so much use, of what a limit let run, is enough to judge the
+// limit by.
+//
+// What goes wrong where use is compared with the limit itself: at 2.9 two requests
+// may run, which is less than three quarters of it, so that no sample ever raises it.
+// One would notice a service that sheds at a third of its servers' slots, for as long
+// as the daemon lives, after one bad second.
+func inUse(used, limit float64) bool { return used >= busy*float64(slots(limit)) }
--- /dev/null
+++ b/pool/limit/trap_test.go
@@ -0,0 +1,40 @@
+package limit
+
+import (
+	"math"
+	"testing"
+
+	"pgregory.net/rapid"
+)
+
+// Symptom: after a restart of all daemons a service of two servers with six slots
+// each sheds most of its calls for as long as the daemons live, while its servers
+// are idle two thirds of the time. Sequence: one bad second lowers a server's limit
+// to 2.9; from then on every call is fast, and two run at a time. Cause: two slots in
+// use were less than three quarters of 2.9, so that no good call raised the limit.
+func TestALimitRisesAgainFromAnywhere(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		name := rapid.SampledFrom([]Name{AIMD, Gradient}).Draw(t, "law")
+		most := float64(rapid.IntRange(1, 64).Draw(t, "most"))
+		start := rapid.Float64Range(1, most).Draw(t, "start")
+		ratio := rapid.Float64Range(0.05, 0.8).Draw(t, "ratio")
+		l := New(name, Bounds{Min: 1, Max: most, Start: start})
+		samples := 0
+		// A law that adds a slot for each limit's worth of samples takes half the
+		// square of the maximum; twice that is let pass.
+		for bound := int(most*most) + 200; Slots(l) < int(most) && samples < bound; samples++ {
+			l.Observe(Sample{Ratio: ratio, Used: float64(Slots(l))})
+		}
+		if Slots(l) < int(most) {
+			t.Fatalf("limit %v after %d good samples at full use", l.Limit(), samples)
+		}
+	})
+}
+
+func TestNoLimitNeedsMoreThanItLetsRun(t *testing.T) {
+	for limit := 1.0; limit <= 64; limit = math.Nextafter(limit+0.01, 65) {
+		if !inUse(float64(slots(limit)), limit) {
+			t.Fatalf("limit %v lets %d run, which count as too few to judge it by", limit, slots(limit))
+		}
+	}
+}
