rollout: the aggregate that tries a new version, and takes it or takes it back

Cause: the users' new contract asks for rollouts; a server's version was not even decoded, so a bad version would get its whole share of the traffic.

--- /dev/null
+++ b/rollout/evidence.go
@@ -0,0 +1,247 @@
+package rollout
+
+import (
+	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+)
+
+// Run is how one request went that was sent to a server.
+type Run struct {
+	Route  string
+	Server string
+	Trial  bool
+	Ending Ending
+	// First is the time to the first event, or to the whole answer of a plain
+	// service; Pace the mean time for each further token, 0: none. Of an abandoned
+	// run they are what it had taken by then.
+	First, Pace time.Duration
+	// Whole is the time of the whole run.
+	Whole time.Duration
+}
+
+// Ending is how a run ended.
+type Ending uint8
+
+// The endings.
+const (
+	Answered Ending = iota
+	// Failed runs brought the server's own word that it failed.
+	Failed
+	// Broken runs brought no whole answer.
+	Broken
+	// Abandoned runs were given up by the caller or at their deadline.
+	Abandoned
+	// NotRun requests were sent in vain: their server did not begin to run them.
+	NotRun
+)
+
+// Key names a cell of evidence: a route, and a server of the new version; without a
+// server all those of the old ones.
+type Key struct{ Route, Server string }
+
+// Counts are the runs of a cell; they only grow.
+type Counts struct {
+	Runs, Failed, Broken, Slow uint64
+}
+
+// minus returns what has been added since an earlier reading.
+func (c Counts) minus(o Counts) Counts {
+	return Counts{Runs: c.Runs - o.Runs, Failed: c.Failed - o.Failed, Broken: c.Broken - o.Broken, Slow: c.Slow - o.Slow}
+}
+
+func (c Counts) plus(o Counts) Counts {
+	return Counts{Runs: c.Runs + o.Runs, Failed: c.Failed + o.Failed, Broken: c.Broken + o.Broken, Slow: c.Slow + o.Slow}
+}
+
+// Times are durations with how often each was seen, by a value in microseconds that
+// stands for all within a tenth of it.
+type Times map[int64]int64
+
+// Cell is a cell's counts with, for the old versions, the times of its runs.
+type Cell struct {
+	Counts
+	First, Pace, Whole Times
+}
+
+const (
+	// longestTime bounds a measured time.
+	longestTime = 10 * time.Minute
+	// timesDigits is the precision of Times: within a tenth.
+	timesDigits = 1
+)
+
+func newHistogram() *hdrhistogram.Histogram {
+	return hdrhistogram.New(1, longestTime.Microseconds(), timesDigits)
+}
+
+// timesOf returns what a histogram holds; nil: there is none.
+func timesOf(h *hdrhistogram.Histogram) Times {
+	if h == nil {
+		return nil
+	}
+	t := Times{}
+	for _, bar := range h.Distribution() {
+		if bar.Count > 0 {
+			t[bar.To] = bar.Count
+		}
+	}
+	return t
+}
+
+// histogram returns the times as a histogram that tells quantiles.
+func (t Times) histogram() *hdrhistogram.Histogram {
+	h := newHistogram()
+	for us, n := range t {
+		// Values out of range can only be another daemon's mistake: they are left out.
+		_ = h.RecordValues(us, n)
+	}
+	return h
+}
+
+// recorded is a cell while it is counted.
+type recorded struct {
+	counts             Counts
+	first, pace, whole *hdrhistogram.Histogram
+	changed            bool
+}
+
+func (c *recorded) cell() Cell {
+	return Cell{Counts: c.counts, First: timesOf(c.first), Pace: timesOf(c.pace), Whole: timesOf(c.whole)}
+}
+
+// Recorder counts what one daemon sees of a rollout. It is safe for concurrent use.
+type Recorder struct {
+	mu    sync.Mutex
+	cells map[Key]*recorded
+	// oldRuns are requests that run on servers of the old versions.
+	oldRuns int
+}
+
+// NewRecorder returns a recorder that has seen nothing.
+func NewRecorder() *Recorder {
+	return &Recorder{cells: map[Key]*recorded{}}
+}
+
+// Begin counts a request that is sent to a server.
+func (r *Recorder) Begin(trial bool) {
+	if trial {
+		return
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.oldRuns++
+}
+
+// End takes how it went. Limit is what is slow on its route.
+func (r *Recorder) End(run Run, limit Limit) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if !run.Trial && r.oldRuns > 0 {
+		r.oldRuns--
+	}
+	slow := limit.exceeded(run)
+	if run.Ending == NotRun || run.Ending == Abandoned && !slow {
+		return // it tells nothing of the server
+	}
+	key := Key{Route: run.Route}
+	if run.Trial {
+		key.Server = run.Server
+	}
+	r.count(key, run, slow)
+}
+
+func (r *Recorder) count(key Key, run Run, slow bool) {
+	c := r.cells[key]
+	if c == nil {
+		c = &recorded{}
+		r.cells[key] = c
+	}
+	c.changed = true
+	c.counts.Runs++
+	switch {
+	case run.Ending == Failed:
+		c.counts.Failed++
+	case run.Ending == Broken:
+		c.counts.Broken++
+	case slow:
+		c.counts.Slow++
+	}
+	if run.Trial || run.Ending != Answered {
+		return
+	}
+	count(&c.first, run.First)
+	count(&c.whole, run.Whole)
+	if run.Pace > 0 {
+		count(&c.pace, run.Pace)
+	}
+}
+
+// count counts a duration in a histogram, which is made at the first one.
+func count(h **hdrhistogram.Histogram, d time.Duration) {
+	if *h == nil {
+		*h = newHistogram()
+	}
+	_ = (*h).RecordValue(min(max(d.Microseconds(), 1), longestTime.Microseconds())) // it is in range
+}
+
+// Untold returns the cells that have changed since they were told, and marks them
+// as told. All asks for every cell: another daemon decides now.
+func (r *Recorder) Untold(all bool) map[Key]Cell {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	out := map[Key]Cell{}
+	for key, c := range r.cells {
+		if all || c.changed {
+			out[key] = c.cell()
+		}
+		c.changed = false
+	}
+	return out
+}
+
+// Lost marks cells as not told: their report was not answered.
+func (r *Recorder) Lost(cells map[Key]Cell) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for key := range cells {
+		r.cells[key].changed = true
+	}
+}
+
+// OldRuns returns how many requests run on servers of the old versions.
+func (r *Recorder) OldRuns() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.oldRuns
+}
+
+// Limit is what counts as slow on a route; zero: unknown yet.
+type Limit struct{ First, Pace time.Duration }
+
+// exceeded tells whether a run was slow. One that was abandoned counts by what it had
+// taken: a caller who gave up waiting for a slow server would go unseen otherwise.
+func (l Limit) exceeded(run Run) bool {
+	return l.First > 0 && run.First > l.First || l.Pace > 0 && run.Pace > l.Pace
+}
+
+const (
+	// slowMedian and slowTail are by how much a time must exceed the median, and the
+	// 95th percentile, of the old versions to be slow. Bad versions are several times
+	// slower; servers of one version differ by up to four times, which the tail has.
+	slowMedian, slowTail = 2.5, 1.25
+	tailQuantile         = 95
+	// leastTimes is how many times make a limit.
+	leastTimes = 20
+)
+
+// slowAbove returns the time above which a run is slow, by the old versions' times.
+func slowAbove(t Times) time.Duration {
+	h := t.histogram()
+	if h.TotalCount() < leastTimes {
+		return 0
+	}
+	median, tail := h.ValueAtQuantile(50), h.ValueAtQuantile(tailQuantile)
+	return time.Duration(max(slowMedian*float64(median), slowTail*float64(tail))) * time.Microsecond
+}
