gateway, forward: requests are divided between two versions of a service's servers

Change: the adapter decodes versions, orders and outcomes; readers read the orders where the settings allow rollouts (one watch, a list each 20 s, each second while a rollout runs or a version waits for them) and tell them to the others before the servers they concern. Servers on trial have pools of their own; the first send of a request decides, a retry or second send never goes there. Daemons report each 0.4 s to the owner of the service's pool, which decides and writes the outcome on the condition that the order is as it was read. Without expose_share in the settings nothing of it runs: no call, no message. Tests: with stand-ins and two gateways a good version is taken without a failed answer; versions that fail half, fail later or are slow are taken back within the bound, counted at the servers.

--- a/discovery/directory.go
+++ b/discovery/directory.go
@@ -19,6 +19,10 @@
 	Address          string // IP:port
 	AvailabilityZone string
 	Slots            int
+	// Version is of the server's software; empty: it does not say.
+	Version string
+	// Cold is set while the server is still slow after its start.
+	Cold bool
 	// Leaving is set once this incarnation has announced that it stops.
 	Leaving bool
 	// StartedAt is when this incarnation started, in Unix milliseconds by its own
--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -38,6 +38,7 @@
 	demand   broker.Demand
 	attempts request.Attempts
 	denied   error // the refusal met just before a send; nil: none
+	trial    trial
 	out      *outbound
 	failure  *failure // of an earlier server
 
@@ -204,13 +205,14 @@
 // deadlines.
 const lastWrite = time.Second
 
-// pools returns the candidates for the service now.
-func (x *exchange) pools() []*workspace.ResolvedPool {
+// pools returns the candidates now for a version of the service that is on trial;
+// empty: for the others.
+func (x *exchange) pools(version string) []*workspace.ResolvedPool {
 	snapshot := x.server.deps.Pools.Load()
 	if snapshot == nil {
 		return nil
 	}
-	return snapshot.ModelPools[workspace.ModelRegion{Model: x.service, Region: x.server.deps.Region}]
+	return snapshot.ModelPools[workspace.ModelRegion{Model: x.service, Version: version, Region: x.server.deps.Region}]
 }
 
 func (x *exchange) workspaceName() string {
--- a/internal/forward/rig_test.go
+++ b/internal/forward/rig_test.go
@@ -203,7 +203,7 @@
 func (a *fakeAdmission) ProofAge() time.Duration  { return time.Second }
 func (a *fakeAdmission) StoreLost() time.Duration { return 0 }
 func (a *fakeAdmission) Owner(string) string      { return "owner" }
-func (a *fakeAdmission) MayUse(id string) bool {
+func (a *fakeAdmission) MayUse(id string, _ bool) bool {
 	_, leaving := a.leaving.Load(id)
 	return !leaving
 }
--- a/internal/forward/send.go
+++ b/internal/forward/send.go
@@ -32,14 +32,20 @@
 	tokens, told int
 	toldAt       time.Time
 	reports      int
+	// ended is told how the run went; nil: nobody asks.
+	ended func(pool.Outcome)
 }
 
 // send gets slots and sends the request until a server has answered. The
 // error is a refusal.
 func (x *exchange) send() (*reply, *run, error) {
+	x.decideTrial()
 	for {
-		x.demand.Candidates = x.pools()
+		x.demand.Candidates = x.pools(x.trial.version)
 		grant, err := x.acquire()
+		if err != nil && x.giveUpTrial() {
+			continue
+		}
 		if err != nil {
 			return nil, nil, x.waitEnded(err)
 		}
@@ -47,6 +53,7 @@
 		if err == nil {
 			return r, g, nil
 		}
+		x.giveUpTrial()
 		if refusal := x.failed(err); refusal != nil {
 			return nil, nil, refusal
 		}
@@ -79,7 +86,7 @@
 	d := x.demand
 	spec := *x.spec // another request to the owner: the first one still runs
 	spec.ID += "-again"
-	d.Spec, d.Candidates = &spec, x.pools()
+	d.Spec, d.Candidates = &spec, x.pools("")
 	d.SentTo = append(slices.Clone(d.SentTo), x.out.serverID)
 	grant, err := x.server.deps.Broker.Acquire(ctx, d)
 	if err != nil {
@@ -161,7 +168,7 @@
 func (x *exchange) try(grant broker.Grant) (*reply, *run, error) {
 	s := grant.Server()
 	g := &run{grant: grant}
-	if !x.server.deps.Admission.MayUse(s.Name) {
+	if !x.server.deps.Admission.MayUse(s.Name, x.trial.version != "") {
 		grant.Release(broker.End{Outcome: pool.OutcomeRefused, RefusedLeaving: true})
 		return nil, nil, errors.Wrapf(engine.ErrNotSent, "server %s is leaving", s.Name)
 	}
@@ -177,6 +184,7 @@
 			return x.denied
 		}
 		g.sent = time.Now()
+		x.watchRun(g)
 		x.server.count.connected.Observe(g.sent.Sub(began))
 		return x.attempts.Take()
 	}
@@ -203,6 +211,7 @@
 	}
 	if !g.sent.IsZero() {
 		x.attempts.GiveBack()
+		g.end(pool.OutcomeNotSent)
 	}
 	if x.ctx.Err() != nil || x.denied != nil {
 		g.grant.Return()
@@ -227,6 +236,7 @@
 // asked next.
 func (x *exchange) noteSent(g *run) {
 	x.demand.SentTo = append(x.demand.SentTo, g.grant.Server().Name)
+	x.trial.version = ""
 }
 
 // notExecuted ends a send that the server did not run.
@@ -237,6 +247,7 @@
 		r.ended = false
 	}
 	r.finish()
+	g.end(pool.OutcomeRefused)
 	g.grant.Release(broker.End{Outcome: pool.OutcomeRefused, RefusedLeaving: status == statusMisdirected})
 	return errors.Wrapf(errNotExecuted, "status %d", status)
 }
@@ -251,4 +262,12 @@
 		end.FirstToken = g.first.Sub(g.sent)
 	}
 	g.grant.Release(end)
+	g.end(outcome)
+}
+
+// end tells the rollout of the service how the run went.
+func (g *run) end(outcome pool.Outcome) {
+	if g.ended != nil {
+		g.ended(outcome)
+	}
 }
--- a/internal/forward/server.go
+++ b/internal/forward/server.go
@@ -62,7 +62,9 @@
 	// Budget returns the retry budget of a service.
 	Budget  func(service string) *retry.Budget
 	Servers *Servers
-	Metrics *metrics.Registry
+	// Rollouts divide requests between two versions of servers; nil: there are none.
+	Rollouts Rollouts
+	Metrics  *metrics.Registry
 	// Region is the region whose pools are used.
 	Region string
 	// Self makes request ids unique among the daemons and their restarts.
--- a/internal/gateway/asker.go
+++ b/internal/gateway/asker.go
@@ -80,6 +80,7 @@
 	q := &wire.SyncAsk{
 		ConfigRevision: uint64(s.config.Version), ServersRevision: uint64(s.serversRevision), HoldMs: uint32(askHold.Milliseconds()),
 		Changes: true, ConfigAgeMs: ageMs(s.configFresh.Age()), ServersAgeMs: ageMs(s.serversFresh.Age()),
+		OrdersRevision: uint64(s.orders.revision),
 	}
 	s.mu.Unlock()
 	payload, err := proto.Marshal(q)
@@ -129,6 +130,9 @@
 	if known && m.ConfigAgeMs >= 0 {
 		s.configFresh.Prove(madeBy(s.configFresh, configMark, m) - milliseconds(m.ConfigAgeMs))
 	}
+	if m.OrdersTold { // before the servers that they concern
+		s.replaceOrders(ordersOf(m.Orders), objectstore.Version(m.OrdersRevision))
+	}
 	as := objectstore.Version(m.ServersRevision)
 	if m.ServersTold {
 		s.hearServers(objectstore.Version(m.ServersBase), discovery.Delta{Changed: serversOf(m.Servers), Removed: m.Removed}, as)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -69,6 +69,7 @@
 	asker     *asker
 
 	budgets  *budgets
+	rollouts *rollouts
 	draining atomic.Bool
 	started  time.Time
 }
@@ -86,9 +87,10 @@
 	})
 	servers := forward.NewServers(httpconn.Settings{})
 	g.state = newState(p, s.Region, g.routes, g.pools, g.ledger, servers.Keep, m)
+	g.rollouts = newRollouts(g.state, s.Bounds, m)
 	g.forward = forward.New(forward.Deps{
 		Routes: g.routes, Pools: g.pools, Broker: g, Admission: g,
-		Quotas: g.ledger, Budget: g.budgets.of, Servers: servers, Metrics: m,
+		Quotas: g.ledger, Budget: g.budgets.of, Servers: servers, Rollouts: g.rollouts, Metrics: m,
 		Region: s.Region, Self: s.Name + "." + strconv.FormatInt(time.Now().UnixNano(), 36), Wire: p.Wire,
 	})
 	return g, g.listen()
@@ -122,9 +124,13 @@
 }
 
 // MayUse implements forward.Admission.
-func (g *Gateway) MayUse(serverID string) bool {
+func (g *Gateway) MayUse(serverID string, trial bool) bool {
 	usable := g.state.usable.Load()
-	return usable != nil && (*usable)[serverID]
+	if usable == nil {
+		return false
+	}
+	use, known := (*usable)[serverID]
+	return known && use.takes(trial)
 }
 
 // ProofAge implements forward.Admission; below zero: there was no proof.
@@ -205,6 +211,7 @@
 	parts.Go(func() { g.broker.Run(ctx) })
 	parts.Go(func() { g.quotas.Run(ctx) })
 	parts.Go(func() { g.asker.Run(ctx) })
+	parts.Go(func() { g.rollouts.Run(ctx) })
 	r := &reader{state: g.state, store: g.platform.Store, stale: g.platform.Stale, reading: g.asker.reading, told: g.asker.told}
 	parts.Go(func() { r.runExpiry(ctx) })
 	parts.Go(func() { r.runReach(ctx) })
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -61,6 +61,7 @@
 	g.broker = broker.New(g.host)
 	g.quotas = newQuotas(g.ledger, g.budgets, g.transport, g.views, time.Now)
 	g.asker = newAsker(g.state, g.transport, g.views, g.members.Joined())
+	g.rollouts.join(s.Region, g.transport, g.views, g.host.Owner)
 	g.transport.Start()
 	g.members.Start()
 	return nil
--- a/internal/gateway/platform.go
+++ b/internal/gateway/platform.go
@@ -8,6 +8,7 @@
 	"github.com/lycheekeel/lycheekeel/discovery"
 	"github.com/lycheekeel/lycheekeel/internal/forward"
 	"github.com/lycheekeel/lycheekeel/objectstore"
+	"github.com/lycheekeel/lycheekeel/rollout"
 	"github.com/lycheekeel/lycheekeel/route"
 )
 
@@ -18,7 +19,9 @@
 	// Stale is the same store, for reads that prove no more than that it
 	// answers.
 	Stale objectstore.StaleReader
-	Wire  forward.Wire
+	// Status writes the outcomes of rollouts.
+	Status objectstore.StatusWriter
+	Wire   forward.Wire
 	// ReadinessPath is where the balancer asks whether to send callers here.
 	ReadinessPath string
 	// ConfigurationKind holds the configuration as one object of that name;
@@ -26,7 +29,11 @@
 	ConfigurationKind objectstore.Kind
 	ConfigurationName string
 	ServersKind       objectstore.Kind
+	// RolloutsKind holds the operators' orders for rollouts, by service.
+	RolloutsKind objectstore.Kind
 
 	DecodeConfiguration func(value []byte) (route.Document, error)
 	DecodeServer        func(name string, value []byte) (discovery.Server, error)
+	DecodeOrder         func(objectstore.Object) (rollout.Order, error)
+	EncodeOutcome       func(rollout.Order) ([]byte, error)
 }
--- a/internal/gateway/reader.go
+++ b/internal/gateway/reader.go
@@ -50,7 +50,7 @@
 // kindLoop is how one kind of objects is kept in step.
 type kindLoop struct {
 	kind  objectstore.Kind
-	every time.Duration
+	every func() time.Duration
 	fresh *revision.Freshness
 	// enough is the age up to which what a reader told will do. Beyond it the
 	// daemon reads by itself, whatever the readers answer.
@@ -64,6 +64,8 @@
 	replace func(l objectstore.List) bool
 	change  func(e objectstore.Event, as objectstore.Version)
 	failed  func()
+	// wake cuts a wait short; nil: nothing does.
+	wake <-chan struct{}
 
 	watching atomic.Bool
 	away     time.Time // since when the store does not answer; zero: it does
@@ -72,26 +74,46 @@
 
 func (r *reader) loops() []*kindLoop {
 	s := r.state
-	return []*kindLoop{
+	all := []*kindLoop{
 		{
-			kind: s.platform.ConfigurationKind, every: proofEvery, fresh: s.configFresh, enough: 1700 * time.Millisecond,
+			kind: s.platform.ConfigurationKind, every: always(proofEvery), fresh: s.configFresh, enough: 1700 * time.Millisecond,
 			replace: r.replaceConfiguration, change: r.changeConfiguration, failed: func() {},
 		},
 		{
-			kind: s.platform.ServersKind, every: listEvery, fresh: s.serversFresh, enough: 1500 * time.Millisecond,
+			kind: s.platform.ServersKind, every: always(listEvery), fresh: s.serversFresh, enough: 1500 * time.Millisecond,
 			replace: r.replaceServers, change: r.changeServer, failed: s.storeAway,
 		},
 	}
+	if s.orders.enabled {
+		all = append(all, &kindLoop{
+			kind: s.platform.RolloutsKind, every: r.ordersEvery, fresh: s.ordersFresh, enough: ordersEnough,
+			replace: r.replaceOrders, change: r.changeOrder, failed: func() {}, wake: s.orders.wanted,
+		})
+	}
+	return all
 }
 
+func always(d time.Duration) func() time.Duration { return func() time.Duration { return d } }
+
 // run reads the kind until ctx ends.
 func (r *reader) run(ctx context.Context, k *kindLoop) {
 	for ctx.Err() == nil {
 		if left, ok := r.mayRest(k); ok {
-			wait.For(ctx, left)
+			k.rest(ctx, left)
 			continue
 		}
-		wait.For(ctx, r.read(ctx, k))
+		k.rest(ctx, r.read(ctx, k))
+	}
+}
+
+// rest waits for d, or until the loop is woken.
+func (k *kindLoop) rest(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-k.wake:
+	case <-ctx.Done():
 	}
 }
 
@@ -125,7 +147,8 @@
 	if r.reading() && k.watching.CompareAndSwap(false, true) {
 		go r.watch(ctx, k, l.Version)
 	}
-	return k.every - k.every/10 + rand.N(k.every/5)
+	every := k.every()
+	return every - every/10 + rand.N(every/5)
 }
 
 // list lists the kind. A daemon that has known the kind before asks by a stale read
--- a/internal/gateway/rig_test.go
+++ b/internal/gateway/rig_test.go
@@ -74,6 +74,14 @@
 	return b
 }
 
+// addVersion adds a server of a version.
+func (s *site) addVersion(id, service, version string) *standin.Server {
+	b := &standin.Server{ID: id, Events: 40, EventEvery: time.Millisecond}
+	s.servers[id] = b
+	s.store.PutVersion(id, service, s.serve(b.Serve), version, 4)
+	return b
+}
+
 // put writes the configuration with the next version.
 func (s *site) put() { s.store.PutConfiguration(s.config) }
 
@@ -98,7 +106,7 @@
 	n := &node{site: s, done: make(chan error, 1), settings: gateway.Settings{
 		Name: name, Region: "r", AvailabilityZone: "z", Listen: freePort(s.t), Readiness: freePort(s.t), Peer: freePort(s.t),
 		Store: s.address, Limits: gateway.LimitSettings{MemoryMB: 512},
-		Bounds: gateway.BoundsSettings{GraceS: 8, RevokeMs: 5000, RetryRatio: 0.2, RetryWindowS: 10, RetrySlack: 100},
+		Bounds: gateway.BoundsSettings{GraceS: 8, RevokeMs: 5000, RetryRatio: 0.2, RetryWindowS: 10, RetrySlack: 100, ExposeShare: 0.1, ExposeSlack: 50},
 	}}
 	n.settings.PeerAddress = n.settings.Peer
 	s.seeds = append(s.seeds, n.settings.Peer)
--- /dev/null
+++ b/internal/gateway/rollouts.go
@@ -0,0 +1,422 @@
+package gateway
+
+import (
+	"cmp"
+	"context"
+	"expvar"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/pkg/errors"
+	"github.com/sirupsen/logrus"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/lycheekeel/lycheekeel/discovery"
+	"github.com/lycheekeel/lycheekeel/internal/gateway/wire"
+	"github.com/lycheekeel/lycheekeel/internal/logs"
+	"github.com/lycheekeel/lycheekeel/internal/metrics"
+	"github.com/lycheekeel/lycheekeel/internal/peer"
+	"github.com/lycheekeel/lycheekeel/internal/wait"
+	"github.com/lycheekeel/lycheekeel/member"
+	"github.com/lycheekeel/lycheekeel/rollout"
+)
+
+const (
+	// reportEvery is how often a daemon reports while a rollout runs, and learns the
+	// plan. A bad version gets requests for about so long after it was proved bad.
+	reportEvery = 400 * time.Millisecond
+	// reportTimeout bounds a report's way there and back.
+	reportTimeout = time.Second
+	// planHolds is for how long a plan is gone by. A daemon that the deciding one does
+	// not answer sends nothing to a version on trial after that.
+	planHolds = 2500 * time.Millisecond
+	// rolloutTick is how often a rollout is decided anew.
+	rolloutTick = 200 * time.Millisecond
+)
+
+// rollouts are a daemon's part in the rollouts: it divides its requests by the plan
+// of the daemon that decides, which is the owner of the service's pool, and reports to
+// it how they went. It implements forward.Rollouts.
+type rollouts struct {
+	state  *state
+	bounds rollout.Bounds
+	log    *logrus.Entry
+	count  rolloutCounters
+	// active are the rollouts that run, by service; replaced, never changed.
+	active atomic.Pointer[map[string]*trialing]
+
+	// What follows is set once the daemon has joined the others.
+	region    string
+	transport peer.Transport
+	views     *member.Live
+	owner     func(service, region string) (string, bool)
+	deciders  *deciders
+	started   uint64
+}
+
+type rolloutCounters struct{ tried, notTried, failed, slow *expvar.Int }
+
+// trialing is one rollout as a daemon takes part in it.
+type trialing struct {
+	id       rollout.ID
+	known    time.Time
+	exposure *rollout.Exposure
+	recorder *rollout.Recorder
+	plan     atomic.Pointer[heardPlan]
+	// reporting is set while a report is under way; the fields below are its own.
+	reporting atomic.Bool
+	number    uint64
+	toldTo    string
+}
+
+// heardPlan is a plan with when it was heard.
+type heardPlan struct {
+	rollout.Plan
+	at time.Time
+}
+
+func newRollouts(s *state, b BoundsSettings, m *metrics.Registry) *rollouts {
+	r := &rollouts{
+		state: s, bounds: rollout.Bounds{Share: b.ExposeShare, Slack: b.ExposeSlack}, log: logs.For("rollout"),
+		count: rolloutCounters{
+			tried: m.Counter("rollouts", "tried"), notTried: m.Counter("rollouts", "no_slot"),
+			failed: m.Counter("rollouts", "trials_failed"), slow: m.Counter("rollouts", "trials_abandoned"),
+		},
+	}
+	r.active.Store(&map[string]*trialing{})
+	s.orders = newOrders(b.ExposeShare > 0)
+	s.trials = r.tried
+	return r
+}
+
+// join makes the parts that act together with the other daemons.
+func (r *rollouts) join(region string, t peer.Transport, views *member.Live, owner func(service, region string) (string, bool)) {
+	r.region, r.transport, r.views, r.owner = region, t, views, owner
+	r.started = uint64(time.Now().UnixNano())
+	r.deciders = newDeciders(r.state, r.bounds, views, r.log)
+	t.Handle(peer.TypeRolloutReport, r.takeReport)
+}
+
+// Run takes part in rollouts until ctx ends.
+func (r *rollouts) Run(ctx context.Context) {
+	if !r.state.orders.enabled {
+		return
+	}
+	for ctx.Err() == nil {
+		r.follow()
+		for service, t := range *r.active.Load() {
+			r.takePart(ctx, service, t)
+		}
+		wait.For(ctx, rolloutTick)
+	}
+}
+
+// follow takes up new orders and drops those that have an outcome or were withdrawn.
+func (r *rollouts) follow() {
+	orders, _ := r.state.allOrders()
+	before, changed := *r.active.Load(), false
+	now := map[string]*trialing{}
+	for _, o := range orders {
+		if o.State != rollout.Running {
+			continue
+		}
+		t := before[o.Service]
+		if t == nil || t.id != o.ID {
+			t, changed = r.takeUp(o), true
+		}
+		now[o.Service] = t
+	}
+	for service, t := range before {
+		if now[service] == nil {
+			changed = true
+			r.log.WithFields(logrus.Fields{"service": service, "to": t.id.To}).Info("Rollout is over.")
+		}
+	}
+	if changed {
+		r.active.Store(&now)
+	}
+	r.deciders.keep(now)
+}
+
+func (r *rollouts) takeUp(o rollout.Order) *trialing {
+	r.log.WithFields(logrus.Fields{"service": o.Service, "to": o.To, "within_s": o.Duration.Seconds(), "revision": o.Revision}).
+		Info("Rollout is ordered.")
+	return &trialing{
+		id: o.ID, known: time.Now(), recorder: rollout.NewRecorder(),
+		exposure: rollout.NewExposure(0, r.bounds, len(r.views.Load().Members), rand.Float64()),
+	}
+}
+
+// takePart decides where this daemon owns the service's pool, and reports otherwise.
+func (r *rollouts) takePart(ctx context.Context, service string, t *trialing) {
+	owner, ok := r.owner(service, r.region)
+	if !ok || !t.reporting.CompareAndSwap(false, true) {
+		return
+	}
+	if owner == r.views.Load().Self {
+		defer t.reporting.Store(false)
+		r.deciders.take(t.id, r.report(t, owner))
+		r.hear(service, t, r.deciders.decide(ctx, t.id))
+		return
+	}
+	if heard := t.plan.Load(); heard != nil && time.Since(heard.at) < reportEvery-rolloutTick/2 {
+		t.reporting.Store(false)
+		return
+	}
+	go func() {
+		defer t.reporting.Store(false)
+		r.tell(ctx, service, t, owner)
+	}()
+}
+
+// report returns what is to be told to the daemon that decides.
+func (r *rollouts) report(t *trialing, to string) rollout.Report {
+	t.number++
+	all := to != t.toldTo
+	t.toldTo = to
+	return rollout.Report{
+		Reporter: r.views.Load().Self, Incarnation: r.started, Number: t.number, Age: time.Since(t.known),
+		Cells: t.recorder.Untold(all), OldRuns: t.recorder.OldRuns(),
+	}
+}
+
+// tell reports to the daemon that decides, and takes the plan.
+func (r *rollouts) tell(ctx context.Context, service string, t *trialing, to string) {
+	report := r.report(t, to)
+	plan, err := r.call(ctx, t.id, report, to)
+	if err != nil {
+		t.recorder.Lost(report.Cells)
+		r.log.WithFields(logrus.Fields{"service": service, "of": to}).WithError(err).Debug("Plan of the rollout not heard.")
+		return
+	}
+	r.hear(service, t, plan)
+}
+
+func (r *rollouts) call(ctx context.Context, id rollout.ID, report rollout.Report, to string) (rollout.Plan, error) {
+	payload, err := proto.Marshal(reportToWire(id, report))
+	if err != nil {
+		return rollout.Plan{}, errors.Wrap(err, "encode the report")
+	}
+	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
+	defer cancel()
+	answer, err := r.transport.Call(ctx, peer.Name(to), peer.TypeRolloutReport, payload)
+	if err != nil {
+		return rollout.Plan{}, err
+	}
+	var m wire.RolloutPlan
+	if err := proto.Unmarshal(answer, &m); err != nil {
+		return rollout.Plan{}, errors.Wrap(err, "decode the plan")
+	}
+	return planOf(&m), nil
+}
+
+// hear goes by a plan from now on.
+func (r *rollouts) hear(service string, t *trialing, p rollout.Plan) {
+	before := t.plan.Swap(&heardPlan{p, time.Now()})
+	t.exposure.SetShare(p.Share)
+	if before == nil || before.Phase != p.Phase {
+		r.log.WithFields(logrus.Fields{"service": service, "to": t.id.To, "phase": p.Phase.String(), "share": p.Share}).
+			Info("Rollout has another phase.")
+	}
+	if before == nil || before.Open != p.Open {
+		r.state.divideAnew()
+	}
+}
+
+// takeReport answers another daemon's report.
+func (r *rollouts) takeReport(_ context.Context, from peer.Name, payload []byte) ([]byte, error) {
+	var m wire.RolloutReport
+	if err := proto.Unmarshal(payload, &m); err != nil {
+		return nil, errors.Wrap(err, "decode the report")
+	}
+	id, report := reportOf(&m, string(from))
+	r.deciders.take(id, report)
+	plan, ok := r.deciders.plan(id)
+	if !ok {
+		return nil, errors.Errorf("rollout of %q is not decided here", id.Service)
+	}
+	return proto.Marshal(planToWire(plan))
+}
+
+// Active implements forward.Rollouts.
+func (r *rollouts) Active(service string) bool { return (*r.active.Load())[service] != nil }
+
+// Try implements forward.Rollouts.
+func (r *rollouts) Try(service, route string) (string, bool) {
+	t := (*r.active.Load())[service]
+	if t == nil {
+		return "", false
+	}
+	heard := t.plan.Load()
+	if heard == nil || time.Since(heard.at) > planHolds {
+		return "", false
+	}
+	if heard.ToTrial(route, time.Since(heard.at)) || heard.SharesTrial() && t.exposure.Take() {
+		r.count.tried.Add(1)
+		return t.id.To, true
+	}
+	return "", false
+}
+
+// NotTried implements forward.Rollouts.
+func (r *rollouts) NotTried(service string) {
+	r.count.notTried.Add(1)
+	if t := (*r.active.Load())[service]; t != nil {
+		t.exposure.Return()
+	}
+}
+
+// Began implements forward.Rollouts.
+func (r *rollouts) Began(service string, trial, first bool) {
+	t := (*r.active.Load())[service]
+	if t == nil {
+		return
+	}
+	if first {
+		t.exposure.Sent()
+	}
+	t.recorder.Begin(trial)
+}
+
+// Ended implements forward.Rollouts.
+func (r *rollouts) Ended(service string, run rollout.Run) {
+	t := (*r.active.Load())[service]
+	if t == nil {
+		return
+	}
+	var limit rollout.Limit
+	if heard := t.plan.Load(); heard != nil {
+		limit = heard.Routes[run.Route].Limit
+	}
+	if run.Trial && (run.Ending == rollout.Failed || run.Ending == rollout.Broken) {
+		r.count.failed.Add(1)
+	}
+	if run.Trial && run.Ending == rollout.Abandoned {
+		r.count.slow.Add(1)
+	}
+	t.recorder.End(run, limit)
+}
+
+// tried returns the servers of a version on trial that are used now: all where the
+// plan has opened them, a few warm ones before.
+func (r *rollouts) tried(service string, old int, trial []discovery.Server) []discovery.Server {
+	t := (*r.active.Load())[service]
+	if t == nil {
+		return nil
+	}
+	heard := t.plan.Load()
+	if heard != nil && heard.Open {
+		return trial
+	}
+	warm := slices.DeleteFunc(slices.Clone(trial), func(s discovery.Server) bool { return s.Cold })
+	few := rollout.Tried(r.bounds.TrialShare(), old, len(warm))
+	// By a hash, so that they are spread over the availability zones.
+	slices.SortFunc(warm, func(a, b discovery.Server) int {
+		return cmp.Compare(xxhash.Sum64String(a.ID), xxhash.Sum64String(b.ID))
+	})
+	warm = warm[:few]
+	slices.SortFunc(warm, func(a, b discovery.Server) int { return cmp.Compare(a.ID, b.ID) })
+	return warm
+}
+
+// deciders are the rollouts that this daemon decides. They are safe for concurrent use.
+type deciders struct {
+	state  *state
+	bounds rollout.Bounds
+	views  *member.Live
+	log    *logrus.Entry
+
+	mu  sync.Mutex
+	all map[rollout.ID]*deciding
+}
+
+type deciding struct {
+	*rollout.Decider
+	plan    rollout.Plan
+	at      time.Time // of the plan; zero: none yet
+	told    bool      // the verdict is in the log
+	writing bool
+}
+
+func newDeciders(s *state, b rollout.Bounds, views *member.Live, log *logrus.Entry) *deciders {
+	return &deciders{state: s, bounds: b, views: views, log: log, all: map[rollout.ID]*deciding{}}
+}
+
+// keep forgets the rollouts that do not run any more.
+func (d *deciders) keep(running map[string]*trialing) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for id := range d.all {
+		if t := running[id.Service]; t == nil || t.id != id {
+			delete(d.all, id)
+		}
+	}
+}
+
+// take takes a report; one of an order that is not known here is dropped.
+func (d *deciders) take(id rollout.ID, report rollout.Report) {
+	order, known := d.state.order(id.Service)
+	if !known || order.ID != id || order.State != rollout.Running {
+		return
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	x := d.all[id]
+	if x == nil {
+		x = &deciding{Decider: rollout.NewDecider(order, d.bounds, time.Now())}
+		d.all[id] = x
+	}
+	x.SetOrder(order)
+	x.Take(time.Now(), report)
+}
+
+// plan returns the plan as of now; false: there is none, or its decider has stopped.
+func (d *deciders) plan(id rollout.ID) (rollout.Plan, bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	x := d.all[id]
+	if x == nil || x.at.IsZero() || time.Since(x.at) > planHolds {
+		return rollout.Plan{}, false
+	}
+	p, age := x.plan, time.Since(x.at)
+	p.StopIn -= age
+	p.SurgeIn -= age
+	return p, true
+}
+
+// decide decides a rollout anew and returns its plan.
+func (d *deciders) decide(ctx context.Context, id rollout.ID) rollout.Plan {
+	facts := d.state.facts(id.Service)
+	for _, m := range d.views.Load().Members {
+		if m.State != member.Dead {
+			facts.Daemons++
+		}
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	x := d.all[id]
+	if x == nil {
+		return rollout.Plan{}
+	}
+	x.plan, x.at = x.Tick(time.Now(), facts), time.Now()
+	verdict := x.Verdict()
+	if verdict.State != rollout.Running && !x.told {
+		x.told = true
+		d.logVerdict(id, verdict, facts, x.OldRuns())
+	}
+	d.write(ctx, x, verdict)
+	return x.plan
+}
+
+func (d *deciders) logVerdict(id rollout.ID, v rollout.Verdict, f rollout.Facts, oldRuns int) {
+	d.log.WithFields(logrus.Fields{
+		"service": id.Service, "to": id.To, "outcome": v.State.String(), "reason": v.Reason, "route": v.Route,
+		"new_runs": v.New.Runs, "new_failed": v.New.Failed, "new_broken": v.New.Broken, "new_slow": v.New.Slow,
+		"old_runs": v.Old.Runs, "old_failed": v.Old.Failed, "old_broken": v.Old.Broken, "old_slow": v.Old.Slow,
+		"value": v.Value, "new_servers": f.NewServers, "old_servers": f.OldServers, "old_running": oldRuns,
+	}).Info("Rollout is decided.")
+}
--- /dev/null
+++ b/internal/gateway/rolloutwire.go
@@ -0,0 +1,87 @@
+package gateway
+
+import (
+	"time"
+
+	"github.com/lycheekeel/lycheekeel/internal/gateway/wire"
+	"github.com/lycheekeel/lycheekeel/rollout"
+)
+
+func reportToWire(id rollout.ID, r rollout.Report) *wire.RolloutReport {
+	m := &wire.RolloutReport{
+		Service: id.Service, To: id.To, Created: id.Created, Incarnation: r.Incarnation, Number: r.Number,
+		AgeMs: inMs(r.Age), OldRuns: uint32(r.OldRuns),
+	}
+	for key, c := range r.Cells {
+		m.Cells = append(m.Cells, &wire.RolloutCell{
+			Route: key.Route, Server: key.Server, Runs: c.Runs, Failed: c.Failed, Broken: c.Broken, Slow: c.Slow,
+			First: timesToWire(c.First), Pace: timesToWire(c.Pace), Whole: timesToWire(c.Whole),
+		})
+	}
+	return m
+}
+
+func reportOf(m *wire.RolloutReport, from string) (rollout.ID, rollout.Report) {
+	r := rollout.Report{
+		Reporter: from, Incarnation: m.Incarnation, Number: m.Number, Age: milliseconds(m.AgeMs),
+		OldRuns: int(m.OldRuns), Cells: make(map[rollout.Key]rollout.Cell, len(m.Cells)),
+	}
+	for _, c := range m.Cells {
+		r.Cells[rollout.Key{Route: c.Route, Server: c.Server}] = rollout.Cell{
+			Counts: rollout.Counts{Runs: c.Runs, Failed: c.Failed, Broken: c.Broken, Slow: c.Slow},
+			First:  timesOf(c.First), Pace: timesOf(c.Pace), Whole: timesOf(c.Whole),
+		}
+	}
+	return rollout.ID{Service: m.Service, To: m.To, Created: m.Created}, r
+}
+
+func timesToWire(t rollout.Times) *wire.Times {
+	if len(t) == 0 {
+		return nil
+	}
+	m := &wire.Times{}
+	for us, n := range t {
+		m.ValueUs = append(m.ValueUs, us)
+		m.Count = append(m.Count, n)
+	}
+	return m
+}
+
+func timesOf(m *wire.Times) rollout.Times {
+	t := rollout.Times{}
+	if m == nil {
+		return t
+	}
+	for i, us := range m.ValueUs[:min(len(m.ValueUs), len(m.Count))] {
+		t[us] = m.Count[i]
+	}
+	return t
+}
+
+func planToWire(p rollout.Plan) *wire.RolloutPlan {
+	m := &wire.RolloutPlan{
+		Phase: uint32(p.Phase), Share: p.Share, Open: p.Open, StopInMs: inMs(p.StopIn),
+		SurgeInMs: inMs(p.SurgeIn), SurgeMs: inMs(p.SurgeFor),
+	}
+	for name, r := range p.Routes {
+		m.Routes = append(m.Routes, &wire.RolloutRoute{
+			Route: name, SlowFirstMs: inMs(r.Limit.First), SlowPaceMs: inMs(r.Limit.Pace), LeadMs: inMs(r.Lead),
+		})
+	}
+	return m
+}
+
+func planOf(m *wire.RolloutPlan) rollout.Plan {
+	p := rollout.Plan{
+		Phase: rollout.Phase(m.Phase), Share: m.Share, Open: m.Open, StopIn: milliseconds(m.StopInMs),
+		SurgeIn: milliseconds(m.SurgeInMs), SurgeFor: milliseconds(m.SurgeMs), Routes: make(map[string]rollout.RoutePlan, len(m.Routes)),
+	}
+	for _, r := range m.Routes {
+		p.Routes[r.Route] = rollout.RoutePlan{
+			Limit: rollout.Limit{First: milliseconds(r.SlowFirstMs), Pace: milliseconds(r.SlowPaceMs)}, Lead: milliseconds(r.LeadMs),
+		}
+	}
+	return p
+}
+
+func inMs(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
--- a/internal/gateway/serverlog.go
+++ b/internal/gateway/serverlog.go
@@ -27,7 +27,7 @@
 		switch {
 		case !ok && !x.Leaving:
 			s.logServer(x).Info("Server is there.")
-		case was && x.Leaving, !ok && x.Leaving:
+		case ok && !was.leaving && x.Leaving, !ok && x.Leaving:
 			s.logServer(x).Info("Server is leaving.")
 		}
 	}
@@ -54,5 +54,5 @@
 }
 
 func (s *state) logServer(x discovery.Server) *logrus.Entry {
-	return s.log.WithFields(logrus.Fields{"server": x.ID, "service": x.Service, "address": x.Address, "incarnation": x.Incarnation(), "revision": s.serversRevision})
+	return s.log.WithFields(logrus.Fields{"server": x.ID, "service": x.Service, "version": x.Version, "address": x.Address, "incarnation": x.Incarnation(), "revision": s.serversRevision})
 }
--- a/internal/gateway/sync.go
+++ b/internal/gateway/sync.go
@@ -14,6 +14,7 @@
 	"github.com/lycheekeel/lycheekeel/objectstore"
 	"github.com/lycheekeel/lycheekeel/quota"
 	"github.com/lycheekeel/lycheekeel/revision"
+	"github.com/lycheekeel/lycheekeel/rollout"
 	"github.com/lycheekeel/lycheekeel/route"
 	"github.com/lycheekeel/lycheekeel/workspace"
 )
@@ -33,8 +34,10 @@
 	// configFresh and serversFresh know how old the newest linearizable reads
 	// are.
 	configFresh, serversFresh *revision.Freshness
-	usable                    atomic.Pointer[map[string]bool] // by server ID
-	invalidEntries            *expvar.Int
+	usable                    atomic.Pointer[map[string]serverUse] // by server ID
+	// ordersFresh is the same for the orders of rollouts.
+	ordersFresh    *revision.Freshness
+	invalidEntries *expvar.Int
 	// storeLost is the mark since which this daemon's own reads of the
 	// configuration fail; 0: the last one was answered.
 	storeLost atomic.Int64
@@ -46,15 +49,30 @@
 	config          objectstore.Object
 	serversRevision objectstore.Version
 	changes         discovery.Changes
-	invalid         map[string]string // why, by the entry's name, as last logged
-	incarnations    map[string]string // by server ID, as last logged
-	changed         chan struct{}     // closed at each change
+	orders          orders
+	// trials tells which servers of a version on trial are tried; nil: all.
+	trials       func(service string, old int, trial []discovery.Server) []discovery.Server
+	invalid      map[string]string // why, by the entry's name, as last logged
+	incarnations map[string]string // by server ID, as last logged
+	changed      chan struct{}     // closed at each change
+}
+
+// serverUse is what a server may be used for.
+type serverUse struct {
+	leaving bool
+	arm     rollout.Arm
+}
+
+// takes tells whether the server may get a request, which is on trial or not.
+func (u serverUse) takes(trial bool) bool {
+	return !u.leaving && (u.arm == rollout.Stable || trial && u.arm == rollout.Trial)
 }
 
 func newState(p Platform, region string, routes *route.Live, pools *workspace.Live, ledger *quota.Ledger, servers func(map[string]string), m *metrics.Registry) *state {
 	return &state{
 		platform: p, region: region, routes: routes, pools: pools, ledger: ledger, servers: servers,
-		configFresh: revision.NewFreshness(), serversFresh: revision.NewFreshness(), log: logs.For("sync"),
+		configFresh: revision.NewFreshness(), serversFresh: revision.NewFreshness(), ordersFresh: revision.NewFreshness(),
+		log: logs.For("sync"), orders: newOrders(false),
 		directory: discovery.NewDirectory(), changed: make(chan struct{}), latency: newLatencies(m),
 		invalidEntries: m.Counter("servers", "invalid_entries"), invalid: map[string]string{},
 	}
@@ -191,12 +209,13 @@
 	servers := s.directory.Servers()
 	s.logServers(servers)
 	s.logInvalid(s.directory.Invalid())
-	s.pools.Store(buildPools(table, servers, s.region))
+	s.orders.divide(servers, s.serversRevision)
+	s.pools.Store(buildPools(table, servers, s.region, s.division()))
 	inUse := make(map[string]string, len(servers))
-	usable := make(map[string]bool, len(servers))
+	usable := make(map[string]serverUse, len(servers))
 	for _, server := range servers {
 		inUse[server.Address] += server.ID + "/" + server.Incarnation() + " "
-		usable[server.ID] = !server.Leaving
+		usable[server.ID] = serverUse{leaving: server.Leaving, arm: s.orders.arm(server)}
 	}
 	s.servers(inUse)
 	s.usable.Store(&usable)
--- a/internal/gateway/sync_test.go
+++ b/internal/gateway/sync_test.go
@@ -10,6 +10,7 @@
 	"github.com/lycheekeel/lycheekeel/discovery"
 	"github.com/lycheekeel/lycheekeel/internal/logs"
 	"github.com/lycheekeel/lycheekeel/objectstore"
+	"github.com/lycheekeel/lycheekeel/rollout"
 	"github.com/lycheekeel/lycheekeel/route"
 )
 
@@ -34,7 +35,7 @@
 		s.replaceServers([]discovery.Server{{ID: "a", Service: "app"}}, 50)
 		s.replaceServers([]discovery.Server{{ID: "a", Service: "app"}, {ID: "b", Service: "app"}}, 49)
 		s.putServer(discovery.Server{ID: "c", Service: "app"}, 48)
-		So(*s.usable.Load(), ShouldResemble, map[string]bool{"a": true})
+		So(*s.usable.Load(), ShouldResemble, map[string]serverUse{"a": {arm: rollout.Stable}})
 	})
 	Convey("An older configuration is neither in force nor told to others", t, func() {
 		s := configured()
@@ -45,7 +46,7 @@
 	Convey("A leaving server may not be used, whoever grants it", t, func() {
 		s := configured()
 		s.replaceServers([]discovery.Server{{ID: "a", Service: "app", Leaving: true}, {ID: "b", Service: "app"}}, 50)
-		So(*s.usable.Load(), ShouldResemble, map[string]bool{"a": false, "b": true})
+		So(*s.usable.Load(), ShouldResemble, map[string]serverUse{"a": {leaving: true, arm: rollout.Stable}, "b": {arm: rollout.Stable}})
 	})
 }
 
--- a/internal/peer/counters.go
+++ b/internal/peer/counters.go
@@ -65,6 +65,7 @@
 	TypeSuspect: "suspect", TypeConfigDigest: "config_digest", TypeConfigPull: "config_pull",
 	TypeStatus: "status", TypeSync: "sync",
 	TypeQuotaBatch: "quota_batch", TypeQuotaAnswer: "quota_answer", TypeQuotaGroup: "quota_group",
+	TypeRolloutReport: "rollout_report",
 }
 
 // String returns the type's name in counters.
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -39,6 +39,8 @@
 	TypeQuotaBatch  Type = 42 // what a daemon let through of the quotas, to its hub
 	TypeQuotaAnswer Type = 43 // the hub's answer
 	TypeQuotaGroup  Type = 44 // what a hub's daemons let through, to the other hubs
+	// what a daemon saw of a rollout, to the one that decides; its answer is the plan
+	TypeRolloutReport Type = 45
 )
 
 // Errors of a Transport; callers test with errors.Is.
--- a/objectstore/objectstore.go
+++ b/objectstore/objectstore.go
@@ -48,6 +48,8 @@
 	// object is deleted and created again under the same name.
 	Created Version
 	Value   []byte
+	// Status is what the system has written beside the value; empty: nothing.
+	Status []byte
 }
 
 // Event is one change seen by a watch.
@@ -82,6 +84,12 @@
 	Watch(ctx context.Context, kinds []Kind, after Version, wait time.Duration) ([]Event, Version, error)
 }
 
+// StatusWriter replaces an object's status, and leaves its value to whoever wrote that.
+type StatusWriter interface {
+	// UpdateStatus replaces the status if the object's version is still expected.
+	UpdateStatus(ctx context.Context, kind Kind, name string, status []byte, expected Version) (Version, error)
+}
+
 // StaleReader reads what may be seconds old, at less cost than ObjectAPI. It
 // proves that the platform answers, and nothing about what is in force.
 type StaleReader interface {
