rollout: emptied pools stay for those that wait in them; cold servers are tried late

Cause: an outcome made the emptied pool vanish, and with it the owner that sheds what waits there; and a version whose servers stay cold until the deadline was never tried, so that it could not be taken. Change: both pools stay while an order stands; cold servers are tried after 0.4 of the duration, and their slowness is not held against them. Tests: the pools of each state, versions that wait for the orders, what daemons tell each other.

--- a/internal/gateway/pools.go
+++ b/internal/gateway/pools.go
@@ -67,26 +67,29 @@
 	tried  func(service string, old int, trial []discovery.Server) []discovery.Server
 }
 
-// pools returns the pools that a service has.
+// pools returns the pools that a service has. Those that an outcome has emptied stay,
+// without servers, for the requests that wait in them: their owner sheds these when
+// their patience ends, while without an owner they would wait until their deadline.
 func (d division) pools(service string) []poolsOf {
 	order, divided := d.orders[service]
-	switch {
-	case !divided || order.State == rollout.RolledBack:
+	if !divided {
 		return []poolsOf{{service: service}}
-	case order.State == rollout.Succeeded:
-		return []poolsOf{{service, order.To}}
-	default:
-		return []poolsOf{{service: service}, {service, order.To}}
 	}
+	return []poolsOf{{service: service}, {service, order.To}}
 }
 
 // served returns the versions under which requests ask for the pools; empty: those
 // that are not on trial.
 func (d division) served(of poolsOf) []string {
-	if of.version != "" && d.orders[of.service].State == rollout.Succeeded {
+	state := d.orders[of.service].State
+	switch {
+	case of.version == "" && state == rollout.Succeeded, of.version != "" && state == rollout.RolledBack:
+		return nil
+	case of.version != "" && state == rollout.Succeeded:
 		return []string{"", of.version}
+	default:
+		return []string{of.version}
 	}
-	return []string{of.version}
 }
 
 // servers divides the servers, which stay sorted by ID.
--- a/internal/gateway/rollouts.go
+++ b/internal/gateway/rollouts.go
@@ -313,6 +313,9 @@
 		return trial
 	}
 	warm := slices.DeleteFunc(slices.Clone(trial), func(s discovery.Server) bool { return s.Cold })
+	if len(warm) == 0 {
+		warm = slices.Clone(trial)
+	}
 	few := rollout.Tried(r.bounds.TrialShare(), old, len(warm))
 	// By a hash, so that they are spread over the availability zones.
 	slices.SortFunc(warm, func(a, b discovery.Server) int {
--- a/rollout/decider.go
+++ b/rollout/decider.go
@@ -101,6 +101,8 @@
 	recent  []moment // of the old versions, oldest first
 	broken  map[string]time.Time
 	verdict Verdict
+	// warm is set while servers of the new version are not slow from their start.
+	warm bool
 	// opened is set once the hand-over has begun, surges once a surge is planned.
 	opened, surges bool
 }
@@ -192,7 +194,7 @@
 
 // Tick lets time pass, and returns the plan as of now.
 func (d *Decider) Tick(now time.Time, f Facts) Plan {
-	d.now = now
+	d.now, d.warm = now, f.WarmServers > 0
 	d.weigh()
 	if d.verdict.State == Running {
 		d.decide(f)
--- a/rollout/planning.go
+++ b/rollout/planning.go
@@ -15,6 +15,10 @@
 	surgeBelow = 0.5
 )
 
+// coldTriedAfter is the part of the order's duration after which servers are tried that
+// are still slow from their start: a version that was never tried can't be taken.
+const coldTriedAfter = 0.4
+
 // leadStep is the grain in which the hand-over is planned.
 const leadStep = 50 * time.Millisecond
 
@@ -30,7 +34,8 @@
 		return p
 	}
 	longest := d.routes(&p)
-	ready := f.WarmServers > 0 && f.OldServers > 0
+	late := d.now.Sub(d.known) >= time.Duration(coldTriedAfter*float64(d.order.Duration))
+	ready := f.OldServers > 0 && (f.WarmServers > 0 || f.NewServers > 0 && late)
 	if ready {
 		p.Share = d.share(&p)
 		d.surge(&p, f)
--- a/rollout/weigh.go
+++ b/rollout/weigh.go
@@ -15,7 +15,9 @@
 		}
 		bad := float64(added.Failed) + d.brokenOnce(key.Server, added)
 		put(trial, key, answers{float64(added.Runs), bad})
-		put(slow, key, answers{float64(added.Runs), float64(added.Slow)})
+		if d.warm {
+			put(slow, key, answers{float64(added.Runs), float64(added.Slow)})
+		}
 	}
 	clear(d.pending)
 	d.remember(old)
