gateway: changes of orders that come together all count; who waits goes on when a rollout ends

Cause: a watch tells several changes with the revision after the last; the second was taken for an old one, so that an order withdrawn just after its state was written stayed in force (found by TestAWithdrawnOrderEndsTheTrial: not within 30 s). An order for the version that runs was taken back for want of new servers, which left the service without any (TestAnOrderForTheVersionThatRuns). Requests that waited in a pool that an outcome emptied were refused after 3.8 s. Change: changes of the same revision count, removals by their own; a version that served before its order goes on serving and is taken; a wait for a slot ends when the rollout has an outcome, and goes on in the pool that has the servers.

--- a/internal/forward/send.go
+++ b/internal/forward/send.go
@@ -43,7 +43,7 @@
 	for {
 		x.demand.Candidates = x.pools(x.trial.version)
 		grant, err := x.acquire()
-		if err != nil && x.giveUpTrial() {
+		if errors.Is(err, errOver) || err != nil && x.giveUpTrial() {
 			continue
 		}
 		if err != nil {
@@ -63,7 +63,12 @@
 // acquire waits for a slot.
 func (x *exchange) acquire() (broker.Grant, error) {
 	began := time.Now()
-	grant, err := x.server.deps.Broker.Acquire(x.ctx, x.demand)
+	ctx, cancel := x.untilOver()
+	defer cancel()
+	grant, err := x.server.deps.Broker.Acquire(ctx, x.demand)
+	if err != nil && x.ctx.Err() == nil && errors.Is(context.Cause(ctx), errOver) {
+		err = errOver
+	}
 	took := time.Since(began)
 	x.trail.waited += took
 	x.server.count.waited.Observe(took)
--- a/internal/forward/trial.go
+++ b/internal/forward/trial.go
@@ -1,8 +1,11 @@
 package forward
 
 import (
+	"context"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"github.com/lycheekeel/lycheekeel/pool"
 	"github.com/lycheekeel/lycheekeel/rollout"
 )
@@ -13,6 +16,9 @@
 	// Active tells whether a rollout of the service runs. It is asked for every
 	// request, and does nothing else where none runs.
 	Active(service string) bool
+	// Over returns a channel that is closed when the rollout has an outcome; nil: none
+	// runs.
+	Over(service string) <-chan struct{}
 	// Try tells whether a request of a route that is about to wait for a slot goes to
 	// the servers of a version on trial, and which.
 	Try(service, route string) (version string, ok bool)
@@ -58,6 +64,32 @@
 	return true
 }
 
+// errOver: the rollout has an outcome, and other pools have the servers now.
+var errOver = errors.New("the rollout of the service is over")
+
+// untilOver returns a context for waiting for a slot that ends when a rollout of the
+// service has an outcome: the pool may have no server any more then, and what waits
+// there would be refused when its patience ends.
+func (x *exchange) untilOver() (context.Context, context.CancelFunc) {
+	r := x.server.deps.Rollouts
+	if r == nil {
+		return x.ctx, func() {}
+	}
+	over := r.Over(x.service)
+	if over == nil {
+		return x.ctx, func() {}
+	}
+	ctx, cancel := context.WithCancelCause(x.ctx)
+	go func() {
+		select {
+		case <-over:
+			cancel(errOver)
+		case <-ctx.Done():
+		}
+	}()
+	return ctx, func() { cancel(nil) }
+}
+
 // watchRun makes a run's end known to the rollout of its service, if there is one.
 func (x *exchange) watchRun(g *run) {
 	r := x.server.deps.Rollouts
--- a/internal/gateway/division_test.go
+++ b/internal/gateway/division_test.go
@@ -113,3 +113,27 @@
 		So(len(s.ModelPools[workspace.ModelRegion{Model: "app", Region: "r"}][0].Servers), ShouldEqual, 1)
 	})
 }
+
+// Symptom: a withdrawn order stays in force. Sequence: an outcome is written and the
+// order deleted; a watch tells of both at once. Cause: the second change had no newer
+// revision than the first, and was taken for an old one.
+func TestChangesOfOrdersThatComeTogether(t *testing.T) {
+	Convey("Each change of a watch counts, and a list as of the same revision", t, func() {
+		s := configured()
+		s.orders = newOrders(true)
+		o := rollout.Order{ID: rollout.ID{Service: "app", To: "v2", Created: 80}, Revision: 85}
+		s.putOrder(o, 90)
+		s.removeOrder("app", 86, 90)
+		So(len(s.orders.known), ShouldEqual, 0)
+		s.putOrder(o, 90)
+		s.replaceOrders(nil, 90)
+		So(len(s.orders.known), ShouldEqual, 0)
+	})
+	Convey("A removal that is older than the order was of another one", t, func() {
+		s := configured()
+		s.orders = newOrders(true)
+		s.putOrder(rollout.Order{ID: rollout.ID{Service: "app", To: "v2", Created: 80}, Revision: 85}, 90)
+		s.removeOrder("app", 79, 91)
+		So(len(s.orders.known), ShouldEqual, 1)
+	})
+}
--- a/internal/gateway/orderreader.go
+++ b/internal/gateway/orderreader.go
@@ -32,7 +32,7 @@
 
 func (r *reader) changeOrder(e objectstore.Event, as objectstore.Version) {
 	if e.Deleted {
-		r.state.removeOrder(e.Object.Name, as)
+		r.state.removeOrder(e.Object.Name, e.Object.Version, as)
 		return
 	}
 	if order, ok := r.decodeOrder(e.Object); ok {
--- a/internal/gateway/orders.go
+++ b/internal/gateway/orders.go
@@ -135,7 +135,7 @@
 func (s *state) replaceOrders(all []rollout.Order, as objectstore.Version) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if as <= s.orders.revision {
+	if as < s.orders.revision {
 		return
 	}
 	waited := s.orders.unvetted()
@@ -158,19 +158,25 @@
 	}
 }
 
-// putOrder takes one changed order, removeOrder the withdrawal of one.
+// putOrder takes one changed order, removeOrder the withdrawal of one at a revision.
 func (s *state) putOrder(o rollout.Order, as objectstore.Version) {
 	s.changeOrder(as, func() { s.orders.known.Put(o) })
 }
 
-func (s *state) removeOrder(service string, as objectstore.Version) {
-	s.changeOrder(as, func() { delete(s.orders.known, service) })
+func (s *state) removeOrder(service string, at, as objectstore.Version) {
+	s.changeOrder(as, func() {
+		if s.orders.known[service].Revision <= uint64(at) {
+			delete(s.orders.known, service)
+		}
+	})
 }
 
+// changeOrder takes one of the changes of a watch, which come several at a time with
+// the revision after the last.
 func (s *state) changeOrder(as objectstore.Version, change func()) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if as <= s.orders.revision {
+	if as < s.orders.revision {
 		return
 	}
 	change()
@@ -192,15 +198,18 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	var f rollout.Facts
+	to := s.orders.known[service].To
 	for _, x := range s.directory.Servers() {
 		if x.Service != service || x.Leaving {
 			continue
 		}
-		switch s.orders.arm(x) {
-		case rollout.Stable:
+		switch arm := s.orders.arm(x); {
+		case arm == rollout.Off:
+		case x.Version != to:
 			f.OldServers++
 			f.OldSlots += x.Slots
-		case rollout.Trial:
+		default:
+			f.Serving = arm == rollout.Stable
 			f.NewServers++
 			f.NewSlots += x.Slots
 			if !x.Cold {
--- a/internal/gateway/rollout_test.go
+++ b/internal/gateway/rollout_test.go
@@ -130,3 +130,102 @@
 		})
 	}
 }
+
+// Symptom: a bad version stays in use for as long as the store is away. Sequence: its
+// servers are on trial; the store goes down; then they fail. Cause: requests went on to
+// them until an outcome was written.
+func TestABadVersionGetsNothingWhileTheStoreIsDown(t *testing.T) {
+	Convey("A bad version is taken back at once where the store is down, and the outcome is written later", t, func() {
+		s := newTrialSite(t)
+		var bad atomic.Bool
+		s.order(30, func(b *standin.Server) { b.Fails = func(int) bool { return bad.Load() } })
+		s.call(func() bool { return s.arrivals("new-") >= 3 })
+		s.store.Fail(standin.Faults{Busy: true})
+		bad.Store(true)
+		resting := func() bool {
+			before := s.arrivals("new-")
+			for i := range 60 {
+				s.nodes[i%2].status("/again/", fmt.Sprint("down-", i), "key-1")
+			}
+			return s.arrivals("new-") == before
+		}
+		eventually(t, "the new version gets nothing more", resting)
+		So(s.state(), ShouldEqual, "running")
+		s.store.Fail(standin.Faults{})
+		eventually(t, "the outcome is written", func() bool { return s.state() == "rolled_back" })
+	})
+}
+
+// Symptom: a rollout has two outcomes, or none. Sequence: the store does each write and
+// loses its answer. Cause: a write whose fate is unknown counted as done, or as failed.
+func TestOneOutcomeWhereAnswersOfTheStoreAreLost(t *testing.T) {
+	Convey("Where answers to writes are lost, there is one outcome, and it stays", t, func() {
+		s := newTrialSite(t)
+		s.store.Fail(standin.Faults{LoseWrites: true})
+		s.order(8, func(b *standin.Server) { b.Fails = func(n int) bool { return n%2 == 0 } })
+		s.call(func() bool { return s.state() == "rolled_back" })
+		writes := s.store.Calls("PUT")
+		s.call(func() bool { return s.asked.Load() > 2000 })
+		So(s.state(), ShouldEqual, "rolled_back")
+		So(s.store.Calls("PUT"), ShouldBeLessThanOrEqualTo, writes+1) // one may have been under way
+	})
+}
+
+// Symptom: a rollout stays without an outcome, or a bad version is taken. Sequence: the
+// daemon that decides leaves in the middle. Cause: the evidence was known to it alone.
+func TestARolloutOutlivesTheDaemonThatDecides(t *testing.T) {
+	for _, leaver := range []int{0, 1} {
+		Convey(fmt.Sprint("A bad version is taken back when daemon ", leaver, " leaves meanwhile"), t, func() {
+			s := newTrialSite(t)
+			s.order(12, func(b *standin.Server) { b.Fails = func(n int) bool { return n%3 == 0 } })
+			s.call(func() bool { return s.arrivals("new-") >= 1 })
+			s.nodes[leaver].stop()
+			s.nodes = []*node{s.nodes[1-leaver], s.nodes[1-leaver]}
+			s.call(func() bool { return s.state() == "rolled_back" })
+		})
+	}
+}
+
+// Symptom: the servers of an order that was withdrawn go on getting requests.
+// Sequence: an operator orders a rollout and deletes the order while it runs.
+// Cause: without an order every version counted as fit to serve.
+func TestAWithdrawnOrderEndsTheTrial(t *testing.T) {
+	Convey("When the order is withdrawn the new version gets nothing more", t, func() {
+		s := newTrialSite(t)
+		s.order(30, func(*standin.Server) {})
+		s.call(func() bool { return s.arrivals("new-") >= 3 })
+		s.store.Remove(standin.KindRollouts, "app")
+		eventually(t, "the new version gets nothing more", func() bool {
+			before := s.arrivals("new-")
+			for i := range 60 {
+				s.nodes[i%2].status("/again/", fmt.Sprint("without-", i), "key-1")
+			}
+			return s.arrivals("new-") == before
+		})
+	})
+}
+
+// Symptom: an order for the version that runs already leaves a service without
+// servers. Sequence: an operator orders it. Cause: its servers were put on trial.
+func TestAnOrderForTheVersionThatRuns(t *testing.T) {
+	Convey("An order for the version that runs already succeeds, and nobody is refused", t, func() {
+		s := newTrialSite(t)
+		s.store.PutOrder("app", "v1", 6)
+		s.call(func() bool {
+			state, to := s.store.RolloutState("app")
+			return state == "succeeded" && to == "v1"
+		})
+		So(s.failed.Load(), ShouldEqual, 0)
+	})
+}
+
+// Symptom: a rollout stays running for ever. Sequence: no server of the version ever
+// registers. Cause: only evidence ended a rollout.
+func TestAnOrderWithoutServersIsTakenBack(t *testing.T) {
+	Convey("A version without servers is taken back at the deadline", t, func() {
+		s := newTrialSite(t)
+		s.store.PutOrder("app", "v2", 2)
+		s.call(func() bool { return s.state() == "rolled_back" })
+		So(s.failed.Load(), ShouldEqual, 0)
+	})
+}
--- a/internal/gateway/rollouts.go
+++ b/internal/gateway/rollouts.go
@@ -67,6 +67,7 @@
 	exposure *rollout.Exposure
 	recorder *rollout.Recorder
 	plan     atomic.Pointer[heardPlan]
+	over     chan struct{} // closed when the rollout does not run any more
 	// reporting is set while a report is under way; the fields below are its own.
 	reporting atomic.Bool
 	number    uint64
@@ -130,15 +131,19 @@
 		}
 		now[o.Service] = t
 	}
+	var ended []*trialing
 	for service, t := range before {
-		if now[service] == nil {
-			changed = true
+		if now[service] != t {
+			changed, ended = true, append(ended, t)
 			r.log.WithFields(logrus.Fields{"service": service, "to": t.id.To}).Info("Rollout is over.")
 		}
 	}
 	if changed {
 		r.active.Store(&now)
 	}
+	for _, t := range ended { // whoever is woken finds no rollout
+		close(t.over)
+	}
 	r.deciders.keep(now)
 }
 
@@ -146,7 +151,7 @@
 	r.log.WithFields(logrus.Fields{"service": o.Service, "to": o.To, "within_s": o.Duration.Seconds(), "revision": o.Revision}).
 		Info("Rollout is ordered.")
 	return &trialing{
-		id: o.ID, known: time.Now(), recorder: rollout.NewRecorder(),
+		id: o.ID, known: time.Now(), recorder: rollout.NewRecorder(), over: make(chan struct{}),
 		exposure: rollout.NewExposure(0, r.bounds, len(r.views.Load().Members), rand.Float64()),
 	}
 }
@@ -245,6 +250,14 @@
 // Active implements forward.Rollouts.
 func (r *rollouts) Active(service string) bool { return (*r.active.Load())[service] != nil }
 
+// Over implements forward.Rollouts.
+func (r *rollouts) Over(service string) <-chan struct{} {
+	if t := (*r.active.Load())[service]; t != nil {
+		return t.over
+	}
+	return nil
+}
+
 // Try implements forward.Rollouts.
 func (r *rollouts) Try(service, route string) (string, bool) {
 	t := (*r.active.Load())[service]
--- a/rollout/decider.go
+++ b/rollout/decider.go
@@ -56,6 +56,9 @@
 	// the new ones are not slow from their start any more.
 	OldServers, NewServers, WarmServers int
 	OldSlots, NewSlots                  int
+	// Serving is set where servers of the version served before the order: there is
+	// nothing to try.
+	Serving bool
 }
 
 // Reason is why a version is taken or taken back.
@@ -66,6 +69,7 @@
 	ReasonNone       Reason = ""
 	ReasonProved     Reason = "its answers were as good as the old version's"
 	ReasonNothingOld Reason = "no server of another version is there"
+	ReasonServing    Reason = "it served before the order"
 	ReasonFailures   Reason = "it fails more requests than the old version"
 	ReasonSlow       Reason = "it is slower than the old version"
 	ReasonNoServers  Reason = "no server of it is ready at the deadline"
@@ -207,7 +211,7 @@
 	if d.convicted(provedAt) {
 		return
 	}
-	if f.OldServers == 0 && f.NewServers > 0 && len(d.cells) == 0 {
+	if f.OldServers == 0 && f.NewServers > 0 && (f.Serving || len(d.cells) == 0) {
 		d.verdict = Verdict{State: Succeeded, Reason: ReasonNothingOld}
 		return
 	}
@@ -224,6 +228,8 @@
 		d.verdict.Reason = ReasonNoServers
 	case float64(f.NewSlots) < leastCapacity*float64(f.OldSlots):
 		d.verdict.Reason = ReasonCapacity
+	case f.Serving:
+		d.verdict.State, d.verdict.Reason = Succeeded, ReasonServing
 	case trial.Runs == trial.Failed+trial.Broken:
 		d.verdict.Reason = ReasonUntried
 	default:
--- a/rollout/order.go
+++ b/rollout/order.go
@@ -153,7 +153,7 @@
 		return Stable
 	case order.State == Succeeded: // replaced; servers of it stop
 		return Off
-	case version == order.To: // rolled back
+	case version == order.To && !v.accepted[version]: // rolled back
 		v.reject(version)
 		return Off
 	default:
--- a/rollout/rollout_test.go
+++ b/rollout/rollout_test.go
@@ -37,6 +37,15 @@
 		v.Arms(nil, both, anyVetted)
 		So(v.Arms(order(Running), both, anyVetted), ShouldResemble, map[string]Arm{"v1": Stable, "v2": Stable})
 	})
+	// Symptom: a service has no server left. Sequence: an order names the version that
+	// runs already; the order is taken back for want of new servers. Cause: the version
+	// of every order that was taken back counted as unfit.
+	Convey("A version that served before its order serves on when that is taken back", t, func() {
+		v := NewVersions()
+		v.Arms(nil, []string{"v2"}, anyVetted)
+		So(v.Arms(order(Running), []string{"v2"}, anyVetted), ShouldResemble, map[string]Arm{"v2": Stable})
+		So(v.Arms(order(RolledBack), []string{"v2"}, anyVetted), ShouldResemble, map[string]Arm{"v2": Stable})
+	})
 	// Symptom: the servers of an order that was withdrawn serve everybody.
 	// Sequence: an order puts a version on trial; it is deleted; its servers stay.
 	// Cause: without an order every version counted as fit.
