gateway: an order's age outlives all daemons; the log tells which requests tried a version

Cause: when all daemons were killed the new ones took a running order for one just given, and decided it long after its deadline. Change: the daemon that acknowledges an order writes since when it is known, in a kind of our own; a decider that begins with an acknowledged order reads it. One write an order, one read a new decider. Lines of requests that tried a new version name it. Test: all daemons stop, and a new one decides an order whose hour is over.

--- a/internal/forward/decisions.go
+++ b/internal/forward/decisions.go
@@ -14,6 +14,7 @@
 	waited time.Duration // for slots, all together
 	first  time.Duration // from the request to its first event or answer
 	events int
+	trial  string   // the version that it tried in a rollout; empty: none
 	tries  []string // the sends before the last, with their end
 }
 
@@ -44,6 +45,9 @@
 	if x.out != nil && x.out.serverID != "" {
 		f["server"] = x.out.serverID
 	}
+	if x.trail.trial != "" {
+		f["tried_version"] = x.trail.trial
+	}
 	if len(x.trail.tries) > 0 {
 		f["tries"] = x.trail.tries
 	}
--- a/internal/forward/trial.go
+++ b/internal/forward/trial.go
@@ -99,6 +99,9 @@
 	onTrial := x.trial.version != ""
 	r.Began(x.service, onTrial, !x.trial.sent)
 	x.trial.sent = true
+	if onTrial {
+		x.trail.trial = x.trial.version
+	}
 	service, server, routeName := x.service, g.grant.Server().Name, x.route.Name
 	g.ended = func(outcome pool.Outcome) {
 		run := rollout.Run{Route: routeName, Server: server, Trial: onTrial, Ending: endingOf(outcome), Whole: time.Since(g.sent)}
--- /dev/null
+++ b/internal/gateway/orderrecord.go
@@ -0,0 +1,82 @@
+package gateway
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/lycheekeel/lycheekeel/objectstore"
+	"github.com/lycheekeel/lycheekeel/rollout"
+)
+
+// kindOrders holds, in a kind of our own and by service, when an order became known.
+//
+// What goes wrong without it: all daemons are killed while a rollout runs; the new ones
+// take the order for one that was just given, and decide it long after its deadline.
+const kindOrders objectstore.Kind = "lycheekeel-rollouts"
+
+// orderRecord is the object's value.
+type orderRecord struct {
+	To      string `json:"to"`
+	Created uint64 `json:"created"`
+	// KnownAtMs is in Unix milliseconds by the clock of the daemon that wrote it. Only
+	// a daemon that knows no other one who remembers goes by it.
+	KnownAtMs int64 `json:"known_at_ms"`
+}
+
+// writeRecord writes when an order became known. It does not matter which of two
+// daemons that write it at once wins: both saw the order just now.
+func (d *deciders) writeRecord(ctx context.Context, id rollout.ID, known time.Time) {
+	log := d.log.WithField("service", id.Service)
+	value, err := json.Marshal(orderRecord{To: id.To, Created: id.Created, KnownAtMs: known.UnixMilli()})
+	if err != nil {
+		log.WithError(err).Error("Order's record can't be encoded.")
+		return
+	}
+	store := d.state.platform.Store
+	_, err = store.Create(ctx, kindOrders, id.Service, value)
+	if errors.Is(err, objectstore.ErrConflict) {
+		var old objectstore.Object
+		if old, err = store.Get(ctx, kindOrders, id.Service); err == nil {
+			_, err = store.Update(ctx, kindOrders, id.Service, value, old.Version)
+		}
+	}
+	if err != nil {
+		log.WithError(err).Warn("Order's record is not written.")
+	}
+}
+
+// readRecord returns when an order became known; false: there is no record of it.
+func (d *deciders) readRecord(ctx context.Context, id rollout.ID) (time.Time, bool) {
+	o, err := d.state.platform.Store.Get(ctx, kindOrders, id.Service)
+	var r orderRecord
+	if err == nil {
+		err = json.Unmarshal(o.Value, &r)
+	}
+	if err != nil {
+		d.log.WithField("service", id.Service).WithError(err).Warn("Order's record can't be read.")
+		return time.Time{}, false
+	}
+	age := time.Since(time.UnixMilli(r.KnownAtMs))
+	if r.To != id.To || r.Created != id.Created || age < 0 {
+		return time.Time{}, false
+	}
+	return time.Now().Add(-age), true
+}
+
+// recall lets a decider that has just begun know an order's age from the record.
+func (d *deciders) recall(ctx context.Context, id rollout.ID) {
+	ctx, cancel := context.WithTimeout(ctx, readTimeout)
+	defer cancel()
+	known, ok := d.readRecord(ctx, id)
+	if !ok {
+		return
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if x := d.all[id]; x != nil {
+		x.KnownSince(known)
+	}
+}
--- a/internal/gateway/outcomes.go
+++ b/internal/gateway/outcomes.go
@@ -20,8 +20,12 @@
 	}
 	order.State = v.State
 	x.writing = true
+	known, first := x.Known(), !order.Acknowledged
 	go func() {
 		d.writeOutcome(ctx, order)
+		if first {
+			d.writeRecord(ctx, order.ID, known)
+		}
 		d.mu.Lock()
 		defer d.mu.Unlock()
 		x.writing = false
--- a/internal/gateway/rollout_test.go
+++ b/internal/gateway/rollout_test.go
@@ -229,3 +229,23 @@
 		So(s.failed.Load(), ShouldEqual, 0)
 	})
 }
+
+// Symptom: a rollout is decided long after its deadline. Sequence: all daemons are
+// killed while it runs, and start again. Cause: the new ones took the order for one that
+// was just given.
+func TestARolloutKeepsItsDeadlineThroughARestartOfAllDaemons(t *testing.T) {
+	Convey("The new daemons know since when the order stands", t, func() {
+		s := newTrialSite(t)
+		s.store.PutOrder("app", "v2", 3600) // no server of it comes
+		eventually(t, "the order is acknowledged", func() bool { return s.state() == "running" })
+		// The record is what outlives the daemons; here it says that the hour is over.
+		eventually(t, "its record is written", func() bool { return s.store.AgeOrderRecord("app", time.Hour) })
+		for _, n := range s.nodes {
+			n.stop()
+			<-n.done
+		}
+		s.seeds = nil
+		s.start("c")
+		eventually(t, "the rollout is decided", func() bool { return s.state() == "rolled_back" })
+	})
+}
--- a/internal/gateway/rollouts.go
+++ b/internal/gateway/rollouts.go
@@ -164,7 +164,7 @@
 	}
 	if owner == r.views.Load().Self {
 		defer t.reporting.Store(false)
-		r.deciders.take(t.id, r.report(t, owner))
+		r.deciders.take(ctx, t.id, r.report(t, owner))
 		r.hear(service, t, r.deciders.decide(ctx, t.id))
 		return
 	}
@@ -233,13 +233,13 @@
 }
 
 // takeReport answers another daemon's report.
-func (r *rollouts) takeReport(_ context.Context, from peer.Name, payload []byte) ([]byte, error) {
+func (r *rollouts) takeReport(ctx context.Context, from peer.Name, payload []byte) ([]byte, error) {
 	var m wire.RolloutReport
 	if err := proto.Unmarshal(payload, &m); err != nil {
 		return nil, errors.Wrap(err, "decode the report")
 	}
 	id, report := reportOf(&m, string(from))
-	r.deciders.take(id, report)
+	r.deciders.take(ctx, id, report)
 	plan, ok := r.deciders.plan(id)
 	if !ok {
 		return nil, errors.Errorf("rollout of %q is not decided here", id.Service)
@@ -374,7 +374,7 @@
 }
 
 // take takes a report; one of an order that is not known here is dropped.
-func (d *deciders) take(id rollout.ID, report rollout.Report) {
+func (d *deciders) take(ctx context.Context, id rollout.ID, report rollout.Report) {
 	order, known := d.state.order(id.Service)
 	if !known || order.ID != id || order.State != rollout.Running {
 		return
@@ -385,6 +385,9 @@
 	if x == nil {
 		x = &deciding{Decider: rollout.NewDecider(order, d.bounds, time.Now())}
 		d.all[id] = x
+		if order.Acknowledged {
+			go d.recall(context.WithoutCancel(ctx), id)
+		}
 	}
 	x.SetOrder(order)
 	x.Take(time.Now(), report)
--- a/rollout/decider.go
+++ b/rollout/decider.go
@@ -151,14 +151,22 @@
 // SetOrder takes a change of the order's duration, revision or state.
 func (d *Decider) SetOrder(o Order) { d.order = o }
 
+// Known returns when the order became known.
+func (d *Decider) Known() time.Time { return d.known }
+
+// KnownSince takes it that the order was known at a moment.
+func (d *Decider) KnownSince(at time.Time) {
+	if at.Before(d.known) {
+		d.known = at
+	}
+}
+
 // Verdict returns what was decided; its State is Running until then.
 func (d *Decider) Verdict() Verdict { return d.verdict }
 
 // Take takes a report. It may come twice or out of order.
 func (d *Decider) Take(now time.Time, r Report) {
-	if since := now.Add(-r.Age); since.Before(d.known) {
-		d.known = since
-	}
+	d.KnownSince(now.Add(-r.Age))
 	known := d.seen[r.Reporter]
 	if known == nil || known.incarnation < r.Incarnation {
 		// What its former incarnation counted stays counted.
