experiment: lycheekeel rollouts plays good and bad versions through the product's decider

Change: a command that prints how often versions of each kind are taken back, after how long, and how many requests they got by then; the bound is planned with 0.95 of it, since what is under way is not counted yet.

--- /dev/null
+++ b/internal/cli/rollouts.go
@@ -0,0 +1,50 @@
+package cli
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/alecthomas/kingpin/v2"
+
+	"github.com/lycheekeel/lycheekeel/internal/experiment"
+)
+
+// rolloutFlags are the flags of the command rollouts.
+type rolloutFlags struct {
+	setting  experiment.RolloutSetting
+	duration time.Duration
+	rates    []int
+	played   int
+	seed     uint64
+}
+
+func init() { register(addRollouts) }
+
+// addRollouts adds the command rollouts.
+func addRollouts(app *kingpin.Application, g *globals) {
+	var f rolloutFlags
+	cmd := app.Command("rollouts", "Play simulated rollouts of good and bad versions through the product's own decider, and tell what becomes of them.")
+	cmd.Flag("rate", "Requests a second of the service; may be given several times.").Default("10", "100", "600").IntsVar(&f.rates)
+	cmd.Flag("within", "How long an order's rollout may take.").Default("12s").DurationVar(&f.duration)
+	cmd.Flag("share", "The part of the requests that a bad version may get.").Default("0.1").Float64Var(&f.setting.Bounds.Share)
+	cmd.Flag("slack", "How many requests more it may get.").Default("50").Float64Var(&f.setting.Bounds.Slack)
+	cmd.Flag("old-fails", "The part of the old version's answers that fail.").Default("0.01").Float64Var(&f.setting.OldFails)
+	cmd.Flag("servers", "How many servers each version has.").Default("20").IntVar(&f.setting.Servers)
+	cmd.Flag("played", "How many rollouts are played of each case.").Default("500").IntVar(&f.played)
+	cmd.Flag("seed", "The same seed gives the same rollouts.").Default("1").Uint64Var(&f.seed)
+	cmd.Action(run(func() error { return f.do(g) }))
+}
+
+func (f *rolloutFlags) do(g *globals) error {
+	f.setting.Duration = f.duration
+	fmt.Fprintln(g.stdout, experiment.RolloutHeader)
+	for _, rate := range f.rates {
+		for _, c := range experiment.RolloutCases(rate) {
+			if err := g.ctx.Err(); err != nil {
+				return err
+			}
+			fmt.Fprintln(g.stdout, experiment.PlayRollouts(f.setting, c, f.played, f.seed).Line())
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/experiment/rollouts.go
@@ -0,0 +1,175 @@
+package experiment
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"strconv"
+	"time"
+
+	"github.com/lycheekeel/lycheekeel/rollout"
+)
+
+// RolloutCase is a version that a service is moved to, in simulated rollouts that the
+// product's own recorder and decider go through.
+type RolloutCase struct {
+	Name string
+	// Rate is the service's requests a second.
+	Rate int
+	// Fails is the part of the new version's answers that fail, Slow the part that take
+	// Factor times as long; both from a moment after the order on.
+	Fails, Slow, Factor float64
+	From                time.Duration
+	// SlowServer is set where only the first of the new servers is slow, as a server of
+	// any version may be.
+	SlowServer bool
+}
+
+// RolloutSetting is what all cases have in common.
+type RolloutSetting struct {
+	Duration time.Duration
+	Bounds   rollout.Bounds
+	// OldFails is the part of the old version's answers that fail.
+	OldFails float64
+	// Servers is how many each version has.
+	Servers int
+}
+
+// RolloutOutcome sums up many rollouts of one case.
+type RolloutOutcome struct {
+	Case      RolloutCase
+	Played    int
+	TakenBack int
+	// After is the mean time from the order until it was taken back.
+	After time.Duration
+	// MostExposed is the most requests that the new version got by the decision in one
+	// rollout, Bound what it may get by the deadline.
+	MostExposed int
+	Bound       float64
+}
+
+const (
+	// rolloutStep is how often daemons report.
+	rolloutStep = 400 * time.Millisecond
+	// callMedian and callSpread are of the old version's lognormal answer times.
+	callMedian   = 50 * time.Millisecond
+	callSpread   = 0.4
+	rolloutRoute = "route"
+)
+
+// PlayRollouts plays a case n times. Equal seeds give equal outcomes.
+func PlayRollouts(s RolloutSetting, c RolloutCase, n int, seed uint64) RolloutOutcome {
+	out := RolloutOutcome{Case: c, Played: n, Bound: s.Bounds.Share*float64(c.Rate)*s.Duration.Seconds() + s.Bounds.Slack}
+	var sum time.Duration
+	for i := range n {
+		p := newRolloutPlay(s, c, rand.New(rand.NewPCG(seed, uint64(i))))
+		v, at := p.run()
+		if v.State == rollout.RolledBack {
+			out.TakenBack++
+			sum += at
+		}
+		out.MostExposed = max(out.MostExposed, p.exposed)
+	}
+	if out.TakenBack > 0 {
+		out.After = sum / time.Duration(out.TakenBack)
+	}
+	return out
+}
+
+// rolloutPlay is one simulated rollout.
+type rolloutPlay struct {
+	setting  RolloutSetting
+	c        RolloutCase
+	random   *rand.Rand
+	decider  *rollout.Decider
+	recorder *rollout.Recorder
+	exposure *rollout.Exposure
+	plan     rollout.Plan
+	exposed  int
+}
+
+func newRolloutPlay(s RolloutSetting, c RolloutCase, random *rand.Rand) *rolloutPlay {
+	o := rollout.Order{ID: rollout.ID{Service: "service", To: "new", Created: 1}, Duration: s.Duration}
+	return &rolloutPlay{
+		setting: s, c: c, random: random, decider: rollout.NewDecider(o, s.Bounds, time.Time{}.Add(time.Hour)),
+		recorder: rollout.NewRecorder(), exposure: rollout.NewExposure(s.Bounds.TrialShare(), s.Bounds, 1, 0),
+		plan: rollout.Plan{Share: s.Bounds.TrialShare()},
+	}
+}
+
+// run plays until the decision, and returns it with when it came.
+func (p *rolloutPlay) run() (rollout.Verdict, time.Duration) {
+	slots := p.setting.Servers * 8
+	facts := rollout.Facts{
+		Daemons: 1, OldServers: p.setting.Servers, NewServers: p.setting.Servers, WarmServers: p.setting.Servers,
+		OldSlots: slots, NewSlots: slots,
+	}
+	start := p.decider.Known()
+	for number, at := uint64(1), time.Duration(0); at < p.setting.Duration; number, at = number+1, at+rolloutStep {
+		for i := range int(float64(p.c.Rate) * rolloutStep.Seconds()) {
+			p.request(at, time.Duration(float64(i)/float64(p.c.Rate)*float64(time.Second)))
+		}
+		p.decider.Take(start.Add(at), rollout.Report{Reporter: "vm", Incarnation: 1, Number: number, Cells: p.recorder.Untold(false)})
+		p.plan = p.decider.Tick(start.Add(at), facts)
+		p.exposure.SetShare(p.plan.Share)
+		if v := p.decider.Verdict(); v.State != rollout.Running {
+			return v, at
+		}
+	}
+	return p.decider.Verdict(), p.setting.Duration
+}
+
+// request sends one request, so long after the plan.
+func (p *rolloutPlay) request(at, since time.Duration) {
+	trial := p.plan.ToTrial(rolloutRoute, since) || p.plan.SharesTrial() && p.exposure.Take()
+	p.exposure.Sent()
+	took := time.Duration(float64(callMedian) * math.Exp(callSpread*p.random.NormFloat64()))
+	run := rollout.Run{Route: rolloutRoute, Server: "old", Trial: trial, First: took, Whole: took}
+	fails := p.setting.OldFails
+	if trial {
+		p.exposed++
+		run.Server = "new-" + strconv.Itoa(p.random.IntN(rollout.Tried(p.plan.Share, p.setting.Servers, p.setting.Servers)))
+		if at >= p.c.From {
+			fails = max(fails, p.c.Fails)
+			if p.random.Float64() < p.c.Slow && (!p.c.SlowServer || run.Server == "new-0") {
+				run.First = time.Duration(p.c.Factor * float64(took))
+				run.Whole = run.First
+			}
+		}
+	}
+	if p.random.Float64() < fails {
+		run.Ending = rollout.Failed
+	}
+	p.recorder.Begin(trial)
+	p.recorder.End(run, p.plan.Routes[rolloutRoute].Limit)
+}
+
+// RolloutCases are versions that are bad in the ways that versions are known to be,
+// and one that is good, at a rate.
+func RolloutCases(rate int) []RolloutCase {
+	half := 6 * time.Second
+	return []RolloutCase{
+		{Name: "good", Rate: rate},
+		{Name: "good, one server 4 x slow", Rate: rate, Slow: 1, Factor: 4, SlowServer: true},
+		{Name: "fails 5%", Rate: rate, Fails: 0.05},
+		{Name: "fails 20%", Rate: rate, Fails: 0.2},
+		{Name: "fails 50%", Rate: rate, Fails: 0.5},
+		{Name: "fails 50% after 6 s", Rate: rate, Fails: 0.5, From: half},
+		{Name: "twice as slow", Rate: rate, Slow: 1, Factor: 2},
+		{Name: "4 times as slow", Rate: rate, Slow: 1, Factor: 4},
+		{Name: "30% are 4 times as slow", Rate: rate, Slow: 0.3, Factor: 4},
+		{Name: "4 times as slow after 6 s", Rate: rate, Slow: 1, Factor: 4, From: half},
+	}
+}
+
+// RolloutHeader names the columns of RolloutOutcome's line.
+const RolloutHeader = "new version                 requests/s  taken back     after  most exposed  bound"
+
+// Line returns the outcome as a line of a table.
+func (o RolloutOutcome) Line() string {
+	after := "-"
+	if o.TakenBack > 0 {
+		after = strconv.FormatFloat(o.After.Seconds(), 'f', 1, 64) + " s"
+	}
+	return fmt.Sprintf("%-27s %10d  %5d of %d %8s  %12d  %5.0f", o.Case.Name, o.Case.Rate, o.TakenBack, o.Played, after, o.MostExposed, o.Bound)
+}
--- a/rollout/planning.go
+++ b/rollout/planning.go
@@ -117,10 +117,15 @@
 	return n
 }
 
+// boundShare is the part of the bound that is planned with: the rate of the requests
+// until the deadline is only expected, and what is under way is not counted yet.
+const boundShare = 0.95
+
 // left returns how many requests more the new version may get until the deadline.
 func (d *Decider) left() float64 {
 	trial, _ := d.totals("")
-	return d.bounds.Share*d.rate("")*d.order.Duration.Seconds() + d.bounds.Slack - float64(trial.Runs)
+	bound := d.bounds.Share*d.rate("")*d.order.Duration.Seconds() + d.bounds.Slack
+	return boundShare*bound - float64(trial.Runs)
 }
 
 // rate returns the requests a second of a route, on both versions; empty: of all.
