gateway: only readers read the orders of rollouts where none runs

Change: a daemon that is not a reader leaves the orders to the readers, unless it needs them and no reader answers. Test: TestOnlyReadersReadOrdersWhereNoneRuns.

--- a/internal/gateway/division_test.go
+++ b/internal/gateway/division_test.go
@@ -137,3 +137,26 @@
 		So(len(s.orders.known), ShouldEqual, 1)
 	})
 }
+
+// Symptom: days without any rollout cost a quarter more calls of the store. Sequence:
+// 79 daemons start, and run. Cause: each read the orders itself, at its start and at
+// intervals.
+func TestOnlyReadersReadOrdersWhereNoneRuns(t *testing.T) {
+	Convey("A daemon that is not a reader reads the orders only where it needs them and nobody tells it", t, func() {
+		s := configured()
+		s.orders = newOrders(true)
+		told := false
+		r := &reader{state: s, reading: func() bool { return false }, told: func() bool { return told }}
+		loops := r.loops()
+		k := loops[len(loops)-1]
+		rests := func() bool {
+			_, ok := r.mayRest(k)
+			return ok
+		}
+		So(rests(), ShouldBeTrue)
+		s.putOrder(rollout.Order{ID: rollout.ID{Service: "app", To: "v2", Created: 80}, Revision: 85}, 90)
+		So(rests(), ShouldBeFalse)
+		told = true
+		So(rests(), ShouldBeTrue)
+	})
+}
--- a/internal/gateway/orderreader.go
+++ b/internal/gateway/orderreader.go
@@ -7,9 +7,16 @@
 	"github.com/lycheekeel/lycheekeel/rollout"
 )
 
-// ordersEnough is the age of what a reader told of the orders up to which it will do
-// while servers wait for them or a rollout runs. A daemon reads by itself then.
-const ordersEnough = 2 * time.Second
+// restsFor is how often a daemon that does not read the orders looks whether it has to.
+const restsFor = 500 * time.Millisecond
+
+// restsFromOrders tells whether a daemon that is not one of the readers can leave the
+// orders to them: they tell of each change. It can't where servers wait for the orders,
+// or a rollout runs, and none of them answers.
+//
+// What goes wrong where each daemon reads them at its start and at intervals: 79 daemons
+// make a quarter more calls of the store, on days without any order.
+func (r *reader) restsFromOrders() bool { return r.told() || !r.state.ordersWanted() }
 
 // ordersEvery is how often the orders are read.
 func (r *reader) ordersEvery() time.Duration {
--- a/internal/gateway/reader.go
+++ b/internal/gateway/reader.go
@@ -64,6 +64,9 @@
 	replace func(l objectstore.List) bool
 	change  func(e objectstore.Event, as objectstore.Version)
 	failed  func()
+	// rests tells whether a daemon that is not one of the readers needs nothing of its
+	// own; nil: as enough says.
+	rests func() bool
 	// wake cuts a wait short; nil: nothing does.
 	wake <-chan struct{}
 
@@ -86,8 +89,8 @@
 	}
 	if s.orders.enabled {
 		all = append(all, &kindLoop{
-			kind: s.platform.RolloutsKind, every: r.ordersEvery, fresh: s.ordersFresh, enough: ordersEnough,
-			replace: r.replaceOrders, change: r.changeOrder, failed: func() {}, wake: s.orders.wanted,
+			kind: s.platform.RolloutsKind, every: r.ordersEvery, fresh: s.ordersFresh,
+			replace: r.replaceOrders, change: r.changeOrder, failed: func() {}, rests: r.restsFromOrders, wake: s.orders.wanted,
 		})
 	}
 	return all
@@ -99,15 +102,15 @@
 func (r *reader) run(ctx context.Context, k *kindLoop) {
 	for ctx.Err() == nil {
 		if left, ok := r.mayRest(k); ok {
-			k.rest(ctx, left)
+			k.pause(ctx, left)
 			continue
 		}
-		k.rest(ctx, r.read(ctx, k))
+		k.pause(ctx, r.read(ctx, k))
 	}
 }
 
-// rest waits for d, or until the loop is woken.
-func (k *kindLoop) rest(ctx context.Context, d time.Duration) {
+// pause waits for d, or until the loop is woken.
+func (k *kindLoop) pause(ctx context.Context, d time.Duration) {
 	t := time.NewTimer(d)
 	defer t.Stop()
 	select {
@@ -119,6 +122,9 @@
 
 // mayRest tells for how long what a reader has told will do.
 func (r *reader) mayRest(k *kindLoop) (time.Duration, bool) {
+	if k.rests != nil {
+		return restsFor, !r.reading() && k.rests()
+	}
 	age, ok := k.fresh.Age()
 	if r.reading() || !ok || !k.away.IsZero() {
 		return 0, false // it is also to be known when the store is back here
