--- a/internal/forward/rig_test.go
+++ b/internal/forward/rig_test.go
@@ -142,6 +142,8 @@
 	refuse  error
 	// refuseAfter is how many are granted before refuse is.
 	refuseAfter int
+	// refuseFirst is set where refuse is for so many of the first alone.
+	refuseFirst int
 	demands     []broker.Demand // as asked for
 	block       chan struct{}   // not nil: Acquire waits for it or the context
 	// blockAfter is how many are granted before block is waited for.
@@ -162,7 +164,7 @@
 	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if b.refuse != nil && n > b.refuseAfter {
+	if b.refuse != nil && n > b.refuseAfter && (b.refuseFirst == 0 || n <= b.refuseFirst) {
 		return nil, b.refuse
 	}
 	s := b.servers[b.next%len(b.servers)]
