--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"os"
 	"path/filepath"
+	"slices"
 	"testing"
 	"time"
 
@@ -73,6 +74,7 @@
 	}
 	f.torment(r, only)
 	f.recover(c)
+	f.checkRollout()
 	cancel()
 	load.Wait()
 	f.check(c)
@@ -102,7 +104,7 @@
 // runs returns the arrivals of each request at the servers, all lives of them.
 func (f *fleet) runs() map[string][]standin.Arrival {
 	out := map[string][]standin.Arrival{}
-	for _, s := range f.servers {
+	for _, s := range append(slices.Clone(f.servers), f.bad...) {
 		for _, a := range s.Arrivals() {
 			out[a.ID] = append(out[a.ID], a)
 		}
