pool: the scheduler's fields are grouped by concern

Pool had 35 fields side by side; waiters, servers, runs, what was learned, and what is worked out anew for each event are structs of their own. No behaviour changes.

--- a/pool/baseline.go
+++ b/pool/baseline.go
@@ -24,7 +24,7 @@
 	switch {
 	case s == nil:
 		p.shed(&w.Enqueue, request.ReasonNoServer, retryMin)
-	case len(p.runs) >= slots+p.cfg.MaxWaiting:
+	case len(p.byGrant) >= slots+p.cfg.MaxWaiting:
 		p.shed(&w.Enqueue, request.ReasonShed, retryMin)
 	default:
 		p.grant(w, option{server: s})
--- a/pool/entries.go
+++ b/pool/entries.go
@@ -109,7 +109,7 @@
 			p.drop(w)
 		}
 	}
-	for _, r := range p.runs {
+	for _, r := range p.byGrant {
 		if !alive[r.entry] {
 			if x := p.entry(r.entry); x.gone.IsZero() {
 				x.gone = p.now
@@ -181,7 +181,7 @@
 
 func (p *Pool) runsInOrder(which func(*run) bool) []*run {
 	var all []*run
-	for _, r := range p.runs {
+	for _, r := range p.byGrant {
 		if which(r) {
 			all = append(all, r)
 		}
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -25,73 +25,100 @@
 	random *rand.Rand
 	now    time.Time
 	out    []Command
-	seq    uint64 // of grants
 
+	waiters
+	servings
+	runs
+	learned
+	turn
+
+	suspects *suspect.Register
+	siblings map[string]*sibling
+	entries  entries
+}
+
+// waiters are the requests that wait, and what those were told that don't any more.
+type waiters struct {
 	queue    *tier.Queue[*waiter]
 	isolated *tier.Queue[*waiter] // suspects, which run alone
 	waiting  map[request.ID]*waiter
-	held     []*waiter // of all servers, in the order in which they were held
-
-	servers map[string]*server
-	order   []*server // the present servers, by name
-	byIndex [prefix.MaxServers]*server
-	runs    map[GrantID]*run
-	granted map[request.ID]*run
-	next    int // round robin's next server
-
-	prefixes *prefix.Index
-	pending  map[uint64]*run // the run that is computing a block now
-	lengths  *estimate.Estimator
-	hints    *estimate.Hints
-	suspects *suspect.Register
-	peers    map[string]score.Prior // measured speed by generation
-	fastest  score.Prior            // the best of all servers; zero: unknown
-	arrivals [request.MaxTiers]headroom.Arrivals
-	targets  [request.MaxTiers]time.Duration // first token, by tier
-	served   flowRate
-	pace     pace
+	held     []*waiter             // of all servers, in the order in which they were held
+	waitOn   [request.MaxTiers]int // waiters beyond their shorter patience
 	// returnsUntil is when all callers that were refused will have had room.
 	returnsUntil time.Time
-	waitOn       [request.MaxTiers]int // waiters beyond their shorter patience
-	deadlines    deadlines
-	siblings     map[string]*sibling
-	entries      entries
+}
 
+// servings are the backend servers, and what their caches hold.
+type servings struct {
+	servers  map[string]*server
+	order    []*server // the present servers, by name
+	byIndex  [prefix.MaxServers]*server
+	next     int // round robin's next server
+	prefixes *prefix.Index
 	alone    *server // drains for, or runs, a suspect
-	sound    bool    // a server is up that is no straggler; by refresh
-	freed    float64 // slots that come free a second, of so many; by refresh
-	slots    int
-	measured time.Time
-	lostRuns int       // freed that nobody released
-	free     []*server // scratch
-	near     []*tier.Item[*waiter]
+}
+
+// runs are the requests that run, by grant and by request.
+type runs struct {
+	seq      uint64 // of grants
+	byGrant  map[GrantID]*run
+	granted  map[request.ID]*run
+	pending  map[uint64]*run // the run that is computing a block now
+	lostRuns int             // freed that nobody released
+}
+
+// learned is what the pool has seen of its callers' requests and its servers' speed.
+type learned struct {
+	lengths   *estimate.Estimator
+	hints     *estimate.Hints
+	peers     map[string]score.Prior // measured speed by generation
+	fastest   score.Prior            // the best of all servers; zero: unknown
+	measured  time.Time
+	arrivals  [request.MaxTiers]headroom.Arrivals
+	targets   [request.MaxTiers]time.Duration // first token, by tier
+	served    flowRate
+	pace      pace
+	deadlines deadlines
+}
+
+// turn is worked out anew for each event that may grant, by refresh, and scratch space.
+type turn struct {
+	sound bool    // a server is up that is no straggler
+	freed float64 // slots that come free a second, of so many
+	slots int
+	free  []*server
+	near  []*tier.Item[*waiter]
 }
 
 // New returns a pool. An unknown policy schedules as PolicyLycheekeel; check
 // with Config.Validate first.
 func New(cfg Config) *Pool {
 	cfg = cfg.withDefaults()
-	p := &Pool{
-		cfg:       cfg,
-		random:    cfg.random(),
-		queue:     tier.NewQueue[*waiter](),
-		isolated:  tier.NewQueue[*waiter](),
-		waiting:   make(map[request.ID]*waiter),
-		servers:   make(map[string]*server),
-		runs:      make(map[GrantID]*run),
-		granted:   make(map[request.ID]*run),
-		prefixes:  prefix.NewIndex(),
-		pending:   make(map[uint64]*run),
-		lengths:   estimate.New(),
-		hints:     estimate.NewHints(),
-		suspects:  suspect.NewRegister(cfg.Verdict),
-		peers:     make(map[string]score.Prior),
-		siblings:  make(map[string]*sibling),
-		deadlines: make(deadlines),
-		served:    flowRate{over: flowTime},
-		pace:      newPace(),
+	return &Pool{
+		cfg:    cfg,
+		random: cfg.random(),
+		waiters: waiters{
+			queue:    tier.NewQueue[*waiter](),
+			isolated: tier.NewQueue[*waiter](),
+			waiting:  make(map[request.ID]*waiter),
+		},
+		servings: servings{servers: make(map[string]*server), prefixes: prefix.NewIndex()},
+		runs: runs{
+			byGrant: make(map[GrantID]*run),
+			granted: make(map[request.ID]*run),
+			pending: make(map[uint64]*run),
+		},
+		learned: learned{
+			lengths:   estimate.New(),
+			hints:     estimate.NewHints(),
+			peers:     make(map[string]score.Prior),
+			deadlines: make(deadlines),
+			served:    flowRate{over: flowTime},
+			pace:      newPace(),
+		},
+		suspects: suspect.NewRegister(cfg.Verdict),
+		siblings: make(map[string]*sibling),
 	}
-	return p
 }
 
 // Handle takes one event at the time now, and appends the commands that
--- a/pool/property_test.go
+++ b/pool/property_test.go
@@ -241,7 +241,7 @@
 // suspectsAlone checks that a suspect runs alone, and one at a time.
 func (b *books) suspectsAlone(t *rapid.T) {
 	n := 0
-	for _, r := range b.p.runs {
+	for _, r := range b.p.byGrant {
 		if !r.alone {
 			continue
 		}
--- a/pool/run.go
+++ b/pool/run.go
@@ -56,7 +56,7 @@
 	r.index = len(s.running)
 	s.running = append(s.running, r)
 	s.tokens += r.tokens
-	p.runs[r.id] = r
+	p.byGrant[r.id] = r
 	p.granted[r.request] = r
 	if r.first {
 		return
@@ -75,7 +75,7 @@
 	s.running[r.index].index = r.index
 	s.running = slices.Delete(s.running, last, last+1)
 	s.tokens -= r.tokens
-	delete(p.runs, r.id)
+	delete(p.byGrant, r.id)
 	if p.granted[r.request] == r {
 		delete(p.granted, r.request)
 	}
@@ -100,7 +100,7 @@
 }
 
 func (p *Pool) progress(e Progress) {
-	r := p.runs[e.Grant]
+	r := p.byGrant[e.Grant]
 	if r == nil {
 		return
 	}
@@ -136,7 +136,7 @@
 // release frees a grant's slot. A late, doubled or unknown release finds no
 // run and does nothing.
 func (p *Pool) release(e Release) {
-	r := p.runs[e.Grant]
+	r := p.byGrant[e.Grant]
 	if r == nil || r.entry != e.Entry {
 		return
 	}
@@ -230,7 +230,7 @@
 func (p *Pool) adopt(e Running) {
 	e.PromptTokens, e.MaxTokens, e.ExpectedTokens = max(0, e.PromptTokens), max(0, e.MaxTokens), max(0, e.ExpectedTokens)
 	p.entryHeard(e.Entry)
-	if r := p.runs[e.Grant]; r != nil {
+	if r := p.byGrant[e.Grant]; r != nil {
 		r.heard = p.now
 		return
 	}
--- a/pool/scenario_test.go
+++ b/pool/scenario_test.go
@@ -140,7 +140,7 @@
 			r.send(EntrySet{Entries: []EntryID{"e1"}})
 			So(r.Summary(r.now).Running, ShouldEqual, 1)
 			r.pass(lostGrace)
-			So(r.runs[GrantID{9, 9}], ShouldBeNil)
+			So(r.byGrant[GrantID{9, 9}], ShouldBeNil)
 		})
 	})
 	Convey("What an entry waits for and runs whose process has ended is freed at once", t, func() {
@@ -248,7 +248,7 @@
 			out := grants(r.send(Progress{Request: "a", Grant: first.Grant, FirstToken: 100 * time.Millisecond, Tokens: 1}))
 			So(out, ShouldHaveLength, 1)
 			So(out[0].Server, ShouldEqual, first.Server)
-			So(r.runs[out[0].Grant].uncached, ShouldEqual, 1)
+			So(r.byGrant[out[0].Grant].uncached, ShouldEqual, 1)
 		})
 		Convey("It is not held beyond its slack, nor for a server that is gone", func() {
 			r.send(long("b", 1))
