pool: a server that fails all it runs is taken out of use until a probe succeeds

Change: the circuit breaker opens after seven runs in a row that end with the server's own failure, of more than one entry, for a third of a pool's servers at the most; a probe each 0.2 to 0.4 s. A server that fails a seventh of its runs is taken out once in a million.

--- a/pool/breaker.go
+++ b/pool/breaker.go
@@ -8,6 +8,12 @@
 	// that it is found within a few milliseconds. Where a twentieth of the answers
 	// is lost on the way, one run in 160,000 would be the fourth of a row.
 	breakerRuns = 4
+	// failedRuns is the same for runs that end with the server's own failure. A server
+	// that fails a seventh of what it runs is taken out once in 1,000,000 runs.
+	failedRuns = 7
+	// failedOut is the largest part of a pool's servers that are out of use because
+	// they fail: where more fail, it is no matter of single servers.
+	failedOut = 1.0 / 3
 	// breakerPauseMin is how long a server that counts as down is left alone before
 	// it is probed; the pause doubles at each probe that breaks, up to
 	// breakerPauseMax. A probe costs a request of the lowest tier; a longer pause
@@ -20,21 +26,24 @@
 )
 
 // breaker is a circuit breaker: it takes a server out of use whose connections
-// break, until a probe gets through.
+// break, or that fails all it runs, until a probe gets through.
 //
 // What goes wrong without it: a server crashes and its address goes on to accept
 // connections, which break at once. Its slots come free within 10 ms each time; when
 // the other servers are full it is the only one with a free slot, and draws all that
 // waits. Eight servers took up to 733 requests each in four seconds, most of which
-// could not be sent again. A server's own refusals and failures do not count: it
-// lives.
+// could not be sent again. It is the same with a server that answers each request at
+// once with a failure, while its health check passes. Refusals do not count: who
+// refuses lives, and has not run the request.
 type breaker struct {
 	broken int     // runs in a row
+	failed int     // runs in a row that ended with the server's own failure
 	entry  EntryID // of the first of them
-	many   bool    // more than one entry's runs broke
-	open   bool
-	pause  time.Duration
-	since  time.Time // it opened, or the last probe broke
+	// several is set once runs of more than one entry are in the row.
+	several bool
+	open    bool
+	pause   time.Duration
+	since   time.Time // it opened, or the last probe broke
 }
 
 // probeAt is when an open breaker lets a probe through.
@@ -49,6 +58,37 @@
 	}
 }
 
+// runFailed counts a run that ended with its server's own failure. The server lives:
+// what broke before was no sign of a crash.
+func (p *Pool) runFailed(r *run) {
+	b := &r.server.breaker
+	if b.open {
+		b.probed(p.now, r)
+		return
+	}
+	b.broken = 0
+	b.count(r, &b.failed)
+	if b.failed >= failedRuns && b.many(p.entries.alive) && p.mayTakeOut() {
+		b.take(p.now)
+		p.emit(ServerDown{Server: r.server.info.Name, Down: true})
+	}
+}
+
+// mayTakeOut tells whether one server more may be out of use because it fails.
+func (p *Pool) mayTakeOut() bool {
+	out, all := 1, 0
+	for _, s := range p.order {
+		if !p.up(s) {
+			continue
+		}
+		all++
+		if s.breaker.open {
+			out++
+		}
+	}
+	return all > 1 && out <= max(1, int(failedOut*float64(all)))
+}
+
 // runBroke counts a run that broke on its server.
 func (p *Pool) runBroke(r *run) {
 	b := &r.server.breaker
@@ -59,21 +99,37 @@
 	}
 }
 
-// runBroke counts a broken run. Where there are several entries, the runs of more
-// than one must have broken: a single one may be what is cut off.
+// runBroke counts a broken run.
 func (b *breaker) runBroke(now time.Time, r *run, entries int) {
 	if b.open {
-		if !r.since.Before(b.since) {
-			b.pause, b.since = min(2*b.pause, breakerPauseMax), now
-		}
+		b.probed(now, r)
 		return
 	}
-	if b.broken == 0 {
-		b.entry = r.entry
+	b.count(r, &b.broken)
+	if b.broken >= breakerRuns && b.many(entries) {
+		b.take(now)
+	}
+}
+
+// count counts a run among those of a row.
+func (b *breaker) count(r *run, row *int) {
+	if b.broken+b.failed == 0 {
+		b.entry, b.several = r.entry, false
 	}
-	b.broken++
-	b.many = b.many || r.entry != b.entry
-	if b.broken >= breakerRuns && (b.many || entries <= 1) {
-		b.open, b.pause, b.since = true, breakerPauseMin, now
+	*row++
+	b.several = b.several || r.entry != b.entry
+}
+
+// many tells whether the runs of a row were of more than one entry, where there are
+// several: a single one may be what is cut off.
+func (b *breaker) many(entries int) bool { return b.several || entries <= 1 }
+
+// take takes the server out of use.
+func (b *breaker) take(now time.Time) { b.open, b.pause, b.since = true, breakerPauseMin, now }
+
+// probed puts the next probe off after one that failed.
+func (b *breaker) probed(now time.Time, r *run) {
+	if !r.since.Before(b.since) {
+		b.pause, b.since = min(2*b.pause, breakerPauseMax), now
 	}
 }
--- a/pool/run.go
+++ b/pool/run.go
@@ -158,7 +158,7 @@
 		r.server.failures.add(p.now, true)
 		p.lose(r)
 	case OutcomeFailed:
-		p.heard(r.server)
+		p.runFailed(r)
 		r.server.failures.add(p.now, true)
 	}
 	p.removeRun(r)
@@ -169,8 +169,8 @@
 
 func (p *Pool) learnRefusal(r *run, e Release) {
 	s := r.server
-	if e.Outcome == OutcomeRefused {
-		p.heard(s)
+	if e.Outcome == OutcomeRefused && s.breaker.failed == 0 {
+		p.heard(s) // it lives; whether it still fails is not known
 	}
 	if e.RefusedLeaving {
 		s.leavingTill = p.now.Add(leavingFor)
