--- a/internal/gateway/budgets.go
+++ b/internal/gateway/budgets.go
@@ -18,8 +18,9 @@
 // budgets holds the retry budget of each service. The slack of the bound is
 // shared by the daemons: each may save up its part alone.
 //
-// What goes wrong with a part that does not follow their number: 88 daemons,
-// each with a sixteenth of the slack, may add five times what was promised.
+// What goes wrong with a part that does not follow their number: the more daemons
+// there are, each with a fixed part of the slack, the further their retries together
+// go beyond what was promised.
 // The number only grows: daemons that are out of sight still have their parts.
 // It is safe for concurrent use.
 type budgets struct {
--- a/internal/gateway/clusterkey.go
+++ b/internal/gateway/clusterkey.go
@@ -59,9 +59,8 @@
 }
 
 // find reads the key, or makes it where there is none. The key never changes, so
-// that a stale read will do: it costs a tenth of another one, and with 195 daemons
-// that start together each call more is 195 more. A stale read that finds none
-// says nothing.
+// that a stale read will do, which costs less: all daemons may start at once. A
+// stale read that finds none says nothing.
 func (s clusterKeyStore) find(ctx context.Context) ([]byte, error) {
 	ctx, cancel := context.WithTimeout(ctx, 2*time.Second)
 	defer cancel()
--- a/internal/gateway/hubs.go
+++ b/internal/gateway/hubs.go
@@ -10,8 +10,8 @@
 )
 
 // daemonsPerHub is how many daemons of an availability zone share a hub of the
-// quotas. A hub gets 12 batches a second of each, at most, and answers them:
-// 600 messages a second both ways, which at 28 µs are 1.7% of a core.
+// quotas. A hub gets 12 batches a second of each, at most, and answers them: with
+// more of them it would be busy with that on a small VM.
 const daemonsPerHub = 24
 
 // hubKey is the key for which the hubs of the quotas are chosen.
--- a/internal/gateway/orderreader.go
+++ b/internal/gateway/orderreader.go
@@ -14,8 +14,8 @@
 // orders to them: they tell of each change. It can't where servers wait for the orders,
 // or a rollout runs, and none of them answers.
 //
-// What goes wrong where each daemon reads them at its start and at intervals: 79 daemons
-// make a quarter more calls of the store, on days without any order.
+// What goes wrong where each daemon reads them at its start and at intervals: the
+// store's calls grow with the fleet though there is no order.
 func (r *reader) restsFromOrders() bool { return r.told() || !r.state.ordersWanted() }
 
 // ordersEvery is how often the orders are read.
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -17,10 +17,8 @@
 // power says nothing: its connections go silent, membership declares it dead after
 // two seconds, and until another owner is found its service would serve nobody.
 //
-// What goes wrong with the usual 300 and 700 ms, and shares after 1.5 s: a service's
-// requests waited for 2.4 s after the owner's VM had lost power, in the middle of a
-// burst, and in two of those seconds a fifth of the work asked for was served (9
-// daemons, an owner's VM that loses power under load).
+// What goes wrong with longer times: a service's requests wait for seconds after the
+// owner's VM has lost power, in the middle of a burst, and are late when they are served.
 const (
 	// peerPingAfter and peerSilence give a silent connection up after 0.6 s in all.
 	// A VM that is out of processor time stands still for a tenth of a second.
@@ -70,17 +68,12 @@
 // patience is the part of its first-token target for which a request waits for
 // a slot. One that waits longer is late, or nearly, when it is granted, and it
 // takes the slot of one that would be in time; its caller, if it is refused
-// after all, has lost that time. In bursts to twice the capacity, 0.15 of the
-// deadline (1.8 to 2.3 s where the target is 1 s) served 65% of the work with 9
-// daemons and 42% with 72; this serves 71% and 57%.
+// after all, has lost that time.
 const patience = 0.12
 
 // longPatience is the same where the pace of grants lets a request have its slot by
-// then: it waits as long as it may be in time. With 0.25 those that would have been
-// served a moment later were refused, came back in the burst and were refused again.
-// It serves 1% more of the work in bursts where a late answer is worth half of one in
-// time, and 1% less where it is worth a third and tags with a tight deadline wait
-// behind long prompts.
+// then: it waits as long as it may be in time. With less, those that would be served a
+// moment later are refused, come back in the burst and are refused again.
 const longPatience = 1.0
 
 // runGrace is how long past its deadline a run stays counted: the time for its
--- a/internal/gateway/pools.go
+++ b/internal/gateway/pools.go
@@ -148,9 +148,8 @@
 
 // shardOf puts a server into one of n pools by jump consistent hashing (Lamping
 // and Veach, 2014): one pool more, or fewer, moves only the servers of one. It
-// takes about ln n steps. Rendezvous hashing takes n: with 3,000 servers in 94
-// pools a snapshot, made at each change of a server, takes 20 ms with that and
-// 4.5 ms with this (BenchmarkBuildPools).
+// takes about ln n steps, rendezvous hashing n, for each server at each change of one
+// (BenchmarkBuildPools).
 func shardOf(id string, n int) int {
 	key, at, next := xxhash.Sum64String(id), int64(0), int64(0)
 	for next < int64(n) {
--- a/internal/gateway/reader.go
+++ b/internal/gateway/reader.go
@@ -29,8 +29,8 @@
 	// retryFar is a number of failures after which the delay is retryMost.
 	retryFar = 8
 	// watchPause is how long changes gather before they are asked for again.
-	// While a hundred servers register or are replaced, a watch returns for
-	// each of them; 72 daemons made 540 of their 2,350 calls in a quiet day so.
+	// While a hundred servers register or are replaced, a watch returns for each of
+	// them, and each return is a call.
 	watchPause = 200 * time.Millisecond
 	// watchWait is how long the store may hold a watch.
 	watchWait = 20 * time.Second
@@ -162,8 +162,8 @@
 // the readers, or its last call failed.
 //
 // What goes wrong without that: while the store is away what the readers tell grows
-// old, and each of 195 daemons lists both kinds again and again, the readers four
-// times a second, all in vain; each call is priced, a stale read a tenth of the others.
+// old, and each daemon lists both kinds again and again, the readers four times a
+// second, all in vain; a stale read costs a tenth of a list.
 func (r *reader) list(ctx context.Context, k *kindLoop) (objectstore.List, error) {
 	if _, known := k.fresh.Age(); known && (!r.reading() || !k.away.IsZero()) {
 		if err := r.reach(ctx); err != nil {
--- a/internal/gateway/readers.go
+++ b/internal/gateway/readers.go
@@ -10,10 +10,8 @@
 
 const (
 	// daemonsPerReader is how many daemons share one that reads the store, whose
-	// rates the whole fleet shares: with one reader for nine daemons in place of
-	// nine there were 6 calls a second in place of 22. With more of them a reader on
-	// a small VM would be busy telling them of each server that changes: the list
-	// of 112 is 6.6 KB.
+	// rates the whole fleet shares. With more of them a reader on a small VM would be
+	// busy telling them of each server that changes.
 	daemonsPerReader = 24
 	// substitutesLeast is how many daemons beside the readers are asked when
 	// those can't read, at the least. The store may turn a third of the VMs away.
@@ -49,9 +47,7 @@
 // also where it knows of no other that does, but not before it has looked for others.
 //
 // What goes wrong without the latter: for the moments in which it is alone, each of
-// the daemons that start together reads everything again and watches. A start took
-// 7.8 calls a daemon where the first read of each kind, and the key, take two and a
-// tenth (counted by kind over the first three seconds of 19 daemons).
+// the daemons that start together reads everything again and watches.
 func (a *asker) reading() bool {
 	select {
 	case <-a.joined:
--- a/pool/admission.go
+++ b/pool/admission.go
@@ -172,9 +172,7 @@
 //
 // What goes wrong without it: in a burst of seconds all refused callers are told to
 // come back in half a second, when the burst still lasts, and the one retry that each
-// has is refused too. Where callers have one retry and a late answer is worth half of
-// one in time, this serves 0.7% more of the work in bursts; elsewhere no difference
-// beyond chance was seen.
+// has is refused too.
 func (p *Pool) nextReturn(t request.Tier) time.Duration {
 	room := p.now.Add(max(p.expectedWait(t), retryMin))
 	if p.returnsUntil.Before(room) {
--- a/pool/breaker.go
+++ b/pool/breaker.go
@@ -31,8 +31,7 @@
 // What goes wrong without it: a server crashes and its address goes on to accept
 // connections, which break at once. Its slots come free within 10 ms each time; when
 // the other servers are full it is the only one with a free slot, and draws all that
-// waits. Eight servers took up to 733 requests each in four seconds, most of which
-// could not be sent again. It is the same with a server that answers each request at
+// waits, most of which can't be sent again. It is the same with a server that answers each request at
 // once with a failure, while its health check passes. Refusals do not count: who
 // refuses lives, and has not run the request.
 type breaker struct {
--- a/pool/choose.go
+++ b/pool/choose.go
@@ -185,9 +185,8 @@
 }
 
 // spread is the cost of an option for an easy request: the part of the server's
-// slots that is taken. So the fast servers have slots left for long answers: with 112
-// servers, a third of them 4.4 times slower than the others, and no overload, 46
-// answers instead of 72 missed their deadline.
+// slots that is taken. So the fast servers have slots left for long answers, which would
+// miss their deadlines on slow ones.
 func (p *Pool) spread(w *waiter, o option) time.Duration {
 	s := o.server
 	load := float64(len(s.running)) / float64(max(1, s.most))
--- a/pool/estimate/hint.go
+++ b/pool/estimate/hint.go
@@ -32,8 +32,7 @@
 
 // Expect estimates an answer's length. maxTokens caps it; 0 is no cap. It is
 // never Known: what a single answer needs between its tokens to end in time is
-// no target, or long ones would wait for fast servers while slow ones idle
-// (in bursts 65% of the work was served without such a target, 47% with).
+// no target, or long ones would wait for fast servers while slow ones idle.
 func (h *Hints) Expect(m Mix, hint, maxTokens int) Length {
 	l := Length{Mean: hint, High: scaled(hint, unknownHigh)}
 	if ratio := h.ratios.Expect(m, unknownHigh); ratio.Known {
--- a/pool/observe.go
+++ b/pool/observe.go
@@ -182,8 +182,8 @@
 			patience := lateFactor*s.speed.FirstToken(r.ahead+r.uncached) + lateSlack
 			// A server that answers others meanwhile is not stuck: the grant
 			// may be with a slow entry, or one answer may be lost. Without
-			// this, a slow entry VM stopped each server that it had a grant
-			// of: 10 of 18 slots stood free while 130 requests waited.
+			// this, a slow entry VM stops each server that it has a grant of:
+			// slots stand free while requests wait.
 			if r.first || waited <= patience || p.now.Sub(s.progressed) <= patience {
 				continue
 			}
--- a/pool/patience.go
+++ b/pool/patience.go
@@ -29,9 +29,8 @@
 // its tier and of those above come fast enough.
 //
 // What goes wrong without it: the calls of a plain service with a target of
-// 300 ms are shed after 36 ms at each little queue, although each would have had
-// a slot some milliseconds later: 220 of 5,838 calls of 72 daemons without an
-// overload, 120 with it.
+// 300 ms are shed after 36 ms at each little queue, without any overload, although
+// each would have a slot some milliseconds later.
 func (p *Pool) mayWaitOn(w *waiter) bool {
 	if w.waitsOn || p.cfg.LongPatience <= p.cfg.Patience {
 		return false
--- a/quota/exchange.go
+++ b/quota/exchange.go
@@ -58,10 +58,8 @@
 // concurrent use.
 //
 // What goes wrong where each daemon tells every other one: the messages of a
-// daemon grow with the number of daemons, 435 a second at 88. With 72 daemons and
-// little load that took almost half of the processor time, 2.9% of a core a VM in
-// place of 1.5%. With hubs a daemon exchanges one message each way
-// at each interval.
+// daemon grow with the number of daemons, and take most of a small VM's processor time.
+// With hubs a daemon exchanges one message each way at each interval.
 //
 // A batch counts once at a hub, however often it is sent. One that a hub has
 // taken, and whose acknowledgement is lost, may count again at another hub: too
--- a/quota/take.go
+++ b/quota/take.go
@@ -38,8 +38,7 @@
 
 const (
 	// reserveShare of a bucket is left, for each more urgent tier that asks of it,
-	// to the requests of those tiers. It covers their chance bunches: with 0.3 no
-	// more of the urgent work was served than with 0.15.
+	// to the requests of those tiers. It covers their chance bunches.
 	reserveShare = 0.15
 	// reserveMost of a bucket is left to more urgent tiers in all.
 	reserveMost = 0.6
@@ -97,9 +96,7 @@
 // What goes wrong without it: a workspace asks several times its quota, the bucket
 // is spent in the order of arrival, and an urgent request is refused because a part
 // of the quota has just gone to one that can wait. One notices refusals of the most
-// urgent tier while lower tiers are served. Where workspaces ask several times their
-// quotas, 1% more of the work asked for is served with it; with a full bucket nothing
-// changes.
+// urgent tier while lower tiers are served. With a full bucket nothing changes.
 func (l *Ledger) reserve(b *bucket, tier request.Tier, cost float64) float64 {
 	if cost <= smallShare*b.capacity {
 		return 0
