rollout: a part of what the bound leaves is kept for trials

Cause: a service with answers of seconds planned to use all that the bound leaves for its hand-over, so that nothing was tried after the first 1.5 s. Change: the trials' usual part, or 0.6 of what is left after the old servers' stop, is kept; the outcome is written 0.6 s before the deadline in place of 0.8, which leaves more.

--- a/rollout/decider.go
+++ b/rollout/decider.go
@@ -9,7 +9,7 @@
 const (
 	// writeTime is how long before the deadline the outcome is written: the store
 	// answers in milliseconds, and may answer the first call with an error.
-	writeTime = 800 * time.Millisecond
+	writeTime = 600 * time.Millisecond
 	// writeShare bounds writeTime by a part of the order's duration.
 	writeShare = 0.1
 	// opensBefore is how long before the first hand-over all servers of the new
--- a/rollout/planning.go
+++ b/rollout/planning.go
@@ -92,7 +92,8 @@
 		p.Routes[key.Route] = r
 		longest = max(longest, r.Lead)
 	}
-	for longest > 0 && d.exposedBy(p.Routes, longest) > d.left() {
+	budget := d.left() - d.reserved(p.Routes)
+	for longest > 0 && d.exposedBy(p.Routes, longest) > budget {
 		longest = max(0, longest-leadStep)
 	}
 	for name, r := range p.Routes {
@@ -102,6 +103,19 @@
 	return longest
 }
 
+// trialPart is the part, of what the bound leaves after the old servers' stop, that is
+// kept for trials at the most; the rest is for the hand-over.
+const trialPart = 0.6
+
+// reserved returns how many requests are kept for trials until the hand-over.
+//
+// What goes wrong without it: a service with answers of seconds plans to use all that the
+// bound leaves for its hand-over, nothing is tried, and a bad version is taken unseen.
+func (d *Decider) reserved(routes map[string]RoutePlan) float64 {
+	usual := d.bounds.TrialShare() * d.rate("") * max(0, d.stopAt().Sub(d.now)).Seconds()
+	return max(0, min(usual, trialPart*(d.left()-d.exposedBy(routes, 0))))
+}
+
 // exposedBy returns how many requests the new version gets, beyond its share, from
 // the hand-over to the deadline, where no route's lead is longer than most.
 //
--- a/rollout/rollout_test.go
+++ b/rollout/rollout_test.go
@@ -146,6 +146,11 @@
 // version gets what the plan says; bad tells how many in a hundred of its answers fail
 // at a moment, old how many of the old version's do.
 func play(seed int, bad, old func(at time.Duration) int, rate int) (Verdict, int, time.Duration) {
+	return playLong(seed, bad, old, rate, 30*time.Millisecond)
+}
+
+// playLong is play with answers of a length.
+func playLong(seed int, bad, old func(at time.Duration) int, rate int, whole time.Duration) (Verdict, int, time.Duration) {
 	d := NewDecider(*order(Running), Bounds{Share: 0.1, Slack: 50}, start)
 	facts := Facts{Daemons: 1, OldServers: 60, NewServers: 60, WarmServers: 60, OldSlots: 540, NewSlots: 540}
 	random := newRandom(seed)
@@ -170,7 +175,7 @@
 				c.Failed++
 			}
 			if key.Server == "" {
-				c.Whole = Times{30_000: int64(c.Runs)}
+				c.Whole = Times{whole.Microseconds(): int64(c.Runs)}
 			}
 			cells[key] = c
 		}
@@ -223,6 +228,23 @@
 			So(exposed, ShouldBeLessThan, 200*12/10+50)
 		}
 	})
+	// Symptom: a bad version is taken unseen. Sequence: a service's answers last for
+	// seconds; its hand-over is to begin as early. Cause: all that the bound leaves was
+	// planned for the hand-over, and nothing was tried.
+	Convey("Where answers last for seconds versions are tried all the same", t, func() {
+		for seed := range 100 {
+			later := func(at time.Duration) int {
+				if at > 4*time.Second {
+					return 50
+				}
+				return 1
+			}
+			v, exposed, at := playLong(seed, later, always(1), 400, 4*time.Second)
+			So(v.Reason, ShouldEqual, ReasonFailures)
+			So(at, ShouldBeLessThan, 9*time.Second) // before any hand-over
+			So(exposed, ShouldBeLessThan, 400*12/10+50)
+		}
+	})
 	Convey("A burst of failures that hits both versions convicts nobody", t, func() {
 		for seed := range 100 {
 			burst := func(at time.Duration) int {
