gateway: whoever waits is woken whenever a service's servers move

Change: a service has an epoch, which ends with each change of what divides its servers; waits for a slot end with it and go on in the pools that have the servers. No goroutine a wait any more.

--- a/internal/forward/send.go
+++ b/internal/forward/send.go
@@ -43,7 +43,7 @@
 	for {
 		x.demand.Candidates = x.pools(x.trial.version)
 		grant, err := x.acquire()
-		if errors.Is(err, errOver) || err != nil && x.giveUpTrial() {
+		if errors.Is(err, errMoved) || err != nil && x.giveUpTrial() {
 			continue
 		}
 		if err != nil {
@@ -63,11 +63,11 @@
 // acquire waits for a slot.
 func (x *exchange) acquire() (broker.Grant, error) {
 	began := time.Now()
-	ctx, cancel := x.untilOver()
-	defer cancel()
+	ctx, done := x.untilMoved()
+	defer done()
 	grant, err := x.server.deps.Broker.Acquire(ctx, x.demand)
-	if err != nil && x.ctx.Err() == nil && errors.Is(context.Cause(ctx), errOver) {
-		err = errOver
+	if err != nil && x.ctx.Err() == nil && errors.Is(context.Cause(ctx), errMoved) {
+		err = errMoved
 	}
 	took := time.Since(began)
 	x.trail.waited += took
--- a/internal/forward/trial.go
+++ b/internal/forward/trial.go
@@ -16,9 +16,9 @@
 	// Active tells whether a rollout of the service runs. It is asked for every
 	// request, and does nothing else where none runs.
 	Active(service string) bool
-	// Over returns a channel that is closed when the rollout has an outcome; nil: none
-	// runs.
-	Over(service string) <-chan struct{}
+	// Epoch returns a context that ends when the service's servers move to other
+	// pools; nil: they don't.
+	Epoch(service string) context.Context
 	// Try tells whether a request of a route that is about to wait for a slot goes to
 	// the servers of a version on trial, and which.
 	Try(service, route string) (version string, ok bool)
@@ -64,30 +64,27 @@
 	return true
 }
 
-// errOver: the rollout has an outcome, and other pools have the servers now.
-var errOver = errors.New("the rollout of the service is over")
+// errMoved: the service's servers are in other pools now.
+var errMoved = errors.New("the servers of the service have moved")
 
-// untilOver returns a context for waiting for a slot that ends when a rollout of the
-// service has an outcome: the pool may have no server any more then, and what waits
-// there would be refused when its patience ends.
-func (x *exchange) untilOver() (context.Context, context.CancelFunc) {
+// untilMoved returns a context for waiting for a slot that ends when the service's
+// servers move: the pool may have none any more then, and what waits there would be
+// refused when its patience ends.
+func (x *exchange) untilMoved() (context.Context, func()) {
 	r := x.server.deps.Rollouts
 	if r == nil {
 		return x.ctx, func() {}
 	}
-	over := r.Over(x.service)
-	if over == nil {
+	epoch := r.Epoch(x.service)
+	if epoch == nil {
 		return x.ctx, func() {}
 	}
 	ctx, cancel := context.WithCancelCause(x.ctx)
-	go func() {
-		select {
-		case <-over:
-			cancel(errOver)
-		case <-ctx.Done():
-		}
-	}()
-	return ctx, func() { cancel(nil) }
+	stop := context.AfterFunc(epoch, func() { cancel(errMoved) })
+	return ctx, func() {
+		stop()
+		cancel(nil)
+	}
 }
 
 // watchRun makes a run's end known to the rollout of its service, if there is one.
--- a/internal/forward/trial_test.go
+++ b/internal/forward/trial_test.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"context"
 	"net"
 	"sync"
 	"testing"
@@ -20,19 +21,17 @@
 	began    []bool // whether each send was a trial
 	first    int
 	ended    []rollout.Run
-	over     chan struct{}
+	epoch    context.Context
 }
 
 func (f *fakeRollouts) Active(string) bool { return true }
 
-// Over implements Rollouts. Once the rollout is over there is none.
-func (f *fakeRollouts) Over(string) <-chan struct{} {
-	select {
-	case <-f.over:
-		return nil
-	default:
-		return f.over
+// Epoch implements Rollouts. Once the first one is over the servers stay.
+func (f *fakeRollouts) Epoch(string) context.Context {
+	if f.epoch != nil && f.epoch.Err() == nil {
+		return f.epoch
 	}
+	return nil
 }
 
 func (f *fakeRollouts) Try(string, string) (string, bool) {
@@ -141,8 +140,8 @@
 // Symptom: requests that wait when a version is taken are refused seconds later.
 // Sequence: they wait in the pool of the old version; the outcome empties it. Cause:
 // nobody told them that other pools have the servers.
-func TestAWaitEndsWithTheRollout(t *testing.T) {
-	Convey("A request that waits when the rollout ends asks again", t, func() {
+func TestAWaitEndsWhenTheServersMove(t *testing.T) {
+	Convey("A request that waits when the servers move asks again", t, func() {
 		sound := func(_ int, head, body string, c net.Conn) bool {
 			answerWith(c, head, "200 OK", body)
 			return true
@@ -150,11 +149,12 @@
 		r := newRig(t, newBackend(t, sound))
 		r.broker.block = make(chan struct{})
 		f := r.withRollouts(false)
-		f.over = make(chan struct{})
+		epoch, move := context.WithCancel(context.Background())
+		f.epoch = epoch
 		answered := make(chan int, 1)
 		go func() { answered <- r.call("POST", "/once/", "a", "", "x").status }()
 		r.until("it waits", func() bool { return r.broker.asked() == 1 })
-		close(f.over)
+		move()
 		r.until("it asks again", func() bool { return r.broker.asked() >= 2 })
 		close(r.broker.block)
 		So(<-answered, ShouldEqual, 200)
--- a/internal/gateway/division_test.go
+++ b/internal/gateway/division_test.go
@@ -160,3 +160,24 @@
 		So(rests(), ShouldBeTrue)
 	})
 }
+
+// Symptom: a request is refused after a second though all servers are free. Sequence: it
+// waits in a pool; its daemon hears at once of an order and that it succeeded, which
+// moves the servers. Cause: only daemons that had taken part in the rollout woke what
+// waits.
+func TestWhoWaitsIsWokenWhenServersMove(t *testing.T) {
+	Convey("A service's epoch ends with each change of what divides its servers", t, func() {
+		s := configured()
+		s.orders = newOrders(true)
+		first, other := s.epochs.of("app"), s.epochs.of("llm")
+		s.putOrder(rollout.Order{ID: rollout.ID{Service: "app", To: "v2", Created: 80}, Revision: 85, State: rollout.Succeeded}, 90)
+		So(first.Err(), ShouldNotBeNil)
+		second := s.epochs.of("app")
+		So(second.Err(), ShouldBeNil)
+		s.putOrder(rollout.Order{ID: rollout.ID{Service: "app", To: "v2", Created: 80}, Revision: 86, State: rollout.Succeeded}, 91)
+		So(second.Err(), ShouldBeNil) // nothing moves
+		s.removeOrder("app", 92, 92)
+		So(second.Err(), ShouldNotBeNil)
+		So(other.Err(), ShouldBeNil)
+	})
+}
--- a/internal/gateway/rollouts.go
+++ b/internal/gateway/rollouts.go
@@ -45,6 +45,8 @@
 	bounds rollout.Bounds
 	log    *logrus.Entry
 	count  rolloutCounters
+	// enabled is set where the operators allow rollouts.
+	enabled bool
 	// active are the rollouts that run, by service; replaced, never changed.
 	active atomic.Pointer[map[string]*trialing]
 
@@ -66,7 +68,6 @@
 	exposure *rollout.Exposure
 	recorder *rollout.Recorder
 	plan     atomic.Pointer[heardPlan]
-	over     chan struct{} // closed when the rollout does not run any more
 	// reporting is set while a report is under way; the fields below are its own.
 	reporting atomic.Bool
 	number    uint64
@@ -88,7 +89,8 @@
 		},
 	}
 	r.active.Store(&map[string]*trialing{})
-	s.orders = newOrders(b.ExposeShare > 0)
+	r.enabled = b.ExposeShare > 0
+	s.orders = newOrders(r.enabled)
 	s.trials = r.tried
 	return r
 }
@@ -103,7 +105,7 @@
 
 // Run takes part in rollouts until ctx ends.
 func (r *rollouts) Run(ctx context.Context) {
-	if !r.state.orders.enabled {
+	if !r.enabled {
 		return
 	}
 	for ctx.Err() == nil {
@@ -130,19 +132,15 @@
 		}
 		now[o.Service] = t
 	}
-	var ended []*trialing
 	for service, t := range before {
 		if now[service] != t {
-			changed, ended = true, append(ended, t)
+			changed = true
 			r.log.WithFields(logrus.Fields{"service": service, "to": t.id.To}).Info("Rollout is over.")
 		}
 	}
 	if changed {
 		r.active.Store(&now)
 	}
-	for _, t := range ended { // whoever is woken finds no rollout
-		close(t.over)
-	}
 	r.deciders.keep(now)
 }
 
@@ -150,7 +148,7 @@
 	r.log.WithFields(logrus.Fields{"service": o.Service, "to": o.To, "within_s": o.Duration.Seconds(), "revision": o.Revision}).
 		Info("Rollout is ordered.")
 	return &trialing{
-		id: o.ID, known: time.Now(), recorder: rollout.NewRecorder(), over: make(chan struct{}),
+		id: o.ID, known: time.Now(), recorder: rollout.NewRecorder(),
 		exposure: rollout.NewExposure(0, r.bounds, len(r.views.Load().Members), rand.Float64()),
 	}
 }
@@ -249,12 +247,12 @@
 // Active implements forward.Rollouts.
 func (r *rollouts) Active(service string) bool { return (*r.active.Load())[service] != nil }
 
-// Over implements forward.Rollouts.
-func (r *rollouts) Over(service string) <-chan struct{} {
-	if t := (*r.active.Load())[service]; t != nil {
-		return t.over
+// Epoch implements forward.Rollouts.
+func (r *rollouts) Epoch(service string) context.Context {
+	if !r.enabled {
+		return nil
 	}
-	return nil
+	return r.state.epochs.of(service)
 }
 
 // Try implements forward.Rollouts.
--- a/internal/gateway/sync.go
+++ b/internal/gateway/sync.go
@@ -50,6 +50,7 @@
 	serversRevision objectstore.Version
 	changes         discovery.Changes
 	orders          orders
+	epochs          epochs
 	// trials tells which servers of a version on trial are tried; nil: all.
 	trials       func(service string, old int, trial []discovery.Server) []discovery.Server
 	invalid      map[string]string // why, by the entry's name, as last logged
@@ -211,6 +212,7 @@
 	s.logInvalid(s.directory.Invalid())
 	s.orders.divide(servers, s.serversRevision)
 	s.pools.Store(buildPools(table, servers, s.region, s.division()))
+	s.epochs.divided(s.orders.known) // after the pools: who is woken asks for them
 	inUse := make(map[string]string, len(servers))
 	usable := make(map[string]serverUse, len(servers))
 	for _, server := range servers {
