--- a/internal/gateway/deciders.go
+++ b/internal/gateway/deciders.go
@@ -35,7 +35,7 @@
 }
 
 // keep forgets the rollouts that do not run any more.
-func (d *deciders) keep(running map[string]*trialing) {
+func (d *deciders) keep(running map[string]*participation) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	for id := range d.all {
--- a/internal/gateway/orderreader.go
+++ b/internal/gateway/orderreader.go
@@ -7,6 +7,13 @@
 	"github.com/lycheekeel/lycheekeel/rollout"
 )
 
+const (
+	// ordersInterval is how often the orders are read although the watch tells of no
+	// change; ordersIntervalSoon the same while a rollout runs or servers wait for them.
+	ordersInterval     = 20 * time.Second
+	ordersIntervalSoon = time.Second
+)
+
 // restsFor is how often a daemon that does not read the orders looks whether it has to.
 const restsFor = 500 * time.Millisecond
 
@@ -21,9 +28,9 @@
 // ordersEvery is how often the orders are read.
 func (r *reader) ordersEvery() time.Duration {
 	if r.state.ordersWanted() {
-		return ordersSoon
+		return ordersIntervalSoon
 	}
-	return ordersEvery
+	return ordersInterval
 }
 
 func (r *reader) replaceOrders(l objectstore.List) bool {
--- a/internal/gateway/orders.go
+++ b/internal/gateway/orders.go
@@ -2,7 +2,6 @@
 
 import (
 	"slices"
-	"time"
 
 	"github.com/lycheekeel/lycheekeel/discovery"
 	"github.com/lycheekeel/lycheekeel/objectstore"
@@ -220,16 +219,9 @@
 	return f
 }
 
-// divideAnew makes the pools anew: other servers of a version on trial are tried now.
-func (s *state) divideAnew() {
+// rebuildPools makes the pools anew: other servers of a version on trial are tried now.
+func (s *state) rebuildPools() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.rebuild()
 }
-
-const (
-	// ordersEvery is how often the orders are read although the watch tells of no
-	// change; ordersSoon the same while a rollout runs or servers wait for the orders.
-	ordersEvery = 20 * time.Second
-	ordersSoon  = time.Second
-)
--- a/internal/gateway/rollouts.go
+++ b/internal/gateway/rollouts.go
@@ -48,7 +48,7 @@
 	// enabled is set where the operators allow rollouts.
 	enabled bool
 	// active are the rollouts that run, by service; replaced, never changed.
-	active atomic.Pointer[map[string]*trialing]
+	active atomic.Pointer[map[string]*participation]
 
 	// What follows is set once the daemon has joined the others.
 	region    string
@@ -61,8 +61,8 @@
 
 type rolloutCounters struct{ tried, notTried, failed, slow *expvar.Int }
 
-// trialing is one rollout as a daemon takes part in it.
-type trialing struct {
+// participation is one rollout as a daemon takes part in it.
+type participation struct {
 	id       rollout.ID
 	known    time.Time
 	exposure *rollout.Exposure
@@ -88,7 +88,7 @@
 			failed: m.Counter("rollouts", "trials_failed"), slow: m.Counter("rollouts", "trials_abandoned"),
 		},
 	}
-	r.active.Store(&map[string]*trialing{})
+	r.active.Store(&map[string]*participation{})
 	r.enabled = b.ExposeShare > 0
 	s.orders = newOrders(r.enabled)
 	s.trials = r.tried
@@ -121,7 +121,7 @@
 func (r *rollouts) follow() {
 	orders, _ := r.state.allOrders()
 	before, changed := *r.active.Load(), false
-	now := map[string]*trialing{}
+	now := map[string]*participation{}
 	for _, o := range orders {
 		if o.State != rollout.Running {
 			continue
@@ -144,17 +144,17 @@
 	r.deciders.keep(now)
 }
 
-func (r *rollouts) takeUp(o rollout.Order) *trialing {
+func (r *rollouts) takeUp(o rollout.Order) *participation {
 	r.log.WithFields(logrus.Fields{"service": o.Service, "to": o.To, "within_s": o.Duration.Seconds(), "revision": o.Revision}).
 		Info("Rollout is ordered.")
-	return &trialing{
+	return &participation{
 		id: o.ID, known: time.Now(), recorder: rollout.NewRecorder(),
 		exposure: rollout.NewExposure(0, r.bounds, len(r.views.Load().Members), rand.Float64()),
 	}
 }
 
 // takePart decides where this daemon owns the service's pool, and reports otherwise.
-func (r *rollouts) takePart(ctx context.Context, service string, t *trialing) {
+func (r *rollouts) takePart(ctx context.Context, service string, t *participation) {
 	owner, ok := r.owner(service, r.region)
 	if !ok || !t.reporting.CompareAndSwap(false, true) {
 		return
@@ -176,7 +176,7 @@
 }
 
 // report returns what is to be told to the daemon that decides.
-func (r *rollouts) report(t *trialing, to string) rollout.Report {
+func (r *rollouts) report(t *participation, to string) rollout.Report {
 	t.number++
 	all := to != t.toldTo
 	t.toldTo = to
@@ -187,7 +187,7 @@
 }
 
 // tell reports to the daemon that decides, and takes the plan.
-func (r *rollouts) tell(ctx context.Context, service string, t *trialing, to string) {
+func (r *rollouts) tell(ctx context.Context, service string, t *participation, to string) {
 	report := r.report(t, to)
 	plan, err := r.call(ctx, t.id, report, to)
 	if err != nil {
@@ -217,7 +217,7 @@
 }
 
 // hear goes by a plan from now on.
-func (r *rollouts) hear(service string, t *trialing, p rollout.Plan) {
+func (r *rollouts) hear(service string, t *participation, p rollout.Plan) {
 	before := t.plan.Swap(&heardPlan{p, time.Now()})
 	t.exposure.SetShare(p.Share)
 	if before == nil || before.Phase != p.Phase {
@@ -225,7 +225,7 @@
 			Info("Rollout has another phase.")
 	}
 	if before == nil || before.Open != p.Open {
-		r.state.divideAnew()
+		r.state.rebuildPools()
 	}
 }
 
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -27,10 +27,10 @@
 	out    []Command
 
 	waiters
-	servings
+	backends
 	runs
 	learned
-	turn
+	perEvent
 
 	suspects *suspect.Register
 	siblings map[string]*sibling
@@ -48,8 +48,8 @@
 	returnsUntil time.Time
 }
 
-// servings are the backend servers, and what their caches hold.
-type servings struct {
+// backends are the backend servers, and what their caches hold.
+type backends struct {
 	servers  map[string]*server
 	order    []*server // the present servers, by name
 	byIndex  [prefix.MaxServers]*server
@@ -81,8 +81,8 @@
 	deadlines deadlines
 }
 
-// turn is worked out anew for each event that may grant, by refresh, and scratch space.
-type turn struct {
+// perEvent is worked out anew for each event that may grant, by refresh, and scratch space.
+type perEvent struct {
 	sound bool    // a server is up that is no straggler
 	freed float64 // slots that come free a second, of so many
 	slots int
@@ -102,7 +102,7 @@
 			isolated: tier.NewQueue[*waiter](),
 			waiting:  make(map[request.ID]*waiter),
 		},
-		servings: servings{servers: make(map[string]*server), prefixes: prefix.NewIndex()},
+		backends: backends{servers: make(map[string]*server), prefixes: prefix.NewIndex()},
 		runs: runs{
 			byGrant: make(map[GrantID]*run),
 			granted: make(map[request.ID]*run),
