--- a/internal/cli/rollouts.go
+++ b/internal/cli/rollouts.go
@@ -2,9 +2,12 @@
 
 import (
 	"fmt"
+	"slices"
+	"strings"
 	"time"
 
 	"github.com/alecthomas/kingpin/v2"
+	"github.com/pkg/errors"
 
 	"github.com/lycheekeel/lycheekeel/internal/experiment"
 )
@@ -35,7 +38,36 @@
 	cmd.Action(run(func() error { return f.do(g) }))
 }
 
+// check returns what is wrong with the flags, all together.
+func (f *rolloutFlags) check() error {
+	b := f.setting.Bounds
+	var findings []string
+	for _, x := range []struct {
+		wrong  bool
+		reason string
+	}{
+		{slices.ContainsFunc(f.rates, func(n int) bool { return n < 1 }), "--rate is below 1"},
+		{f.duration <= 0, "--within is not above 0"},
+		{!(b.Share > 0 && b.Share <= 1), "--share is no part of 1"},
+		{!(b.Slack >= 0), "--slack is below 0"},
+		{!(f.setting.OldFails >= 0 && f.setting.OldFails < 1), "--old-fails is no part of 1"},
+		{f.setting.Servers < 1, "--servers is below 1"},
+		{f.played < 1, "--played is below 1"},
+	} {
+		if x.wrong {
+			findings = append(findings, x.reason)
+		}
+	}
+	if findings == nil {
+		return nil
+	}
+	return withExit(ExitUsage, errors.New(strings.Join(findings, "; ")))
+}
+
 func (f *rolloutFlags) do(g *globals) error {
+	if err := f.check(); err != nil {
+		return err
+	}
 	f.setting.Duration = f.duration
 	fmt.Fprintln(g.stdout, experiment.RolloutHeader)
 	for _, rate := range f.rates {
