pool: the breaker counts broken and failed runs in rows of their own

Cause: one count mixed two questions, whether a server lives and whether its runs succeed, so that a refusal had a case of its own by whether failures had been counted, and a server that was down and answered a probe with a failure stayed out of use. Change: two rows; who answers at all ends the row of broken runs, who succeeds both. A server out of use for its failures comes back by a success alone, one that was down by any answer, as before the failures were counted. Tests: a refusal does not bring a failing server back; a failure brings one back that was down.

--- a/pool/breaker.go
+++ b/pool/breaker.go
@@ -9,7 +9,7 @@
 	// is lost on the way, one run in 160,000 would be the fourth of a row.
 	breakerRuns = 4
 	// failedRuns is the same for runs that end with the server's own failure. A server
-	// that fails a seventh of what it runs is taken out once in 1,000,000 runs.
+	// that fails a seventh of what it runs is taken out once in some 800,000 runs.
 	failedRuns = 7
 	// failedOut is the largest part of a pool's servers that are out of use because
 	// they fail: where more fail, it is no matter of single servers.
@@ -31,43 +31,88 @@
 // What goes wrong without it: a server crashes and its address goes on to accept
 // connections, which break at once. Its slots come free within 10 ms each time; when
 // the other servers are full it is the only one with a free slot, and draws all that
-// waits, most of which can't be sent again. It is the same with a server that answers each request at
-// once with a failure, while its health check passes. Refusals do not count: who
-// refuses lives, and has not run the request.
+// waits, most of which can't be sent again. It is the same with a server that answers
+// each request at once with a failure, while its health check passes. Refusals do not
+// count: who refuses lives, and has not run the request.
 type breaker struct {
-	broken int     // runs in a row
-	failed int     // runs in a row that ended with the server's own failure
-	entry  EntryID // of the first of them
+	broken, failed row
+	open           bool
+	pause          time.Duration
+	since          time.Time // it opened, or the last probe broke
+}
+
+// row counts runs in a row that ended alike.
+type row struct {
+	runs  int
+	entry EntryID // of the first of them
 	// several is set once runs of more than one entry are in the row.
 	several bool
-	open    bool
-	pause   time.Duration
-	since   time.Time // it opened, or the last probe broke
+}
+
+func (w *row) add(r *run) {
+	if w.runs == 0 {
+		w.entry = r.entry
+	}
+	w.runs++
+	w.several = w.several || r.entry != w.entry
+}
+
+// reached tells whether a row has so many runs, of more than one entry where there are
+// several: a single one may be what is cut off.
+func (w *row) reached(runs, entries int) bool {
+	return w.runs >= runs && (w.several || entries <= 1)
 }
 
 // probeAt is when an open breaker lets a probe through.
 func (b *breaker) probeAt() time.Time { return b.since.Add(b.pause) }
 
-// heard takes it that a server has answered something.
+// take takes the server out of use.
+func (b *breaker) take(now time.Time) { b.open, b.pause, b.since = true, breakerPauseMin, now }
+
+// probed puts the next probe off after one that failed.
+func (b *breaker) probed(now time.Time, r *run) {
+	if !r.since.Before(b.since) {
+		b.pause, b.since = min(2*b.pause, breakerPauseMax), now
+	}
+}
+
+// succeeded takes it that a server has begun to answer a request, or has done so.
+func (p *Pool) succeeded(s *server) {
+	s.breaker.failed = row{}
+	p.heard(s)
+}
+
+// heard takes it that a server lives: it has answered, if only with a refusal or a
+// failure. One that is out of use because it fails stays so.
 func (p *Pool) heard(s *server) {
-	wasOpen := s.breaker.open
-	s.breaker = breaker{}
-	if wasOpen {
+	s.breaker.broken = row{}
+	if s.breaker.open && s.breaker.failed.runs < failedRuns {
+		s.breaker.open = false
 		p.emit(ServerDown{Server: s.info.Name, Down: false})
 	}
 }
 
-// runFailed counts a run that ended with its server's own failure. The server lives:
-// what broke before was no sign of a crash.
+// runFailed counts a run that ended with its server's own failure.
 func (p *Pool) runFailed(r *run) {
+	p.heard(r.server)
+	p.count(r, &r.server.breaker.failed, failedRuns, p.mayTakeOut)
+}
+
+// runBroke counts a run that broke on its server.
+func (p *Pool) runBroke(r *run) {
+	p.count(r, &r.server.breaker.broken, breakerRuns, func() bool { return true })
+}
+
+// count counts a run of a row, and takes its server out of use when there are so many,
+// and it may be.
+func (p *Pool) count(r *run, in *row, most int, may func() bool) {
 	b := &r.server.breaker
 	if b.open {
 		b.probed(p.now, r)
 		return
 	}
-	b.broken = 0
-	b.count(r, &b.failed)
-	if b.failed >= failedRuns && b.many(p.entries.alive) && p.mayTakeOut() {
+	in.add(r)
+	if in.reached(most, p.entries.alive) && may() {
 		b.take(p.now)
 		p.emit(ServerDown{Server: r.server.info.Name, Down: true})
 	}
@@ -87,48 +132,3 @@
 	}
 	return all > 1 && out <= max(1, int(failedOut*float64(all)))
 }
-
-// runBroke counts a run that broke on its server.
-func (p *Pool) runBroke(r *run) {
-	b := &r.server.breaker
-	wasOpen := b.open
-	b.runBroke(p.now, r, p.entries.alive)
-	if b.open && !wasOpen {
-		p.emit(ServerDown{Server: r.server.info.Name, Down: true})
-	}
-}
-
-// runBroke counts a broken run.
-func (b *breaker) runBroke(now time.Time, r *run, entries int) {
-	if b.open {
-		b.probed(now, r)
-		return
-	}
-	b.count(r, &b.broken)
-	if b.broken >= breakerRuns && b.many(entries) {
-		b.take(now)
-	}
-}
-
-// count counts a run among those of a row.
-func (b *breaker) count(r *run, row *int) {
-	if b.broken+b.failed == 0 {
-		b.entry, b.several = r.entry, false
-	}
-	*row++
-	b.several = b.several || r.entry != b.entry
-}
-
-// many tells whether the runs of a row were of more than one entry, where there are
-// several: a single one may be what is cut off.
-func (b *breaker) many(entries int) bool { return b.several || entries <= 1 }
-
-// take takes the server out of use.
-func (b *breaker) take(now time.Time) { b.open, b.pause, b.since = true, breakerPauseMin, now }
-
-// probed puts the next probe off after one that failed.
-func (b *breaker) probed(now time.Time, r *run) {
-	if !r.since.Before(b.since) {
-		b.pause, b.since = min(2*b.pause, breakerPauseMax), now
-	}
-}
--- a/pool/breaker_test.go
+++ b/pool/breaker_test.go
@@ -238,6 +238,28 @@
 			So(c.servers["s0"].breaker.open, ShouldBeFalse)
 		})
 	})
+	Convey("A refusal does not bring it back: it says nothing of how its runs end", t, func() {
+		c := failing("s0")
+		c.arrive(30)
+		c.note(c.pass(breakerPauseMax))
+		for _, g := range c.on("s0") {
+			c.finish(g, OutcomeRefused)
+		}
+		So(c.servers["s0"].breaker.open, ShouldBeTrue)
+	})
+	Convey("A server that was down is back when it answers a probe, if with a failure", t, func() {
+		c := newCrowd()
+		for range 100 {
+			c.step(true)
+		}
+		So(c.servers["s0"].breaker.open, ShouldBeTrue)
+		c.arrive(30)
+		c.note(c.pass(breakerPauseMax))
+		for _, g := range c.on("s0") {
+			c.finish(g, OutcomeFailed)
+		}
+		So(c.servers["s0"].breaker.open, ShouldBeFalse)
+	})
 	Convey("Where most servers fail all they run, it is no matter of single ones: one is left out", t, func() {
 		c := failing("s0", "s1")
 		open := 0
--- a/pool/run.go
+++ b/pool/run.go
@@ -107,7 +107,7 @@
 	r.heard = p.now
 	if e.Tokens > 0 {
 		r.server.progressed = p.now
-		p.heard(r.server)
+		p.succeeded(r.server)
 	}
 	if p.plain() {
 		return
@@ -142,14 +142,14 @@
 	}
 	switch e.Outcome {
 	case OutcomeDone:
-		p.heard(r.server)
+		p.succeeded(r.server)
 		r.server.failures.add(p.now, false)
 		p.learnDone(r, e)
 	case OutcomeNotDispatched:
 		p.refund(r, r.cost)
 	case OutcomeNotSent, OutcomeRefused:
 		p.refund(r, r.cost)
-		p.learnRefusal(r, e)
+		p.learnRefusal(r.server, e)
 	case OutcomeCrashed:
 		p.lose(r)
 		p.serverCrashed(r.server, r)
@@ -167,10 +167,9 @@
 	}
 }
 
-func (p *Pool) learnRefusal(r *run, e Release) {
-	s := r.server
-	if e.Outcome == OutcomeRefused && s.breaker.failed == 0 {
-		p.heard(s) // it lives; whether it still fails is not known
+func (p *Pool) learnRefusal(s *server, e Release) {
+	if e.Outcome == OutcomeRefused {
+		p.heard(s)
 	}
 	if e.RefusedLeaving {
 		s.leavingTill = p.now.Add(leavingFor)
