--- a/internal/cli/rollouts.go
+++ b/internal/cli/rollouts.go
@@ -28,10 +28,10 @@
 	var f rolloutFlags
 	cmd := app.Command("rollouts", "Play simulated rollouts of good and bad versions through the product's own decider, and tell what becomes of them.")
 	cmd.Flag("rate", "Requests a second of the service; may be given several times.").Default("10", "100", "600").IntsVar(&f.rates)
-	cmd.Flag("within", "How long an order's rollout may take.").Default("12s").DurationVar(&f.duration)
+	cmd.Flag("within", "How long a rollout may take.").Default("12s").DurationVar(&f.duration)
 	cmd.Flag("share", "The part of the requests that a bad version may get.").Default("0.1").Float64Var(&f.setting.Bounds.Share)
 	cmd.Flag("slack", "How many requests more it may get.").Default("50").Float64Var(&f.setting.Bounds.Slack)
-	cmd.Flag("old-fails", "The part of the old version's answers that fail.").Default("0.01").Float64Var(&f.setting.OldFails)
+	cmd.Flag("stable-fails", "The part of the stable version's answers that fail.").Default("0.01").Float64Var(&f.setting.StableFails)
 	cmd.Flag("servers", "How many servers each version has.").Default("20").IntVar(&f.setting.Servers)
 	cmd.Flag("played", "How many rollouts are played of each case.").Default("500").IntVar(&f.played)
 	cmd.Flag("seed", "The same seed gives the same rollouts.").Default("1").Uint64Var(&f.seed)
@@ -50,7 +50,7 @@
 		{f.duration <= 0, "--within is not above 0"},
 		{!(b.Share > 0 && b.Share <= 1), "--share is no part of 1"},
 		{!(b.Slack >= 0), "--slack is below 0"},
-		{!(f.setting.OldFails >= 0 && f.setting.OldFails < 1), "--old-fails is no part of 1"},
+		{!(f.setting.StableFails >= 0 && f.setting.StableFails < 1), "--stable-fails is no part of 1"},
 		{f.setting.Servers < 1, "--servers is below 1"},
 		{f.played < 1, "--played is below 1"},
 	} {
--- a/internal/experiment/rollouts.go
+++ b/internal/experiment/rollouts.go
@@ -17,9 +17,12 @@
 	// Rate is the service's requests a second.
 	Rate int
 	// Fails is the part of the new version's answers that fail, Slow the part that take
-	// Factor times as long; both from a moment after the order on.
+	// Factor times as long; both from a time after the request on.
 	Fails, Slow, Factor float64
 	From                time.Duration
+	// UnderLoad is set where it is so only while the new servers that are used have at
+	// least half of the load of a stable one.
+	UnderLoad bool
 	// SlowServer is set where only the first of the new servers is slow, as a server of
 	// any version may be.
 	SlowServer bool
@@ -29,18 +32,18 @@
 type RolloutSetting struct {
 	Duration time.Duration
 	Bounds   rollout.Bounds
-	// OldFails is the part of the old version's answers that fail.
-	OldFails float64
+	// StableFails is the part of the stable version's answers that fail.
+	StableFails float64
 	// Servers is how many each version has.
 	Servers int
 }
 
 // RolloutOutcome sums up many rollouts of one case.
 type RolloutOutcome struct {
-	Case      RolloutCase
-	Played    int
-	TakenBack int
-	// After is the mean time from the order until it was taken back.
+	Case       RolloutCase
+	Played     int
+	RolledBack int
+	// After is the mean time from the request until it was rolled back.
 	After time.Duration
 	// MostExposed is the most requests that the new version got by the decision in one
 	// rollout, Bound what it may get by the deadline.
@@ -51,7 +54,7 @@
 const (
 	// rolloutStep is how often daemons report.
 	rolloutStep = 400 * time.Millisecond
-	// callMedian and callSpread are of the old version's lognormal answer times.
+	// callMedian and callSpread are of the stable version's lognormal answer times.
 	callMedian   = 50 * time.Millisecond
 	callSpread   = 0.4
 	rolloutRoute = "route"
@@ -65,13 +68,13 @@
 		p := newRolloutPlay(s, c, rand.New(rand.NewPCG(seed, uint64(i))))
 		v, at := p.run()
 		if v.State == rollout.RolledBack {
-			out.TakenBack++
+			out.RolledBack++
 			sum += at
 		}
 		out.MostExposed = max(out.MostExposed, p.exposed)
 	}
-	if out.TakenBack > 0 {
-		out.After = sum / time.Duration(out.TakenBack)
+	if out.RolledBack > 0 {
+		out.After = sum / time.Duration(out.RolledBack)
 	}
 	return out
 }
@@ -83,26 +86,26 @@
 	random   *rand.Rand
 	decider  *rollout.Decider
 	recorder *rollout.Recorder
-	exposure *rollout.Exposure
+	budget   *rollout.Budget
 	plan     rollout.Plan
 	exposed  int
 }
 
 func newRolloutPlay(s RolloutSetting, c RolloutCase, random *rand.Rand) *rolloutPlay {
-	o := rollout.Order{ID: rollout.ID{Service: "service", To: "new", Created: 1}, Duration: s.Duration}
+	o := rollout.Rollout{ID: rollout.ID{Service: "service", To: "new", Created: 1}, Duration: s.Duration}
 	return &rolloutPlay{
 		setting: s, c: c, random: random, decider: rollout.NewDecider(o, s.Bounds, time.Time{}.Add(time.Hour)),
-		recorder: rollout.NewRecorder(), exposure: rollout.NewExposure(s.Bounds.TrialShare(), s.Bounds, 1, 0),
-		plan: rollout.Plan{Share: s.Bounds.TrialShare()},
+		recorder: rollout.NewRecorder(), budget: rollout.NewBudget(s.Bounds.CanaryShare(), s.Bounds, 1, 0),
+		plan: rollout.Plan{Share: s.Bounds.CanaryShare()},
 	}
 }
 
 // run plays until the decision, and returns it with when it came.
-func (p *rolloutPlay) run() (rollout.Verdict, time.Duration) {
+func (p *rolloutPlay) run() (rollout.Decision, time.Duration) {
 	slots := p.setting.Servers * 8
 	facts := rollout.Facts{
-		Daemons: 1, OldServers: p.setting.Servers, NewServers: p.setting.Servers, WarmServers: p.setting.Servers,
-		OldSlots: slots, NewSlots: slots,
+		Daemons: 1, StableServers: p.setting.Servers, NewServers: p.setting.Servers, WarmServers: p.setting.Servers,
+		StableSlots: slots, NewSlots: slots,
 	}
 	start := p.decider.Known()
 	for number, at := uint64(1), time.Duration(0); at < p.setting.Duration; number, at = number+1, at+rolloutStep {
@@ -111,25 +114,25 @@
 		}
 		p.decider.Take(start.Add(at), rollout.Report{Reporter: "vm", Incarnation: 1, Number: number, Cells: p.recorder.Untold(false)})
 		p.plan = p.decider.Tick(start.Add(at), facts)
-		p.exposure.SetShare(p.plan.Share)
-		if v := p.decider.Verdict(); v.State != rollout.Running {
+		p.budget.SetShare(p.plan.Share)
+		if v := p.decider.Decision(); v.State != rollout.Running {
 			return v, at
 		}
 	}
-	return p.decider.Verdict(), p.setting.Duration
+	return p.decider.Decision(), p.setting.Duration
 }
 
 // request sends one request, so long after the plan.
 func (p *rolloutPlay) request(at, since time.Duration) {
-	trial := p.plan.ToTrial(rolloutRoute, since) || p.plan.SharesTrial() && p.exposure.Take()
-	p.exposure.Sent()
+	canary := p.plan.AllToNew(rolloutRoute, since) || p.plan.HasCanaries() && p.budget.Take()
+	p.budget.Sent()
 	took := time.Duration(float64(callMedian) * math.Exp(callSpread*p.random.NormFloat64()))
-	run := rollout.Run{Route: rolloutRoute, Server: "old", Trial: trial, First: took, Whole: took}
-	fails := p.setting.OldFails
-	if trial {
+	run := rollout.Run{Route: rolloutRoute, Server: "stable", Canary: canary, First: took, Whole: took}
+	fails := p.setting.StableFails
+	if canary {
 		p.exposed++
-		run.Server = "new-" + strconv.Itoa(p.random.IntN(rollout.Tried(p.plan.Share, p.setting.Servers, p.setting.Servers)))
-		if at >= p.c.From {
+		run.Server = "new-" + strconv.Itoa(p.random.IntN(rollout.CanaryServers(p.plan.Share, p.setting.Servers, p.setting.Servers)))
+		if at >= p.c.From && (!p.c.UnderLoad || p.loaded(since)) {
 			fails = max(fails, p.c.Fails)
 			if p.random.Float64() < p.c.Slow && (!p.c.SlowServer || run.Server == "new-0") {
 				run.First = time.Duration(p.c.Factor * float64(took))
@@ -140,8 +143,19 @@
 	if p.random.Float64() < fails {
 		run.Ending = rollout.Failed
 	}
-	p.recorder.Begin(trial)
-	p.recorder.End(run, p.plan.Routes[rolloutRoute].Limit)
+	p.recorder.Record(run, p.plan.Routes[rolloutRoute].Limit)
+}
+
+// usualLoad is the part of a stable server's load from which on a new one counts as loaded.
+const usualLoad = 0.5
+
+// loaded tells whether the new servers that are used have about the usual load.
+func (p *rolloutPlay) loaded(since time.Duration) bool {
+	if p.plan.AllToNew(rolloutRoute, since) {
+		return true
+	}
+	used := rollout.CanaryServers(p.plan.Share, p.setting.Servers, p.setting.Servers)
+	return p.plan.Share*float64(p.setting.Servers) >= usualLoad*float64(used)
 }
 
 // RolloutCases are versions that are bad in the ways that versions are known to be,
@@ -159,17 +173,18 @@
 		{Name: "4 times as slow", Rate: rate, Slow: 1, Factor: 4},
 		{Name: "30% are 4 times as slow", Rate: rate, Slow: 0.3, Factor: 4},
 		{Name: "4 times as slow after 6 s", Rate: rate, Slow: 1, Factor: 4, From: half},
+		{Name: "fails 50% under load", Rate: rate, Fails: 0.5, UnderLoad: true},
 	}
 }
 
 // RolloutHeader names the columns of RolloutOutcome's line.
-const RolloutHeader = "new version                 requests/s  taken back     after  most exposed  bound"
+const RolloutHeader = "new version                 requests/s  rolled back    after  most exposed  bound"
 
 // Line returns the outcome as a line of a table.
 func (o RolloutOutcome) Line() string {
 	after := "-"
-	if o.TakenBack > 0 {
+	if o.RolledBack > 0 {
 		after = strconv.FormatFloat(o.After.Seconds(), 'f', 1, 64) + " s"
 	}
-	return fmt.Sprintf("%-27s %10d  %5d of %d %8s  %12d  %5.0f", o.Case.Name, o.Case.Rate, o.TakenBack, o.Played, after, o.MostExposed, o.Bound)
+	return fmt.Sprintf("%-27s %10d  %5d of %d %8s  %12d  %5.0f", o.Case.Name, o.Case.Rate, o.RolledBack, o.Played, after, o.MostExposed, o.Bound)
 }
--- a/internal/forward/answer.go
+++ b/internal/forward/answer.go
@@ -30,7 +30,7 @@
 		return false, x.failed(x.lostRun(g, err))
 	}
 	if status >= fasthttp.StatusInternalServerError {
-		g.release(pool.OutcomeFailed)
+		g.release(outcomeOf(status))
 		if x.worthAnother(status) {
 			x.server.count.retryFailed.Add(1)
 			x.noteSent(g)
@@ -45,6 +45,17 @@
 	return true, nil
 }
 
+// outcomeOf returns how a run ended that failed with a status.
+//
+// What goes wrong where a gateway timeout counts as the server's failure: a server that is
+// slow under load answers several in a row, and is taken out of use although it works.
+func outcomeOf(status int) pool.Outcome {
+	if status == fasthttp.StatusGatewayTimeout {
+		return pool.OutcomeCanceled // the request's own time was over
+	}
+	return pool.OutcomeFailed
+}
+
 // pass answers with a server's whole answer.
 func (x *exchange) pass(head *fasthttp.ResponseHeader, body []byte) {
 	x.copyHead(head)
--- a/internal/forward/trial_test.go
+++ b/internal/forward/canary_test.go
@@ -8,55 +8,46 @@
 
 	. "github.com/smartystreets/goconvey/convey"
 
+	"github.com/lycheekeel/lycheekeel/pool"
 	"github.com/lycheekeel/lycheekeel/request"
 	"github.com/lycheekeel/lycheekeel/rollout"
 )
 
-// fakeRollouts tries version v2 with every request while it is told to.
+// fakeRollouts makes every request a canary of v2 while it is told to.
 type fakeRollouts struct {
 	mu       sync.Mutex
-	try      bool
+	canaries bool
 	asked    int
-	notTried int
-	began    []bool // whether each send was a trial
+	noSlot   int
+	sent     int
 	first    int
 	ended    []rollout.Run
-	epoch    context.Context
 }
 
-func (f *fakeRollouts) Active(string) bool { return true }
-
-// Epoch implements Rollouts. Once the first one is over the servers stay.
-func (f *fakeRollouts) Epoch(string) context.Context {
-	if f.epoch != nil && f.epoch.Err() == nil {
-		return f.epoch
-	}
-	return nil
-}
-
-func (f *fakeRollouts) Try(string, string) (string, bool) {
+func (f *fakeRollouts) Canary(string, string) (string, bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.asked++
-	if !f.try {
+	if !f.canaries {
 		return "", false
 	}
 	return "v2", true
 }
 
-func (f *fakeRollouts) NotTried(string) {
+func (f *fakeRollouts) NoSlot(string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.notTried++
+	f.noSlot++
 }
 
-func (f *fakeRollouts) Began(_ string, trial, first bool) {
+func (f *fakeRollouts) Sent(_ string, first bool) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.began = append(f.began, trial)
+	f.sent++
 	if first {
 		f.first++
 	}
+	return true
 }
 
 func (f *fakeRollouts) Ended(_ string, r rollout.Run) {
@@ -65,6 +56,16 @@
 	f.ended = append(f.ended, r)
 }
 
+// canaryRuns returns, in order, which runs were canaries.
+func (f *fakeRollouts) canaryRuns() (out []bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, r := range f.ended {
+		out = append(out, r.Canary)
+	}
+	return out
+}
+
 // endings returns how the runs ended, in order.
 func (f *fakeRollouts) endings() (out []rollout.Ending) {
 	f.mu.Lock()
@@ -75,15 +76,15 @@
 	return out
 }
 
-func (r *rig) withRollouts(try bool) *fakeRollouts {
-	f := &fakeRollouts{try: try}
+func (r *rig) withRollouts(canaries bool) *fakeRollouts {
+	f := &fakeRollouts{canaries: canaries}
 	r.server.deps.Rollouts = f
 	return f
 }
 
-// Symptom: a bad version gets more requests than its part. Sequence: a request that
-// tries it fails and is sent again. Cause: each send drew anew.
-func TestARetryIsNoTrial(t *testing.T) {
+// Symptom: a bad version gets more requests than its part. Sequence: a canary fails and is
+// sent again. Cause: each send drew anew.
+func TestARetryIsNoCanary(t *testing.T) {
 	fails := func(_ int, head, _ string, c net.Conn) bool {
 		answerWith(c, head, "500 Internal Server Error", "bad")
 		return true
@@ -92,12 +93,13 @@
 		answerWith(c, head, "200 OK", body)
 		return true
 	}
-	Convey("A request that failed on trial is sent to the others, once it may be", t, func() {
+	Convey("A canary that failed is sent to the stable version, where it may be", t, func() {
 		r := newRig(t, newBackend(t, fails), newBackend(t, sound))
 		f := r.withRollouts(true)
 		So(r.call("POST", "/again/", "a", "", "x").status, ShouldEqual, 200)
 		So(f.asked, ShouldEqual, 1)
-		So(f.began, ShouldResemble, []bool{true, false})
+		So(f.canaryRuns(), ShouldResemble, []bool{true, false})
+		So(f.sent, ShouldEqual, 2)
 		So(f.first, ShouldEqual, 1)
 		So(f.endings(), ShouldResemble, []rollout.Ending{rollout.Failed, rollout.Answered})
 	})
@@ -105,7 +107,7 @@
 		r := newRig(t, newBackend(t, fails))
 		f := r.withRollouts(true)
 		So(r.call("POST", "/once/", "a", "", "x").status, ShouldEqual, 500)
-		So(f.began, ShouldResemble, []bool{true})
+		So(f.canaryRuns(), ShouldResemble, []bool{true})
 	})
 	Convey("A lost answer counts as broken, a server's word that it did not run as nothing", t, func() {
 		refuses := func(n int, head, _ string, c net.Conn) bool {
@@ -116,14 +118,15 @@
 		r := newRig(t, newBackend(t, refuses), newBackend(t, cuts), newBackend(t, sound))
 		f := r.withRollouts(true)
 		So(r.call("POST", "/again/", "a", "", "x").status, ShouldEqual, 200)
-		So(f.endings(), ShouldResemble, []rollout.Ending{rollout.NotRun, rollout.Broken, rollout.Answered})
-		So(f.began, ShouldResemble, []bool{true, false, false})
-		So(f.notTried, ShouldEqual, 0)
+		So(f.endings(), ShouldResemble, []rollout.Ending{rollout.Broken, rollout.Answered})
+		So(f.canaryRuns(), ShouldResemble, []bool{false, false}) // the first send was the canary
+		So(f.first, ShouldEqual, 1)
+		So(f.noSlot, ShouldEqual, 0)
 	})
 }
 
-func TestATrialWithoutASlotGoesToTheOthers(t *testing.T) {
-	Convey("Where the version on trial has no slot, nothing is spent", t, func() {
+func TestACanaryWithoutASlotGoesToTheStableVersion(t *testing.T) {
+	Convey("Where the new version has no slot the stable one is asked", t, func() {
 		sound := func(_ int, head, body string, c net.Conn) bool {
 			answerWith(c, head, "200 OK", body)
 			return true
@@ -132,31 +135,50 @@
 		r.broker.refuse, r.broker.refuseFirst = request.Refuse(request.ReasonShed, "full"), 1
 		f := r.withRollouts(true)
 		So(r.call("POST", "/once/", "a", "", "x").status, ShouldEqual, 200)
-		So(f.notTried, ShouldEqual, 1)
-		So(f.began, ShouldResemble, []bool{false})
+		So(f.noSlot, ShouldEqual, 1)
+		So(f.canaryRuns(), ShouldResemble, []bool{false})
 	})
 }
 
-// Symptom: requests that wait when a version is taken are refused seconds later.
-// Sequence: they wait in the pool of the old version; the outcome empties it. Cause:
+// Symptom: requests that wait when a version is promoted are refused seconds later.
+// Sequence: they wait in the pool of the stable version; the outcome takes it away. Cause:
 // nobody told them that other pools have the servers.
-func TestAWaitEndsWhenTheServersMove(t *testing.T) {
-	Convey("A request that waits when the servers move asks again", t, func() {
+func TestAWaitEndsWithItsPool(t *testing.T) {
+	Convey("A request that waits when a pool of its service goes asks again", t, func() {
 		sound := func(_ int, head, body string, c net.Conn) bool {
 			answerWith(c, head, "200 OK", body)
 			return true
 		}
 		r := newRig(t, newBackend(t, sound))
 		r.broker.block = make(chan struct{})
-		f := r.withRollouts(false)
-		epoch, move := context.WithCancel(context.Background())
-		f.epoch = epoch
+		first, gone := context.WithCancel(context.Background())
+		r.server.deps.PoolGone = func(string) context.Context {
+			if first.Err() == nil {
+				return first
+			}
+			return context.Background()
+		}
 		answered := make(chan int, 1)
 		go func() { answered <- r.call("POST", "/once/", "a", "", "x").status }()
 		r.until("it waits", func() bool { return r.broker.asked() == 1 })
-		move()
-		r.until("it asks again", func() bool { return r.broker.asked() >= 2 })
+		gone()
+		r.until("it asks again", func() bool { return r.broker.asked() == 2 })
 		close(r.broker.block)
 		So(<-answered, ShouldEqual, 200)
 	})
 }
+
+// Symptom: a server that works is taken out of use under load. Sequence: it answers several
+// requests in a row that their time is over. Cause: that counted as its failure.
+func TestAGatewayTimeoutIsNotTheServersFailure(t *testing.T) {
+	Convey("A server's word that the request's time is over says nothing of the server", t, func() {
+		for status, outcome := range map[string]pool.Outcome{"504 Gateway Timeout": pool.OutcomeCanceled, "500 Internal Server Error": pool.OutcomeFailed} {
+			r := newRig(t, newBackend(t, func(_ int, head, _ string, c net.Conn) bool {
+				answerWith(c, head, status, "")
+				return true
+			}))
+			r.call("POST", "/once/", "a", "", "x")
+			So(r.broker.outcomes(), ShouldResemble, []pool.Outcome{outcome})
+		}
+	})
+}
--- a/internal/forward/decisions.go
+++ b/internal/forward/decisions.go
@@ -14,7 +14,7 @@
 	waited time.Duration // for slots, all together
 	first  time.Duration // from the request to its first event or answer
 	events int
-	trial  string   // the version that it tried in a rollout; empty: none
+	canary string   // the new version to which the last send went; empty: the stable one
 	tries  []string // the sends before the last, with their end
 }
 
@@ -45,8 +45,8 @@
 	if x.out != nil && x.out.serverID != "" {
 		f["server"] = x.out.serverID
 	}
-	if x.trail.trial != "" {
-		f["tried_version"] = x.trail.trial
+	if x.trail.canary != "" {
+		f["canary_version"] = x.trail.canary
 	}
 	if len(x.trail.tries) > 0 {
 		f["tries"] = x.trail.tries
--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -38,7 +38,7 @@
 	demand   broker.Demand
 	attempts request.Attempts
 	denied   error // the refusal met just before a send; nil: none
-	trial    trial
+	canary   canary
 	out      *outbound
 	failure  *failure // of an earlier server
 
@@ -205,8 +205,8 @@
 // deadlines.
 const lastWrite = time.Second
 
-// pools returns the candidates now for a version of the service that is on trial;
-// empty: for the others.
+// pools returns the candidates now: those of the stable version or, where one is named,
+// of a new one.
 func (x *exchange) pools(version string) []*workspace.ResolvedPool {
 	snapshot := x.server.deps.Pools.Load()
 	if snapshot == nil {
--- a/internal/forward/send.go
+++ b/internal/forward/send.go
@@ -39,11 +39,11 @@
 // send gets slots and sends the request until a server has answered. The
 // error is a refusal.
 func (x *exchange) send() (*reply, *run, error) {
-	x.decideTrial()
+	x.decideCanary()
 	for {
-		x.demand.Candidates = x.pools(x.trial.version)
+		x.demand.Candidates = x.pools(x.canary.version)
 		grant, err := x.acquire()
-		if errors.Is(err, errMoved) || err != nil && x.giveUpTrial() {
+		if errors.Is(err, errPoolGone) || err != nil && x.toStable() {
 			continue
 		}
 		if err != nil {
@@ -53,7 +53,7 @@
 		if err == nil {
 			return r, g, nil
 		}
-		x.giveUpTrial()
+		x.canary.version = ""
 		if refusal := x.failed(err); refusal != nil {
 			return nil, nil, refusal
 		}
@@ -63,11 +63,11 @@
 // acquire waits for a slot.
 func (x *exchange) acquire() (broker.Grant, error) {
 	began := time.Now()
-	ctx, done := x.untilMoved()
+	ctx, done := x.whilePools()
 	defer done()
 	grant, err := x.server.deps.Broker.Acquire(ctx, x.demand)
-	if err != nil && x.ctx.Err() == nil && errors.Is(context.Cause(ctx), errMoved) {
-		err = errMoved
+	if err != nil && x.ctx.Err() == nil && errors.Is(context.Cause(ctx), errPoolGone) {
+		err = errPoolGone
 	}
 	took := time.Since(began)
 	x.trail.waited += took
@@ -173,7 +173,7 @@
 func (x *exchange) try(grant broker.Grant) (*reply, *run, error) {
 	s := grant.Server()
 	g := &run{grant: grant}
-	if !x.server.deps.Admission.MayUse(s.Name, x.trial.version != "") {
+	if !x.server.deps.Admission.MayUse(s.Name, x.canary.version != "") {
 		grant.Release(broker.End{Outcome: pool.OutcomeRefused, RefusedLeaving: true})
 		return nil, nil, errors.Wrapf(engine.ErrNotSent, "server %s is leaving", s.Name)
 	}
@@ -189,7 +189,7 @@
 			return x.denied
 		}
 		g.sent = time.Now()
-		x.watchRun(g)
+		x.observe(g)
 		x.server.count.connected.Observe(g.sent.Sub(began))
 		return x.attempts.Take()
 	}
@@ -216,7 +216,6 @@
 	}
 	if !g.sent.IsZero() {
 		x.attempts.GiveBack()
-		g.end(pool.OutcomeNotSent)
 	}
 	if x.ctx.Err() != nil || x.denied != nil {
 		g.grant.Return()
@@ -241,7 +240,7 @@
 // asked next.
 func (x *exchange) noteSent(g *run) {
 	x.demand.SentTo = append(x.demand.SentTo, g.grant.Server().Name)
-	x.trial.version = ""
+	x.canary.version = ""
 }
 
 // notExecuted ends a send that the server did not run.
@@ -252,7 +251,6 @@
 		r.ended = false
 	}
 	r.finish()
-	g.end(pool.OutcomeRefused)
 	g.grant.Release(broker.End{Outcome: pool.OutcomeRefused, RefusedLeaving: status == statusMisdirected})
 	return errors.Wrapf(errNotExecuted, "status %d", status)
 }
@@ -267,11 +265,6 @@
 		end.FirstToken = g.first.Sub(g.sent)
 	}
 	g.grant.Release(end)
-	g.end(outcome)
-}
-
-// end tells the rollout of the service how the run went.
-func (g *run) end(outcome pool.Outcome) {
 	if g.ended != nil {
 		g.ended(outcome)
 	}
--- a/internal/forward/server.go
+++ b/internal/forward/server.go
@@ -64,6 +64,9 @@
 	Servers *Servers
 	// Rollouts divide requests between two versions of servers; nil: there are none.
 	Rollouts Rollouts
+	// PoolGone returns a context that ends when a pool of a service is there no more;
+	// nil: pools stay.
+	PoolGone func(service string) context.Context
 	Metrics  *metrics.Registry
 	// Region is the region whose pools are used.
 	Region string
--- a/internal/forward/wire.go
+++ b/internal/forward/wire.go
@@ -43,9 +43,9 @@
 	// enough to trust a key.
 	Fresh() bool
 	// MayUse tells whether, as far as this daemon knows, a server is there and
-	// not leaving, and whether its version is one for a request that is on trial or
-	// not. The owner of its pool may not have heard yet.
-	MayUse(serverID string, trial bool) bool
+	// not leaving, and whether its version is one for a canary or for other requests.
+	// The owner of its pool may not have heard yet.
+	MayUse(serverID string, canary bool) bool
 	// What follows is for the log alone. ProofAge is how old the proof is, and
 	// StoreLost for how long the store has not answered this daemon's own
 	// reads, 0 where it does: Fresh is false when either is too long. Owner
--- a/internal/gateway/asker.go
+++ b/internal/gateway/asker.go
@@ -80,7 +80,7 @@
 	q := &wire.SyncAsk{
 		ConfigRevision: uint64(s.config.Version), ServersRevision: uint64(s.serversRevision), HoldMs: uint32(askHold.Milliseconds()),
 		Changes: true, ConfigAgeMs: ageMs(s.configFresh.Age()), ServersAgeMs: ageMs(s.serversFresh.Age()),
-		OrdersRevision: uint64(s.orders.revision),
+		RolloutsRevision: uint64(s.rollouts.revision),
 	}
 	s.mu.Unlock()
 	payload, err := proto.Marshal(q)
@@ -130,8 +130,8 @@
 	if known && m.ConfigAgeMs >= 0 {
 		s.configFresh.Prove(madeBy(s.configFresh, configMark, m) - milliseconds(m.ConfigAgeMs))
 	}
-	if m.OrdersTold { // before the servers that they concern
-		s.replaceOrders(ordersOf(m.Orders), objectstore.Version(m.OrdersRevision))
+	if m.RolloutsTold { // before the servers that they concern
+		s.hearRollouts(rolloutsOf(m.Rollouts), m.Unfit, objectstore.Version(m.RolloutsRevision))
 	}
 	as := objectstore.Version(m.ServersRevision)
 	if m.ServersTold {
--- a/internal/gateway/deciders.go
+++ b/internal/gateway/deciders.go
@@ -26,7 +26,7 @@
 	*rollout.Decider
 	plan    rollout.Plan
 	at      time.Time // of the plan; zero: none yet
-	told    bool      // the verdict is in the log
+	told    bool      // the decision is in the log
 	writing bool
 }
 
@@ -45,23 +45,23 @@
 	}
 }
 
-// take takes a report; one of an order that is not known here is dropped.
+// take takes a report; one of a rollout that is not known here is dropped.
 func (d *deciders) take(ctx context.Context, id rollout.ID, report rollout.Report) {
-	order, known := d.state.order(id.Service)
-	if !known || order.ID != id || order.State != rollout.Running {
+	r, known := d.state.rollout(id.Service)
+	if !known || r.ID != id || !r.Runs() {
 		return
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	x := d.all[id]
 	if x == nil {
-		x = &deciding{Decider: rollout.NewDecider(order, d.bounds, time.Now())}
+		x = &deciding{Decider: rollout.NewDecider(r, d.bounds, time.Now())}
 		d.all[id] = x
-		if order.Acknowledged {
+		if r.Acknowledged {
 			go d.recall(context.WithoutCancel(ctx), id)
 		}
 	}
-	x.SetOrder(order)
+	x.SetRollout(r)
 	x.Take(time.Now(), report)
 }
 
@@ -75,7 +75,7 @@
 	}
 	p, age := x.plan, time.Since(x.at)
 	p.StopIn -= age
-	p.SurgeIn -= age
+	p.SpikeIn -= age
 	return p, true
 }
 
@@ -94,20 +94,20 @@
 		return rollout.Plan{}
 	}
 	x.plan, x.at = x.Tick(time.Now(), facts), time.Now()
-	verdict := x.Verdict()
-	if verdict.State != rollout.Running && !x.told {
+	decision := x.Decision()
+	if decision.State != rollout.Running && !x.told {
 		x.told = true
-		d.logVerdict(id, verdict, facts, x.OldRuns())
+		d.logDecision(id, decision, facts)
 	}
-	d.write(ctx, x, verdict)
+	d.write(ctx, x, decision)
 	return x.plan
 }
 
-func (d *deciders) logVerdict(id rollout.ID, v rollout.Verdict, f rollout.Facts, oldRuns int) {
+func (d *deciders) logDecision(id rollout.ID, x rollout.Decision, f rollout.Facts) {
 	d.log.WithFields(logrus.Fields{
-		"service": id.Service, "to": id.To, "outcome": v.State.String(), "reason": v.Reason, "route": v.Route,
-		"new_runs": v.New.Runs, "new_failed": v.New.Failed, "new_broken": v.New.Broken, "new_slow": v.New.Slow,
-		"old_runs": v.Old.Runs, "old_failed": v.Old.Failed, "old_broken": v.Old.Broken, "old_slow": v.Old.Slow,
-		"value": v.Value, "new_servers": f.NewServers, "old_servers": f.OldServers, "old_running": oldRuns,
+		"service": id.Service, "to": id.To, "outcome": x.State.String(), "reason": x.Reason, "route": x.Route,
+		"new_runs": x.Canary.Runs, "new_failed": x.Canary.Failed, "new_broken": x.Canary.Broken, "new_slow": x.Canary.Slow,
+		"stable_runs": x.Stable.Runs, "stable_failed": x.Stable.Failed, "stable_broken": x.Stable.Broken, "stable_slow": x.Stable.Slow,
+		"value": x.Value, "new_servers": f.NewServers, "stable_servers": f.StableServers,
 	}).Info("Rollout is decided.")
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -90,7 +90,7 @@
 	g.rollouts = newRollouts(g.state, s.Bounds, m)
 	g.forward = forward.New(forward.Deps{
 		Routes: g.routes, Pools: g.pools, Broker: g, Admission: g,
-		Quotas: g.ledger, Budget: g.budgets.of, Servers: servers, Rollouts: g.rollouts, Metrics: m,
+		Quotas: g.ledger, Budget: g.budgets.of, Servers: servers, Rollouts: g.rollouts, PoolGone: g.state.poolGone.of, Metrics: m,
 		Region: s.Region, Self: s.Name + "." + strconv.FormatInt(time.Now().UnixNano(), 36), Wire: p.Wire,
 	})
 	return g, g.listen()
@@ -124,13 +124,13 @@
 }
 
 // MayUse implements forward.Admission.
-func (g *Gateway) MayUse(serverID string, trial bool) bool {
+func (g *Gateway) MayUse(serverID string, canary bool) bool {
 	usable := g.state.usable.Load()
 	if usable == nil {
 		return false
 	}
 	use, known := (*usable)[serverID]
-	return known && use.takes(trial)
+	return known && use.takes(canary)
 }
 
 // ProofAge implements forward.Admission; below zero: there was no proof.
@@ -147,7 +147,11 @@
 
 // Owner implements forward.Admission.
 func (g *Gateway) Owner(service string) string {
-	name, _ := g.host.Owner(service, g.settings.Region)
+	pools := g.pools.Load().ModelPools[workspace.ModelRegion{Model: service, Region: g.settings.Region}]
+	if len(pools) == 0 {
+		return ""
+	}
+	name, _ := g.host.Owner(pools[0].Name, g.settings.Region)
 	return name
 }
 
--- a/internal/gateway/outcomes.go
+++ b/internal/gateway/outcomes.go
@@ -13,18 +13,18 @@
 
 // write writes what is known of a rollout to the store where that does not have it:
 // first that it runs, later its outcome. The mutex is held, the call is made without it.
-func (d *deciders) write(ctx context.Context, x *deciding, v rollout.Verdict) {
-	order := x.Order()
-	if x.writing || order.State != rollout.Running || v.State == rollout.Running && order.Acknowledged {
+func (d *deciders) write(ctx context.Context, x *deciding, decided rollout.Decision) {
+	r := x.Rollout()
+	if x.writing || !r.Runs() || decided.State == rollout.Running && r.Acknowledged {
 		return
 	}
-	order.State = v.State
+	r.State = decided.State
 	x.writing = true
-	known, first := x.Known(), !order.Acknowledged
+	known, first := x.Known(), !r.Acknowledged
 	go func() {
-		d.writeOutcome(ctx, order)
+		d.writeOutcome(ctx, r)
 		if first {
-			d.writeRecord(ctx, order.ID, known)
+			d.writeRecord(ctx, r.ID, known)
 		}
 		d.mu.Lock()
 		defer d.mu.Unlock()
@@ -32,30 +32,30 @@
 	}()
 }
 
-// writeOutcome writes an order's state once. Where the order has changed meanwhile, or
-// the write's fate is unknown, the order is read again: whoever wrote first has decided.
-func (d *deciders) writeOutcome(ctx context.Context, order rollout.Order) {
+// writeOutcome writes a rollout's state once. Where that has changed meanwhile, or the
+// write's fate is unknown, it is read again: whoever wrote first has decided.
+func (d *deciders) writeOutcome(ctx context.Context, r rollout.Rollout) {
 	s := d.state
-	log := d.log.WithFields(logrus.Fields{"service": order.Service, "to": order.To, "state": order.State.String()})
-	value, err := s.platform.EncodeOutcome(order)
+	log := d.log.WithFields(logrus.Fields{"service": r.Service, "to": r.To, "state": r.State.String()})
+	value, err := s.platform.EncodeOutcome(r)
 	if err != nil {
 		log.WithError(err).Error("Outcome can't be encoded.")
 		return
 	}
-	written, err := s.platform.Status.UpdateStatus(ctx, s.platform.RolloutsKind, order.Service, value, objectstore.Version(order.Revision))
+	written, err := s.platform.Status.UpdateStatus(ctx, s.platform.RolloutsKind, r.Service, value, objectstore.Version(r.Revision))
 	if err == nil {
-		order.Revision, order.Acknowledged = uint64(written), true
-		s.noteOutcome(order)
+		r.Revision, r.Acknowledged = uint64(written), true
+		s.noteOutcome(r)
 		log.WithField("revision", written).Info("Rollout's state is written.")
 		return
 	}
 	log.WithError(err).Warn("Rollout's state is not written.")
 	if errors.Is(err, objectstore.ErrConflict) || errors.Is(err, objectstore.ErrUnknownOutcome) {
-		d.readAgain(ctx, order.Service)
+		d.readAgain(ctx, r.Service)
 	}
 }
 
-// readTimeout bounds reading an order again: the next tick tries anew.
+// readTimeout bounds reading a rollout again: the next tick tries anew.
 const readTimeout = 400 * time.Millisecond
 
 func (d *deciders) readAgain(ctx context.Context, service string) {
@@ -64,13 +64,8 @@
 	defer cancel()
 	o, err := s.platform.Store.Get(ctx, s.platform.RolloutsKind, service)
 	if err != nil {
-		d.log.WithField("service", service).WithError(err).Warn("Order can't be read again.")
+		d.log.WithField("service", service).WithError(err).Warn("Rollout can't be read again.")
 		return
 	}
-	order, err := s.platform.DecodeOrder(o)
-	if err != nil {
-		d.log.WithField("service", service).WithError(err).Error("Rollout order can't be read.")
-		return
-	}
-	s.noteOutcome(order)
+	s.noteOutcome(s.decodeRollout(o))
 }
--- a/internal/gateway/platform.go
+++ b/internal/gateway/platform.go
@@ -29,11 +29,11 @@
 	ConfigurationKind objectstore.Kind
 	ConfigurationName string
 	ServersKind       objectstore.Kind
-	// RolloutsKind holds the operators' orders for rollouts, by service.
+	// RolloutsKind holds the operators' rollouts by service.
 	RolloutsKind objectstore.Kind
 
 	DecodeConfiguration func(value []byte) (route.Document, error)
 	DecodeServer        func(name string, value []byte) (discovery.Server, error)
-	DecodeOrder         func(objectstore.Object) (rollout.Order, error)
-	EncodeOutcome       func(rollout.Order) ([]byte, error)
+	DecodeRollout       func(objectstore.Object) (rollout.Rollout, error)
+	EncodeOutcome       func(rollout.Rollout) ([]byte, error)
 }
--- a/internal/gateway/pools.go
+++ b/internal/gateway/pools.go
@@ -1,6 +1,8 @@
 package gateway
 
 import (
+	"cmp"
+	"slices"
 	"strconv"
 
 	"github.com/cespare/xxhash/v2"
@@ -11,139 +13,111 @@
 	"github.com/lycheekeel/lycheekeel/workspace"
 )
 
-// buildPools makes the pools of each service: one, or as many as it takes that
-// none has many more than workspace.MaxPoolServers servers, so that no owner
-// schedules more than it can.
-func buildPools(t *route.Table, servers []discovery.Server, region string, d division) *workspace.Snapshot {
-	out := &workspace.Snapshot{
-		Pools:      make(map[string]*workspace.ResolvedPool, len(t.Services)),
-		ModelPools: make(map[workspace.ModelRegion][]*workspace.ResolvedPool, len(t.Services)),
-	}
-	shards := make(map[poolsOf][]*workspace.ResolvedPool, len(t.Services))
-	divided := d.servers(servers)
-	for name := range t.Services {
-		for _, of := range d.pools(name) {
-			shards[of] = makeShards(of, region, len(divided[of]))
-			for _, p := range shards[of] {
-				out.Pools[p.Name] = p
-			}
-			for _, version := range d.served(of) {
-				out.ModelPools[workspace.ModelRegion{Model: name, Version: version, Region: region}] = shards[of]
-			}
-		}
-	}
-	for of, servers := range divided { // sorted by ID, as pools have them
-		for _, s := range servers {
-			if all := shards[of]; len(all) > 0 {
-				p := all[shardOf(s.ID, len(all))]
-				p.Servers = append(p.Servers, backendServer(s, p.Name, region))
-			}
-		}
-	}
-	return out
+// versionPools are the servers of a service that have pools of their own: those of one
+// version, where versions count.
+//
+// What goes wrong with one pool for all versions: its scheduler sends to the fastest server
+// and follows prefixes, and a new version gets more than its share. Since a pool has its
+// version's name for as long as there are servers of it, none moves to another one, whose
+// owner would not know what runs there, when a version is promoted or rolled back.
+type versionPools struct {
+	service, version string
+	arm              rollout.Arm
+	servers          []discovery.Server // sorted by ID
 }
 
-// poolsOf names the pools of a service or, with a version, those of the version that a
-// rollout moves it to.
-type poolsOf struct{ service, version string }
-
-func (p poolsOf) name() string {
+func (p *versionPools) name() string {
 	if p.version == "" {
 		return p.service
 	}
 	return p.service + "@" + p.version
 }
 
-// division is how the servers of services with a rollout are divided into pools: the
-// servers of the version on trial have pools of their own. They keep these when the
-// version has been taken, so that their owners go on knowing what runs there.
-//
-// What goes wrong with one pool for all: its scheduler sends to the fastest server and
-// follows prefixes, and the new version gets more than its share.
+// division is how the servers of a service are divided by their version.
 type division struct {
-	// orders are those that divide, by service.
-	orders map[string]rollout.Order
-	arm    func(discovery.Server) rollout.Arm
-	tried  func(service string, old int, trial []discovery.Server) []discovery.Server
+	// arm returns what a server is to its service's requests; nil: versions don't count.
+	arm func(discovery.Server) rollout.Arm
+	// canaries returns the servers of a new version that get canaries now, beside so many
+	// stable ones.
+	canaries func(service string, stable int, servers []discovery.Server) []discovery.Server
 }
 
-// pools returns the pools that a service has. Those that an outcome has emptied stay,
-// without servers, for the requests that wait in them: their owner sheds these when
-// their patience ends, while without an owner they would wait until their deadline.
-func (d division) pools(service string) []poolsOf {
-	order, divided := d.orders[service]
-	if !divided {
-		return []poolsOf{{service: service}}
-	}
-	return []poolsOf{{service: service}, {service, order.To}}
-}
-
-// served returns the versions under which requests ask for the pools; empty: those
-// that are not on trial.
-func (d division) served(of poolsOf) []string {
-	state := d.orders[of.service].State
-	switch {
-	case of.version == "" && state == rollout.Succeeded, of.version != "" && state == rollout.RolledBack:
-		return nil
-	case of.version != "" && state == rollout.Succeeded:
-		return []string{"", of.version}
-	default:
-		return []string{of.version}
-	}
-}
-
-// servers divides the servers, which stay sorted by ID.
-func (d division) servers(all []discovery.Server) map[poolsOf][]discovery.Server {
-	out := map[poolsOf][]discovery.Server{}
-	for _, s := range all {
-		if of, ok := d.poolOf(s); ok {
-			out[of] = append(out[of], s)
+// divide divides the servers, which are sorted by ID.
+func (d division) divide(servers []discovery.Server) []*versionPools {
+	type key struct{ service, version string }
+	pools := map[key]*versionPools{}
+	stable := map[string]int{}
+	for _, s := range servers {
+		k, arm := key{service: s.Service}, rollout.Stable
+		if d.arm != nil {
+			k.version, arm = s.Version, d.arm(s)
+		}
+		if arm == rollout.Off {
+			continue
+		}
+		if pools[k] == nil {
+			pools[k] = &versionPools{service: k.service, version: k.version, arm: arm}
+		}
+		pools[k].servers = append(pools[k].servers, s)
+		if arm == rollout.Stable {
+			stable[s.Service]++
 		}
 	}
-	for service, order := range d.orders {
-		if order.State == rollout.Running && d.tried != nil {
-			of := poolsOf{service, order.To}
-			out[of] = d.tried(service, len(out[poolsOf{service: service}]), out[of])
+	out := make([]*versionPools, 0, len(pools))
+	for _, p := range pools {
+		if p.arm == rollout.Canary {
+			p.servers = d.canaries(p.service, stable[p.service], p.servers)
 		}
+		out = append(out, p)
 	}
+	slices.SortFunc(out, func(a, b *versionPools) int {
+		return cmp.Or(cmp.Compare(a.service, b.service), cmp.Compare(a.version, b.version))
+	})
 	return out
 }
 
-// poolOf returns where a server belongs; false: nowhere.
-func (d division) poolOf(s discovery.Server) (poolsOf, bool) {
-	order, divided := d.orders[s.Service]
-	if d.arm == nil {
-		return poolsOf{service: s.Service}, true
+// buildPools makes the pools of each service: one a version or, where that has too many
+// servers for one owner to schedule, as many as it takes that none has many more than
+// workspace.MaxPoolServers. A service without a stable server has an empty one.
+func buildPools(t *route.Table, servers []discovery.Server, region string, d division) *workspace.Snapshot {
+	out := &workspace.Snapshot{
+		Pools:      make(map[string]*workspace.ResolvedPool, len(t.Services)),
+		ModelPools: make(map[workspace.ModelRegion][]*workspace.ResolvedPool, len(t.Services)),
 	}
-	switch arm := d.arm(s); {
-	case arm == rollout.Off:
-		return poolsOf{}, false
-	case arm == rollout.Trial, divided && order.State == rollout.Succeeded:
-		return poolsOf{s.Service, order.To}, true
-	default:
-		return poolsOf{service: s.Service}, true
+	for _, p := range d.divide(servers) {
+		if t.Services[p.service] != nil {
+			addPools(out, p, region)
+		}
 	}
-}
-
-// division returns how the servers are divided now; the mutex is held.
-func (s *state) division() division {
-	if !s.orders.enabled {
-		return division{}
+	for name := range t.Services {
+		if out.ModelPools[workspace.ModelRegion{Model: name, Region: region}] == nil {
+			addPools(out, &versionPools{service: name, arm: rollout.Stable}, region)
+		}
 	}
-	return division{orders: s.orders.known, arm: s.orders.arm, tried: s.trials}
+	return out
 }
 
-func makeShards(of poolsOf, region string, servers int) []*workspace.ResolvedPool {
-	n := max(1, (servers+workspace.MaxPoolServers-1)/workspace.MaxPoolServers)
-	all := make([]*workspace.ResolvedPool, n)
-	for i := range all {
-		name := of.name()
+// addPools adds the pools of a version. Requests that are no canaries ask for those of the
+// stable versions under the empty one.
+func addPools(to *workspace.Snapshot, p *versionPools, region string) {
+	key := workspace.ModelRegion{Model: p.service, Region: region}
+	if p.arm == rollout.Canary {
+		key.Version = p.version
+	}
+	shards := make([]*workspace.ResolvedPool, max(1, (len(p.servers)+workspace.MaxPoolServers-1)/workspace.MaxPoolServers))
+	for i := range shards {
+		name := p.name()
 		if i > 0 {
 			name += "#" + strconv.Itoa(i)
 		}
-		all[i] = &workspace.ResolvedPool{Pool: workspace.Pool{Name: name, Region: region, Model: of.service, Version: of.version}}
+		shards[i] = &workspace.ResolvedPool{Pool: workspace.Pool{Name: name, Region: region, Model: p.service, Version: key.Version}}
+		to.Pools[name] = shards[i]
+	}
+	for _, s := range p.servers {
+		shard := shards[shardOf(s.ID, len(shards))]
+		shard.Servers = append(shard.Servers, backendServer(s, shard.Name, region))
 	}
-	return all
+	to.ModelPools[key] = append(to.ModelPools[key], shards...)
 }
 
 // shardOf puts a server into one of n pools by jump consistent hashing (Lamping
--- a/internal/gateway/reader.go
+++ b/internal/gateway/reader.go
@@ -87,10 +87,10 @@
 			replace: r.replaceServers, change: r.changeServer, failed: s.storeAway,
 		},
 	}
-	if s.orders.enabled {
+	if s.rollouts.enabled {
 		all = append(all, &kindLoop{
-			kind: s.platform.RolloutsKind, every: r.ordersEvery, fresh: s.ordersFresh,
-			replace: r.replaceOrders, change: r.changeOrder, failed: func() {}, rests: r.restsFromOrders, wake: s.orders.wanted,
+			kind: s.platform.RolloutsKind, every: r.rolloutsEvery, fresh: s.rolloutsFresh,
+			replace: r.replaceRollouts, change: r.changeRollout, failed: func() {}, rests: r.restsFromRollouts, wake: s.rollouts.wanted,
 		})
 	}
 	return all
--- a/internal/gateway/rig_test.go
+++ b/internal/gateway/rig_test.go
@@ -106,7 +106,7 @@
 	n := &node{site: s, done: make(chan error, 1), settings: gateway.Settings{
 		Name: name, Region: "r", AvailabilityZone: "z", Listen: freePort(s.t), Readiness: freePort(s.t), Peer: freePort(s.t),
 		Store: s.address, Limits: gateway.LimitSettings{MemoryMB: 512},
-		Bounds: gateway.BoundsSettings{GraceS: 8, RevokeMs: 5000, RetryRatio: 0.2, RetryWindowS: 10, RetrySlack: 100, ExposeShare: 0.1, ExposeSlack: 50},
+		Bounds: gateway.BoundsSettings{GraceS: 8, RevokeMs: 5000, RetryRatio: 0.2, RetryWindowS: 10, RetrySlack: 100, CanaryShare: 0.1, CanarySlack: 50},
 	}}
 	n.settings.PeerAddress = n.settings.Peer
 	s.seeds = append(s.seeds, n.settings.Peer)
--- a/internal/gateway/rollout_test.go
+++ b/internal/gateway/rollout_test.go
@@ -14,16 +14,16 @@
 	"github.com/lycheekeel/lycheekeel/platform/standin"
 )
 
-// trialSite is two gateways before three servers of version v1, with callers.
-type trialSite struct {
+// rolloutSite is two gateways before three servers of version v1, with callers.
+type rolloutSite struct {
 	*site
 	nodes  []*node
 	failed atomic.Int64 // answers that were not the whole answer of a server
 	asked  atomic.Int64
 }
 
-func newTrialSite(t *testing.T) *trialSite {
-	s := &trialSite{site: newSite(t)}
+func newRolloutSite(t *testing.T) *rolloutSite {
+	s := &rolloutSite{site: newSite(t)}
 	for i := range 3 {
 		s.addVersion(fmt.Sprint("old-", i), "app", "v1")
 	}
@@ -35,9 +35,9 @@
 	return s
 }
 
-// order adds the servers of v2, which a function makes bad, and orders the move.
-func (s *trialSite) order(durationS float64, spoil func(*standin.Server)) {
-	s.store.PutOrder("app", "v2", durationS)
+// rollOut adds the servers of v2, which a function makes bad, and requests the move.
+func (s *rolloutSite) rollOut(durationS float64, spoil func(*standin.Server)) {
+	s.store.PutRollout("app", "v2", durationS)
 	for i := range 3 {
 		b := &standin.Server{ID: fmt.Sprint("new-", i)}
 		spoil(b)
@@ -46,8 +46,22 @@
 	}
 }
 
+// burstOf is how many requests tell whether a version gets any: a canary's share of them
+// is several.
+const burstOf = 200
+
+// idle tells whether servers with a prefix get none of a burst of requests that the others
+// serve.
+func (s *rolloutSite) idle(prefix, others string) bool {
+	before, served := s.arrivals(prefix), s.arrivals(others)
+	for i := range burstOf {
+		s.nodes[i%2].status("/again/", fmt.Sprint(prefix, s.asked.Add(1)), "key-1")
+	}
+	return s.arrivals(prefix) == before && s.arrivals(others) >= served+burstOf
+}
+
 // call calls from a few callers until the rollout has an outcome, and some more.
-func (s *trialSite) call(until func() bool) {
+func (s *rolloutSite) call(until func() bool) {
 	ctx, cancel := context.WithCancel(context.Background())
 	var wg conc.WaitGroup
 	for caller := range 8 {
@@ -67,7 +81,7 @@
 	wg.Wait()
 }
 
-func (s *trialSite) state() string {
+func (s *rolloutSite) state() string {
 	state, to := s.store.RolloutState("app")
 	if to != "v2" {
 		return ""
@@ -76,7 +90,7 @@
 }
 
 // arrivals returns how many requests servers with a prefix began to run.
-func (s *trialSite) arrivals(prefix string) int {
+func (s *rolloutSite) arrivals(prefix string) int {
 	n := 0
 	for id, b := range s.servers {
 		if strings.HasPrefix(id, prefix) {
@@ -86,70 +100,52 @@
 	return n
 }
 
-// Symptom: a good version is never taken. Sequence: an operator orders a rollout; its
-// servers answer as well as the old ones; the deadline passes. Cause: orders were not
+// Symptom: a good version is never promoted. Sequence: an operator requests a rollout; its
+// servers answer as well as the stable ones; the deadline passes. Cause: rollouts were not
 // read, and nobody wrote an outcome.
-func TestAGoodVersionIsTaken(t *testing.T) {
-	Convey("A good version is taken, and then gets every request", t, func() {
-		s := newTrialSite(t)
-		s.order(4, func(*standin.Server) {})
-		eventually(t, "the order is acknowledged", func() bool { return s.state() == "running" })
+func TestAGoodVersionIsPromoted(t *testing.T) {
+	Convey("A good version is promoted, and then gets every request", t, func() {
+		s := newRolloutSite(t)
+		s.rollOut(4, func(*standin.Server) {})
+		eventually(t, "the rollout is acknowledged", func() bool { return s.state() == "running" })
 		s.call(func() bool { return s.state() == "succeeded" })
 		So(s.failed.Load(), ShouldEqual, 0)
-		eventually(t, "all requests go to the new version", func() bool {
-			before := s.arrivals("old-")
-			for i := range 20 {
-				s.nodes[i%2].status("/again/", fmt.Sprint("after-", i), "key-1")
-			}
-			return s.arrivals("old-") == before
-		})
+		eventually(t, "all requests go to the new version", func() bool { return s.idle("old-", "new-") })
 	})
 }
 
 // Symptom: a bad version gets its whole share of the traffic. Sequence: an operator
-// orders a rollout; the new servers fail half of what they run. Cause: versions were
+// requests a rollout; the new servers fail half of what they run. Cause: versions were
 // not told apart.
-func TestABadVersionIsTakenBack(t *testing.T) {
+func TestABadVersionIsRolledBack(t *testing.T) {
 	for what, spoil := range map[string]func(*standin.Server){
 		"fails half":  func(b *standin.Server) { b.Fails = func(n int) bool { return n%2 == 0 } },
 		"fails later": func(b *standin.Server) { b.Fails = func(n int) bool { return n > 15 } },
 		"is slow":     func(b *standin.Server) { b.Slow = 40 * time.Millisecond },
 	} {
-		Convey("A version that "+what+" is taken back, and gets no more than its part", t, func() {
-			s := newTrialSite(t)
-			s.order(8, spoil)
+		Convey("A version that "+what+" is rolled back, and gets no more than its part", t, func() {
+			s := newRolloutSite(t)
+			s.rollOut(8, spoil)
 			s.call(func() bool { return s.state() == "rolled_back" })
+			So(s.arrivals("new-"), ShouldBeGreaterThan, 0)
 			So(s.arrivals("new-"), ShouldBeLessThanOrEqualTo, s.asked.Load()/10+50)
-			eventually(t, "the new version gets nothing more", func() bool {
-				before := s.arrivals("new-")
-				for i := range 40 {
-					s.nodes[i%2].status("/again/", fmt.Sprint("after-", i), "key-1")
-				}
-				return s.arrivals("new-") == before
-			})
+			eventually(t, "the new version gets nothing more", func() bool { return s.idle("new-", "old-") })
 		})
 	}
 }
 
 // Symptom: a bad version stays in use for as long as the store is away. Sequence: its
-// servers are on trial; the store goes down; then they fail. Cause: requests went on to
+// servers get canaries; the store goes down; then they fail. Cause: requests went on to
 // them until an outcome was written.
 func TestABadVersionGetsNothingWhileTheStoreIsDown(t *testing.T) {
-	Convey("A bad version is taken back at once where the store is down, and the outcome is written later", t, func() {
-		s := newTrialSite(t)
+	Convey("A bad version is rolled back at once where the store is down, and the outcome is written later", t, func() {
+		s := newRolloutSite(t)
 		var bad atomic.Bool
-		s.order(30, func(b *standin.Server) { b.Fails = func(int) bool { return bad.Load() } })
+		s.rollOut(30, func(b *standin.Server) { b.Fails = func(int) bool { return bad.Load() } })
 		s.call(func() bool { return s.arrivals("new-") >= 3 })
 		s.store.Fail(standin.Faults{Busy: true})
 		bad.Store(true)
-		resting := func() bool {
-			before := s.arrivals("new-")
-			for i := range 60 {
-				s.nodes[i%2].status("/again/", fmt.Sprint("down-", i), "key-1")
-			}
-			return s.arrivals("new-") == before
-		}
-		eventually(t, "the new version gets nothing more", resting)
+		eventually(t, "the new version gets nothing more", func() bool { return s.idle("new-", "old-") })
 		So(s.state(), ShouldEqual, "running")
 		s.store.Fail(standin.Faults{})
 		eventually(t, "the outcome is written", func() bool { return s.state() == "rolled_back" })
@@ -160,9 +156,9 @@
 // loses its answer. Cause: a write whose fate is unknown counted as done, or as failed.
 func TestOneOutcomeWhereAnswersOfTheStoreAreLost(t *testing.T) {
 	Convey("Where answers to writes are lost, there is one outcome, and it stays", t, func() {
-		s := newTrialSite(t)
+		s := newRolloutSite(t)
 		s.store.Fail(standin.Faults{LoseWrites: true})
-		s.order(8, func(b *standin.Server) { b.Fails = func(n int) bool { return n%2 == 0 } })
+		s.rollOut(8, func(b *standin.Server) { b.Fails = func(n int) bool { return n%2 == 0 } })
 		s.call(func() bool { return s.state() == "rolled_back" })
 		writes := s.store.Calls("PUT")
 		s.call(func() bool { return s.asked.Load() > 2000 })
@@ -171,13 +167,13 @@
 	})
 }
 
-// Symptom: a rollout stays without an outcome, or a bad version is taken. Sequence: the
+// Symptom: a rollout stays without an outcome, or a bad version is promoted. Sequence: the
 // daemon that decides leaves in the middle. Cause: the evidence was known to it alone.
 func TestARolloutOutlivesTheDaemonThatDecides(t *testing.T) {
 	for _, leaver := range []int{0, 1} {
-		Convey(fmt.Sprint("A bad version is taken back when daemon ", leaver, " leaves meanwhile"), t, func() {
-			s := newTrialSite(t)
-			s.order(12, func(b *standin.Server) { b.Fails = func(n int) bool { return n%3 == 0 } })
+		Convey(fmt.Sprint("A bad version is rolled back when daemon ", leaver, " leaves meanwhile"), t, func() {
+			s := newRolloutSite(t)
+			s.rollOut(12, func(b *standin.Server) { b.Fails = func(n int) bool { return n%3 == 0 } })
 			s.call(func() bool { return s.arrivals("new-") >= 1 })
 			s.nodes[leaver].stop()
 			s.nodes = []*node{s.nodes[1-leaver], s.nodes[1-leaver]}
@@ -186,31 +182,25 @@
 	}
 }
 
-// Symptom: the servers of an order that was withdrawn go on getting requests.
-// Sequence: an operator orders a rollout and deletes the order while it runs.
-// Cause: without an order every version counted as fit to serve.
-func TestAWithdrawnOrderEndsTheTrial(t *testing.T) {
-	Convey("When the order is withdrawn the new version gets nothing more", t, func() {
-		s := newTrialSite(t)
-		s.order(30, func(*standin.Server) {})
+// Symptom: the servers of a rollout that was withdrawn go on getting requests.
+// Sequence: an operator requests a rollout and deletes it while it runs.
+// Cause: without a rollout every version counted as fit to serve.
+func TestAWithdrawnRolloutEndsItsCanaries(t *testing.T) {
+	Convey("When the rollout is withdrawn the new version gets nothing more", t, func() {
+		s := newRolloutSite(t)
+		s.rollOut(30, func(*standin.Server) {})
 		s.call(func() bool { return s.arrivals("new-") >= 3 })
 		s.store.Remove(standin.KindRollouts, "app")
-		eventually(t, "the new version gets nothing more", func() bool {
-			before := s.arrivals("new-")
-			for i := range 60 {
-				s.nodes[i%2].status("/again/", fmt.Sprint("without-", i), "key-1")
-			}
-			return s.arrivals("new-") == before
-		})
+		eventually(t, "the new version gets nothing more", func() bool { return s.idle("new-", "old-") })
 	})
 }
 
-// Symptom: an order for the version that runs already leaves a service without
-// servers. Sequence: an operator orders it. Cause: its servers were put on trial.
-func TestAnOrderForTheVersionThatRuns(t *testing.T) {
-	Convey("An order for the version that runs already succeeds, and nobody is refused", t, func() {
-		s := newTrialSite(t)
-		s.store.PutOrder("app", "v1", 6)
+// Symptom: a rollout to the version that runs already leaves a service without
+// servers. Sequence: an operator requests it. Cause: its servers were taken for canaries.
+func TestARolloutToTheVersionThatRuns(t *testing.T) {
+	Convey("A rollout to the version that runs already succeeds, and nobody is refused", t, func() {
+		s := newRolloutSite(t)
+		s.store.PutRollout("app", "v1", 6)
 		s.call(func() bool {
 			state, to := s.store.RolloutState("app")
 			return state == "succeeded" && to == "v1"
@@ -221,25 +211,25 @@
 
 // Symptom: a rollout stays running for ever. Sequence: no server of the version ever
 // registers. Cause: only evidence ended a rollout.
-func TestAnOrderWithoutServersIsTakenBack(t *testing.T) {
-	Convey("A version without servers is taken back at the deadline", t, func() {
-		s := newTrialSite(t)
-		s.store.PutOrder("app", "v2", 2)
+func TestARolloutWithoutServersIsRolledBack(t *testing.T) {
+	Convey("A version without servers is rolled back at the deadline", t, func() {
+		s := newRolloutSite(t)
+		s.store.PutRollout("app", "v2", 2)
 		s.call(func() bool { return s.state() == "rolled_back" })
 		So(s.failed.Load(), ShouldEqual, 0)
 	})
 }
 
 // Symptom: a rollout is decided long after its deadline. Sequence: all daemons are
-// killed while it runs, and start again. Cause: the new ones took the order for one that
-// was just given.
+// killed while it runs, and start again. Cause: the new ones took it for one that
+// was just requested.
 func TestARolloutKeepsItsDeadlineThroughARestartOfAllDaemons(t *testing.T) {
-	Convey("The new daemons know since when the order stands", t, func() {
-		s := newTrialSite(t)
-		s.store.PutOrder("app", "v2", 3600) // no server of it comes
-		eventually(t, "the order is acknowledged", func() bool { return s.state() == "running" })
+	Convey("The new daemons know since when the rollout stands", t, func() {
+		s := newRolloutSite(t)
+		s.store.PutRollout("app", "v2", 3600) // no server of it comes
+		eventually(t, "the rollout is acknowledged", func() bool { return s.state() == "running" })
 		// The record is what outlives the daemons; here it says that the hour is over.
-		eventually(t, "its record is written", func() bool { return s.store.AgeOrderRecord("app", time.Hour) })
+		eventually(t, "its record is written", func() bool { return s.store.AgeRolloutRecord("app", time.Hour) })
 		for _, n := range s.nodes {
 			n.stop()
 			<-n.done
--- a/internal/gateway/orderrecord.go
+++ b/internal/gateway/rolloutrecord.go
@@ -11,14 +11,14 @@
 	"github.com/lycheekeel/lycheekeel/rollout"
 )
 
-// kindOrders holds, in a kind of our own and by service, when an order became known.
+// kindRolloutRecords holds, in a kind of our own and by service, when a rollout became known.
 //
 // What goes wrong without it: all daemons are killed while a rollout runs; the new ones
-// take the order for one that was just given, and decide it long after its deadline.
-const kindOrders objectstore.Kind = "lycheekeel-rollouts"
+// take it for one that was just requested, and decide it long after its deadline.
+const kindRolloutRecords objectstore.Kind = "lycheekeel-rollouts"
 
-// orderRecord is the object's value.
-type orderRecord struct {
+// rolloutRecord is the object's value.
+type rolloutRecord struct {
 	To      string `json:"to"`
 	Created uint64 `json:"created"`
 	// KnownAtMs is in Unix milliseconds by the clock of the daemon that wrote it. Only
@@ -26,37 +26,37 @@
 	KnownAtMs int64 `json:"known_at_ms"`
 }
 
-// writeRecord writes when an order became known. It does not matter which of two
-// daemons that write it at once wins: both saw the order just now.
+// writeRecord writes when a rollout became known. It does not matter which of two daemons
+// that write it at once wins: both saw it just now.
 func (d *deciders) writeRecord(ctx context.Context, id rollout.ID, known time.Time) {
 	log := d.log.WithField("service", id.Service)
-	value, err := json.Marshal(orderRecord{To: id.To, Created: id.Created, KnownAtMs: known.UnixMilli()})
+	value, err := json.Marshal(rolloutRecord{To: id.To, Created: id.Created, KnownAtMs: known.UnixMilli()})
 	if err != nil {
-		log.WithError(err).Error("Order's record can't be encoded.")
+		log.WithError(err).Error("Rollout's record can't be encoded.")
 		return
 	}
 	store := d.state.platform.Store
-	_, err = store.Create(ctx, kindOrders, id.Service, value)
+	_, err = store.Create(ctx, kindRolloutRecords, id.Service, value)
 	if errors.Is(err, objectstore.ErrConflict) {
 		var old objectstore.Object
-		if old, err = store.Get(ctx, kindOrders, id.Service); err == nil {
-			_, err = store.Update(ctx, kindOrders, id.Service, value, old.Version)
+		if old, err = store.Get(ctx, kindRolloutRecords, id.Service); err == nil {
+			_, err = store.Update(ctx, kindRolloutRecords, id.Service, value, old.Version)
 		}
 	}
 	if err != nil {
-		log.WithError(err).Warn("Order's record is not written.")
+		log.WithError(err).Warn("Rollout's record is not written.")
 	}
 }
 
-// readRecord returns when an order became known; false: there is no record of it.
+// readRecord returns when a rollout became known; false: there is no record of it.
 func (d *deciders) readRecord(ctx context.Context, id rollout.ID) (time.Time, bool) {
-	o, err := d.state.platform.Store.Get(ctx, kindOrders, id.Service)
-	var r orderRecord
+	o, err := d.state.platform.Store.Get(ctx, kindRolloutRecords, id.Service)
+	var r rolloutRecord
 	if err == nil {
 		err = json.Unmarshal(o.Value, &r)
 	}
 	if err != nil {
-		d.log.WithField("service", id.Service).WithError(err).Warn("Order's record can't be read.")
+		d.log.WithField("service", id.Service).WithError(err).Warn("Rollout's record can't be read.")
 		return time.Time{}, false
 	}
 	age := time.Since(time.UnixMilli(r.KnownAtMs))
@@ -66,7 +66,7 @@
 	return time.Now().Add(-age), true
 }
 
-// recall lets a decider that has just begun know an order's age from the record.
+// recall lets a decider that has just begun know a rollout's age from the record.
 func (d *deciders) recall(ctx context.Context, id rollout.ID) {
 	ctx, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
--- a/internal/gateway/rollouts.go
+++ b/internal/gateway/rollouts.go
@@ -31,15 +31,15 @@
 	// reportTimeout bounds a report's way there and back.
 	reportTimeout = time.Second
 	// planHolds is for how long a plan is gone by. A daemon that the deciding one does
-	// not answer sends nothing to a version on trial after that.
+	// not answer sends no canaries after that.
 	planHolds = 2500 * time.Millisecond
 	// rolloutTick is how often a rollout is decided anew.
 	rolloutTick = 200 * time.Millisecond
 )
 
 // rollouts are a daemon's part in the rollouts: it divides its requests by the plan
-// of the daemon that decides, which is the owner of the service's pool, and reports to
-// it how they went. It implements forward.Rollouts.
+// of the daemon that decides, which is found as the owner of a pool is, and reports to it
+// how they went. It implements forward.Rollouts.
 type rollouts struct {
 	state  *state
 	bounds rollout.Bounds
@@ -59,13 +59,13 @@
 	started   uint64
 }
 
-type rolloutCounters struct{ tried, notTried, failed, slow *expvar.Int }
+type rolloutCounters struct{ canaries, noSlot, failed, abandoned *expvar.Int }
 
 // participation is one rollout as a daemon takes part in it.
 type participation struct {
 	id       rollout.ID
 	known    time.Time
-	exposure *rollout.Exposure
+	budget   *rollout.Budget
 	recorder *rollout.Recorder
 	plan     atomic.Pointer[heardPlan]
 	// reporting is set while a report is under way; the fields below are its own.
@@ -82,16 +82,16 @@
 
 func newRollouts(s *state, b BoundsSettings, m *metrics.Registry) *rollouts {
 	r := &rollouts{
-		state: s, bounds: rollout.Bounds{Share: b.ExposeShare, Slack: b.ExposeSlack}, log: logs.For("rollout"),
+		state: s, bounds: rollout.Bounds{Share: b.CanaryShare, Slack: b.CanarySlack}, log: logs.For("rollout"),
 		count: rolloutCounters{
-			tried: m.Counter("rollouts", "tried"), notTried: m.Counter("rollouts", "no_slot"),
-			failed: m.Counter("rollouts", "trials_failed"), slow: m.Counter("rollouts", "trials_abandoned"),
+			canaries: m.Counter("rollouts", "canaries"), noSlot: m.Counter("rollouts", "no_slot"),
+			failed: m.Counter("rollouts", "canaries_failed"), abandoned: m.Counter("rollouts", "canaries_abandoned"),
 		},
 	}
 	r.active.Store(&map[string]*participation{})
-	r.enabled = b.ExposeShare > 0
-	s.orders = newOrders(r.enabled)
-	s.trials = r.tried
+	r.enabled = b.CanaryShare > 0
+	s.rollouts = newKnownRollouts(r.enabled)
+	s.canaries = r.canaryServers
 	return r
 }
 
@@ -117,20 +117,19 @@
 	}
 }
 
-// follow takes up new orders and drops those that have an outcome or were withdrawn.
+// follow takes up new rollouts and drops those that have an outcome or were withdrawn.
 func (r *rollouts) follow() {
-	orders, _ := r.state.allOrders()
 	before, changed := *r.active.Load(), false
 	now := map[string]*participation{}
-	for _, o := range orders {
-		if o.State != rollout.Running {
+	for _, x := range r.state.allRollouts() {
+		if !x.Runs() {
 			continue
 		}
-		t := before[o.Service]
-		if t == nil || t.id != o.ID {
-			t, changed = r.takeUp(o), true
+		t := before[x.Service]
+		if t == nil || t.id != x.ID {
+			t, changed = r.takeUp(x), true
 		}
-		now[o.Service] = t
+		now[x.Service] = t
 	}
 	for service, t := range before {
 		if now[service] != t {
@@ -144,12 +143,12 @@
 	r.deciders.keep(now)
 }
 
-func (r *rollouts) takeUp(o rollout.Order) *participation {
-	r.log.WithFields(logrus.Fields{"service": o.Service, "to": o.To, "within_s": o.Duration.Seconds(), "revision": o.Revision}).
-		Info("Rollout is ordered.")
+func (r *rollouts) takeUp(x rollout.Rollout) *participation {
+	r.log.WithFields(logrus.Fields{"service": x.Service, "to": x.To, "within_s": x.Duration.Seconds(), "revision": x.Revision}).
+		Info("Rollout begins.")
 	return &participation{
-		id: o.ID, known: time.Now(), recorder: rollout.NewRecorder(),
-		exposure: rollout.NewExposure(0, r.bounds, len(r.views.Load().Members), rand.Float64()),
+		id: x.ID, known: time.Now(), recorder: rollout.NewRecorder(),
+		budget: rollout.NewBudget(0, r.bounds, len(r.views.Load().Members), rand.Float64()),
 	}
 }
 
@@ -182,7 +181,7 @@
 	t.toldTo = to
 	return rollout.Report{
 		Reporter: r.views.Load().Self, Incarnation: r.started, Number: t.number, Age: time.Since(t.known),
-		Cells: t.recorder.Untold(all), OldRuns: t.recorder.OldRuns(),
+		Cells: t.recorder.Untold(all),
 	}
 }
 
@@ -219,7 +218,7 @@
 // hear goes by a plan from now on.
 func (r *rollouts) hear(service string, t *participation, p rollout.Plan) {
 	before := t.plan.Swap(&heardPlan{p, time.Now()})
-	t.exposure.SetShare(p.Share)
+	t.budget.SetShare(p.Share)
 	if before == nil || before.Phase != p.Phase {
 		r.log.WithFields(logrus.Fields{"service": service, "to": t.id.To, "phase": p.Phase.String(), "share": p.Share}).
 			Info("Rollout has another phase.")
@@ -244,19 +243,8 @@
 	return proto.Marshal(planToWire(plan))
 }
 
-// Active implements forward.Rollouts.
-func (r *rollouts) Active(service string) bool { return (*r.active.Load())[service] != nil }
-
-// Epoch implements forward.Rollouts.
-func (r *rollouts) Epoch(service string) context.Context {
-	if !r.enabled {
-		return nil
-	}
-	return r.state.epochs.of(service)
-}
-
-// Try implements forward.Rollouts.
-func (r *rollouts) Try(service, route string) (string, bool) {
+// Canary implements forward.Rollouts.
+func (r *rollouts) Canary(service, route string) (string, bool) {
 	t := (*r.active.Load())[service]
 	if t == nil {
 		return "", false
@@ -265,31 +253,26 @@
 	if heard == nil || time.Since(heard.at) > planHolds {
 		return "", false
 	}
-	if heard.ToTrial(route, time.Since(heard.at)) || heard.SharesTrial() && t.exposure.Take() {
-		r.count.tried.Add(1)
+	if heard.AllToNew(route, time.Since(heard.at)) || heard.HasCanaries() && t.budget.Take() {
+		r.count.canaries.Add(1)
 		return t.id.To, true
 	}
 	return "", false
 }
 
-// NotTried implements forward.Rollouts.
-func (r *rollouts) NotTried(service string) {
-	r.count.notTried.Add(1)
-	if t := (*r.active.Load())[service]; t != nil {
-		t.exposure.Return()
-	}
-}
+// NoSlot implements forward.Rollouts.
+func (r *rollouts) NoSlot(string) { r.count.noSlot.Add(1) }
 
-// Began implements forward.Rollouts.
-func (r *rollouts) Began(service string, trial, first bool) {
+// Sent implements forward.Rollouts.
+func (r *rollouts) Sent(service string, first bool) bool {
 	t := (*r.active.Load())[service]
 	if t == nil {
-		return
+		return false
 	}
 	if first {
-		t.exposure.Sent()
+		t.budget.Sent()
 	}
-	t.recorder.Begin(trial)
+	return true
 }
 
 // Ended implements forward.Rollouts.
@@ -302,31 +285,36 @@
 	if heard := t.plan.Load(); heard != nil {
 		limit = heard.Routes[run.Route].Limit
 	}
-	if run.Trial && (run.Ending == rollout.Failed || run.Ending == rollout.Broken) {
-		r.count.failed.Add(1)
+	if run.Canary {
+		r.countCanary(run.Ending)
 	}
-	if run.Trial && run.Ending == rollout.Abandoned {
-		r.count.slow.Add(1)
+	t.recorder.Record(run, limit)
+}
+
+func (r *rollouts) countCanary(e rollout.Ending) {
+	switch e {
+	case rollout.Failed, rollout.Broken:
+		r.count.failed.Add(1)
+	case rollout.Abandoned:
+		r.count.abandoned.Add(1)
 	}
-	t.recorder.End(run, limit)
 }
 
-// tried returns the servers of a version on trial that are used now: all where the
-// plan has opened them, a few warm ones before.
-func (r *rollouts) tried(service string, old int, trial []discovery.Server) []discovery.Server {
+// canaryServers returns the servers of a new version that get canaries now: all where the
+// plan has opened them, a few before, and warm ones where there are any.
+func (r *rollouts) canaryServers(service string, stable int, servers []discovery.Server) []discovery.Server {
 	t := (*r.active.Load())[service]
 	if t == nil {
 		return nil
 	}
-	heard := t.plan.Load()
-	if heard != nil && heard.Open {
-		return trial
+	if heard := t.plan.Load(); heard != nil && heard.Open {
+		return servers
 	}
-	warm := slices.DeleteFunc(slices.Clone(trial), func(s discovery.Server) bool { return s.Cold })
+	warm := slices.DeleteFunc(slices.Clone(servers), func(s discovery.Server) bool { return s.Cold })
 	if len(warm) == 0 {
-		warm = slices.Clone(trial)
+		warm = slices.Clone(servers)
 	}
-	few := rollout.Tried(r.bounds.TrialShare(), old, len(warm))
+	few := rollout.CanaryServers(r.bounds.CanaryShare(), stable, len(warm))
 	// By a hash, so that they are spread over the availability zones.
 	slices.SortFunc(warm, func(a, b discovery.Server) int {
 		return cmp.Compare(xxhash.Sum64String(a.ID), xxhash.Sum64String(b.ID))
--- a/internal/gateway/rolloutwire.go
+++ b/internal/gateway/rolloutwire.go
@@ -7,10 +7,33 @@
 	"github.com/lycheekeel/lycheekeel/rollout"
 )
 
+func rolloutsToWire(all rollout.Set) []*wire.Rollout {
+	out := make([]*wire.Rollout, 0, len(all))
+	for _, r := range all {
+		out = append(out, &wire.Rollout{
+			Service: r.Service, To: r.To, DurationS: r.Duration.Seconds(), Created: r.Created,
+			Revision: r.Revision, State: uint32(r.State), Acknowledged: r.Acknowledged, Unreadable: r.Unreadable,
+		})
+	}
+	return out
+}
+
+func rolloutsOf(all []*wire.Rollout) []rollout.Rollout {
+	out := make([]rollout.Rollout, 0, len(all))
+	for _, r := range all {
+		out = append(out, rollout.Rollout{
+			ID:       rollout.ID{Service: r.Service, To: r.To, Created: r.Created},
+			Duration: seconds(r.DurationS), Revision: r.Revision, State: rollout.State(r.State),
+			Acknowledged: r.Acknowledged, Unreadable: r.Unreadable,
+		})
+	}
+	return out
+}
+
 func reportToWire(id rollout.ID, r rollout.Report) *wire.RolloutReport {
 	m := &wire.RolloutReport{
 		Service: id.Service, To: id.To, Created: id.Created, Incarnation: r.Incarnation, Number: r.Number,
-		AgeMs: inMs(r.Age), OldRuns: uint32(r.OldRuns),
+		AgeMs: inMs(r.Age),
 	}
 	for key, c := range r.Cells {
 		m.Cells = append(m.Cells, &wire.RolloutCell{
@@ -24,7 +47,7 @@
 func reportOf(m *wire.RolloutReport, from string) (rollout.ID, rollout.Report) {
 	r := rollout.Report{
 		Reporter: from, Incarnation: m.Incarnation, Number: m.Number, Age: milliseconds(m.AgeMs),
-		OldRuns: int(m.OldRuns), Cells: make(map[rollout.Key]rollout.Cell, len(m.Cells)),
+		Cells: make(map[rollout.Key]rollout.Cell, len(m.Cells)),
 	}
 	for _, c := range m.Cells {
 		r.Cells[rollout.Key{Route: c.Route, Server: c.Server}] = rollout.Cell{
@@ -61,7 +84,7 @@
 func planToWire(p rollout.Plan) *wire.RolloutPlan {
 	m := &wire.RolloutPlan{
 		Phase: uint32(p.Phase), Share: p.Share, Open: p.Open, StopInMs: inMs(p.StopIn),
-		SurgeInMs: inMs(p.SurgeIn), SurgeMs: inMs(p.SurgeFor),
+		SpikeInMs: inMs(p.SpikeIn), SpikeMs: inMs(p.SpikeFor),
 	}
 	for name, r := range p.Routes {
 		m.Routes = append(m.Routes, &wire.RolloutRoute{
@@ -74,7 +97,7 @@
 func planOf(m *wire.RolloutPlan) rollout.Plan {
 	p := rollout.Plan{
 		Phase: rollout.Phase(m.Phase), Share: m.Share, Open: m.Open, StopIn: milliseconds(m.StopInMs),
-		SurgeIn: milliseconds(m.SurgeInMs), SurgeFor: milliseconds(m.SurgeMs), Routes: make(map[string]rollout.RoutePlan, len(m.Routes)),
+		SpikeIn: milliseconds(m.SpikeInMs), SpikeFor: milliseconds(m.SpikeMs), Routes: make(map[string]rollout.RoutePlan, len(m.Routes)),
 	}
 	for _, r := range m.Routes {
 		p.Routes[r.Route] = rollout.RoutePlan{
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -75,11 +75,11 @@
 	QuotaWindowS float64 `json:"quota_window_s" validate:"gte=0"`
 	QuotaOver    float64 `json:"quota_over" validate:"gte=0"`
 	QuotaSlack   float64 `json:"quota_slack" validate:"gte=0"`
-	// ExposeShare and ExposeSlack bound what a bad version may get of a service's
-	// requests, between the order of its rollout and the deadline: share x requests +
+	// CanaryShare and CanarySlack bound what a bad version may get of a service's
+	// requests, from the request for its rollout to the deadline: share x requests +
 	// slack, over all daemons. Without a share there are no rollouts.
-	ExposeShare float64 `json:"expose_share" validate:"gte=0,lte=1"`
-	ExposeSlack float64 `json:"expose_slack" validate:"gte=0"`
+	CanaryShare float64 `json:"canary_share" validate:"gte=0,lte=1"`
+	CanarySlack float64 `json:"canary_slack" validate:"gte=0"`
 }
 
 // LoadSettings reads and checks a settings file. Findings come back together.
--- a/internal/gateway/sync.go
+++ b/internal/gateway/sync.go
@@ -35,8 +35,8 @@
 	// are.
 	configFresh, serversFresh *revision.Freshness
 	usable                    atomic.Pointer[map[string]serverUse] // by server ID
-	// ordersFresh is the same for the orders of rollouts.
-	ordersFresh    *revision.Freshness
+	// rolloutsFresh is the same for the rollouts.
+	rolloutsFresh  *revision.Freshness
 	invalidEntries *expvar.Int
 	// storeLost is the mark since which this daemon's own reads of the
 	// configuration fail; 0: the last one was answered.
@@ -49,10 +49,10 @@
 	config          objectstore.Object
 	serversRevision objectstore.Version
 	changes         discovery.Changes
-	orders          orders
-	epochs          epochs
-	// trials tells which servers of a version on trial are tried; nil: all.
-	trials       func(service string, old int, trial []discovery.Server) []discovery.Server
+	rollouts        knownRollouts
+	poolGone        poolGone
+	// canaries returns the servers of a new version that get canaries now.
+	canaries     func(service string, stable int, servers []discovery.Server) []discovery.Server
 	invalid      map[string]string // why, by the entry's name, as last logged
 	incarnations map[string]string // by server ID, as last logged
 	changed      chan struct{}     // closed at each change
@@ -64,21 +64,29 @@
 	arm     rollout.Arm
 }
 
-// takes tells whether the server may get a request, which is on trial or not.
-func (u serverUse) takes(trial bool) bool {
-	return !u.leaving && (u.arm == rollout.Stable || trial && u.arm == rollout.Trial)
+// takes tells whether the server may get a request, which is a canary or not.
+func (u serverUse) takes(canary bool) bool {
+	return !u.leaving && (u.arm == rollout.Stable || canary && u.arm == rollout.Canary)
 }
 
 func newState(p Platform, region string, routes *route.Live, pools *workspace.Live, ledger *quota.Ledger, servers func(map[string]string), m *metrics.Registry) *state {
 	return &state{
 		platform: p, region: region, routes: routes, pools: pools, ledger: ledger, servers: servers,
-		configFresh: revision.NewFreshness(), serversFresh: revision.NewFreshness(), ordersFresh: revision.NewFreshness(),
-		log: logs.For("sync"), orders: newOrders(false),
+		configFresh: revision.NewFreshness(), serversFresh: revision.NewFreshness(), rolloutsFresh: revision.NewFreshness(),
+		log: logs.For("sync"), rollouts: newKnownRollouts(false),
 		directory: discovery.NewDirectory(), changed: make(chan struct{}), latency: newLatencies(m),
 		invalidEntries: m.Counter("servers", "invalid_entries"), invalid: map[string]string{},
 	}
 }
 
+// division returns how the servers are divided now; the mutex is held.
+func (s *state) division() division {
+	if !s.rollouts.enabled {
+		return division{}
+	}
+	return division{arm: s.rollouts.arm, canaries: s.canaries}
+}
+
 // offerConfig puts a configuration in force unless it is older, and reports
 // whether the one in force is at least as new.
 func (s *state) offerConfig(o objectstore.Object) bool {
@@ -210,14 +218,15 @@
 	servers := s.directory.Servers()
 	s.logServers(servers)
 	s.logInvalid(s.directory.Invalid())
-	s.orders.divide(servers, s.serversRevision)
-	s.pools.Store(buildPools(table, servers, s.region, s.division()))
-	s.epochs.divided(s.orders.known) // after the pools: who is woken asks for them
+	s.rollouts.divide(servers, s.serversRevision)
+	before, now := s.pools.Load(), buildPools(table, servers, s.region, s.division())
+	s.pools.Store(now)
+	s.poolGone.replaced(before, now)
 	inUse := make(map[string]string, len(servers))
 	usable := make(map[string]serverUse, len(servers))
 	for _, server := range servers {
 		inUse[server.Address] += server.ID + "/" + server.Incarnation() + " "
-		usable[server.ID] = serverUse{leaving: server.Leaving, arm: s.orders.arm(server)}
+		usable[server.ID] = serverUse{leaving: server.Leaving, arm: s.rollouts.arm(server)}
 	}
 	s.servers(inUse)
 	s.usable.Store(&usable)
--- a/internal/gateway/teller.go
+++ b/internal/gateway/teller.go
@@ -9,7 +9,6 @@
 	"github.com/lycheekeel/lycheekeel/discovery"
 	"github.com/lycheekeel/lycheekeel/internal/gateway/wire"
 	"github.com/lycheekeel/lycheekeel/internal/peer"
-	"github.com/lycheekeel/lycheekeel/rollout"
 )
 
 // newsAfter is by how much a reader's proof must be newer than the asker's to be
@@ -25,7 +24,7 @@
 	}
 	came := a.state.serversFresh.Mark()
 	m, changed := a.newer(&q, came)
-	if len(m.Config) > 0 || m.ServersTold || m.OrdersTold || q.Changes && (isStale(m) || isNews(m, &q)) {
+	if len(m.Config) > 0 || m.ServersTold || m.RolloutsTold || q.Changes && (isStale(m) || isNews(m, &q)) {
 		return proto.Marshal(m)
 	}
 	limit := time.NewTimer(a.holdFor(&q, m))
@@ -70,34 +69,13 @@
 			m.Servers = serversToWire(s.directory.Listed())
 		}
 	}
-	if uint64(s.orders.revision) > q.OrdersRevision {
-		m.OrdersTold, m.OrdersRevision, m.Orders = true, uint64(s.orders.revision), ordersToWire(s.orders.known)
+	if uint64(s.rollouts.revision) > q.RolloutsRevision {
+		m.RolloutsTold, m.RolloutsRevision, m.Rollouts = true, uint64(s.rollouts.revision), rolloutsToWire(s.rollouts.all)
+		m.Unfit = s.rollouts.unfit()
 	}
 	return m, s.changed
 }
 
-func ordersToWire(orders map[string]rollout.Order) []*wire.RolloutOrder {
-	out := make([]*wire.RolloutOrder, 0, len(orders))
-	for _, o := range orders {
-		out = append(out, &wire.RolloutOrder{
-			Service: o.Service, To: o.To, DurationS: o.Duration.Seconds(), Created: o.Created,
-			Revision: o.Revision, State: uint32(o.State), Acknowledged: o.Acknowledged,
-		})
-	}
-	return out
-}
-
-func ordersOf(orders []*wire.RolloutOrder) []rollout.Order {
-	out := make([]rollout.Order, 0, len(orders))
-	for _, o := range orders {
-		out = append(out, rollout.Order{
-			ID:       rollout.ID{Service: o.Service, To: o.To, Created: o.Created},
-			Duration: seconds(o.DurationS), Revision: o.Revision, State: rollout.State(o.State), Acknowledged: o.Acknowledged,
-		})
-	}
-	return out
-}
-
 func serversToWire(servers []discovery.Server) []*wire.Server {
 	out := make([]*wire.Server, 0, len(servers))
 	for _, x := range servers {
--- a/rollout/decider.go
+++ b/rollout/decider.go
@@ -10,29 +10,29 @@
 	// writeTime is how long before the deadline the outcome is written: the store
 	// answers in milliseconds, and may answer the first call with an error.
 	writeTime = 600 * time.Millisecond
-	// writeShare bounds writeTime by a part of the order's duration.
+	// writeShare bounds writeTime by a part of the rollout's duration.
 	writeShare = 0.1
-	// opensBefore is how long before the first hand-over all servers of the new
-	// version are opened: the owners of their pools learn of it first.
+	// opensBefore is how long before the cutover all servers of the new version are
+	// opened: the owners of their pools learn of it first.
 	opensBefore = 700 * time.Millisecond
 	// leadQuantile of the runs of a route have ended after its lead.
 	leadQuantile = 95
-	// leastCapacity is the part of the old servers' slots that the new ones must have
-	// to be handed the traffic. With less they would shed what the old ones served.
+	// leastCapacity is the part of the stable servers' slots that the new ones must have
+	// to get the traffic. With less they would shed what the stable ones served.
 	leastCapacity = 0.7
-	// reporters is the part of the daemons that must have reported lately for an
+	// quorumShare is the part of the daemons that must have reported lately for an
 	// outcome to be decided: a daemon that is cut off with a few others decides nothing.
-	reporters = 0.5
+	quorumShare = 0.5
 	// reportedWithin is how recent a daemon's report is.
 	reportedWithin = 2 * time.Second
-	// referenceTime is how much of the old versions' last answers stands for them
-	// while they get few requests.
-	referenceTime = 4 * time.Second
-	// referenceLeast is how many old answers a moment must have, by the new ones, to
-	// be held against them alone.
-	referenceLeast = 2.0
+	// baselineTime is how much of the stable version's last answers stands in for an
+	// interval in which it gives few.
+	baselineTime = 4 * time.Second
+	// baselineLeast is how many stable answers an interval must have, by the new ones,
+	// to be held against them alone.
+	baselineLeast = 2.0
 	// brokenEvery is how often a server's broken answers count as one bad answer: a
-	// crash breaks all that run there, and convicts nobody.
+	// crash breaks all that run there, and rejects nobody.
 	brokenEvery = 2 * time.Second
 )
 
@@ -41,87 +41,85 @@
 	Reporter    string
 	Incarnation uint64
 	Number      uint64
-	// Age is for how long the daemon has known the order.
+	// Age is for how long the daemon has known the rollout.
 	Age   time.Duration
 	Cells map[Key]Cell
-	// OldRuns is how many of its requests run on old servers.
-	OldRuns int
 }
 
 // Facts are what the deciding daemon knows of the service.
 type Facts struct {
 	// Daemons is how many are alive.
 	Daemons int
-	// OldServers and NewServers may be used now, with so many slots; WarmServers of
+	// StableServers and NewServers may be used now, with so many slots; WarmServers of
 	// the new ones are not slow from their start any more.
-	OldServers, NewServers, WarmServers int
-	OldSlots, NewSlots                  int
-	// Serving is set where servers of the version served before the order: there is
+	StableServers, NewServers, WarmServers int
+	StableSlots, NewSlots                  int
+	// Serving is set where servers of the version served before the rollout: there is
 	// nothing to try.
 	Serving bool
 }
 
-// Reason is why a version is taken or taken back.
+// Reason is why a version is promoted or rolled back.
 type Reason string
 
 // The reasons.
 const (
-	ReasonNone       Reason = ""
-	ReasonProved     Reason = "its answers were as good as the old version's"
-	ReasonNothingOld Reason = "no server of another version is there"
-	ReasonServing    Reason = "it served before the order"
-	ReasonFailures   Reason = "it fails more requests than the old version"
-	ReasonSlow       Reason = "it is slower than the old version"
-	ReasonNoServers  Reason = "no server of it is ready at the deadline"
-	ReasonCapacity   Reason = "its servers have too few slots at the deadline"
-	ReasonUntried    Reason = "it has answered no request at the deadline"
+	ReasonAsGood    Reason = "its answers were as good as the stable version's"
+	ReasonOnlyOne   Reason = "no server of another version is there"
+	ReasonServing   Reason = "it served before the rollout"
+	ReasonFailures  Reason = "it fails more requests than the stable version"
+	ReasonSlow      Reason = "it is slower than the stable version"
+	ReasonNoServers Reason = "no server of it is ready at the deadline"
+	ReasonCapacity  Reason = "its servers have too few slots at the deadline"
+	ReasonNoAnswer  Reason = "it has answered no request at the deadline"
 )
 
-// Verdict is what was decided and the figures that decided it.
-type Verdict struct {
+// Decision is what was decided and the figures that decided it.
+type Decision struct {
 	State  State
 	Reason Reason
 	// Route is where it was proved; empty: over all routes, or it was not by a test.
 	Route string
-	// New and Old are the answers of both versions there.
-	New, Old Counts
+	// Canary and Stable are the answers of both versions there.
+	Canary, Stable Counts
 	// Value is the test's.
 	Value float64
 }
 
 // Decider decides one rollout. It gathers the daemons' reports; it has no clock, and
-// is not safe for concurrent use. Two deciders of one order, each with a part of the
+// is not safe for concurrent use. Two deciders of one rollout, each with a part of the
 // reports, do no harm: the outcome is one conditional write.
 type Decider struct {
-	order  Order
-	bounds Bounds
-	now    time.Time
-	// known is when the order became known to the first daemon.
-	known   time.Time
-	seen    map[string]*reporter
-	cells   map[Key]*Cell
-	pending map[Key]Counts // added since the last moment
-	tests   map[testKey]*test
-	recent  []moment // of the old versions, oldest first
-	broken  map[string]time.Time
-	verdict Verdict
+	rollout Rollout
+	bounds  Bounds
+	now     time.Time
+	// known is when the rollout became known to the first daemon.
+	known    time.Time
+	seen     map[string]*reporter
+	cells    map[Key]*Cell
+	pending  map[Key]Counts // added since the last tick
+	tests    map[testKey]*test
+	recent   []interval // of the stable version, oldest first
+	broken   map[string]time.Time
+	decision Decision
 	// warm is set while servers of the new version are not slow from their start.
 	warm bool
-	// opened is set once the hand-over has begun, surges once a surge is planned.
-	opened, surges bool
+	// cutover is set once that has begun.
+	cutover bool
+	// spikes is set once a spike is planned.
+	spikes bool
 }
 
 type reporter struct {
 	incarnation, number uint64
 	at                  time.Time
 	cells               map[Key]Cell
-	oldRuns             int
 }
 
-// moment is what the old versions answered by route.
-type moment struct {
-	at  time.Time
-	old map[string]Counts
+// interval is what the stable version answered between two ticks, by route.
+type interval struct {
+	at     time.Time
+	stable map[string]Counts
 }
 
 type measure uint8
@@ -132,37 +130,37 @@
 )
 
 type testKey struct {
-	route   string // empty: all routes
+	route   string
 	measure measure
 }
 
-// NewDecider returns a decider of an order that is known here since a moment.
-func NewDecider(o Order, b Bounds, known time.Time) *Decider {
+// NewDecider returns a decider of a rollout that is known here since a moment.
+func NewDecider(r Rollout, b Bounds, known time.Time) *Decider {
 	return &Decider{
-		order: o, bounds: b, known: known,
+		rollout: r, bounds: b, known: known,
 		seen: map[string]*reporter{}, cells: map[Key]*Cell{}, pending: map[Key]Counts{},
 		tests: map[testKey]*test{}, broken: map[string]time.Time{},
 	}
 }
 
-// Order returns the order as it was last taken.
-func (d *Decider) Order() Order { return d.order }
+// Rollout returns the rollout as it was last read.
+func (d *Decider) Rollout() Rollout { return d.rollout }
 
-// SetOrder takes a change of the order's duration, revision or state.
-func (d *Decider) SetOrder(o Order) { d.order = o }
+// SetRollout takes a change of the rollout's duration, revision or state.
+func (d *Decider) SetRollout(r Rollout) { d.rollout = r }
 
-// Known returns when the order became known.
+// Known returns when the rollout became known.
 func (d *Decider) Known() time.Time { return d.known }
 
-// KnownSince takes it that the order was known at a moment.
+// KnownSince takes it that the rollout was known at a moment.
 func (d *Decider) KnownSince(at time.Time) {
 	if at.Before(d.known) {
 		d.known = at
 	}
 }
 
-// Verdict returns what was decided; its State is Running until then.
-func (d *Decider) Verdict() Verdict { return d.verdict }
+// Decision returns what was decided; its State is Running until then.
+func (d *Decider) Decision() Decision { return d.decision }
 
 // Take takes a report. It may come twice or out of order.
 func (d *Decider) Take(now time.Time, r Report) {
@@ -176,7 +174,7 @@
 	if r.Incarnation < known.incarnation || r.Number <= known.number {
 		return
 	}
-	known.number, known.at, known.oldRuns = r.Number, now, r.OldRuns
+	known.number, known.at = r.Number, now
 	for key, c := range r.Cells {
 		d.merge(key, known.cells[key], c)
 		known.cells[key] = c
@@ -207,8 +205,8 @@
 // Tick lets time pass, and returns the plan as of now.
 func (d *Decider) Tick(now time.Time, f Facts) Plan {
 	d.now, d.warm = now, f.WarmServers > 0
-	d.weigh()
-	if d.verdict.State == Running {
+	d.analyze()
+	if d.decision.State == Running {
 		d.decide(f)
 	}
 	return d.plan(f)
@@ -216,37 +214,37 @@
 
 // decide decides where it is time, or where the new version is proved bad.
 func (d *Decider) decide(f Facts) {
-	if d.convicted(provedAt) {
+	if d.rejected(rejectAt) {
 		return
 	}
-	if f.OldServers == 0 && f.NewServers > 0 && (f.Serving || len(d.cells) == 0) {
-		d.verdict = Verdict{State: Succeeded, Reason: ReasonNothingOld}
+	if f.StableServers == 0 && f.NewServers > 0 && (f.Serving || len(d.cells) == 0) {
+		d.decision = Decision{State: Succeeded, Reason: ReasonOnlyOne}
 		return
 	}
 	if d.now.Before(d.stopAt()) || !d.quorum(f) {
 		return
 	}
-	if d.convicted(doubtedAt) {
+	if d.rejected(rejectAtDeadline) {
 		return
 	}
-	trial, old := d.totals("")
-	d.verdict = Verdict{State: RolledBack, New: trial, Old: old}
+	canary, stable := d.totals(allRoutes)
+	d.decision = Decision{State: RolledBack, Canary: canary, Stable: stable}
 	switch {
 	case f.NewServers == 0:
-		d.verdict.Reason = ReasonNoServers
-	case float64(f.NewSlots) < leastCapacity*float64(f.OldSlots):
-		d.verdict.Reason = ReasonCapacity
+		d.decision.Reason = ReasonNoServers
+	case float64(f.NewSlots) < leastCapacity*float64(f.StableSlots):
+		d.decision.Reason = ReasonCapacity
 	case f.Serving:
-		d.verdict.State, d.verdict.Reason = Succeeded, ReasonServing
-	case trial.Runs == trial.Failed+trial.Broken:
-		d.verdict.Reason = ReasonUntried
+		d.decision.State, d.decision.Reason = Succeeded, ReasonServing
+	case canary.Runs == canary.Failed+canary.Broken:
+		d.decision.Reason = ReasonNoAnswer
 	default:
-		d.verdict.State, d.verdict.Reason = Succeeded, ReasonProved
+		d.decision.State, d.decision.Reason = Succeeded, ReasonAsGood
 	}
 }
 
-// convicted takes the version back where a test has reached a value.
-func (d *Decider) convicted(at float64) bool {
+// rejected rolls the version back where a test has reached a value.
+func (d *Decider) rejected(at float64) bool {
 	keys := make([]testKey, 0, len(d.tests))
 	for key := range d.tests {
 		keys = append(keys, key)
@@ -260,10 +258,10 @@
 		if value < at {
 			continue
 		}
-		trial, old := d.totals(key.route)
-		d.verdict = Verdict{State: RolledBack, Reason: ReasonFailures, Route: key.route, New: trial, Old: old, Value: value}
+		canary, stable := d.totals(key.route)
+		d.decision = Decision{State: RolledBack, Reason: ReasonFailures, Route: key.route, Canary: canary, Stable: stable, Value: value}
 		if key.measure == slowness {
-			d.verdict.Reason = ReasonSlow
+			d.decision.Reason = ReasonSlow
 		}
 		return true
 	}
@@ -281,18 +279,18 @@
 	return len(servers)
 }
 
-// totals returns what both versions answered on a route; empty: on all.
-func (d *Decider) totals(route string) (trial, old Counts) {
+// totals returns what both versions answered on a route, or on allRoutes.
+func (d *Decider) totals(route string) (canary, stable Counts) {
 	for key, c := range d.cells {
 		switch {
-		case route != "" && key.Route != route:
+		case route != allRoutes && key.Route != route:
 		case key.Server == "":
-			old = old.plus(c.Counts)
+			stable = stable.plus(c.Counts)
 		default:
-			trial = trial.plus(c.Counts)
+			canary = canary.plus(c.Counts)
 		}
 	}
-	return trial, old
+	return canary, stable
 }
 
 // quorum tells whether enough daemons have reported lately.
@@ -303,22 +301,13 @@
 			n++
 		}
 	}
-	return float64(n) >= reporters*float64(f.Daemons)
-}
-
-// OldRuns returns how many requests run on old servers, as far as was told.
-func (d *Decider) OldRuns() int {
-	n := 0
-	for _, r := range d.seen {
-		n += r.oldRuns
-	}
-	return n
+	return float64(n) >= quorumShare*float64(f.Daemons)
 }
 
 // stopAt is when the outcome is decided if nothing was proved before.
 func (d *Decider) stopAt() time.Time {
-	ahead := min(writeTime, time.Duration(writeShare*float64(d.order.Duration)))
+	ahead := min(writeTime, time.Duration(writeShare*float64(d.rollout.Duration)))
 	return d.deadline().Add(-ahead)
 }
 
-func (d *Decider) deadline() time.Time { return d.known.Add(d.order.Duration) }
+func (d *Decider) deadline() time.Time { return d.known.Add(d.rollout.Duration) }
--- a/rollout/evidence.go
+++ b/rollout/evidence.go
@@ -11,7 +11,7 @@
 type Run struct {
 	Route  string
 	Server string
-	Trial  bool
+	Canary bool
 	Ending Ending
 	// First is the time to the first event, or to the whole answer of a plain
 	// service; Pace the mean time for each further token, 0: none. Of an abandoned
@@ -33,12 +33,10 @@
 	Broken
 	// Abandoned runs were given up by the caller or at their deadline.
 	Abandoned
-	// NotRun requests were sent in vain: their server did not begin to run them.
-	NotRun
 )
 
 // Key names a cell of evidence: a route, and a server of the new version; without a
-// server all those of the old ones.
+// server all those of the stable one.
 type Key struct{ Route, Server string }
 
 // Counts are the runs of a cell; they only grow.
@@ -59,7 +57,7 @@
 // stands for all within a tenth of it.
 type Times map[int64]int64
 
-// Cell is a cell's counts with, for the old versions, the times of its runs.
+// Cell is a cell's counts with, for the stable version, the times of its runs.
 type Cell struct {
 	Counts
 	First, Pace, Whole Times
@@ -115,8 +113,6 @@
 type Recorder struct {
 	mu    sync.Mutex
 	cells map[Key]*recorded
-	// oldRuns are requests that run on servers of the old versions.
-	oldRuns int
 }
 
 // NewRecorder returns a recorder that has seen nothing.
@@ -124,31 +120,18 @@
 	return &Recorder{cells: map[Key]*recorded{}}
 }
 
-// Begin counts a request that is sent to a server.
-func (r *Recorder) Begin(trial bool) {
-	if trial {
-		return
-	}
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.oldRuns++
-}
-
-// End takes how it went. Limit is what is slow on its route.
-func (r *Recorder) End(run Run, limit Limit) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if !run.Trial && r.oldRuns > 0 {
-		r.oldRuns--
-	}
+// Record takes how a run went. Limit is what is slow on its route.
+func (r *Recorder) Record(run Run, limit Limit) {
 	slow := limit.exceeded(run)
-	if run.Ending == NotRun || run.Ending == Abandoned && !slow {
+	if run.Ending == Abandoned && !slow {
 		return // it tells nothing of the server
 	}
 	key := Key{Route: run.Route}
-	if run.Trial {
+	if run.Canary {
 		key.Server = run.Server
 	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
 	r.count(key, run, slow)
 }
 
@@ -168,7 +151,7 @@
 	case slow:
 		c.counts.Slow++
 	}
-	if run.Trial || run.Ending != Answered {
+	if run.Canary || run.Ending != Answered {
 		return
 	}
 	count(&c.first, run.First)
@@ -210,13 +193,6 @@
 	}
 }
 
-// OldRuns returns how many requests run on servers of the old versions.
-func (r *Recorder) OldRuns() int {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return r.oldRuns
-}
-
 // Limit is what counts as slow on a route; zero: unknown yet.
 type Limit struct{ First, Pace time.Duration }
 
@@ -228,7 +204,7 @@
 
 const (
 	// slowMedian and slowTail are by how much a time must exceed the median, and the
-	// 95th percentile, of the old versions to be slow. Bad versions are several times
+	// 95th percentile, of the stable version to be slow. Bad versions are several times
 	// slower; servers of one version differ by up to four times, which the tail has.
 	slowMedian, slowTail = 2.5, 1.25
 	tailQuantile         = 95
@@ -236,7 +212,7 @@
 	leastTimes = 20
 )
 
-// slowAbove returns the time above which a run is slow, by the old versions' times.
+// slowAbove returns the time above which a run is slow, by the stable version's times.
 func slowAbove(t Times) time.Duration {
 	h := t.histogram()
 	if h.TotalCount() < leastTimes {
--- a/rollout/planning.go
+++ b/rollout/planning.go
@@ -2,49 +2,49 @@
 
 import "time"
 
-// How the new version is brought to the old ones' usual load where it has so few
+// How the new version is brought to the stable one's usual load where it has so few
 // servers that its share of the requests does not.
 const (
-	// surgeAfter is the part of the time until the old servers stop after which all
-	// requests go to the new version for surgeFor.
-	surgeAfter = 0.5
-	surgeFor   = 400 * time.Millisecond
-	// surgeKnown is how long before it the daemons are told.
-	surgeKnown = 1500 * time.Millisecond
-	// surgeBelow is the part of an old server's load below which one is made.
-	surgeBelow = 0.5
+	// spikeAfter is the part of the time until the stable servers stop after which all
+	// requests go to the new version for spikeFor.
+	spikeAfter = 0.5
+	spikeFor   = 400 * time.Millisecond
+	// spikeKnown is how long before it the daemons are told.
+	spikeKnown = 1500 * time.Millisecond
+	// spikeBelow is the part of a stable server's load below which one is made.
+	spikeBelow = 0.5
 )
 
-// coldTriedAfter is the part of the order's duration after which servers are tried that
-// are still slow from their start: a version that was never tried can't be taken.
-const coldTriedAfter = 0.4
+// coldUsedAfter is the part of the rollout's duration after which servers get canaries that
+// are still slow from their start: a version without any answer can't be promoted.
+const coldUsedAfter = 0.4
 
-// leadStep is the grain in which the hand-over is planned.
+// leadStep is the grain in which the cutover is planned.
 const leadStep = 50 * time.Millisecond
 
 // plan returns how the daemons divide their requests.
 func (d *Decider) plan(f Facts) Plan {
 	p := Plan{StopIn: d.stopAt().Sub(d.now), Routes: map[string]RoutePlan{}}
-	switch d.verdict.State {
+	switch d.decision.State {
 	case RolledBack:
-		p.Phase = TakingBack
+		p.Phase = PhaseRollBack
 		return p
 	case Succeeded:
-		p.Phase, p.Open = Taking, true
+		p.Phase, p.Open = PhasePromote, true
 		return p
 	}
 	longest := d.routes(&p)
-	late := d.now.Sub(d.known) >= time.Duration(coldTriedAfter*float64(d.order.Duration))
-	ready := f.OldServers > 0 && (f.WarmServers > 0 || f.NewServers > 0 && late)
+	late := d.now.Sub(d.known) >= time.Duration(coldUsedAfter*float64(d.rollout.Duration))
+	ready := f.StableServers > 0 && (f.WarmServers > 0 || f.NewServers > 0 && late)
 	if ready {
 		p.Share = d.share(&p)
-		d.surge(&p, f)
+		d.spike(&p, f)
 	}
-	able := ready && float64(f.NewSlots) >= leastCapacity*float64(f.OldSlots) && d.quorum(f)
-	if trial, _ := d.totals(""); able && trial.Runs > trial.Failed+trial.Broken {
+	able := ready && float64(f.NewSlots) >= leastCapacity*float64(f.StableSlots) && d.quorum(f)
+	if canary, _ := d.totals(allRoutes); able && canary.Runs > canary.Failed+canary.Broken {
 		p.Open = p.StopIn <= longest+opensBefore
 		if p.Open {
-			p.Phase, d.opened = HandingOver, true
+			p.Phase, d.cutover = PhaseCutover, true
 		}
 	}
 	return p
@@ -52,24 +52,24 @@
 
 const (
 	// rateKnownAfter is from when on the rate of the requests is known well enough to
-	// spend the slack on trials.
+	// spend the slack on canaries.
 	rateKnownAfter = 1500 * time.Millisecond
-	// mostShare bounds the trials' part of the requests: the old servers stay in use.
+	// mostShare bounds the canaries' part of the requests: the stable servers stay in use.
 	mostShare = 0.3
 	// slackShare is the part of what the bound leaves that is spent on them: reports lag.
 	slackShare = 0.8
 )
 
-// share returns the part of the requests that tries the new version: what the bound
-// leaves after the hand-over.
+// share returns the part of the requests that are canaries: what the bound leaves after the
+// cutover.
 //
 // What goes wrong with a part of the bound's share alone: a service with ten requests a
 // second shows six of them to the new version in twelve seconds, and one that fails half
-// of them is taken.
+// of them is promoted.
 func (d *Decider) share(p *Plan) float64 {
-	usual := d.bounds.TrialShare()
+	usual := d.bounds.CanaryShare()
 	left := d.stopAt().Sub(d.now)
-	rate := d.rate("")
+	rate := d.rate(allRoutes)
 	if d.now.Sub(d.known) < rateKnownAfter || left <= 0 || rate == 0 {
 		return usual
 	}
@@ -77,7 +77,7 @@
 	return min(max(able, 0), max(usual, mostShare))
 }
 
-// routes fills in what the old versions' answers tell of the routes, and returns the
+// routes fills in what the stable version's answers tell of the routes, and returns the
 // longest lead.
 func (d *Decider) routes(p *Plan) time.Duration {
 	var longest time.Duration
@@ -103,26 +103,26 @@
 	return longest
 }
 
-// trialPart is the part, of what the bound leaves after the old servers' stop, that is
-// kept for trials at the most; the rest is for the hand-over.
-const trialPart = 0.6
+// canaryPart is the part, of what the bound leaves after the stable servers' stop, that is
+// kept for canaries at the most; the rest is for the cutover.
+const canaryPart = 0.6
 
-// reserved returns how many requests are kept for trials until the hand-over.
+// reserved returns how many requests are kept for canaries until the cutover.
 //
 // What goes wrong without it: a service with answers of seconds plans to use all that the
-// bound leaves for its hand-over, nothing is tried, and a bad version is taken unseen.
+// bound leaves for its cutover, there are no canaries, and a bad version is promoted unseen.
 func (d *Decider) reserved(routes map[string]RoutePlan) float64 {
-	usual := d.bounds.TrialShare() * d.rate("") * max(0, d.stopAt().Sub(d.now)).Seconds()
-	return max(0, min(usual, trialPart*(d.left()-d.exposedBy(routes, 0))))
+	usual := d.bounds.CanaryShare() * d.rate(allRoutes) * max(0, d.stopAt().Sub(d.now)).Seconds()
+	return max(0, min(usual, canaryPart*(d.left()-d.exposedBy(routes, 0))))
 }
 
 // exposedBy returns how many requests the new version gets, beyond its share, from
-// the hand-over to the deadline, where no route's lead is longer than most.
+// the cutover to the deadline, where no route's lead is longer than most.
 //
-// What goes wrong where the hand-over begins as early as the longest answers need: a
-// version that turns bad under the whole traffic has had several times its part of the
-// requests by the time it is taken back. What still runs on old servers when they stop
-// is cut instead, and sent again where it may be.
+// What goes wrong where the cutover begins as early as the longest answers need: a version
+// that turns bad under the whole traffic has had several times its part of the requests by
+// the time it is rolled back. What still runs on stable servers when they stop is cut
+// instead, and sent again where it may be.
 func (d *Decider) exposedBy(routes map[string]RoutePlan, most time.Duration) float64 {
 	n := 0.0
 	for name, r := range routes {
@@ -137,9 +137,9 @@
 
 // left returns how many requests more the new version may get until the deadline.
 func (d *Decider) left() float64 {
-	trial, _ := d.totals("")
-	bound := d.bounds.Share*d.rate("")*d.order.Duration.Seconds() + d.bounds.Slack
-	return boundShare*bound - float64(trial.Runs)
+	canary, _ := d.totals(allRoutes)
+	bound := d.bounds.Share*d.rate(allRoutes)*d.rollout.Duration.Seconds() + d.bounds.Slack
+	return boundShare*bound - float64(canary.Runs)
 }
 
 // rate returns the requests a second of a route, on both versions; empty: of all.
@@ -148,27 +148,27 @@
 	if elapsed <= 0 {
 		return 0
 	}
-	trial, old := d.totals(route)
-	return float64(trial.Runs+old.Runs) / elapsed
+	canary, stable := d.totals(route)
+	return float64(canary.Runs+stable.Runs) / elapsed
 }
 
 // afterStop is how long requests go to the new version alone before the deadline.
 func (d *Decider) afterStop() time.Duration { return d.deadline().Sub(d.stopAt()) }
 
-// surge plans a moment at which the new version gets every request, where its servers
+// spike plans a moment at which the new version gets every request, where its servers
 // would otherwise see less than the usual load, and as far as the bound allows it.
-func (d *Decider) surge(p *Plan, f Facts) {
-	usual := float64(Tried(p.Share, f.OldServers, f.NewServers))
-	if p.Share*float64(f.OldServers) >= surgeBelow*usual {
+func (d *Decider) spike(p *Plan, f Facts) {
+	usual := float64(CanaryServers(p.Share, f.StableServers, f.NewServers))
+	if p.Share*float64(f.StableServers) >= spikeBelow*usual {
 		return
 	}
-	at := d.known.Add(time.Duration(surgeAfter * float64(d.stopAt().Sub(d.known))))
+	at := d.known.Add(time.Duration(spikeAfter * float64(d.stopAt().Sub(d.known))))
 	in := at.Sub(d.now)
-	if !d.surges && in > 0 && in <= surgeKnown {
-		needed := d.exposedBy(p.Routes, p.longest()) + d.rate("")*surgeFor.Seconds()
-		d.surges = needed <= d.left()
+	if !d.spikes && in > 0 && in <= spikeKnown {
+		needed := d.exposedBy(p.Routes, p.longest()) + d.rate(allRoutes)*spikeFor.Seconds()
+		d.spikes = needed <= d.left()
 	}
-	if d.surges && in > -surgeFor {
-		p.SurgeIn, p.SurgeFor = in, surgeFor
+	if d.spikes && in > -spikeFor {
+		p.SpikeIn, p.SpikeFor = in, spikeFor
 	}
 }
--- a/test/soak/faults_test.go
+++ b/test/soak/faults_test.go
@@ -68,7 +68,7 @@
 		}
 		return nil
 	}},
-	{"bad version is ordered", func(f *fleet, _ *rand.Rand) func() { f.orderBadVersion(); return nil }},
+	{"bad version is rolled out", func(f *fleet, _ *rand.Rand) func() { f.rollOutBadVersion(); return nil }},
 	{"key is withdrawn", func(f *fleet, _ *rand.Rand) func() {
 		if _, gone := f.revoked["k3"]; !gone {
 			f.putKeys("k1", "k2")
--- a/test/soak/fleet_test.go
+++ b/test/soak/fleet_test.go
@@ -36,7 +36,7 @@
 	revokeAfter = 3 * time.Second
 	grace       = 8 * time.Second
 	// A bad version may get so much of its service's requests.
-	exposeShare, exposeSlack = 0.1, 50
+	canaryShare, canarySlack = 0.1, 50
 	// waitLimit is how long recovery may take on a machine that is busy.
 	waitLimit = 60 * time.Second
 )
@@ -74,7 +74,7 @@
 	// eventEvery is between two events of a stream.
 	eventEvery time.Duration
 	revoked    map[string]time.Time
-	// bad are the servers of the version that fails all it runs; nil: none was ordered.
+	// bad are the servers of the version that fails all it runs; nil: none was rolled out.
 	bad []*server
 	// restarts are under way: a node starts again when its process has ended.
 	restarts conc.WaitGroup
@@ -185,7 +185,7 @@
 		Store: n.store.Addr(), Limits: gateway.LimitSettings{MemoryMB: 256},
 		Bounds: gateway.BoundsSettings{
 			GraceS: grace.Seconds(), RevokeMs: float64(revokeAfter.Milliseconds()), RetryRatio: 0.2, RetryWindowS: 10, RetrySlack: 200,
-			ExposeShare: exposeShare, ExposeSlack: exposeSlack,
+			CanaryShare: canaryShare, CanarySlack: canarySlack,
 		},
 	}
 	n.front, n.peer = f.proxy(n.settings.Listen), f.proxy(n.settings.Peer)
--- a/test/soak/rollout_test.go
+++ b/test/soak/rollout_test.go
@@ -12,12 +12,12 @@
 	rolloutWithinS = 4
 )
 
-// orderBadVersion orders, once, a version of the plain service that fails all it runs.
-func (f *fleet) orderBadVersion() {
+// rollOutBadVersion requests, once, a rollout to a version of the plain service that fails all it runs.
+func (f *fleet) rollOutBadVersion() {
 	if f.bad != nil {
 		return
 	}
-	f.store.PutOrder("app", badVersion, rolloutWithinS)
+	f.store.PutRollout("app", badVersion, rolloutWithinS)
 	for range 2 {
 		f.made++
 		s := &server{service: "app", Server: &standin.Server{ID: fmt.Sprintf("i-%d", f.made), Fails: func(int) bool { return true }}}
@@ -33,7 +33,7 @@
 	if f.bad == nil {
 		return
 	}
-	f.eventually("the bad version is taken back", func() bool {
+	f.eventually("the bad version is rolled back", func() bool {
 		state, to := f.store.RolloutState("app")
 		return state == "rolled_back" && to == badVersion
 	})
@@ -47,7 +47,7 @@
 		}
 	}
 	f.t.Logf("the bad version got %d requests, the others %d", got, all)
-	if float64(got) > exposeShare*float64(all+got)+exposeSlack {
+	if float64(got) > canaryShare*float64(all+got)+canarySlack {
 		f.t.Errorf("the bad version got %d of %d requests", got, all+got)
 	}
 }
