pool, losses: what became of each tier, and what ran instead

A pool keeps a tally by tier (granted in time and late, shed, expired, slot time of the runs that ended). Its owner counts it (pool_granted, pool_granted_late, pool_shed, pool_expired, pool_slot_ms by tier) and writes it beside 'Pool is crowded.'; 'lycheekeel losses' sums both up, and tells how much of each route and tier was answered, least first. No decision is changed.

--- a/internal/cli/losses.go
+++ b/internal/cli/losses.go
@@ -37,8 +37,10 @@
 		header []string
 		rows   [][]string
 	}{
+		{"classes", []string{"served", "route", "tier", "answered", "refused"}, classRows(x)},
 		{"refusals", []string{"count", "reason", "tier", "route", "workspace", "held ms", "told to come back after ms, p10 p50 p90"}, refusalRows(x)},
 		{"refusals by second", []string{"second", "reasons"}, secondRows(x)},
+		{"pools by second", []string{"second", "tiers: granted, granted late, shed, expired, slot ms"}, poolSecondRows(x)},
 		{"failed sends", []string{"count", "server", "cause"}, failureRows(x)},
 		{"ran on without an end", []string{"at", "vm", "request", "server"}, unendedRows(x)},
 		{"starts", []string{"at", "vm", "first answer after ms"}, startRows(x)},
@@ -60,6 +62,27 @@
 	return out
 }
 
+func classRows(x explain.Losses) (out [][]string) {
+	for _, c := range x.Classes {
+		out = append(out, []string{fmt.Sprintf("%.3f", c.Served()), c.Route, strconv.Itoa(c.Tier), strconv.Itoa(c.Answered), strconv.Itoa(c.Refused)})
+	}
+	return out
+}
+
+func poolSecondRows(x explain.Losses) (out [][]string) {
+	for _, s := range x.PoolSeconds {
+		var tiers []string
+		for t := range s.Granted {
+			row := []int{s.Granted[t], s.GrantedLate[t], s.Shed[t], s.Expired[t], s.SlotMs[t]}
+			if slices.Max(row) > 0 {
+				tiers = append(tiers, fmt.Sprintf("%d: %d %d %d %d %d", t, row[0], row[1], row[2], row[3], row[4]))
+			}
+		}
+		out = append(out, []string{s.At.Format(clockFormat), strings.Join(tiers, "; ")})
+	}
+	return out
+}
+
 func secondRows(x explain.Losses) (out [][]string) {
 	for _, s := range x.Seconds {
 		var reasons []string
--- a/internal/explain/losses.go
+++ b/internal/explain/losses.go
@@ -28,6 +28,8 @@
 	// Unended are the requests that ran for long and have no end in the logs, oldest
 	// first: their daemons were killed, or the logs end before.
 	Unended []Unended
+	// Classes are what became of requests by route and tier, least served first.
+	Classes []Class
 	// Refusals are by reason, tier, route and workspace, most first.
 	Refusals []Refusals
 	// Seconds are the refusals of each second by reason, oldest first.
@@ -39,6 +41,9 @@
 	// Crowds are what pools told of themselves while they refused requests, oldest
 	// first.
 	Crowds []Crowd
+	// PoolSeconds are what all pools together did in each second in which one of them
+	// refused requests, oldest first.
+	PoolSeconds []PoolSecond
 }
 
 // Refusals counts those of one kind.
@@ -101,6 +106,8 @@
 	refusals map[refusalKey]*Refusals
 	seconds  map[time.Time]map[string]int
 	failures map[failureKey]int
+	classes  map[classKey]*Class
+	pools    map[time.Time]*PoolSecond
 	running  map[string]Unended // by VM and request
 	starting map[string]int     // by VM: its newest entry in Starts without an answer
 }
@@ -109,7 +116,8 @@
 func NewLossCollector() *LossCollector {
 	return &LossCollector{
 		refusals: map[refusalKey]*Refusals{}, seconds: map[time.Time]map[string]int{},
-		failures: map[failureKey]int{}, running: map[string]Unended{}, starting: map[string]int{},
+		failures: map[failureKey]int{},
+		classes:  map[classKey]*Class{}, pools: map[time.Time]*PoolSecond{}, running: map[string]Unended{}, starting: map[string]int{},
 	}
 }
 
@@ -130,11 +138,13 @@
 	switch l.Message {
 	case "Answered.":
 		c.losses.Answered++
+		c.class(l).Answered++
 		c.answered(l)
 	case "Stream cut.":
 		c.losses.Cut++
 	case "Refused.":
 		c.refused(l)
+		c.class(l).Refused++
 	case "Send failed.":
 		c.failed(l)
 	case "Started.":
@@ -149,6 +159,7 @@
 				Shed: number(l, "shed"), Lost: number(l, "lost_runs"),
 			})
 		}
+		c.poolSecond(l)
 	}
 }
 
@@ -226,6 +237,7 @@
 	slices.SortFunc(out.Refusals, func(a, b Refusals) int {
 		return cmp.Or(b.Count-a.Count, cmp.Compare(a.Reason, b.Reason), cmp.Compare(a.Route, b.Route), cmp.Compare(a.Workspace, b.Workspace), a.Tier-b.Tier)
 	})
+	out.Classes, out.PoolSeconds = c.sortedClasses(), c.sortedPoolSeconds()
 	for _, u := range c.running {
 		out.Unended = append(out.Unended, u)
 	}
--- a/internal/explain/losses_test.go
+++ b/internal/explain/losses_test.go
@@ -43,6 +43,28 @@
 		So(x.Seconds, ShouldHaveLength, 2)
 		So(x.Seconds[0].Reasons, ShouldResemble, map[string]int{"shed": 2})
 	})
+	Convey("Classes are told by how much of them was answered, least first", t, func() {
+		answer := `vm-1 {"msg":"Answered.","part":"forward","time":"2026-01-01T00:00:01Z","route":"r","tier":1}` + "\n"
+		c := NewLossCollector()
+		So(c.Read("x.log", strings.NewReader(refusal(1, "shed", "a", 2, 500)+answer+answer+refusal(1, "shed", "a", 1, 500))), ShouldBeNil)
+		x := c.Losses()
+		So(x.Classes, ShouldResemble, []Class{{Route: "r", Tier: 2, Refused: 1}, {Route: "r", Tier: 1, Answered: 2, Refused: 1}})
+		So(x.Classes[1].Served(), ShouldAlmostEqual, 2.0/3)
+	})
+	Convey("What pools granted and refused in a second is added up by tier", t, func() {
+		line := func(pool string, second int) string {
+			return fmt.Sprintf(`vm-1 {"msg":"Pool is crowded.","part":"poolhost","time":"2026-01-01T00:00:%02d.2Z","pool":%q,"tier_granted":[3,1],"tier_granted_late":[1,0],"tier_shed":[0,5],"tier_expired":[0,1],"tier_slot_ms":[900,40]}`+"\n", second, pool)
+		}
+		c := NewLossCollector()
+		So(c.Read("x.log", strings.NewReader(line("a", 7)+line("b", 7)+line("a", 8))), ShouldBeNil)
+		x := c.Losses()
+		So(x.PoolSeconds, ShouldHaveLength, 2)
+		So(x.PoolSeconds[0].Granted[:2], ShouldResemble, []int{6, 2})
+		So(x.PoolSeconds[0].GrantedLate[:2], ShouldResemble, []int{2, 0})
+		So(x.PoolSeconds[0].Shed[:2], ShouldResemble, []int{0, 10})
+		So(x.PoolSeconds[0].Expired[:2], ShouldResemble, []int{0, 2})
+		So(x.PoolSeconds[1].SlotMs[:2], ShouldResemble, []int{900, 40})
+	})
 	Convey("Requests that ran on and have no end are told, by VM", t, func() {
 		line := func(vm, message, id string) string {
 			return fmt.Sprintf(`%s {"msg":%q,"part":"forward","time":"2026-01-01T00:00:01Z","request":%q,"server":"i-1"}`+"\n", vm, message, id)
--- a/internal/poolhost/counters.go
+++ b/internal/poolhost/counters.go
@@ -4,6 +4,7 @@
 	"expvar"
 
 	"github.com/lycheekeel/lycheekeel/internal/metrics"
+	"github.com/lycheekeel/lycheekeel/request"
 )
 
 // counters are the host's; names are those of the metrics group "poolhost".
@@ -11,6 +12,8 @@
 	sessions, resets, gaps, silentSessions, sendFailed    *expvar.Int
 	takenBack, entriesEnded, unknownReleases, badMessages *expvar.Int
 	probeMisses, cacheGaps, suspectsShared, serversDown   *expvar.Int
+
+	tiers [request.MaxTiers]tierCounters
 }
 
 func newCounters(m *metrics.Registry) counters {
@@ -22,5 +25,6 @@
 		badMessages: c("bad_messages"), probeMisses: c("probe_misses"),
 		cacheGaps: c("cache_event_gaps"), suspectsShared: c("suspects_shared"),
 		serversDown: c("servers_down"),
+		tiers:       newTierCounters(m),
 	}
 }
--- /dev/null
+++ b/internal/poolhost/report.go
@@ -0,0 +1,85 @@
+package poolhost
+
+import (
+	"expvar"
+	"fmt"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/lycheekeel/lycheekeel/internal/logs"
+	"github.com/lycheekeel/lycheekeel/internal/metrics"
+	"github.com/lycheekeel/lycheekeel/pool"
+	"github.com/lycheekeel/lycheekeel/request"
+)
+
+// tierCounters count what became of one tier's requests in this daemon's pools.
+type tierCounters struct {
+	granted, grantedLate, shed, expired, slotMs *expvar.Int
+}
+
+func newTierCounters(m *metrics.Registry) (all [request.MaxTiers]tierCounters) {
+	for t := range all {
+		c := func(group string) *expvar.Int { return m.Counter(group, fmt.Sprint("tier_", t)) }
+		all[t] = tierCounters{
+			granted: c("pool_granted"), grantedLate: c("pool_granted_late"),
+			shed: c("pool_shed"), expired: c("pool_expired"), slotMs: c("pool_slot_ms"),
+		}
+	}
+	return all
+}
+
+func (c tierCounters) add(t pool.TierTally) {
+	c.granted.Add(int64(t.Granted))
+	c.grantedLate.Add(int64(t.GrantedLate))
+	c.shed.Add(int64(t.Shed))
+	c.expired.Add(int64(t.Expired))
+	c.slotMs.Add(t.SlotTime.Milliseconds())
+}
+
+// report counts what became of requests since the last summary, and tells of a pool
+// that refused some.
+func (r *Runtime) report(s pool.Summary) {
+	since := s.Tally.Since(r.tally)
+	r.tally = s.Tally
+	for t, x := range since {
+		r.host.count.tiers[t].add(x)
+	}
+	r.logCrowd(s, since)
+}
+
+// logCrowd tells how the pool stood when it refused requests, and what ran instead,
+// by tier, so that a refused caller's log line leads to its cause.
+func (r *Runtime) logCrowd(s pool.Summary, since pool.Tally) {
+	var granted, late, shed, expired, slotMs [request.MaxTiers]int
+	refused := 0
+	for t, x := range since {
+		granted[t], late[t], shed[t], expired[t] = x.Granted, x.GrantedLate, x.Shed, x.Expired
+		slotMs[t] = int(x.SlotTime.Milliseconds())
+		refused += x.Shed + x.Expired
+	}
+	if refused == 0 {
+		return
+	}
+	up := 0
+	for _, x := range s.Servers {
+		if x.Health == pool.HealthUp {
+			up++
+		}
+	}
+	logs.For("poolhost").WithFields(logrus.Fields{
+		"pool": r.name, "shed": refused, "waiting": s.Waiting, "running": s.Running, "free": s.Free,
+		"servers_up": up, "servers": len(s.Servers), "share": r.share, "lost_runs": s.LostRuns,
+		"tier_granted": granted, "tier_granted_late": late, "tier_shed": shed, "tier_expired": expired, "tier_slot_ms": slotMs,
+	}).Info("Pool is crowded.")
+}
+
+// logDown tells when a server counts as down and when it answers again.
+func (r *Runtime) logDown(c pool.ServerDown) {
+	l := logs.For("poolhost").WithFields(logrus.Fields{"pool": r.name, "server": c.Server, "share": r.share})
+	if c.Down {
+		r.host.count.serversDown.Add(1)
+		l.Warn("Server counts as down.")
+		return
+	}
+	l.Info("Server answers again.")
+}
--- a/internal/poolhost/runtime.go
+++ b/internal/poolhost/runtime.go
@@ -6,9 +6,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/sirupsen/logrus"
-
-	"github.com/lycheekeel/lycheekeel/internal/logs"
 	"github.com/lycheekeel/lycheekeel/internal/mailbox"
 	"github.com/lycheekeel/lycheekeel/internal/poolwire"
 	"github.com/lycheekeel/lycheekeel/pool"
@@ -40,8 +37,8 @@
 	briefTo   reconciled
 	briefAt   time.Time
 	closed    bool
-	shed      int  // since the last summary
-	share     bool // a degraded share, not an owner
+	tally     pool.Tally // as of the last summary
+	share     bool       // a degraded share, not an owner
 
 	monitor     *monitor
 	lingerUntil time.Time                    // guarded by the host's mutex
@@ -106,7 +103,6 @@
 			e.queue(c)
 		}
 	case pool.Shed:
-		r.shed++
 		if e := r.entries[c.Entry]; e != nil {
 			delete(e.waiting, c.Request)
 			e.queue(c)
@@ -166,41 +162,10 @@
 	r.spread = r.now
 	s := r.scheduler.Summary(r.now)
 	r.summary.Store(&s)
-	r.logCrowd(s)
+	r.report(s)
 	r.host.spreadSummary(r, s)
 }
 
-// logDown tells when a server counts as down and when it answers again.
-func (r *Runtime) logDown(c pool.ServerDown) {
-	l := logs.For("poolhost").WithFields(logrus.Fields{"pool": r.name, "server": c.Server, "share": r.share})
-	if c.Down {
-		r.host.count.serversDown.Add(1)
-		l.Warn("Server counts as down.")
-		return
-	}
-	l.Info("Server answers again.")
-}
-
-// logCrowd tells how the pool stood when it shed requests, so that a refused
-// caller's log line leads to its cause.
-func (r *Runtime) logCrowd(s pool.Summary) {
-	if r.shed == 0 {
-		return
-	}
-	up := 0
-	for _, x := range s.Servers {
-		if x.Health == pool.HealthUp {
-			up++
-		}
-	}
-	logs.For("poolhost").WithFields(logrus.Fields{
-		"pool": r.name, "shed": r.shed, "waiting": s.Waiting, "running": s.Running, "free": s.Free,
-		"servers_up": up, "servers": len(s.Servers), "share": r.share,
-		"lost_runs": s.LostRuns,
-	}).Info("Pool is crowded.")
-	r.shed = 0
-}
-
 // brief returns the pool's standing for a session's batch; entries need it
 // only to choose among siblings.
 func (r *Runtime) brief() *poolwire.Brief {
--- a/pool/admission.go
+++ b/pool/admission.go
@@ -238,6 +238,7 @@
 }
 
 func (p *Pool) shed(e *Enqueue, reason request.Reason, retry time.Duration) {
+	p.tally.refused(e.Tier, reason)
 	p.emit(Shed{Request: e.Request, Entry: e.Entry, Reason: reason, RetryAfter: p.retryAfter(retry)})
 }
 
--- a/pool/messages.go
+++ b/pool/messages.go
@@ -304,6 +304,8 @@
 	Free    int
 	// LostRuns is how many runs were freed, ever, that nobody released.
 	LostRuns int
+	// Tally is what became of the requests of each tier. It does not travel.
+	Tally Tally
 	// ExpectedWait is the estimated wait of a new request of each tier.
 	ExpectedWait [request.MaxTiers]time.Duration
 	Servers      []ServerSummary
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -35,6 +35,7 @@
 	suspects *suspect.Register
 	siblings map[string]*sibling
 	entries  entries
+	tally    Tally
 }
 
 // waiters are the requests that wait, and what those were told that don't any more.
--- a/pool/run.go
+++ b/pool/run.go
@@ -69,6 +69,7 @@
 
 func (p *Pool) removeRun(r *run) {
 	p.prefillDone(r)
+	p.tally.ended(r, p.now)
 	s := r.server
 	last := len(s.running) - 1
 	s.running[r.index] = s.running[last]
--- a/pool/schedule.go
+++ b/pool/schedule.go
@@ -266,6 +266,7 @@
 		p.probed(o.server)
 	}
 	p.pace.granted[w.Item.Tier].add(p.now, 1)
+	p.tally.granted(w)
 	p.seq++
 	r := &run{
 		id: GrantID{Epoch: p.cfg.Epoch, Seq: p.seq}, request: w.Request, entry: w.Entry, server: o.server,
--- a/pool/summary.go
+++ b/pool/summary.go
@@ -9,7 +9,7 @@
 // Summary tells how the pool stands.
 func (p *Pool) Summary(now time.Time) Summary {
 	p.now = now
-	sum := Summary{LostRuns: p.lostRuns, Pool: p.cfg.Name, Running: len(p.byGrant)}
+	sum := Summary{LostRuns: p.lostRuns, Tally: p.tally, Pool: p.cfg.Name, Running: len(p.byGrant)}
 	for _, w := range p.waiting {
 		sum.Waiting[w.Enqueue.Tier]++
 	}
