pool: a starved tier gets a least share of the slot time

Cause: strict priority without a least share.

Change: fairshare, a ledger without I/O, tells which tiers are served far less often than all (granted beside given up, over 10 s) and credits each of them with a small part of the slot time that is granted in turn, a tenth at most for all of them together, less the nearer they are to what they should have: half of all for a tier of short requests, a third for one of long ones, which costs those above a request each. Slot time counts what a prompt holds the others of its server up for. The fading rate of the pool is a package now, since two use it.

--- /dev/null
+++ b/fairshare/fairshare.go
@@ -0,0 +1,149 @@
+// Package fairshare bounds how far strict priority may starve a tier: it tells which
+// tiers are served far less often than all, and gives each of them a small part of
+// what is granted, out of turn. It grants and refuses nothing itself, so that the order
+// in which requests are given up stays as it is. The unit of what is granted is its
+// user's: slot time, tokens.
+//
+// Nothing here is safe for concurrent use.
+package fairshare
+
+import (
+	"time"
+
+	"github.com/lycheekeel/lycheekeel/internal/decay"
+	"github.com/lycheekeel/lycheekeel/request"
+)
+
+// Config is how much starved tiers get.
+type Config struct {
+	// Cheap and Dear are the parts of the service of all tiers together below which a
+	// tier is starved: Cheap where its requests take next to nothing beside those of
+	// others, Dear where they take as much or more. Each of the cheap ones costs the
+	// tiers above next to nothing, each dear one costs them a request.
+	Cheap, Dear float64
+	// Most is the largest part of what is granted in turn that starved tiers together
+	// get out of turn. A tier of which nothing is served gets all of it, one that is
+	// nearly served as often as it should proportionally less, so that service settles
+	// instead of swinging.
+	Most float64
+	// Saved bounds what a tier saves up, in the unit of what is granted.
+	Saved float64
+	// Over is the time over which service is measured.
+	Over time.Duration
+}
+
+// Ledger keeps the service of each tier and what the starved ones may have.
+type Ledger struct {
+	cfg   Config
+	tiers [request.MaxTiers]account
+	all   account
+}
+
+// account is one tier's, or that of all.
+type account struct {
+	served, refused decay.Rate // requests
+	amount          decay.Rate // granted
+	credit          float64
+}
+
+// New returns a ledger that has seen nothing.
+func New(cfg Config) *Ledger {
+	l := &Ledger{cfg: cfg, all: newAccount(cfg.Over)}
+	for t := range l.tiers {
+		l.tiers[t] = newAccount(cfg.Over)
+	}
+	return l
+}
+
+func newAccount(over time.Duration) account {
+	r := decay.Rate{Over: over}
+	return account{served: r, refused: r, amount: r}
+}
+
+// Granted tells of a grant in turn. The starved tiers get their parts of its amount.
+func (l *Ledger) Granted(now time.Time, t request.Tier, amount float64) {
+	l.serve(now, t, amount)
+	deficits, sum := l.deficits(now)
+	for i, d := range deficits {
+		x := &l.tiers[i]
+		x.credit = min(l.cfg.Saved, x.credit+l.cfg.Most*amount*d/max(1, sum))
+	}
+}
+
+// GrantedOutOfTurn tells of a grant that MayHave allowed.
+func (l *Ledger) GrantedOutOfTurn(now time.Time, t request.Tier, amount float64) {
+	l.serve(now, t, amount)
+	l.tiers[t].credit -= amount
+}
+
+func (l *Ledger) serve(now time.Time, t request.Tier, amount float64) {
+	for _, x := range []*account{&l.tiers[t], &l.all} {
+		x.served.Add(now, 1)
+		x.amount.Add(now, amount)
+	}
+}
+
+// Refused tells that a request was given up for want of room.
+func (l *Ledger) Refused(now time.Time, t request.Tier) {
+	l.tiers[t].refused.Add(now, 1)
+	l.all.refused.Add(now, 1)
+}
+
+// Starved tells whether a tier may be granted anything out of turn.
+func (l *Ledger) Starved(now time.Time, t request.Tier) bool {
+	return l.tiers[t].credit > 0 && l.deficit(now, t) > 0
+}
+
+// MayHave tells whether a starved tier may be granted an amount out of turn. One that is
+// larger than all that may be saved is granted on credit.
+func (l *Ledger) MayHave(t request.Tier, amount float64) bool {
+	return l.tiers[t].credit >= min(amount, l.cfg.Saved)
+}
+
+// deficits returns every tier's, and their sum.
+func (l *Ledger) deficits(now time.Time) (all [request.MaxTiers]float64, sum float64) {
+	for t := range all {
+		all[t] = l.deficit(now, request.Tier(t))
+		sum += all[t]
+	}
+	return all, sum
+}
+
+// deficit is how far a tier is from the service that it should have at the least: 1
+// where nothing of it is served, 0 where it has that service or nothing of it was refused.
+func (l *Ledger) deficit(now time.Time, t request.Tier) float64 {
+	x := &l.tiers[t]
+	least := l.least(now, x) * l.all.service(now)
+	if x.refused.PerSecond(now) <= 0 || least <= 0 {
+		return 0
+	}
+	return max(0, 1-x.service(now)/least)
+}
+
+// least is the part of the service of all that a tier should have, by what its requests
+// take beside the mean.
+func (l *Ledger) least(now time.Time, x *account) float64 {
+	mean := l.all.mean(now)
+	if mean <= 0 {
+		return l.cfg.Dear
+	}
+	return l.cfg.Cheap - (l.cfg.Cheap-l.cfg.Dear)*min(1, x.mean(now)/mean)
+}
+
+// service is the part of the requests that was granted.
+func (x *account) service(now time.Time) float64 {
+	served := x.served.PerSecond(now)
+	if served <= 0 {
+		return 0
+	}
+	return served / (served + x.refused.PerSecond(now))
+}
+
+// mean is what a request took; 0 where none was granted.
+func (x *account) mean(now time.Time) float64 {
+	served := x.served.PerSecond(now)
+	if served <= 0 {
+		return 0
+	}
+	return x.amount.PerSecond(now) / served
+}
--- a/pool/admission.go
+++ b/pool/admission.go
@@ -239,6 +239,9 @@
 
 func (p *Pool) shed(e *Enqueue, reason request.Reason, retry time.Duration) {
 	p.tally.refused(e.Tier, reason)
+	if reason == request.ReasonShed || reason == request.ReasonExpired {
+		p.shares.Refused(p.now, e.Tier)
+	}
 	p.emit(Shed{Request: e.Request, Entry: e.Entry, Reason: reason, RetryAfter: p.retryAfter(retry)})
 }
 
--- a/pool/capacity.go
+++ b/pool/capacity.go
@@ -122,7 +122,7 @@
 	if backlog == 0 {
 		return 0
 	}
-	pace := p.served.perSecond(p.now)
+	pace := p.served.PerSecond(p.now)
 	if pace <= 0 {
 		return retryMax
 	}
--- a/pool/choose.go
+++ b/pool/choose.go
@@ -81,8 +81,12 @@
 	if !w.firstToken.IsZero() && p.now.Add(wait+first).After(w.firstToken) {
 		return false
 	}
-	whole := o.first + time.Duration(w.length.Mean)*o.server.speed.PerToken(len(o.server.running)+1)
-	return !p.now.Add(wait + whole).After(w.deadline)
+	return !p.now.Add(wait + p.runTime(w, o)).After(w.deadline)
+}
+
+// runTime predicts for how long a request would hold its slot.
+func (p *Pool) runTime(w *waiter, o option) time.Duration {
+	return o.first + time.Duration(w.length.Mean)*o.server.speed.PerToken(len(o.server.running)+1)
 }
 
 // fastEnough tells whether the server would need no more than a share of the
--- a/pool/observe.go
+++ b/pool/observe.go
@@ -1,7 +1,6 @@
 package pool
 
 import (
-	"math"
 	"time"
 
 	"github.com/lycheekeel/lycheekeel/pool/limit"
@@ -219,31 +218,6 @@
 	s.kv += kvSmooth * (capacity - s.kv)
 }
 
-// flowRate measures work done per second, fading.
-type flowRate struct {
-	over   time.Duration // what is older counts for little
-	amount float64
-	at     time.Time
-}
-
 // flowTime steadies the pace of the work done, by which callers are told when to
 // come back.
 const flowTime = 5 * time.Second
-
-func (f *flowRate) add(now time.Time, amount float64) {
-	f.fade(now)
-	f.amount += amount
-}
-
-func (f *flowRate) fade(now time.Time) {
-	if !f.at.IsZero() {
-		f.amount *= math.Exp(-float64(now.Sub(f.at)) / float64(f.over))
-	}
-	f.at = now
-}
-
-// perSecond returns the rate.
-func (f *flowRate) perSecond(now time.Time) float64 {
-	f.fade(now)
-	return f.amount / f.over.Seconds()
-}
--- a/pool/pace.go
+++ b/pool/pace.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/lycheekeel/lycheekeel/internal/decay"
 	"github.com/lycheekeel/lycheekeel/request"
 )
 
@@ -11,12 +12,12 @@
 
 // pace is how fast requests of each tier have come and were granted of late.
 type pace struct {
-	came, granted [request.MaxTiers]flowRate
+	came, granted [request.MaxTiers]decay.Rate
 }
 
 func newPace() (x pace) {
 	for t := range x.came {
-		x.came[t].over, x.granted[t].over = paceTime, paceTime
+		x.came[t].Over, x.granted[t].Over = paceTime, paceTime
 	}
 	return x
 }
@@ -25,7 +26,7 @@
 func (x *pace) grants(now time.Time) float64 {
 	sum := 0.0
 	for t := range x.granted {
-		sum += x.granted[t].perSecond(now)
+		sum += x.granted[t].PerSecond(now)
 	}
 	return sum
 }
@@ -34,7 +35,7 @@
 func (x *pace) cameAbove(now time.Time, t request.Tier) float64 {
 	sum := 0.0
 	for higher := request.Tier(0); higher < t; higher++ {
-		sum += x.came[higher].perSecond(now)
+		sum += x.came[higher].PerSecond(now)
 	}
 	return sum
 }
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -5,6 +5,8 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/lycheekeel/lycheekeel/fairshare"
+	"github.com/lycheekeel/lycheekeel/internal/decay"
 	"github.com/lycheekeel/lycheekeel/pool/estimate"
 	"github.com/lycheekeel/lycheekeel/pool/headroom"
 	"github.com/lycheekeel/lycheekeel/pool/prefix"
@@ -36,6 +38,7 @@
 	siblings map[string]*sibling
 	entries  entries
 	tally    Tally
+	shares   *fairshare.Ledger
 }
 
 // waiters are the requests that wait, and what those were told that don't any more.
@@ -77,7 +80,7 @@
 	measured  time.Time
 	arrivals  [request.MaxTiers]headroom.Arrivals
 	targets   [request.MaxTiers]time.Duration // first token, by tier
-	served    flowRate
+	served    decay.Rate
 	pace      pace
 	deadlines deadlines
 }
@@ -114,11 +117,12 @@
 			hints:     estimate.NewHints(),
 			peers:     make(map[string]score.Prior),
 			deadlines: make(deadlines),
-			served:    flowRate{over: flowTime},
+			served:    decay.Rate{Over: flowTime},
 			pace:      newPace(),
 		},
 		suspects: suspect.NewRegister(cfg.Verdict),
 		siblings: make(map[string]*sibling),
+		shares:   newShares(),
 	}
 }
 
--- a/pool/run.go
+++ b/pool/run.go
@@ -183,7 +183,7 @@
 func (p *Pool) learnDone(r *run, e Release) {
 	s := r.server
 	s.pause, s.progressed = 0, p.now
-	p.served.add(p.now, r.cost)
+	p.served.Add(p.now, r.cost)
 	if p.plain() {
 		return
 	}
--- a/pool/schedule.go
+++ b/pool/schedule.go
@@ -48,6 +48,7 @@
 	p.endHolds()
 	p.scheduleAlone()
 	p.scheduleProbes()
+	p.scheduleStarved()
 	for t := request.Tier(0); t < request.MaxTiers; t++ {
 		if p.queue.Waiting(t) > 0 && !p.scheduleTier(t) {
 			return
@@ -254,8 +255,14 @@
 	return true
 }
 
-// grant gives a waiting request a slot.
+// grant gives a waiting request a slot in turn.
 func (p *Pool) grant(w *waiter, o option) {
+	p.shares.Granted(p.now, w.Item.Tier, p.slotTime(w, o))
+	p.place(w, o)
+}
+
+// place gives a waiting request a slot.
+func (p *Pool) place(w *waiter, o option) {
 	if p.waiting[w.Request] == w {
 		p.drop(w)
 	}
@@ -265,7 +272,7 @@
 	if o.server.straggler {
 		p.probed(o.server)
 	}
-	p.pace.granted[w.Item.Tier].add(p.now, 1)
+	p.pace.granted[w.Item.Tier].Add(p.now, 1)
 	p.tally.granted(w)
 	p.seq++
 	r := &run{
--- /dev/null
+++ b/pool/starved.go
@@ -0,0 +1,86 @@
+package pool
+
+import (
+	"time"
+
+	"github.com/lycheekeel/lycheekeel/fairshare"
+	"github.com/lycheekeel/lycheekeel/request"
+)
+
+const (
+	// starvedCheap and starvedDear are the parts of the service of all tiers below which
+	// a tier of short and one of long requests gets slots out of turn.
+	starvedCheap, starvedDear = 0.5, 0.35
+	// starvedMost is the largest part of the slot time that starved tiers get out of turn.
+	starvedMost = 0.1
+	// starvedSaved is how much slot time a starved tier saves up, in seconds.
+	starvedSaved = 1.0
+	// starvedOver is the time over which the service of the tiers is compared.
+	starvedOver = 10 * time.Second
+)
+
+func newShares() *fairshare.Ledger {
+	return fairshare.New(fairshare.Config{
+		Cheap: starvedCheap, Dear: starvedDear, Most: starvedMost, Saved: starvedSaved, Over: starvedOver,
+	})
+}
+
+// scheduleStarved grants to the tiers that strict order starves what their least share
+// of the slot time allows.
+//
+// What goes wrong without it: the tiers above ask for all slots for as long as an
+// overload lasts, and of the lowest tier next to nothing is served. One notices a tier
+// that is refused in every second while others are granted (pool_shed, pool_granted).
+func (p *Pool) scheduleStarved() {
+	for t := request.Tier(request.MaxTiers - 1); t > 0; t-- {
+		for p.queue.Waiting(t) > 0 && p.shares.Starved(p.now, t) && p.grantOutOfTurn(t) {
+		}
+	}
+}
+
+// grantOutOfTurn grants one request of a tier whose turn it is not, and reports whether
+// it did. Where a long prompt above waits for memory to come free, nobody goes before it.
+func (p *Pool) grantOutOfTurn(t request.Tier) bool {
+	servers, slots := p.usable()
+	if slots == 0 || p.inTurn(t, slots) || p.starvesAbove(t) {
+		return false
+	}
+	w, o := p.pickLive(t, servers)
+	if w == nil {
+		return false
+	}
+	amount := p.slotTime(w, o)
+	if !p.shares.MayHave(t, amount) {
+		return false
+	}
+	p.shares.GrantedOutOfTurn(p.now, t, amount)
+	p.place(w, o)
+	return true
+}
+
+// slotTime predicts how much slot time a request takes: what it holds its own slot for,
+// and what its prompt holds the others of its server up for.
+func (p *Pool) slotTime(w *waiter, o option) float64 {
+	s := o.server
+	return (p.runTime(w, o) + time.Duration(len(s.running))*s.speed.PrefillTime(o.uncached)).Seconds()
+}
+
+// inTurn tells whether a tier has its turn with so many slots free.
+func (p *Pool) inTurn(t request.Tier, slots int) bool {
+	for higher := request.Tier(0); higher < t; higher++ {
+		if p.queue.Waiting(higher) > 0 {
+			return false
+		}
+	}
+	return slots > p.reserve(t)
+}
+
+// starvesAbove tells whether a tier above t has a head that waits for memory.
+func (p *Pool) starvesAbove(t request.Tier) bool {
+	for higher := request.Tier(0); higher < t; higher++ {
+		if p.starves(higher) {
+			return true
+		}
+	}
+	return false
+}
--- a/pool/waiter.go
+++ b/pool/waiter.go
@@ -60,7 +60,7 @@
 		return
 	}
 	p.arrivals[e.Tier].Add(p.now)
-	p.pace.came[e.Tier].add(p.now, 1)
+	p.pace.came[e.Tier].Add(p.now, 1)
 	if e.FirstTokenIn != 0 {
 		p.targets[e.Tier] = e.FirstTokenIn + e.Waited
 	}
