--- a/pool/breaker_test.go
+++ b/pool/breaker_test.go
@@ -83,12 +83,7 @@
 	c.note(c.send(Tick{}))
 }
 
-// Symptom: in the seconds in which a few servers are down, hundreds of requests are
-// lost at each of them, while all other servers are full.
-// Sequence: a server crashes under full load; connections to its address are accepted
-// and break at once; each break frees a slot, the only free one there is.
-// Cause: a run that broke only made its server the last choice, and a last choice is
-// taken when there is no other.
+// Guards against a server that is down and, alone with a free slot, draws all that waits.
 func TestAServerThatIsDownDrawsNoCrowd(t *testing.T) {
 	Convey("Given a pool that is full, and a server that goes down", t, func() {
 		c := newCrowd()
@@ -221,10 +216,7 @@
 
 var threeServers = servers(3, 4)
 
-// Symptom: a tenth of all requests fails for seconds, while most servers are well and
-// full. Sequence: a few servers answer each request at once with a failure; their health
-// checks pass; the other servers are full. Cause: a server that fails was only the last
-// choice, and the only one with a free slot.
+// Guards against a server that fails all it runs at once and, alone with a free slot, draws all that waits.
 func TestAServerThatFailsAllDrawsNoCrowd(t *testing.T) {
 	Convey("A server that fails all it runs gets a probe now and then", t, func() {
 		c := failing("s0")
--- a/pool/crash_test.go
+++ b/pool/crash_test.go
@@ -9,10 +9,7 @@
 	"github.com/lycheekeel/lycheekeel/request"
 )
 
-// Symptom: a request crashes the same server four times before it is refused.
-// Sequence: a server crashes and is back within a second; the suspect runs
-// alone there and crashes it again, less than five seconds after the first.
-// Cause: the second crash is taken for another sign of the first.
+// Guards against a second crash within seconds that is taken for another sign of the first.
 func TestAServerCrashesTwiceWithinSeconds(t *testing.T) {
 	Convey("Given a server that crashed under a request, as its entry reports", t, func() {
 		r := newRig(Config{}, servers(1, 3)...)
@@ -46,10 +43,7 @@
 	})
 }
 
-// Symptom: a server of four gets nothing for seconds while requests wait.
-// Sequence: a run's release is lost; its deadline passes; the run seems to wait
-// for its first token for ever. Cause: such a run counted as a sign that the
-// server is stuck, and was counted on it for a minute.
+// Guards against a server that gets nothing for seconds because the release of one run was lost.
 func TestLostReleaseDoesNotStopAServer(t *testing.T) {
 	now := time.Unix(1000, 0)
 	newPool := func() *Pool {
--- a/pool/failures_test.go
+++ b/pool/failures_test.go
@@ -11,12 +11,7 @@
 	"github.com/lycheekeel/lycheekeel/request"
 )
 
-// Symptom: half of a service's requests fail, although two of its three
-// servers are well, and a request that is sent again fails again.
-// Sequence: a server answers each request at once with a failure; its health
-// check passes.
-// Cause: it is free again first and was chosen first; and nothing said that
-// the second send of a request should go elsewhere.
+// Guards against a failing server that is chosen first, and again for the same request, since it is free again first.
 func TestServerThatFailsItsRuns(t *testing.T) {
 	call := func(id string, sentTo ...string) Enqueue {
 		return Enqueue{
--- a/pool/hint_test.go
+++ b/pool/hint_test.go
@@ -11,10 +11,7 @@
 	"github.com/lycheekeel/lycheekeel/pool/score"
 )
 
-// Symptom: long streams are cut at their deadline, after ten seconds at a slow
-// server, while short ones run at fast servers.
-// Sequence: the fast server's slots are taken; a long request comes.
-// Cause: every answer of a mix was taken to be of its mean length.
+// Guards against long streams cut at their deadline at slow servers while short ones run at fast ones.
 func TestHintedLengths(t *testing.T) {
 	given := func() *rig {
 		r := newRig(Config{}, ServerInfo{Name: "fast", Generation: "fast", Slots: 1}, ServerInfo{Name: "slow", Generation: "slow", Slots: 4})
@@ -67,12 +64,7 @@
 	})
 }
 
-// Symptom: one in ten of the longest answers does not end before its deadline,
-// on a quiet day, while half of the slots are free.
-// Sequence: short requests take the fast servers' slots, since they end sooner
-// there; a long one comes and finds a slot at slow servers alone.
-// Cause: each request went where it would end first, also where it would have
-// been far from its targets anywhere.
+// Guards against short requests that take the fast servers, which long ones need to end in time.
 func TestEasyRequestsLeaveTheFastServersFree(t *testing.T) {
 	given := func(spare bool) *rig {
 		r := newRig(Config{SpareFast: spare}, ServerInfo{Name: "fast", Generation: "fast", Slots: 4}, ServerInfo{Name: "slow", Generation: "slow", Slots: 4})
--- a/pool/incarnation_test.go
+++ b/pool/incarnation_test.go
@@ -11,10 +11,7 @@
 	return ServerSet{Servers: []ServerInfo{{Name: "s0", Slots: 2, Incarnation: incarnation}}}
 }
 
-// Symptom: servers that crashed and are back stand idle while requests are shed.
-// Sequence: all slots of a server run; it crashes without a word and starts again
-// under its name; its callers' connections still hang.
-// Cause: the runs of its former incarnation counted until each was released.
+// Guards against a server that is back and stands idle while the runs of its former incarnation count.
 func TestAServerThatStartsAgainIsFree(t *testing.T) {
 	Convey("What ran on its former incarnation counts no more", t, func() {
 		r := newRig(Config{}, started("1").Servers...)
--- a/pool/limit/trap_test.go
+++ b/pool/limit/trap_test.go
@@ -7,11 +7,7 @@
 	"pgregory.net/rapid"
 )
 
-// Symptom: after a restart of all daemons a service of two servers with six slots
-// each sheds most of its calls for as long as the daemons live, while its servers
-// are idle two thirds of the time. Sequence: one bad second lowers a server's limit
-// to 2.9; from then on every call is fast, and two run at a time. Cause: two slots in
-// use were less than three quarters of 2.9, so that no good call raised the limit.
+// Guards against a lowered limit that never rises again, since too few run to judge it by.
 func TestALimitRisesAgainFromAnywhere(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		name := rapid.SampledFrom([]Name{AIMD, Gradient}).Draw(t, "law")
--- a/pool/patience_test.go
+++ b/pool/patience_test.go
@@ -10,10 +10,7 @@
 	"github.com/lycheekeel/lycheekeel/request"
 )
 
-// Symptom: in a burst callers are refused after two seconds, when nobody else
-// could serve them in time any more, and those served are late.
-// Sequence: all slots are taken; requests with a target of one second wait.
-// Cause: patience was a part of the deadline, which is far beyond the target.
+// Guards against callers that are refused only when nobody else could serve them in time any more.
 func TestPatience(t *testing.T) {
 	full := func() *rig {
 		r := newRig(Config{Patience: 0.1}, servers(1, 1)...)
@@ -68,11 +65,7 @@
 	})
 }
 
-// Symptom: calls with a target of 300 ms are shed on a calm day although slots
-// come free every few milliseconds.
-// Sequence: some requests more than there are slots come at once; the first
-// patience of the last ones ends just before their turn.
-// Cause: patience took no account of how fast slots come free.
+// Guards against requests that are refused at each little queue though slots come free every few milliseconds.
 func TestWaitingOn(t *testing.T) {
 	// paced returns a pool of one slot that grants a request each 10 ms, with
 	// one running and n waiting.
@@ -138,12 +131,7 @@
 	})
 }
 
-// Symptom: in a burst of all tiers the requests of the lower ones are refused after
-// their whole target, some hundreds of milliseconds later than it could be known.
-// Sequence: the tiers above take nine of ten slots, and go on coming; some requests of
-// a lower tier wait for the tenth.
-// Cause: the pace by which a request waited on was that of its tier and of those
-// above together, whose slots go to the ones who will come above.
+// Guards against lower tiers that wait on for slots which go to those who keep coming above.
 func TestWaitingOnBelowTiersThatKeepComing(t *testing.T) {
 	// busy returns a pool of one slot that grants a request each 10 ms, nine of ten of
 	// them of the top tier, and what one more round of that does.
@@ -200,10 +188,7 @@
 	})
 }
 
-// Symptom: callers are refused in a burst, come back half a second later, are refused
-// again, and have no try left, though the burst is over a moment after.
-// Sequence: more come than there are slots; each is told the same short time.
-// Cause: what was told took no account of those who were told before.
+// Guards against refused callers who are all told the same short time and are refused again together.
 func TestRefusedCallersComeBackOneAfterTheOther(t *testing.T) {
 	// refuse returns what n callers are told that are refused at one moment by a pool
 	// that grants a request each 100 ms.
@@ -245,10 +230,7 @@
 	})
 }
 
-// Symptom: tags with a deadline of three seconds get a slot when they have no time
-// left to use it, or are refused when they have none to come back.
-// Sequence: their target is two thirds of the deadline; they wait behind long prompts.
-// Cause: how long they might wait on followed from the target alone.
+// Guards against requests that wait until they have no time left to use a slot or to come back.
 func TestWaitingOnLeavesTimeToComeBack(t *testing.T) {
 	Convey("Nobody waits on beyond a quarter of the deadline", t, func() {
 		r := newRig(Config{Patience: 0.1, LongPatience: 1}, servers(1, 1)...)
--- a/pool/returning_test.go
+++ b/pool/returning_test.go
@@ -10,11 +10,7 @@
 	"github.com/lycheekeel/lycheekeel/request"
 )
 
-// Symptom: in a burst more and more requests of the top tier are late, although it has
-// slots for all that come for the first time.
-// Sequence: some are refused at the start of the burst; they come back after a third of
-// their time, take the slots of new ones, which are refused, and come back in turn.
-// Cause: one that comes back looked like a new one, with its whole target ahead.
+// Guards against returning requests that take the slots of new ones, which come back late in their turn.
 func TestWhoComesBackLateWaitsBehindThoseInTime(t *testing.T) {
 	const whole = 15 * time.Second
 	left := func(id string, t request.Tier, deadline time.Duration) Enqueue {
--- a/pool/scenario_test.go
+++ b/pool/scenario_test.go
@@ -64,10 +64,7 @@
 	return ""
 }
 
-// Symptom: servers crash one after the other, each time the same caller
-// sends its request again.
-// Sequence: a request crashes a server on which others run; it comes back.
-// Cause: the content of that one request.
+// Guards against one request that crashes server after server, since its caller sends it again.
 func TestCrashingRequestIsConvicted(t *testing.T) {
 	Convey("Given a server that crashed under three requests", t, func() {
 		r := newRig(Config{}, servers(1, 3)...)
@@ -115,9 +112,7 @@
 	})
 }
 
-// Symptom: just after an owner change engines get twice their load.
-// Sequence: an owner dies; the new one grants before it knows what runs.
-// Cause: the counts died with the old owner.
+// Guards against a new owner that grants beside all that the old one granted.
 func TestNewOwnerCountsWhatRuns(t *testing.T) {
 	Convey("Given a new owner and two entries that have not reported", t, func() {
 		r := newRig(Config{}, servers(1, 4)...)
@@ -169,9 +164,7 @@
 	})
 }
 
-// Symptom: requests sent to one server miss their targets, all others' don't.
-// Sequence: a server slows down tenfold and gets well again.
-// Cause: a straggler that still answers, so no health check notices.
+// Guards against a slow server that goes on getting its share, since its health check passes.
 func TestStragglerIsProbed(t *testing.T) {
 	Convey("Given four servers, one of them ten times slower", t, func() {
 		r := newRig(Config{}, servers(4, 2)...)
@@ -351,9 +344,7 @@
 	})
 }
 
-// Symptom: long prompts expire while tags are served.
-// Sequence: memory comes free in small pieces, each taken at once by a tag.
-// Cause: only small requests ever fit.
+// Guards against long prompts that expire while small requests take each piece of memory that comes free.
 func TestLongPromptsDoNotStarve(t *testing.T) {
 	Convey("A request that fits nowhere lets smaller ones go first for a moment only", t, func() {
 		r := newRig(Config{}, servers(1, 50)...)
--- a/pool/score/speed_test.go
+++ b/pool/score/speed_test.go
@@ -21,9 +21,7 @@
 	})
 }
 
-// Symptom: one server of ten answers ten times slower, and says nothing.
-// Sequence: its first tokens and tokens come late, then in time again.
-// Cause: an engine became a straggler, e.g. by a throttled accelerator.
+// Guards against a server ten times slower than its peers that nothing tells of.
 func TestStragglerIsJudgedByItsPeers(t *testing.T) {
 	Convey("A few slow samples make a straggler, a few good ones bring it back", t, func() {
 		peers, _ := Median([]*Speed{NewSpeed(DefaultPrior()), NewSpeed(DefaultPrior()), NewSpeed(DefaultPrior())})
--- a/pool/withdraw_test.go
+++ b/pool/withdraw_test.go
@@ -6,11 +6,7 @@
 	. "github.com/smartystreets/goconvey/convey"
 )
 
-// Symptom: for some seconds a server runs one more than its slots.
-// Sequence: a caller leaves while its grant is on the way; the request comes
-// again under the same identifier, and the entry uses the repeated grant.
-// Cause: the grant is still marked as withdrawn, and freed as one that was
-// lost, although it is in use.
+// Guards against a server that runs one more than its slots, since a withdrawn grant was used and freed.
 func TestAWithdrawnGrantThatIsUsedAfterAll(t *testing.T) {
 	Convey("A withdrawn grant that was repeated keeps its slot", t, func() {
 		r := newRig(Config{}, servers(1, 4)...)
--- a/quota/exchange_test.go
+++ b/quota/exchange_test.go
@@ -100,12 +100,7 @@
 	}
 }
 
-// Symptom: a workspace uses twice its quota while the daemons are cut off
-// from each other. Sequence: each part hears nothing of the others and lets the
-// whole quota through; messages are lost, and daemons change their hubs. Cause:
-// silence was taken for no use. The property: however the daemons are parted, in
-// any window they let through no more than the quota plus what they could not
-// have heard of yet.
+// Guards against daemons that are cut off from each other and each let the whole quota through.
 func TestLedgersStayWithinBoundsApart(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		const step, steps = 100 * time.Millisecond, 120
--- a/quota/ledger_test.go
+++ b/quota/ledger_test.go
@@ -174,9 +174,7 @@
 	})
 }
 
-// Symptom: small calls are refused while their workspace is within its limit.
-// Sequence: a large prompt overdraws the bucket; a call of a few tokens comes.
-// Cause: both needed the same level.
+// Guards against small calls that are refused because a large prompt has overdrawn the bucket.
 func TestLargeAndSmallRequestsShareABucket(t *testing.T) {
 	tolerance := Tolerance{Window: 8 * time.Second, Over: 0.1, Slack: 80}
 	Convey("A large request may overdraw the bucket once, a small one goes on", t, func() {
--- a/quota/overload_test.go
+++ b/quota/overload_test.go
@@ -85,10 +85,7 @@
 	return c, l
 }
 
-// Symptom: the most urgent requests of a workspace are refused while others of it
-// that can wait are served.
-// Sequence: for 10 s it asks three times its quota, in three tiers.
-// Cause: the bucket was spent in the order of arrival.
+// Guards against urgent requests that are refused while others of their workspace, which can wait, are served.
 func TestUrgentTiersComeFirstInAWorkspaceOverItsQuota(t *testing.T) {
 	for _, seed := range []uint64{1, 2, 3} {
 		Convey("The most urgent tier is served but for chance, and no quota lies idle", t, func() {
@@ -132,10 +129,7 @@
 	})
 }
 
-// Symptom: after a restart of all daemons callers come back before there is room, and
-// their one retry is refused too.
-// Sequence: the daemons start with empty buckets and have not heard each other yet.
-// Cause: they were told by the whole rate, of which a part accrues.
+// Guards against callers that come back too soon after a restart, when a part of the rate accrues.
 func TestTheWaitIsByWhatAccruesHere(t *testing.T) {
 	Convey("Who comes back as told, and alone, finds room", t, func() {
 		c := &clock{now: time.Unix(1000, 0)}
