pool: late requests of a tier have a turn where requests wait up to their deadlines

Cause, of the same class as the starved tier: strict order. Where there is no patience a request waits up to its deadline; once it has become late, each live one of its tier goes first, and as long as the slots are full but not overloaded there is always a live one.

Change: after eight live ones in a row the first late one of the tier goes. Where patience ends waits (the platform's pools) nothing changes: late ones are refused in time to go elsewhere.

--- a/pool/pool.go
+++ b/pool/pool.go
@@ -48,6 +48,7 @@
 	waiting  map[request.ID]*waiter
 	held     []*waiter             // of all servers, in the order in which they were held
 	waitOn   [request.MaxTiers]int // waiters beyond their shorter patience
+	passed   [request.MaxTiers]int // live ones granted since a late one, while some waited
 	// returnsUntil is when all callers that were refused will have had room.
 	returnsUntil time.Time
 }
--- a/pool/schedule.go
+++ b/pool/schedule.go
@@ -65,17 +65,30 @@
 		if slots == 0 || slots <= p.reserve(t) {
 			return false
 		}
-		w, o := p.pickLive(t, servers)
-		if w == nil && !p.starves(t) {
-			w, o = p.pickLate(t, servers)
-		}
+		w, o := p.pick(t, servers)
 		if w == nil {
 			return !p.starves(t)
 		}
+		p.noteLate(w)
 		p.grant(w, o)
 	}
 }
 
+// pick returns the tier's next request, with its option: a live one before a late one,
+// but for the turn of one that was passed often.
+func (p *Pool) pick(t request.Tier, servers []*server) (w *waiter, o option) {
+	if p.lateIsDue(t) && !p.starves(t) {
+		w, o = p.pickLate(t, servers)
+	}
+	if w == nil {
+		w, o = p.pickLive(t, servers)
+	}
+	if w == nil && !p.starves(t) {
+		w, o = p.pickLate(t, servers)
+	}
+	return w, o
+}
+
 // pickLive returns the next live request to be granted, with its option. On
 // its way it moves hopeless requests to the end of the tier, suspects to
 // their own queue, and holds those that should wait for a prefix.
