--- a/fairshare/fairshare.go
+++ b/fairshare/fairshare.go
@@ -14,6 +14,9 @@
 	"github.com/lycheekeel/lycheekeel/request"
 )
 
+// forgotten is the number of refusals, fading, below which a tier counts as not refused.
+const forgotten = 0.05
+
 // Config is how much starved tiers get.
 type Config struct {
 	// Cheap and Dear are the parts of the service of all tiers together below which a
@@ -113,8 +116,11 @@
 // where nothing of it is served, 0 where it has that service or nothing of it was refused.
 func (l *Ledger) deficit(now time.Time, t request.Tier) float64 {
 	x := &l.tiers[t]
+	if x.refused.PerSecond(now)*l.cfg.Over.Seconds() < forgotten {
+		return 0
+	}
 	least := l.least(now, x) * l.all.service(now)
-	if x.refused.PerSecond(now) <= 0 || least <= 0 {
+	if least <= 0 {
 		return 0
 	}
 	return max(0, 1-x.service(now)/least)
--- a/fairshare/fairshare_test.go
+++ b/fairshare/fairshare_test.go
@@ -70,6 +70,7 @@
 	Convey("An overload is forgotten", t, func() {
 		l := New(usual)
 		now := overload(l, 100, 1).Add(5 * time.Minute)
+		So(l.Starved(now, 2), ShouldBeFalse)
 		for range 100 {
 			l.Granted(now, 0, 1)
 			l.Granted(now, 2, 1)
