fairshare, decay: names that a reader expects

MaxShare, MaxCredit, Window and TimeConstant in place of Most, Saved and Over; costly in place of dear; Allows in place of MayHave. No behaviour is changed; tests of pool, fairshare and decay pass.

--- a/fairshare/fairshare.go
+++ b/fairshare/fairshare.go
@@ -19,20 +19,20 @@
 
 // Config is how much starved tiers get.
 type Config struct {
-	// Cheap and Dear are the parts of the service of all tiers together below which a
-	// tier is starved: Cheap where its requests take next to nothing beside those of
-	// others, Dear where they take as much or more. Each of the cheap ones costs the
-	// tiers above next to nothing, each dear one costs them a request.
-	Cheap, Dear float64
-	// Most is the largest part of what is granted in turn that starved tiers together
+	// LeastCheap and LeastCostly are the parts of the service of all tiers together below
+	// which a tier is starved: LeastCheap where its requests take next to nothing beside
+	// those of others, LeastCostly where they take as much or more. A cheap one costs the
+	// tiers above a part of a request, a costly one a whole one.
+	LeastCheap, LeastCostly float64
+	// MaxShare is the largest part of what is granted in turn that starved tiers together
 	// get out of turn. A tier of which nothing is served gets all of it, one that is
 	// nearly served as often as it should proportionally less, so that service settles
 	// instead of swinging.
-	Most float64
-	// Saved bounds what a tier saves up, in the unit of what is granted.
-	Saved float64
-	// Over is the time over which service is measured.
-	Over time.Duration
+	MaxShare float64
+	// MaxCredit bounds what a tier saves up, in the unit of what is granted.
+	MaxCredit float64
+	// Window is the time over which service is measured.
+	Window time.Duration
 }
 
 // Ledger keeps the service of each tier and what the starved ones may have.
@@ -51,15 +51,15 @@
 
 // New returns a ledger that has seen nothing.
 func New(cfg Config) *Ledger {
-	l := &Ledger{cfg: cfg, all: newAccount(cfg.Over)}
+	l := &Ledger{cfg: cfg, all: newAccount(cfg.Window)}
 	for t := range l.tiers {
-		l.tiers[t] = newAccount(cfg.Over)
+		l.tiers[t] = newAccount(cfg.Window)
 	}
 	return l
 }
 
-func newAccount(over time.Duration) account {
-	r := decay.Rate{Over: over}
+func newAccount(window time.Duration) account {
+	r := decay.Rate{TimeConstant: window}
 	return account{served: r, refused: r, amount: r}
 }
 
@@ -69,11 +69,11 @@
 	deficits, sum := l.deficits(now)
 	for i, d := range deficits {
 		x := &l.tiers[i]
-		x.credit = min(l.cfg.Saved, x.credit+l.cfg.Most*amount*d/max(1, sum))
+		x.credit = min(l.cfg.MaxCredit, x.credit+l.cfg.MaxShare*amount*d/max(1, sum))
 	}
 }
 
-// GrantedOutOfTurn tells of a grant that MayHave allowed.
+// GrantedOutOfTurn tells of a grant that Allows allowed.
 func (l *Ledger) GrantedOutOfTurn(now time.Time, t request.Tier, amount float64) {
 	l.serve(now, t, amount)
 	l.tiers[t].credit -= amount
@@ -97,10 +97,10 @@
 	return l.tiers[t].credit > 0 && l.deficit(now, t) > 0
 }
 
-// MayHave tells whether a starved tier may be granted an amount out of turn. One that is
+// Allows tells whether a starved tier may be granted an amount out of turn. One that is
 // larger than all that may be saved is granted on credit.
-func (l *Ledger) MayHave(t request.Tier, amount float64) bool {
-	return l.tiers[t].credit >= min(amount, l.cfg.Saved)
+func (l *Ledger) Allows(t request.Tier, amount float64) bool {
+	return l.tiers[t].credit >= min(amount, l.cfg.MaxCredit)
 }
 
 // deficits returns every tier's, and their sum.
@@ -116,7 +116,7 @@
 // where nothing of it is served, 0 where it has that service or nothing of it was refused.
 func (l *Ledger) deficit(now time.Time, t request.Tier) float64 {
 	x := &l.tiers[t]
-	if x.refused.PerSecond(now)*l.cfg.Over.Seconds() < forgotten {
+	if x.refused.PerSecond(now)*l.cfg.Window.Seconds() < forgotten {
 		return 0
 	}
 	least := l.least(now, x) * l.all.service(now)
@@ -131,9 +131,9 @@
 func (l *Ledger) least(now time.Time, x *account) float64 {
 	mean := l.all.mean(now)
 	if mean <= 0 {
-		return l.cfg.Dear
+		return l.cfg.LeastCostly
 	}
-	return l.cfg.Cheap - (l.cfg.Cheap-l.cfg.Dear)*min(1, x.mean(now)/mean)
+	return l.cfg.LeastCheap - (l.cfg.LeastCheap-l.cfg.LeastCostly)*min(1, x.mean(now)/mean)
 }
 
 // service is the part of the requests that was granted.
--- a/fairshare/fairshare_test.go
+++ b/fairshare/fairshare_test.go
@@ -12,7 +12,7 @@
 
 var (
 	start = time.Unix(1000, 0)
-	usual = Config{Cheap: 0.6, Dear: 0.3, Most: 0.1, Saved: 1, Over: 10 * time.Second}
+	usual = Config{LeastCheap: 0.6, LeastCostly: 0.3, MaxShare: 0.1, MaxCredit: 1, Window: 10 * time.Second}
 )
 
 // overload grants n requests of the top tier of an amount each and refuses as many of
@@ -36,20 +36,20 @@
 	Convey("A starved tier saves up a bounded amount, and a larger one is granted on credit", t, func() {
 		l := New(usual)
 		now := overload(l, 100, 1)
-		So(l.MayHave(2, 1), ShouldBeTrue)
-		So(l.MayHave(2, 50), ShouldBeTrue)
+		So(l.Allows(2, 1), ShouldBeTrue)
+		So(l.Allows(2, 50), ShouldBeTrue)
 		l.GrantedOutOfTurn(now, 2, 50)
-		So(l.MayHave(2, 0.01), ShouldBeFalse)
+		So(l.Allows(2, 0.01), ShouldBeFalse)
 		So(l.Starved(now, 2), ShouldBeFalse)
 	})
 	Convey("What starved tiers get follows what the others get", t, func() {
 		l := New(usual)
 		now := overload(l, 5, 1)
-		So(l.MayHave(2, 0.1), ShouldBeTrue)
-		So(l.MayHave(2, 0.6), ShouldBeFalse)
+		So(l.Allows(2, 0.1), ShouldBeTrue)
+		So(l.Allows(2, 0.6), ShouldBeFalse)
 		So(l.Starved(now, 2), ShouldBeTrue)
 	})
-	Convey("A tier of cheap requests should be served more often than one of dear ones", t, func() {
+	Convey("A tier of cheap requests should be served more often than one of costly ones", t, func() {
 		served := func(amount float64) (starved bool) {
 			l := New(usual)
 			now := start
@@ -97,14 +97,14 @@
 			"refuse": func(t *rapid.T) { l.Refused(now, request.Tier(rapid.IntRange(0, 3).Draw(t, "tier"))) },
 			"starved": func(t *rapid.T) {
 				tier, amount := request.Tier(rapid.IntRange(1, 3).Draw(t, "tier")), rapid.Float64Range(0, 3).Draw(t, "amount")
-				if l.Starved(now, tier) && l.MayHave(tier, amount) {
+				if l.Starved(now, tier) && l.Allows(tier, amount) {
 					l.GrantedOutOfTurn(now, tier, amount)
 					outOfTurn, largest = outOfTurn+amount, max(largest, amount)
 				}
 			},
 			"": func(t *rapid.T) {
 				// Each of three tiers may have one large request on credit.
-				if outOfTurn > usual.Most*inTurn+3*largest+1e-9 {
+				if outOfTurn > usual.MaxShare*inTurn+3*largest+1e-9 {
 					t.Fatalf("%v out of turn beside %v in turn", outOfTurn, inTurn)
 				}
 			},
--- a/internal/decay/decay.go
+++ b/internal/decay/decay.go
@@ -8,10 +8,10 @@
 	"time"
 )
 
-// Rate is an amount per second, fading. The zero value with Over set is ready.
+// Rate is an amount per second, fading. The zero value with TimeConstant set is ready.
 type Rate struct {
-	// Over is the time constant: what is older than that counts for little.
-	Over time.Duration
+	// TimeConstant is how fast it fades: what is older than that counts for little.
+	TimeConstant time.Duration
 
 	amount float64
 	at     time.Time
@@ -26,12 +26,12 @@
 // PerSecond returns the rate.
 func (r *Rate) PerSecond(now time.Time) float64 {
 	r.fade(now)
-	return r.amount / r.Over.Seconds()
+	return r.amount / r.TimeConstant.Seconds()
 }
 
 func (r *Rate) fade(now time.Time) {
 	if !r.at.IsZero() {
-		r.amount *= math.Exp(-float64(now.Sub(r.at)) / float64(r.Over))
+		r.amount *= math.Exp(-float64(now.Sub(r.at)) / float64(r.TimeConstant))
 	}
 	r.at = now
 }
--- a/pool/pace.go
+++ b/pool/pace.go
@@ -17,7 +17,7 @@
 
 func newPace() (x pace) {
 	for t := range x.came {
-		x.came[t].Over, x.granted[t].Over = paceTime, paceTime
+		x.came[t].TimeConstant, x.granted[t].TimeConstant = paceTime, paceTime
 	}
 	return x
 }
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -118,7 +118,7 @@
 			hints:     estimate.NewHints(),
 			peers:     make(map[string]score.Prior),
 			deadlines: make(deadlines),
-			served:    decay.Rate{Over: flowTime},
+			served:    decay.Rate{TimeConstant: flowTime},
 			pace:      newPace(),
 		},
 		suspects: suspect.NewRegister(cfg.Verdict),
--- a/pool/starved.go
+++ b/pool/starved.go
@@ -8,20 +8,20 @@
 )
 
 const (
-	// starvedCheap and starvedDear are the parts of the service of all tiers below which
+	// leastCheap and leastCostly are the parts of the service of all tiers below which
 	// a tier of short and one of long requests gets slots out of turn.
-	starvedCheap, starvedDear = 0.5, 0.35
-	// starvedMost is the largest part of the slot time that starved tiers get out of turn.
-	starvedMost = 0.1
-	// starvedSaved is how much slot time a starved tier saves up, in seconds.
-	starvedSaved = 1.0
-	// starvedOver is the time over which the service of the tiers is compared.
-	starvedOver = 10 * time.Second
+	leastCheap, leastCostly = 0.5, 0.35
+	// starvedShare is the largest part of the slot time that starved tiers get out of turn.
+	starvedShare = 0.1
+	// starvedCredit is how much slot time a starved tier saves up, in seconds.
+	starvedCredit = 1.0
+	// starvedWindow is the time over which the service of the tiers is compared.
+	starvedWindow = 10 * time.Second
 )
 
 func newShares() *fairshare.Ledger {
 	return fairshare.New(fairshare.Config{
-		Cheap: starvedCheap, Dear: starvedDear, Most: starvedMost, Saved: starvedSaved, Over: starvedOver,
+		LeastCheap: leastCheap, LeastCostly: leastCostly, MaxShare: starvedShare, MaxCredit: starvedCredit, Window: starvedWindow,
 	})
 }
 
@@ -50,7 +50,7 @@
 		return false
 	}
 	amount := p.slotTime(w, o)
-	if !p.shares.MayHave(t, amount) {
+	if !p.shares.Allows(t, amount) {
 		return false
 	}
 	p.shares.GrantedOutOfTurn(p.now, t, amount)
--- a/pool/starved_test.go
+++ b/pool/starved_test.go
@@ -218,7 +218,7 @@
 }
 
 // strictOrder gives starved tiers nothing.
-func strictOrder() *fairshare.Ledger { return fairshare.New(fairshare.Config{Over: starvedOver}) }
+func strictOrder() *fairshare.Ledger { return fairshare.New(fairshare.Config{Window: starvedWindow}) }
 
 // seeds is how many seeds each load is played with.
 const seeds = 3
@@ -250,7 +250,7 @@
 				So(out.overtaken, ShouldEqual, 0)
 				So(out.all(), ShouldBeGreaterThan, strict.all())
 				So(out.of(draft.tier), ShouldBeGreaterThan, strict.of(draft.tier)-mostLost)
-				So(out.of(summary.tier), ShouldBeGreaterThan, strict.of(summary.tier)-starvedMost)
+				So(out.of(summary.tier), ShouldBeGreaterThan, strict.of(summary.tier)-starvedShare)
 			}
 		})
 	}
@@ -281,7 +281,7 @@
 			out, strict := play(newShares(), seed, load...), play(strictOrder(), seed, load...)
 			So(strict.of(long.tier), ShouldBeLessThan, starved*strict.all())
 			So(out.of(long.tier), ShouldBeGreaterThanOrEqualTo, starved*out.all())
-			So(out.of(draft.tier), ShouldBeGreaterThan, strict.of(draft.tier)-starvedMost)
+			So(out.of(draft.tier), ShouldBeGreaterThan, strict.of(draft.tier)-starvedShare)
 		}
 	})
 }
