--- a/claim/ledger_test.go
+++ b/claim/ledger_test.go
@@ -73,10 +73,7 @@
 	}
 }
 
-// Symptom: a young claim is gone and its request runs again.
-// Sequence: the collector reads a claim, which is given back and claimed anew
-// before the delete; or its claimant's clock is ahead; or the lease is lost.
-// Cause: a collector that deletes without condition, margin or check.
+// Guards against this: a young claim is gone and its request runs again.
 func TestCollector(t *testing.T) {
 	Convey("Given an old claim, a young one and one from the future", t, func() {
 		ctx := context.Background()
@@ -136,10 +133,7 @@
 	return s.ObjectAPI.Get(ctx, k, n)
 }
 
-// Symptom: a key that never ran reads "claimed" for a day.
-// Sequence: a claim is made, given back and claimed anew, with the answer
-// lost; the read that should settle it shows the first claim.
-// Cause: a read older than one before it taken for the newest state.
+// Guards against this: a key that never ran reads "claimed" for a day.
 func TestStaleReadDecidesNothing(t *testing.T) {
 	Convey("Given a claim that was given back", t, func() {
 		ctx := context.Background()
--- a/claim/model_test.go
+++ b/claim/model_test.go
@@ -207,11 +207,7 @@
 	return w.err
 }
 
-// Symptom: a cover is booked twice, or a request that ran nowhere can never
-// be sent again.
-// Sequence: callers resend one key to several entries while the store loses
-// answers, is slow, stale or down, and claimants die or give back.
-// Cause: a lost answer taken for a failure, or a late write taken for none.
+// Guards against this: a cover is booked twice, or a request that ran nowhere can never be sent again.
 func TestAtMostOnceWhateverFails(t *testing.T) {
 	for name, open := range ledgers {
 		t.Run(name, func(t *testing.T) {
@@ -225,11 +221,7 @@
 	}
 }
 
-// Symptom: a caller was told "not run, send again", and every resend is told
-// "already claimed".
-// Sequence: the caller's target ends while its claim is being written; the
-// write takes effect afterwards, its answer seen or lost.
-// Cause: nobody gives back a claim that came into force too late.
+// Guards against this: a caller was told "not run, send again", and every resend is told "already claimed".
 func TestRefusedCallersCanSendAgain(t *testing.T) {
 	for name, open := range ledgers {
 		for _, f := range []standin.Faults{{SlowMs: 200}, {LoseFraction: 1}, {SlowMs: 1500}, {SlowMs: 60, LoseFraction: 1}} {
@@ -242,11 +234,7 @@
 	}
 }
 
-// Symptom: after an outage callers learn nothing of what ran, or what was
-// refused during it can't be sent again.
-// Sequence: a claim is held; the store is down for ten minutes; the request
-// ends and others are refused meanwhile; the store comes back.
-// Cause: outcomes dropped too early, or refusals that leave claims behind.
+// Guards against this: after an outage callers learn nothing of what ran, or what was refused during it can't be sent again.
 func TestTenMinutesOutage(t *testing.T) {
 	for name, open := range ledgers {
 		t.Run(name, func(t *testing.T) {
--- a/discovery/directory_test.go
+++ b/discovery/directory_test.go
@@ -60,11 +60,7 @@
 			So(ids(d), ShouldResemble, []string{"a", "b"})
 		})
 	})
-	// Symptom: a server gets requests 2.1 s after it has left. Sequence: the
-	// daemon that reads the store for others was cut off from it for itself
-	// alone; after its return a server's entry is removed. Cause: the reader's
-	// grace was handed on to daemons that had seen no outage, and ended only
-	// with the next list.
+	// Guards against this: a server gets requests 2.1 s after it has left.
 	Convey("What is missing is not told to others, and the grace's end is known", t, func() {
 		d := NewDirectory()
 		d.Replace(start, []Server{{ID: "a"}, {ID: "b"}})
@@ -79,11 +75,7 @@
 		So(ok, ShouldBeTrue)
 		So(in, ShouldEqual, ReturnGrace-time.Second)
 	})
-	// Symptom: a server gets requests 2.07 s after its entry was removed.
-	// Sequence: a daemon is cut off from the store for itself; after its return
-	// it lists the server; the server leaves, its entry is removed within the
-	// grace. Cause: the grace was given to every server, also to those that the
-	// store had after its return.
+	// Guards against this: a server gets requests 2.07 s after its entry was removed.
 	Convey("A server that was listed after the return and is removed then has left", t, func() {
 		d := NewDirectory()
 		d.Replace(start, []Server{{ID: "a"}, {ID: "b"}})
--- a/engine/httpengine/fault_test.go
+++ b/engine/httpengine/fault_test.go
@@ -90,9 +90,7 @@
 	return text, err
 }
 
-// Symptom: one request runs on an engine twice.
-// Sequence: the engine reads the request and closes the connection unanswered.
-// Cause: the client takes a closed connection for an unsent request and sends it again.
+// Guards against this: one request runs on an engine twice.
 func TestReadAndClosedIsSentOnce(t *testing.T) {
 	Convey("with an idle connection at hand and without one", t, func() {
 		p := newPeer(t, func(c net.Conn, n int64) bool { return n == 1 && answerWith(c, endLine) })
@@ -108,10 +106,7 @@
 	})
 }
 
-// Symptom: the outcome of requests is unknown although all engines are well.
-// Sequence: the network loses track of an idle connection; its ends are not
-// told; the next request goes out on it and vanishes.
-// Cause: no look at one end shows whether the other still gets anything.
+// Guards against this: the outcome of requests is unknown although all engines are well.
 func TestIdleConnectionIsNotTrustedWithARun(t *testing.T) {
 	Convey("the next run gets a new connection and is sent once", t, func() {
 		core, err := standin.New(fast)
@@ -149,9 +144,7 @@
 	return proxy
 }
 
-// Symptom: load reports of a healthy engine fail now and then.
-// Sequence: an engine closes an idle connection; the next question goes out on it.
-// Cause: the client writes to a connection that it could have known to be closed.
+// Guards against this: load reports of a healthy engine fail now and then.
 func TestIdleConnectionThatWasClosedIsNotUsed(t *testing.T) {
 	Convey("the next question gets a new connection and is sent once", t, func() {
 		p := newPeer(t, func(c net.Conn, n int64) bool { return answerWith(c, endLine) && n > 1 })
@@ -165,9 +158,7 @@
 	})
 }
 
-// Symptom: a dispatch right is lost, or given back for a request that may run.
-// Sequence: the connect fails; or the caller of Run withdraws before the first byte.
-// Cause: the client does not tell what was sent before an error.
+// Guards against this: a dispatch right is lost, or given back for a request that may run.
 func TestNotSent(t *testing.T) {
 	Convey("nobody listens", t, func() {
 		ln := listen(t)
@@ -193,9 +184,7 @@
 	})
 }
 
-// Symptom: a caller gets another's text, a torn text, or a cut one as whole.
-// Sequence: the engine mixes up, repeats or loses lines, or ends early.
-// Cause: the client passes lines on without checking id, offset and end mark.
+// Guards against this: a caller gets another's text, a torn text, or a cut one as whole.
 func TestWrongAnswersAreNoticed(t *testing.T) {
 	first := `{"request_id":"r","offset":0,"tokens":2,"text":"wordword"}`
 	cases := []struct {
@@ -221,9 +210,7 @@
 	}
 }
 
-// Symptom: a request is reported as not run and runs all the same.
-// Sequence: something between us and the engine answers 503 while it runs.
-// Cause: the client takes a status for the engine's word.
+// Guards against this: a request is reported as not run and runs all the same.
 func TestOnlyTheEnginesWordIsNotRun(t *testing.T) {
 	answer := func(body string) func(net.Conn, int64) bool {
 		return func(c net.Conn, _ int64) bool {
@@ -242,9 +229,7 @@
 	})
 }
 
-// Symptom: callers who left hold connections and slots.
-// Sequence: the context ends while the engine is silent.
-// Cause: a read waits for its deadline, which knows nothing of the context.
+// Guards against this: callers who left hold connections and slots.
 func TestContextEndsTheWait(t *testing.T) {
 	Convey("in Run and in Next, and only the context of the waiting call counts", t, func() {
 		quiet := httpconn.Settings{Silence: time.Hour}
@@ -275,9 +260,7 @@
 	})
 }
 
-// Symptom: streams hang for good, or their prefill is thrown away.
-// Sequence: open connections go silent; new ones work.
-// Cause: without a byte for long nobody can tell a slow engine from a lost connection.
+// Guards against this: streams hang for good, or their prefill is thrown away.
 func TestSilentConnectionIsNoticedAndResumed(t *testing.T) {
 	Convey("the stream breaks, goes on over a new connection, and ran once", t, func() {
 		o := fast
@@ -307,9 +290,7 @@
 	})
 }
 
-// Symptom: requests that wait inside a busy engine are taken for lost.
-// Sequence: no token comes for longer than the silence limit.
-// Cause: the limit must count keepalive lines, too.
+// Guards against this: requests that wait inside a busy engine are taken for lost.
 func TestKeepaliveHoldsAStreamThatWaits(t *testing.T) {
 	Convey("an answer later than the silence limit arrives", t, func() {
 		o := fast
@@ -321,9 +302,7 @@
 	})
 }
 
-// Symptom: after an engine's crash its requests hang, or run again by themselves.
-// Sequence: a request crashes the engine; its connections break; it restarts.
-// Cause: the client must tell a broken run, a refused connect and an unknown run apart.
+// Guards against this: after an engine's crash its requests hang, or run again by themselves.
 func TestCrash(t *testing.T) {
 	Convey("broken, then not sent while it is away, then unknown to the new incarnation", t, func() {
 		o := fast
@@ -352,9 +331,7 @@
 	})
 }
 
-// Symptom: a request too large for the peer's buffers is reported as not sent.
-// Sequence: the peer accepts the connection and never reads.
-// Cause: some bytes have left before the write times out.
+// Guards against this: a request too large for the peer's buffers is reported as not sent.
 func TestHalfWrittenIsBroken(t *testing.T) {
 	Convey("the outcome is unknown", t, func() {
 		ln := listen(t)
--- a/internal/apply/apply_test.go
+++ b/internal/apply/apply_test.go
@@ -38,9 +38,7 @@
 }
 
 func TestOperatorsRacing(t *testing.T) {
-	// Symptom: an operator's accepted change is gone, and nobody was told.
-	// Sequence: two operators see the same version; both write.
-	// Cause: the second write replaced the first.
+	// Guards against this: an operator's accepted change is gone, and nobody was told.
 	Convey("The second of two operators gets the first one's change shown", t, func() {
 		ctx := context.Background()
 		store := standin.New(standin.Options{})
@@ -78,11 +76,7 @@
 }
 
 func TestLostAnswers(t *testing.T) {
-	// Symptom: apply reports a failure or a conflict, but the change is in
-	// force; or a repeated write goes over somebody else's change.
-	// Sequence: the answers to a create, an update and a deletion are lost
-	// after the writes took effect.
-	// Cause: a lost answer was taken for a failure.
+	// Guards against this: apply reports a failure or a conflict, but the change is in force; or a repeated write goes over somebody else's change.
 	Convey("A lost answer is settled by reading back", t, func() {
 		ctx := context.Background()
 		store := standin.New(standin.Options{})
@@ -123,10 +117,7 @@
 }
 
 func TestNoLostUpdate(t *testing.T) {
-	// Symptom: one of several operators' changes of one template is missing.
-	// Sequence: all read, change and write at once, again after a conflict;
-	// one answer in three is lost, whether the write took effect or not.
-	// Cause: a lost answer or a repeated write went over another's change.
+	// Guards against this: one of several operators' changes of one template is missing.
 	Convey("Every accepted change of one template is in the last version", t, func() {
 		ctx := context.Background()
 		store := standin.New(standin.Options{Seed: 7})
@@ -182,10 +173,7 @@
 }
 
 func TestRecheck(t *testing.T) {
-	// Symptom: a workspace is served as it was, or by some entries only,
-	// though both operators were told that their changes were written.
-	// Sequence: one removes a pool, another adds a server to it at once.
-	// Cause: each write is conditional on its own object alone.
+	// Guards against this: a workspace is served as it was, or by some entries only, though both operators were told that their changes were written.
 	Convey("What came in between and does not fit is found after the write", t, func() {
 		ctx := context.Background()
 		store := standin.New(standin.Options{})
--- a/internal/daemon/vms_test.go
+++ b/internal/daemon/vms_test.go
@@ -11,9 +11,7 @@
 	"github.com/lycheekeel/lycheekeel/workspace"
 )
 
-// Symptom: a backend server gets new work until its VM is gone.
-// Sequence: the platform takes the VM away; the engine itself does not know.
-// Cause: the VM list is not looked at, or is forgotten while it has an outage.
+// Guards against this: a backend server gets new work until its VM is gone.
 func TestServerOnALeavingVMCountsAsLeaving(t *testing.T) {
 	Convey("A server whose VM leaves is leaving, also while the list has an outage", t, func() {
 		p := standin.New(standin.Options{})
--- a/internal/entry/budget_test.go
+++ b/internal/entry/budget_test.go
@@ -10,10 +10,7 @@
 	"github.com/lycheekeel/lycheekeel/request"
 )
 
-// Symptom: an urgent request is refused for want of memory while background
-// work keeps its place.
-// Sequence: long prompts of all tiers fill the entry's memory.
-// Cause: memory is given first come, first served.
+// Guards against this: an urgent request is refused for want of memory while background work keeps its place.
 func TestBodyBudgetEvictsTheLowestTierFirst(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		m := &budgetModel{budget: newBodyBudget(100, 0)}
--- a/internal/entry/claim_test.go
+++ b/internal/entry/claim_test.go
@@ -10,9 +10,7 @@
 	"github.com/lycheekeel/lycheekeel/request"
 )
 
-// Symptom: two teachers are booked for one lesson.
-// Sequence: a caller's answer is lost and it sends its call again.
-// Cause: a call that may not be repeated is run without a claim.
+// Guards against this: two teachers are booked for one lesson.
 func TestCallThatMayNotBeRepeatedRunsOnce(t *testing.T) {
 	Convey("A call that may not be repeated", t, func() {
 		r := newRig(t, standin.Options{}, Limits{}, patient)
@@ -71,9 +69,7 @@
 	})
 }
 
-// Symptom: while the store is slow, nothing runs although engines are idle.
-// Sequence: calls that need a claim are granted slots and wait for the store.
-// Cause: a slot that is kept while its request can't use it.
+// Guards against this: while the store is slow, nothing runs although engines are idle.
 func TestSlotIsReturnedWhileTheStoreIsDown(t *testing.T) {
 	Convey("While the store does not answer", t, func() {
 		r := newRig(t, standin.Options{}, Limits{}, patient)
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -113,10 +113,7 @@
 	})
 }
 
-// Symptom: a caller reads another caller's text.
-// Sequence: many requests at once; the HTTP server reuses the buffers of one
-// while another still refers to them.
-// Cause: a string or slice kept past the handler without a copy.
+// Guards against this: a caller reads another caller's text.
 func TestEachCallerGetsItsOwnAnswer(t *testing.T) {
 	const callers = 2000
 	Convey("2,000 concurrent callers each get their own whole answer", t, func() {
--- a/internal/entry/failure_test.go
+++ b/internal/entry/failure_test.go
@@ -90,10 +90,7 @@
 	}
 }
 
-// Symptom: prompts are computed for callers that have left.
-// Sequence: a caller closes its connection while its request waits, or while
-// its answer is streamed.
-// Cause: the HTTP server reads a connection only between two requests.
+// Guards against this: prompts are computed for callers that have left.
 func TestCallerThatLeavesIsNoticed(t *testing.T) {
 	Convey("A caller that leaves", t, func() {
 		r := newRig(t, slow, Limits{}, quick)
@@ -122,9 +119,7 @@
 	})
 }
 
-// Symptom: a second request on a connection is lost.
-// Sequence: a caller sends its next request before the first is answered.
-// Cause: the watch for the caller's leaving consumes the bytes it finds.
+// Guards against this: a second request on a connection is lost.
 func TestWatchLeavesPipelinedRequests(t *testing.T) {
 	Convey("Two requests sent at once get their answers in order", t, func() {
 		r := newRig(t, standin.Options{}, Limits{}, patient)
@@ -154,10 +149,7 @@
 	})
 }
 
-// Symptom: a caller gets half an answer, or its prompt is computed twice.
-// Sequence: the connection to the engine goes silent in the middle of an
-// answer, while new connections work; or answers come crossed.
-// Cause: something between the two ends lost track of the connection.
+// Guards against this: a caller gets half an answer, or its prompt is computed twice.
 func TestBrokenStreamIsResumed(t *testing.T) {
 	Convey("The whole answer comes, from one run", t, func() {
 		r := newRig(t, slow, Limits{}, quick)
@@ -207,9 +199,7 @@
 	})
 }
 
-// Symptom: a caller takes half an answer for a whole one.
-// Sequence: the engine crashes in the middle of an answer.
-// Cause: a stream that ends is taken for a stream that is complete.
+// Guards against this: a caller takes half an answer for a whole one.
 func TestCutAnswerIsNeverPassedAsWhole(t *testing.T) {
 	Convey("When the engine loses the run", t, func() {
 		r := newRig(t, slow, Limits{ResumeWindow: 3 * time.Second}, quick)
@@ -242,9 +232,7 @@
 	})
 }
 
-// Symptom: a request runs on two engines, or is lost with the first one.
-// Sequence: the server that a request was granted does not accept connections.
-// Cause: a dispatch right that is taken before the connect and given back.
+// Guards against this: a request runs on two engines, or is lost with the first one.
 func TestFailedConnectGoesToAnotherServer(t *testing.T) {
 	Convey("A request whose connect failed is dispatched once, elsewhere", t, func() {
 		r := newRig(t, standin.Options{}, Limits{}, patient)
@@ -273,9 +261,7 @@
 	})
 }
 
-// Symptom: callers see broken answers whenever an entry is replaced.
-// Sequence: the entry is told to stop while an answer is streamed.
-// Cause: a server that closes its connections on stop.
+// Guards against this: callers see broken answers whenever an entry is replaced.
 func TestShutdownCutsNothing(t *testing.T) {
 	Convey("A stream that runs when the entry stops comes whole", t, func() {
 		r := newRig(t, slow, Limits{}, quick)
@@ -293,9 +279,7 @@
 	})
 }
 
-// Symptom: background requests are refused although engines are free again.
-// Sequence: a request waits longer than a run may take, then gets its slot.
-// Cause: the limit on a run counts the time that its request waited.
+// Guards against this: background requests are refused although engines are free again.
 func TestLimitOfARunStartsWithItsDispatch(t *testing.T) {
 	Convey("The limit on a run", t, func() {
 		const longest = 300 * time.Millisecond
--- a/internal/entry/input_test.go
+++ b/internal/entry/input_test.go
@@ -91,10 +91,7 @@
 	})
 }
 
-// Symptom: a caller gets an answer to a request that somebody else sent.
-// Sequence: a request has two lengths; a proxy before the entry believes one
-// and the entry the other, so the rest of the body is read as a new request.
-// Cause: a server that picks one of two contradicting framings.
+// Guards against this: a caller gets an answer to a request that somebody else sent.
 func TestAmbiguousFramingIsRefused(t *testing.T) {
 	body := string(chatBody(testModel, "echo:x", false))
 	length := strconv.Itoa(len(body))
@@ -128,9 +125,7 @@
 	})
 }
 
-// Symptom: an entry that answers nobody while its processor idles.
-// Sequence: callers open requests and send a byte now and then, or nothing.
-// Cause: reading without a limit in time; each such caller holds memory.
+// Guards against this: an entry that answers nobody while its processor idles.
 func TestSlowCallersAreLetGo(t *testing.T) {
 	Convey("A caller that does not send its request in time is refused", t, func() {
 		r := newRig(t, standin.Options{}, Limits{ReadTimeout: 50 * time.Millisecond}, patient)
@@ -160,9 +155,7 @@
 	})
 }
 
-// Symptom: an entry runs out of file descriptors and accepts nobody.
-// Sequence: callers open connections and keep them.
-// Cause: connections without a bound.
+// Guards against this: an entry runs out of file descriptors and accepts nobody.
 func TestConnectionsAreBounded(t *testing.T) {
 	Convey("A connection over the bound gets a typed refusal, and a freed place is used again", t, func() {
 		r := newRig(t, standin.Options{}, Limits{MaxConnections: 2}, patient)
--- a/internal/entry/progress_test.go
+++ b/internal/entry/progress_test.go
@@ -22,10 +22,7 @@
 	r.per = append(r.per, perToken)
 }
 
-// Symptom: most of what daemons send each other is reports of long answers.
-// Sequence: an answer of 273 tokens streams for 17 s.
-// Cause: a report each half second. They go at times that double, up to 4 s;
-// each tells the mean time between all tokens since the last.
+// Guards against this: most of what daemons send each other is reports of long answers.
 func TestProgressIsReportedAtGrowingTimes(t *testing.T) {
 	Convey("Given an answer of 273 tokens at 62 ms", t, func() {
 		start := time.Unix(1000, 0)
--- a/internal/experiment/rollouts_test.go
+++ b/internal/experiment/rollouts_test.go
@@ -12,9 +12,7 @@
 	Duration: 12 * time.Second, Bounds: rollout.Bounds{Share: 0.1, Slack: 50}, StableFails: 0.01, Servers: 20,
 }
 
-// Symptom: good versions are rolled back, or bad ones promoted. Sequence: rollouts of each
-// kind, one after the other. Cause: a test that is looked at again and again rejects by
-// chance in the end, and one that waits for its sample comes too late.
+// Guards against this: good versions are rolled back, or bad ones promoted.
 func TestRolloutsOfGoodAndBadVersions(t *testing.T) {
 	const played = 60
 	for _, rate := range []int{100, 600} {
@@ -33,9 +31,7 @@
 	}
 }
 
-// Symptom: a version that is bad under load alone is promoted. Sequence: a service has
-// three servers; each new one gets a few canaries a second, and is well; then it gets its
-// part of the whole traffic. Cause: nothing brought the new servers to the usual load before.
+// Guards against this: a version that is bad under load alone is promoted.
 func TestAVersionThatIsBadUnderLoadIsFound(t *testing.T) {
 	const played = 40
 	s := rolloutSetting
--- a/internal/forward/stream_test.go
+++ b/internal/forward/stream_test.go
@@ -221,9 +221,7 @@
 		So(got.body, ShouldEqual, eventsOf(1, 6))
 		So(got.whole, ShouldBeTrue)
 	})
-	// Symptom: a stream is cut beside a change of the configuration. Sequence: its key
-	// is withdrawn while it runs; its server is silent for a moment; it is dropped to go
-	// on elsewhere. Cause: that the key may not be sent any more was found out then.
+	// Guards against this: a stream is cut beside a change of the configuration.
 	Convey("With a key that was withdrawn meanwhile the rest is waited for", t, func() {
 		var r *rig
 		second := newBackend(t, streamer(6, 0, ""))
--- a/internal/gateway/asker_test.go
+++ b/internal/gateway/asker_test.go
@@ -26,10 +26,7 @@
 	return m
 }
 
-// Symptom: readers send megabytes a second to daemons in other zones.
-// Sequence: there are a thousand servers; one of them changes.
-// Cause: the whole list was told for each change, and told again to a daemon
-// that had noticed the change by its own read.
+// Guards against this: readers send megabytes a second to daemons in other zones.
 func TestOnlyWhatChangedIsTold(t *testing.T) {
 	server := func(id string, slots int) discovery.Server {
 		return discovery.Server{ID: id, Service: "app", Slots: slots}
@@ -84,11 +81,7 @@
 	return newState(Platform{}, "r", &route.Live{}, &workspace.Live{}, ledger, func(map[string]string) {}, metrics.New())
 }
 
-// Symptom: daemons that get what they know from a reader list the servers
-// themselves each few seconds; on 72 daemons these were 927 of 2,350 calls of
-// the store in a quiet day.
-// Sequence: an ask is held for a second, until the reader has read again.
-// Cause: the proof counted from the asking, so it was a second old on arrival.
+// Guards against this: daemons that get what they know from a reader list the servers themselves each few seconds.
 func TestAProofCountsFromTheReadersRead(t *testing.T) {
 	Convey("Given a reader that has just read", t, func() {
 		reader := &asker{state: emptyState()}
--- a/internal/gateway/budgets_test.go
+++ b/internal/gateway/budgets_test.go
@@ -18,9 +18,7 @@
 	return n
 }
 
-// Symptom: many daemons together retry more than the bound allows. Sequence: 88
-// daemons each save up a sixteenth of the slack; servers fail. Cause: the part
-// did not follow the number of daemons.
+// Guards against this: many daemons together retry more than the bound allows.
 func TestRetrySlackIsSharedByAllDaemons(t *testing.T) {
 	Convey("All daemons together save up no more than the slack", t, func() {
 		for _, daemons := range []int{1, 9, 16, 88, 300} {
--- a/internal/gateway/division_test.go
+++ b/internal/gateway/division_test.go
@@ -79,9 +79,7 @@
 		s := buildPools(appTable(t), []discovery.Server{v1, v2}, "r", d)
 		So(s.Pools["app@v2"].Servers, ShouldBeEmpty)
 	})
-	// Symptom: a new version's servers get their whole share before its rollout is read.
-	// Sequence: servers of v2 register; the rollouts that are known are older.
-	// Cause: versions counted as fit until a rollout said otherwise.
+	// Guards against this: a new version's servers get their whole share before its rollout is read.
 	Convey("A version that appears waits until the rollouts were read after it", t, func() {
 		k := newKnownRollouts(true)
 		k.divide([]discovery.Server{v1}, 5)
@@ -156,9 +154,7 @@
 	return rollout.Rollout{ID: rollout.ID{Service: "app", To: "v2", Created: 80}, Revision: revision, State: state}
 }
 
-// Symptom: a withdrawn rollout stays in force. Sequence: an outcome is written and the
-// rollout deleted; a watch tells of both at once. Cause: the second change had no newer
-// revision than the first, and was taken for an old one.
+// Guards against this: a withdrawn rollout stays in force.
 func TestChangesOfRolloutsThatComeTogether(t *testing.T) {
 	Convey("Each change of a watch counts, and a list as of the same revision", t, func() {
 		s := withRollouts()
@@ -177,9 +173,7 @@
 	})
 }
 
-// Symptom: days without any rollout cost a quarter more calls of the store. Sequence:
-// 79 daemons start, and run. Cause: each read the rollouts itself, at its start and at
-// intervals.
+// Guards against this: days without any rollout cost a quarter more calls of the store.
 func TestOnlyReadersReadRolloutsWhereNoneRuns(t *testing.T) {
 	Convey("A daemon that is not a reader reads them only where it needs them and nobody tells it", t, func() {
 		s := withRollouts()
@@ -199,9 +193,7 @@
 	})
 }
 
-// Symptom: a new version gets its whole share at once. Sequence: an operator's rollout can't
-// be read; servers of the version register. Cause: it was left out, and its servers taken for
-// a release's.
+// Guards against this: a new version gets its whole share at once.
 func TestAnUnreadableRolloutHoldsNewVersionsBack(t *testing.T) {
 	Convey("A new version waits beside a fit one until the rollout is mended", t, func() {
 		s := withRollouts()
@@ -224,9 +216,7 @@
 	})
 }
 
-// Symptom: a request is refused after a second though all servers are free. Sequence: it
-// waits in a pool; the pool goes, as a version is promoted or its last server leaves.
-// Cause: nobody woke it.
+// Guards against this: a request is refused after a second though all servers are free.
 func TestWhoWaitsIsWokenWhenAPoolGoes(t *testing.T) {
 	Convey("The wait ends when a pool of the service goes, and not when one comes", t, func() {
 		s := withRollouts()
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -64,9 +64,7 @@
 		eventually(t, "the key is gone", func() bool { return n.status("/once/", "i", "key-1") == 401 })
 		So(n.status("/once/", "i", "key-2"), ShouldEqual, 200)
 	})
-	// Symptom: a change never comes into force. Sequence: the store keeps the
-	// watch waiting through the change, then drops its history. Cause: the
-	// watch alone was relied on.
+	// Guards against this: a change never comes into force.
 	Convey("A change that the watch does not tell comes into force all the same", t, func() {
 		s := newSite(t)
 		s.addServer("app-0", "app")
@@ -85,9 +83,7 @@
 	})
 }
 
-// Symptom: a daemon that is cut off from the store accepts a key that may have
-// been withdrawn. Sequence: the store stops answering; the proof ages. Cause:
-// what was known was trusted for ever.
+// Guards against this: a daemon that is cut off from the store accepts a key that may have been withdrawn.
 func TestStoreAwayFailsClosed(t *testing.T) {
 	Convey("Without the store keys are refused in the end, and count again after its return", t, func() {
 		s := newSite(t)
@@ -125,9 +121,7 @@
 	})
 }
 
-// Symptom: callers lose answers when a daemon is stopped. Sequence: SIGTERM
-// while streams run. Cause: the process ended, or its listener closed, before
-// the balancer had noticed and the streams had ended.
+// Guards against this: callers lose answers when a daemon is stopped.
 func TestStopCutsNothing(t *testing.T) {
 	Convey("A stopping gateway is not ready, still accepts, and finishes its streams", t, func() {
 		s := newSite(t)
--- a/internal/gateway/incarnation_test.go
+++ b/internal/gateway/incarnation_test.go
@@ -34,10 +34,7 @@
 	}
 }
 
-// Symptom: a server that is well gets no request.
-// Sequence: it announces that it leaves, ends, and starts again under its ID before
-// its entry was removed.
-// Cause: that it was leaving was kept for the ID, not for the incarnation.
+// Guards against this: a server that is well gets no request.
 func TestServersThatStartAgainAreUsed(t *testing.T) {
 	Convey("At daemons that read the store and at those that ask them", t, func() {
 		s := newSite(t)
@@ -57,11 +54,7 @@
 	})
 }
 
-// Symptom: requests fail although enough servers are well.
-// Sequence: somebody puts entries among the servers', then over one of them;
-// its server writes it again.
-// Cause: an entry that can't be read was taken for a server, or passed over as if
-// nothing had been written.
+// Guards against this: requests fail although enough servers are well.
 func TestMalformedEntriesAreNotUsed(t *testing.T) {
 	Convey("The others hold, in a list, in a watch and in what daemons tell each other", t, func() {
 		s := newSite(t)
--- a/internal/gateway/outage_test.go
+++ b/internal/gateway/outage_test.go
@@ -87,11 +87,7 @@
 	return err
 }
 
-// Symptom: 3,900 calls of the store on a day on which it turns a third of the
-// VMs away for nine seconds, and is down for six.
-// Sequence: a reader is turned away; the daemons that ask it get nothing new.
-// Cause: each read the store itself, though another reader had what it needed;
-// and while no reader could read, 88 daemons asked the store beside them.
+// Guards against this: thousands of calls of the store while it turns a third of the VMs away.
 func TestReadersThatCannotReadArePassedOver(t *testing.T) {
 	Convey("Given 30 daemons, two of which read the store", t, func() {
 		all, nets, reading, substitutes := askers(30)
@@ -144,11 +140,7 @@
 			_, ok = all[first].pick()
 			So(ok, ShouldBeFalse)
 		})
-		// Symptom: a withdrawn key is served by a daemon that the store would
-		// have answered, 2.05 s after the change.
-		// Sequence: the store turns the readers away, and not this daemon; they
-		// answer its asks, with nothing new.
-		// Cause: it took their answers for a reason to wait.
+		// Guards against this: a withdrawn key is served by a daemon that the store would have answered, 2.05 s after the change.
 		Convey("while readers answer and none can read, a daemon tries by itself in time, and seldom again if that fails", func() {
 			all[first].knows(1650 * time.Millisecond)
 			So(a.askNext(), ShouldBeNil)
@@ -222,10 +214,7 @@
 		r.checkReach(context.Background())
 		So(s.cutOff(3*time.Second), ShouldBeFalse)
 	})
-	// Symptom: after all daemons were killed, some serve nobody for seconds.
-	// Sequence: a daemon's first read fails, since all read at once; a reader that
-	// knows nothing yet answers its ask.
-	// Cause: it took the answer for a reason to wait.
+	// Guards against this: after all daemons were killed, some serve nobody for seconds.
 	Convey("A daemon that knows nothing yet tries again soon, though a reader answers", t, func() {
 		s := emptyState()
 		s.configFresh = revision.NewFreshnessOn(stopped)
--- a/internal/gateway/outcomes_test.go
+++ b/internal/gateway/outcomes_test.go
@@ -32,9 +32,7 @@
 	return s.object.Version, nil
 }
 
-// Symptom: a version that was rolled back is promoted. Sequence: two daemons decide a
-// rollout, one of them late, with a part of the evidence. Cause: the outcome was written
-// without a condition.
+// Guards against this: a version that was rolled back is promoted.
 func TestTheFirstOutcomeHolds(t *testing.T) {
 	Convey("Given a rollout whose outcome another daemon has written", t, func() {
 		state := byte(rollout.RolledBack)
--- a/internal/gateway/quotas_test.go
+++ b/internal/gateway/quotas_test.go
@@ -115,10 +115,7 @@
 	})
 }
 
-// Symptom: the messages on quotas take more of a small VM than its requests:
-// 435 a second and daemon with 88 of them, 1,945 with 390.
-// Sequence: each daemon tells every other one, five times a second.
-// Cause: what one daemon sends grew with the number of daemons.
+// Guards against this: the messages on quotas take more of a small VM than its requests.
 func TestQuotaMessagesDoNotGrowWithTheDaemons(t *testing.T) {
 	Convey("Given 13 zones with 30 daemons each", t, func() {
 		counts := map[string]int{}
@@ -144,9 +141,7 @@
 	})
 }
 
-// Symptom: a daemon lets only its share of each quota through for seconds.
-// Sequence: its hub is killed, or is cut off from it alone.
-// Cause: it kept to a hub that did not answer.
+// Guards against this: a daemon lets only its share of each quota through for seconds.
 func TestAnotherHubIsAskedWhenOneIsSilent(t *testing.T) {
 	// asks returns whom a daemon reports to while nobody answers, in order, and
 	// to whom it tells what its group lets through.
--- a/internal/gateway/reader_test.go
+++ b/internal/gateway/reader_test.go
@@ -12,11 +12,7 @@
 	"github.com/lycheekeel/lycheekeel/revision"
 )
 
-// Symptom: while the store is away for some seconds, 88 daemons call it
-// thousands of times; each call is priced, also a refused one.
-// Sequence: the readers' proofs grow old, so every other daemon asks the store
-// itself, and again four times a second for each kind.
-// Cause: daemons that are not readers retried as often as these.
+// Guards against this: while the store is away for some seconds, the daemons call it thousands of times.
 func TestRetriesOfTheStore(t *testing.T) {
 	within := func(failures int, reading bool, middle time.Duration) {
 		for range 100 {
@@ -50,10 +46,7 @@
 	})
 }
 
-// Symptom: 5,500 calls of the store on a day on which it is away for some seconds.
-// Sequence: the readers can't read; what they tell grows old at 186 other daemons,
-// each of which lists both kinds, and again, though the store answers nobody.
-// Cause: whether the store answers was found out by the dearest of calls.
+// Guards against this: 5,500 calls of the store on a day on which it is away for some seconds.
 func TestAStoreThatIsAwayIsNotListedByAll(t *testing.T) {
 	Convey("Given a daemon that is no reader and whose knowledge has grown old", t, func() {
 		s := configuredState()
@@ -90,11 +83,7 @@
 	})
 }
 
-// Symptom: 195 daemons that start together make 1,500 calls of the store before
-// they serve anybody.
-// Sequence: each is alone at first, takes itself for the one that reads the store,
-// lists both kinds, watches both, and lists them again until it has met the others.
-// Cause: whether others read was decided by a view that nobody had joined yet.
+// Guards against this: 195 daemons that start together make 1,500 calls of the store before they serve anybody.
 func TestCallsOfTheStoreAtAStart(t *testing.T) {
 	Convey("Given a daemon that is alone in its view", t, func() {
 		views := &member.Live{}
--- a/internal/gateway/rollout_test.go
+++ b/internal/gateway/rollout_test.go
@@ -100,9 +100,7 @@
 	return n
 }
 
-// Symptom: a good version is never promoted. Sequence: an operator requests a rollout; its
-// servers answer as well as the stable ones; the deadline passes. Cause: rollouts were not
-// read, and nobody wrote an outcome.
+// Guards against this: a good version is never promoted.
 func TestAGoodVersionIsPromoted(t *testing.T) {
 	Convey("A good version is promoted, and then gets every request", t, func() {
 		s := newRolloutSite(t)
@@ -114,9 +112,7 @@
 	})
 }
 
-// Symptom: a bad version gets its whole share of the traffic. Sequence: an operator
-// requests a rollout; the new servers fail half of what they run. Cause: versions were
-// not told apart.
+// Guards against this: a bad version gets its whole share of the traffic.
 func TestABadVersionIsRolledBack(t *testing.T) {
 	for what, spoil := range map[string]func(*standin.Server){
 		"fails half":  func(b *standin.Server) { b.Fails = func(n int) bool { return n%2 == 0 } },
@@ -134,9 +130,7 @@
 	}
 }
 
-// Symptom: a bad version stays in use for as long as the store is away. Sequence: its
-// servers get canaries; the store goes down; then they fail. Cause: requests went on to
-// them until an outcome was written.
+// Guards against this: a bad version stays in use for as long as the store is away.
 func TestABadVersionGetsNothingWhileTheStoreIsDown(t *testing.T) {
 	Convey("A bad version is rolled back at once where the store is down, and the outcome is written later", t, func() {
 		s := newRolloutSite(t)
@@ -152,8 +146,7 @@
 	})
 }
 
-// Symptom: a rollout has two outcomes, or none. Sequence: the store does each write and
-// loses its answer. Cause: a write whose fate is unknown counted as done, or as failed.
+// Guards against this: a rollout has two outcomes, or none.
 func TestOneOutcomeWhereAnswersOfTheStoreAreLost(t *testing.T) {
 	Convey("Where answers to writes are lost, there is one outcome, and it stays", t, func() {
 		s := newRolloutSite(t)
@@ -167,8 +160,7 @@
 	})
 }
 
-// Symptom: a rollout stays without an outcome, or a bad version is promoted. Sequence: the
-// daemon that decides leaves in the middle. Cause: the evidence was known to it alone.
+// Guards against this: a rollout stays without an outcome, or a bad version is promoted.
 func TestARolloutOutlivesTheDaemonThatDecides(t *testing.T) {
 	for _, leaver := range []int{0, 1} {
 		Convey(fmt.Sprint("A bad version is rolled back when daemon ", leaver, " leaves meanwhile"), t, func() {
@@ -182,9 +174,7 @@
 	}
 }
 
-// Symptom: the servers of a rollout that was withdrawn go on getting requests.
-// Sequence: an operator requests a rollout and deletes it while it runs.
-// Cause: without a rollout every version counted as fit to serve.
+// Guards against this: the servers of a rollout that was withdrawn go on getting requests.
 func TestAWithdrawnRolloutEndsItsCanaries(t *testing.T) {
 	Convey("When the rollout is withdrawn the new version gets nothing more", t, func() {
 		s := newRolloutSite(t)
@@ -195,8 +185,7 @@
 	})
 }
 
-// Symptom: a rollout to the version that runs already leaves a service without
-// servers. Sequence: an operator requests it. Cause: its servers were taken for canaries.
+// Guards against this: a rollout to the version that runs already leaves a service without servers.
 func TestARolloutToTheVersionThatRuns(t *testing.T) {
 	Convey("A rollout to the version that runs already succeeds, and nobody is refused", t, func() {
 		s := newRolloutSite(t)
@@ -209,8 +198,7 @@
 	})
 }
 
-// Symptom: a rollout stays running for ever. Sequence: no server of the version ever
-// registers. Cause: only evidence ended a rollout.
+// Guards against this: a rollout stays running for ever.
 func TestARolloutWithoutServersIsRolledBack(t *testing.T) {
 	Convey("A version without servers is rolled back at the deadline", t, func() {
 		s := newRolloutSite(t)
@@ -220,9 +208,7 @@
 	})
 }
 
-// Symptom: a rollout is decided long after its deadline. Sequence: all daemons are
-// killed while it runs, and start again. Cause: the new ones took it for one that
-// was just requested.
+// Guards against this: a rollout is decided long after its deadline.
 func TestARolloutKeepsItsDeadlineThroughARestartOfAllDaemons(t *testing.T) {
 	Convey("The new daemons know since when the rollout stands", t, func() {
 		s := newRolloutSite(t)
--- a/internal/gateway/serverlog_test.go
+++ b/internal/gateway/serverlog_test.go
@@ -10,10 +10,7 @@
 	"github.com/lycheekeel/lycheekeel/discovery"
 )
 
-// Symptom: the log has nothing of a server's restart, or a line at each read.
-// Sequence: servers come, start again under their ID, and their entries are
-// overwritten by malformed ones; the same is read again.
-// Cause: only whether a server is there and leaves was compared.
+// Guards against this: the log has nothing of a server's restart, or a line at each read.
 func TestEachChangeOfAServerIsOneLogLine(t *testing.T) {
 	Convey("A restart and a malformed entry are told once each", t, func() {
 		s := configured()
--- a/internal/gateway/settings_test.go
+++ b/internal/gateway/settings_test.go
@@ -18,9 +18,7 @@
 	return LoadSettings(file)
 }
 
-// Symptom: a bound that the operator set is not in force, and nothing tells so.
-// Sequence: a field's name is mistyped, or the template fills in nothing.
-// Cause: unknown fields were ignored.
+// Guards against this: a bound that the operator set is not in force, and nothing tells so.
 func TestSettings(t *testing.T) {
 	Convey("Good settings are read, with defaults for what is left out", t, func() {
 		s, err := load(t, `{"name": "a", "region": "r", "availability_zone": "z", "listen": "127.0.0.1:1", "readiness": "127.0.0.1:2",
--- a/internal/gateway/sync_test.go
+++ b/internal/gateway/sync_test.go
@@ -25,10 +25,7 @@
 	return s
 }
 
-// Symptom: a server that has left comes back for a moment, or a route that was
-// withdrawn.
-// Sequence: two daemons tell what they have; the older answer arrives last.
-// Cause: the answer that came last counted, not the newer one.
+// Guards against this: a server that has left comes back for a moment, or a route that was withdrawn.
 func TestStateNeverGoesBack(t *testing.T) {
 	Convey("An older list of servers changes nothing", t, func() {
 		s := configured()
@@ -50,12 +47,7 @@
 	})
 }
 
-// Symptom: after an outage of the store a server that has left is used for
-// seconds.
-// Sequence: the store is back; a reader tells that its list is the one that is
-// known here; then the server leaves.
-// Cause: the grace for servers that have not written again since the return
-// was given to one that had.
+// Guards against this: after an outage of the store a server that has left is used for seconds.
 func TestAReadersWordConfirmsTheServers(t *testing.T) {
 	Convey("What a reader has confirmed since the outage goes at once", t, func() {
 		for _, confirmed := range []bool{true, false} {
@@ -120,10 +112,7 @@
 	return 1, s.create
 }
 
-// Symptom: daemons do not know each other after a start.
-// Sequence: the first daemon's create is done and its answer lost; or the store
-// can't be read when a daemon starts.
-// Cause: a daemon took a key of its own making for the cluster's.
+// Guards against this: daemons do not know each other after a start.
 func TestClusterKey(t *testing.T) {
 	ctx := context.Background()
 	Convey("A key is made only where the store says that there is none", t, func() {
--- a/internal/gateway/teller_test.go
+++ b/internal/gateway/teller_test.go
@@ -8,9 +8,7 @@
 	"github.com/lycheekeel/lycheekeel/discovery"
 )
 
-// Symptom: daemons that do not read the store use a server that its readers do not.
-// Sequence: a reader learns something of a server, and tells the others.
-// Cause: a field of the entry was left out of the message.
+// Guards against this: daemons that do not read the store use a server that its readers do not.
 func TestEntriesArriveAsTheyWereTold(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		told := rapid.Make[discovery.Server]().Draw(t, "server")
--- a/internal/load/load_test.go
+++ b/internal/load/load_test.go
@@ -115,10 +115,7 @@
 	})
 }
 
-// Symptom: a caller gets the answer of another request, a torn one or one
-// twice, and nobody notices.
-// Sequence: the answer ends without an error, with a text that is not its own.
-// Cause: a buffer that is used again, two streams swapped, a resume repeated.
+// Guards against this: a caller gets the answer of another request, a torn one or one twice, and nobody notices.
 func TestVerdict(t *testing.T) {
 	event := func(text string) string { return `data: {"choices":[{"delta":{"content":"` + text + `"}}]}` + "\n\n" }
 	const end = `data: {"choices":[{"delta":{},"finish_reason":"stop"}]}` + "\n\ndata: [DONE]\n\n"
--- a/internal/logs/async_test.go
+++ b/internal/logs/async_test.go
@@ -30,8 +30,7 @@
 	return s.buf.String()
 }
 
-// Symptom: requests stand still. Sequence: whoever reads the log stops, and
-// the pipe fills. Cause: writing a line waited for the reader.
+// Guards against this: requests stand still.
 func TestAsyncNeverBlocks(t *testing.T) {
 	Convey("Lines beyond the bound are dropped, and told when the reader goes on", t, func() {
 		out := &stuck{let: make(chan struct{})}
--- a/internal/peer/auth_test.go
+++ b/internal/peer/auth_test.go
@@ -56,10 +56,7 @@
 }
 
 func TestVersionsSideBySide(t *testing.T) {
-	// Symptom: during an upgrade the old and the new daemons form two clusters,
-	// or a daemon closes connections on a message type that it does not know.
-	// Sequence: daemons are replaced one by one by a newer build.
-	// Cause: no version was negotiated, or unknown types were errors.
+	// Guards against this: during an upgrade the old and the new daemons form two clusters, or a daemon closes connections on a message type that it does not know.
 	Convey("Given an old daemon and a new one with more message types", t, func() {
 		old := startNode("old", nil)
 		young := startNode("young", func(o *Options) { o.newest = NewestVersion + 1 })
@@ -91,9 +88,7 @@
 }
 
 func TestNames(t *testing.T) {
-	// Symptom: messages meant for one daemon are handled by another.
-	// Sequence: a VM is replaced, its address goes to a new daemon.
-	// Cause: the dialer did not check who answered.
+	// Guards against this: messages meant for one daemon are handled by another.
 	Convey("A daemon that finds another name at an address refuses it", t, func() {
 		a, b := startNode("a", nil), startNode("b", nil)
 		a.SetAddress("c", b.Addr().String())
@@ -124,10 +119,7 @@
 }
 
 func TestStrangers(t *testing.T) {
-	// Symptom: grants from nobody's daemon, or a daemon busy with strangers.
-	// Sequence: somebody without the key reaches the peer port and replays,
-	// reflects or passes on what daemons said, or says nothing at all.
-	// Cause: a proof that is not bound to one connection, role and moment.
+	// Guards against this: grants from nobody's daemon, or a daemon busy with strangers.
 	Convey("Given a daemon", t, func() {
 		a := startNode("a", func(o *Options) { o.HandshakeTimeout = 300 * time.Millisecond })
 
--- a/internal/peer/tcp_test.go
+++ b/internal/peer/tcp_test.go
@@ -151,10 +151,7 @@
 }
 
 func TestIdleConnectionIsClosedWithoutLoss(t *testing.T) {
-	// Symptom: a queue was rebuilt although nothing had failed.
-	// Sequence: a connection was idle, one side closed it, the other side took
-	// the close for the peer's death.
-	// Cause: closing did not say whether messages could be lost.
+	// Guards against this: a queue was rebuilt although nothing had failed.
 	Convey("An idle connection is closed by agreement and OnDown is not called", t, func() {
 		short := func(o *Options) { o.IdleTimeout = 50 * time.Millisecond }
 		a, b := startNode("a", short), startNode("b", short)
@@ -171,11 +168,7 @@
 }
 
 func TestSilentConnection(t *testing.T) {
-	// Symptom: requests to one owner hang until their deadlines, although the
-	// owner is idle and other daemons reach it.
-	// Sequence: a connection is open and in use; something between the two
-	// ends loses track of it; TCP keeps accepting writes.
-	// Cause: nobody asked the peer for a sign of life on that connection.
+	// Guards against this: requests to one owner hang until their deadlines, although the owner is idle and other daemons reach it.
 	for name, direction := range map[string]faultproxy.Direction{
 		"both ways": faultproxy.Both, "to the peer": faultproxy.ToTarget, "from the peer": faultproxy.ToClient,
 	} {
@@ -215,10 +208,7 @@
 }
 
 func TestRestartedPeer(t *testing.T) {
-	// Symptom: an owner keeps slots for requests of an entry that restarted.
-	// Sequence: a daemon is replaced under the same name and its old
-	// connection's end never arrives.
-	// Cause: the new connection was taken for one more of the same process.
+	// Guards against this: an owner keeps slots for requests of an entry that restarted.
 	Convey("A new instance under the same name ends the old connections", t, func() {
 		b := startNode("b", nil)
 		p, err := faultproxy.New("127.0.0.1:0", b.Addr().String())
--- a/internal/peer/watch_test.go
+++ b/internal/peer/watch_test.go
@@ -9,11 +9,7 @@
 )
 
 func TestPingOrder(t *testing.T) {
-	// Symptom: a request waits for many seconds on a connection that is silent,
-	// though others are noticed within one.
-	// Sequence: a daemon has more quiet connections than it may ping a second,
-	// and a message on one more of them stays unanswered.
-	// Cause: connections are pinged in any order, and that one's turn is late.
+	// Guards against this: a request waits for many seconds on a connection that is silent, though others are noticed within one.
 	Convey("Where the rate allows a few pings only", t, func() {
 		transport, err := NewTCP(Options{Name: "a", Listen: "127.0.0.1:0", Keys: [][]byte{testKey}})
 		So(err, ShouldBeNil)
--- a/internal/standin/engine/engine_test.go
+++ b/internal/standin/engine/engine_test.go
@@ -144,9 +144,7 @@
 	})
 }
 
-// Symptom: a doubled dispatch goes unseen in a test.
-// Sequence: the same request comes in twice.
-// Cause: a run log that has one entry per request id.
+// Guards against this: a doubled dispatch goes unseen in a test.
 func TestRunLogShowsADoubledDispatch(t *testing.T) {
 	inBubble(t, plain, func(e *Engine) {
 		a, b := open(e, gen("same", 1, 2)), open(e, gen("same", 1, 3))
@@ -196,9 +194,7 @@
 	})
 }
 
-// Symptom: a test of silence, crossing or crashing proves nothing.
-// Sequence: the fault is switched on and the engine behaves well.
-// Cause: the stand-in's in-process front does not show the fault.
+// Guards against this: a test of silence, crossing or crashing proves nothing.
 func TestFaultsInProcess(t *testing.T) {
 	inBubble(t, plain, func(e *Engine) {
 		old := open(e, gen("old", 1, 500))
--- a/internal/testport/testport_test.go
+++ b/internal/testport/testport_test.go
@@ -7,12 +7,7 @@
 	. "github.com/smartystreets/goconvey/convey"
 )
 
-// Symptom: a daemon that a test kills and starts again does not listen:
-// "address already in use".
-// Sequence: two test programs run at once; one chooses a port, its daemon is
-// killed; the other finds the port free and its daemon takes it; the first
-// daemon starts again.
-// Cause: that a port is free now says nothing of who else has chosen it.
+// Guards against this: a daemon that a test kills and starts again does not listen: "address already in use".
 func TestAllocatorsDoNotShare(t *testing.T) {
 	Convey("Given two allocators, as of two test programs", t, func() {
 		var one, two Allocator
--- a/lease/model_test.go
+++ b/lease/model_test.go
@@ -307,10 +307,7 @@
 	return nil
 }
 
-// Symptom: two controllers give orders at once.
-// Sequence: holders pause or are cut off, renewals' answers get lost, the
-// store is slow or down or stale, the object is deleted, clocks drift.
-// Cause: a holder trusts a deadline that a waiter no longer respects.
+// Guards against this: two controllers give orders at once.
 func TestOneHolderWhateverFails(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
 		plan := rapid.SliceOfN(stepGen(), 1, 30).Draw(rt, "plan")
@@ -321,10 +318,7 @@
 	})
 }
 
-// Symptom: a holder acts for some hundred milliseconds after its successor
-// began.
-// Sequence: the answers to its renewals come late; then it is cut off.
-// Cause: a deadline counted from the answer instead of the request.
+// Guards against this: a holder acts for some hundred milliseconds after its successor began.
 func TestDeadlineCountsFromBeforeTheRequest(t *testing.T) {
 	plan := []step{{Do: "none", For: 2 * duration},
 		{Do: "late", Who: holder, For: 1200 * time.Millisecond}, {Do: "none", For: 2 * duration}, {Do: "cut", Who: holder, For: 6 * duration}}
--- a/lease/process_test.go
+++ b/lease/process_test.go
@@ -61,10 +61,7 @@
 	}
 }
 
-// Symptom: two processes act under one lease.
-// Sequence: the holder's process is stopped by a signal, another takes the
-// lease over, the first one goes on.
-// Cause: a holder that trusts what it checked before the pause.
+// Guards against this: two processes act under one lease.
 func TestStoppedProcess(t *testing.T) {
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
--- a/member/joined_test.go
+++ b/member/joined_test.go
@@ -10,11 +10,7 @@
 	. "github.com/smartystreets/goconvey/convey"
 )
 
-// Symptom: a daemon that has just started grants slots beside the pools'
-// owners.
-// Sequence: it starts, is told a configuration, and gets callers before it has
-// met any other member.
-// Cause: a view of itself alone names it the owner of every pool.
+// Guards against this: a daemon that has just started grants slots beside the pools' owners.
 func TestJoined(t *testing.T) {
 	Convey("Given a member that starts beside a running cluster", t, func() {
 		c := membertest.New(9, 1, 1)
--- a/member/machine_test.go
+++ b/member/machine_test.go
@@ -48,9 +48,7 @@
 }
 
 func TestDeathIsNoticed(t *testing.T) {
-	// Symptom: pools without an owner; entries wait for grants.
-	// Sequence: a daemon is killed, or its VM vanishes without a trace.
-	// Cause: nobody tells the others.
+	// Guards against this: pools without an owner; entries wait for grants.
 	for name, end := range map[string]func(*membertest.Node){"killed": (*membertest.Node).Kill, "vanished": (*membertest.Node).Freeze} {
 		for _, n := range []int{2, 3, 9, 40} {
 			Convey("A "+name+" member is believed dead by everybody soon", t, func() {
@@ -76,9 +74,7 @@
 }
 
 func TestCutLinkIsNoDeath(t *testing.T) {
-	// Symptom: pools move although every daemon is alive.
-	// Sequence: messages between two members vanish, in one direction or both.
-	// Cause: a missing answer was taken for a death.
+	// Guards against this: pools move although every daemon is alive.
 	Convey("Members behind a cut link stay alive for everybody", t, func() {
 		for _, both := range []bool{false, true} {
 			c := started(7, 1) // few enough that all probe each other
@@ -93,10 +89,7 @@
 }
 
 func TestPausedMemberBlamesNobody(t *testing.T) {
-	// Symptom: after one VM's pause the whole cluster is believed dead.
-	// Sequence: a daemon is paused for seconds, wakes, finds all its probes
-	// unanswered, and tells everybody.
-	// Cause: it took its own silence for the others'.
+	// Guards against this: after one VM's pause the whole cluster is believed dead.
 	Convey("A member that wakes from a pause convicts nobody and is taken back", t, func() {
 		for _, pause := range []time.Duration{2 * time.Second, 30 * time.Second} {
 			c := started(9, 1)
@@ -114,10 +107,7 @@
 }
 
 func TestIsolatedMemberConvincesNobody(t *testing.T) {
-	// Symptom: one daemon's return makes all pools move, twice.
-	// Sequence: a member is cut off from all others for a minute, believes
-	// them dead, is connected again and spreads that.
-	// Cause: deaths were believed on hearsay.
+	// Guards against this: one daemon's return makes all pools move, twice.
 	Convey("What an isolated member believes is not believed by the others", t, func() {
 		c := started(9, 1)
 		c.Isolate(func(d *membertest.Node) bool { return d == c.Nodes[3] })
@@ -143,9 +133,7 @@
 }
 
 func TestRegionsLoseEachOther(t *testing.T) {
-	// Symptom: every pool of a region changes owner when a cable is cut.
-	// Sequence: regions lose each other for minutes and meet again.
-	// Cause: each region buried the other, and revived it member by member.
+	// Guards against this: every pool of a region changes owner when a cable is cut.
 	Convey("Members of a region that is cut off are kept as they were", t, func() {
 		c := started(24, 3)
 		c.Isolate(func(d *membertest.Node) bool { return d.Region == "region-1" })
@@ -161,10 +149,7 @@
 }
 
 func TestRestartAndLeave(t *testing.T) {
-	// Symptom: a restarted daemon gets no pools, or a leaving one gets some.
-	// Sequence: a daemon is killed and started again, with a clock that went
-	// back; another one announces that it leaves and stops.
-	// Cause: stale gossip about an earlier life, or none about the leaving.
+	// Guards against this: a restarted daemon gets no pools, or a leaving one gets some.
 	Convey("A restarted member is believed alive again in its new life", t, func() {
 		c := started(9, 1)
 		c.Nodes[2].Kill()
--- a/member/membertest/measure_test.go
+++ b/member/membertest/measure_test.go
@@ -30,9 +30,7 @@
 }
 
 func TestMeasureIncidents(t *testing.T) {
-	// Symptom: after a zone's or a region's failure the members disagree.
-	// Sequence: many members fail at once and come back.
-	// Cause: bounded messages hold too little news for so many changes.
+	// Guards against this: after a zone's or a region's failure the members disagree.
 	Convey("Members agree again after many fail at once", t, func() {
 		found, err := MeasureIncidents(30, 2, 1)
 		So(err, ShouldBeNil)
--- a/member/runner_test.go
+++ b/member/runner_test.go
@@ -28,11 +28,7 @@
 }
 
 func TestDaemonsOverTCP(t *testing.T) {
-	// Symptom: members never meet, or a dead one keeps its pools.
-	// Sequence: daemons start with seeds only, some of which are down or their
-	// own; one announces that it leaves; one ends and starts under its name.
-	// Cause: membership's machine and the real transport misunderstand each
-	// other, e.g. about seeds without names.
+	// Guards against this: members never meet, or a dead one keeps its pools.
 	Convey("Given five daemons on real connections", t, func() {
 		const n = 5
 		var daemons []*membertest.Daemon
--- a/objectstore/callonce/callonce_test.go
+++ b/objectstore/callonce/callonce_test.go
@@ -39,9 +39,7 @@
 	return ln.Addr().String(), requests
 }
 
-// Symptom: a call is priced, or a write done, more often than it was made.
-// Sequence: the connection breaks after the request was sent.
-// Cause: the HTTP library repeats the methods that it takes for idempotent.
+// Guards against this: a call is priced, or a write done, more often than it was made.
 func TestEachCallIsSentOnce(t *testing.T) {
 	Convey("A call whose connection breaks is not repeated, and its outcome is unknown", t, func() {
 		for _, method := range []string{"GET", "PUT", "POST", "DELETE"} {
--- a/objectstore/httpobjectstore/httpobjectstore_test.go
+++ b/objectstore/httpobjectstore/httpobjectstore_test.go
@@ -112,9 +112,7 @@
 	})
 }
 
-// Symptom: a write is done twice although its caller sent it once.
-// Sequence: the server reads the request, then closes the connection.
-// Cause: an HTTP client that repeats by itself what it calls idempotent.
+// Guards against this: a write is done twice although its caller sent it once.
 func TestNoWriteIsRepeated(t *testing.T) {
 	var seen atomic.Int64
 	ln := listen(t)
@@ -209,10 +207,7 @@
 	}
 }
 
-// Symptom: the store seems down for minutes while others reach it.
-// Sequence: connections are open; something between forgets them; new ones
-// work; the client goes on using the open ones.
-// Cause: no timeout closes the silent connections, nor their idle siblings.
+// Guards against this: the store seems down for minutes while others reach it.
 func TestSilentConnectionsAreReplaced(t *testing.T) {
 	Convey("Given open connections that go silent for good", t, func() {
 		ln, r := listen(t), &relay{}
--- a/placement/controller_test.go
+++ b/placement/controller_test.go
@@ -205,12 +205,7 @@
 	t.Fatalf("want %d and %d, serving %v", a, b, w.serving())
 }
 
-// Symptom: a server loses the model that it serves, long after a takeover.
-// Sequence: a controller checks its lease and is paused before its order to
-// unload leaves; another takes over and gives the server back to the old
-// pool; the first one's order arrives.
-// Cause: nothing but the token can tell the late order from a good one; an
-// engine that ignores tokens obeys it, and must be put right again.
+// Guards against this: a server loses the model that it serves, long after a takeover.
 func TestLateOrderOfPausedController(t *testing.T) {
 	for _, checks := range []bool{true, false} {
 		t.Run(fmt.Sprintf("checks=%t", checks), func(t *testing.T) {
@@ -256,9 +251,7 @@
 	}
 }
 
-// Symptom: engines get orders from two controllers in turns.
-// Sequence: three candidates; the store goes down for longer than a lease.
-// Cause: a holder that goes on without its lease.
+// Guards against this: engines get orders from two controllers in turns.
 func TestOneControllerAtATime(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		w := newWorld(4, false)
@@ -287,11 +280,7 @@
 	})
 }
 
-// Symptom: a slow answer, or a cut between the controller and an
-// AvailabilityZone, sets servers moving between pools.
-// Sequence: a pool's only server misses two probes; or, with four of the
-// other pool's seven, many.
-// Cause: what one prober can't reach taken for what is gone.
+// Guards against this: a slow answer, or a cut between the controller and an AvailabilityZone, sets servers moving between pools.
 func TestMissedProbesMoveNothing(t *testing.T) {
 	for _, c := range []struct{ servers, misses int }{{1, 2}, {5, 100}} {
 		synctest.Test(t, func(t *testing.T) {
--- a/placement/plan_test.go
+++ b/placement/plan_test.go
@@ -82,11 +82,7 @@
 	}
 }
 
-// Symptom: a pool has no server although it had one, or servers go back and
-// forth for ever.
-// Sequence: demand, versions and servers of any kind; the plan is carried out
-// round by round.
-// Cause: a planner that counts a server twice, or forgets one on its way.
+// Guards against this: a pool has no server although it had one, or servers go back and forth for ever.
 func TestPlanKeepsPoolsWarmAndConverges(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
 		in := inputGen().Draw(rt, "input")
@@ -170,9 +166,7 @@
 	return out
 }
 
-// Symptom: goodput falls during the rollout of a new version.
-// Sequence: the template asks for version 2; six servers hold version 1.
-// Cause: more than one server reloads at a time.
+// Guards against this: goodput falls during the rollout of a new version.
 func TestRolloutKeepsAllButOneWarm(t *testing.T) {
 	in := placement.Input{Servers: fleet(6, "old", "m", "1"), Pools: []placement.Pool{
 		{Name: "old", Region: "r", Model: "m", Version: "1", Demand: [8]float64{40}},
--- a/quota/exchange_test.go
+++ b/quota/exchange_test.go
@@ -208,9 +208,7 @@
 		So(level(f, 0), ShouldAlmostEqual, before-100, 1e-6)
 		So(level(f, 2), ShouldAlmostEqual, before-100, 1e-6)
 	})
-	// Symptom: a daemon lets too much through after its hub was killed.
-	// Sequence: its hub goes; the others let much through; it asks another hub.
-	// Cause: that hub's counts were only a starting point.
+	// Guards against this: a daemon lets too much through after its hub was killed.
 	Convey("Who changes hubs takes over what it missed", t, func() {
 		f := settled(4)
 		f.reach = func(from, to int) bool { return from != 2 && to != 2 }
@@ -223,10 +221,7 @@
 		f.tell(func(i int) int { return 1 })
 		So(level(f, 2), ShouldAlmostEqual, level(f, 1), 1e-6)
 	})
-	// Symptom: after a cut of some seconds a daemon refuses for as long again.
-	// Sequence: while it was cut off, its bucket got its own share only; then it
-	// heard all that the others had used meanwhile.
-	// Cause: the shares that it had left to them were taken twice.
+	// Guards against this: after a cut of some seconds a daemon refuses for as long again.
 	Convey("Who was cut off refuses no longer for that", t, func() {
 		f := settled(4)
 		f.reach = func(from, to int) bool { return from != 2 && to != 2 }
@@ -241,9 +236,7 @@
 		So(level(f, 2), ShouldAlmostEqual, level(f, 0), 1e-6)
 		So(level(f, 2), ShouldBeGreaterThan, 800)
 	})
-	// Symptom: a daemon that has just started refuses what is within the limit.
-	// Sequence: it is killed and starts again; its buckets begin empty.
-	// Cause: it did not ask what the others believe to be left.
+	// Guards against this: a daemon that has just started refuses what is within the limit.
 	Convey("Who starts takes over its hub's levels", t, func() {
 		f := settled(4)
 		f.start(2, 4)
@@ -264,10 +257,7 @@
 		e.Learn(f.exchanges[0].Report("1", b))
 		So(level(f, 1), ShouldAlmostEqual, level(f, 0)-40, 1e-6)
 	})
-	// Symptom: a daemon lets too much through after a pause of its process.
-	// Sequence: its hub answers; it is paused before it takes the answer.
-	// Cause: the answer came late, so it was taken for a first one, though it
-	// held no levels.
+	// Guards against this: a daemon lets too much through after a pause of its process.
 	Convey("An answer that took long counts all the same", t, func() {
 		f := settled(3)
 		before := level(f, 2)
--- a/request/attempts_test.go
+++ b/request/attempts_test.go
@@ -7,9 +7,7 @@
 	. "github.com/smartystreets/goconvey/convey"
 )
 
-// Symptom: a request that must not be repeated runs twice. Sequence: it is
-// sent, its answer is lost, and it is sent again. Cause: nothing kept count of
-// the servers that may have begun to run it.
+// Guards against this: a request that must not be repeated runs twice.
 func TestAttempts(t *testing.T) {
 	Convey("A request that may not be repeated is begun once", t, func() {
 		a := Attempts{Most: 5}
--- a/request/life_test.go
+++ b/request/life_test.go
@@ -11,9 +11,7 @@
 	"pgregory.net/rapid"
 )
 
-// Symptom: one request shows up twice in the engines' run logs.
-// Sequence: a late grant and a degraded-mode grant reach it at the same time.
-// Cause: both paths saw "granted" and both dispatched.
+// Guards against this: one request shows up twice in the engines' run logs.
 func TestOnlyOnePathTakesTheDispatchRight(t *testing.T) {
 	Convey("of many paths that race, one wins", t, func() {
 		for range 200 {
--- a/revision/cluster_test.go
+++ b/revision/cluster_test.go
@@ -98,11 +98,7 @@
 }
 
 func TestStartDuringOutage(t *testing.T) {
-	// Symptom: a daemon that was replaced while the platform's store is down
-	// refuses every caller, or serves an old configuration.
-	// Sequence: the store goes down; a member restarts and so knows nothing;
-	// the store comes back, and answers reads from before the last change.
-	// Cause: a member took its configuration from the store alone.
+	// Guards against this: a daemon that was replaced while the platform's store is down refuses every caller, or serves an old configuration.
 	Convey("A member that starts during an outage serves its peers' newest", t, func() {
 		ctx, c, _ := cluster(t, 3)
 		v := addWorkspace(ctx, c, "late")
@@ -136,10 +132,7 @@
 }
 
 func TestWatchersCutOff(t *testing.T) {
-	// Symptom: changes are no longer in force anywhere in a region, though the
-	// platform's store works for most of its members.
-	// Sequence: both members that watch lose their way to the store.
-	// Cause: nobody else takes a watch.
+	// Guards against this: changes are no longer in force anywhere in a region, though the platform's store works for most of its members.
 	Convey("Others take the watch when the appointed members are cut off", t, func() {
 		ctx, c, _ := cluster(t, 6)
 		watchers := revision.Watchers(c.View(), "region-0")
@@ -184,11 +177,7 @@
 }
 
 func TestChurn(t *testing.T) {
-	// Symptom: a member goes back to an older configuration, or stays behind
-	// for good, after a time of several failures at once.
-	// Sequence: restarts, an object API that is down, stale or cut off from
-	// some, links that lose everything one way, and operators who write.
-	// Cause: one of these failures is only survived alone.
+	// Guards against this: a member goes back to an older configuration, or stays behind for good, after a time of several failures at once.
 	for seed := range uint64(3) {
 		Convey(fmt.Sprintf("Members neither go back nor stay behind, seed %d", seed), t, func() {
 			ctx, c, newest := cluster(t, 5)
--- a/revision/freshness_test.go
+++ b/revision/freshness_test.go
@@ -7,9 +7,7 @@
 	. "github.com/smartystreets/goconvey/convey"
 )
 
-// Symptom: requests of a withdrawn key run on a VM that was suspended.
-// Sequence: a proof, a suspension longer than the bound, a request. Cause: the
-// age was taken from a clock that stops while the VM is suspended.
+// Guards against this: requests of a withdrawn key run on a VM that was suspended.
 func TestFreshnessAges(t *testing.T) {
 	Convey("A proof counts from its sending, and only a newer one replaces it", t, func() {
 		now := 100 * time.Second
--- a/revision/set_test.go
+++ b/revision/set_test.go
@@ -142,12 +142,7 @@
 }
 
 func TestNeverGoesBack(t *testing.T) {
-	// Symptom: a change that an operator saw in force is gone again, or a
-	// deleted object is back, on some member.
-	// Sequence: any interleaving of stale listings, replayed watches, answers
-	// of peers with older copies delivered late or twice, restarts, deletion
-	// and re-creation, while operators write.
-	// Cause: an older copy was taken for news.
+	// Guards against this: a change that an operator saw in force is gone again, or a deleted object is back, on some member.
 	rapid.Check(t, func(t *rapid.T) {
 		world := &truth{}
 		names := []string{"x", "y", "z"}
--- a/rollout/rollout_test.go
+++ b/rollout/rollout_test.go
@@ -46,27 +46,21 @@
 		v.Arms(nil, both, anyVetted)
 		So(v.Arms(requested(Running), both, anyVetted), ShouldResemble, map[string]Arm{"v1": Stable, "v2": Stable})
 	})
-	// Symptom: a service has no server left. Sequence: a rollout names the version that
-	// runs already; it is rolled back for want of new servers. Cause: the version of every
-	// rollout that was rolled back counted as unfit.
+	// Guards against this: a service has no server left.
 	Convey("A version that served before its rollout serves on when that is rolled back", t, func() {
 		v := NewVersions()
 		v.Arms(nil, []string{"v2"}, anyVetted)
 		So(v.Arms(requested(Running), []string{"v2"}, anyVetted), ShouldResemble, map[string]Arm{"v2": Stable})
 		So(v.Arms(requested(RolledBack), []string{"v2"}, anyVetted), ShouldResemble, map[string]Arm{"v2": Stable})
 	})
-	// Symptom: the servers of a rollout that was withdrawn serve everybody.
-	// Sequence: a rollout makes a version the canary; it is deleted; its servers stay.
-	// Cause: without a rollout every version counted as fit.
+	// Guards against this: the servers of a rollout that was withdrawn serve everybody.
 	Convey("A canary does not serve when its rollout is withdrawn", t, func() {
 		v := NewVersions()
 		v.Arms(nil, []string{"v1"}, anyVetted)
 		v.Arms(requested(Running), both, anyVetted)
 		So(v.Arms(nil, both, anyVetted), ShouldResemble, map[string]Arm{"v1": Stable, "v2": Off})
 	})
-	// Symptom: the servers of a rollout that was withdrawn serve the callers of one daemon.
-	// Sequence: it hears of the rollout, of its servers and of its end at once, or has just
-	// started. Cause: to who never saw the rollout its servers were a release's.
+	// Guards against this: the servers of a rollout that was withdrawn serve the callers of one daemon.
 	Convey("nor where a daemon never saw the rollout, but was told that its version is unfit", t, func() {
 		saw, hears := NewVersions(), NewVersions()
 		saw.Arms(nil, []string{"v1"}, anyVetted)
@@ -77,10 +71,7 @@
 		hears.Arms(nil, []string{"v1"}, anyVetted) // its servers are told after that
 		So(hears.Arms(nil, both, anyVetted), ShouldResemble, map[string]Arm{"v1": Stable, "v2": Off})
 	})
-	// Symptom: after a rollout each later release makes the service smaller, until the
-	// last server of the promoted version is gone. Sequence: v2 is promoted; a release
-	// replaces its servers one by one by those of v3. Cause: beside the promoted version
-	// every other one counted as replaced.
+	// Guards against this: after a rollout each later release makes the service smaller, until the last server of the promoted version is gone.
 	Convey("After an outcome a release brings further versions into use, beside the promoted one", t, func() {
 		for _, remembers := range []bool{true, false} {
 			v := NewVersions()
@@ -129,9 +120,7 @@
 	})
 }
 
-// Symptom: a canary gets several times its share. Sequence: most requests are refused
-// for want of slots on the stable servers. Cause: the share was drawn of the requests
-// that came, not of those that were sent.
+// Guards against this: a canary gets several times its share.
 func TestBudgetStaysInItsBound(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		bounds := Bounds{Share: rapid.Float64Range(0.01, 0.5).Draw(t, "share"), Slack: rapid.Float64Range(0, 100).Draw(t, "slack")}
@@ -253,8 +242,7 @@
 			So(at, ShouldBeLessThan, 12*time.Second)
 		}
 	})
-	// Symptom: a bad version gets all the traffic. Sequence: it fails a part of its
-	// answers from some moment on. Cause: it was judged at the deadline only.
+	// Guards against this: a bad version gets all the traffic.
 	Convey("A version that fails a fifth or more of its answers is rolled back, within the bound", t, func() {
 		for seed := range 100 {
 			for _, failing := range []int{20, 50, 100} {
@@ -273,9 +261,7 @@
 			So(exposed, ShouldBeLessThan, 200*12/10+50)
 		}
 	})
-	// Symptom: a bad version is promoted unseen. Sequence: a service's answers last for
-	// seconds; its cutover is to begin as early. Cause: all that the bound leaves was
-	// planned for the cutover, and there were no canaries.
+	// Guards against this: a bad version is promoted unseen.
 	Convey("Where answers last for seconds there are canaries all the same", t, func() {
 		for seed := range 100 {
 			d, exposed, at := playLong(seed, from(4*time.Second, 50), always(1), 400, 4*time.Second)
--- a/route/route_test.go
+++ b/route/route_test.go
@@ -53,9 +53,7 @@
 	})
 }
 
-// Symptom: requests run by a route that was withdrawn a moment before.
-// Sequence: a version is in force; a stale read, or a peer that was paused,
-// brings an older one. Cause: the older one replaced the newer one.
+// Guards against this: requests run by a route that was withdrawn a moment before.
 func TestLiveNeverGoesBack(t *testing.T) {
 	Convey("An older or equal version is not put in force", t, func() {
 		var l Live
--- a/service/httpservice/service_test.go
+++ b/service/httpservice/service_test.go
@@ -73,9 +73,7 @@
 	})
 }
 
-// Symptom: a site crew is sent twice.
-// Sequence: the service reads the call, does it and closes, falls silent, or refuses.
-// Cause: the client sends again, or reports an unknown outcome as not sent.
+// Guards against this: a site crew is sent twice.
 func TestNoCallIsSentTwice(t *testing.T) {
 	cases := []struct {
 		name   string
@@ -115,9 +113,7 @@
 	}
 }
 
-// Symptom: one caller's call carries a second, hidden one; or a right is lost.
-// Sequence: a path, method or header holds a line break; or nobody listens.
-// Cause: parts of a call are written into the request unchecked.
+// Guards against this: one caller's call carries a second, hidden one; or a right is lost.
 func TestNotSent(t *testing.T) {
 	Convey("nothing is sent, and Sending is not called", t, func() {
 		core, s := serve(t, httpservice.Settings{})
--- a/test/burst_test.go
+++ b/test/burst_test.go
@@ -62,10 +62,7 @@
 	return s
 }
 
-// Symptom: at dawn urgent requests are refused while tags are computed.
-// Sequence: the queue is full of low-tier requests and every slot is taken; a
-// burst of the highest tier comes in at all entries, larger than the queue.
-// Cause: who came first holds its place, or each entry sheds by what it sees.
+// Guards against this: at dawn urgent requests are refused while tags are computed.
 //
 // The check is sound from outside: slots are held until every refusal has
 // come, and all low-tier requests waited before the burst began. So one that
@@ -80,10 +77,7 @@
 		So(tags.whole, ShouldEqual, 0)
 		So(tags.refused, ShouldResemble, map[string]int{"shed": burstQueue})
 	})
-	// Symptom: an accepted change of a pool's policy changes nothing.
-	// Sequence: the policy of a pool in use is changed to first come, first
-	// served; then the same burst comes.
-	// Cause: a scheduler keeps the policy that it was made with.
+	// Guards against this: an accepted change of a pool's policy changes nothing.
 	Convey("a changed policy is in force: who came first keeps its place", t, func() {
 		urgent, tags := c.burst("fifo")
 		So(tags.whole, ShouldEqual, burstQueue)
@@ -130,10 +124,7 @@
 	return outcome{whole, refused}
 }
 
-// Symptom: some answers take ten times as long as the others.
-// Sequence: one of three engines falls to a tenth of its speed under load,
-// while its load reports lag and its cache events come late and with gaps.
-// Cause: requests are spread by count or by what a stale report says.
+// Guards against this: some answers take ten times as long as the others.
 func TestAStragglerWithLateAndMissingReports(t *testing.T) {
 	t.Parallel()
 	c := newCluster(t, plan{nodes: 3, engines: 3, options: slowEngine, slots: 6})
--- a/test/caller_gone_test.go
+++ b/test/caller_gone_test.go
@@ -21,10 +21,7 @@
 	return n
 }
 
-// Symptom: engines compute for nobody while callers wait.
-// Sequence: callers leave, some while their answers stream, some while their
-// requests wait for a slot.
-// Cause: an entry notices a caller that left only when it writes to it.
+// Guards against this: engines compute for nobody while callers wait.
 func TestCallersLeave(t *testing.T) {
 	t.Parallel()
 	const slots, left, stay = 3, 9, 6
@@ -60,11 +57,7 @@
 	})
 }
 
-// Symptom: slots and a daemon's exit hang on callers that are not there.
-// Sequence: something between callers and entries loses track of open
-// connections while answers stream; new connections work; then the daemon
-// gets SIGTERM.
-// Cause: nobody tells the entry that the caller's end is unreachable.
+// Guards against this: slots and a daemon's exit hang on callers that are not there.
 func TestCallerConnectionsGoSilentInMidStream(t *testing.T) {
 	t.Parallel()
 	c := newCluster(t, plan{nodes: 2, engines: 1, options: slowEngine, slots: 6})
@@ -87,10 +80,7 @@
 	})
 }
 
-// Symptom: a release cuts answers off, or loses requests that waited.
-// Sequence: a daemon gets SIGTERM while answers stream and more requests wait
-// in it; once it is the last of its region, once there are others.
-// Cause: it exits with its listener, or its queue goes to nobody.
+// Guards against this: a release cuts answers off, or loses requests that waited.
 func TestADaemonStopsWithWaitingAndStreamingRequests(t *testing.T) {
 	for name, nodes := range map[string]int{"the last one": 1, "one of three": 3} {
 		t.Run(name, func(t *testing.T) { testStop(t, nodes) })
--- a/test/config_change_test.go
+++ b/test/config_change_test.go
@@ -40,10 +40,7 @@
 	return cmd.ProcessState.ExitCode(), string(out)
 }
 
-// Symptom: an operator's accepted change is gone, and nobody was told.
-// Sequence: operators who saw the same version of a template apply different
-// changes at the same time.
-// Cause: the later write replaces the earlier one unseen.
+// Guards against this: an operator's accepted change is gone, and nobody was told.
 func TestOperatorsRaceOnOneTemplate(t *testing.T) {
 	t.Parallel()
 	c := newCluster(t, plan{nodes: 3, engines: 1})
@@ -81,11 +78,7 @@
 	})
 }
 
-// Symptom: a daemon that was replaced during an outage of the store serves
-// nobody, or serves an old configuration.
-// Sequence: the store goes down; a daemon dies and starts with nothing kept;
-// the store comes back and answers reads as of some writes ago.
-// Cause: it can ask nobody but the store, and believes what that says.
+// Guards against this: a daemon that was replaced during an outage of the store serves nobody, or serves an old configuration.
 func TestADaemonStartsWhileTheStoreIsDownOrStale(t *testing.T) {
 	t.Parallel()
 	c := newCluster(t, plan{nodes: 3, engines: 1})
@@ -118,10 +111,7 @@
 	})
 }
 
-// Symptom: a process that does not belong to the cluster gets requests or
-// grants.
-// Sequence: a daemon with another cluster key starts with the right seeds.
-// Cause: a peer is believed because it connects.
+// Guards against this: a process that does not belong to the cluster gets requests or grants.
 func TestADaemonWithAnotherClusterKeyStaysOutside(t *testing.T) {
 	t.Parallel()
 	c := newCluster(t, plan{nodes: 2, engines: 1})
--- a/test/crash_test.go
+++ b/test/crash_test.go
@@ -22,11 +22,7 @@
 	return n
 }
 
-// Symptom: one engine after the other crashes, and everybody's answers on them
-// are lost.
-// Sequence: a request crashes the engine that runs it; its caller sends it
-// again, each time to another entry, while others' requests run.
-// Cause: each entry and owner sees a new request and a healthy engine.
+// Guards against this: one engine after the other crashes, and everybody's answers on them are lost.
 func TestARequestThatCrashesEnginesIsConvicted(t *testing.T) {
 	t.Parallel()
 	c := newCluster(t, plan{nodes: 3, engines: 4, options: engine.Options{StepMs: 10, RestartMs: 400}})
--- a/test/drain_test.go
+++ b/test/drain_test.go
@@ -53,11 +53,7 @@
 	}
 }
 
-// Symptom: callers get resets and errors while operators roll out a release.
-// Sequence: one daemon after the other gets SIGTERM under load, ends, and
-// starts again with nothing kept.
-// Cause: a listener that closes before the balancer has noticed, an answer cut
-// off at exit, or a queue lost with its owner.
+// Guards against this: callers get resets and errors while operators roll out a release.
 func TestARollingRestartUnderLoad(t *testing.T) {
 	t.Parallel()
 	c := newCluster(t, plan{nodes: 3, engines: 2, options: slowEngine, slots: 6})
@@ -94,9 +90,7 @@
 	})
 }
 
-// Symptom: requests are sent to a backend server that is about to go.
-// Sequence: an operator marks a server as leaving while it streams answers.
-// Cause: owners and entries go on by an old configuration, or cut its streams.
+// Guards against this: requests are sent to a backend server that is about to go.
 func TestABackendServerLeavesInMidStream(t *testing.T) {
 	t.Parallel()
 	c := newCluster(t, plan{nodes: 3, engines: 3, options: slowEngine, slots: 6})
--- a/test/owner_test.go
+++ b/test/owner_test.go
@@ -42,11 +42,7 @@
 	return first.Sub(at), !first.IsZero()
 }
 
-// Symptom: after a VM's death, callers of the other entries get errors or wait
-// for ever.
-// Sequence: the owner of the pool dies while requests of other entries wait in
-// its queue and run under its grants.
-// Cause: the queue and the count of what runs died with the owner.
+// Guards against this: after a VM's death, callers of the other entries get errors or wait for ever.
 func TestTheOwnerDies(t *testing.T) {
 	t.Parallel()
 	c := newCluster(t, plan{nodes: 4, engines: 2, options: slowEngine, slots: 4})
@@ -73,11 +69,7 @@
 	})
 }
 
-// Symptom: servers are overrun, or requests run twice, after a daemon comes
-// back from a pause.
-// Sequence: the owner's process is stopped for some seconds, another daemon
-// takes its pools over, and the first one goes on with what it knew.
-// Cause: two owners grant the same slots, and old grants reach the entries.
+// Guards against this: servers are overrun, or requests run twice, after a daemon comes back from a pause.
 func TestTheOwnerIsPausedAndComesBack(t *testing.T) {
 	t.Parallel()
 	c := newCluster(t, plan{nodes: 4, engines: 2, options: slowEngine, slots: 4})
@@ -110,9 +102,7 @@
 	})
 }
 
-// Symptom: a caller's request is run by nobody or by two after its entry died.
-// Sequence: an entry dies while requests wait in it and run under its grants.
-// Cause: the slots that it held are never freed, or its requests are handed on.
+// Guards against this: a caller's request is run by nobody or by two after its entry died.
 func TestAnEntryDiesWithWaitingRequests(t *testing.T) {
 	t.Parallel()
 	c := newCluster(t, plan{nodes: 4, engines: 2, options: slowEngine, slots: 3})
--- a/test/pairs_test.go
+++ b/test/pairs_test.go
@@ -106,9 +106,7 @@
 	{7, "owner paused", "store slow and stale"},
 }
 
-// Symptom: the system stands one failure, but not two at once.
-// Sequence: two failures, the second while the first is being overcome.
-// Cause: what one part does to recover rests on a part that fails, too.
+// Guards against this: the system stands one failure, but not two at once.
 func TestTwoFailuresAtOnce(t *testing.T) {
 	for _, p := range pairs {
 		t.Run(fmt.Sprintf("%d: %s, %s", p.seed, p.first, p.second), func(t *testing.T) {
--- a/test/path_test.go
+++ b/test/path_test.go
@@ -33,9 +33,7 @@
 	})
 }
 
-// Symptom: callers get errors when an engine goes away in a moment of load.
-// Sequence: an engine process dies while it runs requests; others live.
-// Cause: requests were bound to the dead engine, or were sent a second time.
+// Guards against this: callers get errors when an engine goes away in a moment of load.
 func TestAnEngineDiesUnderLoad(t *testing.T) {
 	t.Parallel()
 	c := newCluster(t, plan{nodes: 3, engines: 3, options: engine.Options{StepMs: 8}})
--- a/test/placement_test.go
+++ b/test/placement_test.go
@@ -73,11 +73,7 @@
 	return vars.Lycheekeel.Placement
 }
 
-// Symptom: engines load and unload models in turns, or lose their model.
-// Sequence: the daemon that holds the placement lease is stopped beyond it;
-// another takes over and rolls a version out; the first one goes on, and an
-// order that it sent long ago arrives late.
-// Cause: the lapsed holder acts as if it still held the lease.
+// Guards against this: engines load and unload models in turns, or lose their model.
 func TestThePlacementLeaseLapsesWhileItsHolderIsPaused(t *testing.T) {
 	t.Parallel()
 	options := slowEngine
--- a/test/reach_test.go
+++ b/test/reach_test.go
@@ -50,12 +50,7 @@
 	return sum
 }
 
-// Symptom: callers of some entries wait in vain, or servers are overrun, while
-// the network between daemons fails.
-// Sequence: nobody reaches the owner on new or open connections while it
-// reaches others; then no daemon reaches any other; then the network heals.
-// Cause: an entry that waits for an owner which it can't reach, or many
-// owners that each grant every slot.
+// Guards against this: callers of some entries wait in vain, or servers are overrun, while the network between daemons fails.
 func TestDaemonsCannotReachEachOther(t *testing.T) {
 	t.Parallel()
 	const slots, nodes = 4, 3
--- a/test/ready_test.go
+++ b/test/ready_test.go
@@ -7,13 +7,7 @@
 	. "github.com/smartystreets/goconvey/convey"
 )
 
-// Symptom: in the first moments after a daemon's start its callers' requests
-// run beside those that the pools' owners know of.
-// Sequence: a daemon starts and gets callers as soon as it is ready. The
-// others answer late, or not at all.
-// Cause: until it has met the others, its view holds itself alone, and it
-// takes every pool for its own. The store may have given it a configuration by
-// then.
+// Guards against this: in the first moments after a daemon's start its callers' requests run beside those that the pools' owners know of.
 func TestADaemonIsReadyWhenItHasLookedForTheOthers(t *testing.T) {
 	t.Parallel()
 	c := newCluster(t, plan{nodes: 3, engines: 1})
--- a/test/silence_test.go
+++ b/test/silence_test.go
@@ -10,11 +10,7 @@
 	"github.com/lycheekeel/lycheekeel/workspace"
 )
 
-// Symptom: streams stop in the middle and their callers wait until they give
-// up; prompts are computed twice.
-// Sequence: something between entries and engines loses track of the open
-// connections while answers stream; bytes vanish, new connections work.
-// Cause: nothing arrives, so a reader without a silence limit waits for ever.
+// Guards against this: streams stop in the middle and their callers wait until they give up; prompts are computed twice.
 func TestEngineConnectionsGoSilentInMidStream(t *testing.T) {
 	t.Parallel()
 	c := newCluster(t, plan{nodes: 2, engines: 2, options: slowEngine})
@@ -36,9 +32,7 @@
 	})
 }
 
-// Symptom: the first requests after a quiet moment are lost, outcome unknown.
-// Sequence: connections that nobody uses just then go silent; then callers come.
-// Cause: a request is sent on an idle connection that looks well at this end.
+// Guards against this: the first requests after a quiet moment are lost, outcome unknown.
 func TestIdleEngineConnectionsGoSilent(t *testing.T) {
 	t.Parallel()
 	c := newCluster(t, plan{nodes: 2, engines: 2})
@@ -58,10 +52,7 @@
 	})
 }
 
-// Symptom: requests hang at entries whose owner seems alive.
-// Sequence: the connections between daemons go silent one way, then both ways;
-// new ones work.
-// Cause: TCP alone reports nothing for minutes.
+// Guards against this: requests hang at entries whose owner seems alive.
 func TestPeerConnectionsGoSilent(t *testing.T) {
 	t.Parallel()
 	c := newCluster(t, plan{nodes: 3, engines: 2, options: slowEngine, slots: 6})
@@ -84,10 +75,7 @@
 	})
 }
 
-// Symptom: a change of configuration reaches some daemons only, without error.
-// Sequence: the daemons' connections to the platform go silent while their
-// watches wait on them; new ones work.
-// Cause: a long poll that waits on a dead connection looks like no change.
+// Guards against this: a change of configuration reaches some daemons only, without error.
 func TestPlatformConnectionsGoSilent(t *testing.T) {
 	t.Parallel()
 	c := newCluster(t, plan{nodes: 3, engines: 1})
@@ -102,10 +90,7 @@
 	})
 }
 
-// Symptom: callers receive another caller's text, or a late answer as theirs.
-// Sequence: an engine delays answers, then swaps the answers of pairs of
-// connections.
-// Cause: an answer is believed because of the connection that it came on.
+// Guards against this: callers receive another caller's text, or a late answer as theirs.
 func TestAnswersComeLateAndCrossed(t *testing.T) {
 	t.Parallel()
 	c := newCluster(t, plan{nodes: 2, engines: 2, options: engine.Options{StepMs: 10}})
--- a/test/soak/killed_test.go
+++ b/test/soak/killed_test.go
@@ -13,10 +13,7 @@
 	"github.com/lycheekeel/lycheekeel/internal/explain"
 )
 
-// Symptom: a caller asks what became of a request, and no log has its id.
-// Sequence: a VM takes a request and sends it to a server, which runs it; before the
-// stream has ended, the VM is killed.
-// Cause: a request had no line before that of its end.
+// Guards against this: a caller asks what became of a request, and no log has its id.
 func TestARequestThatDiesWithItsProcessLeavesATrace(t *testing.T) {
 	// The stream outlasts whatever the test waits for.
 	f := newFleetOf(t, waitLimit/5, 10*waitLimit)
--- a/test/store_test.go
+++ b/test/store_test.go
@@ -38,10 +38,7 @@
 	return sum
 }
 
-// Symptom: two crews are sent to one site.
-// Sequence: a caller sends one confirmation to every entry at the same time,
-// again and again, as apps with impatient users do.
-// Cause: each entry by itself sees a request that it never had.
+// Guards against this: two crews are sent to one site.
 func TestAConfirmationSentToEveryEntryRunsOnce(t *testing.T) {
 	t.Parallel()
 	c := newCluster(t, plan{nodes: 3, engines: 1})
@@ -72,10 +69,7 @@
 	})
 }
 
-// Symptom: confirmations run twice, or are refused although they ran, on days
-// when the store loses answers.
-// Sequence: the platform takes a claim's write and its answer is lost.
-// Cause: an entry that takes the silence for a failure writes again or gives up.
+// Guards against this: confirmations run twice, or are refused although they ran, on days when the store loses answers.
 func TestTheStoreLosesAnswersAfterTheWrite(t *testing.T) {
 	t.Parallel()
 	c := newCluster(t, plan{nodes: 3, engines: 1})
@@ -104,11 +98,7 @@
 	})
 }
 
-// Symptom: everything stands still while the platform's store is down.
-// Sequence: the store refuses every call for a while under load; callers send
-// ordinary requests and confirmations.
-// Cause: the path of a request waits for the store although it needs it only
-// for claims.
+// Guards against this: everything stands still while the platform's store is down.
 func TestTheStoreIsDown(t *testing.T) {
 	t.Parallel()
 	c := newCluster(t, plan{nodes: 3, engines: 2})
@@ -135,10 +125,7 @@
 	})
 }
 
-// Symptom: a confirmation that a dead entry had sent runs a second time.
-// Sequence: an entry dies after it sent a confirmation and before its answer;
-// the caller sends it to another entry.
-// Cause: what the first entry knew died with it.
+// Guards against this: a confirmation that a dead entry had sent runs a second time.
 func TestAnEntryDiesWhileAConfirmationRuns(t *testing.T) {
 	t.Parallel()
 	c := newCluster(t, plan{nodes: 3, engines: 1})
@@ -158,12 +145,7 @@
 	})
 }
 
-// Symptom: a confirmation that was refused as not run stays blocked, or runs
-// although it was refused.
-// Sequence: the store takes longer than the callers wait; its writes take
-// effect after their callers gave up; then it is fast again and callers come
-// back, to other entries.
-// Cause: a claim written late looks like one whose claimant runs it.
+// Guards against this: a confirmation that was refused as not run stays blocked, or runs although it was refused.
 func TestTheStoreIsSlowerThanCallersWait(t *testing.T) {
 	t.Parallel()
 	c := newCluster(t, plan{nodes: 3, engines: 1})
--- a/test/vm_test.go
+++ b/test/vm_test.go
@@ -30,12 +30,7 @@
 	c.post(c.store, standin.PathVMs, string(data))
 }
 
-// Symptom: new requests go to VMs that are about to be taken away, or that are
-// gone.
-// Sequence: the VM list shows one backend server's VM as leaving while it
-// streams; another VM dies and the list, which lags, still shows it live; the
-// owner changes meanwhile.
-// Cause: the list is not read, believed too much, or forgotten by a new owner.
+// Guards against this: new requests go to VMs that are about to be taken away, or that are gone.
 func TestTheVMListShowsLeavingVMsAndLags(t *testing.T) {
 	t.Parallel()
 	c := newCluster(t, plan{nodes: 3, engines: 4, options: slowEngine, slots: 6, ownIPs: true})
--- a/workspace/check_test.go
+++ b/workspace/check_test.go
@@ -105,9 +105,7 @@
 }
 
 func TestAnyText(t *testing.T) {
-	// Symptom: the tool or every daemon crashes on one stored object.
-	// Sequence: an object of any content is written past the checks.
-	// Cause: a check or the resolution trusts what it has not checked.
+	// Guards against this: the tool or every daemon crashes on one stored object.
 	rapid.Check(t, func(t *rapid.T) {
 		text := []byte(goodTemplate)
 		for range rapid.IntRange(1, 4).Draw(t, "edits") {
--- a/workspace/compile_test.go
+++ b/workspace/compile_test.go
@@ -33,11 +33,7 @@
 }
 
 func TestBadObjectStaysAtLastGood(t *testing.T) {
-	// Symptom: after an operator's mistake callers of one or all workspaces
-	// are refused.
-	// Sequence: a good configuration is in force; a template with a target of
-	// zero is written past the check of the command-line tool.
-	// Cause: the bad version replaced the good one.
+	// Guards against this: after an operator's mistake callers of one or all workspaces are refused.
 	Convey("A bad object stays at its last good version and the rest goes on", t, func() {
 		objects := small.Objects()
 		c := workspace.NewCompiler()
@@ -92,10 +88,7 @@
 }
 
 func TestKeyOfAnotherWorkspace(t *testing.T) {
-	// Symptom: a customer's requests run under another customer's workspace.
-	// Sequence: workspace-2 is changed to list workspace-0's key; then
-	// workspace-0 is written again, so that its version is the newer one.
-	// Cause: the last writer of a key got it.
+	// Guards against this: a customer's requests run under another customer's workspace.
 	Convey("A key stays with the workspace that has it", t, func() {
 		objects := small.Objects()
 		c := workspace.NewCompiler()
