--- a/pool/late_test.go
+++ b/pool/late_test.go
@@ -1,7 +1,6 @@
 package pool
 
 import (
-	"container/heap"
 	"fmt"
 	"testing"
 	"time"
@@ -14,9 +13,8 @@
 // closedLoop is callers that each send their next request when the last one has ended,
 // in four tiers in turn, to a pool whose requests wait up to their deadlines.
 type closedLoop struct {
-	r       *rig
-	agenda  agenda
-	run     time.Duration // of a request
+	*simulation
+	takes   time.Duration // a request
 	sent    int
 	expired int
 	of      map[request.ID]int // the caller of each request
@@ -30,23 +28,15 @@
 
 // playLoop returns how many requests expired.
 func playLoop(callers int, run time.Duration) (expired int) {
-	x := &closedLoop{r: newRig(Config{}, servers(2, 3)...), run: run, of: map[request.ID]int{}, turns: make([]int, callers)}
+	x := &closedLoop{simulation: &simulation{r: newRig(Config{}, servers(2, 3)...)}, takes: run, of: map[request.ID]int{}, turns: make([]int, callers)}
 	for i := range callers {
 		x.at(start.Add(time.Duration(i)*10*time.Millisecond), func() { x.ask(i) })
 	}
-	for at := time.Duration(0); at < loopLength+time.Minute; at += TickInterval {
-		x.at(start.Add(at), func() { x.take(x.r.send(Tick{})) })
-	}
-	for len(x.agenda) > 0 {
-		next := heap.Pop(&x.agenda).(happening)
-		x.r.now = next.at
-		next.do()
-	}
+	x.tick(loopLength+time.Minute, x.take)
+	x.run()
 	return x.expired
 }
 
-func (x *closedLoop) at(at time.Time, do func()) { heap.Push(&x.agenda, happening{at, do}) }
-
 func (x *closedLoop) ask(i int) {
 	if x.r.now.After(start.Add(loopLength)) {
 		return
@@ -76,9 +66,9 @@
 	x.at(x.r.now.Add(first), func() {
 		x.take(x.r.send(Progress{Request: g.Request, Grant: g.Grant, FirstToken: first, Tokens: 1}))
 	})
-	x.at(x.r.now.Add(x.run+time.Duration(x.sent%7)*10*time.Millisecond), func() {
+	x.at(x.r.now.Add(x.takes+time.Duration(x.sent%7)*10*time.Millisecond), func() {
 		x.take(x.r.send(Release{Request: g.Request, Entry: g.Entry, Grant: g.Grant, Server: g.Server, Outcome: OutcomeDone,
-			FirstToken: first, Total: x.run, OutputTokens: 22, PromptTokens: 30, PrefillComputed: 30}))
+			FirstToken: first, Total: x.takes, OutputTokens: 22, PromptTokens: 30, PrefillComputed: 30}))
 		x.ask(x.of[g.Request])
 	})
 }
--- a/pool/starved_test.go
+++ b/pool/starved_test.go
@@ -1,7 +1,6 @@
 package pool
 
 import (
-	"container/heap"
 	"fmt"
 	"math/rand/v2"
 	"slices"
@@ -66,31 +65,12 @@
 	return served / max(1, callers)
 }
 
-// happening is something at a time of a replay.
-type happening struct {
-	at time.Time
-	do func()
-}
-
-type agenda []happening
-
-func (a agenda) Len() int           { return len(a) }
-func (a agenda) Less(i, j int) bool { return a[i].at.Before(a[j].at) }
-func (a agenda) Swap(i, j int)      { a[i], a[j] = a[j], a[i] }
-func (a *agenda) Push(x any)        { *a = append(*a, x.(happening)) }
-func (a *agenda) Pop() any {
-	last := (*a)[len(*a)-1]
-	*a = (*a)[:len(*a)-1]
-	return last
-}
-
 // replay is a load that a pool of engines serves, in simulated time. A refused caller
 // comes back once, after what it was told or a third of the time that it has.
 type replay struct {
-	r      *rig
-	agenda agenda
-	asked  map[request.ID]*caller
-	out    replayed
+	*simulation
+	asked map[request.ID]*caller
+	out   replayed
 	// running is what runs on each server.
 	running map[string][]*running
 	// waiting counts by tier, as the pool's commands tell.
@@ -118,7 +98,9 @@
 // play plays a load with shares for starved tiers.
 func play(shares *fairshare.Ledger, seed uint64, load ...class) replayed {
 	x := &replay{
-		r:       newRig(Config{Patience: 0.12, LongPatience: 1, Headroom: 0.05, RunGrace: time.Second, KeepStragglers: true, SpareFast: true}, servers(6, 8)...),
+		simulation: &simulation{r: newRig(Config{
+			Patience: 0.12, LongPatience: 1, Headroom: 0.05, RunGrace: time.Second, KeepStragglers: true, SpareFast: true,
+		}, servers(6, 8)...)},
 		asked:   map[request.ID]*caller{},
 		running: map[string][]*running{},
 	}
@@ -134,19 +116,11 @@
 			x.at(start.Add(at), func() { x.ask(&caller{class: c, deadline: x.r.now.Add(c.deadline)}) })
 		}
 	}
-	for at := time.Duration(0); at < 2*replayLength; at += TickInterval {
-		x.at(start.Add(at), func() { x.take(x.r.send(Tick{})) })
-	}
-	for len(x.agenda) > 0 {
-		next := heap.Pop(&x.agenda).(happening)
-		x.r.now = next.at
-		next.do()
-	}
+	x.tick(2*replayLength, x.take)
+	x.run()
 	return x.out
 }
 
-func (x *replay) at(at time.Time, do func()) { heap.Push(&x.agenda, happening{at, do}) }
-
 func (x *replay) ask(c *caller) {
 	c.id = request.ID(fmt.Sprint("r", len(x.asked)))
 	x.asked[c.id] = c
@@ -164,7 +138,7 @@
 		case Grant:
 			c := x.asked[command.Request]
 			x.waiting[c.tier]--
-			x.run(command, c)
+			x.begin(command, c)
 		case Shed:
 			c := x.asked[command.Request]
 			x.waiting[c.tier]--
@@ -176,7 +150,7 @@
 	}
 }
 
-func (x *replay) run(g Grant, c *caller) {
+func (x *replay) begin(g Grant, c *caller) {
 	for _, other := range x.running[g.Server] {
 		other.ends = other.ends.Add(c.read())
 	}
