forward: a silent stream is kept until another server has gone on

Cause: a run was given up before its replacement had answered. A stream silent for 1.5 s was dropped once a slot and a retry were reserved; the key, the freshness of the configuration, the connect and the second server's word came after that.

Now the second send runs beside the first (hedge.go): whichever brings the next event goes on and the other is dropped at that moment, so that two runs never go on side by side. Attempts, retry budget and the slot are taken as before; a hedge has a request ID of its own at the pool's owner, also where a stream is hedged twice. Only streams that may be resumed are hedged.

Evidence: TestSilentStreamIsKeptUntilAnotherServerGoesOn, twelve ways in which the second send fails at each moment between the reservation and the first event.

All are whole now, three runs of three with the race detector. Looked for elsewhere: nothing else gives up a run for silence alone.

--- a/internal/forward/counters.go
+++ b/internal/forward/counters.go
@@ -19,7 +19,10 @@
 	budgetDenied *expvar.Int
 	resumed      *expvar.Int
 	cut          *expvar.Int
-	answered     *expvar.Int
+	// hedges counts second sends beside a silent stream, hedgesSpared those of them
+	// whose stream went on by itself.
+	hedges, hedgesSpared *expvar.Int
+	answered             *expvar.Int
 	// runningOmitted counts the requests that ran for long without a line of it.
 	runningOmitted *expvar.Int
 
@@ -46,6 +49,8 @@
 	c.budgetDenied = m.Counter("retries", "denied_by_budget")
 	c.resumed = m.Counter("streams", "resumed")
 	c.cut = m.Counter("streams", "cut")
+	c.hedges = m.Counter("retries", "silent_stream")
+	c.hedgesSpared = m.Counter("streams", "went_on_beside_a_hedge")
 	c.answered = m.Counter("forward", "answered")
 	c.runningOmitted = m.Counter("forward", "running_lines_omitted")
 	c.waited = m.Histogram("latency", "wait_for_slot")
--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -37,6 +37,7 @@
 	spec     *request.Spec
 	demand   broker.Demand
 	attempts request.Attempts
+	hedges   int   // begun
 	denied   error // the refusal met just before a send; nil: none
 	canary   canary
 	out      *outbound
--- a/internal/forward/rig_test.go
+++ b/internal/forward/rig_test.go
@@ -199,13 +199,25 @@
 type fakeAdmission struct {
 	stale   atomic.Bool
 	leaving sync.Map
+	// looking and using, where set, are told of the nth call of Fresh and MayUse.
+	looking, using func(n int)
+	looks, uses    atomic.Int64
+}
+
+func (a *fakeAdmission) Fresh() bool {
+	if n := a.looks.Add(1); a.looking != nil {
+		a.looking(int(n))
+	}
+	return !a.stale.Load()
 }
 
-func (a *fakeAdmission) Fresh() bool              { return !a.stale.Load() }
 func (a *fakeAdmission) ProofAge() time.Duration  { return time.Second }
 func (a *fakeAdmission) StoreLost() time.Duration { return 0 }
 func (a *fakeAdmission) Owner(string) string      { return "owner" }
 func (a *fakeAdmission) MayUse(id string, _ bool) bool {
+	if n := a.uses.Add(1); a.using != nil {
+		a.using(int(n))
+	}
 	_, leaving := a.leaving.Load(id)
 	return !leaving
 }
@@ -244,6 +256,7 @@
 	tb        testing.TB
 	server    *Server
 	address   string
+	gone      string // an address at which nobody listens
 	routes    *route.Live
 	broker    *fakeBroker
 	admission *fakeAdmission
@@ -295,6 +308,7 @@
 		tb.Fatal(err)
 	}
 	r.address = ln.Addr().String()
+	r.gone = unusedAddress(tb)
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
@@ -309,6 +323,16 @@
 	return r
 }
 
+// unusedAddress returns an address whose connections are refused.
+func unusedAddress(tb testing.TB) string {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		tb.Fatal(err)
+	}
+	defer ln.Close()
+	return ln.Addr().String()
+}
+
 // until waits until the condition holds.
 func (r *rig) until(what string, holds func() bool) {
 	r.tb.Helper()
--- a/internal/forward/send.go
+++ b/internal/forward/send.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"slices"
 	"time"
 
 	"github.com/pkg/errors"
@@ -75,40 +74,6 @@
 	return grant, err
 }
 
-// reserveWait is how long a slot for a silent stream may take.
-const reserveWait = 300 * time.Millisecond
-
-// reserve gets a slot for a second send and takes its retry, before the first
-// one is given up; nil where either is not to be had, or where the key was
-// withdrawn meanwhile: it could not be sent again, and what its server still
-// answers is the caller's.
-func (x *exchange) reserve() broker.Grant {
-	if !x.attempts.Left() || x.stillAuthorized() != nil {
-		return nil
-	}
-	ctx, cancel := context.WithTimeout(x.ctx, reserveWait)
-	defer cancel()
-	d := x.demand
-	spec := *x.spec // another request to the owner: the first one still runs
-	spec.ID += "-again"
-	d.Spec, d.Candidates = &spec, x.pools("")
-	d.SentTo = append(slices.Clone(d.SentTo), x.out.serverID)
-	grant, err := x.server.deps.Broker.Acquire(ctx, d)
-	if err != nil {
-		return nil
-	}
-	if x.stillAuthorized() != nil {
-		grant.Return()
-		return nil
-	}
-	if !x.server.deps.Budget(x.service).Take() {
-		x.server.count.budgetDenied.Add(1)
-		grant.Return()
-		return nil
-	}
-	return grant
-}
-
 // failed decides after a failed send: nil means to go on elsewhere.
 func (x *exchange) failed(err error) error {
 	x.server.count.sendFailed(err)
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -6,9 +6,7 @@
 	"time"
 
 	"github.com/pkg/errors"
-	"github.com/valyala/fasthttp"
 
-	"github.com/lycheekeel/lycheekeel/broker"
 	"github.com/lycheekeel/lycheekeel/pool"
 )
 
@@ -69,9 +67,7 @@
 	g.tokens += n * s.x.eventTokens()
 	if g.first.IsZero() && n > 0 {
 		g.first = now
-		if s.x.attempts.Left() {
-			s.events.from.conn.SetSilence(streamSilence)
-		}
+		s.boundSilence()
 	}
 	if n == 0 || now.Sub(g.toldAt) < progressEvery<<min(g.reports, 4) && g.reports > 0 {
 		return
@@ -101,70 +97,20 @@
 	s.latest = now
 }
 
-// broken resumes the stream elsewhere, or gives it up. One that is only silent
-// is given up for nothing less than a slot elsewhere and a retry: its server may
-// be slow, and an answer that still comes is worth more than one that was cut.
+// broken resumes the stream elsewhere, or cuts it. One that is only silent is kept until
+// another server has gone on.
 func (s *stream) broken(err error) {
-	var reserved broker.Grant
 	if s.events.from.conn.Silent() && s.x.ctx.Err() == nil {
-		s.x.goOnAfter(&s.events)
-		if reserved = s.x.reserve(); reserved == nil {
-			s.events.from.conn.SetSilence(time.Until(s.x.out.deadline) + time.Second)
-			return
-		}
-	}
-	s.drop()
-	err = s.x.lostRun(s.run, err)
-	s.over = true
-	if reserved != nil {
-		s.x.logSend(err)
-		err = s.takeOver(s.x.try(reserved))
-	}
-	for err != nil {
-		refusal := s.x.failed(err)
-		if refusal == nil {
-			err, refusal = s.resume()
-		}
-		if refusal != nil {
-			s.failed = errors.Wrap(errCut, refusal.Error())
-			s.x.server.count.cut.Add(1)
-			return
-		}
+		s.hedge()
+		return
 	}
-}
-
-// resume asks another server for the rest. It returns why that send failed,
-// or the refusal where there is none to ask.
-func (s *stream) resume() (failed, refusal error) {
 	s.x.goOnAfter(&s.events)
-	r, g, err := s.x.send()
-	if err != nil {
-		return nil, err
-	}
-	return s.takeOver(r, g, nil), nil
-}
-
-// takeOver goes on with another server's answer.
-func (s *stream) takeOver(r *reply, g *run, err error) error {
-	if err != nil {
-		return err
-	}
-	if status := r.header.StatusCode(); status != fasthttp.StatusOK {
-		r.ended = false
-		r.finish()
-		return s.x.lostRun(g, errors.Errorf("status %d", status))
-	}
-	s.x.server.count.resumed.Add(1)
-	s.run, s.over = g, false
-	s.events = events{from: r, last: s.events.last, known: s.events.known}
-	return nil
-}
-
-// goOnAfter makes the next send ask for what follows the last event.
-func (x *exchange) goOnAfter(e *events) {
-	if e.known {
-		x.out.lastEvent = strconv.FormatInt(e.last, 10)
+	next, refusal := s.x.resume(nil, nil, s.giveUpRun(err))
+	if refusal != nil {
+		s.cut(refusal)
+		return
 	}
+	s.takeOver(next)
 }
 
 func (s *stream) drop() {
--- a/internal/httpconn/conn.go
+++ b/internal/httpconn/conn.go
@@ -54,6 +54,10 @@
 // ctx's error where that has ended. To enter again with the same ctx is cheap.
 func (c *Conn) Enter(ctx context.Context) error { return c.guard.enter(ctx) }
 
+// Abort ends what waits on the connection, which is of no more use. It may be called by
+// any goroutine.
+func (c *Conn) Abort() { c.guard.cancel() }
+
 // Leave ends what Enter began.
 func (c *Conn) Leave() { c.guard.leave() }
 
--- a/internal/httpconn/guard.go
+++ b/internal/httpconn/guard.go
@@ -47,6 +47,14 @@
 	return nil
 }
 
+// cancel aborts the connection at once.
+func (g *guard) cancel() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.aborted = true
+	g.abort()
+}
+
 func (g *guard) leave() {
 	g.mu.Lock()
 	g.waiting = false
