peer: streams end before their session closes its connection

Cause: yamux's Session.Close closes its shutdown channel, then the connection, then its streams. A Read (or a Write without window) that waits meanwhile finds the channel closed, looks at its stream's state, which is still open, and waits again: it spins until the connection's close returns, which for TLS may take five seconds of writing to a peer that takes nothing. On one processor without preemption it spins for ever, since what would close the stream never runs. perf on the spinning thread had shown nothing but serveStream > yamux.(*Stream).Read > runtime.selectgo.

A session now knows its streams and sets their deadlines to the past when it begins to close, before the connection is closed: reads and writes time out.

Evidence: TestAReadEndsBeforeItsConnectionHasClosed, on a connection whose close is stuck: before, no read of eight ends ("nothing arrived"); now all do.

--- a/internal/peer/call.go
+++ b/internal/peer/call.go
@@ -19,11 +19,11 @@
 	if err := l.awaitUp(ctx); err != nil {
 		return nil, err
 	}
-	stream, err := l.session.OpenStream()
+	stream, err := l.session.open()
 	if err != nil {
 		return nil, errors.WithMessage(ErrNotConnected, err.Error())
 	}
-	defer stream.Close()
+	defer l.session.closeStream(stream)
 	stop := context.AfterFunc(ctx, func() { _ = stream.SetDeadline(l.t.now()) })
 	defer stop()
 	l.noteSent(t)
--- a/internal/peer/connect.go
+++ b/internal/peer/connect.go
@@ -18,7 +18,7 @@
 		t.down(l, closedDialFailed)
 		return
 	}
-	session, err := yamux.Client(&joiner{Conn: conn}, yamuxConfig())
+	session, err := newSession(conn, yamux.Client)
 	if err != nil {
 		t.down(l, closedDialFailed)
 		return
@@ -95,7 +95,7 @@
 		return
 	}
 	t.count.accepts.Add(1)
-	session, err := yamux.Server(&joiner{Conn: conn}, yamuxConfig())
+	session, err := newSession(conn, yamux.Server)
 	if err != nil {
 		t.down(l, closedRefused)
 		return
@@ -104,7 +104,7 @@
 }
 
 // serve registers an authenticated link and runs it until it ends.
-func (t *TCP) serve(l *link, res handshakeResult, session *yamux.Session) {
+func (t *TCP) serve(l *link, res handshakeResult, session *session) {
 	stale, ok := t.attach(l, res, session)
 	for s, why := range stale {
 		t.down(s, why)
@@ -121,7 +121,7 @@
 // attach makes an authenticated link known under its peer's name and returns
 // the links that it makes stale: those of an earlier instance of the peer, and
 // those that the peer has given up as silent. False if the link was closed.
-func (t *TCP) attach(l *link, res handshakeResult, session *yamux.Session) (map[*link]reason, bool) {
+func (t *TCP) attach(l *link, res handshakeResult, session *session) (map[*link]reason, bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	l.peer, l.instance, l.version, l.session = res.peer, res.instance, res.version, session
--- a/internal/peer/frame.go
+++ b/internal/peer/frame.go
@@ -59,6 +59,14 @@
 type joiner struct {
 	net.Conn
 	header []byte
+	// closing is called before the connection is closed.
+	closing func()
+}
+
+// Close implements net.Conn.
+func (j *joiner) Close() error {
+	j.closing()
+	return j.Conn.Close()
 }
 
 // Write implements net.Conn. yamux writes from one goroutine.
--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -58,7 +58,7 @@
 	instance uint64
 	version  uint32
 	raw      net.Conn
-	session  *yamux.Session
+	session  *session
 
 	up   chan struct{} // closed when messages can flow
 	done chan struct{} // closed when the link is closed
@@ -205,7 +205,7 @@
 		l.session.Close()
 	})
 	for {
-		s, err := l.session.AcceptStream()
+		s, err := l.session.accept()
 		if err != nil {
 			break
 		}
@@ -222,11 +222,11 @@
 // write sends the queue, several messages in one write where they are there.
 // It returns an error when the peer took too long to take them.
 func (l *link) write() error {
-	stream, err := l.session.OpenStream()
+	stream, err := l.session.open()
 	if err != nil {
 		return nil
 	}
-	defer stream.Close()
+	defer l.session.closeStream(stream)
 	buf := []byte{streamMessages}
 	for {
 		batch := l.dequeue()
@@ -269,7 +269,7 @@
 
 // serveStream reads what the peer opened a stream for.
 func (l *link) serveStream(s *yamux.Stream) {
-	defer s.Close()
+	defer l.session.closeStream(s)
 	r := bufio.NewReaderSize(s, readBufferBytes)
 	kind, err := r.ReadByte()
 	if err != nil {
--- /dev/null
+++ b/internal/peer/session_test.go
@@ -0,0 +1,68 @@
+package peer
+
+import (
+	"net"
+	"sync"
+	"testing"
+
+	"github.com/hashicorp/yamux"
+	. "github.com/smartystreets/goconvey/convey"
+)
+
+// stuckConn is a connection whose Close takes until it is released.
+type stuckConn struct {
+	net.Conn
+	closing  chan struct{}
+	once     sync.Once
+	released chan struct{}
+}
+
+func (c *stuckConn) Close() error {
+	c.once.Do(func() { close(c.closing) })
+	<-c.released
+	return c.Conn.Close()
+}
+
+// Guards against streams that spin on a core while their session's connection closes.
+func TestAReadEndsBeforeItsConnectionHasClosed(t *testing.T) {
+	Convey("Given streams with reads under way, on a connection whose close is stuck", t, func() {
+		near, far := net.Pipe()
+		stuck := &stuckConn{Conn: near, closing: make(chan struct{}), released: make(chan struct{})}
+		a, err := newSession(stuck, yamux.Client)
+		So(err, ShouldBeNil)
+		b, err := newSession(far, yamux.Server)
+		So(err, ShouldBeNil)
+		Reset(func() { _ = b.Close() })
+		const streams = 8
+		ended := make(chan error, streams)
+		read := func(s *yamux.Stream) {
+			_, err := s.Read(make([]byte, 1))
+			ended <- err
+		}
+		for range streams {
+			opened, err := a.open()
+			So(err, ShouldBeNil)
+			_, err = b.accept()
+			So(err, ShouldBeNil)
+			go read(opened)
+		}
+		closed := make(chan struct{})
+		go func() {
+			_ = a.Close()
+			close(closed)
+		}()
+		await(stuck.closing)
+		Convey("all end before it has closed", func() {
+			for range streams {
+				So(await(ended), ShouldNotBeNil)
+			}
+			select {
+			case <-closed:
+				t.Fatal("the connection has closed before it was released")
+			default:
+			}
+			close(stuck.released)
+			await(closed)
+		})
+	})
+}
