gateway: a drain tells each second what it still waits for

"Still draining." now tells the requests without the end of their answer and the callers' open connections; a request that runs for over a second has its own line already.

--- a/internal/forward/server.go
+++ b/internal/forward/server.go
@@ -139,6 +139,17 @@
 	return errors.Wrap(s.http.ShutdownWithContext(ctx), "shut down")
 }
 
+// Open is what keeps a shutdown waiting.
+type Open struct {
+	Requests    int64 // without the end of their answer
+	Connections int32 // of callers, those between two requests included
+}
+
+// Open tells what is open now.
+func (s *Server) Open() Open {
+	return Open{Requests: s.running.Load(), Connections: s.http.GetOpenConnectionsCount()}
+}
+
 // malformed answers what is no HTTP request.
 func (s *Server) malformed(ctx *fasthttp.RequestCtx, err error) {
 	s.count.malformed.Add(1)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -243,9 +243,10 @@
 	if g.routes.Load() != nil {
 		g.members.Leave() // the pools move first
 	}
-	time.Sleep(listenerStays)
 	limit := seconds(g.settings.Bounds.GraceS) - stopMargin
 	ctx, cancel := context.WithDeadline(context.Background(), began.Add(limit))
 	defer cancel()
+	go g.watchDrain(ctx)
+	time.Sleep(listenerStays)
 	return g.forward.Shutdown(ctx)
 }
--- a/internal/gateway/observe.go
+++ b/internal/gateway/observe.go
@@ -15,6 +15,9 @@
 // other daemons can be relied on; it only feeds the log.
 const trustEvery = 500 * time.Millisecond
 
+// drainTold is how often a drain tells what it waits for.
+const drainTold = time.Second
+
 // latencies are of what a daemon learns its state by.
 type latencies struct {
 	// list is of calls that list a kind in the store; ask is the way to a
@@ -54,6 +57,18 @@
 	}
 }
 
+// watchDrain tells each second what a shutdown still waits for, until ctx ends.
+func (g *Gateway) watchDrain(ctx context.Context) {
+	for {
+		wait.For(ctx, drainTold)
+		if ctx.Err() != nil {
+			return
+		}
+		open := g.forward.Open()
+		g.log.WithField("requests", open.Requests).WithField("connections", open.Connections).Info("Still draining.")
+	}
+}
+
 // serveMetrics serves the counters and histograms as text, where the settings
 // name an address. Without them callers are served all the same.
 func (g *Gateway) serveMetrics() {
