quota: what daemons share is divided when they do not hear each other

The class: what daemons share is spent by each of two parts that do not hear each other.

Causes, by a simulation of 79 ledgers with their exchange and by reading: each side of a cut kept the whole saved burst; the whole rate accrued on both for 1.5 s; membership then took the far side for dead, the dead had no share, and each side divided the whole rate among its own; each daemon let one more large request through before it heard of the others; and a hub that heard another for the first time did not learn what that one had counted before.

Now the share of a daemon accrues elsewhere up to its last sign only and comes with the next one; whoever falls silent is left its part of what is saved, with as much counted as let through as each of those did that are heard; the part returns when its use is known; the lost keep their share for five minutes; while little is left requests are let through in proportion to what all daemons are likely to be asked for meanwhile; and new hubs tell their levels. The exchange tells how old signs are (quotas.go, one number).

--- a/internal/gateway/quotas.go
+++ b/internal/gateway/quotas.go
@@ -41,21 +41,22 @@
 	views     *member.Live
 	log       *logrus.Entry
 
-	mu     sync.Mutex
-	view   *member.View
-	others []string // the other daemons
-	route  hubRoute
-	at     int       // of route.candidates: the hub that is reported to
-	sent   time.Time // the last report
-	asked  time.Time // the first report without an answer; zero: none
-	told   time.Time // when all was told to the other hubs
-	hubs   map[string]bool
+	mu      sync.Mutex
+	view    *member.View
+	sharers *sharers
+	others  []string // the other daemons that have a share
+	route   hubRoute
+	at      int       // of route.candidates: the hub that is reported to
+	sent    time.Time // the last report
+	asked   time.Time // the first report without an answer; zero: none
+	told    time.Time // when all was told to the other hubs
+	hubs    map[string]bool
 }
 
 func newQuotas(l *quota.Ledger, b *budgets, t peer.Transport, views *member.Live, now func() time.Time) *quotas {
 	q := &quotas{
 		ledger: l, exchange: quota.NewExchange(l, now, uint64(now().UnixNano())),
-		budgets: b, transport: t, views: views, log: logs.For("quotas"),
+		budgets: b, transport: t, views: views, log: logs.For("quotas"), sharers: newSharers(),
 	}
 	t.Handle(peer.TypeQuotaBatch, q.report)
 	t.Handle(peer.TypeQuotaAnswer, q.learn)
@@ -80,7 +81,7 @@
 func (q *quotas) tell(now time.Time) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	q.look()
+	q.look(now)
 	if len(q.others) == 0 || q.ledger.Empty() {
 		return
 	}
@@ -94,18 +95,16 @@
 }
 
 // look takes a new view's members.
-func (q *quotas) look() {
+func (q *quotas) look(now time.Time) {
 	view := q.views.Load()
-	if view == q.view {
+	if view == q.view && !q.sharers.due(now) {
 		return
 	}
-	q.view, q.others = view, nil
-	for _, m := range view.Members {
-		if m.Name != view.Self && m.State != member.Dead {
-			q.others = append(q.others, m.Name)
-		}
+	q.others = q.sharers.others(view, now)
+	if view != q.view {
+		q.view = view
+		q.route, q.at = routeToHub(view), 0
 	}
-	q.route, q.at = routeToHub(view), 0
 	q.ledger.Members(q.others)
 	q.budgets.share(len(q.others) + 1)
 }
@@ -129,7 +128,7 @@
 		q.asked = now
 	}
 	q.send(q.route.candidates[q.at], peer.TypeQuotaBatch, &wire.QuotaBatch{
-		Incarnation: b.Incarnation, Number: b.Number, Uses: usesToWire(b.Uses), Hub: b.Hub, Version: b.Version,
+		Incarnation: b.Incarnation, Number: b.Number, Uses: usesToWire(b.Uses), Hub: b.Hub, Version: b.Version, Behind: b.Behind,
 	})
 }
 
@@ -152,9 +151,9 @@
 	if len(g.Uses) == 0 && !all {
 		return
 	}
-	m := &wire.QuotaGroup{Incarnation: g.Incarnation, Sequence: g.Sequence, Complete: g.Complete, Uses: usesToWire(g.Uses)}
-	for _, s := range g.Signs {
-		m.Signs = append(m.Signs, &wire.QuotaSign{Daemon: s.Daemon, AgeMs: float64(s.Age) / float64(time.Millisecond)})
+	m := &wire.QuotaGroup{
+		Incarnation: g.Incarnation, Sequence: g.Sequence, Complete: g.Complete, Uses: usesToWire(g.Uses),
+		Levels: usesToWire(g.Levels), Daemons: g.Daemons, Silent: g.Silent, AgeMs: inMs(g.Age),
 	}
 	for name, other := range targets {
 		if other {
@@ -183,11 +182,12 @@
 		return nil, err
 	}
 	a := q.exchange.Report(string(from), quota.Batch{
-		Incarnation: m.Incarnation, Number: m.Number, Uses: usesOf(m.Uses), Hub: m.Hub, Version: m.Version,
+		Incarnation: m.Incarnation, Number: m.Number, Uses: usesOf(m.Uses), Hub: m.Hub, Version: m.Version, Behind: m.Behind,
 	})
 	q.send(string(from), peer.TypeQuotaAnswer, &wire.QuotaAnswer{
 		Hub: a.Hub, Version: a.Version, Number: a.Number,
-		Others: usesToWire(a.Others), Levels: usesToWire(a.Levels), Silent: a.Silent,
+		Others: usesToWire(a.Others), Levels: usesToWire(a.Levels),
+		Silent: a.Silent, AgeMs: inMs(a.Age),
 	})
 	return nil, nil
 }
@@ -197,16 +197,15 @@
 	if err := proto.Unmarshal(payload, &m); err != nil {
 		return nil, err
 	}
+	q.mu.Lock()
+	defer q.mu.Unlock()
 	acknowledged := q.exchange.Learn(quota.Answer{
 		Hub: m.Hub, Version: m.Version, Number: m.Number, Others: usesOf(m.Others), Levels: usesOf(m.Levels),
-	})
-	if !acknowledged {
-		return nil, nil
+		Silent: m.Silent, Age: milliseconds(m.AgeMs),
+	}, q.others)
+	if acknowledged {
+		q.asked = time.Time{}
 	}
-	q.mu.Lock()
-	defer q.mu.Unlock()
-	q.asked = time.Time{}
-	q.exchange.LearnSigns(q.others, m.Silent)
 	return nil, nil
 }
 
@@ -215,11 +214,10 @@
 	if err := proto.Unmarshal(payload, &m); err != nil {
 		return nil, err
 	}
-	g := quota.Group{Incarnation: m.Incarnation, Sequence: m.Sequence, Complete: m.Complete, Uses: usesOf(m.Uses)}
-	for _, s := range m.Signs {
-		g.Signs = append(g.Signs, quota.Sign{Daemon: s.Daemon, Age: milliseconds(s.AgeMs)})
-	}
-	q.exchange.TakeGroup(string(from), g)
+	q.exchange.TakeGroup(string(from), quota.Group{
+		Incarnation: m.Incarnation, Sequence: m.Sequence, Complete: m.Complete, Uses: usesOf(m.Uses),
+		Levels: usesOf(m.Levels), Daemons: m.Daemons, Silent: m.Silent, Age: milliseconds(m.AgeMs),
+	})
 	return nil, nil
 }
 
--- a/quota/exchange.go
+++ b/quota/exchange.go
@@ -1,6 +1,7 @@
 package quota
 
 import (
+	"slices"
 	"sync"
 	"time"
 )
@@ -16,6 +17,9 @@
 	// Hub and Version tell which answer the daemon has; zero: none that is of
 	// use.
 	Hub, Version uint64
+	// Behind is set where the daemon has let more through than its batches tell,
+	// because this one is sent again.
+	Behind bool
 }
 
 // Answer is what a hub tells a daemon that has sent it a batch.
@@ -31,8 +35,10 @@
 	Others []Use
 	// Levels are the hub's own buckets, for a daemon that has no answer of it.
 	Levels []Use
-	// Silent are the daemons that the hub has not heard of for SilentAfter.
+	// Silent are the daemons that the hub has not heard of lately, and Age is how old
+	// its signs of the others are at most.
 	Silent []string
+	Age    time.Duration
 }
 
 // Group is what the daemons that report to one hub have let through since its
@@ -43,13 +49,13 @@
 	// Complete is set where Uses are all of them, not only those that changed.
 	Complete bool
 	Uses     []Use
-	// Signs tell when the hub last heard of its daemons.
-	Signs []Sign
-}
-
-// Sign tells how long ago a daemon was heard.
-type Sign struct {
-	Daemon string
+	// Levels are the hub's own buckets that have settled, told where Uses are complete.
+	Levels []Use
+	// Daemons are those that report to the hub, told where Uses are complete.
+	Daemons []string
+	// Silent are those of them that the hub has not heard of lately, and Age is how
+	// old its signs of the others are at most.
+	Silent []string
 	Age    time.Duration
 }
 
@@ -79,10 +85,12 @@
 	others         map[string]float64
 	answered       time.Time
 
-	// As a hub.
+	// As a hub. alone is what it counted lately while it heard no other one.
 	leading  bool
+	alone    map[string]*recent
 	totals   map[string]*total
 	changes  uint64
+	levelled uint64 // the change at which the levels last changed otherwise than by uses
 	group    map[string]float64
 	untold   map[string]bool
 	sequence uint64
@@ -109,13 +117,14 @@
 	incarnation, sequence uint64
 	used                  map[string]float64
 	heard                 time.Time
+	daemons               []string // that report to it
 }
 
 // NewExchange returns the exchange of a ledger. incarnation is of this
 // process.
 func NewExchange(l *Ledger, now func() time.Time, incarnation uint64) *Exchange {
 	return &Exchange{
-		now: now, ledger: l, incarnation: incarnation, others: map[string]float64{},
+		now: now, ledger: l, incarnation: incarnation, others: map[string]float64{}, alone: map[string]*recent{},
 		totals: map[string]*total{}, group: map[string]float64{}, untold: map[string]bool{},
 		reports: map[string]*report{}, groups: map[string]*groupState{},
 	}
@@ -130,16 +139,22 @@
 	if e.unacknowledged == nil {
 		e.number++
 		e.unacknowledged = &Batch{Incarnation: e.incarnation, Number: e.number, Uses: e.ledger.Pending()}
+		if len(e.hubs()) == 0 {
+			e.unacknowledged.Uses = append(e.unacknowledged.Uses, e.unheardOf()...)
+			clear(e.alone)
+		}
 	}
 	b := *e.unacknowledged
+	b.Behind = e.ledger.Untold()
 	if e.now().Sub(e.answered) <= SilentAfter {
 		b.Hub, b.Version = e.hub, e.version
 	}
 	return b
 }
 
-// Learn takes a hub's answer, and tells whether it acknowledges the batch.
-func (e *Exchange) Learn(a Answer) bool {
+// Learn takes a hub's answer, with the signs of the other daemons in it, and tells whether
+// it acknowledges the batch.
+func (e *Exchange) Learn(a Answer, daemons []string) bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if e.unacknowledged == nil || a.Number != e.unacknowledged.Number {
@@ -149,6 +164,7 @@
 	// A hub tells its levels to whoever said that it has no answer of it. By
 	// the time, an answer that took long would be neither adopted nor counted.
 	follows := a.Hub == e.hub && len(a.Levels) == 0
+	e.heard(daemons, a.Silent, a.Age)
 	if !follows {
 		e.others = map[string]float64{}
 		e.ledger.Adopt(a.Levels)
@@ -161,31 +177,48 @@
 	return true
 }
 
-// LearnSigns takes it that the daemons but the silent ones were heard by the
-// hub.
-func (e *Exchange) LearnSigns(daemons, silent []string) {
-	mute := make(map[string]bool, len(silent))
-	for _, name := range silent {
-		mute[name] = true
-	}
-	for _, name := range daemons {
-		if !mute[name] {
-			e.ledger.Alive(name, 0)
-		}
-	}
-}
-
 // Lead counts what this daemon itself has let through, in place of a report: it
 // is a hub.
 func (e *Exchange) Lead() {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.leading = true
-	e.addGroup(e.ledger.Pending())
+	uses := e.ledger.Pending()
 	if b := e.unacknowledged; b != nil { // for a hub that is none any more
-		e.addGroup(b.Uses)
+		uses = append(uses, b.Uses...)
 		e.unacknowledged = nil
 	}
+	e.addGroup(uses)
+	e.unheard(uses)
+	if len(uses) > 0 {
+		e.number++ // a hub that gets the next batch sees that it misses one
+	}
+}
+
+// unheard remembers uses where no other hub hears of them.
+func (e *Exchange) unheard(uses []Use) {
+	if len(e.hubs()) > 0 {
+		return
+	}
+	for _, u := range uses {
+		if e.alone[u.Workspace] == nil {
+			e.alone[u.Workspace] = &recent{}
+		}
+		e.alone[u.Workspace].add(e.now(), u.Amount)
+	}
+}
+
+// unheardOf returns what was counted lately while no other hub was heard.
+func (e *Exchange) unheardOf() []Use {
+	var out []Use
+	for name, r := range e.alone {
+		if amount := r.since(e.now(), SilentAfter); amount != 0 {
+			out = append(out, Use{name, amount})
+		} else {
+			delete(e.alone, name)
+		}
+	}
+	return out
 }
 
 // Led tells whether daemons have reported here lately.
@@ -205,20 +238,33 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	r := e.reports[from]
-	if r == nil || r.incarnation != b.Incarnation {
+	known := r != nil && r.incarnation == b.Incarnation
+	if !known {
 		r = &report{incarnation: b.Incarnation, used: map[string]float64{}}
 		e.reports[from] = r
 		b.Hub = 0 // what it has of an earlier report is not known here
 	}
 	r.heard = e.now()
-	e.ledger.Alive(from, 0)
+	// Batches between were told to another hub, whose word may not have come.
+	allTold := known && b.Number <= r.number+1
+	uses := b.Uses
 	if b.Number > r.number {
 		r.number = b.Number
-		for _, u := range b.Uses {
+		for _, u := range uses {
 			r.used[u.Workspace] += u.Amount
 		}
-		e.ledger.Spend(b.Uses)
-		e.addGroup(b.Uses)
+		e.addGroup(uses)
+		e.unheard(uses)
+	} else {
+		uses = nil
+	}
+	if allTold && !b.Behind {
+		e.told([]string{from}, uses, 0)
+	} else {
+		e.ledger.Spend(uses)
+	}
+	if !allTold {
+		e.ledger.Alive(from, 0)
 	}
 	return e.answer(r, b)
 }
@@ -226,9 +272,10 @@
 // answer tells what the others than r let through that is newer than the
 // batch tells.
 func (e *Exchange) answer(r *report, b Batch) Answer {
-	a := Answer{Hub: e.incarnation, Version: e.changes, Number: b.Number, Silent: e.ledger.Silent()}
+	a := Answer{Hub: e.incarnation, Version: e.changes, Number: b.Number}
+	a.Age, a.Silent = e.ledger.Signs()
 	since := b.Version
-	if b.Hub != e.incarnation {
+	if b.Hub != e.incarnation || since < e.levelled {
 		since = 0
 		a.Levels = e.ledger.Levels()
 	}
@@ -254,16 +301,23 @@
 	}
 	clear(e.untold)
 	if all {
-		for name, r := range e.reports {
-			g.Signs = append(g.Signs, Sign{name, e.now().Sub(r.heard)})
+		g.Levels = e.ledger.SettledLevels()
+	}
+	for name, r := range e.reports {
+		if all {
+			g.Daemons = append(g.Daemons, name)
+		}
+		if age := e.now().Sub(r.heard); age > quietAfter {
+			g.Silent = append(g.Silent, name)
+		} else {
+			g.Age = max(g.Age, age)
 		}
 	}
 	return g
 }
 
-// TakeGroup takes what another hub tells. The first complete word of a hub, and
-// the first after a silence, only says where its counts stand: while nothing was
-// heard its daemons were assumed to let their shares through.
+// TakeGroup takes what another hub tells. The first complete word of a hub says where its
+// counts stand, and its levels tell of what was counted before.
 func (e *Exchange) TakeGroup(from string, g Group) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -275,29 +329,65 @@
 	if known && g.Sequence <= s.sequence {
 		return
 	}
-	follows := known && e.now().Sub(s.heard) <= SilentAfter
-	if !follows && !g.Complete {
+	wasSilent := known && e.now().Sub(s.heard) > SilentAfter
+	if (!known || wasSilent) && !g.Complete {
 		return
 	}
-	if !follows {
+	if !known {
 		s = &groupState{incarnation: g.Incarnation, used: map[string]float64{}}
 		e.groups[from] = s
 	}
 	s.sequence, s.heard = g.Sequence, e.now()
-	if news := grown(s.used, g.Uses); follows {
-		e.ledger.Spend(news)
+	news := grown(s.used, g.Uses)
+	if !known {
+		e.ledger.AtMost(g.Levels)
+		e.tellLevels()
+	} else {
+		// Its counts hold what those let through that were its daemons before.
+		// Others may have reported elsewhere.
 		e.addTotals(news)
+		e.told(except(slices.Concat(s.daemons, []string{from}), g.Silent), news, g.Age)
+	}
+	if g.Complete {
+		s.daemons = g.Daemons
 	}
-	e.ledger.Alive(from, 0)
-	for _, sign := range g.Signs {
-		e.ledger.Alive(sign.Daemon, sign.Age)
+	e.heard(slices.Concat(s.daemons, []string{from}), g.Silent, g.Age)
+}
+
+// heard takes signs of daemons but the silent ones.
+func (e *Exchange) heard(daemons, silent []string, age time.Duration) {
+	for _, name := range except(daemons, silent) {
+		e.ledger.Alive(name, age)
 	}
 }
 
+// told takes signs of daemons that have let uses through and no more. Where any had been
+// silent, those that report here can't know what has returned.
+func (e *Exchange) told(daemons []string, uses []Use, age time.Duration) {
+	if e.ledger.Told(daemons, uses, age) {
+		e.tellLevels()
+	}
+}
+
+// tellLevels makes the next answers tell the levels.
+func (e *Exchange) tellLevels() {
+	e.changes++
+	e.levelled = e.changes
+}
+
+// except returns the names that are not among others.
+func except(names, others []string) []string {
+	return slices.DeleteFunc(slices.Clone(names), func(name string) bool { return slices.Contains(others, name) })
+}
+
 // Hubs returns the hubs that were heard lately.
 func (e *Exchange) Hubs() []string {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	return e.hubs()
+}
+
+func (e *Exchange) hubs() []string {
 	var out []string
 	for name, s := range e.groups {
 		if e.now().Sub(s.heard) <= SilentAfter {
--- a/quota/ledger.go
+++ b/quota/ledger.go
@@ -5,53 +5,30 @@
 package quota
 
 import (
+	"math/rand/v2"
 	"sync"
 	"time"
 
-	"github.com/lycheekeel/lycheekeel/request"
 	"github.com/lycheekeel/lycheekeel/route"
 )
 
-// SilentAfter is how long another daemon may say nothing before its share is
-// left to it.
-const SilentAfter = 1500 * time.Millisecond
-
-// fillAllEvery bounds the time that a bucket accrues at one rate: a bucket that
-// nobody uses would get the share of a silence for the time before it too.
-const fillAllEvery = SilentAfter / 4
-
 // Ledger holds a token bucket for each workspace that all daemons empty
 // together. It is safe for concurrent use.
 //
 // What goes wrong with a bucket in each daemon: every one lets the whole
 // quota through, or, with a fixed share each, refuses while the others'
 // shares lie idle. One would notice a workspace over its limit, or refused
-// below it. Here each counts what the others let through. Of one that says
-// nothing it assumes that it lets its fixed share through, as that one does when
-// it hears nobody. So the sum is bounded while daemons are cut off from each
-// other.
+// below it. Here each counts what the others let through. One that says nothing
+// keeps its share of the rate and of what was saved, which is all that it lets
+// through when it hears nobody. So the sum is bounded while daemons are cut off
+// from each other.
 type Ledger struct {
-	mu      sync.Mutex
-	now     func() time.Time
-	buckets map[string]*bucket
-	// heard is when the other daemons that may let requests through last gave
-	// a sign; zero: not yet.
-	heard     map[string]time.Time
-	filledAll time.Time // when all buckets were last filled
-	// assumed is how many daemons there may be while none has been met.
-	assumed   int
+	mu        sync.Mutex
+	now       func() time.Time
+	buckets   map[string]*bucket
+	others    others
 	tolerance Tolerance
-}
-
-// bucket is a workspace's, as far as this daemon knows.
-type bucket struct {
-	level    float64
-	filled   time.Time
-	rate     float64
-	capacity float64
-	pending  float64 // let through by this daemon and not yet told
-	// asked is when a request of each tier last asked; zero: never.
-	asked [request.MaxTiers]time.Time
+	random    func() float64 // in [0, 1)
 }
 
 // Use is an amount of a workspace's quota.
@@ -63,7 +40,10 @@
 // NewLedger returns an empty ledger. assumed is the number of daemons to
 // reckon with while no other has been met.
 func NewLedger(now func() time.Time, assumed int, t Tolerance) *Ledger {
-	return &Ledger{now: now, tolerance: t, buckets: map[string]*bucket{}, heard: map[string]time.Time{}, assumed: max(1, assumed)}
+	return &Ledger{
+		now: now, tolerance: t, buckets: map[string]*bucket{}, random: rand.Float64,
+		others: others{heard: map[string]time.Time{}, assumed: max(1, assumed), at: now(), looked: now()},
+	}
 }
 
 // Prepare begins to fill the buckets of workspaces that are new, before their
@@ -83,8 +63,9 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	b := l.bucket(w)
-	b.level = min(b.capacity, b.level+cost)
+	b.add(cost)
 	b.pending -= cost
+	b.spent.add(l.now(), -cost)
 }
 
 // Members tells which other daemons there are. One that is gone for good
@@ -92,16 +73,11 @@
 func (l *Ledger) Members(names []string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	known := make(map[string]bool, len(names))
-	for _, n := range names {
-		known[n] = true
-		if _, ok := l.heard[n]; !ok {
-			l.heard[n] = time.Time{}
-		}
-	}
-	for n := range l.heard {
-		if !known[n] {
-			delete(l.heard, n)
+	before := l.others.silent
+	l.others.members(names, l.now())
+	if gone := before - l.others.silent; gone > 0 {
+		for _, b := range l.buckets {
+			b.kept -= b.kept * float64(gone) / float64(before)
 		}
 	}
 }
@@ -111,28 +87,62 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now := l.now()
-	at := now.Add(-age)
-	before, known := l.heard[name]
-	if !known || !at.After(before) {
+	l.look()
+	silent, met := l.others.silent, l.others.met()
+	gap := l.others.alive(name, now.Add(-age), now, false)
+	if gap <= doubtAfter {
 		return
 	}
-	if l.silent(before, now) || now.Sub(l.filledAll) >= fillAllEvery {
-		l.fillAll() // at the rate that was allowed until now
+	for _, b := range l.buckets {
+		if gap > SilentAfter {
+			b.kept -= b.kept / float64(max(1, silent))
+		}
+		b.assume(1/float64(met), gap, now)
 	}
-	l.heard[name] = at
 }
 
-// Silent returns the other daemons that have given no sign for SilentAfter.
-func (l *Ledger) Silent() []string {
+// Told takes signs, age old, of other daemons that have let uses through since the last
+// one, and no more. It returns whether any of them had been silent for a while.
+func (l *Ledger) Told(names []string, uses []Use, age time.Duration) (returned bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	var out []string
-	for name, at := range l.heard {
-		if l.silent(at, l.now()) {
-			out = append(out, name)
+	now := l.now()
+	for _, b := range l.buckets {
+		l.fill(b)
+	}
+	silent, met, accrued := l.others.silent, l.others.met(), l.others.accrued
+	back := 0
+	for _, name := range names {
+		gap := l.others.alive(name, now.Add(-age), now, true)
+		returned = returned || gap > doubtAfter
+		if gap > SilentAfter {
+			back++
 		}
 	}
-	return out
+	if back == 0 {
+		l.spend(uses)
+		return returned
+	}
+	used := make(map[string]float64, len(uses))
+	for _, u := range uses {
+		used[u.Workspace] += u.Amount
+	}
+	for name, b := range l.buckets {
+		kept := b.kept * float64(back) / float64(max(back, silent))
+		b.kept -= kept
+		b.rejoin(kept+b.rate*(l.others.accrued-accrued)-used[name], float64(back)/float64(met))
+		b.filled = l.others.accrued
+	}
+	return true
+}
+
+// Signs returns how old the other daemons' signs are at most, and who has given none for
+// longer than a hub passes on.
+func (l *Ledger) Signs() (age time.Duration, quiet []string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := l.now()
+	return l.others.age(now), l.others.quiet(quietAfter, now)
 }
 
 // Spend takes from the buckets what other daemons have let through. An amount
@@ -140,10 +150,16 @@
 func (l *Ledger) Spend(uses []Use) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	l.spend(uses)
+}
+
+func (l *Ledger) spend(uses []Use) {
 	for _, u := range uses {
 		if b := l.buckets[u.Workspace]; b != nil {
 			l.fill(b)
-			b.level = min(b.capacity, b.level-u.Amount)
+			b.add(-u.Amount)
+			b.spent.add(l.now(), u.Amount)
+			b.told.add(l.now(), u.Amount)
 		}
 	}
 }
@@ -187,6 +203,21 @@
 	return out
 }
 
+// SettledLevels returns the levels of the buckets that could have filled since they were
+// made: how low one is tells nothing before.
+func (l *Ledger) SettledLevels() []Use {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var out []Use
+	for name, b := range l.buckets {
+		l.fill(b)
+		if (b.filled-b.made)*b.rate >= b.capacity {
+			out = append(out, Use{name, b.level})
+		}
+	}
+	return out
+}
+
 // Adopt puts another daemon's levels in place of the own ones, less what was
 // let through here that the other can't know of yet.
 func (l *Ledger) Adopt(levels []Use) {
@@ -195,7 +226,22 @@
 	for _, u := range levels {
 		if b := l.buckets[u.Workspace]; b != nil {
 			l.fill(b)
-			b.level = min(b.capacity, u.Amount-b.pending)
+			b.level, b.kept = min(b.room, u.Amount-b.pending), 0
+		}
+	}
+	// What has accrued until now is in the levels.
+	l.others.caughtUp(l.now())
+}
+
+// AtMost lowers the levels to another daemon's: what it knows of and this one does not has
+// been let through.
+func (l *Ledger) AtMost(levels []Use) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, u := range levels {
+		if b := l.buckets[u.Workspace]; b != nil {
+			l.fill(b)
+			b.level = min(b.level, u.Amount)
 		}
 	}
 }
@@ -213,7 +259,8 @@
 func (l *Ledger) bucket(w *route.Workspace) *bucket {
 	b := l.buckets[w.Name]
 	if b == nil {
-		b = &bucket{filled: l.now()}
+		l.others.accrue(l.now())
+		b = newBucket(l.others.accrued)
 		l.buckets[w.Name] = b
 	}
 	b.rate, b.capacity = l.tolerance.rate(w.Quota), l.tolerance.capacity(w.Quota)
@@ -221,19 +268,30 @@
 	return b
 }
 
-func (l *Ledger) fillAll() {
-	l.filledAll = l.now()
-	for _, b := range l.buckets {
-		l.fill(b)
-	}
+// fill adds what has accrued, and leaves the daemons that have fallen silent their part.
+func (l *Ledger) fill(b *bucket) {
+	l.look()
+	l.others.accrue(l.now())
+	b.room = b.capacity * l.others.share()
+	b.fillTo(l.others.accrued)
 }
 
-// fill adds what has accrued, less the shares of the daemons that are silent.
-func (l *Ledger) fill(b *bucket) {
+// look finds who has fallen silent, and leaves them their part of what is left.
+func (l *Ledger) look() {
 	now := l.now()
-	accrued := b.rate * max(0, now.Sub(b.filled).Seconds()) * l.share(now)
-	b.level = min(b.capacity, b.level+accrued)
-	b.filled = now
+	if now.Sub(l.others.looked) < lookEvery {
+		return
+	}
+	part := l.others.fellSilent(now)
+	if part == 0 {
+		return
+	}
+	for _, b := range l.buckets {
+		b.fillTo(l.others.accrued)
+		left := b.without(part, SilentAfter, now)
+		b.kept += b.level - left
+		b.level = left
+	}
 }
 
 // Share is the part of the quotas that accrues here; 1: all daemons are
@@ -241,24 +299,6 @@
 func (l *Ledger) Share() float64 {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.share(l.now())
-}
-
-// share is the part of the rate that accrues here: all of it while every other
-// daemon is heard.
-func (l *Ledger) share(now time.Time) float64 {
-	if len(l.heard) == 0 {
-		return 1 / float64(l.assumed)
-	}
-	silent := 0
-	for _, at := range l.heard {
-		if l.silent(at, now) {
-			silent++
-		}
-	}
-	return 1 - float64(silent)/float64(len(l.heard)+1)
-}
-
-func (l *Ledger) silent(heard, now time.Time) bool {
-	return heard.IsZero() || now.Sub(heard) > SilentAfter
+	l.look()
+	return l.others.share()
 }
--- a/quota/take.go
+++ b/quota/take.go
@@ -29,7 +29,7 @@
 	// overdraftShare of the slack is how far requests that are no larger than
 	// that may overdraw a bucket. Without it a small call is refused because
 	// a large prompt has just overdrawn it.
-	overdraftShare = 0.3
+	overdraftShare = 0.2
 	// smallShare of a bucket is what a request may need without leaving a reserve
 	// to more urgent tiers: a hundred plain calls are not worth one refusal among
 	// them. Larger ones that leave a reserve may not overdraw the bucket either.
@@ -44,6 +44,12 @@
 	reserveMost = 0.6
 	// reserveMemory is how long a tier counts as asking after its last request.
 	reserveMemory = 5 * time.Second
+	// knownAfter is how long it takes until a daemon knows what another one let through.
+	knownAfter = 240 * time.Millisecond
+	// demandMemory is over what time asked and granted amounts are compared.
+	demandMemory = 2 * time.Second
+	// maxPressure bounds how many times what is granted may count as asked.
+	maxPressure = 8
 	// waitMost bounds what a refused caller is told: an overload that lasts for
 	// longer is no matter of when.
 	waitMost = 10 * time.Second
@@ -68,26 +74,50 @@
 	defer l.mu.Unlock()
 	b := l.bucket(w)
 	b.asked[tier] = l.now()
+	now := l.now()
 	need := l.need(b, tier, cost)
-	if b.level >= need {
+	left := b.without(l.others.doubt(), doubtAfter, now)
+	b.demand[tier].Add(now, cost)
+	if left >= need && l.random()*b.contended(tier, now) <= left-need {
 		b.level -= cost
 		b.pending += cost
+		b.spent.add(now, cost)
+		b.granted.Add(now, cost)
 		return true, 0
 	}
-	return false, forAmount(need-b.level, b.rate*l.share(b.filled))
+	return false, forAmount(max(need-left, smallShare*b.room), b.rate*l.others.share())
+}
+
+// contended is how much the other daemons are likely to be asked for, by tiers at least as
+// urgent, before what any of them lets through is known here. Where less is left, a part
+// of the requests is let through, so that all daemons together let through what is left.
+//
+// What goes wrong without it: a workspace asks several times its quota of many daemons.
+// Whenever a bit is left, each lets one more large request through before it hears of the
+// others, and all together exceed the quota by dozens of them.
+func (b *bucket) contended(tier request.Tier, now time.Time) float64 {
+	asked, granted := 0.0, b.granted.PerSecond(now)
+	for t := range b.demand[:tier+1] {
+		asked += b.demand[t].PerSecond(now)
+	}
+	pressure := 1.0
+	if asked > granted {
+		pressure = min(asked/max(granted, asked/maxPressure), maxPressure)
+	}
+	return max(0, b.told.since(now, SilentAfter)) * (knownAfter.Seconds() / SilentAfter.Seconds()) * pressure
 }
 
 // need is what a bucket must hold for a request.
 func (l *Ledger) need(b *bucket, tier request.Tier, cost float64) float64 {
-	entry := entryShare * l.tolerance.Slack / float64(max(l.assumed, len(l.heard)+1))
+	entry := entryShare * l.tolerance.Slack / float64(max(l.others.assumed, l.others.daemons()))
 	if l.tolerance.Slack == 0 {
-		entry = b.capacity
+		entry = b.room
 	}
 	reserve := l.reserve(b, tier, cost)
 	if cost <= entry && reserve == 0 {
-		return cost - overdraftShare*l.tolerance.Slack
+		return cost - overdraftShare*l.tolerance.Slack*l.others.share()*(1-l.others.doubt())
 	}
-	return min(min(cost, entry)+reserve, b.capacity)
+	return min(min(cost, entry)+reserve, b.room)
 }
 
 // reserve is the part of a bucket that a request leaves to the more urgent tiers of
@@ -98,7 +128,7 @@
 // of the quota has just gone to one that can wait. One notices refusals of the most
 // urgent tier while lower tiers are served. With a full bucket nothing changes.
 func (l *Ledger) reserve(b *bucket, tier request.Tier, cost float64) float64 {
-	if cost <= smallShare*b.capacity {
+	if cost <= smallShare*b.room {
 		return 0
 	}
 	above := 0
@@ -107,7 +137,7 @@
 			above++
 		}
 	}
-	return min(reserveShare*float64(above), reserveMost) * b.capacity
+	return min(reserveShare*float64(above), reserveMost) * b.room
 }
 
 // forAmount is how long an amount takes to accrue at a rate per second.
