member: a view finds each pool's owner once

Each look takes a logarithm for each member, for each of 94 pools, at every tick, though a view never changes.

A view now remembers the owners it has found.

--- a/member/view.go
+++ b/member/view.go
@@ -7,6 +7,7 @@
 import (
 	"math"
 	"sort"
+	"sync"
 	"sync/atomic"
 
 	"github.com/cespare/xxhash/v2"
@@ -80,8 +81,14 @@
 type View struct {
 	Self    string
 	Members []Member
+	// owners remembers the owner of each pool that was asked for: to find it takes a
+	// logarithm for each member, and all pools are asked for several times a second.
+	owners *sync.Map
 }
 
+// owned is a pool of a region.
+type owned struct{ pool, region string }
+
 // Live holds the view in force. Load is one atomic read.
 type Live struct{ p atomic.Pointer[View] }
 
@@ -99,7 +106,7 @@
 // NewView returns a view of the members, which it sorts.
 func NewView(self string, members []Member) *View {
 	sort.Slice(members, func(i, j int) bool { return members[i].Name < members[j].Name })
-	return &View{Self: self, Members: members}
+	return &View{Self: self, Members: members, owners: &sync.Map{}}
 }
 
 // Get returns a member by name.
@@ -126,6 +133,20 @@
 // region's members that are alive or only suspected, so that a change of one
 // member moves only that member's pools. False where the region has none.
 func (v *View) Owner(pool, region string) (Member, bool) {
+	if v.owners == nil {
+		return v.findOwner(pool, region)
+	}
+	key := owned{pool, region}
+	if known, ok := v.owners.Load(key); ok {
+		m := known.(Member)
+		return m, m.Name != ""
+	}
+	m, found := v.findOwner(pool, region)
+	v.owners.Store(key, m)
+	return m, found
+}
+
+func (v *View) findOwner(pool, region string) (Member, bool) {
 	var best Member
 	var bestScore float64
 	found := false
--- /dev/null
+++ b/member/view_bench_test.go
@@ -0,0 +1,23 @@
+package member
+
+import (
+	"fmt"
+	"testing"
+)
+
+// BenchmarkOwners looks up the owners of 94 pools among 302 members, as entries and pool
+// owners do several times a second.
+func BenchmarkOwners(b *testing.B) {
+	members := make([]Member, 302)
+	for i := range members {
+		members[i] = Member{Name: fmt.Sprint("vm-", i), Region: "r", State: Alive}
+	}
+	v := NewView("vm-0", members)
+	for b.Loop() {
+		for p := range 94 {
+			if _, ok := v.Owner(fmt.Sprint("pool#", p), "r"); !ok {
+				b.Fatal("no owner")
+			}
+		}
+	}
+}
