gateway: the pools are made anew for a bounded part of the time

From 256 servers on the pools are made at once only where that keeps it under a twentieth of the time, and else at most 0.25 s later, for all changes that have come by then. Below 256 nothing changes. A leaving server must get nothing new within 2 to 4 s.

TestPacedWorkTakesABoundedPartOfTheTime, TestTheLastOfManyChangesIsInForce (2,560 changes in a row).

--- a/discovery/directory.go
+++ b/discovery/directory.go
@@ -155,6 +155,9 @@
 	return d.returned.Add(ReturnGrace).Sub(now), len(d.missing) > 0 && !d.away
 }
 
+// Len is how many entries there are, of whatever kind.
+func (d *Directory) Len() int { return len(d.servers) }
+
 // Servers returns all servers that may be used, sorted by ID, those that are
 // missing included.
 func (d *Directory) Servers() []Server {
--- /dev/null
+++ b/internal/gateway/pacer_test.go
@@ -0,0 +1,73 @@
+package gateway
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/lycheekeel/lycheekeel/discovery"
+	"github.com/lycheekeel/lycheekeel/internal/metrics"
+	"github.com/lycheekeel/lycheekeel/internal/testwait"
+	"github.com/lycheekeel/lycheekeel/objectstore"
+	"github.com/lycheekeel/lycheekeel/quota"
+	"github.com/lycheekeel/lycheekeel/route"
+	"github.com/lycheekeel/lycheekeel/workspace"
+)
+
+// inForceWithin is generous: no test is decided by it.
+const inForceWithin = 30 * time.Second
+
+// Guards against daemons that spend their core on making the pools anew where there are thousands of servers.
+func TestPacedWorkTakesABoundedPartOfTheTime(t *testing.T) {
+	now := time.Unix(1000, 0)
+	Convey("What has not been done yet is done at once", t, func() {
+		So((&pacer{}).in(now), ShouldEqual, 0)
+	})
+	Convey("Cheap work is put off by little, costly work by as much as keeps its share, up to a bound", t, func() {
+		for took, wait := range map[time.Duration]time.Duration{
+			100 * time.Microsecond: 2 * time.Millisecond,
+			7 * time.Millisecond:   140 * time.Millisecond,
+			time.Second:            pacedMost,
+		} {
+			p := pacer{}
+			p.done(now.Add(-took), now)
+			So(p.in(now), ShouldEqual, wait)
+			So(p.in(now.Add(wait)), ShouldEqual, 0)
+		}
+	})
+}
+
+// Guards against changes of servers that are lost because the pools are not made anew at once.
+func TestTheLastOfManyChangesIsInForce(t *testing.T) {
+	Convey("Given changes of servers in quick succession", t, func() {
+		pools := &workspace.Live{}
+		routes := &route.Live{}
+		table, findings := route.Compile("test", route.Document{Version: 1, Services: []route.Service{{Name: "app"}}})
+		So(findings, ShouldBeNil)
+		routes.Offer(table)
+		s := newState(Platform{}, "r", routes, pools, quota.NewLedger(time.Now, 1, quota.Tolerance{}), func(map[string]string) {}, metrics.New())
+		const servers, rounds = 2 * pacedFrom, 5
+		revision := uint64(0)
+		for round := range rounds {
+			for i := range servers {
+				revision++
+				s.putServer(discovery.Server{
+					ID: fmt.Sprint("s", i), Service: "app", Address: fmt.Sprint("10.0.0.1:", i), Slots: 1 + round,
+					StartedAt: 1, Leaving: round == rounds-1 && i == 0,
+				}, objectstore.Version(revision))
+			}
+		}
+		testwait.Until(t, inForceWithin, "the last change is in force", func() bool {
+			slots := 0
+			for _, p := range pools.Load().Pools {
+				for _, b := range p.Servers {
+					slots += b.Slots
+				}
+			}
+			usable := *s.usable.Load()
+			return slots == servers*rounds && usable["s0"].leaving
+		})
+	})
+}
--- a/internal/gateway/sync.go
+++ b/internal/gateway/sync.go
@@ -56,6 +56,8 @@
 	invalid      map[string]string // why, by the entry's name, as last logged
 	incarnations map[string]string // by server ID, as last logged
 	changed      chan struct{}     // closed at each change
+	pace         pacer             // of making the pools anew
+	postponed    bool              // a change waits for that
 }
 
 // serverUse is what a server may be used for.
@@ -175,10 +177,31 @@
 	}
 	s.serversRevision = as
 	s.changes.Note(s.directory.Listed(), discovery.Revision(as))
-	s.rebuild()
+	s.rebuildSoon()
 	s.signal()
 }
 
+// rebuildSoon makes the pools anew now or, where that takes too much of the time, a little
+// later for all changes that have come by then; the mutex is held.
+func (s *state) rebuildSoon() {
+	wait := s.pace.in(time.Now())
+	if wait == 0 || s.directory.Len() < pacedFrom {
+		s.rebuild()
+		return
+	}
+	if s.postponed {
+		return
+	}
+	s.postponed = true
+	time.AfterFunc(wait, func() {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		if s.postponed {
+			s.rebuild()
+		}
+	})
+}
+
 // expireServers removes what is still missing when the grace has passed, and
 // returns when that will be; false: nothing is missing.
 func (s *state) expireServers() (time.Duration, bool) {
@@ -211,10 +234,13 @@
 // rebuild makes the pools' snapshot from the table and the directory; it is
 // called with the mutex held.
 func (s *state) rebuild() {
+	s.postponed = false
 	table := s.routes.Load()
 	if table == nil {
 		return
 	}
+	began := time.Now()
+	defer func() { s.pace.done(began, time.Now()) }()
 	servers := s.directory.Servers()
 	s.logServers(servers)
 	s.logInvalid(s.directory.Invalid())
