quota: signs cost no more with many workspaces, late answers bring levels

Now buckets are filled for a report only where a silent daemon returns, and full buckets are not told.

A daemon that had no answer for 0.7 s asks for its hub's levels (1.5 s before): what it took the others to have used meanwhile is in them.

--- a/quota/exchange.go
+++ b/quota/exchange.go
@@ -70,8 +70,8 @@
 // A batch counts once at a hub, however often it is sent. One that a hub has
 // taken, and whose acknowledgement is lost, may count again at another hub: too
 // much is believed used, never too little. Who changes hubs, or hears of none
-// for SilentAfter, takes over the new hub's levels, since what it missed
-// meanwhile is in them.
+// for a while, takes over the hub's levels, since what it missed meanwhile is in
+// them.
 type Exchange struct {
 	mu          sync.Mutex
 	now         func() time.Time
@@ -146,7 +146,7 @@
 	}
 	b := *e.unacknowledged
 	b.Behind = e.ledger.Untold()
-	if e.now().Sub(e.answered) <= SilentAfter {
+	if e.now().Sub(e.answered) <= doubtAfter {
 		b.Hub, b.Version = e.hub, e.version
 	}
 	return b
--- a/quota/exchange_test.go
+++ b/quota/exchange_test.go
@@ -245,6 +245,22 @@
 		So(level(f, 2), ShouldAlmostEqual, level(f, 0), 1e-6)
 		So(level(f, 2), ShouldBeGreaterThan, 800)
 	})
+	// Guards against this: a daemon whose hub was late counts what the others used twice.
+	Convey("Who did not hear its hub for a second has its levels again", t, func() {
+		f := settled(4)
+		f.reach = func(from, to int) bool { return from != 2 && to != 2 }
+		for range 10 {
+			f.clock.pass(100 * time.Millisecond)
+			f.ledgers[1].Take(wide, 0, 30)
+			f.tell(hub)
+		}
+		f.reach = func(int, int) bool { return true }
+		for range 9 {
+			f.tell(hub)
+		}
+		So(level(f, 2), ShouldAlmostEqual, level(f, 0), 1e-6)
+		So(level(f, 2), ShouldBeGreaterThan, 750)
+	})
 	// Guards against this: a daemon that has just started refuses what is within the limit.
 	Convey("Who starts takes over its hub's levels", t, func() {
 		f := settled(4)
--- a/quota/ledger.go
+++ b/quota/ledger.go
@@ -106,18 +106,18 @@
 func (l *Ledger) Told(names []string, uses []Use, age time.Duration) (returned bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	now := l.now()
-	for _, b := range l.buckets {
-		l.fill(b)
+	l.look()
+	back := l.others.silentAmong(names)
+	if back > 0 {
+		for _, b := range l.buckets {
+			l.fill(b)
+		}
 	}
+	now := l.now()
 	silent, met, accrued := l.others.silent, l.others.met(), l.others.accrued
-	back := 0
 	for _, name := range names {
 		gap := l.others.alive(name, now.Add(-age), now, true)
 		returned = returned || gap > doubtAfter
-		if gap > SilentAfter {
-			back++
-		}
 	}
 	if back == 0 {
 		l.spend(uses)
@@ -204,14 +204,14 @@
 }
 
 // SettledLevels returns the levels of the buckets that could have filled since they were
-// made: how low one is tells nothing before.
+// made and are not full: how low one is tells nothing before.
 func (l *Ledger) SettledLevels() []Use {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	var out []Use
 	for name, b := range l.buckets {
 		l.fill(b)
-		if (b.filled-b.made)*b.rate >= b.capacity {
+		if (b.filled-b.made)*b.rate >= b.capacity && b.level < b.room {
 			out = append(out, Use{name, b.level})
 		}
 	}
--- a/quota/others.go
+++ b/quota/others.go
@@ -80,6 +80,17 @@
 	return gap
 }
 
+// silentAmong is how many of the named had fallen silent when it was last looked.
+func (o *others) silentAmong(names []string) int {
+	n := 0
+	for _, name := range names {
+		if at, known := o.heard[name]; known && o.counter(at) == &o.silent {
+			n++
+		}
+	}
+	return n
+}
+
 // caughtUp takes it that the shares of all that are heard have accrued up to now.
 func (o *others) caughtUp(now time.Time) {
 	for name, at := range o.heard {
