quota: daemons that ask seldom are not doubted, one refusal is no overload

Causes, from the logs of all VMs: a daemon that asks its hub each 240 ms hears signs that are up to 0.6 s old, so that all others were doubted after 0.7 s and nothing was left here; and a daemon with one refused request and none granted took that for eight times its quota.

Others are doubted after a second, and what a daemon has of the rate counts on both sides of asked to granted, two at the most.

--- a/quota/others.go
+++ b/quota/others.go
@@ -9,7 +9,7 @@
 	// doubtAfter is how long it may say nothing before its part of what is left is
 	// not used until it is heard again. Daemons that let nothing through are heard less
 	// often than each round.
-	doubtAfter = 700 * time.Millisecond
+	doubtAfter = time.Second
 	// quietAfter is how old a sign may be for a hub to pass it on.
 	quietAfter = 600 * time.Millisecond
 	// lookEvery is how often it is looked who has fallen silent.
--- a/quota/take.go
+++ b/quota/take.go
@@ -48,8 +48,9 @@
 	knownAfter = 240 * time.Millisecond
 	// demandMemory is over what time asked and granted amounts are compared.
 	demandMemory = 2 * time.Second
-	// maxPressure bounds how many times what is granted may count as asked.
-	maxPressure = 8
+	// maxPressure bounds how many times what is granted counts as asked: after a restart
+	// everybody has been refused, and what accrues is to be used.
+	maxPressure = 2
 	// waitMost bounds what a refused caller is told: an overload that lasts for
 	// longer is no matter of when.
 	waitMost = 10 * time.Second
@@ -78,7 +79,7 @@
 	need := l.need(b, tier, cost)
 	left := b.without(l.others.doubt(), doubtAfter, now)
 	b.demand[tier].Add(now, cost)
-	if left >= need && l.random()*b.contended(tier, now) <= left-need {
+	if left >= need && l.random()*l.contended(b, tier, now) <= left-need {
 		b.level -= cost
 		b.pending += cost
 		b.spent.add(now, cost)
@@ -95,16 +96,21 @@
 // What goes wrong without it: a workspace asks several times its quota of many daemons.
 // Whenever a bit is left, each lets one more large request through before it hears of the
 // others, and all together exceed the quota by dozens of them.
-func (b *bucket) contended(tier request.Tier, now time.Time) float64 {
-	asked, granted := 0.0, b.granted.PerSecond(now)
+func (l *Ledger) contended(b *bucket, tier request.Tier, now time.Time) float64 {
+	told := max(0, b.told.since(now, SilentAfter)) / SilentAfter.Seconds()
+	return told * knownAfter.Seconds() * l.pressure(b, tier, now)
+}
+
+// pressure is how many times what is granted was asked for here lately. What a daemon has
+// of the rate counts on both sides, or the refusal of a single request would look like an
+// overload.
+func (l *Ledger) pressure(b *bucket, tier request.Tier, now time.Time) float64 {
+	fair := b.rate / float64(l.others.daemons())
+	asked, granted := fair, fair+b.granted.PerSecond(now)
 	for t := range b.demand[:tier+1] {
 		asked += b.demand[t].PerSecond(now)
 	}
-	pressure := 1.0
-	if asked > granted {
-		pressure = min(asked/max(granted, asked/maxPressure), maxPressure)
-	}
-	return max(0, b.told.since(now, SilentAfter)) * (knownAfter.Seconds() / SilentAfter.Seconds()) * pressure
+	return min(max(1, asked/granted), maxPressure)
 }
 
 // need is what a bucket must hold for a request.
