quota: the slack covers what small workspaces are asked for at once

Callers of small workspaces were drawn by lot though the operators' slack is larger than all that their daemons may let through in a round. The draw now begins where what is left and a quarter of the slack do not cover that.

--- a/quota/take.go
+++ b/quota/take.go
@@ -30,6 +30,9 @@
 	// that may overdraw a bucket. Without it a small call is refused because
 	// a large prompt has just overdrawn it.
 	overdraftShare = 0.2
+	// contendedShare of the slack is what all daemons together may let through beyond
+	// what is left before they hear of each other.
+	contendedShare = 0.25
 	// smallShare of a bucket is what a request may need without leaving a reserve
 	// to more urgent tiers: a hundred plain calls are not worth one refusal among
 	// them. Larger ones that leave a reserve may not overdraw the bucket either.
@@ -79,7 +82,7 @@
 	need := l.need(b, tier, cost)
 	left := b.without(l.others.doubt(), doubtAfter, now)
 	b.demand[tier].Add(now, cost)
-	if left >= need && l.random()*l.contended(b, tier, now) <= left-need {
+	if left >= need && l.random()*l.contended(b, tier, now) <= left-need+contendedShare*l.tolerance.Slack {
 		b.level -= cost
 		b.pending += cost
 		b.spent.add(now, cost)
