quota: shares of daemons that have just started accrue from the start

After a restart of all the first sign of a daemon gave no share, only the gaps after it. A daemon's first batch, and the first word of a hub whose process has just started, tell all that was used since, so that the share since then has accrued. The word says how long the hub has run; one that does not say counts as running.

--- a/internal/gateway/quotas.go
+++ b/internal/gateway/quotas.go
@@ -153,7 +153,7 @@
 	}
 	m := &wire.QuotaGroup{
 		Incarnation: g.Incarnation, Sequence: g.Sequence, Complete: g.Complete, Uses: usesToWire(g.Uses),
-		Levels: usesToWire(g.Levels), Daemons: g.Daemons, Silent: g.Silent, AgeMs: inMs(g.Age),
+		Levels: usesToWire(g.Levels), Daemons: g.Daemons, Silent: g.Silent, AgeMs: inMs(g.Age), RunningMs: inMs(g.Running),
 	}
 	for name, other := range targets {
 		if other {
@@ -216,7 +216,7 @@
 	}
 	q.exchange.TakeGroup(string(from), quota.Group{
 		Incarnation: m.Incarnation, Sequence: m.Sequence, Complete: m.Complete, Uses: usesOf(m.Uses),
-		Levels: usesOf(m.Levels), Daemons: m.Daemons, Silent: m.Silent, Age: milliseconds(m.AgeMs),
+		Levels: usesOf(m.Levels), Daemons: m.Daemons, Silent: m.Silent, Age: milliseconds(m.AgeMs), Running: milliseconds(m.RunningMs),
 	})
 	return nil, nil
 }
--- a/quota/exchange.go
+++ b/quota/exchange.go
@@ -57,6 +57,8 @@
 	// old its signs of the others are at most.
 	Silent []string
 	Age    time.Duration
+	// Running is how long the hub's process has run; 0: it does not say.
+	Running time.Duration
 }
 
 // Exchange is a daemon's part in telling what was let through: it reports to a
@@ -75,6 +77,7 @@
 type Exchange struct {
 	mu          sync.Mutex
 	now         func() time.Time
+	began       time.Time
 	ledger      *Ledger
 	incarnation uint64
 
@@ -124,7 +127,7 @@
 // process.
 func NewExchange(l *Ledger, now func() time.Time, incarnation uint64) *Exchange {
 	return &Exchange{
-		now: now, ledger: l, incarnation: incarnation, others: map[string]float64{}, alone: map[string]*recent{},
+		now: now, began: now(), ledger: l, incarnation: incarnation, others: map[string]float64{}, alone: map[string]*recent{},
 		totals: map[string]*total{}, group: map[string]float64{}, untold: map[string]bool{},
 		reports: map[string]*report{}, groups: map[string]*groupState{},
 	}
@@ -246,7 +249,7 @@
 	}
 	r.heard = e.now()
 	// Batches between were told to another hub, whose word may not have come.
-	allTold := known && b.Number <= r.number+1
+	allTold := b.Number <= r.number+1 && (known || len(e.ledger.Unmet([]string{from})) > 0)
 	uses := b.Uses
 	if b.Number > r.number {
 		r.number = b.Number
@@ -293,7 +296,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.sequence++
-	g := Group{Incarnation: e.incarnation, Sequence: e.sequence, Complete: all}
+	g := Group{Incarnation: e.incarnation, Sequence: e.sequence, Complete: all, Running: e.now().Sub(e.began)}
 	for name, used := range e.group {
 		if all || e.untold[name] {
 			g.Uses = append(g.Uses, Use{name, used})
@@ -339,10 +342,15 @@
 	}
 	s.sequence, s.heard = g.Sequence, e.now()
 	news := grown(s.used, g.Uses)
-	if !known {
+	switch {
+	case !known && g.Running > 0 && g.Running <= SilentAfter:
+		// All that its daemons have let through since they started is in its uses.
+		e.addTotals(news)
+		e.told(e.ledger.Unmet(slices.Concat(g.Daemons, []string{from})), news, g.Age)
+	case !known:
 		e.ledger.AtMost(g.Levels)
 		e.tellLevels()
-	} else {
+	default:
 		// Its counts hold what those let through that were its daemons before.
 		// Others may have reported elsewhere.
 		e.addTotals(news)
--- a/quota/ledger.go
+++ b/quota/ledger.go
@@ -42,7 +42,7 @@
 func NewLedger(now func() time.Time, assumed int, t Tolerance) *Ledger {
 	return &Ledger{
 		now: now, tolerance: t, buckets: map[string]*bucket{}, random: rand.Float64,
-		others: others{heard: map[string]time.Time{}, assumed: max(1, assumed), at: now(), looked: now()},
+		others: others{heard: map[string]time.Time{}, assumed: max(1, assumed), at: now(), began: now(), looked: now()},
 	}
 }
 
@@ -136,6 +136,13 @@
 	return true
 }
 
+// Unmet returns those of the named that were never heard.
+func (l *Ledger) Unmet(names []string) []string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.others.unmetAmong(names)
+}
+
 // Signs returns how old the other daemons' signs are at most, and who has given none for
 // longer than a hub passes on.
 func (l *Ledger) Signs() (age time.Duration, quiet []string) {
--- a/quota/others.go
+++ b/quota/others.go
@@ -28,6 +28,7 @@
 	// assumed is how many daemons there may be while none has been met.
 	assumed int
 
+	began   time.Time
 	accrued float64 // seconds of the whole rate
 	at      time.Time
 	looked  time.Time
@@ -71,6 +72,9 @@
 	*o.counter(at)++
 	o.heard[name] = at
 	if before.IsZero() {
+		if allTold { // it has just started, too
+			o.accrued += min(at.Sub(o.began), SilentAfter).Seconds() / float64(o.daemons())
+		}
 		return 0
 	}
 	gap = at.Sub(before)
@@ -91,6 +95,17 @@
 	return n
 }
 
+// unmetAmong returns those of the named that were never heard.
+func (o *others) unmetAmong(names []string) []string {
+	var out []string
+	for _, name := range names {
+		if at, known := o.heard[name]; known && at.IsZero() {
+			out = append(out, name)
+		}
+	}
+	return out
+}
+
 // caughtUp takes it that the shares of all that are heard have accrued up to now.
 func (o *others) caughtUp(now time.Time) {
 	for name, at := range o.heard {
