forward: log each decision on a hedge of a silent stream

The logs could not tell a hedge that had begun from none: there was a counter of hedges and one of those that were not needed, and no line.

One line now when a hedge starts or is not started (and why), one when it ends: how long the first server was silent, how its wait ended, why the hedge failed, and which server goes on. No decision changes; the tests of internal/forward pass.

--- a/internal/forward/hedge.go
+++ b/internal/forward/hedge.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/pkg/errors"
+	"github.com/sirupsen/logrus"
 	"github.com/valyala/fasthttp"
 
 	"github.com/lycheekeel/lycheekeel/broker"
@@ -41,11 +42,13 @@
 // leaving), and the stream would be cut although its own server continues a moment later.
 func (s *stream) hedgeOrWait() {
 	x, current := s.exchange, &s.events
-	reserved := x.reserveHedgeSlot(s.attempt)
-	if reserved == nil {
+	reserved, err := x.reserveHedgeSlot(s.attempt)
+	if err != nil {
+		s.logHedge().WithError(err).Info("Hedge not started.")
 		current.reply.conn.SetSilenceTimeout(x.timeoutPastDeadline())
 		return
 	}
+	s.logHedge().WithField("hedge_server", reserved.Server().Name).Info("Hedge started.")
 	x.resumeAfter(current)
 	parent := x.ctx
 	h := x.startHedge(reserved, current.reply.conn.Abort)
@@ -55,6 +58,7 @@
 		h.cancel()
 	}
 	<-h.done
+	s.logHedgeEnd(h, err)
 	if h.successor != nil {
 		s.abandonAttempt(errServerSilent)
 		s.switchTo(h.successor)
@@ -183,11 +187,20 @@
 // hedgeSlotTimeout bounds the wait for a hedge's slot.
 const hedgeSlotTimeout = 300 * time.Millisecond
 
+// Reasons why a hedge is not started.
+var (
+	errNoAttemptLeft = errors.New("no attempt is left")
+	errNoRetryLeft   = errors.New("the retry budget is used up")
+)
+
 // reserveHedgeSlot gets a slot for a hedge of a silent attempt and takes a retry from the
-// budget. It returns nil if there is no slot or no retry, or if the key was withdrawn.
-func (x *exchange) reserveHedgeSlot(silentAttempt *attempt) broker.Grant {
-	if !x.attempts.CanSend() || x.recheckKey() != nil {
-		return nil
+// budget. The error tells why no hedge is started.
+func (x *exchange) reserveHedgeSlot(silentAttempt *attempt) (broker.Grant, error) {
+	if !x.attempts.CanSend() {
+		return nil, errNoAttemptLeft
+	}
+	if err := x.recheckKey(); err != nil {
+		return nil, err
 	}
 	x.setHedgeDemand(silentAttempt)
 	ctx, cancel := context.WithTimeout(x.ctx, hedgeSlotTimeout)
@@ -195,18 +208,18 @@
 	x.demand.Candidates = x.candidatePools("")
 	grant, err := x.server.deps.Broker.Acquire(ctx, x.demand)
 	if err != nil {
-		return nil
+		return nil, err
 	}
-	if x.recheckKey() != nil {
+	if err := x.recheckKey(); err != nil {
 		grant.ReturnUnused()
-		return nil
+		return nil, err
 	}
 	if !x.server.deps.Budget(x.service).Take() {
 		x.server.counters.retriesDenied.Add(1)
 		grant.ReturnUnused()
-		return nil
+		return nil, errNoRetryLeft
 	}
-	return grant
+	return grant, nil
 }
 
 // setHedgeDemand gives the demand a request id of its own, since the first attempt still
@@ -218,3 +231,30 @@
 	x.demand.Spec = &spec
 	x.demand.SentTo = append(x.demand.SentTo, runningAttempt.grant.Server().Name)
 }
+
+// logHedge returns the log entry for a decision on a hedge, with the length of the silence.
+func (s *stream) logHedge() *logrus.Entry {
+	return s.exchange.server.log.WithFields(s.exchange.requestFields()).WithFields(logrus.Fields{
+		"server": s.attempt.grant.Server().Name, "events": s.exchange.history.events,
+		"silent_ms": time.Since(s.lastEventAt).Milliseconds(),
+	})
+}
+
+// logHedgeEnd logs which server continues the stream, none if it is cut. firstErr is how
+// the wait for the silent server ended.
+func (s *stream) logHedgeEnd(h *hedge, firstErr error) {
+	l := s.logHedge()
+	if firstErr != nil {
+		l = l.WithField("first_error", firstErr.Error())
+	}
+	if h.refusal != nil {
+		l = l.WithField("hedge_error", h.refusal.Error())
+	}
+	switch {
+	case h.successor != nil:
+		l = l.WithField("continued_by", h.successor.attempt.grant.Server().Name)
+	case firstErr == nil || firstErr == io.EOF:
+		l = l.WithField("continued_by", s.attempt.grant.Server().Name)
+	}
+	l.Info("Hedge ended.")
+}
