forward: which attempt continues a hedged stream is decided once

Callers saw a stream cut in its answer, long before its deadline, although both its servers continued it: the silent one and the one that was asked for the rest.

Cause: two sides decided. The reader of the first attempt canceled the hedge when an event came, and the hedge aborted the first attempt when it had one itself. If both came together, the stream went on with the attempt whose context had just been canceled ('expired: time is up' at the next read), or with a connection that had been aborted just after its read had returned.

TestBothServersContinueAtTheSameMoment forces the order in which the abort follows the read, beside a withdrawn key and at the end of a stream: it failed before, passes now.

An attempt now claims the stream when it has events or the end; one compare-and-swap decides, and only the loser is canceled or aborted. The slot is reserved beside the read, too, so that an event of the silent server is not held for up to 300 ms; a stream whose server breaks after a hedge that failed is resumed like any other. What gets the rest of a stream from another server has a file of its own (resume.go, moved).

--- a/internal/forward/harness_test.go
+++ b/internal/forward/harness_test.go
@@ -294,6 +294,12 @@
 }
 
 func newHarness(tb testing.TB, backends ...*backend) *harness {
+	return newHarnessWithHook(tb, nil, backends...)
+}
+
+// newHarnessWithHook calls onStream, if not nil, with each stream after its first events
+// were received and before they are passed on, in the goroutine that reads the stream.
+func newHarnessWithHook(tb testing.TB, onStream func(*stream), backends ...*backend) *harness {
 	r := &harness{
 		tb: tb, routes: &route.Live{}, broker: &fakeBroker{}, admission: &fakeAdmission{},
 		quotas: &fakeQuotas{}, budget: retry.NewBudget(0, 100), metrics: metrics.New(),
@@ -307,6 +313,14 @@
 		Budget: func(string) *retry.Budget { return r.budget }, ConnPools: NewConnPools(httpconn.Settings{}),
 		Metrics: r.metrics, RequestIDPrefix: "test", Wire: testWire(),
 	})
+	if onStream != nil {
+		r.server.httpServer.Handler = func(ctx *fasthttp.RequestCtx) {
+			r.server.handle(ctx)
+			if s, ok := ctx.Response.BodyStream().(*stream); ok {
+				onStream(s)
+			}
+		}
+	}
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		tb.Fatal(err)
--- a/internal/forward/hedge.go
+++ b/internal/forward/hedge.go
@@ -3,166 +3,149 @@
 import (
 	"context"
 	"io"
+	"slices"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
 	"github.com/sirupsen/logrus"
-	"github.com/valyala/fasthttp"
 
 	"github.com/lycheekeel/lycheekeel/broker"
+	"github.com/lycheekeel/lycheekeel/pool"
 	"github.com/lycheekeel/lycheekeel/request"
 )
 
-// successor is an attempt on another server that has brought the next events of a stream.
-type successor struct {
-	attempt    *attempt
-	events     eventReader
-	pending    []byte
-	eventCount int // in pending
-	eof        bool
-}
-
-// hedge is a second attempt for a stream whose server is silent, beside the first one.
+// hedge asks another server for the rest of a stream whose server is silent, while the
+// stream's own server may still continue.
+//
+// Which of the two continues the stream is decided once, by winner. Only the attempt that
+// has won passes events on, and only the one that has lost is canceled or aborted. If each
+// side decided for itself, two events that arrive together would let each drop the other,
+// and the stream would be cut although both servers continued it.
 type hedge struct {
+	stream *stream
+	winner atomic.Int32 // a contender
+	parent context.Context
 	cancel context.CancelFunc
 	done   chan struct{}
-	// One of these is set before done is closed.
-	successor *successor
-	refusal   error
+	// These are set before done is closed.
+	started   bool       // a second attempt was started
+	successor *successor // nil if no second attempt continues the stream
+	refusal   error      // why the last one does not
 }
 
-// hedgeOrWait asks another server for the rest of a silent stream while the stream's own
-// server may still continue. The first of the two to bring an event continues the stream,
-// and the other attempt is dropped. Without a slot or a retry, it lets the stream's own
-// server be silent until the request's deadline.
+// contender is one of the two attempts of a hedged stream.
+type contender int32
+
+const (
+	nobody contender = iota
+	firstAttempt
+	secondAttempt
+)
+
+// claim makes a contender the winner unless the other one has won, and reports whether it
+// is. A contender claims when it has brought events or the end of the stream.
+func (h *hedge) claim(c contender) bool { return h.winner.CompareAndSwap(int32(nobody), int32(c)) }
+
+// hedgeOrWait waits for the next events of a silent stream, from its own server or from
+// another one. The first of the two to bring an event continues the stream, and the other
+// attempt is dropped. Without a slot or a retry for another server, the stream's own server
+// may be silent until the request's deadline.
 //
 // The silent attempt is not abandoned before the other server has brought an event. The
 // hedge may fail for many reasons (the key was withdrawn, the server refuses or is
 // leaving), and the stream would be cut although its own server continues a moment later.
 func (s *stream) hedgeOrWait() {
-	x, current := s.exchange, &s.events
-	reserved, err := x.reserveHedgeSlot(s.attempt)
-	if err != nil {
-		s.logHedge().WithError(err).Info("Hedge not started.")
-		current.reply.conn.SetSilenceTimeout(x.timeoutPastDeadline())
-		return
-	}
-	s.logHedge().WithField("hedge_server", reserved.Server().Name).Info("Hedge started.")
-	x.resumeAfter(current)
-	parent := x.ctx
-	h := x.startHedge(reserved, current.reply.conn.Abort)
-	current.reply.conn.SetSilenceTimeout(x.timeoutPastDeadline())
-	batch, n, err := current.next()
-	if err == nil || err == io.EOF {
+	s.events.reply.conn.SetSilenceTimeout(s.exchange.timeoutPastDeadline())
+	h := s.startHedge()
+	batch, n, err := s.events.next()
+	if (err == nil || err == io.EOF) && h.claim(firstAttempt) {
 		h.cancel()
 	}
 	<-h.done
-	s.logHedgeEnd(h, err)
+	if h.started {
+		h.recordEnd(err)
+	}
 	if h.successor != nil {
 		s.abandonAttempt(errServerSilent)
 		s.switchTo(h.successor)
 		return
 	}
-	h.cancel()
-	x.ctx, x.preSendRefusal = parent, nil
-	x.outbound.serverID = s.attempt.grant.Server().Name
+	h.restoreExchange()
 	switch {
 	case err == nil:
-		x.server.counters.hedgesUnused.Add(1)
 		s.pending = batch
 		s.recordEvents(n)
 		s.limitSilence()
 	case err == io.EOF:
 		s.eof = true
 	default:
-		s.abandonAttempt(err)
-		s.cut(h.refusal)
+		s.resumeOrCut(err)
 	}
 }
 
 // errServerSilent is why an attempt is abandoned when another server continues its stream.
 var errServerSilent = errors.New("silent until another server continued the stream")
 
-// startHedge starts the hedge. It calls abort, which interrupts the wait for the first
-// attempt, once the hedge has brought an event. Until done is closed, only the hedge's
-// goroutine may use the exchange.
-func (x *exchange) startHedge(reserved broker.Grant, abort func()) *hedge {
-	h := &hedge{done: make(chan struct{})}
-	x.ctx, h.cancel = context.WithCancel(x.ctx)
-	x.server.counters.hedges.Add(1)
+// errHedgeLost is why a hedge ends whose events came after those of the first attempt.
+var errHedgeLost = errors.New("the first server continued the stream")
+
+// startHedge starts the hedge. Until done is closed, only the hedge's goroutine may use the
+// exchange.
+func (s *stream) startHedge() *hedge {
+	x := s.exchange
+	h := &hedge{stream: s, parent: x.ctx, done: make(chan struct{})}
+	x.ctx, h.cancel = context.WithCancel(h.parent)
+	x.resumeAfter(&s.events)
 	go func() {
 		defer close(h.done)
-		h.successor, h.refusal = x.resume(x.trySend(reserved))
-		if h.successor != nil {
-			abort()
-		}
+		h.try()
 	}()
 	return h
 }
 
-// resume gets the rest of a stream from another server, up to its next events. r, a and
-// err are the results of the last send. The returned error is a refusal.
-func (x *exchange) resume(r *reply, a *attempt, err error) (*successor, error) {
-	for {
-		if err == nil {
-			var next *successor
-			if next, err = x.readFirstEvents(r, a); err == nil {
-				return next, nil
-			}
-		}
-		if refusal := x.retryOrRefuse(err); refusal != nil {
-			return nil, refusal
-		}
-		var refusal error
-		if r, a, refusal = x.send(); refusal != nil {
-			return nil, refusal
-		}
-		err = nil
-	}
-}
-
-// readFirstEvents waits for the first events of another server.
-func (x *exchange) readFirstEvents(r *reply, a *attempt) (*successor, error) {
-	if status := r.header.StatusCode(); status != fasthttp.StatusOK {
-		r.complete = false
-		r.releaseConn()
-		return nil, x.endLostAttempt(a, errors.Errorf("status %d", status))
-	}
-	next := &successor{attempt: a, events: eventReader{reply: r}}
-	if lastID, ok := parseEventID(x.outbound.lastEvent); ok {
-		next.events.lastID, next.events.hasLastID = lastID, true
+// try starts an attempt on another server. It sets successor if that one continues the
+// stream.
+func (h *hedge) try() {
+	s, x := h.stream, h.stream.exchange
+	reserved, err := x.reserveHedgeSlot(s.attempt)
+	if err != nil {
+		h.refusal = err
+		s.logHedge().WithError(err).Info("Hedge not started.")
+		return
 	}
-	var err error
-	next.pending, next.eventCount, err = next.events.next()
-	next.eof = err == io.EOF
-	if err != nil && !next.eof {
-		r.complete = false
-		r.releaseConn()
-		return nil, x.endLostAttempt(a, err)
+	s.logHedge().WithField("hedge_server", reserved.Server().Name).Info("Hedge started.")
+	h.started = true
+	x.server.counters.hedges.Add(1)
+	next, refusal := x.resume(x.trySend(reserved))
+	switch {
+	case next == nil:
+		h.refusal = refusal
+	case h.claim(secondAttempt):
+		h.successor = next
+		s.events.reply.conn.Abort()
+	default:
+		x.dropSuccessor(next)
+		h.refusal = errHedgeLost
 	}
-	return next, nil
-}
-
-// switchTo continues the stream with another server's attempt.
-func (s *stream) switchTo(next *successor) {
-	s.exchange.server.counters.streamsResumed.Add(1)
-	s.attempt, s.released = next.attempt, false
-	s.events, s.pending, s.eof = next.events, next.pending, next.eof
-	s.recordEvents(next.eventCount)
 }
 
-// abandonAttempt closes the connection of the current attempt and frees its slot.
-func (s *stream) abandonAttempt(cause error) error {
-	s.discardReply()
-	s.released = true
-	return s.exchange.endLostAttempt(s.attempt, cause)
+// restoreExchange restores the exchange after a hedge that did not continue the stream.
+func (h *hedge) restoreExchange() {
+	h.cancel()
+	s, x := h.stream, h.stream.exchange
+	x.ctx, x.preSendRefusal = h.parent, nil
+	x.outbound.serverID = s.attempt.grant.Server().Name
+	x.demand.Spec = x.spec
 }
 
-// cut ends a stream that can't be completed.
-func (s *stream) cut(refusal error) {
-	s.err = errors.Wrap(errStreamCut, refusal.Error())
-	s.exchange.server.counters.streamsCut.Add(1)
+// dropSuccessor ends an attempt whose events are not needed.
+func (x *exchange) dropSuccessor(n *successor) {
+	n.events.reply.complete = false
+	n.events.reply.releaseConn()
+	n.attempt.release(pool.OutcomeCanceled)
+	x.recordSentTo(n.attempt)
 }
 
 // limitSilence sets the silence timeout of the stream if another attempt is allowed.
@@ -177,13 +160,6 @@
 	return time.Until(x.outbound.deadline) + time.Second
 }
 
-// resumeAfter makes the next send ask for the events after the last one.
-func (x *exchange) resumeAfter(e *eventReader) {
-	if e.hasLastID {
-		x.outbound.lastEvent = strconv.FormatInt(e.lastID, 10)
-	}
-}
-
 // hedgeSlotTimeout bounds the wait for a hedge's slot.
 const hedgeSlotTimeout = 300 * time.Millisecond
 
@@ -229,7 +205,9 @@
 	x.hedgesStarted++
 	spec.ID += request.ID("-" + strconv.Itoa(x.hedgesStarted))
 	x.demand.Spec = &spec
-	x.demand.SentTo = append(x.demand.SentTo, runningAttempt.grant.Server().Name)
+	if name := runningAttempt.grant.Server().Name; !slices.Contains(x.demand.SentTo, name) {
+		x.demand.SentTo = append(x.demand.SentTo, name)
+	}
 }
 
 // logHedge returns the log entry for a decision on a hedge, with the length of the silence.
@@ -240,21 +218,23 @@
 	})
 }
 
-// logHedgeEnd logs which server continues the stream, none if it is cut. firstErr is how
-// the wait for the silent server ended.
-func (s *stream) logHedgeEnd(h *hedge, firstErr error) {
+// recordEnd logs and counts which server continues the stream; none if both failed.
+// firstErr is how the wait for the silent server ended.
+func (h *hedge) recordEnd(firstErr error) {
+	s := h.stream
 	l := s.logHedge()
 	if firstErr != nil {
 		l = l.WithField("first_error", firstErr.Error())
 	}
-	if h.refusal != nil {
-		l = l.WithField("hedge_error", h.refusal.Error())
-	}
 	switch {
 	case h.successor != nil:
 		l = l.WithField("continued_by", h.successor.attempt.grant.Server().Name)
 	case firstErr == nil || firstErr == io.EOF:
+		s.exchange.server.counters.hedgesUnused.Add(1)
 		l = l.WithField("continued_by", s.attempt.grant.Server().Name)
 	}
+	if h.successor == nil && h.refusal != nil {
+		l = l.WithField("hedge_error", h.refusal.Error())
+	}
 	l.Info("Hedge ended.")
 }
--- /dev/null
+++ b/internal/forward/hedgeorder_test.go
@@ -0,0 +1,192 @@
+package forward
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+)
+
+// shortSilence starts hedges early.
+const shortSilence = 50 * time.Millisecond
+
+func startHedgesEarly(s *stream) { s.events.reply.conn.SetSilenceTimeout(shortSilence) }
+
+// bytesHeldUntilAbort passes on the bytes that follow a silence only once a hedge has
+// interrupted the connection. A goroutine that is preempted after its read does the same.
+type bytesHeldUntilAbort struct {
+	inner  io.Reader
+	silent bool
+	read   chan struct{} // closed when the bytes were read
+}
+
+func (h *bytesHeldUntilAbort) Read(p []byte) (int, error) {
+	n, err := h.inner.Read(p)
+	if err != nil {
+		h.silent = true
+	}
+	if n > 0 && h.silent {
+		h.silent = false
+		close(h.read)
+		_, _ = h.inner.Read(make([]byte, 1))
+	}
+	return n, err
+}
+
+// holdUntilAbort makes a stream read its server through h.
+func holdUntilAbort(h *bytesHeldUntilAbort) func(*stream) {
+	return func(s *stream) {
+		startHedgesEarly(s)
+		conn := s.events.reply.conn
+		h.inner = conn.Reader
+		conn.Reader = bufio.NewReader(h)
+	}
+}
+
+// simultaneousCase is a first server that goes on in the moment in which the hedge does.
+type simultaneousCase struct {
+	name string
+	// before and after are what the first server sends before and after its silence.
+	before, after func(c net.Conn)
+	// next is what the second server sends first, and rest what follows.
+	next, rest string
+	withdraw   bool // the key is withdrawn while both attempts are pending
+}
+
+func sendChunk(text string) func(net.Conn) { return func(c net.Conn) { writeChunk(c, text) } }
+
+func simultaneousCases() []simultaneousCase {
+	return []simultaneousCase{
+		{name: "the first server's next event", before: sendChunk(eventsText(1, 3)), after: sendChunk(eventText(4)), next: eventText(4), rest: eventsText(5, 6)},
+		{name: "the first server's next event, the key is withdrawn", before: sendChunk(eventsText(1, 3)), after: sendChunk(eventText(4)), next: eventText(4), rest: eventsText(5, 6), withdraw: true},
+		{name: "the first server's end of stream", before: sendChunk(eventsText(1, 6)), after: writeStreamEndTo, next: ": alive\n\n"},
+	}
+}
+
+func writeStreamEndTo(c net.Conn) { writeStreamEnd(c) }
+
+// callSimultaneous forces the case's order and returns the caller's answer.
+func callSimultaneous(t *testing.T, c simultaneousCase) result {
+	hedged := newTrigger()
+	held := &bytesHeldUntilAbort{read: make(chan struct{})}
+	firstDropped, firstEventsPassedOn := make(chan struct{}), make(chan struct{})
+	first := newBackend(t, func(_ int, head, _ string, conn net.Conn) bool {
+		writeStreamHead(conn, head)
+		c.before(conn)
+		<-hedged.fired
+		c.after(conn)
+		_, _ = conn.Read(make([]byte, 1))
+		close(firstDropped)
+		return false
+	})
+	second := newBackend(t, func(_ int, head, _ string, conn net.Conn) bool {
+		hedged.fire()
+		writeStreamHead(conn, head)
+		<-held.read
+		writeChunk(conn, c.next)
+		<-firstDropped
+		<-firstEventsPassedOn
+		if c.rest != "" {
+			writeChunk(conn, c.rest)
+		}
+		writeStreamEnd(conn)
+		return true
+	})
+	r := newHarnessWithHook(t, holdUntilAbort(held), first, second)
+	if c.withdraw {
+		hedged.beforeFire = func() { withdrawKey(r) }
+	}
+	caller := r.dial()
+	caller.send("POST", "/resume/", "1", "", "x")
+	caller.reader = bufio.NewReader(&signalingReader{inner: caller.Conn, until: c.next, seen: firstEventsPassedOn})
+	return caller.receive()
+}
+
+// signalingReader closes seen once a text was read in full.
+type signalingReader struct {
+	inner io.Reader
+	until string
+	text  string
+	seen  chan struct{}
+	once  sync.Once
+}
+
+func (r *signalingReader) Read(p []byte) (int, error) {
+	n, err := r.inner.Read(p)
+	r.text += string(p[:n])
+	if err != nil || strings.Contains(r.text, r.until) {
+		r.once.Do(func() { close(r.seen) })
+	}
+	return n, err
+}
+
+// Guards against cutting a stream, which both of its servers would have continued, because they did so at the same moment.
+func TestBothServersContinueAtTheSameMoment(t *testing.T) {
+	Convey("The caller gets the complete answer", t, func() {
+		for _, c := range simultaneousCases() {
+			Convey(c.name, func() {
+				got := callSimultaneous(t, c)
+				So(got.body, ShouldContainSubstring, eventsText(1, 6))
+				So(got.complete, ShouldBeTrue)
+			})
+		}
+	})
+}
+
+// Guards against the same cut where no hook orders the two servers' events.
+func TestBothServersContinueUnordered(t *testing.T) {
+	const streams = 300
+	got := make([]result, streams)
+	var group sync.WaitGroup
+	for i := range streams {
+		group.Go(func() { got[i] = callUnordered(t, i%2 == 0) })
+	}
+	group.Wait()
+	var cut [2]int
+	for i, g := range got {
+		if !g.complete || g.body != eventsText(1, 6) {
+			cut[i%2]++
+		}
+	}
+	Convey("No stream is cut, whichever server is written to first", t, func() { So(cut, ShouldResemble, [2]int{}) })
+}
+
+// callUnordered has one goroutine write the next event of both servers, and lets each
+// server write the rest once the caller has that event.
+func callUnordered(t *testing.T, secondFirst bool) result {
+	firstConn, passedOn := make(chan net.Conn, 1), make(chan struct{})
+	writeRest := func(c net.Conn) {
+		<-passedOn
+		writeChunk(c, eventsText(5, 6))
+		writeStreamEnd(c)
+	}
+	first := newBackend(t, func(_ int, head, _ string, c net.Conn) bool {
+		writeStreamHead(c, head)
+		writeChunk(c, eventsText(1, 3))
+		firstConn <- c
+		writeRest(c)
+		return true
+	})
+	second := newBackend(t, func(_ int, head, _ string, c net.Conn) bool {
+		writeStreamHead(c, head)
+		other := <-firstConn
+		if secondFirst {
+			writeChunk(c, eventText(4))
+			writeChunk(other, eventText(4))
+		} else {
+			writeChunk(other, eventText(4))
+			writeChunk(c, eventText(4))
+		}
+		writeRest(c)
+		return true
+	})
+	caller := newHarnessWithHook(t, startHedgesEarly, first, second).dial()
+	caller.send("POST", "/resume/", "1", "", "x")
+	caller.reader = bufio.NewReader(&signalingReader{inner: caller.Conn, until: eventText(4), seen: passedOn})
+	return caller.receive()
+}
--- /dev/null
+++ b/internal/forward/resume.go
@@ -0,0 +1,89 @@
+package forward
+
+import (
+	"io"
+	"strconv"
+
+	"github.com/pkg/errors"
+	"github.com/valyala/fasthttp"
+)
+
+// successor is an attempt on another server that has brought the next events of a stream.
+type successor struct {
+	attempt    *attempt
+	events     eventReader
+	pending    []byte
+	eventCount int // in pending
+	eof        bool
+}
+
+// resume gets the rest of a stream from another server, up to its next events. r, a and
+// err are the results of the last send. The returned error is a refusal.
+func (x *exchange) resume(r *reply, a *attempt, err error) (*successor, error) {
+	for {
+		if err == nil {
+			var next *successor
+			if next, err = x.readFirstEvents(r, a); err == nil {
+				return next, nil
+			}
+		}
+		if refusal := x.retryOrRefuse(err); refusal != nil {
+			return nil, refusal
+		}
+		var refusal error
+		if r, a, refusal = x.send(); refusal != nil {
+			return nil, refusal
+		}
+		err = nil
+	}
+}
+
+// readFirstEvents waits for the first events of another server.
+func (x *exchange) readFirstEvents(r *reply, a *attempt) (*successor, error) {
+	if status := r.header.StatusCode(); status != fasthttp.StatusOK {
+		r.complete = false
+		r.releaseConn()
+		return nil, x.endLostAttempt(a, errors.Errorf("status %d", status))
+	}
+	next := &successor{attempt: a, events: eventReader{reply: r}}
+	if lastID, ok := parseEventID(x.outbound.lastEvent); ok {
+		next.events.lastID, next.events.hasLastID = lastID, true
+	}
+	var err error
+	next.pending, next.eventCount, err = next.events.next()
+	next.eof = err == io.EOF
+	if err != nil && !next.eof {
+		r.complete = false
+		r.releaseConn()
+		return nil, x.endLostAttempt(a, err)
+	}
+	return next, nil
+}
+
+// switchTo continues the stream with another server's attempt.
+func (s *stream) switchTo(next *successor) {
+	s.exchange.server.counters.streamsResumed.Add(1)
+	s.attempt, s.released = next.attempt, false
+	s.events, s.pending, s.eof = next.events, next.pending, next.eof
+	s.recordEvents(next.eventCount)
+}
+
+// abandonAttempt closes the connection of the current attempt and frees its slot.
+func (s *stream) abandonAttempt(cause error) error {
+	s.discardReply()
+	s.released = true
+	return s.exchange.endLostAttempt(s.attempt, cause)
+}
+
+// cut ends a stream that can't be completed.
+func (s *stream) cut(refusal error) {
+	s.err = errors.Wrap(errStreamCut, refusal.Error())
+	s.exchange.server.counters.streamsCut.Add(1)
+}
+
+// resumeAfter makes the next send ask for the events after the last one.
+func (x *exchange) resumeAfter(e *eventReader) {
+	if e.hasLastID {
+		x.outbound.lastEvent = strconv.FormatInt(e.lastID, 10)
+	}
+}
