forward: a comment of another server does not end a silent server's stream

Callers saw a stream cut although its silent server would have continued it.

Cause: the first bytes of a hedge decided, a comment among them. Servers send comments to keep a connection open while they have no event yet, so that the other server's failure after its comment found the first attempt already dropped.

Evidence: TestCommentOfAHedgeDropsNoServer (a comment, a withdrawn key, the connection closed): the stream ended after event 3 of 6 before, is whole now. A hedge claims the stream by an event or the end.

--- a/internal/forward/hedgeorder_test.go
+++ b/internal/forward/hedgeorder_test.go
@@ -190,3 +190,24 @@
 	caller.reader = bufio.NewReader(&signalingReader{inner: caller.Conn, until: eventText(4), seen: passedOn})
 	return caller.receive()
 }
+
+// Guards against dropping a silent server, which would have continued its stream, for a comment of another one that then fails.
+func TestCommentOfAHedgeDropsNoServer(t *testing.T) {
+	hedgeEnded := newTrigger()
+	var r *harness
+	second := newBackend(t, func(_ int, head, _ string, c net.Conn) bool {
+		writeStreamHead(c, head)
+		withdrawKey(r)
+		writeChunk(c, ": alive\n\n")
+		_ = c.Close()
+		r.waitUntil("an attempt has ended", func() bool { return len(r.broker.outcomes()) > 0 })
+		hedgeEnded.fire()
+		return false
+	})
+	r = newHarnessWithHook(t, startHedgesEarly, newBackend(t, silentUntil(hedgeEnded)), second)
+	got := r.call("POST", "/resume/", "1", "", "x")
+	Convey("The silent server continues the stream", t, func() {
+		So(got.body, ShouldEqual, eventsText(1, 6))
+		So(got.complete, ShouldBeTrue)
+	})
+}
--- a/internal/forward/resume.go
+++ b/internal/forward/resume.go
@@ -49,8 +49,11 @@
 	if lastID, ok := parseEventID(x.outbound.lastEvent); ok {
 		next.events.lastID, next.events.hasLastID = lastID, true
 	}
+	// A comment is no event: the server may still fail before the next one.
 	var err error
-	next.pending, next.eventCount, err = next.events.next()
+	for next.eventCount == 0 && err == nil {
+		next.pending, next.eventCount, err = next.events.next()
+	}
 	next.eof = err == io.EOF
 	if err != nil && !next.eof {
 		r.complete = false
