forward: a silent stream is hedged again after what prevented it has passed

Callers waited to their deadline for a silent stream, and it was cut there, although another server was free to continue it.

Cause: a hedge that could not start or was refused (no slot for a moment, the configuration not known to be in force for a moment) was the last one: the silence timeout was lifted to the deadline and never set again.

Attempts, retry budget and key are checked as before.

--- a/internal/forward/hedge.go
+++ b/internal/forward/hedge.go
@@ -28,7 +28,9 @@
 	winner atomic.Int32 // a contender
 	parent context.Context
 	cancel context.CancelFunc
-	done   chan struct{}
+	// firstFailed is closed when the first attempt can't continue the stream any more.
+	firstFailed chan struct{}
+	done        chan struct{}
 	// These are set before done is closed.
 	started   bool       // a second attempt was started
 	successor *successor // nil if no second attempt continues the stream
@@ -60,7 +62,10 @@
 	s.events.reply.conn.SetSilenceTimeout(s.exchange.timeoutPastDeadline())
 	h := s.startHedge()
 	batch, n, err := s.events.next()
-	if (err == nil || err == io.EOF) && h.claim(firstAttempt) {
+	switch {
+	case err != nil && err != io.EOF:
+		close(h.firstFailed)
+	case h.claim(firstAttempt):
 		h.cancel()
 	}
 	<-h.done
@@ -95,16 +100,38 @@
 // exchange.
 func (s *stream) startHedge() *hedge {
 	x := s.exchange
-	h := &hedge{stream: s, parent: x.ctx, done: make(chan struct{})}
+	h := &hedge{stream: s, parent: x.ctx, firstFailed: make(chan struct{}), done: make(chan struct{})}
 	x.ctx, h.cancel = context.WithCancel(h.parent)
 	x.resumeAfter(&s.events)
 	go func() {
 		defer close(h.done)
-		h.try()
+		h.run()
 	}()
 	return h
 }
 
+// hedgeRetryInterval is the wait before another attempt, since what made the last one fail
+// may have passed.
+const hedgeRetryInterval = streamSilenceTimeout
+
+// run starts attempts on other servers until one continues the stream or the first attempt
+// has continued it or failed.
+func (h *hedge) run() {
+	for {
+		h.try()
+		if h.successor != nil || !h.stream.exchange.attempts.CanSend() {
+			return
+		}
+		select {
+		case <-h.stream.exchange.ctx.Done():
+			return
+		case <-h.firstFailed:
+			return
+		case <-time.After(hedgeRetryInterval):
+		}
+	}
+}
+
 // try starts an attempt on another server. It sets successor if that one continues the
 // stream.
 func (h *hedge) try() {
@@ -122,6 +149,7 @@
 	switch {
 	case next == nil:
 		h.refusal = refusal
+		x.preSendRefusal = nil
 	case h.claim(secondAttempt):
 		h.successor = next
 		s.events.reply.conn.Abort()
--- a/internal/forward/hedgeorder_test.go
+++ b/internal/forward/hedgeorder_test.go
@@ -10,6 +10,8 @@
 	"time"
 
 	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/lycheekeel/lycheekeel/request"
 )
 
 // shortSilence starts hedges early.
@@ -191,6 +193,112 @@
 	return caller.receive()
 }
 
+// brokenCase is a stream whose own server stops after an event, where another would go on.
+type brokenCase struct {
+	name string
+	// silent: the first server stays silent; otherwise it closes its connection.
+	silent  bool
+	prepare func(r *harness)
+	// goesOn: the first server brings an event after its first hedge was not started.
+	goesOn bool
+}
+
+// staleAt makes the configuration stale in the nth check alone.
+func staleAt(nth int) func(r *harness) {
+	return func(r *harness) {
+		r.admission.onFresh = func(n int) { r.admission.stale.Store(n == nth) }
+	}
+}
+
+func refuseSecondAcquire(r *harness) {
+	r.broker.refusal, r.broker.refuseAfter, r.broker.refuseFirst = request.Refuse(request.ReasonShed, "no slot"), 1, 2
+}
+
+func brokenCases() []brokenCase {
+	return []brokenCase{
+		{name: "closes, its hedge was refused while the configuration was stale", prepare: staleAt(5)},
+		{name: "closes, its hedge was not started while no slot was free", prepare: refuseSecondAcquire},
+		{name: "stays silent, its hedge was refused while the configuration was stale", silent: true, prepare: staleAt(5)},
+		{name: "stays silent, its hedge was not started while the configuration was stale", silent: true, prepare: staleAt(3)},
+		{name: "stays silent, its hedge was not started while no slot was free", silent: true, prepare: refuseSecondAcquire},
+		{name: "is silent again, its first hedge was not started while no slot was free", silent: true, goesOn: true, prepare: refuseSecondAcquire},
+	}
+}
+
+// callBroken returns the caller's answer in a case, and how its stream ended in the log.
+func callBroken(t *testing.T, c brokenCase) (result, error) {
+	hedged := newTrigger()
+	var seen *stream
+	var r *harness
+	first := newBackend(t, func(_ int, head, _ string, conn net.Conn) bool {
+		writeStreamHead(conn, head)
+		writeChunk(conn, eventsText(1, 3))
+		if c.goesOn {
+			r.waitUntil("the hedge asked for a slot", func() bool { return r.broker.acquireCount() >= 2 })
+			writeChunk(conn, eventText(4))
+		}
+		if c.silent {
+			_, _ = conn.Read(make([]byte, 1))
+		} else {
+			<-hedged.fired
+		}
+		return false
+	})
+	others := newBackend(t, streamEvents(6, 0, ""))
+	r = newHarnessWithHook(t, func(s *stream) {
+		seen = s
+		startHedgesEarly(s)
+	}, first, others, others)
+	c.prepare(r)
+	wrapFire(r, c, hedged)
+	caller := r.dial()
+	caller.send("POST", "/resume/", "1", "", "x")
+	got := caller.receive()
+	r.waitUntil("the request has ended", func() bool { return r.server.openRequests.Load() == 0 })
+	return got, seen.err
+}
+
+// wrapFire fires hedged once the hedge was refused or not started.
+func wrapFire(r *harness, c brokenCase, hedged *trigger) {
+	if c.silent {
+		return
+	}
+	if r.admission.onFresh != nil {
+		inner := r.admission.onFresh
+		r.admission.onFresh = func(n int) {
+			inner(n)
+			if n == 5 {
+				hedged.fire()
+			}
+		}
+		return
+	}
+	go func() {
+		r.waitUntil("the hedge asked for a slot", func() bool { return r.broker.acquireCount() >= 2 })
+		hedged.fire()
+	}()
+}
+
+// Guards against cutting a stream, which another server would continue, for an obstacle that has passed.
+func TestBrokenStreamIsResumedAfterAPassingObstacle(t *testing.T) {
+	cases := brokenCases()
+	got, errs := make([]result, len(cases)), make([]error, len(cases))
+	var group sync.WaitGroup
+	for i, c := range cases {
+		group.Go(func() { got[i], errs[i] = callBroken(t, c) })
+	}
+	group.Wait()
+	Convey("Another server continues a stream whose server", t, func() {
+		for i, c := range cases {
+			Convey(c.name, func() {
+				So(errs[i], ShouldBeNil)
+				So(got[i].body, ShouldEqual, eventsText(1, 6))
+				So(got[i].complete, ShouldBeTrue)
+			})
+		}
+	})
+}
+
 // Guards against dropping a silent server, which would have continued its stream, for a comment of another one that then fails.
 func TestCommentOfAHedgeDropsNoServer(t *testing.T) {
 	hedgeEnded := newTrigger()
