pool: log the state in which a request reached its deadline

One line now, at most one in half a second and pool, also when the entry's withdrawal comes first: tier, class, how long it waited, the expected length of its answer, whether that was measured, and the time per token. No decision changes.

--- a/internal/poolhost/report.go
+++ b/internal/poolhost/report.go
@@ -84,3 +84,16 @@
 	}
 	l.Info("Circuit breaker closed.")
 }
+
+// logExpired logs the state in which a request reached its deadline, at most once in
+// SummaryInterval.
+func (r *Runtime) logExpired(c pool.Expired) {
+	if r.now.Sub(r.expiredAt) < SummaryInterval {
+		return
+	}
+	r.expiredAt = r.now
+	logs.For("poolhost").WithFields(logrus.Fields{
+		"pool": r.name, "request": c.Request, "entry": c.Entry, "tier": c.Tier, "class": c.Class, "waited_ms": c.Waited.Milliseconds(),
+		"length": c.Length, "length_known": c.LengthKnown, "per_token_ms": c.PerToken.Milliseconds(), "bypassed": c.Bypassed, "share": r.degraded,
+	}).Info("Request expired in the queue.")
+}
--- a/internal/poolhost/runtime.go
+++ b/internal/poolhost/runtime.go
@@ -38,6 +38,7 @@
 	briefSentAt time.Time
 	closed      bool
 	lastTally   pool.Tally // as of the last summary
+	expiredAt   time.Time  // time of the last log line of logExpired
 	degraded    bool       // runs a StaticShare; this daemon is not the owner
 
 	monitor      *monitor
@@ -116,6 +117,8 @@
 		r.host.broadcastSuspect(r, c)
 	case pool.BreakerChanged:
 		r.logBreaker(c)
+	case pool.Expired:
+		r.logExpired(c)
 	}
 }
 
--- a/pool/max_wait.go
+++ b/pool/max_wait.go
@@ -81,6 +81,7 @@
 			p.redirectOrShed(it.Value, request.ReasonShed)
 			continue
 		}
+		p.reportExpired(it.Value)
 		p.shed(&it.Value.Enqueue, request.ReasonExpired, p.expectedWait(it.Tier))
 	}
 	for it := p.isolated.Expired(p.now); it != nil; it = p.isolated.Expired(p.now) {
--- a/pool/messages.go
+++ b/pool/messages.go
@@ -296,11 +296,28 @@
 	Open   bool
 }
 
+// Expired reports the state in which a request reached its deadline in the queue. It is
+// only logged.
+type Expired struct {
+	Request request.ID
+	Entry   EntryID
+	Tier    request.Tier
+	Class   string        // its class in the queue
+	Waited  time.Duration // in this pool
+	// Length is the expected length of its answer, in tokens, and LengthKnown whether it
+	// was measured. PerToken is the shortest time per token of all servers.
+	Length      int
+	LengthKnown bool
+	PerToken    time.Duration
+	Bypassed    int // how often a request with a warm prefix was granted first
+}
+
 func (Grant) command()          {}
 func (Shed) command()           {}
 func (Redirect) command()       {}
 func (ShareSuspect) command()   {}
 func (BreakerChanged) command() {}
+func (Expired) command()        {}
 
 // Summary is a snapshot of a pool's load, for sibling pools, entries and placement.
 type Summary struct {
--- a/pool/tier/queue.go
+++ b/pool/tier/queue.go
@@ -33,6 +33,11 @@
 	numClasses = 4
 )
 
+var classNames = [numClasses]string{"on_time", "held", "late", "infeasible"}
+
+// String returns the name of a class in logs.
+func (c Class) String() string { return classNames[c] }
+
 // Item is the queue entry of one waiting request. Set the exported fields before
 // Push and don't change them until Remove.
 type Item[T any] struct {
--- a/pool/waiter.go
+++ b/pool/waiter.go
@@ -138,6 +138,9 @@
 
 func (p *Pool) withdraw(e Withdraw) {
 	if w := p.waiting[e.Request]; w != nil && w.Entry == e.Entry {
+		if w.deadline.Sub(p.now) < withdrawnAtDeadline {
+			p.reportExpired(w)
+		}
 		p.removeWaiter(w)
 		return
 	}
