pool: an assumed length does not make a request infeasible

Callers saw: on a system whose answers take 0.6 s, a few requests of living entries refused as expired after their whole 30 s (TestEntryCrashWithWaitingRequests, "expired" 1 to 8).

Cause: a request that can't end before its deadline gets only slots that nobody else wants. Whether it can was told by the expected length of its answer, which was set when it was enqueued and was its cap as long as fewer than eight answers of its kind were measured. The requests that wait when a pool has just started have a cap of 4,096 tokens; as soon as the engines' 19 ms per token are measured, half of the cap takes more than the 30 s. Their answers have 22 tokens. With callers that send again at once nobody leaves a slot (one slot is kept free for tiers above), so that they wait to their deadlines, those of tier 0 behind all lower tiers.

In passing runs, too, callers of the entry that dies still wait for call 0 while others are at call 10.

Now an assumed length tells nothing of the end, only the first token counts; and the length is estimated again when that is decided, as answers were measured meanwhile. The test failed before: the lower tier was granted.

--- a/pool/choose.go
+++ b/pool/choose.go
@@ -230,9 +230,19 @@
 // possible before the deadline. It is below 1 because the estimate may be too long.
 const minFinishLengthShare = 0.5
 
-// cannotMeetDeadline reports whether a request cannot end before its deadline any more.
+// cannotMeetDeadline reports whether a request cannot end before its deadline any more. Of
+// an answer whose length nobody knows, only the first token counts.
+//
+// If it counted as long as its cap, the requests that wait when a pool has just started
+// would expire behind all others: those of a cap that cannot be reached in time get no slot
+// that anybody else wants.
 func (p *Pool) cannotMeetDeadline(w *waiter) bool {
-	_, whole := p.fastestTimes(1, int(minFinishLengthShare*float64(w.length.Mean)))
+	p.updateLength(w) // answers may have been measured since it was enqueued
+	tokens := 0
+	if w.length.Known || w.ExpectedTokens > 0 {
+		tokens = int(minFinishLengthShare * float64(w.length.Mean))
+	}
+	_, whole := p.fastestTimes(1, tokens)
 	return p.now.Add(whole).After(w.deadline)
 }
 
--- a/pool/length.go
+++ b/pool/length.go
@@ -11,6 +11,13 @@
 	return p.lengths.Estimate(key, maxTokens)
 }
 
+// updateLength estimates the length of a waiting request's answer. Plain services have none.
+func (p *Pool) updateLength(w *waiter) {
+	if !p.isBaseline() && w.MaxTokens > 0 {
+		w.length = p.expectLength(w.estimateKey, w.ExpectedTokens, w.MaxTokens)
+	}
+}
+
 // remainingTokens estimates the tokens that a run has still to generate.
 func (p *Pool) remainingTokens(r *run) int {
 	if r.hint > 0 {
--- a/pool/waiter.go
+++ b/pool/waiter.go
@@ -76,9 +76,7 @@
 	if e.FirstTokenIn != 0 {
 		w.firstTokenDue = p.now.Add(e.FirstTokenIn)
 	}
-	if !p.isBaseline() && e.MaxTokens > 0 {
-		w.length = p.expectLength(w.estimateKey, e.ExpectedTokens, e.MaxTokens)
-	}
+	p.updateLength(w)
 	w.Item.Tier, w.Item.Workspace, w.Item.Value = e.Tier, e.Workspace, w
 	if p.isLateRetry(w) {
 		w.Class = tier.Late
