pool: an infeasible request has its turn again once it can end in time

Callers see (not shown to have happened outside tests): a request that waited while the servers were slow, or answers of its kind long, expires behind all others although it could long since be served.

Cause: that a request can't end before its deadline was decided once, from the time per token and the expected length of that moment, and never again.

Each tick looks at up to 64 such requests of each tier again and moves back those that can end in time now. The test failed before for both changes (short answers, fast servers): the lower tier was granted; without a change it still is.

--- a/pool/infeasible_test.go
+++ b/pool/infeasible_test.go
@@ -48,3 +48,36 @@
 		So(grants(r.endRun(g, OutcomeDone))[0].Request, ShouldEqual, request.ID("first"))
 	})
 }
+
+// Guards against requests that expire behind all others although their answers turned out to
+// be short, or the servers to be fast.
+func TestInfeasibleRequestsAreReconsidered(t *testing.T) {
+	observe := func(r *harness, count, tokens int) {
+		for range count {
+			r.lengths.Observe(r.newWaiter(capped("")).estimateKey, tokens)
+		}
+	}
+	for name, x := range map[string]struct {
+		change func(r *harness, g Grant)
+		next   request.ID
+	}{
+		"Nothing has changed":                            {func(*harness, Grant) {}, "low"},
+		"Answers of its kind turn out to be short":       {func(r *harness, _ Grant) { observe(r, 64, 10) }, "first"},
+		"The time per token of the server becomes short": {func(r *harness, g Grant) { r.reportTokens(g, time.Millisecond, 200) }, "first"},
+	} {
+		Convey(name+": of an infeasible request and one of a lower tier, the next is "+string(x.next), t, func() {
+			r := newHarness(Config{}, servers(1, 1)...)
+			observe(r, 64, 4000)
+			g := r.mustGrant(capped("running"))
+			r.send(capped("first"))
+			r.send(short("other"))
+			r.reportTokens(g, slowToken, 2)
+			g = grants(r.endRun(g, OutcomeDone))[0]
+			So(g.Request, ShouldEqual, request.ID("other"))
+			r.send(short("low"))
+			x.change(r, g)
+			r.advance(compareInterval)
+			So(grants(r.endRun(g, OutcomeDone))[0].Request, ShouldEqual, x.next)
+		})
+	}
+}
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -181,6 +181,7 @@
 
 func (p *Pool) tick() {
 	p.compareServers()
+	p.reconsiderInfeasible()
 	p.detectOverdue()
 	p.reclaimLostRuns()
 	p.redirectWhileDown()
--- a/pool/schedule.go
+++ b/pool/schedule.go
@@ -179,6 +179,20 @@
 	return true
 }
 
+// reconsiderInfeasible moves requests back to the late ones of their tiers once they can
+// meet their deadlines after all: their answers turned out to be shorter, or the servers
+// faster.
+func (p *Pool) reconsiderInfeasible() {
+	for t := request.Tier(0); t < request.MaxTiers; t++ {
+		p.candidates = p.queue.Candidates(t, tier.Infeasible, maxLateCandidates, p.candidates[:0])
+		for _, it := range p.candidates {
+			if !p.cannotMeetDeadline(it.Value) {
+				p.queue.SetClass(it, tier.Late)
+			}
+		}
+	}
+}
+
 // scheduleBestEffort grants the remaining slots to requests that cannot meet their
 // deadlines. They only get slots that no other request can use. They are still served,
 // since the estimate of their length may be wrong.
