--- a/pool/late_test.go
+++ b/pool/late_test.go
@@ -77,7 +77,7 @@
 // first.
 func TestLateRequestsDoNotExpireBehindOnTimeOnes(t *testing.T) {
 	for _, callers := range []int{7, 8, 9, 10} {
-		for _, runTime := range []time.Duration{400 * time.Millisecond, 600 * time.Millisecond, 900 * time.Millisecond} {
+		for _, runTime := range []time.Duration{400 * time.Millisecond, 600 * time.Millisecond, 900 * time.Millisecond, 1500 * time.Millisecond, 2 * time.Second, 3 * time.Second} {
 			Convey(fmt.Sprintf("No request of %d callers for six slots expires if each takes %v", callers, runTime), t, func() {
 				So(runClosedLoop(callers, runTime), ShouldEqual, 0)
 			})
