discovery: the cost of a change of servers grows with the change

Cause: each change of a server compared, copied and sorted the whole list for the change log, and an answer of a reader was applied by sorting its own list, changing it and replacing all servers. Each of a reader's answers looked at all servers for those that changed since a revision.

Change: the directory keeps the IDs sorted and remembers which servers were touched; the change log records these alone, by revision, so an answer looks at what came after the asker's revision; Directory.Update takes a reader's changes.

TestDeltaUpdatesAnyOldList is as strict as it was: its lists go through a directory to the change log, and Delta.Apply, no longer in the product, is its reference.

--- a/discovery/changelog.go
+++ b/discovery/changelog.go
@@ -17,15 +17,17 @@
 // make the traffic between zones the largest cost, 3.4 MB/s from the daemon that sends
 // most. A ChangeLog is not safe for concurrent use.
 type ChangeLog struct {
-	current   map[string]Server
-	changedAt map[string]Revision
-	removals  []removal // oldest first
+	current map[string]Server
+	// changes and removals are sorted by revision, oldest first. A server may be in
+	// changes several times; its newest state is in current.
+	changes  []change
+	removals []change
 	// oldest is the first revision since which all changes are known.
 	oldest Revision
 }
 
-// removal is a server that is no longer listed.
-type removal struct {
+// change is the revision at which a server changed or was no longer listed.
+type change struct {
 	id string
 	at Revision
 }
@@ -36,29 +38,60 @@
 	Removed []string
 }
 
-// Record records the complete list as of a revision.
-func (c *ChangeLog) Record(listed []Server, revision Revision) {
-	previous := c.current
-	if previous == nil {
-		c.oldest, c.changedAt = revision, map[string]Revision{}
+// minCompaction is the number of changes below which superseded ones are kept.
+const minCompaction = 256
+
+// Record records what has changed in the list as of a revision, the first time the
+// whole list. Revisions don't decrease.
+func (c *ChangeLog) Record(d Delta, revision Revision) {
+	if c.current == nil {
+		c.oldest, c.current = revision, map[string]Server{}
 	}
-	c.current = make(map[string]Server, len(listed))
-	for _, s := range listed {
+	for _, s := range d.Changed {
+		old, known := c.current[s.ID]
 		c.current[s.ID] = s
-		if old, known := previous[s.ID]; !known || !s.Equal(old) {
-			c.changedAt[s.ID] = revision
+		if !known || !s.Equal(old) {
+			c.changes = append(c.changes, change{s.ID, revision})
 		}
 	}
-	for id := range previous {
-		if _, stillListed := c.current[id]; !stillListed {
-			delete(c.changedAt, id)
-			c.removals = append(c.removals, removal{id, revision})
+	for _, id := range d.Removed {
+		if _, known := c.current[id]; known {
+			delete(c.current, id)
+			c.removals = append(c.removals, change{id, revision})
 		}
 	}
+	c.compact()
+}
+
+// compact drops the oldest removals, and the changes that newer ones supersede once
+// these are half of all.
+func (c *ChangeLog) compact() {
 	if excess := len(c.removals) - maxRemovals; excess > 0 {
 		c.oldest = c.removals[excess-1].at
 		c.removals = slices.Clone(c.removals[excess:])
 	}
+	if len(c.changes) < max(minCompaction, 2*len(c.current)) {
+		return
+	}
+	c.changes = c.newest(0)
+	slices.Reverse(c.changes)
+}
+
+// newest returns the last change of each listed server that changed after a revision,
+// newest first.
+func (c *ChangeLog) newest(after Revision) []change {
+	var out []change
+	seen := map[string]bool{}
+	for _, x := range slices.Backward(c.changes) {
+		if x.at <= after {
+			break
+		}
+		if _, listed := c.current[x.id]; listed && !seen[x.id] {
+			seen[x.id] = true
+			out = append(out, x)
+		}
+	}
+	return out
 }
 
 // Since returns the changes after a revision, or false if the revision is too old. The
@@ -68,33 +101,16 @@
 		return Delta{}, false
 	}
 	var d Delta
-	for id, at := range c.changedAt {
-		if at > revision {
-			d.Changed = append(d.Changed, c.current[id])
-		}
+	for _, x := range c.newest(revision) {
+		d.Changed = append(d.Changed, c.current[x.id])
 	}
-	for _, r := range c.removals {
-		if _, relisted := c.current[r.id]; r.at > revision && !relisted {
+	for _, r := range slices.Backward(c.removals) {
+		if r.at <= revision {
+			break
+		}
+		if _, relisted := c.current[r.id]; !relisted {
 			d.Removed = append(d.Removed, r.id)
 		}
 	}
 	return d, true
 }
-
-// Apply returns the list with the delta applied.
-func (d Delta) Apply(listed []Server) []Server {
-	superseded := make(map[string]bool, len(d.Removed)+len(d.Changed))
-	for _, id := range d.Removed {
-		superseded[id] = true
-	}
-	for _, s := range d.Changed {
-		superseded[s.ID] = true
-	}
-	out := make([]Server, 0, len(listed)+len(d.Changed))
-	for _, s := range listed {
-		if !superseded[s.ID] {
-			out = append(out, s)
-		}
-	}
-	return append(out, d.Changed...)
-}
--- a/discovery/changelog_test.go
+++ b/discovery/changelog_test.go
@@ -17,12 +17,31 @@
 	return out
 }
 
+// applyDelta returns a list with the changes applied.
+func applyDelta(d Delta, listed []Server) []Server {
+	superseded := make(map[string]bool, len(d.Removed)+len(d.Changed))
+	for _, id := range d.Removed {
+		superseded[id] = true
+	}
+	for _, s := range d.Changed {
+		superseded[s.ID] = true
+	}
+	out := make([]Server, 0, len(listed)+len(d.Changed))
+	for _, s := range listed {
+		if !superseded[s.ID] {
+			out = append(out, s)
+		}
+	}
+	return append(out, d.Changed...)
+}
+
 // TestDeltaUpdatesAnyOldList checks that applying the delta since an earlier revision
 // to the list of that revision gives the newest list, and that no delta is returned for
 // a revision that is no longer known.
 func TestDeltaUpdatesAnyOldList(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		var c ChangeLog
+		listed := NewDirectory()
 		now := map[string]Server{}
 		history := map[Revision][]Server{}
 		for at := Revision(1); at <= 30; at++ {
@@ -36,7 +55,8 @@
 			}
 			history[at] = serversOf(now)
 			if at >= 3 {
-				c.Record(serversOf(now), at)
+				listed.Replace(time.Time{}, serversOf(now))
+				c.Record(listed.TakeChanges(), at)
 			}
 		}
 		for at, old := range history {
@@ -48,7 +68,7 @@
 				continue
 			}
 			dir, want := NewDirectory(), NewDirectory()
-			dir.Replace(time.Time{}, d.Apply(old))
+			dir.Replace(time.Time{}, applyDelta(d, old))
 			want.Replace(time.Time{}, serversOf(now))
 			if fmt.Sprint(dir.Listed()) != fmt.Sprint(want.Listed()) {
 				t.Fatalf("Since(%d): got list %v, want %v", at, dir.Listed(), want.Listed())
@@ -60,9 +80,11 @@
 func TestChangeLogDropsOldestRemovals(t *testing.T) {
 	Convey("For a revision before the remembered removals there is no delta", t, func() {
 		var c ChangeLog
-		c.Record(nil, 1)
+		listed := NewDirectory()
+		c.Record(listed.TakeChanges(), 1)
 		for i := range maxRemovals + 10 {
-			c.Record([]Server{{ID: fmt.Sprint(i)}}, Revision(2+i))
+			listed.Replace(time.Time{}, []Server{{ID: fmt.Sprint(i)}})
+			c.Record(listed.TakeChanges(), Revision(2+i))
 		}
 		_, ok := c.Since(5)
 		So(ok, ShouldBeFalse)
--- a/discovery/directory.go
+++ b/discovery/directory.go
@@ -3,7 +3,7 @@
 package discovery
 
 import (
-	"cmp"
+	"maps"
 	"slices"
 	"strconv"
 	"time"
@@ -69,14 +69,20 @@
 	// missing are the servers that are kept although the newest list lacks them.
 	missing map[string]bool
 	// confirmed are the servers that have been listed since the store recovered.
-	confirmed        map[string]bool
+	confirmed map[string]bool
+	// allConfirmed is set while all servers but the missing ones are confirmed.
+	allConfirmed     bool
 	storeDown        bool
 	storeRecoveredAt time.Time
+	// order holds the servers' IDs, sorted.
+	order []string
+	// touched are the servers that may have changed since the last TakeChanges.
+	touched map[string]struct{}
 }
 
 // NewDirectory returns an empty directory.
 func NewDirectory() *Directory {
-	return &Directory{servers: map[string]Server{}, missing: map[string]bool{}, confirmed: map[string]bool{}}
+	return &Directory{servers: map[string]Server{}, missing: map[string]bool{}, confirmed: map[string]bool{}, touched: map[string]struct{}{}}
 }
 
 // StoreUnavailable reports that the store did not answer.
@@ -104,11 +110,65 @@
 // missing.
 func (d *Directory) Confirm(now time.Time) {
 	d.markStoreAvailable(now)
+	d.confirmAll()
+}
+
+func (d *Directory) confirmAll() {
+	if d.allConfirmed {
+		return
+	}
+	d.allConfirmed = true
 	for id := range d.servers {
 		d.confirmed[id] = !d.missing[id]
 	}
 }
 
+// Update applies what has changed since the list that the directory has, like Replace
+// with the list after these changes. Its cost grows with the changes.
+func (d *Directory) Update(now time.Time, delta Delta) bool {
+	d.markStoreAvailable(now)
+	relisted := make(map[string]bool, len(delta.Changed))
+	for _, s := range delta.Changed {
+		relisted[s.ID] = true
+	}
+	changed := false
+	for _, id := range delta.Removed {
+		if _, known := d.servers[id]; known && !relisted[id] {
+			changed = d.handleMissing(now, id) || changed
+		}
+	}
+	d.confirmAll()
+	for _, s := range delta.Changed {
+		changed = d.upsert(s) || changed
+	}
+	return changed
+}
+
+// TakeChanges returns the changes to the list of Listed since the last call, sorted by
+// ID: at first the whole list. A server that is not listed but kept is in Removed.
+func (d *Directory) TakeChanges() Delta {
+	var delta Delta
+	for _, id := range slices.Sorted(maps.Keys(d.touched)) {
+		if s, known := d.servers[id]; known && !d.missing[id] {
+			delta.Changed = append(delta.Changed, s)
+		} else {
+			delta.Removed = append(delta.Removed, id)
+		}
+	}
+	clear(d.touched)
+	return delta
+}
+
+// Get returns a server with a valid entry.
+func (d *Directory) Get(id string) (Server, bool) {
+	s, known := d.servers[id]
+	return s, known && s.InvalidReason == ""
+}
+
+// InvalidReason says why a server's entry is malformed; empty if it is valid or there is
+// none.
+func (d *Directory) InvalidReason(id string) string { return d.servers[id].InvalidReason }
+
 // Put applies one changed entry and reports whether the directory changed.
 func (d *Directory) Put(now time.Time, s Server) bool {
 	d.markStoreAvailable(now)
@@ -133,6 +193,7 @@
 	if d.inRecoveryGrace(now) && !d.confirmed[id] {
 		known := d.missing[id]
 		d.missing[id] = true
+		d.touched[id] = struct{}{}
 		return !known
 	}
 	d.drop(id)
@@ -179,12 +240,11 @@
 
 func (d *Directory) sorted(keep func(Server) bool) []Server {
 	out := make([]Server, 0, len(d.servers))
-	for _, s := range d.servers {
-		if keep(s) {
+	for _, id := range d.order {
+		if s := d.servers[id]; keep(s) {
 			out = append(out, s)
 		}
 	}
-	slices.SortFunc(out, func(a, b Server) int { return cmp.Compare(a.ID, b.ID) })
 	return out
 }
 
@@ -199,7 +259,14 @@
 	if known {
 		s = old.merge(s)
 	}
-	d.servers[s.ID] = s
+	if !known {
+		at, _ := slices.BinarySearch(d.order, s.ID)
+		d.order = slices.Insert(d.order, at, s.ID)
+	}
+	if !known || reappeared || s != old {
+		d.servers[s.ID] = s
+		d.touched[s.ID] = struct{}{}
+	}
 	return reappeared || !known || !s.Equal(old)
 }
 
@@ -252,6 +319,10 @@
 const maxReorderedWrites = 8
 
 func (d *Directory) drop(id string) {
+	if at, found := slices.BinarySearch(d.order, id); found {
+		d.order = slices.Delete(d.order, at, at+1)
+	}
+	d.touched[id] = struct{}{}
 	delete(d.servers, id)
 	delete(d.missing, id)
 	delete(d.confirmed, id)
@@ -261,6 +332,7 @@
 	if d.storeDown {
 		d.storeDown, d.storeRecoveredAt = false, now
 		clear(d.confirmed)
+		d.allConfirmed = false
 	}
 }
 
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -137,15 +137,16 @@
 func (s *state) applyPeerServers(base objectstore.Version, d discovery.Delta, rev objectstore.Version) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	listed := d.Changed
-	if base > 0 {
-		if s.serversRevision != base {
-			return // listed from the store meanwhile; the next answer will match
-		}
-		listed = d.Apply(s.directory.Listed())
+	if base > 0 && s.serversRevision != base {
+		return // listed from the store meanwhile; the next answer will match
 	}
 	s.updateServersLocked(rev, func(now time.Time) bool {
-		changed := s.directory.Replace(now, listed)
+		changed := false
+		if base > 0 {
+			changed = s.directory.Update(now, d)
+		} else {
+			changed = s.directory.Replace(now, d.Changed)
+		}
 		return s.directory.ExpireMissing(now) || changed
 	})
 	s.serversRevision = max(s.serversRevision, rev)
@@ -178,7 +179,7 @@
 		return
 	}
 	s.serversRevision = rev
-	s.changes.Record(s.directory.Listed(), discovery.Revision(rev))
+	s.changes.Record(s.directory.TakeChanges(), discovery.Revision(rev))
 	s.scheduleRebuildLocked()
 	s.notifyChangedLocked()
 }
