gateway: a rebuild builds what the changed servers need

Cause: each rebuild sorted all servers, built all pools, compared all for the log, counted all versions and made anew which servers may be used and what runs at each address.

Change: the directory's changes since the last rebuild are kept. updatePools builds the pools that they change, and those of a version group anew where their number changes; the log, the versions, the usable servers and the addresses follow the changes. All pools are built as before where the routes or an arm have changed, an arm is not stable, or a version appears or disappears.

--- a/discovery/directory.go
+++ b/discovery/directory.go
@@ -155,20 +155,16 @@
 			delta.Removed = append(delta.Removed, id)
 		}
 	}
-	clear(d.touched)
+	d.touched = map[string]struct{}{}
 	return delta
 }
 
-// Get returns a server with a valid entry.
+// Get returns a server, also one with a malformed entry.
 func (d *Directory) Get(id string) (Server, bool) {
 	s, known := d.servers[id]
-	return s, known && s.InvalidReason == ""
+	return s, known
 }
 
-// InvalidReason says why a server's entry is malformed; empty if it is valid or there is
-// none.
-func (d *Directory) InvalidReason(id string) string { return d.servers[id].InvalidReason }
-
 // Put applies one changed entry and reports whether the directory changed.
 func (d *Directory) Put(now time.Time, s Server) bool {
 	d.markStoreAvailable(now)
--- a/internal/gateway/pools.go
+++ b/internal/gateway/pools.go
@@ -3,7 +3,6 @@
 import (
 	"cmp"
 	"slices"
-	"strconv"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -104,14 +103,9 @@
 	if g.arm == rollout.Canary {
 		key.Version = g.version
 	}
-	shards := make([]*workspace.ResolvedPool, max(1, (len(g.servers)+workspace.MaxPoolServers-1)/workspace.MaxPoolServers))
-	for i := range shards {
-		name := g.name()
-		if i > 0 {
-			name += "#" + strconv.Itoa(i)
-		}
-		shards[i] = &workspace.ResolvedPool{Pool: workspace.Pool{Name: name, Region: region, Model: g.service, Version: key.Version}}
-		snapshot.Pools[name] = shards[i]
+	shards := newShards(g.name(), key, shardCount(len(g.servers)))
+	for _, p := range shards {
+		snapshot.Pools[p.Name] = p
 	}
 	for _, s := range g.servers {
 		shard := shards[shardOf(s.ID, len(shards))]
--- a/internal/gateway/rolloutstate.go
+++ b/internal/gateway/rolloutstate.go
@@ -20,6 +20,8 @@
 	// revision is the store's revision as of which the rollouts are known; 0: never read.
 	revision objectstore.Version
 	versions map[string]*rollout.Versions // by service
+	// present is the number of servers of each version.
+	present map[serviceVersion]int
 	// firstSeen is the directory's revision at which a service's version appeared.
 	firstSeen map[serviceVersion]objectstore.Version
 	arms      map[serviceVersion]rollout.Arm
@@ -32,7 +34,7 @@
 func newRolloutState(enabled bool) rolloutState {
 	return rolloutState{
 		enabled: enabled, all: rollout.Set{}, versions: map[string]*rollout.Versions{},
-		firstSeen: map[serviceVersion]objectstore.Version{}, arms: map[serviceVersion]rollout.Arm{},
+		present: map[serviceVersion]int{}, firstSeen: map[serviceVersion]objectstore.Version{}, arms: map[serviceVersion]rollout.Arm{},
 		readNow: make(chan struct{}, 1),
 	}
 }
@@ -45,27 +47,19 @@
 	return rs.arms[serviceVersion{s.Service, s.Version}]
 }
 
-// assignArms assigns an arm to each version of the present servers, as of the directory's
-// revision.
-func (rs *rolloutState) assignArms(servers []discovery.Server, rev objectstore.Version) {
+// assignArms assigns an arm to each version of the present servers after changes, as of the
+// directory's revision, and reports whether an arm has changed.
+func (rs *rolloutState) assignArms(changes []serverChange, rev objectstore.Version) bool {
 	if !rs.enabled {
-		return
+		return false
 	}
+	rs.countVersions(changes, rev)
 	present := map[string][]string{}
-	for _, s := range servers {
-		if !slices.Contains(present[s.Service], s.Version) {
-			present[s.Service] = append(present[s.Service], s.Version)
-		}
-		if _, seen := rs.firstSeen[serviceVersion{s.Service, s.Version}]; !seen {
-			rs.firstSeen[serviceVersion{s.Service, s.Version}] = max(rev, objectstore.Version(s.Revision))
-		}
-	}
-	for v := range rs.firstSeen {
-		if !slices.Contains(present[v.service], v.version) {
-			delete(rs.firstSeen, v) // counts as new if it returns
-		}
+	for v := range rs.present {
+		present[v.service] = append(present[v.service], v.version)
 	}
-	clear(rs.arms)
+	before := rs.arms
+	rs.arms = make(map[serviceVersion]rollout.Arm, len(rs.present))
 	for service, versions := range present {
 		for version, arm := range rs.armsOf(service, versions) {
 			rs.arms[serviceVersion{service, version}] = arm
@@ -77,6 +71,39 @@
 		default:
 		}
 	}
+	return !maps.Equal(before, rs.arms)
+}
+
+// countVersions updates which versions are present, and since when.
+func (rs *rolloutState) countVersions(changes []serverChange, rev objectstore.Version) {
+	for _, c := range changes {
+		if c.is {
+			rs.present[serviceVersion{c.after.Service, c.after.Version}]++
+		}
+		if c.was {
+			rs.present[serviceVersion{c.before.Service, c.before.Version}]--
+		}
+	}
+	maps.DeleteFunc(rs.present, func(_ serviceVersion, n int) bool { return n == 0 })
+	for _, c := range changes {
+		v := serviceVersion{c.after.Service, c.after.Version}
+		if _, seen := rs.firstSeen[v]; c.is && !seen {
+			rs.firstSeen[v] = max(rev, objectstore.Version(c.after.Revision))
+		}
+	}
+	maps.DeleteFunc(rs.firstSeen, func(v serviceVersion, _ objectstore.Version) bool {
+		return rs.present[v] == 0 // counts as new if it returns
+	})
+}
+
+// allStable reports whether every version is stable.
+func (rs *rolloutState) allStable() bool {
+	for _, arm := range rs.arms {
+		if arm != rollout.Stable {
+			return false
+		}
+	}
+	return true
 }
 
 func (rs *rolloutState) armsOf(service string, versions []string) map[string]rollout.Arm {
--- a/internal/gateway/rolloutstate_test.go
+++ b/internal/gateway/rolloutstate_test.go
@@ -48,10 +48,10 @@
 // partitionerIn returns the partitioner for a rollout from v1 to v2 in the given state.
 func partitionerIn(state rollout.State) partitioner {
 	rs := newRolloutState(true)
-	rs.assignArms([]discovery.Server{v1}, 5)
+	assignAll(&rs, []discovery.Server{v1}, 5)
 	rs.all.Put(rollout.Rollout{ID: rollout.ID{Service: "app", To: "v2", Created: 6}, State: state})
 	rs.revision = 9
-	rs.assignArms([]discovery.Server{v1, v2}, 8)
+	assignAll(&rs, []discovery.Server{v1, v2}, 8)
 	all := func(_ string, _ int, servers []discovery.Server) []discovery.Server { return servers }
 	return partitioner{arm: rs.arm, canaryServers: all}
 }
@@ -82,19 +82,19 @@
 	// Guards against servers of a new version that get their whole share before its rollout is read.
 	Convey("A new version is unused until the rollouts have been read after it appeared", t, func() {
 		rs := newRolloutState(true)
-		rs.assignArms([]discovery.Server{v1}, 5)
+		assignAll(&rs, []discovery.Server{v1}, 5)
 		rs.revision = 6
-		rs.assignArms([]discovery.Server{v1, v2}, 8)
+		assignAll(&rs, []discovery.Server{v1, v2}, 8)
 		So(rs.arm(v1), ShouldEqual, rollout.Stable)
 		So(rs.arm(v2), ShouldEqual, rollout.Off)
 		So(rs.hasPendingVersions(), ShouldBeTrue)
 		So(len(rs.readNow), ShouldEqual, 1)
 		rs.revision = 9
-		rs.assignArms([]discovery.Server{v1, v2}, 8)
+		assignAll(&rs, []discovery.Server{v1, v2}, 8)
 		So(rs.arm(v2), ShouldEqual, rollout.Stable)
 		Convey("and again after its servers were gone", func() {
-			rs.assignArms([]discovery.Server{v1}, 10)
-			rs.assignArms([]discovery.Server{v1, v2}, 12)
+			assignAll(&rs, []discovery.Server{v1}, 10)
+			assignAll(&rs, []discovery.Server{v1, v2}, 12)
 			So(rs.arm(v2), ShouldEqual, rollout.Off)
 		})
 	})
@@ -133,7 +133,7 @@
 func TestVersionsWithoutRollouts(t *testing.T) {
 	Convey("Without rollouts versions are ignored", t, func() {
 		rs := newRolloutState(false)
-		rs.assignArms([]discovery.Server{v1, v2}, 5)
+		assignAll(&rs, []discovery.Server{v1, v2}, 5)
 		So(rs.arm(v2), ShouldEqual, rollout.Stable)
 		So(len(rs.readNow), ShouldEqual, 0)
 		s := buildPools(appTable(t), []discovery.Server{v1, v2}, "r", partitioner{})
@@ -142,6 +142,16 @@
 	})
 }
 
+// assignAll assigns the arms where exactly these servers are present.
+func assignAll(rs *rolloutState, servers []discovery.Server, rev objectstore.Version) {
+	clear(rs.present)
+	var changes []serverChange
+	for _, x := range servers {
+		changes = append(changes, serverChange{id: x.ID, after: x, is: true})
+	}
+	rs.assignArms(changes, rev)
+}
+
 // stateWithRollouts returns a state with rollouts enabled and an active configuration.
 func stateWithRollouts() *state {
 	s := stateWithConfig()
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -56,10 +56,10 @@
 	// canaryServers returns the servers of a new version that get canaries now.
 	canaryServers  func(service string, stable int, servers []discovery.Server) []discovery.Server
 	invalidReasons map[string]string // by the entry's name, as last logged
-	incarnations   map[string]string // by server ID, as last logged
-	changed        chan struct{}     // closed and replaced at each change
-	rebuildPacer   pacer             // limits the rate of rebuilds
-	rebuildPending bool              // a rebuild is scheduled
+	built          builtServers
+	changed        chan struct{} // closed and replaced at each change
+	rebuildPacer   pacer         // limits the rate of rebuilds
+	rebuildPending bool          // a rebuild is scheduled
 }
 
 // serverUse says which requests a server may get.
@@ -79,7 +79,7 @@
 		configFreshness: revision.NewFreshness(), serversFreshness: revision.NewFreshness(), rolloutsFreshness: revision.NewFreshness(),
 		log: logs.For("sync"), rollouts: newRolloutState(false),
 		directory: discovery.NewDirectory(), changed: make(chan struct{}), latency: newLatencies(m),
-		invalidEntries: m.Counter("servers", "invalid_entries"), invalidReasons: map[string]string{},
+		invalidEntries: m.Counter("servers", "invalid_entries"), invalidReasons: map[string]string{}, built: newBuiltServers(),
 	}
 }
 
@@ -179,11 +179,19 @@
 		return
 	}
 	s.serversRevision = rev
-	s.changes.Record(s.directory.TakeChanges(), discovery.Revision(rev))
+	s.recordChangesLocked()
 	s.scheduleRebuildLocked()
 	s.notifyChangedLocked()
 }
 
+// recordChangesLocked records the directory's changes for the daemons that poll this one and
+// for the next rebuild; the mutex is held.
+func (s *state) recordChangesLocked() {
+	d := s.directory.TakeChanges()
+	s.changes.Record(d, discovery.Revision(s.serversRevision))
+	s.built.add(d)
+}
+
 // scheduleRebuildLocked rebuilds the pools now or, where rebuilds would take too much
 // processor time, once later for all changes until then; the mutex is held.
 func (s *state) scheduleRebuildLocked() {
@@ -211,6 +219,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.directory.ExpireMissing(time.Now()) {
+		s.recordChangesLocked()
 		s.rebuildLocked()
 		s.notifyChangedLocked()
 	}
@@ -234,8 +243,8 @@
 	s.directory.StoreUnavailable()
 }
 
-// rebuildLocked builds the pools' snapshot from the table and the directory; the mutex
-// is held.
+// rebuildLocked brings the pools' snapshot and what else is derived from the servers up to
+// date with the table and the directory; the mutex is held.
 func (s *state) rebuildLocked() {
 	s.rebuildPending = false
 	table := s.routes.Load()
@@ -244,21 +253,28 @@
 	}
 	start := time.Now()
 	defer func() { s.rebuildPacer.done(start, time.Now()) }()
-	servers := s.directory.Servers()
-	s.logServers(servers)
-	s.logInvalid(s.directory.Invalid())
-	s.rollouts.assignArms(servers, s.serversRevision)
-	prev, next := s.snapshot.Load(), buildPools(table, servers, s.region, s.partitioner())
-	s.snapshot.Store(next)
-	s.poolRemovals.update(prev, next)
-	byAddress := make(map[string]string, len(servers))
-	usable := make(map[string]serverUse, len(servers))
-	for _, server := range servers {
-		byAddress[server.Address] += server.ID + "/" + server.Incarnation() + " "
-		usable[server.ID] = serverUse{leaving: server.Leaving, arm: s.rollouts.arm(server)}
+	changes, invalid := s.built.take(s.directory)
+	s.logServers(changes)
+	s.logInvalid(invalid)
+	armsChanged := s.rollouts.assignArms(changes, s.serversRevision)
+	prev, next := s.snapshot.Load(), s.nextSnapshotLocked(table, changes, armsChanged)
+	if next != prev {
+		s.snapshot.Store(next)
+		s.poolRemovals.update(prev, next)
+	}
+	s.built.table = table
+	s.onIncarnations(s.built.updateAddresses(changes))
+	s.usable.Store(s.built.usableServers(s.usable.Load(), changes, s.rollouts.arm, armsChanged))
+}
+
+// nextSnapshotLocked returns the pools' snapshot after changes of servers; the mutex is held.
+func (s *state) nextSnapshotLocked(table *route.Table, changes []serverChange, armsChanged bool) *workspace.Snapshot {
+	if prev := s.snapshot.Load(); prev != nil && table == s.built.table && !armsChanged && s.rollouts.allStable() {
+		if next, ok := updatePools(prev, changes, s.region, s.rollouts.enabled); ok {
+			return next
+		}
 	}
-	s.onIncarnations(byAddress)
-	s.usable.Store(&usable)
+	return buildPools(table, s.directory.Servers(), s.region, s.partitioner())
 }
 
 // storeLostLongerThan reports whether the store has not answered this daemon itself for
