gateway: the events of one answer to a watch are applied at once

Cause: a reader applied each event of a watch alone and woke the polls of up to 23 daemons at the first; each was answered with the servers up to there, and asked again for the next, though the watch had brought all of them at once.

Change: one update of the directory, one rebuild and one wake an answer.

--- a/internal/gateway/reflector.go
+++ b/internal/gateway/reflector.go
@@ -57,11 +57,11 @@
 	// when the store refuses the readers' and standbys' calls, the daemons that it
 	// would still answer could miss a change for longer than the 2 s allowed.
 	maxPeerAge time.Duration
-	// applyList applies a list and reports whether it proves freshness; applyEvent
-	// applies one event of a watch, rev being the revision after all its events.
-	applyList  func(l objectstore.List) bool
-	applyEvent func(e objectstore.Event, rev objectstore.Version)
-	onFailure  func()
+	// applyList applies a list and reports whether it proves freshness; applyEvents
+	// applies the events of an answer to a watch, rev being the revision after them.
+	applyList   func(l objectstore.List) bool
+	applyEvents func(events []objectstore.Event, rev objectstore.Version)
+	onFailure   func()
 	// mayIdle reports whether a daemon that is not a reader may skip listing the kind;
 	// nil: maxPeerAge decides.
 	mayIdle func() bool
@@ -78,22 +78,31 @@
 	all := []*kindLoop{
 		{
 			kind: s.platform.ConfigurationKind, interval: fixed(configReadInterval), freshness: s.configFreshness, maxPeerAge: 1700 * time.Millisecond,
-			applyList: r.applyConfigList, applyEvent: r.applyConfigEvent, onFailure: func() {},
+			applyList: r.applyConfigList, applyEvents: each(r.applyConfigEvent), onFailure: func() {},
 		},
 		{
 			kind: s.platform.ServersKind, interval: fixed(serversListInterval), freshness: s.serversFreshness, maxPeerAge: 1500 * time.Millisecond,
-			applyList: r.applyServerList, applyEvent: r.applyServerEvent, onFailure: s.storeUnavailable,
+			applyList: r.applyServerList, applyEvents: r.applyServerEvents, onFailure: s.storeUnavailable,
 		},
 	}
 	if s.rollouts.enabled {
 		all = append(all, &kindLoop{
 			kind: s.platform.RolloutsKind, interval: r.rolloutsInterval, freshness: s.rolloutsFreshness,
-			applyList: r.applyRolloutList, applyEvent: r.applyRolloutEvent, onFailure: func() {}, mayIdle: r.rolloutsMayIdle, wake: s.rollouts.readNow,
+			applyList: r.applyRolloutList, applyEvents: each(r.applyRolloutEvent), onFailure: func() {}, mayIdle: r.rolloutsMayIdle, wake: s.rollouts.readNow,
 		})
 	}
 	return all
 }
 
+// each applies events one by one.
+func each(apply func(e objectstore.Event, rev objectstore.Version)) func([]objectstore.Event, objectstore.Version) {
+	return func(events []objectstore.Event, rev objectstore.Version) {
+		for _, e := range events {
+			apply(e, rev)
+		}
+	}
+}
+
 func fixed(d time.Duration) func() time.Duration { return func() time.Duration { return d } }
 
 // run keeps the kind in step until ctx ends.
@@ -217,9 +226,7 @@
 			r.state.log.WithField("kind", k.kind).WithError(err).Debug("Watch ended.")
 			return
 		}
-		for _, e := range events {
-			k.applyEvent(e, next)
-		}
+		k.applyEvents(events, next)
 		after = next
 		wait.For(ctx, watchCoalesceDelay)
 	}
@@ -252,12 +259,18 @@
 	return true
 }
 
-func (r *reflector) applyServerEvent(e objectstore.Event, rev objectstore.Version) {
-	if e.Deleted {
-		r.state.removeServer(e.Object.Name, e.Object.Version, rev)
-		return
+// applyServerEvents applies all events at once, so that the daemons that poll this one are
+// sent them in one answer.
+func (r *reflector) applyServerEvents(events []objectstore.Event, rev objectstore.Version) {
+	all := make([]serverEvent, 0, len(events))
+	for _, e := range events {
+		if e.Deleted {
+			all = append(all, serverEvent{server: discovery.Server{ID: e.Object.Name, Revision: discovery.Revision(e.Object.Version)}, removed: true})
+		} else {
+			all = append(all, serverEvent{server: r.decodeServer(e.Object)})
+		}
 	}
-	r.state.putServer(r.decodeServer(e.Object), rev)
+	r.state.applyServerEvents(all, rev)
 }
 
 // runExpiry removes missing servers when their grace period ends, until ctx ends.
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -152,14 +152,26 @@
 	s.serversRevision = max(s.serversRevision, rev)
 }
 
-// putServer applies one changed entry.
-func (s *state) putServer(server discovery.Server, rev objectstore.Version) {
-	s.updateServers(rev, func(now time.Time) bool { return s.directory.Put(now, server) })
+// serverEvent is a changed entry or, if removed is set, the removal of the entry of that ID
+// at that revision.
+type serverEvent struct {
+	server  discovery.Server
+	removed bool
 }
 
-// removeServer applies the removal of an entry at the revision removedAt.
-func (s *state) removeServer(id string, removedAt, rev objectstore.Version) {
-	s.updateServers(rev, func(now time.Time) bool { return s.directory.Delete(now, id, discovery.Revision(removedAt)) })
+// applyServerEvents applies events in their order. rev is the revision after all of them.
+func (s *state) applyServerEvents(events []serverEvent, rev objectstore.Version) {
+	s.updateServers(rev, func(now time.Time) bool {
+		changed := false
+		for _, e := range events {
+			if e.removed {
+				changed = s.directory.Delete(now, e.server.ID, e.server.Revision) || changed
+			} else {
+				changed = s.directory.Put(now, e.server) || changed
+			}
+		}
+		return changed
+	})
 }
 
 // updateServers changes the directory unless that is newer, and rebuilds the pools
