member: a new view takes over the owners of the one before

Cause: the cache of owners ends with its view.

Change: a new view compares only the members that differ with the owners that were found; where more than a quarter differ, it looks anew.

--- a/member/runner.go
+++ b/member/runner.go
@@ -140,6 +140,7 @@
 			r.log.WithField("of", m.Name).WithField("incarnation", m.Incarnation).Info("member " + m.State.String())
 		}
 	}
+	v.inheritOwners(old)
 	r.opts.View.Store(v)
 }
 
--- a/member/view.go
+++ b/member/view.go
@@ -154,17 +154,24 @@
 	var bestScore float64
 	found := false
 	for _, m := range v.Members {
-		if m.Region != region || (m.State != Alive && m.State != Suspect) {
+		if m.Region != region || !m.mayOwn() {
 			continue
 		}
-		score := m.Score(pool)
-		if !found || score > bestScore || (score == bestScore && m.Name < best.Name) {
+		if score := m.Score(pool); !found || outranks(m, score, best, bestScore) {
 			best, bestScore, found = m, score, true
 		}
 	}
 	return best, found
 }
 
+// mayOwn reports whether the member may own pools of its region.
+func (m Member) mayOwn() bool { return m.State == Alive || m.State == Suspect }
+
+// outranks reports whether a member with a score owns a pool rather than another.
+func outranks(m Member, score float64, other Member, otherScore float64) bool {
+	return score > otherScore || (score == otherScore && m.Name < other.Name)
+}
+
 func hash(pool, name string) uint64 {
 	var d xxhash.Digest
 	d.Reset()
