gateway: a configuration with the same services builds no pools

Cause: each new configuration built all pools anew, though of the routes they depend on the services' names alone.

Change: pools are built anew where the set of services has changed.

--- a/internal/gateway/poolupdate.go
+++ b/internal/gateway/poolupdate.go
@@ -8,6 +8,7 @@
 	"strings"
 
 	"github.com/lycheekeel/lycheekeel/discovery"
+	"github.com/lycheekeel/lycheekeel/route"
 	"github.com/lycheekeel/lycheekeel/workspace"
 )
 
@@ -18,8 +19,8 @@
 }
 
 // updatePools returns the snapshot after changes of servers, as buildPools would build it:
-// only the pools that change are built. All servers must be in the stable arm and the routes
-// as in prev. It returns false where all pools have to be built.
+// only the pools that change are built. All servers must be in the stable arm, and the
+// services as in prev. It returns false where all pools have to be built.
 func updatePools(prev *workspace.Snapshot, changes []serverChange, region string, versioned bool) (*workspace.Snapshot, bool) {
 	edits := editsOf(changes, region, versioned)
 	maps.DeleteFunc(edits, func(g serviceVersion, _ *poolEdit) bool {
@@ -37,6 +38,23 @@
 	return next, true
 }
 
+// sameServices reports whether two tables, of which the older may be nil, have the same
+// services, on whose names alone the pools depend.
+func sameServices(t, older *route.Table) bool {
+	if t == older {
+		return true
+	}
+	if older == nil || len(t.Services) != len(older.Services) {
+		return false
+	}
+	for name := range t.Services {
+		if older.Services[name] == nil {
+			return false
+		}
+	}
+	return true
+}
+
 // editsOf groups the changes that matter to pools by version group.
 func editsOf(changes []serverChange, region string, versioned bool) map[serviceVersion]*poolEdit {
 	edits := map[serviceVersion]*poolEdit{}
--- a/internal/gateway/poolupdate_test.go
+++ b/internal/gateway/poolupdate_test.go
@@ -164,4 +164,8 @@
 	if c.state.snapshot.Load() != after {
 		t.Fatal("pools were built though nothing had changed")
 	}
+	c.setRoutes("app")
+	if c.state.snapshot.Load() != after {
+		t.Fatal("pools were built for a configuration with the same services")
+	}
 }
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -281,7 +281,7 @@
 
 // nextSnapshotLocked returns the pools' snapshot after changes of servers; the mutex is held.
 func (s *state) nextSnapshotLocked(table *route.Table, changes []serverChange, armsChanged bool) *workspace.Snapshot {
-	if prev := s.snapshot.Load(); prev != nil && table == s.built.table && !armsChanged && s.rollouts.allStable() {
+	if prev := s.snapshot.Load(); prev != nil && sameServices(table, s.built.table) && !armsChanged && s.rollouts.allStable() {
 		if next, ok := updatePools(prev, changes, s.region, s.rollouts.enabled); ok {
 			return next
 		}
