forward: the line of a stream tells that a write to its caller failed

A stream whose write to its caller failed was logged as "Answered." like a complete one, so that no log could rule out the caller's connection as the cause.

Such a line has the field write_failed now. Message, counters and decisions are as before.

--- a/internal/forward/requestlog.go
+++ b/internal/forward/requestlog.go
@@ -16,6 +16,7 @@
 	events        int
 	canaryVersion string   // the new version that the last send went to; empty for the stable one
 	failedSends   []string // the first maxLoggedSends failed sends, with cause and time
+	writeFailed   bool     // a write of a stream to the caller failed
 }
 
 // maxLoggedSends bounds the failed sends that a line lists.
@@ -51,6 +52,9 @@
 	if len(x.history.failedSends) > 0 {
 		f["tries"] = x.history.failedSends
 	}
+	if x.history.writeFailed {
+		f["write_failed"] = true
+	}
 	return f
 }
 
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -135,6 +135,7 @@
 // write to the caller failed.
 func (s *stream) Close() error {
 	if !s.released {
+		s.exchange.history.writeFailed = true
 		s.release(pool.OutcomeCanceled)
 	}
 	s.exchange.logAnswer(s.err)
