--- a/discovery/directory.go
+++ b/discovery/directory.go
@@ -222,11 +222,6 @@
 	return d.sorted(func(s Server) bool { return s.InvalidReason == "" })
 }
 
-// Invalid returns the malformed entries, sorted by ID.
-func (d *Directory) Invalid() []Server {
-	return d.sorted(func(s Server) bool { return s.InvalidReason != "" })
-}
-
 // Listed returns the entries that the store has, sorted by ID. Missing servers are left
 // out: a daemon that has seen no outage needs no grace period; for it, a missing server
 // has left.
--- a/discovery/update_test.go
+++ b/discovery/update_test.go
@@ -9,6 +9,11 @@
 	"pgregory.net/rapid"
 )
 
+// Invalid returns the malformed entries, sorted by ID.
+func (d *Directory) Invalid() []Server {
+	return d.sorted(func(s Server) bool { return s.InvalidReason != "" })
+}
+
 // drawServer draws an entry of one of a few servers.
 func drawServer(t *rapid.T) Server {
 	s := Server{
--- a/internal/gateway/pacer.go
+++ b/internal/gateway/pacer.go
@@ -15,7 +15,7 @@
 
 // pacer limits work whose cost grows with the number of servers to a share of the time.
 // Without it, thousands of servers that change their entries many times a second would
-// keep a daemon's core busy rebuilding all pools for each change.
+// keep a daemon's core busy with a rebuild for each change.
 type pacer struct {
 	lastEnd      time.Time
 	lastDuration time.Duration
--- a/internal/gateway/pools.go
+++ b/internal/gateway/pools.go
@@ -117,7 +117,7 @@
 // shardOf assigns a server to one of n pools by jump consistent hashing (Lamping and
 // Veach, 2014): adding or removing a pool moves only the servers of one. It takes about
 // ln n steps instead of rendezvous hashing's n, for each server at each rebuild
-// (BenchmarkBuildPools).
+// of all pools (BenchmarkBuildPools).
 func shardOf(id string, n int) int {
 	key, bucket, next := xxhash.Sum64String(id), int64(0), int64(0)
 	for next < int64(n) {
--- a/internal/gateway/pools_test.go
+++ b/internal/gateway/pools_test.go
@@ -62,7 +62,7 @@
 	})
 }
 
-// BenchmarkBuildPools measures the rebuild that each change of a server causes.
+// BenchmarkBuildPools measures a rebuild of all pools.
 func BenchmarkBuildPools(b *testing.B) {
 	table := &route.Table{Services: map[string]*route.Service{"llm": {}}}
 	servers := make([]discovery.Server, 3000)
