httpconn: the end of a context during a bind is not lost

A caller's leaving, a deadline or the cancellation of a hedge could have no effect: the read went on until the silence timeout. A hedge whose cancellation is lost also holds back the first server's event, since the stream waits until the hedge has ended.

Cause: bind asked whether the context had ended before it marked the connection as bound. An end in between called contextEnded while nothing was bound, which ignores it, and a bind of the context that is registered already (each token of a stream, and the answer after a send) does not register again.

Evidence: TestContextEndsDuringBind forces the end between the question and the mark: without the change neither an error nor an interruption followed, with it one of them does (20 runs with -race). The question is asked again once an end can interrupt the connection.

--- a/internal/httpconn/ctxguard.go
+++ b/internal/httpconn/ctxguard.go
@@ -30,21 +30,31 @@
 	if err := ctx.Err(); err != nil {
 		return err
 	}
+	g.register(ctx)
+	// An end between the check above and the registration had no effect.
+	if err := ctx.Err(); err != nil {
+		g.unbind()
+		return err
+	}
+	return nil
+}
+
+// register makes the end of ctx abort the connection until unbind.
+func (g *ctxGuard) register(ctx context.Context) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.bound = true
 	done := ctx.Done()
 	if done == g.done {
-		return nil
+		return
 	}
 	g.unregister()
 	if done == nil {
-		return nil
+		return
 	}
 	generation := g.generation
 	g.done = done
 	g.stop = context.AfterFunc(ctx, func() { g.contextEnded(generation) })
-	return nil
 }
 
 // abort aborts the connection whether or not a context is bound.
