forward: the hedge of a canary is no canary

A rollout could be judged by runs of the stable version: the hedge of a silent canary goes to the stable version's servers and was reported to the rollout as a canary's run. If that send failed without having run, the next one waited for a slot of the new version.

Cause: the request's new version is cleared when an attempt was lost, and a hedge starts while the first attempt still runs.

The version is cleared when a hedge starts, and the one in the log is restored if the first server goes on.

--- a/internal/forward/canary_test.go
+++ b/internal/forward/canary_test.go
@@ -178,3 +178,21 @@
 		}
 	})
 }
+
+// Guards against a rollout that is judged by the runs of the stable version's servers.
+func TestHedgeOfACanaryIsNoCanary(t *testing.T) {
+	first := newBackend(t, func(_ int, head, _ string, c net.Conn) bool {
+		writeStreamHead(c, head)
+		writeChunk(c, eventsText(1, 3))
+		_, _ = c.Read(make([]byte, 1))
+		return false
+	})
+	r := newHarnessWithHook(t, startHedgesEarly, first, newBackend(t, streamEvents(6, 0, "")))
+	f := r.withRollouts(true)
+	got := r.call("POST", "/resume/", "1", "", "x")
+	r.waitUntil("both attempts have ended", func() bool { return len(f.canaryRuns()) == 2 })
+	Convey("The first attempt is a canary, and its hedge, which goes to the stable version, is none", t, func() {
+		So(got.body, ShouldEqual, eventsText(1, 6))
+		So(f.canaryRuns(), ShouldResemble, []bool{true, false})
+	})
+}
--- a/internal/forward/hedge.go
+++ b/internal/forward/hedge.go
@@ -28,6 +28,8 @@
 	winner atomic.Int32 // a contender
 	parent context.Context
 	cancel context.CancelFunc
+	// canaryVersion is the one of the first attempt, for the log.
+	canaryVersion string
 	// firstFailed is closed when the first attempt can't continue the stream any more.
 	firstFailed chan struct{}
 	done        chan struct{}
@@ -102,6 +104,8 @@
 	x := s.exchange
 	h := &hedge{stream: s, parent: x.ctx, firstFailed: make(chan struct{}), done: make(chan struct{})}
 	x.ctx, h.cancel = context.WithCancel(h.parent)
+	// The request was sent, so that it goes to the stable version from now on.
+	h.canaryVersion, x.canary.version = x.history.canaryVersion, ""
 	x.resumeAfter(&s.events)
 	go func() {
 		defer close(h.done)
@@ -166,6 +170,7 @@
 	x.ctx, x.preSendRefusal = h.parent, nil
 	x.outbound.serverID = s.attempt.grant.Server().Name
 	x.demand.Spec = x.spec
+	x.history.canaryVersion = h.canaryVersion
 }
 
 // dropSuccessor ends an attempt whose events are not needed.
