forward: an exchange ends after its final write deadline was set

A caller's answer could be cut one second after it began although its server worked: by the write deadline of the expired request before it on the same connection.

Cause: the deadline is set by a goroutine that starts when a request's time is up. An exchange that ended at that moment did not wait for it, so that it could run during the next request, after the HTTP server had set that one's own deadline.

Evidence: TestWriteDeadlineIsSetBeforeTheNextRequest holds the call back: the exchange ended before it without the wait, and ends after it now (10 runs with -race). How often the scheduler produces this order was not measured.

--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -47,8 +47,9 @@
 	cancel       context.CancelCauseFunc
 	stopDeadline context.CancelFunc // releases the deadline's timer
 	watch        *callerwatch.Watch
-	// stopWriteTimeout cancels the write deadline that is set when the request's time is up.
-	stopWriteTimeout func() bool
+	// stopWriteTimeout cancels the write deadline that is set when the request's time is up,
+	// or waits until it is set.
+	stopWriteTimeout func()
 	stream           *stream // nil unless a stream is being passed on
 	status           int
 	history          requestHistory
@@ -194,7 +195,23 @@
 	x.ctx, x.stopDeadline = context.WithDeadline(parent, x.receivedAt.Add(x.spec.Targets.Deadline))
 	x.watch = callerwatch.Start(x.conn, cancel)
 	x.runningLog.start(x)
-	x.stopWriteTimeout = context.AfterFunc(x.ctx, func() { _ = x.conn.SetWriteDeadline(time.Now().Add(finalWriteTimeout)) })
+	x.stopWriteTimeout = x.startWriteTimeout()
+}
+
+// startWriteTimeout sets a write deadline when the request's context has ended. The
+// returned function must be called before the connection serves another request: a deadline
+// that is set later would cut that request's answer.
+func (x *exchange) startWriteTimeout() (stop func()) {
+	done := make(chan struct{})
+	cancel := context.AfterFunc(x.ctx, func() {
+		defer close(done)
+		_ = x.conn.SetWriteDeadline(time.Now().Add(finalWriteTimeout))
+	})
+	return func() {
+		if !cancel() {
+			<-done
+		}
+	}
 }
 
 // finalWriteTimeout is how long an answer may still be written when the request's context
