forward: blocks without an id before another server's first event are passed on

Callers lost what another server sent without an id before its first event, or before its end of the stream, such as a closing "data: [DONE]". The users' protocol gives every event an id, so that there it concerns comments only.

Evidence: TestBlocksWithoutAnIDSurviveAHedge failed before and passes now (3 runs with -race), as does TestCommentOfAHedgeDropsNoServer. The blocks still end no wait; they are returned with what follows them, up to the size limit of one event.

--- a/internal/forward/eventreader.go
+++ b/internal/forward/eventreader.go
@@ -47,6 +47,25 @@
 	}
 }
 
+// nextWithEvent is next, but waits for an event. A block without an id (a comment) does not
+// end the wait; it is returned with what follows it, also with io.EOF.
+func (e *eventReader) nextWithEvent() (batch []byte, count int, err error) {
+	var earlier []byte
+	for {
+		batch, count, err = e.next()
+		if len(earlier) > 0 {
+			batch = append(earlier, batch...)
+		}
+		if count > 0 || err != nil {
+			return batch, count, err
+		}
+		if len(batch) > maxEventBytes {
+			return nil, 0, errors.Wrap(errMalformedAnswer, "blocks without an event exceed the size limit")
+		}
+		earlier = append([]byte(nil), batch...)
+	}
+}
+
 // fill reads the bytes that are available, waiting for at least one.
 func (e *eventReader) fill() error {
 	if cap(e.buf)-len(e.buf) < 512 {
--- a/internal/forward/hedgeorder_test.go
+++ b/internal/forward/hedgeorder_test.go
@@ -319,3 +319,25 @@
 		So(got.complete, ShouldBeTrue)
 	})
 }
+
+// Guards against losing what another server sends before its first event with an id.
+func TestBlocksWithoutAnIDSurviveAHedge(t *testing.T) {
+	const last = "data: [DONE]\n\n"
+	first := newBackend(t, func(_ int, head, _ string, c net.Conn) bool {
+		writeStreamHead(c, head)
+		writeChunk(c, eventsText(1, 6))
+		_, _ = c.Read(make([]byte, 1))
+		return false
+	})
+	second := newBackend(t, func(_ int, head, _ string, c net.Conn) bool {
+		writeStreamHead(c, head)
+		writeChunk(c, last)
+		writeStreamEnd(c)
+		return true
+	})
+	got := newHarnessWithHook(t, startHedgesEarly, first, second).call("POST", "/resume/", "1", "", "x")
+	Convey("The caller gets them", t, func() {
+		So(got.body, ShouldEqual, eventsText(1, 6)+last)
+		So(got.complete, ShouldBeTrue)
+	})
+}
--- a/internal/forward/resume.go
+++ b/internal/forward/resume.go
@@ -51,9 +51,7 @@
 	}
 	// A comment is no event: the server may still fail before the next one.
 	var err error
-	for next.eventCount == 0 && err == nil {
-		next.pending, next.eventCount, err = next.events.next()
-	}
+	next.pending, next.eventCount, err = next.events.nextWithEvent()
 	next.eof = err == io.EOF
 	if err != nil && !next.eof {
 		r.complete = false
