forward: a comment of a silent server does not end its hedge

Callers saw a stream wait to its deadline and end there, although another server was asked and would have continued it.

Cause: a comment of the silent server claimed the stream, so that the hedge was dropped with its attempt and its retry. A server that keeps its connection open by comments while it has no event uses up all attempts of the route that way.

An event or the end claims the stream, as for the hedge. Comments of the silent server are held while the hedge lasts and passed on with its next event.

--- a/internal/forward/hedge.go
+++ b/internal/forward/hedge.go
@@ -63,7 +63,7 @@
 func (s *stream) hedgeOrWait() {
 	s.events.reply.conn.SetSilenceTimeout(s.exchange.timeoutPastDeadline())
 	h := s.startHedge()
-	batch, n, err := s.events.next()
+	batch, n, err := s.events.nextWithEvent()
 	switch {
 	case err != nil && err != io.EOF:
 		close(h.firstFailed)
@@ -86,7 +86,7 @@
 		s.recordEvents(n)
 		s.limitSilence()
 	case err == io.EOF:
-		s.eof = true
+		s.pending, s.eof = batch, true
 	default:
 		s.resumeOrCut(err)
 	}
--- a/internal/forward/hedgeorder_test.go
+++ b/internal/forward/hedgeorder_test.go
@@ -341,3 +341,60 @@
 		So(got.complete, ShouldBeTrue)
 	})
 }
+
+const keepOpenComment = ": alive\n\n"
+
+// commentReader sends on processed once the stream reads on after a comment.
+type commentReader struct {
+	inner     io.Reader
+	text      string
+	comments  int
+	processed chan struct{}
+}
+
+func (r *commentReader) Read(p []byte) (int, error) {
+	if n := strings.Count(r.text, keepOpenComment); n > r.comments {
+		r.comments = n
+		r.processed <- struct{}{}
+	}
+	n, err := r.inner.Read(p)
+	r.text += string(p[:n])
+	return n, err
+}
+
+// Guards against dropping each hedge for a comment of a server that brings no event.
+func TestCommentOfASilentServerDropsNoHedge(t *testing.T) {
+	const maxHedges = 2 // three attempts are allowed
+	asked := make(chan struct{}, maxHedges)
+	comments := &commentReader{processed: make(chan struct{}, maxHedges)}
+	first := newBackend(t, func(_ int, head, _ string, c net.Conn) bool {
+		writeStreamHead(c, head)
+		writeChunk(c, eventsText(1, 3))
+		go func() {
+			for range maxHedges {
+				<-asked
+				writeChunk(c, keepOpenComment)
+			}
+		}()
+		_, _ = c.Read(make([]byte, 1))
+		return false
+	})
+	others := newBackend(t, func(_ int, head, _ string, c net.Conn) bool {
+		writeStreamHead(c, head)
+		asked <- struct{}{}
+		<-comments.processed
+		writeChunk(c, eventsText(4, 6))
+		writeStreamEnd(c)
+		return true
+	})
+	r := newHarnessWithHook(t, func(s *stream) {
+		startHedgesEarly(s)
+		comments.inner = s.events.reply.conn.Reader
+		s.events.reply.conn.Reader = bufio.NewReader(comments)
+	}, first, others, others)
+	got := r.call("POST", "/resume/", "1", "", "x")
+	Convey("The other server continues the stream", t, func() {
+		So(strings.ReplaceAll(got.body, keepOpenComment, ""), ShouldEqual, eventsText(1, 6))
+		So(got.complete, ShouldBeTrue)
+	})
+}
