--- a/internal/forward/hedgeorder_test.go
+++ b/internal/forward/hedgeorder_test.go
@@ -55,7 +55,7 @@
 	name string
 	// before and after are what the first server sends before and after its silence.
 	before, after func(c net.Conn)
-	// next is what the second server sends first, and rest what follows.
+	// next is what the second server sends first, and rest what follows, before its end.
 	next, rest string
 	withdraw   bool // the key is withdrawn while both attempts are pending
 }
@@ -91,12 +91,15 @@
 		writeStreamHead(conn, head)
 		<-held.read
 		writeChunk(conn, c.next)
+		if c.rest == "" {
+			writeStreamEnd(conn)
+		}
 		<-firstDropped
 		<-firstEventsPassedOn
 		if c.rest != "" {
 			writeChunk(conn, c.rest)
+			writeStreamEnd(conn)
 		}
-		writeStreamEnd(conn)
 		return true
 	})
 	r := newHarnessWithHook(t, holdUntilAbort(held), first, second)
