broker: a withdrawal that overtakes a redirected request ends it

A slot could stay taken for nobody: by a request whose caller left while it was being redirected to another pool. Callers of that pool wait longer for the slots that are left.

Cause: the redirect names the new link before it posts the request there. A withdrawal in between reaches the new link first, finds nothing, and the request is enqueued after it. Its grant goes to a waiter that nobody reads.

Evidence: TestWithdrawCrossesRedirect posts both in that order: the waiter got a grant before, none now, and both slots are free; go test -race ./broker passes. A waiter is marked as withdrawn before its link is read, and a marked request is not enqueued.

--- a/broker/failure_test.go
+++ b/broker/failure_test.go
@@ -406,6 +406,25 @@
 	})
 }
 
+// Guards against a slot that stays taken by a caller that left while its request was redirected to another pool.
+func TestWithdrawCrossesRedirect(t *testing.T) {
+	Convey("Given a request that is withdrawn at the pool to which it is being redirected", t, func() {
+		sim := newSimulation(1, "a", "b")
+		sim.advance(time.Second)
+		n := sim.nonOwner()
+		x := newWaiter(Demand{Spec: testSpec("crossing", sim.now), Candidates: candidates(sim)})
+		// handleRedirect stores the new link before it posts the request there.
+		to := n.entry.link(testPool)
+		x.link.Store(to)
+		x.withdraw()
+		to.box.Post(acquireMessage{x})
+		sim.pump()
+		_, ok := poll(x)
+		So(ok, ShouldBeFalse)
+		So(sim.freeSlots(), ShouldEqual, 2)
+	})
+}
+
 // Guards against two requests in one slot after an owner repeats a grant that was released.
 func TestRepeatedGrant(t *testing.T) {
 	Convey("Given a grant that the owner will repeat", t, func() {
--- a/broker/link.go
+++ b/broker/link.go
@@ -90,6 +90,9 @@
 
 func (m acquireMessage) apply(l *link) {
 	w := m.w
+	if w.withdrawn.Load() {
+		return
+	}
 	if l.expired(w) {
 		l.refuseExpired(w)
 		return
--- a/broker/waiter.go
+++ b/broker/waiter.go
@@ -15,6 +15,9 @@
 	expires time.Time // zero if it never expires
 	done    chan result
 	link    atomic.Pointer[link]
+	// withdrawn is set before the withdrawal is posted, which may reach the link of a
+	// redirect before the request itself.
+	withdrawn atomic.Bool
 
 	// The fields below are accessed by the link that holds the waiter only.
 	redirected bool
@@ -39,6 +42,7 @@
 // withdraw withdraws the request. A grant that it has got or still gets is returned
 // unused.
 func (w *waiter) withdraw() {
+	w.withdrawn.Store(true)
 	if l := w.link.Load(); l != nil {
 		l.box.Post(withdrawMessage{w})
 	}
