--- a/quota/bound_test.go
+++ b/quota/bound_test.go
@@ -212,6 +212,27 @@
 	group.Wait()
 }
 
+// Guards against hubs that stay unknown to each other, and spend the same bucket twice, for rounds after a partition.
+func TestTheBoundHoldsWhenHubsMeetAfterAPartition(t *testing.T) {
+	scenarios := map[string]scenario{
+		"a full bucket of 3 s": {
+			daemons: 37, hubs: 3, workspace: workspaceWithBurst(700_000, 3.2287), cost: 2217.7, load: 8, loadFrom: 4.0998, seed: 1793,
+			partitions: []partition{{from: 0.1856, to: 4.6145, split: 36}, {from: 3.8652, to: 4.5485, split: 10}, {from: 6.4533, to: 6.7336, split: 3}},
+			kills:      []kill{{at: 1, first: 4, last: 5, downtime: 0.8928}, {at: 1.7201, first: 20, last: 21, downtime: 0.8555}},
+		},
+		"large requests, one hub a side": {
+			daemons: 31, hubs: 1, workspace: workspaceWithBurst(118_612, 0.6882), cost: 25_000, load: 8, loadFrom: 8, seed: 1,
+			partitions: []partition{{from: 7.9483, to: 8.157, split: 3}, {from: 0.499, to: 3.0725, split: 16}, {from: 12, to: 20, split: 22}},
+		},
+	}
+	for name, s := range scenarios {
+		s.tolerance, s.seconds = operatorsBound, 18
+		if ratio, at := s.worstWindow(); ratio > 1 {
+			t.Errorf("%s: %.3f of the allowed usage in the 8 s from %.1f s", name, ratio, at)
+		}
+	}
+}
+
 // Guards against usage above the operators' bound under random loads, partitions and kills.
 func TestTheBoundHoldsUnderAnyTrouble(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
