forward: a broken server's slot is free before the hedge beside it has ended

The slot of a server that broke its stream stayed taken, and its pool did not learn of the break, until the other server had brought an event or failed: up to the request's deadline. Callers wait for slots that nobody uses.

Cause: the first attempt was released only after the hedge had ended.

The attempt is released once, when its stream breaks; the exchange, which the hedge uses then, is not touched.

--- a/internal/forward/harness_test.go
+++ b/internal/forward/harness_test.go
@@ -148,6 +148,7 @@
 	unblock     chan struct{}   // if not nil, Acquire waits until it is closed or the context ends
 	// blockAfter is how many calls return without waiting for unblock.
 	blockAfter int
+	onRelease  func() // called after each release; may be nil
 }
 
 func (b *fakeBroker) Acquire(ctx context.Context, d broker.Demand) (broker.Grant, error) {
@@ -192,6 +193,9 @@
 	b.mu.Lock()
 	b.released = append(b.released, o)
 	b.mu.Unlock()
+	if b.onRelease != nil {
+		b.onRelease()
+	}
 }
 func (b *fakeBroker) outcomes() []pool.Outcome {
 	b.mu.Lock()
--- a/internal/forward/hedge.go
+++ b/internal/forward/hedge.go
@@ -66,6 +66,8 @@
 	batch, n, err := s.events.nextWithEvent()
 	switch {
 	case err != nil && err != io.EOF:
+		// The hedge may last until the deadline; the slot must not wait for it.
+		s.release(s.exchange.lostOutcome())
 		close(h.firstFailed)
 	case h.claim(firstAttempt):
 		h.cancel()
--- a/internal/forward/hedgeorder_test.go
+++ b/internal/forward/hedgeorder_test.go
@@ -11,6 +11,7 @@
 
 	. "github.com/smartystreets/goconvey/convey"
 
+	"github.com/lycheekeel/lycheekeel/pool"
 	"github.com/lycheekeel/lycheekeel/request"
 )
 
@@ -401,3 +402,30 @@
 		So(got.complete, ShouldBeTrue)
 	})
 }
+
+// Guards against a slot that a broken server's attempt holds while the other server is waited for.
+func TestBrokenServerFreesItsSlotDuringAHedge(t *testing.T) {
+	hedged, released := newTrigger(), newTrigger()
+	first := newBackend(t, func(_ int, head, _ string, c net.Conn) bool {
+		writeStreamHead(c, head)
+		writeChunk(c, eventsText(1, 3))
+		<-hedged.fired
+		return false
+	})
+	second := newBackend(t, func(_ int, head, _ string, c net.Conn) bool {
+		writeStreamHead(c, head)
+		hedged.fire()
+		<-released.fired
+		writeChunk(c, eventsText(4, 6))
+		writeStreamEnd(c)
+		return true
+	})
+	r := newHarnessWithHook(t, startHedgesEarly, first, second)
+	r.broker.onRelease = released.fire
+	got := r.call("POST", "/resume/", "1", "", "x")
+	Convey("The second server continues the stream after the first one's slot was freed", t, func() {
+		So(got.body, ShouldEqual, eventsText(1, 6))
+		So(got.complete, ShouldBeTrue)
+		So(r.broker.outcomes(), ShouldResemble, []pool.Outcome{pool.OutcomeStreamLost, pool.OutcomeDone})
+	})
+}
--- a/internal/forward/resume.go
+++ b/internal/forward/resume.go
@@ -69,11 +69,12 @@
 	s.recordEvents(next.eventCount)
 }
 
-// abandonAttempt closes the connection of the current attempt and frees its slot.
+// abandonAttempt closes the connection of the current attempt and frees its slot, unless
+// that was done.
 func (s *stream) abandonAttempt(cause error) error {
-	s.discardReply()
-	s.released = true
-	return s.exchange.endLostAttempt(s.attempt, cause)
+	s.release(s.exchange.lostOutcome())
+	s.exchange.recordSentTo(s.attempt)
+	return answerLostError{cause}
 }
 
 // cut ends a stream that can't be completed.
--- a/internal/forward/send.go
+++ b/internal/forward/send.go
@@ -192,15 +192,19 @@
 
 // endLostAttempt ends an attempt whose answer was lost.
 func (x *exchange) endLostAttempt(a *attempt, err error) error {
-	outcome := pool.OutcomeStreamLost
-	if x.ctx.Err() != nil {
-		outcome = pool.OutcomeCanceled
-	}
-	a.release(outcome)
+	a.release(x.lostOutcome())
 	x.recordSentTo(a)
 	return answerLostError{err}
 }
 
+// lostOutcome returns the outcome of an attempt whose answer is lost now.
+func (x *exchange) lostOutcome() pool.Outcome {
+	if x.ctx.Err() != nil {
+		return pool.OutcomeCanceled
+	}
+	return pool.OutcomeStreamLost
+}
+
 // recordSentTo records a server that may have run the request, so that the next attempt
 // goes to another one.
 func (x *exchange) recordSentTo(a *attempt) {
