forward: a hedge that is canceled is no failed send

Operators saw 'Send failed.' with cause lost, a count in sends_failed and a hedge that was refused as expired, although the other server had done nothing wrong: its attempt was canceled because the silent server had continued.

Cause: the cancellation looked like any other end of the request's context. It has a cause of its own now. TestCanceledHedgeIsNoFailedSend: one failed send before, none now.

--- a/internal/forward/hedge.go
+++ b/internal/forward/hedge.go
@@ -27,7 +27,7 @@
 	stream *stream
 	winner atomic.Int32 // a contender
 	parent context.Context
-	cancel context.CancelFunc
+	cancel context.CancelCauseFunc
 	// canaryVersion is the one of the first attempt, for the log.
 	canaryVersion string
 	// firstFailed is closed when the first attempt can't continue the stream any more.
@@ -70,7 +70,7 @@
 		s.release(s.exchange.lostOutcome())
 		close(h.firstFailed)
 	case h.claim(firstAttempt):
-		h.cancel()
+		h.cancel(errHedgeLost)
 	}
 	<-h.done
 	if h.started {
@@ -105,7 +105,7 @@
 func (s *stream) startHedge() *hedge {
 	x := s.exchange
 	h := &hedge{stream: s, parent: x.ctx, firstFailed: make(chan struct{}), done: make(chan struct{})}
-	x.ctx, h.cancel = context.WithCancel(h.parent)
+	x.ctx, h.cancel = context.WithCancelCause(h.parent)
 	// The request was sent, so that it goes to the stable version from now on.
 	h.canaryVersion, x.canary.version = x.history.canaryVersion, ""
 	x.resumeAfter(&s.events)
@@ -155,6 +155,9 @@
 	switch {
 	case next == nil:
 		h.refusal = refusal
+		if errors.Is(context.Cause(x.ctx), errHedgeLost) {
+			h.refusal = errHedgeLost
+		}
 		x.preSendRefusal = nil
 	case h.claim(secondAttempt):
 		h.successor = next
@@ -167,7 +170,7 @@
 
 // restoreExchange restores the exchange after a hedge that did not continue the stream.
 func (h *hedge) restoreExchange() {
-	h.cancel()
+	h.cancel(nil)
 	s, x := h.stream, h.stream.exchange
 	x.ctx, x.preSendRefusal = h.parent, nil
 	x.outbound.serverID = s.attempt.grant.Server().Name
--- a/internal/forward/hedge_test.go
+++ b/internal/forward/hedge_test.go
@@ -224,3 +224,21 @@
 		So(r.server.openRequests.Load(), ShouldEqual, 0)
 	})
 }
+
+// Guards against a canceled hedge that looks like a server's failure in logs and counters.
+func TestCanceledHedgeIsNoFailedSend(t *testing.T) {
+	tr := newTrigger()
+	second := newBackend(t, func(_ int, head, _ string, c net.Conn) bool {
+		writeStreamHead(c, head)
+		tr.fire()
+		_, _ = c.Read(make([]byte, 1))
+		return false
+	})
+	r := newHarnessWithHook(t, startHedgesEarly, newBackend(t, silentUntil(tr)), second)
+	got := r.call("POST", "/resume/", "1", "", "x")
+	Convey("The stream is complete and no send counts as failed", t, func() {
+		So(got.complete, ShouldBeTrue)
+		So(r.server.counters.failedSends[causeLost].Value(), ShouldEqual, 0)
+		So(r.server.counters.hedgesUnused.Value(), ShouldEqual, 1)
+	})
+}
--- a/internal/forward/send.go
+++ b/internal/forward/send.go
@@ -76,6 +76,9 @@
 
 // retryOrRefuse decides what follows a failed send: nil to send again, otherwise a refusal.
 func (x *exchange) retryOrRefuse(err error) error {
+	if errors.Is(context.Cause(x.ctx), errHedgeLost) {
+		return errHedgeLost
+	}
 	x.server.counters.countFailedSend(err)
 	x.history.recordFailedSend(x.outbound.serverID, sendErrorCause(err), time.Since(x.receivedAt))
 	x.logFailedSend(err)
