forward, explain: logs and metrics tell when a retry was allowed and when it was sent

Now: "Retry allowed.", "Retry denied.", "Retry sent." with since_allowed_ms and retries_left; counters allowed_by_budget, denied_by_budget (all of them), sent; a histogram of the wait; and lycheekeel losses lists retries by second and service. What is decided has not changed.

--- a/internal/explain/losses.go
+++ b/internal/explain/losses.go
@@ -47,6 +47,8 @@
 	// PoolSeconds count what all pools together granted and refused in each second
 	// in which one of them refused requests, oldest first.
 	PoolSeconds []PoolSecond
+	// Retries are the retries by second and service, oldest first.
+	Retries []RetrySecond
 }
 
 // RefusalRow counts the refusals with the same reason, route, workspace and tier.
@@ -112,6 +114,7 @@
 	failures         map[failureKey]int
 	classes          map[classKey]*Class
 	poolSeconds      map[time.Time]*PoolSecond
+	retries          map[retryKey]*RetrySecond
 	unended          map[string]Unended // keyed by VM and request id
 	unansweredStarts map[string]int     // by VM: index in losses.Starts of a start without an answer yet
 }
@@ -121,7 +124,7 @@
 	return &LossCollector{
 		refusals: map[refusalKey]*RefusalRow{}, seconds: map[time.Time]map[string]int{},
 		failures: map[failureKey]int{},
-		classes:  map[classKey]*Class{}, poolSeconds: map[time.Time]*PoolSecond{}, unended: map[string]Unended{}, unansweredStarts: map[string]int{},
+		classes:  map[classKey]*Class{}, poolSeconds: map[time.Time]*PoolSecond{}, retries: map[retryKey]*RetrySecond{}, unended: map[string]Unended{}, unansweredStarts: map[string]int{},
 	}
 }
 
@@ -151,6 +154,8 @@
 		c.classOf(l).Refused++
 	case "Send failed.":
 		c.addFailure(l)
+	case "Retry allowed.", "Retry denied.", "Retry sent.":
+		c.addRetry(l)
 	case "Started.":
 		if l.Part == "gateway" && len(c.losses.Starts) < maxRows {
 			c.unansweredStarts[l.VM] = len(c.losses.Starts)
@@ -241,7 +246,7 @@
 	slices.SortFunc(out.Refusals, func(a, b RefusalRow) int {
 		return cmp.Or(b.Count-a.Count, cmp.Compare(a.Reason, b.Reason), cmp.Compare(a.Route, b.Route), cmp.Compare(a.Workspace, b.Workspace), a.Tier-b.Tier)
 	})
-	out.Classes, out.PoolSeconds = c.sortedClasses(), c.sortedPoolSeconds()
+	out.Classes, out.PoolSeconds, out.Retries = c.sortedClasses(), c.sortedPoolSeconds(), c.sortedRetries()
 	for _, u := range c.unended {
 		out.Unended = append(out.Unended, u)
 	}
--- a/internal/explain/losses_test.go
+++ b/internal/explain/losses_test.go
@@ -43,6 +43,18 @@
 		So(losses.Seconds, ShouldHaveLength, 2)
 		So(losses.Seconds[0].Reasons, ShouldResemble, map[string]int{"shed": 2})
 	})
+	Convey("Retries are counted by second and service", t, func() {
+		line := func(second int, msg, service string, sinceAllowedMs int) string {
+			return fmt.Sprintf(`vm-1 {"msg":%q,"part":"forward","time":"2026-01-01T00:00:%02d.5Z","service":%q,"since_allowed_ms":%d}`+"\n", msg, second, service, sinceAllowedMs)
+		}
+		c := NewLossCollector()
+		log := line(2, "Retry sent.", "a", 900) + line(1, "Retry allowed.", "a", 0) + line(1, "Retry denied.", "b", 0) + line(2, "Retry sent.", "a", 30)
+		So(c.Read("x.log", strings.NewReader(log)), ShouldBeNil)
+		retries := c.Losses().Retries
+		So(retries, ShouldHaveLength, 3)
+		So([]int{retries[0].Allowed, retries[1].Denied, retries[2].Sent, retries[2].WaitMs}, ShouldResemble, []int{1, 1, 2, 900})
+		So([]string{retries[0].Service, retries[1].Service}, ShouldResemble, []string{"a", "b"})
+	})
 	Convey("Classes are sorted by the share of answered requests, smallest first", t, func() {
 		answer := `vm-1 {"msg":"Answered.","part":"forward","time":"2026-01-01T00:00:01Z","route":"r","tier":1}` + "\n"
 		c := NewLossCollector()
--- a/internal/forward/counters.go
+++ b/internal/forward/counters.go
@@ -16,9 +16,11 @@
 	failedSends       map[string]*expvar.Int
 	malformedRequests *expvar.Int
 	retriedFailures   *expvar.Int
-	retriesDenied     *expvar.Int
-	streamsResumed    *expvar.Int
-	streamsCut        *expvar.Int
+	// retriesAllowed counts what the budget allowed, retriesSent what was written to a
+	// server.
+	retriesAllowed, retriesDenied, retriesSent *expvar.Int
+	streamsResumed                             *expvar.Int
+	streamsCut                                 *expvar.Int
 	// hedges counts the hedged attempts of silent streams, hedgesUnused those whose
 	// original stream continued first.
 	hedges, hedgesUnused *expvar.Int
@@ -26,6 +28,9 @@
 	// runningOmitted counts the "Still running." lines that the rate limit suppressed.
 	runningOmitted *expvar.Int
 
+	// retryWait is the time from a retry's permission to its first byte.
+	retryWait *metrics.Histogram
+
 	slotWait, connectTime, firstEvent, eventGap, totalTime *metrics.Histogram
 }
 
@@ -46,6 +51,8 @@
 	}
 	c.malformedRequests = m.Counter("forward", "malformed")
 	c.retriedFailures = m.Counter("retries", "server_failed")
+	c.retriesAllowed = m.Counter("retries", "allowed_by_budget")
+	c.retriesSent = m.Counter("retries", "sent")
 	c.retriesDenied = m.Counter("retries", "denied_by_budget")
 	c.streamsResumed = m.Counter("streams", "resumed")
 	c.streamsCut = m.Counter("streams", "cut")
@@ -54,6 +61,7 @@
 	c.answered = m.Counter("forward", "answered")
 	c.runningOmitted = m.Counter("forward", "running_lines_omitted")
 	c.slotWait = m.Histogram("latency", "wait_for_slot")
+	c.retryWait = m.Histogram("latency", "retry_from_permission_to_send")
 	c.connectTime = m.Histogram("latency", "connect")
 	c.firstEvent = m.Histogram("latency", "first_event")
 	c.eventGap = m.Histogram("latency", "gap_between_events")
--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -38,7 +38,8 @@
 	demand         broker.Demand
 	attempts       request.Attempts
 	hedgesStarted  int
-	preSendRefusal error // from the check directly before the last send; nil if it passed
+	retryAllowedAt time.Time // when the budget allowed the last retry
+	preSendRefusal error     // from the check directly before the last send; nil if it passed
 	canary         canaryState
 	outbound       *outboundRequest
 	earlierFailure *failedAnswer // of an earlier server; nil if there is none
--- a/internal/forward/hedge.go
+++ b/internal/forward/hedge.go
@@ -228,8 +228,7 @@
 		grant.ReturnUnused()
 		return nil, err
 	}
-	if !x.server.deps.Budget(x.service).Take() {
-		x.server.counters.retriesDenied.Add(1)
+	if !x.takeRetry() {
 		grant.ReturnUnused()
 		return nil, errNoRetryLeft
 	}
--- a/internal/forward/requestlog_test.go
+++ b/internal/forward/requestlog_test.go
@@ -8,6 +8,8 @@
 	"github.com/sirupsen/logrus"
 	logtest "github.com/sirupsen/logrus/hooks/test"
 	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/lycheekeel/lycheekeel/retry"
 )
 
 // failingListener accepts connections to callers on which each write after the first fails.
@@ -67,3 +69,23 @@
 		So(lines.LastEntry().Data, ShouldNotContainKey, "write_failed")
 	})
 }
+
+// Guards against retries that no log tells apart: allowed and sent, or allowed and not sent.
+func TestRetriesAreLoggedAndCounted(t *testing.T) {
+	Convey("A retry's permission and its send have a line each; a denied one has a line, too", t, func() {
+		closes := newBackend(t, func(int, string, string, net.Conn) bool { return false })
+		r := newHarness(t, closes, newBackend(t, echoBody))
+		r.budget = retry.NewBudget(0, 1)
+		logger, lines := logtest.NewNullLogger()
+		r.server.log = logrus.NewEntry(logger)
+		So(r.call("POST", "/again/", "first", "", "b").status, ShouldEqual, 200)
+		So(r.call("POST", "/again/", "second", "", "b").status, ShouldEqual, 502)
+		counts := map[string]int{}
+		for _, l := range lines.AllEntries() {
+			counts[l.Message]++
+		}
+		So([]int{counts["Retry allowed."], counts["Retry sent."], counts["Retry denied."]}, ShouldResemble, []int{1, 1, 1})
+		c := r.server.counters
+		So([]int64{c.retriesAllowed.Value(), c.retriesSent.Value(), c.retriesDenied.Value()}, ShouldResemble, []int64{1, 1, 1})
+	})
+}
--- a/internal/forward/send.go
+++ b/internal/forward/send.go
@@ -89,8 +89,7 @@
 		return x.waitRefusal(x.ctx.Err())
 	case !x.attempts.CanSend():
 		return x.newRefusal(request.ReasonEngineLost, "the answer was lost: %v", err)
-	case x.attempts.Sends() > 0 && !errors.Is(err, engine.ErrNotSent) && !x.server.deps.Budget(x.service).Take():
-		x.server.counters.retriesDenied.Add(1)
+	case x.attempts.Sends() > 0 && !errors.Is(err, engine.ErrNotSent) && !x.takeRetry():
 		return x.newRefusal(request.ReasonEngineRefused, "no retry is left: %v", err)
 	}
 	return nil
@@ -158,6 +157,7 @@
 		}
 		a.sentAt = time.Now()
 		x.trackAttempt(a)
+		x.recordRetrySent()
 		x.server.counters.connectTime.Observe(a.sentAt.Sub(start))
 		return x.attempts.Take()
 	}
--- a/retry/budget.go
+++ b/retry/budget.go
@@ -43,6 +43,13 @@
 	return true
 }
 
+// Left returns how many retries can be taken now.
+func (b *Budget) Left() float64 {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.tokens
+}
+
 // SetBurst changes how many retries can be saved.
 func (b *Budget) SetBurst(burst float64) {
 	b.mu.Lock()
