soak: arrivals beyond the first of each request are held against the bound on retries

Now every run checks each 10 s of arrivals at each service, refused ones included, with a slack of 58. A new run with nine processes and open-loop callers lets retries wait for slots and then servers join.

--- a/test/soak/callers_test.go
+++ b/test/soak/callers_test.go
@@ -16,6 +16,7 @@
 type call struct {
 	id, path, apiKey string
 	node             *node
+	timeout          time.Duration // how long the caller waits for the response
 	sentAt, endedAt  time.Time
 	status           int // 0: no response
 	complete         bool
@@ -29,14 +30,25 @@
 	all []*call
 }
 
-var paths = []string{"/s/once/", "/s/resume/", "/once/", "/again/"}
+var paths = []string{"/s/once/", resumePath(0), "/once/", "/again/"}
+
+// resumePath is the path of resumable streams of a tier; 0 is the highest.
+func resumePath(tier int) string {
+	if tier == 0 {
+		return "/s/resume/"
+	}
+	return fmt.Sprintf("/s/resume/%d/", tier)
+}
+
+// callerTimeout is how long a caller waits for a response.
+const callerTimeout = 7 * time.Second
 
 // run sends requests to one node, one after the other, until the context ends.
 func (c *callers) run(ctx context.Context, n *node, name string) {
 	var conn net.Conn
 	var r *bufio.Reader
 	for i := 0; ctx.Err() == nil; i++ {
-		x := &call{id: fmt.Sprintf("%s-%d", name, i), path: paths[i%len(paths)], apiKey: fmt.Sprintf("k%d", 1+i%3), node: n}
+		x := &call{id: fmt.Sprintf("%s-%d", name, i), path: paths[i%len(paths)], apiKey: fmt.Sprintf("k%d", 1+i%3), node: n, timeout: callerTimeout}
 		if conn == nil {
 			var err error
 			if conn, err = net.DialTimeout("tcp", n.callerProxy.Addr(), time.Second); err != nil {
@@ -65,10 +77,10 @@
 // exchange sends the request and reads the response. It reports whether the
 // connection may be reused.
 func (x *call) exchange(conn net.Conn, r *bufio.Reader) bool {
-	_ = conn.SetDeadline(time.Now().Add(8 * time.Second))
+	_ = conn.SetDeadline(time.Now().Add(x.timeout + time.Second))
 	body := "body of " + x.id
-	_, err := fmt.Fprintf(conn, "POST %s HTTP/1.1\r\nHost: h.example\r\nX-Request-Id: %s\r\nAuthorization: Bearer %s\r\nX-Deadline-Ms: 7000\r\nContent-Length: %d\r\n\r\n%s",
-		x.path, x.id, x.apiKey, len(body), body)
+	_, err := fmt.Fprintf(conn, "POST %s HTTP/1.1\r\nHost: h.example\r\nX-Request-Id: %s\r\nAuthorization: Bearer %s\r\nX-Deadline-Ms: %d\r\nContent-Length: %d\r\n\r\n%s",
+		x.path, x.id, x.apiKey, x.timeout.Milliseconds(), len(body), body)
 	if err != nil {
 		return false
 	}
@@ -93,7 +105,9 @@
 }
 
 // mayRetry reports whether requests to the path may run twice.
-func (x *call) mayRetry() bool { return x.path == "/s/resume/" || x.path == "/again/" }
+func (x *call) mayRetry() bool {
+	return x.path == "/again/" || strings.HasPrefix(x.path, resumePath(0))
+}
 
 // violation describes how the response breaks a guarantee, or is empty if it does not.
 func (x *call) violation() string {
--- a/test/soak/crash_test.go
+++ b/test/soak/crash_test.go
@@ -17,7 +17,7 @@
 // because no log has its ID.
 func TestRequestLostWithItsProcessIsLogged(t *testing.T) {
 	// The stream lasts longer than the test.
-	f := newFleetWith(t, waitLimit/5, 10*waitLimit)
+	f := newFleet(t, fleetOptions{eventInterval: waitLimit / 5, onceTimeout: 10 * waitLimit})
 	n := f.nodes[0]
 	f.eventually("the node is ready", n.ready)
 	id, serverID, sent := "", "", 0
--- a/test/soak/fleet_test.go
+++ b/test/soak/fleet_test.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"flag"
@@ -35,6 +36,9 @@
 const (
 	revokeBound = 3 * time.Second
 	gracePeriod = 8 * time.Second
+	// In any window, a service may get this share of its requests again, plus this number of requests.
+	retryRatio, retrySlack = 0.2, 58
+	retryWindow            = 10 * time.Second
 	// A bad version may get this share of its service's requests, plus this number of requests.
 	canaryShare, canarySlack = 0.1, 50
 	// waitLimit is how long recovery may take on a busy machine.
@@ -100,29 +104,50 @@
 	drainingSince time.Time // zero: not draining
 }
 
-func newFleet(t *testing.T) *fleet { return newFleetWith(t, 5*time.Millisecond, 8*time.Second) }
+// fleetOptions are the parts of a fleet that differ between tests. A zero field takes
+// its default.
+type fleetOptions struct {
+	nodes int // default: the flag
+	// eventInterval is the time between two events of a stream; default 5 ms.
+	eventInterval time.Duration
+	// onceTimeout and resumeTimeout are the timeouts of requests to /s/once/ and to
+	// resumePath; default 8 s.
+	onceTimeout, resumeTimeout time.Duration
+	// resumeTarget is the latency target of requests to resumePath; default half of their timeout.
+	resumeTarget time.Duration
+	// resumeTiers is the number of tiers with a resumePath; default 1.
+	resumeTiers int
+}
 
-// newFleetWith returns a fleet with the given time between stream events and the
-// given timeout for requests to /s/once/.
-func newFleetWith(t *testing.T, eventInterval, onceTimeout time.Duration) *fleet {
-	f := &fleet{t: t, eventInterval: eventInterval, dir: t.TempDir(), store: standin.NewStore(50), revokedAt: map[string]time.Time{}}
+func newFleet(t *testing.T, o fleetOptions) *fleet {
+	o.nodes = cmp.Or(o.nodes, *nodeCount)
+	o.eventInterval = cmp.Or(o.eventInterval, 5*time.Millisecond)
+	o.onceTimeout = cmp.Or(o.onceTimeout, 8*time.Second)
+	o.resumeTimeout = cmp.Or(o.resumeTimeout, 8*time.Second)
+	o.resumeTiers = cmp.Or(o.resumeTiers, 1)
+	f := &fleet{t: t, eventInterval: o.eventInterval, dir: t.TempDir(), store: standin.NewStore(50), revokedAt: map[string]time.Time{}}
 	f.storeAddr, _ = f.serve(f.store.Serve)
 	f.config = &standin.Configuration{
 		Tenant: "space",
 		Routes: []standin.Route{
-			{Prefix: "/s/once/", Type: "stream", Service: "llm", MaxAttempts: 1, TimeoutMs: int(onceTimeout.Milliseconds())},
-			{Prefix: "/s/resume/", Type: "stream", Service: "llm", MaxAttempts: 2, Resumable: true, TimeoutMs: 8000},
+			{Prefix: "/s/once/", Type: "stream", Service: "llm", MaxAttempts: 1, TimeoutMs: int(o.onceTimeout.Milliseconds())},
 			{Prefix: "/once/", Type: "non_idempotent", Service: "app", MaxAttempts: 1, TimeoutMs: 8000},
 			{Prefix: "/again/", Type: "idempotent", Service: "app", MaxAttempts: 2, TimeoutMs: 8000},
 		},
 		Engines: map[string]int{"llm": 8}, PlainServices: []string{"app"},
 	}
+	for t := range o.resumeTiers {
+		f.config.Routes = append(f.config.Routes, standin.Route{
+			Prefix: resumePath(t), Type: "stream", Service: "llm", MaxAttempts: 2, Resumable: true, Priority: t,
+			TimeoutMs: int(o.resumeTimeout.Milliseconds()), LatencyTargetMs: int(o.resumeTarget.Milliseconds()),
+		})
+	}
 	for i := range 3 {
 		f.addServer([]string{"llm", "app"}[i%2])
 		f.addServer([]string{"llm", "app"}[i%2])
 	}
 	f.putKeys("k1", "k2", "k3")
-	for i := range *nodeCount {
+	for i := range o.nodes {
 		f.addNode(fmt.Sprintf("n%d", i))
 	}
 	return f
@@ -155,13 +180,21 @@
 	return p
 }
 
+// addServer starts a sound server and registers it.
 func (f *fleet) addServer(service string) *server {
+	s := f.startServer(service, &standin.Server{Events: 30, EventInterval: f.eventInterval})
+	f.servers = append(f.servers, s)
+	f.putServer(s, "ready")
+	return s
+}
+
+// startServer starts a server behind a proxy. It is not registered yet.
+func (f *fleet) startServer(service string, backend *standin.Server) *server {
 	f.serversCreated++
-	s := &server{service: service, Server: &standin.Server{ID: fmt.Sprintf("i-%d", f.serversCreated), Events: 30, EventInterval: f.eventInterval}}
+	backend.ID = fmt.Sprintf("i-%d", f.serversCreated)
+	s := &server{service: service, Server: backend}
 	address, stop := f.serve(s.Serve)
 	s.stop, s.proxy = stop, f.newProxy(address)
-	f.servers = append(f.servers, s)
-	f.putServer(s, "ready")
 	return s
 }
 
@@ -184,7 +217,7 @@
 		Name: name, Region: "r", AvailabilityZone: "z", Listen: freeAddress(f.t), Readiness: freeAddress(f.t), Peer: freeAddress(f.t),
 		Store: n.storeProxy.Addr(), Limits: gateway.LimitSettings{MemoryMB: 256},
 		Bounds: gateway.BoundsSettings{
-			GraceS: gracePeriod.Seconds(), RevokeMs: float64(revokeBound.Milliseconds()), RetryRatio: 0.2, RetryWindowS: 10, RetrySlack: 200,
+			GraceS: gracePeriod.Seconds(), RevokeMs: float64(revokeBound.Milliseconds()), RetryRatio: retryRatio, RetryWindowS: retryWindow.Seconds(), RetrySlack: retrySlack,
 			CanaryShare: canaryShare, CanarySlack: canarySlack,
 		},
 	}
--- /dev/null
+++ b/test/soak/retries_test.go
@@ -0,0 +1,172 @@
+package soak
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"net"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/sourcegraph/conc"
+
+	"github.com/lycheekeel/lycheekeel/platform/standin"
+)
+
+// The load of TestRetriesThatWaitedForSlots.
+const (
+	arrivalInterval = 12 * time.Millisecond
+	// slowEventInterval lets a stream of 30 events hold its slot for 14.7 s.
+	slowEventInterval = 490 * time.Millisecond
+	fastEventInterval = 200 * time.Microsecond
+	streamTimeout     = 15 * time.Second
+	streamTarget      = time.Second
+	// Requests of several tiers: a pool considers only some of those that wait in one.
+	waitingTiers = 4
+	// One of failureInterval requests of a failing server fails.
+	failureInterval = 2
+	joinAfter       = 14500 * time.Millisecond
+	joiningServers  = 25
+)
+
+// Guards against: retries that were allowed one after the other wait for slots and
+// reach the servers together, beyond the bound on retries.
+func TestRetriesThatWaitedForSlots(t *testing.T) {
+	f := newFleet(t, fleetOptions{nodes: 9, eventInterval: slowEventInterval, resumeTimeout: streamTimeout, resumeTarget: streamTarget, resumeTiers: waitingTiers})
+	t.Cleanup(func() {
+		if t.Failed() {
+			f.keepLogs(0)
+		}
+	})
+	for _, n := range f.nodes {
+		f.eventually(n.name+" is ready", n.ready)
+	}
+	c := &callers{}
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	var wg conc.WaitGroup
+	wg.Go(func() { c.sendAtInterval(ctx, f.nodes) })
+	// The only server with free slots fails a part of its requests; their retries wait.
+	f.addFailingServers(1)
+	sleep(ctx, joinAfter)
+	f.addFailingServers(joiningServers)
+	sleep(ctx, retryWindow)
+	cancel()
+	wg.Wait()
+	f.checkRetries(c)
+}
+
+// addFailingServers adds fast servers that fail a part of their requests.
+func (f *fleet) addFailingServers(count int) {
+	for range count {
+		s := f.startServer("llm", &standin.Server{
+			Events: 30, EventInterval: fastEventInterval,
+			Fails: func(n int) bool { return n%failureInterval == 0 },
+		})
+		f.servers = append(f.servers, s)
+		f.putServer(s, "ready")
+	}
+}
+
+// sendAtInterval sends requests for resumable streams to the nodes in turn, each on a
+// connection of its own, until the context ends. It returns when all have ended.
+func (c *callers) sendAtInterval(ctx context.Context, nodes []*node) {
+	var wg conc.WaitGroup
+	defer wg.Wait()
+	tick := time.NewTicker(arrivalInterval)
+	defer tick.Stop()
+	for i := 0; ctx.Err() == nil; i++ {
+		x := &call{id: fmt.Sprint("r-", i), path: resumePath(i / len(nodes) % waitingTiers), apiKey: "k1", node: nodes[i%len(nodes)], timeout: streamTimeout}
+		wg.Go(func() { c.sendOnce(x) })
+		<-tick.C
+	}
+}
+
+// sendOnce sends a request on a new connection and records the result.
+func (c *callers) sendOnce(x *call) {
+	x.sentAt = time.Now()
+	if conn, err := net.DialTimeout("tcp", x.node.callerProxy.Addr(), time.Second); err == nil {
+		x.exchange(conn, bufio.NewReader(conn))
+		_ = conn.Close()
+	}
+	x.endedAt = time.Now()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.all = append(c.all, x)
+}
+
+// checkRetries checks that in any window each service got no more retries than its
+// requests allow, those that servers refused included. The requests are counted in the
+// window, the one before it or the one half a window before it, whichever has most.
+func (f *fleet) checkRetries(c *callers) {
+	for _, service := range []string{"llm", "app"} {
+		requests, repeats := f.requestTimes(c, service), f.repeatTimes(service)
+		worst, excess := time.Time{}, 0.0
+		for _, start := range repeats {
+			got := countIn(repeats, start)
+			most := max(countIn(requests, start), countIn(requests, start.Add(-retryWindow/2)), countIn(requests, start.Add(-retryWindow)))
+			if e := float64(got) / (retryRatio*float64(most) + retrySlack); e > excess {
+				worst, excess = start, e
+			}
+		}
+		f.t.Logf("%s: %d requests, %d repeats, at most %.3f of the bound", service, len(requests), len(repeats), excess)
+		if excess > 1 {
+			f.t.Errorf("%s: %.3f of the allowed retries; repeats by second after %v: %v", service, excess, worst, bySecond(repeats))
+		}
+	}
+}
+
+// requestTimes returns when callers sent the requests of a service, in order.
+func (f *fleet) requestTimes(c *callers, service string) []time.Time {
+	var out []time.Time
+	for _, x := range c.all {
+		for _, r := range f.config.Routes {
+			if r.Prefix == x.path && r.Service == service {
+				out = append(out, x.sentAt)
+			}
+		}
+	}
+	slices.SortFunc(out, time.Time.Compare)
+	return out
+}
+
+// repeatTimes returns the arrivals at a service beyond the first of each request, in order.
+func (f *fleet) repeatTimes(service string) []time.Time {
+	byRequest := map[string][]time.Time{}
+	for _, s := range append(slices.Clone(f.servers), f.badServers...) {
+		if s.service != service {
+			continue
+		}
+		for _, a := range s.Received() {
+			byRequest[a.ID] = append(byRequest[a.ID], a.At)
+		}
+	}
+	var out []time.Time
+	for _, all := range byRequest {
+		slices.SortFunc(all, time.Time.Compare)
+		out = append(out, all[1:]...)
+	}
+	slices.SortFunc(out, time.Time.Compare)
+	return out
+}
+
+// countIn counts the times within one window from start. The times are in order.
+func countIn(times []time.Time, start time.Time) int {
+	from, _ := slices.BinarySearchFunc(times, start, time.Time.Compare)
+	to, _ := slices.BinarySearchFunc(times, start.Add(retryWindow), time.Time.Compare)
+	return to - from
+}
+
+// bySecond counts times by second since the first.
+func bySecond(times []time.Time) []int {
+	var out []int
+	for _, t := range times {
+		second := int(t.Sub(times[0]) / time.Second)
+		for len(out) <= second {
+			out = append(out, 0)
+		}
+		out[second]++
+	}
+	return out
+}
--- a/test/soak/rollout_test.go
+++ b/test/soak/rollout_test.go
@@ -1,8 +1,6 @@
 package soak
 
 import (
-	"fmt"
-
 	"github.com/lycheekeel/lycheekeel/platform/standin"
 )
 
@@ -20,10 +18,7 @@
 	}
 	f.store.PutRollout("app", badVersion, rolloutTimeoutS)
 	for range 2 {
-		f.serversCreated++
-		s := &server{service: "app", Server: &standin.Server{ID: fmt.Sprintf("i-%d", f.serversCreated), Fails: func(int) bool { return true }}}
-		address, stop := f.serve(s.Serve)
-		s.stop, s.proxy = stop, f.newProxy(address)
+		s := f.startServer("app", &standin.Server{Fails: func(int) bool { return true }})
 		f.store.PutServerVersion(s.ID, "app", s.proxy.Addr(), badVersion, 8)
 		f.badServers = append(f.badServers, s)
 	}
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -56,7 +56,7 @@
 // for recovery, and checks the guarantees.
 func runSeed(t *testing.T, seed int64, include func(string) bool) (*fleet, *callers) {
 	r := rand.New(rand.NewPCG(uint64(seed), 1))
-	f := newFleet(t)
+	f := newFleet(t, fleetOptions{})
 	t.Cleanup(func() {
 		if t.Failed() {
 			f.keepLogs(seed)
@@ -80,6 +80,7 @@
 	cancel()
 	wg.Wait()
 	f.checkInvariants(c)
+	f.checkRetries(c)
 	return f, c
 }
 
