retry, forward: a retry is charged when it is sent, against the requests of its window

Cause: the budget was taken when a retry was decided, the bound speaks of arrivals, and between the two lies the wait for a slot. By the logs 162 retries were allowed over 13 s, one by one and within the budget, and 103 of them were sent within a second. The budget counted requests and knew no time; the window of the settings was checked and never used.

Now a retry is reserved when it is decided and charged directly before its first byte, where every send passes. The budget counts requests and retries by time and lets a retry go if in every window that contains it the bound holds for this daemon's part: 5/6 of the ratio is earned by the requests of the window itself, 1/6 by those of the window before. All daemons use the same weights, so the sum is within what the sum of requests in either window allows. Reserved retries count against what is left, so that who waits is sent, and who can't be sent again gets the final answer at once. The shares of the ratio that daemons use rise from 0.75 to 0.9: 0.15 per request at once as before, and 0.03 more from the window before, so that many streams of a server that fails can be sent again at once.

A send that failed before its first byte is no send any more, so that its repetition needs no retry, as before.

--- a/internal/cli/losses.go
+++ b/internal/cli/losses.go
@@ -41,7 +41,7 @@
 		{"refusals", []string{"count", "reason", "tier", "route", "workspace", "held ms", "told to come back after ms, p10 p50 p90"}, refusalRows(losses)},
 		{"refusals by second", []string{"second", "reasons"}, secondRows(losses)},
 		{"pools by second", []string{"second", "tiers: granted, granted late, shed, expired, slot ms"}, poolSecondRows(losses)},
-		{"retries by second", []string{"second", "service", "allowed", "denied", "sent", "longest ms from permission to send"}, retryRows(losses)},
+		{"retries by second", []string{"second", "service", "allowed", "denied", "sent", "withdrawn", "longest ms from permission to send"}, retryRows(losses)},
 		{"failed sends", []string{"count", "server", "cause"}, failureRows(losses)},
 		{"ran on without an end", []string{"at", "vm", "request", "server"}, unendedRows(losses)},
 		{"starts", []string{"at", "vm", "first answer after ms"}, startRows(losses)},
@@ -99,7 +99,7 @@
 func retryRows(losses explain.Losses) (out [][]string) {
 	for _, s := range losses.Retries {
 		out = append(out, []string{
-			s.At.Format(clockFormat), s.Service, strconv.Itoa(s.Allowed), strconv.Itoa(s.Denied), strconv.Itoa(s.Sent), strconv.Itoa(s.WaitMs),
+			s.At.Format(clockFormat), s.Service, strconv.Itoa(s.Allowed), strconv.Itoa(s.Denied), strconv.Itoa(s.Sent), strconv.Itoa(s.Withdrawn), strconv.Itoa(s.WaitMs),
 		})
 	}
 	return out
--- a/internal/explain/losses.go
+++ b/internal/explain/losses.go
@@ -154,7 +154,7 @@
 		c.classOf(l).Refused++
 	case "Send failed.":
 		c.addFailure(l)
-	case "Retry allowed.", "Retry denied.", "Retry sent.":
+	case "Retry allowed.", "Retry denied.", "Retry sent.", "Retry withdrawn.":
 		c.addRetry(l)
 	case "Started.":
 		if l.Part == "gateway" && len(c.losses.Starts) < maxRows {
--- a/internal/explain/retries.go
+++ b/internal/explain/retries.go
@@ -10,9 +10,9 @@
 type RetrySecond struct {
 	At      time.Time
 	Service string
-	// Allowed and Denied count the decisions of the retry budget, Sent what was written to
-	// a server.
-	Allowed, Denied, Sent int
+	// Allowed and Denied count the decisions of the retry budget, Sent what was sent to a
+	// server, Withdrawn what was allowed and was not any more when it would have been sent.
+	Allowed, Denied, Sent, Withdrawn int
 	// WaitMs is the longest time from permission to send, in milliseconds.
 	WaitMs int
 }
@@ -37,6 +37,8 @@
 		row.Allowed++
 	case "Retry denied.":
 		row.Denied++
+	case "Retry withdrawn.":
+		row.Withdrawn++
 	case "Retry sent.":
 		row.Sent++
 		row.WaitMs = max(row.WaitMs, intField(l, "since_allowed_ms"))
--- a/internal/forward/answer.go
+++ b/internal/forward/answer.go
@@ -82,7 +82,7 @@
 
 // shouldRetry decides whether a failed attempt is retried on another server.
 func (x *exchange) shouldRetry(status int) bool {
-	return status != fasthttp.StatusGatewayTimeout && x.attempts.CanSend() && x.ctx.Err() == nil && x.takeRetry()
+	return status != fasthttp.StatusGatewayTimeout && x.attempts.CanSend() && x.ctx.Err() == nil && x.reserveRetry()
 }
 
 // copyHeaders copies the status and the end-to-end headers of the answer.
--- a/internal/forward/counters.go
+++ b/internal/forward/counters.go
@@ -16,11 +16,11 @@
 	failedSends       map[string]*expvar.Int
 	malformedRequests *expvar.Int
 	retriedFailures   *expvar.Int
-	// retriesAllowed counts what the budget allowed, retriesSent what was written to a
-	// server.
-	retriesAllowed, retriesDenied, retriesSent *expvar.Int
-	streamsResumed                             *expvar.Int
-	streamsCut                                 *expvar.Int
+	// retriesAllowed counts what the budget allowed, retriesSent what was sent to a server,
+	// retriesWithdrawn what was allowed and is not any more when it would be sent.
+	retriesAllowed, retriesDenied, retriesSent, retriesWithdrawn *expvar.Int
+	streamsResumed                                               *expvar.Int
+	streamsCut                                                   *expvar.Int
 	// hedges counts the hedged attempts of silent streams, hedgesUnused those whose
 	// original stream continued first.
 	hedges, hedgesUnused *expvar.Int
@@ -53,6 +53,7 @@
 	c.retriedFailures = m.Counter("retries", "server_failed")
 	c.retriesAllowed = m.Counter("retries", "allowed_by_budget")
 	c.retriesSent = m.Counter("retries", "sent")
+	c.retriesWithdrawn = m.Counter("retries", "withdrawn_by_budget")
 	c.retriesDenied = m.Counter("retries", "denied_by_budget")
 	c.streamsResumed = m.Counter("streams", "resumed")
 	c.streamsCut = m.Counter("streams", "cut")
--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -34,15 +34,17 @@
 	service   string
 	quotaCost float64 // taken from the quota; 0: nothing
 
-	spec           *request.Spec
-	demand         broker.Demand
-	attempts       request.Attempts
-	hedgesStarted  int
-	retryAllowedAt time.Time // when the budget allowed the last retry
-	preSendRefusal error     // from the check directly before the last send; nil if it passed
-	canary         canaryState
-	outbound       *outboundRequest
-	earlierFailure *failedAnswer // of an earlier server; nil if there is none
+	spec          *request.Spec
+	demand        broker.Demand
+	attempts      request.Attempts
+	hedgesStarted int
+	// retryReserved is set while a retry is reserved, since retryReservedAt.
+	retryReserved   bool
+	retryReservedAt time.Time
+	preSendRefusal  error // from the check directly before the last send; nil if it passed
+	canary          canaryState
+	outbound        *outboundRequest
+	earlierFailure  *failedAnswer // of an earlier server; nil if there is none
 
 	ctx          context.Context
 	cancel       context.CancelCauseFunc
@@ -76,7 +78,7 @@
 	}
 	x.outbound = x.server.newOutboundRequest(x.httpCtx, x.workspaceName())
 	x.outbound.deadline = x.receivedAt.Add(x.spec.Targets.Deadline)
-	x.server.deps.Budget(x.service).RecordRequest()
+	x.server.deps.Budget(x.service).RecordRequest(x.receivedAt)
 	x.watchCaller()
 	err := x.forward()
 	if err != nil && x.writeEarlierFailure() {
@@ -246,6 +248,7 @@
 		return
 	}
 	x.ended = true
+	x.releaseRetry()
 	x.runningLog.stop()
 	if x.watch != nil {
 		x.watch.Stop()
--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -176,7 +176,7 @@
 	Convey("An idempotent request is not sent again if the retry budget is exhausted", t, func() {
 		b1, b2 := newBackend(t, closes), newBackend(t, echoBody)
 		r := newHarness(t, b1, b2)
-		r.budget.SetBurst(0)
+		r.budget.SetSlack(0)
 		So(r.call("GET", "/again/", "1", "", "").status, ShouldEqual, 502)
 		So(len(b2.requests()), ShouldEqual, 0)
 	})
@@ -195,7 +195,7 @@
 			return true
 		})
 		r := newHarness(t, refuses)
-		r.budget.SetBurst(0)
+		r.budget.SetSlack(0)
 		got := r.call("POST", "/once/", "1", "", "x")
 		So(got.status, ShouldEqual, 503)
 		So(string(got.header.Peek("Retry-After")), ShouldNotBeEmpty)
--- a/internal/forward/harness_test.go
+++ b/internal/forward/harness_test.go
@@ -306,7 +306,7 @@
 func newHarnessWithHook(tb testing.TB, onStream func(*stream), backends ...*backend) *harness {
 	r := &harness{
 		tb: tb, routes: &route.Live{}, broker: &fakeBroker{}, admission: &fakeAdmission{},
-		quotas: &fakeQuotas{}, budget: retry.NewBudget(0, 100), metrics: metrics.New(),
+		quotas: &fakeQuotas{}, budget: newTestBudget(100), metrics: metrics.New(),
 	}
 	for i, b := range backends {
 		r.broker.servers = append(r.broker.servers, workspace.BackendServer{Name: fmt.Sprintf("i-%d", i+1), Address: b.ln.Addr().String()})
@@ -345,6 +345,12 @@
 	return r
 }
 
+// newTestBudget returns a budget for some retries that no request adds to.
+func newTestBudget(retries float64) *retry.Budget {
+	const window = time.Hour
+	return retry.NewBudget(retry.Bound{Window: window, Slack: retries}, time.Now().Add(-window))
+}
+
 // unusedAddress returns an address that refuses connections.
 func unusedAddress(tb testing.TB) string {
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
--- a/internal/forward/hedge.go
+++ b/internal/forward/hedge.go
@@ -152,6 +152,7 @@
 	h.started = true
 	x.server.counters.hedges.Add(1)
 	next, refusal := x.resume(x.trySend(reserved))
+	x.releaseRetry()
 	switch {
 	case next == nil:
 		h.refusal = refusal
@@ -207,8 +208,8 @@
 	errNoRetryLeft   = errors.New("the retry budget is used up")
 )
 
-// reserveHedgeSlot gets a slot for a hedge of a silent attempt and takes a retry from the
-// budget. The error tells why no hedge is started.
+// reserveHedgeSlot gets a slot for a hedge of a silent attempt and reserves a retry. The
+// error tells why no hedge is started.
 func (x *exchange) reserveHedgeSlot(silentAttempt *attempt) (broker.Grant, error) {
 	if !x.attempts.CanSend() {
 		return nil, errNoAttemptLeft
@@ -228,7 +229,7 @@
 		grant.ReturnUnused()
 		return nil, err
 	}
-	if !x.takeRetry() {
+	if !x.reserveRetry() {
 		grant.ReturnUnused()
 		return nil, errNoRetryLeft
 	}
--- a/internal/forward/requestlog_test.go
+++ b/internal/forward/requestlog_test.go
@@ -8,8 +8,6 @@
 	"github.com/sirupsen/logrus"
 	logtest "github.com/sirupsen/logrus/hooks/test"
 	. "github.com/smartystreets/goconvey/convey"
-
-	"github.com/lycheekeel/lycheekeel/retry"
 )
 
 // failingListener accepts connections to callers on which each write after the first fails.
@@ -75,7 +73,7 @@
 	Convey("A retry's permission and its send have a line each; a denied one has a line, too", t, func() {
 		closes := newBackend(t, func(int, string, string, net.Conn) bool { return false })
 		r := newHarness(t, closes, newBackend(t, echoBody))
-		r.budget = retry.NewBudget(0, 1)
+		r.budget = newTestBudget(1)
 		logger, lines := logtest.NewNullLogger()
 		r.server.log = logrus.NewEntry(logger)
 		So(r.call("POST", "/again/", "first", "", "b").status, ShouldEqual, 200)
--- a/internal/forward/retries.go
+++ b/internal/forward/retries.go
@@ -4,37 +4,65 @@
 	"time"
 
 	"github.com/sirupsen/logrus"
+
+	"github.com/lycheekeel/lycheekeel/request"
 )
 
-// takeRetry takes a retry from the budget of the request's service. It reports whether
-// one was left.
-func (x *exchange) takeRetry() bool {
-	c := x.server.counters
-	if !x.server.deps.Budget(x.service).Take() {
-		c.retriesDenied.Add(1)
+// reserveRetry reserves a retry in the budget of the request's service, unless the request
+// has one. It reports whether one was left.
+func (x *exchange) reserveRetry() bool {
+	if x.retryReserved {
+		return true
+	}
+	now := time.Now()
+	if !x.server.deps.Budget(x.service).Reserve(now) {
+		x.server.counters.retriesDenied.Add(1)
 		x.logRetry().Info("Retry denied.")
 		return false
 	}
-	c.retriesAllowed.Add(1)
-	x.retryAllowedAt = time.Now()
+	x.retryReserved, x.retryReservedAt = true, now
+	x.server.counters.retriesAllowed.Add(1)
 	x.logRetry().Info("Retry allowed.")
 	return true
 }
 
-// recordRetrySent notes that a send of the request starts. It does nothing for the first one.
-func (x *exchange) recordRetrySent() {
+// chargeRetry charges the request's retry, directly before its first byte is sent. It does
+// nothing for the first send. The returned error is a refusal.
+func (x *exchange) chargeRetry() error {
 	if x.attempts.Sends() == 0 {
-		return
+		return nil
+	}
+	if !x.reserveRetry() {
+		return x.noRetryLeft(errNoRetryLeft)
 	}
-	waited := time.Since(x.retryAllowedAt)
-	x.server.counters.retriesSent.Add(1)
-	x.server.counters.retryWait.Observe(waited)
-	x.logRetry().WithFields(logrus.Fields{"server": x.outbound.serverID, "since_allowed_ms": waited.Milliseconds()}).Info("Retry sent.")
+	waited := time.Since(x.retryReservedAt)
+	x.retryReserved = false
+	c, l := x.server.counters, x.logRetry().WithField("since_allowed_ms", waited.Milliseconds())
+	if !x.server.deps.Budget(x.service).Send(time.Now()) {
+		c.retriesWithdrawn.Add(1)
+		l.Info("Retry withdrawn.")
+		return x.noRetryLeft(errNoRetryLeft)
+	}
+	c.retriesSent.Add(1)
+	c.retryWait.Observe(waited)
+	l.WithField("server", x.outbound.serverID).Info("Retry sent.")
+	return nil
+}
+
+// releaseRetry returns a reserved retry that will not be sent.
+func (x *exchange) releaseRetry() {
+	if x.retryReserved {
+		x.retryReserved = false
+		x.server.deps.Budget(x.service).Release()
+	}
+}
+
+func (x *exchange) noRetryLeft(cause error) *request.Refusal {
+	return x.newRefusal(request.ReasonEngineRefused, "no retry is left: %v", cause)
 }
 
 // logRetry returns the log entry for a decision on a retry.
 func (x *exchange) logRetry() *logrus.Entry {
-	return x.server.log.WithFields(x.requestFields()).WithFields(logrus.Fields{
-		"sends": x.attempts.Sends(), "retries_left": x.server.deps.Budget(x.service).Left(),
-	})
+	left := x.server.deps.Budget(x.service).Left(time.Now())
+	return x.server.log.WithFields(x.requestFields()).WithFields(logrus.Fields{"sends": x.attempts.Sends(), "retries_left": left})
 }
--- a/internal/forward/send.go
+++ b/internal/forward/send.go
@@ -89,8 +89,8 @@
 		return x.waitRefusal(x.ctx.Err())
 	case !x.attempts.CanSend():
 		return x.newRefusal(request.ReasonEngineLost, "the answer was lost: %v", err)
-	case x.attempts.Sends() > 0 && !errors.Is(err, engine.ErrNotSent) && !x.takeRetry():
-		return x.newRefusal(request.ReasonEngineRefused, "no retry is left: %v", err)
+	case x.attempts.Sends() > 0 && !x.reserveRetry():
+		return x.noRetryLeft(err)
 	}
 	return nil
 }
@@ -155,9 +155,11 @@
 		if x.preSendRefusal = x.recheckKey(); x.preSendRefusal != nil {
 			return x.preSendRefusal
 		}
+		if x.preSendRefusal = x.chargeRetry(); x.preSendRefusal != nil {
+			return x.preSendRefusal
+		}
 		a.sentAt = time.Now()
 		x.trackAttempt(a)
-		x.recordRetrySent()
 		x.server.counters.connectTime.Observe(a.sentAt.Sub(start))
 		return x.attempts.Take()
 	}
@@ -183,7 +185,7 @@
 		return x.endLostAttempt(a, err)
 	}
 	if !a.sentAt.IsZero() {
-		x.attempts.Undo()
+		x.attempts.Unsend()
 	}
 	if x.ctx.Err() != nil || x.preSendRefusal != nil {
 		a.grant.ReturnUnused()
--- a/internal/forward/stream_test.go
+++ b/internal/forward/stream_test.go
@@ -216,7 +216,7 @@
 	}
 	Convey("Without a retry, the silent server is awaited", t, func() {
 		r := newHarness(t, newBackend(t, pausing))
-		r.budget.SetBurst(0)
+		r.budget.SetSlack(0)
 		got := r.call("POST", "/resume/", "1", "", "x")
 		So(got.body, ShouldEqual, eventsText(1, 6))
 		So(got.complete, ShouldBeTrue)
--- a/internal/gateway/retrybudgets.go
+++ b/internal/gateway/retrybudgets.go
@@ -3,20 +3,21 @@
 import (
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"github.com/lycheekeel/lycheekeel/retry"
 )
 
 // The shares of the bound on retries that the daemons use. The rest allows for
-// windows that daemons count at different times, and for daemons that have just
-// joined and are not known here yet.
+// requests and retries that daemons count earlier or later than servers and callers
+// do, and for daemons that have just joined and are not known here yet.
 const (
-	retryRatioShare = 0.75
+	retryRatioShare = 0.9
 	retrySlackShare = 0.8
 )
 
 // retryBudgets holds the retry budget of each service. The daemons share the slack
-// of the bound: each may save up an equal part.
+// of the bound: each has an equal part.
 //
 // The part follows the number of daemons; with a fixed part, many daemons together
 // would exceed the bound. The number never decreases, since a daemon that is not
@@ -36,18 +37,17 @@
 	if x, ok := b.byService.Load(service); ok {
 		return x.(*retry.Budget)
 	}
-	// A daemon that has just started does not know how many share the slack.
-	created := retry.NewBudget(b.bounds.RetryRatio*retryRatioShare, 1)
-	created.SetBurst(b.burst())
-	x, _ := b.byService.LoadOrStore(service, created)
+	x, _ := b.byService.LoadOrStore(service, retry.NewBudget(retry.Bound{
+		Ratio: b.bounds.RetryRatio * retryRatioShare, Window: seconds(b.bounds.RetryWindowS), Slack: b.slack(),
+	}, time.Now()))
 	return x.(*retry.Budget)
 }
 
-// burst returns how many retries this daemon may save up for a service.
-func (b *retryBudgets) burst() float64 {
+// slack returns this daemon's part of the slack.
+func (b *retryBudgets) slack() float64 {
 	daemons := b.maxDaemons.Load()
 	if daemons == 0 {
-		return 1
+		return 1 // it is not known yet how many share the slack
 	}
 	return max(1, b.bounds.RetrySlack*retrySlackShare/float64(max(daemons, assumedDaemons)))
 }
@@ -57,9 +57,9 @@
 	if int64(daemons) > b.maxDaemons.Load() {
 		b.maxDaemons.Store(int64(daemons))
 	}
-	burst := b.burst()
+	slack := b.slack()
 	b.byService.Range(func(_, x any) bool {
-		x.(*retry.Budget).SetBurst(burst)
+		x.(*retry.Budget).SetSlack(slack)
 		return true
 	})
 }
--- a/internal/gateway/retrybudgets_test.go
+++ b/internal/gateway/retrybudgets_test.go
@@ -2,42 +2,52 @@
 
 import (
 	"testing"
+	"time"
 
 	. "github.com/smartystreets/goconvey/convey"
 )
 
-// savedRetries returns how many retries a full budget allows.
-func savedRetries(b *retryBudgets) int {
-	for range 10_000 {
-		b.forService("llm").RecordRequest()
-	}
+const testRetryWindow = 10 * time.Second
+
+// retriesWithoutRequests returns how many retries a service gets in one window without
+// requests, once its budget is older than a window.
+func retriesWithoutRequests(b *retryBudgets) int {
+	now := time.Now().Add(2 * testRetryWindow)
 	n := 0
-	for b.forService("llm").Take() {
-		n++
+	for budget := b.forService("llm"); budget.Reserve(now); n++ {
+		if !budget.Send(now) {
+			break
+		}
 	}
 	return n
 }
 
+func testBounds() BoundsSettings {
+	return BoundsSettings{RetryRatio: 0.2, RetryWindowS: testRetryWindow.Seconds(), RetrySlack: 600}
+}
+
 // Guards against many daemons whose retries together exceed the bound.
 func TestRetrySlackIsSharedByAllDaemons(t *testing.T) {
-	Convey("All daemons together save up no more retries than the slack", t, func() {
+	Convey("Without requests, all daemons together send no more retries than the slack", t, func() {
 		for _, daemons := range []int{1, 9, 16, 88, 300} {
-			b := newRetryBudgets(BoundsSettings{RetryRatio: 0.2, RetrySlack: 600})
+			b := newRetryBudgets(testBounds())
 			b.forService("llm")
 			b.setDaemons(daemons)
-			So(savedRetries(b)*daemons, ShouldBeLessThanOrEqualTo, 600)
-			So(savedRetries(b), ShouldBeGreaterThan, 0)
+			retries := retriesWithoutRequests(b)
+			So(retries*daemons, ShouldBeLessThanOrEqualTo, 600)
+			So(retries, ShouldBeGreaterThan, 0)
 		}
 	})
 	Convey("A daemon's part does not grow when others are no longer visible", t, func() {
-		b := newRetryBudgets(BoundsSettings{RetryRatio: 0.2, RetrySlack: 600})
+		b := newRetryBudgets(testBounds())
 		b.forService("llm")
 		b.setDaemons(88)
-		before := savedRetries(b)
+		other := newRetryBudgets(testBounds())
+		other.setDaemons(88)
 		b.setDaemons(2)
-		So(savedRetries(b), ShouldEqual, before)
+		So(retriesWithoutRequests(b), ShouldEqual, retriesWithoutRequests(other))
 	})
-	Convey("A daemon that has just started saves up one retry", t, func() {
-		So(savedRetries(newRetryBudgets(BoundsSettings{RetryRatio: 0.2, RetrySlack: 600})), ShouldEqual, 1)
+	Convey("A daemon that does not know the others yet has a slack of one", t, func() {
+		So(retriesWithoutRequests(newRetryBudgets(testBounds())), ShouldEqual, 1)
 	})
 }
--- a/request/attempts.go
+++ b/request/attempts.go
@@ -35,11 +35,18 @@
 	return nil
 }
 
-// Undo undoes the latest Take: no byte was sent, or the server said that it did not and
-// will not run the request.
+// Undo undoes the latest Take: the server said that it did not and will not run the
+// request.
 func (a *Attempts) Undo() { a.started-- }
 
-// Sends returns the number of attempts taken, including undone ones.
+// Unsend undoes the latest Take: no byte was sent.
+func (a *Attempts) Unsend() {
+	a.started--
+	a.sends--
+}
+
+// Sends returns the number of attempts that may have reached a server, those that it did
+// not run included.
 func (a *Attempts) Sends() int { return a.sends }
 
 // NotRun returns what is known about whether the request ran.
