soak: retries are held against their bound while everything fails at a steady rate

A second soak sends requests at a fixed rate to nine processes, every second run fails at every server, and the same faults are injected.

--- a/test/soak/fleet_test.go
+++ b/test/soak/fleet_test.go
@@ -77,7 +77,9 @@
 	serversCreated int // including servers that have ended
 	// eventInterval is the time between two events of a stream.
 	eventInterval time.Duration
-	revokedAt     map[string]time.Time
+	// fails tells which runs of a server fail; nil: none.
+	fails     func(n int) bool
+	revokedAt map[string]time.Time
 	// badServers are the servers of the version that fails every request; nil: it was not rolled out.
 	badServers []*server
 	// restarts tracks goroutines that wait for a process to exit and then restart its node.
@@ -115,6 +117,8 @@
 	onceTimeout, resumeTimeout time.Duration
 	// resumeTarget is the latency target of requests to resumePath; default half of their timeout.
 	resumeTarget time.Duration
+	// fails tells which runs of a server fail; default none.
+	fails func(n int) bool
 	// resumeTiers is the number of tiers with a resumePath; default 1.
 	resumeTiers int
 }
@@ -125,7 +129,7 @@
 	o.onceTimeout = cmp.Or(o.onceTimeout, 8*time.Second)
 	o.resumeTimeout = cmp.Or(o.resumeTimeout, 8*time.Second)
 	o.resumeTiers = cmp.Or(o.resumeTiers, 1)
-	f := &fleet{t: t, eventInterval: o.eventInterval, dir: t.TempDir(), store: standin.NewStore(50), revokedAt: map[string]time.Time{}}
+	f := &fleet{t: t, eventInterval: o.eventInterval, fails: o.fails, dir: t.TempDir(), store: standin.NewStore(50), revokedAt: map[string]time.Time{}}
 	f.storeAddr, _ = f.serve(f.store.Serve)
 	f.config = &standin.Configuration{
 		Tenant: "space",
@@ -180,9 +184,9 @@
 	return p
 }
 
-// addServer starts a sound server and registers it.
+// addServer starts a server and registers it.
 func (f *fleet) addServer(service string) *server {
-	s := f.startServer(service, &standin.Server{Events: 30, EventInterval: f.eventInterval})
+	s := f.startServer(service, &standin.Server{Events: 30, EventInterval: f.eventInterval, Fails: f.fails})
 	f.servers = append(f.servers, s)
 	f.putServer(s, "ready")
 	return s
--- a/test/soak/retries_test.go
+++ b/test/soak/retries_test.go
@@ -4,14 +4,13 @@
 	"bufio"
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"slices"
 	"testing"
 	"time"
 
 	"github.com/sourcegraph/conc"
-
-	"github.com/lycheekeel/lycheekeel/platform/standin"
 )
 
 // The load of TestRetriesThatWaitedForSlots.
@@ -23,13 +22,14 @@
 	streamTimeout     = 15 * time.Second
 	streamTarget      = time.Second
 	// Requests of several tiers: a pool considers only some of those that wait in one.
-	waitingTiers = 4
-	// One of failureInterval requests of a failing server fails.
-	failureInterval = 2
-	joinAfter       = 14500 * time.Millisecond
-	joiningServers  = 25
+	waitingTiers   = 4
+	joinAfter      = 14500 * time.Millisecond
+	joiningServers = 25
 )
 
+// everySecond lets every second run of a server fail.
+func everySecond(n int) bool { return n%2 == 0 }
+
 // Guards against: retries that were allowed one after the other wait for slots and
 // reach the servers together, beyond the bound on retries.
 func TestRetriesThatWaitedForSlots(t *testing.T) {
@@ -46,38 +46,62 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	var wg conc.WaitGroup
-	wg.Go(func() { c.sendAtInterval(ctx, f.nodes) })
+	wg.Go(func() {
+		c.sendAtInterval(ctx, f.nodes, func(i int) string { return resumePath(i / len(f.nodes) % waitingTiers) })
+	})
 	// The only server with free slots fails a part of its requests; their retries wait.
-	f.addFailingServers(1)
+	f.eventInterval, f.fails = fastEventInterval, everySecond
+	f.addServer("llm")
 	sleep(ctx, joinAfter)
-	f.addFailingServers(joiningServers)
+	for range joiningServers {
+		f.addServer("llm")
+	}
 	sleep(ctx, retryWindow)
 	cancel()
 	wg.Wait()
 	f.checkRetries(c)
 }
 
-// addFailingServers adds fast servers that fail a part of their requests.
-func (f *fleet) addFailingServers(count int) {
-	for range count {
-		s := f.startServer("llm", &standin.Server{
-			Events: 30, EventInterval: fastEventInterval,
-			Fails: func(n int) bool { return n%failureInterval == 0 },
+// Guards against: retries exceed their bound while processes, links and servers fail and
+// requests go on at their rate.
+func TestRetriesWhileEverythingFails(t *testing.T) {
+	for i := range *seedCount {
+		seed := *firstSeed + int64(i)
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+			f := newFleet(t, fleetOptions{nodes: 9, resumeTimeout: streamTimeout, resumeTarget: streamTarget, fails: everySecond})
+			t.Cleanup(func() {
+				if t.Failed() {
+					f.keepLogs(seed)
+				}
+			})
+			for _, n := range f.nodes {
+				f.eventually(n.name+" is ready", n.ready)
+			}
+			c := &callers{}
+			ctx, cancel := context.WithCancel(context.Background())
+			defer cancel()
+			var wg conc.WaitGroup
+			wg.Go(func() {
+				c.sendAtInterval(ctx, f.nodes, func(i int) string { return []string{resumePath(0), "/again/"}[i/len(f.nodes)%2] })
+			})
+			f.injectFaults(rand.New(rand.NewPCG(uint64(seed), 1)), func(string) bool { return true })
+			sleep(ctx, retryWindow/2)
+			cancel()
+			wg.Wait()
+			f.checkRetries(c)
 		})
-		f.servers = append(f.servers, s)
-		f.putServer(s, "ready")
 	}
 }
 
-// sendAtInterval sends requests for resumable streams to the nodes in turn, each on a
-// connection of its own, until the context ends. It returns when all have ended.
-func (c *callers) sendAtInterval(ctx context.Context, nodes []*node) {
+// sendAtInterval sends requests to the nodes in turn, each on a connection of its own, until
+// the context ends. pathOf returns the path of the ith. It returns when all have ended.
+func (c *callers) sendAtInterval(ctx context.Context, nodes []*node, pathOf func(i int) string) {
 	var wg conc.WaitGroup
 	defer wg.Wait()
 	tick := time.NewTicker(arrivalInterval)
 	defer tick.Stop()
 	for i := 0; ctx.Err() == nil; i++ {
-		x := &call{id: fmt.Sprint("r-", i), path: resumePath(i / len(nodes) % waitingTiers), apiKey: "k1", node: nodes[i%len(nodes)], timeout: streamTimeout}
+		x := &call{id: fmt.Sprint("r-", i), path: pathOf(i), apiKey: "k1", node: nodes[i%len(nodes)], timeout: streamTimeout}
 		wg.Go(func() { c.sendOnce(x) })
 		<-tick.C
 	}
