--- a/internal/faultproxy/conn.go
+++ b/internal/faultproxy/conn.go
@@ -87,6 +87,7 @@
 func (c *conn) deliver(queue <-chan chunk, to *net.TCPConn, d Direction) {
 	for k := range queue {
 		c.waitUntil(k.due)
+		c.proxy.waitWhileHeld()
 		switch {
 		case c.isSilent(d):
 			if k.bytes == nil {
--- a/internal/faultproxy/proxy.go
+++ b/internal/faultproxy/proxy.go
@@ -1,6 +1,6 @@
 // Package faultproxy is a TCP proxy for tests that injects network faults into one
-// link: connection resets, delays, refused connections, and connections that
-// become silent permanently while new ones work.
+// link: connection resets, delays, refused connections, bytes that are held for a
+// while, and connections that become silent permanently while new ones work.
 package faultproxy
 
 import (
@@ -36,7 +36,8 @@
 	closed     bool
 	conns      map[*conn]struct{}
 	accepted   int
-	resetCount int // number of calls of Reset
+	resetCount int           // number of calls of Reset
+	held       chan struct{} // closed when the hold ends; nil: nothing is held
 }
 
 // New listens at an address (port 0 selects a free port) and forwards connections
@@ -57,9 +58,41 @@
 // SetTarget changes the target of new connections.
 func (p *Proxy) SetTarget(target string) { p.set(func() { p.target = target }) }
 
-// ClearFaults forwards new connections without faults and ends the delay of
+// ClearFaults forwards new connections without faults and ends the delay and the hold of
 // existing ones. Connections that are already silent stay silent.
-func (p *Proxy) ClearFaults() { p.set(func() { p.delay, p.refuse, p.silent = 0, false, 0 }) }
+func (p *Proxy) ClearFaults() {
+	p.set(func() {
+		p.delay, p.refuse, p.silent = 0, false, 0
+		if p.held != nil {
+			close(p.held)
+			p.held = nil
+		}
+	})
+}
+
+// Hold holds all bytes until ClearFaults and then delivers them, as a partition does that
+// heals, also those of connections that were closed meanwhile.
+func (p *Proxy) Hold() {
+	p.set(func() {
+		if p.held == nil {
+			p.held = make(chan struct{})
+		}
+	})
+}
+
+// waitWhileHeld waits until nothing is held or the proxy closes.
+func (p *Proxy) waitWhileHeld() {
+	p.mu.Lock()
+	held := p.held
+	p.mu.Unlock()
+	if held == nil {
+		return
+	}
+	select {
+	case <-held:
+	case <-p.done:
+	}
+}
 
 // Delay delays all bytes by d in each direction. Their order is kept.
 func (p *Proxy) Delay(d time.Duration) { p.set(func() { p.delay = d }) }
--- a/internal/faultproxy/proxy_test.go
+++ b/internal/faultproxy/proxy_test.go
@@ -97,6 +97,17 @@
 			checkEcho(existing)
 			So(time.Since(start), ShouldBeGreaterThanOrEqualTo, 2*shortWait)
 		})
+		Convey("held bytes are delivered when the hold ends", func() {
+			p.Hold()
+			got, _ := echo(existing, shortWait)
+			So(got, ShouldEqual, "")
+			p.ClearFaults()
+			buf := make([]byte, 5)
+			_ = existing.SetReadDeadline(time.Now().Add(readTimeout))
+			_, err := io.ReadFull(existing, buf)
+			So(err, ShouldBeNil)
+			So(string(buf), ShouldEqual, "hello")
+		})
 		Convey("the end of a stream is forwarded", func() {
 			So(existing.(*net.TCPConn).CloseWrite(), ShouldBeNil)
 			_ = existing.SetReadDeadline(time.Now().Add(readTimeout))
--- a/test/soak/faults_test.go
+++ b/test/soak/faults_test.go
@@ -82,7 +82,7 @@
 // disturbLink injects a random network fault into a link and returns the
 // function that ends it.
 func disturbLink(p *faultproxy.Proxy, r *rand.Rand) func() {
-	switch r.IntN(5) {
+	switch r.IntN(6) {
 	case 0:
 		p.Delay(time.Duration(20+r.IntN(400)) * time.Millisecond)
 	case 1:
@@ -90,6 +90,8 @@
 	case 2:
 		p.ResetAndRefuse()
 	case 3:
+		p.Hold()
+	case 4:
 		p.Silence(pick(r, []faultproxy.Direction{faultproxy.ToTarget, faultproxy.ToClient, faultproxy.Both}))
 	default:
 		p.SilenceAll(pick(r, []faultproxy.Direction{faultproxy.ToTarget, faultproxy.ToClient, faultproxy.Both}))
