gateway: many daemons share the slack of the retries' bound, less than one each if need be

Each daemon had a slack of one retry at least, whatever their number: 300 daemons with the deployment's slack of 58 could send 300 retries in a window without any request. A budget counts by fractions since it holds requests against a window, so a part below one needs no floor. The new case of the test failed before: 300 for 58.

--- a/internal/gateway/retrybudgets.go
+++ b/internal/gateway/retrybudgets.go
@@ -49,7 +49,7 @@
 	if daemons == 0 {
 		return 1 // it is not known yet how many share the slack
 	}
-	return max(1, b.bounds.RetrySlack*retrySlackShare/float64(max(daemons, assumedDaemons)))
+	return b.bounds.RetrySlack * retrySlackShare / float64(max(daemons, assumedDaemons))
 }
 
 // setDaemons adjusts the budgets to the number of daemons.
