pool: retries that must avoid the only free server do not block the requests behind them

Cause: a pool looks at the 64 requests near a tier's head. A retry must not go to a server that has failed it while another can still get grants, so 64 retries that wait for the others are all it looks at, and none of them may use the free server.

Now requests that may use none of the servers with free slots are passed over, up to 16 for each candidate. The test (in time and late) failed before: no grant.

--- a/pool/choose.go
+++ b/pool/choose.go
@@ -211,6 +211,11 @@
 	})
 }
 
+// mayUseOneOf reports whether a request may be sent to one of the servers.
+func (p *Pool) mayUseOneOf(w *waiter, servers []*server) bool {
+	return len(w.SentTo) == 0 || slices.ContainsFunc(servers, func(s *server) bool { return !p.mustAvoid(w, s) })
+}
+
 // worthWaiting reports whether an option is clearly too slow while a server without a
 // free slot is clearly fast enough. If there is no such server, waiting would only delay
 // the first token of a request whose other tokens are late too.
--- a/pool/failures_test.go
+++ b/pool/failures_test.go
@@ -88,3 +88,23 @@
 		})
 	})
 }
+
+// Guards against free slots beside a full queue: requests that failed on the only server with free slots wait in front of all others.
+func TestWaitingRetriesDoNotBlockAFreeServer(t *testing.T) {
+	Convey("A request behind many that must avoid the free server is granted there, in time or late", t, func() {
+		for _, firstTokenIn := range []time.Duration{time.Minute, time.Millisecond} {
+			r := newHarness(Config{}, servers(2, 1)...)
+			call := func(id string, sentTo ...string) Enqueue {
+				return Enqueue{
+					Request: request.ID(id), Entry: "e1", Workspace: "w", Template: "t",
+					FirstTokenIn: firstTokenIn, DeadlineIn: time.Minute, SentTo: sentTo,
+				}
+			}
+			So(r.mustGrant(call("slow", "s0")).Server, ShouldEqual, "s1")
+			for i := range 2 * maxCandidates {
+				So(grants(r.send(call(fmt.Sprint("again", i), "s0"))), ShouldBeEmpty)
+			}
+			So(r.mustGrant(call("new")).Server, ShouldEqual, "s0")
+		}
+	})
+}
--- a/pool/schedule.go
+++ b/pool/schedule.go
@@ -94,8 +94,9 @@
 // own queue, and holds requests that should wait for a prefix.
 func (p *Pool) pickOnTime(t request.Tier, servers []*server) (*waiter, option) {
 	budget := maxOptions
+	mayUseOne := func(w *waiter) bool { return p.mayUseOneOf(w, servers) }
 	for {
-		p.candidates = p.queue.Candidates(t, tier.OnTime, maxCandidates, p.candidates[:0])
+		p.candidates = p.queue.Candidates(t, tier.OnTime, maxCandidates, mayUseOne, p.candidates[:0])
 		moved := false
 		for i, it := range p.candidates {
 			w := it.Value
@@ -153,9 +154,10 @@
 // which a server has room, or one near it whose prefix is warm on that server. The order
 // may change because none of them can meet its target.
 func (p *Pool) pickLate(t request.Tier, servers []*server) (*waiter, option) {
+	mayUseOne := func(w *waiter) bool { return p.mayUseOneOf(w, servers) }
 	for {
 		moved := false
-		p.candidates = p.queue.Candidates(t, tier.Late, maxLateCandidates, p.candidates[:0])
+		p.candidates = p.queue.Candidates(t, tier.Late, maxLateCandidates, mayUseOne, p.candidates[:0])
 		for i, it := range p.candidates {
 			w := it.Value
 			if moved = p.divertSuspect(w) || p.moveToBestEffort(w); moved {
@@ -184,7 +186,7 @@
 // faster.
 func (p *Pool) reconsiderInfeasible() {
 	for t := request.Tier(0); t < request.MaxTiers; t++ {
-		p.candidates = p.queue.Candidates(t, tier.Infeasible, maxLateCandidates, p.candidates[:0])
+		p.candidates = p.queue.Candidates(t, tier.Infeasible, maxLateCandidates, func(*waiter) bool { return true }, p.candidates[:0])
 		for _, it := range p.candidates {
 			if !p.cannotMeetDeadline(it.Value) {
 				p.queue.SetClass(it, tier.Late)
--- a/pool/tier/queue.go
+++ b/pool/tier/queue.go
@@ -192,19 +192,32 @@
 	return nil
 }
 
-// Candidates appends to buf up to n items that are near the head of a class:
-// its head first, then others of the head's workspace and the heads of the
+// scannedPerCandidate bounds the items that Candidates looks at.
+const scannedPerCandidate = 16
+
+// Candidates appends to buf up to n items that are near the head of a class and
+// eligible: its head first, then others of the head's workspace and the heads of the
 // next workspaces. The choice depends on the queue's history alone, so it is
 // deterministic.
-func (q *Queue[T]) Candidates(t request.Tier, c Class, n int, buf []*Item[T]) []*Item[T] {
+func (q *Queue[T]) Candidates(t request.Tier, c Class, n int, eligible func(T) bool, buf []*Item[T]) []*Item[T] {
 	subqueues := q.tiers[t].classes[c].byVirtualTime.elements
+	scans := n * scannedPerCandidate
 	for i := 0; i < len(subqueues) && n > 0; i++ {
-		take := min(len(subqueues[i].byDue.elements), (n+1)/2)
+		take := (n + 1) / 2
 		if i+1 == len(subqueues) {
-			take = min(len(subqueues[i].byDue.elements), n)
+			take = n
+		}
+		for _, it := range subqueues[i].byDue.elements {
+			if take == 0 || scans == 0 {
+				break
+			}
+			scans--
+			if eligible(it.Value) {
+				buf = append(buf, it)
+				take--
+				n--
+			}
 		}
-		buf = append(buf, subqueues[i].byDue.elements[:take]...)
-		n -= take
 	}
 	return buf
 }
--- a/pool/tier/queue_test.go
+++ b/pool/tier/queue_test.go
@@ -101,10 +101,17 @@
 			t.Fatalf("item due %v is scheduled before one due %v", head.Due, it.Due)
 		}
 	}
-	candidates := q.Candidates(tr, c, 5, nil)
+	all := func(int) bool { return true }
+	candidates := q.Candidates(tr, c, 5, all, nil)
 	if len(want) > 0 && (candidates[0] != head || len(candidates) < min(3, len(want))) {
 		t.Fatalf("candidates are %v of %d items", candidates, len(want))
 	}
+	even := func(v int) bool { return v%2 == 0 }
+	for _, it := range q.Candidates(tr, c, 5, even, nil) {
+		if !even(it.Value) {
+			t.Fatalf("%v is no eligible candidate", it)
+		}
+	}
 }
 
 // TestFairnessBound checks that workspaces with a constant backlog receive the
