--- a/internal/forward/answer.go
+++ b/internal/forward/answer.go
@@ -71,13 +71,10 @@
 	body   []byte
 }
 
-// writeEarlierFailure answers with the failure of an earlier server, if there is one.
-func (x *exchange) writeEarlierFailure() bool {
-	if x.earlierFailure == nil || x.callerDisconnected() {
-		return false
-	}
-	x.writeAnswer(&x.earlierFailure.header, x.earlierFailure.body)
-	return true
+// canWriteEarlierFailure reports whether the request can be answered with the failure of an
+// earlier server.
+func (x *exchange) canWriteEarlierFailure() bool {
+	return x.earlierFailure != nil && !x.callerDisconnected()
 }
 
 // shouldRetry decides whether a failed attempt is retried on another server.
--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -81,7 +81,9 @@
 	x.server.deps.Budget(x.service).RecordRequest(x.receivedAt)
 	x.watchCaller()
 	err := x.forward()
-	if err != nil && x.writeEarlierFailure() {
+	if err != nil && x.canWriteEarlierFailure() {
+		x.logRetry().WithError(err).Info("Retry given up.")
+		x.writeAnswer(&x.earlierFailure.header, x.earlierFailure.body)
 		return nil
 	}
 	return err
--- a/internal/forward/requestlog_test.go
+++ b/internal/forward/requestlog_test.go
@@ -3,11 +3,14 @@
 import (
 	"net"
 	"testing"
+	"time"
 
 	"github.com/pkg/errors"
 	"github.com/sirupsen/logrus"
 	logtest "github.com/sirupsen/logrus/hooks/test"
 	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/lycheekeel/lycheekeel/request"
 )
 
 // failingListener accepts connections to callers on which each write after the first fails.
@@ -87,3 +90,27 @@
 		So([]int64{c.retriesAllowed.Value(), c.retriesSent.Value(), c.retriesDenied.Value()}, ShouldResemble, []int64{1, 1, 1})
 	})
 }
+
+// Guards against a retry whose end no log tells, because the caller gets the earlier server's failure.
+func TestRetryThatIsGivenUpIsLogged(t *testing.T) {
+	Convey("The line tells why the retry was given up", t, func() {
+		fails := newBackend(t, func(_ int, head, _ string, c net.Conn) bool {
+			writeSignedAnswer(c, head, "500 Failed", "b")
+			return true
+		})
+		r := newHarness(t, fails)
+		r.broker.refusal, r.broker.refuseAfter = request.Refuse(request.ReasonShed, "full"), 1
+		logger, lines := logtest.NewNullLogger()
+		r.server.log = logrus.NewEntry(logger)
+		So(r.call("POST", "/again/", "1", "", "b").status, ShouldEqual, 500)
+		var given *logrus.Entry
+		for _, l := range lines.AllEntries() {
+			if l.Message == "Retry given up." {
+				given = l
+			}
+		}
+		So(given, ShouldNotBeNil)
+		So(given.Data[logrus.ErrorKey].(error).Error(), ShouldContainSubstring, "full")
+		So(r.budget.Left(time.Now()), ShouldEqual, 100)
+	})
+}
