--- a/test/soak/retries_test.go
+++ b/test/soak/retries_test.go
@@ -33,15 +33,9 @@
 // Guards against: retries that were allowed one after the other wait for slots and
 // reach the servers together, beyond the bound on retries.
 func TestRetriesThatWaitedForSlots(t *testing.T) {
-	f := newFleet(t, fleetOptions{nodes: 9, eventInterval: slowEventInterval, resumeTimeout: streamTimeout, resumeTarget: streamTarget, resumeTiers: waitingTiers})
-	t.Cleanup(func() {
-		if t.Failed() {
-			f.keepLogs(0)
-		}
-	})
-	for _, n := range f.nodes {
-		f.eventually(n.name+" is ready", n.ready)
-	}
+	f := startFleet(t, fleetOptions{
+		nodes: 9, eventInterval: slowEventInterval, resumeTimeout: streamTimeout, resumeTarget: streamTarget, resumeTiers: waitingTiers,
+	}, 0)
 	c := &callers{}
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
@@ -68,15 +62,7 @@
 	for i := range *seedCount {
 		seed := *firstSeed + int64(i)
 		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
-			f := newFleet(t, fleetOptions{nodes: 9, resumeTimeout: streamTimeout, resumeTarget: streamTarget, fails: everySecond})
-			t.Cleanup(func() {
-				if t.Failed() {
-					f.keepLogs(seed)
-				}
-			})
-			for _, n := range f.nodes {
-				f.eventually(n.name+" is ready", n.ready)
-			}
+			f := startFleet(t, fleetOptions{nodes: 9, resumeTimeout: streamTimeout, resumeTarget: streamTarget, fails: everySecond}, seed)
 			c := &callers{}
 			ctx, cancel := context.WithCancel(context.Background())
 			defer cancel()
@@ -88,6 +74,7 @@
 			sleep(ctx, retryWindow/2)
 			cancel()
 			wg.Wait()
+			f.checkInvariants(c)
 			f.checkRetries(c)
 		})
 	}
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -56,15 +56,7 @@
 // for recovery, and checks the guarantees.
 func runSeed(t *testing.T, seed int64, include func(string) bool) (*fleet, *callers) {
 	r := rand.New(rand.NewPCG(uint64(seed), 1))
-	f := newFleet(t, fleetOptions{})
-	t.Cleanup(func() {
-		if t.Failed() {
-			f.keepLogs(seed)
-		}
-	})
-	for _, n := range f.nodes {
-		f.eventually(n.name+" is ready", n.ready)
-	}
+	f := startFleet(t, fleetOptions{}, seed)
 	c := &callers{}
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
@@ -84,6 +76,21 @@
 	return f, c
 }
 
+// startFleet returns a fleet whose nodes are ready. If the test fails, their logs are kept
+// under the seed.
+func startFleet(t *testing.T, o fleetOptions, seed int64) *fleet {
+	f := newFleet(t, o)
+	t.Cleanup(func() {
+		if t.Failed() {
+			f.keepLogs(seed)
+		}
+	})
+	for _, n := range f.nodes {
+		f.eventually(n.name+" is ready", n.ready)
+	}
+	return f
+}
+
 // awaitRecovery waits until every node is ready and serves requests.
 func (f *fleet) awaitRecovery(c *callers) {
 	for _, n := range f.nodes {
