--- a/request/attempts_test.go
+++ b/request/attempts_test.go
@@ -16,6 +16,12 @@
 		So(a.CanSend(), ShouldBeFalse)
 		So(errors.Is(a.Take(), ErrNoDispatchRight), ShouldBeTrue)
 		So(a.NotRun(), ShouldEqual, RanUnknown)
+		Convey("It may be started again if no byte of it was sent, and that was no send", func() {
+			a.Unsend()
+			So(a.NotRun(), ShouldEqual, NotRunTrue)
+			So(a.Sends(), ShouldEqual, 0)
+			So(a.Take(), ShouldBeNil)
+		})
 		Convey("It may be started again after the server said that it did not run it", func() {
 			a.Undo()
 			So(a.NotRun(), ShouldEqual, NotRunTrue)
