forward: the counters of retries stand apart from those of streams

Formatting alone: the long line of retry counters had pushed the columns of its neighbours to the right margin. No behaviour changes, all tests of the package pass.

--- a/internal/forward/counters.go
+++ b/internal/forward/counters.go
@@ -19,8 +19,9 @@
 	// retriesAllowed counts what the budget allowed, retriesSent what was sent to a server,
 	// retriesWithdrawn what was allowed and is not any more when it would be sent.
 	retriesAllowed, retriesDenied, retriesSent, retriesWithdrawn *expvar.Int
-	streamsResumed                                               *expvar.Int
-	streamsCut                                                   *expvar.Int
+
+	streamsResumed *expvar.Int
+	streamsCut     *expvar.Int
 	// hedges counts the hedged attempts of silent streams, hedgesUnused those whose
 	// original stream continued first.
 	hedges, hedgesUnused *expvar.Int
