--- a/test/soak/callers_test.go
+++ b/test/soak/callers_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strings"
 	"sync"
 	"time"
@@ -40,6 +41,9 @@
 	return fmt.Sprintf("/s/resume/%d/", tier)
 }
 
+// requestIDPrefix tells the requests of concurrent test programs apart.
+var requestIDPrefix = fmt.Sprintf("p%d-", os.Getpid())
+
 // callerTimeout is how long a caller waits for a response.
 const callerTimeout = 7 * time.Second
 
@@ -48,7 +52,7 @@
 	var conn net.Conn
 	var r *bufio.Reader
 	for i := 0; ctx.Err() == nil; i++ {
-		x := &call{id: fmt.Sprintf("%s-%d", name, i), path: paths[i%len(paths)], apiKey: fmt.Sprintf("k%d", 1+i%3), node: n, timeout: callerTimeout}
+		x := &call{id: fmt.Sprintf("%s%s-%d", requestIDPrefix, name, i), path: paths[i%len(paths)], apiKey: fmt.Sprintf("k%d", 1+i%3), node: n, timeout: callerTimeout}
 		if conn == nil {
 			var err error
 			if conn, err = net.DialTimeout("tcp", n.callerProxy.Addr(), time.Second); err != nil {
--- a/test/soak/retries_test.go
+++ b/test/soak/retries_test.go
@@ -88,7 +88,7 @@
 	tick := time.NewTicker(arrivalInterval)
 	defer tick.Stop()
 	for i := 0; ctx.Err() == nil; i++ {
-		x := &call{id: fmt.Sprint("r-", i), path: pathOf(i), apiKey: "k1", node: nodes[i%len(nodes)], timeout: streamTimeout}
+		x := &call{id: fmt.Sprint(requestIDPrefix, "r-", i), path: pathOf(i), apiKey: "k1", node: nodes[i%len(nodes)], timeout: streamTimeout}
 		wg.Go(func() { c.sendOnce(x) })
 		<-tick.C
 	}
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -135,6 +135,9 @@
 		}
 	}
 	for id, all := range runs {
+		if byID[id] == nil {
+			f.t.Errorf("%s ran, but no caller sent it", id)
+		}
 		for _, a := range all {
 			if a.HasKey || a.Tenant != "space" {
 				f.t.Errorf("%s: the API key was forwarded (%v), or the workspace is wrong: %q", id, a.HasKey, a.Tenant)
