forward: a stream that was accepted is resumed, whatever became of its key

What callers saw: beside a change of the configuration, a stream was closed in the middle of its answer.

Evidence: a forced order, the change made once the caller holds the third event.

Why it works: admission alone decides whether a request may run. A request that waits, and a hedge beside a server that may go on, are still checked before they are sent; a stream that broke off has part of its answer with the caller, so that a refusal could only cut it. Attempts, retry budget, slots and the deadline bound the sends as before. "Accepted stream is resumed." tells each case.

--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -42,9 +42,12 @@
 	retryReserved   bool
 	retryReservedAt time.Time
 	preSendRefusal  error // from the check directly before the last send; nil if it passed
-	canary          canaryState
-	outbound        *outboundRequest
-	earlierFailure  *failedAnswer // of an earlier server; nil if there is none
+	// resuming is set while a stream that broke off after its first event waits for another
+	// server's next one.
+	resuming       bool
+	canary         canaryState
+	outbound       *outboundRequest
+	earlierFailure *failedAnswer // of an earlier server; nil if there is none
 
 	ctx          context.Context
 	cancel       context.CancelCauseFunc
--- a/internal/forward/send.go
+++ b/internal/forward/send.go
@@ -106,11 +106,22 @@
 }
 
 // recheckKey checks the key again, since it may have been withdrawn while the request
-// waited.
+// waited. A stream that broke off is resumed whatever the check says: its caller has part
+// of an answer, so that a refusal could only cut it.
 func (x *exchange) recheckKey() error {
 	if x.workspace == nil {
 		return nil
 	}
+	refusal := x.keyRefusal()
+	if refusal != nil && x.resuming {
+		x.logRetry().WithError(refusal).Info("Accepted stream is resumed.")
+		return nil
+	}
+	return refusal
+}
+
+// keyRefusal returns the refusal of a request whose key is not known to be valid now.
+func (x *exchange) keyRefusal() error {
 	if !x.server.deps.Admission.Fresh() {
 		return x.newRefusal(request.ReasonStoreUnavailable, "the configuration in force is not known")
 	}
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -103,8 +103,7 @@
 		s.hedgeOrWait()
 		return
 	}
-	s.exchange.resumeAfter(&s.events)
-	next, refusal := s.exchange.resume(nil, nil, s.abandonAttempt(err))
+	next, refusal := s.resumeBroken(err)
 	if refusal != nil {
 		s.cut(refusal)
 		return
@@ -112,6 +111,15 @@
 	s.switchTo(next)
 }
 
+// resumeBroken gets the rest of a stream whose own server has failed with err.
+func (s *stream) resumeBroken(err error) (*successor, error) {
+	x := s.exchange
+	x.resumeAfter(&s.events)
+	x.resuming = true
+	defer func() { x.resuming = false }()
+	return x.resume(nil, nil, s.abandonAttempt(err))
+}
+
 func (s *stream) discardReply() {
 	s.events.reply.complete = false
 	s.events.reply.releaseConn()
