forward, poolhost: logs name a request's content, and a pool says when a server crashed

The entry for the platform's callers now gives each request its fingerprint, which logs show as content; a pool reports each crash that it recognizes, with the number of contents that ran, and each content that it confirms. What is decided does not change: without a recognized crash no fingerprint is ever suspected.

--- a/internal/entry/generate.go
+++ b/internal/entry/generate.go
@@ -74,7 +74,7 @@
 	s.PromptTokens = engine.EstimateTokens(g.prompt)
 	s.MaxTokens = limitTokens(g.maxTokens, x.workspace.MaxTokens)
 	s.Blocks = blockHashes(m.Version, g.prompt)
-	s.Fingerprint = fingerprint(s.Workspace, m.Version, g.prompt)
+	s.Fingerprint = request.Fingerprint(s.Workspace, m.Version, []byte(g.prompt))
 	key := workspace.ModelRegion{Model: m.Name, Version: m.Version, Region: x.entry.deps.Region}
 	x.demand.Candidates = x.snapshot.ModelPools[key]
 	if !hasServer(x.demand.Candidates) {
--- a/internal/entry/prompt.go
+++ b/internal/entry/prompt.go
@@ -36,18 +36,6 @@
 	return out
 }
 
-// fingerprint identifies a request by its content, without its headers. It includes the
-// workspace, so that one workspace cannot make another's requests suspected.
-func fingerprint(workspace, target, content string) uint64 {
-	var d xxhash.Digest
-	d.Reset()
-	for _, s := range []string{workspace, target, content} {
-		writeUint64(&d, uint64(len(s)))
-		_, _ = d.WriteString(s)
-	}
-	return d.Sum64()
-}
-
 func writeUint64(d *xxhash.Digest, v uint64) {
 	var b [8]byte
 	binary.LittleEndian.PutUint64(b[:], v)
--- a/internal/entry/service.go
+++ b/internal/entry/service.go
@@ -127,7 +127,7 @@
 		return err
 	}
 	x.spec.Service = s.Name
-	x.spec.Fingerprint = fingerprint(x.spec.Workspace, s.Name, method+" "+path.target+"\n"+string(body))
+	x.spec.Fingerprint = request.Fingerprint(x.spec.Workspace, s.Name, []byte(method+" "+path.target+"\n"+string(body)))
 	if !idempotent {
 		x.contentHash = claimHash([]byte(s.Name), []byte(method), []byte(path.target), body)
 	}
--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -177,10 +177,19 @@
 	} else {
 		x.spec.Service = x.service
 	}
+	x.spec.Fingerprint = x.fingerprint()
 	x.attempts = request.Attempts{Repeatable: x.route.Repeatable(), Max: x.route.MaxAttempts}
 	x.demand = broker.Demand{Spec: x.spec}
 }
 
+// fingerprint returns the fingerprint of what a server would run: the same for each send and
+// for each request of the workspace with this method, target and body.
+func (x *exchange) fingerprint() uint64 {
+	r := &x.httpCtx.Request
+	target := x.service + " " + string(r.Header.Method()) + " " + string(r.Header.RequestURI())
+	return request.Fingerprint(x.workspaceName(), target, r.Body())
+}
+
 // takeQuota takes the request's cost from the workspace's quota.
 func (x *exchange) takeQuota() error {
 	if x.workspace == nil || x.workspace.Quota.PerSecond <= 0 {
--- a/internal/forward/runninglog.go
+++ b/internal/forward/runninglog.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/sirupsen/logrus"
+
+	"github.com/lycheekeel/lycheekeel/internal/logs"
 )
 
 const (
@@ -103,6 +105,7 @@
 		f["owner"] = x.server.deps.Admission.Owner(x.service)
 		f["tier"] = x.spec.Tier
 		f["deadline_ms"] = x.spec.Targets.Deadline.Milliseconds()
+		f["content"] = logs.Fingerprint(x.spec.Fingerprint)
 	}
 	return f
 }
--- a/internal/logs/logs.go
+++ b/internal/logs/logs.go
@@ -4,6 +4,7 @@
 
 import (
 	"io"
+	"strconv"
 
 	"github.com/pkg/errors"
 	"github.com/sirupsen/logrus"
@@ -47,3 +48,11 @@
 	}
 	return nil
 }
+
+// Fingerprint returns the form in which logs show a fingerprint, or "" if it is 0.
+func Fingerprint(f uint64) string {
+	if f == 0 {
+		return ""
+	}
+	return strconv.FormatUint(f, 16)
+}
--- a/internal/poolhost/broadcast.go
+++ b/internal/poolhost/broadcast.go
@@ -40,6 +40,14 @@
 	s.known.Add(ev.Fingerprint, knownSuspect{ev.State, now.Add(ev.ExpiresIn)})
 }
 
+// state returns the last shared state of a fingerprint.
+func (s *suspects) state(fingerprint uint64) pool.SuspectState {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	k, _ := s.known.Peek(fingerprint)
+	return k.state
+}
+
 // replayTo posts the known suspects to a new runtime.
 func (s *suspects) replayTo(r *Runtime, now time.Time) {
 	s.mu.Lock()
@@ -56,6 +64,7 @@
 func (h *Host) broadcastSuspect(from *Runtime, c pool.ShareSuspect) {
 	h.count.suspectsShared.Add(1)
 	ev := pool.SuspectShared(c)
+	from.logSuspect(ev, h.suspects.state(ev.Fingerprint))
 	h.receiveSuspect(from, ev)
 	if h.cfg.Transport == nil || h.cfg.View == nil {
 		return
--- a/internal/poolhost/counters.go
+++ b/internal/poolhost/counters.go
@@ -11,7 +11,7 @@
 type counters struct {
 	sessionsOpened, sessionResets, batchGaps, sessionTimeouts, sendFailed *expvar.Int
 	grantsReclaimed, entriesEnded, unknownReleases, badMessages           *expvar.Int
-	probeMisses, cacheEventGaps, suspectsShared, breakersOpened           *expvar.Int
+	probeMisses, cacheEventGaps, suspectsShared, breakersOpened, crashes  *expvar.Int
 
 	tiers [request.MaxTiers]tierCounters
 }
@@ -24,7 +24,7 @@
 		grantsReclaimed: c("grants_taken_back"), entriesEnded: c("entries_ended"), unknownReleases: c("unknown_releases"),
 		badMessages: c("bad_messages"), probeMisses: c("probe_misses"),
 		cacheEventGaps: c("cache_event_gaps"), suspectsShared: c("suspects_shared"),
-		breakersOpened: c("servers_down"),
-		tiers:          newTierCounters(m),
+		breakersOpened: c("servers_down"), crashes: c("servers_crashed"),
+		tiers: newTierCounters(m),
 	}
 }
--- a/internal/poolhost/report.go
+++ b/internal/poolhost/report.go
@@ -85,6 +85,24 @@
 	l.Info("Circuit breaker closed.")
 }
 
+// logCrash logs that a server crashed while it ran requests.
+func (r *Runtime) logCrash(c pool.ServerCrashed) {
+	r.host.count.crashes.Add(1)
+	logs.For("poolhost").WithFields(logrus.Fields{
+		"pool": r.name, "server": c.Server, "contents": c.Contents, "share": r.degraded,
+	}).Warn("Server crashed.")
+}
+
+// logSuspect logs that a content was confirmed to crash servers, or was cleared of that.
+func (r *Runtime) logSuspect(s pool.SuspectShared, was pool.SuspectState) {
+	if s.State != pool.SuspectConfirmed && was != pool.SuspectConfirmed {
+		return
+	}
+	logs.For("poolhost").WithFields(logrus.Fields{
+		"pool": r.name, "content": logs.Fingerprint(s.Fingerprint), "state": s.State.String(), "expires_s": int(s.ExpiresIn.Seconds()),
+	}).Warn("Content that crashes servers.")
+}
+
 // logExpired logs the state in which a request reached its deadline, at most once in
 // SummaryInterval.
 func (r *Runtime) logExpired(c pool.Expired) {
--- a/internal/poolhost/runtime.go
+++ b/internal/poolhost/runtime.go
@@ -117,6 +117,8 @@
 		r.host.broadcastSuspect(r, c)
 	case pool.BreakerChanged:
 		r.logBreaker(c)
+	case pool.ServerCrashed:
+		r.logCrash(c)
 	case pool.Expired:
 		r.logExpired(c)
 	}
--- a/pool/crash.go
+++ b/pool/crash.go
@@ -147,14 +147,19 @@
 	if reporter != nil && !slices.Contains(affected, reporter) {
 		affected = append(affected, reporter)
 	}
+	contents := map[uint64]struct{}{}
 	for _, r := range affected {
 		if r.crashed || r.grantedAt.After(crashTime) || !slices.Contains(s.running, r) && p.now.Sub(r.lastReport) > crashWindow {
 			continue
 		}
 		r.crashed = true
+		contents[r.fingerprint] = struct{}{}
 		p.markSuspect(r)
 	}
 	s.lostRuns = nil
+	if len(contents) > 0 {
+		p.emit(ServerCrashed{Server: s.info.Name, Contents: len(contents)})
+	}
 }
 
 func (p *Pool) markSuspect(r *run) {
--- a/pool/messages.go
+++ b/pool/messages.go
@@ -227,6 +227,20 @@
 	SuspectConfirmed
 )
 
+// String returns the state's name for logs.
+func (s SuspectState) String() string {
+	switch s {
+	case SuspectCleared:
+		return "cleared"
+	case Suspected:
+		return "suspected"
+	case SuspectConfirmed:
+		return "confirmed"
+	default:
+		return "unknown"
+	}
+}
+
 // SuspectShared reports a fingerprint's state that another pool or owner found.
 type SuspectShared struct {
 	Fingerprint uint64
@@ -296,6 +310,13 @@
 	Open   bool
 }
 
+// ServerCrashed reports that a server crashed while it ran requests. Contents counts their
+// different fingerprints. It is only logged.
+type ServerCrashed struct {
+	Server   string
+	Contents int
+}
+
 // Expired reports the state in which a request reached its deadline in the queue. It is
 // only logged.
 type Expired struct {
@@ -317,6 +338,7 @@
 func (Redirect) command()       {}
 func (ShareSuspect) command()   {}
 func (BreakerChanged) command() {}
+func (ServerCrashed) command()  {}
 func (Expired) command()        {}
 
 // Summary is a snapshot of a pool's load, for sibling pools, entries and placement.
--- /dev/null
+++ b/request/fingerprint.go
@@ -0,0 +1,28 @@
+package request
+
+import (
+	"encoding/binary"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Fingerprint identifies a request by its content, without its headers: where it goes
+// and what it says. It includes the workspace, so that one workspace cannot make
+// another's requests suspected.
+func Fingerprint(workspace, target string, content []byte) uint64 {
+	var d xxhash.Digest
+	d.Reset()
+	writeLength(&d, len(workspace))
+	_, _ = d.WriteString(workspace)
+	writeLength(&d, len(target))
+	_, _ = d.WriteString(target)
+	writeLength(&d, len(content))
+	_, _ = d.Write(content)
+	return d.Sum64()
+}
+
+func writeLength(d *xxhash.Digest, n int) {
+	var b [8]byte
+	binary.LittleEndian.PutUint64(b[:], uint64(n))
+	_, _ = d.Write(b[:])
+}
