--- a/test/soak/callers_test.go
+++ b/test/soak/callers_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"context"
 	"fmt"
 	"io"
@@ -17,6 +18,7 @@
 type call struct {
 	id, path, apiKey string
 	node             *node
+	content          string        // the body; empty: one of its own
 	timeout          time.Duration // how long the caller waits for the response
 	sentAt, endedAt  time.Time
 	status           int // 0: no response
@@ -82,7 +84,7 @@
 // connection may be reused.
 func (x *call) exchange(conn net.Conn, r *bufio.Reader) bool {
 	_ = conn.SetDeadline(time.Now().Add(x.timeout + time.Second))
-	body := "body of " + x.id
+	body := cmp.Or(x.content, "body of "+x.id)
 	_, err := fmt.Fprintf(conn, "POST %s HTTP/1.1\r\nHost: h.example\r\nX-Request-Id: %s\r\nAuthorization: Bearer %s\r\nX-Deadline-Ms: %d\r\nContent-Length: %d\r\n\r\n%s",
 		x.path, x.id, x.apiKey, x.timeout.Milliseconds(), len(body), body)
 	if err != nil {
--- /dev/null
+++ b/test/soak/crashing_test.go
@@ -0,0 +1,269 @@
+package soak
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/sourcegraph/conc"
+
+	"github.com/lycheekeel/lycheekeel/platform/standin"
+)
+
+// The load and the bound of the tests of contents that crash servers.
+const (
+	crashingInterval = 500 * time.Millisecond // between two requests with one such content
+	crashingTimeout  = 4 * time.Second
+	// A crashed server's successor starts after restartDelay, and its entry expires after
+	// entryExpiry.
+	restartDelay = 2500 * time.Millisecond
+	entryExpiry  = 3600 * time.Millisecond
+	// A content reaches servers at most retriesAfterCrashes times more, later than
+	// crashNotice after it has crashed the last of crashesKnown servers.
+	crashesKnown        = 3
+	crashNotice         = 3 * time.Second
+	retriesAfterCrashes = 3
+	serversPerCrashTest = 7
+)
+
+// crashingContent is the body that crashes servers of one service, and the path to it.
+type crashingContent struct{ service, path, body string }
+
+var crashingContents = []crashingContent{
+	{"llm", resumePath(0), "crashes streams"},
+	{"app", "/again/", "crashes calls"},
+}
+
+// crashRecord collects when each content crashed a server, and when nodes were killed.
+type crashRecord struct {
+	mu      sync.Mutex
+	crashes map[string][]time.Time // by body
+	kills   map[*node][]time.Time
+}
+
+func (c *crashRecord) addCrash(body string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.crashes[body] = append(c.crashes[body], time.Now())
+}
+
+func (c *crashRecord) addKill(n *node) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.kills[n] = append(c.kills[n], time.Now())
+}
+
+// justStarted reports whether a node was killed, and so started, within crashNotice before.
+func (c *crashRecord) justStarted(n *node, at time.Time) bool {
+	return slices.ContainsFunc(c.kills[n], func(kill time.Time) bool {
+		since := at.Sub(kill)
+		return since >= 0 && since < crashNotice
+	})
+}
+
+// Guards against: a request that crashes the servers that run it is sent to one server
+// after the other.
+func TestRequestThatCrashesServersIsSentOn(t *testing.T) {
+	f, c, record := runCrashing(t, *firstSeed, 15*time.Second, func(context.Context, *fleet, *crashRecord) {})
+	f.checkCrashing(c, record)
+	f.checkInnocent(c)
+}
+
+// Guards against: what is known of a request that crashes servers is lost when the pool's
+// owner changes or a gateway starts again.
+func TestRequestThatCrashesServersOutlivesOwners(t *testing.T) {
+	for i := range *seedCount {
+		seed := *firstSeed + int64(i)
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+			r := rand.New(rand.NewPCG(uint64(seed), 2))
+			f, c, record := runCrashing(t, seed, 20*time.Second, func(ctx context.Context, f *fleet, record *crashRecord) {
+				for ctx.Err() == nil {
+					sleep(ctx, time.Duration(1000+r.IntN(2000))*time.Millisecond)
+					n := f.nodes[r.IntN(len(f.nodes))]
+					restart := n.restarter()
+					n.kill()
+					record.addKill(n)
+					restart()
+				}
+			})
+			f.checkCrashing(c, record)
+		})
+	}
+}
+
+// runCrashing sends contents that crash servers, beside other requests, for the given
+// time, while disturb runs.
+func runCrashing(t *testing.T, seed int64, span time.Duration, disturb func(context.Context, *fleet, *crashRecord)) (*fleet, *callers, *crashRecord) {
+	f := startFleet(t, fleetOptions{nodes: 6, resumeTimeout: crashingTimeout, onceTimeout: crashingTimeout}, seed)
+	for _, s := range f.servers { // these can't crash
+		f.store.Remove(standin.KindServers, s.ID)
+	}
+	record := &crashRecord{crashes: map[string][]time.Time{}, kills: map[*node][]time.Time{}}
+	ctx, cancel := context.WithTimeout(context.Background(), span)
+	defer cancel()
+	var servers sync.Mutex
+	for _, x := range crashingContents {
+		for range serversPerCrashTest {
+			f.addCrashingServer(ctx, &servers, x, record, "127.0.0.1:0")
+		}
+	}
+	c := &callers{}
+	f.eventually("all services are served", func() bool {
+		for i, x := range crashingContents {
+			probe := &call{id: fmt.Sprint(requestIDPrefix, "first-", i, time.Now().UnixNano()), path: x.path, apiKey: "k1", node: f.nodes[0], timeout: time.Second}
+			if c.sendOnce(probe); probe.status != http.StatusOK {
+				return false
+			}
+		}
+		return true
+	})
+	var wg conc.WaitGroup
+	wg.Go(func() { disturb(ctx, f, record) })
+	wg.Go(func() {
+		c.sendAtInterval(ctx, f.nodes, func(i int) string { return []string{resumePath(0), "/again/"}[i/len(f.nodes)%2] })
+	})
+	for k, x := range crashingContents {
+		wg.Go(func() { c.sendContent(ctx, f.nodes, crashingInterval, fmt.Sprint("crash-", k, "-"), x.path, x.body) })
+		wg.Go(func() {
+			c.sendContent(ctx, f.nodes, crashingInterval/10, fmt.Sprint("often-", k, "-"), x.path, innocentBody)
+		})
+	}
+	wg.Wait()
+	f.restarts.Wait()
+	servers.Lock()
+	defer servers.Unlock()
+	return f, c, record
+}
+
+// innocentBody is the body of requests that come often and crash nothing.
+const innocentBody = "often and harmless"
+
+// addCrashingServer starts and registers a server that a content crashes. Each time it is
+// followed by a server with a new ID, every second one at the same address.
+func (f *fleet) addCrashingServer(ctx context.Context, mu *sync.Mutex, x crashingContent, record *crashRecord, address string) {
+	ln, err := net.Listen("tcp", address)
+	if err != nil {
+		ln, err = net.Listen("tcp", "127.0.0.1:0")
+	}
+	if err != nil {
+		f.t.Error(err)
+		return
+	}
+	mu.Lock()
+	defer mu.Unlock()
+	f.serversCreated++
+	id, next := fmt.Sprint("i-", f.serversCreated), "127.0.0.1:0"
+	if f.serversCreated%2 == 0 {
+		next = ln.Addr().String()
+	}
+	backend := &standin.Server{ID: id, Events: 30, EventInterval: f.eventInterval, CrashBody: x.body, OnCrash: func(string) {
+		record.addCrash(x.body)
+		time.AfterFunc(restartDelay, func() {
+			if ctx.Err() == nil {
+				f.addCrashingServer(ctx, mu, x, record, next)
+			}
+		})
+		time.AfterFunc(entryExpiry, func() { f.store.Remove(standin.KindServers, id) })
+	}}
+	go func() { _ = backend.Serve(context.Background(), ln) }()
+	f.servers = append(f.servers, &server{service: x.service, Server: backend, stop: func() {}})
+	f.store.PutServer(id, x.service, ln.Addr().String(), "ready", 8)
+}
+
+// sendContent sends requests with one content to the nodes in turn until the context ends,
+// and waits for their ends.
+func (c *callers) sendContent(ctx context.Context, nodes []*node, interval time.Duration, name, path, body string) {
+	var wg conc.WaitGroup
+	defer wg.Wait()
+	tick := time.NewTicker(interval)
+	defer tick.Stop()
+	for i := 0; ctx.Err() == nil; i++ {
+		x := &call{id: fmt.Sprint(requestIDPrefix, name, i), path: path, content: body, apiKey: "k1", node: nodes[i%len(nodes)], timeout: crashingTimeout}
+		wg.Go(func() { c.sendOnce(x) })
+		<-tick.C
+	}
+}
+
+// checkCrashing checks that each content that crashes servers is sent on at most as often
+// as allowed.
+func (f *fleet) checkCrashing(c *callers, record *crashRecord) {
+	byID := map[string]*call{}
+	for _, x := range c.all {
+		byID[x.id] = x
+	}
+	for _, x := range crashingContents {
+		all := record.crashes[x.body]
+		if len(all) < crashesKnown {
+			f.t.Errorf("%s: %d crashes, no test", x.body, len(all))
+			continue
+		}
+		slices.SortFunc(all, time.Time.Compare)
+		late, arrived := 0, 0
+		for id, arrivals := range f.arrivals() {
+			sent := byID[id]
+			if sent == nil || sent.content != x.body {
+				continue
+			}
+			for _, a := range arrivals {
+				arrived++
+				if a.At.After(all[crashesKnown-1].Add(crashNotice)) && !record.justStarted(sent.node, a.At) {
+					late++
+				}
+			}
+		}
+		f.t.Logf("%s: %d arrivals, %d servers crashed, %d arrivals later than %v after the third crash", x.body, arrived, len(all), late, crashNotice)
+		if late > retriesAfterCrashes {
+			f.t.Errorf("%s was sent on %d times, allowed %d", x.body, late, retriesAfterCrashes)
+		}
+	}
+	f.reportServed(c)
+}
+
+// reportServed logs how many requests of each kind were served.
+func (f *fleet) reportServed(c *callers) {
+	type tally struct{ sent, served, refused, failed int }
+	byKind := map[string]tally{}
+	for _, x := range c.all {
+		k := byKind[x.path+" "+x.content]
+		k.sent++
+		switch {
+		case x.status == http.StatusOK && x.complete:
+			k.served++
+		case x.status == http.StatusTooManyRequests || x.status == http.StatusServiceUnavailable:
+			k.refused++
+		default:
+			k.failed++
+		}
+		byKind[x.path+" "+x.content] = k
+	}
+	for kind, k := range byKind {
+		f.t.Logf("%q: %+v", kind, k)
+	}
+}
+
+// innocentWithin is the time at the end of a run in which a harmless content is served.
+const innocentWithin = 3 * time.Second
+
+// checkInnocent checks that a content that crashes nothing is served at the end.
+func (f *fleet) checkInnocent(c *callers) {
+	end := time.Time{}
+	for _, x := range c.all {
+		if x.sentAt.After(end) {
+			end = x.sentAt
+		}
+	}
+	for _, crashing := range crashingContents {
+		served := slices.ContainsFunc(c.all, func(x *call) bool {
+			return x.content == innocentBody && x.path == crashing.path && x.status == http.StatusOK && x.complete && end.Sub(x.sentAt) <= innocentWithin
+		})
+		if !served {
+			f.t.Errorf("%s: no request with the harmless content was served in the last %v", crashing.path, innocentWithin)
+		}
+	}
+}
