forward, pool: a content that crashes its servers is refused at the third crash

Cause: the pool's defence waits for a sign of a crash that the platform's entry never gave. A lost answer was reported as a lost stream whatever became of its server, probes are off, and a server that starts again has a new id, so that its next incarnation was never seen. The class: a guarantee that rests on a signal which one of the two entries does not send.

Now an entry that loses an answer connects to the server once (100 ms at most): a refused connection, like one of any other request, and a 421 tell that the process has ended. Answers lost with it, and those of a server that disappears without notice, count as a crash for their contents; those of a leaving server or of one that answers a later run do not. Three crashes in a row, without a finished run of the content anywhere, confirm it; one-by-one isolation stays for the product's own entry. A confirmed content gets trials after 10 s and 60 s more, so that one that was beside the guilty one is not refused as long.

--- a/broker/broker.go
+++ b/broker/broker.go
@@ -53,4 +53,5 @@
 	PromptTokens    int
 	PrefillComputed int
 	RefusedLeaving  bool
+	ServerGone      bool
 }
--- a/engine/engine.go
+++ b/engine/engine.go
@@ -14,6 +14,8 @@
 	// ErrNotSent: no byte of the request can have left, e.g. after a failed connect.
 	// The dispatch right may be returned.
 	ErrNotSent = errors.New("request not sent")
+	// ErrConnRefused is an ErrNotSent: no process listens at the engine's address.
+	ErrConnRefused = errors.WithMessage(ErrNotSent, "no listener")
 	// ErrRefusedNotRun: the engine reported that it did not and will not run the
 	// request.
 	ErrRefusedNotRun = errors.New("engine refused, request not run")
--- a/internal/forward/harness_test.go
+++ b/internal/forward/harness_test.go
@@ -139,6 +139,7 @@
 	servers  []workspace.BackendServer
 	next     int
 	released []pool.Outcome
+	gone     []bool // of each release
 	refusal  error
 	// refuseAfter is how many calls are granted before refusal is returned.
 	refuseAfter int
@@ -187,11 +188,14 @@
 
 func (g *fakeGrant) Server() workspace.BackendServer            { return g.server }
 func (g *fakeGrant) Progress(time.Duration, int, time.Duration) {}
-func (g *fakeGrant) Release(c broker.Completion)                { g.broker.recordRelease(c.Outcome) }
-func (g *fakeGrant) ReturnUnused()                              { g.broker.recordRelease(pool.OutcomeNotDispatched) }
-func (b *fakeBroker) recordRelease(o pool.Outcome) {
+func (g *fakeGrant) Release(c broker.Completion)                { g.broker.recordRelease(c.Outcome, c.ServerGone) }
+func (g *fakeGrant) ReturnUnused() {
+	g.broker.recordRelease(pool.OutcomeNotDispatched, false)
+}
+func (b *fakeBroker) recordRelease(o pool.Outcome, gone bool) {
 	b.mu.Lock()
 	b.released = append(b.released, o)
+	b.gone = append(b.gone, gone)
 	b.mu.Unlock()
 	if b.onRelease != nil {
 		b.onRelease()
--- a/internal/forward/resume.go
+++ b/internal/forward/resume.go
@@ -83,6 +83,9 @@
 // abandonAttempt closes the connection of the current attempt and frees its slot, unless
 // that was done.
 func (s *stream) abandonAttempt(cause error) error {
+	if !s.released {
+		s.exchange.checkServer(s.attempt, cause)
+	}
 	s.release(s.exchange.lostOutcome())
 	s.exchange.recordSentTo(s.attempt)
 	return answerLostError{cause}
--- a/internal/forward/send.go
+++ b/internal/forward/send.go
@@ -31,6 +31,7 @@
 	tokens, reportedTokens int
 	reportedAt             time.Time
 	reports                int
+	serverGone             bool // the server's process was found to have ended after the answer was lost
 	// onEnd is called with the outcome; nil if no rollout tracks the attempt.
 	onEnd func(pool.Outcome)
 }
@@ -202,17 +203,36 @@
 		a.grant.ReturnUnused()
 		return err
 	}
-	a.grant.Release(broker.Completion{Outcome: pool.OutcomeNotSent})
+	a.grant.Release(broker.Completion{Outcome: pool.OutcomeNotSent, ServerGone: errors.Is(err, engine.ErrConnRefused)})
 	return err
 }
 
 // endLostAttempt ends an attempt whose answer was lost.
 func (x *exchange) endLostAttempt(a *attempt, err error) error {
+	x.checkServer(a, err)
 	a.release(x.lostOutcome())
 	x.recordSentTo(a)
 	return answerLostError{err}
 }
 
+// serverCheckTimeout bounds the check of a server that broke off an answer. A retry waits
+// for it.
+const serverCheckTimeout = 100 * time.Millisecond
+
+// checkServer finds out whether the process of a server that broke off an answer has ended.
+//
+// Other requests would find out, too, but only those that go to this server, and a server
+// that loses answers gets few.
+func (x *exchange) checkServer(a *attempt, lost error) {
+	if !errors.Is(lost, engine.ErrConnectionLost) || x.ctx.Err() != nil {
+		return
+	}
+	ctx, cancel := context.WithTimeout(x.ctx, serverCheckTimeout)
+	defer cancel()
+	err := x.server.deps.ConnPools.pool(a.grant.Server().Address).Check(ctx)
+	a.serverGone = errors.Is(err, engine.ErrConnRefused)
+}
+
 // lostOutcome returns the outcome of an attempt whose answer is lost now.
 func (x *exchange) lostOutcome() pool.Outcome {
 	if x.ctx.Err() != nil {
@@ -236,7 +256,8 @@
 		r.complete = false
 	}
 	r.releaseConn()
-	a.grant.Release(broker.Completion{Outcome: pool.OutcomeRefused, RefusedLeaving: status == statusMisdirectedRequest})
+	gone := status == statusMisdirectedRequest
+	a.grant.Release(broker.Completion{Outcome: pool.OutcomeRefused, RefusedLeaving: gone, ServerGone: gone})
 	return errors.Wrapf(errNotExecuted, "status %d", status)
 }
 
@@ -245,7 +266,7 @@
 
 // release frees the slot after an attempt.
 func (a *attempt) release(outcome pool.Outcome) {
-	completion := broker.Completion{Outcome: outcome, Total: time.Since(a.sentAt), OutputTokens: a.tokens}
+	completion := broker.Completion{Outcome: outcome, Total: time.Since(a.sentAt), OutputTokens: a.tokens, ServerGone: a.serverGone}
 	if !a.firstEventAt.IsZero() {
 		completion.FirstToken = a.firstEventAt.Sub(a.sentAt)
 	}
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -53,6 +53,7 @@
 	g.host = poolhost.New(poolhost.Config{
 		Self: s.Name, Region: s.Region, Snapshot: g.snapshot, View: g.currentView, Transport: g.transport,
 		DegradedAfter: degradedAfter, DisableProbes: true, Metrics: g.metrics, NewScheduler: newScheduler,
+		ConfirmAfterCrashes: confirmAfterCrashes,
 	})
 	g.broker = broker.New(g.host)
 	g.quotas = newQuotaSync(g.limiter, g.budgets, g.transport, g.currentView, time.Now)
@@ -80,9 +81,14 @@
 // headroomShare is the share of all slots kept free of lower tiers.
 const headroomShare = 0.05
 
+// confirmAfterCrashes is the number of servers that may crash under a content in a row
+// before its requests are refused. A crash takes a whole batch along, so that fewer would
+// refuse contents that were beside the guilty one.
+const confirmAfterCrashes = 3
+
 func newScheduler(p *workspace.ResolvedPool, epoch uint64) poolhost.Scheduler {
 	return pool.New(pool.Config{
 		Name: p.Name, Epoch: epoch, Seed: epoch, MaxWaitShare: maxWaitShare, ExtendedWaitShare: extendedWaitShare, Headroom: headroomShare,
-		ReleaseGrace: releaseGrace, KeepStragglers: true, SpareFastServers: true,
+		ReleaseGrace: releaseGrace, KeepStragglers: true, SpareFastServers: true, ConfirmAfterCrashes: confirmAfterCrashes,
 	})
 }
--- a/internal/httpconn/pool.go
+++ b/internal/httpconn/pool.go
@@ -14,6 +14,7 @@
 	"net"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/pkg/errors"
@@ -154,6 +155,16 @@
 	}
 }
 
+// Check connects to the address, and keeps the connection for a later Send. The error
+// wraps engine.ErrConnRefused if no process listens there.
+func (p *Pool) Check(ctx context.Context) error {
+	c, err := p.get(ctx, MustDial)
+	if err == nil {
+		c.Release()
+	}
+	return err
+}
+
 func (p *Pool) get(ctx context.Context, policy ReusePolicy) (*Conn, error) {
 	if policy == MayReuse {
 		if c := p.takeIdle(); c != nil {
@@ -162,6 +173,9 @@
 		}
 	}
 	nc, err := p.dialer.DialContext(ctx, "tcp", p.address)
+	if errors.Is(err, syscall.ECONNREFUSED) {
+		return nil, errors.Wrapf(engine.ErrConnRefused, "connect %s: %v", p.address, err)
+	}
 	if err != nil {
 		return nil, errors.Wrapf(engine.ErrNotSent, "connect %s: %v", p.address, err)
 	}
--- a/internal/poolhost/broadcast.go
+++ b/internal/poolhost/broadcast.go
@@ -4,69 +4,68 @@
 	"sync"
 	"time"
 
-	"github.com/hashicorp/golang-lru/v2/simplelru"
 	"github.com/lycheekeel/lycheekeel/internal/peer"
 	"github.com/lycheekeel/lycheekeel/internal/poolwire"
 	"github.com/lycheekeel/lycheekeel/pool"
+	"github.com/lycheekeel/lycheekeel/pool/suspect"
 	"github.com/lycheekeel/lycheekeel/workspace"
 )
 
-// maxSuspects limits the number of fingerprints that a host remembers.
-const maxSuspects = 1024
-
-// suspects remembers the suspect fingerprints that were shared, so that pools
-// taken over later learn of them.
+// suspects remembers what is known of suspect fingerprints, so that pools taken over
+// later learn of it.
 type suspects struct {
 	mu    sync.Mutex
-	known *simplelru.LRU[uint64, knownSuspect]
+	known *suspect.Registry
 }
 
-type knownSuspect struct {
-	state   pool.SuspectState
-	expires time.Time
-}
+// suspectRetention is how long a host remembers a fingerprint at the most; its pools may
+// forget it sooner.
+const suspectRetention = 10 * time.Minute
 
-func newSuspects() *suspects {
-	known, err := simplelru.NewLRU[uint64, knownSuspect](maxSuspects, nil)
-	if err != nil {
-		panic(err) // NewLRU fails for a size below 1 only
-	}
-	return &suspects{known: known}
+func newSuspects(confirmAfterCrashes int) *suspects {
+	return &suspects{known: suspect.NewRegistry(suspect.Rules{Retention: suspectRetention, ConfirmAfter: confirmAfterCrashes})}
 }
 
-func (s *suspects) record(now time.Time, ev pool.SuspectShared) {
+// record merges what a pool knows of a fingerprint. It returns the state before.
+func (s *suspects) record(now time.Time, ev pool.SuspectShared) pool.SuspectState {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.known.Add(ev.Fingerprint, knownSuspect{ev.State, now.Add(ev.ExpiresIn)})
+	was := s.known.State(now, ev.Fingerprint)
+	s.known.Merge(now, ev.Fingerprint, ev.Record())
+	return pool.SuspectState(was)
 }
 
-// state returns the last shared state of a fingerprint.
-func (s *suspects) state(fingerprint uint64) pool.SuspectState {
+// all returns what is known of all fingerprints under which at least this many servers
+// have crashed, or that are confirmed.
+func (s *suspects) all(now time.Time, minCrashes int) []pool.SuspectShared {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	k, _ := s.known.Peek(fingerprint)
-	return k.state
+	var out []pool.SuspectShared
+	for f, x := range s.known.All(now) {
+		if len(x.Crashes) >= minCrashes || x.State == suspect.Confirmed {
+			out = append(out, pool.NewSuspectShared(f, x))
+		}
+	}
+	return out
 }
 
-// replayTo posts the known suspects to a new runtime.
+// replayTo posts what is known to a new runtime.
 func (s *suspects) replayTo(r *Runtime, now time.Time) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	for _, f := range s.known.Keys() {
-		k, _ := s.known.Peek(f)
-		if left := k.expires.Sub(now); left > 0 && k.state != pool.SuspectCleared {
-			r.post(pool.SuspectShared{Fingerprint: f, State: k.state, ExpiresIn: left})
-		}
+	for _, ev := range s.all(now, 0) {
+		r.post(ev)
 	}
 }
 
+// sharedCrashes is the number of crashes under a fingerprint from which all members hear
+// of it. Most fingerprints were beside the guilty one, and are cleared soon.
+const sharedCrashes = 2
+
 // broadcastSuspect sends a suspect to this daemon's other pools and to all members.
 func (h *Host) broadcastSuspect(from *Runtime, c pool.ShareSuspect) {
 	h.count.suspectsShared.Add(1)
 	ev := pool.SuspectShared(c)
-	from.logSuspect(ev, h.suspects.state(ev.Fingerprint))
-	h.receiveSuspect(from, ev)
-	if h.cfg.Transport == nil || h.cfg.View == nil {
+	from.logSuspect(ev, h.receiveSuspect(from, ev))
+	if h.cfg.Transport == nil || h.cfg.View == nil || len(ev.Crashes) > 0 && len(ev.Crashes) < sharedCrashes && !from.hasSiblings.Load() {
 		return
 	}
 	payload := poolwire.EncodeSuspect(ev)
@@ -79,13 +78,16 @@
 	}
 }
 
-func (h *Host) receiveSuspect(from *Runtime, ev pool.SuspectShared) {
-	h.suspects.record(h.cfg.Now(), ev)
+// receiveSuspect records what a pool of this daemon, or another member, knows of a
+// fingerprint, and tells the other pools. It returns the state before.
+func (h *Host) receiveSuspect(from *Runtime, ev pool.SuspectShared) pool.SuspectState {
+	was := h.suspects.record(h.cfg.Now(), ev)
 	for _, r := range *h.owned.Load() {
 		if r != from {
 			r.post(ev)
 		}
 	}
+	return was
 }
 
 // sendBriefs sends a pool's brief to the owners of its sibling pools, unless
--- a/internal/poolhost/config.go
+++ b/internal/poolhost/config.go
@@ -104,6 +104,8 @@
 	// IsLeaving reports that a server is leaving according to another source,
 	// such as the VM list. The default always returns false.
 	IsLeaving func(s workspace.BackendServer) bool
+	// ConfirmAfterCrashes is that of the pools (pool.Config), if NewScheduler sets it.
+	ConfirmAfterCrashes int
 	// Now returns the current time. The default is time.Now.
 	Now func() time.Time
 	// Spawn runs a function on a new goroutine by default. Tests may run it
--- a/internal/poolhost/host.go
+++ b/internal/poolhost/host.go
@@ -47,7 +47,7 @@
 // New returns a host that owns no pool until the first Tick or Run.
 func New(cfg Config) *Host {
 	cfg = cfg.withDefaults()
-	h := &Host{cfg: cfg, shares: map[*StaticShare]struct{}{}, suspects: newSuspects()}
+	h := &Host{cfg: cfg, shares: map[*StaticShare]struct{}{}, suspects: newSuspects(cfg.ConfirmAfterCrashes)}
 	h.count = newCounters(cfg.Metrics)
 	h.owned.Store(&map[string]*Runtime{})
 	h.draining.Store(&map[string]*Runtime{})
--- a/internal/poolwire/check.go
+++ b/internal/poolwire/check.go
@@ -186,7 +186,7 @@
 		Outcome:    pool.Outcome(c.enum("outcome", m.GetOutcome(), uint32(pool.OutcomeFailed)+1)),
 		FirstToken: c.elapsed("first_token", m.GetFirstToken()), Total: c.elapsed("total", m.GetTotal()),
 		OutputTokens: c.number("output_tokens", m.GetOutputTokens()), PromptTokens: c.number("prompt_tokens", m.GetPromptTokens()),
-		PrefillComputed: c.number("prefill_computed", m.GetPrefillComputed()), RefusedLeaving: m.GetRefusedLeaving(),
+		PrefillComputed: c.number("prefill_computed", m.GetPrefillComputed()), RefusedLeaving: m.GetRefusedLeaving(), ServerGone: m.GetServerGone(),
 	}
 }
 
--- a/internal/poolwire/decode.go
+++ b/internal/poolwire/decode.go
@@ -97,6 +97,9 @@
 		Fingerprint: m.Fingerprint,
 		State:       pool.SuspectState(c.enum("state", m.State, uint32(pool.SuspectConfirmed)+1)),
 		ExpiresIn:   c.duration("expires_in", m.ExpiresIn),
+		Crashes:     c.servers("crashes", m.Crashes),
+		Trials:      c.number("trials", uint64(m.Trials)),
+		TrialIn:     c.duration("trial_in", m.TrialIn),
 	}
 	return s, c.err
 }
--- a/internal/poolwire/encode.go
+++ b/internal/poolwire/encode.go
@@ -61,7 +61,10 @@
 
 // EncodeSuspect encodes the state of a suspect fingerprint.
 func EncodeSuspect(s pool.SuspectShared) []byte {
-	return marshal(&wirepb.Suspect{Fingerprint: s.Fingerprint, State: uint32(s.State), ExpiresIn: int64(s.ExpiresIn)})
+	return marshal(&wirepb.Suspect{
+		Fingerprint: s.Fingerprint, State: uint32(s.State), ExpiresIn: int64(s.ExpiresIn),
+		Crashes: s.Crashes, Trials: uint32(s.Trials), TrialIn: int64(s.TrialIn),
+	})
 }
 
 // EncodeSummaries encodes full summaries.
@@ -116,7 +119,7 @@
 		Request: string(e.Request), Grant: grantIDToWire(e.Grant), Server: e.Server, Outcome: uint32(e.Outcome),
 		FirstToken: int64(e.FirstToken), Total: int64(e.Total), OutputTokens: uint64(e.OutputTokens),
 		PromptTokens: uint64(e.PromptTokens), PrefillComputed: uint64(e.PrefillComputed),
-		RefusedLeaving: e.RefusedLeaving,
+		RefusedLeaving: e.RefusedLeaving, ServerGone: e.ServerGone,
 	}
 }
 
--- a/internal/poolwire/poolwire_test.go
+++ b/internal/poolwire/poolwire_test.go
@@ -26,7 +26,7 @@
 		pool.Progress{Request: "r", Grant: g, Server: "s", FirstToken: time.Second, Tokens: 12, PerToken: time.Millisecond},
 		pool.Release{
 			Request: "r", Entry: entry, Grant: g, Server: "s", Outcome: pool.OutcomeFailed, FirstToken: 1, Total: 2,
-			OutputTokens: 3, PromptTokens: 4, PrefillComputed: 5, RefusedLeaving: true,
+			OutputTokens: 3, PromptTokens: 4, PrefillComputed: 5, RefusedLeaving: true, ServerGone: true,
 		},
 		pool.Running{
 			Entry: entry, Request: "r", Grant: g, Server: "s", Workspace: "w", Template: "t", Model: "m", Tier: 1,
@@ -72,7 +72,9 @@
 	gotCommands, err := DecodeCommands(EncodeCommands(commands), entry)
 	assertDecoded(t, gotCommands, commands, err)
 
-	suspect := pool.SuspectShared{Fingerprint: 1, State: pool.SuspectConfirmed, ExpiresIn: time.Hour}
+	suspect := pool.SuspectShared{
+		Fingerprint: 1, State: pool.SuspectConfirmed, ExpiresIn: time.Hour, Crashes: []string{"a", "b"}, Trials: 1, TrialIn: time.Minute,
+	}
 	gotSuspect, err := DecodeSuspect(EncodeSuspect(suspect))
 	assertDecoded(t, gotSuspect, suspect, err)
 
--- a/pool/admission.go
+++ b/pool/admission.go
@@ -42,6 +42,7 @@
 // Every limit follows one rule: no request is shed while a request of a lower tier
 // waits in this pool or, according to recent reports, in a sibling pool.
 func (p *Pool) admit(w *waiter) {
+	p.beginTrial(w)
 	switch p.suspectState(w) {
 	case suspect.Confirmed:
 		p.shedConfirmed(w)
--- a/pool/config.go
+++ b/pool/config.go
@@ -37,6 +37,10 @@
 	// SuspectTTL is how long a request stays suspected or confirmed to crash servers; 0
 	// means a default.
 	SuspectTTL time.Duration
+	// ConfirmAfterCrashes is the number of servers that crash under a content, without a
+	// finished run of it in between, after which it is confirmed to crash servers. 0 means
+	// that a suspected content runs alone, and is confirmed by one crash.
+	ConfirmAfterCrashes int
 	// MaxWaitShare is the share of its first-token target, or of its deadline if it has
 	// no such target, that a request may wait before it is shed; 0 means the whole
 	// deadline. An early refusal leaves the caller time to try elsewhere or later.
@@ -73,8 +77,8 @@
 	switch {
 	case c.Name == "":
 		return errors.New("pool has no name")
-	case c.MaxWaiting < 0 || c.DefaultSlots < 0 || c.SuspectTTL < 0 || c.ReleaseGrace < 0:
-		return errors.Errorf("pool %q: max waiting, default slots, suspect TTL or release grace is negative", c.Name)
+	case c.MaxWaiting < 0 || c.DefaultSlots < 0 || c.SuspectTTL < 0 || c.ReleaseGrace < 0 || c.ConfirmAfterCrashes < 0:
+		return errors.Errorf("pool %q: max waiting, default slots, suspect TTL, release grace or crashes is negative", c.Name)
 	case c.Headroom < 0 || c.Headroom > 1:
 		return errors.Errorf("pool %q: headroom %v is not between 0 and 1", c.Name, c.Headroom)
 	case c.MaxWaitShare < 0 || c.MaxWaitShare > 1 || c.ExtendedWaitShare < 0 || c.ExtendedWaitShare > 1:
--- a/pool/crash.go
+++ b/pool/crash.go
@@ -25,7 +25,7 @@
 func (p *Pool) shedConfirmed(w *waiter) {
 	p.emit(Shed{
 		Request: w.Request, Entry: w.Entry, Reason: request.ReasonSuspectConfirmed,
-		RetryAfter: p.suspects.ExpiresIn(p.now, w.Fingerprint),
+		RetryAfter: p.suspects.RetryIn(p.now, w.Fingerprint),
 	})
 }
 
@@ -147,19 +147,14 @@
 	if reporter != nil && !slices.Contains(affected, reporter) {
 		affected = append(affected, reporter)
 	}
-	contents := map[uint64]struct{}{}
 	for _, r := range affected {
 		if r.crashed || r.grantedAt.After(crashTime) || !slices.Contains(s.running, r) && p.now.Sub(r.lastReport) > crashWindow {
 			continue
 		}
 		r.crashed = true
-		contents[r.fingerprint] = struct{}{}
 		p.markSuspect(r)
 	}
 	s.lostRuns = nil
-	if len(contents) > 0 {
-		p.emit(ServerCrashed{Server: s.info.Name, Contents: len(contents)})
-	}
 }
 
 func (p *Pool) markSuspect(r *run) {
@@ -168,23 +163,19 @@
 	}
 	if r.suspect {
 		p.suspects.Confirm(p.now, r.fingerprint)
-		p.shareSuspect(r.fingerprint, SuspectConfirmed)
+		p.shareRecord(r.fingerprint)
 		p.shedWaitingConfirmed(r.fingerprint)
 		return
 	}
 	if p.suspects.MarkSuspected(p.now, r.fingerprint) {
-		p.shareSuspect(r.fingerprint, Suspected)
+		p.shareRecord(r.fingerprint)
 	}
 }
 
-func (p *Pool) shareSuspect(fingerprint uint64, s SuspectState) {
-	p.emit(ShareSuspect{Fingerprint: fingerprint, State: s, ExpiresIn: p.suspects.ExpiresIn(p.now, fingerprint)})
-}
-
 // shedWaitingConfirmed sheds the waiting requests with a confirmed fingerprint.
 func (p *Pool) shedWaitingConfirmed(fingerprint uint64) {
 	for _, w := range p.sortedWaiters() {
-		if w.Fingerprint == fingerprint {
+		if w.Fingerprint == fingerprint && !w.trial {
 			p.removeWaiter(w)
 			p.shedConfirmed(w)
 		}
@@ -193,7 +184,7 @@
 
 // mergeSuspect merges a fingerprint's state that another pool found.
 func (p *Pool) mergeSuspect(e SuspectShared) {
-	p.suspects.Merge(p.now, e.Fingerprint, suspect.State(e.State), e.ExpiresIn)
+	p.suspects.Merge(p.now, e.Fingerprint, e.Record())
 	if p.suspects.State(p.now, e.Fingerprint) == suspect.Confirmed {
 		p.shedWaitingConfirmed(e.Fingerprint)
 	}
--- a/pool/messages.go
+++ b/pool/messages.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/lycheekeel/lycheekeel/engine"
+	"github.com/lycheekeel/lycheekeel/pool/suspect"
 	"github.com/lycheekeel/lycheekeel/request"
 )
 
@@ -121,6 +122,9 @@
 	PrefillComputed int
 	// RefusedLeaving is set if the engine refused because it is leaving.
 	RefusedLeaving bool
+	// ServerGone is set if the server's process was found to have ended: its address refuses
+	// connections, or is another server's.
+	ServerGone bool
 }
 
 // Running reports to a new pool owner a run that an earlier owner granted or that the
@@ -246,6 +250,24 @@
 	Fingerprint uint64
 	State       SuspectState
 	ExpiresIn   time.Duration
+	// Crashes names the incarnations of servers that have crashed under the fingerprint.
+	Crashes []string
+	// Trials counts the trials of a confirmed fingerprint. The next one may run in TrialIn.
+	Trials  int
+	TrialIn time.Duration
+}
+
+// NewSuspectShared returns the event that reports a record of a fingerprint.
+func NewSuspectShared(fingerprint uint64, x suspect.Record) SuspectShared {
+	return SuspectShared{
+		Fingerprint: fingerprint, State: SuspectState(x.State), ExpiresIn: x.ExpiresIn,
+		Crashes: x.Crashes, Trials: x.Trials, TrialIn: x.TrialIn,
+	}
+}
+
+// Record returns the reported record.
+func (e SuspectShared) Record() suspect.Record {
+	return suspect.Record{State: suspect.State(e.State), ExpiresIn: e.ExpiresIn, Crashes: e.Crashes, Trials: e.Trials, TrialIn: e.TrialIn}
 }
 
 // Tick advances time: it triggers expiry, probes and the comparison of servers.
@@ -301,6 +323,9 @@
 	Fingerprint uint64
 	State       SuspectState
 	ExpiresIn   time.Duration
+	Crashes     []string
+	Trials      int
+	TrialIn     time.Duration
 }
 
 // BreakerChanged reports that a server's circuit breaker opened or closed. It is only
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -123,7 +123,7 @@
 			servedWork:    decay.Rate{TimeConstant: servedWorkWindow},
 			rates:         newTierRates(),
 		},
-		suspects:  suspect.NewRegistry(cfg.SuspectTTL),
+		suspects:  suspect.NewRegistry(suspect.Rules{Retention: cfg.SuspectTTL, ConfirmAfter: cfg.ConfirmAfterCrashes}),
 		siblings:  make(map[string]*sibling),
 		fairShare: newFairShare(),
 	}
--- a/pool/run.go
+++ b/pool/run.go
@@ -108,6 +108,7 @@
 	r.lastReport = p.now
 	if e.Tokens > 0 {
 		r.server.lastProgress = p.now
+		p.serverWorks(r)
 		p.serverSucceeded(r.server)
 	}
 	if p.isBaseline() {
@@ -143,6 +144,8 @@
 	}
 	switch e.Outcome {
 	case OutcomeDone:
+		p.serverWorks(r)
+		p.forgetLostAnswers(r.fingerprint)
 		p.serverSucceeded(r.server)
 		r.server.failureRate.add(p.now, false)
 		p.handleDone(r, e)
@@ -150,7 +153,7 @@
 		p.refund(r, r.cost)
 	case OutcomeNotSent, OutcomeRefused:
 		p.refund(r, r.cost)
-		p.handleRefusal(r.server, e)
+		p.handleRefusal(r, e)
 	case OutcomeCrashed:
 		p.recordLostRun(r)
 		p.serverCrashed(r.server, r)
@@ -158,7 +161,12 @@
 		p.runLost(r)
 		r.server.failureRate.add(p.now, true)
 		p.recordLostRun(r)
+		p.answerLost(r)
+		if e.ServerGone {
+			p.serverGone(r.server)
+		}
 	case OutcomeFailed:
+		p.serverWorks(r)
 		p.runFailed(r)
 		r.server.failureRate.add(p.now, true)
 	}
@@ -168,7 +176,14 @@
 	}
 }
 
-func (p *Pool) handleRefusal(s *server, e Release) {
+func (p *Pool) handleRefusal(r *run, e Release) {
+	s := r.server
+	switch {
+	case e.ServerGone:
+		p.serverGone(s)
+	case e.Outcome == OutcomeRefused:
+		p.serverWorks(r)
+	}
 	if e.Outcome == OutcomeRefused {
 		p.serverAnswered(s)
 	}
--- a/pool/schedule.go
+++ b/pool/schedule.go
@@ -313,5 +313,6 @@
 		kvTokens: w.PromptTokens + w.length.High, runningAtGrant: len(o.server.running) + 1,
 	}
 	p.addRun(r)
+	p.countTrial(w)
 	p.emit(Grant{Request: w.Request, Entry: w.Entry, Grant: r.id, Server: o.server.info.Name})
 }
--- a/pool/server.go
+++ b/pool/server.go
@@ -57,10 +57,13 @@
 	crashedAt    time.Time // time of the last crash
 	recoveredAt  time.Time // when it was first seen running after the crash; zero means not yet
 	lostRuns     []*run    // runs whose streams were lost recently
+	lostAnswers  []lostAnswer
+	goneSince    time.Time // when its process was found to have ended; zero means not
 }
 
 func (p *Pool) setServers(e ServerSet) {
-	for _, s := range p.sorted {
+	before := slices.Clone(p.sorted)
+	for _, s := range before {
 		s.configured = false
 	}
 	p.sorted = p.sorted[:0]
@@ -77,6 +80,11 @@
 		p.sorted = append(p.sorted, s)
 	}
 	slices.SortFunc(p.sorted, func(a, b *server) int { return cmp.Compare(a.info.Name, b.info.Name) })
+	for _, s := range before {
+		if !s.configured {
+			p.serverDisappeared(s)
+		}
+	}
 	p.removeIdleServers()
 	p.fastest = score.Profile{}
 }
@@ -112,6 +120,11 @@
 // incarnation are counted, until their entries stop waiting for answers, and while the
 // backoff for the old failures lasts.
 func (p *Pool) resetIncarnation(s *server) {
+	for _, r := range s.running {
+		p.answerLost(r)
+	}
+	p.serverGone(s)
+	s.goneSince = time.Time{}
 	for len(s.running) > 0 {
 		r := s.running[len(s.running)-1]
 		p.removeRun(r)
--- a/pool/suspect/suspect.go
+++ b/pool/suspect/suspect.go
@@ -1,12 +1,19 @@
-// Package suspect tracks requests that may crash servers, by fingerprint. Every
-// request that ran on a server when it crashed becomes suspected. A suspected
-// request runs alone: if its server crashes again it is confirmed, and if it
-// finishes it is cleared. The number of entries is bounded, and they expire.
+// Package suspect tracks requests that may crash servers, by fingerprint. Under the
+// default rules every request that ran on a server when it crashed becomes suspected. A
+// suspected request runs alone: if its server crashes again it is confirmed, and if it
+// finishes it is cleared.
 //
-// A Registry is not safe for concurrent use.
+// With Rules.ConfirmAfter, suspects run beside others. A fingerprint is confirmed when
+// that many servers have crashed under it one after the other, and is cleared by a run
+// that finishes. A confirmed one gets a few trials.
+//
+// The number of entries is bounded, and they expire. A Registry is not safe for
+// concurrent use.
 package suspect
 
 import (
+	"iter"
+	"slices"
 	"time"
 
 	"github.com/hashicorp/golang-lru/v2/simplelru"
@@ -22,55 +29,140 @@
 	Confirmed
 )
 
-// maxEntries is how many fingerprints are kept; the least recently used are
-// evicted.
-const maxEntries = 4096
+const (
+	// maxEntries is how many fingerprints are kept; the least recently used are
+	// evicted.
+	maxEntries = 4096
+	// maxCrashes is how many crashed servers of a fingerprint are kept.
+	maxCrashes = 8
+	// trialWait is how long a trial may wait for a slot until another may wait.
+	trialWait = 2 * time.Second
+)
+
+// trialDelays are the times from the confirmation to the first trial, and from each
+// trial to the next.
+var trialDelays = []time.Duration{10 * time.Second, time.Minute}
+
+// Rules decide when a fingerprint is confirmed, and for how long.
+type Rules struct {
+	// Retention is how long an entry is kept after its last change.
+	Retention time.Duration
+	// ConfirmAfter is the number of servers that crash under a fingerprint, without a
+	// finished run in between, after which it is confirmed; 0: Confirm alone does so.
+	ConfirmAfter int
+}
+
+// Record is what is known of a fingerprint. Times are relative to the present.
+type Record struct {
+	State     State
+	ExpiresIn time.Duration
+	// Crashes names the incarnations of servers that have crashed under it.
+	Crashes []string
+	// Trials counts the trials since it was confirmed. The next one may run in TrialIn.
+	Trials  int
+	TrialIn time.Duration
+}
 
 type entry struct {
 	state   State
 	expires time.Time
+	crashes []string
+	trials  int
+	trialAt time.Time
 }
 
 // Registry holds the states of the fingerprints of one pool.
 type Registry struct {
-	entries   *simplelru.LRU[uint64, entry]
-	retention time.Duration
+	entries *simplelru.LRU[uint64, *entry]
+	rules   Rules
 }
 
-// NewRegistry returns an empty registry whose entries expire after retention.
-func NewRegistry(retention time.Duration) *Registry {
-	entries, err := simplelru.NewLRU[uint64, entry](maxEntries, nil)
+// NewRegistry returns an empty registry.
+func NewRegistry(rules Rules) *Registry {
+	entries, err := simplelru.NewLRU[uint64, *entry](maxEntries, nil)
 	if err != nil {
 		panic(err) // fails only for a size below one
 	}
-	return &Registry{entries: entries, retention: retention}
+	return &Registry{entries: entries, rules: rules}
 }
 
-// State returns the state of a fingerprint. Zero is no fingerprint and always
-// Clear.
-func (r *Registry) State(now time.Time, fingerprint uint64) State {
+// get returns the entry of a fingerprint, or nil if there is none or it has expired.
+// Zero is no fingerprint.
+func (r *Registry) get(now time.Time, fingerprint uint64) *entry {
 	if r.entries.Len() == 0 || fingerprint == 0 {
-		return Clear
+		return nil
 	}
 	e, ok := r.entries.Get(fingerprint)
 	if !ok {
-		return Clear
+		return nil
 	}
 	if !now.Before(e.expires) {
 		r.entries.Remove(fingerprint)
-		return Clear
+		return nil
 	}
-	return e.state
+	return e
 }
 
-// ExpiresIn returns the time until the entry of a fingerprint expires, or zero if
-// there is none.
-func (r *Registry) ExpiresIn(now time.Time, fingerprint uint64) time.Duration {
-	e, ok := r.entries.Peek(fingerprint)
-	if !ok {
+// add returns the entry of a fingerprint, which expires after the retention from now on.
+func (r *Registry) add(now time.Time, fingerprint uint64) *entry {
+	e := r.get(now, fingerprint)
+	if e == nil {
+		e = &entry{state: Suspected}
+		r.entries.Add(fingerprint, e)
+	}
+	e.expires = now.Add(r.rules.Retention)
+	return e
+}
+
+// State returns the state of a fingerprint. Zero is no fingerprint and always
+// Clear.
+func (r *Registry) State(now time.Time, fingerprint uint64) State {
+	if e := r.get(now, fingerprint); e != nil {
+		return e.state
+	}
+	return Clear
+}
+
+// Record returns what is known of a fingerprint.
+func (r *Registry) Record(now time.Time, fingerprint uint64) Record {
+	e := r.get(now, fingerprint)
+	if e == nil {
+		return Record{}
+	}
+	return e.record(now)
+}
+
+func (e *entry) record(now time.Time) Record {
+	out := Record{State: e.state, ExpiresIn: e.expires.Sub(now), Crashes: slices.Clone(e.crashes), Trials: e.trials}
+	if e.state == Confirmed && len(e.crashes) > 0 {
+		out.TrialIn = max(0, e.trialAt.Sub(now))
+	}
+	return out
+}
+
+// All returns the fingerprints that are not clear.
+func (r *Registry) All(now time.Time) iter.Seq2[uint64, Record] {
+	return func(yield func(uint64, Record) bool) {
+		for _, f := range r.entries.Keys() {
+			if e, _ := r.entries.Peek(f); now.Before(e.expires) && !yield(f, e.record(now)) {
+				return
+			}
+		}
+	}
+}
+
+// RetryIn returns when a request with a confirmed fingerprint may run again: at its next
+// trial or, if there is none, when it expires.
+func (r *Registry) RetryIn(now time.Time, fingerprint uint64) time.Duration {
+	e := r.get(now, fingerprint)
+	switch {
+	case e == nil:
 		return 0
+	case r.rules.ConfirmAfter > 0 && e.trials < len(trialDelays):
+		return max(0, e.trialAt.Sub(now))
+	default:
+		return e.expires.Sub(now)
 	}
-	return max(0, e.expires.Sub(now))
 }
 
 // MarkSuspected makes a clear fingerprint suspected. It reports whether the state
@@ -79,42 +171,114 @@
 	if fingerprint == 0 || r.State(now, fingerprint) != Clear {
 		return false
 	}
-	r.entries.Add(fingerprint, entry{Suspected, now.Add(r.retention)})
+	r.add(now, fingerprint)
 	return true
 }
 
 // Confirm makes a fingerprint confirmed.
 func (r *Registry) Confirm(now time.Time, fingerprint uint64) {
 	if fingerprint != 0 {
-		r.entries.Add(fingerprint, entry{Confirmed, now.Add(r.retention)})
+		r.add(now, fingerprint).state = Confirmed
 	}
 }
 
-// Clear clears a suspected fingerprint whose request finished. A confirmed one
-// stays confirmed: a run that ends without a crash does not disprove an earlier
-// one. Clear reports whether the state changed.
+// AddCrash records that a server has crashed under a fingerprint. It reports whether
+// that is new.
+func (r *Registry) AddCrash(now time.Time, fingerprint uint64, server string) bool {
+	if fingerprint == 0 {
+		return false
+	}
+	e := r.add(now, fingerprint)
+	if !e.addCrash(server) {
+		return false
+	}
+	r.update(now, e)
+	return true
+}
+
+func (e *entry) addCrash(server string) bool {
+	if slices.Contains(e.crashes, server) || len(e.crashes) >= maxCrashes {
+		return false
+	}
+	e.crashes = append(e.crashes, server)
+	return true
+}
+
+// update confirms an entry with enough crashes.
+func (r *Registry) update(now time.Time, e *entry) {
+	if e.state != Confirmed && r.rules.ConfirmAfter > 0 && len(e.crashes) >= r.rules.ConfirmAfter {
+		e.state, e.trialAt = Confirmed, now.Add(trialDelays[0])
+	}
+}
+
+// BeginTrial reports whether a request with a confirmed fingerprint may wait for a slot as
+// a trial. No other one may do so until trialWait has passed.
+func (r *Registry) BeginTrial(now time.Time, fingerprint uint64) bool {
+	e := r.get(now, fingerprint)
+	if e == nil || e.state != Confirmed || r.rules.ConfirmAfter == 0 || e.trials >= len(trialDelays) || now.Before(e.trialAt) {
+		return false
+	}
+	e.trialAt = now.Add(trialWait)
+	return true
+}
+
+// CountTrial records that a trial has got its slot.
+func (r *Registry) CountTrial(now time.Time, fingerprint uint64) {
+	e := r.get(now, fingerprint)
+	if e == nil {
+		return
+	}
+	e.trials++
+	if e.trials < len(trialDelays) {
+		e.trialAt = now.Add(trialDelays[e.trials])
+	}
+}
+
+// Clear clears a fingerprint whose request finished. Unless crashes are counted, a
+// confirmed one stays confirmed: a run that ends without a crash does not disprove an
+// earlier one. Clear reports whether the state changed.
 func (r *Registry) Clear(now time.Time, fingerprint uint64) bool {
-	if r.State(now, fingerprint) != Suspected {
+	switch r.State(now, fingerprint) {
+	case Clear:
 		return false
+	case Confirmed:
+		if r.rules.ConfirmAfter == 0 {
+			return false
+		}
 	}
 	r.entries.Remove(fingerprint)
 	return true
 }
 
-// Merge merges the state that another pool has for a fingerprint. The more severe
-// state wins, except that Clear clears a suspected fingerprint. expiresIn is capped
+// Merge merges what another pool knows of a fingerprint. The more severe state wins,
+// except that Clear clears as a finished run does. The time until it expires is capped
 // at the registry's retention.
-func (r *Registry) Merge(now time.Time, fingerprint uint64, s State, expiresIn time.Duration) {
+func (r *Registry) Merge(now time.Time, fingerprint uint64, x Record) {
 	if fingerprint == 0 {
 		return
 	}
-	if s == Clear {
+	if x.State == Clear {
 		r.Clear(now, fingerprint)
 		return
 	}
-	expires := now.Add(min(expiresIn, r.retention))
-	if current := r.State(now, fingerprint); current > s || current == s && r.ExpiresIn(now, fingerprint) >= expiresIn {
-		return
+	expires := now.Add(min(x.ExpiresIn, r.rules.Retention))
+	e := r.get(now, fingerprint)
+	if e == nil {
+		e = &entry{}
+		r.entries.Add(fingerprint, e)
+	}
+	for _, server := range x.Crashes {
+		e.addCrash(server)
+	}
+	trialAt := now.Add(x.TrialIn)
+	switch {
+	case x.State > e.state:
+		e.state, e.expires, e.trials, e.trialAt = x.State, expires, x.Trials, trialAt
+	case x.State == e.state && expires.After(e.expires):
+		e.expires = expires
+	}
+	if x.Trials > e.trials {
+		e.trials, e.trialAt = x.Trials, trialAt
 	}
-	r.entries.Add(fingerprint, entry{s, expires})
+	r.update(now, e)
 }
--- a/pool/waiter.go
+++ b/pool/waiter.go
@@ -24,6 +24,7 @@
 	enqueuedAt    time.Time // in this pool
 	bypassed      int       // how often a request with a warm prefix was granted first
 	suspect       bool      // waits in Pool.isolated
+	trial         bool      // tries a confirmed content again
 	extended      bool      // its maximum wait was extended
 
 	heldFor   *server
@@ -149,8 +150,12 @@
 
 // suspectState returns the suspect state of a waiting request's fingerprint.
 func (p *Pool) suspectState(w *waiter) suspect.State {
-	if p.isBaseline() {
+	if p.isBaseline() || w.trial {
+		return suspect.Clear
+	}
+	state := p.suspects.State(p.now, w.Fingerprint)
+	if state == suspect.Suspected && p.countsCrashes() {
 		return suspect.Clear
 	}
-	return p.suspects.State(p.now, w.Fingerprint)
+	return state
 }
