forward, pool: a server gets no more requests than the limit that it names

Cause: nothing read Server-Limit. What a pool keeps to at a server are runs at the same time; no decision limited how many start in a second. The entry now reports the limit before the answer's progress or end, and the pool's owner, which grants every send, retries, hedges and resumed streams among them, paces its grants to that server. An answer to a later grant without a limit ends it; a value that is no decimal number counts as none; below 0.2 a second the server still gets one request in 5 s, since only an answer tells that the limit has ended. Entries tell a new owner what they heard; a daemon on its share of the slots uses its share of the limit. Other servers take the rest, higher tiers first where all are in need.

--- a/broker/broker.go
+++ b/broker/broker.go
@@ -38,6 +38,9 @@
 	// Progress reports on the running request: the time from dispatch to first
 	// token, the tokens so far, and the mean time per token since the last report.
 	Progress(firstToken time.Duration, tokens int, perToken time.Duration)
+	// RateLimited reports, before Progress and Release, the requests per second that the
+	// answer says its server takes from all daemons together.
+	RateLimited(perSecond float64)
 	// Release frees the slot after the request was dispatched and has ended.
 	Release(c Completion)
 	// ReturnUnused frees the slot; the request was not dispatched.
--- a/broker/commands.go
+++ b/broker/commands.go
@@ -136,18 +136,28 @@
 // findServer looks up a server in the request's own snapshot, then in the current
 // one, since the owner's configuration may be newer than the request's.
 func (l *link) findServer(w *waiter, name string) (workspace.BackendServer, bool) {
-	if p := w.candidate(l.pool); p != nil {
-		for _, s := range p.Servers {
-			if s.Name == name {
-				return s, true
-			}
-		}
+	if s, ok := serverOf(w.candidate(l.pool), name); ok {
+		return s, true
+	}
+	return l.currentServer(name)
+}
+
+// currentServer looks up a server of the pool in the current snapshot.
+func (l *link) currentServer(name string) (workspace.BackendServer, bool) {
+	snapshot := l.entry.cfg.Snapshot.Load()
+	if snapshot == nil {
+		return workspace.BackendServer{}, false
+	}
+	return serverOf(snapshot.Pools[l.pool], name)
+}
+
+func serverOf(p *workspace.ResolvedPool, name string) (workspace.BackendServer, bool) {
+	if p == nil {
+		return workspace.BackendServer{}, false
 	}
-	if snapshot := l.entry.cfg.Snapshot.Load(); snapshot != nil && snapshot.Pools[l.pool] != nil {
-		for _, s := range snapshot.Pools[l.pool].Servers {
-			if s.Name == name {
-				return s, true
-			}
+	for _, s := range p.Servers {
+		if s.Name == name {
+			return s, true
 		}
 	}
 	return workspace.BackendServer{}, false
--- a/broker/grant.go
+++ b/broker/grant.go
@@ -18,8 +18,10 @@
 	ended  atomic.Bool
 	tokens atomic.Int64
 	// firstTokenReported is set once the first token was reported to the owner. Only
-	// the link accesses it and reportedTokens.
+	// the link accesses it, reportedTokens and namedRate.
 	firstTokenReported bool
+	// namedRate is set if the answer named a limit on its server's requests per second.
+	namedRate bool
 	// reportedTokens is the number of tokens in the last report to the owner.
 	reportedTokens int
 }
@@ -39,6 +41,13 @@
 	}})
 }
 
+// RateLimited implements Grant.
+func (g *grant) RateLimited(perSecond float64) {
+	if !g.ended.Load() {
+		g.link.box.Post(rateLimitedMessage{pool.RateLimited{Grant: g.id, Server: g.server.Name, PerSecond: perSecond}})
+	}
+}
+
 // Release implements Grant.
 func (g *grant) Release(c Completion) {
 	g.finish(pool.Release{
--- a/broker/link.go
+++ b/broker/link.go
@@ -28,6 +28,10 @@
 	running    map[pool.GrantID]*grant
 	nextExpiry time.Time // no waiter expires before this time
 
+	// rates holds the limits on servers' requests per second that answers have named, for
+	// the next owner.
+	rates map[string]float64
+
 	session     session
 	countedOpen bool // session is included in Entry.sessions
 	// lastEpoch and lastGrant are the epoch and the last grant number of the
@@ -68,6 +72,7 @@
 		waiting:         map[request.ID]*waiter{},
 		running:         map[pool.GrantID]*grant{},
 		pendingProgress: map[pool.GrantID]pool.Progress{},
+		rates:           map[string]float64{},
 	}
 	l.box = mailbox.New(e.cfg.Spawn, l.handle)
 	return l
@@ -141,6 +146,9 @@
 type releaseMessage struct{ ev pool.Release }
 
 func (m releaseMessage) apply(l *link) {
+	if o := m.ev.Outcome; o == pool.OutcomeDone || o == pool.OutcomeFailed {
+		l.endRate(l.running[m.ev.Grant])
+	}
 	delete(l.running, m.ev.Grant)
 	delete(l.pendingProgress, m.ev.Grant)
 	l.lastUsed = l.now
@@ -159,6 +167,7 @@
 	if g == nil {
 		return
 	}
+	l.endRate(g)
 	if m.ev.FirstToken > 0 && !g.firstTokenReported && l.session.open() {
 		// The first token is sent at once: the scheduler's limits and its holds for
 		// prefixes depend on it.
--- a/internal/forward/send.go
+++ b/internal/forward/send.go
@@ -185,6 +185,7 @@
 		conn.Discard()
 		return nil, nil, x.endLostAttempt(a, err)
 	}
+	x.reportRate(a, r)
 	if len(r.header.Peek(x.server.wire.NotExecuted)) > 0 {
 		return nil, nil, x.endUnexecuted(a, r)
 	}
--- /dev/null
+++ b/internal/forward/serverrate.go
@@ -0,0 +1,37 @@
+package forward
+
+import (
+	"regexp"
+	"strconv"
+)
+
+// decimalNumber is the form of a rate; it has neither sign nor exponent.
+var decimalNumber = regexp.MustCompile(`^[0-9]{1,9}(\.[0-9]{1,9})?$`)
+
+// parseRate parses a decimal number of requests per second; false if it is not valid.
+func parseRate(value []byte) (perSecond float64, ok bool) {
+	if !decimalNumber.Match(value) {
+		return 0, false
+	}
+	perSecond, err := strconv.ParseFloat(string(value), 64)
+	return perSecond, err == nil
+}
+
+// reportRate reports the limit on requests per second that a server's answer names. A value
+// that isn't valid counts as none. The answer of another server at the address says
+// nothing about this one.
+func (x *exchange) reportRate(a *attempt, r *reply) {
+	value := r.header.Peek(x.server.wire.ServerRate)
+	if len(value) == 0 || r.header.StatusCode() == statusMisdirectedRequest {
+		return
+	}
+	perSecond, ok := parseRate(value)
+	if !ok {
+		x.logRetry().WithField("value", string(value)).Warn("Invalid rate limit of a server.")
+		return
+	}
+	a.grant.RateLimited(max(perSecond, minReportedRate))
+}
+
+// minReportedRate stands for 0, which would be no limit at the pool's owner.
+const minReportedRate = 0.001
--- a/internal/forward/wire.go
+++ b/internal/forward/wire.go
@@ -23,6 +23,9 @@
 	NotExecuted string
 	// Signature proves that an answer comes from a server.
 	Signature string
+	// ServerRate is set by a server in need: the requests per second, a decimal number,
+	// that it takes from all daemons together.
+	ServerRate string
 	// LastEvent is the id of the last event of a stream that was received.
 	LastEvent string
 	// Tokens is parsed by ParseTokens. LengthHint is the caller's estimate of the number
--- a/internal/poolhost/counters.go
+++ b/internal/poolhost/counters.go
@@ -13,6 +13,8 @@
 	grantsReclaimed, entriesEnded, unknownReleases, badMessages           *expvar.Int
 	probeMisses, cacheEventGaps, suspectsShared, breakersOpened, crashes  *expvar.Int
 
+	rateChanges *expvar.Int
+
 	tiers [request.MaxTiers]tierCounters
 }
 
@@ -24,7 +26,7 @@
 		grantsReclaimed: c("grants_taken_back"), entriesEnded: c("entries_ended"), unknownReleases: c("unknown_releases"),
 		badMessages: c("bad_messages"), probeMisses: c("probe_misses"),
 		cacheEventGaps: c("cache_event_gaps"), suspectsShared: c("suspects_shared"),
-		breakersOpened: c("servers_down"), crashes: c("servers_crashed"),
+		breakersOpened: c("servers_down"), crashes: c("servers_crashed"), rateChanges: c("server_rates_changed"),
 		tiers: newTierCounters(m),
 	}
 }
--- a/internal/poolhost/host.go
+++ b/internal/poolhost/host.go
@@ -232,7 +232,7 @@
 // configure passes the pool's servers and queue bound to the scheduler and
 // the monitor.
 func (r *Runtime) configure(p *workspace.ResolvedPool) {
-	set := pool.ServerSet{Servers: make([]pool.ServerInfo, 0, len(p.Servers))}
+	set := pool.ServerSet{Servers: make([]pool.ServerInfo, 0, len(p.Servers)), RateShare: r.rateShare}
 	for _, s := range p.Servers {
 		set.Servers = append(set.Servers, pool.ServerInfo{
 			Name: s.Name, AvailabilityZone: s.AvailabilityZone, Generation: s.Generation, Slots: s.Slots,
--- a/internal/poolhost/report.go
+++ b/internal/poolhost/report.go
@@ -103,6 +103,14 @@
 	}).Warn("Content that crashes servers.")
 }
 
+// logRate logs that a server has named another limit on its requests per second.
+func (r *Runtime) logRate(c pool.ServerRateChanged) {
+	r.host.count.rateChanges.Add(1)
+	logs.For("poolhost").WithFields(logrus.Fields{
+		"pool": r.name, "server": c.Server, "per_second": c.PerSecond, "share": r.degraded,
+	}).Info("Server's rate limit changed.")
+}
+
 // logExpired logs the state in which a request reached its deadline, at most once in
 // SummaryInterval.
 func (r *Runtime) logExpired(c pool.Expired) {
--- a/internal/poolhost/runtime.go
+++ b/internal/poolhost/runtime.go
@@ -40,6 +40,7 @@
 	lastTally   pool.Tally // as of the last summary
 	expiredAt   time.Time  // time of the last log line of logExpired
 	degraded    bool       // runs a StaticShare; this daemon is not the owner
+	rateShare   float64    // of the servers' limits on requests per second; 0: all
 
 	monitor      *monitor
 	drainUntil   time.Time                    // guarded by host.mu
@@ -119,6 +120,8 @@
 		r.logBreaker(c)
 	case pool.ServerCrashed:
 		r.logCrash(c)
+	case pool.ServerRateChanged:
+		r.logRate(c)
 	case pool.Expired:
 		r.logExpired(c)
 	}
--- a/internal/poolhost/session.go
+++ b/internal/poolhost/session.go
@@ -197,6 +197,9 @@
 		e.reclaimUnconfirmed(r, 0)
 		e.reported = true
 		r.feed(pool.EntryReported{Entry: e.id})
+	case pool.RateLimited:
+		ev.Entry = e.id
+		r.feed(ev)
 	case pool.Progress:
 		r.feed(ev)
 	}
--- a/internal/poolhost/share.go
+++ b/internal/poolhost/share.go
@@ -54,6 +54,7 @@
 
 func (s *StaticShare) refresh(p *workspace.ResolvedPool, members []string) {
 	s.members = members
+	s.rateShare = 1 / float64(max(1, len(members)))
 	s.configure(poolShare(p, s.host.cfg.Self, members))
 }
 
--- a/internal/poolwire/check.go
+++ b/internal/poolwire/check.go
@@ -1,6 +1,7 @@
 package poolwire
 
 import (
+	"math"
 	"time"
 
 	"github.com/lycheekeel/lycheekeel/internal/poolwire/wirepb"
@@ -151,6 +152,8 @@
 		return c.release(k.Release, entry)
 	case *wirepb.Event_Running:
 		return c.running(k.Running, entry)
+	case *wirepb.Event_RateLimited:
+		return c.rateLimited(k.RateLimited, entry)
 	case *wirepb.Event_EntryReported:
 		return pool.EntryReported{Entry: entry}
 	default:
@@ -190,6 +193,14 @@
 	}
 }
 
+func (c *checker) rateLimited(m *wirepb.RateLimited, entry pool.EntryID) pool.Event {
+	perSecond := m.GetPerSecond()
+	if !(perSecond >= 0) || math.IsInf(perSecond, 1) {
+		c.fail("per_second is out of range: %v", perSecond)
+	}
+	return pool.RateLimited{Entry: entry, Grant: c.grant(m.GetGrant()), Server: c.requiredName("server", m.GetServer()), PerSecond: perSecond}
+}
+
 func (c *checker) running(m *wirepb.Running, entry pool.EntryID) pool.Event {
 	return pool.Running{
 		Entry: entry, Request: c.request(m.GetRequest()), Grant: c.grant(m.GetGrant()), Server: c.requiredName("server", m.GetServer()),
--- a/internal/poolwire/encode.go
+++ b/internal/poolwire/encode.go
@@ -97,6 +97,10 @@
 		return &wirepb.Event{Kind: &wirepb.Event_Release{Release: releaseToWire(e)}}
 	case pool.Running:
 		return &wirepb.Event{Kind: &wirepb.Event_Running{Running: runningToWire(e)}}
+	case pool.RateLimited:
+		return &wirepb.Event{Kind: &wirepb.Event_RateLimited{RateLimited: &wirepb.RateLimited{
+			Grant: grantIDToWire(e.Grant), Server: e.Server, PerSecond: e.PerSecond,
+		}}}
 	case pool.EntryReported:
 		return &wirepb.Event{Kind: &wirepb.Event_EntryReported{EntryReported: &wirepb.EntryReported{}}}
 	default:
--- a/internal/poolwire/poolwire_test.go
+++ b/internal/poolwire/poolwire_test.go
@@ -32,6 +32,8 @@
 			Entry: entry, Request: "r", Grant: g, Server: "s", Workspace: "w", Template: "t", Model: "m", Tier: 1,
 			Fingerprint: 9, PromptTokens: 1, MaxTokens: 2, ExpectedTokens: 4, Tokens: 3, Blocks: []uint64{5},
 		},
+		pool.RateLimited{Entry: entry, Grant: g, Server: "s", PerSecond: 1.1},
+		pool.RateLimited{Entry: entry, Server: "s", PerSecond: 40},
 		pool.EntryReported{Entry: entry},
 	}
 }
--- a/pool/crashcount.go
+++ b/pool/crashcount.go
@@ -68,6 +68,7 @@
 // serverWorks notes that a server has answered a run. What was lost before the run was
 // granted, was not lost by a crash.
 func (p *Pool) serverWorks(r *run) {
+	p.endServerRate(r)
 	s := r.server
 	if len(s.lostAnswers) > 0 {
 		s.lostAnswers = slices.DeleteFunc(s.lostAnswers, func(a lostAnswer) bool { return a.at.Before(r.grantedAt) })
--- a/pool/messages.go
+++ b/pool/messages.go
@@ -108,6 +108,17 @@
 	OutcomeFailed                       // the engine reported a failure
 )
 
+// RateLimited reports the requests per second that a server takes from all daemons
+// together, as the answer of a grant named it. An answer of which it isn't reported before
+// its first Progress or its Release named none. Grant is zero if the entry tells a new
+// owner what it heard before.
+type RateLimited struct {
+	Entry     EntryID
+	Grant     GrantID
+	Server    string
+	PerSecond float64
+}
+
 // Release ends a grant and frees its slot.
 type Release struct {
 	Request         request.ID
@@ -171,7 +182,12 @@
 
 // ServerSet replaces the pool's servers. A removed server gets no new grants; its
 // running requests are counted until they are released.
-type ServerSet struct{ Servers []ServerInfo }
+type ServerSet struct {
+	Servers []ServerInfo
+	// RateShare is the part of each server's limit on requests per second that this pool
+	// may use; 0 means all.
+	RateShare float64
+}
 
 // QueueBound sets the maximum number of waiting requests; 0 means the default. A lower
 // limit evicts the excess, lowest tier first.
@@ -277,6 +293,7 @@
 func (Withdraw) event()      {}
 func (Progress) event()      {}
 func (Release) event()       {}
+func (RateLimited) event()   {}
 func (Running) event()       {}
 func (EntryReported) event() {}
 func (EntrySet) event()      {}
@@ -342,6 +359,13 @@
 	Contents int
 }
 
+// ServerRateChanged reports that a server has named another limit on its requests per
+// second; 0 means none. It is only logged.
+type ServerRateChanged struct {
+	Server    string
+	PerSecond float64
+}
+
 // Expired reports the state in which a request reached its deadline in the queue. It is
 // only logged.
 type Expired struct {
@@ -358,13 +382,14 @@
 	Bypassed    int // how often a request with a warm prefix was granted first
 }
 
-func (Grant) command()          {}
-func (Shed) command()           {}
-func (Redirect) command()       {}
-func (ShareSuspect) command()   {}
-func (BreakerChanged) command() {}
-func (ServerCrashed) command()  {}
-func (Expired) command()        {}
+func (Grant) command()             {}
+func (Shed) command()              {}
+func (Redirect) command()          {}
+func (ShareSuspect) command()      {}
+func (BreakerChanged) command()    {}
+func (ServerCrashed) command()     {}
+func (ServerRateChanged) command() {}
+func (Expired) command()           {}
 
 // Summary is a snapshot of a pool's load, for sibling pools, entries and placement.
 type Summary struct {
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -62,6 +62,7 @@
 	nextServer int // next server for round robin
 	prefixes   *prefix.Index
 	isolation  *server // drains for a suspect, or runs one
+	rateShare  float64 // of the servers' limits on requests per second
 }
 
 // runs holds the running requests by grant and by request.
@@ -152,6 +153,8 @@
 		p.progress(e)
 	case Release:
 		p.release(e)
+	case RateLimited:
+		p.rateLimited(e)
 	case Running:
 		p.adopt(e)
 	case EntryReported:
--- a/pool/run.go
+++ b/pool/run.go
@@ -46,6 +46,8 @@
 	lastReport        time.Time
 	withdrawnAt       time.Time
 	crashed           bool // its server crashed while it ran
+	namedRate         bool // its answer named a limit on the server's requests per second
+	adopted           bool // granted by an earlier owner, or without a grant
 }
 
 // isCall reports whether the run is a call to a plain service, which has no tokens.
@@ -256,7 +258,7 @@
 		id: e.Grant, request: e.Request, entry: e.Entry, server: p.server(e.Server), grantedAt: p.now, lastReport: p.now,
 		tier: min(e.Tier, request.MaxTiers-1), workspace: e.Workspace, estimateKey: key, fingerprint: e.Fingerprint,
 		promptTokens: e.PromptTokens, maxTokens: e.MaxTokens, hint: e.ExpectedTokens, blocks: e.Blocks, generated: e.Tokens,
-		prefillDone: e.Tokens > 0, uncachedTokens: e.PromptTokens,
+		adopted: true, prefillDone: e.Tokens > 0, uncachedTokens: e.PromptTokens,
 		kvTokens: e.PromptTokens + p.expectLength(key, e.ExpectedTokens, e.MaxTokens).High,
 	}
 	r.cost = workCost(e.PromptTokens, e.MaxTokens)
--- a/pool/schedule.go
+++ b/pool/schedule.go
@@ -313,6 +313,7 @@
 		kvTokens: w.PromptTokens + w.length.High, runningAtGrant: len(o.server.running) + 1,
 	}
 	p.addRun(r)
+	p.takeServerRate(o.server)
 	p.countTrial(w)
 	p.emit(Grant{Request: w.Request, Entry: w.Entry, Grant: r.id, Server: o.server.info.Name})
 }
--- a/pool/server.go
+++ b/pool/server.go
@@ -57,11 +57,13 @@
 	crashedAt    time.Time // time of the last crash
 	recoveredAt  time.Time // when it was first seen running after the crash; zero means not yet
 	lostRuns     []*run    // runs whose streams were lost recently
+	rate         serverRate
 	lostAnswers  []lostAnswer
 	goneSince    time.Time // when its process was found to have ended; zero means not
 }
 
 func (p *Pool) setServers(e ServerSet) {
+	p.rateShare = cmp.Or(e.RateShare, 1)
 	before := slices.Clone(p.sorted)
 	for _, s := range before {
 		s.configured = false
@@ -133,6 +135,7 @@
 		}
 	}
 	p.forgetCache(s)
+	s.rate = serverRate{}
 	s.failureRate, s.breaker, s.lostRuns = failureRate{}, breaker{}, nil
 	s.leavingUntil, s.pausedUntil, s.backoff = time.Time{}, time.Time{}, 0
 	s.lastProgress = p.now
