--- a/test/soak/crashing_test.go
+++ b/test/soak/crashing_test.go
@@ -1,11 +1,15 @@
 package soak
 
 import (
+	"bytes"
 	"context"
+	"encoding/json"
 	"fmt"
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"os"
+	"path/filepath"
 	"slices"
 	"sync"
 	"testing"
@@ -237,6 +241,26 @@
 		}
 	}
 	f.reportServed(c)
+	f.t.Logf("contents confirmed to crash servers: %d", f.confirmedContents())
+}
+
+// confirmedContents counts the contents that some node's log says are confirmed to crash
+// servers.
+func (f *fleet) confirmedContents() int {
+	contents := map[string]bool{}
+	for _, n := range f.nodes {
+		written, err := os.ReadFile(filepath.Join(f.dir, n.name+".log"))
+		if err != nil {
+			f.t.Error(err)
+		}
+		for _, line := range bytes.Split(written, []byte("\n")) {
+			var x struct{ Msg, Content, State string }
+			if json.Unmarshal(line, &x) == nil && x.Msg == "Content that crashes servers." && x.State == "confirmed" {
+				contents[x.Content] = true
+			}
+		}
+	}
+	return len(contents)
 }
 
 // reportServed logs how many requests of each kind were served.
