pool, soak, broker: events, commands and summaries in files of their own, one loop over seeds

No behaviour changes. pool/messages.go had grown to 440 lines with inputs, outputs and the summary; the soak's tests repeated the loop over seeds, and two tests the search for a pool's next owner.

--- a/broker/cluster_test.go
+++ b/broker/cluster_test.go
@@ -230,13 +230,7 @@
 		sim := newSimulation(1, "a", "b", "c")
 		sim.advance(time.Second)
 		survivors := sim.namesWithout(sim.owner())
-		next, _ := member.NewView("", []member.Member{
-			{Name: survivors[0], Region: testRegion}, {Name: survivors[1], Region: testRegion},
-		}).Owner(testPool, testRegion)
-		n := sim.nodes[survivors[0]]
-		if n.name == next.Name {
-			n = sim.nodes[survivors[1]]
-		}
+		_, n := sim.nextOwner(survivors)
 		for range 10000 {
 			n.acquire(1, time.Hour)
 		}
--- a/broker/newowner_test.go
+++ b/broker/newowner_test.go
@@ -9,7 +9,6 @@
 
 	"github.com/lycheekeel/lycheekeel/internal/peer"
 	"github.com/lycheekeel/lycheekeel/internal/poolwire"
-	"github.com/lycheekeel/lycheekeel/member"
 	"github.com/lycheekeel/lycheekeel/pool"
 )
 
@@ -22,13 +21,7 @@
 		sim.advance(time.Second)
 		dying := sim.owner()
 		survivors := sim.namesWithout(dying)
-		next, _ := member.NewView("", []member.Member{
-			{Name: survivors[0], Region: testRegion}, {Name: survivors[1], Region: testRegion},
-		}).Owner(testPool, testRegion)
-		n := sim.nodes[survivors[0]]
-		if n.name == next.Name {
-			n = sim.nodes[survivors[1]]
-		}
+		next, n := sim.nextOwner(survivors)
 		work := newWorkload(sim)
 		work.acquire(n, 1)
 		limited := work.running[0].server.Name
@@ -66,7 +59,7 @@
 			_, err := n.handlers[peer.TypeSuspect](t.Context(), peer.Name(dying.name), poolwire.EncodeSuspect(known))
 			So(err, ShouldBeNil)
 			var told []uint64
-			handlers := sim.nodes[next.Name].handlers
+			handlers := next.handlers
 			handle := handlers[peer.TypeSuspect]
 			handlers[peer.TypeSuspect] = func(ctx context.Context, from peer.Name, payload []byte) ([]byte, error) {
 				ev, err := poolwire.DecodeSuspect(payload)
--- a/broker/simulation_test.go
+++ b/broker/simulation_test.go
@@ -164,6 +164,18 @@
 	return out
 }
 
+// nextOwner returns which of two daemons owns the pool when they are alone, and the other.
+func (sim *simulation) nextOwner(names []string) (next, other *node) {
+	m, _ := member.NewView("", []member.Member{
+		{Name: names[0], Region: testRegion}, {Name: names[1], Region: testRegion},
+	}).Owner(testPool, testRegion)
+	next, other = sim.nodes[names[0]], sim.nodes[names[1]]
+	if next.name != m.Name {
+		next, other = other, next
+	}
+	return next, other
+}
+
 // kill kills a node; its connections to the other nodes break.
 func (sim *simulation) kill(n *node) {
 	n.dead, n.died = true, sim.now
--- a/pool/summary.go
+++ b/pool/summary.go
@@ -6,6 +6,31 @@
 	"github.com/lycheekeel/lycheekeel/request"
 )
 
+// Summary is a snapshot of a pool's load, for sibling pools, entries and placement.
+type Summary struct {
+	Pool    string
+	Waiting [request.MaxTiers]int
+	Running int
+	Free    int
+	// LostRuns counts the runs whose slots were reclaimed without a release, since the
+	// pool's start.
+	LostRuns int
+	// Tally counts the results of requests by tier. It is not sent to other processes.
+	Tally Tally
+	// ExpectedWait is the estimated queueing delay of a new request, by tier.
+	ExpectedWait [request.MaxTiers]time.Duration
+	Servers      []ServerSummary
+}
+
+// ServerSummary is the load of one server in a Summary.
+type ServerSummary struct {
+	Name      string
+	Health    Health
+	Running   int
+	Limit     int
+	Straggler bool
+}
+
 // Summary returns a snapshot of the pool's load at time now.
 func (p *Pool) Summary(now time.Time) Summary {
 	p.now = now
--- a/test/soak/crashing_test.go
+++ b/test/soak/crashing_test.go
@@ -5,7 +5,6 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -44,46 +43,10 @@
 	{"app", "/again/", "crashes calls"},
 }
 
-// crashRecord collects when each content crashed a server, and when nodes were killed.
-type crashRecord struct {
-	mu      sync.Mutex
-	crashes map[string][]time.Time // by body
-	kills   map[*node][]time.Time
-}
-
-func (c *crashRecord) addCrash(body string) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.crashes[body] = append(c.crashes[body], time.Now())
-}
-
-func (c *crashRecord) addKill(n *node) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.kills[n] = append(c.kills[n], time.Now())
-}
-
-func newCrashRecord() *crashRecord {
-	return &crashRecord{crashes: map[string][]time.Time{}, kills: map[*node][]time.Time{}}
-}
-
-// killedWithin reports whether a node was killed between two times.
-func (c *crashRecord) killedWithin(n *node, from, to time.Time) bool {
-	return slices.ContainsFunc(c.kills[n], func(kill time.Time) bool { return kill.After(from) && kill.Before(to) })
-}
-
-// justStarted reports whether a node was killed, and so started, within crashNotice before.
-func (c *crashRecord) justStarted(n *node, at time.Time) bool {
-	return slices.ContainsFunc(c.kills[n], func(kill time.Time) bool {
-		since := at.Sub(kill)
-		return since >= 0 && since < crashNotice
-	})
-}
-
 // Guards against: a request that crashes the servers that run it is sent to one server
 // after the other.
 func TestRequestThatCrashesServersIsSentOn(t *testing.T) {
-	f, c, record := runCrashing(t, *firstSeed, 15*time.Second, func(context.Context, *fleet, *crashRecord) {})
+	f, c, record := runCrashing(t, *firstSeed, 15*time.Second, undisturbed)
 	f.checkCrashing(c, record)
 	f.checkInnocent(c)
 }
@@ -91,38 +54,20 @@
 // Guards against: what is known of a request that crashes servers is lost when the pool's
 // owner changes or a gateway starts again.
 func TestRequestThatCrashesServersOutlivesOwners(t *testing.T) {
-	for i := range *seedCount {
-		seed := *firstSeed + int64(i)
-		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
-			f, c, record := runCrashing(t, seed, 20*time.Second, func(ctx context.Context, f *fleet, record *crashRecord) {
-				killInTurn(ctx, f, record, seed)
-			})
-			f.checkCrashing(c, record)
-		})
-	}
-}
-
-// killInTurn kills a random node every one to three seconds and starts it again.
-func killInTurn(ctx context.Context, f *fleet, record *crashRecord, seed int64) {
-	r := rand.New(rand.NewPCG(uint64(seed), 2))
-	for ctx.Err() == nil {
-		sleep(ctx, time.Duration(1000+r.IntN(2000))*time.Millisecond)
-		n := f.nodes[r.IntN(len(f.nodes))]
-		restart := n.restarter()
-		n.kill()
-		record.addKill(n)
-		restart()
-	}
+	eachSeed(t, func(t *testing.T, seed int64) {
+		f, c, record := runCrashing(t, seed, 20*time.Second, killInTurn(seed))
+		f.checkCrashing(c, record)
+	})
 }
 
 // runCrashing sends contents that crash servers, beside other requests, for the given
 // time, while disturb runs.
-func runCrashing(t *testing.T, seed int64, span time.Duration, disturb func(context.Context, *fleet, *crashRecord)) (*fleet, *callers, *crashRecord) {
+func runCrashing(t *testing.T, seed int64, span time.Duration, disturb disturbance) (*fleet, *callers, *faultRecord) {
 	f := startFleet(t, fleetOptions{nodes: 6, resumeTimeout: crashingTimeout, onceTimeout: crashingTimeout}, seed)
 	for _, s := range f.servers { // these can't crash
 		f.store.Remove(standin.KindServers, s.ID)
 	}
-	record := newCrashRecord()
+	record := newFaultRecord()
 	ctx, cancel := context.WithTimeout(context.Background(), span)
 	defer cancel()
 	var servers sync.Mutex
@@ -164,7 +109,7 @@
 
 // addCrashingServer starts and registers a server that a content crashes. Each time it is
 // followed by a server with a new ID, every second one at the same address.
-func (f *fleet) addCrashingServer(ctx context.Context, mu *sync.Mutex, x crashingContent, record *crashRecord, address string) {
+func (f *fleet) addCrashingServer(ctx context.Context, mu *sync.Mutex, x crashingContent, record *faultRecord, address string) {
 	ln, err := net.Listen("tcp", address)
 	if err != nil {
 		ln, err = net.Listen("tcp", "127.0.0.1:0")
@@ -210,7 +155,7 @@
 
 // checkCrashing checks that each content that crashes servers is sent on at most as often
 // as allowed.
-func (f *fleet) checkCrashing(c *callers, record *crashRecord) {
+func (f *fleet) checkCrashing(c *callers, record *faultRecord) {
 	byID := map[string]*call{}
 	for _, x := range c.all {
 		byID[x.id] = x
--- a/test/soak/limit_test.go
+++ b/test/soak/limit_test.go
@@ -33,9 +33,9 @@
 
 // Guards against: a server that names a limit gets more requests than that.
 func TestServerGetsMoreThanItsLimit(t *testing.T) {
-	f, c, limited, ended := runLimited(t, *firstSeed, func(context.Context, *fleet, *crashRecord) {})
+	f, c, limited, ended, record := runLimited(t, *firstSeed, undisturbed)
 	for _, s := range limited {
-		f.checkLimit(c, s, ended, &crashRecord{})
+		f.checkLimit(c, s, ended, record)
 		f.checkLimitEnds(s, ended)
 	}
 	f.reportServed(c)
@@ -44,25 +44,19 @@
 // Guards against: a server's limit is forgotten when the pool's owner changes or a gateway
 // starts again.
 func TestServerLimitOutlivesOwners(t *testing.T) {
-	for i := range *seedCount {
-		seed := *firstSeed + int64(i)
-		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
-			var record *crashRecord
-			f, c, limited, ended := runLimited(t, seed, func(ctx context.Context, f *fleet, r *crashRecord) {
-				record = r
-				killInTurn(ctx, f, r, seed)
-			})
-			for _, s := range limited {
-				f.checkLimit(c, s, ended, record)
-			}
-			f.reportServed(c)
-		})
-	}
+	eachSeed(t, func(t *testing.T, seed int64) {
+		f, c, limited, ended, record := runLimited(t, seed, killInTurn(seed))
+		for _, s := range limited {
+			f.checkLimit(c, s, ended, record)
+		}
+		f.reportServed(c)
+	})
 }
 
 // runLimited runs a fleet under load in which a server of each service names a limit, while
-// disturb runs. It returns these servers and when they stopped naming their limits.
-func runLimited(t *testing.T, seed int64, disturb func(context.Context, *fleet, *crashRecord)) (*fleet, *callers, []*server, time.Time) {
+// disturb runs. It returns these servers, when they stopped naming their limits, and the
+// faults.
+func runLimited(t *testing.T, seed int64, disturb disturbance) (*fleet, *callers, []*server, time.Time, *faultRecord) {
 	f := startFleet(t, fleetOptions{nodes: 6, resumeTimeout: crashingTimeout}, seed)
 	for range 4 {
 		f.addServer("llm")
@@ -75,7 +69,8 @@
 	ctx, cancel := context.WithTimeout(context.Background(), 16*time.Second)
 	defer cancel()
 	var wg conc.WaitGroup
-	wg.Go(func() { disturb(ctx, f, newCrashRecord()) })
+	record := newFaultRecord()
+	wg.Go(func() { disturb(ctx, f, record) })
 	wg.Go(func() {
 		c.sendAtInterval(ctx, f.nodes, func(i int) string { return []string{resumePath(0), "/again/"}[i/len(f.nodes)%2] })
 	})
@@ -93,12 +88,12 @@
 	}
 	wg.Wait()
 	f.restarts.Wait()
-	return f, c, limited, ended
+	return f, c, limited, ended, record
 }
 
 // checkLimit checks the arrivals at a server while it named a limit, until the given time.
 // A node that was killed knows of no limit until it has got an answer with it again.
-func (f *fleet) checkLimit(c *callers, s *server, until time.Time, record *crashRecord) {
+func (f *fleet) checkLimit(c *callers, s *server, until time.Time, record *faultRecord) {
 	nodes := map[string]*node{}
 	for _, x := range c.all {
 		nodes[x.id] = x.node
--- a/test/soak/retries_test.go
+++ b/test/soak/retries_test.go
@@ -59,25 +59,22 @@
 // Guards against: retries exceed their bound while processes, links and servers fail and
 // requests go on at their rate.
 func TestRetriesWhileEverythingFails(t *testing.T) {
-	for i := range *seedCount {
-		seed := *firstSeed + int64(i)
-		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
-			f := startFleet(t, fleetOptions{nodes: 9, resumeTimeout: streamTimeout, resumeTarget: streamTarget, fails: everySecond}, seed)
-			c := &callers{}
-			ctx, cancel := context.WithCancel(context.Background())
-			defer cancel()
-			var wg conc.WaitGroup
-			wg.Go(func() {
-				c.sendAtInterval(ctx, f.nodes, func(i int) string { return []string{resumePath(0), "/again/"}[i/len(f.nodes)%2] })
-			})
-			f.injectFaults(rand.New(rand.NewPCG(uint64(seed), 1)), func(string) bool { return true })
-			sleep(ctx, retryWindow/2)
-			cancel()
-			wg.Wait()
-			f.checkInvariants(c)
-			f.checkRetries(c)
+	eachSeed(t, func(t *testing.T, seed int64) {
+		f := startFleet(t, fleetOptions{nodes: 9, resumeTimeout: streamTimeout, resumeTarget: streamTarget, fails: everySecond}, seed)
+		c := &callers{}
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		var wg conc.WaitGroup
+		wg.Go(func() {
+			c.sendAtInterval(ctx, f.nodes, func(i int) string { return []string{resumePath(0), "/again/"}[i/len(f.nodes)%2] })
 		})
-	}
+		f.injectFaults(rand.New(rand.NewPCG(uint64(seed), 1)), func(string) bool { return true })
+		sleep(ctx, retryWindow/2)
+		cancel()
+		wg.Wait()
+		f.checkInvariants(c)
+		f.checkRetries(c)
+	})
 }
 
 // sendAtInterval sends requests to the nodes in turn, each on a connection of its own, until
