pool, forward: a share of a limit follows the members, nonsense limits are counted

A daemon on its share of the slots kept the part of a server's limit that was right when it heard the limit, whatever became of the membership; by reading, with a test. Answers whose limit is no decimal number wrote a warning each; they are counted, and written at debug level.

--- a/internal/forward/counters.go
+++ b/internal/forward/counters.go
@@ -26,6 +26,8 @@
 	// original stream continued first.
 	hedges, hedgesUnused *expvar.Int
 	answered             *expvar.Int
+	// invalidRates counts the answers that name a limit which is no decimal number.
+	invalidRates *expvar.Int
 	// runningOmitted counts the "Still running." lines that the rate limit suppressed.
 	runningOmitted *expvar.Int
 
@@ -61,6 +63,7 @@
 	c.hedges = m.Counter("retries", "silent_stream")
 	c.hedgesUnused = m.Counter("streams", "went_on_beside_a_hedge")
 	c.answered = m.Counter("forward", "answered")
+	c.invalidRates = m.Counter("forward", "invalid_rates")
 	c.runningOmitted = m.Counter("forward", "running_lines_omitted")
 	c.slotWait = m.Histogram("latency", "wait_for_slot")
 	c.retryWait = m.Histogram("latency", "retry_from_permission_to_send")
--- a/internal/forward/serverrate.go
+++ b/internal/forward/serverrate.go
@@ -27,7 +27,8 @@
 	}
 	perSecond, ok := parseRate(value)
 	if !ok {
-		x.logRetry().WithField("value", string(value)).Warn("Invalid rate limit of a server.")
+		x.server.counters.invalidRates.Add(1)
+		x.server.log.WithFields(x.requestFields()).WithField("value", string(value)).Debug("Invalid rate limit of a server.")
 		return
 	}
 	a.grant.RateLimited(max(perSecond, minReportedRate))
--- a/pool/capacity.go
+++ b/pool/capacity.go
@@ -39,7 +39,7 @@
 func (p *Pool) refreshServers() {
 	p.anyHealthy, p.freeRate = false, rateUnknown
 	for _, s := range p.sorted {
-		s.grantable = p.up(s) && !s.breaker.open && s.rate.allows(p.now)
+		s.grantable = p.acceptsNow(s) && !s.breaker.open
 		if s.grantable && !s.straggler && !s.overdue {
 			p.anyHealthy = true
 		}
--- a/pool/crash.go
+++ b/pool/crash.go
@@ -62,7 +62,7 @@
 		if p.isolation == nil {
 			p.isolation = p.pickIsolationServer()
 		}
-		if p.isolation == nil || len(p.isolation.running) > 0 || !p.up(p.isolation) || !p.isolation.rate.allows(p.now) {
+		if p.isolation == nil || len(p.isolation.running) > 0 || !p.acceptsNow(p.isolation) {
 			return
 		}
 		p.grant(w, p.predict(w, p.isolation))
--- a/pool/probe.go
+++ b/pool/probe.go
@@ -20,7 +20,7 @@
 // requests of the lowest tier that show whether the server has recovered.
 func (p *Pool) scheduleProbes() {
 	for _, s := range p.sorted {
-		if !p.up(s) || s == p.isolation || !s.rate.allows(p.now) {
+		if !p.acceptsNow(s) || s == p.isolation {
 			continue
 		}
 		var w *waiter
--- a/pool/server.go
+++ b/pool/server.go
@@ -63,7 +63,7 @@
 }
 
 func (p *Pool) setServers(e ServerSet) {
-	p.rateShare = cmp.Or(e.RateShare, 1)
+	p.setRateShare(cmp.Or(e.RateShare, 1))
 	before := slices.Clone(p.sorted)
 	for _, s := range before {
 		s.configured = false
@@ -217,6 +217,10 @@
 	return s.configured && s.health == HealthUp && !p.now.Before(s.leavingUntil) && !p.now.Before(s.pausedUntil)
 }
 
+// acceptsNow reports whether a server is up, and takes another request by the limit that
+// it names.
+func (p *Pool) acceptsNow(s *server) bool { return p.up(s) && s.rate.allows(p.now) }
+
 // pauseServer stops grants to an unreachable server. The pause doubles with each
 // consecutive failure.
 func (p *Pool) pauseServer(s *server) {
--- a/pool/serverrate.go
+++ b/pool/serverrate.go
@@ -84,6 +84,17 @@
 	p.emit(ServerRateChanged{Server: s.info.Name, PerSecond: perSecond})
 }
 
+// setRateShare sets the part of the servers' limits that this pool may use.
+func (p *Pool) setRateShare(share float64) {
+	if share == p.rateShare {
+		return
+	}
+	p.rateShare = share
+	for _, s := range p.sorted {
+		s.rate.set(p.now, s.rate.perSecond, share)
+	}
+}
+
 // endServerRate ends a server's limit if a run granted after the limit was named has been
 // answered without one. Of a run that an earlier owner granted, nobody knows here whether
 // it is that recent.
--- a/pool/serverrate_test.go
+++ b/pool/serverrate_test.go
@@ -148,5 +148,12 @@
 		r.enqueue(0)
 		So(grants(r.advance(500*time.Millisecond)), ShouldBeEmpty)
 		So(grants(r.advance(500*time.Millisecond)), ShouldHaveLength, 1)
+
+		Convey("and another one once that changes", func() {
+			r.send(ServerSet{Servers: servers(1, 8), RateShare: 0.25})
+			r.enqueue(0)
+			So(grants(r.advance(1900*time.Millisecond)), ShouldBeEmpty)
+			So(grants(r.advance(100*time.Millisecond)), ShouldHaveLength, 1)
+		})
 	})
 }
