pool, soak, gateway: usual words for contents that crash servers, one type for what is shared

No behaviour changes: comments and names of tests said guilty and innocent, and ShareSuspect repeated the fields of SuspectShared.

--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -83,7 +83,7 @@
 
 // confirmAfterCrashes is the number of servers that may crash under a content in a row
 // before its requests are refused. A crash takes a whole batch along, so that fewer would
-// refuse contents that were beside the guilty one.
+// refuse contents that were beside the one that crashes servers.
 const confirmAfterCrashes = 3
 
 func newScheduler(p *workspace.ResolvedPool, epoch uint64) poolhost.Scheduler {
--- a/internal/poolhost/broadcast.go
+++ b/internal/poolhost/broadcast.go
@@ -58,7 +58,7 @@
 }
 
 // sharedCrashes is the number of crashes under a fingerprint from which all members hear
-// of it. Most fingerprints were beside the guilty one, and are cleared soon.
+// of it. Most fingerprints were beside the one that crashes servers, and are cleared soon.
 const sharedCrashes = 2
 
 // broadcastSuspect sends a suspect to this daemon's other pools and to all members.
--- a/pool/commands.go
+++ b/pool/commands.go
@@ -34,15 +34,8 @@
 	Pool    string
 }
 
-// ShareSuspect announces a fingerprint's state to all other pools.
-type ShareSuspect struct {
-	Fingerprint uint64
-	State       SuspectState
-	ExpiresIn   time.Duration
-	Crashes     []string
-	Trials      int
-	TrialIn     time.Duration
-}
+// ShareSuspect announces what is known of a fingerprint to all other pools.
+type ShareSuspect SuspectShared
 
 // BreakerChanged reports that a server's circuit breaker opened or closed. It is only
 // logged.
--- a/pool/crashcount.go
+++ b/pool/crashcount.go
@@ -122,7 +122,7 @@
 }
 
 // beginTrial lets a request with a confirmed content run if a trial is due. Without
-// trials, a content that ran beside the guilty one each time would be refused for as
+// trials, a content that ran beside the one that crashes servers each time would be refused for as
 // long as that one.
 func (p *Pool) beginTrial(w *waiter) {
 	if p.countsCrashes() && !w.trial {
--- a/pool/crashcount_test.go
+++ b/pool/crashcount_test.go
@@ -11,8 +11,8 @@
 )
 
 const (
-	guilty   = 1
-	innocent = 2
+	crashing = 1
+	harmless = 2
 )
 
 // crashHarness drives a pool that counts crashes.
@@ -55,41 +55,41 @@
 func TestContentIsConfirmedByCrashesInARow(t *testing.T) {
 	Convey("Given two servers that crashed under a content", t, func() {
 		r := newCrashHarness(servers(6, 2)...)
-		r.crash(guilty, 2)
+		r.crash(crashing, 2)
 
 		Convey("it still runs beside others", func() {
-			r.run(innocent)
-			g := r.run(guilty)
+			r.run(harmless)
+			g := r.run(crashing)
 			Convey("and is refused once a third one has crashed, with the time of its trial", func() {
 				out := r.lose(g, true)
 				So(out, ShouldContain, ServerCrashed{Server: g.Server, Contents: 1})
-				shed := sheds(r.enqueue(guilty))
+				shed := sheds(r.enqueue(crashing))
 				So(shed, ShouldHaveLength, 1)
 				So(shed[0].Reason, ShouldEqual, request.ReasonSuspectConfirmed)
 				So(shed[0].RetryAfter, ShouldEqual, 10*time.Second)
-				r.run(innocent)
+				r.run(harmless)
 			})
 		})
 		Convey("the same server counts once, though several runs were lost with it", func() {
 			running := map[string]Grant{}
-			a := r.run(guilty)
+			a := r.run(crashing)
 			for running[a.Server].Server == "" {
 				running[a.Server] = a
-				a = r.run(guilty)
+				a = r.run(crashing)
 			}
 			r.lose(a, true)
 			r.lose(running[a.Server], false)
-			So(r.suspects.Record(r.now, guilty).Crashes, ShouldHaveLength, 3)
+			So(r.suspects.Record(r.now, crashing).Crashes, ShouldHaveLength, 3)
 		})
 		Convey("a finished run of it breaks the row", func() {
-			r.endRun(r.run(guilty), OutcomeDone)
-			r.crash(guilty, 2)
-			r.run(guilty)
+			r.endRun(r.run(crashing), OutcomeDone)
+			r.crash(crashing, 2)
+			r.run(crashing)
 		})
 		Convey("a failed run does not", func() {
-			r.endRun(r.run(guilty), OutcomeFailed)
-			r.crash(guilty, 1)
-			So(shedReason(r.enqueue(guilty)), ShouldEqual, request.ReasonSuspectConfirmed)
+			r.endRun(r.run(crashing), OutcomeFailed)
+			r.crash(crashing, 1)
+			So(shedReason(r.enqueue(crashing)), ShouldEqual, request.ReasonSuspectConfirmed)
 		})
 	})
 }
@@ -100,29 +100,29 @@
 	Convey("Given a content whose answers are lost again and again", t, func() {
 		r := newCrashHarness(servers(1, 4)...)
 		for range 6 {
-			r.lose(r.run(guilty), false)
+			r.lose(r.run(crashing), false)
 			r.advance(time.Second)
-			r.endRun(r.run(innocent), OutcomeDone)
+			r.endRun(r.run(harmless), OutcomeDone)
 		}
-		Convey("it is served", func() { r.run(guilty) })
+		Convey("it is served", func() { r.run(crashing) })
 		Convey("and losses before a run that was answered don't count when the server crashes later", func() {
-			r.lose(r.run(innocent), true)
-			So(r.suspects.Record(r.now, guilty).Crashes, ShouldBeEmpty)
+			r.lose(r.run(harmless), true)
+			So(r.suspects.Record(r.now, crashing).Crashes, ShouldBeEmpty)
 		})
 	})
 }
 
-// Guards against: a content that finished after its answer was lost is accused when the
+// Guards against: a content that finished after its answer was lost counts as a suspect when the
 // crash becomes known later.
 func TestFinishedRunDisprovesEarlierLosses(t *testing.T) {
 	Convey("Given a content whose answer was lost, and that finished on another server", t, func() {
 		r := newCrashHarness(servers(2, 1)...)
-		g, other := r.run(innocent), r.run(innocent)
+		g, other := r.run(harmless), r.run(harmless)
 		r.lose(g, false)
 		r.endRun(other, OutcomeDone)
 		Convey("the crash of the first server doesn't count for it", func() {
 			r.send(ServerSet{Servers: []ServerInfo{{Name: other.Server, Generation: "g", Slots: 2}}})
-			So(r.suspects.Record(r.now, innocent).Crashes, ShouldBeEmpty)
+			So(r.suspects.Record(r.now, harmless).Crashes, ShouldBeEmpty)
 		})
 	})
 }
@@ -131,8 +131,8 @@
 func TestCrashIsNoticedWhenTheServerDisappears(t *testing.T) {
 	Convey("Given a content whose answer was lost", t, func() {
 		r := newCrashHarness(servers(1, 2)...)
-		r.lose(r.run(guilty), false)
-		crashes := func() []string { return r.suspects.Record(r.now, guilty).Crashes }
+		r.lose(r.run(crashing), false)
+		crashes := func() []string { return r.suspects.Record(r.now, crashing).Crashes }
 
 		Convey("the crash counts when its server is not listed any more", func() {
 			r.advance(4 * time.Second)
@@ -141,7 +141,7 @@
 		})
 		Convey("and when the server has started again under its name", func() {
 			r.send(ServerSet{Servers: []ServerInfo{{Name: "s0", Slots: 2, Incarnation: "1"}}})
-			r.lose(r.run(guilty), false)
+			r.lose(r.run(crashing), false)
 			r.send(ServerSet{Servers: []ServerInfo{{Name: "s0", Slots: 2, Incarnation: "2"}}})
 			So(crashes(), ShouldHaveLength, 1)
 		})
@@ -156,52 +156,52 @@
 			So(crashes(), ShouldBeEmpty)
 		})
 	})
-	Convey("What a leaving server breaks off accuses nobody", t, func() {
+	Convey("What a leaving server breaks off counts for no content", t, func() {
 		r := newCrashHarness(servers(1, 2)...)
-		g := r.run(innocent)
+		g := r.run(harmless)
 		r.send(ServerHealth{Server: "s0", Health: HealthLeaving})
 		r.lose(g, false)
 		r.send(ServerSet{})
-		So(r.suspects.Record(r.now, innocent).Crashes, ShouldBeEmpty)
+		So(r.suspects.Record(r.now, harmless).Crashes, ShouldBeEmpty)
 	})
 }
 
-// Guards against: a content that ran beside the guilty one each time is refused for as
+// Guards against: a content that ran beside the one that crashes servers each time is refused for as
 // long as that one.
 func TestConfirmedContentGetsTrials(t *testing.T) {
 	Convey("Given a confirmed content", t, func() {
 		r := newCrashHarness(servers(8, 2)...)
-		r.crash(guilty, 3)
-		So(shedReason(r.enqueue(guilty)), ShouldEqual, request.ReasonSuspectConfirmed)
+		r.crash(crashing, 3)
+		So(shedReason(r.enqueue(crashing)), ShouldEqual, request.ReasonSuspectConfirmed)
 
 		Convey("one request of it runs when its trial is due", func() {
 			r.advance(10 * time.Second)
-			g := r.run(guilty)
-			So(shedReason(r.enqueue(guilty)), ShouldEqual, request.ReasonSuspectConfirmed)
+			g := r.run(crashing)
+			So(shedReason(r.enqueue(crashing)), ShouldEqual, request.ReasonSuspectConfirmed)
 			Convey("and others follow if it finishes", func() {
 				out := r.endRun(g, OutcomeDone)
-				So(out, ShouldContain, ShareSuspect{Fingerprint: guilty, State: SuspectCleared})
-				r.run(guilty)
-				r.run(guilty)
+				So(out, ShouldContain, ShareSuspect{Fingerprint: crashing, State: SuspectCleared})
+				r.run(crashing)
+				r.run(crashing)
 			})
 			Convey("but if its server crashes, the second trial is later and the last one", func() {
 				r.lose(g, true)
 				r.advance(50 * time.Second)
-				So(shedReason(r.enqueue(guilty)), ShouldEqual, request.ReasonSuspectConfirmed)
+				So(shedReason(r.enqueue(crashing)), ShouldEqual, request.ReasonSuspectConfirmed)
 				r.advance(10 * time.Second)
-				r.lose(r.run(guilty), true)
+				r.lose(r.run(crashing), true)
 				r.advance(5 * time.Minute)
-				So(shedReason(r.enqueue(guilty)), ShouldEqual, request.ReasonSuspectConfirmed)
+				So(shedReason(r.enqueue(crashing)), ShouldEqual, request.ReasonSuspectConfirmed)
 			})
 		})
 		Convey("a trial that gets no slot leaves its turn to another request", func() {
 			r.send(ServerSet{})
 			r.advance(10 * time.Second)
-			So(r.enqueue(guilty), ShouldBeEmpty)
+			So(r.enqueue(crashing), ShouldBeEmpty)
 			r.send(Withdraw{Request: request.ID(fmt.Sprint("r", r.requests)), Entry: "e1"})
 			r.send(ServerSet{Servers: servers(8, 2)})
 			r.advance(3 * time.Second)
-			r.run(guilty)
+			r.run(crashing)
 		})
 	})
 }
@@ -210,20 +210,20 @@
 func TestCrashesOfOtherPoolsAreCounted(t *testing.T) {
 	Convey("Given a pool in which one server crashed under a content", t, func() {
 		r := newCrashHarness(servers(4, 2)...)
-		r.crash(guilty, 1)
+		r.crash(crashing, 1)
 		Convey("it is refused when other pools report two other servers", func() {
-			r.send(SuspectShared{Fingerprint: guilty, State: Suspected, ExpiresIn: time.Minute, Crashes: []string{"x/", "y/"}})
-			So(shedReason(r.enqueue(guilty)), ShouldEqual, request.ReasonSuspectConfirmed)
+			r.send(SuspectShared{Fingerprint: crashing, State: Suspected, ExpiresIn: time.Minute, Crashes: []string{"x/", "y/"}})
+			So(shedReason(r.enqueue(crashing)), ShouldEqual, request.ReasonSuspectConfirmed)
 		})
 		Convey("it is not if they report the same one", func() {
-			own := r.suspects.Record(r.now, guilty).Crashes
-			r.send(SuspectShared{Fingerprint: guilty, State: Suspected, ExpiresIn: time.Minute, Crashes: append(own, "x/")})
-			r.run(guilty)
+			own := r.suspects.Record(r.now, crashing).Crashes
+			r.send(SuspectShared{Fingerprint: crashing, State: Suspected, ExpiresIn: time.Minute, Crashes: append(own, "x/")})
+			r.run(crashing)
 		})
 		Convey("nor after one of them has finished it", func() {
-			r.send(SuspectShared{Fingerprint: guilty, State: SuspectCleared})
-			r.crash(guilty, 2)
-			r.run(guilty)
+			r.send(SuspectShared{Fingerprint: crashing, State: SuspectCleared})
+			r.crash(crashing, 2)
+			r.run(crashing)
 		})
 	})
 }
--- a/test/soak/crashing_test.go
+++ b/test/soak/crashing_test.go
@@ -48,7 +48,7 @@
 func TestRequestThatCrashesServersIsSentOn(t *testing.T) {
 	f, c, record := runCrashing(t, *firstSeed, 15*time.Second, undisturbed)
 	f.checkCrashing(c, record)
-	f.checkInnocent(c)
+	f.checkHarmless(c)
 }
 
 // Guards against: what is known of a request that crashes servers is lost when the pool's
@@ -94,7 +94,7 @@
 	for k, x := range crashingContents {
 		wg.Go(func() { c.sendContent(ctx, f.nodes, crashingInterval, fmt.Sprint("crash-", k, "-"), x.path, x.body) })
 		wg.Go(func() {
-			c.sendContent(ctx, f.nodes, crashingInterval/10, fmt.Sprint("often-", k, "-"), x.path, innocentBody)
+			c.sendContent(ctx, f.nodes, crashingInterval/10, fmt.Sprint("often-", k, "-"), x.path, harmlessBody)
 		})
 	}
 	wg.Wait()
@@ -104,8 +104,8 @@
 	return f, c, record
 }
 
-// innocentBody is the body of requests that come often and crash nothing.
-const innocentBody = "often and harmless"
+// harmlessBody is the body of requests that come often and crash nothing.
+const harmlessBody = "often and harmless"
 
 // addCrashingServer starts and registers a server that a content crashes. Each time it is
 // followed by a server with a new ID, every second one at the same address.
@@ -230,11 +230,11 @@
 	}
 }
 
-// innocentWithin is the time at the end of a run in which a harmless content is served.
-const innocentWithin = 3 * time.Second
+// harmlessWithin is the time at the end of a run in which a harmless content is served.
+const harmlessWithin = 3 * time.Second
 
-// checkInnocent checks that a content that crashes nothing is served at the end.
-func (f *fleet) checkInnocent(c *callers) {
+// checkHarmless checks that a content that crashes nothing is served at the end.
+func (f *fleet) checkHarmless(c *callers) {
 	end := time.Time{}
 	for _, x := range c.all {
 		if x.sentAt.After(end) {
@@ -243,10 +243,10 @@
 	}
 	for _, crashing := range crashingContents {
 		served := slices.ContainsFunc(c.all, func(x *call) bool {
-			return x.content == innocentBody && x.path == crashing.path && x.status == http.StatusOK && x.complete && end.Sub(x.sentAt) <= innocentWithin
+			return x.content == harmlessBody && x.path == crashing.path && x.status == http.StatusOK && x.complete && end.Sub(x.sentAt) <= harmlessWithin
 		})
 		if !served {
-			f.t.Errorf("%s: no request with the harmless content was served in the last %v", crashing.path, innocentWithin)
+			f.t.Errorf("%s: no request with the harmless content was served in the last %v", crashing.path, harmlessWithin)
 		}
 	}
 }
