pool, poolhost: logs and metrics tell when and by whose report a server gets no grants

Whether the servers were paused by failed connects of a daemon, or the slots drawn by its requests, could not be told. "Server paused." names the daemon, the length of the pause and whether the server had refused; the line of a crowded pool counts the paused servers.

--- a/internal/poolhost/host.go
+++ b/internal/poolhost/host.go
@@ -36,6 +36,8 @@
 	aliveNames []string
 
 	suspects *suspects
+	// pauseLogLimiter limits the rate of "Server paused." lines.
+	pauseLogLimiter *logs.Limiter
 }
 
 // reconcileInputs are the inputs of the last reconciliation.
@@ -47,7 +49,7 @@
 // New returns a host that owns no pool until the first Tick or Run.
 func New(cfg Config) *Host {
 	cfg = cfg.withDefaults()
-	h := &Host{cfg: cfg, shares: map[*StaticShare]struct{}{}, suspects: newSuspects(cfg.ConfirmAfterCrashes)}
+	h := &Host{cfg: cfg, shares: map[*StaticShare]struct{}{}, suspects: newSuspects(cfg.ConfirmAfterCrashes), pauseLogLimiter: logs.NewLimiter(maxPauseLinesPerSecond)}
 	h.count = newCounters(cfg.Metrics)
 	h.owned.Store(&map[string]*Runtime{})
 	h.draining.Store(&map[string]*Runtime{})
--- a/internal/poolhost/report.go
+++ b/internal/poolhost/report.go
@@ -3,6 +3,7 @@
 import (
 	"expvar"
 	"fmt"
+	"time"
 
 	"github.com/sirupsen/logrus"
 
@@ -61,15 +62,18 @@
 	if refused == 0 {
 		return
 	}
-	healthy := 0
+	healthy, paused := 0, 0
 	for _, x := range s.Servers {
+		if x.Paused {
+			paused++
+		}
 		if x.Health == pool.HealthUp {
 			healthy++
 		}
 	}
 	logs.For("poolhost").WithFields(logrus.Fields{
 		"pool": r.name, "shed": refused, "waiting": s.Waiting, "running": s.Running, "free": s.Free,
-		"servers_up": healthy, "servers": len(s.Servers), "share": r.degraded, "lost_runs": s.LostRuns,
+		"servers_up": healthy, "servers_paused": paused, "servers": len(s.Servers), "share": r.degraded, "lost_runs": s.LostRuns,
 		"tier_granted": granted, "tier_granted_late": late, "tier_shed": shed, "tier_expired": expired, "tier_slot_ms": slotMs,
 	}).Info("Pool is crowded.")
 }
@@ -85,6 +89,22 @@
 	l.Info("Circuit breaker closed.")
 }
 
+// maxPauseLinesPerSecond limits the "Server paused." lines of a daemon.
+const maxPauseLinesPerSecond = 20
+
+// logPause logs that a server gets no grants for a while, and whose report was the cause.
+func (r *Runtime) logPause(c pool.ServerPaused) {
+	r.host.count.pauses.Add(1)
+	omitted, ok := r.host.pauseLogLimiter.Allow(time.Now())
+	if !ok {
+		return
+	}
+	logs.For("poolhost").WithFields(logrus.Fields{
+		"pool": r.name, "server": c.Server, "entry": c.Entry, "pause_ms": c.For.Milliseconds(), "refused": c.Refused,
+		"share": r.degraded, "omitted": omitted,
+	}).Info("Server paused.")
+}
+
 // logCrash logs that a server crashed while it ran requests.
 func (r *Runtime) logCrash(c pool.ServerCrashed) {
 	r.host.count.crashes.Add(1)
--- a/internal/poolhost/runtime.go
+++ b/internal/poolhost/runtime.go
@@ -116,6 +116,8 @@
 		}
 	case pool.ShareSuspect:
 		r.host.broadcastSuspect(r, c)
+	case pool.ServerPaused:
+		r.logPause(c)
 	case pool.BreakerChanged:
 		r.logBreaker(c)
 	case pool.ServerCrashed:
--- a/pool/commands.go
+++ b/pool/commands.go
@@ -44,6 +44,16 @@
 	Open   bool
 }
 
+// ServerPaused reports that a server gets no grants for a while, since an entry could not
+// reach it or it has refused a request. It is only logged.
+type ServerPaused struct {
+	Server string
+	Entry  EntryID
+	For    time.Duration
+	// Refused is set if the server has refused a request.
+	Refused bool
+}
+
 // ServerCrashed reports that a server crashed while it ran requests. Contents counts their
 // different fingerprints. It is only logged.
 type ServerCrashed struct {
@@ -79,6 +89,7 @@
 func (Redirect) command()          {}
 func (ShareSuspect) command()      {}
 func (BreakerChanged) command()    {}
+func (ServerPaused) command()      {}
 func (ServerCrashed) command()     {}
 func (ServerRateChanged) command() {}
 func (Expired) command()           {}
--- a/pool/run.go
+++ b/pool/run.go
@@ -193,7 +193,11 @@
 		s.leavingUntil = p.now.Add(leavingTimeout)
 		return
 	}
+	paused := p.now.Before(s.pausedUntil)
 	p.pauseServer(s)
+	if !paused {
+		p.emit(ServerPaused{Server: s.info.Name, Entry: r.entry, For: s.backoff, Refused: e.Outcome == OutcomeRefused})
+	}
 }
 
 // handleDone updates the statistics from a complete answer.
--- a/pool/summary.go
+++ b/pool/summary.go
@@ -29,6 +29,9 @@
 	Running   int
 	Limit     int
 	Straggler bool
+	// Paused is set while the server gets no grants because it could not be reached or has
+	// refused a request.
+	Paused bool
 }
 
 // Summary returns a snapshot of the pool's load at time now.
@@ -51,6 +54,7 @@
 		}
 		sum.Servers = append(sum.Servers, ServerSummary{
 			Name: s.info.Name, Health: s.health, Running: len(s.running), Limit: n, Straggler: s.straggler,
+			Paused: p.now.Before(s.pausedUntil),
 		})
 	}
 	return sum
