--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -85,7 +85,7 @@
 	g.limiter = quota.NewLimiter(time.Now, g.initialDaemons(), quota.Tolerance{
 		Window: seconds(s.Bounds.QuotaWindowS), Over: s.Bounds.QuotaOver, Slack: s.Bounds.QuotaSlack,
 	})
-	servers := forward.NewConnPools(httpconn.Settings{})
+	servers := forward.NewConnPools(httpconn.Settings{Dial: p.DialServer})
 	g.state = newState(p, s.Region, g.routes, g.snapshot, g.limiter, servers.Update, m)
 	g.rollouts = newRollouts(g.state, s.Bounds, m)
 	g.forward = forward.New(forward.Deps{
--- a/internal/gateway/platform.go
+++ b/internal/gateway/platform.go
@@ -6,6 +6,7 @@
 import (
 	"github.com/lycheekeel/lycheekeel/discovery"
 	"github.com/lycheekeel/lycheekeel/internal/forward"
+	"github.com/lycheekeel/lycheekeel/internal/httpconn"
 	"github.com/lycheekeel/lycheekeel/objectstore"
 	"github.com/lycheekeel/lycheekeel/rollout"
 	"github.com/lycheekeel/lycheekeel/route"
@@ -21,6 +22,8 @@
 	// Status writes the states of rollouts.
 	Status objectstore.StatusWriter
 	Wire   forward.Wire
+	// DialServer opens connections to backend servers; nil: TCP.
+	DialServer httpconn.DialFunc
 	// ReadinessPath is the path of the balancer's readiness checks.
 	ReadinessPath string
 	// ConfigurationKind holds the configuration, in the object ConfigurationName.
--- a/internal/httpconn/pool.go
+++ b/internal/httpconn/pool.go
@@ -35,6 +35,17 @@
 	IdleTimeout time.Duration
 	// MaxIdleConns is how many idle connections are kept. Default 256.
 	MaxIdleConns int
+	// Dial opens connections. Default TCP.
+	Dial DialFunc
+}
+
+// DialFunc opens a connection to an address (host:port) before ctx ends.
+type DialFunc func(ctx context.Context, address string) (net.Conn, error)
+
+// dialTCP is the default DialFunc.
+func dialTCP(ctx context.Context, address string) (net.Conn, error) {
+	var d net.Dialer
+	return d.DialContext(ctx, "tcp", address)
 }
 
 // Defaults of Settings.
@@ -58,6 +69,9 @@
 	if s.MaxIdleConns <= 0 {
 		s.MaxIdleConns = DefaultMaxIdleConns
 	}
+	if s.Dial == nil {
+		s.Dial = dialTCP
+	}
 	return s
 }
 
@@ -74,7 +88,6 @@
 type Pool struct {
 	address  string
 	settings Settings
-	dialer   net.Dialer
 
 	mu            sync.Mutex
 	idle          []*Conn // oldest first
@@ -85,8 +98,7 @@
 
 // NewPool returns a pool for an address (host:port). It connects on the first Send.
 func NewPool(address string, s Settings) *Pool {
-	s = s.withDefaults()
-	return &Pool{address: address, settings: s, dialer: net.Dialer{Timeout: s.DialTimeout}}
+	return &Pool{address: address, settings: s.withDefaults()}
 }
 
 // Address returns the pool's address.
@@ -172,7 +184,9 @@
 			return c, nil
 		}
 	}
-	nc, err := p.dialer.DialContext(ctx, "tcp", p.address)
+	dialCtx, cancel := context.WithTimeout(ctx, p.settings.DialTimeout)
+	defer cancel()
+	nc, err := p.settings.Dial(dialCtx, p.address)
 	if errors.Is(err, syscall.ECONNREFUSED) {
 		return nil, errors.Wrapf(engine.ErrConnRefused, "connect %s: %v", p.address, err)
 	}
--- a/test/soak/crashing_test.go
+++ b/test/soak/crashing_test.go
@@ -89,7 +89,7 @@
 	var wg conc.WaitGroup
 	wg.Go(func() { disturb(ctx, f, record) })
 	wg.Go(func() {
-		c.sendAtInterval(ctx, f.nodes, func(i int) string { return []string{resumePath(0), "/again/"}[i/len(f.nodes)%2] })
+		c.sendAtInterval(ctx, arrivalInterval, f.nodes, func(i int) string { return []string{resumePath(0), "/again/"}[i/len(f.nodes)%2] })
 	})
 	for k, x := range crashingContents {
 		wg.Go(func() { c.sendContent(ctx, f.nodes, crashingInterval, fmt.Sprint("crash-", k, "-"), x.path, x.body) })
--- a/test/soak/fleet_test.go
+++ b/test/soak/fleet_test.go
@@ -45,7 +45,8 @@
 	waitLimit = 60 * time.Second
 )
 
-var gatewayBinary string
+// The daemon, and the daemon with a switch that partitions it from all servers.
+var gatewayBinary, partitionedBinary string
 
 func TestMain(m *testing.M) {
 	flag.Parse()
@@ -54,17 +55,24 @@
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(1)
 	}
-	gatewayBinary = filepath.Join(dir, "lycheekeeld")
+	gatewayBinary, partitionedBinary = filepath.Join(dir, "lycheekeeld"), filepath.Join(dir, "partitioned")
 	code := 1
-	if logFile, err := exec.Command("go", "build", "-o", gatewayBinary, "../../cmd/lycheekeeld").CombinedOutput(); err != nil {
-		fmt.Fprintf(os.Stderr, "build: %v\n%s", err, logFile)
-	} else {
+	if build(gatewayBinary, "../../cmd/lycheekeeld") && build(partitionedBinary, "./partitioned") {
 		code = m.Run()
 	}
 	_ = os.RemoveAll(dir)
 	os.Exit(code)
 }
 
+// build builds a program, and reports whether it could.
+func build(binary, source string) bool {
+	out, err := exec.Command("go", "build", "-o", binary, source).CombinedOutput()
+	if err != nil {
+		fmt.Fprintf(os.Stderr, "build: %v\n%s", err, out)
+	}
+	return err == nil
+}
+
 // fleet holds the processes, servers and store of one run.
 type fleet struct {
 	t              *testing.T
@@ -82,6 +90,8 @@
 	revokedAt map[string]time.Time
 	// badServers are the servers of the version that fails every request; nil: it was not rolled out.
 	badServers []*server
+	// partitionable is set if the nodes can be partitioned from all servers.
+	partitionable bool
 	// restarts tracks goroutines that wait for a process to exit and then restart its node.
 	restarts conc.WaitGroup
 }
@@ -121,6 +131,8 @@
 	fails func(n int) bool
 	// resumeTiers is the number of tiers with a resumePath; default 1.
 	resumeTiers int
+	// partitionable nodes can be partitioned from all servers.
+	partitionable bool
 }
 
 func newFleet(t *testing.T, o fleetOptions) *fleet {
@@ -129,7 +141,7 @@
 	o.onceTimeout = cmp.Or(o.onceTimeout, 8*time.Second)
 	o.resumeTimeout = cmp.Or(o.resumeTimeout, 8*time.Second)
 	o.resumeTiers = cmp.Or(o.resumeTiers, 1)
-	f := &fleet{t: t, eventInterval: o.eventInterval, fails: o.fails, dir: t.TempDir(), store: standin.NewStore(50), revokedAt: map[string]time.Time{}}
+	f := &fleet{t: t, eventInterval: o.eventInterval, fails: o.fails, partitionable: o.partitionable, dir: t.TempDir(), store: standin.NewStore(50), revokedAt: map[string]time.Time{}}
 	f.storeAddr, _ = f.serve(f.store.Serve)
 	f.config = &standin.Configuration{
 		Tenant: "space",
@@ -265,6 +277,9 @@
 	}
 	defer logFile.Close()
 	n.cmd = exec.Command(gatewayBinary, "gateway", "--settings="+file)
+	if n.fleet.partitionable {
+		n.cmd = exec.Command(partitionedBinary, file, n.partitionFile())
+	}
 	n.cmd.Stdout, n.cmd.Stderr = logFile, logFile
 	n.cmd.Env = append(os.Environ(), "GOMAXPROCS=2")
 	if err := n.cmd.Start(); err != nil {
--- a/test/soak/limit_test.go
+++ b/test/soak/limit_test.go
@@ -72,7 +72,7 @@
 	record := newFaultRecord()
 	wg.Go(func() { disturb(ctx, f, record) })
 	wg.Go(func() {
-		c.sendAtInterval(ctx, f.nodes, func(i int) string { return []string{resumePath(0), "/again/"}[i/len(f.nodes)%2] })
+		c.sendAtInterval(ctx, arrivalInterval, f.nodes, func(i int) string { return []string{resumePath(0), "/again/"}[i/len(f.nodes)%2] })
 	})
 	var limited []*server
 	for _, x := range []struct{ service, perSecond string }{{"llm", "2.3"}, {"app", "1.1"}} {
--- a/test/soak/retries_test.go
+++ b/test/soak/retries_test.go
@@ -41,7 +41,7 @@
 	defer cancel()
 	var wg conc.WaitGroup
 	wg.Go(func() {
-		c.sendAtInterval(ctx, f.nodes, func(i int) string { return resumePath(i / len(f.nodes) % waitingTiers) })
+		c.sendAtInterval(ctx, arrivalInterval, f.nodes, func(i int) string { return resumePath(i / len(f.nodes) % waitingTiers) })
 	})
 	// The only server with free slots fails a part of its requests; their retries wait.
 	f.eventInterval, f.fails = fastEventInterval, everySecond
@@ -66,7 +66,7 @@
 		defer cancel()
 		var wg conc.WaitGroup
 		wg.Go(func() {
-			c.sendAtInterval(ctx, f.nodes, func(i int) string { return []string{resumePath(0), "/again/"}[i/len(f.nodes)%2] })
+			c.sendAtInterval(ctx, arrivalInterval, f.nodes, func(i int) string { return []string{resumePath(0), "/again/"}[i/len(f.nodes)%2] })
 		})
 		f.injectFaults(rand.New(rand.NewPCG(uint64(seed), 1)), func(string) bool { return true })
 		sleep(ctx, retryWindow/2)
@@ -79,10 +79,10 @@
 
 // sendAtInterval sends requests to the nodes in turn, each on a connection of its own, until
 // the context ends. pathOf returns the path of the ith. It returns when all have ended.
-func (c *callers) sendAtInterval(ctx context.Context, nodes []*node, pathOf func(i int) string) {
+func (c *callers) sendAtInterval(ctx context.Context, interval time.Duration, nodes []*node, pathOf func(i int) string) {
 	var wg conc.WaitGroup
 	defer wg.Wait()
-	tick := time.NewTicker(arrivalInterval)
+	tick := time.NewTicker(interval)
 	defer tick.Stop()
 	for i := 0; ctx.Err() == nil; i++ {
 		x := &call{id: fmt.Sprint(requestIDPrefix, "r-", i), path: pathOf(i), apiKey: "k1", node: nodes[i%len(nodes)], timeout: streamTimeout}
