pool: a server that one entry can't reach is taken from that entry alone

Cause: one failed connect of one entry paused the server for all, 250 ms doubling to 5 s. A refused connect also counted a crash for the contents whose answers were lost there.

Now a failed connect pauses the way of that entry to the server; its requests get other servers or wait, and block nobody's. A server is paused for all, and gone, if another daemon could not reach it either (a field of the release, unset so far), if two entries say so, each of which has found no other server gone since its last answer, or if there is one entry. A lost stream says nothing of a server that another daemon reaches: not to its breaker, its failure rate, or the contents that were lost there.

Requests that follow a warm prefix, holds and probes look at the same ways; the first of these also sent a retry to the server that had failed it.

--- a/broker/broker.go
+++ b/broker/broker.go
@@ -57,4 +57,6 @@
 	PrefillComputed int
 	RefusedLeaving  bool
 	ServerGone      bool
+	// Reach tells what another daemon found of a server that this one could not reach.
+	Reach pool.Reach
 }
--- a/broker/grant.go
+++ b/broker/grant.go
@@ -54,7 +54,7 @@
 		Request: g.spec.ID, Grant: g.id, Server: g.server.Name, Outcome: c.Outcome,
 		FirstToken: c.FirstToken, Total: c.Total, OutputTokens: c.OutputTokens,
 		PromptTokens: c.PromptTokens, PrefillComputed: c.PrefillComputed, RefusedLeaving: c.RefusedLeaving,
-		ServerGone: c.ServerGone,
+		ServerGone: c.ServerGone, Reach: c.Reach,
 	})
 }
 
--- a/internal/poolwire/check.go
+++ b/internal/poolwire/check.go
@@ -190,6 +190,7 @@
 		FirstToken: c.elapsed("first_token", m.GetFirstToken()), Total: c.elapsed("total", m.GetTotal()),
 		OutputTokens: c.number("output_tokens", m.GetOutputTokens()), PromptTokens: c.number("prompt_tokens", m.GetPromptTokens()),
 		PrefillComputed: c.number("prefill_computed", m.GetPrefillComputed()), RefusedLeaving: m.GetRefusedLeaving(), ServerGone: m.GetServerGone(),
+		Reach: pool.Reach(c.enum("reach", m.GetReach(), uint32(pool.UnreachableByPeer)+1)),
 	}
 }
 
--- a/internal/poolwire/encode.go
+++ b/internal/poolwire/encode.go
@@ -123,7 +123,7 @@
 		Request: string(e.Request), Grant: grantIDToWire(e.Grant), Server: e.Server, Outcome: uint32(e.Outcome),
 		FirstToken: int64(e.FirstToken), Total: int64(e.Total), OutputTokens: uint64(e.OutputTokens),
 		PromptTokens: uint64(e.PromptTokens), PrefillComputed: uint64(e.PrefillComputed),
-		RefusedLeaving: e.RefusedLeaving, ServerGone: e.ServerGone,
+		RefusedLeaving: e.RefusedLeaving, ServerGone: e.ServerGone, Reach: uint32(e.Reach),
 	}
 }
 
--- a/pool/crash.go
+++ b/pool/crash.go
@@ -59,8 +59,8 @@
 			p.readmitCleared(w)
 			continue
 		}
-		if p.isolation == nil {
-			p.isolation = p.pickIsolationServer()
+		if p.isolation == nil || len(p.isolation.running) == 0 && p.pathPaused(w.Entry, p.isolation) {
+			p.isolation = p.pickIsolationServer(w)
 		}
 		if p.isolation == nil || len(p.isolation.running) > 0 || !p.acceptsNow(p.isolation) {
 			return
@@ -94,14 +94,14 @@
 	p.admit(w)
 }
 
-// pickIsolationServer returns the server with the fewest running requests. It skips a
+// pickIsolationServer returns the server with the fewest running requests for a suspect. It skips a
 // server that has just crashed and has not recovered: another crash could not be told
 // from the last one, and would confirm no suspect.
-func (p *Pool) pickIsolationServer() *server {
+func (p *Pool) pickIsolationServer(w *waiter) *server {
 	var best *server
 	for _, s := range p.sorted {
 		ambiguous := !s.crashedAt.IsZero() && s.recoveredAt.IsZero() && p.now.Sub(s.crashedAt) <= crashWindow
-		if p.up(s) && !ambiguous && (best == nil || len(s.running) < len(best.running)) {
+		if p.up(s) && !ambiguous && !p.pathPaused(w.Entry, s) && (best == nil || len(s.running) < len(best.running)) {
 			best = s
 		}
 	}
--- a/pool/crashcount.go
+++ b/pool/crashcount.go
@@ -69,6 +69,7 @@
 // granted, was not lost by a crash.
 func (p *Pool) serverWorks(r *run) {
 	p.endServerRate(r)
+	p.pathWorks(r)
 	s := r.server
 	if len(s.lostAnswers) > 0 {
 		s.lostAnswers = slices.DeleteFunc(s.lostAnswers, func(a lostAnswer) bool { return a.at.Before(r.grantedAt) })
--- a/pool/entries.go
+++ b/pool/entries.go
@@ -30,6 +30,10 @@
 type entry struct {
 	reported  bool
 	goneSince time.Time // zero means alive
+	// paths are its ways to servers that it could not reach lately, by the server's name.
+	paths map[string]*path
+	// foundGone is the first server that it has found gone since its last answer.
+	foundGone string
 }
 
 // limitShare returns the part of a limit that a new owner may use before all entries
@@ -146,6 +150,7 @@
 			p.suspectEnded(r, OutcomeStreamLost)
 		}
 	}
+	p.forgetPaths()
 	for id, x := range p.entries.known {
 		if !x.goneSince.IsZero() && p.now.Sub(x.goneSince) > 2*entryGrace {
 			delete(p.entries.known, id)
--- a/pool/events.go
+++ b/pool/events.go
@@ -119,6 +119,16 @@
 	PerSecond float64
 }
 
+// Reach tells what another daemon found of a server that an entry could not reach.
+type Reach uint8
+
+// The values of Reach.
+const (
+	ReachUnknown      Reach = iota // no other daemon has tried
+	ReachedByPeer                  // another daemon reaches the server
+	UnreachableByPeer              // a daemon that reaches other servers does not reach it either
+)
+
 // Release ends a grant and frees its slot.
 type Release struct {
 	Request         request.ID
@@ -136,6 +146,7 @@
 	// ServerGone is set if the server's process was found to have ended: its address refuses
 	// connections, or is another server's.
 	ServerGone bool
+	Reach      Reach
 }
 
 // Running reports to a new pool owner a run that an earlier owner granted or that the
--- a/pool/hold.go
+++ b/pool/hold.go
@@ -57,7 +57,7 @@
 func (p *Pool) bestFutureOption(w *waiter, current option) (best option, wait time.Duration, computing *run) {
 	maxCost := current.cost - holdMin
 	try := func(s *server, blocks int, after time.Duration, by *run) {
-		if s.straggler || s.overdue || s == p.isolation || s.heldCount >= heldPerSlot*s.info.Slots {
+		if s.straggler || s.overdue || s == p.isolation || p.mustAvoid(w, s) || s.heldCount >= heldPerSlot*s.info.Slots {
 			return
 		}
 		o := p.predictWith(w, s, blocks, 0)
--- a/pool/probe.go
+++ b/pool/probe.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"github.com/lycheekeel/lycheekeel/pool/tier"
 	"github.com/lycheekeel/lycheekeel/request"
 )
 
@@ -29,12 +30,12 @@
 			if p.now.Before(s.breaker.probeAt()) || s.isProbing() {
 				continue
 			}
-			w = p.pickProbe(s.breaker.probeAt(), breakerProbeWait)
+			w = p.pickProbe(s, s.breaker.probeAt(), breakerProbeWait)
 		case p.anyHealthy && s.straggler && !s.overdue:
 			if p.now.Before(s.probeAt) || len(s.running) > 0 {
 				continue
 			}
-			w = p.pickProbe(s.probeAt, stragglerProbeWait)
+			w = p.pickProbe(s, s.probeAt, stragglerProbeWait)
 		default:
 			continue
 		}
@@ -51,12 +52,12 @@
 	return slices.ContainsFunc(s.running, func(r *run) bool { return !r.grantedAt.Before(s.breaker.lastFailure) })
 }
 
-// pickProbe returns the request for a probe, or nil. The probe is due at the given time
+// pickProbe returns the request for a probe of a server, or nil. The probe is due at the given time
 // and waits up to maxWait for a request of the lowest tier.
-func (p *Pool) pickProbe(due time.Time, maxWait time.Duration) *waiter {
+func (p *Pool) pickProbe(s *server, due time.Time, maxWait time.Duration) *waiter {
 	for t := request.MaxTiers - 1; t >= 0; t-- {
 		lowest := request.Tier(t)
-		if it := p.queue.Head(lowest, 0); it != nil {
+		if it := p.firstEligible(lowest, tier.OnTime, func(w *waiter) bool { return !p.pathPaused(w.Entry, s) }); it != nil {
 			w := it.Value
 			if p.divertSuspect(w) {
 				return nil
--- a/pool/run.go
+++ b/pool/run.go
@@ -153,20 +153,17 @@
 		p.handleDone(r, e)
 	case OutcomeNotDispatched:
 		p.refund(r, r.cost)
-	case OutcomeNotSent, OutcomeRefused:
+	case OutcomeNotSent:
+		p.refund(r, r.cost)
+		p.connectFailed(r, e)
+	case OutcomeRefused:
 		p.refund(r, r.cost)
 		p.handleRefusal(r, e)
 	case OutcomeCrashed:
 		p.recordLostRun(r)
 		p.serverCrashed(r.server, r)
 	case OutcomeStreamLost:
-		p.runLost(r)
-		r.server.failureRate.add(p.now, true)
-		p.recordLostRun(r)
-		p.answerLost(r)
-		if e.ServerGone {
-			p.serverGone(r.server)
-		}
+		p.streamLost(r, e)
 	case OutcomeFailed:
 		p.serverWorks(r)
 		p.runFailed(r)
@@ -178,26 +175,35 @@
 	}
 }
 
+// streamLost handles a run whose answer was lost. If another daemon reaches the server, the
+// entry has lost its own link, which says nothing about the server.
+func (p *Pool) streamLost(r *run, e Release) {
+	if e.Reach == ReachedByPeer {
+		return
+	}
+	p.runLost(r)
+	r.server.failureRate.add(p.now, true)
+	p.recordLostRun(r)
+	p.answerLost(r)
+	if p.confirmsGone(r, e) {
+		p.serverGone(r.server)
+	}
+}
+
+// handleRefusal handles a run that the server has refused.
 func (p *Pool) handleRefusal(r *run, e Release) {
 	s := r.server
-	switch {
-	case e.ServerGone:
-		p.serverGone(s)
-	case e.Outcome == OutcomeRefused:
+	if e.ServerGone {
+		p.serverGone(s) // its address is another server's
+	} else {
 		p.serverWorks(r)
 	}
-	if e.Outcome == OutcomeRefused {
-		p.serverAnswered(s)
-	}
+	p.serverAnswered(s)
 	if e.RefusedLeaving {
 		s.leavingUntil = p.now.Add(leavingTimeout)
 		return
 	}
-	paused := p.now.Before(s.pausedUntil)
-	p.pauseServer(s)
-	if !paused {
-		p.emit(ServerPaused{Server: s.info.Name, Entry: r.entry, For: s.backoff, Refused: e.Outcome == OutcomeRefused})
-	}
+	p.pauseForAll(r, true)
 }
 
 // handleDone updates the statistics from a complete answer.
--- a/pool/schedule.go
+++ b/pool/schedule.go
@@ -202,7 +202,7 @@
 	servers, slots := p.serversWithSlots()
 	for t := request.Tier(0); t < request.MaxTiers; t++ {
 		for slots > 0 && slots > p.reservedSlots(request.MaxTiers-1) {
-			it := p.queue.Head(t, tier.Infeasible)
+			it := p.firstEligible(t, tier.Infeasible, func(w *waiter) bool { return p.mayUseOneOf(w, servers) })
 			if it == nil {
 				break
 			}
@@ -219,6 +219,15 @@
 	}
 }
 
+// firstEligible returns the first eligible request near the head of a class, or nil.
+func (p *Pool) firstEligible(t request.Tier, c tier.Class, eligible func(*waiter) bool) *tier.Item[*waiter] {
+	p.candidates = p.queue.Candidates(t, c, 1, eligible, p.candidates[:0])
+	if len(p.candidates) == 0 {
+		return nil
+	}
+	return p.candidates[0]
+}
+
 // preferWarmLate is preferWarm for late requests.
 func (p *Pool) preferWarmLate(head *waiter, o option, others []*tier.Item[*waiter]) (*waiter, option) {
 	s := o.server
@@ -227,7 +236,7 @@
 	}
 	for _, it := range others {
 		w := it.Value
-		if !p.isWarm(w, s) {
+		if !p.isWarm(w, s) || p.mustAvoid(w, s) {
 			continue
 		}
 		if x := p.predict(w, s); p.suspectState(w) == suspect.Clear && p.hasRoom(w, x) {
@@ -250,7 +259,7 @@
 	}
 	for _, it := range others {
 		w := it.Value
-		if !p.isWarm(w, s) {
+		if !p.isWarm(w, s) || p.mustAvoid(w, s) {
 			continue
 		}
 		x := p.predict(w, s)
--- a/pool/server.go
+++ b/pool/server.go
@@ -60,6 +60,7 @@
 	rate         serverRate
 	lostAnswers  []lostAnswer
 	goneSince    time.Time // when its process was found to have ended; zero means not
+	goneReports  []goneReport
 }
 
 func (p *Pool) setServers(e ServerSet) {
@@ -224,10 +225,24 @@
 // pauseServer stops grants to an unreachable server. The pause doubles with each
 // consecutive failure.
 func (p *Pool) pauseServer(s *server) {
-	s.backoff = min(max(2*s.backoff, unreachableBackoffMin), unreachableBackoffMax)
+	s.backoff = nextBackoff(s.backoff)
 	s.pausedUntil = p.now.Add(s.backoff)
 }
 
+func nextBackoff(last time.Duration) time.Duration {
+	return min(max(2*last, unreachableBackoffMin), unreachableBackoffMax)
+}
+
+// pauseForAll stops grants to a server because of a run's end, and logs that.
+func (p *Pool) pauseForAll(r *run, refused bool) {
+	s := r.server
+	paused := p.now.Before(s.pausedUntil)
+	p.pauseServer(s)
+	if !paused {
+		p.emit(ServerPaused{Server: s.info.Name, Entry: r.entry, For: s.backoff, Refused: refused})
+	}
+}
+
 func (p *Pool) updateCache(e ServerCache) {
 	s := p.servers[e.Server]
 	if s == nil || s.prefixID < 0 || p.isBaseline() {
