relay: servers that a daemon can't reach are reached through its peers

Cause: nothing carried a request past a daemon's own links. A refused connect was taken for the end of the server's process.

A connection that can't be opened directly, or takes 100 ms, is asked of a peer: a yamux stream, opened with a protobuf message, then bytes. The daemon that accepted the request still dispatches it and holds its right, its deadline, key, quota, retry and caller; the peer passes bytes on and closes with either end. A peer relays over its own links alone, so that there are no loops, only to registered servers, and a bounded number by its memory. The server's end is marked, so that an answer which ends with its connection never looks complete when the peer fails. A write to a peer that failed counts as sent. A daemon that stops takes no new relayed connections and waits for those it has.

A peer that can't reach the server either tries another one before it says so: only then does the server count as gone or paused for all. A daemon whose peers are all cut off reports its own ways alone. Peers of an earlier version answer nothing, and what is refused counts as before.

Forwarding whole requests to a peer was weighed and not built: a second process would hold the request, so that the right to dispatch, quota, key, caller's end and refusals would each have two owners.

--- a/internal/forward/connpools.go
+++ b/internal/forward/connpools.go
@@ -10,14 +10,29 @@
 // concurrent use.
 type ConnPools struct {
 	settings httpconn.Settings
+	pathDown func(address string) bool
 	pools    sync.Map // address to *httpconn.Pool
 
 	mu           sync.Mutex
 	incarnations map[string]string // as of the last Update
 }
 
-// NewConnPools returns an empty set.
-func NewConnPools(s httpconn.Settings) *ConnPools { return &ConnPools{settings: s} }
+// NewConnPools returns an empty set. pathDown reports whether this daemon can't reach a
+// server that another one reaches; nil: it always can.
+func NewConnPools(s httpconn.Settings, pathDown func(address string) bool) *ConnPools {
+	return &ConnPools{settings: s, pathDown: pathDown}
+}
+
+// PathDown reports whether this daemon can't reach a server that another one reaches.
+func (s *ConnPools) PathDown(address string) bool { return s.pathDown != nil && s.pathDown(address) }
+
+// Incarnations returns the current addresses, each with the name of its server's incarnation.
+// The map is not changed.
+func (s *ConnPools) Incarnations() map[string]string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.incarnations
+}
 
 func (s *ConnPools) pool(address string) *httpconn.Pool {
 	if p, ok := s.pools.Load(address); ok {
--- a/internal/forward/connpools_test.go
+++ b/internal/forward/connpools_test.go
@@ -27,7 +27,7 @@
 		So(err, ShouldBeNil)
 		defer ln.Close()
 		address := ln.Addr().String()
-		s := NewConnPools(httpconn.Settings{})
+		s := NewConnPools(httpconn.Settings{}, nil)
 		send := func() {
 			c, err := s.pool(address).Send(context.Background(), line("x"), httpconn.MayReuse, nil)
 			So(err, ShouldBeNil)
--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -13,6 +13,7 @@
 
 	"github.com/lycheekeel/lycheekeel/broker"
 	"github.com/lycheekeel/lycheekeel/internal/callerwatch"
+	"github.com/lycheekeel/lycheekeel/internal/httpconn"
 	"github.com/lycheekeel/lycheekeel/request"
 	"github.com/lycheekeel/lycheekeel/route"
 	"github.com/lycheekeel/lycheekeel/workspace"
@@ -207,7 +208,7 @@
 
 // watchCaller starts watching for the caller's disconnect and for the deadline.
 func (x *exchange) watchCaller() {
-	parent, cancel := context.WithCancelCause(context.Background())
+	parent, cancel := context.WithCancelCause(httpconn.WithRequestID(context.Background(), x.callerRequestID))
 	x.cancel = cancel
 	x.ctx, x.stopDeadline = context.WithDeadline(parent, x.receivedAt.Add(x.spec.Targets.Deadline))
 	x.watch = callerwatch.Start(x.conn, cancel)
--- a/internal/forward/harness_test.go
+++ b/internal/forward/harness_test.go
@@ -325,7 +325,7 @@
 	r.applyConfig(testDocument(1))
 	r.server = New(Deps{
 		Routes: r.routes, Snapshot: &workspace.CurrentSnapshot{}, Broker: r.broker, Admission: r.admission, Quotas: r.quotas,
-		Budget: func(string) *retry.Budget { return r.budget }, ConnPools: NewConnPools(httpconn.Settings{DialTimeout: testTimeout}),
+		Budget: func(string) *retry.Budget { return r.budget }, ConnPools: NewConnPools(httpconn.Settings{DialTimeout: testTimeout}, nil),
 		Metrics: r.metrics, RequestIDPrefix: "test", Wire: testWire(),
 	})
 	if onStream != nil {
--- a/internal/forward/requestlog.go
+++ b/internal/forward/requestlog.go
@@ -16,6 +16,7 @@
 	events        int
 	canaryVersion string   // the new version that the last send went to; empty for the stable one
 	failedSends   []string // the first maxLoggedSends failed sends, with cause and time
+	peer          string   // through which the last send went; empty: direct
 	writeFailed   bool     // a write of a stream to the caller failed
 }
 
@@ -46,6 +47,9 @@
 	if x.outbound != nil && x.outbound.serverID != "" {
 		f["server"] = x.outbound.serverID
 	}
+	if x.history.peer != "" {
+		f["through"] = x.history.peer
+	}
 	if x.history.canaryVersion != "" {
 		f["canary_version"] = x.history.canaryVersion
 	}
--- a/internal/forward/send.go
+++ b/internal/forward/send.go
@@ -31,7 +31,8 @@
 	tokens, reportedTokens int
 	reportedAt             time.Time
 	reports                int
-	serverGone             bool // the server's process was found to have ended after the answer was lost
+	reach                  pool.Reach // what a peer found of the server after the answer was lost
+	serverGone             bool       // the server's process was found to have ended after the answer was lost
 	// onEnd is called with the outcome; nil if no rollout tracks the attempt.
 	onEnd func(pool.Outcome)
 }
@@ -179,6 +180,7 @@
 	if err != nil {
 		return nil, nil, x.endFailedSend(a, err)
 	}
+	x.history.peer = conn.Peer()
 	conn.SetSilenceTimeout(time.Until(x.outbound.deadline) + time.Second)
 	r, err := readReply(x.ctx, conn, x.outbound.method, x.callerRequestID, &x.server.wire)
 	if err != nil {
@@ -204,10 +206,18 @@
 		a.grant.ReturnUnused()
 		return err
 	}
-	a.grant.Release(broker.Completion{Outcome: pool.OutcomeNotSent, ServerGone: errors.Is(err, engine.ErrConnRefused)})
+	a.grant.Release(broker.Completion{Outcome: pool.OutcomeNotSent, ServerGone: errors.Is(err, engine.ErrConnRefused), Reach: reachOf(err)})
 	return err
 }
 
+// reachOf returns what a peer found of a server that could not be connected to.
+func reachOf(err error) pool.Reach {
+	if errors.Is(err, httpconn.ErrUnreachableByPeer) {
+		return pool.UnreachableByPeer
+	}
+	return pool.ReachUnknown
+}
+
 // endLostAttempt ends an attempt whose answer was lost.
 func (x *exchange) endLostAttempt(a *attempt, err error) error {
 	x.checkServer(a, err)
@@ -218,20 +228,32 @@
 
 // serverCheckTimeout bounds the check of a server that broke off an answer. A retry waits
 // for it.
-const serverCheckTimeout = 100 * time.Millisecond
+const serverCheckTimeout = 200 * time.Millisecond
 
-// checkServer finds out whether the process of a server that broke off an answer has ended.
+// checkServer finds out whether the process of a server that broke off an answer has ended,
+// or this daemon has lost its link to the server.
 //
 // Other requests would find out, too, but only those that go to this server, and a server
 // that loses answers gets few.
 func (x *exchange) checkServer(a *attempt, lost error) {
-	if !errors.Is(lost, engine.ErrConnectionLost) || x.ctx.Err() != nil {
+	if x.ctx.Err() != nil {
+		return
+	}
+	servers := x.server.deps.ConnPools
+	address := a.grant.Server().Address
+	if !errors.Is(lost, engine.ErrConnectionLost) {
+		if servers.PathDown(address) {
+			a.reach = pool.ReachedByPeer
+		}
 		return
 	}
 	ctx, cancel := context.WithTimeout(x.ctx, serverCheckTimeout)
 	defer cancel()
-	err := x.server.deps.ConnPools.pool(a.grant.Server().Address).Check(ctx)
-	a.serverGone = errors.Is(err, engine.ErrConnRefused)
+	relayed, err := servers.pool(address).Check(ctx)
+	a.serverGone, a.reach = errors.Is(err, engine.ErrConnRefused), reachOf(err)
+	if relayed {
+		a.reach = pool.ReachedByPeer
+	}
 }
 
 // lostOutcome returns the outcome of an attempt whose answer is lost now.
@@ -267,12 +289,16 @@
 
 // release frees the slot after an attempt.
 func (a *attempt) release(outcome pool.Outcome) {
-	completion := broker.Completion{Outcome: outcome, Total: time.Since(a.sentAt), OutputTokens: a.tokens, ServerGone: a.serverGone}
+	completion := broker.Completion{Outcome: outcome, Total: time.Since(a.sentAt), OutputTokens: a.tokens, ServerGone: a.serverGone, Reach: a.reach}
 	if !a.firstEventAt.IsZero() {
 		completion.FirstToken = a.firstEventAt.Sub(a.sentAt)
 	}
 	a.grant.Release(completion)
-	if a.onEnd != nil {
-		a.onEnd(outcome)
+	if a.onEnd == nil {
+		return
+	}
+	if a.reach == pool.ReachedByPeer && outcome == pool.OutcomeStreamLost {
+		outcome = pool.OutcomeCanceled // by this daemon's links; it is no evidence on the version
 	}
+	a.onEnd(outcome)
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -20,6 +20,7 @@
 	"github.com/lycheekeel/lycheekeel/internal/metrics"
 	"github.com/lycheekeel/lycheekeel/internal/peer"
 	"github.com/lycheekeel/lycheekeel/internal/poolhost"
+	"github.com/lycheekeel/lycheekeel/internal/relay"
 	"github.com/lycheekeel/lycheekeel/member"
 	"github.com/lycheekeel/lycheekeel/quota"
 	"github.com/lycheekeel/lycheekeel/route"
@@ -59,6 +60,7 @@
 	state       *state
 	limiter     *quota.Limiter
 	forward     *forward.Server
+	relay       *relay.Relay
 
 	// The fields below are set once the cluster key is known.
 	transport *peer.TCP
@@ -85,7 +87,11 @@
 	g.limiter = quota.NewLimiter(time.Now, g.initialDaemons(), quota.Tolerance{
 		Window: seconds(s.Bounds.QuotaWindowS), Over: s.Bounds.QuotaOver, Slack: s.Bounds.QuotaSlack,
 	})
-	servers := forward.NewConnPools(httpconn.Settings{Dial: p.DialServer})
+	var servers *forward.ConnPools
+	g.relay = relay.New(relay.Config{
+		Direct: p.DialServer, Servers: func() map[string]string { return servers.Incarnations() }, MaxRelayed: s.Limits.maxRelayed(), Metrics: m,
+	})
+	servers = forward.NewConnPools(httpconn.Settings{Dial: g.relay.Dial}, g.relay.PathDown)
 	g.state = newState(p, s.Region, g.routes, g.snapshot, g.limiter, servers.Update, m)
 	g.rollouts = newRollouts(g.state, s.Bounds, m)
 	g.forward = forward.New(forward.Deps{
@@ -239,6 +245,7 @@
 	start := time.Now()
 	g.draining.Store(true)
 	g.forward.Drain()
+	g.relay.Drain()
 	g.log.Info("Draining.")
 	if g.routes.Load() != nil {
 		g.members.Leave() // first, so that the pools move to other owners
@@ -248,5 +255,8 @@
 	defer cancel()
 	go g.logDrain(ctx)
 	time.Sleep(listenerLinger)
-	return g.forward.Shutdown(ctx)
+	if err := g.forward.Shutdown(ctx); err != nil {
+		return err
+	}
+	return errors.Wrap(g.relay.Wait(ctx), "connections of peers")
 }
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -59,6 +59,7 @@
 	g.quotas = newQuotaSync(g.limiter, g.budgets, g.transport, g.currentView, time.Now)
 	g.peerSync = newPeerSync(g.state, g.transport, g.currentView, g.members.Joined())
 	g.rollouts.join(s.Region, g.transport, g.currentView, g.host.Owner)
+	g.relay.Join(g.transport, g.currentView)
 	g.transport.Start()
 	g.members.Start()
 	return nil
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -40,6 +40,20 @@
 	LinkMbps float64 `json:"link_mbps" validate:"gte=0"`
 }
 
+const (
+	// relayMemoryShare is the share of the memory that connections relayed for peers may use.
+	relayMemoryShare = 0.25
+	// relayedBytes is the most that one of them holds: a stream's window and the buffers.
+	relayedBytes = 272 << 10
+	// minRelayed is the least number of them that a daemon takes.
+	minRelayed = 16
+)
+
+// maxRelayed returns how many connections may be relayed for peers at the same time.
+func (l LimitSettings) maxRelayed() int {
+	return max(minRelayed, int(relayMemoryShare*l.MemoryMB*1e6/relayedBytes))
+}
+
 // wideLinkMbps is the bandwidth, in Mbit/s, from which a link does not limit the VM's
 // weight. It only has to be far above what a pool's owner sends: the busiest VM of the
 // capacity model exchanges 14.6 KB/s (0.12 Mbit/s).
--- a/internal/httpconn/conn.go
+++ b/internal/httpconn/conn.go
@@ -35,6 +35,7 @@
 	timedOut       bool // the last read or write exceeded the silence timeout
 	idleSince      time.Time
 	guard          ctxGuard
+	peer           string // through which the connection runs; empty: direct
 }
 
 func newConn(p *Pool, nc net.Conn) *Conn {
@@ -43,10 +44,16 @@
 	if sc, ok := nc.(syscall.Conn); ok {
 		c.rawConn, _ = sc.SyscallConn()
 	}
+	if rc, ok := nc.(RelayedConn); ok {
+		c.peer = rc.Peer()
+	}
 	c.Reader = bufio.NewReaderSize(timeoutReader{c}, bufferBytes)
 	return c
 }
 
+// Peer returns the name of the daemon through which the connection runs; empty: it is direct.
+func (c *Conn) Peer() string { return c.peer }
+
 // SetSilenceTimeout changes the silence timeout of this exchange.
 func (c *Conn) SetSilenceTimeout(d time.Duration) { c.silenceTimeout = d }
 
@@ -61,9 +68,10 @@
 // Unbind undoes Bind: the end of the context no longer aborts the connection.
 func (c *Conn) Unbind() { c.guard.unbind() }
 
-// Release returns a connection whose exchange is complete to the pool.
+// Release returns a connection whose exchange is complete to the pool. One through a peer is
+// closed: whether it is still open can't be checked before it is used again.
 func (c *Conn) Release() {
-	if !c.guard.release() || c.Reader.Buffered() > 0 {
+	if !c.guard.release() || c.Reader.Buffered() > 0 || c.peer != "" {
 		c.close()
 		return
 	}
@@ -99,7 +107,8 @@
 
 // writeRequest writes the request. After a failed write it is unknown in general whether
 // the peer got the request. The error is engine.ErrNotSent only if the operating system
-// took no byte at all, which is why the bytes are counted.
+// took no byte at all, which is why the bytes are counted. A multiplexed connection through
+// a peer may send bytes that it has reported as not written.
 func (c *Conn) writeRequest(req Request) error {
 	c.bytesWritten = 0
 	w := writerPool.Get().(*bufio.Writer)
@@ -113,7 +122,7 @@
 	switch {
 	case err == nil:
 		return nil
-	case c.bytesWritten == 0:
+	case c.bytesWritten == 0 && c.peer == "":
 		return errors.Wrapf(engine.ErrNotSent, "%s: %v", c.pool.address, err)
 	default:
 		return c.WrapError(err)
--- a/internal/httpconn/pool.go
+++ b/internal/httpconn/pool.go
@@ -42,8 +42,8 @@
 // DialFunc opens a connection to an address (host:port) before ctx ends.
 type DialFunc func(ctx context.Context, address string) (net.Conn, error)
 
-// dialTCP is the default DialFunc.
-func dialTCP(ctx context.Context, address string) (net.Conn, error) {
+// DialTCP is the default DialFunc.
+func DialTCP(ctx context.Context, address string) (net.Conn, error) {
 	var d net.Dialer
 	return d.DialContext(ctx, "tcp", address)
 }
@@ -70,7 +70,7 @@
 		s.MaxIdleConns = DefaultMaxIdleConns
 	}
 	if s.Dial == nil {
-		s.Dial = dialTCP
+		s.Dial = DialTCP
 	}
 	return s
 }
@@ -167,14 +167,17 @@
 	}
 }
 
-// Check connects to the address, and keeps the connection for a later Send. The error
-// wraps engine.ErrConnRefused if no process listens there.
-func (p *Pool) Check(ctx context.Context) error {
+// Check connects to the address, and keeps a direct connection for a later Send. The error
+// wraps engine.ErrConnRefused if no process listens there. relayed reports whether the
+// address was reached through a peer.
+func (p *Pool) Check(ctx context.Context) (relayed bool, err error) {
 	c, err := p.get(ctx, MustDial)
-	if err == nil {
-		c.Release()
+	if err != nil {
+		return false, err
 	}
-	return err
+	relayed = c.Peer() != ""
+	c.Release()
+	return relayed, nil
 }
 
 func (p *Pool) get(ctx context.Context, policy ReusePolicy) (*Conn, error) {
@@ -187,16 +190,27 @@
 	dialCtx, cancel := context.WithTimeout(ctx, p.settings.DialTimeout)
 	defer cancel()
 	nc, err := p.settings.Dial(dialCtx, p.address)
-	if errors.Is(err, syscall.ECONNREFUSED) {
-		return nil, errors.Wrapf(engine.ErrConnRefused, "connect %s: %v", p.address, err)
-	}
 	if err != nil {
-		return nil, errors.Wrapf(engine.ErrNotSent, "connect %s: %v", p.address, err)
+		return nil, p.dialError(err)
 	}
 	p.dialed.Add(1)
 	return newConn(p, nc), nil
 }
 
+// dialError wraps the error of a dial as engine.ErrConnRefused or engine.ErrNotSent, and
+// keeps that a peer can't reach the address either.
+func (p *Pool) dialError(err error) error {
+	kind := engine.ErrNotSent
+	if errors.Is(err, syscall.ECONNREFUSED) {
+		kind = engine.ErrConnRefused
+	}
+	wrapped := errors.Wrapf(kind, "connect %s: %v", p.address, err)
+	if errors.Is(err, ErrUnreachableByPeer) {
+		return unreachableError{wrapped}
+	}
+	return wrapped
+}
+
 // takeIdle returns the most recently used idle connection that still appears open on this
 // side, or nil.
 func (p *Pool) takeIdle() *Conn {
--- a/internal/peer/frame.go
+++ b/internal/peer/frame.go
@@ -24,6 +24,7 @@
 const (
 	streamMessages byte = 1 // one-way messages in order, for the life of the connection
 	streamCall     byte = 2 // one call and its answer
+	streamOpen     byte = 3 // a message, its answer, and then bytes in both directions
 )
 
 // appendDelimited appends a message with its size as prefix to one buffer, so
--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -280,6 +280,8 @@
 		l.readMessages(r)
 	case streamCall:
 		l.serveCall(s, r)
+	case streamOpen:
+		l.serveOpen(s, r)
 	}
 }
 
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -41,6 +41,8 @@
 	TypeQuotaHubReport Type = 44 // quota usage of a hub's daemons, to the other hubs
 	// a daemon's report on a rollout, to the decider; the answer is the plan
 	TypeRolloutReport Type = 45
+
+	TypeRelay Type = 50 // a stream to a backend server, through the peer
 )
 
 // Errors of a Transport, for use with errors.Is.
--- a/internal/peer/session.go
+++ b/internal/peer/session.go
@@ -80,5 +80,12 @@
 	}
 }
 
+// hasEnded reports whether the session has begun to close.
+func (s *session) hasEnded() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.ended
+}
+
 // expireStream makes all current and later reads and writes of a stream time out.
 func expireStream(stream *yamux.Stream) { _ = stream.SetDeadline(time.Unix(1, 0)) }
--- a/internal/peer/tcp.go
+++ b/internal/peer/tcp.go
@@ -65,6 +65,7 @@
 	pingLimiter    *rate.Limiter
 	authLogLimiter rate.Sometimes // unauthenticated peers must not fill the log
 	handlers       map[Type]Handler
+	streamHandlers map[Type]StreamHandler
 	listener       net.Listener
 	handshakeSlots chan struct{}
 
@@ -112,6 +113,7 @@
 		pingLimiter:    rate.NewLimiter(rate.Limit(opts.PingsPerSecond), pingBurst),
 		authLogLimiter: rate.Sometimes{First: authLogBurst, Interval: authLogInterval},
 		handlers:       map[Type]Handler{},
+		streamHandlers: map[Type]StreamHandler{},
 		listener:       ln,
 		handshakeSlots: make(chan struct{}, maxHandshakes),
 		peers:          map[Name]*peerState{},
