soak: partitions from all servers amid other faults, and beside restarts

Partitions of some or of all but one daemon join the faults of a fleet whose daemons can be partitioned; those of the other runs stay, so that their seeds play as before.

--- a/test/soak/faults_test.go
+++ b/test/soak/faults_test.go
@@ -2,11 +2,13 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"syscall"
 	"time"
 
 	"github.com/lycheekeel/lycheekeel/internal/faultproxy"
 	"github.com/lycheekeel/lycheekeel/platform/standin"
+	"github.com/lycheekeel/lycheekeel/test/soak/partition"
 )
 
 // fault is one kind of fault. inject returns a function that ends it, or nil if
@@ -79,6 +81,26 @@
 	}},
 }
 
+// partitionFaults are the faults of fleets whose nodes can be partitioned from all servers:
+// some nodes, or all but one.
+var partitionFaults = []fault{
+	{"partition from servers", func(f *fleet, r *rand.Rand) func() { return f.partitionSome(r, 1+r.IntN(2)) }},
+	{"refuse new connections to servers", func(f *fleet, r *rand.Rand) func() {
+		n := []*node{pick(r, f.nodes)}
+		f.partition(n, partition.RefuseNew)
+		return func() { f.partition(n, partition.None) }
+	}},
+	{"partition most from servers", func(f *fleet, r *rand.Rand) func() { return f.partitionSome(r, len(f.nodes)-1) }},
+}
+
+// partitionSome partitions n nodes from all servers and returns the function that ends it.
+func (f *fleet) partitionSome(r *rand.Rand, n int) func() {
+	nodes := slices.Clone(f.nodes)
+	r.Shuffle(len(nodes), func(i, j int) { nodes[i], nodes[j] = nodes[j], nodes[i] })
+	f.partition(nodes[:n], pick(r, []partition.Mode{partition.Reset, partition.Hang, partition.RefuseNew}))
+	return func() { f.partition(nodes[:n], partition.None) }
+}
+
 // disturbLink injects a random network fault into a link and returns the
 // function that ends it.
 func disturbLink(p *faultproxy.Proxy, r *rand.Rand) func() {
@@ -108,8 +130,12 @@
 		undo func()
 	}
 	var pending []ending
-	allowed := make([]fault, 0, len(faults))
-	for _, x := range faults {
+	possible := faults
+	if f.partitionable {
+		possible = append(slices.Clone(faults), partitionFaults...)
+	}
+	allowed := make([]fault, 0, len(possible))
+	for _, x := range possible {
 		if include(x.name) {
 			allowed = append(allowed, x)
 		}
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -35,28 +35,52 @@
 	}
 	for _, seed := range all {
 		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
-			runSeed(t, seed, func(string) bool { return true })
+			runSeed(t, seed, fleetOptions{}, anyFault)
 		})
 	}
 }
 
+func anyFault(string) bool { return true }
+
+// Guards against: guarantees break when daemons are partitioned from all servers amid other
+// faults, and reach them through daemons that stop, restart and are partitioned in turn.
+func TestPartitionsAmidOtherFaults(t *testing.T) {
+	eachSeed(t, func(t *testing.T, seed int64) {
+		runSeed(t, seed, fleetOptions{partitionable: true}, anyFault)
+	})
+}
+
+// Guards against: a daemon that stops or restarts in plan cuts off what it relays for
+// daemons that are partitioned from all servers. No connection is broken by the partition.
+func TestRollingRestartBesidePartitions(t *testing.T) {
+	f, c := runSeed(t, *firstSeed, fleetOptions{partitionable: true}, func(name string) bool {
+		return name == "terminate and restart" || name == "refuse new connections to servers"
+	})
+	f.checkNoneCutOff(c)
+}
+
 // Guards against: planned restarts and SIGHUPs cut requests off. No other fault is
 // injected.
 func TestRollingRestart(t *testing.T) {
 	planned := map[string]bool{"terminate and restart": true, "send SIGHUP": true}
-	f, c := runSeed(t, *firstSeed, func(name string) bool { return planned[name] })
+	f, c := runSeed(t, *firstSeed, fleetOptions{}, func(name string) bool { return planned[name] })
+	f.checkNoneCutOff(c)
+}
+
+// checkNoneCutOff checks that no request that reached a server was cut off.
+func (f *fleet) checkNoneCutOff(c *callers) {
 	for _, x := range c.all {
 		if x.status == 0 && len(f.arrivals()[x.id]) > 0 || x.status != 0 && !x.complete {
-			t.Errorf("%s on %s was cut off %v after it was sent, status %d", x.id, x.node.name, x.endedAt.Sub(x.sentAt), x.status)
+			f.t.Errorf("%s on %s was cut off %v after it was sent, status %d", x.id, x.node.name, x.endedAt.Sub(x.sentAt), x.status)
 		}
 	}
 }
 
 // runSeed injects the faults that include selects into a fleet under load, waits
 // for recovery, and checks the guarantees.
-func runSeed(t *testing.T, seed int64, include func(string) bool) (*fleet, *callers) {
+func runSeed(t *testing.T, seed int64, o fleetOptions, include func(string) bool) (*fleet, *callers) {
 	r := rand.New(rand.NewPCG(uint64(seed), 1))
-	f := startFleet(t, fleetOptions{}, seed)
+	f := startFleet(t, o, seed)
 	c := &callers{}
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
