--- a/test/soak/fleet_test.go
+++ b/test/soak/fleet_test.go
@@ -204,10 +204,12 @@
 	return s
 }
 
+func serverID(n int) string { return fmt.Sprint("i-", n) }
+
 // startServer starts a server behind a proxy. It is not registered yet.
 func (f *fleet) startServer(service string, backend *standin.Server) *server {
 	f.serversCreated++
-	backend.ID = fmt.Sprintf("i-%d", f.serversCreated)
+	backend.ID = serverID(f.serversCreated)
 	s := &server{service: service, Server: backend}
 	address, stop := f.serve(s.Serve)
 	s.stop, s.proxy = stop, f.newProxy(address)
