pool, forward: brittle servers get no more at a time than they may reject

Cause: nothing read Server-Brittle. After the pause that follows a rejection all free slots of the server were granted at once, and more than it bears were turned away; a server that came back got its old number of slots.

The owner now keeps the runs that a server may still reject and its rejections of the last 1.2 s within the bound that its answers name, learns its room from what it accepts and rejects, and tries more with one run at a time. A new owner adopts what runs and tries nothing beyond for a moment; one that has a share of the slots never does.

--- a/broker/broker.go
+++ b/broker/broker.go
@@ -41,6 +41,9 @@
 	// RateLimited reports, before Progress and Release, the requests per second that the
 	// answer says its server takes from all daemons together.
 	RateLimited(perSecond float64)
+	// Brittle reports, before Progress and Release, that the answer says its server falls
+	// over when it has to reject more requests in a second.
+	Brittle(rejections int)
 	// Release frees the slot after the request was dispatched and has ended.
 	Release(c Completion)
 	// ReturnUnused frees the slot; the request was not dispatched.
--- a/broker/grant.go
+++ b/broker/grant.go
@@ -18,10 +18,12 @@
 	ended  atomic.Bool
 	tokens atomic.Int64
 	// firstTokenReported is set once the first token was reported to the owner. Only
-	// the link accesses it, reportedTokens and namedRate.
+	// the link accesses it, reportedTokens, namedRate and namedBrittle.
 	firstTokenReported bool
 	// namedRate is set if the answer named a limit on its server's requests per second.
 	namedRate bool
+	// namedBrittle is set if the answer named its server brittle.
+	namedBrittle bool
 	// reportedTokens is the number of tokens in the last report to the owner.
 	reportedTokens int
 }
@@ -48,6 +50,13 @@
 	}
 }
 
+// Brittle implements Grant.
+func (g *grant) Brittle(rejections int) {
+	if !g.ended.Load() {
+		g.link.box.Post(brittleMessage{pool.Brittle{Grant: g.id, Server: g.server.Name, Rejections: rejections}})
+	}
+}
+
 // Release implements Grant.
 func (g *grant) Release(c Completion) {
 	g.finish(pool.Release{
--- a/broker/link.go
+++ b/broker/link.go
@@ -31,6 +31,9 @@
 	// rates holds the limits on servers' requests per second that answers have named, for
 	// the next owner.
 	rates map[string]float64
+	// brittle holds the rejections per second that brittle servers bear, as their answers
+	// have named them, for the next owner.
+	brittle map[string]int
 
 	session     session
 	countedOpen bool // session is included in Entry.sessions
@@ -73,6 +76,7 @@
 		running:         map[pool.GrantID]*grant{},
 		pendingProgress: map[pool.GrantID]pool.Progress{},
 		rates:           map[string]float64{},
+		brittle:         map[string]int{},
 	}
 	l.box = mailbox.New(e.cfg.Spawn, l.handle)
 	return l
@@ -148,6 +152,7 @@
 func (m releaseMessage) apply(l *link) {
 	if o := m.ev.Outcome; o == pool.OutcomeDone || o == pool.OutcomeFailed {
 		l.endRate(l.running[m.ev.Grant])
+		l.endBrittle(l.running[m.ev.Grant])
 	}
 	delete(l.running, m.ev.Grant)
 	delete(l.pendingProgress, m.ev.Grant)
@@ -168,6 +173,7 @@
 		return
 	}
 	l.endRate(g)
+	l.endBrittle(g)
 	if m.ev.FirstToken > 0 && !g.firstTokenReported && l.session.open() {
 		// The first token is sent at once: the scheduler's limits and its holds for
 		// prefixes depend on it.
--- a/internal/forward/harness_test.go
+++ b/internal/forward/harness_test.go
@@ -190,6 +190,7 @@
 func (g *fakeGrant) Server() workspace.BackendServer            { return g.server }
 func (g *fakeGrant) Progress(time.Duration, int, time.Duration) {}
 func (g *fakeGrant) RateLimited(perSecond float64)              { g.broker.recordRate(perSecond) }
+func (g *fakeGrant) Brittle(int)                                {}
 func (g *fakeGrant) Release(c broker.Completion)                { g.broker.recordRelease(c.Outcome, c.ServerGone) }
 func (g *fakeGrant) ReturnUnused() {
 	g.broker.recordRelease(pool.OutcomeNotDispatched, false)
--- a/internal/forward/send.go
+++ b/internal/forward/send.go
@@ -188,6 +188,7 @@
 		return nil, nil, x.endLostAttempt(a, err)
 	}
 	x.reportRate(a, r)
+	x.reportBrittle(a, r)
 	if len(r.header.Peek(x.server.wire.NotExecuted)) > 0 {
 		return nil, nil, x.endUnexecuted(a, r)
 	}
--- a/internal/forward/serverrate.go
+++ b/internal/forward/serverrate.go
@@ -34,5 +34,21 @@
 	a.grant.RateLimited(max(perSecond, minReportedRate))
 }
 
+// reportBrittle reports that a server's answer names it brittle. A value that isn't valid
+// counts as none.
+func (x *exchange) reportBrittle(a *attempt, r *reply) {
+	value := r.header.Peek(x.server.wire.ServerBrittle)
+	if len(value) == 0 || r.header.StatusCode() == statusMisdirectedRequest {
+		return
+	}
+	perSecond, ok := parseRate(value)
+	if !ok {
+		x.server.counters.invalidRates.Add(1)
+		x.server.log.WithFields(x.requestFields()).WithField("value", string(value)).Debug("Invalid bound of a brittle server.")
+		return
+	}
+	a.grant.Brittle(int(perSecond))
+}
+
 // minReportedRate stands for 0, which would be no limit at the pool's owner.
 const minReportedRate = 0.001
--- a/internal/forward/wire.go
+++ b/internal/forward/wire.go
@@ -26,6 +26,9 @@
 	// ServerRate is set by a server in need: the requests per second, a decimal number,
 	// that it takes from all daemons together.
 	ServerRate string
+	// ServerBrittle is set by a server that falls over when it has to reject more requests in
+	// a second than this whole number.
+	ServerBrittle string
 	// LastEvent is the id of the last event of a stream that was received.
 	LastEvent string
 	// Tokens is parsed by ParseTokens. LengthHint is the caller's estimate of the number
--- a/internal/poolhost/counters.go
+++ b/internal/poolhost/counters.go
@@ -11,7 +11,7 @@
 type counters struct {
 	sessionsOpened, sessionResets, batchGaps, sessionTimeouts, sendFailed        *expvar.Int
 	grantsReclaimed, entriesEnded, unknownReleases, badMessages                  *expvar.Int
-	probeMisses, cacheEventGaps, suspectsShared, breakersOpened, crashes, pauses *expvar.Int
+	probeMisses, cacheEventGaps, suspectsShared, breakersOpened, crashes, pauses, brittleChanges *expvar.Int
 
 	rateChanges *expvar.Int
 
@@ -26,7 +26,7 @@
 		grantsReclaimed: c("grants_taken_back"), entriesEnded: c("entries_ended"), unknownReleases: c("unknown_releases"),
 		badMessages: c("bad_messages"), probeMisses: c("probe_misses"),
 		cacheEventGaps: c("cache_event_gaps"), suspectsShared: c("suspects_shared"),
-		breakersOpened: c("servers_down"), crashes: c("servers_crashed"), pauses: c("servers_paused"), rateChanges: c("server_rates_changed"),
+		breakersOpened: c("servers_down"), crashes: c("servers_crashed"), pauses: c("servers_paused"), brittleChanges: c("servers_brittle_changed"), rateChanges: c("server_rates_changed"),
 		tiers: newTierCounters(m),
 	}
 }
--- a/internal/poolhost/report.go
+++ b/internal/poolhost/report.go
@@ -123,6 +123,14 @@
 	}).Warn("Content that crashes servers.")
 }
 
+// logBrittle logs that a server has begun or ceased to be brittle.
+func (r *Runtime) logBrittle(c pool.BrittleChanged) {
+	r.host.count.brittleChanges.Add(1)
+	logs.For("poolhost").WithFields(logrus.Fields{
+		"pool": r.name, "server": c.Server, "brittle": c.Brittle, "rejections_per_second": c.Rejections, "share": r.degraded,
+	}).Info("Server says whether it is brittle.")
+}
+
 // logRate logs that a server has named another limit on its requests per second.
 func (r *Runtime) logRate(c pool.ServerRateChanged) {
 	r.host.count.rateChanges.Add(1)
--- a/internal/poolhost/runtime.go
+++ b/internal/poolhost/runtime.go
@@ -124,6 +124,8 @@
 		r.logCrash(c)
 	case pool.ServerRateChanged:
 		r.logRate(c)
+	case pool.BrittleChanged:
+		r.logBrittle(c)
 	case pool.Expired:
 		r.logExpired(c)
 	}
--- a/internal/poolhost/session.go
+++ b/internal/poolhost/session.go
@@ -200,6 +200,9 @@
 	case pool.RateLimited:
 		ev.Entry = e.id
 		r.feed(ev)
+	case pool.Brittle:
+		ev.Entry = e.id
+		r.feed(ev)
 	case pool.Progress:
 		r.feed(ev)
 	}
--- a/internal/poolwire/check.go
+++ b/internal/poolwire/check.go
@@ -154,6 +154,9 @@
 		return c.running(k.Running, entry)
 	case *wirepb.Event_RateLimited:
 		return c.rateLimited(k.RateLimited, entry)
+	case *wirepb.Event_Brittle:
+		m := k.Brittle
+		return pool.Brittle{Entry: entry, Grant: c.grant(m.GetGrant()), Server: c.requiredName("server", m.GetServer()), Rejections: c.number("rejections", m.GetRejections())}
 	case *wirepb.Event_EntryReported:
 		return pool.EntryReported{Entry: entry}
 	default:
--- a/internal/poolwire/encode.go
+++ b/internal/poolwire/encode.go
@@ -101,6 +101,10 @@
 		return &wirepb.Event{Kind: &wirepb.Event_RateLimited{RateLimited: &wirepb.RateLimited{
 			Grant: grantIDToWire(e.Grant), Server: e.Server, PerSecond: e.PerSecond,
 		}}}
+	case pool.Brittle:
+		return &wirepb.Event{Kind: &wirepb.Event_Brittle{Brittle: &wirepb.Brittle{
+			Grant: grantIDToWire(e.Grant), Server: e.Server, Rejections: uint64(e.Rejections),
+		}}}
 	case pool.EntryReported:
 		return &wirepb.Event{Kind: &wirepb.Event_EntryReported{EntryReported: &wirepb.EntryReported{}}}
 	default:
--- a/internal/poolwire/poolwire_test.go
+++ b/internal/poolwire/poolwire_test.go
@@ -34,6 +34,8 @@
 		},
 		pool.RateLimited{Entry: entry, Grant: g, Server: "s", PerSecond: 1.1},
 		pool.RateLimited{Entry: entry, Server: "s", PerSecond: 40},
+		pool.Brittle{Entry: entry, Grant: g, Server: "s", Rejections: 3},
+		pool.Brittle{Entry: entry, Server: "s"},
 		pool.EntryReported{Entry: entry},
 	}
 }
--- a/pool/capacity.go
+++ b/pool/capacity.go
@@ -31,7 +31,7 @@
 	if s.straggler && p.anyHealthy || s.breaker.open {
 		n = 1 // one probe at a time
 	}
-	return p.entries.limitShare(max(1, n))
+	return p.entries.limitShare(max(1, p.roomLimit(s, n)))
 }
 
 // refreshServers determines, once per event, which servers may get grants and how many
--- a/pool/commands.go
+++ b/pool/commands.go
@@ -68,6 +68,13 @@
 	PerSecond float64
 }
 
+// BrittleChanged reports that a server has begun or ceased to be brittle. It is only logged.
+type BrittleChanged struct {
+	Server     string
+	Brittle    bool
+	Rejections int // per second that it bears
+}
+
 // Expired reports the state in which a request reached its deadline in the queue. It is
 // only logged.
 type Expired struct {
@@ -92,4 +99,5 @@
 func (ServerPaused) command()      {}
 func (ServerCrashed) command()     {}
 func (ServerRateChanged) command() {}
+func (BrittleChanged) command()    {}
 func (Expired) command()           {}
--- a/pool/crashcount.go
+++ b/pool/crashcount.go
@@ -52,7 +52,7 @@
 		return
 	}
 	if s.goneSince.IsZero() {
-		s.goneSince = p.now
+		s.goneSince, s.room.accepted = p.now, 0
 		p.pauseServer(s)
 	}
 	var contents []uint64
@@ -69,6 +69,7 @@
 // granted, was not lost by a crash.
 func (p *Pool) serverWorks(r *run) {
 	p.endServerRate(r)
+	p.endBrittle(r)
 	p.pathWorks(r)
 	s := r.server
 	if len(s.lostAnswers) > 0 {
--- a/pool/events.go
+++ b/pool/events.go
@@ -129,6 +129,17 @@
 	UnreachableByPeer              // a daemon that reaches other servers does not reach it either
 )
 
+// Brittle reports that the answer of a grant named its server brittle: it falls over when it
+// has to reject more than Rejections requests in a second for want of room. Like RateLimited,
+// it comes before the first Progress and the Release. Grant is zero if the entry tells a new
+// owner what it heard before.
+type Brittle struct {
+	Entry      EntryID
+	Grant      GrantID
+	Server     string
+	Rejections int
+}
+
 // Release ends a grant and frees its slot.
 type Release struct {
 	Request         request.ID
@@ -305,6 +316,7 @@
 func (Progress) event()      {}
 func (Release) event()       {}
 func (RateLimited) event()   {}
+func (Brittle) event()       {}
 func (Running) event()       {}
 func (EntryReported) event() {}
 func (EntrySet) event()      {}
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -63,6 +63,9 @@
 	prefixes   *prefix.Index
 	isolation  *server // drains for a suspect, or runs one
 	rateShare  float64 // of the servers' limits on requests per second
+	// brittleInheritedAt is when an entry last told what it knew from an earlier owner.
+	brittleInheritedAt time.Time
+	bearable           int // rejections per second that each server bears; notBrittle if any
 }
 
 // runs holds the running requests by grant and by request.
@@ -110,7 +113,7 @@
 			isolated: tier.NewQueue[*waiter](),
 			waiting:  make(map[request.ID]*waiter),
 		},
-		backends: backends{servers: make(map[string]*server), prefixes: prefix.NewIndex()},
+		backends: backends{servers: make(map[string]*server), prefixes: prefix.NewIndex(), bearable: notBrittle},
 		runs: runs{
 			byGrant:   make(map[GrantID]*run),
 			byRequest: make(map[request.ID]*run),
@@ -155,6 +158,8 @@
 		p.release(e)
 	case RateLimited:
 		p.rateLimited(e)
+	case Brittle:
+		p.brittleNamed(e)
 	case Running:
 		p.adopt(e)
 	case EntryReported:
--- a/pool/run.go
+++ b/pool/run.go
@@ -46,6 +46,8 @@
 	lastReport        time.Time
 	withdrawnAt       time.Time
 	crashed           bool // its server crashed while it ran
+	namedBrittle      bool // its answer named its server brittle
+	firstToken        bool // it has brought a token
 	namedRate         bool // its answer named a limit on the server's requests per second
 	adopted           bool // granted by an earlier owner, or without a grant
 }
@@ -109,6 +111,7 @@
 	}
 	r.lastReport = p.now
 	if e.Tokens > 0 {
+		r.firstToken = true
 		r.server.lastProgress = p.now
 		p.serverWorks(r)
 		p.serverSucceeded(r.server)
@@ -147,6 +150,7 @@
 	switch e.Outcome {
 	case OutcomeDone:
 		p.serverWorks(r)
+		p.roomAccepts(r)
 		p.forgetLostAnswers(r.fingerprint)
 		p.serverSucceeded(r.server)
 		r.server.failureRate.add(p.now, false)
@@ -199,11 +203,14 @@
 		p.serverWorks(r)
 	}
 	p.serverAnswered(s)
-	if e.RefusedLeaving {
+	switch {
+	case e.RefusedLeaving:
 		s.leavingUntil = p.now.Add(leavingTimeout)
-		return
+	case p.isBrittle():
+		p.roomRejects(r)
+	default:
+		p.pauseForAll(r, true)
 	}
-	p.pauseForAll(r, true)
 }
 
 // handleDone updates the statistics from a complete answer.
@@ -273,4 +280,5 @@
 	}
 	r.cost = workCost(e.PromptTokens, e.MaxTokens)
 	p.addRun(r)
+	p.roomAdopts(r.server)
 }
--- a/pool/server.go
+++ b/pool/server.go
@@ -58,6 +58,7 @@
 	recoveredAt  time.Time // when it was first seen running after the crash; zero means not yet
 	lostRuns     []*run    // runs whose streams were lost recently
 	rate         serverRate
+	room         room
 	lostAnswers  []lostAnswer
 	goneSince    time.Time // when its process was found to have ended; zero means not
 	goneReports  []goneReport
@@ -89,6 +90,7 @@
 		}
 	}
 	p.removeIdleServers()
+	p.updateBearable()
 	p.fastest = score.Profile{}
 }
 
@@ -137,6 +139,7 @@
 	}
 	p.forgetCache(s)
 	s.rate = serverRate{}
+	s.room.accepted = 0
 	s.failureRate, s.breaker, s.lostRuns = failureRate{}, breaker{}, nil
 	s.leavingUntil, s.pausedUntil, s.backoff = time.Time{}, time.Time{}, 0
 	s.lastProgress = p.now
@@ -219,8 +222,10 @@
 }
 
 // acceptsNow reports whether a server is up, and takes another request by the limit that
-// it names.
-func (p *Pool) acceptsNow(s *server) bool { return p.up(s) && s.rate.allows(p.now) }
+// it names and by its room.
+func (p *Pool) acceptsNow(s *server) bool {
+	return p.up(s) && s.rate.allows(p.now) && p.bearsAnother(s)
+}
 
 // pauseServer stops grants to an unreachable server. The pause doubles with each
 // consecutive failure.
--- a/pool/serverrate.go
+++ b/pool/serverrate.go
@@ -107,10 +107,11 @@
 	p.setServerRate(s, 0)
 }
 
-// takeServerRate counts a grant against its server's limit.
+// takeServerRate counts a grant against its server's limit, and takes the server out of this
+// round if it takes no other request now.
 func (p *Pool) takeServerRate(s *server) {
 	s.rate.take(p.now)
-	if !s.rate.allows(p.now) {
+	if !s.rate.allows(p.now) || !p.bearsAnother(s) {
 		s.grantable = false
 	}
 }
