gateway: a server may take nothing for two seconds while it is sent a request

What callers saw: a call answered 502, though its server was sound and went on a moment later. Found by a test that holds a write for 1.5 s; its run fails at the limit of 1 s of a write in the middle of a request, and nobody can tell whether the call ran. Nothing else takes a silent server for gone: answers are awaited until the deadline, a stream's silence of 1.5 s asks another server beside it, and a connect that hangs pauses the server alone.

TCP_USER_TIMEOUT: by reading, no package that the daemon links sets it, and keep-alive is Go's (15 s, nine probes), so that a kept connection survives seconds of silence.

Stand-ins take bodies as long as the test says; a long answer is compared with the body that was sent.

--- a/internal/gateway/cluster_test.go
+++ b/internal/gateway/cluster_test.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/lycheekeel/lycheekeel/internal/gateway"
+	"github.com/lycheekeel/lycheekeel/internal/httpconn"
 	"github.com/lycheekeel/lycheekeel/internal/metrics"
 	"github.com/lycheekeel/lycheekeel/internal/testport"
 	"github.com/lycheekeel/lycheekeel/internal/testwait"
@@ -102,7 +103,10 @@
 	return address
 }
 
-func (c *cluster) start(name string) *node {
+func (c *cluster) start(name string) *node { return c.startWith(name, nil) }
+
+// startWith starts a gateway that dials servers with dial; nil: TCP.
+func (c *cluster) startWith(name string, dial httpconn.DialFunc) *node {
 	n := &node{cluster: c, done: make(chan error, 1), settings: gateway.Settings{
 		Name: name, Region: "r", AvailabilityZone: "z", Listen: freePort(c.t), Readiness: freePort(c.t), Peer: freePort(c.t),
 		Store: c.address, Limits: gateway.LimitSettings{MemoryMB: 512},
@@ -112,7 +116,9 @@
 	c.seeds = append(c.seeds, n.settings.Peer)
 	n.settings.Seeds = c.seeds
 	m := metrics.New()
-	g, err := gateway.New(n.settings, platform.New(c.address, m), m)
+	p := platform.New(c.address, m)
+	p.DialServer = dial
+	g, err := gateway.New(n.settings, p, m)
 	if err != nil {
 		c.t.Fatal(err)
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -41,6 +41,9 @@
 	shutdownMargin = 400 * time.Millisecond
 	// memoryLimitShare is the garbage collector's soft limit as a share of MemoryMB.
 	memoryLimitShare = 0.5
+	// serverSilence is the longest time in which a server may take nothing of a request that
+	// is being sent. A sound server may be silent for more than a second.
+	serverSilence = 2500 * time.Millisecond
 	// assumedDaemons is the number of daemons to assume while fewer are known.
 	assumedDaemons = 16
 )
@@ -91,7 +94,7 @@
 	g.relay = relay.New(relay.Config{
 		Direct: p.DialServer, Servers: func() map[string]string { return servers.Incarnations() }, MaxRelayed: s.Limits.maxRelayed(), Metrics: m,
 	})
-	servers = forward.NewConnPools(httpconn.Settings{Dial: g.relay.Dial}, g.relay.PathDown)
+	servers = forward.NewConnPools(httpconn.Settings{Dial: g.relay.Dial, SilenceTimeout: serverSilence}, g.relay.PathDown)
 	g.state = newState(p, s.Region, g.routes, g.snapshot, g.limiter, servers.Update, m)
 	g.rollouts = newRollouts(g.state, s.Bounds, m)
 	g.forward = forward.New(forward.Deps{
--- a/internal/poolhost/counters.go
+++ b/internal/poolhost/counters.go
@@ -9,8 +9,8 @@
 
 // counters are the host's counters, in the metrics group "poolhost".
 type counters struct {
-	sessionsOpened, sessionResets, batchGaps, sessionTimeouts, sendFailed        *expvar.Int
-	grantsReclaimed, entriesEnded, unknownReleases, badMessages                  *expvar.Int
+	sessionsOpened, sessionResets, batchGaps, sessionTimeouts, sendFailed                        *expvar.Int
+	grantsReclaimed, entriesEnded, unknownReleases, badMessages                                  *expvar.Int
 	probeMisses, cacheEventGaps, suspectsShared, breakersOpened, crashes, pauses, brittleChanges *expvar.Int
 
 	rateChanges *expvar.Int
--- a/test/soak/callers_test.go
+++ b/test/soak/callers_test.go
@@ -84,7 +84,7 @@
 // connection may be reused.
 func (x *call) exchange(conn net.Conn, r *bufio.Reader) bool {
 	_ = conn.SetDeadline(time.Now().Add(x.timeout + time.Second))
-	body := cmp.Or(x.content, "body of "+x.id)
+	body := x.sentBody()
 	_, err := fmt.Fprintf(conn, "POST %s HTTP/1.1\r\nHost: h.example\r\nX-Request-Id: %s\r\nAuthorization: Bearer %s\r\nX-Deadline-Ms: %d\r\nContent-Length: %d\r\n\r\n%s",
 		x.path, x.id, x.apiKey, x.timeout.Milliseconds(), len(body), body)
 	if err != nil {
@@ -110,6 +110,8 @@
 	}
 }
 
+func (x *call) sentBody() string { return cmp.Or(x.content, "body of "+x.id) }
+
 // mayRetry reports whether requests to the path may run twice.
 func (x *call) mayRetry() bool {
 	return x.path == "/again/" || strings.HasPrefix(x.path, resumePath(0))
@@ -131,8 +133,8 @@
 		if x.complete && want != 30 {
 			return fmt.Sprintf("complete with %d events instead of 30", want)
 		}
-	case x.status == http.StatusOK && x.complete && !strings.HasSuffix(x.body, " body of "+x.id):
-		return fmt.Sprintf("answered with %q", x.body)
+	case x.status == http.StatusOK && x.complete && !strings.HasSuffix(x.body, " "+x.sentBody()):
+		return fmt.Sprintf("answered with %.80q", x.body)
 	case x.status == http.StatusNotFound, x.status == http.StatusForbidden, x.status == http.StatusBadRequest:
 		return fmt.Sprintf("rejected with status %d", x.status)
 	case x.status == http.StatusUnauthorized && x.apiKey != "k3":
--- a/test/soak/fleet_test.go
+++ b/test/soak/fleet_test.go
@@ -144,7 +144,7 @@
 	f := &fleet{t: t, eventInterval: o.eventInterval, fails: o.fails, partitionable: o.partitionable, dir: t.TempDir(), store: standin.NewStore(50), revokedAt: map[string]time.Time{}}
 	f.storeAddr, _ = f.serve(f.store.Serve)
 	f.config = &standin.Configuration{
-		Tenant: "space",
+		Tenant: "space", MaxBodyBytes: longBodyBytes,
 		Routes: []standin.Route{
 			{Prefix: "/s/once/", Type: "stream", Service: "llm", MaxAttempts: 1, TimeoutMs: int(o.onceTimeout.Milliseconds())},
 			{Prefix: "/once/", Type: "non_idempotent", Service: "app", MaxAttempts: 1, TimeoutMs: 8000},
