broker: one type for what answers name of their servers

Limits and brittleness were kept, ended and told to a new owner by the same code twice. No behaviour changes; the tests of the package pass.

--- a/broker/link.go
+++ b/broker/link.go
@@ -30,10 +30,10 @@
 
 	// rates holds the limits on servers' requests per second that answers have named, for
 	// the next owner.
-	rates map[string]float64
+	rates named[float64]
 	// brittle holds the rejections per second that brittle servers bear, as their answers
 	// have named them, for the next owner.
-	brittle map[string]int
+	brittle named[int]
 
 	session     session
 	countedOpen bool // session is included in Entry.sessions
@@ -75,8 +75,8 @@
 		waiting:         map[request.ID]*waiter{},
 		running:         map[pool.GrantID]*grant{},
 		pendingProgress: map[pool.GrantID]pool.Progress{},
-		rates:           map[string]float64{},
-		brittle:         map[string]int{},
+		rates:           named[float64]{},
+		brittle:         named[int]{},
 	}
 	l.box = mailbox.New(e.cfg.Spawn, l.handle)
 	return l
@@ -151,8 +151,7 @@
 
 func (m releaseMessage) apply(l *link) {
 	if o := m.ev.Outcome; o == pool.OutcomeDone || o == pool.OutcomeFailed {
-		l.endRate(l.running[m.ev.Grant])
-		l.endBrittle(l.running[m.ev.Grant])
+		l.endNamed(l.running[m.ev.Grant])
 	}
 	delete(l.running, m.ev.Grant)
 	delete(l.pendingProgress, m.ev.Grant)
@@ -172,8 +171,7 @@
 	if g == nil {
 		return
 	}
-	l.endRate(g)
-	l.endBrittle(g)
+	l.endNamed(g)
 	if m.ev.FirstToken > 0 && !g.firstTokenReported && l.session.open() {
 		// The first token is sent at once: the scheduler's limits and its holds for
 		// prefixes depend on it.
--- a/broker/session.go
+++ b/broker/session.go
@@ -157,8 +157,7 @@
 	for _, g := range l.running {
 		l.outbox = append(l.outbox, g.runningEvent())
 	}
-	l.reportRates()
-	l.reportBrittle()
+	l.reportNamed()
 	l.outbox = append(l.outbox, pool.EntryReported{})
 	for _, w := range l.waitersByAge() {
 		w.requeue = false
