relay: a server is unreachable if two peers say so

A cut of one server from two daemons made the second confirm what the first had found, and took the server from all; a third daemon reaches it and is asked now.

--- a/internal/relay/peers.go
+++ b/internal/relay/peers.go
@@ -19,6 +19,9 @@
 const (
 	// maxPeersAsked bounds the peers that are asked for one connection.
 	maxPeersAsked = 4
+	// enoughWitnesses is how many peers are asked that can't reach a server either. A part of
+	// the servers may be cut off from two daemons.
+	enoughWitnesses = 2
 	// answerTimeout bounds the wait for one peer's answer.
 	answerTimeout = 250 * time.Millisecond
 	// failedMemory is how long a peer that did not connect is asked after the others.
@@ -61,7 +64,7 @@
 // connect asks peers, one after the other, for a connection to a server: first the given
 // one, then the others in random order, last those that failed lately.
 func (p *peers) connect(ctx context.Context, address, first string, count func(result)) (*relayedConn, verdict) {
-	v := verdictNone
+	v, unreachable := verdictNone, 0
 	for _, name := range p.order(first) {
 		if ctx.Err() != nil {
 			return nil, v
@@ -73,9 +76,12 @@
 			p.avoid(name, 0)
 			return conn, v
 		case answer == wire.Result_RESULT_UNREACHABLE:
-			return nil, verdictUnreachable
+			v = verdictUnreachable
+			if unreachable++; unreachable == enoughWitnesses {
+				return nil, v
+			}
 		case answer == wire.Result_RESULT_CUT_OFF:
-			v = verdictCutOff
+			v = max(v, verdictCutOff)
 			p.avoid(name, failedMemory)
 		case errors.Is(err, peer.ErrUnknownType):
 			p.avoid(name, oldVersionMemory)
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -217,6 +217,16 @@
 			_, err := n.dial("a", serverA)
 			So(errors.Is(err, httpconn.ErrUnreachableByPeer), ShouldBeTrue)
 		})
+		Convey("a server that a third daemon reaches is reached", func() {
+			n := newNetwork("a", "b", "c")
+			n.set("a", refuses, serverA)
+			n.set("b", refuses, serverA)
+			for range 5 {
+				through, err := n.dial("a", serverA)
+				So(err, ShouldBeNil)
+				So(through, ShouldEqual, "c")
+			}
+		})
 		Convey("a peer that reaches no server says nothing of one", func() {
 			n.set("b", refuses, serverA, serverB)
 			_, err := n.dial("a", serverA)
