--- a/internal/forward/send.go
+++ b/internal/forward/send.go
@@ -31,6 +31,7 @@
 	tokens, reportedTokens int
 	reportedAt             time.Time
 	reports                int
+	peer                   string     // through which it was sent; empty: direct
 	reach                  pool.Reach // what a peer found of the server after the answer was lost
 	serverGone             bool       // the server's process was found to have ended after the answer was lost
 	// onEnd is called with the outcome; nil if no rollout tracks the attempt.
@@ -180,7 +181,7 @@
 	if err != nil {
 		return nil, nil, x.endFailedSend(a, err)
 	}
-	x.history.peer = conn.Peer()
+	a.peer, x.history.peer = conn.Peer(), conn.Peer()
 	conn.SetSilenceTimeout(time.Until(x.outbound.deadline) + time.Second)
 	r, err := readReply(x.ctx, conn, x.outbound.method, x.callerRequestID, &x.server.wire)
 	if err != nil {
@@ -242,10 +243,11 @@
 	}
 	servers := x.server.deps.ConnPools
 	address := a.grant.Server().Address
-	if !errors.Is(lost, engine.ErrConnectionLost) {
-		if servers.PathDown(address) {
-			a.reach = pool.ReachedByPeer
-		}
+	switch {
+	case errors.Is(lost, errServerSilent) && a.peer == "" && servers.PathDown(address):
+		a.reach = pool.ReachedByPeer
+		return
+	case !errors.Is(lost, engine.ErrConnectionLost):
 		return
 	}
 	ctx, cancel := context.WithTimeout(x.ctx, serverCheckTimeout)
--- /dev/null
+++ b/internal/relay/wire/doc.go
@@ -0,0 +1,2 @@
+// Package wire holds the messages of relayed connections.
+package wire
