relay: the end of the grace always ends the wait for relayed connections

The wake-up at the end of a stopping daemon's grace did not hold the mutex of the condition, so that it could come between the look and the wait; the daemon would then be killed instead of stopping. Found by reading; no test forces that order.

--- a/internal/relay/serve.go
+++ b/internal/relay/serve.go
@@ -174,6 +174,12 @@
 // ended notes that a connection for a peer has ended.
 func (r *Relay) ended() {
 	r.relayed.Add(-1)
+	r.wakeWaiters()
+}
+
+// wakeWaiters wakes Wait. It holds the mutex, so that Wait is not between its look at what
+// has changed and its wait.
+func (r *Relay) wakeWaiters() {
 	r.idleMu.Lock()
 	defer r.idleMu.Unlock()
 	r.idle.Broadcast()
@@ -184,7 +190,7 @@
 
 // Wait waits until the connections of peers have ended, or ctx ends.
 func (r *Relay) Wait(ctx context.Context) error {
-	stop := context.AfterFunc(ctx, r.idle.Broadcast)
+	stop := context.AfterFunc(ctx, r.wakeWaiters)
 	defer stop()
 	r.idleMu.Lock()
 	defer r.idleMu.Unlock()
