forward, gateway: logs and metrics tell versions of streams and what callers take up

The lines of a request name the version of its server (server_version, in tries too), and what its caller asked for (last_event, resumes); streams.taken_up counts take-ups, streams.versions_mixed those that went on at another version within one answer. No decision has changed; tests of forward, gateway, platform and explain pass.

--- a/internal/forward/counters.go
+++ b/internal/forward/counters.go
@@ -22,6 +22,9 @@
 
 	streamsResumed *expvar.Int
 	streamsCut     *expvar.Int
+	// streamsTakenUp counts requests for the rest of a stream, versionsMixed streams that
+	// went on at another version within one answer.
+	streamsTakenUp, versionsMixed *expvar.Int
 	// hedges counts the hedged attempts of silent streams, hedgesUnused those whose
 	// original stream continued first.
 	hedges, hedgesUnused *expvar.Int
@@ -60,6 +63,8 @@
 	c.retriesDenied = m.Counter("retries", "denied_by_budget")
 	c.streamsResumed = m.Counter("streams", "resumed")
 	c.streamsCut = m.Counter("streams", "cut")
+	c.streamsTakenUp = m.Counter("streams", "taken_up")
+	c.versionsMixed = m.Counter("streams", "versions_mixed")
 	c.hedges = m.Counter("retries", "silent_stream")
 	c.hedgesUnused = m.Counter("streams", "went_on_beside_a_hedge")
 	c.answered = m.Counter("forward", "answered")
--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -27,6 +27,7 @@
 	conn            net.Conn
 	receivedAt      time.Time
 	callerRequestID string // the request id that the caller chose; unique per attempt of the caller
+	takeUp          takeUp
 	key             string
 
 	table     *route.Table
@@ -65,9 +66,11 @@
 }
 
 func (s *Server) newExchange(ctx *fasthttp.RequestCtx) *exchange {
+	h := &ctx.Request.Header
 	return &exchange{
 		server: s, httpCtx: ctx, conn: ctx.Conn(), receivedAt: time.Now(),
-		callerRequestID: string(ctx.Request.Header.Peek(s.wire.RequestID)),
+		callerRequestID: string(h.Peek(s.wire.RequestID)),
+		takeUp:          takeUp{lastEvent: string(h.Peek(s.wire.LastEvent)), resumes: string(h.Peek(s.wire.Resumes))},
 	}
 }
 
@@ -80,8 +83,11 @@
 	if err := x.takeQuota(); err != nil {
 		return err
 	}
-	x.outbound = x.server.newOutboundRequest(x.httpCtx, x.workspaceName())
+	x.outbound = x.server.newOutboundRequest(x.httpCtx, x.workspaceName(), x.takeUp.lastEvent)
 	x.outbound.deadline = x.receivedAt.Add(x.spec.Targets.Deadline)
+	if x.takeUp.lastEvent != "" {
+		x.server.counters.streamsTakenUp.Add(1)
+	}
 	x.server.deps.Budget(x.service).RecordRequest(x.receivedAt)
 	x.watchCaller()
 	err := x.forward()
--- a/internal/forward/hedge.go
+++ b/internal/forward/hedge.go
@@ -149,7 +149,7 @@
 		s.logHedge().WithError(err).Info("Hedge not started.")
 		return
 	}
-	s.logHedge().WithField("hedge_server", reserved.Server().Name).Info("Hedge started.")
+	s.logHedge().WithFields(logrus.Fields{"hedge_server": reserved.Server().Name, "hedge_version": reserved.Server().Version}).Info("Hedge started.")
 	h.started = true
 	x.server.counters.hedges.Add(1)
 	next, refusal := x.resume(x.trySend(reserved))
@@ -175,7 +175,8 @@
 	h.cancel(nil)
 	s, x := h.stream, h.stream.exchange
 	x.ctx, x.preSendRefusal = h.parent, nil
-	x.outbound.serverID = s.attempt.grant.Server().Name
+	own := s.attempt.grant.Server()
+	x.outbound.serverID, x.history.serverVersion = own.Name, own.Version
 	x.demand.Spec = x.spec
 	x.history.canaryVersion = h.canaryVersion
 }
@@ -252,7 +253,7 @@
 // logHedge returns the log entry for a decision on a hedge, with the length of the silence.
 func (s *stream) logHedge() *logrus.Entry {
 	return s.exchange.server.log.WithFields(s.exchange.requestFields()).WithFields(logrus.Fields{
-		"server": s.attempt.grant.Server().Name, "events": s.exchange.history.events,
+		"server": s.attempt.grant.Server().Name, "server_version": s.attempt.grant.Server().Version, "events": s.exchange.history.events,
 		"silent_ms": time.Since(s.lastEventAt).Milliseconds(),
 	})
 }
--- a/internal/forward/outbound.go
+++ b/internal/forward/outbound.go
@@ -30,7 +30,8 @@
 }
 
 // newOutboundRequest copies the request, because the HTTP server reuses its buffers.
-func (s *Server) newOutboundRequest(ctx *fasthttp.RequestCtx, workspaceName string) *outboundRequest {
+// lastEvent is the last event of a stream that the caller has.
+func (s *Server) newOutboundRequest(ctx *fasthttp.RequestCtx, workspaceName, lastEvent string) *outboundRequest {
 	o := &outboundRequest{
 		method: string(ctx.Method()), target: string(ctx.Request.Header.RequestURI()),
 		wire: &s.wire, headers: make([]header, 0, 12),
@@ -49,7 +50,7 @@
 	if workspaceName != "" {
 		o.headers = append(o.headers, header{s.wire.Workspace, workspaceName})
 	}
-	o.lastEvent = string(ctx.Request.Header.Peek(s.wire.LastEvent))
+	o.lastEvent = lastEvent
 	o.body = append([]byte(nil), ctx.Request.Body()...)
 	return o
 }
--- a/internal/forward/requestlog.go
+++ b/internal/forward/requestlog.go
@@ -17,6 +17,7 @@
 	canaryVersion string   // the new version that the last send went to; empty for the stable one
 	failedSends   []string // the first maxLoggedSends failed sends, with cause and time
 	peer          string   // through which the last send went; empty: direct
+	serverVersion string   // of the server of the last send
 	writeFailed   bool     // a write of a stream to the caller failed
 }
 
@@ -26,7 +27,7 @@
 // recordFailedSend records how a send failed.
 func (t *requestHistory) recordFailedSend(server, cause string, elapsed time.Duration) {
 	if len(t.failedSends) < maxLoggedSends {
-		t.failedSends = append(t.failedSends, fmt.Sprintf("%s %s after %dms", server, cause, elapsed.Milliseconds()))
+		t.failedSends = append(t.failedSends, fmt.Sprintf("%s %s after %dms (%s)", server, cause, elapsed.Milliseconds(), t.serverVersion))
 	}
 }
 
@@ -45,7 +46,7 @@
 		f["cost"] = x.quotaCost
 	}
 	if x.outbound != nil && x.outbound.serverID != "" {
-		f["server"] = x.outbound.serverID
+		f["server"], f["server_version"] = x.outbound.serverID, x.history.serverVersion
 	}
 	if x.history.peer != "" {
 		f["through"] = x.history.peer
--- a/internal/forward/resume.go
+++ b/internal/forward/resume.go
@@ -74,7 +74,11 @@
 
 // switchTo continues the stream with another server's attempt.
 func (s *stream) switchTo(next *successor) {
-	s.exchange.server.counters.streamsResumed.Add(1)
+	c := s.exchange.server.counters
+	c.streamsResumed.Add(1)
+	if s.attempt.grant.Server().Version != next.attempt.grant.Server().Version {
+		c.versionsMixed.Add(1)
+	}
 	s.attempt, s.released = next.attempt, false
 	s.events, s.pending, s.eof = next.events, next.pending, next.eof
 	s.recordEvents(next.eventCount)
--- a/internal/forward/retries.go
+++ b/internal/forward/retries.go
@@ -45,7 +45,7 @@
 	}
 	c.retriesSent.Add(1)
 	c.retryWait.Observe(waited)
-	l.WithField("server", x.outbound.serverID).Info("Retry sent.")
+	l.WithFields(logrus.Fields{"server": x.outbound.serverID, "server_version": x.history.serverVersion}).Info("Retry sent.")
 	return nil
 }
 
--- a/internal/forward/runninglog.go
+++ b/internal/forward/runninglog.go
@@ -91,6 +91,7 @@
 // requestFields returns the fields of a request that don't change after buildDemand.
 func (x *exchange) requestFields() logrus.Fields {
 	f := logrus.Fields{"request": x.callerRequestID, "total_ms": time.Since(x.receivedAt).Milliseconds()}
+	x.takeUp.addFields(f)
 	if x.table != nil {
 		f["version"] = x.table.Version
 	}
--- a/internal/forward/send.go
+++ b/internal/forward/send.go
@@ -158,7 +158,7 @@
 		grant.Release(broker.Completion{Outcome: pool.OutcomeRefused, RefusedLeaving: true})
 		return nil, nil, errors.Wrapf(engine.ErrNotSent, "server %s is leaving", s.Name)
 	}
-	x.outbound.serverID = s.Name
+	x.outbound.serverID, x.history.serverVersion = s.Name, s.Version
 	x.runningLog.recordSend(s.Name)
 	policy := httpconn.MustDial
 	if x.route.Repeatable() {
--- a/internal/forward/wire.go
+++ b/internal/forward/wire.go
@@ -31,6 +31,9 @@
 	ServerBrittle string
 	// LastEvent is the id of the last event of a stream that was received.
 	LastEvent string
+	// Resumes is the request id of the caller's attempt that brought the first event of a
+	// stream that the caller takes up.
+	Resumes string
 	// Tokens is parsed by ParseTokens. LengthHint is the caller's estimate of the number
 	// of tokens that will be generated.
 	Tokens     string
--- a/internal/gateway/pools.go
+++ b/internal/gateway/pools.go
@@ -135,6 +135,6 @@
 		// The servers of a service differ in speed permanently, so each is a
 		// generation of its own: it is compared with its own baseline, not with
 		// the other servers.
-		Generation: s.ID, Incarnation: s.Incarnation(),
+		Generation: s.ID, Incarnation: s.Incarnation(), Version: s.Version,
 	}
 }
--- a/workspace/objects.go
+++ b/workspace/objects.go
@@ -151,6 +151,8 @@
 	// Incarnation changes when the server restarts, if its registration reports
 	// that. Operators do not set it.
 	Incarnation string `json:"-"`
+	// Version is the version of the server's software, as its registration reports it.
+	Version string `json:"-"`
 }
 
 // Assignment is the placement controller's decision for one backend server.
