--- a/test/soak/fleet_test.go
+++ b/test/soak/fleet_test.go
@@ -82,7 +82,8 @@
 	config         *standin.Configuration
 	nodes          []*node
 	servers        []*server
-	serversCreated int // including servers that have ended
+	serversMu      sync.Mutex // guards servers while a disturbance changes them
+	serversCreated int        // including servers that have ended
 	// eventInterval is the time between two events of a stream.
 	eventInterval time.Duration
 	// fails tells which runs of a server fail; nil: none.
@@ -92,6 +93,7 @@
 	badServers []*server
 	// partitionable is set if the nodes can be partitioned from all servers.
 	partitionable bool
+	noRollouts    bool
 	// restarts tracks goroutines that wait for a process to exit and then restart its node.
 	restarts conc.WaitGroup
 }
@@ -133,6 +135,8 @@
 	resumeTiers int
 	// partitionable nodes can be partitioned from all servers.
 	partitionable bool
+	// noRollouts keeps the operators from rolling out versions.
+	noRollouts bool
 }
 
 func newFleet(t *testing.T, o fleetOptions) *fleet {
@@ -141,7 +145,7 @@
 	o.onceTimeout = cmp.Or(o.onceTimeout, 8*time.Second)
 	o.resumeTimeout = cmp.Or(o.resumeTimeout, 8*time.Second)
 	o.resumeTiers = cmp.Or(o.resumeTiers, 1)
-	f := &fleet{t: t, eventInterval: o.eventInterval, fails: o.fails, partitionable: o.partitionable, dir: t.TempDir(), store: standin.NewStore(50), revokedAt: map[string]time.Time{}}
+	f := &fleet{t: t, eventInterval: o.eventInterval, fails: o.fails, partitionable: o.partitionable, noRollouts: o.noRollouts, dir: t.TempDir(), store: standin.NewStore(50), revokedAt: map[string]time.Time{}}
 	f.storeAddr, _ = f.serve(f.store.Serve)
 	f.config = &standin.Configuration{
 		Tenant: "space", MaxBodyBytes: longBodyBytes,
@@ -239,6 +243,9 @@
 			CanaryShare: canaryShare, CanarySlack: canarySlack,
 		},
 	}
+	if f.noRollouts {
+		n.settings.Bounds.CanaryShare, n.settings.Bounds.CanarySlack = 0, 0
+	}
 	n.callerProxy, n.peerProxy = f.newProxy(n.settings.Listen), f.newProxy(n.settings.Peer)
 	n.settings.PeerAddress = n.peerProxy.Addr()
 	for _, other := range f.nodes {
