forward, pool: a stream goes on only at the version that began it, within one answer

Callers got events of two software versions in one answer where a broken or silent stream was resumed: a demand knew no version, so the owner granted any free server, and after a send always the stable version. From the first bytes that are passed on a stream is bound to the version of its server: the demand names it, the owner's choice, probes and isolation keep to it, the entry checks each grant and the server's registration before the send, hedges and the version on trial included. What a version on trial gets so counts against its share (Budget.TakeResume, bound in rollout's property test). Without a server of the version that may be used the request ends as version_unavailable; that sheds no lower tier.

--- a/broker/broker.go
+++ b/broker/broker.go
@@ -20,6 +20,8 @@
 	MaxWaiting int
 	// SentTo are the servers to which the request was sent before.
 	SentTo []string
+	// Version, if not empty, is the software version whose servers alone may get the request.
+	Version string
 }
 
 // Broker acquires slots for requests. Implementations are safe for concurrent use.
--- a/broker/commands.go
+++ b/broker/commands.go
@@ -112,6 +112,11 @@
 		l.returnGrant(c, w) // until this daemon has the owner's newer configuration, too
 		return
 	}
+	if v := w.demand.Version; v != "" && server.Version != v {
+		l.entry.counters.wrongVersion.Add(1)
+		l.returnGrant(c, w) // until owner and entry know the same version of the server
+		return
+	}
 	delete(l.waiting, c.Request)
 	g := &grant{link: l, spec: w.demand.Spec, id: c.Grant, server: server}
 	l.running[c.Grant] = g
--- a/broker/waiter.go
+++ b/broker/waiter.go
@@ -59,6 +59,7 @@
 		PromptTokens: s.PromptTokens, MaxTokens: s.MaxTokens, ExpectedTokens: s.ExpectedTokens,
 		Blocks: sentBlocks(s), Fingerprint: s.Fingerprint,
 		MaxWaiting: w.demand.MaxWaiting, SentTo: w.demand.SentTo, NoRedirect: w.redirected || len(w.demand.Candidates) < 2,
+		Version: w.demand.Version,
 	}
 	if s.Targets.FirstToken > 0 {
 		ev.FirstTokenIn = s.Targets.FirstToken - waited
--- a/internal/forward/answer.go
+++ b/internal/forward/answer.go
@@ -113,6 +113,7 @@
 	s.recordEvents(n)
 	s.eof = err == io.EOF
 	x.stream = s
+	x.binding.bind(a.grant.Server().Version)
 	x.copyHeaders(&r.header)
 	x.httpCtx.Response.SetBodyStream(s, -1)
 	return true, nil
--- a/internal/forward/canary.go
+++ b/internal/forward/canary.go
@@ -16,6 +16,9 @@
 	// the service's new version, and returns that version. It is called at most once per
 	// request, before the request waits for a slot.
 	Canary(service, route string) (version string, ok bool)
+	// ResumeCanary decides whether a stream that the service's new version began may go on
+	// there. Like canaries, such requests count against what that version may get.
+	ResumeCanary(service, route string) bool
 	// RecordNoSlot records that a canary got no slot on the new version.
 	RecordNoSlot(service string)
 	// RecordSent counts an attempt that is being sent to a server. first is true for the
@@ -39,7 +42,7 @@
 // so that retries don't raise the new version's share.
 func (x *exchange) decideCanary() {
 	r := x.server.deps.Rollouts
-	if x.canary.decided || r == nil {
+	if x.canary.decided || x.binding.version != "" || r == nil {
 		return
 	}
 	x.canary.decided = true
@@ -49,7 +52,7 @@
 // fallBackToStable sends a canary that got no slot to the stable version. It returns
 // whether the request was a canary.
 func (x *exchange) fallBackToStable() bool {
-	if x.canary.version == "" || x.ctx.Err() != nil {
+	if x.canary.version == "" || x.binding.version != "" || x.ctx.Err() != nil {
 		return false
 	}
 	x.canary.version = ""
--- a/internal/forward/canary_test.go
+++ b/internal/forward/canary_test.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"cmp"
 	"context"
 	"net"
 	"sync"
@@ -17,6 +18,8 @@
 type fakeRollouts struct {
 	mu          sync.Mutex
 	canaries    bool
+	version     string // default v2
+	denyResumes bool
 	canaryCalls int
 	noSlot      int
 	sent        int
@@ -31,9 +34,11 @@
 	if !f.canaries {
 		return "", false
 	}
-	return "v2", true
+	return cmp.Or(f.version, "v2"), true
 }
 
+func (f *fakeRollouts) ResumeCanary(string, string) bool { return !f.denyResumes }
+
 func (f *fakeRollouts) RecordNoSlot(string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -48,6 +48,7 @@
 	// server's next one.
 	resuming       bool
 	canary         canaryState
+	binding        versionBinding
 	outbound       *outboundRequest
 	earlierFailure *failedAnswer // of an earlier server; nil if there is none
 
@@ -246,8 +247,8 @@
 // deadlines.
 const finalWriteTimeout = time.Second
 
-// candidatePools returns the current candidate pools: those of the stable version, or those
-// of the given version if it is not empty.
+// candidatePools returns the current candidate pools: those of the stable versions, or those
+// of the given version on trial if it is not empty.
 func (x *exchange) candidatePools(version string) []*workspace.ResolvedPool {
 	snapshot := x.server.deps.Snapshot.Load()
 	if snapshot == nil {
--- a/internal/forward/harness_test.go
+++ b/internal/forward/harness_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"net"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -170,9 +171,14 @@
 	if b.refusal != nil && n > b.refuseAfter && (b.refuseFirst == 0 || n <= b.refuseFirst) {
 		return nil, b.refusal
 	}
-	s := b.servers[b.next%len(b.servers)]
-	b.next++
-	return &fakeGrant{b, s}, nil
+	for range b.servers {
+		s := b.servers[b.next%len(b.servers)]
+		b.next++
+		if d.Version == "" || s.Version == d.Version {
+			return &fakeGrant{b, s}, nil
+		}
+	}
+	return nil, request.Refuse(request.ReasonVersionUnavailable, "no server of version %s", d.Version)
 }
 
 // acquireCount returns how often Acquire was called.
@@ -234,11 +240,11 @@
 func (a *fakeAdmission) ProofAge() time.Duration  { return time.Second }
 func (a *fakeAdmission) StoreLost() time.Duration { return 0 }
 func (a *fakeAdmission) Owner(string) string      { return "owner" }
-func (a *fakeAdmission) MayUse(id string, _ bool) bool {
+func (a *fakeAdmission) MayUse(s workspace.BackendServer, _ bool) bool {
 	if n := a.mayUseCalls.Add(1); a.onMayUse != nil {
 		a.onMayUse(int(n))
 	}
-	_, leaving := a.leaving.Load(id)
+	_, leaving := a.leaving.Load(s.Name)
 	return !leaving
 }
 
@@ -357,6 +363,27 @@
 	return r
 }
 
+// setVersions gives the servers versions and puts them into one pool, or into one for each
+// version on trial.
+func (r *harness) setVersions(onTrial string, versions ...string) {
+	r.broker.mu.Lock()
+	defer r.broker.mu.Unlock()
+	snapshot := &workspace.Snapshot{ModelPools: map[workspace.ModelRegion][]*workspace.ResolvedPool{}}
+	for i, v := range versions {
+		r.broker.servers[i].Version = v
+		key := workspace.ModelRegion{Model: "svc"}
+		if v == onTrial {
+			key.Version = v
+		}
+		if len(snapshot.ModelPools[key]) == 0 {
+			snapshot.ModelPools[key] = []*workspace.ResolvedPool{{Pool: workspace.Pool{Name: "svc " + key.Version}}}
+		}
+		p := snapshot.ModelPools[key][0]
+		p.Servers = append(p.Servers, r.broker.servers[i])
+	}
+	r.server.deps.Snapshot.Store(snapshot)
+}
+
 // newTestBudget returns a budget for some retries that no request adds to.
 func newTestBudget(retries float64) *retry.Budget {
 	const window = time.Hour
@@ -435,3 +462,12 @@
 	c.send(method, path, id, extra, body)
 	return c.receive()
 }
+
+// removeServer removes a server from the snapshot; what runs there goes on.
+func removeServer(r *harness, name string) {
+	for _, pools := range r.server.deps.Snapshot.Load().ModelPools {
+		for _, p := range pools {
+			p.Servers = slices.DeleteFunc(p.Servers, func(s workspace.BackendServer) bool { return s.Name == name })
+		}
+	}
+}
--- a/internal/forward/hedge.go
+++ b/internal/forward/hedge.go
@@ -219,10 +219,12 @@
 	if err := x.recheckKey(); err != nil {
 		return nil, err
 	}
+	if err := x.setCandidates(); err != nil {
+		return nil, err
+	}
 	x.setHedgeDemand(silentAttempt)
 	ctx, cancel := context.WithTimeout(x.ctx, hedgeSlotTimeout)
 	defer cancel()
-	x.demand.Candidates = x.candidatePools("")
 	grant, err := x.server.deps.Broker.Acquire(ctx, x.demand)
 	if err != nil {
 		return nil, err
--- a/internal/forward/send.go
+++ b/internal/forward/send.go
@@ -43,7 +43,9 @@
 func (x *exchange) send() (*reply, *attempt, error) {
 	x.decideCanary()
 	for {
-		x.demand.Candidates = x.candidatePools(x.canary.version)
+		if err := x.setCandidates(); err != nil {
+			return nil, nil, err
+		}
 		grant, err := x.acquireSlot()
 		if errors.Is(err, errPoolRemoved) || err != nil && x.fallBackToStable() {
 			continue
@@ -154,9 +156,9 @@
 func (x *exchange) trySend(grant broker.Grant) (*reply, *attempt, error) {
 	s := grant.Server()
 	a := &attempt{grant: grant}
-	if !x.server.deps.Admission.MayUse(s.Name, x.canary.version != "") {
+	if !x.server.deps.Admission.MayUse(s, x.canary.version != "") {
 		grant.Release(broker.Completion{Outcome: pool.OutcomeRefused, RefusedLeaving: true})
-		return nil, nil, errors.Wrapf(engine.ErrNotSent, "server %s is leaving", s.Name)
+		return nil, nil, errors.Wrapf(engine.ErrNotSent, "server %s may not be used", s.Name)
 	}
 	x.outbound.serverID, x.history.serverVersion = s.Name, s.Version
 	x.runningLog.recordSend(s.Name)
--- a/internal/forward/wire.go
+++ b/internal/forward/wire.go
@@ -5,6 +5,7 @@
 
 	"github.com/lycheekeel/lycheekeel/request"
 	"github.com/lycheekeel/lycheekeel/route"
+	"github.com/lycheekeel/lycheekeel/workspace"
 )
 
 // Wire describes how a platform encodes requests and answers: the names of the headers
@@ -51,10 +52,10 @@
 	// Fresh tells whether the configuration was proved to be active recently enough to
 	// trust a key.
 	Fresh() bool
-	// MayUse tells whether, as far as this daemon knows, a server exists and is not leaving,
-	// and whether its version serves canaries or other requests. The owner of the server's
-	// pool may learn of a change later.
-	MayUse(serverID string, canary bool) bool
+	// MayUse tells whether, as far as this daemon knows, a server exists in this version and
+	// is not leaving, and whether its version serves canaries or other requests. The owner of
+	// the server's pool may learn of a change later.
+	MayUse(s workspace.BackendServer, canary bool) bool
 	// The other methods are for logs only. ProofAge is the age of that proof. StoreLost is
 	// how long the store has not answered this daemon's own reads, 0 if it does. Fresh is
 	// false if either is too long. Owner is the daemon that schedules a service's requests.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -133,13 +133,13 @@
 }
 
 // MayUse implements forward.Admission.
-func (g *Gateway) MayUse(serverID string, canary bool) bool {
+func (g *Gateway) MayUse(s workspace.BackendServer, canary bool) bool {
 	usable := g.state.usable.Load()
 	if usable == nil {
 		return false
 	}
-	use, known := (*usable)[serverID]
-	return known && use.accepts(canary)
+	use, known := (*usable)[s.Name]
+	return known && use.version == s.Version && use.accepts(canary)
 }
 
 // ProofAge implements forward.Admission; below 0: there was no proof.
--- a/internal/gateway/poolupdate_test.go
+++ b/internal/gateway/poolupdate_test.go
@@ -112,7 +112,7 @@
 	addresses, usable := map[string]string{}, map[string]serverUse{}
 	for _, x := range servers {
 		addresses[x.Address] += x.ID + "/" + x.Incarnation() + " "
-		usable[x.ID] = serverUse{leaving: x.Leaving, arm: s.rollouts.arm(x)}
+		usable[x.ID] = serverUse{leaving: x.Leaving, version: x.Version, arm: s.rollouts.arm(x)}
 	}
 	if !reflect.DeepEqual(c.addresses, addresses) {
 		t.Fatalf("at the addresses: %v, want %v", c.addresses, addresses)
--- a/internal/gateway/rollouts.go
+++ b/internal/gateway/rollouts.go
@@ -247,12 +247,8 @@
 
 // Canary implements forward.Rollouts.
 func (r *rollouts) Canary(service, route string) (string, bool) {
-	a := (*r.active.Load())[service]
-	if a == nil {
-		return "", false
-	}
-	plan := a.plan.Load()
-	if plan == nil || time.Since(plan.receivedAt) > planTTL {
+	a, plan := r.validPlan(service)
+	if plan == nil {
 		return "", false
 	}
 	if plan.AllToNew(route, time.Since(plan.receivedAt)) || plan.HasCanaries() && a.budget.Take() {
@@ -262,6 +258,29 @@
 	return "", false
 }
 
+// ResumeCanary implements forward.Rollouts.
+func (r *rollouts) ResumeCanary(service, route string) bool {
+	a, plan := r.validPlan(service)
+	if plan == nil {
+		return false
+	}
+	return plan.AllToNew(route, time.Since(plan.receivedAt)) || plan.HasCanaries() && a.budget.TakeResume()
+}
+
+// validPlan returns a service's running rollout and its plan; a nil plan if there is none
+// that is young enough.
+func (r *rollouts) validPlan(service string) (*activeRollout, *receivedPlan) {
+	a := (*r.active.Load())[service]
+	if a == nil {
+		return nil, nil
+	}
+	plan := a.plan.Load()
+	if plan == nil || time.Since(plan.receivedAt) > planTTL {
+		return nil, nil
+	}
+	return a, plan
+}
+
 // RecordNoSlot implements forward.Rollouts.
 func (r *rollouts) RecordNoSlot(string) { r.counters.noSlot.Add(1) }
 
--- a/internal/gateway/serverchanges.go
+++ b/internal/gateway/serverchanges.go
@@ -116,7 +116,9 @@
 // usableServers returns the use of each server after the changes. If arms have changed, the
 // use of all may have.
 func (b *builtServers) usableServers(prev *map[string]serverUse, changes []serverChange, arm func(discovery.Server) rollout.Arm, armsChanged bool) *map[string]serverUse {
-	use := func(x discovery.Server) serverUse { return serverUse{leaving: x.Leaving, arm: arm(x)} }
+	use := func(x discovery.Server) serverUse {
+		return serverUse{leaving: x.Leaving, version: x.Version, arm: arm(x)}
+	}
 	if prev == nil || armsChanged {
 		next := make(map[string]serverUse, len(b.servers))
 		for id, x := range b.servers {
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -65,6 +65,7 @@
 // serverUse says which requests a server may get.
 type serverUse struct {
 	leaving bool
+	version string
 	arm     rollout.Arm
 }
 
--- a/internal/poolhost/host.go
+++ b/internal/poolhost/host.go
@@ -238,7 +238,7 @@
 	for _, s := range p.Servers {
 		set.Servers = append(set.Servers, pool.ServerInfo{
 			Name: s.Name, AvailabilityZone: s.AvailabilityZone, Generation: s.Generation, Slots: s.Slots,
-			Incarnation: s.Incarnation,
+			Incarnation: s.Incarnation, Version: s.Version,
 		})
 	}
 	if snapshot := r.host.cfg.Snapshot.Load(); snapshot != nil {
--- a/internal/poolwire/check.go
+++ b/internal/poolwire/check.go
@@ -175,6 +175,7 @@
 		ExpectedTokens: c.number("expected_tokens", m.GetExpectedTokens()),
 		Blocks:         c.blocks(m.GetBlocks()), Fingerprint: m.GetFingerprint(),
 		MaxWaiting: c.number("max_waiting", m.GetMaxWaiting()), NoRedirect: m.GetNoRedirect(), SentTo: c.servers("sent_to", m.GetSentTo()),
+		Version: c.optionalName("version", m.GetVersion()),
 	}
 }
 
--- a/internal/poolwire/encode.go
+++ b/internal/poolwire/encode.go
@@ -119,6 +119,7 @@
 		DeadlineIn: int64(e.DeadlineIn), PerToken: int64(e.PerToken),
 		PromptTokens: uint64(e.PromptTokens), MaxTokens: uint64(e.MaxTokens), ExpectedTokens: uint64(e.ExpectedTokens),
 		Blocks: e.Blocks, Fingerprint: e.Fingerprint, MaxWaiting: uint64(e.MaxWaiting), NoRedirect: e.NoRedirect, SentTo: e.SentTo,
+		Version: e.Version,
 	}
 }
 
--- a/internal/poolwire/poolwire_test.go
+++ b/internal/poolwire/poolwire_test.go
@@ -20,7 +20,7 @@
 		pool.Enqueue{
 			Request: "r", Entry: entry, Workspace: "w", Template: "t", Model: "m", Tier: request.MaxTiers - 1,
 			Waited: time.Second, FirstTokenIn: -time.Millisecond, DeadlineIn: time.Minute, PerToken: 50 * time.Millisecond,
-			PromptTokens: 1000, MaxTokens: 200, ExpectedTokens: 150, Blocks: []uint64{1, 1 << 63}, Fingerprint: 9, MaxWaiting: 100, NoRedirect: true, SentTo: []string{"s1", "s2"},
+			PromptTokens: 1000, MaxTokens: 200, ExpectedTokens: 150, Blocks: []uint64{1, 1 << 63}, Fingerprint: 9, MaxWaiting: 100, NoRedirect: true, SentTo: []string{"s1", "s2"}, Version: "v1",
 		},
 		pool.Withdraw{Request: "r", Entry: entry},
 		pool.Progress{Request: "r", Grant: g, Server: "s", FirstToken: time.Second, Tokens: 12, PerToken: time.Millisecond},
--- a/pool/admission.go
+++ b/pool/admission.go
@@ -51,6 +51,10 @@
 		p.admitSuspect(w)
 		return
 	}
+	if !p.versionListed(w) {
+		p.shed(&w.Enqueue, request.ReasonVersionUnavailable, retryAfterMin)
+		return
+	}
 	if p.exceedsWorkspaceLimit(w) && !p.admitOverLimit(w) {
 		return
 	}
--- a/pool/choose.go
+++ b/pool/choose.go
@@ -199,25 +199,25 @@
 		time.Duration(s.failureRate.at(p.now)*float64(failureCost))
 }
 
-// mustAvoid reports whether a request must not be sent to a server: its entry could not
-// reach the server a moment ago, or an earlier attempt there failed and another server can
+// mustAvoid reports whether a request must not be sent to a server: it needs another
+// version, its entry could not reach the server a moment ago, or an earlier attempt there failed and another server can
 // get grants, even if it has no free slot now. A server that fails many of its requests
 // would otherwise be the first to be free again.
 func (p *Pool) mustAvoid(w *waiter, s *server) bool {
-	if p.pathPaused(w.Entry, s) {
+	if !w.mayRunOn(s) || p.pathPaused(w.Entry, s) {
 		return true
 	}
 	if !slices.Contains(w.SentTo, s.info.Name) {
 		return false
 	}
 	return slices.ContainsFunc(p.sorted, func(other *server) bool {
-		return other.grantable && !slices.Contains(w.SentTo, other.info.Name) && !p.pathPaused(w.Entry, other)
+		return other.grantable && w.mayRunOn(other) && !slices.Contains(w.SentTo, other.info.Name) && !p.pathPaused(w.Entry, other)
 	})
 }
 
 // mayUseOneOf reports whether a request may be sent to one of the servers.
 func (p *Pool) mayUseOneOf(w *waiter, servers []*server) bool {
-	if len(w.SentTo) == 0 && !p.hasFailedPaths(w.Entry) {
+	if w.Version == "" && len(w.SentTo) == 0 && !p.hasFailedPaths(w.Entry) {
 		return true
 	}
 	return slices.ContainsFunc(servers, func(s *server) bool { return !p.mustAvoid(w, s) })
--- a/pool/events.go
+++ b/pool/events.go
@@ -71,6 +71,9 @@
 	SentTo []string
 	// NoRedirect is set on a request that has already been redirected.
 	NoRedirect bool
+	// Version, if not empty, is the software version whose servers alone may get the request:
+	// it is for the rest of a stream that a server of that version began.
+	Version string
 }
 
 // Withdraw cancels a waiting request whose caller has left. If a grant is already on
@@ -200,6 +203,8 @@
 	Slots            int
 	// Incarnation changes when the server restarts; empty means unknown.
 	Incarnation string
+	// Version is the version of the server's software; empty means unknown.
+	Version string
 }
 
 // ServerSet replaces the pool's servers. A removed server gets no new grants; its
--- a/pool/max_wait.go
+++ b/pool/max_wait.go
@@ -76,6 +76,10 @@
 			continue
 		}
 		p.removeWaiter(it.Value)
+		if !p.versionServes(it.Value) {
+			p.shed(&it.Value.Enqueue, request.ReasonVersionUnavailable, retryAfterMin)
+			continue
+		}
 		if p.now.Before(it.Value.deadline) {
 			p.shedLowerTiers(it.Tier)
 			p.redirectOrShed(it.Value, request.ReasonShed)
--- a/pool/property_test.go
+++ b/pool/property_test.go
@@ -63,11 +63,19 @@
 func (m *model) servers() (set ServerSet) {
 	for i, n := range m.incarnations {
 		name := fmt.Sprint("s", i)
-		set.Servers = append(set.Servers, ServerInfo{Name: name, Generation: "g", Slots: m.slots[name], Incarnation: fmt.Sprint(n)})
+		set.Servers = append(set.Servers, ServerInfo{Name: name, Generation: "g", Slots: m.slots[name], Incarnation: fmt.Sprint(n), Version: versionOf(name)})
 	}
 	return set
 }
 
+// versionOf returns the version of a server: one has the first, two the second.
+func versionOf(server string) string {
+	if server == "s0" {
+		return "v1"
+	}
+	return "v2"
+}
+
 // restartServer restarts a server: its runs end and their releases arrive late.
 func (m *model) restartServer(t *rapid.T) {
 	i := rapid.IntRange(0, propertyServers-1).Draw(t, "server")
@@ -109,6 +117,9 @@
 		if m.health[c.Server] != HealthUp {
 			m.t.Fatalf("grant on %s, which is not up", c.Server)
 		}
+		if e.Version != "" && e.Version != versionOf(c.Server) {
+			m.t.Fatalf("%s is for version %s, and was granted on %s", c.Request, e.Version, c.Server)
+		}
 		if _, twice := m.running[c.Grant]; twice {
 			m.t.Fatalf("grant %v was issued twice", c.Grant)
 		}
@@ -132,6 +143,13 @@
 	if c.RetryAfter <= 0 {
 		m.t.Fatalf("shed of %s without Retry-After", c.Request)
 	}
+	if c.Reason == request.ReasonVersionUnavailable {
+		for server, h := range m.health {
+			if x := m.p.servers[server]; x != nil && m.p.up(x) && versionOf(server) == e.Version {
+				m.t.Fatalf("%s is refused for its version %s, but %s of it is up (%v)", c.Request, e.Version, server, h)
+			}
+		}
+	}
 	if c.Reason != request.ReasonShed && c.Reason != request.ReasonWorkspaceLimit {
 		return
 	}
@@ -163,6 +181,9 @@
 		MaxTokens: rapid.IntRange(1, 300).Draw(t, "max"), ExpectedTokens: rapid.IntRange(0, 400).Draw(t, "hint"), MaxWaiting: rapid.IntRange(0, 4).Draw(t, "bound"),
 		Fingerprint: uint64(rapid.IntRange(0, 12).Draw(t, "fingerprint")),
 	}
+	if m.nextID%4 == 0 {
+		e.Version = versionOf(fmt.Sprint("s", m.nextID/4%propertyServers))
+	}
 	for i := range e.PromptTokens / 64 {
 		e.Blocks = append(e.Blocks, uint64(rapid.SampledFrom([]int{1, 2}).Example(0)<<32+i+1))
 	}
--- a/request/refusal.go
+++ b/request/refusal.go
@@ -55,6 +55,9 @@
 	ReasonExpired            Reason = "expired"
 	ReasonNoServer           Reason = "no_server"
 	ReasonNoOwner            Reason = "no_owner"
+	// ReasonVersionUnavailable refuses the rest of a stream because no server of the version
+	// that began it may be used. Its caller may begin anew.
+	ReasonVersionUnavailable Reason = "version_unavailable"
 	ReasonSuspectBusy        Reason = "suspect_busy"
 	ReasonSuspectConfirmed   Reason = "convicted"
 	ReasonClaimConflict      Reason = "claim_conflict"
@@ -92,6 +95,7 @@
 	ReasonExpired:            http.StatusGatewayTimeout,
 	ReasonNoServer:           http.StatusServiceUnavailable,
 	ReasonNoOwner:            http.StatusServiceUnavailable,
+	ReasonVersionUnavailable: http.StatusServiceUnavailable,
 	ReasonSuspectBusy:        http.StatusTooManyRequests,
 	ReasonSuspectConfirmed:   http.StatusUnprocessableEntity,
 	ReasonClaimConflict:      http.StatusConflict,
--- a/rollout/budget.go
+++ b/rollout/budget.go
@@ -33,13 +33,16 @@
 	mu     sync.Mutex
 	credit float64
 	share  float64
+	// maxDebt bounds how far resumed streams may overdraw the credit.
+	maxDebt float64
 }
 
 // NewBudget returns a budget with a share. initialFill is drawn at random from [0, 1): it
 // spreads the first canaries of daemons that start together.
 func NewBudget(share float64, b Bounds, daemons int, initialFill float64) *Budget {
 	slackPerDaemon := canarySlackShare * b.Slack / float64(max(1, daemons))
-	return &Budget{share: share, credit: initialFill * min(1, 2*slackPerDaemon)}
+	credit := initialFill * min(1, 2*slackPerDaemon)
+	return &Budget{share: share, credit: credit, maxDebt: max(0, slackPerDaemon-credit)}
 }
 
 // SetShare changes the share of subsequent requests.
@@ -60,6 +63,19 @@
 // for a while does not send a burst of them afterwards.
 const maxCredit = 3
 
+// TakeResume uses the credit for the rest of a stream that the new version began. It may
+// overdraw the credit, since such a stream can go on nowhere else; the canaries after it then
+// wait until the debt is paid.
+func (b *Budget) TakeResume() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.share <= 0 || b.credit-1 < -b.maxDebt {
+		return false
+	}
+	b.credit--
+	return true
+}
+
 // Take uses the credit for one canary, if there is any. The credit is not refunded if the
 // canary finds no slot: credit refunded to later requests would accumulate.
 func (b *Budget) Take() bool {
--- a/rollout/rollout_test.go
+++ b/rollout/rollout_test.go
@@ -120,7 +120,8 @@
 	})
 }
 
-// Guards against a canary version that gets several times its share.
+// Guards against a canary version that gets several times its share, with canaries or with
+// the rest of the streams that it began.
 func TestCanaryBudgetStaysWithinItsBound(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		bounds := Bounds{Share: rapid.Float64Range(0.01, 0.5).Draw(t, "share"), Slack: rapid.Float64Range(0, 100).Draw(t, "slack")}
@@ -133,6 +134,9 @@
 		for range rapid.IntRange(0, 3000).Draw(t, "requests") {
 			b := all[rapid.IntRange(0, daemons-1).Draw(t, "daemon")]
 			canary := b.Take()
+			if sent%3 == 0 { // the rest of a stream
+				canary = canary || b.TakeResume()
+			}
 			if rapid.IntRange(0, 9).Draw(t, "refused") > 6 && !canary {
 				continue
 			}
@@ -284,3 +288,24 @@
 		}
 	})
 }
+
+// Guards against streams of a version on trial that are refused there while canaries begin.
+func TestResumedStreamsGoBeforeCanaries(t *testing.T) {
+	Convey("The rest of a stream overdraws the credit, and canaries wait until the debt is paid", t, func() {
+		b := NewBudget(0.5, Bounds{Share: 0.5, Slack: 6}, 1, 0)
+		So(b.Take(), ShouldBeFalse)
+		for range 3 {
+			So(b.TakeResume(), ShouldBeTrue)
+		}
+		So(b.TakeResume(), ShouldBeFalse)
+		for range 7 {
+			b.RecordSent()
+			So(b.Take(), ShouldBeFalse)
+		}
+		b.RecordSent()
+		So(b.Take(), ShouldBeTrue)
+	})
+	Convey("After the version is rejected, nothing goes there", t, func() {
+		So(NewBudget(0, Bounds{Share: 0.5, Slack: 6}, 1, 0).TakeResume(), ShouldBeFalse)
+	})
+}
--- a/workspace/snapshot.go
+++ b/workspace/snapshot.go
@@ -2,6 +2,7 @@
 
 import (
 	"crypto/sha256"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -34,6 +35,11 @@
 	Servers []BackendServer // sorted by name
 }
 
+// HasVersion reports whether a server of a software version is in the pool and not leaving.
+func (p *ResolvedPool) HasVersion(version string) bool {
+	return slices.ContainsFunc(p.Servers, func(s BackendServer) bool { return s.Version == version && !s.Leaving })
+}
+
 // ResolvedWorkspace is a template with a workspace's parameters substituted.
 type ResolvedWorkspace struct {
 	Workspace           string
