streamversion: streams that callers take up go on at the version that began them

Callers who took a broken stream up at another daemon (Resumes, Last-Event-Id) got the rest from any version: nobody knew which one had begun it. The daemon that passes on a stream's first event now records its version before its caller can have it, and tells three keepers, which all daemons derive from the membership, in different availability zones; a daemon that is asked for the rest looks there. If nobody knows the stream, it goes on only where a single version has served for as long as it may be old; where all daemons have just started, the store's record of services with several versions is asked, which one daemon writes when versions appear or are gone.

Keys hold the caller's workspace, so that nobody finds another's streams; one id for streams of two versions makes them unknown.

--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -46,11 +46,13 @@
 	preSendRefusal  error // from the check directly before the last send; nil if it passed
 	// resuming is set while a stream that broke off after its first event waits for another
 	// server's next one.
-	resuming       bool
-	canary         canaryState
-	binding        versionBinding
-	outbound       *outboundRequest
-	earlierFailure *failedAnswer // of an earlier server; nil if there is none
+	resuming bool
+	canary   canaryState
+	binding  versionBinding
+	// versionRecorded is set once the version that began the stream was recorded.
+	versionRecorded bool
+	outbound        *outboundRequest
+	earlierFailure  *failedAnswer // of an earlier server; nil if there is none
 
 	ctx          context.Context
 	cancel       context.CancelCauseFunc
@@ -91,6 +93,9 @@
 	}
 	x.server.deps.Budget(x.service).RecordRequest(x.receivedAt)
 	x.watchCaller()
+	if err := x.bindTakenUp(); err != nil {
+		return err
+	}
 	err := x.forward()
 	if err != nil && x.canWriteEarlierFailure() {
 		x.logRetry().WithError(err).Info("Retry given up.")
--- a/internal/forward/server.go
+++ b/internal/forward/server.go
@@ -62,6 +62,9 @@
 	// Budget returns the retry budget of a service.
 	Budget    func(service string) *retry.Budget
 	ConnPools *ConnPools
+	// StreamVersions knows which version began a stream that a caller takes up; nil: nobody
+	// does, and any version may go on.
+	StreamVersions StreamVersions
 	// Rollouts splits requests between two versions of servers; nil if there are no rollouts.
 	Rollouts Rollouts
 	// PoolRemoved returns a context that ends when a pool of a service is removed; nil if
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -63,6 +63,9 @@
 func (s *stream) recordEvents(n int) {
 	a, now := s.attempt, time.Now()
 	s.recordLatency(n, now)
+	if n > 0 {
+		s.exchange.recordVersion(a.grant.Server().Version)
+	}
 	a.tokens += n * s.exchange.tokensPerEvent()
 	if a.firstEventAt.IsZero() && n > 0 {
 		a.firstEventAt = now
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -21,6 +21,7 @@
 	"github.com/lycheekeel/lycheekeel/internal/peer"
 	"github.com/lycheekeel/lycheekeel/internal/poolhost"
 	"github.com/lycheekeel/lycheekeel/internal/relay"
+	"github.com/lycheekeel/lycheekeel/internal/streamversion"
 	"github.com/lycheekeel/lycheekeel/member"
 	"github.com/lycheekeel/lycheekeel/quota"
 	"github.com/lycheekeel/lycheekeel/route"
@@ -64,6 +65,7 @@
 	limiter     *quota.Limiter
 	forward     *forward.Server
 	relay       *relay.Relay
+	streams     *streamversion.Keeper
 
 	// The fields below are set once the cluster key is known.
 	transport *peer.TCP
@@ -97,9 +99,10 @@
 	servers = forward.NewConnPools(httpconn.Settings{Dial: g.relay.Dial, SilenceTimeout: serverSilence}, g.relay.PathDown)
 	g.state = newState(p, s.Region, g.routes, g.snapshot, g.limiter, servers.Update, m)
 	g.rollouts = newRollouts(g.state, s.Bounds, m)
+	g.streams = streamversion.New(streamversion.Config{Region: s.Region, History: g.state.versions, ProofAge: g.state.serversFreshness.Age, Archive: versionArchive{p}, Metrics: m})
 	g.forward = forward.New(forward.Deps{
 		Routes: g.routes, Snapshot: g.snapshot, Broker: g, Admission: g,
-		Quotas: g.limiter, Budget: g.budgets.forService, ConnPools: servers, Rollouts: g.rollouts, PoolRemoved: g.state.poolRemovals.contextFor, Metrics: m,
+		Quotas: g.limiter, Budget: g.budgets.forService, ConnPools: servers, StreamVersions: g.streams, Rollouts: g.rollouts, PoolRemoved: g.state.poolRemovals.contextFor, Metrics: m,
 		Region: s.Region, RequestIDPrefix: s.Name + "." + strconv.FormatInt(time.Now().UnixNano(), 36), Wire: p.Wire,
 	})
 	return g, g.listen()
@@ -229,6 +232,7 @@
 	tasks.Go(func() { r.runExpiry(ctx) })
 	tasks.Go(func() { r.runProbe(ctx) })
 	tasks.Go(func() { g.logFreshness(ctx) })
+	tasks.Go(func() { g.archiveVersions(ctx) })
 	for _, k := range r.loops() {
 		tasks.Go(func() { r.run(ctx, k) })
 	}
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -60,6 +60,7 @@
 	g.peerSync = newPeerSync(g.state, g.transport, g.currentView, g.members.Joined())
 	g.rollouts.join(s.Region, g.transport, g.currentView, g.host.Owner)
 	g.relay.Join(g.transport, g.currentView)
+	g.streams.Join(g.transport, g.currentView, g.members.Joined())
 	g.transport.Start()
 	g.members.Start()
 	return nil
--- a/internal/gateway/serverchanges.go
+++ b/internal/gateway/serverchanges.go
@@ -3,6 +3,7 @@
 import (
 	"maps"
 	"slices"
+	"time"
 
 	"github.com/lycheekeel/lycheekeel/discovery"
 	"github.com/lycheekeel/lycheekeel/rollout"
@@ -62,6 +63,19 @@
 	return changes, invalid
 }
 
+// recordVersions records which versions have servers after the changes.
+func (s *state) recordVersions(changes []serverChange) {
+	now := time.Now()
+	for _, c := range changes {
+		if c.is {
+			s.versions.Add(now, c.after.Service, c.after.Version)
+		}
+		if c.was {
+			s.versions.Remove(now, c.before.Service, c.before.Version)
+		}
+	}
+}
+
 // updateAddresses returns what runs at each address after the changes.
 func (b *builtServers) updateAddresses(changes []serverChange) map[string]string {
 	changes = slices.DeleteFunc(slices.Clone(changes), func(c serverChange) bool {
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -11,6 +11,7 @@
 	"github.com/lycheekeel/lycheekeel/discovery"
 	"github.com/lycheekeel/lycheekeel/internal/logs"
 	"github.com/lycheekeel/lycheekeel/internal/metrics"
+	"github.com/lycheekeel/lycheekeel/internal/streamversion"
 	"github.com/lycheekeel/lycheekeel/objectstore"
 	"github.com/lycheekeel/lycheekeel/quota"
 	"github.com/lycheekeel/lycheekeel/revision"
@@ -57,6 +58,7 @@
 	canaryServers  func(service string, stable int, servers []discovery.Server) []discovery.Server
 	invalidReasons map[string]string // by the entry's name, as last logged
 	built          builtServers
+	versions       *streamversion.History
 	changed        chan struct{} // closed and replaced at each change
 	rebuildPacer   pacer         // limits the rate of rebuilds
 	rebuildPending bool          // a rebuild is scheduled
@@ -80,7 +82,7 @@
 		configFreshness: revision.NewFreshness(), serversFreshness: revision.NewFreshness(), rolloutsFreshness: revision.NewFreshness(),
 		log: logs.For("sync"), rollouts: newRolloutState(false),
 		directory: discovery.NewDirectory(), changed: make(chan struct{}), latency: newLatencies(m),
-		invalidEntries: m.Counter("servers", "invalid_entries"), invalidReasons: map[string]string{}, built: newBuiltServers(),
+		invalidEntries: m.Counter("servers", "invalid_entries"), invalidReasons: map[string]string{}, built: newBuiltServers(), versions: streamversion.NewHistory(),
 	}
 }
 
@@ -269,6 +271,7 @@
 	changes, invalid := s.built.take(s.directory)
 	s.logServers(changes)
 	s.logInvalid(invalid)
+	s.recordVersions(changes)
 	armsChanged := s.rollouts.assignArms(changes, s.serversRevision)
 	prev, next := s.snapshot.Load(), s.nextSnapshotLocked(table, changes, armsChanged)
 	if next != prev {
--- /dev/null
+++ b/internal/gateway/versionarchive.go
@@ -0,0 +1,87 @@
+package gateway
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/lycheekeel/lycheekeel/internal/streamversion"
+	"github.com/lycheekeel/lycheekeel/internal/wait"
+	"github.com/lycheekeel/lycheekeel/objectstore"
+)
+
+// kindVersions holds, in a kind of this project's own and by service, the versions that a
+// service's servers had lately, if there were several.
+const kindVersions objectstore.Kind = "lycheekeel-versions"
+
+const (
+	// archiveInterval is how often the versions are compared with what the store holds.
+	archiveInterval = 500 * time.Millisecond
+	// archiveKey is the rendezvous hashing key by which the daemon that writes is selected.
+	archiveKey = "archive of the versions"
+)
+
+// versionArchive implements streamversion.Archive in the store.
+type versionArchive struct{ platform Platform }
+
+// versionRecord is the object's value.
+type versionRecord struct {
+	Versions []string `json:"versions"`
+}
+
+// Versions implements streamversion.Archive.
+func (a versionArchive) Versions(ctx context.Context, service string) ([]string, error) {
+	o, err := a.platform.Stale.GetStale(ctx, kindVersions, service)
+	if errors.Is(err, objectstore.ErrNotFound) {
+		return nil, nil
+	}
+	if err != nil {
+		return nil, errors.Wrap(err, "read archived versions")
+	}
+	var r versionRecord
+	return r.Versions, errors.Wrap(json.Unmarshal(o.Value, &r), "decode archived versions")
+}
+
+// Put implements streamversion.Archive.
+func (a versionArchive) Put(ctx context.Context, service string, versions []string) error {
+	old, err := a.platform.Store.Get(ctx, kindVersions, service)
+	missing := errors.Is(err, objectstore.ErrNotFound)
+	switch {
+	case err != nil && !missing:
+		return errors.Wrap(err, "read archived versions")
+	case missing && len(versions) == 0:
+		return nil
+	}
+	value, err := json.Marshal(versionRecord{versions})
+	if err != nil {
+		return errors.Wrap(err, "encode versions")
+	}
+	if missing {
+		_, err = a.platform.Store.Create(ctx, kindVersions, service, value)
+	} else {
+		_, err = a.platform.Store.Update(ctx, kindVersions, service, value, old.Version)
+	}
+	return errors.Wrap(err, "archive versions")
+}
+
+// archiveVersions writes to the store which services have several versions, while this
+// daemon is the one to do so, until ctx ends.
+func (g *Gateway) archiveVersions(ctx context.Context) {
+	archiver := streamversion.NewArchiver(g.state.versions, versionArchive{g.platform})
+	writes := false
+	for ctx.Err() == nil {
+		first, ok := g.currentView.Load().Owner(archiveKey, g.settings.Region)
+		if selected := ok && first.Name == g.settings.Name; selected != writes {
+			writes = selected
+			archiver = streamversion.NewArchiver(g.state.versions, versionArchive{g.platform})
+		}
+		if writes {
+			if err := archiver.Write(ctx, time.Now()); err != nil {
+				g.log.WithError(err).Warn("Versions not archived.")
+			}
+		}
+		wait.For(ctx, archiveInterval)
+	}
+}
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -43,6 +43,9 @@
 	TypeRolloutReport Type = 45
 
 	TypeRelay Type = 50 // a stream to a backend server, through the peer
+
+	TypeStreamBegan    Type = 60 // which version began a caller's stream, to its keepers
+	TypeStreamQuestion Type = 61 // asks a keeper for that
 )
 
 // Errors of a Transport, for use with errors.Is.
--- /dev/null
+++ b/internal/streamversion/keeper.go
@@ -0,0 +1,136 @@
+package streamversion
+
+import (
+	"context"
+	"expvar"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/sirupsen/logrus"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/lycheekeel/lycheekeel/internal/logs"
+	"github.com/lycheekeel/lycheekeel/internal/metrics"
+	"github.com/lycheekeel/lycheekeel/internal/peer"
+	"github.com/lycheekeel/lycheekeel/internal/streamversion/wire"
+	"github.com/lycheekeel/lycheekeel/member"
+)
+
+const (
+	// askTimeout bounds the wait for the keepers' answers. A keeper that lives answers within
+	// a few milliseconds.
+	askTimeout = 250 * time.Millisecond
+	// maxProofAge is the largest age of the servers' list at which it counts as evidence
+	// without any other daemon's.
+	maxProofAge = 2 * time.Second
+	// maxKeep bounds how long a record is kept, whatever a peer asks for.
+	maxKeep = 30 * time.Minute
+)
+
+// Config configures a Keeper.
+type Config struct {
+	Region  string
+	History *History
+	// ProofAge returns the age of the newest proof of the servers' list; false: none.
+	ProofAge func() (time.Duration, bool)
+	Metrics  *metrics.Registry
+	// Archive is read where no daemon has been there for long; nil: it is never known.
+	Archive Archive
+	// Now is the clock; nil: time.Now.
+	Now func() time.Time
+}
+
+// Keeper records the versions of streams, and finds them. It is safe for concurrent use.
+type Keeper struct {
+	cfg      Config
+	log      *logrus.Entry
+	table    *table
+	counters counters
+
+	archiveMu sync.Mutex // held during a read of the archive
+	archived  map[string]archived
+
+	// The fields below are set by Join.
+	transport peer.Transport
+	directory *directory
+	joined    <-chan struct{}
+}
+
+type counters struct {
+	recorded, received, sendFailed, asked, unanswered *expvar.Int
+	results                                           map[verdict]*expvar.Int
+}
+
+// New returns a keeper that knows only its own streams until Join.
+func New(cfg Config) *Keeper {
+	if cfg.Now == nil {
+		cfg.Now = time.Now
+	}
+	c := func(name string) *expvar.Int { return cfg.Metrics.Counter("stream_versions", name) }
+	k := &Keeper{cfg: cfg, log: logs.For("streams"), table: newTable(), archived: map[string]archived{}}
+	k.counters = counters{
+		recorded: c("recorded"), received: c("received"), sendFailed: c("send_failed"), asked: c("keepers_asked"), unanswered: c("keepers_unanswered"),
+		results: map[verdict]*expvar.Int{unknown: c("found_unknown"), soleSeen: c("found_sole_in_archive"), sole: c("found_sole"), recorded: c("found_recorded")},
+	}
+	cfg.Metrics.Gauge("stream_versions", "records", func() any { return k.table.count() })
+	return k
+}
+
+// Join lets the keeper talk to the members of a view. joined is closed when the view is
+// usable. Join must be called before the transport starts.
+func (k *Keeper) Join(t peer.Transport, view *member.CurrentView, joined <-chan struct{}) {
+	k.transport, k.joined = t, joined
+	k.directory = &directory{region: k.cfg.Region, view: view}
+	t.Handle(peer.TypeStreamBegan, k.handleBegan)
+	t.Handle(peer.TypeStreamQuestion, k.handleQuestion)
+}
+
+// Record records that a version began a stream, here and at the stream's keepers. It is
+// called before the first event is passed on, and does not wait for the keepers.
+func (k *Keeper) Record(s Stream, version string, keepFor time.Duration) {
+	id := s.key()
+	k.table.put(k.cfg.Now(), id, version, keepFor)
+	k.counters.recorded.Add(1)
+	if k.transport == nil {
+		return
+	}
+	payload, err := proto.Marshal(&wire.Began{Stream: uint64(id), Version: version, KeepMs: uint32(min(keepFor, maxKeep).Milliseconds())})
+	if err != nil {
+		k.log.WithError(err).Error("Stream's version can't be encoded.")
+		return
+	}
+	for _, name := range k.directory.others(id, keepersTold) {
+		if k.transport.Send(peer.Name(name), peer.TypeStreamBegan, payload) != nil {
+			k.counters.sendFailed.Add(1)
+		}
+	}
+}
+
+func (k *Keeper) handleBegan(_ context.Context, _ peer.Name, payload []byte) ([]byte, error) {
+	var m wire.Began
+	if err := proto.Unmarshal(payload, &m); err != nil {
+		return nil, errors.Wrap(err, "decode a stream's version")
+	}
+	k.counters.received.Add(1)
+	keepFor := min(time.Duration(m.GetKeepMs())*time.Millisecond, maxKeep)
+	k.table.put(k.cfg.Now(), key(m.GetStream()), m.GetVersion(), keepFor)
+	return nil, nil
+}
+
+func (k *Keeper) handleQuestion(_ context.Context, _ peer.Name, payload []byte) ([]byte, error) {
+	var m wire.Question
+	if err := proto.Unmarshal(payload, &m); err != nil {
+		return nil, errors.Wrap(err, "decode a question for a stream's version")
+	}
+	e := k.ownEvidence(key(m.GetStream()), m.GetService())
+	return proto.Marshal(&wire.Answer{Known: e.known, Version: e.version, Versions: e.versions, ObservedMs: uint64(e.observedFor.Milliseconds())})
+}
+
+// ownEvidence returns what this daemon knows of a stream.
+func (k *Keeper) ownEvidence(id key, service string) evidence {
+	now := k.cfg.Now()
+	e := evidence{versions: k.cfg.History.Versions(now, service), observedFor: k.cfg.History.ObservedFor(now)}
+	e.version, e.known = k.table.get(now, id)
+	return e
+}
--- /dev/null
+++ b/internal/streamversion/wire/doc.go
@@ -0,0 +1,2 @@
+// Package wire holds the messages between daemons on the versions of streams.
+package wire
--- a/request/refusal.go
+++ b/request/refusal.go
@@ -58,6 +58,9 @@
 	// ReasonVersionUnavailable refuses the rest of a stream because no server of the version
 	// that began it may be used. Its caller may begin anew.
 	ReasonVersionUnavailable Reason = "version_unavailable"
+	// ReasonVersionUnknown refuses the rest of a stream because nobody knows which version
+	// began it, and several may have.
+	ReasonVersionUnknown Reason = "version_unknown"
 	ReasonSuspectBusy        Reason = "suspect_busy"
 	ReasonSuspectConfirmed   Reason = "convicted"
 	ReasonClaimConflict      Reason = "claim_conflict"
@@ -96,6 +99,7 @@
 	ReasonNoServer:           http.StatusServiceUnavailable,
 	ReasonNoOwner:            http.StatusServiceUnavailable,
 	ReasonVersionUnavailable: http.StatusServiceUnavailable,
+	ReasonVersionUnknown:     http.StatusServiceUnavailable,
 	ReasonSuspectBusy:        http.StatusTooManyRequests,
 	ReasonSuspectConfirmed:   http.StatusUnprocessableEntity,
 	ReasonClaimConflict:      http.StatusConflict,
--- a/test/soak/fleet_test.go
+++ b/test/soak/fleet_test.go
@@ -116,6 +116,7 @@
 	proxy         *faultproxy.Proxy
 	stop          context.CancelFunc
 	drainingSince time.Time // zero: not draining
+	addedAt       time.Time // set for servers of several versions
 }
 
 // fleetOptions are the parts of a fleet that differ between tests. A zero field takes
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -6,7 +6,6 @@
 	"math/rand/v2"
 	"net/http"
 	"os"
-	"path/filepath"
 	"slices"
 	"testing"
 	"time"
@@ -196,8 +195,11 @@
 
 // keepLogs copies the processes' logs to a directory that outlives the test.
 func (f *fleet) keepLogs(seed int64) {
-	dir := filepath.Join(os.TempDir(), fmt.Sprint("lycheekeel-soak-", seed))
-	if err := os.CopyFS(dir, os.DirFS(f.dir)); err != nil {
+	dir, err := os.MkdirTemp("", fmt.Sprintf("lycheekeel-soak-%d-", seed))
+	if err == nil {
+		err = os.CopyFS(dir, os.DirFS(f.dir))
+	}
+	if err != nil {
 		f.t.Logf("the logs could not be copied: %v", err)
 		return
 	}
--- a/test/soak/versions_test.go
+++ b/test/soak/versions_test.go
@@ -31,6 +31,7 @@
 	inTouchAfter       = 3 * time.Second
 	versionGoneAfter   = 4 * time.Second
 	leastServersInLine = 2
+	serverNotice       = time.Second // after which a new server is known
 )
 
 // Guards against: a stream whose server breaks off or falls silent goes on, within one
@@ -134,6 +135,7 @@
 func (f *fleet) addVersionedServer(version string) {
 	s := f.startServer("llm", &standin.Server{Events: 30, EventInterval: f.eventInterval, Version: version})
 	f.serversMu.Lock()
+	s.addedAt = time.Now()
 	f.servers = append(f.servers, s)
 	f.serversMu.Unlock()
 	f.store.PutServerVersion(s.ID, s.service, s.proxy.Addr(), version, 8)
@@ -232,7 +234,7 @@
 			tally := &begun
 			if x.resumes != "" {
 				tally = &takenUp
-				if !f.enoughServers(s) {
+				if !f.enoughServers(s, x) {
 					continue
 				}
 			}
@@ -260,11 +262,12 @@
 	return !record.killedWithin(x.node, x.sentAt.Add(-inTouchAfter), x.endedAt)
 }
 
-// enoughServers reports whether servers of a stream's version are there at the end of the run.
-func (f *fleet) enoughServers(s *versionedStream) bool {
+// enoughServers reports whether enough servers of a stream's version served during a call.
+func (f *fleet) enoughServers(s *versionedStream, x *call) bool {
 	n := 0
-	for _, x := range f.servers {
-		if s.versions[x.Version] && x.drainingSince.IsZero() {
+	for _, server := range f.servers {
+		added := server.addedAt.Add(serverNotice).Before(x.sentAt)
+		if s.versions[server.Version] && added && (server.drainingSince.IsZero() || server.drainingSince.After(x.endedAt)) {
 			n++
 		}
 	}
