pool: the rest of a stream is refused when the last server of its version goes

A stream that was resumed within its answer may wait for a slot until its deadline, up to 15 s, also when the last server of its version left or ended meanwhile, so that nothing could ever be granted to it; its caller waited for what never came instead of beginning anew. Found by reading the ways of a bound request.

--- a/pool/server.go
+++ b/pool/server.go
@@ -92,6 +92,7 @@
 	p.removeIdleServers()
 	p.updateBearable()
 	p.fastest = score.Profile{}
+	p.refuseUnlistedVersions()
 }
 
 // configure applies a server's configuration. A changed number of slots resets the
@@ -207,6 +208,9 @@
 	if e.Health == HealthUp && was == HealthGone {
 		s.pausedUntil, s.backoff = time.Time{}, 0
 	}
+	if e.Health == HealthLeaving && was != HealthLeaving {
+		p.refuseUnlistedVersions()
+	}
 }
 
 func (p *Pool) forgetCache(s *server) {
--- a/pool/version.go
+++ b/pool/version.go
@@ -1,6 +1,11 @@
 package pool
 
-import "slices"
+import (
+	"cmp"
+	"slices"
+
+	"github.com/lycheekeel/lycheekeel/request"
+)
 
 // mayRunOn reports whether a server has the version that a request needs.
 func (w *waiter) mayRunOn(s *server) bool { return w.Version == "" || w.Version == s.info.Version }
@@ -17,3 +22,19 @@
 func (p *Pool) versionServes(w *waiter) bool {
 	return w.Version == "" || slices.ContainsFunc(p.sorted, func(s *server) bool { return w.mayRunOn(s) && p.up(s) })
 }
+
+// refuseUnlistedVersions refuses the waiting requests whose version has no server left: they
+// may wait until their deadlines, and nothing would be granted to them.
+func (p *Pool) refuseUnlistedVersions() {
+	var refused []*waiter
+	for _, w := range p.waiting {
+		if !p.versionListed(w) {
+			refused = append(refused, w)
+		}
+	}
+	slices.SortFunc(refused, func(a, b *waiter) int { return cmp.Compare(a.Request, b.Request) })
+	for _, w := range refused {
+		p.removeWaiter(w)
+		p.shed(&w.Enqueue, request.ReasonVersionUnavailable, retryAfterMin)
+	}
+}
--- a/pool/version_test.go
+++ b/pool/version_test.go
@@ -85,6 +85,16 @@
 		r.send(ServerHealth{Server: "s0", Health: HealthLeaving})
 		So(shedReason(r.send(versioned("rest", "v1"))), ShouldEqual, request.ReasonVersionUnavailable)
 	})
+	Convey("If the only one goes while it waits, though it may wait until its deadline", t, func() {
+		for _, gone := range []Event{ServerSet{Servers: versionedServers(1, "v2")}, ServerHealth{Server: "s0", Health: HealthLeaving}} {
+			r := newHarness(Config{MaxWaitShare: 0.1}, versionedServers(1, "v1", "v2")...)
+			r.mustGrant(versioned("full", "v1"))
+			rest := versioned("rest", "v1")
+			rest.SentTo = []string{"s0"}
+			So(r.send(rest), ShouldBeEmpty)
+			So(shedReason(r.send(gone)), ShouldEqual, request.ReasonVersionUnavailable)
+		}
+	})
 	Convey("If the only one is down, at the end of its longest wait; lower tiers wait on", t, func() {
 		r := newHarness(Config{MaxWaitShare: 0.1}, versionedServers(1, "v1", "v2")...)
 		r.mustGrant(versioned("full", "v2"))
