pool: the rest of a stream goes before new requests of its workspace and tier

A take-up was taken for a newcomer whose target has long passed: it waited in the class of late requests, an eighth of a target at most, for a part of the servers. Now the rest of a stream has no target for its first event, is due at once and may wait as long as an extended wait. Among workspaces and tiers nothing changes, so that a caller who names a stream to be served first takes only from its own workspace (test).

make test runs with -count=1: a soak's daemons are programs of their own, so that its result came from the cache after a change of the product alone.

--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,8 @@
 RAPID_SEED ?= 20261202
 RAPID_CHECKS ?= 100
 TEST_TIMEOUT ?= 8m
-TEST_FLAGS ?= -race -timeout $(TEST_TIMEOUT)
+# Without count=1 a soak, whose daemons are programs of their own, would be taken from the cache.
+TEST_FLAGS ?= -race -count=1 -timeout $(TEST_TIMEOUT)
 
 # The deployments of the regression runs, below SYSTEM: the large one has taken the
 # place of the two oldest. JOBS days are played at a time; four of the large one take
--- a/pool/max_wait.go
+++ b/pool/max_wait.go
@@ -8,11 +8,15 @@
 )
 
 // waitUntil returns until when a request may wait, given the share of its target. A share
-// of zero, or an earlier attempt at a server, allows the whole deadline.
+// of zero, or an earlier attempt at a server, allows the whole deadline. The rest of a stream
+// may wait longer than a new request: few servers can go on with it.
 func (p *Pool) waitUntil(w *waiter, share float64) time.Time {
 	if share == 0 || len(w.SentTo) > 0 {
 		return w.deadline
 	}
+	if w.isRestOfStream() {
+		share = max(share, p.cfg.ExtendedWaitShare)
+	}
 	whole := w.DeadlineIn
 	if w.FirstTokenIn != 0 {
 		whole = w.FirstTokenIn
--- a/pool/version.go
+++ b/pool/version.go
@@ -7,6 +7,10 @@
 	"github.com/lycheekeel/lycheekeel/request"
 )
 
+// isRestOfStream reports whether a request is for the rest of a stream that a server began.
+// Its target for the first event was met or missed by the server that began it.
+func (w *waiter) isRestOfStream() bool { return w.Version != "" }
+
 // mayRunOn reports whether a server has the version that a request needs.
 func (w *waiter) mayRunOn(s *server) bool { return w.Version == "" || w.Version == s.info.Version }
 
--- a/pool/version_test.go
+++ b/pool/version_test.go
@@ -73,6 +73,54 @@
 	})
 }
 
+// Guards against: in an overload the rest of a stream is shed or expires behind new requests.
+func TestRestOfStreamGoesBeforeNewRequests(t *testing.T) {
+	Convey("Given a full pool and a queue of new requests", t, func() {
+		r := newHarness(Config{MaxWaitShare: 0.1, ExtendedWaitShare: 1}, versionedServers(1, "v1", "v2")...)
+		full := []Grant{r.mustGrant(enqueue("a", 0)), r.mustGrant(enqueue("b", 0))}
+		if full[0].Server != "s0" {
+			full[0], full[1] = full[1], full[0]
+		}
+		for i := range 5 {
+			r.send(enqueue(fmt.Sprint("new", i), 0))
+		}
+		rest := versioned("rest", "v1")
+		rest.DeadlineIn -= 3 * rest.FirstTokenIn // its caller began the stream long ago
+		So(r.send(rest), ShouldBeEmpty)
+		Convey("the next slot of its version is for it, the other ones are for them", func() {
+			So(grants(r.endRun(full[1], OutcomeDone))[0].Request, ShouldNotEqual, request.ID("rest"))
+			So(grants(r.endRun(full[0], OutcomeDone))[0].Request, ShouldEqual, request.ID("rest"))
+		})
+		Convey("a higher tier goes before it", func() {
+			lower := newHarness(Config{}, versionedServers(1, "v1")...)
+			g := lower.mustGrant(enqueue("a", 0))
+			lowRest := versioned("rest", "v1")
+			lowRest.Tier = 1
+			lower.send(lowRest)
+			lower.send(enqueue("urgent", 0))
+			So(grants(lower.endRun(g, OutcomeDone))[0].Request, ShouldEqual, request.ID("urgent"))
+		})
+		Convey("other workspaces get their shares all the same", func() {
+			shared := newHarness(Config{}, versionedServers(1, "v1")...)
+			g := shared.mustGrant(enqueue("a", 0))
+			got := map[string]int{}
+			for i := range 20 {
+				x := versioned(fmt.Sprint("rest", i), "v1")
+				x.Workspace = "resumes"
+				shared.send(x)
+				x = enqueue(fmt.Sprint("new", i), 0)
+				x.Workspace = "begins"
+				shared.send(x)
+			}
+			for range 20 {
+				g = grants(shared.endRun(g, OutcomeDone))[0]
+				got[string(g.Request[:3])]++
+			}
+			So(got["new"], ShouldBeBetweenOrEqual, 9, 11)
+		})
+	})
+}
+
 // Guards against: a stream whose version is gone waits for what never comes, or takes
 // requests of lower tiers with it.
 func TestRestOfStreamWhoseVersionIsGone(t *testing.T) {
--- a/pool/waiter.go
+++ b/pool/waiter.go
@@ -74,7 +74,7 @@
 		deadline:    p.now.Add(e.DeadlineIn),
 		enqueuedAt:  p.now,
 	}
-	if e.FirstTokenIn != 0 {
+	if e.FirstTokenIn != 0 && !w.isRestOfStream() {
 		w.firstTokenDue = p.now.Add(e.FirstTokenIn)
 	}
 	p.updateLength(w)
@@ -84,6 +84,9 @@
 	}
 	w.Expires = p.waitUntil(w, p.cfg.MaxWaitShare)
 	w.Due = p.latestStart(w)
+	if w.isRestOfStream() {
+		w.Due = p.now // its caller has had no event for a while
+	}
 	w.Cost = workCost(e.PromptTokens, w.length.Mean)
 	return w
 }
@@ -91,7 +94,7 @@
 // isLateRetry reports whether a request is a retry whose target has already passed for
 // its caller. It waits behind the requests of its tier that can be in time.
 func (p *Pool) isLateRetry(w *waiter) bool {
-	if p.isBaseline() || w.FirstTokenIn == 0 {
+	if p.isBaseline() || w.FirstTokenIn == 0 || w.isRestOfStream() {
 		return false
 	}
 	elapsed := p.deadlines.sinceFirstAttempt(p.now, w.estimateKey, w.DeadlineIn+w.Waited)
--- a/test/soak/versions_test.go
+++ b/test/soak/versions_test.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"math/rand/v2"
@@ -20,6 +21,8 @@
 const (
 	versionedSpan      = 8 * time.Second
 	versionedInterval  = time.Second / 35 // between two streams
+	overloadInterval   = time.Second / 90 // of streams that need 108 of 64 slots
+	overloadTarget     = 2500 * time.Millisecond
 	versionedEventGap  = 40 * time.Millisecond
 	serversPerVersion  = 4
 	takeUpDelay        = 150 * time.Millisecond
@@ -53,6 +56,11 @@
 	}
 }
 
+// Guards against: streams that are taken up are refused in an overload in which new ones begin.
+func TestTakenUpStreamsAreRefusedInAnOverload(t *testing.T) {
+	runVersioned(t, versionedCase{versions: 2, noRollouts: true, interval: overloadInterval, target: overloadTarget, disturb: resetServers})
+}
+
 // Guards against: streams change their software version amid any mix of these faults.
 func TestStreamsKeepTheirVersionAmidFaults(t *testing.T) {
 	eachSeed(t, func(t *testing.T, seed int64) {
@@ -72,6 +80,8 @@
 	noRollouts bool
 	disturb    disturbance
 	seed       int64
+	interval   time.Duration // between two streams; default versionedInterval
+	target     time.Duration // for the first event; default half of the timeout
 }
 
 // versionedStream is one stream as its caller observed it, over all its calls.
@@ -85,7 +95,7 @@
 }
 
 func runVersioned(t *testing.T, x versionedCase) {
-	f := startFleet(t, fleetOptions{nodes: 6, noRollouts: x.noRollouts, eventInterval: versionedEventGap, resumeTimeout: versionedTimeout}, x.seed)
+	f := startFleet(t, fleetOptions{nodes: 6, noRollouts: x.noRollouts, eventInterval: versionedEventGap, resumeTimeout: versionedTimeout, resumeTarget: x.target}, x.seed)
 	for _, s := range f.servers {
 		if s.service == "llm" {
 			f.store.Remove(standin.KindServers, s.ID)
@@ -112,7 +122,7 @@
 	wg.Go(func() {
 		var streams conc.WaitGroup
 		defer streams.Wait()
-		tick := time.NewTicker(versionedInterval)
+		tick := time.NewTicker(cmp.Or(x.interval, versionedInterval))
 		defer tick.Stop()
 		for i := 0; ctx.Err() == nil; i++ {
 			streams.Go(func() {
@@ -174,16 +184,17 @@
 	return all[:len(all)-1]
 }
 
-// takeStream requests a stream, and takes it up at the next daemon each time it breaks.
+// takeStream requests a stream, and takes it up at the next daemon each time it breaks, while
+// its time lasts.
 func (f *fleet) takeStream(i int) *versionedStream {
-	s := &versionedStream{versions: map[string]bool{}}
+	s, started := &versionedStream{versions: map[string]bool{}}, time.Now()
 	for try := 0; try <= maxTakeUps && !s.whole; try++ {
 		if try > 0 {
 			sleep(context.Background(), takeUpDelay)
 		}
 		x := &call{
 			id: fmt.Sprint(requestIDPrefix, "v-", i, "-", try), path: resumePath(0), content: fmt.Sprint("stream ", i), apiKey: "k1",
-			node: f.nodes[(i+try)%len(f.nodes)], timeout: versionedTimeout,
+			node: f.nodes[(i+try)%len(f.nodes)], timeout: versionedTimeout - time.Since(started),
 		}
 		if s.events > 0 {
 			x.resumes, x.lastEvent = s.firstCall().id, s.events
