forward: the rest of a stream goes to the service that began it

Where a route is split over several services, each try of a caller was given one of them at random, so that half of the streams that callers took up went to a service that had not begun them, and would now be refused there as unknown. The id of the stream picks the service, alike at every daemon; new streams keep the route's weights. TestTakenUpStreamKeepsItsService failed before (svc instead of other).

--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"cmp"
 	"context"
 	"math/rand/v2"
 	"net"
@@ -8,6 +9,7 @@
 	"strings"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/pkg/errors"
 	"github.com/valyala/fasthttp"
 
@@ -171,7 +173,7 @@
 // buildDemand builds the request's specification and its demand for a slot.
 func (x *exchange) buildDemand() {
 	s, h := x.server, &x.httpCtx.Request.Header
-	x.service = x.route.Pick(rand.Float64())
+	x.service = x.pickService()
 	deadline := x.route.Timeout
 	if d, ok := parseMilliseconds(h.Peek(s.wire.Deadline)); ok {
 		deadline = min(deadline, d)
@@ -195,6 +197,17 @@
 	x.demand = broker.Demand{Spec: x.spec}
 }
 
+// pickService picks one of the route's services by weight. The id of the caller's request
+// decides, so that the rest of a stream goes to the service that began it.
+func (x *exchange) pickService() string {
+	id := cmp.Or(x.takeUp.resumes, x.callerRequestID)
+	if id == "" {
+		return x.route.Pick(rand.Float64())
+	}
+	const bits = 53 // of a float's fraction
+	return x.route.Pick(float64(xxhash.Sum64String(x.workspaceName()+" "+id)>>(64-bits)) / (1 << bits))
+}
+
 // fingerprint returns the fingerprint of what a server would run: the same for each send and
 // for each request of the workspace with this method, target and body.
 func (x *exchange) fingerprint() uint64 {
--- a/internal/forward/takeup_test.go
+++ b/internal/forward/takeup_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net"
 	"strings"
 	"sync"
@@ -11,6 +12,7 @@
 	. "github.com/smartystreets/goconvey/convey"
 
 	"github.com/lycheekeel/lycheekeel/internal/streamversion"
+	"github.com/lycheekeel/lycheekeel/route"
 )
 
 // fakeStreamVersions knows the versions that it is given, and records nothing of its own.
@@ -112,6 +114,33 @@
 	})
 }
 
+// Guards against: the rest of a stream goes to another service of its route than the one that
+// began it.
+func TestTakenUpStreamKeepsItsService(t *testing.T) {
+	Convey("Given a route with two services", t, func() {
+		r := newHarness(t, newBackend(t, streamEvents(9, 0, "")))
+		d := testDocument(2)
+		d.Services = append(d.Services, route.Service{Name: "other"})
+		for i := range d.Routes {
+			d.Routes[i].Targets = []route.Target{{Service: "svc", Weight: 1}, {Service: "other", Weight: 1}}
+		}
+		r.applyConfig(d)
+		services := map[string]int{}
+		for i := range 40 {
+			begun, again := fmt.Sprint("begun ", i), fmt.Sprint("again ", i)
+			r.withStreamVersions(&fakeStreamVersions{})
+			r.call("POST", "/resume/", begun, "", "x")
+			r.withStreamVersions(&fakeStreamVersions{versions: map[string]string{begun: ""}})
+			r.call("POST", "/resume/", again, "Last-Event-Id: 4\r\nResumes: "+begun+"\r\n", "x")
+			So(r.broker.demands, ShouldHaveLength, 2*i+2)
+			So(r.broker.demands[2*i+1].Spec.Service, ShouldEqual, r.broker.demands[2*i].Spec.Service)
+			services[r.broker.demands[2*i].Spec.Service]++
+		}
+		So(services["svc"], ShouldBeBetween, 5, 35)
+		So(services["other"], ShouldBeBetween, 5, 35)
+	})
+}
+
 // Guards against: a caller has the first event before anybody knows which version began it.
 func TestVersionIsRecordedBeforeTheFirstEvent(t *testing.T) {
 	Convey("The stream's version is recorded once its first event is here, and before its caller has it", t, func() {
