--- a/test/soak/versions_test.go
+++ b/test/soak/versions_test.go
@@ -192,9 +192,13 @@
 		if try > 0 {
 			sleep(context.Background(), takeUpDelay)
 		}
+		left := versionedTimeout - time.Since(started)
+		if left <= 0 {
+			break
+		}
 		x := &call{
 			id: fmt.Sprint(requestIDPrefix, "v-", i, "-", try), path: resumePath(0), content: fmt.Sprint("stream ", i), apiKey: "k1",
-			node: f.nodes[(i+try)%len(f.nodes)], timeout: versionedTimeout - time.Since(started),
+			node: f.nodes[(i+try)%len(f.nodes)], timeout: left,
 		}
 		if s.events > 0 {
 			x.resumes, x.lastEvent = s.firstCall().id, s.events
