--- a/test/soak/versions_test.go
+++ b/test/soak/versions_test.go
@@ -52,7 +52,10 @@
 		{name: "daemons killed in turn, servers reset", versions: 3, noRollouts: true, disturb: inParallel(killInTurn(1), resetServers)},
 		{name: "a version is gone for good, servers reset", versions: 2, noRollouts: true, disturb: inParallel(endVersion, resetServers)},
 	} {
-		t.Run(c.name, func(t *testing.T) { runVersioned(t, c) })
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			runVersioned(t, c)
+		})
 	}
 }
 
