streamversion, soak: names that a reader expects

The ranking of keepers is no directory, which is the servers' here; the number of servers of a version that a check asks for says so. Names alone; tests of the package pass with -race.

--- a/internal/streamversion/keeper.go
+++ b/internal/streamversion/keeper.go
@@ -53,7 +53,7 @@
 
 	// The fields below are set by Join.
 	transport peer.Transport
-	directory *directory
+	ranking   *ranking
 	joined    <-chan struct{}
 }
 
@@ -81,7 +81,7 @@
 // usable. Join must be called before the transport starts.
 func (k *Keeper) Join(t peer.Transport, view *member.CurrentView, joined <-chan struct{}) {
 	k.transport, k.joined = t, joined
-	k.directory = &directory{region: k.cfg.Region, view: view}
+	k.ranking = &ranking{region: k.cfg.Region, view: view}
 	t.Handle(peer.TypeStreamBegan, k.handleBegan)
 	t.Handle(peer.TypeStreamQuestion, k.handleQuestion)
 }
@@ -100,7 +100,7 @@
 		k.log.WithError(err).Error("Stream's version can't be encoded.")
 		return
 	}
-	for _, name := range k.directory.others(id, keepersTold) {
+	for _, name := range k.ranking.keepersOf(id, keepersTold) {
 		if k.transport.Send(peer.Name(name), peer.TypeStreamBegan, payload) != nil {
 			k.counters.sendFailed.Add(1)
 		}
--- a/internal/streamversion/keepers.go
+++ b/internal/streamversion/keepers.go
@@ -22,8 +22,8 @@
 	keepersAsked = 2 * keepersTold
 )
 
-// directory finds the keepers of streams. It is safe for concurrent use.
-type directory struct {
+// ranking ranks the daemons that keep the records of streams. It is safe for concurrent use.
+type ranking struct {
 	region string
 	view   *member.CurrentView
 
@@ -32,19 +32,19 @@
 	groups [keeperGroups][]string // as of that view; nil: not computed yet
 }
 
-// others returns up to n keepers of a stream, the first ones in the order of preference,
+// keepersOf returns up to n keepers of a stream, the first ones in the order of preference,
 // without this daemon itself.
-func (d *directory) others(k key, n int) []string {
-	view, group := d.view.Load(), uint64(k)%keeperGroups
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	if view != d.asOf {
-		d.asOf, d.groups = view, [keeperGroups][]string{}
+func (r *ranking) keepersOf(k key, n int) []string {
+	view, group := r.view.Load(), uint64(k)%keeperGroups
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if view != r.asOf {
+		r.asOf, r.groups = view, [keeperGroups][]string{}
 	}
-	if d.groups[group] == nil {
-		d.groups[group] = rankKeepers(view, d.region, group)
+	if r.groups[group] == nil {
+		r.groups[group] = rankKeepers(view, r.region, group)
 	}
-	all := d.groups[group]
+	all := r.groups[group]
 	return all[:min(n, len(all))]
 }
 
--- a/internal/streamversion/lookup.go
+++ b/internal/streamversion/lookup.go
@@ -66,7 +66,7 @@
 	case <-ctx.Done():
 		return nil, 1 // the other daemons are not known yet
 	}
-	names := k.directory.others(id, keepersAsked)
+	names := k.ranking.keepersOf(id, keepersAsked)
 	results := make(chan *evidence, len(names))
 	payload, err := proto.Marshal(&wire.Question{Stream: uint64(id), Service: service})
 	if err != nil {
--- a/test/soak/versions_test.go
+++ b/test/soak/versions_test.go
@@ -19,22 +19,22 @@
 
 // The load and the bounds of the tests of servers of several versions.
 const (
-	versionedSpan      = 8 * time.Second
-	versionedInterval  = time.Second / 35 // between two streams
-	overloadInterval   = time.Second / 90 // of streams that need 108 of 64 slots
-	overloadTarget     = 2500 * time.Millisecond
-	versionedEventGap  = 40 * time.Millisecond
-	serversPerVersion  = 4
-	takeUpDelay        = 150 * time.Millisecond
-	maxTakeUps         = 4
-	versionedTimeout   = 8 * time.Second
-	mixedStreamsBound  = 2
-	minTakeUpsCounted  = 12
-	leastTakenUpShare  = 0.5 // of the share of new streams that begin
-	inTouchAfter       = 3 * time.Second
-	versionGoneAfter   = 4 * time.Second
-	leastServersInLine = 2
-	serverNotice       = time.Second // after which a new server is known
+	versionedSpan       = 8 * time.Second
+	versionedInterval   = time.Second / 35 // between two streams
+	overloadInterval    = time.Second / 90 // of streams that need 108 of 64 slots
+	overloadTarget      = 2500 * time.Millisecond
+	versionedEventGap   = 40 * time.Millisecond
+	serversPerVersion   = 4
+	takeUpDelay         = 150 * time.Millisecond
+	maxTakeUps          = 4
+	versionedTimeout    = 8 * time.Second
+	mixedStreamsBound   = 2
+	minTakeUpsCounted   = 12
+	leastTakenUpShare   = 0.5 // of the share of new streams that begin
+	inTouchAfter        = 3 * time.Second
+	versionGoneAfter    = 4 * time.Second
+	minServersOfVersion = 2
+	serverNotice        = time.Second // after which a new server is known
 )
 
 // Guards against: a stream whose server breaks off or falls silent goes on, within one
@@ -289,7 +289,7 @@
 			n++
 		}
 	}
-	return n >= leastServersInLine
+	return n >= minServersOfVersion
 }
 
 // checkOrder checks that the events of a stream came once and in order over all its calls.
