--- a/pool/config.go
+++ b/pool/config.go
@@ -18,7 +18,8 @@
 	defaultHeadroom   = 0.2
 )
 
-// Config configures a pool. Only MaxWaiting can change later, by QueueBound.
+// Config configures a pool. Only MaxWaiting and Traits can change later, by QueueBound and
+// TraitsSet.
 type Config struct {
 	// Name is the pool's name. Policy is its scheduling policy; empty means
 	// PolicyLycheekeel.
@@ -63,6 +64,8 @@
 	// Headroom is the largest share of all slots that is reserved for higher tiers; 0
 	// means a default.
 	Headroom float64
+	// Traits are those of the pool's service.
+	Traits Traits
 	// Seed seeds the jitter of RetryAfter. The same seed and events produce the same
 	// commands.
 	Seed uint64
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -172,6 +172,8 @@
 		p.setServers(e)
 	case QueueBound:
 		p.cfg.MaxWaiting = cmp.Or(e.MaxWaiting, defaultMaxWaiting)
+	case TraitsSet:
+		p.cfg.Traits = e.Traits
 	case ServerHealth:
 		p.setHealth(e)
 	case ServerLoad:
