--- a/pool/traits.go
+++ b/pool/traits.go
@@ -12,6 +12,8 @@
 	// TokensPerEvent tokens; zero means no target.
 	PauseTarget    time.Duration
 	TokensPerEvent int
+	// Patience is how long a caller of a stream waits for its first event.
+	Patience Patience
 	// Overlap lets a server of a plain service have more granted calls than slots, so that
 	// a slot has its next call ready when it becomes free.
 	Overlap bool
@@ -19,6 +21,14 @@
 	PreferZone bool
 }
 
+// Patience is the time without an event after which callers abandon a stream: the longest
+// of Min, TargetFactor times the first-event target and PauseFactor times the target for
+// the longest gap between events. The zero value means that they wait until the deadline.
+type Patience struct {
+	Min                       time.Duration
+	TargetFactor, PauseFactor float64
+}
+
 // TraitsSet replaces the pool's traits.
 type TraitsSet struct{ Traits }
 
