--- a/pool/traits.go
+++ b/pool/traits.go
@@ -5,9 +5,9 @@
 // Traits enable scheduling decisions that only some services need, according to their
 // routes. The zero value enables none.
 type Traits struct {
-	// DeferLate lets late requests of all tiers wait until their deadlines, behind the
-	// on-time ones of all tiers.
-	DeferLate bool
+	// FinishInTime keeps a request from servers on which its answer would end after its
+	// deadline, while another server could still end it in time.
+	FinishInTime bool
 	// PauseTarget is the target for the longest gap between two events of a stream, each of
 	// TokensPerEvent tokens; zero means no target.
 	PauseTarget    time.Duration
