route, gateway, poolhost: traits of a service, from its routes to its pools

Cause: pool.Traits existed, but nothing derived or set them, and gap_aim_ms was not read.

Change: platform reads gap_aim_ms and names the patience of callers. route.Compile derives Service.Traits. The gateway's settings scheduling.mixed_targets and scheduling.brief_calls (auto, on, off) override them, and the gateway maps them to pool.Traits. poolhost starts pools and static shares with their traits and passes changes on before the next tick. Changes are logged by service and by pool, and counted.

Result: go test -race passes for route, platform, internal/poolhost, internal/gateway and broker. With the order of the two reads of the traits swapped in newRuntime, as a trial, TestTraitsThatChangeWhileAPoolStarts fails. No load was run; no scheduling decision depends on the traits yet.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -62,6 +62,7 @@
 	snapshot    *workspace.CurrentSnapshot
 	currentView *member.CurrentView
 	state       *state
+	traits      traitResolver
 	limiter     *quota.Limiter
 	forward     *forward.Server
 	relay       *relay.Relay
@@ -98,6 +99,8 @@
 	})
 	servers = forward.NewConnPools(httpconn.Settings{Dial: g.relay.Dial, SilenceTimeout: serverSilence}, g.relay.PathDown)
 	g.state = newState(p, s.Region, g.routes, g.snapshot, g.limiter, servers.Update, m)
+	g.traits = traitResolver{settings: s.Scheduling, routes: g.routes, log: g.log}
+	g.state.onTable = g.traits.logChanges
 	g.rollouts = newRollouts(g.state, s.Bounds, m)
 	g.streams = streamversion.New(streamversion.Config{Region: s.Region, History: g.state.versions, ProofAge: g.state.serversFreshness.Age, Archive: versionArchive{p}, Metrics: m})
 	g.forward = forward.New(forward.Deps{
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -52,8 +52,8 @@
 	}
 	g.host = poolhost.New(poolhost.Config{
 		Self: s.Name, Region: s.Region, Snapshot: g.snapshot, View: g.currentView, Transport: g.transport,
-		DegradedAfter: degradedAfter, DisableProbes: true, Metrics: g.metrics, NewScheduler: newScheduler,
-		ConfirmAfterCrashes: confirmAfterCrashes,
+		DegradedAfter: degradedAfter, DisableProbes: true, Metrics: g.metrics, NewScheduler: g.newScheduler,
+		Traits: g.traits.ofPool, ConfirmAfterCrashes: confirmAfterCrashes,
 	})
 	g.broker = broker.New(g.host)
 	g.quotas = newQuotaSync(g.limiter, g.budgets, g.transport, g.currentView, time.Now)
@@ -88,9 +88,10 @@
 // refuse contents that were beside the one that crashes servers.
 const confirmAfterCrashes = 3
 
-func newScheduler(p *workspace.ResolvedPool, epoch uint64) poolhost.Scheduler {
+func (g *Gateway) newScheduler(p *workspace.ResolvedPool, epoch uint64) poolhost.Scheduler {
 	return pool.New(pool.Config{
 		Name: p.Name, Epoch: epoch, Seed: epoch, MaxWaitShare: maxWaitShare, ExtendedWaitShare: extendedWaitShare, Headroom: headroomShare,
 		ReleaseGrace: releaseGrace, KeepStragglers: true, SpareFastServers: true, ConfirmAfterCrashes: confirmAfterCrashes,
+		Traits: g.traits.ofPool(p),
 	})
 }
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"cmp"
 	"time"
 
 	"github.com/lycheekeel/lycheekeel/internal/settings"
@@ -25,9 +26,27 @@
 	// Store is the address of the platform's store.
 	Store string `json:"store" validate:"required,hostname_port"`
 	// LogLevel is debug, info, warning or error; the default is info.
-	LogLevel string         `json:"log_level" validate:"omitempty,oneof=debug info warning error"`
-	Limits   LimitSettings  `json:"limits"`
-	Bounds   BoundsSettings `json:"bounds"`
+	LogLevel   string             `json:"log_level" validate:"omitempty,oneof=debug info warning error"`
+	Limits     LimitSettings      `json:"limits"`
+	Bounds     BoundsSettings     `json:"bounds"`
+	Scheduling SchedulingSettings `json:"scheduling"`
+}
+
+// The values of the SchedulingSettings.
+const (
+	schedulingAuto = "auto"
+	schedulingOn   = "on"
+	schedulingOff  = "off"
+)
+
+// SchedulingSettings say for which services scheduling decisions are enabled that only some
+// need: by their routes (auto, the default), for all that the decisions apply to (on) or for
+// none (off).
+type SchedulingSettings struct {
+	// MixedTargets applies to services with a stream route that needs a key, BriefCalls to
+	// those without a stream route that have a route that needs a key (route.Traits).
+	MixedTargets string `json:"mixed_targets" validate:"omitempty,oneof=auto on off"`
+	BriefCalls   string `json:"brief_calls" validate:"omitempty,oneof=auto on off"`
 }
 
 // LimitSettings are the resources of the VM.
@@ -124,6 +143,8 @@
 	if s.PeerAddress == "" {
 		s.PeerAddress = s.Peer
 	}
+	s.Scheduling.MixedTargets = cmp.Or(s.Scheduling.MixedTargets, schedulingAuto)
+	s.Scheduling.BriefCalls = cmp.Or(s.Scheduling.BriefCalls, schedulingAuto)
 	return s, err
 }
 
--- a/internal/gateway/settings_test.go
+++ b/internal/gateway/settings_test.go
@@ -30,6 +30,33 @@
 		So(s.LogLevel, ShouldEqual, "info")
 		So(s.PeerAddress, ShouldEqual, "127.0.0.1:3")
 		So(s.Limits.maxConnections(), ShouldEqual, 2870)
+		So(s.Scheduling, ShouldResemble, SchedulingSettings{MixedTargets: "auto", BriefCalls: "auto"})
+	})
+	Convey("Each value of the scheduling settings is read, and any other is a finding", t, func() {
+		scheduling := func(object string) (SchedulingSettings, []string) {
+			s, err := load(t, `{"name": "a", "region": "r", "availability_zone": "z", "listen": "127.0.0.1:1", "readiness": "127.0.0.1:2",
+				"peer": "127.0.0.1:3", "store": "127.0.0.1:4", "limits": {"memory_mb": 184},
+				"bounds": {"grace_s": 8, "revoke_ms": 5000, "retry_window_s": 10}, "scheduling": `+object+`}`)
+			findings, _ := err.(workspace.Findings)
+			var paths []string
+			for _, f := range findings {
+				paths = append(paths, f.Path)
+			}
+			return s.Scheduling, paths
+		}
+		for _, value := range []string{"auto", "on", "off"} {
+			s, paths := scheduling(`{"mixed_targets": "` + value + `", "brief_calls": "` + value + `"}`)
+			So(paths, ShouldBeEmpty)
+			So(s, ShouldResemble, SchedulingSettings{MixedTargets: value, BriefCalls: value})
+		}
+		s, paths := scheduling(`{"brief_calls": "off"}`)
+		So(paths, ShouldBeEmpty)
+		So(s, ShouldResemble, SchedulingSettings{MixedTargets: "auto", BriefCalls: "off"})
+		_, paths = scheduling(`{"mixed_targets": "yes", "brief_calls": true, "late": "on"}`)
+		So(len(paths), ShouldEqual, 3)
+		for _, path := range []string{"scheduling.mixed_targets", "scheduling.brief_calls", "scheduling.late"} {
+			So(paths, ShouldContain, path)
+		}
 	})
 	Convey("Callers' connections are bounded by the descriptors and the memory", t, func() {
 		So(LimitSettings{MemoryMB: 536, Descriptors: 8192}.maxConnections(), ShouldEqual, 5734)
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -31,7 +31,8 @@
 	routes         *route.Live
 	snapshot       *workspace.CurrentSnapshot
 	limiter        *quota.Limiter
-	onIncarnations func(map[string]string) // called with the incarnation at each address
+	onIncarnations func(map[string]string)          // called with the incarnation at each address
+	onTable        func(before, after *route.Table) // called when a table takes effect; nil: not called
 	log            *logrus.Entry
 	latency        latencies
 
@@ -113,8 +114,12 @@
 		return false
 	}
 	s.config = o
+	before := s.routes.Load()
 	if s.routes.Update(table) {
 		s.log.WithField("version", table.Version).WithField("revision", o.Version).Info("Configuration in force.")
+		if s.onTable != nil {
+			s.onTable(before, table)
+		}
 		s.limiter.AddWorkspaces(table.Workspaces)
 		s.rebuildLocked()
 	}
--- a/internal/poolhost/config.go
+++ b/internal/poolhost/config.go
@@ -115,7 +115,12 @@
 	// HeartbeatInterval returns the heartbeat interval of idle sessions. The
 	// default is the function HeartbeatInterval.
 	HeartbeatInterval func(sessions int) time.Duration
-	// NewScheduler returns a pool's scheduler. The default calls pool.New.
+	// Traits returns a pool's current traits. It is called before NewScheduler when a pool or
+	// a static share starts, and on each tick; changes are passed to the scheduler. It must be
+	// fast. The default returns none.
+	Traits func(p *workspace.ResolvedPool) pool.Traits
+	// NewScheduler returns a pool's scheduler, which must start with the traits that Traits
+	// returns. The default calls pool.New.
 	NewScheduler func(p *workspace.ResolvedPool, epoch uint64) Scheduler
 	// Trace is called with every event that a pool handles and the resulting
 	// commands, in order. It must not keep the slice of commands.
@@ -137,8 +142,11 @@
 	if c.Connect == nil {
 		c.Connect = connectTCP
 	}
+	if c.Traits == nil {
+		c.Traits = func(*workspace.ResolvedPool) pool.Traits { return pool.Traits{} }
+	}
 	if c.NewScheduler == nil {
-		c.NewScheduler = newPool
+		c.NewScheduler = c.newPool
 	}
 	if c.HeartbeatInterval == nil {
 		c.HeartbeatInterval = HeartbeatInterval
@@ -152,10 +160,10 @@
 	return c
 }
 
-func newPool(p *workspace.ResolvedPool, epoch uint64) Scheduler {
+func (c Config) newPool(p *workspace.ResolvedPool, epoch uint64) Scheduler {
 	return pool.New(pool.Config{
 		Name: p.Name, Policy: pool.Policy(p.Policy), Epoch: epoch, MaxWaiting: p.MaxWaiting,
-		DefaultSlots: defaultSlots, Seed: epoch,
+		DefaultSlots: defaultSlots, Seed: epoch, Traits: c.Traits(p),
 	})
 }
 
--- a/internal/poolhost/host.go
+++ b/internal/poolhost/host.go
@@ -87,6 +87,7 @@
 	h.reconcile()
 	members := h.aliveMembers()
 	for _, r := range *h.owned.Load() {
+		r.updateTraits()
 		r.mailbox.Post(tickMessage{members})
 		r.monitor.tick()
 	}
@@ -106,6 +107,7 @@
 			continue
 		}
 		remaining[name] = r
+		r.updateTraits()
 		r.mailbox.Post(tickMessage{members})
 		r.monitor.tick()
 	}
@@ -175,6 +177,7 @@
 		if r == nil {
 			logs.For("poolhost").WithField("pool", name).Info("Owns the pool now.")
 			r = newRuntime(h, p, h.aliveMembers())
+			r.logInitialTraits()
 			h.suspects.replayTo(r, h.cfg.Now())
 			r.configure(p)
 		} else if reconfigured {
@@ -235,8 +238,9 @@
 }
 
 // configure passes the pool's servers and queue bound to the scheduler and
-// the monitor.
+// the monitor. The caller holds host.mu.
 func (r *Runtime) configure(p *workspace.ResolvedPool) {
+	r.resolved = p
 	set := pool.ServerSet{Servers: make([]pool.ServerInfo, 0, len(p.Servers)), RateShare: r.rateShare}
 	for _, s := range p.Servers {
 		set.Servers = append(set.Servers, pool.ServerInfo{
--- a/internal/poolhost/runtime.go
+++ b/internal/poolhost/runtime.go
@@ -44,6 +44,8 @@
 
 	monitor      *monitor
 	drainUntil   time.Time                    // guarded by host.mu
+	resolved     *workspace.ResolvedPool      // as last configured; guarded by host.mu
+	traits       pool.Traits                  // of the scheduler; guarded by host.mu
 	openSessions atomic.Int64                 // as of the last tick
 	summary      atomic.Pointer[pool.Summary] // refreshed every SummaryInterval
 	// hasSiblings is true if other pools serve the same model version.
@@ -58,6 +60,9 @@
 		host: h, name: p.Name, policy: p.Policy, epoch: rand.Uint64(), entries: map[pool.EntryID]*entry{}, members: members,
 		recovery: recovery{started: h.cfg.Now()},
 	}
+	// Read before the scheduler reads its own: if they change in between, the next tick
+	// posts them.
+	r.resolved, r.traits = p, h.cfg.Traits(p)
 	r.scheduler = h.cfg.NewScheduler(p, r.epoch)
 	r.mailbox = mailbox.New(h.cfg.Spawn, r.handle)
 	r.monitor = newMonitor(r)
--- a/internal/poolhost/share.go
+++ b/internal/poolhost/share.go
@@ -26,6 +26,7 @@
 	defer h.mu.Unlock()
 	s := &StaticShare{Runtime: newRuntime(h, p, []string{h.cfg.Self}), host: h}
 	s.Runtime.degraded = true
+	s.logInitialTraits()
 	h.suspects.replayTo(s.Runtime, h.cfg.Now())
 	s.refresh(p, h.aliveMembers())
 	h.shares[s] = struct{}{}
@@ -57,6 +58,7 @@
 			s.refresh(p, members)
 		}
 	}
+	s.updateTraits()
 	s.mailbox.Post(tickMessage{[]string{s.host.cfg.Self}})
 	s.monitor.tick()
 }
--- a/route/compile.go
+++ b/route/compile.go
@@ -97,3 +97,11 @@
 		t.tiers[k] = request.Tier(min(i, int(request.MaxTiers)-1))
 	}
 }
+
+// assignTraits derives the traits of each service.
+func (c *compiler) assignTraits(routes []Route, patience Patience) {
+	byService := routesByService(routes)
+	for name, s := range c.table.Services {
+		s.Traits = deriveTraits(byService[name], patience)
+	}
+}
--- a/route/route.go
+++ b/route/route.go
@@ -37,7 +37,10 @@
 	// LatencyTarget is the target for the time to the answer, or to the first event of a
 	// stream.
 	LatencyTarget time.Duration
-	Tier          request.Tier
+	// PauseTarget is the target for the longest gap between two events of a stream; zero
+	// means no target.
+	PauseTarget time.Duration
+	Tier        request.Tier
 	// MaxAttempts is the maximum number of servers that may start to run one request.
 	MaxAttempts int
 	// Public routes need no key.
@@ -78,6 +81,8 @@
 	Name string
 	// TokensPerEvent is the number of tokens in one event of an engine's stream.
 	TokensPerEvent int
+	// Traits are derived by Compile.
+	Traits Traits
 }
 
 // Workspace is one customer organisation with its keys, priority and quota.
@@ -125,4 +130,6 @@
 	Services   []Service
 	Workspaces []Workspace
 	Limits     Limits
+	// Patience is that of the callers of streams.
+	Patience Patience
 }
--- a/route/table.go
+++ b/route/table.go
@@ -48,6 +48,7 @@
 		return nil, c.findings
 	}
 	c.assignTiers()
+	c.assignTraits(d.Routes, d.Patience)
 	for _, routes := range c.table.byHost {
 		slices.SortStableFunc(routes, func(a, b *Route) int { return cmp.Compare(len(b.Prefix), len(a.Prefix)) })
 	}
