pool: answers wait for servers that can end them before their deadlines

Callers of long answers got nothing: their requests were granted slow or crowded servers, on which they occupied a slot until their deadlines. With Traits.FinishInTime such an option is passed over while the fastest server could still end the answer in time.

--- a/pool/choose.go
+++ b/pool/choose.go
@@ -165,7 +165,7 @@
 			continue
 		}
 		x := p.predict(w, s)
-		if !p.hasRoom(w, x) {
+		if !p.hasRoom(w, x) || p.finishesTooLate(w, x) {
 			continue
 		}
 		xg := p.grade(w, x)
@@ -251,7 +251,7 @@
 func (p *Pool) cannotMeetDeadline(w *waiter) bool {
 	p.updateLength(w) // answers may have been measured since it was enqueued
 	tokens := 0
-	if w.length.Known || w.ExpectedTokens > 0 {
+	if w.lengthExpected() {
 		tokens = int(minFinishLengthShare * float64(w.length.Mean))
 	}
 	_, whole := p.fastestTimes(1, tokens)
--- /dev/null
+++ b/pool/finish_test.go
@@ -0,0 +1,84 @@
+package pool
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/lycheekeel/lycheekeel/pool/score"
+	"github.com/lycheekeel/lycheekeel/request"
+)
+
+// newUnevenPool has a fast server of one slot, on which an answer of 1,000 tokens takes 4 s,
+// and slow ones, on which it takes 40 s. Requests wait at most for their target of 400 ms.
+func newUnevenPool(traits Traits) *harness {
+	r := newHarness(Config{Traits: traits, MaxWaitShare: 1},
+		ServerInfo{Name: "fast", Generation: "fast", Slots: 1}, ServerInfo{Name: "slow", Generation: "slow", Slots: 8})
+	for range 20 {
+		r.servers["fast"].latency.ObservePerToken(1, 4*time.Millisecond, 4*time.Millisecond, score.Profile{})
+		r.servers["slow"].latency.ObservePerToken(1, 40*time.Millisecond, 40*time.Millisecond, score.Profile{})
+	}
+	return r
+}
+
+// answer is a request with a deadline of 12 s for an answer of a number of tokens. Its
+// target has passed, so that it may be granted any server.
+func answer(id string, t request.Tier, tokens int) Enqueue {
+	e := enqueue(id, t)
+	e.FirstTokenIn, e.DeadlineIn, e.MaxTokens, e.ExpectedTokens = time.Millisecond, 12*time.Second, 4000, tokens
+	e.Waited = 399 * time.Millisecond
+	return e
+}
+
+// Guards against answers that occupy a slot until their deadline on a server that is too slow
+// for them.
+func TestLongAnswersWaitForServersThatEndThemInTime(t *testing.T) {
+	Convey("Given a late request for a long answer, a full fast server and a free slow one", t, func() {
+		for finish, server := range map[bool]string{false: "slow", true: "fast"} {
+			Convey(fmt.Sprintf("with FinishInTime %v it runs on the %s one", finish, server), func() {
+				r := newUnevenPool(Traits{FinishInTime: finish})
+				first := r.mustGrant(answer("first", 0, 500))
+				So(first.Server, ShouldEqual, "fast")
+				long := answer("long", 0, 1000)
+				long.SentTo = []string{"gone"} // so that it may wait
+				out := grants(r.send(long))
+				out = append(out, grants(r.endRun(first, OutcomeDone))...)
+				So(out, ShouldHaveLength, 1)
+				So(out[0].Server, ShouldEqual, server)
+			})
+		}
+		r := newUnevenPool(Traits{FinishInTime: true})
+		first := r.mustGrant(answer("first", 0, 500))
+		long := answer("long", 0, 1000)
+		long.SentTo = []string{"gone"}
+		So(grants(r.send(long)), ShouldBeEmpty)
+
+		Convey("a short answer of a lower tier takes the slow one meanwhile", func() {
+			So(r.mustGrant(answer("short", 1, 20)).Server, ShouldEqual, "slow")
+		})
+		Convey("and it runs on the slow one once the fast one is lost", func() {
+			r.endRun(first, OutcomeStreamLost)
+			out := r.send(ServerSet{Servers: []ServerInfo{{Name: "slow", Generation: "slow", Slots: 8}}})
+			So(grants(out), ShouldHaveLength, 1)
+		})
+		Convey("and it runs on the slow one once the trait is removed", func() {
+			So(grants(r.send(TraitsSet{})), ShouldHaveLength, 1)
+		})
+		Convey("and a new owner lets it wait too", func() {
+			next := newUnevenPool(Traits{FinishInTime: true})
+			next.send(Running{Entry: "e1", Request: "first", Grant: first.Grant, Server: "fast", ExpectedTokens: 500, Tokens: 1})
+			So(grants(next.send(long)), ShouldBeEmpty)
+		})
+	})
+}
+
+// Guards against requests of unknown length that wait because their cap could not be reached.
+func TestUnknownLengthsTakeAnyServer(t *testing.T) {
+	Convey("A request without a length estimate takes the slow server at once", t, func() {
+		r := newUnevenPool(Traits{FinishInTime: true})
+		r.mustGrant(answer("first", 0, 500))
+		So(r.mustGrant(answer("unknown", 0, 0)).Server, ShouldEqual, "slow")
+	})
+}
--- a/pool/property_test.go
+++ b/pool/property_test.go
@@ -31,6 +31,7 @@
 	incarnations [propertyServers]int  // of each server
 	// maxWaitShare is Config.MaxWaitShare.
 	maxWaitShare float64
+	traits       Traits
 }
 
 const propertyServers = 3
@@ -40,12 +41,18 @@
 		t: t, now: start, epoch: 1, maxWaitShare: rapid.SampledFrom([]float64{0, 0.2}).Draw(t, "max wait share"), waiting: map[request.ID]Enqueue{}, running: map[GrantID]Running{},
 		health: map[string]Health{}, slots: map[string]int{}, leftAt: map[EntryID]time.Time{},
 	}
+	if rapid.Bool().Draw(t, "traits") {
+		m.traits = Traits{FinishInTime: true, PauseTarget: 300 * time.Millisecond, TokensPerEvent: 8, PreferZone: true}
+	}
 	m.startOwner()
 	return m
 }
 
 func (m *model) config() Config {
-	return Config{Name: "p", Epoch: m.epoch, MaxWaiting: 8, Seed: 7, MaxWaitShare: m.maxWaitShare, ExtendedWaitShare: 2 * m.maxWaitShare}
+	return Config{
+		Name: "p", Epoch: m.epoch, MaxWaiting: 8, Seed: 7, MaxWaitShare: m.maxWaitShare, ExtendedWaitShare: 2 * m.maxWaitShare,
+		Traits: m.traits,
+	}
 }
 
 // startOwner starts a new pool owner that knows the servers and entries.
