pool, gateway: extended waits end before the caller leaves

A late request of a stream could wait a quarter of its deadline, 3 s of 12 s, while its caller leaves after 2.4 s without an event and does not retry. With Traits.Patience the extension ends when the caller leaves.

--- a/internal/gateway/traits.go
+++ b/internal/gateway/traits.go
@@ -36,12 +36,12 @@
 	}
 	effective, out := t.settings.effective(s.Traits), pool.Traits{}
 	if effective.MixedTargets {
-		out.DeferLate, out.PreferZone = true, true
+		out.FinishInTime, out.PreferZone = true, true
 		out.PauseTarget, out.TokensPerEvent = effective.PauseTarget, s.TokensPerEvent
 		out.Patience = pool.Patience(effective.Patience)
 	}
 	if effective.BriefCalls {
-		out.DeferLate, out.Overlap, out.PreferZone = true, true, true
+		out.Overlap, out.PreferZone = true, true
 	}
 	return out
 }
--- a/internal/poolhost/traits.go
+++ b/internal/poolhost/traits.go
@@ -31,7 +31,7 @@
 func (r *Runtime) logTraits() {
 	t := r.traits
 	logs.For("poolhost").WithFields(logrus.Fields{
-		"pool": r.name, "share": r.degraded, "defer_late": t.DeferLate, "overlap": t.Overlap, "prefer_zone": t.PreferZone,
+		"pool": r.name, "share": r.degraded, "finish_in_time": t.FinishInTime, "overlap": t.Overlap, "prefer_zone": t.PreferZone,
 		"pause_target_ms": t.PauseTarget.Milliseconds(), "tokens_per_event": t.TokensPerEvent,
 	}).Info("Pool's traits changed.")
 }
--- a/pool/max_wait.go
+++ b/pool/max_wait.go
@@ -42,6 +42,9 @@
 	}
 	until := p.waitUntil(w, p.cfg.ExtendedWaitShare)
 	latest := w.enqueuedAt.Add(time.Duration(extendedDeadlineShare*float64(w.DeadlineIn+w.Waited)) - w.Waited)
+	if leaves := p.callerLeavesAt(w); leaves.Before(latest) {
+		latest = leaves
+	}
 	if w.Class == tier.Late || latest.Before(until) {
 		until = latest // a late request has no target left to miss
 	}
@@ -54,6 +57,18 @@
 	return true
 }
 
+// callerLeavesAt returns when the caller of a stream stops waiting for its first event.
+//
+// Without it, a late request whose wait is extended would be granted a slot for a caller
+// that has left, and that does not retry.
+func (p *Pool) callerLeavesAt(w *waiter) time.Time {
+	patience := p.cfg.Traits.Patience.of(w.FirstTokenIn+w.Waited, p.cfg.Traits.PauseTarget)
+	if patience == 0 || w.FirstTokenIn == 0 {
+		return w.deadline
+	}
+	return w.enqueuedAt.Add(patience - w.Waited)
+}
+
 // predictWait predicts how long a request at the end of its maximum wait will still wait
 // for a slot. All requests of higher tiers go first, and all earlier ones of its own
 // tier; of the latter, only those with an extended wait are still in the queue. All
--- a/pool/max_wait_test.go
+++ b/pool/max_wait_test.go
@@ -7,6 +7,8 @@
 
 	. "github.com/smartystreets/goconvey/convey"
 
+	"github.com/lycheekeel/lycheekeel/pool/tier"
+
 	"github.com/lycheekeel/lycheekeel/request"
 )
 
@@ -253,3 +255,29 @@
 		So(sheds(r.advance(time.Millisecond)), ShouldHaveLength, 1)
 	})
 }
+
+// Guards against late requests that get a slot after their callers have left.
+func TestExtendedWaitEndsBeforeTheCallerLeaves(t *testing.T) {
+	patience := Patience{Min: time.Second, TargetFactor: 4, PauseFactor: 8}
+	for name, x := range map[string]struct {
+		traits Traits
+		sheds  int
+	}{
+		"callers that wait until their deadlines": {Traits{}, 0},
+		"callers that leave after 1.2 s":          {Traits{Patience: patience}, 1},
+		"callers that leave after 2.4 s":          {Traits{Patience: patience, PauseTarget: 300 * time.Millisecond}, 0},
+	} {
+		Convey("A late request whose slot is predicted after 1.5 s, with "+name, t, func() {
+			r := newHarness(Config{Traits: x.traits, MaxWaitShare: 0.12, ExtendedWaitShare: 1}, servers(1, 1)...)
+			r.mustGrant(enqueue("runs", 0))
+			r.servers["s0"].meanService = 0.75
+			r.advance(10 * time.Second) // the rate of arrivals has decayed
+			late := enqueue("late", 0)
+			late.FirstTokenIn, late.DeadlineIn = 300*time.Millisecond, 12*time.Second
+			w := r.newWaiter(late)
+			r.admit(w)
+			r.queue.SetClass(&w.Item, tier.Late)
+			So(sheds(r.advance(40*time.Millisecond)), ShouldHaveLength, x.sheds)
+		})
+	}
+}
--- a/pool/traits.go
+++ b/pool/traits.go
@@ -29,6 +29,12 @@
 	TargetFactor, PauseFactor float64
 }
 
+// of returns how long callers wait for an event, given their first-event target and the
+// target for gaps; zero means until the deadline.
+func (p Patience) of(firstEvent, gap time.Duration) time.Duration {
+	return max(p.Min, time.Duration(p.TargetFactor*float64(firstEvent)), time.Duration(p.PauseFactor*float64(gap)))
+}
+
 // TraitsSet replaces the pool's traits.
 type TraitsSet struct{ Traits }
 
