pool, poolhost: servers in the entry's zone are preferred

Cause: two thirds of the traffic crosses zones while servers in the caller's own zone are free. The scheduler knew the zones of the servers but not those of the entries.

Change: poolhost passes the members' zones with the entries (EntrySet.Zones). Grants are counted by zone (pool_granted_same_zone, pool_granted_other_zone).

--- a/internal/poolhost/entries.go
+++ b/internal/poolhost/entries.go
@@ -1,6 +1,7 @@
 package poolhost
 
 import (
+	"maps"
 	"slices"
 
 	"github.com/lycheekeel/lycheekeel/internal/poolwire"
@@ -31,12 +32,27 @@
 		}
 	}
 	slices.Sort(set)
-	if !slices.Equal(set, r.lastEntrySet) {
-		r.lastEntrySet = set
-		r.feed(pool.EntrySet{Entries: set})
+	zones := r.host.zonesOf(set)
+	if !slices.Equal(set, r.lastEntrySet.Entries) || !maps.Equal(zones, r.lastEntrySet.Zones) {
+		r.lastEntrySet = pool.EntrySet{Entries: set, Zones: zones}
+		r.feed(r.lastEntrySet)
 	}
 }
 
+// zonesOf returns the availability zones of the entries whose members are in the view.
+func (h *Host) zonesOf(entries []pool.EntryID) map[pool.EntryID]string {
+	if h.cfg.View == nil {
+		return nil
+	}
+	view, zones := h.cfg.View.Load(), make(map[pool.EntryID]string, len(entries))
+	for _, id := range entries {
+		if m, ok := view.Get(poolwire.MemberOf(id)); ok && m.AvailabilityZone != "" {
+			zones[id] = m.AvailabilityZone
+		}
+	}
+	return zones
+}
+
 // endPreviousEntries ends the other entries of a new entry's member. A member
 // runs one process, so the processes of the others have ended. A late message
 // of such a process would end the new entry instead; the new entry then gets a
--- a/internal/poolhost/host_test.go
+++ b/internal/poolhost/host_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/lycheekeel/lycheekeel/engine"
 	"github.com/lycheekeel/lycheekeel/internal/poolwire"
+	"github.com/lycheekeel/lycheekeel/member"
 	"github.com/lycheekeel/lycheekeel/pool"
 	"github.com/lycheekeel/lycheekeel/workspace"
 	. "github.com/smartystreets/goconvey/convey"
@@ -194,6 +195,29 @@
 	})
 }
 
+// Guards against entries whose zone is not passed on when it becomes known, and against a
+// static share that does not know its own zone.
+func TestEntriesHaveTheirMembersZones(t *testing.T) {
+	Convey("The members' zones are passed on with the entries", t, func() {
+		b, view := newHarness("p"), &member.CurrentView{}
+		b.host.cfg.View = view
+		for _, zone := range []string{"", "z2"} {
+			view.Store(member.NewView("a", []member.Member{
+				{Name: "a", Region: "r", AvailabilityZone: "z1"},
+				{Name: "m", Region: "r", AvailabilityZone: zone, State: member.Leaving},
+			}))
+			b.advance(2 * entryCheckInterval)
+		}
+		b.host.OpenStaticShare(b.host.cfg.Snapshot.Load().Pools["p"])
+		b.advance(2 * entryCheckInterval)
+		So(eventsOf[pool.EntrySet](b, "p"), ShouldResemble, []pool.EntrySet{
+			{Entries: []pool.EntryID{"a", "m"}, Zones: map[pool.EntryID]string{"a": "z1"}},
+			{Entries: []pool.EntryID{"a", "m"}, Zones: map[pool.EntryID]string{"a": "z1", "m": "z2"}},
+			{Entries: []pool.EntryID{"a"}, Zones: map[pool.EntryID]string{"a": "z1"}},
+		})
+	})
+}
+
 // Guards against new requests to a leaving server, whichever source reports it.
 func TestLeavingWithinThreeSeconds(t *testing.T) {
 	for name, leave := range map[string]func(b *harness){
--- a/internal/poolhost/report.go
+++ b/internal/poolhost/report.go
@@ -15,7 +15,7 @@
 
 // tierCounters count the outcomes of one tier's requests in this daemon's pools.
 type tierCounters struct {
-	granted, grantedLate, shed, expired, slotMs *expvar.Int
+	granted, grantedLate, sameZone, otherZone, shed, expired, slotMs *expvar.Int
 }
 
 func newTierCounters(m *metrics.Registry) (all [request.MaxTiers]tierCounters) {
@@ -23,6 +23,7 @@
 		c := func(group string) *expvar.Int { return m.Counter(group, fmt.Sprint("tier_", t)) }
 		all[t] = tierCounters{
 			granted: c("pool_granted"), grantedLate: c("pool_granted_late"),
+			sameZone: c("pool_granted_same_zone"), otherZone: c("pool_granted_other_zone"),
 			shed: c("pool_shed"), expired: c("pool_expired"), slotMs: c("pool_slot_ms"),
 		}
 	}
@@ -32,6 +33,8 @@
 func (c tierCounters) add(t pool.TierTally) {
 	c.granted.Add(int64(t.Granted))
 	c.grantedLate.Add(int64(t.GrantedLate))
+	c.sameZone.Add(int64(t.SameZone))
+	c.otherZone.Add(int64(t.OtherZone))
 	c.shed.Add(int64(t.Shed))
 	c.expired.Add(int64(t.Expired))
 	c.slotMs.Add(t.SlotTime.Milliseconds())
--- a/internal/poolhost/runtime.go
+++ b/internal/poolhost/runtime.go
@@ -29,7 +29,7 @@
 	members          []string // live members of the region, as of the last tick
 	recovery         recovery
 	entriesCheckedAt time.Time // time of the last updateEntries
-	lastEntrySet     []pool.EntryID
+	lastEntrySet     pool.EntrySet
 	summaryAt        time.Time
 	// lastBrief was sent to siblings at briefSentAt, under the configuration
 	// and membership in briefInputs.
--- a/pool/choose.go
+++ b/pool/choose.go
@@ -47,6 +47,7 @@
 	uncachedTokens int // prompt tokens to compute
 	firstToken     time.Duration
 	cost           time.Duration // expected run time, less the value of the cached prefix
+	loadPart       time.Duration // part of cost that stands for the server's load
 }
 
 // predict returns the prediction for a request if it started on a server now.
@@ -157,9 +158,11 @@
 	}
 }
 
-// bestOption returns the cheapest of the options with the best grade. It reports false
-// if no server has room.
+// bestOption returns the cheapest of the options with the best grade, or one in the
+// entry's zone that costs little more. It reports false if no server has room.
 func (p *Pool) bestOption(w *waiter, servers []*server) (o option, g grade, ok bool) {
+	var best, local choice
+	zone := p.preferredZone(w)
 	for _, s := range servers {
 		if p.mustAvoid(w, s) {
 			continue
@@ -170,13 +173,15 @@
 		}
 		xg := p.grade(w, x)
 		if xg == onTarget && p.cfg.SpareFastServers && p.isRelaxed(w, x) {
-			x.cost = p.loadCost(w, x)
+			x.cost, x.loadPart = p.loadCost(w, x), s.loadTime()
 		}
-		if !ok || xg > g || xg == g && x.cost < o.cost {
-			o, g, ok = x, xg, true
+		best.consider(x, xg)
+		if zone != "" && s.info.AvailabilityZone == zone {
+			local.consider(x, xg)
 		}
 	}
-	return o, g, ok
+	best = p.preferLocal(w, local, best)
+	return best.option, best.grade, best.ok
 }
 
 // isRelaxed reports whether an option is far from missing any of a request's targets.
@@ -193,12 +198,17 @@
 // miss their deadlines on slow servers.
 func (p *Pool) loadCost(w *waiter, o option) time.Duration {
 	s := o.server
-	load := float64(len(s.running)) / float64(max(1, s.maxRunning))
-	return time.Duration(load*float64(time.Second)) + o.cost/1000 -
+	return s.loadTime() + o.cost/1000 -
 		time.Duration(prefixSavingWeight*float64(s.latency.PrefillTime(w.PromptTokens-o.uncachedTokens))) +
 		time.Duration(s.failureRate.at(p.now)*float64(failureCost))
 }
 
+// load is the share of a server's slots in use.
+func (s *server) load() float64 { return float64(len(s.running)) / float64(max(1, s.maxRunning)) }
+
+// loadTime is the cost of a server's load, a second for all its slots.
+func (s *server) loadTime() time.Duration { return time.Duration(s.load() * float64(time.Second)) }
+
 // mustAvoid reports whether a request must not be sent to a server: it needs another
 // version, its entry could not reach the server a moment ago, or an earlier attempt there failed and another server can
 // get grants, even if it has no free slot now. A server that fails many of its requests
--- a/pool/entries.go
+++ b/pool/entries.go
@@ -22,7 +22,8 @@
 // entries tracks the entries that hold requests of the pool.
 type entries struct {
 	known      map[EntryID]*entry
-	firstSetAt time.Time // time of the first EntrySet; zero means none yet
+	zones      map[EntryID]string // as of the last EntrySet
+	firstSetAt time.Time          // time of the first EntrySet; zero means none yet
 	complete   bool
 	alive      int
 }
@@ -103,7 +104,7 @@
 		alive[id] = true
 		p.markEntryAlive(id)
 	}
-	p.entries.alive = len(alive)
+	p.entries.alive, p.entries.zones = len(alive), e.Zones
 	for id, x := range p.entries.known {
 		if !alive[id] && x.goneSince.IsZero() {
 			x.goneSince = p.now
--- a/pool/events.go
+++ b/pool/events.go
@@ -192,7 +192,11 @@
 
 // EntrySet lists the live entries. An entry that is gone loses its waiting requests
 // at once and its running ones after a grace time.
-type EntrySet struct{ Entries []EntryID }
+type EntrySet struct {
+	Entries []EntryID
+	// Zones are the availability zones of the entries; a missing one is unknown.
+	Zones map[EntryID]string
+}
 
 // EntryEnded reports that an entry's process has ended. Its connections closed with
 // it, so its requests neither wait nor run any longer.
--- a/pool/hold.go
+++ b/pool/hold.go
@@ -61,7 +61,7 @@
 			return
 		}
 		o := p.predictWith(w, s, blocks, 0)
-		if !p.meetsTokenTarget(w, s, 1, tokenTargetShare) || o.cost+after >= maxCost {
+		if !p.meetsTokenTarget(w, s, 1, tokenTargetShare) || o.cost+after+p.extraZoneCost(w, current.server, s) >= maxCost {
 			return
 		}
 		maxCost, best, wait, computing = o.cost+after, o, after, by
--- a/pool/schedule.go
+++ b/pool/schedule.go
@@ -312,6 +312,7 @@
 	}
 	p.rates.granted[w.Item.Tier].Add(p.now, 1)
 	p.tally.countGrant(w)
+	p.countZone(w, o.server)
 	p.grantSeq++
 	r := &run{
 		id: GrantID{Epoch: p.cfg.Epoch, Seq: p.grantSeq}, request: w.Request, entry: w.Entry, server: o.server,
--- a/pool/tally.go
+++ b/pool/tally.go
@@ -12,6 +12,9 @@
 	// Granted counts requests granted while they could meet their target, GrantedLate
 	// those granted when they no longer could.
 	Granted, GrantedLate int
+	// SameZone counts requests granted on a server in their entry's zone, OtherZone those
+	// granted in another zone.
+	SameZone, OtherZone int
 	// Shed counts requests refused for lack of a slot, Expired those that reached their
 	// deadline.
 	Shed, Expired int
@@ -28,6 +31,7 @@
 		b := before[i]
 		d[i] = TierTally{
 			Granted: now.Granted - b.Granted, GrantedLate: now.GrantedLate - b.GrantedLate,
+			SameZone: now.SameZone - b.SameZone, OtherZone: now.OtherZone - b.OtherZone,
 			Shed: now.Shed - b.Shed, Expired: now.Expired - b.Expired, SlotTime: now.SlotTime - b.SlotTime,
 		}
 	}
