pool: no long prompts on slow servers beside on-time streams

An engine computes its pending prompts between two events of its streams. On an engine that is several times slower than the others, one long prompt makes every stream there miss the target for gaps, which was not read.

With Traits.PauseTarget, the scheduler derives a prefill budget for each server from its latency model, once per event. While an on-time stream runs there, a request is granted only if the pending prompts and its own fit the budget. Servers with at least half of the largest budget, and those whose model is not known, stay open. A request that only closed servers could take waits, and becomes late as before. With a zero PauseTarget nothing changes.

--- a/pool/capacity.go
+++ b/pool/capacity.go
@@ -47,6 +47,7 @@
 	for _, s := range p.sorted {
 		s.maxRunning = p.runLimit(s)
 	}
+	p.refreshGapBudgets()
 }
 
 // serversWithSlots returns the servers that have a free slot, and their total number
--- a/pool/choose.go
+++ b/pool/choose.go
@@ -47,6 +47,7 @@
 	uncachedTokens int // prompt tokens to compute
 	firstToken     time.Duration
 	cost           time.Duration // expected run time, less the value of the cached prefix
+	diverted       bool          // a better option, or the only one, is closed to the request
 }
 
 // predict returns the prediction for a request if it started on a server now.
@@ -158,8 +159,11 @@
 }
 
 // bestOption returns the cheapest of the options with the best grade. It reports false
-// if no server has room.
+// if no server has room or all that have are closed to the request.
 func (p *Pool) bestOption(w *waiter, servers []*server) (o option, g grade, ok bool) {
+	var closed option
+	var closedGrade grade
+	openBudget := p.openBudgetFor(w)
 	for _, s := range servers {
 		if p.mustAvoid(w, s) {
 			continue
@@ -172,13 +176,25 @@
 		if xg == onTarget && p.cfg.SpareFastServers && p.isRelaxed(w, x) {
 			x.cost = p.loadCost(w, x)
 		}
-		if !ok || xg > g || xg == g && x.cost < o.cost {
+		if x.uncachedTokens > p.promptRoom(w, s, s.pendingPrefill, openBudget) {
+			if closed.server == nil || x.isBetter(xg, closed, closedGrade) {
+				closed, closedGrade = x, xg
+			}
+			continue
+		}
+		if !ok || x.isBetter(xg, o, g) {
 			o, g, ok = x, xg, true
 		}
 	}
+	o.diverted = closed.server != nil && (!ok || closed.isBetter(closedGrade, o, g))
 	return o, g, ok
 }
 
+// isBetter reports whether an option of a grade ranks before another one.
+func (o option) isBetter(g grade, other option, otherGrade grade) bool {
+	return g > otherGrade || g == otherGrade && o.cost < other.cost
+}
+
 // isRelaxed reports whether an option is far from missing any of a request's targets.
 func (p *Pool) isRelaxed(w *waiter, o option) bool {
 	if !w.firstTokenDue.IsZero() && p.now.Add(time.Duration(float64(o.firstToken)/relaxedShare)).After(w.firstTokenDue) {
--- a/pool/hold.go
+++ b/pool/hold.go
@@ -55,13 +55,13 @@
 // it: a server that caches a longer prefix but has no free slot, or one on which a run is
 // computing the prefix. It also returns that run.
 func (p *Pool) bestFutureOption(w *waiter, current option) (best option, wait time.Duration, computing *run) {
-	maxCost := current.cost - holdMin
+	maxCost, openBudget := current.cost-holdMin, p.openBudgetFor(w)
 	try := func(s *server, blocks int, after time.Duration, by *run) {
 		if s.straggler || s.overdue || s == p.isolation || p.mustAvoid(w, s) || s.heldCount >= heldPerSlot*s.info.Slots {
 			return
 		}
 		o := p.predictWith(w, s, blocks, 0)
-		if !p.meetsTokenTarget(w, s, 1, tokenTargetShare) || o.cost+after >= maxCost {
+		if o.uncachedTokens > p.promptRoom(w, s, 0, openBudget) || !p.meetsTokenTarget(w, s, 1, tokenTargetShare) || o.cost+after >= maxCost {
 			return
 		}
 		maxCost, best, wait, computing = o.cost+after, o, after, by
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -97,6 +97,7 @@
 	anyHealthy    bool    // a server can get grants and is neither a straggler nor overdue
 	freeRate      float64 // slots freed per second when all totalSlots are in use
 	totalSlots    int
+	openBudget    int // gap budget from which a server is open to every prompt
 	usableServers []*server
 	candidates    []*tier.Item[*waiter]
 }
--- a/pool/run.go
+++ b/pool/run.go
@@ -46,11 +46,13 @@
 	prefilledAtReport int  // server.prefillTotal at its last report
 	lastReport        time.Time
 	withdrawnAt       time.Time
-	crashed           bool // its server crashed while it ran
-	namedBrittle      bool // its answer named its server brittle
-	firstToken        bool // it has brought a token
-	namedRate         bool // its answer named a limit on the server's requests per second
-	adopted           bool // granted by an earlier owner, or without a grant
+	crashed           bool      // its server crashed while it ran
+	namedBrittle      bool      // its answer named its server brittle
+	firstToken        bool      // it has brought a token
+	namedRate         bool      // its answer named a limit on the server's requests per second
+	late              bool      // granted as late, or its first token came after firstTokenDue
+	firstTokenDue     time.Time // zero means no target, or unknown
+	adopted           bool      // granted by an earlier owner, or without a grant
 }
 
 // isCall reports whether the run is a call to a plain service, which has no tokens.
@@ -112,6 +114,7 @@
 	}
 	r.lastReport = p.now
 	if e.Tokens > 0 {
+		r.late = r.late || !r.firstToken && !r.firstTokenDue.IsZero() && p.now.After(r.firstTokenDue)
 		r.firstToken = true
 		r.server.lastProgress = p.now
 		p.serverWorks(r)
--- a/pool/schedule.go
+++ b/pool/schedule.go
@@ -104,6 +104,10 @@
 				moved = true
 				continue
 			}
+			if p.isClosedByAll(w, servers) {
+				moved = p.moveToLate(w) || moved
+				continue
+			}
 			if budget <= 0 {
 				return nil, option{}
 			}
@@ -112,6 +116,9 @@
 			switch {
 			case !ok && i == 0 && p.memoryStarved(t):
 				return nil, option{}
+			case !ok && o.diverted && p.moveToLate(w):
+				moved = true
+				continue
 			case !ok:
 				continue // no server has room for it now
 			case g == tooLate && p.cannotMeetTargets(w):
@@ -163,6 +170,9 @@
 			if moved = p.divertSuspect(w) || p.moveToBestEffort(w); moved {
 				break
 			}
+			if p.isClosedByAll(w, servers) {
+				continue
+			}
 			if o, _, ok := p.bestOption(w, servers); ok {
 				return p.preferWarmLate(w, o, p.candidates[i+1:])
 			}
@@ -202,7 +212,9 @@
 	servers, slots := p.serversWithSlots()
 	for t := request.Tier(0); t < request.MaxTiers; t++ {
 		for slots > 0 && slots > p.reservedSlots(request.MaxTiers-1) {
-			it := p.firstEligible(t, tier.Infeasible, func(w *waiter) bool { return p.mayUseOneOf(w, servers) })
+			it := p.firstEligible(t, tier.Infeasible, func(w *waiter) bool {
+				return p.mayUseOneOf(w, servers) && !p.isClosedByAll(w, servers)
+			})
 			if it == nil {
 				break
 			}
@@ -239,7 +251,7 @@
 		if !p.isWarm(w, s) || p.mustAvoid(w, s) {
 			continue
 		}
-		if x := p.predict(w, s); p.suspectState(w) == suspect.Clear && p.hasRoom(w, x) {
+		if x := p.predict(w, s); p.suspectState(w) == suspect.Clear && p.hasRoom(w, x) && !p.isClosed(w, x) {
 			head.bypassed++
 			return w, x
 		}
@@ -263,7 +275,7 @@
 			continue
 		}
 		x := p.predict(w, s)
-		if p.suspectState(w) == suspect.Clear && p.hasRoom(w, x) && p.grade(w, x) == onTarget {
+		if p.suspectState(w) == suspect.Clear && p.hasRoom(w, x) && !p.isClosed(w, x) && p.grade(w, x) == onTarget {
 			head.bypassed++
 			return w, x
 		}
@@ -311,7 +323,7 @@
 		p.deferProbe(o.server)
 	}
 	p.rates.granted[w.Item.Tier].Add(p.now, 1)
-	p.tally.countGrant(w)
+	p.tally.countGrant(w, o)
 	p.grantSeq++
 	r := &run{
 		id: GrantID{Epoch: p.cfg.Epoch, Seq: p.grantSeq}, request: w.Request, entry: w.Entry, server: o.server,
@@ -320,6 +332,7 @@
 		promptTokens: w.PromptTokens, maxTokens: w.MaxTokens, hint: w.ExpectedTokens, blocks: w.Blocks, perToken: w.tokenTarget(), cost: w.Cost,
 		cachedBlocks: o.cachedBlocks, uncachedTokens: o.uncachedTokens, prefillAhead: o.server.pendingPrefill,
 		kvTokens: w.PromptTokens + w.length.High, runningAtGrant: len(o.server.running) + 1,
+		late: w.Class >= tier.Late, firstTokenDue: w.firstTokenDue,
 	}
 	p.addRun(r)
 	p.takeServerRate(o.server)
--- a/pool/score/latency.go
+++ b/pool/score/latency.go
@@ -95,6 +95,20 @@
 	return fromSeconds(m.firstToken.Slope() * float64(tokens))
 }
 
+// DecodeStep predicts the time per token with a number of running requests, without the
+// prefill that the server does for others in between.
+func (m *LatencyModel) DecodeStep(running int) time.Duration {
+	return fromSeconds(m.decodeStep.At(float64(running)))
+}
+
+// PrefillTokens predicts how many tokens the server can prefill in a time.
+func (m *LatencyModel) PrefillTokens(in time.Duration) int {
+	if in <= 0 {
+		return 0
+	}
+	return int(math.Min(math.MaxInt32, in.Seconds()/m.firstToken.Slope()))
+}
+
 // ObserveFirstToken records a time to first token. peers is the median profile of
 // the servers of the same generation, or zero if there is none. queued tells
 // whether the request waited in a queue inside the engine.
--- a/pool/server.go
+++ b/pool/server.go
@@ -47,6 +47,7 @@
 
 	grantable    bool // may get grants; set by refreshServers
 	maxRunning   int  // limit on running requests; set by refreshServers
+	gapBudget    int  // tokens that it can prefill within the gap target; set by refreshServers
 	straggler    bool // much slower than its peers
 	overdue      bool // a first token is overdue
 	probeAt      time.Time
--- a/pool/tally.go
+++ b/pool/tally.go
@@ -12,6 +12,9 @@
 	// Granted counts requests granted while they could meet their target, GrantedLate
 	// those granted when they no longer could.
 	Granted, GrantedLate int
+	// Diverted counts those that were not sent to the best server because their prompt would
+	// have caused too long gaps in the streams there.
+	Diverted int
 	// Shed counts requests refused for lack of a slot, Expired those that reached their
 	// deadline.
 	Shed, Expired int
@@ -27,15 +30,18 @@
 	for i, now := range t {
 		b := before[i]
 		d[i] = TierTally{
-			Granted: now.Granted - b.Granted, GrantedLate: now.GrantedLate - b.GrantedLate,
+			Granted: now.Granted - b.Granted, GrantedLate: now.GrantedLate - b.GrantedLate, Diverted: now.Diverted - b.Diverted,
 			Shed: now.Shed - b.Shed, Expired: now.Expired - b.Expired, SlotTime: now.SlotTime - b.SlotTime,
 		}
 	}
 	return d
 }
 
-func (t *Tally) countGrant(w *waiter) {
+func (t *Tally) countGrant(w *waiter, o option) {
 	x := &t[w.Item.Tier]
+	if o.diverted {
+		x.Diverted++
+	}
 	if w.Class >= tier.Late {
 		x.GrantedLate++
 		return
