--- a/pool/choose.go
+++ b/pool/choose.go
@@ -48,6 +48,7 @@
 	firstToken     time.Duration
 	cost           time.Duration // expected run time, less the value of the cached prefix
 	loadPart       time.Duration // part of cost that stands for the server's load
+	diverted       bool          // a better option, or the only one, is closed to the request
 }
 
 // predict returns the prediction for a request if it started on a server now.
@@ -159,10 +160,11 @@
 }
 
 // bestOption returns the cheapest of the options with the best grade, or one in the
-// entry's zone that costs little more. It reports false if no server has room.
+// entry's zone that costs little more. It reports false if no server has room or all that
+// have are closed to the request.
 func (p *Pool) bestOption(w *waiter, servers []*server) (o option, g grade, ok bool) {
-	var best, local choice
-	zone := p.preferredZone(w)
+	var best, local, closed choice
+	zone, openBudget := p.preferredZone(w), p.openBudgetFor(w)
 	for _, s := range servers {
 		if p.mustAvoid(w, s) {
 			continue
@@ -175,11 +177,16 @@
 		if xg == onTarget && p.cfg.SpareFastServers && p.isRelaxed(w, x) {
 			x.cost, x.loadPart = p.loadCost(w, x), s.loadTime()
 		}
+		if x.uncachedTokens > p.promptRoom(w, s, s.pendingPrefill, openBudget) {
+			closed.consider(x, xg)
+			continue
+		}
 		best.consider(x, xg)
 		if zone != "" && s.info.AvailabilityZone == zone {
 			local.consider(x, xg)
 		}
 	}
+	best.diverted = closed.ok && closed.beats(best)
 	best = p.preferLocal(w, local, best)
 	return best.option, best.grade, best.ok
 }
--- a/pool/zone.go
+++ b/pool/zone.go
@@ -19,11 +19,16 @@
 }
 
 func (c *choice) consider(o option, g grade) {
-	if !c.ok || g > c.grade || g == c.grade && o.cost < c.cost {
-		*c = choice{option: o, grade: g, ok: true}
+	if other := (choice{option: o, grade: g, ok: true}); other.beats(*c) {
+		*c = other
 	}
 }
 
+// beats reports whether a choice ranks before another one, which may be empty.
+func (c choice) beats(other choice) bool {
+	return !other.ok || c.grade > other.grade || c.grade == other.grade && c.cost < other.cost
+}
+
 // preferredZone returns the zone whose servers are preferred for a request; empty means
 // none.
 func (p *Pool) preferredZone(w *waiter) string {
@@ -41,7 +46,7 @@
 		p.costsMore(w, local.option, best.option) || p.missesMore(w, local, best) {
 		return best
 	}
-	local.cost = best.cost
+	local.cost, local.diverted = best.cost, best.diverted
 	return local
 }
 
