--- a/internal/poolhost/report.go
+++ b/internal/poolhost/report.go
@@ -15,14 +15,14 @@
 
 // tierCounters count the outcomes of one tier's requests in this daemon's pools.
 type tierCounters struct {
-	granted, grantedLate, shed, expired, slotMs *expvar.Int
+	granted, grantedLate, grantedExtra, shed, expired, slotMs *expvar.Int
 }
 
 func newTierCounters(m *metrics.Registry) (all [request.MaxTiers]tierCounters) {
 	for t := range all {
 		c := func(group string) *expvar.Int { return m.Counter(group, fmt.Sprint("tier_", t)) }
 		all[t] = tierCounters{
-			granted: c("pool_granted"), grantedLate: c("pool_granted_late"),
+			granted: c("pool_granted"), grantedLate: c("pool_granted_late"), grantedExtra: c("pool_granted_extra"),
 			shed: c("pool_shed"), expired: c("pool_expired"), slotMs: c("pool_slot_ms"),
 		}
 	}
@@ -32,6 +32,7 @@
 func (c tierCounters) add(t pool.TierTally) {
 	c.granted.Add(int64(t.Granted))
 	c.grantedLate.Add(int64(t.GrantedLate))
+	c.grantedExtra.Add(int64(t.GrantedExtra))
 	c.shed.Add(int64(t.Shed))
 	c.expired.Add(int64(t.Expired))
 	c.slotMs.Add(t.SlotTime.Milliseconds())
@@ -52,10 +53,10 @@
 // shed or expired since the last summary. It is the log line to look up when a
 // caller's request was refused.
 func (r *Runtime) logRefusals(s pool.Summary, since pool.Tally) {
-	var granted, late, shed, expired, slotMs [request.MaxTiers]int
+	var granted, late, extra, shed, expired, slotMs [request.MaxTiers]int
 	refused := 0
 	for t, x := range since {
-		granted[t], late[t], shed[t], expired[t] = x.Granted, x.GrantedLate, x.Shed, x.Expired
+		granted[t], late[t], extra[t], shed[t], expired[t] = x.Granted, x.GrantedLate, x.GrantedExtra, x.Shed, x.Expired
 		slotMs[t] = int(x.SlotTime.Milliseconds())
 		refused += x.Shed + x.Expired
 	}
@@ -74,7 +75,7 @@
 	logs.For("poolhost").WithFields(logrus.Fields{
 		"pool": r.name, "shed": refused, "waiting": s.Waiting, "running": s.Running, "free": s.Free,
 		"servers_up": healthy, "servers_paused": paused, "servers": len(s.Servers), "share": r.degraded, "lost_runs": s.LostRuns,
-		"tier_granted": granted, "tier_granted_late": late, "tier_shed": shed, "tier_expired": expired, "tier_slot_ms": slotMs,
+		"tier_granted": granted, "tier_granted_late": late, "tier_granted_extra": extra, "tier_shed": shed, "tier_expired": expired, "tier_slot_ms": slotMs,
 	}).Info("Pool is crowded.")
 }
 
--- a/internal/poolhost/report_test.go
+++ b/internal/poolhost/report_test.go
@@ -25,6 +25,7 @@
 		var text strings.Builder
 		b.host.cfg.Metrics.WriteText(&text)
 		So(text.String(), ShouldContainSubstring, "pool_granted{name=\"tier_0\"} 1\n")
+		So(text.String(), ShouldContainSubstring, "pool_granted_extra{name=\"tier_0\"} 0\n")
 		So(text.String(), ShouldContainSubstring, "pool_expired{name=\"tier_2\"} 1\n")
 		So(text.String(), ShouldContainSubstring, "pool_granted{name=\"tier_2\"} 0\n")
 	})
--- a/pool/capacity.go
+++ b/pool/capacity.go
@@ -51,7 +51,8 @@
 
 // serversWithSlots returns the servers that have a free slot, and their total number
 // of free slots. Stragglers and servers with an overdue first token are included only
-// if no server is healthy; scheduleProbes sends a straggler its probes.
+// if no server is healthy; scheduleProbes sends a straggler its probes. If no server has
+// a free slot, it returns those that may get an extra call, and 1.
 func (p *Pool) serversWithSlots() ([]*server, int) {
 	p.usableServers = p.usableServers[:0]
 	slots := 0
@@ -63,6 +64,9 @@
 		slots += left
 		p.usableServers = append(p.usableServers, s)
 	}
+	if slots == 0 && p.cfg.Traits.Overlap {
+		return p.serversWithExtraCalls()
+	}
 	return p.usableServers, slots
 }
 
--- a/pool/choose.go
+++ b/pool/choose.go
@@ -115,7 +115,7 @@
 // pending prefill not to delay this request and later ones.
 func (p *Pool) hasRoom(w *waiter, o option) bool {
 	s := o.server
-	if !s.fits(w.PromptTokens + w.length.High) {
+	if !s.fits(w.PromptTokens+w.length.High) || p.isBeyondSlots(s) && !w.isCall() {
 		return false
 	}
 	if s.pendingPrefill == 0 || o.uncachedTokens <= smallPrefillTokens && s.pendingPrefill <= smallPrefillTokens {
--- a/pool/observe.go
+++ b/pool/observe.go
@@ -103,7 +103,7 @@
 	}
 	p.endPrefill(r)
 	if target := p.firstTokenTargets[r.tier]; target > 0 {
-		s.latencyLimit.Observe(limit.Sample{Ratio: float64(took) / float64(target), Used: float64(r.runningAtGrant)})
+		s.latencyLimit.Observe(limit.Sample{Ratio: float64(took) / float64(target), Used: float64(r.slotsInUse())})
 	}
 	s.latency.ObserveFirstToken(0, took, p.profiles[s.info.Generation], false)
 	p.updateStraggler(s)
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -89,6 +89,7 @@
 	servedWork        decay.Rate
 	rates             tierRates
 	deadlines         deadlines
+	callTimes         callTimes
 }
 
 // scratch holds values that refreshServers computes for each event that may lead to a
--- a/pool/run.go
+++ b/pool/run.go
@@ -51,6 +51,7 @@
 	firstToken        bool // it has brought a token
 	namedRate         bool // its answer named a limit on the server's requests per second
 	adopted           bool // granted by an earlier owner, or without a grant
+	extra             extra
 }
 
 // isCall reports whether the run is a call to a plain service, which has no tokens.
@@ -81,6 +82,7 @@
 	s.running[r.index].index = r.index
 	s.running = slices.Delete(s.running, last, last+1)
 	s.kvTokens -= r.kvTokens
+	p.slotFreed(s)
 	delete(p.byGrant, r.id)
 	if p.byRequest[r.request] == r {
 		delete(p.byRequest, r.request)
@@ -210,7 +212,10 @@
 		s.leavingUntil = p.now.Add(leavingTimeout)
 	case p.isBrittle():
 		p.roomRejects(r)
+	case !e.ServerGone && p.rejectsExtraCalls(r):
+		p.pauseExtraCalls(r)
 	default:
+		p.pauseExtraCalls(r)
 		p.pauseForAll(r, true)
 	}
 }
@@ -223,8 +228,10 @@
 	if p.isBaseline() {
 		return
 	}
+	took := r.timeInSlot(p.now, e.Total)
 	if r.isCall() {
-		p.observeCall(r, e.Total)
+		p.observeOverlap(r, e.Total, took)
+		p.observeCall(r, took)
 	} else if e.FirstToken > 0 && !r.prefillDone {
 		p.recordFirstToken(r, e.FirstToken)
 	}
@@ -233,7 +240,7 @@
 		p.observeToken(r, (e.Total-e.FirstToken)/time.Duration(n), n)
 	}
 	if e.Total > 0 {
-		s.meanService += serviceWeight * (e.Total.Seconds() - s.meanService)
+		s.meanService += serviceWeight * (took.Seconds() - s.meanService)
 	}
 	p.confirmPrefix(r, e)
 	p.recordLength(r, e)
--- a/pool/schedule.go
+++ b/pool/schedule.go
@@ -321,6 +321,9 @@
 		cachedBlocks: o.cachedBlocks, uncachedTokens: o.uncachedTokens, prefillAhead: o.server.pendingPrefill,
 		kvTokens: w.PromptTokens + w.length.High, runningAtGrant: len(o.server.running) + 1,
 	}
+	if p.isBeyondSlots(o.server) {
+		p.countExtraCall(r)
+	}
 	p.addRun(r)
 	p.takeServerRate(o.server)
 	p.countTrial(w)
--- a/pool/server.go
+++ b/pool/server.go
@@ -59,6 +59,7 @@
 	lostRuns     []*run    // runs whose streams were lost recently
 	rate         serverRate
 	room         room
+	extraCalls   extraCalls
 	lostAnswers  []lostAnswer
 	goneSince    time.Time // when its process was found to have ended; zero means not
 	goneReports  []goneReport
@@ -141,6 +142,7 @@
 	p.forgetCache(s)
 	s.rate = serverRate{}
 	s.room.accepted = 0
+	s.extraCalls = extraCalls{}
 	s.failureRate, s.breaker, s.lostRuns = failureRate{}, breaker{}, nil
 	s.leavingUntil, s.pausedUntil, s.backoff = time.Time{}, time.Time{}, 0
 	s.lastProgress = p.now
--- a/pool/tally.go
+++ b/pool/tally.go
@@ -12,6 +12,8 @@
 	// Granted counts requests granted while they could meet their target, GrantedLate
 	// those granted when they no longer could.
 	Granted, GrantedLate int
+	// GrantedExtra counts those of them that were granted beyond a server's slots.
+	GrantedExtra int
 	// Shed counts requests refused for lack of a slot, Expired those that reached their
 	// deadline.
 	Shed, Expired int
@@ -27,7 +29,7 @@
 	for i, now := range t {
 		b := before[i]
 		d[i] = TierTally{
-			Granted: now.Granted - b.Granted, GrantedLate: now.GrantedLate - b.GrantedLate,
+			Granted: now.Granted - b.Granted, GrantedLate: now.GrantedLate - b.GrantedLate, GrantedExtra: now.GrantedExtra - b.GrantedExtra,
 			Shed: now.Shed - b.Shed, Expired: now.Expired - b.Expired, SlotTime: now.SlotTime - b.SlotTime,
 		}
 	}
--- a/pool/waiter.go
+++ b/pool/waiter.go
@@ -91,6 +91,9 @@
 	return w
 }
 
+// isCall reports whether the request is a call to a plain service, which has no tokens.
+func (w *waiter) isCall() bool { return w.PromptTokens == 0 && w.MaxTokens == 0 }
+
 // isLateRetry reports whether a request is a retry whose target has already passed for
 // its caller. It waits behind the requests of its tier that can be in time.
 func (p *Pool) isLateRetry(w *waiter) bool {
