--- a/pool/schedule.go
+++ b/pool/schedule.go
@@ -335,6 +335,9 @@
 		kvTokens: w.PromptTokens + w.length.High, runningAtGrant: len(o.server.running) + 1,
 		late: w.Class >= tier.Late, firstTokenDue: w.firstTokenDue,
 	}
+	if p.isBeyondSlots(o.server) {
+		p.countExtraCall(r)
+	}
 	p.addRun(r)
 	p.takeServerRate(o.server)
 	p.countTrial(w)
--- a/pool/tally.go
+++ b/pool/tally.go
@@ -12,6 +12,8 @@
 	// Granted counts requests granted while they could meet their target, GrantedLate
 	// those granted when they no longer could.
 	Granted, GrantedLate int
+	// GrantedExtra counts those of them that were granted beyond a server's slots.
+	GrantedExtra int
 	// Diverted counts those that were not sent to the best server because their prompt would
 	// have caused too long gaps in the streams there.
 	Diverted int
@@ -33,8 +35,8 @@
 	for i, now := range t {
 		b := before[i]
 		d[i] = TierTally{
-			Granted: now.Granted - b.Granted, GrantedLate: now.GrantedLate - b.GrantedLate, Diverted: now.Diverted - b.Diverted,
-			SameZone: now.SameZone - b.SameZone, OtherZone: now.OtherZone - b.OtherZone,
+			Granted: now.Granted - b.Granted, GrantedLate: now.GrantedLate - b.GrantedLate, GrantedExtra: now.GrantedExtra - b.GrantedExtra,
+			Diverted: now.Diverted - b.Diverted, SameZone: now.SameZone - b.SameZone, OtherZone: now.OtherZone - b.OtherZone,
 			Shed: now.Shed - b.Shed, Expired: now.Expired - b.Expired, SlotTime: now.SlotTime - b.SlotTime,
 		}
 	}
--- a/pool/zone_test.go
+++ b/pool/zone_test.go
@@ -32,7 +32,7 @@
 }
 
 // call is a call of a plain service by the entry of a zone.
-func call(id int, zone string) Enqueue {
+func callFrom(id int, zone string) Enqueue {
 	return Enqueue{Request: request.ID(fmt.Sprint(id)), Entry: EntryID("e" + zone), Workspace: "w", Template: "t",
 		FirstTokenIn: 120 * time.Millisecond, DeadlineIn: 600 * time.Millisecond}
 }
@@ -57,7 +57,7 @@
 	id := 0
 	for at := time.Duration(0); at < 20*time.Second; at += time.Duration(random.ExpFloat64() / perSecond * float64(time.Second)) {
 		id++
-		c := call(id, string("abc"[id%3]))
+		c := callFrom(id, string("abc"[id%3]))
 		x.at(start.Add(at), func() { handle(x.pool.send(c)) })
 	}
 	x.tick(21*time.Second, handle)
@@ -90,7 +90,7 @@
 			r := zoned(true, spare, map[string]int{"b": 2, "c": 1})
 			Convey("It runs at most two more than the server chosen without the preference", func() {
 				for i := range 15 {
-					r.mustGrant(call(i, "c"))
+					r.mustGrant(callFrom(i, "c"))
 					other := len(r.servers["b0"].running)
 					if spare { // spreads by load; otherwise equal servers fill in order
 						other = min(other, len(r.servers["b1"].running))
@@ -99,13 +99,13 @@
 				}
 			})
 			Convey("Without its zone's servers, an entry uses the others", func() {
-				So(r.mustGrant(call(1, "c")).Server, ShouldEqual, "c0")
+				So(r.mustGrant(callFrom(1, "c")).Server, ShouldEqual, "c0")
 				r.send(ServerHealth{Server: "c0", Health: HealthGone, Incarnation: 1})
-				So(r.mustGrant(call(2, "c")).Server, ShouldStartWith, "b")
-				So(r.mustGrant(call(3, "a")).Server, ShouldStartWith, "b")
+				So(r.mustGrant(callFrom(2, "c")).Server, ShouldStartWith, "b")
+				So(r.mustGrant(callFrom(3, "a")).Server, ShouldStartWith, "b")
 			})
 			Convey("An entry's zone may become known later, and the trait may be switched off", func() {
-				unknown := call(1, "c")
+				unknown := callFrom(1, "c")
 				unknown.Entry = "unknown"
 				So(r.mustGrant(unknown).Server, ShouldEqual, "b0")
 				r.send(EntrySet{Entries: []EntryID{"ea", "eb", "ec", "unknown"}, Zones: map[EntryID]string{"unknown": "c"}})
