--- a/pool/finish.go
+++ b/pool/finish.go
@@ -1,23 +1,47 @@
 package pool
 
-import "github.com/lycheekeel/lycheekeel/pool/tier"
+import (
+	"github.com/lycheekeel/lycheekeel/pool/tier"
+	"github.com/lycheekeel/lycheekeel/request"
+)
 
 // finishesTooLate reports whether an answer is expected to end after its deadline with an
 // option, while the fastest server could still end it in time. The request then waits for
-// such a server, at most for its maximum wait. Infeasible requests take any server.
+// such a server, at most for its maximum wait, unless nobody else takes the slot. Infeasible
+// requests take any server.
 //
 // Without it, long answers that find no fast server free are sent to slow or crowded ones.
 // Each of them occupies a slot until its deadline, and its caller gets nothing. The symptom
 // is streams that are cut off at the deadline.
 func (p *Pool) finishesTooLate(w *waiter, o option) bool {
-	if !p.cfg.Traits.FinishInTime || w.Class == tier.Infeasible || !w.lengthExpected() {
+	if !p.cfg.Traits.FinishInTime || p.takeAnyServer || w.Class == tier.Infeasible || !w.lengthExpected() {
 		return false
 	}
 	if !p.now.Add(p.runTime(w, o)).After(w.deadline) {
 		return false
 	}
 	_, whole := p.fastestTimes(w.PromptTokens, w.length.Mean)
-	return !p.now.Add(whole).After(w.deadline)
+	if p.now.Add(whole).After(w.deadline) {
+		return false
+	}
+	p.passedOver = true
+	return true
+}
+
+// schedulePassedOver grants the remaining slots to requests that finishesTooLate has kept
+// from them. A slot that nobody else wants is better used by an answer that may be cut off
+// than by none: the estimate of its length may be wrong.
+func (p *Pool) schedulePassedOver() {
+	if !p.passedOver {
+		return
+	}
+	p.takeAnyServer = true
+	for t := request.Tier(0); t < request.MaxTiers; t++ {
+		if p.queue.Waiting(t) > 0 && !p.scheduleTier(t) {
+			break
+		}
+	}
+	p.takeAnyServer = false
 }
 
 // lengthExpected reports whether there is an estimate of the answer's length other than
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -98,7 +98,9 @@
 	anyHealthy    bool    // a server can get grants and is neither a straggler nor overdue
 	freeRate      float64 // slots freed per second when all totalSlots are in use
 	totalSlots    int
-	openBudget    int // gap budget from which a server is open to every prompt
+	openBudget    int  // gap budget from which a server is open to every prompt
+	passedOver    bool // a request was kept from a free slot by finishesTooLate
+	takeAnyServer bool // finishesTooLate keeps no request from a slot
 	usableServers []*server
 	candidates    []*tier.Item[*waiter]
 }
--- a/pool/schedule.go
+++ b/pool/schedule.go
@@ -45,6 +45,7 @@
 		return
 	}
 	p.refreshServers()
+	p.passedOver = false
 	p.endHolds()
 	p.scheduleSuspects()
 	p.scheduleProbes()
@@ -55,6 +56,7 @@
 		}
 	}
 	p.scheduleBestEffort()
+	p.schedulePassedOver()
 }
 
 // scheduleTier grants requests of one tier. It reports whether lower tiers may use the
