--- a/pool/finish.go
+++ b/pool/finish.go
@@ -1,14 +1,16 @@
 package pool
 
 import (
+	"time"
+
 	"github.com/lycheekeel/lycheekeel/pool/tier"
 	"github.com/lycheekeel/lycheekeel/request"
 )
 
-// finishesTooLate reports whether an answer is expected to end after its deadline with an
-// option, while the fastest server could still end it in time. The request then waits for
-// such a server, at most for its maximum wait, unless nobody else takes the slot. Infeasible
-// requests take any server.
+// finishesTooLate reports whether not even the part minFinishLengthShare of an answer's
+// expected length would end before its deadline with an option, while the fastest server
+// could still end the whole in time. The request then waits for such a server, at most for
+// its maximum wait, unless nobody else takes the slot. Infeasible requests take any server.
 //
 // Without it, long answers that find no fast server free are sent to slow or crowded ones.
 // Each of them occupies a slot until its deadline, and its caller gets nothing. The symptom
@@ -17,7 +19,8 @@
 	if !p.cfg.Traits.FinishInTime || p.takeAnyServer || w.Class == tier.Infeasible || !w.lengthExpected() {
 		return false
 	}
-	if !p.now.Add(p.runTime(w, o)).After(w.deadline) {
+	likely := o.firstToken + time.Duration(minFinishLengthShare*float64(w.length.Mean))*o.server.latency.PerToken(len(o.server.running)+1)
+	if !p.now.Add(likely).After(w.deadline) {
 		return false
 	}
 	_, whole := p.fastestTimes(w.PromptTokens, w.length.Mean)
