--- a/test/soak/callers_test.go
+++ b/test/soak/callers_test.go
@@ -57,12 +57,13 @@
 // callerTimeout is how long a caller waits for a response.
 const callerTimeout = 7 * time.Second
 
-// run sends requests to one node, one after the other, until the context ends.
-func (c *callers) run(ctx context.Context, n *node, name string) {
+// run sends requests to the paths of one node, one after the other, until the context ends.
+func (c *callers) run(ctx context.Context, n *node, name string, paths []string) {
 	var conn net.Conn
 	var r *bufio.Reader
 	for i := 0; ctx.Err() == nil; i++ {
 		x := &call{id: fmt.Sprintf("%s%s-%d", requestIDPrefix, name, i), path: paths[i%len(paths)], apiKey: fmt.Sprintf("k%d", 1+i%3), node: n, timeout: callerTimeout}
+		x.parts = n.fleet.prompt(x)
 		if conn == nil {
 			var err error
 			if conn, err = net.DialTimeout("tcp", n.callerProxy.Addr(), time.Second); err != nil {
--- a/test/soak/faults_test.go
+++ b/test/soak/faults_test.go
@@ -132,7 +132,10 @@
 	var pending []ending
 	possible := faults
 	if f.partitionable {
-		possible = append(slices.Clone(faults), partitionFaults...)
+		possible = slices.Concat(possible, partitionFaults)
+	}
+	if f.contended {
+		possible = slices.Concat(possible, contendedFaults)
 	}
 	allowed := make([]fault, 0, len(possible))
 	for _, x := range possible {
--- a/test/soak/fleet_test.go
+++ b/test/soak/fleet_test.go
@@ -86,6 +86,8 @@
 	serversCreated int        // including servers that have ended
 	// eventInterval is the time between two events of a stream.
 	eventInterval time.Duration
+	slots         int // of each server
+	contended     bool
 	// fails tells which runs of a server fail; nil: none.
 	fails     func(n int) bool
 	revokedAt map[string]time.Time
@@ -138,15 +140,21 @@
 	partitionable bool
 	// noRollouts keeps the operators from rolling out versions.
 	noRollouts bool
+	// contended makes the fleet a contended one (contended_test.go).
+	contended bool
 }
 
 func newFleet(t *testing.T, o fleetOptions) *fleet {
 	o.nodes = cmp.Or(o.nodes, *nodeCount)
+	slots := 8
+	if o.contended {
+		slots, o.eventInterval = contendedSlots, cmp.Or(o.eventInterval, contendedEventInterval)
+	}
 	o.eventInterval = cmp.Or(o.eventInterval, 5*time.Millisecond)
 	o.onceTimeout = cmp.Or(o.onceTimeout, 8*time.Second)
 	o.resumeTimeout = cmp.Or(o.resumeTimeout, 8*time.Second)
 	o.resumeTiers = cmp.Or(o.resumeTiers, 1)
-	f := &fleet{t: t, eventInterval: o.eventInterval, fails: o.fails, partitionable: o.partitionable, noRollouts: o.noRollouts, dir: t.TempDir(), store: standin.NewStore(50), revokedAt: map[string]time.Time{}}
+	f := &fleet{t: t, eventInterval: o.eventInterval, slots: slots, contended: o.contended, fails: o.fails, partitionable: o.partitionable, noRollouts: o.noRollouts, dir: t.TempDir(), store: standin.NewStore(50), revokedAt: map[string]time.Time{}}
 	f.storeAddr, _ = f.serve(f.store.Serve)
 	f.config = &standin.Configuration{
 		Tenant: "space", MaxBodyBytes: longBodyBytes,
@@ -155,7 +163,7 @@
 			{Prefix: "/once/", Type: "non_idempotent", Service: "app", MaxAttempts: 1, TimeoutMs: 8000},
 			{Prefix: "/again/", Type: "idempotent", Service: "app", MaxAttempts: 2, TimeoutMs: 8000},
 		},
-		Engines: map[string]int{"llm": 8}, PlainServices: []string{"app"},
+		Engines: map[string]int{"llm": slots}, PlainServices: []string{"app"},
 	}
 	for t := range o.resumeTiers {
 		f.config.Routes = append(f.config.Routes, standin.Route{
@@ -163,6 +171,9 @@
 			TimeoutMs: int(o.resumeTimeout.Milliseconds()), LatencyTargetMs: int(o.resumeTarget.Milliseconds()),
 		})
 	}
+	if f.contended {
+		f.contend()
+	}
 	for i := range 3 {
 		f.addServer([]string{"llm", "app"}[i%2])
 		f.addServer([]string{"llm", "app"}[i%2])
@@ -210,7 +221,7 @@
 
 // addServer starts a server and registers it.
 func (f *fleet) addServer(service string) *server {
-	s := f.startServer(service, &standin.Server{Events: 30, EventInterval: f.eventInterval, Fails: f.fails})
+	s := f.startServer(service, f.newServer(service))
 	f.servers = append(f.servers, s)
 	f.putServer(s, "ready")
 	return s
@@ -229,7 +240,7 @@
 }
 
 func (f *fleet) putServer(s *server, state string) {
-	f.store.PutServer(s.ID, s.service, s.proxy.Addr(), state, 8)
+	f.store.PutServer(s.ID, s.service, s.proxy.Addr(), state, f.slots)
 }
 
 // freeAddress returns an unused loopback address.
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -23,10 +23,8 @@
 	18,
 }
 
-// callersPerNode is the number of concurrent callers of each node.
-const callersPerNode = 4
-
-// TestSoak checks the guarantees under random faults, once per seed.
+// TestSoak checks the guarantees under random faults, once per seed. Every second fleet is a
+// contended one, here and in TestPartitionsAmidOtherFaults.
 func TestSoak(t *testing.T) {
 	all := append([]int64(nil), regressionSeeds...)
 	for i := range *seedCount {
@@ -34,7 +32,7 @@
 	}
 	for _, seed := range all {
 		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
-			runSeed(t, seed, fleetOptions{}, anyFault)
+			runSeed(t, seed, fleetOptions{contended: seed%2 != 0}, anyFault)
 		})
 	}
 }
@@ -45,7 +43,7 @@
 // faults, and reach them through daemons that stop, restart and are partitioned in turn.
 func TestPartitionsAmidOtherFaults(t *testing.T) {
 	eachSeed(t, func(t *testing.T, seed int64) {
-		runSeed(t, seed, fleetOptions{partitionable: true}, anyFault)
+		runSeed(t, seed, fleetOptions{partitionable: true, contended: seed%2 == 0}, anyFault)
 	})
 }
 
@@ -85,13 +83,14 @@
 	defer cancel()
 	var wg conc.WaitGroup
 	for _, n := range f.nodes {
-		for i := range callersPerNode {
-			wg.Go(func() { c.run(ctx, n, fmt.Sprintf("%s.%d", n.name, i)) })
+		for i := range f.callersPerNode() {
+			wg.Go(func() { c.run(ctx, n, fmt.Sprintf("%s.%d", n.name, i), f.callerPaths(i)) })
 		}
 	}
 	f.injectFaults(r, include)
 	f.awaitRecovery(c)
 	f.checkRollout()
+	f.checkTraits()
 	cancel()
 	wg.Wait()
 	f.checkInvariants(c)
