pool: answers wait only for servers that they may use

Cause: FinishInTime compared an option with the fastest latencies of all servers that are up. The rest of a stream of another version, a retry that must avoid the server that failed it, and requests beside an open circuit breaker waited for a server that could not take them, until they were shed.

Change: a server on which the answer could end in time must be one that the request may use, with no open breaker and neither a straggler nor overdue.

The comparison is with single servers, no longer with the best first token and the best time per token of two.

--- a/pool/finish.go
+++ b/pool/finish.go
@@ -1,10 +1,15 @@
 package pool
 
-import "github.com/lycheekeel/lycheekeel/pool/tier"
+import (
+	"slices"
+	"time"
+
+	"github.com/lycheekeel/lycheekeel/pool/tier"
+)
 
 // finishesTooLate reports whether an answer is expected to end after its deadline with an
-// option, while the fastest server could still end it in time. The request then waits for
-// such a server, at most for its maximum wait. Infeasible requests take any server.
+// option, while another server could still end it in time. The request then waits for such a
+// server, at most for its maximum wait. Infeasible requests take any server.
 //
 // Without it, long answers that find no fast server free are sent to slow or crowded ones.
 // Each of them occupies a slot until its deadline, and its caller gets nothing. The symptom
@@ -13,11 +18,25 @@
 	if !p.cfg.Traits.FinishInTime || w.Class == tier.Infeasible || !w.lengthExpected() {
 		return false
 	}
-	if !p.now.Add(p.runTime(w, o)).After(w.deadline) {
+	return p.endsLate(w, o) && p.couldEndInTime(w)
+}
+
+// couldEndInTime reports whether an answer could end before its deadline on a server that
+// the request may use, if nothing else ran there.
+//
+// If other servers counted, the rest of a stream would wait for a faster server of another
+// version, and a retry for the server that failed it, until both are shed.
+func (p *Pool) couldEndInTime(w *waiter) bool {
+	if _, whole := p.fastestTimes(w.PromptTokens, w.length.Mean); p.now.Add(whole).After(w.deadline) {
 		return false
 	}
-	_, whole := p.fastestTimes(w.PromptTokens, w.length.Mean)
-	return !p.now.Add(whole).After(w.deadline)
+	return slices.ContainsFunc(p.sorted, func(s *server) bool {
+		if !p.up(s) || s.breaker.open || p.anyHealthy && (s.straggler || s.overdue) || p.mustAvoid(w, s) {
+			return false
+		}
+		whole := s.latency.FirstToken(w.PromptTokens) + time.Duration(w.length.Mean)*s.latency.DecodeStep(1)
+		return !p.now.Add(whole).After(w.deadline)
+	})
 }
 
 // lengthExpected reports whether there is an estimate of the answer's length other than
--- a/pool/finish_test.go
+++ b/pool/finish_test.go
@@ -81,3 +81,24 @@
 		So(r.mustGrant(answer("unknown", 0, 0)).Server, ShouldEqual, "slow")
 	})
 }
+
+// Guards against requests that wait for a faster server that they can't get: they would be
+// shed, although a free server is the best that they may use.
+func TestLongAnswersDoNotWaitForServersTheyCannotUse(t *testing.T) {
+	Convey("Given a free fast server and a free slow one, a long answer runs on the slow one", t, func() {
+		r := newUnevenPool(Traits{FinishInTime: true})
+		long := answer("long", 0, 1000)
+		Convey("if only that has its version", func() {
+			r.servers["slow"].info.Version, long.Version = "v1", "v1"
+			So(r.mustGrant(long).Server, ShouldEqual, "slow")
+		})
+		Convey("if the fast one has failed it before", func() {
+			long.SentTo = []string{"fast"}
+			So(r.mustGrant(long).Server, ShouldEqual, "slow")
+		})
+		Convey("if the fast one's circuit breaker is open", func() {
+			r.servers["fast"].breaker.trip(r.now)
+			So(r.mustGrant(long).Server, ShouldEqual, "slow")
+		})
+	})
+}
