pool: no warm bypass to a server that ends the answer too late

Cause: a late request with a warm prefix could bypass the head of its tier to a server on which FinishInTime keeps it waiting, since preferWarmLate compared only room and gaps.

Change: preferWarmLate asks finishesTooLate too.

Result: TestLongAnswersDoNotBypassToSlowServers, which failed before.

--- a/pool/finish_test.go
+++ b/pool/finish_test.go
@@ -8,6 +8,7 @@
 	. "github.com/smartystreets/goconvey/convey"
 
 	"github.com/lycheekeel/lycheekeel/pool/score"
+	"github.com/lycheekeel/lycheekeel/pool/tier"
 	"github.com/lycheekeel/lycheekeel/request"
 )
 
@@ -102,3 +103,28 @@
 		})
 	})
 }
+
+// Guards against a long answer that bypasses the head of its tier, for its warm prefix, to a
+// server that is too slow for it.
+func TestLongAnswersDoNotBypassToSlowServers(t *testing.T) {
+	Convey("Given a full fast server, a slow one that caches a prefix, and two late requests", t, func() {
+		r := newUnevenPool(Traits{FinishInTime: true})
+		first := r.mustGrant(answer("first", 0, 500))
+		So(first.Server, ShouldEqual, "fast")
+		r.servers["slow"].pausedUntil = r.now.Add(time.Millisecond)
+		short, long := answer("short", 0, 20), answer("long", 0, 1000)
+		short.SentTo, long.SentTo = []string{"gone"}, []string{"gone"} // so that they may wait
+		long.FirstTokenIn = time.Second // so that the short one is due first
+		long.PromptTokens, long.Blocks = 4096, longPrompt("", 1).Blocks
+		r.send(short)
+		r.send(long)
+		r.queue.SetClass(&r.waiting["short"].Item, tier.Late)
+		r.queue.SetClass(&r.waiting["long"].Item, tier.Late)
+		r.prefixes.StorePrompt(r.now, r.servers["slow"].prefixID, long.Blocks)
+		Convey("the short answer at the head runs on the slow one, the warm long one waits", func() {
+			out := grants(r.advance(time.Millisecond))
+			So(out, ShouldHaveLength, 1)
+			So(out[0].Request, ShouldEqual, request.ID("short"))
+		})
+	})
+}
--- a/pool/schedule.go
+++ b/pool/schedule.go
@@ -251,7 +251,7 @@
 		if !p.isWarm(w, s) || p.mustAvoid(w, s) {
 			continue
 		}
-		if x := p.predict(w, s); p.suspectState(w) == suspect.Clear && p.hasRoom(w, x) && !p.isClosed(w, x) {
+		if x := p.predict(w, s); p.suspectState(w) == suspect.Clear && p.hasRoom(w, x) && !p.isClosed(w, x) && !p.finishesTooLate(w, x) {
 			head.bypassed++
 			return w, x
 		}
