--- a/pool/finish_test.go
+++ b/pool/finish_test.go
@@ -114,7 +114,7 @@
 		r.servers["slow"].pausedUntil = r.now.Add(time.Millisecond)
 		short, long := answer("short", 0, 20), answer("long", 0, 1000)
 		short.SentTo, long.SentTo = []string{"gone"}, []string{"gone"} // so that they may wait
-		long.FirstTokenIn = time.Second // so that the short one is due first
+		long.FirstTokenIn = time.Second                                // so that the short one is due first
 		long.PromptTokens, long.Blocks = 4096, longPrompt("", 1).Blocks
 		r.send(short)
 		r.send(long)
