pool: the property test draws the traits, and changes them in a run

Cause: the model drew one set of traits at the start, without Overlap, and sent only streams. No extra call, change of traits, zone or refusal was checked.

Change: the model draws each trait and sends TraitsSet in the middle of a run, calls as well as streams, entries with zones, and refusals. With Overlap, a call may go to a server with up to a third more runs than slots; a stream never may. Half of the runs start with full servers and a measured call, so that extra calls occur.

--- a/pool/property_test.go
+++ b/pool/property_test.go
@@ -31,32 +31,66 @@
 	incarnations [propertyServers]int  // of each server
 	// maxWaitShare is Config.MaxWaitShare.
 	maxWaitShare float64
-	traits       Traits
+	// traits are the current ones, startTraits those with which the owner started.
+	traits, startTraits Traits
+	// callsOnly is set if no streams are sent. Extra calls are rare beside streams.
+	callsOnly bool
 }
 
-const propertyServers = 3
+const (
+	propertyServers = 3
+	// callTime is how long a call to a plain service takes.
+	callTime = 100 * time.Millisecond
+)
 
 func newModel(t *rapid.T) *model {
 	m := &model{
 		t: t, now: start, epoch: 1, maxWaitShare: rapid.SampledFrom([]float64{0, 0.2}).Draw(t, "max wait share"), waiting: map[request.ID]Enqueue{}, running: map[GrantID]Running{},
 		health: map[string]Health{}, slots: map[string]int{}, leftAt: map[EntryID]time.Time{},
 	}
-	if rapid.Bool().Draw(t, "traits") {
-		m.traits = Traits{FinishInTime: true, PauseTarget: 300 * time.Millisecond, TokensPerEvent: 8, PreferZone: true}
-	}
+	m.traits, m.callsOnly = drawTraits(t), rapid.Bool().Draw(t, "calls only")
 	m.startOwner()
+	if m.callsOnly {
+		m.fillWithCalls(t)
+	}
 	return m
 }
 
+// fillWithCalls fills the servers with calls after one has been measured, so that the next
+// one may be an extra call.
+func (m *model) fillWithCalls(t *rapid.T) {
+	for _, e := range m.entries() {
+		m.send(EntryReported{Entry: e})
+	}
+	m.enqueue(t)
+	m.now = m.now.Add(2 * callTime)
+	for id := range m.running {
+		m.end(id, OutcomeDone)
+	}
+	for range m.slots["s0"] + m.slots["s1"] + m.slots["s2"] {
+		m.enqueue(t)
+	}
+}
+
+func drawTraits(t *rapid.T) Traits {
+	x := Traits{Overlap: rapid.Bool().Draw(t, "overlap"), PreferZone: rapid.Bool().Draw(t, "prefer zone")}
+	if rapid.Bool().Draw(t, "mixed targets") {
+		x.FinishInTime, x.PauseTarget, x.TokensPerEvent = true, 300*time.Millisecond, 8
+		x.Patience = Patience{Min: 2 * time.Second, TargetFactor: 4, PauseFactor: 8}
+	}
+	return x
+}
+
 func (m *model) config() Config {
 	return Config{
 		Name: "p", Epoch: m.epoch, MaxWaiting: 8, Seed: 7, MaxWaitShare: m.maxWaitShare, ExtendedWaitShare: 2 * m.maxWaitShare,
-		Traits: m.traits,
+		Traits: m.startTraits,
 	}
 }
 
 // startOwner starts a new pool owner that knows the servers and entries.
 func (m *model) startOwner() {
+	m.startTraits = m.traits
 	m.p = New(m.config())
 	m.events, m.times, m.outputs = nil, nil, nil
 	for i := range propertyServers {
@@ -64,13 +98,14 @@
 		m.slots[name], m.health[name] = i+1, HealthUp
 	}
 	m.send(m.servers())
-	m.send(EntrySet{Entries: m.entries()})
+	m.send(m.entrySet())
 }
 
 func (m *model) servers() (set ServerSet) {
 	for i, n := range m.incarnations {
 		name := fmt.Sprint("s", i)
-		set.Servers = append(set.Servers, ServerInfo{Name: name, Generation: "g", Slots: m.slots[name], Incarnation: fmt.Sprint(n), Version: versionOf(name)})
+		set.Servers = append(set.Servers, ServerInfo{Name: name, Generation: "g", Slots: m.slots[name], Incarnation: fmt.Sprint(n), Version: versionOf(name),
+			AvailabilityZone: fmt.Sprint("z", i%2)})
 	}
 	return set
 }
@@ -106,6 +141,10 @@
 	return alive
 }
 
+func (m *model) entrySet() EntrySet {
+	return EntrySet{Entries: m.entries(), Zones: map[EntryID]string{"e0": "z0", "e1": "z1"}}
+}
+
 func (m *model) send(ev Event) {
 	out := m.p.Handle(m.now, ev, nil)
 	m.events, m.times, m.outputs = append(m.events, ev), append(m.times, m.now), append(m.outputs, out)
@@ -133,7 +172,7 @@
 		delete(m.waiting, c.Request)
 		m.running[c.Grant] = Running{Entry: c.Entry, Request: c.Request, Grant: c.Grant, Server: c.Server, Workspace: e.Workspace,
 			Tier: e.Tier, Fingerprint: e.Fingerprint, PromptTokens: e.PromptTokens, MaxTokens: e.MaxTokens, ExpectedTokens: e.ExpectedTokens}
-		if n := m.runningOn(c.Server); n > m.slots[c.Server] {
+		if n := m.runningOn(c.Server); n > m.slots[c.Server]+m.extraCalls(c.Server, e) {
 			m.t.Fatalf("%d requests run on %s, which has %d slots", n, c.Server, m.slots[c.Server])
 		}
 	case Shed:
@@ -146,6 +185,17 @@
 	}
 }
 
+// extraCalls returns how many requests beyond its slots a server may have once a request is
+// granted there.
+func (m *model) extraCalls(server string, e Enqueue) int {
+	if !m.traits.Overlap || !isCall(e.PromptTokens, e.MaxTokens) {
+		return 0
+	}
+	return m.slots[server] / 3
+}
+
+func isCall(promptTokens, maxTokens int) bool { return promptTokens == 0 && maxTokens == 0 }
+
 func (m *model) checkShed(c Shed, e Enqueue) {
 	if c.RetryAfter <= 0 {
 		m.t.Fatalf("shed of %s without Retry-After", c.Request)
@@ -188,6 +238,9 @@
 		MaxTokens: rapid.IntRange(1, 300).Draw(t, "max"), ExpectedTokens: rapid.IntRange(0, 400).Draw(t, "hint"), MaxWaiting: rapid.IntRange(0, 4).Draw(t, "bound"),
 		Fingerprint: uint64(rapid.IntRange(0, 12).Draw(t, "fingerprint")),
 	}
+	if m.callsOnly || rapid.Bool().Draw(t, "call") {
+		e.PromptTokens, e.MaxTokens, e.ExpectedTokens, e.PerToken = 0, 0, 0, 0
+	}
 	if m.nextID%4 == 0 {
 		e.Version = versionOf(fmt.Sprint("s", m.nextID/4%propertyServers))
 	}
@@ -213,11 +266,20 @@
 func (m *model) release(t *rapid.T) {
 	r := m.drawRunning(t)
 	outcome := rapid.SampledFrom([]Outcome{
-		OutcomeDone, OutcomeDone, OutcomeNotDispatched, OutcomeCanceled, OutcomeStreamLost, OutcomeCrashed, OutcomeFailed,
+		OutcomeDone, OutcomeDone, OutcomeNotDispatched, OutcomeCanceled, OutcomeStreamLost, OutcomeCrashed, OutcomeFailed, OutcomeRefused,
 	}).Draw(t, "outcome")
-	rel := Release{Request: r.Request, Entry: r.Entry, Grant: r.Grant, Server: r.Server, Outcome: outcome,
+	m.end(r.Grant, outcome)
+}
+
+// end sends the release of a running request.
+func (m *model) end(id GrantID, outcome Outcome) {
+	r := m.running[id]
+	rel := Release{Request: r.Request, Entry: r.Entry, Grant: id, Server: r.Server, Outcome: outcome,
 		FirstToken: 50 * time.Millisecond, Total: time.Second, OutputTokens: 10, PromptTokens: 100, PrefillComputed: 50}
-	delete(m.running, r.Grant)
+	if isCall(r.PromptTokens, r.MaxTokens) {
+		rel.FirstToken, rel.Total, rel.OutputTokens, rel.PromptTokens, rel.PrefillComputed = 0, callTime, 0, 0, 0
+	}
+	delete(m.running, id)
 	m.ended = append(m.ended, rel)
 	m.send(rel)
 }
@@ -283,15 +345,16 @@
 }
 
 // Checks the invariants of a pool under any order of events, including crashes, missed
-// health checks, late releases, leaving entries and owner changes: no request is lost or
-// granted twice, counts match grants and releases, limits hold, and no tier is shed
-// before a lower one.
+// health checks, late releases, leaving entries, changes of owner and of traits: no request
+// is lost or granted twice, counts match grants and releases, limits hold, and no tier is
+// shed before a lower one.
 func TestInvariantsUnderAnyEventOrder(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		m := newModel(t)
 		t.Repeat(map[string]func(*rapid.T){
 			"enqueue":  m.enqueue,
 			"enqueue2": m.enqueue,
+			"enqueue3": m.enqueue,
 			"release":  m.release,
 			"withdraw": func(t *rapid.T) {
 				for _, w := range m.p.sortedWaiters() {
@@ -325,6 +388,10 @@
 				}
 				m.send(Tick{})
 			},
+			"traits": func(t *rapid.T) {
+				m.traits = drawTraits(t)
+				m.send(TraitsSet{m.traits})
+			},
 			"again": m.restartServer,
 			"entry": func(*rapid.T) { m.leaveOrReturn("e1") },
 			"ended": func(*rapid.T) { m.restartEntry("e1") },
@@ -340,7 +407,7 @@
 func (m *model) leaveOrReturn(id EntryID) {
 	if !m.leftAt[id].IsZero() {
 		delete(m.leftAt, id)
-		m.send(EntrySet{Entries: m.entries()})
+		m.send(m.entrySet())
 		return
 	}
 	m.leftAt[id] = m.now
@@ -349,7 +416,7 @@
 			delete(m.waiting, r)
 		}
 	}
-	m.send(EntrySet{Entries: m.entries()})
+	m.send(m.entrySet())
 }
 
 // restartEntry ends an entry's process and starts another one. Its waiting requests and
@@ -367,7 +434,7 @@
 	}
 	m.send(EntryEnded{Entry: id})
 	if m.leftAt[id].IsZero() {
-		m.send(EntrySet{Entries: m.entries()})
+		m.send(m.entrySet())
 	}
 }
 
