pool: only runs granted before an extra call free its slot

Cause: each ended run of a server counted as a freed slot for all of its waiting extra calls. When a later extra call was rejected or withdrawn, an earlier one seemed to have a slot, and its wait at the server counted as the server's time.

Change: slotFreed gets the run that ended, and counts it only for extra calls granted after it.

Result: TestRejectedExtraCallFreesNoSlot, which failed before.

--- a/pool/overlap.go
+++ b/pool/overlap.go
@@ -108,13 +108,15 @@
 	p.tally[r.tier].GrantedExtra++
 }
 
-// slotFreed notes that a run of a server has ended, so that an extra call may begin.
-func (p *Pool) slotFreed(s *server) {
+// slotFreed notes that a run has ended and been removed, so that an extra call granted after
+// it may begin.
+func (p *Pool) slotFreed(ended *run) {
+	s := ended.server
 	if s.extraCalls.grantedAt.IsZero() {
 		return
 	}
 	for _, r := range s.running {
-		if r.extra.ahead > 0 {
+		if r.extra.ahead > 0 && (ended.adopted || ended.id.Seq < r.id.Seq) {
 			if r.extra.ahead--; r.extra.ahead == 0 {
 				r.extra.slotAt = p.now
 			}
--- a/pool/overlap_test.go
+++ b/pool/overlap_test.go
@@ -353,3 +353,23 @@
 		So(without, ShouldBeGreaterThan, 100)
 	})
 }
+
+// Guards against an extra call that seems to have a slot once a later extra call was
+// rejected: its wait at the server would count as the server's time.
+func TestRejectedExtraCallFreesNoSlot(t *testing.T) {
+	Convey("Given a full server with two extra calls", t, func() {
+		r := newHarness(Config{Traits: Traits{Overlap: true}}, servers(1, 6)...)
+		r.callTimes.add(10*time.Millisecond, overlapWork)
+		var calls []Grant
+		for i := range 8 {
+			calls = append(calls, r.mustGrant(call(fmt.Sprint("c", i), 0)))
+		}
+		first := r.byGrant[calls[6].Grant]
+		Convey("the first one has no slot when the second is rejected, but when a call before it ends", func() {
+			r.endRun(calls[7], OutcomeRefused)
+			So(first.extra.slotAt.IsZero(), ShouldBeTrue)
+			r.endRun(calls[0], OutcomeDone)
+			So(first.extra.slotAt, ShouldEqual, r.now)
+		})
+	})
+}
--- a/pool/run.go
+++ b/pool/run.go
@@ -84,7 +84,7 @@
 	s.running[r.index].index = r.index
 	s.running = slices.Delete(s.running, last, last+1)
 	s.kvTokens -= r.kvTokens
-	p.slotFreed(s)
+	p.slotFreed(r)
 	delete(p.byGrant, r.id)
 	if p.byRequest[r.request] == r {
 		delete(p.byRequest, r.request)
