--- a/pool/gap.go
+++ b/pool/gap.go
@@ -10,7 +10,7 @@
 
 const (
 	// openBudgetShare is the share of the largest gap budget from which a server is open to
-	// every prompt: hardly any other server would compute it with shorter gaps.
+	// every prompt: the gaps would be little shorter on any other server.
 	openBudgetShare = 0.5
 	// unlimitedTokens is the room of a server that is not limited by the gap target.
 	unlimitedTokens = math.MaxInt
--- a/pool/overlap.go
+++ b/pool/overlap.go
@@ -32,7 +32,7 @@
 	c.call += weight * (call.Seconds() - c.call)
 }
 
-// extraCalls is what a pool knows of the calls granted to a server beyond its slots.
+// extraCalls is the state of the calls granted to a server beyond its slots.
 type extraCalls struct {
 	grantedAt, rejectedAt time.Time // of the last one
 	pausedUntil           time.Time
@@ -79,7 +79,8 @@
 		slots = min(slots, s.engineSlots)
 	}
 	if !s.grantable || s == p.isolation || s.straggler || s.overdue || s.maxRunning < slots ||
-		s.backoff > 0 || s.breaker.lostStreak.runs > 0 || p.now.Before(s.extraCalls.pausedUntil) || p.callTimes.call <= 0 || slices.ContainsFunc(s.running, (*run).isStream) {
+		s.backoff > 0 || s.breaker.lostStreak.runs > 0 || p.now.Before(s.extraCalls.pausedUntil) || p.callTimes.call <= 0 ||
+		slices.ContainsFunc(s.running, (*run).isStream) {
 		return 0
 	}
 	covering := math.Ceil(float64(slots) * p.callTimes.idle / p.callTimes.call)
@@ -87,15 +88,15 @@
 }
 
 // isBeyondSlots reports whether the next grant to a server is an extra call. Probes and
-// suspects are none: their servers may still count runs from before.
+// suspects are not extra calls: their servers may still count runs from before.
 func (p *Pool) isBeyondSlots(s *server) bool {
 	return p.cfg.Traits.Overlap && !p.isBaseline() && s.grantable && s != p.isolation && len(s.running) >= s.maxRunning
 }
 
-// extra is what a run granted beyond its server's slots knows of them; its zero value is
-// that of all other runs.
+// extra describes a run that was granted beyond its server's slots. It is zero for all other
+// runs.
 type extra struct {
-	slots  int       // that its server had
+	slots  int       // slots of its server at the grant
 	ahead  int       // runs that have to end before it has a slot
 	slotAt time.Time // when the last of them was released; zero means not yet
 }
--- a/pool/tally.go
+++ b/pool/tally.go
@@ -12,10 +12,10 @@
 	// Granted counts requests granted while they could meet their target, GrantedLate
 	// those granted when they no longer could.
 	Granted, GrantedLate int
-	// GrantedExtra counts those of them that were granted beyond a server's slots.
+	// GrantedExtra counts the granted requests that were granted beyond a server's slots.
 	GrantedExtra int
-	// Diverted counts those that were not sent to the best server because their prompt would
-	// have caused too long gaps in the streams there.
+	// Diverted counts the granted requests that were not sent to the best server because their
+	// prompt would have caused too long gaps in the streams there.
 	Diverted int
 	// SameZone counts requests granted on a server in their entry's zone, OtherZone those
 	// granted in another zone.
