pool: a closed request does not block others that cannot meet their deadlines

Cause: isClosedByAll counted servers that the request must avoid. If such a server was open and had a free slot, scheduleBestEffort took the request as one that could run, found no option, and gave that slot to nobody.

Change: isClosedByAll leaves out the servers that the request must avoid.

Result: TestClosedRequestDoesNotBlockBestEffort, which failed before.

--- a/pool/gap.go
+++ b/pool/gap.go
@@ -86,14 +86,17 @@
 	return o.uncachedTokens > p.promptRoom(w, o.server, o.server.pendingPrefill, p.openBudgetFor(w))
 }
 
-// isClosedByAll reports whether the servers are all closed to a request. It costs less than
-// bestOption, so that many long prompts may wait at the head of a tier.
+// isClosedByAll reports whether those of the servers that a request may use are all closed to
+// it. It costs less than bestOption, so that many long prompts may wait at the head of a tier.
 func (p *Pool) isClosedByAll(w *waiter, servers []*server) bool {
 	if p.cfg.Traits.PauseTarget <= 0 {
 		return false
 	}
 	most, openBudget := 0, p.openBudgetFor(w)
 	for _, s := range servers {
+		if p.mustAvoid(w, s) {
+			continue
+		}
 		if most = max(most, p.promptRoom(w, s, s.pendingPrefill, openBudget)); w.PromptTokens <= most {
 			return false
 		}
--- a/pool/gap_test.go
+++ b/pool/gap_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -290,3 +291,24 @@
 		So(r.sorted[0].hasOnTimeStream(r.now), ShouldBeTrue)
 	})
 }
+
+// Guards against a request that cannot meet its deadline and whose servers are closed: others
+// after it would get no slot on servers that it must avoid.
+func TestClosedRequestDoesNotBlockBestEffort(t *testing.T) {
+	Convey("Given two infeasible requests, of which the first may use only full and closed servers", t, func() {
+		r, streams := gapPool()
+		r.sorted[0].info.Version, r.sorted[1].info.Version = "v1", "v1"
+		rest := promptOf("rest", 5000)
+		rest.Version = "v1"
+		for _, e := range []Enqueue{rest, promptOf("other", 5000)} {
+			So(grants(r.send(e)), ShouldBeEmpty)
+			r.queue.SetClass(&r.waiting[e.Request].Item, tier.Infeasible)
+		}
+		Convey("the second gets a slot that is freed on another server", func() {
+			i := slices.IndexFunc(streams, func(g Grant) bool { return g.Server == "s2" })
+			out := grants(r.endRun(streams[i], OutcomeDone))
+			So(out, ShouldHaveLength, 1)
+			So(out[0].Request, ShouldEqual, request.ID("other"))
+		})
+	})
+}
