pool: closed requests cost less per decision

Cause: a request that has waited for 500 ms made openBudgetFor call mustAvoid, with its map look-ups, for each server, and so did isClosedByAll, although most requests may use any server.

Change: avoidsServers tells once per request whether mustAvoid has to be asked; mayUseOneOf had the same condition.

Result: no change of behaviour.

--- a/pool/choose.go
+++ b/pool/choose.go
@@ -232,12 +232,15 @@
 	})
 }
 
+// avoidsServers reports whether there may be servers that a request must avoid. It costs less
+// than mustAvoid for each server.
+func (p *Pool) avoidsServers(w *waiter) bool {
+	return w.Version != "" || len(w.SentTo) > 0 || p.hasFailedPaths(w.Entry)
+}
+
 // mayUseOneOf reports whether a request may be sent to one of the servers.
 func (p *Pool) mayUseOneOf(w *waiter, servers []*server) bool {
-	if w.Version == "" && len(w.SentTo) == 0 && !p.hasFailedPaths(w.Entry) {
-		return true
-	}
-	return slices.ContainsFunc(servers, func(s *server) bool { return !p.mustAvoid(w, s) })
+	return !p.avoidsServers(w) || slices.ContainsFunc(servers, func(s *server) bool { return !p.mustAvoid(w, s) })
 }
 
 // worthWaiting reports whether an option is clearly too slow while a server without a
--- a/pool/gap.go
+++ b/pool/gap.go
@@ -58,12 +58,15 @@
 // Otherwise a long prompt could wait for ever: short prompts of lower tiers would take the
 // memory of the fast servers and keep the slow ones closed.
 func (p *Pool) openBudgetFor(w *waiter) int {
-	waitedLong := p.now.Sub(w.enqueuedAt) >= memoryStarveAfter
-	if p.cfg.Traits.PauseTarget <= 0 || !waitedLong && w.Version == "" && len(w.SentTo) == 0 && !p.hasFailedPaths(w.Entry) {
+	if p.cfg.Traits.PauseTarget <= 0 {
+		return p.openBudget
+	}
+	waitedLong, avoids := p.now.Sub(w.enqueuedAt) >= memoryStarveAfter, p.avoidsServers(w)
+	if !waitedLong && !avoids {
 		return p.openBudget
 	}
 	return p.openBudgetOf(func(s *server) bool {
-		return !p.mustAvoid(w, s) && (!waitedLong || s.fits(w.PromptTokens+w.length.High))
+		return !(avoids && p.mustAvoid(w, s)) && (!waitedLong || s.fits(w.PromptTokens+w.length.High))
 	})
 }
 
@@ -92,9 +95,9 @@
 	if p.cfg.Traits.PauseTarget <= 0 {
 		return false
 	}
-	most, openBudget := 0, p.openBudgetFor(w)
+	most, openBudget, avoids := 0, p.openBudgetFor(w), p.avoidsServers(w)
 	for _, s := range servers {
-		if p.mustAvoid(w, s) {
+		if avoids && p.mustAvoid(w, s) {
 			continue
 		}
 		if most = max(most, p.promptRoom(w, s, s.pendingPrefill, openBudget)); w.PromptTokens <= most {
