--- a/internal/poolhost/report.go
+++ b/internal/poolhost/report.go
@@ -15,7 +15,7 @@
 
 // tierCounters count the outcomes of one tier's requests in this daemon's pools.
 type tierCounters struct {
-	granted, grantedLate, grantedExtra, diverted, sameZone, otherZone, shed, expired, slotMs *expvar.Int
+	granted, grantedLate, grantedExtra, diverted, passedOver, sameZone, otherZone, shed, expired, slotMs *expvar.Int
 }
 
 func newTierCounters(m *metrics.Registry) (all [request.MaxTiers]tierCounters) {
@@ -23,7 +23,7 @@
 		c := func(group string) *expvar.Int { return m.Counter(group, fmt.Sprint("tier_", t)) }
 		all[t] = tierCounters{
 			granted: c("pool_granted"), grantedLate: c("pool_granted_late"), grantedExtra: c("pool_granted_extra"),
-			diverted: c("pool_granted_diverted"), sameZone: c("pool_granted_same_zone"), otherZone: c("pool_granted_other_zone"),
+			diverted: c("pool_granted_diverted"), passedOver: c("pool_passed_over"), sameZone: c("pool_granted_same_zone"), otherZone: c("pool_granted_other_zone"),
 			shed: c("pool_shed"), expired: c("pool_expired"), slotMs: c("pool_slot_ms"),
 		}
 	}
@@ -35,6 +35,7 @@
 	c.grantedLate.Add(int64(t.GrantedLate))
 	c.grantedExtra.Add(int64(t.GrantedExtra))
 	c.diverted.Add(int64(t.Diverted))
+	c.passedOver.Add(int64(t.PassedOver))
 	c.sameZone.Add(int64(t.SameZone))
 	c.otherZone.Add(int64(t.OtherZone))
 	c.shed.Add(int64(t.Shed))
@@ -57,11 +58,11 @@
 // shed or expired since the last summary. It is the log line to look up when a
 // caller's request was refused.
 func (r *Runtime) logRefusals(s pool.Summary, since pool.Tally) {
-	var granted, late, extra, diverted, shed, expired, slotMs [request.MaxTiers]int
+	var granted, late, extra, diverted, passedOver, shed, expired, slotMs [request.MaxTiers]int
 	refused := 0
 	for t, x := range since {
 		granted[t], late[t], shed[t], expired[t] = x.Granted, x.GrantedLate, x.Shed, x.Expired
-		extra[t], diverted[t] = x.GrantedExtra, x.Diverted
+		extra[t], diverted[t], passedOver[t] = x.GrantedExtra, x.Diverted, x.PassedOver
 		slotMs[t] = int(x.SlotTime.Milliseconds())
 		refused += x.Shed + x.Expired
 	}
@@ -80,7 +81,7 @@
 	logs.For("poolhost").WithFields(logrus.Fields{
 		"pool": r.name, "shed": refused, "waiting": s.Waiting, "running": s.Running, "free": s.Free,
 		"servers_up": healthy, "servers_paused": paused, "servers": len(s.Servers), "share": r.degraded, "lost_runs": s.LostRuns,
-		"tier_granted": granted, "tier_granted_late": late, "tier_granted_extra": extra, "tier_diverted": diverted,
+		"tier_granted": granted, "tier_granted_late": late, "tier_granted_extra": extra, "tier_diverted": diverted, "tier_passed_over": passedOver,
 		"tier_shed": shed, "tier_expired": expired, "tier_slot_ms": slotMs,
 	}).Info("Pool is crowded.")
 }
--- a/pool/finish.go
+++ b/pool/finish.go
@@ -1,6 +1,7 @@
 package pool
 
 import (
+	"slices"
 	"time"
 
 	"github.com/lycheekeel/lycheekeel/pool/tier"
@@ -8,7 +9,7 @@
 )
 
 // finishesTooLate reports whether not even the part minFinishLengthShare of an answer's
-// expected length would end before its deadline with an option, while the fastest server
+// expected length would end before its deadline with an option, while another server
 // could still end the whole in time. The request then waits for such a server, at most for
 // its maximum wait, unless nobody else takes the slot. Infeasible requests take any server.
 //
@@ -23,11 +24,14 @@
 	if !p.now.Add(likely).After(w.deadline) {
 		return false
 	}
-	_, whole := p.fastestTimes(w.PromptTokens, w.length.Mean)
-	if p.now.Add(whole).After(w.deadline) {
+	if !p.couldEndInTime(w) {
 		return false
 	}
 	p.passedOver = true
+	if !w.passedOver {
+		w.passedOver = true
+		p.tally[w.Item.Tier].PassedOver++
+	}
 	return true
 }
 
@@ -47,6 +51,24 @@
 	p.takeAnyServer = false
 }
 
+// couldEndInTime reports whether an answer could end before its deadline on a server that
+// the request may use, if nothing else ran there.
+//
+// If other servers counted, the rest of a stream would wait for a faster server of another
+// version, and a retry for the server that failed it, until both are shed.
+func (p *Pool) couldEndInTime(w *waiter) bool {
+	if _, whole := p.fastestTimes(w.PromptTokens, w.length.Mean); p.now.Add(whole).After(w.deadline) {
+		return false
+	}
+	return slices.ContainsFunc(p.sorted, func(s *server) bool {
+		if !p.up(s) || s.breaker.open || p.anyHealthy && (s.straggler || s.overdue) || p.mustAvoid(w, s) {
+			return false
+		}
+		whole := s.latency.FirstToken(w.PromptTokens) + time.Duration(w.length.Mean)*s.latency.DecodeStep(1)
+		return !p.now.Add(whole).After(w.deadline)
+	})
+}
+
 // lengthExpected reports whether there is an estimate of the answer's length other than
 // its cap.
 func (w *waiter) lengthExpected() bool { return w.length.Known || w.ExpectedTokens > 0 }
--- a/pool/finish_test.go
+++ b/pool/finish_test.go
@@ -82,3 +82,49 @@
 		So(r.mustGrant(answer("unknown", 0, 0)).Server, ShouldEqual, "slow")
 	})
 }
+
+// Guards against requests that wait for a faster server that they can't get: they would be
+// shed, although a free server is the best that they may use.
+func TestLongAnswersDoNotWaitForServersTheyCannotUse(t *testing.T) {
+	Convey("Given a free fast server and a free slow one, a long answer runs on the slow one", t, func() {
+		r := newUnevenPool(Traits{FinishInTime: true})
+		long := answer("long", 0, 1000)
+		Convey("if only that has its version", func() {
+			r.servers["slow"].info.Version, long.Version = "v1", "v1"
+			So(r.mustGrant(long).Server, ShouldEqual, "slow")
+		})
+		Convey("if the fast one has failed it before", func() {
+			long.SentTo = []string{"fast"}
+			So(r.mustGrant(long).Server, ShouldEqual, "slow")
+		})
+		Convey("if the fast one's circuit breaker is open", func() {
+			r.servers["fast"].breaker.trip(r.now)
+			So(r.mustGrant(long).Server, ShouldEqual, "slow")
+		})
+	})
+}
+
+// Guards against a long answer that bypasses the head of its tier, for its warm prefix, to a
+// server that is too slow for it.
+func TestLongAnswersDoNotBypassToSlowServers(t *testing.T) {
+	Convey("Given a full fast server, a slow one that caches a prefix, and two late requests", t, func() {
+		r := newUnevenPool(Traits{FinishInTime: true})
+		first := r.mustGrant(answer("first", 0, 500))
+		So(first.Server, ShouldEqual, "fast")
+		r.servers["slow"].pausedUntil = r.now.Add(time.Millisecond)
+		short, long := answer("short", 0, 20), answer("long", 0, 1000)
+		short.SentTo, long.SentTo = []string{"gone"}, []string{"gone"} // so that they may wait
+		long.FirstTokenIn = time.Second                                // so that the short one is due first
+		long.PromptTokens, long.Blocks = 4096, longPrompt("", 1).Blocks
+		r.send(short)
+		r.send(long)
+		r.queue.SetClass(&r.waiting["short"].Item, tier.Late)
+		r.queue.SetClass(&r.waiting["long"].Item, tier.Late)
+		r.prefixes.StorePrompt(r.now, r.servers["slow"].prefixID, long.Blocks)
+		Convey("the short answer at the head runs on the slow one, the warm long one waits", func() {
+			out := grants(r.advance(time.Millisecond))
+			So(out, ShouldHaveLength, 1)
+			So(out[0].Request, ShouldEqual, request.ID("short"))
+		})
+	})
+}
--- a/pool/gap.go
+++ b/pool/gap.go
@@ -10,7 +10,7 @@
 
 const (
 	// openBudgetShare is the share of the largest gap budget from which a server is open to
-	// every prompt: hardly any other server would compute it with shorter gaps.
+	// every prompt: the gaps would be little shorter on any other server.
 	openBudgetShare = 0.5
 	// unlimitedTokens is the room of a server that is not limited by the gap target.
 	unlimitedTokens = math.MaxInt
@@ -58,12 +58,15 @@
 // Otherwise a long prompt could wait for ever: short prompts of lower tiers would take the
 // memory of the fast servers and keep the slow ones closed.
 func (p *Pool) openBudgetFor(w *waiter) int {
-	waitedLong := p.now.Sub(w.enqueuedAt) >= memoryStarveAfter
-	if p.cfg.Traits.PauseTarget <= 0 || !waitedLong && w.Version == "" && len(w.SentTo) == 0 && !p.hasFailedPaths(w.Entry) {
+	if p.cfg.Traits.PauseTarget <= 0 {
+		return p.openBudget
+	}
+	waitedLong, avoids := p.now.Sub(w.enqueuedAt) >= memoryStarveAfter, p.avoidsServers(w)
+	if !waitedLong && !avoids {
 		return p.openBudget
 	}
 	return p.openBudgetOf(func(s *server) bool {
-		return !p.mustAvoid(w, s) && (!waitedLong || s.fits(w.PromptTokens+w.length.High))
+		return !(avoids && p.mustAvoid(w, s)) && (!waitedLong || s.fits(w.PromptTokens+w.length.High))
 	})
 }
 
@@ -86,14 +89,17 @@
 	return o.uncachedTokens > p.promptRoom(w, o.server, o.server.pendingPrefill, p.openBudgetFor(w))
 }
 
-// isClosedByAll reports whether the servers are all closed to a request. It costs less than
-// bestOption, so that many long prompts may wait at the head of a tier.
+// isClosedByAll reports whether those of the servers that a request may use are all closed to
+// it. It costs less than bestOption, so that many long prompts may wait at the head of a tier.
 func (p *Pool) isClosedByAll(w *waiter, servers []*server) bool {
 	if p.cfg.Traits.PauseTarget <= 0 {
 		return false
 	}
-	most, openBudget := 0, p.openBudgetFor(w)
+	most, openBudget, avoids := 0, p.openBudgetFor(w), p.avoidsServers(w)
 	for _, s := range servers {
+		if avoids && p.mustAvoid(w, s) {
+			continue
+		}
 		if most = max(most, p.promptRoom(w, s, s.pendingPrefill, openBudget)); w.PromptTokens <= most {
 			return false
 		}
--- a/pool/tally.go
+++ b/pool/tally.go
@@ -12,11 +12,14 @@
 	// Granted counts requests granted while they could meet their target, GrantedLate
 	// those granted when they no longer could.
 	Granted, GrantedLate int
-	// GrantedExtra counts those of them that were granted beyond a server's slots.
+	// GrantedExtra counts the granted requests that were granted beyond a server's slots.
 	GrantedExtra int
-	// Diverted counts those that were not sent to the best server because their prompt would
-	// have caused too long gaps in the streams there.
+	// Diverted counts the granted requests that were not sent to the best server because their
+	// prompt would have caused too long gaps in the streams there.
 	Diverted int
+	// PassedOver counts requests that were kept from a free slot on which their answer would
+	// have ended after its deadline.
+	PassedOver int
 	// SameZone counts requests granted on a server in their entry's zone, OtherZone those
 	// granted in another zone.
 	SameZone, OtherZone int
@@ -36,7 +39,7 @@
 		b := before[i]
 		d[i] = TierTally{
 			Granted: now.Granted - b.Granted, GrantedLate: now.GrantedLate - b.GrantedLate, GrantedExtra: now.GrantedExtra - b.GrantedExtra,
-			Diverted: now.Diverted - b.Diverted, SameZone: now.SameZone - b.SameZone, OtherZone: now.OtherZone - b.OtherZone,
+			Diverted: now.Diverted - b.Diverted, PassedOver: now.PassedOver - b.PassedOver, SameZone: now.SameZone - b.SameZone, OtherZone: now.OtherZone - b.OtherZone,
 			Shed: now.Shed - b.Shed, Expired: now.Expired - b.Expired, SlotTime: now.SlotTime - b.SlotTime,
 		}
 	}
--- a/pool/waiter.go
+++ b/pool/waiter.go
@@ -26,6 +26,7 @@
 	suspect       bool      // waits in Pool.isolated
 	trial         bool      // tries a confirmed content again
 	extended      bool      // its maximum wait was extended
+	passedOver    bool      // it was kept from a free slot by finishesTooLate
 
 	heldFor   *server
 	heldUntil time.Time
