--- a/pool/finish.go
+++ b/pool/finish.go
@@ -8,10 +8,10 @@
 	"github.com/lycheekeel/lycheekeel/request"
 )
 
-// finishesTooLate reports whether not even the part minFinishLengthShare of an answer's
-// expected length would end before its deadline with an option, while another server
-// could still end the whole in time. The request then waits for such a server, at most for
-// its maximum wait, unless nobody else takes the slot. Infeasible requests take any server.
+// finishesTooLate reports whether an answer is expected to end after its deadline with an
+// option, while another server could still end it in time. The request then waits for such a
+// server, at most for its maximum wait, unless nobody else takes the slot. Infeasible requests
+// take any server.
 //
 // Without it, long answers that find no fast server free are sent to slow or crowded ones.
 // Each of them occupies a slot until its deadline, and its caller gets nothing. The symptom
@@ -20,8 +20,7 @@
 	if !p.cfg.Traits.FinishInTime || p.takeAnyServer || w.Class == tier.Infeasible || !w.lengthExpected() {
 		return false
 	}
-	likely := o.firstToken + time.Duration(minFinishLengthShare*float64(w.length.Mean))*o.server.latency.PerToken(len(o.server.running)+1)
-	if !p.now.Add(likely).After(w.deadline) {
+	if !p.now.Add(p.runTime(w, o)).After(w.deadline) {
 		return false
 	}
 	if !p.couldEndInTime(w) {
@@ -35,11 +34,18 @@
 	return true
 }
 
+// contentionMemory is how long after the last refusal for want of a slot a pool counts as
+// contended.
+const contentionMemory = time.Second
+
 // schedulePassedOver grants the remaining slots to requests that finishesTooLate has kept
-// from them. A slot that nobody else wants is better used by an answer that may be cut off
-// than by none: the estimate of its length may be wrong.
+// from them, unless the pool is contended. A slot that nobody else wants is better used by an
+// answer that may be cut off than by none: the estimate of its length may be wrong.
+//
+// In an overload short requests are refused after a small part of their target, so that often
+// none waits at the moment when a slot comes free, but the next one is about to arrive.
 func (p *Pool) schedulePassedOver() {
-	if !p.passedOver {
+	if !p.passedOver || p.now.Sub(p.contendedAt) < contentionMemory {
 		return
 	}
 	p.takeAnyServer = true
@@ -69,6 +75,14 @@
 	})
 }
 
+// noteContention notes that a request is refused at the end of its maximum wait. Those that
+// were kept from slots say nothing about the number of slots.
+func (p *Pool) noteContention(w *waiter) {
+	if !w.passedOver {
+		p.contendedAt = p.now
+	}
+}
+
 // lengthExpected reports whether there is an estimate of the answer's length other than
 // its cap.
 func (w *waiter) lengthExpected() bool { return w.length.Known || w.ExpectedTokens > 0 }
--- a/pool/finish_test.go
+++ b/pool/finish_test.go
@@ -61,6 +61,15 @@
 			r.send(Withdraw{Request: "short", Entry: "e1"})
 			So(first(r.endRun(slow, OutcomeDone)), ShouldEqual, request.ID("long"))
 		})
+		Convey("but not while requests are refused for want of a slot", func() {
+			r.send(Withdraw{Request: "short", Entry: "e1"})
+			refused := answer("refused", 1, 20)
+			refused.Waited = 0
+			r.send(refused)
+			So(sheds(r.advance(2*time.Millisecond)), ShouldHaveLength, 1)
+			So(grants(r.endRun(slow, OutcomeDone)), ShouldBeEmpty)
+			So(grants(r.advance(contentionMemory)), ShouldHaveLength, 1)
+		})
 		Convey("the long one takes the slow server once the fast one is lost", func() {
 			r.send(ServerSet{Servers: []ServerInfo{{Name: "slow", Generation: "slow", Slots: 1}}})
 			So(first(r.endRun(slow, OutcomeDone)), ShouldEqual, request.ID("short"))
--- a/pool/max_wait.go
+++ b/pool/max_wait.go
@@ -100,6 +100,7 @@
 			continue
 		}
 		if p.now.Before(it.Value.deadline) {
+			p.noteContention(it.Value)
 			p.shedLowerTiers(it.Tier)
 			p.redirectOrShed(it.Value, request.ReasonShed)
 			continue
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -49,6 +49,7 @@
 	held            []*waiter             // of all servers, in the order of their holds
 	extendedCount   [request.MaxTiers]int // waiters on an extended wait, by tier
 	grantsSinceLate [request.MaxTiers]int // on-time requests granted since the last late one, while a late one waited
+	contendedAt     time.Time             // when a request was last refused for want of a slot
 	// retryHorizon is the time by which all callers that were shed should have had the
 	// chance to get a slot on a retry.
 	retryHorizon time.Time
