--- a/test/soak/callers_test.go
+++ b/test/soak/callers_test.go
@@ -26,7 +26,8 @@
 	resumes          string        // the id of the call that brought the first event; empty: it begins
 	timeout          time.Duration // how long the caller waits for the response
 	sentAt, endedAt  time.Time
-	status           int // 0: no response
+	answeredAt       time.Time // when the head of the response was there; zero: no response
+	status           int       // 0: no response
 	complete         bool
 	body             string
 }
@@ -111,7 +112,7 @@
 		return false
 	}
 	defer resp.Body.Close()
-	x.status = resp.StatusCode
+	x.status, x.answeredAt = resp.StatusCode, time.Now()
 	b, err := io.ReadAll(resp.Body)
 	x.body, x.complete = string(b), err == nil
 	return x.complete && !resp.Close
