discovery, pool, broker, forward: servers that say in an answer that they leave get nothing new

Class: a fact that has one source in the code, though a second one speaks of it. Change: the daemon's directory, which already keeps a leaving incarnation as such, takes the word of answers, too, and remembers leaving servers that are removed, in case the store lists them as ready again. All that rests on the directory follows: nothing is sent there even with a grant, owners here grant nothing. The entry tells the pool's owner, a new owner again, and that does not lapse; the next incarnation begins anew. Only 1 counts, a 421 says nothing.

--- a/broker/broker.go
+++ b/broker/broker.go
@@ -46,6 +46,8 @@
 	// Brittle reports, before Progress and Release, that the answer says its server falls
 	// over when it has to reject more requests in a second.
 	Brittle(rejections int)
+	// Leaving reports that the answer says its server is leaving.
+	Leaving()
 	// Release frees the slot after the request was dispatched and has ended.
 	Release(c Completion)
 	// ReturnUnused frees the slot; the request was not dispatched.
--- a/broker/grant.go
+++ b/broker/grant.go
@@ -57,6 +57,11 @@
 	}
 }
 
+// Leaving implements Grant.
+func (g *grant) Leaving() {
+	g.link.box.Post(leavingMessage{pool.Leaving{Server: g.server.Name, Incarnation: g.server.Incarnation}})
+}
+
 // Release implements Grant.
 func (g *grant) Release(c Completion) {
 	g.finish(pool.Release{
--- a/broker/session.go
+++ b/broker/session.go
@@ -158,6 +158,7 @@
 		l.outbox = append(l.outbox, g.runningEvent())
 	}
 	l.reportNamed()
+	l.reportLeaving()
 	l.outbox = append(l.outbox, pool.EntryReported{})
 	for _, w := range l.waitersByAge() {
 		w.requeue = false
--- a/discovery/directory.go
+++ b/discovery/directory.go
@@ -7,6 +7,8 @@
 	"slices"
 	"strconv"
 	"time"
+
+	"github.com/hashicorp/golang-lru/v2/simplelru"
 )
 
 // Server is a backend server as it registered itself.
@@ -22,7 +24,8 @@
 	Version string
 	// Cold is set while the server is still slow after its start.
 	Cold bool
-	// Leaving is set once this incarnation has announced that it stops.
+	// Leaving is set once this incarnation has announced that it stops, in its entry or in an
+	// answer.
 	Leaving bool
 	// StartedAt is the start of this incarnation in Unix milliseconds by the server's
 	// own clock; 0 if not given. It is only compared with values of the same server.
@@ -57,6 +60,9 @@
 // between two reads of the list.
 const StoreRecoveryGrace = 2300 * time.Millisecond
 
+// maxLeft bounds the removed servers that a Directory remembers.
+const maxLeft = 4096
+
 // Directory holds the known servers. It is not safe for concurrent use.
 //
 // Entries expire while the store is unavailable, so the first list after an outage
@@ -71,7 +77,10 @@
 	// confirmed are the servers that have been listed since the store recovered.
 	confirmed map[string]bool
 	// allConfirmed is set while all servers but the missing ones are confirmed.
-	allConfirmed     bool
+	allConfirmed bool
+	// left are the leaving servers that were removed, since the store may list them as
+	// ready again.
+	left             *simplelru.LRU[string, Server]
 	storeDown        bool
 	storeRecoveredAt time.Time
 	// order holds the servers' IDs, sorted.
@@ -82,7 +91,11 @@
 
 // NewDirectory returns an empty directory.
 func NewDirectory() *Directory {
-	return &Directory{servers: map[string]Server{}, missing: map[string]bool{}, confirmed: map[string]bool{}, touched: map[string]struct{}{}}
+	left, err := simplelru.NewLRU[string, Server](maxLeft, nil)
+	if err != nil {
+		panic(err) // only for a size below 1
+	}
+	return &Directory{servers: map[string]Server{}, missing: map[string]bool{}, confirmed: map[string]bool{}, left: left, touched: map[string]struct{}{}}
 }
 
 // StoreUnavailable reports that the store did not answer.
@@ -165,6 +178,19 @@
 	return s, known
 }
 
+// Announce records that an incarnation of a server has said in an answer that it stops,
+// whatever its entry says from now on. It reports whether the directory changed.
+func (d *Directory) Announce(id, incarnation string) bool {
+	s, known := d.servers[id]
+	if !known || s.Leaving || s.Incarnation() != incarnation {
+		return false
+	}
+	s.Leaving = true
+	d.servers[id] = s
+	d.touched[id] = struct{}{}
+	return true
+}
+
 // Put applies one changed entry and reports whether the directory changed.
 func (d *Directory) Put(now time.Time, s Server) bool {
 	d.markStoreAvailable(now)
@@ -249,6 +275,8 @@
 	old, known := d.servers[s.ID]
 	if known {
 		s = old.merge(s)
+	} else {
+		s = d.mergeLeft(s)
 	}
 	if !known {
 		at, _ := slices.BinarySearch(d.order, s.ID)
@@ -261,6 +289,29 @@
 	return reappeared || !known || !s.Equal(old)
 }
 
+// mergeLeft returns the state of a server that is listed after it was removed. An incarnation
+// that was leaving stays leaving.
+func (d *Directory) mergeLeft(s Server) Server {
+	old, known := d.left.Get(s.ID)
+	if !known || s.InvalidReason != "" {
+		return s
+	}
+	d.left.Remove(s.ID)
+	if s.StartedAt == 0 {
+		s.StartedAt = old.StartedAt
+	}
+	s.Restarts = old.Restarts
+	switch {
+	case s.StartedAt != old.StartedAt:
+		s.Restarts = 0
+	case s.Sequence < old.Sequence:
+		s.Restarts++ // nothing that was written before a removal comes after it
+	default:
+		s.Leaving = true
+	}
+	return s
+}
+
 // merge returns the state of a server after the entry next. Entries may arrive late and
 // out of order: a watch may deliver writes that a list has already included.
 func (s Server) merge(next Server) Server {
@@ -314,6 +365,9 @@
 		d.order = slices.Delete(d.order, at, at+1)
 	}
 	d.touched[id] = struct{}{}
+	if s := d.servers[id]; s.Leaving {
+		d.left.Add(id, s)
+	}
 	delete(d.servers, id)
 	delete(d.missing, id)
 	delete(d.confirmed, id)
--- a/discovery/directory_test.go
+++ b/discovery/directory_test.go
@@ -259,3 +259,45 @@
 		}
 	})
 }
+
+// Guards against: a server that said in an answer that it leaves counts as ready again, since
+// its entry says so.
+func TestAnnouncedLeavingHoldsForAnIncarnation(t *testing.T) {
+	Convey("Given a server that has announced that it leaves", t, func() {
+		d := NewDirectory()
+		ready := Server{ID: "a", StartedAt: 1000, Sequence: 40, Revision: 10}
+		d.Put(start, ready)
+		So(d.Announce("a", "another incarnation"), ShouldBeFalse)
+		So(d.Announce("b", ready.Incarnation()), ShouldBeFalse)
+		So(d.Announce("a", ready.Incarnation()), ShouldBeTrue)
+		So(d.Announce("a", ready.Incarnation()), ShouldBeFalse)
+		So(d.TakeChanges().Changed[0].Leaving, ShouldBeTrue)
+		leaving := func() bool { return d.Servers()[0].Leaving }
+
+		Convey("newer and older entries that call it ready change nothing", func() {
+			d.Put(start, Server{ID: "a", StartedAt: 1000, Sequence: 41, Revision: 12})
+			So(leaving(), ShouldBeTrue)
+			d.Replace(start, []Server{{ID: "a", StartedAt: 1000, Sequence: 39, Revision: 9}})
+			So(leaving(), ShouldBeTrue)
+		})
+		Convey("nor does an entry after its removal", func() {
+			d.Delete(start, "a", 0)
+			So(serverIDs(d), ShouldBeEmpty)
+			d.Put(start, Server{ID: "a", StartedAt: 1000, Sequence: 42, Revision: 14})
+			So(leaving(), ShouldBeTrue)
+		})
+		Convey("its next incarnation is ready, also after a removal", func() {
+			d.Delete(start, "a", 0)
+			d.Put(start, Server{ID: "a", StartedAt: 2000, Sequence: 1, Revision: 14})
+			So(leaving(), ShouldBeFalse)
+		})
+	})
+	Convey("Without start times, a lower sequence after a removal is another incarnation", t, func() {
+		d := NewDirectory()
+		d.Put(start, Server{ID: "a", Sequence: 5, Revision: 10, Leaving: true})
+		d.Delete(start, "a", 0)
+		d.Put(start, Server{ID: "a", Sequence: 1, Revision: 14})
+		So(d.Servers()[0].Leaving, ShouldBeFalse)
+		So(d.Servers()[0].Incarnation(), ShouldNotEqual, Server{ID: "a"}.Incarnation())
+	})
+}
--- a/internal/entry/rig_test.go
+++ b/internal/entry/rig_test.go
@@ -191,6 +191,7 @@
 func (g *testGrant) Progress(time.Duration, int, time.Duration) { g.broker.progressReports.Add(1) }
 func (g *testGrant) RateLimited(float64)                        {}
 func (g *testGrant) Brittle(int)                                {}
+func (g *testGrant) Leaving()                                   {}
 func (g *testGrant) ReturnUnused()                              { g.broker.returned.Add(1) }
 func (g *testGrant) Release(end broker.Completion) {
 	g.broker.mu.Lock()
--- a/internal/forward/counters.go
+++ b/internal/forward/counters.go
@@ -37,6 +37,8 @@
 	answered             *expvar.Int
 	// invalidRates counts the answers that name a limit which is no decimal number.
 	invalidRates *expvar.Int
+	// invalidLeaving counts the answers that say neither that their server leaves nor nothing.
+	invalidLeaving *expvar.Int
 	// runningOmitted counts the "Still running." lines that the rate limit suppressed.
 	runningOmitted *expvar.Int
 
@@ -79,6 +81,7 @@
 	c.hedgesUnused = m.Counter("streams", "went_on_beside_a_hedge")
 	c.answered = m.Counter("forward", "answered")
 	c.invalidRates = m.Counter("forward", "invalid_rates")
+	c.invalidLeaving = m.Counter("forward", "invalid_leaving")
 	c.runningOmitted = m.Counter("forward", "running_lines_omitted")
 	c.slotWait = m.Histogram("latency", "wait_for_slot")
 	c.retryWait = m.Histogram("latency", "retry_from_permission_to_send")
--- a/internal/forward/harness_test.go
+++ b/internal/forward/harness_test.go
@@ -36,7 +36,7 @@
 func testWire() Wire {
 	return Wire{
 		RequestID: "X-Request-Id", Deadline: "X-Left-Ms", Workspace: "X-Space", ExpectServer: "X-Server",
-		NotExecuted: "X-Refused", Signature: "X-Signed", LastEvent: "Last-Event-Id", Tokens: "X-Tokens", LengthHint: "X-Hint", ServerRate: "X-Rate",
+		NotExecuted: "X-Refused", Signature: "X-Signed", LastEvent: "Last-Event-Id", Tokens: "X-Tokens", LengthHint: "X-Hint", ServerRate: "X-Rate", ServerLeaving: "X-Leaves",
 		Reserved: []string{"X-Reserved"}, Parts: "X-Parts",
 		ParseParts: func(v []byte) (ids []uint64) {
 			for _, id := range strings.Fields(string(v)) {
@@ -152,6 +152,7 @@
 	released []pool.Outcome
 	gone     []bool    // of each release
 	rates    []float64 // reported limits on requests per second
+	leaving  []string  // servers that were reported as leaving
 	refusal  error
 	// refuseAfter is how many calls are granted before refusal is returned.
 	refuseAfter int
@@ -207,6 +208,7 @@
 func (g *fakeGrant) Progress(time.Duration, int, time.Duration) {}
 func (g *fakeGrant) RateLimited(perSecond float64)              { g.broker.recordRate(perSecond) }
 func (g *fakeGrant) Brittle(int)                                {}
+func (g *fakeGrant) Leaving()                                   { g.broker.recordLeaving(g.server.Name) }
 func (g *fakeGrant) Release(c broker.Completion)                { g.broker.recordRelease(c.Outcome, c.ServerGone) }
 func (g *fakeGrant) ReturnUnused() {
 	g.broker.recordRelease(pool.OutcomeNotDispatched, false)
@@ -225,6 +227,11 @@
 	defer b.mu.Unlock()
 	b.rates = append(b.rates, perSecond)
 }
+func (b *fakeBroker) recordLeaving(server string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.leaving = append(b.leaving, server)
+}
 func (b *fakeBroker) outcomes() []pool.Outcome {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -247,9 +254,10 @@
 	return !a.stale.Load()
 }
 
-func (a *fakeAdmission) ProofAge() time.Duration  { return time.Second }
-func (a *fakeAdmission) StoreLost() time.Duration { return 0 }
-func (a *fakeAdmission) Owner(string) string      { return "owner" }
+func (a *fakeAdmission) ServerLeaves(s workspace.BackendServer) { a.leaving.Store(s.Name, true) }
+func (a *fakeAdmission) ProofAge() time.Duration                { return time.Second }
+func (a *fakeAdmission) StoreLost() time.Duration               { return 0 }
+func (a *fakeAdmission) Owner(string) string                    { return "owner" }
 func (a *fakeAdmission) MayUse(s workspace.BackendServer, _ bool) bool {
 	if n := a.mayUseCalls.Add(1); a.onMayUse != nil {
 		a.onMayUse(int(n))
--- a/internal/forward/send.go
+++ b/internal/forward/send.go
@@ -193,6 +193,7 @@
 	}
 	x.reportRate(a, r)
 	x.reportBrittle(a, r)
+	x.reportLeaving(a, r)
 	if len(r.header.Peek(x.server.wire.NotExecuted)) > 0 {
 		return nil, nil, x.endUnexecuted(a, r)
 	}
--- /dev/null
+++ b/internal/forward/serverleaving.go
@@ -0,0 +1,21 @@
+package forward
+
+// leavingValue is the value of the header by which a server says that it is leaving.
+const leavingValue = "1"
+
+// reportLeaving reports that a server's answer says that it is leaving: to this daemon, which
+// sends it nothing from now on, and to the pool's owner. Other values count as nothing, as
+// does the answer of another server at the address.
+func (x *exchange) reportLeaving(a *attempt, r *reply) {
+	value := r.header.Peek(x.server.wire.ServerLeaving)
+	if len(value) == 0 || r.header.StatusCode() == statusMisdirectedRequest {
+		return
+	}
+	if string(value) != leavingValue {
+		x.server.counters.invalidLeaving.Add(1)
+		x.server.log.WithFields(x.requestFields()).WithField("value", string(value)).Debug("Invalid word of a server on leaving.")
+		return
+	}
+	x.server.deps.Admission.ServerLeaves(a.grant.Server())
+	a.grant.Leaving()
+}
--- a/internal/forward/wire.go
+++ b/internal/forward/wire.go
@@ -30,6 +30,8 @@
 	// ServerBrittle is set by a server that falls over when it has to reject more requests in
 	// a second than this whole number.
 	ServerBrittle string
+	// ServerLeaving is set to 1 by a server that is leaving.
+	ServerLeaving string
 	// LastEvent is the id of the last event of a stream that was received.
 	LastEvent string
 	// Resumes is the request id of the caller's attempt that brought the first event of a
@@ -59,6 +61,8 @@
 	// is not leaving, and whether its version serves canaries or other requests. The owner of
 	// the server's pool may learn of a change later.
 	MayUse(s workspace.BackendServer, canary bool) bool
+	// ServerLeaves records that a server has said in an answer that it is leaving.
+	ServerLeaves(s workspace.BackendServer)
 	// The other methods are for logs only. ProofAge is the age of that proof. StoreLost is
 	// how long the store has not answered this daemon's own reads, 0 if it does. Fresh is
 	// false if either is too long. Owner is the daemon that schedules a service's requests.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -148,6 +148,13 @@
 	return known && use.version == s.Version && use.accepts(canary)
 }
 
+// ServerLeaves implements forward.Admission.
+func (g *Gateway) ServerLeaves(s workspace.BackendServer) {
+	if use := (*g.state.usable.Load())[s.Name]; !use.leaving {
+		g.state.announceLeaving(s)
+	}
+}
+
 // ProofAge implements forward.Admission; below 0: there was no proof.
 func (g *Gateway) ProofAge() time.Duration {
 	age, ok := g.state.configFreshness.Age()
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -182,6 +182,18 @@
 	})
 }
 
+// announceLeaving records that a server has said in an answer that it is leaving.
+func (s *state) announceLeaving(x workspace.BackendServer) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.directory.Announce(x.Name, x.Incarnation) {
+		return
+	}
+	s.recordChangesLocked()
+	s.scheduleRebuildLocked()
+	s.notifyChangedLocked()
+}
+
 // updateServers changes the directory unless that is newer, and rebuilds the pools
 // if the change matters.
 func (s *state) updateServers(rev objectstore.Version, change func(now time.Time) bool) {
--- a/internal/gateway/state_test.go
+++ b/internal/gateway/state_test.go
@@ -47,6 +47,24 @@
 	})
 }
 
+// Guards against: a server that says in an answer that it leaves goes on to get requests.
+func TestServersThatSayThatTheyLeaveAreNotUsed(t *testing.T) {
+	Convey("A server that says so is not used any more, whatever its entry says", t, func() {
+		s := stateWithConfig()
+		s.replaceServers([]discovery.Server{{ID: "a", Service: "app"}, {ID: "b", Service: "app"}}, 50)
+		said := s.snapshot.Load().Pools["app"].Servers[0]
+		other := said
+		other.Incarnation = "another"
+		s.announceLeaving(other)
+		So((*s.usable.Load())["a"].leaving, ShouldBeFalse)
+		s.announceLeaving(said)
+		So(*s.usable.Load(), ShouldResemble, map[string]serverUse{"a": {leaving: true, arm: rollout.Stable}, "b": {arm: rollout.Stable}})
+		So(s.snapshot.Load().Pools["app"].Servers[0].Leaving, ShouldBeTrue)
+		s.putServer(discovery.Server{ID: "a", Service: "app", Revision: 51}, 51)
+		So((*s.usable.Load())["a"].leaving, ShouldBeTrue)
+	})
+}
+
 // Guards against a server that has left and is used for seconds after an outage of the store.
 func TestReaderConfirmsServers(t *testing.T) {
 	Convey("A server is removed immediately if a reader has confirmed the list since the outage", t, func() {
--- a/internal/poolhost/counters.go
+++ b/internal/poolhost/counters.go
@@ -13,7 +13,7 @@
 	grantsReclaimed, entriesEnded, unknownReleases, badMessages                                  *expvar.Int
 	probeMisses, cacheEventGaps, suspectsShared, breakersOpened, crashes, pauses, brittleChanges *expvar.Int
 
-	rateChanges, traitChanges *expvar.Int
+	rateChanges, traitChanges, leavingAnnounced *expvar.Int
 
 	tiers [request.MaxTiers]tierCounters
 }
@@ -27,7 +27,7 @@
 		badMessages: c("bad_messages"), probeMisses: c("probe_misses"),
 		cacheEventGaps: c("cache_event_gaps"), suspectsShared: c("suspects_shared"),
 		breakersOpened: c("servers_down"), crashes: c("servers_crashed"), pauses: c("servers_paused"), brittleChanges: c("servers_brittle_changed"), rateChanges: c("server_rates_changed"),
-		traitChanges: c("traits_changed"),
-		tiers:        newTierCounters(m),
+		traitChanges: c("traits_changed"), leavingAnnounced: c("servers_leaving_announced"),
+		tiers: newTierCounters(m),
 	}
 }
--- a/internal/poolhost/report.go
+++ b/internal/poolhost/report.go
@@ -140,6 +140,12 @@
 	}).Info("Server says whether it is brittle.")
 }
 
+// logLeaving logs that a server has announced in an answer that it stops.
+func (r *Runtime) logLeaving(c pool.ServerLeaves) {
+	r.host.count.leavingAnnounced.Add(1)
+	logs.For("poolhost").WithFields(logrus.Fields{"pool": r.name, "server": c.Server, "entry": c.Entry, "share": r.degraded}).Info("Server says that it is leaving.")
+}
+
 // logRate logs that a server has named another limit on its requests per second.
 func (r *Runtime) logRate(c pool.ServerRateChanged) {
 	r.host.count.rateChanges.Add(1)
--- a/internal/poolhost/runtime.go
+++ b/internal/poolhost/runtime.go
@@ -131,6 +131,8 @@
 		r.logRate(c)
 	case pool.BrittleChanged:
 		r.logBrittle(c)
+	case pool.ServerLeaves:
+		r.logLeaving(c)
 	case pool.Expired:
 		r.logExpired(c)
 	}
--- a/internal/poolhost/session.go
+++ b/internal/poolhost/session.go
@@ -203,6 +203,9 @@
 	case pool.Brittle:
 		ev.Entry = e.id
 		r.feed(ev)
+	case pool.Leaving:
+		ev.Entry = e.id
+		r.feed(ev)
 	case pool.Progress:
 		r.feed(ev)
 	}
--- a/internal/poolwire/check.go
+++ b/internal/poolwire/check.go
@@ -157,6 +157,9 @@
 	case *wirepb.Event_Brittle:
 		m := k.Brittle
 		return pool.Brittle{Entry: entry, Grant: c.grant(m.GetGrant()), Server: c.requiredName("server", m.GetServer()), Rejections: c.number("rejections", m.GetRejections())}
+	case *wirepb.Event_Leaving:
+		m := k.Leaving
+		return pool.Leaving{Entry: entry, Server: c.requiredName("server", m.GetServer()), Incarnation: c.optionalName("incarnation", m.GetIncarnation())}
 	case *wirepb.Event_EntryReported:
 		return pool.EntryReported{Entry: entry}
 	default:
--- a/internal/poolwire/encode.go
+++ b/internal/poolwire/encode.go
@@ -106,6 +106,8 @@
 		return &wirepb.Event{Kind: &wirepb.Event_Brittle{Brittle: &wirepb.Brittle{
 			Grant: grantIDToWire(e.Grant), Server: e.Server, Rejections: uint64(e.Rejections),
 		}}}
+	case pool.Leaving:
+		return &wirepb.Event{Kind: &wirepb.Event_Leaving{Leaving: &wirepb.Leaving{Server: e.Server, Incarnation: e.Incarnation}}}
 	case pool.EntryReported:
 		return &wirepb.Event{Kind: &wirepb.Event_EntryReported{EntryReported: &wirepb.EntryReported{}}}
 	default:
--- a/internal/poolwire/poolwire_test.go
+++ b/internal/poolwire/poolwire_test.go
@@ -37,6 +37,7 @@
 		pool.RateLimited{Entry: entry, Server: "s", PerSecond: 40},
 		pool.Brittle{Entry: entry, Grant: g, Server: "s", Rejections: 3},
 		pool.Brittle{Entry: entry, Server: "s"},
+		pool.Leaving{Entry: entry, Server: "s", Incarnation: "1a.0"},
 		pool.EntryReported{Entry: entry},
 	}
 }
--- a/pool/commands.go
+++ b/pool/commands.go
@@ -75,6 +75,13 @@
 	Rejections int // per second that it bears
 }
 
+// ServerLeaves reports that a server has announced in an answer that it stops. It is only
+// logged.
+type ServerLeaves struct {
+	Server string
+	Entry  EntryID // that reported it
+}
+
 // Expired reports the state in which a request reached its deadline in the queue. It is
 // only logged.
 type Expired struct {
@@ -100,4 +107,5 @@
 func (ServerCrashed) command()     {}
 func (ServerRateChanged) command() {}
 func (BrittleChanged) command()    {}
+func (ServerLeaves) command()      {}
 func (Expired) command()           {}
--- a/pool/crashcount.go
+++ b/pool/crashcount.go
@@ -54,7 +54,7 @@
 	case !p.countsCrashes():
 	case !s.goneSince.IsZero():
 		p.countCrash(s, []lostAnswer{p.newLostAnswer(r, e)})
-	case p.leaving(s):
+	case !s.configured || p.leaving(s):
 	default:
 		s.lostAnswers = p.recent(s.lostAnswers)
 		if len(s.lostAnswers) < maxLostRuns {
@@ -68,10 +68,6 @@
 	return slices.DeleteFunc(lost, func(a lostAnswer) bool { return p.now.Sub(a.at) > lostAnswerTTL })
 }
 
-func (p *Pool) leaving(s *server) bool {
-	return !s.configured || s.health == HealthLeaving || p.now.Before(s.leavingUntil)
-}
-
 // serverGone notes that a server's process has ended, and counts the crash for the
 // contents whose answers were lost with it.
 //
@@ -117,7 +113,7 @@
 // serverDisappeared handles a server that is not listed any more. If it had not announced
 // that it leaves, and answers were lost before, it has crashed.
 func (p *Pool) serverDisappeared(s *server) {
-	if len(s.lostAnswers) > 0 && s.health != HealthLeaving && !p.now.Before(s.leavingUntil) {
+	if len(s.lostAnswers) > 0 && !p.leaving(s) {
 		p.serverGone(s)
 	}
 }
--- a/pool/events.go
+++ b/pool/events.go
@@ -145,6 +145,13 @@
 	Rejections int
 }
 
+// Leaving reports that a server has announced that it stops. It holds for this incarnation.
+type Leaving struct {
+	Entry       EntryID
+	Server      string
+	Incarnation string
+}
+
 // Release ends a grant and frees its slot.
 type Release struct {
 	Request         request.ID
@@ -334,6 +341,7 @@
 func (Release) event()       {}
 func (RateLimited) event()   {}
 func (Brittle) event()       {}
+func (Leaving) event()       {}
 func (Running) event()       {}
 func (EntryReported) event() {}
 func (EntrySet) event()      {}
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -165,6 +165,8 @@
 		p.rateLimited(e)
 	case Brittle:
 		p.brittleNamed(e)
+	case Leaving:
+		p.serverLeaves(e)
 	case Running:
 		p.adopt(e)
 	case EntryReported:
--- a/pool/server.go
+++ b/pool/server.go
@@ -53,17 +53,19 @@
 	probeAt      time.Time
 	probeBackoff time.Duration
 	leavingUntil time.Time
-	pausedUntil  time.Time
-	backoff      time.Duration
-	crashedAt    time.Time // time of the last crash
-	recoveredAt  time.Time // when it was first seen running after the crash; zero means not yet
-	lostRuns     []*run    // runs whose streams were lost recently
-	rate         serverRate
-	room         room
-	extraCalls   extraCalls
-	lostAnswers  []lostAnswer
-	goneSince    time.Time // when its process was found to have ended; zero means not
-	goneReports  []goneReport
+	// announcedLeaving is set once this incarnation has announced that it stops.
+	announcedLeaving bool
+	pausedUntil      time.Time
+	backoff          time.Duration
+	crashedAt        time.Time // time of the last crash
+	recoveredAt      time.Time // when it was first seen running after the crash; zero means not yet
+	lostRuns         []*run    // runs whose streams were lost recently
+	rate             serverRate
+	room             room
+	extraCalls       extraCalls
+	lostAnswers      []lostAnswer
+	goneSince        time.Time // when its process was found to have ended; zero means not
+	goneReports      []goneReport
 }
 
 func (p *Pool) setServers(e ServerSet) {
@@ -145,7 +147,7 @@
 	s.room.accepted = 0
 	s.extraCalls = extraCalls{}
 	s.failureRate, s.breaker, s.lostRuns = failureRate{}, breaker{}, nil
-	s.leavingUntil, s.pausedUntil, s.backoff = time.Time{}, time.Time{}, 0
+	s.leavingUntil, s.announcedLeaving, s.pausedUntil, s.backoff = time.Time{}, false, time.Time{}, 0
 	s.lastProgress = p.now
 }
 
@@ -225,7 +227,7 @@
 // up reports whether a server is configured, healthy and neither leaving nor in
 // backoff.
 func (p *Pool) up(s *server) bool {
-	return s.configured && s.health == HealthUp && !p.now.Before(s.leavingUntil) && !p.now.Before(s.pausedUntil)
+	return s.configured && s.health == HealthUp && !p.leaving(s) && !p.now.Before(s.pausedUntil)
 }
 
 // acceptsNow reports whether a server is up, and takes another request by the limit that
--- a/pool/version.go
+++ b/pool/version.go
@@ -18,7 +18,7 @@
 // and not leaving.
 func (p *Pool) versionListed(w *waiter) bool {
 	return w.Version == "" || slices.ContainsFunc(p.sorted, func(s *server) bool {
-		return w.mayRunOn(s) && s.health != HealthLeaving
+		return w.mayRunOn(s) && s.health != HealthLeaving && !s.announcedLeaving
 	})
 }
 
