pool: failures that were under way together lengthen a server's pause once

What callers saw: where all servers refuse requests for a moment and ask for 2 s of rest, 468 of 3,239 requests were served. Cause: each refusal doubled its server's pause, also those of requests that had been granted before the pause began, so that five refusals within a millisecond made it 5 s. Class: failures with one cause, counted as many in a row. Extra calls had the rule already. Change: what was granted before the last pause began counts as one failure with that; the same for an entry's path to a server.

--- a/pool/reach.go
+++ b/pool/reach.go
@@ -20,8 +20,8 @@
 // entries: each of its requests would be granted on one server after the other, and pause
 // all of them.
 type path struct {
-	pausedUntil time.Time
-	backoff     time.Duration
+	pausedAt, pausedUntil time.Time
+	backoff               time.Duration
 }
 
 // goneReport is one entry's report that a server's process has ended.
@@ -31,7 +31,8 @@
 }
 
 // pausePath stops grants of a server to an entry that could not reach it. The pause doubles
-// with each consecutive failure.
+// with each consecutive failure. Runs granted before the last pause began count as one failure
+// with that.
 func (p *Pool) pausePath(r *run) {
 	x := p.entry(r.entry)
 	if x.paths == nil {
@@ -42,8 +43,11 @@
 		way = &path{}
 		x.paths[r.server.info.Name] = way
 	}
+	if !r.grantedAt.After(way.pausedAt) {
+		return
+	}
 	way.backoff = nextBackoff(way.backoff)
-	way.pausedUntil = p.now.Add(way.backoff)
+	way.pausedAt, way.pausedUntil = p.now, p.now.Add(way.backoff)
 }
 
 // pathWorks notes that a server has answered an entry.
--- a/pool/server.go
+++ b/pool/server.go
@@ -55,6 +55,7 @@
 	leavingUntil time.Time
 	// announcedLeaving is set once this incarnation has announced that it stops.
 	announcedLeaving bool
+	pausedAt         time.Time // when its last pause began
 	pausedUntil      time.Time
 	backoff          time.Duration
 	crashedAt        time.Time // time of the last crash
@@ -240,17 +241,21 @@
 // consecutive failure.
 func (p *Pool) pauseServer(s *server) {
 	s.backoff = nextBackoff(s.backoff)
-	s.pausedUntil = p.now.Add(s.backoff)
+	s.pausedAt, s.pausedUntil = p.now, p.now.Add(s.backoff)
 }
 
 func nextBackoff(last time.Duration) time.Duration {
 	return min(max(2*last, unreachableBackoffMin), unreachableBackoffMax)
 }
 
-// pauseForAll stops grants to a server because of a run's end, and logs that.
+// pauseForAll stops grants to a server because of a run's end, and logs that. Runs granted
+// before the last pause began count as one failure with that.
 func (p *Pool) pauseForAll(r *run, refused bool) {
 	s := r.server
 	paused := p.now.Before(s.pausedUntil)
+	if !r.grantedAt.After(s.pausedAt) {
+		return
+	}
 	p.pauseServer(s)
 	if !paused {
 		p.emit(ServerPaused{Server: s.info.Name, Entry: r.entry, For: s.backoff, Refused: refused})
