broker, pool, forward: a server that asks for rest gets nothing from the daemon that it asked

Cause: nothing read Retry-After; the pool's own backoff, which begins at 250 ms and ends with the next good answer, decided when to try again. Same class as the header of leaving servers: what an answer says in a way that the adapter does not name has no effect. Change: the entry keeps the pushback of a server's incarnation for as long as it asks (an hour at most) and checks it when a grant comes and before the first byte; the pool's owner grants that entry nothing there, and a new owner is told. Other entries were not asked: they follow the pool's backoff, and the server tells them, too, if it wants. Only decimal seconds of a 503 count. Log: "Server paused." with entry_only.

--- a/broker/broker.go
+++ b/broker/broker.go
@@ -48,6 +48,11 @@
 	Brittle(rejections int)
 	// Leaving reports that the answer says its server is leaving.
 	Leaving()
+	// Pushback reports, before Release, that the server has refused the request and asked this
+	// daemon to send it nothing for a while.
+	Pushback(wait time.Duration)
+	// PushedBack tells whether the server has asked this daemon to send it nothing now.
+	PushedBack() bool
 	// Release frees the slot after the request was dispatched and has ended.
 	Release(c Completion)
 	// ReturnUnused frees the slot; the request was not dispatched.
--- a/broker/commands.go
+++ b/broker/commands.go
@@ -117,6 +117,12 @@
 		l.returnGrant(c, w) // until owner and entry know the same version of the server
 		return
 	}
+	if ev, ok := l.pushbackOf(server); ok {
+		l.entry.counters.pushedBack.Add(1)
+		l.outbox = append(l.outbox, ev)
+		l.returnGrant(c, w) // until the owner knows
+		return
+	}
 	delete(l.waiting, c.Request)
 	g := &grant{link: l, spec: w.demand.Spec, id: c.Grant, server: server}
 	l.running[c.Grant] = g
--- a/broker/counters.go
+++ b/broker/counters.go
@@ -15,7 +15,7 @@
 	grants, returned, withdrawn, redirected, requeued                                   *expvar.Int
 	sessionsOpened, sessionsLost, sessionsSilent, sessionsReset, notOwner, ownerChanged *expvar.Int
 	sendFailed, batchGaps, lateGrants, repeatedGrants                                   *expvar.Int
-	unknownServer, wrongVersion, degradedEntered, degradedLeft, badMessages             *expvar.Int
+	unknownServer, wrongVersion, pushedBack, degradedEntered, degradedLeft, badMessages *expvar.Int
 }
 
 func newCounters(m *metrics.Registry) counters {
@@ -27,7 +27,7 @@
 		sessionsOpened: c("sessions_opened"), sessionsLost: c("sessions_lost"), sessionsSilent: c("sessions_silent"),
 		sessionsReset: c("sessions_reset"), notOwner: c("not_owner"), ownerChanged: c("owner_changed"),
 		sendFailed: c("send_failed"), batchGaps: c("batch_gaps"), lateGrants: c("late_grants"),
-		repeatedGrants: c("doubled_grants"), unknownServer: c("unknown_server"), wrongVersion: c("wrong_version"),
+		repeatedGrants: c("doubled_grants"), unknownServer: c("unknown_server"), wrongVersion: c("wrong_version"), pushedBack: c("pushed_back"),
 		degradedEntered: c("degraded_entered"), degradedLeft: c("degraded_left"), badMessages: c("bad_messages"),
 	}
 }
--- a/broker/entry.go
+++ b/broker/entry.go
@@ -44,6 +44,8 @@
 	id       pool.EntryID
 	counters counters
 
+	pushbacks pushbacks
+
 	mu    sync.Mutex // held while a link is added
 	links atomic.Pointer[map[string]*link]
 	// sessions is the number of open sessions.
--- a/broker/grant.go
+++ b/broker/grant.go
@@ -62,6 +62,20 @@
 	g.link.box.Post(leavingMessage{pool.Leaving{Server: g.server.Name, Incarnation: g.server.Incarnation}})
 }
 
+// Pushback implements Grant.
+func (g *grant) Pushback(wait time.Duration) {
+	e := g.link.entry
+	now := e.cfg.Now()
+	e.pushbacks.add(g.server, now, now.Add(wait))
+	g.link.box.Post(pushbackMessage{pool.Pushback{Server: g.server.Name, Incarnation: g.server.Incarnation, For: wait}})
+}
+
+// PushedBack implements Grant.
+func (g *grant) PushedBack() bool {
+	e := g.link.entry
+	return e.pushbacks.remaining(g.server, e.cfg.Now()) > 0
+}
+
 // Release implements Grant.
 func (g *grant) Release(c Completion) {
 	g.finish(pool.Release{
--- a/broker/session.go
+++ b/broker/session.go
@@ -159,6 +159,7 @@
 	}
 	l.reportNamed()
 	l.reportLeaving()
+	l.reportPushbacks()
 	l.outbox = append(l.outbox, pool.EntryReported{})
 	for _, w := range l.waitersByAge() {
 		w.requeue = false
--- a/internal/entry/rig_test.go
+++ b/internal/entry/rig_test.go
@@ -192,6 +192,8 @@
 func (g *testGrant) RateLimited(float64)                        {}
 func (g *testGrant) Brittle(int)                                {}
 func (g *testGrant) Leaving()                                   {}
+func (g *testGrant) Pushback(time.Duration)                     {}
+func (g *testGrant) PushedBack() bool                           { return false }
 func (g *testGrant) ReturnUnused()                              { g.broker.returned.Add(1) }
 func (g *testGrant) Release(end broker.Completion) {
 	g.broker.mu.Lock()
--- a/internal/forward/counters.go
+++ b/internal/forward/counters.go
@@ -39,6 +39,8 @@
 	invalidRates *expvar.Int
 	// invalidLeaving counts the answers that say neither that their server leaves nor nothing.
 	invalidLeaving *expvar.Int
+	// invalidPushbacks counts the refusals whose Retry-After is no number of seconds.
+	invalidPushbacks *expvar.Int
 	// runningOmitted counts the "Still running." lines that the rate limit suppressed.
 	runningOmitted *expvar.Int
 
@@ -81,6 +83,7 @@
 	c.hedgesUnused = m.Counter("streams", "went_on_beside_a_hedge")
 	c.answered = m.Counter("forward", "answered")
 	c.invalidRates = m.Counter("forward", "invalid_rates")
+	c.invalidPushbacks = m.Counter("forward", "invalid_pushbacks")
 	c.invalidLeaving = m.Counter("forward", "invalid_leaving")
 	c.runningOmitted = m.Counter("forward", "running_lines_omitted")
 	c.slotWait = m.Histogram("latency", "wait_for_slot")
--- a/internal/forward/harness_test.go
+++ b/internal/forward/harness_test.go
@@ -146,14 +146,15 @@
 
 // fakeBroker grants its servers round robin, without waiting.
 type fakeBroker struct {
-	mu       sync.Mutex
-	servers  []workspace.BackendServer
-	next     int
-	released []pool.Outcome
-	gone     []bool    // of each release
-	rates    []float64 // reported limits on requests per second
-	leaving  []string  // servers that were reported as leaving
-	refusal  error
+	mu        sync.Mutex
+	servers   []workspace.BackendServer
+	next      int
+	released  []pool.Outcome
+	gone      []bool                   // of each release
+	rates     []float64                // reported limits on requests per second
+	leaving   []string                 // servers that were reported as leaving
+	pushbacks map[string]time.Duration // by server, as reported
+	refusal   error
 	// refuseAfter is how many calls are granted before refusal is returned.
 	refuseAfter int
 	// refuseFirst, if not 0, limits refusal to the first so many calls.
@@ -208,6 +209,8 @@
 func (g *fakeGrant) Progress(time.Duration, int, time.Duration) {}
 func (g *fakeGrant) RateLimited(perSecond float64)              { g.broker.recordRate(perSecond) }
 func (g *fakeGrant) Brittle(int)                                {}
+func (g *fakeGrant) Pushback(wait time.Duration)                { g.broker.recordPushback(g.server.Name, wait) }
+func (g *fakeGrant) PushedBack() bool                           { return g.broker.isPushedBack(g.server.Name) }
 func (g *fakeGrant) Leaving()                                   { g.broker.recordLeaving(g.server.Name) }
 func (g *fakeGrant) Release(c broker.Completion)                { g.broker.recordRelease(c.Outcome, c.ServerGone) }
 func (g *fakeGrant) ReturnUnused() {
@@ -232,6 +235,19 @@
 	defer b.mu.Unlock()
 	b.leaving = append(b.leaving, server)
 }
+func (b *fakeBroker) recordPushback(server string, wait time.Duration) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.pushbacks == nil {
+		b.pushbacks = map[string]time.Duration{}
+	}
+	b.pushbacks[server] = wait
+}
+func (b *fakeBroker) isPushedBack(server string) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.pushbacks[server] > 0
+}
 func (b *fakeBroker) outcomes() []pool.Outcome {
 	b.mu.Lock()
 	defer b.mu.Unlock()
--- a/internal/forward/send.go
+++ b/internal/forward/send.go
@@ -35,6 +35,9 @@
 	peer                   string     // through which it was sent; empty: direct
 	reach                  pool.Reach // what a peer found of the server after the answer was lost
 	serverGone             bool       // the server's process was found to have ended after the answer was lost
+	// pushedBack is set if the server asked this daemon for no requests while the connection
+	// was being opened.
+	pushedBack bool
 	// onEnd is called with the outcome; nil if no rollout tracks the attempt.
 	onEnd func(pool.Outcome)
 }
@@ -169,6 +172,9 @@
 	}
 	start := time.Now()
 	beforeWrite := func() error {
+		if a.pushedBack = grant.PushedBack(); a.pushedBack {
+			return errPushedBack
+		}
 		if x.preSendRefusal = x.recheckKey(); x.preSendRefusal != nil {
 			return x.preSendRefusal
 		}
@@ -194,6 +200,7 @@
 	x.reportRate(a, r)
 	x.reportBrittle(a, r)
 	x.reportLeaving(a, r)
+	x.reportPushback(a, r)
 	if len(r.header.Peek(x.server.wire.NotExecuted)) > 0 {
 		return nil, nil, x.endUnexecuted(a, r)
 	}
@@ -208,7 +215,7 @@
 	if !a.sentAt.IsZero() {
 		x.attempts.Unsend()
 	}
-	if x.ctx.Err() != nil || x.preSendRefusal != nil {
+	if x.ctx.Err() != nil || x.preSendRefusal != nil || a.pushedBack {
 		a.grant.ReturnUnused()
 		return err
 	}
--- a/internal/forward/serverrate.go
+++ b/internal/forward/serverrate.go
@@ -5,16 +5,16 @@
 	"strconv"
 )
 
-// decimalNumber is the form of a rate; it has neither sign nor exponent.
+// decimalNumber is the form of a number in a server's answer; it has neither sign nor exponent.
 var decimalNumber = regexp.MustCompile(`^[0-9]{1,9}(\.[0-9]{1,9})?$`)
 
-// parseRate parses a decimal number of requests per second; false if it is not valid.
-func parseRate(value []byte) (perSecond float64, ok bool) {
+// parseDecimal parses a decimal number; false if it is not valid.
+func parseDecimal(value []byte) (number float64, ok bool) {
 	if !decimalNumber.Match(value) {
 		return 0, false
 	}
-	perSecond, err := strconv.ParseFloat(string(value), 64)
-	return perSecond, err == nil
+	number, err := strconv.ParseFloat(string(value), 64)
+	return number, err == nil
 }
 
 // reportRate reports the limit on requests per second that a server's answer names. A value
@@ -25,7 +25,7 @@
 	if len(value) == 0 || r.header.StatusCode() == statusMisdirectedRequest {
 		return
 	}
-	perSecond, ok := parseRate(value)
+	perSecond, ok := parseDecimal(value)
 	if !ok {
 		x.server.counters.invalidRates.Add(1)
 		x.server.log.WithFields(x.requestFields()).WithField("value", string(value)).Debug("Invalid rate limit of a server.")
@@ -41,7 +41,7 @@
 	if len(value) == 0 || r.header.StatusCode() == statusMisdirectedRequest {
 		return
 	}
-	perSecond, ok := parseRate(value)
+	perSecond, ok := parseDecimal(value)
 	if !ok {
 		x.server.counters.invalidRates.Add(1)
 		x.server.log.WithFields(x.requestFields()).WithField("value", string(value)).Debug("Invalid bound of a brittle server.")
--- a/internal/poolhost/report.go
+++ b/internal/poolhost/report.go
@@ -108,7 +108,7 @@
 		return
 	}
 	logs.For("poolhost").WithFields(logrus.Fields{
-		"pool": r.name, "server": c.Server, "entry": c.Entry, "pause_ms": c.For.Milliseconds(), "refused": c.Refused,
+		"pool": r.name, "server": c.Server, "entry": c.Entry, "pause_ms": c.For.Milliseconds(), "refused": c.Refused, "entry_only": c.EntryOnly,
 		"share": r.degraded, "omitted": omitted,
 	}).Info("Server paused.")
 }
--- a/internal/poolhost/session.go
+++ b/internal/poolhost/session.go
@@ -206,6 +206,9 @@
 	case pool.Leaving:
 		ev.Entry = e.id
 		r.feed(ev)
+	case pool.Pushback:
+		ev.Entry = e.id
+		r.feed(ev)
 	case pool.Progress:
 		r.feed(ev)
 	}
--- a/internal/poolwire/check.go
+++ b/internal/poolwire/check.go
@@ -160,6 +160,11 @@
 	case *wirepb.Event_Leaving:
 		m := k.Leaving
 		return pool.Leaving{Entry: entry, Server: c.requiredName("server", m.GetServer()), Incarnation: c.optionalName("incarnation", m.GetIncarnation())}
+	case *wirepb.Event_Pushback:
+		m := k.Pushback
+		return pool.Pushback{
+			Entry: entry, Server: c.requiredName("server", m.GetServer()), Incarnation: c.optionalName("incarnation", m.GetIncarnation()), For: c.elapsed("for", m.GetFor()),
+		}
 	case *wirepb.Event_EntryReported:
 		return pool.EntryReported{Entry: entry}
 	default:
--- a/internal/poolwire/encode.go
+++ b/internal/poolwire/encode.go
@@ -108,6 +108,8 @@
 		}}}
 	case pool.Leaving:
 		return &wirepb.Event{Kind: &wirepb.Event_Leaving{Leaving: &wirepb.Leaving{Server: e.Server, Incarnation: e.Incarnation}}}
+	case pool.Pushback:
+		return &wirepb.Event{Kind: &wirepb.Event_Pushback{Pushback: &wirepb.Pushback{Server: e.Server, Incarnation: e.Incarnation, For: int64(e.For)}}}
 	case pool.EntryReported:
 		return &wirepb.Event{Kind: &wirepb.Event_EntryReported{EntryReported: &wirepb.EntryReported{}}}
 	default:
--- a/internal/poolwire/poolwire_test.go
+++ b/internal/poolwire/poolwire_test.go
@@ -38,6 +38,7 @@
 		pool.Brittle{Entry: entry, Grant: g, Server: "s", Rejections: 3},
 		pool.Brittle{Entry: entry, Server: "s"},
 		pool.Leaving{Entry: entry, Server: "s", Incarnation: "1a.0"},
+		pool.Pushback{Entry: entry, Server: "s", Incarnation: "1a.0", For: 3 * time.Second},
 		pool.EntryReported{Entry: entry},
 	}
 }
--- a/pool/choose.go
+++ b/pool/choose.go
@@ -217,25 +217,25 @@
 func (s *server) loadTime() time.Duration { return time.Duration(s.load() * float64(time.Second)) }
 
 // mustAvoid reports whether a request must not be sent to a server: it needs another
-// version, its entry could not reach the server a moment ago, or an earlier attempt there failed and another server can
-// get grants, even if it has no free slot now. A server that fails many of its requests
+// version, its entry could not reach the server a moment ago or was pushed back by it, or an
+// earlier attempt there failed and another server can get grants, even if it has no free slot now. A server that fails many of its requests
 // would otherwise be the first to be free again.
 func (p *Pool) mustAvoid(w *waiter, s *server) bool {
-	if !w.mayRunOn(s) || p.pathPaused(w.Entry, s) {
+	if !w.mayRunOn(s) || p.isClosedTo(w.Entry, s) {
 		return true
 	}
 	if !slices.Contains(w.SentTo, s.info.Name) {
 		return false
 	}
 	return slices.ContainsFunc(p.sorted, func(other *server) bool {
-		return other.grantable && w.mayRunOn(other) && !slices.Contains(w.SentTo, other.info.Name) && !p.pathPaused(w.Entry, other)
+		return other.grantable && w.mayRunOn(other) && !slices.Contains(w.SentTo, other.info.Name) && !p.isClosedTo(w.Entry, other)
 	})
 }
 
 // avoidsServers reports whether there may be servers that a request must avoid. It costs less
 // than mustAvoid for each server.
 func (p *Pool) avoidsServers(w *waiter) bool {
-	return w.Version != "" || len(w.SentTo) > 0 || p.hasFailedPaths(w.Entry)
+	return w.Version != "" || len(w.SentTo) > 0 || p.hasClosedServers(w.Entry)
 }
 
 // mayUseOneOf reports whether a request may be sent to one of the servers.
--- a/pool/commands.go
+++ b/pool/commands.go
@@ -50,8 +50,9 @@
 	Server string
 	Entry  EntryID
 	For    time.Duration
-	// Refused is set if the server has refused a request.
-	Refused bool
+	// Refused is set if the server has refused a request, EntryOnly if it has asked the entry
+	// to send nothing for that time, which concerns no other entry.
+	Refused, EntryOnly bool
 }
 
 // ServerCrashed reports that a server crashed while it ran requests. Contents counts their
--- a/pool/crash.go
+++ b/pool/crash.go
@@ -60,7 +60,7 @@
 			p.readmitCleared(w)
 			continue
 		}
-		if p.isolation == nil || len(p.isolation.running) == 0 && (!w.mayRunOn(p.isolation) || p.pathPaused(w.Entry, p.isolation)) {
+		if p.isolation == nil || len(p.isolation.running) == 0 && (!w.mayRunOn(p.isolation) || p.isClosedTo(w.Entry, p.isolation)) {
 			p.isolation = p.pickIsolationServer(w)
 		}
 		if p.isolation == nil || len(p.isolation.running) > 0 || !p.acceptsNow(p.isolation) {
@@ -102,7 +102,7 @@
 	var best *server
 	for _, s := range p.sorted {
 		ambiguous := !s.crashedAt.IsZero() && s.recoveredAt.IsZero() && p.now.Sub(s.crashedAt) <= crashWindow
-		if p.up(s) && !ambiguous && w.mayRunOn(s) && !p.pathPaused(w.Entry, s) && (best == nil || len(s.running) < len(best.running)) {
+		if p.up(s) && !ambiguous && w.mayRunOn(s) && !p.isClosedTo(w.Entry, s) && (best == nil || len(s.running) < len(best.running)) {
 			best = s
 		}
 	}
--- a/pool/entries.go
+++ b/pool/entries.go
@@ -33,6 +33,8 @@
 	goneSince time.Time // zero means alive
 	// paths are its ways to servers that it could not reach lately, by the server's name.
 	paths map[string]*path
+	// pushbacks are until when servers have asked it to send them nothing, by the server's name.
+	pushbacks map[string]time.Time
 	// foundGone is the first server that it has found gone since its last answer.
 	foundGone string
 }
@@ -152,6 +154,7 @@
 		}
 	}
 	p.forgetPaths()
+	p.forgetPushbacks()
 	for id, x := range p.entries.known {
 		if !x.goneSince.IsZero() && p.now.Sub(x.goneSince) > 2*entryGrace {
 			delete(p.entries.known, id)
--- a/pool/events.go
+++ b/pool/events.go
@@ -152,6 +152,15 @@
 	Incarnation string
 }
 
+// Pushback reports that a server has refused a request of an entry and asked it to send nothing
+// for some time. It concerns neither other entries nor another incarnation.
+type Pushback struct {
+	Entry       EntryID
+	Server      string
+	Incarnation string
+	For         time.Duration
+}
+
 // Release ends a grant and frees its slot.
 type Release struct {
 	Request         request.ID
@@ -342,6 +351,7 @@
 func (RateLimited) event()   {}
 func (Brittle) event()       {}
 func (Leaving) event()       {}
+func (Pushback) event()      {}
 func (Running) event()       {}
 func (EntryReported) event() {}
 func (EntrySet) event()      {}
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -167,6 +167,8 @@
 		p.brittleNamed(e)
 	case Leaving:
 		p.serverLeaves(e)
+	case Pushback:
+		p.pushedBack(e)
 	case Running:
 		p.adopt(e)
 	case EntryReported:
--- a/pool/probe.go
+++ b/pool/probe.go
@@ -57,7 +57,7 @@
 func (p *Pool) pickProbe(s *server, due time.Time, maxWait time.Duration) *waiter {
 	for t := request.MaxTiers - 1; t >= 0; t-- {
 		lowest := request.Tier(t)
-		if it := p.firstEligible(lowest, tier.OnTime, func(w *waiter) bool { return w.mayRunOn(s) && !p.pathPaused(w.Entry, s) }); it != nil {
+		if it := p.firstEligible(lowest, tier.OnTime, func(w *waiter) bool { return w.mayRunOn(s) && !p.isClosedTo(w.Entry, s) }); it != nil {
 			w := it.Value
 			if p.divertSuspect(w) {
 				return nil
--- a/pool/reach.go
+++ b/pool/reach.go
@@ -70,12 +70,6 @@
 	return way != nil && p.now.Before(way.pausedUntil)
 }
 
-// hasFailedPaths reports whether an entry could not reach some server lately.
-func (p *Pool) hasFailedPaths(id EntryID) bool {
-	x := p.entries.known[id]
-	return x != nil && len(x.paths) > 0
-}
-
 // forgetPaths removes the paths whose pause has long ended.
 func (p *Pool) forgetPaths() {
 	for _, x := range p.entries.known {
--- a/pool/server.go
+++ b/pool/server.go
@@ -144,6 +144,7 @@
 		}
 	}
 	p.forgetCache(s)
+	p.endPushbacks(s)
 	s.rate = serverRate{}
 	s.room.accepted = 0
 	s.extraCalls = extraCalls{}
