objectstore, platform, gateway, discovery: a store that comes back from an older copy

Cause: the store's revision was taken for order everywhere, and it goes back; what is written then counted as old until revisions had passed the old ones. Class: a counter of somebody else's that only grew so far, taken for time. Change: a version is the era, then the revision, put together by the adapter, so that all that orders by it (servers, changes between daemons, rollouts, leases, claims, tombstones) stays in order. What has a version of its own is ordered by that first: the copy's configuration does not replace a newer one, here or told by another daemon. Servers that the copy lacks are kept as after an outage; one that was removed is not used until it has written again or its entry has stayed for 6 s, a leaving one stays leaving. Daemons of two eras send each other whole lists. A test of the daemons' polls found that one that had started on the copy did not take the newer configuration of another.

--- a/discovery/changelog.go
+++ b/discovery/changelog.go
@@ -1,10 +1,14 @@
 package discovery
 
-import "slices"
+import (
+	"slices"
 
-// Revision is the store's revision, as assigned by the platform. It grows with each
+	"github.com/lycheekeel/lycheekeel/objectstore"
+)
+
+// Revision is the store's version of a write, as assigned by the platform. It grows with each
 // write.
-type Revision uint64
+type Revision = objectstore.Version
 
 // maxRemovals limits the removals that a ChangeLog remembers. A client with an older
 // list gets the whole list.
--- a/discovery/directory.go
+++ b/discovery/directory.go
@@ -78,11 +78,13 @@
 	confirmed map[string]bool
 	// allConfirmed is set while all servers but the missing ones are confirmed.
 	allConfirmed bool
-	// left are the leaving servers that were removed, since the store may list them as
-	// ready again.
+	// left are the servers that were removed last, since the store may list them again as they
+	// were before.
 	left             *simplelru.LRU[string, Server]
 	storeDown        bool
 	storeRecoveredAt time.Time
+	// restored is set while the store shows what an older copy had, since storeRecoveredAt.
+	restored bool
 	// order holds the servers' IDs, sorted.
 	order []string
 	// touched are the servers that may have changed since the last TakeChanges.
@@ -99,7 +101,12 @@
 }
 
 // StoreUnavailable reports that the store did not answer.
-func (d *Directory) StoreUnavailable() { d.storeDown = true }
+func (d *Directory) StoreUnavailable() { d.storeDown, d.restored = true, false }
+
+// StoreRestored reports that the store has come back from an older copy: it lacks the servers
+// that registered since, and has those that were removed since, until servers have written and
+// entries have expired again.
+func (d *Directory) StoreRestored() { d.storeDown, d.restored = true, true }
 
 // Replace applies a complete list and reports whether anything changed.
 func (d *Directory) Replace(now time.Time, listed []Server) bool {
@@ -108,7 +115,7 @@
 	seen := make(map[string]bool, len(listed))
 	for _, s := range listed {
 		seen[s.ID] = true
-		changed = d.upsert(s) || changed
+		changed = d.upsert(now, s) || changed
 	}
 	for id := range d.servers {
 		if seen[id] {
@@ -152,7 +159,7 @@
 	}
 	d.confirmAll()
 	for _, s := range delta.Changed {
-		changed = d.upsert(s) || changed
+		changed = d.upsert(now, s) || changed
 	}
 	return changed
 }
@@ -194,7 +201,7 @@
 // Put applies one changed entry and reports whether the directory changed.
 func (d *Directory) Put(now time.Time, s Server) bool {
 	d.markStoreAvailable(now)
-	return d.upsert(s)
+	return d.upsert(now, s)
 }
 
 // Delete applies the removal of an entry at a revision (0: unknown) and reports whether
@@ -268,13 +275,15 @@
 // upsert applies an entry and reports whether the directory changed. A missing server
 // that is listed again counts as a change, since others were told that it is not
 // listed.
-func (d *Directory) upsert(s Server) bool {
+func (d *Directory) upsert(now time.Time, s Server) bool {
 	reappeared := d.missing[s.ID]
 	delete(d.missing, s.ID)
 	d.confirmed[s.ID] = true
 	old, known := d.servers[s.ID]
 	if known {
 		s = old.merge(s)
+	} else if d.isOutdated(now, s) {
+		return false
 	} else {
 		s = d.mergeLeft(s)
 	}
@@ -307,11 +316,23 @@
 	case s.Sequence < old.Sequence:
 		s.Restarts++ // nothing that was written before a removal comes after it
 	default:
-		s.Leaving = true
+		s.Leaving = s.Leaving || old.Leaving
 	}
 	return s
 }
 
+// restoredEntryTimeout is how long after a restore of the store the entry of a server that has
+// ended may be there: until its heartbeats have been missing for long enough.
+const restoredEntryTimeout = 6 * time.Second
+
+// isOutdated reports whether an entry is from before its server was removed: the store has it
+// from an older copy, and the server has not written since.
+func (d *Directory) isOutdated(now time.Time, s Server) bool {
+	old, known := d.left.Get(s.ID)
+	return known && d.restored && now.Sub(d.storeRecoveredAt) < restoredEntryTimeout &&
+		s.StartedAt == old.StartedAt && s.Sequence > 0 && s.Sequence <= old.Sequence
+}
+
 // merge returns the state of a server after the entry next. Entries may arrive late and
 // out of order: a watch may deliver writes that a list has already included.
 func (s Server) merge(next Server) Server {
@@ -365,7 +386,7 @@
 		d.order = slices.Delete(d.order, at, at+1)
 	}
 	d.touched[id] = struct{}{}
-	if s := d.servers[id]; s.Leaving {
+	if s, known := d.servers[id]; known {
 		d.left.Add(id, s)
 	}
 	delete(d.servers, id)
--- a/discovery/directory_test.go
+++ b/discovery/directory_test.go
@@ -301,3 +301,37 @@
 		So(d.Servers()[0].Incarnation(), ShouldNotEqual, Server{ID: "a"}.Incarnation())
 	})
 }
+
+// Guards against: after the store has come back from an older copy, servers that have ended get
+// requests, or those that it lacks get none.
+func TestDirectoryFollowsRestoredStore(t *testing.T) {
+	Convey("Given servers of which one was removed and one is leaving, and an older copy", t, func() {
+		d := NewDirectory()
+		d.Replace(start, []Server{{ID: "ended", Sequence: 9}, {ID: "leaves", Sequence: 9, Leaving: true}, {ID: "newcomer", Sequence: 1}})
+		d.Delete(start, "ended", 0)
+		d.Delete(start, "leaves", 0)
+		d.StoreRestored()
+		restored := start.Add(time.Second)
+		copied := []Server{{ID: "ended", Sequence: 8}, {ID: "leaves", Sequence: 8}}
+		d.Replace(restored, copied)
+
+		Convey("the ended one is not used, the newcomer is kept", func() {
+			So(serverIDs(d), ShouldResemble, []string{"newcomer"})
+		})
+		Convey("one that has written since is used, a leaving one stays leaving", func() {
+			d.Put(restored, Server{ID: "ended", Sequence: 10})
+			d.Put(restored, Server{ID: "leaves", Sequence: 10})
+			So(serverIDs(d), ShouldResemble, []string{"ended", "leaves", "newcomer"})
+			So(d.Servers()[0].Leaving, ShouldBeFalse)
+			So(d.Servers()[1].Leaving, ShouldBeTrue)
+		})
+		Convey("the newcomer is dropped if it does not register again", func() {
+			So(d.ExpireMissing(restored.Add(StoreRecoveryGrace)), ShouldBeTrue)
+			So(serverIDs(d), ShouldBeEmpty)
+		})
+		Convey("an entry that stays is of a server that lives", func() {
+			d.Replace(restored.Add(restoredEntryTimeout), copied)
+			So(serverIDs(d), ShouldContain, "ended")
+		})
+	})
+}
--- a/internal/gateway/outcomes.go
+++ b/internal/gateway/outcomes.go
@@ -46,7 +46,7 @@
 	if err == nil {
 		r.Revision, r.Acknowledged = uint64(written), true
 		s.recordOutcome(r)
-		log.WithField("revision", written).Info("Rollout state written.")
+		log.WithField("revision", written.Revision()).Info("Rollout state written.")
 		return
 	}
 	log.WithError(err).Warn("Rollout state not written.")
--- a/internal/gateway/peerpoll.go
+++ b/internal/gateway/peerpoll.go
@@ -58,13 +58,14 @@
 	resp := &wire.SyncAnswer{HeldMs: float64(held) / float64(time.Millisecond), ConfigAgeMs: ageMs(s.configFreshness.Age()), ServersAgeMs: ageMs(s.serversFreshness.Age())}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if uint64(s.config.Version) > req.ConfigRevision {
+	if s.hasNewerConfig(req) {
 		resp.ConfigRevision, resp.Config = uint64(s.config.Version), s.config.Value
 	}
 	resp.ServersRevision = uint64(s.serversRevision)
 	if resp.ServersRevision > req.ServersRevision {
 		resp.ServersTold = true
-		if d, ok := s.changes.Since(discovery.Revision(req.ServersRevision)); ok && req.ServersRevision > 0 && req.Changes {
+		known := discovery.Revision(req.ServersRevision)
+		if d, ok := s.changes.Since(known); ok && known > 0 && known.Era() == s.serversRevision.Era() && req.Changes {
 			resp.ServersBase, resp.Servers, resp.Removed = req.ServersRevision, serversToWire(d.Changed), d.Removed
 		} else {
 			resp.Servers = serversToWire(s.directory.Listed())
@@ -77,6 +78,23 @@
 	return resp, s.changed
 }
 
+// configVersion returns the own version of the active configuration; 0: there is none.
+func (s *state) configVersion() uint64 {
+	if table := s.routes.Load(); table != nil {
+		return table.Version
+	}
+	return 0
+}
+
+// hasNewerConfig reports whether this daemon's configuration is newer than that of the caller
+// of a poll; the mutex is held.
+func (s *state) hasNewerConfig(req *wire.SyncAsk) bool {
+	if req.ConfigVersion != 0 && req.ConfigVersion != s.configVersion() {
+		return req.ConfigVersion < s.configVersion()
+	}
+	return uint64(s.config.Version) > req.ConfigRevision
+}
+
 func serversToWire(servers []discovery.Server) []*wire.Server {
 	out := make([]*wire.Server, 0, len(servers))
 	for _, x := range servers {
--- a/internal/gateway/peersync.go
+++ b/internal/gateway/peersync.go
@@ -83,7 +83,7 @@
 	req := &wire.SyncAsk{
 		ConfigRevision: uint64(s.config.Version), ServersRevision: uint64(s.serversRevision), HoldMs: uint32(pollHold.Milliseconds()),
 		Changes: true, ConfigAgeMs: ageMs(s.configFreshness.Age()), ServersAgeMs: ageMs(s.serversFreshness.Age()),
-		RolloutsRevision: uint64(s.rollouts.revision),
+		RolloutsRevision: uint64(s.rollouts.revision), ConfigVersion: s.configVersion(),
 	}
 	s.mu.Unlock()
 	payload, err := proto.Marshal(req)
--- a/internal/gateway/peersync_test.go
+++ b/internal/gateway/peersync_test.go
@@ -11,6 +11,7 @@
 	"github.com/lycheekeel/lycheekeel/discovery"
 	"github.com/lycheekeel/lycheekeel/internal/gateway/wire"
 	"github.com/lycheekeel/lycheekeel/internal/metrics"
+	"github.com/lycheekeel/lycheekeel/objectstore"
 	"github.com/lycheekeel/lycheekeel/quota"
 	"github.com/lycheekeel/lycheekeel/revision"
 	"github.com/lycheekeel/lycheekeel/route"
@@ -82,6 +83,51 @@
 	return newState(Platform{}, "r", &route.Live{}, &workspace.CurrentSnapshot{}, limiter, func(map[string]string) {}, metrics.New())
 }
 
+// Guards against: of two daemons, one of which knows of the store's new era, the other one keeps
+// or sends what is older.
+func TestPeersAcrossEras(t *testing.T) {
+	apply := func(s *state, version byte, v objectstore.Version) {
+		So(s.applyConfig(objectstore.Object{Version: v, Value: []byte{version}}), ShouldBeTrue)
+	}
+	poll := func(from, of *peerSync) *wire.SyncAnswer {
+		q := &wire.SyncAsk{
+			ServersRevision: uint64(from.state.serversRevision), ConfigRevision: uint64(from.state.config.Version),
+			ConfigVersion: from.state.configVersion(), Changes: true,
+		}
+		m, _ := of.buildAnswer(q, of.state.serversFreshness.Now())
+		from.apply(m, 0, 0)
+		return m
+	}
+	Convey("Given a daemon with the newest configuration, and one that started on the copy", t, func() {
+		knows, started := &peerSync{state: stateWithConfig()}, &peerSync{state: emptyState()}
+		started.state.platform.DecodeConfiguration = knows.state.platform.DecodeConfiguration
+		apply(knows.state, 9, at(1, 90))
+		apply(started.state, 8, at(2, 80))
+		Convey("the second is told, the first is not", func() {
+			So(poll(knows, started).Config, ShouldBeEmpty)
+			So(poll(started, knows).Config, ShouldNotBeEmpty)
+			So(started.state.routes.Load().Version, ShouldEqual, 9)
+			So(poll(started, knows).Config, ShouldBeEmpty)
+			So(poll(knows, started).Config, ShouldBeEmpty)
+		})
+		Convey("one that does not tell its configuration's own version is told by the revision", func() {
+			m, _ := knows.buildAnswer(&wire.SyncAsk{ConfigRevision: uint64(at(1, 90))}, 0)
+			So(m.Config, ShouldBeEmpty)
+			m, _ = knows.buildAnswer(&wire.SyncAsk{ConfigRevision: uint64(at(1, 89))}, 0)
+			So(m.Config, ShouldNotBeEmpty)
+		})
+	})
+	Convey("A daemon of the era before is sent the whole list", t, func() {
+		reader, follower := &peerSync{state: stateWithRoutes()}, &peerSync{state: stateWithRoutes()}
+		reader.state.replaceServers([]discovery.Server{{ID: "a", Service: "app"}, {ID: "b", Service: "app"}}, at(1, 50))
+		poll(follower, reader)
+		reader.state.replaceServers([]discovery.Server{{ID: "a", Service: "app"}, {ID: "b", Service: "app", Slots: 2}}, at(2, 45))
+		So(poll(follower, reader).Servers, ShouldHaveLength, 2)
+		So(follower.state.serversRevision, ShouldEqual, at(2, 45))
+		So(poll(reader, follower).ServersTold, ShouldBeFalse)
+	})
+}
+
 // Guards against proofs that count as too old, so that each daemon lists the servers itself every
 // few seconds.
 func TestProofAgeCountsFromReadersRead(t *testing.T) {
--- a/internal/gateway/rolloutreflector.go
+++ b/internal/gateway/rolloutreflector.go
@@ -56,7 +56,7 @@
 func (s *state) decodeRollout(o objectstore.Object) rollout.Rollout {
 	x, err := s.platform.DecodeRollout(o)
 	if err != nil {
-		s.log.WithField("service", o.Name).WithField("revision", o.Version).WithError(err).Error("Rollout can't be read.")
+		s.log.WithField("service", o.Name).WithField("revision", o.Version.Revision()).WithError(err).Error("Rollout can't be read.")
 		x = rollout.Rollout{ID: rollout.ID{Service: o.Name, Created: uint64(o.Created)}, Revision: uint64(o.Version), Unreadable: true}
 	}
 	return x
--- a/internal/gateway/rollouts.go
+++ b/internal/gateway/rollouts.go
@@ -21,6 +21,7 @@
 	"github.com/lycheekeel/lycheekeel/internal/peer"
 	"github.com/lycheekeel/lycheekeel/internal/wait"
 	"github.com/lycheekeel/lycheekeel/member"
+	"github.com/lycheekeel/lycheekeel/objectstore"
 	"github.com/lycheekeel/lycheekeel/rollout"
 )
 
@@ -144,7 +145,7 @@
 
 // activate starts to take part in a rollout.
 func (r *rollouts) activate(x rollout.Rollout) *activeRollout {
-	r.log.WithFields(logrus.Fields{"service": x.Service, "to": x.To, "within_s": x.Duration.Seconds(), "revision": x.Revision}).
+	r.log.WithFields(logrus.Fields{"service": x.Service, "to": x.To, "within_s": x.Duration.Seconds(), "revision": objectstore.Version(x.Revision).Revision()}).
 		Info("Rollout started.")
 	return &activeRollout{
 		id: x.ID, knownSince: time.Now(), recorder: rollout.NewRecorder(),
--- a/internal/gateway/serverlog.go
+++ b/internal/gateway/serverlog.go
@@ -12,7 +12,7 @@
 // time it logs only their number, which may be thousands.
 func (s *state) logServers(changes []serverChange) {
 	if s.usable.Load() == nil {
-		s.log.WithFields(logrus.Fields{"servers": len(s.built.servers), "revision": s.serversRevision}).Info("Servers loaded.")
+		s.log.WithFields(logrus.Fields{"servers": len(s.built.servers), "revision": s.serversRevision.Revision()}).Info("Servers loaded.")
 		return
 	}
 	for _, c := range changes {
@@ -21,7 +21,7 @@
 		}
 		switch {
 		case !c.is:
-			s.log.WithFields(logrus.Fields{"server": c.id, "revision": s.serversRevision}).Info("Server is gone.")
+			s.log.WithFields(logrus.Fields{"server": c.id, "revision": s.serversRevision.Revision()}).Info("Server is gone.")
 		case c.after.Leaving && !(c.was && c.before.Leaving):
 			s.serverLog(c.after).Info("Server is leaving.")
 		case !c.was:
@@ -43,10 +43,10 @@
 		}
 		s.invalidReasons[x.ID] = x.InvalidReason
 		s.invalidEntries.Add(1)
-		s.log.WithFields(logrus.Fields{"server": x.ID, "reason": x.InvalidReason, "revision": x.Revision}).Warn("Server entry is malformed.")
+		s.log.WithFields(logrus.Fields{"server": x.ID, "reason": x.InvalidReason, "revision": x.Revision.Revision()}).Warn("Server entry is malformed.")
 	}
 }
 
 func (s *state) serverLog(x discovery.Server) *logrus.Entry {
-	return s.log.WithFields(logrus.Fields{"server": x.ID, "service": x.Service, "version": x.Version, "address": x.Address, "incarnation": x.Incarnation(), "revision": s.serversRevision})
+	return s.log.WithFields(logrus.Fields{"server": x.ID, "service": x.Service, "version": x.Version, "address": x.Address, "incarnation": x.Incarnation(), "revision": s.serversRevision.Revision()})
 }
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -52,9 +52,12 @@
 	// revision of the directory.
 	config          objectstore.Object
 	serversRevision objectstore.Version
-	changes         discovery.ChangeLog
-	rollouts        rolloutState
-	poolRemovals    poolRemovals
+	// outdatedConfig is the version of the last configuration that was ignored, since the
+	// store had come back from a copy older than the active one.
+	outdatedConfig objectstore.Version
+	changes        discovery.ChangeLog
+	rollouts       rolloutState
+	poolRemovals   poolRemovals
 	// canaryServers returns the servers of a new version that get canaries now.
 	canaryServers  func(service string, stable int, servers []discovery.Server) []discovery.Server
 	invalidReasons map[string]string // by the entry's name, as last logged
@@ -97,26 +100,28 @@
 
 // applyConfig activates a configuration unless it is older than the active one, and
 // reports whether the active one is at least as new.
+//
+// The configuration's own version decides: a store that has come back from an older copy shows
+// an older configuration in a newer object, until the operators have written theirs again.
 func (s *state) applyConfig(o objectstore.Object) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if o.Version <= s.config.Version {
+	sameEra := o.Version.Era() == s.config.Version.Era()
+	if o.Version <= s.config.Version && sameEra || o.Version == s.outdatedConfig {
 		return true
 	}
-	d, err := s.platform.DecodeConfiguration(o.Value)
-	if err != nil {
-		s.log.WithField("revision", o.Version).WithError(err).Error("Configuration can't be read.")
+	table, ok := s.compileConfig(o)
+	if !ok {
 		return false
 	}
-	table, findings := route.Compile(string(o.Kind)+"/"+o.Name, d)
-	if findings != nil {
-		s.log.WithField("version", d.Version).WithError(findings).Error("Configuration can't be used.")
-		return false
+	before := s.routes.Load()
+	if before != nil && (table.Version < before.Version || table.Version == before.Version && o.Version < s.config.Version) {
+		s.ignoreOutdatedConfig(o, table.Version, before.Version)
+		return true
 	}
 	s.config = o
-	before := s.routes.Load()
 	if s.routes.Update(table) {
-		s.log.WithField("version", table.Version).WithField("revision", o.Version).Info("Configuration in force.")
+		s.log.WithFields(logrus.Fields{"version": table.Version, "revision": o.Version.Revision(), "era": o.Version.Era()}).Info("Configuration in force.")
 		if s.onTable != nil {
 			s.onTable(before, table)
 		}
@@ -127,6 +132,32 @@
 	return true
 }
 
+// compileConfig compiles a configuration, or logs why it can't be used.
+func (s *state) compileConfig(o objectstore.Object) (*route.Table, bool) {
+	d, err := s.platform.DecodeConfiguration(o.Value)
+	if err != nil {
+		s.log.WithField("revision", o.Version.Revision()).WithError(err).Error("Configuration can't be read.")
+		return nil, false
+	}
+	table, findings := route.Compile(string(o.Kind)+"/"+o.Name, d)
+	if findings != nil {
+		s.log.WithField("version", d.Version).WithError(findings).Error("Configuration can't be used.")
+		return nil, false
+	}
+	return table, true
+}
+
+// ignoreOutdatedConfig remembers a configuration that is older than the active one, and logs
+// that if the store shows it.
+func (s *state) ignoreOutdatedConfig(o objectstore.Object, version, active uint64) {
+	if o.Version < s.config.Version {
+		return // of an earlier era, from another daemon
+	}
+	s.outdatedConfig = o.Version
+	s.log.WithFields(logrus.Fields{"version": version, "in_force": active, "revision": o.Version.Revision(), "era": o.Version.Era()}).
+		Warn("Configuration in the store is older than the one in force.")
+}
+
 // replaceServers applies a list of all servers as of a revision.
 func (s *state) replaceServers(listed []discovery.Server, rev objectstore.Version) {
 	s.updateServers(rev, func(now time.Time) bool {
@@ -207,7 +238,13 @@
 	if rev < s.serversRevision {
 		return
 	}
-	if !change(time.Now()) {
+	restored := s.serversRevision > 0 && rev.Era() > s.serversRevision.Era()
+	if restored {
+		s.log.WithFields(logrus.Fields{"era": rev.Era(), "revision": rev.Revision(), "before": s.serversRevision.Revision()}).
+			Warn("Store has come back from an older copy.")
+		s.directory.StoreRestored()
+	}
+	if !change(time.Now()) && !restored {
 		return
 	}
 	s.serversRevision = rev
--- a/internal/gateway/state_test.go
+++ b/internal/gateway/state_test.go
@@ -47,6 +47,57 @@
 	})
 }
 
+// at returns the version of a revision in an era.
+func at(era, revision uint64) objectstore.Version {
+	v, err := objectstore.NewVersion(era, revision)
+	if err != nil {
+		panic(err) // the tests' numbers are small
+	}
+	return v
+}
+
+// Guards against: after the store has come back from an older copy, changes are dropped as old,
+// or what the copy has reverts what is in force.
+func TestStateFollowsRestoredStore(t *testing.T) {
+	Convey("Given a configuration and servers of an era", t, func() {
+		s := stateWithConfig()
+		apply := func(version byte, v objectstore.Version) bool {
+			return s.applyConfig(objectstore.Object{Version: v, Value: []byte{version}})
+		}
+		So(apply(8, at(1, 80)), ShouldBeTrue)
+		s.replaceServers([]discovery.Server{{ID: "a", Service: "app", Revision: at(1, 50)}}, at(1, 90))
+
+		Convey("the copy's older configuration proves what is in force, but does not replace it", func() {
+			So(apply(7, at(2, 70)), ShouldBeTrue)
+			So(apply(7, at(2, 70)), ShouldBeTrue)
+			So(s.routes.Load().Version, ShouldEqual, 8)
+			So(s.config.Version, ShouldEqual, at(1, 80))
+			Convey("the next one is in force at a lower revision", func() {
+				So(apply(8, at(2, 71)), ShouldBeTrue)
+				So(s.config.Version, ShouldEqual, at(2, 71))
+				So(apply(9, at(2, 72)), ShouldBeTrue)
+				So(s.routes.Load().Version, ShouldEqual, 9)
+			})
+		})
+		Convey("servers change at lower revisions, and those that the copy lacks are kept for a moment", func() {
+			s.replaceServers([]discovery.Server{{ID: "b", Service: "app", Revision: at(2, 40)}}, at(2, 60))
+			So(*s.usable.Load(), ShouldHaveLength, 2)
+			s.putServer(discovery.Server{ID: "b", Service: "app", Leaving: true, Revision: at(2, 61)}, at(2, 61))
+			So((*s.usable.Load())["b"].leaving, ShouldBeTrue)
+		})
+		Convey("an answer of the era before that comes late changes nothing", func() {
+			s.replaceServers([]discovery.Server{{ID: "a", Service: "app", Revision: at(2, 50)}}, at(2, 60))
+			s.replaceServers([]discovery.Server{{ID: "c", Service: "app", Revision: at(1, 99)}}, at(1, 99))
+			_, known := (*s.usable.Load())["c"]
+			So(known, ShouldBeFalse)
+		})
+		Convey("a list that changes nothing still ends the era before", func() {
+			s.replaceServers([]discovery.Server{{ID: "a", Service: "app", Revision: at(2, 50)}}, at(2, 60))
+			So(s.serversRevision, ShouldEqual, at(2, 60))
+		})
+	})
+}
+
 // Guards against: a server that says in an answer that it leaves goes on to get requests.
 func TestServersThatSayThatTheyLeaveAreNotUsed(t *testing.T) {
 	Convey("A server that says so is not used any more, whatever its entry says", t, func() {
--- a/lease/elector.go
+++ b/lease/elector.go
@@ -205,7 +205,7 @@
 	}
 	l.deadline.Store(int64(a.sent + e.holderTTL()))
 	var usableAt time.Duration // in Clock.WaiterElapsed time
-	if o.Created == o.Version {
+	if o.Created.Revision() == o.Version.Revision() {
 		usableAt = e.o.Clock.WaiterElapsed() + e.takeoverDelay(record{})
 	}
 	go l.renewLoop(renewCtx)
--- a/objectstore/callonce/callonce.go
+++ b/objectstore/callonce/callonce.go
@@ -34,6 +34,8 @@
 	Path   string
 	Query  func(*fasthttp.Args) // may be nil
 	Body   []byte               // JSON; nil: none
+	// OnHeader is called with the header of the response, if there is one; it may be nil.
+	OnHeader func(*fasthttp.ResponseHeader)
 }
 
 // Client sends calls. It is safe for concurrent use.
@@ -73,6 +75,9 @@
 	if err := c.http.DoDeadline(req, resp, deadline); err != nil {
 		return nil, c.outcomeError(err)
 	}
+	if call.OnHeader != nil {
+		call.OnHeader(&resp.Header)
+	}
 	if err := objectstore.ErrorFromStatus(resp.StatusCode()); err != nil {
 		return nil, &OutcomeError{err, errors.Errorf("status %d", resp.StatusCode())}
 	}
--- a/objectstore/objectstore.go
+++ b/objectstore/objectstore.go
@@ -32,10 +32,6 @@
 // MaxValueBytes is the maximum size of a value, in bytes.
 const MaxValueBytes = 1 << 20
 
-// Version orders all writes of the object API: each write gets a larger one. Zero means
-// that there is no object.
-type Version uint64
-
 // Kind is the type of an object, e.g. "Template" or "Claim".
 type Kind string
 
@@ -44,8 +40,9 @@
 	Kind    Kind
 	Name    string
 	Version Version
-	// Created is the version at which the object was created. It changes when an
-	// object is deleted and created again under the same name.
+	// Created is the revision at which the object was created. It changes when an object is
+	// deleted and created again under the same name. It has no era: an object that comes back
+	// with an older copy of the store is the same one.
 	Created Version
 	Value   []byte
 	// Status is what the system has written beside the value; it may be empty.
