gateway: running daemons put the cluster key back when the store has lost it

What would be seen: a store that comes back from a copy without the key gets another one from the next daemon that starts. Cause: the key was written once, at the first start; nothing noticed that it was gone. Class: what the system wrote was taken to be there for ever, while only others write theirs again. Change: a daemon that sees the store's era rise, or a probe that finds no key, puts its own back if there is none; readers at once, the others within a second. A daemon that starts and finds none waits 3 s for that if the store names an era. A running daemon that finds another key logs it and replaces nothing.

--- a/internal/gateway/clusterkey.go
+++ b/internal/gateway/clusterkey.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"bytes"
 	"context"
 	cryptorand "crypto/rand"
 	"encoding/hex"
@@ -32,6 +33,11 @@
 // of the others find it on their next read. Only the first start of a system waits for it.
 const keyCreateJitter = 500 * time.Millisecond
 
+// keyPutBackTimeout is how long a daemon that starts waits for a running one to put back a key
+// that a restored store has lost. A daemon that made another key would found a second system
+// beside the first, with pools and quotas of its own.
+const keyPutBackTimeout = 3 * time.Second
+
 // clusterKeyStore is the part of the store that holds the cluster key.
 type clusterKeyStore struct {
 	objectstore.ObjectAPI
@@ -42,9 +48,9 @@
 // daemon creates it: whoever can read the store belongs to the system. It retries
 // until it has the key or ctx ends.
 func clusterKey(ctx context.Context, store clusterKeyStore, log *logrus.Entry) ([]byte, error) {
-	logged := false
+	logged, start := false, time.Now()
 	for ctx.Err() == nil {
-		key, err := store.find(ctx)
+		key, err := store.find(ctx, time.Since(start))
 		if err == nil {
 			return key, nil
 		}
@@ -57,16 +63,20 @@
 	return nil, ctx.Err()
 }
 
+// errKeyLost: the store has no key, and may have lost it with the copy that it came back from.
+var errKeyLost = errors.New("no cluster key in a store that may have been restored")
+
 // find reads the key, or creates it if there is none. The key never changes, so a stale
 // read suffices; it costs less, and all daemons may start at once. A stale read that
-// finds no key does not prove that there is none.
-func (s clusterKeyStore) find(ctx context.Context) ([]byte, error) {
+// finds no key does not prove that there is none. waited is how long the caller has looked for
+// the key.
+func (s clusterKeyStore) find(ctx context.Context, waited time.Duration) ([]byte, error) {
 	ctx, cancel := context.WithTimeout(ctx, 2*time.Second)
 	defer cancel()
 	o, err := s.GetStale(ctx, kindCluster, clusterKeyName)
 	if errors.Is(err, objectstore.ErrNotFound) {
 		wait.For(ctx, rand.N(keyCreateJitter))
-		return s.getOrCreate(ctx)
+		return s.getOrCreate(ctx, waited)
 	}
 	if err != nil {
 		return nil, err
@@ -74,15 +84,20 @@
 	return decodeKey(o)
 }
 
-func (s clusterKeyStore) getOrCreate(ctx context.Context) ([]byte, error) {
-	o, err := s.Get(ctx, kindCluster, clusterKeyName)
-	if errors.Is(err, objectstore.ErrNotFound) {
-		return createKey(ctx, s)
-	}
+func (s clusterKeyStore) getOrCreate(ctx context.Context, waited time.Duration) ([]byte, error) {
+	l, err := s.List(ctx, kindCluster, "")
 	if err != nil {
 		return nil, err
 	}
-	return decodeKey(o)
+	for _, o := range l.Objects {
+		if o.Name == clusterKeyName {
+			return decodeKey(o)
+		}
+	}
+	if l.Version.Era() > 0 && waited < keyPutBackTimeout {
+		return nil, errKeyLost
+	}
+	return createKey(ctx, s)
 }
 
 func decodeKey(o objectstore.Object) ([]byte, error) {
@@ -100,12 +115,67 @@
 	if _, err := cryptorand.Read(key); err != nil {
 		return nil, errors.Wrap(err, "generate cluster key")
 	}
+	return key, writeKey(ctx, store, key)
+}
+
+// writeKey writes a key if the store has none.
+func writeKey(ctx context.Context, store objectstore.ObjectAPI, key []byte) error {
 	value, err := json.Marshal(clusterKeyRecord{Key: hex.EncodeToString(key)})
 	if err != nil {
-		return nil, errors.Wrap(err, "encode cluster key")
+		return errors.Wrap(err, "encode cluster key")
+	}
+	_, err = store.Create(ctx, kindCluster, clusterKeyName, value)
+	return errors.WithMessage(err, "create cluster key")
+}
+
+// keyPutBackSpread spreads the daemons that look whether the key has to be put back. Readers,
+// which notice first, do not wait.
+const keyPutBackSpread = time.Second
+
+// keyKeeper puts the cluster key back when the store has lost it.
+type keyKeeper struct {
+	store    clusterKeyStore
+	key      []byte
+	isReader func() bool
+	// lost has a value when the store may have lost the key.
+	lost <-chan struct{}
+	log  *logrus.Entry
+}
+
+// run puts the key back whenever that is due, until ctx ends.
+func (k *keyKeeper) run(ctx context.Context) {
+	for {
+		select {
+		case <-k.lost:
+		case <-ctx.Done():
+			return
+		}
+		if !k.isReader() {
+			wait.For(ctx, rand.N(keyPutBackSpread))
+		}
+		for ctx.Err() == nil && !k.putBack(ctx) {
+			wait.For(ctx, storeRetryDelay)
+		}
+	}
+}
+
+// putBack writes the key unless the store has one, and reports whether it is known to have one.
+func (k *keyKeeper) putBack(ctx context.Context) bool {
+	ctx, cancel := context.WithTimeout(ctx, 2*time.Second)
+	defer cancel()
+	o, err := k.store.Get(ctx, kindCluster, clusterKeyName)
+	if errors.Is(err, objectstore.ErrNotFound) {
+		err = writeKey(ctx, k.store, k.key)
+		if err == nil {
+			k.log.Warn("Cluster key put back.")
+		}
+		return err == nil
+	}
+	if err != nil {
+		return false
 	}
-	if _, err := store.Create(ctx, kindCluster, clusterKeyName, value); err != nil {
-		return nil, errors.WithMessage(err, "create cluster key")
+	if known, err := decodeKey(o); err != nil || !bytes.Equal(known, k.key) {
+		k.log.WithError(err).Error("The store has another cluster key: daemons that start now don't find this one.")
 	}
-	return key, nil
+	return true
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -243,6 +243,8 @@
 	tasks.Go(func() { r.runProbe(ctx) })
 	tasks.Go(func() { g.logFreshness(ctx) })
 	tasks.Go(func() { g.archiveVersions(ctx) })
+	keeper := &keyKeeper{store: clusterKeyStore{g.platform.Store, g.platform.Stale}, key: key, isReader: g.peerSync.isReader, lost: g.state.storeRestored, log: g.log}
+	tasks.Go(func() { keeper.run(ctx) })
 	for _, k := range r.loops() {
 		tasks.Go(func() { r.run(ctx, k) })
 	}
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -64,6 +64,7 @@
 	built          builtServers
 	versions       *streamversion.History
 	changed        chan struct{} // closed and replaced at each change
+	storeRestored  chan struct{} // gets a value when the store may have lost what the system wrote
 	rebuildPacer   pacer         // limits the rate of rebuilds
 	rebuildPending bool          // a rebuild is scheduled
 }
@@ -85,7 +86,7 @@
 		platform: p, region: region, routes: routes, snapshot: snapshot, limiter: limiter, onIncarnations: onIncarnations,
 		configFreshness: revision.NewFreshness(), serversFreshness: revision.NewFreshness(), rolloutsFreshness: revision.NewFreshness(),
 		log: logs.For("sync"), rollouts: newRolloutState(false),
-		directory: discovery.NewDirectory(), changed: make(chan struct{}), latency: newLatencies(m),
+		directory: discovery.NewDirectory(), changed: make(chan struct{}), storeRestored: make(chan struct{}, 1), latency: newLatencies(m),
 		invalidEntries: m.Counter("servers", "invalid_entries"), invalidReasons: map[string]string{}, built: newBuiltServers(), versions: streamversion.NewHistory(),
 	}
 }
@@ -243,6 +244,7 @@
 		s.log.WithFields(logrus.Fields{"era": rev.Era(), "revision": rev.Revision(), "before": s.serversRevision.Revision()}).
 			Warn("Store has come back from an older copy.")
 		s.directory.StoreRestored()
+		s.signalStoreRestored()
 	}
 	if !change(time.Now()) && !restored {
 		return
@@ -253,6 +255,14 @@
 	s.notifyChangedLocked()
 }
 
+// signalStoreRestored tells that the store may have lost what the system wrote.
+func (s *state) signalStoreRestored() {
+	select {
+	case s.storeRestored <- struct{}{}:
+	default: // it is being looked after
+	}
+}
+
 // recordChangesLocked records the directory's changes for the daemons that poll this one and
 // for the next rebuild; the mutex is held.
 func (s *state) recordChangesLocked() {
--- a/internal/gateway/state_test.go
+++ b/internal/gateway/state_test.go
@@ -146,6 +146,7 @@
 
 // keyStore holds the cluster key; get and create are the errors of these calls.
 type keyStore struct {
+	era uint64
 	objectstore.ObjectAPI
 	value   []byte
 	get     error
@@ -175,6 +176,18 @@
 	return objectstore.Object{Value: s.value}, nil
 }
 
+// List lists what Get reads, as of a revision of the store's era.
+func (s *keyStore) List(ctx context.Context, kind objectstore.Kind, _ string) (objectstore.List, error) {
+	o, err := s.Get(ctx, kind, clusterKeyName)
+	l := objectstore.List{Version: at(s.era, 100)}
+	if errors.Is(err, objectstore.ErrNotFound) {
+		return l, nil
+	}
+	o.Name = clusterKeyName
+	l.Objects = []objectstore.Object{o}
+	return l, err
+}
+
 func (s *keyStore) Create(_ context.Context, _ objectstore.Kind, _ string, value []byte) (objectstore.Version, error) {
 	s.creates++
 	s.value = value
@@ -186,7 +199,7 @@
 	ctx := context.Background()
 	Convey("A key is created only if the store answers that there is none", t, func() {
 		s := &keyStore{get: objectstore.ErrUnavailable}
-		_, err := s.asStore().find(ctx)
+		_, err := s.asStore().find(ctx, 0)
 		So(errors.Is(err, objectstore.ErrUnavailable), ShouldBeTrue)
 		So(s.creates, ShouldEqual, 0)
 	})
@@ -202,16 +215,50 @@
 	})
 	Convey("A restarted daemon reads the key by a stale read", t, func() {
 		s := &keyStore{value: []byte(`{"key":"0a0b"}`)}
-		key, err := s.asStore().find(ctx)
+		key, err := s.asStore().find(ctx, 0)
 		So(err, ShouldBeNil)
 		So(key, ShouldResemble, []byte{10, 11})
 		So(s.reads, ShouldEqual, 0)
 	})
 	Convey("No key is created when only a stale read does not find it", t, func() {
 		s := &keyStore{value: []byte(`{"key":"0a0b"}`), behind: true}
-		key, err := s.asStore().find(ctx)
+		key, err := s.asStore().find(ctx, 0)
 		So(err, ShouldBeNil)
 		So(key, ShouldResemble, []byte{10, 11})
 		So(s.creates, ShouldEqual, 0)
 	})
 }
+
+// Guards against: the store has lost the cluster key, and a daemon that starts makes another one.
+func TestClusterKeyIsPutBack(t *testing.T) {
+	ctx := context.Background()
+	keeper := func(s *keyStore, key []byte) *keyKeeper {
+		return &keyKeeper{store: s.asStore(), key: key, isReader: func() bool { return true }, log: logs.For("test")}
+	}
+	Convey("A daemon that starts waits before it makes a key in a store that may have been restored", t, func() {
+		s := &keyStore{era: 2}
+		_, err := s.asStore().find(ctx, keyPutBackTimeout-1)
+		So(errors.Is(err, errKeyLost), ShouldBeTrue)
+		So(s.creates, ShouldEqual, 0)
+		_, err = s.asStore().find(ctx, keyPutBackTimeout)
+		So(err, ShouldBeNil)
+		So(s.creates, ShouldEqual, 1)
+	})
+	Convey("A running daemon puts its key back, once", t, func() {
+		s := &keyStore{era: 2}
+		k := keeper(s, []byte{10, 11})
+		So(k.putBack(ctx), ShouldBeTrue)
+		So(k.putBack(ctx), ShouldBeTrue)
+		So(s.creates, ShouldEqual, 1)
+		key, err := s.asStore().find(ctx, 0)
+		So(err, ShouldBeNil)
+		So(key, ShouldResemble, k.key)
+	})
+	Convey("It tries again while the store does not answer, and replaces no other key", t, func() {
+		So(keeper(&keyStore{get: objectstore.ErrUnavailable}, []byte{1}).putBack(ctx), ShouldBeFalse)
+		So(keeper(&keyStore{create: objectstore.ErrUnknownOutcome}, []byte{1}).putBack(ctx), ShouldBeFalse)
+		s := &keyStore{value: []byte(`{"key":"0a0b"}`)}
+		So(keeper(s, []byte{1}).putBack(ctx), ShouldBeTrue)
+		So(s.creates, ShouldEqual, 0)
+	})
+}
--- a/internal/gateway/storeprobe.go
+++ b/internal/gateway/storeprobe.go
@@ -33,6 +33,7 @@
 func (r *reflector) probe(ctx context.Context) error {
 	_, err := r.stale.GetStale(ctx, kindCluster, clusterKeyName)
 	if errors.Is(err, objectstore.ErrNotFound) {
+		r.state.signalStoreRestored()
 		return nil
 	}
 	return err
