rollout, gateway: a rollback that the store has lost stays, and is written again

Cause: a newer reading of the same rollout replaced an older one, whatever it said; nobody writes a rollout's outcome but the system, and it wrote it once. Change: a final state stays for the rollout that reached it; a daemon that reads it as running notes that the outcome is lost and writes it again, at most once a second. Not covered: a rollout that the copy lacks altogether and that is requested again gets another creation revision and counts as a new request.

--- a/internal/gateway/rollout_test.go
+++ b/internal/gateway/rollout_test.go
@@ -225,3 +225,25 @@
 		eventually(t, "the rollout is decided", func() bool { return c.state() == "rolled_back" })
 	})
 }
+
+// Guards against: the store comes back from a copy older than a rollback, and the version that
+// was rolled back is tried on callers again.
+func TestRolledBackVersionIsNotTriedAgainAfterRestore(t *testing.T) {
+	Convey("Given a version that was rolled back, and a copy of the store from before", t, func() {
+		c := newRolloutCluster(t)
+		c.store.SetEra(1)
+		c.rollOut(8, func(b *standin.Server) { b.Fails = func(int) bool { return true } })
+		eventually(t, "the rollout is acknowledged", func() bool { return c.state() == "running" })
+		backup := c.store.Backup()
+		c.call(func() bool { return c.state() == "rolled_back" })
+		eventually(t, "it gets no more", func() bool { return c.idle("new-", "old-") })
+		before := c.arrivals("new-")
+
+		c.store.Restore(backup)
+		c.call(func() bool { return c.state() == "rolled_back" })
+		Convey("it gets no request, and the rollback is written again", func() {
+			So(c.idle("new-", "old-"), ShouldBeTrue)
+			So(c.arrivals("new-"), ShouldEqual, before)
+		})
+	})
+}
--- a/internal/gateway/rollouts.go
+++ b/internal/gateway/rollouts.go
@@ -33,6 +33,8 @@
 	reportTimeout = time.Second
 	// planTTL is how long a plan is valid. A daemon without a valid plan sends no canaries.
 	planTTL = 2500 * time.Millisecond
+	// outcomeRetryDelay is the delay before a lost outcome is written again.
+	outcomeRetryDelay = time.Second
 	// rolloutTick is how often a rollout's decision is updated.
 	rolloutTick = 200 * time.Millisecond
 )
@@ -57,6 +59,8 @@
 	owner       func(service, region string) (string, bool)
 	deciders    *deciders
 	incarnation uint64
+
+	restoring atomic.Bool // a lost outcome is being written
 }
 
 type rolloutCounters struct{ canaries, noSlot, failed, abandoned *expvar.Int }
@@ -110,6 +114,7 @@
 	}
 	for ctx.Err() == nil {
 		r.refreshActive()
+		r.restoreOutcomes(ctx)
 		for service, a := range *r.active.Load() {
 			r.step(ctx, service, a)
 		}
@@ -143,6 +148,20 @@
 	r.deciders.retain(next)
 }
 
+// restoreOutcomes writes the final states that the store has lost.
+func (r *rollouts) restoreOutcomes(ctx context.Context) {
+	for _, x := range r.state.allRollouts() {
+		if x.OutcomeLost && r.restoring.CompareAndSwap(false, true) {
+			x.OutcomeLost = false
+			go func() {
+				defer r.restoring.Store(false)
+				r.deciders.writeOutcome(ctx, x)
+				wait.For(ctx, outcomeRetryDelay)
+			}()
+		}
+	}
+}
+
 // activate starts to take part in a rollout.
 func (r *rollouts) activate(x rollout.Rollout) *activeRollout {
 	r.log.WithFields(logrus.Fields{"service": x.Service, "to": x.To, "within_s": x.Duration.Seconds(), "revision": objectstore.Version(x.Revision).Revision()}).
--- a/rollout/rollout.go
+++ b/rollout/rollout.go
@@ -49,6 +49,8 @@
 	State    State
 	// Acknowledged is set once the operators were told that the rollout is in progress.
 	Acknowledged bool
+	// OutcomeLost is set if the store has lost the final state, which has to be written again.
+	OutcomeLost bool
 	// Unreadable is set if the request could not be decoded. It then names no version.
 	Unreadable bool
 }
@@ -56,11 +58,15 @@
 // InProgress reports whether the rollout is readable and has no final state yet.
 func (r Rollout) InProgress() bool { return r.State == Running && !r.Unreadable }
 
-// latest returns the newer of two readings of a rollout.
+// latest returns the newer of two readings of a rollout. A final state stays: the store that
+// shows an earlier one later has come back from an older copy.
 func (r Rollout) latest(next Rollout) Rollout {
 	if next.Created == r.Created && next.Revision < r.Revision {
 		return r
 	}
+	if next.ID == r.ID && r.State != Running && next.State == Running && !next.Unreadable {
+		next.State, next.OutcomeLost = r.State, true
+	}
 	return next
 }
 
