gateway: versions of services are archived again when the store has lost them

Cause: the daemon that archives which versions a service has remembers what it has written, and the store may lose that. Change: it begins anew when the store's era rises. Measured: TestVersionsAreArchivedAgainAfterRestore failed before (not archived within 30 s) and passes.

--- a/internal/gateway/rollout_test.go
+++ b/internal/gateway/rollout_test.go
@@ -247,3 +247,22 @@
 		})
 	})
 }
+
+// Guards against: the store has lost which versions a service had, and streams that are taken up
+// after all daemons were killed go on at any of them.
+func TestVersionsAreArchivedAgainAfterRestore(t *testing.T) {
+	Convey("Given a service with two versions, and a copy of the store that lacks that", t, func() {
+		c := newRolloutCluster(t)
+		c.store.SetEra(1)
+		backup := c.store.Backup()
+		c.addVersion("other", "app", "v2")
+		archived := func() bool { return len(c.store.Spec("lycheekeel-versions", "app")) > 0 }
+		eventually(t, "the versions are archived", archived)
+		c.store.Restore(backup)
+		So(archived(), ShouldBeFalse)
+		c.addVersion("other", "app", "v2")
+		Convey("they are archived again", func() {
+			eventually(t, "the versions are archived again", archived)
+		})
+	})
+}
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -255,6 +255,13 @@
 	s.notifyChangedLocked()
 }
 
+// storeEra returns the era of the store as of which the servers are known.
+func (s *state) storeEra() uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.serversRevision.Era()
+}
+
 // signalStoreRestored tells that the store may have lost what the system wrote.
 func (s *state) signalStoreRestored() {
 	select {
--- a/internal/gateway/versionarchive.go
+++ b/internal/gateway/versionarchive.go
@@ -79,12 +79,13 @@
 // daemon is the one to do so, until ctx ends.
 func (g *Gateway) archiveVersions(ctx context.Context) {
 	archiver := streamversion.NewArchiver(g.state.versions, versionArchive{g.platform})
-	writes := false
+	writes, era := false, g.state.storeEra()
 	for ctx.Err() == nil {
 		first, ok := g.currentView.Load().Owner(archiveKey, g.settings.Region)
-		if selected := ok && first.Name == g.settings.Name; selected != writes {
-			writes = selected
-			archiver = streamversion.NewArchiver(g.state.versions, versionArchive{g.platform})
+		selected, newest := ok && first.Name == g.settings.Name, g.state.storeEra()
+		if selected != writes || newest != era {
+			writes, era = selected, newest
+			archiver = streamversion.NewArchiver(g.state.versions, versionArchive{g.platform}) // it knows what it has written
 		}
 		if writes {
 			if err := archiver.Write(ctx, time.Now()); err != nil {
