--- a/test/soak/faults_test.go
+++ b/test/soak/faults_test.go
@@ -26,7 +26,7 @@
 		n := pick(r, f.nodes)
 		restart := n.restarter()
 		n.signal(syscall.SIGTERM)
-		return func() { restart(); f.record.addKill(n) }
+		return restart
 	}},
 	{"kill and restart", func(f *fleet, r *rand.Rand) func() {
 		n := pick(r, f.nodes)
--- a/test/soak/fleet_test.go
+++ b/test/soak/fleet_test.go
@@ -96,7 +96,7 @@
 	// partitionable is set if the nodes can be partitioned from all servers.
 	partitionable bool
 	noRollouts    bool
-	// record holds when nodes were killed, terminated or paused.
+	// record holds when nodes were killed, started again or paused.
 	record *faultRecord
 	// backup is the copy that the store comes back from next; nil: none has been made.
 	backup *standin.Backup
@@ -357,6 +357,7 @@
 			n.mu.Lock()
 			defer n.mu.Unlock()
 			if n.exited == exited {
+				n.fleet.record.addKill(n)
 				n.start()
 			}
 		})
