--- a/broker/commands.go
+++ b/broker/commands.go
@@ -162,6 +162,15 @@
 	return serverOf(snapshot.Pools[l.pool], name)
 }
 
+// currentServers returns the servers of the pool in the current snapshot.
+func (l *link) currentServers() []workspace.BackendServer {
+	snapshot := l.entry.cfg.Snapshot.Load()
+	if snapshot == nil || snapshot.Pools[l.pool] == nil {
+		return nil
+	}
+	return snapshot.Pools[l.pool].Servers
+}
+
 func serverOf(p *workspace.ResolvedPool, name string) (workspace.BackendServer, bool) {
 	if p == nil {
 		return workspace.BackendServer{}, false
--- a/broker/leaving.go
+++ b/broker/leaving.go
@@ -10,11 +10,7 @@
 // reportLeaving tells a new owner which servers are leaving as far as this daemon knows. The
 // owner may not have heard of it from them.
 func (l *link) reportLeaving() {
-	snapshot := l.entry.cfg.Snapshot.Load()
-	if snapshot == nil || snapshot.Pools[l.pool] == nil {
-		return
-	}
-	for _, s := range snapshot.Pools[l.pool].Servers {
+	for _, s := range l.currentServers() {
 		if s.Leaving {
 			l.outbox = append(l.outbox, pool.Leaving{Server: s.Name, Incarnation: s.Incarnation})
 		}
--- a/broker/pushback.go
+++ b/broker/pushback.go
@@ -65,11 +65,7 @@
 
 // reportPushbacks tells a new owner which servers have pushed this daemon back.
 func (l *link) reportPushbacks() {
-	snapshot := l.entry.cfg.Snapshot.Load()
-	if snapshot == nil || snapshot.Pools[l.pool] == nil {
-		return
-	}
-	for _, s := range snapshot.Pools[l.pool].Servers {
+	for _, s := range l.currentServers() {
 		if ev, ok := l.pushbackOf(s); ok {
 			l.outbox = append(l.outbox, ev)
 		}
--- a/discovery/directory.go
+++ b/discovery/directory.go
@@ -276,14 +276,15 @@
 // that is listed again counts as a change, since others were told that it is not
 // listed.
 func (d *Directory) upsert(now time.Time, s Server) bool {
+	old, known := d.servers[s.ID]
+	if !known && d.isOutdated(now, s) {
+		return false
+	}
 	reappeared := d.missing[s.ID]
 	delete(d.missing, s.ID)
 	d.confirmed[s.ID] = true
-	old, known := d.servers[s.ID]
 	if known {
 		s = old.merge(s)
-	} else if d.isOutdated(now, s) {
-		return false
 	} else {
 		s = d.mergeLeft(s)
 	}
--- a/internal/gateway/clusterkey.go
+++ b/internal/gateway/clusterkey.go
@@ -38,6 +38,9 @@
 // beside the first, with pools and quotas of its own.
 const keyPutBackTimeout = 3 * time.Second
 
+// keyCallTimeout bounds a look for the key in the store.
+const keyCallTimeout = 2 * time.Second
+
 // clusterKeyStore is the part of the store that holds the cluster key.
 type clusterKeyStore struct {
 	objectstore.ObjectAPI
@@ -71,7 +74,7 @@
 // finds no key does not prove that there is none. waited is how long the caller has looked for
 // the key.
 func (s clusterKeyStore) find(ctx context.Context, waited time.Duration) ([]byte, error) {
-	ctx, cancel := context.WithTimeout(ctx, 2*time.Second)
+	ctx, cancel := context.WithTimeout(ctx, keyCallTimeout)
 	defer cancel()
 	o, err := s.GetStale(ctx, kindCluster, clusterKeyName)
 	if errors.Is(err, objectstore.ErrNotFound) {
@@ -161,7 +164,7 @@
 
 // putBack writes the key unless the store has one, and reports whether it is known to have one.
 func (k *keyKeeper) putBack(ctx context.Context) bool {
-	ctx, cancel := context.WithTimeout(ctx, 2*time.Second)
+	ctx, cancel := context.WithTimeout(ctx, keyCallTimeout)
 	defer cancel()
 	o, err := k.store.Get(ctx, kindCluster, clusterKeyName)
 	if errors.Is(err, objectstore.ErrNotFound) {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -150,9 +150,10 @@
 
 // ServerLeaves implements forward.Admission.
 func (g *Gateway) ServerLeaves(s workspace.BackendServer) {
-	if use := (*g.state.usable.Load())[s.Name]; !use.leaving {
-		g.state.announceLeaving(s)
+	if usable := g.state.usable.Load(); usable != nil && (*usable)[s.Name].leaving {
+		return
 	}
+	g.state.announceLeaving(s)
 }
 
 // ProofAge implements forward.Admission; below 0: there was no proof.
