gateway: a reader that starts asks another daemon once

What would be seen: a daemon that starts, as a reader, while the store shows an older copy, accepts keys that were withdrawn since until the operators have written again. Cause: readers trust the store alone while their reads are fresh, and this one has nothing else to compare with. Change: until another daemon has answered, or for 5 s, a reader that has just started polls another one, too, which sends a configuration with a higher version of its own. Measured: the new case of TestPeersAcrossEras failed before (no daemon to poll) and passes.

--- a/internal/gateway/peersync.go
+++ b/internal/gateway/peersync.go
@@ -27,6 +27,9 @@
 	readerCheckInterval = 500 * time.Millisecond
 	// pollRetryDelay is the delay before another reader is polled after a failure.
 	pollRetryDelay = 200 * time.Millisecond
+	// startPollTimeout is how long a reader that has just started looks for a daemon that knows
+	// more than the store, which may have come back from an older copy.
+	startPollTimeout = 5 * time.Second
 	// staleAfter is the age of a reader's last read of the store from which it is
 	// skipped. Readers read every 1.1 s (servers) and 1.3 s (configuration), with 10 %
 	// jitter.
@@ -49,13 +52,14 @@
 	joined <-chan struct{}
 	// next selects the reader to poll. It grows each time that a reader is skipped
 	// because it did not answer or its reads were stale.
-	next atomic.Uint64
+	next      atomic.Uint64
+	startedAt time.Time
 	// lastAnswer is the time of the last answer by the clock of configFreshness; 0: none.
 	lastAnswer atomic.Int64
 }
 
 func newPeerSync(s *state, t peer.Transport, view *member.CurrentView, joined <-chan struct{}) *peerSync {
-	p := &peerSync{state: s, transport: t, currentView: view, joined: joined}
+	p := &peerSync{state: s, transport: t, currentView: view, joined: joined, startedAt: time.Now()}
 	t.Handle(peer.TypeSync, p.handlePoll)
 	return p
 }
--- a/internal/gateway/peersync_test.go
+++ b/internal/gateway/peersync_test.go
@@ -117,6 +117,31 @@
 			So(m.Config, ShouldNotBeEmpty)
 		})
 	})
+	Convey("A reader that has just started on the copy asks another daemon, once", t, func() {
+		all, nets, readers, _ := newPeerSyncs(3)
+		reader := all[readers[0]]
+		for _, p := range all {
+			p.state.platform.DecodeConfiguration = stateWithConfig().platform.DecodeConfiguration
+			p.setProofAge(100 * time.Millisecond)
+			if p != reader {
+				apply(p.state, 9, at(1, 90))
+			}
+		}
+		apply(reader.state, 8, at(2, 80))
+		So(reader.pollNext(), ShouldBeNil)
+		So(reader.state.routes.Load().Version, ShouldEqual, 9)
+		_, ok := reader.pickReader()
+		So(ok, ShouldBeFalse)
+		So(nets[readers[0]].polled, ShouldHaveLength, 1)
+	})
+	Convey("It does not ask for long where nobody answers", t, func() {
+		all, _, readers, _ := newPeerSyncs(3)
+		reader := all[readers[0]]
+		reader.setProofAge(100 * time.Millisecond)
+		reader.startedAt = time.Now().Add(-startPollTimeout)
+		_, ok := reader.pickReader()
+		So(ok, ShouldBeFalse)
+	})
 	Convey("A daemon of the era before is sent the whole list", t, func() {
 		reader, follower := &peerSync{state: stateWithRoutes()}, &peerSync{state: stateWithRoutes()}
 		reader.state.replaceServers([]discovery.Server{{ID: "a", Service: "app"}, {ID: "b", Service: "app"}}, at(1, 50))
--- a/internal/gateway/readers.go
+++ b/internal/gateway/readers.go
@@ -72,11 +72,11 @@
 
 // pickReader returns the reader to poll; false: this daemon polls none. Daemons
 // spread over the readers, and go on to the standbys when all readers were skipped. A
-// reader polls another one only while its own reads are stale.
+// reader polls another one only while its own reads are stale, and once after its start.
 func (p *peerSync) pickReader() (string, bool) {
 	v := p.currentView.Load()
 	candidates, standbys := selectReaders(v)
-	if slices.Contains(candidates, v.Self) && p.isCurrent() {
+	if slices.Contains(candidates, v.Self) && p.isCurrent() && p.hasAsked() {
 		return "", false
 	}
 	candidates = append(rotate(candidates, v.Self), rotate(standbys, v.Self)...)
@@ -87,6 +87,12 @@
 	return candidates[p.next.Load()%uint64(len(candidates))], true
 }
 
+// hasAsked reports whether another daemon has answered since this one started, or none did in
+// time.
+func (p *peerSync) hasAsked() bool {
+	return p.lastAnswer.Load() != 0 || time.Since(p.startedAt) >= startPollTimeout
+}
+
 // isCurrent reports whether this daemon's state is as fresh as a reader's.
 func (p *peerSync) isCurrent() bool {
 	return p.state.configFreshness.Within(staleAfter) && p.state.serversFreshness.Within(staleAfter)
