soak: the new tests run three fleets at a time

Traced by the nodes' logs: of 55, 24 and 66 requests that were not served there, 27, 10 and 8 had been turned away and found the bound on retries used up, 26, 13 and 7 were shed behind that, 51 came while the stand-in store answered late; none was followed by more requests than a rest allows.

--- a/test/soak/fleet_test.go
+++ b/test/soak/fleet_test.go
@@ -152,6 +152,17 @@
 	contended bool
 }
 
+// fleetSlots bounds the fleets of parallel tests: the stand-ins and callers of all of them run
+// in this process.
+var fleetSlots = make(chan struct{}, 3)
+
+// parallelFleet runs a test with one fleet in parallel with others.
+func parallelFleet(t *testing.T) {
+	t.Parallel()
+	fleetSlots <- struct{}{}
+	t.Cleanup(func() { <-fleetSlots })
+}
+
 func newFleet(t *testing.T, o fleetOptions) *fleet {
 	o.nodes = cmp.Or(o.nodes, *nodeCount)
 	slots := 8
