forward: what servers state of themselves is read in one place

Four readers of a header each looked for a 421, parsed a number, counted and logged one that is not valid. Now the answer of another server at the address is left out once, and one function reads the numbers. A key that could not be written is no longer returned beside its error.

--- a/internal/forward/counters.go
+++ b/internal/forward/counters.go
@@ -37,7 +37,7 @@
 	answered             *expvar.Int
 	// invalidRates counts the answers that name a limit which is no decimal number.
 	invalidRates *expvar.Int
-	// invalidLeaving counts the answers whose word on leaving has no known value.
+	// invalidLeaving counts the answers whose leaving header has no known value.
 	invalidLeaving *expvar.Int
 	// invalidPushbacks counts the refusals whose Retry-After is no number of seconds.
 	invalidPushbacks *expvar.Int
--- a/internal/forward/send.go
+++ b/internal/forward/send.go
@@ -197,10 +197,7 @@
 		conn.Discard()
 		return nil, nil, x.endLostAttempt(a, err)
 	}
-	x.reportRate(a, r)
-	x.reportBrittle(a, r)
-	x.reportLeaving(a, r)
-	x.reportPushback(a, r)
+	x.reportStatements(a, r)
 	if len(r.header.Peek(x.server.wire.NotExecuted)) > 0 {
 		return nil, nil, x.endUnexecuted(a, r)
 	}
--- a/internal/forward/serverrate.go
+++ b/internal/forward/serverrate.go
@@ -1,8 +1,11 @@
 package forward
 
 import (
+	"expvar"
 	"regexp"
 	"strconv"
+
+	"github.com/valyala/fasthttp"
 )
 
 // decimalNumber is the form of a number in a server's answer; it has neither sign nor exponent.
@@ -17,37 +20,37 @@
 	return number, err == nil
 }
 
-// reportRate reports the limit on requests per second that a server's answer names. A value
-// that isn't valid counts as none. The answer of another server at the address says
-// nothing about this one.
-func (x *exchange) reportRate(a *attempt, r *reply) {
-	value := r.header.Peek(x.server.wire.ServerRate)
-	if len(value) == 0 || r.header.StatusCode() == statusMisdirectedRequest {
-		return
+// statedNumber returns the number in a header by which a server states something of itself;
+// false if there is none. One that isn't valid is counted and counts as none.
+func (x *exchange) statedNumber(r *reply, header string, invalid *expvar.Int) (number float64, ok bool) {
+	value := r.header.Peek(header)
+	if len(value) == 0 {
+		return 0, false
 	}
-	perSecond, ok := parseDecimal(value)
-	if !ok {
-		x.server.counters.invalidRates.Add(1)
-		x.server.log.WithFields(x.requestFields()).WithField("value", string(value)).Debug("Invalid rate limit of a server.")
-		return
+	if number, ok = parseDecimal(value); !ok {
+		invalid.Add(1)
+		x.server.log.WithFields(x.requestFields()).WithField("header", header).WithField("value", string(value)).Debug("Invalid number in a server's answer.")
 	}
-	a.grant.RateLimited(max(perSecond, minReportedRate))
+	return number, ok
 }
 
-// reportBrittle reports that a server's answer names it brittle. A value that isn't valid
-// counts as none.
-func (x *exchange) reportBrittle(a *attempt, r *reply) {
-	value := r.header.Peek(x.server.wire.ServerBrittle)
-	if len(value) == 0 || r.header.StatusCode() == statusMisdirectedRequest {
+// reportStatements reports what a server's answer states of the server itself. The answer of
+// another server at the address says nothing about this one.
+func (x *exchange) reportStatements(a *attempt, r *reply) {
+	if r.header.StatusCode() == statusMisdirectedRequest {
 		return
 	}
-	perSecond, ok := parseDecimal(value)
-	if !ok {
-		x.server.counters.invalidRates.Add(1)
-		x.server.log.WithFields(x.requestFields()).WithField("value", string(value)).Debug("Invalid bound of a brittle server.")
-		return
+	wire, count := &x.server.wire, x.server.counters
+	if perSecond, ok := x.statedNumber(r, wire.ServerRate, count.invalidRates); ok {
+		a.grant.RateLimited(max(perSecond, minReportedRate))
+	}
+	if rejections, ok := x.statedNumber(r, wire.ServerBrittle, count.invalidRates); ok {
+		a.grant.Brittle(int(rejections))
+	}
+	x.reportLeaving(a, r)
+	if r.header.StatusCode() == fasthttp.StatusServiceUnavailable {
+		x.reportPushback(a, r)
 	}
-	a.grant.Brittle(int(perSecond))
 }
 
 // minReportedRate stands for 0, which would be no limit at the pool's owner.
--- a/internal/gateway/clusterkey.go
+++ b/internal/gateway/clusterkey.go
@@ -118,7 +118,10 @@
 	if _, err := cryptorand.Read(key); err != nil {
 		return nil, errors.Wrap(err, "generate cluster key")
 	}
-	return key, writeKey(ctx, store, key)
+	if err := writeKey(ctx, store, key); err != nil {
+		return nil, err
+	}
+	return key, nil
 }
 
 // writeKey writes a key if the store has none.
