--- a/test/soak/faults_test.go
+++ b/test/soak/faults_test.go
@@ -68,9 +68,9 @@
 		f.backup = nil
 		return f.writeAgain
 	}},
-	{"server asks for rest", func(f *fleet, r *rand.Rand) func() {
+	{"server pushes nodes back", func(f *fleet, r *rand.Rand) func() {
 		s := pick(r, f.servers)
-		s.SetRest(pick(r, []string{"0.7", "2", "3.5"}))
+		s.SetRetryAfter(pick(r, []string{"0.7", "2", "3.5"}))
 		s.SetBusy(true)
 		return func() { s.SetBusy(false) }
 	}},
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -111,7 +111,7 @@
 		}
 	}
 	f.checkLeaving(c, leaving, f.record)
-	f.checkRest(c, reachable, f.record)
+	f.checkPushbacks(c, reachable, f.record)
 }
 
 // startFleet returns a fleet whose nodes are ready. If the test fails, their logs are kept
