rollout: a spike ends once it has sent what it was planned for

Cause, by the log: 474 of them within 0.36 s, the spike in which all requests go to the new version for 0.4 s. The decider plans it at the usual rate, but nothing counted it, and callers that have their failure at once come again at once. Change: each daemon sends in the spike at most what it sent in a time of that length before.

--- a/internal/gateway/rollouts.go
+++ b/internal/gateway/rollouts.go
@@ -271,7 +271,7 @@
 	if plan == nil {
 		return "", false
 	}
-	if plan.AllToNew(route, time.Since(plan.receivedAt)) || plan.HasCanaries() && a.budget.Take() {
+	if a.allToNew(plan, route) || plan.HasCanaries() && a.budget.Take() {
 		r.counters.canaries.Add(1)
 		return a.id.To, true
 	}
@@ -284,7 +284,16 @@
 	if plan == nil {
 		return false
 	}
-	return plan.AllToNew(route, time.Since(plan.receivedAt)) || plan.HasCanaries() && a.budget.TakeResume()
+	return a.allToNew(plan, route) || plan.HasCanaries() && a.budget.TakeResume()
+}
+
+// allToNew reports whether a request goes to the new version since all of its route do. A spike
+// ends early once it has sent what it was planned for.
+func (a *activeRollout) allToNew(plan *receivedPlan, route string) bool {
+	if !plan.AllToNew(route, time.Since(plan.receivedAt)) {
+		return false
+	}
+	return plan.Phase != rollout.PhaseCanary || a.budget.TakeSpike(time.Since(a.knownSince), plan.SpikeFor)
 }
 
 // validPlan returns a service's running rollout and its plan; a nil plan if there is none
--- a/rollout/budget.go
+++ b/rollout/budget.go
@@ -1,6 +1,9 @@
 package rollout
 
-import "sync"
+import (
+	"sync"
+	"time"
+)
 
 // Bounds are the operators' limits on rollouts, summed over all daemons.
 type Bounds struct {
@@ -33,6 +36,9 @@
 	mu     sync.Mutex
 	credit float64
 	share  float64
+	sent   int // requests to the service
+	// spikeLeft is how many requests the spike may still send to the new version; nil before it.
+	spikeLeft *int
 	// maxDebt bounds how far resumed streams may overdraw the credit.
 	maxDebt float64
 }
@@ -56,9 +62,30 @@
 func (b *Budget) RecordSent() {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	b.sent++
 	b.credit = min(b.credit+b.share, maxCredit)
 }
 
+// TakeSpike takes one of the requests that the spike may send to the new version: as many as
+// were sent to the service in a time of its length before. elapsed is how long requests have
+// been counted.
+//
+// Without this bound, a version that fails each request at once would get several times what
+// the spike was planned for, from callers that ask again as soon as they have an answer.
+func (b *Budget) TakeSpike(elapsed, length time.Duration) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.spikeLeft == nil {
+		left := max(1, int(float64(b.sent)*length.Seconds()/max(elapsed, length).Seconds()))
+		b.spikeLeft = &left
+	}
+	if *b.spikeLeft == 0 {
+		return false
+	}
+	*b.spikeLeft--
+	return true
+}
+
 // maxCredit bounds the saved credit, in requests, so that a daemon that sends few canaries
 // for a while does not send a burst of them afterwards.
 const maxCredit = 3
--- a/rollout/rollout_test.go
+++ b/rollout/rollout_test.go
@@ -309,3 +309,29 @@
 		So(NewBudget(0, Bounds{Share: 0.5, Slack: 6}, 1, 0).TakeResume(), ShouldBeFalse)
 	})
 }
+
+// Guards against: a version that fails each request at once draws callers that ask again at once,
+// and gets several times what the spike was planned for.
+func TestSpikeEndsWithItsRequests(t *testing.T) {
+	Convey("Given a daemon that sends 50 requests a second, and a spike of 400 ms", t, func() {
+		b := NewBudget(0, Bounds{Share: 0.1, Slack: 50}, 4, 0)
+		for range 100 {
+			b.RecordSent()
+		}
+		taken := 0
+		for i := range 1000 {
+			if b.TakeSpike(2*time.Second+time.Duration(i)*400*time.Microsecond, 400*time.Millisecond) {
+				taken++
+				b.RecordSent()
+			}
+		}
+		Convey("the new version gets as many as it would at that rate, however many come", func() {
+			So(taken, ShouldEqual, 20)
+		})
+	})
+	Convey("A daemon with few requests may take part with one", t, func() {
+		b := NewBudget(0, Bounds{Share: 0.1, Slack: 50}, 4, 0)
+		So(b.TakeSpike(2*time.Second, 400*time.Millisecond), ShouldBeTrue)
+		So(b.TakeSpike(2*time.Second, 400*time.Millisecond), ShouldBeFalse)
+	})
+}
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -21,6 +21,9 @@
 	// A gateway exited at startup because its peer port was in use by another
 	// run that had started at the same time.
 	18,
+	// A version that fails each request at once got several times what a rollout's spike was
+	// planned for, as callers came again at once.
+	609,
 }
 
 // TestSoak checks the guarantees under random faults, once per seed. Every second fleet is a
