--- a/discovery/directory.go
+++ b/discovery/directory.go
@@ -83,7 +83,7 @@
 	left             *simplelru.LRU[string, Server]
 	storeDown        bool
 	storeRecoveredAt time.Time
-	// restored is set while the store shows what an older copy had, since storeRecoveredAt.
+	// restored is set while the store shows what its backup had, since storeRecoveredAt.
 	restored bool
 	// order holds the servers' IDs, sorted.
 	order []string
@@ -103,7 +103,7 @@
 // StoreUnavailable reports that the store did not answer.
 func (d *Directory) StoreUnavailable() { d.storeDown, d.restored = true, false }
 
-// StoreRestored reports that the store has come back from an older copy: it lacks the servers
+// StoreRestored reports that the store was restored from a backup: it lacks the servers
 // that registered since, and has those that were removed since, until servers have written and
 // entries have expired again.
 func (d *Directory) StoreRestored() { d.storeDown, d.restored = true, true }
@@ -327,7 +327,7 @@
 const restoredEntryTimeout = 6 * time.Second
 
 // isOutdated reports whether an entry is from before its server was removed: the store has it
-// from an older copy, and the server has not written since.
+// from its backup, and the server has not written since.
 func (d *Directory) isOutdated(now time.Time, s Server) bool {
 	old, known := d.left.Get(s.ID)
 	return known && d.restored && now.Sub(d.storeRecoveredAt) < restoredEntryTimeout &&
--- a/discovery/directory_test.go
+++ b/discovery/directory_test.go
@@ -302,10 +302,10 @@
 	})
 }
 
-// Guards against: after the store has come back from an older copy, servers that have ended get
+// Guards against: after the store was restored from a backup, servers that have ended get
 // requests, or those that it lacks get none.
 func TestDirectoryFollowsRestoredStore(t *testing.T) {
-	Convey("Given servers of which one was removed and one is leaving, and an older copy", t, func() {
+	Convey("Given servers of which one was removed and one is leaving, and a backup", t, func() {
 		d := NewDirectory()
 		d.Replace(start, []Server{{ID: "ended", Sequence: 9}, {ID: "leaves", Sequence: 9, Leaving: true}, {ID: "newcomer", Sequence: 1}})
 		d.Delete(start, "ended", 0)
--- a/internal/gateway/clusterkey.go
+++ b/internal/gateway/clusterkey.go
@@ -66,7 +66,7 @@
 	return nil, ctx.Err()
 }
 
-// errKeyLost: the store has no key, and may have lost it with the copy that it came back from.
+// errKeyLost: the store has no key, and may have lost it when it was restored from a backup.
 var errKeyLost = errors.New("no cluster key in a store that may have been restored")
 
 // find reads the key, or creates it if there is none. The key never changes, so a stale
--- a/internal/gateway/peersync.go
+++ b/internal/gateway/peersync.go
@@ -28,7 +28,7 @@
 	// pollRetryDelay is the delay before another reader is polled after a failure.
 	pollRetryDelay = 200 * time.Millisecond
 	// startPollTimeout is how long a reader that has just started looks for a daemon that knows
-	// more than the store, which may have come back from an older copy.
+	// more than the store, which may have been restored from a backup.
 	startPollTimeout = 5 * time.Second
 	// staleAfter is the age of a reader's last read of the store from which it is
 	// skipped. Readers read every 1.1 s (servers) and 1.3 s (configuration), with 10 %
--- a/internal/gateway/peersync_test.go
+++ b/internal/gateway/peersync_test.go
@@ -98,7 +98,7 @@
 		from.apply(m, 0, 0)
 		return m
 	}
-	Convey("Given a daemon with the newest configuration, and one that started on the copy", t, func() {
+	Convey("Given a daemon with the newest configuration, and one that started on the backup", t, func() {
 		knows, started := &peerSync{state: stateWithConfig()}, &peerSync{state: emptyState()}
 		started.state.platform.DecodeConfiguration = knows.state.platform.DecodeConfiguration
 		apply(knows.state, 9, at(1, 90))
@@ -117,7 +117,7 @@
 			So(m.Config, ShouldNotBeEmpty)
 		})
 	})
-	Convey("A reader that has just started on the copy asks another daemon, once", t, func() {
+	Convey("A reader that has just started on the backup asks another daemon, once", t, func() {
 		all, nets, readers, _ := newPeerSyncs(3)
 		reader := all[readers[0]]
 		for _, p := range all {
--- a/internal/gateway/rollout_test.go
+++ b/internal/gateway/rollout_test.go
@@ -226,10 +226,10 @@
 	})
 }
 
-// Guards against: the store comes back from a copy older than a rollback, and the version that
+// Guards against: the store is restored from a backup older than a rollback, and the version that
 // was rolled back is tried on callers again.
 func TestRolledBackVersionIsNotTriedAgainAfterRestore(t *testing.T) {
-	Convey("Given a version that was rolled back, and a copy of the store from before", t, func() {
+	Convey("Given a version that was rolled back, and a backup of the store from before", t, func() {
 		c := newRolloutCluster(t)
 		c.store.SetEra(1)
 		c.rollOut(8, func(b *standin.Server) { b.Fails = func(int) bool { return true } })
@@ -251,7 +251,7 @@
 // Guards against: the store has lost which versions a service had, and streams that are taken up
 // after all daemons were killed go on at any of them.
 func TestVersionsAreArchivedAgainAfterRestore(t *testing.T) {
-	Convey("Given a service with two versions, and a copy of the store that lacks that", t, func() {
+	Convey("Given a service with two versions, and a backup of the store that lacks that", t, func() {
 		c := newRolloutCluster(t)
 		c.store.SetEra(1)
 		backup := c.store.Backup()
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -53,7 +53,7 @@
 	config          objectstore.Object
 	serversRevision objectstore.Version
 	// outdatedConfig is the version of the last configuration that was ignored, since the
-	// store had come back from a copy older than the active one.
+	// store was restored from a backup older than the active one.
 	outdatedConfig objectstore.Version
 	changes        discovery.ChangeLog
 	rollouts       rolloutState
@@ -102,7 +102,7 @@
 // applyConfig activates a configuration unless it is older than the active one, and
 // reports whether the active one is at least as new.
 //
-// The configuration's own version decides: a store that has come back from an older copy shows
+// The configuration's own version decides: a store that was restored from a backup shows
 // an older configuration in a newer object, until the operators have written theirs again.
 func (s *state) applyConfig(o objectstore.Object) bool {
 	s.mu.Lock()
@@ -242,7 +242,7 @@
 	restored := s.serversRevision > 0 && rev.Era() > s.serversRevision.Era()
 	if restored {
 		s.log.WithFields(logrus.Fields{"era": rev.Era(), "revision": rev.Revision(), "before": s.serversRevision.Revision()}).
-			Warn("Store has come back from an older copy.")
+			Warn("Store was restored from a backup.")
 		s.directory.StoreRestored()
 		s.signalStoreRestored()
 	}
--- a/internal/gateway/state_test.go
+++ b/internal/gateway/state_test.go
@@ -56,8 +56,8 @@
 	return v
 }
 
-// Guards against: after the store has come back from an older copy, changes are dropped as old,
-// or what the copy has reverts what is in force.
+// Guards against: after the store was restored from a backup, changes are dropped as old,
+// or what the backup has reverts what is in force.
 func TestStateFollowsRestoredStore(t *testing.T) {
 	Convey("Given a configuration and servers of an era", t, func() {
 		s := stateWithConfig()
@@ -67,7 +67,7 @@
 		So(apply(8, at(1, 80)), ShouldBeTrue)
 		s.replaceServers([]discovery.Server{{ID: "a", Service: "app", Revision: at(1, 50)}}, at(1, 90))
 
-		Convey("the copy's older configuration proves what is in force, but does not replace it", func() {
+		Convey("the older configuration of the backup proves what is in force, but does not replace it", func() {
 			So(apply(7, at(2, 70)), ShouldBeTrue)
 			So(apply(7, at(2, 70)), ShouldBeTrue)
 			So(s.routes.Load().Version, ShouldEqual, 8)
@@ -79,7 +79,7 @@
 				So(s.routes.Load().Version, ShouldEqual, 9)
 			})
 		})
-		Convey("servers change at lower revisions, and those that the copy lacks are kept for a moment", func() {
+		Convey("servers change at lower revisions, and those that the backup lacks are kept for a moment", func() {
 			s.replaceServers([]discovery.Server{{ID: "b", Service: "app", Revision: at(2, 40)}}, at(2, 60))
 			So(*s.usable.Load(), ShouldHaveLength, 2)
 			s.putServer(discovery.Server{ID: "b", Service: "app", Leaving: true, Revision: at(2, 61)}, at(2, 61))
--- a/objectstore/objectstore.go
+++ b/objectstore/objectstore.go
@@ -42,7 +42,7 @@
 	Version Version
 	// Created is the revision at which the object was created. It changes when an object is
 	// deleted and created again under the same name. It has no era: an object that comes back
-	// with an older copy of the store is the same one.
+	// with a backup of the store is the same one.
 	Created Version
 	Value   []byte
 	// Status is what the system has written beside the value; it may be empty.
--- a/objectstore/version.go
+++ b/objectstore/version.go
@@ -5,7 +5,7 @@
 // Version orders all writes of the object API: each write gets a larger one. Zero means
 // that there is no object.
 //
-// A platform whose store may come back from an older copy names an era, which rises each time
+// A platform whose store may be restored from a backup names an era, which rises each time
 // that happens, while revisions go back and are given out again. The era is the most significant
 // part of a version, so that versions keep their order.
 type Version uint64
--- a/rollout/rollout.go
+++ b/rollout/rollout.go
@@ -59,7 +59,7 @@
 func (r Rollout) InProgress() bool { return r.State == Running && !r.Unreadable }
 
 // latest returns the newer of two readings of a rollout. A final state stays: the store that
-// shows an earlier one later has come back from an older copy.
+// shows an earlier one later was restored from a backup.
 func (r Rollout) latest(next Rollout) Rollout {
 	if next.Created == r.Created && next.Revision < r.Revision {
 		return r
--- a/test/soak/faults_test.go
+++ b/test/soak/faults_test.go
@@ -55,7 +55,7 @@
 		return func() { f.store.SetFaults(standin.Faults{}) }
 	}},
 	{"store compacts its history", func(f *fleet, _ *rand.Rand) func() { f.store.Compact(); return nil }},
-	{"store comes back from a copy", func(f *fleet, _ *rand.Rand) func() {
+	{"store is restored from a backup", func(f *fleet, _ *rand.Rand) func() {
 		if f.backup == nil {
 			b := f.store.Backup()
 			f.backup = &b
--- a/test/soak/fleet_test.go
+++ b/test/soak/fleet_test.go
@@ -98,7 +98,7 @@
 	noRollouts    bool
 	// record holds when nodes were killed, started again or paused.
 	record *faultRecord
-	// backup is the copy that the store comes back from next; nil: none has been made.
+	// backup is what the store is restored from next; nil: none has been made.
 	backup *standin.Backup
 	// restarts tracks goroutines that wait for a process to exit and then restart its node.
 	restarts conc.WaitGroup
@@ -259,7 +259,7 @@
 }
 
 // writeAgain writes the configuration and the servers' entries as they should be, after the
-// store has come back from a copy.
+// store was restored from a backup.
 func (f *fleet) writeAgain() {
 	f.store.RepeatConfiguration(f.config)
 	for _, s := range f.servers {
--- a/test/soak/restore_test.go
+++ b/test/soak/restore_test.go
@@ -21,23 +21,23 @@
 	restoreMargin = 200 * time.Millisecond
 	// restoreInterval is the time between two requests.
 	restoreInterval = 10 * time.Millisecond
-	// lostChanges is the number of configurations that the copy lacks.
+	// lostChanges is the number of configurations that the backup lacks.
 	lostChanges = 15
-	// storeAway is how long the store answers nobody before a copy is put back.
+	// storeAway is how long the store answers nobody before it is restored.
 	storeAway = 500 * time.Millisecond
 	addedPath = "/added/"
 )
 
-// restoreRun is a run in which the store comes back from an older copy.
+// restoreRun is a run in which the store is restored from a backup.
 type restoreRun struct {
 	name string
 	// firstEra is the era that the store names before; 0: it names none.
 	firstEra uint64
-	// times is how often a copy is put back in a row.
+	// times is how often the store is restored in a row.
 	times int
 	// again is how long after that the operator and the servers write again.
 	again time.Duration
-	// without are the kinds that the copy lacks.
+	// without are the kinds that the backup lacks.
 	without []string
 	// killed is the number of nodes that are killed and start again before that.
 	killed int
@@ -49,7 +49,7 @@
 	{name: "once, nodes start meanwhile", firstEra: 7, times: 1, again: time.Second, killed: 2},
 }
 
-// Guards against: changes that are made after the store has come back from an older copy are
+// Guards against: changes that are made after the store was restored from a backup are
 // not in force, or those that it has lost come back.
 func TestChangesAfterTheStoreWasRestored(t *testing.T) {
 	for _, x := range restoreRuns {
@@ -60,7 +60,7 @@
 	}
 }
 
-// Guards against: a copy lacks the key by which nodes know each other, and those that start
+// Guards against: a backup lacks the key by which nodes know each other, and those that start
 // make another one.
 func TestNodesKeepTheirKeyWhenTheStoreLosesIt(t *testing.T) {
 	parallelFleet(t)
@@ -72,7 +72,7 @@
 
 // restoreTimes are when changes were acknowledged, and which nodes were killed.
 type restoreTimes struct {
-	lostKey, lostDrain  time.Time // before the copy is put back
+	lostKey, lostDrain  time.Time // before the store is restored
 	key, route, drain   time.Time // after it
 	lostServer, drained *server
 	killed              []*node
@@ -120,7 +120,7 @@
 	}
 }
 
-// changeAndRestore changes the configuration and servers, puts a copy from before back, and
+// changeAndRestore changes the configuration and servers, restores the store from before, and
 // makes further changes.
 func (x restoreRun) changeAndRestore(ctx context.Context, f *fleet) restoreTimes {
 	var times restoreTimes
@@ -175,7 +175,7 @@
 	return times
 }
 
-// checkRestored checks that changes made before and after a copy was put back are in force. A
+// checkRestored checks that changes made before and after the store was restored are in force. A
 // node that was killed does not know what the store has lost.
 func (f *fleet) checkRestored(c *callers, times restoreTimes) {
 	calls := map[string]*call{}
@@ -202,7 +202,7 @@
 			}
 		}
 	}
-	f.t.Logf("withdrawn key served till %v, one withdrawn before the copy was put back till %v, added route unknown till %v; %d of %d others not served",
+	f.t.Logf("withdrawn key served till %v, one withdrawn before the restore till %v, added route unknown till %v; %d of %d others not served",
 		withKey.Round(time.Millisecond), withLostKey.Round(time.Millisecond), unknown.Round(time.Millisecond), failed, others)
 	for what, till := range map[string]time.Duration{
 		"a withdrawn key was served": withKey, "a key withdrawn before was served": withLostKey,
