Review case 2: a sound event is lost when the next one in its batch is spoiled

Claim: the events of a batch before one with a wrong id count as passed on, but are dropped. The stream is resumed after them and ends as complete with a piece missing (ORDER).

--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -20,7 +20,8 @@
 
 // cases are the cases by name. Each returns whether the rule was broken.
 var cases = map[string]func(f *fleet) bool{
-	"blank-line": playBlankLine,
+	"blank-line":    playBlankLine,
+	"missing-event": playMissingEvent,
 }
 
 func main() {
