Review case 3: the exit of a drained server completes its streams

Claim: an answer without length or chunks from a server that announced that it leaves counts as complete when the server's process exits, so that its streams end as complete before their last piece (ORDER).

--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -20,8 +20,9 @@
 
 // cases are the cases by name. Each returns whether the rule was broken.
 var cases = map[string]func(f *fleet) bool{
-	"blank-line":    playBlankLine,
-	"missing-event": playMissingEvent,
+	"blank-line":     playBlankLine,
+	"drained-stream": playDrainedStream,
+	"missing-event":  playMissingEvent,
 }
 
 func main() {
