Review case 4: daemons are not told that a server leaves

Claim: when the daemon that reads the store has learnt from an answer that a server leaves, the store's own entry changes nothing there, and the other daemons are never told. While the owner of the pool stands still, they send requests to the leaving server (DRAIN).

Shown: review/4/run.sh, six daemons; three of seven servers leave one after the other, and 3 s after each acknowledgment the owner of the pool is frozen for 4 s.

--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -20,9 +20,10 @@
 
 // cases are the cases by name. Each returns whether the rule was broken.
 var cases = map[string]func(f *fleet) bool{
-	"blank-line":     playBlankLine,
-	"drained-stream": playDrainedStream,
-	"missing-event":  playMissingEvent,
+	"blank-line":      playBlankLine,
+	"drained-stream":  playDrainedStream,
+	"leaving-unheard": playLeavingUnheard,
+	"missing-event":   playMissingEvent,
 }
 
 func main() {
