Review case 5: a kill of all daemons forgets the request that crashes servers

Claim: what is known of a request that crashes servers lives in memory only. After all daemons were killed once, the same request crashes three more servers and gets its trials anew, from daemons in touch (BUDGET).

Shown: review/5/run.sh, three daemons, six servers, the request comes every 5 s, all daemons are killed once.

--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -24,6 +24,7 @@
 	"drained-stream":  playDrainedStream,
 	"leaving-unheard": playLeavingUnheard,
 	"missing-event":   playMissingEvent,
+	"poison":          playPoison,
 }
 
 func main() {
