gateway: the log names from whom a daemon knows of a server, and which reader answers it

The logs could not tell a daemon that was never told from one that was told late or that sent all the same: "Server is leaving." did not say from whom a daemon knew, and no line said whose answers it applied.

Change: the lines of servers' changes have the field from (store, answer, expiry, or the daemon that sent it); a daemon logs when another reader's answers are applied. No decision changes. go test ./internal/gateway passes, with a test of each line.

--- a/internal/gateway/peersync.go
+++ b/internal/gateway/peersync.go
@@ -5,6 +5,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/sirupsen/logrus"
 	"google.golang.org/protobuf/proto"
 
 	"github.com/lycheekeel/lycheekeel/discovery"
@@ -52,7 +53,9 @@
 	joined <-chan struct{}
 	// next selects the reader to poll. It grows each time that a reader is skipped
 	// because it did not answer or its reads were stale.
-	next      atomic.Uint64
+	next atomic.Uint64
+	// source is the daemon whose answer was applied last.
+	source    string
 	startedAt time.Time
 	// lastAnswer is the time of the last answer by the clock of configFreshness; 0: none.
 	lastAnswer atomic.Int64
@@ -106,7 +109,8 @@
 		return err
 	}
 	s.latency.peerPoll.Observe(s.serversFreshness.Now() - serversMark - milliseconds(resp.HeldMs))
-	p.apply(&resp, configMark, serversMark)
+	p.logSource(name)
+	p.apply(name, &resp, configMark, serversMark)
 	p.lastAnswer.Store(int64(s.configFreshness.Now()))
 	if isStale(&resp) {
 		p.next.Add(1)
@@ -117,6 +121,14 @@
 	return nil
 }
 
+// logSource logs that another reader's answers are applied from now on.
+func (p *peerSync) logSource(name string) {
+	if name != p.source {
+		p.state.log.WithFields(logrus.Fields{"of": name, "before": p.source}).Info("Another reader answers.")
+		p.source = name
+	}
+}
+
 // isStale reports whether the reader's last reads are too old, or it has none.
 func isStale(resp *wire.SyncAnswer) bool {
 	limit := float64(staleAfter.Milliseconds())
@@ -125,7 +137,7 @@
 
 // apply applies what is newer in the answer and records its proofs of freshness.
 // configMark and serversMark were taken when the poll was sent.
-func (p *peerSync) apply(resp *wire.SyncAnswer, configMark, serversMark time.Duration) {
+func (p *peerSync) apply(from string, resp *wire.SyncAnswer, configMark, serversMark time.Duration) {
 	s := p.state
 	current := true
 	if len(resp.Config) > 0 {
@@ -142,7 +154,7 @@
 	}
 	rev := objectstore.Version(resp.ServersRevision)
 	if resp.ServersTold {
-		s.applyPeerServers(objectstore.Version(resp.ServersBase), discovery.Delta{Changed: serversFromWire(resp.Servers), Removed: resp.Removed}, rev)
+		s.applyPeerServers(from, objectstore.Version(resp.ServersBase), discovery.Delta{Changed: serversFromWire(resp.Servers), Removed: resp.Removed}, rev)
 	}
 	if !resp.ServersTold && resp.ServersAgeMs >= 0 {
 		s.confirmServers(rev)
--- a/internal/gateway/peersync_test.go
+++ b/internal/gateway/peersync_test.go
@@ -23,7 +23,7 @@
 	q := &wire.SyncAsk{ServersRevision: uint64(from.state.serversRevision), Changes: true}
 	m, _ := of.buildAnswer(q, of.state.serversFreshness.Now())
 	mark := from.state.serversFreshness.Now()
-	from.apply(m, mark, mark)
+	from.apply("reader", m, mark, mark)
 	return m
 }
 
@@ -57,7 +57,7 @@
 			reader.state.removeServer("b", 0, 52)
 			m, _ := reader.buildAnswer(q, 0)
 			follower.state.putServer(server("d", 1), 51)
-			follower.apply(m, 0, 0)
+			follower.apply("reader", m, 0, 0)
 			So(follower.state.serversRevision, ShouldEqual, 51)
 			So(pollOnce(follower, reader).ServersTold, ShouldBeTrue)
 		})
@@ -95,7 +95,7 @@
 			ConfigVersion: from.state.configVersion(), Changes: true,
 		}
 		m, _ := of.buildAnswer(q, of.state.serversFreshness.Now())
-		from.apply(m, 0, 0)
+		from.apply("reader", m, 0, 0)
 		return m
 	}
 	Convey("Given a daemon with the newest configuration, and one that started on the backup", t, func() {
@@ -168,7 +168,7 @@
 
 			follower := &peerSync{state: emptyState()}
 			sent := follower.state.serversFreshness.Now() - 1100*time.Millisecond
-			follower.apply(m, sent, sent)
+			follower.apply("reader", m, sent, sent)
 			age, ok := follower.state.serversFreshness.Age()
 			So(ok, ShouldBeTrue)
 			sinceSent := follower.state.serversFreshness.Now() - sent
@@ -192,7 +192,7 @@
 		Convey("an answer with too long a hold time gives no proof that lies in the future", func() {
 			follower := &peerSync{state: emptyState()}
 			sent := follower.state.serversFreshness.Now()
-			follower.apply(&wire.SyncAnswer{ConfigAgeMs: 20, ServersAgeMs: 20, HeldMs: 3_600_000}, sent, sent)
+			follower.apply("reader", &wire.SyncAnswer{ConfigAgeMs: 20, ServersAgeMs: 20, HeldMs: 3_600_000}, sent, sent)
 			for _, f := range []*revision.Freshness{follower.state.serversFreshness, follower.state.configFreshness} {
 				age, ok := f.Age()
 				So(ok, ShouldBeTrue)
@@ -203,7 +203,7 @@
 			m := &wire.SyncAnswer{ConfigAgeMs: -1, ServersAgeMs: 5000, HeldMs: 300}
 			follower := &peerSync{state: emptyState()}
 			sent := follower.state.serversFreshness.Now() - 400*time.Millisecond
-			follower.apply(m, sent, sent)
+			follower.apply("reader", m, sent, sent)
 			age, _ := follower.state.serversFreshness.Age()
 			So(age, ShouldBeGreaterThanOrEqualTo, 5100*time.Millisecond)
 		})
--- a/internal/gateway/poolupdate_test.go
+++ b/internal/gateway/poolupdate_test.go
@@ -83,7 +83,7 @@
 		for i := range rapid.IntRange(0, 40).Draw(t, "removed") {
 			d.Removed = append(d.Removed, fmt.Sprintf("s%03d", (from+n+i)%ids))
 		}
-		s.applyPeerServers(s.serversRevision, d, c.rev)
+		s.applyPeerServers("reader", s.serversRevision, d, c.rev)
 	case 6:
 		s.replaceServers(s.directory.Listed()[:len(s.directory.Listed())/2], c.rev)
 	case 7:
@@ -160,7 +160,7 @@
 	if want := "s006/0.0 s007/1.0 "; c.addresses["10.0.0.1:3"] != want {
 		t.Fatalf("at the shared address: %q, want %q", c.addresses["10.0.0.1:3"], want)
 	}
-	c.state.updateServers(12, func(time.Time) bool { return true })
+	c.state.updateServers(12, fromStore, func(time.Time) bool { return true })
 	if c.state.snapshot.Load() != after {
 		t.Fatal("pools were built though nothing had changed")
 	}
--- a/internal/gateway/register_bench_test.go
+++ b/internal/gateway/register_bench_test.go
@@ -63,7 +63,7 @@
 			for j := range benchBatch {
 				d.Changed = append(d.Changed, benchServer(i+j))
 			}
-			s.applyPeerServers(rev, d, rev+benchBatch)
+			s.applyPeerServers("reader", rev, d, rev+benchBatch)
 			rev += benchBatch
 			s.rebuild()
 		}
--- a/internal/gateway/serverchanges.go
+++ b/internal/gateway/serverchanges.go
@@ -14,7 +14,8 @@
 type serverChange struct {
 	id            string
 	before, after discovery.Server
-	was, is       bool // whether there was one before, and is one after
+	was, is       bool   // whether there was one before, and is one after
+	from          string // the source of the last change
 }
 
 // builtServers is what the last rebuild was made from, so that the next one costs no more
@@ -23,20 +24,20 @@
 	table     *route.Table
 	servers   map[string]discovery.Server // by ID, those with a valid entry
 	byAddress map[string]string           // never changed, but replaced
-	changed   map[string]struct{}         // the IDs of the servers that changed since
+	changed   map[string]string           // the sources of the last changes since, by server ID
 }
 
 func newBuiltServers() builtServers {
-	return builtServers{servers: map[string]discovery.Server{}, byAddress: map[string]string{}, changed: map[string]struct{}{}}
+	return builtServers{servers: map[string]discovery.Server{}, byAddress: map[string]string{}, changed: map[string]string{}}
 }
 
-// add adds changes of the directory.
-func (b *builtServers) add(d discovery.Delta) {
+// add adds changes of the directory, known from a source.
+func (b *builtServers) add(d discovery.Delta, from string) {
 	for _, x := range d.Changed {
-		b.changed[x.ID] = struct{}{}
+		b.changed[x.ID] = from
 	}
 	for _, id := range d.Removed {
-		b.changed[id] = struct{}{}
+		b.changed[id] = from
 	}
 }
 
@@ -56,10 +57,10 @@
 			delete(b.servers, id)
 		}
 		if (was || known) && !(was && known && after.Equal(before)) {
-			changes = append(changes, serverChange{id: id, before: before, after: after, was: was, is: known})
+			changes = append(changes, serverChange{id: id, before: before, after: after, was: was, is: known, from: b.changed[id]})
 		}
 	}
-	b.changed = map[string]struct{}{}
+	b.changed = map[string]string{}
 	return changes, invalid
 }
 
--- a/internal/gateway/serverlog.go
+++ b/internal/gateway/serverlog.go
@@ -8,6 +8,14 @@
 	"github.com/lycheekeel/lycheekeel/discovery"
 )
 
+// Sources of what a daemon knows of servers, for the log; another daemon that has sent it is
+// the source by its name.
+const (
+	fromStore  = "store"
+	fromAnswer = "answer" // of the server, to a request that this daemon sent
+	fromExpiry = "expiry" // of the time for which the store may lack an entry after an outage
+)
+
 // logServers logs which servers registered, restarted, began to leave or are gone. The first
 // time it logs only their number, which may be thousands.
 func (s *state) logServers(changes []serverChange) {
@@ -17,15 +25,15 @@
 	}
 	for _, c := range changes {
 		if c.was && c.is && c.before.Incarnation() != c.after.Incarnation() {
-			s.serverLog(c.after).WithField("before", c.before.Incarnation()).Info("Server restarted.")
+			s.changeLog(c).WithField("before", c.before.Incarnation()).Info("Server restarted.")
 		}
 		switch {
 		case !c.is:
-			s.log.WithFields(logrus.Fields{"server": c.id, "revision": s.serversRevision.Revision()}).Info("Server is gone.")
+			s.log.WithFields(logrus.Fields{"server": c.id, "from": c.from, "revision": s.serversRevision.Revision()}).Info("Server is gone.")
 		case c.after.Leaving && !(c.was && c.before.Leaving):
-			s.serverLog(c.after).Info("Server is leaving.")
+			s.changeLog(c).Info("Server is leaving.")
 		case !c.was:
-			s.serverLog(c.after).Info("Server registered.")
+			s.changeLog(c).Info("Server registered.")
 		}
 	}
 }
@@ -47,6 +55,8 @@
 	}
 }
 
-func (s *state) serverLog(x discovery.Server) *logrus.Entry {
-	return s.log.WithFields(logrus.Fields{"server": x.ID, "service": x.Service, "version": x.Version, "address": x.Address, "incarnation": x.Incarnation(), "revision": s.serversRevision.Revision()})
+// changeLog returns an entry with the server after a change, and from whom it is known.
+func (s *state) changeLog(c serverChange) *logrus.Entry {
+	x := c.after
+	return s.log.WithFields(logrus.Fields{"server": x.ID, "service": x.Service, "version": x.Version, "address": x.Address, "incarnation": x.Incarnation(), "from": c.from, "revision": s.serversRevision.Revision()})
 }
--- a/internal/gateway/serverlog_test.go
+++ b/internal/gateway/serverlog_test.go
@@ -38,3 +38,39 @@
 		So(s.invalidEntries.Value(), ShouldEqual, 2)
 	})
 }
+
+// Guards against: the log does not tell from whom a daemon knows of a server that leaves.
+func TestLogNamesTheSourceOfChanges(t *testing.T) {
+	Convey("Each change of a server is logged with its source", t, func() {
+		s := stateWithConfig()
+		logger, lines := logtest.NewNullLogger()
+		s.log = logrus.NewEntry(logger)
+		source := func() any {
+			last := lines.LastEntry()
+			return last.Message + " " + last.Data["from"].(string)
+		}
+		s.replaceServers([]discovery.Server{{ID: "a", Service: "app"}, {ID: "b", Service: "app"}}, 50)
+		s.announceLeaving(s.snapshot.Load().Pools["app"].Servers[0])
+		So(source(), ShouldEqual, "Server is leaving. answer")
+		s.putServer(discovery.Server{ID: "b", Service: "app", Leaving: true}, 51)
+		So(source(), ShouldEqual, "Server is leaving. store")
+		s.applyPeerServers("reader", 51, discovery.Delta{Removed: []string{"a"}}, 52)
+		So(source(), ShouldEqual, "Server is gone. reader")
+	})
+	Convey("A change of the reader is logged once", t, func() {
+		all, _, readers, _ := newPeerSyncs(3)
+		reader, follower := readers[0], all["a1"]
+		for name, p := range all {
+			p.setProofAge(0)
+			if name != reader {
+				follower = p
+			}
+		}
+		logger, lines := logtest.NewNullLogger()
+		follower.state.log = logrus.NewEntry(logger)
+		So(follower.poll(t.Context(), reader), ShouldBeNil)
+		So(follower.poll(t.Context(), reader), ShouldBeNil)
+		So(lines.AllEntries(), ShouldHaveLength, 1)
+		So(lines.LastEntry().Data["of"], ShouldEqual, reader)
+	})
+}
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -161,26 +161,26 @@
 
 // replaceServers applies a list of all servers as of a revision.
 func (s *state) replaceServers(listed []discovery.Server, rev objectstore.Version) {
-	s.updateServers(rev, func(now time.Time) bool {
+	s.updateServers(rev, fromStore, func(now time.Time) bool {
 		changed := s.directory.Replace(now, listed)
 		return s.directory.ExpireMissing(now) || changed
 	})
 }
 
-// applyPeerServers applies what a reader sent: the whole list if base is 0, else the
+// applyPeerServers applies what the reader from sent: the whole list if base is 0, else the
 // changes since the revision base, which are ignored if this daemon has another
 // revision.
 //
 // The reader's revision is taken over even where nothing has changed. This daemon
 // may have read a change itself before the reader did, at a lower revision; if it
 // kept that one, the reader would send the same change at every poll.
-func (s *state) applyPeerServers(base objectstore.Version, d discovery.Delta, rev objectstore.Version) {
+func (s *state) applyPeerServers(from string, base objectstore.Version, d discovery.Delta, rev objectstore.Version) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if base > 0 && s.serversRevision != base {
 		return // listed from the store meanwhile; the next answer will match
 	}
-	s.updateServersLocked(rev, func(now time.Time) bool {
+	s.updateServersLocked(rev, from, func(now time.Time) bool {
 		changed := false
 		if base > 0 {
 			changed = s.directory.Update(now, d)
@@ -201,7 +201,7 @@
 
 // applyServerEvents applies events in their order. rev is the revision after all of them.
 func (s *state) applyServerEvents(events []serverEvent, rev objectstore.Version) {
-	s.updateServers(rev, func(now time.Time) bool {
+	s.updateServers(rev, fromStore, func(now time.Time) bool {
 		changed := false
 		for _, e := range events {
 			if e.removed {
@@ -221,21 +221,21 @@
 	if !s.directory.Announce(x.Name, x.Incarnation) {
 		return
 	}
-	s.recordChangesLocked()
+	s.recordChangesLocked(fromAnswer)
 	s.scheduleRebuildLocked()
 	s.notifyChangedLocked()
 }
 
-// updateServers changes the directory unless that is newer, and rebuilds the pools
-// if the change matters.
-func (s *state) updateServers(rev objectstore.Version, change func(now time.Time) bool) {
+// updateServers changes the directory by what from says unless the directory is newer, and
+// rebuilds the pools if the change matters.
+func (s *state) updateServers(rev objectstore.Version, from string, change func(now time.Time) bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.updateServersLocked(rev, change)
+	s.updateServersLocked(rev, from, change)
 }
 
 // updateServersLocked is updateServers with the mutex held.
-func (s *state) updateServersLocked(rev objectstore.Version, change func(now time.Time) bool) {
+func (s *state) updateServersLocked(rev objectstore.Version, from string, change func(now time.Time) bool) {
 	if rev < s.serversRevision {
 		return
 	}
@@ -250,7 +250,7 @@
 		return
 	}
 	s.serversRevision = rev
-	s.recordChangesLocked()
+	s.recordChangesLocked(from)
 	s.scheduleRebuildLocked()
 	s.notifyChangedLocked()
 }
@@ -270,12 +270,12 @@
 	}
 }
 
-// recordChangesLocked records the directory's changes for the daemons that poll this one and
-// for the next rebuild; the mutex is held.
-func (s *state) recordChangesLocked() {
+// recordChangesLocked records the directory's changes, known from a source, for the daemons
+// that poll this one and for the next rebuild; the mutex is held.
+func (s *state) recordChangesLocked(from string) {
 	d := s.directory.TakeChanges()
 	s.changes.Record(d, discovery.Revision(s.serversRevision))
-	s.built.add(d)
+	s.built.add(d, from)
 }
 
 // scheduleRebuildLocked rebuilds the pools now or, where rebuilds would take too much
@@ -305,7 +305,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.directory.ExpireMissing(time.Now()) {
-		s.recordChangesLocked()
+		s.recordChangesLocked(fromExpiry)
 		s.rebuildLocked()
 		s.notifyChangedLocked()
 	}
