discovery, gateway: daemons are told what a reader knows of servers, however it knows it

Requests that callers had sent 2.5 to 4.1 s after the store had acknowledged that a server leaves reached it (2 s allowed), while the owner of its pool stood still or had just been replaced.

Cause: a daemon's list of servers was numbered by the store's revision. What the reader of the store heard in an answer changed its list at an unchanged revision, and the store's entry then changed nothing, so the daemons that ask by revision were never told, until another reader or their own list. Class: what one daemon learns is kept from the others because the number by which they ask does not move, or has moved further than the teller's.

Change: a change log has numbers of its own. A poll says what it was last told by this very process, and the answer has all that changed there since, or the whole list if the caller's list has been updated from elsewhere meanwhile. The store's revision orders lists as before; of an older list only which servers are leaving is taken. Earlier versions are answered by revision, with whole lists.

One expectation of TestPeersAcrossEras is replaced: the first poll of a daemon is answered with its list; that it changes nothing, and that the next answer has none, is checked instead. Of an ignored delta the next answer has to be the whole list, not any.

A server that came and went between two lists of the reader was kept by a daemon that had listed it itself; a test shows that it is dropped now.

--- a/discovery/changelog.go
+++ b/discovery/changelog.go
@@ -14,7 +14,11 @@
 // list gets the whole list.
 const maxRemovals = 4096
 
-// ChangeLog remembers at which revision each server of a directory last changed, so
+// ChangeNumber orders the changes of one ChangeLog; 0 is before the first. It isn't the store's
+// revision, because a directory also changes by what the store doesn't say or says later.
+type ChangeNumber uint64
+
+// ChangeLog numbers the changes of a directory and remembers the last one of each server, so
 // that a client with an older list can be sent the difference.
 //
 // With whole lists in place of deltas, 1,000 servers of which a few change each second
@@ -22,18 +26,18 @@
 // most. A ChangeLog is not safe for concurrent use.
 type ChangeLog struct {
 	current map[string]Server
-	// changes and removals are sorted by revision, oldest first. A server may be in
+	// changes and removals are sorted by number, oldest first. A server may be in
 	// changes several times; its newest state is in current.
 	changes  []change
 	removals []change
-	// oldest is the first revision since which all changes are known.
-	oldest Revision
+	// oldest is the first number since which all changes are known.
+	oldest, last ChangeNumber
 }
 
-// change is the revision at which a server changed or was no longer listed.
+// change is the number with which a server changed or was no longer listed.
 type change struct {
 	id string
-	at Revision
+	at ChangeNumber
 }
 
 // Delta is the difference between a list and an older one.
@@ -45,23 +49,26 @@
 // minCompaction is the number of changes below which superseded ones are kept.
 const minCompaction = 256
 
-// Record records what has changed in the list as of a revision, the first time the
-// whole list. Revisions don't decrease.
-func (c *ChangeLog) Record(d Delta, revision Revision) {
+// Newest returns the number of the last change; 0: nothing was recorded.
+func (c *ChangeLog) Newest() ChangeNumber { return c.last }
+
+// Record records what has changed in the list, the first time the whole list.
+func (c *ChangeLog) Record(d Delta) {
+	next := c.last + 1
 	if c.current == nil {
-		c.oldest, c.current = revision, map[string]Server{}
+		c.oldest, c.last, c.current = next, next, map[string]Server{}
 	}
 	for _, s := range d.Changed {
 		old, known := c.current[s.ID]
 		c.current[s.ID] = s
 		if !known || !s.Equal(old) {
-			c.changes = append(c.changes, change{s.ID, revision})
+			c.changes, c.last = append(c.changes, change{s.ID, next}), next
 		}
 	}
 	for _, id := range d.Removed {
 		if _, known := c.current[id]; known {
 			delete(c.current, id)
-			c.removals = append(c.removals, change{id, revision})
+			c.removals, c.last = append(c.removals, change{id, next}), next
 		}
 	}
 	c.compact()
@@ -81,9 +88,9 @@
 	slices.Reverse(c.changes)
 }
 
-// newest returns the last change of each listed server that changed after a revision,
+// newest returns the last change of each listed server that changed after a number,
 // newest first.
-func (c *ChangeLog) newest(after Revision) []change {
+func (c *ChangeLog) newest(after ChangeNumber) []change {
 	var out []change
 	seen := map[string]bool{}
 	for _, x := range slices.Backward(c.changes) {
@@ -98,18 +105,18 @@
 	return out
 }
 
-// Since returns the changes after a revision, or false if the revision is too old. The
-// delta may contain entries that the older list already has.
-func (c *ChangeLog) Since(revision Revision) (Delta, bool) {
-	if c.current == nil || revision < c.oldest {
+// Since returns the changes after a number, or false if that is too old. The delta may contain
+// entries that the older list already has.
+func (c *ChangeLog) Since(number ChangeNumber) (Delta, bool) {
+	if c.current == nil || number < c.oldest {
 		return Delta{}, false
 	}
 	var d Delta
-	for _, x := range c.newest(revision) {
+	for _, x := range c.newest(number) {
 		d.Changed = append(d.Changed, c.current[x.id])
 	}
 	for _, r := range slices.Backward(c.removals) {
-		if r.at <= revision {
+		if r.at <= number {
 			break
 		}
 		if _, relisted := c.current[r.id]; !relisted {
--- a/discovery/changelog_test.go
+++ b/discovery/changelog_test.go
@@ -35,16 +35,16 @@
 	return append(out, d.Changed...)
 }
 
-// TestDeltaUpdatesAnyOldList checks that applying the delta since an earlier revision
-// to the list of that revision gives the newest list, and that no delta is returned for
-// a revision that is no longer known.
+// TestDeltaUpdatesAnyOldList checks that applying the delta since an earlier number
+// to the list of that number gives the newest list, and that no delta is returned for
+// a number that is not known.
 func TestDeltaUpdatesAnyOldList(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		var c ChangeLog
 		listed := NewDirectory()
 		now := map[string]Server{}
-		history := map[Revision][]Server{}
-		for at := Revision(1); at <= 30; at++ {
+		history := map[ChangeNumber][]Server{0: nil}
+		for at := 1; at <= 30; at++ {
 			for range rapid.IntRange(0, 3).Draw(t, "edits") {
 				id := fmt.Sprint(rapid.IntRange(0, 6).Draw(t, "id"))
 				if rapid.Bool().Draw(t, "remove") {
@@ -53,15 +53,19 @@
 					now[id] = Server{ID: id, Slots: rapid.IntRange(1, 3).Draw(t, "slots")}
 				}
 			}
-			history[at] = serversOf(now)
 			if at >= 3 {
-				listed.Replace(time.Time{}, serversOf(now))
-				c.Record(listed.TakeChanges(), at)
+				before := c.Newest()
+				changed := listed.Replace(time.Time{}, serversOf(now))
+				c.Record(listed.TakeChanges())
+				if changed && c.Newest() <= before {
+					t.Fatalf("a change kept the number %d", before)
+				}
+				history[c.Newest()] = serversOf(now)
 			}
 		}
 		for at, old := range history {
 			d, ok := c.Since(at)
-			if ok != (at >= 3) {
+			if ok != (at > 0) {
 				t.Fatalf("Since(%d): ok is %v", at, ok)
 			}
 			if !ok {
@@ -81,10 +85,10 @@
 	Convey("For a revision before the remembered removals there is no delta", t, func() {
 		var c ChangeLog
 		listed := NewDirectory()
-		c.Record(listed.TakeChanges(), 1)
+		c.Record(listed.TakeChanges())
 		for i := range maxRemovals + 10 {
 			listed.Replace(time.Time{}, []Server{{ID: fmt.Sprint(i)}})
-			c.Record(listed.TakeChanges(), Revision(2+i))
+			c.Record(listed.TakeChanges())
 		}
 		_, ok := c.Since(5)
 		So(ok, ShouldBeFalse)
--- a/discovery/directory.go
+++ b/discovery/directory.go
@@ -198,6 +198,21 @@
 	return true
 }
 
+// MergeLeaving applies from a list that is older than the directory only which servers are
+// leaving: that may be known from elsewhere than the store. It reports whether the directory
+// changed.
+func (d *Directory) MergeLeaving(listed []Server) bool {
+	changed := false
+	for _, s := range listed {
+		old, known := d.servers[s.ID]
+		beforeRestart := old.Restarts > 0 && s.Revision < old.Revision
+		if known && s.Leaving && s.StartedAt == old.StartedAt && !beforeRestart {
+			changed = d.Announce(s.ID, old.Incarnation()) || changed
+		}
+	}
+	return changed
+}
+
 // Put applies one changed entry and reports whether the directory changed.
 func (d *Directory) Put(now time.Time, s Server) bool {
 	d.markStoreAvailable(now)
--- a/internal/gateway/peerpoll.go
+++ b/internal/gateway/peerpoll.go
@@ -9,6 +9,7 @@
 	"github.com/lycheekeel/lycheekeel/discovery"
 	"github.com/lycheekeel/lycheekeel/internal/gateway/wire"
 	"github.com/lycheekeel/lycheekeel/internal/peer"
+	"github.com/lycheekeel/lycheekeel/objectstore"
 )
 
 // minProofGain is how much newer a reader's proof must be than the caller's for a
@@ -61,16 +62,7 @@
 	if s.hasNewerConfig(req) {
 		resp.ConfigRevision, resp.Config = uint64(s.config.Version), s.config.Value
 	}
-	resp.ServersRevision = uint64(s.serversRevision)
-	if resp.ServersRevision > req.ServersRevision {
-		resp.ServersTold = true
-		known := discovery.Revision(req.ServersRevision)
-		if d, ok := s.changes.Since(known); ok && known > 0 && known.Era() == s.serversRevision.Era() && req.Changes {
-			resp.ServersBase, resp.Servers, resp.Removed = req.ServersRevision, serversToWire(d.Changed), d.Removed
-		} else {
-			resp.Servers = serversToWire(s.directory.Listed())
-		}
-	}
+	s.answerServers(req, resp)
 	if uint64(s.rollouts.revision) > req.RolloutsRevision {
 		resp.RolloutsTold, resp.RolloutsRevision, resp.Rollouts = true, uint64(s.rollouts.revision), rolloutsToWire(s.rollouts.all)
 		resp.Unfit = s.rollouts.rejectedVersions()
@@ -78,6 +70,26 @@
 	return resp, s.changed
 }
 
+// answerServers adds to an answer what has changed in the list of servers since what the caller
+// of the poll was told by this process; the mutex is held.
+func (s *state) answerServers(req *wire.SyncAsk, resp *wire.SyncAnswer) {
+	resp.ServersRevision, resp.ServersSource, resp.ServersNumber = uint64(s.serversRevision), s.source, uint64(s.changes.Newest())
+	told := req.ServersSource == s.source
+	resp.ServersTold = resp.ServersNumber > 0 && !(told && req.ServersNumber == resp.ServersNumber)
+	if !req.Numbers {
+		resp.ServersTold = resp.ServersRevision > req.ServersRevision
+	}
+	if !resp.ServersTold {
+		return
+	}
+	sameEra := objectstore.Version(req.ServersRevision).Era() == s.serversRevision.Era()
+	if d, ok := s.changes.Since(discovery.ChangeNumber(req.ServersNumber)); ok && told && sameEra && !req.ServersWhole {
+		resp.ServersSince, resp.Servers, resp.Removed = req.ServersNumber, serversToWire(d.Changed), d.Removed
+		return
+	}
+	resp.Servers = serversToWire(s.directory.Listed())
+}
+
 // configVersion returns the own version of the active configuration; 0: there is none.
 func (s *state) configVersion() uint64 {
 	if table := s.routes.Load(); table != nil {
--- a/internal/gateway/peersync.go
+++ b/internal/gateway/peersync.go
@@ -5,10 +5,10 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/hashicorp/golang-lru/v2/simplelru"
 	"github.com/sirupsen/logrus"
 	"google.golang.org/protobuf/proto"
 
-	"github.com/lycheekeel/lycheekeel/discovery"
 	"github.com/lycheekeel/lycheekeel/internal/gateway/wire"
 	"github.com/lycheekeel/lycheekeel/internal/peer"
 	"github.com/lycheekeel/lycheekeel/internal/wait"
@@ -54,6 +54,8 @@
 	// next selects the reader to poll. It grows each time that a reader is skipped
 	// because it did not answer or its reads were stale.
 	next atomic.Uint64
+	// heard is what other daemons have told of servers, by their names.
+	heard *simplelru.LRU[string, heardServers]
 	// source is the daemon whose answer was applied last.
 	source    string
 	startedAt time.Time
@@ -62,7 +64,7 @@
 }
 
 func newPeerSync(s *state, t peer.Transport, view *member.CurrentView, joined <-chan struct{}) *peerSync {
-	p := &peerSync{state: s, transport: t, currentView: view, joined: joined, startedAt: time.Now()}
+	p := &peerSync{state: s, transport: t, currentView: view, joined: joined, startedAt: time.Now(), heard: newHeardServers()}
 	t.Handle(peer.TypeSync, p.handlePoll)
 	return p
 }
@@ -92,6 +94,7 @@
 		Changes: true, ConfigAgeMs: ageMs(s.configFreshness.Age()), ServersAgeMs: ageMs(s.serversFreshness.Age()),
 		RolloutsRevision: uint64(s.rollouts.revision), ConfigVersion: s.configVersion(),
 	}
+	p.askServers(name, req)
 	s.mu.Unlock()
 	payload, err := proto.Marshal(req)
 	if err != nil {
@@ -154,7 +157,7 @@
 	}
 	rev := objectstore.Version(resp.ServersRevision)
 	if resp.ServersTold {
-		s.applyPeerServers(from, objectstore.Version(resp.ServersBase), discovery.Delta{Changed: serversFromWire(resp.Servers), Removed: resp.Removed}, rev)
+		p.applyServers(from, resp)
 	}
 	if !resp.ServersTold && resp.ServersAgeMs >= 0 {
 		s.confirmServers(rev)
--- a/internal/gateway/peersync_test.go
+++ b/internal/gateway/peersync_test.go
@@ -21,6 +21,7 @@
 // pollOnce lets one daemon poll another and returns the answer.
 func pollOnce(from, of *peerSync) *wire.SyncAnswer {
 	q := &wire.SyncAsk{ServersRevision: uint64(from.state.serversRevision), Changes: true}
+	from.askServers("reader", q)
 	m, _ := of.buildAnswer(q, of.state.serversFreshness.Now())
 	mark := from.state.serversFreshness.Now()
 	from.apply("reader", m, mark, mark)
@@ -34,7 +35,7 @@
 		return discovery.Server{ID: id, Service: "app", Slots: slots}
 	}
 	Convey("Given a reader, and a daemon that has its list", t, func() {
-		reader, follower := &peerSync{state: stateWithRoutes()}, &peerSync{state: stateWithRoutes()}
+		reader, follower := syncOf(stateWithRoutes()), syncOf(stateWithRoutes())
 		reader.state.replaceServers([]discovery.Server{server("a", 1), server("b", 1), server("c", 1)}, 50)
 		So(pollOnce(follower, reader).Servers, ShouldHaveLength, 3)
 		Convey("only changed and removed servers are sent", func() {
@@ -52,26 +53,60 @@
 			So(pollOnce(follower, reader).ServersTold, ShouldBeTrue)
 			So(pollOnce(follower, reader).ServersTold, ShouldBeFalse)
 		})
-		Convey("changes since a revision that the daemon does not have are ignored", func() {
+		Convey("changes of a list that the daemon has no more are not applied, and the whole list follows", func() {
 			q := &wire.SyncAsk{ServersRevision: 50, Changes: true}
+			follower.askServers("reader", q)
 			reader.state.removeServer("b", 0, 52)
 			m, _ := reader.buildAnswer(q, 0)
+			So(m.ServersSince, ShouldBeGreaterThan, 0)
 			follower.state.putServer(server("d", 1), 51)
 			follower.apply("reader", m, 0, 0)
 			So(follower.state.serversRevision, ShouldEqual, 51)
-			So(pollOnce(follower, reader).ServersTold, ShouldBeTrue)
+			m = pollOnce(follower, reader)
+			So(m.ServersTold, ShouldBeTrue)
+			So(m.ServersSince, ShouldEqual, 0)
+			So(follower.state.directory.Listed(), ShouldResemble, reader.state.directory.Listed())
+		})
+		Convey("a server that came and went between two lists of the reader is not kept", func() {
+			follower.state.replaceServers([]discovery.Server{server("a", 1), server("b", 1), server("c", 1), server("d", 1)}, 51)
+			reader.state.replaceServers([]discovery.Server{server("a", 2), server("b", 1), server("c", 1)}, 52)
+			pollOnce(follower, reader)
+			So(follower.state.directory.Listed(), ShouldResemble, reader.state.directory.Listed())
+		})
+		Convey("a daemon of an earlier version gets the whole list when the revision has moved", func() {
+			old := func(revision uint64) *wire.SyncAnswer {
+				m, _ := reader.buildAnswer(&wire.SyncAsk{ServersRevision: revision, Changes: true}, 0)
+				return m
+			}
+			So(old(50).ServersTold, ShouldBeFalse)
+			reader.state.removeServer("b", 0, 52)
+			So(old(50).Servers, ShouldHaveLength, 2)
+			So(old(52).ServersTold, ShouldBeFalse)
+		})
+		Convey("the changes of a daemon of an earlier version are applied to the list at their revision alone", func() {
+			m := &wire.SyncAnswer{ServersTold: true, ServersBase: 49, ServersRevision: 52, Removed: []string{"b"}}
+			follower.apply("reader", m, 0, 0)
+			So(follower.state.directory.Listed(), ShouldHaveLength, 3)
+			m.ServersBase = 50
+			follower.apply("reader", m, 0, 0)
+			So(follower.state.directory.Listed(), ShouldHaveLength, 2)
+			So(follower.state.serversRevision, ShouldEqual, 52)
 		})
 		Convey("a daemon that can't apply changes, or has no list, gets the whole list", func() {
 			reader.state.removeServer("b", 0, 52)
 			m, _ := reader.buildAnswer(&wire.SyncAsk{ServersRevision: 50}, 0)
-			So(m.ServersBase, ShouldEqual, 0)
+			So(m.ServersBase+m.ServersSince, ShouldEqual, 0)
+			So(m.Servers, ShouldHaveLength, 2)
+			m, _ = reader.buildAnswer(&wire.SyncAsk{Numbers: true, Changes: true}, 0)
+			So(m.ServersBase+m.ServersSince, ShouldEqual, 0)
 			So(m.Servers, ShouldHaveLength, 2)
-			m, _ = reader.buildAnswer(&wire.SyncAsk{Changes: true}, 0)
-			So(m.ServersBase, ShouldEqual, 0)
 		})
 	})
 }
 
+// syncOf returns the sync of a daemon without a transport.
+func syncOf(s *state) *peerSync { return &peerSync{state: s, heard: newHeardServers()} }
+
 func stateWithRoutes() *state {
 	s := emptyState()
 	s.routes.Update(&route.Table{Version: 1, Services: map[string]*route.Service{"app": {}}})
@@ -94,12 +129,13 @@
 			ServersRevision: uint64(from.state.serversRevision), ConfigRevision: uint64(from.state.config.Version),
 			ConfigVersion: from.state.configVersion(), Changes: true,
 		}
+		from.askServers("reader", q)
 		m, _ := of.buildAnswer(q, of.state.serversFreshness.Now())
 		from.apply("reader", m, 0, 0)
 		return m
 	}
 	Convey("Given a daemon with the newest configuration, and one that started on the backup", t, func() {
-		knows, started := &peerSync{state: stateWithConfig()}, &peerSync{state: emptyState()}
+		knows, started := syncOf(stateWithConfig()), syncOf(emptyState())
 		started.state.platform.DecodeConfiguration = knows.state.platform.DecodeConfiguration
 		apply(knows.state, 9, at(1, 90))
 		apply(started.state, 8, at(2, 80))
@@ -143,12 +179,15 @@
 		So(ok, ShouldBeFalse)
 	})
 	Convey("A daemon of the era before is sent the whole list", t, func() {
-		reader, follower := &peerSync{state: stateWithRoutes()}, &peerSync{state: stateWithRoutes()}
+		reader, follower := syncOf(stateWithRoutes()), syncOf(stateWithRoutes())
 		reader.state.replaceServers([]discovery.Server{{ID: "a", Service: "app"}, {ID: "b", Service: "app"}}, at(1, 50))
 		poll(follower, reader)
 		reader.state.replaceServers([]discovery.Server{{ID: "a", Service: "app"}, {ID: "b", Service: "app", Slots: 2}}, at(2, 45))
 		So(poll(follower, reader).Servers, ShouldHaveLength, 2)
 		So(follower.state.serversRevision, ShouldEqual, at(2, 45))
+		listed := reader.state.directory.Listed()
+		So(poll(reader, follower).ServersTold, ShouldBeTrue) // it has never polled that daemon
+		So(reader.state.directory.Listed(), ShouldResemble, listed)
 		So(poll(reader, follower).ServersTold, ShouldBeFalse)
 	})
 }
@@ -157,7 +196,7 @@
 // few seconds.
 func TestProofAgeCountsFromReadersRead(t *testing.T) {
 	Convey("Given a reader that has just read", t, func() {
-		reader := &peerSync{state: emptyState()}
+		reader := syncOf(emptyState())
 		reader.state.serversFreshness.Confirm(reader.state.serversFreshness.Now())
 		reader.state.configFreshness.Confirm(reader.state.configFreshness.Now())
 
@@ -166,7 +205,7 @@
 			m, _ := reader.buildAnswer(&wire.SyncAsk{}, received)
 			So(m.HeldMs, ShouldBeGreaterThanOrEqualTo, 1000)
 
-			follower := &peerSync{state: emptyState()}
+			follower := syncOf(emptyState())
 			sent := follower.state.serversFreshness.Now() - 1100*time.Millisecond
 			follower.apply("reader", m, sent, sent)
 			age, ok := follower.state.serversFreshness.Age()
@@ -190,7 +229,7 @@
 			So(milliseconds(m.HeldMs), ShouldBeLessThanOrEqualTo, reader.state.serversFreshness.Now()-start)
 		})
 		Convey("an answer with too long a hold time gives no proof that lies in the future", func() {
-			follower := &peerSync{state: emptyState()}
+			follower := syncOf(emptyState())
 			sent := follower.state.serversFreshness.Now()
 			follower.apply("reader", &wire.SyncAnswer{ConfigAgeMs: 20, ServersAgeMs: 20, HeldMs: 3_600_000}, sent, sent)
 			for _, f := range []*revision.Freshness{follower.state.serversFreshness, follower.state.configFreshness} {
@@ -201,7 +240,7 @@
 		})
 		Convey("a poll that arrives after the read proves no more than the read", func() {
 			m := &wire.SyncAnswer{ConfigAgeMs: -1, ServersAgeMs: 5000, HeldMs: 300}
-			follower := &peerSync{state: emptyState()}
+			follower := syncOf(emptyState())
 			sent := follower.state.serversFreshness.Now() - 400*time.Millisecond
 			follower.apply("reader", m, sent, sent)
 			age, _ := follower.state.serversFreshness.Age()
--- a/internal/gateway/poolupdate_test.go
+++ b/internal/gateway/poolupdate_test.go
@@ -83,7 +83,7 @@
 		for i := range rapid.IntRange(0, 40).Draw(t, "removed") {
 			d.Removed = append(d.Removed, fmt.Sprintf("s%03d", (from+n+i)%ids))
 		}
-		s.applyPeerServers("reader", s.serversRevision, d, c.rev)
+		s.applyPeerServers(peerServers{revision: c.rev, isDelta: true, update: s.serverUpdates, delta: d})
 	case 6:
 		s.replaceServers(s.directory.Listed()[:len(s.directory.Listed())/2], c.rev)
 	case 7:
--- a/internal/gateway/register_bench_test.go
+++ b/internal/gateway/register_bench_test.go
@@ -63,7 +63,7 @@
 			for j := range benchBatch {
 				d.Changed = append(d.Changed, benchServer(i+j))
 			}
-			s.applyPeerServers("reader", rev, d, rev+benchBatch)
+			s.applyPeerServers(peerServers{revision: rev + benchBatch, isDelta: true, update: s.serverUpdates, delta: d})
 			rev += benchBatch
 			s.rebuild()
 		}
@@ -89,7 +89,7 @@
 		s.putServer(x, rev)
 		for range daemonsPerReader - 1 {
 			s.mu.Lock()
-			s.changes.Since(discovery.Revision(rev - 1))
+			s.changes.Since(s.changes.Newest() - 1)
 			s.mu.Unlock()
 		}
 	}
--- a/internal/gateway/serverevents_test.go
+++ b/internal/gateway/serverevents_test.go
@@ -49,7 +49,7 @@
 			return discovery.Server{ID: id, Service: "app"}, nil
 		}
 		s.replaceServers([]discovery.Server{{ID: "gone", Service: "app"}}, 50)
-		ask := &wire.SyncAsk{ServersRevision: 50, Changes: true}
+		ask := &wire.SyncAsk{ServersRevision: 50, Changes: true, Numbers: true, ServersSource: s.source, ServersNumber: uint64(s.changes.Newest())}
 		_, changed := reader.buildAnswer(ask, s.serversFreshness.Now())
 		updates := 0
 		s.onIncarnations = func(map[string]string) { updates++ }
--- a/internal/gateway/serverlog_test.go
+++ b/internal/gateway/serverlog_test.go
@@ -54,7 +54,7 @@
 		So(source(), ShouldEqual, "Server is leaving. answer")
 		s.putServer(discovery.Server{ID: "b", Service: "app", Leaving: true}, 51)
 		So(source(), ShouldEqual, "Server is leaving. store")
-		s.applyPeerServers("reader", 51, discovery.Delta{Removed: []string{"a"}}, 52)
+		s.applyPeerServers(peerServers{from: "reader", revision: 52, isDelta: true, update: s.serverUpdates, delta: discovery.Delta{Removed: []string{"a"}}})
 		So(source(), ShouldEqual, "Server is gone. reader")
 	})
 	Convey("A change of the reader is logged once", t, func() {
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -2,6 +2,8 @@
 
 import (
 	"expvar"
+	"math"
+	"math/rand/v2"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -52,10 +54,15 @@
 	// revision of the directory.
 	config          objectstore.Object
 	serversRevision objectstore.Version
+	// serverUpdates counts the updates of the directory by the store or a reader.
+	serverUpdates uint64
+	// source identifies this process to the daemons that poll it, and changes numbers what
+	// they are sent.
+	source  uint64
+	changes discovery.ChangeLog
 	// outdatedConfig is the version of the last configuration that was ignored, since the
 	// store was restored from a backup older than the active one.
 	outdatedConfig objectstore.Version
-	changes        discovery.ChangeLog
 	rollouts       rolloutState
 	poolRemovals   poolRemovals
 	// canaryServers returns the servers of a new version that get canaries now.
@@ -85,7 +92,7 @@
 	return &state{
 		platform: p, region: region, routes: routes, snapshot: snapshot, limiter: limiter, onIncarnations: onIncarnations,
 		configFreshness: revision.NewFreshness(), serversFreshness: revision.NewFreshness(), rolloutsFreshness: revision.NewFreshness(),
-		log: logs.For("sync"), rollouts: newRolloutState(false),
+		log: logs.For("sync"), source: 1 + rand.Uint64N(math.MaxUint64), rollouts: newRolloutState(false),
 		directory: discovery.NewDirectory(), changed: make(chan struct{}), storeRestored: make(chan struct{}, 1), latency: newLatencies(m),
 		invalidEntries: m.Counter("servers", "invalid_entries"), invalidReasons: map[string]string{}, built: newBuiltServers(), versions: streamversion.NewHistory(),
 	}
@@ -167,29 +174,40 @@
 	})
 }
 
-// applyPeerServers applies what the reader from sent: the whole list if base is 0, else the
-// changes since the revision base, which are ignored if this daemon has another
-// revision.
+// applyPeerServers applies what another daemon has told, and reports whether that is all applied.
+// base says what the list is now.
 //
-// The reader's revision is taken over even where nothing has changed. This daemon
-// may have read a change itself before the reader did, at a lower revision; if it
-// kept that one, the reader would send the same change at every poll.
-func (s *state) applyPeerServers(from string, base objectstore.Version, d discovery.Delta, rev objectstore.Version) {
+// Where the list is newer than the other daemon's, only which servers are leaving is applied:
+// the rest is known. So it is where changes relate to a list that this daemon has no more, since
+// it has been updated meanwhile; the next poll asks for the whole list.
+//
+// The other daemon's revision is taken over even where nothing has changed. This daemon
+// may have read a change itself before, at a lower revision; if it kept that one, a daemon of an
+// earlier version would send the same change at every poll.
+func (s *state) applyPeerServers(x peerServers) (base listBase, applied bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if base > 0 && s.serversRevision != base {
-		return // listed from the store meanwhile; the next answer will match
+	fits := !x.isDelta || x.update == s.serverUpdates
+	if x.base > 0 {
+		fits = x.base == s.serversRevision
+	}
+	if !fits || x.revision < s.serversRevision {
+		if s.directory.MergeLeaving(x.delta.Changed) {
+			s.publishChangesLocked(x.from)
+		}
+		return listBase{}, fits
 	}
-	s.updateServersLocked(rev, from, func(now time.Time) bool {
+	s.updateServersLocked(x.revision, x.from, func(now time.Time) bool {
 		changed := false
-		if base > 0 {
-			changed = s.directory.Update(now, d)
+		if x.isDelta {
+			changed = s.directory.Update(now, x.delta)
 		} else {
-			changed = s.directory.Replace(now, d.Changed)
+			changed = s.directory.Replace(now, x.delta.Changed)
 		}
 		return s.directory.ExpireMissing(now) || changed
 	})
-	s.serversRevision = max(s.serversRevision, rev)
+	s.serversRevision = max(s.serversRevision, x.revision)
+	return listBase{same: true, update: s.serverUpdates}, true
 }
 
 // serverEvent is a changed entry or, if removed is set, the removal of the entry of that ID
@@ -221,9 +239,7 @@
 	if !s.directory.Announce(x.Name, x.Incarnation) {
 		return
 	}
-	s.recordChangesLocked(fromAnswer)
-	s.scheduleRebuildLocked()
-	s.notifyChangedLocked()
+	s.publishChangesLocked(fromAnswer)
 }
 
 // updateServers changes the directory by what from says unless the directory is newer, and
@@ -250,6 +266,13 @@
 		return
 	}
 	s.serversRevision = rev
+	s.serverUpdates++
+	s.publishChangesLocked(from)
+}
+
+// publishChangesLocked makes the directory's changes, known from a source, known to the pools
+// and to the daemons that poll this one; the mutex is held.
+func (s *state) publishChangesLocked(from string) {
 	s.recordChangesLocked(from)
 	s.scheduleRebuildLocked()
 	s.notifyChangedLocked()
@@ -274,7 +297,7 @@
 // that poll this one and for the next rebuild; the mutex is held.
 func (s *state) recordChangesLocked(from string) {
 	d := s.directory.TakeChanges()
-	s.changes.Record(d, discovery.Revision(s.serversRevision))
+	s.changes.Record(d)
 	s.built.add(d, from)
 }
 
