forward: event streams are cut into blocks by one parser, and a blank line more ends no process

Cause: two functions cut the same bytes by two rules, one at the last blank line, the other at the first; of three line ends one was left over, and slicing it at -1 panicked.

Change: one function cuts a block by the grammar of text/event-stream (LF, CRLF, CR, blank lines, comments, fields without a colon, a byte order mark), and reads the id with it. Bytes are passed on as they came, a blank line that ends no event too.

--- a/internal/forward/eventreader.go
+++ b/internal/forward/eventreader.go
@@ -1,9 +1,7 @@
 package forward
 
 import (
-	"bytes"
 	"io"
-	"strconv"
 
 	"github.com/pkg/errors"
 )
@@ -11,8 +9,8 @@
 // maxEventBytes bounds one event of a stream.
 const maxEventBytes = 1 << 20
 
-// eventReader splits a reply's body into complete events and checks that their ids are
-// contiguous. It never returns a truncated event.
+// eventReader splits a reply's body into complete blocks and checks that the ids of the events
+// among them are contiguous. It never returns a truncated event.
 type eventReader struct {
 	reply *reply
 	// lastID is the id of the last event returned. hasLastID is set after the first event,
@@ -20,31 +18,52 @@
 	lastID    int64
 	hasLastID bool
 	buf       []byte
-	consumed  int // bytes of buf that were returned
+	consumed  int   // bytes of buf that were returned
+	failed    error // of the block after the last one returned
 }
 
-// blankLine ends an event.
-var blankLine = []byte("\n\n")
-
-// next returns all complete events that have arrived, waiting for at least one. io.EOF
+// next returns all complete blocks that have arrived, waiting for at least one. io.EOF
 // means that the stream ended complete. The slice is valid until the next call.
 func (e *eventReader) next() (batch []byte, count int, err error) {
 	e.buf = e.buf[:copy(e.buf, e.buf[e.consumed:])]
 	e.consumed = 0
-	for {
-		if end := bytes.LastIndex(e.buf, blankLine); end >= 0 {
-			batch = e.buf[:end+len(blankLine)]
-			e.consumed = len(batch)
-			n, err := e.checkIDs(batch)
-			return batch, n, err
+	for e.failed == nil {
+		count = e.takeBlocks()
+		if e.consumed > 0 {
+			return e.buf[:e.consumed], count, nil
 		}
-		if len(e.buf) > maxEventBytes {
-			return nil, 0, errors.Wrap(errMalformedAnswer, "event exceeds the size limit")
+		if e.failed == nil && len(e.buf) > maxEventBytes {
+			e.failed = errors.Wrap(errMalformedAnswer, "event exceeds the size limit")
 		}
-		if err := e.fill(); err != nil {
-			return nil, 0, err
+		if e.failed == nil {
+			if err := e.fill(); err != nil {
+				return nil, 0, err
+			}
 		}
 	}
+	return nil, 0, e.failed
+}
+
+// takeBlocks consumes the complete blocks up to the first one whose id does not follow, and
+// returns how many of them are events. What is consumed and lastID move together, so that a
+// stream is resumed after what its caller has.
+func (e *eventReader) takeBlocks() (count int) {
+	for {
+		b, complete := cutBlock(e.buf[e.consumed:])
+		if !complete {
+			return count
+		}
+		if b.hasID {
+			if e.hasLastID && b.id != e.lastID+1 {
+				e.failed = errors.Wrapf(errMalformedAnswer, "event %d after %d", b.id, e.lastID)
+				e.consumed = 0
+				return 0
+			}
+			e.lastID, e.hasLastID = b.id, true
+			count++
+		}
+		e.consumed += b.size
+	}
 }
 
 // nextWithEvent is next, but waits for an event. A block without an id (a comment) does not
@@ -83,37 +102,3 @@
 	}
 	return err
 }
-
-// checkIDs checks and records the ids of complete events, and returns how many events there are.
-func (e *eventReader) checkIDs(batch []byte) (int, error) {
-	count := 0
-	for len(batch) > 0 {
-		end := bytes.Index(batch, blankLine)
-		id, ok := eventID(batch[:end])
-		batch = batch[end+len(blankLine):]
-		if !ok {
-			continue // a comment, which has no id
-		}
-		if e.hasLastID && id != e.lastID+1 {
-			return count, errors.Wrapf(errMalformedAnswer, "event %d after %d", id, e.lastID)
-		}
-		e.lastID, e.hasLastID = id, true
-		count++
-	}
-	return count, nil
-}
-
-// eventID returns an event's id; false if it has none.
-func eventID(event []byte) (int64, bool) {
-	for len(event) > 0 {
-		line, rest, _ := bytes.Cut(event, []byte("\n"))
-		event = rest
-		value, found := bytes.CutPrefix(line, []byte("id:"))
-		if !found {
-			continue
-		}
-		id, err := strconv.ParseInt(string(bytes.TrimSpace(value)), 10, 64)
-		return id, err == nil
-	}
-	return 0, false
-}
