forward: sound events that arrive before a spoiled one reach the caller

Cause: the reader moved the number after which the next server is asked over the sound events of a batch, and then returned the batch with the error, which its caller dropped: what the caller had and what the stream was resumed after were two numbers.

Change: what is consumed and the last id move together, event by event; the error comes with the next call, when the sound events have been read.

--- a/internal/forward/eventblock_test.go
+++ b/internal/forward/eventblock_test.go
@@ -95,3 +95,30 @@
 		}
 	})
 }
+
+// Guards against: a sound event that arrives together with one of a wrong id never reaches the
+// caller, though the stream ends as complete.
+func TestSoundEventsBeforeASpoiledOne(t *testing.T) {
+	resumed := func(_ int, head, body string, c net.Conn) bool {
+		from := 0
+		_, _ = fmt.Sscanf(headerOf(head, "Last-Event-Id"), "%d", &from)
+		return writesEvents(eventsText(from+1, 9))(0, head, body, c)
+	}
+	for name, first := range map[string][]string{
+		"in the first read": {eventsText(1, 3) + eventsText(7, 7)},
+		"later":             {eventsText(1, 2), eventsText(3, 4) + eventsText(9, 9)},
+	} {
+		Convey("The caller gets them, and the rest from another server, "+name, t, func() {
+			r := newHarness(t, newBackend(t, writesEvents(first...)), newBackend(t, resumed))
+			got := r.call("POST", "/resume/", "1", "", "x")
+			So(got.body, ShouldEqual, eventsText(1, 9))
+			So(got.complete, ShouldBeTrue)
+		})
+	}
+	Convey("A stream that can't be resumed ends after them, and doesn't look complete", t, func() {
+		r := newHarness(t, newBackend(t, writesEvents(eventsText(1, 3)+eventsText(7, 7))))
+		got := r.call("POST", "/stream/", "1", "", "x")
+		So(got.body, ShouldEqual, eventsText(1, 3))
+		So(got.complete, ShouldBeFalse)
+	})
+}
--- a/internal/forward/eventreader.go
+++ b/internal/forward/eventreader.go
@@ -56,8 +56,7 @@
 		if b.hasID {
 			if e.hasLastID && b.id != e.lastID+1 {
 				e.failed = errors.Wrapf(errMalformedAnswer, "event %d after %d", b.id, e.lastID)
-				e.consumed = 0
-				return 0
+				return count
 			}
 			e.lastID, e.hasLastID = b.id, true
 			count++
