forward: that a server leaves is no proof that its answer was whole

Cause: an answer that ends with its connection counts as whole unless its server's process has ended, and servers that leave were not asked. Class: completeness taken for granted where nothing proves it.

Change: all servers are asked, and twice: a process that ends may close its listener after its connections. A stream that may be resumed goes on at another server, others end without the last chunk. The proofs of completeness are named where answers are read.

A case of TestStreamThatEndsWithItsConnection asked for the opposite, that the stream of a leaving server which ends is complete. It is replaced: one that goes on completes its streams, one that ends does not.

Such an answer ends up to 50 ms later.

--- a/internal/forward/closeframed_test.go
+++ b/internal/forward/closeframed_test.go
@@ -5,6 +5,7 @@
 	"net"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	. "github.com/smartystreets/goconvey/convey"
 
@@ -41,16 +42,35 @@
 			So(r.broker.outcomes(), ShouldResemble, []pool.Outcome{pool.OutcomeDone})
 		}
 	})
-	Convey("One of a server that ends after it is complete if the server had announced that it leaves", t, func() {
-		var ending atomic.Pointer[backend]
-		ending.Store(newBackend(t, closeFramedEvents(20, "", func(net.Conn) { _ = ending.Load().ln.Close() })))
-		r := newHarness(t, ending.Load())
-		r.admission.onMayUse = func(n int) {
-			if n > 1 {
-				r.admission.leaving.Store("i-1", true)
-			}
+	// leaver is the server that leaves while it answers, and admission what knows of it.
+	var leaver atomic.Pointer[backend]
+	var admission atomic.Pointer[fakeAdmission]
+	leaves := func(net.Conn) { admission.Load().leaving.Store("i-1", true) }
+	callLeaver := func(path string, s script, others ...*backend) result {
+		leaver.Store(newBackend(t, s))
+		r := newHarness(t, append([]*backend{leaver.Load()}, others...)...)
+		admission.Store(r.admission)
+		return r.call("POST", path, "1", "", "x")
+	}
+	Convey("One of a server that is leaving and goes on is complete", t, func() {
+		So(callLeaver("/stream/", closeFramedEvents(20, "", leaves)).complete, ShouldBeTrue)
+	})
+	Convey("One of a server that is leaving and ends before it is resumed, or doesn't look complete", t, func() {
+		ends := closeFramedEvents(7, "", func(c net.Conn) {
+			leaves(c)
+			_ = leaver.Load().ln.Close()
+		})
+		got := callLeaver("/stream/", ends)
+		So(got.body, ShouldEqual, eventsText(1, 7))
+		So(got.complete, ShouldBeFalse)
+		listenerLast := func(n int, head, body string, c net.Conn) bool {
+			defer time.AfterFunc(processExitTime/5, func() { _ = leaver.Load().ln.Close() })
+			return closeFramedEvents(7, "", leaves)(n, head, body, c)
 		}
-		So(r.call("POST", "/stream/", "1", "", "x").complete, ShouldBeTrue)
+		So(callLeaver("/stream/", listenerLast).complete, ShouldBeFalse)
+		got = callLeaver("/resume/", ends, newBackend(t, whole))
+		So(got.body, ShouldEqual, eventsText(1, 20))
+		So(got.complete, ShouldBeTrue)
 	})
 	var crashed atomic.Pointer[backend]
 	for name, broken := range map[string]script{
--- a/internal/forward/reply.go
+++ b/internal/forward/reply.go
@@ -28,7 +28,9 @@
 )
 
 // reply is a server's answer while it is being read. io.EOF from Read means that the body
-// is complete; any other error means that it is not.
+// is complete; any other error means that it is not. What proves that it is complete is its
+// length, the last chunk or, if it has neither, an orderly end of the connection by a server
+// whose process goes on; an event stream also ends with a whole block.
 type reply struct {
 	conn       *httpconn.Conn
 	ctx        context.Context
@@ -41,7 +43,7 @@
 	chunkEndDue bool
 	partialLine []byte // read so far by readLine
 	trailers    int    // lines read after the last chunk
-	// serverEnded reports whether the server's process has ended unannounced.
+	// serverEnded reports whether the server's process has ended.
 	serverEnded func() bool
 }
 
--- a/internal/forward/send.go
+++ b/internal/forward/send.go
@@ -9,6 +9,7 @@
 	"github.com/lycheekeel/lycheekeel/broker"
 	"github.com/lycheekeel/lycheekeel/engine"
 	"github.com/lycheekeel/lycheekeel/internal/httpconn"
+	"github.com/lycheekeel/lycheekeel/internal/wait"
 	"github.com/lycheekeel/lycheekeel/pool"
 	"github.com/lycheekeel/lycheekeel/request"
 	"github.com/lycheekeel/lycheekeel/workspace"
@@ -267,11 +268,23 @@
 	}
 }
 
-// hasEnded reports whether the process of a server has ended that had not announced that it
-// leaves.
+// processExitTime is how long after the first of its connections the listener of a process that
+// ends may be closed.
+const processExitTime = 50 * time.Millisecond
+
+// hasEnded reports whether the process of a server has ended, or is about to. A server that is
+// leaving is asked like any other: it may end before its answers do.
 func (x *exchange) hasEnded(s workspace.BackendServer) bool {
-	a := x.server.deps.Admission
-	if x.ctx.Err() != nil || !a.MayUse(s, false) && !a.MayUse(s, true) {
+	if x.refusesConnections(s) {
+		return true
+	}
+	wait.For(x.ctx, processExitTime)
+	return x.refusesConnections(s)
+}
+
+// refusesConnections reports whether nothing listens at a server's address.
+func (x *exchange) refusesConnections(s workspace.BackendServer) bool {
+	if x.ctx.Err() != nil {
 		return false
 	}
 	ctx, cancel := context.WithTimeout(x.ctx, serverCheckTimeout)
