forward: a panic loses one request, not the process

Cause: nothing recovered in the two goroutines that run for a request before its first event has been passed on.

Change: both run contained: the panic is logged with the request's id and its stack, and counted, the slot of its last attempt is freed, and the caller is refused; the refusal says whether it may have run. A silent stream whose hedge panics goes on at its own server.

Left: messages between daemons, and loops that no request owns.

--- a/internal/forward/counters.go
+++ b/internal/forward/counters.go
@@ -35,6 +35,8 @@
 	// original stream continued first.
 	hedges, hedgesUnused *expvar.Int
 	answered             *expvar.Int
+	// panics counts the requests that were lost by a panic.
+	panics *expvar.Int
 	// invalidRates counts the answers that name a limit which is no decimal number.
 	invalidRates *expvar.Int
 	// invalidLeaving counts the answers whose leaving header has no known value.
@@ -85,6 +87,7 @@
 	c.invalidRates = m.Counter("forward", "invalid_rates")
 	c.invalidPushbacks = m.Counter("forward", "invalid_pushbacks")
 	c.invalidLeaving = m.Counter("forward", "invalid_leaving")
+	c.panics = m.Counter("forward", "panics")
 	c.runningOmitted = m.Counter("forward", "running_lines_omitted")
 	c.slotWait = m.Histogram("latency", "wait_for_slot")
 	c.retryWait = m.Histogram("latency", "retry_from_permission_to_send")
--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -42,6 +42,7 @@
 	spec          *request.Spec
 	demand        broker.Demand
 	attempts      request.Attempts
+	lastGrant     broker.Grant // of the last attempt; nil: none was made
 	hedgesStarted int
 	// retryReserved is set while a retry is reserved, since retryReservedAt.
 	retryReserved   bool
--- a/internal/forward/hedge.go
+++ b/internal/forward/hedge.go
@@ -112,7 +112,9 @@
 	x.resumeAfter(&s.events)
 	go func() {
 		defer close(h.done)
-		h.run()
+		if err := x.contain(h.run); err != nil {
+			h.successor, h.refusal = nil, err
+		}
 	}()
 	return h
 }
@@ -123,17 +125,17 @@
 
 // run starts attempts on other servers until one continues the stream or the first attempt
 // has continued it or failed.
-func (h *hedge) run() {
+func (h *hedge) run() error {
 	for {
 		h.try()
 		if h.successor != nil || !h.stream.exchange.attempts.CanSend() {
-			return
+			return nil
 		}
 		select {
 		case <-h.stream.exchange.ctx.Done():
-			return
+			return nil
 		case <-h.firstFailed:
-			return
+			return nil
 		case <-time.After(hedgeRetryInterval):
 		}
 	}
--- a/internal/forward/send.go
+++ b/internal/forward/send.go
@@ -161,6 +161,7 @@
 func (x *exchange) trySend(grant broker.Grant) (*reply, *attempt, error) {
 	s := grant.Server()
 	a := &attempt{grant: grant}
+	x.lastGrant = grant
 	if !x.server.deps.Admission.MayUse(s, x.canary.version != "") {
 		grant.Release(broker.Completion{Outcome: pool.OutcomeRefused, RefusedLeaving: true})
 		return nil, nil, errors.Wrapf(engine.ErrNotSent, "server %s may not be used", s.Name)
--- a/internal/forward/server.go
+++ b/internal/forward/server.go
@@ -209,7 +209,7 @@
 		return
 	}
 	x := s.newExchange(ctx)
-	if err := x.serve(); err != nil {
+	if err := x.contain(x.serve); err != nil {
 		x.refuse(err)
 		x.cleanUp()
 		return
