--- a/Makefile
+++ b/Makefile
@@ -18,7 +18,7 @@
 REGRESSION_SITES ?= large/punchline-lk-large further-grown/qazmotor-fleet-grown \
   further/qazmotor-fleet grown/punchline-lk-grown grown/bangxanh-hq-grown
 
-.PHONY: all build demo test lint bench generate regress clean
+.PHONY: all build demo test lint bench review generate regress clean
 
 all: build
 
@@ -41,6 +41,16 @@
 	$(GO) vet ./...
 	$(GO) tool staticcheck ./...
 
+# Plays the cases of review/REPORT.md, one after the other; 0: the rule held.
+review:
+	$(GO) build -ldflags=-linkmode=external -o target/ ./cmd/...
+	review/build.sh
+	@failed=0; for c in 1 2 3 4 5; do \
+	  review/$$c/run.sh > target/review-$$c.log 2>&1; code=$$?; \
+	  echo "review case $$c: exit $$code, log in target/review-$$c.log"; \
+	  [ $$code -eq 0 ] || failed=1; \
+	done; exit $$failed
+
 bench:
 	$(GO) test -run '^$$' -bench BenchmarkDecision -benchmem ./pool/
 
