gateway: daemons are told that the store's era has risen, also if no server has changed

Change: an answer is due as well when the asked daemon's era is newer than the caller's. Evidence: the new case of TestPeersAcrossEras failed before.

--- a/internal/gateway/peerpoll.go
+++ b/internal/gateway/peerpoll.go
@@ -75,14 +75,16 @@
 func (s *state) answerServers(req *wire.SyncAsk, resp *wire.SyncAnswer) {
 	resp.ServersRevision, resp.ServersSource, resp.ServersNumber = uint64(s.serversRevision), s.source, uint64(s.changes.Newest())
 	told := req.ServersSource == s.source
-	resp.ServersTold = resp.ServersNumber > 0 && !(told && req.ServersNumber == resp.ServersNumber)
+	askedEra := objectstore.Version(req.ServersRevision).Era()
+	newEra := askedEra < s.serversRevision.Era() // which changes no server, but what is old
+	resp.ServersTold = resp.ServersNumber > 0 && (!told || req.ServersNumber != resp.ServersNumber || newEra)
 	if !req.Numbers {
 		resp.ServersTold = resp.ServersRevision > req.ServersRevision
 	}
 	if !resp.ServersTold {
 		return
 	}
-	sameEra := objectstore.Version(req.ServersRevision).Era() == s.serversRevision.Era()
+	sameEra := askedEra == s.serversRevision.Era()
 	if d, ok := s.changes.Since(discovery.ChangeNumber(req.ServersNumber)); ok && told && sameEra && !req.ServersWhole {
 		resp.ServersSince, resp.Servers, resp.Removed = req.ServersNumber, serversToWire(d.Changed), d.Removed
 		return
--- a/internal/gateway/peersync_test.go
+++ b/internal/gateway/peersync_test.go
@@ -178,6 +178,17 @@
 		_, ok := reader.pickReader()
 		So(ok, ShouldBeFalse)
 	})
+	Convey("A daemon is told once that another era has begun, also if no server has changed", t, func() {
+		reader, follower := syncOf(stateWithRoutes()), syncOf(stateWithRoutes())
+		servers := []discovery.Server{{ID: "a", Service: "app"}}
+		reader.state.replaceServers(servers, at(1, 50))
+		poll(follower, reader)
+		reader.state.replaceServers(servers, at(2, 45))
+		So(poll(follower, reader).ServersTold, ShouldBeTrue)
+		So(follower.state.storeEra(), ShouldEqual, 2)
+		So(follower.state.storeRestored, ShouldHaveLength, 1)
+		So(poll(follower, reader).ServersTold, ShouldBeFalse)
+	})
 	Convey("A daemon of the era before is sent the whole list", t, func() {
 		reader, follower := syncOf(stateWithRoutes()), syncOf(stateWithRoutes())
 		reader.state.replaceServers([]discovery.Server{{ID: "a", Service: "app"}, {ID: "b", Service: "app"}}, at(1, 50))
