forward: an event that can't be placed ends its stream, also the first and the last one

Cause: the reader took any id as a stream's first, and a block whose id it could not read as one that needs none.

Change: events are numbered from 1, or from what the caller named. A block without an id may hold only comments, fields without data, and the closing marker of model servers; any other ends what is passed on of its server, as an id out of order does. Text that is no id in the caller's header names no event, and the stream has to begin at 1. Each such event is logged with its server and place ("Malformed event.") and counted by kind (malformed_events).

--- a/internal/forward/counters.go
+++ b/internal/forward/counters.go
@@ -26,8 +26,10 @@
 	// retriesWithdrawn what was allowed and is not any more when it would be sent.
 	retriesAllowed, retriesDenied, retriesSent, retriesWithdrawn *expvar.Int
 
-	streamsResumed *expvar.Int
-	streamsCut     *expvar.Int
+	// malformedEvents counts the events at which a server's stream could not be read further.
+	malformedEvents map[eventFault]*expvar.Int
+	streamsResumed  *expvar.Int
+	streamsCut      *expvar.Int
 	// streamsTakenUp counts requests for the rest of a stream, versionsMixed streams that
 	// went on at another version within one answer.
 	streamsTakenUp, versionsMixed *expvar.Int
@@ -67,6 +69,10 @@
 	for _, cause := range []string{causeNotSent, causeNotExecuted, causeLost} {
 		c.failedSends[cause] = m.Counter("sends_failed", cause)
 	}
+	c.malformedEvents = map[eventFault]*expvar.Int{}
+	for _, f := range eventFaults() {
+		c.malformedEvents[f] = m.Counter("malformed_events", string(f))
+	}
 	c.malformedRequests = m.Counter("forward", "malformed")
 	c.connectionsClosedIdle = m.Counter("forward", "connections_closed_idle")
 	c.connectionsRefused = m.Counter("forward", "connections_refused")
--- a/internal/forward/eventblock.go
+++ b/internal/forward/eventblock.go
@@ -11,6 +11,9 @@
 	size  int // in bytes, with the blank line
 	id    int64
 	hasID bool // only events have an id
+	// unnumbered: it is an event, or was one before its bytes changed, but its id is missing or
+	// can't be read.
+	unnumbered bool
 }
 
 // byteOrderMark may precede a stream.
@@ -28,16 +31,39 @@
 		}
 		block.size += size
 		if len(line) == 0 {
+			block.unnumbered = block.unnumbered && !block.hasID
 			return block, true
 		}
-		if value, found := bytes.CutPrefix(line, []byte("id:")); found {
-			id, err := strconv.ParseInt(string(bytes.TrimSpace(value)), 10, 64)
-			block.id, block.hasID = id, err == nil
-		}
+		block.readField(line)
 	}
 	return eventBlock{}, false
 }
 
+// eventIDBits is the size of ids, which are not negative.
+const eventIDBits = 63
+
+// endMarker is the data of a last block that is no event, by the usage of model servers.
+const endMarker = "[DONE]"
+
+// readField takes over what a line says. Without an id, a block may hold only comments, the end
+// marker and fields that carry no data: of an unknown field nobody can tell what it was before
+// its bytes changed.
+func (b *eventBlock) readField(line []byte) {
+	name, value, _ := bytes.Cut(line, []byte(":"))
+	value = bytes.TrimSpace(value)
+	switch string(name) {
+	case "", "event", "retry": // an empty name is a comment's
+	case "id":
+		id, err := strconv.ParseUint(string(value), 10, eventIDBits)
+		b.id, b.hasID = int64(id), err == nil
+		b.unnumbered = true // unless the block has an id at its end
+	case "data":
+		b.unnumbered = b.unnumbered || string(value) != endMarker
+	default:
+		b.unnumbered = true
+	}
+}
+
 // cutLine returns the first line of b without its end (LF, CRLF or CR), and its size with the
 // end; 0 if the end is not there. A CR at the end of b ends a line; an LF that comes later is
 // then an empty line, which changes no event.
--- a/internal/forward/eventreader.go
+++ b/internal/forward/eventreader.go
@@ -1,25 +1,69 @@
 package forward
 
 import (
+	"fmt"
 	"io"
-
-	"github.com/pkg/errors"
+	"strconv"
 )
 
 // maxEventBytes bounds one event of a stream.
 const maxEventBytes = 1 << 20
 
+// eventFault is what is wrong with an event, as logs and metrics name it.
+type eventFault string
+
+const (
+	faultOutOfOrder eventFault = "out_of_order"
+	faultUnnumbered eventFault = "unnumbered"
+	faultTruncated  eventFault = "truncated"
+	faultTooLarge   eventFault = "too_large"
+)
+
+func eventFaults() []eventFault {
+	return []eventFault{faultOutOfOrder, faultUnnumbered, faultTruncated, faultTooLarge}
+}
+
+// eventError is the error of a stream at an event that is not what its server made. It wraps
+// errMalformedAnswer.
+type eventError struct {
+	fault eventFault
+	after int64 // the id of the last sound event; 0: none
+	id    int64 // of the faulty one, if it is out of order
+}
+
+func (e *eventError) Error() string {
+	if e.fault == faultOutOfOrder {
+		return fmt.Sprintf("event %d after %d: %v", e.id, e.after, errMalformedAnswer)
+	}
+	return fmt.Sprintf("event after %d is %s: %v", e.after, e.fault, errMalformedAnswer)
+}
+
+// Unwrap lets errors.Is find errMalformedAnswer.
+func (e *eventError) Unwrap() error { return errMalformedAnswer }
+
 // eventReader splits a reply's body into complete blocks and checks that the ids of the events
-// among them are contiguous. It never returns a truncated event.
+// among them are contiguous, from 1 in a new stream. It never returns a truncated event.
+//
+// It ends at the first event that it can't place. If it passed on what it can't read, a stream
+// would look complete without that event, or bring it twice after it is resumed.
 type eventReader struct {
 	reply *reply
-	// lastID is the id of the last event returned. hasLastID is set after the first event,
-	// or if the caller named the event to resume after.
-	lastID    int64
-	hasLastID bool
-	buf       []byte
-	consumed  int   // bytes of buf that were returned
-	failed    error // of the block after the last one returned
+	// lastID is the id of the last event returned, at first that of the event to resume after;
+	// 0: the stream is new.
+	lastID   int64
+	buf      []byte
+	consumed int   // bytes of buf that were returned
+	failed   error // of the block after the last one returned
+}
+
+// newEventReader returns a reader of the events that follow the one with the given id. Text
+// that is no id names no event to follow.
+func newEventReader(r *reply, lastEvent string) eventReader {
+	id, err := strconv.ParseInt(lastEvent, 10, 64)
+	if err != nil || id < 0 {
+		id = 0
+	}
+	return eventReader{reply: r, lastID: id}
 }
 
 // next returns all complete blocks that have arrived, waiting for at least one. io.EOF
@@ -33,7 +77,7 @@
 			return e.buf[:e.consumed], count, nil
 		}
 		if e.failed == nil && len(e.buf) > maxEventBytes {
-			e.failed = errors.Wrap(errMalformedAnswer, "event exceeds the size limit")
+			e.failed = &eventError{fault: faultTooLarge, after: e.lastID}
 		}
 		if e.failed == nil {
 			if err := e.fill(); err != nil {
@@ -44,8 +88,8 @@
 	return nil, 0, e.failed
 }
 
-// takeBlocks consumes the complete blocks up to the first one whose id does not follow, and
-// returns how many of them are events. What is consumed and lastID move together, so that a
+// takeBlocks consumes the complete blocks up to the first faulty event, and returns how many of
+// them are events. What is consumed and lastID move together, so that a
 // stream is resumed after what its caller has.
 func (e *eventReader) takeBlocks() (count int) {
 	for {
@@ -53,12 +97,15 @@
 		if !complete {
 			return count
 		}
-		if b.hasID {
-			if e.hasLastID && b.id != e.lastID+1 {
-				e.failed = errors.Wrapf(errMalformedAnswer, "event %d after %d", b.id, e.lastID)
-				return count
-			}
-			e.lastID, e.hasLastID = b.id, true
+		switch {
+		case b.unnumbered:
+			e.failed = &eventError{fault: faultUnnumbered, after: e.lastID}
+			return count
+		case b.hasID && b.id != e.lastID+1:
+			e.failed = &eventError{fault: faultOutOfOrder, after: e.lastID, id: b.id}
+			return count
+		case b.hasID:
+			e.lastID = b.id
 			count++
 		}
 		e.consumed += b.size
@@ -78,7 +125,7 @@
 			return batch, count, err
 		}
 		if len(batch) > maxEventBytes {
-			return nil, 0, errors.Wrap(errMalformedAnswer, "blocks without an event exceed the size limit")
+			return nil, 0, &eventError{fault: faultTooLarge, after: e.lastID}
 		}
 		earlier = append([]byte(nil), batch...)
 	}
@@ -97,7 +144,7 @@
 		return nil // the next Read returns the error again
 	}
 	if err == io.EOF && len(e.buf) > 0 {
-		return errors.Wrap(errMalformedAnswer, "stream ends within an event")
+		return &eventError{fault: faultTruncated, after: e.lastID}
 	}
 	return err
 }
--- a/internal/forward/hedge.go
+++ b/internal/forward/hedge.go
@@ -67,7 +67,7 @@
 	switch {
 	case err != nil && err != io.EOF:
 		// The hedge may last until the deadline; the slot must not wait for it.
-		s.exchange.checkServer(s.attempt, err)
+		s.exchange.recordLoss(s.attempt, err)
 		s.release(s.exchange.lostOutcome())
 		close(h.firstFailed)
 	case h.claim(firstAttempt):
--- a/internal/forward/requestlog.go
+++ b/internal/forward/requestlog.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"time"
 
+	"github.com/pkg/errors"
 	"github.com/sirupsen/logrus"
 
 	"github.com/lycheekeel/lycheekeel/internal/logs"
@@ -75,6 +76,20 @@
 	x.server.log.WithFields(f).WithField("cause", sendErrorCause(err)).WithError(err).Info("Send failed.")
 }
 
+// logMalformedEvent logs and counts the event at which the stream of an attempt could not be read
+// further; it does nothing if the answer was lost otherwise.
+func (x *exchange) logMalformedEvent(a *attempt, lost error) {
+	var e *eventError
+	if !errors.As(lost, &e) {
+		return
+	}
+	x.server.counters.malformedEvents[e.fault].Add(1)
+	s := a.grant.Server()
+	x.server.log.WithFields(x.requestFields()).WithFields(logrus.Fields{
+		"server": s.Name, "server_version": s.Version, "fault": string(e.fault), "after_event": e.after,
+	}).WithError(e).Warn("Malformed event.")
+}
+
 func (x *exchange) logRefusal(r *request.Refusal) {
 	x.runningLog.stop()
 	x.server.log.WithFields(x.logFields()).WithFields(logrus.Fields{
--- a/internal/forward/resume.go
+++ b/internal/forward/resume.go
@@ -45,10 +45,7 @@
 		r.releaseConn()
 		return nil, x.endLostAttempt(a, err)
 	}
-	next := &successor{attempt: a, events: eventReader{reply: r}}
-	if lastID, ok := parseEventID(x.outbound.lastEvent); ok {
-		next.events.lastID, next.events.hasLastID = lastID, true
-	}
+	next := &successor{attempt: a, events: newEventReader(r, x.outbound.lastEvent)}
 	// A comment is no event: the server may still fail before the next one.
 	var err error
 	next.pending, next.eventCount, err = next.events.nextWithEvent()
@@ -88,7 +85,7 @@
 // that was done.
 func (s *stream) abandonAttempt(cause error) error {
 	if !s.released {
-		s.exchange.checkServer(s.attempt, cause)
+		s.exchange.recordLoss(s.attempt, cause)
 	}
 	s.release(s.exchange.lostOutcome())
 	s.exchange.recordSentTo(s.attempt)
@@ -101,9 +98,10 @@
 	s.exchange.server.counters.streamsCut.Add(1)
 }
 
-// resumeAfter makes the next send ask for the events after the last one.
+// resumeAfter makes the next send ask for the events after the last one. Before the first one
+// it asks for what the caller asked for.
 func (x *exchange) resumeAfter(e *eventReader) {
-	if e.hasLastID {
+	if e.lastID > 0 {
 		x.outbound.lastEvent = strconv.FormatInt(e.lastID, 10)
 	}
 }
--- a/internal/forward/send.go
+++ b/internal/forward/send.go
@@ -232,12 +232,18 @@
 
 // endLostAttempt ends an attempt whose answer was lost.
 func (x *exchange) endLostAttempt(a *attempt, err error) error {
-	x.checkServer(a, err)
+	x.recordLoss(a, err)
 	a.release(x.lostOutcome())
 	x.recordSentTo(a)
 	return answerLostError{err}
 }
 
+// recordLoss records why the answer of an attempt was lost, before its slot is freed.
+func (x *exchange) recordLoss(a *attempt, lost error) {
+	x.logMalformedEvent(a, lost)
+	x.checkServer(a, lost)
+}
+
 // serverCheckTimeout bounds the check of a server that broke off an answer. A retry waits
 // for it.
 const serverCheckTimeout = 200 * time.Millisecond
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -2,7 +2,6 @@
 
 import (
 	"io"
-	"strconv"
 	"time"
 
 	"github.com/pkg/errors"
@@ -161,8 +160,3 @@
 	}
 	return 1
 }
-
-func parseEventID(s string) (int64, bool) {
-	id, err := strconv.ParseInt(s, 10, 64)
-	return id, err == nil
-}
