platform: one object that can't be decoded hides no others

It happens here: with an entry of 10,000 levels or more (half of it at 20,000, or as the whole value at 9,999) no daemon followed the servers any more, most requests went to servers that had left, and daemons that started knew none. No process ended.

Cause: a page of the store was decoded at once, and encoding/json refuses a body of more than 10,000 levels as a whole. The class: one decoder over many writers' data, whose limit one of them can reach for all. The same for the changes of a watch, single reads, and a version out of range, which failed the list it was in.

Change: where a body can't be decoded at once, the objects in it are decoded each by itself. A value or status that can't be decoded is left out of its object, so that each kind's own decoder refuses it as it refuses other malformed values, and logs that once. Objects without a readable name or version are left out of a list, counted in it and logged when their number changes; a watch that meets one ends, and the list follows. What surrounds the objects is still decoded strictly: if nobody can tell where one ends, the list is none, and what was known holds. store_objects_unreadable counts the reads by kind.

--- a/internal/gateway/reflector.go
+++ b/internal/gateway/reflector.go
@@ -6,6 +6,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
 	"github.com/lycheekeel/lycheekeel/discovery"
 	"github.com/lycheekeel/lycheekeel/internal/wait"
 	"github.com/lycheekeel/lycheekeel/objectstore"
@@ -71,6 +73,7 @@
 	watching  atomic.Bool
 	lostSince time.Time // since when the store has not answered; zero: it answers
 	failures  int       // consecutive calls without an answer
+	unnamed   int       // objects of the last list that have no readable name
 }
 
 func (r *reflector) loops() []*kindLoop {
@@ -155,6 +158,7 @@
 		return retryDelay(k.failures, r.isReader())
 	}
 	r.markRegained(k)
+	r.recordUnnamed(k, l.Unnamed)
 	if k.applyList(l) {
 		k.freshness.Confirm(mark)
 		r.state.notifyChanged()
@@ -216,6 +220,15 @@
 	}
 }
 
+// recordUnnamed logs when the number of objects changes that no list can name.
+func (r *reflector) recordUnnamed(k *kindLoop, n int) {
+	if n == k.unnamed {
+		return
+	}
+	k.unnamed = n
+	r.state.log.WithFields(logrus.Fields{"kind": k.kind, "objects": n}).Warn("Objects without a readable name are left out.")
+}
+
 // watch applies the changes after a revision until a call fails or this daemon is no
 // longer a reader. The next list starts another watch.
 func (r *reflector) watch(ctx context.Context, k *kindLoop, after objectstore.Version) {
--- a/objectstore/objectstore.go
+++ b/objectstore/objectstore.go
@@ -44,7 +44,8 @@
 	// deleted and created again under the same name. It has no era: an object that comes back
 	// with a backup of the store is the same one.
 	Created Version
-	Value   []byte
+	// Value is empty if what is stored can't be decoded.
+	Value []byte
 	// Status is what the system has written beside the value; it may be empty.
 	Status []byte
 }
@@ -61,6 +62,9 @@
 	// Version is the object API's version at the time of the listing. A watch may
 	// start from it.
 	Version Version
+	// Unnamed is the number of objects that are missing above, because nobody can tell their
+	// names or versions.
+	Unnamed int
 }
 
 // ObjectAPI is the platform's object store. Each call counts against its rate limits; a
