gateway: a daemon that has never known the servers is not ready

Cause: readiness asked for the configuration alone. Change: a daemon is ready once it has known the servers, from the store or another daemon; one that knew them and can't read them now serves on and stays ready.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -188,11 +188,16 @@
 	return g.state.configFreshness.Within(limit) && !g.state.storeLostLongerThan(limit)
 }
 
+// mayServe reports whether this daemon can serve callers. One that has never known the servers
+// would refuse them all, while others may serve them; one that knew them serves on.
+func (g *Gateway) mayServe() bool {
+	_, serversKnown := g.state.serversFreshness.Age()
+	return !g.draining.Load() && serversKnown && g.routes.Load() != nil && g.freshWithin(readyShare)
+}
+
 // handleReadiness answers the balancer's readiness checks.
 func (g *Gateway) handleReadiness(ctx *fasthttp.RequestCtx) {
-	ready := string(ctx.Path()) == g.platform.ReadinessPath && !g.draining.Load() &&
-		g.routes.Load() != nil && g.freshWithin(readyShare)
-	if !ready {
+	if string(ctx.Path()) != g.platform.ReadinessPath || !g.mayServe() {
 		ctx.SetStatusCode(fasthttp.StatusServiceUnavailable)
 	}
 }
--- a/internal/gateway/oddentry_test.go
+++ b/internal/gateway/oddentry_test.go
@@ -43,3 +43,23 @@
 		}
 	})
 }
+
+// Guards against: daemons that know no servers, as nobody can read their list, take callers whom others would serve.
+func TestDaemonsThatKnowNoServersAreNotReady(t *testing.T) {
+	Convey("A daemon that starts alone is ready once it can read the list; one that runs serves on", t, func() {
+		c := newCluster(t)
+		c.addServer("old", "app")
+		c.putConfig()
+		running := c.start("a")
+		eventually(t, "a is ready and serves", func() bool { return running.ready() && running.status("/again/", "1", "key-1") == 200 })
+		c.store.PutBytes(standin.KindServers, "old-5", []byte("{"))
+		c.seeds = nil // the next daemon hears of the servers from nobody else
+		started := c.start("b")
+		eventually(t, "b knows the configuration", func() bool { return started.status("/none/", "2", "key-1") == 404 })
+		So(started.ready(), ShouldBeFalse)
+		So(running.ready(), ShouldBeTrue)
+		So(running.status("/again/", "3", "key-1"), ShouldEqual, 200)
+		c.store.Remove(standin.KindServers, "old-5")
+		eventually(t, "b is ready and serves", func() bool { return started.ready() && started.status("/again/", "4", "key-1") == 200 })
+	})
+}
