gateway: a panic costs a background task one pass, not its life or the process

Looked for beside the odd entries: what becomes of a daemon if what it reads makes it panic? The watch of a kind ran on a goroutine of its own, so that the process ended with all that it had in work. The lists, polls, sessions, quotas and the other background tasks ran in a conc.WaitGroup, which keeps a panic until all its goroutines have ended, which they never do: the task was missing for the rest of the process's life, unlogged, and readiness stayed good.

Change: a task that panics is logged with its stack, counted (gateway task_panics) and begun anew a second later; a watch is begun anew by the next list. Both hold their mutexes by defer only; the poll of a reader did not. A pool's scheduler still ends the process, since its counts can't be trusted after a panic; messages of peers, their streams, and requests were contained before.

--- a/internal/gateway/cluster_test.go
+++ b/internal/gateway/cluster_test.go
@@ -107,6 +107,11 @@
 
 // startWith starts a gateway that dials servers with dial; nil: TCP.
 func (c *cluster) startWith(name string, dial httpconn.DialFunc) *node {
+	return c.startOn(name, func(p *gateway.Platform) { p.DialServer = dial })
+}
+
+// startOn starts a gateway on a platform that change has changed.
+func (c *cluster) startOn(name string, change func(*gateway.Platform)) *node {
 	n := &node{cluster: c, done: make(chan error, 1), settings: gateway.Settings{
 		Name: name, Region: "r", AvailabilityZone: "z", Listen: freePort(c.t), Readiness: freePort(c.t), Peer: freePort(c.t),
 		Store: c.address, Limits: gateway.LimitSettings{MemoryMB: 512},
@@ -117,7 +122,7 @@
 	n.settings.Seeds = c.seeds
 	m := metrics.New()
 	p := platform.New(c.address, m)
-	p.DialServer = dial
+	change(&p)
 	g, err := gateway.New(n.settings, p, m)
 	if err != nil {
 		c.t.Fatal(err)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -238,23 +238,23 @@
 	if err := g.joinPeers(key); err != nil {
 		return err
 	}
-	var tasks conc.WaitGroup
-	tasks.Go(func() { g.host.Run(ctx) })
-	tasks.Go(func() { g.broker.Run(ctx) })
-	tasks.Go(func() { g.quotas.Run(ctx) })
-	tasks.Go(func() { g.peerSync.Run(ctx) })
-	tasks.Go(func() { g.rollouts.Run(ctx) })
-	r := &reflector{state: g.state, store: g.platform.Store, stale: g.platform.Stale, isReader: g.peerSync.isReader, readerAnswers: g.peerSync.readerAnswers}
-	tasks.Go(func() { r.runExpiry(ctx) })
-	tasks.Go(func() { r.runProbe(ctx) })
-	tasks.Go(func() { g.logFreshness(ctx) })
-	tasks.Go(func() { g.archiveVersions(ctx) })
+	t := &tasks{panicked: g.metrics.Counter("gateway", "task_panics"), log: g.log}
+	t.Go(ctx, "pools", g.host.Run)
+	t.Go(ctx, "sessions", g.broker.Run)
+	t.Go(ctx, "quotas", g.quotas.Run)
+	t.Go(ctx, "readers", g.peerSync.Run)
+	t.Go(ctx, "rollouts", g.rollouts.Run)
+	r := &reflector{state: g.state, store: g.platform.Store, stale: g.platform.Stale, isReader: g.peerSync.isReader, readerAnswers: g.peerSync.readerAnswers, tasks: t}
+	t.Go(ctx, "expiry", r.runExpiry)
+	t.Go(ctx, "probe of the store", r.runProbe)
+	t.Go(ctx, "freshness", g.logFreshness)
+	t.Go(ctx, "archive of the versions", g.archiveVersions)
 	keeper := &keyKeeper{store: clusterKeyStore{g.platform.Store, g.platform.Stale}, key: key, isReader: g.peerSync.isReader, lost: g.state.storeRestored, log: g.log}
-	tasks.Go(func() { keeper.run(ctx) })
+	t.Go(ctx, "cluster key", keeper.run)
 	for _, k := range r.loops() {
-		tasks.Go(func() { r.run(ctx, k) })
+		t.Go(ctx, "list of "+string(k.kind), func(ctx context.Context) { r.run(ctx, k) })
 	}
-	tasks.Wait()
+	t.group.Wait()
 	return nil
 }
 
--- a/internal/gateway/peersync.go
+++ b/internal/gateway/peersync.go
@@ -88,15 +88,7 @@
 // poll polls a reader once and applies its answer.
 func (p *peerSync) poll(ctx context.Context, name string) error {
 	s := p.state
-	s.mu.Lock()
-	req := &wire.SyncAsk{
-		ConfigRevision: uint64(s.config.Version), ServersRevision: uint64(s.serversRevision), HoldMs: uint32(pollHold.Milliseconds()),
-		Changes: true, ConfigAgeMs: ageMs(s.configFreshness.Age()), ServersAgeMs: ageMs(s.serversFreshness.Age()),
-		RolloutsRevision: uint64(s.rollouts.revision), ConfigVersion: s.configVersion(),
-	}
-	p.askServers(name, req)
-	s.mu.Unlock()
-	payload, err := proto.Marshal(req)
+	payload, err := proto.Marshal(p.newPoll(name))
 	if err != nil {
 		return err
 	}
@@ -124,6 +116,20 @@
 	return nil
 }
 
+// newPoll returns the question to a reader, by what this daemon knows.
+func (p *peerSync) newPoll(name string) *wire.SyncAsk {
+	s := p.state
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	req := &wire.SyncAsk{
+		ConfigRevision: uint64(s.config.Version), ServersRevision: uint64(s.serversRevision), HoldMs: uint32(pollHold.Milliseconds()),
+		Changes: true, ConfigAgeMs: ageMs(s.configFreshness.Age()), ServersAgeMs: ageMs(s.serversFreshness.Age()),
+		RolloutsRevision: uint64(s.rollouts.revision), ConfigVersion: s.configVersion(),
+	}
+	p.askServers(name, req)
+	return req
+}
+
 // logSource logs that another reader's answers are applied from now on.
 func (p *peerSync) logSource(name string) {
 	if name != p.source {
--- a/internal/gateway/reflector.go
+++ b/internal/gateway/reflector.go
@@ -47,6 +47,7 @@
 	stale         objectstore.StaleReader
 	isReader      func() bool // whether this daemon is a reader
 	readerAnswers func() bool // whether a reader answers this daemon
+	tasks         *tasks
 }
 
 // kindLoop is the list and watch loop of one kind of object.
@@ -164,7 +165,7 @@
 		r.state.notifyChanged()
 	}
 	if r.isReader() && k.watching.CompareAndSwap(false, true) {
-		go r.watch(ctx, k, l.Version)
+		go r.tasks.try("watch of "+string(k.kind), func() { r.watch(ctx, k, l.Version) }) // the next list starts it anew
 	}
 	interval := k.interval()
 	return interval - interval/10 + rand.N(interval/5)
