discovery: a leaving server stays leaving when the store comes back from an older backup

The review had seen it in logs, without a late request: a server that leaves, a store that comes back from a copy ten or more writes old, and "Server restarted.": the mark is gone until the server writes again, and daemons may send it requests (DRAIN).

Cause: a sequence that falls by more than eight counted as a restart, and a copy's sequence falls for every living server. Change: while entries may be copies (six seconds after a restore, as for servers that have ended), and for an entry that names its start, which tells incarnations apart by itself, a falling sequence proves nothing. A server that did restart meanwhile is noticed by its start, or by its first write after that time.

Evidence: TestLeavingServersOfABackupStayLeaving fails before in its three parts that need it and passes now. Played by the unit test alone; no run with processes has shown the late request.

--- a/discovery/directory.go
+++ b/discovery/directory.go
@@ -299,7 +299,7 @@
 	delete(d.missing, s.ID)
 	d.confirmed[s.ID] = true
 	if known {
-		s = old.merge(s)
+		s = old.merge(s, d.showsBackup(now))
 	} else {
 		s = d.mergeLeft(s)
 	}
@@ -345,13 +345,18 @@
 // from its backup, and the server has not written since.
 func (d *Directory) isOutdated(now time.Time, s Server) bool {
 	old, known := d.left.Get(s.ID)
-	return known && d.restored && now.Sub(d.storeRecoveredAt) < restoredEntryTimeout &&
-		s.StartedAt == old.StartedAt && s.Sequence > 0 && s.Sequence <= old.Sequence
+	return known && d.showsBackup(now) && s.StartedAt == old.StartedAt && s.Sequence > 0 && s.Sequence <= old.Sequence
+}
+
+// showsBackup reports whether entries may be as old as the backup of a store.
+func (d *Directory) showsBackup(now time.Time) bool {
+	return d.restored && now.Sub(d.storeRecoveredAt) < restoredEntryTimeout
 }
 
 // merge returns the state of a server after the entry next. Entries may arrive late and
-// out of order: a watch may deliver writes that a list has already included.
-func (s Server) merge(next Server) Server {
+// out of order: a watch may deliver writes that a list has already included. copied is set if
+// next may be a copy from a backup.
+func (s Server) merge(next Server, copied bool) Server {
 	stale := next.Revision > 0 && next.Revision < s.Revision ||
 		next.InvalidReason == "" && next.StartedAt > 0 && next.StartedAt < s.StartedAt
 	if stale {
@@ -363,10 +368,11 @@
 		return s
 	}
 	next.Restarts = s.Restarts
+	bySequence := !copied && next.StartedAt == 0
 	if next.StartedAt == 0 {
 		next.StartedAt = s.StartedAt
 	}
-	if next.detectRestart(s) {
+	if next.detectRestart(s, bySequence) {
 		return next
 	}
 	// A leaving incarnation stays leaving, even if an older copy of its entry arrives.
@@ -377,13 +383,15 @@
 
 // detectRestart reports whether an entry is of another incarnation than the previous
 // one, and counts restarts of servers that give no start time. Without it, a server
-// that announced its stop and restarts under the same ID would never be used again.
-func (s *Server) detectRestart(previous Server) bool {
+// that announced its stop and restarts under the same ID would never be used again. bySequence
+// is false if a decrease of Sequence proves nothing: the entry names the start, or it is a copy
+// from a backup, and the server that it calls ready may be leaving by now.
+func (s *Server) detectRestart(previous Server, bySequence bool) bool {
 	if s.StartedAt != previous.StartedAt {
 		s.Restarts = 0
 		return true
 	}
-	restarted := s.Sequence > 0 && s.Sequence+maxReorderedWrites < previous.Sequence && s.Revision > previous.Revision
+	restarted := bySequence && s.Sequence > 0 && s.Sequence+maxReorderedWrites < previous.Sequence && s.Revision > previous.Revision
 	if restarted {
 		s.Restarts++
 	}
--- a/discovery/directory_test.go
+++ b/discovery/directory_test.go
@@ -302,6 +302,47 @@
 	})
 }
 
+// Guards against: a leaving server gets requests again, because the store came back from a backup of before it left.
+func TestLeavingServersOfABackupStayLeaving(t *testing.T) {
+	for _, startedAt := range []int64{0, 1000} {
+		Convey(fmt.Sprintf("Given a server that leaves, started at %d, and a backup of many writes before", startedAt), t, func() {
+			d := NewDirectory()
+			entry := func(sequence uint64, rev Revision) Server {
+				return Server{ID: "a", StartedAt: startedAt, Sequence: sequence, Revision: rev}
+			}
+			leaving := entry(40, 50)
+			leaving.Leaving = true
+			d.Replace(start, []Server{leaving})
+			d.StoreRestored()
+			restored := start.Add(time.Second)
+			d.Replace(restored, []Server{entry(20, 130)})
+			So(d.Servers()[0].Leaving, ShouldBeTrue)
+
+			Convey("what the backup's history writes again is no restart either", func() {
+				for sequence := range uint64(5) {
+					d.Put(restored, entry(21+sequence, 131+Revision(sequence)))
+				}
+				So(d.Servers()[0].Leaving, ShouldBeTrue)
+				So(d.Servers()[0].Restarts, ShouldEqual, 0)
+			})
+			Convey("a restart is noticed once the server has written on", func() {
+				next := entry(3, 140)
+				if startedAt > 0 {
+					next.StartedAt++
+				}
+				d.Put(restored.Add(restoredEntryTimeout), next)
+				So(d.Servers()[0].Leaving, ShouldBeFalse)
+			})
+		})
+	}
+	Convey("An entry that names the same start is no restart, whatever its sequence", t, func() {
+		d := NewDirectory()
+		d.Put(start, Server{ID: "a", StartedAt: 1000, Sequence: 40, Revision: 10, Leaving: true})
+		d.Put(start, Server{ID: "a", StartedAt: 1000, Sequence: 1, Revision: 11})
+		So(d.Servers()[0].Leaving, ShouldBeTrue)
+	})
+}
+
 // Guards against: after the store was restored from a backup, servers that have ended get
 // requests, or those that it lacks get none.
 func TestDirectoryFollowsRestoredStore(t *testing.T) {
