forward: a caller's key reaches no server, on a public route either

Cause: the header was dropped only for requests of a workspace, and a public route has none. Change: where routes need keys, a bearer credential stays within the entry on every route, in force or not; other credentials pass, and so does any where no route needs keys.

Evidence: TestKeysArePassedToNoServer fails before (five of five spellings) and passes now.

--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -90,7 +90,7 @@
 	if err := x.takeQuota(); err != nil {
 		return err
 	}
-	x.outbound = x.server.newOutboundRequest(x.httpCtx, x.workspaceName(), x.takeUp.lastEvent)
+	x.outbound = x.server.newOutboundRequest(x.httpCtx, x.workspaceName(), x.table.NeedsKeys(), x.takeUp.lastEvent)
 	x.outbound.deadline = x.receivedAt.Add(x.spec.Targets.Deadline)
 	if x.takeUp.lastEvent != "" {
 		x.server.counters.streamsTakenUp.Add(1)
--- a/internal/forward/headers.go
+++ b/internal/forward/headers.go
@@ -17,6 +17,12 @@
 	return strings.TrimSpace(key), true
 }
 
+// holdsKey reports whether a value of Authorization may hold a key, in force or not.
+func holdsKey(value []byte) bool {
+	const scheme = "bearer"
+	return len(value) >= len(scheme) && strings.EqualFold(string(value[:len(scheme)]), scheme)
+}
+
 // parseMilliseconds parses a whole number of milliseconds; false if it is not positive or
 // exceeds 24 h.
 func parseMilliseconds(value []byte) (time.Duration, bool) {
--- a/internal/forward/outbound.go
+++ b/internal/forward/outbound.go
@@ -29,9 +29,10 @@
 	lastEvent string
 }
 
-// newOutboundRequest copies the request, because the HTTP server reuses its buffers.
-// lastEvent is the last event of a stream that the caller has.
-func (s *Server) newOutboundRequest(ctx *fasthttp.RequestCtx, workspaceName, lastEvent string) *outboundRequest {
+// newOutboundRequest copies the request, because the HTTP server reuses its buffers. needsKeys is
+// set where routes need keys, although this one may be public. lastEvent is the last event of a
+// stream that the caller has.
+func (s *Server) newOutboundRequest(ctx *fasthttp.RequestCtx, workspaceName string, needsKeys bool, lastEvent string) *outboundRequest {
 	o := &outboundRequest{
 		method: string(ctx.Method()), target: string(ctx.Request.Header.RequestURI()),
 		wire: &s.wire, headers: make([]header, 0, 12),
@@ -42,7 +43,7 @@
 		if s.reservedHeaders[name] || httpconn.HopByHop(name, options) {
 			continue
 		}
-		if name == fasthttp.HeaderAuthorization && workspaceName != "" {
+		if name == fasthttp.HeaderAuthorization && (workspaceName != "" || needsKeys && holdsKey(v)) {
 			continue // the key stays within the entry
 		}
 		o.headers = append(o.headers, header{name, string(v)})
