gateway: what crashes servers outlives a kill of all daemons

Cause: crashes were handed from daemon to daemon and lived in their memories alone. Change: one daemon, by rendezvous hashing, writes what all members hear of suspects to one object of the store when the evidence has changed, at most once in 500 ms; a daemon that starts reads it once, by a stale read.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -249,6 +249,7 @@
 	t.Go(ctx, "probe of the store", r.runProbe)
 	t.Go(ctx, "freshness", g.logFreshness)
 	t.Go(ctx, "archive of the versions", g.archiveVersions)
+	t.Go(ctx, "archive of the suspects", g.archiveSuspects)
 	keeper := &keyKeeper{store: clusterKeyStore{g.platform.Store, g.platform.Stale}, key: key, isReader: g.peerSync.isReader, lost: g.state.storeRestored, log: g.log}
 	t.Go(ctx, "cluster key", keeper.run)
 	for _, k := range r.loops() {
--- a/internal/poolhost/broadcast.go
+++ b/internal/poolhost/broadcast.go
@@ -107,7 +107,7 @@
 	if h.cfg.Transport == nil || member == h.cfg.Self || member == "" {
 		return
 	}
-	for _, ev := range h.suspects.all(h.cfg.Now(), sharedCrashes) {
+	for _, ev := range h.SharedSuspects() {
 		if err := h.cfg.Transport.Send(peer.Name(member), peer.TypeSuspect, poolwire.EncodeSuspect(ev)); err != nil {
 			logs.For("poolhost").WithField("member", member).WithError(err).Info("Suspects not sent.")
 			return
@@ -115,6 +115,14 @@
 	}
 }
 
+// SharedSuspects returns what all members hear of suspects.
+func (h *Host) SharedSuspects() []pool.SuspectShared {
+	return h.suspects.all(h.cfg.Now(), sharedCrashes)
+}
+
+// LearnSuspect takes over what is known of a suspect from elsewhere.
+func (h *Host) LearnSuspect(s pool.SuspectShared) { h.receiveSuspect(nil, s) }
+
 // sendBriefs sends a pool's brief to the owners of its sibling pools, unless
 // the same brief was sent less than unchangedBriefInterval ago.
 func (h *Host) sendBriefs(r *Runtime, s pool.Summary) {
--- a/test/soak/crashing_test.go
+++ b/test/soak/crashing_test.go
@@ -65,9 +65,22 @@
 	})
 }
 
+// Guards against: what is known of a request that crashes servers is lost when all gateways end at once.
+func TestRequestThatCrashesServersOutlivesAllGateways(t *testing.T) {
+	// All gateways end soon after an arrival, so that the next one comes when they count as started.
+	const interval, kill = crashNotice + 500*time.Millisecond, 300 * time.Millisecond
+	f, c, record := runCrashingEach(t, *firstSeed, interval, 9*interval, killAllAfter(3*interval+kill, 3*interval))
+	f.checkCrashing(c, record)
+}
+
 // runCrashing sends contents that crash servers, beside other requests, for the given
 // time, while disturb runs.
 func runCrashing(t *testing.T, seed int64, span time.Duration, disturb disturbance) (*fleet, *callers, *faultRecord) {
+	return runCrashingEach(t, seed, crashingInterval, span, disturb)
+}
+
+// runCrashingEach is runCrashing with another interval between the contents that crash servers.
+func runCrashingEach(t *testing.T, seed int64, interval, span time.Duration, disturb disturbance) (*fleet, *callers, *faultRecord) {
 	f := startFleet(t, fleetOptions{nodes: 6, resumeTimeout: crashingTimeout, onceTimeout: crashingTimeout}, seed)
 	f.removeServers()
 	record := newFaultRecord()
@@ -95,7 +108,7 @@
 		c.sendAtInterval(ctx, arrivalInterval, f.nodes, func(i int) string { return []string{resumePath(0), "/again/"}[i/len(f.nodes)%2] })
 	})
 	for k, x := range crashingContents {
-		wg.Go(func() { c.sendContent(ctx, f.nodes, crashingInterval, fmt.Sprint("crash-", k, "-"), x.path, x.body) })
+		wg.Go(func() { c.sendContent(ctx, f.nodes, interval, fmt.Sprint("crash-", k, "-"), x.path, x.body) })
 		wg.Go(func() {
 			c.sendContent(ctx, f.nodes, crashingInterval/10, fmt.Sprint("often-", k, "-"), x.path, harmlessBody)
 		})
--- a/test/soak/disturb_test.go
+++ b/test/soak/disturb_test.go
@@ -66,6 +66,24 @@
 	}
 }
 
+// killAllAfter kills all nodes at once, each time another delay has passed, and starts them again.
+func killAllAfter(delays ...time.Duration) disturbance {
+	return func(ctx context.Context, f *fleet, record *faultRecord) {
+		for _, delay := range delays {
+			sleep(ctx, delay)
+			var killed sync.WaitGroup
+			for _, n := range f.nodes {
+				killed.Go(n.kill)
+			}
+			killed.Wait()
+			for _, n := range f.nodes {
+				record.addKill(n)
+				n.restarter()()
+			}
+		}
+	}
+}
+
 // eachSeed runs a test for each of the requested seeds.
 func eachSeed(t *testing.T, run func(t *testing.T, seed int64)) {
 	for i := range *seedCount {
