soak: servers spoil their streams amid other faults

Its servers wrote each event with one blank line and a number that follows.

Change: the stand-in's servers can add line ends, send events in batches of which one has a wrong number, and spoil the first or last event; a run with these faults, kills, restarts and pauses checks that callers' streams lack nothing and that no process has ended by a panic.

--- a/test/soak/faults_test.go
+++ b/test/soak/faults_test.go
@@ -128,6 +128,20 @@
 	{"partition most from servers", func(f *fleet, r *rand.Rand) func() { return f.partitionSome(r, len(f.nodes)-1) }},
 }
 
+// spoilFaults are the faults of fleets whose servers spoil their streams.
+var spoilFaults = []fault{
+	{"server spoils its streams", func(f *fleet, r *rand.Rand) func() {
+		s := pick(r, f.servers)
+		s.SetSpoiling(pick(r, []standin.Spoiling{standin.SpoilLineEnds, standin.SpoilBatch, standin.SpoilFirst, standin.SpoilLast}))
+		return func() { s.SetSpoiling(standin.SpoilNothing) }
+	}},
+	{"server writes blank lines", func(f *fleet, r *rand.Rand) func() {
+		s := pick(r, f.servers)
+		s.SetSpoiling(standin.SpoilLineEnds)
+		return func() { s.SetSpoiling(standin.SpoilNothing) }
+	}},
+}
+
 // partitionSome partitions n nodes from all servers and returns the function that ends it.
 func (f *fleet) partitionSome(r *rand.Rand, n int) func() {
 	nodes := slices.Clone(f.nodes)
@@ -169,6 +183,9 @@
 	if f.partitionable {
 		possible = slices.Concat(possible, partitionFaults)
 	}
+	if f.spoils {
+		possible = slices.Concat(possible, spoilFaults)
+	}
 	if f.contended {
 		possible = slices.Concat(possible, contendedFaults)
 	}
--- a/test/soak/fleet_test.go
+++ b/test/soak/fleet_test.go
@@ -95,6 +95,7 @@
 	badServers []*server
 	// partitionable is set if the nodes can be partitioned from all servers.
 	partitionable bool
+	spoils        bool // servers may spoil their streams
 	noRollouts    bool
 	// record holds when nodes were killed, started again or paused.
 	record *faultRecord
@@ -146,6 +147,8 @@
 	resumeTiers int
 	// partitionable nodes can be partitioned from all servers.
 	partitionable bool
+	// spoils lets servers spoil their streams.
+	spoils bool
 	// noRollouts keeps the operators from rolling out versions.
 	noRollouts bool
 	// contended makes the fleet a contended one (contended_test.go).
@@ -173,7 +176,7 @@
 	o.onceTimeout = cmp.Or(o.onceTimeout, 8*time.Second)
 	o.resumeTimeout = cmp.Or(o.resumeTimeout, 8*time.Second)
 	o.resumeTiers = cmp.Or(o.resumeTiers, 1)
-	f := &fleet{t: t, eventInterval: o.eventInterval, slots: slots, contended: o.contended, fails: o.fails, partitionable: o.partitionable, noRollouts: o.noRollouts, record: newFaultRecord(), dir: t.TempDir(), store: standin.NewStore(50), revokedAt: map[string]time.Time{}}
+	f := &fleet{t: t, eventInterval: o.eventInterval, slots: slots, contended: o.contended, fails: o.fails, partitionable: o.partitionable, spoils: o.spoils, noRollouts: o.noRollouts, record: newFaultRecord(), dir: t.TempDir(), store: standin.NewStore(50), revokedAt: map[string]time.Time{}}
 	f.storeAddr, _ = f.serve(f.store.Serve)
 	f.config = &standin.Configuration{
 		Tenant: "space", MaxBodyBytes: longBodyBytes,
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -1,11 +1,13 @@
 package soak
 
 import (
+	"bytes"
 	"context"
 	"fmt"
 	"math/rand/v2"
 	"net/http"
 	"os"
+	"path/filepath"
 	"slices"
 	"testing"
 	"time"
@@ -50,6 +52,30 @@
 	})
 }
 
+// Guards against: what servers spoil of their streams ends processes, or is missing from answers that look complete.
+func TestSpoiledStreamsAmidOtherFaults(t *testing.T) {
+	included := map[string]bool{"kill and restart": true, "terminate and restart": true, "pause": true, "server is busy": true}
+	for _, x := range spoilFaults {
+		included[x.name] = true
+	}
+	f, c := runSeed(t, *firstSeed, fleetOptions{spoils: true}, func(name string) bool { return included[name] })
+	f.checkNoneEndedByThemselves()
+	f.reportServed(c)
+}
+
+// checkNoneEndedByThemselves checks that no process has ended by a panic.
+func (f *fleet) checkNoneEndedByThemselves() {
+	for _, n := range f.nodes {
+		written, err := os.ReadFile(filepath.Join(f.dir, n.name+".log"))
+		if err != nil {
+			f.t.Error(err)
+		}
+		if bytes.Contains(written, []byte("\npanic: ")) || bytes.Contains(written, []byte("\nfatal error: ")) {
+			f.t.Errorf("a process of %s has ended by itself", n.name)
+		}
+	}
+}
+
 // Guards against: a daemon that stops or restarts in plan cuts off what it relays for
 // daemons that are partitioned from all servers. No connection is broken by the partition.
 func TestRollingRestartBesidePartitions(t *testing.T) {
