forward: a test of hedges whose first event is spoiled

Looked for beside the spoiled events: may such a hedge take over a silent stream? A hedge is read from the number that it was asked for, and has to bring an event before it takes over.

--- a/internal/forward/spoiledevent_test.go
+++ b/internal/forward/spoiledevent_test.go
@@ -123,6 +123,27 @@
 	}
 }
 
+// Guards against: a hedge whose first event is spoiled takes over a silent stream.
+func TestSpoiledEventOfAHedgeDropsNoServer(t *testing.T) {
+	for _, how := range []string{"another number", "no id", "a negative number"} {
+		Convey("The silent server continues the stream; the hedge's event has "+how, t, func() {
+			hedgeEnded := newTrigger()
+			var r *harness
+			spoiled := newBackend(t, func(_ int, head, _ string, c net.Conn) bool {
+				writeStreamHead(c, head)
+				writeChunk(c, spoilings[how](eventText(4), 4)+eventsText(5, 6))
+				r.waitUntil("the hedge has ended", func() bool { return len(r.broker.outcomes()) > 0 })
+				hedgeEnded.fire()
+				return false
+			})
+			r = newHarnessWithHook(t, startHedgesEarly, newBackend(t, silentUntil(hedgeEnded)), spoiled)
+			got := r.call("POST", "/resume/", "1", "", "x")
+			So(got.body, ShouldEqual, eventsText(1, 6))
+			So(got.complete, ShouldBeTrue)
+		})
+	}
+}
+
 // Guards against: blocks that are no events end a stream.
 func TestBlocksWithoutEventsArePassedOn(t *testing.T) {
 	Convey("Comments, waits and names of events reach the caller, and so do events with other fields", t, func() {
