--- a/internal/poolhost/monitor.go
+++ b/internal/poolhost/monitor.go
@@ -71,9 +71,17 @@
 
 // tick reports changes of health to the scheduler and starts the probes that are due.
 func (m *monitor) tick() {
-	now := m.runtime.host.cfg.Now()
+	due, isEngine := m.takeDueProbes(m.runtime.host.cfg.Now())
+	for _, t := range due {
+		m.runtime.host.cfg.Spawn(func() { m.probe(t, isEngine) })
+	}
+}
+
+// takeDueProbes reports changes of health and returns the probes to start now. It unlocks by
+// defer, since the task that ticks begins anew after a panic.
+func (m *monitor) takeDueProbes(now time.Time) (due []probeTarget, isEngine bool) {
 	m.mu.Lock()
-	var due []probeTarget
+	defer m.mu.Unlock()
 	for _, w := range m.servers {
 		m.reportHealth(w)
 		if !m.runtime.host.cfg.DisableProbes && !w.probing && !now.Before(w.nextProbe) && (!m.isEngine || m.runtime.host.cfg.Engines != nil) {
@@ -81,11 +89,7 @@
 			due = append(due, probeTarget{w, w.spec})
 		}
 	}
-	isEngine := m.isEngine
-	m.mu.Unlock()
-	for _, t := range due {
-		m.runtime.host.cfg.Spawn(func() { m.probe(t, isEngine) })
-	}
+	return due, m.isEngine
 }
 
 // reportHealth posts a server's health if it has changed. A server is leaving
