streamversion: the log tells why a stream was placed or not

Refusals for version_unknown were all alike in the logs: they did not say who had been asked, who had answered, or how old each list of servers was, so that records that had ended with their processes could not be told from records that were not found, nor a list that was too old from one that lacked nothing.

A line for each stream that is taken up names the verdict, what this daemon knew, each keeper's answer with the age of its list's proof (new in the answer's message; a daemon of an earlier release counts as never proved), and who did not answer. A stop logs how many records end with the process. No decision is changed.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -280,6 +280,7 @@
 	ctx, cancel := context.WithDeadline(context.Background(), start.Add(limit))
 	defer cancel()
 	go g.logDrain(ctx)
+	defer g.streams.LogEnd()
 	time.Sleep(listenerLinger)
 	if err := g.forward.Shutdown(ctx); err != nil {
 		return err
--- a/internal/streamversion/decide.go
+++ b/internal/streamversion/decide.go
@@ -11,6 +11,9 @@
 	// observed the servers for this long.
 	versions    []string
 	observedFor time.Duration
+	// proofAge is the age of the newest proof of its list of servers; valid if proved is set.
+	proofAge time.Duration
+	proved   bool
 }
 
 // verdict is what follows from all evidence. A lower one is overruled by a higher one.
@@ -28,6 +31,20 @@
 	recorded
 )
 
+// String returns the verdict's name in logs and metrics.
+func (v verdict) String() string {
+	switch v {
+	case soleSeen:
+		return "sole_in_archive"
+	case sole:
+		return "sole"
+	case recorded:
+		return "recorded"
+	default:
+		return "unknown"
+	}
+}
+
 // decide returns the version that began a stream, which is no older than life.
 func decide(all []evidence, life time.Duration) (string, verdict) {
 	version, v, contradicted := "", unknown, false
--- a/internal/streamversion/keeper.go
+++ b/internal/streamversion/keeper.go
@@ -71,7 +71,10 @@
 	k := &Keeper{cfg: cfg, log: logs.For("streams"), table: newTable(), archived: map[string]archived{}}
 	k.counters = counters{
 		recorded: c("recorded"), received: c("received"), sendFailed: c("send_failed"), asked: c("keepers_asked"), unanswered: c("keepers_unanswered"),
-		results: map[verdict]*expvar.Int{unknown: c("found_unknown"), soleSeen: c("found_sole_in_archive"), sole: c("found_sole"), recorded: c("found_recorded")},
+		results: map[verdict]*expvar.Int{},
+	}
+	for _, v := range []verdict{unknown, soleSeen, sole, recorded} {
+		k.counters.results[v] = c("found_" + v.String())
 	}
 	cfg.Metrics.Gauge("stream_versions", "records", func() any { return k.table.count() })
 	return k
@@ -124,7 +127,10 @@
 		return nil, errors.Wrap(err, "decode a question for a stream's version")
 	}
 	e := k.ownEvidence(key(m.GetStream()), m.GetService())
-	return proto.Marshal(&wire.Answer{Known: e.known, Version: e.version, Versions: e.versions, ObservedMs: uint64(e.observedFor.Milliseconds())})
+	return proto.Marshal(&wire.Answer{
+		Known: e.known, Version: e.version, Versions: e.versions, ObservedMs: uint64(e.observedFor.Milliseconds()),
+		Proved: e.proved, ProofMs: uint64(e.proofAge.Milliseconds()),
+	})
 }
 
 // ownEvidence returns what this daemon knows of a stream.
@@ -132,5 +138,6 @@
 	now := k.cfg.Now()
 	e := evidence{versions: k.cfg.History.Versions(now, service), observedFor: k.cfg.History.ObservedFor(now)}
 	e.version, e.known = k.table.get(now, id)
+	e.proofAge, e.proved = k.cfg.ProofAge()
 	return e
 }
--- a/internal/streamversion/lookup.go
+++ b/internal/streamversion/lookup.go
@@ -21,72 +21,94 @@
 
 // Lookup returns the version that began a stream, which is no older than life.
 func (k *Keeper) Lookup(ctx context.Context, s Stream, life time.Duration) (string, error) {
-	id := s.key()
-	own := k.ownEvidence(id, s.Service)
-	if own.known && own.version != ambiguous {
-		k.counters.results[recorded].Add(1)
-		return own.version, nil
+	l := &lookup{stream: s, started: k.cfg.Now(), own: k.ownEvidence(s.key(), s.Service)}
+	version, v, err := k.find(ctx, l, life)
+	k.counters.results[v].Add(1)
+	k.logLookup(l, version, v)
+	return version, err
+}
+
+// lookup is what one lookup has found out.
+type lookup struct {
+	stream     Stream
+	started    time.Time
+	own        evidence
+	answers    []answer
+	unanswered []string // keepers that did not answer
+}
+
+// answer is a keeper's evidence.
+type answer struct {
+	of string
+	evidence
+}
+
+// find returns the version that began a stream and how it is known, or why it is not.
+func (k *Keeper) find(ctx context.Context, l *lookup, life time.Duration) (string, verdict, error) {
+	if l.own.known && l.own.version != ambiguous {
+		return l.own.version, recorded, nil
 	}
-	answers, unanswered := k.ask(ctx, id, s.Service)
-	if len(answers) > 0 || k.listIsFresh() {
-		answers = append(answers, own)
+	k.ask(ctx, l)
+	all := make([]evidence, 0, len(l.answers)+1)
+	for _, a := range l.answers {
+		all = append(all, a.evidence)
 	}
-	version, v := decide(answers, life)
-	if v == soleSeen && !k.archiveHasOnly(ctx, s.Service, version) {
-		k.counters.results[unknown].Add(1)
-		return "", ErrNoAnswer
+	if len(all) > 0 || l.own.proved && l.own.proofAge <= maxProofAge {
+		all = append(all, l.own)
+	}
+	version, v := decide(all, life)
+	if v == soleSeen && !k.archiveHasOnly(ctx, l.stream.Service, version) {
+		return "", unknown, ErrNoAnswer
 	}
-	k.counters.results[v].Add(1)
 	switch {
 	case v != unknown:
-		return version, nil
-	case unanswered > 0 || len(answers) == 0:
-		return "", ErrNoAnswer
+		return version, v, nil
+	case len(l.unanswered) > 0 || len(all) == 0:
+		return "", unknown, ErrNoAnswer
 	default:
-		return "", ErrUnknown
+		return "", unknown, ErrUnknown
 	}
 }
 
-// listIsFresh reports whether this daemon's list of servers was proved lately.
-func (k *Keeper) listIsFresh() bool {
-	age, ok := k.cfg.ProofAge()
-	return ok && age <= maxProofAge
-}
-
 // ask asks the stream's keepers, until one has a record of the stream or all have answered.
-// It returns their answers, and how many did not answer.
-func (k *Keeper) ask(ctx context.Context, id key, service string) (answers []evidence, unanswered int) {
+func (k *Keeper) ask(ctx context.Context, l *lookup) {
 	if k.transport == nil {
-		return nil, 0
+		return
 	}
 	ctx, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
 	select {
 	case <-k.joined:
 	case <-ctx.Done():
-		return nil, 1 // the other daemons are not known yet
+		l.unanswered = []string{"all"} // the other daemons are not known yet
+		return
 	}
+	id := l.stream.key()
 	names := k.ranking.keepersOf(id, keepersAsked)
-	results := make(chan *evidence, len(names))
-	payload, err := proto.Marshal(&wire.Question{Stream: uint64(id), Service: service})
+	payload, err := proto.Marshal(&wire.Question{Stream: uint64(id), Service: l.stream.Service})
 	if err != nil {
 		k.log.WithError(err).Error("Question for a stream's version can't be encoded.")
-		return nil, len(names)
+		l.unanswered = names
+		return
+	}
+	type result struct {
+		of       string
+		evidence *evidence
 	}
+	results := make(chan result, len(names))
 	for _, name := range names {
-		go func() { results <- k.askOne(ctx, name, payload) }()
+		go func() { results <- result{name, k.askOne(ctx, name, payload)} }()
 	}
 	for range names {
-		e := <-results
-		if e == nil {
-			unanswered++
+		r := <-results
+		if r.evidence == nil {
+			l.unanswered = append(l.unanswered, r.of)
 			continue
 		}
-		if answers = append(answers, *e); e.known {
-			return answers, unanswered
+		if l.answers = append(l.answers, answer{r.of, *r.evidence}); r.evidence.known {
+			return
 		}
 	}
-	return answers, unanswered
 }
 
 // askOne returns one keeper's answer; nil if there is none.
@@ -107,5 +129,6 @@
 	return &evidence{
 		version: m.GetVersion(), known: m.GetKnown(), versions: m.GetVersions(),
 		observedFor: time.Duration(m.GetObservedMs()) * time.Millisecond,
+		proofAge:    time.Duration(m.GetProofMs()) * time.Millisecond, proved: m.GetProved(),
 	}
 }
--- a/internal/streamversion/table.go
+++ b/internal/streamversion/table.go
@@ -84,3 +84,15 @@
 	defer t.mu.Unlock()
 	return len(t.records)
 }
+
+// live returns the number of records that have not expired.
+func (t *table) live(now time.Time) (n int) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, r := range t.records {
+		if now.Before(r.expires) {
+			n++
+		}
+	}
+	return n
+}
