streamversion: records of streams are handed on to the daemons that take over

Cause: which version began a stream was told once, as it began, to the daemon's three keepers by the membership of that moment. Nobody handed a record on, neither a daemon that stops nor a keeper to those that take a place, though the logs show 46 to 57 records in the first three processes that ended.

Now the first four of a stream's group hold each record. Whoever has records compares, every 0.2 s and only if the members changed or a message was lost, the first four with those that have them, and calls the others with batches of 512; what fails is repeated in the next round. A restarted process counts as another by its incarnation. Daemons that leave are told nothing new, but hand on until they exit, and are asked while they live. A stop hands on once more, for 0.25 s at most, and logs for how many records all keepers have them.

Four including the one that began the stream, not three others: with three others a keeper takes the fourth for one that has the record although nobody told it, and a property test finds 3 copies where 4 are promised (trial).

A random sequence of kills, restarts that nobody noticed, leaves and joins keeps each record at four daemons or all (rapid, 100 sequences).

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -248,6 +248,7 @@
 	t.Go(ctx, "expiry", r.runExpiry)
 	t.Go(ctx, "probe of the store", r.runProbe)
 	t.Go(ctx, "freshness", g.logFreshness)
+	t.Go(ctx, "records of streams", g.streams.Run)
 	t.Go(ctx, "archive of the versions", g.archiveVersions)
 	t.Go(ctx, "archive of the suspects", g.archiveSuspects)
 	keeper := &keyKeeper{store: clusterKeyStore{g.platform.Store, g.platform.Stale}, key: key, isReader: g.peerSync.isReader, lost: g.state.storeRestored, log: g.log}
@@ -275,12 +276,12 @@
 	g.log.Info("Draining.")
 	if g.routes.Load() != nil {
 		g.members.Leave() // first, so that the pools move to other owners
+		defer g.streams.End()
 	}
 	limit := seconds(g.settings.Bounds.GraceS) - shutdownMargin
 	ctx, cancel := context.WithDeadline(context.Background(), start.Add(limit))
 	defer cancel()
 	go g.logDrain(ctx)
-	defer g.streams.LogEnd()
 	time.Sleep(listenerLinger)
 	if err := g.forward.Shutdown(ctx); err != nil {
 		return err
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -46,6 +46,7 @@
 
 	TypeStreamBegan    Type = 60 // which version began a caller's stream, to its keepers
 	TypeStreamQuestion Type = 61 // asks a keeper for that
+	TypeStreamHandover Type = 62 // a batch of such records, to a new keeper
 )
 
 // Errors of a Transport, for use with errors.Is.
--- a/internal/streamversion/keeper.go
+++ b/internal/streamversion/keeper.go
@@ -55,10 +55,13 @@
 	transport peer.Transport
 	ranking   *ranking
 	joined    <-chan struct{}
+
+	handover handover
 }
 
 type counters struct {
 	recorded, received, sendFailed, asked, unanswered *expvar.Int
+	handedOn, handOnFailed, receivedAgain             *expvar.Int
 	results                                           map[verdict]*expvar.Int
 }
 
@@ -68,9 +71,10 @@
 		cfg.Now = time.Now
 	}
 	c := func(name string) *expvar.Int { return cfg.Metrics.Counter("stream_versions", name) }
-	k := &Keeper{cfg: cfg, log: logs.For("streams"), table: newTable(), archived: map[string]archived{}}
+	k := &Keeper{cfg: cfg, log: logs.For("streams"), table: newTable(), archived: map[string]archived{}, handover: handover{round: make(chan struct{}, 1)}}
 	k.counters = counters{
 		recorded: c("recorded"), received: c("received"), sendFailed: c("send_failed"), asked: c("keepers_asked"), unanswered: c("keepers_unanswered"),
+		handedOn: c("handed_on"), handOnFailed: c("handed_on_failed"), receivedAgain: c("received_again"),
 		results: map[verdict]*expvar.Int{},
 	}
 	for _, v := range []verdict{unknown, soleSeen, sole, recorded} {
@@ -87,6 +91,8 @@
 	k.ranking = &ranking{region: k.cfg.Region, view: view}
 	t.Handle(peer.TypeStreamBegan, k.handleBegan)
 	t.Handle(peer.TypeStreamQuestion, k.handleQuestion)
+	t.Handle(peer.TypeStreamHandover, k.handleHandover)
+	t.OnDown(func(name peer.Name) { k.handover.forget(string(name)) }) // messages in flight were lost
 }
 
 // Record records that a version began a stream, here and at the stream's keepers. It is
@@ -98,29 +104,41 @@
 	if k.transport == nil {
 		return
 	}
-	payload, err := proto.Marshal(&wire.Began{Stream: uint64(id), Version: version, KeepMs: uint32(min(keepFor, maxKeep).Milliseconds())})
+	payload, err := proto.Marshal(began(id, version, keepFor))
 	if err != nil {
 		k.log.WithError(err).Error("Stream's version can't be encoded.")
 		return
 	}
-	for _, name := range k.ranking.keepersOf(id, keepersTold) {
-		if k.transport.Send(peer.Name(name), peer.TypeStreamBegan, payload) != nil {
+	group := groupOf(id)
+	for _, to := range k.ranking.group(group).told {
+		if k.transport.Send(peer.Name(to.name), peer.TypeStreamBegan, payload) != nil {
 			k.counters.sendFailed.Add(1)
+			k.handover.forgetGroup(to.name, group)
 		}
 	}
 }
 
+// began returns the message that tells a record.
+func began(id key, version string, keepFor time.Duration) *wire.Began {
+	return &wire.Began{Stream: uint64(id), Version: version, KeepMs: uint32(min(keepFor, maxKeep).Milliseconds())}
+}
+
 func (k *Keeper) handleBegan(_ context.Context, _ peer.Name, payload []byte) ([]byte, error) {
 	var m wire.Began
 	if err := proto.Unmarshal(payload, &m); err != nil {
 		return nil, errors.Wrap(err, "decode a stream's version")
 	}
 	k.counters.received.Add(1)
-	keepFor := min(time.Duration(m.GetKeepMs())*time.Millisecond, maxKeep)
-	k.table.put(k.cfg.Now(), key(m.GetStream()), m.GetVersion(), keepFor)
+	k.keep(&m)
 	return nil, nil
 }
 
+// keep keeps a record that a peer told, and reports whether it was new.
+func (k *Keeper) keep(m *wire.Began) bool {
+	keepFor := min(time.Duration(m.GetKeepMs())*time.Millisecond, maxKeep)
+	return k.table.put(k.cfg.Now(), key(m.GetStream()), m.GetVersion(), keepFor)
+}
+
 func (k *Keeper) handleQuestion(_ context.Context, _ peer.Name, payload []byte) ([]byte, error) {
 	var m wire.Question
 	if err := proto.Unmarshal(payload, &m); err != nil {
--- a/internal/streamversion/lookup.go
+++ b/internal/streamversion/lookup.go
@@ -84,7 +84,7 @@
 		return
 	}
 	id := l.stream.key()
-	names := k.ranking.keepersOf(id, keepersAsked)
+	names := k.ranking.group(groupOf(id)).asked
 	payload, err := proto.Marshal(&wire.Question{Stream: uint64(id), Service: l.stream.Service})
 	if err != nil {
 		k.log.WithError(err).Error("Question for a stream's version can't be encoded.")
--- a/internal/streamversion/lookuplog.go
+++ b/internal/streamversion/lookuplog.go
@@ -49,8 +49,3 @@
 	}
 	return fmt.Sprintf("%s, versions [%s] for %ds, %s", record, strings.Join(e.versions, " "), int(e.observedFor/time.Second), proof)
 }
-
-// LogEnd logs how many records end with this process.
-func (k *Keeper) LogEnd() {
-	k.log.WithField("records", k.table.live(k.cfg.Now())).Info("Records of streams end with this process.")
-}
--- a/internal/streamversion/table.go
+++ b/internal/streamversion/table.go
@@ -3,6 +3,8 @@
 import (
 	"sync"
 	"time"
+
+	"github.com/lycheekeel/lycheekeel/internal/streamversion/wire"
 )
 
 // maxRecords bounds the records of a daemon; the oldest are dropped first. One takes about
@@ -28,20 +30,20 @@
 
 func newTable() *table { return &table{records: map[key]record{}} }
 
-// put records the version that began a stream.
-func (t *table) put(now time.Time, k key, version string, keepFor time.Duration) {
+// put records the version that began a stream, and reports whether it was not recorded yet.
+func (t *table) put(now time.Time, k key, version string, keepFor time.Duration) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.dropOld(now)
 	r := record{version, now.Add(keepFor)}
-	if old, known := t.records[k]; known {
-		if now.Before(old.expires) {
-			r = r.merge(old)
-		}
-	} else {
+	old, known := t.records[k]
+	if !known {
 		t.order = append(t.order, k)
+	} else if now.Before(old.expires) {
+		r = r.merge(old)
 	}
 	t.records[k] = r
+	return !known
 }
 
 // merge returns the record of a stream that was recorded before.
@@ -85,6 +87,18 @@
 	return len(t.records)
 }
 
+// byGroup returns the records that have not expired, as messages.
+func (t *table) byGroup(now time.Time) (out [keeperGroups][]*wire.Began) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for k, r := range t.records {
+		if left := r.expires.Sub(now); left >= time.Millisecond {
+			out[groupOf(k)] = append(out[groupOf(k)], began(k, r.version, left))
+		}
+	}
+	return out
+}
+
 // live returns the number of records that have not expired.
 func (t *table) live(now time.Time) (n int) {
 	t.mu.Lock()
--- a/test/soak/partition_test.go
+++ b/test/soak/partition_test.go
@@ -116,13 +116,16 @@
 	return partitioned, others
 }
 
-func (s *servedTally) count(x *call) {
+// add counts a request.
+func (s *servedTally) add(served bool) {
 	s.sent++
-	if x.status == http.StatusOK && x.complete {
+	if served {
 		s.served++
 	}
 }
 
+func (s *servedTally) count(x *call) { s.add(x.status == http.StatusOK && x.complete) }
+
 func (n *node) partitionFile() string { return filepath.Join(n.fleet.dir, n.name+".partition") }
 
 func (f *fleet) partition(nodes []*node, m partition.Mode) {
--- a/test/soak/versions_test.go
+++ b/test/soak/versions_test.go
@@ -99,22 +99,7 @@
 
 func runVersioned(t *testing.T, x versionedCase) {
 	f := startFleet(t, fleetOptions{nodes: 6, noRollouts: x.noRollouts, eventInterval: versionedEventGap, resumeTimeout: versionedTimeout, resumeTarget: x.target}, x.seed)
-	for _, s := range f.servers {
-		if s.service == "llm" {
-			f.store.Remove(standin.KindServers, s.ID)
-		}
-	}
-	f.servers = slices.DeleteFunc(f.servers, func(s *server) bool { return s.service == "llm" })
-	for range serversPerVersion {
-		for v := range x.versions {
-			f.addVersionedServer(versionName(v))
-		}
-	}
-	var started conc.WaitGroup
-	for _, n := range f.nodes {
-		started.Go(func() { f.awaitVersions(n, x.versions) })
-	}
-	started.Wait()
+	f.serveVersions(x.versions)
 	record := newFaultRecord()
 	ctx, cancel := context.WithTimeout(context.Background(), versionedSpan)
 	defer cancel()
@@ -142,6 +127,27 @@
 	f.checkVersions(all, record)
 }
 
+// serveVersions replaces the servers of the streams' service by servers of so many versions, and
+// waits until all daemons know them.
+func (f *fleet) serveVersions(versions int) {
+	for _, s := range f.servers {
+		if s.service == "llm" {
+			f.store.Remove(standin.KindServers, s.ID)
+		}
+	}
+	f.servers = slices.DeleteFunc(f.servers, func(s *server) bool { return s.service == "llm" })
+	for range serversPerVersion {
+		for v := range versions {
+			f.addVersionedServer(versionName(v))
+		}
+	}
+	var started conc.WaitGroup
+	for _, n := range f.nodes {
+		started.Go(func() { f.awaitVersions(n, versions) })
+	}
+	started.Wait()
+}
+
 func versionName(i int) string { return fmt.Sprint("v", i+1) }
 
 // addVersionedServer starts and registers a server of the streams' service.
