--- a/internal/streamversion/keepers.go
+++ b/internal/streamversion/keepers.go
@@ -27,9 +27,10 @@
 	region string
 	view   *member.CurrentView
 
-	mu     sync.Mutex
-	asOf   *member.View
-	groups [keeperGroups]*keeperGroup // as of that view; nil: not computed yet
+	mu         sync.Mutex
+	asOf       *member.View
+	candidates []candidate                // as of that view, in any order
+	groups     [keeperGroups]*keeperGroup // as of that view; nil: not computed yet
 }
 
 // keeperGroup holds the keepers of a group of streams, without this daemon itself.
@@ -55,72 +56,78 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if view != r.asOf {
-		r.asOf, r.groups = view, [keeperGroups]*keeperGroup{}
+		r.asOf, r.candidates, r.groups = view, candidatesOf(view, r.region), [keeperGroups]*keeperGroup{}
 	}
 	if r.groups[group] == nil {
-		r.groups[group] = rankKeepers(view, r.region, group)
+		r.groups[group] = rankKeepers(r.candidates, view.Self, group)
 	}
 	return r.groups[group]
 }
 
-// rankKeepers ranks the daemons of a region for a group. A daemon that leaves is told nothing
-// new, but asked while it lives. One that is suspected is told if there are too few others.
-func rankKeepers(v *member.View, region string, group uint64) *keeperGroup {
-	all := rankMembers(v, region, group)
-	inState := func(s member.State) []member.Member {
-		return spreadZones(slices.DeleteFunc(slices.Clone(all), func(m member.Member) bool { return m.State != s }))
-	}
-	first := append(inState(member.Alive), inState(member.Suspect)...)
-	g := &keeperGroup{}
-	for _, m := range first[:min(len(first), keepersTold+1)] {
-		if m.Name != v.Self {
-			g.told = append(g.told, keeper{m.Name, m.Incarnation})
-			g.asked = append(g.asked, m.Name)
-		}
-	}
-	for _, m := range spreadZones(all) {
-		if len(g.asked) < keepersAsked && m.Name != v.Self && !slices.Contains(g.asked, m.Name) {
-			g.asked = append(g.asked, m.Name)
-		}
-	}
-	return g
+// candidate is a daemon of the region that lives, and its weight in a group.
+type candidate struct {
+	*member.Member
+	weight uint64
 }
 
-// rankMembers ranks the daemons of a region that live by rendezvous hashing.
-func rankMembers(v *member.View, region string, group uint64) []member.Member {
-	type candidate struct {
-		member.Member
-		weight uint64
-	}
+func candidatesOf(v *member.View, region string) []candidate {
 	all := make([]candidate, 0, len(v.Members))
-	for _, m := range v.Members {
-		if m.Region == region && m.State != member.Dead {
-			all = append(all, candidate{m, keeperWeight(m.Name, group)})
+	for i := range v.Members {
+		if m := &v.Members[i]; m.Region == region && m.State != member.Dead {
+			all = append(all, candidate{Member: m})
 		}
 	}
+	return all
+}
+
+// rankKeepers ranks the candidates for a group by rendezvous hashing, and sorts them by weight. A
+// daemon that leaves is told nothing new, but asked while it lives. One that is suspected is told
+// if there are too few others.
+func rankKeepers(all []candidate, self string, group uint64) *keeperGroup {
+	var name []byte
+	for i := range all {
+		name = append(append(name[:0], all[i].Name...), byte('a'+group))
+		all[i].weight = xxhash.Sum64(name)
+	}
 	slices.SortFunc(all, func(a, b candidate) int {
 		return cmp.Or(cmp.Compare(b.weight, a.weight), cmp.Compare(a.Name, b.Name))
 	})
-	out := make([]member.Member, len(all))
-	for i, c := range all {
-		out[i] = c.Member
+	first := firstOf(all, keepersTold+1, func(c candidate) bool { return c.State == member.Alive })
+	if lacking := keepersTold + 1 - len(first); lacking > 0 {
+		first = append(first, firstOf(all, lacking, func(c candidate) bool { return c.State == member.Suspect })...)
 	}
-	return out
+	g := &keeperGroup{}
+	for _, c := range first {
+		if c.Name != self {
+			g.told = append(g.told, keeper{c.Name, c.Incarnation})
+			g.asked = append(g.asked, c.Name)
+		}
+	}
+	for _, c := range firstOf(all, keepersAsked+1, func(candidate) bool { return true }) {
+		if len(g.asked) < keepersAsked && c.Name != self && !slices.Contains(g.asked, c.Name) {
+			g.asked = append(g.asked, c.Name)
+		}
+	}
+	return g
 }
 
-// spreadZones returns ranked daemons with the first of each availability zone before all
-// others, so that no zone's loss takes all keepers.
-func spreadZones(ranked []member.Member) []member.Member {
-	inZone, rankInZone := map[string]int{}, make(map[string]int, len(ranked))
-	for _, m := range ranked {
-		rankInZone[m.Name] = inZone[m.AvailabilityZone]
-		inZone[m.AvailabilityZone]++
+// firstOf returns up to n ranked candidates that may be chosen, with the first of each
+// availability zone before all others, so that no zone's loss takes all keepers.
+func firstOf(ranked []candidate, n int, mayChoose func(candidate) bool) (out []candidate) {
+	for rank, found := 1, true; found && len(out) < n; rank++ {
+		found = false
+		inZone := map[string]int{}
+		for _, c := range ranked {
+			if len(out) == n {
+				return out
+			}
+			if !mayChoose(c) {
+				continue
+			}
+			if inZone[c.AvailabilityZone]++; inZone[c.AvailabilityZone] == rank {
+				out, found = append(out, c), true
+			}
+		}
 	}
-	out := slices.Clone(ranked)
-	slices.SortStableFunc(out, func(a, b member.Member) int { return cmp.Compare(rankInZone[a.Name], rankInZone[b.Name]) })
 	return out
 }
-
-func keeperWeight(name string, group uint64) uint64 {
-	return xxhash.Sum64String(name + string(rune('a'+group)))
-}
--- a/internal/streamversion/keepers_test.go
+++ b/internal/streamversion/keepers_test.go
@@ -19,7 +19,8 @@
 }
 
 func keepersOf(self string, group uint64, members []member.Member) []string {
-	return rankKeepers(member.NewView(self, slices.Clone(members)), "r", group).asked
+	view := member.NewView(self, slices.Clone(members))
+	return rankKeepers(candidatesOf(view, "r"), self, group).asked
 }
 
 // Guards against: the daemon that is asked does not ask the daemons that were told.
