forward: the log tells which requests a shutdown leaves unanswered

What callers saw: a call that was read 2.5 s after the SIGTERM and whose link to its server was swallowed got not one byte when the process ended 7.6 s after the SIGTERM ("shut down: context deadline exceeded"). Its only line was "Still running."; nobody could tell from the log how it ended.

Cause: a request's line is written by the goroutine that serves it, and the process ends first.

Now the server holds the requests that wait for a slot, a server or their caller, and a shutdown that gives up writes one line for each, with its id, server, sends, wait for slots, time since the send, and what it waits for.

--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -69,6 +69,7 @@
 	status           int
 	history          requestHistory
 	runningLog       runningLog
+	waits            waits
 	ended            bool
 }
 
@@ -256,6 +257,7 @@
 	x.watch = callerwatch.Start(x.conn, cancel)
 	x.runningLog.start(x)
 	x.stopWriteTimeout = x.startWriteTimeout()
+	x.server.open.add(x)
 }
 
 // startWriteTimeout sets a write deadline when the request's context has ended. The
@@ -308,6 +310,7 @@
 	x.releaseRetry()
 	x.runningLog.stop()
 	if x.watch != nil {
+		x.server.open.remove(x)
 		x.watch.Stop()
 		x.stopWriteTimeout()
 		x.stopDeadline()
--- a/internal/forward/runninglog.go
+++ b/internal/forward/runninglog.go
@@ -39,6 +39,7 @@
 	server   string
 	slotWait time.Duration // total of all waits for slots
 	sends    int
+	at       time.Time
 }
 
 func (r *runningLog) start(x *exchange) {
@@ -63,7 +64,8 @@
 	if last := r.lastSend.Load(); last != nil {
 		previous = last.sends
 	}
-	r.lastSend.Store(&sendInfo{server: server, slotWait: r.exchange.history.slotWait, sends: previous + 1})
+	r.exchange.waits.set(waitsForAnswer)
+	r.lastSend.Store(&sendInfo{server: server, slotWait: r.exchange.history.slotWait, sends: previous + 1, at: time.Now()})
 }
 
 // write writes the line, unless the request has ended or the rate limit suppresses it.
--- a/internal/forward/send.go
+++ b/internal/forward/send.go
@@ -72,6 +72,7 @@
 // acquireSlot waits for a slot.
 func (x *exchange) acquireSlot() (broker.Grant, error) {
 	start := time.Now()
+	x.waits.set(waitsForSlot)
 	ctx, cancel := x.slotContext()
 	defer cancel()
 	grant, err := x.server.deps.Broker.Acquire(ctx, x.demand)
--- a/internal/forward/server.go
+++ b/internal/forward/server.go
@@ -97,6 +97,7 @@
 	requestSequence   atomic.Uint64
 	draining          atomic.Bool
 	openRequests      atomic.Int64
+	open              openRequests
 }
 
 // New returns a server that is not listening yet.
@@ -150,10 +151,15 @@
 // Drain makes every further answer ask its caller to close the connection.
 func (s *Server) Drain() { s.draining.Store(true) }
 
-// Shutdown closes the listener and waits until every request has been answered.
+// Shutdown closes the listener and waits until every request has been answered. It logs those
+// that are still open when ctx ends.
 func (s *Server) Shutdown(ctx context.Context) error {
 	s.Drain()
-	return errors.Wrap(s.httpServer.ShutdownWithContext(ctx), "shut down")
+	err := s.httpServer.ShutdownWithContext(ctx)
+	if err != nil {
+		s.open.logAll("Not answered by the end of the shutdown.")
+	}
+	return errors.Wrap(err, "shut down")
 }
 
 // OpenCounts counts what a shutdown waits for.
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -29,6 +29,8 @@
 
 // Read implements io.Reader.
 func (s *stream) Read(p []byte) (int, error) {
+	s.exchange.waits.set(waitsForEvents)
+	defer s.exchange.waits.set(waitsForCaller)
 	for len(s.pending) == 0 {
 		if s.eof {
 			s.release(pool.OutcomeDone)
