forward: open requests are answered at the end of the grace period

What callers saw: a call that had been passed on got not one byte when its server had not answered by the end of the grace period; the process ended and took the connection along (seen 7.6 s after the SIGTERM, with a link to the server that swallowed its bytes). A call that still waited for a slot, and had provably not run, ended the same way.

Cause: Shutdown returned as its time was up, and the process ended while the goroutines that serve the requests still waited.

Now Shutdown ends each request that is open when its time is up, no sooner than before, and goes on for up to 200 ms of the margin that was left for the exit, or until all connections are closed. A call that may have run gets 502, without Retry-After; one that was not sent gets 503 with Retry-After; a stream is broken off. Where an earlier server's failure is at hand, that is the answer, as at a deadline. Each of them has its usual last line.

--- a/internal/forward/send.go
+++ b/internal/forward/send.go
@@ -152,6 +152,8 @@
 		return &refusalCopy
 	case x.callerDisconnected():
 		return x.newRefusal(request.ReasonCallerGone, "caller gone")
+	case errors.Is(context.Cause(x.ctx), errShutdown):
+		return x.newRefusal(request.ReasonShuttingDown, "no answer by the end of the shutdown")
 	default:
 		return x.newRefusal(request.ReasonExpired, "time is up")
 	}
--- a/internal/forward/server.go
+++ b/internal/forward/server.go
@@ -151,15 +151,33 @@
 // Drain makes every further answer ask its caller to close the connection.
 func (s *Server) Drain() { s.draining.Store(true) }
 
-// Shutdown closes the listener and waits until every request has been answered. It logs those
-// that are still open when ctx ends.
+// finalAnswerTime is how long Shutdown may go on after its context has ended, so that the
+// callers whose requests it ends get their answers.
+const finalAnswerTime = 200 * time.Millisecond
+
+// Shutdown closes the listener and waits until every request has been answered. It logs and
+// ends those that are still open when ctx ends, and returns the context's error if there were
+// any or a connection is still open.
 func (s *Server) Shutdown(ctx context.Context) error {
 	s.Drain()
-	err := s.httpServer.ShutdownWithContext(ctx)
-	if err != nil {
-		s.open.logAll("Not answered by the end of the shutdown.")
+	final, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	defer cancel()
+	ended := 0
+	endedAll := make(chan struct{})
+	stop := context.AfterFunc(ctx, func() {
+		defer close(endedAll)
+		ended = s.open.endAll()
+		time.AfterFunc(finalAnswerTime, cancel)
+	})
+	err := s.httpServer.ShutdownWithContext(final)
+	if stop() {
+		return errors.Wrap(err, "shut down")
+	}
+	<-endedAll
+	if err != nil || ended > 0 {
+		return errors.Wrapf(ctx.Err(), "shut down: %d requests were not answered", ended)
 	}
-	return errors.Wrap(err, "shut down")
+	return nil
 }
 
 // OpenCounts counts what a shutdown waits for.
--- a/internal/forward/shutdown_test.go
+++ b/internal/forward/shutdown_test.go
@@ -8,6 +8,7 @@
 	"github.com/sirupsen/logrus"
 	logtest "github.com/sirupsen/logrus/hooks/test"
 	. "github.com/smartystreets/goconvey/convey"
+	"github.com/valyala/fasthttp"
 )
 
 // openAtTheEnd are requests that are open when a shutdown gives up.
@@ -82,3 +83,39 @@
 		})
 	})
 }
+
+// Guards against: a caller gets not one byte as its server has not answered when the process ends.
+func TestOpenRequestsAreEndedWhenAShutdownGivesUp(t *testing.T) {
+	Convey("A call that may have run gets an answer that promises nothing, one without a slot is refused as not run, a stream is broken off", t, func() {
+		o := newOpenAtTheEnd(t)
+		So(o.giveUp(), ShouldNotBeNil)
+		So(o.server.OpenCounts().Requests, ShouldEqual, 0)
+		call, queued, stream := o.call.receive(), o.queued.receive(), o.stream.receive()
+		So([]any{call.status, call.body, call.complete}, ShouldResemble, []any{502, "shutting_down\n", true})
+		So(call.header.Peek("Retry-After"), ShouldBeEmpty)
+		So([]any{queued.status, queued.body, queued.complete}, ShouldResemble, []any{503, "shutting_down\n", true})
+		So(queued.header.Peek("Retry-After"), ShouldNotBeEmpty)
+		So([]any{stream.status, stream.body, stream.complete}, ShouldResemble, []any{200, eventText(1), false})
+		So(o.ends(), ShouldResemble, map[any]string{"call": "Refused.", "queued": "Refused.", "stream": "Stream cut."})
+	})
+	Convey("A request that is read after that is refused as not run", t, func() {
+		o := newOpenAtTheEnd(t)
+		So(o.giveUp(), ShouldNotBeNil)
+		x := o.server.newExchange(&fasthttp.RequestCtx{})
+		ctx, cancel := context.WithCancelCause(context.Background())
+		x.cancel = cancel
+		o.server.open.add(x)
+		So(context.Cause(ctx), ShouldEqual, errShutdown)
+	})
+}
+
+// ends returns the last line of each request.
+func (o *openAtTheEnd) ends() map[any]string {
+	out := map[any]string{}
+	for _, l := range o.lines.AllEntries() {
+		if id := l.Data["request"]; id != nil {
+			out[id] = l.Message
+		}
+	}
+	return out
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -38,7 +38,7 @@
 	// listenerLinger is how long the listener stays open after SIGTERM: the balancer
 	// checks readiness every second and removes a daemon after two failures.
 	listenerLinger = 2500 * time.Millisecond
-	// shutdownMargin is the part of GraceS that is left for the process to exit.
+	// shutdownMargin is the part of GraceS that is left for the last answers and the exit.
 	shutdownMargin = 400 * time.Millisecond
 	// memoryLimitShare is the garbage collector's soft limit as a share of MemoryMB.
 	memoryLimitShare = 0.5
