--- a/internal/forward/send.go
+++ b/internal/forward/send.go
@@ -72,6 +72,7 @@
 // acquireSlot waits for a slot.
 func (x *exchange) acquireSlot() (broker.Grant, error) {
 	start := time.Now()
+	x.waits.set(waitsForSlot)
 	ctx, cancel := x.slotContext()
 	defer cancel()
 	grant, err := x.server.deps.Broker.Acquire(ctx, x.demand)
@@ -151,6 +152,8 @@
 		return &refusalCopy
 	case x.callerDisconnected():
 		return x.newRefusal(request.ReasonCallerGone, "caller gone")
+	case errors.Is(context.Cause(x.ctx), errShutdown):
+		return x.newRefusal(request.ReasonShuttingDown, "no answer by the end of the shutdown")
 	default:
 		return x.newRefusal(request.ReasonExpired, "time is up")
 	}
