gateway: a version counts as soon as the list that names it is known

What callers saw: streams that were taken up went on at another version, also at daemons that nobody had cut off. Cause: which versions have servers was brought up to date by the rebuild of the pools, which may be delayed by up to 250 ms with 256 servers and more, while the list's proof was recorded at once. In between a daemon vouched for a list without its newest version. Evidence: TestVersionCountsBeforePoolsAreRebuilt on: [v1] instead of [v1 v2]. The history now follows the directory's changes themselves, before any proof of them.

--- a/internal/gateway/serverchanges.go
+++ b/internal/gateway/serverchanges.go
@@ -64,16 +64,37 @@
 	return changes, invalid
 }
 
-// recordVersions records which versions have servers after the changes.
-func (s *state) recordVersions(changes []serverChange) {
+// countedVersion is the service and version by which a server counts in the history.
+type countedVersion struct{ service, version string }
+
+// recordVersionsLocked records which versions have servers after a change of the directory; the
+// mutex is held.
+func (s *state) recordVersionsLocked(d discovery.Delta) {
 	now := time.Now()
-	for _, c := range changes {
-		if c.is {
-			s.versions.Add(now, c.after.Service, c.after.Version)
-		}
-		if c.was {
-			s.versions.Remove(now, c.before.Service, c.before.Version)
-		}
+	for _, x := range d.Changed {
+		s.recordVersionLocked(now, x.ID)
+	}
+	for _, id := range d.Removed {
+		s.recordVersionLocked(now, id)
+	}
+}
+
+func (s *state) recordVersionLocked(now time.Time, id string) {
+	x, is := s.directory.Get(id)
+	is = is && x.InvalidReason == ""
+	before, was := s.counted[id]
+	after := countedVersion{x.Service, x.Version}
+	if is == was && (!is || before == after) {
+		return
+	}
+	if is {
+		s.versions.Add(now, after.service, after.version)
+		s.counted[id] = after
+	} else {
+		delete(s.counted, id)
+	}
+	if was {
+		s.versions.Remove(now, before.service, before.version)
 	}
 }
 
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -70,10 +70,11 @@
 	invalidReasons map[string]string // by the entry's name, as last logged
 	built          builtServers
 	versions       *streamversion.History
-	changed        chan struct{} // closed and replaced at each change
-	storeRestored  chan struct{} // gets a value when the store may have lost what the system wrote
-	rebuildPacer   pacer         // limits the rate of rebuilds
-	rebuildPending bool          // a rebuild is scheduled
+	counted        map[string]countedVersion // in versions, by server ID
+	changed        chan struct{}             // closed and replaced at each change
+	storeRestored  chan struct{}             // gets a value when the store may have lost what the system wrote
+	rebuildPacer   pacer                     // limits the rate of rebuilds
+	rebuildPending bool                      // a rebuild is scheduled
 }
 
 // serverUse says which requests a server may get.
@@ -94,7 +95,7 @@
 		configFreshness: revision.NewFreshness(), serversFreshness: revision.NewFreshness(), rolloutsFreshness: revision.NewFreshness(),
 		log: logs.For("sync"), source: 1 + rand.Uint64N(math.MaxUint64), rollouts: newRolloutState(false),
 		directory: discovery.NewDirectory(), changed: make(chan struct{}), storeRestored: make(chan struct{}, 1), latency: newLatencies(m),
-		invalidEntries: m.Counter("servers", "invalid_entries"), invalidReasons: map[string]string{}, built: newBuiltServers(), versions: streamversion.NewHistory(),
+		invalidEntries: m.Counter("servers", "invalid_entries"), invalidReasons: map[string]string{}, built: newBuiltServers(), versions: streamversion.NewHistory(), counted: map[string]countedVersion{},
 	}
 }
 
@@ -298,6 +299,7 @@
 func (s *state) recordChangesLocked(from string) {
 	d := s.directory.TakeChanges()
 	s.changes.Record(d)
+	s.recordVersionsLocked(d)
 	s.built.add(d, from)
 }
 
@@ -365,7 +367,6 @@
 	changes, invalid := s.built.take(s.directory)
 	s.logServers(changes)
 	s.logInvalid(invalid)
-	s.recordVersions(changes)
 	armsChanged := s.rollouts.assignArms(changes, s.serversRevision)
 	prev, next := s.snapshot.Load(), s.nextSnapshotLocked(table, changes, armsChanged)
 	if next != prev {
