gateway: an answer of a peer that is not applied proves nothing

What callers saw: a daemon could vouch for servers that it did not know, and let streams go on at another version; seen by reading, not in a run. Cause: changes relative to a list that this daemon has no more, since it was updated meanwhile, are left out until the next poll, but their proof was recorded. Evidence: TestAnswerThatIsNotAppliedProvesNothing on: a proof where there is none. The proof now counts only if all of the answer is known.

--- a/internal/gateway/peerservers.go
+++ b/internal/gateway/peerservers.go
@@ -53,8 +53,9 @@
 	req.ServersWhole = !h.base.same || h.base.update != p.state.serverUpdates
 }
 
-// applyServers applies what an answer tells of the servers.
-func (p *peerSync) applyServers(from string, resp *wire.SyncAnswer) {
+// applyServers applies what an answer tells of the servers, and reports whether all of it is
+// known now.
+func (p *peerSync) applyServers(from string, resp *wire.SyncAnswer) bool {
 	h, _ := p.heard.Get(from)
 	base, applied := p.state.applyPeerServers(peerServers{
 		from: from, revision: objectstore.Version(resp.ServersRevision),
@@ -64,4 +65,5 @@
 	if applied {
 		p.heard.Add(from, heardServers{source: resp.ServersSource, number: resp.ServersNumber, base: base})
 	}
+	return applied
 }
--- a/internal/gateway/peersync.go
+++ b/internal/gateway/peersync.go
@@ -162,13 +162,14 @@
 		s.applyPeerRollouts(rolloutsFromWire(resp.Rollouts), resp.Unfit, objectstore.Version(resp.RolloutsRevision))
 	}
 	rev := objectstore.Version(resp.ServersRevision)
+	known := true
 	if resp.ServersTold {
-		p.applyServers(from, resp)
+		known = p.applyServers(from, resp)
 	}
 	if !resp.ServersTold && resp.ServersAgeMs >= 0 {
 		s.confirmServers(rev)
 	}
-	if resp.ServersAgeMs >= 0 {
+	if known && resp.ServersAgeMs >= 0 {
 		s.serversFreshness.Confirm(earliestAnswer(s.serversFreshness, serversMark, resp) - milliseconds(resp.ServersAgeMs))
 	}
 	s.notifyChanged() // wakes the polls that this daemon holds
