streamversion: a test that a process which ends hands on what is missing

The last handover of a process that stops had no test of its own: in the soak test the rounds before it may leave it nothing to do. It passes on the code as it is; with the round taken out of End on a scratch copy (trial) it fails, 0 instead of 1 daemon has the record.

--- a/internal/streamversion/handover_test.go
+++ b/internal/streamversion/handover_test.go
@@ -157,6 +157,18 @@
 		f.pause()
 		So(f.holders(testStream), ShouldEqual, 2)
 	})
+	Convey("A process that ends before its next round hands on what is missing", t, func() {
+		f := newFleet(t, 2)
+		f.end(1)
+		f.pause()
+		f.at(0).Record(testStream, "v2", time.Minute)
+		f.restart(1)
+		f.members[0].State = member.Leaving
+		f.publish()
+		f.at(0).End()
+		So(f.holders(testStream), ShouldEqual, 1)
+		So(f.at(0).notHandedOn(), ShouldEqual, 0)
+	})
 	Convey("A record that could not be sent is handed on", t, func() {
 		f := newFleet(t, 2)
 		f.pause()
