streamversion: that a single version was there is proved up to the take-up

What callers saw (ORDER): daemons cut off from the store and from others, as servers of a second version joined, let streams that these had begun go on at the first version. Cause: where nobody has a record, a list of servers proved within 2 s counted as if it were of now, and that of a keeper however old it was. A version that has joined since the proof, and the stream that it began, are younger. Now the times in which daemons observed the servers without a gap have to cover, together, from the stream's possible beginning to a proof whose read was sent after the take-up arrived. A gap is more than 2.2 s between two proofs. A keeper's answer counts from when its question was sent, less the age of its list; one of an earlier release counts for what it knows, but proves nothing. The take-up waits for a proof, 1.5 s at most: readers bring one every 1.1 s, and a list on demand at once, at most every 500 ms a daemon and 12 a second of all together. A refusal is final only with a list proved within 2 s and all keepers' answers. In TestDecide no evidence at all is "unproved" now, which is refused as before.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -102,7 +102,7 @@
 	g.traits = traitResolver{settings: s.Scheduling, routes: g.routes, log: g.log}
 	g.state.onTable = g.traits.logChanges
 	g.rollouts = newRollouts(g.state, s.Bounds, m)
-	g.streams = streamversion.New(streamversion.Config{Region: s.Region, History: g.state.versions, ProofAge: g.state.serversFreshness.Age, Archive: versionArchive{p}, Metrics: m})
+	g.streams = streamversion.New(streamversion.Config{Region: s.Region, History: g.state.versions, ProofAge: g.state.serversFreshness.Age, Prove: g.state.awaitServersProof, Archive: versionArchive{p}, Metrics: m})
 	g.forward = forward.New(forward.Deps{
 		Routes: g.routes, Snapshot: g.snapshot, Broker: g, Admission: g,
 		Quotas: g.limiter, Budget: g.budgets.forService, ConnPools: servers, StreamVersions: g.streams, Rollouts: g.rollouts, PoolRemoved: g.state.poolRemovals.contextFor, Metrics: m,
@@ -244,7 +244,7 @@
 	t.Go(ctx, "quotas", g.quotas.Run)
 	t.Go(ctx, "readers", g.peerSync.Run)
 	t.Go(ctx, "rollouts", g.rollouts.Run)
-	r := &reflector{state: g.state, store: g.platform.Store, stale: g.platform.Stale, isReader: g.peerSync.isReader, readerAnswers: g.peerSync.readerAnswers, tasks: t}
+	r := &reflector{state: g.state, store: g.platform.Store, stale: g.platform.Stale, isReader: g.peerSync.isReader, readerAnswers: g.peerSync.readerAnswers, tasks: t, daemons: func() int { return len(g.currentView.Load().Members) }}
 	t.Go(ctx, "expiry", r.runExpiry)
 	t.Go(ctx, "probe of the store", r.runProbe)
 	t.Go(ctx, "freshness", g.logFreshness)
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -34,7 +34,7 @@
 	var err error
 	g.transport, err = peer.NewTCP(peer.Options{
 		Name: peer.Name(s.Name), Listen: s.Peer, Keys: [][]byte{key}, Registry: g.metrics,
-		PingDelay: peerPingAfter, PingTimeout: peerSilence,
+		PingDelay: peerPingAfter, PingTimeout: peerSilence, Dial: g.platform.DialPeer,
 	})
 	if err != nil {
 		return errors.Wrap(err, "listen on the peer address")
--- a/internal/gateway/peersync.go
+++ b/internal/gateway/peersync.go
@@ -170,7 +170,7 @@
 		s.confirmServers(rev)
 	}
 	if known && resp.ServersAgeMs >= 0 {
-		s.serversFreshness.Confirm(earliestAnswer(s.serversFreshness, serversMark, resp) - milliseconds(resp.ServersAgeMs))
+		s.proveServers(earliestAnswer(s.serversFreshness, serversMark, resp) - milliseconds(resp.ServersAgeMs))
 	}
 	s.notifyChanged() // wakes the polls that this daemon holds
 }
--- a/internal/gateway/platform.go
+++ b/internal/gateway/platform.go
@@ -7,6 +7,7 @@
 	"github.com/lycheekeel/lycheekeel/discovery"
 	"github.com/lycheekeel/lycheekeel/internal/forward"
 	"github.com/lycheekeel/lycheekeel/internal/httpconn"
+	"github.com/lycheekeel/lycheekeel/internal/peer"
 	"github.com/lycheekeel/lycheekeel/objectstore"
 	"github.com/lycheekeel/lycheekeel/rollout"
 	"github.com/lycheekeel/lycheekeel/route"
@@ -24,6 +25,8 @@
 	Wire   forward.Wire
 	// DialServer opens connections to backend servers; nil: TCP.
 	DialServer httpconn.DialFunc
+	// DialPeer opens connections to other daemons; nil: TCP.
+	DialPeer peer.DialFunc
 	// ReadinessPath is the path of the balancer's readiness checks.
 	ReadinessPath string
 	// ConfigurationKind holds the configuration, in the object ConfigurationName.
--- a/internal/gateway/reflector.go
+++ b/internal/gateway/reflector.go
@@ -30,6 +30,10 @@
 	storeRetryMaxDelay = 2 * time.Second
 	// failuresToMaxDelay is a number of failures that leads to storeRetryMaxDelay.
 	failuresToMaxDelay = 8
+	// minDemandInterval and demandedPerSecond bound the lists for those that wait for a proof: of
+	// one daemon, and of all together.
+	minDemandInterval = 500 * time.Millisecond
+	demandedPerSecond = 12
 	// watchCoalesceDelay is the pause between two calls of a watch, in which changes
 	// accumulate. When a hundred servers register or are replaced, a watch would
 	// otherwise return for each of them, and each return costs a call.
@@ -48,6 +52,7 @@
 	isReader      func() bool // whether this daemon is a reader
 	readerAnswers func() bool // whether a reader answers this daemon
 	tasks         *tasks
+	daemons       func() int // the number of daemons
 }
 
 // kindLoop is the list and watch loop of one kind of object.
@@ -70,6 +75,12 @@
 	mayIdle func() bool
 	// wake ends a pause early; nil: nothing does.
 	wake <-chan struct{}
+	// wanted reports whether a newer proof is waited for; nil: none ever is.
+	wanted func() bool
+	// confirm records a proof as of when its read was sent; nil: by freshness alone.
+	confirm func(at time.Duration)
+	// demandedAt is when a list was last made for those that wait for a proof.
+	demandedAt time.Duration
 
 	watching  atomic.Bool
 	lostSince time.Time // since when the store has not answered; zero: it answers
@@ -87,6 +98,7 @@
 		{
 			kind: s.platform.ServersKind, interval: fixed(serversListInterval), freshness: s.serversFreshness, maxPeerAge: 1500 * time.Millisecond,
 			applyList: r.applyServerList, applyEvents: r.applyServerEvents, onFailure: s.storeUnavailable,
+			wake: s.readServers, wanted: s.wantsServersProof, confirm: s.proveServers,
 		},
 	}
 	if s.rollouts.enabled {
@@ -112,12 +124,39 @@
 // run keeps the kind in step until ctx ends.
 func (r *reflector) run(ctx context.Context, k *kindLoop) {
 	for ctx.Err() == nil {
-		if left, ok := r.idleFor(k); ok {
-			k.pause(ctx, left)
+		delay, idle := r.idleFor(k)
+		if !idle {
+			delay = r.refresh(ctx, k)
+		}
+		for r.pauseOrDemand(ctx, k, delay) {
+			delay = r.refresh(ctx, k)
+		}
+	}
+}
+
+// pauseOrDemand waits like pause, and reports whether a list is to be made for those that wait
+// for a proof. Without such lists they would wait for the next one, and together the daemons
+// make demandedPerSecond at most.
+func (r *reflector) pauseOrDemand(ctx context.Context, k *kindLoop, d time.Duration) bool {
+	if k.wanted == nil {
+		k.pause(ctx, d)
+		return false
+	}
+	until := k.freshness.Now() + d
+	for left := d; left > 0 && ctx.Err() == nil; left = until - k.freshness.Now() {
+		k.pause(ctx, left)
+		if !k.lostSince.IsZero() || !k.wanted() {
 			continue
 		}
-		k.pause(ctx, r.refresh(ctx, k))
+		interval := max(minDemandInterval, time.Second*time.Duration(r.daemons())/demandedPerSecond)
+		next := min(k.demandedAt+interval, until)
+		wait.For(ctx, next-k.freshness.Now())
+		if next < until && ctx.Err() == nil && k.wanted() {
+			k.demandedAt = k.freshness.Now()
+			return true
+		}
 	}
+	return false
 }
 
 // pause waits for d, for wake or for the end of ctx.
@@ -161,7 +200,11 @@
 	r.markRegained(k)
 	r.recordUnnamed(k, l.Unnamed)
 	if k.applyList(l) {
-		k.freshness.Confirm(mark)
+		if k.confirm != nil {
+			k.confirm(mark)
+		} else {
+			k.freshness.Confirm(mark)
+		}
 		r.state.notifyChanged()
 	}
 	if r.isReader() && k.watching.CompareAndSwap(false, true) {
--- a/internal/gateway/serverproofs_test.go
+++ b/internal/gateway/serverproofs_test.go
@@ -1,14 +1,18 @@
 package gateway
 
 import (
+	"context"
 	"fmt"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	. "github.com/smartystreets/goconvey/convey"
+	"github.com/sourcegraph/conc"
 
 	"github.com/lycheekeel/lycheekeel/discovery"
 	"github.com/lycheekeel/lycheekeel/internal/gateway/wire"
+	"github.com/lycheekeel/lycheekeel/objectstore"
 )
 
 // Guards against: a daemon vouches for a list of servers while it does not count a version in it.
@@ -50,3 +54,61 @@
 		})
 	})
 }
+
+// Guards against: a daemon that has missed versions while it was cut off vouches for that time.
+func TestObservationBeginsAnewAfterAGap(t *testing.T) {
+	Convey("Proofs without a gap lengthen the observation, a gap ends it", t, func() {
+		s := stateWithRoutes()
+		now := s.serversFreshness.Now()
+		observedFor := func() time.Duration { return s.versions.ObservedFor(time.Now()) }
+		for _, before := range []time.Duration{5, 4, 3} {
+			s.proveServers(now - before*maxProofGap)
+		}
+		So(observedFor(), ShouldBeGreaterThanOrEqualTo, 5*maxProofGap-time.Millisecond)
+		s.proveServers(now - maxProofGap)
+		So(observedFor(), ShouldBeLessThan, 5*maxProofGap)
+	})
+}
+
+// countingStore answers lists and counts them.
+type countingStore struct {
+	objectstore.ObjectAPI
+	lists atomic.Int32
+}
+
+func (s *countingStore) List(context.Context, objectstore.Kind, string) (objectstore.List, error) {
+	s.lists.Add(1)
+	return objectstore.List{}, nil
+}
+
+// Guards against: streams that are taken up wait for the next list of the servers, or each of
+// them costs a list.
+func TestProofIsReadOnDemand(t *testing.T) {
+	Convey("Given a daemon that has just listed the servers", t, func() {
+		s, store := stateWithRoutes(), &countingStore{}
+		no := func() bool { return false }
+		r := &reflector{state: s, store: store, stale: &staleStore{}, isReader: no, readerAnswers: no, daemons: func() int { return 2 }}
+		servers := r.loops()[1]
+		servers.maxPeerAge = time.Hour
+		r.refresh(context.Background(), servers)
+		ctx, cancel := context.WithCancel(context.Background())
+		var loop, waits conc.WaitGroup
+		loop.Go(func() { r.run(ctx, servers) })
+		Convey("all that wait get a proof from after their call, by a bounded number of lists", func() {
+			began := time.Now()
+			for range 200 {
+				waits.Go(func() {
+					called := s.serversFreshness.Now()
+					s.awaitServersProof(ctx)
+					if at, _ := s.serversFreshness.ConfirmedAt(); at < called {
+						t.Errorf("The proof is %v older than the call.", called-at)
+					}
+				})
+			}
+			waits.Wait()
+			So(store.lists.Load(), ShouldBeBetweenOrEqual, 2, 3+time.Since(began)/minDemandInterval)
+		})
+		cancel()
+		loop.Wait()
+	})
+}
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -44,6 +44,10 @@
 	// rolloutsFreshness is the same for the rollouts.
 	rolloutsFreshness *revision.Freshness
 	invalidEntries    *expvar.Int
+	// wantedProof is the time, by the clock of serversFreshness, from after which a proof is
+	// waited for, and readServers gets a value when it is.
+	wantedProof atomic.Int64
+	readServers chan struct{}
 	// storeLostAt is the time, by the clock of configFreshness, since which the store
 	// has not answered this daemon itself; 0: it answers.
 	storeLostAt atomic.Int64
@@ -96,6 +100,7 @@
 		log: logs.For("sync"), source: 1 + rand.Uint64N(math.MaxUint64), rollouts: newRolloutState(false),
 		directory: discovery.NewDirectory(), changed: make(chan struct{}), storeRestored: make(chan struct{}, 1), latency: newLatencies(m),
 		invalidEntries: m.Counter("servers", "invalid_entries"), invalidReasons: map[string]string{}, built: newBuiltServers(), versions: streamversion.NewHistory(), counted: map[string]countedVersion{},
+		readServers: make(chan struct{}, 1),
 	}
 }
 
--- a/internal/peer/connect.go
+++ b/internal/peer/connect.go
@@ -1,6 +1,7 @@
 package peer
 
 import (
+	"context"
 	"crypto/tls"
 	"net"
 	"slices"
@@ -27,8 +28,9 @@
 }
 
 func (t *TCP) dialAndAuthenticate(l *link, address string, replaces bool) (handshakeResult, *tls.Conn, error) {
-	d := net.Dialer{Timeout: t.opts.HandshakeTimeout, KeepAlive: -1}
-	raw, err := d.DialContext(t.ctx, "tcp", address)
+	ctx, cancel := context.WithTimeout(t.ctx, t.opts.HandshakeTimeout)
+	defer cancel()
+	raw, err := t.opts.Dial(ctx, address)
 	if err != nil {
 		return handshakeResult{}, nil, err
 	}
@@ -41,6 +43,12 @@
 	return res, conn, raw.SetReadDeadline(noDeadline)
 }
 
+// dialTCP is the DialFunc of TCP. The transport's own pings replace keep-alive.
+func dialTCP(ctx context.Context, address string) (net.Conn, error) {
+	d := net.Dialer{KeepAlive: -1}
+	return d.DialContext(ctx, "tcp", address)
+}
+
 // wrapTLS wraps a raw connection for the handshake and sets the handshake's deadline.
 func (t *TCP) wrapTLS(l *link, raw net.Conn, wrap func(net.Conn, *tls.Config) *tls.Conn) *tls.Conn {
 	l.mu.Lock()
--- a/internal/peer/options.go
+++ b/internal/peer/options.go
@@ -1,6 +1,8 @@
 package peer
 
 import (
+	"context"
+	"net"
 	"time"
 
 	"github.com/lycheekeel/lycheekeel/internal/metrics"
@@ -22,6 +24,9 @@
 // maxNameBytes limits a daemon's name on the wire.
 const maxNameBytes = 128
 
+// DialFunc opens a connection to an address, IP:port.
+type DialFunc func(ctx context.Context, address string) (net.Conn, error)
+
 // Options configures a TCP transport. Zero durations and sizes take the defaults.
 type Options struct {
 	Name   Name
@@ -34,6 +39,8 @@
 	// Overrides are addresses to dial instead of those from membership, for
 	// connections through address translation or a proxy.
 	Overrides map[Name]string
+	// Dial opens connections; nil: TCP.
+	Dial DialFunc
 
 	// HandshakeTimeout limits the dial and the authentication, each. The default
 	// is 2 s.
@@ -89,6 +96,9 @@
 	if o.Registry == nil {
 		o.Registry = metrics.New()
 	}
+	if o.Dial == nil {
+		o.Dial = dialTCP
+	}
 	setDefault(&o.HandshakeTimeout, defaultHandshakeTimeout)
 	setDefault(&o.PingDelay, defaultPingDelay)
 	setDefault(&o.PingTimeout, defaultPingTimeout)
--- a/internal/streamversion/history.go
+++ b/internal/streamversion/history.go
@@ -16,7 +16,7 @@
 type History struct {
 	mu       sync.Mutex
 	services map[string]map[string]*presence
-	since    time.Time // when the first server appeared
+	since    time.Time // since when the servers are observed without a gap; zero: not yet
 }
 
 // presence tells how many servers of a version there are, and until when there were some.
@@ -60,7 +60,14 @@
 	}
 }
 
-// ObservedFor returns how long this daemon has known servers.
+// ObserveFrom records that versions may have come and gone unseen until a time.
+func (h *History) ObserveFrom(since time.Time) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.since = since
+}
+
+// ObservedFor returns how long this daemon has observed the servers without a gap.
 func (h *History) ObservedFor(now time.Time) time.Duration {
 	h.mu.Lock()
 	defer h.mu.Unlock()
--- a/internal/streamversion/keeper.go
+++ b/internal/streamversion/keeper.go
@@ -21,9 +21,10 @@
 	// askTimeout bounds the wait for the keepers' answers. A keeper that lives answers within
 	// a few milliseconds.
 	askTimeout = 250 * time.Millisecond
-	// maxProofAge is the largest age of the servers' list at which it counts as evidence
-	// without any other daemon's.
+	// maxProofAge is the largest age of the servers' list at which a refusal is final.
 	maxProofAge = 2 * time.Second
+	// proofTimeout bounds the wait for a proof of the servers' list.
+	proofTimeout = 1500 * time.Millisecond
 	// maxKeep bounds how long a record is kept, whatever a peer asks for.
 	maxKeep = 30 * time.Minute
 )
@@ -34,7 +35,10 @@
 	History *History
 	// ProofAge returns the age of the newest proof of the servers' list; false: none.
 	ProofAge func() (time.Duration, bool)
-	Metrics  *metrics.Registry
+	// Prove waits until ProofAge is that of a proof from after the call, or ctx ends; nil: none
+	// comes.
+	Prove   func(ctx context.Context)
+	Metrics *metrics.Registry
 	// Archive is read where no daemon has been there for long; nil: it is never known.
 	Archive Archive
 	// Now is the clock; nil: time.Now.
@@ -73,7 +77,7 @@
 		recorded: c("recorded"), received: c("received"), sendFailed: c("send_failed"), asked: c("keepers_asked"), unanswered: c("keepers_unanswered"),
 		results: map[verdict]*expvar.Int{},
 	}
-	for _, v := range []verdict{unknown, soleSeen, sole, recorded} {
+	for _, v := range verdicts {
 		k.counters.results[v] = c("found_" + v.String())
 	}
 	cfg.Metrics.Gauge("stream_versions", "records", func() any { return k.table.count() })
@@ -135,9 +139,10 @@
 
 // ownEvidence returns what this daemon knows of a stream.
 func (k *Keeper) ownEvidence(id key, service string) evidence {
+	var e evidence
+	e.proofAge, e.proved = k.cfg.ProofAge() // before the versions, which are then as of this proof at least
 	now := k.cfg.Now()
-	e := evidence{versions: k.cfg.History.Versions(now, service), observedFor: k.cfg.History.ObservedFor(now)}
+	e.observedFor, e.versions = k.cfg.History.ObservedFor(now), k.cfg.History.Versions(now, service)
 	e.version, e.known = k.table.get(now, id)
-	e.proofAge, e.proved = k.cfg.ProofAge()
 	return e
 }
--- a/internal/streamversion/lookup.go
+++ b/internal/streamversion/lookup.go
@@ -21,7 +21,8 @@
 
 // Lookup returns the version that began a stream, which is no older than life.
 func (k *Keeper) Lookup(ctx context.Context, s Stream, life time.Duration) (string, error) {
-	l := &lookup{stream: s, started: k.cfg.Now(), own: k.ownEvidence(s.key(), s.Service)}
+	l := &lookup{stream: s, started: k.cfg.Now()}
+	k.takeOwn(l)
 	version, v, err := k.find(ctx, l, life)
 	k.counters.results[v].Add(1)
 	k.logLookup(l, version, v)
@@ -43,30 +44,45 @@
 	evidence
 }
 
+// all returns all evidence.
+func (l *lookup) all() []evidence {
+	all := []evidence{l.own}
+	for _, a := range l.answers {
+		all = append(all, a.evidence)
+	}
+	return all
+}
+
+// takeOwn takes this daemon's own evidence as of now.
+func (k *Keeper) takeOwn(l *lookup) {
+	earliest := k.cfg.Now()
+	l.own = k.ownEvidence(l.stream.key(), l.stream.Service)
+	l.own.observe(earliest.Sub(l.started), k.cfg.Now().Sub(l.started))
+}
+
 // find returns the version that began a stream and how it is known, or why it is not.
 func (k *Keeper) find(ctx context.Context, l *lookup, life time.Duration) (string, verdict, error) {
 	if l.own.known && l.own.version != ambiguous {
 		return l.own.version, recorded, nil
 	}
 	k.ask(ctx, l)
-	all := make([]evidence, 0, len(l.answers)+1)
-	for _, a := range l.answers {
-		all = append(all, a.evidence)
-	}
-	if len(all) > 0 || l.own.proved && l.own.proofAge <= maxProofAge {
-		all = append(all, l.own)
-	}
-	version, v := decide(all, life)
-	if v == soleSeen && !k.archiveHasOnly(ctx, l.stream.Service, version) {
-		return "", unknown, ErrNoAnswer
+	version, v := decide(l.all(), life)
+	if v == unproved && k.cfg.Prove != nil {
+		proofCtx, cancel := context.WithTimeout(ctx, proofTimeout)
+		k.cfg.Prove(proofCtx)
+		cancel()
+		k.takeOwn(l)
+		version, v = decide(l.all(), life)
 	}
 	switch {
-	case v != unknown:
+	case v == soleSeen && !k.archiveHasOnly(ctx, l.stream.Service, version):
+		return "", unproved, ErrNoAnswer
+	case v > unproved:
 		return version, v, nil
-	case len(l.unanswered) > 0 || len(all) == 0:
-		return "", unknown, ErrNoAnswer
-	default:
+	case v == unknown && len(l.unanswered) == 0 && l.own.proved && l.own.proofAge <= maxProofAge:
 		return "", unknown, ErrUnknown
+	default:
+		return "", v, ErrNoAnswer
 	}
 }
 
@@ -97,7 +113,7 @@
 	}
 	results := make(chan result, len(names))
 	for _, name := range names {
-		go func() { results <- result{name, k.askOne(ctx, name, payload)} }()
+		go func() { results <- result{name, k.askOne(ctx, name, payload, l.started)} }()
 	}
 	for range names {
 		r := <-results
@@ -111,9 +127,11 @@
 	}
 }
 
-// askOne returns one keeper's answer; nil if there is none.
-func (k *Keeper) askOne(ctx context.Context, name string, payload []byte) *evidence {
+// askOne returns one keeper's answer to a question on a stream that was taken up at a time; nil
+// if there is none.
+func (k *Keeper) askOne(ctx context.Context, name string, payload []byte, takenUp time.Time) *evidence {
 	k.counters.asked.Add(1)
+	sent := k.cfg.Now()
 	b, err := k.transport.Call(ctx, peer.Name(name), peer.TypeStreamQuestion, payload)
 	var m wire.Answer
 	if err == nil {
@@ -126,9 +144,11 @@
 		k.counters.unanswered.Add(1)
 		return nil
 	}
-	return &evidence{
+	e := &evidence{
 		version: m.GetVersion(), known: m.GetKnown(), versions: m.GetVersions(),
 		observedFor: time.Duration(m.GetObservedMs()) * time.Millisecond,
 		proofAge:    time.Duration(m.GetProofMs()) * time.Millisecond, proved: m.GetProved(),
 	}
+	e.observe(sent.Sub(takenUp), k.cfg.Now().Sub(takenUp))
+	return e
 }
--- a/internal/streamversion/table_test.go
+++ b/internal/streamversion/table_test.go
@@ -84,15 +84,18 @@
 func TestDecide(t *testing.T) {
 	known := func(version string) evidence { return evidence{version: version, known: true} }
 	const life = 20 * time.Second
-	serves := func(versions ...string) evidence { return evidence{versions: versions, observedFor: life} }
-	young := func(versions ...string) evidence { return evidence{versions: versions, observedFor: life - 1} }
+	observed := func(from, to time.Duration, versions ...string) evidence {
+		return evidence{versions: versions, proved: true, observed: span{from, to}}
+	}
+	serves := func(versions ...string) evidence { return observed(-life, 0, versions...) }
+	young := func(versions ...string) evidence { return observed(1-life, 0, versions...) }
 	for _, c := range []struct {
 		name    string
 		all     []evidence
 		version string
 		verdict verdict
 	}{
-		{"nobody answered", nil, "", unknown},
+		{"nobody answered", nil, "", unproved},
 		{"one record", []evidence{serves("v1", "v2"), known("v2")}, "v2", recorded},
 		{"equal records", []evidence{known("v2"), known("v2")}, "v2", recorded},
 		{"records contradict", []evidence{known("v1"), known("v2")}, "", unknown},
@@ -105,6 +108,10 @@
 		{"one has been there for long enough", []evidence{young("v1"), serves("v1")}, "v1", sole},
 		{"one that has just started knows another version", []evidence{young("v2"), serves("v1")}, "", unknown},
 		{"no version at all", []evidence{serves()}, "", unknown},
+		{"a proof from before the take-up", []evidence{observed(-2*life, -1, "v1")}, "", unproved},
+		{"one in touch that has just started, and one out of step", []evidence{observed(-2, 3, "v1"), observed(-2*life, -2, "v1")}, "v1", sole},
+		{"a gap between them", []evidence{observed(-2, 3, "v1"), observed(-2*life, -3, "v1")}, "v1", soleSeen},
+		{"a daemon without a proof", []evidence{{versions: []string{"v1"}, observed: span{-life, 0}}}, "", unproved},
 	} {
 		Convey(c.name, t, func() {
 			version, v := decide(c.all, life)
--- a/revision/freshness.go
+++ b/revision/freshness.go
@@ -53,6 +53,12 @@
 	return f.clock() - time.Duration(confirmedAt), true
 }
 
+// ConfirmedAt returns the time of the newest confirmation, by f's clock, or false if there is none.
+func (f *Freshness) ConfirmedAt() (time.Duration, bool) {
+	confirmedAt := f.confirmedAt.Load()
+	return time.Duration(confirmedAt), confirmedAt != 0
+}
+
 // Within reports whether the newest confirmation is at most maxAge old.
 func (f *Freshness) Within(maxAge time.Duration) bool {
 	age, ok := f.Age()
--- a/test/soak/fleet_test.go
+++ b/test/soak/fleet_test.go
@@ -93,7 +93,7 @@
 	revokedAt map[string]time.Time
 	// badServers are the servers of the version that fails every request; nil: it was not rolled out.
 	badServers []*server
-	// partitionable is set if the nodes can be partitioned from all servers.
+	// partitionable is set if the nodes can be partitioned from all servers and from each other.
 	partitionable bool
 	spoils        bool // servers may spoil their streams
 	noRollouts    bool
@@ -151,6 +151,8 @@
 	spoils bool
 	// noRollouts keeps the operators from rolling out versions.
 	noRollouts bool
+	// noServers leaves the servers to the test.
+	noServers bool
 	// contended makes the fleet a contended one (contended_test.go).
 	contended bool
 }
@@ -196,7 +198,7 @@
 	if f.contended {
 		f.contend()
 	}
-	for i := range 3 {
+	for i := 0; i < 3 && !o.noServers; i++ {
 		f.addServer([]string{"llm", "app"}[i%2])
 		f.addServer([]string{"llm", "app"}[i%2])
 	}
@@ -344,7 +346,7 @@
 	defer logFile.Close()
 	n.cmd = exec.Command(gatewayBinary, "gateway", "--settings="+file)
 	if n.fleet.partitionable {
-		n.cmd = exec.Command(partitionedBinary, file, n.partitionFile())
+		n.cmd = exec.Command(partitionedBinary, file, n.partitionFile(), n.peersFile())
 	}
 	n.cmd.Stdout, n.cmd.Stderr = logFile, logFile
 	n.cmd.Env = append(os.Environ(), "GOMAXPROCS=2")
--- a/test/soak/partition/partition.go
+++ b/test/soak/partition/partition.go
@@ -1,11 +1,12 @@
-// Package partition partitions a process from the backend servers that it dials, as a
-// switch in a file says. Connections to other addresses are not affected.
+// Package partition partitions a process from the backend servers or daemons that it dials,
+// as a switch in a file says.
 package partition
 
 import (
 	"context"
 	"net"
 	"os"
+	"slices"
 	"strings"
 	"sync"
 	"syscall"
@@ -30,23 +31,24 @@
 type Dialer struct {
 	file string
 
-	mu   sync.Mutex
-	mode Mode
-	open map[*conn]struct{}
+	mu        sync.Mutex
+	mode      Mode
+	addresses []string // to which the mode applies; none: all
+	open      map[*conn]struct{}
 }
 
-// NewDialer returns a dialer whose switch is the content of a file, a Mode. A file that
-// doesn't exist means None.
+// NewDialer returns a dialer whose switch is the content of a file: a Mode and the addresses to
+// which it applies, none for all. A file that doesn't exist means None.
 func NewDialer(file string) *Dialer {
 	d := &Dialer{file: file, open: map[*conn]struct{}{}}
 	go d.watch()
 	return d
 }
 
-// Set writes the switch of the dialers of a file.
-func Set(file string, m Mode) error {
-	next := file + ".next"
-	if err := os.WriteFile(next, []byte(m), 0o600); err != nil {
+// Set writes the switch of the dialers of a file. Without addresses it applies to all.
+func Set(file string, m Mode, addresses ...string) error {
+	next, content := file+".next", strings.Join(append([]string{string(m)}, addresses...), " ")
+	if err := os.WriteFile(next, []byte(content), 0o600); err != nil {
 		return err
 	}
 	return os.Rename(next, file)
@@ -58,32 +60,46 @@
 		if err != nil {
 			continue
 		}
-		d.apply(Mode(strings.TrimSpace(string(b))))
+		fields := append(strings.Fields(string(b)), "")
+		d.apply(Mode(fields[0]), fields[1:max(1, len(fields)-1)])
 	}
 }
 
 // apply sets the mode and breaks the open connections if the mode says so.
-func (d *Dialer) apply(m Mode) {
+func (d *Dialer) apply(m Mode, addresses []string) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if m == d.mode {
 		return
 	}
-	d.mode = m
+	d.mode, d.addresses = m, addresses
 	for c := range d.open {
-		switch m {
-		case Reset:
-			_ = c.SetLinger(0)
-			_ = c.TCPConn.Close()
-		case Hang:
-			c.silence()
-		}
+		d.breakLocked(c)
+	}
+}
+
+// breakLocked breaks a connection if the mode says so; the mutex is held.
+func (d *Dialer) breakLocked(c *conn) {
+	switch d.modeOf(c.address) {
+	case Reset:
+		_ = c.SetLinger(0)
+		_ = c.TCPConn.Close()
+	case Hang:
+		c.silence()
+	}
+}
+
+// modeOf returns the mode of connections to an address; the mutex is held.
+func (d *Dialer) modeOf(address string) Mode {
+	if len(d.addresses) > 0 && !slices.Contains(d.addresses, address) {
+		return None
 	}
+	return d.mode
 }
 
-// Dial opens a connection. It is an httpconn.DialFunc.
+// Dial opens a connection. It is an httpconn.DialFunc and a peer.DialFunc.
 func (d *Dialer) Dial(ctx context.Context, address string) (net.Conn, error) {
-	if err := d.block(ctx); err != nil {
+	if err := d.block(ctx, address); err != nil {
 		return nil, err
 	}
 	var direct net.Dialer
@@ -91,17 +107,18 @@
 	if err != nil {
 		return nil, err
 	}
-	c := &conn{TCPConn: nc.(*net.TCPConn), dialer: d}
+	c := &conn{TCPConn: nc.(*net.TCPConn), dialer: d, address: address}
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.open[c] = struct{}{}
+	d.breakLocked(c) // the switch may have been set during the dial
 	return c, nil
 }
 
 // block returns the error of a dial during the partition.
-func (d *Dialer) block(ctx context.Context) error {
+func (d *Dialer) block(ctx context.Context, address string) error {
 	d.mu.Lock()
-	m := d.mode
+	m := d.modeOf(address)
 	d.mu.Unlock()
 	switch m {
 	case None:
@@ -117,7 +134,8 @@
 // conn is a connection that can become silent for good.
 type conn struct {
 	*net.TCPConn
-	dialer *Dialer
+	dialer  *Dialer
+	address string
 
 	mu     sync.Mutex
 	silent bool
--- a/test/soak/partition_test.go
+++ b/test/soak/partition_test.go
@@ -125,6 +125,8 @@
 
 func (n *node) partitionFile() string { return filepath.Join(n.fleet.dir, n.name+".partition") }
 
+func (n *node) peersFile() string { return filepath.Join(n.fleet.dir, n.name+".peers") }
+
 func (f *fleet) partition(nodes []*node, m partition.Mode) {
 	for _, n := range nodes {
 		if err := partition.Set(n.partitionFile(), m); err != nil {
--- a/test/soak/partitioned/main.go
+++ b/test/soak/partitioned/main.go
@@ -1,5 +1,5 @@
-// Command partitioned is the gateway with a switch that partitions it from all backend
-// servers. Its arguments are the settings file and the switch's file.
+// Command partitioned is the gateway with switches that partition it from all backend servers
+// and from other daemons. Its arguments are the settings file and the switches' files.
 package main
 
 import (
@@ -17,13 +17,13 @@
 )
 
 func main() {
-	if err := run(os.Args[1], os.Args[2]); err != nil {
+	if err := run(os.Args[1], os.Args[2], os.Args[3]); err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(1)
 	}
 }
 
-func run(settingsFile, switchFile string) error {
+func run(settingsFile, serversSwitch, peersSwitch string) error {
 	s, err := gateway.LoadSettings(settingsFile)
 	if err != nil {
 		return err
@@ -36,7 +36,8 @@
 	defer stop()
 	m := metrics.New()
 	p := platform.New(s.Store, m)
-	p.DialServer = partition.NewDialer(switchFile).Dial
+	p.DialServer = partition.NewDialer(serversSwitch).Dial
+	p.DialPeer = partition.NewDialer(peersSwitch).Dial
 	g, err := gateway.New(s, p, m)
 	if err != nil {
 		return err
