forward: a request that may outlast the shutdown isn't accepted late in it

What callers saw: a stream on a connection that was opened while a daemon that drains still listened, and whose request came after the listener was closed, was passed on and cut in the middle when the process ended, though it was sent 4 s after the SIGTERM and another daemon would have served it.

Cause: the HTTP server counts a new connection as idle only after 5 s, so that a first request is still read up to 7.5 s after the SIGTERM, and nobody compared its deadline with the end of the shutdown.

Now a request that is read after the listener was closed, and whose deadline lies beyond the end of the shutdown, is refused as not run with Retry-After. One that is sure to end in time is served as before, and nothing that was passed on ends sooner. The cost: a call that would have ended early, with a deadline beyond the end, is refused and has to go to another daemon.

--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -88,6 +88,9 @@
 		return err
 	}
 	x.buildDemand()
+	if x.mayOutlastServer() {
+		return request.Refuse(request.ReasonShuttingDown, "may last longer than the shutdown").WithRetryAfter(defaultRetryAfter)
+	}
 	if err := x.takeQuota(); err != nil {
 		return err
 	}
--- a/internal/forward/openrequests.go
+++ b/internal/forward/openrequests.go
@@ -49,6 +49,13 @@
 	return len(o.all)
 }
 
+// mayOutlastServer reports whether the request was read in a shutdown that may end before its
+// deadline does.
+func (x *exchange) mayOutlastServer() bool {
+	end := x.server.shutdownEnd.Load()
+	return end != nil && x.receivedAt.Add(x.spec.Targets.Deadline).After(*end)
+}
+
 // logOpen logs a request that another goroutine serves.
 func (x *exchange) logOpen() {
 	f := x.requestFields()
--- a/internal/forward/server.go
+++ b/internal/forward/server.go
@@ -98,6 +98,7 @@
 	draining          atomic.Bool
 	openRequests      atomic.Int64
 	open              openRequests
+	shutdownEnd       atomic.Pointer[time.Time] // nil until Shutdown
 }
 
 // New returns a server that is not listening yet.
@@ -156,10 +157,14 @@
 const finalAnswerTime = 200 * time.Millisecond
 
 // Shutdown closes the listener and waits until every request has been answered. It logs and
-// ends those that are still open when ctx ends, and returns the context's error if there were
+// ends those that are still open when ctx ends, refuses those that are read from now on and may
+// last longer than that, and returns the context's error if there were
 // any or a connection is still open.
 func (s *Server) Shutdown(ctx context.Context) error {
 	s.Drain()
+	if end, ok := ctx.Deadline(); ok {
+		s.shutdownEnd.Store(&end)
+	}
 	final, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
 	ended := 0
--- a/test/soak/graceend_test.go
+++ b/test/soak/graceend_test.go
@@ -1,7 +1,9 @@
 package soak
 
 import (
+	"bufio"
 	"fmt"
+	"net"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -64,3 +66,42 @@
 	t.Logf("answers by status: %v", statuses)
 	f.checkNoCrashLogged()
 }
+
+// Guards against: a stream is accepted late in a shutdown and cut as the process ends.
+func TestStreamsReadLateInAShutdownAreCut(t *testing.T) {
+	f := startFleet(t, fleetOptions{nodes: 2, eventInterval: 400 * time.Millisecond, onceTimeout: 30 * time.Second}, 0)
+	c := &callers{}
+	n := f.nodes[0]
+	f.eventually("calls are served", func() bool {
+		probe := &call{id: fmt.Sprint(requestIDPrefix, "late-first"), path: "/again/", apiKey: "k1", node: n, timeout: time.Second}
+		c.sendOnce(probe)
+		return probe.status == http.StatusOK
+	})
+	n.signal(syscall.SIGTERM)
+	sleep(t.Context(), 2*time.Second)
+	var all []*call
+	var wg conc.WaitGroup
+	for i := range 10 {
+		conn, err := net.DialTimeout("tcp", n.settings.Listen, time.Second)
+		if err != nil {
+			continue // the machine was slow, and the listener is closed
+		}
+		x := &call{id: fmt.Sprint(requestIDPrefix, "late-", i), path: "/s/once/", apiKey: "k1", node: n, timeout: 25 * time.Second}
+		all = append(all, x)
+		wg.Go(func() {
+			defer conn.Close()
+			sleep(t.Context(), 2*time.Second)
+			x.exchange(conn, bufio.NewReader(conn))
+		})
+	}
+	wg.Wait()
+	runs := f.arrivals()
+	statuses := map[int]int{}
+	for _, x := range all {
+		statuses[x.status]++
+		if !x.complete && len(runs[x.id]) > 0 {
+			t.Errorf("%s was passed on and cut, status %d", x.id, x.status)
+		}
+	}
+	t.Logf("answers by status: %v", statuses)
+}
