forward: an event whose text shows a changed byte is not passed on

An event without data, a line that no server writes (an unknown field without a colon, or a name with other signs than letters, digits, - and _), and the next event's id behind one odd byte between two lines of data end the stream as malformed ("spoiled"), so that it goes on at another server or doesn't look complete.

--- a/internal/forward/eventblock.go
+++ b/internal/forward/eventblock.go
@@ -14,6 +14,11 @@
 	// unnumbered: it is an event, or was one before its bytes changed, but its id is missing or
 	// can't be read.
 	unnumbered bool
+	// spoiled: a line is none that a server writes, or the next event's id lost its first byte
+	// together with the blank line before it.
+	spoiled   bool
+	hasData   bool // without data, callers see no event
+	hasNextID bool // after data, without its first byte
 }
 
 // byteOrderMark may precede a stream.
@@ -49,7 +54,8 @@
 // marker and fields that carry no data: of an unknown field nobody can tell what it was before
 // its bytes changed.
 func (b *eventBlock) readField(line []byte) {
-	name, value, _ := bytes.Cut(line, []byte(":"))
+	b.hasNextID = b.hasNextID || b.hasData && b.hasID && isID(line[1:], b.id+1)
+	name, value, hasColon := bytes.Cut(line, []byte(":"))
 	value = bytes.TrimSpace(value)
 	switch string(name) {
 	case "", "event", "retry": // an empty name is a comment's
@@ -59,9 +65,28 @@
 		b.unnumbered = true // unless the block has an id at its end
 	case "data":
 		b.unnumbered = b.unnumbered || string(value) != endMarker
+		b.hasData = true
+		b.spoiled = b.spoiled || b.hasNextID
 	default:
 		b.unnumbered = true
+		b.spoiled = b.spoiled || !hasColon || !isFieldName(name)
+	}
+}
+
+// isID reports whether a line is an event's id, as servers write it.
+func isID(line []byte, id int64) bool {
+	name, value, _ := bytes.Cut(line, []byte(":"))
+	return string(name) == "id" && string(bytes.TrimSpace(value)) == strconv.FormatInt(id, 10)
+}
+
+// isFieldName reports whether an unknown field may have the name: letters, digits, - and _.
+func isFieldName(name []byte) bool {
+	for _, c := range name {
+		if c != '-' && c != '_' && (c < '0' || c > '9') && (c|' ' < 'a' || c|' ' > 'z') {
+			return false
+		}
 	}
+	return true
 }
 
 // cutLine returns the first line of b without its end (LF, CRLF or CR), and its size with the
--- a/internal/forward/eventreader.go
+++ b/internal/forward/eventreader.go
@@ -15,12 +15,13 @@
 const (
 	faultOutOfOrder eventFault = "out_of_order"
 	faultUnnumbered eventFault = "unnumbered"
+	faultSpoiled    eventFault = "spoiled"
 	faultTruncated  eventFault = "truncated"
 	faultTooLarge   eventFault = "too_large"
 )
 
 func eventFaults() []eventFault {
-	return []eventFault{faultOutOfOrder, faultUnnumbered, faultTruncated, faultTooLarge}
+	return []eventFault{faultOutOfOrder, faultUnnumbered, faultSpoiled, faultTruncated, faultTooLarge}
 }
 
 // eventError is the error of a stream at an event that is not what its server made. It wraps
@@ -104,6 +105,9 @@
 		case b.hasID && b.id != e.lastID+1:
 			e.failed = &eventError{fault: faultOutOfOrder, after: e.lastID, id: b.id}
 			return count
+		case b.hasID && (b.spoiled || !b.hasData):
+			e.failed = &eventError{fault: faultSpoiled, after: e.lastID}
+			return count
 		case b.hasID:
 			e.lastID = b.id
 			count++
