forward: an answer without length or chunks is whole only if its server still accepts connections

Callers got 9 of 30 events of a stream as a whole answer: its drained server exited, and such an answer ends with its connection. The check asked whether a connection is refused, and took each other result for a process that goes on.

Now the second check has to connect; a refused first one still ends the wait. A check that fails in any other way, also because the deadline has passed, proves nothing: a stream that may be resumed goes on elsewhere, another doesn't look complete. A whole answer whose server can't be reached at that moment is not called whole either; nothing tells the two apart.

--- a/internal/forward/closeframed_test.go
+++ b/internal/forward/closeframed_test.go
@@ -1,14 +1,17 @@
 package forward
 
 import (
+	"context"
 	"fmt"
 	"net"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
 	. "github.com/smartystreets/goconvey/convey"
 
+	"github.com/lycheekeel/lycheekeel/internal/httpconn"
 	"github.com/lycheekeel/lycheekeel/pool"
 )
 
@@ -72,6 +75,29 @@
 		So(got.body, ShouldEqual, eventsText(1, 20))
 		So(got.complete, ShouldBeTrue)
 	})
+	for name, dialed := range map[string][]error{
+		"resets connections":                     {syscall.ECONNRESET, syscall.ECONNRESET},
+		"accepts one, then can't be reached":     {nil, syscall.EHOSTUNREACH},
+		"resets one, then doesn't answer others": {syscall.ECONNRESET, context.DeadlineExceeded},
+	} {
+		Convey("One is complete only if its server still accepts connections; this one "+name, t, func() {
+			var checks atomic.Int64
+			dial := func(ctx context.Context, address string) (net.Conn, error) {
+				if n := checks.Add(1) - 2; n >= 0 && n < int64(len(dialed)) && dialed[n] != nil {
+					return nil, dialed[n]
+				}
+				return httpconn.DialTCP(ctx, address)
+			}
+			for _, path := range []string{"/stream/", "/resume/"} {
+				checks.Store(0)
+				r := newHarness(t, newBackend(t, closeFramedEvents(7, "", endsCleanly)), newBackend(t, whole))
+				r.server.deps.ConnPools = NewConnPools(httpconn.Settings{DialTimeout: testTimeout, Dial: dial}, nil)
+				got := r.call("POST", path, "1", "", "x")
+				So(got.complete, ShouldEqual, path == "/resume/")
+				So(got.body, ShouldEqual, eventsText(1, map[bool]int{false: 7, true: 20}[got.complete]))
+			}
+		})
+	}
 	var crashed atomic.Pointer[backend]
 	for name, broken := range map[string]script{
 		"within an event":         closeFramedEvents(7, "id: 8\nda", endsCleanly),
--- a/internal/forward/reply.go
+++ b/internal/forward/reply.go
@@ -43,15 +43,15 @@
 	chunkEndDue bool
 	partialLine []byte // read so far by readLine
 	trailers    int    // lines read after the last chunk
-	// serverEnded reports whether the server's process has ended.
-	serverEnded func() bool
+	// serverGoesOn reports whether the server's process has proved not to have ended.
+	serverGoesOn func() bool
 }
 
-// readReply reads the header of the answer to the request with the given id. serverEnded is
+// readReply reads the header of the answer to the request with the given id. serverGoesOn is
 // called when an answer ends with its connection. An answer
 // with another id is a late one on a reused connection, which can't be used any more.
-func readReply(ctx context.Context, conn *httpconn.Conn, method, id string, wire *Wire, serverEnded func() bool) (*reply, error) {
-	r := &reply{conn: conn, ctx: ctx, serverEnded: serverEnded}
+func readReply(ctx context.Context, conn *httpconn.Conn, method, id string, wire *Wire, serverGoesOn func() bool) (*reply, error) {
+	r := &reply{conn: conn, ctx: ctx, serverGoesOn: serverGoesOn}
 	if err := conn.Bind(ctx); err != nil {
 		return nil, err
 	}
@@ -116,7 +116,7 @@
 	switch r.framing {
 	case framedByClose:
 		n, err := r.conn.Reader.Read(p)
-		if err == io.EOF && r.serverEnded() {
+		if err == io.EOF && !r.serverGoesOn() {
 			return n, errServerEnded // its process may have closed the connection by ending
 		}
 		r.complete = err == io.EOF
--- a/internal/forward/send.go
+++ b/internal/forward/send.go
@@ -194,7 +194,7 @@
 	}
 	a.peer, x.history.peer = conn.Peer(), conn.Peer()
 	conn.SetSilenceTimeout(time.Until(x.outbound.deadline) + time.Second)
-	r, err := readReply(x.ctx, conn, x.outbound.method, x.callerRequestID, &x.server.wire, func() bool { return x.hasEnded(s) })
+	r, err := readReply(x.ctx, conn, x.outbound.method, x.callerRequestID, &x.server.wire, func() bool { return x.goesOn(s) })
 	if err != nil {
 		conn.Discard()
 		return nil, nil, x.endLostAttempt(a, err)
@@ -279,25 +279,23 @@
 // ends may be closed.
 const processExitTime = 50 * time.Millisecond
 
-// hasEnded reports whether the process of a server has ended, or is about to. A server that is
-// leaving is asked like any other: it may end before its answers do.
-func (x *exchange) hasEnded(s workspace.BackendServer) bool {
-	if x.refusesConnections(s) {
-		return true
+// goesOn reports whether the process of a server has not ended and is not about to: it accepts
+// connections. Any other result is no proof. A server that is leaving is asked like any other:
+// it may end before its answers do.
+func (x *exchange) goesOn(s workspace.BackendServer) bool {
+	if err := x.connects(s); errors.Is(err, engine.ErrConnRefused) {
+		return false
 	}
 	wait.For(x.ctx, processExitTime)
-	return x.refusesConnections(s)
+	return x.connects(s) == nil
 }
 
-// refusesConnections reports whether nothing listens at a server's address.
-func (x *exchange) refusesConnections(s workspace.BackendServer) bool {
-	if x.ctx.Err() != nil {
-		return false
-	}
+// connects returns nil if a server accepts a connection.
+func (x *exchange) connects(s workspace.BackendServer) error {
 	ctx, cancel := context.WithTimeout(x.ctx, serverCheckTimeout)
 	defer cancel()
 	_, err := x.server.deps.ConnPools.pool(s.Address).Check(ctx)
-	return errors.Is(err, engine.ErrConnRefused)
+	return err
 }
 
 // lostOutcome returns the outcome of an attempt whose answer is lost now.
