--- a/internal/faultproxy/proxy.go
+++ b/internal/faultproxy/proxy.go
@@ -100,6 +100,9 @@
 // Refuse resets new connections as soon as they are accepted.
 func (p *Proxy) Refuse() { p.set(func() { p.refuse = true }) }
 
+// StopListening refuses new connections for good, as the host of a process that has ended does.
+func (p *Proxy) StopListening() { p.listener.Close() }
+
 // Reset resets the existing connections on both sides. That includes connections
 // that were accepted but are not yet connected to the target.
 func (p *Proxy) Reset() {
--- a/test/soak/faults_test.go
+++ b/test/soak/faults_test.go
@@ -91,6 +91,7 @@
 	{"server crashes and is replaced", func(f *fleet, r *rand.Rand) func() {
 		s := pick(r, f.servers)
 		s.stopped = true
+		s.proxy.StopListening()
 		s.stop()
 		s.proxy.ResetAndRefuse()
 		f.store.Remove(standin.KindServers, s.ID)
@@ -142,6 +143,23 @@
 	}},
 }
 
+// exitFaults are the faults of fleets with streams that end with their connection.
+var exitFaults = []fault{
+	{"server drains and exits within its streams", func(f *fleet, r *rand.Rand) func() {
+		s := pick(r, f.servers)
+		if !s.stopped {
+			f.addServer(s.service)
+			s.stopped, s.drainingSince = true, time.Now()
+			f.putServer(s, "draining")
+			sleep(f.t.Context(), time.Duration(r.IntN(100))*time.Millisecond)
+			s.proxy.StopListening()
+			s.stop()
+			f.store.Remove(standin.KindServers, s.ID)
+		}
+		return nil
+	}},
+}
+
 // partitionSome partitions n nodes from all servers and returns the function that ends it.
 func (f *fleet) partitionSome(r *rand.Rand, n int) func() {
 	nodes := slices.Clone(f.nodes)
@@ -186,6 +204,9 @@
 	if f.spoils {
 		possible = slices.Concat(possible, spoilFaults)
 	}
+	if f.closeFramed {
+		possible = slices.Concat(possible, exitFaults)
+	}
 	if f.contended {
 		possible = slices.Concat(possible, contendedFaults)
 	}
--- a/test/soak/fleet_test.go
+++ b/test/soak/fleet_test.go
@@ -96,6 +96,7 @@
 	// partitionable is set if the nodes can be partitioned from all servers.
 	partitionable bool
 	spoils        bool // servers may spoil their streams
+	closeFramed   bool // half of the servers write streams without a length or chunks
 	noRollouts    bool
 	// record holds when nodes were killed, started again or paused.
 	record *faultRecord
@@ -149,6 +150,8 @@
 	partitionable bool
 	// spoils lets servers spoil their streams.
 	spoils bool
+	// closeFramed lets half of the servers write streams without a length or chunks.
+	closeFramed bool
 	// noRollouts keeps the operators from rolling out versions.
 	noRollouts bool
 	// contended makes the fleet a contended one (contended_test.go).
@@ -176,7 +179,7 @@
 	o.onceTimeout = cmp.Or(o.onceTimeout, 8*time.Second)
 	o.resumeTimeout = cmp.Or(o.resumeTimeout, 8*time.Second)
 	o.resumeTiers = cmp.Or(o.resumeTiers, 1)
-	f := &fleet{t: t, eventInterval: o.eventInterval, slots: slots, contended: o.contended, fails: o.fails, partitionable: o.partitionable, spoils: o.spoils, noRollouts: o.noRollouts, record: newFaultRecord(), dir: t.TempDir(), store: standin.NewStore(50), revokedAt: map[string]time.Time{}}
+	f := &fleet{t: t, eventInterval: o.eventInterval, slots: slots, contended: o.contended, fails: o.fails, partitionable: o.partitionable, spoils: o.spoils, closeFramed: o.closeFramed, noRollouts: o.noRollouts, record: newFaultRecord(), dir: t.TempDir(), store: standin.NewStore(50), revokedAt: map[string]time.Time{}}
 	f.storeAddr, _ = f.serve(f.store.Serve)
 	f.config = &standin.Configuration{
 		Tenant: "space", MaxBodyBytes: longBodyBytes,
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -37,7 +37,7 @@
 	}
 	for _, seed := range all {
 		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
-			runSeed(t, seed, fleetOptions{contended: seed%2 != 0}, anyFault)
+			runSeed(t, seed, fleetOptions{contended: seed%2 != 0, closeFramed: true}, anyFault)
 		})
 	}
 }
