streamversion: records of streams outlive all daemons, in the store

Callers saw: after a kill of all daemons at once no stream that they took up went on while two versions served; each was refused with version_unknown, though its version served.

Cause: which version began a stream was in the memories of four daemons and nowhere else.

A record is archived by one daemon, the first keeper that is told, or by the one that made it if there is none. It writes the new ones twice a second, in segments that are rewritten for four seconds, and only while the service has several versions; those of running streams wait for a second version to appear. At most two daemons of each of the 16 groups write, so that the writes do not grow with the region. A daemon reads all segments when it starts; a lookup that finds no record reads them again, one read at a time, with pauses that double while reads find nothing. An unreadable archive makes the answer "come back", never "go on". Records that contradict each other leave a stream unknown, as before. Segments of daemons that are gone are removed by one daemon after their last record.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -102,7 +102,7 @@
 	g.traits = traitResolver{settings: s.Scheduling, routes: g.routes, log: g.log}
 	g.state.onTable = g.traits.logChanges
 	g.rollouts = newRollouts(g.state, s.Bounds, m)
-	g.streams = streamversion.New(streamversion.Config{Region: s.Region, History: g.state.versions, ProofAge: g.state.serversFreshness.Age, Archive: versionArchive{p}, Metrics: m})
+	g.streams = streamversion.New(streamversion.Config{Region: s.Region, History: g.state.versions, ProofAge: g.state.serversFreshness.Age, Archive: versionArchive{p}, Records: streamArchive{p}, Metrics: m})
 	g.forward = forward.New(forward.Deps{
 		Routes: g.routes, Snapshot: g.snapshot, Broker: g, Admission: g,
 		Quotas: g.limiter, Budget: g.budgets.forService, ConnPools: servers, StreamVersions: g.streams, Rollouts: g.rollouts, PoolRemoved: g.state.poolRemovals.contextFor, Metrics: m,
@@ -249,6 +249,8 @@
 	t.Go(ctx, "probe of the store", r.runProbe)
 	t.Go(ctx, "freshness", g.logFreshness)
 	t.Go(ctx, "archive of the versions", g.archiveVersions)
+	t.Go(ctx, "archive of the streams", g.archiveStreams)
+	t.Go(ctx, "old archives of streams", g.removeOldSegments)
 	t.Go(ctx, "archive of the suspects", g.archiveSuspects)
 	keeper := &keyKeeper{store: clusterKeyStore{g.platform.Store, g.platform.Stale}, key: key, isReader: g.peerSync.isReader, lost: g.state.storeRestored, log: g.log}
 	t.Go(ctx, "cluster key", keeper.run)
--- a/internal/streamversion/keeper.go
+++ b/internal/streamversion/keeper.go
@@ -37,6 +37,8 @@
 	Metrics  *metrics.Registry
 	// Archive is read where no daemon has been there for long; nil: it is never known.
 	Archive Archive
+	// Records is where records outlive all daemons; nil: nowhere.
+	Records RecordArchive
 	// Now is the clock; nil: time.Now.
 	Now func() time.Time
 }
@@ -51,6 +53,9 @@
 	archiveMu sync.Mutex // held during a read of the archive
 	archived  map[string]archived
 
+	writer recordWriter
+	reader *recordReader // nil: there is no archive of records
+
 	// The fields below are set by Join.
 	transport peer.Transport
 	ranking   *ranking
@@ -59,6 +64,7 @@
 
 type counters struct {
 	recorded, received, sendFailed, asked, unanswered *expvar.Int
+	archived, archiveFailed, readFromArchive          *expvar.Int
 	results                                           map[verdict]*expvar.Int
 }
 
@@ -71,11 +77,15 @@
 	k := &Keeper{cfg: cfg, log: logs.For("streams"), table: newTable(), archived: map[string]archived{}}
 	k.counters = counters{
 		recorded: c("recorded"), received: c("received"), sendFailed: c("send_failed"), asked: c("keepers_asked"), unanswered: c("keepers_unanswered"),
+		archived: c("archived"), archiveFailed: c("archive_failed"), readFromArchive: c("read_from_archive"),
 		results: map[verdict]*expvar.Int{},
 	}
 	for _, v := range []verdict{unknown, soleSeen, sole, recorded} {
 		k.counters.results[v] = c("found_" + v.String())
 	}
+	if cfg.Records != nil {
+		k.reader = newRecordReader(cfg.Records, cfg.Now, k.log)
+	}
 	cfg.Metrics.Gauge("stream_versions", "records", func() any { return k.table.count() })
 	return k
 }
@@ -95,19 +105,31 @@
 	id := s.key()
 	k.table.put(k.cfg.Now(), id, version, keepFor)
 	k.counters.recorded.Add(1)
-	if k.transport == nil {
-		return
+	handedOver := false // to the keeper that archives it
+	if k.transport != nil {
+		m := &wire.Began{Stream: uint64(id), Version: version, KeepMs: uint32(min(keepFor, maxKeep).Milliseconds())}
+		for _, name := range k.ranking.keepersOf(id, keepersTold) {
+			if m.Archive, m.Service = !handedOver, ""; m.Archive {
+				m.Service = s.Service
+			}
+			handedOver = k.tell(name, m) || handedOver
+		}
 	}
-	payload, err := proto.Marshal(&wire.Began{Stream: uint64(id), Version: version, KeepMs: uint32(min(keepFor, maxKeep).Milliseconds())})
-	if err != nil {
-		k.log.WithError(err).Error("Stream's version can't be encoded.")
-		return
+	if !handedOver {
+		k.collect(s.Service, id, version, keepFor)
 	}
-	for _, name := range k.ranking.keepersOf(id, keepersTold) {
-		if k.transport.Send(peer.Name(name), peer.TypeStreamBegan, payload) != nil {
-			k.counters.sendFailed.Add(1)
-		}
+}
+
+// tell sends a record to a keeper, and reports whether it was sent.
+func (k *Keeper) tell(name string, m *wire.Began) bool {
+	payload, err := proto.Marshal(m)
+	if err == nil {
+		err = k.transport.Send(peer.Name(name), peer.TypeStreamBegan, payload)
 	}
+	if err != nil {
+		k.counters.sendFailed.Add(1)
+	}
+	return err == nil
 }
 
 func (k *Keeper) handleBegan(_ context.Context, _ peer.Name, payload []byte) ([]byte, error) {
@@ -118,6 +140,9 @@
 	k.counters.received.Add(1)
 	keepFor := min(time.Duration(m.GetKeepMs())*time.Millisecond, maxKeep)
 	k.table.put(k.cfg.Now(), key(m.GetStream()), m.GetVersion(), keepFor)
+	if m.GetArchive() {
+		k.collect(m.GetService(), key(m.GetStream()), m.GetVersion(), keepFor)
+	}
 	return nil, nil
 }
 
@@ -137,7 +162,7 @@
 func (k *Keeper) ownEvidence(id key, service string) evidence {
 	now := k.cfg.Now()
 	e := evidence{versions: k.cfg.History.Versions(now, service), observedFor: k.cfg.History.ObservedFor(now)}
-	e.version, e.known = k.table.get(now, id)
+	e.version, e.known = k.known(now, id)
 	e.proofAge, e.proved = k.cfg.ProofAge()
 	return e
 }
--- a/internal/streamversion/lookup.go
+++ b/internal/streamversion/lookup.go
@@ -57,13 +57,15 @@
 		all = append(all, l.own)
 	}
 	version, v := decide(all, life)
-	if v == soleSeen && !k.archiveHasOnly(ctx, l.stream.Service, version) {
-		return "", unknown, ErrNoAnswer
+	unproved := v == soleSeen && !k.archiveHasOnly(ctx, l.stream.Service, version)
+	if v != unknown && !unproved {
+		return version, v, nil
+	}
+	if archived, found := k.findArchived(ctx, l, all); found {
+		return archived, recorded, nil
 	}
 	switch {
-	case v != unknown:
-		return version, v, nil
-	case len(l.unanswered) > 0 || len(all) == 0:
+	case unproved, len(l.unanswered) > 0, len(all) == 0, k.reader != nil && !k.reader.loaded():
 		return "", unknown, ErrNoAnswer
 	default:
 		return "", unknown, ErrUnknown
--- a/test/soak/versions_test.go
+++ b/test/soak/versions_test.go
@@ -97,8 +97,10 @@
 	whole       bool
 }
 
-func runVersioned(t *testing.T, x versionedCase) {
-	f := startFleet(t, fleetOptions{nodes: 6, noRollouts: x.noRollouts, eventInterval: versionedEventGap, resumeTimeout: versionedTimeout, resumeTarget: x.target}, x.seed)
+// startVersioned starts a fleet that serves streams of several versions.
+func startVersioned(t *testing.T, x versionedCase, o fleetOptions) *fleet {
+	o.nodes, o.noRollouts, o.resumeTimeout, o.resumeTarget = 6, x.noRollouts, versionedTimeout, x.target
+	f := startFleet(t, o, x.seed)
 	for _, s := range f.servers {
 		if s.service == "llm" {
 			f.store.Remove(standin.KindServers, s.ID)
@@ -115,6 +117,11 @@
 		started.Go(func() { f.awaitVersions(n, x.versions) })
 	}
 	started.Wait()
+	return f
+}
+
+func runVersioned(t *testing.T, x versionedCase) {
+	f := startVersioned(t, x, fleetOptions{eventInterval: versionedEventGap})
 	record := newFaultRecord()
 	ctx, cancel := context.WithTimeout(context.Background(), versionedSpan)
 	defer cancel()
