streamversion: a record is archived though its keeper can't be reached

Callers saw: where daemons reach the store but not each other, streams that they took up at another daemon than the one that began them were all refused.

Cause: nobody answers there but the store, and a record handed to a keeper that is cut off, or dead and not known to be, is lost without a word: a message to it is queued before the connection is known to fail.

Two daemons may archive one record if an answer is lost, which changes nothing.

--- a/internal/streamversion/keeper.go
+++ b/internal/streamversion/keeper.go
@@ -105,31 +105,23 @@
 	id := s.key()
 	k.table.put(k.cfg.Now(), id, version, keepFor)
 	k.counters.recorded.Add(1)
-	handedOver := false // to the keeper that archives it
-	if k.transport != nil {
-		m := &wire.Began{Stream: uint64(id), Version: version, KeepMs: uint32(min(keepFor, maxKeep).Milliseconds())}
-		for _, name := range k.ranking.keepersOf(id, keepersTold) {
-			if m.Archive, m.Service = !handedOver, ""; m.Archive {
-				m.Service = s.Service
-			}
-			handedOver = k.tell(name, m) || handedOver
-		}
-	}
-	if !handedOver {
+	if k.transport == nil {
 		k.collect(s.Service, id, version, keepFor)
+		return
 	}
-}
-
-// tell sends a record to a keeper, and reports whether it was sent.
-func (k *Keeper) tell(name string, m *wire.Began) bool {
+	m := &wire.Began{Stream: uint64(id), Version: version, KeepMs: uint32(min(keepFor, maxKeep).Milliseconds())}
+	names := k.ranking.keepersOf(id, keepersTold)
+	go k.handToArchive(names, s.Service, m, keepFor)
 	payload, err := proto.Marshal(m)
-	if err == nil {
-		err = k.transport.Send(peer.Name(name), peer.TypeStreamBegan, payload)
-	}
 	if err != nil {
-		k.counters.sendFailed.Add(1)
+		k.log.WithError(err).Error("Stream's version can't be encoded.")
+		return
+	}
+	for _, name := range names[min(1, len(names)):] {
+		if k.transport.Send(peer.Name(name), peer.TypeStreamBegan, payload) != nil {
+			k.counters.sendFailed.Add(1)
+		}
 	}
-	return err == nil
 }
 
 func (k *Keeper) handleBegan(_ context.Context, _ peer.Name, payload []byte) ([]byte, error) {
--- a/internal/streamversion/recordarchive_test.go
+++ b/internal/streamversion/recordarchive_test.go
@@ -11,6 +11,8 @@
 	"pgregory.net/rapid"
 
 	"github.com/lycheekeel/lycheekeel/internal/metrics"
+	"github.com/lycheekeel/lycheekeel/internal/peer"
+	"github.com/lycheekeel/lycheekeel/internal/testwait"
 )
 
 // fakeRecords is an archive of records, by segment, and counts its reads.
@@ -228,3 +230,40 @@
 		So(len(value), ShouldBeLessThan, 60_000)
 	})
 }
+
+// collects returns how many records a daemon is to archive.
+func (k *testKeeper) collects() int {
+	k.writer.mu.Lock()
+	defer k.writer.mu.Unlock()
+	return len(k.writer.collected)
+}
+
+// Guards against: a record is archived by nobody as the keeper that is to do it has died or is
+// cut off, or by several.
+func TestRecordIsHandedToOneArchivingDaemon(t *testing.T) {
+	Convey("Given six daemons", t, func() {
+		f := newFleet(t, 6)
+		for _, k := range f.keepers {
+			k.reader = newRecordReader(&fakeRecords{}, time.Now, k.log)
+		}
+		first := f.at(0).ranking.keepersOf(testStream.key(), 1)[0]
+		sum := func() (n int) {
+			for _, k := range f.keepers {
+				n += k.collects()
+			}
+			return n
+		}
+		Convey("the first keeper is to archive a record", func() {
+			f.at(0).Record(testStream, "v2", time.Minute)
+			testwait.Until(t, testTimeout, "the first keeper is to archive it", func() bool { return f.keepers[first].collects() == 1 })
+			f.settle(testStream, 1+keepersTold)
+			So(sum(), ShouldEqual, 1)
+		})
+		Convey("the daemon itself is where that keeper has died", func() {
+			f.net.Crash(peer.Name(first))
+			f.at(0).Record(testStream, "v2", time.Minute)
+			testwait.Until(t, testTimeout, "the daemon is to archive it", func() bool { return f.at(0).collects() == 1 })
+			So(sum(), ShouldEqual, 1)
+		})
+	})
+}
--- a/internal/streamversion/recordskeeper.go
+++ b/internal/streamversion/recordskeeper.go
@@ -6,6 +6,10 @@
 	"time"
 
 	"github.com/pkg/errors"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/lycheekeel/lycheekeel/internal/peer"
+	"github.com/lycheekeel/lycheekeel/internal/streamversion/wire"
 )
 
 // errNotRead: the archive could not be read in time.
@@ -67,6 +71,25 @@
 	k.writer.collect(service, archivedRecord{id, version, k.cfg.Now().Add(min(keepFor, maxKeep))})
 }
 
+// handToArchive tells the first keeper of a stream, which is to archive its record. If it does
+// not confirm that, this daemon archives it.
+func (k *Keeper) handToArchive(keepers []string, service string, m *wire.Began, keepFor time.Duration) {
+	if len(keepers) > 0 {
+		m = &wire.Began{Stream: m.GetStream(), Version: m.GetVersion(), KeepMs: m.GetKeepMs(), Archive: true, Service: service}
+		ctx, cancel := context.WithTimeout(context.Background(), askTimeout)
+		defer cancel()
+		payload, err := proto.Marshal(m)
+		if err == nil {
+			_, err = k.transport.Call(ctx, peer.Name(keepers[0]), peer.TypeStreamBegan, payload)
+		}
+		if err == nil {
+			return
+		}
+		k.counters.sendFailed.Add(1)
+	}
+	k.collect(service, key(m.GetStream()), m.GetVersion(), keepFor)
+}
+
 // known returns the version of a stream that this daemon has recorded or read in the archive.
 func (k *Keeper) known(now time.Time, id key) (version string, ok bool) {
 	version, ok = k.table.get(now, id)
--- a/test/soak/killedstreams_test.go
+++ b/test/soak/killedstreams_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net/http"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -36,6 +37,24 @@
 	f.takeUpBesideNew(running)
 }
 
+// Guards against: streams that daemons refuse which reach no other daemon, though they reach
+// the store.
+func TestTakenUpStreamsOutliveLinksBetweenDaemons(t *testing.T) {
+	f := startVersioned(t, versionedCase{versions: 2, noRollouts: true}, fleetOptions{eventInterval: outlivingEventGap})
+	for _, n := range f.nodes {
+		n.peerProxy.ResetAndRefuse()
+	}
+	before := f.storeWrites()
+	running := f.beginStreams(func() {
+		for _, n := range f.nodes {
+			n.callerProxy.Reset()
+		}
+	})
+	f.t.Logf("%d writes of the store while streams began", f.storeWrites()-before)
+	sleep(context.Background(), takeUpDelay)
+	f.takeUpBesideNew(running)
+}
+
 // killAll kills all daemons at once and starts them again.
 func (f *fleet) killAll() {
 	var wg conc.WaitGroup
@@ -74,14 +93,17 @@
 	return broken
 }
 
-// callStream asks a daemon for a stream, or for its rest.
+// callStream asks a daemon for a stream, or for its rest: the first try at the daemon after the
+// one that began it.
 func (f *fleet) callStream(s *versionedStream, i, try int) *versionedStream {
 	x := &call{
 		id: fmt.Sprint(requestIDPrefix, "o-", i, "-", try), path: resumePath(0), content: fmt.Sprint("stream ", i), apiKey: "k1",
 		node: f.nodes[(i+try)%len(f.nodes)], timeout: versionedTimeout,
 	}
 	if s.events > 0 {
-		x.resumes, x.lastEvent = s.firstCall().id, s.events
+		first := s.firstCall()
+		x.resumes, x.lastEvent = first.id, s.events
+		x.node = f.nodes[(slices.Index(f.nodes, first.node)+try)%len(f.nodes)]
 	}
 	(&callers{}).sendOnce(x)
 	s.add(x)
