--- a/internal/streamversion/keeper.go
+++ b/internal/streamversion/keeper.go
@@ -41,6 +41,8 @@
 	Metrics *metrics.Registry
 	// Archive is read where no daemon has been there for long; nil: it is never known.
 	Archive Archive
+	// Records is where records outlive all daemons; nil: nowhere.
+	Records RecordArchive
 	// Now is the clock; nil: time.Now.
 	Now func() time.Time
 }
@@ -55,6 +57,9 @@
 	archiveMu sync.Mutex // held during a read of the archive
 	archived  map[string]archived
 
+	writer recordWriter
+	reader *recordReader // nil: there is no archive of records
+
 	// The fields below are set by Join.
 	transport peer.Transport
 	ranking   *ranking
@@ -66,6 +71,7 @@
 type counters struct {
 	recorded, received, sendFailed, asked, unanswered *expvar.Int
 	handedOn, handOnFailed, receivedAgain             *expvar.Int
+	archived, archiveFailed, readFromArchive          *expvar.Int
 	results                                           map[verdict]*expvar.Int
 }
 
@@ -79,11 +85,15 @@
 	k.counters = counters{
 		recorded: c("recorded"), received: c("received"), sendFailed: c("send_failed"), asked: c("keepers_asked"), unanswered: c("keepers_unanswered"),
 		handedOn: c("handed_on"), handOnFailed: c("handed_on_failed"), receivedAgain: c("received_again"),
+		archived: c("archived"), archiveFailed: c("archive_failed"), readFromArchive: c("read_from_archive"),
 		results: map[verdict]*expvar.Int{},
 	}
 	for _, v := range verdicts {
 		k.counters.results[v] = c("found_" + v.String())
 	}
+	if cfg.Records != nil {
+		k.reader = newRecordReader(cfg.Records, cfg.Now, k.log)
+	}
 	cfg.Metrics.Gauge("stream_versions", "records", func() any { return k.table.count() })
 	return k
 }
@@ -106,18 +116,23 @@
 	k.table.put(k.cfg.Now(), id, version, keepFor)
 	k.counters.recorded.Add(1)
 	if k.transport == nil {
+		k.collect(s.Service, id, version, keepFor)
 		return
 	}
-	payload, err := proto.Marshal(began(id, version, keepFor))
+	told := k.ranking.group(groupOf(id)).told
+	m := began(id, version, keepFor)
+	if k.reader != nil {
+		go k.handToArchive(told, s.Service, m, keepFor)
+	}
+	payload, err := proto.Marshal(m)
 	if err != nil {
 		k.log.WithError(err).Error("Stream's version can't be encoded.")
 		return
 	}
-	group := groupOf(id)
-	for _, to := range k.ranking.group(group).told {
+	for _, to := range told {
 		if k.transport.Send(peer.Name(to.name), peer.TypeStreamBegan, payload) != nil {
 			k.counters.sendFailed.Add(1)
-			k.handover.forgetGroup(to.name, group)
+			k.handover.forgetGroup(to.name, groupOf(id))
 		}
 	}
 }
@@ -134,6 +149,9 @@
 	}
 	k.counters.received.Add(1)
 	k.keep(&m)
+	if m.GetArchive() {
+		k.collect(m.GetService(), key(m.GetStream()), m.GetVersion(), time.Duration(m.GetKeepMs())*time.Millisecond)
+	}
 	return nil, nil
 }
 
@@ -161,6 +179,6 @@
 	e.proofAge, e.proved = k.cfg.ProofAge() // before the versions, which are then as of this proof at least
 	now := k.cfg.Now()
 	e.observedFor, e.versions = k.cfg.History.ObservedFor(now), k.cfg.History.Versions(now, service)
-	e.version, e.known = k.table.get(now, id)
+	e.version, e.known = k.known(now, id)
 	return e
 }
--- a/internal/streamversion/lookup.go
+++ b/internal/streamversion/lookup.go
@@ -66,20 +66,25 @@
 		return l.own.version, recorded, nil
 	}
 	k.ask(ctx, l)
+	ctx, cancel := context.WithTimeout(ctx, proofTimeout)
+	defer cancel()
 	version, v := decide(l.all(), life)
 	if v == unproved && k.cfg.Prove != nil {
-		proofCtx, cancel := context.WithTimeout(ctx, proofTimeout)
-		k.cfg.Prove(proofCtx)
-		cancel()
+		k.cfg.Prove(ctx)
 		k.takeOwn(l)
 		version, v = decide(l.all(), life)
 	}
-	switch {
-	case v == soleSeen && !k.archiveHasOnly(ctx, l.stream.Service, version):
-		return "", unproved, ErrNoAnswer
-	case v > unproved:
+	if v == soleSeen && !k.archiveHasOnly(ctx, l.stream.Service, version) {
+		v = unproved
+	}
+	if v > unproved {
 		return version, v, nil
-	case v == unknown && len(l.unanswered) == 0 && l.own.proved && l.own.proofAge <= maxProofAge:
+	}
+	archived, found, read := k.findArchived(ctx, l)
+	switch {
+	case found:
+		return archived, recorded, nil
+	case v == unknown && read && len(l.unanswered) == 0 && l.own.proved && l.own.proofAge <= maxProofAge:
 		return "", unknown, ErrUnknown
 	default:
 		return "", v, ErrNoAnswer
--- a/test/soak/versions_test.go
+++ b/test/soak/versions_test.go
@@ -97,9 +97,16 @@
 	whole       bool
 }
 
-func runVersioned(t *testing.T, x versionedCase) {
-	f := startFleet(t, fleetOptions{nodes: 6, noRollouts: x.noRollouts, eventInterval: versionedEventGap, resumeTimeout: versionedTimeout, resumeTarget: x.target}, x.seed)
+// startVersioned starts a fleet that serves streams of several versions.
+func startVersioned(t *testing.T, x versionedCase, o fleetOptions) *fleet {
+	o.nodes, o.noRollouts, o.resumeTimeout, o.resumeTarget = 6, x.noRollouts, versionedTimeout, x.target
+	f := startFleet(t, o, x.seed)
 	f.serveVersions(x.versions)
+	return f
+}
+
+func runVersioned(t *testing.T, x versionedCase) {
+	f := startVersioned(t, x, fleetOptions{eventInterval: versionedEventGap})
 	record := newFaultRecord()
 	ctx, cancel := context.WithTimeout(context.Background(), versionedSpan)
 	defer cancel()
