--- a/internal/streamversion/recordreader.go
+++ b/internal/streamversion/recordreader.go
@@ -76,6 +76,40 @@
 	return x.version, known && r.now().Before(x.expires)
 }
 
+// refresh waits for a read that starts no earlier than asked, and reports whether there was
+// one. It gives up at once if the next read has to wait for longer than a lookup may.
+func (r *recordReader) refresh(ctx context.Context, asked time.Time) bool {
+	ctx, cancel := context.WithTimeout(ctx, refreshTimeout)
+	defer cancel()
+	for ctx.Err() == nil {
+		r.mu.Lock()
+		if r.next == nil {
+			if !r.succeededAt.IsZero() && !r.succeededAt.Before(asked) {
+				r.mu.Unlock()
+				return true
+			}
+			if !r.startedAt.IsZero() && !r.startedAt.Before(asked) {
+				r.mu.Unlock()
+				return false // it failed
+			}
+			pause := r.startedAt.Add(r.pause).Sub(r.now())
+			if pause > refreshTimeout {
+				r.mu.Unlock()
+				return false
+			}
+			r.next = make(chan struct{})
+			go r.readAfter(pause)
+		}
+		done := r.next
+		r.mu.Unlock()
+		select {
+		case <-done:
+		case <-ctx.Done():
+		}
+	}
+	return false
+}
+
 // helped notes that a read has found the stream of a lookup.
 func (r *recordReader) helped() {
 	r.mu.Lock()
