streamversion, gateway: a store that was restored from a backup ends the observation

Cause: only the time between two proofs made a gap, never the store's era; a list of an earlier era counted as a proof; and the archive of versions was asked, which the same copy lacks.

A new era begins the observation anew, within a stream's life of it the archive is not relied on, and an answer of an earlier era proves nothing.

--- a/internal/gateway/serverproofs_test.go
+++ b/internal/gateway/serverproofs_test.go
@@ -70,6 +70,34 @@
 	})
 }
 
+func inEra(era, revision uint64) objectstore.Version {
+	v, err := objectstore.NewVersion(era, revision)
+	So(err, ShouldBeNil)
+	return v
+}
+
+// Guards against: a daemon vouches for the time before the store was restored from a backup, which
+// lacks the last versions, or for a list from before that.
+func TestRestoredStoreEndsTheObservation(t *testing.T) {
+	Convey("Given a daemon that has observed the servers for long", t, func() {
+		all, _, readers, _ := newPeerSyncs(3)
+		p := all["a1"]
+		s := p.state
+		v1 := []discovery.Server{{ID: "a", Service: "app", Version: "v1"}}
+		s.replaceServers(v1, inEra(1, 50))
+		s.versions.ObserveFrom(time.Now().Add(-time.Hour))
+		s.replaceServers(v1, inEra(2, 40))
+		So(s.versions.ObservedFor(time.Now()), ShouldBeLessThan, time.Minute)
+		So(s.versions.RestoredWithin(time.Now(), time.Minute), ShouldBeTrue)
+		Convey("an answer from before proves nothing", func() {
+			now := s.serversFreshness.Now()
+			p.apply(readers[0], &wire.SyncAnswer{ConfigAgeMs: -1, ServersTold: true, ServersRevision: uint64(inEra(1, 60)), Servers: serversToWire(v1)}, now, now)
+			_, proved := s.serversFreshness.Age()
+			So(proved, ShouldBeFalse)
+		})
+	})
+}
+
 // countingStore answers lists and counts them.
 type countingStore struct {
 	objectstore.ObjectAPI
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -201,7 +201,7 @@
 		if s.directory.MergeLeaving(x.delta.Changed) {
 			s.publishChangesLocked(x.from)
 		}
-		return listBase{}, fits
+		return listBase{}, fits && x.revision.Era() == s.serversRevision.Era()
 	}
 	s.updateServersLocked(x.revision, x.from, func(now time.Time) bool {
 		changed := false
@@ -266,6 +266,7 @@
 		s.log.WithFields(logrus.Fields{"era": rev.Era(), "revision": rev.Revision(), "before": s.serversRevision.Revision()}).
 			Warn("Store was restored from a backup.")
 		s.directory.StoreRestored()
+		s.versions.StoreRestored(time.Now())
 		s.signalStoreRestored()
 	}
 	if !change(time.Now()) && !restored {
--- a/internal/streamversion/archive_test.go
+++ b/internal/streamversion/archive_test.go
@@ -63,6 +63,11 @@
 			_, err = k.Lookup(ctx, testStream, testLife)
 			So(err, ShouldEqual, ErrNoAnswer)
 		})
+		Convey("it is refused if the store has just lost what the archive was told", func() {
+			history.StoreRestored(now)
+			_, err := k.Lookup(ctx, testStream, testLife)
+			So(err, ShouldEqual, ErrNoAnswer)
+		})
 		Convey("the archive is read once for many streams, and not at all after a while", func() {
 			for range 100 {
 				_, err := k.Lookup(ctx, testStream, testLife)
--- a/internal/streamversion/history.go
+++ b/internal/streamversion/history.go
@@ -17,6 +17,7 @@
 	mu       sync.Mutex
 	services map[string]map[string]*presence
 	since    time.Time // since when the servers are observed without a gap; zero: not yet
+	restored time.Time // when the store was restored from a backup; zero: not as long as observed
 }
 
 // presence tells how many servers of a version there are, and until when there were some.
@@ -67,6 +68,20 @@
 	h.since = since
 }
 
+// StoreRestored records that the store lost what it had been told lately, also of versions.
+func (h *History) StoreRestored(now time.Time) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.since, h.restored = now, now
+}
+
+// RestoredWithin reports whether the store was restored within a time.
+func (h *History) RestoredWithin(now time.Time, d time.Duration) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return !h.restored.IsZero() && now.Sub(h.restored) < d
+}
+
 // ObservedFor returns how long this daemon has observed the servers without a gap.
 func (h *History) ObservedFor(now time.Time) time.Duration {
 	h.mu.Lock()
--- a/internal/streamversion/lookup.go
+++ b/internal/streamversion/lookup.go
@@ -74,7 +74,7 @@
 		k.takeOwn(l)
 		version, v = decide(l.all(), life)
 	}
-	if v == soleSeen && !k.archiveHasOnly(ctx, l.stream.Service, version) {
+	if v == soleSeen && (k.cfg.History.RestoredWithin(k.cfg.Now(), life) || !k.archiveHasOnly(ctx, l.stream.Service, version)) {
 		v = unproved
 	}
 	if v > unproved {
