gateway: archived versions are read as of now

Cause: the read was stale, which may be seconds old, though an absence was concluded from it. TestArchivedVersionsAreReadAsOfNow failed before (no versions) and passes now.

--- a/internal/gateway/versionarchive.go
+++ b/internal/gateway/versionarchive.go
@@ -34,7 +34,7 @@
 
 // Versions implements streamversion.Archive.
 func (a versionArchive) Versions(ctx context.Context, service string) ([]string, error) {
-	o, err := a.platform.Stale.GetStale(ctx, kindVersions, service)
+	o, err := a.platform.Store.Get(ctx, kindVersions, service) // a stale read may lack the newest version
 	if errors.Is(err, objectstore.ErrNotFound) {
 		return nil, nil
 	}
--- a/internal/gateway/versionarchive_test.go
+++ b/internal/gateway/versionarchive_test.go
@@ -65,3 +65,15 @@
 		}
 	})
 }
+
+// Guards against: a stream goes on at the wrong version, since the archive was read as of before
+// another one was written there.
+func TestArchivedVersionsAreReadAsOfNow(t *testing.T) {
+	Convey("What a stale read does not show yet counts", t, func() {
+		object := objectstore.Object{Value: []byte(`{"versions":["v1","v2"]}`), Version: 1}
+		a := versionArchive{Platform{Store: &forgetfulStore{object: &object}, Stale: &forgetfulStore{}}}
+		versions, err := a.Versions(context.Background(), "svc")
+		So(err, ShouldBeNil)
+		So(versions, ShouldResemble, []string{"v1", "v2"})
+	})
+}
