streamversion: only lookups that found nothing lengthen the pause between reads

What callers could see (found by the review): for up to 14.5 s after a daemon had read the archive for its own sake, as it does at its start and while it looks for old segments, a stream that only the archive knows was refused.

Cause: each read doubled the pause, which is meant for callers who name streams that never were. The case added to TestUnknownStreamsBoundTheirReads failed before (16 s instead of 2 s) and passes now.

--- a/internal/streamversion/recordarchive_test.go
+++ b/internal/streamversion/recordarchive_test.go
@@ -169,6 +169,14 @@
 			}
 			So(f.reads, ShouldBeLessThan, 12)
 		})
+		Convey("reads that no lookup has asked for don't lengthen it", func() {
+			pause := k.reader.pause
+			for range 10 {
+				now = now.Add(maxReadPause)
+				So(k.ReadRecords(ctx), ShouldBeNil)
+			}
+			So(k.reader.pause, ShouldEqual, pause)
+		})
 	})
 }
 
--- a/internal/streamversion/recordreader.go
+++ b/internal/streamversion/recordreader.go
@@ -53,6 +53,7 @@
 	startedAt   time.Time              // of the last read that has started
 	succeededAt time.Time              // start of the last read that has succeeded
 	pause       time.Duration
+	missedAt    time.Time // succeededAt of the last read that has lengthened the pause
 }
 
 // seenSegment is a segment as it was first read in its present version.
@@ -117,6 +118,15 @@
 	r.pause = minReadPause
 }
 
+// missed notes that the last read has not found the stream of a lookup.
+func (r *recordReader) missed() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if !r.missedAt.Equal(r.succeededAt) {
+		r.missedAt, r.pause = r.succeededAt, min(2*r.pause, maxReadPause)
+	}
+}
+
 // readAfter reads the archive after a pause.
 func (r *recordReader) readAfter(pause time.Duration) {
 	r.wait(context.Background(), pause)
@@ -133,7 +143,7 @@
 		r.log.WithError(err).Warn("Archived records can't be read.")
 	} else {
 		r.take(all)
-		r.succeededAt, r.pause = started, min(2*r.pause, maxReadPause)
+		r.succeededAt = started
 	}
 	close(r.next)
 	r.next = nil
--- a/internal/streamversion/recordskeeper.go
+++ b/internal/streamversion/recordskeeper.go
@@ -119,6 +119,7 @@
 	}
 	version, found = k.reader.get(l.stream.key())
 	if !found || version == ambiguous {
+		k.reader.missed()
 		return "", false, true
 	}
 	k.reader.helped()
