streamversion: a record is archived though its first keeper is of an earlier release

What callers could see (found by the review): during an upgrade a kill of all daemons loses streams whose first keeper was of the release before, which answers the message and ignores that it is to archive it.

Cause: any answer counted as confirmation. An empty one does not any more, so the daemon that began the stream archives it. The case added to TestRecordIsHandedToOneArchivingDaemon failed before (20 s without a daemon that archives) and passes now.

--- a/internal/streamversion/keeper.go
+++ b/internal/streamversion/keeper.go
@@ -142,6 +142,9 @@
 	return &wire.Began{Stream: uint64(id), Version: version, KeepMs: uint32(min(keepFor, maxKeep).Milliseconds())}
 }
 
+// archives is the answer of a keeper that archives a record.
+var archives = []byte{1}
+
 func (k *Keeper) handleBegan(_ context.Context, _ peer.Name, payload []byte) ([]byte, error) {
 	var m wire.Began
 	if err := proto.Unmarshal(payload, &m); err != nil {
@@ -149,10 +152,11 @@
 	}
 	k.counters.received.Add(1)
 	k.keep(&m)
-	if m.GetArchive() {
-		k.collect(m.GetService(), key(m.GetStream()), m.GetVersion(), time.Duration(m.GetKeepMs())*time.Millisecond)
+	if !m.GetArchive() || k.reader == nil {
+		return nil, nil
 	}
-	return nil, nil
+	k.collect(m.GetService(), key(m.GetStream()), m.GetVersion(), time.Duration(m.GetKeepMs())*time.Millisecond)
+	return archives, nil
 }
 
 // keep keeps a record that a peer told, and reports whether it was new.
--- a/internal/streamversion/recordarchive_test.go
+++ b/internal/streamversion/recordarchive_test.go
@@ -267,6 +267,12 @@
 			f.settle(testStream, 1+keepersTold)
 			So(sum(), ShouldEqual, 1)
 		})
+		Convey("the daemon itself is where that keeper is of an earlier release", func() {
+			f.keepers[first].reader = nil // it has no archive
+			f.at(0).Record(testStream, "v2", time.Minute)
+			testwait.Until(t, testTimeout, "the daemon is to archive it", func() bool { return f.at(0).collects() == 1 })
+			So(sum(), ShouldEqual, 1)
+		})
 		Convey("the daemon itself is where that keeper has died", func() {
 			f.net.Crash(peer.Name(first))
 			f.at(0).Record(testStream, "v2", time.Minute)
--- a/internal/streamversion/recordskeeper.go
+++ b/internal/streamversion/recordskeeper.go
@@ -80,13 +80,16 @@
 		defer cancel()
 		payload, err := proto.Marshal(m)
 		if err == nil {
-			_, err = k.transport.Call(ctx, peer.Name(keepers[0].name), peer.TypeStreamBegan, payload)
+			var answer []byte
+			answer, err = k.transport.Call(ctx, peer.Name(keepers[0].name), peer.TypeStreamBegan, payload)
+			if len(answer) > 0 { // a daemon of an earlier release answers, but archives nothing
+				return
+			}
 		}
-		if err == nil {
-			return
+		if err != nil {
+			k.counters.sendFailed.Add(1)
+			k.handover.forgetGroup(keepers[0].name, groupOf(key(m.GetStream())))
 		}
-		k.counters.sendFailed.Add(1)
-		k.handover.forgetGroup(keepers[0].name, groupOf(key(m.GetStream())))
 	}
 	k.collect(service, key(m.GetStream()), m.GetVersion(), keepFor)
 }
