streamversion: a keeper's proof never counts as younger than it is

Found by the review: the age of a proof was told in whole milliseconds, rounded down, so that a list that was read less than a millisecond before a take-up could count as read after it. It is rounded up. By reading; the tests of the package pass.

--- a/internal/streamversion/keeper.go
+++ b/internal/streamversion/keeper.go
@@ -173,7 +173,7 @@
 	e := k.ownEvidence(key(m.GetStream()), m.GetService())
 	return proto.Marshal(&wire.Answer{
 		Known: e.known, Version: e.version, Versions: e.versions, ObservedMs: uint64(e.observedFor.Milliseconds()),
-		Proved: e.proved, ProofMs: uint64(e.proofAge.Milliseconds()),
+		Proved: e.proved, ProofMs: uint64((e.proofAge + time.Millisecond - 1).Milliseconds()), // never younger than it is
 	})
 }
 
