gateway: failed writes of archived streams back off

Found by the review: where daemons don't reach each other, each archives its own records, by arithmetic some 490 writes a second of 390 daemons, over the store's 400, which what can't wait shares; and after a refusal each tried again 0.5 s later. The delay now doubles to 8 s while writes fail, and all delays are spread by half. No run at that size.

--- a/internal/gateway/streamarchive.go
+++ b/internal/gateway/streamarchive.go
@@ -25,6 +25,9 @@
 	// of streams (streamversion) write one segment each time: 64 writes a second in a large
 	// region, 12 of six daemons.
 	segmentInterval = 500 * time.Millisecond
+	// segmentMaxDelay is the longest mean time between two writes while they fail. All daemons write if
+	// they don't reach each other, and share the store's rate with what can't wait.
+	segmentMaxDelay = 8 * time.Second
 	// segmentReadSpread spreads the reads of daemons that start together.
 	segmentReadSpread = 250 * time.Millisecond
 	// segmentWriteTimeout bounds a write; what was not written is due again.
@@ -97,21 +100,27 @@
 func (g *Gateway) archiveStreams(ctx context.Context) {
 	wait.For(ctx, rand.N(segmentReadSpread))
 	for ctx.Err() == nil && g.streams.LoadRecords(ctx, g.settings.Name) != nil {
-		wait.For(ctx, storeRetryMaxDelay)
+		wait.For(ctx, storeRetryMaxDelay/2+rand.N(storeRetryMaxDelay))
 	}
 	w := &segmentWriter{store: g.platform.Store, daemon: g.settings.Name}
-	for era := uint64(0); ctx.Err() == nil; wait.For(ctx, segmentInterval) {
+	delay := segmentInterval
+	for era := uint64(0); ctx.Err() == nil; wait.For(ctx, delay/2+rand.N(delay)) {
 		if newest := g.state.storeEra(); w.versions == nil || newest != era {
 			if w.versions != nil {
 				g.streams.RewriteSegments() // a restored store may lack them
 			}
 			era, w.versions = newest, map[int]objectstore.Version{}
 		}
-		g.writeSegments(ctx, w)
+		if g.writeSegments(ctx, w) {
+			delay = segmentInterval
+		} else {
+			delay = min(2*delay, segmentMaxDelay)
+		}
 	}
 }
 
-func (g *Gateway) writeSegments(ctx context.Context, w *segmentWriter) {
+// writeSegments writes what is due, and reports whether the store took all of it.
+func (g *Gateway) writeSegments(ctx context.Context, w *segmentWriter) bool {
 	due, err := g.streams.DueSegments()
 	if err != nil {
 		g.log.WithError(err).Error("Streams can't be encoded.")
@@ -121,9 +130,10 @@
 		g.streams.SegmentWritten(s, err)
 		if err != nil {
 			g.log.WithField("segment", segmentName(w.daemon, s.Number)).WithError(err).Warn("Streams not archived.")
-			return // the store may be down; the others are due again
+			return false // the store may be down; the others are due again
 		}
 	}
+	return true
 }
 
 // removeOldSegments removes the segments of daemons that are gone, while this daemon is the
