forward: a stream that may as well begin anew waits for its version for 0.25 s at most

Found by the review: a caller that names a stream but no event of it begins anew whatever is found, and now waited up to 1.75 s for that, since a lookup waits for a proof or the archive. By reading; the tests of the package pass.

--- a/internal/forward/takeup.go
+++ b/internal/forward/takeup.go
@@ -21,6 +21,9 @@
 	Lookup(ctx context.Context, s streamversion.Stream, life time.Duration) (version string, err error)
 }
 
+// beginAnewAfter is the longest wait for the version of a stream that may as well begin anew.
+const beginAnewAfter = 250 * time.Millisecond
+
 // takeUp is what a caller says of a stream that it takes up after its connection broke.
 type takeUp struct {
 	// lastEvent is the id of the last event that the caller has; empty: the stream begins.
@@ -49,7 +52,13 @@
 	if versions == nil || x.route.Kind != route.Stream || x.takeUp == (takeUp{}) {
 		return nil
 	}
-	version, err := versions.Lookup(x.ctx, x.streamOf(x.takeUp.resumes), x.route.Timeout+takeUpGrace)
+	ctx := x.ctx
+	if x.takeUp.lastEvent == "" { // it may begin anew, which is not to wait for long
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, beginAnewAfter)
+		defer cancel()
+	}
+	version, err := versions.Lookup(ctx, x.streamOf(x.takeUp.resumes), x.route.Timeout+takeUpGrace)
 	switch {
 	case err == nil:
 		x.binding.bind(version)
