--- a/test/soak/contended_test.go
+++ b/test/soak/contended_test.go
@@ -127,7 +127,7 @@
 
 // newServer returns a stand-in for the next server of a service.
 func (f *fleet) newServer(service string) *standin.Server {
-	s := &standin.Server{Events: 30, EventInterval: f.eventInterval, Fails: f.fails, CloseFramed: f.closeFramed && f.serversCreated%4 >= 2}
+	s := &standin.Server{Events: 30, EventInterval: f.eventInterval, Fails: f.fails, AnswerBytes: f.answerBytes, CloseFramed: f.closeFramed && f.serversCreated%4 >= 2}
 	switch {
 	case !f.contended:
 	case service == "app":
--- a/test/soak/fleet_test.go
+++ b/test/soak/fleet_test.go
@@ -95,6 +95,8 @@
 	badServers []*server
 	// partitionable is set if the nodes can be partitioned from all servers and from each other.
 	partitionable bool
+	limits        gateway.LimitSettings
+	answerBytes   int
 	spoils        bool // servers may spoil their streams
 	closeFramed   bool // half of the servers write streams without a length or chunks
 	noRollouts    bool
@@ -158,6 +160,10 @@
 	noServers bool
 	// contended makes the fleet a contended one (contended_test.go).
 	contended bool
+	// limits are those of the nodes' processes; default 256 MB of memory.
+	limits gateway.LimitSettings
+	// answerBytes is how much servers add to their answers.
+	answerBytes int
 }
 
 // fleetSlots bounds the fleets of parallel tests: the stand-ins and callers of all of them run
@@ -181,7 +187,10 @@
 	o.onceTimeout = cmp.Or(o.onceTimeout, 8*time.Second)
 	o.resumeTimeout = cmp.Or(o.resumeTimeout, 8*time.Second)
 	o.resumeTiers = cmp.Or(o.resumeTiers, 1)
-	f := &fleet{t: t, eventInterval: o.eventInterval, slots: slots, contended: o.contended, fails: o.fails, partitionable: o.partitionable, spoils: o.spoils, closeFramed: o.closeFramed, noRollouts: o.noRollouts, record: newFaultRecord(), dir: t.TempDir(), store: standin.NewStore(50), revokedAt: map[string]time.Time{}}
+	if o.limits.MemoryMB == 0 {
+		o.limits.MemoryMB = 256
+	}
+	f := &fleet{t: t, limits: o.limits, answerBytes: o.answerBytes, eventInterval: o.eventInterval, slots: slots, contended: o.contended, fails: o.fails, partitionable: o.partitionable, spoils: o.spoils, closeFramed: o.closeFramed, noRollouts: o.noRollouts, record: newFaultRecord(), dir: t.TempDir(), store: standin.NewStore(50), revokedAt: map[string]time.Time{}}
 	f.storeAddr, _ = f.serve(f.store.Serve)
 	f.config = &standin.Configuration{
 		Tenant: "space", MaxBodyBytes: longBodyBytes,
@@ -299,7 +308,7 @@
 	n := &node{fleet: f, name: name, storeProxy: f.newProxy(f.storeAddr)}
 	n.settings = gateway.Settings{
 		Name: name, Region: "r", AvailabilityZone: "z", Listen: freeAddress(f.t), Readiness: freeAddress(f.t), Peer: freeAddress(f.t),
-		Store: n.storeProxy.Addr(), Limits: gateway.LimitSettings{MemoryMB: 256},
+		Store: n.storeProxy.Addr(), Limits: f.limits,
 		Bounds: gateway.BoundsSettings{
 			GraceS: gracePeriod.Seconds(), RevokeMs: float64(revokeBound.Milliseconds()), RetryRatio: retryRatio, RetryWindowS: retryWindow.Seconds(), RetrySlack: retrySlack,
 			CanaryShare: canaryShare, CanarySlack: canarySlack,
