--- a/internal/callerwatch/callerwatch.go
+++ b/internal/callerwatch/callerwatch.go
@@ -96,3 +96,15 @@
 		return connReadable
 	}
 }
+
+// Readable reports whether bytes of a connection have arrived that were not read, or it was
+// closed by its caller.
+func Readable(conn syscall.Conn) bool {
+	raw, err := conn.SyscallConn()
+	if err != nil {
+		return false
+	}
+	state := connOpen
+	err = raw.Control(func(fd uintptr) { state = peek(int(fd)) })
+	return err == nil && state != connOpen
+}
