--- a/internal/forward/answer.go
+++ b/internal/forward/answer.go
@@ -24,7 +24,7 @@
 	if x.route.Kind == route.Stream && status == fasthttp.StatusOK {
 		return x.startStream(r, a)
 	}
-	body, err := r.readAll()
+	content, err := x.readAnswer(r)
 	r.releaseConn()
 	if err != nil {
 		return false, x.retryOrRefuse(x.endLostAttempt(a, err))
@@ -34,14 +34,14 @@
 		if x.shouldRetry(status) {
 			x.server.counters.retriedFailures.Add(1)
 			x.recordSentTo(a)
-			x.earlierFailure = &failedAnswer{body: body}
+			x.earlierFailure = &failedAnswer{body: content}
 			r.header.CopyTo(&x.earlierFailure.header)
 			return false, nil
 		}
 	} else {
 		a.release(pool.OutcomeDone)
 	}
-	x.writeAnswer(&r.header, body)
+	x.writeAnswer(&r.header, content)
 	return true, nil
 }
 
@@ -57,9 +57,16 @@
 }
 
 // writeAnswer answers the caller with a complete answer of a server.
-func (x *exchange) writeAnswer(head *fasthttp.ResponseHeader, body []byte) {
+func (x *exchange) writeAnswer(head *fasthttp.ResponseHeader, content body) {
 	x.copyHeaders(head)
-	x.httpCtx.Response.SetBodyRaw(body)
+	switch len(content.pieces) {
+	case 0:
+	case 1:
+		x.httpCtx.Response.SetBodyRaw(content.pieces[0])
+	default:
+		x.httpCtx.Response.SetBodyStream(&content, content.size)
+	}
+	x.answerBytes = content.size
 	x.history.firstEvent = time.Since(x.receivedAt)
 	x.logAnswer(nil)
 }
@@ -68,7 +75,7 @@
 // other server gives a better one.
 type failedAnswer struct {
 	header fasthttp.ResponseHeader
-	body   []byte
+	body   body
 }
 
 // canWriteEarlierFailure reports whether the request can be answered with the failure of an
--- a/internal/forward/counters.go
+++ b/internal/forward/counters.go
@@ -15,9 +15,10 @@
 	refusals          map[request.Reason]*expvar.Int
 	failedSends       map[string]*expvar.Int
 	malformedRequests *expvar.Int
-	// connectionsClosedIdle counts callers' connections that were closed for new ones,
-	// connectionsRefused those that were closed unread.
-	connectionsClosedIdle, connectionsRefused *expvar.Int
+	// connectionsClosedIdle counts callers' idle connections that gave way to others,
+	// connectionsClosedSlow those whose caller had stopped to send or to read, requestsEvicted
+	// the requests that did, connectionsRefused the connections that were closed unread.
+	connectionsClosedIdle, connectionsClosedSlow, requestsEvicted, connectionsRefused *expvar.Int
 	// overloads counts how often the daemon began to turn callers away in overload, and
 	// connectionsShed the connections that it closed unread.
 	overloads, connectionsShed *expvar.Int
@@ -75,6 +76,8 @@
 	}
 	c.malformedRequests = m.Counter("forward", "malformed")
 	c.connectionsClosedIdle = m.Counter("forward", "connections_closed_idle")
+	c.connectionsClosedSlow = m.Counter("forward", "connections_closed_slow")
+	c.requestsEvicted = m.Counter("forward", "requests_evicted")
 	c.connectionsRefused = m.Counter("forward", "connections_refused")
 	c.overloads = m.Counter("forward", "overloads")
 	c.connectionsShed = m.Counter("forward", "connections_shed")
--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -15,6 +15,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/lycheekeel/lycheekeel/broker"
+	"github.com/lycheekeel/lycheekeel/internal/callermem"
 	"github.com/lycheekeel/lycheekeel/internal/callerwatch"
 	"github.com/lycheekeel/lycheekeel/internal/httpconn"
 	"github.com/lycheekeel/lycheekeel/request"
@@ -28,8 +29,8 @@
 	server          *Server
 	httpCtx         *fasthttp.RequestCtx
 	conn            net.Conn
-	receivedAt      time.Time
-	callerRequestID string // the request id that the caller chose; unique per attempt of the caller
+	receivedAt      time.Time // when the whole request had been read
+	callerRequestID string    // the request id that the caller chose; unique per attempt of the caller
 	takeUp          takeUp
 	key             string
 
@@ -56,7 +57,11 @@
 	// versionRecorded is set once the version that began the stream was recorded.
 	versionRecorded bool
 	outbound        *outboundRequest
-	earlierFailure  *failedAnswer // of an earlier server; nil if there is none
+	body            body
+	memory          *callermem.Reservation // nil: nothing was reserved yet
+	unreadBytes     int64                  // the connection's receive buffer, as set for the body; 0: not set
+	answerBytes     int                    // of an answer that is written when the exchange has ended
+	earlierFailure  *failedAnswer          // of an earlier server; nil if there is none
 
 	ctx          context.Context
 	cancel       context.CancelCauseFunc
@@ -75,16 +80,20 @@
 
 func (s *Server) newExchange(ctx *fasthttp.RequestCtx) *exchange {
 	h := &ctx.Request.Header
-	return &exchange{
+	x := &exchange{
 		server: s, httpCtx: ctx, conn: ctx.Conn(), receivedAt: time.Now(),
 		callerRequestID: string(h.Peek(s.wire.RequestID)),
 		takeUp:          takeUp{lastEvent: string(h.Peek(s.wire.LastEvent)), resumes: string(h.Peek(s.wire.Resumes))},
 	}
+	if ctx.RequestBodyStream() == nil {
+		x.endBodyRead()
+	}
+	return x
 }
 
 // serve answers the request, or returns the refusal to answer it with.
 func (x *exchange) serve() error {
-	if err := x.admit(); err != nil {
+	if err := x.receive(); err != nil {
 		return err
 	}
 	x.buildDemand()
@@ -95,12 +104,16 @@
 		return err
 	}
 	x.outbound = x.server.newOutboundRequest(x.httpCtx, x.workspaceName(), x.table.NeedsKeys(), x.takeUp.lastEvent)
+	x.outbound.body = x.body
 	x.outbound.deadline = x.receivedAt.Add(x.spec.Targets.Deadline)
 	if x.takeUp.lastEvent != "" {
 		x.server.counters.streamsTakenUp.Add(1)
 	}
 	x.server.deps.Budget(x.service).RecordRequest(x.receivedAt)
 	x.watchCaller()
+	if !x.memory.SetOnEvict(func() { x.cancel(errNoMemory) }) {
+		return x.memoryRefusal()
+	}
 	if err := x.bindTakenUp(); err != nil {
 		return err
 	}
@@ -113,6 +126,31 @@
 	return err
 }
 
+// receive admits the request and reads its body. A configuration that came into force
+// meanwhile decides again.
+func (x *exchange) receive() error {
+	if err := x.admit(); err != nil {
+		return err
+	}
+	if err := x.readBody(); err != nil {
+		return err
+	}
+	x.receivedAt = time.Now()
+	if x.server.deps.Routes.Load() == x.table {
+		return nil
+	}
+	if err := x.admit(); err != nil {
+		return err
+	}
+	if limit := x.table.Limits.MaxBodyBytes; limit > 0 && x.body.size > limit {
+		return request.Refuse(request.ReasonBodyTooLarge, "body of %d bytes", x.body.size)
+	}
+	return nil
+}
+
+// errNoMemory is the cancellation cause of a request that another one has evicted.
+var errNoMemory = errors.New("no memory left for the request")
+
 // forward sends the request until a server's answer is passed on or no attempt is left.
 func (x *exchange) forward() error {
 	for {
@@ -134,9 +172,6 @@
 	if x.table == nil {
 		return request.Refuse(request.ReasonNoConfiguration, "no configuration is in force yet").WithRetryAfter(defaultRetryAfter)
 	}
-	if len(x.httpCtx.Request.Body()) > x.table.Limits.MaxBodyBytes && x.table.Limits.MaxBodyBytes > 0 {
-		return request.Refuse(request.ReasonBodyTooLarge, "body of %d bytes", len(x.httpCtx.Request.Body()))
-	}
 	path, _, _ := strings.Cut(string(x.httpCtx.Request.Header.RequestURI()), "?")
 	x.route = x.table.Lookup(string(x.httpCtx.Host()), path)
 	if x.route == nil {
@@ -220,7 +255,7 @@
 func (x *exchange) fingerprint() uint64 {
 	r := &x.httpCtx.Request
 	target := x.service + " " + string(r.Header.Method()) + " " + string(r.Header.RequestURI())
-	return request.Fingerprint(x.workspaceName(), target, r.Body())
+	return request.Fingerprint(x.workspaceName(), target, x.body.pieces...)
 }
 
 // maxParts bounds the parts of one prompt that are looked at.
@@ -312,6 +347,7 @@
 	x.ended = true
 	x.releaseRetry()
 	x.runningLog.stop()
+	x.keepAnswer()
 	if x.watch != nil {
 		x.server.open.remove(x)
 		x.watch.Stop()
--- a/internal/forward/outbound.go
+++ b/internal/forward/outbound.go
@@ -19,7 +19,7 @@
 	method  string
 	target  string
 	headers []header // without those that each send sets anew
-	body    []byte
+	body    body
 
 	wire     *Wire
 	deadline time.Time
@@ -29,7 +29,7 @@
 	lastEvent string
 }
 
-// newOutboundRequest copies the request, because the HTTP server reuses its buffers. needsKeys is
+// newOutboundRequest copies the request's head, because the HTTP server reuses its buffers. needsKeys is
 // set where routes need keys, although this one may be public. lastEvent is the last event of a
 // stream that the caller has.
 func (s *Server) newOutboundRequest(ctx *fasthttp.RequestCtx, workspaceName string, needsKeys bool, lastEvent string) *outboundRequest {
@@ -52,7 +52,6 @@
 		o.headers = append(o.headers, header{s.wire.Workspace, workspaceName})
 	}
 	o.lastEvent = lastEvent
-	o.body = append([]byte(nil), ctx.Request.Body()...)
 	return o
 }
 
@@ -68,12 +67,16 @@
 	if o.lastEvent != "" {
 		writeStrings(w, o.wire.LastEvent, ": ", o.lastEvent, "\r\n")
 	}
-	if len(o.body) > 0 || o.method != fasthttp.MethodGet && o.method != fasthttp.MethodHead {
-		writeStrings(w, "Content-Length: ", strconv.Itoa(len(o.body)), "\r\n")
+	if o.body.size > 0 || o.method != fasthttp.MethodGet && o.method != fasthttp.MethodHead {
+		writeStrings(w, "Content-Length: ", strconv.Itoa(o.body.size), "\r\n")
 	}
 	writeStrings(w, "\r\n")
-	_, err := w.Write(o.body)
-	return err
+	for _, piece := range o.body.pieces {
+		if _, err := w.Write(piece); err != nil {
+			return err
+		}
+	}
+	return nil
 }
 
 // writeStrings ignores errors: a bufio.Writer keeps its first one and returns it again.
--- a/internal/forward/refuse.go
+++ b/internal/forward/refuse.go
@@ -45,7 +45,7 @@
 	}
 }
 
-// statusOf returns the status of a refusal. 400, 401, 404, 413, 429 and 503 promise that
+// statusOf returns the status of a refusal. 400, 401, 404, 408, 413, 429 and 503 promise that
 // the request did not run; 502 and 504 promise nothing.
 func statusOf(r *request.Refusal) int {
 	if r.NotRun != request.NotRunTrue {
@@ -56,7 +56,7 @@
 	}
 	switch status := r.Reason.Status(); status {
 	case fasthttp.StatusBadRequest, fasthttp.StatusUnauthorized, fasthttp.StatusNotFound,
-		fasthttp.StatusRequestEntityTooLarge, fasthttp.StatusTooManyRequests:
+		fasthttp.StatusRequestEntityTooLarge, fasthttp.StatusTooManyRequests, fasthttp.StatusRequestTimeout:
 		return status
 	default:
 		return fasthttp.StatusServiceUnavailable
--- a/internal/forward/reply.go
+++ b/internal/forward/reply.go
@@ -37,6 +37,7 @@
 	header     fasthttp.ResponseHeader
 	framing    framing
 	remaining  int64 // bytes of the body, or of the chunk
+	length     int   // of the body, if it is framed by it
 	complete   bool
 	closeAfter bool // the server closes the connection after the answer
 	// chunkEndDue is set after a chunk's size was read, until the line end after its data.
@@ -91,7 +92,7 @@
 	case method == fasthttp.MethodHead || status == fasthttp.StatusNoContent || status == fasthttp.StatusNotModified:
 		r.complete = true
 	case n >= 0:
-		r.framing, r.remaining = framedByLength, int64(n)
+		r.framing, r.remaining, r.length = framedByLength, int64(n), n
 		r.complete = n == 0
 	case n == -1:
 		r.framing = framedByChunks
@@ -215,30 +216,26 @@
 	return "", errors.Wrap(errMalformedAnswer, "line exceeds the size limit")
 }
 
-// readAll reads the whole body, up to maxBufferedAnswerBytes.
-func (r *reply) readAll() ([]byte, error) {
-	size := int64(512)
+// maxRefusalBytes bounds the body of an answer that tells why a request was not run.
+const maxRefusalBytes = includedBytes
+
+func reserveNothing(int64) error { return nil }
+
+// readAll reads the whole body, up to a limit. reserve is called with the bytes that it takes
+// before it takes them.
+func (r *reply) readAll(reserve func(bytes int64) error, limit int) (body, error) {
+	length := -1
 	if r.framing == framedByLength {
-		size = min(r.remaining, maxBufferedAnswerBytes)
+		length = r.length
 	}
-	b := make([]byte, 0, size)
-	for {
-		if len(b) == cap(b) {
-			b = append(b, 0)[:len(b)]
-		}
-		n, err := r.Read(b[len(b):cap(b)])
-		b = b[:len(b)+n]
-		switch {
-		case err == io.EOF:
-			return b, nil
-		case err != nil:
-			return nil, err
-		case r.complete:
-			return b, nil
-		case len(b) > maxBufferedAnswerBytes:
-			return nil, errors.Wrap(errMalformedAnswer, "body exceeds the size limit")
-		}
+	if length > limit {
+		return body{}, errors.Wrap(errMalformedAnswer, "body exceeds the size limit")
+	}
+	b, err := (&bodyReader{stream: r, length: length, limit: limit, reserve: reserve}).read()
+	if errors.Is(err, errBodyTooLarge) {
+		return body{}, errors.Wrap(errMalformedAnswer, "body exceeds the size limit")
 	}
+	return b, err
 }
 
 // releaseConn ends the use of the connection, which is reused only after a complete answer.
--- a/internal/forward/send.go
+++ b/internal/forward/send.go
@@ -152,6 +152,8 @@
 		return &refusalCopy
 	case x.callerDisconnected():
 		return x.newRefusal(request.ReasonCallerGone, "caller gone")
+	case errors.Is(context.Cause(x.ctx), errNoMemory):
+		return x.memoryRefusal()
 	case errors.Is(context.Cause(x.ctx), errShutdown):
 		return x.newRefusal(request.ReasonShuttingDown, "no answer by the end of the shutdown")
 	default:
@@ -180,6 +182,10 @@
 		if a.pushedBack = grant.PushedBack(); a.pushedBack {
 			return errPushedBack
 		}
+		if !x.memory.Pin() {
+			x.preSendRefusal = x.memoryRefusal()
+			return x.preSendRefusal
+		}
 		if x.preSendRefusal = x.recheckKey(); x.preSendRefusal != nil {
 			return x.preSendRefusal
 		}
@@ -320,7 +326,7 @@
 func (x *exchange) endUnexecuted(a *attempt, r *reply) error {
 	x.attempts.Undo()
 	status := r.header.StatusCode()
-	if _, err := r.readAll(); err != nil {
+	if _, err := r.readAll(reserveNothing, maxRefusalBytes); err != nil {
 		r.complete = false
 	}
 	r.releaseConn()
--- a/internal/forward/server.go
+++ b/internal/forward/server.go
@@ -21,8 +21,10 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/lycheekeel/lycheekeel/broker"
+	"github.com/lycheekeel/lycheekeel/internal/callermem"
 	"github.com/lycheekeel/lycheekeel/internal/logs"
 	"github.com/lycheekeel/lycheekeel/internal/metrics"
+	"github.com/lycheekeel/lycheekeel/request"
 	"github.com/lycheekeel/lycheekeel/retry"
 	"github.com/lycheekeel/lycheekeel/route"
 	"github.com/lycheekeel/lycheekeel/workspace"
@@ -33,12 +35,14 @@
 	// maxHeaderBytes bounds a caller's header. It is also the size of the read buffer of
 	// each active connection.
 	maxHeaderBytes = 16 << 10
-	// maxBodyBytes bounds a caller's body, whatever the configuration allows.
+	// maxBodyBytes bounds a caller's body while no configuration is in force.
 	maxBodyBytes = 8 << 20
 	// maxBufferedAnswerBytes bounds an answer that is buffered until it is complete.
 	maxBufferedAnswerBytes = 16 << 20
-	// readTimeout bounds reading one request.
+	// readTimeout bounds reading a request's head, and then its body.
 	readTimeout = 15 * time.Second
+	// headSlack is what a head may take on its way in addition to the configuration's limit.
+	headSlack = time.Second
 	// idleTimeout is longer than any caller keeps a connection idle. A caller that sends
 	// on a connection while it is being closed loses its request.
 	idleTimeout = 75 * time.Second
@@ -48,6 +52,14 @@
 	writeTimeout = 15 * time.Minute
 	// defaultMaxConnections bounds the callers' connections.
 	defaultMaxConnections = 3000
+	// defaultCallerBytes bounds what callers make the process hold.
+	defaultCallerBytes = 256 << 20
+	// connBytes is what a connection holds: the read buffer, its goroutine and the HTTP
+	// server's record of it. busyBytes is what a request holds in addition, with the first of
+	// its body and of its answer.
+	connBytes, busyBytes = 24 << 10, 24 << 10
+	// includedBytes is the part of a body, and of an answer, that busyBytes covers.
+	includedBytes = 8 << 10
 	// streamSilenceTimeout is how long a resumable stream may bring no event after its
 	// first before another server is asked. Callers give up after 2 s or more, and a
 	// healthy server sends several events per second.
@@ -73,8 +85,10 @@
 	// pools are never removed.
 	PoolRemoved func(service string) context.Context
 	Metrics     *metrics.Registry
-	// MaxConnections bounds the callers' connections; 0 means a default.
+	// MaxConnections bounds the callers' connections, and CallerBytes what callers make the
+	// process hold, in bytes; 0 means a default.
 	MaxConnections int
+	CallerBytes    int64
 	// Region is the region whose pools are used.
 	Region string
 	// RequestIDPrefix makes request ids unique across daemons and their restarts.
@@ -88,10 +102,12 @@
 	wire            Wire
 	reservedHeaders map[string]bool
 	httpServer      *fasthttp.Server
-	callerConns     *callerConns
+	account         *callermem.Account
 	gate            *overloadGate
-	counters        *counters
-	log             *logrus.Entry
+	// longAnswer is held while an answer of unknown length is read that is long.
+	longAnswer chan struct{}
+	counters   *counters
+	log        *logrus.Entry
 	// runningLogLimiter limits the rate of "Still running." lines.
 	runningLogLimiter *logs.Limiter
 	requestSequence   atomic.Uint64
@@ -111,17 +127,24 @@
 	}
 	s.counters = newCounters(d.Metrics)
 	maxConnections := cmp.Or(d.MaxConnections, defaultMaxConnections)
-	s.callerConns, s.gate = newCallerConns(maxConnections, s.counters), newOverloadGate()
+	s.gate, s.longAnswer = newOverloadGate(), make(chan struct{}, 1)
+	s.account = callermem.New(callermem.Limits{
+		Bytes: cmp.Or(d.CallerBytes, defaultCallerBytes), Connections: maxConnections, ConnBytes: connBytes, BusyBytes: busyBytes,
+	}, s.accountEvents())
+	d.Metrics.Gauge("forward", "caller_bytes", func() any { return s.account.Used() })
 	s.httpServer = &fasthttp.Server{
 		Handler:                      s.handle,
 		ErrorHandler:                 s.rejectMalformed,
 		ReadBufferSize:               maxHeaderBytes,
 		MaxRequestBodySize:           maxBodyBytes,
+		HeaderReceived:               s.headReceived,
+		ExpectHandler:                s.expectBody,
+		StreamRequestBody:            true,
 		ReadTimeout:                  readTimeout,
 		IdleTimeout:                  idleTimeout,
 		WriteTimeout:                 writeTimeout,
-		Concurrency:                  2 * maxConnections, // callerConns keeps the bound
-		ConnState:                    s.callerConns.setState,
+		Concurrency:                  2 * maxConnections, // the account keeps the bound
+		ConnState:                    callermem.StateChanged,
 		ReduceMemoryUsage:            true,
 		NoDefaultServerHeader:        true,
 		NoDefaultContentType:         true,
@@ -146,7 +169,65 @@
 	defer wg.Wait()
 	defer cancel()
 	wg.Go(func() { s.watchLag(ctx) })
-	return errors.Wrap(s.httpServer.Serve(boundedListener{ln, s.callerConns, s.gate}), "serve callers")
+	bounded := callermem.Listener{Listener: ln, Account: s.account, Timeouts: s.callerTimeouts, Admits: s.admitsConnection}
+	return errors.Wrap(s.httpServer.Serve(bounded), "serve callers")
+}
+
+// limits returns those of the configuration in force.
+func (s *Server) limits() route.Limits {
+	if table := s.deps.Routes.Load(); table != nil {
+		return table.Limits
+	}
+	return route.Limits{}
+}
+
+// headReceived is called by the HTTP server before it reads any of a request's body. The
+// handler reads the body; the server itself reads as little as it can be told to.
+func (s *Server) headReceived(h *fasthttp.RequestHeader) fasthttp.RequestConfig {
+	if s.bodyTooLong(h) {
+		h.Set(fasthttp.HeaderExpect, expectContinue) // so that expectBody decides
+	}
+	return fasthttp.RequestConfig{ReadTimeout: readTimeout, MaxRequestBodySize: 1}
+}
+
+// expectContinue is the value of Expect by which a caller asks whether it may send a body.
+const expectContinue = "100-continue"
+
+// expectBody decides whether the body of a request is read that has an Expect header.
+func (s *Server) expectBody(ctx *fasthttp.RequestCtx) int {
+	if !s.bodyTooLong(&ctx.Request.Header) {
+		return fasthttp.StatusContinue
+	}
+	s.counters.countRefusal(request.ReasonBodyTooLarge)
+	if id := ctx.Request.Header.Peek(s.wire.RequestID); len(id) > 0 {
+		ctx.Response.Header.SetBytesV(s.wire.RequestID, id)
+	}
+	return fasthttp.StatusRequestEntityTooLarge
+}
+
+// bodyTooLong reports whether the announced length of a body exceeds the configuration's limit.
+func (s *Server) bodyTooLong(h *fasthttp.RequestHeader) bool {
+	limit := s.limits().MaxBodyBytes
+	return limit > 0 && h.ContentLength() > limit
+}
+
+// callerTimeouts returns how long a caller may take for a head, and stay idle.
+func (s *Server) callerTimeouts() callermem.Timeouts {
+	l := s.limits()
+	t := callermem.Timeouts{Idle: l.IdleTimeout}
+	if l.HeadTimeout > 0 {
+		t.Head = l.HeadTimeout + headSlack
+	}
+	return t
+}
+
+// admitsConnection reports whether a new connection is accepted, as far as the processor bears.
+func (s *Server) admitsConnection() bool {
+	if s.gate.admits(time.Now()) {
+		return true
+	}
+	s.counters.connectionsShed.Add(1)
+	return false
 }
 
 // Drain makes every further answer ask its caller to close the connection.
@@ -201,8 +282,11 @@
 	s.counters.malformedRequests.Add(1)
 	status := fasthttp.StatusBadRequest
 	var headerTooLarge *fasthttp.ErrSmallBuffer
+	var timeout net.Error
 	switch {
-	case errors.As(err, &headerTooLarge):
+	case errors.As(err, &timeout) && timeout.Timeout():
+		status = fasthttp.StatusRequestTimeout
+	case errors.As(err, &headerTooLarge), errors.Is(err, errHeadTooLarge):
 		status = fasthttp.StatusRequestHeaderFieldsTooLarge
 	case errors.Is(err, fasthttp.ErrBodyTooLarge):
 		status = fasthttp.StatusRequestEntityTooLarge
@@ -215,6 +299,9 @@
 // errAmbiguousLength is the error of a request with both Content-Length and Transfer-Encoding.
 var errAmbiguousLength = errors.New("both Content-Length and Transfer-Encoding")
 
+// errHeadTooLarge: the head exceeds the limit of the configuration.
+var errHeadTooLarge = errors.New("head exceeds the limit")
+
 // hasAmbiguousLength tells whether a request has both Content-Length and
 // Transfer-Encoding, so that two readers may disagree on its end (request smuggling).
 func hasAmbiguousLength(h *fasthttp.RequestHeader) bool {
@@ -222,6 +309,17 @@
 	return hasHeader(raw, "transfer-encoding:") && hasHeader(raw, "content-length:")
 }
 
+// checkHead returns why a head is not accepted.
+func (s *Server) checkHead(h *fasthttp.RequestHeader) error {
+	switch {
+	case hasAmbiguousLength(h):
+		return errAmbiguousLength
+	case headTooLarge(h, s.limits().MaxHeadBytes):
+		return errHeadTooLarge
+	}
+	return nil
+}
+
 func hasHeader(raw []byte, name string) bool {
 	return bytes.HasPrefix(raw, []byte(name)) || bytes.Contains(raw, []byte("\n"+name))
 }
@@ -232,8 +330,8 @@
 	if s.draining.Load() {
 		ctx.SetConnectionClose()
 	}
-	if hasAmbiguousLength(&ctx.Request.Header) {
-		s.rejectMalformed(ctx, errAmbiguousLength)
+	if err := s.checkHead(&ctx.Request.Header); err != nil {
+		s.rejectMalformed(ctx, err)
 		s.openRequests.Add(-1)
 		return
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -14,6 +14,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/lycheekeel/lycheekeel/broker"
+	"github.com/lycheekeel/lycheekeel/internal/callermem"
 	"github.com/lycheekeel/lycheekeel/internal/forward"
 	"github.com/lycheekeel/lycheekeel/internal/httpconn"
 	"github.com/lycheekeel/lycheekeel/internal/logs"
@@ -111,7 +112,7 @@
 	g.forward = forward.New(forward.Deps{
 		Routes: g.routes, Snapshot: g.snapshot, Broker: g, Admission: g,
 		Quotas: g.limiter, Budget: g.budgets.forService, ConnPools: servers, StreamVersions: g.streams, Rollouts: g.rollouts, PoolRemoved: g.state.poolRemovals.contextFor, Metrics: m,
-		Region: s.Region, MaxConnections: s.Limits.maxConnections(), RequestIDPrefix: s.Name + "." + strconv.FormatInt(time.Now().UnixNano(), 36), Wire: p.Wire,
+		Region: s.Region, MaxConnections: s.Limits.maxConnections(), CallerBytes: s.Limits.callerBytes(), RequestIDPrefix: s.Name + "." + strconv.FormatInt(time.Now().UnixNano(), 36), Wire: p.Wire,
 	})
 	return g, g.listen()
 }
@@ -121,7 +122,7 @@
 	if g.readyListener, err = net.Listen("tcp", g.settings.Readiness); err != nil {
 		return errors.Wrap(err, "listen on the readiness address")
 	}
-	g.listener, err = net.Listen("tcp", g.settings.Listen)
+	g.listener, err = callermem.Listen(context.Background(), g.settings.Listen)
 	return errors.Wrap(err, "listen on the callers' address")
 }
 
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -79,6 +79,14 @@
 	return max(1, int(min(callerDescriptorShare*float64(l.Descriptors), callerMemoryShare*l.MemoryMB*1e6/idleConnBytes)))
 }
 
+// callerBytesShare is the share of the memory that callers may make the process hold: their
+// connections, bodies and answers. The kernel's buffers of the connections are bounded by it
+// in turn, as connections count.
+const callerBytesShare = 0.25
+
+// callerBytes returns what callers may make the process hold, in bytes.
+func (l LimitSettings) callerBytes() int64 { return int64(callerBytesShare * l.MemoryMB * 1e6) }
+
 const (
 	// relayMemoryShare is the share of the memory that connections relayed for peers may use.
 	relayMemoryShare = 0.25
--- a/request/fingerprint.go
+++ b/request/fingerprint.go
@@ -8,16 +8,22 @@
 
 // Fingerprint identifies a request by its content, without its headers: where it goes
 // and what it says. It includes the workspace, so that one workspace cannot make
-// another's requests suspected.
-func Fingerprint(workspace, target string, content []byte) uint64 {
+// another's requests suspected. The content may come in pieces.
+func Fingerprint(workspace, target string, content ...[]byte) uint64 {
 	var d xxhash.Digest
 	d.Reset()
 	writeLength(&d, len(workspace))
 	_, _ = d.WriteString(workspace)
 	writeLength(&d, len(target))
 	_, _ = d.WriteString(target)
-	writeLength(&d, len(content))
-	_, _ = d.Write(content)
+	size := 0
+	for _, piece := range content {
+		size += len(piece)
+	}
+	writeLength(&d, size)
+	for _, piece := range content {
+		_, _ = d.Write(piece)
+	}
 	return d.Sum64()
 }
 
