--- a/internal/callermem/conn.go
+++ b/internal/callermem/conn.go
@@ -41,13 +41,14 @@
 	stages
 )
 
-// phase is what is read in stageReading.
+// phase is how far a request was read.
 type phase uint32
 
 const (
-	phaseNone phase = iota
+	phaseNone phase = iota // nothing of a request was read
 	phaseHead
 	phaseBody
+	phaseRead // a request was read, and is not answered yet
 )
 
 // Timeouts bound how long a caller may take. Zero fields bound nothing.
@@ -180,7 +181,7 @@
 func (c *Conn) BodyRead() {
 	c.account.mu.Lock()
 	defer c.account.mu.Unlock()
-	c.phase.Store(uint32(phaseNone))
+	c.phase.Store(uint32(phaseRead))
 	if !c.closed && c.stage == stageReading {
 		c.enter(stageHandled)
 	}
@@ -189,7 +190,7 @@
 // Read implements net.Conn.
 func (c *Conn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
-	if n > 0 && phase(c.phase.Load()) != phaseNone {
+	if ph := phase(c.phase.Load()); n > 0 && (ph == phaseHead || ph == phaseBody) {
 		c.reading.add(time.Now(), n)
 	}
 	return n, err
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -17,6 +17,7 @@
 	"github.com/lycheekeel/lycheekeel/claim"
 	"github.com/lycheekeel/lycheekeel/engine/httpengine"
 	"github.com/lycheekeel/lycheekeel/internal/admin"
+	"github.com/lycheekeel/lycheekeel/internal/callermem"
 	"github.com/lycheekeel/lycheekeel/internal/entry"
 	"github.com/lycheekeel/lycheekeel/internal/logs"
 	"github.com/lycheekeel/lycheekeel/internal/metrics"
@@ -98,7 +99,7 @@
 
 func (d *Daemon) listen() error {
 	var err error
-	if d.listener, err = net.Listen("tcp", d.settings.Listen); err != nil {
+	if d.listener, err = callermem.Listen(context.Background(), d.settings.Listen); err != nil {
 		return errors.Wrap(err, "listen")
 	}
 	if d.adminListener, err = net.Listen("tcp", d.settings.Admin); err != nil {
--- a/internal/entry/body.go
+++ b/internal/entry/body.go
@@ -7,6 +7,7 @@
 	"github.com/pkg/errors"
 	"github.com/valyala/fasthttp"
 
+	"github.com/lycheekeel/lycheekeel/internal/callermem"
 	"github.com/lycheekeel/lycheekeel/request"
 )
 
@@ -22,14 +23,28 @@
 // Closing a connection with unread data sends a reset, which can reach the caller
 // before the refusal; it would then see a connection error instead of the reason.
 func discardBody(ctx *fasthttp.RequestCtx) {
+	defer bodyRead(ctx)
 	if stream := ctx.RequestBodyStream(); stream != nil {
 		_, _ = io.CopyN(io.Discard, stream, maxDiscard)
 	}
 }
 
+// bodyRead records that nothing of the request is read any more.
+func bodyRead(ctx *fasthttp.RequestCtx) {
+	if c := callerConn(ctx); c != nil {
+		c.BodyRead()
+	}
+}
+
+// callerConn returns the connection as the account knows it; nil if it does not.
+func callerConn(ctx *fasthttp.RequestCtx) *callermem.Conn {
+	c, _ := ctx.Conn().(*callermem.Conn)
+	return c
+}
+
 // readBody reads the request's body into a buffer of its own, within the limit and
 // the memory budget. The HTTP server reuses its buffers, so the body is copied.
-func readBody(ctx *fasthttp.RequestCtx, limit int, res *reservation) ([]byte, error) {
+func readBody(ctx *fasthttp.RequestCtx, limit int, res *callermem.Reservation) ([]byte, error) {
 	contentLength := ctx.Request.Header.ContentLength()
 	if contentLength > limit {
 		return nil, bodyTooLarge(limit)
@@ -48,12 +63,12 @@
 	return body, nil
 }
 
-func readBodyStream(stream io.Reader, contentLength, limit int, res *reservation) ([]byte, error) {
+func readBodyStream(stream io.Reader, contentLength, limit int, res *callermem.Reservation) ([]byte, error) {
 	size := initialBodyBytes
 	if contentLength > 0 {
 		size = min(size, contentLength)
 	}
-	if !res.resize(int64(size)) {
+	if !res.Resize(int64(size)) {
 		return nil, memoryRefusal()
 	}
 	body := make([]byte, 0, size)
@@ -78,7 +93,7 @@
 }
 
 // growBuffer doubles the buffer, up to the Content-Length or the limit, plus one byte.
-func growBuffer(body []byte, contentLength, limit int, res *reservation) ([]byte, error) {
+func growBuffer(body []byte, contentLength, limit int, res *callermem.Reservation) ([]byte, error) {
 	maxSize := limit + 1
 	if contentLength > 0 {
 		maxSize = contentLength + 1 // room for the read that returns io.EOF
@@ -87,17 +102,20 @@
 	if size <= cap(body) {
 		size = cap(body) + 1
 	}
-	if !res.resize(int64(size)) {
+	if !res.Resize(int64(size + cap(body))) { // both for the time of the copy
 		return nil, memoryRefusal()
 	}
 	grown := make([]byte, len(body), size)
 	copy(grown, body)
+	if !res.Resize(int64(size)) {
+		return nil, memoryRefusal()
+	}
 	return grown, nil
 }
 
-func readRefusal(err error, res *reservation) error {
+func readRefusal(err error, res *callermem.Reservation) error {
 	switch {
-	case res.wasEvicted():
+	case res.Evicted():
 		return memoryRefusal()
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		return request.Refuse(request.ReasonReadTimeout, "the body was not read in time; send it faster")
--- a/internal/entry/counters.go
+++ b/internal/entry/counters.go
@@ -72,7 +72,7 @@
 func (c *counters) registerGauges(r *metrics.Registry, e *Entry) {
 	r.Gauge(groupEntry, "waiting", func() any { return c.waiting.Load() })
 	r.Gauge(groupEntry, "open_streams", func() any { return c.streams.Load() })
-	r.Gauge(groupEntry, "body_bytes", func() any { return e.bodies.Used() })
+	r.Gauge(groupEntry, "body_bytes", func() any { return e.account.Used() })
 	r.Gauge(groupEntry, "connections", func() any { return e.app.Server().GetOpenConnectionsCount() })
 }
 
--- a/internal/entry/dispatch.go
+++ b/internal/entry/dispatch.go
@@ -57,7 +57,7 @@
 		}
 		err = send(grant.Server(), func() error { return x.takeDispatchRight(ctx) })
 		if x.lifecycle.State() == request.Dispatched {
-			x.body.release()
+			x.body.Release()
 			return grant, err
 		}
 		if err := x.requeue(ctx, grant, err); err != nil {
@@ -71,7 +71,7 @@
 // takeDispatchRight takes the dispatch right, unless the request has expired, was
 // evicted, or its caller has disconnected.
 func (x *exchange) takeDispatchRight(ctx context.Context) error {
-	if ctx.Err() != nil || !x.body.pin() {
+	if ctx.Err() != nil || !x.body.Pin() {
 		return errWithdrawn
 	}
 	if err := x.lifecycle.TakeDispatchRight(); err != nil {
@@ -90,7 +90,7 @@
 	x.entry.counters.connectFailed.Add(1)
 	x.log.WithError(err).WithField("server", grant.Server().Name).Info("connect failed, waiting for another server")
 	grant.Release(broker.Completion{Outcome: pool.OutcomeNotSent})
-	x.body.unpin()
+	x.body.Unpin()
 	state := x.lifecycle.State()
 	if !errors.Is(err, engine.ErrNotSent) {
 		return errors.Wrapf(err, "send in state %s", state)
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -19,6 +19,7 @@
 	"github.com/lycheekeel/lycheekeel/broker"
 	"github.com/lycheekeel/lycheekeel/claim"
 	"github.com/lycheekeel/lycheekeel/engine"
+	"github.com/lycheekeel/lycheekeel/internal/callermem"
 	"github.com/lycheekeel/lycheekeel/internal/logs"
 	"github.com/lycheekeel/lycheekeel/internal/metrics"
 	"github.com/lycheekeel/lycheekeel/service"
@@ -115,12 +116,16 @@
 	deps     Deps
 	limits   Limits
 	app      *fiber.App
-	bodies   *bodyBudget
+	account  *callermem.Account
 	counters *counters
 	log      *logrus.Entry
 	draining drainFlag
 }
 
+// requestOverhead is the memory of a waiting request, in bytes, in addition to its
+// body: stacks, buffers and garbage collector overhead (see BenchmarkEntryMemory).
+const requestOverhead = 32 << 10
+
 // maxHeaderBytes bounds a request's header. It is also the size of each active
 // connection's read buffer.
 const maxHeaderBytes = 4 << 10
@@ -132,7 +137,9 @@
 func New(d Deps, l Limits) *Entry {
 	e := &Entry{deps: d, limits: l.withDefaults(), log: logs.For("entry")}
 	e.counters = newCounters(d.Metrics)
-	e.bodies = newBodyBudget(e.limits.BodyBytes, requestOverhead)
+	e.account = callermem.New(callermem.Limits{
+		Bytes: e.limits.BodyBytes, Connections: e.limits.MaxConnections, RequestBytes: requestOverhead,
+	}, callermem.Events{})
 	e.counters.registerGauges(d.Metrics, e)
 	e.app = fiber.New(fiber.Config{
 		AppName: "lycheekeel",
@@ -149,13 +156,15 @@
 	})
 	e.app.Server().DisablePreParseMultipartForm = true
 	e.app.Server().CloseOnShutdown = true
+	e.app.Server().ConnState = callermem.StateChanged
 	e.routes()
 	return e
 }
 
 // Serve serves callers on ln until Shutdown, and then returns nil.
 func (e *Entry) Serve(ln net.Listener) error {
-	err := e.app.Listener(&boundedListener{Listener: ln, entry: e}, fiber.ListenConfig{DisableStartupMessage: true})
+	refuser := &connRefuser{entry: e}
+	err := e.app.Listener(callermem.Listener{Listener: ln, Account: e.account, Refuse: refuser.refuse}, fiber.ListenConfig{DisableStartupMessage: true})
 	return errors.Wrap(err, "serve callers")
 }
 
--- a/internal/entry/exchange.go
+++ b/internal/entry/exchange.go
@@ -10,6 +10,7 @@
 
 	"github.com/lycheekeel/lycheekeel/broker"
 	"github.com/lycheekeel/lycheekeel/claim"
+	"github.com/lycheekeel/lycheekeel/internal/callermem"
 	"github.com/lycheekeel/lycheekeel/internal/callerwatch"
 	"github.com/lycheekeel/lycheekeel/internal/logs"
 	"github.com/lycheekeel/lycheekeel/request"
@@ -27,7 +28,7 @@
 	workspace   *workspace.ResolvedWorkspace
 	spec        *request.Spec
 	lifecycle   request.Lifecycle
-	body        *reservation
+	body        *callermem.Reservation
 	heldClaim   claim.Claim // nil: none
 	contentHash claim.Hash
 	demand      broker.Demand
@@ -50,6 +51,9 @@
 	e.counters.received.Add(1)
 	x := &exchange{entry: e, id: request.NewID(), received: time.Now(), header: readHeader(ctx)}
 	x.log = logs.WithRequest(e.log, string(x.id))
+	if ctx.RequestBodyStream() == nil {
+		bodyRead(ctx)
+	}
 	x.snapshot = e.deps.Config.Load()
 	if x.snapshot == nil {
 		return x, request.Refuse(request.ReasonNoConfiguration, "no configuration is in force yet")
@@ -71,7 +75,7 @@
 		return nil, err
 	}
 	conn := ctx.Conn()
-	x.body = x.entry.bodies.newReservation(tier.Tier, func() {
+	x.body = x.entry.account.Reserve(callerConn(ctx), x.workspace.Workspace, tier.Tier, func() {
 		x.cancel(memoryRefusal())
 		_ = conn.SetReadDeadline(time.Unix(1, 0)) // interrupts a read in progress
 	})
@@ -79,7 +83,12 @@
 	if x.workspace.MaxBodyBytes <= 0 {
 		limit = x.entry.limits.MaxRequestBytes
 	}
-	return readBody(ctx, limit, x.body)
+	body, err := readBody(ctx, limit, x.body)
+	if err != nil {
+		return nil, err
+	}
+	bodyRead(ctx)
+	return body, nil
 }
 
 // classify fills the parts of the spec that all kinds of calls have in common.
@@ -105,7 +114,7 @@
 		IdempotencyKey: x.header.idempotencyKey,
 		Received:       x.received,
 	}
-	x.body.setTier(t.Tier)
+	x.body.SetTier(t.Tier)
 	x.demand = broker.Demand{Spec: x.spec, MaxWaiting: t.MaxWaiting}
 	return nil
 }
@@ -115,6 +124,23 @@
 	x.callerWatch = callerwatch.Start(ctx.Conn(), x.cancel)
 }
 
+// includedAnswerBytes is the size up to which an answer needs no reservation.
+const includedAnswerBytes = 16 << 10
+
+// reserveAnswer waits until there is room for the answer, which the HTTP server writes when the
+// exchange has ended. The account takes it back when the connection goes on.
+func (x *exchange) reserveAnswer(ctx *fasthttp.RequestCtx) {
+	size, conn := len(ctx.Response.Body()), callerConn(ctx)
+	if size <= includedAnswerBytes || conn == nil || x.spec == nil {
+		return
+	}
+	r := x.entry.account.Reserve(conn, x.workspace.Workspace, x.spec.Tier, func() {})
+	r.Pin()
+	if err := r.AwaitRoom(x.ctx, int64(size)); err != nil {
+		x.log.WithError(err).Info("no memory for the answer")
+	}
+}
+
 // end releases the exchange's resources after its answer was written or abandoned.
 func (x *exchange) end() {
 	x.lifecycle.End()
@@ -126,7 +152,7 @@
 		x.callerWatch = nil
 	}
 	if x.body != nil {
-		x.body.release()
+		x.body.Release()
 	}
 	if x.cancel != nil {
 		x.cancel(nil)
--- a/internal/entry/generate.go
+++ b/internal/entry/generate.go
@@ -53,7 +53,7 @@
 	if !x.spec.Idempotent {
 		x.contentHash = claimHash(ctx.Path(), body)
 	}
-	if !x.body.resize(int64(len(g.prompt) + len(g.lastMessage))) {
+	if !x.body.Resize(int64(len(g.prompt) + len(g.lastMessage))) {
 		return nil, memoryRefusal()
 	}
 	return g, nil
--- a/internal/entry/listener.go
+++ b/internal/entry/listener.go
@@ -4,7 +4,6 @@
 	"fmt"
 	"io"
 	"net"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -18,37 +17,16 @@
 	maxLingering  = 256 // concurrent refusals; further connections are closed without a response
 )
 
-// boundedListener limits the open connections. The HTTP server's own limit would answer
-// with plain text and without counting the refusal.
-type boundedListener struct {
-	net.Listener
+// connRefuser answers connections for which there is no room. The HTTP server's own limit would
+// answer with plain text and without counting the refusal.
+type connRefuser struct {
 	entry     *Entry
-	open      atomic.Int64
 	lingering atomic.Int64
 }
 
-// Accept implements net.Listener.
-func (l *boundedListener) Accept() (net.Conn, error) {
-	for {
-		conn, err := l.Listener.Accept()
-		if err != nil {
-			return nil, err
-		}
-		tcp, ok := conn.(*net.TCPConn)
-		if !ok {
-			return conn, nil
-		}
-		if l.open.Add(1) <= int64(l.entry.limits.MaxConnections) {
-			return &boundedConn{TCPConn: tcp, open: &l.open}, nil
-		}
-		l.open.Add(-1)
-		l.refuse(tcp)
-	}
-}
-
 // refuse answers that there are too many connections. It keeps reading what the caller
 // sends, because closing with unread data would send a reset before the answer is read.
-func (l *boundedListener) refuse(conn *net.TCPConn) {
+func (l *connRefuser) refuse(conn net.Conn) {
 	l.entry.counters.countRefusal(request.ReasonTooManyConnections)
 	if l.lingering.Add(1) > maxLingering {
 		l.lingering.Add(-1)
@@ -63,20 +41,9 @@
 		body := refusalJSON(r)
 		_, _ = fmt.Fprintf(conn, "HTTP/1.1 %d Service Unavailable\r\nContent-Type: %s\r\nContent-Length: %d\r\n"+
 			"Retry-After: %d\r\nConnection: close\r\n\r\n%s", r.Reason.Status(), contentJSON, len(body), retrySeconds(r), body)
-		_ = conn.CloseWrite()
+		if tcp, ok := conn.(*net.TCPConn); ok {
+			_ = tcp.CloseWrite()
+		}
 		_, _ = io.CopyN(io.Discard, conn, lingerBytes)
 	}()
 }
-
-// boundedConn decrements the number of open connections when it is closed.
-type boundedConn struct {
-	*net.TCPConn
-	open   *atomic.Int64
-	closed sync.Once
-}
-
-// Close implements net.Conn.
-func (c *boundedConn) Close() error {
-	c.closed.Do(func() { c.open.Add(-1) })
-	return c.TCPConn.Close()
-}
--- a/internal/entry/routes.go
+++ b/internal/entry/routes.go
@@ -57,6 +57,7 @@
 			discardBody(ctx)
 			x.respondEarly(ctx, err)
 		}
+		x.reserveAnswer(ctx)
 		x.end()
 		return nil
 	}
