--- a/internal/callermem/listener.go
+++ b/internal/callermem/listener.go
@@ -26,7 +26,7 @@
 		})
 	}}
 	ln, err := config.Listen(ctx, "tcp", address)
-	return ln, errors.Wrap(err, "listen for callers")
+	return ln, errors.Wrap(err, "listen")
 }
 
 // Listener accepts connections within an account.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -119,7 +119,7 @@
 
 func (g *Gateway) listen() error {
 	var err error
-	if g.readyListener, err = net.Listen("tcp", g.settings.Readiness); err != nil {
+	if g.readyListener, err = callermem.Listen(context.Background(), g.settings.Readiness); err != nil {
 		return errors.Wrap(err, "listen on the readiness address")
 	}
 	g.listener, err = callermem.Listen(context.Background(), g.settings.Listen)
@@ -213,10 +213,9 @@
 	background, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	failed := make(chan error, 3)
-	readiness := &fasthttp.Server{Handler: g.handleReadiness, ReduceMemoryUsage: true}
 	var tasks conc.WaitGroup
 	g.serveMetrics()
-	tasks.Go(func() { failed <- errors.Wrap(readiness.Serve(g.readyListener), "serve readiness checks") })
+	tasks.Go(func() { failed <- errors.Wrap(servePort(g.readyListener, g.handleReadiness), "serve readiness checks") })
 	tasks.Go(func() { failed <- g.forward.Serve(g.listener) })
 	tasks.Go(func() {
 		if err := g.runBackground(background); err != nil {
--- a/internal/gateway/observe.go
+++ b/internal/gateway/observe.go
@@ -2,11 +2,11 @@
 
 import (
 	"context"
-	"net"
 	"time"
 
 	"github.com/valyala/fasthttp"
 
+	"github.com/lycheekeel/lycheekeel/internal/callermem"
 	"github.com/lycheekeel/lycheekeel/internal/metrics"
 	"github.com/lycheekeel/lycheekeel/internal/wait"
 )
@@ -76,17 +76,17 @@
 	if g.settings.Metrics == "" {
 		return
 	}
-	ln, err := net.Listen("tcp", g.settings.Metrics)
+	ln, err := callermem.Listen(context.Background(), g.settings.Metrics)
 	if err != nil {
 		g.log.WithError(err).Warn("Metrics are not served.")
 		return
 	}
-	server := &fasthttp.Server{ReduceMemoryUsage: true, Handler: func(ctx *fasthttp.RequestCtx) {
+	handler := func(ctx *fasthttp.RequestCtx) {
 		ctx.SetContentType("text/plain; charset=utf-8")
 		g.metrics.WriteText(ctx)
-	}}
+	}
 	go func() {
-		if err := server.Serve(ln); err != nil {
+		if err := servePort(ln, handler); err != nil {
 			g.log.WithError(err).Warn("Metrics server stopped.")
 		}
 	}()
--- a/test/soak/abusive_test.go
+++ b/test/soak/abusive_test.go
@@ -251,6 +251,22 @@
 	stop().Check(t, abusiveMemoryMB, abusiveDescriptors)
 }
 
+// Guards against: callers that stand on the port for the balancer's checks keep the balancer out.
+func TestAbusiveReadinessPort(t *testing.T) {
+	const descriptors = 400
+	f := startFleet(t, fleetOptions{nodes: 1, limits: gateway.LimitSettings{MemoryMB: abusiveMemoryMB, Descriptors: descriptors}}, *firstSeed)
+	n := f.nodes[0]
+	stop := n.watch(t)
+	c := &crowd.Crowd{Address: n.settings.Readiness, PID: n.cmd.Process.Pid, Size: 2 * descriptors, Abuse: func(conn net.Conn, _ int) error {
+		return crowd.Send(conn, "GET /v1/readiness HTTP/1.1\r\nHost: h")
+	}}
+	c.Gather(t)
+	f.eventually("the node is ready beside the crowd", n.ready)
+	c.Leave()
+	f.eventually("the node is ready after the crowd", n.ready)
+	stop().Check(t, abusiveMemoryMB, descriptors)
+}
+
 // requestHead returns the head of a member's request, without the line that ends it.
 func requestHead(path, key string, member int) string {
 	return fmt.Sprintf("POST %s HTTP/1.1\r\nHost: h.example\r\nX-Request-Id: %scrowd-%d-%d\r\nAuthorization: Bearer %s\r\nX-Deadline-Ms: 7000\r\n",
