--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"net"
+	"runtime/debug"
 	"sync"
 	"sync/atomic"
 
@@ -86,6 +87,9 @@
 		view:           &member.CurrentView{},
 		drainRequested: make(chan struct{}),
 	}
+	if limit := s.Limits.collectorLimit(); limit > 0 {
+		debug.SetMemoryLimit(limit)
+	}
 	if err := d.listen(); err != nil {
 		d.closeListeners()
 		return nil, err
--- a/internal/daemon/settings.go
+++ b/internal/daemon/settings.go
@@ -1,6 +1,7 @@
 package daemon
 
 import (
+	"cmp"
 	"time"
 
 	"github.com/lycheekeel/lycheekeel/internal/entry"
@@ -57,9 +58,12 @@
 // LimitSettings limit the connections and bytes that the daemon holds for
 // callers.
 type LimitSettings struct {
-	MaxConnections  int   `json:"max_connections" validate:"min=0,max=1000000"`
-	BodyBytes       int64 `json:"body_bytes" validate:"min=0,max=1099511627776"`
-	MaxRequestBytes int   `json:"max_request_bytes" validate:"min=0,max=1073741824"`
+	// MemoryMB is the memory limit of the process in MB (1,000,000 bytes); 0: unknown. Without
+	// limits of their own, connections and bodies get their share of it.
+	MemoryMB        float64 `json:"memory_mb" validate:"omitempty,min=32"`
+	MaxConnections  int     `json:"max_connections" validate:"min=0,max=1000000"`
+	BodyBytes       int64   `json:"body_bytes" validate:"min=0,max=1099511627776"`
+	MaxRequestBytes int     `json:"max_request_bytes" validate:"min=0,max=1073741824"`
 }
 
 // TimeoutSettings are timeouts and delays in milliseconds.
@@ -122,15 +126,35 @@
 	return milliseconds(ms)
 }
 
+const (
+	// collectorShare is the garbage collector's soft limit, bodyShare what callers' requests may
+	// hold, and connectionShare what their connections may, as shares of the memory.
+	collectorShare, bodyShare, connectionShare = 0.5, 0.2, 0.1
+	// connectionBytes is what an open connection takes, with the kernel's buffers.
+	connectionBytes = 48 << 10
+)
+
+// callerLimits returns what callers' requests may hold, in bytes, and how many connections
+// callers may have; 0: the entry's defaults.
+func (l LimitSettings) callerLimits() (bodyBytes int64, maxConnections int) {
+	memory := l.MemoryMB * 1e6
+	bodyBytes = cmp.Or(l.BodyBytes, int64(bodyShare*memory))
+	return bodyBytes, cmp.Or(l.MaxConnections, int(connectionShare*memory/connectionBytes))
+}
+
+// collectorLimit returns the garbage collector's soft limit in bytes; 0: none.
+func (l LimitSettings) collectorLimit() int64 { return int64(collectorShare * l.MemoryMB * 1e6) }
+
 // entryLimits returns the limits and timeouts of the entry.
 func (s *Settings) entryLimits() entry.Limits {
 	t := s.Timeouts
+	bodyBytes, maxConnections := s.Limits.callerLimits()
 	return entry.Limits{
 		ReadTimeout:       milliseconds(t.ReadMs),
 		IdleTimeout:       milliseconds(t.IdleMs),
 		WriteTimeout:      milliseconds(t.WriteMs),
-		MaxConnections:    s.Limits.MaxConnections,
-		BodyBytes:         s.Limits.BodyBytes,
+		MaxConnections:    maxConnections,
+		BodyBytes:         bodyBytes,
 		MaxRequestBytes:   s.Limits.MaxRequestBytes,
 		ClaimSlotTimeout:  milliseconds(t.ClaimPatienceMs),
 		ResumeWindow:      milliseconds(t.ResumeMs),
