--- a/internal/callermem/plan.go
+++ b/internal/callermem/plan.go
@@ -141,7 +141,7 @@
 // the newest of the one that holds most first.
 func (p *plan) owners(r *Reservation, bytes int64) {
 	held := p.account.owners
-	if p.need.met() || len(held) < 2 {
+	if p.need.met() {
 		return
 	}
 	own := held[r.owner] + bytes
--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -12,7 +12,6 @@
 
 	"github.com/lycheekeel/lycheekeel/pool"
 	"github.com/lycheekeel/lycheekeel/request"
-	"github.com/lycheekeel/lycheekeel/route"
 )
 
 func echoBody(_ int, head, body string, c net.Conn) bool {
@@ -145,8 +144,7 @@
 		So(len(b.requests()), ShouldEqual, 0)
 	})
 	Convey("Before a configuration is loaded, no refusal is final", t, func() {
-		r := newHarness(t, newEchoBackend(t))
-		*r.routes = route.Live{}
+		r := newHarnessWith(t, harnessOptions{unconfigured: true}, newEchoBackend(t))
 		So(r.call("GET", "/once/", "1", "", "").status, ShouldEqual, 503)
 	})
 }
--- a/internal/forward/harness_test.go
+++ b/internal/forward/harness_test.go
@@ -356,6 +356,17 @@
 // newHarnessWithHook calls onStream, if not nil, with each stream after its first events
 // were received and before they are passed on, in the goroutine that reads the stream.
 func newHarnessWithHook(tb testing.TB, onStream func(*stream), backends ...*backend) *harness {
+	return newHarnessWith(tb, harnessOptions{onStream: onStream}, backends...)
+}
+
+// harnessOptions are the parts of a harness that differ between tests.
+type harnessOptions struct {
+	onStream     func(*stream)
+	callerBytes  int64 // what callers may make the server hold; 0: the default
+	unconfigured bool  // no configuration is in force
+}
+
+func newHarnessWith(tb testing.TB, o harnessOptions, backends ...*backend) *harness {
 	r := &harness{
 		tb: tb, routes: &route.Live{}, broker: &fakeBroker{}, admission: &fakeAdmission{},
 		quotas: &fakeQuotas{}, budget: newTestBudget(100), metrics: metrics.New(),
@@ -363,17 +374,19 @@
 	for i, b := range backends {
 		r.broker.servers = append(r.broker.servers, workspace.BackendServer{Name: fmt.Sprintf("i-%d", i+1), Address: b.ln.Addr().String()})
 	}
-	r.applyConfig(testDocument(1))
+	if !o.unconfigured {
+		r.applyConfig(testDocument(1))
+	}
 	r.server = New(Deps{
 		Routes: r.routes, Snapshot: &workspace.CurrentSnapshot{}, Broker: r.broker, Admission: r.admission, Quotas: r.quotas,
 		Budget: func(string) *retry.Budget { return r.budget }, ConnPools: NewConnPools(httpconn.Settings{DialTimeout: testTimeout}, nil),
-		Metrics: r.metrics, RequestIDPrefix: "test", Wire: testWire(),
+		Metrics: r.metrics, RequestIDPrefix: "test", Wire: testWire(), CallerBytes: o.callerBytes,
 	})
-	if onStream != nil {
+	if o.onStream != nil {
 		r.server.httpServer.Handler = func(ctx *fasthttp.RequestCtx) {
 			r.server.handle(ctx)
 			if s, ok := ctx.Response.BodyStream().(*stream); ok {
-				onStream(s)
+				o.onStream(s)
 			}
 		}
 	}
