--- a/test/soak/faults_test.go
+++ b/test/soak/faults_test.go
@@ -210,6 +210,9 @@
 	if f.contended {
 		possible = slices.Concat(possible, contendedFaults)
 	}
+	if f.abused {
+		possible = slices.Concat(possible, abuseFaults)
+	}
 	allowed := make([]fault, 0, len(possible))
 	for _, x := range possible {
 		if include(x.name) {
