--- a/internal/peer/auth_test.go
+++ b/internal/peer/auth_test.go
@@ -164,6 +164,19 @@
 			So(err, ShouldBeNil)
 			eventually(func() bool { return a.count(groupAuth, authTLS) == 1 })
 		})
+		Convey("silent strangers do not keep a peer out", func() {
+			b := startNode("b", func(o *Options) { o.HandshakeTimeout = time.Minute })
+			for range maxHandshakes {
+				c, err := net.Dial("tcp", b.Addr().String())
+				So(err, ShouldBeNil)
+				Reset(func() { c.Close() })
+			}
+			a.setAddresses(b)
+			eventually(func() bool {
+				_, err := a.call("b", "x")
+				return err == nil
+			})
+		})
 		Convey("the number of concurrent handshakes is limited", func() {
 			for range maxHandshakes + 1 {
 				c, err := net.Dial("tcp", a.Addr().String())
--- a/internal/peer/connect.go
+++ b/internal/peer/connect.go
@@ -71,12 +71,13 @@
 			t.log.WithError(err).Warn("Accepting a connection failed.")
 			continue
 		}
-		select {
-		case t.handshakeSlots <- struct{}{}:
-			t.group.Go(func() { t.accept(raw) })
-		default:
+		closed := t.handshakes.begin(raw, t.now())
+		if closed != nil {
 			t.count.authFailures[authBusy].Add(1)
-			raw.Close()
+			closed.Close()
+		}
+		if closed != raw {
+			t.group.Go(func() { t.accept(raw) })
 		}
 	}
 }
@@ -93,7 +94,7 @@
 		raw.Close()
 	}
 	res, err := t.auth.accept(conn)
-	<-t.handshakeSlots
+	t.handshakes.end(raw)
 	if err == nil {
 		err = raw.SetReadDeadline(noDeadline)
 	}
--- a/internal/peer/tcp.go
+++ b/internal/peer/tcp.go
@@ -67,7 +67,7 @@
 	handlers       map[Type]Handler
 	streamHandlers map[Type]StreamHandler
 	listener       net.Listener
-	handshakeSlots chan struct{}
+	handshakes     handshakes
 
 	ctx    context.Context
 	cancel context.CancelFunc
@@ -115,7 +115,6 @@
 		handlers:       map[Type]Handler{},
 		streamHandlers: map[Type]StreamHandler{},
 		listener:       ln,
-		handshakeSlots: make(chan struct{}, maxHandshakes),
 		peers:          map[Name]*peerState{},
 		links:          map[*link]struct{}{},
 	}
