--- a/internal/callermem/account.go
+++ b/internal/callermem/account.go
@@ -8,9 +8,10 @@
 //
 // When the account is full, those give way that cost least. For a new connection or request
 // these are connections on which nothing is read or answered, the one idle longest first; then
-// callers that have stalled within a request or an answer; then those that are within a request
-// of which nothing has arrived to be read, the one that began first. An ordinary caller, whose
-// request comes at once, so gets in beside any number of others.
+// callers that have stalled within a request or an answer; then those that are within a head of
+// which nothing has arrived to be read, the one that began first; then those that pause within
+// a body, of the lowest tier first. An ordinary caller, whose request comes at once, so gets in
+// beside any number of others.
 //
 // For bytes of a request they are idle connections and stalled callers too; then requests that
 // have not been dispatched, of lower tiers, the newest of the lowest tier first; then callers
--- a/internal/callermem/conn.go
+++ b/internal/callermem/conn.go
@@ -21,6 +21,9 @@
 	// silentTime is how long a caller may send or read nothing before it gives way to a request
 	// of its own tier.
 	silentTime = 250 * time.Millisecond
+	// pauseTime is how long a caller that sends a body is silent at least before it gives way to
+	// a new connection: longer than a round trip, so that one that goes on sending does not.
+	pauseTime = 10 * time.Millisecond
 	// lingerTimeout and lingerBytes bound what is read of a refused request.
 	lingerTimeout = 2 * time.Second
 	lingerBytes   = 16 << 20
@@ -238,10 +241,13 @@
 		}
 	case phaseHead:
 		// The HTTP server sets the deadline of the head, and when that was read the body's.
-		if since := c.since.Swap(0); since != 0 && c.timeouts != nil {
+		since := c.since.Swap(0)
+		switch {
+		case since == 0:
+			c.phase.Store(uint32(phaseBody))
+		case c.timeouts != nil:
 			return sooner(t, time.Unix(0, since), c.timeouts().Head)
 		}
-		c.phase.Store(uint32(phaseBody))
 	}
 	return t
 }
--- a/internal/callermem/conn_test.go
+++ b/internal/callermem/conn_test.go
@@ -12,6 +12,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/lycheekeel/lycheekeel/internal/testwait"
+	"github.com/lycheekeel/lycheekeel/request"
 )
 
 // testTimeout bounds waits; no test passes or fails because of its value.
@@ -237,6 +238,36 @@
 	})
 }
 
+// Guards against: a new connection takes the place of a long body that comes, or of a higher
+// tier's before a lower one's.
+func TestBodiesGiveWayByTier(t *testing.T) {
+	Convey("Given bodies of three tiers that pause, and no room for another connection", t, func() {
+		account := testAccount(3, Events{})
+		conns := map[request.Tier]*Conn{}
+		for _, tier := range []request.Tier{1, 0, 2} {
+			c := account.Accept(&testConn{}, nil)
+			StateChanged(c, fasthttp.StateActive)
+			account.Reserve(c, "", tier, func() {})
+			c.reading.restart(time.Now().Add(-2 * pauseTime))
+			conns[tier] = c
+		}
+		closed := func() []bool { return []bool{raw(conns[0]).closed, raw(conns[1]).closed, raw(conns[2]).closed} }
+		next := func() { So(account.Accept(&testConn{}, nil), ShouldNotBeNil) }
+		next()
+		So(closed(), ShouldResemble, []bool{false, false, true})
+		Convey("a connection whose request is not known goes before them", func() {
+			next()
+			So(closed(), ShouldResemble, []bool{false, false, true})
+		})
+		Convey("one that comes steadily keeps its place", func() {
+			conns[1].reading.restart(time.Now().Add(time.Hour))
+			StateChanged(conns[0], fasthttp.StateIdle)
+			next()
+			So(closed(), ShouldResemble, []bool{true, false, true})
+		})
+	})
+}
+
 // Guards against: a caller that sends a byte now and then counts as one that sends.
 func TestReadRate(t *testing.T) {
 	Convey("Given a caller that has sent much at once", t, func() {
--- a/internal/callermem/plan.go
+++ b/internal/callermem/plan.go
@@ -5,9 +5,12 @@
 	"container/list"
 	"slices"
 	"time"
+
+	"github.com/lycheekeel/lycheekeel/request"
 )
 
-// maxLooks bounds the connections that one plan looks at whose bytes may wait to be read.
+// maxLooks bounds the connections that one step of a plan looks at whose bytes may wait to be
+// read: where those of many do, the process is late, and looking at all would make it later.
 const maxLooks = 32
 
 // plan collects who gives way. Nobody does until it is known to be enough. All methods are
@@ -86,7 +89,7 @@
 		if c.reading.slow(p.now) && p.waitsForCaller(c) {
 			p.closeConn(c, p.account.events.SlowClosed)
 		}
-		return true
+		return p.looks < maxLooks || len(p.steps) > 0
 	})
 	p.each(stageHandled, func(c *Conn) bool {
 		if c.blockedFor(p.now) >= stallTime {
@@ -97,14 +100,28 @@
 	p.looks = 0
 }
 
-// incomplete plans to close connections on which a request has not arrived whole.
+// incomplete plans to close connections on which a request has not arrived whole: first those
+// whose request is not known yet, then those within a body, the lowest tier first.
 func (p *plan) incomplete() {
+	var bodies [request.MaxTiers][]*Conn
 	p.each(stageReading, func(c *Conn) bool {
-		if p.waitsForCaller(c) {
-			p.closeConn(c, p.account.events.SlowClosed)
+		switch {
+		case c.request == nil:
+			if p.waitsForCaller(c) {
+				p.closeConn(c, p.account.events.SlowClosed)
+			}
+		case c.reading.silentFor(p.now) >= pauseTime && len(bodies[c.request.tier]) < maxLooks:
+			bodies[c.request.tier] = append(bodies[c.request.tier], c)
 		}
 		return p.looks < maxLooks
 	})
+	for t := len(bodies) - 1; t >= 0; t-- {
+		for _, c := range bodies[t] {
+			if !p.need.met() && p.waitsForCaller(c) {
+				p.closeConn(c, p.account.events.SlowClosed)
+			}
+		}
+	}
 }
 
 // lowerTiers plans to evict requests of lower tiers than r.
