--- a/internal/forward/body.go
+++ b/internal/forward/body.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"cmp"
 	"io"
 	"net"
 	"os"
@@ -22,7 +23,7 @@
 	longBodyBuffer = 64 << 10
 )
 
-// body is a request's body in the pieces in which it was read. Pieces are never copied: a
+// body is the body of a request, or of an answer, in the pieces in which it was read. Pieces are never copied: a
 // body takes no more memory than was reserved for it.
 type body struct {
 	pieces [][]byte
@@ -45,8 +46,8 @@
 	return n, nil
 }
 
-// bodyReader reads one body, of a request or an answer. reserve is called with the bytes that the body takes before it
-// takes them; its error ends the read.
+// bodyReader reads one body, of a request or an answer. reserve is called with the bytes that
+// the body takes before it takes them; its error ends the read.
 type bodyReader struct {
 	stream  io.Reader
 	length  int // announced; below 0: unknown
@@ -108,8 +109,8 @@
 // readBody reads the request's body within the limit of the configuration and the account of
 // what callers hold.
 func (x *exchange) readBody() error {
-	limit, length := x.table.Limits.MaxBodyBytes, x.httpCtx.Request.Header.ContentLength()
-	if limit > 0 && length > limit {
+	limit, length := cmp.Or(x.table.Limits.MaxBodyBytes, maxBodyBytes), x.httpCtx.Request.Header.ContentLength()
+	if length > limit {
 		return request.Refuse(request.ReasonBodyTooLarge, "body of %d bytes", length)
 	}
 	x.memory = x.server.account.Reserve(x.callerConn(), x.owner(), x.table.Tier(x.workspace, x.route), func() {
@@ -172,7 +173,7 @@
 	case errors.Is(err, callermem.ErrEvicted), x.memory.Evicted():
 		return x.memoryRefusal()
 	case errors.Is(err, errBodyTooLarge):
-		return request.Refuse(request.ReasonBodyTooLarge, "body of over %d bytes", x.table.Limits.MaxBodyBytes)
+		return request.Refuse(request.ReasonBodyTooLarge, "body exceeds the limit")
 	case errors.Is(err, os.ErrDeadlineExceeded), errors.As(err, &timeout) && timeout.Timeout():
 		return x.unreadable(request.ReasonReadTimeout, "the body did not arrive in time")
 	case errors.Is(err, io.ErrUnexpectedEOF), errors.Is(err, net.ErrClosed):
@@ -182,11 +183,10 @@
 	}
 }
 
-// unreadable returns the refusal of a request that can't be read any further, so that its
-// connection has to be closed.
+// unreadable returns the refusal of a request that can't be read any further. The HTTP server
+// closes its connection.
 func (x *exchange) unreadable(reason request.Reason, format string, args ...any) error {
 	x.endBodyRead()
-	x.httpCtx.SetConnectionClose()
 	return request.Refuse(reason, format, args...)
 }
 
--- a/internal/forward/body_test.go
+++ b/internal/forward/body_test.go
@@ -61,6 +61,11 @@
 			fmt.Fprint(c, strings.Repeat("x", 999))
 			So(c.receive().status, ShouldEqual, 413)
 		})
+		Convey("without a limit in the configuration, the server's own holds", func() {
+			r.applyConfig(route.Document{Version: 2, Routes: testDocument(2).Routes, Services: testDocument(2).Services, Workspaces: testDocument(2).Workspaces})
+			c.sendHead("/once/", "1", fmt.Sprintf("Content-Length: %d\r\n\r\n", maxBodyBytes+1))
+			So(c.receive().status, ShouldEqual, 413)
+		})
 		Convey("a head over the configuration's limit is refused", func() {
 			d := testDocument(2)
 			d.Limits = route.Limits{MaxHeadBytes: 1000}
--- a/internal/forward/server.go
+++ b/internal/forward/server.go
@@ -35,7 +35,7 @@
 	// maxHeaderBytes bounds a caller's header. It is also the size of the read buffer of
 	// each active connection.
 	maxHeaderBytes = 16 << 10
-	// maxBodyBytes bounds a caller's body while no configuration is in force.
+	// maxBodyBytes bounds a caller's body if the configuration has no limit.
 	maxBodyBytes = 8 << 20
 	// maxBufferedAnswerBytes bounds an answer that is buffered until it is complete.
 	maxBufferedAnswerBytes = 16 << 20
@@ -207,8 +207,7 @@
 
 // bodyTooLong reports whether the announced length of a body exceeds the configuration's limit.
 func (s *Server) bodyTooLong(h *fasthttp.RequestHeader) bool {
-	limit := s.limits().MaxBodyBytes
-	return limit > 0 && h.ContentLength() > limit
+	return h.ContentLength() > cmp.Or(s.limits().MaxBodyBytes, maxBodyBytes)
 }
 
 // callerTimeouts returns how long a caller may take for a head, and stay idle.
