--- a/internal/forward/body_test.go
+++ b/internal/forward/body_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"io"
 	"net"
 	"strings"
 	"testing"
@@ -23,6 +24,7 @@
 		b := newBackend(t, echoBody)
 		r := newHarness(t, b)
 		c := r.dial()
+		served := 0
 		Convey("an announced length over it is refused before a byte of the body", func() {
 			c.sendHead("/once/", "1", "Content-Length: 1048577\r\n\r\n")
 			got := c.receive()
@@ -40,6 +42,7 @@
 			_, _ = c.reader.ReadString('\n')
 			fmt.Fprint(c, "abc")
 			So(c.receive().body, ShouldEqual, "echo abc")
+			served = 1
 		})
 		Convey("chunks over it are refused without their end", func() {
 			c.sendHead("/once/", "1", "Transfer-Encoding: chunked\r\n\r\n")
@@ -51,6 +54,7 @@
 		Convey("a body of just the limit is served", func() {
 			body := strings.Repeat("x", 1<<20)
 			So(r.call("POST", "/once/", "1", "", body).body, ShouldEqual, "echo "+body)
+			served = 1
 		})
 		Convey("a limit that is lowered while a body comes holds for it", func() {
 			c.sendHead("/once/", "1", "Content-Length: 1000\r\n\r\nx")
@@ -68,21 +72,21 @@
 		})
 		Convey("a head over the configuration's limit is refused", func() {
 			d := testDocument(2)
-			d.Limits = route.Limits{MaxHeadBytes: 1000}
+			d.Limits = route.Limits{MaxHeaderBytes: 1000}
 			r.applyConfig(d)
 			So(r.call("POST", "/once/", "1", "X-Fill: "+strings.Repeat("x", 1000)+"\r\n", "").status, ShouldEqual, 431)
 		})
-		So(len(b.requests()), ShouldBeLessThanOrEqualTo, 1)
+		So(len(b.requests()), ShouldEqual, served)
 	})
 }
 
 // Guards against: a caller that takes longer than the configuration allows gets an answer that
 // keeps it from coming again.
-func TestSlowHeadsAreTimedOut(t *testing.T) {
+func TestSlowHeadersAreTimedOut(t *testing.T) {
 	Convey("A head that does not come in time is answered with 408", t, func() {
 		r := newHarness(t, newBackend(t, echoBody))
 		d := testDocument(2)
-		d.Limits = route.Limits{HeadTimeout: time.Millisecond}
+		d.Limits = route.Limits{HeaderTimeout: time.Millisecond}
 		r.applyConfig(d)
 		c := r.dial()
 		fmt.Fprint(c, "POST /once/ HTTP/1.1\r\nHost: h")
@@ -97,7 +101,7 @@
 		c.send("POST", "/once/", "1", "", "x")
 		So(c.receive().status, ShouldEqual, 200)
 		_, err := c.reader.ReadByte()
-		So(err, ShouldNotBeNil)
+		So(err, ShouldEqual, io.EOF)
 	})
 }
 
--- a/test/soak/abuse_test.go
+++ b/test/soak/abuse_test.go
@@ -23,24 +23,25 @@
 // abuseFaults are the faults of fleets to which crowds come.
 var abuseFaults = []fault{
 	{"crowd stalls", func(f *fleet, r *rand.Rand) func() {
-		return f.crowd(r, sendText("/again/", "k1", pick(r, []string{
+		return f.crowd(r, false, sendText("/again/", "k1", pick(r, []string{
 			"X-Fill: " + strings.Repeat("x", 1000), chunkedBody + "600000\r\n", chunkedBody + "1\r\nx\r\n", fmt.Sprintf("Content-Length: %d\r\n\r\nx", longBodyBytes),
 		})))
 	}},
 	{"crowd sends bodies without their end", func(f *fleet, r *rand.Rand) func() {
-		return f.crowd(r, sendChunks(pick(r, []string{"/again/", "/once/", "/nowhere/"}), pick(r, []string{"k1", "none"}), 5, 1<<20))
+		return f.crowd(r, false, sendChunks(pick(r, []string{"/again/", "/once/", "/nowhere/"}), pick(r, []string{"k1", "none"}), 5, 1<<20))
 	}},
 	{"crowd sends bodies over the limit", func(f *fleet, r *rand.Rand) func() {
-		return f.crowd(r, sendChunks("/again/", "k1", 200, 64<<10))
+		return f.crowd(r, false, sendChunks("/again/", "k1", 200, 64<<10))
 	}},
 	{"crowd leaves answers unread", func(f *fleet, r *rand.Rand) func() {
-		return f.crowd(r, sendText("/again/", "k2", fmt.Sprintf("Content-Length: %d\r\n\r\n%s", longBodyBytes, strings.Repeat("x", longBodyBytes))))
+		return f.crowd(r, true, sendText("/again/", "k2", fmt.Sprintf("Content-Length: %d\r\n\r\n%s", longBodyBytes, strings.Repeat("x", longBodyBytes))))
 	}},
 }
 
-// crowd lets a crowd come to a node, and returns the function that ends it.
-func (f *fleet) crowd(r *rand.Rand, abuse crowd.Abuse) func() {
-	c := &crowd.Crowd{Address: pick(r, f.nodes).settings.Listen, Size: 10 + r.IntN(30), Abuse: abuse, Unread: true}
+// crowd lets a crowd come to a node, and returns the function that ends it. unread is set if it
+// reads no answers.
+func (f *fleet) crowd(r *rand.Rand, unread bool, abuse crowd.Abuse) func() {
+	c := &crowd.Crowd{Address: pick(r, f.nodes).settings.Listen, Size: 10 + r.IntN(30), Abuse: abuse, Unread: unread}
 	c.Start(f.t)
 	return c.Leave
 }
