--- a/internal/callermem/conn.go
+++ b/internal/callermem/conn.go
@@ -49,7 +49,7 @@
 
 const (
 	phaseNone phase = iota // nothing of a request was read
-	phaseHead
+	phaseHeader
 	phaseBody
 	phaseRead // a request was read, and is not answered yet
 )
@@ -164,7 +164,7 @@
 	c.enter(stageReading)
 	c.since.Store(c.began.UnixNano())
 	c.reading.restart(c.began)
-	c.phase.Store(uint32(phaseHead))
+	c.phase.Store(uint32(phaseHeader))
 }
 
 // rest records that the request was answered.
@@ -193,7 +193,7 @@
 // Read implements net.Conn.
 func (c *Conn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
-	if ph := phase(c.phase.Load()); n > 0 && (ph == phaseHead || ph == phaseBody) {
+	if ph := phase(c.phase.Load()); n > 0 && (ph == phaseHeader || ph == phaseBody) {
 		c.reading.add(time.Now(), n)
 	}
 	return n, err
@@ -239,7 +239,7 @@
 		if c.timeouts != nil {
 			return sooner(t, time.Now(), c.timeouts().Idle)
 		}
-	case phaseHead:
+	case phaseHeader:
 		// The HTTP server sets the deadline of the head, and when that was read the body's.
 		since := c.since.Swap(0)
 		switch {
--- a/internal/forward/answer.go
+++ b/internal/forward/answer.go
@@ -64,7 +64,7 @@
 	case 1:
 		x.httpCtx.Response.SetBodyRaw(content.pieces[0])
 	default:
-		x.httpCtx.Response.SetBodyStream(&content, content.size)
+		x.httpCtx.Response.SetBodyStream(&content.pieces, content.size)
 	}
 	x.answerBytes = content.size
 	x.history.firstEvent = time.Since(x.receivedAt)
--- a/internal/forward/body.go
+++ b/internal/forward/body.go
@@ -1,7 +1,6 @@
 package forward
 
 import (
-	"cmp"
 	"io"
 	"net"
 	"os"
@@ -26,26 +25,13 @@
 // body is the body of a request, or of an answer, in the pieces in which it was read. Pieces are never copied: a
 // body takes no more memory than was reserved for it.
 type body struct {
-	pieces [][]byte
+	pieces net.Buffers
 	size   int
 }
 
 // errBodyTooLarge: the body exceeds the limit of the configuration.
 var errBodyTooLarge = errors.New("body exceeds the limit")
 
-// Read implements io.Reader. It gives back the pieces that were read.
-func (b *body) Read(p []byte) (int, error) {
-	for len(b.pieces) > 0 && len(b.pieces[0]) == 0 {
-		b.pieces = b.pieces[1:]
-	}
-	if len(b.pieces) == 0 {
-		return 0, io.EOF
-	}
-	n := copy(p, b.pieces[0])
-	b.pieces[0] = b.pieces[0][n:]
-	return n, nil
-}
-
 // bodyReader reads one body, of a request or an answer. reserve is called with the bytes that
 // the body takes before it takes them; its error ends the read.
 type bodyReader struct {
@@ -109,7 +95,7 @@
 // readBody reads the request's body within the limit of the configuration and the account of
 // what callers hold.
 func (x *exchange) readBody() error {
-	limit, length := cmp.Or(x.table.Limits.MaxBodyBytes, maxBodyBytes), x.httpCtx.Request.Header.ContentLength()
+	limit, length := maxBody(x.table.Limits), x.httpCtx.Request.Header.ContentLength()
 	if length > limit {
 		return request.Refuse(request.ReasonBodyTooLarge, "body of %d bytes", length)
 	}
@@ -259,6 +245,6 @@
 }
 
 // headTooLarge reports whether a head exceeds the limit of the configuration.
-func headTooLarge(h *fasthttp.RequestHeader, limit int) bool {
+func exceedsHeaderLimit(h *fasthttp.RequestHeader, limit int) bool {
 	return limit > 0 && len(h.RawHeaders()) > limit
 }
--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -142,7 +142,7 @@
 	if err := x.admit(); err != nil {
 		return err
 	}
-	if limit := x.table.Limits.MaxBodyBytes; limit > 0 && x.body.size > limit {
+	if x.body.size > maxBody(x.table.Limits) {
 		return request.Refuse(request.ReasonBodyTooLarge, "body of %d bytes", x.body.size)
 	}
 	return nil
--- a/internal/forward/server.go
+++ b/internal/forward/server.go
@@ -41,8 +41,8 @@
 	maxBufferedAnswerBytes = 16 << 20
 	// readTimeout bounds reading a request's head, and then its body.
 	readTimeout = 15 * time.Second
-	// headSlack is what a head may take on its way in addition to the configuration's limit.
-	headSlack = time.Second
+	// headerSlack is what a head may take on its way in addition to the configuration's limit.
+	headerSlack = time.Second
 	// idleTimeout is longer than any caller keeps a connection idle. A caller that sends
 	// on a connection while it is being closed loses its request.
 	idleTimeout = 75 * time.Second
@@ -137,7 +137,7 @@
 		ErrorHandler:                 s.rejectMalformed,
 		ReadBufferSize:               maxHeaderBytes,
 		MaxRequestBodySize:           maxBodyBytes,
-		HeaderReceived:               s.headReceived,
+		HeaderReceived:               s.headerReceived,
 		ExpectHandler:                s.expectBody,
 		StreamRequestBody:            true,
 		ReadTimeout:                  readTimeout,
@@ -151,17 +151,11 @@
 		NoDefaultDate:                true,
 		DisablePreParseMultipartForm: true,
 		CloseOnShutdown:              true,
-		Logger:                       discardLogger{},
+		Logger:                       logs.Discard{},
 	}
 	return s
 }
 
-// discardLogger drops the HTTP library's messages about single connections.
-type discardLogger struct{}
-
-// Printf implements fasthttp.Logger.
-func (discardLogger) Printf(string, ...any) {}
-
 // Serve serves callers on ln until Shutdown.
 func (s *Server) Serve(ln net.Listener) error {
 	ctx, cancel := context.WithCancel(context.Background())
@@ -181,9 +175,9 @@
 	return route.Limits{}
 }
 
-// headReceived is called by the HTTP server before it reads any of a request's body. The
+// headerReceived is called by the HTTP server before it reads any of a request's body. The
 // handler reads the body; the server itself reads as little as it can be told to.
-func (s *Server) headReceived(h *fasthttp.RequestHeader) fasthttp.RequestConfig {
+func (s *Server) headerReceived(h *fasthttp.RequestHeader) fasthttp.RequestConfig {
 	if s.bodyTooLong(h) {
 		h.Set(fasthttp.HeaderExpect, expectContinue) // so that expectBody decides
 	}
@@ -207,15 +201,18 @@
 
 // bodyTooLong reports whether the announced length of a body exceeds the configuration's limit.
 func (s *Server) bodyTooLong(h *fasthttp.RequestHeader) bool {
-	return h.ContentLength() > cmp.Or(s.limits().MaxBodyBytes, maxBodyBytes)
+	return h.ContentLength() > maxBody(s.limits())
 }
 
+// maxBody returns the most bytes that a body may have.
+func maxBody(l route.Limits) int { return cmp.Or(l.MaxBodyBytes, maxBodyBytes) }
+
 // callerTimeouts returns how long a caller may take for a head, and stay idle.
 func (s *Server) callerTimeouts() callermem.Timeouts {
 	l := s.limits()
 	t := callermem.Timeouts{Idle: l.IdleTimeout}
-	if l.HeadTimeout > 0 {
-		t.Head = l.HeadTimeout + headSlack
+	if l.HeaderTimeout > 0 {
+		t.Head = l.HeaderTimeout + headerSlack
 	}
 	return t
 }
@@ -285,7 +282,7 @@
 	switch {
 	case errors.As(err, &timeout) && timeout.Timeout():
 		status = fasthttp.StatusRequestTimeout
-	case errors.As(err, &headerTooLarge), errors.Is(err, errHeadTooLarge):
+	case errors.As(err, &headerTooLarge), errors.Is(err, errHeaderTooLarge):
 		status = fasthttp.StatusRequestHeaderFieldsTooLarge
 	case errors.Is(err, fasthttp.ErrBodyTooLarge):
 		status = fasthttp.StatusRequestEntityTooLarge
@@ -298,8 +295,8 @@
 // errAmbiguousLength is the error of a request with both Content-Length and Transfer-Encoding.
 var errAmbiguousLength = errors.New("both Content-Length and Transfer-Encoding")
 
-// errHeadTooLarge: the head exceeds the limit of the configuration.
-var errHeadTooLarge = errors.New("head exceeds the limit")
+// errHeaderTooLarge: the head exceeds the limit of the configuration.
+var errHeaderTooLarge = errors.New("head exceeds the limit")
 
 // hasAmbiguousLength tells whether a request has both Content-Length and
 // Transfer-Encoding, so that two readers may disagree on its end (request smuggling).
@@ -309,12 +306,12 @@
 }
 
 // checkHead returns why a head is not accepted.
-func (s *Server) checkHead(h *fasthttp.RequestHeader) error {
+func (s *Server) checkHeader(h *fasthttp.RequestHeader) error {
 	switch {
 	case hasAmbiguousLength(h):
 		return errAmbiguousLength
-	case headTooLarge(h, s.limits().MaxHeadBytes):
-		return errHeadTooLarge
+	case exceedsHeaderLimit(h, s.limits().MaxHeaderBytes):
+		return errHeaderTooLarge
 	}
 	return nil
 }
@@ -329,7 +326,7 @@
 	if s.draining.Load() {
 		ctx.SetConnectionClose()
 	}
-	if err := s.checkHead(&ctx.Request.Header); err != nil {
+	if err := s.checkHeader(&ctx.Request.Header); err != nil {
 		s.rejectMalformed(ctx, err)
 		s.openRequests.Add(-1)
 		return
--- a/internal/gateway/ports.go
+++ b/internal/gateway/ports.go
@@ -8,6 +8,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/lycheekeel/lycheekeel/internal/callermem"
+	"github.com/lycheekeel/lycheekeel/internal/logs"
 )
 
 // Limits of the ports for the balancer and for metrics, so that whoever reaches them can
@@ -36,13 +37,7 @@
 		ConnState: callermem.StateChanged, Concurrency: 2 * portConnections,
 		ReadBufferSize: portReadBytes, MaxRequestBodySize: portReadBytes,
 		ReadTimeout: portReadTimeout, IdleTimeout: portIdleTimeout, WriteTimeout: portWriteTimeout,
-		ReduceMemoryUsage: true, Logger: discardLogger{},
+		ReduceMemoryUsage: true, Logger: logs.Discard{},
 	}
 	return errors.Wrap(server.Serve(callermem.Listener{Listener: ln, Account: account}), "serve a port")
 }
-
-// discardLogger drops the HTTP library's messages about single connections.
-type discardLogger struct{}
-
-// Printf implements fasthttp.Logger.
-func (discardLogger) Printf(string, ...any) {}
--- a/route/route.go
+++ b/route/route.go
@@ -121,10 +121,10 @@
 // Limits bound a caller's request.
 // A zero field is no limit.
 type Limits struct {
-	MaxHeadBytes, MaxBodyBytes int
-	// HeadTimeout is how long a caller may take to send a head, and IdleTimeout how long it may
+	MaxHeaderBytes, MaxBodyBytes int
+	// HeaderTimeout is how long a caller may take to send a head, and IdleTimeout how long it may
 	// keep a connection without a request.
-	HeadTimeout, IdleTimeout time.Duration
+	HeaderTimeout, IdleTimeout time.Duration
 }
 
 // Document is one version of the whole configuration.
--- a/test/abusive_test.go
+++ b/test/abusive_test.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/lycheekeel/lycheekeel/internal/daemon"
+	"github.com/lycheekeel/lycheekeel/internal/wait"
 	"github.com/lycheekeel/lycheekeel/test/crowd"
 )
 
@@ -41,7 +42,7 @@
 	abusers := &crowd.Crowd{Address: n.settings.Listen, PID: pid, Size: size, Abuse: abuse, Unread: unread}
 	abusers.Gather(t)
 	checkOrdinary(t, n, "beside")
-	crowd.Wait(t.Context(), crowdStands)
+	wait.For(t.Context(), crowdStands)
 	abusers.Leave()
 	checkOrdinary(t, n, "after")
 	stop().Check(t, abusiveMemoryMB, abusiveDescriptors)
@@ -57,7 +58,7 @@
 		if a = chatOnce(t, n); a.complete {
 			return
 		}
-		crowd.Wait(t.Context(), time.Second/2)
+		wait.For(t.Context(), time.Second/2)
 	}
 	t.Errorf("an ordinary request %s the crowd: status %d (%s), error %v", when, a.status, a.code, a.err)
 }
--- a/test/crowd/crowd.go
+++ b/test/crowd/crowd.go
@@ -11,6 +11,8 @@
 	"time"
 
 	"github.com/sourcegraph/conc"
+
+	"github.com/lycheekeel/lycheekeel/internal/wait"
 )
 
 const (
@@ -63,7 +65,7 @@
 		if open := openDescriptors(c.PID); open > most {
 			most, quiet = open, 0
 		}
-		Wait(context.Background(), footprintInterval)
+		wait.For(context.Background(), footprintInterval)
 	}
 }
 
@@ -81,7 +83,7 @@
 			c.stay(ctx, conn, member, settle)
 		}
 		settle()
-		Wait(ctx, ReturnPause)
+		wait.For(ctx, ReturnPause)
 	}
 }
 
@@ -108,13 +110,3 @@
 	}
 	return nil
 }
-
-// Wait waits for a time, or until ctx ends.
-func Wait(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
--- a/test/crowd/footprint.go
+++ b/test/crowd/footprint.go
@@ -12,6 +12,8 @@
 	"time"
 
 	"github.com/sourcegraph/conc"
+
+	"github.com/lycheekeel/lycheekeel/internal/wait"
 )
 
 // Footprint is the most that a process has held.
@@ -36,7 +38,7 @@
 		for ctx.Err() == nil {
 			most.Unread = max(most.Unread, unreadBytes(pid, port))
 			most.Descriptors = max(most.Descriptors, openDescriptors(pid))
-			Wait(ctx, footprintInterval)
+			wait.For(ctx, footprintInterval)
 		}
 	})
 	return func() Footprint {
