review: case 7, 26 steady uploads keep all new channels out of a gateway

Claimed: bodies within the limits that come steadily fill the account that connections are taken from, and give way to no new connection. A gateway that says it is ready takes no new channel for stable_ms while seven clients or more try (RECOVER).

--- a/review/cases/main.go
+++ b/review/cases/main.go
@@ -22,6 +22,7 @@
 // broken, or an error if it could not run.
 var cases = map[string]func(*rig) (broken bool, err error){
 	"6": playTokenCount,
+	"7": playUploads,
 }
 
 func main() {
