review: case 8, the second long body on a kept channel is not read

Claimed: on loopback, a request with a body of 100,000 bytes, sent in one write on a channel that has brought one before, stops on its way. It has no answer at its route's timeout of 4 s nor half a second later (CONFIG), and gets 408 after 15 s, or the client's deadline ends it. Where segments are at most 16,000 bytes it takes 0.2 s, below 4,000 it is not seen.

Shown by review/8/run.sh, one gateway as the deploy file starts it: broken in 5 of 5 runs, in each the second request of all 16 clients. With TROUBLE=0, each request on a channel of its own, all 48 are served, 1 of 1 runs.

--- a/review/cases/main.go
+++ b/review/cases/main.go
@@ -23,6 +23,7 @@
 var cases = map[string]func(*rig) (broken bool, err error){
 	"6": playTokenCount,
 	"7": playUploads,
+	"8": playKeptChannels,
 }
 
 func main() {
