forward: an answer whose head is malformed is a lost answer

Callers saw: a server's status 000 as a whole 200, 600 and 999 as answers, a field's name with a blank passed on, and three bytes of a body as a whole 200 after "Content-Length : 3".

Cause: the HTTP library repairs a head while it reads it. It says 200 where it holds 0, takes the blank off before a colon, tolerates one within a name, joins folded lines, ignores chunks of an unknown minor version, so that no reader saw what the server had sent.

Change: httpconn judges the bytes of a head in the connection's buffer, line by line as they arrive, before the library reads any of it: protocol, three digits from 100 to 599 but 101, names that are tokens right before their colon, values without control bytes, one length or chunks or neither. Lines end with CR and LF; a folded line is none. What fails is a *HeadError, which wraps ErrConnectionLost like any lost answer: retried where that is allowed, else 502. Interim answers are judged the same way and dropped there. "Malformed head." names server, fault and line; malformed_heads counts by fault. The grammar of tokens and values moves here from service/httpservice.

--- a/internal/forward/counters.go
+++ b/internal/forward/counters.go
@@ -6,6 +6,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/lycheekeel/lycheekeel/engine"
+	"github.com/lycheekeel/lycheekeel/internal/httpconn"
 	"github.com/lycheekeel/lycheekeel/internal/metrics"
 	"github.com/lycheekeel/lycheekeel/request"
 )
@@ -29,8 +30,10 @@
 
 	// malformedEvents counts the events at which a server's stream could not be read further.
 	malformedEvents map[eventFault]*expvar.Int
-	streamsResumed  *expvar.Int
-	streamsCut      *expvar.Int
+	// malformedHeads counts the answers that were lost as their head is none.
+	malformedHeads map[httpconn.HeadFault]*expvar.Int
+	streamsResumed *expvar.Int
+	streamsCut     *expvar.Int
 	// streamsTakenUp counts requests for the rest of a stream, versionsMixed streams that
 	// went on at another version within one answer.
 	streamsTakenUp, versionsMixed *expvar.Int
@@ -74,6 +77,10 @@
 	for _, f := range eventFaults() {
 		c.malformedEvents[f] = m.Counter("malformed_events", string(f))
 	}
+	c.malformedHeads = map[httpconn.HeadFault]*expvar.Int{}
+	for _, f := range httpconn.HeadFaults() {
+		c.malformedHeads[f] = m.Counter("malformed_heads", string(f))
+	}
 	c.malformedRequests = m.Counter("forward", "malformed")
 	c.connectionsClosedIdle = m.Counter("forward", "connections_closed_idle")
 	c.connectionsClosedSlow = m.Counter("forward", "connections_closed_slow")
--- a/internal/forward/reply.go
+++ b/internal/forward/reply.go
@@ -57,7 +57,7 @@
 		return nil, err
 	}
 	if err := r.readHeader(); err != nil {
-		return nil, conn.WrapError(err)
+		return nil, err
 	}
 	if echoedID := r.header.Peek(wire.RequestID); string(echoedID) != id {
 		return nil, errors.Wrapf(errMalformedAnswer, "answer has request id %q", echoedID)
@@ -69,20 +69,15 @@
 	return r, nil
 }
 
-// maxInterimAnswers bounds the interim answers (1xx) before an answer.
-const maxInterimAnswers = 16
-
-// readHeader reads the header of the answer and skips interim ones.
+// readHeader reads the header of the answer.
 func (r *reply) readHeader() error {
-	for range maxInterimAnswers {
-		if err := r.header.Read(r.conn.Reader); err != nil {
-			return err
-		}
-		if r.header.StatusCode() >= fasthttp.StatusOK {
-			return nil
-		}
+	if err := r.conn.AwaitHead(); err != nil {
+		return err
+	}
+	if err := r.header.Read(r.conn.Reader); err != nil {
+		return r.conn.WrapError(err)
 	}
-	return errors.Wrap(errMalformedAnswer, "too many interim answers")
+	return nil
 }
 
 func (r *reply) setFraming(method string) {
--- a/internal/forward/requestlog.go
+++ b/internal/forward/requestlog.go
@@ -7,6 +7,7 @@
 	"github.com/pkg/errors"
 	"github.com/sirupsen/logrus"
 
+	"github.com/lycheekeel/lycheekeel/internal/httpconn"
 	"github.com/lycheekeel/lycheekeel/internal/logs"
 	"github.com/lycheekeel/lycheekeel/request"
 )
@@ -76,18 +77,25 @@
 	x.server.log.WithFields(f).WithField("cause", sendErrorCause(err)).WithError(err).Info("Send failed.")
 }
 
-// logMalformedEvent logs and counts the event at which the stream of an attempt could not be read
-// further; it does nothing if the answer was lost otherwise.
-func (x *exchange) logMalformedEvent(a *attempt, lost error) {
-	var e *eventError
-	if !errors.As(lost, &e) {
-		return
+// logMalformed logs and counts what of an attempt's answer could not be read: its head, or an
+// event of its stream. It does nothing if the answer was lost otherwise.
+func (x *exchange) logMalformed(a *attempt, lost error) {
+	var event *eventError
+	var head *httpconn.HeadError
+	switch {
+	case errors.As(lost, &event):
+		x.server.counters.malformedEvents[event.fault].Add(1)
+		x.logServer(a).WithFields(logrus.Fields{"fault": string(event.fault), "after_event": event.after}).WithError(event).Warn("Malformed event.")
+	case errors.As(lost, &head):
+		x.server.counters.malformedHeads[head.Fault].Add(1)
+		x.logServer(a).WithFields(logrus.Fields{"fault": string(head.Fault), "line": head.Line}).WithError(head).Warn("Malformed head.")
 	}
-	x.server.counters.malformedEvents[e.fault].Add(1)
+}
+
+// logServer returns the log entry for what the server of an attempt did.
+func (x *exchange) logServer(a *attempt) *logrus.Entry {
 	s := a.grant.Server()
-	x.server.log.WithFields(x.requestFields()).WithFields(logrus.Fields{
-		"server": s.Name, "server_version": s.Version, "fault": string(e.fault), "after_event": e.after,
-	}).WithError(e).Warn("Malformed event.")
+	return x.server.log.WithFields(x.requestFields()).WithFields(logrus.Fields{"server": s.Name, "server_version": s.Version})
 }
 
 func (x *exchange) logRefusal(r *request.Refusal) {
--- a/internal/forward/send.go
+++ b/internal/forward/send.go
@@ -249,7 +249,7 @@
 
 // recordLoss records why the answer of an attempt was lost, before its slot is freed.
 func (x *exchange) recordLoss(a *attempt, lost error) {
-	x.logMalformedEvent(a, lost)
+	x.logMalformed(a, lost)
 	x.checkServer(a, lost)
 }
 
--- a/service/httpservice/header.go
+++ b/service/httpservice/header.go
@@ -28,29 +28,6 @@
 	return out
 }
 
-// validToken reports whether s is a token of RFC 9110, the syntax of methods and header
-// names.
-func validToken(s string) bool {
-	for i := 0; i < len(s); i++ {
-		c := s[i]
-		letter := c >= 'a' && c <= 'z' || c >= 'A' && c <= 'Z' || c >= '0' && c <= '9'
-		if !letter && !strings.ContainsRune("!#$%&'*+-.^_`|~", rune(c)) {
-			return false
-		}
-	}
-	return s != ""
-}
-
-// validValue reports whether s is a valid header value.
-func validValue(s string) bool {
-	for i := 0; i < len(s); i++ {
-		if c := s[i]; c < ' ' && c != '\t' || c == 0x7f {
-			return false
-		}
-	}
-	return true
-}
-
 // validPath reports whether s is a valid path in a request line.
 func validPath(s string) bool {
 	for i := 0; i < len(s); i++ {
--- a/service/httpservice/service.go
+++ b/service/httpservice/service.go
@@ -112,7 +112,7 @@
 }
 
 func fillRequest(req *fasthttp.Request, address string, c service.Call) error {
-	if !validToken(c.Method) || !validPath(c.Path) {
+	if !httpconn.ValidToken(c.Method) || !validPath(c.Path) {
 		return errors.Errorf("method %q or path %q is not well-formed", c.Method, c.Path)
 	}
 	req.Header.SetMethod(c.Method)
@@ -120,14 +120,14 @@
 	req.Header.SetHost(address)
 	req.Header.SetNoDefaultContentType(true)
 	for _, h := range c.Header {
-		if !validToken(h[0]) || !validValue(h[1]) {
+		if !httpconn.ValidToken(h[0]) || !httpconn.ValidValue(h[1]) {
 			return errors.Errorf("header %q is not well-formed", h[0])
 		}
 	}
 	for _, h := range endToEndHeaders(c.Header) {
 		req.Header.Add(h[0], h[1])
 	}
-	if !validValue(c.RequestID) {
+	if !httpconn.ValidValue(c.RequestID) {
 		return errors.New("request id is not well-formed")
 	}
 	req.Header.Set(HeaderRequestID, c.RequestID)
