httpservice, httpengine: malformed heads are lost answers at the second door, too

Callers saw, at the product's own door, what they saw at the gateway's: status 000 as a 200, 099, 101, 600 and 999 as answers, a body cut to three bytes. Of engines it was worse than reported: an answer with status 099, 600 or 999 whose body said not_run counted as a refusal, so that a request that may have run would have been sent again.

Cause: both adapters let the HTTP library read the head and took its repaired status and fields.

Change: Conn.ReadResponse judges the head's bytes before the library reads it; both adapters and the load client read with it, so that none of them holds its own copy of read, wrap and discard. A malformed head is ErrConnectionLost, which the entry already answers with 502, or resumes.

--- a/engine/httpengine/engine.go
+++ b/engine/httpengine/engine.go
@@ -168,8 +168,7 @@
 	}
 	resp := fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseResponse(resp)
-	if err := resp.ReadLimitBody(conn.Reader, maxResponseBytes); err != nil {
-		err = conn.WrapError(err)
+	if err := conn.ReadResponse(resp, maxResponseBytes); err != nil {
 		conn.Discard()
 		return nil, err
 	}
--- a/engine/httpengine/fault_test.go
+++ b/engine/httpengine/fault_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"fmt"
+	"io"
 	"net"
 	"strings"
 	"sync/atomic"
@@ -20,6 +21,7 @@
 	"github.com/lycheekeel/lycheekeel/internal/faultproxy"
 	"github.com/lycheekeel/lycheekeel/internal/httpconn"
 	standin "github.com/lycheekeel/lycheekeel/internal/standin/engine"
+	"github.com/lycheekeel/lycheekeel/internal/standin/malformed"
 )
 
 // fakeServer passes each request that it has read to answer, which returns false to close
@@ -106,6 +108,33 @@
 	})
 }
 
+// Guards against: an answer whose head is malformed is taken for an engine's answer or refusal.
+func TestMalformedHeadsAreLostAnswers(t *testing.T) {
+	heads := malformed.Heads()
+	for name, body := range map[string]string{"an answer": endLine + "\n", "a refusal": `{"not_run":true}`} {
+		for call, do := range map[string]func(e *httpengine.Engine) error{
+			"a run":    func(e *httpengine.Engine) error { _, err := runToEnd(testContext(t), e); return err },
+			"an order": func(e *httpengine.Engine) error { return e.Order(testContext(t), engine.Order{}) },
+		} {
+			Convey("It is lost, whatever comes with the head: "+call+", "+name, t, func() {
+				server := newFakeServer(t, func(c net.Conn, n int64) bool {
+					_, _ = io.WriteString(c, heads[n-1].Answer("X-Request-Id: r\r\n", body))
+					return false
+				})
+				e := httpengine.New(server.address, httpconn.Settings{})
+				wrong := []string(nil)
+				for _, h := range heads {
+					if err := do(e); !errors.Is(err, engine.ErrConnectionLost) {
+						wrong = append(wrong, fmt.Sprintf("%s: %v", h.Name, err))
+					}
+				}
+				So(wrong, ShouldBeEmpty)
+				So(server.requests.Load(), ShouldEqual, len(heads))
+			})
+		}
+	}
+}
+
 // Guards against: a request is sent on a dead idle connection and its outcome is unknown.
 func TestRunAlwaysUsesANewConnection(t *testing.T) {
 	Convey("the next run gets a new connection and is sent once", t, func() {
--- a/engine/httpengine/stream.go
+++ b/engine/httpengine/stream.go
@@ -49,7 +49,7 @@
 	defer conn.Unbind()
 	resp := fasthttp.AcquireResponse()
 	resp.StreamBody = true
-	err := resp.ReadLimitBody(conn.Reader, maxResponseBytes)
+	err := conn.ReadResponse(resp, maxResponseBytes)
 	if err == nil && resp.StatusCode() == fasthttp.StatusOK {
 		lines := lineReaders.Get().(*bufio.Reader)
 		lines.Reset(resp.BodyStream())
@@ -57,7 +57,6 @@
 	}
 	defer fasthttp.ReleaseResponse(resp)
 	if err != nil {
-		err = conn.WrapError(err)
 		conn.Discard()
 		return nil, err
 	}
--- a/internal/httpconn/head.go
+++ b/internal/httpconn/head.go
@@ -69,6 +69,18 @@
 	}
 }
 
+// ReadResponse reads the answer, with a body of up to limit bytes unless resp streams it. Any
+// error wraps engine.ErrConnectionLost.
+func (c *Conn) ReadResponse(resp *fasthttp.Response, limit int) error {
+	if err := c.AwaitHead(); err != nil {
+		return err
+	}
+	if err := resp.ReadLimitBody(c.Reader, limit); err != nil {
+		return c.WrapError(err)
+	}
+	return nil
+}
+
 // maxInterimAnswers bounds the interim answers before an answer.
 const maxInterimAnswers = 16
 
--- a/internal/load/client.go
+++ b/internal/load/client.go
@@ -124,7 +124,7 @@
 	resp := fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseResponse(resp)
 	resp.StreamBody = true
-	err := resp.ReadLimitBody(conn.Reader, maxBody)
+	err := conn.ReadResponse(resp, maxBody)
 	if err == nil {
 		k.readHeader(resp)
 		err = k.readBody(resp)
--- a/service/httpservice/service.go
+++ b/service/httpservice/service.go
@@ -95,8 +95,7 @@
 	resp := fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseResponse(resp)
 	resp.SkipBody = method == fasthttp.MethodHead
-	if err := resp.ReadLimitBody(conn.Reader, maxResponseBytes); err != nil {
-		err = conn.WrapError(err)
+	if err := conn.ReadResponse(resp, maxResponseBytes); err != nil {
 		conn.Discard()
 		return service.Reply{}, err
 	}
--- a/service/httpservice/service_test.go
+++ b/service/httpservice/service_test.go
@@ -1,19 +1,25 @@
 package httpservice_test
 
 import (
+	"bufio"
 	"context"
 	"encoding/json"
+	"fmt"
 	"net"
 	"runtime"
+	"strconv"
+	"strings"
 	"testing"
 	"time"
 
 	"github.com/pkg/errors"
 	. "github.com/smartystreets/goconvey/convey"
 	"github.com/sourcegraph/conc"
+	"github.com/valyala/fasthttp"
 
 	"github.com/lycheekeel/lycheekeel/engine"
 	"github.com/lycheekeel/lycheekeel/internal/httpconn"
+	"github.com/lycheekeel/lycheekeel/internal/standin/malformed"
 	standin "github.com/lycheekeel/lycheekeel/internal/standin/service"
 	"github.com/lycheekeel/lycheekeel/service"
 	"github.com/lycheekeel/lycheekeel/service/httpservice"
@@ -113,6 +119,48 @@
 	}
 }
 
+// serveMalformed answers a call for /N with the Nth malformed head.
+func serveMalformed(t *testing.T, fields string) *httpservice.Service {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	var wg conc.WaitGroup
+	t.Cleanup(func() {
+		_ = ln.Close()
+		wg.Wait()
+	})
+	heads := malformed.Heads()
+	wg.Go(func() {
+		for c, err := ln.Accept(); err == nil; c, err = ln.Accept() {
+			var req fasthttp.Request
+			if req.Read(bufio.NewReader(c)) == nil {
+				n, _ := strconv.Atoi(strings.TrimPrefix(string(req.RequestURI()), "/"))
+				_, _ = c.Write([]byte(heads[n].Answer(fields, "the body of a service in trouble")))
+			}
+			_ = c.Close()
+		}
+	})
+	return httpservice.New(ln.Addr().String(), httpservice.Settings{})
+}
+
+// Guards against: an answer whose head is malformed is returned, repaired or as it came.
+func TestMalformedHeadsAreLostAnswers(t *testing.T) {
+	Convey("The answer is lost, also one that says that the call was not run", t, func() {
+		for _, fields := range []string{"X-Request-Id: r\r\n", httpservice.HeaderNotRun + ": true\r\n"} {
+			s := serveMalformed(t, fields)
+			wrong := []string(nil)
+			for i, h := range malformed.Heads() {
+				reply, err := s.Do(testContext(t), service.Call{RequestID: "r", Method: "POST", Path: fmt.Sprint("/", i)})
+				if !errors.Is(err, engine.ErrConnectionLost) {
+					wrong = append(wrong, fmt.Sprintf("%s: %d %q, %v", h.Name, reply.Status, reply.Body, err))
+				}
+			}
+			So(wrong, ShouldBeEmpty)
+		}
+	})
+}
+
 // Guards against: one caller's call smuggles in a second one, or a dispatch right is lost.
 func TestNotSent(t *testing.T) {
 	Convey("nothing is sent, and BeforeSend is not called", t, func() {
