callonce: a spoiled acknowledgement of the store has an unknown outcome

What would happen: the store answers a write with status 000, or any head of which nothing is certain, and the write counts as acknowledged; with another such head a member reads an era or a list that the store never stated. Found by reading, not reported.

Cause: the store's client takes the status of the HTTP library's own client, which repairs heads as everywhere else.

Change: httpconn.CheckHeads wraps the connections of such a client: after a request was written, no byte of the answer is read before its head was judged in the connection's buffer. The error keeps its cause, so that logs name the fault instead of a closed connection. Statuses stay as they were: 200 and 201 acknowledge, those with a meaning of their own are mapped, all others (1xx to 3xx, 202, 6xx) leave the outcome unknown.

Answers on a kept connection, in pieces and after interim ones are read as before.

--- a/internal/httpconn/head.go
+++ b/internal/httpconn/head.go
@@ -36,7 +36,7 @@
 // HeadError is the error of an answer whose head is malformed. It wraps engine.ErrConnectionLost:
 // such an answer says nothing, also not that the request was not run.
 type HeadError struct {
-	Address string // of the server; empty: unknown
+	Address string // of the server
 	Fault   HeadFault
 	Line    int // of the head, from 1, the status line
 }
@@ -56,17 +56,12 @@
 // The HTTP library repairs heads while it reads them, so that neither their status nor their
 // fields may be used before their bytes were checked here.
 func (c *Conn) AwaitHead() error {
-	err := awaitHead(c.Reader)
+	err := awaitHead(c.Reader, c.pool.address)
 	var malformed *HeadError
-	switch {
-	case err == nil:
-		return nil
-	case errors.As(err, &malformed):
-		malformed.Address = c.pool.address
-		return malformed
-	default:
-		return c.WrapError(err)
+	if err == nil || errors.As(err, &malformed) {
+		return err
 	}
+	return c.WrapError(err)
 }
 
 // ReadResponse reads the answer, with a body of up to limit bytes unless resp streams it. Any
@@ -84,9 +79,10 @@
 // maxInterimAnswers bounds the interim answers before an answer.
 const maxInterimAnswers = 16
 
-func awaitHead(r *bufio.Reader) error {
+// awaitHead waits for the head of an answer of the server at the address.
+func awaitHead(r *bufio.Reader, address string) error {
 	for range maxInterimAnswers {
-		var h head
+		h := head{address: address}
 		if err := h.await(r); err != nil {
 			return err
 		}
@@ -97,11 +93,12 @@
 			return err
 		}
 	}
-	return &HeadError{Fault: FaultInterim, Line: 1}
+	return &HeadError{Address: address, Fault: FaultInterim, Line: 1}
 }
 
 // head is a head of which some lines were checked.
 type head struct {
+	address   string
 	size      int // in bytes, of the lines that were checked
 	lines     int
 	complete  bool
@@ -119,14 +116,14 @@
 			return err
 		}
 		if fault := h.check(buffered); fault != "" {
-			return &HeadError{Fault: fault, Line: h.lines + 1}
+			return h.malformed(fault)
 		}
 		if h.complete {
 			return nil
 		}
 		switch _, err = r.Peek(len(buffered) + 1); {
 		case err == bufio.ErrBufferFull:
-			return &HeadError{Fault: FaultTooLarge, Line: h.lines + 1}
+			return h.malformed(FaultTooLarge)
 		case err == io.EOF && len(buffered) > 0:
 			return io.ErrUnexpectedEOF
 		case err != nil:
@@ -135,6 +132,11 @@
 	}
 }
 
+// malformed returns the error of a fault in the line after those that were checked.
+func (h *head) malformed(f HeadFault) error {
+	return &HeadError{Address: h.address, Fault: f, Line: h.lines + 1}
+}
+
 // check checks the lines that are whole in what has arrived of the head, beyond those that were
 // checked before.
 func (h *head) check(arrived []byte) HeadFault {
--- a/internal/httpconn/head_test.go
+++ b/internal/httpconn/head_test.go
@@ -32,7 +32,7 @@
 		Convey("None is taken for an answer, also after an interim one; their bytes arrive "+how, t, func() {
 			for _, h := range malformed.Heads() {
 				for _, before := range []string{"", "HTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\n"} {
-					if err := awaitHead(readerOf(before+h.Answer(testFields, "body"), arrives)); headFault(err) == "" {
+					if err := awaitHead(readerOf(before+h.Answer(testFields, "body"), arrives), "server"); headFault(err) == "" {
 						t.Errorf("%s: %v", h.Name, err)
 					}
 				}
@@ -44,20 +44,20 @@
 			"HTTP/1.1 000 No\r\n": FaultStatus, "X": FaultProtocol, "HTTQ": FaultProtocol, "\r\n": FaultProtocol, "HTTP/1.1 200 OK\r\nX A: b\r\n": FaultName, "HTTP/1.1 200 OK\n": FaultLineEnd,
 		} {
 			r := bufio.NewReaderSize(io.MultiReader(strings.NewReader(begin), iotest.ErrReader(errors.New("read too far"))), bufferBytes)
-			So(headFault(awaitHead(r)), ShouldEqual, fault)
+			So(headFault(awaitHead(r, "server")), ShouldEqual, fault)
 		}
 	})
 	Convey("One without end, and interim answers without end, are given up", t, func() {
 		line := "X-More: and more\r\n"
-		So(headFault(awaitHead(readerOf("HTTP/1.1 200 OK\r\n"+strings.Repeat(line, bufferBytes/len(line)+1), headReaders["at once"]))), ShouldEqual, FaultTooLarge)
-		So(headFault(awaitHead(readerOf(strings.Repeat("HTTP/1.1 100 Continue\r\n\r\n", maxInterimAnswers+1), headReaders["at once"]))), ShouldEqual, FaultInterim)
+		So(headFault(awaitHead(readerOf("HTTP/1.1 200 OK\r\n"+strings.Repeat(line, bufferBytes/len(line)+1), headReaders["at once"]), "server")), ShouldEqual, FaultTooLarge)
+		So(headFault(awaitHead(readerOf(strings.Repeat("HTTP/1.1 100 Continue\r\n\r\n", maxInterimAnswers+1), headReaders["at once"]), "server")), ShouldEqual, FaultInterim)
 	})
 	Convey("One that is cut is no head", t, func() {
 		whole := "HTTP/1.1 200 OK\r\n" + testFields + "\r\n"
 		for n := 1; n < len(whole); n++ {
-			So(awaitHead(readerOf(whole[:n], headReaders["at once"])), ShouldEqual, io.ErrUnexpectedEOF)
+			So(awaitHead(readerOf(whole[:n], headReaders["at once"]), "server"), ShouldEqual, io.ErrUnexpectedEOF)
 		}
-		So(awaitHead(readerOf("", headReaders["at once"])), ShouldEqual, io.EOF)
+		So(awaitHead(readerOf("", headReaders["at once"]), "server"), ShouldEqual, io.EOF)
 	})
 }
 
@@ -86,7 +86,7 @@
 				599: strings.Repeat("HTTP/1.1 199 Wait\r\nX: y\r\n\r\n", maxInterimAnswers-1) + "HTTP/1.1 599 OK\r\n" + testFields + "\r\n",
 			} {
 				r := readerOf(answer, arrives)
-				So(awaitHead(r), ShouldBeNil)
+				So(awaitHead(r, "server"), ShouldBeNil)
 				var h fasthttp.ResponseHeader
 				So(h.Read(r), ShouldBeNil)
 				So(h.StatusCode(), ShouldEqual, status)
@@ -101,7 +101,7 @@
 		So(testing.AllocsPerRun(100, func() {
 			source.Reset(answer)
 			r.Reset(source)
-			if err := awaitHead(r); err != nil {
+			if err := awaitHead(r, "server"); err != nil {
 				t.Error(err)
 			}
 		}), ShouldEqual, 0)
@@ -115,7 +115,7 @@
 	for b.Loop() {
 		source.Reset(answer)
 		r.Reset(source)
-		if err := awaitHead(r); err != nil {
+		if err := awaitHead(r, "server"); err != nil {
 			b.Fatal(err)
 		}
 	}
--- a/objectstore/callonce/callonce.go
+++ b/objectstore/callonce/callonce.go
@@ -10,6 +10,7 @@
 	"github.com/pkg/errors"
 	"github.com/valyala/fasthttp"
 
+	"github.com/lycheekeel/lycheekeel/internal/httpconn"
 	"github.com/lycheekeel/lycheekeel/objectstore"
 )
 
@@ -57,7 +58,7 @@
 			if err != nil {
 				return nil, &connectError{err}
 			}
-			return c, nil
+			return httpconn.CheckHeads(c), nil
 		},
 	}}
 }
