cli: status takes only a well-formed 2xx for the daemon's answer

Found by reading, not reported.

Cause: the tool took the library's status, and any status below 400 for success.

Change: the admin port is dialed with httpconn.CheckHeads, and only 2xx is success.

Evidence: 22 of 101 malformed heads were printed as a state before, and a 302; none now.

--- a/internal/cli/status.go
+++ b/internal/cli/status.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"net"
 	"strconv"
 	"time"
 
@@ -13,6 +14,7 @@
 
 	"github.com/lycheekeel/lycheekeel/internal/admin"
 	"github.com/lycheekeel/lycheekeel/internal/daemon"
+	"github.com/lycheekeel/lycheekeel/internal/httpconn"
 )
 
 func init() { register(addStatus) }
@@ -66,17 +68,26 @@
 	if d, ok := ctx.Deadline(); ok && d.Before(deadline) {
 		deadline = d
 	}
-	client := fasthttp.Client{MaxIdemponentCallAttempts: 1}
+	client := fasthttp.Client{MaxIdemponentCallAttempts: 1, Dial: dialAdmin}
 	if err := client.DoDeadline(req, resp, deadline); err != nil {
 		return nil, withExit(ExitUnreachable, errors.Wrapf(err,
 			"no answer from the admin port at %s; is the daemon running, and is --admin its admin address?", address))
 	}
-	if resp.StatusCode() >= fasthttp.StatusBadRequest {
+	if resp.StatusCode()/100 != 2 {
 		return nil, errors.Errorf("%s %s at %s: status %d: %s", method, path, address, resp.StatusCode(), resp.Body())
 	}
 	return append([]byte(nil), resp.Body()...), nil
 }
 
+// dialAdmin connects to an admin port. Whatever else listens there may answer anything.
+func dialAdmin(address string) (net.Conn, error) {
+	c, err := net.DialTimeout("tcp", address, adminTimeout)
+	if err != nil {
+		return nil, err
+	}
+	return httpconn.CheckHeads(c), nil
+}
+
 func (g *globals) printStatus(s *daemon.Status, config bool) error {
 	fmt.Fprintf(g.stdout, "%s  %s/%s  %s  configuration %d  findings %d\n\n",
 		s.Name, s.Region, s.AvailabilityZone, s.State, s.Configuration.Version, len(s.Findings))
