soak: servers send malformed heads

The stand-in answers requests that it has run with a different malformed head each time, every second one with X-Not-Executed, and closes the connection; the soak's random faults have it, and a status outside 200 to 599 is a broken guarantee.

--- a/test/soak/callers_test.go
+++ b/test/soak/callers_test.go
@@ -137,6 +137,8 @@
 // violation describes how the response breaks a guarantee, or is empty if it does not.
 func (x *call) violation() string {
 	switch {
+	case x.status != 0 && (x.status < http.StatusOK || x.status > 599):
+		return fmt.Sprintf("answered with status %d", x.status)
 	case x.status == http.StatusOK && strings.HasPrefix(x.path, "/s/"):
 		want := 0
 		for _, line := range strings.Split(x.body, "\n") {
--- a/test/soak/faults_test.go
+++ b/test/soak/faults_test.go
@@ -115,8 +115,15 @@
 		}
 		return nil
 	}},
+	{malformedHeads, func(f *fleet, r *rand.Rand) func() {
+		s := pick(r, f.servers)
+		s.SetSpoiling(standin.SpoilHeads)
+		return func() { s.SetSpoiling(standin.SpoilNothing) }
+	}},
 }
 
+const malformedHeads = "server sends malformed heads"
+
 // partitionFaults are the faults of fleets whose nodes can be partitioned from all servers:
 // some nodes, or all but one.
 var partitionFaults = []fault{
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -55,7 +55,7 @@
 
 // Guards against: what servers spoil of their streams ends processes, or is missing from answers that look complete.
 func TestSpoiledStreamsAmidOtherFaults(t *testing.T) {
-	included := map[string]bool{"kill and restart": true, "terminate and restart": true, "pause": true, "server is busy": true}
+	included := map[string]bool{malformedHeads: true, "kill and restart": true, "terminate and restart": true, "pause": true, "server is busy": true}
 	for _, x := range spoilFaults {
 		included[x.name] = true
 	}
