relay: an answer that is reset within its upload has no orderly end

Cause: the system reports a reset once. A relay writes the upload and reads the answer at the same time; if its write took the report, its read found an orderly end (EOF), which the relay passed on with its mark of an end.

Change: the relay's connection to a server takes EOF for an end only if every write to it has succeeded. A write that still waits for room then is ended by a deadline, as the server may never make any, and counts as failed: on the direct way, too, a request that was not written whole has no answer. Answers with a length or chunks need no such end.

--- a/internal/relay/serve.go
+++ b/internal/relay/serve.go
@@ -134,10 +134,10 @@
 // splice passes bytes on between a peer's stream and a server until one of them ends. A
 // stream whose server has sent all waits for the peer's end: yamux drops what the peer has
 // not read a few seconds after the stream is closed.
-func (r *Relay) splice(stream, server net.Conn, open *wire.Open, from peer.Name) {
+func (r *Relay) splice(stream, conn net.Conn, open *wire.Open, from peer.Name) {
 	start := time.Now()
 	r.count.relayed.Add(1)
-	done := make(chan struct{})
+	server, done := &serverConn{Conn: conn}, make(chan struct{})
 	go func() {
 		defer close(done)
 		_, _ = io.Copy(server, stream) // an error ends the connection like an end does
