forward: unfinished events of all streams have a bound together

Cause: one event was bounded (1 MiB, its buffer twice that), their number was not, and what servers make a process hold of streams was in no account, as callers' bytes and buffered answers are.

Change: what a stream holds beyond the first 8 KiB, which its request counts already, is taken from a memory for events that is a quarter of what callers may hold, a sixteenth of the process's. If there is no room, the largest unfinished event gives way: its stream goes on at another server or is cut, counted as malformed_events no_memory. So an ordinary stream goes on beside any number of such servers, and nobody waits for one that stalls. What is being passed on to a caller does not give way. Ways weighed: to take the bytes from the callers' account (then servers' bytes refuse callers' requests), to wait for room (then stalled events keep all others waiting). A long event's buffer is given back after it, and has 1 MiB and 1 KiB at most.

--- a/internal/forward/answer.go
+++ b/internal/forward/answer.go
@@ -104,7 +104,7 @@
 // startStream waits for the first event, while the request may still be sent to another
 // server, and then hands the stream to the HTTP server.
 func (x *exchange) startStream(r *reply, a *attempt) (bool, error) {
-	s := &stream{exchange: x, attempt: a, events: newEventReader(r, x.outbound.lastEvent)}
+	s := &stream{exchange: x, attempt: a, events: newEventReader(r, x.server.eventMemory, x.outbound.lastEvent)}
 	batch, n, err := s.events.next()
 	switch {
 	case err == io.EOF:
--- a/internal/forward/eventreader.go
+++ b/internal/forward/eventreader.go
@@ -6,8 +6,12 @@
 	"strconv"
 )
 
-// maxEventBytes bounds one event of a stream.
-const maxEventBytes = 1 << 20
+const (
+	// maxEventBytes bounds one event of a stream.
+	maxEventBytes = 1 << 20
+	// minEventBuffer is the size of a stream's first buffer, minReadBytes the room for a read.
+	minEventBuffer, minReadBytes = 2 << 10, 512
+)
 
 // eventFault is what is wrong with an event, as logs and metrics name it.
 type eventFault string
@@ -18,10 +22,12 @@
 	faultSpoiled    eventFault = "spoiled"
 	faultTruncated  eventFault = "truncated"
 	faultTooLarge   eventFault = "too_large"
+	// faultNoMemory is the fault of an unfinished event that had to give way to others.
+	faultNoMemory eventFault = "no_memory"
 )
 
 func eventFaults() []eventFault {
-	return []eventFault{faultOutOfOrder, faultUnnumbered, faultSpoiled, faultTruncated, faultTooLarge}
+	return []eventFault{faultOutOfOrder, faultUnnumbered, faultSpoiled, faultTruncated, faultTooLarge, faultNoMemory}
 }
 
 // eventError is the error of a stream at an event that is not what its server made. It wraps
@@ -53,28 +59,41 @@
 	// 0: the stream is new.
 	lastID   int64
 	buf      []byte
-	consumed int   // bytes of buf that were returned
-	failed   error // of the block after the last one returned
+	consumed int        // bytes of buf that were returned
+	kept     int        // bytes of earlier batches that are kept beside buf
+	hold     *eventHold // what buf and the batches take beyond includedBytes
+	held     bool       // hold may hold something
+	failed   error      // of the block after the last one returned
 }
 
 // newEventReader returns a reader of the events that follow the one with the given id. Text
 // that is no id names no event to follow.
-func newEventReader(r *reply, lastEvent string) eventReader {
+func newEventReader(r *reply, m *eventMemory, lastEvent string) eventReader {
 	id, err := strconv.ParseInt(lastEvent, 10, 64)
 	if err != nil || id < 0 {
 		id = 0
 	}
-	return eventReader{reply: r, lastID: id}
+	r.events = m.newHold(r.conn.Abort)
+	return eventReader{reply: r, lastID: id, hold: r.events}
 }
 
 // next returns all complete blocks that have arrived, waiting for at least one. io.EOF
 // means that the stream ended complete. The slice is valid until the next call.
 func (e *eventReader) next() (batch []byte, count int, err error) {
+	e.kept = 0
+	return e.read()
+}
+
+func (e *eventReader) read() (batch []byte, count int, err error) {
 	e.buf = e.buf[:copy(e.buf, e.buf[e.consumed:])]
 	e.consumed = 0
+	e.shrink()
 	for e.failed == nil {
 		count = e.takeBlocks()
 		if e.consumed > 0 {
+			if e.held {
+				e.hold.finish()
+			}
 			return e.buf[:e.consumed], count, nil
 		}
 		if e.failed == nil && len(e.buf) > maxEventBytes {
@@ -86,6 +105,7 @@
 			}
 		}
 	}
+	e.drop()
 	return nil, 0, e.failed
 }
 
@@ -120,8 +140,9 @@
 // end the wait; it is returned with what follows it, also with io.EOF.
 func (e *eventReader) nextWithEvent() (batch []byte, count int, err error) {
 	var earlier []byte
+	e.kept = 0
 	for {
-		batch, count, err = e.next()
+		batch, count, err = e.read()
 		if len(earlier) > 0 {
 			batch = append(earlier, batch...)
 		}
@@ -131,24 +152,76 @@
 		if len(batch) > maxEventBytes {
 			return nil, 0, &eventError{fault: faultTooLarge, after: e.lastID}
 		}
+		if e.kept = len(batch); !e.reserve(cap(e.buf)) {
+			return nil, 0, e.noMemory()
+		}
 		earlier = append([]byte(nil), batch...)
 	}
 }
 
 // fill reads the bytes that are available, waiting for at least one.
 func (e *eventReader) fill() error {
-	if cap(e.buf)-len(e.buf) < 512 {
-		grown := make([]byte, len(e.buf), max(2048, 2*cap(e.buf)))
-		copy(grown, e.buf)
-		e.buf = grown
+	if cap(e.buf)-len(e.buf) < minReadBytes && !e.grow() {
+		return e.noMemory()
 	}
 	n, err := e.reply.Read(e.buf[len(e.buf):cap(e.buf)])
 	e.buf = e.buf[:len(e.buf)+n]
-	if n > 0 {
+	switch {
+	case n > 0:
 		return nil // the next Read returns the error again
-	}
-	if err == io.EOF && len(e.buf) > 0 {
+	case err == io.EOF && len(e.buf) > 0:
 		return &eventError{fault: faultTruncated, after: e.lastID}
+	case err != io.EOF && e.hold.wasEvicted():
+		return e.noMemory()
 	}
 	return err
 }
+
+// grow makes room for more of an event. It returns false if there is no memory for it.
+func (e *eventReader) grow() bool {
+	size := max(minEventBuffer, min(2*cap(e.buf), maxEventBytes+2*minReadBytes))
+	if !e.reserve(size) {
+		return false
+	}
+	grown := make([]byte, len(e.buf), size)
+	copy(grown, e.buf)
+	e.buf = grown
+	return true
+}
+
+// reserve reserves what a buffer of the size takes, together with what is kept beside it. The
+// first bytes of a stream are those of its request.
+func (e *eventReader) reserve(size int) bool {
+	beyond := size + e.kept - includedBytes
+	if beyond > 0 {
+		e.held = true
+		return e.hold.resize(int64(beyond))
+	}
+	if e.held {
+		e.hold.release()
+		e.held = false
+	}
+	return true
+}
+
+// shrink gives back the buffer of a long event that was passed on. Of a longer rest, the end is
+// read from now on.
+func (e *eventReader) shrink() {
+	if cap(e.buf) > includedBytes && len(e.buf) <= includedBytes-minReadBytes {
+		e.buf = append(make([]byte, 0, includedBytes), e.buf...)
+	}
+	e.reserve(cap(e.buf))
+}
+
+// drop gives up what was read of an event that can't be passed on.
+func (e *eventReader) drop() {
+	e.buf, e.consumed, e.kept = nil, 0, 0
+	e.hold.release()
+}
+
+// noMemory ends the stream at an unfinished event for which there is no memory.
+func (e *eventReader) noMemory() error {
+	e.failed = &eventError{fault: faultNoMemory, after: e.lastID}
+	e.drop()
+	return e.failed
+}
--- a/internal/forward/reply.go
+++ b/internal/forward/reply.go
@@ -46,6 +46,7 @@
 	trailers    int    // lines read after the last chunk
 	// serverGoesOn reports whether the server's process has proved not to have ended.
 	serverGoesOn func() bool
+	events       *eventHold // what is held of its events; nil: it is no stream
 }
 
 // readReply reads the header of the answer to the request with the given id. serverGoesOn is
@@ -235,6 +236,9 @@
 
 // releaseConn ends the use of the connection, which is reused only after a complete answer.
 func (r *reply) releaseConn() {
+	if r.events != nil {
+		r.events.release() // from here on, nobody aborts the connection to make room
+	}
 	r.conn.Unbind()
 	if r.complete && !r.closeAfter {
 		r.conn.Release()
--- a/internal/forward/resume.go
+++ b/internal/forward/resume.go
@@ -45,7 +45,7 @@
 		r.releaseConn()
 		return nil, x.endLostAttempt(a, err)
 	}
-	next := &successor{attempt: a, events: newEventReader(r, x.outbound.lastEvent)}
+	next := &successor{attempt: a, events: newEventReader(r, x.server.eventMemory, x.outbound.lastEvent)}
 	// A comment is no event: the server may still fail before the next one.
 	var err error
 	next.pending, next.eventCount, err = next.events.nextWithEvent()
--- a/internal/forward/server.go
+++ b/internal/forward/server.go
@@ -54,6 +54,8 @@
 	defaultMaxConnections = 3000
 	// defaultCallerBytes bounds what callers make the process hold.
 	defaultCallerBytes = 256 << 20
+	// eventBytesPart is the part of CallerBytes that unfinished events may take in addition.
+	eventBytesPart = 4
 	// connBytes is what a connection holds: the read buffer, its goroutine and the HTTP
 	// server's record of it. busyBytes is what a request holds in addition, with the first of
 	// its body and of its answer.
@@ -103,6 +105,7 @@
 	reservedHeaders map[string]bool
 	httpServer      *fasthttp.Server
 	account         *callermem.Account
+	eventMemory     *eventMemory
 	gate            *overloadGate
 	// longAnswer is held while an answer of unknown length is read that is long.
 	longAnswer chan struct{}
@@ -128,9 +131,12 @@
 	s.counters = newCounters(d.Metrics)
 	maxConnections := cmp.Or(d.MaxConnections, defaultMaxConnections)
 	s.gate, s.longAnswer = newOverloadGate(), make(chan struct{}, 1)
+	callerBytes := cmp.Or(d.CallerBytes, defaultCallerBytes)
+	s.eventMemory = newEventMemory(callerBytes / eventBytesPart)
 	s.account = callermem.New(callermem.Limits{
-		Bytes: cmp.Or(d.CallerBytes, defaultCallerBytes), Connections: maxConnections, ConnBytes: connBytes, BusyBytes: busyBytes,
+		Bytes: callerBytes, Connections: maxConnections, ConnBytes: connBytes, BusyBytes: busyBytes,
 	}, s.accountEvents())
+	d.Metrics.Gauge("forward", "event_bytes", func() any { return s.eventMemory.usedBytes() })
 	d.Metrics.Gauge("forward", "caller_bytes", func() any { return s.account.Used() })
 	s.httpServer = &fasthttp.Server{
 		Handler:                      s.handle,
--- a/test/soak/fleet_test.go
+++ b/test/soak/fleet_test.go
@@ -167,6 +167,8 @@
 	limits gateway.LimitSettings
 	// answerBytes is how much servers add to their answers.
 	answerBytes int
+	// slots are those of each server; default 8.
+	slots int
 }
 
 // fleetSlots bounds the fleets of parallel tests: the stand-ins and callers of all of them run
@@ -182,7 +184,7 @@
 
 func newFleet(t *testing.T, o fleetOptions) *fleet {
 	o.nodes = cmp.Or(o.nodes, *nodeCount)
-	slots := 8
+	slots := cmp.Or(o.slots, 8)
 	if o.contended {
 		slots, o.eventInterval = contendedSlots, cmp.Or(o.eventInterval, contendedEventInterval)
 	}
