--- a/internal/forward/eventmemory.go
+++ b/internal/forward/eventmemory.go
@@ -1,6 +1,9 @@
 package forward
 
-import "sync"
+import (
+	"cmp"
+	"sync"
+)
 
 // eventMemory bounds what the streams of a process hold of events that were not passed on yet,
 // beyond the first bytes of each. Servers decide on these bytes.
@@ -27,7 +30,12 @@
 	evicted    bool
 }
 
-func newEventMemory(limit int64) *eventMemory {
+// eventBytesPart is the part of what callers may make the process hold that the events may take
+// in addition.
+const eventBytesPart = 4
+
+func newEventMemory(d Deps) *eventMemory {
+	limit := cmp.Or(d.CallerBytes, defaultCallerBytes) / eventBytesPart
 	return &eventMemory{limit: limit, holds: map[*eventHold]struct{}{}}
 }
 
--- a/internal/forward/eventmemory_test.go
+++ b/internal/forward/eventmemory_test.go
@@ -21,7 +21,7 @@
 	}
 	Convey("Given three that fill the memory, of which the largest is complete", t, func() {
 		evicted = ""
-		m := newEventMemory(1000)
+		m := newEventMemory(Deps{CallerBytes: 1000 * eventBytesPart})
 		complete, _ := hold(m, "c", 500)
 		complete.finish()
 		large, _ := hold(m, "l", 300)
--- a/internal/forward/server.go
+++ b/internal/forward/server.go
@@ -54,8 +54,6 @@
 	defaultMaxConnections = 3000
 	// defaultCallerBytes bounds what callers make the process hold.
 	defaultCallerBytes = 256 << 20
-	// eventBytesPart is the part of CallerBytes that unfinished events may take in addition.
-	eventBytesPart = 4
 	// connBytes is what a connection holds: the read buffer, its goroutine and the HTTP
 	// server's record of it. busyBytes is what a request holds in addition, with the first of
 	// its body and of its answer.
@@ -122,7 +120,7 @@
 
 // New returns a server that is not listening yet.
 func New(d Deps) *Server {
-	s := &Server{deps: d, wire: d.Wire, log: logs.For("forward"), runningLogLimiter: logs.NewLimiter(maxRunningLinesPerSecond), reservedHeaders: map[string]bool{}}
+	s := &Server{eventMemory: newEventMemory(d), deps: d, wire: d.Wire, log: logs.For("forward"), runningLogLimiter: logs.NewLimiter(maxRunningLinesPerSecond), reservedHeaders: map[string]bool{}}
 	// Accept-Encoding is not forwarded: an encoded answer would not be the server's own body.
 	ownHeaders := []string{d.Wire.Deadline, d.Wire.Workspace, d.Wire.ExpectServer, d.Wire.LastEvent, fasthttp.HeaderAcceptEncoding}
 	for _, name := range append(ownHeaders, d.Wire.Reserved...) {
@@ -131,12 +129,9 @@
 	s.counters = newCounters(d.Metrics)
 	maxConnections := cmp.Or(d.MaxConnections, defaultMaxConnections)
 	s.gate, s.longAnswer = newOverloadGate(), make(chan struct{}, 1)
-	callerBytes := cmp.Or(d.CallerBytes, defaultCallerBytes)
-	s.eventMemory = newEventMemory(callerBytes / eventBytesPart)
 	s.account = callermem.New(callermem.Limits{
-		Bytes: callerBytes, Connections: maxConnections, ConnBytes: connBytes, BusyBytes: busyBytes,
+		Bytes: cmp.Or(d.CallerBytes, defaultCallerBytes), Connections: maxConnections, ConnBytes: connBytes, BusyBytes: busyBytes,
 	}, s.accountEvents())
-	d.Metrics.Gauge("forward", "event_bytes", func() any { return s.eventMemory.usedBytes() })
 	d.Metrics.Gauge("forward", "caller_bytes", func() any { return s.account.Used() })
 	s.httpServer = &fasthttp.Server{
 		Handler:                      s.handle,
@@ -159,6 +154,7 @@
 		CloseOnShutdown:              true,
 		Logger:                       logs.Discard{},
 	}
+	d.Metrics.Gauge("forward", "event_bytes", func() any { return s.eventMemory.usedBytes() })
 	return s
 }
 
