entry: a service's reply takes its memory from the account before it is read

Change: the service port lets its caller read the reply's body (Call.ReadBody). The entry reads it into the growing buffer that requests' bodies have, whose room it reserves first: the whole length if one is announced, else as bytes come, one at a time beyond 64 KiB. A reply may have a quarter of the memory for bodies, 64 MiB at most.

--- a/internal/entry/body.go
+++ b/internal/entry/body.go
@@ -53,25 +53,50 @@
 	if stream == nil || contentLength == 0 {
 		return nil, nil
 	}
-	body, err := readBodyStream(stream, contentLength, limit, res)
-	if err != nil {
-		return nil, err
+	size := initialBodyBytes
+	if contentLength > 0 {
+		size = min(size, contentLength)
+	}
+	reserve := func(bytes int64) error {
+		if !res.Resize(bytes) {
+			return memoryRefusal()
+		}
+		return nil
 	}
-	if contentLength >= 0 && len(body) != contentLength {
+	b := growingBuffer{size: size, length: contentLength, limit: limit, reserve: reserve}
+	body, err := b.read(stream)
+	var refusal *request.Refusal
+	switch {
+	case errors.Is(err, errOverLimit):
+		return nil, bodyTooLarge(limit)
+	case errors.As(err, &refusal):
+		return nil, refusal
+	case err != nil:
+		return nil, readRefusal(err, res)
+	case contentLength >= 0 && len(body) != contentLength:
 		return nil, request.Refuse(request.ReasonBadRequest, "the body ended after %d of %d bytes", len(body), contentLength)
 	}
 	return body, nil
 }
 
-func readBodyStream(stream io.Reader, contentLength, limit int, res *callermem.Reservation) ([]byte, error) {
-	size := initialBodyBytes
-	if contentLength > 0 {
-		size = min(size, contentLength)
-	}
-	if !res.Resize(int64(size)) {
-		return nil, memoryRefusal()
+// errOverLimit: a body has more bytes than it may have.
+var errOverLimit = errors.New("body exceeds the limit")
+
+// growingBuffer reads a body into a buffer that grows as bytes arrive.
+type growingBuffer struct {
+	size   int // at first
+	length int // announced; 0 or less: unknown
+	limit  int
+	// reserve is called with the bytes that the buffer takes before it takes them.
+	reserve func(bytes int64) error
+}
+
+// read reads the stream to its end.
+func (g growingBuffer) read(stream io.Reader) ([]byte, error) {
+	if err := g.reserve(int64(g.size)); err != nil {
+		return nil, err
 	}
-	body := make([]byte, 0, size)
+	body := make([]byte, 0, g.size)
 	for {
 		n, err := stream.Read(body[len(body):cap(body)])
 		body = body[:len(body)+n]
@@ -79,38 +104,35 @@
 			return body, nil
 		}
 		if err != nil {
-			return nil, readRefusal(err, res)
+			return nil, err
 		}
-		if len(body) > limit {
-			return nil, bodyTooLarge(limit)
+		if len(body) > g.limit {
+			return nil, errOverLimit
 		}
 		if len(body) == cap(body) {
-			if body, err = growBuffer(body, contentLength, limit, res); err != nil {
+			if body, err = g.grow(body); err != nil {
 				return nil, err
 			}
 		}
 	}
 }
 
-// growBuffer doubles the buffer, up to the Content-Length or the limit, plus one byte.
-func growBuffer(body []byte, contentLength, limit int, res *callermem.Reservation) ([]byte, error) {
-	maxSize := limit + 1
-	if contentLength > 0 {
-		maxSize = contentLength + 1 // room for the read that returns io.EOF
+// grow doubles the buffer, up to the announced length or the limit, plus one byte.
+func (g growingBuffer) grow(body []byte) ([]byte, error) {
+	maxSize := g.limit + 1
+	if g.length > 0 {
+		maxSize = g.length + 1 // room for the read that returns io.EOF
 	}
 	size := min(2*cap(body), maxSize)
 	if size <= cap(body) {
 		size = cap(body) + 1
 	}
-	if !res.Resize(int64(size + cap(body))) { // both for the time of the copy
-		return nil, memoryRefusal()
+	if err := g.reserve(int64(size + cap(body))); err != nil { // both for the time of the copy
+		return nil, err
 	}
 	grown := make([]byte, len(body), size)
 	copy(grown, body)
-	if !res.Resize(int64(size)) {
-		return nil, memoryRefusal()
-	}
-	return grown, nil
+	return grown, g.reserve(int64(size))
 }
 
 func readRefusal(err error, res *callermem.Reservation) error {
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -113,13 +113,15 @@
 
 // Entry serves callers. It is safe for concurrent use.
 type Entry struct {
-	deps     Deps
-	limits   Limits
-	app      *fiber.App
-	account  *callermem.Account
-	counters *counters
-	log      *logrus.Entry
-	draining drainFlag
+	deps    Deps
+	limits  Limits
+	app     *fiber.App
+	account *callermem.Account
+	// longReply is held while a service's reply of unknown length is read that is long.
+	longReply chan struct{}
+	counters  *counters
+	log       *logrus.Entry
+	draining  drainFlag
 }
 
 // requestOverhead is the memory of a waiting request, in bytes, in addition to its
@@ -135,7 +137,7 @@
 
 // New returns an entry that does not listen yet.
 func New(d Deps, l Limits) *Entry {
-	e := &Entry{deps: d, limits: l.withDefaults(), log: logs.For("entry")}
+	e := &Entry{deps: d, longReply: make(chan struct{}, 1), limits: l.withDefaults(), log: logs.For("entry")}
 	e.counters = newCounters(d.Metrics)
 	e.account = callermem.New(callermem.Limits{
 		Bytes: e.limits.BodyBytes, Connections: e.limits.MaxConnections, RequestBytes: requestOverhead,
--- a/internal/entry/exchange.go
+++ b/internal/entry/exchange.go
@@ -28,8 +28,11 @@
 	workspace   *workspace.ResolvedWorkspace
 	spec        *request.Spec
 	lifecycle   request.Lifecycle
+	conn        *callermem.Conn // of the caller; nil: the account does not know it
 	body        *callermem.Reservation
-	heldClaim   claim.Claim // nil: none
+	answer      *callermem.Reservation // nil: nothing is reserved
+	answerKept  bool                   // until the answer is written
+	heldClaim   claim.Claim            // nil: none
 	contentHash claim.Hash
 	demand      broker.Demand
 	log         *logrus.Entry
@@ -75,7 +78,8 @@
 		return nil, err
 	}
 	conn := ctx.Conn()
-	x.body = x.entry.account.Reserve(callerConn(ctx), x.workspace.Workspace, tier.Tier, func() {
+	x.conn = callerConn(ctx)
+	x.body = x.entry.account.Reserve(x.conn, x.workspace.Workspace, tier.Tier, func() {
 		x.cancel(memoryRefusal())
 		_ = conn.SetReadDeadline(time.Unix(1, 0)) // interrupts a read in progress
 	})
@@ -124,23 +128,6 @@
 	x.callerWatch = callerwatch.Start(ctx.Conn(), x.cancel)
 }
 
-// includedAnswerBytes is the size up to which an answer needs no reservation.
-const includedAnswerBytes = 16 << 10
-
-// reserveAnswer waits until there is room for the answer, which the HTTP server writes when the
-// exchange has ended. The account takes it back when the connection goes on.
-func (x *exchange) reserveAnswer(ctx *fasthttp.RequestCtx) {
-	size, conn := len(ctx.Response.Body()), callerConn(ctx)
-	if size <= includedAnswerBytes || conn == nil || x.spec == nil {
-		return
-	}
-	r := x.entry.account.Reserve(conn, x.workspace.Workspace, x.spec.Tier, func() {})
-	r.Pin()
-	if err := r.AwaitRoom(x.ctx, int64(size)); err != nil {
-		x.log.WithError(err).Info("no memory for the answer")
-	}
-}
-
 // end releases the exchange's resources after its answer was written or abandoned.
 func (x *exchange) end() {
 	x.lifecycle.End()
@@ -154,6 +141,9 @@
 	if x.body != nil {
 		x.body.Release()
 	}
+	if x.answer != nil && !x.answerKept {
+		x.answer.Release()
+	}
 	if x.cancel != nil {
 		x.cancel(nil)
 	}
--- /dev/null
+++ b/internal/entry/reply.go
@@ -0,0 +1,79 @@
+package entry
+
+import (
+	"context"
+	"io"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/valyala/fasthttp"
+)
+
+const (
+	// includedAnswerBytes is the size up to which an answer needs no reservation.
+	includedAnswerBytes = 16 << 10
+	// maxReplyBytes bounds a service's reply, which is held in memory; replyPart is the part of
+	// the memory for bodies that it may take, half as much again while its buffer grows.
+	maxReplyBytes, replyPart = 64 << 20, 4
+	// longReplyBytes is the size from which one reply of unknown length is read at a time.
+	// Otherwise several that are read together could each hold what the others need.
+	longReplyBytes = 64 << 10
+	// replyRoomTimeout is how long a reply waits for room. Many short ones together may hold what
+	// each of them needs, and one without end what the long ones need.
+	replyRoomTimeout = 2 * time.Second
+)
+
+// replyLimit returns the most bytes that a service's reply may have.
+func (l Limits) replyLimit() int { return int(min(maxReplyBytes, l.BodyBytes/replyPart)) }
+
+// readReply reads the body of a service's reply. While there is no room for it, it is left in
+// its service's connection; if there is none in time, it is lost.
+func (x *exchange) readReply(stream io.Reader, length int) ([]byte, error) {
+	limit := x.entry.limits.replyLimit()
+	if length > limit {
+		return nil, errors.Wrapf(errOverLimit, "reply of %d bytes", length)
+	}
+	x.answer = x.entry.account.Reserve(x.conn, x.workspace.Workspace, x.spec.Tier, func() {})
+	x.answer.Pin()
+	long := false
+	defer func() {
+		if long {
+			<-x.entry.longReply
+		}
+	}()
+	reserve := func(bytes int64) error {
+		if length < 0 && bytes > longReplyBytes && !long {
+			select {
+			case x.entry.longReply <- struct{}{}:
+				long = true
+			case <-x.ctx.Done():
+				return errors.Wrap(x.ctx.Err(), "no memory for the reply")
+			}
+		}
+		ctx, cancel := context.WithTimeout(x.ctx, replyRoomTimeout)
+		defer cancel()
+		return errors.Wrap(x.answer.AwaitRoom(ctx, max(0, bytes-includedAnswerBytes)), "no memory for the reply")
+	}
+	g := growingBuffer{size: length, length: length, limit: limit, reserve: reserve}
+	if length < 0 {
+		g.size = initialBodyBytes
+	}
+	return g.read(stream)
+}
+
+// reserveAnswer waits until there is room for the answer, which the HTTP server writes when the
+// exchange has ended. The account takes it back when the connection goes on.
+func (x *exchange) reserveAnswer(ctx *fasthttp.RequestCtx) {
+	size, conn := len(ctx.Response.Body()), callerConn(ctx)
+	if size <= includedAnswerBytes || conn == nil || x.spec == nil {
+		return
+	}
+	if x.answer == nil {
+		x.answer = x.entry.account.Reserve(conn, x.workspace.Workspace, x.spec.Tier, func() {})
+		x.answer.Pin()
+	}
+	x.answerKept = true
+	if err := x.answer.AwaitRoom(x.ctx, int64(size)); err != nil {
+		x.log.WithError(err).Info("no memory for the answer")
+	}
+}
--- a/internal/entry/service.go
+++ b/internal/entry/service.go
@@ -95,6 +95,7 @@
 		Path:      path.target,
 		Header:    x.forwardedHeader(ctx),
 		Body:      body,
+		ReadBody:  x.readReply,
 	}
 	reply, err := x.dispatchCall(call)
 	if err != nil {
--- a/internal/standin/service/service.go
+++ b/internal/standin/service/service.go
@@ -3,6 +3,7 @@
 package service
 
 import (
+	"bytes"
 	"cmp"
 	"context"
 	"net"
@@ -41,6 +42,10 @@
 	DelayMs float64 `json:"delay_ms"`
 	// Silent reads and counts calls, but never answers them.
 	Silent bool `json:"silent"`
+	// Chunked answers without a length.
+	Chunked bool `json:"chunked"`
+	// Endless answers with a body without end.
+	Endless bool `json:"endless"`
 	// Refuse refuses each call with the header X-Lycheekeel-Not-Run and does not
 	// count it.
 	Refuse bool `json:"refuse"`
@@ -162,12 +167,28 @@
 		_ = r.Conn().Close()
 	case f.Silent:
 		r.Conn().(*gate.Conn).Silence()
+	case f.Endless:
+		r.SetBodyStream(endless{}, -1)
 	case f.Refuse:
 		r.Response.Header.Set(headerNotRun, "true")
 		r.SetStatusCode(fasthttp.StatusServiceUnavailable)
 	default:
 		gate.Reply(r, newEcho(r))
+		if f.Chunked {
+			r.SetBodyStream(bytes.NewReader(bytes.Clone(r.Response.Body())), -1)
+		}
+	}
+}
+
+// endless is a body without end.
+type endless struct{}
+
+// Read implements io.Reader.
+func (endless) Read(p []byte) (int, error) {
+	for i := range p {
+		p[i] = 'x'
 	}
+	return len(p), nil
 }
 
 func newEcho(r *fasthttp.RequestCtx) Echo {
--- a/service/httpservice/service.go
+++ b/service/httpservice/service.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"io"
 	"sync"
 	"time"
 
@@ -84,21 +85,27 @@
 		return service.Reply{}, err
 	}
 	conn.SetSilenceTimeout(s.responseTimeout)
-	return s.readReply(ctx, conn, c.Method)
+	return s.readReply(ctx, conn, c)
 }
 
-func (s *Service) readReply(ctx context.Context, conn *httpconn.Conn, method string) (service.Reply, error) {
+func (s *Service) readReply(ctx context.Context, conn *httpconn.Conn, c service.Call) (service.Reply, error) {
 	if err := conn.Bind(ctx); err != nil {
 		conn.Discard()
 		return service.Reply{}, errors.Wrapf(engine.ErrConnectionLost, "%s: %v", s.pool.Address(), err)
 	}
 	resp := fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseResponse(resp)
-	resp.SkipBody = method == fasthttp.MethodHead
+	resp.SkipBody, resp.StreamBody = c.Method == fasthttp.MethodHead, true
 	if err := conn.ReadResponse(resp, maxResponseBytes); err != nil {
 		conn.Discard()
 		return service.Reply{}, err
 	}
+	body, err := readBody(resp, c)
+	if err != nil {
+		err = conn.WrapError(err)
+		conn.Discard()
+		return service.Reply{}, err
+	}
 	if resp.ConnectionClose() {
 		conn.Discard()
 	} else {
@@ -107,7 +114,23 @@
 	if string(resp.Header.Peek(HeaderNotRun)) == "true" {
 		return service.Reply{}, errors.Wrapf(engine.ErrRefusedNotRun, "%s: status %d", s.pool.Address(), resp.StatusCode())
 	}
-	return newReply(resp), nil
+	return service.Reply{Status: resp.StatusCode(), Header: replyHeader(resp), Body: body}, nil
+}
+
+// readBody reads the body of a response to its end.
+func readBody(resp *fasthttp.Response, c service.Call) ([]byte, error) {
+	stream := resp.BodyStream()
+	if stream == nil {
+		return nil, nil
+	}
+	if c.ReadBody != nil {
+		return c.ReadBody(stream, resp.Header.ContentLength())
+	}
+	body, err := io.ReadAll(io.LimitReader(stream, maxResponseBytes+1))
+	if err == nil && len(body) > maxResponseBytes {
+		err = errors.Errorf("reply over %d bytes", maxResponseBytes)
+	}
+	return body, err
 }
 
 func fillRequest(req *fasthttp.Request, address string, c service.Call) error {
@@ -134,12 +157,10 @@
 	return nil
 }
 
-func newReply(resp *fasthttp.Response) service.Reply {
-	reply := service.Reply{Status: resp.StatusCode(), Body: append([]byte(nil), resp.Body()...)}
+func replyHeader(resp *fasthttp.Response) [][2]string {
 	var all [][2]string
 	for k, v := range resp.Header.All() {
 		all = append(all, [2]string{string(k), string(v)})
 	}
-	reply.Header = endToEndHeaders(all)
-	return reply
+	return endToEndHeaders(all)
 }
--- a/service/service.go
+++ b/service/service.go
@@ -2,7 +2,10 @@
 // forwarded as HTTP and never sent twice.
 package service
 
-import "context"
+import (
+	"context"
+	"io"
+)
 
 // Call is one call in the form that a plain service receives.
 type Call struct {
@@ -13,6 +16,9 @@
 	Body      []byte
 	// BeforeSend works as in engine.Run.
 	BeforeSend func() error
+	// ReadBody reads the body of the reply to its end; length is its announced length, below 0 if
+	// it has none. It bounds what the body takes. nil: the adapter reads it, up to its own limit.
+	ReadBody func(stream io.Reader, length int) ([]byte, error)
 }
 
 // Reply is a service's complete response.
--- a/test/abusive_test.go
+++ b/test/abusive_test.go
@@ -10,7 +10,10 @@
 	"testing"
 	"time"
 
+	"github.com/sourcegraph/conc"
+
 	"github.com/lycheekeel/lycheekeel/internal/daemon"
+	"github.com/lycheekeel/lycheekeel/internal/standin/service"
 	"github.com/lycheekeel/lycheekeel/internal/wait"
 	"github.com/lycheekeel/lycheekeel/test/crowd"
 )
@@ -31,12 +34,7 @@
 // abuseEntry checks that a daemon lives within its limits, and serves one ordinary request
 // beside a crowd and one after it.
 func abuseEntry(t *testing.T, size int, unread bool, abuse crowd.Abuse) {
-	c := newCluster(t, clusterSpec{engines: 1})
-	n := c.prepareNode("entry-0")
-	n.settings.Limits = daemon.LimitSettings{MaxConnections: abusiveConnections, BodyBytes: abusiveBodyBytes}
-	c.startNode(n)
-	c.awaitReady(n)
-	eventually(t, "an ordinary request is answered before the crowd", func() bool { return chatOnce(t, n).complete })
+	_, n := startLimitedEntry(t)
 	pid := n.cmd.Process.Pid
 	stop := crowd.Watch(t, pid, n.settings.Listen)
 	abusers := &crowd.Crowd{Address: n.settings.Listen, PID: pid, Size: size, Abuse: abuse, Unread: unread}
@@ -48,6 +46,17 @@
 	stop().Check(t, abusiveMemoryMB, abusiveDescriptors)
 }
 
+// startLimitedEntry starts a daemon with limits and waits until it serves.
+func startLimitedEntry(t *testing.T) (*cluster, *node) {
+	c := newCluster(t, clusterSpec{engines: 1})
+	n := c.prepareNode("entry-0")
+	n.settings.Limits = daemon.LimitSettings{MaxConnections: abusiveConnections, BodyBytes: abusiveBodyBytes}
+	c.startNode(n)
+	c.awaitReady(n)
+	eventually(t, "an ordinary request is answered before the crowd", func() bool { return chatOnce(t, n).complete })
+	return c, n
+}
+
 func chatOnce(t *testing.T, n *node) answer {
 	return chat(t.Context(), n.settings.Listen, call{prompt: "echo:an ordinary request"})
 }
@@ -103,3 +112,28 @@
 	behind := strings.Repeat("GET /v1/models HTTP/1.1\r\nHost: h\r\nX-Fill: "+strings.Repeat("x", 1000)+"\r\n\r\n", 1000)
 	abuseEntry(t, 60, true, callText("Content-Length: 1\r\n\r\nx"+behind))
 }
+
+// Guards against: replies without end, of a service in trouble, take the memory of a process.
+func TestAbusiveEndlessRepliesAtTheEntry(t *testing.T) {
+	c, n := startLimitedEntry(t)
+	c.post(c.service.link.target, service.PathFaults, `{"endless": true}`)
+	stop := crowd.Watch(t, n.cmd.Process.Pid, n.settings.Listen)
+	var wg conc.WaitGroup
+	for i := range 2 * serviceSlots {
+		wg.Go(func() {
+			a := send(t.Context(), n.settings.Listen, fmt.Sprint("/services/", testService, "/x/", i), []byte("{}"), call{})
+			if a.err == nil && a.status == http.StatusOK {
+				t.Error("an endless reply looks complete")
+			}
+		})
+	}
+	checkOrdinary(t, n, "beside")
+	wg.Wait()
+	c.post(c.service.link.target, service.PathFaults, `{"endless": false}`)
+	eventually(t, "the service answers again", func() bool {
+		a := send(t.Context(), n.settings.Listen, "/services/"+testService+"/after", []byte("{}"), call{})
+		return a.err == nil && a.status == http.StatusOK
+	})
+	checkOrdinary(t, n, "after")
+	stop().Check(t, abusiveMemoryMB, abusiveDescriptors)
+}
--- a/test/cluster_test.go
+++ b/test/cluster_test.go
@@ -22,8 +22,10 @@
 	testModel   = "report-writer"
 	testPool    = "reports"
 	testService = "crew"
-	testKey     = "test-key"
-	clusterKey  = "a-cluster-key-for-tests-only"
+	// serviceSlots are those of the plain service.
+	serviceSlots = 16
+	testKey      = "test-key"
+	clusterKey   = "a-cluster-key-for-tests-only"
 )
 
 // link is a network link: one listening address behind a fault proxy.
--- a/test/objects_test.go
+++ b/test/objects_test.go
@@ -79,7 +79,7 @@
 	}
 	c.put(workspace.KindBackendServer, c.service.name, workspace.BackendServer{
 		Name: c.service.name, Address: c.service.link.proxy.Addr(), Region: testRegion,
-		AvailabilityZone: "hall-0", Pool: testService, Slots: 16,
+		AvailabilityZone: "hall-0", Pool: testService, Slots: serviceSlots,
 	})
 }
 
