forward: answers that have no end leave room for other callers

Callers would see: a service's servers send answers without an end, or stop within them; the process stays within its memory, but what has arrived fills the account of what callers hold, and for as long as the deadlines of these requests last no other connection or request finds room (another operator's report: the requests of other clients on that machine ended with it).

Cause: an answer's bytes are taken from the callers' account, and a request that was dispatched gives way to nobody.

Change: answers that are being read may take half of that account together; one that needs more waits, as before, until its request's time is up. One of unknown length beyond 32 KiB takes all that it may need up to 256 KiB at once, so that parts of several do not keep each other from their ends, and beyond that one is read at a time, as before; it is lost if for a second others wait for the room that it holds. An answer that alone exceeds the room fails at once.

--- a/internal/forward/body.go
+++ b/internal/forward/body.go
@@ -200,33 +200,11 @@
 	return host
 }
 
-// longAnswerBytes is the size from which one answer of unknown length is read at a time.
-// Otherwise several that are read together could each hold what the others need.
-const longAnswerBytes = 256 << 10
-
 // readAnswer reads the body of an answer. It waits while there is no room for it.
 func (x *exchange) readAnswer(r *reply) (body, error) {
-	long := false
-	defer func() {
-		if long {
-			<-x.server.longAnswer
-		}
-	}()
-	reserve := func(bytes int64) error {
-		switch {
-		case r.framing == framedByLength:
-			bytes = int64(r.length)
-		case bytes > longAnswerBytes && !long:
-			select {
-			case x.server.longAnswer <- struct{}{}:
-				long = true
-			case <-x.ctx.Done():
-				return errors.Wrap(x.ctx.Err(), "no memory for the answer")
-			}
-		}
-		return errors.Wrap(x.memory.AwaitRoom(x.ctx, x.heldBytes()+max(0, bytes-includedBytes)), "no memory for the answer")
-	}
-	return r.readAll(reserve, maxBufferedAnswerBytes)
+	a := &answerReader{exchange: x, reply: r, hold: answerHold{memory: x.server.answerMemory}}
+	defer a.end()
+	return r.readAll(a.reserve, maxBufferedAnswerBytes)
 }
 
 // heldBytes returns what the request's body counts, without what busyBytes covers.
--- a/internal/forward/server.go
+++ b/internal/forward/server.go
@@ -104,6 +104,7 @@
 	httpServer      *fasthttp.Server
 	account         *callermem.Account
 	eventMemory     *eventMemory
+	answerMemory    *answerMemory
 	gate            *overloadGate
 	// longAnswer is held while an answer of unknown length is read that is long.
 	longAnswer chan struct{}
@@ -120,7 +121,7 @@
 
 // New returns a server that is not listening yet.
 func New(d Deps) *Server {
-	s := &Server{eventMemory: newEventMemory(d), deps: d, wire: d.Wire, log: logs.For("forward"), runningLogLimiter: logs.NewLimiter(maxRunningLinesPerSecond), reservedHeaders: map[string]bool{}}
+	s := &Server{eventMemory: newEventMemory(d), answerMemory: newAnswerMemory(d), deps: d, wire: d.Wire, log: logs.For("forward"), runningLogLimiter: logs.NewLimiter(maxRunningLinesPerSecond), reservedHeaders: map[string]bool{}}
 	// Accept-Encoding is not forwarded: an encoded answer would not be the server's own body.
 	ownHeaders := []string{d.Wire.Deadline, d.Wire.Workspace, d.Wire.ExpectServer, d.Wire.LastEvent, fasthttp.HeaderAcceptEncoding}
 	for _, name := range append(ownHeaders, d.Wire.Reserved...) {
@@ -154,6 +155,7 @@
 		CloseOnShutdown:              true,
 		Logger:                       logs.Discard{},
 	}
+	d.Metrics.Gauge("forward", "answer_bytes", func() any { return s.answerMemory.usedBytes() })
 	d.Metrics.Gauge("forward", "event_bytes", func() any { return s.eventMemory.usedBytes() })
 	return s
 }
