entry: the text of a whole answer takes its memory from the account before it is kept

Callers would see: an engine in trouble answers one request with chunks without end; their text is kept until the run's time limit of ten minutes, and the process ends with the requests of all its callers. Found while the replies of services were looked at.

Cause: the text of an answer that is not streamed was collected without a bound and counted when it was whole.

Change: room is reserved before a chunk is kept, as for services' replies, for the text and once more for what is made of it. A text may have a quarter of the memory for bodies; what is longer, or gets no room in 2 s, is lost, its run is cancelled, and its server is noted.

Evidence, 8 MiB for bodies: an engine with 800 MB of chunks was read on for the 90 s of the test before; now its caller gets answer_incomplete (the request has run), at most 8 MiB of it are taken and all room is given back. An answer of 1 MiB comes whole.

--- a/internal/entry/generate.go
+++ b/internal/entry/generate.go
@@ -2,8 +2,6 @@
 
 import (
 	"encoding/json"
-	"io"
-	"strings"
 
 	"github.com/pkg/errors"
 	"github.com/valyala/fasthttp"
@@ -118,21 +116,12 @@
 
 // writeWhole collects the answer and writes it as one response, only if it is complete.
 func (x *exchange) writeWhole(ctx *fasthttp.RequestCtx, a *answer, f *formatter) error {
-	var text strings.Builder
-	finish := ""
-	for {
-		c, err := a.Next(x.ctx)
-		if errors.Is(err, io.EOF) {
-			break
-		}
-		if err != nil {
-			return err
-		}
-		text.WriteString(c.Text)
-		finish = c.FinishReason
+	text, finish, err := a.collectText()
+	if err != nil {
+		return err
 	}
 	a.completeRun()
-	body, err := json.Marshal(f.response(text.String(), finish, a.usage()))
+	body, err := json.Marshal(f.response(text, finish, a.usage()))
 	if err != nil {
 		return errors.Wrap(err, "encode answer")
 	}
--- a/internal/entry/reply.go
+++ b/internal/entry/reply.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"strings"
 	"time"
 
 	"github.com/pkg/errors"
@@ -26,41 +27,88 @@
 // replyLimit returns the most bytes that a service's reply may have.
 func (l Limits) replyLimit() int { return int(min(maxReplyBytes, l.BodyBytes/replyPart)) }
 
+// replyRoom reserves the room for an answer while it is read.
+type replyRoom struct {
+	exchange *exchange
+	unknown  bool // the answer's length
+	long     bool // it is the one of unknown length that is long
+}
+
+// newReplyRoom begins the reservation of the exchange's answer. end must be called when it is read.
+func (x *exchange) newReplyRoom(lengthKnown bool) *replyRoom {
+	x.answer = x.entry.account.Reserve(x.conn, x.workspace.Workspace, x.spec.Tier, func() {})
+	x.answer.Pin()
+	return &replyRoom{exchange: x, unknown: !lengthKnown}
+}
+
+func (r *replyRoom) end() {
+	if r.long {
+		<-r.exchange.entry.longReply
+	}
+}
+
+// reserve waits until there is room for so many bytes of the answer. If there is none in time,
+// the answer is lost.
+func (r *replyRoom) reserve(bytes int64) error {
+	x := r.exchange
+	if r.unknown && bytes > longReplyBytes && !r.long {
+		select {
+		case x.entry.longReply <- struct{}{}:
+			r.long = true
+		case <-x.ctx.Done():
+			return errors.Wrap(x.ctx.Err(), "no memory for the reply")
+		}
+	}
+	ctx, cancel := context.WithTimeout(x.ctx, replyRoomTimeout)
+	defer cancel()
+	return errors.Wrap(x.answer.AwaitRoom(ctx, max(0, bytes-includedAnswerBytes)), "no memory for the reply")
+}
+
 // readReply reads the body of a service's reply. While there is no room for it, it is left in
-// its service's connection; if there is none in time, it is lost.
+// its service's connection.
 func (x *exchange) readReply(stream io.Reader, length int) ([]byte, error) {
 	limit := x.entry.limits.replyLimit()
 	if length > limit {
 		return nil, errors.Wrapf(errOverLimit, "reply of %d bytes", length)
 	}
-	x.answer = x.entry.account.Reserve(x.conn, x.workspace.Workspace, x.spec.Tier, func() {})
-	x.answer.Pin()
-	long := false
-	defer func() {
-		if long {
-			<-x.entry.longReply
-		}
-	}()
-	reserve := func(bytes int64) error {
-		if length < 0 && bytes > longReplyBytes && !long {
-			select {
-			case x.entry.longReply <- struct{}{}:
-				long = true
-			case <-x.ctx.Done():
-				return errors.Wrap(x.ctx.Err(), "no memory for the reply")
-			}
-		}
-		ctx, cancel := context.WithTimeout(x.ctx, replyRoomTimeout)
-		defer cancel()
-		return errors.Wrap(x.answer.AwaitRoom(ctx, max(0, bytes-includedAnswerBytes)), "no memory for the reply")
-	}
-	g := growingBuffer{size: length, length: length, limit: limit, reserve: reserve}
+	room := x.newReplyRoom(length >= 0)
+	defer room.end()
+	g := growingBuffer{size: length, length: length, limit: limit, reserve: room.reserve}
 	if length < 0 {
 		g.size = initialBodyBytes
 	}
 	return g.read(stream)
 }
 
+// collectText reads the text of an engine's answer to its end, and returns it with the reason
+// why it ended.
+func (a *answer) collectText() (text, finish string, err error) {
+	x := a.x
+	room := x.newReplyRoom(false)
+	defer room.end()
+	var b strings.Builder
+	for {
+		c, err := a.Next(x.ctx)
+		if errors.Is(err, io.EOF) {
+			return b.String(), finish, nil
+		}
+		if err != nil {
+			return "", "", err
+		}
+		size := b.Len() + len(c.Text)
+		if size > x.entry.limits.replyLimit() {
+			return "", "", a.failRun(errOverLimit)
+		}
+		if size > includedAnswerBytes {
+			if err := room.reserve(int64(2 * size)); err != nil { // with the room of the builder, or the encoded answer
+				return "", "", a.failRun(err)
+			}
+		}
+		b.WriteString(c.Text)
+		finish = c.FinishReason
+	}
+}
+
 // reserveAnswer waits until there is room for the answer, which the HTTP server writes when the
 // exchange has ended. The account takes it back when the connection goes on.
 func (x *exchange) reserveAnswer(ctx *fasthttp.RequestCtx) {
--- a/internal/entry/reply_test.go
+++ b/internal/entry/reply_test.go
@@ -1,15 +1,20 @@
 package entry
 
 import (
+	"cmp"
+	"context"
 	"encoding/json"
 	"fmt"
+	"io"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 
 	. "github.com/smartystreets/goconvey/convey"
 	"github.com/sourcegraph/conc"
 
+	"github.com/lycheekeel/lycheekeel/engine"
 	standin "github.com/lycheekeel/lycheekeel/internal/standin/engine"
 	standinservice "github.com/lycheekeel/lycheekeel/internal/standin/service"
 	"github.com/lycheekeel/lycheekeel/internal/testwait"
@@ -61,3 +66,67 @@
 		testwait.Until(t, waitLimit, "all is given back", func() bool { return r.entry.account.Used() == 0 })
 	})
 }
+
+// longEngine answers every run with chunks of one token each, up to so many bytes in all.
+type longEngine struct {
+	port
+	size  int
+	given atomic.Int64
+}
+
+// port is embedded for the calls that no test makes.
+type port = engine.Engine
+
+const longChunkBytes = 64 << 10
+
+func (e *longEngine) Engine(string) engine.Engine { return e }
+
+func (e *longEngine) Run(_ context.Context, r engine.Run) (engine.Stream, error) {
+	return &longStream{engine: e}, r.BeforeSend()
+}
+
+func (e *longEngine) Cancel(context.Context, string) error { return nil }
+
+type longStream struct {
+	engine *longEngine
+	offset int
+	ended  bool
+}
+
+func (s *longStream) Next(ctx context.Context) (engine.Chunk, error) {
+	if s.ended || ctx.Err() != nil {
+		return engine.Chunk{}, cmp.Or(ctx.Err(), io.EOF)
+	}
+	c := engine.Chunk{Offset: s.offset, Tokens: 1, Text: strings.Repeat("x", longChunkBytes)}
+	s.offset++
+	s.ended = s.offset*longChunkBytes >= s.engine.size
+	c.End = s.ended
+	s.engine.given.Add(longChunkBytes)
+	return c, nil
+}
+
+func (s *longStream) Close() error { return nil }
+
+// Guards against: the text of an answer that its engine does not end is kept without a bound.
+func TestWholeAnswersTakeTheMemoryThatThereIs(t *testing.T) {
+	const memory = 8 << 20
+	ask := func(size int) (*rig, *longEngine, *http.Response, []byte) {
+		r, e := newRig(t, standin.Options{}, Limits{BodyBytes: memory}, longSilence), &longEngine{size: size}
+		r.entry.deps.Engines = e
+		resp, body := r.post(pathChat, chatBody(testModel, "echo:x", false))
+		http.DefaultClient.CloseIdleConnections()
+		testwait.Until(t, waitLimit, "all is given back", func() bool { return r.entry.account.Used() == 0 })
+		return r, e, resp, body
+	}
+	Convey("An answer without end is given up, and all that it took is given back", t, func() {
+		_, e, _, body := ask(100 * memory)
+		code, notRun := refusalOf(body)
+		So([]any{code, notRun}, ShouldResemble, []any{string(request.ReasonAnswerIncomplete), false})
+		So(e.given.Load(), ShouldBeLessThanOrEqualTo, memory)
+	})
+	Convey("A long one for which there is room comes whole", t, func() {
+		_, _, resp, body := ask(memory / 8)
+		So(resp.StatusCode, ShouldEqual, http.StatusOK)
+		So(strings.Count(string(body), "x"), ShouldBeGreaterThanOrEqualTo, memory/8)
+	})
+}
