--- a/internal/forward/eventreader.go
+++ b/internal/forward/eventreader.go
@@ -84,6 +84,7 @@
 	return e.read()
 }
 
+// read is next, beside what is kept of earlier batches.
 func (e *eventReader) read() (batch []byte, count int, err error) {
 	e.buf = e.buf[:copy(e.buf, e.buf[e.consumed:])]
 	e.consumed = 0
@@ -204,8 +205,8 @@
 	return true
 }
 
-// shrink gives back the buffer of a long event that was passed on. Of a longer rest, the end is
-// read from now on.
+// shrink gives back the buffer of a long event that was passed on. If the beginning of the next
+// one is too long for a short buffer, it stays, and counts as unfinished from now on.
 func (e *eventReader) shrink() {
 	if cap(e.buf) > includedBytes && len(e.buf) <= includedBytes-minReadBytes {
 		e.buf = append(make([]byte, 0, includedBytes), e.buf...)
