--- a/internal/httpconn/head_test.go
+++ b/internal/httpconn/head_test.go
@@ -109,7 +109,7 @@
 }
 
 func BenchmarkAwaitHead(b *testing.B) {
-	answer := malformed.Head{}.Answer(testFields+"X-Server-Stamp: 3e1b.07.5a2.600.0.c9f2a4d1\r\nContent-Type: text/event-stream\r\n", "body")
+	answer := malformed.Head{}.Answer(testFields+"X-Proof: 3e1b.07.5a2.600.0.c9f2a4d1\r\nContent-Type: text/event-stream\r\n", "body")
 	source := strings.NewReader(answer)
 	r := bufio.NewReaderSize(source, bufferBytes)
 	for b.Loop() {
--- a/objectstore/callonce/callonce_test.go
+++ b/objectstore/callonce/callonce_test.go
@@ -62,7 +62,7 @@
 			}
 			if req, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
 				n, _ := strconv.Atoi(strings.TrimPrefix(req.URL.Path, "/"))
-				_, _ = io.WriteString(c, heads[n].Answer("Store-Era: 7\r\n", body))
+				_, _ = io.WriteString(c, heads[n].Answer("X-Era: 7\r\n", body))
 			}
 			_ = c.Close()
 		}
