entry: long whole answers are written at the same time

Cause: the room that an engine's whole answer takes had the rule of services' replies, one longer than 64 KiB at a time. An engine may write on such an answer for minutes, and all others would have waited for it.

Change: engines' answers take no turns; what gets no room in 2 s is lost, as before. Services' replies of unknown length take turns from 256 KiB on, as at the gateway.

--- a/internal/entry/reply.go
+++ b/internal/entry/reply.go
@@ -18,7 +18,7 @@
 	maxReplyBytes, knownReplyPart, unknownReplyPart = 64 << 20, 2, 4
 	// longReplyBytes is the size from which one reply of unknown length is read at a time.
 	// Otherwise several that are read together could each hold what the others need.
-	longReplyBytes = 64 << 10
+	longReplyBytes = 256 << 10
 	// replyRoomTimeout is how long a reply waits for room. Many short ones together may hold what
 	// each of them needs, and one without end what the long ones need.
 	replyRoomTimeout = 2 * time.Second
@@ -34,16 +34,16 @@
 
 // replyRoom reserves the room for an answer while it is read.
 type replyRoom struct {
-	exchange *exchange
-	unknown  bool // the answer's length
-	long     bool // it is the one of unknown length that is long
+	exchange   *exchange
+	takesTurns bool // one such answer at a time is longer than longReplyBytes
+	long       bool // it is that one
 }
 
 // newReplyRoom begins the reservation of the exchange's answer. end must be called when it is read.
-func (x *exchange) newReplyRoom(lengthKnown bool) *replyRoom {
+func (x *exchange) newReplyRoom(takesTurns bool) *replyRoom {
 	x.answer = x.entry.account.Reserve(x.conn, x.workspace.Workspace, x.spec.Tier, func() {})
 	x.answer.Pin()
-	return &replyRoom{exchange: x, unknown: !lengthKnown}
+	return &replyRoom{exchange: x, takesTurns: takesTurns}
 }
 
 func (r *replyRoom) end() {
@@ -56,7 +56,7 @@
 // the answer is lost.
 func (r *replyRoom) reserve(bytes int64) error {
 	x := r.exchange
-	if r.unknown && bytes > longReplyBytes && !r.long {
+	if r.takesTurns && bytes > longReplyBytes && !r.long {
 		select {
 		case x.entry.longReply <- struct{}{}:
 			r.long = true
@@ -76,7 +76,7 @@
 	if length > limit {
 		return nil, errors.Wrapf(errOverLimit, "reply of %d bytes", length)
 	}
-	room := x.newReplyRoom(length >= 0)
+	room := x.newReplyRoom(length < 0)
 	defer room.end()
 	g := growingBuffer{size: length, length: length, limit: limit, reserve: room.reserve}
 	if length < 0 {
@@ -86,7 +86,7 @@
 }
 
 // collectText reads the text of an engine's answer to its end, and returns it with the reason
-// why it ended.
+// why it ended. Long ones take no turns: an engine may write on one for minutes.
 func (a *answer) collectText() (text, finish string, err error) {
 	x := a.x
 	room := x.newReplyRoom(false)
--- a/internal/entry/reply_test.go
+++ b/internal/entry/reply_test.go
@@ -8,6 +8,7 @@
 	"io"
 	"net/http"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 
@@ -72,6 +73,8 @@
 	port
 	size  int
 	given atomic.Int64
+	// half is called by each stream when half of it was given; may be nil.
+	half func()
 }
 
 // port is embedded for the calls that no test makes.
@@ -98,6 +101,9 @@
 		return engine.Chunk{}, cmp.Or(ctx.Err(), io.EOF)
 	}
 	c := engine.Chunk{Offset: s.offset, Tokens: 1, Text: strings.Repeat("x", longChunkBytes)}
+	if s.offset == s.engine.size/longChunkBytes/2 && s.engine.half != nil {
+		s.engine.half()
+	}
 	s.offset++
 	s.ended = s.offset*longChunkBytes >= s.engine.size
 	c.End = s.ended
@@ -124,6 +130,25 @@
 		So([]any{code, notRun}, ShouldResemble, []any{string(request.ReasonAnswerIncomplete), false})
 		So(e.given.Load(), ShouldBeLessThanOrEqualTo, memory)
 	})
+	Convey("Long ones that engines write at the same time come whole", t, func() {
+		const together = 4
+		var halves sync.WaitGroup
+		halves.Add(together)
+		r := newRig(t, standin.Options{}, Limits{BodyBytes: memory}, longSilence)
+		r.entry.deps.Engines = &longEngine{size: 10 * longChunkBytes, half: func() {
+			halves.Done()
+			halves.Wait()
+		}}
+		var wg conc.WaitGroup
+		for range together {
+			wg.Go(func() {
+				if resp, _ := r.post(pathChat, chatBody(testModel, "echo:x", false)); resp.StatusCode != http.StatusOK {
+					t.Errorf("status %d", resp.StatusCode)
+				}
+			})
+		}
+		wg.Wait()
+	})
 	Convey("A long one for which there is room comes whole", t, func() {
 		_, _, resp, body := ask(memory / 8)
 		So(resp.StatusCode, ShouldEqual, http.StatusOK)
